A thin whole path: caller, node, engine and platform as processes

Cause: nothing existed. A request has to travel end to end before any part of it can be proved or measured.

Change: the node is one deterministic state machine (crates/runtime) without clock, socket or random source; the daemon (crates/node) drives it from ntex on one thread. Coordination (leases, fences, configuration, claims, members, streams) and scheduling (routing, queue, limits, planner, policies) are crates without I/O. Stand-ins for engines and platform are state machines too, served over HTTP by crates/emulator.

Found on the way: the fleet never got ready, because only the carriers of a zone's digests knew the other zones. Sending every digest to every node was ruled out: 31 summaries to ten peers a second would be about 37 KB/s, over the limit of 21. Nodes that need other zones now ask their carrier.

No tests yet.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,88 @@
+//! The `pitchstall` command.
+
+mod apply;
+mod check;
+mod ctl;
+mod dev;
+mod node;
+mod runtime;
+
+use gumdrop::Options;
+use std::process::ExitCode;
+
+/// Exit code when the command line or a file is at fault.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code when the work was done and its result is bad.
+pub const EXIT_FAILED: u8 = 1;
+
+/// Serving of language models on a fixed fleet.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", short = "V")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a node")]
+    Node(node::NodeArguments),
+    #[options(help = "operate a running fleet")]
+    Ctl(ctl::CtlArguments),
+    #[options(help = "check a settings file or a configuration file")]
+    Check(check::CheckArguments),
+    #[options(help = "run nodes, engines and platform in one process, to try it out")]
+    Dev(dev::DevArguments),
+}
+
+/// Why a command did not do its work.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The command line is at fault.
+    #[error("{0}")]
+    Usage(String),
+    /// Settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] pitchstall_node::settings::SettingsError),
+    /// The daemon failed.
+    #[error(transparent)]
+    Daemon(#[from] pitchstall_node::daemon::DaemonError),
+    /// The logger failed.
+    #[error("the logger cannot be started: {0}")]
+    Logging(String),
+    /// A file cannot be read or is not valid.
+    #[error("{0}")]
+    File(String),
+    /// The fleet could not be asked.
+    #[error("{0}")]
+    Fleet(String),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("pitchstall {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match arguments.command {
+        Some(Command::Node(arguments)) => node::run(arguments),
+        Some(Command::Ctl(arguments)) => ctl::run(arguments),
+        Some(Command::Check(arguments)) => check::run(&arguments),
+        Some(Command::Dev(arguments)) => dev::run(&arguments),
+        None => Err(CommandError::Usage(format!(
+            "expected a command\n\n{}\n\nCommands:\n{}",
+            Arguments::usage(),
+            Arguments::command_list().unwrap_or_default()
+        ))),
+    };
+    match result {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("pitchstall: {error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,194 @@
+//! Messages between nodes. Each is one JSON line; any may be lost, late or doubled.
+
+use crate::caller::{CallerEvent, CompletionRequest};
+use crate::configuration::Document;
+use crate::engine::EngineReport;
+use crate::ids::{ClaimId, Epoch, Incarnation, ModelName, NodeId, RequestId, Revision, ZoneId};
+use serde::{Deserialize, Serialize};
+
+/// A message with its sender and receiver. A receiver drops what is meant for another
+/// node: an address may have passed to a new process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// The sender.
+    pub from: NodeId,
+    /// The sender's start.
+    pub from_incarnation: Incarnation,
+    /// The receiver.
+    pub to: NodeId,
+    /// The receiver's start, as far as the sender knows it. Clock readings inside the message
+    /// are those of this start.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub to_incarnation: Option<Incarnation>,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// Kinds of messages.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "type")]
+pub enum PeerMessage {
+    /// Signs of life inside a zone.
+    Heartbeat(Box<Heartbeat>),
+    /// Summaries of zones, passed on between zones.
+    Digest(Digest),
+    /// Asks the node that carries its zone's digests for what it knows of other zones.
+    PullDigest,
+    /// Asks for the configuration if the receiver has a newer one.
+    PullConfiguration {
+        /// The revision the sender has.
+        have: Revision,
+    },
+    /// The configuration.
+    PushConfiguration(Box<Document>),
+    /// Passes a caller's request to a node of another zone.
+    Forward(Box<CompletionRequest>),
+    /// An event of a forwarded request.
+    Forwarded {
+        /// The request.
+        request: RequestId,
+        /// Place of the event in the stream of this request, from zero.
+        sequence: u64,
+        /// The event.
+        event: CallerEvent,
+    },
+    /// The caller of a forwarded request has left.
+    CancelForward {
+        /// The request.
+        request: RequestId,
+    },
+    /// Asks what became of a claim.
+    AskClaim {
+        /// The claim.
+        claim: ClaimId,
+    },
+    /// The answer.
+    ClaimFate {
+        /// The claim.
+        claim: ClaimId,
+        /// What became of it.
+        fate: ClaimFate,
+    },
+}
+
+/// Signs of life, with everything that the zone has to know of its sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's zone.
+    pub zone: ZoneId,
+    /// The sender's clock at sending, microseconds.
+    pub sent_at_us: u64,
+    /// The latest `sent_at_us` received from the receiver. It proves to the receiver that
+    /// this message was sent after that instant of its own clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub echo_us: Option<u64>,
+    /// The configuration revision the sender applies.
+    pub revision: Revision,
+    /// Microseconds since the instant at which the sender knows that `revision` was the
+    /// latest committed one; absent: it never knew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verified_age_us: Option<u64>,
+    /// Whether the sender takes no new work.
+    pub leaving: bool,
+    /// The epoch of the authority over the zone, if the sender holds it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub authority: Option<Epoch>,
+    /// Fresh reports of the engines the sender watches over.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub reports: Vec<AgedReport>,
+    /// Work that has come in at the sender since its start, by model.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub arrived: Vec<ArrivedWork>,
+    /// Nodes of the zone that the sender suspects.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<NodeId>,
+}
+
+/// An engine's report on its way through the zone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AgedReport {
+    /// Microseconds since the sender asked for the report.
+    pub age_us: u64,
+    /// The report.
+    pub report: EngineReport,
+}
+
+/// Work that has come in since the start of a node. Totals, so that a lost message loses
+/// nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ArrivedWork {
+    /// The model.
+    pub model: ModelName,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Output tokens, as far as can be expected.
+    pub output_tokens: u64,
+}
+
+/// Summaries of zones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender's clock at sending, microseconds.
+    pub sent_at_us: u64,
+    /// As in [`Heartbeat::echo_us`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub echo_us: Option<u64>,
+    /// The configuration revision the sender applies.
+    pub revision: Revision,
+    /// As in [`Heartbeat::verified_age_us`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verified_age_us: Option<u64>,
+    /// The summaries that are newest at the sender.
+    pub zones: Vec<ZoneSummary>,
+}
+
+/// What the other zones know of a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneSummary {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The node that made the summary.
+    pub carrier: NodeId,
+    /// Counts up with each summary of this carrier.
+    pub sequence: u64,
+    /// The lowest revision applied by a live node of the zone.
+    pub lowest_revision: Revision,
+    /// Live nodes of the zone.
+    pub live_nodes: u32,
+    /// Nodes that apply less than the carrier does; at most a few are named.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub behind: Vec<NodeId>,
+    /// Free room by model.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub capacity: Vec<ModelCapacity>,
+}
+
+/// Room for a model in a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelCapacity {
+    /// The model.
+    pub model: ModelName,
+    /// Engines that are ready.
+    pub engines: u32,
+    /// Sequences running or waiting on them.
+    pub sequences: u32,
+}
+
+/// What became of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "fate")]
+pub enum ClaimFate {
+    /// It runs now.
+    Running,
+    /// It ended; the answer.
+    Ended {
+        /// The text.
+        text: String,
+        /// Token counts.
+        usage: crate::caller::Usage,
+    },
+    /// It will never be dispatched.
+    Abandoned,
+    /// It ran and failed, or this node does not know it.
+    Unknown,
+}
--- /dev/null
+++ b/crates/runtime/src/forwarding.rs
@@ -0,0 +1,198 @@
+//! Passing a request to a node of another zone, where the policy allows it.
+//!
+//! The prompt is data: it goes only to a zone that the service and the program allow, and
+//! only while this node knows that its configuration is the latest. The receiving node
+//! checks again by its own configuration.
+
+use crate::exchange::{Origin, Stage};
+use crate::node::Node;
+use pitchstall_protocol::caller::CallerEvent;
+use pitchstall_protocol::error::{ErrorBody, ErrorCode, Execution};
+use pitchstall_protocol::ids::{NodeId, RequestId, ZoneId};
+use pitchstall_protocol::membership::MemberState;
+use pitchstall_protocol::peer::PeerMessage;
+
+impl Node {
+    /// Passes a request to the allowed zone with the most room. Returns whether it did.
+    pub(crate) fn forward_to_best_zone(&mut self, request: &RequestId) -> bool {
+        let Some(exchange) = self.exchanges.get(request) else {
+            return false;
+        };
+        let silent_after = self.settings.control.zone_silent_after;
+        let best = exchange
+            .zones
+            .iter()
+            .filter(|zone| **zone != self.settings.zone)
+            .filter_map(|zone| {
+                let knowledge = self.zones.get(zone)?;
+                let fresh = self.now.since(knowledge.heard) < silent_after;
+                let room = knowledge.summary.capacity.iter().find(|it| it.model == exchange.model);
+                let room = room.filter(|it| fresh && it.engines > 0)?;
+                let load = f64::from(room.sequences) / f64::from(room.engines);
+                Some((zone.clone(), load))
+            })
+            .min_by(|(_, left), (_, right)| left.total_cmp(right));
+        match best {
+            Some((zone, _)) => self.forward_to_zone(request, &zone),
+            None => false,
+        }
+    }
+
+    /// Passes a request to a node of one zone. Returns whether it did.
+    pub(crate) fn forward_to_zone(&mut self, request: &RequestId, zone: &ZoneId) -> bool {
+        let Some(exchange) = self.exchanges.get(request) else {
+            return false;
+        };
+        // The last check before data leaves the zone, after any policy program.
+        let allowed = exchange.zones.contains(zone)
+            && self
+                .replica
+                .configuration()
+                .and_then(|it| it.services.get(&exchange.request.service))
+                .is_some_and(|service| service.zones.contains(zone))
+            && self.replica.may_move_data(self.now);
+        if !allowed {
+            return false;
+        }
+        let Some(node) = self.node_of_zone(zone) else {
+            return false;
+        };
+        let mut forwarded = exchange.request.clone();
+        forwarded.hops += 1;
+        forwarded.deadline_ms = exchange.deadline.since(self.now).as_millis() as u64;
+        if !self.tell_peer(&node, PeerMessage::Forward(Box::new(forwarded))) {
+            return false;
+        }
+        self.counters.forwarded += 1;
+        let now = self.now;
+        if let Some(exchange) = self.exchanges.get_mut(request) {
+            // The other node claims the key; this one has nothing to keep.
+            exchange.stage = Stage::Forwarded { node, next_sequence: 0 };
+            exchange.may_have_started = true;
+            exchange.attempts += 1;
+            exchange.last_progress = now;
+        }
+        true
+    }
+
+    fn node_of_zone(&self, zone: &ZoneId) -> Option<NodeId> {
+        let listed = self.members.remote_nodes(zone);
+        let is_live = |node: &NodeId| {
+            listed.iter().any(|it| it.node == *node && it.state == MemberState::Live)
+        };
+        let carrier = self.zones.get(zone).map(|it| it.summary.carrier.clone());
+        if let Some(carrier) = carrier.filter(|carrier| is_live(carrier)) {
+            return Some(carrier);
+        }
+        let live = listed.iter().filter(|it| it.state == MemberState::Live);
+        let nodes: Vec<&NodeId> = live.map(|it| &it.node).collect();
+        pitchstall_coordination::placement::owner(&self.settings.node, nodes.iter().copied())
+            .cloned()
+    }
+
+    pub(crate) fn on_forwarded(
+        &mut self,
+        from: &NodeId,
+        request: &RequestId,
+        sequence: u64,
+        event: CallerEvent,
+    ) {
+        let now = self.now;
+        let Some(exchange) = self.exchanges.get_mut(request) else {
+            return;
+        };
+        let Stage::Forwarded { node, next_sequence } = &mut exchange.stage else {
+            return;
+        };
+        if node != from || sequence < *next_sequence {
+            return;
+        }
+        if sequence > *next_sequence {
+            self.on_forward_lost(request);
+            return;
+        }
+        *next_sequence += 1;
+        exchange.last_progress = now;
+        match event {
+            CallerEvent::Piece { point, text } => {
+                exchange.answer = pitchstall_coordination::stream::StreamAssembler::resumed(
+                    request.clone(),
+                    point.attempt,
+                    point.offset,
+                    point.digest,
+                );
+                exchange.request.resume = Some(point.clone());
+                self.deliver(request, point, text);
+            }
+            CallerEvent::Finished { usage } => {
+                self.disown_claim(request);
+                self.finish(request, usage);
+            }
+            CallerEvent::Failed { error } => self.on_forward_failed(request, error),
+        }
+    }
+
+    fn on_forward_failed(&mut self, request: &RequestId, error: ErrorBody) {
+        let Some(exchange) = self.exchanges.get_mut(request) else {
+            return;
+        };
+        let untouched = exchange.answer.tokens() == 0;
+        if error.execution == Execution::NotRun && untouched {
+            exchange.may_have_started = false;
+        }
+        self.disown_claim(request);
+        self.fail(request, error);
+    }
+
+    /// The claim is the other node's, so nothing is noted of it here.
+    fn disown_claim(&mut self, request: &RequestId) {
+        if let Some(exchange) = self.exchanges.get_mut(request) {
+            exchange.claim_key = None;
+        }
+    }
+
+    /// Events of the other node are missing.
+    pub(crate) fn on_forward_lost(&mut self, request: &RequestId) {
+        let Some(exchange) = self.exchanges.get(request) else {
+            return;
+        };
+        let Stage::Forwarded { node, .. } = &exchange.stage else {
+            return;
+        };
+        let node = node.clone();
+        self.tell_peer(&node, PeerMessage::CancelForward { request: request.clone() });
+        let Some(exchange) = self.exchanges.get_mut(request) else {
+            return;
+        };
+        exchange.ran_before = true;
+        let execution = crate::answers::execution_of(exchange.answer.tokens());
+        let retry = exchange.repeatable && self.retry_budget.withdraw();
+        let point = exchange.request.resume.clone();
+        self.disown_claim(request);
+        match (retry, point) {
+            (true, Some(point)) => self.make_anew(request, point),
+            (true, None) => self.try_again(request),
+            (false, _) => {
+                let message = "the node that had the request cannot be heard";
+                self.fail(request, ErrorBody::failed(ErrorCode::EngineFailed, execution, message));
+            }
+        }
+    }
+
+    pub(crate) fn on_cancel_forward(&mut self, from: &NodeId, request: &RequestId) {
+        let ours = self
+            .exchanges
+            .get(request)
+            .is_some_and(|exchange| exchange.origin == Origin::Peer(from.clone()));
+        if !ours {
+            return;
+        }
+        if self.keeps_answer(request) {
+            if let Some(exchange) = self.exchanges.get_mut(request) {
+                exchange.origin = Origin::Nobody;
+            }
+        } else {
+            self.close(request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/policy.rs
@@ -0,0 +1,167 @@
+//! Operators' policy programs: short Rhai scripts that narrow where a request may run and
+//! set its priority.
+//!
+//! A program sees `tenant`, `service`, `prompt_tokens`, `max_tokens`, `zone` (where the
+//! request came in) and `zones` (where the service may run), and returns a map with any of
+//! `zones` (a list of names) and `priority` (a whole number), or nothing. Zones it returns
+//! are intersected with those of the service: a program can narrow, never widen. Programs
+//! have no modules, no `eval`, no clock, and a limit on operations.
+
+use pitchstall_protocol::ids::{ServiceName, TenantId, ZoneId};
+use rhai::{Array, Dynamic, Engine, Map, Scope, AST};
+use std::collections::BTreeSet;
+
+/// Most operations of one run. A program of ten lines takes about a hundred.
+pub const OPERATION_LIMIT: u64 = 20_000;
+const EXPRESSION_DEPTH_LIMIT: usize = 32;
+const COLLECTION_LIMIT: usize = 1_024;
+const STRING_LIMIT: usize = 4_096;
+
+/// What a program sees of a request.
+#[derive(Clone, Debug)]
+pub struct PolicyInput<'a> {
+    /// Who asks.
+    pub tenant: &'a TenantId,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Estimated prompt tokens.
+    pub prompt_tokens: u32,
+    /// Most output tokens.
+    pub max_tokens: u32,
+    /// The zone in which the request came in.
+    pub zone: &'a ZoneId,
+    /// Zones in which the service may run.
+    pub zones: &'a BTreeSet<ZoneId>,
+}
+
+/// What a program decided.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PolicyDecision {
+    /// Zones left; `None`: not narrowed. May be empty.
+    pub zones: Option<BTreeSet<ZoneId>>,
+    /// The priority; `None`: the service's.
+    pub priority: Option<i32>,
+}
+
+/// What is wrong with a program.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PolicyError {
+    /// It does not parse.
+    #[error("the policy program does not parse: {0}")]
+    Syntax(String),
+    /// It failed or used up its operations.
+    #[error("the policy program failed: {0}")]
+    Run(String),
+    /// It returned something else than a map or nothing.
+    #[error("the policy program returned {0}; expected a map with `zones` or `priority`")]
+    Shape(String),
+    /// It named a zone that the service may not use.
+    #[error("the policy program named zone `{0}`, which the service may not use")]
+    ForbiddenZone(ZoneId),
+}
+
+/// A compiled program.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    program: AST,
+}
+
+/// Compiles and runs programs.
+pub struct PolicyEngine {
+    engine: Engine,
+}
+
+impl Default for PolicyEngine {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl PolicyEngine {
+    /// An engine with all limits set.
+    pub fn new() -> Self {
+        let mut engine = Engine::new();
+        engine.set_max_operations(OPERATION_LIMIT);
+        engine.set_max_expr_depths(EXPRESSION_DEPTH_LIMIT, EXPRESSION_DEPTH_LIMIT);
+        engine.set_max_array_size(COLLECTION_LIMIT);
+        engine.set_max_map_size(COLLECTION_LIMIT);
+        engine.set_max_string_size(STRING_LIMIT);
+        engine.disable_symbol("eval");
+        engine.on_print(|_| {});
+        engine.on_debug(|_, _, _| {});
+        Self { engine }
+    }
+
+    /// Compiles a program.
+    pub fn compile(&self, source: &str) -> Result<Policy, PolicyError> {
+        let program =
+            self.engine.compile(source).map_err(|error| PolicyError::Syntax(error.to_string()))?;
+        Ok(Policy { program })
+    }
+
+    /// Runs a program. A zone outside the service's is an error here, so that the operator
+    /// hears of it; callers of this function refuse the request then.
+    pub fn run(
+        &self,
+        policy: &Policy,
+        input: &PolicyInput<'_>,
+    ) -> Result<PolicyDecision, PolicyError> {
+        let mut scope = scope_of(input);
+        let result: Dynamic = self
+            .engine
+            .eval_ast_with_scope(&mut scope, &policy.program)
+            .map_err(|error| PolicyError::Run(error.to_string()))?;
+        if result.is_unit() {
+            return Ok(PolicyDecision::default());
+        }
+        let type_name = result.type_name().to_owned();
+        let map = result.try_cast::<Map>().ok_or(PolicyError::Shape(type_name))?;
+        read_decision(map, input.zones)
+    }
+}
+
+fn scope_of(input: &PolicyInput<'_>) -> Scope<'static> {
+    let zones: Array =
+        input.zones.iter().map(|zone| Dynamic::from(zone.as_str().to_owned())).collect();
+    let mut scope = Scope::new();
+    scope.push("tenant", input.tenant.as_str().to_owned());
+    scope.push("service", input.service.as_str().to_owned());
+    scope.push("prompt_tokens", i64::from(input.prompt_tokens));
+    scope.push("max_tokens", i64::from(input.max_tokens));
+    scope.push("zone", input.zone.as_str().to_owned());
+    scope.push("zones", zones);
+    scope
+}
+
+fn read_decision(map: Map, allowed: &BTreeSet<ZoneId>) -> Result<PolicyDecision, PolicyError> {
+    let mut decision = PolicyDecision::default();
+    for (key, value) in map {
+        match key.as_str() {
+            "zones" => decision.zones = Some(read_zones(value, allowed)?),
+            "priority" => {
+                let type_name = value.type_name().to_owned();
+                let priority = value.as_int().map_err(|_| PolicyError::Shape(type_name))?;
+                let clamped = priority.clamp(i64::from(i32::MIN), i64::from(i32::MAX));
+                decision.priority = i32::try_from(clamped).ok();
+            }
+            other => return Err(PolicyError::Shape(format!("a map with `{other}`"))),
+        }
+    }
+    Ok(decision)
+}
+
+fn read_zones(value: Dynamic, allowed: &BTreeSet<ZoneId>) -> Result<BTreeSet<ZoneId>, PolicyError> {
+    let type_name = value.type_name().to_owned();
+    let array = value.try_cast::<Array>().ok_or(PolicyError::Shape(type_name))?;
+    let mut zones = BTreeSet::new();
+    for item in array {
+        let type_name = item.type_name().to_owned();
+        let name = item.into_string().map_err(|_| PolicyError::Shape(type_name))?;
+        let zone = ZoneId::new(name);
+        if !allowed.contains(&zone) {
+            return Err(PolicyError::ForbiddenZone(zone));
+        }
+        zones.insert(zone);
+    }
+    Ok(zones)
+}
