Prove the thin path over real processes

Cause: nothing checked the path outside one process, and SIGTERM did nothing: a node told to stop ran on until it was killed.

Ruled out: the state machine (it leaves when told), the departure flags. The server's `disable_signals` also takes the runtime's signal handler away, so the runtime's own signal stream never fired. Letting the server handle signals was ruled out: it cuts streams.

Change: SIGTERM and SIGINT set a flag (signal-hook), the node leaves, finishes its streams and then stops the server. Nodes print the addresses they listen on, so tests use port 0; chosen ports had collided between parallel tests.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -1,6 +1,6 @@
 //! `pitchstall dev`: everything in one process, to try it out.
 
-use crate::runtime::block_on;
+use crate::runtime::{block_on, stop_flag, wait_for_stop};
 use crate::{CommandError, EXIT_FAILED};
 use gumdrop::Options;
 use ntex::client::Client;
@@ -51,6 +51,7 @@
     let _logger =
         logging::start(&section).map_err(|error| CommandError::Logging(error.to_string()))?;
     let once = arguments.once;
+    let stop = stop_flag()?;
     block_on("dev", async move {
         let fleet = DevFleet::start().await?;
         fleet.configure().await?;
@@ -58,7 +59,7 @@
             return fleet.send_load().await;
         }
         fleet.explain();
-        wait_for_signal().await;
+        wait_for_stop(stop).await;
         Ok(ExitCode::SUCCESS)
     })
 }
@@ -310,8 +311,3 @@
     let seconds = READY_WITHIN.as_secs();
     Err(CommandError::Fleet(format!("{what} was not ready within {seconds} s")))
 }
-
-async fn wait_for_signal() {
-    // An error means that the runtime is ending, which comes to the same.
-    let _ = ntex::rt::signals::signal().await;
-}
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -1,9 +1,8 @@
 //! `pitchstall node`.
 
-use crate::runtime::block_on;
+use crate::runtime::{block_on, stop_flag, wait_for_stop, StopFlag};
 use crate::CommandError;
 use gumdrop::Options;
-use ntex::rt::signals::{signal, Signal};
 use pitchstall_node::daemon::{serve, DaemonError, Departure, Listeners};
 use pitchstall_node::{logging, DaemonSettings};
 use std::net::SocketAddr;
@@ -40,9 +39,13 @@
     let _logger =
         logging::start(&settings.log).map_err(|it| CommandError::Logging(it.to_string()))?;
     let listeners = Listeners::bind(&settings)?;
+    // Whoever starts the process with port 0 learns the ports from this line.
+    let addresses = listeners.addresses().map_err(DaemonError::Server)?;
+    println!("{}", serde_json::to_string(&addresses).unwrap_or_default());
+    let stop = stop_flag()?;
     let served: Result<(), DaemonError> = block_on("pitchstall", async move {
         let departure = Departure::default();
-        ntex::rt::spawn(leave_on_signal(departure.clone()));
+        ntex::rt::spawn(leave_when_told(stop, departure.clone()));
         serve(settings, listeners, departure).await
     });
     served?;
@@ -64,14 +67,7 @@
     put(&mut settings.platform.members, arguments.members);
 }
 
-async fn leave_on_signal(departure: Departure) {
-    loop {
-        let Ok(signals) = signal().await else {
-            return;
-        };
-        let asked = signals.iter().any(|it| matches!(it, Signal::Term | Signal::Int));
-        if asked {
-            departure.request();
-        }
-    }
+async fn leave_when_told(stop: StopFlag, departure: Departure) {
+    wait_for_stop(stop).await;
+    departure.request();
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -16,8 +16,9 @@
 use pitchstall_platform::membership::HttpMembership;
 use pitchstall_platform::store::EtcdStore;
 use pitchstall_runtime::Input;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -66,6 +67,28 @@
     }
 }
 
+/// Where a node listens, once it does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+impl Listeners {
+    /// The addresses, with the ports that were chosen for port 0.
+    pub fn addresses(&self) -> std::io::Result<BoundAddresses> {
+        Ok(BoundAddresses {
+            callers: self.callers.local_addr()?,
+            operators: self.operators.local_addr()?,
+            peers: self.peers.local_addr()?,
+        })
+    }
+}
+
 /// Ties a node's worker thread to whoever may ask it to leave.
 #[derive(Clone, Debug, Default)]
 pub struct Departure(Arc<DepartureFlags>);
