--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod ctl;
 mod dev;
+mod experiment;
 mod node;
 mod runtime;
 
@@ -36,6 +37,8 @@
     Check(check::CheckArguments),
     #[options(help = "run nodes, engines and platform in one process, to try it out")]
     Dev(dev::DevArguments),
+    #[options(help = "run experiments in virtual time")]
+    Experiment(experiment::ExperimentArguments),
 }
 
 /// Why a command did not do its work.
@@ -72,6 +75,7 @@
         Some(Command::Ctl(arguments)) => ctl::run(arguments),
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Dev(arguments)) => dev::run(&arguments),
+        Some(Command::Experiment(arguments)) => experiment::run(&arguments),
         None => Err(CommandError::Usage(format!(
             "expected a command\n\n{}\n\nCommands:\n{}",
             Arguments::usage(),
--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -226,6 +226,20 @@
         self.engines.values().filter(|engine| engine.zone == self.own_zone)
     }
 
+    /// Engines of the own zone that are known to be leaving.
+    pub fn leaving_engines(&self) -> impl Iterator<Item = &EngineId> {
+        let leaving = self.zone_engines().filter(|member| member.state == MemberState::Leaving);
+        leaving.map(|member| &member.engine)
+    }
+
+    /// Another node saw an engine listed as leaving. That is never taken back: an engine that
+    /// stays after all comes back under another name.
+    pub fn on_engine_leaving(&mut self, engine: &EngineId) {
+        if let Some(member) = self.engines.get_mut(engine) {
+            member.state = MemberState::Leaving;
+        }
+    }
+
     /// A listed engine.
     pub fn engine(&self, engine: &EngineId) -> Option<&EngineMember> {
         self.engines.get(engine)
--- /dev/null
+++ b/crates/emulator/src/experiments/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments in virtual time: faults against the promises.
+
+pub mod faults;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -226,6 +226,7 @@
         deadline_ms,
         idempotency_key,
         resume,
+        entry_zone: None,
         hops: 0,
     })
 }
--- a/crates/protocol/src/caller.rs
+++ b/crates/protocol/src/caller.rs
@@ -1,6 +1,6 @@
 //! Messages between callers and nodes, after HTTP has been taken off.
 
-use crate::ids::{AttemptNumber, EngineId, RequestId, ServiceName, TenantId};
+use crate::ids::{AttemptNumber, EngineId, RequestId, ServiceName, TenantId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 /// Upper limits on one request.
@@ -40,6 +40,10 @@
     /// Where to go on after a broken connection.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub resume: Option<ResumePoint>,
+    /// The zone in which the request came in, once it has been passed to another one.
+    /// Policy programs decide by it, wherever they run.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub entry_zone: Option<ZoneId>,
     /// How often the request has been passed from node to node.
     #[serde(default)]
     pub hops: u8,
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -3,7 +3,7 @@
 use crate::caller::{CallerEvent, CompletionRequest};
 use crate::configuration::Document;
 use crate::engine::EngineReport;
-use crate::ids::{ClaimId, Epoch, Incarnation, ModelName, NodeId, RequestId, Revision, ZoneId};
+use crate::ids::{ClaimId, EngineId, Epoch, Incarnation, ModelName, NodeId, RequestId, Revision, ZoneId};
 use serde::{Deserialize, Serialize};
 
 /// A message with its sender and receiver. A receiver drops what is meant for another
@@ -96,6 +96,9 @@
     /// Fresh reports of the engines the sender watches over.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<AgedReport>,
+    /// Engines that the sender saw listed as leaving: it may see the list when others do not.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving_engines: Vec<EngineId>,
     /// Work that has come in at the sender since its start, by model.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub arrived: Vec<ArrivedWork>,
--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -249,6 +249,14 @@
         self.counters.count_failure(error.code);
         let never_ran = !exchange.may_have_started;
         let state = if never_ran { OwnClaimState::Abandoned } else { OwnClaimState::Failed };
+        // As long as the claim is not decided, an earlier submission may have run.
+        let undecided = matches!(exchange.stage, Stage::Claiming(_) | Stage::Asking { .. });
+        let error = match error.execution {
+            Execution::NotRun if undecided => {
+                ErrorBody { execution: Execution::Unknown, ..error }
+            }
+            _ => error,
+        };
         self.settle_claim(request, state);
         self.emit(request, CallerEvent::Failed { error });
         self.close(request);
--- a/crates/runtime/src/claiming.rs
+++ b/crates/runtime/src/claiming.rs
@@ -1,14 +1,14 @@
 //! A request with an idempotency key: its claim, and what is told to those who come second.
 
 use crate::exchange::{Origin, Stage};
-use crate::node::{Node, OwnClaim, OwnClaimState, Purpose};
+use crate::node::{Node, OwnClaim, OwnClaimState, PendingRefusal, Purpose};
 use pitchstall_coordination::claims::{body_digest, ClaimOutcome, ClaimRecord};
 use pitchstall_coordination::Timestamp;
-use pitchstall_protocol::caller::{ResumePoint, TextDigest, Usage};
+use pitchstall_protocol::caller::{CompletionRequest, ResumePoint, TextDigest, Usage};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode, Execution};
 use pitchstall_protocol::ids::{ClaimId, EngineId, NodeId, RequestId};
 use pitchstall_protocol::peer::{ClaimFate, PeerMessage};
-use pitchstall_protocol::store::{StoreError, StoreReply};
+use pitchstall_protocol::store::{StoreError, StoreReply, StoreRequest};
 
 /// Milliseconds after which a running request may have ended.
 const RETRY_WHILE_RUNNING_MS: u64 = 1_000;
@@ -107,9 +107,11 @@
             ClaimOutcome::Taken { record, mod_revision } => {
                 self.on_key_taken(&request, record, mod_revision);
             }
+            // This submission has not run; whether an earlier one has cannot be known.
             ClaimOutcome::Unavailable => {
                 let message = "the claim on the idempotency key could not be stored";
-                let error = ErrorBody::refused(ErrorCode::PlatformUnavailable, message)
+                let code = ErrorCode::PlatformUnavailable;
+                let error = ErrorBody::failed(code, Execution::Unknown, message)
                     .retry_after_ms(RETRY_STORE_MS);
                 self.fail(&request, error);
             }
@@ -185,9 +187,57 @@
         }
     }
 
+    /// Refuses a request whose key may have been used before: only if the store shows no
+    /// claim on it is it true that nothing has run.
+    pub(crate) fn refuse_if_unused(
+        &mut self,
+        origin: &Origin,
+        request: &CompletionRequest,
+        key: String,
+        error: ErrorBody,
+    ) {
+        /// More checks at once would put an overload on to the store.
+        const CHECKS_LIMIT: usize = 32;
+        let refusal = PendingRefusal {
+            origin: origin.clone(),
+            request: request.request.clone(),
+            key: key.clone(),
+            error,
+        };
+        if self.pending_refusals >= CHECKS_LIMIT {
+            self.refuse_with(refusal, Execution::Unknown);
+            return;
+        }
+        self.pending_refusals += 1;
+        let get = StoreRequest::Get { keys: vec![key] };
+        self.call_store(Purpose::KeyCheck(Box::new(refusal)), get);
+    }
+
+    pub(crate) fn on_key_checked(
+        &mut self,
+        refusal: PendingRefusal,
+        reply: &Result<StoreReply, StoreError>,
+    ) {
+        self.pending_refusals -= 1;
+        let unused = match reply {
+            Ok(StoreReply::Values { values, .. }) => {
+                !values.iter().any(|value| value.key == refusal.key)
+            }
+            _ => false,
+        };
+        let execution = if unused { Execution::NotRun } else { Execution::Unknown };
+        self.refuse_with(refusal, execution);
+    }
+
+    fn refuse_with(&mut self, refusal: PendingRefusal, execution: Execution) {
+        let PendingRefusal { origin, request, error, .. } = refusal;
+        self.refuse(&origin, &request, ErrorBody { execution, ..error });
+    }
+
     fn tell_key_mismatch(&mut self, request: &RequestId) {
         let message = "the idempotency key was used before with another body";
-        self.fail_second(request, ErrorBody::refused(ErrorCode::KeyMismatch, message));
+        let error = ErrorBody::failed(ErrorCode::KeyMismatch, Execution::Unknown, message);
+        self.fail_second(request, error);
     }
 
     fn tell_key_in_use(&mut self, request: &RequestId, retry_after_ms: Option<u64>) {
--- a/crates/runtime/src/dispatch.rs
+++ b/crates/runtime/src/dispatch.rs
@@ -1,10 +1,11 @@
 //! From the queue to an engine.
 
 use crate::exchange::{Exchange, Origin, Stage};
+use crate::intake::HOP_LIMIT;
 use crate::io::EngineCall;
 use crate::node::{Node, Purpose};
 use pitchstall_protocol::configuration::EngineSpeed;
-use pitchstall_protocol::engine::{GenerateRequest, Stage as EngineStage};
+use pitchstall_protocol::engine::{EngineState, GenerateRequest, Stage as EngineStage};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode};
 use pitchstall_protocol::ids::{EngineId, ModelName, RequestId};
 use pitchstall_scheduling::load::SentWork;
@@ -76,13 +77,9 @@
         let Some(exchange) = self.exchanges.get(request) else {
             return false;
         };
-        let may_stay = exchange.zones.contains(&self.settings.zone);
-        let engines_here = self.engines.values().any(|load| {
-            load.takes_work(self.now.0, self.settings.routing.silent_after_us)
-                && load.report.standing.model == exchange.model
-        });
         let crowded = self.queue.len() > FORWARD_ABOVE_QUEUE;
-        if exchange.request.hops > 0 || (may_stay && engines_here && !crowded) {
+        let may_wait = self.has_engine_here(exchange) && !crowded;
+        if exchange.request.hops >= HOP_LIMIT || may_wait {
             return false;
         }
         self.want_zones();
@@ -216,6 +213,7 @@
         for entry in expired {
             self.refuse_late(&entry.request);
         }
+        self.refuse_hopeless();
         self.check_time_limits();
         self.dispatch_queued();
         if self.now >= self.schedule.housekeeping {
@@ -230,7 +228,7 @@
             return;
         };
         let wait = self.expected_wait(exchange.priority);
-        let any_engine = !self.engines.is_empty();
+        let any_engine = self.has_engine_here(exchange);
         let error = if exchange.may_have_started {
             let execution = crate::answers::execution_of(exchange.answer.tokens());
             let message = "no engine was free in time to go on with the answer";
@@ -238,11 +236,41 @@
         } else if any_engine {
             ErrorBody::refused(ErrorCode::Overloaded, "no engine was free in time")
         } else {
-            ErrorBody::refused(ErrorCode::NoEngine, "no engine is known to be live")
+            ErrorBody::refused(ErrorCode::NoEngine, "no engine that may serve it is known to be live")
         };
         self.fail(request, error.retry_after_ms(wait.as_millis() as u64));
     }
 
+    /// Refuses waiting requests that nothing can serve now: their callers do better to ask
+    /// elsewhere than to wait for their deadline.
+    fn refuse_hopeless(&mut self) {
+        let hopeless: Vec<RequestId> = self
+            .exchanges
+            .values()
+            .filter(|exchange| matches!(exchange.stage, Stage::Queued(_)))
+            .filter(|exchange| {
+                let since = exchange.arrived.max(exchange.last_progress);
+                self.now.since(since) >= self.settings.requests.hopeless_after
+            })
+            .filter(|exchange| !self.has_engine_here(exchange))
+            .map(|exchange| exchange.request.request.clone())
+            .collect();
+        for request in hopeless {
+            self.refuse_late(&request);
+        }
+    }
+
+    /// Whether an engine of this zone may come to serve a request.
+    fn has_engine_here(&self, exchange: &Exchange) -> bool {
+        exchange.zones.contains(&self.settings.zone)
+            && self.engines.values().any(|load| {
+                let reported = self.now.0.saturating_sub(load.reported_us);
+                reported < self.settings.routing.silent_after_us
+                    && load.report.standing.state != EngineState::Leaving
+                    && load.report.standing.model == exchange.model
+            })
+    }
+
     fn check_time_limits(&mut self) {
         let settings = self.settings.requests;
         let now = self.now;
--- a/crates/runtime/src/forwarding.rs
+++ b/crates/runtime/src/forwarding.rs
@@ -59,6 +59,7 @@
         };
         let mut forwarded = exchange.request.clone();
         forwarded.hops += 1;
+        forwarded.entry_zone.get_or_insert_with(|| self.settings.zone.clone());
         forwarded.deadline_ms = exchange.deadline.since(self.now).as_millis() as u64;
         if !self.tell_peer(&node, PeerMessage::Forward(Box::new(forwarded))) {
             return false;
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -22,14 +22,15 @@
 /// Milliseconds after which a node that is starting may have its configuration.
 const RETRY_WHEN_STARTED_MS: u64 = 500;
 /// Most times that a request is passed between zones.
-const HOP_LIMIT: u8 = 1;
+pub(crate) const HOP_LIMIT: u8 = 1;
 
 impl Node {
     pub(crate) fn on_submit(&mut self, connection: ConnectionId, request: CompletionRequest) {
         self.counters.submitted += 1;
         if self.exchanges.contains_key(&request.request) {
-            let error = ErrorBody::refused(
+            let error = ErrorBody::failed(
                 ErrorCode::KeyInUse,
+                pitchstall_protocol::error::Execution::Unknown,
                 "a request of this identifier is in work here",
             );
             self.refuse(&Origin::Connection(connection), &request.request, error);
@@ -51,7 +52,7 @@
     fn admit(&mut self, origin: Origin, request: CompletionRequest) {
         match self.examine(&origin, &request) {
             Ok(exchange) => self.accept(exchange),
-            Err(error) => self.refuse(&origin, &request.request, error),
+            Err(error) => self.refuse_at_door(&origin, &request, error),
         }
     }
 
@@ -91,6 +92,11 @@
             let message = "the policy of the service leaves no zone for this request";
             return Err(ErrorBody::refused(ErrorCode::ZoneForbidden, message));
         }
+        let may_stay = zones.contains(&self.settings.zone);
+        if !may_stay && request.hops >= HOP_LIMIT {
+            let message = "the policy of the service does not allow this zone";
+            return Err(ErrorBody::refused(ErrorCode::ZoneForbidden, message));
+        }
         let expected_output = self.expected_output(request);
         // The first node has charged the tenant for a forwarded request.
         if matches!(origin, Origin::Connection(_)) {
@@ -175,7 +181,7 @@
             service: &request.service,
             prompt_tokens: request.estimated_prompt_tokens(),
             max_tokens: request.max_tokens,
-            zone: &self.settings.zone,
+            zone: request.entry_zone.as_ref().unwrap_or(&self.settings.zone),
             zones: &service.zones,
         };
         self.policy_engine.run(policy, &input).map_err(|error| policy_failed(&error))
@@ -393,6 +399,21 @@
         self.enqueue(request);
     }
 
+    /// Refuses at the door. What is said of execution has to hold for what the caller asked,
+    /// not only for this submission: an earlier one may have run.
+    fn refuse_at_door(&mut self, origin: &Origin, request: &CompletionRequest, error: ErrorBody) {
+        if let Some(point) = &request.resume {
+            let execution = crate::answers::execution_of(point.offset);
+            self.refuse(origin, &request.request, ErrorBody { execution, ..error });
+            return;
+        }
+        let key = claim_key(request).filter(|_| may_be_accepted_later(error.code));
+        match key {
+            Some(key) => self.refuse_if_unused(origin, request, key, error),
+            None => self.refuse(origin, &request.request, error),
+        }
+    }
+
     pub(crate) fn refuse(&mut self, origin: &Origin, request: &RequestId, error: ErrorBody) {
         self.counters.count_failure(error.code);
         let event = CallerEvent::Failed { error };
@@ -414,6 +435,14 @@
     }
 }
 
+/// Whether the same request may have been accepted at another time or node.
+fn may_be_accepted_later(code: ErrorCode) -> bool {
+    !matches!(
+        code,
+        ErrorCode::InvalidRequest | ErrorCode::RequestTooLarge | ErrorCode::Unauthorized
+    )
+}
+
 fn policy_failed(error: &PolicyError) -> ErrorBody {
     ErrorBody::refused(ErrorCode::ZoneForbidden, error.to_string())
 }
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -40,6 +40,16 @@
     Stream { request: RequestId, attempt: AttemptNumber, resumed: bool },
     Report { engine: EngineId, sent: Timestamp },
     Order { engine: EngineId, token: FencingToken },
+    KeyCheck(Box<PendingRefusal>),
+}
+
+/// A refusal that waits until it is known whether its idempotency key was used.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingRefusal {
+    pub origin: crate::exchange::Origin,
+    pub request: RequestId,
+    pub key: String,
+    pub error: pitchstall_protocol::error::ErrorBody,
 }
 
 /// What this node remembers of a claim it made.
@@ -122,7 +132,7 @@
 
     pub(crate) engines: BTreeMap<EngineId, EngineLoad>,
     pub(crate) prefixes: PrefixMap,
-    pub(crate) exchanges: HashMap<RequestId, Exchange>,
+    pub(crate) exchanges: BTreeMap<RequestId, Exchange>,
     pub(crate) connections: HashMap<ConnectionId, RequestId>,
     pub(crate) queue: FairQueue,
     pub(crate) limits: TenantLimits,
@@ -137,6 +147,7 @@
     pub(crate) own_claims: HashMap<String, OwnClaim>,
     pub(crate) claim_waiters: HashMap<ClaimId, RequestId>,
     pub(crate) abandoned_claims: HashMap<ClaimId, Timestamp>,
+    pub(crate) pending_refusals: usize,
 }
 
 impl Node {
@@ -179,7 +190,7 @@
             arrived_seen: HashMap::new(),
             engines: BTreeMap::new(),
             prefixes: PrefixMap::default(),
-            exchanges: HashMap::new(),
+            exchanges: BTreeMap::new(),
             connections: HashMap::new(),
             queue: FairQueue::default(),
             limits: TenantLimits::default(),
@@ -193,6 +204,7 @@
             own_claims: HashMap::new(),
             claim_waiters: HashMap::new(),
             abandoned_claims: HashMap::new(),
+            pending_refusals: 0,
             settings,
         }
     }
@@ -239,6 +251,7 @@
             Some(Purpose::Claims { sent }) => self.on_claims_reply(sent, reply),
             Some(Purpose::Commit(operator)) => self.on_commit_reply(operator, &reply),
             Some(Purpose::History(operator)) => self.on_history_reply(operator, reply),
+            Some(Purpose::KeyCheck(refusal)) => self.on_key_checked(*refusal, &reply),
             Some(Purpose::Verify { sent }) => self.on_verify_reply(sent, reply),
             _ => {}
         }
@@ -259,7 +272,8 @@
             return;
         };
         let noticed = self.now.since(since) >= self.settings.control.leave_notice;
-        if noticed && self.exchanges.is_empty() && !self.left {
+        let idle = self.exchanges.is_empty() && self.pending_refusals == 0;
+        if noticed && idle && !self.left {
             self.left = true;
             self.out.push(Output::Left);
         }
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -56,6 +56,8 @@
     pub answer_retention: Duration,
     /// Most answers kept for replays.
     pub answer_limit: usize,
+    /// How long a request waits while no engine that may serve it is known to be live.
+    pub hopeless_after: Duration,
     /// How long the node of a claim is waited for.
     pub claim_question_timeout: Duration,
 }
@@ -71,6 +73,7 @@
             resume_grace: Duration::from_secs(2),
             answer_retention: Duration::from_secs(600),
             answer_limit: 4_096,
+            hopeless_after: Duration::from_secs(2),
             claim_question_timeout: Duration::from_millis(800),
         }
     }
--- a/crates/runtime/src/spread.rs
+++ b/crates/runtime/src/spread.rs
@@ -91,11 +91,8 @@
 
     /// Engines that the list names as leaving get no new work, whatever they report.
     fn mark_leaving_engines(&mut self) {
-        for member in self.members.zone_engines() {
-            if member.state != MemberState::Leaving {
-                continue;
-            }
-            if let Some(load) = self.engines.get_mut(&member.engine) {
+        for engine in self.members.leaving_engines() {
+            if let Some(load) = self.engines.get_mut(engine) {
                 load.report.standing.state = EngineState::Leaving;
             }
         }
@@ -115,6 +112,7 @@
             leaving: self.is_leaving(),
             authority: self.lease.epoch(self.now),
             reports,
+            leaving_engines: self.members.leaving_engines().cloned().collect(),
             arrived: self.arrived.values().cloned().collect(),
             suspects,
         };
@@ -161,7 +159,11 @@
                 self.authority_heard = Some((from.clone(), epoch, self.now));
             }
         }
+        for engine in &heartbeat.leaving_engines {
+            self.members.on_engine_leaving(engine);
+        }
         let sent_after = echo.unwrap_or(self.now);
+        self.mark_leaving_engines();
         for aged in heartbeat.reports {
             let made = sent_after.before(Duration::from_micros(aged.age_us));
             self.on_report(aged.report, made);
