Tell the truth about refusals in one place, and find lost forwards early

A forwarded request whose node had just left was waited for until its deadline; a half delivered answer was forwarded from its start, and the caller got two answers joined (seed 5); a retry that was refused at the queue said not_run; a booking was cut when the decode engine changed its role after the prompt was read; an order's answer made an engine that the list names as leaving look ready.

Change: nodes say which forwarded requests they have in work; every piece is checked against the digest of what was delivered; one function decides whether a failure may say not_run; reading a prompt no longer counts as running it; a leaving mark is never taken back; manual changes that leave none to serve are refused. New faults: slow messages, and a holder that loses its lease while its orders are on the way.

--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -321,6 +321,10 @@
             eprintln!("this node has no authority over its zone; the holder is {holder}");
             Ok(ExitCode::from(EXIT_FAILED))
         }
+        EngineChangeOutcome::LeavesNoneToServe => {
+            eprintln!("not done: the engines left could not serve the model");
+            Ok(ExitCode::from(EXIT_FAILED))
+        }
         EngineChangeOutcome::UnknownEngine => {
             eprintln!("no engine of this zone is named {engine}");
             Ok(ExitCode::from(EXIT_FAILED))
--- a/crates/emulator/src/experiments/faults.rs
+++ b/crates/emulator/src/experiments/faults.rs
@@ -230,6 +230,11 @@
             Action::ReplaceNode(node) => {
                 unreachable.push((Some(name_of(*node)), from, from + Duration::from_secs(14)));
             }
+            // What it sends is on its way for up to this much longer.
+            Action::Slow(slow) => {
+                let until = end_of(place, &|it| *it == Action::Heal(slow.id));
+                unreachable.push((None, from, until + slow.added));
+            }
             Action::Cut(cut) => {
                 let until = end_of(place, &|it| *it == Action::Heal(cut.id));
                 unreachable.extend(cut_nodes(cut).map(|node| (node, from, until)));
--- a/crates/emulator/src/models/engine.rs
+++ b/crates/emulator/src/models/engine.rs
@@ -70,6 +70,7 @@
     only_prefill: bool,
     progress: Progress,
     written: u32,
+    has_written: bool,
     priority: i32,
     in_batch: bool,
     reader: Option<Reader>,
@@ -240,6 +241,7 @@
             only_prefill: request.stage == Stage::Prefill,
             progress,
             written: request.written_tokens,
+            has_written: false,
             priority: request.priority,
             in_batch: false,
             reader: Some(reader),
@@ -594,7 +596,8 @@
         };
         let place = sequence.written;
         if place < sequence.answer.tokens {
-            if !self.started_runs.contains(key) {
+            if !sequence.has_written {
+                sequence.has_written = true;
                 self.started_runs.push(key.clone());
             }
             sequence.written += 1;
--- a/crates/emulator/src/simulation/checks.rs
+++ b/crates/emulator/src/simulation/checks.rs
@@ -33,6 +33,8 @@
     PlannedChangesCutNothing,
     /// A planned stop cuts no request.
     PlannedStopsCutNothing,
+    /// Every request is answered, be it by a failure.
+    EveryRequestIsAnswered,
     /// A caller gets the whole answer to its own request.
     AnswersAreWhole,
     /// A refusal that says "not run" is true.
@@ -51,11 +53,12 @@
 
 impl Promise {
     /// All promises.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::NoConflictingOrders,
         Self::StaleOrdersHaveNoEffect,
         Self::PlannedChangesCutNothing,
         Self::PlannedStopsCutNothing,
+        Self::EveryRequestIsAnswered,
         Self::AnswersAreWhole,
         Self::NotRunIsTrue,
         Self::AtMostOnce,
@@ -123,6 +126,7 @@
         (Promise::StaleOrdersHaveNoEffect, stale_orders(events)),
         (Promise::PlannedChangesCutNothing, planned_changes(events, circumstances)),
         (Promise::PlannedStopsCutNothing, planned_stops(events, circumstances)),
+        (Promise::EveryRequestIsAnswered, every_answer(events)),
         (Promise::AnswersAreWhole, whole_answers(events)),
         (Promise::NotRunIsTrue, not_run(events)),
         (Promise::AtMostOnce, at_most_once(events)),
@@ -189,9 +193,17 @@
 
 // --- planned changes -------------------------------------------------------------------------
 
-/// Whether a failure cuts a request, rather than refusing it or telling of another.
+/// Whether a failure cuts a request. A refusal at the door does not, even if it cannot tell
+/// whether another submission with the same idempotency key has run.
 fn cuts(code: ErrorCode, execution: Execution) -> bool {
-    execution != Execution::NotRun && code != ErrorCode::KeyInUse
+    match execution {
+        Execution::NotRun => false,
+        Execution::Partial => true,
+        Execution::Unknown => matches!(
+            code,
+            ErrorCode::EngineFailed | ErrorCode::DeadlineExceeded | ErrorCode::CannotResume
+        ),
+    }
 }
 
 /// Requests that were in work when something was planned, and how they ended.
@@ -289,6 +301,28 @@
     verdict
 }
 
+/// Each caller's last submission ends with an answer or a failure.
+fn every_answer(events: &Events) -> Verdict {
+    let mut verdict = Verdict::default();
+    let mut open: BTreeMap<usize, (Timestamp, &RequestId)> = BTreeMap::new();
+    for (at, event) in events {
+        match event {
+            Event::Submitted { wish, request, .. } => {
+                open.insert(*wish, (*at, request));
+            }
+            Event::Finished { wish, .. } | Event::Failed { wish, .. } => {
+                open.remove(wish);
+                verdict.checked += 1;
+            }
+            _ => {}
+        }
+    }
+    for (wish, (at, request)) in open {
+        verdict.expect(false, || format!("caller {wish} waits for {request} since {at:?}"));
+    }
+    verdict
+}
+
 struct Runs<'a> {
     /// When each request's first token was written, at the earliest.
     started: HashMap<&'a RequestId, Timestamp>,
--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -1,7 +1,7 @@
 //! What breaks in a run: a plan made from the seed, and how each action is done.
 
 use crate::simulation::history::Event;
-use crate::simulation::network::{Cut, Endpoint, Group};
+use crate::simulation::network::{Cut, Endpoint, Group, Slow};
 use crate::simulation::world::{StoreTrouble, StreamTrouble, World};
 use pitchstall_protocol::engine::EngineRole;
 use pitchstall_protocol::ids::{EngineId, ZoneId};
@@ -38,7 +38,9 @@
     CutStreams(usize),
     /// Messages are lost.
     Cut(Cut),
-    /// They are not any more.
+    /// Messages of one end are held up, so that they come late.
+    Slow(Slow),
+    /// Messages are lost or held up no more.
     Heal(u64),
     /// The store has trouble, or none.
     Store(StoreTrouble),
@@ -61,6 +63,7 @@
             Self::ListEngineLeaving(_) => Some("engine_listed_leaving"),
             Self::CutStreams(_) => Some("streams_cut"),
             Self::Cut(_) => Some("network_cut"),
+            Self::Slow(_) => Some("network_slow"),
             Self::Store(trouble) if trouble.down => Some("store_down"),
             Self::Store(trouble) if trouble.lose_answers_percent > 0 => Some("store_answers_lost"),
             Self::Store(trouble) if !trouble.slow.is_zero() => Some("store_slow"),
@@ -128,6 +131,9 @@
     zone_of_engine: &[ZoneId],
 ) -> Vec<Planned> {
     let mut plan = Vec::new();
+    if mix == FaultMix::All {
+        lose_a_holder(rng, bounds, &mut plan);
+    }
     for number in 0..bounds.faults {
         let span_ms = (bounds.until - bounds.from).as_millis() as u64;
         let at = bounds.from + Duration::from_millis(rng.random_range(0..span_ms));
@@ -145,6 +151,31 @@
     plan
 }
 
+/// A node that may have the authority is cut off from the store, so that it loses its lease,
+/// while its orders are on a slow way: they arrive when another holds the lease.
+fn lose_a_holder(rng: &mut impl Rng, bounds: PlanBounds, plan: &mut Vec<Planned>) {
+    /// Numbers of cuts that no other fault uses.
+    const FIRST_ID: u64 = 1 << 32;
+    const LASTS: Duration = Duration::from_secs(11);
+    // Nodes come zone by zone, and the first of a zone is the first to take the lease.
+    let node = rng.random_range(0..bounds.nodes);
+    let span_ms = (bounds.until - bounds.from).as_millis() as u64;
+    let at = bounds.from + Duration::from_millis(rng.random_range(0..span_ms));
+    let added = Duration::from_millis(rng.random_range(6_500..9_500));
+    let from = Endpoint::Node(node);
+    let slow = Slow { id: FIRST_ID, from: from.clone(), only_to_engines: true, added };
+    let cut =
+        Cut { id: FIRST_ID + 1, from: Group::One(from), to: Group::One(Endpoint::Store) };
+    plan.push(Planned { at, action: Action::Slow(slow) });
+    plan.push(Planned { at, action: Action::Cut(cut) });
+    for engine in 0..bounds.engines {
+        let wait = Duration::from_millis(rng.random_range(0..4_000));
+        plan.push(Planned { at: at + wait, action: Action::ChangeRole(engine, pick_role(rng)) });
+    }
+    plan.push(Planned { at: at + LASTS, action: Action::Heal(FIRST_ID) });
+    plan.push(Planned { at: at + LASTS, action: Action::Heal(FIRST_ID + 1) });
+}
+
 fn pick_role(rng: &mut impl Rng) -> EngineRole {
     const ROLES: [EngineRole; 3] = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
     *ROLES.choose(rng).unwrap_or(&EngineRole::Mixed)
@@ -205,7 +236,13 @@
             let slow = StoreTrouble { slow: Duration::from_secs(3), ..StoreTrouble::default() };
             (Action::Store(slow), Some(Action::Store(StoreTrouble::default())))
         }
-        82..87 => {
+        82..85 => {
+            let added = Duration::from_millis(rng.random_range(500..9_000));
+            let from = Endpoint::Node(node);
+            let slow = Slow { id: number, from, only_to_engines: false, added };
+            (Action::Slow(slow), Some(Action::Heal(number)))
+        }
+        85..88 => {
             let garbled = StreamTrouble {
                 doubled_permille: 30,
                 crossed_permille: 10,
@@ -273,6 +310,7 @@
         Action::ListEngineLeaving(place) => world.leave_engine(place, true),
         Action::CutStreams(place) => world.cut_streams(place),
         Action::Cut(cut) => world.network.cut(cut),
+        Action::Slow(slow) => world.network.slow_down(slow),
         Action::Heal(id) => world.network.heal(id),
         Action::Store(trouble) => world.store_trouble = trouble,
         Action::Streams(trouble) => world.stream_trouble = trouble,
--- a/crates/emulator/src/simulation/history.rs
+++ b/crates/emulator/src/simulation/history.rs
@@ -54,7 +54,7 @@
         /// The failure.
         error: ErrorBody,
     },
-    /// An engine took an attempt in.
+    /// A node sent an attempt to an engine.
     Attempted {
         /// The engine.
         engine: EngineId,
--- a/crates/emulator/src/simulation/network.rs
+++ b/crates/emulator/src/simulation/network.rs
@@ -44,6 +44,20 @@
     delay_in_zone: Duration,
     delay_between_zones: Duration,
     cuts: Vec<Cut>,
+    slow: Vec<Slow>,
+}
+
+/// Messages of one end are held up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Slow {
+    /// Identifies the trouble, to mend it.
+    pub id: u64,
+    /// The sender.
+    pub from: Endpoint,
+    /// Whether only what goes to engines is held up.
+    pub only_to_engines: bool,
+    /// Added to the way of each message.
+    pub added: Duration,
 }
 
 /// An end with its zone; the platform is in none.
@@ -58,7 +72,7 @@
 impl Network {
     /// A whole network.
     pub fn new(delay_in_zone: Duration, delay_between_zones: Duration) -> Self {
-        Self { delay_in_zone, delay_between_zones, cuts: Vec::new() }
+        Self { delay_in_zone, delay_between_zones, cuts: Vec::new(), slow: Vec::new() }
     }
 
     /// Makes a cut.
@@ -66,8 +80,14 @@
         self.cuts.push(cut);
     }
 
-    /// Heals a cut.
+    /// Holds messages up.
+    pub fn slow_down(&mut self, slow: Slow) {
+        self.slow.push(slow);
+    }
+
+    /// Heals a cut, or lets messages pass freely again.
     pub fn heal(&mut self, id: u64) {
+        self.slow.retain(|slow| slow.id != id);
         self.cuts.retain(|cut| cut.id != id);
     }
 
@@ -85,6 +105,16 @@
 
     /// One-way delay.
     pub fn delay(&self, from: &Place, to: &Place) -> Duration {
+        let to_engine = matches!(to.endpoint, Endpoint::Engine(_));
+        let held_up = self
+            .slow
+            .iter()
+            .filter(|slow| slow.from == from.endpoint && (to_engine || !slow.only_to_engines));
+        let added: Duration = held_up.map(|slow| slow.added).sum();
+        added + self.usual_delay(from, to)
+    }
+
+    fn usual_delay(&self, from: &Place, to: &Place) -> Duration {
         if from.zone.is_some() && from.zone == to.zone {
             self.delay_in_zone
         } else {
--- a/crates/emulator/src/simulation/world.rs
+++ b/crates/emulator/src/simulation/world.rs
@@ -939,6 +939,11 @@
             self.to_node(Duration::from_millis(1), node, incarnation, refused);
             return;
         };
+        if let EngineCall::Generate(generate) = &request {
+            let key = AttemptKey { request: generate.request.clone(), attempt: generate.attempt };
+            let name = self.engines[engine].model.engine().clone();
+            self.history.note(self.now, Event::Attempted { engine: name, key });
+        }
         let (from, to) = (self.node_place(node), self.engine_place(engine));
         if !self.engines[engine].alive {
             self.to_node(Duration::from_millis(1), node, incarnation, refused);
@@ -972,10 +977,6 @@
         match request {
             EngineCall::Generate(generate) => {
                 let reader = self.open_reader(engine, node, incarnation, call);
-                let key =
-                    AttemptKey { request: generate.request.clone(), attempt: generate.attempt };
-                let name = self.engines[engine].model.engine().clone();
-                self.history.note(now, Event::Attempted { engine: name, key });
                 let actions = self.engines[engine].model.generate(now, reader, &generate);
                 self.perform_engine(engine, actions);
             }
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -120,4 +120,7 @@
     },
     /// The engine is not known in this zone.
     UnknownEngine,
+    /// The engines left would not be able to serve the model: there must be one that does
+    /// both, or one that reads prompts and one that writes outputs.
+    LeavesNoneToServe,
 }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -43,6 +43,12 @@
     PushConfiguration(Box<Document>),
     /// Passes a caller's request to a node of another zone.
     Forward(Box<CompletionRequest>),
+    /// The sender has these forwarded requests in work. Sent at once and then regularly, so
+    /// that silence tells of a request, or of its node, that is lost.
+    ForwardsInWork {
+        /// The requests.
+        requests: Vec<RequestId>,
+    },
     /// An event of a forwarded request.
     Forwarded {
         /// The request.
--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -166,6 +166,20 @@
 
     /// Hands a piece of the answer to whoever gets it.
     pub(crate) fn deliver(&mut self, request: &RequestId, point: ResumePoint, text: String) {
+        let Some(exchange) = self.exchanges.get_mut(request) else {
+            return;
+        };
+        // Whatever way the piece came: if it does not follow from what was handed on before,
+        // it belongs to another answer or a part is missing.
+        let follows = exchange.delivered.digest.extend(&text) == point.digest
+            && point.offset > exchange.delivered.tokens;
+        if !follows {
+            let execution = execution_of(exchange.delivered.tokens);
+            let message = "the rest of the answer does not fit what was delivered";
+            self.fail(request, ErrorBody::failed(ErrorCode::CannotResume, execution, message));
+            return;
+        }
+        exchange.delivered = HeldPart { tokens: point.offset, digest: point.digest };
         self.counters.tokens += 1;
         self.emit(request, CallerEvent::Piece { point, text });
     }
@@ -198,7 +212,7 @@
         };
         self.close_stream(request);
         if let Some(exchange) = self.exchanges.get_mut(request) {
-            exchange.ran_before = true;
+            exchange.read_before = true;
         }
         if let Some(load) = self.engines.get_mut(&prefill) {
             load.on_ended(request);
@@ -249,14 +263,7 @@
         self.counters.count_failure(error.code);
         let never_ran = !exchange.may_have_started;
         let state = if never_ran { OwnClaimState::Abandoned } else { OwnClaimState::Failed };
-        // As long as the claim is not decided, an earlier submission may have run.
-        let undecided = matches!(exchange.stage, Stage::Claiming(_) | Stage::Asking { .. });
-        let error = match error.execution {
-            Execution::NotRun if undecided => {
-                ErrorBody { execution: Execution::Unknown, ..error }
-            }
-            _ => error,
-        };
+        let error = truthful(exchange, error);
         self.settle_claim(request, state);
         self.emit(request, CallerEvent::Failed { error });
         self.close(request);
@@ -352,11 +359,6 @@
             self.on_lost(request);
             return;
         }
-        if reason == RefusalReason::CacheGone {
-            // The prompt has been read once; nothing was written.
-            self.on_lost(request);
-            return;
-        }
         self.on_never_started(request);
     }
 
@@ -368,9 +370,9 @@
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
-        exchange.may_have_started = exchange.ran_before;
+        exchange.may_have_started = exchange.ran_before || exchange.read_before;
         exchange.excluded.extend(engine);
-        if exchange.may_have_started && !exchange.repeatable {
+        if exchange.ran_before && !exchange.repeatable {
             self.fail_lost(request);
             return;
         }
@@ -440,14 +442,23 @@
     /// The present attempt is lost, and it may have run.
     pub(crate) fn on_lost(&mut self, request: &RequestId) {
         let engine = self.engine_of(request);
+        let was_reading = matches!(
+            self.exchanges.get(request).map(|exchange| &exchange.stage),
+            Some(Stage::Reading { .. })
+        );
         self.cancel_attempt(request);
         self.release_engines(request);
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
         exchange.excluded.extend(engine);
-        exchange.ran_before = true;
-        if !exchange.repeatable {
+        // A prefill engine writes nothing, so losing it repeats no effect.
+        if was_reading {
+            exchange.read_before = true;
+        } else {
+            exchange.ran_before = true;
+        }
+        if exchange.ran_before && !exchange.repeatable {
             self.fail_lost(request);
             return;
         }
@@ -485,7 +496,7 @@
         let Some(exchange) = self.exchanges.get(request) else {
             return;
         };
-        let execution = execution_of(exchange.answer.tokens());
+        let execution = execution_of(exchange.delivered.tokens);
         let repeatable = exchange.repeatable;
         let message = "the engine failed while it had the request";
         let mut error = ErrorBody::failed(ErrorCode::EngineFailed, execution, message);
@@ -527,6 +538,22 @@
     }
 }
 
+/// The one place that decides whether a failure may say that nothing has run.
+fn truthful(exchange: &Exchange, error: ErrorBody) -> ErrorBody {
+    if error.execution != Execution::NotRun {
+        return error;
+    }
+    let delivered = exchange.delivered.tokens;
+    if exchange.may_have_started || exchange.request.resume.is_some() {
+        return ErrorBody { execution: execution_of(delivered), ..error };
+    }
+    // As long as the claim is not decided, an earlier submission may have run.
+    if matches!(exchange.stage, Stage::Claiming(_) | Stage::Asking { .. }) {
+        return ErrorBody { execution: Execution::Unknown, ..error };
+    }
+    error
+}
+
 enum HeldCheck {
     /// Not yet at the end of what the caller holds.
     Within,
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -183,9 +183,8 @@
             let Some(standing) = self.authority.confirmed(engine) else {
                 continue;
             };
-            let silent_after_us = self.settings.routing.silent_after_us;
-            let is_live = self.now.0.saturating_sub(load.reported_us) < silent_after_us;
-            if standing.model != *model || !is_live || standing.state == EngineState::Leaving {
+            let stays = load.stays(self.now.0, self.settings.routing.silent_after_us);
+            if standing.model != *model || !stays {
                 continue;
             }
             planned.push(PlannedEngine {
--- a/crates/runtime/src/dispatch.rs
+++ b/crates/runtime/src/dispatch.rs
@@ -5,10 +5,11 @@
 use crate::io::EngineCall;
 use crate::node::{Node, Purpose};
 use pitchstall_protocol::configuration::EngineSpeed;
-use pitchstall_protocol::engine::{EngineState, GenerateRequest, Stage as EngineStage};
+use pitchstall_protocol::engine::{EngineRole, GenerateRequest, Stage as EngineStage};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode};
 use pitchstall_protocol::ids::{EngineId, ModelName, RequestId};
 use pitchstall_scheduling::load::SentWork;
+use pitchstall_scheduling::planner::Allocation;
 use pitchstall_scheduling::queue::Entry;
 use pitchstall_scheduling::routing::{choose, Demand, Plan};
 
@@ -192,7 +193,7 @@
             return;
         };
         if exchange.attempts >= limit {
-            let tokens = exchange.answer.tokens();
+            let tokens = exchange.delivered.tokens;
             let started = exchange.may_have_started;
             let message = "no engine could serve the request";
             let error = if started {
@@ -215,6 +216,7 @@
         }
         self.refuse_hopeless();
         self.check_time_limits();
+        self.tell_forwards_in_work();
         self.dispatch_queued();
         if self.now >= self.schedule.housekeeping {
             self.schedule.housekeeping = self.now + std::time::Duration::from_secs(1);
@@ -230,7 +232,7 @@
         let wait = self.expected_wait(exchange.priority);
         let any_engine = self.has_engine_here(exchange);
         let error = if exchange.may_have_started {
-            let execution = crate::answers::execution_of(exchange.answer.tokens());
+            let execution = crate::answers::execution_of(exchange.delivered.tokens);
             let message = "no engine was free in time to go on with the answer";
             ErrorBody::failed(ErrorCode::EngineFailed, execution, message)
         } else if any_engine {
@@ -263,12 +265,29 @@
     /// Whether an engine of this zone may come to serve a request.
     fn has_engine_here(&self, exchange: &Exchange) -> bool {
         exchange.zones.contains(&self.settings.zone)
-            && self.engines.values().any(|load| {
-                let reported = self.now.0.saturating_sub(load.reported_us);
-                reported < self.settings.routing.silent_after_us
-                    && load.report.standing.state != EngineState::Leaving
-                    && load.report.standing.model == exchange.model
-            })
+            && self.allocation_of(&exchange.model, None).serves()
+    }
+
+    /// The roles of the engines of this zone that serve a model and stay, with one engine
+    /// in another role, or in none.
+    pub(crate) fn allocation_of(
+        &self,
+        model: &ModelName,
+        changed: Option<(&EngineId, Option<EngineRole>)>,
+    ) -> Allocation {
+        let mut allocation = Allocation::default();
+        for (engine, load) in &self.engines {
+            let stays = load.stays(self.now.0, self.settings.routing.silent_after_us)
+                && load.report.standing.model == *model;
+            let role = match changed {
+                Some((other, role)) if other == engine => role,
+                _ => Some(load.report.standing.role),
+            };
+            if let Some(role) = role.filter(|_| stays) {
+                allocation.add(role, 1);
+            }
+        }
+        allocation
     }
 
     fn check_time_limits(&mut self) {
@@ -284,15 +303,11 @@
                 Stage::Writing { .. } if !exchange.answer.started() => {
                     Some(settings.first_token_timeout)
                 }
-                Stage::Writing { .. } | Stage::Forwarded { .. } => {
-                    Some(settings.between_tokens_timeout)
-                }
+                Stage::Writing { .. } => Some(settings.between_tokens_timeout),
+                Stage::Forwarded { taken: false, .. } => Some(settings.forward_taken_timeout),
+                Stage::Forwarded { taken: true, .. } => Some(settings.forward_silent_timeout),
                 _ => None,
             };
-            let limit = match (&exchange.stage, exchange.answer.tokens()) {
-                (Stage::Forwarded { .. }, 0) => Some(settings.first_token_timeout),
-                _ => limit,
-            };
             if now >= exchange.deadline {
                 late.push(request.clone());
             } else if limit.is_some_and(|limit| silence >= limit) {
@@ -319,7 +334,7 @@
         };
         let message = "the deadline has passed";
         let error = if exchange.may_have_started {
-            let execution = crate::answers::execution_of(exchange.answer.tokens());
+            let execution = crate::answers::execution_of(exchange.delivered.tokens);
             ErrorBody::failed(ErrorCode::DeadlineExceeded, execution, message)
         } else {
             ErrorBody::refused(ErrorCode::DeadlineExceeded, message)
--- a/crates/runtime/src/exchange.rs
+++ b/crates/runtime/src/exchange.rs
@@ -60,6 +60,8 @@
         node: NodeId,
         /// Place of the next event.
         next_sequence: u64,
+        /// Whether the node said that it has the request.
+        taken: bool,
     },
 }
 
@@ -103,10 +105,17 @@
     pub resumes: u32,
     /// Engines not to be tried again.
     pub excluded: Vec<EngineId>,
+    /// Nodes of other zones not to be tried again.
+    pub excluded_nodes: Vec<NodeId>,
+    /// What was handed on so far: every further piece must follow from it.
+    pub delivered: HeldPart,
     /// Whether an engine may have started it. Decides what a failure says of execution.
     pub may_have_started: bool,
-    /// Whether an attempt before the present one may have been started.
+    /// Whether an attempt before the present one may have written.
     pub ran_before: bool,
+    /// Whether an engine may have read the prompt. That has no effect outside the engine, so
+    /// it does not forbid another attempt; but it is not "not run".
+    pub read_before: bool,
     /// Key of its claim at the store.
     pub claim_key: Option<String>,
     /// When anything was last heard of the present attempt.
--- a/crates/runtime/src/forwarding.rs
+++ b/crates/runtime/src/forwarding.rs
@@ -4,13 +4,14 @@
 //! only while this node knows that its configuration is the latest. The receiving node
 //! checks again by its own configuration.
 
-use crate::exchange::{Origin, Stage};
+use crate::exchange::{Exchange, Origin, Stage};
 use crate::node::Node;
-use pitchstall_protocol::caller::CallerEvent;
+use pitchstall_protocol::caller::{CallerEvent, ResumePoint};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode, Execution};
-use pitchstall_protocol::ids::{NodeId, RequestId, ZoneId};
-use pitchstall_protocol::membership::MemberState;
+use pitchstall_protocol::ids::{EngineId, NodeId, RequestId, ZoneId};
+use pitchstall_protocol::membership::{MemberState, NodeMember};
 use pitchstall_protocol::peer::PeerMessage;
+use std::collections::BTreeMap;
 
 impl Node {
     /// Passes a request to the allowed zone with the most room. Returns whether it did.
@@ -54,11 +55,15 @@
         if !allowed {
             return false;
         }
-        let Some(node) = self.node_of_zone(zone) else {
+        let Some(node) = self.node_of_zone(zone, &exchange.excluded_nodes) else {
             return false;
         };
         let mut forwarded = exchange.request.clone();
         forwarded.hops += 1;
+        if exchange.delivered.tokens > 0 {
+            // The other node makes the answer anew and sends only what is not delivered yet.
+            forwarded.resume = Some(self.delivered_point(exchange));
+        }
         forwarded.entry_zone.get_or_insert_with(|| self.settings.zone.clone());
         forwarded.deadline_ms = exchange.deadline.since(self.now).as_millis() as u64;
         if !self.tell_peer(&node, PeerMessage::Forward(Box::new(forwarded))) {
@@ -68,7 +73,7 @@
         let now = self.now;
         if let Some(exchange) = self.exchanges.get_mut(request) {
             // The other node claims the key; this one has nothing to keep.
-            exchange.stage = Stage::Forwarded { node, next_sequence: 0 };
+            exchange.stage = Stage::Forwarded { node, next_sequence: 0, taken: false };
             exchange.may_have_started = true;
             exchange.attempts += 1;
             exchange.last_progress = now;
@@ -76,21 +81,66 @@
         true
     }
 
-    fn node_of_zone(&self, zone: &ZoneId) -> Option<NodeId> {
+    /// The point up to which a request's answer was handed on.
+    fn delivered_point(&self, exchange: &Exchange) -> ResumePoint {
+        ResumePoint {
+            request: exchange.request.request.clone(),
+            attempt: exchange.answer.attempt(),
+            engine: EngineId::new("none"),
+            offset: exchange.delivered.tokens,
+            digest: exchange.delivered.digest,
+        }
+    }
+
+    fn node_of_zone(&self, zone: &ZoneId, excluded: &[NodeId]) -> Option<NodeId> {
         let listed = self.members.remote_nodes(zone);
-        let is_live = |node: &NodeId| {
-            listed.iter().any(|it| it.node == *node && it.state == MemberState::Live)
+        let usable = |it: &NodeMember| {
+            it.state == MemberState::Live && !excluded.contains(&it.node)
         };
+        let is_live =
+            |node: &NodeId| listed.iter().any(|it| it.node == *node && usable(it));
         let carrier = self.zones.get(zone).map(|it| it.summary.carrier.clone());
         if let Some(carrier) = carrier.filter(|carrier| is_live(carrier)) {
             return Some(carrier);
         }
-        let live = listed.iter().filter(|it| it.state == MemberState::Live);
+        let live = listed.iter().filter(|it| usable(it));
         let nodes: Vec<&NodeId> = live.map(|it| &it.node).collect();
         pitchstall_coordination::placement::owner(&self.settings.node, nodes.iter().copied())
             .cloned()
     }
 
+    /// Tells the nodes that forwarded requests which of them are in work here.
+    pub(crate) fn tell_forwards_in_work(&mut self) {
+        if self.now < self.schedule.forward_word {
+            return;
+        }
+        self.schedule.forward_word = self.now + self.settings.requests.forward_word_every;
+        let mut by_node: BTreeMap<NodeId, Vec<RequestId>> = BTreeMap::new();
+        for (request, exchange) in &self.exchanges {
+            if let Origin::Peer(node) = &exchange.origin {
+                by_node.entry(node.clone()).or_default().push(request.clone());
+            }
+        }
+        for (node, requests) in by_node {
+            self.tell_peer(&node, PeerMessage::ForwardsInWork { requests });
+        }
+    }
+
+    pub(crate) fn on_forwards_in_work(&mut self, from: &NodeId, requests: &[RequestId]) {
+        let now = self.now;
+        for request in requests {
+            let Some(exchange) = self.exchanges.get_mut(request) else {
+                continue;
+            };
+            if let Stage::Forwarded { node, taken, .. } = &mut exchange.stage {
+                if node == from {
+                    *taken = true;
+                    exchange.last_progress = now;
+                }
+            }
+        }
+    }
+
     pub(crate) fn on_forwarded(
         &mut self,
         from: &NodeId,
@@ -102,7 +152,7 @@
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
-        let Stage::Forwarded { node, next_sequence } = &mut exchange.stage else {
+        let Stage::Forwarded { node, next_sequence, taken } = &mut exchange.stage else {
             return;
         };
         if node != from || sequence < *next_sequence {
@@ -113,6 +163,7 @@
             return;
         }
         *next_sequence += 1;
+        *taken = true;
         exchange.last_progress = now;
         match event {
             CallerEvent::Piece { point, text } => {
@@ -137,7 +188,7 @@
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
-        let untouched = exchange.answer.tokens() == 0;
+        let untouched = exchange.delivered.tokens == 0;
         if error.execution == Execution::NotRun && untouched {
             exchange.may_have_started = false;
         }
@@ -157,23 +208,27 @@
         let Some(exchange) = self.exchanges.get(request) else {
             return;
         };
-        let Stage::Forwarded { node, .. } = &exchange.stage else {
+        let Stage::Forwarded { node, taken, .. } = &exchange.stage else {
             return;
         };
-        let node = node.clone();
+        let (node, taken) = (node.clone(), *taken);
         self.tell_peer(&node, PeerMessage::CancelForward { request: request.clone() });
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
         exchange.ran_before = true;
-        let execution = crate::answers::execution_of(exchange.answer.tokens());
-        let retry = exchange.repeatable && self.retry_budget.withdraw();
+        exchange.excluded_nodes.push(node);
+        let execution = crate::answers::execution_of(exchange.delivered.tokens);
+        // A claim on its key keeps a request from running twice, even if the first node did
+        // get it; so as long as nothing was heard, another node may be asked in any case.
+        let is_safe = exchange.repeatable || (!taken && exchange.claim_key.is_some());
+        let retry = is_safe && self.retry_budget.withdraw();
         let point = exchange.request.resume.clone();
-        self.disown_claim(request);
         match (retry, point) {
             (true, Some(point)) => self.make_anew(request, point),
             (true, None) => self.try_again(request),
             (false, _) => {
+                self.disown_claim(request);
                 let message = "the node that had the request cannot be heard";
                 self.fail(request, ErrorBody::failed(ErrorCode::EngineFailed, execution, message));
             }
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -6,10 +6,11 @@
 use pitchstall_coordination::claims::claim_key;
 use pitchstall_coordination::placement::stable_hash;
 use pitchstall_coordination::stream::StreamAssembler;
-use pitchstall_protocol::caller::{CallerEvent, CompletionRequest};
+use pitchstall_protocol::caller::{CallerEvent, CompletionRequest, TextDigest};
 use pitchstall_protocol::configuration::{ServiceSpec, TenantSpec};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode};
 use pitchstall_protocol::ids::{ConnectionId, NodeId, RequestId, ServiceName, ZoneId};
+use pitchstall_protocol::peer::PeerMessage;
 use pitchstall_scheduling::limits::LimitDecision;
 use pitchstall_scheduling::policy::{PolicyDecision, PolicyError, PolicyInput};
 use pitchstall_scheduling::queue::Entry;
@@ -42,11 +43,14 @@
 
     /// Takes in a request that another node forwarded.
     pub(crate) fn on_forward(&mut self, from: NodeId, request: CompletionRequest) {
+        let id = request.request.clone();
         // A doubled message; the first one is in work.
-        if self.exchanges.contains_key(&request.request) {
-            return;
+        if !self.exchanges.contains_key(&id) {
+            self.admit(Origin::Peer(from.clone()), request);
+        }
+        if self.exchanges.contains_key(&id) {
+            self.tell_peer(&from, PeerMessage::ForwardsInWork { requests: vec![id] });
         }
-        self.admit(Origin::Peer(from), request);
     }
 
     fn admit(&mut self, origin: Origin, request: CompletionRequest) {
@@ -234,8 +238,11 @@
             attempts: 0,
             resumes: 0,
             excluded: Vec::new(),
+            excluded_nodes: Vec::new(),
+            delivered: held_by_caller(request),
             may_have_started: false,
             ran_before: false,
+            read_before: false,
             claim_key: claim_key(request),
             last_progress: self.now,
             held: None,
@@ -386,7 +393,6 @@
             return;
         };
         if !exchange.repeatable {
-            exchange.may_have_started = true;
             let execution = crate::answers::execution_of(point.offset);
             let message = "the engine that had the answer is not known any more";
             self.fail(request, ErrorBody::failed(ErrorCode::CannotResume, execution, message));
@@ -423,7 +429,7 @@
                 self.out.push(Output::Caller { connection: *connection, event });
             }
             Origin::Peer(node) => {
-                let message = pitchstall_protocol::peer::PeerMessage::Forwarded {
+                let message = PeerMessage::Forwarded {
                     request: request.clone(),
                     sequence: 0,
                     event,
@@ -435,6 +441,14 @@
     }
 }
 
+/// What the caller has of the answer already.
+fn held_by_caller(request: &CompletionRequest) -> HeldPart {
+    match &request.resume {
+        Some(point) => HeldPart { tokens: point.offset, digest: point.digest },
+        None => HeldPart { tokens: 0, digest: TextDigest::default() },
+    }
+}
+
 /// Whether the same request may have been accepted at another time or node.
 fn may_be_accepted_later(code: ErrorCode) -> bool {
     !matches!(
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -99,6 +99,7 @@
     pub members: Timestamp,
     pub reports: Timestamp,
     pub housekeeping: Timestamp,
+    pub forward_word: Timestamp,
 }
 
 /// A node.
@@ -398,5 +399,6 @@
         members: Timestamp(0),
         reports: after(control.report_every),
         housekeeping: Timestamp(0),
+        forward_word: Timestamp(0),
     }
 }
--- a/crates/runtime/src/operators.rs
+++ b/crates/runtime/src/operators.rs
@@ -196,6 +196,16 @@
             return EngineChangeOutcome::UnknownEngine;
         };
         let standing = load.report.standing.clone();
+        let role_after = match &request.change {
+            OrderKind::SetRole { role } => Some(*role),
+            OrderKind::Drain | OrderKind::LoadModel { .. } => None,
+            OrderKind::RaiseFence => Some(standing.role),
+        };
+        let served_before = self.allocation_of(&standing.model, None).serves();
+        let after = self.allocation_of(&standing.model, Some((&request.engine, role_after)));
+        if served_before && !after.serves() {
+            return EngineChangeOutcome::LeavesNoneToServe;
+        }
         let known = match &request.change {
             OrderKind::Drain => self.authority.drain(&request.engine),
             OrderKind::SetRole { role } => {
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -56,6 +56,12 @@
     pub answer_retention: Duration,
     /// Most answers kept for replays.
     pub answer_limit: usize,
+    /// Silence after a request was forwarded after which another node is tried.
+    pub forward_taken_timeout: Duration,
+    /// Between two words that a forwarded request is still in work.
+    pub forward_word_every: Duration,
+    /// Silence of a node that has a forwarded request after which the request counts as lost.
+    pub forward_silent_timeout: Duration,
     /// How long a request waits while no engine that may serve it is known to be live.
     pub hopeless_after: Duration,
     /// How long the node of a claim is waited for.
@@ -73,6 +79,9 @@
             resume_grace: Duration::from_secs(2),
             answer_retention: Duration::from_secs(600),
             answer_limit: 4_096,
+            forward_taken_timeout: Duration::from_millis(500),
+            forward_word_every: Duration::from_millis(500),
+            forward_silent_timeout: Duration::from_millis(2_500),
             hopeless_after: Duration::from_secs(2),
             claim_question_timeout: Duration::from_millis(800),
         }
--- a/crates/runtime/src/spread.rs
+++ b/crates/runtime/src/spread.rs
@@ -9,7 +9,6 @@
 use pitchstall_coordination::placement::{owner, stable_hash};
 use pitchstall_coordination::Timestamp;
 use pitchstall_protocol::configuration::Document;
-use pitchstall_protocol::engine::EngineState;
 use pitchstall_protocol::ids::{Incarnation, ModelName, NodeId, Revision, ZoneId};
 use pitchstall_protocol::membership::{MemberState, MembershipList};
 use pitchstall_protocol::peer::{
@@ -48,6 +47,7 @@
                 self.apply_document(Rc::new(*document));
             }
             PeerMessage::Forward(request) => self.on_forward(from, *request),
+            PeerMessage::ForwardsInWork { requests } => self.on_forwards_in_work(&from, &requests),
             PeerMessage::Forwarded { request, sequence, event } => {
                 self.on_forwarded(&from, &request, sequence, event);
             }
@@ -93,7 +93,7 @@
     fn mark_leaving_engines(&mut self) {
         for engine in self.members.leaving_engines() {
             if let Some(load) = self.engines.get_mut(engine) {
-                load.report.standing.state = EngineState::Leaving;
+                load.name_leaving();
             }
         }
     }
--- a/crates/scheduling/src/load.rs
+++ b/crates/scheduling/src/load.rs
@@ -24,12 +24,13 @@
     /// When the report was made at the earliest, microseconds.
     pub reported_us: u64,
     sent: BTreeMap<RequestId, SentWork>,
+    named_leaving: bool,
 }
 
 impl EngineLoad {
     /// The load as reported.
     pub fn new(report: EngineReport, reported_us: u64) -> Self {
-        Self { report, reported_us, sent: BTreeMap::new() }
+        Self { report, reported_us, sent: BTreeMap::new(), named_leaving: false }
     }
 
     /// Takes a report if it is newer than the last.
@@ -52,10 +53,23 @@
         &self.report.engine
     }
 
+    /// The membership list names the engine as leaving. No later word of the engine itself
+    /// takes that back: it may not know yet.
+    pub fn name_leaving(&mut self) {
+        self.named_leaving = true;
+    }
+
+    /// Whether the engine stays, as far as known at `now_us`: it was heard of lately and
+    /// nobody says that it leaves.
+    pub fn stays(&self, now_us: u64, silent_after_us: u64) -> bool {
+        !self.named_leaving
+            && self.report.standing.state != EngineState::Leaving
+            && now_us.saturating_sub(self.reported_us) < silent_after_us
+    }
+
     /// Whether the engine takes work, as far as known at `now_us`.
     pub fn takes_work(&self, now_us: u64, silent_after_us: u64) -> bool {
-        self.report.standing.state == EngineState::Ready
-            && now_us.saturating_sub(self.reported_us) < silent_after_us
+        self.report.standing.state == EngineState::Ready && self.stays(now_us, silent_after_us)
     }
 
     /// Work was sent.
--- a/crates/scheduling/src/planner.rs
+++ b/crates/scheduling/src/planner.rs
@@ -135,7 +135,7 @@
 }
 
 /// Counts of roles.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Allocation {
     /// Prefill engines.
     pub prefill: u32,
@@ -155,7 +155,8 @@
         }
     }
 
-    fn add(&mut self, role: EngineRole, by: i32) {
+    /// Counts one role up or down.
+    pub fn add(&mut self, role: EngineRole, by: i32) {
         let slot = match role {
             EngineRole::Prefill => &mut self.prefill,
             EngineRole::Decode => &mut self.decode,
@@ -242,6 +243,12 @@
             return None;
         }
         let allocation = Allocation::of(engines);
+        if !allocation.serves() {
+            // Nothing can be served: any engine that does both is worth its change.
+            let idlest = engines.iter().filter(|it| it.free).min_by_key(|it| it.sequences)?;
+            let engine = idlest.engine.clone();
+            return Some(RoleChange { engine, role: EngineRole::Mixed, net_gain_s: f64::MAX });
+        }
         let away_s = speed.role_change_ms as f64 / 1_000.0;
         let weight = f64::from(spec.role_change_weight_permille) / 1_000.0;
         let cost_s = away_s * weight;
