Choose the writing engine when the prompt is read; exclude engines only for a while

Change: the writer is checked, and chosen anew if need be, when the cache is ready; exclusions end; only whole answers are kept for replays; what ran before a forward is remembered. An engine that reports nothing is given up sooner than one that is only slow.

--- a/crates/coordination/src/stream.rs
+++ b/crates/coordination/src/stream.rs
@@ -100,6 +100,11 @@
         &self.text
     }
 
+    /// Text of the answer so far, if all of it was seen here.
+    pub fn whole_text(&self) -> Option<&str> {
+        (TextDigest::of(&self.text) == self.digest).then_some(self.text.as_str())
+    }
+
     /// Digest of the whole text so far.
     pub fn digest(&self) -> TextDigest {
         self.digest
--- a/crates/emulator/src/simulation/checks.rs
+++ b/crates/emulator/src/simulation/checks.rs
@@ -314,6 +314,10 @@
                 open.remove(wish);
                 verdict.checked += 1;
             }
+            // Whoever breaks the connection has told the caller so.
+            Event::GaveUp { wish } => {
+                open.remove(wish);
+            }
             _ => {}
         }
     }
--- a/crates/emulator/src/simulation/history.rs
+++ b/crates/emulator/src/simulation/history.rs
@@ -54,6 +54,11 @@
         /// The failure.
         error: ErrorBody,
     },
+    /// A caller's connection broke, and it does not ask again.
+    GaveUp {
+        /// The wish.
+        wish: usize,
+    },
     /// A node sent an attempt to an engine.
     Attempted {
         /// The engine.
--- a/crates/emulator/src/simulation/world.rs
+++ b/crates/emulator/src/simulation/world.rs
@@ -1221,9 +1221,7 @@
     fn ask(&mut self, caller: usize) {
         let Some(node) = self.pick_node(caller) else {
             // No node of the zone can be reached.
-            let now = self.now;
-            let step = self.callers[caller].on_broken(now);
-            self.follow(caller, step);
+            self.follow_broken(caller);
             return;
         };
         let number = self.next_request;
@@ -1269,8 +1267,7 @@
         }
         let now = self.now;
         let Some(event) = event else {
-            let step = self.callers[caller].on_broken(now);
-            self.follow(caller, step);
+            self.follow_broken(caller);
             return;
         };
         let step = self.callers[caller].on_event(now, &event);
@@ -1298,6 +1295,15 @@
         }
     }
 
+    fn follow_broken(&mut self, caller: usize) {
+        let now = self.now;
+        let step = self.callers[caller].on_broken(now);
+        if step == CallerStep::Done {
+            self.history.note(now, Event::GaveUp { wish: caller });
+        }
+        self.follow(caller, step);
+    }
+
     fn follow(&mut self, caller: usize, step: CallerStep) {
         if let CallerStep::AskAgain(wait) = step {
             self.schedule(wait, Happening::Ask { caller });
@@ -1320,9 +1326,7 @@
         let incarnation = self.nodes[node].incarnation;
         let input = Input::Caller(CallerInput::Gone { connection: ConnectionId(number) });
         self.to_node(CALLER_DELAY, node, incarnation, input);
-        let now = self.now;
-        let step = self.callers[caller].on_broken(now);
-        self.follow(caller, step);
+        self.follow_broken(caller);
     }
 
     // --- operators ------------------------------------------------------------------------------------
--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -4,7 +4,7 @@
 use crate::io::{CallId, EngineCall, EngineInput, Output};
 use crate::node::{Node, OwnClaimState, Purpose};
 use pitchstall_coordination::stream::Assembly;
-use pitchstall_protocol::caller::{CallerEvent, ResumePoint, TextDigest, Usage};
+use pitchstall_protocol::caller::{CallerEvent, ResumePoint, Usage};
 use pitchstall_protocol::engine::{
     AttemptKey, EngineEvent, OrderReply, RefusalReason, ResumeRequest,
 };
@@ -12,6 +12,12 @@
 use pitchstall_protocol::ids::{AttemptNumber, ConnectionId, EngineId, RequestId};
 use pitchstall_protocol::peer::PeerMessage;
 use pitchstall_protocol::store::{StoreError, StoreReply};
+use std::time::Duration;
+
+/// How long an engine that refused an attempt is not tried again for the same request.
+const REFUSED_FOR: Duration = Duration::from_millis(500);
+/// How long an engine that lost an attempt is not tried again for the same request.
+const LOST_FOR: Duration = Duration::from_secs(5);
 
 /// What is known of the execution of a request that an engine may have started.
 pub fn execution_of(tokens_delivered: u32) -> Execution {
@@ -217,7 +223,13 @@
         if let Some(load) = self.engines.get_mut(&prefill) {
             load.on_ended(request);
         }
-        if !self.send_decode(request, &prefill, &decode) {
+        // The engine that was chosen before the prompt was read may have left since.
+        let writer = self.writer_now(request, &decode);
+        if let Some(load) = self.engines.get_mut(&decode) {
+            load.on_ended(request);
+        }
+        let sent = writer.is_some_and(|writer| self.send_decode(request, &prefill, &writer));
+        if !sent {
             self.on_lost(request);
         }
     }
@@ -247,9 +259,12 @@
             .exchanges
             .get(request)
             .filter(|exchange| exchange.claim_key.is_some())
-            .map(|exchange| exchange.answer.text().to_owned());
-        if let Some(text) = text {
-            self.settle_claim(request, OwnClaimState::Ended { text, usage });
+            .map(|exchange| exchange.answer.whole_text().map(str::to_owned));
+        // Of an answer that was read on from another node's, only the rest is known here.
+        match text {
+            Some(Some(text)) => self.settle_claim(request, OwnClaimState::Ended { text, usage }),
+            Some(None) => self.settle_claim(request, OwnClaimState::Failed),
+            None => {}
         }
         self.emit(request, CallerEvent::Finished { usage });
         self.remove(request);
@@ -371,7 +386,7 @@
             return;
         };
         exchange.may_have_started = exchange.ran_before || exchange.read_before;
-        exchange.excluded.extend(engine);
+        exchange.exclude(engine, self.now + REFUSED_FOR);
         if exchange.ran_before && !exchange.repeatable {
             self.fail_lost(request);
             return;
@@ -451,7 +466,7 @@
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
-        exchange.excluded.extend(engine);
+        exchange.exclude(engine, self.now + LOST_FOR);
         // A prefill engine writes nothing, so losing it repeats no effect.
         if was_reading {
             exchange.read_before = true;
@@ -478,8 +493,7 @@
     fn unseen_part(&self, request: &RequestId) -> Option<ResumePoint> {
         let exchange = self.exchanges.get(request)?;
         let answer = &exchange.answer;
-        let seen_digest = TextDigest::of(answer.text());
-        if answer.tokens() == 0 || seen_digest == answer.digest() {
+        if answer.tokens() == 0 || answer.whole_text().is_some() {
             return None;
         }
         Some(ResumePoint {
--- a/crates/runtime/src/dispatch.rs
+++ b/crates/runtime/src/dispatch.rs
@@ -8,10 +8,11 @@
 use pitchstall_protocol::engine::{EngineRole, GenerateRequest, Stage as EngineStage};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode};
 use pitchstall_protocol::ids::{EngineId, ModelName, RequestId};
-use pitchstall_scheduling::load::SentWork;
+use pitchstall_scheduling::load::{EngineLoad, SentWork};
 use pitchstall_scheduling::planner::Allocation;
 use pitchstall_scheduling::queue::Entry;
-use pitchstall_scheduling::routing::{choose, Demand, Plan};
+use pitchstall_scheduling::routing::{choose, choose_writer, Demand, Plan};
+use std::time::Duration;
 
 /// Heads of tenants' queues that are tried before the queue is left for now.
 const HEADS_TRIED: usize = 16;
@@ -54,23 +55,42 @@
         if !exchange.zones.contains(&self.settings.zone) {
             return None;
         }
+        let demand = self.demand_of(exchange)?;
+        let config = &self.settings.routing;
+        let excluded = exchange.excluded_at(self.now);
+        choose(config, self.now.0, &self.engines, &self.prefixes, &demand, &excluded)
+            .map(|choice| choice.plan)
+    }
+
+    /// The engine that writes an answer whose prompt is read: the one that was chosen with
+    /// the prefill engine, if it still takes work.
+    pub(crate) fn writer_now(&self, request: &RequestId, chosen: &EngineId) -> Option<EngineId> {
+        let config = &self.settings.routing;
+        let takes_work =
+            |load: &EngineLoad| load.takes_work(self.now.0, config.silent_after_us);
+        if self.engines.get(chosen).is_some_and(takes_work) {
+            return Some(chosen.clone());
+        }
+        let exchange = self.exchanges.get(request)?;
+        let demand = self.demand_of(exchange)?;
+        let excluded = exchange.excluded_at(self.now);
+        choose_writer(config, self.now.0, &self.engines, &self.prefixes, &demand, &excluded)
+    }
+
+    fn demand_of<'a>(&self, exchange: &'a Exchange) -> Option<Demand<'a>> {
         let speed = self.speed_of(&exchange.model);
         let configuration = self.replica.configuration()?;
         let kv_bytes_per_token =
             configuration.models.get(&exchange.model).map_or(0, |model| model.kv_bytes_per_token);
         let written = u64::from(exchange.answer.tokens());
-        let demand = Demand {
+        Some(Demand {
             model: &exchange.model,
             prompt_tokens: exchange.prompt_tokens(),
             output_tokens: exchange.expected_output.saturating_sub(written).max(1),
             blocks: &exchange.blocks,
             kv_bytes_per_token,
             speed,
-        };
-        let config = &self.settings.routing;
-        let excluded = &exchange.excluded;
-        choose(config, self.now.0, &self.engines, &self.prefixes, &demand, excluded)
-            .map(|choice| choice.plan)
+        })
     }
 
     /// Tries another zone, if the policy, the configuration's age and the queue allow.
@@ -299,9 +319,9 @@
         for (request, exchange) in &self.exchanges {
             let silence = now.since(exchange.last_progress);
             let limit = match &exchange.stage {
-                Stage::Reading { .. } => Some(settings.first_token_timeout),
-                Stage::Writing { .. } if !exchange.answer.started() => {
-                    Some(settings.first_token_timeout)
+                Stage::Reading { prefill, .. } => Some(self.first_token_limit(prefill)),
+                Stage::Writing { engine, .. } if exchange.answer.tokens() == 0 => {
+                    Some(self.first_token_limit(engine))
                 }
                 Stage::Writing { .. } => Some(settings.between_tokens_timeout),
                 Stage::Forwarded { taken: false, .. } => Some(settings.forward_taken_timeout),
@@ -328,6 +348,20 @@
         }
     }
 
+    /// How long an engine may take to the first token: not long if it reports nothing either.
+    fn first_token_limit(&self, engine: &EngineId) -> Duration {
+        let settings = &self.settings.requests;
+        let silent_after_us = self.settings.routing.silent_after_us;
+        let is_heard = self.engines.get(engine).is_some_and(|load| {
+            self.now.0.saturating_sub(load.reported_us) < silent_after_us
+        });
+        if is_heard {
+            settings.first_token_timeout
+        } else {
+            settings.between_tokens_timeout
+        }
+    }
+
     fn fail_late(&mut self, request: &RequestId) {
         let Some(exchange) = self.exchanges.get(request) else {
             return;
--- a/crates/runtime/src/exchange.rs
+++ b/crates/runtime/src/exchange.rs
@@ -74,6 +74,16 @@
     pub digest: TextDigest,
 }
 
+/// An engine that is not tried for a while. Not for good: where engines are few, the one that
+/// refused during its role change may soon be the only one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Exclusion {
+    /// The engine.
+    pub engine: EngineId,
+    /// Until when.
+    pub until: Timestamp,
+}
+
 /// A request in work.
 #[derive(Clone, Debug)]
 pub struct Exchange {
@@ -103,8 +113,8 @@
     pub attempts: u32,
     /// Breaks of the present attempt's stream.
     pub resumes: u32,
-    /// Engines not to be tried again.
-    pub excluded: Vec<EngineId>,
+    /// Engines not to be tried for now.
+    pub excluded: Vec<Exclusion>,
     /// Nodes of other zones not to be tried again.
     pub excluded_nodes: Vec<NodeId>,
     /// What was handed on so far: every further piece must follow from it.
@@ -131,6 +141,17 @@
 }
 
 impl Exchange {
+    /// Keeps an engine from being tried until an instant.
+    pub fn exclude(&mut self, engine: Option<EngineId>, until: Timestamp) {
+        self.excluded.extend(engine.map(|engine| Exclusion { engine, until }));
+    }
+
+    /// Engines that are not tried now.
+    pub fn excluded_at(&self, now: Timestamp) -> Vec<EngineId> {
+        let present = self.excluded.iter().filter(|exclusion| exclusion.until > now);
+        present.map(|exclusion| exclusion.engine.clone()).collect()
+    }
+
     /// Tokens it counts for in queues and limits.
     pub fn tokens(&self) -> u64 {
         u64::from(self.request.estimated_prompt_tokens()) + self.expected_output
--- a/crates/runtime/src/forwarding.rs
+++ b/crates/runtime/src/forwarding.rs
@@ -190,7 +190,7 @@
         };
         let untouched = exchange.delivered.tokens == 0;
         if error.execution == Execution::NotRun && untouched {
-            exchange.may_have_started = false;
+            exchange.may_have_started = exchange.ran_before || exchange.read_before;
         }
         self.disown_claim(request);
         self.fail(request, error);
--- a/crates/scheduling/src/routing.rs
+++ b/crates/scheduling/src/routing.rs
@@ -138,14 +138,7 @@
     excluded: &[EngineId],
 ) -> Option<Choice> {
     let estimator = Estimator { config, prefixes, demand };
-    let usable = || {
-        engines.values().filter(|load| {
-            load.takes_work(now_us, config.silent_after_us)
-                && load.report.standing.model == *demand.model
-                && !excluded.contains(load.engine())
-                && estimator.has_room(load)
-        })
-    };
+    let usable = || engines.values().filter(|load| estimator.is_usable(load, now_us, excluded));
     let full = usable()
         .filter(|load| load.report.standing.role == EngineRole::Mixed)
         .map(|load| (estimator.full(load), Plan::Full(load.engine().clone())));
@@ -165,6 +158,24 @@
         .map(|(estimate, plan)| Choice { plan, first_token_us: estimate.first_token_us })
 }
 
+/// Chooses the engine that writes an answer whose prompt another engine has read.
+pub fn choose_writer(
+    config: &RoutingConfig,
+    now_us: u64,
+    engines: &BTreeMap<EngineId, EngineLoad>,
+    prefixes: &PrefixMap,
+    demand: &Demand<'_>,
+    excluded: &[EngineId],
+) -> Option<EngineId> {
+    let estimator = Estimator { config, prefixes, demand };
+    engines
+        .values()
+        .filter(|load| estimator.is_usable(load, now_us, excluded))
+        .filter(|load| load.report.standing.role.writes_outputs())
+        .min_by_key(|load| estimator.write_cost_us(load))
+        .map(|load| load.engine().clone())
+}
+
 struct Estimate {
     first_token_us: u64,
     cost_us: u64,
@@ -185,6 +196,13 @@
         }
     }
 
+    fn is_usable(&self, load: &EngineLoad, now_us: u64, excluded: &[EngineId]) -> bool {
+        load.takes_work(now_us, self.config.silent_after_us)
+            && load.report.standing.model == *self.demand.model
+            && !excluded.contains(load.engine())
+            && self.has_room(load)
+    }
+
     fn has_room(&self, load: &EngineLoad) -> bool {
         let limit = u64::from(self.demand.speed.max_sequences) + self.config.engine_queue;
         self.sequences(load) < limit
