Hear at once when a forwarded request could not be delivered

Ruled out: marking every request of a broken connection as not delivered, since a request sent on the connection before may have been taken. Only the very message whose connection could not be made counts.

Change: the driver reports a message that was surely not delivered; requests are looked at again before each refusal; manual role changes count the changes under way.

--- a/crates/emulator/src/simulation/world.rs
+++ b/crates/emulator/src/simulation/world.rs
@@ -758,7 +758,7 @@
                 self.call_store(place, incarnation, call, delay_ms, request);
             }
             Output::Watch(on) => self.nodes[place].watching = on,
-            Output::Peer { envelope, .. } => self.send_peer(place, envelope),
+            Output::Peer { envelope, report, .. } => self.send_peer(place, envelope, report),
             Output::PollMembers { since } => self.poll_members(place, incarnation, since),
             Output::Operator { call, reply } => {
                 if let Some(change) = self.applying.remove(&(place, call)) {
@@ -777,7 +777,7 @@
         }
     }
 
-    fn send_peer(&mut self, place: usize, envelope: PeerEnvelope) {
+    fn send_peer(&mut self, place: usize, envelope: PeerEnvelope, report: Option<CallId>) {
         let bytes = serde_json::to_vec(&envelope).map_or(0, |line| line.len() as u64 + 1);
         let is_data = matches!(
             envelope.message,
@@ -799,10 +799,17 @@
             self.history.note(self.now, event);
         }
         let (from, target) = (self.node_place(place), self.node_place(to));
-        if !self.network.passes(&from, &target) || self.nodes[to].node.is_none() {
+        if !self.network.passes(&from, &target) {
             return;
         }
         let wait = self.network.delay(&from, &target);
+        if self.nodes[to].node.is_none() {
+            let own = self.nodes[place].incarnation;
+            if let Some(call) = report {
+                self.to_node(wait * 2, place, own, Input::PeerUnreachable { call });
+            }
+            return;
+        }
         let incarnation = self.nodes[to].incarnation;
         self.to_node(wait, to, incarnation, Input::Peer(envelope));
     }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The driver: feeds the state machine from the network and does what it asks for.
 
 use crate::keys::TenantKeys;
-use crate::peers::PeerConnections;
+use crate::peers::{PeerConnections, Undelivered};
 use ntex::channel::{mpsc, oneshot};
 use ntex::time::{sleep, Millis};
 use pitchstall_coordination::commit::CURRENT_KEY;
@@ -12,6 +12,7 @@
 use pitchstall_protocol::caller::{CallerEvent, CompletionRequest};
 use pitchstall_protocol::engine::EngineCall;
 use pitchstall_protocol::ids::{ConnectionId, Incarnation, NodeId, RequestId, TenantId, ZoneId};
+use pitchstall_protocol::peer::PeerEnvelope;
 use pitchstall_protocol::store::StoreRequest;
 use pitchstall_runtime::{
     CallId, CallerInput, Input, Node, NodeSettings, OperatorCall, OperatorReply, OperatorRequest,
@@ -164,7 +165,9 @@
             }
             Output::Store { call, delay_ms, request } => self.call_store(call, delay_ms, request),
             Output::Watch(on) => self.set_watch(on),
-            Output::Peer { address, envelope } => self.peers.send(&address, &envelope),
+            Output::Peer { address, envelope, report } => {
+                self.send_peer(&address, &envelope, report);
+            }
             Output::PollMembers { since } => self.poll_members(since),
             Output::Operator { call, reply } => {
                 if let Some(sender) = self.operators.borrow_mut().remove(&call) {
@@ -195,6 +198,14 @@
         }
     }
 
+    fn send_peer(self: &Rc<Self>, address: &str, envelope: &PeerEnvelope, report: Option<CallId>) {
+        let on_undelivered = report.map(|call| {
+            let driver = self.clone();
+            Box::new(move || driver.input(Input::PeerUnreachable { call })) as Undelivered
+        });
+        self.peers.send(address, envelope, on_undelivered);
+    }
+
     fn call_engine(self: &Rc<Self>, call: CallId, address: String, request: EngineCall) {
         let driver = self.clone();
         let sink = Rc::new(move |input| driver.input(Input::Engine { call, input }));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,8 +19,17 @@
 const QUEUE_LIMIT: usize = 4_096;
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
+/// Called when a message was surely not delivered.
+pub type Undelivered = Box<dyn FnOnce()>;
+
+/// A message on its way.
+struct Line {
+    bytes: Bytes,
+    on_undelivered: Option<Undelivered>,
+}
+
 struct Connection {
-    sender: mpsc::Sender<Bytes>,
+    sender: mpsc::Sender<Line>,
     waiting: Rc<Cell<usize>>,
 }
 
@@ -32,31 +41,28 @@
 
 impl PeerConnections {
     /// Sends a message to the node at an address, or drops it.
-    pub fn send(&self, address: &str, envelope: &PeerEnvelope) {
+    pub fn send(
+        &self,
+        address: &str,
+        envelope: &PeerEnvelope,
+        on_undelivered: Option<Undelivered>,
+    ) {
         let Ok(mut line) = serde_json::to_vec(envelope) else {
             return;
         };
         line.push(b'\n');
-        let mut line = Bytes::from(line);
+        let line = Line { bytes: Bytes::from(line), on_undelivered };
         let mut connections = self.connections.borrow_mut();
-        if let Some(connection) = connections.get(address) {
-            if connection.waiting.get() >= QUEUE_LIMIT {
-                return;
-            }
-            match connection.sender.send(line.clone()) {
-                Ok(()) => {
-                    connection.waiting.set(connection.waiting.get() + 1);
-                    return;
-                }
-                // The connection has ended; a new one takes the message.
-                Err(_) => line = line.clone(),
-            }
+        let is_open = connections.get(address).is_some_and(|it| !it.sender.is_closed());
+        if !is_open {
+            connections.insert(address.to_owned(), open(address.to_owned()));
         }
-        let connection = open(address.to_owned());
-        if connection.sender.send(line).is_ok() {
-            connection.waiting.set(1);
+        let Some(connection) = connections.get(address) else {
+            return;
+        };
+        if connection.waiting.get() < QUEUE_LIMIT && connection.sender.send(line).is_ok() {
+            connection.waiting.set(connection.waiting.get() + 1);
         }
-        connections.insert(address.to_owned(), connection);
     }
 }
 
@@ -75,24 +81,41 @@
 
 async fn write_lines(
     address: &str,
-    mut lines: mpsc::Receiver<Bytes>,
+    mut lines: mpsc::Receiver<Line>,
     waiting: Rc<Cell<usize>>,
 ) -> std::io::Result<()> {
-    let connecting = connect(address.to_owned());
-    let io = timeout(CONNECT_TIMEOUT, connecting)
-        .await
-        .map_err(|()| std::io::Error::from(std::io::ErrorKind::TimedOut))?
-        .map_err(std::io::Error::other)?;
+    let connected = match timeout(CONNECT_TIMEOUT, connect(address.to_owned())).await {
+        Ok(Ok(io)) => Ok(io),
+        Ok(Err(error)) => Err(std::io::Error::other(error)),
+        Err(()) => Err(std::io::Error::from(std::io::ErrorKind::TimedOut)),
+    };
+    let io = match connected {
+        Ok(io) => io,
+        Err(error) => {
+            report_undelivered(lines).await;
+            return Err(error);
+        }
+    };
     while let Some(line) = stream_recv(&mut lines).await {
         waiting.set(waiting.get().saturating_sub(1));
         if io.is_closed() {
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
-        io.send(line, &BytesCodec).await.map_err(|error| error.into_inner())?;
+        io.send(line.bytes, &BytesCodec).await.map_err(|error| error.into_inner())?;
     }
     Ok(())
 }
 
+/// Nothing that waits for a connection that was never made has left this process.
+async fn report_undelivered(mut lines: mpsc::Receiver<Line>) {
+    lines.close();
+    while let Some(line) = stream_recv(&mut lines).await {
+        if let Some(on_undelivered) = line.on_undelivered {
+            on_undelivered();
+        }
+    }
+}
+
 /// Reads the messages of one connection until it ends or sends what cannot be read.
 pub async fn serve(driver: Rc<Driver>, io: Io) -> std::io::Result<()> {
     let mut buffer = LineBuffer::default();
--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -302,6 +302,11 @@
     }
 
     fn remove(&mut self, request: &RequestId) {
+        if let Some(Stage::Forwarded { call, .. }) =
+            self.exchanges.get(request).map(|exchange| &exchange.stage)
+        {
+            self.calls.remove(call);
+        }
         self.release_engines(request);
         self.close_stream(request);
         let Some(exchange) = self.exchanges.remove(request) else {
--- a/crates/runtime/src/dispatch.rs
+++ b/crates/runtime/src/dispatch.rs
@@ -278,7 +278,14 @@
             .map(|exchange| exchange.request.request.clone())
             .collect();
         for request in hopeless {
-            self.refuse_late(&request);
+            // Refusing one may have let another one go.
+            let still_waits = self
+                .exchanges
+                .get(&request)
+                .is_some_and(|exchange| matches!(exchange.stage, Stage::Queued(_)));
+            if still_waits {
+                self.refuse_late(&request);
+            }
         }
     }
 
@@ -301,7 +308,7 @@
                 && load.report.standing.model == *model;
             let role = match changed {
                 Some((other, role)) if other == engine => role,
-                _ => Some(load.report.standing.role),
+                _ => self.authority.intended_role(engine).or(Some(load.report.standing.role)),
             };
             if let Some(role) = role.filter(|_| stays) {
                 allocation.add(role, 1);
--- a/crates/runtime/src/exchange.rs
+++ b/crates/runtime/src/exchange.rs
@@ -58,6 +58,8 @@
     Forwarded {
         /// The node.
         node: NodeId,
+        /// The message by which it was forwarded.
+        call: CallId,
         /// Place of the next event.
         next_sequence: u64,
         /// Whether the node said that it has the request.
--- a/crates/runtime/src/forwarding.rs
+++ b/crates/runtime/src/forwarding.rs
@@ -5,7 +5,8 @@
 //! checks again by its own configuration.
 
 use crate::exchange::{Exchange, Origin, Stage};
-use crate::node::Node;
+use crate::io::CallId;
+use crate::node::{Node, Purpose};
 use pitchstall_protocol::caller::{CallerEvent, ResumePoint};
 use pitchstall_protocol::error::{ErrorBody, ErrorCode, Execution};
 use pitchstall_protocol::ids::{EngineId, NodeId, RequestId, ZoneId};
@@ -66,14 +67,16 @@
         }
         forwarded.entry_zone.get_or_insert_with(|| self.settings.zone.clone());
         forwarded.deadline_ms = exchange.deadline.since(self.now).as_millis() as u64;
-        if !self.tell_peer(&node, PeerMessage::Forward(Box::new(forwarded))) {
+        let call = self.new_call(Purpose::Forward { request: request.clone() });
+        let message = PeerMessage::Forward(Box::new(forwarded));
+        if !self.send_to_peer(&node, message, Some(call)) {
             return false;
         }
         self.counters.forwarded += 1;
         let now = self.now;
         if let Some(exchange) = self.exchanges.get_mut(request) {
             // The other node claims the key; this one has nothing to keep.
-            exchange.stage = Stage::Forwarded { node, next_sequence: 0, taken: false };
+            exchange.stage = Stage::Forwarded { node, call, next_sequence: 0, taken: false };
             exchange.may_have_started = true;
             exchange.attempts += 1;
             exchange.last_progress = now;
@@ -152,7 +155,7 @@
         let Some(exchange) = self.exchanges.get_mut(request) else {
             return;
         };
-        let Stage::Forwarded { node, next_sequence, taken } = &mut exchange.stage else {
+        let Stage::Forwarded { node, next_sequence, taken, .. } = &mut exchange.stage else {
             return;
         };
         if node != from || sequence < *next_sequence {
@@ -203,6 +206,25 @@
         }
     }
 
+    /// A forwarded request surely never reached its node.
+    pub(crate) fn on_peer_unreachable(&mut self, call: CallId) {
+        let Some(Purpose::Forward { request }) = self.calls.remove(&call) else {
+            return;
+        };
+        let Some(exchange) = self.exchanges.get_mut(&request) else {
+            return;
+        };
+        let Stage::Forwarded { node, call: present, .. } = &exchange.stage else {
+            return;
+        };
+        if *present != call {
+            return;
+        }
+        exchange.excluded_nodes.push(node.clone());
+        exchange.may_have_started = exchange.ran_before || exchange.read_before;
+        self.try_again(&request);
+    }
+
     /// Events of the other node are missing.
     pub(crate) fn on_forward_lost(&mut self, request: &RequestId) {
         let Some(exchange) = self.exchanges.get(request) else {
--- a/crates/runtime/src/io.rs
+++ b/crates/runtime/src/io.rs
@@ -45,6 +45,11 @@
     Watched(StoredValue),
     /// From another node.
     Peer(PeerEnvelope),
+    /// A message to another node was surely not delivered: no connection could be made.
+    PeerUnreachable {
+        /// The message.
+        call: CallId,
+    },
     /// The platform's membership list has changed.
     Members(MembershipList),
     /// From an operator.
@@ -149,6 +154,8 @@
         address: String,
         /// What to tell.
         envelope: PeerEnvelope,
+        /// Set if the node wants to hear that the message was surely not delivered.
+        report: Option<CallId>,
     },
     /// Ask for the membership list if it is newer than this version.
     PollMembers {
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -41,6 +41,7 @@
     Report { engine: EngineId, sent: Timestamp },
     Order { engine: EngineId, token: FencingToken },
     KeyCheck(Box<PendingRefusal>),
+    Forward { request: RequestId },
 }
 
 /// A refusal that waits until it is known whether its idempotency key was used.
@@ -224,6 +225,7 @@
             Input::Store { call, reply } => self.on_store(call, reply),
             Input::Watched(value) => self.on_watched(&value),
             Input::Peer(envelope) => self.on_peer(envelope),
+            Input::PeerUnreachable { call } => self.on_peer_unreachable(call),
             Input::Members(list) => self.on_members(list),
             Input::Operator { call, request } => self.on_operator(call, request),
             Input::Leave => self.on_leave(),
@@ -366,6 +368,16 @@
     }
 
     pub(crate) fn tell_peer(&mut self, to: &NodeId, message: PeerMessage) -> bool {
+        self.send_to_peer(to, message, None)
+    }
+
+    /// Sends a message to another node. Returns whether the node is listed.
+    pub(crate) fn send_to_peer(
+        &mut self,
+        to: &NodeId,
+        message: PeerMessage,
+        report: Option<CallId>,
+    ) -> bool {
         let Some(address) = self.members.peer_address(to).map(str::to_owned) else {
             return false;
         };
@@ -377,7 +389,7 @@
             to_incarnation: self.incarnation_of(to),
             message,
         };
-        self.out.push(Output::Peer { address, envelope });
+        self.out.push(Output::Peer { address, envelope, report });
         true
     }
 }
--- a/crates/runtime/src/operators.rs
+++ b/crates/runtime/src/operators.rs
@@ -201,6 +201,7 @@
             OrderKind::Drain | OrderKind::LoadModel { .. } => None,
             OrderKind::RaiseFence => Some(standing.role),
         };
+        // With the changes that are under way already.
         let served_before = self.allocation_of(&standing.model, None).serves();
         let after = self.allocation_of(&standing.model, Some((&request.engine, role_after)));
         if served_before && !after.serves() {
