--- a/crates/emulator/src/simulation/world.rs
+++ b/crates/emulator/src/simulation/world.rs
@@ -403,8 +403,13 @@
         let slot = &mut self.nodes[place];
         slot.incarnation += 1;
         let incarnation = slot.incarnation;
-        let mut settings =
-            NodeSettings::new(slot.name.clone(), Incarnation(incarnation), slot.zone.clone());
+        let address = slot.name.to_string();
+        let mut settings = NodeSettings::new(
+            slot.name.clone(),
+            Incarnation(incarnation),
+            slot.zone.clone(),
+            address,
+        );
         (self.topology.tune)(&mut settings);
         slot.node = Some(Node::new(settings));
         slot.paused = false;
@@ -781,7 +786,7 @@
         let bytes = serde_json::to_vec(&envelope).map_or(0, |line| line.len() as u64 + 1);
         let is_data = matches!(
             envelope.message,
-            PeerMessage::Forward(_) | PeerMessage::Forwarded { .. }
+            PeerMessage::Forward { .. } | PeerMessage::Forwarded { .. }
         );
         if !is_data {
             self.nodes[place].peer_bytes += bytes;
@@ -790,7 +795,7 @@
         let Some(to) = self.node_by_name.get(&envelope.to).copied() else {
             return;
         };
-        if let PeerMessage::Forward(request) = &envelope.message {
+        if let PeerMessage::Forward { request, .. } = &envelope.message {
             let event = Event::Moved {
                 node: self.nodes[place].name.clone(),
                 service: request.service.clone(),
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -129,12 +129,15 @@
     const SHUTDOWN: Seconds = Seconds(2);
     let (for_driver, for_callers, for_operators) =
         (settings.clone(), settings.clone(), settings.clone());
+    let peer_address = listeners.peers.local_addr()?;
     let of_worker = departure.clone();
     let server = ntex::server::build()
         .workers(1)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN)
-        .on_worker_start(async move || start_driver(&for_driver, of_worker.clone()).await)
+        .on_worker_start(async move || {
+            start_driver(&for_driver, peer_address, of_worker.clone()).await
+        })
         .listen("callers", listeners.callers, async move |config: Config| {
             config.config(http_config("CALLERS"));
             let section = for_callers.requests.clone();
@@ -174,6 +177,7 @@
 
 async fn start_driver(
     settings: &DaemonSettings,
+    peer_address: SocketAddr,
     departure: Departure,
 ) -> Result<(), ClientUnavailable> {
     let client = new_client().await?;
@@ -190,7 +194,7 @@
         membership: Rc::new(membership),
         engines: Rc::new(HttpEngines::new(client, timeouts)),
     };
-    let (driver, has_left) = Driver::start(settings.node_settings(), adapters);
+    let (driver, has_left) = Driver::start(settings.node_settings(peer_address), adapters);
     DRIVER.with(|slot| *slot.borrow_mut() = Some(driver.clone()));
     log::info!(
         node = settings.node.name.as_str(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -270,11 +270,11 @@
         problems
     }
 
-    /// The settings of the state machine.
-    pub fn node_settings(&self) -> NodeSettings {
+    /// The settings of the state machine of a node that listens for others at an address.
+    pub fn node_settings(&self, peer_address: SocketAddr) -> NodeSettings {
         let node = NodeId::new(&self.node.name);
         let zone = ZoneId::new(&self.node.zone);
-        let mut settings = NodeSettings::new(node, new_incarnation(), zone);
+        let mut settings = NodeSettings::new(node, new_incarnation(), zone, peer_address.to_string());
         let control = &self.control;
         settings.members.heartbeat_every = control.heartbeat_every.0;
         settings.members.detector =
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -42,7 +42,12 @@
     /// The configuration.
     PushConfiguration(Box<Document>),
     /// Passes a caller's request to a node of another zone.
-    Forward(Box<CompletionRequest>),
+    Forward {
+        /// The request.
+        request: Box<CompletionRequest>,
+        /// The sender's address. The receiver's membership list may not show the sender yet.
+        reply_to: String,
+    },
     /// The sender has these forwarded requests in work. Sent at once and then regularly, so
     /// that silence tells of a request, or of its node, that is lost.
     ForwardsInWork {
--- a/crates/runtime/src/forwarding.rs
+++ b/crates/runtime/src/forwarding.rs
@@ -68,7 +68,8 @@
         forwarded.entry_zone.get_or_insert_with(|| self.settings.zone.clone());
         forwarded.deadline_ms = exchange.deadline.since(self.now).as_millis() as u64;
         let call = self.new_call(Purpose::Forward { request: request.clone() });
-        let message = PeerMessage::Forward(Box::new(forwarded));
+        let reply_to = self.settings.peer_address.clone();
+        let message = PeerMessage::Forward { request: Box::new(forwarded), reply_to };
         if !self.send_to_peer(&node, message, Some(call)) {
             return false;
         }
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -119,6 +119,8 @@
     pub(crate) revision_learnt: Timestamp,
     pub(crate) commits: HashMap<OperatorCall, Commit>,
     pub(crate) members: Members,
+    /// Addresses of nodes that the membership list does not show yet.
+    pub(crate) reply_addresses: HashMap<NodeId, String>,
     pub(crate) remote_clocks: HashMap<NodeId, RemoteClock>,
     pub(crate) zones: BTreeMap<ZoneId, ZoneKnowledge>,
     pub(crate) summary_sequence: u64,
@@ -179,6 +181,7 @@
             revision_learnt: Timestamp(0),
             commits: HashMap::new(),
             members,
+            reply_addresses: HashMap::new(),
             remote_clocks: HashMap::new(),
             zones: BTreeMap::new(),
             summary_sequence: 0,
@@ -378,7 +381,8 @@
         message: PeerMessage,
         report: Option<CallId>,
     ) -> bool {
-        let Some(address) = self.members.peer_address(to).map(str::to_owned) else {
+        let listed = self.members.peer_address(to).map(str::to_owned);
+        let Some(address) = listed.or_else(|| self.reply_addresses.get(to).cloned()) else {
             return false;
         };
         self.counters.peer_messages += 1;
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -19,6 +19,8 @@
     pub incarnation: Incarnation,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its address for other nodes, `IP:port`.
+    pub peer_address: String,
     /// The lease on the authority over the zone.
     pub lease: LeaseConfig,
     /// Heartbeats and failure detection.
@@ -132,11 +134,17 @@
 
 impl NodeSettings {
     /// Default settings for a node in a zone.
-    pub fn new(node: NodeId, incarnation: Incarnation, zone: ZoneId) -> Self {
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        zone: ZoneId,
+        peer_address: String,
+    ) -> Self {
         Self {
             node,
             incarnation,
             zone,
+            peer_address,
             lease: LeaseConfig::default(),
             members: MembersConfig::default(),
             claims: ClaimConfig::default(),
--- a/crates/runtime/src/spread.rs
+++ b/crates/runtime/src/spread.rs
@@ -46,7 +46,10 @@
             PeerMessage::PushConfiguration(document) => {
                 self.apply_document(Rc::new(*document));
             }
-            PeerMessage::Forward(request) => self.on_forward(from, *request),
+            PeerMessage::Forward { request, reply_to } => {
+                self.reply_addresses.insert(from.clone(), reply_to);
+                self.on_forward(from, *request);
+            }
             PeerMessage::ForwardsInWork { requests } => self.on_forwards_in_work(&from, &requests),
             PeerMessage::Forwarded { request, sequence, event } => {
                 self.on_forwarded(&from, &request, sequence, event);
@@ -85,6 +88,8 @@
         let peers: BTreeSet<NodeId> = self.members.peers().map(|(node, _)| node.clone()).collect();
         self.arrived_seen.retain(|(node, _), _| peers.contains(node));
         self.authority.set_engines(listed.into_iter());
+        let members = &self.members;
+        self.reply_addresses.retain(|node, _| members.peer_address(node).is_none());
         self.remote_clocks.retain(|node, _| self.members.peer_address(node).is_some());
         self.mark_leaving_engines();
     }
