--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -57,7 +57,12 @@
     for (promise, result) in &summary.promises {
         let seeds: Vec<String> = result.seeds.iter().take(8).map(u64::to_string).collect();
         let name = format!("{promise:?}");
-        println!("{name:<28} {:>10} {:>10}  {}", result.checked, result.violations, seeds.join(" "));
+        println!(
+            "{name:<28} {:>10} {:>10}  {}",
+            result.checked,
+            result.violations,
+            seeds.join(" ")
+        );
         if let Some(first) = &result.first {
             println!("    {first}");
         }
--- a/crates/coordination/tests/specification/mod.rs
+++ b/crates/coordination/tests/specification/mod.rs
@@ -191,8 +191,7 @@
         };
         for role in roles {
             let mut next = self.clone();
-            let order =
-                Order { epoch, sequence: holder.next_sequence, role, from: node as u8 };
+            let order = Order { epoch, sequence: holder.next_sequence, role, from: node as u8 };
             if role.is_some() {
                 next.decided = next.decided.max(epoch);
             }
@@ -259,11 +258,17 @@
 pub enum Submission {
     NotYet,
     /// Write sent; it may take effect at any time, or never.
-    Written { effect_pending: bool },
+    Written {
+        effect_pending: bool,
+    },
     /// The answer was lost.
-    Lost { effect_pending: bool },
+    Lost {
+        effect_pending: bool,
+    },
     ToldCommitted,
-    ToldNot { effect_pending: bool },
+    ToldNot {
+        effect_pending: bool,
+    },
 }
 
 /// State of the configuration part: two operators race, each through its own node.
@@ -422,12 +427,16 @@
     /// Write sent; it may take effect at any time.
     Written,
     /// The answer was lost; the write may still take effect.
-    Lost { effect_pending: bool },
+    Lost {
+        effect_pending: bool,
+    },
     Won,
     Ran,
     /// Another's stands.
     Second,
-    Crashed { effect_pending: bool },
+    Crashed {
+        effect_pending: bool,
+    },
 }
 
 /// State of the at-most-once part: one key, submitted through both nodes.
--- a/crates/emulator/src/experiments/faults.rs
+++ b/crates/emulator/src/experiments/faults.rs
@@ -181,8 +181,8 @@
     for number in 0..spec.changes {
         let span = LOAD_UNTIL.as_millis() as u64 - WARM_UP.as_millis() as u64;
         let each = span / spec.changes as u64;
-        let wait = WARM_UP
-            + Duration::from_millis(each * number as u64 + rng.random_range(0..each));
+        let wait =
+            WARM_UP + Duration::from_millis(each * number as u64 + rng.random_range(0..each));
         let mut changed = configuration.clone();
         let relay = ServiceName::new("relay");
         // Every other revision takes a zone off the service whose requests change zones.
@@ -248,9 +248,8 @@
 
 /// Nodes that a cut may keep from hearing of a change; `None`: any of them.
 fn cut_nodes(cut: &Cut) -> impl Iterator<Item = Option<NodeId>> {
-    let only_engines = [&cut.from, &cut.to]
-        .iter()
-        .any(|group| matches!(group, Group::One(Endpoint::Engine(_))));
+    let only_engines =
+        [&cut.from, &cut.to].iter().any(|group| matches!(group, Group::One(Endpoint::Engine(_))));
     let affected: Vec<Option<NodeId>> = if only_engines {
         Vec::new()
     } else if [&cut.from, &cut.to].contains(&&Group::One(Endpoint::Store)) {
--- a/crates/emulator/src/simulation/checks.rs
+++ b/crates/emulator/src/simulation/checks.rs
@@ -148,7 +148,8 @@
     let mut verdict = Verdict::default();
     let mut accepted: HashMap<&EngineId, BTreeMap<FencingToken, &OrderKind>> = HashMap::new();
     for (at, event) in events {
-        let Event::Ordered { engine, node, token, kind, reply: OrderReply::Accepted { .. } } = event
+        let Event::Ordered { engine, node, token, kind, reply: OrderReply::Accepted { .. } } =
+            event
         else {
             continue;
         };
@@ -379,9 +380,8 @@
             continue;
         };
         let others = runs.by_key.get(key).into_iter().flatten();
-        let ran_before = others
-            .filter_map(|other| runs.started.get(other))
-            .any(|started| started < at);
+        let ran_before =
+            others.filter_map(|other| runs.started.get(other)).any(|started| started < at);
         verdict.expect(!ran_before, || {
             format!("{at:?}: {key} was said not to have run, and another submission had: {error}")
         });
--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -164,8 +164,7 @@
     let added = Duration::from_millis(rng.random_range(6_500..9_500));
     let from = Endpoint::Node(node);
     let slow = Slow { id: FIRST_ID, from: from.clone(), only_to_engines: true, added };
-    let cut =
-        Cut { id: FIRST_ID + 1, from: Group::One(from), to: Group::One(Endpoint::Store) };
+    let cut = Cut { id: FIRST_ID + 1, from: Group::One(from), to: Group::One(Endpoint::Store) };
     plan.push(Planned { at, action: Action::Slow(slow) });
     plan.push(Planned { at, action: Action::Cut(cut) });
     for engine in 0..bounds.engines {
@@ -243,24 +242,15 @@
             (Action::Slow(slow), Some(Action::Heal(number)))
         }
         85..88 => {
-            let garbled = StreamTrouble {
-                doubled_permille: 30,
-                crossed_permille: 10,
-                broken_permille: 10,
-            };
+            let garbled =
+                StreamTrouble { doubled_permille: 30, crossed_permille: 10, broken_permille: 10 };
             (Action::Streams(garbled), Some(Action::Streams(StreamTrouble::default())))
         }
         _ => planned_fault(rng, bounds, zone_of_engine),
     }
 }
 
-fn pick_cut(
-    rng: &mut impl Rng,
-    node: usize,
-    engine: usize,
-    id: u64,
-    zones: &[ZoneId],
-) -> Cut {
+fn pick_cut(rng: &mut impl Rng, node: usize, engine: usize, id: u64, zones: &[ZoneId]) -> Cut {
     let node = Group::One(Endpoint::Node(node));
     let engine = Group::One(Endpoint::Engine(engine));
     let zone = zones.choose(rng).cloned().map_or(Group::All, Group::Zone);
--- a/crates/emulator/src/simulation/world.rs
+++ b/crates/emulator/src/simulation/world.rs
@@ -23,9 +23,7 @@
 use pitchstall_protocol::membership::{EngineMember, MemberState, MembershipList, NodeMember};
 use pitchstall_protocol::operator::ApplyRequest;
 use pitchstall_protocol::peer::{PeerEnvelope, PeerMessage};
-use pitchstall_protocol::store::{
-    StoreError, StoreRequest, StoredValue, Write,
-};
+use pitchstall_protocol::store::{StoreError, StoreRequest, StoredValue, Write};
 use pitchstall_runtime::{
     CallId, CallerInput, Input, Node, NodeSettings, OperatorCall, OperatorReply, OperatorRequest,
     Output,
@@ -438,7 +436,8 @@
         }
         slot.backlog.clear();
         slot.paused = false;
-        let readers: Vec<(usize, Reader)> = std::mem::take(&mut slot.readers).into_values().collect();
+        let readers: Vec<(usize, Reader)> =
+            std::mem::take(&mut slot.readers).into_values().collect();
         let callers = std::mem::take(&mut slot.callers);
         for (engine, reader) in readers {
             self.schedule(Duration::from_micros(500), Happening::ReaderGone { engine, reader });
@@ -556,10 +555,7 @@
         let (node, incarnation, call) = (slot.node, slot.incarnation, slot.call);
         let input = Input::Engine { call, input: EngineInput::Broken };
         self.to_node(Duration::from_micros(300), node, incarnation, input);
-        self.schedule(
-            Duration::from_micros(300),
-            Happening::ReaderGone { engine: place, reader },
-        );
+        self.schedule(Duration::from_micros(300), Happening::ReaderGone { engine: place, reader });
     }
 
     /// Lets a stopped process go on: first it sees all that has waited for it.
@@ -784,10 +780,8 @@
 
     fn send_peer(&mut self, place: usize, envelope: PeerEnvelope, report: Option<CallId>) {
         let bytes = serde_json::to_vec(&envelope).map_or(0, |line| line.len() as u64 + 1);
-        let is_data = matches!(
-            envelope.message,
-            PeerMessage::Forward { .. } | PeerMessage::Forwarded { .. }
-        );
+        let is_data =
+            matches!(envelope.message, PeerMessage::Forward { .. } | PeerMessage::Forwarded { .. });
         if !is_data {
             self.nodes[place].peer_bytes += bytes;
             self.nodes[place].peer_messages += 1;
@@ -894,11 +888,8 @@
         let lost = self.rng.random_range(0..100) < self.store_trouble.lose_answers_percent
             || !self.network.passes(&store, &from)
             || back > give_up;
-        let (at, reply) = if lost {
-            (give_up, Err(StoreError::OutcomeUnknown))
-        } else {
-            (back, reply)
-        };
+        let (at, reply) =
+            if lost { (give_up, Err(StoreError::OutcomeUnknown)) } else { (back, reply) };
         let wait = at.since(self.now);
         self.to_node(wait, node, incarnation, Input::Store { call, reply });
         self.notify_watchers(&changed);
@@ -1046,14 +1037,8 @@
         let slot = &mut self.engines[engine];
         let reader = Reader(slot.next_reader);
         slot.next_reader += 1;
-        let reader_slot = ReaderSlot {
-            node,
-            incarnation,
-            call,
-            last_delivery: now,
-            ended: false,
-            broken: false,
-        };
+        let reader_slot =
+            ReaderSlot { node, incarnation, call, last_delivery: now, ended: false, broken: false };
         slot.readers.insert(reader, reader_slot);
         let owner = &mut self.nodes[node];
         if owner.incarnation == incarnation && owner.node.is_some() {
@@ -1252,10 +1237,8 @@
             service: request.service.clone(),
         };
         self.history.note(self.now, event);
-        let input = Input::Caller(CallerInput::Submit {
-            connection: ConnectionId(connection.1),
-            request,
-        });
+        let input =
+            Input::Caller(CallerInput::Submit { connection: ConnectionId(connection.1), request });
         self.to_node(CALLER_DELAY, node, incarnation, input);
         self.schedule(CALLER_PATIENCE, Happening::Patience { caller, connection });
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -274,7 +274,8 @@
     pub fn node_settings(&self, peer_address: SocketAddr) -> NodeSettings {
         let node = NodeId::new(&self.node.name);
         let zone = ZoneId::new(&self.node.zone);
-        let mut settings = NodeSettings::new(node, new_incarnation(), zone, peer_address.to_string());
+        let mut settings =
+            NodeSettings::new(node, new_incarnation(), zone, peer_address.to_string());
         let control = &self.control;
         settings.members.heartbeat_every = control.heartbeat_every.0;
         settings.members.detector =
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -3,7 +3,9 @@
 use crate::caller::{CallerEvent, CompletionRequest};
 use crate::configuration::Document;
 use crate::engine::EngineReport;
-use crate::ids::{ClaimId, EngineId, Epoch, Incarnation, ModelName, NodeId, RequestId, Revision, ZoneId};
+use crate::ids::{
+    ClaimId, EngineId, Epoch, Incarnation, ModelName, NodeId, RequestId, Revision, ZoneId,
+};
 use serde::{Deserialize, Serialize};
 
 /// A message with its sender and receiver. A receiver drops what is meant for another
--- a/crates/runtime/src/dispatch.rs
+++ b/crates/runtime/src/dispatch.rs
@@ -66,8 +66,7 @@
     /// the prefill engine, if it still takes work.
     pub(crate) fn writer_now(&self, request: &RequestId, chosen: &EngineId) -> Option<EngineId> {
         let config = &self.settings.routing;
-        let takes_work =
-            |load: &EngineLoad| load.takes_work(self.now.0, config.silent_after_us);
+        let takes_work = |load: &EngineLoad| load.takes_work(self.now.0, config.silent_after_us);
         if self.engines.get(chosen).is_some_and(takes_work) {
             return Some(chosen.clone());
         }
@@ -258,7 +257,10 @@
         } else if any_engine {
             ErrorBody::refused(ErrorCode::Overloaded, "no engine was free in time")
         } else {
-            ErrorBody::refused(ErrorCode::NoEngine, "no engine that may serve it is known to be live")
+            ErrorBody::refused(
+                ErrorCode::NoEngine,
+                "no engine that may serve it is known to be live",
+            )
         };
         self.fail(request, error.retry_after_ms(wait.as_millis() as u64));
     }
@@ -359,9 +361,10 @@
     fn first_token_limit(&self, engine: &EngineId) -> Duration {
         let settings = &self.settings.requests;
         let silent_after_us = self.settings.routing.silent_after_us;
-        let is_heard = self.engines.get(engine).is_some_and(|load| {
-            self.now.0.saturating_sub(load.reported_us) < silent_after_us
-        });
+        let is_heard = self
+            .engines
+            .get(engine)
+            .is_some_and(|load| self.now.0.saturating_sub(load.reported_us) < silent_after_us);
         if is_heard {
             settings.first_token_timeout
         } else {
--- a/crates/runtime/src/forwarding.rs
+++ b/crates/runtime/src/forwarding.rs
@@ -98,11 +98,9 @@
 
     fn node_of_zone(&self, zone: &ZoneId, excluded: &[NodeId]) -> Option<NodeId> {
         let listed = self.members.remote_nodes(zone);
-        let usable = |it: &NodeMember| {
-            it.state == MemberState::Live && !excluded.contains(&it.node)
-        };
-        let is_live =
-            |node: &NodeId| listed.iter().any(|it| it.node == *node && usable(it));
+        let usable =
+            |it: &NodeMember| it.state == MemberState::Live && !excluded.contains(&it.node);
+        let is_live = |node: &NodeId| listed.iter().any(|it| it.node == *node && usable(it));
         let carrier = self.zones.get(zone).map(|it| it.summary.carrier.clone());
         if let Some(carrier) = carrier.filter(|carrier| is_live(carrier)) {
             return Some(carrier);
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -429,11 +429,8 @@
                 self.out.push(Output::Caller { connection: *connection, event });
             }
             Origin::Peer(node) => {
-                let message = PeerMessage::Forwarded {
-                    request: request.clone(),
-                    sequence: 0,
-                    event,
-                };
+                let message =
+                    PeerMessage::Forwarded { request: request.clone(), sequence: 0, event };
                 self.tell_peer(node, message);
             }
             Origin::Nobody => {}
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -134,12 +134,7 @@
 
 impl NodeSettings {
     /// Default settings for a node in a zone.
-    pub fn new(
-        node: NodeId,
-        incarnation: Incarnation,
-        zone: ZoneId,
-        peer_address: String,
-    ) -> Self {
+    pub fn new(node: NodeId, incarnation: Incarnation, zone: ZoneId, peer_address: String) -> Self {
         Self {
             node,
             incarnation,
