Measure the cost of control against the size of the fleet, and halve it

Cause: at 22 nodes and 84 engines in two zones a node sent 26.6 KB/s of control messages on average and 48.3 KB/s at most, over the users' 21: each engine's whole report went to every node of the zone twice a second, and rendezvous hashing gave one node up to three times the mean of engines.

Ruled out: fewer heartbeats, since silence decides what gets new work; every other heartbeat without reports, since with the echo's age they would come close to the silence limit.

Change: shared reports carry what routing needs under short names; engines are dealt out in turn over the live nodes.

--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -3,6 +3,7 @@
 use crate::{CommandError, EXIT_FAILED};
 use gumdrop::Options;
 use pitchstall_emulator::experiments::faults::{self, FaultRunSpec, FaultSummary};
+use pitchstall_emulator::experiments::scale::{self, FleetSize};
 use serde::Serialize;
 use std::process::ExitCode;
 
@@ -11,8 +12,14 @@
 pub struct ExperimentArguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "faults", required)]
+    #[options(help = "faults or scale", required)]
     scenario: String,
+    #[options(help = "scale: nodes in all", default = "330")]
+    nodes: usize,
+    #[options(help = "scale: engines in all", default = "1300")]
+    runners: usize,
+    #[options(help = "scale: zones", default = "31")]
+    zones: usize,
     #[options(help = "first seed", default = "1")]
     seed: u64,
     #[options(help = "number of runs; the seeds follow the first", default = "1")]
@@ -27,7 +34,8 @@
 pub fn run(arguments: &ExperimentArguments) -> Result<ExitCode, CommandError> {
     match arguments.scenario.as_str() {
         "faults" => run_faults(arguments),
-        other => Err(CommandError::Usage(format!("--scenario {other}: expected faults"))),
+        "scale" => run_scale(arguments),
+        other => Err(CommandError::Usage(format!("--scenario {other}: expected faults or scale"))),
     }
 }
 
@@ -44,6 +52,17 @@
     Ok(if summary.is_violated() { ExitCode::from(EXIT_FAILED) } else { ExitCode::SUCCESS })
 }
 
+fn run_scale(arguments: &ExperimentArguments) -> Result<ExitCode, CommandError> {
+    let size =
+        FleetSize { nodes: arguments.nodes, engines: arguments.runners, zones: arguments.zones };
+    if size.zones == 0 || size.nodes < size.zones {
+        return Err(CommandError::Usage("expected at least one node in each zone".to_owned()));
+    }
+    // Text and JSON are the same here: every figure has a name.
+    print_json(&scale::run(size, arguments.seed))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn print_json<T: Serialize>(value: &T) -> Result<(), CommandError> {
     let text = serde_json::to_string_pretty(value)
         .map_err(|error| CommandError::File(error.to_string()))?;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::{CallerEvent, CompletionRequest};
 use crate::configuration::Document;
-use crate::engine::EngineReport;
+use crate::engine::{EngineReport, EngineStanding};
 use crate::ids::{
     ClaimId, EngineId, Epoch, Incarnation, ModelName, NodeId, RequestId, Revision, ZoneId,
 };
@@ -13,16 +13,20 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerEnvelope {
     /// The sender.
+    #[serde(rename = "f")]
     pub from: NodeId,
     /// The sender's start.
+    #[serde(rename = "fi")]
     pub from_incarnation: Incarnation,
     /// The receiver.
+    #[serde(rename = "t")]
     pub to: NodeId,
     /// The receiver's start, as far as the sender knows it. Clock readings inside the message
     /// are those of this start.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "ti", default, skip_serializing_if = "Option::is_none")]
     pub to_incarnation: Option<Incarnation>,
     /// The message.
+    #[serde(rename = "m")]
     pub message: PeerMessage,
 }
 
@@ -88,45 +92,103 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's zone.
+    #[serde(rename = "z")]
     pub zone: ZoneId,
     /// The sender's clock at sending, microseconds.
+    #[serde(rename = "at")]
     pub sent_at_us: u64,
     /// The latest `sent_at_us` received from the receiver. It proves to the receiver that
     /// this message was sent after that instant of its own clock.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub echo_us: Option<u64>,
     /// The configuration revision the sender applies.
+    #[serde(rename = "r")]
     pub revision: Revision,
     /// Microseconds since the instant at which the sender knows that `revision` was the
     /// latest committed one; absent: it never knew.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub verified_age_us: Option<u64>,
     /// Whether the sender takes no new work.
+    #[serde(rename = "l")]
     pub leaving: bool,
     /// The epoch of the authority over the zone, if the sender holds it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub authority: Option<Epoch>,
     /// Fresh reports of the engines the sender watches over.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub reports: Vec<AgedReport>,
+    #[serde(rename = "er", default, skip_serializing_if = "Vec::is_empty")]
+    pub reports: Vec<SharedReport>,
     /// Engines that the sender saw listed as leaving: it may see the list when others do not.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "le", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving_engines: Vec<EngineId>,
     /// Work that has come in at the sender since its start, by model.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "aw", default, skip_serializing_if = "Vec::is_empty")]
     pub arrived: Vec<ArrivedWork>,
     /// Nodes of the zone that the sender suspects.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<NodeId>,
 }
 
-/// An engine's report on its way through the zone.
+/// An engine's report on its way through the zone: what routing needs of it, under short
+/// names, since every node sends the reports of its engines to every other one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct AgedReport {
+pub struct SharedReport {
     /// Microseconds since the sender asked for the report.
+    #[serde(rename = "a")]
     pub age_us: u64,
-    /// The report.
-    pub report: EngineReport,
+    /// The engine.
+    #[serde(rename = "e")]
+    pub engine: EngineId,
+    /// Counts up with each report.
+    #[serde(rename = "n")]
+    pub report: u64,
+    /// Role, model, state and fence.
+    #[serde(rename = "s")]
+    pub standing: EngineStanding,
+    /// Sequences in the running batch.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Sequences that wait.
+    #[serde(rename = "w")]
+    pub waiting: u32,
+    /// Prompt tokens that wait to be read.
+    #[serde(rename = "p")]
+    pub waiting_prompt_tokens: u64,
+    /// Prefix blocks lately added to the cache.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub cached_blocks: Vec<u64>,
+}
+
+impl SharedReport {
+    /// What is shared of a report that was asked for `age_us` ago.
+    pub fn of(report: &EngineReport, age_us: u64) -> Self {
+        Self {
+            age_us,
+            engine: report.engine.clone(),
+            report: report.report,
+            standing: report.standing.clone(),
+            running: report.running,
+            waiting: report.waiting,
+            waiting_prompt_tokens: report.waiting_prompt_tokens,
+            cached_blocks: report.cached_blocks.clone(),
+        }
+    }
+
+    /// The report of an engine of a zone. What was not shared is zero.
+    pub fn into_report(self, zone: ZoneId) -> EngineReport {
+        EngineReport {
+            engine: self.engine,
+            zone,
+            report: self.report,
+            standing: self.standing,
+            running: self.running,
+            waiting: self.waiting,
+            waiting_prompt_tokens: self.waiting_prompt_tokens,
+            waiting_output_tokens: 0,
+            cache_used_permille: 0,
+            accepted_total: 0,
+            cached_blocks: self.cached_blocks,
+        }
+    }
 }
 
 /// Work that has come in since the start of a node. Totals, so that a lost message loses
--- a/crates/protocol/tests/parsers.rs
+++ b/crates/protocol/tests/parsers.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-const HEARTBEAT: &str = r#"{"from":"a","from_incarnation":1,"to":"b","to_incarnation":2,"message":{"type":"heartbeat","zone":"z","sent_at_us":5,"echo_us":4,"revision":3,"verified_age_us":1,"leaving":false,"authority":7}}"#;
+const HEARTBEAT: &str = r#"{"f":"a","fi":1,"t":"b","ti":2,"m":{"type":"heartbeat","z":"z","at":5,"e":4,"r":3,"v":1,"l":false,"a":7}}"#;
 const TOKENS: &str =
     r#"{"request":"r","attempt":1,"event":"tokens","offset":0,"count":1,"text":" w"}"#;
 const ORDER: &str = r#"{"token":{"epoch":1,"sequence":2},"order":"set_role","role":"decode"}"#;
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -4,7 +4,6 @@
 use crate::io::{EngineCall, Output};
 use crate::node::{Node, Purpose};
 use pitchstall_coordination::authority::Target;
-use pitchstall_coordination::placement::owner;
 use pitchstall_coordination::Timestamp;
 use pitchstall_protocol::engine::{EngineState, FencingToken, OrderKind, OrderReply};
 use pitchstall_protocol::ids::{EngineId, ModelName};
@@ -109,19 +108,23 @@
     /// Asks for the reports of the engines that this node watches over: each engine is
     /// asked by one node, which tells the zone.
     fn ask_reports(&mut self) {
-        let live = self.members.live_in_zone(self.now);
-        let mine: Vec<EngineId> = self
-            .members
-            .zone_engines()
-            .map(|member| member.engine.clone())
-            .filter(|engine| owner(engine, live.iter()) == Some(&self.settings.node))
-            .collect();
-        for engine in mine {
+        for engine in self.watched_engines() {
             let purpose = Purpose::Report { engine: engine.clone(), sent: self.now };
             self.call_engine(purpose, &engine, EngineCall::Report);
         }
     }
 
+    /// The engines that this node watches over: those of the zone are dealt out in turn over
+    /// its live nodes, so that none has many more than another.
+    pub(crate) fn watched_engines(&self) -> Vec<EngineId> {
+        let live = self.members.live_in_zone(self.now);
+        let Some(rank) = live.iter().position(|node| *node == self.settings.node) else {
+            return Vec::new();
+        };
+        let engines = self.members.zone_engines().skip(rank).step_by(live.len());
+        engines.map(|member| member.engine.clone()).collect()
+    }
+
     // --- planning ---------------------------------------------------------------------
 
     pub(crate) fn count_arrival(&mut self, exchange: &Exchange) {
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -305,6 +305,11 @@
         self.lease.epoch(now)
     }
 
+    /// Whether this node takes another one of its zone for live.
+    pub fn sees_live(&self, node: &NodeId) -> bool {
+        self.members.takes_work(self.now, node)
+    }
+
     /// Levels now.
     pub fn gauges(&self) -> Gauges {
         let age = self.replica.verified_age(self.now);
--- a/crates/runtime/src/spread.rs
+++ b/crates/runtime/src/spread.rs
@@ -6,13 +6,13 @@
 use pitchstall_coordination::commit::{decode_document, CURRENT_KEY};
 use pitchstall_coordination::configuration::Exchange;
 use pitchstall_coordination::members::PeerWord;
-use pitchstall_coordination::placement::{owner, stable_hash};
+use pitchstall_coordination::placement::stable_hash;
 use pitchstall_coordination::Timestamp;
 use pitchstall_protocol::configuration::Document;
 use pitchstall_protocol::ids::{Incarnation, ModelName, NodeId, Revision, ZoneId};
 use pitchstall_protocol::membership::{MemberState, MembershipList};
 use pitchstall_protocol::peer::{
-    AgedReport, Digest, Heartbeat, ModelCapacity, PeerEnvelope, PeerMessage, ZoneSummary,
+    Digest, Heartbeat, ModelCapacity, PeerEnvelope, PeerMessage, SharedReport, ZoneSummary,
 };
 use pitchstall_protocol::store::{StoreError, StoreReply, StoreRequest, StoredValue};
 use std::collections::{BTreeMap, BTreeSet};
@@ -130,16 +130,15 @@
     }
 
     /// Reports that this node asked for itself since the last heartbeat but one.
-    fn reports_to_share(&self) -> Vec<AgedReport> {
+    fn reports_to_share(&self) -> Vec<SharedReport> {
         let fresh = self.settings.members.heartbeat_every * 2;
-        let live = self.members.live_in_zone(self.now);
-        self.engines
-            .values()
-            .filter(|load| owner(load.engine(), live.iter()) == Some(&self.settings.node))
+        self.watched_engines()
+            .into_iter()
+            .filter_map(|engine| self.engines.get(&engine))
             .filter(|load| self.now.since(Timestamp(load.reported_us)) < fresh)
-            .map(|load| AgedReport {
-                age_us: self.now.0.saturating_sub(load.reported_us),
-                report: load.report.clone(),
+            .map(|load| {
+                let age_us = self.now.0.saturating_sub(load.reported_us);
+                SharedReport::of(&load.report, age_us)
             })
             .collect()
     }
@@ -169,9 +168,9 @@
         }
         let sent_after = echo.unwrap_or(self.now);
         self.mark_leaving_engines();
-        for aged in heartbeat.reports {
-            let made = sent_after.before(Duration::from_micros(aged.age_us));
-            self.on_report(aged.report, made);
+        for shared in heartbeat.reports {
+            let made = sent_after.before(Duration::from_micros(shared.age_us));
+            self.on_report(shared.into_report(heartbeat.zone.clone()), made);
         }
         for arrived in heartbeat.arrived {
             self.on_arrived_elsewhere(from, arrived);
