--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -58,7 +58,8 @@
     version: u64,
     peers: BTreeMap<NodeId, Peer>,
     remote: BTreeMap<ZoneId, Vec<NodeMember>>,
-    engines: BTreeMap<EngineId, EngineMember>,
+    zone_engines: BTreeMap<EngineId, EngineMember>,
+    other_engines: BTreeMap<EngineId, EngineMember>,
 }
 
 /// What a heartbeat says of its sender.
@@ -86,7 +87,8 @@
             version: 0,
             peers: BTreeMap::new(),
             remote: BTreeMap::new(),
-            engines: BTreeMap::new(),
+            zone_engines: BTreeMap::new(),
+            other_engines: BTreeMap::new(),
         }
     }
 
@@ -101,7 +103,13 @@
             return;
         }
         self.version = list.version;
-        self.engines = list.engines.into_iter().map(|it| (it.engine.clone(), it)).collect();
+        // Work on each heartbeat goes over the zone's engines: it must not grow with the fleet.
+        let own_zone = &self.own_zone;
+        (self.zone_engines, self.other_engines) = list
+            .engines
+            .into_iter()
+            .map(|it| (it.engine.clone(), it))
+            .partition(|(_, it)| it.zone == *own_zone);
         let mut previous = std::mem::take(&mut self.peers);
         self.remote.clear();
         for member in list.nodes {
@@ -223,7 +231,7 @@
 
     /// The listed engines of the own zone.
     pub fn zone_engines(&self) -> impl Iterator<Item = &EngineMember> {
-        self.engines.values().filter(|engine| engine.zone == self.own_zone)
+        self.zone_engines.values()
     }
 
     /// Engines of the own zone that are known to be leaving.
@@ -235,14 +243,14 @@
     /// Another node saw an engine listed as leaving. That is never taken back: an engine that
     /// stays after all comes back under another name.
     pub fn on_engine_leaving(&mut self, engine: &EngineId) {
-        if let Some(member) = self.engines.get_mut(engine) {
+        if let Some(member) = self.zone_engines.get_mut(engine) {
             member.state = MemberState::Leaving;
         }
     }
 
     /// A listed engine.
     pub fn engine(&self, engine: &EngineId) -> Option<&EngineMember> {
-        self.engines.get(engine)
+        self.zone_engines.get(engine).or_else(|| self.other_engines.get(engine))
     }
 
     /// The address of any listed node.
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -99,6 +99,8 @@
     pub digest_every: Duration,
     /// Zones that one digest goes to.
     pub digest_fanout: usize,
+    /// Summaries of other zones in one digest, at most.
+    pub digest_summaries: usize,
     /// Between two reads of the configuration by a zone's authority.
     pub verify_every: Duration,
     /// Between two polls of the membership list.
@@ -121,9 +123,10 @@
             report_every: Duration::from_millis(500),
             digest_every: Duration::from_millis(1_000),
             digest_fanout: 2,
+            digest_summaries: 12,
             verify_every: Duration::from_millis(1_000),
             members_every: Duration::from_millis(2_000),
-            zone_silent_after: Duration::from_millis(3_000),
+            zone_silent_after: Duration::from_millis(4_000),
             order_resend: Duration::from_millis(1_000),
             commit_timeout: Duration::from_secs(5),
             movement_bound: DEFAULT_MOVEMENT_BOUND,
--- a/crates/runtime/src/spread.rs
+++ b/crates/runtime/src/spread.rs
@@ -206,7 +206,9 @@
 
     fn on_pull_digest(&mut self, from: &NodeId) {
         let echo_us = self.members.peer(from).and_then(|peer| peer.clock_us);
-        let digest = Digest { echo_us, ..self.make_digest() };
+        // A node of the own zone asks for all that is known.
+        let zones = self.zones.values().map(|knowledge| knowledge.summary.clone()).collect();
+        let digest = Digest { echo_us, zones, ..self.make_digest() };
         self.tell_peer(from, PeerMessage::Digest(digest));
     }
 
@@ -224,7 +226,7 @@
     fn make_digest(&mut self) -> Digest {
         let own = self.summarize_zone();
         let mut zones: Vec<ZoneSummary> = vec![own];
-        zones.extend(self.zones.values().map(|it| it.summary.clone()));
+        zones.extend(self.freshest_summaries());
         Digest {
             sent_at_us: self.now.0,
             echo_us: None,
@@ -234,6 +236,15 @@
         }
     }
 
+    /// The summaries that were heard last, at most a fixed number: so a digest does not grow
+    /// with the number of zones, and what is new travels first.
+    fn freshest_summaries(&self) -> Vec<ZoneSummary> {
+        let mut known: Vec<&ZoneKnowledge> = self.zones.values().collect();
+        known.sort_by_key(|knowledge| std::cmp::Reverse(knowledge.heard));
+        let freshest = known.into_iter().take(self.settings.control.digest_summaries);
+        freshest.map(|knowledge| knowledge.summary.clone()).collect()
+    }
+
     fn summarize_zone(&mut self) -> ZoneSummary {
         self.summary_sequence += 1;
         let bound = self.replica.movement_bound();
