--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -124,3 +124,30 @@
     let metrics = get(&operators, "/metrics").unwrap();
     assert!(!metrics.contains("pitchstall_stream_resumes_total 0\n"));
 }
+
+#[ntex::test]
+async fn a_stopped_engine_and_a_stopped_node_lose_no_answer() {
+    const STOPPED: std::time::Duration = std::time::Duration::from_secs(5);
+    let cluster = Cluster::start("stopped");
+    let node = &cluster.nodes[0];
+    let report = load_while(long_streams(vec![node.callers.clone()]), || {
+        wait_for_streams(&node.operators);
+        // Longer than the silence after which an attempt counts as lost.
+        cluster.engines[0].2.signal(Signal::SIGSTOP);
+        std::thread::sleep(STOPPED);
+        cluster.engines[0].2.signal(Signal::SIGCONT);
+    })
+    .await;
+    assert_whole(&report);
+
+    let holder = &cluster.nodes[cluster.holder("east")];
+    let report = load_while(long_streams(cluster.callers()), || {
+        wait_for_streams(&holder.operators);
+        // Longer than a quiet node keeps the lease, so that another takes it meanwhile.
+        holder.process.signal(Signal::SIGSTOP);
+        std::thread::sleep(STOPPED * 2);
+        holder.process.signal(Signal::SIGCONT);
+    })
+    .await;
+    assert_whole(&report);
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -52,6 +52,7 @@
     pub zone: String,
     pub callers: String,
     pub operators: String,
+    pub peers: String,
 }
 
 pub struct Cluster {
@@ -199,6 +200,7 @@
             zone: zone.to_owned(),
             callers: addresses.callers.to_string(),
             operators: addresses.operators.to_string(),
+            peers: addresses.peers.to_string(),
         });
     }
 
@@ -260,21 +262,30 @@
     }
 }
 
-/// One HTTP exchange on a connection of its own; the body of a 2xx answer.
-fn exchange(address: &str, head: &str, body: &str) -> Option<String> {
+/// One HTTP exchange on a connection of its own: status code, head and body of the answer.
+pub fn http(address: &str, head: &str, key: &str, body: &str) -> Option<(u16, String, String)> {
     use std::io::{Read, Write};
     let mut stream = std::net::TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
     let request = format!(
         "{head} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\
-         Authorization: Bearer {OPERATOR_KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+         Authorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
+    // A server may answer before it has read the whole body.
+    let _ = stream.write_all(request.as_bytes());
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer).into_owned();
     let (head, body) = answer.split_once("\r\n\r\n")?;
-    head.starts_with("HTTP/1.1 2").then(|| body.to_owned())
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, head.to_owned(), body.to_owned()))
+}
+
+/// An operator's exchange; the body of a 2xx answer.
+fn exchange(address: &str, head: &str, body: &str) -> Option<String> {
+    let (status, _, body) = http(address, head, OPERATOR_KEY, body)?;
+    (200..300).contains(&status).then_some(body)
 }
 
 pub fn get(address: &str, path: &str) -> Option<String> {
