--- a/crates/emulator/src/models/engine.rs
+++ b/crates/emulator/src/models/engine.rs
@@ -416,6 +416,8 @@
     /// A report, as old as the engine's lag.
     pub fn report(&mut self, now: Timestamp) -> EngineReport {
         let lag = Duration::from_millis(self.profile.report_lag_ms);
+        // The lag is bounded, also when nobody has asked for a long time.
+        self.lagged.retain(|(made, _)| now.since(*made) <= lag * 2);
         let fresh = self.fresh_report();
         self.lagged.push_back((now, fresh));
         while self.lagged.len() > 1 && self.lagged[1].0 <= now.before(lag) {
