--- a/crates/emulator/tests/faults.rs
+++ b/crates/emulator/tests/faults.rs
@@ -35,6 +35,7 @@
 #[test_case(856; "engines were excluded for good")]
 #[test_case(879; "a replay held only a part of the answer")]
 #[test_case(15208; "an engine that nobody had asked for long reported what it was long ago")]
+#[test_case(3020; "a request that an engine had read was given up after two seconds")]
 #[test_case(2400; "answers could not be sent to a node that was not listed yet")]
 fn a_seed_that_found_a_fault_finds_none(seed: u64) {
     let run = run_one(seed, FaultRunSpec::default());
--- a/crates/runtime/src/dispatch.rs
+++ b/crates/runtime/src/dispatch.rs
@@ -266,12 +266,14 @@
     }
 
     /// Refuses waiting requests that nothing can serve now: their callers do better to ask
-    /// elsewhere than to wait for their deadline.
+    /// elsewhere than to wait for their deadline. A request that an engine has had is not
+    /// given up so soon: its caller could not be told that nothing has run.
     fn refuse_hopeless(&mut self) {
         let hopeless: Vec<RequestId> = self
             .exchanges
             .values()
             .filter(|exchange| matches!(exchange.stage, Stage::Queued(_)))
+            .filter(|exchange| !exchange.may_have_started)
             .filter(|exchange| {
                 let since = exchange.arrived.max(exchange.last_progress);
                 self.now.since(since) >= self.settings.requests.hopeless_after
