Take out a switch that nothing turns

Cause: `Authority` had a field that said whether the fence is raised first, and a comment that tests turn it off. None does: the specification has a switch of its own.

Change: the field is gone; the fence is always raised first. No behaviour changed.

--- a/crates/coordination/src/authority.rs
+++ b/crates/coordination/src/authority.rs
@@ -45,9 +45,6 @@
     next_sequence: OrderSequence,
     engines: BTreeMap<EngineId, EngineRecord>,
     resend_after: Duration,
-    /// Whether a fence is raised before the first order. Only the model checker and the
-    /// tests that show why it is there turn it off.
-    raise_fence_first: bool,
 }
 
 impl Authority {
@@ -59,7 +56,6 @@
             next_sequence: OrderSequence(1),
             engines: BTreeMap::new(),
             resend_after,
-            raise_fence_first: true,
         }
     }
 
@@ -176,8 +172,8 @@
                 continue;
             }
             let kind = match &record.confirmed {
-                None if self.raise_fence_first => Some(OrderKind::RaiseFence),
-                _ => wanted_order(record),
+                None => Some(OrderKind::RaiseFence),
+                Some(_) => wanted_order(record),
             };
             let Some(kind) = kind else {
                 continue;
