Keep the operators' answers with the operators

Cause: the handler of a history reply stood in the module of engines' streams and only passed it on.

Change: `operators.rs` takes the reply itself. No behaviour changed.

--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -11,7 +11,6 @@
 use pitchstall_protocol::error::{ErrorBody, ErrorCode, Execution};
 use pitchstall_protocol::ids::{AttemptNumber, ConnectionId, EngineId, RequestId};
 use pitchstall_protocol::peer::PeerMessage;
-use pitchstall_protocol::store::{StoreError, StoreReply};
 use std::time::Duration;
 
 /// How long an engine that refused an attempt is not tried again for the same request.
@@ -547,14 +546,6 @@
             exchange.caller_gone = Some(now);
         }
     }
-
-    pub(crate) fn on_history_reply(
-        &mut self,
-        operator: crate::io::OperatorCall,
-        reply: Result<StoreReply, StoreError>,
-    ) {
-        self.answer_history(operator, reply);
-    }
 }
 
 /// The one place that decides whether a failure may say that nothing has run.
--- a/crates/runtime/src/operators.rs
+++ b/crates/runtime/src/operators.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    pub(crate) fn answer_history(
+    pub(crate) fn on_history_reply(
         &mut self,
         call: OperatorCall,
         reply: Result<StoreReply, StoreError>,
