Do not call a request not run because its connection ended

Cause: every `ClientError::Connect` was taken for a connection that was never made. A server that read a request on a kept connection and closed it unanswered gives the same variant (`Disconnected(None)`), so a refusal could say that nothing had run when it had.

Ruled out: the client sending the request again by itself; the stand-in read one request only.

Change: only a refused connection, a time-out while connecting or a bad address prove that nothing was sent.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,8 +1,10 @@
 //! The HTTP client that all adapters share, with every time limit set on purpose.
 
-use ntex::client::{error::ClientError, Client, ClientBuilder, Connector};
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientBuilder, Connector};
 use ntex::time::{Millis, Seconds};
 use ntex::SharedCfg;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 /// Idle connections are closed before the other side's 30 seconds are over, so that a
@@ -40,11 +42,19 @@
     Perhaps,
 }
 
-/// Tells from a client's error how far the request came. Only a failed connection proves
-/// that nothing was sent.
+/// Tells from a client's error how far the request came. Only a connection that was never
+/// made proves that nothing was sent: the client also says `Disconnected` when the server
+/// read a request on a kept connection and closed it unanswered.
 pub fn how_far(error: &ClientError) -> Reached {
     match error {
-        ClientError::Connect(_) | ClientError::Url(_) => Reached::Nowhere,
+        ClientError::Url(_) => Reached::Nowhere,
+        ClientError::Connect(ConnectError::Disconnected(Some(cause)))
+            if cause.kind() != ErrorKind::ConnectionRefused =>
+        {
+            Reached::Perhaps
+        }
+        ClientError::Connect(ConnectError::Disconnected(None)) => Reached::Perhaps,
+        ClientError::Connect(_) => Reached::Nowhere,
         _ => Reached::Perhaps,
     }
 }
