--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod experiment;
 mod node;
 mod runtime;
+mod serve;
 
 use gumdrop::Options;
 use std::process::ExitCode;
@@ -31,6 +32,8 @@
 enum Command {
     #[options(help = "run a node")]
     Node(node::NodeArguments),
+    #[options(help = "serve callers on the platform")]
+    Serve(serve::ServeArguments),
     #[options(help = "operate a running fleet")]
     Ctl(ctl::CtlArguments),
     #[options(help = "check a settings file or a configuration file")]
@@ -50,6 +53,12 @@
     /// Settings cannot be used.
     #[error(transparent)]
     Settings(#[from] pitchstall_node::settings::SettingsError),
+    /// Settings of `serve` cannot be used.
+    #[error(transparent)]
+    ServeSettings(#[from] pitchstall_gateway::settings::SettingsError),
+    /// `serve` failed.
+    #[error(transparent)]
+    Serve(#[from] pitchstall_gateway::daemon::DaemonError),
     /// The daemon failed.
     #[error(transparent)]
     Daemon(#[from] pitchstall_node::daemon::DaemonError),
@@ -72,6 +81,7 @@
     }
     let result = match arguments.command {
         Some(Command::Node(arguments)) => node::run(arguments),
+        Some(Command::Serve(arguments)) => serve::run(arguments),
         Some(Command::Ctl(arguments)) => ctl::run(arguments),
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Dev(arguments)) => dev::run(&arguments),
--- /dev/null
+++ b/crates/gateway/src/answers.rs
@@ -0,0 +1,82 @@
+//! The answers that the node makes itself: one place for status codes.
+
+use ntex::http::StatusCode;
+use pitchstall_serving::attempt::FinalAnswer;
+
+/// Pause for clients that came while no runner could take their request, seconds.
+const REFUSED_PAUSE_S: f64 = 0.25;
+/// Pause for clients that came before the node knew a configuration, seconds.
+const UNCONFIGURED_PAUSE_S: f64 = 0.5;
+
+/// An answer that no runner gave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnAnswer {
+    /// The request cannot be understood.
+    BadRequest,
+    /// No route takes it.
+    NoRoute,
+    /// Its head or body took too long to come.
+    TooSlow,
+    /// Its body is too large.
+    BodyTooLarge,
+    /// Its head is too large.
+    HeadTooLarge,
+    /// The node knows no configuration yet.
+    Unconfigured,
+    /// It has not run and will not; the client may come back.
+    Refused,
+    /// It may have run; the attempt failed.
+    BadGateway,
+    /// It may have run; time is up.
+    TimedOut,
+}
+
+impl From<FinalAnswer> for OwnAnswer {
+    fn from(answer: FinalAnswer) -> Self {
+        match answer {
+            FinalAnswer::Refuse => Self::Refused,
+            FinalAnswer::BadGateway => Self::BadGateway,
+            FinalAnswer::TimedOut => Self::TimedOut,
+        }
+    }
+}
+
+impl OwnAnswer {
+    /// The status.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::Unconfigured | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BadGateway => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the client may come back, seconds.
+    pub fn retry_after_s(self) -> Option<f64> {
+        match self {
+            Self::Refused => Some(REFUSED_PAUSE_S),
+            Self::Unconfigured => Some(UNCONFIGURED_PAUSE_S),
+            _ => None,
+        }
+    }
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::NoRoute => "no_route",
+            Self::TooSlow => "too_slow",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeadTooLarge => "head_too_large",
+            Self::Unconfigured => "unconfigured",
+            Self::Refused => "refused",
+            Self::BadGateway => "bad_gateway",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,328 @@
+//! One attempt: a request sent to one runner, up to the head of its answer.
+
+use crate::http::request::request_bytes;
+use crate::http::{AnswerHead, BodyDecoder, Header, ReadFailure, Upstream};
+use crate::intake::{ClientRequest, WholeAnswer};
+use crate::node::Node;
+use pitchstall_platform_adapter::headers;
+use pitchstall_protocol::ids::RunnerId;
+use pitchstall_serving::fleet::RunnerRecord;
+use pitchstall_serving::placement::Choice;
+use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Time to open a connection to a runner. Runners are near; one that takes longer is full,
+/// dark or cut off, and another may be tried since nothing has been sent.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Largest answer that is read whole.
+const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Surplus answers that are passed over while waiting for the right one.
+const MOST_SURPLUS: usize = 4;
+/// Largest surplus answer that is passed over.
+const MOST_SURPLUS_BYTES: usize = 1024 * 1024;
+
+/// Counts an attempt as in flight at its runner until dropped.
+pub struct Flight {
+    node: Rc<Node>,
+    runner: RunnerId,
+    unread_tokens: u64,
+}
+
+impl Flight {
+    fn new(node: &Rc<Node>, choice: &Choice) -> Self {
+        node.fleet.borrow_mut().on_sent(&choice.runner, choice.unread_tokens);
+        let runner = choice.runner.clone();
+        Self { node: node.clone(), runner, unread_tokens: choice.unread_tokens }
+    }
+
+    /// The runner has read the prompt; only the writing is left.
+    pub fn on_read(&mut self) {
+        let mut fleet = self.node.fleet.borrow_mut();
+        fleet.on_ended(&self.runner, self.unread_tokens);
+        fleet.on_sent(&self.runner, 0);
+        self.unread_tokens = 0;
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.node.fleet.borrow_mut().on_ended(&self.runner, self.unread_tokens);
+    }
+}
+
+/// A connection to a runner on which nothing of this request has been sent.
+pub struct Prepared {
+    connection: Upstream,
+    record: RunnerRecord,
+    flight: Flight,
+    reused: bool,
+}
+
+impl Prepared {
+    /// The runner.
+    pub fn record(&self) -> &RunnerRecord {
+        &self.record
+    }
+}
+
+/// How an attempt ended, up to the head of the answer.
+pub enum AttemptEnd {
+    /// The runner answers.
+    Answering(Box<Answering>),
+    /// The runner has not run it and never will.
+    Declined,
+    /// The runner may have run it.
+    Lost,
+    /// No answer came within the attempt's time.
+    Silent,
+}
+
+/// An answer whose head has come.
+pub struct Answering {
+    /// The head.
+    pub head: AnswerHead,
+    /// The runner.
+    pub record: RunnerRecord,
+    /// Counts the attempt.
+    pub flight: Flight,
+    connection: Upstream,
+    decoder: BodyDecoder,
+}
+
+/// Takes or opens a connection to the chosen runner; `None` if it cannot be reached or may
+/// not get work any more.
+pub async fn prepare(node: &Rc<Node>, choice: &Choice) -> Option<Prepared> {
+    let record = usable_record(node, &choice.runner)?;
+    let flight = Flight::new(node, choice);
+    if let Some(connection) = node.pool.take(&record.id) {
+        return Some(Prepared { connection, record, flight, reused: true });
+    }
+    node.metrics.connections.inc();
+    match Upstream::open(record.address, CONNECT_LIMIT).await {
+        // The runner may have begun to leave while the connection was being opened.
+        Ok(connection) => usable_record(node, &choice.runner).map(|record| Prepared {
+            connection,
+            record,
+            flight,
+            reused: false,
+        }),
+        Err(error) => {
+            let error = error.to_string();
+            let runner = record.id.as_str();
+            log::info!(target: "attempt", runner, error; "unreachable");
+            node.fleet.borrow_mut().on_unreachable(&record.id, node.now_us());
+            None
+        }
+    }
+}
+
+fn usable_record(node: &Node, runner: &RunnerId) -> Option<RunnerRecord> {
+    let fleet = node.fleet.borrow();
+    let runner = fleet.get(runner)?;
+    runner.takes_work().then(|| runner.record.clone())
+}
+
+/// What goes with an attempt.
+#[derive(Clone, Debug)]
+pub struct AttemptParams {
+    /// What to do.
+    pub work: Work,
+    /// Rank, 0 first.
+    pub priority: Option<u8>,
+    /// The stream goes on after this event, if the node resumes it.
+    pub after_event: Option<u64>,
+    /// When the request's time is up.
+    pub deadline: Instant,
+    /// Longest wait for the head of the answer.
+    pub head_limit: Duration,
+}
+
+/// Sends a request and waits for the head of its answer.
+pub async fn send(
+    node: &Rc<Node>,
+    request: &ClientRequest,
+    prepared: Prepared,
+    params: &AttemptParams,
+) -> AttemptEnd {
+    let runner = prepared.record.id.clone();
+    node.metrics.attempts.inc();
+    let bytes = attempt_bytes(request, &prepared.record, params);
+    log_sent(request, &prepared, params);
+    if let Err(error) = prepared.connection.send(bytes) {
+        return lost(node, request, &runner, &error);
+    }
+    let answer = timeout(params.head_limit, read_own_head(request, &prepared)).await;
+    match answer {
+        Err(_) => {
+            let limit_ms = u64::try_from(params.head_limit.as_millis()).unwrap_or(u64::MAX);
+            let id = request.facts.id.as_str();
+            log::info!(target: "attempt", request = id, runner = runner.as_str(), limit_ms; "silent");
+            AttemptEnd::Silent
+        }
+        Ok(Err(error)) => lost(node, request, &runner, &error),
+        Ok(Ok((head, facts))) => classify(node, request, prepared, params, head, &facts),
+    }
+}
+
+fn attempt_bytes(
+    request: &ClientRequest,
+    record: &RunnerRecord,
+    params: &AttemptParams,
+) -> Vec<u8> {
+    let left = params.deadline.saturating_duration_since(Instant::now());
+    let order = AttemptOrder {
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
+        runner: record.id.clone(),
+        priority: params.priority,
+        work: params.work.clone(),
+        after_event: params.after_event,
+    };
+    let resuming = params.after_event.is_some();
+    let forwarded =
+        request.headers.iter().filter(|(name, _)| headers::is_forwarded(name, resuming));
+    let mut all: Vec<Header> = forwarded.cloned().collect();
+    let own = headers::attempt_headers(&order).into_iter();
+    all.extend(own.map(|(name, value)| (name.to_owned(), value.into_bytes())));
+    request_bytes(&request.method, &request.target, &all, &request.body)
+}
+
+/// Reads heads until the one that answers this request. A surplus answer to an earlier
+/// request may stand in its place on a kept connection.
+async fn read_own_head(
+    request: &ClientRequest,
+    prepared: &Prepared,
+) -> Result<(AnswerHead, AnswerFacts), ReadFailure> {
+    for _ in 0..MOST_SURPLUS {
+        let head = prepared.connection.read_head().await?;
+        let facts = headers::parse_answer(head.status, head.header_pairs());
+        let is_other = facts.request_id.as_deref().is_some_and(|id| id != request.facts.id);
+        if !is_other || !prepared.reused {
+            return Ok((head, facts));
+        }
+        let runner = prepared.record.id.as_str();
+        log::info!(target: "attempt", request = request.facts.id.as_str(), runner; "surplus answer");
+        let decoder = BodyDecoder::new(head.framing);
+        prepared.connection.read_whole_body(&decoder, MOST_SURPLUS_BYTES).await?;
+    }
+    Err(ReadFailure::Closed)
+}
+
+/// Decides what the head of an answer means.
+fn classify(
+    node: &Rc<Node>,
+    request: &ClientRequest,
+    prepared: Prepared,
+    params: &AttemptParams,
+    head: AnswerHead,
+    facts: &AnswerFacts,
+) -> AttemptEnd {
+    let runner = prepared.record.id.clone();
+    let id = request.facts.id.as_str();
+    let status = head.status;
+    if let Some(load) = facts.load {
+        node.fleet.borrow_mut().on_load(&runner, load, node.now_us());
+    }
+    let is_own = facts.request_id.as_deref() == Some(id);
+    if facts.not_run && (is_own || facts.request_id.is_none()) {
+        let misdirected = facts.misdirected;
+        log::info!(target: "attempt", request = id, runner = runner.as_str(), status, misdirected; "declined");
+        on_declined(node, prepared, head, misdirected);
+        return AttemptEnd::Declined;
+    }
+    let success = (200..300).contains(&status);
+    let only_read = params.work == Work::ReadPrompt && success;
+    // What is not signed by a runner is no runner's answer, whatever its status.
+    if !is_own || facts.encoded || !(facts.signed || only_read) {
+        log::warn!(target: "attempt", request = id, runner = runner.as_str(), status, is_own; "no answer");
+        return AttemptEnd::Lost;
+    }
+    node.fleet.borrow_mut().on_answered(&runner, status >= 500);
+    let decoder = BodyDecoder::new(head.framing);
+    let Prepared { connection, record, flight, .. } = prepared;
+    AttemptEnd::Answering(Box::new(Answering { head, record, flight, connection, decoder }))
+}
+
+fn on_declined(node: &Rc<Node>, prepared: Prepared, head: AnswerHead, misdirected: bool) {
+    let runner = prepared.record.id.clone();
+    if misdirected {
+        node.fleet.borrow_mut().on_misdirected(&runner);
+        node.pool.forget(&runner);
+        return;
+    }
+    node.fleet.borrow_mut().on_full(&runner, node.now_us());
+    let node = node.clone();
+    ntex::rt::spawn(async move {
+        let Prepared { connection, flight, .. } = prepared;
+        drop(flight);
+        let decoder = BodyDecoder::new(head.framing);
+        let whole = connection.read_whole_body(&decoder, MOST_SURPLUS_BYTES);
+        let read = timeout(CONNECT_LIMIT, whole).await;
+        if matches!(read, Ok(Ok(_))) && head.keep_alive {
+            node.pool.give_back(&runner, connection, head.idle_limit);
+        }
+    });
+}
+
+fn lost(
+    node: &Node,
+    request: &ClientRequest,
+    runner: &RunnerId,
+    error: &ReadFailure,
+) -> AttemptEnd {
+    let error = error.to_string();
+    let id = request.facts.id.as_str();
+    log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "lost");
+    node.fleet.borrow_mut().on_unreachable(runner, node.now_us());
+    AttemptEnd::Lost
+}
+
+fn log_sent(request: &ClientRequest, prepared: &Prepared, params: &AttemptParams) {
+    let work = match params.work {
+        Work::Run => "run",
+        Work::ReadPrompt => "read",
+        Work::RunFrom(_) => "run from handle",
+    };
+    let id = request.facts.id.as_str();
+    let runner = prepared.record.id.as_str();
+    let reused = prepared.reused;
+    let revision = prepared.record.revision;
+    let unread = prepared.flight.unread_tokens;
+    log::info!(target: "attempt", request = id, runner, work, reused, revision, unread; "sent");
+}
+
+impl Answering {
+    /// The headers of the answer that are for the client.
+    pub fn client_headers(&self) -> Vec<Header> {
+        let named = crate::http::named_by_connection(&self.head.headers);
+        let passes = |header: &&Header| {
+            headers::is_for_client(&header.0)
+                && !crate::http::is_connection_header(&header.0, &named)
+        };
+        self.head.headers.iter().filter(passes).cloned().collect()
+    }
+
+    /// Reads the next bytes of the body; `None` at its end.
+    pub async fn read(&self) -> Result<Option<ntex::util::Bytes>, ReadFailure> {
+        self.connection.read_body(&self.decoder).await
+    }
+
+    /// Whether only the end of the connection tells the end of the body.
+    pub fn ends_with_connection(&self) -> bool {
+        self.decoder.ends_with_connection()
+    }
+
+    /// Reads the whole body.
+    pub async fn read_whole(&self) -> Result<WholeAnswer, ReadFailure> {
+        let body = self.connection.read_whole_body(&self.decoder, MOST_ANSWER_BYTES).await?;
+        Ok(WholeAnswer { status: self.head.status, headers: self.client_headers(), body })
+    }
+
+    /// The body was read to its end: the connection may serve another request.
+    pub fn give_back(self, node: &Node) {
+        if self.head.keep_alive {
+            node.pool.give_back(&self.record.id, self.connection, self.head.idle_limit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,148 @@
+//! Starts the node and stops it without cutting a request.
+//!
+//! A planned stop: the node says at once that it is not ready, so that no new clients are
+//! sent to it. For some time they still come and are served. Then it takes no more, closes
+//! idle connections, and ends with the last open request.
+
+use crate::listener;
+use crate::node::Node;
+use crate::settings::Settings;
+use crate::watcher::{self, Subject};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Between two looks at the signals.
+const SIGNAL_POLL: Duration = Duration::from_millis(50);
+/// Between two looks at idle connections.
+const PRUNE_EVERY: Duration = Duration::from_millis(1_000);
+/// Part of the grace time in which new clients are still taken.
+const TAKING_SHARE: f64 = 0.3;
+/// Part of the grace time after which the process ends, whatever is open.
+const ENDING_SHARE: f64 = 0.96;
+
+/// The daemon failed.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// An address cannot be listened on.
+    #[error("{address} cannot be listened on: {cause}")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// Why.
+        cause: std::io::Error,
+    },
+    /// Signals cannot be handled.
+    #[error("signals cannot be handled: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Signals that have come.
+#[derive(Clone, Default)]
+pub struct Signals {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    /// Registers for the process's signals.
+    pub fn register() -> Result<Self, DaemonError> {
+        let signals = Self::default();
+        let flags = [(SIGTERM, &signals.stop), (SIGINT, &signals.stop), (SIGHUP, &signals.reload)];
+        for (signal, flag) in flags {
+            signal_hook::flag::register(signal, flag.clone()).map_err(DaemonError::Signals)?;
+        }
+        Ok(signals)
+    }
+
+    /// Asks for a planned stop.
+    pub fn request_stop(&self) {
+        self.stop.store(true, Ordering::Release);
+    }
+
+    fn stop_requested(&self) -> bool {
+        self.stop.load(Ordering::Acquire)
+    }
+
+    fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::AcqRel)
+    }
+}
+
+/// Runs a node until it is asked to stop and has finished its work.
+pub async fn run(settings: Settings, path: PathBuf, signals: Signals) -> Result<(), DaemonError> {
+    let callers = bind(settings.listen.callers).await?;
+    let health = bind(settings.listen.health).await?;
+    let name = settings.node.name.clone();
+    let zone = settings.node.zone.clone();
+    log::info!(target: "process", name, zone; "started");
+    let node = Node::new(settings);
+    for subject in [Subject::Configuration, Subject::Runners] {
+        ntex::rt::spawn(watcher::follow(node.clone(), subject));
+    }
+    ntex::rt::spawn(listener::accept_health(health, node.clone()));
+    ntex::rt::spawn(prune(node.clone()));
+    let taking = ntex::rt::spawn(listener::accept_clients(callers, node.clone()));
+    wait_for_stop(&node, &path, &signals).await;
+    let begun = Instant::now();
+    node.begin_stop();
+    log::info!(target: "process", open = node.open_requests(); "stopping");
+    let grace = Duration::from_secs_f64(node.settings.bounds.grace_s);
+    sleep(grace.mul_f64(TAKING_SHARE)).await;
+    taking.cancel();
+    node.stopping.notify_waiters();
+    wait_for_requests(&node, begun + grace.mul_f64(ENDING_SHARE)).await;
+    log::info!(target: "process", open = node.open_requests(); "stopped");
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).await.map_err(|cause| DaemonError::Listen { address, cause })
+}
+
+async fn prune(node: Rc<Node>) {
+    loop {
+        sleep(PRUNE_EVERY).await;
+        node.pool.prune();
+    }
+}
+
+async fn wait_for_stop(node: &Node, path: &Path, signals: &Signals) {
+    while !signals.stop_requested() {
+        sleep(SIGNAL_POLL).await;
+        if signals.take_reload() {
+            report_reload(node, path);
+        }
+    }
+}
+
+/// Checks a changed settings file. What a running process can't take over is told, and holds
+/// from the next start.
+fn report_reload(node: &Node, path: &Path) {
+    match Settings::read(path) {
+        Ok(settings) if settings == node.settings => {
+            log::info!(target: "process", changed = false; "reloaded");
+        }
+        Ok(_) => {
+            log::info!(target: "process", changed = true; "reloaded, holds from the next start")
+        }
+        Err(error) => {
+            let error = error.to_string();
+            log::error!(target: "process", error; "reload refused");
+        }
+    }
+}
+
+async fn wait_for_requests(node: &Node, latest: Instant) {
+    const POLL: Duration = Duration::from_millis(10);
+    while node.open_requests() > 0 && Instant::now() < latest {
+        sleep(POLL).await;
+    }
+    // The last answers leave the socket buffers.
+    sleep(POLL * 5).await;
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,436 @@
+//! Makes attempts until a request has its final answer.
+//!
+//! What may be repeated is decided here: a request that surely has not run may go to another
+//! runner, one that may have run only if its route allows it, and both only within the retry
+//! budget that all nodes share.
+
+use crate::answers::OwnAnswer;
+use crate::attempt::{self, Answering, AttemptEnd, AttemptParams};
+use crate::connection::ClientConnection;
+use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
+use crate::node::Node;
+use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
+use crate::relay::{relay, RelayEnd, RelayLimits, StreamState};
+use pitchstall_protocol::ids::{RunnerId, ServiceName};
+use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
+use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
+use pitchstall_serving::placement::{
+    choose_worker, choose_writer, plan_reading, Choice, Demand, ReadingPlan,
+};
+use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::request::Work;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Runners that are tried without reaching them before a request is given up.
+const MOST_UNREACHABLE: usize = 8;
+/// Part of the time left that one attempt may take when another could follow.
+const ATTEMPT_SHARE: f64 = 0.45;
+/// Part of its target for which a request waits for a runner to appear.
+const WAIT_SHARE: f64 = 0.25;
+/// Pauses between events, in targets, after which a stream counts as silent.
+const SILENT_PAUSES: u32 = 4;
+/// Shortest pause after which a stream counts as silent.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// One request on its way to its final answer.
+pub struct Dispatch<'a> {
+    node: &'a Rc<Node>,
+    request: &'a ClientRequest,
+    route: &'a Route,
+    service: ServiceName,
+    engine: Option<EngineSpec>,
+    prompt: Prompt,
+    deadline: Instant,
+    /// What is known of the request after the attempts so far.
+    execution: Execution,
+    /// Attempts that may have run.
+    runs: u32,
+    /// Whether a runner has been sent the request to run, or to be read only.
+    has_arrived: bool,
+    has_been_read: bool,
+    excluded: Vec<RunnerId>,
+    unreachable: usize,
+    /// A runner's own failure, for want of something better.
+    failure: Option<WholeAnswer>,
+    stream: StreamState,
+}
+
+enum Step {
+    Again,
+    Done(RequestEnd),
+}
+
+/// Where and how the request is to run next.
+struct Plan {
+    choice: Choice,
+    prompt: Option<ReadPrompt>,
+}
+
+impl<'a> Dispatch<'a> {
+    /// A request that no runner has seen.
+    pub fn new(
+        node: &'a Rc<Node>,
+        request: &'a ClientRequest,
+        route: &'a Route,
+        service: ServiceName,
+        configuration: &Configuration,
+        deadline: Instant,
+    ) -> Self {
+        let engine = configuration.services.get(&service).and_then(|it| it.engine.clone());
+        Self {
+            node,
+            request,
+            route,
+            service,
+            engine,
+            prompt: request.facts.prompt.clone().unwrap_or_default(),
+            deadline,
+            execution: Execution::NotRun,
+            runs: 0,
+            has_arrived: false,
+            has_been_read: false,
+            excluded: Vec::new(),
+            unreachable: 0,
+            failure: None,
+            stream: StreamState::new(request.facts.last_event_id),
+        }
+    }
+
+    /// Makes attempts until there is a final answer.
+    pub async fn run(mut self, client: &ClientConnection) -> RequestEnd {
+        loop {
+            if let Step::Done(end) = self.step(client).await {
+                return end;
+            }
+        }
+    }
+
+    async fn step(&mut self, client: &ClientConnection) -> Step {
+        if self.time_left().is_zero() {
+            return self.give_up(GiveUp::OutOfTime);
+        }
+        let plan = match self.plan().await {
+            Ok(plan) => plan,
+            Err(reason) => return self.give_up(reason),
+        };
+        let Some(prepared) = attempt::prepare(self.node, &plan.choice).await else {
+            return self.on_unreachable(plan.choice.runner);
+        };
+        if !self.may_arrive() {
+            return self.give_up(GiveUp::Refused);
+        }
+        let work = match &plan.prompt {
+            Some(prompt) => Work::RunFrom(prompt.handle.clone()),
+            None => Work::Run,
+        };
+        let params = self.params(work);
+        match attempt::send(self.node, self.request, prepared, &params).await {
+            AttemptEnd::Answering(answering) => {
+                if let Some(prompt) = &plan.prompt {
+                    prompt.on_taken();
+                }
+                self.deliver(*answering, client).await
+            }
+            AttemptEnd::Declined => {
+                self.excluded.push(plan.choice.runner);
+                Step::Again
+            }
+            AttemptEnd::Lost => self.on_lost(plan.choice.runner),
+            AttemptEnd::Silent => {
+                let now_us = self.node.now_us();
+                self.node.fleet.borrow_mut().on_unreachable(&plan.choice.runner, now_us);
+                self.on_lost(plan.choice.runner)
+            }
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn params(&self, work: Work) -> AttemptParams {
+        AttemptParams {
+            work,
+            priority: self.engine.as_ref().map(|_| self.route.priority),
+            after_event: self.resume_point(),
+            deadline: self.deadline,
+            head_limit: self.attempt_limit(),
+        }
+    }
+
+    /// The event after which the node itself makes a stream go on.
+    fn resume_point(&self) -> Option<u64> {
+        if self.stream.begun {
+            self.stream.join.last_id()
+        } else {
+            None
+        }
+    }
+
+    /// Silence gives no reason to end an attempt, unless another can follow.
+    fn attempt_limit(&self) -> Duration {
+        let left = self.time_left();
+        let could_follow = self.may_run_again(1) && self.budget_available() >= 1.0;
+        if could_follow {
+            left.mul_f64(ATTEMPT_SHARE)
+        } else {
+            left
+        }
+    }
+
+    /// Whether the request may run once more after so many further runs.
+    fn may_run_again(&self, further: u32) -> bool {
+        self.route.is_repeatable() && self.runs + further < self.route.max_attempts
+    }
+
+    fn budget_available(&self) -> f64 {
+        self.node.with_budget(&self.service, |budget| budget.available())
+    }
+
+    /// Counts an arrival at a runner; the first one is free.
+    fn may_arrive(&mut self) -> bool {
+        if !self.has_arrived {
+            self.has_arrived = true;
+            return true;
+        }
+        self.withdraw()
+    }
+
+    fn withdraw(&self) -> bool {
+        let now_us = self.node.now_us();
+        let allowed = self.node.with_budget(&self.service, |budget| budget.withdraw(now_us));
+        let metrics = &self.node.metrics;
+        if allowed { &metrics.retries } else { &metrics.retries_denied }.inc();
+        allowed
+    }
+
+    fn demand(&self) -> Demand<'_> {
+        Demand {
+            service: &self.service,
+            prompt: &self.prompt,
+            zone: &self.node.zone,
+            excluded: &self.excluded,
+            now_us: self.node.now_us(),
+        }
+    }
+
+    async fn plan(&mut self) -> Result<Plan, GiveUp> {
+        let wait = Duration::from_millis(self.route.target_ms).mul_f64(WAIT_SHARE);
+        let give_up_at = Instant::now() + wait.min(self.time_left());
+        loop {
+            if let Some(plan) = self.plan_now().await? {
+                return Ok(plan);
+            }
+            let left = give_up_at.saturating_duration_since(Instant::now());
+            let changed = timeout(left, self.node.fleet_changed.notified()).await;
+            if changed.is_err() {
+                return Err(GiveUp::NoRunner);
+            }
+        }
+    }
+
+    async fn plan_now(&mut self) -> Result<Option<Plan>, GiveUp> {
+        if self.engine.is_none() {
+            let choice = choose_worker(&self.node.fleet.borrow(), &self.demand());
+            return Ok(choice.map(|choice| Plan { choice, prompt: None }));
+        }
+        let reading = self.plan_reading();
+        match reading {
+            None => Ok(None),
+            Some(ReadingPlan::Direct(choice)) => Ok(Some(Plan { choice, prompt: None })),
+            Some(ReadingPlan::Split(choice)) => self.read_then_write(choice).await,
+        }
+    }
+
+    fn plan_reading(&self) -> Option<ReadingPlan> {
+        let fleet = self.node.fleet.borrow();
+        let demand = self.demand();
+        self.node.with_pace(&self.service, |pace| plan_reading(&fleet, pace, &demand))
+    }
+
+    /// Has the prompt read, then chooses who writes. A prompt that could not be read apart is
+    /// read by the decode runner.
+    async fn read_then_write(&mut self, reader: Choice) -> Result<Option<Plan>, GiveUp> {
+        let prompt = self.read_prompt(reader).await;
+        if self.time_left().is_zero() {
+            return Err(GiveUp::OutOfTime);
+        }
+        let source = prompt.as_ref().map(|prompt| &prompt.zone);
+        let choice = choose_writer(&self.node.fleet.borrow(), &self.demand(), source);
+        Ok(choice.map(|choice| Plan { choice, prompt }))
+    }
+
+    async fn read_prompt(&mut self, reader: Choice) -> Option<ReadPrompt> {
+        let prepared = attempt::prepare(self.node, &reader).await;
+        let Some(prepared) = prepared else {
+            self.excluded.push(reader.runner);
+            return None;
+        };
+        if self.has_been_read && !self.withdraw() {
+            return None;
+        }
+        let mut params = self.params(Work::ReadPrompt);
+        params.after_event = None;
+        params.head_limit = self.time_left().mul_f64(ATTEMPT_SHARE);
+        let demand = ReadingDemand {
+            request: self.request,
+            service: &self.service,
+            prompt: &self.prompt,
+            unread_tokens: reader.unread_tokens,
+            cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
+        };
+        match reading::read_prompt(self.node, &demand, prepared, &params).await {
+            ReadingEnd::Read(prompt) => {
+                self.has_been_read = true;
+                Some(prompt)
+            }
+            ReadingEnd::Declined => {
+                // A declined reading draws on the budget although the first one is free.
+                let _ = self.withdraw();
+                self.excluded.push(reader.runner);
+                None
+            }
+            ReadingEnd::Failed => {
+                self.has_been_read = true;
+                self.excluded.push(reader.runner);
+                None
+            }
+        }
+    }
+
+    fn on_unreachable(&mut self, runner: RunnerId) -> Step {
+        self.excluded.push(runner);
+        self.unreachable += 1;
+        if self.unreachable >= MOST_UNREACHABLE {
+            return self.give_up(GiveUp::NoRunner);
+        }
+        Step::Again
+    }
+
+    fn on_lost(&mut self, runner: RunnerId) -> Step {
+        self.execution = self.execution.max(Execution::Unknown);
+        self.runs += 1;
+        self.excluded.push(runner);
+        if self.time_left().is_zero() {
+            return self.give_up(GiveUp::OutOfTime);
+        }
+        if self.may_run_again(0) {
+            return Step::Again;
+        }
+        self.give_up(GiveUp::Failed)
+    }
+
+    async fn deliver(&mut self, mut answering: Answering, client: &ClientConnection) -> Step {
+        answering.flight.on_read();
+        let now_us = self.node.now_us();
+        if let Some(engine) = &self.engine {
+            let runner = &answering.record.id;
+            let capacity = engine.kv_tokens;
+            self.node.fleet.borrow_mut().on_read(runner, &self.prompt, now_us, capacity);
+        }
+        let first_byte = self.request.received.elapsed().as_secs_f64();
+        self.node.metrics.first_byte.observe(first_byte);
+        let success = (200..300).contains(&answering.head.status);
+        if success && self.route.kind == RequestKind::Streaming {
+            self.deliver_stream(answering, client).await
+        } else {
+            self.deliver_whole(answering).await
+        }
+    }
+
+    async fn deliver_whole(&mut self, answering: Answering) -> Step {
+        let runner = answering.record.id.clone();
+        let answer = match timeout(self.attempt_limit(), answering.read_whole()).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                let error = error.to_string();
+                let id = self.request.facts.id.as_str();
+                log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "broken off");
+                return self.on_lost(runner);
+            }
+            Err(_) => return self.on_lost(runner),
+        };
+        answering.give_back(self.node);
+        const FIRST_FAILURE: u16 = 500;
+        if answer.status < FIRST_FAILURE || self.stream.begun {
+            return self.done_whole(answer);
+        }
+        self.execution = Execution::Ran;
+        self.runs += 1;
+        self.excluded.push(runner);
+        if !self.may_run_again(0) || self.budget_available() < 1.0 {
+            return self.done_whole(answer);
+        }
+        self.failure = Some(answer);
+        Step::Again
+    }
+
+    fn done_whole(&self, answer: WholeAnswer) -> Step {
+        if self.stream.begun {
+            return Step::Done(RequestEnd::Cut);
+        }
+        Step::Done(RequestEnd::Whole(answer))
+    }
+
+    async fn deliver_stream(&mut self, answering: Answering, client: &ClientConnection) -> Step {
+        let runner = answering.record.id.clone();
+        let limits = RelayLimits { deadline: self.deadline, pause: self.longest_pause() };
+        let end = relay(&answering, client, &mut self.stream, limits).await;
+        match end {
+            RelayEnd::Complete => {
+                answering.give_back(self.node);
+                Step::Done(RequestEnd::Streamed)
+            }
+            RelayEnd::ClientGone => Step::Done(RequestEnd::ClientGone),
+            RelayEnd::OutOfTime => self.on_out_of_time(),
+            RelayEnd::Broken => {
+                // The connection is closed first, so that the runner stops before the next
+                // one goes on.
+                drop(answering);
+                self.on_broken_stream(runner)
+            }
+        }
+    }
+
+    /// Only a stream that can go on elsewhere is left because of a pause.
+    fn longest_pause(&self) -> Duration {
+        let could_follow = self.may_run_again(1) && self.budget_available() >= 1.0;
+        let gap = self.route.gap_target_ms.filter(|_| could_follow);
+        let silence = gap.map(|gap_ms| Duration::from_millis(gap_ms) * SILENT_PAUSES);
+        silence.map_or(self.time_left(), |silence| silence.max(SHORTEST_SILENCE))
+    }
+
+    fn on_out_of_time(&mut self) -> Step {
+        self.execution = Execution::Ran;
+        self.give_up(GiveUp::OutOfTime)
+    }
+
+    fn on_broken_stream(&mut self, runner: RunnerId) -> Step {
+        let now_us = self.node.now_us();
+        self.node.fleet.borrow_mut().on_unreachable(&runner, now_us);
+        let id = self.request.facts.id.as_str();
+        let after = self.stream.join.last_id().unwrap_or_default();
+        let begun = self.stream.begun;
+        log::info!(target: "stream", request = id, runner = runner.as_str(), after, begun; "broken off");
+        self.node.metrics.resumes.inc();
+        self.on_lost(runner)
+    }
+
+    fn give_up(&mut self, reason: GiveUp) -> Step {
+        let id = self.request.facts.id.as_str();
+        let execution = format!("{:?}", self.execution);
+        let reason_name = format!("{reason:?}");
+        let runs = self.runs;
+        log::info!(target: "request", request = id, reason = reason_name, execution, runs; "given up");
+        if self.stream.begun {
+            return Step::Done(RequestEnd::Cut);
+        }
+        if let Some(answer) = self.failure.take() {
+            return Step::Done(RequestEnd::Whole(answer));
+        }
+        let answer = OwnAnswer::from(final_answer(self.execution, reason));
+        Step::Done(RequestEnd::Own(answer))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http/upstream.rs
@@ -0,0 +1,132 @@
+//! A connection to a runner or to the store.
+
+use super::answer_codec::{AnswerFault, AnswerHead, AnswerHeadDecoder, BodyDecoder, BodyItem};
+use ntex::io::{Io, IoConfig};
+use ntex::util::{Bytes, Either};
+use ntex::SharedCfg;
+use socket2::SockRef;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Written bytes that may wait for a peer that does not read. A request is written as a whole
+/// while its answer is read already, so this is above the largest request.
+const WRITE_BUFFER_BYTES: usize = 64 * 1024 * 1024;
+const WRITE_BUFFER_LOW_BYTES: usize = 1_024;
+const WRITE_BUFFER_CACHE: usize = 16;
+/// Bytes that are not acknowledged for this long break the connection: a machine without
+/// power says nothing.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Why there is no connection. Nothing has been sent.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectFailure {
+    /// Nobody answered in time.
+    #[error("nobody answered in time")]
+    TimedOut,
+    /// The system or the other side refused.
+    #[error("{0}")]
+    Refused(#[from] std::io::Error),
+}
+
+/// Why an answer could not be read to its end. The request may have run.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadFailure {
+    /// The other side closed the connection in order.
+    #[error("the connection was closed")]
+    Closed,
+    /// The connection broke.
+    #[error("the connection broke: {0}")]
+    Broken(std::io::Error),
+    /// What came is no answer.
+    #[error("{0}")]
+    Fault(#[from] AnswerFault),
+}
+
+/// An open connection. Dropping it closes it at once.
+#[derive(Debug)]
+pub struct Upstream {
+    io: Io,
+}
+
+impl Upstream {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectFailure> {
+        let stream = timeout(limit, TcpStream::connect(address))
+            .await
+            .map_err(|_| ConnectFailure::TimedOut)??;
+        let stream = stream.into_std()?;
+        // A system without this option is served too, only later.
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+        let io = ntex::rt::from_tcp_stream(stream, upstream_config())?;
+        Ok(Self { io })
+    }
+
+    /// Hands over bytes to be written; does not wait for the other side.
+    pub fn send(&self, bytes: Vec<u8>) -> Result<(), ReadFailure> {
+        self.io.encode_bytes(Bytes::from(bytes)).map_err(ReadFailure::Broken)
+    }
+
+    /// Reads the head of the next answer.
+    pub async fn read_head(&self) -> Result<AnswerHead, ReadFailure> {
+        match self.io.recv(&AnswerHeadDecoder).await {
+            Ok(Some(head)) => Ok(head),
+            Ok(None) => Err(ReadFailure::Closed),
+            Err(error) => Err(read_failure(error)),
+        }
+    }
+
+    /// Reads the next bytes of a body; `None` at its end.
+    pub async fn read_body(&self, decoder: &BodyDecoder) -> Result<Option<Bytes>, ReadFailure> {
+        match self.io.recv(decoder).await {
+            Ok(Some(BodyItem::Chunk(bytes))) => Ok(Some(bytes)),
+            Ok(Some(BodyItem::End)) => Ok(None),
+            Ok(None) if decoder.ends_with_connection() => Ok(None),
+            Ok(None) => Err(ReadFailure::Closed),
+            Err(error) => Err(read_failure(error)),
+        }
+    }
+
+    /// Reads a whole body of at most so many bytes; a longer one is a fault.
+    pub async fn read_whole_body(
+        &self,
+        decoder: &BodyDecoder,
+        most: usize,
+    ) -> Result<Vec<u8>, ReadFailure> {
+        let mut body = Vec::new();
+        while let Some(bytes) = self.read_body(decoder).await? {
+            if body.len() + bytes.len() > most {
+                return Err(ReadFailure::Fault(AnswerFault::Length));
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(body)
+    }
+
+    /// Whether another request may be sent: the connection is open, the last request was taken
+    /// whole, and nothing has come that nobody asked for.
+    pub fn is_reusable(&self) -> bool {
+        let unread = self.io.with_read_buf(|buffer| buffer.len());
+        let unsent = self.io.with_write_buf(|buffer| buffer.len()).unwrap_or(1);
+        !self.io.is_closed() && unread == 0 && unsent == 0
+    }
+}
+
+fn upstream_config() -> SharedCfg {
+    let io = IoConfig::new().set_write_buf(
+        WRITE_BUFFER_BYTES,
+        WRITE_BUFFER_LOW_BYTES,
+        WRITE_BUFFER_CACHE,
+    );
+    SharedCfg::new("upstream").add(io).into()
+}
+
+fn read_failure(error: Either<AnswerFault, std::io::Error>) -> ReadFailure {
+    match error {
+        Either::Left(fault) => ReadFailure::Fault(fault),
+        Either::Right(error) if error.kind() == ErrorKind::UnexpectedEof => ReadFailure::Closed,
+        Either::Right(error) => ReadFailure::Broken(error),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,35 @@
+//! The daemon between callers and runners.
+//!
+//! Modules in the order in which a request travels:
+//!
+//! | module | what it does |
+//! | --- | --- |
+//! | [`daemon`] | starts and stops everything |
+//! | [`listener`] | takes connections |
+//! | [`connection`] | reads requests from one client's connection and writes answers |
+//! | [`intake`] | refuses what can be refused at once, finds the route |
+//! | [`dispatch`] | makes attempts until the request has its final answer |
+//! | [`reading`] | has a prompt read and keeps its handle |
+//! | [`attempt`] | one attempt at one runner |
+//! | [`relay`] | forwards a stream, and goes on at another runner |
+//! | [`answers`] | the answers that the node makes itself |
+//!
+//! Beside them: [`watcher`] follows the store with [`store_client`], [`node`] holds what the
+//! node believes, [`http`] speaks HTTP to runners and to the store.
+
+pub mod answers;
+pub mod attempt;
+pub mod connection;
+pub mod daemon;
+pub mod dispatch;
+pub mod http;
+pub mod intake;
+pub mod listener;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod reading;
+pub mod relay;
+pub mod settings;
+pub mod store_client;
+pub mod watcher;
--- /dev/null
+++ b/crates/gateway/src/listener.rs
@@ -0,0 +1,107 @@
+//! Takes connections: from clients, and on the address that tells whether the node is ready.
+//!
+//! ntex's server cannot stop taking connections while it goes on with those it has, so the
+//! listeners are tokio's; each connection is an ntex stream.
+
+use crate::connection;
+use crate::metrics;
+use crate::node::Node;
+use ntex::http::body::BodySize;
+use ntex::http::h1::{Codec, Message};
+use ntex::http::header::{HeaderValue, CONTENT_TYPE};
+use ntex::http::{Response, StatusCode};
+use ntex::io::Io;
+use ntex::util::Bytes;
+use ntex::SharedCfg;
+use pitchstall_platform_adapter::paths;
+use pitchstall_serving::configuration::ClientLimits;
+use socket2::SockRef;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// Path of the metrics on the health address.
+pub const METRICS_PATH: &str = "/metrics";
+/// Bytes that a client does not acknowledge for this long break its connection.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
+/// Time for which a connection of the health address may rest.
+const HEALTH_IDLE: Duration = Duration::from_secs(30);
+/// Pause after a connection could not be taken, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes clients' connections until the task is dropped.
+pub async fn accept_clients(listener: TcpListener, node: Rc<Node>) {
+    loop {
+        let Some(stream) = accept(&listener).await else { continue };
+        let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
+        let config = connection::client_config(&limits);
+        if let Some(io) = client_io(stream, config.clone()) {
+            ntex::rt::spawn(connection::serve(io, config, node.clone()));
+        }
+    }
+}
+
+/// Answers questions on the health address until the task is dropped.
+pub async fn accept_health(listener: TcpListener, node: Rc<Node>) {
+    loop {
+        let Some(stream) = accept(&listener).await else { continue };
+        let config = connection::client_config(&ClientLimits::default());
+        if let Some(io) = client_io(stream, config.clone()) {
+            ntex::rt::spawn(serve_health(io, config, node.clone()));
+        }
+    }
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => Some(stream),
+        Err(error) => {
+            let error = error.to_string();
+            log::warn!(target: "listener", error; "accept failed");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+fn client_io(stream: TcpStream, config: SharedCfg) -> Option<Io> {
+    let stream = stream.into_std().ok()?;
+    // A system without this option is served too, only later.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    ntex::rt::from_tcp_stream(stream, config).ok()
+}
+
+async fn serve_health(io: Io, config: SharedCfg, node: Rc<Node>) {
+    let codec = Codec::new(0, config.get());
+    while let Ok(Ok(Some((request, _)))) = timeout(HEALTH_IDLE, io.recv(&codec)).await {
+        let (response, body) = health_answer(request.path(), &node);
+        let size = BodySize::Sized(body.len() as u64);
+        let written = io.encode(Message::Item((response, size)), &codec).is_ok()
+            && io.encode(Message::Chunk(Some(Bytes::from(body))), &codec).is_ok()
+            && io.encode(Message::Chunk(None), &codec).is_ok()
+            && io.flush(true).await.is_ok();
+        if !written || !codec.keepalive() {
+            break;
+        }
+    }
+    io.close();
+}
+
+fn health_answer(path: &str, node: &Node) -> (Response<()>, String) {
+    match path {
+        paths::READY if node.is_ready() => answer(StatusCode::OK, "ready\n"),
+        paths::READY => answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        METRICS_PATH => {
+            let (mut response, _) = answer(StatusCode::OK, "");
+            let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+            (response, node.metrics.render())
+        }
+        _ => answer(StatusCode::NOT_FOUND, "not found\n"),
+    }
+}
+
+fn answer(status: StatusCode, body: &str) -> (Response<()>, String) {
+    (Response::with_body(status, ()), body.to_owned())
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,98 @@
+//! Counters and histograms in the text format of OpenMetrics.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+
+/// Content type of the text.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// All metrics of a node. Counters are shared with the registry, so counting costs no look-up.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Finished requests.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Attempts sent to runners.
+    pub attempts: Counter,
+    /// Attempts that drew on the retry budget.
+    pub retries: Counter,
+    /// Retries that the budget did not allow.
+    pub retries_denied: Counter,
+    /// Streams that went on at another runner.
+    pub resumes: Counter,
+    /// Connections opened to runners.
+    pub connections: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Calls to the store that failed.
+    pub store_failures: Counter,
+    /// Time to the first byte of an answer, seconds.
+    pub first_byte: Histogram,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        const FIRST_BUCKET_S: f64 = 0.002;
+        const BUCKETS: u16 = 14;
+        let mut metrics = Self {
+            requests: Family::default(),
+            attempts: Counter::default(),
+            retries: Counter::default(),
+            retries_denied: Counter::default(),
+            resumes: Counter::default(),
+            connections: Counter::default(),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
+            registry: Registry::with_prefix("pitchstall"),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let counters = [
+            ("attempts", "Attempts sent to runners", &self.attempts),
+            ("retries", "Attempts that drew on the retry budget", &self.retries),
+            ("retries_denied", "Retries that the budget did not allow", &self.retries_denied),
+            ("resumes", "Streams that went on at another runner", &self.resumes),
+            ("connections", "Connections opened to runners", &self.connections),
+            ("store_calls", "Calls to the store", &self.store_calls),
+            ("store_failures", "Calls to the store that failed", &self.store_failures),
+        ];
+        for (name, help, counter) in counters {
+            self.registry.register(name, help, counter.clone());
+        }
+        let requests = self.requests.clone();
+        self.registry.register("requests", "Finished requests by outcome", requests);
+        let first_byte = self.first_byte.clone();
+        let help = "Time to the first byte of an answer, seconds";
+        self.registry.register("first_byte_seconds", help, first_byte);
+    }
+
+    /// Counts a finished request.
+    pub fn on_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&RequestLabels { outcome }).inc();
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,234 @@
+//! What the node believes and counts; shared by all tasks of its one thread.
+
+use crate::http::ConnectionPool;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::configuration::{Configuration, Route};
+use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
+use pitchstall_serving::placement::ReadPace;
+use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
+use pitchstall_serving::routing::TrafficSplitter;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+
+/// The node.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// The node's zone.
+    pub zone: ZoneId,
+    /// Runners.
+    pub fleet: RefCell<Fleet>,
+    /// Idle connections to runners.
+    pub pool: ConnectionPool,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Told when a runner joins or can be tried again.
+    pub fleet_changed: Notify,
+    /// Told when the node begins to stop.
+    pub stopping: Notify,
+    started: Instant,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    runners_known: Cell<bool>,
+    is_stopping: Cell<bool>,
+    splitter: RefCell<TrafficSplitter>,
+    budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
+    paces: RefCell<HashMap<ServiceName, ReadPace>>,
+    open_requests: Cell<usize>,
+    body_bytes: Cell<usize>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(settings: Settings) -> Rc<Self> {
+        let zone = ZoneId::new(&settings.node.zone);
+        Rc::new(Self {
+            settings,
+            zone,
+            fleet: RefCell::default(),
+            pool: ConnectionPool::default(),
+            metrics: Metrics::default(),
+            fleet_changed: Notify::new(),
+            stopping: Notify::new(),
+            started: Instant::now(),
+            configuration: RefCell::default(),
+            runners_known: Cell::new(false),
+            is_stopping: Cell::new(false),
+            splitter: RefCell::default(),
+            budgets: RefCell::default(),
+            paces: RefCell::default(),
+            open_requests: Cell::new(0),
+            body_bytes: Cell::new(0),
+        })
+    }
+
+    /// Microseconds of a steady clock since the start.
+    pub fn now_us(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    /// The configuration in force here.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Takes a configuration into force, unless one as new is already.
+    pub fn adopt_configuration(&self, configuration: Configuration) {
+        let version = configuration.version;
+        let before = self.configuration().map(|known| known.version);
+        // Never backwards: a stale read or a late answer must not bring an old version back.
+        if before.is_some_and(|before| before >= version) {
+            return;
+        }
+        let routes = configuration.routes.len();
+        self.splitter.borrow_mut().retain(&configuration);
+        *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        let before = before.unwrap_or_default();
+        log::info!(target: "configuration", version, before, routes; "adopted");
+    }
+
+    /// Takes in a whole list of runners, read at a revision of the store.
+    pub fn replace_runners(&self, records: Vec<RunnerRecord>, revision: u64) {
+        let listed = records.len();
+        let gone = self.fleet.borrow_mut().replace_all(records, revision);
+        for id in &gone {
+            self.on_runner_left(id, revision);
+        }
+        self.runners_known.set(true);
+        let gone = gone.len();
+        log::info!(target: "fleet", listed, gone, revision; "list read");
+        self.fleet_changed.notify_waiters();
+    }
+
+    /// Takes in a runner's entry.
+    pub fn put_runner(&self, record: RunnerRecord) {
+        let runner = record.id.clone();
+        let revision = record.revision;
+        let service = record.service.to_string();
+        let change = self.fleet.borrow_mut().put(record);
+        match change {
+            FleetChange::Joined => {
+                log::info!(target: "fleet", runner = runner.as_str(), service, revision; "joined");
+            }
+            FleetChange::Draining => {
+                log::info!(target: "fleet", runner = runner.as_str(), revision; "draining");
+            }
+            FleetChange::Restaged => {
+                log::info!(target: "fleet", runner = runner.as_str(), revision; "restaged");
+            }
+            FleetChange::Left | FleetChange::None => {}
+        }
+        self.fleet_changed.notify_waiters();
+    }
+
+    /// A runner's entry has gone.
+    pub fn remove_runner(&self, id: &RunnerId, revision: u64) {
+        if self.fleet.borrow_mut().remove(id, revision) == FleetChange::Left {
+            self.on_runner_left(id, revision);
+        }
+    }
+
+    fn on_runner_left(&self, id: &RunnerId, revision: u64) {
+        self.pool.forget(id);
+        log::info!(target: "fleet", runner = id.as_str(), revision; "left");
+    }
+
+    /// The service that gets the route's next request.
+    pub fn next_service(&self, route: &Route) -> Option<ServiceName> {
+        self.splitter.borrow_mut().next_service(route)
+    }
+
+    /// The retry budget of a service, handed to `use_budget`.
+    pub fn with_budget<R>(
+        &self,
+        service: &ServiceName,
+        use_budget: impl FnOnce(&mut SharedRetryBudget) -> R,
+    ) -> R {
+        let bounds = &self.settings.bounds;
+        let policy = RetryPolicy {
+            ratio: bounds.retry_ratio,
+            window_us: (bounds.retry_window_s * MICROS_PER_SECOND) as u64,
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        let new_budget = || SharedRetryBudget::new(policy);
+        use_budget(budgets.entry(service.clone()).or_insert_with(new_budget))
+    }
+
+    /// The measured pace of a service's prefill runners, handed to `use_pace`.
+    pub fn with_pace<R>(
+        &self,
+        service: &ServiceName,
+        use_pace: impl FnOnce(&mut ReadPace) -> R,
+    ) -> R {
+        use_pace(self.paces.borrow_mut().entry(service.clone()).or_default())
+    }
+
+    /// Whether the node takes new callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.configuration.borrow().is_some() && self.runners_known.get()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.is_stopping.set(true);
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.get()
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open_request(self: &Rc<Self>) -> OpenRequest {
+        self.open_requests.set(self.open_requests.get() + 1);
+        OpenRequest { node: self.clone() }
+    }
+
+    /// Sets memory for a body aside until the guard is dropped; `None` if there is too little.
+    pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
+        const BODIES_SHARE: u64 = 4;
+        const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+        let share = self.settings.machine.memory_mb * BYTES_PER_MEGABYTE / BODIES_SHARE;
+        let most = usize::try_from(share).unwrap_or(usize::MAX);
+        let total = self.body_bytes.get() + bytes;
+        if total > most {
+            return None;
+        }
+        self.body_bytes.set(total);
+        Some(BodyReservation { node: self.clone(), bytes })
+    }
+}
+
+/// A request without its final answer.
+pub struct OpenRequest {
+    node: Rc<Node>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.node.open_requests.set(self.node.open_requests.get() - 1);
+    }
+}
+
+/// Memory set aside for a body.
+pub struct BodyReservation {
+    node: Rc<Node>,
+    bytes: usize,
+}
+
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        self.node.body_bytes.set(self.node.body_bytes.get() - self.bytes);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reading.rs
@@ -0,0 +1,113 @@
+//! Has a prompt read by a prefill runner, and keeps the handle until it is taken or freed.
+
+use crate::attempt::{self, AttemptEnd, AttemptParams, Prepared};
+use crate::http::request::request_bytes;
+use crate::http::Upstream;
+use crate::intake::ClientRequest;
+use crate::node::Node;
+use pitchstall_platform_adapter::paths;
+use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::request::PromptHandle;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Time to free a handle. One that is not freed lapses by itself.
+const FREE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// The KV cache of a prompt that was read. Freed when dropped, unless it was taken.
+pub struct ReadPrompt {
+    /// The handle.
+    pub handle: PromptHandle,
+    /// Zone of the runner that keeps it.
+    pub zone: ZoneId,
+    runner: RunnerId,
+    taken: Cell<bool>,
+}
+
+impl ReadPrompt {
+    /// A decode runner has taken it over.
+    pub fn on_taken(&self) {
+        self.taken.set(true);
+    }
+}
+
+impl Drop for ReadPrompt {
+    fn drop(&mut self) {
+        if !self.taken.get() {
+            let name = self.handle.name.clone();
+            ntex::rt::spawn(free(self.handle.address, name, self.runner.clone()));
+        }
+    }
+}
+
+async fn free(address: std::net::SocketAddr, name: String, runner: RunnerId) {
+    let exchange = async {
+        let connection = Upstream::open(address, FREE_LIMIT).await.ok()?;
+        let headers = [("host".to_owned(), address.to_string().into_bytes())];
+        let target = paths::free_handle(&name);
+        connection.send(request_bytes("DELETE", &target, &headers, &[])).ok()?;
+        connection.read_head().await.ok()
+    };
+    let freed = matches!(timeout(FREE_LIMIT, exchange).await, Ok(Some(_)));
+    log::info!(target: "reading", runner = runner.as_str(), handle = name, freed; "handle freed");
+}
+
+/// How the reading of a prompt ended.
+pub enum ReadingEnd {
+    /// It was read.
+    Read(ReadPrompt),
+    /// The runner declined it.
+    Declined,
+    /// It failed; reading may be repeated.
+    Failed,
+}
+
+/// The request whose prompt is to be read.
+pub struct ReadingDemand<'a> {
+    /// The request.
+    pub request: &'a ClientRequest,
+    /// Its service.
+    pub service: &'a ServiceName,
+    /// Its prompt.
+    pub prompt: &'a Prompt,
+    /// Tokens that the runner has to read.
+    pub unread_tokens: u64,
+    /// Tokens of KV cache that a runner has.
+    pub cache_tokens: u64,
+}
+
+/// Sends a request to be read only.
+pub async fn read_prompt(
+    node: &Rc<Node>,
+    demand: &ReadingDemand<'_>,
+    prepared: Prepared,
+    params: &AttemptParams,
+) -> ReadingEnd {
+    let begun = Instant::now();
+    let runner = prepared.record().id.clone();
+    let answering = match attempt::send(node, demand.request, prepared, params).await {
+        AttemptEnd::Answering(answering) => answering,
+        AttemptEnd::Declined => return ReadingEnd::Declined,
+        AttemptEnd::Silent => {
+            node.fleet.borrow_mut().on_unreachable(&runner, node.now_us());
+            return ReadingEnd::Failed;
+        }
+        AttemptEnd::Lost => return ReadingEnd::Failed,
+    };
+    let Ok(Ok(answer)) = timeout(params.head_limit, answering.read_whole()).await else {
+        return ReadingEnd::Failed;
+    };
+    let name = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
+    let Some(name) = name else { return ReadingEnd::Failed };
+    let now_us = node.now_us();
+    node.fleet.borrow_mut().on_read(&runner, demand.prompt, now_us, demand.cache_tokens);
+    let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
+    node.with_pace(demand.service, |pace| pace.on_read(demand.unread_tokens, elapsed_ms));
+    let handle = PromptHandle { address: answering.record.address, name };
+    let zone = answering.record.zone.clone();
+    answering.give_back(node);
+    ReadingEnd::Read(ReadPrompt { handle, zone, runner, taken: Cell::new(false) })
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,134 @@
+//! Forwards a stream's events to the client as they come.
+
+use crate::attempt::Answering;
+use crate::connection::{ClientConnection, ClientGone};
+use crate::http::Header;
+use pitchstall_serving::event_stream::{EventSplitter, Join, StreamJoin};
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Where a stream stands towards its client, over all of its runs.
+pub struct StreamState {
+    /// Joins the runs.
+    pub join: StreamJoin,
+    /// Whether the client has the head.
+    pub begun: bool,
+    /// When the client got the last event.
+    pub last_event_at: Option<Instant>,
+}
+
+impl StreamState {
+    /// A stream of which the client has what it says it has.
+    pub fn new(last_event_id: Option<u64>) -> Self {
+        Self { join: StreamJoin::after(last_event_id), begun: false, last_event_at: None }
+    }
+}
+
+/// How a run of a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayEnd {
+    /// As its framing tells: whole.
+    Complete,
+    /// The runner broke it off, or it went silent for too long.
+    Broken,
+    /// The request's time is up.
+    OutOfTime,
+    /// The client has gone.
+    ClientGone,
+}
+
+/// Time limits of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayLimits {
+    /// When the request's time is up.
+    pub deadline: Instant,
+    /// Longest pause between events before the run counts as broken.
+    pub pause: Duration,
+}
+
+/// Forwards one run of a stream. Only whole events pass, so that another run can follow.
+pub async fn relay(
+    answering: &Answering,
+    client: &ClientConnection,
+    state: &mut StreamState,
+    limits: RelayLimits,
+) -> RelayEnd {
+    let headers = answering.client_headers();
+    let mut splitter = EventSplitter::default();
+    loop {
+        let left = limits.deadline.saturating_duration_since(Instant::now());
+        let read = match timeout(left.min(limits.pause), answering.read()).await {
+            Ok(read) => read,
+            Err(_) if left <= limits.pause => return RelayEnd::OutOfTime,
+            Err(_) => return RelayEnd::Broken,
+        };
+        let forwarded = match read {
+            Ok(Some(bytes)) => forward(&bytes, &mut splitter, client, state, &headers).await,
+            Ok(None) => return end(answering, &splitter, client, state, &headers).await,
+            Err(_) => return RelayEnd::Broken,
+        };
+        if forwarded.is_err() {
+            return RelayEnd::ClientGone;
+        }
+    }
+}
+
+async fn forward(
+    bytes: &[u8],
+    splitter: &mut EventSplitter,
+    client: &ClientConnection,
+    state: &mut StreamState,
+    headers: &[Header],
+) -> Result<(), ClientGone> {
+    let mut ready = Vec::new();
+    for event in splitter.push(bytes) {
+        if state.join.on_event(&event) == Join::Forward {
+            ready.extend_from_slice(&event.bytes);
+        }
+    }
+    if ready.is_empty() {
+        return Ok(());
+    }
+    begin(client, state, headers)?;
+    state.last_event_at = Some(Instant::now());
+    client.write_chunk(ready).await
+}
+
+fn begin(
+    client: &ClientConnection,
+    state: &mut StreamState,
+    headers: &[Header],
+) -> Result<(), ClientGone> {
+    const OK: u16 = 200;
+    if !state.begun {
+        client.begin_stream(OK, headers)?;
+        state.begun = true;
+    }
+    Ok(())
+}
+
+/// The body has ended. Without a length, the end of the connection is also what a runner that
+/// stops in the middle of an event leaves behind.
+async fn end(
+    answering: &Answering,
+    splitter: &EventSplitter,
+    client: &ClientConnection,
+    state: &mut StreamState,
+    headers: &[Header],
+) -> RelayEnd {
+    let rest = splitter.pending();
+    if !rest.is_empty() && answering.ends_with_connection() {
+        return RelayEnd::Broken;
+    }
+    let written = async {
+        begin(client, state, headers)?;
+        if !rest.is_empty() {
+            client.write_chunk(rest.to_vec()).await?;
+        }
+        client.end_stream().await
+    };
+    match written.await {
+        Ok(()) => RelayEnd::Complete,
+        Err(ClientGone) => RelayEnd::ClientGone,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,168 @@
+//! The settings file of a node: TOML, checked as a whole before anything starts.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Settings of a node.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who the node is.
+    pub node: NodeSection,
+    /// Where it listens.
+    pub listen: ListenSection,
+    /// Where the platform's store is.
+    pub store: StoreSection,
+    /// What the users bound.
+    pub bounds: BoundsSection,
+    /// What the machine has.
+    #[serde(default)]
+    pub machine: MachineSection,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSection,
+}
+
+/// Who the node is.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSection {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// Where the node listens, `IP:port`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSection {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For questions whether it takes callers, and for metrics.
+    pub health: SocketAddr,
+}
+
+/// Where the platform's store is.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSection {
+    /// `IP:port`.
+    pub address: SocketAddr,
+}
+
+/// What the users bound.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BoundsSection {
+    /// Time without faults after which a node counts as in touch, milliseconds.
+    pub contact_ms: u64,
+    /// Time from a planned stop to the forced one, seconds.
+    pub grace_s: f64,
+    /// Extra attempts for each request, over all nodes.
+    pub retry_ratio: f64,
+    /// Window over which extra attempts are counted, seconds.
+    pub retry_window_s: f64,
+}
+
+/// What the machine has.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineSection {
+    /// Memory for this process, megabytes.
+    pub memory_mb: u64,
+    /// File descriptors for this process.
+    pub file_descriptors: u64,
+}
+
+impl Default for MachineSection {
+    fn default() -> Self {
+        Self { memory_mb: 256, file_descriptors: 1_024 }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSection {
+    /// Levels, as `info` or `info,pitchstall_gateway=debug`.
+    pub levels: String,
+}
+
+impl Default for LogSection {
+    fn default() -> Self {
+        Self { levels: "info".to_owned() }
+    }
+}
+
+/// Settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{path}: {cause}")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        cause: std::io::Error,
+    },
+    /// The file is not what is expected.
+    #[error("{path}: {cause}")]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// Line, column and what is expected.
+        cause: Box<toml::de::Error>,
+    },
+    /// A value is out of its range.
+    #[error("{path}: {field}: expected {expected}")]
+    Value {
+        /// The file.
+        path: PathBuf,
+        /// Section and field.
+        field: &'static str,
+        /// What is expected.
+        expected: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| SettingsError::Unreadable { path: path.to_owned(), cause })?;
+        Self::parse(path, &text)
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|cause| SettingsError::Invalid {
+            path: path.to_owned(),
+            cause: Box::new(cause),
+        })?;
+        match settings.first_problem() {
+            Some((field, expected)) => {
+                Err(SettingsError::Value { path: path.to_owned(), field, expected })
+            }
+            None => Ok(settings),
+        }
+    }
+
+    fn first_problem(&self) -> Option<(&'static str, &'static str)> {
+        let bounds = &self.bounds;
+        let checks = [
+            (!self.node.name.is_empty(), "node.name", "a name"),
+            (!self.node.zone.is_empty(), "node.zone", "the name of a zone"),
+            (bounds.contact_ms > 0, "bounds.contact_ms", "more than 0"),
+            (bounds.grace_s > 0.0, "bounds.grace_s", "more than 0"),
+            ((0.0..=10.0).contains(&bounds.retry_ratio), "bounds.retry_ratio", "0 to 10"),
+            (bounds.retry_window_s > 0.0, "bounds.retry_window_s", "more than 0"),
+            (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
+            (self.machine.file_descriptors > 0, "machine.file_descriptors", "more than 0"),
+            (!self.log.levels.is_empty(), "log.levels", "a level"),
+        ];
+        let problem = checks.into_iter().find(|(holds, _, _)| !holds);
+        problem.map(|(_, field, expected)| (field, expected))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store_client.rs
@@ -0,0 +1,88 @@
+//! Calls to the platform's store, one at a time over one kept connection.
+//!
+//! After a failure the connection is dropped: once an answer is lost on a connection, nothing
+//! more comes on it.
+
+use crate::http::request::request_bytes;
+use crate::http::{BodyDecoder, ConnectFailure, ReadFailure, Upstream};
+use pitchstall_platform_adapter::store::StoreCall;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time to open a connection to the store.
+const CONNECT_LIMIT: Duration = Duration::from_millis(700);
+/// Largest answer that is read.
+const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// A call got no answer. Unless it never left, it may have been done.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreFailure {
+    /// No connection could be made.
+    #[error("the store cannot be reached: {0}")]
+    Unreachable(#[from] ConnectFailure),
+    /// The connection failed.
+    #[error("the store did not answer: {0}")]
+    Unanswered(#[from] ReadFailure),
+    /// Nothing came in time.
+    #[error("the store did not answer in time")]
+    TimedOut,
+}
+
+/// An answer of the store.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A client of the store.
+pub struct StoreClient {
+    address: SocketAddr,
+    connection: Option<Upstream>,
+}
+
+impl StoreClient {
+    /// A client without a connection yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, connection: None }
+    }
+
+    /// Makes a call and waits for its answer for at most `limit`.
+    pub async fn call(
+        &mut self,
+        call: &StoreCall,
+        limit: Duration,
+    ) -> Result<StoreAnswer, StoreFailure> {
+        let kept = self.connection.take().filter(Upstream::is_reusable);
+        let connection = match kept {
+            Some(connection) => connection,
+            None => Upstream::open(self.address, CONNECT_LIMIT).await?,
+        };
+        let exchange = exchange(&connection, self.address, call);
+        let (answer, keep) =
+            timeout(limit, exchange).await.map_err(|_| StoreFailure::TimedOut)??;
+        if keep && connection.is_reusable() {
+            self.connection = Some(connection);
+        }
+        Ok(answer)
+    }
+}
+
+async fn exchange(
+    connection: &Upstream,
+    address: SocketAddr,
+    call: &StoreCall,
+) -> Result<(StoreAnswer, bool), ReadFailure> {
+    let mut headers = vec![("host".to_owned(), address.to_string().into_bytes())];
+    if !call.body.is_empty() {
+        headers.push(("content-type".to_owned(), b"application/json".to_vec()));
+    }
+    connection.send(request_bytes(call.method, &call.target, &headers, &call.body))?;
+    let head = connection.read_head().await?;
+    let decoder = BodyDecoder::new(head.framing);
+    let body = connection.read_whole_body(&decoder, MOST_ANSWER_BYTES).await?;
+    Ok((StoreAnswer { status: head.status, body }, head.keep_alive))
+}
--- /dev/null
+++ b/crates/gateway/src/watcher.rs
@@ -0,0 +1,236 @@
+//! Follows the store: the operators' configuration and the runners' entries.
+//!
+//! Each is read once and then watched from the revision of the read. A watch that ends for
+//! any reason goes on from its last revision; if that history is gone, everything is read
+//! anew. A watch asks for less than the time in which a node counts as in touch again, so a
+//! watch that went silent in a fault has been replaced before the node is bound by it.
+
+use crate::node::Node;
+use crate::store_client::{StoreClient, StoreFailure};
+use pitchstall_platform_adapter::documents;
+use pitchstall_platform_adapter::store::{
+    self, Item, Page, StoreAnswerError, StoreCall, StoreStatus, CONFIGURATION_KEY, RUNNERS_PREFIX,
+};
+use pitchstall_serving::fleet::RunnerRecord;
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Limit of a call that does not wait.
+const READ_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause after a failure, before it is multiplied and spread.
+const FIRST_PAUSE_MS: u64 = 50;
+const LONGEST_PAUSE_MS: u64 = 400;
+
+/// Why the store could not be followed.
+#[derive(Debug, thiserror::Error)]
+enum FollowError {
+    #[error(transparent)]
+    Store(#[from] StoreFailure),
+    #[error(transparent)]
+    Answer(#[from] StoreAnswerError),
+    #[error("the store says {0:?}")]
+    Status(StoreStatus),
+}
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// The operators' configuration.
+    Configuration,
+    /// The runners' entries.
+    Runners,
+}
+
+impl Subject {
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::Configuration => CONFIGURATION_KEY,
+            Self::Runners => RUNNERS_PREFIX,
+        }
+    }
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Runners => "runners",
+        }
+    }
+}
+
+/// Follows one subject until the process ends.
+pub async fn follow(node: Rc<Node>, subject: Subject) {
+    let client = StoreClient::new(node.settings.store.address);
+    let mut follower = Follower { node, subject, client, at: None, failures: 0 };
+    loop {
+        match follower.step().await {
+            Ok(()) => follower.on_success(),
+            Err(error) => follower.on_failure(&error).await,
+        }
+    }
+}
+
+struct Follower {
+    node: Rc<Node>,
+    subject: Subject,
+    client: StoreClient,
+    /// The store's revision up to which everything is known.
+    at: Option<u64>,
+    failures: u32,
+}
+
+impl Follower {
+    async fn step(&mut self) -> Result<(), FollowError> {
+        match self.at {
+            None => self.read_all().await,
+            Some(at) => self.watch(at).await,
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<(), FollowError> {
+        let at = match self.subject {
+            Subject::Configuration => self.read_configuration().await?,
+            Subject::Runners => self.read_runners().await?,
+        };
+        self.at = Some(at);
+        Ok(())
+    }
+
+    async fn read_configuration(&mut self) -> Result<u64, FollowError> {
+        let (status, body) = self.call(&store::read_key(CONFIGURATION_KEY), READ_LIMIT).await?;
+        if status != StoreStatus::Done {
+            return Err(FollowError::Status(status));
+        }
+        let (item, at) = store::parse_item(&body)?;
+        let at = at.max(item.revision);
+        self.take_item(item);
+        Ok(at)
+    }
+
+    async fn read_runners(&mut self) -> Result<u64, FollowError> {
+        let first = self.read_page(None).await?;
+        let at = first.at;
+        let mut more = first.more;
+        let mut items = first.items;
+        while more {
+            let after = items.last().map(|item| item.key.clone());
+            let page = self.read_page(after.as_deref()).await?;
+            more = page.more && !page.items.is_empty();
+            items.extend(page.items);
+        }
+        let records = items.iter().filter_map(|item| self.record_of(item)).collect();
+        self.node.replace_runners(records, at);
+        Ok(at)
+    }
+
+    async fn read_page(&mut self, after: Option<&str>) -> Result<Page, FollowError> {
+        let call = store::read_range(RUNNERS_PREFIX, after);
+        let (status, body) = self.call(&call, READ_LIMIT).await?;
+        if status != StoreStatus::Done {
+            return Err(FollowError::Status(status));
+        }
+        Ok(store::parse_page(&body)?)
+    }
+
+    async fn watch(&mut self, at: u64) -> Result<(), FollowError> {
+        // Together well under the time after which the node counts as in touch again.
+        let wait = Duration::from_millis(self.node.settings.bounds.contact_ms * 3 / 5);
+        let slack = Duration::from_millis(self.node.settings.bounds.contact_ms / 4);
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let call = store::watch(self.subject.prefix(), at, wait_ms);
+        let (status, body) = self.call(&call, wait + slack).await?;
+        match status {
+            StoreStatus::Done => {
+                let page = store::parse_page(&body)?;
+                self.at = Some(page.at.max(at));
+                page.items.into_iter().for_each(|item| self.take_item(item));
+                Ok(())
+            }
+            StoreStatus::HistoryGone => {
+                self.at = None;
+                log::info!(target: "store", subject = self.subject.name(), at; "history gone");
+                Ok(())
+            }
+            other => Err(FollowError::Status(other)),
+        }
+    }
+
+    async fn call(
+        &mut self,
+        call: &StoreCall,
+        limit: Duration,
+    ) -> Result<(StoreStatus, Vec<u8>), FollowError> {
+        self.node.metrics.store_calls.inc();
+        let answer = self.client.call(call, limit).await?;
+        Ok((store::parse_status(answer.status), answer.body))
+    }
+
+    fn take_item(&self, item: Item) {
+        match self.subject {
+            Subject::Configuration => self.take_configuration(&item),
+            Subject::Runners => self.take_runner(&item),
+        }
+    }
+
+    fn take_configuration(&self, item: &Item) {
+        if item.key != CONFIGURATION_KEY {
+            return;
+        }
+        let Some(document) = &item.value else { return };
+        match documents::parse_configuration(document) {
+            Ok(configuration) => self.node.adopt_configuration(configuration),
+            Err(error) => {
+                let error = error.to_string();
+                log::error!(target: "configuration", revision = item.revision, error; "unreadable");
+            }
+        }
+    }
+
+    fn take_runner(&self, item: &Item) {
+        match (&item.value, documents::runner_of_key(&item.key)) {
+            (Some(_), _) => {
+                if let Some(record) = self.record_of(item) {
+                    self.node.put_runner(record);
+                }
+            }
+            (None, Some(id)) => self.node.remove_runner(&id, item.revision),
+            (None, None) => {}
+        }
+    }
+
+    fn record_of(&self, item: &Item) -> Option<RunnerRecord> {
+        let document = item.value.as_deref()?;
+        match documents::parse_runner(&item.key, document, item.revision) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                let (key, error) = (item.key.as_str(), error.to_string());
+                log::warn!(target: "fleet", key, error; "unreadable entry");
+                None
+            }
+        }
+    }
+
+    fn on_success(&mut self) {
+        if self.failures > 0 {
+            let failures = self.failures;
+            log::info!(target: "store", subject = self.subject.name(), failures; "regained");
+        }
+        self.failures = 0;
+    }
+
+    async fn on_failure(&mut self, error: &FollowError) {
+        self.node.metrics.store_failures.inc();
+        if self.failures == 0 {
+            let error = error.to_string();
+            log::warn!(target: "store", subject = self.subject.name(), error; "lost");
+        }
+        let longest = FIRST_PAUSE_MS << self.failures.min(3);
+        let longest = longest.min(LONGEST_PAUSE_MS);
+        self.failures = self.failures.saturating_add(1);
+        // Spread, so that nodes that lost the store together do not come back together.
+        let pause = rand::rng().random_range(longest / 2..=longest);
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -68,6 +68,10 @@
     /// An engine: one model runner that answers requests.
     EngineId
 );
+text_identifier!(
+    /// One start of a runner: a runner that starts anew has another one.
+    RunnerId
+);
 text_identifier!(
     /// A zone: the machines that share one place and one network.
     ZoneId
--- /dev/null
+++ b/crates/serving/src/attempt.rs
@@ -0,0 +1,49 @@
+//! What an attempt proves, and the final answer that follows from all attempts.
+//!
+//! A refusal promises that a request has not run and never will. So it may only be given
+//! when every attempt proves that: a connection that was never made, or a runner that says
+//! so itself. Silence, a reset and a close prove nothing.
+
+/// What is known of a request after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Execution {
+    /// No runner has begun it and none will.
+    NotRun,
+    /// A runner may have begun it, or may yet.
+    Unknown,
+    /// A runner has run it.
+    Ran,
+}
+
+/// Why a request ends without a runner's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUp {
+    /// The deadline or the route's time limit has come.
+    OutOfTime,
+    /// No runner could take it.
+    NoRunner,
+    /// Every runner that was asked refused it.
+    Refused,
+    /// An attempt failed, and the request may not be repeated.
+    Failed,
+}
+
+/// An answer that the node makes itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinalAnswer {
+    /// Not run; the client may come back.
+    Refuse,
+    /// May have run; the attempt failed.
+    BadGateway,
+    /// May have run; time is up.
+    TimedOut,
+}
+
+/// The only place that chooses between a refusal and a failure.
+pub fn final_answer(execution: Execution, reason: GiveUp) -> FinalAnswer {
+    match (execution, reason) {
+        (Execution::NotRun, _) => FinalAnswer::Refuse,
+        (_, GiveUp::OutOfTime) => FinalAnswer::TimedOut,
+        (_, _) => FinalAnswer::BadGateway,
+    }
+}
--- /dev/null
+++ b/crates/serving/src/configuration.rs
@@ -0,0 +1,118 @@
+//! The configuration that operators put in force.
+
+use pitchstall_protocol::ids::ServiceName;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// One version of the whole configuration. Versions rise, not always by one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// The version.
+    pub version: u64,
+    /// Routes in the order given.
+    pub routes: Vec<Rc<Route>>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// Limits on what clients may send.
+    pub limits: ClientLimits,
+}
+
+/// What may be done with a request that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// Answered by a stream of events; runs at most once unless it may be resumed.
+    Streaming,
+}
+
+/// Requests of one host and path prefix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: String,
+    /// Host that clients name.
+    pub host: String,
+    /// Beginning of the path.
+    pub path_prefix: String,
+    /// What may be done with a request that failed.
+    pub kind: RequestKind,
+    /// Longest time the operators want a request held, milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer earns its full worth, milliseconds.
+    pub target_ms: u64,
+    /// Longest pause between events of a stream in time, milliseconds.
+    pub gap_target_ms: Option<u64>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Services that share the requests, with their weights.
+    pub shares: Vec<Share>,
+    /// Most runners that may run one request.
+    pub max_attempts: u32,
+    /// Whether requests name the parts of their prompt.
+    pub sticky: bool,
+    /// Whether a broken stream may go on at another runner.
+    pub resumable: bool,
+}
+
+impl Route {
+    /// Whether a request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.kind == RequestKind::Idempotent || self.resumable
+    }
+}
+
+/// A service's part of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// A service that runners offer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Service {
+    /// Connections that a runner takes from all callers together.
+    pub max_connections: u32,
+    /// What its runners are, if they run a language model.
+    pub engine: Option<EngineSpec>,
+}
+
+/// A runner of a language model.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineSpec {
+    /// Requests in one batch.
+    pub slots: u32,
+    /// Prompt tokens that the KV cache holds.
+    pub kv_tokens: u64,
+    /// Seconds that a prompt's handle is kept.
+    pub handle_ttl_s: f64,
+}
+
+/// Limits on what clients may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Bytes of a request's head.
+    pub max_header_bytes: usize,
+    /// Bytes of a request's body.
+    pub max_body_bytes: usize,
+    /// Time to send a request's head, milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time for which a connection may rest between requests, milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet.rs
@@ -0,0 +1,343 @@
+//! The runners that a node knows of, and what it believes about their load and health.
+//!
+//! Three sources disagree in time: the platform's list (late, sometimes stale), what the
+//! runners say in their answers, and failures that this node sees. The list alone decides
+//! whether a runner may get work; the other two only rank runners, because acting on a
+//! failure as if the runner were gone would empty the fleet during a short cut.
+
+use crate::prefix::{Prompt, PromptPart};
+use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// What a runner of a language model does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Reads prompts.
+    Prefill,
+    /// Writes answers.
+    Decode,
+}
+
+/// What the platform's list says of a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunnerRecord {
+    /// This start of the runner.
+    pub id: RunnerId,
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// What it does, if it runs a language model.
+    pub stage: Option<Stage>,
+    /// Revision of the entry in the store.
+    pub revision: u64,
+}
+
+/// Load that a runner tells in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// What a change of the list did to a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetChange {
+    /// It is new.
+    Joined,
+    /// It began to leave.
+    Draining,
+    /// Its stage changed.
+    Restaged,
+    /// It is gone.
+    Left,
+    /// Nothing that matters.
+    None,
+}
+
+/// How long a load report counts, microseconds.
+const REPORT_LIFE_US: u64 = 1_500_000;
+/// First and longest time for which a runner that could not be reached is avoided.
+const SUSPECT_MIN_US: u64 = 500_000;
+const SUSPECT_MAX_US: u64 = 8_000_000;
+/// Time for which a runner that refused a request as full is avoided.
+const FULL_US: u64 = 100_000;
+/// Weight of the newest answer in a runner's failure rate.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// A runner as the node sees it.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// What the list says.
+    pub record: RunnerRecord,
+    /// Attempts of this node that it has now.
+    pub in_flight: u32,
+    /// Prompt tokens that it has yet to read for this node.
+    pub unread_tokens: u64,
+    /// Share of recent answers that were failures of its own.
+    pub failure_rate: f64,
+    others: u32,
+    others_at_us: u64,
+    suspect_until_us: u64,
+    suspect_for_us: u64,
+    full_until_us: u64,
+    /// The address answered for another runner: this one is gone, whatever the list says.
+    misdirected: bool,
+    cache: PrefixCacheModel,
+}
+
+impl Runner {
+    fn new(record: RunnerRecord) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            unread_tokens: 0,
+            failure_rate: 0.0,
+            others: 0,
+            others_at_us: 0,
+            suspect_until_us: 0,
+            suspect_for_us: 0,
+            full_until_us: 0,
+            misdirected: false,
+            cache: PrefixCacheModel::default(),
+        }
+    }
+
+    /// Whether new requests may go to it.
+    pub fn takes_work(&self) -> bool {
+        !self.record.draining && !self.misdirected
+    }
+
+    /// Whether it could lately not be reached, or was full.
+    pub fn is_avoided(&self, now_us: u64) -> bool {
+        now_us < self.suspect_until_us || now_us < self.full_until_us
+    }
+
+    /// Requests that other nodes are believed to have at it; a report fades with its age.
+    pub fn others(&self, now_us: u64) -> f64 {
+        let age = now_us.saturating_sub(self.others_at_us);
+        let left = REPORT_LIFE_US.saturating_sub(age);
+        f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64
+    }
+
+    /// Requests that it is believed to have.
+    pub fn occupancy(&self, now_us: u64) -> f64 {
+        f64::from(self.in_flight) + self.others(now_us)
+    }
+
+    /// Shared tokens of a prompt that this node believes to be in its KV cache.
+    pub fn cached_tokens(&self, prompt: &Prompt) -> u64 {
+        self.cache.cached_tokens(prompt.shared_parts())
+    }
+}
+
+/// Which parts of prompts a runner probably holds: those sent there last.
+#[derive(Clone, Debug, Default)]
+struct PrefixCacheModel {
+    parts: HashMap<u64, CachedPart>,
+    tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CachedPart {
+    tokens: u64,
+    used_at_us: u64,
+}
+
+/// Share of a runner's cache that is counted on; running requests need the rest.
+const COUNTED_CACHE_PERCENT: u64 = 70;
+
+impl PrefixCacheModel {
+    fn cached_tokens(&self, parts: &[PromptPart]) -> u64 {
+        let held = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        held.map(|part| part.tokens).sum()
+    }
+
+    fn on_read(&mut self, parts: &[PromptPart], now_us: u64, capacity: u64) {
+        for part in parts {
+            let entry = CachedPart { tokens: part.tokens, used_at_us: now_us };
+            if self.parts.insert(part.id, entry).is_none() {
+                self.tokens += part.tokens;
+            }
+        }
+        while self.tokens > capacity * COUNTED_CACHE_PERCENT / 100 {
+            if !self.drop_oldest() {
+                break;
+            }
+        }
+    }
+
+    fn drop_oldest(&mut self) -> bool {
+        let oldest = self.parts.iter().min_by_key(|(_, part)| part.used_at_us);
+        let Some((id, tokens)) = oldest.map(|(id, part)| (*id, part.tokens)) else {
+            return false;
+        };
+        self.parts.remove(&id);
+        self.tokens -= tokens;
+        true
+    }
+}
+
+/// All runners that a node knows of.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    runners: BTreeMap<RunnerId, Runner>,
+}
+
+impl Fleet {
+    /// Takes in an entry of the list. Entries older than what is known are passed over.
+    pub fn put(&mut self, record: RunnerRecord) -> FleetChange {
+        let Some(known) = self.runners.get_mut(&record.id) else {
+            self.runners.insert(record.id.clone(), Runner::new(record));
+            return FleetChange::Joined;
+        };
+        if record.revision <= known.record.revision {
+            return FleetChange::None;
+        }
+        let change = if record.draining && !known.record.draining {
+            FleetChange::Draining
+        } else if record.stage != known.record.stage {
+            FleetChange::Restaged
+        } else {
+            FleetChange::None
+        };
+        known.record = record;
+        change
+    }
+
+    /// An entry has gone from the list at the given revision.
+    pub fn remove(&mut self, id: &RunnerId, revision: u64) -> FleetChange {
+        match self.runners.get(id) {
+            Some(known) if known.record.revision < revision => {
+                self.runners.remove(id);
+                FleetChange::Left
+            }
+            _ => FleetChange::None,
+        }
+    }
+
+    /// Takes in a whole list that was read at the given revision; returns who is gone.
+    pub fn replace_all(&mut self, records: Vec<RunnerRecord>, revision: u64) -> Vec<RunnerId> {
+        let listed = |id: &RunnerId| records.iter().any(|record| record.id == *id);
+        let is_gone =
+            |runner: &&Runner| runner.record.revision <= revision && !listed(&runner.record.id);
+        let gone: Vec<RunnerId> =
+            self.runners.values().filter(is_gone).map(|runner| runner.record.id.clone()).collect();
+        for id in &gone {
+            self.runners.remove(id);
+        }
+        for record in records {
+            self.put(record);
+        }
+        gone
+    }
+
+    /// A runner by its id.
+    pub fn get(&self, id: &RunnerId) -> Option<&Runner> {
+        self.runners.get(id)
+    }
+
+    /// All runners.
+    pub fn iter(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
+    /// Runners of a service that may get new requests; those that are avoided only if there
+    /// are no others.
+    pub fn candidates<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        excluded: &'a [RunnerId],
+        now_us: u64,
+    ) -> Vec<&'a Runner> {
+        let of_service = |runner: &&Runner| {
+            runner.record.service == *service
+                && runner.takes_work()
+                && !excluded.contains(&runner.record.id)
+        };
+        let all: Vec<&Runner> = self.runners.values().filter(of_service).collect();
+        let sound: Vec<&Runner> =
+            all.iter().copied().filter(|runner| !runner.is_avoided(now_us)).collect();
+        if sound.is_empty() {
+            all
+        } else {
+            sound
+        }
+    }
+
+    /// An attempt goes to a runner, which has so many tokens to read for it.
+    pub fn on_sent(&mut self, id: &RunnerId, unread_tokens: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.in_flight += 1;
+            runner.unread_tokens += unread_tokens;
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn on_ended(&mut self, id: &RunnerId, unread_tokens: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.in_flight = runner.in_flight.saturating_sub(1);
+            runner.unread_tokens = runner.unread_tokens.saturating_sub(unread_tokens);
+        }
+    }
+
+    /// A runner has read a prompt, so it holds the shared parts.
+    pub fn on_read(&mut self, id: &RunnerId, prompt: &Prompt, now_us: u64, capacity: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.cache.on_read(prompt.shared_parts(), now_us, capacity);
+        }
+    }
+
+    /// A runner told its load.
+    pub fn on_load(&mut self, id: &RunnerId, load: LoadReport, now_us: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.others = (load.running + load.waiting).saturating_sub(runner.in_flight);
+            runner.others_at_us = now_us;
+        }
+    }
+
+    /// A runner answered; `failed` if the answer was a failure of its own.
+    pub fn on_answered(&mut self, id: &RunnerId, failed: bool) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.suspect_for_us = 0;
+            runner.suspect_until_us = 0;
+            let newest = if failed { 1.0 } else { 0.0 };
+            runner.failure_rate += FAILURE_WEIGHT * (newest - runner.failure_rate);
+        }
+    }
+
+    /// A runner refused a request as full.
+    pub fn on_full(&mut self, id: &RunnerId, now_us: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.full_until_us = now_us + FULL_US;
+        }
+    }
+
+    /// A runner could not be reached, or broke an answer off: it is avoided for a time that
+    /// doubles with each failure in a row.
+    pub fn on_unreachable(&mut self, id: &RunnerId, now_us: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            let doubled = (runner.suspect_for_us * 2).clamp(SUSPECT_MIN_US, SUSPECT_MAX_US);
+            if now_us >= runner.suspect_until_us {
+                runner.suspect_for_us = doubled;
+                runner.suspect_until_us = now_us + doubled;
+            }
+        }
+    }
+
+    /// Another runner answered at a runner's address.
+    pub fn on_misdirected(&mut self, id: &RunnerId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.misdirected = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,27 @@
+//! What a node decides about requests, runners and answers.
+//!
+//! Everything here is plain state: time is handed in as microseconds of a steady clock, and
+//! nothing reads a socket, a clock or a random source. The daemon and the tests run the same
+//! code. Modules in the order in which a request meets them:
+//!
+//! | module | decides |
+//! | --- | --- |
+//! | [`configuration`] | what the operators have put in force |
+//! | [`routing`] | which route and which service a request belongs to |
+//! | [`prefix`] | which parts of a prompt requests share |
+//! | [`request`] | what of a request and an answer matters to a node |
+//! | [`fleet`] | which runners exist, how loaded and how healthy they are |
+//! | [`placement`] | which runner reads a prompt and which one writes the answer |
+//! | [`retry_budget`] | whether one more attempt may be made |
+//! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
+//! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
+
+pub mod attempt;
+pub mod configuration;
+pub mod event_stream;
+pub mod fleet;
+pub mod placement;
+pub mod prefix;
+pub mod request;
+pub mod retry_budget;
+pub mod routing;
--- /dev/null
+++ b/crates/serving/src/request.rs
@@ -0,0 +1,71 @@
+//! What a node needs to know of a request; everything else in it is opaque.
+
+use crate::prefix::Prompt;
+use pitchstall_protocol::ids::RunnerId;
+use std::net::SocketAddr;
+
+/// A request's own words on itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// The client's id for this try; every attempt carries it unchanged.
+    pub id: String,
+    /// Milliseconds for which the client waits.
+    pub deadline_ms: Option<u64>,
+    /// The prompt, if the request is for a language model.
+    pub prompt: Option<Prompt>,
+    /// Id of the last event that the client has of a stream.
+    pub last_event_id: Option<u64>,
+}
+
+/// What a runner is asked to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// Run it, reading the prompt if there is one.
+    Run,
+    /// Only read its prompt and keep the KV cache under a handle.
+    ReadPrompt,
+    /// Run it with the KV cache that another runner has read.
+    RunFrom(PromptHandle),
+}
+
+/// KV cache of one request's prompt, kept by the runner that read it. It may be taken once,
+/// and only for that request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptHandle {
+    /// The runner's address.
+    pub address: SocketAddr,
+    /// The runner's name for it.
+    pub name: String,
+}
+
+/// Instructions that go with one attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptOrder {
+    /// Milliseconds that are left.
+    pub deadline_ms: u64,
+    /// Only this runner may run it.
+    pub runner: RunnerId,
+    /// Rank, 0 first.
+    pub priority: Option<u8>,
+    /// What to do.
+    pub work: Work,
+    /// The stream goes on after this event.
+    pub after_event: Option<u64>,
+}
+
+/// What the head of a runner's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// Id of the request that it answers.
+    pub request_id: Option<String>,
+    /// Whether it carries a runner's signature.
+    pub signed: bool,
+    /// Whether the runner says that it has not run the request and never will.
+    pub not_run: bool,
+    /// Whether another runner answered than the one that was meant.
+    pub misdirected: bool,
+    /// Whether the body was encoded by somebody on the way.
+    pub encoded: bool,
+    /// The runner's load.
+    pub load: Option<crate::fleet::LoadReport>,
+}
--- /dev/null
+++ b/crates/serving/src/retry_budget.rs
@@ -0,0 +1,69 @@
+//! A retry budget that all nodes share without talking to each other.
+//!
+//! The fleet as a whole may repeat only a share of its requests in any window. Each node keeps
+//! to that share of the requests it has taken itself, so the sum over all nodes keeps to it
+//! too, whatever the others do. A restarted node begins with nothing earned: what an earlier
+//! process earned and spent stays with the requests of that process.
+
+use std::collections::VecDeque;
+
+/// The bounds of a budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryPolicy {
+    /// Extra attempts allowed for each request.
+    pub ratio: f64,
+    /// Length of the window, microseconds.
+    pub window_us: u64,
+}
+
+/// The part of the ratio that is spent; the rest covers requests at the window's edge.
+const USED_SHARE: f64 = 0.9;
+
+/// The budget of one node for one service.
+#[derive(Clone, Debug)]
+pub struct SharedRetryBudget {
+    policy: RetryPolicy,
+    requests: VecDeque<u64>,
+    extras: VecDeque<u64>,
+}
+
+impl SharedRetryBudget {
+    /// A budget with nothing earned.
+    pub fn new(policy: RetryPolicy) -> Self {
+        Self { policy, requests: VecDeque::new(), extras: VecDeque::new() }
+    }
+
+    /// A request for the service was taken from a client.
+    pub fn on_request(&mut self, now_us: u64) {
+        self.forget_before(now_us);
+        self.requests.push_back(now_us);
+    }
+
+    /// Takes one extra attempt, if the window allows it.
+    pub fn withdraw(&mut self, now_us: u64) -> bool {
+        self.forget_before(now_us);
+        if self.extras.len() as f64 + 1.0 > self.allowed() {
+            return false;
+        }
+        self.extras.push_back(now_us);
+        true
+    }
+
+    /// Extra attempts that could be made now.
+    pub fn available(&self) -> f64 {
+        (self.allowed() - self.extras.len() as f64).max(0.0)
+    }
+
+    fn allowed(&self) -> f64 {
+        self.requests.len() as f64 * self.policy.ratio * USED_SHARE
+    }
+
+    fn forget_before(&mut self, now_us: u64) {
+        let start = now_us.saturating_sub(self.policy.window_us);
+        for times in [&mut self.requests, &mut self.extras] {
+            while times.front().is_some_and(|time| *time < start) {
+                times.pop_front();
+            }
+        }
+    }
+}
