--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -150,6 +150,7 @@
     node.metrics.attempts.inc();
     let bytes = attempt_bytes(request, &prepared.record, params);
     log_sent(request, &prepared, params);
+    let sent_at = Instant::now();
     if let Err(error) = prepared.connection.send(bytes) {
         return lost(node, request, &runner, &error);
     }
@@ -162,7 +163,10 @@
             AttemptEnd::Silent
         }
         Ok(Err(error)) => lost(node, request, &runner, &error),
-        Ok(Ok((head, facts))) => classify(node, request, prepared, params, head, &facts),
+        Ok(Ok((head, facts))) => {
+            log_head(request, &runner, &head, &facts, sent_at);
+            classify(node, request, prepared, params, head, &facts)
+        }
     }
 }
 
@@ -292,6 +296,22 @@
     log::info!(target: "attempt", request = id, runner, work, reused, revision, unread; "sent");
 }
 
+fn log_head(
+    request: &ClientRequest,
+    runner: &RunnerId,
+    head: &AnswerHead,
+    facts: &AnswerFacts,
+    sent_at: Instant,
+) {
+    let id = request.facts.id.as_str();
+    let runner = runner.as_str();
+    let status = head.status;
+    let head_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let running = facts.load.map_or(0, |load| load.running);
+    let waiting = facts.load.map_or(0, |load| load.waiting);
+    log::info!(target: "attempt", request = id, runner, status, head_ms, running, waiting; "head");
+}
+
 impl Answering {
     /// The headers of the answer that are for the client.
     pub fn client_headers(&self) -> Vec<Header> {
