Let nodes tell each other what runners hold and how much they have to read

Cause: a node sees a seventh of the requests. It took each home for warm, so cold homes were asked for small readings that were whole ones, and it did not see the work that other nodes had waiting at a runner.

Change: nodes register under a lease and send digests, one JSON line in a datagram, when their load has changed: load by runner, and prefixes that were read. Placement weighs the whole wait; shared parts are taken over from the runner that holds them; a decode runner reads a prompt itself when that is sooner.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use pitchstall_serving::fleet::RunnerRecord;
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -133,6 +134,8 @@
     pub priority: Option<u8>,
     /// The stream goes on after this event, if the node resumes it.
     pub after_event: Option<u64>,
+    /// The runner first takes over what this one holds of the prompt.
+    pub fetch_from: Option<SocketAddr>,
     /// When the request's time is up.
     pub deadline: Instant,
     /// Longest wait for the head of the answer.
@@ -182,6 +185,7 @@
         priority: params.priority,
         work: params.work.clone(),
         after_event: params.after_event,
+        fetch_from: params.fetch_from,
     };
     let resuming = params.after_event.is_some();
     let forwarded =
@@ -293,7 +297,8 @@
     let reused = prepared.reused;
     let revision = prepared.record.revision;
     let unread = prepared.flight.unread_tokens;
-    log::info!(target: "attempt", request = id, runner, work, reused, revision, unread; "sent");
+    let fetch = params.fetch_from.is_some();
+    log::info!(target: "attempt", request = id, runner, work, reused, revision, unread, fetch; "sent");
 }
 
 fn log_head(
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use crate::listener;
 use crate::node::Node;
+use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::watcher::{self, Subject};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -14,7 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
 /// Between two looks at the signals.
@@ -78,6 +79,7 @@
 pub async fn run(settings: Settings, path: PathBuf, signals: Signals) -> Result<(), DaemonError> {
     let callers = bind(settings.listen.callers).await?;
     let health = bind(settings.listen.health).await?;
+    let datagrams = bind_datagrams(settings.listen.peers).await?;
     let name = settings.node.name.clone();
     let zone = settings.node.zone.clone();
     log::info!(target: "process", name, zone; "started");
@@ -85,6 +87,10 @@
     for subject in [Subject::Configuration, Subject::Runners] {
         ntex::rt::spawn(watcher::follow(node.clone(), subject));
     }
+    let peers = Peers::new(node.clone(), datagrams);
+    ntex::rt::spawn(peers.clone().receive());
+    ntex::rt::spawn(peers.clone().announce());
+    ntex::rt::spawn(peers.register());
     ntex::rt::spawn(listener::accept_health(health, node.clone()));
     ntex::rt::spawn(prune(node.clone()));
     let taking = ntex::rt::spawn(listener::accept_clients(callers, node.clone()));
@@ -105,6 +111,10 @@
     TcpListener::bind(address).await.map_err(|cause| DaemonError::Listen { address, cause })
 }
 
+async fn bind_datagrams(address: std::net::SocketAddr) -> Result<UdpSocket, DaemonError> {
+    UdpSocket::bind(address).await.map_err(|cause| DaemonError::Listen { address, cause })
+}
+
 async fn prune(node: Rc<Node>) {
     loop {
         sleep(PRUNE_EVERY).await;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::ArrivalLedger;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -124,7 +125,7 @@
             Some(prompt) => Work::RunFrom(prompt.handle.clone()),
             None => Work::Run,
         };
-        let params = self.params(work);
+        let params = self.params(work, &plan.choice);
         match attempt::send(self.node, self.request, prepared, &params).await {
             AttemptEnd::Answering(answering) => {
                 if let Some(prompt) = &plan.prompt {
@@ -149,8 +150,9 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn params(&self, work: Work) -> AttemptParams {
+    fn params(&self, work: Work, choice: &Choice) -> AttemptParams {
         AttemptParams {
+            fetch_from: self.address_of(choice.fetch_from.as_ref()),
             work,
             priority: self.engine.as_ref().map(|_| self.route.priority),
             after_event: self.resume_point(),
@@ -159,6 +161,11 @@
         }
     }
 
+    fn address_of(&self, runner: Option<&RunnerId>) -> Option<SocketAddr> {
+        let fleet = self.node.fleet.borrow();
+        Some(fleet.get(runner?)?.record.address)
+    }
+
     /// The event after which the node itself makes a stream go on.
     fn resume_point(&self) -> Option<u64> {
         if self.stream.begun {
@@ -275,7 +282,7 @@
         if !was_free && !self.withdraw() {
             return None;
         }
-        let mut params = self.params(Work::ReadPrompt);
+        let mut params = self.params(Work::ReadPrompt, &reader);
         params.after_event = None;
         params.head_limit = self.time_left().mul_f64(ATTEMPT_SHARE);
         let demand = ReadingDemand {
@@ -319,11 +326,8 @@
 
     async fn deliver(&mut self, mut answering: Answering, client: &ClientConnection) -> Step {
         answering.flight.on_read();
-        let now_us = self.node.now_us();
         if let Some(engine) = &self.engine {
-            let runner = &answering.record.id;
-            let capacity = engine.kv_tokens;
-            self.node.fleet.borrow_mut().on_read(runner, &self.prompt, now_us, capacity);
+            self.node.on_prompt_held(&answering.record.id, &self.prompt, engine.kv_tokens);
         }
         let first_byte = self.request.received.elapsed().as_secs_f64();
         self.node.metrics.first_byte.observe(first_byte);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
-//! Beside them: [`watcher`] follows the store with [`store_client`], [`node`] holds what the
+//! Beside them: [`peers`] exchanges digests with other nodes, [`watcher`] follows the store with [`store_client`], [`node`] holds what the
 //! node believes, [`http`] speaks HTTP to runners and to the store.
 
 pub mod answers;
@@ -28,6 +28,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 pub mod reading;
 pub mod relay;
 pub mod settings;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,8 +5,10 @@
 use crate::settings::Settings;
 use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::configuration::{Configuration, Route};
+use pitchstall_serving::digest::{Digest, PrefixRead, ReadLog};
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
 use pitchstall_serving::placement::ReadPace;
+use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
 use std::cell::{Cell, RefCell};
@@ -40,6 +42,7 @@
     splitter: RefCell<TrafficSplitter>,
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     paces: RefCell<HashMap<ServiceName, ReadPace>>,
+    reads: RefCell<ReadLog>,
     open_requests: Cell<usize>,
     body_bytes: Cell<usize>,
 }
@@ -63,6 +66,7 @@
             splitter: RefCell::default(),
             budgets: RefCell::default(),
             paces: RefCell::default(),
+            reads: RefCell::default(),
             open_requests: Cell::new(0),
             body_bytes: Cell::new(0),
         })
@@ -73,6 +77,38 @@
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 
+    /// A runner has read a prompt for this node, or taken its KV cache over.
+    pub fn on_prompt_held(&self, runner: &RunnerId, prompt: &Prompt, capacity: u64) {
+        let parts = prompt.shared_parts().to_vec();
+        if parts.is_empty() {
+            return;
+        }
+        let read = PrefixRead { runner: runner.clone(), parts };
+        self.fleet.borrow_mut().on_read(&read, self.now_us(), capacity);
+        self.reads.borrow_mut().push(read);
+    }
+
+    /// Prefixes that the other nodes have yet to be told.
+    pub fn next_reads(&self) -> Vec<PrefixRead> {
+        self.reads.borrow_mut().next()
+    }
+
+    /// Takes in another node's word on its load and on prefixes.
+    pub fn on_peer_digest(&self, digest: &Digest) {
+        let now_us = self.now_us();
+        let configuration = self.configuration();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.on_peer_loads(&digest.node, &digest.loads, now_us);
+        for read in &digest.read {
+            let service = fleet.get(&read.runner).map(|runner| runner.record.service.clone());
+            let engine = service
+                .as_ref()
+                .and_then(|service| configuration.as_ref()?.services.get(service)?.engine.as_ref());
+            let capacity = engine.map_or(0, |engine| engine.kv_tokens);
+            fleet.on_read(read, now_us, capacity);
+        }
+    }
+
     /// The configuration in force here.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,244 @@
+//! The other nodes: finds them through the store and exchanges digests with them.
+//!
+//! A node registers its address under a lease and reads who else is there. From then on it
+//! sends digests, one JSON line in a datagram, when its load has changed; whoever gets one
+//! from an unknown node learns of it that way, so the list is read seldom. Nothing breaks
+//! without peers: the node then knows only what it and the runners see.
+
+use crate::node::Node;
+use crate::store_client::StoreClient;
+use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_protocol::ids::NodeId;
+use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad};
+use rand::RngExt;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// Between two looks whether there is something to tell.
+const DIGEST_EVERY: Duration = Duration::from_millis(120);
+/// A node with load says so at least this often, so that its word does not lapse.
+const REPEAT_EVERY: Duration = Duration::from_millis(1_000);
+/// Nodes that one digest goes to; with more of them they take turns.
+const FAN_OUT: usize = 16;
+/// A node that has not been heard or listed for this long is forgotten.
+const PEER_LIFE: Duration = Duration::from_secs(60);
+/// Time to live of a node's registration.
+const REGISTRATION_TTL_MS: u64 = 15_000;
+/// Between two renewals of the registration.
+const RENEW_EVERY: Duration = Duration::from_secs(5);
+/// Renewals between two readings of the list.
+const RENEWALS_A_LISTING: u32 = 6;
+/// Pause after a call to the store failed.
+const STORE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Limit of a call to the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Largest datagram.
+const MOST_DATAGRAM_BYTES: usize = 60_000;
+/// Prefixes in one datagram to a newcomer.
+const PREFIXES_A_DATAGRAM: usize = 64;
+
+struct Peer {
+    address: SocketAddr,
+    heard_at: Instant,
+}
+
+/// The other nodes that are known.
+pub struct Peers {
+    node: Rc<Node>,
+    socket: UdpSocket,
+    name: NodeId,
+    incarnation: u64,
+    state: RefCell<PeerState>,
+}
+
+#[derive(Default)]
+struct PeerState {
+    peers: HashMap<NodeId, Peer>,
+    order: DigestOrder,
+    sequence: u64,
+    next_peer: usize,
+}
+
+impl Peers {
+    /// Peers that are reached through the socket.
+    pub fn new(node: Rc<Node>, socket: UdpSocket) -> Rc<Self> {
+        let name = NodeId::new(&node.settings.node.name);
+        let incarnation = rand::rng().random();
+        Rc::new(Self { node, socket, name, incarnation, state: RefCell::default() })
+    }
+
+    /// Receives digests until the task is dropped.
+    pub async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0; MOST_DATAGRAM_BYTES];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                sleep(DIGEST_EVERY).await;
+                continue;
+            };
+            match serde_json::from_slice::<Digest>(&buffer[..length]) {
+                Ok(digest) => self.on_digest(&digest, from).await,
+                Err(error) => {
+                    let (error, from) = (error.to_string(), from.to_string());
+                    log::warn!(target: "peers", from, error; "unreadable digest");
+                }
+            }
+        }
+    }
+
+    async fn on_digest(&self, digest: &Digest, from: SocketAddr) {
+        if digest.node == self.name {
+            return;
+        }
+        let freshness = self.state.borrow_mut().order.on_digest(digest);
+        if freshness == Freshness::Stale {
+            return;
+        }
+        self.learn(&digest.node, from);
+        self.node.on_peer_digest(digest);
+        if freshness == Freshness::Newcomer {
+            let peer = digest.node.as_str();
+            log::info!(target: "peers", peer, incarnation = digest.incarnation; "met");
+            self.tell_everything(from).await;
+        }
+    }
+
+    fn learn(&self, name: &NodeId, address: SocketAddr) {
+        let peer = Peer { address, heard_at: Instant::now() };
+        self.state.borrow_mut().peers.insert(name.clone(), peer);
+    }
+
+    /// Tells a newcomer all prefixes that are known.
+    async fn tell_everything(&self, to: SocketAddr) {
+        let held = self.node.fleet.borrow().held_prefixes();
+        for read in held.chunks(PREFIXES_A_DATAGRAM) {
+            let loads = self.node.fleet.borrow().own_loads();
+            self.send(&self.digest(loads, read.to_vec()), &[to]).await;
+        }
+    }
+
+    fn digest(&self, loads: Vec<RunnerLoad>, read: Vec<PrefixRead>) -> Digest {
+        let mut state = self.state.borrow_mut();
+        state.sequence += 1;
+        let node = self.name.clone();
+        Digest { node, incarnation: self.incarnation, sequence: state.sequence, loads, read }
+    }
+
+    async fn send(&self, digest: &Digest, to: &[SocketAddr]) {
+        let Ok(line) = serde_json::to_vec(digest) else { return };
+        if line.len() > MOST_DATAGRAM_BYTES {
+            return;
+        }
+        for address in to {
+            // A datagram that cannot be sent is as good as lost; the next one holds all again.
+            let _ = self.socket.send_to(&line, address).await;
+        }
+    }
+
+    /// Tells the other nodes what has changed, until the task is dropped.
+    pub async fn announce(self: Rc<Self>) {
+        let mut told: Vec<RunnerLoad> = Vec::new();
+        let mut told_at = Instant::now();
+        loop {
+            sleep(DIGEST_EVERY).await;
+            let loads = self.node.fleet.borrow().own_loads();
+            let read = self.node.next_reads();
+            let repeat = !loads.is_empty() && told_at.elapsed() >= REPEAT_EVERY;
+            if loads == told && read.is_empty() && !repeat {
+                continue;
+            }
+            told.clone_from(&loads);
+            told_at = Instant::now();
+            let to = self.next_addresses();
+            self.send(&self.digest(loads, read), &to).await;
+        }
+    }
+
+    /// The nodes that the next digest goes to.
+    fn next_addresses(&self) -> Vec<SocketAddr> {
+        let mut state = self.state.borrow_mut();
+        let all: Vec<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
+        if all.len() <= FAN_OUT {
+            return all;
+        }
+        let first = state.next_peer % all.len();
+        state.next_peer = first + FAN_OUT;
+        all.iter().cycle().skip(first).take(FAN_OUT).copied().collect()
+    }
+
+    /// Keeps this node registered and the list of the others fresh, until the task is dropped.
+    pub async fn register(self: Rc<Self>) {
+        let mut client = StoreClient::new(self.node.settings.store.address);
+        loop {
+            if let Some(lease) = self.join(&mut client).await {
+                self.stay(&mut client, lease).await;
+            }
+            sleep(STORE_PAUSE).await;
+        }
+    }
+
+    async fn join(&self, client: &mut StoreClient) -> Option<u64> {
+        let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await?;
+        let lease = store::parse_lease(&body).ok()?;
+        let address = self.node.settings.listen.peers.to_string();
+        let put = store::put_under_lease(&store::node_key(self.name.as_str()), &address, lease);
+        self.call(client, &put).await?;
+        self.list(client).await;
+        Some(lease)
+    }
+
+    async fn stay(&self, client: &mut StoreClient, lease: u64) {
+        for renewal in 1_u32.. {
+            sleep(RENEW_EVERY).await;
+            if self.call(client, &store::keep_lease(lease)).await.is_none() {
+                return;
+            }
+            if renewal % RENEWALS_A_LISTING == 0 {
+                self.list(client).await;
+            }
+        }
+    }
+
+    /// Reads who is there and greets those that are not known.
+    async fn list(&self, client: &mut StoreClient) {
+        let Some(body) = self.call(client, &store::read_nodes()).await else { return };
+        let Ok(page) = store::parse_page(&body) else { return };
+        let listed = page.items.iter().filter_map(store::node_of);
+        let others: Vec<(NodeId, SocketAddr)> =
+            listed.filter(|(name, _)| *name != self.name).collect();
+        for (name, address) in &others {
+            if !self.state.borrow().peers.contains_key(name) {
+                self.learn(name, *address);
+                self.greet(*address).await;
+            }
+        }
+        let now = Instant::now();
+        let is_listed = |name: &NodeId| others.iter().any(|(other, _)| other == name);
+        let mut state = self.state.borrow_mut();
+        state.peers.retain(|name, peer| is_listed(name) || now < peer.heard_at + PEER_LIFE);
+    }
+
+    async fn greet(&self, to: SocketAddr) {
+        let loads = self.node.fleet.borrow().own_loads();
+        self.send(&self.digest(loads, Vec::new()), &[to]).await;
+    }
+
+    async fn call(&self, client: &mut StoreClient, call: &store::StoreCall) -> Option<Vec<u8>> {
+        self.node.metrics.store_calls.inc();
+        let answer = client.call(call, STORE_LIMIT).await;
+        let outcome = match answer {
+            Ok(answer) if store::parse_status(answer.status) == StoreStatus::Done => {
+                return Some(answer.body)
+            }
+            Ok(answer) => answer.status.to_string(),
+            Err(error) => error.to_string(),
+        };
+        self.node.metrics.store_failures.inc();
+        log::info!(target: "peers", target = call.target.as_str(), outcome; "store call failed");
+        None
+    }
+}
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -102,8 +102,7 @@
     };
     let name = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
     let Some(name) = name else { return ReadingEnd::Failed };
-    let now_us = node.now_us();
-    node.fleet.borrow_mut().on_read(&runner, demand.prompt, now_us, demand.cache_tokens);
+    node.on_prompt_held(&runner, demand.prompt, demand.cache_tokens);
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
     node.with_pace(demand.service, |pace| pace.on_read(demand.unread_tokens, elapsed_ms));
     let handle = PromptHandle { address: answering.record.address, name };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,8 @@
     pub callers: SocketAddr,
     /// For questions whether it takes callers, and for metrics.
     pub health: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
 }
 
 /// Where the platform's store is.
--- /dev/null
+++ b/crates/serving/src/digest.rs
@@ -0,0 +1,120 @@
+//! What nodes tell each other about runners, so that each sees the load and the caches that
+//! all of them make.
+//!
+//! A digest holds a node's whole load, not changes, so a lost or doubled one does no harm; one
+//! that arrives late is told by its sequence. Prefixes are repeated for the same reason. All
+//! of it only ranks runners: whether a runner may get work is decided by the store alone.
+
+use crate::prefix::PromptPart;
+use pitchstall_protocol::ids::{NodeId, RunnerId};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// What a node has at a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerLoad {
+    /// The runner.
+    #[serde(rename = "r")]
+    pub runner: RunnerId,
+    /// Attempts in flight.
+    #[serde(rename = "n")]
+    pub in_flight: u32,
+    /// Prompt tokens that the runner has yet to read for the node.
+    #[serde(rename = "t")]
+    pub unread_tokens: u64,
+}
+
+/// A runner holds parts of prompts in its KV cache.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixRead {
+    /// The runner.
+    #[serde(rename = "r")]
+    pub runner: RunnerId,
+    /// The parts, in the order of the prompt.
+    #[serde(rename = "p")]
+    pub parts: Vec<PromptPart>,
+}
+
+/// One node's word to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The node.
+    pub node: NodeId,
+    /// This start of the node, drawn at random: the time of day may jump back.
+    pub incarnation: u64,
+    /// Counts the node's digests.
+    pub sequence: u64,
+    /// Where the node has requests.
+    #[serde(default)]
+    pub loads: Vec<RunnerLoad>,
+    /// Prefixes that were read lately, or, for a newcomer, all that are known.
+    #[serde(default)]
+    pub read: Vec<PrefixRead>,
+}
+
+/// How fresh a digest is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// From a start of a node that was not known.
+    Newcomer,
+    /// Later than all before.
+    Newer,
+    /// Overtaken by a later one.
+    Stale,
+}
+
+/// The last digest of each node.
+#[derive(Clone, Debug, Default)]
+pub struct DigestOrder {
+    last: HashMap<NodeId, (u64, u64)>,
+}
+
+impl DigestOrder {
+    /// Notes a digest and tells how fresh it is.
+    pub fn on_digest(&mut self, digest: &Digest) -> Freshness {
+        let now = (digest.incarnation, digest.sequence);
+        match self.last.insert(digest.node.clone(), now) {
+            Some((incarnation, last)) if incarnation == digest.incarnation => {
+                if digest.sequence > last {
+                    return Freshness::Newer;
+                }
+                self.last.insert(digest.node.clone(), (incarnation, last));
+                Freshness::Stale
+            }
+            _ => Freshness::Newcomer,
+        }
+    }
+}
+
+/// Prefixes that are still to be told to the other nodes.
+#[derive(Clone, Debug, Default)]
+pub struct ReadLog {
+    entries: Vec<(PrefixRead, u32)>,
+}
+
+/// How often a prefix is told: a digest may be lost.
+const TELLINGS: u32 = 2;
+/// Most prefixes in one digest.
+const MOST_READS: usize = 32;
+
+impl ReadLog {
+    /// A prefix was read through this node.
+    pub fn push(&mut self, read: PrefixRead) {
+        self.entries.push((read, TELLINGS));
+    }
+
+    /// Whether there is anything to tell.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The prefixes for the next digest.
+    pub fn next(&mut self) -> Vec<PrefixRead> {
+        let told = self.entries.iter().take(MOST_READS).map(|(read, _)| read.clone()).collect();
+        for (_, tellings) in self.entries.iter_mut().take(MOST_READS) {
+            *tellings -= 1;
+        }
+        self.entries.retain(|(_, tellings)| *tellings > 0);
+        told
+    }
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -5,8 +5,9 @@
 //! whether a runner may get work; the other two only rank runners, because acting on a
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
+use crate::digest::{PrefixRead, RunnerLoad};
 use crate::prefix::{Prompt, PromptPart};
-use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_protocol::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -66,6 +67,8 @@
 
 /// How long a load report counts, microseconds.
 const REPORT_LIFE_US: u64 = 1_500_000;
+/// How long a node's word on its own load counts, microseconds.
+const PEER_LOAD_LIFE_US: u64 = 2_000_000;
 /// First and longest time for which a runner that could not be reached is avoided.
 const SUSPECT_MIN_US: u64 = 500_000;
 const SUSPECT_MAX_US: u64 = 8_000_000;
@@ -87,6 +90,7 @@
     pub failure_rate: f64,
     others: u32,
     others_at_us: u64,
+    peers: HashMap<NodeId, PeerLoad>,
     suspect_until_us: u64,
     suspect_for_us: u64,
     full_until_us: u64,
@@ -104,6 +108,7 @@
             failure_rate: 0.0,
             others: 0,
             others_at_us: 0,
+            peers: HashMap::new(),
             suspect_until_us: 0,
             suspect_for_us: 0,
             full_until_us: 0,
@@ -122,11 +127,28 @@
         now_us < self.suspect_until_us || now_us < self.full_until_us
     }
 
-    /// Requests that other nodes are believed to have at it; a report fades with its age.
+    /// Requests that other nodes are believed to have at it: by their own words, and by the
+    /// runner's last report, which fades with its age.
     pub fn others(&self, now_us: u64) -> f64 {
         let age = now_us.saturating_sub(self.others_at_us);
         let left = REPORT_LIFE_US.saturating_sub(age);
-        f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64
+        let reported = f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64;
+        let told: u32 = self.fresh_peers(now_us).map(|load| load.in_flight).sum();
+        if told > 0 {
+            f64::from(told)
+        } else {
+            reported
+        }
+    }
+
+    /// Prompt tokens that it has yet to read for other nodes, by their own words.
+    pub fn unread_for_peers(&self, now_us: u64) -> u64 {
+        self.fresh_peers(now_us).map(|load| load.unread_tokens).sum()
+    }
+
+    fn fresh_peers(&self, now_us: u64) -> impl Iterator<Item = &PeerLoad> {
+        let is_fresh = move |load: &&PeerLoad| now_us < load.told_at_us + PEER_LOAD_LIFE_US;
+        self.peers.values().filter(is_fresh)
     }
 
     /// Requests that it is believed to have.
@@ -140,6 +162,14 @@
     }
 }
 
+/// What another node has at a runner.
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    in_flight: u32,
+    unread_tokens: u64,
+    told_at_us: u64,
+}
+
 /// Which parts of prompts a runner probably holds: those sent there last.
 #[derive(Clone, Debug, Default)]
 struct PrefixCacheModel {
@@ -162,6 +192,10 @@
         held.map(|part| part.tokens).sum()
     }
 
+    fn parts(&self) -> Vec<PromptPart> {
+        self.parts.iter().map(|(id, part)| PromptPart { id: *id, tokens: part.tokens }).collect()
+    }
+
     fn on_read(&mut self, parts: &[PromptPart], now_us: u64, capacity: u64) {
         for part in parts {
             let entry = CachedPart { tokens: part.tokens, used_at_us: now_us };
@@ -290,13 +324,47 @@
         }
     }
 
-    /// A runner has read a prompt, so it holds the shared parts.
-    pub fn on_read(&mut self, id: &RunnerId, prompt: &Prompt, now_us: u64, capacity: u64) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            runner.cache.on_read(prompt.shared_parts(), now_us, capacity);
+    /// A runner holds the shared parts of a prompt, for it has read them or taken them over.
+    pub fn on_read(&mut self, read: &PrefixRead, now_us: u64, capacity: u64) {
+        if let Some(runner) = self.runners.get_mut(&read.runner) {
+            runner.cache.on_read(&read.parts, now_us, capacity);
         }
     }
 
+    /// Another node told what it has at the runners; it has nothing at those it leaves out.
+    pub fn on_peer_loads(&mut self, node: &NodeId, loads: &[RunnerLoad], now_us: u64) {
+        for runner in self.runners.values_mut() {
+            runner.peers.remove(node);
+        }
+        for load in loads {
+            if let Some(runner) = self.runners.get_mut(&load.runner) {
+                let (in_flight, unread_tokens) = (load.in_flight, load.unread_tokens);
+                let told = PeerLoad { in_flight, unread_tokens, told_at_us: now_us };
+                runner.peers.insert(node.clone(), told);
+            }
+        }
+    }
+
+    /// What this node has at the runners, without those where it has nothing.
+    pub fn own_loads(&self) -> Vec<RunnerLoad> {
+        let busy = self.runners.values().filter(|runner| runner.in_flight > 0);
+        let load = |runner: &Runner| RunnerLoad {
+            runner: runner.record.id.clone(),
+            in_flight: runner.in_flight,
+            unread_tokens: runner.unread_tokens,
+        };
+        busy.map(load).collect()
+    }
+
+    /// Everything that runners are believed to hold.
+    pub fn held_prefixes(&self) -> Vec<PrefixRead> {
+        let held = |runner: &Runner| PrefixRead {
+            runner: runner.record.id.clone(),
+            parts: runner.cache.parts(),
+        };
+        self.runners.values().map(held).filter(|read| !read.parts.is_empty()).collect()
+    }
+
     /// A runner told its load.
     pub fn on_load(&mut self, id: &RunnerId, load: LoadReport, now_us: u64) {
         if let Some(runner) = self.runners.get_mut(id) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
+//! | [`digest`] | what nodes tell each other about runners |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
 //! | [`retry_budget`] | whether one more attempt may be made |
@@ -18,6 +19,7 @@
 
 pub mod attempt;
 pub mod configuration;
+pub mod digest;
 pub mod event_stream;
 pub mod fleet;
 pub mod placement;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -30,6 +30,8 @@
     pub runner: RunnerId,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u64,
+    /// The runner from which it takes over shared parts that it does not hold.
+    pub fetch_from: Option<RunnerId>,
 }
 
 /// How a prompt is read.
@@ -47,17 +49,23 @@
 const FAILURE_OCCUPANCY: f64 = 4.0;
 /// Milliseconds of waiting that crossing a zone counts as.
 const OTHER_ZONE_MS: f64 = 8.0;
+/// Milliseconds that leaving the home of a prompt's shared parts counts as: a second runner
+/// that holds them leaves less room for others.
+const AWAY_MS: f64 = 40.0;
 /// Milliseconds that handing a prompt over from prefill to decode takes.
 const HANDOVER_MS: f64 = 15.0;
 /// A decode runner reads at this share of a prefill runner's pace.
 const DECODE_READ_PACE: f64 = 0.5;
-/// Most tokens that a decode runner reads itself while a prefill runner could: more would
-/// hold up the streams that it writes.
-const DIRECT_READ_LIMIT: u64 = 2_048;
+/// Share by which each of its streams slows a decode runner's reading.
+const STREAM_SLOWDOWN: f64 = 0.03;
+/// Fewest tokens that are worth taking over from another runner.
+const LEAST_FETCH_TOKENS: u64 = 512;
+/// Milliseconds that taking over counts as, and each token of it: the move itself takes less,
+/// but it is paid for.
+const FETCH_MS: f64 = 10.0;
+const FETCH_TOKEN_MS: f64 = 0.004;
 /// Milliseconds that each running request counts as when a decode runner is chosen.
 const DECODE_BUSY_MS: f64 = 4.0;
-/// Milliseconds that moving or reading one token counts as when a decode runner is chosen.
-const DECODE_TOKEN_MS: f64 = 0.02;
 /// Occupancy of a decode runner's slots above which it counts as full.
 const DECODE_FULL: f64 = 0.8;
 /// Milliseconds that a full decode runner counts as.
@@ -76,7 +84,7 @@
         occupancy + distance + failures
     };
     let best = least(&candidates, cost)?;
-    Some(Choice { runner: best.record.id.clone(), unread_tokens: 0 })
+    Some(Choice { runner: best.record.id.clone(), unread_tokens: 0, fetch_from: None })
 }
 
 /// Measured pace of prefill.
@@ -117,7 +125,9 @@
     }
 
     fn backlog_ms(&self, runner: &Runner, now_us: u64) -> f64 {
-        let others = runner.others(now_us) * self.mean_tokens;
+        let told = runner.unread_for_peers(now_us) as f64;
+        let guessed = runner.others(now_us) * self.mean_tokens;
+        let others = if told > 0.0 { told } else { guessed };
         self.read_ms(runner.unread_tokens as f64 + others)
     }
 }
@@ -126,21 +136,16 @@
 pub fn plan_reading(fleet: &Fleet, pace: &ReadPace, demand: &Demand<'_>) -> Option<ReadingPlan> {
     let candidates = fleet.candidates(demand.service, demand.excluded, demand.now_us);
     let (readers, writers) = by_stage(&candidates);
-    let direct = choose_writer_among(&writers, demand, None);
-    let split = choose_reader(&readers, pace, demand);
+    let view = PromptView::new(&candidates, pace, demand);
+    let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + HANDOVER_MS);
+    let direct = cheapest(&writers, &view, |runner| view.direct_ms(runner));
     match (split, direct) {
-        (Some((split, split_ms)), Some(direct)) => {
-            let direct_ms = pace.read_ms(direct.unread_tokens as f64) / DECODE_READ_PACE;
-            let small = direct.unread_tokens <= DIRECT_READ_LIMIT;
-            if small && direct_ms < split_ms + HANDOVER_MS {
-                Some(ReadingPlan::Direct(direct))
-            } else {
-                Some(ReadingPlan::Split(split))
-            }
+        (Some((split, split_ms)), Some((_, direct_ms))) if split_ms <= direct_ms => {
+            Some(ReadingPlan::Split(split))
         }
         // Without a decode runner nobody can take the prompt over.
-        (Some(_), None) | (None, None) => None,
-        (None, Some(direct)) => Some(ReadingPlan::Direct(direct)),
+        (_, None) => None,
+        (_, Some((direct, _))) => Some(ReadingPlan::Direct(direct)),
     }
 }
 
@@ -152,47 +157,111 @@
 ) -> Option<Choice> {
     let candidates = fleet.candidates(demand.service, demand.excluded, demand.now_us);
     let (_, writers) = by_stage(&candidates);
-    choose_writer_among(&writers, demand, source)
+    let pace = ReadPace::default();
+    let view = PromptView::new(&candidates, &pace, demand);
+    let near = source.unwrap_or(demand.zone);
+    cheapest(&writers, &view, |runner| view.writing_ms(runner, near))
+        .map(|(choice, _)| Choice { fetch_from: None, ..choice })
 }
 
 fn by_stage<'a>(candidates: &[&'a Runner]) -> (Vec<&'a Runner>, Vec<&'a Runner>) {
     candidates.iter().partition(|runner| runner.record.stage == Some(Stage::Prefill))
 }
 
-fn choose_reader(
-    readers: &[&Runner],
-    pace: &ReadPace,
-    demand: &Demand<'_>,
+fn cheapest(
+    runners: &[&Runner],
+    view: &PromptView<'_>,
+    cost_ms: impl Fn(&Runner) -> f64,
 ) -> Option<(Choice, f64)> {
-    let home = home_of(readers, demand.prompt);
-    let cost = |runner: &Runner| {
-        let unread = unread_tokens(runner, home, demand.prompt);
-        let wait = pace.backlog_ms(runner, demand.now_us) + pace.read_ms(unread as f64);
-        wait + distance_ms(runner, demand.zone)
+    let best = least(runners, &cost_ms)?;
+    let source = view.source_for(best);
+    let choice = Choice {
+        runner: best.record.id.clone(),
+        unread_tokens: view.unread_tokens(best),
+        fetch_from: source.map(|source| source.record.id.clone()),
     };
-    let best = least(readers, cost)?;
-    let unread_tokens = unread_tokens(best, home, demand.prompt);
-    Some((Choice { runner: best.record.id.clone(), unread_tokens }, cost(best)))
+    Some((choice, cost_ms(best)))
 }
 
-fn choose_writer_among(
-    writers: &[&Runner],
-    demand: &Demand<'_>,
-    source: Option<&ZoneId>,
-) -> Option<Choice> {
-    let home = home_of(writers, demand.prompt);
-    let near = source.unwrap_or(demand.zone);
-    let cost = |runner: &Runner| {
-        let occupancy = runner.occupancy(demand.now_us);
+/// A prompt as the runners of its service see it.
+struct PromptView<'a> {
+    pace: &'a ReadPace,
+    demand: &'a Demand<'a>,
+    /// Where the shared parts gather, by stage.
+    reading_home: Option<&'a RunnerId>,
+    writing_home: Option<&'a RunnerId>,
+    /// The runner that holds most of the shared parts.
+    source: Option<&'a Runner>,
+}
+
+impl<'a> PromptView<'a> {
+    fn new(candidates: &[&'a Runner], pace: &'a ReadPace, demand: &'a Demand<'a>) -> Self {
+        let (readers, writers) = by_stage(candidates);
+        let holders = candidates.iter().copied();
+        let source = holders.max_by_key(|runner| runner.cached_tokens(demand.prompt));
+        Self {
+            pace,
+            demand,
+            reading_home: home_of(&readers, demand.prompt),
+            writing_home: home_of(&writers, demand.prompt),
+            source: source.filter(|runner| runner.cached_tokens(demand.prompt) > 0),
+        }
+    }
+
+    /// The runner from which another takes over parts that it does not hold.
+    fn source_for(&self, runner: &Runner) -> Option<&'a Runner> {
+        let source = self.source?;
+        let held = runner.cached_tokens(self.demand.prompt);
+        let gained = source.cached_tokens(self.demand.prompt).saturating_sub(held);
+        (gained >= LEAST_FETCH_TOKENS).then_some(source)
+    }
+
+    /// Tokens that a runner has to read, once it has taken over what another holds.
+    fn unread_tokens(&self, runner: &Runner) -> u64 {
+        let holder = self.source_for(runner).unwrap_or(runner);
+        self.demand.prompt.tokens.saturating_sub(holder.cached_tokens(self.demand.prompt))
+    }
+
+    /// What taking over shared parts counts as.
+    fn fetch_ms(&self, runner: &Runner) -> f64 {
+        let Some(source) = self.source_for(runner) else { return 0.0 };
+        let held = runner.cached_tokens(self.demand.prompt);
+        let moved = source.cached_tokens(self.demand.prompt).saturating_sub(held);
+        let far = if source.record.zone == runner.record.zone { 1.0 } else { 2.0 };
+        FETCH_MS + moved as f64 * FETCH_TOKEN_MS * far
+    }
+
+    fn prefill_ms(&self, runner: &Runner) -> f64 {
+        let wait = self.pace.backlog_ms(runner, self.demand.now_us);
+        let read = self.pace.read_ms(self.unread_tokens(runner) as f64);
+        let way = distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
+        wait + read + self.fetch_ms(runner) + way
+    }
+
+    /// A decode runner that reads the prompt itself, between the tokens of its streams.
+    fn direct_ms(&self, runner: &Runner) -> f64 {
+        let wait = self.pace.backlog_ms(runner, self.demand.now_us);
+        let read = self.pace.read_ms(self.unread_tokens(runner) as f64);
+        let slowed = (wait + read) / DECODE_READ_PACE;
+        let streams = 1.0 + runner.occupancy(self.demand.now_us) * STREAM_SLOWDOWN;
+        slowed * streams + self.fetch_ms(runner) + self.place_ms(runner, self.demand.zone)
+    }
+
+    /// A decode runner that takes over a prompt read in the zone `near`.
+    fn writing_ms(&self, runner: &Runner, near: &ZoneId) -> f64 {
+        let cached = runner.cached_tokens(self.demand.prompt);
+        let moved = self.demand.prompt.tokens.saturating_sub(cached) as f64;
+        let wait = self.pace.backlog_ms(runner, self.demand.now_us) / DECODE_READ_PACE;
+        wait + moved * FETCH_TOKEN_MS + self.place_ms(runner, near)
+    }
+
+    fn place_ms(&self, runner: &Runner, near: &ZoneId) -> f64 {
+        let occupancy = runner.occupancy(self.demand.now_us);
         let slots = f64::from(runner.record.slots.max(1));
         let full = if occupancy >= slots * DECODE_FULL { DECODE_FULL_MS } else { 0.0 };
-        let unread = unread_tokens(runner, home, demand.prompt) as f64;
-        let busy = occupancy * DECODE_BUSY_MS;
-        busy + full + unread * DECODE_TOKEN_MS + distance_ms(runner, near)
-    };
-    let best = least(writers, cost)?;
-    let unread_tokens = unread_tokens(best, home, demand.prompt);
-    Some(Choice { runner: best.record.id.clone(), unread_tokens })
+        let way = distance_ms(runner, near) + away_ms(runner, self.writing_home);
+        occupancy * DECODE_BUSY_MS + full + way
+    }
 }
 
 fn distance_ms(runner: &Runner, zone: &ZoneId) -> f64 {
@@ -210,15 +279,13 @@
     runners.iter().max_by_key(weight).map(|runner| &runner.record.id)
 }
 
-/// Tokens that a runner would have to read. The home counts as holding the shared parts:
-/// other nodes send their requests there.
-fn unread_tokens(runner: &Runner, home: Option<&RunnerId>, prompt: &Prompt) -> u64 {
-    let cached = if home == Some(&runner.record.id) {
-        prompt.shared_tokens()
+/// What a runner that is not the home of a prompt's shared parts costs besides.
+fn away_ms(runner: &Runner, home: Option<&RunnerId>) -> f64 {
+    if home.is_some_and(|home| *home != runner.record.id) {
+        AWAY_MS
     } else {
-        runner.cached_tokens(prompt)
-    };
-    prompt.tokens.saturating_sub(cached)
+        0.0
+    }
 }
 
 fn least<'a>(runners: &[&'a Runner], cost: impl Fn(&Runner) -> f64) -> Option<&'a Runner> {
--- a/crates/serving/src/prefix.rs
+++ b/crates/serving/src/prefix.rs
@@ -1,9 +1,10 @@
 //! The parts of a prompt, in order. Requests with the same first parts share KV cache.
 
+use serde::{Deserialize, Serialize};
 use std::fmt::Write;
 
 /// One part of a prompt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Identifies the part's text.
     pub id: u64,
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -51,6 +51,8 @@
     pub work: Work,
     /// The stream goes on after this event.
     pub after_event: Option<u64>,
+    /// The runner first takes over what this one holds of the prompt.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What the head of a runner's answer says.
