Ask runners for what they hold after the whole fleet of nodes has restarted

Cause: nodes keep nothing. When all restart at once nobody knows what the runners hold, and shared parts are read again although caches are warm.

Change: a node without informed peers asks each runner once, after a random pause, and tells the others.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -4,6 +4,7 @@
 //! sent to it. For some time they still come and are served. Then it takes no more, closes
 //! idle connections, and ends with the last open request.
 
+use crate::cache_listing;
 use crate::listener;
 use crate::node::Node;
 use crate::peers::Peers;
@@ -91,6 +92,7 @@
     ntex::rt::spawn(peers.clone().receive());
     ntex::rt::spawn(peers.clone().announce());
     ntex::rt::spawn(peers.register());
+    ntex::rt::spawn(cache_listing::list_unless_told(node.clone()));
     ntex::rt::spawn(listener::accept_health(health, node.clone()));
     ntex::rt::spawn(prune(node.clone()));
     let taking = ntex::rt::spawn(listener::accept_clients(callers, node.clone()));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -290,7 +290,6 @@
             service: &self.service,
             prompt: &self.prompt,
             unread_tokens: reader.unread_tokens,
-            cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
         };
         match reading::read_prompt(self.node, &demand, prepared, &params).await {
             ReadingEnd::Read(prompt) => Some(prompt),
@@ -326,9 +325,7 @@
 
     async fn deliver(&mut self, mut answering: Answering, client: &ClientConnection) -> Step {
         answering.flight.on_read();
-        if let Some(engine) = &self.engine {
-            self.node.on_prompt_held(&answering.record.id, &self.prompt, engine.kv_tokens);
-        }
+        self.node.on_prompt_held(&answering.record.id, &self.prompt);
         let first_byte = self.request.received.elapsed().as_secs_f64();
         self.node.metrics.first_byte.observe(first_byte);
         let success = (200..300).contains(&answering.head.status);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod answers;
 pub mod attempt;
+pub mod cache_listing;
 pub mod connection;
 pub mod daemon;
 pub mod dispatch;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,6 +43,7 @@
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     paces: RefCell<HashMap<ServiceName, ReadPace>>,
     reads: RefCell<ReadLog>,
+    informed: Cell<bool>,
     open_requests: Cell<usize>,
     body_bytes: Cell<usize>,
 }
@@ -67,6 +68,7 @@
             budgets: RefCell::default(),
             paces: RefCell::default(),
             reads: RefCell::default(),
+            informed: Cell::new(false),
             open_requests: Cell::new(0),
             body_bytes: Cell::new(0),
         })
@@ -78,16 +80,46 @@
     }
 
     /// A runner has read a prompt for this node, or taken its KV cache over.
-    pub fn on_prompt_held(&self, runner: &RunnerId, prompt: &Prompt, capacity: u64) {
+    pub fn on_prompt_held(&self, runner: &RunnerId, prompt: &Prompt) {
         let parts = prompt.shared_parts().to_vec();
-        if parts.is_empty() {
-            return;
+        if !parts.is_empty() {
+            self.on_prefix_held(PrefixRead { runner: runner.clone(), parts });
         }
-        let read = PrefixRead { runner: runner.clone(), parts };
-        self.fleet.borrow_mut().on_read(&read, self.now_us(), capacity);
+    }
+
+    /// A runner holds a prefix; the other nodes are to be told.
+    pub fn on_prefix_held(&self, read: PrefixRead) {
+        self.note_prefix(&read);
         self.reads.borrow_mut().push(read);
     }
 
+    fn note_prefix(&self, read: &PrefixRead) {
+        let capacity = self.cache_tokens_of(&read.runner);
+        self.fleet.borrow_mut().on_read(read, self.now_us(), capacity);
+    }
+
+    /// Prompt tokens that a runner's KV cache holds.
+    fn cache_tokens_of(&self, runner: &RunnerId) -> u64 {
+        let fleet = self.fleet.borrow();
+        let service = fleet.get(runner).map(|runner| &runner.record.service);
+        let configuration = self.configuration.borrow();
+        let services = configuration.as_ref().map(|configuration| &configuration.services);
+        let engine = service
+            .zip(services)
+            .and_then(|(service, services)| services.get(service)?.engine.as_ref());
+        engine.map_or(0, |engine| engine.kv_tokens)
+    }
+
+    /// Whether the node knows what runners have held since before it started.
+    pub fn is_informed(&self) -> bool {
+        self.informed.get()
+    }
+
+    /// The node has asked all runners what they hold.
+    pub fn on_informed(&self) {
+        self.informed.set(true);
+    }
+
     /// Prefixes that the other nodes have yet to be told.
     pub fn next_reads(&self) -> Vec<PrefixRead> {
         self.reads.borrow_mut().next()
@@ -96,16 +128,10 @@
     /// Takes in another node's word on its load and on prefixes.
     pub fn on_peer_digest(&self, digest: &Digest) {
         let now_us = self.now_us();
-        let configuration = self.configuration();
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.on_peer_loads(&digest.node, &digest.loads, now_us);
-        for read in &digest.read {
-            let service = fleet.get(&read.runner).map(|runner| runner.record.service.clone());
-            let engine = service
-                .as_ref()
-                .and_then(|service| configuration.as_ref()?.services.get(service)?.engine.as_ref());
-            let capacity = engine.map_or(0, |engine| engine.kv_tokens);
-            fleet.on_read(read, now_us, capacity);
+        self.fleet.borrow_mut().on_peer_loads(&digest.node, &digest.loads, now_us);
+        digest.read.iter().for_each(|read| self.note_prefix(read));
+        if digest.informed {
+            self.informed.set(true);
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -125,7 +125,14 @@
         let mut state = self.state.borrow_mut();
         state.sequence += 1;
         let node = self.name.clone();
-        Digest { node, incarnation: self.incarnation, sequence: state.sequence, loads, read }
+        Digest {
+            node,
+            incarnation: self.incarnation,
+            sequence: state.sequence,
+            informed: self.node.is_informed(),
+            loads,
+            read,
+        }
     }
 
     async fn send(&self, digest: &Digest, to: &[SocketAddr]) {
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -75,8 +75,6 @@
     pub prompt: &'a Prompt,
     /// Tokens that the runner has to read.
     pub unread_tokens: u64,
-    /// Tokens of KV cache that a runner has.
-    pub cache_tokens: u64,
 }
 
 /// Sends a request to be read only.
@@ -102,7 +100,7 @@
     };
     let name = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
     let Some(name) = name else { return ReadingEnd::Failed };
-    node.on_prompt_held(&runner, demand.prompt, demand.cache_tokens);
+    node.on_prompt_held(&runner, demand.prompt);
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
     node.with_pace(demand.service, |pace| pace.on_read(demand.unread_tokens, elapsed_ms));
     let handle = PromptHandle { address: answering.record.address, name };
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -44,6 +44,10 @@
     pub incarnation: u64,
     /// Counts the node's digests.
     pub sequence: u64,
+    /// Whether the node knows what runners have held since before it started: it has asked
+    /// them, or was told by a node that knew.
+    #[serde(default)]
+    pub informed: bool,
     /// Where the node has requests.
     #[serde(default)]
     pub loads: Vec<RunnerLoad>,
