Weigh moves of KV cache between zones as they are priced

Cause: the largest price on both sites was moved KV cache; a decode runner in another zone than the prefill runner was chosen for 8 ms of difference, though such a move takes twice as long and is priced three times.

Change: a move between zones counts as three inside one, for handles and for parts that are taken over.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -64,6 +64,8 @@
 /// but it is paid for.
 const FETCH_MS: f64 = 10.0;
 const FETCH_TOKEN_MS: f64 = 0.004;
+/// A move between zones counts as so many moves inside one.
+const FAR_MOVE: f64 = 3.0;
 /// Milliseconds that each running request counts as when a decode runner is chosen.
 const DECODE_BUSY_MS: f64 = 4.0;
 /// Occupancy of a decode runner's slots above which it counts as full.
@@ -227,7 +229,7 @@
         let Some(source) = self.source_for(runner) else { return 0.0 };
         let held = runner.cached_tokens(self.demand.prompt);
         let moved = source.cached_tokens(self.demand.prompt).saturating_sub(held);
-        let far = if source.record.zone == runner.record.zone { 1.0 } else { 2.0 };
+        let far = if source.record.zone == runner.record.zone { 1.0 } else { FAR_MOVE };
         FETCH_MS + moved as f64 * FETCH_TOKEN_MS * far
     }
 
@@ -251,8 +253,9 @@
     fn writing_ms(&self, runner: &Runner, near: &ZoneId) -> f64 {
         let cached = runner.cached_tokens(self.demand.prompt);
         let moved = self.demand.prompt.tokens.saturating_sub(cached) as f64;
+        let far = if runner.record.zone == *near { 1.0 } else { FAR_MOVE };
         let wait = self.pace.backlog_ms(runner, self.demand.now_us) / DECODE_READ_PACE;
-        wait + moved * FETCH_TOKEN_MS + self.place_ms(runner, near)
+        wait + moved * FETCH_TOKEN_MS * far + self.place_ms(runner, near)
     }
 
     fn place_ms(&self, runner: &Runner, near: &ZoneId) -> f64 {
