Rank requests at a runner by their route, then by the length of the reading

Cause: a long reading holds up all that wait behind it; at a cold start short ones waited up to 1.4 s behind readings of 20,000 to 40,000 tokens.

Change: among requests of equal rank the shorter readings go first (three classes).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -154,7 +154,7 @@
         AttemptParams {
             fetch_from: self.address_of(choice.fetch_from.as_ref()),
             work,
-            priority: self.engine.as_ref().map(|_| self.route.priority),
+            priority: self.engine.as_ref().map(|_| rank(self.route.priority, choice.unread_tokens)),
             after_event: self.resume_point(),
             deadline: self.deadline,
             head_limit: self.attempt_limit(),
@@ -430,3 +430,13 @@
         Step::Done(RequestEnd::Own(answer))
     }
 }
+
+/// Rank of a request at a runner, 0 first: the route's, and among equals the shorter reading,
+/// which holds up fewer others.
+fn rank(priority: u8, unread_tokens: u64) -> u8 {
+    const LAST: u8 = 9;
+    const SIZES: [u64; 2] = [4_000, 16_000];
+    let sizes_below = SIZES.iter().filter(|size| unread_tokens > **size).count();
+    let steps = priority.saturating_mul(3).saturating_add(u8::try_from(sizes_below).unwrap_or(0));
+    steps.min(LAST)
+}
