--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -104,7 +104,13 @@
             }
             RequestEnd::Own(answer) => self.write_own(answer, close).await,
             RequestEnd::Streamed => Ok(()),
-            RequestEnd::Cut | RequestEnd::ClientGone => {
+            RequestEnd::Cut => {
+                // The whole events that were forwarded leave first; then nothing more.
+                let _ = self.flush(true).await;
+                self.io.terminate();
+                Err(ClientGone)
+            }
+            RequestEnd::ClientGone => {
                 self.io.terminate();
                 Err(ClientGone)
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -122,7 +122,7 @@
 
     /// Prefixes that the other nodes have yet to be told.
     pub fn next_reads(&self) -> Vec<PrefixRead> {
-        self.reads.borrow_mut().next()
+        self.reads.borrow_mut().take_next()
     }
 
     /// Takes in another node's word on its load and on prefixes.
--- /dev/null
+++ b/crates/gateway/tests/answer_codec.rs
@@ -0,0 +1,91 @@
+//! Decoding of answers, however their bytes come.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use ntex::codec::Decoder;
+use ntex::util::BytesMut;
+use pitchstall_gateway::http::answer_codec::{
+    AnswerFault, AnswerHeadDecoder, BodyDecoder, BodyItem, Framing,
+};
+use proptest::prelude::*;
+use test_case::test_case;
+
+fn framing(head: &str) -> Result<Framing, AnswerFault> {
+    let mut source = BytesMut::from(head);
+    AnswerHeadDecoder.decode(&mut source).map(|head| head.unwrap().framing)
+}
+
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n", Ok(Framing::Length(5)); "length")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n", Ok(Framing::Chunked); "chunks")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", Ok(Framing::UntilClose); "until the connection ends")]
+#[test_case("HTTP/1.1 204 No Content\r\n\r\n", Ok(Framing::Length(0)); "no content")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\n", Err(AnswerFault::Length); "two lengths")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\n", Err(AnswerFault::Length); "a signed length")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n", Err(AnswerFault::Length); "two framings")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n", Err(AnswerFault::Length); "an unknown coding")]
+#[test_case("garbage garbage\r\n\r\n", Err(AnswerFault::Head); "garbage")]
+fn the_framing_is_told_clearly_or_not_at_all(head: &str, expected: Result<Framing, AnswerFault>) {
+    assert_eq!(framing(head), expected);
+}
+
+#[test]
+fn interim_answers_are_passed_over() {
+    let mut source = BytesMut::from(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\ncontent-length: 0\r\n\r\n",
+    );
+    assert_eq!(AnswerHeadDecoder.decode(&mut source).unwrap().unwrap().status, 201);
+}
+
+#[test]
+fn a_head_without_an_end_is_refused_at_the_limit() {
+    let mut source = BytesMut::from("HTTP/1.1 200 OK\r\nx: ");
+    source.extend_from_slice(&[b'x'; 70_000]);
+    assert_eq!(AnswerHeadDecoder.decode(&mut source), Err(AnswerFault::HeadTooLarge));
+}
+
+/// Feeds bytes in pieces and returns the body, and whether it has ended.
+fn decode(framing: Framing, bytes: &[u8], piece: usize) -> Result<(Vec<u8>, bool), AnswerFault> {
+    let decoder = BodyDecoder::new(framing);
+    let mut source = BytesMut::new();
+    let mut body = Vec::new();
+    for bytes in bytes.chunks(piece) {
+        source.extend_from_slice(bytes);
+        while let Some(item) = decoder.decode(&mut source)? {
+            match item {
+                BodyItem::Chunk(bytes) => body.extend_from_slice(&bytes),
+                BodyItem::End => return Ok((body, true)),
+            }
+        }
+    }
+    Ok((body, false))
+}
+
+proptest! {
+    #[test]
+    fn chunks_are_joined_however_they_come(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..10),
+        piece in 1_usize..50,
+    ) {
+        let mut bytes = Vec::new();
+        for chunk in &chunks {
+            bytes.extend_from_slice(format!("{:X};ext=1\r\n", chunk.len()).as_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\ntrailer: x\r\n\r\n");
+        prop_assert_eq!(decode(Framing::Chunked, &bytes, piece), Ok((chunks.concat(), true)));
+        // Without its last byte it has not ended.
+        let cut = &bytes[..bytes.len() - 1];
+        prop_assert_eq!(decode(Framing::Chunked, cut, piece).map(|(_, ended)| ended), Ok(false));
+    }
+
+    #[test]
+    fn no_bytes_make_the_decoders_panic(bytes in prop::collection::vec(any::<u8>(), 0..300), piece in 1_usize..50) {
+        let _ = AnswerHeadDecoder.decode(&mut BytesMut::from(bytes.as_slice()));
+        let _ = decode(Framing::Chunked, &bytes, piece);
+    }
+}
+
+#[test]
+fn a_chunk_that_is_longer_than_it_says_is_a_fault() {
+    assert_eq!(decode(Framing::Chunked, b"2\r\nabc\r\n0\r\n\r\n", 100), Err(AnswerFault::Chunk));
+}
--- /dev/null
+++ b/crates/gateway/tests/forwarding.rs
@@ -0,0 +1,414 @@
+//! Requests through a node, against runners that behave and runners that do not.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::{answer_bytes, ReceivedRequest};
+use pitchstall_platform_standins::runner::{
+    event_text, signed_answer, stream_head, EventStream, Reaction, RunnerStandIn,
+};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use support::{wait_for, Fixture};
+use test_case::test_case;
+
+fn ok(body: &str) -> Reaction {
+    Reaction::Answer { status: 200, body: body.as_bytes().to_vec() }
+}
+
+fn desk(script: impl Fn(&ReceivedRequest) -> Reaction + Send + Sync + 'static) -> RunnerStandIn {
+    RunnerStandIn::start("i-desk", script).unwrap()
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event_text).collect()
+}
+
+#[test]
+fn a_request_passes_unchanged_and_its_answer_too() {
+    let runner = desk(|_| ok("booked"));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    let extra = "X-Pitchstall-Deadline-Ms: 3000\r\nX-Own: 1\r\nX-Own: 2\r\n";
+    client.request("POST", "/booking/a%20b?x=1&y", "id-1", extra, b"a booking");
+    let answer = client.read_answer();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "booked"));
+    assert_eq!(answer.header("x-pitchstall-server-stamp"), Some("stamp"));
+    assert_eq!(answer.header("x-pitchstall-request-id"), Some("id-1"));
+    assert_eq!(answer.header("x-pitchstall-load-report"), None);
+    let received = &runner.requests()[0];
+    assert_eq!(received.target, "/booking/a%20b?x=1&y");
+    assert_eq!(received.body, b"a booking");
+    assert_eq!(received.header("x-pitchstall-expect-instance"), Some("i-desk"));
+    let left: u64 = received.header("x-pitchstall-deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=3_000).contains(&left));
+    assert_eq!(received.headers.iter().filter(|(name, _)| name == "x-own").count(), 2);
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let runner = desk(|_| ok("booked"));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "Transfer-Encoding: chunked\r\n", b"");
+    client.send(b"3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n");
+    assert_eq!(client.read_answer().status, 200);
+    assert_eq!(runner.requests()[0].body, b"abcdefg");
+}
+
+#[test]
+fn headers_of_the_system_cannot_be_forged() {
+    let runner = desk(|_| ok("booked"));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    let forged = "X-Pitchstall-Expect-Instance: other\r\nX-Pitchstall-Stage: prefill\r\n\
+        X-Pitchstall-Kv-Source: 1.2.3.4:5/h\r\nKv-Fetch: 1.2.3.4:5\r\n\
+        X-Pitchstall-Request-Priority: 0\r\nX-Pitchstall-Hold: h\r\nX-Pitchstall-Pin-Ms: 9\r\n\
+        X-Pitchstall-Kv-Backup: 1.2.3.4:5\r\nX-Pitchstall-Expect-Version: 9\r\n\
+        Connection: keep-alive, X-Secret\r\nX-Secret: 1\r\n";
+    client.request("POST", "/booking/1", "id-1", forged, b"x");
+    assert_eq!(client.read_answer().status, 200);
+    let received = &runner.requests()[0];
+    assert_eq!(received.header("x-pitchstall-expect-instance"), Some("i-desk"));
+    for name in [
+        "x-pitchstall-stage",
+        "x-pitchstall-kv-source",
+        "kv-fetch",
+        "x-pitchstall-request-priority",
+        "x-pitchstall-hold",
+        "x-pitchstall-pin-ms",
+        "x-pitchstall-kv-backup",
+        "x-pitchstall-expect-version",
+        "x-secret",
+    ] {
+        assert_eq!(received.header(name), None, "{name}");
+    }
+}
+
+#[test_case("POST /booking/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: a\r\n\
+    Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400; "two ways to tell the length")]
+#[test_case("POST /booking/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: a\r\n\
+    Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde", 400; "two lengths")]
+#[test_case("POST /booking/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n", 400; "no id")]
+#[test_case("POST /booking/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: a\r\n\
+    X-Pitchstall-Request-Id: b\r\n\r\n", 400; "two ids")]
+#[test_case("POST /booking/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: a\r\n\
+    X-Pitchstall-Deadline-Ms: soon\r\n\r\n", 400; "a deadline that is no number")]
+#[test_case("POST /booking/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: a\r\n\
+    Content-Length: 70000\r\n\r\n", 413; "a body over the limit")]
+#[test_case("no HTTP at all\r\n\r\n", 400; "no HTTP")]
+#[test_case("GET /nowhere/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: a\r\n\r\n", 404; "no route")]
+fn bad_input_gets_a_clear_error_and_reaches_no_runner(request: &str, status: u16) {
+    let runner = desk(|_| ok("booked"));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.send(request.as_bytes());
+    if status == 413 {
+        client.send(&[b'x'; 70_000]);
+    }
+    assert_eq!(client.read_answer().status, status);
+    assert!(runner.requests().is_empty());
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused() {
+    let runner = desk(|_| ok("booked"));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    let long = format!("X-Long: {}\r\n", "x".repeat(9_000));
+    client.request("POST", "/booking/1", "id-1", &long, b"");
+    assert_eq!(client.read_answer().status, 431);
+    assert!(runner.requests().is_empty());
+}
+
+#[test]
+fn a_request_that_was_declined_goes_to_another_runner() {
+    let full = RunnerStandIn::start("i-full", |_| Reaction::Decline).unwrap();
+    let moved = RunnerStandIn::start("i-moved", |_| Reaction::Misdirected).unwrap();
+    let free = RunnerStandIn::start("i-free", |_| ok("booked")).unwrap();
+    let node = Fixture::with_runners(&[
+        (&full, "desk", None),
+        (&moved, "desk", None),
+        (&free, "desk", None),
+    ]);
+    for number in 0..6 {
+        let mut client = node.client();
+        client.request("POST", "/booking/1", &format!("id-{number}"), "", b"x");
+        let answer = client.read_answer();
+        // The budget is earned by requests, so a refusal may come before it allows a retry.
+        assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+        assert_eq!(answer.status == 503, answer.header("retry-after").is_some());
+    }
+    assert!(!free.requests().is_empty());
+}
+
+#[test_case(Reaction::RawThenClose(Vec::new()); "closed unanswered")]
+#[test_case(Reaction::RawThenReset(Vec::new()); "reset unanswered")]
+#[test_case(Reaction::Raw(b"what is this\r\n\r\n".to_vec()); "no answer in HTTP")]
+#[test_case(Reaction::RawThenClose(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhal".to_vec()); "not signed and cut")]
+#[test_case(Reaction::Raw(answer_bytes(200, &[], b"whose?")); "a success without a signature")]
+#[test_case(Reaction::Raw(answer_bytes(503, &[], b"")); "a refusal that promises nothing")]
+fn what_may_have_run_is_not_repeated_and_not_called_refused(reaction: Reaction) {
+    let runs = std::sync::Arc::new(AtomicUsize::new(0));
+    let counted = runs.clone();
+    let script = move |_: &ReceivedRequest| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        reaction.clone()
+    };
+    let one = RunnerStandIn::start("i-1", script.clone()).unwrap();
+    let two = RunnerStandIn::start("i-2", script).unwrap();
+    let node = Fixture::with_runners(&[(&one, "desk", None), (&two, "desk", None)]);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "", b"x");
+    assert_eq!(client.read_answer().status, 502);
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn half_an_answer_is_not_passed_as_whole() {
+    let runner = desk(|request| {
+        let whole = signed_answer(request, 200, b"a whole answer");
+        Reaction::RawThenReset(whole[..whole.len() - 5].to_vec())
+    });
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "", b"x");
+    let answer = client.read_answer();
+    assert_eq!((answer.status, answer.text().as_str()), (502, ""));
+}
+
+#[test]
+fn an_answer_without_a_length_is_whole_only_if_its_connection_ends_in_order() {
+    let runner = desk(|request| {
+        let answer = [stream_head(request, ""), b"all of it".to_vec()].concat();
+        match request.path() {
+            "/booking/closed" => Reaction::RawThenClose(answer),
+            _ => Reaction::RawThenReset(answer),
+        }
+    });
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.request("POST", "/booking/closed", "id-1", "", b"x");
+    let answer = client.read_answer();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "all of it"));
+    client.request("POST", "/booking/reset", "id-2", "", b"x");
+    assert_eq!(client.read_answer().status, 502);
+}
+
+#[test]
+fn a_surplus_answer_never_reaches_another_request() {
+    let runner = desk(|request| {
+        let own = signed_answer(request, 200, b"own");
+        let surplus = signed_answer(request, 200, b"surplus");
+        Reaction::Raw([own, surplus].concat())
+    });
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    for number in 0..5 {
+        let id = format!("id-{number}");
+        client.request("GET", "/lookup/1", &id, "", b"");
+        let answer = client.read_answer();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("x-pitchstall-request-id"), Some(id.as_str()));
+        assert_eq!(answer.text(), "own");
+    }
+}
+
+#[test]
+fn a_surplus_answer_that_comes_late_is_passed_over() {
+    let runner = desk(|request| {
+        if request.path() == "/lookup/second" {
+            let late = signed_answer(
+                &ReceivedRequest {
+                    headers: vec![("x-pitchstall-request-id".into(), "id-1".into())],
+                    ..request.clone()
+                },
+                200,
+                b"late",
+            );
+            return Reaction::Raw([late, signed_answer(request, 200, b"own")].concat());
+        }
+        ok("first")
+    });
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.request("GET", "/lookup/first", "id-1", "", b"");
+    assert_eq!(client.read_answer().text(), "first");
+    client.request("GET", "/lookup/second", "id-2", "", b"");
+    let answer = client.read_answer();
+    assert_eq!(answer.header("x-pitchstall-request-id"), Some("id-2"));
+    assert_eq!(answer.text(), "own");
+}
+
+#[test]
+fn an_early_answer_leaves_no_bytes_of_the_body_to_the_next_request() {
+    let runner = desk(|_| ok("early"));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    for number in 0..4 {
+        client.request("POST", "/booking/1", &format!("id-{number}"), "", &[b'x'; 60_000]);
+        assert_eq!(client.read_answer().status, 200);
+    }
+    assert!(runner.requests().iter().all(|request| request.body.len() == 60_000));
+}
+
+#[test]
+fn a_repeatable_request_is_tried_at_another_runner() {
+    let bad = RunnerStandIn::start("i-bad", |_| Reaction::RawThenClose(Vec::new())).unwrap();
+    let good = RunnerStandIn::start("i-good", |_| ok("found")).unwrap();
+    let node = Fixture::with_runners(&[(&bad, "desk", None), (&good, "desk", None)]);
+    let mut client = node.client();
+    for number in 0..4 {
+        client.request("GET", "/lookup/1", &format!("id-{number}"), "", b"");
+        let answer = client.read_answer();
+        assert!(matches!(answer.status, 200 | 502), "{}", answer.status);
+    }
+    assert!(!good.requests().is_empty());
+}
+
+#[test]
+fn a_client_that_leaves_stops_its_runner() {
+    let runner = desk(|_| Reaction::Silent);
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "", b"x");
+    wait_for("the runner to have the request", || runner.requests().len() == 1);
+    drop(client);
+    wait_for("the runner's connection to be closed", || runner.closed_early() == 1);
+}
+
+#[test]
+fn a_request_whose_time_is_up_gets_its_final_answer() {
+    let runner = desk(|_| Reaction::Silent);
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "X-Pitchstall-Deadline-Ms: 200\r\n", b"x");
+    assert_eq!(client.read_answer().status, 504);
+    wait_for("the runner's connection to be closed", || runner.closed_early() == 1);
+}
+
+#[test]
+fn a_stream_passes_whole() {
+    let runner = desk(|request| Reaction::Stream(EventStream::whole(request, 20)));
+    let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
+    let mut client = node.client();
+    client.request("POST", "/draft/1", "id-1", "", b"x");
+    let answer = client.read_answer();
+    assert!(answer.complete);
+    assert_eq!(answer.text(), events(0..=20));
+    assert_eq!(answer.header("x-pitchstall-server-stamp"), Some("stamp"));
+}
+
+#[test]
+fn a_stream_that_breaks_off_is_seen_to_break_off() {
+    let runner = desk(|request| {
+        let whole = EventStream::whole(request, 20);
+        Reaction::Stream(EventStream { breaks_after: Some(4), ..whole })
+    });
+    let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
+    let mut client = node.client();
+    client.request("POST", "/draft/1", "id-1", "", b"x");
+    let answer = client.read_answer();
+    assert!(!answer.complete);
+    assert_eq!(answer.text(), events(0..=4), "only whole events pass");
+    assert!(client.is_closed_by_node());
+    // The node may also have asked the runner what it keeps; that is no run.
+    let is_run = |request: &&ReceivedRequest| request.header("x-pitchstall-request-id").is_some();
+    assert_eq!(runner.requests().iter().filter(is_run).count(), 1, "it may not run twice");
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_goes_on_at_another_runner() {
+    let breaking = |request: &ReceivedRequest| {
+        let whole = EventStream::whole(request, 9);
+        let breaks_after = if request.header("last-event-id").is_none() { Some(4) } else { None };
+        Reaction::Stream(EventStream { breaks_after, ..whole })
+    };
+    let one = RunnerStandIn::start("i-1", breaking).unwrap();
+    let two = RunnerStandIn::start("i-2", breaking).unwrap();
+    let runners = [(&one, "llm", Some("decode")), (&two, "llm", Some("decode"))];
+    let node = Fixture::with_runners(&runners);
+    // Requests earn the budget for the one that is resumed.
+    let mut client = node.client();
+    for number in 0..3 {
+        let id = format!("earn-{number}");
+        client.request("POST", "/summary/1", &id, "Last-Event-Id: 8\r\n", b"x");
+        assert_eq!(client.read_answer().text(), events(9..=9));
+    }
+    client.request("POST", "/summary/1", "id-1", "", b"x");
+    let answer = client.read_answer();
+    assert!(answer.complete);
+    assert_eq!(answer.text(), events(0..=9));
+    let seen = [one.requests(), two.requests()].concat();
+    let of_it = seen.iter().filter(|it| it.header("x-pitchstall-request-id") == Some("id-1"));
+    let mut after: Vec<_> = of_it.map(|it| it.header("last-event-id").map(str::to_owned)).collect();
+    after.sort();
+    assert_eq!(after, [None, Some("4".to_owned())]);
+}
+
+#[test]
+fn a_prompt_is_read_apart_and_its_handle_taken_once() {
+    let prefill = RunnerStandIn::start("i-prefill", |request| match request.method.as_str() {
+        "POST" => ok(r#"{"kv_handle":"h1","tokens":9000,"version":1}"#),
+        _ => ok(""),
+    })
+    .unwrap();
+    let decode = RunnerStandIn::start("i-decode", |request| {
+        Reaction::Stream(EventStream::whole(request, 3))
+    })
+    .unwrap();
+    let runners = [(&prefill, "llm", Some("prefill")), (&decode, "llm", Some("decode"))];
+    let node = Fixture::with_runners(&runners);
+    let mut client = node.client();
+    let prompt =
+        "X-Pitchstall-Token-Count: 9000,80\r\nX-Pitchstall-Prefix-Hash: a1:6000,b2:3000\r\n";
+    client.request("POST", "/draft/1", "id-1", prompt, b"x");
+    assert_eq!(client.read_answer().text(), events(0..=3));
+    let read: Vec<_> = prefill.requests().into_iter().filter(|it| it.method == "POST").collect();
+    assert_eq!(read.len(), 1);
+    assert_eq!(read[0].header("x-pitchstall-stage"), Some("prefill"));
+    let run = decode.requests().into_iter().find(|it| it.method == "POST").unwrap();
+    let source = format!("{}/h1", prefill.address());
+    assert_eq!(run.header("x-pitchstall-kv-source"), Some(source.as_str()));
+    assert!(prefill.requests().iter().all(|it| it.method != "DELETE"));
+}
+
+#[test]
+fn a_handle_that_is_not_taken_is_freed() {
+    let prefill = RunnerStandIn::start("i-prefill", |request| match request.method.as_str() {
+        "POST" => ok(r#"{"kv_handle":"h1","tokens":9000,"version":1}"#),
+        _ => ok(""),
+    })
+    .unwrap();
+    let decode = RunnerStandIn::start("i-decode", |request| match request.method.as_str() {
+        "POST" => Reaction::Silent,
+        _ => ok(""),
+    })
+    .unwrap();
+    let runners = [(&prefill, "llm", Some("prefill")), (&decode, "llm", Some("decode"))];
+    let node = Fixture::with_runners(&runners);
+    let mut client = node.client();
+    let prompt =
+        "X-Pitchstall-Token-Count: 9000,80\r\nX-Pitchstall-Prefix-Hash: a1:6000,b2:3000\r\n";
+    client.request("POST", "/draft/1", "id-1", prompt, b"x");
+    let asked = || decode.requests().iter().any(|it| it.method == "POST");
+    wait_for("the decode runner to be asked", asked);
+    drop(client);
+    let freed = || prefill.requests().iter().any(|it| it.target == "/v1/kv-handle/h1");
+    wait_for("the handle to be freed", freed);
+}
+
+#[test]
+fn events_are_forwarded_as_they_come() {
+    let runner = desk(|request| {
+        let whole = EventStream::whole(request, 1_000);
+        Reaction::Stream(EventStream { pause: Duration::from_millis(20), ..whole })
+    });
+    let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
+    let mut client = node.client();
+    client.request("POST", "/draft/1", "id-1", "", b"x");
+    client.wait_for_text("token 1\n");
+    assert_eq!(runner.closed_early(), 0);
+    drop(client);
+    wait_for("the runner to stop", || runner.closed_early() == 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,313 @@
+//! A node among stand-ins, and a client that sees every byte.
+#![allow(dead_code, clippy::unwrap_used, clippy::panic, missing_docs)]
+
+use ntex::rt::{DefaultRuntime, System};
+use pitchstall_gateway::daemon::{self, Signals};
+use pitchstall_gateway::settings::Settings;
+use pitchstall_platform_standins::runner::RunnerStandIn;
+use pitchstall_platform_standins::store::StoreStandIn;
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// No test waits longer for something that should happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const HOST: &str = "desk.example";
+
+/// Waits until a condition holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain for: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A loopback address that no other fixture has, of this process or another: ports that are
+/// free now may be taken by the time they are used.
+fn own_loopback_ip() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let [_, _, high, low] = process.to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 200, low, NEXT.fetch_add(1, Ordering::SeqCst)).into()
+}
+
+const CALLERS_PORT: u16 = 18_081;
+const HEALTH_PORT: u16 = 18_082;
+const PEERS_PORT: u16 = 18_083;
+
+pub fn route(name: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": 5_000, "target_ms": 2_000, "priority": 1, "service": service,
+        "max_attempts": 2, "sticky": false, "resumable": false, "gap_target_ms": 300,
+    })
+}
+
+/// Routes `booking` (not repeatable), `lookup` (repeatable), `draft` (a stream) and
+/// `summary` (a stream that may be resumed).
+pub fn configuration(version: u64) -> Value {
+    let mut summary = route("summary", "streaming", "llm");
+    summary["resumable"] = true.into();
+    summary["sticky"] = true.into();
+    let mut draft = route("draft", "streaming", "llm");
+    draft["sticky"] = true.into();
+    json!({
+        "version": version,
+        "routes": [
+            route("booking", "non_idempotent", "desk"),
+            route("lookup", "idempotent", "desk"),
+            draft,
+            summary,
+        ],
+        "services": [
+            { "name": "desk", "health_path": "/health", "max_conns": 100 },
+            { "name": "llm", "health_path": "/health", "max_conns": 100, "engine": {
+                "slots": 8, "kv_tokens": 100_000, "handle_ttl_s": 5.0 } },
+        ],
+        "limits": { "max_header_bytes": 8_192, "max_body_bytes": 65_536,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+    })
+}
+
+pub struct Fixture {
+    pub store: StoreStandIn,
+    pub callers: SocketAddr,
+    pub health: SocketAddr,
+    signals: Signals,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Fixture {
+    /// A node before an empty store.
+    pub fn start() -> Self {
+        let store = StoreStandIn::start().unwrap();
+        let ip = own_loopback_ip();
+        let at = |port: u16| SocketAddr::new(ip, port);
+        let (callers, health) = (at(CALLERS_PORT), at(HEALTH_PORT));
+        let text = format!(
+            "[node]\nname = \"node-1\"\nzone = \"north\"\n\
+             [listen]\ncallers = \"{callers}\"\nhealth = \"{health}\"\npeers = \"{}\"\n\
+             [store]\naddress = \"{}\"\n\
+             [bounds]\ncontact_ms = 1000\ngrace_s = 5.0\nretry_ratio = 1.0\nretry_window_s = 10\n",
+            at(PEERS_PORT),
+            store.address(),
+        );
+        let settings = Settings::parse(Path::new("test.toml"), &text).unwrap();
+        let signals = Signals::default();
+        let handed = signals.clone();
+        let thread = std::thread::spawn(move || {
+            let run = daemon::run(settings, PathBuf::from("test.toml"), handed);
+            System::build().name("node").build(DefaultRuntime).block_on(run).unwrap();
+        });
+        let fixture = Self { store, callers, health, signals, thread: Some(thread) };
+        // The addresses are bound one after the other.
+        let listens = |address| TcpStream::connect(address).is_ok();
+        wait_for("the node to listen", || listens(callers) && listens(health));
+        fixture
+    }
+
+    /// A node that knows the configuration and the runners given with their services and
+    /// stages.
+    pub fn with_runners(runners: &[(&RunnerStandIn, &str, Option<&str>)]) -> Self {
+        let fixture = Self::start();
+        fixture.store.put("op/config", &configuration(3));
+        for (runner, service, stage) in runners {
+            fixture.add_runner(runner, service, *stage);
+        }
+        fixture.wait_until_ready();
+        fixture
+    }
+
+    pub fn add_runner(&self, runner: &RunnerStandIn, service: &str, stage: Option<&str>) {
+        self.put_runner(runner, service, stage, "ready");
+    }
+
+    pub fn put_runner(
+        &self,
+        runner: &RunnerStandIn,
+        service: &str,
+        stage: Option<&str>,
+        state: &str,
+    ) {
+        let mut entry = json!({
+            "service": service, "address": runner.address().to_string(), "zone": "north",
+            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
+        });
+        if let Some(stage) = stage {
+            entry["stage"] = stage.into();
+        }
+        self.store.put(&format!("servers/{}", runner.id()), &entry);
+    }
+
+    pub fn is_ready(&self) -> bool {
+        get(self.health, "/v1/ready").status == 200
+    }
+
+    pub fn wait_until_ready(&self) {
+        wait_for("the node to be ready", || self.is_ready());
+        // What was written before it was ready may come a moment later by the watch.
+        std::thread::sleep(Duration::from_millis(100));
+    }
+
+    pub fn client(&self) -> RawClient {
+        RawClient::connect(self.callers)
+    }
+
+    pub fn request_stop(&self) {
+        self.signals.request_stop();
+    }
+
+    /// Waits until the node has ended by itself.
+    pub fn join(mut self) {
+        self.thread.take().unwrap().join().unwrap();
+    }
+}
+
+impl Drop for Fixture {
+    fn drop(&mut self) {
+        self.signals.request_stop();
+    }
+}
+
+/// An answer as it stood on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct RawAnswer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether its framing says that it is whole.
+    pub complete: bool,
+}
+
+impl RawAnswer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+pub struct RawClient {
+    stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl RawClient {
+    pub fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self { stream, unread: Vec::new() }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Sends a request with a body of a known length.
+    pub fn request(&mut self, method: &str, path: &str, id: &str, extra: &str, body: &[u8]) {
+        let length = if body.is_empty() {
+            String::new()
+        } else {
+            format!("content-length: {}\r\n", body.len())
+        };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Pitchstall-Request-Id: {id}\r\n{extra}{length}\r\n"
+        );
+        self.send(&[head.as_bytes(), body].concat());
+    }
+
+    fn read_more(&mut self) -> bool {
+        let mut buffer = [0; 4_096];
+        match self.stream.read(&mut buffer) {
+            Ok(0) | Err(_) => false,
+            Ok(length) => {
+                self.unread.extend_from_slice(&buffer[..length]);
+                true
+            }
+        }
+    }
+
+    /// Whether the node has closed the connection, after waiting for it.
+    pub fn is_closed_by_node(&mut self) -> bool {
+        !self.read_more()
+    }
+
+    /// Reads until a text has come, and leaves it unread.
+    pub fn wait_for_text(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.unread).contains(text) {
+            assert!(self.read_more(), "the connection ended before {text:?}");
+        }
+    }
+
+    pub fn read_answer(&mut self) -> RawAnswer {
+        let head_end = loop {
+            let end = self.unread.windows(4).position(|window| window == b"\r\n\r\n");
+            match end {
+                Some(end) => break end + 4,
+                None if self.read_more() => {}
+                None => return RawAnswer::default(),
+            }
+        };
+        let head: Vec<u8> = self.unread.drain(..head_end).collect();
+        let mut answer = parse_head(&String::from_utf8(head).unwrap());
+        if answer.header("transfer-encoding") == Some("chunked") {
+            self.read_chunks(&mut answer);
+        } else {
+            let length = answer.header("content-length").map_or(0, |it| it.parse().unwrap());
+            while self.unread.len() < length && self.read_more() {}
+            answer.complete = self.unread.len() >= length;
+            let length = length.min(self.unread.len());
+            answer.body = self.unread.drain(..length).collect();
+        }
+        answer
+    }
+
+    fn read_chunks(&mut self, answer: &mut RawAnswer) {
+        loop {
+            let line_end = loop {
+                match self.unread.windows(2).position(|window| window == b"\r\n") {
+                    Some(end) => break end,
+                    None if self.read_more() => {}
+                    None => return,
+                }
+            };
+            let line = String::from_utf8(self.unread[..line_end].to_vec()).unwrap();
+            let size = usize::from_str_radix(line.trim(), 16).unwrap();
+            let whole = line_end + 2 + size + 2;
+            while self.unread.len() < whole {
+                if !self.read_more() {
+                    return;
+                }
+            }
+            answer.body.extend_from_slice(&self.unread[line_end + 2..line_end + 2 + size]);
+            self.unread.drain(..whole);
+            if size == 0 {
+                answer.complete = true;
+                return;
+            }
+        }
+    }
+}
+
+fn parse_head(text: &str) -> RawAnswer {
+    let mut lines = text.split("\r\n");
+    let status = lines.next().unwrap().split(' ').nth(1).unwrap().parse().unwrap();
+    let headers = lines.filter_map(|line| line.split_once(": "));
+    let headers = headers.map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()));
+    RawAnswer { status, headers: headers.collect(), ..RawAnswer::default() }
+}
+
+/// A request on a connection of its own, without an id.
+pub fn get(address: SocketAddr, path: &str) -> RawAnswer {
+    let mut client = RawClient::connect(address);
+    client.send(format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
+    client.read_answer()
+}
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -113,7 +113,7 @@
     }
 
     /// The prefixes for the next digest.
-    pub fn next(&mut self) -> Vec<PrefixRead> {
+    pub fn take_next(&mut self) -> Vec<PrefixRead> {
         let told = self.entries.iter().take(MOST_READS).map(|(read, _)| read.clone()).collect();
         for (_, tellings) in self.entries.iter_mut().take(MOST_READS) {
             *tellings -= 1;
--- /dev/null
+++ b/crates/serving/tests/event_stream.rs
@@ -0,0 +1,51 @@
+//! Cutting of streams into events, and joining of runs.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::event_stream::{EventSplitter, Join, StreamJoin};
+use proptest::prelude::*;
+
+fn text(id: u64) -> String {
+    format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 7))
+}
+
+proptest! {
+    #[test]
+    fn events_are_whole_however_the_bytes_come(count in 0_u64..20, piece in 1_usize..30) {
+        let all: String = (0..count).map(text).collect();
+        let mut splitter = EventSplitter::default();
+        let events: Vec<_> =
+            all.as_bytes().chunks(piece).flat_map(|bytes| splitter.push(bytes)).collect();
+        let ids: Vec<String> = events.iter().map(|event| event.id.clone().unwrap()).collect();
+        prop_assert_eq!(ids, (0..count).map(|id| id.to_string()).collect::<Vec<_>>());
+        let bytes: Vec<u8> = events.into_iter().flat_map(|event| event.bytes).collect();
+        prop_assert_eq!(bytes, all.into_bytes());
+        prop_assert!(splitter.pending().is_empty());
+    }
+
+    /// A run breaks off anywhere, and another goes on after the last whole event.
+    #[test]
+    fn two_runs_join_without_gap_or_double(count in 1_u64..20, cut in 0_usize..400, overlap in 0_u64..4) {
+        let all: String = (0..count).map(text).collect();
+        let mut join = StreamJoin::default();
+        let mut passed = Vec::new();
+        let mut pass = |bytes: &[u8], join: &mut StreamJoin| {
+            for event in EventSplitter::default().push(bytes) {
+                if join.on_event(&event) == Join::Forward {
+                    passed.extend_from_slice(&event.bytes);
+                }
+            }
+        };
+        pass(&all.as_bytes()[..cut.min(all.len())], &mut join);
+        let next = join.last_id().map_or(0, |id| id + 1);
+        let second: String = (next.saturating_sub(overlap)..count).map(text).collect();
+        pass(second.as_bytes(), &mut join);
+        prop_assert_eq!(passed, all.into_bytes());
+    }
+}
+
+#[test]
+fn lines_may_end_with_a_carriage_return() {
+    let events = EventSplitter::default().push(b"id: 4\r\ndata: a\r\n\r\nid: 5\r\n");
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id.as_deref(), Some("4"));
+}
--- /dev/null
+++ b/crates/serving/tests/placement.rs
@@ -0,0 +1,278 @@
+//! Routes, splits, the fleet and the choice of runners.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_protocol::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
+use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
+use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, ReadLog, RunnerLoad};
+use pitchstall_serving::fleet::{Fleet, FleetChange, LoadReport, RunnerRecord, Stage};
+use pitchstall_serving::placement::{
+    choose_worker, choose_writer, plan_reading, Demand, ReadPace, ReadingPlan,
+};
+use pitchstall_serving::prefix::{Prompt, PromptPart};
+use pitchstall_serving::routing::{find_route, TrafficSplitter};
+use std::collections::HashMap;
+use std::rc::Rc;
+use test_case::test_case;
+
+const CACHE_TOKENS: u64 = 400_000;
+
+fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    let share = |(service, weight): &(&str, u32)| Share {
+        service: ServiceName::new(service),
+        weight: *weight,
+    };
+    Route {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        gap_target_ms: None,
+        priority: 0,
+        shares: shares.iter().map(share).collect(),
+        max_attempts: 2,
+        sticky: false,
+        resumable: false,
+    }
+}
+
+#[test_case("desk.example", "/a/x", Some("short"))]
+#[test_case("DESK.example", "/a/b/x", Some("long"); "the longest prefix of the host")]
+#[test_case("desk.example", "/ab/x", None; "a prefix ends with a slash")]
+#[test_case("other.example", "/a/x", None; "another host")]
+fn routes_are_found_by_host_and_longest_prefix(host: &str, path: &str, expected: Option<&str>) {
+    let routes = [route("short", "/a/", &[("s", 1)]), route("long", "/a/b/", &[("s", 1)])];
+    let configuration =
+        Configuration { routes: routes.into_iter().map(Rc::new).collect(), ..Default::default() };
+    let found = find_route(&configuration, host, path).map(|route| route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn each_share_gets_its_weight_in_short_runs_too() {
+    let route = route("split", "/a/", &[("big", 90), ("small", 10), ("none", 0)]);
+    let mut splitter = TrafficSplitter::default();
+    for _ in 0..5 {
+        let mut counts: HashMap<ServiceName, u32> = HashMap::new();
+        (0..10)
+            .for_each(|_| *counts.entry(splitter.next_service(&route).unwrap()).or_default() += 1);
+        assert_eq!(counts[&ServiceName::new("big")], 9);
+        assert_eq!(counts[&ServiceName::new("small")], 1);
+    }
+}
+
+#[test_case(Execution::NotRun, GiveUp::OutOfTime, FinalAnswer::Refuse)]
+#[test_case(Execution::NotRun, GiveUp::NoRunner, FinalAnswer::Refuse)]
+#[test_case(Execution::Unknown, GiveUp::Refused, FinalAnswer::BadGateway)]
+#[test_case(Execution::Unknown, GiveUp::OutOfTime, FinalAnswer::TimedOut)]
+#[test_case(Execution::Ran, GiveUp::NoRunner, FinalAnswer::BadGateway)]
+fn a_refusal_is_only_given_for_what_has_not_run(
+    execution: Execution,
+    reason: GiveUp,
+    expected: FinalAnswer,
+) {
+    assert_eq!(final_answer(execution, reason), expected);
+}
+
+fn record(id: &str, zone: &str, stage: Option<Stage>, revision: u64) -> RunnerRecord {
+    RunnerRecord {
+        id: RunnerId::new(id),
+        service: ServiceName::new("llm"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneId::new(zone),
+        slots: 8,
+        draining: false,
+        stage,
+        revision,
+    }
+}
+
+#[test]
+fn an_older_entry_never_wins() {
+    let mut fleet = Fleet::default();
+    let draining = RunnerRecord { draining: true, ..record("a", "north", None, 7) };
+    assert_eq!(fleet.put(record("a", "north", None, 5)), FleetChange::Joined);
+    assert_eq!(fleet.put(draining), FleetChange::Draining);
+    assert_eq!(fleet.put(record("a", "north", None, 6)), FleetChange::None);
+    assert!(!fleet.get(&RunnerId::new("a")).unwrap().takes_work());
+    assert_eq!(fleet.remove(&RunnerId::new("a"), 6), FleetChange::None, "a late removal");
+    assert_eq!(fleet.remove(&RunnerId::new("a"), 8), FleetChange::Left);
+}
+
+#[test]
+fn a_list_removes_whom_it_leaves_out_unless_they_came_later() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("old", "north", None, 3));
+    fleet.put(record("new", "north", None, 9));
+    let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], 6);
+    assert_eq!(gone, [RunnerId::new("old")]);
+    assert!(fleet.get(&RunnerId::new("new")).is_some());
+    assert!(fleet.get(&RunnerId::new("listed")).is_some());
+}
+
+struct Case {
+    service: ServiceName,
+    zone: ZoneId,
+    prompt: Prompt,
+    excluded: Vec<RunnerId>,
+}
+
+impl Case {
+    fn new(shared: u64, own: u64) -> Self {
+        let parts = vec![PromptPart { id: 1, tokens: shared }, PromptPart { id: 2, tokens: own }];
+        Self {
+            service: ServiceName::new("llm"),
+            zone: ZoneId::new("north"),
+            prompt: Prompt { parts, tokens: shared + own, max_output_tokens: 10 },
+            excluded: Vec::new(),
+        }
+    }
+
+    fn demand(&self) -> Demand<'_> {
+        Demand {
+            service: &self.service,
+            prompt: &self.prompt,
+            zone: &self.zone,
+            excluded: &self.excluded,
+            now_us: 1_000,
+        }
+    }
+
+    fn read_at(&self, runner: &str) -> PrefixRead {
+        PrefixRead { runner: RunnerId::new(runner), parts: self.prompt.shared_parts().to_vec() }
+    }
+}
+
+fn engines() -> Fleet {
+    let mut fleet = Fleet::default();
+    for id in ["p1", "p2", "p3"] {
+        fleet.put(record(id, "north", Some(Stage::Prefill), 1));
+    }
+    for id in ["d1", "d2"] {
+        fleet.put(record(id, "north", Some(Stage::Decode), 1));
+    }
+    fleet
+}
+
+fn reader(plan: Option<ReadingPlan>) -> String {
+    match plan.unwrap() {
+        ReadingPlan::Split(choice) => choice.runner.to_string(),
+        ReadingPlan::Direct(choice) => format!("direct {}", choice.runner),
+    }
+}
+
+#[test]
+fn all_nodes_find_the_same_home_and_leave_it_when_it_is_busy() {
+    let mut fleet = engines();
+    let case = Case::new(10_000, 3_000);
+    let pace = ReadPace::default();
+    let home = reader(plan_reading(&fleet, &pace, &case.demand()));
+    assert_eq!(reader(plan_reading(&engines(), &pace, &case.demand())), home);
+    // Another node has told that it has much to read there.
+    let load = RunnerLoad { runner: RunnerId::new(&home), in_flight: 3, unread_tokens: 90_000 };
+    fleet.on_peer_loads(&NodeId::new("other"), &[load], 1_000);
+    assert_ne!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
+    // Its next word takes that back.
+    fleet.on_peer_loads(&NodeId::new("other"), &[], 1_000);
+    assert_eq!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
+}
+
+#[test]
+fn shared_parts_are_taken_over_from_the_runner_that_holds_them() {
+    let mut fleet = engines();
+    let case = Case::new(10_000, 3_000);
+    let pace = ReadPace::default();
+    let home = reader(plan_reading(&fleet, &pace, &case.demand()));
+    let other = ["p1", "p2", "p3"].into_iter().find(|id| *id != home).unwrap();
+    fleet.on_read(&case.read_at(other), 1_000, CACHE_TOKENS);
+    let Some(ReadingPlan::Split(choice)) = plan_reading(&fleet, &pace, &case.demand()) else {
+        unreachable!("prefill runners are free")
+    };
+    assert_eq!(choice.unread_tokens, 3_000);
+    if choice.runner.as_str() != other {
+        assert_eq!(choice.fetch_from, Some(RunnerId::new(other)));
+    }
+}
+
+#[test]
+fn a_decode_runner_reads_itself_when_prefill_runners_are_busy() {
+    let mut fleet = engines();
+    let case = Case::new(0, 1_000);
+    for id in ["p1", "p2", "p3"] {
+        fleet.on_sent(&RunnerId::new(id), 200_000);
+    }
+    let plan = reader(plan_reading(&fleet, &ReadPace::default(), &case.demand()));
+    assert!(plan.starts_with("direct d"), "{plan}");
+}
+
+#[test]
+fn without_decode_runners_nothing_is_read() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("p1", "north", Some(Stage::Prefill), 1));
+    let case = Case::new(0, 1_000);
+    assert_eq!(plan_reading(&fleet, &ReadPace::default(), &case.demand()), None);
+}
+
+#[test]
+fn the_writer_is_near_the_reader() {
+    let mut fleet = Fleet::default();
+    for (id, zone) in [("d1", "north"), ("d2", "south"), ("d3", "east")] {
+        fleet.put(record(id, zone, Some(Stage::Decode), 1));
+    }
+    let case = Case::new(0, 10_000);
+    for (zone, expected) in [("north", "d1"), ("south", "d2"), ("east", "d3")] {
+        let choice = choose_writer(&fleet, &case.demand(), Some(&ZoneId::new(zone))).unwrap();
+        assert_eq!(choice.runner.as_str(), expected);
+    }
+}
+
+#[test]
+fn the_least_occupied_worker_of_the_zone_is_chosen() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("near", "north", None, 1));
+    fleet.put(record("far", "south", None, 1));
+    let case = Case::new(0, 0);
+    let chosen = |fleet: &Fleet| choose_worker(fleet, &case.demand()).unwrap().runner.to_string();
+    assert_eq!(chosen(&fleet), "near");
+    fleet.on_load(&RunnerId::new("near"), LoadReport { running: 8, waiting: 4 }, 1_000);
+    assert_eq!(chosen(&fleet), "far");
+    fleet.on_unreachable(&RunnerId::new("far"), 1_000);
+    assert_eq!(chosen(&fleet), "near", "one that could not be reached comes last");
+}
+
+#[test]
+fn a_runner_that_is_not_sound_is_used_if_there_is_no_other() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("only", "north", None, 1));
+    fleet.on_unreachable(&RunnerId::new("only"), 1_000);
+    assert!(choose_worker(&fleet, &Case::new(0, 0).demand()).is_some());
+    fleet.on_misdirected(&RunnerId::new("only"));
+    assert!(choose_worker(&fleet, &Case::new(0, 0).demand()).is_none(), "another has its address");
+}
+
+fn digest(incarnation: u64, sequence: u64) -> Digest {
+    let node = NodeId::new("a");
+    Digest { node, incarnation, sequence, informed: false, loads: Vec::new(), read: Vec::new() }
+}
+
+#[test]
+fn a_digest_that_was_overtaken_is_stale() {
+    let mut order = DigestOrder::default();
+    assert_eq!(order.on_digest(&digest(5, 1)), Freshness::Newcomer);
+    assert_eq!(order.on_digest(&digest(5, 3)), Freshness::Newer);
+    assert_eq!(order.on_digest(&digest(5, 2)), Freshness::Stale);
+    assert_eq!(order.on_digest(&digest(5, 3)), Freshness::Stale, "a doubled datagram");
+    assert_eq!(order.on_digest(&digest(4, 1)), Freshness::Newcomer, "it started anew");
+}
+
+#[test]
+fn prefixes_are_told_twice() {
+    let mut log = ReadLog::default();
+    let read = Case::new(10, 1).read_at("p1");
+    log.push(read.clone());
+    assert_eq!(log.take_next(), std::slice::from_ref(&read));
+    assert_eq!(log.take_next(), [read]);
+    assert!(log.take_next().is_empty());
+}
