Take changed settings while running; explain a request from its log lines

Cause: a changed settings file was only reported, and nothing led from a request's id to its cause.

Change: SIGHUP, or a change of the file, takes store, bounds and machine into force; names and own addresses hold from the next start. `pitchstall explain ID FILE...` prints a request's lines and what happened meanwhile to its runners. `check` knows the settings of `serve`.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::{CommandError, EXIT_FAILED};
 use gumdrop::Options;
+use pitchstall_gateway::settings::Settings;
 use pitchstall_node::DaemonSettings;
 use pitchstall_protocol::configuration::Configuration;
 use pitchstall_protocol::ids::{ServiceName, TenantId};
@@ -18,11 +19,17 @@
     file: PathBuf,
 }
 
-/// Checks a file. A file with a `[node]` section is a settings file; any other a
-/// configuration.
+/// Checks a file. A file with a `[node]` section is a settings file, with `[store]` one of
+/// `serve`; any other is a configuration.
 pub fn run(arguments: &CheckArguments) -> Result<ExitCode, CommandError> {
     let text = read(&arguments.file)?;
-    if text.lines().any(|line| line.trim() == "[node]") {
+    let has_section = |name: &str| text.lines().any(|line| line.trim() == name);
+    if has_section("[node]") && has_section("[store]") {
+        Settings::parse(&arguments.file, &text)?;
+        println!("{}: valid settings", arguments.file.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    if has_section("[node]") {
         DaemonSettings::parse(&arguments.file, &text)?;
         println!("{}: valid settings", arguments.file.display());
         return Ok(ExitCode::SUCCESS);
--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,100 @@
+//! `pitchstall explain`: the story of a request, from the logs of all nodes.
+
+use crate::{CommandError, EXIT_FAILED};
+use gumdrop::Options;
+use serde_json::{Map, Value};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Arguments of `pitchstall explain`.
+#[derive(Debug, Options)]
+pub struct ExplainArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "the request's id, then files with log lines")]
+    rest: Vec<String>,
+}
+
+/// A log line that belongs to the story.
+struct Entry {
+    time: String,
+    source: String,
+    fields: Map<String, Value>,
+}
+
+impl Entry {
+    fn text(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+}
+
+/// Prints every line about a request in the order of time, and between them what happened
+/// meanwhile to the runners it was sent to.
+pub fn run(arguments: &ExplainArguments) -> Result<ExitCode, CommandError> {
+    let Some((id, files)) = arguments.rest.split_first().filter(|(_, files)| !files.is_empty())
+    else {
+        return Err(CommandError::Usage("expected a request's id and log files".to_owned()));
+    };
+    let mut entries = Vec::new();
+    for file in files.iter().map(PathBuf::from) {
+        entries.extend(read_entries(&file)?);
+    }
+    entries.sort_by(|left, right| left.time.cmp(&right.time));
+    let story = story_of(&entries, id);
+    if story.is_empty() {
+        println!("no line names the request {id}");
+        return Ok(ExitCode::from(EXIT_FAILED));
+    }
+    story.iter().for_each(|entry| println!("{}", render(entry)));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads the JSON lines of a file; what stands before a line's object is dropped, and lines
+/// without one are passed over.
+fn read_entries(path: &Path) -> Result<Vec<Entry>, CommandError> {
+    let text = crate::check::read(path)?;
+    let source = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+    Ok(text.lines().filter_map(|line| parse_line(line, &source)).collect())
+}
+
+fn parse_line(line: &str, file: &str) -> Option<Entry> {
+    let start = line.find('{')?;
+    let (before, object) = line.split_at(start);
+    let Ok(Value::Object(fields)) = serde_json::from_str(object.trim()) else { return None };
+    let time = fields.get("time")?.as_str()?.to_owned();
+    // Collected logs name the node before each line.
+    let node = before.split_whitespace().last();
+    Some(Entry { time, source: node.unwrap_or(file).to_owned(), fields })
+}
+
+fn story_of<'a>(entries: &'a [Entry], id: &str) -> Vec<&'a Entry> {
+    let own = |entry: &&Entry| entry.text("request") == id;
+    let Some(first) = entries.iter().find(own) else { return Vec::new() };
+    let last = entries.iter().rfind(own).unwrap_or(first);
+    let runners: BTreeSet<&str> = entries
+        .iter()
+        .filter(own)
+        .map(|entry| entry.text("runner"))
+        .filter(|runner| !runner.is_empty())
+        .collect();
+    let meanwhile = |entry: &Entry| first.time <= entry.time && entry.time <= last.time;
+    let of_runner =
+        |entry: &Entry| entry.text("request").is_empty() && runners.contains(entry.text("runner"));
+    let belongs = |entry: &&Entry| own(entry) || (meanwhile(entry) && of_runner(entry));
+    entries.iter().filter(belongs).collect()
+}
+
+fn render(entry: &Entry) -> String {
+    const SHOWN_FIRST: [&str; 5] = ["time", "level", "kind", "event", "request"];
+    let mut line =
+        format!("{} {} {}: {}", entry.time, entry.source, entry.text("kind"), entry.text("event"));
+    for (name, value) in &entry.fields {
+        if SHOWN_FIRST.contains(&name.as_str()) {
+            continue;
+        }
+        let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+        line.push_str(&format!(" {name}={text}"));
+    }
+    line
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod ctl;
 mod dev;
 mod experiment;
+mod explain;
 mod node;
 mod runtime;
 mod serve;
@@ -40,6 +41,8 @@
     Check(check::CheckArguments),
     #[options(help = "run nodes, engines and platform in one process, to try it out")]
     Dev(dev::DevArguments),
+    #[options(help = "print the story of a request from log files: explain ID FILE...")]
+    Explain(explain::ExplainArguments),
     #[options(help = "run experiments in virtual time")]
     Experiment(experiment::ExperimentArguments),
 }
@@ -85,6 +88,7 @@
         Some(Command::Ctl(arguments)) => ctl::run(arguments),
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Dev(arguments)) => dev::run(&arguments),
+        Some(Command::Explain(arguments)) => explain::run(&arguments),
         Some(Command::Experiment(arguments)) => experiment::run(&arguments),
         None => Err(CommandError::Usage(format!(
             "expected a command\n\n{}\n\nCommands:\n{}",
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,48 @@
+//! The story of a request, from log lines alone.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::process::Command;
+
+/// Lines of two nodes, as collected: one runner left while the request was there.
+const LINES: &str = r#"
+   1.9000 node-2 {"event":"finished","kind":"request","outcome":"streamed","request":"other","time":"2026-01-01T00:00:01.900Z"}
+   2.0000 node-1 {"event":"sent","kind":"attempt","request":"r-1","runner":"i-a","time":"2026-01-01T00:00:02.000Z","work":"run"}
+not a log line
+   2.2000 node-1 {"event":"left","kind":"fleet","revision":9,"runner":"i-a","time":"2026-01-01T00:00:02.200Z"}
+   2.2500 node-1 {"event":"left","kind":"fleet","revision":9,"runner":"i-z","time":"2026-01-01T00:00:02.250Z"}
+   2.3000 node-1 {"error":"the connection was closed","event":"lost","kind":"attempt","request":"r-1","runner":"i-a","time":"2026-01-01T00:00:02.300Z"}
+   2.3010 node-1 {"event":"given up","execution":"Unknown","kind":"request","reason":"Failed","request":"r-1","time":"2026-01-01T00:00:02.301Z"}
+   2.3020 node-1 {"event":"finished","kind":"request","outcome":"bad_gateway","request":"r-1","time":"2026-01-01T00:00:02.302Z"}
+"#;
+
+fn explain(id: &str) -> (bool, String) {
+    let file = std::env::temp_dir().join(format!("pitchstall-explain-{}-{id}", std::process::id()));
+    std::fs::write(&file, LINES).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_pitchstall"))
+        .args(["explain", id, file.to_str().unwrap()])
+        .output()
+        .unwrap();
+    std::fs::remove_file(&file).unwrap();
+    (output.status.success(), String::from_utf8(output.stdout).unwrap())
+}
+
+#[test]
+fn the_story_leads_from_the_id_to_the_cause() {
+    let (found, text) = explain("r-1");
+    assert!(found);
+    let events: Vec<&str> = text
+        .lines()
+        .map(|line| line.split(": ").nth(1).unwrap().split(" execution").next().unwrap())
+        .map(|event| event.split(' ').next().unwrap())
+        .collect();
+    assert_eq!(events, ["sent", "left", "lost", "given", "finished"]);
+    assert!(text.contains("node-1 attempt: lost error=the connection was closed runner=i-a"));
+    assert!(!text.contains("i-z"));
+}
+
+#[test]
+fn an_unknown_request_is_told() {
+    let (found, text) = explain("nobody");
+    assert!(!found);
+    assert!(text.contains("no line names the request nobody"));
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,12 +15,14 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
 /// Between two looks at the signals.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
+/// Between two looks at the settings file.
+const FILE_POLL: Duration = Duration::from_millis(500);
 /// Between two looks at idle connections.
 const PRUNE_EVERY: Duration = Duration::from_millis(1_000);
 /// Part of the grace time in which new clients are still taken.
@@ -100,7 +102,7 @@
     let begun = Instant::now();
     node.begin_stop();
     log::info!(target: "process", open = node.open_requests(); "stopping");
-    let grace = Duration::from_secs_f64(node.settings.bounds.grace_s);
+    let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
     sleep(grace.mul_f64(TAKING_SHARE)).await;
     taking.cancel();
     node.stopping.notify_waiters();
@@ -125,29 +127,60 @@
 }
 
 async fn wait_for_stop(node: &Node, path: &Path, signals: &Signals) {
+    let mut file = SettingsFile::new(path);
     while !signals.stop_requested() {
         sleep(SIGNAL_POLL).await;
-        if signals.take_reload() {
-            report_reload(node, path);
+        // The file may change without a signal.
+        if signals.take_reload() || file.has_changed() {
+            reload(node, path);
         }
     }
 }
 
-/// Checks a changed settings file. What a running process can't take over is told, and holds
-/// from the next start.
-fn report_reload(node: &Node, path: &Path) {
-    match Settings::read(path) {
-        Ok(settings) if settings == node.settings => {
-            log::info!(target: "process", changed = false; "reloaded");
-        }
-        Ok(_) => {
-            log::info!(target: "process", changed = true; "reloaded, holds from the next start")
+/// Tells when a settings file has changed.
+struct SettingsFile<'a> {
+    path: &'a Path,
+    modified: Option<SystemTime>,
+    looked_at: Instant,
+}
+
+impl<'a> SettingsFile<'a> {
+    fn new(path: &'a Path) -> Self {
+        Self { path, modified: modified(path), looked_at: Instant::now() }
+    }
+
+    fn has_changed(&mut self) -> bool {
+        if self.looked_at.elapsed() < FILE_POLL {
+            return false;
         }
+        self.looked_at = Instant::now();
+        let before = std::mem::replace(&mut self.modified, modified(self.path));
+        self.modified.is_some() && self.modified != before
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+/// Takes a changed settings file into force. A file that is not valid changes nothing; names
+/// and addresses of this node hold from the next start.
+fn reload(node: &Node, path: &Path) {
+    let known = node.settings();
+    let mut settings = match Settings::read(path) {
+        Ok(settings) => settings,
         Err(error) => {
             let error = error.to_string();
             log::error!(target: "process", error; "reload refused");
+            return;
         }
-    }
+    };
+    let needs_restart = settings.node != known.node || settings.listen != known.listen;
+    settings.node = known.node.clone();
+    settings.listen = known.listen.clone();
+    let changed = settings != *known;
+    node.adopt_settings(settings);
+    log::info!(target: "process", changed, needs_restart; "reloaded");
 }
 
 async fn wait_for_requests(node: &Node, latest: Instant) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,8 +21,6 @@
 
 /// The node.
 pub struct Node {
-    /// Settings.
-    pub settings: Settings,
     /// The node's zone.
     pub zone: ZoneId,
     /// Runners.
@@ -35,6 +33,7 @@
     pub fleet_changed: Notify,
     /// Told when the node begins to stop.
     pub stopping: Notify,
+    settings: RefCell<Rc<Settings>>,
     started: Instant,
     configuration: RefCell<Option<Rc<Configuration>>>,
     runners_known: Cell<bool>,
@@ -53,7 +52,7 @@
     pub fn new(settings: Settings) -> Rc<Self> {
         let zone = ZoneId::new(&settings.node.zone);
         Rc::new(Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             zone,
             fleet: RefCell::default(),
             pool: ConnectionPool::default(),
@@ -74,6 +73,16 @@
         })
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Takes changed settings into force.
+    pub fn adopt_settings(&self, settings: Settings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Microseconds of a steady clock since the start.
     pub fn now_us(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
@@ -212,14 +221,17 @@
         service: &ServiceName,
         use_budget: impl FnOnce(&mut SharedRetryBudget) -> R,
     ) -> R {
-        let bounds = &self.settings.bounds;
+        let settings = self.settings();
+        let bounds = &settings.bounds;
         let policy = RetryPolicy {
             ratio: bounds.retry_ratio,
             window_us: (bounds.retry_window_s * MICROS_PER_SECOND) as u64,
         };
         let mut budgets = self.budgets.borrow_mut();
         let new_budget = || SharedRetryBudget::new(policy);
-        use_budget(budgets.entry(service.clone()).or_insert_with(new_budget))
+        let budget = budgets.entry(service.clone()).or_insert_with(new_budget);
+        budget.set_policy(policy);
+        use_budget(budget)
     }
 
     /// The measured pace of a service's prefill runners, handed to `use_pace`.
@@ -261,7 +273,7 @@
     pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
         const BODIES_SHARE: u64 = 4;
         const BYTES_PER_MEGABYTE: u64 = 1_000_000;
-        let share = self.settings.machine.memory_mb * BYTES_PER_MEGABYTE / BODIES_SHARE;
+        let share = self.settings().machine.memory_mb * BYTES_PER_MEGABYTE / BODIES_SHARE;
         let most = usize::try_from(share).unwrap_or(usize::MAX);
         let total = self.body_bytes.get() + bytes;
         if total > most {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -67,7 +67,7 @@
 impl Peers {
     /// Peers that are reached through the socket.
     pub fn new(node: Rc<Node>, socket: UdpSocket) -> Rc<Self> {
-        let name = NodeId::new(&node.settings.node.name);
+        let name = NodeId::new(&node.settings().node.name);
         let incarnation = rand::rng().random();
         Rc::new(Self { node, socket, name, incarnation, state: RefCell::default() })
     }
@@ -179,7 +179,7 @@
 
     /// Keeps this node registered and the list of the others fresh, until the task is dropped.
     pub async fn register(self: Rc<Self>) {
-        let mut client = StoreClient::new(self.node.settings.store.address);
+        let mut client = StoreClient::default();
         loop {
             if let Some(lease) = self.join(&mut client).await {
                 self.stay(&mut client, lease).await;
@@ -191,7 +191,7 @@
     async fn join(&self, client: &mut StoreClient) -> Option<u64> {
         let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await?;
         let lease = store::parse_lease(&body).ok()?;
-        let address = self.node.settings.listen.peers.to_string();
+        let address = self.node.settings().listen.peers.to_string();
         let put = store::put_under_lease(&store::node_key(self.name.as_str()), &address, lease);
         self.call(client, &put).await?;
         self.list(client).await;
@@ -236,7 +236,8 @@
 
     async fn call(&self, client: &mut StoreClient, call: &store::StoreCall) -> Option<Vec<u8>> {
         self.node.metrics.store_calls.inc();
-        let answer = client.call(call, STORE_LIMIT).await;
+        let address = self.node.settings().store.address;
+        let answer = client.call(address, call, STORE_LIMIT).await;
         let outcome = match answer {
             Ok(answer) if store::parse_status(answer.status) == StoreStatus::Done => {
                 return Some(answer.body)
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -39,33 +39,29 @@
 }
 
 /// A client of the store.
+#[derive(Default)]
 pub struct StoreClient {
-    address: SocketAddr,
-    connection: Option<Upstream>,
+    kept: Option<(SocketAddr, Upstream)>,
 }
 
 impl StoreClient {
-    /// A client without a connection yet.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None }
-    }
-
-    /// Makes a call and waits for its answer for at most `limit`.
+    /// Makes a call to the store at an address and waits for its answer for at most `limit`.
     pub async fn call(
         &mut self,
+        address: SocketAddr,
         call: &StoreCall,
         limit: Duration,
     ) -> Result<StoreAnswer, StoreFailure> {
-        let kept = self.connection.take().filter(Upstream::is_reusable);
+        let kept = self.kept.take().filter(|(to, kept)| *to == address && kept.is_reusable());
         let connection = match kept {
-            Some(connection) => connection,
-            None => Upstream::open(self.address, CONNECT_LIMIT).await?,
+            Some((_, connection)) => connection,
+            None => Upstream::open(address, CONNECT_LIMIT).await?,
         };
-        let exchange = exchange(&connection, self.address, call);
+        let exchange = exchange(&connection, address, call);
         let (answer, keep) =
             timeout(limit, exchange).await.map_err(|_| StoreFailure::TimedOut)??;
         if keep && connection.is_reusable() {
-            self.connection = Some(connection);
+            self.kept = Some((address, connection));
         }
         Ok(answer)
     }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -13,6 +13,7 @@
 };
 use pitchstall_serving::fleet::RunnerRecord;
 use rand::RngExt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -62,8 +63,9 @@
 
 /// Follows one subject until the process ends.
 pub async fn follow(node: Rc<Node>, subject: Subject) {
-    let client = StoreClient::new(node.settings.store.address);
-    let mut follower = Follower { node, subject, client, at: None, failures: 0 };
+    let client = StoreClient::default();
+    let address = node.settings().store.address;
+    let mut follower = Follower { node, subject, client, address, at: None, failures: 0 };
     loop {
         match follower.step().await {
             Ok(()) => follower.on_success(),
@@ -76,6 +78,7 @@
     node: Rc<Node>,
     subject: Subject,
     client: StoreClient,
+    address: SocketAddr,
     /// The store's revision up to which everything is known.
     at: Option<u64>,
     failures: u32,
@@ -83,6 +86,12 @@
 
 impl Follower {
     async fn step(&mut self) -> Result<(), FollowError> {
+        let address = self.node.settings().store.address;
+        if address != self.address {
+            // Another store may count its revisions in another way.
+            self.address = address;
+            self.at = None;
+        }
         match self.at {
             None => self.read_all().await,
             Some(at) => self.watch(at).await,
@@ -136,8 +145,9 @@
 
     async fn watch(&mut self, at: u64) -> Result<(), FollowError> {
         // Together well under the time after which the node counts as in touch again.
-        let wait = Duration::from_millis(self.node.settings.bounds.contact_ms * 3 / 5);
-        let slack = Duration::from_millis(self.node.settings.bounds.contact_ms / 4);
+        let contact_ms = self.node.settings().bounds.contact_ms;
+        let wait = Duration::from_millis(contact_ms * 3 / 5);
+        let slack = Duration::from_millis(contact_ms / 4);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let call = store::watch(self.subject.prefix(), at, wait_ms);
         let (status, body) = self.call(&call, wait + slack).await?;
@@ -163,7 +173,7 @@
         limit: Duration,
     ) -> Result<(StoreStatus, Vec<u8>), FollowError> {
         self.node.metrics.store_calls.inc();
-        let answer = self.client.call(call, limit).await?;
+        let answer = self.client.call(self.address, call, limit).await?;
         Ok((store::parse_status(answer.status), answer.body))
     }
 
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
-use pitchstall_platform_standins::store::StoreMode;
+use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
 use std::time::Duration;
 use support::{configuration, get, route, wait_for, Fixture};
 use test_case::test_case;
@@ -162,3 +162,27 @@
     assert!(text.contains("pitchstall_requests_total{outcome=\"answered\"} 1"), "{text}");
     assert!(text.contains("pitchstall_requests_total{outcome=\"no_route\"} 1"), "{text}");
 }
+
+#[test]
+fn a_changed_settings_file_is_taken_and_a_wrong_one_is_not() {
+    let one = runner("i-1");
+    let node = Fixture::with_runners(&[(&one, "desk", None)]);
+    let text = std::fs::read_to_string(&node.file).unwrap();
+    std::fs::write(&node.file, text.replace("contact_ms = 1000", "contact_ms = \"soon\"")).unwrap();
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(ask(&node, "/lookup/1").0, 200);
+    // The store moves, and with it the configuration.
+    let moved = StoreStandIn::start().unwrap();
+    moved.put("servers/unrelated", &serde_json::json!({}));
+    let mut newer = configuration(9);
+    newer["routes"].as_array_mut().unwrap().push(route("added", "idempotent", "desk"));
+    moved.put("op/config", &newer);
+    let entry = serde_json::json!({
+        "service": "desk", "address": one.address().to_string(), "zone": "north", "slots": 8,
+        "state": "ready", "seq": 1,
+    });
+    moved.put("servers/i-1", &entry);
+    let before = node.store.address().to_string();
+    std::fs::write(&node.file, text.replace(&before, &moved.address().to_string())).unwrap();
+    wait_for("the configuration of the other store", || ask(&node, "/added/1").0 == 200);
+}
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,32 @@
+//! Settings are checked as a whole, and errors say where and what.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_gateway::settings::Settings;
+use std::path::Path;
+use test_case::test_case;
+
+fn example() -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/serve.toml");
+    std::fs::read_to_string(path).unwrap()
+}
+
+#[test]
+fn the_example_is_valid() {
+    Settings::parse(Path::new("serve.toml"), &example()).unwrap();
+}
+
+#[test_case("contact_ms = 3000", "contact_ms = \"3000\"", "line 17"; "a text for a number")]
+#[test_case("contact_ms = 3000", "contact_ms = 0", "bounds.contact_ms: expected more than 0"; "out of range")]
+#[test_case("retry_ratio = 0.2", "retry_ratio = 11", "bounds.retry_ratio: expected 0 to 10"; "a ratio out of range")]
+#[test_case("zone = \"brest-hall\"", "zone = \"\"", "node.zone: expected the name of a zone"; "no zone")]
+#[test_case("name = \"node-1\"", "nmae = \"node-1\"", "unknown field `nmae`"; "a field that does not exist")]
+#[test_case("address = \"127.0.0.1:2379\"", "address = \"nowhere\"", "invalid socket address"; "an address that is none")]
+#[test_case("[store]", "[stores]", "unknown field `stores`"; "a section that does not exist")]
+fn a_wrong_setting_is_refused_with_its_place(right: &str, wrong: &str, expected: &str) {
+    let text = example();
+    assert!(text.contains(right));
+    let error = Settings::parse(Path::new("serve.toml"), &text.replacen(right, wrong, 1));
+    let message = error.unwrap_err().to_string();
+    assert!(message.contains(expected), "{message}");
+    assert!(message.starts_with("serve.toml"), "{message}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -79,6 +79,7 @@
     pub store: StoreStandIn,
     pub callers: SocketAddr,
     pub health: SocketAddr,
+    pub file: PathBuf,
     signals: Signals,
     thread: Option<JoinHandle<()>>,
 }
@@ -98,14 +99,18 @@
             at(PEERS_PORT),
             store.address(),
         );
-        let settings = Settings::parse(Path::new("test.toml"), &text).unwrap();
+        let file = std::env::temp_dir().join(format!("pitchstall-{}.toml", callers.ip()));
+        std::fs::write(&file, &text).unwrap();
+        let settings = Settings::read(&file).unwrap();
         let signals = Signals::default();
         let handed = signals.clone();
+        let path = file.clone();
         let thread = std::thread::spawn(move || {
-            let run = daemon::run(settings, PathBuf::from("test.toml"), handed);
+            let run = daemon::run(settings, path, handed);
             System::build().name("node").build(DefaultRuntime).block_on(run).unwrap();
         });
-        let fixture = Self { store, callers, health, signals, thread: Some(thread) };
+        let thread = Some(thread);
+        let fixture = Self { store, callers, health, file, signals, thread };
         // The addresses are bound one after the other.
         let listens = |address| TcpStream::connect(address).is_ok();
         wait_for("the node to listen", || listens(callers) && listens(health));
@@ -172,6 +177,7 @@
 impl Drop for Fixture {
     fn drop(&mut self) {
         self.signals.request_stop();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -33,6 +33,11 @@
         Self { policy, requests: VecDeque::new(), extras: VecDeque::new() }
     }
 
+    /// Changes the bounds; what was earned and spent stays.
+    pub fn set_policy(&mut self, policy: RetryPolicy) {
+        self.policy = policy;
+    }
+
     /// A request for the service was taken from a client.
     pub fn on_request(&mut self, now_us: u64) {
         self.forget_before(now_us);
