Leave a runner that has become unreachable without waiting for the attempt's limit

Cause: when a runner goes dark, its open attempts waited for nearly half of their time, each later request met the closed door for 400 ms, and after the time of suspicion all requests tried it at once.

Change: an attempt that may be repeated ends when another request finds the runner unreachable; a connection is waited for 200 ms; after the time of suspicion one request tries the runner first.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,17 +6,19 @@
 use crate::node::Node;
 use pitchstall_platform_adapter::headers;
 use pitchstall_protocol::ids::RunnerId;
-use pitchstall_serving::fleet::RunnerRecord;
+use pitchstall_serving::fleet::{Runner, RunnerRecord};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time to open a connection to a runner. Runners are near; one that takes longer is full,
 /// dark or cut off, and another may be tried since nothing has been sent.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+/// Between two looks whether a runner has become suspect.
+const SUSPECT_POLL: Duration = Duration::from_millis(100);
 /// Largest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Surplus answers that are passed over while waiting for the right one.
@@ -140,6 +142,9 @@
     pub deadline: Instant,
     /// Longest wait for the head of the answer.
     pub head_limit: Duration,
+    /// Whether the attempt ends when its runner cannot be reached any more: only for what may
+    /// be repeated.
+    pub leaves_suspects: bool,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -157,7 +162,14 @@
     if let Err(error) = prepared.connection.send(bytes) {
         return lost(node, request, &runner, &error);
     }
-    let answer = timeout(params.head_limit, read_own_head(request, &prepared)).await;
+    let head = read_own_head(request, &prepared);
+    let answer = tokio::select! {
+        answer = timeout(params.head_limit, head) => answer,
+        () = becomes_suspect(node, &runner), if params.leaves_suspects => {
+            log::info!(target: "attempt", request = request.facts.id.as_str(), runner = runner.as_str(); "left");
+            return AttemptEnd::Silent;
+        }
+    };
     match answer {
         Err(_) => {
             let limit_ms = u64::try_from(params.head_limit.as_millis()).unwrap_or(u64::MAX);
@@ -173,6 +185,15 @@
     }
 }
 
+/// Ends when a runner that was not suspected is, by what other requests meet there.
+async fn becomes_suspect(node: &Node, runner: &RunnerId) {
+    let is_suspected = || node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected);
+    let was_suspected = is_suspected();
+    while was_suspected || !is_suspected() {
+        sleep(SUSPECT_POLL).await;
+    }
+}
+
 fn attempt_bytes(
     request: &ClientRequest,
     record: &RunnerRecord,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -158,6 +158,7 @@
             after_event: self.resume_point(),
             deadline: self.deadline,
             head_limit: self.attempt_limit(),
+            leaves_suspects: self.could_follow(),
         }
     }
 
@@ -178,14 +179,18 @@
     /// Silence gives no reason to end an attempt, unless another can follow.
     fn attempt_limit(&self) -> Duration {
         let left = self.time_left();
-        let could_follow = self.may_run_again(1) && self.budget_available() >= 1.0;
-        if could_follow {
+        if self.could_follow() {
             left.mul_f64(ATTEMPT_SHARE)
         } else {
             left
         }
     }
 
+    /// Whether another attempt may follow the one that is made now.
+    fn could_follow(&self) -> bool {
+        self.may_run_again(1) && self.budget_available() >= 1.0
+    }
+
     /// Whether the request may run once more after so many further runs.
     fn may_run_again(&self, further: u32) -> bool {
         self.route.is_repeatable() && self.runs + further < self.route.max_attempts
@@ -285,6 +290,7 @@
         let mut params = self.params(Work::ReadPrompt, &reader);
         params.after_event = None;
         params.head_limit = self.time_left().mul_f64(ATTEMPT_SHARE);
+        params.leaves_suspects = self.budget_available() >= 1.0;
         let demand = ReadingDemand {
             request: self.request,
             service: &self.service,
@@ -392,8 +398,7 @@
 
     /// Only a stream that can go on elsewhere is left because of a pause.
     fn longest_pause(&self) -> Duration {
-        let could_follow = self.may_run_again(1) && self.budget_available() >= 1.0;
-        let gap = self.route.gap_target_ms.filter(|_| could_follow);
+        let gap = self.route.gap_target_ms.filter(|_| self.could_follow());
         let silence = gap.map(|gap_ms| Duration::from_millis(gap_ms) * SILENT_PAUSES);
         silence.map_or(self.time_left(), |silence| silence.max(SHORTEST_SILENCE))
     }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -122,9 +122,16 @@
         !self.record.draining && !self.misdirected
     }
 
-    /// Whether it could lately not be reached, or was full.
+    /// Whether it could lately not be reached, or was full. After the time for which a
+    /// runner is suspected, one request tries it before others follow.
     pub fn is_avoided(&self, now_us: u64) -> bool {
-        now_us < self.suspect_until_us || now_us < self.full_until_us
+        let is_tried = self.is_suspected() && self.in_flight > 0;
+        now_us < self.suspect_until_us || now_us < self.full_until_us || is_tried
+    }
+
+    /// Whether it could not be reached and has not answered since.
+    pub fn is_suspected(&self) -> bool {
+        self.suspect_for_us > 0
     }
 
     /// Requests that other nodes are believed to have at it: by their own words, and by the
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -276,3 +276,18 @@
     assert_eq!(log.take_next(), [read]);
     assert!(log.take_next().is_empty());
 }
+
+#[test]
+fn after_its_time_a_suspect_is_tried_by_one_request_first() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", "north", None, 1));
+    fleet.put(record("b", "south", None, 1));
+    let a = RunnerId::new("a");
+    fleet.on_unreachable(&a, 0);
+    let much_later = 60_000_000;
+    assert!(!fleet.get(&a).unwrap().is_avoided(much_later));
+    fleet.on_sent(&a, 0);
+    assert!(fleet.get(&a).unwrap().is_avoided(much_later), "others wait for the first");
+    fleet.on_answered(&a, false);
+    assert!(!fleet.get(&a).unwrap().is_avoided(much_later));
+}
