Change runners' roles by fenced orders of one node

Cause: roles were fixed.

Change: one node holds a leased key; its time runs from the sending of each renewal, it waits for a lease's length before its first order, and its fencing token is the revision of the acquisition. A planner changes a role when prompts wait or slots are full for long enough and the other side can spare a runner. Orders name the runner, the token and the number of orders that it has taken; other nodes are told which runners are changing.

Next: the memory of decode runners, which the planner and placement do not see.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -87,6 +87,7 @@
         bounds: BoundsSection {
             contact_ms: 3_000,
             grace_s: 8.0,
+            lease_ms: 3_000,
             retry_ratio: 0.2,
             retry_window_s: 10.0,
         },
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -4,6 +4,7 @@
 //! sent to it. For some time they still come and are served. Then it takes no more, closes
 //! idle connections, and ends with the last open request.
 
+use crate::authority;
 use crate::cache_listing;
 use crate::listener;
 use crate::node::Node;
@@ -94,6 +95,7 @@
     ntex::rt::spawn(peers.clone().receive());
     ntex::rt::spawn(peers.clone().announce());
     ntex::rt::spawn(peers.register());
+    ntex::rt::spawn(authority::hold(node.clone()));
     ntex::rt::spawn(cache_listing::list_unless_told(node.clone()));
     ntex::rt::spawn(listener::accept_health(health, node.clone()));
     ntex::rt::spawn(prune(node.clone()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,11 +14,12 @@
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
-//! Beside them: [`peers`] exchanges digests with other nodes, [`watcher`] follows the store with [`store_client`], [`node`] holds what the
+//! Beside them: [`authority`] orders role changes, [`peers`] exchanges digests with other nodes, [`watcher`] follows the store with [`store_client`], [`node`] holds what the
 //! node believes, [`http`] speaks HTTP to runners and to the store.
 
 pub mod answers;
 pub mod attempt;
+pub mod authority;
 pub mod cache_listing;
 pub mod connection;
 pub mod daemon;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -131,6 +131,7 @@
             sequence: state.sequence,
             informed: self.node.is_informed(),
             loads,
+            changing: self.node.fleet.borrow().changing(self.node.now_us()),
             read,
         }
     }
@@ -149,15 +150,19 @@
     /// Tells the other nodes what has changed, until the task is dropped.
     pub async fn announce(self: Rc<Self>) {
         let mut told: Vec<RunnerLoad> = Vec::new();
+        let mut told_changing = Vec::new();
         let mut told_at = Instant::now();
         loop {
             sleep(DIGEST_EVERY).await;
             let loads = self.node.fleet.borrow().own_loads();
             let read = self.node.next_reads();
             let repeat = !loads.is_empty() && told_at.elapsed() >= REPEAT_EVERY;
-            if loads == told && read.is_empty() && !repeat {
+            let changing = self.node.fleet.borrow().changing(self.node.now_us());
+            let is_news = loads != told || changing != told_changing || !read.is_empty();
+            if !is_news && !repeat {
                 continue;
             }
+            told_changing = changing;
             told.clone_from(&loads);
             told_at = Instant::now();
             let to = self.next_addresses();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,6 +62,8 @@
     pub contact_ms: u64,
     /// Time from a planned stop to the forced one, seconds.
     pub grace_s: f64,
+    /// Time that must lie between orders of two nodes to a runner, milliseconds.
+    pub lease_ms: u64,
     /// Extra attempts for each request, over all nodes.
     pub retry_ratio: f64,
     /// Window over which extra attempts are counted, seconds.
@@ -157,6 +159,7 @@
             (!self.node.name.is_empty(), "node.name", "a name"),
             (!self.node.zone.is_empty(), "node.zone", "the name of a zone"),
             (bounds.contact_ms > 0, "bounds.contact_ms", "more than 0"),
+            (bounds.lease_ms > 0, "bounds.lease_ms", "more than 0"),
             (bounds.grace_s > 0.0, "bounds.grace_s", "more than 0"),
             ((0.0..=10.0).contains(&bounds.retry_ratio), "bounds.retry_ratio", "0 to 10"),
             (bounds.retry_window_s > 0.0, "bounds.retry_window_s", "more than 0"),
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -51,6 +51,9 @@
     /// Where the node has requests.
     #[serde(default)]
     pub loads: Vec<RunnerLoad>,
+    /// Runners that were ordered to change their role and take no work meanwhile.
+    #[serde(default)]
+    pub changing: Vec<RunnerId>,
     /// Prefixes that were read lately, or, for a newcomer, all that are known.
     #[serde(default)]
     pub read: Vec<PrefixRead>,
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -94,6 +94,8 @@
     suspect_until_us: u64,
     suspect_for_us: u64,
     full_until_us: u64,
+    /// It was ordered to change its role and takes no work until then.
+    changing_until_us: u64,
     /// The address answered for another runner: this one is gone, whatever the list says.
     misdirected: bool,
     cache: PrefixCacheModel,
@@ -112,6 +114,7 @@
             suspect_until_us: 0,
             suspect_for_us: 0,
             full_until_us: 0,
+            changing_until_us: 0,
             misdirected: false,
             cache: PrefixCacheModel::default(),
         }
@@ -129,6 +132,11 @@
         now_us < self.suspect_until_us || now_us < self.full_until_us || is_tried
     }
 
+    /// Whether it is changing its role.
+    pub fn is_changing(&self, now_us: u64) -> bool {
+        now_us < self.changing_until_us
+    }
+
     /// Whether it could not be reached and has not answered since.
     pub fn is_suspected(&self) -> bool {
         self.suspect_for_us > 0
@@ -247,6 +255,7 @@
         let change = if record.draining && !known.record.draining {
             FleetChange::Draining
         } else if record.stage != known.record.stage {
+            known.changing_until_us = 0;
             FleetChange::Restaged
         } else {
             FleetChange::None
@@ -303,6 +312,7 @@
         let of_service = |runner: &&Runner| {
             runner.record.service == *service
                 && runner.takes_work()
+                && !runner.is_changing(now_us)
                 && !excluded.contains(&runner.record.id)
         };
         let all: Vec<&Runner> = self.runners.values().filter(of_service).collect();
@@ -397,6 +407,19 @@
         }
     }
 
+    /// A runner was ordered to change its role; the list will tell when it has.
+    pub fn on_changing(&mut self, id: &RunnerId, until_us: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.changing_until_us = until_us;
+        }
+    }
+
+    /// Runners that are changing their role.
+    pub fn changing(&self, now_us: u64) -> Vec<RunnerId> {
+        let changing = self.runners.values().filter(|runner| runner.is_changing(now_us));
+        changing.map(|runner| runner.record.id.clone()).collect()
+    }
+
     /// A runner could not be reached, or broke an answer off: it is avoided for a time that
     /// doubles with each failure in a row.
     pub fn on_unreachable(&mut self, id: &RunnerId, now_us: u64) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,11 +13,14 @@
 //! | [`digest`] | what nodes tell each other about runners |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
+//! | [`role_planner`] | when a runner changes its role |
+//! | [`authority`] | which node may order that |
 //! | [`retry_budget`] | whether one more attempt may be made |
 //! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
 //! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
 
 pub mod attempt;
+pub mod authority;
 pub mod configuration;
 pub mod digest;
 pub mod event_stream;
@@ -26,4 +29,5 @@
 pub mod prefix;
 pub mod request;
 pub mod retry_budget;
+pub mod role_planner;
 pub mod routing;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -126,7 +126,8 @@
         tokens / self.tokens_per_ms.max(0.001)
     }
 
-    fn backlog_ms(&self, runner: &Runner, now_us: u64) -> f64 {
+    /// Time until a runner has read what waits there, milliseconds.
+    pub fn backlog_ms(&self, runner: &Runner, now_us: u64) -> f64 {
         let told = runner.unread_for_peers(now_us) as f64;
         let guessed = runner.others(now_us) * self.mean_tokens;
         let others = if told > 0.0 { told } else { guessed };
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -254,7 +254,15 @@
 
 fn digest(incarnation: u64, sequence: u64) -> Digest {
     let node = NodeId::new("a");
-    Digest { node, incarnation, sequence, informed: false, loads: Vec::new(), read: Vec::new() }
+    Digest {
+        node,
+        incarnation,
+        sequence,
+        informed: false,
+        loads: Vec::new(),
+        changing: Vec::new(),
+        read: Vec::new(),
+    }
 }
 
 #[test]
