Let placement and planner see the memory of decode runners

Change: nodes count the tokens that their attempts hold at each runner and tell each other; placement avoids a runner whose memory is nearly taken, and the planner counts slots or memory, whichever is fuller. Tests for authority (property: orders of two holders are a lease apart), planner and orders.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use pitchstall_platform_adapter::headers;
 use pitchstall_protocol::ids::RunnerId;
-use pitchstall_serving::fleet::{Runner, RunnerRecord};
+use pitchstall_serving::fleet::{AttemptDemand, Runner, RunnerRecord};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
 use std::net::SocketAddr;
@@ -30,28 +30,25 @@
 pub struct Flight {
     node: Rc<Node>,
     runner: RunnerId,
-    unread_tokens: u64,
+    demand: AttemptDemand,
 }
 
 impl Flight {
     fn new(node: &Rc<Node>, choice: &Choice) -> Self {
-        node.fleet.borrow_mut().on_sent(&choice.runner, choice.unread_tokens);
-        let runner = choice.runner.clone();
-        Self { node: node.clone(), runner, unread_tokens: choice.unread_tokens }
+        node.fleet.borrow_mut().on_sent(&choice.runner, choice.demand);
+        Self { node: node.clone(), runner: choice.runner.clone(), demand: choice.demand }
     }
 
     /// The runner has read the prompt; only the writing is left.
     pub fn on_read(&mut self) {
-        let mut fleet = self.node.fleet.borrow_mut();
-        fleet.on_ended(&self.runner, self.unread_tokens);
-        fleet.on_sent(&self.runner, 0);
-        self.unread_tokens = 0;
+        self.node.fleet.borrow_mut().on_prompt_read(&self.runner, self.demand);
+        self.demand.unread_tokens = 0;
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.node.fleet.borrow_mut().on_ended(&self.runner, self.unread_tokens);
+        self.node.fleet.borrow_mut().on_ended(&self.runner, self.demand);
     }
 }
 
@@ -317,7 +314,7 @@
     let runner = prepared.record.id.as_str();
     let reused = prepared.reused;
     let revision = prepared.record.revision;
-    let unread = prepared.flight.unread_tokens;
+    let unread = prepared.flight.demand.unread_tokens;
     let fetch = params.fetch_from.is_some();
     log::info!(target: "attempt", request = id, runner, work, reused, revision, unread, fetch; "sent");
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -154,7 +154,10 @@
         AttemptParams {
             fetch_from: self.address_of(choice.fetch_from.as_ref()),
             work,
-            priority: self.engine.as_ref().map(|_| rank(self.route.priority, choice.unread_tokens)),
+            priority: self
+                .engine
+                .as_ref()
+                .map(|_| rank(self.route.priority, choice.demand.unread_tokens)),
             after_event: self.resume_point(),
             deadline: self.deadline,
             head_limit: self.attempt_limit(),
@@ -227,6 +230,7 @@
             prompt: &self.prompt,
             zone: &self.node.zone,
             excluded: &self.excluded,
+            cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
             now_us: self.node.now_us(),
         }
     }
@@ -295,7 +299,7 @@
             request: self.request,
             service: &self.service,
             prompt: &self.prompt,
-            unread_tokens: reader.unread_tokens,
+            unread_tokens: reader.demand.unread_tokens,
         };
         match reading::read_prompt(self.node, &demand, prepared, &params).await {
             ReadingEnd::Read(prompt) => Some(prompt),
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -22,6 +22,9 @@
     /// Prompt tokens that the runner has yet to read for the node.
     #[serde(rename = "t")]
     pub unread_tokens: u64,
+    /// Tokens of KV cache that the attempts take.
+    #[serde(rename = "k", default)]
+    pub held_tokens: u64,
 }
 
 /// A runner holds parts of prompts in its KV cache.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -50,6 +50,15 @@
     pub waiting: u32,
 }
 
+/// What an attempt asks of a runner of a language model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptDemand {
+    /// Prompt tokens to read.
+    pub unread_tokens: u64,
+    /// Tokens of KV cache, prompt and output, while it runs.
+    pub held_tokens: u64,
+}
+
 /// What a change of the list did to a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FleetChange {
@@ -86,6 +95,8 @@
     pub in_flight: u32,
     /// Prompt tokens that it has yet to read for this node.
     pub unread_tokens: u64,
+    /// Tokens of KV cache that this node's attempts take there.
+    pub held_tokens: u64,
     /// Share of recent answers that were failures of its own.
     pub failure_rate: f64,
     others: u32,
@@ -107,6 +118,7 @@
             record,
             in_flight: 0,
             unread_tokens: 0,
+            held_tokens: 0,
             failure_rate: 0.0,
             others: 0,
             others_at_us: 0,
@@ -161,6 +173,12 @@
         self.fresh_peers(now_us).map(|load| load.unread_tokens).sum()
     }
 
+    /// Tokens of KV cache that the attempts of all nodes take there.
+    pub fn held_by_all(&self, now_us: u64) -> u64 {
+        let peers: u64 = self.fresh_peers(now_us).map(|load| load.held_tokens).sum();
+        self.held_tokens + peers
+    }
+
     fn fresh_peers(&self, now_us: u64) -> impl Iterator<Item = &PeerLoad> {
         let is_fresh = move |load: &&PeerLoad| now_us < load.told_at_us + PEER_LOAD_LIFE_US;
         self.peers.values().filter(is_fresh)
@@ -182,6 +200,7 @@
 struct PeerLoad {
     in_flight: u32,
     unread_tokens: u64,
+    held_tokens: u64,
     told_at_us: u64,
 }
 
@@ -325,19 +344,28 @@
         }
     }
 
-    /// An attempt goes to a runner, which has so many tokens to read for it.
-    pub fn on_sent(&mut self, id: &RunnerId, unread_tokens: u64) {
+    /// An attempt goes to a runner.
+    pub fn on_sent(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight += 1;
-            runner.unread_tokens += unread_tokens;
+            runner.unread_tokens += demand.unread_tokens;
+            runner.held_tokens += demand.held_tokens;
+        }
+    }
+
+    /// A runner has read the prompt of an attempt.
+    pub fn on_prompt_read(&mut self, id: &RunnerId, demand: AttemptDemand) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
         }
     }
 
-    /// An attempt has ended.
-    pub fn on_ended(&mut self, id: &RunnerId, unread_tokens: u64) {
+    /// An attempt has ended; what it had left unread and held is over.
+    pub fn on_ended(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight = runner.in_flight.saturating_sub(1);
-            runner.unread_tokens = runner.unread_tokens.saturating_sub(unread_tokens);
+            runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
+            runner.held_tokens = runner.held_tokens.saturating_sub(demand.held_tokens);
         }
     }
 
@@ -355,8 +383,12 @@
         }
         for load in loads {
             if let Some(runner) = self.runners.get_mut(&load.runner) {
-                let (in_flight, unread_tokens) = (load.in_flight, load.unread_tokens);
-                let told = PeerLoad { in_flight, unread_tokens, told_at_us: now_us };
+                let told = PeerLoad {
+                    in_flight: load.in_flight,
+                    unread_tokens: load.unread_tokens,
+                    held_tokens: load.held_tokens,
+                    told_at_us: now_us,
+                };
                 runner.peers.insert(node.clone(), told);
             }
         }
@@ -369,6 +401,7 @@
             runner: runner.record.id.clone(),
             in_flight: runner.in_flight,
             unread_tokens: runner.unread_tokens,
+            held_tokens: runner.held_tokens,
         };
         busy.map(load).collect()
     }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -4,7 +4,7 @@
 //! hashing), so the KV cache of the parts is read once and used by all. A home that is busy
 //! for longer than reading the parts again takes gives way to another runner.
 
-use crate::fleet::{Fleet, Runner, Stage};
+use crate::fleet::{AttemptDemand, Fleet, Runner, Stage};
 use crate::prefix::{rendezvous_weight, Prompt};
 use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
 
@@ -19,6 +19,8 @@
     pub zone: &'a ZoneId,
     /// Runners that have had the request already.
     pub excluded: &'a [RunnerId],
+    /// Tokens of KV cache that a runner has.
+    pub cache_tokens: u64,
     /// Now, microseconds of a steady clock.
     pub now_us: u64,
 }
@@ -28,8 +30,8 @@
 pub struct Choice {
     /// The runner.
     pub runner: RunnerId,
-    /// Prompt tokens that it has to read.
-    pub unread_tokens: u64,
+    /// What the attempt asks of it.
+    pub demand: AttemptDemand,
     /// The runner from which it takes over shared parts that it does not hold.
     pub fetch_from: Option<RunnerId>,
 }
@@ -68,6 +70,10 @@
 const FAR_MOVE: f64 = 3.0;
 /// Milliseconds that each running request counts as when a decode runner is chosen.
 const DECODE_BUSY_MS: f64 = 4.0;
+/// Share of a decode runner's memory above which it counts as short of it.
+const MEMORY_SHARE: f64 = 0.75;
+/// Milliseconds that a whole memory too much counts as.
+const MEMORY_FULL_MS: f64 = 4_000.0;
 /// Occupancy of a decode runner's slots above which it counts as full.
 const DECODE_FULL: f64 = 0.8;
 /// Milliseconds that a full decode runner counts as.
@@ -86,7 +92,11 @@
         occupancy + distance + failures
     };
     let best = least(&candidates, cost)?;
-    Some(Choice { runner: best.record.id.clone(), unread_tokens: 0, fetch_from: None })
+    Some(Choice {
+        runner: best.record.id.clone(),
+        demand: AttemptDemand::default(),
+        fetch_from: None,
+    })
 }
 
 /// Measured pace of prefill.
@@ -180,7 +190,10 @@
     let source = view.source_for(best);
     let choice = Choice {
         runner: best.record.id.clone(),
-        unread_tokens: view.unread_tokens(best),
+        demand: AttemptDemand {
+            unread_tokens: view.unread_tokens(best),
+            held_tokens: view.held_tokens(),
+        },
         fetch_from: source.map(|source| source.record.id.clone()),
     };
     Some((choice, cost_ms(best)))
@@ -225,6 +238,19 @@
         self.demand.prompt.tokens.saturating_sub(holder.cached_tokens(self.demand.prompt))
     }
 
+    /// Tokens of KV cache that the request takes while it runs.
+    fn held_tokens(&self) -> u64 {
+        self.demand.prompt.tokens + self.demand.prompt.max_output_tokens
+    }
+
+    /// What running with too little memory counts as: then requests wait, or are put back and
+    /// read anew.
+    fn memory_ms(&self, runner: &Runner) -> f64 {
+        let held = runner.held_by_all(self.demand.now_us) + self.held_tokens();
+        let share = held as f64 / self.demand.cache_tokens.max(1) as f64;
+        (share - MEMORY_SHARE).max(0.0) * MEMORY_FULL_MS
+    }
+
     /// What taking over shared parts counts as.
     fn fetch_ms(&self, runner: &Runner) -> f64 {
         let Some(source) = self.source_for(runner) else { return 0.0 };
@@ -264,7 +290,7 @@
         let slots = f64::from(runner.record.slots.max(1));
         let full = if occupancy >= slots * DECODE_FULL { DECODE_FULL_MS } else { 0.0 };
         let way = distance_ms(runner, near) + away_ms(runner, self.writing_home);
-        occupancy * DECODE_BUSY_MS + full + way
+        occupancy * DECODE_BUSY_MS + full + self.memory_ms(runner) + way
     }
 }
 
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -16,7 +16,7 @@
     pub long_wait_ms: f64,
     /// Prefill can spare a runner below this wait, milliseconds.
     pub short_wait_ms: f64,
-    /// Decode is short of runners above this share of slots.
+    /// Decode is short of runners above this share of slots or memory.
     pub high_occupancy: f64,
     /// Decode can spare a runner if the others stay below this share.
     pub low_occupancy: f64,
@@ -102,6 +102,8 @@
     wait_ms: f64,
     occupied: f64,
     slots: f64,
+    held: f64,
+    memory: f64,
     now_us: u64,
 }
 
@@ -124,12 +126,16 @@
         let wait_ms = (backlog(&prefill) + backlog(&decode)) / readers.max(1.0);
         let occupied = decode.iter().map(|runner| runner.occupancy(now_us)).sum();
         let slots = f64::from(engine.slots.max(1));
-        Self { prefill, decode, wait_ms, occupied, slots, now_us }
+        let held: u64 = decode.iter().map(|runner| runner.held_by_all(now_us)).sum();
+        let memory = engine.kv_tokens.max(1) as f64;
+        Self { prefill, decode, wait_ms, occupied, slots, held: held as f64, memory, now_us }
     }
 
-    /// Share of slots in use with so many decode runners.
+    /// Share in use with so many decode runners, of slots or of memory, whichever is fuller.
     fn occupancy_with(&self, decode_runners: usize) -> f64 {
-        self.occupied / (self.slots * decode_runners.max(1) as f64)
+        let runners = decode_runners.max(1) as f64;
+        let slots = self.occupied / (self.slots * runners);
+        slots.max(self.held / (self.memory * runners))
     }
 
     fn short_of(&self, policy: &RolePolicy) -> Option<Stage> {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -5,7 +5,9 @@
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, ReadLog, RunnerLoad};
-use pitchstall_serving::fleet::{Fleet, FleetChange, LoadReport, RunnerRecord, Stage};
+use pitchstall_serving::fleet::{
+    AttemptDemand, Fleet, FleetChange, LoadReport, RunnerRecord, Stage,
+};
 use pitchstall_serving::placement::{
     choose_worker, choose_writer, plan_reading, Demand, ReadPace, ReadingPlan,
 };
@@ -136,6 +138,7 @@
             prompt: &self.prompt,
             zone: &self.zone,
             excluded: &self.excluded,
+            cache_tokens: CACHE_TOKENS,
             now_us: 1_000,
         }
     }
@@ -171,7 +174,12 @@
     let home = reader(plan_reading(&fleet, &pace, &case.demand()));
     assert_eq!(reader(plan_reading(&engines(), &pace, &case.demand())), home);
     // Another node has told that it has much to read there.
-    let load = RunnerLoad { runner: RunnerId::new(&home), in_flight: 3, unread_tokens: 90_000 };
+    let load = RunnerLoad {
+        runner: RunnerId::new(&home),
+        in_flight: 3,
+        unread_tokens: 90_000,
+        held_tokens: 90_000,
+    };
     fleet.on_peer_loads(&NodeId::new("other"), &[load], 1_000);
     assert_ne!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
     // Its next word takes that back.
@@ -190,7 +198,7 @@
     let Some(ReadingPlan::Split(choice)) = plan_reading(&fleet, &pace, &case.demand()) else {
         unreachable!("prefill runners are free")
     };
-    assert_eq!(choice.unread_tokens, 3_000);
+    assert_eq!(choice.demand.unread_tokens, 3_000);
     if choice.runner.as_str() != other {
         assert_eq!(choice.fetch_from, Some(RunnerId::new(other)));
     }
@@ -201,7 +209,10 @@
     let mut fleet = engines();
     let case = Case::new(0, 1_000);
     for id in ["p1", "p2", "p3"] {
-        fleet.on_sent(&RunnerId::new(id), 200_000);
+        fleet.on_sent(
+            &RunnerId::new(id),
+            AttemptDemand { unread_tokens: 200_000, held_tokens: 200_000 },
+        );
     }
     let plan = reader(plan_reading(&fleet, &ReadPace::default(), &case.demand()));
     assert!(plan.starts_with("direct d"), "{plan}");
@@ -294,8 +305,23 @@
     fleet.on_unreachable(&a, 0);
     let much_later = 60_000_000;
     assert!(!fleet.get(&a).unwrap().is_avoided(much_later));
-    fleet.on_sent(&a, 0);
+    fleet.on_sent(&a, AttemptDemand::default());
     assert!(fleet.get(&a).unwrap().is_avoided(much_later), "others wait for the first");
     fleet.on_answered(&a, false);
     assert!(!fleet.get(&a).unwrap().is_avoided(much_later));
 }
+
+#[test]
+fn a_decode_runner_without_memory_is_left() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("d1", "north", Some(Stage::Decode), 1));
+    fleet.put(record("d2", "south", Some(Stage::Decode), 1));
+    let case = Case::new(0, 10_000);
+    let chosen = |fleet: &Fleet| choose_writer(fleet, &case.demand(), None).unwrap().runner;
+    assert_eq!(chosen(&fleet), RunnerId::new("d1"));
+    let demand = AttemptDemand { unread_tokens: 0, held_tokens: CACHE_TOKENS };
+    fleet.on_sent(&RunnerId::new("d1"), demand);
+    assert_eq!(chosen(&fleet), RunnerId::new("d2"));
+    fleet.on_ended(&RunnerId::new("d1"), demand);
+    assert_eq!(chosen(&fleet), RunnerId::new("d1"));
+}
--- /dev/null
+++ b/crates/serving/tests/roles.rs
@@ -0,0 +1,156 @@
+//! Authority over roles, and when roles change.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::authority::{AuthorityTerm, LeaseTimes};
+use pitchstall_serving::configuration::EngineSpec;
+use pitchstall_serving::fleet::{AttemptDemand, Fleet, RunnerRecord, Stage};
+use pitchstall_serving::placement::ReadPace;
+use pitchstall_serving::role_planner::{RoleChange, RolePlanner, RolePolicy};
+use proptest::prelude::*;
+
+const SECOND: u64 = 1_000_000;
+const TIMES: LeaseTimes = LeaseTimes { ttl_us: 3 * SECOND, separation_us: 3 * SECOND };
+
+#[test]
+fn a_new_holder_waits_before_its_first_order() {
+    let mut term = AuthorityTerm::new(7, 0, 10_000, TIMES);
+    assert!(!term.may_order(10_000));
+    term.renew(SECOND, TIMES);
+    assert!(term.may_order(3 * SECOND + 10_000));
+}
+
+#[test]
+fn a_holder_that_slept_wakes_without_authority() {
+    let mut term = AuthorityTerm::new(7, 0, 0, TIMES);
+    term.renew(2 * SECOND, TIMES);
+    assert!(term.may_order(4 * SECOND));
+    assert!(!term.may_order(9 * SECOND));
+    assert!(term.is_over(9 * SECOND));
+}
+
+#[test]
+fn a_renewal_counts_from_its_sending_and_never_shortens() {
+    let mut term = AuthorityTerm::new(7, 5 * SECOND, 5 * SECOND, TIMES);
+    term.renew(4 * SECOND, TIMES);
+    assert!(!term.is_over(7 * SECOND));
+}
+
+proptest! {
+    /// The store grants the key to the next holder no earlier than one lease after the last
+    /// renewal arrived there. However long calls take, orders of the two are apart.
+    #[test]
+    fn orders_of_two_holders_are_a_lease_apart(
+        sent_at_us in 0_u64..10 * SECOND,
+        way_us in 0_u64..2 * SECOND,
+        granted_after_us in 0_u64..SECOND,
+        answer_us in 0_u64..2 * SECOND,
+    ) {
+        let first = AuthorityTerm::new(7, sent_at_us, sent_at_us + way_us, TIMES);
+        let over_at_store = sent_at_us + way_us + TIMES.ttl_us;
+        let asked = over_at_store + granted_after_us;
+        let second = AuthorityTerm::new(9, asked, asked + answer_us, TIMES);
+        let last_of_first = (0..).map(|step| sent_at_us + step * 1_000)
+            .take_while(|now| !first.is_over(*now)).last().unwrap();
+        let first_of_second = (asked..).step_by(1_000).find(|now| {
+            second.may_order(*now) || second.is_over(*now)
+        }).unwrap();
+        prop_assert!(first_of_second >= last_of_first + TIMES.separation_us);
+    }
+}
+
+fn fleet(prefill: usize, decode: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    let stages = [("p", prefill, Stage::Prefill), ("d", decode, Stage::Decode)];
+    for (name, count, stage) in stages {
+        for number in 0..count {
+            fleet.put(RunnerRecord {
+                id: RunnerId::new(format!("{name}{number}")),
+                service: ServiceName::new("llm"),
+                address: "127.0.0.1:1".parse().unwrap(),
+                zone: ZoneId::new("north"),
+                slots: 8,
+                draining: false,
+                stage: Some(stage),
+                revision: 1,
+            });
+        }
+    }
+    fleet
+}
+
+fn load(fleet: &mut Fleet, runner: &str, requests: usize, unread_tokens: u64) {
+    let demand = AttemptDemand { unread_tokens, held_tokens: 1_000 };
+    (0..requests).for_each(|_| fleet.on_sent(&RunnerId::new(runner), demand));
+}
+
+fn plan(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> Option<RoleChange> {
+    let engine = EngineSpec { slots: 8, kv_tokens: 100_000, handle_ttl_s: 5.0 };
+    planner.plan(fleet, &ReadPace::default(), &ServiceName::new("llm"), &engine, now_us)
+}
+
+#[test]
+fn a_pressure_that_passes_changes_nothing() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet(1, 4);
+    load(&mut busy, "p0", 2, 60_000);
+    assert_eq!(plan(&mut planner, &busy, SECOND), None);
+    assert_eq!(plan(&mut planner, &fleet(1, 4), 2 * SECOND), None);
+    assert_eq!(plan(&mut planner, &busy, 3 * SECOND), None, "it began anew");
+}
+
+#[test]
+fn prompts_that_wait_make_the_idlest_decode_runner_read() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet(1, 3);
+    load(&mut busy, "p0", 2, 60_000);
+    load(&mut busy, "d0", 2, 0);
+    load(&mut busy, "d2", 1, 0);
+    assert_eq!(plan(&mut planner, &busy, SECOND), None);
+    let change = plan(&mut planner, &busy, 4 * SECOND).unwrap();
+    assert_eq!(change, RoleChange { runner: RunnerId::new("d1"), stage: Stage::Prefill });
+    planner.on_ordered(4 * SECOND);
+    assert_eq!(plan(&mut planner, &busy, 7 * SECOND), None, "a pause follows each change");
+}
+
+#[test]
+fn decode_keeps_the_runners_that_it_needs() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet(1, 2);
+    load(&mut busy, "p0", 2, 60_000);
+    load(&mut busy, "d0", 5, 0);
+    load(&mut busy, "d1", 5, 0);
+    assert_eq!(plan(&mut planner, &busy, SECOND), None);
+    assert_eq!(plan(&mut planner, &busy, 9 * SECOND), None);
+    let mut last = fleet(1, 1);
+    load(&mut last, "p0", 2, 60_000);
+    assert_eq!(plan(&mut planner, &last, 20 * SECOND), None);
+    assert_eq!(plan(&mut planner, &last, 30 * SECOND), None, "the last one stays");
+}
+
+#[test]
+fn full_slots_take_a_prefill_runner_that_can_be_spared() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet(2, 1);
+    load(&mut busy, "d0", 8, 0);
+    assert_eq!(plan(&mut planner, &busy, SECOND), None);
+    assert_eq!(plan(&mut planner, &busy, 4 * SECOND).unwrap().stage, Stage::Decode);
+}
+
+#[test]
+fn a_fleet_that_lost_all_decode_runners_gets_one_at_once() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    assert_eq!(plan(&mut planner, &fleet(3, 0), SECOND).unwrap().stage, Stage::Decode);
+}
+
+#[test]
+fn a_runner_that_changes_its_role_takes_no_work_until_the_list_tells() {
+    let mut fleet = fleet(1, 1);
+    let id = RunnerId::new("d0");
+    fleet.on_changing(&id, 10 * SECOND);
+    let takers = |fleet: &Fleet| fleet.candidates(&ServiceName::new("llm"), &[], SECOND).len();
+    assert_eq!(takers(&fleet), 1);
+    let changed = fleet.get(&id).unwrap().record.clone();
+    fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: 2, ..changed });
+    assert_eq!(takers(&fleet), 2);
+}
