Wait at a planned stop for requests that are being read

Seen in the times: end of taking at 5.436, request at the runner at 5.446, cut at 5.499 s.

Ruled out: the grace time (2.5 of 8 s had passed); a runner's fault.

Change: the node ends when no client's connection is open. Those at rest are closed once it takes no more, and a connection counts from before its task begins.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,7 +7,7 @@
 use crate::answers::OwnAnswer;
 use crate::http::{is_connection_header, Header};
 use crate::intake::{self, ClientRequest, RequestEnd};
-use crate::node::{BodyReservation, Node};
+use crate::node::{BodyReservation, Node, OpenConnection};
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
@@ -63,8 +63,9 @@
     SharedCfg::new("client").add(io).add(http).into()
 }
 
-/// Serves a connection until it ends.
-pub async fn serve(io: Io, config: SharedCfg, node: Rc<Node>) {
+/// Serves a connection until it ends. It counts as open from before its task begins, so that
+/// a planned stop does not overlook it.
+pub async fn serve(io: Io, config: SharedCfg, node: Rc<Node>, _open: OpenConnection) {
     let codec = Codec::new(0, config.get());
     let connection = ClientConnection { io, codec, node };
     while connection.serve_one().await == Next::KeepOpen {}
@@ -157,6 +158,9 @@
         if has_bytes() {
             return Ok(());
         }
+        if self.node.is_closing() {
+            return Err(ReadError::Nothing);
+        }
         let idle = Duration::from_millis(self.limits().idle_timeout_ms) + IDLE_MARGIN;
         tokio::select! {
             biased;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -107,8 +107,8 @@
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
     sleep(grace.mul_f64(TAKING_SHARE)).await;
     taking.cancel();
-    node.stopping.notify_waiters();
-    wait_for_requests(&node, begun + grace.mul_f64(ENDING_SHARE)).await;
+    node.begin_closing();
+    wait_for_connections(&node, begun + grace.mul_f64(ENDING_SHARE)).await;
     log::info!(target: "process", open = node.open_requests(); "stopped");
     Ok(())
 }
@@ -185,9 +185,10 @@
     log::info!(target: "process", changed, needs_restart; "reloaded");
 }
 
-async fn wait_for_requests(node: &Node, latest: Instant) {
+/// Not only for open requests: one may be being read just now.
+async fn wait_for_connections(node: &Node, latest: Instant) {
     const POLL: Duration = Duration::from_millis(10);
-    while node.open_requests() > 0 && Instant::now() < latest {
+    while node.open_connections() > 0 && Instant::now() < latest {
         sleep(POLL).await;
     }
     // The last answers leave the socket buffers.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -37,7 +37,8 @@
         let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
         let config = connection::client_config(&limits);
         if let Some(io) = client_io(stream, config.clone()) {
-            ntex::rt::spawn(connection::serve(io, config, node.clone()));
+            let open = node.open_connection();
+            ntex::rt::spawn(connection::serve(io, config, node.clone(), open));
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,7 +31,7 @@
     pub metrics: Metrics,
     /// Told when a runner joins or can be tried again.
     pub fleet_changed: Notify,
-    /// Told when the node begins to stop.
+    /// Told when connections that rest are to be closed.
     pub stopping: Notify,
     settings: RefCell<Rc<Settings>>,
     started: Instant,
@@ -44,6 +44,8 @@
     reads: RefCell<ReadLog>,
     informed: Cell<bool>,
     open_requests: Cell<usize>,
+    open_connections: Cell<usize>,
+    is_closing: Cell<bool>,
     body_bytes: Cell<usize>,
 }
 
@@ -69,6 +71,8 @@
             reads: RefCell::default(),
             informed: Cell::new(false),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
+            is_closing: Cell::new(false),
             body_bytes: Cell::new(0),
         })
     }
@@ -272,6 +276,28 @@
         self.is_stopping.set(true);
     }
 
+    /// Begins to close connections that rest; the node takes no new ones any more.
+    pub fn begin_closing(&self) {
+        self.is_closing.set(true);
+        self.stopping.notify_waiters();
+    }
+
+    /// Whether connections that rest are to be closed.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    /// Connections of clients. One that is not at rest may be about to bring a request.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
+    /// Counts a client's connection as open until the guard is dropped.
+    pub fn open_connection(self: &Rc<Self>) -> OpenConnection {
+        self.open_connections.set(self.open_connections.get() + 1);
+        OpenConnection { node: self.clone() }
+    }
+
     /// Requests that have no final answer yet.
     pub fn open_requests(&self) -> usize {
         self.open_requests.get()
@@ -298,6 +324,17 @@
     }
 }
 
+/// A client's connection.
+pub struct OpenConnection {
+    node: Rc<Node>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.node.open_connections.set(self.node.open_connections.get() - 1);
+    }
+}
+
 /// A request without its final answer.
 pub struct OpenRequest {
     node: Rc<Node>,
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -186,3 +186,24 @@
     std::fs::write(&node.file, text.replace(&before, &moved.address().to_string())).unwrap();
     wait_for("the configuration of the other store", || ask(&node, "/added/1").0 == 200);
 }
+
+/// Found by a hunt on sapvsb-swapnet (hunt-abee-63): a request that was being read when the
+/// node stopped taking clients was passed on and then cut.
+#[test]
+fn a_planned_stop_waits_for_a_request_that_is_being_read() {
+    let one = runner("i-1");
+    let node = Fixture::with_runners(&[(&one, "desk", None)]);
+    let mut idle = node.client();
+    idle.request("GET", "/lookup/1", "id-0", "", b"");
+    assert_eq!(idle.read_answer().status, 200);
+    node.request_stop();
+    wait_for("the node not to be ready", || !node.is_ready());
+    let mut slow = node.client();
+    slow.send(b"GET /lookup/1 HTTP/1.1\r\nHost: desk.example\r\n");
+    assert!(idle.is_closed_by_node(), "the node takes no more clients");
+    std::thread::sleep(Duration::from_millis(300));
+    slow.send(b"X-Pitchstall-Request-Id: id-1\r\n\r\n");
+    let answer = slow.read_answer();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "i-1"));
+    node.join();
+}
