--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,6 +43,7 @@
     paces: RefCell<HashMap<ServiceName, ReadPace>>,
     reads: RefCell<ReadLog>,
     informed: Cell<bool>,
+    known_nodes: Cell<usize>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
     is_closing: Cell<bool>,
@@ -70,6 +71,7 @@
             paces: RefCell::default(),
             reads: RefCell::default(),
             informed: Cell::new(false),
+            known_nodes: Cell::new(1),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             is_closing: Cell::new(false),
@@ -123,6 +125,11 @@
         engine.map_or(0, |engine| engine.kv_tokens)
     }
 
+    /// Takes note of how many nodes there are, this one included.
+    pub fn set_known_nodes(&self, nodes: usize) {
+        self.known_nodes.set(nodes);
+    }
+
     /// Whether the node knows what runners have held since before it started.
     pub fn is_informed(&self) -> bool {
         self.informed.get()
@@ -244,6 +251,7 @@
         let policy = RetryPolicy {
             ratio: bounds.retry_ratio,
             window_us: (bounds.retry_window_s * MICROS_PER_SECOND) as u64,
+            slack: RetryPolicy::part_of_slack(bounds.retry_slack, self.known_nodes.get()),
         };
         let mut budgets = self.budgets.borrow_mut();
         let new_budget = || SharedRetryBudget::new(policy);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -109,7 +109,9 @@
 
     fn learn(&self, name: &NodeId, address: SocketAddr) {
         let peer = Peer { address, heard_at: Instant::now() };
-        self.state.borrow_mut().peers.insert(name.clone(), peer);
+        let mut state = self.state.borrow_mut();
+        state.peers.insert(name.clone(), peer);
+        self.node.set_known_nodes(state.peers.len() + 1);
     }
 
     /// Tells a newcomer all prefixes that are known.
@@ -232,6 +234,7 @@
         let is_listed = |name: &NodeId| others.iter().any(|(other, _)| other == name);
         let mut state = self.state.borrow_mut();
         state.peers.retain(|name, peer| is_listed(name) || now < peer.heard_at + PEER_LIFE);
+        self.node.set_known_nodes(state.peers.len() + 1);
     }
 
     async fn greet(&self, to: SocketAddr) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -66,6 +66,8 @@
     pub lease_ms: u64,
     /// Extra attempts for each request, over all nodes.
     pub retry_ratio: f64,
+    /// Extra attempts besides, over all nodes.
+    pub retry_slack: f64,
     /// Window over which extra attempts are counted, seconds.
     pub retry_window_s: f64,
 }
@@ -162,6 +164,7 @@
             (bounds.lease_ms > 0, "bounds.lease_ms", "more than 0"),
             (bounds.grace_s > 0.0, "bounds.grace_s", "more than 0"),
             ((0.0..=10.0).contains(&bounds.retry_ratio), "bounds.retry_ratio", "0 to 10"),
+            (bounds.retry_slack >= 0.0, "bounds.retry_slack", "0 or more"),
             (bounds.retry_window_s > 0.0, "bounds.retry_window_s", "more than 0"),
             (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
             (self.machine.file_descriptors > 0, "machine.file_descriptors", "more than 0"),
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! The fleet as a whole may repeat only a share of its requests in any window. Each node keeps
 //! to that share of the requests it has taken itself, so the sum over all nodes keeps to it
-//! too, whatever the others do. A restarted node begins with nothing earned: what an earlier
+//! too, whatever the others do; of the slack that the fleet has besides, each takes a small
+//! part. A restarted node begins with nothing earned: what an earlier
 //! process earned and spent stays with the requests of that process.
 
 use std::collections::VecDeque;
@@ -14,8 +15,26 @@
     pub ratio: f64,
     /// Length of the window, microseconds.
     pub window_us: u64,
+    /// This node's part of the extra attempts that the fleet has besides, see
+    /// [`RetryPolicy::part_of_slack`].
+    pub slack: f64,
 }
 
+impl RetryPolicy {
+    /// A node's part of the slack that a fleet of so many nodes shares. A node that knows of no
+    /// other has none: it may only not have met them yet. Parts are small enough that they
+    /// still fit when every node has been restarted, and so begun anew, within the window.
+    pub fn part_of_slack(slack: f64, nodes: usize) -> f64 {
+        if nodes < 2 {
+            return 0.0;
+        }
+        slack * USED_SLACK / nodes as f64
+    }
+}
+
+/// The part of the slack that is spent.
+const USED_SLACK: f64 = 0.35;
+
 /// The part of the ratio that is spent; the rest covers requests at the window's edge.
 const USED_SHARE: f64 = 0.9;
 
@@ -66,7 +85,7 @@
     }
 
     fn allowed(&self) -> f64 {
-        self.requests.len() as f64 * self.policy.ratio * USED_SHARE
+        self.requests.len() as f64 * self.policy.ratio * USED_SHARE + self.policy.slack
     }
 
     fn forget_before(&mut self, now_us: u64) {
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -7,7 +7,7 @@
 const WINDOW_US: u64 = 10_000_000;
 
 fn policy() -> RetryPolicy {
-    RetryPolicy { ratio: 0.2, window_us: WINDOW_US }
+    RetryPolicy { ratio: 0.2, window_us: WINDOW_US, slack: 0.0 }
 }
 
 #[test]
@@ -77,3 +77,19 @@
         }
     }
 }
+
+#[test]
+fn the_parts_of_the_slack_fit_twice_whatever_the_size_of_the_fleet() {
+    const SLACK: f64 = 54.0;
+    assert_eq!(RetryPolicy::part_of_slack(SLACK, 1), 0.0, "the others may not be known yet");
+    for nodes in 2..400 {
+        let lives = 2.0;
+        assert!(RetryPolicy::part_of_slack(SLACK, nodes) * nodes as f64 * lives < SLACK);
+    }
+}
+
+#[test]
+fn a_node_may_spend_its_part_of_the_slack_at_once() {
+    let mut budget = SharedRetryBudget::new(RetryPolicy { slack: 2.5, ..policy() });
+    assert_eq!((0..5).filter(|_| budget.withdraw(0)).count(), 2);
+}
