--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -84,7 +84,9 @@
 /// Time for which a runner that refused a request as full is avoided.
 const FULL_US: u64 = 100_000;
 /// Weight of the newest answer in a runner's failure rate.
-const FAILURE_WEIGHT: f64 = 0.1;
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which a failure rate fades by half, microseconds.
+const FAILURE_HALF_LIFE_US: f64 = 4_000_000.0;
 
 /// A runner as the node sees it.
 #[derive(Clone, Debug)]
@@ -97,8 +99,7 @@
     pub unread_tokens: u64,
     /// Tokens of KV cache that this node's attempts take there.
     pub held_tokens: u64,
-    /// Share of recent answers that were failures of its own.
-    pub failure_rate: f64,
+    failures: FailureRate,
     others: u32,
     others_at_us: u64,
     peers: HashMap<NodeId, PeerLoad>,
@@ -119,7 +120,7 @@
             in_flight: 0,
             unread_tokens: 0,
             held_tokens: 0,
-            failure_rate: 0.0,
+            failures: FailureRate::default(),
             others: 0,
             others_at_us: 0,
             peers: HashMap::new(),
@@ -144,6 +145,12 @@
         now_us < self.suspect_until_us || now_us < self.full_until_us || is_tried
     }
 
+    /// Share of recent answers that were failures of its own. It fades, so that a runner that
+    /// is left because of it is tried again.
+    pub fn failure_rate(&self, now_us: u64) -> f64 {
+        self.failures.at(now_us)
+    }
+
     /// Whether it is changing its role.
     pub fn is_changing(&self, now_us: u64) -> bool {
         now_us < self.changing_until_us
@@ -195,6 +202,27 @@
     }
 }
 
+/// A moving average of failures that fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailureRate {
+    rate: f64,
+    updated_at_us: u64,
+}
+
+impl FailureRate {
+    fn at(self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.updated_at_us) as f64;
+        self.rate * 0.5_f64.powf(age_us / FAILURE_HALF_LIFE_US)
+    }
+
+    fn on_answer(&mut self, failed: bool, now_us: u64) {
+        let newest = if failed { 1.0 } else { 0.0 };
+        let before = self.at(now_us);
+        self.rate = before + FAILURE_WEIGHT * (newest - before);
+        self.updated_at_us = now_us;
+    }
+}
+
 /// What another node has at a runner.
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
@@ -424,12 +452,11 @@
     }
 
     /// A runner answered; `failed` if the answer was a failure of its own.
-    pub fn on_answered(&mut self, id: &RunnerId, failed: bool) {
+    pub fn on_answered(&mut self, id: &RunnerId, failed: bool, now_us: u64) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.suspect_for_us = 0;
             runner.suspect_until_us = 0;
-            let newest = if failed { 1.0 } else { 0.0 };
-            runner.failure_rate += FAILURE_WEIGHT * (newest - runner.failure_rate);
+            runner.failures.on_answer(failed, now_us);
         }
     }
 
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -49,6 +49,8 @@
 const OTHER_ZONE_OCCUPANCY: f64 = 0.3;
 /// Occupancy that a failure rate above the best runner's counts as.
 const FAILURE_OCCUPANCY: f64 = 4.0;
+/// Milliseconds that a runner that answers with nothing but failures counts as.
+const FAILURE_MS: f64 = 2_000.0;
 /// Milliseconds of waiting that crossing a zone counts as.
 const OTHER_ZONE_MS: f64 = 8.0;
 /// Milliseconds that leaving the home of a prompt's shared parts counts as: a second runner
@@ -82,13 +84,13 @@
 /// Chooses a runner of a service without language models: the least occupied.
 pub fn choose_worker(fleet: &Fleet, demand: &Demand<'_>) -> Option<Choice> {
     let candidates = fleet.candidates(demand.service, demand.excluded, demand.now_us);
-    let best_rate =
-        candidates.iter().map(|runner| runner.failure_rate).fold(f64::INFINITY, f64::min);
+    let rates = candidates.iter().map(|runner| runner.failure_rate(demand.now_us));
+    let best_rate = rates.fold(f64::INFINITY, f64::min);
     let cost = |runner: &Runner| {
         let slots = f64::from(runner.record.slots.max(1));
         let occupancy = (runner.occupancy(demand.now_us) + 1.0) / slots;
         let distance = if runner.record.zone == *demand.zone { 0.0 } else { OTHER_ZONE_OCCUPANCY };
-        let failures = (runner.failure_rate - best_rate) * FAILURE_OCCUPANCY;
+        let failures = (runner.failure_rate(demand.now_us) - best_rate) * FAILURE_OCCUPANCY;
         occupancy + distance + failures
     };
     let best = least(&candidates, cost)?;
@@ -264,7 +266,12 @@
         let wait = self.pace.backlog_ms(runner, self.demand.now_us);
         let read = self.pace.read_ms(self.unread_tokens(runner) as f64);
         let way = distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
-        wait + read + self.fetch_ms(runner) + way
+        wait + read + self.fetch_ms(runner) + way + self.failures_ms(runner)
+    }
+
+    /// What the failures that a runner has lately answered with count as.
+    fn failures_ms(&self, runner: &Runner) -> f64 {
+        runner.failure_rate(self.demand.now_us) * FAILURE_MS
     }
 
     /// A decode runner that reads the prompt itself, between the tokens of its streams.
@@ -290,7 +297,7 @@
         let slots = f64::from(runner.record.slots.max(1));
         let full = if occupancy >= slots * DECODE_FULL { DECODE_FULL_MS } else { 0.0 };
         let way = distance_ms(runner, near) + away_ms(runner, self.writing_home);
-        occupancy * DECODE_BUSY_MS + full + self.memory_ms(runner) + way
+        occupancy * DECODE_BUSY_MS + full + self.memory_ms(runner) + way + self.failures_ms(runner)
     }
 }
 
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -307,7 +307,7 @@
     assert!(!fleet.get(&a).unwrap().is_avoided(much_later));
     fleet.on_sent(&a, AttemptDemand::default());
     assert!(fleet.get(&a).unwrap().is_avoided(much_later), "others wait for the first");
-    fleet.on_answered(&a, false);
+    fleet.on_answered(&a, false, much_later);
     assert!(!fleet.get(&a).unwrap().is_avoided(much_later));
 }
 
@@ -325,3 +325,17 @@
     fleet.on_ended(&RunnerId::new("d1"), demand);
     assert_eq!(chosen(&fleet), RunnerId::new("d1"));
 }
+
+#[test]
+fn a_runner_that_answers_with_failures_is_left_and_tried_again_later() {
+    let mut fleet = engines();
+    let case = Case::new(10_000, 3_000);
+    let pace = ReadPace::default();
+    let home = reader(plan_reading(&fleet, &pace, &case.demand()));
+    for _ in 0..5 {
+        fleet.on_answered(&RunnerId::new(&home), true, 1_000);
+    }
+    assert_ne!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
+    let later = Demand { now_us: 60_000_000, ..case.demand() };
+    assert_eq!(reader(plan_reading(&fleet, &pace, &later)), home);
+}
