--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -50,7 +50,7 @@
 /// Occupancy that a failure rate above the best runner's counts as.
 const FAILURE_OCCUPANCY: f64 = 4.0;
 /// Milliseconds that a runner that answers with nothing but failures counts as.
-const FAILURE_MS: f64 = 2_000.0;
+const FAILURE_MS: f64 = 400.0;
 /// Milliseconds of waiting that crossing a zone counts as.
 const OTHER_ZONE_MS: f64 = 8.0;
 /// Milliseconds that leaving the home of a prompt's shared parts counts as: a second runner
