Keep within the connections that runners take and the descriptors of the process

Cause: found by reading. Runners reset connections beyond `max_conns` over all callers, and a request sent on one may or may not have run; nothing bounded a node's connections to a runner, nor those of clients.

Change: a node has at most its part (four fifths of the limit by the number of known nodes) at one runner; what does not fit is refused truthfully. Clients' connections beyond six tenths of the descriptors are closed unread.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -95,6 +95,10 @@
 /// not get work any more.
 pub async fn prepare(node: &Rc<Node>, choice: &Choice) -> Option<Prepared> {
     let record = usable_record(node, &choice.runner)?;
+    if in_flight(node, &choice.runner) >= node.connection_share(&record.service) {
+        log::info!(target: "attempt", runner = choice.runner.as_str(); "no connection left");
+        return None;
+    }
     let flight = Flight::new(node, choice);
     if let Some(connection) = node.pool.take(&record.id) {
         return Some(Prepared { connection, record, flight, reused: true });
@@ -118,6 +122,10 @@
     }
 }
 
+fn in_flight(node: &Node, runner: &RunnerId) -> u32 {
+    node.fleet.borrow().get(runner).map_or(0, |runner| runner.in_flight)
+}
+
 fn usable_record(node: &Node, runner: &RunnerId) -> Option<RunnerRecord> {
     let fleet = node.fleet.borrow();
     let runner = fleet.get(runner)?;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -34,6 +34,11 @@
 pub async fn accept_clients(listener: TcpListener, node: Rc<Node>) {
     loop {
         let Some(stream) = accept(&listener).await else { continue };
+        if !node.has_room_for_client() {
+            // Closed unread, so the client may try another node.
+            log::warn!(target: "listener", open = node.open_connections(); "no room for a client");
+            continue;
+        }
         let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
         let config = connection::client_config(&limits);
         if let Some(io) = client_io(stream, config.clone()) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -130,6 +130,31 @@
         self.known_nodes.set(nodes);
     }
 
+    /// Connections that this node may have to one runner of a service: its part of what a
+    /// runner takes from all callers. Beyond that a runner resets connections, and a request
+    /// sent on one would not be known to be unrun.
+    pub fn connection_share(&self, service: &ServiceName) -> u32 {
+        const LEAST: u32 = 2;
+        const USED_PERCENT: u32 = 80;
+        let configuration = self.configuration();
+        let limit = configuration.and_then(|it| Some(it.services.get(service)?.max_connections));
+        match limit {
+            None | Some(0) => u32::MAX,
+            Some(limit) => {
+                let nodes = u32::try_from(self.known_nodes.get()).unwrap_or(u32::MAX).max(1);
+                (limit.saturating_mul(USED_PERCENT) / 100 / nodes).max(LEAST)
+            }
+        }
+    }
+
+    /// Whether another client's connection fits the file descriptors of the process; the rest
+    /// is for runners, other nodes and the store.
+    pub fn has_room_for_client(&self) -> bool {
+        const CLIENTS_PERCENT: u64 = 60;
+        let most = self.settings().machine.file_descriptors * CLIENTS_PERCENT / 100;
+        (self.open_connections() as u64) < most
+    }
+
     /// Whether the node knows what runners have held since before it started.
     pub fn is_informed(&self) -> bool {
         self.informed.get()
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -412,3 +412,31 @@
     drop(client);
     wait_for("the runner to stop", || runner.closed_early() == 1);
 }
+
+#[test]
+fn a_runner_gets_no_more_connections_than_it_takes() {
+    let runner = desk(|request| match request.path() {
+        "/booking/slow" => Reaction::Silent,
+        _ => ok("booked"),
+    });
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut few = support::configuration(5);
+    few["services"][0]["max_conns"] = 3.into();
+    let mut marker = support::route("marker", "idempotent", "desk");
+    marker["timeout_ms"] = 4_000.into();
+    few["routes"].as_array_mut().unwrap().push(marker);
+    node.store.put("op/config", &few);
+    let ask = |path: &str| {
+        let mut client = node.client();
+        client.request("GET", path, "id", "", b"");
+        client.read_answer().status
+    };
+    wait_for("the configuration", || ask("/marker/1") == 200);
+    let mut slow = [node.client(), node.client()];
+    for (number, client) in slow.iter_mut().enumerate() {
+        client.request("POST", "/booking/slow", &format!("slow-{number}"), "", b"x");
+    }
+    let is_slow = |request: &&ReceivedRequest| request.path() == "/booking/slow";
+    wait_for("both to be there", || runner.requests().iter().filter(is_slow).count() == 2);
+    assert_eq!(ask("/marker/1"), 503, "refused, since it surely has not run");
+}
