Ask runners for what they hold sooner after a restart

Cause: after all nodes have restarted, requests of the first 0.6 s are placed without knowledge of the caches.

Change: the pause before asking is 5 to 250 ms instead of 20 to 600.

--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Shortest and longest pause before runners are asked, milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 20..600;
+const PAUSE_MS: std::ops::Range<u64> = 5..250;
 /// Between two looks whether the node is ready.
 const READY_POLL: Duration = Duration::from_millis(50);
 /// Time for one runner's answer.
