Bound what nodes tell each other as the fleet grows

Every node told each newcomer all that it knew, and the pace of digests did not depend on the number of peers.

Change: two nodes, found by rendezvous hashing, tell a newcomer; a node sends at most 50 datagrams a second; after a restart of all nodes at most 64 runners are asked.

--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -25,6 +25,8 @@
 const LIST_LIMIT: Duration = Duration::from_millis(1_000);
 /// Largest answer.
 const MOST_LIST_BYTES: usize = 1024 * 1024;
+/// Runners that one node asks: a larger fleet is left to learn from its requests.
+const MOST_RUNNERS: usize = 64;
 /// Parts in one digest entry.
 const PARTS_AN_ENTRY: usize = 20;
 
@@ -39,7 +41,7 @@
         return;
     }
     node.on_informed();
-    for (runner, address) in engine_runners(&node) {
+    for (runner, address) in engine_runners(&node).into_iter().take(MOST_RUNNERS) {
         let parts = timeout(LIST_LIMIT, list(address)).await.ok().flatten();
         let listed = parts.as_ref().map_or(0, Vec::len);
         let answered = parts.is_some();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_protocol::ids::NodeId;
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad};
+use pitchstall_serving::prefix::rendezvous_weight;
 use rand::RngExt;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -19,8 +20,12 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-/// Between two looks whether there is something to tell.
+/// Shortest time between two digests.
 const DIGEST_EVERY: Duration = Duration::from_millis(120);
+/// Datagrams that a node sends in a second at most: with more peers it tells less often.
+const DATAGRAMS_A_SECOND: u32 = 50;
+/// Nodes that tell a newcomer everything; the others leave it to them.
+const TELLERS: usize = 2;
 /// A node with load says so at least this often, so that its word does not lapse.
 const REPEAT_EVERY: Duration = Duration::from_millis(1_000);
 /// Nodes that one digest goes to; with more of them they take turns.
@@ -102,8 +107,11 @@
         self.node.on_peer_digest(digest);
         if freshness == Freshness::Newcomer {
             let peer = digest.node.as_str();
-            log::info!(target: "peers", peer, incarnation = digest.incarnation; "met");
-            self.tell_everything(from).await;
+            let tells = self.tells(&digest.node);
+            log::info!(target: "peers", peer, incarnation = digest.incarnation, tells; "met");
+            if tells {
+                self.tell_everything(from).await;
+            }
         }
     }
 
@@ -114,6 +122,16 @@
         self.node.set_known_nodes(state.peers.len() + 1);
     }
 
+    /// Whether this node is one of those that tell a newcomer everything: all nodes find the
+    /// same ones, as far as they know the same nodes.
+    fn tells(&self, newcomer: &NodeId) -> bool {
+        let weight = |node: &NodeId| rendezvous_weight(newcomer.as_str(), node.as_str());
+        let own = weight(&self.name);
+        let state = self.state.borrow();
+        let others = state.peers.keys().filter(|node| *node != newcomer);
+        others.filter(|node| weight(node) > own).count() < TELLERS
+    }
+
     /// Tells a newcomer all prefixes that are known.
     async fn tell_everything(&self, to: SocketAddr) {
         let held = self.node.fleet.borrow().held_prefixes();
@@ -155,7 +173,7 @@
         let mut told_changing = Vec::new();
         let mut told_at = Instant::now();
         loop {
-            sleep(DIGEST_EVERY).await;
+            sleep(self.digest_interval()).await;
             let loads = self.node.fleet.borrow().own_loads();
             let read = self.node.next_reads();
             let repeat = !loads.is_empty() && told_at.elapsed() >= REPEAT_EVERY;
@@ -172,6 +190,12 @@
         }
     }
 
+    fn digest_interval(&self) -> Duration {
+        let receivers = self.state.borrow().peers.len().min(FAN_OUT);
+        let receivers = u32::try_from(receivers).unwrap_or(u32::MAX);
+        DIGEST_EVERY.max(Duration::from_secs(1) * receivers / DATAGRAMS_A_SECOND)
+    }
+
     /// The nodes that the next digest goes to.
     fn next_addresses(&self) -> Vec<SocketAddr> {
         let mut state = self.state.borrow_mut();
