--- /dev/null
+++ b/crates/serving/src/failure_rate.rs
@@ -0,0 +1,29 @@
+//! How often a runner has lately answered with failures of its own.
+
+/// Weight of the newest answer in a runner's failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which a failure rate fades by half, microseconds.
+const FAILURE_HALF_LIFE_US: f64 = 4_000_000.0;
+
+/// A moving average of failures that fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FailureRate {
+    rate: f64,
+    updated_at_us: u64,
+}
+
+impl FailureRate {
+    /// The rate now.
+    pub fn at(self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.updated_at_us) as f64;
+        self.rate * 0.5_f64.powf(age_us / FAILURE_HALF_LIFE_US)
+    }
+
+    /// An answer came; `failed` if it was a failure of the runner's own.
+    pub fn on_answer(&mut self, failed: bool, now_us: u64) {
+        let newest = if failed { 1.0 } else { 0.0 };
+        let before = self.at(now_us);
+        self.rate = before + FAILURE_WEIGHT * (newest - before);
+        self.updated_at_us = now_us;
+    }
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -6,7 +6,9 @@
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
 use crate::digest::{PrefixRead, RunnerLoad};
-use crate::prefix::{Prompt, PromptPart};
+use crate::failure_rate::FailureRate;
+use crate::prefix::Prompt;
+use crate::prefix_cache::PrefixCacheModel;
 use pitchstall_protocol::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -83,10 +85,6 @@
 const SUSPECT_MAX_US: u64 = 8_000_000;
 /// Time for which a runner that refused a request as full is avoided.
 const FULL_US: u64 = 100_000;
-/// Weight of the newest answer in a runner's failure rate.
-const FAILURE_WEIGHT: f64 = 0.15;
-/// Time in which a failure rate fades by half, microseconds.
-const FAILURE_HALF_LIFE_US: f64 = 4_000_000.0;
 
 /// A runner as the node sees it.
 #[derive(Clone, Debug)]
@@ -202,27 +200,6 @@
     }
 }
 
-/// A moving average of failures that fades with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct FailureRate {
-    rate: f64,
-    updated_at_us: u64,
-}
-
-impl FailureRate {
-    fn at(self, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.updated_at_us) as f64;
-        self.rate * 0.5_f64.powf(age_us / FAILURE_HALF_LIFE_US)
-    }
-
-    fn on_answer(&mut self, failed: bool, now_us: u64) {
-        let newest = if failed { 1.0 } else { 0.0 };
-        let before = self.at(now_us);
-        self.rate = before + FAILURE_WEIGHT * (newest - before);
-        self.updated_at_us = now_us;
-    }
-}
-
 /// What another node has at a runner.
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
@@ -232,57 +209,6 @@
     told_at_us: u64,
 }
 
-/// Which parts of prompts a runner probably holds: those sent there last.
-#[derive(Clone, Debug, Default)]
-struct PrefixCacheModel {
-    parts: HashMap<u64, CachedPart>,
-    tokens: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct CachedPart {
-    tokens: u64,
-    used_at_us: u64,
-}
-
-/// Share of a runner's cache that is counted on; running requests need the rest.
-const COUNTED_CACHE_PERCENT: u64 = 70;
-
-impl PrefixCacheModel {
-    fn cached_tokens(&self, parts: &[PromptPart]) -> u64 {
-        let held = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
-        held.map(|part| part.tokens).sum()
-    }
-
-    fn parts(&self) -> Vec<PromptPart> {
-        self.parts.iter().map(|(id, part)| PromptPart { id: *id, tokens: part.tokens }).collect()
-    }
-
-    fn on_read(&mut self, parts: &[PromptPart], now_us: u64, capacity: u64) {
-        for part in parts {
-            let entry = CachedPart { tokens: part.tokens, used_at_us: now_us };
-            if self.parts.insert(part.id, entry).is_none() {
-                self.tokens += part.tokens;
-            }
-        }
-        while self.tokens > capacity * COUNTED_CACHE_PERCENT / 100 {
-            if !self.drop_oldest() {
-                break;
-            }
-        }
-    }
-
-    fn drop_oldest(&mut self) -> bool {
-        let oldest = self.parts.iter().min_by_key(|(_, part)| part.used_at_us);
-        let Some((id, tokens)) = oldest.map(|(id, part)| (*id, part.tokens)) else {
-            return false;
-        };
-        self.parts.remove(&id);
-        self.tokens -= tokens;
-        true
-    }
-}
-
 /// All runners that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`request`] | what of a request and an answer matters to a node |
 //! | [`digest`] | what nodes tell each other about runners |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
+//! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
 //! | [`role_planner`] | when a runner changes its role |
 //! | [`authority`] | which node may order that |
@@ -24,9 +25,11 @@
 pub mod configuration;
 pub mod digest;
 pub mod event_stream;
+pub mod failure_rate;
 pub mod fleet;
 pub mod placement;
 pub mod prefix;
+pub mod prefix_cache;
 pub mod request;
 pub mod retry_budget;
 pub mod role_planner;
--- /dev/null
+++ b/crates/serving/src/prefix_cache.rs
@@ -0,0 +1,61 @@
+//! A model of a runner's KV cache, from the prompts that nodes have seen read there.
+//!
+//! It is wrong now and then: runners drop parts without a word. A part that is gone is read
+//! again, which costs time and nothing else.
+
+use crate::prefix::PromptPart;
+use std::collections::HashMap;
+
+/// Which parts of prompts a runner probably holds: those sent there last.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCacheModel {
+    parts: HashMap<u64, CachedPart>,
+    tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CachedPart {
+    tokens: u64,
+    used_at_us: u64,
+}
+
+/// Share of a runner's cache that is counted on; running requests need the rest.
+const COUNTED_CACHE_PERCENT: u64 = 70;
+
+impl PrefixCacheModel {
+    /// Tokens of the first of these parts that are held without a gap.
+    pub fn cached_tokens(&self, parts: &[PromptPart]) -> u64 {
+        let held = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        held.map(|part| part.tokens).sum()
+    }
+
+    /// All parts that are held.
+    pub fn parts(&self) -> Vec<PromptPart> {
+        self.parts.iter().map(|(id, part)| PromptPart { id: *id, tokens: part.tokens }).collect()
+    }
+
+    /// The runner has read these parts, or taken them over. `capacity` is in tokens.
+    pub fn on_read(&mut self, parts: &[PromptPart], now_us: u64, capacity: u64) {
+        for part in parts {
+            let entry = CachedPart { tokens: part.tokens, used_at_us: now_us };
+            if self.parts.insert(part.id, entry).is_none() {
+                self.tokens += part.tokens;
+            }
+        }
+        while self.tokens > capacity * COUNTED_CACHE_PERCENT / 100 {
+            if !self.drop_oldest() {
+                break;
+            }
+        }
+    }
+
+    fn drop_oldest(&mut self) -> bool {
+        let oldest = self.parts.iter().min_by_key(|(_, part)| part.used_at_us);
+        let Some((id, tokens)) = oldest.map(|(id, part)| (*id, part.tokens)) else {
+            return false;
+        };
+        self.parts.remove(&id);
+        self.tokens -= tokens;
+        true
+    }
+}
