Do not give up a request on the earlier path that an engine has had, when it is queued again

A request whose attempt was lost is queued again, and the rule for new requests gave it up although its deadline allowed to wait.

Change: the rule holds only for requests that no engine may have had.

--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -290,7 +290,10 @@
         let wait = self.expected_wait(exchange.priority);
         let too_late = self.now.0 + wait.as_micros() as u64 > entry.dispatch_by_us;
         let waits_for_others = !self.queue.is_empty();
-        if too_late && waits_for_others {
+        // A request that an engine may have had is not given up before its deadline: nobody
+        // could be told that it has not run.
+        let was_tried = exchange.may_have_started || exchange.ran_before || exchange.read_before;
+        if too_late && waits_for_others && !was_tried {
             let message = "the deadline cannot be met with the requests ahead";
             let error = ErrorBody::refused(ErrorCode::Overloaded, message)
                 .retry_after_ms(wait.as_millis() as u64);
