--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,49 +1,44 @@
 //! `pitchstall check`.
 
-use crate::{CommandError, EXIT_FAILED};
+use crate::CommandError;
 use gumdrop::Options;
+use pitchstall_gateway::policy::PolicyProgram;
 use pitchstall_gateway::settings::Settings;
-use pitchstall_node::DaemonSettings;
-use pitchstall_protocol::configuration::Configuration;
-use pitchstall_protocol::ids::{ServiceName, TenantId};
-use pitchstall_scheduling::policy::{PolicyEngine, PolicyInput};
+use pitchstall_policy::{PolicyEngine, PolicyError, PolicyInput};
+use pitchstall_serving::ids::{ServiceName, ZoneId};
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Ending of a policy program's name.
+const PROGRAM_EXTENSION: &str = "rhai";
+/// Sizes that a program is tried with: prompt tokens and most output tokens.
+const SAMPLE_SIZES: [(u64, u64); 3] = [(10, 10), (500, 200), (20_000, 1_000)];
+const SAMPLE_ZONES: [&str; 3] = ["sample-east", "sample-west", "sample-north"];
+
 /// Arguments of `pitchstall check`.
 #[derive(Debug, Options)]
 pub struct CheckArguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, required, help = "a settings file or a configuration file, TOML")]
+    #[options(free, required, help = "a settings file (TOML) or a policy program (.rhai)")]
     file: PathBuf,
 }
 
-/// Checks a file. A file with a `[node]` section is a settings file, with `[store]` one of
-/// `serve`; any other is a configuration.
+/// Checks a file.
 pub fn run(arguments: &CheckArguments) -> Result<ExitCode, CommandError> {
-    let text = read(&arguments.file)?;
-    let has_section = |name: &str| text.lines().any(|line| line.trim() == name);
-    if has_section("[node]") && has_section("[store]") {
-        Settings::parse(&arguments.file, &text)?;
-        println!("{}: valid settings", arguments.file.display());
-        return Ok(ExitCode::SUCCESS);
-    }
-    if has_section("[node]") {
-        DaemonSettings::parse(&arguments.file, &text)?;
-        println!("{}: valid settings", arguments.file.display());
-        return Ok(ExitCode::SUCCESS);
-    }
-    let configuration = parse_configuration(&arguments.file, &text)?;
-    let problems = problems_of(&configuration);
-    for problem in &problems {
-        eprintln!("{}: {problem}", arguments.file.display());
-    }
-    if problems.is_empty() {
-        println!("{}: valid configuration", arguments.file.display());
+    let file = &arguments.file;
+    if file.extension().is_some_and(|extension| extension == PROGRAM_EXTENSION) {
+        let source = read(file)?;
+        try_program(&source)
+            .map_err(|error| CommandError::Policy(file.display().to_string(), error))?;
+        println!("{}: valid policy program", file.display());
         return Ok(ExitCode::SUCCESS);
     }
-    Ok(ExitCode::from(EXIT_FAILED))
+    let settings = Settings::read(file)?;
+    PolicyProgram::read(&settings.policy)?;
+    println!("{}: valid settings", file.display());
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Reads a file as text.
@@ -52,45 +47,22 @@
         .map_err(|error| CommandError::File(format!("{}: {error}", path.display())))
 }
 
-/// Reads a configuration from the text of a file.
-pub fn parse_configuration(path: &Path, text: &str) -> Result<Configuration, CommandError> {
-    toml::from_str(text).map_err(|error| CommandError::File(format!("{}: {error}", path.display())))
-}
-
-/// Everything wrong with a configuration, its programs included.
-pub fn problems_of(configuration: &Configuration) -> Vec<String> {
-    let mut problems: Vec<String> =
-        configuration.problems().iter().map(ToString::to_string).collect();
-    for (name, service) in &configuration.services {
-        if let Some(source) = &service.policy {
-            if let Err(error) = try_policy(name, service, source) {
-                problems.push(format!("services.{name}.policy: {error}"));
-            }
-        }
-    }
-    problems
-}
-
-/// Compiles a program and runs it on sample requests from each zone of the service, so that
-/// a program that loops or names a forbidden zone is found before it is in force.
-fn try_policy(
-    name: &ServiceName,
-    service: &pitchstall_protocol::configuration::ServiceSpec,
-    source: &str,
-) -> Result<(), pitchstall_scheduling::policy::PolicyError> {
-    const SAMPLE_SIZES: [(u32, u32); 3] = [(10, 10), (500, 200), (20_000, 1_000)];
+/// Compiles a program and runs it on sample requests, so that a program that loops or returns
+/// something else than a decision is found before it is in force.
+fn try_program(source: &str) -> Result<(), PolicyError> {
     let engine = PolicyEngine::new();
     let policy = engine.compile(source)?;
-    let tenant = TenantId::new("sample");
-    for zone in &service.zones {
+    let zones: BTreeSet<ZoneId> = SAMPLE_ZONES.into_iter().map(ZoneId::new).collect();
+    for zone in &zones {
         for (prompt_tokens, max_tokens) in SAMPLE_SIZES {
             let input = PolicyInput {
-                tenant: &tenant,
-                service: name,
+                host: "sample.example",
+                service: &ServiceName::new("sample"),
                 prompt_tokens,
                 max_tokens,
                 zone,
-                zones: &service.zones,
+                zones: &zones,
+                priority: 0,
             };
             engine.run(&policy, &input)?;
         }
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -7,7 +7,8 @@
 use pitchstall_gateway::daemon::{self, Signals};
 use pitchstall_gateway::logging;
 use pitchstall_gateway::settings::{
-    BoundsSection, ListenSection, LogSection, MachineSection, NodeSection, Settings, StoreSection,
+    BoundsSection, ListenSection, LogSection, MachineSection, NodeSection, PolicySection, Settings,
+    StoreSection,
 };
 use pitchstall_platform_standins::client::{example_request, send_load};
 use pitchstall_platform_standins::fleet::StandInFleet;
@@ -93,6 +94,7 @@
             retry_window_s: 10.0,
         },
         machine: MachineSection::default(),
+        policy: PolicySection::default(),
         log: LogSection::default(),
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,12 +1,8 @@
 //! The `pitchstall` command.
 
-mod apply;
 mod check;
-mod ctl;
 mod dev;
-mod experiment;
 mod explain;
-mod node;
 mod runtime;
 mod serve;
 
@@ -31,20 +27,14 @@
 
 #[derive(Debug, Options)]
 enum Command {
-    #[options(help = "run a node")]
-    Node(node::NodeArguments),
     #[options(help = "serve callers on the platform")]
     Serve(serve::ServeArguments),
-    #[options(help = "operate a running fleet")]
-    Ctl(ctl::CtlArguments),
-    #[options(help = "check a settings file or a configuration file")]
+    #[options(help = "check a settings file or a policy program")]
     Check(check::CheckArguments),
-    #[options(help = "run nodes, engines and platform in one process, to try it out")]
+    #[options(help = "run nodes, runners and a store in one process, to try it out")]
     Dev(dev::DevArguments),
     #[options(help = "print the story of a request from log files: explain ID FILE...")]
     Explain(explain::ExplainArguments),
-    #[options(help = "run experiments in virtual time")]
-    Experiment(experiment::ExperimentArguments),
 }
 
 /// Why a command did not do its work.
@@ -55,16 +45,13 @@
     Usage(String),
     /// Settings cannot be used.
     #[error(transparent)]
-    Settings(#[from] pitchstall_node::settings::SettingsError),
-    /// Settings of `serve` cannot be used.
-    #[error(transparent)]
-    ServeSettings(#[from] pitchstall_gateway::settings::SettingsError),
+    Settings(#[from] pitchstall_gateway::settings::SettingsError),
     /// `serve` failed.
     #[error(transparent)]
     Serve(#[from] pitchstall_gateway::daemon::DaemonError),
-    /// The daemon failed.
-    #[error(transparent)]
-    Daemon(#[from] pitchstall_node::daemon::DaemonError),
+    /// A policy program cannot be used.
+    #[error("{0}: {1}")]
+    Policy(String, pitchstall_policy::PolicyError),
     /// The logger failed.
     #[error("the logger cannot be started: {0}")]
     Logging(String),
@@ -83,13 +70,10 @@
         return ExitCode::SUCCESS;
     }
     let result = match arguments.command {
-        Some(Command::Node(arguments)) => node::run(arguments),
         Some(Command::Serve(arguments)) => serve::run(arguments),
-        Some(Command::Ctl(arguments)) => ctl::run(arguments),
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Dev(arguments)) => dev::run(&arguments),
         Some(Command::Explain(arguments)) => explain::run(&arguments),
-        Some(Command::Experiment(arguments)) => experiment::run(&arguments),
         None => Err(CommandError::Usage(format!(
             "expected a command\n\n{}\n\nCommands:\n{}",
             Arguments::usage(),
--- a/crates/cli/src/runtime.rs
+++ b/crates/cli/src/runtime.rs
@@ -1,11 +1,10 @@
-//! Runs a future on ntex's runtime, on this thread, and waits for signals to stop.
+//! Runs a future on ntex's runtime, on this thread, and takes signals to stop.
 
 use crate::CommandError;
 use ntex::rt::{DefaultRuntime, System};
-use ntex::time::{sleep, Millis};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::future::Future;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
 /// Set once the process is told to stop.
@@ -22,14 +21,6 @@
     Ok(flag)
 }
 
-/// Waits until the process is told to stop.
-pub async fn wait_for_stop(flag: StopFlag) {
-    const POLL: Millis = Millis(20);
-    while !flag.load(Ordering::Acquire) {
-        sleep(POLL).await;
-    }
-}
-
 /// Runs a future to its end.
 pub fn block_on<F>(name: &str, future: F) -> F::Output
 where
--- /dev/null
+++ b/crates/cli/tests/check.rs
@@ -0,0 +1,43 @@
+//! `pitchstall check`: what is wrong is told with its place, and the exit code says so.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::path::Path;
+use std::process::Command;
+use test_case::test_case;
+
+const EXIT_USAGE: i32 = 2;
+
+fn check(file: &Path) -> (Option<i32>, String) {
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_pitchstall")).arg("check").arg(file).output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(text).unwrap())
+}
+
+fn check_text(name: &str, text: &str) -> (Option<i32>, String) {
+    let file = std::env::temp_dir().join(format!("pitchstall-{}-{name}", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let checked = check(&file);
+    std::fs::remove_file(&file).unwrap();
+    checked
+}
+
+#[test_case("examples/serve.toml", "valid settings")]
+#[test_case("examples/stay-in-zone.rhai", "valid policy program")]
+fn examples_are_valid(file: &str, said: &str) {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let (code, text) = check(&root.join(file));
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains(said), "{text}");
+}
+
+#[test_case("a.toml", "[node]\nname = 7\n", "line 2"; "a value of another type")]
+#[test_case("b.toml", "[node]\nname = \"n\"\nzone = \"z\"\n", "listen"; "a section that is missing")]
+#[test_case("c.toml", "[nodes]\n", "nodes"; "a section that nobody knows")]
+#[test_case("d.rhai", "#{ zone", "parse"; "a program that does not parse")]
+#[test_case("e.rhai", "loop { }", "operations"; "a program that loops")]
+fn what_is_wrong_is_told(name: &str, text: &str, expected: &str) {
+    let (code, said) = check_text(name, text);
+    assert_eq!(code, Some(EXIT_USAGE), "{said}");
+    assert!(said.contains(expected), "{said}");
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,7 +9,8 @@
 use crate::listener;
 use crate::node::Node;
 use crate::peers::Peers;
-use crate::settings::Settings;
+use crate::policy::PolicyProgram;
+use crate::settings::{Settings, SettingsError};
 use crate::watcher::{self, Subject};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::path::{Path, PathBuf};
@@ -42,6 +43,9 @@
         /// Why.
         cause: std::io::Error,
     },
+    /// The settings name a policy program that cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
     /// Signals cannot be handled.
     #[error("signals cannot be handled: {0}")]
     Signals(std::io::Error),
@@ -87,7 +91,9 @@
     let name = settings.node.name.clone();
     let zone = settings.node.zone.clone();
     log::info!(target: "process", name, zone; "started");
+    let program = PolicyProgram::read(&settings.policy)?;
     let node = Node::new(settings);
+    node.adopt_policy_program(program);
     for subject in [Subject::Configuration, Subject::Runners] {
         ntex::rt::spawn(watcher::follow(node.clone(), subject));
     }
@@ -169,14 +175,15 @@
 /// and addresses of this node hold from the next start.
 fn reload(node: &Node, path: &Path) {
     let known = node.settings();
-    let mut settings = match Settings::read(path) {
-        Ok(settings) => settings,
+    let (mut settings, program) = match read_all(path) {
+        Ok(read) => read,
         Err(error) => {
             let error = error.to_string();
             log::error!(target: "process", error; "reload refused");
             return;
         }
     };
+    node.adopt_policy_program(program);
     let needs_restart = settings.node != known.node || settings.listen != known.listen;
     settings.node = known.node.clone();
     settings.listen = known.listen.clone();
@@ -185,6 +192,12 @@
     log::info!(target: "process", changed, needs_restart; "reloaded");
 }
 
+fn read_all(path: &Path) -> Result<(Settings, Option<PolicyProgram>), SettingsError> {
+    let settings = Settings::read(path)?;
+    let program = PolicyProgram::read(&settings.policy)?;
+    Ok((settings, program))
+}
+
 /// Not only for open requests: one may be being read just now.
 async fn wait_for_connections(node: &Node, latest: Instant) {
     const POLL: Duration = Duration::from_millis(10);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,11 +9,13 @@
 use crate::connection::ClientConnection;
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
 use crate::node::Node;
+use crate::policy::PlacementRules;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::relay::{relay, RelayEnd, RelayLimits, StreamState};
-use pitchstall_protocol::ids::{RunnerId, ServiceName};
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
+use pitchstall_serving::fleet::Eligible;
+use pitchstall_serving::ids::{RunnerId, ServiceName};
 use pitchstall_serving::placement::{
     choose_worker, choose_writer, plan_reading, Choice, Demand, ReadingPlan,
 };
@@ -44,6 +46,8 @@
     service: ServiceName,
     engine: Option<EngineSpec>,
     prompt: Prompt,
+    /// What the operators' policy program decided.
+    rules: PlacementRules,
     deadline: Instant,
     /// What is known of the request after the attempts so far.
     execution: Execution,
@@ -76,6 +80,7 @@
         request: &'a ClientRequest,
         route: &'a Route,
         service: ServiceName,
+        rules: PlacementRules,
         configuration: &Configuration,
         deadline: Instant,
     ) -> Self {
@@ -87,6 +92,7 @@
             service,
             engine,
             prompt: request.facts.prompt.clone().unwrap_or_default(),
+            rules,
             deadline,
             execution: Execution::NotRun,
             runs: 0,
@@ -157,7 +163,7 @@
             priority: self
                 .engine
                 .as_ref()
-                .map(|_| rank(self.route.priority, choice.demand.unread_tokens)),
+                .map(|_| rank(self.rules.priority, choice.demand.unread_tokens)),
             after_event: self.resume_point(),
             deadline: self.deadline,
             head_limit: self.attempt_limit(),
@@ -226,10 +232,13 @@
 
     fn demand(&self) -> Demand<'_> {
         Demand {
-            service: &self.service,
+            eligible: Eligible {
+                service: &self.service,
+                excluded: &self.excluded,
+                zones: self.rules.zones.as_ref(),
+            },
             prompt: &self.prompt,
             zone: &self.node.zone,
-            excluded: &self.excluded,
             cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
             now_us: self.node.now_us(),
         }
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -4,7 +4,7 @@
 //! while nothing has come on it since: a surplus answer must not meet the next request.
 
 use super::upstream::Upstream;
-use pitchstall_protocol::ids::RunnerId;
+use pitchstall_serving::ids::RunnerId;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -5,6 +5,7 @@
 use crate::dispatch::Dispatch;
 use crate::http::{is_connection_header, named_by_connection, Header};
 use crate::node::{BodyReservation, Node};
+use crate::policy;
 use ntex::http::Request;
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::configuration::{Configuration, Route};
@@ -125,10 +126,15 @@
     let Some(service) = node.next_service(&route) else {
         return finish(node, request, Some(&route), RequestEnd::Own(OwnAnswer::Refused));
     };
+    let rules = match policy::rules_for(node, request, &route, &service) {
+        Ok(rules) => rules,
+        // A program that fails allows nothing: it may have been about to forbid a zone.
+        Err(_) => return finish(node, request, Some(&route), RequestEnd::Own(OwnAnswer::Refused)),
+    };
     let deadline = request.received + time_allowed(request, &route);
     let now_us = node.now_us();
     node.with_budget(&service, |budget| budget.on_request(now_us));
-    let dispatch = Dispatch::new(node, request, &route, service, &configuration, deadline);
+    let dispatch = Dispatch::new(node, request, &route, service, rules, &configuration, deadline);
     let end = dispatch.run(client).await;
     finish(node, request, Some(&route), end)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,14 +8,16 @@
 //! | [`listener`] | takes connections |
 //! | [`connection`] | reads requests from one client's connection and writes answers |
 //! | [`intake`] | refuses what can be refused at once, finds the route |
+//! | [`policy`] | runs the operators' program |
 //! | [`dispatch`] | makes attempts until the request has its final answer |
 //! | [`reading`] | has a prompt read and keeps its handle |
 //! | [`attempt`] | one attempt at one runner |
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
-//! Beside them: [`authority`] orders role changes, [`peers`] exchanges digests with other nodes, [`watcher`] follows the store with [`store_client`], [`node`] holds what the
-//! node believes, [`http`] speaks HTTP to runners and to the store.
+//! Beside them: [`authority`] orders role changes, [`peers`] exchanges digests with other
+//! nodes, [`watcher`] follows the store with [`store_client`], [`node`] holds what the node
+//! believes, [`http`] speaks HTTP to runners and to the store.
 
 pub mod answers;
 pub mod attempt;
@@ -31,6 +33,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peers;
+pub mod policy;
 pub mod reading;
 pub mod relay;
 pub mod settings;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,11 +2,12 @@
 
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
+use crate::policy::PolicyProgram;
 use crate::settings::Settings;
-use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::configuration::{Configuration, Route};
 use pitchstall_serving::digest::{Digest, PrefixRead, ReadLog};
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::ReadPace;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
@@ -34,6 +35,7 @@
     /// Told when connections that rest are to be closed.
     pub stopping: Notify,
     settings: RefCell<Rc<Settings>>,
+    policy_program: RefCell<Option<Rc<PolicyProgram>>>,
     started: Instant,
     configuration: RefCell<Option<Rc<Configuration>>>,
     runners_known: Cell<bool>,
@@ -56,6 +58,7 @@
         let zone = ZoneId::new(&settings.node.zone);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
+            policy_program: RefCell::default(),
             zone,
             fleet: RefCell::default(),
             pool: ConnectionPool::default(),
@@ -89,6 +92,16 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// The operators' policy program in force.
+    pub fn policy_program(&self) -> Option<Rc<PolicyProgram>> {
+        self.policy_program.borrow().clone()
+    }
+
+    /// Takes a policy program into force, or none.
+    pub fn adopt_policy_program(&self, program: Option<PolicyProgram>) {
+        *self.policy_program.borrow_mut() = program.map(Rc::new);
+    }
+
     /// Microseconds of a steady clock since the start.
     pub fn now_us(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,8 +8,8 @@
 use crate::node::Node;
 use crate::store_client::StoreClient;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
-use pitchstall_protocol::ids::NodeId;
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad};
+use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::prefix::rendezvous_weight;
 use rand::RngExt;
 use std::cell::RefCell;
--- /dev/null
+++ b/crates/gateway/src/policy.rs
@@ -0,0 +1,72 @@
+//! The operators' policy program, as the node runs it.
+//!
+//! It is compiled once, when the settings are read, and run once for each request. It can only
+//! narrow where a request may run; a program that fails refuses the request.
+
+use crate::intake::ClientRequest;
+use crate::node::Node;
+use crate::settings::{PolicySection, SettingsError};
+use pitchstall_policy::{Policy, PolicyEngine, PolicyError, PolicyInput};
+use pitchstall_serving::configuration::Route;
+use pitchstall_serving::ids::{ServiceName, ZoneId};
+use std::collections::BTreeSet;
+
+/// What a program decided for a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlacementRules {
+    /// Zones that are left; `None`: all.
+    pub zones: Option<BTreeSet<ZoneId>>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// A program that is ready to run.
+pub struct PolicyProgram {
+    engine: PolicyEngine,
+    policy: Policy,
+}
+
+impl PolicyProgram {
+    /// Reads and compiles the program that the settings name, if they name one.
+    pub fn read(section: &PolicySection) -> Result<Option<Self>, SettingsError> {
+        let Some(path) = &section.program else { return Ok(None) };
+        let source = std::fs::read_to_string(path)
+            .map_err(|cause| SettingsError::Unreadable { path: path.clone(), cause })?;
+        let engine = PolicyEngine::new();
+        let policy = engine
+            .compile(&source)
+            .map_err(|cause| SettingsError::Policy { path: path.clone(), cause })?;
+        Ok(Some(Self { engine, policy }))
+    }
+}
+
+/// What the program in force decides for a request.
+pub fn rules_for(
+    node: &Node,
+    request: &ClientRequest,
+    route: &Route,
+    service: &ServiceName,
+) -> Result<PlacementRules, PolicyError> {
+    let Some(program) = node.policy_program() else {
+        return Ok(PlacementRules { zones: None, priority: route.priority });
+    };
+    let zones = node.fleet.borrow().zones_of(service);
+    let prompt = request.facts.prompt.as_ref();
+    let input = PolicyInput {
+        host: &request.host,
+        service,
+        prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
+        max_tokens: prompt.map_or(0, |prompt| prompt.max_output_tokens),
+        zone: &node.zone,
+        zones: &zones,
+        priority: u32::from(route.priority),
+    };
+    let decision = program.engine.run(&program.policy, &input).inspect_err(|error| {
+        let (id, error) = (request.facts.id.as_str(), error.to_string());
+        log::warn!(target: "policy", request = id, error; "failed");
+    })?;
+    let priority = decision
+        .priority
+        .map_or(route.priority, |priority| u8::try_from(priority).unwrap_or(u8::MAX));
+    Ok(PlacementRules { zones: decision.zones, priority })
+}
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -6,7 +6,7 @@
 use crate::intake::ClientRequest;
 use crate::node::Node;
 use pitchstall_platform_adapter::paths;
-use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::PromptHandle;
 use std::cell::Cell;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of a node: TOML, checked as a whole before anything starts.
 
+use pitchstall_policy::PolicyError;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -19,6 +20,9 @@
     /// What the machine has.
     #[serde(default)]
     pub machine: MachineSection,
+    /// The operators' policy program.
+    #[serde(default)]
+    pub policy: PolicySection,
     /// Logs.
     #[serde(default)]
     pub log: LogSection,
@@ -88,6 +92,14 @@
     }
 }
 
+/// The operators' policy program.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PolicySection {
+    /// File with the program; none: requests may go to every zone.
+    pub program: Option<PathBuf>,
+}
+
 /// Logs.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -121,6 +133,14 @@
         /// Line, column and what is expected.
         cause: Box<toml::de::Error>,
     },
+    /// The policy program does not compile.
+    #[error("{path}: {cause}")]
+    Policy {
+        /// The program's file.
+        path: PathBuf,
+        /// Why.
+        cause: PolicyError,
+    },
     /// A value is out of its range.
     #[error("{path}: {field}: expected {expected}")]
     Value {
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -252,6 +252,24 @@
     assert!(runner.requests().iter().all(|request| request.body.len() == 60_000));
 }
 
+#[test]
+fn a_runner_that_closes_after_an_answer_gets_the_next_request_on_a_new_connection() {
+    let runner = desk(|request| {
+        let signed = signed_answer(request, 200, b"booked");
+        let text = String::from_utf8(signed).unwrap();
+        let closing = text.replacen("\r\n", "\r\nconnection: close\r\n", 1);
+        Reaction::RawThenClose(closing.into_bytes())
+    });
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let mut client = node.client();
+    for number in 0..3 {
+        client.request("POST", "/booking/1", &format!("id-{number}"), "", b"a booking");
+        let answer = client.read_answer();
+        assert_eq!((answer.status, answer.text().as_str()), (200, "booked"));
+    }
+    assert_eq!(runner.requests().len(), 3);
+}
+
 #[test]
 fn a_repeatable_request_is_tried_at_another_runner() {
     let bad = RunnerStandIn::start("i-bad", |_| Reaction::RawThenClose(Vec::new())).unwrap();
--- /dev/null
+++ b/crates/gateway/tests/policy.rs
@@ -0,0 +1,47 @@
+//! The operators' policy program, run by a node.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use std::path::PathBuf;
+use support::{configuration, Fixture};
+
+/// The stand-ins' runners are in zone `north`, and so is the node.
+const FORBIDS_ITS_ZONE: &str = "#{ zones: zones.filter(|other| other != zone) }";
+
+fn node_with_program(name: &str, program: &str, runner: &RunnerStandIn) -> (Fixture, PathBuf) {
+    let file = std::env::temp_dir().join(format!("pitchstall-{}-{name}.rhai", std::process::id()));
+    std::fs::write(&file, program).unwrap();
+    let node = Fixture::start_with(&format!("[policy]\nprogram = \"{}\"\n", file.display()));
+    node.store.put("op/config", &configuration(1));
+    node.add_runner(runner, "desk", None);
+    node.wait_until_ready();
+    (node, file)
+}
+
+fn answer_with_program(name: &str, program: &str) -> (u16, usize) {
+    let answer = Reaction::Answer { status: 200, body: b"booked".to_vec() };
+    let runner = RunnerStandIn::start("i-desk", move |_| answer.clone()).unwrap();
+    let (node, file) = node_with_program(name, program, &runner);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "", b"a booking");
+    let status = client.read_answer().status;
+    std::fs::remove_file(file).unwrap();
+    (status, runner.requests().len())
+}
+
+#[test]
+fn a_program_that_allows_the_zone_lets_the_request_through() {
+    assert_eq!(answer_with_program("allows", "#{ zones: zones }"), (200, 1));
+}
+
+#[test]
+fn a_forbidden_zone_gets_no_request_even_if_no_other_has_a_runner() {
+    assert_eq!(answer_with_program("forbids", FORBIDS_ITS_ZONE), (503, 0));
+}
+
+#[test]
+fn a_program_that_fails_allows_nothing() {
+    assert_eq!(answer_with_program("fails", "throw \"no\""), (503, 0));
+}
--- a/crates/scheduling/src/policy.rs
+++ b/crates/policy/src/lib.rs
@@ -1,13 +1,14 @@
 //! Operators' policy programs: short Rhai scripts that narrow where a request may run and
 //! set its priority.
 //!
-//! A program sees `tenant`, `service`, `prompt_tokens`, `max_tokens`, `zone` (where the
-//! request came in) and `zones` (where the service may run), and returns a map with any of
-//! `zones` (a list of names) and `priority` (a whole number), or nothing. Zones it returns
+//! A program sees `host` (which the caller named), `service`, `prompt_tokens`, `max_tokens`,
+//! `zone` (where the request came in), `zones` (where runners of the service are) and
+//! `priority` (the route's, 0 is the most urgent), and returns a map with any of `zones` (a
+//! list of names) and `priority` (a whole number), or nothing. Zones it returns
 //! are intersected with those of the service: a program can narrow, never widen. Programs
 //! have no modules, no `eval`, no clock, and a limit on operations.
 
-use pitchstall_protocol::ids::{ServiceName, TenantId, ZoneId};
+use pitchstall_serving::ids::{ServiceName, ZoneId};
 use rhai::{Array, Dynamic, Engine, Map, Scope, AST};
 use std::collections::BTreeSet;
 
@@ -20,18 +21,20 @@
 /// What a program sees of a request.
 #[derive(Clone, Debug)]
 pub struct PolicyInput<'a> {
-    /// Who asks.
-    pub tenant: &'a TenantId,
+    /// The host that the caller named.
+    pub host: &'a str,
     /// The service.
     pub service: &'a ServiceName,
-    /// Estimated prompt tokens.
-    pub prompt_tokens: u32,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
     /// Most output tokens.
-    pub max_tokens: u32,
+    pub max_tokens: u64,
     /// The zone in which the request came in.
     pub zone: &'a ZoneId,
-    /// Zones in which the service may run.
+    /// Zones in which the service has runners.
     pub zones: &'a BTreeSet<ZoneId>,
+    /// The route's priority; 0 is the most urgent.
+    pub priority: u32,
 }
 
 /// What a program decided.
@@ -39,8 +42,8 @@
 pub struct PolicyDecision {
     /// Zones left; `None`: not narrowed. May be empty.
     pub zones: Option<BTreeSet<ZoneId>>,
-    /// The priority; `None`: the service's.
-    pub priority: Option<i32>,
+    /// The priority; `None`: the route's.
+    pub priority: Option<u32>,
 }
 
 /// What is wrong with a program.
@@ -124,15 +127,20 @@
     let zones: Array =
         input.zones.iter().map(|zone| Dynamic::from(zone.as_str().to_owned())).collect();
     let mut scope = Scope::new();
-    scope.push("tenant", input.tenant.as_str().to_owned());
+    scope.push("host", input.host.to_owned());
     scope.push("service", input.service.as_str().to_owned());
-    scope.push("prompt_tokens", i64::from(input.prompt_tokens));
-    scope.push("max_tokens", i64::from(input.max_tokens));
+    scope.push("prompt_tokens", whole_number(input.prompt_tokens));
+    scope.push("max_tokens", whole_number(input.max_tokens));
+    scope.push("priority", i64::from(input.priority));
     scope.push("zone", input.zone.as_str().to_owned());
     scope.push("zones", zones);
     scope
 }
 
+fn whole_number(tokens: u64) -> i64 {
+    i64::try_from(tokens).unwrap_or(i64::MAX)
+}
+
 fn read_decision(map: Map, allowed: &BTreeSet<ZoneId>) -> Result<PolicyDecision, PolicyError> {
     let mut decision = PolicyDecision::default();
     for (key, value) in map {
@@ -141,8 +149,7 @@
             "priority" => {
                 let type_name = value.type_name().to_owned();
                 let priority = value.as_int().map_err(|_| PolicyError::Shape(type_name))?;
-                let clamped = priority.clamp(i64::from(i32::MIN), i64::from(i32::MAX));
-                decision.priority = i32::try_from(clamped).ok();
+                decision.priority = u32::try_from(priority.max(0)).ok();
             }
             other => return Err(PolicyError::Shape(format!("a map with `{other}`"))),
         }
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration that operators put in force.
 
-use pitchstall_protocol::ids::ServiceName;
+use crate::ids::ServiceName;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -5,8 +5,8 @@
 //! that arrives late is told by its sequence. Prefixes are repeated for the same reason. All
 //! of it only ranks runners: whether a runner may get work is decided by the store alone.
 
+use crate::ids::{NodeId, RunnerId};
 use crate::prefix::PromptPart;
-use pitchstall_protocol::ids::{NodeId, RunnerId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -7,10 +7,10 @@
 
 use crate::digest::{PrefixRead, RunnerLoad};
 use crate::failure_rate::FailureRate;
+use crate::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
-use pitchstall_protocol::ids::{NodeId, RunnerId, ServiceName, ZoneId};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// What a runner of a language model does.
@@ -209,6 +209,29 @@
     told_at_us: u64,
 }
 
+/// Which runners a request may go to, whatever their load and health.
+#[derive(Clone, Copy, Debug)]
+pub struct Eligible<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Runners that have had the request already.
+    pub excluded: &'a [RunnerId],
+    /// Zones that the operators' policy leaves; `None`: all.
+    pub zones: Option<&'a BTreeSet<ZoneId>>,
+}
+
+impl<'a> Eligible<'a> {
+    /// Every runner of a service.
+    pub fn all_of(service: &'a ServiceName) -> Self {
+        Self { service, excluded: &[], zones: None }
+    }
+
+    fn admits(&self, record: &RunnerRecord) -> bool {
+        let zone_is_allowed = self.zones.is_none_or(|zones| zones.contains(&record.zone));
+        record.service == *self.service && zone_is_allowed && !self.excluded.contains(&record.id)
+    }
+}
+
 /// All runners that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -264,6 +287,12 @@
         gone
     }
 
+    /// Zones in which a service has runners.
+    pub fn zones_of(&self, service: &ServiceName) -> BTreeSet<ZoneId> {
+        let of_service = self.runners.values().filter(|runner| runner.record.service == *service);
+        of_service.map(|runner| runner.record.zone.clone()).collect()
+    }
+
     /// A runner by its id.
     pub fn get(&self, id: &RunnerId) -> Option<&Runner> {
         self.runners.get(id)
@@ -274,21 +303,12 @@
         self.runners.values()
     }
 
-    /// Runners of a service that may get new requests; those that are avoided only if there
-    /// are no others.
-    pub fn candidates<'a>(
-        &'a self,
-        service: &'a ServiceName,
-        excluded: &'a [RunnerId],
-        now_us: u64,
-    ) -> Vec<&'a Runner> {
-        let of_service = |runner: &&Runner| {
-            runner.record.service == *service
-                && runner.takes_work()
-                && !runner.is_changing(now_us)
-                && !excluded.contains(&runner.record.id)
+    /// Runners that may get new requests; those that are avoided only if there are no others.
+    pub fn candidates(&self, eligible: &Eligible<'_>, now_us: u64) -> Vec<&Runner> {
+        let is_eligible = |runner: &&Runner| {
+            eligible.admits(&runner.record) && runner.takes_work() && !runner.is_changing(now_us)
         };
-        let all: Vec<&Runner> = self.runners.values().filter(of_service).collect();
+        let all: Vec<&Runner> = self.runners.values().filter(is_eligible).collect();
         let sound: Vec<&Runner> =
             all.iter().copied().filter(|runner| !runner.is_avoided(now_us)).collect();
         if sound.is_empty() {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | decides |
 //! | --- | --- |
+//! | [`ids`] | nothing: the types of identifiers |
 //! | [`configuration`] | what the operators have put in force |
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
@@ -27,6 +28,7 @@
 pub mod event_stream;
 pub mod failure_rate;
 pub mod fleet;
+pub mod ids;
 pub mod placement;
 pub mod prefix;
 pub mod prefix_cache;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -4,21 +4,19 @@
 //! hashing), so the KV cache of the parts is read once and used by all. A home that is busy
 //! for longer than reading the parts again takes gives way to another runner.
 
-use crate::fleet::{AttemptDemand, Fleet, Runner, Stage};
+use crate::fleet::{AttemptDemand, Eligible, Fleet, Runner, Stage};
+use crate::ids::{RunnerId, ZoneId};
 use crate::prefix::{rendezvous_weight, Prompt};
-use pitchstall_protocol::ids::{RunnerId, ServiceName, ZoneId};
 
 /// What a choice depends on besides the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
+    /// Runners that it may go to.
+    pub eligible: Eligible<'a>,
     /// The prompt, if the service runs a language model.
     pub prompt: &'a Prompt,
     /// The node's zone.
     pub zone: &'a ZoneId,
-    /// Runners that have had the request already.
-    pub excluded: &'a [RunnerId],
     /// Tokens of KV cache that a runner has.
     pub cache_tokens: u64,
     /// Now, microseconds of a steady clock.
@@ -83,7 +81,7 @@
 
 /// Chooses a runner of a service without language models: the least occupied.
 pub fn choose_worker(fleet: &Fleet, demand: &Demand<'_>) -> Option<Choice> {
-    let candidates = fleet.candidates(demand.service, demand.excluded, demand.now_us);
+    let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let rates = candidates.iter().map(|runner| runner.failure_rate(demand.now_us));
     let best_rate = rates.fold(f64::INFINITY, f64::min);
     let cost = |runner: &Runner| {
@@ -149,7 +147,7 @@
 
 /// Chooses how the prompt is read. `None` if no runner takes work.
 pub fn plan_reading(fleet: &Fleet, pace: &ReadPace, demand: &Demand<'_>) -> Option<ReadingPlan> {
-    let candidates = fleet.candidates(demand.service, demand.excluded, demand.now_us);
+    let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let (readers, writers) = by_stage(&candidates);
     let view = PromptView::new(&candidates, pace, demand);
     let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + HANDOVER_MS);
@@ -170,7 +168,7 @@
     demand: &Demand<'_>,
     source: Option<&ZoneId>,
 ) -> Option<Choice> {
-    let candidates = fleet.candidates(demand.service, demand.excluded, demand.now_us);
+    let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let (_, writers) = by_stage(&candidates);
     let pace = ReadPace::default();
     let view = PromptView::new(&candidates, &pace, demand);
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -1,7 +1,7 @@
 //! What a node needs to know of a request; everything else in it is opaque.
 
+use crate::ids::RunnerId;
 use crate::prefix::Prompt;
-use pitchstall_protocol::ids::RunnerId;
 use std::net::SocketAddr;
 
 /// A request's own words on itself.
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -5,9 +5,9 @@
 //! read; pressure on decode is the share of slots in use.
 
 use crate::configuration::EngineSpec;
-use crate::fleet::{Fleet, Runner, Stage};
+use crate::fleet::{Eligible, Fleet, Runner, Stage};
+use crate::ids::{RunnerId, ServiceName};
 use crate::placement::ReadPace;
-use pitchstall_protocol::ids::{RunnerId, ServiceName};
 
 /// When roles change.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -115,7 +115,7 @@
         engine: &EngineSpec,
         now_us: u64,
     ) -> Self {
-        let runners = fleet.candidates(service, &[], now_us);
+        let runners = fleet.candidates(&Eligible::all_of(service), now_us);
         let (prefill, decode): (Vec<&Runner>, Vec<&Runner>) =
             runners.into_iter().partition(|runner| runner.record.stage == Some(Stage::Prefill));
         let backlog = |runners: &[&Runner]| -> f64 {
--- a/crates/serving/src/routing.rs
+++ b/crates/serving/src/routing.rs
@@ -1,7 +1,7 @@
 //! Which route and which service a request belongs to.
 
 use crate::configuration::{Configuration, Route, Share};
-use pitchstall_protocol::ids::ServiceName;
+use crate::ids::ServiceName;
 use std::collections::HashMap;
 use std::rc::Rc;
 
--- /dev/null
+++ b/crates/serving/tests/model_checking.rs
@@ -0,0 +1,89 @@
+//! Exhaustive search of the specification: no violation as built, and one for each safeguard
+//! that is dropped.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod specification;
+
+use pathfinding::directed::bfs::bfs_reach;
+use specification::{adoption, authority, resuming};
+use test_case::test_case;
+
+/// States up to the first violation, and whether there was one.
+fn count<S>(states: impl Iterator<Item = S>, is_violated: impl Fn(&S) -> bool) -> (usize, bool) {
+    let mut seen = 0;
+    for state in states {
+        seen += 1;
+        if is_violated(&state) {
+            return (seen, true);
+        }
+    }
+    (seen, false)
+}
+
+fn search_authority(guards: authority::Safeguards) -> (usize, bool) {
+    let reached = bfs_reach(authority::State::default(), |state| state.next(guards));
+    count(reached, |state| state.violated)
+}
+
+fn search_adoption(guards: adoption::Safeguards) -> (usize, bool) {
+    let reached = bfs_reach(adoption::State::default(), |state| state.next(guards));
+    count(reached, |state| state.violated)
+}
+
+fn search_resuming(guards: resuming::Safeguards) -> (usize, bool) {
+    let search = |resumable| {
+        let initial = resuming::State::initial(resumable);
+        count(bfs_reach(initial, |state| state.next(guards)), |state| state.violated)
+    };
+    let (resumable, single) = (search(true), search(false));
+    (resumable.0 + single.0, resumable.1 || single.1)
+}
+
+#[test]
+fn authority_is_safe_in_every_state() {
+    let (states, violated) = search_authority(authority::Safeguards::ALL);
+    println!("authority: {states} states");
+    assert!(!violated);
+    assert!(states > 1_000, "the search was cut short: {states} states");
+}
+
+#[test]
+fn adoption_is_safe_in_every_state() {
+    let (states, violated) = search_adoption(adoption::Safeguards::ALL);
+    println!("adoption: {states} states");
+    assert!(!violated);
+    assert!(states > 300, "the search was cut short: {states} states");
+}
+
+#[test]
+fn resuming_is_safe_in_every_state() {
+    let (states, violated) = search_resuming(resuming::Safeguards::ALL);
+    println!("resuming: {states} states");
+    assert!(!violated);
+    assert!(states > 20, "the search was cut short: {states} states");
+}
+
+#[test_case(authority::Safeguards { take_if_absent: false, ..authority::Safeguards::ALL }; "take if absent")]
+#[test_case(authority::Safeguards { time_from_sending: false, ..authority::Safeguards::ALL }; "time from sending")]
+#[test_case(authority::Safeguards { fence_from_revision: false, ..authority::Safeguards::ALL }; "fence from revision")]
+#[test_case(authority::Safeguards { expected_orders: false, ..authority::Safeguards::ALL }; "expected orders")]
+#[test_case(authority::Safeguards { named_instance: false, ..authority::Safeguards::ALL }; "named instance")]
+fn authority_without_a_safeguard_is_unsafe(guards: authority::Safeguards) {
+    assert!(search_authority(guards).1);
+}
+
+#[test_case(adoption::Safeguards { only_higher: false, ..adoption::Safeguards::ALL }; "only higher")]
+#[test_case(adoption::Safeguards { read_when_history_is_gone: false, ..adoption::Safeguards::ALL }; "read when history is gone")]
+#[test_case(adoption::Safeguards { watch_from_the_read: false, ..adoption::Safeguards::ALL }; "watch from the read")]
+fn adoption_without_a_safeguard_is_unsafe(guards: adoption::Safeguards) {
+    assert!(search_adoption(guards).1);
+}
+
+#[test_case(resuming::Safeguards { whole_events: false, ..resuming::Safeguards::ALL }; "whole events")]
+#[test_case(resuming::Safeguards { after_the_last: false, ..resuming::Safeguards::ALL }; "after the last")]
+#[test_case(resuming::Safeguards { stop_first: false, ..resuming::Safeguards::ALL }; "stop first")]
+#[test_case(resuming::Safeguards { only_resumable: false, ..resuming::Safeguards::ALL }; "only resumable")]
+#[test_case(resuming::Safeguards { own_end: false, ..resuming::Safeguards::ALL }; "own end")]
+fn resuming_without_a_safeguard_is_unsafe(guards: resuming::Safeguards) {
+    assert!(search_resuming(guards).1);
+}
--- /dev/null
+++ b/crates/serving/tests/specification/adoption.rs
@@ -0,0 +1,114 @@
+//! Adoption of configurations: one store, one node that watches it, one peer.
+//!
+//! The node reads the store (now, or a stale copy), watches it from a revision, and hears from
+//! the peer what that has in force. The store may forget its history; watches may be cut.
+
+use std::collections::BTreeSet;
+
+const MOST_VERSIONS: u8 = 3;
+
+/// The switches. All on: the protocol as built.
+#[derive(Clone, Copy, Debug)]
+pub struct Safeguards {
+    /// Only a higher version replaces the one in force.
+    pub only_higher: bool,
+    /// When history is gone everything is read anew.
+    pub read_when_history_is_gone: bool,
+    /// The first read is linearizable, and the watch goes on from its revision.
+    pub watch_from_the_read: bool,
+}
+
+impl Safeguards {
+    pub const ALL: Self =
+        Self { only_higher: true, read_when_history_is_gone: true, watch_from_the_read: true };
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct State {
+    /// The store's newest version; versions are also its revisions.
+    stored: u8,
+    /// Oldest revision from which a watch may go on.
+    history_from: u8,
+    in_force: u8,
+    /// The revision up to which the node believes to know everything.
+    known_to: Option<u8>,
+    peer: u8,
+    handed_over: BTreeSet<u8>,
+    pub violated: bool,
+}
+
+impl State {
+    pub fn next(&self, guards: Safeguards) -> Vec<Self> {
+        let mut states = Vec::new();
+        self.store_steps(&mut states);
+        self.peer_steps(guards, &mut states);
+        self.node_steps(guards, &mut states);
+        states
+    }
+
+    fn store_steps(&self, states: &mut Vec<Self>) {
+        if self.stored < MOST_VERSIONS {
+            states.push(Self { stored: self.stored + 1, ..self.clone() });
+        }
+        states.push(Self { history_from: self.stored, ..self.clone() });
+    }
+
+    fn peer_steps(&self, guards: Safeguards, states: &mut Vec<Self>) {
+        states.push(Self { peer: self.stored, ..self.clone() });
+        let mut told = self.clone();
+        told.handed_over.insert(self.peer);
+        states.push(told);
+        for version in &self.handed_over {
+            let mut heard = self.clone();
+            heard.handed_over.remove(version);
+            heard.adopt(*version, guards);
+            states.push(heard);
+        }
+    }
+
+    fn node_steps(&self, guards: Safeguards, states: &mut Vec<Self>) {
+        let mut restarted = self.clone();
+        restarted.in_force = 0;
+        restarted.known_to = None;
+        states.push(restarted);
+        let Some(known_to) = self.known_to else {
+            return self.first_read(guards, states);
+        };
+        if known_to < self.history_from {
+            let mut gone = self.clone();
+            gone.known_to = (!guards.read_when_history_is_gone).then_some(self.stored);
+            gone.check();
+            states.push(gone);
+        } else if known_to < self.stored {
+            let mut event = self.clone();
+            event.adopt(known_to + 1, guards);
+            event.known_to = Some(known_to + 1);
+            event.check();
+            states.push(event);
+        }
+    }
+
+    fn first_read(&self, guards: Safeguards, states: &mut Vec<Self>) {
+        let oldest = if guards.watch_from_the_read { self.stored } else { 0 };
+        for seen in oldest..=self.stored {
+            let mut read = self.clone();
+            read.adopt(seen, guards);
+            // Without the safeguard the read is stale and the watch starts from now.
+            read.known_to = Some(self.stored);
+            read.check();
+            states.push(read);
+        }
+    }
+
+    fn adopt(&mut self, version: u8, guards: Safeguards) {
+        if version > self.in_force || !guards.only_higher {
+            self.violated |= version < self.in_force;
+            self.in_force = version;
+        }
+    }
+
+    /// A node that believes to know everything up to a revision has that version in force.
+    fn check(&mut self) {
+        self.violated |= self.known_to.is_some_and(|known_to| self.in_force < known_to);
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/specification/authority.rs
@@ -0,0 +1,154 @@
+//! Authority over a runner's role: two nodes, the store's leased key, one runner.
+//!
+//! A node takes the key if it is absent; the revision of that write is its fencing token. It
+//! asks the runner for the orders that it has taken, then orders. Orders arrive at any time or
+//! never, also after the runner has started anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+const NODES: usize = 2;
+const MOST_REVISIONS: u8 = 2;
+const MOST_ORDERS: u8 = 2;
+const MOST_INSTANCES: u8 = 2;
+
+/// The switches. All on: the protocol as built.
+#[derive(Clone, Copy, Debug)]
+pub struct Safeguards {
+    /// The key is taken only while it is absent.
+    pub take_if_absent: bool,
+    /// A holder's own time ends no later than the store's.
+    pub time_from_sending: bool,
+    /// The fencing token is the revision of the write that took the key.
+    pub fence_from_revision: bool,
+    /// An order names the number of orders that the runner had taken when it was decided.
+    pub expected_orders: bool,
+    /// An order names the start of the runner that it is for.
+    pub named_instance: bool,
+}
+
+impl Safeguards {
+    pub const ALL: Self = Self {
+        take_if_absent: true,
+        time_from_sending: true,
+        fence_from_revision: true,
+        expected_orders: true,
+        named_instance: true,
+    };
+}
+
+/// What a holder has read at the runner: its start and the orders it had taken.
+type Picture = (u8, u8);
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Holder {
+    fence: Option<u8>,
+    picture: Option<Picture>,
+    ordered: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Order {
+    from: u8,
+    number: u8,
+    fence: u8,
+    picture: Picture,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct State {
+    revision: u8,
+    store_holder: Option<u8>,
+    holders: [Holder; NODES],
+    on_the_way: BTreeSet<Order>,
+    /// Which node has ordered with a fencing token.
+    token_users: BTreeMap<u8, u8>,
+    instance: u8,
+    taken: u8,
+    highest_fence: u8,
+    pub violated: bool,
+}
+
+impl State {
+    pub fn next(&self, guards: Safeguards) -> Vec<Self> {
+        let mut states = Vec::new();
+        for node in 0..NODES {
+            self.lease_steps(node, guards, &mut states);
+            self.order_steps(node, &mut states);
+        }
+        self.runner_steps(guards, &mut states);
+        states
+    }
+
+    fn lease_steps(&self, node: usize, guards: Safeguards, states: &mut Vec<Self>) {
+        let may_take = self.store_holder.is_none() || !guards.take_if_absent;
+        if may_take && self.revision < MOST_REVISIONS && self.holders[node].fence.is_none() {
+            let mut taken = self.clone();
+            taken.revision += 1;
+            taken.store_holder = Some(node as u8);
+            // The answer is lost: the key stands, its holder does not know.
+            states.push(taken.clone());
+            let fence = if guards.fence_from_revision { taken.revision } else { 1 };
+            taken.holders[node] = Holder { fence: Some(fence), ..Holder::default() };
+            let holding = taken.holders.iter().filter(|holder| holder.fence.is_some()).count();
+            taken.violated |= holding > 1;
+            states.push(taken);
+        }
+        let believes = self.holders[node].fence.is_some();
+        if believes {
+            // Its own time is over, or it crashes.
+            let mut over = self.clone();
+            over.holders[node] = Holder::default();
+            states.push(over);
+        }
+        let is_stored = self.store_holder == Some(node as u8);
+        if is_stored && (!believes || !guards.time_from_sending) {
+            let mut lapsed = self.clone();
+            lapsed.store_holder = None;
+            states.push(lapsed);
+        }
+    }
+
+    fn order_steps(&self, node: usize, states: &mut Vec<Self>) {
+        let holder = &self.holders[node];
+        let Some(fence) = holder.fence else { return };
+        let mut asked = self.clone();
+        asked.holders[node].picture = Some((self.instance, self.taken));
+        states.push(asked);
+        if let Some(picture) = holder.picture.filter(|_| holder.ordered < MOST_ORDERS) {
+            let mut ordered = self.clone();
+            let number = holder.ordered;
+            ordered.on_the_way.insert(Order { from: node as u8, number, fence, picture });
+            // A token names one holder: two that share it cannot be told apart.
+            let user = *ordered.token_users.entry(fence).or_insert(node as u8);
+            ordered.violated |= user != node as u8;
+            ordered.holders[node].ordered += 1;
+            ordered.holders[node].picture = None;
+            states.push(ordered);
+        }
+    }
+
+    fn runner_steps(&self, guards: Safeguards, states: &mut Vec<Self>) {
+        if self.instance + 1 < MOST_INSTANCES {
+            // Orders taken and fencing tokens are forgotten.
+            let mut restarted = self.clone();
+            restarted.instance += 1;
+            restarted.taken = 0;
+            restarted.highest_fence = 0;
+            states.push(restarted);
+        }
+        for order in &self.on_the_way {
+            let mut arrived = self.clone();
+            arrived.on_the_way.remove(order);
+            let (instance, taken) = order.picture;
+            let misdirected = guards.named_instance && instance != self.instance;
+            let outdated = guards.expected_orders && taken != self.taken;
+            if !misdirected && !outdated && order.fence >= self.highest_fence {
+                arrived.highest_fence = order.fence;
+                arrived.taken += 1;
+                // It was decided on another picture than what the runner is now.
+                arrived.violated |= order.picture != (self.instance, self.taken);
+            }
+            states.push(arrived);
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/specification/mod.rs
@@ -0,0 +1,9 @@
+//! A small specification of the protocols between nodes, store and runners, for exhaustive
+//! search. Messages may be lost, late and overtaken; nodes pause (they take no step for a
+//! while: every interleaving is searched), crash and start anew. Time is abstract.
+//!
+//! Each safeguard has a switch; the search must find a violation when any one is off.
+
+pub mod adoption;
+pub mod authority;
+pub mod resuming;
--- /dev/null
+++ b/crates/serving/tests/specification/resuming.rs
@@ -0,0 +1,121 @@
+//! A stream that goes on at another runner: one node, two runners, one client.
+//!
+//! Runners make events 1 to [`EVENTS`] and may break off, also in the middle of an event. The
+//! node forwards what comes and, if the route allows it, has another runner go on.
+
+const EVENTS: u8 = 2;
+const RUNNERS: usize = 2;
+/// A part of an event that never became whole.
+const TORN: u8 = 99;
+
+/// The switches. All on: the protocol as built.
+#[derive(Clone, Copy, Debug)]
+pub struct Safeguards {
+    /// Only whole events are forwarded.
+    pub whole_events: bool,
+    /// The next runner begins after the last event that was forwarded.
+    pub after_the_last: bool,
+    /// A run that is left is stopped before the next one begins.
+    pub stop_first: bool,
+    /// Only streams that may be resumed go on.
+    pub only_resumable: bool,
+    /// The answer ends as complete only with the runner's own end.
+    pub own_end: bool,
+}
+
+impl Safeguards {
+    pub const ALL: Self = Self {
+        whole_events: true,
+        after_the_last: true,
+        stop_first: true,
+        only_resumable: true,
+        own_end: true,
+    };
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Run {
+    /// Events made so far, with those before its start.
+    made: u8,
+    working: bool,
+    /// The node still listens to it.
+    heard: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct State {
+    resumable: bool,
+    runs: [Option<Run>; RUNNERS],
+    client: Vec<u8>,
+    complete: bool,
+    cut: bool,
+    pub violated: bool,
+}
+
+impl State {
+    pub fn initial(resumable: bool) -> Self {
+        let first = Run { made: 0, working: true, heard: true };
+        Self { resumable, runs: [Some(first), None], ..Self::default() }
+    }
+
+    pub fn next(&self, guards: Safeguards) -> Vec<Self> {
+        let mut states = Vec::new();
+        if !self.complete && !self.cut {
+            for runner in 0..RUNNERS {
+                self.run_steps(runner, guards, &mut states);
+            }
+            self.next_run(guards, &mut states);
+        }
+        states
+    }
+
+    fn run_steps(&self, runner: usize, guards: Safeguards, states: &mut Vec<Self>) {
+        let Some(run) = self.runs[runner].clone().filter(|run| run.working && run.heard) else {
+            return;
+        };
+        if run.made < EVENTS {
+            let mut made = self.clone();
+            made.run(runner).made += 1;
+            made.client.push(run.made + 1);
+            states.push(made);
+            // It breaks off in the middle of the next event; it may also only seem to.
+            for stays_at_work in [false, true] {
+                let mut broken = self.clone();
+                broken.run(runner).heard = false;
+                broken.run(runner).working = stays_at_work && !guards.stop_first;
+                if !guards.whole_events {
+                    broken.client.push(TORN);
+                }
+                states.push(broken);
+            }
+        }
+        if run.made == EVENTS || !guards.own_end {
+            let mut ended = self.clone();
+            ended.complete = true;
+            ended.violated |= ended.client != (1..=EVENTS).collect::<Vec<u8>>();
+            states.push(ended);
+        }
+    }
+
+    fn next_run(&self, guards: Safeguards, states: &mut Vec<Self>) {
+        let [Some(first), None] = &self.runs else { return };
+        if first.heard {
+            return;
+        }
+        let mut cut = self.clone();
+        cut.cut = true;
+        states.push(cut);
+        if self.resumable || !guards.only_resumable {
+            let mut resumed = self.clone();
+            let last = self.client.len() as u8;
+            let made = if guards.after_the_last { last } else { 0 };
+            resumed.runs[1] = Some(Run { made, working: true, heard: true });
+            resumed.violated |= !self.resumable || first.working;
+            states.push(resumed);
+        }
+    }
+
+    fn run(&mut self, runner: usize) -> &mut Run {
+        self.runs[runner].as_mut().expect("the run has begun")
+    }
+}
