Let nodes confirm each other's copies of the store

Change: serving/freshness: nodes tell each other up to which change they know a subject and how long ago the store confirmed that; a node asks only when nobody has for 0.40 to 0.65 of contact_ms (drawn at random), or when another has seen a change that its watch has not told for 0.3 s. Watches ask for 10 s; answers with changes come at least 150 ms apart; a failed call anywhere in the node ends a watch that waits. What only confirms no longer grows with the fleet; what changes still does.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,6 +7,7 @@
 use pitchstall_serving::configuration::{Configuration, Route};
 use pitchstall_serving::digest::{Digest, PrefixRead, ReadLog};
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
+use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::ReadPace;
 use pitchstall_serving::prefix::Prompt;
@@ -32,6 +33,10 @@
     pub metrics: Metrics,
     /// Told when a runner joins or can be tried again.
     pub fleet_changed: Notify,
+    /// How fresh the copies of the store are.
+    pub freshness: RefCell<StoreFreshness>,
+    /// Told when a call to the store has failed: what waits for its answers may wait in vain.
+    pub store_suspected: Notify,
     /// Told when connections that rest are to be closed.
     pub stopping: Notify,
     settings: RefCell<Rc<Settings>>,
@@ -64,6 +69,8 @@
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
             fleet_changed: Notify::new(),
+            freshness: RefCell::default(),
+            store_suspected: Notify::new(),
             stopping: Notify::new(),
             started: Instant::now(),
             configuration: RefCell::default(),
@@ -189,6 +196,7 @@
         self.fleet.borrow_mut().on_peer_loads(&digest.node, &digest.loads, now_us);
         digest.read.iter().for_each(|read| self.note_prefix(read));
         self.note_changing(&digest.changing);
+        self.freshness.borrow_mut().on_word(&digest.store, now_us);
         if digest.informed {
             self.informed.set(true);
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use crate::store_client::StoreClient;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad};
+use pitchstall_serving::freshness::{FreshnessWord, StoreWord};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::prefix::rendezvous_weight;
 use rand::RngExt;
@@ -26,7 +27,7 @@
 const DATAGRAMS_A_SECOND: u32 = 50;
 /// Nodes that tell a newcomer everything; the others leave it to them.
 const TELLERS: usize = 2;
-/// A node with load says so at least this often, so that its word does not lapse.
+/// A node says what it knows at least this often, so that its word does not lapse.
 const REPEAT_EVERY: Duration = Duration::from_millis(1_000);
 /// Nodes that one digest goes to; with more of them they take turns.
 const FAN_OUT: usize = 16;
@@ -69,6 +70,14 @@
     next_peer: usize,
 }
 
+/// Whether a change in the store has been seen, or the store has confirmed a copy.
+fn is_store_news(told: &StoreWord, now: &StoreWord) -> bool {
+    let is_news = |told: &FreshnessWord, now: &FreshnessWord| {
+        told.changed_at != now.changed_at || now.age_ms < told.age_ms
+    };
+    is_news(&told.configuration, &now.configuration) || is_news(&told.runners, &now.runners)
+}
+
 impl Peers {
     /// Peers that are reached through the socket.
     pub fn new(node: Rc<Node>, socket: UdpSocket) -> Rc<Self> {
@@ -150,6 +159,7 @@
             incarnation: self.incarnation,
             sequence: state.sequence,
             informed: self.node.is_informed(),
+            store: self.node.freshness.borrow().word(self.node.now_us()),
             loads,
             changing: self.node.fleet.borrow().changing(self.node.now_us()),
             read,
@@ -171,18 +181,23 @@
     pub async fn announce(self: Rc<Self>) {
         let mut told: Vec<RunnerLoad> = Vec::new();
         let mut told_changing = Vec::new();
+        let mut told_store = StoreWord::default();
         let mut told_at = Instant::now();
         loop {
             sleep(self.digest_interval()).await;
             let loads = self.node.fleet.borrow().own_loads();
             let read = self.node.next_reads();
-            let repeat = !loads.is_empty() && told_at.elapsed() >= REPEAT_EVERY;
+            let repeat = told_at.elapsed() >= REPEAT_EVERY;
             let changing = self.node.fleet.borrow().changing(self.node.now_us());
-            let is_news = loads != told || changing != told_changing || !read.is_empty();
+            let store = self.node.freshness.borrow().word(self.node.now_us());
+            let store_news = is_store_news(&told_store, &store);
+            let is_news =
+                loads != told || changing != told_changing || !read.is_empty() || store_news;
             if !is_news && !repeat {
                 continue;
             }
             told_changing = changing;
+            told_store = store;
             told.clone_from(&loads);
             told_at = Instant::now();
             let to = self.next_addresses();
@@ -278,6 +293,7 @@
             Err(error) => error.to_string(),
         };
         self.node.metrics.store_failures.inc();
+        self.node.store_suspected.notify_waiters();
         log::info!(target: "peers", target = call.target.as_str(), outcome; "store call failed");
         None
     }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -2,8 +2,8 @@
 //!
 //! Each is read once and then watched from the revision of the read. A watch that ends for
 //! any reason goes on from its last revision; if that history is gone, everything is read
-//! anew. A watch asks for less than the time in which a node counts as in touch again, so a
-//! watch that went silent in a fault has been replaced before the node is bound by it.
+//! anew. A watch may go silent in a fault without a word. It is relied on while the copy is
+//! known to be fresh ([`pitchstall_serving::freshness`]); otherwise the store is asked.
 
 use crate::node::Node;
 use crate::store_client::{StoreClient, StoreFailure};
@@ -12,14 +12,26 @@
     self, Item, Page, StoreAnswerError, StoreCall, StoreStatus, CONFIGURATION_KEY, RUNNERS_PREFIX,
 };
 use pitchstall_serving::fleet::RunnerRecord;
+use pitchstall_serving::freshness::{CopyFreshness, Freshness, StoreFreshness};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
 /// Limit of a call that does not wait.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
+/// A watch asks for no more than that, so that its revision stays in the store's history.
+const LONGEST_WATCH: Duration = Duration::from_secs(10);
+const LONGEST_WATCH_LIMIT: Duration = Duration::from_secs(12);
+/// What a call asks for that only confirms the copy.
+const SHORTEST_WATCH: Duration = Duration::from_millis(1);
+/// Shortest time between two answers with changes.
+const BETWEEN_CHANGES: Duration = Duration::from_millis(150);
+/// Hundredths of the time after which a node counts as in touch again.
+const CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 40..65;
+/// Between two looks whether a watch that waits is to be doubted.
+const DOUBT_POLL: Duration = Duration::from_millis(100);
 /// Pause after a failure, before it is multiplied and spread.
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 400;
@@ -65,7 +77,17 @@
 pub async fn follow(node: Rc<Node>, subject: Subject) {
     let client = StoreClient::default();
     let address = node.settings().store.address;
-    let mut follower = Follower { node, subject, client, address, at: None, failures: 0 };
+    let confirmation = draw_confirmation(&node);
+    let mut follower = Follower {
+        node,
+        subject,
+        client,
+        address,
+        at: None,
+        changed_at: None,
+        confirmation,
+        failures: 0,
+    };
     loop {
         match follower.step().await {
             Ok(()) => follower.on_success(),
@@ -74,6 +96,41 @@
     }
 }
 
+/// How long a confirmation holds: well under the time after which the node counts as in touch
+/// again, so that a watch that went silent in a fault has been replaced before the node is
+/// bound by it. Drawn at random, so that one node asks first and its word spares the others.
+fn draw_confirmation(node: &Node) -> Duration {
+    let contact_ms = node.settings().bounds.contact_ms;
+    let hundredths = rand::rng().random_range(CONFIRMATION_HUNDREDTHS);
+    Duration::from_millis(contact_ms * hundredths / 100)
+}
+
+fn copy_of(freshness: &mut StoreFreshness, subject: Subject) -> &mut CopyFreshness {
+    match subject {
+        Subject::Configuration => &mut freshness.configuration,
+        Subject::Runners => &mut freshness.runners,
+    }
+}
+
+fn verdict(node: &Node, subject: Subject, confirmation: Duration) -> Freshness {
+    let confirmation_us = u64::try_from(confirmation.as_micros()).unwrap_or(u64::MAX);
+    let mut freshness = node.freshness.borrow_mut();
+    copy_of(&mut freshness, subject).verdict(node.now_us(), confirmation_us)
+}
+
+/// Ends when a watch that waits should not be relied on any more.
+async fn until_doubted(node: Rc<Node>, subject: Subject, confirmation: Duration) {
+    let doubted = async {
+        while verdict(&node, subject, confirmation) == Freshness::Fresh {
+            sleep(DOUBT_POLL).await;
+        }
+    };
+    tokio::select! {
+        () = doubted => {}
+        () = node.store_suspected.notified() => {}
+    }
+}
+
 struct Follower {
     node: Rc<Node>,
     subject: Subject,
@@ -81,6 +138,10 @@
     address: SocketAddr,
     /// The store's revision up to which everything is known.
     at: Option<u64>,
+    /// When the last change came.
+    changed_at: Option<Instant>,
+    /// How long a confirmation of the copy holds.
+    confirmation: Duration,
     failures: u32,
 }
 
@@ -104,6 +165,8 @@
             Subject::Runners => self.read_runners().await?,
         };
         self.at = Some(at);
+        self.confirmation = draw_confirmation(&self.node);
+        self.with_freshness(|copy, now_us| copy.on_read(at, now_us));
         Ok(())
     }
 
@@ -143,19 +206,55 @@
         Ok(store::parse_page(&body)?)
     }
 
+    /// Waits for changes. While the copy is not confirmed, the store is only asked: its answer
+    /// confirms the copy, here and at the other nodes.
     async fn watch(&mut self, at: u64) -> Result<(), FollowError> {
-        // Together well under the time after which the node counts as in touch again.
-        let contact_ms = self.node.settings().bounds.contact_ms;
-        let wait = Duration::from_millis(contact_ms * 3 / 5);
-        let slack = Duration::from_millis(contact_ms / 4);
+        self.pause_between_changes().await;
+        let is_fresh = self.verdict() == Freshness::Fresh;
+        if is_fresh {
+            let (node, subject) = (self.node.clone(), self.subject);
+            let holds = self.confirmation;
+            tokio::select! {
+                done = self.watch_once(at, LONGEST_WATCH, LONGEST_WATCH_LIMIT) => done,
+                // The connection is dropped with the call.
+                () = until_doubted(node, subject, holds) => Ok(()),
+            }
+        } else {
+            self.with_freshness(CopyFreshness::on_asked);
+            self.watch_once(at, SHORTEST_WATCH, READ_LIMIT).await
+        }
+    }
+
+    /// Changes that come in quick succession are taken in together.
+    async fn pause_between_changes(&mut self) {
+        let due = self.changed_at.map(|at| at + BETWEEN_CHANGES);
+        let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+        if let Some(left) = left.filter(|left| !left.is_zero()) {
+            sleep(left).await;
+        }
+    }
+
+    async fn watch_once(
+        &mut self,
+        at: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<(), FollowError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let call = store::watch(self.subject.prefix(), at, wait_ms);
-        let (status, body) = self.call(&call, wait + slack).await?;
+        let (status, body) = self.call(&call, limit).await?;
         match status {
             StoreStatus::Done => {
                 let page = store::parse_page(&body)?;
-                self.at = Some(page.at.max(at));
-                page.items.into_iter().for_each(|item| self.take_item(item));
+                if !page.items.is_empty() {
+                    self.changed_at = Some(Instant::now());
+                }
+                let at = page.at.max(at);
+                for item in page.items {
+                    self.with_freshness(|copy, _| copy.on_change(item.revision));
+                    self.take_item(item);
+                }
+                self.know_to(at);
                 Ok(())
             }
             StoreStatus::HistoryGone => {
@@ -167,6 +266,22 @@
         }
     }
 
+    /// Everything up to a revision is known, as the store has just confirmed.
+    fn know_to(&mut self, at: u64) {
+        self.at = Some(at);
+        self.confirmation = draw_confirmation(&self.node);
+        self.with_freshness(|copy, now_us| copy.on_store_answer(at, now_us));
+    }
+
+    fn verdict(&self) -> Freshness {
+        verdict(&self.node, self.subject, self.confirmation)
+    }
+
+    fn with_freshness(&self, change: impl FnOnce(&mut CopyFreshness, u64)) {
+        let now_us = self.node.now_us();
+        change(copy_of(&mut self.node.freshness.borrow_mut(), self.subject), now_us);
+    }
+
     async fn call(
         &mut self,
         call: &StoreCall,
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -5,6 +5,7 @@
 //! that arrives late is told by its sequence. Prefixes are repeated for the same reason. All
 //! of it only ranks runners: whether a runner may get work is decided by the store alone.
 
+use crate::freshness::StoreWord;
 use crate::ids::{NodeId, RunnerId};
 use crate::prefix::PromptPart;
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,9 @@
     /// them, or was told by a node that knew.
     #[serde(default)]
     pub informed: bool,
+    /// How fresh the node's copy of the store is.
+    #[serde(default)]
+    pub store: StoreWord,
     /// Where the node has requests.
     #[serde(default)]
     pub loads: Vec<RunnerLoad>,
--- /dev/null
+++ b/crates/serving/src/freshness.rs
@@ -0,0 +1,163 @@
+//! How fresh a node's copy of the store is, by its own answers and by other nodes' word.
+//!
+//! A watch that waits says nothing about whether it still works. Asking again and again costs
+//! a call each time, at every node. So nodes tell each other up to which revision they know a
+//! subject and how long ago the store confirmed that. A node whose copy reaches the last change
+//! that any node has seen is as fresh as the freshest word, whatever its own watch does; one
+//! that has heard nothing for a while asks the store itself, and what it learns spares the
+//! others the same call. In a fleet the calls that only confirm therefore do not grow with it.
+//!
+//! Ages are handed on as ages, so clocks are never compared. A word that was held up on its way
+//! is believed to be younger than it is, by that time; whoever believes it asks that much later,
+//! counted from when it came.
+
+use serde::{Deserialize, Serialize};
+
+/// What a node tells of one subject.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FreshnessWord {
+    /// Revision of the last change that the node has seen.
+    #[serde(rename = "c")]
+    pub changed_at: u64,
+    /// Milliseconds since the store confirmed that there was none after it; `None`: never.
+    #[serde(rename = "a")]
+    pub age_ms: Option<u64>,
+}
+
+/// Whether a node's copy can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Confirmed lately.
+    Fresh,
+    /// Nobody has confirmed it lately.
+    Unconfirmed,
+    /// Another node has seen a later change for longer than a watch takes to tell.
+    Behind,
+}
+
+/// Time that a node's own watch has to tell what another node has already seen, microseconds.
+const TELLING_US: u64 = 300_000;
+/// Time for which a node that has read everything waits for another one's word on which change
+/// was the last, before it tells its own bound: that makes nodes that know better ask.
+const SETTLING_US: u64 = 1_300_000;
+/// Added to an age for each time it is handed on, milliseconds.
+const HOP_MS: u64 = 20;
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// Freshness of a node's copy of one subject.
+#[derive(Clone, Debug, Default)]
+pub struct CopyFreshness {
+    known_to: u64,
+    /// No change after this revision is known. After everything has been read that is the
+    /// read's own revision, as what was removed before it does not show.
+    changed_at: u64,
+    /// When everything was read, until it is known better which change was the last.
+    read_at_us: Option<u64>,
+    confirmed_at_us: Option<u64>,
+    /// A later change that another node has seen, and when it was first told.
+    seen_elsewhere: Option<(u64, u64)>,
+}
+
+impl CopyFreshness {
+    /// The store has answered: everything up to a revision is known.
+    pub fn on_store_answer(&mut self, known_to: u64, now_us: u64) {
+        self.known_to = known_to;
+        self.confirmed_at_us = Some(now_us);
+        self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
+    }
+
+    /// Everything has been read, as it stood at a revision.
+    pub fn on_read(&mut self, known_to: u64, now_us: u64) {
+        self.changed_at = known_to;
+        self.read_at_us = Some(now_us);
+        self.on_store_answer(known_to, now_us);
+    }
+
+    /// A change has been told by a watch.
+    pub fn on_change(&mut self, revision: u64) {
+        self.changed_at = self.changed_at.max(revision);
+        self.read_at_us = None;
+    }
+
+    /// Another node's word. One that has seen no change that is unknown here confirms the copy.
+    pub fn on_word(&mut self, word: FreshnessWord, now_us: u64) {
+        if word.changed_at > self.known_to {
+            let first_us = self.seen_elsewhere.map_or(now_us, |(_, told_at_us)| told_at_us);
+            let highest = self.seen_elsewhere.map_or(0, |(revision, _)| revision);
+            self.seen_elsewhere = Some((highest.max(word.changed_at), first_us));
+            return;
+        }
+        let Some(age_ms) = word.age_ms else { return };
+        let confirmed_at_us = now_us.saturating_sub((age_ms + HOP_MS) * MICROS_PER_MILLI);
+        self.confirmed_at_us = self.confirmed_at_us.max(Some(confirmed_at_us));
+        // Confirmed after everything was read here: nothing has changed in between.
+        if self.read_at_us.is_some_and(|read_at_us| read_at_us < confirmed_at_us) {
+            self.changed_at = word.changed_at;
+            self.read_at_us = None;
+        }
+    }
+
+    /// What to tell the other nodes.
+    pub fn word(&self, now_us: u64) -> FreshnessWord {
+        if self.read_at_us.is_some_and(|read_at_us| now_us < read_at_us + SETTLING_US) {
+            return FreshnessWord::default();
+        }
+        let age = self.confirmed_at_us.map(|at_us| now_us.saturating_sub(at_us));
+        FreshnessWord { changed_at: self.changed_at, age_ms: age.map(|it| it / MICROS_PER_MILLI) }
+    }
+
+    /// Whether the copy can be relied on, if a confirmation holds for so long.
+    pub fn verdict(&self, now_us: u64, confirmation_us: u64) -> Freshness {
+        let told_long_ago = |(_, first_us): (u64, u64)| now_us >= first_us + TELLING_US;
+        if self.seen_elsewhere.is_some_and(told_long_ago) {
+            return Freshness::Behind;
+        }
+        match self.confirmed_at_us {
+            Some(at_us) if now_us < at_us + confirmation_us => Freshness::Fresh,
+            _ => Freshness::Unconfirmed,
+        }
+    }
+
+    /// The store was asked because another node was ahead; it is given time again.
+    pub fn on_asked(&mut self, now_us: u64) {
+        if let Some((revision, _)) = self.seen_elsewhere {
+            self.seen_elsewhere = Some((revision, now_us));
+        }
+    }
+}
+
+/// Freshness of a node's copies.
+#[derive(Clone, Debug, Default)]
+pub struct StoreFreshness {
+    /// The operators' configuration.
+    pub configuration: CopyFreshness,
+    /// The runners' entries.
+    pub runners: CopyFreshness,
+}
+
+/// What a node tells of its copies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreWord {
+    /// The operators' configuration.
+    #[serde(rename = "f")]
+    pub configuration: FreshnessWord,
+    /// The runners' entries.
+    #[serde(rename = "r")]
+    pub runners: FreshnessWord,
+}
+
+impl StoreFreshness {
+    /// What to tell the other nodes.
+    pub fn word(&self, now_us: u64) -> StoreWord {
+        StoreWord {
+            configuration: self.configuration.word(now_us),
+            runners: self.runners.word(now_us),
+        }
+    }
+
+    /// Another node's word.
+    pub fn on_word(&mut self, word: &StoreWord, now_us: u64) {
+        self.configuration.on_word(word.configuration, now_us);
+        self.runners.on_word(word.runners, now_us);
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
 //! | [`digest`] | what nodes tell each other about runners |
+//! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
@@ -28,6 +29,7 @@
 pub mod event_stream;
 pub mod failure_rate;
 pub mod fleet;
+pub mod freshness;
 pub mod ids;
 pub mod placement;
 pub mod prefix;
--- /dev/null
+++ b/crates/serving/tests/freshness.rs
@@ -0,0 +1,111 @@
+//! Confirmations that nodes hand to each other never make a copy look fresher than it is.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::freshness::{CopyFreshness, Freshness, FreshnessWord};
+use proptest::prelude::*;
+
+const SECOND: u64 = 1_000_000;
+const HOLDS: u64 = 2 * SECOND;
+
+fn word(changed_at: u64, age_ms: u64) -> FreshnessWord {
+    FreshnessWord { changed_at, age_ms: Some(age_ms) }
+}
+
+fn copy_known_to(revision: u64) -> CopyFreshness {
+    let mut copy = CopyFreshness::default();
+    copy.on_change(revision);
+    copy.on_store_answer(revision, 0);
+    copy
+}
+
+#[test]
+fn the_stores_answer_confirms_for_a_while() {
+    let copy = copy_known_to(5);
+    assert_eq!(copy.verdict(HOLDS - 1, HOLDS), Freshness::Fresh);
+    assert_eq!(copy.verdict(HOLDS, HOLDS), Freshness::Unconfirmed);
+    assert_eq!(CopyFreshness::default().verdict(0, HOLDS), Freshness::Unconfirmed);
+}
+
+#[test]
+fn another_nodes_word_confirms_by_its_age() {
+    let mut copy = copy_known_to(5);
+    copy.on_word(word(5, 500), HOLDS);
+    assert_eq!(copy.verdict(HOLDS + SECOND, HOLDS), Freshness::Fresh);
+    assert_eq!(copy.verdict(HOLDS + 3 * SECOND / 2, HOLDS), Freshness::Unconfirmed);
+}
+
+#[test]
+fn a_node_that_lags_was_confirmed_before_the_change_and_so_adds_nothing() {
+    let mut copy = copy_known_to(5);
+    copy.on_store_answer(5, SECOND);
+    copy.on_word(word(4, 1_500), 2 * SECOND);
+    assert_eq!(copy.verdict(SECOND + HOLDS - 1, HOLDS), Freshness::Fresh);
+    assert_eq!(copy.verdict(SECOND + HOLDS, HOLDS), Freshness::Unconfirmed);
+}
+
+#[test]
+fn a_node_that_has_read_everything_does_not_hide_what_was_removed_before() {
+    // Revision 8 removed an entry. The reader saw only entries up to 5; the other node's watch
+    // went silent at 6.
+    let mut reader = CopyFreshness::default();
+    reader.on_read(9, 0);
+    let mut other = copy_known_to(6);
+    other.on_word(reader.word(0), 0);
+    assert_eq!(other.verdict(HOLDS, HOLDS), Freshness::Unconfirmed, "nothing is told at first");
+    other.on_word(reader.word(2 * SECOND), 2 * SECOND);
+    assert_eq!(other.verdict(3 * SECOND, HOLDS), Freshness::Behind);
+}
+
+#[test]
+fn a_node_that_has_read_everything_learns_from_another_which_change_was_the_last() {
+    let mut reader = CopyFreshness::default();
+    reader.on_read(9, 0);
+    let mut other = copy_known_to(6);
+    other.on_store_answer(9, SECOND);
+    reader.on_word(other.word(SECOND), SECOND + 1);
+    // Its word confirms the other's copy now, instead of making it ask.
+    reader.on_store_answer(9, 3 * SECOND);
+    other.on_word(reader.word(3 * SECOND), 3 * SECOND);
+    assert_eq!(other.verdict(3 * SECOND, HOLDS), Freshness::Fresh);
+}
+
+#[test]
+fn a_change_that_another_node_has_seen_and_the_watch_does_not_tell_makes_the_copy_old() {
+    let mut copy = copy_known_to(5);
+    copy.on_word(word(6, 0), SECOND);
+    assert_eq!(copy.verdict(SECOND, HOLDS), Freshness::Fresh, "the watch may be about to tell");
+    copy.on_word(word(6, 0), SECOND + 200_000);
+    assert_eq!(copy.verdict(SECOND + 400_000, HOLDS), Freshness::Behind);
+    copy.on_store_answer(6, SECOND + 400_000);
+    assert_eq!(copy.verdict(SECOND + 400_000, HOLDS), Freshness::Fresh);
+}
+
+#[test]
+fn a_node_that_cannot_catch_up_asks_at_intervals() {
+    let mut copy = copy_known_to(5);
+    copy.on_word(word(9, 0), 0);
+    assert_eq!(copy.verdict(SECOND, HOLDS), Freshness::Behind);
+    copy.on_asked(SECOND);
+    assert_eq!(copy.verdict(SECOND + 1, HOLDS), Freshness::Fresh);
+    assert_eq!(copy.verdict(2 * SECOND, HOLDS), Freshness::Behind);
+}
+
+proptest! {
+    /// Nodes that only talk to each other stop believing in time: no circle of words keeps a
+    /// confirmation alive that the store does not give.
+    #[test]
+    fn words_in_a_circle_grow_old(delays_ms in prop::collection::vec((0_usize..4, 0_usize..4, 1_u64..300), 50..200)) {
+        let mut copies = vec![copy_known_to(5); 4];
+        let mut now_us = 0;
+        for (from, to, held_ms) in delays_ms {
+            now_us += held_ms * 1_000;
+            let told = copies[from].word(now_us);
+            // The word travels for up to the time that is added for each hop.
+            copies[to].on_word(told, now_us + 20_000);
+        }
+        let late = now_us.max(HOLDS) + 20_000;
+        for copy in &copies {
+            prop_assert_ne!(copy.verdict(late, HOLDS), Freshness::Fresh);
+        }
+    }
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -7,6 +7,7 @@
 use pitchstall_serving::fleet::{
     AttemptDemand, Eligible, Fleet, FleetChange, LoadReport, RunnerRecord, Stage,
 };
+use pitchstall_serving::freshness::StoreWord;
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::{
     choose_worker, choose_writer, plan_reading, Demand, ReadPace, ReadingPlan,
@@ -275,6 +276,7 @@
         incarnation,
         sequence,
         informed: false,
+        store: StoreWord::default(),
         loads: Vec::new(),
         changing: Vec::new(),
         read: Vec::new(),
