Change roles by the wait against the target; let words on changes grow old

Change: the planner compares the wait with the shortest target of the service's routes and moves as many idle decode runners as the pressure asks for (at most 15 of 100 at once; a quarter always writes). A word on a change names the new role and the milliseconds left; a runner that has the role is not changing. Tests that failed first: three nodes that repeat each other's word; a word after the list.

--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -16,7 +16,7 @@
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{RunnerRecord, Stage};
 use pitchstall_serving::ids::ServiceName;
-use pitchstall_serving::role_planner::{RoleChange, RolePlanner, RolePolicy};
+use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
 use rand::RngExt;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -31,8 +31,9 @@
 const STORE_LIMIT: Duration = Duration::from_millis(1_000);
 /// Limit of a call to a runner.
 const RUNNER_LIMIT: Duration = Duration::from_millis(700);
-/// Longest time for which a runner counts as changing its role.
-const CHANGING_US: u64 = 12_000_000;
+/// Longest time for which a runner counts as changing its role. The list tells earlier, unless
+/// the order was lost.
+const CHANGING_US: u64 = 6_000_000;
 /// Shortest lease.
 const MIN_TTL_MS: u64 = 3_000;
 const MICROS_PER_MILLI: u64 = 1_000;
@@ -150,35 +151,38 @@
 
     async fn plan(&mut self) {
         for (service, engine) in self.engine_services() {
-            let now_us = self.node.now_us();
-            let planners = &mut self.planners;
-            let new_planner = || RolePlanner::new(RolePolicy::default());
-            let planner = planners.entry(service.clone()).or_insert_with(new_planner);
-            let change = {
-                let fleet = self.node.fleet.borrow();
-                self.node.with_pace(&service, |pace| {
-                    planner.plan(&fleet, pace, &service, &engine, now_us)
-                })
-            };
-            if let Some(change) = change {
-                self.order(&service, &change).await;
+            let changes = self.due_changes(&service, &engine);
+            for change in &changes {
+                self.order(change).await;
+            }
+            if let Some(planner) = self.planners.get_mut(&service).filter(|_| !changes.is_empty()) {
+                planner.on_ordered(self.node.now_us());
             }
         }
     }
 
-    async fn order(&mut self, service: &ServiceName, change: &RoleChange) {
+    fn due_changes(&mut self, service: &ServiceName, engine: &EngineSpec) -> Vec<RoleChange> {
+        let configuration = self.node.configuration();
+        let target_ms = configuration.and_then(|it| it.shortest_target_ms(service));
+        let Some(target_ms) = target_ms else { return Vec::new() };
+        let demand = RoleDemand { service, engine, target_ms: target_ms as f64 };
+        let now_us = self.node.now_us();
+        let new_planner = || RolePlanner::new(RolePolicy::default());
+        let planner = self.planners.entry(service.clone()).or_insert_with(new_planner);
+        let fleet = self.node.fleet.borrow();
+        self.node.with_pace(service, |pace| planner.plan(&fleet, pace, &demand, now_us))
+    }
+
+    async fn order(&mut self, change: &RoleChange) {
         let Some(fence) = self.fence_now() else { return };
         let record = self.node.fleet.borrow().get(&change.runner).map(|it| it.record.clone());
         let Some(record) = record else { return };
         let answer = self.send_order(&record, change.stage, fence).await;
         let now_us = self.node.now_us();
-        if let Some(planner) = self.planners.get_mut(service) {
-            planner.on_ordered(now_us);
-        }
         // An order without an answer may have been taken.
         if answer != Some(OrderAnswer::Refused) {
             let until_us = now_us + CHANGING_US;
-            self.node.fleet.borrow_mut().on_changing(&record.id, until_us);
+            self.node.fleet.borrow_mut().on_changing(&record.id, change.stage, until_us);
         }
         let runner = record.id.as_str();
         let stage = format!("{:?}", change.stage);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -195,26 +195,13 @@
         let now_us = self.now_us();
         self.fleet.borrow_mut().on_peer_loads(&digest.node, &digest.loads, now_us);
         digest.read.iter().for_each(|read| self.note_prefix(read));
-        self.note_changing(&digest.changing);
+        self.fleet.borrow_mut().on_changing_words(&digest.changing, now_us);
         self.freshness.borrow_mut().on_word(&digest.store, now_us);
         if digest.informed {
             self.informed.set(true);
         }
     }
 
-    /// Runners change their role, by this node's order or another's word.
-    pub fn note_changing(&self, runners: &[RunnerId]) {
-        const CHANGING_US: u64 = 2_000_000;
-        let now_us = self.now_us();
-        let mut fleet = self.fleet.borrow_mut();
-        for runner in runners {
-            // A word that is repeated does not make the time longer.
-            if fleet.get(runner).is_some_and(|runner| !runner.is_changing(now_us)) {
-                fleet.on_changing(runner, now_us + CHANGING_US);
-            }
-        }
-    }
-
     /// The configuration in force here.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad};
 use pitchstall_serving::freshness::{FreshnessWord, StoreWord};
-use pitchstall_serving::ids::NodeId;
+use pitchstall_serving::ids::{NodeId, RunnerId};
 use pitchstall_serving::prefix::rendezvous_weight;
 use rand::RngExt;
 use std::cell::RefCell;
@@ -191,12 +191,13 @@
             let changing = self.node.fleet.borrow().changing(self.node.now_us());
             let store = self.node.freshness.borrow().word(self.node.now_us());
             let store_news = is_store_news(&told_store, &store);
+            let runners: Vec<RunnerId> = changing.iter().map(|it| it.runner.clone()).collect();
             let is_news =
-                loads != told || changing != told_changing || !read.is_empty() || store_news;
+                loads != told || runners != told_changing || !read.is_empty() || store_news;
             if !is_news && !repeat {
                 continue;
             }
-            told_changing = changing;
+            told_changing = runners;
             told_store = store;
             told.clone_from(&loads);
             told_at = Instant::now();
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -17,6 +17,16 @@
     pub limits: ClientLimits,
 }
 
+impl Configuration {
+    /// The shortest target of the routes that a service has a share in, milliseconds.
+    pub fn shortest_target_ms(&self, service: &ServiceName) -> Option<u64> {
+        let serves = |route: &&Rc<Route>| {
+            route.shares.iter().any(|share| share.service == *service && share.weight > 0)
+        };
+        self.routes.iter().filter(serves).map(|route| route.target_ms).min()
+    }
+}
+
 /// What may be done with a request that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -5,6 +5,7 @@
 //! that arrives late is told by its sequence. Prefixes are repeated for the same reason. All
 //! of it only ranks runners: whether a runner may get work is decided by the store alone.
 
+use crate::fleet::Stage;
 use crate::freshness::StoreWord;
 use crate::ids::{NodeId, RunnerId};
 use crate::prefix::PromptPart;
@@ -39,6 +40,21 @@
     pub parts: Vec<PromptPart>,
 }
 
+/// A runner was ordered to change its role. The word grows old on its way from node to node:
+/// told again it ends when it would have ended, and not later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangingRunner {
+    /// The runner.
+    #[serde(rename = "r")]
+    pub runner: RunnerId,
+    /// Its new role. A runner that has it already is not changing.
+    #[serde(rename = "s")]
+    pub stage: Stage,
+    /// Milliseconds for which it is still to be left alone.
+    #[serde(rename = "l")]
+    pub left_ms: u64,
+}
+
 /// One node's word to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -60,7 +76,7 @@
     pub loads: Vec<RunnerLoad>,
     /// Runners that were ordered to change their role and take no work meanwhile.
     #[serde(default)]
-    pub changing: Vec<RunnerId>,
+    pub changing: Vec<ChangingRunner>,
     /// Prefixes that were read lately, or, for a newcomer, all that are known.
     #[serde(default)]
     pub read: Vec<PrefixRead>,
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -5,20 +5,23 @@
 //! whether a runner may get work; the other two only rank runners, because acting on a
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
-use crate::digest::{PrefixRead, RunnerLoad};
+use crate::digest::{ChangingRunner, PrefixRead, RunnerLoad};
 use crate::failure_rate::FailureRate;
 use crate::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// What a runner of a language model does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
     /// Reads prompts.
+    #[serde(rename = "p")]
     Prefill,
     /// Writes answers.
+    #[serde(rename = "d")]
     Decode,
 }
 
@@ -76,6 +79,7 @@
     None,
 }
 
+const MICROS_PER_MILLI: u64 = 1_000;
 /// How long a load report counts, microseconds.
 const REPORT_LIFE_US: u64 = 1_500_000;
 /// How long a node's word on its own load counts, microseconds.
@@ -83,6 +87,8 @@
 /// First and longest time for which a runner that could not be reached is avoided.
 const SUSPECT_MIN_US: u64 = 500_000;
 const SUSPECT_MAX_US: u64 = 8_000_000;
+/// A word on a change that ends later than the known one by so much is of another order.
+const NEW_ORDER_US: u64 = 1_000_000;
 /// Time for which a runner that refused a request as full is avoided.
 const FULL_US: u64 = 100_000;
 
@@ -104,8 +110,8 @@
     suspect_until_us: u64,
     suspect_for_us: u64,
     full_until_us: u64,
-    /// It was ordered to change its role and takes no work until then.
-    changing_until_us: u64,
+    /// The role that it was ordered to take, and until when it is left alone for that.
+    changing: Option<(Stage, u64)>,
     /// The address answered for another runner: this one is gone, whatever the list says.
     misdirected: bool,
     cache: PrefixCacheModel,
@@ -125,7 +131,7 @@
             suspect_until_us: 0,
             suspect_for_us: 0,
             full_until_us: 0,
-            changing_until_us: 0,
+            changing: None,
             misdirected: false,
             cache: PrefixCacheModel::default(),
         }
@@ -151,7 +157,8 @@
 
     /// Whether it is changing its role.
     pub fn is_changing(&self, now_us: u64) -> bool {
-        now_us < self.changing_until_us
+        let has_role = |stage: Stage| self.record.stage == Some(stage);
+        self.changing.is_some_and(|(stage, until_us)| now_us < until_us && !has_role(stage))
     }
 
     /// Whether it could not be reached and has not answered since.
@@ -251,7 +258,6 @@
         let change = if record.draining && !known.record.draining {
             FleetChange::Draining
         } else if record.stage != known.record.stage {
-            known.changing_until_us = 0;
             FleetChange::Restaged
         } else {
             FleetChange::None
@@ -413,17 +419,35 @@
         }
     }
 
-    /// A runner was ordered to change its role; the list will tell when it has.
-    pub fn on_changing(&mut self, id: &RunnerId, until_us: u64) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            runner.changing_until_us = until_us;
+    /// A runner was ordered to change its role; the list will tell when it has. What is told
+    /// of the same order again, a little late, makes its time no longer.
+    pub fn on_changing(&mut self, id: &RunnerId, stage: Stage, until_us: u64) {
+        let Some(runner) = self.runners.get_mut(id) else { return };
+        let is_same_order = |(known, known_until_us): (Stage, u64)| {
+            known == stage && until_us < known_until_us + NEW_ORDER_US
+        };
+        if !runner.changing.is_some_and(is_same_order) {
+            runner.changing = Some((stage, until_us));
+        }
+    }
+
+    /// Another node's word on runners that change their roles.
+    pub fn on_changing_words(&mut self, words: &[ChangingRunner], now_us: u64) {
+        for word in words {
+            let until_us = now_us + word.left_ms * MICROS_PER_MILLI;
+            self.on_changing(&word.runner, word.stage, until_us);
         }
     }
 
     /// Runners that are changing their role.
-    pub fn changing(&self, now_us: u64) -> Vec<RunnerId> {
+    pub fn changing(&self, now_us: u64) -> Vec<ChangingRunner> {
         let changing = self.runners.values().filter(|runner| runner.is_changing(now_us));
-        changing.map(|runner| runner.record.id.clone()).collect()
+        let word = |runner: &Runner| {
+            let (stage, until_us) = runner.changing?;
+            let left_ms = until_us.saturating_sub(now_us) / MICROS_PER_MILLI;
+            Some(ChangingRunner { runner: runner.record.id.clone(), stage, left_ms })
+        };
+        changing.filter_map(word).collect()
     }
 
     /// A runner could not be reached, or broke an answer off: it is avoided for a time that
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -1,8 +1,10 @@
-//! When a runner of a language model changes its role.
+//! When runners of a language model change their roles.
 //!
-//! A change takes a runner away for seconds, so it needs a pressure that lasts and a side
-//! that can spare a runner. Pressure on prefill is the time that a prompt waits before it is
-//! read; pressure on decode is the share of slots in use.
+//! A change takes a runner away for seconds, so it needs a pressure that lasts and a side that
+//! can spare runners. Pressure on prefill is the time that a prompt waits before it is read,
+//! against the time in which its answer is due; pressure on decode is the share of slots or of
+//! memory in use. Idle decode runners that change cost nearly nothing, so as many change at
+//! once as the pressure asks for.
 
 use crate::configuration::EngineSpec;
 use crate::fleet::{Eligible, Fleet, Runner, Stage};
@@ -12,14 +14,19 @@
 /// When roles change.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolePolicy {
-    /// Prefill is short of runners above this wait, milliseconds.
-    pub long_wait_ms: f64,
-    /// Prefill can spare a runner below this wait, milliseconds.
-    pub short_wait_ms: f64,
+    /// Prefill is short of runners if prompts wait longer than this share of their target.
+    pub long_wait: f64,
+    /// Prefill can spare a runner if they wait shorter than this share.
+    pub short_wait: f64,
     /// Decode is short of runners above this share of slots or memory.
     pub high_occupancy: f64,
-    /// Decode can spare a runner if the others stay below this share.
+    /// Decode can spare runners if the others stay below this share.
     pub low_occupancy: f64,
+    /// Share of the runners that write answers whatever prefill needs: they bear crashes, and
+    /// the first seconds of a swing of the mix.
+    pub least_decode: f64,
+    /// Most of a service's runners that change at once, as a share.
+    pub most_at_once: f64,
     /// How long a pressure must last, microseconds.
     pub lasting_us: u64,
     /// Pause after a change, microseconds.
@@ -29,12 +36,14 @@
 impl Default for RolePolicy {
     fn default() -> Self {
         Self {
-            long_wait_ms: 300.0,
-            short_wait_ms: 40.0,
-            high_occupancy: 0.8,
-            low_occupancy: 0.45,
+            long_wait: 0.15,
+            short_wait: 0.05,
+            high_occupancy: 0.7,
+            low_occupancy: 0.3,
+            least_decode: 0.25,
+            most_at_once: 0.15,
             lasting_us: 1_500_000,
-            pause_us: 8_000_000,
+            pause_us: 6_000_000,
         }
     }
 }
@@ -63,30 +72,30 @@
         Self { policy, pressure: None, paused_until_us: 0 }
     }
 
-    /// Looks at the fleet and returns a change, if one is due.
+    /// Looks at the fleet and returns the changes that are due.
     pub fn plan(
         &mut self,
         fleet: &Fleet,
         pace: &ReadPace,
-        service: &ServiceName,
-        engine: &EngineSpec,
+        demand: &RoleDemand<'_>,
         now_us: u64,
-    ) -> Option<RoleChange> {
-        let view = RoleView::new(fleet, pace, service, engine, now_us);
+    ) -> Vec<RoleChange> {
+        let view = RoleView::new(fleet, pace, demand, now_us);
         let short = view.short_of(&self.policy);
         self.pressure = match (short, self.pressure) {
             (Some(stage), Some((known, since))) if stage == known => Some((stage, since)),
             (Some(stage), _) => Some((stage, now_us)),
             (None, _) => None,
         };
-        let (stage, since) = self.pressure?;
+        let Some((stage, since)) = self.pressure else { return Vec::new() };
         // Without any decode runner nothing is served: no reason to wait.
         let lasting_us = if view.decode.is_empty() { 0 } else { self.policy.lasting_us };
         if now_us < self.paused_until_us || now_us < since + lasting_us {
-            return None;
+            return Vec::new();
         }
-        let runner = view.spare(stage)?;
-        Some(RoleChange { runner, stage })
+        let count = view.count_of_changes(stage, &self.policy);
+        let idlest = view.idlest(stage).into_iter().take(count);
+        idlest.map(|runner| RoleChange { runner, stage }).collect()
     }
 
     /// A change was ordered, or might have been.
@@ -96,10 +105,22 @@
     }
 }
 
+/// What is asked of a service's runners.
+#[derive(Clone, Copy, Debug)]
+pub struct RoleDemand<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Its runners.
+    pub engine: &'a EngineSpec,
+    /// The shortest time in which an answer is due, milliseconds.
+    pub target_ms: f64,
+}
+
 struct RoleView<'a> {
     prefill: Vec<&'a Runner>,
     decode: Vec<&'a Runner>,
-    wait_ms: f64,
+    /// Time that a prompt waits, as a share of its target.
+    wait: f64,
     occupied: f64,
     slots: f64,
     held: f64,
@@ -108,14 +129,8 @@
 }
 
 impl<'a> RoleView<'a> {
-    fn new(
-        fleet: &'a Fleet,
-        pace: &ReadPace,
-        service: &'a ServiceName,
-        engine: &EngineSpec,
-        now_us: u64,
-    ) -> Self {
-        let runners = fleet.candidates(&Eligible::all_of(service), now_us);
+    fn new(fleet: &'a Fleet, pace: &ReadPace, demand: &RoleDemand<'_>, now_us: u64) -> Self {
+        let runners = fleet.candidates(&Eligible::all_of(demand.service), now_us);
         let (prefill, decode): (Vec<&Runner>, Vec<&Runner>) =
             runners.into_iter().partition(|runner| runner.record.stage == Some(Stage::Prefill));
         let backlog = |runners: &[&Runner]| -> f64 {
@@ -125,10 +140,17 @@
         let readers = prefill.len() as f64 + decode.len() as f64 / 2.0;
         let wait_ms = (backlog(&prefill) + backlog(&decode)) / readers.max(1.0);
         let occupied = decode.iter().map(|runner| runner.occupancy(now_us)).sum();
-        let slots = f64::from(engine.slots.max(1));
         let held: u64 = decode.iter().map(|runner| runner.held_by_all(now_us)).sum();
-        let memory = engine.kv_tokens.max(1) as f64;
-        Self { prefill, decode, wait_ms, occupied, slots, held: held as f64, memory, now_us }
+        Self {
+            prefill,
+            decode,
+            wait: wait_ms / demand.target_ms.max(1.0),
+            occupied,
+            slots: f64::from(demand.engine.slots.max(1)),
+            held: held as f64,
+            memory: demand.engine.kv_tokens.max(1) as f64,
+            now_us,
+        }
     }
 
     /// Share in use with so many decode runners, of slots or of memory, whichever is fuller.
@@ -144,19 +166,44 @@
             return (!self.prefill.is_empty()).then_some(Stage::Decode);
         }
         let decode_is_full = self.occupancy_with(decode) > policy.high_occupancy;
-        if decode_is_full && self.prefill.len() > 1 && self.wait_ms < policy.short_wait_ms {
+        if decode_is_full && self.prefill.len() > 1 && self.wait < policy.short_wait {
             return Some(Stage::Decode);
         }
-        let can_spare = decode > 1 && self.occupancy_with(decode - 1) < policy.low_occupancy;
-        (self.wait_ms > policy.long_wait_ms && can_spare).then_some(Stage::Prefill)
+        let can_spare = self.spare_decode(policy) > 0;
+        (self.wait > policy.long_wait && can_spare).then_some(Stage::Prefill)
+    }
+
+    fn all(&self) -> f64 {
+        (self.prefill.len() + self.decode.len()) as f64
+    }
+
+    /// Decode runners without which the others stay below the low share.
+    fn spare_decode(&self, policy: &RolePolicy) -> usize {
+        let least = (self.all() * policy.least_decode).ceil().max(1.0) as usize;
+        let enough = |count: &usize| self.occupancy_with(*count) < policy.low_occupancy;
+        let needed = (least..self.decode.len()).find(enough);
+        needed.map_or(0, |needed| self.decode.len() - needed)
+    }
+
+    fn count_of_changes(&self, stage: Stage, policy: &RolePolicy) -> usize {
+        if stage == Stage::Decode {
+            return 1;
+        }
+        // A queue shortens faster than in proportion to its servers.
+        let excess = self.wait / policy.long_wait - 1.0;
+        let wanted = (self.prefill.len() as f64 * excess / 2.0).ceil().max(1.0) as usize;
+        let most = (self.all() * policy.most_at_once).ceil() as usize;
+        wanted.min(most).min(self.spare_decode(policy))
     }
 
-    /// The runner of the other role that has least to do.
-    fn spare(&self, wanted: Stage) -> Option<RunnerId> {
+    /// Runners of the other role, those that have least to do first.
+    fn idlest(&self, wanted: Stage) -> Vec<RunnerId> {
         let others = if wanted == Stage::Prefill { &self.decode } else { &self.prefill };
-        let load = |runner: &&&Runner| {
+        let load = |runner: &&Runner| {
             (runner.occupancy(self.now_us) * 1_000.0) as u64 + runner.unread_tokens
         };
-        others.iter().min_by_key(load).map(|runner| runner.record.id.clone())
+        let mut others = others.clone();
+        others.sort_by_key(load);
+        others.iter().map(|runner| runner.record.id.clone()).collect()
     }
 }
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -6,7 +6,7 @@
 use pitchstall_serving::fleet::{AttemptDemand, Eligible, Fleet, RunnerRecord, Stage};
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::ReadPace;
-use pitchstall_serving::role_planner::{RoleChange, RolePlanner, RolePolicy};
+use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
 use proptest::prelude::*;
 
 const SECOND: u64 = 1_000_000;
@@ -84,9 +84,15 @@
     (0..requests).for_each(|_| fleet.on_sent(&RunnerId::new(runner), demand));
 }
 
-fn plan(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> Option<RoleChange> {
+fn plan_all(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> Vec<RoleChange> {
     let engine = EngineSpec { slots: 8, kv_tokens: 100_000, handle_ttl_s: 5.0 };
-    planner.plan(fleet, &ReadPace::default(), &ServiceName::new("llm"), &engine, now_us)
+    let service = ServiceName::new("llm");
+    let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0 };
+    planner.plan(fleet, &ReadPace::default(), &demand, now_us)
+}
+
+fn plan(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> Option<RoleChange> {
+    plan_all(planner, fleet, now_us).into_iter().next()
 }
 
 #[test]
@@ -128,6 +134,21 @@
     assert_eq!(plan(&mut planner, &last, 30 * SECOND), None, "the last one stays");
 }
 
+#[test]
+fn a_strong_pressure_takes_several_idle_decode_runners_and_leaves_a_share() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet(8, 12);
+    (0..8).for_each(|number| load(&mut busy, &format!("p{number}"), 4, 10_000));
+    assert!(plan_all(&mut planner, &busy, SECOND).is_empty());
+    let changes = plan_all(&mut planner, &busy, 4 * SECOND);
+    assert_eq!(changes.len(), 3, "most at once, 15 of 100");
+    assert!(changes.iter().all(|change| change.stage == Stage::Prefill));
+    let mut nearly = fleet(15, 5);
+    (0..15).for_each(|number| load(&mut nearly, &format!("p{number}"), 4, 10_000));
+    assert!(plan_all(&mut planner, &nearly, 30 * SECOND).is_empty());
+    assert!(plan_all(&mut planner, &nearly, 33 * SECOND).is_empty(), "a quarter writes");
+}
+
 #[test]
 fn full_slots_take_a_prefill_runner_that_can_be_spared() {
     let mut planner = RolePlanner::new(RolePolicy::default());
@@ -147,7 +168,7 @@
 fn a_runner_that_changes_its_role_takes_no_work_until_the_list_tells() {
     let mut fleet = fleet(1, 1);
     let id = RunnerId::new("d0");
-    fleet.on_changing(&id, 10 * SECOND);
+    fleet.on_changing(&id, Stage::Prefill, 10 * SECOND);
     let takers =
         |fleet: &Fleet| fleet.candidates(&Eligible::all_of(&ServiceName::new("llm")), SECOND).len();
     assert_eq!(takers(&fleet), 1);
@@ -155,3 +176,37 @@
     fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: 2, ..changed });
     assert_eq!(takers(&fleet), 2);
 }
+
+/// Once three nodes kept a runner out of work for a whole day by telling each other.
+#[test]
+fn nodes_that_repeat_each_others_word_on_a_change_forget_it_in_time() {
+    const EVERY_US: u64 = 120_000;
+    const WAY_US: u64 = 5_000;
+    let mut nodes = vec![fleet(1, 1), fleet(1, 1), fleet(1, 1)];
+    let id = RunnerId::new("d0");
+    nodes[0].on_changing(&id, Stage::Prefill, 2 * SECOND);
+    for round in 0..60 {
+        let now_us = round * EVERY_US;
+        let words: Vec<_> = nodes.iter().map(|node| node.changing(now_us)).collect();
+        for (from, told) in words.iter().enumerate() {
+            for (to, node) in nodes.iter_mut().enumerate() {
+                if from != to {
+                    node.on_changing_words(told, now_us + WAY_US);
+                }
+            }
+        }
+    }
+    for node in &nodes {
+        assert!(!node.get(&id).unwrap().is_changing(3 * SECOND));
+    }
+}
+
+#[test]
+fn a_word_on_a_change_that_the_list_shows_done_is_passed_over() {
+    let mut fleet = fleet(1, 1);
+    let id = RunnerId::new("d0");
+    let record = fleet.get(&id).unwrap().record.clone();
+    fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: 2, ..record });
+    fleet.on_changing(&id, Stage::Prefill, 10 * SECOND);
+    assert!(!fleet.get(&id).unwrap().is_changing(SECOND));
+}
