Tell every node what a runner newly holds

A prefix was told in two digests, each to 16 of 59 nodes, so about half of the nodes took a runner that held it for one that did not. Change: what a runner newly holds is told once in each turn of the digests and once more; what it was known to hold is told twice, as before.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,7 +5,7 @@
 use crate::policy::PolicyProgram;
 use crate::settings::Settings;
 use pitchstall_serving::configuration::{Configuration, Route};
-use pitchstall_serving::digest::{Digest, PrefixRead, ReadLog};
+use pitchstall_serving::digest::{tellings_of_news, Digest, PrefixRead, ReadLog};
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
@@ -124,8 +124,12 @@
 
     /// A runner holds a prefix; the other nodes are to be told.
     pub fn on_prefix_held(&self, read: PrefixRead) {
+        const TELLINGS_OF_USE: u32 = 2;
+        let is_news = !self.fleet.borrow().holds(&read);
+        let tellings =
+            if is_news { tellings_of_news(self.known_nodes.get()) } else { TELLINGS_OF_USE };
         self.note_prefix(&read);
-        self.reads.borrow_mut().push(read);
+        self.reads.borrow_mut().push(read, tellings);
     }
 
     fn note_prefix(&self, read: &PrefixRead) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 use crate::node::Node;
 use crate::store_client::StoreClient;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
-use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad};
+use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad, FAN_OUT};
 use pitchstall_serving::freshness::{FreshnessWord, StoreWord};
 use pitchstall_serving::ids::{NodeId, RunnerId};
 use pitchstall_serving::prefix::rendezvous_weight;
@@ -29,8 +29,6 @@
 const TELLERS: usize = 2;
 /// A node says what it knows at least this often, so that its word does not lapse.
 const REPEAT_EVERY: Duration = Duration::from_millis(1_000);
-/// Nodes that one digest goes to; with more of them they take turns.
-const FAN_OUT: usize = 16;
 /// A node that has not been heard or listed for this long is forgotten.
 const PEER_LIFE: Duration = Duration::from_secs(60);
 /// Time to live of a node's registration.
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -122,15 +122,22 @@
     entries: Vec<(PrefixRead, u32)>,
 }
 
-/// How often a prefix is told: a digest may be lost.
-const TELLINGS: u32 = 2;
+/// Nodes that one digest goes to; with more of them they take turns.
+pub const FAN_OUT: usize = 16;
 /// Most prefixes in one digest.
 const MOST_READS: usize = 32;
 
+/// How often a prefix that a runner newly holds is told, so that all nodes hear of it: once in
+/// each turn, and once more, for a digest may be lost.
+pub fn tellings_of_news(nodes: usize) -> u32 {
+    let turns = nodes.saturating_sub(1).div_ceil(FAN_OUT);
+    u32::try_from(turns + 1).unwrap_or(u32::MAX)
+}
+
 impl ReadLog {
-    /// A prefix was read through this node.
-    pub fn push(&mut self, read: PrefixRead) {
-        self.entries.push((read, TELLINGS));
+    /// A prefix was read through this node; it is to be told so often.
+    pub fn push(&mut self, read: PrefixRead, tellings: u32) {
+        self.entries.push((read, tellings));
     }
 
     /// Whether there is anything to tell.
@@ -142,7 +149,7 @@
     pub fn take_next(&mut self) -> Vec<PrefixRead> {
         let told = self.entries.iter().take(MOST_READS).map(|(read, _)| read.clone()).collect();
         for (_, tellings) in self.entries.iter_mut().take(MOST_READS) {
-            *tellings -= 1;
+            *tellings = tellings.saturating_sub(1);
         }
         self.entries.retain(|(_, tellings)| *tellings > 0);
         told
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -356,6 +356,13 @@
         }
     }
 
+    /// Whether a runner is known to hold a prefix.
+    pub fn holds(&self, read: &PrefixRead) -> bool {
+        let tokens: u64 = read.parts.iter().map(|part| part.tokens).sum();
+        let held = |runner: &Runner| runner.cache.cached_tokens(&read.parts);
+        self.runners.get(&read.runner).map(held) == Some(tokens)
+    }
+
     /// Another node told what it has at the runners; it has nothing at those it leaves out.
     pub fn on_peer_loads(&mut self, node: &NodeId, loads: &[RunnerLoad], now_us: u64) {
         for runner in self.runners.values_mut() {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -3,7 +3,9 @@
 
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
-use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, ReadLog, RunnerLoad};
+use pitchstall_serving::digest::{
+    tellings_of_news, Digest, DigestOrder, Freshness, PrefixRead, ReadLog, RunnerLoad,
+};
 use pitchstall_serving::fleet::{
     AttemptDemand, Eligible, Fleet, FleetChange, LoadReport, RunnerRecord, Stage,
 };
@@ -297,7 +299,7 @@
 fn prefixes_are_told_twice() {
     let mut log = ReadLog::default();
     let read = Case::new(10, 1).read_at("p1");
-    log.push(read.clone());
+    log.push(read.clone(), 2);
     assert_eq!(log.take_next(), std::slice::from_ref(&read));
     assert_eq!(log.take_next(), [read]);
     assert!(log.take_next().is_empty());
@@ -362,3 +364,10 @@
     case.excluded.push(RunnerId::new("far"));
     assert_eq!(choose_worker(&fleet, &case.demand()), None, "rather none than a forbidden one");
 }
+
+#[test_case(1, 1; "alone")]
+#[test_case(7, 2; "all in one turn")]
+#[test_case(60, 5; "four turns")]
+fn what_a_runner_newly_holds_is_told_to_every_node(nodes: usize, tellings: u32) {
+    assert_eq!(tellings_of_news(nodes), tellings);
+}
