--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -84,6 +84,8 @@
 const REPORT_LIFE_US: u64 = 1_500_000;
 /// How long a node's word on its own load counts, microseconds.
 const PEER_LOAD_LIFE_US: u64 = 2_000_000;
+/// Time after which nothing is believed to be left of the work that a node told of.
+const PEER_LOAD_FADE_US: u64 = 800_000;
 /// First and longest time for which a runner that could not be reached is avoided.
 const SUSPECT_MIN_US: u64 = 500_000;
 const SUSPECT_MAX_US: u64 = 8_000_000;
@@ -172,9 +174,10 @@
         let age = now_us.saturating_sub(self.others_at_us);
         let left = REPORT_LIFE_US.saturating_sub(age);
         let reported = f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64;
-        let told: u32 = self.fresh_peers(now_us).map(|load| load.in_flight).sum();
-        if told > 0 {
-            f64::from(told)
+        let left = |load: &PeerLoad| f64::from(load.in_flight) * load.share_left(now_us);
+        let told: f64 = self.fresh_peers(now_us).map(left).sum();
+        if told > 0.0 {
+            told
         } else {
             reported
         }
@@ -182,7 +185,8 @@
 
     /// Prompt tokens that it has yet to read for other nodes, by their own words.
     pub fn unread_for_peers(&self, now_us: u64) -> u64 {
-        self.fresh_peers(now_us).map(|load| load.unread_tokens).sum()
+        let left = |load: &PeerLoad| load.unread_tokens as f64 * load.share_left(now_us);
+        self.fresh_peers(now_us).map(left).sum::<f64>() as u64
     }
 
     /// Tokens of KV cache that the attempts of all nodes take there.
@@ -239,6 +243,15 @@
     }
 }
 
+impl PeerLoad {
+    /// Share of it that is believed to be left: most requests are over within a second, and in
+    /// a large fleet a node's word comes no more often than that.
+    fn share_left(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.told_at_us);
+        1.0 - (age_us as f64 / PEER_LOAD_FADE_US as f64).min(1.0)
+    }
+}
+
 /// All runners that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -371,3 +371,18 @@
 fn what_a_runner_newly_holds_is_told_to_every_node(nodes: usize, tellings: u32) {
     assert_eq!(tellings_of_news(nodes), tellings);
 }
+
+#[test]
+fn load_that_a_node_told_fades_until_it_tells_again() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", "north", None, 1));
+    let id = RunnerId::new("a");
+    let load =
+        RunnerLoad { runner: id.clone(), in_flight: 4, unread_tokens: 1_000, held_tokens: 50 };
+    fleet.on_peer_loads(&NodeId::new("n"), &[load], 0);
+    let runner = fleet.get(&id).unwrap();
+    assert_eq!((runner.occupancy(0), runner.unread_for_peers(0)), (4.0, 1_000));
+    assert!(runner.occupancy(400_000) < 3.0 && runner.unread_for_peers(400_000) < 600);
+    assert_eq!((runner.occupancy(1_000_000), runner.unread_for_peers(1_000_000)), (0.0, 0));
+    assert_eq!(runner.held_by_all(1_000_000), 50, "memory is let go with the run alone");
+}
