Let a few nodes ask the store early; take changes in together for longer in large fleets

Change: changes are 100 ms and 8 ms a node apart (at most a sixth of contact_ms); three nodes of a fleet let their confirmation run out at 0.25 to 0.45 of contact_ms, the others at 0.55 to 0.65.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -154,6 +154,11 @@
         self.known_nodes.set(nodes);
     }
 
+    /// How many nodes there are, this one included, as far as it knows.
+    pub fn known_nodes(&self) -> usize {
+        self.known_nodes.get()
+    }
+
     /// Connections that this node may have to one runner of a service: its part of what a
     /// runner takes from all callers. Beyond that a runner resets connections, and a request
     /// sent on one would not be known to be unrun.
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -26,10 +26,18 @@
 const LONGEST_WATCH_LIMIT: Duration = Duration::from_secs(12);
 /// What a call asks for that only confirms the copy.
 const SHORTEST_WATCH: Duration = Duration::from_millis(1);
-/// Shortest time between two answers with changes.
-const BETWEEN_CHANGES: Duration = Duration::from_millis(150);
-/// Hundredths of the time after which a node counts as in touch again.
-const CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 40..65;
+/// Shortest time between two answers with changes: for a node alone and for each other node
+/// that watches too, as each change costs each of them a call.
+const BETWEEN_CHANGES: Duration = Duration::from_millis(100);
+const BETWEEN_CHANGES_A_NODE: Duration = Duration::from_millis(8);
+/// Part of the time after which a node counts as in touch again that changes wait at most.
+const CHANGES_WAIT_PART: u32 = 6;
+/// How long a confirmation holds, in hundredths of the time after which a node counts as in
+/// touch again: for the few nodes that ask early, and for those that their word spares.
+const EARLY_HUNDREDTHS: std::ops::Range<u64> = 25..45;
+const LATE_HUNDREDTHS: std::ops::Range<u64> = 55..65;
+/// How many nodes of a fleet ask early.
+const EARLY_NODES: f64 = 3.0;
 /// Between two looks whether a watch that waits is to be doubted.
 const DOUBT_POLL: Duration = Duration::from_millis(100);
 /// Pause after a failure, before it is multiplied and spread.
@@ -98,10 +106,12 @@
 
 /// How long a confirmation holds: well under the time after which the node counts as in touch
 /// again, so that a watch that went silent in a fault has been replaced before the node is
-/// bound by it. Drawn at random, so that one node asks first and its word spares the others.
+/// bound by it. Drawn at random, so that a few nodes ask early and their word spares the others.
 fn draw_confirmation(node: &Node) -> Duration {
     let contact_ms = node.settings().bounds.contact_ms;
-    let hundredths = rand::rng().random_range(CONFIRMATION_HUNDREDTHS);
+    let mut rng = rand::rng();
+    let is_early = rng.random_bool((EARLY_NODES / node.known_nodes() as f64).min(1.0));
+    let hundredths = rng.random_range(if is_early { EARLY_HUNDREDTHS } else { LATE_HUNDREDTHS });
     Duration::from_millis(contact_ms * hundredths / 100)
 }
 
@@ -227,7 +237,10 @@
 
     /// Changes that come in quick succession are taken in together.
     async fn pause_between_changes(&mut self) {
-        let due = self.changed_at.map(|at| at + BETWEEN_CHANGES);
+        let nodes = u32::try_from(self.node.known_nodes()).unwrap_or(u32::MAX);
+        let contact = Duration::from_millis(self.node.settings().bounds.contact_ms);
+        let wished = BETWEEN_CHANGES + BETWEEN_CHANGES_A_NODE.saturating_mul(nodes);
+        let due = self.changed_at.map(|at| at + wished.min(contact / CHANGES_WAIT_PART));
         let left = due.map(|due| due.saturating_duration_since(Instant::now()));
         if let Some(left) = left.filter(|left| !left.is_zero()) {
             sleep(left).await;
