--- /dev/null
+++ b/crates/soak/examples/soak/processes.rs
@@ -0,0 +1,136 @@
+//! The nodes' processes: started, told to stop, paused and killed by their ids.
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use pitchstall_soak::proxy::Link;
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const CALLERS_PORT: u16 = 18_181;
+const HEALTH_PORT: u16 = 18_182;
+const PEERS_PORT: u16 = 18_183;
+/// Time from SIGTERM to SIGKILL.
+pub const GRACE: Duration = Duration::from_secs(8);
+
+/// One node: its settings file, its log, and its process while it runs.
+pub struct NodeProcess {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Its own link to the store.
+    pub store: Link,
+    /// Where it says whether it takes callers.
+    pub health: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl NodeProcess {
+    /// Writes the node's settings; it does not start yet.
+    pub fn new(
+        program: &Path,
+        folder: &Path,
+        number: usize,
+        zone: &str,
+        store: Link,
+    ) -> io::Result<Self> {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let last = u8::try_from(number + 1).unwrap_or(u8::MAX);
+        let ip: IpAddr = Ipv4Addr::new(127, 1 + high % 200, low, last).into();
+        let at = |port: u16| SocketAddr::new(ip, port);
+        let text = format!(
+            "[node]\nname = \"node-{number}\"\nzone = \"{zone}\"\n\
+             [listen]\ncallers = \"{}\"\nhealth = \"{}\"\npeers = \"{}\"\n\
+             [store]\naddress = \"{}\"\n\
+             [bounds]\ncontact_ms = 3000\ngrace_s = 8.0\nlease_ms = 3000\n\
+             retry_ratio = 0.2\nretry_slack = 54\nretry_window_s = 10\n",
+            at(CALLERS_PORT),
+            at(HEALTH_PORT),
+            at(PEERS_PORT),
+            store.address(),
+        );
+        let settings = folder.join(format!("node-{number}.toml"));
+        std::fs::write(&settings, text)?;
+        Ok(Self {
+            callers: at(CALLERS_PORT),
+            health: at(HEALTH_PORT),
+            store,
+            program: program.to_owned(),
+            settings,
+            log: folder.join(format!("node-{number}.log")),
+            child: None,
+        })
+    }
+
+    /// Starts the process. Its log goes on where the one before it ended.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("serve")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether the process has ended without having been asked to.
+    pub fn has_ended_by_itself(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(id) = id {
+            // The process is a child that has not been waited for, so the id is its own.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until a process that was told to stop has ended; kills it after the grace time.
+    pub fn wait_for_stop(&mut self) {
+        let end = Instant::now() + GRACE;
+        while Instant::now() < end && !self.has_ended_by_itself() {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+    }
+}
+
+/// Whether the node with this health address says that it takes callers.
+pub fn is_ready(health: SocketAddr) -> bool {
+    const LIMIT: Duration = Duration::from_millis(300);
+    const QUESTION: &[u8] = b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let ask = || -> io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&health, LIMIT)?;
+        stream.set_read_timeout(Some(LIMIT))?;
+        stream.write_all(QUESTION)?;
+        let mut head = [0; b"HTTP/1.1 200".len()];
+        stream.read_exact(&mut head)?;
+        Ok(head.ends_with(b"200"))
+    };
+    ask().unwrap_or(false)
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/soak/examples/soak/run.rs
@@ -0,0 +1,324 @@
+//! One seed: load, faults, recovery, checks.
+
+use crate::processes::{is_ready, NodeProcess};
+use nix::sys::signal::Signal;
+use pitchstall_platform_standins::store::StoreMode;
+use pitchstall_soak::caller::exchange;
+use pitchstall_soak::checks::{violations, Violation};
+use pitchstall_soak::fleet::{request_bytes, SoakFleet, ZONES};
+use pitchstall_soak::history::{Event, Kind, Outcome, Recorder};
+use pitchstall_soak::plan::{steps, Action, Step};
+use pitchstall_soak::proxy::{Link, LinkMode};
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const CALLERS: usize = 8;
+const READY_WITHIN: Duration = Duration::from_secs(15);
+/// Time in which everything is served again after the last fault.
+const RECOVERED_WITHIN: Duration = Duration::from_secs(12);
+const HEALTH_EVERY: Duration = Duration::from_millis(200);
+const DRAINS_FOR: Duration = Duration::from_secs(4);
+const BETWEEN_REQUESTS: Duration = Duration::from_millis(15);
+
+/// What came of a seed.
+pub struct Report {
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    requests: usize,
+    whole: usize,
+    steps: usize,
+    folder: PathBuf,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (whole, requests, steps) = (self.whole, self.requests, self.steps);
+        write!(formatter, "{whole} of {requests} answered whole under {steps} actions")?;
+        for violation in &self.violations {
+            write!(formatter, "\n  {}: {}", violation.promise, violation.what)?;
+        }
+        if !self.violations.is_empty() {
+            write!(formatter, "\n  logs: {}", self.folder.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// What the load and the faults share.
+struct World {
+    recorder: Recorder,
+    nodes: Vec<Mutex<NodeProcess>>,
+    callers: Vec<SocketAddr>,
+    health: Vec<SocketAddr>,
+    /// Nodes that said they take callers when they were last asked.
+    ready: Vec<AtomicBool>,
+    fleet: Mutex<SoakFleet>,
+    over: AtomicBool,
+    next_request: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs a seed.
+pub fn run(program: &Path, seed: u64, length: Duration, nodes: usize) -> io::Result<Report> {
+    let name = format!("pitchstall-soak-{}-{seed}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder)?;
+    let world = World::start(program, &folder, seed, nodes)?;
+    world.wait_until_ready()?;
+    let mut threads: Vec<JoinHandle<()>> = (0..CALLERS)
+        .map(|caller| {
+            let world = world.clone();
+            std::thread::spawn(move || world.send_load(caller))
+        })
+        .collect();
+    let asking = world.clone();
+    threads.push(std::thread::spawn(move || asking.ask_health()));
+    let steps = steps(seed, length, nodes);
+    world.play(&steps, Instant::now(), length);
+    let unserved = world.unserved_after_recovery();
+    world.over.store(true, Ordering::SeqCst);
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let mut report = world.report(steps.len(), folder);
+    report.violations.extend(unserved);
+    if report.violations.is_empty() {
+        let _ = std::fs::remove_dir_all(&report.folder);
+    }
+    Ok(report)
+}
+
+impl World {
+    fn start(program: &Path, folder: &Path, seed: u64, nodes: usize) -> io::Result<Arc<Self>> {
+        let recorder = Recorder::default();
+        let fleet = SoakFleet::start(seed, recorder.clone())?;
+        let mut processes = Vec::new();
+        for number in 0..nodes {
+            let store = Link::start(fleet.store.address())?;
+            let zone = ZONES[number % ZONES.len()];
+            let mut node = NodeProcess::new(program, folder, number, zone, store)?;
+            node.start()?;
+            recorder.note(Event::Started { node: number });
+            processes.push(node);
+        }
+        Ok(Arc::new(Self {
+            recorder,
+            callers: processes.iter().map(|node| node.callers).collect(),
+            health: processes.iter().map(|node| node.health).collect(),
+            nodes: processes.into_iter().map(Mutex::new).collect(),
+            ready: (0..nodes).map(|_| AtomicBool::new(false)).collect(),
+            fleet: Mutex::new(fleet),
+            over: AtomicBool::new(false),
+            next_request: AtomicU64::new(0),
+        }))
+    }
+
+    fn wait_until_ready(&self) -> io::Result<()> {
+        let end = Instant::now() + READY_WITHIN;
+        while !self.health.iter().all(|health| is_ready(*health)) {
+            if Instant::now() >= end {
+                return Err(io::Error::other("the nodes did not become ready"));
+            }
+            std::thread::sleep(HEALTH_EVERY);
+        }
+        self.ready.iter().for_each(|ready| ready.store(true, Ordering::SeqCst));
+        Ok(())
+    }
+
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    /// Keeps note of which nodes take callers, as the platform's entrance does.
+    fn ask_health(&self) {
+        while !self.is_over() {
+            for (health, ready) in self.health.iter().zip(&self.ready) {
+                ready.store(is_ready(*health), Ordering::SeqCst);
+            }
+            std::thread::sleep(HEALTH_EVERY);
+        }
+    }
+
+    fn send_load(&self, caller: usize) {
+        let mut turn = caller;
+        while !self.is_over() {
+            turn += 1;
+            let node = turn % self.nodes.len();
+            if self.ready[node].load(Ordering::SeqCst) {
+                self.send(node, self.kind(turn));
+            }
+            std::thread::sleep(BETWEEN_REQUESTS);
+        }
+    }
+
+    fn kind(&self, turn: usize) -> Kind {
+        const KINDS: usize = 4;
+        match turn / self.nodes.len() % KINDS {
+            0 => Kind::AtMostOnce,
+            1 => Kind::Repeatable,
+            2 => Kind::ResumableStream,
+            _ => Kind::Probe { version: lock(&self.fleet).version() },
+        }
+    }
+
+    fn send(&self, node: usize, kind: Kind) -> Outcome {
+        let number = self.next_request.fetch_add(1, Ordering::SeqCst);
+        let request = format!("r-{number}");
+        self.recorder.note(Event::Sent { request: request.clone(), kind, node });
+        let outcome = exchange(self.callers[node], &request_bytes(&request, kind));
+        self.recorder.note(Event::Ended { request, outcome: outcome.clone() });
+        outcome
+    }
+
+    fn play(self: &Arc<Self>, steps: &[Step], started: Instant, length: Duration) {
+        let mut running = Vec::new();
+        for step in steps {
+            std::thread::sleep((started + step.at).saturating_duration_since(Instant::now()));
+            let (world, step) = (self.clone(), step.clone());
+            running.push(std::thread::spawn(move || world.act(&step)));
+        }
+        running.into_iter().for_each(|step| drop(step.join()));
+        let rest = started + length;
+        std::thread::sleep(rest.saturating_duration_since(Instant::now()));
+    }
+
+    fn act(&self, step: &Step) {
+        match &step.action {
+            Action::Kill { node } => self.kill(&[*node], step.lasts),
+            Action::KillAll => self.kill(&(0..self.nodes.len()).collect::<Vec<_>>(), step.lasts),
+            Action::Pause { node } => self.pause(*node, step.lasts),
+            Action::Stop { node } => self.stop(*node),
+            Action::StoreLink { node, mode } => {
+                let link = lock(&self.nodes[*node]).store.clone();
+                self.disturb_link(&link, *mode, step.lasts, Some(*node));
+            }
+            Action::RunnerLink { runner, mode } => {
+                let link = {
+                    let fleet = lock(&self.fleet);
+                    fleet.runners[runner % fleet.runners.len()].link.clone()
+                };
+                self.disturb_link(&link, *mode, step.lasts, None);
+            }
+            Action::Store { mode } => {
+                self.disturbed(None);
+                lock(&self.fleet).store.set_mode(*mode);
+                std::thread::sleep(step.lasts);
+                lock(&self.fleet).store.set_mode(StoreMode::Serving);
+                self.disturbed(None);
+            }
+            Action::ForgetHistory => {
+                self.disturbed(None);
+                lock(&self.fleet).store.forget_history();
+            }
+            Action::Replace { runner } => self.replace(*runner),
+            Action::Configure => lock(&self.fleet).configure(),
+        }
+    }
+
+    fn disturbed(&self, node: Option<usize>) {
+        self.recorder.note(Event::Disturbed { node });
+    }
+
+    fn kill(&self, nodes: &[usize], down: Duration) {
+        let mut held: Vec<_> = nodes.iter().map(|node| lock(&self.nodes[*node])).collect();
+        nodes.iter().for_each(|node| self.disturbed(Some(*node)));
+        held.iter_mut().for_each(|process| process.kill());
+        std::thread::sleep(down);
+        for (node, process) in nodes.iter().zip(&mut held) {
+            self.restart(*node, process);
+        }
+    }
+
+    fn restart(&self, node: usize, process: &mut NodeProcess) {
+        self.recorder.note(Event::Started { node });
+        if let Err(error) = process.start() {
+            eprintln!("soak: node {node} did not start: {error}");
+        }
+    }
+
+    fn pause(&self, node: usize, lasts: Duration) {
+        let process = lock(&self.nodes[node]);
+        self.disturbed(Some(node));
+        process.signal(Signal::SIGSTOP);
+        std::thread::sleep(lasts);
+        process.signal(Signal::SIGCONT);
+        self.disturbed(Some(node));
+    }
+
+    fn stop(&self, node: usize) {
+        let mut process = lock(&self.nodes[node]);
+        self.recorder.note(Event::StopPlanned { node });
+        process.signal(Signal::SIGTERM);
+        process.wait_for_stop();
+        self.restart(node, &mut process);
+    }
+
+    fn disturb_link(&self, link: &Link, mode: LinkMode, lasts: Duration, node: Option<usize>) {
+        self.disturbed(node);
+        link.set_mode(mode);
+        std::thread::sleep(lasts);
+        link.set_mode(LinkMode::Passing);
+        self.disturbed(node);
+    }
+
+    fn replace(&self, runner: usize) {
+        let leaving = {
+            let mut fleet = lock(&self.fleet);
+            let index = runner % fleet.runners.len();
+            fleet.replace(index)
+        };
+        if let Ok(leaving) = leaving {
+            std::thread::sleep(DRAINS_FOR);
+            lock(&self.fleet).unlist(&leaving);
+            leaving.link.set_mode(LinkMode::Resetting);
+        }
+    }
+
+    /// After the last fault each node answers each kind of request.
+    fn unserved_after_recovery(&self) -> Vec<Violation> {
+        let kinds = [Kind::AtMostOnce, Kind::Repeatable, Kind::ResumableStream];
+        let mut unserved = Vec::new();
+        let end = Instant::now() + RECOVERED_WITHIN;
+        for (number, node) in self.nodes.iter().enumerate() {
+            if lock(node).has_ended_by_itself() {
+                let what = format!("node {number} ended by itself");
+                unserved.push(Violation { promise: "no process ends by itself", what });
+            }
+            for kind in kinds {
+                let answers =
+                    || matches!(self.send(number, kind), Outcome::Whole { status: 200, .. });
+                while !answers() {
+                    if Instant::now() >= end {
+                        let what = format!("node {number} does not answer {kind:?}");
+                        unserved.push(Violation { promise: "recovery", what });
+                        break;
+                    }
+                    std::thread::sleep(HEALTH_EVERY);
+                }
+            }
+        }
+        unserved
+    }
+
+    fn report(&self, steps: usize, folder: PathBuf) -> Report {
+        let entries = self.recorder.entries();
+        let ended = |event: &Event| matches!(event, Event::Ended { .. });
+        let whole = |event: &Event| {
+            matches!(event, Event::Ended { outcome: Outcome::Whole { status: 200, .. }, .. })
+        };
+        Report {
+            violations: violations(&entries),
+            requests: entries.iter().filter(|(_, event)| ended(event)).count(),
+            whole: entries.iter().filter(|(_, event)| whole(event)).count(),
+            steps,
+            folder,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,321 @@
+//! One check for each promise of the users' pages that callers and runners can see broken.
+
+use crate::fleet::{answer_body, LAST_EVENT};
+use crate::history::{Entry, Event, Kind, Outcome};
+use pitchstall_platform_standins::runner::event_text;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Time from the end of a fault until a node is bound again by rules with a time, microseconds.
+pub const CONTACT_US: u64 = 3_000_000;
+/// Time from a configuration's acknowledgement until nodes act by it, microseconds.
+pub const APPLY_US: u64 = 2_000_000;
+/// Time from a runner's word that it leaves until it gets no more requests, microseconds.
+pub const DRAIN_US: u64 = 2_000_000;
+/// Added to bounds on time: this machine is shared.
+pub const SLACK_US: u64 = 1_000_000;
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// Which request, node or runner, and how.
+    pub what: String,
+}
+
+type Check = fn(&History) -> Vec<String>;
+
+/// Every promise with its check.
+const CHECKS: [(&str, Check); 9] = [
+    ("the whole answer to its own request", whole_answers),
+    ("a stream whole and in order", whole_streams),
+    ("at most once", at_most_once),
+    ("a refusal is true", truthful_refusals),
+    ("runners run only what was asked", only_asked),
+    ("a configuration is in force in time", configuration_in_time),
+    ("a configuration never reverts", configuration_never_reverts),
+    ("a leaving runner gets no work", drained_in_time),
+    ("a planned stop cuts nothing", planned_stops),
+];
+
+/// Checks a history.
+pub fn violations(entries: &[Entry]) -> Vec<Violation> {
+    let history = History::new(entries);
+    let mut found = Vec::new();
+    for (promise, check) in CHECKS {
+        found.extend(check(&history).into_iter().map(|what| Violation { promise, what }));
+    }
+    let conflicting = orders_of_one_holder(&history);
+    let promise = "orders of one holder";
+    found.extend(conflicting.into_iter().map(|what| Violation { promise, what }));
+    found
+}
+
+struct Exchange<'a> {
+    kind: Kind,
+    node: usize,
+    sent_us: u64,
+    ended_us: u64,
+    outcome: &'a Outcome,
+}
+
+struct Run<'a> {
+    at_us: u64,
+    runner: &'a str,
+    body: &'a [u8],
+}
+
+struct History<'a> {
+    entries: &'a [Entry],
+    exchanges: BTreeMap<&'a str, Exchange<'a>>,
+    runs: HashMap<&'a str, Vec<Run<'a>>>,
+}
+
+impl<'a> History<'a> {
+    fn new(entries: &'a [Entry]) -> Self {
+        let mut sent: HashMap<&str, (u64, Kind, usize)> = HashMap::new();
+        let mut exchanges = BTreeMap::new();
+        let mut runs: HashMap<&str, Vec<Run>> = HashMap::new();
+        for (at_us, event) in entries {
+            match event {
+                Event::Sent { request, kind, node } => {
+                    sent.insert(request, (*at_us, *kind, *node));
+                }
+                Event::Ended { request, outcome } => {
+                    if let Some((sent_us, kind, node)) = sent.get(request.as_str()).copied() {
+                        let ended_us = *at_us;
+                        let exchange = Exchange { kind, node, sent_us, ended_us, outcome };
+                        exchanges.insert(request.as_str(), exchange);
+                    }
+                }
+                Event::Ran { request, runner, body } => {
+                    runs.entry(request).or_default().push(Run { at_us: *at_us, runner, body });
+                }
+                _ => {}
+            }
+        }
+        Self { entries, exchanges, runs }
+    }
+
+    fn runs_of(&self, request: &str) -> usize {
+        self.runs.get(request).map_or(0, Vec::len)
+    }
+
+    /// Whether a node and the store were without faults from a contact time before.
+    fn in_touch(&self, node: usize, from_us: u64, to_us: u64) -> bool {
+        let from_us = from_us.saturating_sub(CONTACT_US + SLACK_US);
+        !self.entries.iter().any(|(at_us, event)| {
+            let touches = match event {
+                Event::Disturbed { node: None } => true,
+                Event::Disturbed { node: Some(other) }
+                | Event::Started { node: other }
+                | Event::StopPlanned { node: other } => *other == node,
+                _ => false,
+            };
+            touches && (from_us..=to_us).contains(at_us)
+        })
+    }
+
+    fn configured(&self) -> Vec<(u64, u64)> {
+        let versions = self.entries.iter().filter_map(|(at_us, event)| match event {
+            Event::Configured { version } => Some((*version, *at_us)),
+            _ => None,
+        });
+        versions.collect()
+    }
+
+    fn probes(&self) -> impl Iterator<Item = (&&'a str, &Exchange<'a>, u64, u16)> {
+        self.exchanges.iter().filter_map(|(request, exchange)| {
+            match (exchange.kind, exchange.outcome) {
+                (Kind::Probe { version }, Outcome::Whole { status, .. }) => {
+                    Some((request, exchange, version, *status))
+                }
+                _ => None,
+            }
+        })
+    }
+}
+
+fn whole_answers(history: &History) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for (request, exchange) in &history.exchanges {
+        match exchange.outcome {
+            Outcome::Garbage => wrong.push(format!("{request}: no answer in the protocol")),
+            Outcome::Whole { status: OK, echoed, body } => {
+                let is_own = echoed.as_deref() == Some(request);
+                let expected = answer_body(request);
+                let is_whole =
+                    exchange.kind == Kind::ResumableStream || *body == expected.as_bytes();
+                if !is_own || !is_whole {
+                    wrong.push(format!("{request}: another answer, or a part of it"));
+                }
+            }
+            _ => {}
+        }
+    }
+    wrong
+}
+
+fn whole_streams(history: &History) -> Vec<String> {
+    let whole: String = (0..=LAST_EVENT).map(event_text).collect();
+    let streams = history.exchanges.iter().filter(|(_, it)| it.kind == Kind::ResumableStream);
+    let is_torn = |outcome: &Outcome| match outcome {
+        Outcome::Whole { status: OK, body, .. } => *body != whole.as_bytes(),
+        _ => false,
+    };
+    let torn = streams.filter(|(_, exchange)| is_torn(exchange.outcome));
+    torn.map(|(request, _)| format!("{request}: events are missing, doubled or out of order"))
+        .collect()
+}
+
+fn at_most_once(history: &History) -> Vec<String> {
+    let once = history.exchanges.iter().filter(|(_, it)| it.kind == Kind::AtMostOnce);
+    let doubled = once.filter(|(request, _)| history.runs_of(request) > 1);
+    doubled
+        .map(|(request, _)| format!("{request}: ran {} times", history.runs_of(request)))
+        .collect()
+}
+
+fn truthful_refusals(history: &History) -> Vec<String> {
+    const PROMISES: [u16; 4] = [408, 421, 429, 503];
+    let is_refused = |outcome: &Outcome| matches!(outcome, Outcome::Whole { status, .. } if PROMISES.contains(status));
+    let once = history.exchanges.iter().filter(|(_, it)| it.kind == Kind::AtMostOnce);
+    let false_ones =
+        once.filter(|(request, it)| is_refused(it.outcome) && history.runs_of(request) > 0);
+    false_ones.map(|(request, _)| format!("{request}: refused, and ran")).collect()
+}
+
+fn only_asked(history: &History) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for (request, runs) in &history.runs {
+        let was_sent = history.entries.iter().any(
+            |(_, event)| matches!(event, Event::Sent { request: sent, .. } if sent == request),
+        );
+        if !was_sent {
+            wrong.push(format!("{request}: nobody asked for it"));
+        }
+        let expected = request_body(request);
+        if runs.iter().any(|run| run.body != expected.as_bytes()) {
+            wrong.push(format!("{request}: ran with another body"));
+        }
+    }
+    wrong
+}
+
+/// The body of a request, from its id.
+pub fn request_body(request: &str) -> String {
+    format!("body of {request}")
+}
+
+fn configuration_in_time(history: &History) -> Vec<String> {
+    let configured = history.configured();
+    let mut late = Vec::new();
+    for (request, exchange, version, status) in history.probes() {
+        let known = configured.iter().find(|(known, _)| *known == version);
+        let Some((_, acknowledged_us)) = known else { continue };
+        let replaced = configured
+            .iter()
+            .any(|(other, at_us)| *other > version + 1 && *at_us <= exchange.ended_us + SLACK_US);
+        let due_us = acknowledged_us + APPLY_US + SLACK_US;
+        let is_due = exchange.sent_us > due_us && !replaced;
+        if is_due
+            && status == NOT_FOUND
+            && history.in_touch(exchange.node, exchange.sent_us, exchange.ended_us)
+        {
+            late.push(format!("{request}: node {} does not know version {version}", exchange.node));
+        }
+    }
+    late
+}
+
+/// A route lives in its own version and the next one. A node that has refused it as gone is
+/// beyond that, and must not serve it again in the same life.
+fn configuration_never_reverts(history: &History) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let mut newest: HashMap<usize, u64> = HashMap::new();
+    let mut ended: Vec<(u64, usize, u64, u16, u64)> = history
+        .probes()
+        .map(|(_, it, version, status)| (it.ended_us, it.node, version, status, it.sent_us))
+        .collect();
+    ended.sort_unstable();
+    let starts: Vec<(u64, usize)> = history
+        .entries
+        .iter()
+        .filter_map(|(at_us, event)| match event {
+            Event::Started { node } => Some((*at_us, *node)),
+            _ => None,
+        })
+        .collect();
+    let mut lives: HashMap<usize, u64> = HashMap::new();
+    for (ended_us, node, version, status, sent_us) in ended {
+        let life = starts.iter().filter(|(at_us, it)| *it == node && *at_us <= sent_us).count();
+        if lives.insert(node, life as u64) != Some(life as u64) {
+            newest.remove(&node);
+        }
+        let seen = newest.entry(node).or_default();
+        if status == OK {
+            if *seen > version + 1 {
+                wrong.push(format!("node {node} at {ended_us} us: version {version} after {seen}"));
+            }
+            *seen = (*seen).max(version);
+        }
+    }
+    wrong
+}
+
+fn drained_in_time(history: &History) -> Vec<String> {
+    let mut late = Vec::new();
+    for (drained_us, event) in history.entries {
+        let Event::Draining { runner } = event else { continue };
+        for (request, runs) in &history.runs {
+            let Some(exchange) = history.exchanges.get(request) else { continue };
+            for run in runs.iter().filter(|run| run.runner == runner) {
+                let is_late = run.at_us > drained_us + DRAIN_US + SLACK_US;
+                if is_late && history.in_touch(exchange.node, run.at_us, run.at_us) {
+                    late.push(format!("{request}: sent to {runner} too late"));
+                }
+            }
+        }
+    }
+    late
+}
+
+fn planned_stops(history: &History) -> Vec<String> {
+    let mut cut = Vec::new();
+    for (stopped_us, event) in history.entries {
+        let Event::StopPlanned { node } = event else { continue };
+        for (request, it) in &history.exchanges {
+            let around = it.node == *node && it.ended_us >= *stopped_us;
+            let is_of_this_life = it.sent_us < stopped_us + CONTACT_US;
+            let from_us = it.sent_us.saturating_sub(CONTACT_US);
+            let undisturbed = !history.entries.iter().any(|(at_us, event)| {
+                let touches = matches!(event, Event::Disturbed { node: None })
+                    || matches!(event, Event::Disturbed { node: Some(other) } if other == node);
+                touches && (from_us..=it.ended_us).contains(at_us)
+            });
+            let was_begun = history.runs_of(request) > 0;
+            if around
+                && is_of_this_life
+                && undisturbed
+                && was_begun
+                && *it.outcome == Outcome::Broken
+            {
+                cut.push(format!("{request}: cut by the planned stop of node {node}"));
+            }
+        }
+    }
+    cut
+}
+
+fn orders_of_one_holder(history: &History) -> Vec<String> {
+    let mut holders: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
+    for (_, event) in history.entries {
+        if let Event::Ordered { holder, fence, .. } = event {
+            holders.entry(*fence).or_default().insert(holder);
+        }
+    }
+    let shared = holders.iter().filter(|(_, holders)| holders.len() > 1);
+    shared.map(|(fence, holders)| format!("token {fence} was used by {holders:?}")).collect()
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,236 @@
+//! The stand-ins of a soak: the store, runners behind links, the operators' configuration.
+
+use crate::checks::request_body;
+use crate::history::{Event, Kind, Recorder};
+use crate::proxy::Link;
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::store::StoreStandIn;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use std::sync::Mutex;
+
+/// Host of the routes.
+pub const HOST: &str = "soak.example";
+/// Last event of each stream.
+pub const LAST_EVENT: u64 = 12;
+/// Zones of nodes and runners.
+pub const ZONES: [&str; 2] = ["east", "west"];
+
+const ENGINE_SERVICE: &str = "engine";
+const DESK_SERVICE: &str = "desk";
+const ID_HEADER: &str = "x-pitchstall-request-id";
+/// Share of requests that a runner runs and does not answer, or answers with a failure.
+const FAULTY_SHARE: f64 = 0.03;
+
+/// The body of the answer to a request.
+pub fn answer_body(request: &str) -> String {
+    format!("answer to {request}")
+}
+
+/// A runner and the link to it.
+pub struct SoakRunner {
+    /// Its id.
+    pub id: String,
+    /// The link that nodes reach it by.
+    pub link: Link,
+    service: &'static str,
+    zone: &'static str,
+    stage: Option<&'static str>,
+}
+
+/// The stand-ins.
+pub struct SoakFleet {
+    /// The store.
+    pub store: StoreStandIn,
+    /// Runners that are listed.
+    pub runners: Vec<SoakRunner>,
+    recorder: Recorder,
+    next_runner: u64,
+    version: u64,
+    seed: u64,
+}
+
+impl SoakFleet {
+    /// Starts a store with a first configuration, and runners in each zone.
+    pub fn start(seed: u64, recorder: Recorder) -> std::io::Result<Self> {
+        let store = StoreStandIn::start()?;
+        let runners = Vec::new();
+        let mut fleet = Self { store, runners, recorder, next_runner: 0, version: 0, seed };
+        fleet.configure();
+        for zone in ZONES {
+            for stage in [Some("prefill"), Some("decode"), Some("decode"), None, None] {
+                fleet.add(zone, stage)?;
+            }
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a runner and lists it.
+    fn add(&mut self, zone: &'static str, stage: Option<&'static str>) -> std::io::Result<()> {
+        let number = self.next_runner;
+        self.next_runner += 1;
+        let id = format!("i-{number}");
+        let script = script(id.clone(), stage, self.recorder.clone(), self.seed ^ number);
+        let runner = RunnerStandIn::start(&id, script)?;
+        let link = Link::start(runner.address())?;
+        let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
+        let runner = SoakRunner { id, link, service, zone, stage };
+        self.list(&runner, "ready");
+        self.runners.push(runner);
+        Ok(())
+    }
+
+    fn list(&self, runner: &SoakRunner, state: &str) {
+        let mut entry = json!({
+            "service": runner.service, "address": runner.link.address().to_string(),
+            "zone": runner.zone, "version": "v1", "slots": 8, "state": state,
+            "cold_left_ms": 0, "seq": 1,
+        });
+        if let Some(stage) = runner.stage {
+            entry["stage"] = stage.into();
+        }
+        self.store.put(&format!("servers/{}", runner.id), &entry);
+    }
+
+    /// A runner says that it leaves; another one takes its place. Returns the one that leaves.
+    pub fn replace(&mut self, index: usize) -> std::io::Result<SoakRunner> {
+        let leaving = self.runners.swap_remove(index);
+        self.add(leaving.zone, leaving.stage)?;
+        self.list(&leaving, "draining");
+        self.recorder.note(Event::Draining { runner: leaving.id.clone() });
+        Ok(leaving)
+    }
+
+    /// A runner is gone.
+    pub fn unlist(&self, runner: &SoakRunner) {
+        self.store.remove(&format!("servers/{}", runner.id));
+    }
+
+    /// Puts the next configuration in force; each has a route of its own, and that of the one
+    /// before it.
+    pub fn configure(&mut self) {
+        self.version += 1;
+        self.store.put("op/config", &configuration(self.version));
+        self.recorder.note(Event::Configured { version: self.version });
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, engine: bool| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 6_000, "target_ms": 800, "priority": 1, "service": service,
+            "max_attempts": 3, "sticky": engine, "resumable": engine, "gap_target_ms": 300,
+        })
+    };
+    let mut routes = vec![
+        route("booking", "non_idempotent", DESK_SERVICE, false),
+        route("lookup", "idempotent", DESK_SERVICE, false),
+        route("summary", "streaming", ENGINE_SERVICE, true),
+    ];
+    for own in version.saturating_sub(1).max(1)..=version {
+        routes.push(route(&format!("v{own}"), "idempotent", DESK_SERVICE, false));
+    }
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            { "name": DESK_SERVICE, "health_path": "/health", "max_conns": 200 },
+            { "name": ENGINE_SERVICE, "health_path": "/health", "max_conns": 200, "engine": {
+                "slots": 8, "kv_tokens": 100_000, "handle_ttl_s": 5.0 } },
+        ],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+    })
+}
+
+/// What a runner does: it runs what it is given, notes it, and now and then fails.
+fn script(
+    id: String,
+    stage: Option<&'static str>,
+    recorder: Recorder,
+    seed: u64,
+) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
+    let engine = engine_script(LAST_EVENT);
+    let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
+    move |request| {
+        if request.path() == "/v1/order" {
+            note_order(&recorder, &id, request);
+            return Reaction::Answer { status: 202, body: Vec::new() };
+        }
+        let is_reading = request.header("x-pitchstall-stage").is_some();
+        let Some(name) = request.header(ID_HEADER).filter(|_| !is_reading) else {
+            return engine(request);
+        };
+        if request.header("x-pitchstall-expect-instance").is_some_and(|expected| expected != id) {
+            return Reaction::Misdirected;
+        }
+        let (request_id, body) = (name.to_owned(), request.body.clone());
+        recorder.note(Event::Ran { request: request_id, runner: id.clone(), body });
+        let mut chance = chance.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        react(&mut *chance, request, name, stage, &engine)
+    }
+}
+
+fn react(
+    chance: &mut impl Rng,
+    request: &ReceivedRequest,
+    name: &str,
+    stage: Option<&str>,
+    engine: &impl Fn(&ReceivedRequest) -> Reaction,
+) -> Reaction {
+    let is_faulty = chance.random_bool(FAULTY_SHARE);
+    if stage.is_none() {
+        let answer = Reaction::Answer { status: 200, body: answer_body(name).into_bytes() };
+        let faults = [
+            Reaction::RawThenClose(Vec::new()),
+            Reaction::RawThenReset(Vec::new()),
+            Reaction::Answer { status: 500, body: b"failed".to_vec() },
+        ];
+        let index = chance.random_range(0..faults.len());
+        return if is_faulty { faults[index].clone() } else { answer };
+    }
+    match engine(request) {
+        Reaction::Stream(mut stream) => {
+            stream.pause = std::time::Duration::from_millis(chance.random_range(1..15));
+            if is_faulty {
+                stream.breaks_after = Some(chance.random_range(0..LAST_EVENT));
+            }
+            Reaction::Stream(stream)
+        }
+        other => other,
+    }
+}
+
+fn note_order(recorder: &Recorder, runner: &str, request: &ReceivedRequest) {
+    let Ok(order) = serde_json::from_slice::<Value>(&request.body) else { return };
+    let holder = order["holder"].as_str().unwrap_or_default().to_owned();
+    let fence = order["fence"].as_u64().unwrap_or_default();
+    recorder.note(Event::Ordered { runner: runner.to_owned(), holder, fence });
+}
+
+/// The bytes of a request of a kind.
+pub fn request_bytes(request: &str, kind: Kind) -> Vec<u8> {
+    let (method, path) = match kind {
+        Kind::Repeatable => ("GET", "lookup".to_owned()),
+        Kind::AtMostOnce => ("POST", "booking".to_owned()),
+        Kind::ResumableStream => ("POST", "summary".to_owned()),
+        Kind::Probe { version } => ("GET", format!("v{version}")),
+    };
+    let body = request_body(request);
+    let length = body.len();
+    let text = format!(
+        "{method} /{path}/x HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\
+         X-Pitchstall-Request-Id: {request}\r\nX-Pitchstall-Deadline-Ms: 5000\r\n\
+         X-Pitchstall-Token-Count: 900,20\r\nX-Pitchstall-Prefix-Hash: a1:600,b2:300\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    text.into_bytes()
+}
--- /dev/null
+++ b/crates/soak/src/history.rs
@@ -0,0 +1,138 @@
+//! What callers, runners and the soak itself saw, on one clock.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Repeatable,
+    /// Runs at most once.
+    AtMostOnce,
+    /// A stream that may go on at another runner.
+    ResumableStream,
+    /// Asks which configuration is in force: the version whose own route it names.
+    Probe {
+        /// The version.
+        version: u64,
+    },
+}
+
+/// How an exchange ended for the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// An answer that its framing calls whole.
+    Whole {
+        /// The status.
+        status: u16,
+        /// The id that the answer echoes.
+        echoed: Option<String>,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// The connection ended within an answer, or before one.
+    Broken,
+    /// What came is no answer.
+    Garbage,
+    /// No connection could be made; nothing was sent.
+    NotSent,
+}
+
+/// Something that was seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A caller sends a request to a node.
+    Sent {
+        /// The request's id.
+        request: String,
+        /// What may be done with it.
+        kind: Kind,
+        /// The node.
+        node: usize,
+    },
+    /// The exchange has ended.
+    Ended {
+        /// The request's id.
+        request: String,
+        /// How.
+        outcome: Outcome,
+    },
+    /// A runner runs a request.
+    Ran {
+        /// The request's id.
+        request: String,
+        /// The runner.
+        runner: String,
+        /// The body that it was given.
+        body: Vec<u8>,
+    },
+    /// A runner takes an order.
+    Ordered {
+        /// The runner.
+        runner: String,
+        /// Who gives it.
+        holder: String,
+        /// Its fencing token.
+        fence: u64,
+    },
+    /// The store has acknowledged a configuration.
+    Configured {
+        /// Its version.
+        version: u64,
+    },
+    /// The store has acknowledged that a runner leaves.
+    Draining {
+        /// The runner.
+        runner: String,
+    },
+    /// A fault begins or ends at a node, at its links or at the store (`None`: at all nodes).
+    Disturbed {
+        /// The node.
+        node: Option<usize>,
+    },
+    /// A node's process starts.
+    Started {
+        /// The node.
+        node: usize,
+    },
+    /// A node is told to stop, as planned.
+    StopPlanned {
+        /// The node.
+        node: usize,
+    },
+}
+
+/// An event and its time, microseconds.
+pub type Entry = (u64, Event);
+
+/// Records events.
+#[derive(Clone)]
+pub struct Recorder {
+    started: Instant,
+    entries: Arc<Mutex<Vec<Entry>>>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Self { started: Instant::now(), entries: Arc::default() }
+    }
+}
+
+impl Recorder {
+    /// Notes an event.
+    pub fn note(&self, event: Event) {
+        let mut entries = self.lock();
+        let at_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        entries.push((at_us, event));
+    }
+
+    /// All events so far.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,23 @@
+//! A randomized soak of the real programs.
+//!
+//! Nodes run as processes of their own; store, runners and callers are stand-ins in the soak's
+//! process, behind proxies that delay, reset, cut and silence connections. What callers and
+//! runners see goes into one history, which is checked promise by promise.
+//!
+//! | module | what it does |
+//! | --- | --- |
+//! | [`history`] | what was seen, in the order of one clock |
+//! | [`checks`] | one check for each promise |
+//! | [`plan`] | the faults of a seed |
+//! | [`proxy`] | a link that can be faulty |
+//! | [`caller`] | sends a request and sees every byte of its answer |
+//! | [`fleet`] | the stand-ins: store, runners, configuration |
+//!
+//! The processes themselves are started by the example `soak`, and end with it.
+
+pub mod caller;
+pub mod checks;
+pub mod fleet;
+pub mod history;
+pub mod plan;
+pub mod proxy;
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,132 @@
+//! The faults of a seed: what strikes, where, when, for how long.
+
+use crate::proxy::LinkMode;
+use pitchstall_platform_standins::store::StoreMode;
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// Something that is done to the system from outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// A node's process is killed and started again after the time.
+    Kill {
+        /// The node.
+        node: usize,
+    },
+    /// Many processes are killed at once.
+    KillAll,
+    /// A node's process is paused for the time.
+    Pause {
+        /// The node.
+        node: usize,
+    },
+    /// A node is told to stop, as planned, and started again.
+    Stop {
+        /// The node.
+        node: usize,
+    },
+    /// A node's link to the store is faulty for the time.
+    StoreLink {
+        /// The node.
+        node: usize,
+        /// How.
+        mode: LinkMode,
+    },
+    /// The link to a runner is faulty for the time.
+    RunnerLink {
+        /// Which of the runners that are listed then, modulo their number.
+        runner: usize,
+        /// How.
+        mode: LinkMode,
+    },
+    /// The store misbehaves for the time.
+    Store {
+        /// How.
+        mode: StoreMode,
+    },
+    /// The store forgets its history.
+    ForgetHistory,
+    /// A runner is replaced: the new one starts first, the old one drains.
+    Replace {
+        /// Which of the runners that are listed then, modulo their number.
+        runner: usize,
+    },
+    /// The operators change the configuration.
+    Configure,
+}
+
+/// An action, its time since the start of the load, and how long it lasts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// When.
+    pub at: Duration,
+    /// For how long.
+    pub lasts: Duration,
+    /// What.
+    pub action: Action,
+}
+
+const LINK_MODES: [LinkMode; 5] = [
+    LinkMode::Slow,
+    LinkMode::Resetting,
+    LinkMode::CutToServer,
+    LinkMode::CutToClient,
+    LinkMode::Silent,
+];
+const STORE_MODES: [StoreMode; 3] =
+    [StoreMode::Silent, StoreMode::Unavailable, StoreMode::Throttling];
+/// Kinds of actions that are drawn from.
+const KINDS: u32 = 12;
+/// Time between two actions, milliseconds.
+const BETWEEN_MS: std::ops::Range<u64> = 200..1_800;
+const LASTS_MS: std::ops::Range<u64> = 300..4_000;
+/// Every so many seeds nothing unplanned happens, so that rules on planned work are tried.
+const PLANNED_ONLY_EVERY: u64 = 3;
+/// Quiet time at the end, in which everything has to recover.
+pub const RECOVERY: Duration = Duration::from_secs(6);
+
+/// The steps of a seed, in order of time.
+pub fn steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    let planned_only = seed.is_multiple_of(PLANNED_ONLY_EVERY);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(chance.random_range(BETWEEN_MS));
+        if at + RECOVERY >= length {
+            return steps;
+        }
+        let lasts = Duration::from_millis(chance.random_range(LASTS_MS));
+        let action =
+            if planned_only { planned(&mut chance, nodes) } else { any(&mut chance, nodes) };
+        steps.push(Step { at, lasts: lasts.min(length.saturating_sub(at + RECOVERY)), action });
+    }
+}
+
+fn planned(chance: &mut impl Rng, nodes: usize) -> Action {
+    match chance.random_range(0..3) {
+        0 => Action::Stop { node: chance.random_range(0..nodes) },
+        1 => Action::Replace { runner: chance.random_range(0..1_000) },
+        _ => Action::Configure,
+    }
+}
+
+fn any(chance: &mut impl Rng, nodes: usize) -> Action {
+    let node = chance.random_range(0..nodes);
+    let runner = chance.random_range(0..1_000);
+    let link = *LINK_MODES.choose(chance).unwrap_or(&LinkMode::Silent);
+    match chance.random_range(0..KINDS) {
+        0 => Action::Kill { node },
+        1 => Action::KillAll,
+        2 => Action::Pause { node },
+        3 => Action::Stop { node },
+        4 | 5 => Action::StoreLink { node, mode: link },
+        6 | 7 => Action::RunnerLink { runner, mode: link },
+        8 => Action::Store { mode: *STORE_MODES.choose(chance).unwrap_or(&StoreMode::Silent) },
+        9 => Action::ForgetHistory,
+        10 => Action::Replace { runner },
+        _ => Action::Configure,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,153 @@
+//! A link on the loopback interface that can be faulty.
+
+use socket2::SockRef;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How the link behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum LinkMode {
+    /// Bytes pass.
+    Passing,
+    /// Bytes pass late.
+    Slow,
+    /// Connections are reset.
+    Resetting,
+    /// Nothing reaches the server; what it sends passes.
+    CutToServer,
+    /// Nothing reaches the client; what it sends passes.
+    CutToClient,
+    /// Nothing passes; connections hang.
+    Silent,
+}
+
+const MODES: [LinkMode; 6] = [
+    LinkMode::Passing,
+    LinkMode::Slow,
+    LinkMode::Resetting,
+    LinkMode::CutToServer,
+    LinkMode::CutToClient,
+    LinkMode::Silent,
+];
+
+/// Delay of a slow link, each way.
+const SLOW: Duration = Duration::from_millis(80);
+/// Between two looks whether a link that is cut has healed.
+const POLL: Duration = Duration::from_millis(20);
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// A link to one server.
+#[derive(Clone)]
+pub struct Link {
+    address: SocketAddr,
+    mode: Arc<AtomicU8>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    ToServer,
+    ToClient,
+}
+
+impl Link {
+    /// A link that passes everything on to `server`.
+    pub fn start(server: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let link = Self { address: listener.local_addr()?, mode: Arc::default() };
+        let own = link.clone();
+        std::thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                own.join(client, server);
+            }
+        });
+        Ok(link)
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how the link behaves.
+    pub fn set_mode(&self, mode: LinkMode) {
+        self.mode.store(mode as u8, Ordering::SeqCst);
+    }
+
+    fn mode(&self) -> LinkMode {
+        MODES[usize::from(self.mode.load(Ordering::SeqCst)) % MODES.len()]
+    }
+
+    fn join(&self, client: TcpStream, server: SocketAddr) {
+        if self.mode() == LinkMode::Resetting {
+            return reset(&client);
+        }
+        let Ok(server) = TcpStream::connect(server) else { return reset(&client) };
+        let (Ok(client_reader), Ok(server_reader)) = (client.try_clone(), server.try_clone())
+        else {
+            return;
+        };
+        let (forth, back) = (self.clone(), self.clone());
+        std::thread::spawn(move || forth.pump(client_reader, server, Way::ToServer));
+        std::thread::spawn(move || back.pump(server_reader, client, Way::ToClient));
+    }
+
+    /// Passes bytes one way until a side closes.
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, way: Way) {
+        let _ = from.set_read_timeout(Some(POLL));
+        let _ = to.set_nodelay(true);
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            if self.mode() == LinkMode::Resetting {
+                reset(&from);
+                return reset(&to);
+            }
+            let length = match from.read(&mut buffer) {
+                Ok(length) => length,
+                Err(error) if is_timeout(&error) => continue,
+                Err(_) => return reset(&to),
+            };
+            if !self.wait_to_pass(way) {
+                reset(&from);
+                return reset(&to);
+            }
+            if length == 0 {
+                let _ = to.shutdown(std::net::Shutdown::Write);
+                return;
+            }
+            if to.write_all(&buffer[..length]).is_err() {
+                return reset(&from);
+            }
+        }
+    }
+
+    /// Waits until bytes may pass this way; `false` if the link resets instead.
+    fn wait_to_pass(&self, way: Way) -> bool {
+        loop {
+            match (self.mode(), way) {
+                (LinkMode::Resetting, _) => return false,
+                (LinkMode::Silent, _)
+                | (LinkMode::CutToServer, Way::ToServer)
+                | (LinkMode::CutToClient, Way::ToClient) => std::thread::sleep(POLL),
+                (LinkMode::Slow, _) => {
+                    std::thread::sleep(SLOW);
+                    return true;
+                }
+                _ => return true,
+            }
+        }
+    }
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+}
+
+fn reset(stream: &TcpStream) {
+    // Without linger, shutting down and dropping sends a reset.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,155 @@
+//! Each check finds the promise broken in a history that breaks it, and in no sound one.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_platform_standins::runner::event_text;
+use pitchstall_soak::checks::{request_body, violations};
+use pitchstall_soak::fleet::{answer_body, LAST_EVENT};
+use pitchstall_soak::history::{Entry, Event, Kind, Outcome};
+use pitchstall_soak::plan::steps;
+use std::time::Duration;
+use test_case::test_case;
+
+const SECOND: u64 = 1_000_000;
+
+fn sent(at: u64, request: &str, kind: Kind) -> Entry {
+    (at, Event::Sent { request: request.to_owned(), kind, node: 0 })
+}
+
+fn ran(at: u64, request: &str, runner: &str) -> Entry {
+    let body = request_body(request).into_bytes();
+    (at, Event::Ran { request: request.to_owned(), runner: runner.to_owned(), body })
+}
+
+fn ended(at: u64, request: &str, outcome: Outcome) -> Entry {
+    (at, Event::Ended { request: request.to_owned(), outcome })
+}
+
+fn whole(request: &str, status: u16, body: String) -> Outcome {
+    Outcome::Whole { status, echoed: Some(request.to_owned()), body: body.into_bytes() }
+}
+
+fn own_answer(request: &str) -> Outcome {
+    whole(request, 200, answer_body(request))
+}
+
+fn stream(ids: impl Iterator<Item = u64>) -> Outcome {
+    whole("r", 200, ids.map(event_text).collect())
+}
+
+fn broken(entries: &[Entry]) -> Vec<&'static str> {
+    let mut promises: Vec<_> = violations(entries).into_iter().map(|it| it.promise).collect();
+    promises.dedup();
+    promises
+}
+
+fn exchange(kind: Kind, outcome: Outcome) -> Vec<Entry> {
+    vec![sent(1, "r", kind), ran(2, "r", "i-1"), ended(3, "r", outcome)]
+}
+
+#[test_case(Kind::Repeatable, own_answer("r"); "an answer")]
+#[test_case(Kind::AtMostOnce, Outcome::Broken; "a failure")]
+#[test_case(Kind::ResumableStream, stream(0..=LAST_EVENT); "a stream")]
+#[test_case(Kind::Repeatable, whole("r", 503, String::new()); "a repeatable request that was refused")]
+fn a_sound_history_breaks_nothing(kind: Kind, outcome: Outcome) {
+    assert_eq!(violations(&exchange(kind, outcome)), []);
+}
+
+#[test_case(Kind::Repeatable, own_answer("other"); "another answer")]
+#[test_case(Kind::Repeatable, whole("r", 200, "answer".to_owned()); "half an answer")]
+#[test_case(Kind::Repeatable, Outcome::Garbage; "no answer")]
+fn an_answer_that_is_not_its_own_is_found(kind: Kind, outcome: Outcome) {
+    assert_eq!(broken(&exchange(kind, outcome)), ["the whole answer to its own request"]);
+}
+
+#[test_case(stream(0..LAST_EVENT); "cut short")]
+#[test_case(stream((0..=LAST_EVENT).filter(|id| *id != 3)); "a gap")]
+#[test_case(stream((0..=LAST_EVENT).chain([LAST_EVENT])); "doubled")]
+fn a_torn_stream_is_found(outcome: Outcome) {
+    assert_eq!(broken(&exchange(Kind::ResumableStream, outcome)), ["a stream whole and in order"]);
+}
+
+#[test]
+fn a_doubled_run_is_found() {
+    let mut entries = exchange(Kind::AtMostOnce, own_answer("r"));
+    entries.push(ran(9, "r", "i-2"));
+    assert_eq!(broken(&entries), ["at most once"]);
+}
+
+#[test]
+fn a_false_refusal_is_found_also_if_the_run_comes_later() {
+    let refused = ended(2, "r", whole("r", 503, String::new()));
+    let entries = [sent(1, "r", Kind::AtMostOnce), refused, ran(9, "r", "i-1")];
+    assert_eq!(broken(&entries), ["a refusal is true"]);
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_found() {
+    assert_eq!(broken(&[ran(1, "r", "i-1")]), ["runners run only what was asked"]);
+}
+
+fn probe(at: u64, request: &str, version: u64, status: u16) -> [Entry; 2] {
+    let answer =
+        if status == 200 { own_answer(request) } else { whole(request, status, String::new()) };
+    [sent(at, request, Kind::Probe { version }), ended(at + 1, request, answer)]
+}
+
+#[test]
+fn a_configuration_that_is_late_is_found_unless_the_node_was_disturbed() {
+    let configured = (0, Event::Configured { version: 4 });
+    let [asked, answered] = probe(9 * SECOND, "r", 4, 404);
+    let late = [configured.clone(), asked.clone(), answered.clone()];
+    assert_eq!(broken(&late), ["a configuration is in force in time"]);
+    let disturbed = (7 * SECOND, Event::Disturbed { node: Some(0) });
+    assert_eq!(violations(&[configured, disturbed, asked, answered]), []);
+}
+
+#[test]
+fn a_configuration_that_reverts_is_found_within_one_life() {
+    let started = |at| (at, Event::Started { node: 0 });
+    let [new, new_end] = probe(SECOND, "a", 7, 200);
+    let [old, old_end] = probe(2 * SECOND, "b", 4, 200);
+    let runs = [ran(SECOND, "a", "i-1"), ran(2 * SECOND, "b", "i-1")];
+    let mut entries = vec![started(0), new, new_end, old, old_end];
+    entries.extend(runs);
+    assert_eq!(broken(&entries), ["a configuration never reverts"]);
+    entries.insert(3, started(3 * SECOND / 2));
+    assert_eq!(violations(&entries), []);
+}
+
+#[test]
+fn work_for_a_runner_that_left_is_found() {
+    let mut entries = vec![(0, Event::Draining { runner: "i-1".to_owned() })];
+    entries.push(sent(9 * SECOND, "r", Kind::Repeatable));
+    entries.push(ran(9 * SECOND, "r", "i-1"));
+    entries.push(ended(9 * SECOND + 1, "r", own_answer("r")));
+    assert_eq!(broken(&entries), ["a leaving runner gets no work"]);
+}
+
+#[test]
+fn a_request_that_a_planned_stop_cuts_is_found() {
+    let stop = (9 * SECOND, Event::StopPlanned { node: 0 });
+    let cut = [
+        sent(9 * SECOND - 1, "r", Kind::Repeatable),
+        ran(9 * SECOND - 1, "r", "i-1"),
+        stop,
+        ended(9 * SECOND + 5, "r", Outcome::Broken),
+    ];
+    assert_eq!(broken(&cut), ["a planned stop cuts nothing"]);
+}
+
+#[test]
+fn a_token_of_two_holders_is_found() {
+    let order = |at, holder: &str| {
+        let (runner, holder) = ("i-1".to_owned(), holder.to_owned());
+        (at, Event::Ordered { runner, holder, fence: 7 })
+    };
+    assert_eq!(broken(&[order(1, "a"), order(2, "b")]), ["orders of one holder"]);
+    assert_eq!(violations(&[order(1, "a"), order(2, "a")]), []);
+}
+
+#[test]
+fn a_seed_gives_the_same_steps_each_time() {
+    let length = Duration::from_secs(40);
+    assert_eq!(steps(5, length, 3), steps(5, length, 3));
+    assert_ne!(steps(5, length, 3), steps(7, length, 3));
+}
