--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -41,9 +41,9 @@
             high_occupancy: 0.7,
             low_occupancy: 0.3,
             least_decode: 0.25,
-            most_at_once: 0.15,
-            lasting_us: 1_500_000,
-            pause_us: 6_000_000,
+            most_at_once: 0.3,
+            lasting_us: 1_000_000,
+            pause_us: 4_500_000,
         }
     }
 }
