Believe a misdirected runner's newer entry; correct expected reading times; tell long readings at once

Nodes of a large fleet underestimate queues together: each compares expected with measured reading times and adds the mean to its expectation of that path. 3. Readings of 20,000 to 46,000 tokens held runners up for 1 to 1.8 s while others queued behind them, as the word of them came after up to 1.3 s: a reading of 200 ms or more is told to all nodes at once; told load fades by its tokens.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,14 +9,16 @@
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
-use pitchstall_serving::placement::ReadPace;
+use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::read_pace::ReadPace;
+use pitchstall_serving::read_pace::ReadingPath;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 const MICROS_PER_SECOND: f64 = 1_000_000.0;
@@ -33,6 +35,8 @@
     pub metrics: Metrics,
     /// Told when a runner joins or can be tried again.
     pub fleet_changed: Notify,
+    /// Told when the other nodes have to hear of this node's load at once.
+    pub load_is_news: Notify,
     /// How fresh the copies of the store are.
     pub freshness: RefCell<StoreFreshness>,
     /// Told when a call to the store has failed: what waits for its answers may wait in vain.
@@ -69,6 +73,7 @@
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
             fleet_changed: Notify::new(),
+            load_is_news: Notify::new(),
             freshness: RefCell::default(),
             store_suspected: Notify::new(),
             stopping: Notify::new(),
@@ -311,6 +316,31 @@
         use_pace(self.paces.borrow_mut().entry(service.clone()).or_default())
     }
 
+    /// A runner is given a prompt to read. A long one holds it up for longer than the other
+    /// nodes take to hear of it by the way: until then they would queue behind it.
+    pub fn on_reading_begun(&self, service: &ServiceName, unread_tokens: u64) {
+        const LONG_MS: f64 = 200.0;
+        let is_long = self.with_pace(service, |pace| pace.read_ms(unread_tokens as f64) >= LONG_MS);
+        if is_long {
+            self.load_is_news.notify_one();
+        }
+    }
+
+    /// A prompt was read in some time; compares it with what was expected.
+    pub fn on_prompt_read(
+        &self,
+        service: &ServiceName,
+        path: ReadingPath,
+        choice: &Choice,
+        elapsed: Duration,
+    ) {
+        const MICROS_PER_MILLI: f64 = 1_000.0;
+        let expected_ms = choice.expected_us as f64 / MICROS_PER_MILLI;
+        let got_ms = elapsed.as_micros() as f64 / MICROS_PER_MILLI;
+        let now_us = self.now_us();
+        self.with_pace(service, |pace| pace.on_surprise(path, expected_ms, got_ms, now_us));
+    }
+
     /// Whether the node takes new callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.configuration.borrow().is_some() && self.runners_known.get()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -182,7 +182,10 @@
         let mut told_store = StoreWord::default();
         let mut told_at = Instant::now();
         loop {
-            sleep(self.digest_interval()).await;
+            let is_urgent = tokio::select! {
+                () = sleep(self.digest_interval()) => false,
+                () = self.node.load_is_news.notified() => true,
+            };
             let loads = self.node.fleet.borrow().own_loads();
             let read = self.node.next_reads();
             let repeat = told_at.elapsed() >= REPEAT_EVERY;
@@ -199,7 +202,7 @@
             told_store = store;
             told.clone_from(&loads);
             told_at = Instant::now();
-            let to = self.next_addresses();
+            let to = if is_urgent { self.all_addresses() } else { self.next_addresses() };
             self.send(&self.digest(loads, read), &to).await;
         }
     }
@@ -210,10 +213,14 @@
         DIGEST_EVERY.max(Duration::from_secs(1) * receivers / DATAGRAMS_A_SECOND)
     }
 
+    fn all_addresses(&self) -> Vec<SocketAddr> {
+        self.state.borrow().peers.values().map(|peer| peer.address).collect()
+    }
+
     /// The nodes that the next digest goes to.
     fn next_addresses(&self) -> Vec<SocketAddr> {
+        let all = self.all_addresses();
         let mut state = self.state.borrow_mut();
-        let all: Vec<SocketAddr> = state.peers.values().map(|peer| peer.address).collect();
         if all.len() <= FAN_OUT {
             return all;
         }
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -7,7 +7,9 @@
 use crate::node::Node;
 use pitchstall_platform_adapter::paths;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::read_pace::ReadingPath;
 use pitchstall_serving::request::PromptHandle;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -73,8 +75,8 @@
     pub service: &'a ServiceName,
     /// Its prompt.
     pub prompt: &'a Prompt,
-    /// Tokens that the runner has to read.
-    pub unread_tokens: u64,
+    /// Who is to read it.
+    pub choice: &'a Choice,
 }
 
 /// Sends a request to be read only.
@@ -86,6 +88,7 @@
 ) -> ReadingEnd {
     let begun = Instant::now();
     let runner = prepared.record().id.clone();
+    node.on_reading_begun(demand.service, demand.choice.demand.unread_tokens);
     let answering = match attempt::send(node, demand.request, prepared, params).await {
         AttemptEnd::Answering(answering) => answering,
         AttemptEnd::Declined => return ReadingEnd::Declined,
@@ -102,7 +105,9 @@
     let Some(name) = name else { return ReadingEnd::Failed };
     node.on_prompt_held(&runner, demand.prompt);
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
-    node.with_pace(demand.service, |pace| pace.on_read(demand.unread_tokens, elapsed_ms));
+    let unread_tokens = demand.choice.demand.unread_tokens;
+    node.with_pace(demand.service, |pace| pace.on_read(unread_tokens, elapsed_ms));
+    node.on_prompt_read(demand.service, ReadingPath::Apart, demand.choice, begun.elapsed());
     let handle = PromptHandle { address: answering.record.address, name };
     let zone = answering.record.zone.clone();
     answering.give_back(node);
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -83,9 +83,11 @@
 /// How long a load report counts, microseconds.
 const REPORT_LIFE_US: u64 = 1_500_000;
 /// How long a node's word on its own load counts, microseconds.
-const PEER_LOAD_LIFE_US: u64 = 2_000_000;
-/// Time after which nothing is believed to be left of the work that a node told of.
-const PEER_LOAD_FADE_US: u64 = 800_000;
+const PEER_LOAD_LIFE_US: u64 = 2_500_000;
+/// Time after which nothing is believed to be left of the work that a node told of, and what
+/// is added for each token that had to be read.
+const PEER_LOAD_FADE_US: u64 = 700_000;
+const FADE_US_A_TOKEN: u64 = 30;
 /// First and longest time for which a runner that could not be reached is avoided.
 const SUSPECT_MIN_US: u64 = 500_000;
 const SUSPECT_MAX_US: u64 = 8_000_000;
@@ -114,7 +116,8 @@
     full_until_us: u64,
     /// The role that it was ordered to take, and until when it is left alone for that.
     changing: Option<(Stage, u64)>,
-    /// The address answered for another runner: this one is gone, whatever the list says.
+    /// The address answered that it is another runner, or has another role, than this entry
+    /// says. A newer entry is believed again.
     misdirected: bool,
     cache: PrefixCacheModel,
 }
@@ -245,10 +248,11 @@
 
 impl PeerLoad {
     /// Share of it that is believed to be left: most requests are over within a second, and in
-    /// a large fleet a node's word comes no more often than that.
+    /// a large fleet a node's word comes no more often than that. Long prompts take longer.
     fn share_left(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.told_at_us);
-        1.0 - (age_us as f64 / PEER_LOAD_FADE_US as f64).min(1.0)
+        let fade_us = PEER_LOAD_FADE_US + self.unread_tokens * FADE_US_A_TOKEN;
+        1.0 - (age_us as f64 / fade_us as f64).min(1.0)
     }
 }
 
@@ -276,6 +280,7 @@
             FleetChange::None
         };
         known.record = record;
+        known.misdirected = false;
         change
     }
 
@@ -482,7 +487,7 @@
         }
     }
 
-    /// Another runner answered at a runner's address.
+    /// Another runner, or one of another role, answered at a runner's address.
     pub fn on_misdirected(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.misdirected = true;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{AttemptDemand, Eligible, Fleet, Runner, Stage};
 use crate::ids::{RunnerId, ZoneId};
 use crate::prefix::{rendezvous_weight, Prompt};
+use crate::read_pace::{ReadPace, ReadingPath};
 
 /// What a choice depends on besides the fleet.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +33,9 @@
     pub demand: AttemptDemand,
     /// The runner from which it takes over shared parts that it does not hold.
     pub fetch_from: Option<RunnerId>,
+    /// Time in which the runner has read the prompt, by what is known of its load,
+    /// microseconds.
+    pub expected_us: u64,
 }
 
 /// How a prompt is read.
@@ -96,62 +100,22 @@
         runner: best.record.id.clone(),
         demand: AttemptDemand::default(),
         fetch_from: None,
+        expected_us: 0,
     })
 }
 
-/// Measured pace of prefill.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ReadPace {
-    tokens_per_ms: f64,
-    mean_tokens: f64,
-}
-
-impl Default for ReadPace {
-    fn default() -> Self {
-        Self { tokens_per_ms: 30.0, mean_tokens: 3_000.0 }
-    }
-}
-
-impl ReadPace {
-    const MIN_SAMPLE_TOKENS: u64 = 500;
-    const FASTER_WEIGHT: f64 = 0.3;
-    const SLOWER_WEIGHT: f64 = 0.02;
-    const MEAN_WEIGHT: f64 = 0.05;
-
-    /// A runner has read so many tokens in so many milliseconds. Time in its queue makes a
-    /// sample slow, so fast samples count for more.
-    pub fn on_read(&mut self, tokens: u64, elapsed_ms: f64) {
-        self.mean_tokens += Self::MEAN_WEIGHT * (tokens as f64 - self.mean_tokens);
-        if tokens < Self::MIN_SAMPLE_TOKENS || elapsed_ms <= 0.0 {
-            return;
-        }
-        let sample = tokens as f64 / elapsed_ms;
-        let faster = sample > self.tokens_per_ms;
-        let weight = if faster { Self::FASTER_WEIGHT } else { Self::SLOWER_WEIGHT };
-        self.tokens_per_ms += weight * (sample - self.tokens_per_ms);
-    }
-
-    /// Time to read so many tokens, milliseconds.
-    pub fn read_ms(&self, tokens: f64) -> f64 {
-        tokens / self.tokens_per_ms.max(0.001)
-    }
-
-    /// Time until a runner has read what waits there, milliseconds.
-    pub fn backlog_ms(&self, runner: &Runner, now_us: u64) -> f64 {
-        let told = runner.unread_for_peers(now_us) as f64;
-        let guessed = runner.others(now_us) * self.mean_tokens;
-        let others = if told > 0.0 { told } else { guessed };
-        self.read_ms(runner.unread_tokens as f64 + others)
-    }
-}
-
 /// Chooses how the prompt is read. `None` if no runner takes work.
 pub fn plan_reading(fleet: &Fleet, pace: &ReadPace, demand: &Demand<'_>) -> Option<ReadingPlan> {
     let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let (readers, writers) = by_stage(&candidates);
     let view = PromptView::new(&candidates, pace, demand);
-    let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + HANDOVER_MS);
-    let direct = cheapest(&writers, &view, |runner| view.direct_ms(runner));
+    let apart_ms = HANDOVER_MS + pace.surplus_ms(ReadingPath::Apart, demand.now_us);
+    let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + apart_ms).map(
+        |(choice, cost_ms)| (expecting(choice, fleet, |it| view.prefill_time_ms(it)), cost_ms),
+    );
+    let direct_ms = pace.surplus_ms(ReadingPath::Direct, demand.now_us);
+    let direct = cheapest(&writers, &view, |runner| view.direct_ms(runner) + direct_ms)
+        .map(|(choice, cost_ms)| (expecting(choice, fleet, |it| view.direct_time_ms(it)), cost_ms));
     match (split, direct) {
         (Some((split, split_ms)), Some((_, direct_ms))) if split_ms <= direct_ms => {
             Some(ReadingPlan::Split(split))
@@ -177,6 +141,13 @@
         .map(|(choice, _)| Choice { fetch_from: None, ..choice })
 }
 
+/// Notes the time in which the chosen runner is expected to have read the prompt.
+fn expecting(choice: Choice, fleet: &Fleet, time_ms: impl Fn(&Runner) -> f64) -> Choice {
+    const MICROS_PER_MILLI: f64 = 1_000.0;
+    let time_ms = fleet.get(&choice.runner).map_or(0.0, time_ms);
+    Choice { expected_us: (time_ms * MICROS_PER_MILLI) as u64, ..choice }
+}
+
 fn by_stage<'a>(candidates: &[&'a Runner]) -> (Vec<&'a Runner>, Vec<&'a Runner>) {
     candidates.iter().partition(|runner| runner.record.stage == Some(Stage::Prefill))
 }
@@ -195,6 +166,7 @@
             held_tokens: view.held_tokens(),
         },
         fetch_from: source.map(|source| source.record.id.clone()),
+        expected_us: 0,
     };
     Some((choice, cost_ms(best)))
 }
@@ -260,11 +232,15 @@
         FETCH_MS + moved as f64 * FETCH_TOKEN_MS * far
     }
 
-    fn prefill_ms(&self, runner: &Runner) -> f64 {
+    /// Time in which a prefill runner has read the prompt.
+    fn prefill_time_ms(&self, runner: &Runner) -> f64 {
         let wait = self.pace.backlog_ms(runner, self.demand.now_us);
-        let read = self.pace.read_ms(self.unread_tokens(runner) as f64);
+        wait + self.pace.read_ms(self.unread_tokens(runner) as f64)
+    }
+
+    fn prefill_ms(&self, runner: &Runner) -> f64 {
         let way = distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
-        wait + read + self.fetch_ms(runner) + way + self.failures_ms(runner)
+        self.prefill_time_ms(runner) + self.fetch_ms(runner) + way + self.failures_ms(runner)
     }
 
     /// What the failures that a runner has lately answered with count as.
@@ -272,13 +248,16 @@
         runner.failure_rate(self.demand.now_us) * FAILURE_MS
     }
 
-    /// A decode runner that reads the prompt itself, between the tokens of its streams.
+    /// Time in which a decode runner has read the prompt itself, between the tokens of its
+    /// streams.
+    fn direct_time_ms(&self, runner: &Runner) -> f64 {
+        let slowed = self.prefill_time_ms(runner) / DECODE_READ_PACE;
+        slowed * (1.0 + runner.occupancy(self.demand.now_us) * STREAM_SLOWDOWN)
+    }
+
     fn direct_ms(&self, runner: &Runner) -> f64 {
-        let wait = self.pace.backlog_ms(runner, self.demand.now_us);
-        let read = self.pace.read_ms(self.unread_tokens(runner) as f64);
-        let slowed = (wait + read) / DECODE_READ_PACE;
-        let streams = 1.0 + runner.occupancy(self.demand.now_us) * STREAM_SLOWDOWN;
-        slowed * streams + self.fetch_ms(runner) + self.place_ms(runner, self.demand.zone)
+        let place = self.place_ms(runner, self.demand.zone);
+        self.direct_time_ms(runner) + self.fetch_ms(runner) + place
     }
 
     /// A decode runner that takes over a prompt read in the zone `near`.
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -9,7 +9,7 @@
 use crate::configuration::EngineSpec;
 use crate::fleet::{Eligible, Fleet, Runner, Stage};
 use crate::ids::{RunnerId, ServiceName};
-use crate::placement::ReadPace;
+use crate::read_pace::ReadPace;
 
 /// When roles change.
 #[derive(Clone, Copy, Debug, PartialEq)]
