Replace decode runners that left

Change: below the share that always writes, a prefill runner becomes decode after the usual second. Test failed first.

--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -165,6 +165,10 @@
         if decode == 0 {
             return (!self.prefill.is_empty()).then_some(Stage::Decode);
         }
+        // Runners that left or crashed have taken the share that always writes.
+        if decode < self.least_decode(policy) && self.prefill.len() > 1 {
+            return Some(Stage::Decode);
+        }
         let decode_is_full = self.occupancy_with(decode) > policy.high_occupancy;
         if decode_is_full && self.prefill.len() > 1 && self.wait < policy.short_wait {
             return Some(Stage::Decode);
@@ -177,9 +181,13 @@
         (self.prefill.len() + self.decode.len()) as f64
     }
 
+    fn least_decode(&self, policy: &RolePolicy) -> usize {
+        (self.all() * policy.least_decode).ceil().max(1.0) as usize
+    }
+
     /// Decode runners without which the others stay below the low share.
     fn spare_decode(&self, policy: &RolePolicy) -> usize {
-        let least = (self.all() * policy.least_decode).ceil().max(1.0) as usize;
+        let least = self.least_decode(policy);
         let enough = |count: &usize| self.occupancy_with(*count) < policy.low_occupancy;
         let needed = (least..self.decode.len()).find(enough);
         needed.map_or(0, |needed| self.decode.len() - needed)
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -149,6 +149,15 @@
     assert!(plan_all(&mut planner, &nearly, 33 * SECOND).is_empty(), "a quarter writes");
 }
 
+#[test]
+fn a_prefill_runner_replaces_decode_runners_that_left() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let idle = fleet(7, 1);
+    assert_eq!(plan(&mut planner, &idle, SECOND), None, "it may be back at once");
+    assert_eq!(plan(&mut planner, &idle, 4 * SECOND).unwrap().stage, Stage::Decode);
+    assert_eq!(plan(&mut planner, &fleet(6, 2), 8 * SECOND), None);
+}
+
 #[test]
 fn full_slots_take_a_prefill_runner_that_can_be_spared() {
     let mut planner = RolePlanner::new(RolePolicy::default());
