--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,9 @@
 const SUSPECT_POLL: Duration = Duration::from_millis(100);
 /// Largest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Time after sending within which a kept connection that ends is taken for one that the
+/// runner had forgotten.
+const DEAD_WITHIN: Duration = Duration::from_millis(30);
 /// Surplus answers that are passed over while waiting for the right one.
 const MOST_SURPLUS: usize = 4;
 /// Largest surplus answer that is passed over.
@@ -57,7 +60,8 @@
     connection: Upstream,
     record: RunnerRecord,
     flight: Flight,
-    reused: bool,
+    /// How long a kept connection has rested; `None`: a new one.
+    rested: Option<Duration>,
 }
 
 impl Prepared {
@@ -100,8 +104,9 @@
         return None;
     }
     let flight = Flight::new(node, choice);
-    if let Some(connection) = node.pool.take(&record.id) {
-        return Some(Prepared { connection, record, flight, reused: true });
+    if let Some(kept) = node.pool.take(&record.id) {
+        let rested = Some(kept.rested);
+        return Some(Prepared { connection: kept.connection, record, flight, rested });
     }
     node.metrics.connections.inc();
     match Upstream::open(record.address, CONNECT_LIMIT).await {
@@ -110,7 +115,7 @@
             connection,
             record,
             flight,
-            reused: false,
+            rested: None,
         }),
         Err(error) => {
             let error = error.to_string();
@@ -164,8 +169,9 @@
     let bytes = attempt_bytes(request, &prepared.record, params);
     log_sent(request, &prepared, params);
     let sent_at = Instant::now();
+    let connection = ConnectionUse { rested: prepared.rested, sent_at };
     if let Err(error) = prepared.connection.send(bytes) {
-        return lost(node, request, &runner, &error);
+        return lost(node, request, &runner, connection, &error);
     }
     let head = read_own_head(request, &prepared);
     let answer = tokio::select! {
@@ -182,7 +188,7 @@
             log::info!(target: "attempt", request = id, runner = runner.as_str(), limit_ms; "silent");
             AttemptEnd::Silent
         }
-        Ok(Err(error)) => lost(node, request, &runner, &error),
+        Ok(Err(error)) => lost(node, request, &runner, connection, &error),
         Ok(Ok((head, facts))) => {
             log_head(request, &runner, &head, &facts, sent_at);
             classify(node, request, prepared, params, head, &facts)
@@ -232,7 +238,7 @@
         let head = prepared.connection.read_head().await?;
         let facts = headers::parse_answer(head.status, head.header_pairs());
         let is_other = facts.request_id.as_deref().is_some_and(|id| id != request.facts.id);
-        if !is_other || !prepared.reused {
+        if !is_other || prepared.rested.is_none() {
             return Ok((head, facts));
         }
         let runner = prepared.record.id.as_str();
@@ -300,16 +306,41 @@
     });
 }
 
+/// How the connection of a lost attempt was used.
+#[derive(Clone, Copy)]
+struct ConnectionUse {
+    /// How long a kept connection had rested; `None`: a new one.
+    rested: Option<Duration>,
+    sent_at: Instant,
+}
+
+impl ConnectionUse {
+    /// The rest after which a kept connection was found dead: its end came as fast as an
+    /// answer that nobody worked on.
+    fn found_dead(&self) -> Option<Duration> {
+        self.rested.filter(|_| self.sent_at.elapsed() < DEAD_WITHIN)
+    }
+}
+
 fn lost(
     node: &Node,
     request: &ClientRequest,
     runner: &RunnerId,
+    connection: ConnectionUse,
     error: &ReadFailure,
 ) -> AttemptEnd {
     let error = error.to_string();
     let id = request.facts.id.as_str();
-    log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "lost");
-    node.fleet.borrow_mut().on_unreachable(runner, node.now_us());
+    let found_dead = connection.found_dead();
+    let rested_ms = found_dead.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
+    log::info!(target: "attempt", request = id, runner = runner.as_str(), rested_ms, error; "lost");
+    match found_dead {
+        Some(rested) => {
+            node.pool.on_dead(rested);
+            node.pool.forget(runner);
+        }
+        None => node.fleet.borrow_mut().on_unreachable(runner, node.now_us()),
+    }
     AttemptEnd::Lost
 }
 
@@ -321,7 +352,7 @@
     };
     let id = request.facts.id.as_str();
     let runner = prepared.record.id.as_str();
-    let reused = prepared.reused;
+    let reused = prepared.rested.is_some();
     let revision = prepared.record.revision;
     let unread = prepared.flight.demand.unread_tokens;
     let fetch = params.fetch_from.is_some();
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -10,7 +10,7 @@
 pub mod upstream;
 
 pub use answer_codec::{AnswerHead, BodyDecoder};
-pub use pool::ConnectionPool;
+pub use pool::{ConnectionPool, TrustedRest};
 pub use upstream::{ConnectFailure, ReadFailure, Upstream};
 
 /// A header: name in lower case, and value.
