--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,7 +20,6 @@
     choose_worker, choose_writer, plan_reading, Choice, Demand, ReadingPlan,
 };
 use pitchstall_serving::prefix::Prompt;
-use pitchstall_serving::read_pace::ReadingPath;
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::ArrivalLedger;
 use std::net::SocketAddr;
@@ -133,14 +132,10 @@
             None => Work::Run,
         };
         let params = self.params(work, &plan.choice);
-        let sent_at = Instant::now();
         match attempt::send(self.node, self.request, prepared, &params).await {
             AttemptEnd::Answering(answering) => {
                 if let Some(prompt) = &plan.prompt {
                     prompt.on_taken();
-                } else if self.engine.is_some() {
-                    let (node, elapsed) = (self.node, sent_at.elapsed());
-                    node.on_prompt_read(&self.service, ReadingPath::Direct, &plan.choice, elapsed);
                 }
                 self.deliver(*answering, client).await
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,16 +9,14 @@
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
-use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::read_pace::ReadPace;
-use pitchstall_serving::read_pace::ReadingPath;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 
 const MICROS_PER_SECOND: f64 = 1_000_000.0;
@@ -326,21 +324,6 @@
         }
     }
 
-    /// A prompt was read in some time; compares it with what was expected.
-    pub fn on_prompt_read(
-        &self,
-        service: &ServiceName,
-        path: ReadingPath,
-        choice: &Choice,
-        elapsed: Duration,
-    ) {
-        const MICROS_PER_MILLI: f64 = 1_000.0;
-        let expected_ms = choice.expected_us as f64 / MICROS_PER_MILLI;
-        let got_ms = elapsed.as_micros() as f64 / MICROS_PER_MILLI;
-        let now_us = self.now_us();
-        self.with_pace(service, |pace| pace.on_surprise(path, expected_ms, got_ms, now_us));
-    }
-
     /// Whether the node takes new callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.configuration.borrow().is_some() && self.runners_known.get()
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -9,7 +9,6 @@
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
-use pitchstall_serving::read_pace::ReadingPath;
 use pitchstall_serving::request::PromptHandle;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -107,7 +106,6 @@
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
     let unread_tokens = demand.choice.demand.unread_tokens;
     node.with_pace(demand.service, |pace| pace.on_read(unread_tokens, elapsed_ms));
-    node.on_prompt_read(demand.service, ReadingPath::Apart, demand.choice, begun.elapsed());
     let handle = PromptHandle { address: answering.record.address, name };
     let zone = answering.record.zone.clone();
     answering.give_back(node);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,7 +15,7 @@
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
-//! | [`read_pace`] | how fast prompts are read, and how wrong that was expected |
+//! | [`read_pace`] | how fast prompts are read |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
 //! | [`role_planner`] | when a runner changes its role |
 //! | [`authority`] | which node may order that |
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{AttemptDemand, Eligible, Fleet, Runner, Stage};
 use crate::ids::{RunnerId, ZoneId};
 use crate::prefix::{rendezvous_weight, Prompt};
-use crate::read_pace::{ReadPace, ReadingPath};
+use crate::read_pace::ReadPace;
 
 /// What a choice depends on besides the fleet.
 #[derive(Clone, Copy, Debug)]
@@ -33,9 +33,6 @@
     pub demand: AttemptDemand,
     /// The runner from which it takes over shared parts that it does not hold.
     pub fetch_from: Option<RunnerId>,
-    /// Time in which the runner has read the prompt, by what is known of its load,
-    /// microseconds.
-    pub expected_us: u64,
 }
 
 /// How a prompt is read.
@@ -100,7 +97,6 @@
         runner: best.record.id.clone(),
         demand: AttemptDemand::default(),
         fetch_from: None,
-        expected_us: 0,
     })
 }
 
@@ -109,13 +105,8 @@
     let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let (readers, writers) = by_stage(&candidates);
     let view = PromptView::new(&candidates, pace, demand);
-    let apart_ms = HANDOVER_MS + pace.surplus_ms(ReadingPath::Apart, demand.now_us);
-    let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + apart_ms).map(
-        |(choice, cost_ms)| (expecting(choice, fleet, |it| view.prefill_time_ms(it)), cost_ms),
-    );
-    let direct_ms = pace.surplus_ms(ReadingPath::Direct, demand.now_us);
-    let direct = cheapest(&writers, &view, |runner| view.direct_ms(runner) + direct_ms)
-        .map(|(choice, cost_ms)| (expecting(choice, fleet, |it| view.direct_time_ms(it)), cost_ms));
+    let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + HANDOVER_MS);
+    let direct = cheapest(&writers, &view, |runner| view.direct_ms(runner));
     match (split, direct) {
         (Some((split, split_ms)), Some((_, direct_ms))) if split_ms <= direct_ms => {
             Some(ReadingPlan::Split(split))
@@ -141,13 +132,6 @@
         .map(|(choice, _)| Choice { fetch_from: None, ..choice })
 }
 
-/// Notes the time in which the chosen runner is expected to have read the prompt.
-fn expecting(choice: Choice, fleet: &Fleet, time_ms: impl Fn(&Runner) -> f64) -> Choice {
-    const MICROS_PER_MILLI: f64 = 1_000.0;
-    let time_ms = fleet.get(&choice.runner).map_or(0.0, time_ms);
-    Choice { expected_us: (time_ms * MICROS_PER_MILLI) as u64, ..choice }
-}
-
 fn by_stage<'a>(candidates: &[&'a Runner]) -> (Vec<&'a Runner>, Vec<&'a Runner>) {
     candidates.iter().partition(|runner| runner.record.stage == Some(Stage::Prefill))
 }
@@ -166,7 +150,6 @@
             held_tokens: view.held_tokens(),
         },
         fetch_from: source.map(|source| source.record.id.clone()),
-        expected_us: 0,
     };
     Some((choice, cost_ms(best)))
 }
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -15,7 +15,7 @@
     choose_worker, choose_writer, plan_reading, Demand, ReadingPlan,
 };
 use pitchstall_serving::prefix::{Prompt, PromptPart};
-use pitchstall_serving::read_pace::{ReadPace, ReadingPath};
+use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::routing::{find_route, TrafficSplitter};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -388,23 +388,6 @@
     assert_eq!(runner.held_by_all(1_000_000), 50, "memory is let go with the run alone");
 }
 
-#[test]
-fn a_path_that_is_slower_than_expected_is_left_and_tried_again_later() {
-    let mut fleet = Fleet::default();
-    fleet.put(record("p1", "north", Some(Stage::Prefill), 1));
-    fleet.put(record("d1", "north", Some(Stage::Decode), 1));
-    let case = Case::new(0, 6_000);
-    let mut pace = ReadPace::default();
-    let plan = |pace: &ReadPace, now_us| {
-        let demand = Demand { now_us, ..case.demand() };
-        plan_reading(&fleet, pace, &demand).unwrap()
-    };
-    assert!(matches!(plan(&pace, 0), ReadingPlan::Split(_)));
-    (0..10).for_each(|_| pace.on_surprise(ReadingPath::Apart, 200.0, 1_200.0, 0));
-    assert!(matches!(plan(&pace, 0), ReadingPlan::Direct(_)));
-    assert!(matches!(plan(&pace, 10_000_000), ReadingPlan::Split(_)));
-}
-
 /// Once a runner that had changed its role while the list was late got no work for a whole day.
 #[test]
 fn a_runner_that_answered_for_another_is_believed_again_once_the_list_is_newer() {
