Tell long readings in a small word

Change: the word names only the runners of long readings (300 ms or more); it adds to what was told, the next digest replaces all. A word that goes to all nodes must not grow with what the node knows.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -100,6 +100,7 @@
     let peers = Peers::new(node.clone(), datagrams);
     ntex::rt::spawn(peers.clone().receive());
     ntex::rt::spawn(peers.clone().announce());
+    ntex::rt::spawn(peers.clone().announce_long_readings());
     ntex::rt::spawn(peers.register());
     ntex::rt::spawn(authority::hold(node.clone()));
     ntex::rt::spawn(cache_listing::list_unless_told(node.clone()));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,8 +33,10 @@
     pub metrics: Metrics,
     /// Told when a runner joins or can be tried again.
     pub fleet_changed: Notify,
-    /// Told when the other nodes have to hear of this node's load at once.
-    pub load_is_news: Notify,
+    /// Runners at which long readings have begun, of which the other nodes have to hear at once.
+    pub long_readings: RefCell<Vec<RunnerId>>,
+    /// Told when there are any.
+    pub long_reading_begun: Notify,
     /// How fresh the copies of the store are.
     pub freshness: RefCell<StoreFreshness>,
     /// Told when a call to the store has failed: what waits for its answers may wait in vain.
@@ -71,7 +73,8 @@
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
             fleet_changed: Notify::new(),
-            load_is_news: Notify::new(),
+            long_readings: RefCell::default(),
+            long_reading_begun: Notify::new(),
             freshness: RefCell::default(),
             store_suspected: Notify::new(),
             stopping: Notify::new(),
@@ -205,7 +208,13 @@
     /// Takes in another node's word on its load and on prefixes.
     pub fn on_peer_digest(&self, digest: &Digest) {
         let now_us = self.now_us();
-        self.fleet.borrow_mut().on_peer_loads(&digest.node, &digest.loads, now_us);
+        let mut fleet = self.fleet.borrow_mut();
+        if digest.partial {
+            fleet.on_peer_loads_in_haste(&digest.node, &digest.loads, now_us);
+        } else {
+            fleet.on_peer_loads(&digest.node, &digest.loads, now_us);
+        }
+        drop(fleet);
         digest.read.iter().for_each(|read| self.note_prefix(read));
         self.fleet.borrow_mut().on_changing_words(&digest.changing, now_us);
         self.freshness.borrow_mut().on_word(&digest.store, now_us);
@@ -316,11 +325,12 @@
 
     /// A runner is given a prompt to read. A long one holds it up for longer than the other
     /// nodes take to hear of it by the way: until then they would queue behind it.
-    pub fn on_reading_begun(&self, service: &ServiceName, unread_tokens: u64) {
-        const LONG_MS: f64 = 200.0;
+    pub fn on_reading_begun(&self, service: &ServiceName, runner: &RunnerId, unread_tokens: u64) {
+        const LONG_MS: f64 = 300.0;
         let is_long = self.with_pace(service, |pace| pace.read_ms(unread_tokens as f64) >= LONG_MS);
         if is_long {
-            self.load_is_news.notify_one();
+            self.long_readings.borrow_mut().push(runner.clone());
+            self.long_reading_begun.notify_one();
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -157,6 +157,7 @@
             incarnation: self.incarnation,
             sequence: state.sequence,
             informed: self.node.is_informed(),
+            partial: false,
             store: self.node.freshness.borrow().word(self.node.now_us()),
             loads,
             changing: self.node.fleet.borrow().changing(self.node.now_us()),
@@ -182,10 +183,7 @@
         let mut told_store = StoreWord::default();
         let mut told_at = Instant::now();
         loop {
-            let is_urgent = tokio::select! {
-                () = sleep(self.digest_interval()) => false,
-                () = self.node.load_is_news.notified() => true,
-            };
+            sleep(self.digest_interval()).await;
             let loads = self.node.fleet.borrow().own_loads();
             let read = self.node.next_reads();
             let repeat = told_at.elapsed() >= REPEAT_EVERY;
@@ -202,11 +200,24 @@
             told_store = store;
             told.clone_from(&loads);
             told_at = Instant::now();
-            let to = if is_urgent { self.all_addresses() } else { self.next_addresses() };
+            let to = self.next_addresses();
             self.send(&self.digest(loads, read), &to).await;
         }
     }
 
+    /// Tells all other nodes at once at which runners long readings have begun, until the task
+    /// is dropped. The word is small, for it goes to every node.
+    pub async fn announce_long_readings(self: Rc<Self>) {
+        loop {
+            self.node.long_reading_begun.notified().await;
+            let runners = self.node.long_readings.take();
+            let mut loads = self.node.fleet.borrow().own_loads();
+            loads.retain(|load| runners.contains(&load.runner));
+            let digest = Digest { partial: true, ..self.digest(loads, Vec::new()) };
+            self.send(&digest, &self.all_addresses()).await;
+        }
+    }
+
     fn digest_interval(&self) -> Duration {
         let receivers = self.state.borrow().peers.len().min(FAN_OUT);
         let receivers = u32::try_from(receivers).unwrap_or(u32::MAX);
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -87,7 +87,7 @@
 ) -> ReadingEnd {
     let begun = Instant::now();
     let runner = prepared.record().id.clone();
-    node.on_reading_begun(demand.service, demand.choice.demand.unread_tokens);
+    node.on_reading_begun(demand.service, &runner, demand.choice.demand.unread_tokens);
     let answering = match attempt::send(node, demand.request, prepared, params).await {
         AttemptEnd::Answering(answering) => answering,
         AttemptEnd::Declined => return ReadingEnd::Declined,
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -2,7 +2,8 @@
 //! all of them make.
 //!
 //! A digest holds a node's whole load, not changes, so a lost or doubled one does no harm; one
-//! that arrives late is told by its sequence. Prefixes are repeated for the same reason. All
+//! that arrives late is told by its sequence. Only a word in haste is partial, to be small: it
+//! goes to all nodes at once. Prefixes are repeated for the same reason. All
 //! of it only ranks runners: whether a runner may get work is decided by the store alone.
 
 use crate::fleet::Stage;
@@ -71,6 +72,9 @@
     /// How fresh the node's copy of the store is.
     #[serde(default)]
     pub store: StoreWord,
+    /// Whether `loads` leaves out runners at which the node has requests too: a word in haste.
+    #[serde(default)]
+    pub partial: bool,
     /// Where the node has requests.
     #[serde(default)]
     pub loads: Vec<RunnerLoad>,
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -386,6 +386,11 @@
         for runner in self.runners.values_mut() {
             runner.peers.remove(node);
         }
+        self.on_peer_loads_in_haste(node, loads, now_us);
+    }
+
+    /// Another node told what it has at some of the runners.
+    pub fn on_peer_loads_in_haste(&mut self, node: &NodeId, loads: &[RunnerLoad], now_us: u64) {
         for load in loads {
             if let Some(runner) = self.runners.get_mut(&load.runner) {
                 let told = PeerLoad {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -280,6 +280,7 @@
         sequence,
         informed: false,
         store: StoreWord::default(),
+        partial: false,
         loads: Vec::new(),
         changing: Vec::new(),
         read: Vec::new(),
@@ -400,3 +401,26 @@
     fleet.replace_all(vec![record("a", "north", Some(Stage::Prefill), 5)], 6);
     assert!(fleet.get(&id).unwrap().takes_work());
 }
+
+#[test]
+fn a_word_in_haste_adds_to_what_a_node_told_and_its_next_digest_replaces_all() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", "north", None, 1));
+    fleet.put(record("b", "north", None, 1));
+    let node = NodeId::new("n");
+    let load = |runner: &str| RunnerLoad {
+        runner: RunnerId::new(runner),
+        in_flight: 1,
+        unread_tokens: 100,
+        held_tokens: 100,
+    };
+    let occupied = |fleet: &Fleet| {
+        let held = |id| fleet.get(&RunnerId::new(id)).unwrap().held_by_all(0);
+        (held("a"), held("b"))
+    };
+    fleet.on_peer_loads(&node, &[load("a")], 0);
+    fleet.on_peer_loads_in_haste(&node, &[load("b")], 0);
+    assert_eq!(occupied(&fleet), (100, 100));
+    fleet.on_peer_loads(&node, &[load("b")], 0);
+    assert_eq!(occupied(&fleet), (0, 100));
+}
