--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -181,8 +181,9 @@
         (self.prefill.len() + self.decode.len()) as f64
     }
 
+    /// Rounded down: in a small fleet prefill needs the odd one more.
     fn least_decode(&self, policy: &RolePolicy) -> usize {
-        (self.all() * policy.least_decode).ceil().max(1.0) as usize
+        (self.all() * policy.least_decode).floor().max(1.0) as usize
     }
 
     /// Decode runners without which the others stay below the low share.
