Suspect a silent runner only by proof

Cause: a prompt that waited at a busy runner for longer than 0.45 of its time left counted as unreachable; all other readings there were left and read anew, the retry budget ran dry and requests that nobody had begun were refused. Change: serving::suspicion tells progress, doubt and proof apart; gateway's verification settles doubts by opening a connection, and passes over a look in which the node itself stood still. A reading may take 0.8 of the time left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,21 +4,17 @@
 use crate::http::{AnswerHead, BodyDecoder, Header, ReadFailure, Upstream};
 use crate::intake::{ClientRequest, WholeAnswer};
 use crate::node::Node;
+use crate::verification::{becomes_suspect, doubt, verify, CONNECT_LIMIT};
 use pitchstall_platform_adapter::headers;
-use pitchstall_serving::fleet::{AttemptDemand, Runner, RunnerRecord};
+use pitchstall_serving::fleet::{AttemptDemand, RunnerRecord};
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-/// Time to open a connection to a runner. Runners are near; one that takes longer is full,
-/// dark or cut off, and another may be tried since nothing has been sent.
-const CONNECT_LIMIT: Duration = Duration::from_millis(200);
-/// Between two looks whether a runner has become suspect.
-const SUSPECT_POLL: Duration = Duration::from_millis(100);
 /// Largest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Time after sending within which a kept connection that ends is taken for one that the
@@ -42,6 +38,11 @@
         Self { node: node.clone(), runner: choice.runner.clone(), demand: choice.demand }
     }
 
+    /// Something has come from the runner.
+    pub fn on_progress(&self) {
+        self.node.on_progress(&self.runner);
+    }
+
     /// The runner has read the prompt; only the writing is left.
     pub fn on_read(&mut self) {
         self.node.fleet.borrow_mut().on_prompt_read(&self.runner, self.demand);
@@ -121,7 +122,7 @@
             let error = error.to_string();
             let runner = record.id.as_str();
             log::info!(target: "attempt", runner, error; "unreachable");
-            node.fleet.borrow_mut().on_unreachable(&record.id, node.now_us());
+            node.on_unreachable(&record.id);
             None
         }
     }
@@ -152,6 +153,8 @@
     pub deadline: Instant,
     /// Longest wait for the head of the answer.
     pub head_limit: Duration,
+    /// Silence after which the runner is looked at.
+    pub doubt_after: Duration,
     /// Whether the attempt ends when its runner cannot be reached any more: only for what may
     /// be repeated.
     pub leaves_suspects: bool,
@@ -169,6 +172,7 @@
     let bytes = attempt_bytes(request, &prepared.record, params);
     log_sent(request, &prepared, params);
     let sent_at = Instant::now();
+    let sent_at_us = node.now_us();
     let connection = ConnectionUse { rested: prepared.rested, sent_at };
     if let Err(error) = prepared.connection.send(bytes) {
         return lost(node, request, &runner, connection, &error);
@@ -180,12 +184,14 @@
             log::info!(target: "attempt", request = request.facts.id.as_str(), runner = runner.as_str(); "left");
             return AttemptEnd::Silent;
         }
+        () = doubt(node, &runner, params.doubt_after) => return AttemptEnd::Silent,
     };
     match answer {
         Err(_) => {
             let limit_ms = u64::try_from(params.head_limit.as_millis()).unwrap_or(u64::MAX);
             let id = request.facts.id.as_str();
             log::info!(target: "attempt", request = id, runner = runner.as_str(), limit_ms; "silent");
+            node.on_silence(&runner, sent_at_us);
             AttemptEnd::Silent
         }
         Ok(Err(error)) => lost(node, request, &runner, connection, &error),
@@ -196,15 +202,6 @@
     }
 }
 
-/// Ends when a runner that was not suspected is, by what other requests meet there.
-async fn becomes_suspect(node: &Node, runner: &RunnerId) {
-    let is_suspected = || node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected);
-    let was_suspected = is_suspected();
-    while was_suspected || !is_suspected() {
-        sleep(SUSPECT_POLL).await;
-    }
-}
-
 fn attempt_bytes(
     request: &ClientRequest,
     record: &RunnerRecord,
@@ -322,8 +319,16 @@
     }
 }
 
+/// A connection broke before its answer was whole: the runner has crashed, or it lost one
+/// answer.
+pub fn on_broken(node: &Rc<Node>, runner: &RunnerId) {
+    let now_us = node.now_us();
+    node.fleet.borrow_mut().on_broken_answer(runner, now_us);
+    verify(node, runner, now_us);
+}
+
 fn lost(
-    node: &Node,
+    node: &Rc<Node>,
     request: &ClientRequest,
     runner: &RunnerId,
     connection: ConnectionUse,
@@ -339,7 +344,7 @@
             node.pool.on_dead(rested);
             node.pool.forget(runner);
         }
-        None => node.fleet.borrow_mut().on_unreachable(runner, node.now_us()),
+        None => on_broken(node, runner),
     }
     AttemptEnd::Lost
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -31,8 +31,12 @@
 const MOST_UNREACHABLE: usize = 8;
 /// Part of the time left that one attempt may take when another could follow.
 const ATTEMPT_SHARE: f64 = 0.45;
+/// Part of the time left that a reading may take: a busy runner is no reason to read anew.
+const READING_SHARE: f64 = 0.8;
 /// Part of its target for which a request waits for a runner to appear.
 const WAIT_SHARE: f64 = 0.25;
+/// Part of its target for which a request hears nothing before its runner is doubted.
+const DOUBT_SHARE: f64 = 0.5;
 /// Pauses between events, in targets, after which a stream counts as silent.
 const SILENT_PAUSES: u32 = 4;
 /// Shortest pause after which a stream counts as silent.
@@ -143,12 +147,7 @@
                 self.excluded.push(plan.choice.runner);
                 Step::Again
             }
-            AttemptEnd::Lost => self.on_lost(plan.choice.runner),
-            AttemptEnd::Silent => {
-                let now_us = self.node.now_us();
-                self.node.fleet.borrow_mut().on_unreachable(&plan.choice.runner, now_us);
-                self.on_lost(plan.choice.runner)
-            }
+            AttemptEnd::Lost | AttemptEnd::Silent => self.on_lost(plan.choice.runner),
         }
     }
 
@@ -167,6 +166,7 @@
             after_event: self.resume_point(),
             deadline: self.deadline,
             head_limit: self.attempt_limit(),
+            doubt_after: Duration::from_millis(self.route.target_ms).mul_f64(DOUBT_SHARE),
             leaves_suspects: self.could_follow(),
         }
     }
@@ -302,7 +302,7 @@
         }
         let mut params = self.params(Work::ReadPrompt, &reader);
         params.after_event = None;
-        params.head_limit = self.time_left().mul_f64(ATTEMPT_SHARE);
+        params.head_limit = self.time_left().mul_f64(READING_SHARE);
         params.leaves_suspects = self.budget_available() >= 1.0;
         let demand = ReadingDemand {
             request: self.request,
@@ -422,8 +422,7 @@
     }
 
     fn on_broken_stream(&mut self, runner: RunnerId) -> Step {
-        let now_us = self.node.now_us();
-        self.node.fleet.borrow_mut().on_unreachable(&runner, now_us);
+        attempt::on_broken(self.node, &runner);
         let id = self.request.facts.id.as_str();
         let after = self.stream.join.last_id().unwrap_or_default();
         let begun = self.stream.begun;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`dispatch`] | makes attempts until the request has its final answer |
 //! | [`reading`] | has a prompt read and keeps its handle |
 //! | [`attempt`] | one attempt at one runner |
+//! | [`verification`] | looks whether a silent runner can be reached |
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
@@ -38,4 +39,5 @@
 pub mod relay;
 pub mod settings;
 pub mod store_client;
+pub mod verification;
 pub mod watcher;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,6 +31,8 @@
     pub pool: ConnectionPool,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Told when a runner has become suspect.
+    pub suspicion_changed: Notify,
     /// Told when a runner joins or can be tried again.
     pub fleet_changed: Notify,
     /// Runners at which long readings have begun, of which the other nodes have to hear at once.
@@ -72,6 +74,7 @@
             fleet: RefCell::default(),
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
+            suspicion_changed: Notify::new(),
             fleet_changed: Notify::new(),
             long_readings: RefCell::default(),
             long_reading_begun: Notify::new(),
@@ -200,6 +203,37 @@
         self.informed.set(true);
     }
 
+    /// A connection to a runner could not be opened.
+    pub fn on_unreachable(&self, runner: &RunnerId) {
+        self.fleet.borrow_mut().on_unreachable(runner, self.now_us());
+        self.suspicion_changed.notify_waiters();
+    }
+
+    /// An attempt that was sent at `sent_at_us` has heard nothing in all its time.
+    pub fn on_silence(&self, runner: &RunnerId, sent_at_us: u64) {
+        let now_us = self.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.update_suspicion(runner, |suspicion| suspicion.on_silence(sent_at_us, now_us));
+        drop(fleet);
+        self.suspicion_changed.notify_waiters();
+    }
+
+    /// Something came from a runner.
+    pub fn on_progress(&self, runner: &RunnerId) {
+        let now_us = self.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.update_suspicion(runner, |suspicion| suspicion.on_progress(now_us));
+    }
+
+    /// A doubt about a runner is settled; `None`: the node itself stood still.
+    pub fn on_verified(&self, runner: &RunnerId, reachable: Option<bool>) {
+        let now_us = self.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.update_suspicion(runner, |suspicion| suspicion.on_verified(reachable, now_us));
+        drop(fleet);
+        self.suspicion_changed.notify_waiters();
+    }
+
     /// Prefixes that the other nodes have yet to be told.
     pub fn next_reads(&self) -> Vec<PrefixRead> {
         self.reads.borrow_mut().take_next()
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -91,11 +91,7 @@
     let answering = match attempt::send(node, demand.request, prepared, params).await {
         AttemptEnd::Answering(answering) => answering,
         AttemptEnd::Declined => return ReadingEnd::Declined,
-        AttemptEnd::Silent => {
-            node.fleet.borrow_mut().on_unreachable(&runner, node.now_us());
-            return ReadingEnd::Failed;
-        }
-        AttemptEnd::Lost => return ReadingEnd::Failed,
+        AttemptEnd::Silent | AttemptEnd::Lost => return ReadingEnd::Failed,
     };
     let Ok(Ok(answer)) = timeout(params.head_limit, answering.read_whole()).await else {
         return ReadingEnd::Failed;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -62,6 +62,7 @@
             Err(_) if left <= limits.pause => return RelayEnd::OutOfTime,
             Err(_) => return RelayEnd::Broken,
         };
+        answering.flight.on_progress();
         let forwarded = match read {
             Ok(Some(bytes)) => forward(&bytes, &mut splitter, client, state, &headers).await,
             Ok(None) => return end(answering, &splitter, client, state, &headers).await,
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
+use crate::suspicion::Suspicion;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -88,9 +89,6 @@
 /// is added for each token that had to be read.
 const PEER_LOAD_FADE_US: u64 = 700_000;
 const FADE_US_A_TOKEN: u64 = 30;
-/// First and longest time for which a runner that could not be reached is avoided.
-const SUSPECT_MIN_US: u64 = 500_000;
-const SUSPECT_MAX_US: u64 = 8_000_000;
 /// A word on a change that ends later than the known one by so much is of another order.
 const NEW_ORDER_US: u64 = 1_000_000;
 /// Time for which a runner that refused a request as full is avoided.
@@ -111,8 +109,7 @@
     others: u32,
     others_at_us: u64,
     peers: HashMap<NodeId, PeerLoad>,
-    suspect_until_us: u64,
-    suspect_for_us: u64,
+    suspicion: Suspicion,
     full_until_us: u64,
     /// The role that it was ordered to take, and until when it is left alone for that.
     changing: Option<(Stage, u64)>,
@@ -133,8 +130,7 @@
             others: 0,
             others_at_us: 0,
             peers: HashMap::new(),
-            suspect_until_us: 0,
-            suspect_for_us: 0,
+            suspicion: Suspicion::default(),
             full_until_us: 0,
             changing: None,
             misdirected: false,
@@ -150,8 +146,7 @@
     /// Whether it could lately not be reached, or was full. After the time for which a
     /// runner is suspected, one request tries it before others follow.
     pub fn is_avoided(&self, now_us: u64) -> bool {
-        let is_tried = self.is_suspected() && self.in_flight > 0;
-        now_us < self.suspect_until_us || now_us < self.full_until_us || is_tried
+        now_us < self.full_until_us || self.suspicion.is_avoided(self.in_flight, now_us)
     }
 
     /// Share of recent answers that were failures of its own. It fades, so that a runner that
@@ -168,7 +163,7 @@
 
     /// Whether it could not be reached and has not answered since.
     pub fn is_suspected(&self) -> bool {
-        self.suspect_for_us > 0
+        self.suspicion.is_suspected()
     }
 
     /// Requests that other nodes are believed to have at it: by their own words, and by the
@@ -436,8 +431,7 @@
     /// A runner answered; `failed` if the answer was a failure of its own.
     pub fn on_answered(&mut self, id: &RunnerId, failed: bool, now_us: u64) {
         if let Some(runner) = self.runners.get_mut(id) {
-            runner.suspect_for_us = 0;
-            runner.suspect_until_us = 0;
+            runner.suspicion.on_progress(now_us);
             runner.failures.on_answer(failed, now_us);
         }
     }
@@ -480,15 +474,24 @@
         changing.filter_map(word).collect()
     }
 
-    /// A runner could not be reached, or broke an answer off: it is avoided for a time that
-    /// doubles with each failure in a row.
+    /// What a node has seen of a runner's being there changes by `update`.
+    pub fn update_suspicion<R>(
+        &mut self,
+        id: &RunnerId,
+        update: impl FnOnce(&mut Suspicion) -> R,
+    ) -> Option<R> {
+        self.runners.get_mut(id).map(|runner| update(&mut runner.suspicion))
+    }
+
+    /// A runner could not be reached: it is avoided for a time.
     pub fn on_unreachable(&mut self, id: &RunnerId, now_us: u64) {
+        self.update_suspicion(id, |suspicion| suspicion.on_unreachable(now_us));
+    }
+
+    /// A runner broke an answer off, though it can be reached.
+    pub fn on_broken_answer(&mut self, id: &RunnerId, now_us: u64) {
         if let Some(runner) = self.runners.get_mut(id) {
-            let doubled = (runner.suspect_for_us * 2).clamp(SUSPECT_MIN_US, SUSPECT_MAX_US);
-            if now_us >= runner.suspect_until_us {
-                runner.suspect_for_us = doubled;
-                runner.suspect_until_us = now_us + doubled;
-            }
+            runner.failures.on_answer(true, now_us);
         }
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
+//! | [`suspicion`] | whether a runner that is silent is busy or gone |
 //! | [`read_pace`] | how fast prompts are read |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
 //! | [`role_planner`] | when a runner changes its role |
@@ -40,3 +41,4 @@
 pub mod retry_budget;
 pub mod role_planner;
 pub mod routing;
+pub mod suspicion;
