Let what the retry budget earned lapse within an eighth of the window

A node spent the earnings of a whole window just before its restart, and its next process earned anew within the same window. Ruled out: uncounted arrivals (the test below counts exactly and breaks the bound too). Change: an extra attempt must fit the window and the last eighth of it. Test: serving/tests/retry_budget.rs, nodes_that_are_restarted_in_turn_...; failed before the change.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -206,7 +206,8 @@
     }
 
     fn budget_available(&self) -> f64 {
-        self.node.with_budget(&self.service, |budget| budget.available())
+        let now_us = self.node.now_us();
+        self.node.with_budget(&self.service, |budget| budget.available(now_us))
     }
 
     /// Counts an arrival at a runner; the first one is free.
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -4,7 +4,9 @@
 //! to that share of the requests it has taken itself, so the sum over all nodes keeps to it
 //! too, whatever the others do; of the slack that the fleet has besides, each takes a small
 //! part. A restarted node begins with nothing earned: what an earlier
-//! process earned and spent stays with the requests of that process.
+//! process earned and spent stays with the requests of that process. So that this holds in any
+//! window, what is earned is spent within a small part of one: a node that spent the earnings
+//! of a whole window just before it was restarted, and earned anew, would spend them twice.
 
 use std::collections::VecDeque;
 
@@ -38,6 +40,9 @@
 /// The part of the ratio that is spent; the rest covers requests at the window's edge.
 const USED_SHARE: f64 = 0.9;
 
+/// So many times in a window what was earned lapses.
+const LAPSES_IN_WINDOW: u64 = 8;
+
 /// The budget of one node for one service.
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
@@ -66,7 +71,7 @@
     /// Takes one extra attempt, if the window allows it.
     pub fn withdraw(&mut self, now_us: u64) -> bool {
         self.forget_before(now_us);
-        if self.extras.len() as f64 + 1.0 > self.allowed() {
+        if self.available_at(now_us) < 1.0 {
             return false;
         }
         self.extras.push_back(now_us);
@@ -80,12 +85,21 @@
     }
 
     /// Extra attempts that could be made now.
-    pub fn available(&self) -> f64 {
-        (self.allowed() - self.extras.len() as f64).max(0.0)
+    pub fn available(&mut self, now_us: u64) -> f64 {
+        self.forget_before(now_us);
+        self.available_at(now_us)
+    }
+
+    /// What is left of the whole window, and of the time in which earnings lapse.
+    fn available_at(&self, now_us: u64) -> f64 {
+        let window = self.left_of(self.requests.len(), self.extras.len());
+        let lapsed = now_us.saturating_sub(self.policy.window_us / LAPSES_IN_WINDOW);
+        let since = |times: &VecDeque<u64>| times.len() - times.partition_point(|at| *at < lapsed);
+        window.min(self.left_of(since(&self.requests), since(&self.extras))).max(0.0)
     }
 
-    fn allowed(&self) -> f64 {
-        self.requests.len() as f64 * self.policy.ratio * USED_SHARE + self.policy.slack
+    fn left_of(&self, requests: usize, extras: usize) -> f64 {
+        requests as f64 * self.policy.ratio * USED_SHARE + self.policy.slack - extras as f64
     }
 
     fn forget_before(&mut self, now_us: u64) {
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -4,7 +4,8 @@
 use pitchstall_serving::retry_budget::{ArrivalLedger, RetryPolicy, SharedRetryBudget};
 use proptest::prelude::*;
 
-const WINDOW_US: u64 = 10_000_000;
+const SECOND: u64 = 1_000_000;
+const WINDOW_US: u64 = 10 * SECOND;
 
 fn policy() -> RetryPolicy {
     RetryPolicy { ratio: 0.2, window_us: WINDOW_US, slack: 0.0 }
@@ -93,3 +94,42 @@
     let mut budget = SharedRetryBudget::new(RetryPolicy { slack: 2.5, ..policy() });
     assert_eq!((0..5).filter(|_| budget.withdraw(0)).count(), 2);
 }
+
+/// What a node earned may not be spent long after, and its spending is forgotten when it is
+/// restarted: nodes that were restarted in turn, all with requests that they repeat whenever
+/// they may, once broke the bound of the whole fleet.
+#[test]
+fn nodes_that_are_restarted_in_turn_keep_to_the_ratio_together() {
+    const NODES: u64 = 8;
+    const REQUEST_EVERY_US: u64 = 25_000;
+    const RESTART_EVERY_US: u64 = 1_500_000;
+    let policy = RetryPolicy {
+        ratio: 0.2,
+        window_us: 10 * SECOND,
+        slack: RetryPolicy::part_of_slack(56.0, NODES as usize),
+    };
+    let mut nodes: Vec<_> = (0..NODES).map(|_| SharedRetryBudget::new(policy)).collect();
+    let mut requests = Vec::new();
+    let mut extras = Vec::new();
+    for now_us in (0..30 * SECOND).step_by(REQUEST_EVERY_US as usize) {
+        if now_us >= 8 * SECOND && now_us % RESTART_EVERY_US == 0 {
+            let restarted = (now_us / RESTART_EVERY_US) % NODES;
+            nodes[restarted as usize] = SharedRetryBudget::new(policy);
+        }
+        for node in &mut nodes {
+            node.on_request(now_us);
+            requests.push(now_us);
+            // Overload comes after a calm time: then each node spends all that it may.
+            while now_us >= 7 * SECOND && node.withdraw(now_us) {
+                extras.push(now_us);
+            }
+        }
+    }
+    for start in (0..20 * SECOND).step_by(100_000) {
+        let within = |times: &[u64]| {
+            times.iter().filter(|at| (start..start + 10 * SECOND).contains(*at)).count() as f64
+        };
+        let allowed = within(&requests) * 0.2 + 56.0;
+        assert!(within(&extras) <= allowed, "{} of {allowed} from {start}", within(&extras));
+    }
+}
