Put behind what waiting makes late; find the pace by a fitted line

Cause: runners read the prompts of a rank in the order of arrival, so in overload all longer prompts are late though the runner never rests; and the measured pace held waiting for reading. Ruled out: cached parts believed wrongly (37.7 million tokens believed unread, 34.6 million read). Change: serving::urgency decides what is put behind and the rank, in targets instead of tokens; read_pace fits a line through readings that met no queue.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -47,6 +47,7 @@
     pub fn on_read(&mut self) {
         self.node.fleet.borrow_mut().on_prompt_read(&self.runner, self.demand);
         self.demand.unread_tokens = 0;
+        self.demand.late_tokens = 0;
     }
 }
 
@@ -153,6 +154,8 @@
     pub deadline: Instant,
     /// Longest wait for the head of the answer.
     pub head_limit: Duration,
+    /// Time until the prompt should have been read.
+    pub expected: Duration,
     /// Silence after which the runner is looked at.
     pub doubt_after: Duration,
     /// Whether the attempt ends when its runner cannot be reached any more: only for what may
@@ -360,8 +363,11 @@
     let reused = prepared.rested.is_some();
     let revision = prepared.record.revision;
     let unread = prepared.flight.demand.unread_tokens;
+    let late = prepared.flight.demand.late_tokens;
+    let expected_ms = u64::try_from(params.expected.as_millis()).unwrap_or(u64::MAX);
+    let rank = params.priority.unwrap_or_default();
     let fetch = params.fetch_from.is_some();
-    log::info!(target: "attempt", request = id, runner, work, reused, revision, unread, fetch; "sent");
+    log::info!(target: "attempt", request = id, runner, work, reused, revision, unread, late, rank, fetch, expected_ms; "sent");
 }
 
 fn log_head(
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -22,6 +22,7 @@
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::ArrivalLedger;
+use pitchstall_serving::urgency::{put_behind_if_late, rank};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -37,6 +38,7 @@
 const WAIT_SHARE: f64 = 0.25;
 /// Part of its target for which a request hears nothing before its runner is doubted.
 const DOUBT_SHARE: f64 = 0.5;
+const MILLIS_A_SECOND: f64 = 1_000.0;
 /// Pauses between events, in targets, after which a stream counts as silent.
 const SILENT_PAUSES: u32 = 4;
 /// Shortest pause after which a stream counts as silent.
@@ -162,10 +164,11 @@
             priority: self
                 .engine
                 .as_ref()
-                .map(|_| rank(self.rules.priority, choice.demand.unread_tokens)),
+                .map(|_| rank(self.rules.priority, choice, self.route.target_ms as f64)),
             after_event: self.resume_point(),
             deadline: self.deadline,
             head_limit: self.attempt_limit(),
+            expected: Duration::from_micros(choice.expected_us),
             doubt_after: Duration::from_millis(self.route.target_ms).mul_f64(DOUBT_SHARE),
             leaves_suspects: self.could_follow(),
         }
@@ -265,7 +268,7 @@
             let choice = choose_worker(&self.node.fleet.borrow(), &self.demand());
             return Ok(choice.map(|choice| Plan { choice, prompt: None }));
         }
-        let reading = self.plan_reading();
+        let reading = self.plan_reading().map(|plan| self.put_behind_if_late(plan));
         match reading {
             None => Ok(None),
             Some(ReadingPlan::Direct(choice)) => Ok(Some(Plan { choice, prompt: None })),
@@ -273,6 +276,12 @@
         }
     }
 
+    fn put_behind_if_late(&self, plan: ReadingPlan) -> ReadingPlan {
+        let target_ms = self.route.target_ms as f64;
+        let elapsed_ms = self.request.received.elapsed().as_secs_f64() * MILLIS_A_SECOND;
+        put_behind_if_late(plan, target_ms, elapsed_ms)
+    }
+
     fn plan_reading(&self) -> Option<ReadingPlan> {
         let fleet = self.node.fleet.borrow();
         let demand = self.demand();
@@ -448,13 +457,3 @@
         Step::Done(RequestEnd::Own(answer))
     }
 }
-
-/// Rank of a request at a runner, 0 first: the route's, and among equals the shorter reading,
-/// which holds up fewer others.
-fn rank(priority: u8, unread_tokens: u64) -> u8 {
-    const LAST: u8 = 9;
-    const SIZES: [u64; 2] = [4_000, 16_000];
-    let sizes_below = SIZES.iter().filter(|size| unread_tokens > **size).count();
-    let steps = priority.saturating_mul(3).saturating_add(u8::try_from(sizes_below).unwrap_or(0));
-    steps.min(LAST)
-}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -357,6 +357,14 @@
         use_pace(self.paces.borrow_mut().entry(service.clone()).or_default())
     }
 
+    /// Whether a runner is believed to read only what this node has just sent it.
+    pub fn has_nothing_else_to_read(&self, runner: &RunnerId, just_sent: u64) -> bool {
+        let fleet = self.fleet.borrow();
+        let Some(runner) = fleet.get(runner) else { return false };
+        let others = runner.others(self.now_us());
+        runner.unread_tokens <= just_sent && runner.in_flight <= 1 && others < 1.0
+    }
+
     /// A runner is given a prompt to read. A long one holds it up for longer than the other
     /// nodes take to hear of it by the way: until then they would queue behind it.
     pub fn on_reading_begun(&self, service: &ServiceName, runner: &RunnerId, unread_tokens: u64) {
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -9,6 +9,7 @@
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::read_pace::ReadSample;
 use pitchstall_serving::request::PromptHandle;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -87,7 +88,9 @@
 ) -> ReadingEnd {
     let begun = Instant::now();
     let runner = prepared.record().id.clone();
-    node.on_reading_begun(demand.service, &runner, demand.choice.demand.unread_tokens);
+    let tokens = demand.choice.tokens_to_read();
+    let met_no_queue = node.has_nothing_else_to_read(&runner, tokens);
+    node.on_reading_begun(demand.service, &runner, tokens);
     let answering = match attempt::send(node, demand.request, prepared, params).await {
         AttemptEnd::Answering(answering) => answering,
         AttemptEnd::Declined => return ReadingEnd::Declined,
@@ -100,8 +103,8 @@
     let Some(name) = name else { return ReadingEnd::Failed };
     node.on_prompt_held(&runner, demand.prompt);
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
-    let unread_tokens = demand.choice.demand.unread_tokens;
-    node.with_pace(demand.service, |pace| pace.on_read(unread_tokens, elapsed_ms));
+    let sample = ReadSample { tokens, elapsed_ms, met_no_queue };
+    node.with_pace(demand.service, |pace| pace.on_read(sample));
     let handle = PromptHandle { address: answering.record.address, name };
     let zone = answering.record.zone.clone();
     answering.give_back(node);
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -61,6 +61,8 @@
 pub struct AttemptDemand {
     /// Prompt tokens to read.
     pub unread_tokens: u64,
+    /// Prompt tokens to read after all that can still be in time.
+    pub late_tokens: u64,
     /// Tokens of KV cache, prompt and output, while it runs.
     pub held_tokens: u64,
 }
@@ -103,6 +105,8 @@
     pub in_flight: u32,
     /// Prompt tokens that it has yet to read for this node.
     pub unread_tokens: u64,
+    /// Prompt tokens that it reads for this node when nothing else is left.
+    pub late_tokens: u64,
     /// Tokens of KV cache that this node's attempts take there.
     pub held_tokens: u64,
     failures: FailureRate,
@@ -125,6 +129,7 @@
             record,
             in_flight: 0,
             unread_tokens: 0,
+            late_tokens: 0,
             held_tokens: 0,
             failures: FailureRate::default(),
             others: 0,
@@ -342,6 +347,7 @@
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight += 1;
             runner.unread_tokens += demand.unread_tokens;
+            runner.late_tokens += demand.late_tokens;
             runner.held_tokens += demand.held_tokens;
         }
     }
@@ -350,6 +356,7 @@
     pub fn on_prompt_read(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
+            runner.late_tokens = runner.late_tokens.saturating_sub(demand.late_tokens);
         }
     }
 
@@ -358,6 +365,7 @@
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight = runner.in_flight.saturating_sub(1);
             runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
+            runner.late_tokens = runner.late_tokens.saturating_sub(demand.late_tokens);
             runner.held_tokens = runner.held_tokens.saturating_sub(demand.held_tokens);
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`suspicion`] | whether a runner that is silent is busy or gone |
 //! | [`read_pace`] | how fast prompts are read |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
+//! | [`urgency`] | what goes ahead of what at a runner |
 //! | [`role_planner`] | when a runner changes its role |
 //! | [`authority`] | which node may order that |
 //! | [`retry_budget`] | whether one more attempt may be made |
@@ -42,3 +43,4 @@
 pub mod role_planner;
 pub mod routing;
 pub mod suspicion;
+pub mod urgency;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -25,7 +25,7 @@
 }
 
 /// A runner for an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// The runner.
     pub runner: RunnerId,
@@ -33,10 +33,27 @@
     pub demand: AttemptDemand,
     /// The runner from which it takes over shared parts that it does not hold.
     pub fetch_from: Option<RunnerId>,
+    /// Time until the prompt should have been read, microseconds.
+    pub expected_us: u64,
+    /// Time that reading takes without any wait, milliseconds.
+    pub reading_ms: f64,
+}
+
+impl Choice {
+    /// The same, but its prompt is read after all that can still be in time.
+    pub fn put_behind(mut self) -> Self {
+        self.demand.late_tokens += std::mem::take(&mut self.demand.unread_tokens);
+        self
+    }
+
+    /// Prompt tokens that the runner does not hold.
+    pub fn tokens_to_read(&self) -> u64 {
+        self.demand.unread_tokens + self.demand.late_tokens
+    }
 }
 
 /// How a prompt is read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ReadingPlan {
     /// A prefill runner reads it; a decode runner then takes over its KV cache.
     Split(Choice),
@@ -57,6 +74,10 @@
 const AWAY_MS: f64 = 40.0;
 /// Milliseconds that handing a prompt over from prefill to decode takes.
 const HANDOVER_MS: f64 = 15.0;
+/// What work that waits for all other counts as, against work that goes ahead: it keeps such
+/// work from gathering at one runner.
+const LATE_WORK: f64 = 0.2;
+const MICROS_PER_MILLI: f64 = 1_000.0;
 /// A decode runner reads at this share of a prefill runner's pace.
 const DECODE_READ_PACE: f64 = 0.5;
 /// Share by which each of its streams slows a decode runner's reading.
@@ -97,6 +118,8 @@
         runner: best.record.id.clone(),
         demand: AttemptDemand::default(),
         fetch_from: None,
+        expected_us: 0,
+        reading_ms: 0.0,
     })
 }
 
@@ -147,9 +170,12 @@
         runner: best.record.id.clone(),
         demand: AttemptDemand {
             unread_tokens: view.unread_tokens(best),
+            late_tokens: 0,
             held_tokens: view.held_tokens(),
         },
         fetch_from: source.map(|source| source.record.id.clone()),
+        expected_us: (view.time_ms(best) * MICROS_PER_MILLI) as u64,
+        reading_ms: view.pace.read_ms(view.unread_tokens(best) as f64),
     };
     Some((choice, cost_ms(best)))
 }
@@ -193,9 +219,10 @@
         self.demand.prompt.tokens.saturating_sub(holder.cached_tokens(self.demand.prompt))
     }
 
-    /// Tokens of KV cache that the request takes while it runs.
+    /// Tokens of KV cache that the request takes while it runs, on the mean: its output grows
+    /// from nothing to what it may be at the most.
     fn held_tokens(&self) -> u64 {
-        self.demand.prompt.tokens + self.demand.prompt.max_output_tokens
+        self.demand.prompt.tokens + self.demand.prompt.max_output_tokens / 2
     }
 
     /// What running with too little memory counts as: then requests wait, or are put back and
@@ -218,12 +245,22 @@
     /// Time in which a prefill runner has read the prompt.
     fn prefill_time_ms(&self, runner: &Runner) -> f64 {
         let wait = self.pace.backlog_ms(runner, self.demand.now_us);
-        wait + self.pace.read_ms(self.unread_tokens(runner) as f64)
+        wait + self.pace.fixed_ms() + self.pace.read_ms(self.unread_tokens(runner) as f64)
+    }
+
+    /// Time in which a runner has read the prompt, by its role.
+    fn time_ms(&self, runner: &Runner) -> f64 {
+        if runner.record.stage == Some(Stage::Prefill) {
+            self.prefill_time_ms(runner)
+        } else {
+            self.direct_time_ms(runner)
+        }
     }
 
     fn prefill_ms(&self, runner: &Runner) -> f64 {
         let way = distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
-        self.prefill_time_ms(runner) + self.fetch_ms(runner) + way + self.failures_ms(runner)
+        let late = self.pace.read_ms(runner.late_tokens as f64) * LATE_WORK;
+        self.prefill_time_ms(runner) + late + self.fetch_ms(runner) + way + self.failures_ms(runner)
     }
 
     /// What the failures that a runner has lately answered with count as.
--- a/crates/serving/src/read_pace.rs
+++ b/crates/serving/src/read_pace.rs
@@ -1,42 +1,68 @@
 //! How fast prompts are read, as measured.
+//!
+//! Reading takes a fixed time and a time for each token. Both are found by a least-squares line
+//! through the readings that met no queue, the older ones fading; a reading that was faster
+//! than the line says met none either, whatever was believed. Until there are such readings
+//! the line is a guess that a few of them outweigh.
 
 use crate::fleet::Runner;
 
-/// Measured pace of prefill.
+/// A reading that has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadSample {
+    /// Tokens that the runner did not hold.
+    pub tokens: u64,
+    /// From the sending of the request to the end of the answer, milliseconds.
+    pub elapsed_ms: f64,
+    /// Whether the runner was believed to have nothing else to read when it was sent.
+    pub met_no_queue: bool,
+}
+
+/// Measured pace of prefill of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReadPace {
-    tokens_per_ms: f64,
+    samples: LineFit,
     mean_tokens: f64,
 }
 
 impl Default for ReadPace {
     fn default() -> Self {
-        Self { tokens_per_ms: 30.0, mean_tokens: 3_000.0 }
+        const GUESSED_WEIGHT: f64 = 0.5;
+        const GUESSED_MS_PER_TOKEN: f64 = 1.0 / 30.0;
+        const GUESSED_FIXED_MS: f64 = 5.0;
+        let mut samples = LineFit::default();
+        for tokens in [0.0, 3_000.0, 12_000.0] {
+            let elapsed_ms = GUESSED_FIXED_MS + tokens * GUESSED_MS_PER_TOKEN;
+            samples.add(tokens, elapsed_ms, GUESSED_WEIGHT);
+        }
+        Self { samples, mean_tokens: 3_000.0 }
     }
 }
 
 impl ReadPace {
-    const MIN_SAMPLE_TOKENS: u64 = 500;
-    const FASTER_WEIGHT: f64 = 0.3;
-    const SLOWER_WEIGHT: f64 = 0.02;
     const MEAN_WEIGHT: f64 = 0.05;
+    const FASTEST_MS_PER_TOKEN: f64 = 1e-6;
 
-    /// A runner has read so many tokens in so many milliseconds. Time in its queue makes a
-    /// sample slow, so fast samples count for more.
-    pub fn on_read(&mut self, tokens: u64, elapsed_ms: f64) {
-        self.mean_tokens += Self::MEAN_WEIGHT * (tokens as f64 - self.mean_tokens);
-        if tokens < Self::MIN_SAMPLE_TOKENS || elapsed_ms <= 0.0 {
-            return;
+    /// A runner has read a prompt.
+    pub fn on_read(&mut self, sample: ReadSample) {
+        let tokens = sample.tokens as f64;
+        self.mean_tokens += Self::MEAN_WEIGHT * (tokens - self.mean_tokens);
+        let is_faster = sample.elapsed_ms < self.fixed_ms() + self.read_ms(tokens);
+        if sample.elapsed_ms > 0.0 && (sample.met_no_queue || is_faster) {
+            self.samples.fade();
+            self.samples.add(tokens, sample.elapsed_ms, 1.0);
         }
-        let sample = tokens as f64 / elapsed_ms;
-        let faster = sample > self.tokens_per_ms;
-        let weight = if faster { Self::FASTER_WEIGHT } else { Self::SLOWER_WEIGHT };
-        self.tokens_per_ms += weight * (sample - self.tokens_per_ms);
     }
 
-    /// Time to read so many tokens, milliseconds.
+    /// Time that a runner spends on so many tokens, milliseconds.
     pub fn read_ms(&self, tokens: f64) -> f64 {
-        tokens / self.tokens_per_ms.max(0.001)
+        tokens * self.samples.slope().max(Self::FASTEST_MS_PER_TOKEN)
+    }
+
+    /// Time that each reading takes besides, milliseconds: the way there and back, and what the
+    /// runner does once for each request.
+    pub fn fixed_ms(&self) -> f64 {
+        self.samples.intercept().max(0.0)
     }
 
     /// Time until a runner has read what waits there, milliseconds.
@@ -47,3 +73,46 @@
         self.read_ms(runner.unread_tokens as f64 + others)
     }
 }
+
+/// A line fitted to points whose weight fades.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct LineFit {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl LineFit {
+    /// Share of its weight that a point keeps when another comes.
+    const KEPT: f64 = 0.98;
+
+    fn fade(&mut self) {
+        for sum in [&mut self.weight, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy] {
+            *sum *= Self::KEPT;
+        }
+    }
+
+    fn add(&mut self, x: f64, y: f64, weight: f64) {
+        self.weight += weight;
+        self.x += weight * x;
+        self.y += weight * y;
+        self.xx += weight * x * x;
+        self.xy += weight * x * y;
+    }
+
+    /// Rise of the line; where all points lie close together, that from the origin.
+    fn slope(&self) -> f64 {
+        const LEAST_SPREAD: f64 = 0.01;
+        let spread = self.xx * self.weight - self.x * self.x;
+        if spread <= LEAST_SPREAD * self.xx * self.weight {
+            return self.y / self.x.max(1.0);
+        }
+        (self.xy * self.weight - self.x * self.y) / spread
+    }
+
+    fn intercept(&self) -> f64 {
+        (self.y - self.slope() * self.x) / self.weight.max(f64::MIN_POSITIVE)
+    }
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -220,7 +220,7 @@
     for id in ["p1", "p2", "p3"] {
         fleet.on_sent(
             &RunnerId::new(id),
-            AttemptDemand { unread_tokens: 200_000, held_tokens: 200_000 },
+            AttemptDemand { unread_tokens: 200_000, late_tokens: 0, held_tokens: 200_000 },
         );
     }
     let plan = reader(plan_reading(&fleet, &ReadPace::default(), &case.demand()));
@@ -330,7 +330,7 @@
     let case = Case::new(0, 10_000);
     let chosen = |fleet: &Fleet| choose_writer(fleet, &case.demand(), None).unwrap().runner;
     assert_eq!(chosen(&fleet), RunnerId::new("d1"));
-    let demand = AttemptDemand { unread_tokens: 0, held_tokens: CACHE_TOKENS };
+    let demand = AttemptDemand { unread_tokens: 0, late_tokens: 0, held_tokens: CACHE_TOKENS };
     fleet.on_sent(&RunnerId::new("d1"), demand);
     assert_eq!(chosen(&fleet), RunnerId::new("d2"));
     fleet.on_ended(&RunnerId::new("d1"), demand);
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -80,7 +80,7 @@
 }
 
 fn load(fleet: &mut Fleet, runner: &str, requests: usize, unread_tokens: u64) {
-    let demand = AttemptDemand { unread_tokens, held_tokens: 1_000 };
+    let demand = AttemptDemand { unread_tokens, late_tokens: 0, held_tokens: 1_000 };
     (0..requests).for_each(|_| fleet.on_sent(&RunnerId::new(runner), demand));
 }
 
--- /dev/null
+++ b/crates/serving/tests/urgency.rs
@@ -0,0 +1,70 @@
+//! What goes ahead of what at a runner.
+#![allow(missing_docs)]
+
+use pitchstall_serving::fleet::AttemptDemand;
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::placement::{Choice, ReadingPlan};
+use pitchstall_serving::urgency::{put_behind_if_late, rank};
+use test_case::test_case;
+
+const TARGET_MS: f64 = 200.0;
+
+fn choice(wait_ms: f64, reading_ms: f64) -> Choice {
+    Choice {
+        runner: RunnerId::new("p"),
+        demand: AttemptDemand { unread_tokens: 1_000, late_tokens: 0, held_tokens: 1_000 },
+        fetch_from: None,
+        expected_us: ((wait_ms + reading_ms) * 1_000.0) as u64,
+        reading_ms,
+    }
+}
+
+fn is_put_behind(wait_ms: f64, reading_ms: f64, elapsed_ms: f64) -> bool {
+    let plan = ReadingPlan::Split(choice(wait_ms, reading_ms));
+    let planned = put_behind_if_late(plan, TARGET_MS, elapsed_ms);
+    let ReadingPlan::Split(choice) = planned else { unreachable!("the way of reading stays") };
+    choice.demand.late_tokens > 0
+}
+
+#[test_case(0.0, 30.0, 0.0, false; "an idle runner")]
+#[test_case(180.0, 30.0, 0.0, false; "a little late at worst")]
+#[test_case(300.0, 30.0, 0.0, true; "a long queue")]
+#[test_case(100.0, 30.0, 150.0, true; "most of the time has passed")]
+#[test_case(0.0, 900.0, 0.0, false; "too long at any runner")]
+#[test_case(0.0, 30.0, 400.0, true; "late already")]
+fn waiting_puts_behind(wait_ms: f64, reading_ms: f64, elapsed_ms: f64, expected: bool) {
+    assert_eq!(is_put_behind(wait_ms, reading_ms, elapsed_ms), expected);
+}
+
+#[test]
+fn what_was_put_behind_is_still_counted_and_comes_after_all_others() {
+    let behind = choice(900.0, 30.0).put_behind();
+    assert_eq!(behind.tokens_to_read(), 1_000);
+    assert_eq!(behind.demand.unread_tokens, 0, "it holds nobody up");
+    let last_in_time = rank(u8::MAX, &choice(0.0, 190.0), TARGET_MS);
+    assert!(rank(0, &behind, TARGET_MS) > last_in_time);
+    assert!(rank(1, &behind, TARGET_MS) > rank(0, &behind, TARGET_MS));
+}
+
+#[test]
+fn among_equals_the_shorter_reading_goes_ahead() {
+    let ranks: Vec<u8> =
+        [10.0, 60.0, 150.0].iter().map(|ms| rank(0, &choice(0.0, *ms), TARGET_MS)).collect();
+    assert_eq!(ranks, [0, 1, 2]);
+    assert!(rank(1, &choice(0.0, 10.0), TARGET_MS) > rank(0, &choice(0.0, 60.0), TARGET_MS));
+}
+
+/// Engines ten times as fast or as slow, with targets to match, are ordered alike.
+#[test_case(0.1)]
+#[test_case(10.0)]
+fn order_follows_the_measure_of_the_target(scale: f64) {
+    for (wait_ms, reading_ms) in [(0.0, 20.0), (150.0, 40.0), (300.0, 40.0), (0.0, 150.0)] {
+        let ranked = |scale: f64| {
+            let plan = ReadingPlan::Split(choice(wait_ms * scale, reading_ms * scale));
+            let planned = put_behind_if_late(plan, TARGET_MS * scale, 0.0);
+            let ReadingPlan::Split(choice) = planned else { unreachable!("the way stays") };
+            rank(1, &choice, TARGET_MS * scale)
+        };
+        assert_eq!(ranked(scale), ranked(1.0));
+    }
+}
