Tell the load to other nodes every 40 ms; keep two decode runners

Cause: (1) a word on load was 140 ms old where a reading takes 10 to 60 ms, so all nodes sent to the runner that had been idle. Change: digest_interval bounds digests by time (40 ms) and bytes (150,000 a second); fleets of five runners or more keep two decode runners. Tests: serving/tests/placement.rs (interval), roles.rs (two decode runners; failed before).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,9 @@
 use crate::node::Node;
 use crate::store_client::StoreClient;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
-use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad, FAN_OUT};
+use pitchstall_serving::digest::{
+    digest_interval, Digest, DigestOrder, Freshness, PrefixRead, RunnerLoad, FAN_OUT,
+};
 use pitchstall_serving::freshness::{FreshnessWord, StoreWord};
 use pitchstall_serving::ids::{NodeId, RunnerId};
 use pitchstall_serving::prefix::rendezvous_weight;
@@ -21,10 +23,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-/// Shortest time between two digests.
-const DIGEST_EVERY: Duration = Duration::from_millis(120);
-/// Datagrams that a node sends in a second at most: with more peers it tells less often.
-const DATAGRAMS_A_SECOND: u32 = 50;
+/// Pause after a datagram could not be received.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(120);
 /// Nodes that tell a newcomer everything; the others leave it to them.
 const TELLERS: usize = 2;
 /// A node says what it knows at least this often, so that its word does not lapse.
@@ -66,6 +66,8 @@
     order: DigestOrder,
     sequence: u64,
     next_peer: usize,
+    /// Length of the last digest that was sent.
+    digest_bytes: usize,
 }
 
 /// Whether a change in the store has been seen, or the store has confirmed a copy.
@@ -89,7 +91,7 @@
         let mut buffer = vec![0; MOST_DATAGRAM_BYTES];
         loop {
             let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
-                sleep(DIGEST_EVERY).await;
+                sleep(RECEIVE_PAUSE).await;
                 continue;
             };
             match serde_json::from_slice::<Digest>(&buffer[..length]) {
@@ -170,6 +172,7 @@
         if line.len() > MOST_DATAGRAM_BYTES {
             return;
         }
+        self.state.borrow_mut().digest_bytes = line.len();
         for address in to {
             // A datagram that cannot be sent is as good as lost; the next one holds all again.
             let _ = self.socket.send_to(&line, address).await;
@@ -219,9 +222,8 @@
     }
 
     fn digest_interval(&self) -> Duration {
-        let receivers = self.state.borrow().peers.len().min(FAN_OUT);
-        let receivers = u32::try_from(receivers).unwrap_or(u32::MAX);
-        DIGEST_EVERY.max(Duration::from_secs(1) * receivers / DATAGRAMS_A_SECOND)
+        let state = self.state.borrow();
+        digest_interval(state.peers.len().min(FAN_OUT), state.digest_bytes)
     }
 
     fn all_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -12,6 +12,7 @@
 use crate::prefix::PromptPart;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// What a node has at a runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,6 +132,18 @@
 /// Most prefixes in one digest.
 const MOST_READS: usize = 32;
 
+/// Shortest time between two digests of a node. A word on load is worth little when it is older
+/// than a reading takes: until they hear of it, all nodes send to the runner that was idle.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(40);
+/// Bytes of digests that a node sends in a second at most.
+const BYTES_A_SECOND: usize = 150_000;
+
+/// Time until the next digest, if the last one had so many bytes and went to so many nodes.
+pub fn digest_interval(receivers: usize, bytes: usize) -> Duration {
+    let sent = (receivers * bytes) as f64;
+    SHORTEST_INTERVAL.max(Duration::from_secs_f64(sent / BYTES_A_SECOND as f64))
+}
+
 /// How often a prefix that a runner newly holds is told, so that all nodes hear of it: once in
 /// each turn, and once more, for a digest may be lost.
 pub fn tellings_of_news(nodes: usize) -> u32 {
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -181,9 +181,12 @@
         (self.prefill.len() + self.decode.len()) as f64
     }
 
-    /// Rounded down: in a small fleet prefill needs the odd one more.
+    /// Rounded down: in a small fleet prefill needs the odd one more. But streams that two
+    /// runners write at ease are too many for one: each of them is slower there, so more run.
     fn least_decode(&self, policy: &RolePolicy) -> usize {
-        (self.all() * policy.least_decode).floor().max(1.0) as usize
+        const ENOUGH_FOR_TWO: f64 = 5.0;
+        let least: f64 = if self.all() >= ENOUGH_FOR_TWO { 2.0 } else { 1.0 };
+        (self.all() * policy.least_decode).floor().max(least) as usize
     }
 
     /// Decode runners without which the others stay below the low share.
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -4,7 +4,8 @@
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{
-    tellings_of_news, Digest, DigestOrder, Freshness, PrefixRead, ReadLog, RunnerLoad,
+    digest_interval, tellings_of_news, Digest, DigestOrder, Freshness, PrefixRead, ReadLog,
+    RunnerLoad, FAN_OUT,
 };
 use pitchstall_serving::fleet::{
     AttemptDemand, Eligible, Fleet, FleetChange, LoadReport, RunnerRecord, Stage,
@@ -297,6 +298,16 @@
     assert_eq!(order.on_digest(&digest(4, 1)), Freshness::Newcomer, "it started anew");
 }
 
+#[test]
+fn digests_go_out_often_and_within_a_bound_of_bytes() {
+    let small_fleet = digest_interval(7, 600);
+    assert_eq!(small_fleet.as_millis(), 40);
+    let large_fleet = digest_interval(FAN_OUT, 3_000);
+    let bytes_a_second = (FAN_OUT * 3_000) as f64 / large_fleet.as_secs_f64();
+    assert!(bytes_a_second <= 150_000.1);
+    assert_eq!(digest_interval(0, 0), small_fleet, "a node alone");
+}
+
 #[test]
 fn prefixes_are_told_twice() {
     let mut log = ReadLog::default();
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -158,6 +158,17 @@
     assert_eq!(plan(&mut planner, &fleet(5, 3), 8 * SECOND), None);
 }
 
+/// Once one of two decode runners changed on a crowded day; the other had 126 streams in 128
+/// slots two seconds later.
+#[test]
+fn one_decode_runner_of_several_runners_is_never_left_alone() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet(4, 2);
+    (0..4).for_each(|number| load(&mut busy, &format!("p{number}"), 4, 10_000));
+    assert!(plan_all(&mut planner, &busy, SECOND).is_empty());
+    assert!(plan_all(&mut planner, &busy, 4 * SECOND).is_empty());
+}
+
 #[test]
 fn full_slots_take_a_prefill_runner_that_can_be_spared() {
     let mut planner = RolePlanner::new(RolePolicy::default());
