Take no short silence for proof that a runner is gone

Ruled out: connections that failed (none did in that log). Change: a silence under half a second proves nothing. Test: serving/tests/suspicion.rs, a_short_silence_proves_nothing.

--- a/crates/serving/src/suspicion.rs
+++ b/crates/serving/src/suspicion.rs
@@ -8,9 +8,11 @@
 //!   opening a connection: a runner whose process is gone refuses it, one that is dark or cut
 //!   off does not answer, one that is only busy accepts it.
 //! - *proof*: a connection could not be opened, or nobody heard anything for the whole time
-//!   that an attempt may take. The runner is avoided for a time that doubles with each proof
+//!   that an attempt may take, if that is no short one. The runner is avoided for a time that doubles with each proof
 //!   in a row.
 
+/// Silence of an attempt that is shorter proves nothing, even if nobody else heard anything.
+const LEAST_SILENCE_US: u64 = 500_000;
 /// First and longest time for which a runner that could not be reached is avoided.
 const FIRST_BACKOFF_US: u64 = 500_000;
 const LONGEST_BACKOFF_US: u64 = 8_000_000;
@@ -28,9 +30,9 @@
 impl Suspicion {
     /// Something came from the runner.
     pub fn on_progress(&mut self, now_us: u64) {
+        self.progress_at_us = now_us;
         self.avoided_until_us = 0;
         self.backoff_us = 0;
-        self.progress_at_us = now_us;
     }
 
     /// A connection could not be opened.
@@ -44,7 +46,8 @@
     /// The time of an attempt that was sent at `sent_at_us` is over without any answer. A
     /// runner that has answered somebody since is busy, or lost this one request.
     pub fn on_silence(&mut self, sent_at_us: u64, now_us: u64) {
-        if self.progress_at_us < sent_at_us {
+        let is_long = now_us >= sent_at_us + LEAST_SILENCE_US;
+        if is_long && self.progress_at_us < sent_at_us {
             self.on_unreachable(now_us);
         }
     }
--- a/crates/serving/tests/suspicion.rs
+++ b/crates/serving/tests/suspicion.rs
@@ -24,6 +24,15 @@
     assert!(!runner.is_suspected(), "it took a connection");
 }
 
+/// Once the attempts that had only 99 ms left condemned a busy runner in overload, and all
+/// readings there were left.
+#[test]
+fn a_short_silence_proves_nothing() {
+    let mut runner = Suspicion::default();
+    runner.on_silence(SECOND, SECOND + 99 * MILLI);
+    assert!(!runner.is_suspected());
+}
+
 #[test]
 fn a_dark_runner_is_suspected_when_it_takes_no_connection() {
     let mut runner = Suspicion::default();
