--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -83,7 +83,9 @@
 
     async fn try_take(&mut self) {
         let has_engines = !self.engine_services().is_empty();
-        if !self.node.is_ready() || !has_engines {
+        // Only nodes that read the store look who has the authority: each look is a call.
+        let is_mirror = self.node.members.borrow().is_mirror();
+        if !self.node.is_ready() || !has_engines || !is_mirror {
             return;
         }
         if self.call(&store::read_authority()).await.map(|(status, _)| status)
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,11 +7,13 @@
 use crate::authority;
 use crate::cache_listing;
 use crate::listener;
+use crate::mirror;
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::policy::PolicyProgram;
 use crate::settings::{Settings, SettingsError};
-use crate::watcher::{self, Subject};
+use crate::watcher;
+use pitchstall_serving::store_copy::Subject;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -88,6 +90,7 @@
     let callers = bind(settings.listen.callers).await?;
     let health = bind(settings.listen.health).await?;
     let datagrams = bind_datagrams(settings.listen.peers).await?;
+    let followers = bind(settings.listen.peers).await?;
     let name = settings.node.name.clone();
     let zone = settings.node.zone.clone();
     log::info!(target: "process", name, zone; "started");
@@ -104,6 +107,7 @@
     ntex::rt::spawn(peers.register());
     ntex::rt::spawn(authority::hold(node.clone()));
     ntex::rt::spawn(cache_listing::list_unless_told(node.clone()));
+    ntex::rt::spawn(mirror::accept_followers(followers, node.clone()));
     ntex::rt::spawn(listener::accept_health(health, node.clone()));
     ntex::rt::spawn(prune(node.clone()));
     let taking = ntex::rt::spawn(listener::accept_clients(callers, node.clone()));
--- /dev/null
+++ b/crates/gateway/src/entries.rs
@@ -0,0 +1,60 @@
+//! Takes the store's entries into what the node believes, and into the copy that it hands on.
+
+use crate::node::Node;
+use pitchstall_platform_adapter::documents;
+use pitchstall_platform_adapter::store::CONFIGURATION_KEY;
+use pitchstall_serving::fleet::RunnerRecord;
+use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate, Subject};
+
+/// Takes in an update, from the store or from another node.
+pub fn take_update(node: &Node, subject: Subject, update: &StoreUpdate) {
+    node.update_copy(subject, update);
+    match subject {
+        Subject::Configuration => {
+            update.entries.iter().for_each(|entry| take_configuration(node, entry));
+        }
+        Subject::Runners if update.whole => {
+            let records = update.entries.iter().filter_map(record_of).collect();
+            node.replace_runners(records, update.known_to);
+        }
+        Subject::Runners => update.entries.iter().for_each(|entry| take_runner(node, entry)),
+    }
+}
+
+fn take_configuration(node: &Node, entry: &StoreEntry) {
+    if entry.key != CONFIGURATION_KEY {
+        return;
+    }
+    let Some(document) = &entry.document else { return };
+    match documents::parse_configuration(document.as_bytes()) {
+        Ok(configuration) => node.adopt_configuration(configuration),
+        Err(error) => {
+            let error = error.to_string();
+            log::error!(target: "configuration", revision = entry.revision, error; "unreadable");
+        }
+    }
+}
+
+fn take_runner(node: &Node, entry: &StoreEntry) {
+    match (&entry.document, documents::runner_of_key(&entry.key)) {
+        (Some(_), _) => {
+            if let Some(record) = record_of(entry) {
+                node.put_runner(record);
+            }
+        }
+        (None, Some(id)) => node.remove_runner(&id, entry.revision),
+        (None, None) => {}
+    }
+}
+
+fn record_of(entry: &StoreEntry) -> Option<RunnerRecord> {
+    let document = entry.document.as_deref()?;
+    match documents::parse_runner(&entry.key, document.as_bytes(), entry.revision) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let (key, error) = (entry.key.as_str(), error.to_string());
+            log::warn!(target: "fleet", key, error; "unreadable entry");
+            None
+        }
+    }
+}
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -11,7 +11,7 @@
 
 pub use answer_codec::{AnswerHead, BodyDecoder};
 pub use pool::{ConnectionPool, TrustedRest};
-pub use upstream::{ConnectFailure, ReadFailure, Upstream};
+pub use upstream::{open_stream, ConnectFailure, ReadFailure, Upstream};
 
 /// A header: name in lower case, and value.
 pub type Header = (String, Vec<u8>);
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -45,6 +45,17 @@
     Fault(#[from] AnswerFault),
 }
 
+/// Opens a stream to another process. Dropping it closes it at once.
+pub async fn open_stream(address: SocketAddr, limit: Duration) -> Result<Io, ConnectFailure> {
+    let stream = timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| ConnectFailure::TimedOut)??;
+    let stream = stream.into_std()?;
+    // A system without this option is served too, only later.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    Ok(ntex::rt::from_tcp_stream(stream, upstream_config())?)
+}
+
 /// An open connection. Dropping it closes it at once.
 #[derive(Debug)]
 pub struct Upstream {
@@ -54,14 +65,7 @@
 impl Upstream {
     /// Opens a connection.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectFailure> {
-        let stream = timeout(limit, TcpStream::connect(address))
-            .await
-            .map_err(|_| ConnectFailure::TimedOut)??;
-        let stream = stream.into_std()?;
-        // A system without this option is served too, only later.
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
-        let io = ntex::rt::from_tcp_stream(stream, upstream_config())?;
-        Ok(Self { io })
+        Ok(Self { io: open_stream(address, limit).await? })
     }
 
     /// Hands over bytes to be written; does not wait for the other side.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,8 @@
 //! | [`answers`] | the answers that the node makes itself |
 //!
 //! Beside them: [`authority`] orders role changes, [`peers`] exchanges digests with other
-//! nodes, [`watcher`] follows the store with [`store_client`], [`node`] holds what the node
+//! nodes over [`json_lines`], [`watcher`] follows the store with [`store_client`] or another
+//! node with [`mirror`], [`node`] holds what the node
 //! believes, [`http`] speaks HTTP to runners and to the store.
 
 pub mod answers;
@@ -27,11 +28,14 @@
 pub mod connection;
 pub mod daemon;
 pub mod dispatch;
+pub mod entries;
 pub mod http;
 pub mod intake;
+pub mod json_lines;
 pub mod listener;
 pub mod logging;
 pub mod metrics;
+pub mod mirror;
 pub mod node;
 pub mod peers;
 pub mod policy;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -41,7 +41,7 @@
         }
         let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
         let config = connection::client_config(&limits);
-        if let Some(io) = client_io(stream, config.clone()) {
+        if let Some(io) = stream_of(stream, config.clone()) {
             let open = node.open_connection();
             ntex::rt::spawn(connection::serve(io, config, node.clone(), open));
         }
@@ -53,13 +53,14 @@
     loop {
         let Some(stream) = accept(&listener).await else { continue };
         let config = connection::client_config(&ClientLimits::default());
-        if let Some(io) = client_io(stream, config.clone()) {
+        if let Some(io) = stream_of(stream, config.clone()) {
             ntex::rt::spawn(serve_health(io, config, node.clone()));
         }
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+/// Takes the next connection; `None` after a pause if it could not be taken.
+pub async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => Some(stream),
         Err(error) => {
@@ -71,7 +72,8 @@
     }
 }
 
-fn client_io(stream: TcpStream, config: SharedCfg) -> Option<Io> {
+/// Makes an ntex stream of a connection that was taken.
+pub fn stream_of(stream: TcpStream, config: SharedCfg) -> Option<Io> {
     let stream = stream.into_std().ok()?;
     // A system without this option is served too, only later.
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,11 +8,13 @@
 use pitchstall_serving::digest::{tellings_of_news, Digest, PrefixRead, ReadLog};
 use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
 use pitchstall_serving::freshness::StoreFreshness;
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
+use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -37,6 +39,12 @@
     pub long_readings: RefCell<Vec<RunnerId>>,
     /// Told when there are any.
     pub long_reading_begun: Notify,
+    /// All nodes that are known.
+    pub members: RefCell<Membership>,
+    /// The store's entries, as they are handed on to other nodes.
+    pub copies: RefCell<StoreCopies>,
+    /// Told when one of them has changed.
+    pub copy_changed: Notify,
     /// How fresh the copies of the store are.
     pub freshness: RefCell<StoreFreshness>,
     /// Told when a call to the store has failed: what waits for its answers may wait in vain.
@@ -54,17 +62,27 @@
     paces: RefCell<HashMap<ServiceName, ReadPace>>,
     reads: RefCell<ReadLog>,
     informed: Cell<bool>,
-    known_nodes: Cell<usize>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
     is_closing: Cell<bool>,
     body_bytes: Cell<usize>,
 }
 
+/// What a node tells the others of itself.
+fn member_of(settings: &Settings) -> Member {
+    const THOUSANDTHS: f64 = 1_000.0;
+    Member {
+        address: settings.listen.peers,
+        zone: ZoneId::new(&settings.node.zone),
+        processor: (settings.machine.processor_share * THOUSANDTHS) as u32,
+    }
+}
+
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(settings: Settings) -> Rc<Self> {
         let zone = ZoneId::new(&settings.node.zone);
+        let membership = Membership::new(NodeId::new(&settings.node.name), member_of(&settings));
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             policy_program: RefCell::default(),
@@ -76,6 +94,9 @@
             fleet_changed: Notify::new(),
             long_readings: RefCell::default(),
             long_reading_begun: Notify::new(),
+            members: RefCell::new(membership),
+            copies: RefCell::default(),
+            copy_changed: Notify::new(),
             freshness: RefCell::default(),
             store_suspected: Notify::new(),
             stopping: Notify::new(),
@@ -88,7 +109,6 @@
             paces: RefCell::default(),
             reads: RefCell::default(),
             informed: Cell::new(false),
-            known_nodes: Cell::new(1),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             is_closing: Cell::new(false),
@@ -133,8 +153,7 @@
     pub fn on_prefix_held(&self, read: PrefixRead) {
         const TELLINGS_OF_USE: u32 = 2;
         let is_news = !self.fleet.borrow().holds(&read);
-        let tellings =
-            if is_news { tellings_of_news(self.known_nodes.get()) } else { TELLINGS_OF_USE };
+        let tellings = if is_news { tellings_of_news(self.known_nodes()) } else { TELLINGS_OF_USE };
         self.note_prefix(&read);
         self.reads.borrow_mut().push(read, tellings);
     }
@@ -156,14 +175,15 @@
         engine.map_or(0, |engine| engine.kv_tokens)
     }
 
-    /// Takes note of how many nodes there are, this one included.
-    pub fn set_known_nodes(&self, nodes: usize) {
-        self.known_nodes.set(nodes);
-    }
-
     /// How many nodes there are, this one included, as far as it knows.
     pub fn known_nodes(&self) -> usize {
-        self.known_nodes.get()
+        self.members.borrow().len()
+    }
+
+    /// Takes an update into the copy that is handed on to other nodes.
+    pub fn update_copy(&self, subject: Subject, update: &StoreUpdate) {
+        self.copies.borrow_mut().of_mut(subject).apply(update);
+        self.copy_changed.notify_waiters();
     }
 
     /// Connections that this node may have to one runner of a service: its part of what a
@@ -177,7 +197,7 @@
         match limit {
             None | Some(0) => u32::MAX,
             Some(limit) => {
-                let nodes = u32::try_from(self.known_nodes.get()).unwrap_or(u32::MAX).max(1);
+                let nodes = u32::try_from(self.known_nodes()).unwrap_or(u32::MAX).max(1);
                 (limit.saturating_mul(USED_PERCENT) / 100 / nodes).max(LEAST)
             }
         }
@@ -336,7 +356,7 @@
         let bounds = &settings.bounds;
         let policy = RetryPolicy {
             ratio: bounds.retry_ratio,
-            most_saved: RetryPolicy::part_of_slack(bounds.retry_slack, self.known_nodes.get()),
+            most_saved: RetryPolicy::part_of_slack(bounds.retry_slack, self.known_nodes()),
         };
         let mut budgets = self.budgets.borrow_mut();
         let new_budget = || SharedRetryBudget::new(policy);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 };
 use pitchstall_serving::freshness::{FreshnessWord, StoreWord};
 use pitchstall_serving::ids::{NodeId, RunnerId};
+use pitchstall_serving::membership::Member;
 use pitchstall_serving::prefix::rendezvous_weight;
 use rand::RngExt;
 use std::cell::RefCell;
@@ -46,6 +47,15 @@
 /// Prefixes in one datagram to a newcomer.
 const PREFIXES_A_DATAGRAM: usize = 64;
 
+/// A call to the store failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallFailure {
+    /// What it was about is not there.
+    Absent,
+    /// It was refused or got no answer.
+    Other,
+}
+
 struct Peer {
     address: SocketAddr,
     heard_at: Instant,
@@ -112,7 +122,7 @@
         if freshness == Freshness::Stale {
             return;
         }
-        self.learn(&digest.node, from);
+        self.learn(&digest.node, &Member { address: from, ..digest.member.clone() });
         self.node.on_peer_digest(digest);
         if freshness == Freshness::Newcomer {
             let peer = digest.node.as_str();
@@ -124,11 +134,10 @@
         }
     }
 
-    fn learn(&self, name: &NodeId, address: SocketAddr) {
-        let peer = Peer { address, heard_at: Instant::now() };
-        let mut state = self.state.borrow_mut();
-        state.peers.insert(name.clone(), peer);
-        self.node.set_known_nodes(state.peers.len() + 1);
+    fn learn(&self, name: &NodeId, member: &Member) {
+        let peer = Peer { address: member.address, heard_at: Instant::now() };
+        self.state.borrow_mut().peers.insert(name.clone(), peer);
+        self.node.members.borrow_mut().learn(name, member);
     }
 
     /// Whether this node is one of those that tell a newcomer everything: all nodes find the
@@ -159,6 +168,7 @@
             incarnation: self.incarnation,
             sequence: state.sequence,
             informed: self.node.is_informed(),
+            member: self.node.members.borrow().own().clone(),
             partial: false,
             store: self.node.freshness.borrow().word(self.node.now_us()),
             loads,
@@ -254,45 +264,46 @@
     }
 
     async fn join(&self, client: &mut StoreClient) -> Option<u64> {
-        let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await?;
+        let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
         let lease = store::parse_lease(&body).ok()?;
-        let address = self.node.settings().listen.peers.to_string();
-        let put = store::put_under_lease(&store::node_key(self.name.as_str()), &address, lease);
-        self.call(client, &put).await?;
-        self.list(client).await;
+        let member = store::node_value(self.node.members.borrow().own());
+        let put = store::put_under_lease(&store::node_key(self.name.as_str()), &member, lease);
+        self.call(client, &put).await.ok()?;
+        self.list(client, &store::read_nodes()).await;
         Some(lease)
     }
 
+    /// Renews the registration until the store says that it is over. While the store is away
+    /// its leases wait, and a renewal costs a tenth of what registering anew does.
     async fn stay(&self, client: &mut StoreClient, lease: u64) {
         for renewal in 1_u32.. {
             sleep(RENEW_EVERY).await;
-            if self.call(client, &store::keep_lease(lease)).await.is_none() {
+            if self.call(client, &store::keep_lease(lease)).await == Err(CallFailure::Absent) {
                 return;
             }
             if renewal % RENEWALS_A_LISTING == 0 {
-                self.list(client).await;
+                self.list(client, &store::read_nodes_cheaply()).await;
             }
         }
     }
 
     /// Reads who is there and greets those that are not known.
-    async fn list(&self, client: &mut StoreClient) {
-        let Some(body) = self.call(client, &store::read_nodes()).await else { return };
+    async fn list(&self, client: &mut StoreClient, read: &store::StoreCall) {
+        let Ok(body) = self.call(client, read).await else { return };
         let Ok(page) = store::parse_page(&body) else { return };
         let listed = page.items.iter().filter_map(store::node_of);
-        let others: Vec<(NodeId, SocketAddr)> =
-            listed.filter(|(name, _)| *name != self.name).collect();
-        for (name, address) in &others {
+        let others: Vec<(NodeId, Member)> = listed.filter(|(name, _)| *name != self.name).collect();
+        for (name, member) in &others {
             if !self.state.borrow().peers.contains_key(name) {
-                self.learn(name, *address);
-                self.greet(*address).await;
+                self.learn(name, member);
+                self.greet(member.address).await;
             }
         }
         let now = Instant::now();
         let is_listed = |name: &NodeId| others.iter().any(|(other, _)| other == name);
         let mut state = self.state.borrow_mut();
         state.peers.retain(|name, peer| is_listed(name) || now < peer.heard_at + PEER_LIFE);
-        self.node.set_known_nodes(state.peers.len() + 1);
+        self.node.members.borrow_mut().retain(|name| state.peers.contains_key(name));
     }
 
     async fn greet(&self, to: SocketAddr) {
@@ -300,20 +311,24 @@
         self.send(&self.digest(loads, Vec::new()), &[to]).await;
     }
 
-    async fn call(&self, client: &mut StoreClient, call: &store::StoreCall) -> Option<Vec<u8>> {
+    async fn call(
+        &self,
+        client: &mut StoreClient,
+        call: &store::StoreCall,
+    ) -> Result<Vec<u8>, CallFailure> {
         self.node.metrics.store_calls.inc();
         let address = self.node.settings().store.address;
-        let answer = client.call(address, call, STORE_LIMIT).await;
-        let outcome = match answer {
-            Ok(answer) if store::parse_status(answer.status) == StoreStatus::Done => {
-                return Some(answer.body)
-            }
-            Ok(answer) => answer.status.to_string(),
-            Err(error) => error.to_string(),
+        let (outcome, failure) = match client.call(address, call, STORE_LIMIT).await {
+            Ok(answer) => match store::parse_status(answer.status) {
+                StoreStatus::Done => return Ok(answer.body),
+                StoreStatus::Absent => (answer.status.to_string(), CallFailure::Absent),
+                _ => (answer.status.to_string(), CallFailure::Other),
+            },
+            Err(error) => (error.to_string(), CallFailure::Other),
         };
         self.node.metrics.store_failures.inc();
         self.node.store_suspected.notify_waiters();
         log::info!(target: "peers", target = call.target.as_str(), outcome; "store call failed");
-        None
+        Err(failure)
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -75,21 +75,28 @@
 }
 
 /// What the machine has.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MachineSection {
     /// Memory for this process, megabytes.
     pub memory_mb: u64,
     /// File descriptors for this process.
     pub file_descriptors: u64,
+    /// Share of a processor for this process, in cores.
+    #[serde(default = "whole_core")]
+    pub processor_share: f64,
 }
 
 impl Default for MachineSection {
     fn default() -> Self {
-        Self { memory_mb: 256, file_descriptors: 1_024 }
+        Self { memory_mb: 256, file_descriptors: 1_024, processor_share: whole_core() }
     }
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
 /// The operators' policy program.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -185,6 +192,7 @@
             (bounds.retry_slack >= 0.0, "bounds.retry_slack", "0 or more"),
             (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
             (self.machine.file_descriptors > 0, "machine.file_descriptors", "more than 0"),
+            (self.machine.processor_share > 0.0, "machine.processor_share", "more than 0"),
             (!self.log.levels.is_empty(), "log.levels", "a level"),
         ];
         let problem = checks.into_iter().find(|(holds, _, _)| !holds);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -1,18 +1,22 @@
 //! Follows the store: the operators' configuration and the runners' entries.
 //!
-//! Each is read once and then watched from the revision of the read. A watch that ends for
-//! any reason goes on from its last revision; if that history is gone, everything is read
-//! anew. A watch may go silent in a fault without a word. It is relied on while the copy is
-//! known to be fresh ([`pitchstall_serving::freshness`]); otherwise the store is asked.
+//! A few nodes of each zone read the store and watch it from the revision of the read; the
+//! others follow one of these ([`crate::mirror`]), another one as soon as that one does not
+//! answer or has not heard of the store lately. Only when no node's copy is confirmed do they
+//! ask the store themselves, and seldom. A watch that ends for any reason goes on from its last
+//! revision; if that history is gone, everything is read anew. A watch may go silent in a fault
+//! without a word. It is relied on while the copy is known to be fresh
+//! ([`pitchstall_serving::freshness`]); otherwise the store is asked.
 
+use crate::entries::take_update;
+use crate::mirror::MirrorClient;
 use crate::node::Node;
 use crate::store_client::{StoreClient, StoreFailure};
-use pitchstall_platform_adapter::documents;
 use pitchstall_platform_adapter::store::{
     self, Item, Page, StoreAnswerError, StoreCall, StoreStatus, CONFIGURATION_KEY, RUNNERS_PREFIX,
 };
-use pitchstall_serving::fleet::RunnerRecord;
-use pitchstall_serving::freshness::{CopyFreshness, Freshness, StoreFreshness};
+use pitchstall_serving::freshness::{CopyFreshness, Freshness};
+use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, StoreEntry, StoreUpdate, Subject};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,12 +36,20 @@
 const BETWEEN_CHANGES_A_NODE: Duration = Duration::from_millis(8);
 /// Part of the time after which a node counts as in touch again that changes wait at most.
 const CHANGES_WAIT_PART: u32 = 6;
-/// How long a confirmation holds, in hundredths of the time after which a node counts as in
-/// touch again: for the few nodes that ask early, and for those that their word spares.
-const EARLY_HUNDREDTHS: std::ops::Range<u64> = 25..45;
-const LATE_HUNDREDTHS: std::ops::Range<u64> = 55..65;
-/// How many nodes of a fleet ask early.
-const EARLY_NODES: f64 = 3.0;
+/// How long a confirmation holds at a node that reads the store, in hundredths of the time after
+/// which a node counts as in touch again. Those that follow it add [`STALE_HUNDREDTHS`] and
+/// [`WAIT_HUNDREDTHS`], and must stay below the time in which a configuration comes into force,
+/// which the users set to two thirds of that time and more.
+const CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 22..32;
+/// Age of another node's copy, in hundredths of the same time, from which on it is not relied on.
+const STALE_HUNDREDTHS: u64 = 45;
+/// Time for which a question to another node waits for a change, in hundredths of the same time.
+const WAIT_HUNDREDTHS: u64 = 12;
+/// Between two calls to the store while no other node's copy is confirmed, in hundredths of the
+/// same time: a node may alone be cut off from the others.
+const OWN_CALL_HUNDREDTHS: std::ops::Range<u64> = 50..150;
+/// Pause after another node had nothing confirmed to say.
+const SOURCE_PAUSE: Duration = Duration::from_millis(30);
 /// Between two looks whether a watch that waits is to be doubted.
 const DOUBT_POLL: Duration = Duration::from_millis(100);
 /// Pause after a failure, before it is multiplied and spread.
@@ -55,41 +67,24 @@
     Status(StoreStatus),
 }
 
-/// What is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Subject {
-    /// The operators' configuration.
-    Configuration,
-    /// The runners' entries.
-    Runners,
-}
-
-impl Subject {
-    fn prefix(self) -> &'static str {
-        match self {
-            Self::Configuration => CONFIGURATION_KEY,
-            Self::Runners => RUNNERS_PREFIX,
-        }
-    }
-
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Runners => "runners",
-        }
+fn prefix_of(subject: Subject) -> &'static str {
+    match subject {
+        Subject::Configuration => CONFIGURATION_KEY,
+        Subject::Runners => RUNNERS_PREFIX,
     }
 }
 
 /// Follows one subject until the process ends.
 pub async fn follow(node: Rc<Node>, subject: Subject) {
-    let client = StoreClient::default();
     let address = node.settings().store.address;
     let confirmation = draw_confirmation(&node);
     let mut follower = Follower {
         node,
         subject,
-        client,
+        client: StoreClient::default(),
+        mirror: MirrorClient::default(),
+        turn: 0,
+        own_call_at: Instant::now(),
         address,
         at: None,
         changed_at: None,
@@ -105,27 +100,20 @@
 }
 
 /// How long a confirmation holds: well under the time after which the node counts as in touch
-/// again, so that a watch that went silent in a fault has been replaced before the node is
-/// bound by it. Drawn at random, so that a few nodes ask early and their word spares the others.
+/// again, so that a watch that went silent in a fault has been replaced before the node, or one
+/// that follows it, is bound by it. Drawn at random, so that one node's word spares the others.
 fn draw_confirmation(node: &Node) -> Duration {
-    let contact_ms = node.settings().bounds.contact_ms;
-    let mut rng = rand::rng();
-    let is_early = rng.random_bool((EARLY_NODES / node.known_nodes() as f64).min(1.0));
-    let hundredths = rng.random_range(if is_early { EARLY_HUNDREDTHS } else { LATE_HUNDREDTHS });
-    Duration::from_millis(contact_ms * hundredths / 100)
+    part_of_contact(node, rand::rng().random_range(CONFIRMATION_HUNDREDTHS))
 }
 
-fn copy_of(freshness: &mut StoreFreshness, subject: Subject) -> &mut CopyFreshness {
-    match subject {
-        Subject::Configuration => &mut freshness.configuration,
-        Subject::Runners => &mut freshness.runners,
-    }
+fn part_of_contact(node: &Node, hundredths: u64) -> Duration {
+    Duration::from_millis(node.settings().bounds.contact_ms * hundredths / 100)
 }
 
 fn verdict(node: &Node, subject: Subject, confirmation: Duration) -> Freshness {
     let confirmation_us = u64::try_from(confirmation.as_micros()).unwrap_or(u64::MAX);
-    let mut freshness = node.freshness.borrow_mut();
-    copy_of(&mut freshness, subject).verdict(node.now_us(), confirmation_us)
+    let freshness = node.freshness.borrow();
+    freshness.copy_of(subject).verdict(node.now_us(), confirmation_us)
 }
 
 /// Ends when a watch that waits should not be relied on any more.
@@ -145,6 +133,11 @@
     node: Rc<Node>,
     subject: Subject,
     client: StoreClient,
+    mirror: MirrorClient,
+    /// Which of the nodes that can be followed is followed.
+    turn: usize,
+    /// When the store may next be asked though this node does not read it for others.
+    own_call_at: Instant,
     address: SocketAddr,
     /// The store's revision up to which everything is known.
     at: Option<u64>,
@@ -163,37 +156,104 @@
             self.address = address;
             self.at = None;
         }
+        if let Some(source) = self.source() {
+            self.follow_node(source).await;
+            return Ok(());
+        }
         match self.at {
             None => self.read_all().await,
             Some(at) => self.watch(at).await,
         }
     }
 
+    /// The node to follow; `None`: the store itself.
+    fn source(&mut self) -> Option<SocketAddr> {
+        let members = self.node.members.borrow();
+        if members.is_mirror() {
+            return None;
+        }
+        let sources = members.sources();
+        if let Some(source) = sources.get(self.turn) {
+            return Some(*source);
+        }
+        // All have been tried in vain.
+        self.turn = 0;
+        let now = Instant::now();
+        if now < self.own_call_at {
+            return sources.first().copied();
+        }
+        let pause = rand::rng().random_range(OWN_CALL_HUNDREDTHS);
+        self.own_call_at = now + part_of_contact(&self.node, pause);
+        None
+    }
+
+    /// Asks another node for what has changed since the last answer.
+    async fn follow_node(&mut self, source: SocketAddr) {
+        self.pause_between_changes(BETWEEN_CHANGES).await;
+        let wait = part_of_contact(&self.node, WAIT_HUNDREDTHS);
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
+        match self.mirror.ask(source, &question).await {
+            Ok(answer) if self.take_answer(&answer) => {}
+            Ok(answer) => {
+                let age_ms = answer.age_ms;
+                self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
+            }
+            Err(error) => self.leave_source(source, &error.to_string()).await,
+        }
+    }
+
+    /// Takes in another node's answer; returns whether its copy can be relied on.
+    fn take_answer(&mut self, answer: &CopyAnswer) -> bool {
+        let Some(update) = &answer.update else { return false };
+        if self.at.is_some_and(|at| update.known_to < at) {
+            return false;
+        }
+        if !update.entries.is_empty() {
+            self.changed_at = Some(Instant::now());
+        }
+        self.take_update(update);
+        let (known_to, whole, age_ms) = (update.known_to, update.whole, answer.age_ms);
+        self.with_freshness(|copy, now_us| copy.on_handed_on(known_to, whole, age_ms, now_us));
+        let stale = part_of_contact(&self.node, STALE_HUNDREDTHS);
+        let is_confirmed = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < stale);
+        // Another node has told of a later change than this one knows of.
+        is_confirmed && self.verdict() != Freshness::Behind
+    }
+
+    async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
+        let source = source.to_string();
+        log::debug!(target: "store", subject = self.subject.name(), source, reason; "source left");
+        self.with_freshness(CopyFreshness::on_asked);
+        self.turn += 1;
+        sleep(SOURCE_PAUSE).await;
+    }
+
     async fn read_all(&mut self) -> Result<(), FollowError> {
-        let at = match self.subject {
+        let update = match self.subject {
             Subject::Configuration => self.read_configuration().await?,
             Subject::Runners => self.read_runners().await?,
         };
-        self.at = Some(at);
+        let known_to = update.known_to;
+        self.take_update(&update);
         self.confirmation = draw_confirmation(&self.node);
-        self.with_freshness(|copy, now_us| copy.on_read(at, now_us));
+        self.with_freshness(|copy, now_us| copy.on_read(known_to, now_us));
         Ok(())
     }
 
-    async fn read_configuration(&mut self) -> Result<u64, FollowError> {
+    async fn read_configuration(&mut self) -> Result<StoreUpdate, FollowError> {
         let (status, body) = self.call(&store::read_key(CONFIGURATION_KEY), READ_LIMIT).await?;
         if status != StoreStatus::Done {
             return Err(FollowError::Status(status));
         }
         let (item, at) = store::parse_item(&body)?;
-        let at = at.max(item.revision);
-        self.take_item(item);
-        Ok(at)
+        let known_to = at.max(item.revision);
+        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(vec![item]) })
     }
 
-    async fn read_runners(&mut self) -> Result<u64, FollowError> {
+    async fn read_runners(&mut self) -> Result<StoreUpdate, FollowError> {
         let first = self.read_page(None).await?;
-        let at = first.at;
+        let known_to = first.at;
         let mut more = first.more;
         let mut items = first.items;
         while more {
@@ -202,9 +262,12 @@
             more = page.more && !page.items.is_empty();
             items.extend(page.items);
         }
-        let records = items.iter().filter_map(|item| self.record_of(item)).collect();
-        self.node.replace_runners(records, at);
-        Ok(at)
+        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(items) })
+    }
+
+    fn take_update(&mut self, update: &StoreUpdate) {
+        self.at = Some(update.known_to);
+        take_update(&self.node, self.subject, update);
     }
 
     async fn read_page(&mut self, after: Option<&str>) -> Result<Page, FollowError> {
@@ -219,7 +282,10 @@
     /// Waits for changes. While the copy is not confirmed, the store is only asked: its answer
     /// confirms the copy, here and at the other nodes.
     async fn watch(&mut self, at: u64) -> Result<(), FollowError> {
-        self.pause_between_changes().await;
+        let mirrors = self.node.members.borrow().mirror_count();
+        let mirrors = u32::try_from(mirrors).unwrap_or(u32::MAX);
+        let pause = BETWEEN_CHANGES + BETWEEN_CHANGES_A_NODE.saturating_mul(mirrors);
+        self.pause_between_changes(pause).await;
         let is_fresh = self.verdict() == Freshness::Fresh;
         if is_fresh {
             let (node, subject) = (self.node.clone(), self.subject);
@@ -236,10 +302,8 @@
     }
 
     /// Changes that come in quick succession are taken in together.
-    async fn pause_between_changes(&mut self) {
-        let nodes = u32::try_from(self.node.known_nodes()).unwrap_or(u32::MAX);
+    async fn pause_between_changes(&self, wished: Duration) {
         let contact = Duration::from_millis(self.node.settings().bounds.contact_ms);
-        let wished = BETWEEN_CHANGES + BETWEEN_CHANGES_A_NODE.saturating_mul(nodes);
         let due = self.changed_at.map(|at| at + wished.min(contact / CHANGES_WAIT_PART));
         let left = due.map(|due| due.saturating_duration_since(Instant::now()));
         if let Some(left) = left.filter(|left| !left.is_zero()) {
@@ -254,7 +318,7 @@
         limit: Duration,
     ) -> Result<(), FollowError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let call = store::watch(self.subject.prefix(), at, wait_ms);
+        let call = store::watch(prefix_of(self.subject), at, wait_ms);
         let (status, body) = self.call(&call, limit).await?;
         match status {
             StoreStatus::Done => {
@@ -262,12 +326,14 @@
                 if !page.items.is_empty() {
                     self.changed_at = Some(Instant::now());
                 }
-                let at = page.at.max(at);
-                for item in page.items {
-                    self.with_freshness(|copy, _| copy.on_change(item.revision));
-                    self.take_item(item);
+                let known_to = page.at.max(at);
+                let entries = entries_of(page.items);
+                for entry in &entries {
+                    self.with_freshness(|copy, _| copy.on_change(entry.revision));
                 }
-                self.know_to(at);
+                self.take_update(&StoreUpdate { known_to, whole: false, entries });
+                self.confirmation = draw_confirmation(&self.node);
+                self.with_freshness(|copy, now_us| copy.on_store_answer(known_to, now_us));
                 Ok(())
             }
             StoreStatus::HistoryGone => {
@@ -279,20 +345,13 @@
         }
     }
 
-    /// Everything up to a revision is known, as the store has just confirmed.
-    fn know_to(&mut self, at: u64) {
-        self.at = Some(at);
-        self.confirmation = draw_confirmation(&self.node);
-        self.with_freshness(|copy, now_us| copy.on_store_answer(at, now_us));
-    }
-
     fn verdict(&self) -> Freshness {
         verdict(&self.node, self.subject, self.confirmation)
     }
 
     fn with_freshness(&self, change: impl FnOnce(&mut CopyFreshness, u64)) {
         let now_us = self.node.now_us();
-        change(copy_of(&mut self.node.freshness.borrow_mut(), self.subject), now_us);
+        change(self.node.freshness.borrow_mut().copy_of_mut(self.subject), now_us);
     }
 
     async fn call(
@@ -305,51 +364,6 @@
         Ok((store::parse_status(answer.status), answer.body))
     }
 
-    fn take_item(&self, item: Item) {
-        match self.subject {
-            Subject::Configuration => self.take_configuration(&item),
-            Subject::Runners => self.take_runner(&item),
-        }
-    }
-
-    fn take_configuration(&self, item: &Item) {
-        if item.key != CONFIGURATION_KEY {
-            return;
-        }
-        let Some(document) = &item.value else { return };
-        match documents::parse_configuration(document) {
-            Ok(configuration) => self.node.adopt_configuration(configuration),
-            Err(error) => {
-                let error = error.to_string();
-                log::error!(target: "configuration", revision = item.revision, error; "unreadable");
-            }
-        }
-    }
-
-    fn take_runner(&self, item: &Item) {
-        match (&item.value, documents::runner_of_key(&item.key)) {
-            (Some(_), _) => {
-                if let Some(record) = self.record_of(item) {
-                    self.node.put_runner(record);
-                }
-            }
-            (None, Some(id)) => self.node.remove_runner(&id, item.revision),
-            (None, None) => {}
-        }
-    }
-
-    fn record_of(&self, item: &Item) -> Option<RunnerRecord> {
-        let document = item.value.as_deref()?;
-        match documents::parse_runner(&item.key, document, item.revision) {
-            Ok(record) => Some(record),
-            Err(error) => {
-                let (key, error) = (item.key.as_str(), error.to_string());
-                log::warn!(target: "fleet", key, error; "unreadable entry");
-                None
-            }
-        }
-    }
-
     fn on_success(&mut self) {
         if self.failures > 0 {
             let failures = self.failures;
@@ -372,3 +386,19 @@
         sleep(Duration::from_millis(pause)).await;
     }
 }
+
+/// The store's items as entries. Documents are JSON, so a value that is no text is no document.
+fn entries_of(items: Vec<Item>) -> Vec<StoreEntry> {
+    let entry = |item: Item| {
+        let document = item.value.map(String::from_utf8).transpose();
+        if document.is_err() {
+            log::warn!(target: "store", key = item.key.as_str(); "a value is no text");
+        }
+        StoreEntry {
+            key: item.key,
+            document: document.unwrap_or_default(),
+            revision: item.revision,
+        }
+    };
+    items.into_iter().map(entry).collect()
+}
--- /dev/null
+++ b/crates/gateway/tests/mirror.rs
@@ -0,0 +1,118 @@
+//! Nodes that follow another node's copy of the store.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, Subject};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use support::{configuration, get, route, wait_for, Fixture};
+
+fn ask(address: SocketAddr, question: &CopyQuestion) -> CopyAnswer {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let mut line = serde_json::to_vec(question).unwrap();
+    line.push(b'\n');
+    stream.write_all(&line).unwrap();
+    let mut answer = String::new();
+    BufReader::new(stream).read_line(&mut answer).unwrap();
+    serde_json::from_str(&answer).unwrap()
+}
+
+fn question(subject: Subject, after: Option<u64>, wait_ms: u64) -> CopyQuestion {
+    CopyQuestion { subject, after, wait_ms }
+}
+
+fn store_calls(node: &Fixture) -> u64 {
+    let metrics = get(node.health, "/metrics").text();
+    let line = metrics.lines().find(|line| line.starts_with("pitchstall_store_calls_total"));
+    line.unwrap().rsplit(' ').next().unwrap().parse().unwrap()
+}
+
+fn runner(id: &str) -> RunnerStandIn {
+    RunnerStandIn::start(id, |_| Reaction::Answer { status: 200, body: b"done".to_vec() }).unwrap()
+}
+
+#[test]
+fn a_node_hands_on_the_whole_list_and_then_what_changes() {
+    let one = runner("i-1");
+    let node = Fixture::with_runners(&[(&one, "desk", None)]);
+    let first = ask(node.peers, &question(Subject::Runners, None, 0)).update.unwrap();
+    assert!(first.whole);
+    assert_eq!(first.entries.len(), 1);
+    let two = runner("i-2");
+    let change = std::thread::spawn({
+        let address = node.peers;
+        move || ask(address, &question(Subject::Runners, Some(first.known_to), 4_000))
+    });
+    std::thread::sleep(Duration::from_millis(50));
+    node.add_runner(&two, "desk", None);
+    let change = change.join().unwrap();
+    let update = change.update.unwrap();
+    assert!(!update.whole);
+    assert_eq!(update.entries[0].key, "servers/i-2");
+    assert!(change.age_ms.unwrap() < 2_000);
+}
+
+#[test]
+fn a_line_that_is_no_question_closes_the_connection_and_changes_nothing() {
+    let one = runner("i-1");
+    let node = Fixture::with_runners(&[(&one, "desk", None)]);
+    let mut stream = TcpStream::connect(node.peers).unwrap();
+    stream.write_all(b"{\"subject\":\"everything\"}\n").unwrap();
+    let mut answer = String::new();
+    assert_eq!(BufReader::new(stream).read_line(&mut answer).unwrap(), 0);
+    assert!(ask(node.peers, &question(Subject::Configuration, None, 0)).update.is_some());
+}
+
+/// Three nodes of one zone: two read the store, the third one follows them.
+#[test]
+fn a_node_that_follows_another_leaves_the_store_alone_and_hears_of_changes() {
+    const LOOK: Duration = Duration::from_millis(2_500);
+    let one = runner("i-1");
+    let first = Fixture::with_runners(&[(&one, "desk", None)]);
+    let nodes = [first.start_beside("node-2"), first.start_beside("node-3"), first];
+    nodes.iter().for_each(Fixture::wait_until_ready);
+    wait_for("one node to leave the store alone", || {
+        let before: Vec<u64> = nodes.iter().map(store_calls).collect();
+        std::thread::sleep(LOOK);
+        let calls = nodes.iter().zip(before).map(|(node, before)| store_calls(node) - before);
+        let calls: Vec<u64> = calls.collect();
+        calls.iter().filter(|made| **made <= 1).count() == 1
+    });
+    let mut newer = configuration(7);
+    newer["routes"].as_array_mut().unwrap().push(route("added", "idempotent", "desk"));
+    nodes[0].store.put("op/config", &newer);
+    for node in &nodes {
+        wait_for("the added route", || {
+            let mut client = node.client();
+            client.request("GET", "/added/1", "id", "", b"");
+            client.read_answer().status == 200
+        });
+    }
+}
+
+/// The nodes that read the store have stopped: the third one reads it itself.
+#[test]
+fn a_node_whose_sources_are_gone_asks_the_store() {
+    let one = runner("i-1");
+    let first = Fixture::with_runners(&[(&one, "desk", None)]);
+    let second = first.start_beside("node-2");
+    let third = first.start_beside("node-3");
+    second.wait_until_ready();
+    third.wait_until_ready();
+    let store = first.store.clone();
+    for gone in [first, second] {
+        gone.request_stop();
+        gone.join();
+    }
+    let mut newer = configuration(7);
+    newer["routes"].as_array_mut().unwrap().push(route("added", "idempotent", "desk"));
+    store.put("op/config", &newer);
+    wait_for("the added route", || {
+        let mut client = third.client();
+        client.request("GET", "/added/1", "id", "", b"");
+        client.read_answer().status == 200
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -79,6 +79,7 @@
     pub store: StoreStandIn,
     pub callers: SocketAddr,
     pub health: SocketAddr,
+    pub peers: SocketAddr,
     pub file: PathBuf,
     signals: Signals,
     thread: Option<JoinHandle<()>>,
@@ -92,16 +93,23 @@
 
     /// A node before an empty store, with further sections in its settings.
     pub fn start_with(sections: &str) -> Self {
-        let store = StoreStandIn::start().unwrap();
+        Self::start_node(StoreStandIn::start().unwrap(), "node-1", sections)
+    }
+
+    /// Another node before the same store.
+    pub fn start_beside(&self, name: &str) -> Self {
+        Self::start_node(self.store.clone(), name, "")
+    }
+
+    fn start_node(store: StoreStandIn, name: &str, sections: &str) -> Self {
         let ip = own_loopback_ip();
         let at = |port: u16| SocketAddr::new(ip, port);
-        let (callers, health) = (at(CALLERS_PORT), at(HEALTH_PORT));
+        let (callers, health, peers) = (at(CALLERS_PORT), at(HEALTH_PORT), at(PEERS_PORT));
         let text = format!(
-            "[node]\nname = \"node-1\"\nzone = \"north\"\n\
-             [listen]\ncallers = \"{callers}\"\nhealth = \"{health}\"\npeers = \"{}\"\n\
+            "[node]\nname = \"{name}\"\nzone = \"north\"\n\
+             [listen]\ncallers = \"{callers}\"\nhealth = \"{health}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{}\"\n\
              [bounds]\ncontact_ms = 1000\ngrace_s = 5.0\nlease_ms = 200\nretry_ratio = 1.2\nretry_slack = 4.0\n{sections}",
-            at(PEERS_PORT),
             store.address(),
         );
         let file = std::env::temp_dir().join(format!("pitchstall-{}.toml", callers.ip()));
@@ -115,7 +123,7 @@
             System::build().name("node").build(DefaultRuntime).block_on(run).unwrap();
         });
         let thread = Some(thread);
-        let fixture = Self { store, callers, health, file, signals, thread };
+        let fixture = Self { store, callers, health, peers, file, signals, thread };
         // The addresses are bound one after the other.
         let listens = |address| TcpStream::connect(address).is_ok();
         wait_for("the node to listen", || listens(callers) && listens(health));
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -9,6 +9,7 @@
 use crate::fleet::Stage;
 use crate::freshness::StoreWord;
 use crate::ids::{NodeId, RunnerId};
+use crate::membership::Member;
 use crate::prefix::PromptPart;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -70,6 +71,8 @@
     /// them, or was told by a node that knew.
     #[serde(default)]
     pub informed: bool,
+    /// What the node tells of itself.
+    pub member: Member,
     /// How fresh the node's copy of the store is.
     #[serde(default)]
     pub store: StoreWord,
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -11,6 +11,7 @@
 //! is believed to be younger than it is, by that time; whoever believes it asks that much later,
 //! counted from when it came.
 
+use crate::store_copy::Subject;
 use serde::{Deserialize, Serialize};
 
 /// What a node tells of one subject.
@@ -73,6 +74,27 @@
         self.on_store_answer(known_to, now_us);
     }
 
+    /// Another node has handed on its copy, which the store confirmed so long ago. `whole`: all
+    /// of it, so what was removed before it does not show.
+    pub fn on_handed_on(&mut self, known_to: u64, whole: bool, age_ms: Option<u64>, now_us: u64) {
+        if whole {
+            self.changed_at = known_to;
+            self.read_at_us = Some(now_us);
+        }
+        self.known_to = self.known_to.max(known_to);
+        let known_to = self.known_to;
+        self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
+        let Some(age_ms) = age_ms else { return };
+        let confirmed_at_us = now_us.saturating_sub((age_ms + HOP_MS) * MICROS_PER_MILLI);
+        self.confirmed_at_us = self.confirmed_at_us.max(Some(confirmed_at_us));
+    }
+
+    /// Milliseconds since the store confirmed the copy; `None`: it never has.
+    pub fn confirmed_age_ms(&self, now_us: u64) -> Option<u64> {
+        let age_us = self.confirmed_at_us.map(|at_us| now_us.saturating_sub(at_us));
+        age_us.map(|it| it / MICROS_PER_MILLI)
+    }
+
     /// A change has been told by a watch.
     pub fn on_change(&mut self, revision: u64) {
         self.changed_at = self.changed_at.max(revision);
@@ -102,8 +124,7 @@
         if self.read_at_us.is_some_and(|read_at_us| now_us < read_at_us + SETTLING_US) {
             return FreshnessWord::default();
         }
-        let age = self.confirmed_at_us.map(|at_us| now_us.saturating_sub(at_us));
-        FreshnessWord { changed_at: self.changed_at, age_ms: age.map(|it| it / MICROS_PER_MILLI) }
+        FreshnessWord { changed_at: self.changed_at, age_ms: self.confirmed_age_ms(now_us) }
     }
 
     /// Whether the copy can be relied on, if a confirmation holds for so long.
@@ -147,6 +168,22 @@
 }
 
 impl StoreFreshness {
+    /// The copy of a subject.
+    pub fn copy_of(&self, subject: Subject) -> &CopyFreshness {
+        match subject {
+            Subject::Configuration => &self.configuration,
+            Subject::Runners => &self.runners,
+        }
+    }
+
+    /// The copy of a subject, to be changed.
+    pub fn copy_of_mut(&mut self, subject: Subject) -> &mut CopyFreshness {
+        match subject {
+            Subject::Configuration => &mut self.configuration,
+            Subject::Runners => &mut self.runners,
+        }
+    }
+
     /// What to tell the other nodes.
     pub fn word(&self, now_us: u64) -> StoreWord {
         StoreWord {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,8 @@
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
 //! | [`digest`] | what nodes tell each other about runners |
+//! | [`store_copy`] | what brings another node's copy of the store up to date |
+//! | [`membership`] | which nodes read the store, and which follow them |
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
 //! | [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
@@ -34,6 +36,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod ids;
+pub mod membership;
 pub mod placement;
 pub mod prefix;
 pub mod prefix_cache;
@@ -42,5 +45,6 @@
 pub mod retry_budget;
 pub mod role_planner;
 pub mod routing;
+pub mod store_copy;
 pub mod suspicion;
 pub mod urgency;
--- /dev/null
+++ b/crates/serving/tests/membership.rs
@@ -0,0 +1,93 @@
+//! Which nodes read the store, and whom the others follow.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::ids::{NodeId, ZoneId};
+use pitchstall_serving::membership::{Member, Membership};
+use std::net::SocketAddr;
+use test_case::test_case;
+
+const STRONG: u32 = 500;
+const WEAK: u32 = 120;
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7_000))
+}
+
+/// Nodes in turn over the zones; every twentieth is strong.
+fn fleet(nodes: usize, zones: usize) -> Vec<(NodeId, Member)> {
+    let member = |number: usize| Member {
+        address: address(number),
+        zone: ZoneId::new(format!("zone-{}", number % zones)),
+        processor: if number % 20 < zones { STRONG } else { WEAK },
+    };
+    (0..nodes).map(|number| (NodeId::new(format!("node-{number}")), member(number))).collect()
+}
+
+fn seen_by(number: usize, all: &[(NodeId, Member)]) -> Membership {
+    let (name, member) = &all[number];
+    let mut membership = Membership::new(name.clone(), member.clone());
+    all.iter().for_each(|(name, member)| membership.learn(name, member));
+    membership
+}
+
+#[test_case(7, 3, 6)]
+#[test_case(66, 3, 6)]
+#[test_case(295, 5, 10)]
+#[test_case(330, 31, 62)]
+fn two_nodes_of_each_zone_read_the_store(nodes: usize, zones: usize, expected: usize) {
+    let all = fleet(nodes, zones);
+    let views: Vec<Membership> = (0..nodes).map(|number| seen_by(number, &all)).collect();
+    assert_eq!(views.iter().filter(|view| view.is_mirror()).count(), expected);
+    assert!(views.iter().all(|view| view.mirror_count() == expected));
+}
+
+#[test]
+fn strong_nodes_read_the_store() {
+    let all = fleet(295, 5);
+    for number in 0..all.len() {
+        let view = seen_by(number, &all);
+        assert!(!view.is_mirror() || view.own().processor == STRONG, "node {number}");
+    }
+}
+
+#[test]
+fn a_node_follows_its_own_zone_first_and_then_the_others() {
+    let all = fleet(295, 5);
+    let view = seen_by(293, &all);
+    let sources = view.sources();
+    assert_eq!(sources.len(), 10);
+    let zone_of = |address: &SocketAddr| {
+        all.iter().find(|(_, member)| member.address == *address).unwrap().1.zone.clone()
+    };
+    assert_eq!(zone_of(&sources[0]), view.own().zone);
+    assert_eq!(zone_of(&sources[1]), view.own().zone);
+    assert_ne!(zone_of(&sources[2]), view.own().zone);
+}
+
+/// Otherwise one node's link would carry the configuration to its whole zone.
+#[test]
+fn followers_spread_over_the_nodes_that_read_the_store() {
+    let all = fleet(295, 5);
+    let of_zone = (0..all.len()).filter(|number| number % 5 == 2);
+    let followers = of_zone.map(|number| seen_by(number, &all)).filter(|view| !view.is_mirror());
+    let first: Vec<SocketAddr> = followers.map(|view| view.sources()[0]).collect();
+    let most = first.iter().map(|it| first.iter().filter(|other| *other == it).count()).max();
+    assert!(most.unwrap() * 10 < first.len() * 8, "{most:?} of {}", first.len());
+}
+
+#[test]
+fn a_node_that_knows_nobody_reads_the_store_itself() {
+    let all = fleet(1, 1);
+    let view = seen_by(0, &all);
+    assert!(view.is_mirror());
+    assert!(view.sources().is_empty());
+}
+
+#[test]
+fn nodes_that_are_forgotten_are_followed_no_more() {
+    let all = fleet(66, 3);
+    let mut view = seen_by(0, &all);
+    view.retain(|_| false);
+    assert_eq!(view.len(), 1);
+    assert!(view.is_mirror());
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -12,6 +12,7 @@
 };
 use pitchstall_serving::freshness::StoreWord;
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::membership::Member;
 use pitchstall_serving::placement::{
     choose_worker, choose_writer, plan_reading, Demand, ReadingPlan,
 };
@@ -19,6 +20,7 @@
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::routing::{find_route, TrafficSplitter};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use test_case::test_case;
 
@@ -280,6 +282,11 @@
         incarnation,
         sequence,
         informed: false,
+        member: Member {
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: ZoneId::new("north"),
+            processor: 1_000,
+        },
         store: StoreWord::default(),
         partial: false,
         loads: Vec::new(),
--- /dev/null
+++ b/crates/serving/tests/store_copy.rs
@@ -0,0 +1,117 @@
+//! Copies of the store that nodes hand to each other.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::store_copy::{StoreCopy, StoreEntry, StoreUpdate};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn entry(key: &str, document: Option<&str>, revision: u64) -> StoreEntry {
+    StoreEntry { key: key.to_owned(), document: document.map(str::to_owned), revision }
+}
+
+fn update(known_to: u64, whole: bool, entries: Vec<StoreEntry>) -> StoreUpdate {
+    StoreUpdate { known_to, whole, entries }
+}
+
+#[test]
+fn a_copy_that_has_read_nothing_has_nothing_to_say() {
+    assert_eq!(StoreCopy::default().update_since(None), None);
+}
+
+#[test]
+fn a_copy_that_lags_has_nothing_to_say_to_one_that_is_ahead() {
+    let mut copy = StoreCopy::default();
+    copy.apply(&update(5, true, vec![]));
+    assert_eq!(copy.update_since(Some(6)), None);
+    assert_eq!(copy.update_since(Some(5)).unwrap().entries, vec![]);
+}
+
+#[test]
+fn an_older_update_changes_nothing() {
+    let mut copy = StoreCopy::default();
+    copy.apply(&update(5, true, vec![entry("a", Some("new"), 5)]));
+    copy.apply(&update(3, true, vec![entry("a", Some("old"), 3)]));
+    assert_eq!(copy.update_since(None).unwrap().entries, vec![entry("a", Some("new"), 5)]);
+}
+
+#[test]
+fn what_was_removed_before_a_whole_list_shows_by_the_whole_list_only() {
+    let mut copy = StoreCopy::default();
+    copy.apply(&update(5, true, vec![entry("a", Some("x"), 2)]));
+    assert!(copy.update_since(Some(3)).unwrap().whole, "a removal at 4 would be missed");
+    assert!(!copy.update_since(Some(5)).unwrap().whole);
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Put(u8),
+    Remove(u8),
+    /// The first copy reads the whole store anew.
+    Read,
+    /// The second copy follows the first.
+    Follow,
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        4 => (0_u8..6).prop_map(Change::Put),
+        3 => (0_u8..6).prop_map(Change::Remove),
+        1 => Just(Change::Read),
+        3 => Just(Change::Follow),
+    ]
+}
+
+/// Takes an update in as a node does.
+fn take(view: &mut BTreeMap<String, String>, update: &StoreUpdate) {
+    if update.whole {
+        view.clear();
+    }
+    for entry in &update.entries {
+        match &entry.document {
+            Some(document) => view.insert(entry.key.clone(), document.clone()),
+            None => view.remove(&entry.key),
+        };
+    }
+}
+
+proptest! {
+    /// Whatever changes, and whenever copies follow: a node that follows another one's copy ends
+    /// up with what the store holds.
+    #[test]
+    fn a_node_that_follows_a_copy_has_what_the_store_has(
+        changes in prop::collection::vec(change(), 1..120),
+    ) {
+        let mut store: BTreeMap<String, StoreEntry> = BTreeMap::new();
+        let mut revision = 1;
+        let mut first = StoreCopy::default();
+        let mut second = BTreeMap::new();
+        let mut known_to = None;
+        first.apply(&update(revision, true, vec![]));
+        for change in changes.into_iter().chain([Change::Follow]) {
+            revision += 1;
+            match change {
+                Change::Put(key) => {
+                    let put = entry(&key.to_string(), Some(&revision.to_string()), revision);
+                    store.insert(put.key.clone(), put.clone());
+                    first.apply(&update(revision, false, vec![put]));
+                }
+                Change::Remove(key) => {
+                    store.remove(&key.to_string());
+                    let removed = entry(&key.to_string(), None, revision);
+                    first.apply(&update(revision, false, vec![removed]));
+                }
+                Change::Read => {
+                    first.apply(&update(revision, true, store.values().cloned().collect()));
+                }
+                Change::Follow => {
+                    let answer = first.update_since(known_to).unwrap();
+                    take(&mut second, &answer);
+                    known_to = Some(answer.known_to);
+                }
+            }
+        }
+        let document = |entry: &StoreEntry| (entry.key.clone(), entry.document.clone().unwrap());
+        let held: BTreeMap<String, String> = store.values().map(document).collect();
+        prop_assert_eq!(second, held);
+    }
+}
