--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -184,7 +184,7 @@
         // An order without an answer may have been taken.
         if answer != Some(OrderAnswer::Refused) {
             let until_us = now_us + CHANGING_US;
-            self.node.fleet.borrow_mut().on_changing(&record.id, change.stage, until_us);
+            self.node.on_role_ordered(&record.id, change.stage, until_us);
         }
         let runner = record.id.as_str();
         let stage = format!("{:?}", change.stage);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,8 +9,10 @@
 use crate::listener;
 use crate::mirror;
 use crate::node::Node;
+use crate::peer_words::PeerSocket;
 use crate::peers::Peers;
 use crate::policy::PolicyProgram;
+use crate::scheduling;
 use crate::settings::{Settings, SettingsError};
 use crate::watcher;
 use pitchstall_serving::store_copy::Subject;
@@ -95,18 +97,19 @@
     let zone = settings.node.zone.clone();
     log::info!(target: "process", name, zone; "started");
     let program = PolicyProgram::read(&settings.policy)?;
-    let node = Node::new(settings);
+    let socket = PeerSocket::new(Rc::new(datagrams));
+    let node = Node::new(settings, socket.clone());
     node.adopt_policy_program(program);
     for subject in [Subject::Configuration, Subject::Runners] {
         ntex::rt::spawn(watcher::follow(node.clone(), subject));
     }
-    let peers = Peers::new(node.clone(), datagrams);
+    let peers = Peers::new(node.clone(), socket);
     ntex::rt::spawn(peers.clone().receive());
     ntex::rt::spawn(peers.clone().announce());
-    ntex::rt::spawn(peers.clone().announce_long_readings());
+    ntex::rt::spawn(scheduling::tell_loads(node.clone()));
     ntex::rt::spawn(peers.register());
     ntex::rt::spawn(authority::hold(node.clone()));
-    ntex::rt::spawn(cache_listing::list_unless_told(node.clone()));
+    ntex::rt::spawn(cache_listing::list_own_shards(node.clone()));
     ntex::rt::spawn(mirror::accept_followers(followers, node.clone()));
     ntex::rt::spawn(listener::accept_health(health, node.clone()));
     ntex::rt::spawn(prune(node.clone()));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -12,17 +12,17 @@
 use crate::policy::PlacementRules;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::relay::{relay, RelayEnd, RelayLimits, StreamState};
+use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
 use pitchstall_serving::fleet::Eligible;
 use pitchstall_serving::ids::{RunnerId, ServiceName};
-use pitchstall_serving::placement::{
-    choose_worker, choose_writer, plan_reading, Choice, Demand, ReadingPlan,
-};
+use pitchstall_serving::placement::{choose_worker, choose_writer, Choice, Demand, ReadingPlan};
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, ArrivalLedger, SharedRetryBudget};
-use pitchstall_serving::urgency::{put_behind_if_late, rank};
+use pitchstall_serving::scheduling::Progress;
+use pitchstall_serving::urgency::rank;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,7 +38,6 @@
 const WAIT_SHARE: f64 = 0.25;
 /// Part of its target for which a request hears nothing before its runner is doubted.
 const DOUBT_SHARE: f64 = 0.5;
-const MILLIS_A_SECOND: f64 = 1_000.0;
 /// Pauses between events, in targets, after which a stream counts as silent.
 const SILENT_PAUSES: u32 = 4;
 /// Shortest pause after which a stream counts as silent.
@@ -68,6 +67,10 @@
     stream: StreamState,
 }
 
+fn elapsed_ms(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 enum Step {
     Again,
     Done(RequestEnd),
@@ -77,6 +80,16 @@
 struct Plan {
     choice: Choice,
     prompt: Option<ReadPrompt>,
+    /// Tells the scheduler that has placed it; `None`: nobody schedules it.
+    follow_up: Option<FollowUp>,
+}
+
+impl Plan {
+    fn tell(&self, progress: Progress) {
+        if let Some(follow_up) = &self.follow_up {
+            follow_up.tell(progress);
+        }
+    }
 }
 
 impl<'a> Dispatch<'a> {
@@ -128,6 +141,7 @@
             Err(reason) => return self.give_up(reason),
         };
         let Some(prepared) = attempt::prepare(self.node, &plan.choice).await else {
+            plan.tell(Progress::Unreachable(plan.choice.runner.clone()));
             return self.on_unreachable(plan.choice.runner);
         };
         let cost = self.arrivals.on_run();
@@ -142,14 +156,18 @@
             None => Work::Run,
         };
         let params = self.params(work, &plan.choice);
+        let sent_at = Instant::now();
         match attempt::send(self.node, self.request, prepared, &params).await {
             AttemptEnd::Answering(answering) => {
                 if let Some(prompt) = &plan.prompt {
                     prompt.on_taken();
+                } else {
+                    plan.tell(Progress::Read(elapsed_ms(sent_at)));
                 }
                 self.deliver(*answering, client).await
             }
             AttemptEnd::Declined => {
+                plan.tell(Progress::Declined(plan.choice.runner.clone()));
                 self.excluded.push(plan.choice.runner);
                 Step::Again
             }
@@ -240,6 +258,7 @@
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.rules.zones.as_ref(),
+                shard: None,
             },
             prompt: &self.prompt,
             zone: &self.node.zone,
@@ -266,43 +285,61 @@
     async fn plan_now(&mut self) -> Result<Option<Plan>, GiveUp> {
         if self.engine.is_none() {
             let choice = choose_worker(&self.node.fleet.borrow(), &self.demand());
-            return Ok(choice.map(|choice| Plan { choice, prompt: None }));
+            return Ok(choice.map(|choice| Plan { choice, prompt: None, follow_up: None }));
         }
-        let reading = self.plan_reading().map(|plan| self.put_behind_if_late(plan));
+        let Placement { reading, writer, follow_up } = self.place().await;
         match reading {
             None => Ok(None),
-            Some(ReadingPlan::Direct(choice)) => Ok(Some(Plan { choice, prompt: None })),
-            Some(ReadingPlan::Split(choice)) => self.read_then_write(choice).await,
+            Some(ReadingPlan::Direct(choice)) => {
+                Ok(Some(Plan { choice, prompt: None, follow_up: Some(follow_up) }))
+            }
+            Some(ReadingPlan::Split(reader)) => {
+                self.read_then_write(reader, writer, follow_up).await
+            }
         }
     }
 
-    fn put_behind_if_late(&self, plan: ReadingPlan) -> ReadingPlan {
-        let target_ms = self.route.target_ms as f64;
-        let elapsed_ms = self.request.received.elapsed().as_secs_f64() * MILLIS_A_SECOND;
-        put_behind_if_late(plan, target_ms, elapsed_ms)
-    }
-
-    fn plan_reading(&self) -> Option<ReadingPlan> {
-        let fleet = self.node.fleet.borrow();
-        let demand = self.demand();
-        self.node.with_pace(&self.service, |pace| plan_reading(&fleet, pace, &demand))
+    async fn place(&self) -> Placement {
+        let demand = PlacementDemand {
+            request: &self.request.facts.id,
+            service: &self.service,
+            demand: self.demand(),
+            target_ms: self.route.target_ms,
+            elapsed: self.request.received.elapsed(),
+            left: self.time_left(),
+        };
+        scheduling::place(self.node, &demand).await
     }
 
-    /// Has the prompt read, then chooses who writes. A prompt that could not be read apart is
-    /// read by the decode runner.
-    async fn read_then_write(&mut self, reader: Choice) -> Result<Option<Plan>, GiveUp> {
-        let prompt = self.read_prompt(reader).await;
+    /// Has the prompt read, then has it written where that was planned. A prompt that could not
+    /// be read apart is read by the decode runner; while it was read, much may have changed.
+    async fn read_then_write(
+        &mut self,
+        reader: Choice,
+        writer: Option<Choice>,
+        follow_up: FollowUp,
+    ) -> Result<Option<Plan>, GiveUp> {
+        let sent_at = Instant::now();
+        let prompt = self.read_prompt(reader, &follow_up).await;
         if self.time_left().is_zero() {
             return Err(GiveUp::OutOfTime);
         }
-        let source = prompt.as_ref().map(|prompt| &prompt.zone);
-        let choice = choose_writer(&self.node.fleet.borrow(), &self.demand(), source);
-        Ok(choice.map(|choice| Plan { choice, prompt }))
+        if prompt.is_some() {
+            follow_up.tell(Progress::Read(elapsed_ms(sent_at)));
+        }
+        let is_usable = |writer: &Choice| prompt.is_some() && self.node.takes_work(&writer.runner);
+        let choice = writer.filter(is_usable).or_else(|| {
+            let source = prompt.as_ref().map(|prompt| &prompt.zone);
+            choose_writer(&self.node.fleet.borrow(), &self.demand(), source)
+        });
+        let follow_up = Some(follow_up);
+        Ok(choice.map(|choice| Plan { choice, prompt, follow_up }))
     }
 
-    async fn read_prompt(&mut self, reader: Choice) -> Option<ReadPrompt> {
+    async fn read_prompt(&mut self, reader: Choice, follow_up: &FollowUp) -> Option<ReadPrompt> {
         let prepared = attempt::prepare(self.node, &reader).await;
         let Some(prepared) = prepared else {
+            follow_up.tell(Progress::Unreachable(reader.runner.clone()));
             self.excluded.push(reader.runner);
             return None;
         };
@@ -330,7 +367,10 @@
                 }
                 Some(prompt)
             }
-            ReadingEnd::Declined | ReadingEnd::Failed => {
+            end @ (ReadingEnd::Declined | ReadingEnd::Failed) => {
+                if matches!(end, ReadingEnd::Declined) {
+                    follow_up.tell(Progress::Declined(reader.runner.clone()));
+                }
                 self.arrivals.on_reading_not_taken();
                 self.excluded.push(reader.runner);
                 None
@@ -362,7 +402,7 @@
 
     async fn deliver(&mut self, mut answering: Answering, client: &ClientConnection) -> Step {
         answering.flight.on_read();
-        self.node.on_prompt_held(&answering.record.id, &self.prompt);
+        self.node.on_parts_held(&answering.record.id, self.prompt.shared_parts());
         let first_byte = self.request.received.elapsed().as_secs_f64();
         self.node.metrics.first_byte.observe(first_byte);
         let success = (200..300).contains(&answering.head.status);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`intake`] | refuses what can be refused at once, finds the route |
 //! | [`policy`] | runs the operators' program |
 //! | [`dispatch`] | makes attempts until the request has its final answer |
+//! | [`scheduling`] | asks the scheduler of the runners where the request is to run |
 //! | [`reading`] | has a prompt read and keeps its handle |
 //! | [`attempt`] | one attempt at one runner |
 //! | [`verification`] | looks whether a silent runner can be reached |
@@ -37,10 +38,12 @@
 pub mod metrics;
 pub mod mirror;
 pub mod node;
+pub mod peer_words;
 pub mod peers;
 pub mod policy;
 pub mod reading;
 pub mod relay;
+pub mod scheduling;
 pub mod settings;
 pub mod store_client;
 pub mod verification;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,12 @@
     pub resumes: Counter,
     /// Connections opened to runners.
     pub connections: Counter,
+    /// Requests that a scheduler has placed.
+    pub placements_told: Counter,
+    /// Requests whose scheduler did not answer soon.
+    pub placements_missed: Counter,
+    /// Questions that were handed on to another shard's scheduler.
+    pub placements_handed_on: Counter,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -52,6 +58,9 @@
             retries_denied: Counter::default(),
             resumes: Counter::default(),
             connections: Counter::default(),
+            placements_told: Counter::default(),
+            placements_missed: Counter::default(),
+            placements_handed_on: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
@@ -70,6 +79,17 @@
             ("retries_denied", "Retries that the budget did not allow", &self.retries_denied),
             ("resumes", "Streams that went on at another runner", &self.resumes),
             ("connections", "Connections opened to runners", &self.connections),
+            ("placements_told", "Requests that a scheduler has placed", &self.placements_told),
+            (
+                "placements_missed",
+                "Requests whose scheduler did not answer soon",
+                &self.placements_missed,
+            ),
+            (
+                "placements_handed_on",
+                "Questions handed on to another scheduler",
+                &self.placements_handed_on,
+            ),
             ("store_calls", "Calls to the store", &self.store_calls),
             ("store_failures", "Calls to the store that failed", &self.store_failures),
         ];
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,18 +2,21 @@
 
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
+use crate::peer_words::PeerSocket;
 use crate::policy::PolicyProgram;
+use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use pitchstall_serving::configuration::{Configuration, Route};
-use pitchstall_serving::digest::{tellings_of_news, Digest, PrefixRead, ReadLog};
-use pitchstall_serving::fleet::{Fleet, FleetChange, RunnerRecord};
+use pitchstall_serving::digest::Digest;
+use pitchstall_serving::fleet::{Fleet, FleetChange, Runner, RunnerRecord, Stage};
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
-use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::prefix::PromptPart;
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
+use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -33,12 +36,12 @@
     pub metrics: Metrics,
     /// Told when a runner has become suspect.
     pub suspicion_changed: Notify,
+    /// Told when this node has ordered a runner to change its role.
+    pub role_ordered: Notify,
     /// Told when a runner joins or can be tried again.
     pub fleet_changed: Notify,
-    /// Runners at which long readings have begun, of which the other nodes have to hear at once.
-    pub long_readings: RefCell<Vec<RunnerId>>,
-    /// Told when there are any.
-    pub long_reading_begun: Notify,
+    /// Asks for and gives placements.
+    pub scheduling: Scheduling,
     /// All nodes that are known.
     pub members: RefCell<Membership>,
     /// The store's entries, as they are handed on to other nodes.
@@ -47,6 +50,8 @@
     pub copy_changed: Notify,
     /// How fresh the copies of the store are.
     pub freshness: RefCell<StoreFreshness>,
+    /// Told when the store has confirmed a copy: that spares the other nodes that read it a call.
+    pub store_confirmed: Notify,
     /// Told when a call to the store has failed: what waits for its answers may wait in vain.
     pub store_suspected: Notify,
     /// Told when connections that rest are to be closed.
@@ -56,12 +61,11 @@
     started: Instant,
     configuration: RefCell<Option<Rc<Configuration>>>,
     runners_known: Cell<bool>,
+    nodes_listed: Cell<bool>,
     is_stopping: Cell<bool>,
     splitter: RefCell<TrafficSplitter>,
     budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     paces: RefCell<HashMap<ServiceName, ReadPace>>,
-    reads: RefCell<ReadLog>,
-    informed: Cell<bool>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
     is_closing: Cell<bool>,
@@ -80,7 +84,7 @@
 
 impl Node {
     /// A node that knows nothing yet.
-    pub fn new(settings: Settings) -> Rc<Self> {
+    pub fn new(settings: Settings, socket: PeerSocket) -> Rc<Self> {
         let zone = ZoneId::new(&settings.node.zone);
         let membership = Membership::new(NodeId::new(&settings.node.name), member_of(&settings));
         Rc::new(Self {
@@ -91,24 +95,24 @@
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
             suspicion_changed: Notify::new(),
+            role_ordered: Notify::new(),
             fleet_changed: Notify::new(),
-            long_readings: RefCell::default(),
-            long_reading_begun: Notify::new(),
+            scheduling: Scheduling::new(socket),
             members: RefCell::new(membership),
             copies: RefCell::default(),
             copy_changed: Notify::new(),
             freshness: RefCell::default(),
+            store_confirmed: Notify::new(),
             store_suspected: Notify::new(),
             stopping: Notify::new(),
             started: Instant::now(),
             configuration: RefCell::default(),
             runners_known: Cell::new(false),
+            nodes_listed: Cell::new(false),
             is_stopping: Cell::new(false),
             splitter: RefCell::default(),
             budgets: RefCell::default(),
             paces: RefCell::default(),
-            reads: RefCell::default(),
-            informed: Cell::new(false),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             is_closing: Cell::new(false),
@@ -141,38 +145,40 @@
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 
-    /// A runner has read a prompt for this node, or taken its KV cache over.
-    pub fn on_prompt_held(&self, runner: &RunnerId, prompt: &Prompt) {
-        let parts = prompt.shared_parts().to_vec();
-        if !parts.is_empty() {
-            self.on_prefix_held(PrefixRead { runner: runner.clone(), parts });
+    /// A runner holds parts of prompts in its KV cache, for it has read them or taken them over.
+    pub fn on_parts_held(&self, runner: &RunnerId, parts: &[PromptPart]) {
+        if parts.is_empty() {
+            return;
         }
+        let service = self.fleet.borrow().get(runner).map(|runner| runner.record.service.clone());
+        let Some(service) = service else { return };
+        let capacity = self.cache_tokens(&service);
+        self.fleet.borrow_mut().on_read(runner, parts, self.now_us(), capacity);
     }
 
-    /// A runner holds a prefix; the other nodes are to be told.
-    pub fn on_prefix_held(&self, read: PrefixRead) {
-        const TELLINGS_OF_USE: u32 = 2;
-        let is_news = !self.fleet.borrow().holds(&read);
-        let tellings = if is_news { tellings_of_news(self.known_nodes()) } else { TELLINGS_OF_USE };
-        self.note_prefix(&read);
-        self.reads.borrow_mut().push(read, tellings);
+    /// Prompt tokens that the KV cache of a service's runner holds.
+    pub fn cache_tokens(&self, service: &ServiceName) -> u64 {
+        let configuration = self.configuration.borrow();
+        let services = configuration.as_ref().map(|configuration| &configuration.services);
+        let engine = services.and_then(|services| services.get(service)?.engine.as_ref());
+        engine.map_or(0, |engine| engine.kv_tokens)
     }
 
-    fn note_prefix(&self, read: &PrefixRead) {
-        let capacity = self.cache_tokens_of(&read.runner);
-        self.fleet.borrow_mut().on_read(read, self.now_us(), capacity);
+    /// Whether new requests may go to a runner, as far as this node knows.
+    pub fn takes_work(&self, runner: &RunnerId) -> bool {
+        let now_us = self.now_us();
+        let takes = |runner: &Runner| runner.takes_work() && !runner.is_changing(now_us);
+        self.fleet.borrow().get(runner).is_some_and(takes)
     }
 
-    /// Prompt tokens that a runner's KV cache holds.
-    fn cache_tokens_of(&self, runner: &RunnerId) -> u64 {
-        let fleet = self.fleet.borrow();
-        let service = fleet.get(runner).map(|runner| &runner.record.service);
-        let configuration = self.configuration.borrow();
-        let services = configuration.as_ref().map(|configuration| &configuration.services);
-        let engine = service
-            .zip(services)
-            .and_then(|(service, services)| services.get(service)?.engine.as_ref());
-        engine.map_or(0, |engine| engine.kv_tokens)
+    /// The store has told who is there.
+    pub fn on_nodes_listed(&self) {
+        self.nodes_listed.set(true);
+    }
+
+    /// Whether the store has ever told who is there.
+    pub fn has_listed_nodes(&self) -> bool {
+        self.nodes_listed.get()
     }
 
     /// How many nodes there are, this one included, as far as it knows.
@@ -211,16 +217,6 @@
         (self.open_connections() as u64) < most
     }
 
-    /// Whether the node knows what runners have held since before it started.
-    pub fn is_informed(&self) -> bool {
-        self.informed.get()
-    }
-
-    /// The node has asked all runners what they hold.
-    pub fn on_informed(&self) {
-        self.informed.set(true);
-    }
-
     /// A connection to a runner could not be opened.
     pub fn on_unreachable(&self, runner: &RunnerId) {
         self.fleet.borrow_mut().on_unreachable(runner, self.now_us());
@@ -252,27 +248,23 @@
         self.suspicion_changed.notify_waiters();
     }
 
-    /// Prefixes that the other nodes have yet to be told.
-    pub fn next_reads(&self) -> Vec<PrefixRead> {
-        self.reads.borrow_mut().take_next()
+    /// This node has ordered a runner to change its role; the other nodes are to hear of it.
+    pub fn on_role_ordered(&self, runner: &RunnerId, stage: Stage, until_us: u64) {
+        self.fleet.borrow_mut().on_changing(runner, stage, until_us);
+        self.role_ordered.notify_one();
     }
 
-    /// Takes in another node's word on its load and on prefixes.
+    /// Takes in another node's digest.
     pub fn on_peer_digest(&self, digest: &Digest) {
         let now_us = self.now_us();
-        let mut fleet = self.fleet.borrow_mut();
-        if digest.partial {
-            fleet.on_peer_loads_in_haste(&digest.node, &digest.loads, now_us);
-        } else {
-            fleet.on_peer_loads(&digest.node, &digest.loads, now_us);
-        }
-        drop(fleet);
-        digest.read.iter().for_each(|read| self.note_prefix(read));
         self.fleet.borrow_mut().on_changing_words(&digest.changing, now_us);
         self.freshness.borrow_mut().on_word(&digest.store, now_us);
-        if digest.informed {
-            self.informed.set(true);
-        }
+    }
+
+    /// Takes in a scheduler's word on the loads of its runners.
+    pub fn on_shard_loads(&self, word: &ShardLoads) {
+        let now_us = self.now_us();
+        self.fleet.borrow_mut().on_shard_loads(word.shard, &word.loads, now_us);
     }
 
     /// The configuration in force here.
@@ -382,17 +374,6 @@
         runner.unread_tokens <= just_sent && runner.in_flight <= 1 && others < 1.0
     }
 
-    /// A runner is given a prompt to read. A long one holds it up for longer than the other
-    /// nodes take to hear of it by the way: until then they would queue behind it.
-    pub fn on_reading_begun(&self, service: &ServiceName, runner: &RunnerId, unread_tokens: u64) {
-        const LONG_MS: f64 = 300.0;
-        let is_long = self.with_pace(service, |pace| pace.read_ms(unread_tokens as f64) >= LONG_MS);
-        if is_long {
-            self.long_readings.borrow_mut().push(runner.clone());
-            self.long_reading_begun.notify_one();
-        }
-    }
-
     /// Whether the node takes new callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.configuration.borrow().is_some() && self.runners_known.get()
--- /dev/null
+++ b/crates/gateway/src/peer_words.rs
@@ -0,0 +1,74 @@
+//! What nodes say to each other by datagrams: one JSON line each.
+
+use pitchstall_serving::digest::Digest;
+use pitchstall_serving::scheduling::{
+    PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// Largest datagram.
+pub const MOST_DATAGRAM_BYTES: usize = 60_000;
+
+/// A word of one node to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerWord {
+    /// The node is there.
+    #[serde(rename = "digest")]
+    Digest(Digest),
+    /// Where is this request to run?
+    #[serde(rename = "ask")]
+    Question(PlacementQuestion),
+    /// There.
+    #[serde(rename = "place")]
+    Answer(PlacementAnswer),
+    /// What became of a request that was placed.
+    #[serde(rename = "progress")]
+    Progress(ProgressWord),
+    /// The loads of a shard.
+    #[serde(rename = "loads")]
+    Loads(ShardLoads),
+}
+
+/// Sends words. One that cannot be sent is as good as lost on its way, and nothing depends on it.
+#[derive(Clone)]
+pub struct PeerSocket {
+    socket: Rc<UdpSocket>,
+}
+
+impl PeerSocket {
+    /// Sends through the socket.
+    pub fn new(socket: Rc<UdpSocket>) -> Self {
+        Self { socket }
+    }
+
+    /// Sends a word to some nodes; returns its length in bytes.
+    pub fn send(&self, word: &PeerWord, to: &[SocketAddr]) -> usize {
+        let line = match serde_json::to_vec(word) {
+            Ok(line) if line.len() <= MOST_DATAGRAM_BYTES => line,
+            Ok(line) => {
+                log::warn!(target: "peers", bytes = line.len(); "a word is too long");
+                return 0;
+            }
+            Err(error) => {
+                let error = error.to_string();
+                log::error!(target: "peers", error; "a word cannot be written");
+                return 0;
+            }
+        };
+        for address in to {
+            if let Err(error) = self.socket.try_send_to(&line, *address) {
+                let (to, error) = (address.to_string(), error.to_string());
+                log::debug!(target: "peers", to, error; "a word was not sent");
+            }
+        }
+        line.len()
+    }
+
+    /// Receives the next datagram into `buffer`.
+    pub async fn receive(&self, buffer: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+        self.socket.recv_from(buffer).await
+    }
+}
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -90,7 +90,6 @@
     let runner = prepared.record().id.clone();
     let tokens = demand.choice.tokens_to_read();
     let met_no_queue = node.has_nothing_else_to_read(&runner, tokens);
-    node.on_reading_begun(demand.service, &runner, tokens);
     let answering = match attempt::send(node, demand.request, prepared, params).await {
         AttemptEnd::Answering(answering) => answering,
         AttemptEnd::Declined => return ReadingEnd::Declined,
@@ -101,7 +100,7 @@
     };
     let name = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
     let Some(name) = name else { return ReadingEnd::Failed };
-    node.on_prompt_held(&runner, demand.prompt);
+    node.on_parts_held(&runner, demand.prompt.shared_parts());
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
     let sample = ReadSample { tokens, elapsed_ms, met_no_queue };
     node.with_pace(demand.service, |pace| pace.on_read(sample));
--- a/crates/gateway/tests/cache_listing.rs
+++ b/crates/gateway/tests/cache_listing.rs
@@ -1,13 +1,10 @@
-//! Whose caches a node lists after a restart of all nodes.
+//! Whose caches a scheduler asks for after its start.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_gateway::cache_listing::{runners_to_list, MOST_RUNNERS};
-use pitchstall_gateway::node::Node;
-use pitchstall_gateway::settings::Settings;
-use pitchstall_serving::fleet::{RunnerRecord, Stage};
+use pitchstall_gateway::cache_listing::runners_to_list;
+use pitchstall_serving::fleet::{Fleet, RunnerRecord, Stage};
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
-use std::path::Path;
-use test_case::test_case;
+use pitchstall_serving::scheduling::Shard;
 
 fn runner(number: usize, stage: Option<Stage>) -> RunnerRecord {
     RunnerRecord {
@@ -23,14 +20,18 @@
 }
 
 /// Once the lists of 90 runners, told to 60 nodes, kept their links full for the rest of a day.
-#[test_case(MOST_RUNNERS, MOST_RUNNERS; "a fleet that can be told")]
-#[test_case(MOST_RUNNERS + 1, 0; "a fleet that cannot")]
-fn only_a_fleet_that_can_be_told_is_listed(runners: usize, listed: usize) {
-    let text = include_str!("../../../examples/serve.toml");
-    let node = Node::new(Settings::parse(Path::new("serve.toml"), text).unwrap());
-    for number in 0..runners {
-        node.put_runner(runner(number, Some(Stage::Decode)));
+#[test]
+fn a_scheduler_lists_its_own_runners_and_all_schedulers_together_list_each_once() {
+    const RUNNERS: usize = 160;
+    let mut fleet = Fleet::default();
+    for number in 0..RUNNERS {
+        fleet.put(runner(number, Some(Stage::Decode)));
     }
-    node.put_runner(runner(runners, None));
-    assert_eq!(runners_to_list(&node).len(), listed);
+    fleet.put(runner(RUNNERS, None));
+    let shards: Vec<Shard> = Shard::all(Shard::count(295)).collect();
+    let listed: Vec<usize> =
+        shards.iter().map(|shard| runners_to_list(&fleet, &[*shard]).len()).collect();
+    assert_eq!(listed.iter().sum::<usize>(), RUNNERS);
+    assert!(listed.iter().all(|count| *count < RUNNERS / 4), "{listed:?}");
+    assert!(runners_to_list(&fleet, &[]).is_empty());
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -5,14 +5,15 @@
 //! whether a runner may get work; the other two only rank runners, because acting on a
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
-use crate::digest::{ChangingRunner, PrefixRead, RunnerLoad};
+use crate::digest::ChangingRunner;
 use crate::failure_rate::FailureRate;
-use crate::ids::{NodeId, RunnerId, ServiceName, ZoneId};
-use crate::prefix::Prompt;
+use crate::ids::{RunnerId, ServiceName, ZoneId};
+use crate::prefix::{Prompt, PromptPart};
 use crate::prefix_cache::PrefixCacheModel;
+use crate::scheduling::{RunnerLoad, Shard};
 use crate::suspicion::Suspicion;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// What a runner of a language model does.
@@ -85,10 +86,10 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 /// How long a load report counts, microseconds.
 const REPORT_LIFE_US: u64 = 1_500_000;
-/// How long a node's word on its own load counts, microseconds.
-const PEER_LOAD_LIFE_US: u64 = 2_500_000;
-/// Time after which nothing is believed to be left of the work that a node told of, and what
-/// is added for each token that had to be read.
+/// How long a scheduler's word on memory in use counts, microseconds.
+const TOLD_LIFE_US: u64 = 2_500_000;
+/// Time after which nothing is believed to be left of the work that a scheduler told of, and
+/// what is added for each token that had to be read.
 const PEER_LOAD_FADE_US: u64 = 700_000;
 const FADE_US_A_TOKEN: u64 = 30;
 /// A word on a change that ends later than the known one by so much is of another order.
@@ -112,7 +113,10 @@
     failures: FailureRate,
     others: u32,
     others_at_us: u64,
-    peers: HashMap<NodeId, PeerLoad>,
+    /// What this node has set aside there for requests of other nodes, as their scheduler.
+    reserved: Load,
+    /// What another node told that schedules it.
+    told: Option<ToldLoad>,
     suspicion: Suspicion,
     full_until_us: u64,
     /// The role that it was ordered to take, and until when it is left alone for that.
@@ -134,7 +138,8 @@
             failures: FailureRate::default(),
             others: 0,
             others_at_us: 0,
-            peers: HashMap::new(),
+            reserved: Load::default(),
+            told: None,
             suspicion: Suspicion::default(),
             full_until_us: 0,
             changing: None,
@@ -171,36 +176,39 @@
         self.suspicion.is_suspected()
     }
 
-    /// Requests that other nodes are believed to have at it: by their own words, and by the
-    /// runner's last report, which fades with its age.
+    /// Requests that other nodes are believed to have at it: by what is set aside for them, by
+    /// its scheduler's word, or by the runner's last report, which fades with its age.
     pub fn others(&self, now_us: u64) -> f64 {
-        let age = now_us.saturating_sub(self.others_at_us);
-        let left = REPORT_LIFE_US.saturating_sub(age);
-        let reported = f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64;
-        let left = |load: &PeerLoad| f64::from(load.in_flight) * load.share_left(now_us);
-        let told: f64 = self.fresh_peers(now_us).map(left).sum();
+        if self.reserved.in_flight > 0 {
+            return f64::from(self.reserved.in_flight);
+        }
+        let told =
+            self.told.map_or(0.0, |told| f64::from(told.load.in_flight) * told.share_left(now_us));
         if told > 0.0 {
-            told
-        } else {
-            reported
+            return told;
         }
+        let age = now_us.saturating_sub(self.others_at_us);
+        let left = REPORT_LIFE_US.saturating_sub(age);
+        f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64
     }
 
-    /// Prompt tokens that it has yet to read for other nodes, by their own words.
+    /// Prompt tokens that it has yet to read for other nodes.
     pub fn unread_for_peers(&self, now_us: u64) -> u64 {
-        let left = |load: &PeerLoad| load.unread_tokens as f64 * load.share_left(now_us);
-        self.fresh_peers(now_us).map(left).sum::<f64>() as u64
+        let left = |told: ToldLoad| told.load.unread_tokens as f64 * told.share_left(now_us);
+        self.reserved.unread_tokens + self.told.map_or(0.0, left) as u64
     }
 
-    /// Tokens of KV cache that the attempts of all nodes take there.
-    pub fn held_by_all(&self, now_us: u64) -> u64 {
-        let peers: u64 = self.fresh_peers(now_us).map(|load| load.held_tokens).sum();
-        self.held_tokens + peers
+    /// Prompt tokens that it reads when nothing else is left.
+    pub fn late_tokens_of_all(&self) -> u64 {
+        self.late_tokens + self.reserved.late_tokens
     }
 
-    fn fresh_peers(&self, now_us: u64) -> impl Iterator<Item = &PeerLoad> {
-        let is_fresh = move |load: &&PeerLoad| now_us < load.told_at_us + PEER_LOAD_LIFE_US;
-        self.peers.values().filter(is_fresh)
+    /// Tokens of KV cache that the attempts of all nodes take there.
+    pub fn held_by_all(&self, now_us: u64) -> u64 {
+        // Memory is let go when the run ends, not bit by bit.
+        let is_fresh = |told: &ToldLoad| now_us < told.told_at_us + TOLD_LIFE_US;
+        let told = self.told.filter(is_fresh).map_or(0, |told| told.load.held_tokens);
+        self.held_tokens + self.reserved.held_tokens + told
     }
 
     /// Requests that it is believed to have.
@@ -208,18 +216,50 @@
         f64::from(self.in_flight) + self.others(now_us)
     }
 
+    /// Whether it is believed to have nothing to do.
+    pub fn is_idle(&self, now_us: u64) -> bool {
+        self.unread_tokens == 0 && self.occupancy(now_us) < 1.0
+    }
+
     /// Shared tokens of a prompt that this node believes to be in its KV cache.
     pub fn cached_tokens(&self, prompt: &Prompt) -> u64 {
         self.cache.cached_tokens(prompt.shared_parts())
     }
 }
 
-/// What another node has at a runner.
-#[derive(Clone, Copy, Debug)]
-struct PeerLoad {
+/// What requests have at a runner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Load {
     in_flight: u32,
     unread_tokens: u64,
+    late_tokens: u64,
     held_tokens: u64,
+}
+
+impl Load {
+    fn add(&mut self, demand: AttemptDemand) {
+        self.in_flight += 1;
+        self.unread_tokens += demand.unread_tokens;
+        self.late_tokens += demand.late_tokens;
+        self.held_tokens += demand.held_tokens;
+    }
+
+    fn on_read(&mut self, demand: AttemptDemand) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(demand.unread_tokens);
+        self.late_tokens = self.late_tokens.saturating_sub(demand.late_tokens);
+    }
+
+    fn remove(&mut self, demand: AttemptDemand) {
+        self.on_read(demand);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.held_tokens = self.held_tokens.saturating_sub(demand.held_tokens);
+    }
+}
+
+/// What a scheduler told of a runner's load.
+#[derive(Clone, Copy, Debug)]
+struct ToldLoad {
+    load: Load,
     told_at_us: u64,
 }
 
@@ -232,26 +272,31 @@
     pub excluded: &'a [RunnerId],
     /// Zones that the operators' policy leaves; `None`: all.
     pub zones: Option<&'a BTreeSet<ZoneId>>,
+    /// The shard that they belong to; `None`: any.
+    pub shard: Option<Shard>,
 }
 
 impl<'a> Eligible<'a> {
     /// Every runner of a service.
     pub fn all_of(service: &'a ServiceName) -> Self {
-        Self { service, excluded: &[], zones: None }
+        Self { service, excluded: &[], zones: None, shard: None }
     }
 
     fn admits(&self, record: &RunnerRecord) -> bool {
         let zone_is_allowed = self.zones.is_none_or(|zones| zones.contains(&record.zone));
-        record.service == *self.service && zone_is_allowed && !self.excluded.contains(&record.id)
+        record.service == *self.service
+            && zone_is_allowed
+            && !self.excluded.contains(&record.id)
+            && self.shard.is_none_or(|shard| shard.has(&record.id))
     }
 }
 
-impl PeerLoad {
-    /// Share of it that is believed to be left: most requests are over within a second, and in
-    /// a large fleet a node's word comes no more often than that. Long prompts take longer.
+impl ToldLoad {
+    /// Share of it that is believed to be left, should no later word come: most requests are
+    /// over within a second. Long prompts take longer.
     fn share_left(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.told_at_us);
-        let fade_us = PEER_LOAD_FADE_US + self.unread_tokens * FADE_US_A_TOKEN;
+        let fade_us = PEER_LOAD_FADE_US + self.load.unread_tokens * FADE_US_A_TOKEN;
         1.0 - (age_us as f64 / fade_us as f64).min(1.0)
     }
 }
@@ -371,61 +416,60 @@
     }
 
     /// A runner holds the shared parts of a prompt, for it has read them or taken them over.
-    pub fn on_read(&mut self, read: &PrefixRead, now_us: u64, capacity: u64) {
-        if let Some(runner) = self.runners.get_mut(&read.runner) {
-            runner.cache.on_read(&read.parts, now_us, capacity);
+    pub fn on_read(&mut self, id: &RunnerId, parts: &[PromptPart], now_us: u64, capacity: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.cache.on_read(parts, now_us, capacity);
         }
     }
 
-    /// Whether a runner is known to hold a prefix.
-    pub fn holds(&self, read: &PrefixRead) -> bool {
-        let tokens: u64 = read.parts.iter().map(|part| part.tokens).sum();
-        let held = |runner: &Runner| runner.cache.cached_tokens(&read.parts);
-        self.runners.get(&read.runner).map(held) == Some(tokens)
+    /// A scheduler sets a request's needs aside at a runner.
+    pub fn on_reserved(&mut self, id: &RunnerId, demand: AttemptDemand) {
+        self.update_reserved(id, |reserved| reserved.add(demand));
+    }
+
+    /// The prompt of a request whose needs were set aside has been read.
+    pub fn on_reserved_prompt_read(&mut self, id: &RunnerId, demand: AttemptDemand) {
+        self.update_reserved(id, |reserved| reserved.on_read(demand));
     }
 
-    /// Another node told what it has at the runners; it has nothing at those it leaves out.
-    pub fn on_peer_loads(&mut self, node: &NodeId, loads: &[RunnerLoad], now_us: u64) {
-        for runner in self.runners.values_mut() {
-            runner.peers.remove(node);
+    /// A request whose needs were set aside is over there.
+    pub fn on_reservation_ended(&mut self, id: &RunnerId, demand: AttemptDemand) {
+        self.update_reserved(id, |reserved| reserved.remove(demand));
+    }
+
+    fn update_reserved(&mut self, id: &RunnerId, update: impl FnOnce(&mut Load)) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            update(&mut runner.reserved);
         }
-        self.on_peer_loads_in_haste(node, loads, now_us);
     }
 
-    /// Another node told what it has at some of the runners.
-    pub fn on_peer_loads_in_haste(&mut self, node: &NodeId, loads: &[RunnerLoad], now_us: u64) {
+    /// A scheduler told the loads of a shard's runners; those it leaves out have none.
+    pub fn on_shard_loads(&mut self, shard: Shard, loads: &[RunnerLoad], now_us: u64) {
+        for runner in self.runners.values_mut().filter(|runner| shard.has(&runner.record.id)) {
+            runner.told = None;
+        }
         for load in loads {
-            if let Some(runner) = self.runners.get_mut(&load.runner) {
-                let told = PeerLoad {
-                    in_flight: load.in_flight,
-                    unread_tokens: load.unread_tokens,
-                    held_tokens: load.held_tokens,
-                    told_at_us: now_us,
-                };
-                runner.peers.insert(node.clone(), told);
-            }
+            let Some(runner) = self.runners.get_mut(&load.runner) else { continue };
+            let told = Load {
+                in_flight: load.in_flight,
+                unread_tokens: load.unread_tokens,
+                late_tokens: 0,
+                held_tokens: load.held_tokens,
+            };
+            runner.told = Some(ToldLoad { load: told, told_at_us: now_us });
         }
     }
 
-    /// What this node has at the runners, without those where it has nothing.
-    pub fn own_loads(&self) -> Vec<RunnerLoad> {
-        let busy = self.runners.values().filter(|runner| runner.in_flight > 0);
+    /// What this node, as the scheduler of a shard, knows of the load at its runners.
+    pub fn shard_loads(&self, shard: Shard) -> Vec<RunnerLoad> {
         let load = |runner: &Runner| RunnerLoad {
             runner: runner.record.id.clone(),
-            in_flight: runner.in_flight,
-            unread_tokens: runner.unread_tokens,
-            held_tokens: runner.held_tokens,
-        };
-        busy.map(load).collect()
-    }
-
-    /// Everything that runners are believed to hold.
-    pub fn held_prefixes(&self) -> Vec<PrefixRead> {
-        let held = |runner: &Runner| PrefixRead {
-            runner: runner.record.id.clone(),
-            parts: runner.cache.parts(),
+            in_flight: runner.in_flight + runner.reserved.in_flight,
+            unread_tokens: runner.unread_tokens + runner.reserved.unread_tokens,
+            held_tokens: runner.held_tokens + runner.reserved.held_tokens,
         };
-        self.runners.values().map(held).filter(|read| !read.parts.is_empty()).collect()
+        let of_shard = self.runners.values().filter(|runner| shard.has(&runner.record.id));
+        of_shard.map(load).filter(|load| load.in_flight > 0).collect()
     }
 
     /// A runner told its load.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
-//! | [`digest`] | what nodes tell each other about runners |
+//! | [`digest`] | what every node tells the others now and then |
 //! | [`store_copy`] | what brings another node's copy of the store up to date |
 //! | [`membership`] | which nodes read the store, and which follow them |
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
@@ -21,6 +21,8 @@
 //! | [`read_pace`] | how fast prompts are read |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
 //! | [`urgency`] | what goes ahead of what at a runner |
+//! | [`scheduling`] | which node places a request, and what nodes say to each other for that |
+//! | [`scheduler`], [`reservations`] | what that node decides, and what it has set aside |
 //! | [`role_planner`] | when a runner changes its role |
 //! | [`authority`] | which node may order that |
 //! | [`retry_budget`] | whether one more attempt may be made |
@@ -42,9 +44,12 @@
 pub mod prefix_cache;
 pub mod read_pace;
 pub mod request;
+pub mod reservations;
 pub mod retry_budget;
 pub mod role_planner;
 pub mod routing;
+pub mod scheduler;
+pub mod scheduling;
 pub mod store_copy;
 pub mod suspicion;
 pub mod urgency;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::{NodeId, ZoneId};
 use crate::prefix::rendezvous_weight;
+use crate::scheduling::Shard;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -99,6 +100,25 @@
             .collect()
     }
 
+    /// The other nodes that read the store; they also order role changes.
+    pub fn mirrors(&self) -> Vec<SocketAddr> {
+        let zones = self.zones();
+        let names = zones.iter().flat_map(|zone| self.mirrors_of(zone));
+        names.filter(|name| **name != self.own).map(|name| self.members[name].address).collect()
+    }
+
+    /// The scheduler of a shard among the nodes for which `is_up` holds; `None` if it is this
+    /// node.
+    pub fn scheduler(
+        &self,
+        shard: Shard,
+        is_up: impl Fn(&NodeId) -> bool,
+    ) -> Option<(&NodeId, SocketAddr)> {
+        let up = self.members.iter().filter(|(name, _)| **name == self.own || is_up(name));
+        let best = up.max_by_key(|(name, member)| (member.processor, shard.weight(name)));
+        best.filter(|(name, _)| **name != self.own).map(|(name, member)| (name, member.address))
+    }
+
     /// Spreads the nodes over the places that they may choose.
     fn weight(&self, place: &str) -> u64 {
         rendezvous_weight(self.own.as_str(), place)
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -24,6 +24,14 @@
     pub now_us: u64,
 }
 
+/// The runner at which requests with a prompt's shared parts gather to be read; without shared
+/// parts, or without prefill runners, `None`.
+pub fn reading_home<'a>(fleet: &'a Fleet, demand: &Demand<'_>) -> Option<&'a RunnerId> {
+    let candidates = fleet.candidates(&demand.eligible, demand.now_us);
+    let (readers, _) = by_stage(&candidates);
+    home_of(&readers, demand.prompt)
+}
+
 /// A runner for an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -259,7 +267,7 @@
 
     fn prefill_ms(&self, runner: &Runner) -> f64 {
         let way = distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
-        let late = self.pace.read_ms(runner.late_tokens as f64) * LATE_WORK;
+        let late = self.pace.read_ms(runner.late_tokens_of_all() as f64) * LATE_WORK;
         self.prefill_time_ms(runner) + late + self.fetch_ms(runner) + way + self.failures_ms(runner)
     }
 
--- a/crates/serving/src/prefix_cache.rs
+++ b/crates/serving/src/prefix_cache.rs
@@ -29,11 +29,6 @@
         held.map(|part| part.tokens).sum()
     }
 
-    /// All parts that are held.
-    pub fn parts(&self) -> Vec<PromptPart> {
-        self.parts.iter().map(|(id, part)| PromptPart { id: *id, tokens: part.tokens }).collect()
-    }
-
     /// The runner has read these parts, or taken them over. `capacity` is in tokens.
     pub fn on_read(&mut self, parts: &[PromptPart], now_us: u64, capacity: u64) {
         for part in parts {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -3,10 +3,7 @@
 
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
-use pitchstall_serving::digest::{
-    digest_interval, tellings_of_news, Digest, DigestOrder, Freshness, PrefixRead, ReadLog,
-    RunnerLoad, FAN_OUT,
-};
+use pitchstall_serving::digest::{Digest, DigestOrder, Freshness};
 use pitchstall_serving::fleet::{
     AttemptDemand, Eligible, Fleet, FleetChange, LoadReport, RunnerRecord, Stage,
 };
@@ -19,12 +16,14 @@
 use pitchstall_serving::prefix::{Prompt, PromptPart};
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::routing::{find_route, TrafficSplitter};
+use pitchstall_serving::scheduling::{RunnerLoad, Shard};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use test_case::test_case;
 
 const CACHE_TOKENS: u64 = 400_000;
+const ONLY_SHARD: Shard = Shard { number: 0, of: 1 };
 
 fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
     let share = |(service, weight): &(&str, u32)| Share {
@@ -147,6 +146,7 @@
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.zones.as_ref(),
+                shard: None,
             },
             prompt: &self.prompt,
             zone: &self.zone,
@@ -154,10 +154,6 @@
             now_us: 1_000,
         }
     }
-
-    fn read_at(&self, runner: &str) -> PrefixRead {
-        PrefixRead { runner: RunnerId::new(runner), parts: self.prompt.shared_parts().to_vec() }
-    }
 }
 
 fn engines() -> Fleet {
@@ -185,17 +181,17 @@
     let pace = ReadPace::default();
     let home = reader(plan_reading(&fleet, &pace, &case.demand()));
     assert_eq!(reader(plan_reading(&engines(), &pace, &case.demand())), home);
-    // Another node has told that it has much to read there.
+    // Its scheduler has told that it has much to read.
     let load = RunnerLoad {
         runner: RunnerId::new(&home),
         in_flight: 3,
         unread_tokens: 90_000,
         held_tokens: 90_000,
     };
-    fleet.on_peer_loads(&NodeId::new("other"), &[load], 1_000);
+    fleet.on_shard_loads(ONLY_SHARD, &[load], 1_000);
     assert_ne!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
     // Its next word takes that back.
-    fleet.on_peer_loads(&NodeId::new("other"), &[], 1_000);
+    fleet.on_shard_loads(ONLY_SHARD, &[], 1_000);
     assert_eq!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
 }
 
@@ -206,7 +202,8 @@
     let pace = ReadPace::default();
     let home = reader(plan_reading(&fleet, &pace, &case.demand()));
     let other = ["p1", "p2", "p3"].into_iter().find(|id| *id != home).unwrap();
-    fleet.on_read(&case.read_at(other), 1_000, CACHE_TOKENS);
+    let held = case.prompt.shared_parts();
+    fleet.on_read(&RunnerId::new(other), held, 1_000, CACHE_TOKENS);
     let Some(ReadingPlan::Split(choice)) = plan_reading(&fleet, &pace, &case.demand()) else {
         unreachable!("prefill runners are free")
     };
@@ -281,17 +278,13 @@
         node,
         incarnation,
         sequence,
-        informed: false,
         member: Member {
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             zone: ZoneId::new("north"),
             processor: 1_000,
         },
         store: StoreWord::default(),
-        partial: false,
-        loads: Vec::new(),
         changing: Vec::new(),
-        read: Vec::new(),
     }
 }
 
@@ -305,26 +298,6 @@
     assert_eq!(order.on_digest(&digest(4, 1)), Freshness::Newcomer, "it started anew");
 }
 
-#[test]
-fn digests_go_out_often_and_within_a_bound_of_bytes() {
-    let small_fleet = digest_interval(7, 600);
-    assert_eq!(small_fleet.as_millis(), 40);
-    let large_fleet = digest_interval(FAN_OUT, 3_000);
-    let bytes_a_second = (FAN_OUT * 3_000) as f64 / large_fleet.as_secs_f64();
-    assert!(bytes_a_second <= 150_000.1);
-    assert_eq!(digest_interval(0, 0), small_fleet, "a node alone");
-}
-
-#[test]
-fn prefixes_are_told_twice() {
-    let mut log = ReadLog::default();
-    let read = Case::new(10, 1).read_at("p1");
-    log.push(read.clone(), 2);
-    assert_eq!(log.take_next(), std::slice::from_ref(&read));
-    assert_eq!(log.take_next(), [read]);
-    assert!(log.take_next().is_empty());
-}
-
 #[test]
 fn after_its_time_a_suspect_is_tried_by_one_request_first() {
     let mut fleet = Fleet::default();
@@ -385,21 +358,14 @@
     assert_eq!(choose_worker(&fleet, &case.demand()), None, "rather none than a forbidden one");
 }
 
-#[test_case(1, 1; "alone")]
-#[test_case(7, 2; "all in one turn")]
-#[test_case(60, 5; "four turns")]
-fn what_a_runner_newly_holds_is_told_to_every_node(nodes: usize, tellings: u32) {
-    assert_eq!(tellings_of_news(nodes), tellings);
-}
-
 #[test]
-fn load_that_a_node_told_fades_until_it_tells_again() {
+fn load_that_a_scheduler_told_fades_until_it_tells_again() {
     let mut fleet = Fleet::default();
     fleet.put(record("a", "north", None, 1));
     let id = RunnerId::new("a");
     let load =
         RunnerLoad { runner: id.clone(), in_flight: 4, unread_tokens: 1_000, held_tokens: 50 };
-    fleet.on_peer_loads(&NodeId::new("n"), &[load], 0);
+    fleet.on_shard_loads(ONLY_SHARD, &[load], 0);
     let runner = fleet.get(&id).unwrap();
     assert_eq!((runner.occupancy(0), runner.unread_for_peers(0)), (4.0, 1_000));
     assert!(runner.occupancy(400_000) < 3.0 && runner.unread_for_peers(400_000) < 600);
@@ -419,26 +385,3 @@
     fleet.replace_all(vec![record("a", "north", Some(Stage::Prefill), 5)], 6);
     assert!(fleet.get(&id).unwrap().takes_work());
 }
-
-#[test]
-fn a_word_in_haste_adds_to_what_a_node_told_and_its_next_digest_replaces_all() {
-    let mut fleet = Fleet::default();
-    fleet.put(record("a", "north", None, 1));
-    fleet.put(record("b", "north", None, 1));
-    let node = NodeId::new("n");
-    let load = |runner: &str| RunnerLoad {
-        runner: RunnerId::new(runner),
-        in_flight: 1,
-        unread_tokens: 100,
-        held_tokens: 100,
-    };
-    let occupied = |fleet: &Fleet| {
-        let held = |id| fleet.get(&RunnerId::new(id)).unwrap().held_by_all(0);
-        (held("a"), held("b"))
-    };
-    fleet.on_peer_loads(&node, &[load("a")], 0);
-    fleet.on_peer_loads_in_haste(&node, &[load("b")], 0);
-    assert_eq!(occupied(&fleet), (100, 100));
-    fleet.on_peer_loads(&node, &[load("b")], 0);
-    assert_eq!(occupied(&fleet), (0, 100));
-}
--- /dev/null
+++ b/crates/serving/tests/reservations.rs
@@ -0,0 +1,144 @@
+//! What a scheduler sets aside, and that it is free again whatever words are lost or doubled.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::fleet::{AttemptDemand, Fleet, RunnerRecord, Stage};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::reservations::{Reservation, Reservations, Reserved};
+use pitchstall_serving::scheduling::{Shard, Ticket};
+use proptest::prelude::*;
+
+const SECOND: u64 = 1_000_000;
+const ONLY_SHARD: Shard = Shard { number: 0, of: 1 };
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    for (id, stage) in [("p", Stage::Prefill), ("d", Stage::Decode)] {
+        fleet.put(RunnerRecord {
+            id: RunnerId::new(id),
+            service: ServiceName::new("s"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: ZoneId::new("north"),
+            slots: 8,
+            draining: false,
+            stage: Some(stage),
+            revision: 1,
+        });
+    }
+    fleet
+}
+
+fn ticket(number: u64) -> Ticket {
+    Ticket { incarnation: 7, number }
+}
+
+fn reserved(runner: &str, unread_tokens: u64) -> Reserved {
+    let demand = AttemptDemand { unread_tokens, late_tokens: 0, held_tokens: 500 };
+    Reserved { runner: RunnerId::new(runner), demand }
+}
+
+fn split(deadline_us: u64) -> Reservation {
+    Reservation {
+        service: ServiceName::new("s"),
+        reader: reserved("p", 400),
+        writer: Some(reserved("d", 0)),
+        shared_parts: Vec::new(),
+        met_no_queue: true,
+        deadline_us,
+        is_read: false,
+    }
+}
+
+fn direct(deadline_us: u64) -> Reservation {
+    Reservation { reader: reserved("d", 400), writer: None, ..split(deadline_us) }
+}
+
+/// Requests and unread tokens at the prefill and at the decode runner.
+fn load(fleet: &Fleet) -> [(u32, u64); 2] {
+    let loads = fleet.shard_loads(ONLY_SHARD);
+    let of = |id: &str| {
+        let load = loads.iter().find(|load| load.runner.as_str() == id);
+        load.map_or((0, 0), |load| (load.in_flight, load.unread_tokens))
+    };
+    [of("p"), of("d")]
+}
+
+#[test]
+fn a_prompt_that_is_read_apart_leaves_the_reader_when_it_is_read() {
+    let (mut fleet, mut reservations) = (fleet(), Reservations::default());
+    reservations.reserve(&mut fleet, ticket(1), split(SECOND));
+    assert_eq!(load(&fleet), [(1, 400), (1, 0)]);
+    assert!(reservations.on_read(&mut fleet, ticket(1)).is_some());
+    assert_eq!(load(&fleet), [(0, 0), (1, 0)]);
+    assert!(reservations.on_read(&mut fleet, ticket(1)).is_none(), "a doubled word");
+    reservations.end(&mut fleet, ticket(1));
+    assert_eq!(load(&fleet), [(0, 0), (0, 0)]);
+}
+
+#[test]
+fn a_prompt_that_its_writer_reads_stays_there() {
+    let (mut fleet, mut reservations) = (fleet(), Reservations::default());
+    reservations.reserve(&mut fleet, ticket(1), direct(SECOND));
+    assert_eq!(load(&fleet), [(0, 0), (1, 400)]);
+    reservations.on_read(&mut fleet, ticket(1)).unwrap();
+    assert_eq!(load(&fleet), [(0, 0), (1, 0)]);
+}
+
+#[test]
+fn a_reservation_whose_node_has_died_ends_after_the_deadline() {
+    let (mut fleet, mut reservations) = (fleet(), Reservations::default());
+    reservations.reserve(&mut fleet, ticket(1), split(SECOND));
+    assert_eq!(reservations.expire(&mut fleet, SECOND), 0);
+    assert_eq!(reservations.expire(&mut fleet, 2 * SECOND), 1);
+    assert_eq!(load(&fleet), [(0, 0), (0, 0)]);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Word {
+    Split(u64),
+    Direct(u64),
+    Read(u64),
+    Ended(u64),
+    Pause(u64),
+}
+
+fn word() -> impl Strategy<Value = Word> {
+    prop_oneof![
+        (0_u64..8).prop_map(Word::Split),
+        (0_u64..8).prop_map(Word::Direct),
+        (0_u64..8).prop_map(Word::Read),
+        (0_u64..8).prop_map(Word::Ended),
+        (0_u64..SECOND).prop_map(Word::Pause),
+    ]
+}
+
+proptest! {
+    /// Words may come twice, late, never, or on requests that are not known: when all deadlines
+    /// have passed nothing is set aside any more, and what is never falls below what is open.
+    #[test]
+    fn nothing_is_set_aside_for_ever(words in prop::collection::vec(word(), 1..200)) {
+        let (mut fleet, mut reservations) = (fleet(), Reservations::default());
+        let mut now_us = 0;
+        for word in words {
+            match word {
+                Word::Split(number) => {
+                    reservations.reserve(&mut fleet, ticket(number), split(now_us + SECOND));
+                }
+                Word::Direct(number) => {
+                    reservations.reserve(&mut fleet, ticket(number), direct(now_us + SECOND));
+                }
+                Word::Read(number) => {
+                    reservations.on_read(&mut fleet, ticket(number));
+                }
+                Word::Ended(number) => reservations.end(&mut fleet, ticket(number)),
+                Word::Pause(pause_us) => now_us += pause_us,
+            }
+            reservations.expire(&mut fleet, now_us);
+            let [(reading, _), (writing, _)] = load(&fleet);
+            prop_assert!((reading + writing) as usize >= reservations.len());
+            prop_assert!(writing as usize == reservations.len(), "each is written once");
+        }
+        reservations.expire(&mut fleet, now_us + 10 * SECOND);
+        prop_assert!(reservations.is_empty());
+        prop_assert_eq!(load(&fleet), [(0, 0), (0, 0)]);
+    }
+}
