Give the runner a module of its own; a route's prefix a name of its own

Change: serving::runner holds one runner (entry, load, health, cache), serving::fleet the list; Route::prefix. Code is moved, no decision changes.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use pitchstall_platform_adapter::documents;
 use pitchstall_platform_adapter::store::CONFIGURATION_KEY;
-use pitchstall_serving::fleet::RunnerRecord;
+use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate, Subject};
 
 /// Takes in an update, from the store or from another node.
--- a/crates/gateway/src/verification.rs
+++ b/crates/gateway/src/verification.rs
@@ -51,7 +51,7 @@
 pub async fn becomes_suspect(node: &Node, runner: &RunnerId) {
     let is_suspected = || {
         let fleet = node.fleet.borrow();
-        fleet.get(runner).is_some_and(pitchstall_serving::fleet::Runner::is_suspected)
+        fleet.get(runner).is_some_and(pitchstall_serving::runner::Runner::is_suspected)
     };
     if is_suspected() {
         std::future::pending::<()>().await;
--- a/crates/gateway/tests/cache_listing.rs
+++ b/crates/gateway/tests/cache_listing.rs
@@ -2,8 +2,9 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_gateway::cache_listing::runners_to_list;
-use pitchstall_serving::fleet::{Fleet, RunnerRecord, Stage};
+use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::scheduling::Shard;
 
 fn runner(number: usize, stage: Option<Stage>) -> RunnerRecord {
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -46,7 +46,7 @@
     /// Host that clients name.
     pub host: String,
     /// Beginning of the path.
-    pub path_prefix: String,
+    pub prefix: String,
     /// What may be done with a request that failed.
     pub kind: RequestKind,
     /// Longest time the operators want a request held, milliseconds.
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -5,10 +5,10 @@
 //! arrives late is told by its sequence. Loads and caches of runners are not in it: they are
 //! known to the runners' schedulers ([`crate::scheduling`]).
 
-use crate::fleet::Stage;
 use crate::freshness::StoreWord;
 use crate::ids::{NodeId, RunnerId};
 use crate::membership::Member;
+use crate::runner::Stage;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,7 +15,7 @@
 //! | [`store_copy`] | what brings another node's copy of the store up to date |
 //! | [`membership`] | which nodes read the store, and which follow them |
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
-//! | [`fleet`] | which runners exist, how loaded and how healthy they are |
+//! | [`runner`], [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
 //! | [`suspicion`] | whether a runner that is silent is busy or gone |
 //! | [`read_pace`] | how fast prompts are read |
@@ -48,6 +48,7 @@
 pub mod retry_budget;
 pub mod role_planner;
 pub mod routing;
+pub mod runner;
 pub mod scheduler;
 pub mod scheduling;
 pub mod store_copy;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -4,10 +4,11 @@
 //! hashing), so the KV cache of the parts is read once and used by all. A home that is busy
 //! for longer than reading the parts again takes gives way to another runner.
 
-use crate::fleet::{AttemptDemand, Eligible, Fleet, Runner, Stage};
+use crate::fleet::{Eligible, Fleet};
 use crate::ids::{RunnerId, ZoneId};
 use crate::prefix::{rendezvous_weight, Prompt};
 use crate::read_pace::ReadPace;
+use crate::runner::{AttemptDemand, Runner, Stage};
 
 /// What a choice depends on besides the fleet.
 #[derive(Clone, Copy, Debug)]
--- a/crates/serving/src/read_pace.rs
+++ b/crates/serving/src/read_pace.rs
@@ -5,7 +5,7 @@
 //! than the line says met none either, whatever was believed. Until there are such readings
 //! the line is a guess that a few of them outweigh.
 
-use crate::fleet::Runner;
+use crate::runner::Runner;
 
 /// A reading that has ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -69,5 +69,5 @@
     /// Whether the body was encoded by somebody on the way.
     pub encoded: bool,
     /// The runner's load.
-    pub load: Option<crate::fleet::LoadReport>,
+    pub load: Option<crate::runner::LoadReport>,
 }
--- a/crates/serving/src/reservations.rs
+++ b/crates/serving/src/reservations.rs
@@ -5,9 +5,10 @@
 //! itself a little after the request's deadline, and a word on one that is not known changes
 //! nothing.
 
-use crate::fleet::{AttemptDemand, Fleet};
+use crate::fleet::Fleet;
 use crate::ids::{RunnerId, ServiceName};
 use crate::prefix::PromptPart;
+use crate::runner::AttemptDemand;
 use crate::scheduling::Ticket;
 use std::collections::HashMap;
 
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -7,9 +7,10 @@
 //! once as the pressure asks for.
 
 use crate::configuration::EngineSpec;
-use crate::fleet::{Eligible, Fleet, Runner, Stage};
+use crate::fleet::{Eligible, Fleet};
 use crate::ids::{RunnerId, ServiceName};
 use crate::read_pace::ReadPace;
+use crate::runner::{Runner, Stage};
 
 /// When roles change.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/serving/src/routing.rs
+++ b/crates/serving/src/routing.rs
@@ -16,8 +16,8 @@
         .routes
         .iter()
         .filter(same_host)
-        .filter(|route| path.starts_with(&route.path_prefix))
-        .max_by_key(|route| route.path_prefix.len())
+        .filter(|route| path.starts_with(&route.prefix))
+        .max_by_key(|route| route.prefix.len())
 }
 
 /// Splits the requests of each route among its services in the proportion of their weights
--- /dev/null
+++ b/crates/serving/src/runner.rs
@@ -0,0 +1,245 @@
+//! One runner as a node sees it: its entry in the list, its load, its health and its cache.
+
+use crate::failure_rate::FailureRate;
+use crate::ids::{RunnerId, ServiceName, ZoneId};
+use crate::prefix::Prompt;
+use crate::prefix_cache::PrefixCacheModel;
+use crate::suspicion::Suspicion;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What a runner of a language model does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// Reads prompts.
+    #[serde(rename = "p")]
+    Prefill,
+    /// Writes answers.
+    #[serde(rename = "d")]
+    Decode,
+}
+
+/// What the platform's list says of a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunnerRecord {
+    /// This start of the runner.
+    pub id: RunnerId,
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// What it does, if it runs a language model.
+    pub stage: Option<Stage>,
+    /// Revision of the entry in the store.
+    pub revision: u64,
+}
+
+/// Load that a runner tells in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// What an attempt asks of a runner of a language model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptDemand {
+    /// Prompt tokens to read.
+    pub unread_tokens: u64,
+    /// Prompt tokens to read after all that can still be in time.
+    pub late_tokens: u64,
+    /// Tokens of KV cache, prompt and output, while it runs.
+    pub held_tokens: u64,
+}
+
+/// How long a load report counts, microseconds.
+const REPORT_LIFE_US: u64 = 1_500_000;
+/// How long a scheduler's word on memory in use counts, microseconds.
+const TOLD_LIFE_US: u64 = 2_500_000;
+/// Time after which nothing is believed to be left of the work that a scheduler told of, and
+/// what is added for each token that had to be read.
+const PEER_LOAD_FADE_US: u64 = 700_000;
+const FADE_US_A_TOKEN: u64 = 30;
+/// A runner as the node sees it.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// What the list says.
+    pub record: RunnerRecord,
+    /// Attempts of this node that it has now.
+    pub in_flight: u32,
+    /// Prompt tokens that it has yet to read for this node.
+    pub unread_tokens: u64,
+    /// Prompt tokens that it reads for this node when nothing else is left.
+    pub late_tokens: u64,
+    /// Tokens of KV cache that this node's attempts take there.
+    pub held_tokens: u64,
+    pub(crate) failures: FailureRate,
+    pub(crate) others: u32,
+    pub(crate) others_at_us: u64,
+    /// What this node has set aside there for requests of other nodes, as their scheduler.
+    pub(crate) reserved: Load,
+    /// What another node told that schedules it.
+    pub(crate) told: Option<ToldLoad>,
+    pub(crate) suspicion: Suspicion,
+    pub(crate) full_until_us: u64,
+    /// The role that it was ordered to take, and until when it is left alone for that.
+    pub(crate) changing: Option<(Stage, u64)>,
+    /// The address answered that it is another runner, or has another role, than this entry
+    /// says. A newer entry is believed again.
+    pub(crate) misdirected: bool,
+    pub(crate) cache: PrefixCacheModel,
+}
+
+impl Runner {
+    pub(crate) fn new(record: RunnerRecord) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            unread_tokens: 0,
+            late_tokens: 0,
+            held_tokens: 0,
+            failures: FailureRate::default(),
+            others: 0,
+            others_at_us: 0,
+            reserved: Load::default(),
+            told: None,
+            suspicion: Suspicion::default(),
+            full_until_us: 0,
+            changing: None,
+            misdirected: false,
+            cache: PrefixCacheModel::default(),
+        }
+    }
+
+    /// Whether new requests may go to it.
+    pub fn takes_work(&self) -> bool {
+        !self.record.draining && !self.misdirected
+    }
+
+    /// Whether it could lately not be reached, or was full. After the time for which a
+    /// runner is suspected, one request tries it before others follow.
+    pub fn is_avoided(&self, now_us: u64) -> bool {
+        now_us < self.full_until_us || self.suspicion.is_avoided(self.in_flight, now_us)
+    }
+
+    /// Share of recent answers that were failures of its own. It fades, so that a runner that
+    /// is left because of it is tried again.
+    pub fn failure_rate(&self, now_us: u64) -> f64 {
+        self.failures.at(now_us)
+    }
+
+    /// Whether it is changing its role.
+    pub fn is_changing(&self, now_us: u64) -> bool {
+        let has_role = |stage: Stage| self.record.stage == Some(stage);
+        self.changing.is_some_and(|(stage, until_us)| now_us < until_us && !has_role(stage))
+    }
+
+    /// Whether it could not be reached and has not answered since.
+    pub fn is_suspected(&self) -> bool {
+        self.suspicion.is_suspected()
+    }
+
+    /// Requests that other nodes are believed to have at it: by what is set aside for them, by
+    /// its scheduler's word, or by the runner's last report, which fades with its age.
+    pub fn others(&self, now_us: u64) -> f64 {
+        if self.reserved.in_flight > 0 {
+            return f64::from(self.reserved.in_flight);
+        }
+        let told =
+            self.told.map_or(0.0, |told| f64::from(told.load.in_flight) * told.share_left(now_us));
+        if told > 0.0 {
+            return told;
+        }
+        let age = now_us.saturating_sub(self.others_at_us);
+        let left = REPORT_LIFE_US.saturating_sub(age);
+        f64::from(self.others) * left as f64 / REPORT_LIFE_US as f64
+    }
+
+    /// Prompt tokens that it has yet to read for other nodes.
+    pub fn unread_for_peers(&self, now_us: u64) -> u64 {
+        let left = |told: ToldLoad| told.load.unread_tokens as f64 * told.share_left(now_us);
+        self.reserved.unread_tokens + self.told.map_or(0.0, left) as u64
+    }
+
+    /// Prompt tokens that it reads when nothing else is left.
+    pub fn late_tokens_of_all(&self) -> u64 {
+        self.late_tokens + self.reserved.late_tokens
+    }
+
+    /// Tokens of KV cache that the attempts of all nodes take there.
+    pub fn held_by_all(&self, now_us: u64) -> u64 {
+        // Memory is let go when the run ends, not bit by bit.
+        let is_fresh = |told: &ToldLoad| now_us < told.told_at_us + TOLD_LIFE_US;
+        let told = self.told.filter(is_fresh).map_or(0, |told| told.load.held_tokens);
+        self.held_tokens + self.reserved.held_tokens + told
+    }
+
+    /// Requests that it is believed to have.
+    pub fn occupancy(&self, now_us: u64) -> f64 {
+        f64::from(self.in_flight) + self.others(now_us)
+    }
+
+    /// Whether it is believed to have nothing to do.
+    pub fn is_idle(&self, now_us: u64) -> bool {
+        self.unread_tokens == 0 && self.occupancy(now_us) < 1.0
+    }
+
+    /// Shared tokens of a prompt that this node believes to be in its KV cache.
+    pub fn cached_tokens(&self, prompt: &Prompt) -> u64 {
+        self.cache.cached_tokens(prompt.shared_parts())
+    }
+}
+
+/// What requests have at a runner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Load {
+    pub(crate) in_flight: u32,
+    pub(crate) unread_tokens: u64,
+    pub(crate) late_tokens: u64,
+    pub(crate) held_tokens: u64,
+}
+
+impl Load {
+    pub(crate) fn add(&mut self, demand: AttemptDemand) {
+        self.in_flight += 1;
+        self.unread_tokens += demand.unread_tokens;
+        self.late_tokens += demand.late_tokens;
+        self.held_tokens += demand.held_tokens;
+    }
+
+    pub(crate) fn on_read(&mut self, demand: AttemptDemand) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(demand.unread_tokens);
+        self.late_tokens = self.late_tokens.saturating_sub(demand.late_tokens);
+    }
+
+    pub(crate) fn remove(&mut self, demand: AttemptDemand) {
+        self.on_read(demand);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.held_tokens = self.held_tokens.saturating_sub(demand.held_tokens);
+    }
+}
+
+/// What a scheduler told of a runner's load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ToldLoad {
+    pub(crate) load: Load,
+    pub(crate) told_at_us: u64,
+}
+
+impl ToldLoad {
+    /// Share of it that is believed to be left, should no later word come: most requests are
+    /// over within a second. Long prompts take longer.
+    fn share_left(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.told_at_us);
+        let fade_us = PEER_LOAD_FADE_US + self.load.unread_tokens * FADE_US_A_TOKEN;
+        1.0 - (age_us as f64 / fade_us as f64).min(1.0)
+    }
+}
--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -1,11 +1,12 @@
 //! What a scheduler decides: where a request is read and written, what is set aside for it, and
 //! whether another shard's scheduler should be asked instead.
 
-use crate::fleet::{Eligible, Fleet, Stage};
+use crate::fleet::{Eligible, Fleet};
 use crate::placement::{choose_writer, plan_reading, Choice, Demand, ReadingPlan};
 use crate::prefix::Prompt;
 use crate::read_pace::ReadPace;
 use crate::reservations::{Reservation, Reserved};
+use crate::runner::Stage;
 use crate::scheduling::{PlacementQuestion, Shard, ToldChoice, ToldPlan};
 use crate::urgency::put_behind_if_late;
 
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -9,10 +9,10 @@
 //! All of it only ranks runners. Two schedulers of a shard, or none, cost a worse choice: a node
 //! that gets no answer soon chooses by what it knows itself.
 
-use crate::fleet::AttemptDemand;
 use crate::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use crate::placement::Choice;
 use crate::prefix::{rendezvous_weight, Prompt, PromptPart};
+use crate::runner::AttemptDemand;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -4,9 +4,7 @@
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness};
-use pitchstall_serving::fleet::{
-    AttemptDemand, Eligible, Fleet, FleetChange, LoadReport, RunnerRecord, Stage,
-};
+use pitchstall_serving::fleet::{Eligible, Fleet, FleetChange};
 use pitchstall_serving::freshness::StoreWord;
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::Member;
@@ -16,6 +14,7 @@
 use pitchstall_serving::prefix::{Prompt, PromptPart};
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::routing::{find_route, TrafficSplitter};
+use pitchstall_serving::runner::{AttemptDemand, LoadReport, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{RunnerLoad, Shard};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -33,7 +32,7 @@
     Route {
         name: name.to_owned(),
         host: "desk.example".to_owned(),
-        path_prefix: prefix.to_owned(),
+        prefix: prefix.to_owned(),
         kind: RequestKind::Idempotent,
         timeout_ms: 1_000,
         target_ms: 100,
--- a/crates/serving/tests/reservations.rs
+++ b/crates/serving/tests/reservations.rs
@@ -1,9 +1,10 @@
 //! What a scheduler sets aside, and that it is free again whatever words are lost or doubled.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_serving::fleet::{AttemptDemand, Fleet, RunnerRecord, Stage};
+use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::reservations::{Reservation, Reservations, Reserved};
+use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{Shard, Ticket};
 use proptest::prelude::*;
 
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -3,10 +3,11 @@
 
 use pitchstall_serving::authority::{AuthorityTerm, LeaseTimes};
 use pitchstall_serving::configuration::EngineSpec;
-use pitchstall_serving::fleet::{AttemptDemand, Eligible, Fleet, RunnerRecord, Stage};
+use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
+use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use proptest::prelude::*;
 
 const SECOND: u64 = 1_000_000;
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -2,13 +2,14 @@
 //! placed, by who places them.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_serving::fleet::{Eligible, Fleet, RunnerRecord, Stage};
+use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::placement::{reading_home, Demand, ReadingPlan};
 use pitchstall_serving::prefix::{Prompt, PromptPart};
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::reservations::Reservations;
+use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::scheduler::{
     choose, reservation, shorter_shard, told_plan, Due, PlacedRequest,
 };
--- a/crates/serving/tests/urgency.rs
+++ b/crates/serving/tests/urgency.rs
@@ -1,9 +1,9 @@
 //! What goes ahead of what at a runner.
 #![allow(missing_docs)]
 
-use pitchstall_serving::fleet::AttemptDemand;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::placement::{Choice, ReadingPlan};
+use pitchstall_serving::runner::AttemptDemand;
 use pitchstall_serving::urgency::{put_behind_if_late, rank};
 use test_case::test_case;
 
