--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -173,6 +173,7 @@
             // Another store may count its revisions in another way.
             self.address = address;
             self.at = None;
+            self.node.copies.borrow_mut().of_mut(self.subject).forget();
         }
         if let Some(source) = self.source() {
             self.follow_node(source).await;
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -71,6 +71,11 @@
         self.known_to
     }
 
+    /// Forgets everything: another store counts its revisions in another way.
+    pub fn forget(&mut self) {
+        *self = Self::default();
+    }
+
     /// Takes in an update. One that ends before what is known changes nothing.
     pub fn apply(&mut self, update: &StoreUpdate) {
         if self.known_to.is_some_and(|known_to| update.known_to < known_to) {
--- a/crates/serving/tests/store_copy.rs
+++ b/crates/serving/tests/store_copy.rs
@@ -34,6 +34,17 @@
     assert_eq!(copy.update_since(None).unwrap().entries, vec![entry("a", Some("new"), 5)]);
 }
 
+/// Otherwise nodes that follow this one would never hear of a store that has taken another's place.
+#[test]
+fn a_copy_that_was_forgotten_takes_in_lower_revisions() {
+    let mut copy = StoreCopy::default();
+    copy.apply(&update(50, true, vec![entry("a", Some("old"), 40)]));
+    copy.forget();
+    assert_eq!(copy.update_since(None), None);
+    copy.apply(&update(3, true, vec![entry("a", Some("new"), 2)]));
+    assert_eq!(copy.update_since(None).unwrap().entries, vec![entry("a", Some("new"), 2)]);
+}
+
 #[test]
 fn what_was_removed_before_a_whole_list_shows_by_the_whole_list_only() {
     let mut copy = StoreCopy::default();
