--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -4,20 +4,20 @@
 //! runner, one that may have run only if its route allows it, and both only within the retry
 //! budget that all nodes share.
 
+mod planning;
+
+use self::planning::elapsed_ms;
 use crate::answers::OwnAnswer;
 use crate::attempt::{self, Answering, AttemptEnd, AttemptParams};
 use crate::connection::ClientConnection;
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
 use crate::node::Node;
 use crate::policy::PlacementRules;
-use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::relay::{relay, RelayEnd, RelayLimits, StreamState};
-use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
-use pitchstall_serving::fleet::Eligible;
 use pitchstall_serving::ids::{RunnerId, ServiceName};
-use pitchstall_serving::placement::{choose_worker, choose_writer, Choice, Demand, ReadingPlan};
+use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, ArrivalLedger, SharedRetryBudget};
@@ -32,10 +32,6 @@
 const MOST_UNREACHABLE: usize = 8;
 /// Part of the time left that one attempt may take when another could follow.
 const ATTEMPT_SHARE: f64 = 0.45;
-/// Part of the time left that a reading may take: a busy runner is no reason to read anew.
-const READING_SHARE: f64 = 0.8;
-/// Part of its target for which a request waits for a runner to appear.
-const WAIT_SHARE: f64 = 0.25;
 /// Part of its target for which a request hears nothing before its runner is doubted.
 const DOUBT_SHARE: f64 = 0.5;
 /// Pauses between events, in targets, after which a stream counts as silent.
@@ -67,31 +63,11 @@
     stream: StreamState,
 }
 
-fn elapsed_ms(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
-
 enum Step {
     Again,
     Done(RequestEnd),
 }
 
-/// Where and how the request is to run next.
-struct Plan {
-    choice: Choice,
-    prompt: Option<ReadPrompt>,
-    /// Tells the scheduler that has placed it; `None`: nobody schedules it.
-    follow_up: Option<FollowUp>,
-}
-
-impl Plan {
-    fn tell(&self, progress: Progress) {
-        if let Some(follow_up) = &self.follow_up {
-            follow_up.tell(progress);
-        }
-    }
-}
-
 impl<'a> Dispatch<'a> {
     /// A request that no runner has seen.
     pub fn new(
@@ -234,12 +210,6 @@
         self.node.with_budget(&self.service, |budget| budget.allows_one())
     }
 
-    /// Whether the prompt would be read only when the request's time is up: an extra attempt
-    /// that cannot be answered in time takes budget and capacity from those that can.
-    fn is_too_late(&self, choice: &Choice) -> bool {
-        Duration::from_micros(choice.expected_us) > self.time_left()
-    }
-
     /// Pays for an arrival at a runner before it is sent; `false`: it may not be sent.
     fn pay(&self, cost: ArrivalCost) -> bool {
         cost == ArrivalCost::Free || self.withdraw()
@@ -252,132 +222,6 @@
         allowed
     }
 
-    fn demand(&self) -> Demand<'_> {
-        Demand {
-            eligible: Eligible {
-                service: &self.service,
-                excluded: &self.excluded,
-                zones: self.rules.zones.as_ref(),
-                shard: None,
-            },
-            prompt: &self.prompt,
-            zone: &self.node.zone,
-            cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
-            now_us: self.node.now_us(),
-        }
-    }
-
-    async fn plan(&mut self) -> Result<Plan, GiveUp> {
-        let wait = Duration::from_millis(self.route.target_ms).mul_f64(WAIT_SHARE);
-        let give_up_at = Instant::now() + wait.min(self.time_left());
-        loop {
-            if let Some(plan) = self.plan_now().await? {
-                return Ok(plan);
-            }
-            let left = give_up_at.saturating_duration_since(Instant::now());
-            let changed = timeout(left, self.node.fleet_changed.notified()).await;
-            if changed.is_err() {
-                return Err(GiveUp::NoRunner);
-            }
-        }
-    }
-
-    async fn plan_now(&mut self) -> Result<Option<Plan>, GiveUp> {
-        if self.engine.is_none() {
-            let choice = choose_worker(&self.node.fleet.borrow(), &self.demand());
-            return Ok(choice.map(|choice| Plan { choice, prompt: None, follow_up: None }));
-        }
-        let Placement { reading, writer, follow_up } = self.place().await;
-        match reading {
-            None => Ok(None),
-            Some(ReadingPlan::Direct(choice)) => {
-                Ok(Some(Plan { choice, prompt: None, follow_up: Some(follow_up) }))
-            }
-            Some(ReadingPlan::Split(reader)) => {
-                self.read_then_write(reader, writer, follow_up).await
-            }
-        }
-    }
-
-    async fn place(&self) -> Placement {
-        let demand = PlacementDemand {
-            request: &self.request.facts.id,
-            service: &self.service,
-            demand: self.demand(),
-            target_ms: self.route.target_ms,
-            elapsed: self.request.received.elapsed(),
-            left: self.time_left(),
-        };
-        scheduling::place(self.node, &demand).await
-    }
-
-    /// Has the prompt read, then has it written where that was planned. A prompt that could not
-    /// be read apart is read by the decode runner; while it was read, much may have changed.
-    async fn read_then_write(
-        &mut self,
-        reader: Choice,
-        writer: Option<Choice>,
-        follow_up: FollowUp,
-    ) -> Result<Option<Plan>, GiveUp> {
-        let sent_at = Instant::now();
-        let prompt = self.read_prompt(reader, &follow_up).await;
-        if self.time_left().is_zero() {
-            return Err(GiveUp::OutOfTime);
-        }
-        if prompt.is_some() {
-            follow_up.tell(Progress::Read(elapsed_ms(sent_at)));
-        }
-        let is_usable = |writer: &Choice| prompt.is_some() && self.node.takes_work(&writer.runner);
-        let choice = writer.filter(is_usable).or_else(|| {
-            let source = prompt.as_ref().map(|prompt| &prompt.zone);
-            choose_writer(&self.node.fleet.borrow(), &self.demand(), source)
-        });
-        let follow_up = Some(follow_up);
-        Ok(choice.map(|choice| Plan { choice, prompt, follow_up }))
-    }
-
-    async fn read_prompt(&mut self, reader: Choice, follow_up: &FollowUp) -> Option<ReadPrompt> {
-        let prepared = attempt::prepare(self.node, &reader).await;
-        let Some(prepared) = prepared else {
-            follow_up.tell(Progress::Unreachable(reader.runner.clone()));
-            self.excluded.push(reader.runner);
-            return None;
-        };
-        let cost = self.arrivals.on_reading();
-        if cost != ArrivalCost::Free && self.is_too_late(&reader) {
-            return None;
-        }
-        if !self.pay(cost) {
-            return None;
-        }
-        let mut params = self.params(Work::ReadPrompt, &reader);
-        params.after_event = None;
-        params.head_limit = self.time_left().mul_f64(READING_SHARE);
-        params.leaves_suspects = self.budget_allows_one();
-        let demand = ReadingDemand {
-            request: self.request,
-            service: &self.service,
-            prompt: &self.prompt,
-            choice: &reader,
-        };
-        match reading::read_prompt(self.node, &demand, prepared, &params).await {
-            ReadingEnd::Read(prompt) => {
-                if cost == ArrivalCost::Deposit {
-                    self.node.with_budget(&self.service, SharedRetryBudget::refund);
-                }
-                Some(prompt)
-            }
-            end @ (ReadingEnd::Declined | ReadingEnd::Failed) => {
-                if matches!(end, ReadingEnd::Declined) {
-                    follow_up.tell(Progress::Declined(reader.runner.clone()));
-                }
-                self.arrivals.on_reading_not_taken();
-                self.excluded.push(reader.runner);
-                None
-            }
-        }
-    }
-
     fn on_unreachable(&mut self, runner: RunnerId) -> Step {
         self.excluded.push(runner);
         self.unreachable += 1;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! | [`connection`] | reads requests from one client's connection and writes answers |
 //! | [`intake`] | refuses what can be refused at once, finds the route |
 //! | [`policy`] | runs the operators' program |
-//! | [`dispatch`] | makes attempts until the request has its final answer |
+//! | [`dispatch`] | plans and makes attempts until the request has its final answer |
 //! | [`scheduling`] | asks the scheduler of the runners where the request is to run |
 //! | [`reading`] | has a prompt read and keeps its handle |
 //! | [`attempt`] | one attempt at one runner |
