--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -29,16 +29,19 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-/// Part of a request's target for which a scheduler's answer is waited for.
+/// Part of a request's target for which a scheduler's answer is waited for: a small part of what
+/// a bad choice costs.
 const PATIENCE_SHARE: f64 = 0.06;
-/// Shortest and longest wait for it: below, a machine whose processor is shared answers too
-/// late; above, a node that has died costs more than a good choice brings.
+/// Shortest and longest wait for it. On 60 nodes answers took 2 ms in the median, 3 ms in nine of
+/// ten and 20 ms in 99 of 100: below the shortest, machines whose processor is shared answer too
+/// late; above the longest, a node that has died costs more than a good choice brings.
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(12);
 const LONGEST_PATIENCE: Duration = Duration::from_millis(50);
-/// Answers missed one after the other after which a scheduler is passed over, and for how long.
+/// Answers missed one after the other after which a scheduler is passed over, and for how long:
+/// one may be a lost datagram; a process that was killed is back after some seconds.
 const MOST_MISSED: u32 = 2;
 const PASSED_OVER_US: u64 = 2_000_000;
-/// Between two words on the loads of a shard.
+/// Between two words on the loads of a shard: as often as role changes are planned.
 const TELL_EVERY: Duration = Duration::from_millis(250);
 const MILLIS_A_SECOND: f64 = 1_000.0;
 
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -16,8 +16,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Nodes for which there is one shard. A decision and its words take some 0.2 ms of a core and
-/// come at the rate of so many nodes' requests, some 60 a second: about 1 % of a core.
+/// Nodes for which there is one shard: so many take some 60 requests a second on the users' large
+/// deployments. Worked out from some 0.2 ms of a core a decision, not measured: about 1 % of a
+/// core for a scheduler.
 const NODES_A_SHARD: usize = 40;
 
 /// One of the shards of a fleet's runners.
