--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,6 +38,7 @@
 const STORE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Limit of a call to the store.
 const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// A call to the store failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallFailure {
