--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -8,6 +8,10 @@
 /// Pause for clients that came before the node knew a configuration, seconds.
 const UNCONFIGURED_PAUSE_S: f64 = 0.5;
 
+/// Pause for clients whose key this node cannot verify, seconds: they come to another node then,
+/// which most likely knows.
+const UNVERIFIABLE_PAUSE_S: f64 = 0.1;
+
 /// An answer that no runner gave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnAnswer {
@@ -15,6 +19,10 @@
     BadRequest,
     /// No route takes it.
     NoRoute,
+    /// It carries no key, or one that nobody holds.
+    Unauthorized,
+    /// This node's copy of the configuration is too old to tell whether its key holds.
+    Unverifiable,
     /// Its head or body took too long to come.
     TooSlow,
     /// Its body is too large.
@@ -47,10 +55,13 @@
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::Unconfigured | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unconfigured | Self::Unverifiable | Self::Refused => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::BadGateway => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -61,6 +72,7 @@
         match self {
             Self::Refused => Some(REFUSED_PAUSE_S),
             Self::Unconfigured => Some(UNCONFIGURED_PAUSE_S),
+            Self::Unverifiable => Some(UNVERIFIABLE_PAUSE_S),
             _ => None,
         }
     }
@@ -70,6 +82,8 @@
         match self {
             Self::BadRequest => "bad_request",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
+            Self::Unverifiable => "unverifiable",
             Self::TooSlow => "too_slow",
             Self::BodyTooLarge => "body_too_large",
             Self::HeadTooLarge => "head_too_large",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,8 +5,8 @@
 use crate::intake::{ClientRequest, WholeAnswer};
 use crate::node::Node;
 use crate::verification::{becomes_suspect, doubt, verify, CONNECT_LIMIT};
-use pitchstall_platform_adapter::headers;
-use pitchstall_serving::ids::RunnerId;
+use pitchstall_platform_adapter::headers::{self, LeftOut};
+use pitchstall_serving::ids::{RunnerId, TenantName};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord};
@@ -150,6 +150,10 @@
     pub after_event: Option<u64>,
     /// The runner first takes over what this one holds of the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// The tenant for whom the request runs.
+    pub tenant: Option<TenantName>,
+    /// Whether the configuration has tenants, so that clients' words on who they are stay here.
+    pub has_tenants: bool,
     /// When the request's time is up.
     pub deadline: Instant,
     /// Longest wait for the head of the answer.
@@ -218,10 +222,12 @@
         work: params.work.clone(),
         after_event: params.after_event,
         fetch_from: params.fetch_from,
+        tenant: params.tenant.clone(),
     };
-    let resuming = params.after_event.is_some();
-    let forwarded =
-        request.headers.iter().filter(|(name, _)| headers::is_forwarded(name, resuming));
+    let left_out =
+        LeftOut { last_event: params.after_event.is_some(), authorization: params.has_tenants };
+    let is_forwarded = |(name, value): &&Header| headers::is_forwarded(name, value, left_out);
+    let forwarded = request.headers.iter().filter(is_forwarded);
     let mut all: Vec<Header> = forwarded.cloned().collect();
     let own = headers::attempt_headers(&order).into_iter();
     all.extend(own.map(|(name, value)| (name.to_owned(), value.into_bytes())));
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -16,6 +16,7 @@
 use ntex::io::{Io, IoConfig};
 use ntex::util::{Bytes, Either};
 use ntex::SharedCfg;
+use pitchstall_platform_adapter::headers::KEY_CHALLENGE;
 use pitchstall_serving::configuration::ClientLimits;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -235,6 +236,10 @@
 
     async fn write_own(&self, answer: OwnAnswer, close: bool) -> Result<(), ClientGone> {
         let mut headers = Vec::new();
+        if answer == OwnAnswer::Unauthorized {
+            let (name, value) = KEY_CHALLENGE;
+            headers.push((name.to_owned(), value.as_bytes().to_vec()));
+        }
         if let Some(seconds) = answer.retry_after_s() {
             headers.push((RETRY_AFTER.as_str().to_owned(), seconds.to_string().into_bytes()));
         }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::policy::PlacementRules;
 use crate::relay::{relay, RelayEnd, RelayLimits, StreamState};
+use crate::usage::BeginMark;
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
 use pitchstall_serving::ids::{RunnerId, ServiceName};
@@ -22,6 +23,7 @@
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, ArrivalLedger, SharedRetryBudget};
 use pitchstall_serving::scheduling::Progress;
+use pitchstall_serving::tenancy::Tenant;
 use pitchstall_serving::urgency::rank;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,6 +51,12 @@
     prompt: Prompt,
     /// What the operators' policy program decided.
     rules: PlacementRules,
+    /// The tenant for whom the request runs.
+    tenant: Option<Rc<Tenant>>,
+    /// Whether the configuration has tenants.
+    has_tenants: bool,
+    /// Whether the request has been counted as begun.
+    is_counted: bool,
     deadline: Instant,
     /// What is known of the request after the attempts so far.
     execution: Execution,
@@ -88,6 +96,9 @@
             engine,
             prompt: request.facts.prompt.clone().unwrap_or_default(),
             rules,
+            tenant: None,
+            has_tenants: !configuration.tenants.is_empty(),
+            is_counted: false,
             deadline,
             execution: Execution::NotRun,
             runs: 0,
@@ -99,6 +110,11 @@
         }
     }
 
+    /// The request runs for a tenant.
+    pub fn for_tenant(self, tenant: Option<Rc<Tenant>>) -> Self {
+        Self { tenant, ..self }
+    }
+
     /// Makes attempts until there is a final answer.
     pub async fn run(mut self, client: &ClientConnection) -> RequestEnd {
         loop {
@@ -133,8 +149,11 @@
         };
         let params = self.params(work, &plan.choice);
         let sent_at = Instant::now();
+        let mut begin = self.begin_mark(sent_at);
         match attempt::send(self.node, self.request, prepared, &params).await {
             AttemptEnd::Answering(answering) => {
+                begin.on_answer();
+                self.is_counted = true;
                 if let Some(prompt) = &plan.prompt {
                     prompt.on_taken();
                 } else {
@@ -143,14 +162,26 @@
                 self.deliver(*answering, client).await
             }
             AttemptEnd::Declined => {
+                begin.on_declined();
                 plan.tell(Progress::Declined(plan.choice.runner.clone()));
                 self.excluded.push(plan.choice.runner);
                 Step::Again
             }
-            AttemptEnd::Lost | AttemptEnd::Silent => self.on_lost(plan.choice.runner),
+            AttemptEnd::Lost | AttemptEnd::Silent => {
+                begin.on_lost();
+                self.is_counted = true;
+                self.on_lost(plan.choice.runner)
+            }
         }
     }
 
+    /// Counts the request for its tenant when it begins to run; once, however often it is repeated.
+    fn begin_mark(&self, sent_at: Instant) -> BeginMark {
+        let tenant = self.tenant.as_ref().filter(|_| !self.is_counted);
+        let tenant = tenant.map(|tenant| tenant.name.clone());
+        BeginMark::new(self.node, tenant, sent_at, self.engine.is_none())
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -159,6 +190,8 @@
         AttemptParams {
             fetch_from: self.address_of(choice.fetch_from.as_ref()),
             work,
+            tenant: self.tenant.as_ref().map(|tenant| tenant.name.clone()),
+            has_tenants: self.has_tenants,
             priority: self
                 .engine
                 .as_ref()
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -12,6 +12,7 @@
 use pitchstall_serving::request::RequestFacts;
 use pitchstall_serving::retry_budget::SharedRetryBudget;
 use pitchstall_serving::routing::find_route;
+use pitchstall_serving::tenancy::{authorize, Access, Tenant};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -124,10 +125,15 @@
     let Some(route) = route_of(&configuration, request) else {
         return finish(node, request, None, RequestEnd::Own(OwnAnswer::NoRoute));
     };
+    let tenant = match access(node, &configuration, &route, request) {
+        Ok(tenant) => tenant,
+        Err(answer) => return finish(node, request, Some(&route), RequestEnd::Own(answer)),
+    };
     let Some(service) = node.next_service(&route) else {
         return finish(node, request, Some(&route), RequestEnd::Own(OwnAnswer::Refused));
     };
-    let rules = match policy::rules_for(node, request, &route, &service) {
+    let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
+    let rules = match policy::rules_for(node, request, priority, &service) {
         Ok(rules) => rules,
         // A program that fails allows nothing: it may have been about to forbid a zone.
         Err(_) => return finish(node, request, Some(&route), RequestEnd::Own(OwnAnswer::Refused)),
@@ -135,10 +141,28 @@
     let deadline = request.received + time_allowed(request, &route);
     node.with_budget(&service, SharedRetryBudget::on_request);
     let dispatch = Dispatch::new(node, request, &route, service, rules, &configuration, deadline);
+    let dispatch = dispatch.for_tenant(tenant);
     let end = dispatch.run(client).await;
     finish(node, request, Some(&route), end)
 }
 
+/// The tenant for whom a request runs, or why it may not run.
+fn access(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    request: &ClientRequest,
+) -> Result<Option<Rc<Tenant>>, OwnAnswer> {
+    let credential = request.facts.credential;
+    let (copy, policy) = (node.configuration_age(), node.key_policy());
+    match authorize(&configuration.tenants, route.is_public, credential, copy, policy) {
+        Access::Open => Ok(None),
+        Access::Granted(tenant) => Ok(Some(tenant)),
+        Access::Denied => Err(OwnAnswer::Unauthorized),
+        Access::Unverifiable => Err(OwnAnswer::Unverifiable),
+    }
+}
+
 fn route_of(configuration: &Configuration, request: &ClientRequest) -> Option<Rc<Route>> {
     let without_port = request.host.split_once(':').map(|(host, _)| host);
     find_route(configuration, &request.host, &request.path)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,8 +17,8 @@
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
-//! Beside them: [`authority`] orders role changes, [`peers`] exchanges digests with other
-//! nodes over [`json_lines`], [`watcher`] follows the store with [`store_client`] or another
+//! Beside them: [`authority`] holds what [`roles`] and [`usage`] need before they order or
+//! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with [`platform_client`] or another
 //! node with [`mirror`], [`node`] holds what the node
 //! believes, [`http`] speaks HTTP to runners and to the store.
 
@@ -40,11 +40,13 @@
 pub mod node;
 pub mod peer_words;
 pub mod peers;
+pub mod platform_client;
 pub mod policy;
 pub mod reading;
 pub mod relay;
+pub mod roles;
 pub mod scheduling;
 pub mod settings;
-pub mod store_client;
+pub mod usage;
 pub mod verification;
 pub mod watcher;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Calls of duties that one node does for all.
+    pub cloud_calls: Counter,
     /// Time to the first byte of an answer, seconds.
     pub first_byte: Histogram,
     registry: Registry,
@@ -63,6 +65,7 @@
             placements_handed_on: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
+            cloud_calls: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             registry: Registry::with_prefix("pitchstall"),
         };
@@ -92,6 +95,7 @@
             ),
             ("store_calls", "Calls to the store", &self.store_calls),
             ("store_failures", "Calls to the store that failed", &self.store_failures),
+            ("cloud_calls", "Calls of duties that one node does for all", &self.cloud_calls),
         ];
         for (name, help, counter) in counters {
             self.registry.register(name, help, counter.clone());
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,12 +1,16 @@
 //! What the node believes and counts; shared by all tasks of its one thread.
 
+use crate::authority::Holding;
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::peer_words::PeerSocket;
+use crate::platform_client::PlatformClient;
 use crate::policy::PolicyProgram;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
-use pitchstall_serving::configuration::{Configuration, Route};
+use pitchstall_platform_adapter::call::PlatformCall;
+use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::fleet::{Fleet, FleetChange};
 use pitchstall_serving::freshness::StoreFreshness;
@@ -19,10 +23,14 @@
 use pitchstall_serving::runner::{Runner, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
+use pitchstall_serving::tenancy::{CopyAge, KeyPolicy};
+use pitchstall_serving::usage::{UsageCollector, UsageLedger};
+use pitchstall_serving::wall_clock::WallClock;
+use rand::RngExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
 /// The node.
@@ -57,6 +65,15 @@
     pub store_suspected: Notify,
     /// Told when connections that rest are to be closed.
     pub stopping: Notify,
+    /// This node's authority over what one node does for all.
+    pub authority: Holding,
+    /// Requests of tenants that began to run, here and at other nodes.
+    pub usage: RefCell<UsageLedger>,
+    /// What the collector of usage knows, while this node is it.
+    pub usage_collector: RefCell<UsageCollector>,
+    /// This start of the node, drawn at random: the time of day may jump back.
+    pub incarnation: u64,
+    wall_clock: RefCell<WallClock>,
     settings: RefCell<Rc<Settings>>,
     policy_program: RefCell<Option<Rc<PolicyProgram>>>,
     started: Instant,
@@ -73,6 +90,12 @@
     body_bytes: Cell<usize>,
 }
 
+/// What this machine's clock says, milliseconds since 1970.
+pub fn machine_wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// What a node tells the others of itself.
 fn member_of(settings: &Settings) -> Member {
     const THOUSANDTHS: f64 = 1_000.0;
@@ -106,6 +129,11 @@
             store_confirmed: Notify::new(),
             store_suspected: Notify::new(),
             stopping: Notify::new(),
+            authority: Holding::default(),
+            usage: RefCell::default(),
+            usage_collector: RefCell::default(),
+            incarnation: rand::rng().random(),
+            wall_clock: RefCell::default(),
             started: Instant::now(),
             configuration: RefCell::default(),
             runners_known: Cell::new(false),
@@ -146,6 +174,38 @@
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 
+    /// The time of day that the nodes agree on, milliseconds since 1970.
+    pub fn wall_ms(&self) -> u64 {
+        self.wall_clock.borrow_mut().now_ms(machine_wall_ms(), self.now_us())
+    }
+
+    /// Services of language models, with what their runners are.
+    pub fn engine_services(&self) -> Vec<(ServiceName, EngineSpec)> {
+        let Some(configuration) = self.configuration() else { return Vec::new() };
+        let services = configuration.services.iter();
+        services.filter_map(|(name, it)| Some((name.clone(), it.engine.clone()?))).collect()
+    }
+
+    /// Makes a call to the store; `None`: there was no answer.
+    pub async fn call_store(
+        &self,
+        client: &mut PlatformClient,
+        call: &PlatformCall,
+        limit: Duration,
+    ) -> Option<(StoreStatus, Vec<u8>)> {
+        self.metrics.store_calls.inc();
+        let address = self.settings().store.address;
+        match client.call(address, call, limit).await {
+            Ok(answer) => Some((store::parse_status(answer.status), answer.body)),
+            Err(error) => {
+                self.metrics.store_failures.inc();
+                let (target, error) = (call.target.as_str(), error.to_string());
+                log::info!(target: "store", target, error; "call failed");
+                None
+            }
+        }
+    }
+
     /// A runner holds parts of prompts in its KV cache, for it has read them or taken them over.
     pub fn on_parts_held(&self, runner: &RunnerId, parts: &[PromptPart]) {
         if parts.is_empty() {
@@ -260,6 +320,7 @@
         let now_us = self.now_us();
         self.fleet.borrow_mut().on_changing_words(&digest.changing, now_us);
         self.freshness.borrow_mut().on_word(&digest.store, now_us);
+        self.wall_clock.borrow_mut().on_word(&digest.node, digest.wall_ms, now_us);
     }
 
     /// Takes in a scheduler's word on the loads of its runners.
@@ -273,6 +334,26 @@
         self.configuration.borrow().clone()
     }
 
+    /// How far this node's copy of the configuration can be relied on.
+    pub fn configuration_age(&self) -> CopyAge {
+        let now_us = self.now_us();
+        let freshness = self.freshness.borrow();
+        CopyAge {
+            confirmed_ms: freshness.configuration.confirmed_age_ms(now_us),
+            is_behind: freshness.configuration.is_behind(now_us),
+        }
+    }
+
+    /// For how long keys are believed without word from the store.
+    pub fn key_policy(&self) -> KeyPolicy {
+        let settings = self.settings();
+        let bounds = &settings.bounds;
+        KeyPolicy {
+            config_apply_ms: bounds.config_apply_ms,
+            revoke_ms: bounds.revoke_ms.filter(|_| bounds.revoke_strict),
+        }
+    }
+
     /// Takes a configuration into force, unless one as new is already.
     pub fn adopt_configuration(&self, configuration: Configuration) {
         let version = configuration.version;
@@ -282,10 +363,11 @@
             return;
         }
         let routes = configuration.routes.len();
+        let tenants = configuration.tenants.len();
         self.splitter.borrow_mut().retain(&configuration);
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
         let before = before.unwrap_or_default();
-        log::info!(target: "configuration", version, before, routes; "adopted");
+        log::info!(target: "configuration", version, before, routes, tenants; "adopted");
     }
 
     /// Takes in a whole list of runners, read at a revision of the store.
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -4,6 +4,7 @@
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
+use pitchstall_serving::usage::{UsageQuestion, UsageWord};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +31,12 @@
     /// The loads of a shard.
     #[serde(rename = "loads")]
     Loads(ShardLoads),
+    /// How many requests of each tenant began?
+    #[serde(rename = "usage?")]
+    UsageQuestion(UsageQuestion),
+    /// So many.
+    #[serde(rename = "usage")]
+    Usage(UsageWord),
 }
 
 /// Sends words. One that cannot be sent is as good as lost on its way, and nothing depends on it.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,15 +5,16 @@
 //! the list is read seldom. Nothing breaks without peers: the node then knows only what it and
 //! the runners see.
 
-use crate::node::Node;
+use crate::node::{machine_wall_ms, Node};
 use crate::peer_words::{PeerSocket, PeerWord, MOST_DATAGRAM_BYTES};
+use crate::platform_client::PlatformClient;
 use crate::scheduling;
-use crate::store_client::StoreClient;
+use crate::usage;
+use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, FAN_OUT};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
-use rand::RngExt;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -74,7 +75,7 @@
     /// Peers that are reached through the socket.
     pub fn new(node: Rc<Node>, socket: PeerSocket) -> Rc<Self> {
         let name = NodeId::new(&node.settings().node.name);
-        let incarnation = rand::rng().random();
+        let incarnation = node.incarnation;
         Rc::new(Self { node, socket, name, incarnation, state: RefCell::default() })
     }
 
@@ -103,6 +104,8 @@
             PeerWord::Answer(answer) => scheduling::on_answer(&self.node, answer, from),
             PeerWord::Progress(word) => scheduling::on_progress(&self.node, &word),
             PeerWord::Loads(word) => self.node.on_shard_loads(&word),
+            PeerWord::UsageQuestion(question) => usage::on_question(&self.node, &question),
+            PeerWord::Usage(word) => usage::on_word(&self.node, &word),
         }
     }
 
@@ -139,6 +142,7 @@
             member: self.node.members.borrow().own().clone(),
             store: self.node.freshness.borrow().word(now_us),
             changing: self.node.fleet.borrow().changing(now_us),
+            wall_ms: machine_wall_ms(),
         }
     }
 
@@ -177,7 +181,7 @@
 
     /// Keeps this node registered and the list of the others fresh, until the task is dropped.
     pub async fn register(self: Rc<Self>) {
-        let mut client = StoreClient::default();
+        let mut client = PlatformClient::default();
         loop {
             if let Some(lease) = self.join(&mut client).await {
                 self.stay(&mut client, lease).await;
@@ -186,7 +190,7 @@
         }
     }
 
-    async fn join(&self, client: &mut StoreClient) -> Option<u64> {
+    async fn join(&self, client: &mut PlatformClient) -> Option<u64> {
         let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
         let lease = store::parse_lease(&body).ok()?;
         let member = store::node_value(self.node.members.borrow().own());
@@ -198,7 +202,7 @@
 
     /// Renews the registration until the store says that it is over. While the store is away
     /// its leases wait, and a renewal costs a tenth of what registering anew does.
-    async fn stay(&self, client: &mut StoreClient, lease: u64) {
+    async fn stay(&self, client: &mut PlatformClient, lease: u64) {
         for renewal in 1_u32.. {
             sleep(RENEW_EVERY).await;
             if self.call(client, &store::keep_lease(lease)).await == Err(CallFailure::Absent) {
@@ -211,7 +215,7 @@
     }
 
     /// Reads who is there and greets those that are not known.
-    async fn list(&self, client: &mut StoreClient, read: &store::StoreCall) {
+    async fn list(&self, client: &mut PlatformClient, read: &PlatformCall) {
         let Ok(body) = self.call(client, read).await else { return };
         let Ok(page) = store::parse_page(&body) else { return };
         let listed = page.items.iter().filter_map(store::node_of);
@@ -232,8 +236,8 @@
 
     async fn call(
         &self,
-        client: &mut StoreClient,
-        call: &store::StoreCall,
+        client: &mut PlatformClient,
+        call: &PlatformCall,
     ) -> Result<Vec<u8>, CallFailure> {
         self.node.metrics.store_calls.inc();
         let address = self.node.settings().store.address;
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -1,57 +1,57 @@
-//! Calls to the platform's store, one at a time over one kept connection.
+//! Calls to the platform's interfaces, one at a time over one kept connection.
 //!
 //! After a failure the connection is dropped: once an answer is lost on a connection, nothing
 //! more comes on it.
 
 use crate::http::request::request_bytes;
 use crate::http::{BodyDecoder, ConnectFailure, ReadFailure, Upstream};
-use pitchstall_platform_adapter::store::StoreCall;
+use pitchstall_platform_adapter::call::PlatformCall;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Time to open a connection to the store.
+/// Time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(700);
 /// Largest answer that is read.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// A call got no answer. Unless it never left, it may have been done.
 #[derive(Debug, thiserror::Error)]
-pub enum StoreFailure {
+pub enum PlatformFailure {
     /// No connection could be made.
-    #[error("the store cannot be reached: {0}")]
+    #[error("the platform cannot be reached: {0}")]
     Unreachable(#[from] ConnectFailure),
     /// The connection failed.
-    #[error("the store did not answer: {0}")]
+    #[error("the platform did not answer: {0}")]
     Unanswered(#[from] ReadFailure),
     /// Nothing came in time.
-    #[error("the store did not answer in time")]
+    #[error("the platform did not answer in time")]
     TimedOut,
 }
 
-/// An answer of the store.
+/// An answer.
 #[derive(Debug)]
-pub struct StoreAnswer {
+pub struct PlatformAnswer {
     /// HTTP status.
     pub status: u16,
     /// Body.
     pub body: Vec<u8>,
 }
 
-/// A client of the store.
+/// A client of one interface.
 #[derive(Default)]
-pub struct StoreClient {
+pub struct PlatformClient {
     kept: Option<(SocketAddr, Upstream)>,
 }
 
-impl StoreClient {
-    /// Makes a call to the store at an address and waits for its answer for at most `limit`.
+impl PlatformClient {
+    /// Makes a call to the interface at an address and waits for its answer for at most `limit`.
     pub async fn call(
         &mut self,
         address: SocketAddr,
-        call: &StoreCall,
+        call: &PlatformCall,
         limit: Duration,
-    ) -> Result<StoreAnswer, StoreFailure> {
+    ) -> Result<PlatformAnswer, PlatformFailure> {
         let kept = self.kept.take().filter(|(to, kept)| *to == address && kept.is_reusable());
         let connection = match kept {
             Some((_, connection)) => connection,
@@ -59,7 +59,7 @@
         };
         let exchange = exchange(&connection, address, call);
         let (answer, keep) =
-            timeout(limit, exchange).await.map_err(|_| StoreFailure::TimedOut)??;
+            timeout(limit, exchange).await.map_err(|_| PlatformFailure::TimedOut)??;
         if keep && connection.is_reusable() {
             self.kept = Some((address, connection));
         }
@@ -70,9 +70,11 @@
 async fn exchange(
     connection: &Upstream,
     address: SocketAddr,
-    call: &StoreCall,
-) -> Result<(StoreAnswer, bool), ReadFailure> {
+    call: &PlatformCall,
+) -> Result<(PlatformAnswer, bool), ReadFailure> {
     let mut headers = vec![("host".to_owned(), address.to_string().into_bytes())];
+    let own = call.headers.iter();
+    headers.extend(own.map(|(name, value)| ((*name).to_owned(), value.clone().into_bytes())));
     if !call.body.is_empty() {
         headers.push(("content-type".to_owned(), b"application/json".to_vec()));
     }
@@ -80,5 +82,5 @@
     let head = connection.read_head().await?;
     let decoder = BodyDecoder::new(head.framing);
     let body = connection.read_whole_body(&decoder, MOST_ANSWER_BYTES).await?;
-    Ok((StoreAnswer { status: head.status, body }, head.keep_alive))
+    Ok((PlatformAnswer { status: head.status, body }, head.keep_alive))
 }
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -7,7 +7,6 @@
 use crate::node::Node;
 use crate::settings::{PolicySection, SettingsError};
 use pitchstall_policy::{Policy, PolicyEngine, PolicyError, PolicyInput};
-use pitchstall_serving::configuration::Route;
 use pitchstall_serving::ids::{ServiceName, ZoneId};
 use std::collections::BTreeSet;
 
@@ -40,15 +39,15 @@
     }
 }
 
-/// What the program in force decides for a request.
+/// What the program in force decides for a request that has a rank without it.
 pub fn rules_for(
     node: &Node,
     request: &ClientRequest,
-    route: &Route,
+    priority: u8,
     service: &ServiceName,
 ) -> Result<PlacementRules, PolicyError> {
     let Some(program) = node.policy_program() else {
-        return Ok(PlacementRules { zones: None, priority: route.priority });
+        return Ok(PlacementRules { zones: None, priority });
     };
     let zones = node.fleet.borrow().zones_of(service);
     let prompt = request.facts.prompt.as_ref();
@@ -59,14 +58,13 @@
         max_tokens: prompt.map_or(0, |prompt| prompt.max_output_tokens),
         zone: &node.zone,
         zones: &zones,
-        priority: u32::from(route.priority),
+        priority: u32::from(priority),
     };
     let decision = program.engine.run(&program.policy, &input).inspect_err(|error| {
         let (id, error) = (request.facts.id.as_str(), error.to_string());
         log::warn!(target: "policy", request = id, error; "failed");
     })?;
-    let priority = decision
-        .priority
-        .map_or(route.priority, |priority| u8::try_from(priority).unwrap_or(u8::MAX));
+    let decided = decision.priority.map(|decided| u8::try_from(decided).unwrap_or(u8::MAX));
+    let priority = decided.unwrap_or(priority);
     Ok(PlacementRules { zones: decision.zones, priority })
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,6 +17,8 @@
     pub store: StoreSection,
     /// What the users bound.
     pub bounds: BoundsSection,
+    /// The platform's interface for duties of the whole system; none: there are none.
+    pub cloud: Option<CloudSection>,
     /// What the machine has.
     #[serde(default)]
     pub machine: MachineSection,
@@ -72,6 +74,65 @@
     pub retry_ratio: f64,
     /// Extra attempts besides, over all nodes.
     pub retry_slack: f64,
+    /// Time within which a configuration is in force at all nodes, milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: u64,
+    /// Whether a node that has lost touch with the store stops serving keys after `revoke_ms`.
+    #[serde(default)]
+    pub revoke_strict: bool,
+    /// Time after which a key that was taken away is not served any more, milliseconds.
+    pub revoke_ms: Option<u64>,
+}
+
+/// The users' deployments allow 2 s and more.
+fn default_config_apply_ms() -> u64 {
+    2_000
+}
+
+/// The platform's interface for duties that one node does for all.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CloudSection {
+    /// `IP:port`.
+    pub address: SocketAddr,
+    /// What there is to do.
+    pub duties: Vec<Duty>,
+    /// When usage is reported; none: it is not.
+    pub usage: Option<UsageSection>,
+}
+
+impl CloudSection {
+    /// Whether there is such a duty.
+    pub fn has(&self, duty: Duty) -> bool {
+        self.duties.contains(&duty)
+    }
+}
+
+/// Something that one node does for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub enum Duty {
+    /// To report how many requests of each tenant began to run.
+    #[serde(rename = "usage_report")]
+    Usage,
+    /// To order how many runners there are.
+    #[serde(rename = "autoscale")]
+    Scaling,
+    /// Something that this version does not know.
+    #[serde(other)]
+    Unknown,
+}
+
+/// Windows that are shorter could not be told apart by clocks of different machines.
+const SHORTEST_WINDOW_S: f64 = 0.1;
+
+/// When usage is reported.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageSection {
+    /// Length of the windows for which requests are counted, seconds.
+    pub window_s: f64,
+    /// Time after the end of a window within which its report is due, seconds.
+    pub due_s: f64,
 }
 
 /// What the machine has.
@@ -182,12 +243,25 @@
 
     fn first_problem(&self) -> Option<(&'static str, &'static str)> {
         let bounds = &self.bounds;
+        let usage = self.cloud.as_ref().and_then(|cloud| cloud.usage);
         let checks = [
             (!self.node.name.is_empty(), "node.name", "a name"),
             (!self.node.zone.is_empty(), "node.zone", "the name of a zone"),
             (bounds.contact_ms > 0, "bounds.contact_ms", "more than 0"),
             (bounds.lease_ms > 0, "bounds.lease_ms", "more than 0"),
             (bounds.grace_s > 0.0, "bounds.grace_s", "more than 0"),
+            (bounds.config_apply_ms > 0, "bounds.config_apply_ms", "more than 0"),
+            (
+                !bounds.revoke_strict || bounds.revoke_ms.is_some(),
+                "bounds.revoke_ms",
+                "a time, as revoke_strict is set",
+            ),
+            (
+                usage.is_none_or(|it| it.window_s >= SHORTEST_WINDOW_S),
+                "cloud.usage.window_s",
+                "0.1 or more",
+            ),
+            (usage.is_none_or(|it| it.due_s > 0.0), "cloud.usage.due_s", "more than 0"),
             ((0.0..=10.0).contains(&bounds.retry_ratio), "bounds.retry_ratio", "0 to 10"),
             (bounds.retry_slack >= 0.0, "bounds.retry_slack", "0 or more"),
             (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -11,9 +11,11 @@
 use crate::entries::take_update;
 use crate::mirror::MirrorClient;
 use crate::node::Node;
-use crate::store_client::{StoreClient, StoreFailure};
+use crate::platform_client::{PlatformClient, PlatformFailure};
+use pitchstall_platform_adapter::call::PlatformCall;
+use pitchstall_platform_adapter::documents;
 use pitchstall_platform_adapter::store::{
-    self, Item, Page, StoreAnswerError, StoreCall, StoreStatus, CONFIGURATION_KEY, RUNNERS_PREFIX,
+    self, Item, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, RUNNERS_PREFIX,
 };
 use pitchstall_serving::freshness::{CopyFreshness, Freshness};
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, StoreEntry, StoreUpdate, Subject};
@@ -66,7 +68,7 @@
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
     #[error(transparent)]
-    Store(#[from] StoreFailure),
+    Store(#[from] PlatformFailure),
     #[error(transparent)]
     Answer(#[from] StoreAnswerError),
     #[error("the store says {0:?}")]
@@ -87,7 +89,7 @@
     let mut follower = Follower {
         node,
         subject,
-        client: StoreClient::default(),
+        client: PlatformClient::default(),
         mirror: MirrorClient::default(),
         turn: 0,
         own_call_at: Instant::now(),
@@ -141,7 +143,7 @@
 struct Follower {
     node: Rc<Node>,
     subject: Subject,
-    client: StoreClient,
+    client: PlatformClient,
     mirror: MirrorClient,
     /// Which of the nodes that can be followed is followed.
     turn: usize,
@@ -297,7 +299,7 @@
         }
         let (item, at) = store::parse_item(&body)?;
         let known_to = at.max(item.revision);
-        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(vec![item]) })
+        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(self.subject, vec![item]) })
     }
 
     async fn read_runners(&mut self) -> Result<StoreUpdate, FollowError> {
@@ -311,7 +313,7 @@
             more = page.more && !page.items.is_empty();
             items.extend(page.items);
         }
-        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(items) })
+        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(self.subject, items) })
     }
 
     fn take_update(&mut self, update: &StoreUpdate) {
@@ -376,7 +378,7 @@
                     self.changed_at = Some(Instant::now());
                 }
                 let known_to = page.at.max(at);
-                let entries = entries_of(page.items);
+                let entries = entries_of(self.subject, page.items);
                 for entry in &entries {
                     self.with_freshness(|copy, _| copy.on_change(entry.revision));
                 }
@@ -406,7 +408,7 @@
 
     async fn call(
         &mut self,
-        call: &StoreCall,
+        call: &PlatformCall,
         limit: Duration,
     ) -> Result<(StoreStatus, Vec<u8>), FollowError> {
         self.node.metrics.store_calls.inc();
@@ -437,18 +439,21 @@
     }
 }
 
-/// The store's items as entries. Documents are JSON, so a value that is no text is no document.
-fn entries_of(items: Vec<Item>) -> Vec<StoreEntry> {
+/// The store's items as entries, in the form in which they are handed on to other nodes.
+fn entries_of(subject: Subject, items: Vec<Item>) -> Vec<StoreEntry> {
     let entry = |item: Item| {
-        let document = item.value.map(String::from_utf8).transpose();
-        if document.is_err() {
-            log::warn!(target: "store", key = item.key.as_str(); "a value is no text");
-        }
-        StoreEntry {
-            key: item.key,
-            document: document.unwrap_or_default(),
-            revision: item.revision,
-        }
+        let document = item.value.and_then(|value| document_of(subject, &item.key, value));
+        StoreEntry { key: item.key, document, revision: item.revision }
     };
     items.into_iter().map(entry).collect()
 }
+
+/// A value as a document; keys in a configuration are hidden from here on. Documents are JSON, so
+/// a value that is not is no document.
+fn document_of(subject: Subject, key: &str, value: Vec<u8>) -> Option<String> {
+    let document = match subject {
+        Subject::Configuration => documents::hide_keys(&value).map_err(|error| error.to_string()),
+        Subject::Runners => String::from_utf8(value).map_err(|error| error.to_string()),
+    };
+    document.inspect_err(|error| log::warn!(target: "store", key, error = error.as_str(); "a value is no document")).ok()
+}
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration that operators put in force.
 
 use crate::ids::ServiceName;
+use crate::tenancy::Tenants;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -15,6 +16,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on what clients may send.
     pub limits: ClientLimits,
+    /// Who may send requests.
+    pub tenants: Tenants,
 }
 
 impl Configuration {
@@ -65,6 +68,8 @@
     pub sticky: bool,
     /// Whether a broken stream may go on at another runner.
     pub resumable: bool,
+    /// Whether requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -1,5 +1,5 @@
 //! What every node tells the others now and then: that it is there, how fresh its copy of the
-//! store is, and which runners are changing their role.
+//! store is, which runners are changing their role, and what its clock says.
 //!
 //! A digest holds all of that, not changes, so a lost or doubled one does no harm; one that
 //! arrives late is told by its sequence. Loads and caches of runners are not in it: they are
@@ -44,6 +44,9 @@
     /// Runners that were ordered to change their role and take no work meanwhile.
     #[serde(default)]
     pub changing: Vec<ChangingRunner>,
+    /// What the machine's clock says, milliseconds since 1970.
+    #[serde(default)]
+    pub wall_ms: u64,
 }
 
 /// How fresh a digest is.
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -131,10 +131,15 @@
         FreshnessWord { changed_at: self.changed_at, age_ms: self.confirmed_age_ms(now_us) }
     }
 
+    /// Whether another node has seen a later change for longer than a watch takes to tell.
+    pub fn is_behind(&self, now_us: u64) -> bool {
+        let told_long_ago = |(_, first_us): (u64, u64)| now_us >= first_us + TELLING_US;
+        self.seen_elsewhere.is_some_and(told_long_ago)
+    }
+
     /// Whether the copy can be relied on, if a confirmation holds for so long.
     pub fn verdict(&self, now_us: u64, confirmation_us: u64) -> Freshness {
-        let told_long_ago = |(_, first_us): (u64, u64)| now_us >= first_us + TELLING_US;
-        if self.seen_elsewhere.is_some_and(told_long_ago) {
+        if self.is_behind(now_us) {
             return Freshness::Behind;
         }
         match self.confirmed_at_us {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,6 +25,8 @@
 //! | [`scheduler`], [`reservations`] | what that node decides, and what it has set aside |
 //! | [`role_planner`] | when a runner changes its role |
 //! | [`authority`] | which node may order that |
+//! | [`tenancy`] | who may send requests, and for whom they run |
+//! | [`usage`], [`wall_clock`] | how many requests of each tenant began, and when |
 //! | [`retry_budget`] | whether one more attempt may be made |
 //! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
 //! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
@@ -53,4 +55,7 @@
 pub mod scheduling;
 pub mod store_copy;
 pub mod suspicion;
+pub mod tenancy;
 pub mod urgency;
+pub mod usage;
+pub mod wall_clock;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -107,6 +107,28 @@
         names.filter(|name| **name != self.own).map(|name| self.members[name].address).collect()
     }
 
+    /// All nodes.
+    pub fn names(&self) -> impl Iterator<Item = &NodeId> + Clone {
+        self.members.keys()
+    }
+
+    /// Where the other nodes are reached.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let others = self.members.iter().filter(|(name, _)| **name != self.own);
+        others.map(|(_, member)| member.address).collect()
+    }
+
+    /// The node that is told what this one is told, so that it outlives this one: one that reads
+    /// the store, if there is one of another zone.
+    pub fn deputy(&self) -> Option<SocketAddr> {
+        let own_zone = &self.own().zone;
+        let mut zones = self.zones();
+        zones.sort_by_key(|zone| (*zone == own_zone, self.weight(zone.as_str())));
+        let mut names = zones.into_iter().flat_map(|zone| self.mirrors_of(zone));
+        let name = names.find(|name| **name != self.own)?;
+        Some(self.members[name].address)
+    }
+
     /// The scheduler of a shard among the nodes for which `is_up` holds; `None` if it is this
     /// node.
     pub fn scheduler(
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -1,7 +1,8 @@
 //! What a node needs to know of a request; everything else in it is opaque.
 
-use crate::ids::RunnerId;
+use crate::ids::{RunnerId, TenantName};
 use crate::prefix::Prompt;
+use crate::tenancy::Credential;
 use std::net::SocketAddr;
 
 /// A request's own words on itself.
@@ -15,6 +16,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the client has of a stream.
     pub last_event_id: Option<u64>,
+    /// What it shows of who sent it.
+    pub credential: Credential,
 }
 
 /// What a runner is asked to do with a request.
@@ -53,6 +56,8 @@
     pub after_event: Option<u64>,
     /// The runner first takes over what this one holds of the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// The tenant for whom it runs.
+    pub tenant: Option<TenantName>,
 }
 
 /// What the head of a runner's answer says.
--- /dev/null
+++ b/crates/serving/src/usage.rs
@@ -0,0 +1,234 @@
+//! How many requests of each tenant began to run, by windows of the time of day.
+//!
+//! Each start of a node counts for itself and tells its counts as totals, so a word that is lost,
+//! late or told twice changes nothing: totals of one start are merged by the greater one, and the
+//! counts of all starts are added up. The node that has the authority collects them, and with it a
+//! deputy, so that what a node had told outlives both the node and the collector.
+
+use crate::ids::{NodeId, TenantName};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+/// Requests that began to run, by tenant.
+pub type TenantCounts = BTreeMap<TenantName, u64>;
+
+/// One start of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// The node.
+    #[serde(rename = "n")]
+    pub node: NodeId,
+    /// Its start, drawn at random.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+/// What one start of a node counted in one window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowCounts {
+    /// The window.
+    #[serde(rename = "w")]
+    pub window: u64,
+    /// The counts so far.
+    #[serde(rename = "c")]
+    pub counts: TenantCounts,
+}
+
+/// The collector asks the nodes for their counts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageQuestion {
+    /// Identifies the question at the collector.
+    pub number: u64,
+    /// Who gets the answer: the collector and its deputy.
+    pub answer_to: Vec<SocketAddr>,
+    /// The first window that is asked for.
+    pub from_window: u64,
+    /// Whether to tell also what others have told: the collector is new.
+    pub relays: bool,
+}
+
+/// A start of a node tells its counts, or what it was told by another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageWord {
+    /// Whose counts these are.
+    pub origin: Origin,
+    /// The question that it answers; `None`: handed on.
+    pub answers: Option<u64>,
+    /// The counts.
+    pub windows: Vec<WindowCounts>,
+}
+
+/// Windows of the time of day, numbered from 1970.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Windows {
+    /// Length of a window, milliseconds.
+    pub length_ms: u64,
+}
+
+impl Windows {
+    /// The window of a moment, milliseconds since 1970.
+    pub fn at(self, time_ms: u64) -> u64 {
+        time_ms / self.length_ms.max(1)
+    }
+
+    /// When a window is over.
+    pub fn end_ms(self, window: u64) -> u64 {
+        (window + 1) * self.length_ms
+    }
+}
+
+type CountsByWindow = BTreeMap<u64, TenantCounts>;
+
+/// What a node has counted, and what others have told it.
+#[derive(Clone, Debug, Default)]
+pub struct UsageLedger {
+    own: CountsByWindow,
+    others: HashMap<Origin, CountsByWindow>,
+}
+
+/// Windows that are kept: reports are due within two or three, and a store that is away for longer
+/// than the rest is left behind.
+const KEPT_WINDOWS: u64 = 8;
+
+impl UsageLedger {
+    /// A request of a tenant began to run at this node's word.
+    pub fn on_begun(&mut self, window: u64, tenant: &TenantName) {
+        *self.own.entry(window).or_default().entry(tenant.clone()).or_default() += 1;
+        let oldest = window.saturating_sub(KEPT_WINDOWS);
+        self.own.retain(|window, _| *window >= oldest);
+    }
+
+    /// This start's counts from a window on.
+    pub fn own_since(&self, from_window: u64) -> Vec<WindowCounts> {
+        listed(&self.own, from_window)
+    }
+
+    /// Takes in another start's counts, which never fall.
+    pub fn take(&mut self, word: &UsageWord) {
+        let known = self.others.entry(word.origin.clone()).or_default();
+        for told in &word.windows {
+            let counts = known.entry(told.window).or_default();
+            for (tenant, count) in &told.counts {
+                let highest = counts.entry(tenant.clone()).or_default();
+                *highest = (*highest).max(*count);
+            }
+        }
+        let newest = known.keys().next_back().copied().unwrap_or_default();
+        known.retain(|window, _| *window + KEPT_WINDOWS >= newest);
+    }
+
+    /// What others have told, from a window on.
+    pub fn told_since(&self, from_window: u64) -> Vec<UsageWord> {
+        let word = |(origin, counts): (&Origin, &CountsByWindow)| {
+            let windows = listed(counts, from_window);
+            let has_any = !windows.is_empty();
+            has_any.then(|| UsageWord { origin: origin.clone(), answers: None, windows })
+        };
+        self.others.iter().filter_map(word).collect()
+    }
+
+    /// The requests of all nodes in a window, as far as they are known here.
+    pub fn total(&self, window: u64) -> TenantCounts {
+        let mut total = TenantCounts::new();
+        let all = self.others.values().chain([&self.own]);
+        for (tenant, count) in all.filter_map(|counts| counts.get(&window)).flatten() {
+            *total.entry(tenant.clone()).or_default() += count;
+        }
+        total
+    }
+
+    /// Forgets starts of nodes that told nothing of the kept windows.
+    pub fn forget_before(&mut self, window: u64) {
+        self.own.retain(|known, _| *known >= window);
+        self.others.values_mut().for_each(|counts| counts.retain(|known, _| *known >= window));
+        self.others.retain(|_, counts| !counts.is_empty());
+    }
+}
+
+fn listed(counts: &CountsByWindow, from_window: u64) -> Vec<WindowCounts> {
+    let of_window = |(window, counts): (&u64, &TenantCounts)| WindowCounts {
+        window: *window,
+        counts: counts.clone(),
+    };
+    counts.range(from_window..).map(of_window).collect()
+}
+
+/// When windows are reported, milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportTimes {
+    /// The windows.
+    pub windows: Windows,
+    /// Time after the end of a window within which its report is due.
+    pub due_ms: u64,
+}
+
+/// Time after the end of a window until nobody counts in it any more, milliseconds: a request is
+/// counted when its answer begins, which may be late on a busy machine.
+const SETTLING_MS: u64 = 700;
+/// Part of the time until a report is due for which nodes that do not answer are waited for, in
+/// hundredths. The rest must do for another node to take over: three seconds until the lease has
+/// lapsed and three until the next holder may act.
+const WAITING_HUNDREDTHS: u64 = 40;
+
+/// What the collector knows of its questions, for one term of its authority.
+#[derive(Clone, Debug, Default)]
+pub struct UsageCollector {
+    /// When questions were asked, by their number, milliseconds since 1970.
+    asked_ms: BTreeMap<u64, u64>,
+    /// When the last question was asked that a node has answered.
+    answered_ms: HashMap<NodeId, u64>,
+    /// Windows whose counts are fixed.
+    fixed: BTreeSet<u64>,
+}
+
+impl UsageCollector {
+    /// A question has been asked.
+    pub fn on_asked(&mut self, number: u64, now_ms: u64) {
+        const KEPT_QUESTIONS: usize = 32;
+        self.asked_ms.insert(number, now_ms);
+        while self.asked_ms.len() > KEPT_QUESTIONS {
+            self.asked_ms.pop_first();
+        }
+    }
+
+    /// A node has answered a question.
+    pub fn on_answered(&mut self, node: &NodeId, number: u64) {
+        let Some(asked_ms) = self.asked_ms.get(&number) else { return };
+        let latest = self.answered_ms.entry(node.clone()).or_default();
+        *latest = (*latest).max(*asked_ms);
+    }
+
+    /// The counts of a window are fixed.
+    pub fn on_fixed(&mut self, window: u64) {
+        self.fixed.insert(window);
+    }
+
+    /// The first window that is still of interest.
+    pub fn first_window(&self, times: ReportTimes, now_ms: u64) -> u64 {
+        times.windows.at(now_ms.saturating_sub(times.due_ms)).saturating_sub(1)
+    }
+
+    /// Windows whose counts are to be fixed now: all nodes have told what they counted in them, or
+    /// those that have not are not waited for any longer.
+    pub fn to_fix<'a>(
+        &self,
+        nodes: impl Iterator<Item = &'a NodeId> + Clone,
+        times: ReportTimes,
+        now_ms: u64,
+    ) -> Vec<u64> {
+        let is_complete = |window: u64| {
+            let settled_ms = times.windows.end_ms(window) + SETTLING_MS;
+            nodes.clone().all(|node| {
+                self.answered_ms.get(node).is_some_and(|asked_ms| *asked_ms >= settled_ms)
+            })
+        };
+        let patience_ms = times.due_ms * WAITING_HUNDREDTHS / 100;
+        let is_waited_for =
+            |window: u64| now_ms < times.windows.end_ms(window) + patience_ms.max(SETTLING_MS);
+        let first = self.first_window(times, now_ms);
+        let over = first..times.windows.at(now_ms);
+        let open = over.filter(|window| !self.fixed.contains(window));
+        open.filter(|window| is_complete(*window) || !is_waited_for(*window)).collect()
+    }
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -42,6 +42,7 @@
         max_attempts: 2,
         sticky: false,
         resumable: false,
+        is_public: false,
     }
 }
 
@@ -284,6 +285,7 @@
         },
         store: StoreWord::default(),
         changing: Vec::new(),
+        wall_ms: 0,
     }
 }
 
--- /dev/null
+++ b/crates/serving/tests/tenancy.rs
@@ -0,0 +1,109 @@
+//! Who may send requests, on both sides: no key that nobody holds runs, and no key that holds is
+//! refused by a node that merely does not know it.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::ids::TenantName;
+use pitchstall_serving::tenancy::{
+    authorize, Access, ApiKey, CopyAge, Credential, KeyDigest, KeyPolicy, Tenant, Tenants,
+};
+use test_case::test_case;
+
+const FRESH: CopyAge = CopyAge { confirmed_ms: Some(500), is_behind: false };
+const BEHIND: CopyAge = CopyAge { confirmed_ms: Some(500), is_behind: true };
+const OLD: CopyAge = CopyAge { confirmed_ms: Some(4_000), is_behind: false };
+const VERY_OLD: CopyAge = CopyAge { confirmed_ms: Some(6_000), is_behind: false };
+const NEVER: CopyAge = CopyAge { confirmed_ms: None, is_behind: false };
+const LENIENT: KeyPolicy = KeyPolicy { config_apply_ms: 3_000, revoke_ms: None };
+const STRICT: KeyPolicy = KeyPolicy { config_apply_ms: 3_000, revoke_ms: Some(5_000) };
+
+fn key(text: &str) -> Credential {
+    Credential::Key(ApiKey::new(text).digest())
+}
+
+fn tenants() -> Tenants {
+    let mut tenants = Tenants::default();
+    let tenant = Tenant { name: TenantName::new("taxis"), priority: Some(1) };
+    tenants.add(tenant, [ApiKey::new("right").digest(), ApiKey::new("other").digest()]);
+    tenants
+}
+
+fn outcome(access: &Access) -> &'static str {
+    match access {
+        Access::Open => "open",
+        Access::Granted(tenant) if tenant.name.as_str() == "taxis" => "taxis",
+        Access::Granted(_) => "another",
+        Access::Denied => "denied",
+        Access::Unverifiable => "unverifiable",
+    }
+}
+
+#[test_case(key("right"), FRESH, LENIENT, "taxis"; "a key that holds")]
+#[test_case(key("other"), FRESH, STRICT, "taxis"; "a tenant's second key")]
+#[test_case(key("wrong"), FRESH, LENIENT, "denied"; "a key that nobody holds")]
+#[test_case(key("wrong"), BEHIND, LENIENT, "unverifiable"; "a key that a later version may hold")]
+#[test_case(key("wrong"), OLD, LENIENT, "unverifiable"; "a key that an old copy does not know")]
+#[test_case(key("wrong"), NEVER, LENIENT, "unverifiable"; "a key that a copy of unknown age does not know")]
+#[test_case(key("right"), VERY_OLD, LENIENT, "taxis"; "a key that may have been taken away, served on")]
+#[test_case(key("right"), OLD, STRICT, "taxis"; "a key within the time that strictness allows")]
+#[test_case(key("right"), VERY_OLD, STRICT, "unverifiable"; "a key that may have been taken away, refused")]
+#[test_case(key("right"), NEVER, STRICT, "unverifiable"; "strict with a copy of unknown age")]
+#[test_case(Credential::Absent, FRESH, LENIENT, "denied"; "no key")]
+#[test_case(Credential::Absent, NEVER, LENIENT, "denied"; "no key is never enough")]
+#[test_case(Credential::Malformed, FRESH, LENIENT, "denied"; "several keys")]
+fn a_request_on_a_route_that_needs_a_key(
+    credential: Credential,
+    copy: CopyAge,
+    policy: KeyPolicy,
+    expected: &str,
+) {
+    assert_eq!(outcome(&authorize(&tenants(), false, credential, copy, policy)), expected);
+}
+
+#[test_case(Credential::Absent, "open"; "needs none")]
+#[test_case(key("right"), "taxis"; "runs for the tenant that shows one")]
+#[test_case(key("wrong"), "denied"; "but not with one that nobody holds")]
+fn a_request_on_a_public_route(credential: Credential, expected: &str) {
+    assert_eq!(outcome(&authorize(&tenants(), true, credential, FRESH, LENIENT)), expected);
+}
+
+#[test_case(Credential::Absent)]
+#[test_case(key("any"))]
+#[test_case(Credential::Malformed)]
+fn without_tenants_every_request_may_run(credential: Credential) {
+    let access = authorize(&Tenants::default(), false, credential, NEVER, STRICT);
+    assert_eq!(access, Access::Open);
+}
+
+#[test]
+fn a_key_that_moves_belongs_to_the_tenant_of_the_version_in_force() {
+    let mut moved = Tenants::default();
+    let tenant = Tenant { name: TenantName::new("buses"), priority: None };
+    moved.add(tenant, [ApiKey::new("right").digest()]);
+    let access = authorize(&moved, false, key("right"), FRESH, LENIENT);
+    assert_eq!(outcome(&access), "another");
+    let lost = authorize(&moved, false, key("other"), FRESH, LENIENT);
+    assert_eq!(lost, Access::Denied, "its tenant has lost all keys");
+}
+
+#[test]
+fn neither_keys_nor_digests_can_be_printed() {
+    let secret = ApiKey::new("m82thhkmgjqnirth5mgj");
+    let digest = secret.digest();
+    let shown = format!("{secret:?} {digest:?} {:?} {:?}", key("m82thhkmgjqnirth5mgj"), tenants());
+    assert!(!shown.contains("m82thh"), "{shown}");
+    assert!(!shown.contains(&digest.to_hex()), "{shown}");
+}
+
+#[test_case("", None; "empty")]
+#[test_case("zz", None; "no digits")]
+#[test_case("é", None; "no ASCII")]
+fn what_is_no_digest_is_none(text: &str, expected: Option<KeyDigest>) {
+    assert_eq!(KeyDigest::from_hex(text), expected);
+}
+
+#[test]
+fn a_digest_is_read_as_it_was_written() {
+    let digest = ApiKey::new("right").digest();
+    assert_eq!(KeyDigest::from_hex(&digest.to_hex()), Some(digest));
+    assert_eq!(KeyDigest::from_hex(&format!("{}00", digest.to_hex())), None);
+}
--- /dev/null
+++ b/crates/serving/tests/usage.rs
@@ -0,0 +1,109 @@
+//! Counting requests by tenant: words that are lost, late or doubled change nothing.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::ids::{NodeId, TenantName};
+use pitchstall_serving::usage::{
+    Origin, ReportTimes, UsageCollector, UsageLedger, UsageWord, WindowCounts, Windows,
+};
+use proptest::prelude::*;
+use test_case::test_case;
+
+const TIMES: ReportTimes = ReportTimes { windows: Windows { length_ms: 5_000 }, due_ms: 10_000 };
+/// A window and its end.
+const WINDOW: u64 = 100;
+const END_MS: u64 = 505_000;
+
+fn word(node: &str, incarnation: u64, window: u64, count: u64) -> UsageWord {
+    let counts = [(TenantName::new("taxis"), count)].into();
+    UsageWord {
+        origin: Origin { node: NodeId::new(node), incarnation },
+        answers: None,
+        windows: vec![WindowCounts { window, counts }],
+    }
+}
+
+fn total(ledger: &UsageLedger) -> u64 {
+    ledger.total(WINDOW).get(&TenantName::new("taxis")).copied().unwrap_or_default()
+}
+
+#[test]
+fn counts_of_all_starts_of_all_nodes_add_up() {
+    let mut ledger = UsageLedger::default();
+    ledger.on_begun(WINDOW, &TenantName::new("taxis"));
+    ledger.take(&word("a", 1, WINDOW, 4));
+    ledger.take(&word("a", 2, WINDOW, 2));
+    ledger.take(&word("b", 1, WINDOW, 7));
+    ledger.take(&word("b", 1, WINDOW + 1, 9));
+    assert_eq!(total(&ledger), 14);
+}
+
+#[test]
+fn what_was_told_outlives_the_node_and_the_collector() {
+    let mut deputy = UsageLedger::default();
+    deputy.take(&word("dead", 1, WINDOW, 4));
+    let mut successor = UsageLedger::default();
+    deputy.told_since(WINDOW).iter().for_each(|word| successor.take(word));
+    assert_eq!(total(&successor), 4);
+}
+
+proptest! {
+    #[test]
+    fn words_that_are_lost_late_or_doubled_change_nothing(
+        order in proptest::collection::vec((0_usize..6, 1_u64..4), 1..60),
+    ) {
+        // Each start's counts rise from 1 to 6; the last word of each surely arrives.
+        let mut ledger = UsageLedger::default();
+        for (count, incarnation) in &order {
+            ledger.take(&word("a", *incarnation, WINDOW, 1 + *count as u64));
+        }
+        for incarnation in 1..4 {
+            ledger.take(&word("a", incarnation, WINDOW, 6));
+        }
+        prop_assert_eq!(total(&ledger), 18);
+    }
+}
+
+fn collector_with(answered: &[(&str, u64)]) -> UsageCollector {
+    let mut collector = UsageCollector::default();
+    for (number, (node, asked_ms)) in (1..).zip(answered) {
+        collector.on_asked(number, *asked_ms);
+        collector.on_answered(&NodeId::new(node), number);
+    }
+    collector
+}
+
+#[test_case(&[("a", END_MS + 800), ("b", END_MS + 900)], END_MS + 1_000, true; "all have told everything")]
+#[test_case(&[("a", END_MS + 800), ("b", END_MS + 100)], END_MS + 1_000, false; "one was asked before all had begun")]
+#[test_case(&[("a", END_MS + 800)], END_MS + 1_000, false; "one has not answered")]
+#[test_case(&[("a", END_MS + 800)], END_MS + 4_000, true; "one that does not answer is not waited for any longer")]
+#[test_case(&[], END_MS - 1, false; "it is not over")]
+fn a_window_is_fixed_when_nothing_more_is_to_come(
+    answered: &[(&str, u64)],
+    now_ms: u64,
+    expected: bool,
+) {
+    let nodes = [NodeId::new("a"), NodeId::new("b")];
+    let mut collector = collector_with(answered);
+    let due = collector.to_fix(nodes.iter(), TIMES, now_ms);
+    assert_eq!(due.contains(&WINDOW), expected);
+    collector.on_fixed(WINDOW);
+    assert!(!collector.to_fix(nodes.iter(), TIMES, now_ms).contains(&WINDOW), "it is fixed once");
+}
+
+#[test]
+fn an_answer_to_an_unknown_question_says_nothing() {
+    let mut collector = collector_with(&[]);
+    collector.on_answered(&NodeId::new("a"), 77);
+    let nodes = [NodeId::new("a")];
+    assert!(!collector.to_fix(nodes.iter(), TIMES, END_MS + 1_000).contains(&WINDOW));
+}
+
+#[test]
+fn old_windows_are_forgotten() {
+    let mut ledger = UsageLedger::default();
+    ledger.take(&word("a", 1, WINDOW, 4));
+    ledger.on_begun(WINDOW, &TenantName::new("taxis"));
+    ledger.forget_before(WINDOW + 1);
+    assert_eq!(total(&ledger), 0);
+    assert!(ledger.told_since(0).is_empty());
+}
--- /dev/null
+++ b/crates/serving/tests/wall_clock.rs
@@ -0,0 +1,46 @@
+//! The time of day that all nodes agree on.
+#![allow(missing_docs)]
+
+use pitchstall_serving::ids::NodeId;
+use pitchstall_serving::wall_clock::WallClock;
+use test_case::test_case;
+
+const TRUE_MS: u64 = 1_700_000_000_000;
+const SECOND_US: u64 = 1_000_000;
+
+fn clock_among(others: &[i64]) -> WallClock {
+    let mut clock = WallClock::default();
+    for (number, offset_ms) in others.iter().enumerate() {
+        let wall_ms = TRUE_MS.saturating_add_signed(*offset_ms);
+        clock.on_word(&NodeId::new(format!("node-{number}")), wall_ms, 0);
+    }
+    clock
+}
+
+#[test_case(0, &[], 0; "alone it goes by its own clock")]
+#[test_case(40, &[0, 10, -20], 40; "its own is close to the others'")]
+#[test_case(-2_000, &[0, 10, -20], 0; "its own has jumped back")]
+#[test_case(3_000, &[5, 5, 9], 5; "its own has jumped ahead")]
+#[test_case(20, &[0, 10, -20, 2_000, 2_000], 20; "others have jumped")]
+fn the_median_of_all_clocks_holds(own_ms: i64, others: &[i64], expected_ms: i64) {
+    let mut clock = clock_among(others);
+    let now = clock.now_ms(TRUE_MS.saturating_add_signed(own_ms), 0);
+    assert!(now.abs_diff(TRUE_MS.saturating_add_signed(expected_ms)) <= 10, "{now}");
+}
+
+#[test]
+fn a_jump_does_not_show_while_the_others_go_on() {
+    let mut clock = clock_among(&[0, 0, 0]);
+    assert_eq!(clock.now_ms(TRUE_MS, 0), TRUE_MS);
+    for second in 1..10 {
+        let jumped_ms = TRUE_MS + second * 1_000 - 5_000;
+        assert_eq!(clock.now_ms(jumped_ms, second * SECOND_US), TRUE_MS + second * 1_000);
+    }
+}
+
+#[test]
+fn words_that_are_too_old_do_not_count() {
+    let mut clock = clock_among(&[0, 0, 0]);
+    let later = 60 * SECOND_US;
+    assert_eq!(clock.now_ms(TRUE_MS + 90_000, later), TRUE_MS + 90_000);
+}
