Order preemptible runners so that any zone may lose them; keep the authority when its lease can be renewed after all

Change: the node with the authority plans the runners of a service: as many preemptible ones in each zone that what is needed is left when any one zone loses them, 0.4 beyond it, and a tenth of the need on runners that stay. Runners that stay are given up when their replacements serve, and added when what serves does not do. A zone that has none to be had is asked again after a pause. What was needed at first is kept in the store. Orders go under the one term of authority. Also: an entry that is gone after the store was away may only have lapsed and is served on for 1.8 s; a lease that ran out while the store was away is renewed if it still can be (it kept the key, so nobody else had it): then no separation passes before the next order.

Ruled out: to count on the list at the first look (runners join for four seconds: the need was taken for 109 of 140); to order beside runners that are still to be given up (the platform cuts the order to what a zone takes).

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -7,8 +7,8 @@
 use pitchstall_gateway::daemon::{self, Signals};
 use pitchstall_gateway::logging;
 use pitchstall_gateway::settings::{
-    BoundsSection, ListenSection, LogSection, MachineSection, NodeSection, PolicySection, Settings,
-    StoreSection,
+    BoundsSection, CapacitySection, ListenSection, LogSection, MachineSection, NodeSection,
+    PolicySection, Settings, StoreSection,
 };
 use pitchstall_platform_standins::client::{example_request, send_load};
 use pitchstall_platform_standins::fleet::StandInFleet;
@@ -96,6 +96,7 @@
             revoke_ms: None,
         },
         cloud: None,
+        capacity: CapacitySection::default(),
         machine: MachineSection::default(),
         policy: PolicySection::default(),
         log: LogSection::default(),
--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -30,6 +30,8 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Renewals in the time of a lease.
 const RENEWALS: u32 = 3;
+/// Between two tries to renew a lease after one that failed.
+const RETRY_EVERY: Duration = Duration::from_millis(400);
 
 /// This node's term of authority, if it has one.
 #[derive(Debug, Default)]
@@ -61,7 +63,9 @@
 
 struct Lease {
     id: u64,
-    renewed_at: Instant,
+    next_try: Instant,
+    /// Whether the term has run out without a word from the store.
+    is_in_doubt: bool,
 }
 
 struct Authority {
@@ -128,7 +132,11 @@
         let term = AuthorityTerm::new(fence, sent_at_us, self.node.now_us(), times);
         log::info!(target: "authority", fence, lease; "gained");
         self.has_seen_holder = true;
-        self.lease = Some(Lease { id: lease, renewed_at: Instant::now() });
+        self.lease = Some(Lease {
+            id: lease,
+            next_try: Instant::now() + Duration::from_micros(times.ttl_us) / RENEWALS,
+            is_in_doubt: false,
+        });
         self.node.authority.term.set(Some(term));
         self.node.authority.refused.set(false);
     }
@@ -137,32 +145,45 @@
         if self.node.authority.refused.get() {
             return self.step_down().await;
         }
-        let times = self.times();
-        let Some(lease) = &self.lease else { return };
-        let every = Duration::from_micros(times.ttl_us) / RENEWALS;
-        if lease.renewed_at.elapsed() >= every {
+        let Some(lease) = &mut self.lease else { return };
+        if Instant::now() >= lease.next_try {
+            lease.next_try = Instant::now() + RETRY_EVERY;
             let sent_at_us = self.node.now_us();
-            let answer = self.call(&store::keep_lease(lease.id)).await;
-            match answer {
-                Some((StoreStatus::Done, _)) => self.on_renewed(sent_at_us, times),
+            let keep = store::keep_lease(lease.id);
+            match self.call(&keep).await {
+                Some((StoreStatus::Done, _)) => self.on_renewed(sent_at_us),
                 Some((StoreStatus::Absent, _)) => return self.lose("the lease is over"),
                 _ => {}
             }
         }
+        self.look_for_the_end();
+    }
+
+    /// A term that has run out gives no orders. The lease may wait in a store that is away, and with
+    /// it the key, so that nobody else can have had the authority: if it can be renewed after all,
+    /// the term goes on.
+    fn look_for_the_end(&mut self) {
         let now_us = self.node.now_us();
-        if self.node.authority.term.get().is_some_and(|term| term.is_over(now_us)) {
-            self.lose("the lease could not be renewed");
+        let Some(term) = self.node.authority.term.get() else { return };
+        let Some(lease) = &mut self.lease else { return };
+        if term.is_over(now_us) && !lease.is_in_doubt {
+            lease.is_in_doubt = true;
+            log::warn!(target: "authority", fence = term.fence; "the lease could not be renewed");
         }
     }
 
-    fn on_renewed(&mut self, sent_at_us: u64, times: LeaseTimes) {
+    fn on_renewed(&mut self, sent_at_us: u64) {
+        let times = self.times();
         let term = &self.node.authority.term;
         if let Some(mut renewed) = term.get() {
             renewed.renew(sent_at_us, times);
             term.set(Some(renewed));
         }
         if let Some(lease) = &mut self.lease {
-            lease.renewed_at = Instant::now();
+            lease.next_try = Instant::now() + Duration::from_micros(times.ttl_us) / RENEWALS;
+            if std::mem::take(&mut lease.is_in_doubt) {
+                log::info!(target: "authority", lease = lease.id; "the lease was renewed after all");
+            }
         }
     }
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::peers::Peers;
 use crate::policy::PolicyProgram;
 use crate::roles;
+use crate::scaling;
 use crate::scheduling;
 use crate::settings::{Settings, SettingsError};
 use crate::usage;
@@ -113,6 +114,7 @@
     ntex::rt::spawn(authority::hold(node.clone()));
     ntex::rt::spawn(roles::order_changes(node.clone()));
     ntex::rt::spawn(usage::report(node.clone()));
+    ntex::rt::spawn(scaling::order_runners(node.clone()));
     ntex::rt::spawn(cache_listing::list_own_shards(node.clone()));
     ntex::rt::spawn(mirror::accept_followers(followers, node.clone()));
     ntex::rt::spawn(listener::accept_health(health, node.clone()));
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -5,9 +5,10 @@
 use pitchstall_platform_adapter::store::CONFIGURATION_KEY;
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate, Subject};
+use std::rc::Rc;
 
 /// Takes in an update, from the store or from another node.
-pub fn take_update(node: &Node, subject: Subject, update: &StoreUpdate) {
+pub fn take_update(node: &Rc<Node>, subject: Subject, update: &StoreUpdate) {
     node.update_copy(subject, update);
     match subject {
         Subject::Configuration => {
@@ -15,7 +16,7 @@
         }
         Subject::Runners if update.whole => {
             let records = update.entries.iter().filter_map(record_of).collect();
-            node.replace_runners(records, update.known_to);
+            node.replace_runners(records, update.known_to, node.lapses_until_us());
         }
         Subject::Runners => update.entries.iter().for_each(|entry| take_runner(node, entry)),
     }
@@ -35,14 +36,14 @@
     }
 }
 
-fn take_runner(node: &Node, entry: &StoreEntry) {
+fn take_runner(node: &Rc<Node>, entry: &StoreEntry) {
     match (&entry.document, documents::runner_of_key(&entry.key)) {
         (Some(_), _) => {
             if let Some(record) = record_of(entry) {
                 node.put_runner(record);
             }
         }
-        (None, Some(id)) => node.remove_runner(&id, entry.revision),
+        (None, Some(id)) => node.remove_runner(&id, entry.revision, node.lapses_until_us()),
         (None, None) => {}
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
-//! Beside them: [`authority`] holds what [`roles`] and [`usage`] need before they order or
+//! Beside them: [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with [`platform_client`] or another
 //! node with [`mirror`], [`node`] holds what the node
 //! believes, [`http`] speaks HTTP to runners and to the store.
@@ -45,6 +45,7 @@
 pub mod reading;
 pub mod relay;
 pub mod roles;
+pub mod scaling;
 pub mod scheduling;
 pub mod settings;
 pub mod usage;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -371,9 +371,15 @@
     }
 
     /// Takes in a whole list of runners, read at a revision of the store.
-    pub fn replace_runners(&self, records: Vec<RunnerRecord>, revision: u64) {
+    pub fn replace_runners(
+        self: &Rc<Self>,
+        records: Vec<RunnerRecord>,
+        revision: u64,
+        lapses_until_us: Option<u64>,
+    ) {
         let listed = records.len();
-        let gone = self.fleet.borrow_mut().replace_all(records, revision);
+        let gone = self.fleet.borrow_mut().replace_all(records, revision, lapses_until_us);
+        self.wait_for_lapsed(lapses_until_us);
         for id in &gone {
             self.on_runner_left(id, revision);
         }
@@ -387,30 +393,63 @@
     pub fn put_runner(&self, record: RunnerRecord) {
         let runner = record.id.clone();
         let revision = record.revision;
-        let service = record.service.to_string();
+        let (service, zone) = (record.service.to_string(), record.zone.to_string());
+        let preemptible = record.preemptible;
+        let stage = record.stage.map_or("none", Stage::name);
+        let leaves_ms = record.leaves_ms.unwrap_or_default();
         let change = self.fleet.borrow_mut().put(record);
         match change {
             FleetChange::Joined => {
-                log::info!(target: "fleet", runner = runner.as_str(), service, revision; "joined");
+                log::info!(target: "fleet", runner = runner.as_str(), service, zone, preemptible, stage, revision; "joined");
             }
             FleetChange::Draining => {
-                log::info!(target: "fleet", runner = runner.as_str(), revision; "draining");
+                log::info!(target: "fleet", runner = runner.as_str(), leaves_ms, revision; "draining");
             }
             FleetChange::Restaged => {
                 log::info!(target: "fleet", runner = runner.as_str(), revision; "restaged");
             }
-            FleetChange::Left | FleetChange::None => {}
+            FleetChange::Left | FleetChange::Lapsed | FleetChange::None => {}
         }
         self.fleet_changed.notify_waiters();
     }
 
     /// A runner's entry has gone.
-    pub fn remove_runner(&self, id: &RunnerId, revision: u64) {
-        if self.fleet.borrow_mut().remove(id, revision) == FleetChange::Left {
-            self.on_runner_left(id, revision);
+    pub fn remove_runner(
+        self: &Rc<Self>,
+        id: &RunnerId,
+        revision: u64,
+        lapses_until_us: Option<u64>,
+    ) {
+        let change = self.fleet.borrow_mut().remove(id, revision, lapses_until_us);
+        match change {
+            FleetChange::Left => self.on_runner_left(id, revision),
+            FleetChange::Lapsed => {
+                log::info!(target: "fleet", runner = id.as_str(), revision; "lapsed");
+                self.wait_for_lapsed(lapses_until_us);
+            }
+            _ => {}
         }
     }
 
+    /// Until when an entry that is gone may only have lapsed while the store was away.
+    pub fn lapses_until_us(&self) -> Option<u64> {
+        self.freshness.borrow().runners.lapses_until_us(self.now_us())
+    }
+
+    /// Removes runners whose entries lapsed and are not back in time.
+    fn wait_for_lapsed(self: &Rc<Self>, until_us: Option<u64>) {
+        let Some(until_us) = until_us else { return };
+        let node = self.clone();
+        ntex::rt::spawn(async move {
+            let left_us = until_us.saturating_sub(node.now_us());
+            tokio::time::sleep(Duration::from_micros(left_us)).await;
+            let gone = node.fleet.borrow_mut().remove_lapsed(node.now_us());
+            for id in &gone {
+                node.on_runner_left(id, 0);
+            }
+        });
+    }
+
     fn on_runner_left(&self, id: &RunnerId, revision: u64) {
         self.pool.forget(id);
         log::info!(target: "fleet", runner = id.as_str(), revision; "left");
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file of a node: TOML, checked as a whole before anything starts.
 
 use pitchstall_policy::PolicyError;
+use pitchstall_serving::capacity_planner::CapacityPolicy;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -19,6 +20,9 @@
     pub bounds: BoundsSection,
     /// The platform's interface for duties of the whole system; none: there are none.
     pub cloud: Option<CloudSection>,
+    /// Bounds on how many runners are ordered.
+    #[serde(default)]
+    pub capacity: CapacitySection,
     /// What the machine has.
     #[serde(default)]
     pub machine: MachineSection,
@@ -135,6 +139,29 @@
     pub due_s: f64,
 }
 
+/// Bounds on how many runners are ordered, where they can be.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CapacitySection {
+    /// Whether runners that may be taken away are ordered.
+    pub preemptible: bool,
+    /// Share of the runners found at first that stand on ones that stay.
+    pub least_reserved: f64,
+    /// Runners beyond those found at first, as a share of them.
+    pub headroom: f64,
+}
+
+impl Default for CapacitySection {
+    fn default() -> Self {
+        let policy = CapacityPolicy::default();
+        Self {
+            preemptible: policy.uses_preemptible,
+            least_reserved: policy.least_reserved,
+            headroom: policy.headroom,
+        }
+    }
+}
+
 /// What the machine has.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -264,6 +291,12 @@
             (usage.is_none_or(|it| it.due_s > 0.0), "cloud.usage.due_s", "more than 0"),
             ((0.0..=10.0).contains(&bounds.retry_ratio), "bounds.retry_ratio", "0 to 10"),
             (bounds.retry_slack >= 0.0, "bounds.retry_slack", "0 or more"),
+            (
+                (0.0..=1.0).contains(&self.capacity.least_reserved),
+                "capacity.least_reserved",
+                "0 to 1",
+            ),
+            ((-0.9..=10.0).contains(&self.capacity.headroom), "capacity.headroom", "-0.9 to 10"),
             (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
             (self.machine.file_descriptors > 0, "machine.file_descriptors", "more than 0"),
             (self.machine.processor_share > 0.0, "machine.processor_share", "more than 0"),
--- a/crates/gateway/tests/cache_listing.rs
+++ b/crates/gateway/tests/cache_listing.rs
@@ -15,6 +15,8 @@
         zone: ZoneId::new("north"),
         slots: 8,
         draining: false,
+        preemptible: false,
+        leaves_ms: None,
         stage,
         revision: 1,
     }
--- /dev/null
+++ b/crates/serving/src/capacity_planner.rs
@@ -0,0 +1,336 @@
+//! How many runners a service has, of which kind, in which zone.
+//!
+//! Runners are paid by the second. Some cost a part of the others but may be taken away, all of a
+//! zone at once, at a few seconds' notice; for a time there are none to be had there, or nowhere.
+//! The plan keeps what is needed although any one zone loses all of these: `need` runners are left
+//! when the zone with most of them goes. Beside them stands a share that nobody takes away. If
+//! that costs more than runners that stay, the plan has no others.
+//!
+//! Runners that stay are given up only when their replacements serve, and ordered at once when too
+//! few are left. A zone in which there are none to be had is asked again after a pause; until then
+//! the other zones make up for it. What others order, operators for instance, is left as it is:
+//! an order is repeated only when the plan changes.
+
+use crate::ids::ZoneId;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What operators say of a service whose runners can be ordered.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ScalingSpec {
+    /// Fewest runners of a zone, of both kinds together.
+    pub min_runners: u32,
+    /// Most runners of a zone, of both kinds together.
+    pub max_runners: u32,
+    /// Time from an order until a runner serves, seconds.
+    pub boot_s: f64,
+    /// Price of a runner that may be taken away, as a share of that of others; `None`: there are
+    /// none.
+    pub preemptible_price: Option<f64>,
+    /// Price of a runner by zone, for a second.
+    pub zone_prices: BTreeMap<ZoneId, f64>,
+}
+
+/// Kinds of runners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RunnerKind {
+    /// It stays until it is given up.
+    Reserved,
+    /// It costs less and may be taken away.
+    Preemptible,
+}
+
+/// What a plan is bound by besides what is needed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapacityPolicy {
+    /// Share of the need that stands on runners that stay.
+    pub least_reserved: f64,
+    /// Runners that may be taken away that are kept beyond the need, as a share of it.
+    pub headroom: f64,
+    /// Whether runners that may be taken away are ordered at all.
+    pub uses_preemptible: bool,
+    /// Difference from what is wanted that is let stand, as a share of the need.
+    pub slack: f64,
+    /// Time for which more runners than are needed are kept, microseconds.
+    pub keep_us: u64,
+    /// Pause until a zone that had no runners to be had is asked again, microseconds.
+    pub dry_pause_us: u64,
+}
+
+impl Default for CapacityPolicy {
+    fn default() -> Self {
+        Self {
+            least_reserved: 0.1,
+            headroom: 0.4,
+            uses_preemptible: true,
+            slack: 0.1,
+            keep_us: 15_000_000,
+            dry_pause_us: 3_000_000,
+        }
+    }
+}
+
+/// What must outlast the node that plans: without it a successor would take what it happens to
+/// find for what is needed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CapacityRecord {
+    /// Runners that serve what is asked.
+    pub need: u32,
+    /// Zones in which the service runs.
+    pub zones: Vec<ZoneId>,
+}
+
+/// Runners that a zone has and that are not about to leave.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ZoneSupply {
+    /// Runners that stay.
+    pub reserved: u32,
+    /// Runners that may be taken away.
+    pub preemptible: u32,
+}
+
+/// How many runners of a kind a zone is to have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CapacityOrder {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The kind.
+    pub kind: RunnerKind,
+    /// How many.
+    pub runners: u32,
+}
+
+/// Plans the runners of one service.
+#[derive(Clone, Debug)]
+pub struct CapacityPlanner {
+    policy: CapacityPolicy,
+    /// Runners that serve what is asked.
+    need: u32,
+    zones: Vec<ZoneId>,
+    /// Zones that have none that may be taken away, and when they are asked again.
+    dry_until_us: BTreeMap<ZoneId, u64>,
+    /// What was ordered last.
+    ordered: BTreeMap<(ZoneId, RunnerKind), u32>,
+    /// Zones that had runners that may be taken away when the plan last looked.
+    had_preemptible: BTreeSet<ZoneId>,
+    /// Since when fewer runners that may be taken away would do.
+    fewer_since_us: Option<u64>,
+}
+
+impl CapacityPlanner {
+    /// A planner that goes on by a record.
+    pub fn new(policy: CapacityPolicy, record: CapacityRecord) -> Self {
+        let CapacityRecord { need, zones } = record;
+        Self {
+            policy,
+            need,
+            zones,
+            dry_until_us: BTreeMap::new(),
+            ordered: BTreeMap::new(),
+            had_preemptible: BTreeSet::new(),
+            fewer_since_us: None,
+        }
+    }
+
+    /// The orders that are due.
+    pub fn plan(
+        &mut self,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+        spec: &ScalingSpec,
+        now_us: u64,
+    ) -> Vec<CapacityOrder> {
+        self.note_reclaims(supply, now_us);
+        let wanted = self.wanted(supply, spec, now_us);
+        let mut orders: Vec<CapacityOrder> =
+            wanted.into_iter().filter(|order| !self.holds(order, supply)).collect();
+        self.keep_for_a_time(&mut orders, supply, now_us);
+        // What is added is ordered before anything is given up.
+        orders.sort_by_key(|order| self.is_less(order, supply));
+        orders
+    }
+
+    /// An order was taken, or may have been.
+    pub fn on_ordered(&mut self, order: &CapacityOrder) {
+        self.ordered.insert((order.zone.clone(), order.kind), order.runners);
+    }
+
+    /// There are no runners of this kind to be had in the zone.
+    pub fn on_none_to_be_had(&mut self, order: &CapacityOrder, now_us: u64) {
+        self.mark_dry(&order.zone, now_us);
+    }
+
+    fn mark_dry(&mut self, zone: &ZoneId, now_us: u64) {
+        self.dry_until_us.insert(zone.clone(), now_us + self.policy.dry_pause_us);
+        self.ordered.remove(&(zone.clone(), RunnerKind::Preemptible));
+    }
+
+    /// A zone that had some that may be taken away and has none any more has lost them: all of a
+    /// zone go at once.
+    fn note_reclaims(&mut self, supply: &BTreeMap<ZoneId, ZoneSupply>, now_us: u64) {
+        let has_some = supply.iter().filter(|(_, zone)| zone.preemptible > 0);
+        let have_some: BTreeSet<ZoneId> = has_some.map(|(zone, _)| zone.clone()).collect();
+        let had_some = std::mem::replace(&mut self.had_preemptible, have_some);
+        for zone in had_some {
+            let key = (zone.clone(), RunnerKind::Preemptible);
+            let gave_up = self.ordered.get(&key) == Some(&0);
+            if !self.had_preemptible.contains(&zone) && !gave_up {
+                self.mark_dry(&zone, now_us);
+            }
+        }
+    }
+
+    /// Runners that may be taken away are given up only some time after fewer would do: what was
+    /// lost once may be lost again soon, and new ones have read nothing.
+    fn keep_for_a_time(
+        &mut self,
+        orders: &mut Vec<CapacityOrder>,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+        now_us: u64,
+    ) {
+        let gives_up = |order: &CapacityOrder| {
+            order.kind == RunnerKind::Preemptible && self.is_less(order, supply)
+        };
+        if !orders.iter().any(gives_up) {
+            self.fewer_since_us = None;
+            return;
+        }
+        let since_us = self.fewer_since_us.unwrap_or(now_us);
+        if now_us < since_us + self.policy.keep_us {
+            orders.retain(|order| !gives_up(order));
+        }
+        self.fewer_since_us = Some(since_us);
+    }
+
+    fn is_dry(&self, zone: &ZoneId, now_us: u64) -> bool {
+        self.dry_until_us.get(zone).is_some_and(|until_us| now_us < *until_us)
+    }
+
+    /// Whether an order is in force already: it was given, or nothing was ordered yet and the zone
+    /// has just so many.
+    fn holds(&self, order: &CapacityOrder, supply: &BTreeMap<ZoneId, ZoneSupply>) -> bool {
+        self.known(order, supply) == order.runners
+    }
+
+    fn is_less(&self, order: &CapacityOrder, supply: &BTreeMap<ZoneId, ZoneSupply>) -> bool {
+        order.runners < self.known(order, supply)
+    }
+
+    fn known(&self, order: &CapacityOrder, supply: &BTreeMap<ZoneId, ZoneSupply>) -> u32 {
+        self.known_of(&order.zone, order.kind, supply)
+    }
+
+    /// Runners that a zone has by the last order, or by itself.
+    fn known_of(
+        &self,
+        zone: &ZoneId,
+        kind: RunnerKind,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+    ) -> u32 {
+        let present = supply.get(zone).copied().unwrap_or_default();
+        let by_itself = match kind {
+            RunnerKind::Reserved => present.reserved,
+            RunnerKind::Preemptible => present.preemptible,
+        };
+        self.ordered.get(&(zone.clone(), kind)).copied().unwrap_or(by_itself)
+    }
+
+    fn wanted(
+        &self,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+        spec: &ScalingSpec,
+        now_us: u64,
+    ) -> Vec<CapacityOrder> {
+        let need = self.need;
+        let open: Vec<&ZoneId> =
+            self.zones.iter().filter(|zone| !self.is_dry(zone, now_us)).collect();
+        let least = (f64::from(self.need) * self.policy.least_reserved).ceil() as u32;
+        let reserved_floor = if self.is_worth_it(spec) { least } else { need };
+        let with_headroom = (f64::from(need) * (1.0 + self.policy.headroom)).ceil() as u32;
+        let preemptible = if self.is_worth_it(spec) {
+            per_open_zone(with_headroom.saturating_sub(reserved_floor), open.len())
+        } else {
+            0
+        };
+        let reserved = self.reserved_now(reserved_floor, need, supply);
+        let mut orders = Vec::new();
+        for (zone, of_zone) in self.spread(reserved, spec, supply) {
+            let kind = RunnerKind::Reserved;
+            orders.push(CapacityOrder { zone: zone.clone(), kind, runners: of_zone });
+            if open.contains(&&zone) {
+                // Those that are still to be given up count, too.
+                let beside = of_zone.max(self.known_of(&zone, RunnerKind::Reserved, supply));
+                let runners = preemptible.min(spec.max_runners.saturating_sub(beside));
+                let kind = RunnerKind::Preemptible;
+                orders.push(CapacityOrder { zone, kind, runners });
+            }
+        }
+        orders
+    }
+
+    /// Spreads runners that stay over the zones, as far as these have room beside the others.
+    fn spread(
+        &self,
+        reserved: u32,
+        spec: &ScalingSpec,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+    ) -> Vec<(ZoneId, u32)> {
+        let room = |zone: &ZoneId| {
+            let beside = self.known_of(zone, RunnerKind::Preemptible, supply);
+            spec.max_runners.saturating_sub(beside).max(spec.min_runners)
+        };
+        let mut zones: Vec<(ZoneId, u32)> =
+            self.zones.iter().map(|zone| (zone.clone(), room(zone))).collect();
+        // Zones with little room first: what they cannot take goes to the others.
+        zones.sort_by_key(|(_, room)| *room);
+        let mut left = reserved;
+        let count = zones.len();
+        for (index, (_, of_zone)) in zones.iter_mut().enumerate() {
+            let zones_left = u32::try_from(count - index).unwrap_or(u32::MAX);
+            *of_zone = left.div_ceil(zones_left).max(spec.min_runners).min(*of_zone);
+            left = left.saturating_sub(*of_zone);
+        }
+        zones
+    }
+
+    /// Whether runners that may be taken away cost less, with those that stand in for a zone that
+    /// loses them.
+    fn is_worth_it(&self, spec: &ScalingSpec) -> bool {
+        let zones = self.zones.len() as f64;
+        let Some(price) = spec.preemptible_price.filter(|_| self.policy.uses_preemptible) else {
+            return false;
+        };
+        self.zones.len() > 1 && price * zones / (zones - 1.0) < 1.0
+    }
+
+    /// Runners that stay: the least, and those that make up for what is missing now. They are given
+    /// up when what serves beside them would also do without the zone that has most; they are added
+    /// when what serves does not do, and not already when it would not without one more zone: to
+    /// stand in for a second loss costs more than the second that passes until they serve.
+    fn reserved_now(&self, floor: u32, need: u32, supply: &BTreeMap<ZoneId, ZoneSupply>) -> u32 {
+        let total: u32 = supply.values().map(|zone| zone.preemptible).sum();
+        let largest = supply.values().map(|zone| zone.preemptible).max().unwrap_or(0);
+        let to_keep = need.saturating_sub(total - largest).max(floor);
+        let to_have = need.saturating_sub(total).max(floor);
+        let known = self.known_reserved(supply);
+        // Each order is paid for, and a runner that crashed may be back before another has begun.
+        let slack = (f64::from(need) * self.policy.slack).floor() as u32;
+        if to_keep + slack < known {
+            to_keep
+        } else if to_have > known + slack {
+            to_have
+        } else {
+            known
+        }
+    }
+
+    fn known_reserved(&self, supply: &BTreeMap<ZoneId, ZoneSupply>) -> u32 {
+        let of_zone = |zone: &ZoneId| self.known_of(zone, RunnerKind::Reserved, supply);
+        self.zones.iter().map(of_zone).sum()
+    }
+}
+
+/// Runners for each zone that has some to be had, so that enough are left when one loses them.
+fn per_open_zone(needed: u32, open_zones: usize) -> u32 {
+    let others = u32::try_from(open_zones.saturating_sub(1)).unwrap_or(u32::MAX).max(1);
+    needed.div_ceil(others)
+}
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration that operators put in force.
 
+use crate::capacity_planner::ScalingSpec;
 use crate::ids::ServiceName;
 use crate::tenancy::Tenants;
 use std::collections::BTreeMap;
@@ -95,6 +96,8 @@
     pub max_connections: u32,
     /// What its runners are, if they run a language model.
     pub engine: Option<EngineSpec>,
+    /// How its runners can be ordered, if they can.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// A runner of a language model.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -8,7 +8,9 @@
 use crate::digest::ChangingRunner;
 use crate::ids::{RunnerId, ServiceName, ZoneId};
 use crate::prefix::PromptPart;
-use crate::runner::{AttemptDemand, Load, LoadReport, Runner, RunnerRecord, Stage, ToldLoad};
+use crate::runner::{
+    AttemptDemand, Lapsed, Load, LoadReport, Runner, RunnerRecord, Stage, ToldLoad,
+};
 use crate::scheduling::{RunnerLoad, Shard};
 use crate::suspicion::Suspicion;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +24,8 @@
     Draining,
     /// Its stage changed.
     Restaged,
+    /// Its entry is gone, which may be only because the store was away.
+    Lapsed,
     /// It is gone.
     Left,
     /// Nothing that matters.
@@ -75,7 +79,8 @@
             self.runners.insert(record.id.clone(), Runner::new(record));
             return FleetChange::Joined;
         };
-        if record.revision <= known.record.revision {
+        let gone_at = known.lapsed.map_or(0, |lapsed| lapsed.revision);
+        if record.revision <= known.record.revision.max(gone_at) {
             return FleetChange::None;
         }
         let change = if record.draining && !known.record.draining {
@@ -87,13 +92,24 @@
         };
         known.record = record;
         known.misdirected = false;
+        known.lapsed = None;
         change
     }
 
-    /// An entry has gone from the list at the given revision.
-    pub fn remove(&mut self, id: &RunnerId, revision: u64) -> FleetChange {
-        match self.runners.get(id) {
+    /// An entry has gone from the list at the given revision. One that may only have lapsed while the
+    /// store was away is kept until `lapses_until_us`, unless its runner was about to leave.
+    pub fn remove(
+        &mut self,
+        id: &RunnerId,
+        revision: u64,
+        lapses_until_us: Option<u64>,
+    ) -> FleetChange {
+        match self.runners.get_mut(id) {
             Some(known) if known.record.revision < revision => {
+                if let Some(until_us) = lapses_until_us.filter(|_| !known.record.draining) {
+                    known.lapsed.get_or_insert(Lapsed { until_us, revision });
+                    return FleetChange::Lapsed;
+                }
                 self.runners.remove(id);
                 FleetChange::Left
             }
@@ -101,16 +117,31 @@
         }
     }
 
-    /// Takes in a whole list that was read at the given revision; returns who is gone.
-    pub fn replace_all(&mut self, records: Vec<RunnerRecord>, revision: u64) -> Vec<RunnerId> {
-        let listed = |id: &RunnerId| records.iter().any(|record| record.id == *id);
-        let is_gone =
-            |runner: &&Runner| runner.record.revision <= revision && !listed(&runner.record.id);
+    /// Removes runners whose entries lapsed and have not come back in time; returns them.
+    pub fn remove_lapsed(&mut self, now_us: u64) -> Vec<RunnerId> {
+        let is_over = |runner: &&Runner| runner.lapsed.is_some_and(|it| now_us >= it.until_us);
         let gone: Vec<RunnerId> =
-            self.runners.values().filter(is_gone).map(|runner| runner.record.id.clone()).collect();
+            self.runners.values().filter(is_over).map(|runner| runner.record.id.clone()).collect();
         for id in &gone {
             self.runners.remove(id);
         }
+        gone
+    }
+
+    /// Takes in a whole list that was read at the given revision; returns who is gone. For
+    /// `lapses_until_us` see [`Fleet::remove`].
+    pub fn replace_all(
+        &mut self,
+        records: Vec<RunnerRecord>,
+        revision: u64,
+        lapses_until_us: Option<u64>,
+    ) -> Vec<RunnerId> {
+        let listed = |id: &RunnerId| records.iter().any(|record| record.id == *id);
+        let is_gone =
+            |runner: &&Runner| runner.record.revision <= revision && !listed(&runner.record.id);
+        let mut gone: Vec<RunnerId> =
+            self.runners.values().filter(is_gone).map(|runner| runner.record.id.clone()).collect();
+        gone.retain(|id| self.remove(id, revision + 1, lapses_until_us) == FleetChange::Left);
         for record in records {
             self.put(record);
         }
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -41,6 +41,14 @@
 /// Time for which a node that has read everything waits for another one's word on which change
 /// was the last, before it tells its own bound: that makes nodes that know better ask.
 const SETTLING_US: u64 = 1_300_000;
+/// Time without word from the store after which it counts as having been away, microseconds. While
+/// all is well its word comes within 1.8 s on the users' deployments, and the first entries lapse
+/// after three heartbeats of more than a second.
+const AWAY_US: u64 = 2_200_000;
+/// Time after its return within which entries that lapsed are back, microseconds: the platform
+/// promises about two seconds. A little less, as a runner that is gone for good may get no request
+/// two seconds after its entry was seen to be gone.
+const RETURNING_US: u64 = 1_800_000;
 /// Added to an age for each time it is handed on, milliseconds.
 const HOP_MS: u64 = 20;
 const MICROS_PER_MILLI: u64 = 1_000;
@@ -55,6 +63,8 @@
     /// When everything was read, until it is known better which change was the last.
     read_at_us: Option<u64>,
     confirmed_at_us: Option<u64>,
+    /// When the store was heard of again after it had been away.
+    returned_at_us: Option<u64>,
     /// A later change that another node has seen, and when it was first told.
     seen_elsewhere: Option<(u64, u64)>,
 }
@@ -63,7 +73,7 @@
     /// The store has answered: everything up to a revision is known.
     pub fn on_store_answer(&mut self, known_to: u64, now_us: u64) {
         self.known_to = known_to;
-        self.confirmed_at_us = Some(now_us);
+        self.confirm(now_us, now_us);
         self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
     }
 
@@ -88,7 +98,25 @@
         self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
         let Some(age_ms) = age_ms else { return };
         let confirmed_at_us = now_us.saturating_sub((age_ms + HOP_MS) * MICROS_PER_MILLI);
-        self.confirmed_at_us = self.confirmed_at_us.max(Some(confirmed_at_us));
+        self.confirm(confirmed_at_us, now_us);
+    }
+
+    /// The store confirmed the copy at a time that has been learnt now.
+    fn confirm(&mut self, at_us: u64, now_us: u64) {
+        if self.confirmed_at_us.is_some_and(|before_us| at_us > before_us + AWAY_US) {
+            self.returned_at_us = Some(now_us);
+        }
+        self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
+    }
+
+    /// Until when an entry that is gone may only have lapsed while the store was away; `None`: the
+    /// store has been there, and whoever is gone from it is gone.
+    pub fn lapses_until_us(&self, now_us: u64) -> Option<u64> {
+        if self.confirmed_at_us.is_some_and(|at_us| now_us > at_us + AWAY_US) {
+            return Some(now_us + RETURNING_US);
+        }
+        let until_us = self.returned_at_us.map(|at_us| at_us + RETURNING_US);
+        until_us.filter(|until_us| now_us < *until_us)
     }
 
     /// Milliseconds since the store confirmed the copy; `None`: it never has.
@@ -115,7 +143,7 @@
         }
         let Some(age_ms) = word.age_ms else { return };
         let confirmed_at_us = now_us.saturating_sub((age_ms + HOP_MS) * MICROS_PER_MILLI);
-        self.confirmed_at_us = self.confirmed_at_us.max(Some(confirmed_at_us));
+        self.confirm(confirmed_at_us, now_us);
         // Confirmed after everything was read here: nothing has changed in between.
         if self.read_at_us.is_some_and(|read_at_us| read_at_us < confirmed_at_us) {
             self.changed_at = word.changed_at;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`scheduling`] | which node places a request, and what nodes say to each other for that |
 //! | [`scheduler`], [`reservations`] | what that node decides, and what it has set aside |
 //! | [`role_planner`] | when a runner changes its role |
+//! | [`capacity_planner`] | how many runners there are, of which kind and where |
 //! | [`authority`] | which node may order that |
 //! | [`tenancy`] | who may send requests, and for whom they run |
 //! | [`usage`], [`wall_clock`] | how many requests of each tenant began, and when |
@@ -33,6 +34,7 @@
 
 pub mod attempt;
 pub mod authority;
+pub mod capacity_planner;
 pub mod configuration;
 pub mod digest;
 pub mod event_stream;
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -19,6 +19,16 @@
     Decode,
 }
 
+impl Stage {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+}
+
 /// What the platform's list says of a runner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunnerRecord {
@@ -34,6 +44,10 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// Whether it may be taken away at short notice.
+    pub preemptible: bool,
+    /// Milliseconds from the entry's change until it is taken away, if it is.
+    pub leaves_ms: Option<u64>,
     /// What it does, if it runs a language model.
     pub stage: Option<Stage>,
     /// Revision of the entry in the store.
@@ -95,9 +109,20 @@
     /// The address answered that it is another runner, or has another role, than this entry
     /// says. A newer entry is believed again.
     pub(crate) misdirected: bool,
+    /// Its entry is gone, but may only have lapsed.
+    pub(crate) lapsed: Option<Lapsed>,
     pub(crate) cache: PrefixCacheModel,
 }
 
+/// An entry that may have lapsed while the store was away, though its runner lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lapsed {
+    /// The runner is taken to be gone if the entry is not back by then, microseconds.
+    pub(crate) until_us: u64,
+    /// Revision of the store at which the entry was gone.
+    pub(crate) revision: u64,
+}
+
 impl Runner {
     pub(crate) fn new(record: RunnerRecord) -> Self {
         Self {
@@ -115,6 +140,7 @@
             full_until_us: 0,
             changing: None,
             misdirected: false,
+            lapsed: None,
             cache: PrefixCacheModel::default(),
         }
     }
--- /dev/null
+++ b/crates/serving/tests/capacity_planner.rs
@@ -0,0 +1,226 @@
+//! How many runners are ordered, played in virtual time against a platform that boots, refuses and
+//! takes away.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::capacity_planner::{
+    CapacityOrder, CapacityPlanner, CapacityPolicy, CapacityRecord, RunnerKind, ScalingSpec,
+    ZoneSupply,
+};
+use pitchstall_serving::ids::ZoneId;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const STEP_US: u64 = 250_000;
+const SECOND_US: u64 = 1_000_000;
+const MOST_A_ZONE: u32 = 94;
+
+/// A platform: what is ordered by zone and kind, and what serves.
+struct Platform {
+    ordered: BTreeMap<(ZoneId, RunnerKind), u32>,
+    /// Ready from then on: zone, kind, when.
+    booted: Vec<(ZoneId, RunnerKind, u64)>,
+    boot_us: u64,
+    dry_until_us: BTreeMap<ZoneId, u64>,
+    now_us: u64,
+    calls: usize,
+}
+
+fn zone(number: usize) -> ZoneId {
+    ZoneId::new(format!("zone-{number}"))
+}
+
+impl Platform {
+    fn new(zones: usize, reserved: u32, boot_s: u64) -> Self {
+        let all = (0..zones).map(zone);
+        let mut booted = Vec::new();
+        let mut ordered = BTreeMap::new();
+        for zone in all {
+            ordered.insert((zone.clone(), RunnerKind::Reserved), reserved);
+            booted.extend((0..reserved).map(|_| (zone.clone(), RunnerKind::Reserved, 0)));
+        }
+        let (boot_us, dry_until_us) = (boot_s * SECOND_US, BTreeMap::new());
+        Self { ordered, booted, boot_us, dry_until_us, now_us: 0, calls: 0 }
+    }
+
+    fn count(&self, zone: &ZoneId, kind: RunnerKind) -> u32 {
+        let is_ready =
+            |it: &&(ZoneId, RunnerKind, u64)| it.0 == *zone && it.1 == kind && it.2 <= self.now_us;
+        self.booted.iter().filter(is_ready).count() as u32
+    }
+
+    fn zones(&self) -> Vec<ZoneId> {
+        let mut zones: Vec<ZoneId> = self.ordered.keys().map(|(zone, _)| zone.clone()).collect();
+        zones.dedup();
+        zones
+    }
+
+    fn supply(&self) -> BTreeMap<ZoneId, ZoneSupply> {
+        let of_zone = |zone: ZoneId| {
+            let reserved = self.count(&zone, RunnerKind::Reserved);
+            let preemptible = self.count(&zone, RunnerKind::Preemptible);
+            (zone, ZoneSupply { reserved, preemptible })
+        };
+        self.zones().into_iter().map(of_zone).collect()
+    }
+
+    fn serving(&self) -> u32 {
+        self.supply().values().map(|zone| zone.reserved + zone.preemptible).sum()
+    }
+
+    /// Takes an order; `false`: none to be had.
+    fn order(&mut self, order: &CapacityOrder) -> bool {
+        self.calls += 1;
+        let is_dry = self.dry_until_us.get(&order.zone).is_some_and(|it| self.now_us < *it);
+        let has = self.booted.iter().filter(|it| it.0 == order.zone && it.1 == order.kind).count();
+        if is_dry && order.kind == RunnerKind::Preemptible && order.runners > has as u32 {
+            return false;
+        }
+        self.ordered.insert((order.zone.clone(), order.kind), order.runners);
+        for _ in has as u32..order.runners {
+            self.booted.push((order.zone.clone(), order.kind, self.now_us + self.boot_us));
+        }
+        for _ in order.runners..has as u32 {
+            let last = self.booted.iter().rposition(|it| it.0 == order.zone && it.1 == order.kind);
+            self.booted.remove(last.unwrap());
+        }
+        let in_zone = self.booted.iter().filter(|it| it.0 == order.zone).count();
+        assert!(in_zone as u32 <= MOST_A_ZONE, "more than the zone takes");
+        true
+    }
+
+    /// All runners of a zone that may be taken away go, and none are to be had for a time.
+    fn reclaim(&mut self, number: usize, dry_s: u64) {
+        let lost = zone(number);
+        self.booted.retain(|it| it.0 != lost || it.1 == RunnerKind::Reserved);
+        self.dry_until_us.insert(lost, self.now_us + dry_s * SECOND_US);
+    }
+}
+
+fn spec(price: Option<f64>, boot_s: f64) -> ScalingSpec {
+    ScalingSpec {
+        min_runners: 1,
+        max_runners: MOST_A_ZONE,
+        boot_s,
+        preemptible_price: price,
+        zone_prices: BTreeMap::new(),
+    }
+}
+
+fn planner(platform: &Platform, need: u32) -> CapacityPlanner {
+    planner_with(platform, need, 0.0)
+}
+
+fn planner_with(platform: &Platform, need: u32, headroom: f64) -> CapacityPlanner {
+    let record = CapacityRecord { need, zones: platform.zones() };
+    CapacityPlanner::new(CapacityPolicy { headroom, ..CapacityPolicy::default() }, record)
+}
+
+/// Plays until a moment; returns the fewest runners that served meanwhile.
+fn play(
+    platform: &mut Platform,
+    planner: &mut CapacityPlanner,
+    spec: &ScalingSpec,
+    until_s: u64,
+) -> u32 {
+    let mut fewest = u32::MAX;
+    while platform.now_us < until_s * SECOND_US {
+        for order in planner.plan(&platform.supply(), spec, platform.now_us) {
+            if platform.order(&order) {
+                planner.on_ordered(&order);
+            } else {
+                planner.on_none_to_be_had(&order, platform.now_us);
+            }
+        }
+        fewest = fewest.min(platform.serving());
+        platform.now_us += STEP_US;
+    }
+    fewest
+}
+
+#[test_case(1; "that boot fast")]
+#[test_case(4; "as the users'")]
+#[test_case(60; "that boot slowly")]
+fn cheap_runners_take_the_place_of_dear_ones_without_a_gap(boot_s: u64) {
+    let mut platform = Platform::new(3, 47, boot_s);
+    let mut planner = planner(&platform, 141);
+    let fewest = play(&mut platform, &mut planner, &spec(Some(0.18), 4.0), 6 * boot_s + 30);
+    assert!(fewest >= 141, "{fewest}");
+    let supply = platform.supply();
+    let reserved: u32 = supply.values().map(|zone| zone.reserved).sum();
+    assert!(reserved <= 20, "{reserved}");
+    for lost in supply.values() {
+        assert!(platform.serving() - lost.preemptible >= 141, "one zone may be lost");
+    }
+}
+
+#[test]
+fn after_a_loss_what_is_left_serves_and_the_zone_is_asked_again() {
+    let mut platform = Platform::new(3, 47, 4);
+    let mut planner = planner(&platform, 141);
+    let spec = spec(Some(0.18), 4.0);
+    play(&mut platform, &mut planner, &spec, 30);
+    platform.reclaim(1, 10);
+    let fewest = play(&mut platform, &mut planner, &spec, 38);
+    assert!(fewest >= 135, "{fewest}");
+    play(&mut platform, &mut planner, &spec, 60);
+    assert!(platform.supply()[&zone(1)].preemptible >= 60, "they are back");
+}
+
+#[test]
+fn after_two_losses_runners_that_stay_make_up_and_are_given_up_later() {
+    let mut platform = Platform::new(3, 47, 4);
+    let mut planner = planner(&platform, 141);
+    let spec = spec(Some(0.18), 4.0);
+    play(&mut platform, &mut planner, &spec, 30);
+    platform.reclaim(0, 60);
+    play(&mut platform, &mut planner, &spec, 40);
+    platform.reclaim(1, 60);
+    play(&mut platform, &mut planner, &spec, 50);
+    assert!(platform.serving() >= 127, "{}", platform.serving());
+    play(&mut platform, &mut planner, &spec, 160);
+    let reserved: u32 = platform.supply().values().map(|zone| zone.reserved).sum();
+    assert!(reserved <= 20, "{reserved}");
+}
+
+#[test_case(1, Some(0.18); "one zone: all of them could go at once")]
+#[test_case(3, Some(0.8); "with those that stand in they cost more")]
+#[test_case(3, None; "there are none")]
+fn where_cheap_runners_are_no_gain_the_fleet_stays_as_it_is(zones: usize, price: Option<f64>) {
+    let mut platform = Platform::new(zones, 47, 4);
+    let mut planner = planner(&platform, 47 * zones as u32);
+    play(&mut platform, &mut planner, &spec(price, 4.0), 60);
+    assert_eq!(platform.calls, 0);
+}
+
+#[test]
+fn with_many_zones_few_stand_in_for_a_loss() {
+    let mut platform = Platform::new(31, 10, 4);
+    let mut planner = planner(&platform, 310);
+    play(&mut platform, &mut planner, &spec(Some(0.3), 4.0), 60);
+    assert!((310..=350).contains(&platform.serving()), "{}", platform.serving());
+}
+
+#[test]
+fn cheap_runners_are_kept_beyond_the_need() {
+    let mut platform = Platform::new(3, 47, 4);
+    let mut planner = planner_with(&platform, 141, 0.4);
+    play(&mut platform, &mut planner, &spec(Some(0.18), 4.0), 60);
+    for lost in platform.supply().values() {
+        assert!(platform.serving() - lost.preemptible >= 141 * 13 / 10);
+    }
+}
+
+#[test]
+fn what_others_change_is_left_as_it_is() {
+    let mut platform = Platform::new(3, 47, 4);
+    let mut planner = planner(&platform, 141);
+    let spec = spec(Some(0.18), 4.0);
+    play(&mut platform, &mut planner, &spec, 30);
+    let calls = platform.calls;
+    // Operators add some, and some others crash.
+    platform.booted.extend((0..3).map(|_| (zone(0), RunnerKind::Reserved, 0)));
+    let crashed = platform.booted.iter().position(|it| it.1 == RunnerKind::Preemptible).unwrap();
+    platform.booted.remove(crashed);
+    play(&mut platform, &mut planner, &spec, 60);
+    assert_eq!(platform.calls, calls);
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -92,6 +92,8 @@
         zone: ZoneId::new(zone),
         slots: 8,
         draining: false,
+        preemptible: false,
+        leaves_ms: None,
         stage,
         revision,
     }
@@ -105,8 +107,8 @@
     assert_eq!(fleet.put(draining), FleetChange::Draining);
     assert_eq!(fleet.put(record("a", "north", None, 6)), FleetChange::None);
     assert!(!fleet.get(&RunnerId::new("a")).unwrap().takes_work());
-    assert_eq!(fleet.remove(&RunnerId::new("a"), 6), FleetChange::None, "a late removal");
-    assert_eq!(fleet.remove(&RunnerId::new("a"), 8), FleetChange::Left);
+    assert_eq!(fleet.remove(&RunnerId::new("a"), 6, None), FleetChange::None, "a late removal");
+    assert_eq!(fleet.remove(&RunnerId::new("a"), 8, None), FleetChange::Left);
 }
 
 #[test]
@@ -114,7 +116,7 @@
     let mut fleet = Fleet::default();
     fleet.put(record("old", "north", None, 3));
     fleet.put(record("new", "north", None, 9));
-    let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], 6);
+    let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], 6, None);
     assert_eq!(gone, [RunnerId::new("old")]);
     assert!(fleet.get(&RunnerId::new("new")).is_some());
     assert!(fleet.get(&RunnerId::new("listed")).is_some());
@@ -383,6 +385,6 @@
     fleet.on_misdirected(&id);
     assert_eq!(fleet.put(record("a", "north", Some(Stage::Decode), 3)), FleetChange::None);
     assert!(!fleet.get(&id).unwrap().takes_work(), "the same entry again");
-    fleet.replace_all(vec![record("a", "north", Some(Stage::Prefill), 5)], 6);
+    fleet.replace_all(vec![record("a", "north", Some(Stage::Prefill), 5)], 6, None);
     assert!(fleet.get(&id).unwrap().takes_work());
 }
--- a/crates/serving/tests/reservations.rs
+++ b/crates/serving/tests/reservations.rs
@@ -21,6 +21,8 @@
             zone: ZoneId::new("north"),
             slots: 8,
             draining: false,
+            preemptible: false,
+            leaves_ms: None,
             stage: Some(stage),
             revision: 1,
         });
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -72,6 +72,8 @@
                 zone: ZoneId::new("north"),
                 slots: 8,
                 draining: false,
+                preemptible: false,
+                leaves_ms: None,
                 stage: Some(stage),
                 revision: 1,
             });
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -49,6 +49,8 @@
         zone: ZoneId::new("north"),
         slots: 64,
         draining: false,
+        preemptible: false,
+        leaves_ms: None,
         stage: Some(if number < PREFILL { Stage::Prefill } else { Stage::Decode }),
         revision: 1,
     };
