Order preemptible runners while the fleet is still being counted

Ruled out: to take the first count for the need (it was 109 of 140). Change: until the count has stood still for two seconds, what is there counts as needed, and preemptible runners are added for it; nothing is given up and nothing recorded before.

--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -32,11 +32,19 @@
     node: Rc<Node>,
     store: PlatformClient,
     cloud: PlatformClient,
-    /// The term for which the planners hold.
+    /// The term for which the plans hold.
     fence: u64,
-    planners: HashMap<ServiceName, CapacityPlanner>,
-    /// Runners of a service that has never been planned, and since when it has so many.
-    counted: HashMap<ServiceName, (u32, Instant)>,
+    plans: HashMap<ServiceName, Plan>,
+}
+
+/// The plan of a service.
+struct Plan {
+    planner: CapacityPlanner,
+    record: CapacityRecord,
+    /// Preemptible runners that were there before any was ordered.
+    found_preemptible: u32,
+    /// Since when the runners that are listed are as many as the record says; `None`: it is final.
+    counting: Option<Instant>,
 }
 
 /// Orders runners whenever this node may, until the task is dropped.
@@ -46,8 +54,7 @@
         store: PlatformClient::default(),
         cloud: PlatformClient::default(),
         fence: 0,
-        planners: HashMap::new(),
-        counted: HashMap::new(),
+        plans: HashMap::new(),
     };
     loop {
         sleep(PLAN_EVERY).await;
@@ -64,14 +71,13 @@
     async fn step(&mut self, fence: u64) {
         if fence != self.fence {
             self.fence = fence;
-            self.planners.clear();
+            self.plans.clear();
         }
         for (service, spec) in self.scalable_services() {
-            if !self.planners.contains_key(&service) {
-                let Some(record) = self.record_of(&service).await else { continue };
-                let planner = CapacityPlanner::new(self.policy(), record);
-                self.planners.insert(service.clone(), planner);
+            if !self.plans.contains_key(&service) && !self.begin_plan(&service).await {
+                continue;
             }
+            self.count(&service).await;
             self.plan(&service, &spec).await;
         }
     }
@@ -92,46 +98,59 @@
         services.filter_map(|(name, it)| Some((name.clone(), it.scaling.clone()?))).collect()
     }
 
-    /// What the service needs, as an earlier holder found it or as this one does.
-    async fn record_of(&mut self, service: &ServiceName) -> Option<CapacityRecord> {
+    /// Begins to plan by what an earlier holder recorded, or by what is there; `false`: the store
+    /// does not tell.
+    async fn begin_plan(&mut self, service: &ServiceName) -> bool {
         let read = store::read_capacity(service);
-        match self.node.call_store(&mut self.store, &read, CALL_LIMIT).await? {
-            (StoreStatus::Done, body) => match store::parse_capacity(&body) {
-                Ok(record) => Some(record),
+        let answer = self.node.call_store(&mut self.store, &read, CALL_LIMIT).await;
+        let (record, counting) = match answer {
+            Some((StoreStatus::Done, body)) => match store::parse_capacity(&body) {
+                Ok(record) => (record, None),
                 Err(error) => {
                     let (service, error) = (service.as_str(), error.to_string());
                     log::error!(target: "scaling", service, error; "plan cannot be read");
-                    None
+                    return false;
                 }
             },
-            (StoreStatus::Absent, _) => self.first_record(service).await,
-            _ => None,
-        }
+            Some((StoreStatus::Absent, _)) => (self.present(service), Some(Instant::now())),
+            _ => return false,
+        };
+        let planner = CapacityPlanner::new(self.policy(), record.clone());
+        let found_preemptible = self.supply(service).values().map(|zone| zone.preemptible).sum();
+        let plan = Plan { planner, record, found_preemptible, counting };
+        self.plans.insert(service.clone(), plan);
+        true
     }
 
-    /// Operators have set the service up with as many runners as it needs. They are counted once all
-    /// are listed.
-    async fn first_record(&mut self, service: &ServiceName) -> Option<CapacityRecord> {
+    /// What is there. Operators set a service up with as many runners as it needs.
+    fn present(&self, service: &ServiceName) -> CapacityRecord {
         let supply = self.supply(service);
         let need = supply.values().map(|zone| zone.reserved + zone.preemptible).sum();
-        let record = CapacityRecord { need, zones: supply.into_keys().collect() };
-        let now = Instant::now();
-        let (counted, since) = self.counted.entry(service.clone()).or_insert((need, now));
-        if *counted != need {
-            (*counted, *since) = (need, now);
+        CapacityRecord { need, zones: supply.into_keys().collect() }
+    }
+
+    /// Counts the runners of a service that has never been planned, until all are listed; then
+    /// records them. Those that were ordered meanwhile do not count.
+    async fn count(&mut self, service: &ServiceName) {
+        let supply = self.supply(service);
+        let Some(plan) = self.plans.get_mut(service) else { return };
+        let Some(since) = plan.counting else { return };
+        let reserved: u32 = supply.values().map(|zone| zone.reserved).sum();
+        let need = reserved + plan.found_preemptible;
+        if need != plan.record.need {
+            plan.record = CapacityRecord { need, zones: supply.into_keys().collect() };
+            plan.planner.on_counted(plan.record.clone());
+            plan.counting = Some(Instant::now());
+            return;
         }
         if need == 0 || since.elapsed() < LISTED_WITHIN {
-            return None;
+            return;
         }
-        let write = store::write_capacity(service, &record, self.fence);
-        let answer = self.node.call_store(&mut self.store, &write, CALL_LIMIT).await;
-        match answer {
-            Some((StoreStatus::Done, _)) => Some(record),
-            Some((StoreStatus::Conflict, _)) => {
-                self.node.authority.on_refused(self.fence);
-                None
-            }
-            _ => None,
+        let write = store::write_capacity(service, &plan.record, self.fence);
+        match self.node.call_store(&mut self.store, &write, CALL_LIMIT).await {
+            Some((StoreStatus::Done, _)) => plan.counting = None,
+            Some((StoreStatus::Conflict, _)) => self.node.authority.on_refused(self.fence),
+            _ => {}
         }
     }
 
@@ -154,8 +173,12 @@
     async fn plan(&mut self, service: &ServiceName, spec: &ScalingSpec) {
         let supply = self.supply(service);
         let now_us = self.node.now_us();
-        let Some(planner) = self.planners.get_mut(service) else { return };
-        for order in planner.plan(&supply, spec, now_us) {
+        let Some(plan) = self.plans.get_mut(service) else { return };
+        let orders = match plan.counting {
+            None => plan.planner.plan(&supply, spec, now_us),
+            Some(_) => plan.planner.plan_additions(&supply, spec, now_us),
+        };
+        for order in orders {
             if !self.order(service, &order).await {
                 return;
             }
@@ -182,10 +205,12 @@
         let outcome = answer.as_ref().map(|answer| cloud::parse_status(answer.status));
         log_order(service, order, self.fence, &outcome);
         let now_us = self.node.now_us();
-        let Some(planner) = self.planners.get_mut(service) else { return false };
+        let Some(plan) = self.plans.get_mut(service) else { return false };
         match outcome {
-            Ok(DutyAnswer::Done) => planner.on_ordered(order),
-            Ok(DutyAnswer::Conflict) if preemptible => planner.on_none_to_be_had(order, now_us),
+            Ok(DutyAnswer::Done) => plan.planner.on_ordered(order),
+            Ok(DutyAnswer::Conflict) if preemptible => {
+                plan.planner.on_none_to_be_had(order, now_us)
+            }
             Ok(DutyAnswer::Conflict) => {
                 self.node.authority.on_refused(self.fence);
                 return false;
--- a/crates/serving/src/capacity_planner.rs
+++ b/crates/serving/src/capacity_planner.rs
@@ -132,6 +132,24 @@
         }
     }
 
+    /// Runners were counted anew before the need was recorded.
+    pub fn on_counted(&mut self, record: CapacityRecord) {
+        self.need = record.need;
+        self.zones = record.zones;
+    }
+
+    /// The orders that are due while not all runners may be listed yet: nothing is given up.
+    pub fn plan_additions(
+        &mut self,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+        spec: &ScalingSpec,
+        now_us: u64,
+    ) -> Vec<CapacityOrder> {
+        let orders = self.plan(supply, spec, now_us).into_iter();
+        let cheap = orders.filter(|order| order.kind == RunnerKind::Preemptible);
+        cheap.filter(|order| !self.is_less(order, supply)).collect()
+    }
+
     /// The orders that are due.
     pub fn plan(
         &mut self,
