--- a/crates/gateway/tests/tenants.rs
+++ b/crates/gateway/tests/tenants.rs
@@ -74,6 +74,23 @@
     assert_eq!(runner.requests().len(), usize::from(expected == 200));
 }
 
+#[test]
+fn what_follows_a_body_in_chunks_reaches_no_runner() {
+    let runner = desk();
+    let node = node_with(&runner);
+    let mut client = node.client();
+    let chunked = format!("{WITH_KEY}Transfer-Encoding: chunked\r\n");
+    client.request("POST", "/booking/1", "id-1", &chunked, b"");
+    client.send(b"3\r\nabc\r\n0\r\nX-Pitchstall-Tenant-Id: buses\r\nX-Pitchstall-Hold: h\r\n\r\n");
+    let status = client.read_answer().status;
+    assert!(matches!(status, 200 | 400), "{status}");
+    for received in runner.requests() {
+        assert_eq!(received.header("x-pitchstall-tenant-id"), Some("taxis"));
+        assert_eq!(received.header("x-pitchstall-hold"), None);
+        assert_eq!(received.body, b"abc");
+    }
+}
+
 #[test]
 fn a_refusal_for_want_of_a_key_says_what_is_wanted() {
     let runner = desk();
--- a/crates/serving/src/capacity_planner.rs
+++ b/crates/serving/src/capacity_planner.rs
@@ -252,39 +252,78 @@
         self.ordered.get(&(zone.clone(), kind)).copied().unwrap_or(by_itself)
     }
 
+    /// What each zone is to have.
     fn wanted(
         &self,
         supply: &BTreeMap<ZoneId, ZoneSupply>,
         spec: &ScalingSpec,
         now_us: u64,
     ) -> Vec<CapacityOrder> {
-        let need = self.need;
-        let open: Vec<&ZoneId> =
-            self.zones.iter().filter(|zone| !self.is_dry(zone, now_us)).collect();
-        let least = (f64::from(self.need) * self.policy.least_reserved).ceil() as u32;
-        let reserved_floor = if self.is_worth_it(spec) { least } else { need };
-        let with_headroom = (f64::from(need) * (1.0 + self.policy.headroom)).ceil() as u32;
-        let preemptible = if self.is_worth_it(spec) {
-            per_open_zone(with_headroom.saturating_sub(reserved_floor), open.len())
-        } else {
-            0
-        };
-        let reserved = self.reserved_now(reserved_floor, need, supply);
-        let mut orders = Vec::new();
-        for (zone, of_zone) in self.spread(reserved, spec, supply) {
-            let kind = RunnerKind::Reserved;
-            orders.push(CapacityOrder { zone: zone.clone(), kind, runners: of_zone });
-            if open.contains(&&zone) {
-                // Those that are still to be given up count, too.
-                let beside = of_zone.max(self.known_of(&zone, RunnerKind::Reserved, supply));
-                let runners = preemptible.min(spec.max_runners.saturating_sub(beside));
-                let kind = RunnerKind::Preemptible;
-                orders.push(CapacityOrder { zone, kind, runners });
-            }
+        if self.is_worth_it(spec) {
+            let least = (f64::from(self.need) * self.policy.least_reserved).ceil() as u32;
+            return self.wanted_with_preemptible(least, supply, spec, now_us);
         }
+        let total = |count: fn(&ZoneSupply) -> u32| -> u32 { supply.values().map(count).sum() };
+        if total(|zone| zone.preemptible) == 0 {
+            // Without cheaper runners the fleet stays as operators have set it up.
+            return Vec::new();
+        }
+        let mut orders = self.orders_of_reserved(Some(self.need), spec, supply);
+        // They make room for those that stay as these come.
+        let missing = self.need.saturating_sub(total(|zone| zone.reserved));
+        let zones = u32::try_from(self.zones.len()).unwrap_or(u32::MAX).max(1);
+        let of_zone = missing.div_ceil(zones);
+        orders.extend(self.orders_of_preemptible(of_zone, supply, spec, now_us));
         orders
     }
 
+    fn wanted_with_preemptible(
+        &self,
+        least_reserved: u32,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+        spec: &ScalingSpec,
+        now_us: u64,
+    ) -> Vec<CapacityOrder> {
+        let open = self.zones.iter().filter(|zone| !self.is_dry(zone, now_us)).count();
+        let with_headroom = (f64::from(self.need) * (1.0 + self.policy.headroom)).ceil() as u32;
+        let of_zone = per_open_zone(with_headroom.saturating_sub(least_reserved), open);
+        let change = self.change_of_reserved(least_reserved, supply);
+        let mut orders = self.orders_of_reserved(change, spec, supply);
+        orders.extend(self.orders_of_preemptible(of_zone, supply, spec, now_us));
+        orders
+    }
+
+    /// Runners that stay, spread anew if their number changes.
+    fn orders_of_reserved(
+        &self,
+        change: Option<u32>,
+        spec: &ScalingSpec,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+    ) -> Vec<CapacityOrder> {
+        let Some(total) = change else { return Vec::new() };
+        let kind = RunnerKind::Reserved;
+        let order = |(zone, runners)| CapacityOrder { zone, kind, runners };
+        self.spread(total, spec, supply).into_iter().map(order).collect()
+    }
+
+    /// So many runners that may be taken away in each zone that has some to be had.
+    fn orders_of_preemptible(
+        &self,
+        of_zone: u32,
+        supply: &BTreeMap<ZoneId, ZoneSupply>,
+        spec: &ScalingSpec,
+        now_us: u64,
+    ) -> Vec<CapacityOrder> {
+        let kind = RunnerKind::Preemptible;
+        let order = |zone: &ZoneId| {
+            // Those that are still to be given up count, too.
+            let beside = self.known_of(zone, RunnerKind::Reserved, supply);
+            let runners = of_zone.min(spec.max_runners.saturating_sub(beside));
+            CapacityOrder { zone: zone.clone(), kind, runners }
+        };
+        self.zones.iter().filter(|zone| !self.is_dry(zone, now_us)).map(order).collect()
+    }
+
     /// Spreads runners that stay over the zones, as far as these have room beside the others.
     fn spread(
         &self,
@@ -320,25 +359,23 @@
         self.zones.len() > 1 && price * zones / (zones - 1.0) < 1.0
     }
 
-    /// Runners that stay: the least, and those that make up for what is missing now. They are given
-    /// up when what serves beside them would also do without the zone that has most; they are added
-    /// when what serves does not do, and not already when it would not without one more zone: to
-    /// stand in for a second loss costs more than the second that passes until they serve.
-    fn reserved_now(&self, floor: u32, need: u32, supply: &BTreeMap<ZoneId, ZoneSupply>) -> u32 {
+    /// How many runners are to stay, if that changes: the least, and those that make up for what is
+    /// missing now. They are given up when what serves beside them would also do without the zone
+    /// that has most; they are added when what serves does not do, and not already when it would
+    /// not without one more zone: to stand in for a second loss costs more than the seconds that
+    /// pass until they serve.
+    fn change_of_reserved(&self, least: u32, supply: &BTreeMap<ZoneId, ZoneSupply>) -> Option<u32> {
         let total: u32 = supply.values().map(|zone| zone.preemptible).sum();
         let largest = supply.values().map(|zone| zone.preemptible).max().unwrap_or(0);
-        let to_keep = need.saturating_sub(total - largest).max(floor);
-        let to_have = need.saturating_sub(total).max(floor);
+        let to_keep = self.need.saturating_sub(total - largest).max(least);
+        let to_have = self.need.saturating_sub(total).max(least);
         let known = self.known_reserved(supply);
         // Each order is paid for, and a runner that crashed may be back before another has begun.
-        let slack = (f64::from(need) * self.policy.slack).floor() as u32;
+        let slack = (f64::from(self.need) * self.policy.slack).floor() as u32;
         if to_keep + slack < known {
-            to_keep
-        } else if to_have > known + slack {
-            to_have
-        } else {
-            known
+            return Some(to_keep);
         }
+        (to_have > known + slack).then_some(to_have)
     }
 
     fn known_reserved(&self, supply: &BTreeMap<ZoneId, ZoneSupply>) -> u32 {
--- a/crates/serving/tests/capacity_planner.rs
+++ b/crates/serving/tests/capacity_planner.rs
@@ -192,6 +192,26 @@
     assert_eq!(platform.calls, 0);
 }
 
+#[test]
+fn where_cheap_runners_are_no_gain_uneven_zones_stay_uneven() {
+    let mut platform = Platform::new(3, 47, 4);
+    platform.booted.pop();
+    let mut planner = planner(&platform, 140);
+    play(&mut platform, &mut planner, &spec(None, 4.0), 30);
+    assert_eq!(platform.calls, 0);
+}
+
+#[test]
+fn when_cheap_runners_become_dear_those_that_stay_come_first() {
+    let mut platform = Platform::new(3, 47, 4);
+    let mut planner = planner(&platform, 141);
+    play(&mut platform, &mut planner, &spec(Some(0.18), 4.0), 30);
+    let fewest = play(&mut platform, &mut planner, &spec(Some(0.9), 4.0), 90);
+    assert!(fewest >= 141, "{fewest}");
+    let preemptible: u32 = platform.supply().values().map(|zone| zone.preemptible).sum();
+    assert_eq!(preemptible, 0);
+}
+
 #[test]
 fn with_many_zones_few_stand_in_for_a_loss() {
     let mut platform = Platform::new(31, 10, 4);
