Serve by another node's copy when the store cannot be read at the start

Change: while a node has no copy and the store fails, it asks any node it knows for one; a node that knows nobody asks the machines that its settings name (seeds), and is told who is there. Test: a node that starts before a silent or refusing store serves by what another knows; it needs the new setting, so it could not be run against the code before.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -82,7 +82,11 @@
 fn settings(zone: &str, number: u16, port: u16, store: SocketAddr) -> Settings {
     let address = |offset: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port + offset));
     Settings {
-        node: NodeSection { name: format!("node-{number}"), zone: zone.to_owned() },
+        node: NodeSection {
+            name: format!("node-{number}"),
+            zone: zone.to_owned(),
+            seeds: Vec::new(),
+        },
         listen: ListenSection { callers: address(0), health: address(1), peers: address(2) },
         store: StoreSection { address: store },
         bounds: BoundsSection {
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -1,6 +1,8 @@
 //! What nodes say to each other by datagrams: one JSON line each.
 
 use pitchstall_serving::digest::Digest;
+use pitchstall_serving::ids::NodeId;
+use pitchstall_serving::membership::Member;
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -19,6 +21,12 @@
     /// The node is there.
     #[serde(rename = "digest")]
     Digest(Digest),
+    /// A node that cannot read the store asks who is there.
+    #[serde(rename = "hello")]
+    Hello(Digest),
+    /// These are.
+    #[serde(rename = "members")]
+    Members(Vec<(NodeId, Member)>),
     /// Where is this request to run?
     #[serde(rename = "ask")]
     Question(PlacementQuestion),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,9 @@
 const DIGEST_EVERY: Duration = Duration::from_millis(1_000);
 /// A node that has not been heard or listed for this long is forgotten.
 const PEER_LIFE: Duration = Duration::from_secs(60);
+/// Nodes that one which knows nobody is told of: enough to follow the store by, and the others tell
+/// of themselves in their digests.
+const MEMBERS_TOLD: usize = 64;
 /// Time to live of a node's registration.
 const REGISTRATION_TTL_MS: u64 = 15_000;
 /// Between two renewals of the registration.
@@ -100,6 +103,8 @@
     fn on_word(&self, word: PeerWord, from: SocketAddr) {
         match word {
             PeerWord::Digest(digest) => self.on_digest(&digest, from),
+            PeerWord::Hello(digest) => self.on_hello(&digest, from),
+            PeerWord::Members(members) => self.on_members(&members),
             PeerWord::Question(question) => scheduling::on_question(&self.node, question),
             PeerWord::Answer(answer) => scheduling::on_answer(&self.node, answer, from),
             PeerWord::Progress(word) => scheduling::on_progress(&self.node, &word),
@@ -125,6 +130,34 @@
         }
     }
 
+    /// A node that knows nobody has asked: it learns of some, and of the others by their digests.
+    fn on_hello(&self, digest: &Digest, from: SocketAddr) {
+        self.on_digest(digest, from);
+        let members = self.node.members.borrow().some(MEMBERS_TOLD);
+        self.socket.send(&PeerWord::Members(members), &[from]);
+    }
+
+    fn on_members(&self, members: &[(NodeId, Member)]) {
+        for (name, member) in members.iter().filter(|(name, _)| *name != self.name) {
+            if !self.state.borrow().peers.contains_key(name) {
+                self.learn(name, member);
+            }
+        }
+    }
+
+    /// Asks the machines that the settings name who is there, while nobody is known.
+    fn say_hello(&self) {
+        if self.node.known_nodes() > 1 {
+            return;
+        }
+        let settings = self.node.settings();
+        let peers = settings.listen.peers;
+        let at_seed = |seed: &SocketAddr| SocketAddr::new(seed.ip(), peers.port());
+        let seeds = settings.node.seeds.iter().map(at_seed).filter(|address| *address != peers);
+        let seeds: Vec<SocketAddr> = seeds.collect();
+        self.socket.send(&PeerWord::Hello(self.digest()), &seeds);
+    }
+
     fn learn(&self, name: &NodeId, member: &Member) {
         let peer = Peer { address: member.address, heard_at: Instant::now() };
         self.state.borrow_mut().peers.insert(name.clone(), peer);
@@ -183,8 +216,9 @@
     pub async fn register(self: Rc<Self>) {
         let mut client = PlatformClient::default();
         loop {
-            if let Some(lease) = self.join(&mut client).await {
-                self.stay(&mut client, lease).await;
+            match self.join(&mut client).await {
+                Some(lease) => self.stay(&mut client, lease).await,
+                None => self.say_hello(),
             }
             sleep(STORE_PAUSE).await;
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,10 @@
     pub name: String,
     /// Its zone.
     pub zone: String,
+    /// Addresses of some other machines, `IP:port`, for a start while the store is away. They may be
+    /// stale. Only the IP counts: nodes listen for each other at the same port everywhere.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Where the node listens, `IP:port`.
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -182,6 +182,7 @@
             return Ok(());
         }
         match self.at {
+            None if self.failures > 0 => self.read_anywhere().await,
             None => self.read_all().await,
             Some(at) => self.watch(at).await,
         }
@@ -279,6 +280,29 @@
         sleep(SOURCE_PAUSE).await;
     }
 
+    /// Reads from the store, or else from any node that knows something: a copy that is old serves
+    /// better than none, and is replaced by the first answer of the store.
+    async fn read_anywhere(&mut self) -> Result<(), FollowError> {
+        let read = self.read_all().await;
+        if read.is_ok() {
+            return read;
+        }
+        let others = self.node.members.borrow().others();
+        if others.is_empty() {
+            return read;
+        }
+        let other = others[rand::rng().random_range(0..others.len())];
+        let question = CopyQuestion { subject: self.subject, after: None, wait_ms: 0 };
+        match self.mirror.ask(other, &question).await {
+            Ok(answer) => drop(self.take_answer(&answer)),
+            Err(error) => {
+                let (other, error) = (other.to_string(), error.to_string());
+                log::info!(target: "store", subject = self.subject.name(), other, error; "no copy");
+            }
+        }
+        read
+    }
+
     async fn read_all(&mut self) -> Result<(), FollowError> {
         let update = match self.subject {
             Subject::Configuration => self.read_configuration().await?,
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -49,6 +49,17 @@
     assert!(node.is_ready());
 }
 
+#[test_case(StoreMode::Silent)]
+#[test_case(StoreMode::Unavailable)]
+fn a_node_that_starts_while_the_store_is_away_serves_by_what_another_knows(mode: StoreMode) {
+    let one = runner("i-1");
+    let node = Fixture::with_runners(&[(&one, "desk", None)]);
+    node.store.set_mode(mode);
+    let newcomer = node.start_seeded("node-2");
+    wait_for("the newcomer to serve", || ask(&newcomer, "/lookup/1") == (200, "i-1".to_owned()));
+    assert!(newcomer.is_ready());
+}
+
 #[test]
 fn a_node_goes_on_serving_while_the_store_fails() {
     let one = runner("i-1");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -101,12 +101,26 @@
         Self::start_node(self.store.clone(), name, "")
     }
 
+    /// Another node before the same store, which knows this one's machine.
+    pub fn start_seeded(&self, name: &str) -> Self {
+        Self::start_node_at(
+            self.store.clone(),
+            name,
+            &format!("seeds = [\"{}\"]\n", self.peers),
+            "",
+        )
+    }
+
     fn start_node(store: StoreStandIn, name: &str, sections: &str) -> Self {
+        Self::start_node_at(store, name, "", sections)
+    }
+
+    fn start_node_at(store: StoreStandIn, name: &str, node: &str, sections: &str) -> Self {
         let ip = own_loopback_ip();
         let at = |port: u16| SocketAddr::new(ip, port);
         let (callers, health, peers) = (at(CALLERS_PORT), at(HEALTH_PORT), at(PEERS_PORT));
         let text = format!(
-            "[node]\nname = \"{name}\"\nzone = \"north\"\n\
+            "[node]\nname = \"{name}\"\nzone = \"north\"\n{node}\
              [listen]\ncallers = \"{callers}\"\nhealth = \"{health}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{}\"\n\
              [bounds]\ncontact_ms = 1000\ngrace_s = 5.0\nlease_ms = 200\nretry_ratio = 1.2\nretry_slack = 4.0\n{sections}",
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -112,6 +112,14 @@
         self.members.keys()
     }
 
+    /// Some nodes with what they tell of themselves, this one among them.
+    pub fn some(&self, most: usize) -> Vec<(NodeId, Member)> {
+        let own = (self.own.clone(), self.own().clone());
+        let others = self.members.iter().filter(|(name, _)| **name != self.own);
+        let others = others.map(|(name, member)| (name.clone(), member.clone()));
+        std::iter::once(own).chain(others).take(most).collect()
+    }
+
     /// Where the other nodes are reached.
     pub fn others(&self) -> Vec<SocketAddr> {
         let others = self.members.iter().filter(|(name, _)| **name != self.own);
