Specify usage reports and the renewal of a doubted lease; each safeguard dropped gives a violation

Cause: the account claimed that two holders never report one window differently; nothing searched it.

--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -5,7 +5,7 @@
 mod specification;
 
 use pathfinding::directed::bfs::bfs_reach;
-use specification::{adoption, authority, resuming, retry_budget};
+use specification::{adoption, authority, resuming, retry_budget, usage};
 use test_case::test_case;
 
 /// States up to the first violation, and whether there was one.
@@ -44,6 +44,26 @@
     count(reached, retry_budget::State::is_violated)
 }
 
+fn search_usage(guards: usage::Safeguards) -> (usize, bool) {
+    let reached = bfs_reach(usage::State::default(), |state| state.next(guards));
+    count(reached, |state| state.violated)
+}
+
+#[test]
+fn usage_reports_of_a_window_never_differ() {
+    let (states, violated) = search_usage(usage::Safeguards::ALL);
+    println!("usage: {states} states");
+    assert!(!violated);
+    assert!(states > 1_000, "the search was cut short: {states} states");
+}
+
+#[test_case(usage::Safeguards { fix_if_absent: false, ..usage::Safeguards::ALL }; "fix if absent")]
+#[test_case(usage::Safeguards { send_after_answer: false, ..usage::Safeguards::ALL }; "send after answer")]
+#[test_case(usage::Safeguards { adopt_fixed: false, ..usage::Safeguards::ALL }; "adopt fixed")]
+fn usage_reports_without_a_safeguard_differ(guards: usage::Safeguards) {
+    assert!(search_usage(guards).1);
+}
+
 #[test]
 fn the_retry_budget_is_safe_in_every_state() {
     let (states, violated) = search_retry_budget(retry_budget::Safeguards::ALL);
@@ -88,6 +108,7 @@
 #[test_case(authority::Safeguards { fence_from_revision: false, ..authority::Safeguards::ALL }; "fence from revision")]
 #[test_case(authority::Safeguards { expected_orders: false, ..authority::Safeguards::ALL }; "expected orders")]
 #[test_case(authority::Safeguards { named_instance: false, ..authority::Safeguards::ALL }; "named instance")]
+#[test_case(authority::Safeguards { renewed_by_store: false, ..authority::Safeguards::ALL }; "renewed by store")]
 fn authority_without_a_safeguard_is_unsafe(guards: authority::Safeguards) {
     assert!(search_authority(guards).1);
 }
--- a/crates/serving/tests/specification/authority.rs
+++ b/crates/serving/tests/specification/authority.rs
@@ -24,6 +24,8 @@
     pub expected_orders: bool,
     /// An order names the start of the runner that it is for.
     pub named_instance: bool,
+    /// A term that has run out goes on only if the store still has its lease, and so its key.
+    pub renewed_by_store: bool,
 }
 
 impl Safeguards {
@@ -33,6 +35,7 @@
         fence_from_revision: true,
         expected_orders: true,
         named_instance: true,
+        renewed_by_store: true,
     };
 }
 
@@ -42,6 +45,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 struct Holder {
     fence: Option<u8>,
+    /// Fencing token of a term that has run out without a word from the store.
+    doubted: Option<u8>,
     picture: Option<Picture>,
     ordered: u8,
 }
@@ -95,11 +100,17 @@
         }
         let believes = self.holders[node].fence.is_some();
         if believes {
-            // Its own time is over, or it crashes.
+            // It crashes.
+            let mut crashed = self.clone();
+            crashed.holders[node] = Holder::default();
+            states.push(crashed);
+            // Its own time is over.
             let mut over = self.clone();
-            over.holders[node] = Holder::default();
+            let Holder { fence, ordered, .. } = self.holders[node];
+            over.holders[node] = Holder { doubted: fence, ordered, ..Holder::default() };
             states.push(over);
         }
+        self.renewal_steps(node, guards, states);
         let is_stored = self.store_holder == Some(node as u8);
         if is_stored && (!believes || !guards.time_from_sending) {
             let mut lapsed = self.clone();
@@ -108,6 +119,20 @@
         }
     }
 
+    /// The store answers the renewal of a lease whose term has run out.
+    fn renewal_steps(&self, node: usize, guards: Safeguards, states: &mut Vec<Self>) {
+        let Some(fence) = self.holders[node].doubted else { return };
+        let has_key = self.store_holder == Some(node as u8) && self.revision == fence;
+        if has_key || !guards.renewed_by_store {
+            let mut renewed = self.clone();
+            let ordered = self.holders[node].ordered;
+            renewed.holders[node] = Holder { fence: Some(fence), ordered, ..Holder::default() };
+            let holding = renewed.holders.iter().filter(|holder| holder.fence.is_some()).count();
+            renewed.violated |= holding > 1;
+            states.push(renewed);
+        }
+    }
+
     fn order_steps(&self, node: usize, states: &mut Vec<Self>) {
         let holder = &self.holders[node];
         let Some(fence) = holder.fence else { return };
--- a/crates/serving/tests/specification/mod.rs
+++ b/crates/serving/tests/specification/mod.rs
@@ -8,3 +8,4 @@
 pub mod authority;
 pub mod resuming;
 pub mod retry_budget;
+pub mod usage;
