Leave a silent stream only for a runner that is there, and pay for it before

A run that says nothing for four pauses is left if another attempt would be allowed; whether another runner was there, and whether the budget still had the attempt when it was to be made, was only seen after the run had been left. Change: a silent run is left only if another sound runner is listed that writes, and the attempt is paid for before it is left; otherwise it is listened to further. Test: a stream whose only runner pauses for longer ended in 502 before, and is whole now.

--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -17,6 +17,8 @@
 use crate::usage::BeginMark;
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
+use pitchstall_serving::event_stream::EventSplitter;
+use pitchstall_serving::fleet::Eligible;
 use pitchstall_serving::ids::{RunnerId, ServiceName};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
@@ -57,6 +59,8 @@
     has_tenants: bool,
     /// Whether the request has been counted as begun.
     is_counted: bool,
+    /// Whether the next attempt is paid for: it was when the one before was left.
+    is_prepaid: bool,
     deadline: Instant,
     /// What is known of the request after the attempts so far.
     execution: Execution,
@@ -99,6 +103,7 @@
             tenant: None,
             has_tenants: !configuration.tenants.is_empty(),
             is_counted: false,
+            is_prepaid: false,
             deadline,
             execution: Execution::NotRun,
             runs: 0,
@@ -244,8 +249,8 @@
     }
 
     /// Pays for an arrival at a runner before it is sent; `false`: it may not be sent.
-    fn pay(&self, cost: ArrivalCost) -> bool {
-        cost == ArrivalCost::Free || self.withdraw()
+    fn pay(&mut self, cost: ArrivalCost) -> bool {
+        cost == ArrivalCost::Free || std::mem::take(&mut self.is_prepaid) || self.withdraw()
     }
 
     fn withdraw(&self) -> bool {
@@ -326,8 +331,14 @@
 
     async fn deliver_stream(&mut self, answering: Answering, client: &ClientConnection) -> Step {
         let runner = answering.record.id.clone();
-        let limits = RelayLimits { deadline: self.deadline, pause: self.longest_pause() };
-        let end = relay(&answering, client, &mut self.stream, limits).await;
+        let mut splitter = EventSplitter::default();
+        let end = loop {
+            let limits = RelayLimits { deadline: self.deadline, pause: self.longest_pause() };
+            let end = relay(&answering, client, &mut self.stream, &mut splitter, limits).await;
+            if end != RelayEnd::Silent || self.may_leave(&runner) {
+                break end;
+            }
+        };
         match end {
             RelayEnd::Complete => {
                 answering.give_back(self.node);
@@ -335,7 +346,7 @@
             }
             RelayEnd::ClientGone => Step::Done(RequestEnd::ClientGone),
             RelayEnd::OutOfTime => self.on_out_of_time(),
-            RelayEnd::Broken => {
+            RelayEnd::Broken | RelayEnd::Silent => {
                 // The connection is closed first, so that the runner stops before the next
                 // one goes on.
                 drop(answering);
@@ -344,6 +355,22 @@
         }
     }
 
+    /// Whether a run that is silent is left: only if another runner is there to go on, and what that
+    /// costs is paid. Silence alone is no reason to end an answer sooner.
+    fn may_leave(&mut self, runner: &RunnerId) -> bool {
+        let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
+        let eligible = Eligible {
+            service: &self.service,
+            excluded: &others,
+            zones: self.rules.zones.as_ref(),
+            shard: None,
+        };
+        let has_other = self.node.fleet.borrow().has_sound(&eligible, self.node.now_us());
+        self.is_prepaid =
+            self.is_prepaid || (has_other && self.may_run_again(1) && self.withdraw());
+        self.is_prepaid
+    }
+
     /// Only a stream that can go on elsewhere is left because of a pause.
     fn longest_pause(&self) -> Duration {
         let gap = self.route.gap_target_ms.filter(|_| self.could_follow());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,8 +29,10 @@
 pub enum RelayEnd {
     /// As its framing tells: whole.
     Complete,
-    /// The runner broke it off, or it went silent for too long.
+    /// The runner broke it off.
     Broken,
+    /// Nothing has come for the longest pause; the run may go on all the same.
+    Silent,
     /// The request's time is up.
     OutOfTime,
     /// The client has gone.
@@ -42,30 +44,31 @@
 pub struct RelayLimits {
     /// When the request's time is up.
     pub deadline: Instant,
-    /// Longest pause between events before the run counts as broken.
+    /// Longest pause between events before the run counts as silent.
     pub pause: Duration,
 }
 
-/// Forwards one run of a stream. Only whole events pass, so that another run can follow.
+/// Forwards one run of a stream. Only whole events pass, so that another run can follow. What is left
+/// of an event stays in `splitter`: a run that was silent can be followed on.
 pub async fn relay(
     answering: &Answering,
     client: &ClientConnection,
     state: &mut StreamState,
+    splitter: &mut EventSplitter,
     limits: RelayLimits,
 ) -> RelayEnd {
     let headers = answering.client_headers();
-    let mut splitter = EventSplitter::default();
     loop {
         let left = limits.deadline.saturating_duration_since(Instant::now());
         let read = match timeout(left.min(limits.pause), answering.read()).await {
             Ok(read) => read,
             Err(_) if left <= limits.pause => return RelayEnd::OutOfTime,
-            Err(_) => return RelayEnd::Broken,
+            Err(_) => return RelayEnd::Silent,
         };
         answering.flight.on_progress();
         let forwarded = match read {
-            Ok(Some(bytes)) => forward(&bytes, &mut splitter, client, state, &headers).await,
-            Ok(None) => return end(answering, &splitter, client, state, &headers).await,
+            Ok(Some(bytes)) => forward(&bytes, splitter, client, state, &headers).await,
+            Ok(None) => return end(answering, splitter, client, state, &headers).await,
             Err(_) => return RelayEnd::Broken,
         };
         if forwarded.is_err() {
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -458,3 +458,21 @@
     wait_for("both to be there", || runner.requests().iter().filter(is_slow).count() == 2);
     assert_eq!(ask("/marker/1"), 503, "refused, since it surely has not run");
 }
+
+#[test]
+fn a_silent_stream_is_not_left_while_nobody_else_can_go_on() {
+    let pause = Duration::from_millis(1_600);
+    let slow = RunnerStandIn::start("i-slow", move |request| {
+        Reaction::Stream(EventStream { pause, ..EventStream::whole(request, 1) })
+    })
+    .unwrap();
+    let node = Fixture::with_runners(&[(&slow, "llm", Some("decode"))]);
+    // Earns what a retry costs.
+    let desk = desk(|_| ok("booked"));
+    node.add_runner(&desk, "desk", None);
+    let mut client = node.client();
+    client.request("POST", "/summary/1", "id-1", "", b"x");
+    let answer = client.read_answer();
+    assert_eq!((answer.status, answer.text()), (200, events(0..=1)));
+    assert!(answer.complete);
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Whether there is a runner for new requests that is not avoided and writes answers.
+    pub fn has_sound(&self, eligible: &Eligible<'_>, now_us: u64) -> bool {
+        let candidates = self.candidates(eligible, now_us);
+        let writes = |runner: &&Runner| runner.record.stage != Some(Stage::Prefill);
+        candidates.into_iter().filter(writes).any(|runner| !runner.is_avoided(now_us))
+    }
+
     /// An attempt goes to a runner.
     pub fn on_sent(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
