Play tenants, usage and the interface for duties in the soak and in dev

Change: the soak's requests carry a key and its runners note a request without its tenant or with a key in it; each node has a link of its own to the interface for duties, which is cut, slow or silent three times a seed; two checks, each with a test on a broken history.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -7,8 +7,8 @@
 use pitchstall_gateway::daemon::{self, Signals};
 use pitchstall_gateway::logging;
 use pitchstall_gateway::settings::{
-    BoundsSection, CapacitySection, ListenSection, LogSection, MachineSection, NodeSection,
-    PolicySection, Settings, StoreSection,
+    BoundsSection, CapacitySection, CloudSection, Duty, ListenSection, LogSection, MachineSection,
+    NodeSection, PolicySection, Settings, StoreSection, UsageSection,
 };
 use pitchstall_platform_standins::client::{example_request, send_load};
 use pitchstall_platform_standins::fleet::StandInFleet;
@@ -63,7 +63,7 @@
     for (zone, first) in ZONES.iter().zip((0..).step_by(usize::from(NODES_IN_ZONE))) {
         for number in first..first + NODES_IN_ZONE {
             let port = first_port + number * PORTS_A_NODE;
-            let settings = settings(zone, number, port, fleet.store.address());
+            let settings = settings(zone, number, port, fleet);
             nodes.push(settings.listen.callers);
             std::thread::spawn(move || run_node(settings));
         }
@@ -79,7 +79,7 @@
     }
 }
 
-fn settings(zone: &str, number: u16, port: u16, store: SocketAddr) -> Settings {
+fn settings(zone: &str, number: u16, port: u16, fleet: &StandInFleet) -> Settings {
     let address = |offset: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port + offset));
     Settings {
         node: NodeSection {
@@ -88,7 +88,7 @@
             seeds: Vec::new(),
         },
         listen: ListenSection { callers: address(0), health: address(1), peers: address(2) },
-        store: StoreSection { address: store },
+        store: StoreSection { address: fleet.store.address() },
         bounds: BoundsSection {
             contact_ms: 3_000,
             grace_s: 8.0,
@@ -99,7 +99,11 @@
             revoke_strict: false,
             revoke_ms: None,
         },
-        cloud: None,
+        cloud: Some(CloudSection {
+            address: fleet.cloud.address(),
+            duties: vec![Duty::Usage],
+            usage: Some(UsageSection { window_s: 5.0, due_s: 10.0 }),
+        }),
         capacity: CapacitySection::default(),
         machine: MachineSection::default(),
         policy: PolicySection::default(),
--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -22,6 +22,8 @@
     pub callers: SocketAddr,
     /// Its own link to the store.
     pub store: Link,
+    /// Its own link to the interface for duties.
+    pub cloud: Link,
     /// Where it says whether it takes callers.
     pub health: SocketAddr,
     program: PathBuf,
@@ -38,6 +40,7 @@
         number: usize,
         zone: &str,
         store: Link,
+        cloud: Link,
     ) -> io::Result<Self> {
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let last = u8::try_from(number + 1).unwrap_or(u8::MAX);
@@ -48,11 +51,14 @@
              [listen]\ncallers = \"{}\"\nhealth = \"{}\"\npeers = \"{}\"\n\
              [store]\naddress = \"{}\"\n\
              [bounds]\ncontact_ms = 3000\ngrace_s = 8.0\nlease_ms = 3000\n\
-             retry_ratio = 0.2\nretry_slack = 54\n",
+             retry_ratio = 0.2\nretry_slack = 54\n\
+             [cloud]\naddress = \"{}\"\nduties = [\"usage_report\"]\n\
+             [cloud.usage]\nwindow_s = 2\ndue_s = 10\n",
             at(CALLERS_PORT),
             at(HEALTH_PORT),
             at(PEERS_PORT),
             store.address(),
+            cloud.address(),
         );
         let settings = folder.join(format!("node-{number}.toml"));
         std::fs::write(&settings, text)?;
@@ -60,6 +66,7 @@
             callers: at(CALLERS_PORT),
             health: at(HEALTH_PORT),
             store,
+            cloud,
             program: program.to_owned(),
             settings,
             log: folder.join(format!("node-{number}.log")),
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -6,9 +6,10 @@
 use pitchstall_soak::caller::exchange;
 use pitchstall_soak::checks::{violations, Violation};
 use pitchstall_soak::fleet::{request_bytes, SoakFleet, ZONES};
-use pitchstall_soak::history::{Event, Kind, Outcome, Recorder};
+use pitchstall_soak::history::{Entry, Event, Kind, Outcome, Recorder};
 use pitchstall_soak::plan::{steps, Action, Step};
 use pitchstall_soak::proxy::{Link, LinkMode};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
     pub violations: Vec<Violation>,
     requests: usize,
     whole: usize,
+    /// Windows whose usage was reported.
+    windows: usize,
     steps: usize,
     folder: PathBuf,
 }
@@ -39,7 +42,8 @@
 impl fmt::Display for Report {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (whole, requests, steps) = (self.whole, self.requests, self.steps);
-        write!(formatter, "{whole} of {requests} answered whole under {steps} actions")?;
+        write!(formatter, "{whole} of {requests} answered whole under {steps} actions, ")?;
+        write!(formatter, "{} windows reported", self.windows)?;
         for violation in &self.violations {
             write!(formatter, "\n  {}: {}", violation.promise, violation.what)?;
         }
@@ -102,8 +106,9 @@
         let mut processes = Vec::new();
         for number in 0..nodes {
             let store = Link::start(fleet.store.address())?;
+            let cloud = Link::start(fleet.cloud.address())?;
             let zone = ZONES[number % ZONES.len()];
-            let mut node = NodeProcess::new(program, folder, number, zone, store)?;
+            let mut node = NodeProcess::new(program, folder, number, zone, store, cloud)?;
             node.start()?;
             recorder.note(Event::Started { node: number });
             processes.push(node);
@@ -199,6 +204,13 @@
                 let link = lock(&self.nodes[*node]).store.clone();
                 self.disturb_link(&link, *mode, step.lasts, Some(*node));
             }
+            Action::CloudLink { node, mode } => {
+                let link = lock(&self.nodes[*node]).cloud.clone();
+                // No rule for callers is excused by it.
+                link.set_mode(*mode);
+                std::thread::sleep(step.lasts);
+                link.set_mode(LinkMode::Passing);
+            }
             Action::RunnerLink { runner, mode } => {
                 let link = {
                     let fleet = lock(&self.fleet);
@@ -308,6 +320,7 @@
     }
 
     fn report(&self, steps: usize, folder: PathBuf) -> Report {
+        lock(&self.fleet).note_reports();
         let entries = self.recorder.entries();
         let ended = |event: &Event| matches!(event, Event::Ended { .. });
         let whole = |event: &Event| {
@@ -317,8 +330,17 @@
             violations: violations(&entries),
             requests: entries.iter().filter(|(_, event)| ended(event)).count(),
             whole: entries.iter().filter(|(_, event)| whole(event)).count(),
+            windows: reported_windows(&entries),
             steps,
             folder,
         }
     }
 }
+
+fn reported_windows(entries: &[Entry]) -> usize {
+    let window = |(_, event): &Entry| match event {
+        Event::Reported { window, .. } => Some(*window),
+        _ => None,
+    };
+    entries.iter().filter_map(window).collect::<BTreeSet<u64>>().len()
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -28,7 +28,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Every promise with its check.
-const CHECKS: [(&str, Check); 9] = [
+const CHECKS: [(&str, Check); 11] = [
     ("the whole answer to its own request", whole_answers),
     ("a stream whole and in order", whole_streams),
     ("at most once", at_most_once),
@@ -38,6 +38,8 @@
     ("a configuration never reverts", configuration_never_reverts),
     ("a leaving runner gets no work", drained_in_time),
     ("a planned stop cuts nothing", planned_stops),
+    ("runners are told the tenant and not the key", guarded),
+    ("one usage report for a window", one_report),
 ];
 
 /// Checks a history.
@@ -53,6 +55,28 @@
     found
 }
 
+fn guarded(history: &History) -> Vec<String> {
+    let unguarded = history.entries.iter().filter_map(|(_, event)| match event {
+        Event::Unguarded { request, runner } => Some(format!("{request} at {runner}")),
+        _ => None,
+    });
+    unguarded.collect()
+}
+
+/// A report may be repeated as it was, and never with other counts.
+fn one_report(history: &History) -> Vec<String> {
+    let mut known: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut broken = Vec::new();
+    for (_, event) in history.entries {
+        let Event::Reported { window, counts } = event else { continue };
+        let first = *known.entry(*window).or_insert(counts);
+        if first != counts {
+            broken.push(format!("window {window}: {first}, then {counts}"));
+        }
+    }
+    broken
+}
+
 struct Exchange<'a> {
     kind: Kind,
     node: usize,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::checks::request_body;
 use crate::history::{Event, Kind, Recorder};
 use crate::proxy::Link;
+use pitchstall_platform_standins::cloud::CloudStandIn;
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
@@ -21,6 +22,10 @@
 const ENGINE_SERVICE: &str = "engine";
 const DESK_SERVICE: &str = "desk";
 const ID_HEADER: &str = "x-pitchstall-request-id";
+const TENANT_HEADER: &str = "x-pitchstall-tenant-id";
+/// The only tenant, and its key.
+const TENANT: &str = "taxis";
+const KEY: &str = "soak-m82thhkmgjqnirth5mgj";
 /// Share of requests that a runner runs and does not answer, or answers with a failure.
 const FAULTY_SHARE: f64 = 0.03;
 
@@ -44,6 +49,8 @@
 pub struct SoakFleet {
     /// The store.
     pub store: StoreStandIn,
+    /// The interface for duties.
+    pub cloud: CloudStandIn,
     /// Runners that are listed.
     pub runners: Vec<SoakRunner>,
     recorder: Recorder,
@@ -57,7 +64,8 @@
     pub fn start(seed: u64, recorder: Recorder) -> std::io::Result<Self> {
         let store = StoreStandIn::start()?;
         let runners = Vec::new();
-        let mut fleet = Self { store, runners, recorder, next_runner: 0, version: 0, seed };
+        let cloud = CloudStandIn::start()?;
+        let mut fleet = Self { store, cloud, runners, recorder, next_runner: 0, version: 0, seed };
         fleet.configure();
         for zone in ZONES {
             for stage in [Some("prefill"), Some("decode"), Some("decode"), None, None] {
@@ -116,6 +124,16 @@
         self.recorder.note(Event::Configured { version: self.version });
     }
 
+    /// Notes the usage reports that the platform has taken.
+    pub fn note_reports(&self) {
+        const DONE: u16 = 200;
+        for call in self.cloud.calls().into_iter().filter(|call| call.status == DONE) {
+            let window = call.body["window_id"].as_u64().unwrap_or_default();
+            let counts = call.body["counts"].to_string();
+            self.recorder.note(Event::Reported { window, counts });
+        }
+    }
+
     /// The version in force.
     pub fn version(&self) -> u64 {
         self.version
@@ -141,6 +159,7 @@
     json!({
         "version": version,
         "routes": routes,
+        "tenants": [{ "name": TENANT, "api_keys": [KEY] }],
         "services": [
             { "name": DESK_SERVICE, "health_path": "/health", "max_conns": 200 },
             { "name": ENGINE_SERVICE, "health_path": "/health", "max_conns": 200, "engine": {
@@ -172,6 +191,11 @@
         if request.header("x-pitchstall-expect-instance").is_some_and(|expected| expected != id) {
             return Reaction::Misdirected;
         }
+        let shows_key = request.headers.iter().any(|(_, value)| value.contains(KEY));
+        if shows_key || request.header(TENANT_HEADER) != Some(TENANT) {
+            let (request, runner) = (name.to_owned(), id.clone());
+            recorder.note(Event::Unguarded { request, runner });
+        }
         let (request_id, body) = (name.to_owned(), request.body.clone());
         recorder.note(Event::Ran { request: request_id, runner: id.clone(), body });
         let mut chance = chance.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -233,6 +257,7 @@
     let text = format!(
         "{method} /{path}/x HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\
          X-Pitchstall-Request-Id: {request}\r\nX-Pitchstall-Deadline-Ms: 5000\r\n\
+         Authorization: Token {KEY}\r\n\
          X-Pitchstall-Token-Count: 900,20\r\nX-Pitchstall-Prefix-Hash: a1:600,b2:300\r\n\
          Content-Length: {length}\r\n\r\n{body}"
     );
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -72,6 +72,20 @@
         /// The request's id.
         request: String,
     },
+    /// A runner was given a request without the name of its tenant, or with its key.
+    Unguarded {
+        /// The request's id.
+        request: String,
+        /// The runner.
+        runner: String,
+    },
+    /// The platform has taken the usage report of a window.
+    Reported {
+        /// The window.
+        window: u64,
+        /// Its counts.
+        counts: String,
+    },
     /// A runner takes an order.
     Ordered {
         /// The runner.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -34,6 +34,13 @@
         /// How.
         mode: LinkMode,
     },
+    /// A node's link to the interface for duties is faulty for the time.
+    CloudLink {
+        /// The node.
+        node: usize,
+        /// How.
+        mode: LinkMode,
+    },
     /// The link to a runner is faulty for the time.
     RunnerLink {
         /// Which of the runners that are listed then, modulo their number.
@@ -89,6 +96,31 @@
 
 /// The steps of a seed, in order of time.
 pub fn steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
+    let mut steps = system_steps(seed, length, nodes);
+    if !seed.is_multiple_of(PLANNED_ONLY_EVERY) {
+        steps.extend(cloud_steps(seed, length, nodes));
+        steps.sort_by_key(|step| step.at);
+    }
+    steps
+}
+
+/// Faults on the way to the interface for duties. They are drawn apart, so that older seeds keep
+/// their other steps.
+fn cloud_steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
+    const APART: u64 = 0x63_6c6f_7564;
+    let mut chance = ChaCha8Rng::seed_from_u64(seed ^ APART);
+    let last = length.saturating_sub(RECOVERY);
+    let lasts = Duration::from_millis(LASTS_MS.end);
+    let at = |part: u32| last / 4 * part;
+    let mode = |chance: &mut ChaCha8Rng| *LINK_MODES.choose(chance).unwrap_or(&LinkMode::Silent);
+    let step = |part: u32| {
+        let (node, mode) = (chance.random_range(0..nodes), mode(&mut chance));
+        Step { at: at(part), lasts, action: Action::CloudLink { node, mode } }
+    };
+    (1..4).map(step).collect()
+}
+
+fn system_steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
     let planned_only = seed.is_multiple_of(PLANNED_ONLY_EVERY);
     let mut steps = Vec::new();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -87,6 +87,36 @@
     assert_eq!(broken(&[ran(1, "r", "i-1")]), ["runners run only what was asked"]);
 }
 
+#[test]
+fn a_runner_that_sees_a_key_or_no_tenant_is_found() {
+    let mut entries = exchange(Kind::Repeatable, own_answer("r"));
+    let (request, runner) = ("r".to_owned(), "i-1".to_owned());
+    entries.push((2, Event::Unguarded { request, runner }));
+    assert_eq!(broken(&entries), ["runners are told the tenant and not the key"]);
+}
+
+fn report(at: u64, window: u64, count: u64) -> Entry {
+    (at, Event::Reported { window, counts: format!("{{\"taxis\":{count}}}") })
+}
+
+#[test]
+fn two_reports_of_one_window_are_found_unless_they_are_alike() {
+    let alike = [report(1, 7, 3), report(2, 8, 4), report(3, 7, 3)];
+    assert_eq!(violations(&alike), []);
+    let different = [report(1, 7, 3), report(2, 7, 4)];
+    assert_eq!(broken(&different), ["one usage report for a window"]);
+}
+
+#[test]
+fn faults_on_the_way_to_the_duties_are_played_beside_the_others() {
+    let is_cloud = |step: &pitchstall_soak::plan::Step| {
+        matches!(step.action, pitchstall_soak::plan::Action::CloudLink { .. })
+    };
+    let length = Duration::from_secs(25);
+    assert_eq!(steps(22, length, 4).iter().filter(|step| is_cloud(step)).count(), 3);
+    assert!(!steps(24, length, 4).iter().any(is_cloud), "only planned work");
+}
+
 fn probe(at: u64, request: &str, version: u64, status: u16) -> [Entry; 2] {
     let answer =
         if status == 200 { own_answer(request) } else { whole(request, status, String::new()) };
