--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,5 +1,10 @@
 //! What the node believes and counts; shared by all tasks of its one thread.
 
+mod runners;
+mod work;
+
+pub use work::{BodyReservation, OpenConnection, OpenRequest};
+
 use crate::authority::Holding;
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
@@ -12,7 +17,7 @@
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
 use pitchstall_serving::digest::Digest;
-use pitchstall_serving::fleet::{Fleet, FleetChange};
+use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
@@ -20,7 +25,7 @@
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
-use pitchstall_serving::runner::{Runner, RunnerRecord, Stage};
+use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
 use pitchstall_serving::tenancy::{CopyAge, KeyPolicy};
@@ -278,37 +283,6 @@
         (self.open_connections() as u64) < most
     }
 
-    /// A connection to a runner could not be opened.
-    pub fn on_unreachable(&self, runner: &RunnerId) {
-        self.fleet.borrow_mut().on_unreachable(runner, self.now_us());
-        self.suspicion_changed.notify_waiters();
-    }
-
-    /// An attempt that was sent at `sent_at_us` has heard nothing in all its time.
-    pub fn on_silence(&self, runner: &RunnerId, sent_at_us: u64) {
-        let now_us = self.now_us();
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.update_suspicion(runner, |suspicion| suspicion.on_silence(sent_at_us, now_us));
-        drop(fleet);
-        self.suspicion_changed.notify_waiters();
-    }
-
-    /// Something came from a runner.
-    pub fn on_progress(&self, runner: &RunnerId) {
-        let now_us = self.now_us();
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.update_suspicion(runner, |suspicion| suspicion.on_progress(now_us));
-    }
-
-    /// A doubt about a runner is settled; `None`: the node itself stood still.
-    pub fn on_verified(&self, runner: &RunnerId, reachable: Option<bool>) {
-        let now_us = self.now_us();
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.update_suspicion(runner, |suspicion| suspicion.on_verified(reachable, now_us));
-        drop(fleet);
-        self.suspicion_changed.notify_waiters();
-    }
-
     /// This node has ordered a runner to change its role; the other nodes are to hear of it.
     pub fn on_role_ordered(&self, runner: &RunnerId, stage: Stage, until_us: u64) {
         self.fleet.borrow_mut().on_changing(runner, stage, until_us);
@@ -370,91 +344,6 @@
         log::info!(target: "configuration", version, before, routes, tenants; "adopted");
     }
 
-    /// Takes in a whole list of runners, read at a revision of the store.
-    pub fn replace_runners(
-        self: &Rc<Self>,
-        records: Vec<RunnerRecord>,
-        revision: u64,
-        lapses_until_us: Option<u64>,
-    ) {
-        let listed = records.len();
-        let gone = self.fleet.borrow_mut().replace_all(records, revision, lapses_until_us);
-        self.wait_for_lapsed(lapses_until_us);
-        for id in &gone {
-            self.on_runner_left(id, revision);
-        }
-        self.runners_known.set(true);
-        let gone = gone.len();
-        log::info!(target: "fleet", listed, gone, revision; "list read");
-        self.fleet_changed.notify_waiters();
-    }
-
-    /// Takes in a runner's entry.
-    pub fn put_runner(&self, record: RunnerRecord) {
-        let runner = record.id.clone();
-        let revision = record.revision;
-        let (service, zone) = (record.service.to_string(), record.zone.to_string());
-        let preemptible = record.preemptible;
-        let stage = record.stage.map_or("none", Stage::name);
-        let leaves_ms = record.leaves_ms.unwrap_or_default();
-        let change = self.fleet.borrow_mut().put(record);
-        match change {
-            FleetChange::Joined => {
-                log::info!(target: "fleet", runner = runner.as_str(), service, zone, preemptible, stage, revision; "joined");
-            }
-            FleetChange::Draining => {
-                log::info!(target: "fleet", runner = runner.as_str(), leaves_ms, revision; "draining");
-            }
-            FleetChange::Restaged => {
-                log::info!(target: "fleet", runner = runner.as_str(), revision; "restaged");
-            }
-            FleetChange::Left | FleetChange::Lapsed | FleetChange::None => {}
-        }
-        self.fleet_changed.notify_waiters();
-    }
-
-    /// A runner's entry has gone.
-    pub fn remove_runner(
-        self: &Rc<Self>,
-        id: &RunnerId,
-        revision: u64,
-        lapses_until_us: Option<u64>,
-    ) {
-        let change = self.fleet.borrow_mut().remove(id, revision, lapses_until_us);
-        match change {
-            FleetChange::Left => self.on_runner_left(id, revision),
-            FleetChange::Lapsed => {
-                log::info!(target: "fleet", runner = id.as_str(), revision; "lapsed");
-                self.wait_for_lapsed(lapses_until_us);
-            }
-            _ => {}
-        }
-    }
-
-    /// Until when an entry that is gone may only have lapsed while the store was away.
-    pub fn lapses_until_us(&self) -> Option<u64> {
-        self.freshness.borrow().runners.lapses_until_us(self.now_us())
-    }
-
-    /// Removes runners whose entries lapsed and are not back in time.
-    fn wait_for_lapsed(self: &Rc<Self>, until_us: Option<u64>) {
-        let Some(until_us) = until_us else { return };
-        let node = self.clone();
-        ntex::rt::spawn(async move {
-            let left_us = until_us.saturating_sub(node.now_us());
-            tokio::time::sleep(Duration::from_micros(left_us)).await;
-            let gone = node.fleet.borrow_mut().remove_lapsed(node.now_us());
-            for id in &gone {
-                node.on_runner_left(id, 0);
-            }
-        });
-    }
-
-    fn on_runner_left(&self, id: &RunnerId, revision: u64) {
-        self.pool.forget(id);
-        log::info!(target: "fleet", runner = id.as_str(), revision; "left");
-    }
-
     /// The service that gets the route's next request.
     pub fn next_service(&self, route: &Route) -> Option<ServiceName> {
         self.splitter.borrow_mut().next_service(route)
@@ -521,74 +410,4 @@
     pub fn is_closing(&self) -> bool {
         self.is_closing.get()
     }
-
-    /// Connections of clients. One that is not at rest may be about to bring a request.
-    pub fn open_connections(&self) -> usize {
-        self.open_connections.get()
-    }
-
-    /// Counts a client's connection as open until the guard is dropped.
-    pub fn open_connection(self: &Rc<Self>) -> OpenConnection {
-        self.open_connections.set(self.open_connections.get() + 1);
-        OpenConnection { node: self.clone() }
-    }
-
-    /// Requests that have no final answer yet.
-    pub fn open_requests(&self) -> usize {
-        self.open_requests.get()
-    }
-
-    /// Counts a request as open until the guard is dropped.
-    pub fn open_request(self: &Rc<Self>) -> OpenRequest {
-        self.open_requests.set(self.open_requests.get() + 1);
-        OpenRequest { node: self.clone() }
-    }
-
-    /// Sets memory for a body aside until the guard is dropped; `None` if there is too little.
-    pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
-        const BODIES_SHARE: u64 = 4;
-        const BYTES_PER_MEGABYTE: u64 = 1_000_000;
-        let share = self.settings().machine.memory_mb * BYTES_PER_MEGABYTE / BODIES_SHARE;
-        let most = usize::try_from(share).unwrap_or(usize::MAX);
-        let total = self.body_bytes.get() + bytes;
-        if total > most {
-            return None;
-        }
-        self.body_bytes.set(total);
-        Some(BodyReservation { node: self.clone(), bytes })
-    }
-}
-
-/// A client's connection.
-pub struct OpenConnection {
-    node: Rc<Node>,
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.node.open_connections.set(self.node.open_connections.get() - 1);
-    }
-}
-
-/// A request without its final answer.
-pub struct OpenRequest {
-    node: Rc<Node>,
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.node.open_requests.set(self.node.open_requests.get() - 1);
-    }
-}
-
-/// Memory set aside for a body.
-pub struct BodyReservation {
-    node: Rc<Node>,
-    bytes: usize,
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.node.body_bytes.set(self.node.body_bytes.get() - self.bytes);
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/node/runners.rs
@@ -0,0 +1,126 @@
+//! What a node takes in of its runners: entries of the store, and signs of life.
+
+use super::Node;
+use pitchstall_serving::fleet::FleetChange;
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::runner::{RunnerRecord, Stage};
+use std::rc::Rc;
+use std::time::Duration;
+
+impl Node {
+    /// Takes in a whole list of runners, read at a revision of the store.
+    pub fn replace_runners(
+        self: &Rc<Self>,
+        records: Vec<RunnerRecord>,
+        revision: u64,
+        lapses_until_us: Option<u64>,
+    ) {
+        let listed = records.len();
+        let gone = self.fleet.borrow_mut().replace_all(records, revision, lapses_until_us);
+        self.wait_for_lapsed(lapses_until_us);
+        for id in &gone {
+            self.on_runner_left(id, revision);
+        }
+        self.runners_known.set(true);
+        let gone = gone.len();
+        log::info!(target: "fleet", listed, gone, revision; "list read");
+        self.fleet_changed.notify_waiters();
+    }
+
+    /// Takes in a runner's entry.
+    pub fn put_runner(&self, record: RunnerRecord) {
+        let runner = record.id.clone();
+        let revision = record.revision;
+        let (service, zone) = (record.service.to_string(), record.zone.to_string());
+        let preemptible = record.preemptible;
+        let stage = record.stage.map_or("none", Stage::name);
+        let leaves_ms = record.leaves_ms.unwrap_or_default();
+        let change = self.fleet.borrow_mut().put(record);
+        match change {
+            FleetChange::Joined => {
+                log::info!(target: "fleet", runner = runner.as_str(), service, zone, preemptible, stage, revision; "joined");
+            }
+            FleetChange::Draining => {
+                log::info!(target: "fleet", runner = runner.as_str(), leaves_ms, revision; "draining");
+            }
+            FleetChange::Restaged => {
+                log::info!(target: "fleet", runner = runner.as_str(), revision; "restaged");
+            }
+            FleetChange::Left | FleetChange::Lapsed | FleetChange::None => {}
+        }
+        self.fleet_changed.notify_waiters();
+    }
+
+    /// A runner's entry has gone.
+    pub fn remove_runner(
+        self: &Rc<Self>,
+        id: &RunnerId,
+        revision: u64,
+        lapses_until_us: Option<u64>,
+    ) {
+        let change = self.fleet.borrow_mut().remove(id, revision, lapses_until_us);
+        match change {
+            FleetChange::Left => self.on_runner_left(id, revision),
+            FleetChange::Lapsed => {
+                log::info!(target: "fleet", runner = id.as_str(), revision; "lapsed");
+                self.wait_for_lapsed(lapses_until_us);
+            }
+            _ => {}
+        }
+    }
+
+    /// Until when an entry that is gone may only have lapsed while the store was away.
+    pub fn lapses_until_us(&self) -> Option<u64> {
+        self.freshness.borrow().runners.lapses_until_us(self.now_us())
+    }
+
+    /// Removes runners whose entries lapsed and are not back in time.
+    fn wait_for_lapsed(self: &Rc<Self>, until_us: Option<u64>) {
+        let Some(until_us) = until_us else { return };
+        let node = self.clone();
+        ntex::rt::spawn(async move {
+            let left_us = until_us.saturating_sub(node.now_us());
+            tokio::time::sleep(Duration::from_micros(left_us)).await;
+            let gone = node.fleet.borrow_mut().remove_lapsed(node.now_us());
+            for id in &gone {
+                node.on_runner_left(id, 0);
+            }
+        });
+    }
+
+    fn on_runner_left(&self, id: &RunnerId, revision: u64) {
+        self.pool.forget(id);
+        log::info!(target: "fleet", runner = id.as_str(), revision; "left");
+    }
+
+    /// A connection to a runner could not be opened.
+    pub fn on_unreachable(&self, runner: &RunnerId) {
+        self.fleet.borrow_mut().on_unreachable(runner, self.now_us());
+        self.suspicion_changed.notify_waiters();
+    }
+
+    /// An attempt that was sent at `sent_at_us` has heard nothing in all its time.
+    pub fn on_silence(&self, runner: &RunnerId, sent_at_us: u64) {
+        let now_us = self.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.update_suspicion(runner, |suspicion| suspicion.on_silence(sent_at_us, now_us));
+        drop(fleet);
+        self.suspicion_changed.notify_waiters();
+    }
+
+    /// Something came from a runner.
+    pub fn on_progress(&self, runner: &RunnerId) {
+        let now_us = self.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.update_suspicion(runner, |suspicion| suspicion.on_progress(now_us));
+    }
+
+    /// A doubt about a runner is settled; `None`: the node itself stood still.
+    pub fn on_verified(&self, runner: &RunnerId, reachable: Option<bool>) {
+        let now_us = self.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.update_suspicion(runner, |suspicion| suspicion.on_verified(reachable, now_us));
+        drop(fleet);
+        self.suspicion_changed.notify_waiters();
+    }
+}
