--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -174,6 +174,8 @@
 /// What the collector knows of its questions, for one term of its authority.
 #[derive(Clone, Debug, Default)]
 pub struct UsageCollector {
+    /// When the first question was asked, milliseconds since 1970.
+    first_asked_ms: Option<u64>,
     /// When questions were asked, by their number, milliseconds since 1970.
     asked_ms: BTreeMap<u64, u64>,
     /// When the last question was asked that a node has answered.
@@ -186,6 +188,7 @@
     /// A question has been asked.
     pub fn on_asked(&mut self, number: u64, now_ms: u64) {
         const KEPT_QUESTIONS: usize = 32;
+        self.first_asked_ms.get_or_insert(now_ms);
         self.asked_ms.insert(number, now_ms);
         while self.asked_ms.len() > KEPT_QUESTIONS {
             self.asked_ms.pop_first();
@@ -220,7 +223,11 @@
         let is_complete = |window: u64| {
             let settled_ms = times.windows.end_ms(window) + SETTLING_MS;
             nodes.clone().all(|node| {
-                self.answered_ms.get(node).is_some_and(|asked_ms| *asked_ms >= settled_ms)
+                let answered_ms = self.answered_ms.get(node).copied();
+                let has_told = answered_ms.is_some_and(|asked_ms| asked_ms >= settled_ms);
+                // One that has said nothing for so long is gone: it would hold up every window.
+                let silent_since_ms = answered_ms.or(self.first_asked_ms);
+                has_told || silent_since_ms.is_some_and(|since_ms| now_ms > since_ms + times.due_ms)
             })
         };
         let patience_ms = times.due_ms * WAITING_HUNDREDTHS / 100;
--- a/crates/serving/tests/usage.rs
+++ b/crates/serving/tests/usage.rs
@@ -90,6 +90,15 @@
     assert!(!collector.to_fix(nodes.iter(), TIMES, now_ms).contains(&WINDOW), "it is fixed once");
 }
 
+#[test_case(END_MS - 4_000, false; "one that was there some seconds ago may be cut off")]
+#[test_case(END_MS - 12_000, true; "one that has said nothing for as long as a report may take is gone")]
+fn a_node_that_is_gone_is_not_waited_for(last_answer_ms: u64, expected: bool) {
+    let answered = [("b", last_answer_ms), ("a", END_MS + 800)];
+    let nodes = [NodeId::new("a"), NodeId::new("b")];
+    let due = collector_with(&answered).to_fix(nodes.iter(), TIMES, END_MS + 1_000);
+    assert_eq!(due.contains(&WINDOW), expected);
+}
+
 #[test]
 fn an_answer_to_an_unknown_question_says_nothing() {
     let mut collector = collector_with(&[]);
