--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -208,6 +208,8 @@
         let Some(plan) = self.plans.get_mut(service) else { return false };
         match outcome {
             Ok(DutyAnswer::Done) => plan.planner.on_ordered(order),
+            // The same status tells of a higher fencing token: that one shows at the next order of
+            // the other kind, at a usage report, or when the lease is renewed.
             Ok(DutyAnswer::Conflict) if preemptible => {
                 plan.planner.on_none_to_be_had(order, now_us)
             }
