Tell in the logs which requests were under way at a runner when it ended

Change: a request has an identity (digest of method, host, path and query, tenant, body); a broken attempt is in doubt until its runner refuses a connection or leaves the list (ended), or accepts one (lives). Lines 'crash broken attempt' and 'crash runner ended' name identities, a counter counts them. Ruled out: the prompt's parts as the identity, since requests without a prompt have none; the client's address, which changes and is shared.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,10 +120,11 @@
             rested: None,
         }),
         Err(error) => {
+            let is_refused = error.is_refused();
             let error = error.to_string();
             let runner = record.id.as_str();
             log::info!(target: "attempt", runner, error; "unreachable");
-            node.on_unreachable(&record.id);
+            node.on_unreachable(&record.id, is_refused);
             None
         }
     }
@@ -181,14 +182,16 @@
     let sent_at = Instant::now();
     let sent_at_us = node.now_us();
     let connection = ConnectionUse { rested: prepared.rested, sent_at };
+    let broken = BrokenAttempt { request, tenant: params.tenant.as_ref(), runner: &runner };
     if let Err(error) = prepared.connection.send(bytes) {
-        return lost(node, request, &runner, connection, &error);
+        return lost(node, broken, connection, &error);
     }
     let head = read_own_head(request, &prepared);
     let answer = tokio::select! {
         answer = timeout(params.head_limit, head) => answer,
         () = becomes_suspect(node, &runner), if params.leaves_suspects => {
             log::info!(target: "attempt", request = request.facts.id.as_str(), runner = runner.as_str(); "left");
+            on_under_way(node, broken);
             return AttemptEnd::Silent;
         }
         () = doubt(node, &runner, params.doubt_after) => return AttemptEnd::Silent,
@@ -199,9 +202,10 @@
             let id = request.facts.id.as_str();
             log::info!(target: "attempt", request = id, runner = runner.as_str(), limit_ms; "silent");
             node.on_silence(&runner, sent_at_us);
+            on_under_way(node, broken);
             AttemptEnd::Silent
         }
-        Ok(Err(error)) => lost(node, request, &runner, connection, &error),
+        Ok(Err(error)) => lost(node, broken, connection, &error),
         Ok(Ok((head, facts))) => {
             log_head(request, &runner, &head, &facts, sent_at);
             classify(node, request, prepared, params, head, &facts)
@@ -328,23 +332,41 @@
     }
 }
 
+/// An attempt that ended before its answer was whole.
+#[derive(Clone, Copy)]
+pub struct BrokenAttempt<'a> {
+    /// The request.
+    pub request: &'a ClientRequest,
+    /// The tenant for whom it runs.
+    pub tenant: Option<&'a TenantName>,
+    /// The runner that had it.
+    pub runner: &'a RunnerId,
+}
+
 /// A connection broke before its answer was whole: the runner has crashed, or it lost one
 /// answer.
-pub fn on_broken(node: &Rc<Node>, runner: &RunnerId) {
+pub fn on_broken(node: &Rc<Node>, broken: BrokenAttempt<'_>) {
     let now_us = node.now_us();
-    node.fleet.borrow_mut().on_broken_answer(runner, now_us);
-    verify(node, runner, now_us);
+    node.fleet.borrow_mut().on_broken_answer(broken.runner, now_us);
+    on_under_way(node, broken);
+    verify(node, broken.runner, now_us);
+}
+
+/// A request was under way at a runner that may have ended.
+fn on_under_way(node: &Rc<Node>, broken: BrokenAttempt<'_>) {
+    let identity = broken.request.identity(broken.tenant);
+    node.on_broken_attempt(broken.runner, broken.request.facts.id.as_str(), identity);
 }
 
 fn lost(
     node: &Rc<Node>,
-    request: &ClientRequest,
-    runner: &RunnerId,
+    broken: BrokenAttempt<'_>,
     connection: ConnectionUse,
     error: &ReadFailure,
 ) -> AttemptEnd {
     let error = error.to_string();
-    let id = request.facts.id.as_str();
+    let runner = broken.runner;
+    let id = broken.request.facts.id.as_str();
     let found_dead = connection.found_dead();
     let rested_ms = found_dead.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
     log::info!(target: "attempt", request = id, runner = runner.as_str(), rested_ms, error; "lost");
@@ -352,8 +374,11 @@
         Some(rested) => {
             node.pool.on_dead(rested);
             node.pool.forget(runner);
+            // It may also have ended just after it took the request.
+            on_under_way(node, broken);
+            verify(node, runner, node.now_us());
         }
-        None => on_broken(node, runner),
+        None => on_broken(node, broken),
     }
     AttemptEnd::Lost
 }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -8,7 +8,7 @@
 
 use self::planning::elapsed_ms;
 use crate::answers::OwnAnswer;
-use crate::attempt::{self, Answering, AttemptEnd, AttemptParams};
+use crate::attempt::{self, Answering, AttemptEnd, AttemptParams, BrokenAttempt};
 use crate::connection::ClientConnection;
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
 use crate::node::Node;
@@ -303,6 +303,7 @@
                 let error = error.to_string();
                 let id = self.request.facts.id.as_str();
                 log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "broken off");
+                attempt::on_broken(self.node, self.broken(&runner));
                 return self.on_lost(runner);
             }
             Err(_) => return self.on_lost(runner),
@@ -383,8 +384,13 @@
         self.give_up(GiveUp::OutOfTime)
     }
 
+    fn broken<'b>(&'b self, runner: &'b RunnerId) -> BrokenAttempt<'b> {
+        let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
+        BrokenAttempt { request: self.request, tenant, runner }
+    }
+
     fn on_broken_stream(&mut self, runner: RunnerId) -> Step {
-        attempt::on_broken(self.node, &runner);
+        attempt::on_broken(self.node, self.broken(&runner));
         let id = self.request.facts.id.as_str();
         let after = self.stream.join.last_id().unwrap_or_default();
         let begun = self.stream.begun;
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -31,6 +31,13 @@
     Refused(#[from] std::io::Error),
 }
 
+impl ConnectFailure {
+    /// Whether the other side's system said that nobody listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Why an answer could not be read to its end. The request may have run.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadFailure {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -9,10 +9,13 @@
 use ntex::http::Request;
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::configuration::{Configuration, Route};
+use pitchstall_serving::ids::TenantName;
 use pitchstall_serving::request::RequestFacts;
+use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
 use pitchstall_serving::retry_budget::SharedRetryBudget;
 use pitchstall_serving::routing::find_route;
 use pitchstall_serving::tenancy::{authorize, Access, Tenant};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -34,6 +37,7 @@
     pub facts: RequestFacts,
     /// When its first byte came.
     pub received: Instant,
+    identity: OnceCell<RequestIdentity>,
     _reservation: Option<BodyReservation>,
 }
 
@@ -104,9 +108,24 @@
             body,
             facts,
             received,
+            identity: OnceCell::new(),
             _reservation: reservation,
         })
     }
+
+    /// What stays of the request when it comes again under another id. Worked out when it is first
+    /// asked for: most requests never need it.
+    pub fn identity(&self, tenant: Option<&TenantName>) -> RequestIdentity {
+        *self.identity.get_or_init(|| {
+            RequestIdentity::of(&RequestParts {
+                method: &self.method,
+                host: &self.host,
+                target: &self.target,
+                tenant,
+                body: &self.body,
+            })
+        })
+    }
 }
 
 fn pair_refs(headers: &[Header]) -> impl Iterator<Item = (&str, &[u8])> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub retries: Counter,
     /// Retries that the budget did not allow.
     pub retries_denied: Counter,
+    /// Requests that were under way at a runner when it ended.
+    pub requests_under_ended_runners: Counter,
     /// Streams that went on at another runner.
     pub resumes: Counter,
     /// Connections opened to runners.
@@ -58,6 +60,7 @@
             attempts: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
+            requests_under_ended_runners: Counter::default(),
             resumes: Counter::default(),
             connections: Counter::default(),
             placements_told: Counter::default(),
@@ -80,6 +83,11 @@
             ("attempts", "Attempts sent to runners", &self.attempts),
             ("retries", "Attempts that drew on the retry budget", &self.retries),
             ("retries_denied", "Retries that the budget did not allow", &self.retries_denied),
+            (
+                "requests_under_ended_runners",
+                "Requests under way at a runner when it ended",
+                &self.requests_under_ended_runners,
+            ),
             ("resumes", "Streams that went on at another runner", &self.resumes),
             ("connections", "Connections opened to runners", &self.connections),
             ("placements_told", "Requests that a scheduler has placed", &self.placements_told),
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -16,6 +16,7 @@
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
+use pitchstall_serving::crash_evidence::CrashEvidence;
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::freshness::StoreFreshness;
@@ -74,6 +75,8 @@
     pub authority: Holding,
     /// Requests of tenants that began to run, here and at other nodes.
     pub usage: RefCell<UsageLedger>,
+    /// Attempts that broke, until it is known whether their runners ended.
+    pub crash_evidence: RefCell<CrashEvidence>,
     /// What the collector of usage knows, while this node is it.
     pub usage_collector: RefCell<UsageCollector>,
     /// This start of the node, drawn at random: the time of day may jump back.
@@ -136,6 +139,7 @@
             stopping: Notify::new(),
             authority: Holding::default(),
             usage: RefCell::default(),
+            crash_evidence: RefCell::default(),
             usage_collector: RefCell::default(),
             incarnation: rand::rng().random(),
             wall_clock: RefCell::default(),
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -1,6 +1,6 @@
 //! Has a prompt read by a prefill runner, and keeps the handle until it is taken or freed.
 
-use crate::attempt::{self, AttemptEnd, AttemptParams, Prepared};
+use crate::attempt::{self, AttemptEnd, AttemptParams, BrokenAttempt, Prepared};
 use crate::http::request::request_bytes;
 use crate::http::Upstream;
 use crate::intake::ClientRequest;
@@ -95,8 +95,17 @@
         AttemptEnd::Declined => return ReadingEnd::Declined,
         AttemptEnd::Silent | AttemptEnd::Lost => return ReadingEnd::Failed,
     };
-    let Ok(Ok(answer)) = timeout(params.head_limit, answering.read_whole()).await else {
-        return ReadingEnd::Failed;
+    let answer = match timeout(params.head_limit, answering.read_whole()).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => {
+            let (request, error) = (demand.request.facts.id.as_str(), error.to_string());
+            log::info!(target: "reading", request, runner = runner.as_str(), error; "broken off");
+            let tenant = params.tenant.as_ref();
+            let broken = BrokenAttempt { request: demand.request, tenant, runner: &runner };
+            attempt::on_broken(node, broken);
+            return ReadingEnd::Failed;
+        }
+        Err(_) => return ReadingEnd::Failed,
     };
     let name = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
     let Some(name) = name else { return ReadingEnd::Failed };
--- a/crates/gateway/src/verification.rs
+++ b/crates/gateway/src/verification.rs
@@ -1,6 +1,6 @@
 //! Settles doubts about runners by opening connections to them.
 
-use crate::http::Upstream;
+use crate::http::{ConnectFailure, Upstream};
 use crate::node::Node;
 use pitchstall_serving::ids::RunnerId;
 use std::rc::Rc;
@@ -28,7 +28,8 @@
             let reachable = (opened.is_ok() || !stood_still).then_some(opened.is_ok());
             let took_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
             log::info!(target: "verification", runner = runner.as_str(), reachable:?, took_ms; "verified");
-            node.on_verified(&runner, reachable);
+            let is_refused = opened.as_ref().is_err_and(ConnectFailure::is_refused);
+            node.on_verified(&runner, reachable, is_refused);
             if let Ok(connection) = opened {
                 node.pool.give_back(&runner, connection, None);
             }
--- /dev/null
+++ b/crates/serving/src/crash_evidence.rs
@@ -0,0 +1,94 @@
+//! Which requests were under way at a runner when it ended.
+//!
+//! An attempt that breaks proves little: the runner may have ended, or have lost one answer. So a
+//! broken attempt is kept in doubt until the runner's fate is known:
+//!
+//! - a connection that is *refused*, or the runner's entry leaving the list: it has ended;
+//! - a connection that is *accepted*, or anything else that comes from it: it lives;
+//! - a connection that hangs proves neither: the runner may be cut off.
+//!
+//! Every attempt that was sent and had no end counts, whether its prompt was being read, it waited
+//! or it ran: a runner may end before the head of its answer is out, and what waited there is told
+//! apart from what ends runners by what happens to it elsewhere ([`crate::quarantine`]).
+
+use crate::ids::RunnerId;
+use crate::request_identity::RequestIdentity;
+use std::collections::HashMap;
+
+/// Time for which a broken attempt stays in doubt, microseconds: an entry leaves the list after
+/// three heartbeats, which are seconds apart, and a store that is away holds that up.
+const DOUBT_US: u64 = 30_000_000;
+/// Time for which a runner is known to have ended, microseconds: its last attempts break within
+/// milliseconds, at a node that stands still within seconds.
+const ENDED_US: u64 = 10_000_000;
+/// Requests in doubt at one runner that are kept: a runner has some hundred slots and a queue.
+const MOST_IN_DOUBT: usize = 1_024;
+
+/// What one node knows of attempts that broke.
+#[derive(Clone, Debug, Default)]
+pub struct CrashEvidence {
+    in_doubt: HashMap<RunnerId, Vec<BrokenAttempt>>,
+    /// Runners that have ended, and when that was learnt.
+    ended: HashMap<RunnerId, u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct BrokenAttempt {
+    request: RequestIdentity,
+    broken_at_us: u64,
+}
+
+impl CrashEvidence {
+    /// An attempt broke, or was left without an answer. Returns whether its runner is already
+    /// known to have ended; otherwise it is in doubt.
+    pub fn on_broken(&mut self, runner: &RunnerId, request: RequestIdentity, now_us: u64) -> bool {
+        self.forget(now_us);
+        if self.ended.contains_key(runner) {
+            return true;
+        }
+        let broken = self.in_doubt.entry(runner.clone()).or_default();
+        let is_known = broken.iter().any(|attempt| attempt.request == request);
+        if !is_known && broken.len() < MOST_IN_DOUBT {
+            broken.push(BrokenAttempt { request, broken_at_us: now_us });
+        }
+        false
+    }
+
+    /// A runner has ended. Returns the requests that were under way there.
+    pub fn on_ended(&mut self, runner: &RunnerId, now_us: u64) -> Vec<RequestIdentity> {
+        self.ended.insert(runner.clone(), now_us);
+        let broken = self.in_doubt.remove(runner).unwrap_or_default();
+        broken.into_iter().map(|attempt| attempt.request).collect()
+    }
+
+    /// A runner lives: what broke there broke for another reason.
+    pub fn on_alive(&mut self, runner: &RunnerId) {
+        self.in_doubt.remove(runner);
+    }
+
+    /// A request was answered whole: it does not end runners.
+    pub fn on_answered(&mut self, request: RequestIdentity) {
+        for broken in self.in_doubt.values_mut() {
+            broken.retain(|attempt| attempt.request != request);
+        }
+    }
+
+    /// Runners at which a request broke and whose fate is not known.
+    pub fn in_doubt_under(&self, request: RequestIdentity) -> impl Iterator<Item = &RunnerId> {
+        let broke = move |broken: &[BrokenAttempt]| broken.iter().any(|it| it.request == request);
+        self.in_doubt.iter().filter(move |(_, broken)| broke(broken)).map(|(runner, _)| runner)
+    }
+
+    /// Whether nothing is in doubt.
+    pub fn is_empty(&self) -> bool {
+        self.in_doubt.is_empty()
+    }
+
+    fn forget(&mut self, now_us: u64) {
+        self.ended.retain(|_, ended_at_us| now_us < *ended_at_us + ENDED_US);
+        for broken in self.in_doubt.values_mut() {
+            broken.retain(|attempt| now_us < attempt.broken_at_us + DOUBT_US);
+        }
+        self.in_doubt.retain(|_, broken| !broken.is_empty());
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
+//! | [`request_identity`] | which requests are the same one, whatever ids they carry |
 //! | [`digest`] | what every node tells the others now and then |
 //! | [`store_copy`] | what brings another node's copy of the store up to date |
 //! | [`membership`] | which nodes read the store, and which follow them |
@@ -29,6 +30,7 @@
 //! | [`tenancy`] | who may send requests, and for whom they run |
 //! | [`usage`], [`wall_clock`] | how many requests of each tenant began, and when |
 //! | [`retry_budget`] | whether one more attempt may be made |
+//! | [`crash_evidence`] | which requests were under way at a runner when it ended |
 //! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
 //! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
 
@@ -36,6 +38,7 @@
 pub mod authority;
 pub mod capacity_planner;
 pub mod configuration;
+pub mod crash_evidence;
 pub mod digest;
 pub mod event_stream;
 pub mod failure_rate;
@@ -48,6 +51,7 @@
 pub mod prefix_cache;
 pub mod read_pace;
 pub mod request;
+pub mod request_identity;
 pub mod reservations;
 pub mod retry_budget;
 pub mod role_planner;
--- /dev/null
+++ b/crates/serving/src/request_identity.rs
@@ -0,0 +1,101 @@
+//! What makes two requests the same one, whatever ids they carry: who asks, and for what.
+//!
+//! A client that comes again has a new id each time. Method, host, path with its query, tenant and
+//! body stay. The identity is a digest of these, so that it can be logged, told to other nodes and
+//! kept in the store: no key, body or word of a client can be read from it. It is a strong digest,
+//! cut to 128 bits, since a sound request must never be taken for another one.
+
+use crate::ids::TenantName;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use std::fmt;
+
+/// Bytes of an identity: two requests of a day share one with a chance below one in 10^20.
+const IDENTITY_BYTES: usize = 16;
+
+/// The parts of a request that stay when it comes again.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestParts<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host that the client named.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// The tenant for whom it runs; `None` where there are none. Without tenants nothing tells
+    /// callers apart that lasts: addresses change, and many callers may share one.
+    pub tenant: Option<&'a TenantName>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Digest of a request's lasting parts. As text it is 32 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct RequestIdentity([u8; IDENTITY_BYTES]);
+
+/// A text is no identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an identity is 32 hexadecimal digits")]
+pub struct InvalidIdentity;
+
+impl RequestIdentity {
+    /// The identity of a request.
+    pub fn of(parts: &RequestParts<'_>) -> Self {
+        let tenant = parts.tenant.map_or("", TenantName::as_str);
+        let host = parts.host.to_ascii_lowercase();
+        let fields = [parts.method, &host, parts.target, tenant];
+        let mut hash = Sha256::new();
+        for field in fields.map(str::as_bytes).into_iter().chain([parts.body]) {
+            // The length before each field keeps the end of one from passing for the start of the next.
+            hash.update((field.len() as u64).to_le_bytes());
+            hash.update(field);
+        }
+        let digest = hash.finalize();
+        let mut identity = [0; IDENTITY_BYTES];
+        identity.copy_from_slice(&digest[..IDENTITY_BYTES]);
+        Self(identity)
+    }
+}
+
+impl fmt::Display for RequestIdentity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestIdentity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+impl From<RequestIdentity> for String {
+    fn from(identity: RequestIdentity) -> Self {
+        identity.to_string()
+    }
+}
+
+impl std::str::FromStr for RequestIdentity {
+    type Err = InvalidIdentity;
+
+    fn from_str(text: &str) -> Result<Self, InvalidIdentity> {
+        let digits = text.as_bytes();
+        if digits.len() != 2 * IDENTITY_BYTES || !digits.iter().all(u8::is_ascii_hexdigit) {
+            return Err(InvalidIdentity);
+        }
+        let mut identity = [0; IDENTITY_BYTES];
+        for (byte, place) in identity.iter_mut().zip((0..digits.len()).step_by(2)) {
+            *byte = u8::from_str_radix(&text[place..place + 2], 16).map_err(|_| InvalidIdentity)?;
+        }
+        Ok(Self(identity))
+    }
+}
+
+impl TryFrom<String> for RequestIdentity {
+    type Error = InvalidIdentity;
+
+    fn try_from(text: String) -> Result<Self, InvalidIdentity> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/crash_evidence.rs
@@ -0,0 +1,69 @@
+//! Which requests were under way at a runner when it ended.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::crash_evidence::CrashEvidence;
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
+
+const SECOND_US: u64 = 1_000_000;
+
+fn request(number: u8) -> RequestIdentity {
+    let parts =
+        RequestParts { method: "POST", host: "h", target: "/x", tenant: None, body: &[number] };
+    RequestIdentity::of(&parts)
+}
+
+fn runner(name: &str) -> RunnerId {
+    RunnerId::new(name)
+}
+
+#[test]
+fn a_broken_attempt_proves_nothing_until_its_runner_has_ended() {
+    let mut evidence = CrashEvidence::default();
+    assert!(!evidence.on_broken(&runner("a"), request(1), 0));
+    assert!(!evidence.on_broken(&runner("a"), request(2), 5));
+    assert_eq!(evidence.in_doubt_under(request(1)).count(), 1);
+    let mut under_way = evidence.on_ended(&runner("a"), 10);
+    under_way.sort_unstable();
+    let mut expected = vec![request(1), request(2)];
+    expected.sort_unstable();
+    assert_eq!(under_way, expected);
+    assert!(evidence.is_empty());
+}
+
+#[test]
+fn an_end_is_told_once_for_each_request() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_broken(&runner("a"), request(1), 0);
+    evidence.on_broken(&runner("a"), request(1), 1);
+    assert_eq!(evidence.on_ended(&runner("a"), 10).len(), 1);
+    assert!(evidence.on_ended(&runner("a"), 20).is_empty());
+}
+
+#[test]
+fn an_attempt_that_breaks_after_its_runner_ended_is_no_doubt() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_ended(&runner("a"), 0);
+    assert!(evidence.on_broken(&runner("a"), request(1), SECOND_US));
+    assert!(!evidence.on_broken(&runner("b"), request(1), SECOND_US));
+}
+
+#[test]
+fn a_runner_that_lives_has_only_lost_answers() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_broken(&runner("a"), request(1), 0);
+    evidence.on_alive(&runner("a"));
+    assert!(evidence.on_ended(&runner("a"), 10).is_empty());
+}
+
+#[test]
+fn an_answer_clears_a_request_and_time_clears_all() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_broken(&runner("a"), request(1), 0);
+    evidence.on_broken(&runner("a"), request(2), 0);
+    evidence.on_answered(request(1));
+    assert_eq!(evidence.on_ended(&runner("a"), 10), [request(2)]);
+    evidence.on_broken(&runner("b"), request(1), 0);
+    evidence.on_broken(&runner("c"), request(1), 60 * SECOND_US);
+    assert!(evidence.on_ended(&runner("b"), 60 * SECOND_US).is_empty());
+}
