Send a request to no runner any more once three runners have ended under it

Cause: whatever a node learns of a request ends with its try. Excluded runners, runs and the retry budget belong to one id; a request that ends what runs it comes again under another one, at any node, and begins anew each time. Class: a repeat without a memory of why the one before failed. Ruled out: retries of one try (at most two ends under one id, max_attempts holds); sick runners (two ends had a single request under way, none followed an order or a load); a bound at the caller's address or key alone, which sound requests share. Change: ends of runners under a request are counted by its identity, once a runner, told to all nodes at once and kept in the store under pitchstall/crashes/, which every node follows as it follows runners. With three it reaches no runner: 503 without Retry-After if this try has not run.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -33,6 +33,8 @@
     Unconfigured,
     /// It has not run and will not; the client may come back.
     Refused,
+    /// Runners have ended under it: it has not run, and coming back is in vain.
+    Quarantined,
     /// It may have run; the attempt failed.
     BadGateway,
     /// It may have run; time is up.
@@ -43,6 +45,7 @@
     fn from(answer: FinalAnswer) -> Self {
         match answer {
             FinalAnswer::Refuse => Self::Refused,
+            FinalAnswer::RefuseForGood => Self::Quarantined,
             FinalAnswer::BadGateway => Self::BadGateway,
             FinalAnswer::TimedOut => Self::TimedOut,
         }
@@ -59,7 +62,7 @@
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::Unconfigured | Self::Unverifiable | Self::Refused => {
+            Self::Unconfigured | Self::Unverifiable | Self::Refused | Self::Quarantined => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::BadGateway => StatusCode::BAD_GATEWAY,
@@ -89,6 +92,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::Unconfigured => "unconfigured",
             Self::Refused => "refused",
+            Self::Quarantined => "quarantined",
             Self::BadGateway => "bad_gateway",
             Self::TimedOut => "timed_out",
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::peer_words::PeerSocket;
 use crate::peers::Peers;
 use crate::policy::PolicyProgram;
+use crate::quarantine;
 use crate::roles;
 use crate::scaling;
 use crate::scheduling;
@@ -103,7 +104,7 @@
     let socket = PeerSocket::new(Rc::new(datagrams));
     let node = Node::new(settings, socket.clone());
     node.adopt_policy_program(program);
-    for subject in [Subject::Configuration, Subject::Runners] {
+    for subject in Subject::ALL {
         ntex::rt::spawn(watcher::follow(node.clone(), subject));
     }
     let peers = Peers::new(node.clone(), socket);
@@ -113,6 +114,7 @@
     ntex::rt::spawn(peers.register());
     ntex::rt::spawn(authority::hold(node.clone()));
     ntex::rt::spawn(roles::order_changes(node.clone()));
+    ntex::rt::spawn(quarantine::keep_written(node.clone()));
     ntex::rt::spawn(usage::report(node.clone()));
     ntex::rt::spawn(scaling::order_runners(node.clone()));
     ntex::rt::spawn(cache_listing::list_own_shards(node.clone()));
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
+use pitchstall_serving::request_identity::RequestIdentity;
 use pitchstall_serving::retry_budget::{ArrivalCost, ArrivalLedger, SharedRetryBudget};
 use pitchstall_serving::scheduling::Progress;
 use pitchstall_serving::tenancy::Tenant;
@@ -133,6 +134,9 @@
         if self.time_left().is_zero() {
             return self.give_up(GiveUp::OutOfTime);
         }
+        if self.is_quarantined() {
+            return self.give_up(GiveUp::Quarantined);
+        }
         let plan = match self.plan().await {
             Ok(plan) => plan,
             Err(reason) => return self.give_up(reason),
@@ -141,6 +145,10 @@
             plan.tell(Progress::Unreachable(plan.choice.runner.clone()));
             return self.on_unreachable(plan.choice.runner);
         };
+        // The word may have come while the request was placed and its prompt read.
+        if self.is_quarantined() {
+            return self.give_up(GiveUp::Quarantined);
+        }
         let cost = self.arrivals.on_run();
         if cost != ArrivalCost::Free && plan.prompt.is_none() && self.is_too_late(&plan.choice) {
             return self.give_up(GiveUp::OutOfTime);
@@ -180,6 +188,15 @@
         }
     }
 
+    /// Whether it reaches no runner any more: asked before each time that it would.
+    fn is_quarantined(&self) -> bool {
+        self.node.is_quarantined(|| self.identity())
+    }
+
+    fn identity(&self) -> RequestIdentity {
+        self.request.identity(self.tenant.as_ref().map(|tenant| &tenant.name))
+    }
+
     /// Counts the request for its tenant when it begins to run; once, however often it is repeated.
     fn begin_mark(&self, sent_at: Instant) -> BeginMark {
         let tenant = self.tenant.as_ref().filter(|_| !self.is_counted);
@@ -309,6 +326,7 @@
             Err(_) => return self.on_lost(runner),
         };
         answering.give_back(self.node);
+        self.node.on_whole_answer(|| self.identity());
         const FIRST_FAILURE: u16 = 500;
         if answer.status < FIRST_FAILURE || self.stream.begun {
             return self.done_whole(answer);
@@ -343,6 +361,7 @@
         match end {
             RelayEnd::Complete => {
                 answering.give_back(self.node);
+                self.node.on_whole_answer(|| self.identity());
                 Step::Done(RequestEnd::Streamed)
             }
             RelayEnd::ClientGone => Step::Done(RequestEnd::ClientGone),
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -132,6 +132,9 @@
             self.excluded.push(reader.runner);
             return None;
         };
+        if self.is_quarantined() {
+            return None;
+        }
         let cost = self.arrivals.on_reading();
         if cost != ArrivalCost::Free && self.is_too_late(&reader) {
             return None;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod peers;
 pub mod platform_client;
 pub mod policy;
+pub mod quarantine;
 pub mod reading;
 pub mod relay;
 pub mod roles;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -9,12 +9,13 @@
 use ntex::http::body::BodySize;
 use ntex::http::h1::{Codec, Message};
 use ntex::http::header::{HeaderValue, CONTENT_TYPE};
-use ntex::http::{Response, StatusCode};
+use ntex::http::{Method, Response, StatusCode};
 use ntex::io::Io;
 use ntex::util::Bytes;
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::paths;
 use pitchstall_serving::configuration::ClientLimits;
+use pitchstall_serving::request_identity::InvalidIdentity;
 use socket2::SockRef;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 
 /// Path of the metrics on the health address.
 pub const METRICS_PATH: &str = "/metrics";
+/// Path of the requests under which runners have ended, on the health address. With `DELETE`, and an
+/// identity after it, one of them is taken out of quarantine.
+pub const QUARANTINE_PATH: &str = "/quarantine";
 /// Bytes that a client does not acknowledge for this long break its connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
 /// Time for which a connection of the health address may rest.
@@ -83,7 +87,7 @@
 async fn serve_health(io: Io, config: SharedCfg, node: Rc<Node>) {
     let codec = Codec::new(0, config.get());
     while let Ok(Ok(Some((request, _)))) = timeout(HEALTH_IDLE, io.recv(&codec)).await {
-        let (response, body) = health_answer(request.path(), &node);
+        let (response, body) = health_answer(request.method(), request.path(), &node);
         let size = BodySize::Sized(body.len() as u64);
         let written = io.encode(Message::Item((response, size)), &codec).is_ok()
             && io.encode(Message::Chunk(Some(Bytes::from(body))), &codec).is_ok()
@@ -96,7 +100,10 @@
     io.close();
 }
 
-fn health_answer(path: &str, node: &Node) -> (Response<()>, String) {
+fn health_answer(method: &Method, path: &str, node: &Node) -> (Response<()>, String) {
+    if let Some(identity) = path.strip_prefix(QUARANTINE_PATH).and_then(|it| it.strip_prefix('/')) {
+        return lift_quarantine(method, identity, node);
+    }
     match path {
         paths::READY if node.is_ready() => answer(StatusCode::OK, "ready\n"),
         paths::READY => answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
@@ -106,10 +113,31 @@
             response.headers_mut().insert(CONTENT_TYPE, content_type);
             (response, node.metrics.render())
         }
+        QUARANTINE_PATH => {
+            let suspects = node.quarantine.borrow().suspects();
+            answer(StatusCode::OK, &serde_json::json!(suspects).to_string())
+        }
         _ => answer(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
 
+/// An operator takes a request out of quarantine, at all nodes.
+fn lift_quarantine(method: &Method, identity: &str, node: &Node) -> (Response<()>, String) {
+    if method != Method::DELETE {
+        return answer(StatusCode::METHOD_NOT_ALLOWED, "expected DELETE\n");
+    }
+    match identity.parse() {
+        Err(error) => {
+            let error: InvalidIdentity = error;
+            answer(StatusCode::BAD_REQUEST, &format!("{error}\n"))
+        }
+        Ok(identity) if node.clear(identity, "lifted by an operator") => {
+            answer(StatusCode::OK, "lifted\n")
+        }
+        Ok(_) => answer(StatusCode::NOT_FOUND, "no runner has ended under it\n"),
+    }
+}
+
 fn answer(status: StatusCode, body: &str) -> (Response<()>, String) {
     (Response::with_body(status, ()), body.to_owned())
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub retries_denied: Counter,
     /// Requests that were under way at a runner when it ended.
     pub requests_under_ended_runners: Counter,
+    /// Requests that went into quarantine, as far as this node knows.
+    pub quarantines: Counter,
     /// Streams that went on at another runner.
     pub resumes: Counter,
     /// Connections opened to runners.
@@ -61,6 +63,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             requests_under_ended_runners: Counter::default(),
+            quarantines: Counter::default(),
             resumes: Counter::default(),
             connections: Counter::default(),
             placements_told: Counter::default(),
@@ -88,6 +91,7 @@
                 "Requests under way at a runner when it ended",
                 &self.requests_under_ended_runners,
             ),
+            ("quarantines", "Requests that went into quarantine", &self.quarantines),
             ("resumes", "Streams that went on at another runner", &self.resumes),
             ("connections", "Connections opened to runners", &self.connections),
             ("placements_told", "Requests that a scheduler has placed", &self.placements_told),
--- /dev/null
+++ b/crates/gateway/src/node/crashes.rs
@@ -0,0 +1,102 @@
+//! What a node takes in of runners that ended under requests, and which requests it sends to none.
+
+use super::{machine_wall_ms, Node};
+use crate::peer_words::PeerWord;
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::quarantine::{CrashWord, End, EndChange};
+use pitchstall_serving::request_identity::RequestIdentity;
+
+/// Requests that the line on the end of a runner names.
+const IDENTITIES_LOGGED: usize = 32;
+/// Requests in one word to other nodes.
+const REQUESTS_A_WORD: usize = 64;
+
+impl Node {
+    /// An attempt broke, or was left without an answer.
+    pub fn on_broken_attempt(&self, runner: &RunnerId, request: &str, identity: RequestIdentity) {
+        let now_us = self.now_us();
+        let has_ended = self.crash_evidence.borrow_mut().on_broken(runner, identity, now_us);
+        let (runner_name, identity_text) = (runner.as_str(), identity.to_string());
+        log::info!(target: "crash", request, runner = runner_name, identity = identity_text, has_ended; "broken attempt");
+        if has_ended {
+            self.on_under_ended(runner, &[identity]);
+        }
+    }
+
+    /// A runner has ended: what was under way there may have caused it.
+    pub(super) fn on_runner_ended(&self, runner: &RunnerId) {
+        let under_way = self.crash_evidence.borrow_mut().on_ended(runner, self.now_us());
+        if !under_way.is_empty() {
+            self.on_under_ended(runner, &under_way);
+        }
+    }
+
+    /// Counts the end of a runner under requests, and tells the other nodes at once: the requests may
+    /// come again at any of them a few milliseconds later.
+    fn on_under_ended(&self, runner: &RunnerId, under_way: &[RequestIdentity]) {
+        let requests = under_way.len();
+        self.metrics.requests_under_ended_runners.inc_by(requests as u64);
+        let named = under_way.iter().take(IDENTITIES_LOGGED).map(ToString::to_string);
+        let identities = named.collect::<Vec<_>>().join(" ");
+        log::warn!(target: "crash", runner = runner.as_str(), requests, identities; "runner ended");
+        let now_us = self.now_us();
+        for request in under_way {
+            let end = End { request: *request, runner: runner.clone() };
+            let change = self.quarantine.borrow_mut().on_seen(&end, machine_wall_ms(), now_us);
+            self.log_end(&end, change, "seen");
+        }
+        self.quarantine_changed.notify_one();
+        for requests in under_way.chunks(REQUESTS_A_WORD) {
+            let (runner, requests) = (runner.clone(), requests.to_vec());
+            self.tell_all(CrashWord::Ended { runner, requests });
+        }
+    }
+
+    fn tell_all(&self, word: CrashWord) {
+        let others = self.members.borrow().others();
+        self.scheduling.socket.send(&PeerWord::Crash(word), &others);
+    }
+
+    /// Logs that a request goes into quarantine.
+    pub fn log_end(&self, end: &End, change: EndChange, source: &str) {
+        if change == EndChange::Quarantined {
+            self.metrics.quarantines.inc();
+            let (identity, runner) = (end.request.to_string(), end.runner.as_str());
+            log::warn!(target: "crash", identity, runner, source; "quarantined");
+        }
+    }
+
+    /// Whether a request reaches no runner any more. `identity` is asked for only if any runner has
+    /// ended under any request lately: most requests need none.
+    pub fn is_quarantined(&self, identity: impl FnOnce() -> RequestIdentity) -> bool {
+        let evidence = self.crash_evidence.borrow();
+        let quarantine = self.quarantine.borrow();
+        if evidence.is_empty() && quarantine.is_empty() {
+            return false;
+        }
+        let identity = identity();
+        quarantine.holds(identity, evidence.in_doubt_under(identity, self.now_us()))
+    }
+
+    /// A runner has answered a request whole: it does not end runners.
+    pub fn on_whole_answer(&self, identity: impl FnOnce() -> RequestIdentity) {
+        if self.crash_evidence.borrow().is_empty() && self.quarantine.borrow().is_empty() {
+            return;
+        }
+        let identity = identity();
+        self.crash_evidence.borrow_mut().on_answered(identity);
+        self.clear(identity, "answered");
+    }
+
+    /// A request is cleared of the runners that ended under it, here and everywhere. Returns whether
+    /// there were any.
+    pub fn clear(&self, identity: RequestIdentity, reason: &str) -> bool {
+        let is_known = self.quarantine.borrow_mut().clear(identity);
+        if is_known {
+            log::info!(target: "crash", identity = identity.to_string(), reason; "cleared");
+            self.quarantine_changed.notify_one();
+            self.tell_all(CrashWord::Cleared { request: identity });
+        }
+        is_known
+    }
+}
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! What the node believes and counts; shared by all tasks of its one thread.
 
+mod crashes;
 mod runners;
 mod work;
 
@@ -23,6 +24,7 @@
 use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::prefix::PromptPart;
+use pitchstall_serving::quarantine::Quarantine;
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
@@ -77,6 +79,10 @@
     pub usage: RefCell<UsageLedger>,
     /// Attempts that broke, until it is known whether their runners ended.
     pub crash_evidence: RefCell<CrashEvidence>,
+    /// Requests under which runners have ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Told when the store is to be told of such requests.
+    pub quarantine_changed: Notify,
     /// What the collector of usage knows, while this node is it.
     pub usage_collector: RefCell<UsageCollector>,
     /// This start of the node, drawn at random: the time of day may jump back.
@@ -140,6 +146,8 @@
             authority: Holding::default(),
             usage: RefCell::default(),
             crash_evidence: RefCell::default(),
+            quarantine: RefCell::default(),
+            quarantine_changed: Notify::new(),
             usage_collector: RefCell::default(),
             incarnation: rand::rng().random(),
             wall_clock: RefCell::default(),
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -3,14 +3,10 @@
 use super::Node;
 use pitchstall_serving::fleet::FleetChange;
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::request_identity::RequestIdentity;
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Requests that the line on the end of a runner names.
-const IDENTITIES_LOGGED: usize = 32;
-
 impl Node {
     /// Takes in a whole list of runners, read at a revision of the store.
     pub fn replace_runners(
@@ -116,31 +112,6 @@
         self.suspicion_changed.notify_waiters();
     }
 
-    /// An attempt broke, or was left without an answer.
-    pub fn on_broken_attempt(&self, runner: &RunnerId, request: &str, identity: RequestIdentity) {
-        let now_us = self.now_us();
-        let has_ended = self.crash_evidence.borrow_mut().on_broken(runner, identity, now_us);
-        let (runner_name, identity_text) = (runner.as_str(), identity.to_string());
-        log::info!(target: "crash", request, runner = runner_name, identity = identity_text, has_ended; "broken attempt");
-        if has_ended {
-            self.metrics.requests_under_ended_runners.inc();
-        }
-    }
-
-    /// A runner has ended: what was under way there may have caused it.
-    fn on_runner_ended(&self, runner: &RunnerId) {
-        let under_way = self.crash_evidence.borrow_mut().on_ended(runner, self.now_us());
-        if under_way.is_empty() {
-            return;
-        }
-        self.metrics.requests_under_ended_runners.inc_by(under_way.len() as u64);
-        let requests = under_way.len();
-        let identities: Vec<String> =
-            under_way.iter().take(IDENTITIES_LOGGED).map(ToString::to_string).collect();
-        let identities = identities.join(" ");
-        log::warn!(target: "crash", runner = runner.as_str(), requests, identities; "runner ended");
-    }
-
     /// Something came from a runner.
     pub fn on_progress(&self, runner: &RunnerId) {
         let now_us = self.now_us();
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -3,6 +3,7 @@
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
+use pitchstall_serving::quarantine::CrashWord;
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -42,6 +43,9 @@
     /// How many requests of each tenant began?
     #[serde(rename = "usage?")]
     UsageQuestion(UsageQuestion),
+    /// Runners that ended, and what was under way there.
+    #[serde(rename = "crash")]
+    Crash(CrashWord),
     /// So many.
     #[serde(rename = "usage")]
     Usage(UsageWord),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use crate::node::{machine_wall_ms, Node};
 use crate::peer_words::{PeerSocket, PeerWord, MOST_DATAGRAM_BYTES};
 use crate::platform_client::PlatformClient;
+use crate::quarantine;
 use crate::scheduling;
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -110,6 +111,7 @@
             PeerWord::Progress(word) => scheduling::on_progress(&self.node, &word),
             PeerWord::Loads(word) => self.node.on_shard_loads(&word),
             PeerWord::UsageQuestion(question) => usage::on_question(&self.node, &question),
+            PeerWord::Crash(word) => quarantine::on_word(&self.node, word),
             PeerWord::Usage(word) => usage::on_word(&self.node, &word),
         }
     }
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,100 @@
+//! Keeps the requests under which runners ended in the store, and takes in other nodes' words on them.
+//!
+//! The store is what lasts: it outlives every node, and reaches nodes that cannot reach each other.
+//! Words are sooner there. What is counted and when a request reaches no runner any more is decided in
+//! [`pitchstall_serving::quarantine`]; the store is followed by [`crate::watcher`].
+
+use crate::node::{machine_wall_ms, Node};
+use crate::platform_client::PlatformClient;
+use pitchstall_platform_adapter::call::PlatformCall;
+use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_serving::quarantine::{CrashWord, End};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Limit of a call to the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Pause after a call that the store did not take: a small part of the time after which nodes count
+/// as in touch with it again.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Between two looks for ends that are to be forgotten: they are kept for a day.
+const FORGET_EVERY: Duration = Duration::from_secs(60);
+
+/// Takes in another node's word.
+pub fn on_word(node: &Node, word: CrashWord) {
+    let now_us = node.now_us();
+    match word {
+        CrashWord::Ended { runner, requests } => {
+            for request in requests {
+                let end = End { request, runner: runner.clone() };
+                let change = node.quarantine.borrow_mut().on_told(&end, machine_wall_ms(), now_us);
+                node.log_end(&end, change, "told");
+            }
+            node.quarantine_changed.notify_one();
+        }
+        CrashWord::Cleared { request } => {
+            node.quarantine.borrow_mut().clear(request);
+        }
+    }
+}
+
+/// Writes to the store what is to be written, until the task is dropped.
+pub async fn keep_written(node: Rc<Node>) {
+    let mut client = PlatformClient::default();
+    loop {
+        wait_until_due(&node).await;
+        if node.authority.fence().is_some() {
+            node.quarantine.borrow_mut().forget_old(machine_wall_ms());
+        }
+        if !write_due(&node, &mut client).await {
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn wait_until_due(node: &Node) {
+    let next_us = {
+        let quarantine = node.quarantine.borrow();
+        if quarantine.due_removals().is_empty() {
+            quarantine.next_write_us()
+        } else {
+            Some(0)
+        }
+    };
+    let left = next_us.map_or(FORGET_EVERY, |next_us| {
+        Duration::from_micros(next_us.saturating_sub(node.now_us()))
+    });
+    if !left.is_zero() {
+        // Something else may be due sooner by then, or nothing.
+        let _ = timeout(left, node.quarantine_changed.notified()).await;
+    }
+}
+
+/// Writes what is due; returns whether the store has taken it.
+async fn write_due(node: &Node, client: &mut PlatformClient) -> bool {
+    let ends = node.quarantine.borrow().due_writes(node.now_us());
+    if !ends.is_empty() {
+        if !is_taken(node, client, &store::write_ends(&ends)).await {
+            return false;
+        }
+        node.quarantine.borrow_mut().on_written(&ends);
+    }
+    let removals = node.quarantine.borrow().due_removals();
+    if !removals.is_empty() {
+        if !is_taken(node, client, &store::remove_ends(&removals)).await {
+            return false;
+        }
+        node.quarantine.borrow_mut().on_removals_written(&removals);
+    }
+    true
+}
+
+async fn is_taken(node: &Node, client: &mut PlatformClient, call: &PlatformCall) -> bool {
+    let answer = node.call_store(client, call, STORE_LIMIT).await;
+    let status = answer.map(|(status, _)| status);
+    if status != Some(StoreStatus::Done) {
+        log::info!(target: "crash", status:?; "not written");
+    }
+    status == Some(StoreStatus::Done)
+}
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -1,4 +1,5 @@
-//! Follows the store: the operators' configuration and the runners' entries.
+//! Follows the store: the operators' configuration, the runners' entries, and the requests under
+//! which runners have ended.
 //!
 //! A few nodes of each zone read the store and watch it from the revision of the read; the
 //! others follow one of these ([`crate::mirror`]), another one as soon as that one does not
@@ -15,7 +16,8 @@
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::documents;
 use pitchstall_platform_adapter::store::{
-    self, Item, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, RUNNERS_PREFIX,
+    self, Item, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX,
+    RUNNERS_PREFIX,
 };
 use pitchstall_serving::freshness::{CopyFreshness, Freshness};
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, StoreEntry, StoreUpdate, Subject};
@@ -79,6 +81,7 @@
     match subject {
         Subject::Configuration => CONFIGURATION_KEY,
         Subject::Runners => RUNNERS_PREFIX,
+        Subject::Crashes => CRASHES_PREFIX,
     }
 }
 
@@ -306,7 +309,7 @@
     async fn read_all(&mut self) -> Result<(), FollowError> {
         let update = match self.subject {
             Subject::Configuration => self.read_configuration().await?,
-            Subject::Runners => self.read_runners().await?,
+            Subject::Runners | Subject::Crashes => self.read_list().await?,
         };
         let known_to = update.known_to;
         self.take_update(&update);
@@ -326,7 +329,7 @@
         Ok(StoreUpdate { known_to, whole: true, entries: entries_of(self.subject, vec![item]) })
     }
 
-    async fn read_runners(&mut self) -> Result<StoreUpdate, FollowError> {
+    async fn read_list(&mut self) -> Result<StoreUpdate, FollowError> {
         let first = self.read_page(None).await?;
         let known_to = first.at;
         let mut more = first.more;
@@ -346,7 +349,7 @@
     }
 
     async fn read_page(&mut self, after: Option<&str>) -> Result<Page, FollowError> {
-        let call = store::read_range(RUNNERS_PREFIX, after);
+        let call = store::read_range(prefix_of(self.subject), after);
         let (status, body) = self.call(&call, READ_LIMIT).await?;
         if status != StoreStatus::Done {
             return Err(FollowError::Status(status));
@@ -477,7 +480,9 @@
 fn document_of(subject: Subject, key: &str, value: Vec<u8>) -> Option<String> {
     let document = match subject {
         Subject::Configuration => documents::hide_keys(&value).map_err(|error| error.to_string()),
-        Subject::Runners => String::from_utf8(value).map_err(|error| error.to_string()),
+        Subject::Runners | Subject::Crashes => {
+            String::from_utf8(value).map_err(|error| error.to_string())
+        }
     };
     document.inspect_err(|error| log::warn!(target: "store", key, error = error.as_str(); "a value is no document")).ok()
 }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -1,12 +1,15 @@
 //! Requests that end the runners that run them, and come again.
-#![allow(clippy::unwrap_used, missing_docs)]
+#![allow(clippy::unwrap_used, clippy::panic, missing_docs)]
 
 mod support;
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::store::StoreMode;
+use serde_json::Value;
 use std::time::Duration;
-use support::{configuration, Fixture};
+use support::{configuration, get, wait_for, Fixture};
+use test_case::test_case;
 
 const DEADLY: &[u8] = b"a request that ends runners";
 const SOUND: &[u8] = b"a request like any other";
@@ -17,32 +20,36 @@
 /// `contact_ms` of the fixture, and some more.
 const HEARD: Duration = Duration::from_millis(1_500);
 
-fn engine(request: &ReceivedRequest) -> Reaction {
+fn engine(request: &ReceivedRequest, after_head: bool) -> Reaction {
     if request.body == DEADLY {
-        return Reaction::Crash { after_head: true, runs_for: Duration::from_millis(20) };
+        return Reaction::Crash { after_head, runs_for: Duration::from_millis(20) };
+    }
+    if request.path().starts_with("/lookup/") {
+        return Reaction::Answer { status: 200, body: b"found".to_vec() };
     }
     engine_script(4)(request)
 }
 
-fn runners(count: usize) -> Vec<RunnerStandIn> {
-    let start = |number| RunnerStandIn::start(&format!("i-{number}"), engine).unwrap();
+fn runners_of(count: usize, after_head: bool) -> Vec<RunnerStandIn> {
+    let script = move |request: &ReceivedRequest| engine(request, after_head);
+    let start = |number| RunnerStandIn::start(&format!("i-{number}"), script).unwrap();
     (0..count).map(start).collect()
 }
 
 /// A node before a store with a configuration and these runners.
-fn node_with(runners: &[RunnerStandIn]) -> Fixture {
+fn node_with(runners: &[RunnerStandIn], service: &str) -> Fixture {
     let node = Fixture::start();
     node.store.put("op/config", &configuration(3));
     for runner in runners {
-        node.add_runner(runner, "llm", Some("decode"));
+        node.add_runner(runner, service, (service == "llm").then_some("decode"));
     }
     node.wait_until_ready();
     node
 }
 
-fn send(node: &Fixture, id: &str, body: &[u8]) -> support::RawAnswer {
+fn send_to(node: &Fixture, path: &str, id: &str, body: &[u8]) -> support::RawAnswer {
     let mut client = node.client();
-    client.request("POST", "/summary/7", id, "X-Pitchstall-Deadline-Ms: 3000\r\n", body);
+    client.request("POST", path, id, "X-Pitchstall-Deadline-Ms: 3000\r\n", body);
     client.read_answer()
 }
 
@@ -59,24 +66,122 @@
     runners.iter().map(of).sum()
 }
 
-#[test]
-fn a_request_that_has_ended_three_runners_reaches_hardly_any_more() {
-    let runners = runners(14);
-    let first = node_with(&runners);
+/// Sends the deadly request to the nodes in turn until enough runners have ended under it.
+fn send_until_ended(nodes: &[&Fixture], path: &str, runners: &[RunnerStandIn]) {
+    for sent in 0..40 {
+        if ended(runners) >= ENDS {
+            return;
+        }
+        send_to(nodes[sent % nodes.len()], path, &format!("deadly-{sent}"), DEADLY);
+    }
+    panic!("the stand-ins do not end");
+}
+
+#[test_case("/summary/7", "llm", true; "a stream that has begun to run")]
+#[test_case("/summary/7", "llm", false; "a stream without a head")]
+#[test_case("/lookup/7", "desk", false; "no stream")]
+fn a_request_that_has_ended_three_runners_reaches_hardly_any_more(
+    path: &str,
+    service: &str,
+    after_head: bool,
+) {
+    let runners = runners_of(14, after_head);
+    let first = node_with(&runners, service);
     let second = first.start_beside("node-2");
     second.wait_until_ready();
-    let mut sent = 0;
-    while ended(&runners) < ENDS {
-        sent += 1;
-        send(if sent % 2 == 0 { &first } else { &second }, &format!("deadly-{sent}"), DEADLY);
-        assert!(sent < 40, "the stand-ins do not end");
-    }
+    let nodes = [&first, &second];
+    send_until_ended(&nodes, path, &runners);
     std::thread::sleep(HEARD);
     let before = arrivals(&runners);
     for repeat in 0..10 {
-        send(if repeat % 2 == 0 { &first } else { &second }, &format!("again-{repeat}"), DEADLY);
+        send_to(nodes[repeat % 2], path, &format!("again-{repeat}"), DEADLY);
     }
     let repeats = arrivals(&runners) - before;
     assert!(repeats <= REPEATS, "it reached runners {repeats} times more");
-    assert_eq!(send(&first, "sound", SOUND).status, 200);
+    assert_eq!(send_to(&first, path, "sound", SOUND).status, 200);
+}
+
+#[test]
+fn what_is_told_is_final_and_the_same_each_time() {
+    let runners = runners_of(8, true);
+    let node = node_with(&runners, "llm");
+    send_until_ended(&[&node], "/summary/7", &runners);
+    for repeat in 0..3 {
+        let answer = send_to(&node, "/summary/7", &format!("again-{repeat}"), DEADLY);
+        assert_eq!((answer.status, answer.header("retry-after")), (503, None));
+    }
+}
+
+#[test]
+fn a_node_that_starts_later_knows_it_from_the_store() {
+    let runners = runners_of(12, true);
+    let first = node_with(&runners, "llm");
+    send_until_ended(&[&first], "/summary/7", &runners);
+    std::thread::sleep(HEARD);
+    let store = first.store.clone();
+    first.request_stop();
+    first.join();
+    let later = Fixture::start_before(store, "node-later");
+    later.wait_until_ready();
+    std::thread::sleep(HEARD);
+    let before = arrivals(&runners);
+    for repeat in 0..5 {
+        assert_eq!(send_to(&later, "/summary/7", &format!("again-{repeat}"), DEADLY).status, 503);
+    }
+    assert_eq!(arrivals(&runners), before);
+}
+
+#[test]
+fn ends_while_the_store_is_away_are_told_by_words_and_written_later() {
+    let runners = runners_of(12, true);
+    let first = node_with(&runners, "llm");
+    let second = first.start_beside("node-2");
+    second.wait_until_ready();
+    first.store.set_mode(StoreMode::Unavailable);
+    send_until_ended(&[&first], "/summary/7", &runners);
+    std::thread::sleep(HEARD);
+    assert_eq!(send_to(&second, "/summary/7", "again", DEADLY).status, 503);
+    let is_written = || first.store.keys("pitchstall/crashes/").len() >= ENDS;
+    assert!(!is_written());
+    first.store.set_mode(StoreMode::Serving);
+    wait_for("the ends to be written", is_written);
+}
+
+#[test]
+fn a_runner_that_only_lost_answers_has_not_ended() {
+    let losing = |request: &ReceivedRequest| match request.body.as_slice() {
+        DEADLY => Reaction::RawThenReset(Vec::new()),
+        _ => engine(request, true),
+    };
+    let start = |number| RunnerStandIn::start(&format!("i-{number}"), losing).unwrap();
+    let runners: Vec<RunnerStandIn> = (0..6).map(start).collect();
+    let node = node_with(&runners, "llm");
+    for sent in 0..8 {
+        send_to(&node, "/summary/7", &format!("lost-{sent}"), DEADLY);
+    }
+    let before = arrivals(&runners);
+    std::thread::sleep(HEARD);
+    send_to(&node, "/summary/7", "again", DEADLY);
+    assert!(arrivals(&runners) > before, "it is taken for one that ends runners");
+    assert!(node.store.keys("pitchstall/crashes/").is_empty());
+}
+
+#[test]
+fn an_operator_sees_and_lifts_a_quarantine() {
+    let runners = runners_of(8, true);
+    let node = node_with(&runners, "llm");
+    send_until_ended(&[&node], "/summary/7", &runners);
+    wait_for("the quarantine", || send_to(&node, "/summary/7", "again", DEADLY).status == 503);
+    let listed: Value = serde_json::from_slice(&get(node.health, "/quarantine").body).unwrap();
+    assert_eq!(listed[0]["quarantined"], true);
+    let identity = listed[0]["identity"].as_str().unwrap().to_owned();
+    let mut client = support::RawClient::connect(node.health);
+    let lift = format!("DELETE /quarantine/{identity} HTTP/1.1\r\nHost: x\r\n\r\n");
+    client.send(lift.as_bytes());
+    assert_eq!(client.read_answer().status, 200);
+    let gone = || node.store.keys("pitchstall/crashes/").is_empty();
+    wait_for("the entries to be removed", gone);
+    assert_eq!(get(node.health, "/quarantine").text(), "[]");
+    client.send(lift.as_bytes());
+    assert_eq!(client.read_answer().status, 404);
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -101,6 +101,11 @@
         Self::start_node(self.store.clone(), name, "")
     }
 
+    /// A node before a store that has been served before.
+    pub fn start_before(store: StoreStandIn, name: &str) -> Self {
+        Self::start_node(store, name, "")
+    }
+
     /// Another node before the same store, which knows this one's machine.
     pub fn start_seeded(&self, name: &str) -> Self {
         Self::start_node_at(
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -26,6 +26,8 @@
     Refused,
     /// An attempt failed, and the request may not be repeated.
     Failed,
+    /// Runners have ended under it: it reaches none any more.
+    Quarantined,
 }
 
 /// An answer that the node makes itself.
@@ -33,6 +35,8 @@
 pub enum FinalAnswer {
     /// Not run; the client may come back.
     Refuse,
+    /// Not run, and not to be sent again.
+    RefuseForGood,
     /// May have run; the attempt failed.
     BadGateway,
     /// May have run; time is up.
@@ -42,6 +46,7 @@
 /// The only place that chooses between a refusal and a failure.
 pub fn final_answer(execution: Execution, reason: GiveUp) -> FinalAnswer {
     match (execution, reason) {
+        (Execution::NotRun, GiveUp::Quarantined) => FinalAnswer::RefuseForGood,
         (Execution::NotRun, _) => FinalAnswer::Refuse,
         (_, GiveUp::OutOfTime) => FinalAnswer::TimedOut,
         (_, _) => FinalAnswer::BadGateway,
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -18,6 +18,9 @@
 /// Time for which a broken attempt stays in doubt, microseconds: an entry leaves the list after
 /// three heartbeats, which are seconds apart, and a store that is away holds that up.
 const DOUBT_US: u64 = 30_000_000;
+/// Time within which a look at a runner tells whether it lives, microseconds: twice the limit of
+/// opening a connection.
+const LOOK_US: u64 = 400_000;
 /// Time for which a runner is known to have ended, microseconds: its last attempts break within
 /// milliseconds, at a node that stands still within seconds.
 const ENDED_US: u64 = 10_000_000;
@@ -73,9 +76,17 @@
         }
     }
 
-    /// Runners at which a request broke and whose fate is not known.
-    pub fn in_doubt_under(&self, request: RequestIdentity) -> impl Iterator<Item = &RunnerId> {
-        let broke = move |broken: &[BrokenAttempt]| broken.iter().any(|it| it.request == request);
+    /// Runners at which a request broke just now and whose fate is not known: to be on the safe side
+    /// they count as ended until a look at them can have told.
+    pub fn in_doubt_under(
+        &self,
+        request: RequestIdentity,
+        now_us: u64,
+    ) -> impl Iterator<Item = &RunnerId> {
+        let is_recent = move |it: &BrokenAttempt| now_us < it.broken_at_us + LOOK_US;
+        let broke = move |broken: &[BrokenAttempt]| {
+            broken.iter().any(|it| it.request == request && is_recent(it))
+        };
         self.in_doubt.iter().filter(move |(_, broken)| broke(broken)).map(|(runner, _)| runner)
     }
 
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -191,6 +191,8 @@
     pub configuration: CopyFreshness,
     /// The runners' entries.
     pub runners: CopyFreshness,
+    /// Requests under which runners have ended.
+    pub crashes: CopyFreshness,
 }
 
 /// What a node tells of its copies.
@@ -202,6 +204,9 @@
     /// The runners' entries.
     #[serde(rename = "r")]
     pub runners: FreshnessWord,
+    /// Requests under which runners have ended.
+    #[serde(rename = "q", default)]
+    pub crashes: FreshnessWord,
 }
 
 impl StoreFreshness {
@@ -210,6 +215,7 @@
         match subject {
             Subject::Configuration => &self.configuration,
             Subject::Runners => &self.runners,
+            Subject::Crashes => &self.crashes,
         }
     }
 
@@ -218,6 +224,7 @@
         match subject {
             Subject::Configuration => &mut self.configuration,
             Subject::Runners => &mut self.runners,
+            Subject::Crashes => &mut self.crashes,
         }
     }
 
@@ -226,6 +233,7 @@
         StoreWord {
             configuration: self.configuration.word(now_us),
             runners: self.runners.word(now_us),
+            crashes: self.crashes.word(now_us),
         }
     }
 
@@ -233,5 +241,6 @@
     pub fn on_word(&mut self, word: &StoreWord, now_us: u64) {
         self.configuration.on_word(word.configuration, now_us);
         self.runners.on_word(word.runners, now_us);
+        self.crashes.on_word(word.crashes, now_us);
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`usage`], [`wall_clock`] | how many requests of each tenant began, and when |
 //! | [`retry_budget`] | whether one more attempt may be made |
 //! | [`crash_evidence`] | which requests were under way at a runner when it ended |
+//! | [`quarantine`] | which requests end runners, and reach none any more |
 //! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
 //! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
 
@@ -49,6 +50,7 @@
 pub mod placement;
 pub mod prefix;
 pub mod prefix_cache;
+pub mod quarantine;
 pub mod read_pace;
 pub mod request;
 pub mod request_identity;
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -18,6 +18,14 @@
     /// The runners' entries.
     #[serde(rename = "r")]
     Runners,
+    /// Requests under which runners have ended.
+    #[serde(rename = "q")]
+    Crashes,
+}
+
+impl Subject {
+    /// Everything that is followed.
+    pub const ALL: [Self; 3] = [Self::Configuration, Self::Runners, Self::Crashes];
 }
 
 impl Subject {
@@ -26,6 +34,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Runners => "runners",
+            Self::Crashes => "crashes",
         }
     }
 }
@@ -123,6 +132,7 @@
 pub struct StoreCopies {
     configuration: StoreCopy,
     runners: StoreCopy,
+    crashes: StoreCopy,
 }
 
 impl StoreCopies {
@@ -131,6 +141,7 @@
         match subject {
             Subject::Configuration => &self.configuration,
             Subject::Runners => &self.runners,
+            Subject::Crashes => &self.crashes,
         }
     }
 
@@ -139,6 +150,7 @@
         match subject {
             Subject::Configuration => &mut self.configuration,
             Subject::Runners => &mut self.runners,
+            Subject::Crashes => &mut self.crashes,
         }
     }
 }
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -22,7 +22,8 @@
     let mut evidence = CrashEvidence::default();
     assert!(!evidence.on_broken(&runner("a"), request(1), 0));
     assert!(!evidence.on_broken(&runner("a"), request(2), 5));
-    assert_eq!(evidence.in_doubt_under(request(1)).count(), 1);
+    assert_eq!(evidence.in_doubt_under(request(1), 10).count(), 1);
+    assert_eq!(evidence.in_doubt_under(request(1), SECOND_US).count(), 0);
     let mut under_way = evidence.on_ended(&runner("a"), 10);
     under_way.sort_unstable();
     let mut expected = vec![request(1), request(2)];
