Judge how long ago something was by a clock that goes on while the machine is suspended

Cause: the steady clock stands still in a suspension, so that leases, the holding of authority, the freshness of copies, keys, deadlines and rests of connections would seem younger by it. Change: one clock type in one module of the gateway, on CLOCK_BOOTTIME; every judgement of age goes by it. Timers still go by the steady clock, and what they wake is judged by this one. Ruled out: the time of day, which jumps.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request sent to one runner, up to the head of its answer.
 
+use crate::clock::Instant;
 use crate::http::request::request_bytes;
 use crate::http::{AnswerHead, BodyDecoder, Header, ReadFailure, Upstream};
 use crate::intake::{ClientRequest, WholeAnswer};
@@ -12,7 +13,7 @@
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Largest answer that is read whole.
--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -6,6 +6,7 @@
 //! [`Holding`] before each thing that they order: [`crate::roles`], [`crate::usage`],
 //! [`crate::scaling`].
 
+use crate::clock::Instant;
 use crate::node::Node;
 use crate::platform_client::PlatformClient;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -14,7 +15,7 @@
 use rand::RngExt;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Between two looks at the lease.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,6 +5,7 @@
 //! been read.
 
 use crate::answers::OwnAnswer;
+use crate::clock::Instant;
 use crate::http::{is_connection_header, Header};
 use crate::intake::{self, ClientRequest, RequestEnd};
 use crate::node::{BodyReservation, Node, OpenConnection};
@@ -19,7 +20,7 @@
 use pitchstall_platform_adapter::headers::KEY_CHALLENGE;
 use pitchstall_serving::configuration::ClientLimits;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 /// Bytes that a client may send ahead before they are left in the socket.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use crate::authority;
 use crate::cache_listing;
+use crate::clock::Instant;
 use crate::listener;
 use crate::mirror;
 use crate::node::Node;
@@ -25,7 +26,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 use self::planning::elapsed_ms;
 use crate::answers::OwnAnswer;
 use crate::attempt::{self, Answering, AttemptEnd, AttemptParams, BrokenAttempt};
+use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
 use crate::node::Node;
@@ -30,7 +31,7 @@
 use pitchstall_serving::urgency::rank;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Runners that are tried without reaching them before a request is given up.
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -2,6 +2,7 @@
 
 use super::{Dispatch, GiveUp};
 use crate::attempt;
+use crate::clock::Instant;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
 use pitchstall_serving::fleet::Eligible;
@@ -9,7 +10,7 @@
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
 use pitchstall_serving::scheduling::Progress;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Part of the time left that a reading may take: a busy runner is no reason to read anew.
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -8,10 +8,11 @@
 //! long connections can rest, and forgets that again in time.
 
 use super::upstream::Upstream;
+use crate::clock::Instant;
 use pitchstall_serving::ids::RunnerId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Idle time after which a connection is not used, if the runner does not say.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,6 +1,7 @@
 //! Takes a request in: refuses at once what can be refused, finds its route and service.
 
 use crate::answers::OwnAnswer;
+use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::dispatch::Dispatch;
 use crate::http::{is_connection_header, named_by_connection, Header};
@@ -17,7 +18,7 @@
 use pitchstall_serving::tenancy::{authorize, Access, Tenant};
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A request as it came from a client, with its whole body.
 pub struct ClientRequest {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod attempt;
 pub mod authority;
 pub mod cache_listing;
+pub mod clock;
 pub mod connection;
 pub mod daemon;
 pub mod dispatch;
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -4,6 +4,7 @@
 //! tells how many were left out. Writing never holds the node up: a thread of its own writes
 //! from a bounded queue, and lines that find it full are counted and left out.
 
+use crate::clock::Instant;
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
 use log::kv::{Key, Value, VisitSource};
@@ -12,7 +13,7 @@
 use std::io::Write;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Lines of one kind that are written in a second.
 const LINES_A_SECOND: u32 = 200;
@@ -50,7 +51,7 @@
 
     /// Begins a new second if it is time; returns how many lines the last one left out.
     fn roll(&mut self, now: Instant) -> u32 {
-        if now.duration_since(self.second) < SECOND {
+        if now.saturating_duration_since(self.second) < SECOND {
             return 0;
         }
         let left_out = self.left_out;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -5,6 +5,7 @@
 //! one of those that read the store: so a node that starts while the store is away serves by
 //! what the others know.
 
+use crate::clock::Instant;
 use crate::http::{open_stream, ConnectFailure};
 use crate::json_lines::{read_line, write_line, LineFailure};
 use crate::listener::{accept, stream_of};
@@ -13,7 +14,7 @@
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub use work::{BodyReservation, OpenConnection, OpenRequest};
 
 use crate::authority::Holding;
+use crate::clock::Instant;
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::peer_words::PeerSocket;
@@ -38,7 +39,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
 /// The node.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! the list is read seldom. Nothing breaks without peers: the node then knows only what it and
 //! the runners see.
 
+use crate::clock::Instant;
 use crate::node::{machine_wall_ms, Node};
 use crate::peer_words::{PeerSocket, PeerWord, MOST_DATAGRAM_BYTES};
 use crate::platform_client::PlatformClient;
@@ -20,7 +21,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Pause after a datagram could not be received.
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -1,6 +1,7 @@
 //! Has a prompt read by a prefill runner, and keeps the handle until it is taken or freed.
 
 use crate::attempt::{self, AttemptEnd, AttemptParams, BrokenAttempt, Prepared};
+use crate::clock::Instant;
 use crate::http::request::request_bytes;
 use crate::http::Upstream;
 use crate::intake::ClientRequest;
@@ -13,7 +14,7 @@
 use pitchstall_serving::request::PromptHandle;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Time to free a handle. One that is not freed lapses by itself.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,10 +1,11 @@
 //! Forwards a stream's events to the client as they come.
 
 use crate::attempt::Answering;
+use crate::clock::Instant;
 use crate::connection::{ClientConnection, ClientGone};
 use crate::http::Header;
 use pitchstall_serving::event_stream::{EventSplitter, Join, StreamJoin};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Where a stream stands towards its client, over all of its runs.
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -3,6 +3,7 @@
 //! What is ordered is decided in [`pitchstall_serving::capacity_planner`]. What was needed is kept
 //! in the store: a node that takes over goes on by it, and orders nothing before it knows it.
 
+use crate::clock::Instant;
 use crate::node::Node;
 use crate::platform_client::PlatformClient;
 use crate::settings::Duty;
@@ -15,7 +16,7 @@
 use pitchstall_serving::ids::{ServiceName, ZoneId};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Between two looks at the fleet.
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -4,6 +4,7 @@
 //! What is said stands in [`pitchstall_serving::scheduling`], what is set aside in
 //! [`pitchstall_serving::reservations`]. Words are datagrams: one that is lost is not sent again.
 
+use crate::clock::Instant;
 use crate::node::Node;
 use crate::peer_words::{PeerSocket, PeerWord};
 use crate::verification::verify;
@@ -25,7 +26,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -5,6 +5,7 @@
 //! there and sends the same bytes again. What is counted where and when a window is complete is
 //! decided in [`pitchstall_serving::usage`].
 
+use crate::clock::Instant;
 use crate::node::Node;
 use crate::peer_words::PeerWord;
 use crate::platform_client::PlatformClient;
@@ -18,7 +19,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Between two looks at what is due.
--- a/crates/gateway/src/verification.rs
+++ b/crates/gateway/src/verification.rs
@@ -1,10 +1,11 @@
 //! Settles doubts about runners by opening connections to them.
 
+use crate::clock::Instant;
 use crate::http::{ConnectFailure, Upstream};
 use crate::node::Node;
 use pitchstall_serving::ids::RunnerId;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Time to open a connection to a runner. Runners are near; one that takes longer is full,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -9,6 +9,7 @@
 //! without a word. It is relied on while the copy is known to be fresh
 //! ([`pitchstall_serving::freshness`]); otherwise the store is asked.
 
+use crate::clock::Instant;
 use crate::entries::take_update;
 use crate::mirror::MirrorClient;
 use crate::node::Node;
@@ -24,7 +25,7 @@
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Limit of a call that does not wait.
--- a/crates/gateway/tests/connection_pool.rs
+++ b/crates/gateway/tests/connection_pool.rs
@@ -3,11 +3,12 @@
 
 mod support;
 
+use pitchstall_gateway::clock::Instant;
 use pitchstall_gateway::http::TrustedRest;
 use pitchstall_platform_standins::runner::{signed_answer, Reaction, RunnerStandIn};
 use std::collections::HashSet;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use support::Fixture;
 
 const MILLI: Duration = Duration::from_millis(1);
