Confirm the copy of crashes less often than the others

Change: 0.45 to 0.55 of the contact time in place of 0.22 to 0.32, stale at 0.75; nodes tell each other at once anyway.

--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -42,12 +42,16 @@
 /// Part of the time after which a node counts as in touch again that changes wait at most.
 const CHANGES_WAIT_PART: u32 = 6;
 /// How long a confirmation holds at a node that reads the store, in hundredths of the time after
-/// which a node counts as in touch again. Those that follow it add [`STALE_HUNDREDTHS`] and
-/// [`WAIT_HUNDREDTHS`], and must stay below the time in which a configuration comes into force,
+/// which a node counts as in touch again. Those that follow it add what [`stale_hundredths`] and
+/// [`WAIT_HUNDREDTHS`] say, and must stay below the time in which a configuration comes into force,
 /// which the users set to two thirds of that time and more.
 const CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 22..32;
+/// The same for requests under which runners have ended: nodes tell each other of them at once, and
+/// the store has to be heard of within the whole of that time. Each confirmation is a call.
+const CRASHES_CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 45..55;
 /// Age of another node's copy, in hundredths of the same time, from which on it is not relied on.
 const STALE_HUNDREDTHS: u64 = 45;
+const CRASHES_STALE_HUNDREDTHS: u64 = 75;
 /// Time for which a question to another node waits for a change, in hundredths of the same time.
 const WAIT_HUNDREDTHS: u64 = 12;
 /// Between two calls to the store while no other node's copy is confirmed, in hundredths of the
@@ -89,7 +93,7 @@
 /// Follows one subject until the process ends.
 pub async fn follow(node: Rc<Node>, subject: Subject) {
     let address = node.settings().store.address;
-    let confirmation = draw_confirmation(&node);
+    let confirmation = draw_confirmation(&node, subject);
     let mut follower = Follower {
         node,
         subject,
@@ -117,8 +121,19 @@
 /// How long a confirmation holds: well under the time after which the node counts as in touch
 /// again, so that a watch that went silent in a fault has been replaced before the node, or one
 /// that follows it, is bound by it. Drawn at random, so that one node's word spares the others.
-fn draw_confirmation(node: &Node) -> Duration {
-    part_of_contact(node, rand::rng().random_range(CONFIRMATION_HUNDREDTHS))
+fn draw_confirmation(node: &Node, subject: Subject) -> Duration {
+    let hundredths = match subject {
+        Subject::Configuration | Subject::Runners => CONFIRMATION_HUNDREDTHS,
+        Subject::Crashes => CRASHES_CONFIRMATION_HUNDREDTHS,
+    };
+    part_of_contact(node, rand::rng().random_range(hundredths))
+}
+
+fn stale_hundredths(subject: Subject) -> u64 {
+    match subject {
+        Subject::Configuration | Subject::Runners => STALE_HUNDREDTHS,
+        Subject::Crashes => CRASHES_STALE_HUNDREDTHS,
+    }
 }
 
 fn part_of_contact(node: &Node, hundredths: u64) -> Duration {
@@ -223,7 +238,7 @@
     /// Asks another node for what has changed since the last answer.
     async fn follow_node(&mut self, source: SocketAddr) {
         self.pause_between_changes(BETWEEN_CHANGES).await;
-        let stale = part_of_contact(&self.node, STALE_HUNDREDTHS);
+        let stale = part_of_contact(&self.node, stale_hundredths(self.subject));
         // A source that is new may lag too: it is only asked what it knows, so that the next one
         // follows at once.
         let wait = match self.source_is_sound {
@@ -270,7 +285,7 @@
         self.take_update(update);
         let age_ms = answer.age_ms;
         self.with_freshness(|copy, now_us| copy.on_handed_on(update, age_ms, now_us));
-        let stale = part_of_contact(&self.node, STALE_HUNDREDTHS);
+        let stale = part_of_contact(&self.node, stale_hundredths(self.subject));
         let is_confirmed = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < stale);
         // Another node has told of a later change than this one knows of.
         is_confirmed && self.verdict() != Freshness::Behind
@@ -314,7 +329,7 @@
         };
         let known_to = update.known_to;
         self.take_update(&update);
-        self.confirmation = draw_confirmation(&self.node);
+        self.confirmation = draw_confirmation(&self.node, self.subject);
         self.with_freshness(|copy, now_us| copy.on_read(known_to, now_us));
         self.node.store_confirmed.notify_one();
         Ok(())
@@ -411,7 +426,7 @@
                     self.with_freshness(|copy, _| copy.on_change(entry.revision));
                 }
                 self.take_update(&StoreUpdate { known_to, whole: false, entries });
-                self.confirmation = draw_confirmation(&self.node);
+                self.confirmation = draw_confirmation(&self.node, self.subject);
                 self.with_freshness(|copy, now_us| copy.on_store_answer(known_to, now_us));
                 self.node.store_confirmed.notify_one();
                 Ok(())
