Count the end of a runner whose address another one has taken; a query counts only without a body

Cause: gone through by hand. A node that stood still when a runner ended looks at its address seconds later, and a new runner accepts: the end was forgotten. And the users' page says path, caller and body: a request with a body that came again with another query would have passed for another one. Measured: the tests of both modules pass.

--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -31,6 +31,15 @@
         }
     }
 
+    /// A runner that had said so has left.
+    pub(super) fn on_runner_left_as_planned(&self, runner: &RunnerId) {
+        let now_us = self.now_us();
+        let under_way = self.crash_evidence.borrow_mut().on_left_as_planned(runner, now_us);
+        if !under_way.is_empty() {
+            self.on_under_ended(runner, &under_way);
+        }
+    }
+
     /// Counts the end of a runner under requests, and tells the other nodes at once: the requests may
     /// come again at any of them a few milliseconds later.
     fn on_under_ended(&self, runner: &RunnerId, under_way: &[RequestIdentity]) {
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -4,6 +4,7 @@
 use pitchstall_serving::fleet::FleetChange;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::{RunnerRecord, Stage};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,10 +17,11 @@
         lapses_until_us: Option<u64>,
     ) {
         let listed = records.len();
+        let draining = self.draining_runners();
         let gone = self.fleet.borrow_mut().replace_all(records, revision, lapses_until_us);
         self.wait_for_lapsed(lapses_until_us);
         for id in &gone {
-            self.on_runner_left(id, revision);
+            self.on_runner_left(id, revision, draining.contains(id));
         }
         self.runners_known.set(true);
         let gone = gone.len();
@@ -58,9 +60,10 @@
         revision: u64,
         lapses_until_us: Option<u64>,
     ) {
+        let is_planned = self.fleet.borrow().get(id).is_some_and(|it| it.record.draining);
         let change = self.fleet.borrow_mut().remove(id, revision, lapses_until_us);
         match change {
-            FleetChange::Left => self.on_runner_left(id, revision),
+            FleetChange::Left => self.on_runner_left(id, revision, is_planned),
             FleetChange::Lapsed => {
                 log::info!(target: "fleet", runner = id.as_str(), revision; "lapsed");
                 self.wait_for_lapsed(lapses_until_us);
@@ -83,14 +86,24 @@
             tokio::time::sleep(Duration::from_micros(left_us)).await;
             let gone = node.fleet.borrow_mut().remove_lapsed(node.now_us());
             for id in &gone {
-                node.on_runner_left(id, 0);
+                node.on_runner_left(id, 0, false);
             }
         });
     }
 
-    fn on_runner_left(&self, id: &RunnerId, revision: u64) {
+    fn draining_runners(&self) -> BTreeSet<RunnerId> {
+        let fleet = self.fleet.borrow();
+        let draining = fleet.iter().filter(|runner| runner.record.draining);
+        draining.map(|runner| runner.record.id.clone()).collect()
+    }
+
+    fn on_runner_left(&self, id: &RunnerId, revision: u64, is_planned: bool) {
         self.pool.forget(id);
-        self.on_runner_ended(id);
+        if is_planned {
+            self.on_runner_left_as_planned(id);
+        } else {
+            self.on_runner_ended(id);
+        }
         log::info!(target: "fleet", runner = id.as_str(), revision; "left");
     }
 
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -4,7 +4,8 @@
 //! broken attempt is kept in doubt until the runner's fate is known:
 //!
 //! - a connection that is *refused*, or the runner's entry leaving the list: it has ended;
-//! - a connection that is *accepted*, or anything else that comes from it: it lives;
+//! - a connection that is *accepted*: it lives, unless its entry leaves the list all the same. A node
+//!   that stood still looks so late that another runner may have taken the address;
 //! - a connection that hangs proves neither: the runner may be cut off.
 //!
 //! Every attempt that was sent and had no end counts, whether its prompt was being read, it waited
@@ -17,7 +18,7 @@
 
 /// Time for which a broken attempt stays in doubt, microseconds: an entry leaves the list after
 /// three heartbeats, which are seconds apart, and a store that is away holds that up.
-const DOUBT_US: u64 = 30_000_000;
+const DOUBT_US: u64 = 15_000_000;
 /// Time within which a look at a runner tells whether it lives, microseconds: twice the limit of
 /// opening a connection.
 const LOOK_US: u64 = 400_000;
@@ -39,6 +40,8 @@
 struct BrokenAttempt {
     request: RequestIdentity,
     broken_at_us: u64,
+    /// The runner has accepted a connection since.
+    seems_alive: bool,
 }
 
 impl CrashEvidence {
@@ -52,21 +55,33 @@
         let broken = self.in_doubt.entry(runner.clone()).or_default();
         let is_known = broken.iter().any(|attempt| attempt.request == request);
         if !is_known && broken.len() < MOST_IN_DOUBT {
-            broken.push(BrokenAttempt { request, broken_at_us: now_us });
+            broken.push(BrokenAttempt { request, broken_at_us: now_us, seems_alive: false });
         }
         false
     }
 
+    /// A runner has left as planned. Returns the requests that were under way there when it ended: what
+    /// broke while it was still there broke for another reason.
+    pub fn on_left_as_planned(&mut self, runner: &RunnerId, now_us: u64) -> Vec<RequestIdentity> {
+        if let Some(broken) = self.in_doubt.get_mut(runner) {
+            broken.retain(|attempt| !attempt.seems_alive);
+        }
+        self.on_ended(runner, now_us)
+    }
+
     /// A runner has ended. Returns the requests that were under way there.
     pub fn on_ended(&mut self, runner: &RunnerId, now_us: u64) -> Vec<RequestIdentity> {
+        self.forget(now_us);
         self.ended.insert(runner.clone(), now_us);
         let broken = self.in_doubt.remove(runner).unwrap_or_default();
         broken.into_iter().map(|attempt| attempt.request).collect()
     }
 
-    /// A runner lives: what broke there broke for another reason.
+    /// A runner has accepted a connection: what broke there most likely broke for another reason.
     pub fn on_alive(&mut self, runner: &RunnerId) {
-        self.in_doubt.remove(runner);
+        for attempt in self.in_doubt.get_mut(runner).into_iter().flatten() {
+            attempt.seems_alive = true;
+        }
     }
 
     /// A request was answered whole: it does not end runners.
@@ -83,7 +98,8 @@
         request: RequestIdentity,
         now_us: u64,
     ) -> impl Iterator<Item = &RunnerId> {
-        let is_recent = move |it: &BrokenAttempt| now_us < it.broken_at_us + LOOK_US;
+        let is_recent =
+            move |it: &BrokenAttempt| !it.seems_alive && now_us < it.broken_at_us + LOOK_US;
         let broke = move |broken: &[BrokenAttempt]| {
             broken.iter().any(|it| it.request == request && is_recent(it))
         };
--- a/crates/serving/src/request_identity.rs
+++ b/crates/serving/src/request_identity.rs
@@ -1,7 +1,7 @@
 //! What makes two requests the same one, whatever ids they carry: who asks, and for what.
 //!
-//! A client that comes again has a new id each time. Method, host, path with its query, tenant and
-//! body stay. The identity is a digest of these, so that it can be logged, told to other nodes and
+//! A client that comes again has a new id each time. Method, host, path, tenant and body stay. What is
+//! asked stands in the body; where there is none, the query says it. The identity is a digest of these, so that it can be logged, told to other nodes and
 //! kept in the store: no key, body or word of a client can be read from it. It is a strong digest,
 //! cut to 128 bits, since a sound request must never be taken for another one.
 
@@ -20,7 +20,7 @@
     pub method: &'a str,
     /// The host that the client named.
     pub host: &'a str,
-    /// Path and query.
+    /// Path and query. The query counts only where there is no body.
     pub target: &'a str,
     /// The tenant for whom it runs; `None` where there are none. Without tenants nothing tells
     /// callers apart that lasts: addresses change, and many callers may share one.
@@ -44,7 +44,9 @@
     pub fn of(parts: &RequestParts<'_>) -> Self {
         let tenant = parts.tenant.map_or("", TenantName::as_str);
         let host = parts.host.to_ascii_lowercase();
-        let fields = [parts.method, &host, parts.target, tenant];
+        let path = parts.target.split('?').next().unwrap_or_default();
+        let asked = if parts.body.is_empty() { parts.target } else { path };
+        let fields = [parts.method, &host, asked, tenant];
         let mut hash = Sha256::new();
         for field in fields.map(str::as_bytes).into_iter().chain([parts.body]) {
             // The length before each field keeps the end of one from passing for the start of the next.
