Soak: requests that end runners, connections that are kept, series of signals and restarts

Check: once three have ended and the contact time is over, nodes in touch send it three times more at most. Faults of links to runners are noted apart: for this check they excuse no node.

--- a/crates/soak/examples/soak/main.rs
+++ b/crates/soak/examples/soak/main.rs
@@ -1,6 +1,6 @@
 //! Runs the real programs under faults and checks what callers and runners see.
 //!
-//! `cargo build --release && cargo run --release -p pitchstall-soak --example soak -- --seeds 1..9`
+//! `cargo build --release && cargo run --release -p pitchstall-soak --example soak -- --first 1 --count 8`
 //!
 //! Each seed prints its violations; the exit code is 1 if there were any. Logs of the nodes are
 //! kept for seeds with violations.
@@ -26,6 +26,8 @@
     seconds: u64,
     #[options(help = "nodes", default = "4")]
     nodes: usize,
+    #[options(help = "callers", default = "8")]
+    callers: usize,
     #[options(help = "the program", default = "target/release/pitchstall")]
     program: PathBuf,
 }
@@ -35,7 +37,8 @@
     let mut failed = 0;
     for seed in arguments.first..arguments.first + arguments.count {
         let length = Duration::from_secs(arguments.seconds);
-        let report = match run::run(&arguments.program, seed, length, arguments.nodes) {
+        let size = run::Size { nodes: arguments.nodes, callers: arguments.callers };
+        let report = match run::run(&arguments.program, seed, length, size) {
             Ok(report) => report,
             Err(error) => {
                 eprintln!("soak: seed {seed}: {error}");
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -3,11 +3,11 @@
 use crate::processes::{is_ready, NodeProcess};
 use nix::sys::signal::Signal;
 use pitchstall_platform_standins::store::StoreMode;
-use pitchstall_soak::caller::exchange;
+use pitchstall_soak::caller::Caller;
 use pitchstall_soak::checks::{violations, Violation};
-use pitchstall_soak::fleet::{request_bytes, SoakFleet, ZONES};
+use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner, ZONES};
 use pitchstall_soak::history::{Entry, Event, Kind, Outcome, Recorder};
-use pitchstall_soak::plan::{steps, Action, Step};
+use pitchstall_soak::plan::{steps, Action, Step, RECOVERY};
 use pitchstall_soak::proxy::{Link, LinkMode};
 use std::collections::BTreeSet;
 use std::fmt;
@@ -19,13 +19,20 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-const CALLERS: usize = 8;
 const READY_WITHIN: Duration = Duration::from_secs(15);
 /// Time in which everything is served again after the last fault.
 const RECOVERED_WITHIN: Duration = Duration::from_secs(12);
 const HEALTH_EVERY: Duration = Duration::from_millis(200);
 const DRAINS_FOR: Duration = Duration::from_secs(4);
 const BETWEEN_REQUESTS: Duration = Duration::from_millis(15);
+/// Different requests that end runners, and the time between two of them.
+const DEADLY_REQUESTS: usize = 2;
+const BETWEEN_DEADLY: Duration = Duration::from_millis(350);
+/// Between two looks for runners that have ended.
+const ENDED_POLL: Duration = Duration::from_millis(20);
+/// Time after which an ended runner is back, and after which its entry is gone.
+const RUNNER_DOWN: Duration = Duration::from_millis(2_000);
+const ENTRY_LASTS: Duration = Duration::from_millis(3_600);
 
 /// What came of a seed.
 pub struct Report {
@@ -36,6 +43,8 @@
     /// Windows whose usage was reported.
     windows: usize,
     steps: usize,
+    /// Runners that ended under requests that end them.
+    ended: usize,
     folder: PathBuf,
 }
 
@@ -43,6 +52,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (whole, requests, steps) = (self.whole, self.requests, self.steps);
         write!(formatter, "{whole} of {requests} answered whole under {steps} actions, ")?;
+        write!(formatter, "{} runners ended by requests, ", self.ended)?;
         write!(formatter, "{} windows reported", self.windows)?;
         for violation in &self.violations {
             write!(formatter, "\n  {}: {}", violation.promise, violation.what)?;
@@ -64,6 +74,8 @@
     ready: Vec<AtomicBool>,
     fleet: Mutex<SoakFleet>,
     over: AtomicBool,
+    /// Whether requests that end runners are sent.
+    deadly: AtomicBool,
     next_request: AtomicU64,
 }
 
@@ -71,14 +83,24 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// How large a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Nodes.
+    pub nodes: usize,
+    /// Callers.
+    pub callers: usize,
+}
+
 /// Runs a seed.
-pub fn run(program: &Path, seed: u64, length: Duration, nodes: usize) -> io::Result<Report> {
+pub fn run(program: &Path, seed: u64, length: Duration, size: Size) -> io::Result<Report> {
+    let nodes = size.nodes;
     let name = format!("pitchstall-soak-{}-{seed}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
     let world = World::start(program, &folder, seed, nodes)?;
     world.wait_until_ready()?;
-    let mut threads: Vec<JoinHandle<()>> = (0..CALLERS)
+    let mut threads: Vec<JoinHandle<()>> = (0..size.callers)
         .map(|caller| {
             let world = world.clone();
             std::thread::spawn(move || world.send_load(caller))
@@ -86,6 +108,13 @@
         .collect();
     let asking = world.clone();
     threads.push(std::thread::spawn(move || asking.ask_health()));
+    let replacing = world.clone();
+    threads.push(std::thread::spawn(move || replacing.replace_ended()));
+    world.deadly.store(true, Ordering::SeqCst);
+    threads.extend((0..DEADLY_REQUESTS).map(|number| {
+        let world = world.clone();
+        std::thread::spawn(move || world.send_deadly(number))
+    }));
     let steps = steps(seed, length, nodes);
     world.play(&steps, Instant::now(), length);
     let unserved = world.unserved_after_recovery();
@@ -121,6 +150,7 @@
             ready: (0..nodes).map(|_| AtomicBool::new(false)).collect(),
             fleet: Mutex::new(fleet),
             over: AtomicBool::new(false),
+            deadly: AtomicBool::new(false),
             next_request: AtomicU64::new(0),
         }))
     }
@@ -153,11 +183,13 @@
 
     fn send_load(&self, caller: usize) {
         let mut turn = caller;
+        let mut connections: Vec<Caller> = self.nodes.iter().map(|_| Caller::default()).collect();
         while !self.is_over() {
             turn += 1;
             let node = turn % self.nodes.len();
-            if self.ready[node].load(Ordering::SeqCst) {
-                self.send(node, self.kind(turn));
+            // An open connection is used until it ends, also when the node takes no new ones.
+            if connections[node].is_open() || self.ready[node].load(Ordering::SeqCst) {
+                self.send(&mut connections[node], node, self.kind(turn));
             }
             std::thread::sleep(BETWEEN_REQUESTS);
         }
@@ -173,23 +205,60 @@
         }
     }
 
-    fn send(&self, node: usize, kind: Kind) -> Outcome {
+    /// Sends a request that ends runners again and again, to any node.
+    fn send_deadly(&self, number: usize) {
+        let mut turn = number;
+        while self.deadly.load(Ordering::SeqCst) {
+            turn += 1;
+            let node = turn % self.nodes.len();
+            if self.ready[node].load(Ordering::SeqCst) {
+                self.send(&mut Caller::default(), node, Kind::Deadly { number });
+            }
+            std::thread::sleep(BETWEEN_DEADLY);
+        }
+    }
+
+    /// Starts new runners for those that have ended.
+    fn replace_ended(self: &Arc<Self>) {
+        while !self.is_over() {
+            let ended = lock(&self.fleet).take_ended();
+            for runner in ended {
+                let world = self.clone();
+                std::thread::spawn(move || world.replace_one(&runner));
+            }
+            std::thread::sleep(ENDED_POLL);
+        }
+    }
+
+    fn replace_one(&self, ended: &SoakRunner) {
+        std::thread::sleep(RUNNER_DOWN);
+        if let Err(error) = lock(&self.fleet).start_in_place_of(ended) {
+            eprintln!("soak: no runner in place of {}: {error}", ended.id);
+        }
+        std::thread::sleep(ENTRY_LASTS.saturating_sub(RUNNER_DOWN));
+        lock(&self.fleet).unlist(ended);
+    }
+
+    fn send(&self, caller: &mut Caller, node: usize, kind: Kind) -> Outcome {
         let number = self.next_request.fetch_add(1, Ordering::SeqCst);
         let request = format!("r-{number}");
         self.recorder.note(Event::Sent { request: request.clone(), kind, node });
-        let outcome = exchange(self.callers[node], &request_bytes(&request, kind));
+        let outcome = caller.exchange(self.callers[node], &request_bytes(&request, kind));
         self.recorder.note(Event::Ended { request, outcome: outcome.clone() });
         outcome
     }
 
     fn play(self: &Arc<Self>, steps: &[Step], started: Instant, length: Duration) {
         let mut running = Vec::new();
+        let deadly_until = started + length.saturating_sub(RECOVERY);
         for step in steps {
             std::thread::sleep((started + step.at).saturating_duration_since(Instant::now()));
             let (world, step) = (self.clone(), step.clone());
             running.push(std::thread::spawn(move || world.act(&step)));
         }
         running.into_iter().for_each(|step| drop(step.join()));
+        std::thread::sleep(deadly_until.saturating_duration_since(Instant::now()));
+        self.deadly.store(false, Ordering::SeqCst);
         let rest = started + length;
         std::thread::sleep(rest.saturating_duration_since(Instant::now()));
     }
@@ -214,9 +283,16 @@
             Action::RunnerLink { runner, mode } => {
                 let link = {
                     let fleet = lock(&self.fleet);
-                    fleet.runners[runner % fleet.runners.len()].link.clone()
+                    let index = runner % fleet.runners.len().max(1);
+                    fleet.runners.get(index).map(|runner| runner.link.clone())
                 };
-                self.disturb_link(&link, *mode, step.lasts, None);
+                if let Some(link) = link {
+                    self.recorder.note(Event::RunnerDisturbed);
+                    link.set_mode(*mode);
+                    std::thread::sleep(step.lasts);
+                    link.set_mode(LinkMode::Passing);
+                    self.recorder.note(Event::RunnerDisturbed);
+                }
             }
             Action::Store { mode } => {
                 self.disturbed(None);
@@ -231,6 +307,16 @@
             }
             Action::Replace { runner } => self.replace(*runner),
             Action::Configure => lock(&self.fleet).configure(),
+            Action::Reload { node } => lock(&self.nodes[*node]).signal(Signal::SIGHUP),
+            Action::CrashRunner { runner } => {
+                let fleet = lock(&self.fleet);
+                if !fleet.runners.is_empty() {
+                    let runner = &fleet.runners[runner % fleet.runners.len()];
+                    let (runner_id, under) = (runner.id.clone(), None);
+                    self.recorder.note(Event::Crashed { runner: runner_id, under });
+                    runner.crash();
+                }
+            }
         }
     }
 
@@ -283,7 +369,10 @@
     fn replace(&self, runner: usize) {
         let leaving = {
             let mut fleet = lock(&self.fleet);
-            let index = runner % fleet.runners.len();
+            let index = runner % fleet.runners.len().max(1);
+            if fleet.runners.is_empty() {
+                return;
+            }
             fleet.replace(index)
         };
         if let Ok(leaving) = leaving {
@@ -304,8 +393,12 @@
                 unserved.push(Violation { promise: "no process ends by itself", what });
             }
             for kind in kinds {
-                let answers =
-                    || matches!(self.send(number, kind), Outcome::Whole { status: 200, .. });
+                let answers = || {
+                    matches!(
+                        self.send(&mut Caller::default(), number, kind),
+                        Outcome::Whole { status: 200, .. }
+                    )
+                };
                 while !answers() {
                     if Instant::now() >= end {
                         let what = format!("node {number} does not answer {kind:?}");
@@ -331,6 +424,10 @@
             requests: entries.iter().filter(|(_, event)| ended(event)).count(),
             whole: entries.iter().filter(|(_, event)| whole(event)).count(),
             windows: reported_windows(&entries),
+            ended: entries
+                .iter()
+                .filter(|(_, event)| matches!(event, Event::Crashed { under: Some(_), .. }))
+                .count(),
             steps,
             folder,
         }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,36 +1,71 @@
-//! Sends one request on a connection of its own and sees every byte of its answer.
+//! Sends requests and sees every byte of their answers. A connection is kept and used for the next
+//! request as long as it is open, whatever the node has been told meanwhile.
 
 use crate::history::Outcome;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 /// Longer than any request is held.
 const ANSWER_LIMIT: Duration = Duration::from_secs(12);
 const MOST_HEADERS: usize = 32;
+const BUFFER_BYTES: usize = 16 * 1024;
 
-/// Sends a request and reads until the node closes the connection.
-pub fn exchange(node: SocketAddr, request: &[u8]) -> Outcome {
-    let Ok(mut stream) = TcpStream::connect_timeout(&node, CONNECT_LIMIT) else {
-        return Outcome::NotSent;
-    };
-    let ready = stream.set_read_timeout(Some(ANSWER_LIMIT)).is_ok();
-    if !ready || stream.write_all(request).is_err() {
-        return Outcome::Broken;
+/// A caller's connection to one node.
+#[derive(Default)]
+pub struct Caller {
+    kept: Option<TcpStream>,
+}
+
+impl Caller {
+    /// Whether there is an open connection, as far as is known.
+    pub fn is_open(&self) -> bool {
+        self.kept.is_some()
+    }
+
+    /// Sends a request to a node, on the open connection if there is one.
+    pub fn exchange(&mut self, node: SocketAddr, request: &[u8]) -> Outcome {
+        let stream = match self.kept.take() {
+            Some(kept) => Some(kept),
+            None => TcpStream::connect_timeout(&node, CONNECT_LIMIT).ok(),
+        };
+        let Some(mut stream) = stream else { return Outcome::NotSent };
+        let ready = stream.set_read_timeout(Some(ANSWER_LIMIT)).is_ok();
+        if !ready || stream.write_all(request).is_err() {
+            return Outcome::Broken;
+        }
+        let (outcome, is_kept) = read_answer(&mut stream);
+        if is_kept {
+            self.kept = Some(stream);
+        }
+        outcome
     }
+}
+
+/// Reads an answer; also tells whether the connection may be used again.
+fn read_answer(stream: &mut TcpStream) -> (Outcome, bool) {
+    let end = Instant::now() + ANSWER_LIMIT;
     let mut bytes = Vec::new();
-    let ended_in_order = stream.read_to_end(&mut bytes).is_ok();
-    match parse(&bytes) {
-        // An answer whose framing is complete counts, however the connection ended.
-        Some(Parsed::Whole(outcome)) => outcome,
-        Some(Parsed::Garbage) if ended_in_order => Outcome::Garbage,
-        _ => Outcome::Broken,
+    let mut buffer = [0; BUFFER_BYTES];
+    loop {
+        match parse(&bytes) {
+            Some(Parsed::Whole { outcome, is_kept }) => return (outcome, is_kept),
+            Some(Parsed::Garbage) => return (Outcome::Garbage, false),
+            None if Instant::now() >= end => return (Outcome::Broken, false),
+            None => {}
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) => return (Outcome::Broken, false),
+            Ok(length) => bytes.extend_from_slice(&buffer[..length]),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return (Outcome::Broken, false),
+        }
     }
 }
 
 enum Parsed {
-    Whole(Outcome),
+    Whole { outcome: Outcome, is_kept: bool },
     Garbage,
 }
 
@@ -57,7 +92,9 @@
         rest.get(..length)?.to_vec()
     };
     let echoed = header("x-pitchstall-request-id");
-    Some(Parsed::Whole(Outcome::Whole { status, echoed, body }))
+    let closes = header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
+    let outcome = Outcome::Whole { status, echoed, body };
+    Some(Parsed::Whole { outcome, is_kept: !closes })
 }
 
 fn dechunk(mut rest: &[u8]) -> Option<Vec<u8>> {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -13,6 +13,9 @@
 pub const DRAIN_US: u64 = 2_000_000;
 /// Added to bounds on time: this machine is shared.
 pub const SLACK_US: u64 = 1_000_000;
+/// Ends of runners under a request before its repeats are counted, and repeats that may come then.
+const FREE_ENDS: usize = 3;
+const MOST_REPEATS: usize = 3;
 const OK: u16 = 200;
 const NOT_FOUND: u16 = 404;
 
@@ -28,7 +31,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Every promise with its check.
-const CHECKS: [(&str, Check); 11] = [
+const CHECKS: [(&str, Check); 12] = [
     ("the whole answer to its own request", whole_answers),
     ("a stream whole and in order", whole_streams),
     ("at most once", at_most_once),
@@ -40,6 +43,7 @@
     ("a planned stop cuts nothing", planned_stops),
     ("runners are told the tenant and not the key", guarded),
     ("one usage report for a window", one_report),
+    ("requests that end runners are contained", contained),
 ];
 
 /// Checks a history.
@@ -94,6 +98,8 @@
 struct History<'a> {
     entries: &'a [Entry],
     exchanges: BTreeMap<&'a str, Exchange<'a>>,
+    /// The node that each request was sent to.
+    nodes: HashMap<&'a str, usize>,
     runs: HashMap<&'a str, Vec<Run<'a>>>,
     /// When a runner broke a stream off, by request: the last time.
     broken_off_at_us: HashMap<&'a str, u64>,
@@ -103,12 +109,14 @@
     fn new(entries: &'a [Entry]) -> Self {
         let mut sent: HashMap<&str, (u64, Kind, usize)> = HashMap::new();
         let mut exchanges = BTreeMap::new();
+        let mut nodes = HashMap::new();
         let mut runs: HashMap<&str, Vec<Run>> = HashMap::new();
         let mut broken_off_at_us = HashMap::new();
         for (at_us, event) in entries {
             match event {
                 Event::Sent { request, kind, node } => {
                     sent.insert(request, (*at_us, *kind, *node));
+                    nodes.insert(request.as_str(), *node);
                 }
                 Event::Ended { request, outcome } => {
                     if let Some((sent_us, kind, node)) = sent.get(request.as_str()).copied() {
@@ -126,7 +134,7 @@
                 _ => {}
             }
         }
-        Self { entries, exchanges, runs, broken_off_at_us }
+        Self { entries, exchanges, nodes, runs, broken_off_at_us }
     }
 
     /// Whether the last run of a request was broken off by its runner: then no node has cut it.
@@ -140,8 +148,18 @@
         self.runs.get(request).map_or(0, Vec::len)
     }
 
-    /// Whether a node and the store were without faults from a contact time before.
+    /// Whether a node, the store and the links to runners were without faults from a contact time
+    /// before.
     fn in_touch(&self, node: usize, from_us: u64, to_us: u64) -> bool {
+        let since_us = from_us.saturating_sub(CONTACT_US + SLACK_US);
+        let is_disturbed = |(at_us, event): &Entry| {
+            *event == Event::RunnerDisturbed && (since_us..=to_us).contains(at_us)
+        };
+        self.in_touch_with_store(node, from_us, to_us) && !self.entries.iter().any(is_disturbed)
+    }
+
+    /// Whether a node and the store were without faults from a contact time before.
+    fn in_touch_with_store(&self, node: usize, from_us: u64, to_us: u64) -> bool {
         let from_us = from_us.saturating_sub(CONTACT_US + SLACK_US);
         !self.entries.iter().any(|(at_us, event)| {
             let touches = match event {
@@ -328,8 +346,12 @@
             let is_of_this_life = it.sent_us < stopped_us + CONTACT_US;
             let from_us = it.sent_us.saturating_sub(CONTACT_US);
             let undisturbed = !history.entries.iter().any(|(at_us, event)| {
-                let touches = matches!(event, Event::Disturbed { node: None })
-                    || matches!(event, Event::Disturbed { node: Some(other) } if other == node);
+                let touches = matches!(
+                    event,
+                    Event::Disturbed { node: None }
+                        | Event::RunnerDisturbed
+                        | Event::Crashed { .. }
+                ) || matches!(event, Event::Disturbed { node: Some(other) } if other == node);
                 touches && (from_us..=it.ended_us).contains(at_us)
             });
             let was_begun = history.runs_of(request) > 0;
@@ -347,6 +369,32 @@
     cut
 }
 
+/// Once three runners have ended under a request, nodes that are in touch send it to hardly any more.
+fn contained(history: &History) -> Vec<String> {
+    let mut ends: BTreeMap<usize, Vec<(u64, &str)>> = BTreeMap::new();
+    for (at_us, event) in history.entries {
+        if let Event::Crashed { under: Some((request, number)), .. } = event {
+            ends.entry(*number).or_default().push((*at_us, request));
+        }
+    }
+    let mut broken = Vec::new();
+    for (number, ends) in ends {
+        let Some((last_free_us, _)) = ends.get(FREE_ENDS - 1) else { continue };
+        let heard_us = last_free_us + CONTACT_US + SLACK_US;
+        let is_counted = |(at_us, request): &&(u64, &str)| {
+            let node = history.nodes.get(request);
+            let in_touch = |node: &usize| history.in_touch_with_store(*node, *at_us, *at_us);
+            *at_us > heard_us && node.is_some_and(in_touch)
+        };
+        let repeats = ends.iter().filter(is_counted).count();
+        if repeats > MOST_REPEATS {
+            let all = ends.len();
+            broken.push(format!("request {number}: {repeats} times more, {all} ended in all"));
+        }
+    }
+    broken
+}
+
 fn orders_of_one_holder(history: &History) -> Vec<String> {
     let mut holders: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
     for (_, event) in history.entries {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,7 +10,8 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
 
 /// Host of the routes.
 pub const HOST: &str = "soak.example";
@@ -28,6 +29,10 @@
 const KEY: &str = "soak-m82thhkmgjqnirth5mgj";
 /// Share of requests that a runner runs and does not answer, or answers with a failure.
 const FAULTY_SHARE: f64 = 0.03;
+/// Beginning of the body of a request that ends runners.
+const DEADLY: &str = "deadly ";
+/// Time for which such a request runs.
+const DEADLY_RUNS_FOR: Duration = Duration::from_millis(40);
 
 /// The body of the answer to a request.
 pub fn answer_body(request: &str) -> String {
@@ -43,6 +48,15 @@
     service: &'static str,
     zone: &'static str,
     stage: Option<&'static str>,
+    stand_in: RunnerStandIn,
+}
+
+impl SoakRunner {
+    /// Ends it, as a crash of its process does.
+    pub fn crash(&self) {
+        self.link.close();
+        self.stand_in.crash();
+    }
 }
 
 /// The stand-ins.
@@ -80,11 +94,15 @@
         let number = self.next_runner;
         self.next_runner += 1;
         let id = format!("i-{number}");
-        let script = script(id.clone(), stage, self.recorder.clone(), self.seed ^ number);
-        let runner = RunnerStandIn::start(&id, script)?;
-        let link = Link::start(runner.address())?;
+        let own_link = Arc::new(OnceLock::new());
+        let script =
+            script(id.clone(), stage, self.recorder.clone(), self.seed ^ number, own_link.clone());
+        let stand_in = RunnerStandIn::start(&id, script)?;
+        let link = Link::start(stand_in.address())?;
+        // Nothing has come yet: it is not listed.
+        let _ = own_link.set(link.clone());
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
-        let runner = SoakRunner { id, link, service, zone, stage };
+        let runner = SoakRunner { id, link, service, zone, stage, stand_in };
         self.list(&runner, "ready");
         self.runners.push(runner);
         Ok(())
@@ -111,6 +129,20 @@
         Ok(leaving)
     }
 
+    /// Takes out the runners that have ended.
+    pub fn take_ended(&mut self) -> Vec<SoakRunner> {
+        let (ended, others) = std::mem::take(&mut self.runners)
+            .into_iter()
+            .partition(|runner| runner.stand_in.has_ended());
+        self.runners = others;
+        ended
+    }
+
+    /// Starts a runner in place of one that has ended.
+    pub fn start_in_place_of(&mut self, ended: &SoakRunner) -> std::io::Result<()> {
+        self.add(ended.zone, ended.stage)
+    }
+
     /// A runner is gone.
     pub fn unlist(&self, runner: &SoakRunner) {
         self.store.remove(&format!("servers/{}", runner.id));
@@ -176,6 +208,7 @@
     stage: Option<&'static str>,
     recorder: Recorder,
     seed: u64,
+    own_link: Arc<OnceLock<Link>>,
 ) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
     let engine = engine_script(LAST_EVENT);
     let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
@@ -191,6 +224,11 @@
         if request.header("x-pitchstall-expect-instance").is_some_and(|expected| expected != id) {
             return Reaction::Misdirected;
         }
+        if let Some(number) = deadly_number(&request.body) {
+            let under = Some((name.to_owned(), number));
+            recorder.note(Event::Crashed { runner: id.clone(), under });
+            return crash(&own_link, stage.is_some());
+        }
         let shows_key = request.headers.iter().any(|(_, value)| value.contains(KEY));
         if shows_key || request.header(TENANT_HEADER) != Some(TENANT) {
             let (request, runner) = (name.to_owned(), id.clone());
@@ -207,6 +245,27 @@
     }
 }
 
+/// The runner ends under a request, a little after it has begun to run it.
+fn crash(own_link: &Arc<OnceLock<Link>>, after_head: bool) -> Reaction {
+    let own_link = own_link.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(DEADLY_RUNS_FOR);
+        if let Some(link) = own_link.get() {
+            link.close();
+        }
+    });
+    Reaction::Crash { after_head, runs_for: DEADLY_RUNS_FOR }
+}
+
+/// The body of a request that ends runners: the same each time it comes.
+fn deadly_body(number: usize) -> String {
+    format!("{DEADLY}{number}")
+}
+
+fn deadly_number(body: &[u8]) -> Option<usize> {
+    std::str::from_utf8(body).ok()?.strip_prefix(DEADLY)?.parse().ok()
+}
+
 fn react(
     chance: &mut impl Rng,
     request: &ReceivedRequest,
@@ -227,7 +286,7 @@
     }
     match engine(request) {
         Reaction::Stream(mut stream) => {
-            stream.pause = std::time::Duration::from_millis(chance.random_range(1..15));
+            stream.pause = Duration::from_millis(chance.random_range(1..15));
             if is_faulty {
                 stream.breaks_after = Some(chance.random_range(0..LAST_EVENT));
             }
@@ -250,12 +309,17 @@
         Kind::Repeatable => ("GET", "lookup".to_owned()),
         Kind::AtMostOnce => ("POST", "booking".to_owned()),
         Kind::ResumableStream => ("POST", "summary".to_owned()),
+        Kind::Deadly { number } if number.is_multiple_of(2) => ("POST", "summary".to_owned()),
+        Kind::Deadly { .. } => ("POST", "lookup".to_owned()),
         Kind::Probe { version } => ("GET", format!("v{version}")),
     };
-    let body = request_body(request);
+    let body = match kind {
+        Kind::Deadly { number } => deadly_body(number),
+        _ => request_body(request),
+    };
     let length = body.len();
     let text = format!(
-        "{method} /{path}/x HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\
+        "{method} /{path}/x HTTP/1.1\r\nHost: {HOST}\r\n\
          X-Pitchstall-Request-Id: {request}\r\nX-Pitchstall-Deadline-Ms: 5000\r\n\
          Authorization: Token {KEY}\r\n\
          X-Pitchstall-Token-Count: 900,20\r\nX-Pitchstall-Prefix-Hash: a1:600,b2:300\r\n\
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -12,6 +12,11 @@
     AtMostOnce,
     /// A stream that may go on at another runner.
     ResumableStream,
+    /// Ends whatever runs it, and comes again and again with the same body.
+    Deadly {
+        /// Which of the seed's such requests.
+        number: usize,
+    },
     /// Asks which configuration is in force: the version whose own route it names.
     Probe {
         /// The version.
@@ -72,6 +77,13 @@
         /// The request's id.
         request: String,
     },
+    /// A runner ends.
+    Crashed {
+        /// The runner.
+        runner: String,
+        /// The id and the number of the request that ended it; `None`: it ended by itself.
+        under: Option<(String, usize)>,
+    },
     /// A runner was given a request without the name of its tenant, or with its key.
     Unguarded {
         /// The request's id.
@@ -110,6 +122,8 @@
         /// The node.
         node: Option<usize>,
     },
+    /// A fault begins or ends at the link to a runner.
+    RunnerDisturbed,
     /// A node's process starts.
     Started {
         /// The node.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -62,6 +62,16 @@
     },
     /// The operators change the configuration.
     Configure,
+    /// A node is told that its settings file has changed.
+    Reload {
+        /// The node.
+        node: usize,
+    },
+    /// A runner ends by itself, with all that it has under way.
+    CrashRunner {
+        /// Which of the runners that are listed then, modulo their number.
+        runner: usize,
+    },
 }
 
 /// An action, its time since the start of the load, and how long it lasts.
@@ -88,6 +98,8 @@
 const KINDS: u32 = 12;
 /// Time between two actions, milliseconds.
 const BETWEEN_MS: std::ops::Range<u64> = 200..1_800;
+/// Time between two actions of a series, milliseconds.
+const BETWEEN_IN_SERIES_MS: std::ops::Range<u64> = 20..250;
 const LASTS_MS: std::ops::Range<u64> = 300..4_000;
 /// Every so many seeds nothing unplanned happens, so that rules on planned work are tried.
 const PLANNED_ONLY_EVERY: u64 = 3;
@@ -97,13 +109,54 @@
 /// The steps of a seed, in order of time.
 pub fn steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
     let mut steps = system_steps(seed, length, nodes);
-    if !seed.is_multiple_of(PLANNED_ONLY_EVERY) {
+    steps.extend(series(seed, length, nodes));
+    if has_faults(seed) {
         steps.extend(cloud_steps(seed, length, nodes));
-        steps.sort_by_key(|step| step.at);
     }
+    steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Whether a seed has unplanned faults.
+fn has_faults(seed: u64) -> bool {
+    !seed.is_multiple_of(PLANNED_ONLY_EVERY)
+}
+
+/// Signals, restarts and changes in quick succession, so that they overlap: one series in the first
+/// half, one in the second. They are drawn apart, so that older seeds keep their other steps.
+fn series(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
+    const APART: u64 = 0x73_6572_6965;
+    const IN_A_SERIES: u32 = 8;
+    let mut chance = ChaCha8Rng::seed_from_u64(seed ^ APART);
+    let last = length.saturating_sub(RECOVERY);
+    let mut steps = Vec::new();
+    for part in [1_u32, 3] {
+        let mut at = last / 4 * part;
+        for _ in 0..IN_A_SERIES {
+            at += Duration::from_millis(chance.random_range(BETWEEN_IN_SERIES_MS));
+            let lasts = Duration::from_millis(chance.random_range(LASTS_MS));
+            let action = in_series(&mut chance, has_faults(seed), nodes);
+            let lasts = lasts.min(length.saturating_sub(at + RECOVERY));
+            steps.push(Step { at, lasts, action });
+        }
+    }
+    steps
+}
+
+fn in_series(chance: &mut impl Rng, with_faults: bool, nodes: usize) -> Action {
+    let node = chance.random_range(0..nodes);
+    let runner = chance.random_range(0..1_000);
+    match chance.random_range(0..if with_faults { 7 } else { 4 }) {
+        0 => Action::Stop { node },
+        1 => Action::Reload { node },
+        2 => Action::Configure,
+        3 => Action::Replace { runner },
+        4 => Action::Kill { node },
+        5 => Action::Pause { node },
+        _ => Action::CrashRunner { runner },
+    }
+}
+
 /// Faults on the way to the interface for duties. They are drawn apart, so that older seeds keep
 /// their other steps.
 fn cloud_steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,7 +3,7 @@
 use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -45,6 +45,7 @@
 pub struct Link {
     address: SocketAddr,
     mode: Arc<AtomicU8>,
+    is_closed: Arc<AtomicBool>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -57,10 +58,14 @@
     /// A link that passes everything on to `server`.
     pub fn start(server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let link = Self { address: listener.local_addr()?, mode: Arc::default() };
+        let address = listener.local_addr()?;
+        let link = Self { address, mode: Arc::default(), is_closed: Arc::default() };
         let own = link.clone();
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
+                if own.is_closed.load(Ordering::SeqCst) {
+                    return;
+                }
                 own.join(client, server);
             }
         });
@@ -72,6 +77,17 @@
         self.address
     }
 
+    /// Ends the link as the server's process ends: connections are reset, and new ones refused.
+    /// Returns once they are.
+    pub fn close(&self) {
+        self.set_mode(LinkMode::Resetting);
+        self.is_closed.store(true, Ordering::SeqCst);
+        // Wakes the thread that takes connections; it ends with its listener.
+        while TcpStream::connect(self.address).is_ok() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Changes how the link behaves.
     pub fn set_mode(&self, mode: LinkMode) {
         self.mode.store(mode as u8, Ordering::SeqCst);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -198,3 +198,28 @@
     assert_eq!(steps(5, length, 3), steps(5, length, 3));
     assert_ne!(steps(5, length, 3), steps(7, length, 3));
 }
+
+fn ended_runner(at: u64, request: &str) -> [Entry; 2] {
+    let (runner, under) = (format!("i-{at}"), Some((request.to_owned(), 0)));
+    let crashed = (at + 1, Event::Crashed { runner, under });
+    [sent(at, request, Kind::Deadly { number: 0 }), crashed]
+}
+
+#[test_case(&[1, 2, 3, 4, 5, 6, 30, 31, 32], false; "within the time to hear of it, and three more")]
+#[test_case(&[1, 2, 3, 30, 31, 32, 33], true; "four more")]
+fn a_request_that_goes_on_ending_runners_is_found(seconds: &[u64], is_broken: bool) {
+    let ids: Vec<String> = seconds.iter().map(|second| format!("d-{second}")).collect();
+    let ends = seconds.iter().zip(&ids).flat_map(|(at, id)| ended_runner(at * SECOND, id));
+    let found = broken(&ends.collect::<Vec<_>>());
+    assert_eq!(!found.is_empty(), is_broken, "{found:?}");
+}
+
+#[test]
+fn a_node_that_was_not_in_touch_is_not_bound() {
+    let seconds = [1, 2, 3, 30, 31, 32, 33];
+    let ids: Vec<String> = seconds.iter().map(|second| format!("d-{second}")).collect();
+    let ends = seconds.iter().zip(&ids).flat_map(|(at, id)| ended_runner(at * SECOND, id));
+    let mut entries: Vec<Entry> = ends.collect();
+    entries.push((29 * SECOND, Event::Disturbed { node: Some(0) }));
+    assert_eq!(broken(&entries), [] as [&str; 0]);
+}
