--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -99,7 +99,10 @@
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
     let world = World::start(program, &folder, seed, nodes)?;
-    world.wait_until_ready()?;
+    if let Err(error) = world.wait_until_ready() {
+        world.kill_all();
+        return Err(error);
+    }
     let mut threads: Vec<JoinHandle<()>> = (0..size.callers)
         .map(|caller| {
             let world = world.clone();
@@ -120,6 +123,8 @@
     let unserved = world.unserved_after_recovery();
     world.over.store(true, Ordering::SeqCst);
     threads.into_iter().for_each(|thread| drop(thread.join()));
+    // Threads that wait to replace a runner still hold the world, which so outlives this run.
+    world.kill_all();
     let mut report = world.report(steps.len(), folder);
     report.violations.extend(unserved);
     if report.violations.is_empty() {
@@ -334,6 +339,10 @@
         }
     }
 
+    fn kill_all(&self) {
+        self.nodes.iter().for_each(|node| lock(node).kill());
+    }
+
     fn restart(&self, node: usize, process: &mut NodeProcess) {
         self.recorder.note(Event::Started { node });
         if let Err(error) = process.start() {
