--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,11 +1,12 @@
 //! One attempt: a request sent to one runner, up to the head of its answer.
 
+use crate::broken_attempt::{on_lost, on_under_way, BrokenAttempt, ConnectionUse};
 use crate::clock::Instant;
 use crate::http::request::request_bytes;
 use crate::http::{AnswerHead, BodyDecoder, Header, ReadFailure, Upstream};
 use crate::intake::{ClientRequest, WholeAnswer};
 use crate::node::Node;
-use crate::verification::{becomes_suspect, doubt, verify, CONNECT_LIMIT};
+use crate::verification::{becomes_suspect, doubt, CONNECT_LIMIT};
 use pitchstall_platform_adapter::headers::{self, LeftOut};
 use pitchstall_serving::ids::{RunnerId, TenantName};
 use pitchstall_serving::placement::Choice;
@@ -18,9 +19,6 @@
 
 /// Largest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Time after sending within which a kept connection that ends is taken for one that the
-/// runner had forgotten.
-const DEAD_WITHIN: Duration = Duration::from_millis(30);
 /// Surplus answers that are passed over while waiting for the right one.
 const MOST_SURPLUS: usize = 4;
 /// Largest surplus answer that is passed over.
@@ -185,7 +183,8 @@
     let connection = ConnectionUse { rested: prepared.rested, sent_at };
     let broken = BrokenAttempt { request, tenant: params.tenant.as_ref(), runner: &runner };
     if let Err(error) = prepared.connection.send(bytes) {
-        return lost(node, broken, connection, &error);
+        on_lost(node, broken, connection, &error);
+        return AttemptEnd::Lost;
     }
     let head = read_own_head(request, &prepared);
     let answer = tokio::select! {
@@ -206,7 +205,10 @@
             on_under_way(node, broken);
             AttemptEnd::Silent
         }
-        Ok(Err(error)) => lost(node, broken, connection, &error),
+        Ok(Err(error)) => {
+            on_lost(node, broken, connection, &error);
+            AttemptEnd::Lost
+        }
         Ok(Ok((head, facts))) => {
             log_head(request, &runner, &head, &facts, sent_at);
             classify(node, request, prepared, params, head, &facts)
@@ -317,73 +319,6 @@
     });
 }
 
-/// How the connection of a lost attempt was used.
-#[derive(Clone, Copy)]
-struct ConnectionUse {
-    /// How long a kept connection had rested; `None`: a new one.
-    rested: Option<Duration>,
-    sent_at: Instant,
-}
-
-impl ConnectionUse {
-    /// The rest after which a kept connection was found dead: its end came as fast as an
-    /// answer that nobody worked on.
-    fn found_dead(&self) -> Option<Duration> {
-        self.rested.filter(|_| self.sent_at.elapsed() < DEAD_WITHIN)
-    }
-}
-
-/// An attempt that ended before its answer was whole.
-#[derive(Clone, Copy)]
-pub struct BrokenAttempt<'a> {
-    /// The request.
-    pub request: &'a ClientRequest,
-    /// The tenant for whom it runs.
-    pub tenant: Option<&'a TenantName>,
-    /// The runner that had it.
-    pub runner: &'a RunnerId,
-}
-
-/// A connection broke before its answer was whole: the runner has crashed, or it lost one
-/// answer.
-pub fn on_broken(node: &Rc<Node>, broken: BrokenAttempt<'_>) {
-    let now_us = node.now_us();
-    node.fleet.borrow_mut().on_broken_answer(broken.runner, now_us);
-    on_under_way(node, broken);
-    verify(node, broken.runner, now_us);
-}
-
-/// A request was under way at a runner that may have ended.
-fn on_under_way(node: &Rc<Node>, broken: BrokenAttempt<'_>) {
-    let identity = broken.request.identity(broken.tenant);
-    node.on_broken_attempt(broken.runner, broken.request.facts.id.as_str(), identity);
-}
-
-fn lost(
-    node: &Rc<Node>,
-    broken: BrokenAttempt<'_>,
-    connection: ConnectionUse,
-    error: &ReadFailure,
-) -> AttemptEnd {
-    let error = error.to_string();
-    let runner = broken.runner;
-    let id = broken.request.facts.id.as_str();
-    let found_dead = connection.found_dead();
-    let rested_ms = found_dead.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
-    log::info!(target: "attempt", request = id, runner = runner.as_str(), rested_ms, error; "lost");
-    match found_dead {
-        Some(rested) => {
-            node.pool.on_dead(rested);
-            node.pool.forget(runner);
-            // It may also have ended just after it took the request.
-            on_under_way(node, broken);
-            verify(node, runner, node.now_us());
-        }
-        None => on_broken(node, broken),
-    }
-    AttemptEnd::Lost
-}
-
 fn log_sent(request: &ClientRequest, prepared: &Prepared, params: &AttemptParams) {
     let work = match params.work {
         Work::Run => "run",
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -8,7 +8,8 @@
 
 use self::planning::elapsed_ms;
 use crate::answers::OwnAnswer;
-use crate::attempt::{self, Answering, AttemptEnd, AttemptParams, BrokenAttempt};
+use crate::attempt::{self, Answering, AttemptEnd, AttemptParams};
+use crate::broken_attempt::{on_broken, BrokenAttempt};
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
@@ -321,7 +322,7 @@
                 let error = error.to_string();
                 let id = self.request.facts.id.as_str();
                 log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "broken off");
-                attempt::on_broken(self.node, self.broken(&runner));
+                on_broken(self.node, self.broken(&runner));
                 return self.on_lost(runner);
             }
             Err(_) => return self.on_lost(runner),
@@ -410,7 +411,7 @@
     }
 
     fn on_broken_stream(&mut self, runner: RunnerId) -> Step {
-        attempt::on_broken(self.node, self.broken(&runner));
+        on_broken(self.node, self.broken(&runner));
         let id = self.request.facts.id.as_str();
         let after = self.stream.join.last_id().unwrap_or_default();
         let begun = self.stream.begun;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,21 +13,25 @@
 //! | [`scheduling`] | asks the scheduler of the runners where the request is to run |
 //! | [`reading`] | has a prompt read and keeps its handle |
 //! | [`attempt`] | one attempt at one runner |
+//! | [`broken_attempt`] | what follows for the runner of an attempt that ended early |
 //! | [`verification`] | looks whether a silent runner can be reached |
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
 //! Beside them: [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
-//! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with [`platform_client`] or another
-//! node with [`mirror`], [`node`] holds what the node
-//! believes, [`http`] speaks HTTP to runners and to the store.
+//! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
+//! [`platform_client`] or another node with [`mirror`], as old as [`copy_limits`] allows, [`quarantine`] keeps
+//! the requests that end runners there, [`node`] holds what the node believes, [`clock`] says how long ago
+//! something was, [`http`] speaks HTTP to runners and to the store.
 
 pub mod answers;
 pub mod attempt;
 pub mod authority;
+pub mod broken_attempt;
 pub mod cache_listing;
 pub mod clock;
 pub mod connection;
+pub mod copy_limits;
 pub mod daemon;
 pub mod dispatch;
 pub mod entries;
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -1,6 +1,7 @@
 //! Has a prompt read by a prefill runner, and keeps the handle until it is taken or freed.
 
-use crate::attempt::{self, AttemptEnd, AttemptParams, BrokenAttempt, Prepared};
+use crate::attempt::{self, AttemptEnd, AttemptParams, Prepared};
+use crate::broken_attempt::{on_broken, BrokenAttempt};
 use crate::clock::Instant;
 use crate::http::request::request_bytes;
 use crate::http::Upstream;
@@ -103,7 +104,7 @@
             log::info!(target: "reading", request, runner = runner.as_str(), error; "broken off");
             let tenant = params.tenant.as_ref();
             let broken = BrokenAttempt { request: demand.request, tenant, runner: &runner };
-            attempt::on_broken(node, broken);
+            on_broken(node, broken);
             return ReadingEnd::Failed;
         }
         Err(_) => return ReadingEnd::Failed,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -10,6 +10,7 @@
 //! ([`pitchstall_serving::freshness`]); otherwise the store is asked.
 
 use crate::clock::Instant;
+use crate::copy_limits::{draw_confirmation, longest_question, part_of_contact, stale_after};
 use crate::entries::take_update;
 use crate::mirror::MirrorClient;
 use crate::node::Node;
@@ -41,19 +42,6 @@
 const BETWEEN_CHANGES_A_NODE: Duration = Duration::from_millis(8);
 /// Part of the time after which a node counts as in touch again that changes wait at most.
 const CHANGES_WAIT_PART: u32 = 6;
-/// How long a confirmation holds at a node that reads the store, in hundredths of the time after
-/// which a node counts as in touch again. Those that follow it add what [`stale_hundredths`] and
-/// [`WAIT_HUNDREDTHS`] say, and must stay below the time in which a configuration comes into force,
-/// which the users set to two thirds of that time and more.
-const CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 22..32;
-/// The same for requests under which runners have ended: nodes tell each other of them at once, and
-/// the store has to be heard of within the whole of that time. Each confirmation is a call.
-const CRASHES_CONFIRMATION_HUNDREDTHS: std::ops::Range<u64> = 45..55;
-/// Age of another node's copy, in hundredths of the same time, from which on it is not relied on.
-const STALE_HUNDREDTHS: u64 = 45;
-const CRASHES_STALE_HUNDREDTHS: u64 = 75;
-/// Time for which a question to another node waits for a change, in hundredths of the same time.
-const WAIT_HUNDREDTHS: u64 = 12;
 /// Between two calls to the store while no other node's copy is confirmed, in hundredths of the
 /// same time: a node may alone be cut off from the others.
 const OWN_CALL_HUNDREDTHS: std::ops::Range<u64> = 50..150;
@@ -118,28 +106,6 @@
     }
 }
 
-/// How long a confirmation holds: well under the time after which the node counts as in touch
-/// again, so that a watch that went silent in a fault has been replaced before the node, or one
-/// that follows it, is bound by it. Drawn at random, so that one node's word spares the others.
-fn draw_confirmation(node: &Node, subject: Subject) -> Duration {
-    let hundredths = match subject {
-        Subject::Configuration | Subject::Runners => CONFIRMATION_HUNDREDTHS,
-        Subject::Crashes => CRASHES_CONFIRMATION_HUNDREDTHS,
-    };
-    part_of_contact(node, rand::rng().random_range(hundredths))
-}
-
-fn stale_hundredths(subject: Subject) -> u64 {
-    match subject {
-        Subject::Configuration | Subject::Runners => STALE_HUNDREDTHS,
-        Subject::Crashes => CRASHES_STALE_HUNDREDTHS,
-    }
-}
-
-fn part_of_contact(node: &Node, hundredths: u64) -> Duration {
-    Duration::from_millis(node.settings().bounds.contact_ms * hundredths / 100)
-}
-
 fn verdict(node: &Node, subject: Subject, confirmation: Duration) -> Freshness {
     let confirmation_us = u64::try_from(confirmation.as_micros()).unwrap_or(u64::MAX);
     let freshness = node.freshness.borrow();
@@ -238,11 +204,11 @@
     /// Asks another node for what has changed since the last answer.
     async fn follow_node(&mut self, source: SocketAddr) {
         self.pause_between_changes(BETWEEN_CHANGES).await;
-        let stale = part_of_contact(&self.node, stale_hundredths(self.subject));
+        let stale = stale_after(&self.node, self.subject);
         // A source that is new may lag too: it is only asked what it knows, so that the next one
         // follows at once.
         let wait = match self.source_is_sound {
-            true => part_of_contact(&self.node, WAIT_HUNDREDTHS),
+            true => longest_question(&self.node),
             false => Duration::ZERO,
         };
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
@@ -285,7 +251,7 @@
         self.take_update(update);
         let age_ms = answer.age_ms;
         self.with_freshness(|copy, now_us| copy.on_handed_on(update, age_ms, now_us));
-        let stale = part_of_contact(&self.node, stale_hundredths(self.subject));
+        let stale = stale_after(&self.node, self.subject);
         let is_confirmed = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < stale);
         // Another node has told of a later change than this one knows of.
         is_confirmed && self.verdict() != Freshness::Behind
