Only a success clears a request of the runners that ended under it

Cause: gone through by hand. Any whole answer cleared a request, also a runner's 500: a runner that fails part of its requests without running them would have freed one that ends all others, and three more runners with it. Change: a whole answer with 2xx clears it, nothing else.

--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -328,7 +328,10 @@
             Err(_) => return self.on_lost(runner),
         };
         answering.give_back(self.node);
-        self.node.on_whole_answer(|| self.identity());
+        // A failure may come from a runner that has not begun to run it.
+        if (200..300).contains(&answer.status) {
+            self.node.on_success(|| self.identity());
+        }
         const FIRST_FAILURE: u16 = 500;
         if answer.status < FIRST_FAILURE || self.stream.begun {
             return self.done_whole(answer);
@@ -363,7 +366,7 @@
         match end {
             RelayEnd::Complete => {
                 answering.give_back(self.node);
-                self.node.on_whole_answer(|| self.identity());
+                self.node.on_success(|| self.identity());
                 Step::Done(RequestEnd::Streamed)
             }
             RelayEnd::ClientGone => Step::Done(RequestEnd::ClientGone),
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -87,8 +87,8 @@
         quarantine.holds(identity, evidence.in_doubt_under(identity, self.now_us()))
     }
 
-    /// A runner has answered a request whole: it does not end runners.
-    pub fn on_whole_answer(&self, identity: impl FnOnce() -> RequestIdentity) {
+    /// A runner has answered a request whole and with success: it does not end runners.
+    pub fn on_success(&self, identity: impl FnOnce() -> RequestIdentity) {
         if self.crash_evidence.borrow().is_empty() && self.quarantine.borrow().is_empty() {
             return;
         }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -7,6 +7,8 @@
 use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreMode;
 use serde_json::Value;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use support::{configuration, get, wait_for, Fixture};
 use test_case::test_case;
@@ -15,6 +17,8 @@
 const SOUND: &[u8] = b"a request like any other";
 /// Ends of runners under a request after which it may be repeated but a few times.
 const ENDS: usize = 3;
+/// The arrival, from 0, that a runner fails instead.
+const FAILED_ARRIVAL: usize = 2;
 /// Repeats that may reach runners from then on.
 const REPEATS: usize = 3;
 /// `contact_ms` of the fixture, and some more.
@@ -185,3 +189,27 @@
     client.send(lift.as_bytes());
     assert_eq!(client.read_answer().status, 404);
 }
+
+#[test]
+fn a_failure_that_a_runner_answers_clears_no_request() {
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    let script = move |request: &ReceivedRequest| {
+        if request.body != DEADLY {
+            return engine(request, false);
+        }
+        // One runner fails it without running it: that tells nothing of what it does to others.
+        match arrivals.fetch_add(1, Ordering::SeqCst) {
+            FAILED_ARRIVAL => Reaction::Answer { status: 500, body: b"failed".to_vec() },
+            _ => engine(request, false),
+        }
+    };
+    let start = |number| RunnerStandIn::start(&format!("i-{number}"), script.clone()).unwrap();
+    let runners: Vec<RunnerStandIn> = (0..12).map(start).collect();
+    let node = node_with(&runners, "desk");
+    send_until_ended(&[&node], "/lookup/7", &runners);
+    std::thread::sleep(HEARD);
+    for repeat in 0..4 {
+        assert_eq!(send_to(&node, "/lookup/7", &format!("again-{repeat}"), DEADLY).status, 503);
+    }
+    assert_eq!(ended(&runners), ENDS);
+}
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -6,8 +6,8 @@
 //! [`ENDS_TO_QUARANTINE`] such ends is in quarantine: no node sends it to a runner again.
 //!
 //! Dozens of sound requests are under way beside it at each end. They are told apart by what becomes
-//! of them: a whole answer of a runner clears a request of all that was counted, since one that ends
-//! runners never gets one.
+//! of them: a whole answer of a runner with success clears a request of all that was counted, since one
+//! that ends runners never gets one. A failure clears nothing: a runner may fail what it has not run.
 //!
 //! What was counted lies in the store and outlives every node. Until it is there it is held here as
 //! *unwritten*; other nodes' words are held as *told*, in case their node dies before it writes. A
