An answer that only the end of its connection ends clears no request

Cause: gone through by hand. Where an answer has neither length nor chunks, a runner that ends looks like one that has answered whole; the request that ended it was cleared each time. Change: such an answer has its runner looked at, and counts as an end if it has ended.

--- a/crates/gateway/src/broken_attempt.rs
+++ b/crates/gateway/src/broken_attempt.rs
@@ -32,8 +32,13 @@
 pub fn on_broken(node: &Rc<Node>, broken: BrokenAttempt<'_>) {
     let now_us = node.now_us();
     node.fleet.borrow_mut().on_broken_answer(broken.runner, now_us);
+    look_at_runner(node, broken);
+}
+
+/// Finds out whether the runner of an attempt has ended.
+pub fn look_at_runner(node: &Rc<Node>, broken: BrokenAttempt<'_>) {
     on_under_way(node, broken);
-    verify(node, broken.runner, now_us);
+    verify(node, broken.runner, node.now_us());
 }
 
 /// A request was under way at a runner that may have ended.
@@ -77,8 +82,7 @@
             node.pool.on_dead(rested);
             node.pool.forget(runner);
             // It may also have ended just after it took the request.
-            on_under_way(node, broken);
-            verify(node, runner, node.now_us());
+            look_at_runner(node, broken);
         }
         None => on_broken(node, broken),
     }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -9,7 +9,7 @@
 use self::planning::elapsed_ms;
 use crate::answers::OwnAnswer;
 use crate::attempt::{self, Answering, AttemptEnd, AttemptParams};
-use crate::broken_attempt::{on_broken, BrokenAttempt};
+use crate::broken_attempt::{look_at_runner, on_broken, BrokenAttempt};
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
@@ -327,10 +327,11 @@
             }
             Err(_) => return self.on_lost(runner),
         };
+        let is_framed = !answering.ends_with_connection();
         answering.give_back(self.node);
         // A failure may come from a runner that has not begun to run it.
         if (200..300).contains(&answer.status) {
-            self.node.on_success(|| self.identity());
+            self.on_success(&runner, is_framed);
         }
         const FIRST_FAILURE: u16 = 500;
         if answer.status < FIRST_FAILURE || self.stream.begun {
@@ -346,6 +347,16 @@
         Step::Again
     }
 
+    /// A runner has answered with success. Where only the end of the connection tells that the answer
+    /// is whole, the runner may as well have ended.
+    fn on_success(&self, runner: &RunnerId, is_framed: bool) {
+        if is_framed {
+            self.node.on_success(|| self.identity());
+        } else {
+            look_at_runner(self.node, self.broken(runner));
+        }
+    }
+
     fn done_whole(&self, answer: WholeAnswer) -> Step {
         if self.stream.begun {
             return Step::Done(RequestEnd::Cut);
@@ -365,8 +376,9 @@
         };
         match end {
             RelayEnd::Complete => {
+                let is_framed = !answering.ends_with_connection();
                 answering.give_back(self.node);
-                self.node.on_success(|| self.identity());
+                self.on_success(&runner, is_framed);
                 Step::Done(RequestEnd::Streamed)
             }
             RelayEnd::ClientGone => Step::Done(RequestEnd::ClientGone),
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use pitchstall_platform_standins::http::ReceivedRequest;
-use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreMode;
 use serde_json::Value;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -24,9 +24,9 @@
 /// `contact_ms` of the fixture, and some more.
 const HEARD: Duration = Duration::from_millis(1_500);
 
-fn engine(request: &ReceivedRequest, after_head: bool) -> Reaction {
+fn engine(request: &ReceivedRequest, head: CrashHead) -> Reaction {
     if request.body == DEADLY {
-        return Reaction::Crash { after_head, runs_for: Duration::from_millis(20) };
+        return Reaction::Crash { head, runs_for: Duration::from_millis(20) };
     }
     if request.path().starts_with("/lookup/") {
         return Reaction::Answer { status: 200, body: b"found".to_vec() };
@@ -34,8 +34,8 @@
     engine_script(4)(request)
 }
 
-fn runners_of(count: usize, after_head: bool) -> Vec<RunnerStandIn> {
-    let script = move |request: &ReceivedRequest| engine(request, after_head);
+fn runners_of(count: usize, head: CrashHead) -> Vec<RunnerStandIn> {
+    let script = move |request: &ReceivedRequest| engine(request, head);
     let start = |number| RunnerStandIn::start(&format!("i-{number}"), script).unwrap();
     (0..count).map(start).collect()
 }
@@ -81,15 +81,16 @@
     panic!("the stand-ins do not end");
 }
 
-#[test_case("/summary/7", "llm", true; "a stream that has begun to run")]
-#[test_case("/summary/7", "llm", false; "a stream without a head")]
-#[test_case("/lookup/7", "desk", false; "no stream")]
+#[test_case("/summary/7", "llm", CrashHead::Chunked; "a stream that has begun to run")]
+#[test_case("/summary/7", "llm", CrashHead::None; "a stream without a head")]
+#[test_case("/summary/7", "llm", CrashHead::Unframed; "a stream that seems to be whole")]
+#[test_case("/lookup/7", "desk", CrashHead::None; "no stream")]
 fn a_request_that_has_ended_three_runners_reaches_hardly_any_more(
     path: &str,
     service: &str,
-    after_head: bool,
+    head: CrashHead,
 ) {
-    let runners = runners_of(14, after_head);
+    let runners = runners_of(14, head);
     let first = node_with(&runners, service);
     let second = first.start_beside("node-2");
     second.wait_until_ready();
@@ -107,7 +108,7 @@
 
 #[test]
 fn what_is_told_is_final_and_the_same_each_time() {
-    let runners = runners_of(8, true);
+    let runners = runners_of(8, CrashHead::Chunked);
     let node = node_with(&runners, "llm");
     send_until_ended(&[&node], "/summary/7", &runners);
     for repeat in 0..3 {
@@ -118,7 +119,7 @@
 
 #[test]
 fn a_node_that_starts_later_knows_it_from_the_store() {
-    let runners = runners_of(12, true);
+    let runners = runners_of(12, CrashHead::Chunked);
     let first = node_with(&runners, "llm");
     send_until_ended(&[&first], "/summary/7", &runners);
     std::thread::sleep(HEARD);
@@ -137,7 +138,7 @@
 
 #[test]
 fn ends_while_the_store_is_away_are_told_by_words_and_written_later() {
-    let runners = runners_of(12, true);
+    let runners = runners_of(12, CrashHead::Chunked);
     let first = node_with(&runners, "llm");
     let second = first.start_beside("node-2");
     second.wait_until_ready();
@@ -155,7 +156,7 @@
 fn a_runner_that_only_lost_answers_has_not_ended() {
     let losing = |request: &ReceivedRequest| match request.body.as_slice() {
         DEADLY => Reaction::RawThenReset(Vec::new()),
-        _ => engine(request, true),
+        _ => engine(request, CrashHead::Chunked),
     };
     let start = |number| RunnerStandIn::start(&format!("i-{number}"), losing).unwrap();
     let runners: Vec<RunnerStandIn> = (0..6).map(start).collect();
@@ -172,7 +173,7 @@
 
 #[test]
 fn an_operator_sees_and_lifts_a_quarantine() {
-    let runners = runners_of(8, true);
+    let runners = runners_of(8, CrashHead::Chunked);
     let node = node_with(&runners, "llm");
     send_until_ended(&[&node], "/summary/7", &runners);
     wait_for("the quarantine", || send_to(&node, "/summary/7", "again", DEADLY).status == 503);
@@ -195,12 +196,12 @@
     let arrivals = Arc::new(AtomicUsize::new(0));
     let script = move |request: &ReceivedRequest| {
         if request.body != DEADLY {
-            return engine(request, false);
+            return engine(request, CrashHead::None);
         }
         // One runner fails it without running it: that tells nothing of what it does to others.
         match arrivals.fetch_add(1, Ordering::SeqCst) {
             FAILED_ARRIVAL => Reaction::Answer { status: 500, body: b"failed".to_vec() },
-            _ => engine(request, false),
+            _ => engine(request, CrashHead::None),
         }
     };
     let start = |number| RunnerStandIn::start(&format!("i-{number}"), script.clone()).unwrap();
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::proxy::Link;
 use pitchstall_platform_standins::cloud::CloudStandIn;
 use pitchstall_platform_standins::http::ReceivedRequest;
-use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -227,7 +227,8 @@
         if let Some(number) = deadly_number(&request.body) {
             let under = Some((name.to_owned(), number));
             recorder.note(Event::Crashed { runner: id.clone(), under });
-            return crash(&own_link, stage.is_some());
+            let head = if stage.is_some() { CrashHead::Chunked } else { CrashHead::None };
+            return crash(&own_link, head);
         }
         let shows_key = request.headers.iter().any(|(_, value)| value.contains(KEY));
         if shows_key || request.header(TENANT_HEADER) != Some(TENANT) {
@@ -246,7 +247,7 @@
 }
 
 /// The runner ends under a request, a little after it has begun to run it.
-fn crash(own_link: &Arc<OnceLock<Link>>, after_head: bool) -> Reaction {
+fn crash(own_link: &Arc<OnceLock<Link>>, head: CrashHead) -> Reaction {
     let own_link = own_link.clone();
     std::thread::spawn(move || {
         std::thread::sleep(DEADLY_RUNS_FOR);
@@ -254,7 +255,7 @@
             link.close();
         }
     });
-    Reaction::Crash { after_head, runs_for: DEADLY_RUNS_FOR }
+    Reaction::Crash { head, runs_for: DEADLY_RUNS_FOR }
 }
 
 /// The body of a request that ends runners: the same each time it comes.
