Write the first end under a request later, and remove entries of cleared requests many at a time

Change: a first end waits 1 s in place of 0.3 s, removals wait 2 s and go together. Words still go out at once, a second end is written at once.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! Words are sooner there. What is counted and when a request reaches no runner any more is decided in
 //! [`pitchstall_serving::quarantine`]; the store is followed by [`crate::watcher`].
 
+use crate::clock::Instant;
 use crate::node::{machine_wall_ms, Node};
 use crate::platform_client::PlatformClient;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -18,6 +19,9 @@
 /// Pause after a call that the store did not take: a small part of the time after which nodes count
 /// as in touch with it again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which entries of requests that were cleared wait to be removed, so that one call removes many:
+/// sound requests lose nothing by it.
+const REMOVAL_DELAY: Duration = Duration::from_millis(2_000);
 /// Between two looks for ends that are to be forgotten: they are kept for a day.
 const FORGET_EVERY: Duration = Duration::from_secs(60);
 
@@ -42,29 +46,39 @@
 /// Writes to the store what is to be written, until the task is dropped.
 pub async fn keep_written(node: Rc<Node>) {
     let mut client = PlatformClient::default();
+    let mut remove_at = None;
     loop {
-        wait_until_due(&node).await;
+        wait_until_due(&node, &mut remove_at).await;
         if node.authority.fence().is_some() {
             node.quarantine.borrow_mut().forget_old(machine_wall_ms());
         }
-        if !write_due(&node, &mut client).await {
+        let is_taken = match write_due(&node, &mut client).await {
+            true => remove_due(&node, &mut client, &mut remove_at).await,
+            false => false,
+        };
+        if !is_taken {
             sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-async fn wait_until_due(node: &Node) {
-    let next_us = {
+/// Waits until something is to be written or removed, or may be. `remove_at` is when what is to be removed
+/// now has waited long enough.
+async fn wait_until_due(node: &Node, remove_at: &mut Option<Instant>) {
+    let (next_us, has_removals) = {
         let quarantine = node.quarantine.borrow();
-        if quarantine.due_removals().is_empty() {
-            quarantine.next_write_us()
-        } else {
-            Some(0)
-        }
+        (quarantine.next_write_us(), !quarantine.due_removals().is_empty())
     };
-    let left = next_us.map_or(FORGET_EVERY, |next_us| {
+    let until_write = next_us.map_or(FORGET_EVERY, |next_us| {
         Duration::from_micros(next_us.saturating_sub(node.now_us()))
     });
+    let until_removal = if has_removals {
+        let at = *remove_at.get_or_insert_with(|| Instant::now() + REMOVAL_DELAY);
+        at.saturating_duration_since(Instant::now())
+    } else {
+        FORGET_EVERY
+    };
+    let left = until_write.min(until_removal);
     if !left.is_zero() {
         // Something else may be due sooner by then, or nothing.
         let _ = timeout(left, node.quarantine_changed.notified()).await;
@@ -80,6 +94,18 @@
         }
         node.quarantine.borrow_mut().on_written(&ends);
     }
+    true
+}
+
+/// Removes what has waited long enough; returns whether the store has taken it.
+async fn remove_due(
+    node: &Node,
+    client: &mut PlatformClient,
+    remove_at: &mut Option<Instant>,
+) -> bool {
+    if remove_at.is_none_or(|at| Instant::now() < at) {
+        return true;
+    }
     let removals = node.quarantine.borrow().due_removals();
     if !removals.is_empty() {
         if !is_taken(node, client, &store::remove_ends(&removals)).await {
@@ -87,6 +113,7 @@
         }
         node.quarantine.borrow_mut().on_removals_written(&removals);
     }
+    *remove_at = None;
     true
 }
 
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -23,9 +23,9 @@
 /// and three repeats after the third has become known.
 pub const ENDS_TO_QUARANTINE: usize = 3;
 /// Time for which the first end under a request waits before it is written, microseconds: a resumed
-/// stream or a repeated request is mostly answered within it, and it is a small part of the time
-/// after which nodes count as in touch.
-const FIRST_WRITE_DELAY_US: u64 = 300_000;
+/// stream or a repeated request is mostly answered within it, and it is a third of the shortest time
+/// after which the users' nodes count as in touch. Other nodes are told at once.
+const FIRST_WRITE_DELAY_US: u64 = 1_000_000;
 /// Entries that a transaction of the store takes.
 pub const MOST_IN_A_WRITE: usize = 32;
 /// Requests that are remembered. Each costs a runner's end; a day of the aim has some hundred.
