One node keeps the store's list of crashes small, by the time that the nodes agree on

Ruled out: leaving what there is no room for in the store, since every node keeps a copy of its list.

--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -1,6 +1,6 @@
 //! What a node takes in of runners that ended under requests, and which requests it sends to none.
 
-use super::{machine_wall_ms, Node};
+use super::Node;
 use crate::peer_words::PeerWord;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::quarantine::{CrashWord, End, EndChange};
@@ -51,7 +51,7 @@
         let now_us = self.now_us();
         for request in under_way {
             let end = End { request: *request, runner: runner.clone() };
-            let change = self.quarantine.borrow_mut().on_seen(&end, machine_wall_ms(), now_us);
+            let change = self.quarantine.borrow_mut().on_seen(&end, self.wall_ms(), now_us);
             self.log_end(&end, change, "seen");
         }
         self.quarantine_changed.notify_one();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! [`pitchstall_serving::quarantine`]; the store is followed by [`crate::watcher`].
 
 use crate::clock::Instant;
-use crate::node::{machine_wall_ms, Node};
+use crate::node::Node;
 use crate::platform_client::PlatformClient;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
@@ -32,7 +32,7 @@
         CrashWord::Ended { runner, requests } => {
             for request in requests {
                 let end = End { request, runner: runner.clone() };
-                let change = node.quarantine.borrow_mut().on_told(&end, machine_wall_ms(), now_us);
+                let change = node.quarantine.borrow_mut().on_told(&end, node.wall_ms(), now_us);
                 node.log_end(&end, change, "told");
             }
             node.quarantine_changed.notify_one();
@@ -50,7 +50,7 @@
     loop {
         wait_until_due(&node, &mut remove_at).await;
         if node.authority.fence().is_some() {
-            node.quarantine.borrow_mut().forget_old(machine_wall_ms());
+            node.quarantine.borrow_mut().tidy_store(node.wall_ms());
         }
         let is_taken = match write_due(&node, &mut client).await {
             true => remove_due(&node, &mut client, &mut remove_at).await,
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -12,7 +12,8 @@
 //! What was counted lies in the store and outlives every node. Until it is there it is held here as
 //! *unwritten*; other nodes' words are held as *told*, in case their node dies before it writes. A
 //! first end is written a little later than it is told: most requests that were under way are
-//! answered at another runner by then, and cost the store nothing.
+//! answered at another runner by then, and cost the store nothing. What is removed from the store, one
+//! node removes: the one that has cleared the request, or for old ends the one with the authority.
 
 use crate::ids::RunnerId;
 use crate::request_identity::RequestIdentity;
@@ -118,6 +119,8 @@
     requests: HashMap<RequestIdentity, BTreeMap<RunnerId, KnownEnd>>,
     /// Entries of the store that are to be removed.
     to_remove: BTreeSet<End>,
+    /// Entries of the store that there was no room for here.
+    without_room: BTreeSet<End>,
 }
 
 impl Quarantine {
@@ -194,11 +197,21 @@
         let age =
             |ends: &BTreeMap<RunnerId, KnownEnd>| ends.values().map(|end| end.record.at_ms).max();
         let weakest = self.requests.iter().min_by_key(|(_, ends)| (ends.len(), age(ends)));
-        if let Some(request) = weakest.map(|(request, _)| *request) {
-            self.clear(request);
+        let Some(request) = weakest.map(|(request, _)| *request) else { return };
+        let stored = self.take_stored(request);
+        self.without_room.extend(stored);
+        while self.without_room.len() > MOST_REQUESTS {
+            self.without_room.pop_last();
         }
     }
 
+    /// Takes a request out; returns those of its ends that are in the store.
+    fn take_stored(&mut self, request: RequestIdentity) -> Vec<End> {
+        let ends = self.requests.remove(&request).unwrap_or_default();
+        let stored = ends.into_iter().filter(|(_, end)| end.known == Known::Stored);
+        stored.map(|(runner, _)| End { request, runner }).collect()
+    }
+
     /// Ends of a request that wait to be written wait no longer: it is not the first any more.
     fn hasten(&mut self, request: RequestIdentity, now_us: u64) {
         for end in self.requests.get_mut(&request).into_iter().flat_map(BTreeMap::values_mut) {
@@ -237,10 +250,10 @@
 
     /// A request is cleared of all ends. Returns whether there were any.
     pub fn clear(&mut self, request: RequestIdentity) -> bool {
-        let Some(ends) = self.requests.remove(&request) else { return false };
-        let stored = ends.into_iter().filter(|(_, end)| end.known == Known::Stored);
-        self.to_remove.extend(stored.map(|(runner, _)| End { request, runner }));
-        true
+        let is_known = self.requests.contains_key(&request);
+        let stored = self.take_stored(request);
+        self.to_remove.extend(stored);
+        is_known
     }
 
     /// Runners that have ended under a request.
@@ -302,8 +315,10 @@
         }
     }
 
-    /// Has ends that are older than [`REMEMBERED_MS`] removed from the store.
-    pub fn forget_old(&mut self, now_ms: u64) {
+    /// Has ends removed from the store that are older than [`REMEMBERED_MS`], or that there is no room for:
+    /// the work of one node for all.
+    pub fn tidy_store(&mut self, now_ms: u64) {
+        self.to_remove.append(&mut self.without_room);
         let is_old = |end: &KnownEnd| now_ms > end.record.at_ms.saturating_add(REMEMBERED_MS);
         let old: Vec<End> = self.all().filter(|(_, end)| is_old(end)).map(|(end, _)| end).collect();
         for end in old {
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -148,13 +148,24 @@
     assert!(quarantine.suspects()[0].quarantined);
 }
 
+#[test]
+fn what_there_is_no_room_for_is_removed_by_one_node_for_all() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..=MOST_REQUESTS as u64 {
+        quarantine.on_stored(&end(number, number), EndRecord { at_ms: number });
+    }
+    assert!(quarantine.due_removals().is_empty());
+    quarantine.tidy_store(MOST_REQUESTS as u64);
+    assert_eq!(quarantine.due_removals(), [end(0, 0)], "the oldest has gone");
+}
+
 #[test]
 fn ends_are_forgotten_after_a_day() {
     let mut quarantine = Quarantine::default();
     quarantine.on_stored(&end(1, 1), RECORD);
-    quarantine.forget_old(REMEMBERED_MS);
+    quarantine.tidy_store(REMEMBERED_MS);
     assert_eq!(quarantine.ends(request(1)), 1);
-    quarantine.forget_old(REMEMBERED_MS + 2 * RECORD.at_ms);
+    quarantine.tidy_store(REMEMBERED_MS + 2 * RECORD.at_ms);
     assert_eq!(quarantine.ends(request(1)), 0);
     assert_eq!(quarantine.due_removals(), [end(1, 1)]);
 }
