Keep the platform's names of the soak and of dev in the stand-ins, written once

Change: platform/standins has documents, the caller's request and what a runner reads of one; the soak and dev use them.

--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -2,6 +2,7 @@
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use pitchstall_platform_standins::client::READY_QUESTION;
 use pitchstall_soak::proxy::Link;
 use std::fs::File;
 use std::io::{self, Read, Write};
@@ -124,11 +125,10 @@
 /// Whether the node with this health address says that it takes callers.
 pub fn is_ready(health: SocketAddr) -> bool {
     const LIMIT: Duration = Duration::from_millis(300);
-    const QUESTION: &[u8] = b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
     let ask = || -> io::Result<bool> {
         let mut stream = TcpStream::connect_timeout(&health, LIMIT)?;
         stream.set_read_timeout(Some(LIMIT))?;
-        stream.write_all(QUESTION)?;
+        stream.write_all(READY_QUESTION)?;
         let mut head = [0; b"HTTP/1.1 200".len()];
         stream.read_exact(&mut head)?;
         Ok(head.ends_with(b"200"))
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,6 +2,7 @@
 //! request as long as it is open, whatever the node has been told meanwhile.
 
 use crate::history::Outcome;
+use pitchstall_platform_standins::client::ANSWERED_ID;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -91,7 +92,7 @@
         let length: usize = header("content-length").map_or(Some(0), |it| it.parse().ok())?;
         rest.get(..length)?.to_vec()
     };
-    let echoed = header("x-pitchstall-request-id");
+    let echoed = header(ANSWERED_ID);
     let closes = header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
     let outcome = Outcome::Whole { status, echoed, body };
     Some(Parsed::Whole { outcome, is_kept: !closes })
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,13 +3,17 @@
 use crate::checks::request_body;
 use crate::history::{Event, Kind, Recorder};
 use crate::proxy::Link;
+use pitchstall_platform_standins::client::CallerRequest;
 use pitchstall_platform_standins::cloud::CloudStandIn;
+use pitchstall_platform_standins::documents::{
+    self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, CONFIGURATION_KEY,
+};
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::{json, Value};
+use serde_json::Value;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -22,11 +26,11 @@
 
 const ENGINE_SERVICE: &str = "engine";
 const DESK_SERVICE: &str = "desk";
-const ID_HEADER: &str = "x-pitchstall-request-id";
-const TENANT_HEADER: &str = "x-pitchstall-tenant-id";
 /// The only tenant, and its key.
 const TENANT: &str = "taxis";
 const KEY: &str = "soak-m82thhkmgjqnirth5mgj";
+/// Time for which callers wait, milliseconds.
+const DEADLINE_MS: u64 = 5_000;
 /// Share of requests that a runner runs and does not answer, or answers with a failure.
 const FAULTY_SHARE: f64 = 0.03;
 /// Beginning of the body of a request that ends runners.
@@ -103,28 +107,27 @@
         let _ = own_link.set(link.clone());
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
         let runner = SoakRunner { id, link, service, zone, stage, stand_in };
-        self.list(&runner, "ready");
+        self.list(&runner, false);
         self.runners.push(runner);
         Ok(())
     }
 
-    fn list(&self, runner: &SoakRunner, state: &str) {
-        let mut entry = json!({
-            "service": runner.service, "address": runner.link.address().to_string(),
-            "zone": runner.zone, "version": "v1", "slots": 8, "state": state,
-            "cold_left_ms": 0, "seq": 1,
-        });
-        if let Some(stage) = runner.stage {
-            entry["stage"] = stage.into();
-        }
-        self.store.put(&format!("servers/{}", runner.id), &entry);
+    fn list(&self, runner: &SoakRunner, is_draining: bool) {
+        let entry = RunnerDocument {
+            service: runner.service,
+            address: runner.link.address(),
+            zone: runner.zone,
+            is_draining,
+            stage: runner.stage,
+        };
+        self.store.put(&runner_key(&runner.id), &entry.to_json());
     }
 
     /// A runner says that it leaves; another one takes its place. Returns the one that leaves.
     pub fn replace(&mut self, index: usize) -> std::io::Result<SoakRunner> {
         let leaving = self.runners.swap_remove(index);
         self.add(leaving.zone, leaving.stage)?;
-        self.list(&leaving, "draining");
+        self.list(&leaving, true);
         self.recorder.note(Event::Draining { runner: leaving.id.clone() });
         Ok(leaving)
     }
@@ -145,14 +148,14 @@
 
     /// A runner is gone.
     pub fn unlist(&self, runner: &SoakRunner) {
-        self.store.remove(&format!("servers/{}", runner.id));
+        self.store.remove(&runner_key(&runner.id));
     }
 
     /// Puts the next configuration in force; each has a route of its own, and that of the one
     /// before it.
     pub fn configure(&mut self) {
         self.version += 1;
-        self.store.put("op/config", &configuration(self.version));
+        self.store.put(CONFIGURATION_KEY, &configuration(self.version));
         self.recorder.note(Event::Configured { version: self.version });
     }
 
@@ -160,8 +163,7 @@
     pub fn note_reports(&self) {
         const DONE: u16 = 200;
         for call in self.cloud.calls().into_iter().filter(|call| call.status == DONE) {
-            let window = call.body["window_id"].as_u64().unwrap_or_default();
-            let counts = call.body["counts"].to_string();
+            let (window, counts) = call.usage_report();
             self.recorder.note(Event::Reported { window, counts });
         }
     }
@@ -173,33 +175,29 @@
 }
 
 fn configuration(version: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, engine: bool| {
-        json!({
-            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 6_000, "target_ms": 800, "priority": 1, "service": service,
-            "max_attempts": 3, "sticky": engine, "resumable": engine, "gap_target_ms": 300,
-        })
+    const TIMEOUT_MS: u64 = 6_000;
+    const MAX_ATTEMPTS: u32 = 3;
+    const MAX_CONNECTIONS: u32 = 200;
+    let route = |name, kind, service| RouteDocument {
+        name,
+        host: HOST,
+        kind,
+        service,
+        timeout_ms: TIMEOUT_MS,
+        max_attempts: MAX_ATTEMPTS,
     };
+    let service =
+        |name, has_engines| ServiceDocument { name, has_engines, max_connections: MAX_CONNECTIONS };
+    let own: Vec<String> =
+        (version.saturating_sub(1).max(1)..=version).map(|own| format!("v{own}")).collect();
     let mut routes = vec![
-        route("booking", "non_idempotent", DESK_SERVICE, false),
-        route("lookup", "idempotent", DESK_SERVICE, false),
-        route("summary", "streaming", ENGINE_SERVICE, true),
+        route("booking", RouteKind::AtMostOnce, DESK_SERVICE),
+        route("lookup", RouteKind::Repeatable, DESK_SERVICE),
+        route("summary", RouteKind::ResumableStream, ENGINE_SERVICE),
     ];
-    for own in version.saturating_sub(1).max(1)..=version {
-        routes.push(route(&format!("v{own}"), "idempotent", DESK_SERVICE, false));
-    }
-    json!({
-        "version": version,
-        "routes": routes,
-        "tenants": [{ "name": TENANT, "api_keys": [KEY] }],
-        "services": [
-            { "name": DESK_SERVICE, "health_path": "/health", "max_conns": 200 },
-            { "name": ENGINE_SERVICE, "health_path": "/health", "max_conns": 200, "engine": {
-                "slots": 8, "kv_tokens": 100_000, "handle_ttl_s": 5.0 } },
-        ],
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
-    })
+    routes.extend(own.iter().map(|name| route(name, RouteKind::Repeatable, DESK_SERVICE)));
+    let services = [service(DESK_SERVICE, false), service(ENGINE_SERVICE, true)];
+    documents::configuration(version, &routes, &services, (TENANT, KEY))
 }
 
 /// What a runner does: it runs what it is given, notes it, and now and then fails.
@@ -213,15 +211,14 @@
     let engine = engine_script(LAST_EVENT);
     let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
     move |request| {
-        if request.path() == "/v1/order" {
-            note_order(&recorder, &id, request);
+        if let Some((holder, fence)) = request.order() {
+            recorder.note(Event::Ordered { runner: id.clone(), holder, fence });
             return Reaction::Answer { status: 202, body: Vec::new() };
         }
-        let is_reading = request.header("x-pitchstall-stage").is_some();
-        let Some(name) = request.header(ID_HEADER).filter(|_| !is_reading) else {
+        let Some(name) = request.id().filter(|_| !request.is_reading()) else {
             return engine(request);
         };
-        if request.header("x-pitchstall-expect-instance").is_some_and(|expected| expected != id) {
+        if request.expected_runner().is_some_and(|expected| expected != id) {
             return Reaction::Misdirected;
         }
         if let Some(number) = deadly_number(&request.body) {
@@ -231,7 +228,7 @@
             return crash(&own_link, head);
         }
         let shows_key = request.headers.iter().any(|(_, value)| value.contains(KEY));
-        if shows_key || request.header(TENANT_HEADER) != Some(TENANT) {
+        if shows_key || request.tenant() != Some(TENANT) {
             let (request, runner) = (name.to_owned(), id.clone());
             recorder.note(Event::Unguarded { request, runner });
         }
@@ -297,13 +294,6 @@
     }
 }
 
-fn note_order(recorder: &Recorder, runner: &str, request: &ReceivedRequest) {
-    let Ok(order) = serde_json::from_slice::<Value>(&request.body) else { return };
-    let holder = order["holder"].as_str().unwrap_or_default().to_owned();
-    let fence = order["fence"].as_u64().unwrap_or_default();
-    recorder.note(Event::Ordered { runner: runner.to_owned(), holder, fence });
-}
-
 /// The bytes of a request of a kind.
 pub fn request_bytes(request: &str, kind: Kind) -> Vec<u8> {
     let (method, path) = match kind {
@@ -318,13 +308,9 @@
         Kind::Deadly { number } => deadly_body(number),
         _ => request_body(request),
     };
-    let length = body.len();
-    let text = format!(
-        "{method} /{path}/x HTTP/1.1\r\nHost: {HOST}\r\n\
-         X-Pitchstall-Request-Id: {request}\r\nX-Pitchstall-Deadline-Ms: 5000\r\n\
-         Authorization: Token {KEY}\r\n\
-         X-Pitchstall-Token-Count: 900,20\r\nX-Pitchstall-Prefix-Hash: a1:600,b2:300\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
-    );
-    text.into_bytes()
+    let path = format!("/{path}/x");
+    let (id, key, deadline_ms) = (request, KEY, DEADLINE_MS);
+    let request =
+        CallerRequest { method, host: HOST, path: &path, id, key, deadline_ms, body: &body };
+    request.to_bytes()
 }
