Catch signals before anything else, so that one that comes during the start ends no node

Ruled out: a panic or an exit of its own (no line after 'stopped', no 'started' of the new process). Change: signals are registered first of all. The soak tells a process to reload once it catches the signal, since no program can before it runs.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -20,10 +20,11 @@
 
 /// Serves callers until the process is asked to stop and has finished its work.
 pub fn run(arguments: ServeArguments) -> Result<ExitCode, CommandError> {
+    // First of all: until it is caught, a signal to reload ends the process.
+    let signals = Signals::register()?;
     let settings = Settings::read(&arguments.settings)?;
     let _logger = logging::start(&settings.log.levels)
         .map_err(|error| CommandError::Logging(error.to_string()))?;
-    let signals = Signals::register()?;
     block_on("pitchstall", daemon::run(settings, arguments.settings, signals))?;
     Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/crates/cli/tests/signals.rs
@@ -0,0 +1,44 @@
+//! Signals that come while a node is starting.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use nix::sys::stat::Mode;
+use nix::unistd::mkfifo;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// No test waits longer for something that should happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Bits of SIGHUP and SIGTERM in a mask of signals.
+const RELOAD: u64 = 1;
+const STOP: u64 = 1 << 14;
+
+/// The signals that a process catches, as a mask.
+fn caught_by(process: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).unwrap();
+    u64::from_str_radix(mask.trim(), 16).unwrap()
+}
+
+#[test]
+fn signals_are_caught_before_the_settings_are_read() {
+    let name = format!("pitchstall-signals-{}", std::process::id());
+    let settings = std::env::temp_dir().join(name);
+    mkfifo(&settings, Mode::S_IRWXU).unwrap();
+    // Nobody writes into it: the process waits for its settings.
+    let mut process = Command::new(env!("CARGO_BIN_EXE_pitchstall"))
+        .args(["serve", "--settings", settings.to_str().unwrap()])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let end = Instant::now() + PATIENCE;
+    let wanted = RELOAD | STOP;
+    while caught_by(&process) & wanted != wanted && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let caught = caught_by(&process);
+    process.kill().unwrap();
+    process.wait().unwrap();
+    std::fs::remove_file(&settings).unwrap();
+    assert_eq!(caught & wanted, wanted);
+}
--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -14,6 +14,8 @@
 const CALLERS_PORT: u16 = 18_181;
 const HEALTH_PORT: u16 = 18_182;
 const PEERS_PORT: u16 = 18_183;
+/// Time within which a process that was started catches signals.
+const CATCHES_WITHIN: Duration = Duration::from_secs(5);
 /// Time from SIGTERM to SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(8);
 
@@ -95,6 +97,26 @@
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
+    /// Tells the process that its settings have changed, once it catches that signal: one that has just
+    /// been started would end, as any program does.
+    pub fn reload(&self) {
+        let end = Instant::now() + CATCHES_WITHIN;
+        while !self.catches_reload() && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        self.signal(Signal::SIGHUP);
+    }
+
+    fn catches_reload(&self) -> bool {
+        const RELOAD: u64 = 1;
+        let Some(child) = &self.child else { return true };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & RELOAD != 0)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -314,7 +314,7 @@
             }
             Action::Replace { runner } => self.replace(*runner),
             Action::Configure => lock(&self.fleet).configure(),
-            Action::Reload { node } => lock(&self.nodes[*node]).signal(Signal::SIGHUP),
+            Action::Reload { node } => lock(&self.nodes[*node]).reload(),
             Action::CrashRunner { runner } => {
                 let fleet = lock(&self.fleet);
                 if !fleet.runners.is_empty() {
