--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -8,10 +8,11 @@
 use pitchstall_gateway::logging;
 use pitchstall_gateway::settings::{
     BoundsSection, CapacitySection, CloudSection, Duty, ListenSection, LogSection, MachineSection,
-    NodeSection, PolicySection, Settings, StoreSection, UsageSection,
+    NodeSection, PolicySection, QuotaSection, Settings, StoreSection, UsageSection,
 };
 use pitchstall_platform_standins::client::{example_request, send_load};
 use pitchstall_platform_standins::fleet::StandInFleet;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -85,6 +86,7 @@
         node: NodeSection {
             name: format!("node-{number}"),
             zone: zone.to_owned(),
+            regions: BTreeMap::new(),
             seeds: Vec::new(),
         },
         listen: ListenSection { callers: address(0), health: address(1), peers: address(2) },
@@ -105,6 +107,7 @@
             usage: Some(UsageSection { window_s: 5.0, due_s: 10.0 }),
         }),
         capacity: CapacitySection::default(),
+        quota: QuotaSection::default(),
         machine: MachineSection::default(),
         policy: PolicySection::default(),
         log: LogSection::default(),
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -4,6 +4,7 @@
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
 use pitchstall_serving::quarantine::CrashWord;
+use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn};
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -46,6 +47,15 @@
     /// Runners that ended, and what was under way there.
     #[serde(rename = "crash")]
     Crash(CrashWord),
+    /// May a run of this cost begin?
+    #[serde(rename = "quota?")]
+    QuotaQuestion(QuotaQuestion),
+    /// Whether it may.
+    #[serde(rename = "quota")]
+    QuotaAnswer(QuotaAnswer),
+    /// It has not begun.
+    #[serde(rename = "quota-")]
+    QuotaReturn(QuotaReturn),
     /// So many.
     #[serde(rename = "usage")]
     Usage(UsageWord),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -113,6 +113,8 @@
             PeerWord::Loads(word) => self.node.on_shard_loads(&word),
             PeerWord::UsageQuestion(question) => usage::on_question(&self.node, &question),
             PeerWord::Crash(word) => quarantine::on_word(&self.node, word),
+            // No node asks yet.
+            PeerWord::QuotaQuestion(_) | PeerWord::QuotaAnswer(_) | PeerWord::QuotaReturn(_) => {}
             PeerWord::Usage(word) => usage::on_word(&self.node, &word),
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use pitchstall_policy::PolicyError;
 use pitchstall_serving::capacity_planner::CapacityPolicy;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -26,6 +27,9 @@
     /// What the machine has.
     #[serde(default)]
     pub machine: MachineSection,
+    /// How far tenants' limits may be exceeded.
+    #[serde(default)]
+    pub quota: QuotaSection,
     /// The operators' policy program.
     #[serde(default)]
     pub policy: PolicySection,
@@ -42,6 +46,9 @@
     pub name: String,
     /// Its zone.
     pub zone: String,
+    /// The regions of the zones, this one's among them; a zone that is not named is a region of its own.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Addresses of some other machines, `IP:port`, for a start while the store is away. They may be
     /// stale. Only the IP counts: nodes listen for each other at the same port everywhere.
     #[serde(default)]
@@ -166,6 +173,25 @@
     }
 }
 
+/// How far the sum over all nodes may lie above a tenant's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuotaSection {
+    /// Length of the windows in which that is judged, seconds.
+    pub window_s: f64,
+    /// Share of what the limit allows in a window.
+    pub overage: f64,
+    /// Units, requests or tokens, besides.
+    pub slack: u64,
+}
+
+impl Default for QuotaSection {
+    /// The strictest that the users' deployments ask for a window, and nothing above the limit.
+    fn default() -> Self {
+        Self { window_s: 8.0, overage: 0.0, slack: 0 }
+    }
+}
+
 /// What the machine has.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -301,6 +327,17 @@
                 "0 to 1",
             ),
             ((-0.9..=10.0).contains(&self.capacity.headroom), "capacity.headroom", "-0.9 to 10"),
+            (
+                self.node.regions.values().all(|region| !region.is_empty()),
+                "node.regions",
+                "the name of a region for each zone",
+            ),
+            (
+                (SHORTEST_WINDOW_S..=3_600.0).contains(&self.quota.window_s),
+                "quota.window_s",
+                "0.1 to 3600",
+            ),
+            ((0.0..=10.0).contains(&self.quota.overage), "quota.overage", "0 to 10"),
             (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
             (self.machine.file_descriptors > 0, "machine.file_descriptors", "more than 0"),
             (self.machine.processor_share > 0.0, "machine.processor_share", "more than 0"),
--- a/crates/serving/src/ids.rs
+++ b/crates/serving/src/ids.rs
@@ -48,6 +48,10 @@
     /// A zone: the machines that share one place and one network.
     ZoneId
 );
+text_identifier!(
+    /// A region: zones that are near each other.
+    RegionId
+);
 text_identifier!(
     /// A tenant: somebody whose requests are served and counted.
     TenantName
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 //! | --- | --- |
 //! | [`ids`] | nothing: the types of identifiers |
 //! | [`configuration`] | what the operators have put in force |
+//! | [`topology`] | which zones belong to one region |
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
@@ -29,6 +30,7 @@
 //! | [`authority`] | which node may order that |
 //! | [`tenancy`] | who may send requests, and for whom they run |
 //! | [`usage`], [`wall_clock`] | how many requests of each tenant began, and when |
+//! | [`quota`] | what a tenant may have run, and what nodes say to each other for that |
 //! | [`retry_budget`] | whether one more attempt may be made |
 //! | [`crash_evidence`] | which requests were under way at a runner when it ended |
 //! | [`quarantine`] | which requests end runners, and reach none any more |
@@ -51,6 +53,7 @@
 pub mod prefix;
 pub mod prefix_cache;
 pub mod quarantine;
+pub mod quota;
 pub mod read_pace;
 pub mod request;
 pub mod request_identity;
@@ -64,6 +67,7 @@
 pub mod store_copy;
 pub mod suspicion;
 pub mod tenancy;
+pub mod topology;
 pub mod urgency;
 pub mod usage;
 pub mod wall_clock;
--- a/crates/serving/src/tenancy.rs
+++ b/crates/serving/src/tenancy.rs
@@ -6,6 +6,7 @@
 //! time that a look-up takes tells nothing of how much of a key was right.
 
 use crate::ids::TenantName;
+use crate::quota::TenantLimit;
 use secrecy::{ExposeSecret, SecretString};
 use sha2::{Digest as _, Sha256};
 use std::collections::HashMap;
@@ -79,6 +80,8 @@
     pub name: TenantName,
     /// Rank of its requests, 0 first; `None`: that of the route.
     pub priority: Option<u8>,
+    /// What it may have run; `None`: there is no limit.
+    pub limit: Option<TenantLimit>,
 }
 
 /// The tenants of a configuration.
--- a/crates/serving/tests/tenancy.rs
+++ b/crates/serving/tests/tenancy.rs
@@ -22,7 +22,7 @@
 
 fn tenants() -> Tenants {
     let mut tenants = Tenants::default();
-    let tenant = Tenant { name: TenantName::new("taxis"), priority: Some(1) };
+    let tenant = Tenant { name: TenantName::new("taxis"), priority: Some(1), limit: None };
     tenants.add(tenant, [ApiKey::new("right").digest(), ApiKey::new("other").digest()]);
     tenants
 }
@@ -77,7 +77,7 @@
 #[test]
 fn a_key_that_moves_belongs_to_the_tenant_of_the_version_in_force() {
     let mut moved = Tenants::default();
-    let tenant = Tenant { name: TenantName::new("buses"), priority: None };
+    let tenant = Tenant { name: TenantName::new("buses"), priority: None, limit: None };
     moved.add(tenant, [ApiKey::new("right").digest()]);
     let access = authorize(&moved, false, key("right"), FRESH, LENIENT);
     assert_eq!(outcome(&access), "another");
