--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -110,14 +110,14 @@
         return Some(Prepared { connection: kept.connection, record, flight, rested });
     }
     node.metrics.connections.inc();
+    let begun = Instant::now();
     match Upstream::open(record.address, CONNECT_LIMIT).await {
-        // The runner may have begun to leave while the connection was being opened.
-        Ok(connection) => usable_record(node, &choice.runner).map(|record| Prepared {
-            connection,
-            record,
-            flight,
-            rested: None,
-        }),
+        Ok(connection) => {
+            node.on_round_trip(&record.zone, begun.elapsed());
+            // The runner may have begun to leave while the connection was being opened.
+            let record = usable_record(node, &choice.runner)?;
+            Some(Prepared { connection, record, flight, rested: None })
+        }
         Err(error) => {
             let is_refused = error.is_refused();
             let error = error.to_string();
--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -6,7 +6,7 @@
 use crate::http::request::request_bytes;
 use crate::http::{BodyDecoder, Upstream};
 use crate::node::Node;
-use crate::scheduling::own_shards;
+use crate::shard_scheduler::own_shards;
 use pitchstall_platform_adapter::paths;
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::RunnerId;
@@ -45,7 +45,7 @@
 pub fn runners_to_list(fleet: &Fleet, shards: &[Shard]) -> Vec<(RunnerId, SocketAddr)> {
     let has = |runner: &&Runner| {
         let is_engine = runner.takes_work() && runner.record.stage.is_some();
-        is_engine && shards.iter().any(|shard| shard.has(&runner.record.id))
+        is_engine && shards.iter().any(|shard| shard.has(runner))
     };
     let listed = fleet.iter().filter(has);
     listed.map(|runner| (runner.record.id.clone(), runner.record.address)).collect()
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -16,8 +16,8 @@
 use crate::quarantine;
 use crate::roles;
 use crate::scaling;
-use crate::scheduling;
-use crate::settings::{Settings, SettingsError};
+use crate::settings::{NodeSection, Settings, SettingsError};
+use crate::shard_scheduler;
 use crate::usage;
 use crate::watcher;
 use pitchstall_serving::store_copy::Subject;
@@ -105,13 +105,14 @@
     let socket = PeerSocket::new(Rc::new(datagrams));
     let node = Node::new(settings, socket.clone());
     node.adopt_policy_program(program);
+    node.log_topology();
     for subject in Subject::ALL {
         ntex::rt::spawn(watcher::follow(node.clone(), subject));
     }
     let peers = Peers::new(node.clone(), socket);
     ntex::rt::spawn(peers.clone().receive());
     ntex::rt::spawn(peers.clone().announce());
-    ntex::rt::spawn(scheduling::tell_loads(node.clone()));
+    ntex::rt::spawn(shard_scheduler::tell_loads(node.clone()));
     ntex::rt::spawn(peers.register());
     ntex::rt::spawn(authority::hold(node.clone()));
     ntex::rt::spawn(roles::order_changes(node.clone()));
@@ -201,8 +202,9 @@
         }
     };
     node.adopt_policy_program(program);
-    let needs_restart = settings.node != known.node || settings.listen != known.listen;
-    settings.node = known.node.clone();
+    let known_node = NodeSection { regions: settings.node.regions.clone(), ..known.node.clone() };
+    let needs_restart = settings.node != known_node || settings.listen != known.listen;
+    settings.node = known_node;
     settings.listen = known.listen.clone();
     let changed = settings != *known;
     node.adopt_settings(settings);
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -20,7 +20,7 @@
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
 use pitchstall_serving::event_stream::EventSplitter;
-use pitchstall_serving::fleet::Eligible;
+use pitchstall_serving::fleet::{Eligible, Scope};
 use pitchstall_serving::ids::{RunnerId, ServiceName};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
@@ -400,7 +400,7 @@
             service: &self.service,
             excluded: &others,
             zones: self.rules.zones.as_ref(),
-            shard: None,
+            scope: Scope::Everywhere,
         };
         let has_other = self.node.fleet.borrow().has_sound(&eligible, self.node.now_us());
         self.is_prepaid =
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -5,10 +5,11 @@
 use crate::clock::Instant;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
-use pitchstall_serving::fleet::Eligible;
-use pitchstall_serving::placement::{choose_worker, choose_writer, Choice, Demand, ReadingPlan};
+use pitchstall_serving::fleet::{Eligible, Scope};
+use pitchstall_serving::placement::{choose_worker, Choice, Demand, ReadingPlan};
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
+use pitchstall_serving::scheduler::choose_any_writer;
 use pitchstall_serving::scheduling::Progress;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -47,7 +48,7 @@
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.rules.zones.as_ref(),
-                shard: None,
+                scope: Scope::Everywhere,
             },
             prompt: &self.prompt,
             zone: &self.node.zone,
@@ -120,8 +121,14 @@
         let is_usable = |writer: &Choice| prompt.is_some() && self.node.takes_work(&writer.runner);
         let choice = writer.filter(is_usable).or_else(|| {
             let source = prompt.as_ref().map(|prompt| &prompt.zone);
-            choose_writer(&self.node.fleet.borrow(), &self.demand(), source)
+            choose_any_writer(&self.node.fleet.borrow(), &self.demand(), source)
         });
+        // A move between regions takes longer than reading the prompt anew.
+        let is_near = |prompt: &ReadPrompt| {
+            let choice = choice.as_ref();
+            choice.is_some_and(|choice| self.node.is_in_region_of(&choice.runner, &prompt.zone))
+        };
+        let prompt = prompt.filter(is_near);
         let follow_up = Some(follow_up);
         Ok(choice.map(|choice| Plan { choice, prompt, follow_up }))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod scaling;
 pub mod scheduling;
 pub mod settings;
+pub mod shard_scheduler;
 pub mod usage;
 pub mod verification;
 pub mod watcher;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms in the text format of OpenMetrics.
 
+use pitchstall_serving::scheduling::LeavingReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -17,6 +18,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a request that left its region.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LeavingLabels {
+    /// Why.
+    pub reason: &'static str,
+}
+
 /// All metrics of a node. Counters are shared with the registry, so counting costs no look-up.
 #[derive(Debug)]
 pub struct Metrics {
@@ -42,6 +50,8 @@
     pub placements_missed: Counter,
     /// Questions that were handed on to another shard's scheduler.
     pub placements_handed_on: Counter,
+    /// Requests for which another region's scheduler was asked.
+    pub left_region: Family<LeavingLabels, Counter>,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -69,6 +79,7 @@
             placements_told: Counter::default(),
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
+            left_region: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             cloud_calls: Counter::default(),
@@ -114,6 +125,8 @@
         }
         let requests = self.requests.clone();
         self.registry.register("requests", "Finished requests by outcome", requests);
+        let left_region = self.left_region.clone();
+        self.registry.register("left_region", "Requests that left their region", left_region);
         let first_byte = self.first_byte.clone();
         let help = "Time to the first byte of an answer, seconds";
         self.registry.register("first_byte_seconds", help, first_byte);
@@ -124,6 +137,11 @@
         self.requests.get_or_create(&RequestLabels { outcome }).inc();
     }
 
+    /// Counts a request that left its region.
+    pub fn on_left_region(&self, reason: LeavingReason) {
+        self.left_region.get_or_create(&LeavingLabels { reason: reason.name() }).inc();
+    }
+
     /// All metrics as text.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! What the node believes and counts; shared by all tasks of its one thread.
 
 mod crashes;
+mod places;
 mod runners;
 mod work;
 
@@ -22,7 +23,7 @@
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::freshness::StoreFreshness;
-use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::prefix::PromptPart;
 use pitchstall_serving::quarantine::Quarantine;
@@ -33,6 +34,7 @@
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
 use pitchstall_serving::tenancy::{CopyAge, KeyPolicy};
+use pitchstall_serving::topology::Topology;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
 use pitchstall_serving::wall_clock::WallClock;
 use rand::RngExt;
@@ -121,16 +123,25 @@
     }
 }
 
+/// The regions of the zones, as the settings tell them.
+fn topology_of(settings: &Settings) -> Topology {
+    let regions = settings.node.regions.iter();
+    Topology::new(regions.map(|(zone, region)| (ZoneId::new(zone), RegionId::new(region))))
+}
+
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(settings: Settings, socket: PeerSocket) -> Rc<Self> {
         let zone = ZoneId::new(&settings.node.zone);
-        let membership = Membership::new(NodeId::new(&settings.node.name), member_of(&settings));
+        let topology = topology_of(&settings);
+        let name = NodeId::new(&settings.node.name);
+        let membership = Membership::new(name, member_of(&settings), topology.clone());
+        let fleet = Fleet::new(zone.clone(), topology);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             policy_program: RefCell::default(),
             zone,
-            fleet: RefCell::default(),
+            fleet: RefCell::new(fleet),
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
             suspicion_changed: Notify::new(),
@@ -174,6 +185,7 @@
 
     /// Takes changed settings into force.
     pub fn adopt_settings(&self, settings: Settings) {
+        self.adopt_topology(topology_of(&settings));
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -313,7 +325,7 @@
     /// Takes in a scheduler's word on the loads of its runners.
     pub fn on_shard_loads(&self, word: &ShardLoads) {
         let now_us = self.now_us();
-        self.fleet.borrow_mut().on_shard_loads(word.shard, &word.loads, now_us);
+        self.fleet.borrow_mut().on_shard_loads(&word.shard, &word.loads, now_us);
     }
 
     /// The configuration in force here.
--- /dev/null
+++ b/crates/gateway/src/node/places.rs
@@ -0,0 +1,52 @@
+//! Where a node, its peers and its runners are, and how far from each other.
+
+use super::Node;
+use pitchstall_serving::ids::{RegionId, RunnerId, ZoneId};
+use pitchstall_serving::topology::Topology;
+use std::time::Duration;
+
+const MILLIS_A_SECOND: f64 = 1_000.0;
+
+impl Node {
+    /// The region of this node.
+    pub fn region(&self) -> RegionId {
+        self.members.borrow().own_region()
+    }
+
+    /// Zones belong to these regions from now on.
+    pub(super) fn adopt_topology(&self, topology: Topology) {
+        if *self.fleet.borrow().topology() == topology {
+            return;
+        }
+        self.members.borrow_mut().set_topology(topology.clone());
+        self.fleet.borrow_mut().set_topology(topology);
+        self.log_topology();
+    }
+
+    /// Names this node's region and the regions that it was told of.
+    pub fn log_topology(&self) {
+        let region = self.region().to_string();
+        let fleet = self.fleet.borrow();
+        let zones = fleet.topology().zones().map(|(zone, region)| format!("{zone}={region}"));
+        let zones = zones.collect::<Vec<_>>().join(",");
+        log::info!(target: "process", region, zones; "regions in force");
+    }
+
+    /// Whether a runner is in the region to which a zone belongs.
+    pub fn is_in_region_of(&self, runner: &RunnerId, zone: &ZoneId) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.get(runner).is_some_and(|runner| fleet.topology().is_in(zone, &runner.region))
+    }
+
+    /// A round trip from here to a zone took so long.
+    pub fn on_round_trip(&self, to: &ZoneId, took: Duration) {
+        let took_ms = took.as_secs_f64() * MILLIS_A_SECOND;
+        self.fleet.borrow_mut().on_round_trip(to, took_ms, self.now_us());
+    }
+
+    /// A round trip from here to a zone, as it is known.
+    pub fn round_trip(&self, to: &ZoneId) -> Duration {
+        let round_trip_ms = self.fleet.borrow().round_trip_ms(&self.zone, to, self.now_us());
+        Duration::from_secs_f64(round_trip_ms / MILLIS_A_SECOND)
+    }
+}
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -5,6 +5,7 @@
 use pitchstall_serving::membership::Member;
 use pitchstall_serving::quarantine::CrashWord;
 use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn};
+use pitchstall_serving::regions::RegionLoads;
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -41,6 +42,9 @@
     /// The loads of a shard.
     #[serde(rename = "loads")]
     Loads(ShardLoads),
+    /// What the runners of a region have to do.
+    #[serde(rename = "region")]
+    RegionLoads(RegionLoads),
     /// How many requests of each tenant began?
     #[serde(rename = "usage?")]
     UsageQuestion(UsageQuestion),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::platform_client::PlatformClient;
 use crate::quarantine;
 use crate::scheduling;
+use crate::shard_scheduler;
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
@@ -107,10 +108,11 @@
             PeerWord::Digest(digest) => self.on_digest(&digest, from),
             PeerWord::Hello(digest) => self.on_hello(&digest, from),
             PeerWord::Members(members) => self.on_members(&members),
-            PeerWord::Question(question) => scheduling::on_question(&self.node, question),
+            PeerWord::Question(question) => shard_scheduler::on_question(&self.node, question),
             PeerWord::Answer(answer) => scheduling::on_answer(&self.node, answer, from),
-            PeerWord::Progress(word) => scheduling::on_progress(&self.node, &word),
+            PeerWord::Progress(word) => shard_scheduler::on_progress(&self.node, &word),
             PeerWord::Loads(word) => self.node.on_shard_loads(&word),
+            PeerWord::RegionLoads(word) => scheduling::on_region_loads(&self.node, word),
             PeerWord::UsageQuestion(question) => usage::on_question(&self.node, &question),
             PeerWord::Crash(word) => quarantine::on_word(&self.node, word),
             // No node asks yet.
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -1,37 +1,32 @@
-//! Places requests: asks the scheduler of the runners' shard, and answers others' questions where
-//! this node is the scheduler.
+//! Places requests: asks the scheduler of the runners' shard, in this node's own region first.
 //!
-//! What is said stands in [`pitchstall_serving::scheduling`], what is set aside in
-//! [`pitchstall_serving::reservations`]. Words are datagrams: one that is lost is not sent again.
+//! What is said stands in [`pitchstall_serving::scheduling`], how questions are answered in
+//! [`crate::shard_scheduler`]. Words are datagrams: one that is lost is not sent again.
 
 use crate::clock::Instant;
 use crate::node::Node;
 use crate::peer_words::{PeerSocket, PeerWord};
-use crate::verification::verify;
-use pitchstall_serving::fleet::Eligible;
-use pitchstall_serving::ids::{NodeId, ServiceName, ZoneId};
+use pitchstall_serving::fleet::{Eligible, Scope};
+use pitchstall_serving::ids::{NodeId, RegionId, ServiceName};
 use pitchstall_serving::placement::{reading_home, Choice, Demand, ReadingPlan};
-use pitchstall_serving::prefix::Prompt;
-use pitchstall_serving::read_pace::ReadSample;
-use pitchstall_serving::reservations::{Reservation, Reservations};
-use pitchstall_serving::scheduler::{
-    choose, reservation, shorter_shard, told_plan, Due, PlacedRequest,
-};
+use pitchstall_serving::regions::{RegionBacklogs, RegionLoads};
+use pitchstall_serving::reservations::Reservations;
+use pitchstall_serving::scheduler::{choose, other_region, Due, PlacedRequest};
 use pitchstall_serving::scheduling::{
-    told_parts, PlacementAnswer, PlacementQuestion, Progress, ProgressWord, Shard, ShardLoads,
+    told_parts, Elsewhere, PlacementAnswer, PlacementQuestion, Progress, ProgressWord, Shard,
     Ticket, ToldPlan,
 };
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-/// Part of a request's target for which a scheduler's answer is waited for: a small part of what
-/// a bad choice costs.
+/// Part of a request's target for which a scheduler's answer is waited for, beyond a round trip to
+/// it: a small part of what a bad choice costs.
 const PATIENCE_SHARE: f64 = 0.06;
 /// Shortest and longest wait for it. On 60 nodes answers took 2 ms in the median, 3 ms in nine of
 /// ten and 20 ms in 99 of 100: below the shortest, machines whose processor is shared answer too
@@ -42,8 +37,6 @@
 /// one may be a lost datagram; a process that was killed is back after some seconds.
 const MOST_MISSED: u32 = 2;
 const PASSED_OVER_US: u64 = 2_000_000;
-/// Between two words on the loads of a shard: as often as role changes are planned.
-const TELL_EVERY: Duration = Duration::from_millis(250);
 const MILLIS_A_SECOND: f64 = 1_000.0;
 
 /// A request that is to be placed.
@@ -113,7 +106,10 @@
     questions: Cell<u64>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<(PlacementAnswer, SocketAddr)>>>,
     missed: RefCell<HashMap<NodeId, Missed>>,
-    reservations: RefCell<Reservations>,
+    /// What this node has set aside at the runners that it schedules.
+    pub(crate) reservations: RefCell<Reservations>,
+    /// What other regions have to do.
+    pub(crate) backlogs: RefCell<RegionBacklogs>,
 }
 
 impl Scheduling {
@@ -126,6 +122,7 @@
             waiting: RefCell::default(),
             missed: RefCell::default(),
             reservations: RefCell::default(),
+            backlogs: RefCell::default(),
         }
     }
 
@@ -155,48 +152,120 @@
     }
 }
 
+/// What came of a question.
+enum Told {
+    /// Where the request is to run.
+    Plan(Placement),
+    /// The scheduler of another region is to be asked.
+    Elsewhere(Elsewhere),
+    /// No answer in time, or no runner.
+    Nothing,
+    /// This node is the scheduler.
+    Here,
+}
+
 /// Finds where a request is to run: by its shard's scheduler, or by what this node knows if that
 /// one is this node or does not answer soon.
 pub async fn place(node: &Rc<Node>, demand: &PlacementDemand<'_>) -> Placement {
-    let shard = shard_for(node, demand);
-    let Some((scheduler, address)) = scheduler_of(node, shard) else {
-        return place_here(node, demand, Some(shard));
+    let shard = shard_in(node, demand, &node.region());
+    let elsewhere = match ask(node, demand, &shard, false).await {
+        Told::Plan(placement) => return placement,
+        Told::Nothing => return place_here(node, demand, None),
+        Told::Elsewhere(elsewhere) => elsewhere,
+        Told::Here => {
+            let placed = choose_here(node, demand, Some(&shard));
+            match elsewhere(node, demand, &shard.region, &placed) {
+                None => return own_placement(node, placed),
+                Some(elsewhere) => elsewhere,
+            }
+        }
     };
-    let question = question(node, demand, shard);
+    place_elsewhere(node, demand, &elsewhere).await
+}
+
+/// Asks another region's scheduler.
+async fn place_elsewhere(
+    node: &Rc<Node>,
+    demand: &PlacementDemand<'_>,
+    elsewhere: &Elsewhere,
+) -> Placement {
+    let (request, reason) = (demand.request, elsewhere.reason.name());
+    let (from, to) = (node.region().to_string(), elsewhere.region.as_str());
+    log::info!(target: "scheduling", request, from, to, reason; "leaves its region");
+    node.metrics.on_left_region(elsewhere.reason);
+    let shard = shard_in(node, demand, &elsewhere.region);
+    match ask(node, demand, &shard, true).await {
+        Told::Plan(placement) => placement,
+        Told::Here => place_here(node, demand, Some(&shard)),
+        Told::Nothing | Told::Elsewhere(_) => place_here(node, demand, None),
+    }
+}
+
+/// Asks the scheduler of a shard. `handed_on`: it is not to name another.
+async fn ask(
+    node: &Rc<Node>,
+    demand: &PlacementDemand<'_>,
+    shard: &Shard,
+    handed_on: bool,
+) -> Told {
+    let Some((scheduler, address)) = scheduler_of(node, shard) else { return Told::Here };
+    let question = PlacementQuestion { handed_on, ..question(node, demand, shard) };
     let ticket = question.ticket;
     let asked_at = Instant::now();
     let (sender, receiver) = oneshot::channel();
     node.scheduling.waiting.borrow_mut().insert(ticket, sender);
     node.scheduling.socket.send(&PeerWord::Question(question), &[address]);
-    let answer = timeout(patience(demand.target_ms), receiver).await;
+    let answer = timeout(patience(node, &scheduler, demand.target_ms), receiver).await;
     node.scheduling.waiting.borrow_mut().remove(&ticket);
+    // Should the answer yet come, or a word be lost, what was set aside is free again.
+    let follow_up_to = |address| FollowUp { node: node.clone(), placed: Some((address, ticket)) };
     let Ok(Ok((answer, from))) = answer else {
-        let (request, scheduler_name) = (demand.request, scheduler.as_str());
-        log::info!(target: "scheduling", request, scheduler = scheduler_name, shard = shard.number; "no answer");
+        log_missed(demand.request, &scheduler, shard);
         node.metrics.placements_missed.inc();
         node.scheduling.on_missed(&scheduler, node.now_us());
-        let placement = place_here(node, demand, None);
-        // The answer may yet come: what was set aside is free again.
-        let follow_up = FollowUp { node: node.clone(), placed: Some((address, ticket)) };
-        drop(follow_up);
-        return placement;
+        drop(follow_up_to(address));
+        return Told::Nothing;
     };
-    log_told(demand.request, &scheduler, &answer, asked_at);
+    let took = asked_at.elapsed();
+    if from == address {
+        measure(node, &scheduler, took);
+    }
+    log_told(demand.request, &scheduler, shard, &answer, took);
     node.metrics.placements_told.inc();
     node.scheduling.on_answered(&scheduler);
-    let follow_up = FollowUp { node: node.clone(), placed: Some((from, ticket)) };
-    told_placement(node, answer, follow_up).unwrap_or_else(|| place_here(node, demand, None))
+    if let Some(elsewhere) = answer.elsewhere {
+        return Told::Elsewhere(elsewhere);
+    }
+    told_placement(node, answer, follow_up_to(from)).map_or(Told::Nothing, Told::Plan)
 }
 
-fn log_told(request: &str, scheduler: &NodeId, answer: &PlacementAnswer, asked_at: Instant) {
-    let took_us = u64::try_from(asked_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+fn measure(node: &Node, scheduler: &NodeId, took: Duration) {
+    let zone = node.members.borrow().zone_of(scheduler).cloned();
+    if let Some(zone) = zone {
+        node.on_round_trip(&zone, took);
+    }
+}
+
+fn log_missed(request: &str, scheduler: &NodeId, shard: &Shard) {
+    let (scheduler, region, shard) = (scheduler.as_str(), shard.region.as_str(), shard.number);
+    log::info!(target: "scheduling", request, scheduler, region, shard; "no answer");
+}
+
+fn log_told(
+    request: &str,
+    scheduler: &NodeId,
+    shard: &Shard,
+    answer: &PlacementAnswer,
+    took: Duration,
+) {
+    let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
     let (reader, writer) = named(answer.plan.as_ref());
-    let scheduler = scheduler.as_str();
-    log::info!(target: "scheduling", request, scheduler, took_us, reader, writer; "told");
+    let (scheduler, region) = (scheduler.as_str(), shard.region.as_str());
+    log::info!(target: "scheduling", request, scheduler, region, took_us, reader, writer; "told");
 }
 
 /// Who reads and who writes, for the logs.
-fn named(plan: Option<&ToldPlan>) -> (&str, &str) {
+pub(crate) fn named(plan: Option<&ToldPlan>) -> (&str, &str) {
     match plan {
         Some(ToldPlan::Split(reader, writer)) => (reader.runner.as_str(), writer.runner.as_str()),
         Some(ToldPlan::Direct(choice)) => (choice.runner.as_str(), choice.runner.as_str()),
@@ -204,9 +273,12 @@
     }
 }
 
-fn patience(target_ms: u64) -> Duration {
+/// How long a scheduler's answer is waited for: the way there and back, and what its work takes.
+fn patience(node: &Node, scheduler: &NodeId, target_ms: u64) -> Duration {
     let share = Duration::from_millis(target_ms).mul_f64(PATIENCE_SHARE);
-    share.clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE)
+    let members = node.members.borrow();
+    let way = members.zone_of(scheduler).map_or(Duration::ZERO, |zone| node.round_trip(zone));
+    way + share.clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE)
 }
 
 /// `None` if this node does not know the runners, or knows that they take no work.
@@ -227,18 +299,20 @@
     Some(Placement { reading: Some(reading), writer, follow_up })
 }
 
-/// The shard in which the prompt's shared parts have their home; any, if it has none.
-fn shard_for(node: &Node, demand: &PlacementDemand<'_>) -> Shard {
-    let shards = Shard::count(node.known_nodes());
+/// The shard of a region in which the prompt's shared parts have their home; any, if it has none.
+fn shard_in(node: &Node, demand: &PlacementDemand<'_>, region: &RegionId) -> Shard {
+    let of = Shard::count(node.members.borrow().count_in(region));
     let fleet = node.fleet.borrow();
-    match reading_home(&fleet, &demand.demand) {
-        Some(home) => Shard::of_runner(home, shards),
-        None => Shard { number: rand::rng().random_range(0..shards), of: shards },
+    let eligible = Eligible { scope: Scope::Region(region), ..demand.demand.eligible };
+    let home = reading_home(&fleet, &Demand { eligible, ..demand.demand });
+    match home.and_then(|home| fleet.get(home)) {
+        Some(home) => Shard::of_runner(home, of),
+        None => Shard { region: region.clone(), number: rand::rng().random_range(0..of), of },
     }
 }
 
-/// The scheduler of a shard; `None` if it is this node.
-fn scheduler_of(node: &Node, shard: Shard) -> Option<(NodeId, SocketAddr)> {
+/// The scheduler of a shard; `None` if it is this node, or nobody else is up.
+pub(crate) fn scheduler_of(node: &Node, shard: &Shard) -> Option<(NodeId, SocketAddr)> {
     let now_us = node.now_us();
     let members = node.members.borrow();
     let is_up = |name: &NodeId| !node.scheduling.is_passed_over(name, now_us);
@@ -246,14 +320,14 @@
     Some((name.clone(), address))
 }
 
-fn question(node: &Node, demand: &PlacementDemand<'_>, shard: Shard) -> PlacementQuestion {
+fn question(node: &Node, demand: &PlacementDemand<'_>, shard: &Shard) -> PlacementQuestion {
     let Demand { eligible, prompt, zone, .. } = demand.demand;
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     PlacementQuestion {
         ticket: node.scheduling.next_ticket(),
         request: demand.request.to_owned(),
         answer_to: node.settings().listen.peers,
-        shard,
+        shard: shard.clone(),
         handed_on: false,
         service: demand.service.clone(),
         parts: told_parts(prompt),
@@ -269,84 +343,52 @@
 }
 
 /// Chooses by what this node knows: among a shard's runners, or all if it has none to offer.
-fn place_here(node: &Rc<Node>, demand: &PlacementDemand<'_>, shard: Option<Shard>) -> Placement {
-    let PlacedRequest { reading, writer } = choose_here(node, demand, shard);
+fn place_here(node: &Rc<Node>, demand: &PlacementDemand<'_>, shard: Option<&Shard>) -> Placement {
+    own_placement(node, choose_here(node, demand, shard))
+}
+
+/// What this node has chosen itself: nobody is told of it.
+fn own_placement(node: &Rc<Node>, placed: PlacedRequest) -> Placement {
+    let PlacedRequest { reading, writer } = placed;
     Placement { reading, writer, follow_up: FollowUp::none(node) }
 }
 
-fn choose_here(node: &Node, demand: &PlacementDemand<'_>, shard: Option<Shard>) -> PlacedRequest {
+pub(crate) fn choose_here(
+    node: &Node,
+    demand: &PlacementDemand<'_>,
+    shard: Option<&Shard>,
+) -> PlacedRequest {
     let fleet = node.fleet.borrow();
-    let due = Due {
-        target_ms: demand.target_ms as f64,
-        elapsed_ms: demand.elapsed.as_secs_f64() * MILLIS_A_SECOND,
-    };
+    let due = due(demand);
     node.with_pace(demand.service, |pace| choose(&fleet, pace, &demand.demand, shard, due))
 }
 
-/// Answers a question, or hands it on to the scheduler of a shard whose runners wait less.
-pub fn on_question(node: &Node, mut question: PlacementQuestion) {
-    let prompt = question.prompt();
-    let zones: Option<BTreeSet<ZoneId>> =
-        question.zones.as_ref().map(|zones| zones.iter().cloned().collect());
-    let eligible = Eligible {
-        service: &question.service,
-        excluded: &question.excluded,
-        zones: zones.as_ref(),
-        shard: None,
-    };
-    let demand = PlacementDemand {
-        request: &question.request,
-        service: &question.service,
-        demand: Demand {
-            eligible,
-            prompt: &prompt,
-            zone: &question.zone,
-            cache_tokens: node.cache_tokens(&question.service),
-            now_us: node.now_us(),
-        },
-        target_ms: question.target_ms,
-        elapsed: Duration::from_millis(question.elapsed_ms),
-        left: Duration::from_millis(question.left_ms),
-    };
-    let placed = choose_here(node, &demand, Some(question.shard));
-    if let Some((shard, address)) = better_scheduler(node, &question, &placed) {
-        let (from, to) = (question.shard.number, shard.number);
-        log::info!(target: "scheduling", request = question.request.as_str(), from, to; "handed on");
-        node.metrics.placements_handed_on.inc();
-        question.shard = shard;
-        question.handed_on = true;
-        node.scheduling.socket.send(&PeerWord::Question(question), &[address]);
-        return;
-    }
-    let plan = told_plan(placed);
-    if let Some(plan) = &plan {
-        reserve(node, &question, &prompt, plan);
+fn due(demand: &PlacementDemand<'_>) -> Due {
+    Due {
+        target_ms: demand.target_ms as f64,
+        elapsed_ms: demand.elapsed.as_secs_f64() * MILLIS_A_SECOND,
     }
-    let (reader, writer) = named(plan.as_ref());
-    let shard = question.shard.number;
-    log::info!(target: "scheduling", request = question.request.as_str(), shard, reader, writer; "placed");
-    let answer = PlacementAnswer { ticket: question.ticket, plan };
-    node.scheduling.socket.send(&PeerWord::Answer(answer), &[question.answer_to]);
 }
 
-/// The scheduler of a shard where the request would wait for much less, if it is another node.
-fn better_scheduler(
+/// Where a request should rather be placed than in its own region. The reading is counted there
+/// until that region tells its load again.
+pub(crate) fn elsewhere(
     node: &Node,
-    question: &PlacementQuestion,
+    demand: &PlacementDemand<'_>,
+    own: &RegionId,
     placed: &PlacedRequest,
-) -> Option<(Shard, SocketAddr)> {
-    let now_us = node.now_us();
+) -> Option<Elsewhere> {
     let fleet = node.fleet.borrow();
-    let shard = node.with_pace(&question.service, |pace| {
-        shorter_shard(&fleet, pace, question, placed, now_us)
-    })?;
-    Some((shard, scheduler_of(node, shard)?.1))
+    let mut backlogs = node.scheduling.backlogs.borrow_mut();
+    let elsewhere = other_region(&fleet, &backlogs, &demand.demand, own, placed, due(demand))?;
+    let reading_ms = placed.first().map_or(0.0, |choice| choice.reading_ms);
+    backlogs.on_left(&elsewhere.region, demand.service, reading_ms);
+    Some(elsewhere)
 }
 
-fn reserve(node: &Node, question: &PlacementQuestion, prompt: &Prompt, plan: &ToldPlan) {
-    let mut fleet = node.fleet.borrow_mut();
-    let reservation = reservation(&fleet, question, prompt, plan, node.now_us());
-    node.scheduling.reservations.borrow_mut().reserve(&mut fleet, question.ticket, reservation);
+/// Takes in another region's word on its load.
+pub fn on_region_loads(node: &Node, word: RegionLoads) {
+    node.scheduling.backlogs.borrow_mut().on_word(word, node.now_us());
 }
 
 /// Takes in a scheduler's answer. One that comes too late is passed over: the request has been
@@ -362,84 +404,3 @@
         }
     }
 }
-
-/// Takes in what became of a request that this node has placed. What a node could not reach is
-/// looked at by this one: the other may be cut off itself.
-pub fn on_progress(node: &Rc<Node>, word: &ProgressWord) {
-    let now_us = node.now_us();
-    let mut reservations = node.scheduling.reservations.borrow_mut();
-    if !reservations.is_open(word.ticket) {
-        return;
-    }
-    match &word.progress {
-        Progress::Read(elapsed_ms) => {
-            let read = reservations.on_read(&mut node.fleet.borrow_mut(), word.ticket);
-            drop(reservations);
-            if let Some(read) = read {
-                on_read(node, read, *elapsed_ms);
-            }
-        }
-        Progress::Declined(runner) => node.fleet.borrow_mut().on_full(runner, now_us),
-        Progress::Unreachable(runner) => verify(node, runner, now_us),
-        Progress::Ended => reservations.end(&mut node.fleet.borrow_mut(), word.ticket),
-    }
-}
-
-fn on_read(node: &Node, read: Reservation, elapsed_ms: u64) {
-    let is_apart = read.writer.is_some();
-    node.on_progress(&read.reader.runner);
-    node.on_parts_held(&read.reader.runner, &read.shared_parts);
-    if let Some(writer) = &read.writer {
-        node.on_parts_held(&writer.runner, &read.shared_parts);
-    }
-    if is_apart {
-        let tokens = read.reader.demand.unread_tokens + read.reader.demand.late_tokens;
-        let met_no_queue = read.met_no_queue;
-        let sample = ReadSample { tokens, elapsed_ms: elapsed_ms as f64, met_no_queue };
-        node.with_pace(&read.service, |pace| pace.on_read(sample));
-    }
-}
-
-/// The shards that this node schedules.
-pub fn own_shards(node: &Node) -> Vec<Shard> {
-    let all = Shard::all(Shard::count(node.known_nodes()));
-    all.filter(|shard| scheduler_of(node, *shard).is_none()).collect()
-}
-
-/// The nodes that decide over more than their own requests: those that order role changes, and
-/// schedulers, which hand questions on to shards with less to do.
-fn control_nodes(node: &Node) -> Vec<SocketAddr> {
-    let shards = Shard::all(Shard::count(node.known_nodes()));
-    let schedulers = shards.filter_map(|shard| Some(scheduler_of(node, shard)?.1));
-    let mut all: Vec<SocketAddr> = schedulers.chain(node.members.borrow().mirrors()).collect();
-    all.sort();
-    all.dedup();
-    all
-}
-
-/// Tells the loads of the shards that this node schedules to the nodes that order role changes,
-/// and ends reservations that are over, until the task is dropped.
-pub async fn tell_loads(node: Rc<Node>) {
-    loop {
-        sleep(TELL_EVERY).await;
-        let scheduling = &node.scheduling;
-        if scheduling.reservations.borrow().is_empty() {
-            continue;
-        }
-        let now_us = node.now_us();
-        let ended = {
-            let mut fleet = node.fleet.borrow_mut();
-            scheduling.reservations.borrow_mut().expire(&mut fleet, now_us)
-        };
-        if ended > 0 {
-            log::info!(target: "scheduling", ended; "reservations lapsed");
-        }
-        for shard in own_shards(&node) {
-            let loads = node.fleet.borrow().shard_loads(shard);
-            if !loads.is_empty() {
-                let to = control_nodes(&node);
-                scheduling.socket.send(&PeerWord::Loads(ShardLoads { shard, loads }), &to);
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -0,0 +1,248 @@
+//! Places requests of other nodes at the runners of the shards that this node schedules, and tells
+//! what these have to do.
+//!
+//! What is decided stands in [`pitchstall_serving::scheduler`], what is set aside in
+//! [`pitchstall_serving::reservations`].
+
+use crate::node::Node;
+use crate::peer_words::PeerWord;
+use crate::scheduling::{choose_here, elsewhere, named, scheduler_of, PlacementDemand};
+use crate::verification::verify;
+use pitchstall_serving::fleet::{Eligible, Scope};
+use pitchstall_serving::ids::{RegionId, ZoneId};
+use pitchstall_serving::placement::Demand;
+use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::read_pace::ReadSample;
+use pitchstall_serving::regions::{service_load, RegionLoads, ServiceLoad};
+use pitchstall_serving::reservations::Reservation;
+use pitchstall_serving::scheduler::{reservation, shorter_shard, told_plan, PlacedRequest};
+use pitchstall_serving::scheduling::{
+    Elsewhere, PlacementAnswer, PlacementQuestion, Progress, ProgressWord, Shard, ShardLoads,
+    ToldPlan,
+};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Between two words on the loads of a shard: as often as role changes are planned.
+const TELL_EVERY: Duration = Duration::from_millis(250);
+/// Words on loads of shards for one on the load of the region: other regions are told once a second.
+const WORDS_A_REGION_WORD: u32 = 4;
+
+/// Answers a question, or hands it on to the scheduler of a shard whose runners wait less.
+pub fn on_question(node: &Node, mut question: PlacementQuestion) {
+    let prompt = question.prompt();
+    let zones: Option<BTreeSet<ZoneId>> =
+        question.zones.as_ref().map(|zones| zones.iter().cloned().collect());
+    let eligible = Eligible {
+        service: &question.service,
+        excluded: &question.excluded,
+        zones: zones.as_ref(),
+        scope: Scope::Everywhere,
+    };
+    let demand = PlacementDemand {
+        request: &question.request,
+        service: &question.service,
+        demand: Demand {
+            eligible,
+            prompt: &prompt,
+            zone: &question.zone,
+            cache_tokens: node.cache_tokens(&question.service),
+            now_us: node.now_us(),
+        },
+        target_ms: question.target_ms,
+        elapsed: Duration::from_millis(question.elapsed_ms),
+        left: Duration::from_millis(question.left_ms),
+    };
+    let placed = choose_here(node, &demand, Some(&question.shard));
+    if let Some((shard, address)) = better_scheduler(node, &question, &placed) {
+        let (from, to) = (question.shard.number, shard.number);
+        let region = shard.region.as_str();
+        log::info!(target: "scheduling", request = question.request.as_str(), region, from, to; "handed on");
+        node.metrics.placements_handed_on.inc();
+        question.shard = shard;
+        question.handed_on = true;
+        node.scheduling.socket.send(&PeerWord::Question(question), &[address]);
+        return;
+    }
+    let better = match question.handed_on {
+        true => None,
+        false => elsewhere(node, &demand, &question.shard.region, &placed),
+    };
+    match better {
+        Some(better) => answer(node, &question, None, Some(better)),
+        None => {
+            let plan = told_plan(placed);
+            if let Some(plan) = &plan {
+                reserve(node, &question, &prompt, plan);
+            }
+            answer(node, &question, plan, None);
+        }
+    }
+}
+
+fn answer(
+    node: &Node,
+    question: &PlacementQuestion,
+    plan: Option<ToldPlan>,
+    elsewhere: Option<Elsewhere>,
+) {
+    let (reader, writer) = named(plan.as_ref());
+    let (region, shard) = (question.shard.region.as_str(), question.shard.number);
+    let other_region = elsewhere.as_ref().map_or("", |elsewhere| elsewhere.region.as_str());
+    log::info!(target: "scheduling", request = question.request.as_str(), region, shard, reader, writer, other_region; "placed");
+    let answer = PlacementAnswer { ticket: question.ticket, plan, elsewhere };
+    node.scheduling.socket.send(&PeerWord::Answer(answer), &[question.answer_to]);
+}
+
+/// The scheduler of a shard where the request would wait for much less, if it is another node.
+fn better_scheduler(
+    node: &Node,
+    question: &PlacementQuestion,
+    placed: &PlacedRequest,
+) -> Option<(Shard, SocketAddr)> {
+    let now_us = node.now_us();
+    let fleet = node.fleet.borrow();
+    let shard = node.with_pace(&question.service, |pace| {
+        shorter_shard(&fleet, pace, question, placed, now_us)
+    })?;
+    let (_, address) = scheduler_of(node, &shard)?;
+    Some((shard, address))
+}
+
+fn reserve(node: &Node, question: &PlacementQuestion, prompt: &Prompt, plan: &ToldPlan) {
+    let mut fleet = node.fleet.borrow_mut();
+    let reservation = reservation(&fleet, question, prompt, plan, node.now_us());
+    node.scheduling.reservations.borrow_mut().reserve(&mut fleet, question.ticket, reservation);
+}
+
+/// Takes in what became of a request that this node has placed. What a node could not reach is
+/// looked at by this one: the other may be cut off itself.
+pub fn on_progress(node: &Rc<Node>, word: &ProgressWord) {
+    let now_us = node.now_us();
+    let mut reservations = node.scheduling.reservations.borrow_mut();
+    if !reservations.is_open(word.ticket) {
+        return;
+    }
+    match &word.progress {
+        Progress::Read(elapsed_ms) => {
+            let read = reservations.on_read(&mut node.fleet.borrow_mut(), word.ticket);
+            drop(reservations);
+            if let Some(read) = read {
+                on_read(node, read, *elapsed_ms);
+            }
+        }
+        Progress::Declined(runner) => node.fleet.borrow_mut().on_full(runner, now_us),
+        Progress::Unreachable(runner) => verify(node, runner, now_us),
+        Progress::Ended => reservations.end(&mut node.fleet.borrow_mut(), word.ticket),
+    }
+}
+
+fn on_read(node: &Node, read: Reservation, elapsed_ms: u64) {
+    let is_apart = read.writer.is_some();
+    node.on_progress(&read.reader.runner);
+    node.on_parts_held(&read.reader.runner, &read.shared_parts);
+    if let Some(writer) = &read.writer {
+        node.on_parts_held(&writer.runner, &read.shared_parts);
+    }
+    if is_apart {
+        let tokens = read.reader.demand.unread_tokens + read.reader.demand.late_tokens;
+        let met_no_queue = read.met_no_queue;
+        let sample = ReadSample { tokens, elapsed_ms: elapsed_ms as f64, met_no_queue };
+        node.with_pace(&read.service, |pace| pace.on_read(sample));
+    }
+}
+
+/// The shards that this node schedules: those of its own region, or of one without nodes.
+pub fn own_shards(node: &Node) -> Vec<Shard> {
+    let own = node.region();
+    let mut regions = node.fleet.borrow().regions();
+    let may_schedule =
+        |region: &RegionId| *region == own || node.members.borrow().count_in(region) == 0;
+    regions.insert(own.clone());
+    regions.retain(may_schedule);
+    let shards = regions.into_iter().flat_map(|region| shards_of(node, region));
+    shards.filter(|shard| scheduler_of(node, shard).is_none()).collect()
+}
+
+fn shards_of(node: &Node, region: RegionId) -> Vec<Shard> {
+    node.members.borrow().shards_of(region).collect()
+}
+
+/// The other nodes that decide over more than their own requests, in a region: those that order
+/// role changes, and schedulers, which hand questions on to shards with less to do.
+fn control_nodes(node: &Node, region: &RegionId) -> Vec<SocketAddr> {
+    let mut all = schedulers_of(node, region);
+    all.extend(node.members.borrow().mirrors_in(region));
+    all.sort();
+    all.dedup();
+    all
+}
+
+/// The other nodes that schedule shards of a region.
+fn schedulers_of(node: &Node, region: &RegionId) -> Vec<SocketAddr> {
+    let shards = shards_of(node, region.clone());
+    shards.iter().filter_map(|shard| Some(scheduler_of(node, shard)?.1)).collect()
+}
+
+/// Tells what the runners that this node schedules have to do, and ends reservations that are over,
+/// until the task is dropped.
+pub async fn tell_loads(node: Rc<Node>) {
+    for word in 1_u32.. {
+        sleep(TELL_EVERY).await;
+        if word % WORDS_A_REGION_WORD == 0 {
+            tell_region_load(&node);
+        }
+        if node.scheduling.reservations.borrow().is_empty() {
+            continue;
+        }
+        end_lapsed(&node);
+        for shard in own_shards(&node) {
+            let loads = node.fleet.borrow().shard_loads(&shard);
+            if !loads.is_empty() {
+                let to = control_nodes(&node, &shard.region);
+                node.scheduling.socket.send(&PeerWord::Loads(ShardLoads { shard, loads }), &to);
+            }
+        }
+    }
+}
+
+fn end_lapsed(node: &Node) {
+    let now_us = node.now_us();
+    let mut fleet = node.fleet.borrow_mut();
+    let ended = node.scheduling.reservations.borrow_mut().expire(&mut fleet, now_us);
+    if ended > 0 {
+        log::info!(target: "scheduling", ended; "reservations lapsed");
+    }
+}
+
+/// Tells the schedulers of the other regions what the runners of this one have to do. One node tells
+/// it for the region: the scheduler of its first shard.
+fn tell_region_load(node: &Node) {
+    let region = node.region();
+    let others: BTreeSet<RegionId> = {
+        let regions = node.members.borrow().regions();
+        regions.into_iter().filter(|other| *other != region).collect()
+    };
+    let is_first = |shard: &Shard| shard.region == region && shard.number == 0;
+    if others.is_empty() || !own_shards(node).iter().any(is_first) {
+        return;
+    }
+    let now_us = node.now_us();
+    let services: Vec<ServiceLoad> = {
+        let engines = node.engine_services();
+        let fleet = node.fleet.borrow();
+        let load = |service| {
+            node.with_pace(service, |pace| service_load(&fleet, pace, service, &region, now_us))
+        };
+        engines.iter().filter_map(|(service, _)| load(service)).collect()
+    };
+    let mut to: Vec<SocketAddr> =
+        others.iter().flat_map(|other| schedulers_of(node, other)).collect();
+    to.sort();
+    to.dedup();
+    let word = PeerWord::RegionLoads(RegionLoads { region, services });
+    node.scheduling.socket.send(&word, &to);
+}
--- a/crates/gateway/tests/cache_listing.rs
+++ b/crates/gateway/tests/cache_listing.rs
@@ -3,7 +3,7 @@
 
 use pitchstall_gateway::cache_listing::runners_to_list;
 use pitchstall_serving::fleet::Fleet;
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::scheduling::Shard;
 
@@ -31,9 +31,11 @@
         fleet.put(runner(number, Some(Stage::Decode)));
     }
     fleet.put(runner(RUNNERS, None));
-    let shards: Vec<Shard> = Shard::all(Shard::count(295)).collect();
-    let listed: Vec<usize> =
-        shards.iter().map(|shard| runners_to_list(&fleet, &[*shard]).len()).collect();
+    let shards: Vec<Shard> = Shard::all(RegionId::new("north"), Shard::count(295)).collect();
+    let listed: Vec<usize> = shards
+        .iter()
+        .map(|shard| runners_to_list(&fleet, std::slice::from_ref(shard)).len())
+        .collect();
     assert_eq!(listed.iter().sum::<usize>(), RUNNERS);
     assert!(listed.iter().all(|count| *count < RUNNERS / 4), "{listed:?}");
     assert!(runners_to_list(&fleet, &[]).is_empty());
--- a/crates/gateway/tests/scheduling.rs
+++ b/crates/gateway/tests/scheduling.rs
@@ -83,7 +83,7 @@
 fn forged_and_broken_words_do_no_harm() {
     let nodes = nodes(&[writer("i-1"), writer("i-2")]);
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let words: [&[u8]; 7] = [
+    let words: [&[u8]; 9] = [
         b"",
         b"{",
         b"{\"nothing\":{}}",
@@ -91,6 +91,8 @@
         b"{\"progress\":{\"i\":{\"f\":1,\"k\":1},\"g\":\"e\"}}",
         b"{\"progress\":{\"i\":{\"f\":1,\"k\":1},\"g\":{\"u\":\"i-9\"}}}",
         b"{\"loads\":{\"h\":{\"n\":0,\"of\":0},\"l\":[{\"r\":\"i-1\",\"n\":9,\"t\":9,\"k\":9}]}}",
+        b"{\"loads\":{\"h\":{\"r\":\"north\",\"n\":0,\"of\":0},\"l\":[{\"r\":\"i-1\",\"n\":9,\"t\":9,\"k\":9}]}}",
+        b"{\"region\":{\"r\":\"south\",\"l\":[{\"s\":\"llm\",\"n\":0,\"w\":0,\"o\":0}]}}",
     ];
     for node in &nodes {
         words.iter().for_each(|word| {
--- /dev/null
+++ b/crates/serving/src/distance.rs
@@ -0,0 +1,92 @@
+//! How far zones are from each other.
+//!
+//! A node measures round trips from its own zone where it sees them anyway: questions that other
+//! nodes answer, and connections that it opens to runners. A pair of zones that it has not
+//! measured lately counts as what is usual inside a region, or between two.
+
+use crate::ids::ZoneId;
+use crate::topology::Topology;
+use std::collections::BTreeMap;
+
+/// Round trips that are usual, milliseconds: inside a zone, between two zones of a region, and
+/// between two regions. The users' deployments have 0.2 to 0.9 ms one way between zones, and 30 ms
+/// between regions.
+const SAME_ZONE_MS: f64 = 0.5;
+const OTHER_ZONE_MS: f64 = 2.0;
+const OTHER_REGION_MS: f64 = 60.0;
+/// Part by which a longer and a shorter round trip move the estimate: what makes one longer is
+/// mostly a busy machine at either end, and not the way.
+const LONGER_GAIN: f64 = 1.0 / 8.0;
+const SHORTER_GAIN: f64 = 0.5;
+/// Time after the last round trip for which the estimate stands, and until it is forgotten,
+/// microseconds: a way that nobody takes because it was long has to be tried again.
+const STANDS_US: u64 = 10_000_000;
+const FORGOTTEN_US: u64 = 30_000_000;
+
+#[derive(Clone, Copy, Debug)]
+struct RoundTrip {
+    estimate_ms: f64,
+    seen_at_us: u64,
+}
+
+impl RoundTrip {
+    /// What it counts as: with its age, more and more what is usual.
+    fn at(self, usual_ms: f64, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.seen_at_us);
+        let aged_us = age_us.saturating_sub(STANDS_US) as f64;
+        let forgotten = (aged_us / (FORGOTTEN_US - STANDS_US) as f64).min(1.0);
+        self.estimate_ms + (usual_ms - self.estimate_ms) * forgotten
+    }
+}
+
+/// Round trips from a node's zone to the others.
+#[derive(Clone, Debug, Default)]
+pub struct Distances {
+    own: ZoneId,
+    measured: BTreeMap<ZoneId, RoundTrip>,
+}
+
+impl Distances {
+    /// Distances of a node in this zone; nothing is measured yet.
+    pub fn new(own: ZoneId) -> Self {
+        Self { own, measured: BTreeMap::new() }
+    }
+
+    /// A round trip to another zone took so long.
+    pub fn on_round_trip(&mut self, to: &ZoneId, took_ms: f64, now_us: u64) {
+        let first = RoundTrip { estimate_ms: took_ms, seen_at_us: now_us };
+        let known = self.measured.entry(to.clone()).or_insert(first);
+        let gain = if took_ms > known.estimate_ms { LONGER_GAIN } else { SHORTER_GAIN };
+        known.estimate_ms += (took_ms - known.estimate_ms) * gain;
+        known.seen_at_us = now_us;
+    }
+
+    /// A round trip between two zones, milliseconds.
+    pub fn round_trip_ms(
+        &self,
+        topology: &Topology,
+        one: &ZoneId,
+        other: &ZoneId,
+        now_us: u64,
+    ) -> f64 {
+        let usual_ms = usual_ms(topology, one, other);
+        let far_end = match (*one == self.own, *other == self.own) {
+            (true, _) => other,
+            (_, true) => one,
+            // Nobody measures here what lies between others.
+            _ => return usual_ms,
+        };
+        let measured = self.measured.get(far_end);
+        measured.map_or(usual_ms, |round_trip| round_trip.at(usual_ms, now_us))
+    }
+}
+
+fn usual_ms(topology: &Topology, one: &ZoneId, other: &ZoneId) -> f64 {
+    if one == other {
+        SAME_ZONE_MS
+    } else if topology.is_one_region(one, other) {
+        OTHER_ZONE_MS
+    } else {
+        OTHER_REGION_MS
+    }
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -6,13 +6,15 @@
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
 use crate::digest::ChangingRunner;
-use crate::ids::{RunnerId, ServiceName, ZoneId};
+use crate::distance::Distances;
+use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::PromptPart;
 use crate::runner::{
     AttemptDemand, Lapsed, Load, LoadReport, Runner, RunnerRecord, Stage, ToldLoad,
 };
 use crate::scheduling::{RunnerLoad, Shard};
 use crate::suspicion::Suspicion;
+use crate::topology::Topology;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a change of the list did to a runner.
@@ -38,6 +40,28 @@
 /// Time for which a runner that refused a request as full is avoided.
 const FULL_US: u64 = 100_000;
 
+/// The part of the fleet that runners are chosen from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope<'a> {
+    /// All of it.
+    Everywhere,
+    /// One region.
+    Region(&'a RegionId),
+    /// One shard of a region.
+    Shard(&'a Shard),
+}
+
+impl Scope<'_> {
+    /// Whether a runner belongs to it.
+    pub fn has(&self, runner: &Runner) -> bool {
+        match self {
+            Self::Everywhere => true,
+            Self::Region(region) => runner.region == **region,
+            Self::Shard(shard) => shard.has(runner),
+        }
+    }
+}
+
 /// Which runners a request may go to, whatever their load and health.
 #[derive(Clone, Copy, Debug)]
 pub struct Eligible<'a> {
@@ -47,36 +71,88 @@
     pub excluded: &'a [RunnerId],
     /// Zones that the operators' policy leaves; `None`: all.
     pub zones: Option<&'a BTreeSet<ZoneId>>,
-    /// The shard that they belong to; `None`: any.
-    pub shard: Option<Shard>,
+    /// Where they are.
+    pub scope: Scope<'a>,
 }
 
 impl<'a> Eligible<'a> {
     /// Every runner of a service.
     pub fn all_of(service: &'a ServiceName) -> Self {
-        Self { service, excluded: &[], zones: None, shard: None }
+        Self { service, excluded: &[], zones: None, scope: Scope::Everywhere }
     }
 
-    fn admits(&self, record: &RunnerRecord) -> bool {
+    fn admits(&self, runner: &Runner) -> bool {
+        let record = &runner.record;
         let zone_is_allowed = self.zones.is_none_or(|zones| zones.contains(&record.zone));
         record.service == *self.service
             && zone_is_allowed
             && !self.excluded.contains(&record.id)
-            && self.shard.is_none_or(|shard| shard.has(&record.id))
+            && self.scope.has(runner)
     }
 }
 
 /// All runners that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
+    topology: Topology,
+    distances: Distances,
     runners: BTreeMap<RunnerId, Runner>,
 }
 
 impl Fleet {
+    /// A fleet without runners, as a node of the zone `own` sees it; zones belong to these regions.
+    pub fn new(own: ZoneId, topology: Topology) -> Self {
+        Self { topology, distances: Distances::new(own), runners: BTreeMap::new() }
+    }
+
+    /// Zones belong to other regions from now on.
+    pub fn set_topology(&mut self, topology: Topology) {
+        for runner in self.runners.values_mut() {
+            runner.region = topology.region_of(&runner.record.zone);
+        }
+        self.topology = topology;
+    }
+
+    /// The regions of the zones.
+    pub fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// A round trip from this node's zone to another took so long.
+    pub fn on_round_trip(&mut self, to: &ZoneId, took_ms: f64, now_us: u64) {
+        self.distances.on_round_trip(to, took_ms, now_us);
+    }
+
+    /// A round trip between two zones, milliseconds.
+    pub fn round_trip_ms(&self, one: &ZoneId, other: &ZoneId, now_us: u64) -> f64 {
+        self.distances.round_trip_ms(&self.topology, one, other, now_us)
+    }
+
+    /// A round trip from a zone to the nearest runners of a region, milliseconds; `None` if it has
+    /// none.
+    pub fn way_ms(&self, from: &ZoneId, region: &RegionId, now_us: u64) -> Option<f64> {
+        let of_region = self.runners.values().filter(|runner| runner.region == *region);
+        let zones: BTreeSet<&ZoneId> = of_region.map(|runner| &runner.record.zone).collect();
+        let ways = zones.into_iter().map(|zone| self.round_trip_ms(from, zone, now_us));
+        ways.min_by(f64::total_cmp)
+    }
+
+    /// Regions in which a service has runners.
+    pub fn regions_of(&self, service: &ServiceName) -> BTreeSet<RegionId> {
+        let of_service = self.runners.values().filter(|runner| runner.record.service == *service);
+        of_service.map(|runner| runner.region.clone()).collect()
+    }
+
+    /// Regions with runners.
+    pub fn regions(&self) -> BTreeSet<RegionId> {
+        self.runners.values().map(|runner| runner.region.clone()).collect()
+    }
+
     /// Takes in an entry of the list. Entries older than what is known are passed over.
     pub fn put(&mut self, record: RunnerRecord) -> FleetChange {
+        let region = self.topology.region_of(&record.zone);
         let Some(known) = self.runners.get_mut(&record.id) else {
-            self.runners.insert(record.id.clone(), Runner::new(record));
+            self.runners.insert(record.id.clone(), Runner::new(record, region));
             return FleetChange::Joined;
         };
         let gone_at = known.lapsed.map_or(0, |lapsed| lapsed.revision);
@@ -91,6 +167,7 @@
             FleetChange::None
         };
         known.record = record;
+        known.region = region;
         known.misdirected = false;
         known.lapsed = None;
         change
@@ -167,7 +244,7 @@
     /// Runners that may get new requests; those that are avoided only if there are no others.
     pub fn candidates(&self, eligible: &Eligible<'_>, now_us: u64) -> Vec<&Runner> {
         let is_eligible = |runner: &&Runner| {
-            eligible.admits(&runner.record) && runner.takes_work() && !runner.is_changing(now_us)
+            eligible.admits(runner) && runner.takes_work() && !runner.is_changing(now_us)
         };
         let all: Vec<&Runner> = self.runners.values().filter(is_eligible).collect();
         let sound: Vec<&Runner> =
@@ -243,8 +320,8 @@
     }
 
     /// A scheduler told the loads of a shard's runners; those it leaves out have none.
-    pub fn on_shard_loads(&mut self, shard: Shard, loads: &[RunnerLoad], now_us: u64) {
-        for runner in self.runners.values_mut().filter(|runner| shard.has(&runner.record.id)) {
+    pub fn on_shard_loads(&mut self, shard: &Shard, loads: &[RunnerLoad], now_us: u64) {
+        for runner in self.runners.values_mut().filter(|runner| shard.has(runner)) {
             runner.told = None;
         }
         for load in loads {
@@ -260,14 +337,14 @@
     }
 
     /// What this node, as the scheduler of a shard, knows of the load at its runners.
-    pub fn shard_loads(&self, shard: Shard) -> Vec<RunnerLoad> {
+    pub fn shard_loads(&self, shard: &Shard) -> Vec<RunnerLoad> {
         let load = |runner: &Runner| RunnerLoad {
             runner: runner.record.id.clone(),
             in_flight: runner.in_flight + runner.reserved.in_flight,
             unread_tokens: runner.unread_tokens + runner.reserved.unread_tokens,
             held_tokens: runner.held_tokens + runner.reserved.held_tokens,
         };
-        let of_shard = self.runners.values().filter(|runner| shard.has(&runner.record.id));
+        let of_shard = self.runners.values().filter(|runner| shard.has(runner));
         of_shard.map(load).filter(|load| load.in_flight > 0).collect()
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,8 @@
 //! | [`ids`] | nothing: the types of identifiers |
 //! | [`configuration`] | what the operators have put in force |
 //! | [`topology`] | which zones belong to one region |
+//! | [`distance`] | how far zones are from each other |
+//! | [`regions`] | when a request leaves its region |
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
@@ -43,6 +45,7 @@
 pub mod configuration;
 pub mod crash_evidence;
 pub mod digest;
+pub mod distance;
 pub mod event_stream;
 pub mod failure_rate;
 pub mod fleet;
@@ -55,6 +58,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod read_pace;
+pub mod regions;
 pub mod request;
 pub mod request_identity;
 pub mod reservations;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -1,19 +1,24 @@
 //! Which nodes there are, and which of them read the store for the others.
 //!
 //! A few nodes of each zone (its mirrors) watch the store; the others follow a mirror, so the
-//! calls to the store do not grow with the fleet. Every node finds the same mirrors, as far as
+//! calls to the store do not grow with the fleet. Where there are several regions, a call crosses
+//! from one to another mostly: then a few nodes of each region watch it, of different zones. Every node finds the same mirrors, as far as
 //! it knows the same nodes. Nodes that disagree for a while cost calls and nothing else: a
 //! mirror is any node that is asked for its copy.
 
-use crate::ids::{NodeId, ZoneId};
+use crate::ids::{NodeId, RegionId, ZoneId};
 use crate::prefix::rendezvous_weight;
 use crate::scheduling::Shard;
+use crate::topology::Topology;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Mirrors of a zone: one may be lost or cut off without the zone's nodes noticing.
 const MIRRORS_A_ZONE: usize = 2;
+/// Mirrors of a region, where there are several: one may be lost or cut off without the region's
+/// nodes noticing, or its zone.
+const MIRRORS_A_REGION: usize = 2;
 
 /// What a node tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,14 +38,20 @@
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: NodeId,
+    topology: Topology,
     members: BTreeMap<NodeId, Member>,
 }
 
 impl Membership {
-    /// A node that knows only itself.
-    pub fn new(own: NodeId, member: Member) -> Self {
+    /// A node that knows only itself, and the regions of the zones.
+    pub fn new(own: NodeId, member: Member, topology: Topology) -> Self {
         let members = BTreeMap::from([(own.clone(), member)]);
-        Self { own, members }
+        Self { own, topology, members }
+    }
+
+    /// Zones belong to other regions from now on.
+    pub fn set_topology(&mut self, topology: Topology) {
+        self.topology = topology;
     }
 
     /// What this node tells of itself.
@@ -61,6 +72,28 @@
         self.members.retain(|name, _| *name == own || is_kept(name));
     }
 
+    /// The region of this node.
+    pub fn own_region(&self) -> RegionId {
+        self.topology.region_of(&self.own().zone)
+    }
+
+    /// Regions with nodes.
+    pub fn regions(&self) -> BTreeSet<RegionId> {
+        self.zones().into_iter().map(|zone| self.topology.region_of(zone)).collect()
+    }
+
+    /// How many nodes a region has.
+    pub fn count_in(&self, region: &RegionId) -> usize {
+        let zones = self.members.values().map(|member| &member.zone);
+        zones.filter(|zone| self.topology.is_in(zone, region)).count()
+    }
+
+    /// The shards of a region's runners.
+    pub fn shards_of(&self, region: RegionId) -> impl Iterator<Item = Shard> {
+        let of = Shard::count(self.count_in(&region));
+        Shard::all(region, of)
+    }
+
     /// How many nodes there are.
     pub fn len(&self) -> usize {
         self.members.len()
@@ -73,38 +106,40 @@
 
     /// Whether this node reads the store for others.
     pub fn is_mirror(&self) -> bool {
-        self.mirrors_of(&self.own().zone).contains(&&self.own)
+        self.mirrors_of(&self.own_region()).contains(&&self.own)
     }
 
     /// How many nodes read the store.
     pub fn mirror_count(&self) -> usize {
-        self.zones().iter().map(|zone| self.mirrors_of(zone).len()).sum()
+        self.all_mirrors().len()
     }
 
     /// Where this node may follow the store, the best first: the mirrors of its own zone, each
-    /// node beginning with another one, then those of the other zones.
+    /// node beginning with another one, then those of its region's other zones, then the rest.
     pub fn sources(&self) -> Vec<SocketAddr> {
         let own_zone = &self.own().zone;
-        let mut zones = self.zones();
-        zones.sort_by_key(|zone| (*zone != own_zone, self.weight(zone.as_str())));
-        let mut names: Vec<&NodeId> = Vec::new();
-        for zone in zones {
-            let mut mirrors = self.mirrors_of(zone);
-            mirrors.sort_by_key(|name| self.weight(name.as_str()));
-            names.extend(mirrors);
-        }
-        names
-            .into_iter()
-            .filter(|name| **name != self.own)
-            .map(|name| self.members[name].address)
-            .collect()
+        let mut names = self.all_mirrors();
+        names.sort_by_key(|name| {
+            let zone = &self.members[*name].zone;
+            let is_far = !self.topology.is_one_region(zone, own_zone);
+            (zone != own_zone, is_far, self.weight(zone.as_str()), self.weight(name.as_str()))
+        });
+        self.addresses_of_others(names)
     }
 
-    /// The other nodes that read the store; they also order role changes.
+    /// The other nodes that read the store.
     pub fn mirrors(&self) -> Vec<SocketAddr> {
-        let zones = self.zones();
-        let names = zones.iter().flat_map(|zone| self.mirrors_of(zone));
-        names.filter(|name| **name != self.own).map(|name| self.members[name].address).collect()
+        self.addresses_of_others(self.all_mirrors())
+    }
+
+    /// The other nodes of a region that read the store.
+    pub fn mirrors_in(&self, region: &RegionId) -> Vec<SocketAddr> {
+        self.addresses_of_others(self.mirrors_of(region))
+    }
+
+    fn addresses_of_others(&self, names: Vec<&NodeId>) -> Vec<SocketAddr> {
+        let others = names.into_iter().filter(|name| **name != self.own);
+        others.map(|name| self.members[name].address).collect()
     }
 
     /// All nodes.
@@ -112,6 +147,11 @@
         self.members.keys()
     }
 
+    /// The zone of a node.
+    pub fn zone_of(&self, name: &NodeId) -> Option<&ZoneId> {
+        self.members.get(name).map(|member| &member.zone)
+    }
+
     /// Some nodes with what they tell of themselves, this one among them.
     pub fn some(&self, most: usize) -> Vec<(NodeId, Member)> {
         let own = (self.own.clone(), self.own().clone());
@@ -127,24 +167,31 @@
     }
 
     /// The node that is told what this one is told, so that it outlives this one: one that reads
-    /// the store, if there is one of another zone.
+    /// the store, if there is one of another zone, of the own region if there is one.
     pub fn deputy(&self) -> Option<SocketAddr> {
         let own_zone = &self.own().zone;
-        let mut zones = self.zones();
-        zones.sort_by_key(|zone| (*zone == own_zone, self.weight(zone.as_str())));
-        let mut names = zones.into_iter().flat_map(|zone| self.mirrors_of(zone));
-        let name = names.find(|name| **name != self.own)?;
-        Some(self.members[name].address)
+        let mut names = self.all_mirrors();
+        names.sort_by_key(|name| {
+            let zone = &self.members[*name].zone;
+            let is_far = !self.topology.is_one_region(zone, own_zone);
+            (zone == own_zone, is_far, self.weight(zone.as_str()))
+        });
+        self.addresses_of_others(names).first().copied()
     }
 
-    /// The scheduler of a shard among the nodes for which `is_up` holds; `None` if it is this
-    /// node.
+    /// The scheduler of a shard among the nodes of its region for which `is_up` holds, or among
+    /// all nodes if none of the region is known; `None` if it is this node, or nobody is up.
     pub fn scheduler(
         &self,
-        shard: Shard,
+        shard: &Shard,
         is_up: impl Fn(&NodeId) -> bool,
     ) -> Option<(&NodeId, SocketAddr)> {
-        let up = self.members.iter().filter(|(name, _)| **name == self.own || is_up(name));
+        let has_nodes = self.count_in(&shard.region) > 0;
+        let is_near = |zone: &ZoneId| !has_nodes || self.topology.is_in(zone, &shard.region);
+        let up = self
+            .members
+            .iter()
+            .filter(|(name, member)| is_near(&member.zone) && (**name == self.own || is_up(name)));
         let best = up.max_by_key(|(name, member)| (member.processor, shard.weight(name)));
         best.filter(|(name, _)| **name != self.own).map(|(name, member)| (name, member.address))
     }
@@ -161,8 +208,30 @@
         zones
     }
 
-    /// The strongest nodes of a zone; among equals the same ones at every node.
-    fn mirrors_of(&self, zone: &ZoneId) -> Vec<&NodeId> {
+    fn all_mirrors(&self) -> Vec<&NodeId> {
+        self.regions().iter().flat_map(|region| self.mirrors_of(region)).collect()
+    }
+
+    /// The nodes of a region that read the store; the same ones at every node.
+    fn mirrors_of(&self, region: &RegionId) -> Vec<&NodeId> {
+        let mut zones = self.zones();
+        let is_only_region = zones.iter().all(|zone| self.topology.is_in(zone, region));
+        zones.retain(|zone| self.topology.is_in(zone, region));
+        let ranked = zones.into_iter().map(|zone| self.strongest_of(zone, MIRRORS_A_ZONE));
+        if is_only_region {
+            return ranked.flatten().map(|(_, _, name)| name).collect();
+        }
+        // The first of each zone go before the second of any.
+        let places = ranked.flat_map(|nodes| nodes.into_iter().enumerate());
+        let mut places: Vec<_> = places.collect();
+        places.sort_by(|(place, node), (other_place, other)| {
+            place.cmp(other_place).then(other.cmp(node))
+        });
+        places.into_iter().take(MIRRORS_A_REGION).map(|(_, (_, _, name))| name).collect()
+    }
+
+    /// The strongest nodes of a zone with their rank; among equals the same ones at every node.
+    fn strongest_of(&self, zone: &ZoneId, most: usize) -> Vec<(u32, u64, &NodeId)> {
         let of_zone = self.members.iter().filter(|(_, member)| member.zone == *zone);
         let mut ranked: Vec<_> = of_zone
             .map(|(name, member)| {
@@ -170,6 +239,7 @@
             })
             .collect();
         ranked.sort_by(|left, right| right.cmp(left));
-        ranked.into_iter().take(MIRRORS_A_ZONE).map(|(_, _, name)| name).collect()
+        ranked.truncate(most);
+        ranked
     }
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -70,14 +70,17 @@
     Direct(Choice),
 }
 
-/// Occupancy, as a share of the slots, that another zone has to save to be worth it.
-const OTHER_ZONE_OCCUPANCY: f64 = 0.3;
+/// Occupancy, as a share of the slots, that has to be saved for each millisecond that the distance
+/// counts as: another zone, 8 ms, has to save 0.3.
+const OCCUPANCY_A_MS: f64 = 0.0375;
 /// Occupancy that a failure rate above the best runner's counts as.
 const FAILURE_OCCUPANCY: f64 = 4.0;
 /// Milliseconds that a runner that answers with nothing but failures counts as.
 const FAILURE_MS: f64 = 400.0;
-/// Milliseconds of waiting that crossing a zone counts as.
-const OTHER_ZONE_MS: f64 = 8.0;
+/// Milliseconds of waiting that the dearer bytes of a request count as, beside the way itself, to
+/// another zone of the region and to another region.
+const ZONE_BYTES_MS: f64 = 6.5;
+const REGION_BYTES_MS: f64 = 40.0;
 /// Milliseconds that leaving the home of a prompt's shared parts counts as: a second runner
 /// that holds them leaves less room for others.
 const AWAY_MS: f64 = 40.0;
@@ -118,7 +121,7 @@
     let cost = |runner: &Runner| {
         let slots = f64::from(runner.record.slots.max(1));
         let occupancy = (runner.occupancy(demand.now_us) + 1.0) / slots;
-        let distance = if runner.record.zone == *demand.zone { 0.0 } else { OTHER_ZONE_OCCUPANCY };
+        let distance = distance_ms(fleet, runner, demand.zone, demand.now_us) * OCCUPANCY_A_MS;
         let failures = (runner.failure_rate(demand.now_us) - best_rate) * FAILURE_OCCUPANCY;
         occupancy + distance + failures
     };
@@ -136,7 +139,7 @@
 pub fn plan_reading(fleet: &Fleet, pace: &ReadPace, demand: &Demand<'_>) -> Option<ReadingPlan> {
     let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let (readers, writers) = by_stage(&candidates);
-    let view = PromptView::new(&candidates, pace, demand);
+    let view = PromptView::new(fleet, &candidates, pace, demand);
     let split = cheapest(&readers, &view, |runner| view.prefill_ms(runner) + HANDOVER_MS);
     let direct = cheapest(&writers, &view, |runner| view.direct_ms(runner));
     match (split, direct) {
@@ -158,7 +161,7 @@
     let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let (_, writers) = by_stage(&candidates);
     let pace = ReadPace::default();
-    let view = PromptView::new(&candidates, &pace, demand);
+    let view = PromptView::new(fleet, &candidates, &pace, demand);
     let near = source.unwrap_or(demand.zone);
     cheapest(&writers, &view, |runner| view.writing_ms(runner, near))
         .map(|(choice, _)| Choice { fetch_from: None, ..choice })
@@ -191,6 +194,7 @@
 
 /// A prompt as the runners of its service see it.
 struct PromptView<'a> {
+    fleet: &'a Fleet,
     pace: &'a ReadPace,
     demand: &'a Demand<'a>,
     /// Where the shared parts gather, by stage.
@@ -201,11 +205,17 @@
 }
 
 impl<'a> PromptView<'a> {
-    fn new(candidates: &[&'a Runner], pace: &'a ReadPace, demand: &'a Demand<'a>) -> Self {
+    fn new(
+        fleet: &'a Fleet,
+        candidates: &[&'a Runner],
+        pace: &'a ReadPace,
+        demand: &'a Demand<'a>,
+    ) -> Self {
         let (readers, writers) = by_stage(candidates);
         let holders = candidates.iter().copied();
         let source = holders.max_by_key(|runner| runner.cached_tokens(demand.prompt));
         Self {
+            fleet,
             pace,
             demand,
             reading_home: home_of(&readers, demand.prompt),
@@ -267,11 +277,15 @@
     }
 
     fn prefill_ms(&self, runner: &Runner) -> f64 {
-        let way = distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
+        let way = self.distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
         let late = self.pace.read_ms(runner.late_tokens_of_all() as f64) * LATE_WORK;
         self.prefill_time_ms(runner) + late + self.fetch_ms(runner) + way + self.failures_ms(runner)
     }
 
+    fn distance_ms(&self, runner: &Runner, zone: &ZoneId) -> f64 {
+        distance_ms(self.fleet, runner, zone, self.demand.now_us)
+    }
+
     /// What the failures that a runner has lately answered with count as.
     fn failures_ms(&self, runner: &Runner) -> f64 {
         runner.failure_rate(self.demand.now_us) * FAILURE_MS
@@ -302,17 +316,22 @@
         let occupancy = runner.occupancy(self.demand.now_us);
         let slots = f64::from(runner.record.slots.max(1));
         let full = if occupancy >= slots * DECODE_FULL { DECODE_FULL_MS } else { 0.0 };
-        let way = distance_ms(runner, near) + away_ms(runner, self.writing_home);
+        let way = self.distance_ms(runner, near) + away_ms(runner, self.writing_home);
         occupancy * DECODE_BUSY_MS + full + self.memory_ms(runner) + way + self.failures_ms(runner)
     }
 }
 
-fn distance_ms(runner: &Runner, zone: &ZoneId) -> f64 {
+/// What a runner's distance from a zone counts as: the way there and back, as far as it is longer
+/// than inside the zone, and dearer bytes.
+fn distance_ms(fleet: &Fleet, runner: &Runner, zone: &ZoneId, now_us: u64) -> f64 {
     if runner.record.zone == *zone {
-        0.0
-    } else {
-        OTHER_ZONE_MS
+        return 0.0;
     }
+    let is_near = fleet.topology().is_in(zone, &runner.region);
+    let bytes_ms = if is_near { ZONE_BYTES_MS } else { REGION_BYTES_MS };
+    let way_ms = fleet.round_trip_ms(zone, &runner.record.zone, now_us);
+    let inside_ms = fleet.round_trip_ms(zone, zone, now_us);
+    (way_ms - inside_ms).max(0.0) + bytes_ms
 }
 
 /// The runner at which all nodes gather requests with the prompt's shared parts.
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -1,7 +1,7 @@
 //! One runner as a node sees it: its entry in the list, its load, its health and its cache.
 
 use crate::failure_rate::FailureRate;
-use crate::ids::{RunnerId, ServiceName, ZoneId};
+use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
 use crate::suspicion::Suspicion;
@@ -87,6 +87,8 @@
 pub struct Runner {
     /// What the list says.
     pub record: RunnerRecord,
+    /// The region of its zone.
+    pub region: RegionId,
     /// Attempts of this node that it has now.
     pub in_flight: u32,
     /// Prompt tokens that it has yet to read for this node.
@@ -124,9 +126,10 @@
 }
 
 impl Runner {
-    pub(crate) fn new(record: RunnerRecord) -> Self {
+    pub(crate) fn new(record: RunnerRecord, region: RegionId) -> Self {
         Self {
             record,
+            region,
             in_flight: 0,
             unread_tokens: 0,
             late_tokens: 0,
--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -1,13 +1,15 @@
 //! What a scheduler decides: where a request is read and written, what is set aside for it, and
 //! whether another shard's scheduler should be asked instead.
 
-use crate::fleet::{Eligible, Fleet};
+use crate::fleet::{Eligible, Fleet, Scope};
+use crate::ids::{RegionId, ZoneId};
 use crate::placement::{choose_writer, plan_reading, Choice, Demand, ReadingPlan};
 use crate::prefix::Prompt;
 use crate::read_pace::ReadPace;
+use crate::regions::{regions_in_order, Placed, RegionBacklogs};
 use crate::reservations::{Reservation, Reserved};
 use crate::runner::Stage;
-use crate::scheduling::{PlacementQuestion, Shard, ToldChoice, ToldPlan};
+use crate::scheduling::{Elsewhere, LeavingReason, PlacementQuestion, Shard, ToldChoice, ToldPlan};
 use crate::urgency::put_behind_if_late;
 
 /// Wait of a request, in targets, from which on it is handed on to another shard: below, the
@@ -35,30 +37,68 @@
     pub writer: Option<Choice>,
 }
 
-/// Chooses among a shard's runners, or among all if it has none to offer.
+impl PlacedRequest {
+    /// Who reads.
+    pub fn first(&self) -> Option<&Choice> {
+        let (ReadingPlan::Split(choice) | ReadingPlan::Direct(choice)) = self.reading.as_ref()?;
+        Some(choice)
+    }
+}
+
+/// Chooses among a shard's runners; if it has none to offer, among those of its region, and then
+/// of the other regions. `None`: the region of the zone from which the request comes.
 pub fn choose(
     fleet: &Fleet,
     pace: &ReadPace,
     demand: &Demand<'_>,
-    shard: Option<Shard>,
+    shard: Option<&Shard>,
     due: Due,
 ) -> PlacedRequest {
-    let within = |shard: Option<Shard>| Demand {
-        eligible: Eligible { shard, ..demand.eligible },
-        ..*demand
+    let of_shard = shard.and_then(|shard| choose_within(fleet, pace, demand, Scope::Shard(shard)));
+    let own = || fleet.topology().region_of(demand.zone);
+    let of_regions = || {
+        let own = shard.map_or_else(own, |shard| shard.region.clone());
+        let regions = regions_in_order(fleet, demand, &own);
+        let mut regions = regions.iter().map(Scope::Region);
+        regions.find_map(|region| choose_within(fleet, pace, demand, region))
     };
-    let plan_within = |shard: Option<Shard>| plan_reading(fleet, pace, &within(shard));
-    let of_shard = shard.and_then(|shard| plan_within(Some(shard)));
-    let reading = of_shard
-        .or_else(|| plan_within(None))
-        .map(|plan| put_behind_if_late(plan, due.target_ms, due.elapsed_ms));
-    let Some(ReadingPlan::Split(reader)) = &reading else {
-        return PlacedRequest { reading, writer: None };
+    let Some(placed) = of_shard.or_else(of_regions) else { return PlacedRequest::default() };
+    let reading = placed.reading.map(|it| put_behind_if_late(it, due.target_ms, due.elapsed_ms));
+    PlacedRequest { reading, ..placed }
+}
+
+/// Chooses who reads and who writes inside one part of the fleet: what is read in one region is not
+/// moved to another.
+fn choose_within(
+    fleet: &Fleet,
+    pace: &ReadPace,
+    demand: &Demand<'_>,
+    scope: Scope<'_>,
+) -> Option<PlacedRequest> {
+    let within = Demand { eligible: Eligible { scope, ..demand.eligible }, ..*demand };
+    let reading = plan_reading(fleet, pace, &within)?;
+    let writer = match &reading {
+        ReadingPlan::Split(reader) => {
+            let source = fleet.get(&reader.runner).map(|runner| &runner.record.zone);
+            choose_writer(fleet, &within, source)
+        }
+        ReadingPlan::Direct(_) => None,
     };
-    let source = fleet.get(&reader.runner).map(|runner| &runner.record.zone);
-    let of_shard = choose_writer(fleet, &within(shard), source);
-    let writer = of_shard.or_else(|| choose_writer(fleet, &within(None), source));
-    PlacedRequest { reading, writer }
+    Some(PlacedRequest { reading: Some(reading), writer })
+}
+
+/// Chooses who writes what was read in the zone `source`, or reads and writes it itself: a runner
+/// of that region, or else of another one.
+pub fn choose_any_writer(
+    fleet: &Fleet,
+    demand: &Demand<'_>,
+    source: Option<&ZoneId>,
+) -> Option<Choice> {
+    let own = fleet.topology().region_of(source.unwrap_or(demand.zone));
+    let regions = regions_in_order(fleet, demand, &own);
+    let within = |scope| Demand { eligible: Eligible { scope, ..demand.eligible }, ..*demand };
+    let mut regions = regions.iter().map(Scope::Region);
+    regions.find_map(|region| choose_writer(fleet, &within(region), source))
 }
 
 /// The answer to a question; `None` if no runner takes work.
@@ -102,8 +142,8 @@
     }
 }
 
-/// A shard where a request would wait for much less than where it has been placed. What has been
-/// handed on once stays where it is.
+/// A shard of the same region where a request would wait for much less than where it has been
+/// placed. What has been handed on once stays where it is.
 pub fn shorter_shard(
     fleet: &Fleet,
     pace: &ReadPace,
@@ -111,21 +151,58 @@
     placed: &PlacedRequest,
     now_us: u64,
 ) -> Option<Shard> {
-    let (ReadingPlan::Split(choice) | ReadingPlan::Direct(choice)) = placed.reading.as_ref()?;
-    let wait_ms = choice.expected_us as f64 / MICROS_PER_MILLI - choice.reading_ms;
+    let wait_ms = wait_ms(placed.first()?);
     if question.handed_on || wait_ms < question.target_ms as f64 * LONG_WAIT_SHARE {
         return None;
     }
-    let others = Shard::all(question.shard.of).filter(|shard| *shard != question.shard);
-    let mean_wait_ms = |shard: Shard| {
-        let eligible = Eligible { shard: Some(shard), ..Eligible::all_of(&question.service) };
+    let all = Shard::all(question.shard.region.clone(), question.shard.of);
+    let others = all.filter(|shard| *shard != question.shard);
+    let mean_wait_ms = |shard: &Shard| {
+        let scope = Scope::Shard(shard);
+        let eligible = Eligible { scope, ..Eligible::all_of(&question.service) };
         mean_wait_ms(fleet, pace, &eligible, now_us)
     };
-    let waits = others.filter_map(|shard| Some((shard, mean_wait_ms(shard)?)));
+    let waits = others.filter_map(|shard| {
+        let wait_ms = mean_wait_ms(&shard)?;
+        Some((shard, wait_ms))
+    });
     let (shard, least_ms) = waits.min_by(|(_, left), (_, right)| left.total_cmp(right))?;
     (least_ms < wait_ms * SHORTER_SHARE).then_some(shard)
 }
 
+/// What a request waits for where it has been placed, milliseconds.
+fn wait_ms(choice: &Choice) -> f64 {
+    choice.expected_us as f64 / MICROS_PER_MILLI - choice.reading_ms
+}
+
+/// Where a request should rather be placed than in its own region; `placed` is what has been chosen
+/// among the runners that are known here.
+pub fn other_region(
+    fleet: &Fleet,
+    backlogs: &RegionBacklogs,
+    demand: &Demand<'_>,
+    own: &RegionId,
+    placed: &PlacedRequest,
+    due: Due,
+) -> Option<Elsewhere> {
+    let choice = placed.first()?;
+    let region = &fleet.get(&choice.runner)?.region;
+    if region != own {
+        return Some(Elsewhere { region: region.clone(), reason: LeavingReason::NoRunner });
+    }
+    let placed = Placed {
+        service: demand.eligible.service,
+        region: own,
+        zone: demand.zone,
+        wait_ms: wait_ms(choice),
+        reading_ms: choice.reading_ms,
+        due_in_ms: due.target_ms - due.elapsed_ms,
+        now_us: demand.now_us,
+    };
+    let region = backlogs.better_region(fleet, &placed)?;
+    Some(Elsewhere { region, reason: LeavingReason::LongWait })
+}
+
 /// What a prompt waits for at the prefill runners, on the mean; `None` if there are none.
 fn mean_wait_ms(
     fleet: &Fleet,
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -1,18 +1,18 @@
 //! Which node places the requests of a service of language models, and what nodes say to it.
 //!
-//! The runners of a service are split into shards, and each shard has a scheduler: the node that
-//! all nodes find by rendezvous hashing, strong machines first. A node that has taken a request
-//! asks the scheduler of the shard in which the prompt's shared parts have their home. The
-//! scheduler sees all requests to its runners, so it knows their load and caches to within the
+//! The runners of a service are split into shards, by region first, and each shard has a scheduler:
+//! the node of the region that all nodes find by rendezvous hashing, strong machines first. A node
+//! that has taken a request asks the scheduler of the shard of its own region in which the
+//! prompt's shared parts have their home. The scheduler sees all requests to its runners, so it knows their load and caches to within the
 //! age of a datagram, and what it is told grows with requests, not with nodes squared.
 //!
 //! All of it only ranks runners. Two schedulers of a shard, or none, cost a worse choice: a node
 //! that gets no answer soon chooses by what it knows itself.
 
-use crate::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use crate::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use crate::placement::Choice;
 use crate::prefix::{rendezvous_weight, Prompt, PromptPart};
-use crate::runner::AttemptDemand;
+use crate::runner::{AttemptDemand, Runner};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -21,38 +21,45 @@
 /// core for a scheduler.
 const NODES_A_SHARD: usize = 40;
 
-/// One of the shards of a fleet's runners.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// One of the shards of a region's runners.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Shard {
-    /// Its number.
+    /// The region.
+    #[serde(rename = "r")]
+    pub region: RegionId,
+    /// Its number among the region's shards.
     #[serde(rename = "n")]
     pub number: usize,
-    /// How many there are.
+    /// How many the region has.
     #[serde(rename = "of")]
     pub of: usize,
 }
 
 impl Shard {
-    /// How many shards a fleet of so many nodes has.
+    /// How many shards a region of so many nodes has.
     pub fn count(nodes: usize) -> usize {
         nodes.div_ceil(NODES_A_SHARD).max(1)
     }
 
-    /// All shards.
-    pub fn all(of: usize) -> impl Iterator<Item = Self> {
-        (0..of).map(move |number| Self { number, of })
+    /// All shards of a region.
+    pub fn all(region: RegionId, of: usize) -> impl Iterator<Item = Self> {
+        (0..of).map(move |number| Self { region: region.clone(), number, of })
     }
 
-    /// The shard of a runner.
-    pub fn of_runner(runner: &RunnerId, of: usize) -> Self {
+    /// The shard of a runner, where its region has so many.
+    pub fn of_runner(runner: &Runner, of: usize) -> Self {
+        let number = Self::number_of(&runner.record.id, of);
+        Self { region: runner.region.clone(), number, of }
+    }
+
+    fn number_of(runner: &RunnerId, of: usize) -> usize {
         let weight = rendezvous_weight("shard", runner.as_str());
-        let number = usize::try_from(weight % of.max(1) as u64).unwrap_or_default();
-        Self { number, of }
+        usize::try_from(weight % of.max(1) as u64).unwrap_or_default()
     }
 
     /// Whether a runner belongs to it.
-    pub fn has(&self, runner: &RunnerId) -> bool {
-        Self::of_runner(runner, self.of) == *self
+    pub fn has(&self, runner: &Runner) -> bool {
+        runner.region == self.region && Self::number_of(&runner.record.id, self.of) == self.number
     }
 
     /// How much a node is preferred as its scheduler.
@@ -79,7 +86,8 @@
     /// The shard whose runners are asked for.
     #[serde(rename = "h")]
     pub shard: Shard,
-    /// Whether another scheduler has handed it on: it is not handed on again.
+    /// Whether another scheduler has handed it on, or has named this one's region: it is not handed
+    /// on again.
     #[serde(rename = "w")]
     pub handed_on: bool,
     /// The service.
@@ -211,6 +219,38 @@
     Direct(ToldChoice),
 }
 
+/// Why a request is not placed in its own region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum LeavingReason {
+    /// No runner there takes work.
+    #[serde(rename = "n")]
+    NoRunner,
+    /// It would wait there for much longer.
+    #[serde(rename = "w")]
+    LongWait,
+}
+
+impl LeavingReason {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoRunner => "no_runner",
+            Self::LongWait => "long_wait",
+        }
+    }
+}
+
+/// Another region's scheduler is to be asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Elsewhere {
+    /// The region.
+    #[serde(rename = "r")]
+    pub region: RegionId,
+    /// Why.
+    #[serde(rename = "w")]
+    pub reason: LeavingReason,
+}
+
 /// A scheduler's answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementAnswer {
@@ -220,6 +260,9 @@
     /// Where it is to run; `None`: no runner takes work.
     #[serde(rename = "p")]
     pub plan: Option<ToldPlan>,
+    /// Who is to be asked instead; then nothing has been set aside here.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub elsewhere: Option<Elsewhere>,
 }
 
 /// What became of a request that was placed.
--- a/crates/serving/src/topology.rs
+++ b/crates/serving/src/topology.rs
@@ -23,6 +23,19 @@
         self.regions.get(zone).cloned().unwrap_or_else(|| RegionId::new(zone.as_str()))
     }
 
+    /// Whether a zone belongs to a region.
+    pub fn is_in(&self, zone: &ZoneId, region: &RegionId) -> bool {
+        match self.regions.get(zone) {
+            Some(told) => told == region,
+            None => zone.as_str() == region.as_str(),
+        }
+    }
+
+    /// Whether two zones belong to one region.
+    pub fn is_one_region(&self, one: &ZoneId, other: &ZoneId) -> bool {
+        one == other || self.is_in(other, &self.region_of(one))
+    }
+
     /// The zones that were told of, with their regions.
     pub fn zones(&self) -> impl Iterator<Item = (&ZoneId, &RegionId)> {
         self.regions.iter()
--- a/crates/serving/tests/membership.rs
+++ b/crates/serving/tests/membership.rs
@@ -1,8 +1,9 @@
 //! Which nodes read the store, and whom the others follow.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_serving::ids::{NodeId, ZoneId};
+use pitchstall_serving::ids::{NodeId, RegionId, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
+use pitchstall_serving::topology::Topology;
 use std::net::SocketAddr;
 use test_case::test_case;
 
@@ -23,9 +24,12 @@
     (0..nodes).map(|number| (NodeId::new(format!("node-{number}")), member(number))).collect()
 }
 
+/// The zones of the nodes are near each other.
 fn seen_by(number: usize, all: &[(NodeId, Member)]) -> Membership {
+    let zones = all.iter().map(|(_, member)| (member.zone.clone(), RegionId::new("coast")));
+    let topology = Topology::new(zones);
     let (name, member) = &all[number];
-    let mut membership = Membership::new(name.clone(), member.clone());
+    let mut membership = Membership::new(name.clone(), member.clone(), topology);
     all.iter().for_each(|(name, member)| membership.learn(name, member));
     membership
 }
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -4,9 +4,9 @@
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness};
-use pitchstall_serving::fleet::{Eligible, Fleet, FleetChange};
+use pitchstall_serving::fleet::{Eligible, Fleet, FleetChange, Scope};
 use pitchstall_serving::freshness::StoreWord;
-use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::Member;
 use pitchstall_serving::placement::{
     choose_worker, choose_writer, plan_reading, Demand, ReadingPlan,
@@ -16,13 +16,13 @@
 use pitchstall_serving::routing::{find_route, TrafficSplitter};
 use pitchstall_serving::runner::{AttemptDemand, LoadReport, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{RunnerLoad, Shard};
+use pitchstall_serving::topology::Topology;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use test_case::test_case;
 
 const CACHE_TOKENS: u64 = 400_000;
-const ONLY_SHARD: Shard = Shard { number: 0, of: 1 };
 
 fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
     let share = |(service, weight): &(&str, u32)| Share {
@@ -84,6 +84,19 @@
     assert_eq!(final_answer(execution, reason), expected);
 }
 
+/// The shard of a region that has one.
+fn only_shard() -> Shard {
+    Shard { region: RegionId::new("coast"), number: 0, of: 1 }
+}
+
+/// A fleet without runners whose zones are near each other.
+fn one_region() -> Fleet {
+    let zones = ["north", "south", "east"].map(ZoneId::new);
+    let coast = RegionId::new("coast");
+    let topology = Topology::new(zones.into_iter().map(|zone| (zone, coast.clone())));
+    Fleet::new(ZoneId::new("north"), topology)
+}
+
 fn record(id: &str, zone: &str, stage: Option<Stage>, revision: u64) -> RunnerRecord {
     RunnerRecord {
         id: RunnerId::new(id),
@@ -101,7 +114,7 @@
 
 #[test]
 fn an_older_entry_never_wins() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     let draining = RunnerRecord { draining: true, ..record("a", "north", None, 7) };
     assert_eq!(fleet.put(record("a", "north", None, 5)), FleetChange::Joined);
     assert_eq!(fleet.put(draining), FleetChange::Draining);
@@ -113,7 +126,7 @@
 
 #[test]
 fn a_list_removes_whom_it_leaves_out_unless_they_came_later() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("old", "north", None, 3));
     fleet.put(record("new", "north", None, 9));
     let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], 6, None);
@@ -148,7 +161,7 @@
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.zones.as_ref(),
-                shard: None,
+                scope: Scope::Everywhere,
             },
             prompt: &self.prompt,
             zone: &self.zone,
@@ -159,7 +172,7 @@
 }
 
 fn engines() -> Fleet {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     for id in ["p1", "p2", "p3"] {
         fleet.put(record(id, "north", Some(Stage::Prefill), 1));
     }
@@ -190,10 +203,10 @@
         unread_tokens: 90_000,
         held_tokens: 90_000,
     };
-    fleet.on_shard_loads(ONLY_SHARD, &[load], 1_000);
+    fleet.on_shard_loads(&only_shard(), &[load], 1_000);
     assert_ne!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
     // Its next word takes that back.
-    fleet.on_shard_loads(ONLY_SHARD, &[], 1_000);
+    fleet.on_shard_loads(&only_shard(), &[], 1_000);
     assert_eq!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
 }
 
@@ -231,7 +244,7 @@
 
 #[test]
 fn without_decode_runners_nothing_is_read() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("p1", "north", Some(Stage::Prefill), 1));
     let case = Case::new(0, 1_000);
     assert_eq!(plan_reading(&fleet, &ReadPace::default(), &case.demand()), None);
@@ -239,7 +252,7 @@
 
 #[test]
 fn the_writer_is_near_the_reader() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     for (id, zone) in [("d1", "north"), ("d2", "south"), ("d3", "east")] {
         fleet.put(record(id, zone, Some(Stage::Decode), 1));
     }
@@ -252,7 +265,7 @@
 
 #[test]
 fn the_least_occupied_worker_of_the_zone_is_chosen() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("near", "north", None, 1));
     fleet.put(record("far", "south", None, 1));
     let case = Case::new(0, 0);
@@ -266,7 +279,7 @@
 
 #[test]
 fn a_runner_that_is_not_sound_is_used_if_there_is_no_other() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("only", "north", None, 1));
     fleet.on_unreachable(&RunnerId::new("only"), 1_000);
     assert!(choose_worker(&fleet, &Case::new(0, 0).demand()).is_some());
@@ -303,7 +316,7 @@
 
 #[test]
 fn after_its_time_a_suspect_is_tried_by_one_request_first() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("a", "north", None, 1));
     fleet.put(record("b", "south", None, 1));
     let a = RunnerId::new("a");
@@ -318,7 +331,7 @@
 
 #[test]
 fn a_decode_runner_without_memory_is_left() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("d1", "north", Some(Stage::Decode), 1));
     fleet.put(record("d2", "south", Some(Stage::Decode), 1));
     let case = Case::new(0, 10_000);
@@ -347,7 +360,7 @@
 
 #[test]
 fn a_zone_that_the_policy_forbids_gets_no_request_however_idle_it_is() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("near", "north", None, 1));
     fleet.put(record("far", "south", None, 1));
     let mut case = Case::new(0, 0);
@@ -363,12 +376,12 @@
 
 #[test]
 fn load_that_a_scheduler_told_fades_until_it_tells_again() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     fleet.put(record("a", "north", None, 1));
     let id = RunnerId::new("a");
     let load =
         RunnerLoad { runner: id.clone(), in_flight: 4, unread_tokens: 1_000, held_tokens: 50 };
-    fleet.on_shard_loads(ONLY_SHARD, &[load], 0);
+    fleet.on_shard_loads(&only_shard(), &[load], 0);
     let runner = fleet.get(&id).unwrap();
     assert_eq!((runner.occupancy(0), runner.unread_for_peers(0)), (4.0, 1_000));
     assert!(runner.occupancy(400_000) < 3.0 && runner.unread_for_peers(400_000) < 600);
@@ -379,7 +392,7 @@
 /// Once a runner that had changed its role while the list was late got no work for a whole day.
 #[test]
 fn a_runner_that_answered_for_another_is_believed_again_once_the_list_is_newer() {
-    let mut fleet = Fleet::default();
+    let mut fleet = one_region();
     let id = RunnerId::new("a");
     fleet.put(record("a", "north", Some(Stage::Decode), 3));
     fleet.on_misdirected(&id);
--- a/crates/serving/tests/reservations.rs
+++ b/crates/serving/tests/reservations.rs
@@ -2,14 +2,17 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::fleet::Fleet;
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::reservations::{Reservation, Reservations, Reserved};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{Shard, Ticket};
 use proptest::prelude::*;
 
 const SECOND: u64 = 1_000_000;
-const ONLY_SHARD: Shard = Shard { number: 0, of: 1 };
+
+fn only_shard() -> Shard {
+    Shard { region: RegionId::new("north"), number: 0, of: 1 }
+}
 
 fn fleet() -> Fleet {
     let mut fleet = Fleet::default();
@@ -57,7 +60,7 @@
 
 /// Requests and unread tokens at the prefill and at the decode runner.
 fn load(fleet: &Fleet) -> [(u32, u64); 2] {
-    let loads = fleet.shard_loads(ONLY_SHARD);
+    let loads = fleet.shard_loads(&only_shard());
     let of = |id: &str| {
         let load = loads.iter().find(|load| load.runner.as_str() == id);
         load.map_or((0, 0), |load| (load.in_flight, load.unread_tokens))
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::fleet::{Eligible, Fleet};
-use pitchstall_serving::ids::{NodeId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::placement::{reading_home, Demand, ReadingPlan};
 use pitchstall_serving::prefix::{Prompt, PromptPart};
@@ -14,6 +14,7 @@
     choose, reservation, shorter_shard, told_plan, Due, PlacedRequest,
 };
 use pitchstall_serving::scheduling::{told_parts, PlacementQuestion, Shard, Ticket, ToldPlan};
+use pitchstall_serving::topology::Topology;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
@@ -41,6 +42,10 @@
     }
 }
 
+fn shard_of(number: usize, of: usize) -> Shard {
+    Shard { region: RegionId::new("north"), number, of }
+}
+
 fn runners() -> Vec<RunnerRecord> {
     let record = |number: usize| RunnerRecord {
         id: RunnerId::new(format!("i-{number}")),
@@ -171,12 +176,13 @@
             Placer::EachNode => 1,
         };
         let home = reading_home(&self.minds[0].fleet, &demand).unwrap();
+        let home = self.minds[0].fleet.get(home).unwrap();
         let shard = Shard::of_runner(home, shards);
         let mut question = PlacementQuestion {
             ticket: Ticket { incarnation: 1, number },
             request: String::new(),
             answer_to: SocketAddr::from(([127, 0, 0, 1], 1)),
-            shard,
+            shard: shard.clone(),
             handed_on: false,
             service: service.clone(),
             parts: told_parts(&prompt),
@@ -194,30 +200,31 @@
             Placer::EachNode => numbers.below(NODES as u64) as usize,
         };
         let pace = ReadPace::default();
-        let mut placed = self.decide(mind, &demand, question.shard, &pace);
+        let mut placed = self.decide(mind, &demand, &question.shard, &pace);
         let told: Vec<_> = self
             .minds
             .iter()
             .enumerate()
             .take(shards)
             .map(|(number, mind)| {
-                let shard = Shard { number, of: shards };
-                (shard, mind.fleet.shard_loads(shard))
+                let shard = shard_of(number, shards);
+                let loads = mind.fleet.shard_loads(&shard);
+                (shard, loads)
             })
             .collect();
         if matches!(self.placer, Placer::Schedulers { .. }) {
             for (other, loads) in &told {
                 if other.number != mind {
-                    self.minds[mind].fleet.on_shard_loads(*other, loads, now_us);
+                    self.minds[mind].fleet.on_shard_loads(other, loads, now_us);
                 }
             }
         }
         let better = shorter_shard(&self.minds[mind].fleet, &pace, &question, &placed, now_us);
         if let Some(better) = better {
+            mind = better.number;
             question.shard = better;
             question.handed_on = true;
-            mind = better.number;
-            placed = self.decide(mind, &demand, better, &pace);
+            placed = self.decide(mind, &demand, &question.shard, &pace);
         }
         let plan = told_plan(placed).unwrap();
         let Mind { fleet, reservations } = &mut self.minds[mind];
@@ -235,7 +242,7 @@
         &self,
         mind: usize,
         demand: &Demand<'_>,
-        shard: Shard,
+        shard: &Shard,
         pace: &ReadPace,
     ) -> PlacedRequest {
         let due = Due { target_ms: TARGET_MS as f64, elapsed_ms: 0.0 };
@@ -265,14 +272,14 @@
         processor: if number.is_multiple_of(20) { 500 } else { 120 },
     };
     let name = |number: usize| NodeId::new(format!("node-{number}"));
-    let mut membership = Membership::new(name(own), member(own));
+    let mut membership = Membership::new(name(own), member(own), Topology::default());
     (0..nodes).for_each(|number| membership.learn(&name(number), &member(number)));
     membership
 }
 
 #[test]
 fn all_nodes_find_the_same_strong_scheduler_and_the_next_one_when_it_is_gone() {
-    let shard = Shard { number: 3, of: 8 };
+    let shard = &shard_of(3, 8);
     let seen = membership(1, NODES);
     let (first, address) = seen.scheduler(shard, |_| true).unwrap();
     let first = first.clone();
@@ -293,7 +300,7 @@
 fn a_node_that_knows_nobody_schedules_all_shards_itself() {
     let alone = membership(0, 1);
     assert_eq!(Shard::count(alone.len()), 1);
-    assert!(alone.scheduler(Shard { number: 0, of: 1 }, |_| true).is_none());
+    assert!(alone.scheduler(&shard_of(0, 1), |_| true).is_none());
 }
 
 #[test]
@@ -303,7 +310,7 @@
         ticket: Ticket { incarnation: 1, number: 1 },
         request: String::new(),
         answer_to: SocketAddr::from(([127, 0, 0, 1], 1)),
-        shard: Shard { number: 0, of: 8 },
+        shard: shard_of(0, 8),
         handed_on: false,
         service: ServiceName::new("llm"),
         parts: Vec::new(),
@@ -325,9 +332,9 @@
         now_us: 0,
     };
     let due = Due { target_ms: TARGET_MS as f64, elapsed_ms: 0.0 };
-    let placed = choose(&fleet, &ReadPace::default(), &demand, Some(question.shard), due);
+    let placed = choose(&fleet, &ReadPace::default(), &demand, Some(&question.shard), due);
     let reading = placed.reading.as_ref().unwrap();
     let (ReadingPlan::Split(choice) | ReadingPlan::Direct(choice)) = reading;
-    assert!(question.shard.has(&choice.runner));
+    assert!(question.shard.has(fleet.get(&choice.runner).unwrap()));
     assert_eq!(shorter_shard(&fleet, &ReadPace::default(), &question, &placed, 0), None);
 }
