Say what the planner of roles saw when it orders nothing under pressure

Cause: while a third of a kind of requests failed, no role changed for 34 s and no line of the log told why; the planner returned an empty list for every reason.

Ruled out: a line a look (four a second a service, most without pressure); a metric alone, which does not tell the reason at a moment.

Change: the planner returns what it saw (wait and late work in targets, slots and memory in use, runners of each role) with the changes or a typed reason for none. The holder writes that at most once a second a service, and once when it orders. Changes that are due before the term may order are kept back as "authority not ready" and no longer count as ordered: they used to start the planner's pause of 4.5 s without an order being sent.

--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -10,7 +10,9 @@
 use pitchstall_platform_adapter::paths::{self, OrderAnswer};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::ids::ServiceName;
-use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
+use pitchstall_serving::role_planner::{
+    NothingOrdered, RoleChange, RoleDemand, RolePlan, RolePlanner, RolePolicy, RolesSeen,
+};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -26,14 +28,19 @@
 const CHANGING_US: u64 = 6_000_000;
 const MOST_REPORT_BYTES: usize = 1024 * 1024;
 
+/// Between two lines on what a service's planner saw when it ordered nothing.
+const LINE_EVERY_US: u64 = 1_000_000;
+
 struct Roles {
     node: Rc<Node>,
     planners: HashMap<ServiceName, RolePlanner>,
+    /// When a service's last line was written.
+    lines: HashMap<ServiceName, u64>,
 }
 
 /// Orders role changes whenever this node may, until the task is dropped.
 pub async fn order_changes(node: Rc<Node>) {
-    let mut roles = Roles { node, planners: HashMap::new() };
+    let mut roles = Roles { node, planners: HashMap::new(), lines: HashMap::new() };
     loop {
         sleep(PLAN_EVERY).await;
         if roles.node.authority.fence().is_none() {
@@ -48,26 +55,57 @@
 impl Roles {
     async fn plan(&mut self) {
         for (service, engine) in self.node.engine_services() {
-            let changes = self.due_changes(&service, &engine);
+            let Some(plan) = self.look(&service, &engine) else { continue };
+            let changes = match plan.decision {
+                Ok(_) if self.fence_now().is_none() => {
+                    // The planner's pressure goes on: orders follow when the term allows them.
+                    self.log_nothing(&service, &plan.seen, "authority not ready");
+                    continue;
+                }
+                Ok(changes) => changes,
+                Err(NothingOrdered::NoPressure) => continue,
+                Err(reason) => {
+                    self.log_nothing(&service, &plan.seen, reason.name());
+                    continue;
+                }
+            };
+            log_seen(&service, &plan.seen, changes.len());
             for change in &changes {
                 self.order(change).await;
             }
-            if let Some(planner) = self.planners.get_mut(&service).filter(|_| !changes.is_empty()) {
+            if let Some(planner) = self.planners.get_mut(&service) {
                 planner.on_ordered(self.node.now_us());
             }
         }
     }
 
-    fn due_changes(&mut self, service: &ServiceName, engine: &EngineSpec) -> Vec<RoleChange> {
+    /// Says what a planner saw under pressure and why it ordered nothing.
+    fn log_nothing(&mut self, service: &ServiceName, seen: &RolesSeen, reason: &str) {
+        let now_us = self.node.now_us();
+        let last_us = self.lines.get(service).copied();
+        if last_us.is_some_and(|last_us| now_us < last_us + LINE_EVERY_US) {
+            return;
+        }
+        self.lines.insert(service.clone(), now_us);
+        let RolesSeen { prefill, decode, .. } = *seen;
+        let [wait, late, occupancy, memory] = percents(seen);
+        let service = service.as_str();
+        log::info!(
+            target: "authority",
+            service, reason, wait, late, occupancy, memory, prefill, decode; "nothing ordered"
+        );
+    }
+
+    /// `None` for a service for which the configuration names no target.
+    fn look(&mut self, service: &ServiceName, engine: &EngineSpec) -> Option<RolePlan> {
         let configuration = self.node.configuration();
-        let target_ms = configuration.and_then(|it| it.shortest_target_ms(service));
-        let Some(target_ms) = target_ms else { return Vec::new() };
+        let target_ms = configuration.and_then(|it| it.shortest_target_ms(service))?;
         let demand = RoleDemand { service, engine, target_ms: target_ms as f64 };
         let now_us = self.node.now_us();
         let new_planner = || RolePlanner::new(RolePolicy::default());
         let planner = self.planners.entry(service.clone()).or_insert_with(new_planner);
         let fleet = self.node.fleet.borrow();
-        self.node.with_pace(service, |pace| planner.plan(&fleet, pace, &demand, now_us))
+        Some(self.node.with_pace(service, |pace| planner.plan(&fleet, pace, &demand, now_us)))
     }
 
     async fn order(&mut self, change: &RoleChange) {
@@ -117,6 +155,23 @@
     }
 }
 
+/// Wait, late work, slots and memory in use, each in hundredths.
+fn percents(seen: &RolesSeen) -> [u64; 4] {
+    let percent = |share: f64| (share * 100.0).round() as u64;
+    [seen.wait, seen.late, seen.occupancy, seen.memory].map(percent)
+}
+
+/// Says what a planner saw when it orders changes.
+fn log_seen(service: &ServiceName, seen: &RolesSeen, changes: usize) {
+    let RolesSeen { prefill, decode, .. } = *seen;
+    let [wait, late, occupancy, memory] = percents(seen);
+    let service = service.as_str();
+    log::info!(
+        target: "authority",
+        service, changes, wait, late, occupancy, memory, prefill, decode; "ordering changes"
+    );
+}
+
 async fn call_runner(
     record: &RunnerRecord,
     method: &str,
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -49,6 +49,70 @@
     }
 }
 
+/// Why a look ordered nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NothingOrdered {
+    /// Neither role is short of runners.
+    NoPressure,
+    /// Prompts wait, but decode would be too full without one of its runners.
+    NobodyToSpare,
+    /// Prompts wait, but no more decode runners are left than always write.
+    LeastDecode,
+    /// Decode is full, but prefill has a single runner or waits itself.
+    PrefillBusy,
+    /// The pressure has not lasted yet.
+    NotLasting,
+    /// A change was ordered a moment ago.
+    Paused,
+}
+
+impl NothingOrdered {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoPressure => "no pressure",
+            Self::NobodyToSpare => "nobody to spare",
+            Self::LeastDecode => "least decode",
+            Self::PrefillBusy => "prefill busy",
+            Self::NotLasting => "not lasting",
+            Self::Paused => "paused",
+        }
+    }
+}
+
+/// What a look saw.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RolesSeen {
+    /// Runners that read prompts and may get work.
+    pub prefill: usize,
+    /// Runners that write answers and may get work.
+    pub decode: usize,
+    /// Time that a prompt waits, as a share of its target.
+    pub wait: f64,
+    /// The same of what was put behind all that can still be in time.
+    pub late: f64,
+    /// Share of the decode runners' slots in use.
+    pub occupancy: f64,
+    /// Share of the decode runners' KV cache in use.
+    pub memory: f64,
+}
+
+/// What a look came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolePlan {
+    /// What is to be ordered, or why nothing.
+    pub decision: Result<Vec<RoleChange>, NothingOrdered>,
+    /// What it saw.
+    pub seen: RolesSeen,
+}
+
+impl RolePlan {
+    /// The changes that are due.
+    pub fn changes(self) -> Vec<RoleChange> {
+        self.decision.unwrap_or_default()
+    }
+}
+
 /// A runner is to change its role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoleChange {
@@ -73,30 +137,39 @@
         Self { policy, pressure: None, paused_until_us: 0 }
     }
 
-    /// Looks at the fleet and returns the changes that are due.
+    /// Looks at the fleet and returns the changes that are due, or why there are none.
     pub fn plan(
         &mut self,
         fleet: &Fleet,
         pace: &ReadPace,
         demand: &RoleDemand<'_>,
         now_us: u64,
-    ) -> Vec<RoleChange> {
+    ) -> RolePlan {
         let view = RoleView::new(fleet, pace, demand, now_us);
+        RolePlan { seen: view.seen(), decision: self.decide(&view) }
+    }
+
+    fn decide(&mut self, view: &RoleView<'_>) -> Result<Vec<RoleChange>, NothingOrdered> {
+        let now_us = view.now_us;
         let short = view.short_of(&self.policy);
         self.pressure = match (short, self.pressure) {
-            (Some(stage), Some((known, since))) if stage == known => Some((stage, since)),
-            (Some(stage), _) => Some((stage, now_us)),
-            (None, _) => None,
+            (Ok(stage), Some((known, since))) if stage == known => Some((stage, since)),
+            (Ok(stage), _) => Some((stage, now_us)),
+            (Err(_), _) => None,
         };
-        let Some((stage, since)) = self.pressure else { return Vec::new() };
+        let stage = short?;
+        let since = self.pressure.map_or(now_us, |(_, since)| since);
         // Without any decode runner nothing is served: no reason to wait.
         let lasting_us = if view.decode.is_empty() { 0 } else { self.policy.lasting_us };
-        if now_us < self.paused_until_us || now_us < since + lasting_us {
-            return Vec::new();
+        if now_us < self.paused_until_us {
+            return Err(NothingOrdered::Paused);
+        }
+        if now_us < since + lasting_us {
+            return Err(NothingOrdered::NotLasting);
         }
         let count = view.count_of_changes(stage, &self.policy);
         let idlest = view.idlest(stage).into_iter().take(count);
-        idlest.map(|runner| RoleChange { runner, stage }).collect()
+        Ok(idlest.map(|runner| RoleChange { runner, stage }).collect())
     }
 
     /// A change was ordered, or might have been.
@@ -122,6 +195,8 @@
     decode: Vec<&'a Runner>,
     /// Time that a prompt waits, as a share of its target.
     wait: f64,
+    /// The same of what was put behind.
+    late: f64,
     occupied: f64,
     slots: f64,
     held: f64,
@@ -139,13 +214,17 @@
         };
         // Decode runners read too, at half the pace, when prefill is busy.
         let readers = prefill.len() as f64 + decode.len() as f64 / 2.0;
-        let wait_ms = (backlog(&prefill) + backlog(&decode)) / readers.max(1.0);
+        let target_ms = demand.target_ms.max(1.0) * readers.max(1.0);
+        let late = |runner: &&Runner| pace.read_ms(runner.late_tokens_of_all() as f64);
+        let late_ms: f64 = prefill.iter().chain(&decode).map(late).sum();
+        let backlog_ms = backlog(&prefill) + backlog(&decode);
         let occupied = decode.iter().map(|runner| runner.occupancy(now_us)).sum();
         let held: u64 = decode.iter().map(|runner| runner.held_by_all(now_us)).sum();
         Self {
             prefill,
             decode,
-            wait: wait_ms / demand.target_ms.max(1.0),
+            wait: backlog_ms / target_ms,
+            late: late_ms / target_ms,
             occupied,
             slots: f64::from(demand.engine.slots.max(1)),
             held: held as f64,
@@ -161,21 +240,44 @@
         slots.max(self.held / (self.memory * runners))
     }
 
-    fn short_of(&self, policy: &RolePolicy) -> Option<Stage> {
+    fn seen(&self) -> RolesSeen {
+        let decode = self.decode.len().max(1) as f64;
+        RolesSeen {
+            prefill: self.prefill.len(),
+            decode: self.decode.len(),
+            wait: self.wait,
+            late: self.late,
+            occupancy: self.occupied / (self.slots * decode),
+            memory: self.held / (self.memory * decode),
+        }
+    }
+
+    fn short_of(&self, policy: &RolePolicy) -> Result<Stage, NothingOrdered> {
         let decode = self.decode.len();
-        if decode == 0 {
-            return (!self.prefill.is_empty()).then_some(Stage::Decode);
+        if decode == 0 && !self.prefill.is_empty() {
+            return Ok(Stage::Decode);
         }
         // Runners that left or crashed have taken the share that always writes.
         if decode < self.least_decode(policy) && self.prefill.len() > 1 {
-            return Some(Stage::Decode);
+            return Ok(Stage::Decode);
         }
         let decode_is_full = self.occupancy_with(decode) > policy.high_occupancy;
         if decode_is_full && self.prefill.len() > 1 && self.wait < policy.short_wait {
-            return Some(Stage::Decode);
+            return Ok(Stage::Decode);
+        }
+        if self.wait <= policy.long_wait {
+            return Err(match decode_is_full {
+                true => NothingOrdered::PrefillBusy,
+                false => NothingOrdered::NoPressure,
+            });
+        }
+        if self.spare_decode(policy) > 0 {
+            return Ok(Stage::Prefill);
         }
-        let can_spare = self.spare_decode(policy) > 0;
-        (self.wait > policy.long_wait && can_spare).then_some(Stage::Prefill)
+        Err(match decode <= self.least_decode(policy) {
+            true => NothingOrdered::LeastDecode,
+            false => NothingOrdered::NobodyToSpare,
+        })
     }
 
     fn all(&self) -> f64 {
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -91,7 +91,7 @@
     let engine = EngineSpec { slots: 8, kv_tokens: 100_000, handle_ttl_s: 5.0 };
     let service = ServiceName::new("llm");
     let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0 };
-    planner.plan(fleet, &ReadPace::default(), &demand, now_us)
+    planner.plan(fleet, &ReadPace::default(), &demand, now_us).changes()
 }
 
 fn plan(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> Option<RoleChange> {
