--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -88,11 +88,12 @@
         }
         self.lines.insert(service.clone(), now_us);
         let RolesSeen { prefill, decode, .. } = *seen;
+        let needed = seen.readers_needed.round() as u64;
         let [wait, late, occupancy, memory] = percents(seen);
         let service = service.as_str();
         log::info!(
             target: "authority",
-            service, reason, wait, late, occupancy, memory, prefill, decode; "nothing ordered"
+            service, reason, wait, late, occupancy, memory, prefill, decode, needed; "nothing ordered"
         );
     }
 
@@ -164,11 +165,12 @@
 /// Says what a planner saw when it orders changes.
 fn log_seen(service: &ServiceName, seen: &RolesSeen, changes: usize) {
     let RolesSeen { prefill, decode, .. } = *seen;
+    let needed = seen.readers_needed.round() as u64;
     let [wait, late, occupancy, memory] = percents(seen);
     let service = service.as_str();
     log::info!(
         target: "authority",
-        service, changes, wait, late, occupancy, memory, prefill, decode; "ordering changes"
+        service, changes, wait, late, occupancy, memory, prefill, decode, needed; "ordering changes"
     );
 }
 
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -13,7 +13,7 @@
 use pitchstall_serving::placement::{reading_home, Choice, Demand, ReadingPlan};
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::read_pace::ReadSample;
-use pitchstall_serving::reservations::{Reservation, Reservations};
+use pitchstall_serving::reservations::{Reservation, Reservations, Reserved};
 use pitchstall_serving::scheduler::{
     choose, reservation, shorter_shard, told_plan, Due, PlacedRequest,
 };
@@ -271,6 +271,10 @@
 /// Chooses by what this node knows: among a shard's runners, or all if it has none to offer.
 fn place_here(node: &Rc<Node>, demand: &PlacementDemand<'_>, shard: Option<Shard>) -> Placement {
     let PlacedRequest { reading, writer } = choose_here(node, demand, shard);
+    if let Some(ReadingPlan::Split(choice) | ReadingPlan::Direct(choice)) = &reading {
+        let mut fleet = node.fleet.borrow_mut();
+        fleet.on_placed(&choice.runner, choice.tokens_to_read(), node.now_us());
+    }
     Placement { reading, writer, follow_up: FollowUp::none(node) }
 }
 
@@ -345,7 +349,10 @@
 
 fn reserve(node: &Node, question: &PlacementQuestion, prompt: &Prompt, plan: &ToldPlan) {
     let mut fleet = node.fleet.borrow_mut();
-    let reservation = reservation(&fleet, question, prompt, plan, node.now_us());
+    let now_us = node.now_us();
+    let reservation = reservation(&fleet, question, prompt, plan, now_us);
+    let Reserved { runner, demand } = &reservation.reader;
+    fleet.on_placed(runner, demand.unread_tokens + demand.late_tokens, now_us);
     node.scheduling.reservations.borrow_mut().reserve(&mut fleet, question.ticket, reservation);
 }
 
@@ -435,7 +442,7 @@
             log::info!(target: "scheduling", ended; "reservations lapsed");
         }
         for shard in own_shards(&node) {
-            let loads = node.fleet.borrow().shard_loads(shard);
+            let loads = node.fleet.borrow().shard_loads(shard, now_us);
             if !loads.is_empty() {
                 let to = control_nodes(&node);
                 scheduling.socket.send(&PeerWord::Loads(ShardLoads { shard, loads }), &to);
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -190,6 +190,7 @@
     pub fn on_sent(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight += 1;
+            runner.unread_requests += u32::from(demand.is_unread());
             runner.unread_tokens += demand.unread_tokens;
             runner.late_tokens += demand.late_tokens;
             runner.held_tokens += demand.held_tokens;
@@ -199,6 +200,8 @@
     /// A runner has read the prompt of an attempt.
     pub fn on_prompt_read(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
+            let read = u32::from(demand.is_unread());
+            runner.unread_requests = runner.unread_requests.saturating_sub(read);
             runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
             runner.late_tokens = runner.late_tokens.saturating_sub(demand.late_tokens);
         }
@@ -208,6 +211,8 @@
     pub fn on_ended(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight = runner.in_flight.saturating_sub(1);
+            let unread = u32::from(demand.is_unread());
+            runner.unread_requests = runner.unread_requests.saturating_sub(unread);
             runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
             runner.late_tokens = runner.late_tokens.saturating_sub(demand.late_tokens);
             runner.held_tokens = runner.held_tokens.saturating_sub(demand.held_tokens);
@@ -221,6 +226,13 @@
         }
     }
 
+    /// This node has placed a request at a runner, which has so many tokens to read for it.
+    pub fn on_placed(&mut self, id: &RunnerId, tokens: u64, now_us: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.asked.on_asked(tokens, now_us);
+        }
+    }
+
     /// A scheduler sets a request's needs aside at a runner.
     pub fn on_reserved(&mut self, id: &RunnerId, demand: AttemptDemand) {
         self.update_reserved(id, |reserved| reserved.add(demand));
@@ -236,6 +248,18 @@
         self.update_reserved(id, |reserved| reserved.remove(demand));
     }
 
+    /// What is set aside there waits for another runner to read the prompt.
+    pub fn on_awaiting_prompt(&mut self, id: &RunnerId) {
+        self.update_reserved(id, |reserved| reserved.unread_requests += 1);
+    }
+
+    /// That prompt has been read, or is not waited for any more.
+    pub fn on_awaited_prompt(&mut self, id: &RunnerId) {
+        self.update_reserved(id, |reserved| {
+            reserved.unread_requests = reserved.unread_requests.saturating_sub(1);
+        });
+    }
+
     fn update_reserved(&mut self, id: &RunnerId, update: impl FnOnce(&mut Load)) {
         if let Some(runner) = self.runners.get_mut(id) {
             update(&mut runner.reserved);
@@ -251,21 +275,26 @@
             let Some(runner) = self.runners.get_mut(&load.runner) else { continue };
             let told = Load {
                 in_flight: load.in_flight,
+                unread_requests: load.unread_requests,
                 unread_tokens: load.unread_tokens,
-                late_tokens: 0,
+                late_tokens: load.late_tokens,
                 held_tokens: load.held_tokens,
             };
-            runner.told = Some(ToldLoad { load: told, told_at_us: now_us });
+            let asked_a_second = load.asked_a_second;
+            runner.told = Some(ToldLoad { load: told, asked_a_second, told_at_us: now_us });
         }
     }
 
     /// What this node, as the scheduler of a shard, knows of the load at its runners.
-    pub fn shard_loads(&self, shard: Shard) -> Vec<RunnerLoad> {
+    pub fn shard_loads(&self, shard: Shard, now_us: u64) -> Vec<RunnerLoad> {
         let load = |runner: &Runner| RunnerLoad {
             runner: runner.record.id.clone(),
             in_flight: runner.in_flight + runner.reserved.in_flight,
+            unread_requests: runner.unread_requests + runner.reserved.unread_requests,
             unread_tokens: runner.unread_tokens + runner.reserved.unread_tokens,
+            late_tokens: runner.late_tokens_of_all(),
             held_tokens: runner.held_tokens + runner.reserved.held_tokens,
+            asked_a_second: runner.asked.a_second(now_us) as u64,
         };
         let of_shard = self.runners.values().filter(|runner| shard.has(&runner.record.id));
         of_shard.map(load).filter(|load| load.in_flight > 0).collect()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -37,6 +37,7 @@
 //! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
 //! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
 
+mod asked_rate;
 pub mod attempt;
 pub mod authority;
 pub mod capacity_planner;
@@ -60,6 +61,7 @@
 pub mod reservations;
 pub mod retry_budget;
 pub mod role_planner;
+mod role_view;
 pub mod routing;
 pub mod runner;
 pub mod scheduler;
--- a/crates/serving/src/reservations.rs
+++ b/crates/serving/src/reservations.rs
@@ -74,6 +74,9 @@
         {
             fleet.on_reserved(&reserved.runner, reserved.demand);
         }
+        if let Some(writer) = &reservation.writer {
+            fleet.on_awaiting_prompt(&writer.runner);
+        }
         self.open.insert(ticket, reservation);
     }
 
@@ -87,6 +90,7 @@
         match reservation.writer.take() {
             // Only the writer is left.
             Some(writer) => {
+                fleet.on_awaited_prompt(&writer.runner);
                 fleet.on_reservation_ended(&reader.runner, reader.demand);
                 *reader = writer;
             }
@@ -102,6 +106,9 @@
     /// The request is over.
     pub fn end(&mut self, fleet: &mut Fleet, ticket: Ticket) {
         let Some(reservation) = self.open.remove(&ticket) else { return };
+        if let Some(writer) = &reservation.writer {
+            fleet.on_awaited_prompt(&writer.runner);
+        }
         for reserved in [Some(reservation.reader), reservation.writer].into_iter().flatten() {
             fleet.on_reservation_ended(&reserved.runner, reserved.demand);
         }
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -3,14 +3,17 @@
 //! A change takes a runner away for seconds, so it needs a pressure that lasts and a side that
 //! can spare runners. Pressure on prefill is the time that a prompt waits before it is read,
 //! against the time in which its answer is due; pressure on decode is the share of slots or of
-//! memory in use. Idle decode runners that change cost nearly nothing, so as many change at
-//! once as the pressure asks for.
+//! memory that answers in writing take. Prompts that wait to be read take none, wherever a place
+//! is set aside for them: a want of readers must not make decode look full. Idle decode runners
+//! that change cost nearly nothing, so as many change at once as are missing: by the tokens that
+//! are asked for a second and the pace of reading, and else by how long prompts wait.
 
-use crate::configuration::EngineSpec;
-use crate::fleet::{Eligible, Fleet};
-use crate::ids::{RunnerId, ServiceName};
+use crate::fleet::Fleet;
+use crate::ids::RunnerId;
 use crate::read_pace::ReadPace;
-use crate::runner::{Runner, Stage};
+use crate::role_view::RoleView;
+pub use crate::role_view::{RoleDemand, RolesSeen};
+use crate::runner::Stage;
 
 /// When roles change.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -26,8 +29,16 @@
     /// Share of the runners that write answers whatever prefill needs: they bear crashes, and
     /// the first seconds of a swing of the mix.
     pub least_decode: f64,
-    /// Most of a service's runners that change at once, as a share.
+    /// Most of a service's runners that change at once because of what waits, as a share.
     pub most_at_once: f64,
+    /// The same if it is measured how many readers are missing.
+    pub most_measured: f64,
+    /// Share of its time that a reader is to be busy with what is asked for. Reading is a queue
+    /// with deadlines: at this share the mean wait is about two readings.
+    pub reader_load: f64,
+    /// Readers that have gone without an order since the last one, as a share of all runners,
+    /// from which on they are replaced at once.
+    pub lost_share: f64,
     /// How long a pressure must last, microseconds.
     pub lasting_us: u64,
     /// Pause after a change, microseconds.
@@ -43,6 +54,9 @@
             low_occupancy: 0.3,
             least_decode: 0.3,
             most_at_once: 0.15,
+            most_measured: 0.2,
+            reader_load: 0.7,
+            lost_share: 0.1,
             lasting_us: 1_000_000,
             pause_us: 4_500_000,
         }
@@ -80,23 +94,6 @@
     }
 }
 
-/// What a look saw.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RolesSeen {
-    /// Runners that read prompts and may get work.
-    pub prefill: usize,
-    /// Runners that write answers and may get work.
-    pub decode: usize,
-    /// Time that a prompt waits, as a share of its target.
-    pub wait: f64,
-    /// The same of what was put behind all that can still be in time.
-    pub late: f64,
-    /// Share of the decode runners' slots in use.
-    pub occupancy: f64,
-    /// Share of the decode runners' KV cache in use.
-    pub memory: f64,
-}
-
 /// What a look came to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolePlan {
@@ -129,12 +126,14 @@
     /// The role that is short of runners, and since when.
     pressure: Option<(Stage, u64)>,
     paused_until_us: u64,
+    /// Share of the runners that read after the last order, or the largest seen since.
+    settled_share: f64,
 }
 
 impl RolePlanner {
     /// A planner that has seen nothing.
     pub fn new(policy: RolePolicy) -> Self {
-        Self { policy, pressure: None, paused_until_us: 0 }
+        Self { policy, pressure: None, paused_until_us: 0, settled_share: 0.0 }
     }
 
     /// Looks at the fleet and returns the changes that are due, or why there are none.
@@ -150,175 +149,121 @@
     }
 
     fn decide(&mut self, view: &RoleView<'_>) -> Result<Vec<RoleChange>, NothingOrdered> {
-        let now_us = view.now_us;
-        let short = view.short_of(&self.policy);
+        let now_us = view.now_us();
+        let short = short_of(view, &self.policy);
         self.pressure = match (short, self.pressure) {
             (Ok(stage), Some((known, since))) if stage == known => Some((stage, since)),
             (Ok(stage), _) => Some((stage, now_us)),
             (Err(_), _) => None,
         };
+        let have_left = self.note_readers(view);
         let stage = short?;
         let since = self.pressure.map_or(now_us, |(_, since)| since);
-        // Without any decode runner nothing is served: no reason to wait.
-        let lasting_us = if view.decode.is_empty() { 0 } else { self.policy.lasting_us };
-        if now_us < self.paused_until_us {
+        // How many readers are missing is known by what is asked for: there is no need to see
+        // first what the last order has brought.
+        let is_measured = stage == Stage::Prefill && missing_readers(view, &self.policy) > 0;
+        if now_us < self.paused_until_us && !is_measured {
             return Err(NothingOrdered::Paused);
         }
+        // Without any decode runner nothing is served: no reason to wait. Neither is there for
+        // readers that came back as writers.
+        let is_urgent = view.seen().decode == 0 || (is_measured && have_left);
+        let lasting_us = if is_urgent { 0 } else { self.policy.lasting_us };
         if now_us < since + lasting_us {
             return Err(NothingOrdered::NotLasting);
         }
-        let count = view.count_of_changes(stage, &self.policy);
+        let count = count_of_changes(view, stage, &self.policy);
         let idlest = view.idlest(stage).into_iter().take(count);
         Ok(idlest.map(|runner| RoleChange { runner, stage }).collect())
     }
 
+    /// Whether many of the readers have gone since the last order, without one.
+    fn note_readers(&mut self, view: &RoleView<'_>) -> bool {
+        let share = view.readers() as f64 / view.all().max(1.0);
+        self.settled_share = self.settled_share.max(share);
+        share < self.settled_share - self.policy.lost_share
+    }
+
     /// A change was ordered, or might have been.
     pub fn on_ordered(&mut self, now_us: u64) {
         self.pressure = None;
         self.paused_until_us = now_us + self.policy.pause_us;
+        self.settled_share = 0.0;
     }
 }
 
-/// What is asked of a service's runners.
-#[derive(Clone, Copy, Debug)]
-pub struct RoleDemand<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-    /// Its runners.
-    pub engine: &'a EngineSpec,
-    /// The shortest time in which an answer is due, milliseconds.
-    pub target_ms: f64,
-}
-
-struct RoleView<'a> {
-    prefill: Vec<&'a Runner>,
-    decode: Vec<&'a Runner>,
-    /// Time that a prompt waits, as a share of its target.
-    wait: f64,
-    /// The same of what was put behind.
-    late: f64,
-    occupied: f64,
-    slots: f64,
-    held: f64,
-    memory: f64,
-    now_us: u64,
-}
-
-impl<'a> RoleView<'a> {
-    fn new(fleet: &'a Fleet, pace: &ReadPace, demand: &RoleDemand<'_>, now_us: u64) -> Self {
-        let runners = fleet.candidates(&Eligible::all_of(demand.service), now_us);
-        let (prefill, decode): (Vec<&Runner>, Vec<&Runner>) =
-            runners.into_iter().partition(|runner| runner.record.stage == Some(Stage::Prefill));
-        let backlog = |runners: &[&Runner]| -> f64 {
-            runners.iter().map(|runner| pace.backlog_ms(runner, now_us)).sum()
-        };
-        // Decode runners read too, at half the pace, when prefill is busy.
-        let readers = prefill.len() as f64 + decode.len() as f64 / 2.0;
-        let target_ms = demand.target_ms.max(1.0) * readers.max(1.0);
-        let late = |runner: &&Runner| pace.read_ms(runner.late_tokens_of_all() as f64);
-        let late_ms: f64 = prefill.iter().chain(&decode).map(late).sum();
-        let backlog_ms = backlog(&prefill) + backlog(&decode);
-        let occupied = decode.iter().map(|runner| runner.occupancy(now_us)).sum();
-        let held: u64 = decode.iter().map(|runner| runner.held_by_all(now_us)).sum();
-        Self {
-            prefill,
-            decode,
-            wait: backlog_ms / target_ms,
-            late: late_ms / target_ms,
-            occupied,
-            slots: f64::from(demand.engine.slots.max(1)),
-            held: held as f64,
-            memory: demand.engine.kv_tokens.max(1) as f64,
-            now_us,
-        }
+fn short_of(view: &RoleView<'_>, policy: &RolePolicy) -> Result<Stage, NothingOrdered> {
+    let RolesSeen { prefill, decode, wait, .. } = view.seen();
+    if decode == 0 && prefill > 0 {
+        return Ok(Stage::Decode);
     }
-
-    /// Share in use with so many decode runners, of slots or of memory, whichever is fuller.
-    fn occupancy_with(&self, decode_runners: usize) -> f64 {
-        let runners = decode_runners.max(1) as f64;
-        let slots = self.occupied / (self.slots * runners);
-        slots.max(self.held / (self.memory * runners))
+    // Runners that left or crashed have taken the share that always writes.
+    if decode < least_decode(view, policy) && prefill > 1 {
+        return Ok(Stage::Decode);
     }
-
-    fn seen(&self) -> RolesSeen {
-        let decode = self.decode.len().max(1) as f64;
-        RolesSeen {
-            prefill: self.prefill.len(),
-            decode: self.decode.len(),
-            wait: self.wait,
-            late: self.late,
-            occupancy: self.occupied / (self.slots * decode),
-            memory: self.held / (self.memory * decode),
-        }
+    let decode_is_full = view.occupancy_with(decode) > policy.high_occupancy;
+    let can_give = wait < policy.short_wait || spare_prefill(view, policy) > 0;
+    if decode_is_full && prefill > 1 && wait <= policy.long_wait && can_give {
+        return Ok(Stage::Decode);
     }
-
-    fn short_of(&self, policy: &RolePolicy) -> Result<Stage, NothingOrdered> {
-        let decode = self.decode.len();
-        if decode == 0 && !self.prefill.is_empty() {
-            return Ok(Stage::Decode);
-        }
-        // Runners that left or crashed have taken the share that always writes.
-        if decode < self.least_decode(policy) && self.prefill.len() > 1 {
-            return Ok(Stage::Decode);
-        }
-        let decode_is_full = self.occupancy_with(decode) > policy.high_occupancy;
-        if decode_is_full && self.prefill.len() > 1 && self.wait < policy.short_wait {
-            return Ok(Stage::Decode);
-        }
-        if self.wait <= policy.long_wait {
-            return Err(match decode_is_full {
-                true => NothingOrdered::PrefillBusy,
-                false => NothingOrdered::NoPressure,
-            });
-        }
-        if self.spare_decode(policy) > 0 {
-            return Ok(Stage::Prefill);
-        }
-        Err(match decode <= self.least_decode(policy) {
-            true => NothingOrdered::LeastDecode,
-            false => NothingOrdered::NobodyToSpare,
-        })
+    if wait <= policy.long_wait {
+        return Err(match decode_is_full {
+            true => NothingOrdered::PrefillBusy,
+            false => NothingOrdered::NoPressure,
+        });
     }
-
-    fn all(&self) -> f64 {
-        (self.prefill.len() + self.decode.len()) as f64
+    if spare_decode(view, policy) > 0 {
+        return Ok(Stage::Prefill);
     }
+    Err(match decode <= least_decode(view, policy) {
+        true => NothingOrdered::LeastDecode,
+        false => NothingOrdered::NobodyToSpare,
+    })
+}
 
-    /// Rounded down: in a small fleet prefill needs the odd one more. But streams that two
-    /// runners write at ease are too many for one: each of them is slower there, so more run.
-    fn least_decode(&self, policy: &RolePolicy) -> usize {
-        const ENOUGH_FOR_TWO: f64 = 5.0;
-        let least: f64 = if self.all() >= ENOUGH_FOR_TWO { 2.0 } else { 1.0 };
-        (self.all() * policy.least_decode).floor().max(least) as usize
-    }
+/// Rounded down: in a small fleet prefill needs the odd one more. But streams that two runners
+/// write at ease are too many for one: each of them is slower there, so more run.
+fn least_decode(view: &RoleView<'_>, policy: &RolePolicy) -> usize {
+    const ENOUGH_FOR_TWO: f64 = 5.0;
+    let least: f64 = if view.all() >= ENOUGH_FOR_TWO { 2.0 } else { 1.0 };
+    (view.all() * policy.least_decode).floor().max(least) as usize
+}
 
-    /// Decode runners without which the others stay below the low share.
-    fn spare_decode(&self, policy: &RolePolicy) -> usize {
-        let least = self.least_decode(policy);
-        let enough = |count: &usize| self.occupancy_with(*count) < policy.low_occupancy;
-        let needed = (least..self.decode.len()).find(enough);
-        needed.map_or(0, |needed| self.decode.len() - needed)
-    }
+/// Decode runners without which the others stay below the low share.
+fn spare_decode(view: &RoleView<'_>, policy: &RolePolicy) -> usize {
+    let (least, decode) = (least_decode(view, policy), view.seen().decode);
+    let enough = |count: &usize| view.occupancy_with(*count) < policy.low_occupancy;
+    let needed = (least..decode).find(enough);
+    needed.map_or(0, |needed| decode - needed)
+}
 
-    fn count_of_changes(&self, stage: Stage, policy: &RolePolicy) -> usize {
-        if stage == Stage::Decode {
-            return 1;
-        }
-        // A queue shortens faster than in proportion to its servers.
-        let excess = self.wait / policy.long_wait - 1.0;
-        let wanted = (self.prefill.len() as f64 * excess / 2.0).ceil().max(1.0) as usize;
-        let most = (self.all() * policy.most_at_once).ceil() as usize;
-        wanted.min(most).min(self.spare_decode(policy))
-    }
+/// Readers that what is asked for takes, with room for its swings.
+fn wanted_readers(view: &RoleView<'_>, policy: &RolePolicy) -> usize {
+    (view.seen().readers_needed / policy.reader_load).ceil() as usize
+}
 
-    /// Runners of the other role, those that have least to do first.
-    fn idlest(&self, wanted: Stage) -> Vec<RunnerId> {
-        let others = if wanted == Stage::Prefill { &self.decode } else { &self.prefill };
-        let load = |runner: &&Runner| {
-            (runner.occupancy(self.now_us) * 1_000.0) as u64 + runner.unread_tokens
-        };
-        let mut others = others.clone();
-        others.sort_by_key(load);
-        others.iter().map(|runner| runner.record.id.clone()).collect()
+fn missing_readers(view: &RoleView<'_>, policy: &RolePolicy) -> usize {
+    wanted_readers(view, policy).saturating_sub(view.readers())
+}
+
+/// Readers that what is asked for does not take.
+fn spare_prefill(view: &RoleView<'_>, policy: &RolePolicy) -> usize {
+    view.seen().prefill.saturating_sub(wanted_readers(view, policy))
+}
+
+fn count_of_changes(view: &RoleView<'_>, stage: Stage, policy: &RolePolicy) -> usize {
+    let seen = view.seen();
+    let most = |share: f64| (view.all() * share).ceil() as usize;
+    if stage == Stage::Decode {
+        return 1;
+    }
+    let missing = missing_readers(view, policy);
+    if missing > 0 {
+        return missing.min(most(policy.most_measured)).min(spare_decode(view, policy));
     }
+    // What waits says that there are too few, whatever was measured. A queue shortens faster
+    // than in proportion to its servers.
+    let excess = seen.wait / policy.long_wait - 1.0;
+    let wanted = (seen.prefill as f64 * excess / 2.0).ceil().max(1.0) as usize;
+    wanted.min(most(policy.most_at_once)).min(spare_decode(view, policy))
 }
--- /dev/null
+++ b/crates/serving/src/role_view.rs
@@ -0,0 +1,159 @@
+//! What the planner of roles sees of a service's runners: how many have which role, what waits
+//! to be read, how many readers what is asked for takes, and what answers in writing take.
+
+use crate::configuration::EngineSpec;
+use crate::fleet::{Eligible, Fleet};
+use crate::ids::{RunnerId, ServiceName};
+use crate::read_pace::ReadPace;
+use crate::runner::{Runner, Stage};
+
+/// What is asked of a service's runners.
+#[derive(Clone, Copy, Debug)]
+pub struct RoleDemand<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Its runners.
+    pub engine: &'a EngineSpec,
+    /// The shortest time in which an answer is due, milliseconds.
+    pub target_ms: f64,
+}
+
+/// What a look saw.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RolesSeen {
+    /// Runners that read prompts and may get work.
+    pub prefill: usize,
+    /// Runners that write answers and may get work.
+    pub decode: usize,
+    /// Runners that are on their way to read prompts.
+    pub becoming_prefill: usize,
+    /// Runners that would be busy all the time with reading what is asked for.
+    pub readers_needed: f64,
+    /// Time that a prompt waits, as a share of its target, with what was put behind.
+    pub wait: f64,
+    /// The part of it of what was put behind all that can still be in time.
+    pub late: f64,
+    /// Share of the decode runners' slots in which answers are being written.
+    pub occupancy: f64,
+    /// Share of the decode runners' KV cache that these answers take.
+    pub memory: f64,
+}
+
+/// What work that was put behind counts as, against work that can still be in time. Each such
+/// prompt would have been in time with enough readers, and waits until there are some: it shows
+/// the same want of readers as what waits in turn.
+const LATE_WORK: f64 = 1.0;
+const MILLIS_A_SECOND: f64 = 1_000.0;
+
+/// The runners of one service at one time.
+pub(crate) struct RoleView<'a> {
+    prefill: Vec<&'a Runner>,
+    decode: Vec<&'a Runner>,
+    seen: RolesSeen,
+    now_us: u64,
+}
+
+impl<'a> RoleView<'a> {
+    pub(crate) fn new(
+        fleet: &'a Fleet,
+        pace: &ReadPace,
+        demand: &RoleDemand<'_>,
+        now_us: u64,
+    ) -> Self {
+        let of_service = |runner: &&Runner| runner.record.service == *demand.service;
+        let (prefill, decode): (Vec<&Runner>, Vec<&Runner>) = usable(fleet, demand, now_us)
+            .into_iter()
+            .partition(|runner| runner.record.stage == Some(Stage::Prefill));
+        let becomes_prefill = |runner: &&Runner| runner.becoming(now_us) == Some(Stage::Prefill);
+        let asked: f64 =
+            fleet.iter().filter(of_service).map(|runner| runner.asked_a_second(now_us)).sum();
+        // Decode runners read too, at half the pace, when prefill is busy.
+        let readers = prefill.len() as f64 + decode.len() as f64 / 2.0;
+        let target_ms = demand.target_ms.max(1.0) * readers.max(1.0);
+        let late_ms: f64 =
+            prefill.iter().chain(&decode).map(|runner| late_ms(runner, pace, now_us)).sum();
+        let at_prefill = prefill.iter().map(|runner| pace.backlog_ms(runner, now_us));
+        let at_decode = decode.iter().map(|runner| known_backlog_ms(runner, pace, now_us));
+        let backlog_ms: f64 = at_prefill.chain(at_decode).sum();
+        let writing: f64 = decode.iter().map(|runner| runner.writing(now_us)).sum();
+        let held: f64 = decode.iter().map(|runner| held_by_writing(runner, now_us)).sum();
+        let writers = decode.len().max(1) as f64;
+        let seen = RolesSeen {
+            prefill: prefill.len(),
+            decode: decode.len(),
+            becoming_prefill: fleet.iter().filter(of_service).filter(becomes_prefill).count(),
+            readers_needed: pace.read_ms(asked) / MILLIS_A_SECOND,
+            wait: (backlog_ms + late_ms * LATE_WORK) / target_ms,
+            late: late_ms / target_ms,
+            occupancy: writing / (f64::from(demand.engine.slots.max(1)) * writers),
+            memory: held / (demand.engine.kv_tokens.max(1) as f64 * writers),
+        };
+        Self { prefill, decode, seen, now_us }
+    }
+
+    pub(crate) fn seen(&self) -> RolesSeen {
+        self.seen
+    }
+
+    pub(crate) fn now_us(&self) -> u64 {
+        self.now_us
+    }
+
+    /// Share in use with so many decode runners, of slots or of memory, whichever is fuller.
+    pub(crate) fn occupancy_with(&self, decode_runners: usize) -> f64 {
+        let fuller = self.seen.occupancy.max(self.seen.memory);
+        fuller * self.seen.decode.max(1) as f64 / decode_runners.max(1) as f64
+    }
+
+    /// Runners that may get work, now or when they have changed their roles.
+    pub(crate) fn all(&self) -> f64 {
+        (self.prefill.len() + self.decode.len() + self.seen.becoming_prefill) as f64
+    }
+
+    /// Runners that read, or will soon.
+    pub(crate) fn readers(&self) -> usize {
+        self.seen.prefill + self.seen.becoming_prefill
+    }
+
+    /// Runners of the other role, those that have least to do first.
+    pub(crate) fn idlest(&self, wanted: Stage) -> Vec<RunnerId> {
+        let others = if wanted == Stage::Prefill { &self.decode } else { &self.prefill };
+        let load = |runner: &&Runner| {
+            (runner.occupancy(self.now_us) * 1_000.0) as u64 + runner.unread_tokens
+        };
+        let mut others = others.clone();
+        others.sort_by_key(load);
+        others.iter().map(|runner| runner.record.id.clone()).collect()
+    }
+}
+
+/// Runners that may get work. Those that refused something a moment ago as full count: they
+/// serve. Those that can't be reached don't, unless there are no others.
+fn usable<'a>(fleet: &'a Fleet, demand: &RoleDemand<'_>, now_us: u64) -> Vec<&'a Runner> {
+    let is_usable = |runner: &&Runner| {
+        let is_there = runner.takes_work() && !runner.is_suspected();
+        runner.record.service == *demand.service && is_there && !runner.is_changing(now_us)
+    };
+    let usable: Vec<&Runner> = fleet.iter().filter(is_usable).collect();
+    if usable.is_empty() {
+        return fleet.candidates(&Eligible::all_of(demand.service), now_us);
+    }
+    usable
+}
+
+fn late_ms(runner: &Runner, pace: &ReadPace, now_us: u64) -> f64 {
+    pace.read_ms((runner.late_tokens_of_all() + runner.late_for_peers(now_us)) as f64)
+}
+
+/// What is known to wait at a decode runner. What else it has is being written: there is nothing
+/// to guess.
+fn known_backlog_ms(runner: &Runner, pace: &ReadPace, now_us: u64) -> f64 {
+    pace.read_ms((runner.unread_tokens + runner.unread_for_peers(now_us)) as f64)
+}
+
+/// Tokens of KV cache that the requests take whose answers a runner is writing; what is set
+/// aside for prompts that nobody has read yet would come sooner or later with any split.
+fn held_by_writing(runner: &Runner, now_us: u64) -> f64 {
+    let share = runner.writing(now_us) / runner.occupancy(now_us).max(1.0);
+    runner.held_by_all(now_us) as f64 * share.min(1.0)
+}
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -1,5 +1,6 @@
 //! One runner as a node sees it: its entry in the list, its load, its health and its cache.
 
+use crate::asked_rate::AskedRate;
 use crate::failure_rate::FailureRate;
 use crate::ids::{RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
@@ -74,6 +75,13 @@
     pub held_tokens: u64,
 }
 
+impl AttemptDemand {
+    /// Whether a prompt has yet to be read for it there.
+    pub fn is_unread(&self) -> bool {
+        self.unread_tokens + self.late_tokens > 0
+    }
+}
+
 /// How long a load report counts, microseconds.
 const REPORT_LIFE_US: u64 = 1_500_000;
 /// How long a scheduler's word on memory in use counts, microseconds.
@@ -89,6 +97,8 @@
     pub record: RunnerRecord,
     /// Attempts of this node that it has now.
     pub in_flight: u32,
+    /// Those among them whose prompt it has yet to read.
+    pub unread_requests: u32,
     /// Prompt tokens that it has yet to read for this node.
     pub unread_tokens: u64,
     /// Prompt tokens that it reads for this node when nothing else is left.
@@ -100,6 +110,8 @@
     pub(crate) others_at_us: u64,
     /// What this node has set aside there for requests of other nodes, as their scheduler.
     pub(crate) reserved: Load,
+    /// What this node has placed there, as a scheduler or for its own requests.
+    pub(crate) asked: AskedRate,
     /// What another node told that schedules it.
     pub(crate) told: Option<ToldLoad>,
     pub(crate) suspicion: Suspicion,
@@ -128,6 +140,7 @@
         Self {
             record,
             in_flight: 0,
+            unread_requests: 0,
             unread_tokens: 0,
             late_tokens: 0,
             held_tokens: 0,
@@ -135,6 +148,7 @@
             others: 0,
             others_at_us: 0,
             reserved: Load::default(),
+            asked: AskedRate::default(),
             told: None,
             suspicion: Suspicion::default(),
             full_until_us: 0,
@@ -168,6 +182,11 @@
         self.changing.is_some_and(|(stage, until_us)| now_us < until_us && !has_role(stage))
     }
 
+    /// The role that it is on its way to.
+    pub fn becoming(&self, now_us: u64) -> Option<Stage> {
+        self.changing.filter(|_| self.is_changing(now_us)).map(|(stage, _)| stage)
+    }
+
     /// Whether it could not be reached and has not answered since.
     pub fn is_suspected(&self) -> bool {
         self.suspicion.is_suspected()
@@ -195,16 +214,42 @@
         self.reserved.unread_tokens + self.told.map_or(0.0, left) as u64
     }
 
-    /// Prompt tokens that it reads when nothing else is left.
+    /// Prompt tokens that it reads for other nodes when nothing else is left, by the word of
+    /// its scheduler.
+    pub fn late_for_peers(&self, now_us: u64) -> u64 {
+        let left = |told: ToldLoad| told.load.late_tokens as f64 * told.share_left(now_us);
+        self.told.map_or(0.0, left) as u64
+    }
+
+    /// Requests whose answer it is believed to be writing: those that wait for their prompt to
+    /// be read, here or elsewhere, are not among them.
+    pub fn writing(&self, now_us: u64) -> f64 {
+        let told = |told: ToldLoad| f64::from(told.load.unread_requests) * told.share_left(now_us);
+        let others = match self.reserved.in_flight {
+            0 => self.told.map_or(0.0, told),
+            _ => f64::from(self.reserved.unread_requests),
+        };
+        let unread = f64::from(self.unread_requests) + others;
+        (self.occupancy(now_us) - unread).max(0.0)
+    }
+
+    /// Prompt tokens that it reads for this node when nothing else is left, and for those whose
+    /// scheduler this node is.
     pub fn late_tokens_of_all(&self) -> u64 {
         self.late_tokens + self.reserved.late_tokens
     }
 
+    /// Prompt tokens a second that it was lately asked to read, as far as is known.
+    pub fn asked_a_second(&self, now_us: u64) -> f64 {
+        let told = self.told.filter(|told| told.is_fresh(now_us));
+        self.asked.a_second(now_us) + told.map_or(0.0, |told| told.asked_a_second as f64)
+    }
+
     /// Tokens of KV cache that the attempts of all nodes take there.
     pub fn held_by_all(&self, now_us: u64) -> u64 {
         // Memory is let go when the run ends, not bit by bit.
-        let is_fresh = |told: &ToldLoad| now_us < told.told_at_us + TOLD_LIFE_US;
-        let told = self.told.filter(is_fresh).map_or(0, |told| told.load.held_tokens);
+        let told = self.told.filter(|told| told.is_fresh(now_us));
+        let told = told.map_or(0, |told| told.load.held_tokens);
         self.held_tokens + self.reserved.held_tokens + told
     }
 
@@ -228,6 +273,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Load {
     pub(crate) in_flight: u32,
+    /// Those among them whose prompt has not been read, here or by another runner for this one.
+    pub(crate) unread_requests: u32,
     pub(crate) unread_tokens: u64,
     pub(crate) late_tokens: u64,
     pub(crate) held_tokens: u64,
@@ -236,12 +283,15 @@
 impl Load {
     pub(crate) fn add(&mut self, demand: AttemptDemand) {
         self.in_flight += 1;
+        self.unread_requests += u32::from(demand.is_unread());
         self.unread_tokens += demand.unread_tokens;
         self.late_tokens += demand.late_tokens;
         self.held_tokens += demand.held_tokens;
     }
 
     pub(crate) fn on_read(&mut self, demand: AttemptDemand) {
+        let read = u32::from(demand.is_unread());
+        self.unread_requests = self.unread_requests.saturating_sub(read);
         self.unread_tokens = self.unread_tokens.saturating_sub(demand.unread_tokens);
         self.late_tokens = self.late_tokens.saturating_sub(demand.late_tokens);
     }
@@ -257,15 +307,21 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ToldLoad {
     pub(crate) load: Load,
+    pub(crate) asked_a_second: u64,
     pub(crate) told_at_us: u64,
 }
 
 impl ToldLoad {
+    fn is_fresh(&self, now_us: u64) -> bool {
+        now_us < self.told_at_us + TOLD_LIFE_US
+    }
+
     /// Share of it that is believed to be left, should no later word come: most requests are
     /// over within a second. Long prompts take longer.
     fn share_left(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.told_at_us);
-        let fade_us = PEER_LOAD_FADE_US + self.load.unread_tokens * FADE_US_A_TOKEN;
+        let tokens = self.load.unread_tokens + self.load.late_tokens;
+        let fade_us = PEER_LOAD_FADE_US + tokens * FADE_US_A_TOKEN;
         1.0 - (age_us as f64 / fade_us as f64).min(1.0)
     }
 }
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -250,6 +250,10 @@
     pub progress: Progress,
 }
 
+fn is_zero<N: Default + PartialEq>(number: &N) -> bool {
+    *number == N::default()
+}
+
 /// What a scheduler knows of the load at one of its runners.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerLoad {
@@ -259,12 +263,22 @@
     /// Requests.
     #[serde(rename = "n")]
     pub in_flight: u32,
+    /// Requests among them whose prompt has not been read, here or at the runner that reads it
+    /// for this one.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub unread_requests: u32,
     /// Prompt tokens to read.
     #[serde(rename = "t")]
     pub unread_tokens: u64,
+    /// Prompt tokens to read after all that can still be in time.
+    #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
+    pub late_tokens: u64,
     /// Tokens of KV cache that the requests take.
     #[serde(rename = "k")]
     pub held_tokens: u64,
+    /// Prompt tokens a second that it is asked to read, lately.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    pub asked_a_second: u64,
 }
 
 /// A scheduler's word on the runners of a shard. It leaves out those without load.
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -187,8 +187,11 @@
     let load = RunnerLoad {
         runner: RunnerId::new(&home),
         in_flight: 3,
+        unread_requests: 3,
         unread_tokens: 90_000,
+        late_tokens: 0,
         held_tokens: 90_000,
+        asked_a_second: 0,
     };
     fleet.on_shard_loads(ONLY_SHARD, &[load], 1_000);
     assert_ne!(reader(plan_reading(&fleet, &pace, &case.demand())), home);
@@ -366,8 +369,15 @@
     let mut fleet = Fleet::default();
     fleet.put(record("a", "north", None, 1));
     let id = RunnerId::new("a");
-    let load =
-        RunnerLoad { runner: id.clone(), in_flight: 4, unread_tokens: 1_000, held_tokens: 50 };
+    let load = RunnerLoad {
+        runner: id.clone(),
+        in_flight: 4,
+        unread_requests: 1,
+        unread_tokens: 1_000,
+        late_tokens: 0,
+        held_tokens: 50,
+        asked_a_second: 0,
+    };
     fleet.on_shard_loads(ONLY_SHARD, &[load], 0);
     let runner = fleet.get(&id).unwrap();
     assert_eq!((runner.occupancy(0), runner.unread_for_peers(0)), (4.0, 1_000));
--- a/crates/serving/tests/reservations.rs
+++ b/crates/serving/tests/reservations.rs
@@ -57,7 +57,7 @@
 
 /// Requests and unread tokens at the prefill and at the decode runner.
 fn load(fleet: &Fleet) -> [(u32, u64); 2] {
-    let loads = fleet.shard_loads(ONLY_SHARD);
+    let loads = fleet.shard_loads(ONLY_SHARD, 0);
     let of = |id: &str| {
         let load = loads.iter().find(|load| load.runner.as_str() == id);
         load.map_or((0, 0), |load| (load.in_flight, load.unread_tokens))
--- /dev/null
+++ b/crates/serving/tests/role_view.rs
@@ -0,0 +1,194 @@
+//! What the planner of roles sees in a fleet, and why it orders nothing.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::configuration::EngineSpec;
+use pitchstall_serving::fleet::Fleet;
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::read_pace::ReadPace;
+use pitchstall_serving::reservations::{Reservation, Reservations, Reserved};
+use pitchstall_serving::role_planner::{
+    NothingOrdered, RoleDemand, RolePlan, RolePlanner, RolePolicy,
+};
+use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
+use pitchstall_serving::scheduling::{RunnerLoad, Shard, Ticket};
+use std::net::SocketAddr;
+
+const SECOND: u64 = 1_000_000;
+const ONLY_SHARD: Shard = Shard { number: 0, of: 1 };
+const SLOTS: u32 = 8;
+
+fn fleet(prefill: usize, decode: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (name, count, stage) in [("p", prefill, Stage::Prefill), ("d", decode, Stage::Decode)] {
+        for number in 0..count {
+            fleet.put(RunnerRecord {
+                id: RunnerId::new(format!("{name}{number}")),
+                service: ServiceName::new("llm"),
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                zone: ZoneId::new("north"),
+                slots: SLOTS,
+                draining: false,
+                preemptible: false,
+                leaves_ms: None,
+                stage: Some(stage),
+                revision: 1,
+            });
+        }
+    }
+    fleet
+}
+
+fn look(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> RolePlan {
+    let engine = EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0 };
+    let service = ServiceName::new("llm");
+    let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0 };
+    planner.plan(fleet, &ReadPace::default(), &demand, now_us)
+}
+
+fn planner() -> RolePlanner {
+    RolePlanner::new(RolePolicy::default())
+}
+
+fn reserved(runner: &str, unread_tokens: u64) -> Reserved {
+    let demand = AttemptDemand { unread_tokens, late_tokens: 0, held_tokens: 100 };
+    Reserved { runner: RunnerId::new(runner), demand }
+}
+
+/// A place at a writer is set aside before the prompt is read elsewhere.
+fn reserve(fleet: &mut Fleet, reservations: &mut Reservations, number: u64, writer: &str) {
+    let reservation = Reservation {
+        service: ServiceName::new("llm"),
+        reader: reserved("p0", 3_000),
+        writer: Some(reserved(writer, 0)),
+        shared_parts: Vec::new(),
+        met_no_queue: false,
+        deadline_us: 9 * SECOND,
+        is_read: false,
+    };
+    reservations.reserve(fleet, Ticket { incarnation: 1, number }, reservation);
+}
+
+/// Once all decode runners of a fleet looked full of requests that no reader had come to, and no
+/// runner changed while a third of the requests failed.
+#[test]
+fn requests_that_wait_for_a_reader_do_not_make_writers_look_full() {
+    let mut scheduler = fleet(1, 3);
+    let mut reservations = Reservations::default();
+    for number in 0..24 {
+        let writer = format!("d{}", number % 3);
+        reserve(&mut scheduler, &mut reservations, number, &writer);
+    }
+    let mut holder = fleet(1, 3);
+    holder.on_shard_loads(ONLY_SHARD, &scheduler.shard_loads(ONLY_SHARD, SECOND), SECOND);
+    for fleet in [&scheduler, &holder] {
+        let mut planner = planner();
+        let first = look(&mut planner, fleet, SECOND);
+        assert_eq!(first.decision, Err(NothingOrdered::NotLasting));
+        assert!(first.seen.occupancy < 0.01 && first.seen.memory < 0.01, "{:?}", first.seen);
+    }
+    // Once they are read, they take their writers' places.
+    for number in 0..24 {
+        reservations.on_read(&mut scheduler, Ticket { incarnation: 1, number });
+    }
+    let read = look(&mut planner(), &scheduler, SECOND).seen;
+    assert!(read.occupancy > 0.99 && read.wait < 0.01, "{read:?}");
+}
+
+#[test]
+fn a_request_that_ends_unread_leaves_nothing_behind() {
+    let mut fleet = fleet(1, 1);
+    let mut reservations = Reservations::default();
+    reserve(&mut fleet, &mut reservations, 1, "d0");
+    reserve(&mut fleet, &mut reservations, 2, "d0");
+    reservations.end(&mut fleet, Ticket { incarnation: 1, number: 1 });
+    let loads = fleet.shard_loads(ONLY_SHARD, SECOND);
+    assert!(loads.iter().all(|load| (load.in_flight, load.unread_requests) == (1, 1)));
+    reservations.on_read(&mut fleet, Ticket { incarnation: 1, number: 2 });
+    reservations.end(&mut fleet, Ticket { incarnation: 1, number: 2 });
+    assert!(fleet.shard_loads(ONLY_SHARD, SECOND).is_empty());
+}
+
+#[test]
+fn what_was_put_behind_at_other_schedulers_counts_as_waiting() {
+    let mut holder = fleet(1, 3);
+    let load = RunnerLoad {
+        runner: RunnerId::new("p0"),
+        in_flight: 40,
+        unread_requests: 40,
+        unread_tokens: 0,
+        late_tokens: 120_000,
+        held_tokens: 0,
+        asked_a_second: 0,
+    };
+    holder.on_shard_loads(ONLY_SHARD, &[load], SECOND);
+    let seen = look(&mut planner(), &holder, SECOND).seen;
+    assert!(seen.late > 1.0 && seen.wait >= seen.late, "{seen:?}");
+}
+
+#[test]
+fn answers_in_writing_are_no_prompts_that_wait() {
+    let mut fleet = fleet(1, 3);
+    let written = AttemptDemand { held_tokens: 100, ..AttemptDemand::default() };
+    (0..10).for_each(|_| fleet.on_sent(&RunnerId::new("d0"), written));
+    let mut holder = self::fleet(1, 3);
+    holder.on_shard_loads(ONLY_SHARD, &fleet.shard_loads(ONLY_SHARD, SECOND), SECOND);
+    let plan = look(&mut planner(), &holder, SECOND);
+    assert_eq!(plan.decision, Err(NothingOrdered::NoPressure));
+    assert!(plan.seen.wait < 0.01, "{:?}", plan.seen);
+}
+
+#[test]
+fn as_many_readers_are_ordered_as_what_is_asked_for_takes() {
+    let mut fleet = fleet(4, 26);
+    // 200,000 tokens a second at 30 a millisecond: 6.7 readers that never rest.
+    for number in 0..4 {
+        let id = RunnerId::new(format!("p{number}"));
+        fleet.on_placed(&id, 50_000, SECOND);
+        let unread = AttemptDemand { unread_tokens: 20_000, ..AttemptDemand::default() };
+        fleet.on_sent(&id, unread);
+    }
+    let mut planner = planner();
+    assert_eq!(look(&mut planner, &fleet, SECOND).decision, Err(NothingOrdered::NotLasting));
+    fleet.on_placed(&RunnerId::new("p0"), 126_000, 2 * SECOND);
+    let plan = look(&mut planner, &fleet, 2 * SECOND);
+    assert!((6.0..7.5).contains(&plan.seen.readers_needed), "{:?}", plan.seen);
+    assert_eq!(plan.changes().len(), 6, "10 readers are busy for 7 tenths of their time");
+}
+
+#[test]
+fn readers_that_come_back_as_writers_are_replaced_at_once() {
+    let mut planner = planner();
+    assert!(look(&mut planner, &fleet(8, 12), SECOND).decision.is_err());
+    let mut replaced = fleet(3, 17);
+    for number in 0..3 {
+        let id = RunnerId::new(format!("p{number}"));
+        replaced.on_placed(&id, 60_000, 2 * SECOND);
+        let unread = AttemptDemand { unread_tokens: 60_000, ..AttemptDemand::default() };
+        replaced.on_sent(&id, unread);
+    }
+    assert!(!look(&mut planner, &replaced, 2 * SECOND).changes().is_empty());
+}
+
+#[test]
+fn each_reason_for_no_order_has_its_name() {
+    let mut planner = planner();
+    let mut busy = fleet(1, 2);
+    let unread = AttemptDemand { unread_tokens: 60_000, ..AttemptDemand::default() };
+    let write = AttemptDemand { held_tokens: 100, ..AttemptDemand::default() };
+    busy.on_sent(&RunnerId::new("p0"), unread);
+    let reason = |plan: RolePlan| plan.decision.unwrap_err();
+    assert_eq!(reason(look(&mut planner, &fleet(1, 2), 0)), NothingOrdered::NoPressure);
+    assert_eq!(reason(look(&mut planner, &busy, SECOND)), NothingOrdered::NotLasting);
+    planner.on_ordered(2 * SECOND);
+    assert_eq!(reason(look(&mut planner, &busy, 3 * SECOND)), NothingOrdered::Paused);
+    ["d0", "d1"].iter().for_each(|id| {
+        (0..5).for_each(|_| busy.on_sent(&RunnerId::new(*id), write));
+    });
+    assert_eq!(reason(look(&mut planner, &busy, 9 * SECOND)), NothingOrdered::NobodyToSpare);
+    let mut last = fleet(1, 1);
+    last.on_sent(&RunnerId::new("p0"), unread);
+    assert_eq!(reason(look(&mut planner, &last, 9 * SECOND)), NothingOrdered::LeastDecode);
+    let mut full = fleet(1, 1);
+    (0..SLOTS).for_each(|_| full.on_sent(&RunnerId::new("d0"), write));
+    assert_eq!(reason(look(&mut planner, &full, 9 * SECOND)), NothingOrdered::PrefillBusy);
+}
--- /dev/null
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -0,0 +1,366 @@
+//! A region of runners, its schedulers and the holder of its authority in virtual time.
+
+use pitchstall_serving::configuration::EngineSpec;
+use pitchstall_serving::fleet::{Eligible, Fleet};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::placement::Demand;
+use pitchstall_serving::prefix::{Prompt, PromptPart};
+use pitchstall_serving::read_pace::ReadPace;
+use pitchstall_serving::reservations::Reservations;
+use pitchstall_serving::role_planner::{RoleDemand, RolePlanner, RolePolicy};
+use pitchstall_serving::runner::{RunnerRecord, Stage};
+use pitchstall_serving::scheduler::{
+    choose, reservation, shorter_shard, told_plan, Due, PlacedRequest,
+};
+use pitchstall_serving::scheduling::{told_parts, PlacementQuestion, Shard, Ticket, ToldPlan};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::ops::Range;
+
+pub const SECOND: u64 = 1_000_000;
+const STEP_US: u64 = 5_000;
+const TELL_EVERY_US: u64 = SECOND / 4;
+const SWITCH_US: u64 = 3 * SECOND;
+const WRITING_US: u64 = 300_000;
+const TOKENS: u64 = 3_000;
+/// What the planner's pace guesses, too.
+const TOKENS_A_MS: f64 = 30.0;
+const DECODE_PACE: f64 = 0.5;
+const SLOTS: u32 = 24;
+const TARGET_MS: u64 = 500;
+const DEADLINE_MS: u64 = 3_000;
+
+struct Scheduler {
+    shard: Shard,
+    fleet: Fleet,
+    reservations: Reservations,
+    cut: Range<u64>,
+}
+
+#[derive(Clone)]
+struct Waiting {
+    ticket: Ticket,
+    scheduler: usize,
+    came_us: u64,
+}
+
+#[derive(Default)]
+struct Engine {
+    in_turn: VecDeque<Waiting>,
+    behind: VecDeque<Waiting>,
+    reading: Option<(Waiting, u64)>,
+}
+
+pub struct World {
+    now_us: u64,
+    records: BTreeMap<RunnerId, RunnerRecord>,
+    engines: BTreeMap<RunnerId, Engine>,
+    joining: Vec<(u64, RunnerRecord)>,
+    changing: Vec<(u64, RunnerId, Stage)>,
+    writing: VecDeque<(u64, Waiting)>,
+    schedulers: Vec<Scheduler>,
+    holder: Fleet,
+    planner: RolePlanner,
+    asked: f64,
+    requests: u64,
+    orders: usize,
+    revision: u64,
+    /// When each request came, and whether it was read in time.
+    done: Vec<(u64, bool)>,
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("llm")
+}
+
+fn record(id: String, stage: Stage, revision: u64) -> RunnerRecord {
+    RunnerRecord {
+        id: RunnerId::new(id),
+        service: service(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: ZoneId::new("north"),
+        slots: SLOTS,
+        draining: false,
+        preemptible: false,
+        leaves_ms: None,
+        stage: Some(stage),
+        revision,
+    }
+}
+
+fn prompt(number: u64) -> Prompt {
+    let parts = vec![PromptPart { id: number, tokens: TOKENS }];
+    Prompt { parts, tokens: TOKENS, max_output_tokens: 100 }
+}
+
+impl World {
+    pub fn new(prefill: usize, decode: usize, schedulers: usize) -> Self {
+        let scheduler = |shard| Scheduler {
+            shard,
+            fleet: Fleet::default(),
+            reservations: Reservations::default(),
+            cut: 0..0,
+        };
+        let mut world = Self {
+            now_us: 0,
+            records: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            joining: Vec::new(),
+            changing: Vec::new(),
+            writing: VecDeque::new(),
+            schedulers: Shard::all(schedulers).map(scheduler).collect(),
+            holder: Fleet::default(),
+            planner: RolePlanner::new(RolePolicy::default()),
+            asked: 0.0,
+            requests: 0,
+            orders: 0,
+            revision: 1,
+            done: Vec::new(),
+        };
+        for number in 0..prefill + decode {
+            // Each third one reads, as long as there are readers left.
+            let is_prefill = number % 3 == 0 && number / 3 < prefill;
+            let stage = if is_prefill { Stage::Prefill } else { Stage::Decode };
+            world.list(record(format!("i-{number}"), stage, 1));
+        }
+        world
+    }
+
+    pub fn now_us(&self) -> u64 {
+        self.now_us
+    }
+
+    pub fn orders(&self) -> usize {
+        self.orders
+    }
+
+    /// A scheduler learns nothing of the list for a time.
+    pub fn cut_from_list(&mut self, scheduler: usize, from_us: u64, until_us: u64) {
+        self.schedulers[scheduler].cut = from_us..until_us;
+    }
+
+    pub fn count(&self, stage: Stage) -> usize {
+        self.records.values().filter(|record| record.stage == Some(stage)).count()
+    }
+
+    /// Share of the requests that came in a time and were read in time.
+    pub fn in_time(&self, came: Range<u64>) -> f64 {
+        let all: Vec<bool> =
+            self.done.iter().filter(|(at, _)| came.contains(at)).map(|(_, ok)| *ok).collect();
+        all.iter().filter(|ok| **ok).count() as f64 / all.len().max(1) as f64
+    }
+
+    fn list(&mut self, record: RunnerRecord) {
+        self.engines.entry(record.id.clone()).or_default();
+        self.holder.put(record.clone());
+        for scheduler in &mut self.schedulers {
+            if !scheduler.cut.contains(&self.now_us) {
+                scheduler.fleet.put(record.clone());
+            }
+        }
+        self.records.insert(record.id.clone(), record);
+    }
+
+    /// A runner of the first start leaves, and another joins in a role a second later.
+    pub fn replace(&mut self, number: usize, stage: Stage) {
+        let id = RunnerId::new(format!("i-{number}"));
+        self.revision += 1;
+        self.records.remove(&id);
+        let engine = self.engines.remove(&id).unwrap();
+        let reading = engine.reading.into_iter().map(|(waiting, _)| waiting);
+        for lost in reading.chain(engine.in_turn).chain(engine.behind) {
+            self.end(&lost, false);
+        }
+        self.holder.remove(&id, self.revision, None);
+        for scheduler in &mut self.schedulers {
+            if !scheduler.cut.contains(&self.now_us) {
+                scheduler.fleet.remove(&id, self.revision, None);
+            }
+        }
+        let joins = record(format!("j-{number}"), stage, self.revision);
+        self.joining.push((self.now_us + SECOND, joins));
+    }
+
+    pub fn step(&mut self, asked_a_second: f64) {
+        self.now_us += STEP_US;
+        self.update_list();
+        self.asked += asked_a_second * STEP_US as f64 / SECOND as f64;
+        while self.asked >= 1.0 {
+            self.asked -= 1.0;
+            self.place();
+        }
+        self.read();
+        self.write();
+        if self.now_us.is_multiple_of(TELL_EVERY_US) {
+            self.tell_and_plan();
+        }
+    }
+
+    fn update_list(&mut self) {
+        let now_us = self.now_us;
+        let joined: Vec<RunnerRecord> =
+            self.joining.extract_if(.., |(at, _)| *at <= now_us).map(|(_, it)| it).collect();
+        let changed: Vec<_> = self.changing.extract_if(.., |(at, ..)| *at <= now_us).collect();
+        for (_, id, stage) in changed {
+            if let Some(record) = self.records.get(&id).cloned() {
+                self.revision += 1;
+                self.list(RunnerRecord { stage: Some(stage), revision: self.revision, ..record });
+            }
+        }
+        joined.into_iter().for_each(|record| self.list(record));
+        let all: Vec<RunnerRecord> = self.records.values().cloned().collect();
+        for scheduler in self.schedulers.iter_mut().filter(|it| it.cut.end == now_us) {
+            scheduler.fleet.replace_all(all.clone(), self.revision, None);
+        }
+    }
+
+    /// Homes of prompts are spread evenly over the readers, and their shards with them.
+    fn scheduler_of_home(&self) -> usize {
+        let reads = |it: &&RunnerRecord| it.stage == Some(Stage::Prefill);
+        let readers: Vec<&RunnerRecord> = self.records.values().filter(reads).collect();
+        let home = readers[self.requests as usize % readers.len()];
+        Shard::of_runner(&home.id, self.schedulers.len()).number
+    }
+
+    /// Where a scheduler places a request, and the one to hand it on to if that waits for less.
+    fn choose(
+        &self,
+        index: usize,
+        ticket: Ticket,
+        handed_on: bool,
+    ) -> (PlacedRequest, Option<usize>) {
+        let (prompt, service, zone) = (prompt(ticket.number), service(), ZoneId::new("north"));
+        let scheduler = &self.schedulers[index];
+        let demand = Demand {
+            eligible: Eligible::all_of(&service),
+            prompt: &prompt,
+            zone: &zone,
+            cache_tokens: 900_000,
+            now_us: self.now_us,
+        };
+        let due = Due { target_ms: TARGET_MS as f64, elapsed_ms: 0.0 };
+        let pace = ReadPace::default();
+        let placed = choose(&scheduler.fleet, &pace, &demand, Some(scheduler.shard), due);
+        let question =
+            PlacementQuestion { handed_on, ..question(ticket, &prompt, scheduler.shard) };
+        let shorter = shorter_shard(&scheduler.fleet, &pace, &question, &placed, self.now_us);
+        (placed, shorter.map(|shard| shard.number))
+    }
+
+    fn place(&mut self) {
+        self.requests += 1;
+        let home = self.scheduler_of_home();
+        let ticket = Ticket { incarnation: 1, number: self.requests };
+        let (index, placed) = match self.choose(home, ticket, false) {
+            (placed, None) => (home, placed),
+            (_, Some(shorter)) => (shorter, self.choose(shorter, ticket, true).0),
+        };
+        let waiting = Waiting { ticket, scheduler: index, came_us: self.now_us };
+        let prompt = prompt(self.requests);
+        let scheduler = &mut self.schedulers[index];
+        let Some(plan) = told_plan(placed) else { return self.done.push((self.now_us, false)) };
+        let question = question(ticket, &prompt, scheduler.shard);
+        let reserved = reservation(&scheduler.fleet, &question, &prompt, &plan, self.now_us);
+        scheduler.reservations.reserve(&mut scheduler.fleet, ticket, reserved);
+        let (ToldPlan::Split(reader, _) | ToldPlan::Direct(reader)) = plan;
+        scheduler.fleet.on_placed(&reader.runner, TOKENS, self.now_us);
+        // Whoever isn't there any more can't be reached: the request is lost to this try.
+        let Some(engine) = self.engines.get_mut(&reader.runner) else {
+            self.schedulers[index].fleet.on_unreachable(&reader.runner, self.now_us);
+            return self.end(&waiting, false);
+        };
+        let queue = if reader.late_tokens > 0 { &mut engine.behind } else { &mut engine.in_turn };
+        queue.push_back(waiting);
+    }
+
+    fn end(&mut self, waiting: &Waiting, in_time: bool) {
+        let scheduler = &mut self.schedulers[waiting.scheduler];
+        scheduler.reservations.end(&mut scheduler.fleet, waiting.ticket);
+        self.done.push((waiting.came_us, in_time));
+    }
+
+    fn read(&mut self) {
+        let now_us = self.now_us;
+        let (mut read, mut over) = (Vec::new(), Vec::new());
+        for (id, engine) in &mut self.engines {
+            if engine.reading.as_ref().is_some_and(|(_, until_us)| *until_us <= now_us) {
+                read.extend(engine.reading.take().map(|(waiting, _)| waiting));
+            }
+            let is_over = |it: &Waiting| now_us > it.came_us + DEADLINE_MS * 1_000;
+            while engine.reading.is_none() {
+                let next = engine.in_turn.pop_front().or_else(|| engine.behind.pop_front());
+                let Some(next) = next else { break };
+                if is_over(&next) {
+                    over.push(next);
+                    continue;
+                }
+                let is_prefill = self.records[id].stage == Some(Stage::Prefill);
+                let pace = if is_prefill { TOKENS_A_MS } else { TOKENS_A_MS * DECODE_PACE };
+                let takes_us = (TOKENS as f64 / pace * 1_000.0) as u64;
+                engine.reading = Some((next, now_us + takes_us));
+            }
+        }
+        over.iter().for_each(|waiting| self.end(waiting, false));
+        for waiting in read {
+            let scheduler = &mut self.schedulers[waiting.scheduler];
+            scheduler.reservations.on_read(&mut scheduler.fleet, waiting.ticket);
+            self.writing.push_back((now_us + WRITING_US, waiting));
+        }
+    }
+
+    fn write(&mut self) {
+        while self.writing.front().is_some_and(|(until_us, _)| *until_us <= self.now_us) {
+            let (until_us, waiting) = self.writing.pop_front().unwrap();
+            let read_us = until_us - WRITING_US - waiting.came_us;
+            self.end(&waiting, read_us <= TARGET_MS * 1_000);
+        }
+    }
+
+    fn tell_and_plan(&mut self) {
+        let now_us = self.now_us;
+        let told = |it: &Scheduler| (it.shard, it.fleet.shard_loads(it.shard, now_us));
+        let told: Vec<_> = self.schedulers.iter().map(told).collect();
+        for (shard, loads) in told.iter().filter(|(_, loads)| !loads.is_empty()) {
+            self.holder.on_shard_loads(*shard, loads, now_us);
+            for scheduler in self.schedulers.iter_mut().filter(|it| it.shard != *shard) {
+                scheduler.fleet.on_shard_loads(*shard, loads, now_us);
+            }
+        }
+        let engine = EngineSpec { slots: SLOTS, kv_tokens: 900_000, handle_ttl_s: 5.0 };
+        let service = service();
+        let demand = RoleDemand { service: &service, engine: &engine, target_ms: TARGET_MS as f64 };
+        let plan = self.planner.plan(&self.holder, &ReadPace::default(), &demand, now_us);
+        let changes = plan.changes();
+        if !changes.is_empty() {
+            self.planner.on_ordered(now_us);
+        }
+        for change in changes {
+            self.orders += 1;
+            self.holder.on_changing(&change.runner, change.stage, now_us + 6 * SECOND);
+            for scheduler in &mut self.schedulers {
+                scheduler.fleet.on_changing(&change.runner, change.stage, now_us + 6 * SECOND);
+            }
+            self.changing.push((now_us + SWITCH_US, change.runner, change.stage));
+        }
+    }
+}
+
+fn question(ticket: Ticket, prompt: &Prompt, shard: Shard) -> PlacementQuestion {
+    PlacementQuestion {
+        ticket,
+        request: "request".to_owned(),
+        answer_to: SocketAddr::from(([127, 0, 0, 1], 1)),
+        shard,
+        handed_on: false,
+        service: service(),
+        parts: told_parts(prompt),
+        tokens: prompt.tokens,
+        max_output_tokens: prompt.max_output_tokens,
+        target_ms: TARGET_MS,
+        elapsed_ms: 0,
+        left_ms: DEADLINE_MS,
+        zone: ZoneId::new("north"),
+        excluded: Vec::new(),
+        zones: None,
+    }
+}
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -202,7 +202,7 @@
             .take(shards)
             .map(|(number, mind)| {
                 let shard = Shard { number, of: shards };
-                (shard, mind.fleet.shard_loads(shard))
+                (shard, mind.fleet.shard_loads(shard, now_us))
             })
             .collect();
         if matches!(self.placer, Placer::Schedulers { .. }) {
