--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -350,6 +350,10 @@
 /// What this node has chosen itself: nobody is told of it.
 fn own_placement(node: &Rc<Node>, placed: PlacedRequest) -> Placement {
     let PlacedRequest { reading, writer } = placed;
+    if let Some(ReadingPlan::Split(choice) | ReadingPlan::Direct(choice)) = &reading {
+        let mut fleet = node.fleet.borrow_mut();
+        fleet.on_placed(&choice.runner, choice.tokens_to_read(), node.now_us());
+    }
     Placement { reading, writer, follow_up: FollowUp::none(node) }
 }
 
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -14,7 +14,7 @@
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::read_pace::ReadSample;
 use pitchstall_serving::regions::{service_load, RegionLoads, ServiceLoad};
-use pitchstall_serving::reservations::Reservation;
+use pitchstall_serving::reservations::{Reservation, Reserved};
 use pitchstall_serving::scheduler::{reservation, shorter_shard, told_plan, PlacedRequest};
 use pitchstall_serving::scheduling::{
     Elsewhere, PlacementAnswer, PlacementQuestion, Progress, ProgressWord, Shard, ShardLoads,
@@ -114,7 +114,10 @@
 
 fn reserve(node: &Node, question: &PlacementQuestion, prompt: &Prompt, plan: &ToldPlan) {
     let mut fleet = node.fleet.borrow_mut();
-    let reservation = reservation(&fleet, question, prompt, plan, node.now_us());
+    let now_us = node.now_us();
+    let reservation = reservation(&fleet, question, prompt, plan, now_us);
+    let Reserved { runner, demand } = &reservation.reader;
+    fleet.on_placed(runner, demand.unread_tokens + demand.late_tokens, now_us);
     node.scheduling.reservations.borrow_mut().reserve(&mut fleet, question.ticket, reservation);
 }
 
@@ -200,7 +203,7 @@
         }
         end_lapsed(&node);
         for shard in own_shards(&node) {
-            let loads = node.fleet.borrow().shard_loads(&shard);
+            let loads = node.fleet.borrow().shard_loads(&shard, node.now_us());
             if !loads.is_empty() {
                 let to = control_nodes(&node, &shard.region);
                 node.scheduling.socket.send(&PeerWord::Loads(ShardLoads { shard, loads }), &to);
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -208,7 +208,7 @@
             .take(shards)
             .map(|(number, mind)| {
                 let shard = shard_of(number, shards);
-                let loads = mind.fleet.shard_loads(&shard);
+                let loads = mind.fleet.shard_loads(&shard, now_us);
                 (shard, loads)
             })
             .collect();
