--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -1,7 +1,7 @@
 //! Takes the store's entries into what the node believes, and into the copy that it hands on.
 
 use crate::node::Node;
-use pitchstall_platform_adapter::documents;
+use pitchstall_platform_adapter::documents::{self, ReadConfiguration, RefusedTenant};
 use pitchstall_platform_adapter::store::{self, CONFIGURATION_KEY};
 use pitchstall_serving::quarantine::{Crash, CrashRecord};
 use pitchstall_serving::runner::RunnerRecord;
@@ -34,7 +34,13 @@
     }
     let Some(document) = &entry.document else { return };
     match documents::parse_configuration(document.as_bytes()) {
-        Ok(configuration) => node.adopt_configuration(configuration),
+        Ok(ReadConfiguration { configuration, refused }) => {
+            for RefusedTenant { tenant, cause } in refused {
+                let (tenant, error) = (tenant.as_str(), cause.to_string());
+                log::error!(target: "configuration", version = configuration.version, tenant, error; "tenant refused");
+            }
+            node.adopt_configuration(configuration);
+        }
         Err(error) => {
             let error = error.to_string();
             log::error!(target: "configuration", revision = entry.revision, error; "unreadable");
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -14,6 +14,8 @@
     pub deadline_ms: Option<u64>,
     /// The prompt, if the request is for a language model.
     pub prompt: Option<Prompt>,
+    /// Whether it tells how many tokens its prompt has and how many it may write.
+    pub tells_tokens: bool,
     /// Id of the last event that the client has of a stream.
     pub last_event_id: Option<u64>,
     /// What it shows of who sent it.
