--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -112,6 +112,11 @@
         self.members.keys()
     }
 
+    /// All nodes with what they tell of themselves.
+    pub fn all(&self) -> impl Iterator<Item = (&NodeId, &Member)> + Clone {
+        self.members.iter()
+    }
+
     /// Some nodes with what they tell of themselves, this one among them.
     pub fn some(&self, most: usize) -> Vec<(NodeId, Member)> {
         let own = (self.own.clone(), self.own().clone());
--- a/crates/serving/src/quota.rs
+++ b/crates/serving/src/quota.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::TenantName;
 use crate::prefix::Prompt;
+use crate::quota_slots::KeeperId;
 use crate::scheduling::Ticket;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -83,9 +84,15 @@
     /// Rank of the request, 0 first.
     #[serde(rename = "k")]
     pub priority: u8,
-    /// Keepers that have been asked already and were short.
+    /// The keeper that is asked: a node may hold several.
+    #[serde(rename = "e")]
+    pub keeper: KeeperId,
+    /// Keepers that have been asked before and were short.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    pub asked: Vec<usize>,
+    pub asked: Vec<KeeperId>,
+    /// The shortest time after which one of those has room for this cost, milliseconds.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub shortest_wait_ms: Option<u64>,
 }
 
 /// What a keeper decided.
@@ -114,7 +121,7 @@
     pub ticket: Ticket,
     /// The keeper that decided.
     #[serde(rename = "k")]
-    pub keeper: usize,
+    pub keeper: KeeperId,
     /// What it decided.
     #[serde(rename = "d")]
     pub verdict: QuotaVerdict,
@@ -123,16 +130,17 @@
     pub level: i64,
 }
 
-/// A run that was paid for has provably not begun: what it cost is given back.
+/// A run that was paid for has provably not begun: what it cost is given back. The keeper knows
+/// what that was, and a word that comes twice gives back once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaReturn {
     /// The run.
     #[serde(rename = "i")]
     pub ticket: Ticket,
+    /// The keeper that granted it.
+    #[serde(rename = "e")]
+    pub keeper: KeeperId,
     /// The tenant.
     #[serde(rename = "t")]
     pub tenant: TenantName,
-    /// Units.
-    #[serde(rename = "c")]
-    pub cost: u64,
 }
