Quotas in the daemon: limits decoded, runs paid for by keepers, keepers held by keys of the store

Cause: tenants' limits over all nodes were not kept: a configuration's rates were not read. Change: platform decodes limits (a tenant whose limit cannot be read is refused, with a line); gateway::quota asks keepers beside the placement question, gives back what did not run, and holds keepers under the node's registration lease. Quarantine, quota and retry budget stand one after the other in dispatch::admission.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -12,6 +12,10 @@
 /// which most likely knows.
 const UNVERIFIABLE_PAUSE_S: f64 = 0.1;
 
+/// Pause for clients of a tenant whose limit nobody could be asked about, seconds: as with keys.
+const QUOTA_UNKNOWN_PAUSE_S: f64 = 0.1;
+const MILLIS_A_SECOND: f64 = 1_000.0;
+
 /// An answer that no runner gave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnAnswer {
@@ -33,6 +37,13 @@
     Unconfigured,
     /// It has not run and will not; the client may come back.
     Refused,
+    /// It has not run, as its tenant has reached its limit.
+    OverQuota {
+        /// Milliseconds until there is room for it.
+        wait_ms: u64,
+    },
+    /// It has not run, as nobody could be asked whether its tenant has reached its limit.
+    QuotaUnknown,
     /// Runners have ended under it: it has not run, and coming back is in vain.
     Quarantined,
     /// It may have run; the attempt failed.
@@ -46,6 +57,8 @@
         match answer {
             FinalAnswer::Refuse => Self::Refused,
             FinalAnswer::RefuseForGood => Self::Quarantined,
+            FinalAnswer::OverQuota { wait_ms } => Self::OverQuota { wait_ms },
+            FinalAnswer::QuotaUnknown => Self::QuotaUnknown,
             FinalAnswer::BadGateway => Self::BadGateway,
             FinalAnswer::TimedOut => Self::TimedOut,
         }
@@ -62,9 +75,12 @@
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::Unconfigured | Self::Unverifiable | Self::Refused | Self::Quarantined => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::Unconfigured
+            | Self::Unverifiable
+            | Self::QuotaUnknown
+            | Self::Refused
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadGateway => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -76,6 +92,8 @@
             Self::Refused => Some(REFUSED_PAUSE_S),
             Self::Unconfigured => Some(UNCONFIGURED_PAUSE_S),
             Self::Unverifiable => Some(UNVERIFIABLE_PAUSE_S),
+            Self::QuotaUnknown => Some(QUOTA_UNKNOWN_PAUSE_S),
+            Self::OverQuota { wait_ms } => Some(wait_ms as f64 / MILLIS_A_SECOND),
             _ => None,
         }
     }
@@ -92,6 +110,8 @@
             Self::HeadTooLarge => "head_too_large",
             Self::Unconfigured => "unconfigured",
             Self::Refused => "refused",
+            Self::OverQuota { .. } => "over_quota",
+            Self::QuotaUnknown => "quota_unknown",
             Self::Quarantined => "quarantined",
             Self::BadGateway => "bad_gateway",
             Self::TimedOut => "timed_out",
--- /dev/null
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -0,0 +1,73 @@
+//! What a run has to pass before it is sent to its runner.
+
+use super::planning::Plan;
+use super::Dispatch;
+use crate::quota::asking::{self, Payment, Spent, Unpaid};
+use pitchstall_serving::attempt::GiveUp;
+use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
+
+impl Dispatch<'_> {
+    /// Whether a planned run may be sent: unless runners have ended under the request, if its tenant
+    /// has room for it, and if it is the first one or the retry budget allows it.
+    pub(super) async fn admit(&mut self, plan: &Plan) -> Result<Option<Spent>, GiveUp> {
+        // The word may have come while the request was placed and its prompt read.
+        if self.is_quarantined() {
+            return Err(GiveUp::Quarantined);
+        }
+        self.ensure_paid().await?;
+        let cost = self.arrivals.on_run();
+        if cost != ArrivalCost::Free && plan.prompt.is_none() && self.is_too_late(&plan.choice) {
+            return Err(GiveUp::OutOfTime);
+        }
+        if !self.pay(cost) {
+            return Err(GiveUp::Refused);
+        }
+        Ok(self.payment.take().map(Payment::spend))
+    }
+
+    /// Has the next run paid for by the tenant's keepers, if it is not; `None`: it is, or costs
+    /// nothing.
+    pub(super) async fn payment_to_make(&self) -> Result<Option<Payment>, GiveUp> {
+        match &self.run_cost {
+            Some(run) if self.payment.is_none() => {
+                let request = &self.request.facts.id;
+                asking::pay(self.node, request, run).await.map(Some).map_err(reason_of)
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// Makes sure that the run is paid for now. A grant that has lapsed, as while a prompt was read,
+    /// is given back and asked for anew.
+    pub(super) async fn ensure_paid(&mut self) -> Result<(), GiveUp> {
+        let Some(run) = &self.run_cost else { return Ok(()) };
+        if self.payment.as_ref().is_some_and(Payment::is_usable) {
+            return Ok(());
+        }
+        let lapsed = self.payment.take();
+        let run = if lapsed.is_some() { &run.granted_before() } else { run };
+        drop(lapsed);
+        let paid = asking::pay(self.node, &self.request.facts.id, run).await;
+        self.payment = Some(paid.map_err(reason_of)?);
+        Ok(())
+    }
+
+    /// Pays for an arrival at a runner before it is sent; `false`: it may not be sent.
+    pub(super) fn pay(&mut self, cost: ArrivalCost) -> bool {
+        cost == ArrivalCost::Free || std::mem::take(&mut self.is_prepaid) || self.withdraw()
+    }
+
+    pub(super) fn withdraw(&self) -> bool {
+        let allowed = self.node.with_budget(&self.service, SharedRetryBudget::withdraw);
+        let metrics = &self.node.metrics;
+        if allowed { &metrics.retries } else { &metrics.retries_denied }.inc();
+        allowed
+    }
+}
+
+fn reason_of(unpaid: Unpaid) -> GiveUp {
+    match unpaid {
+        Unpaid::OverQuota { wait_ms } => GiveUp::OverQuota { wait_ms },
+        Unpaid::Unreachable => GiveUp::QuotaUnknown,
+    }
+}
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! runner, one that may have run only if its route allows it, and both only within the retry
 //! budget that all nodes share.
 
+mod admission;
 mod planning;
 
 use self::planning::elapsed_ms;
@@ -15,6 +16,7 @@
 use crate::intake::{ClientRequest, RequestEnd, WholeAnswer};
 use crate::node::Node;
 use crate::policy::PlacementRules;
+use crate::quota::asking::{Payment, RunCost, Spent};
 use crate::relay::{relay, RelayEnd, RelayLimits, StreamState};
 use crate::usage::BeginMark;
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
@@ -26,7 +28,7 @@
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
 use pitchstall_serving::request_identity::RequestIdentity;
-use pitchstall_serving::retry_budget::{ArrivalCost, ArrivalLedger, SharedRetryBudget};
+use pitchstall_serving::retry_budget::ArrivalLedger;
 use pitchstall_serving::scheduling::Progress;
 use pitchstall_serving::tenancy::Tenant;
 use pitchstall_serving::urgency::rank;
@@ -60,6 +62,11 @@
     tenant: Option<Rc<Tenant>>,
     /// Whether the configuration has tenants.
     has_tenants: bool,
+    version: u64,
+    /// What a run costs the tenant; `None`: nothing.
+    run_cost: Option<RunCost>,
+    /// The next run, if it is paid for by the tenant's keepers.
+    payment: Option<Payment>,
     /// Whether the request has been counted as begun.
     is_counted: bool,
     /// Whether the next attempt is paid for: it was when the one before was left.
@@ -105,6 +112,9 @@
             rules,
             tenant: None,
             has_tenants: !configuration.tenants.is_empty(),
+            version: configuration.version,
+            run_cost: None,
+            payment: None,
             is_counted: false,
             is_prepaid: false,
             deadline,
@@ -120,7 +130,9 @@
 
     /// The request runs for a tenant.
     pub fn for_tenant(self, tenant: Option<Rc<Tenant>>) -> Self {
-        Self { tenant, ..self }
+        let facts = &self.request.facts;
+        let run_cost = RunCost::of(tenant.as_ref(), facts, self.rules.priority, self.version);
+        Self { tenant, run_cost, ..self }
     }
 
     /// Makes attempts until there is a final answer.
@@ -147,17 +159,10 @@
             plan.tell(Progress::Unreachable(plan.choice.runner.clone()));
             return self.on_unreachable(plan.choice.runner);
         };
-        // The word may have come while the request was placed and its prompt read.
-        if self.is_quarantined() {
-            return self.give_up(GiveUp::Quarantined);
-        }
-        let cost = self.arrivals.on_run();
-        if cost != ArrivalCost::Free && plan.prompt.is_none() && self.is_too_late(&plan.choice) {
-            return self.give_up(GiveUp::OutOfTime);
-        }
-        if !self.pay(cost) {
-            return self.give_up(GiveUp::Refused);
-        }
+        let spent = match self.admit(&plan).await {
+            Ok(spent) => spent,
+            Err(reason) => return self.give_up(reason),
+        };
         let work = match &plan.prompt {
             Some(prompt) => Work::RunFrom(prompt.handle.clone()),
             None => Work::Run,
@@ -165,7 +170,13 @@
         let params = self.params(work, &plan.choice);
         let sent_at = Instant::now();
         let mut begin = self.begin_mark(sent_at);
-        match attempt::send(self.node, self.request, prepared, &params).await {
+        let end = attempt::send(self.node, self.request, prepared, &params).await;
+        match (&end, spent) {
+            (AttemptEnd::Declined, spent) => self.payment = spent.map(Spent::not_run),
+            (_, Some(spent)) => spent.on_begun(),
+            (_, None) => {}
+        }
+        match end {
             AttemptEnd::Answering(answering) => {
                 begin.on_answer();
                 self.is_counted = true;
@@ -267,18 +278,6 @@
         self.node.with_budget(&self.service, |budget| budget.allows_one())
     }
 
-    /// Pays for an arrival at a runner before it is sent; `false`: it may not be sent.
-    fn pay(&mut self, cost: ArrivalCost) -> bool {
-        cost == ArrivalCost::Free || std::mem::take(&mut self.is_prepaid) || self.withdraw()
-    }
-
-    fn withdraw(&self) -> bool {
-        let allowed = self.node.with_budget(&self.service, SharedRetryBudget::withdraw);
-        let metrics = &self.node.metrics;
-        if allowed { &metrics.retries } else { &metrics.retries_denied }.inc();
-        allowed
-    }
-
     fn on_unreachable(&mut self, runner: RunnerId) -> Step {
         self.excluded.push(runner);
         self.unreachable += 1;
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -74,10 +74,13 @@
 
     async fn plan_now(&mut self) -> Result<Option<Plan>, GiveUp> {
         if self.engine.is_none() {
+            self.ensure_paid().await?;
             let choice = choose_worker(&self.node.fleet.borrow(), &self.demand());
             return Ok(choice.map(|choice| Plan { choice, prompt: None, follow_up: None }));
         }
-        let Placement { reading, writer, follow_up } = self.place().await;
+        let (placement, paid) = tokio::join!(self.place(), self.payment_to_make());
+        self.payment = paid?.or(self.payment.take());
+        let Placement { reading, writer, follow_up } = placement;
         match reading {
             None => Ok(None),
             Some(ReadingPlan::Direct(choice)) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 //! | [`relay`] | forwards a stream, and goes on at another runner |
 //! | [`answers`] | the answers that the node makes itself |
 //!
+//! Before a run is sent, [`quota`] has it paid for if its tenant has a limit.
+//!
 //! Beside them: [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
 //! [`platform_client`] or another node with [`mirror`], as old as [`copy_limits`] allows, [`quarantine`] keeps
@@ -48,6 +50,7 @@
 pub mod platform_client;
 pub mod policy;
 pub mod quarantine;
+pub mod quota;
 pub mod reading;
 pub mod relay;
 pub mod roles;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -6,6 +6,7 @@
 use crate::connection;
 use crate::metrics;
 use crate::node::Node;
+use crate::quota::report::report;
 use ntex::http::body::BodySize;
 use ntex::http::h1::{Codec, Message};
 use ntex::http::header::{HeaderValue, CONTENT_TYPE};
@@ -27,6 +28,8 @@
 /// Path of the requests under which runners have ended, on the health address. With `DELETE`, and an
 /// identity after it, one of them is taken out of quarantine.
 pub const QUARANTINE_PATH: &str = "/quarantine";
+/// Path of what is known of tenants' limits, on the health address.
+pub const QUOTA_PATH: &str = "/quota";
 /// Bytes that a client does not acknowledge for this long break its connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
 /// Time for which a connection of the health address may rest.
@@ -117,6 +120,7 @@
             let suspects = node.quarantine.borrow().suspects();
             answer(StatusCode::OK, &serde_json::json!(suspects).to_string())
         }
+        QUOTA_PATH => answer(StatusCode::OK, &report(node).to_string()),
         _ => answer(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms in the text format of OpenMetrics.
 
+use crate::quota::figures::QuotaFigures;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -42,6 +43,8 @@
     pub placements_missed: Counter,
     /// Questions that were handed on to another shard's scheduler.
     pub placements_handed_on: Counter,
+    /// Tenants' limits.
+    pub quota: QuotaFigures,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -69,6 +72,7 @@
             placements_told: Counter::default(),
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
+            quota: QuotaFigures::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             cloud_calls: Counter::default(),
@@ -112,6 +116,7 @@
         for (name, help, counter) in counters {
             self.registry.register(name, help, counter.clone());
         }
+        self.quota.register(&mut self.registry);
         let requests = self.requests.clone();
         self.registry.register("requests", "Finished requests by outcome", requests);
         let first_byte = self.first_byte.clone();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -13,6 +13,7 @@
 use crate::peer_words::PeerSocket;
 use crate::platform_client::PlatformClient;
 use crate::policy::PolicyProgram;
+use crate::quota::Quotas;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -84,6 +85,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Told when the store is to be told of such requests.
     pub quarantine_changed: Notify,
+    /// Tenants' limits.
+    pub quotas: Quotas,
     /// What the collector of usage knows, while this node is it.
     pub usage_collector: RefCell<UsageCollector>,
     /// This start of the node, drawn at random: the time of day may jump back.
@@ -149,6 +152,7 @@
             crash_evidence: RefCell::default(),
             quarantine: RefCell::default(),
             quarantine_changed: Notify::new(),
+            quotas: Quotas::default(),
             usage_collector: RefCell::default(),
             incarnation: rand::rng().random(),
             wall_clock: RefCell::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use crate::peer_words::{PeerSocket, PeerWord, MOST_DATAGRAM_BYTES};
 use crate::platform_client::PlatformClient;
 use crate::quarantine;
+use crate::quota::{self, RegistrationLease};
 use crate::scheduling;
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -36,6 +37,7 @@
 const MEMBERS_TOLD: usize = 64;
 /// Time to live of a node's registration.
 const REGISTRATION_TTL_MS: u64 = 15_000;
+const MICROS_PER_MILLI: u64 = 1_000;
 /// Between two renewals of the registration.
 const RENEW_EVERY: Duration = Duration::from_secs(5);
 /// Renewals between two readings of the list.
@@ -113,8 +115,9 @@
             PeerWord::Loads(word) => self.node.on_shard_loads(&word),
             PeerWord::UsageQuestion(question) => usage::on_question(&self.node, &question),
             PeerWord::Crash(word) => quarantine::on_word(&self.node, word),
-            // No node asks yet.
-            PeerWord::QuotaQuestion(_) | PeerWord::QuotaAnswer(_) | PeerWord::QuotaReturn(_) => {}
+            PeerWord::QuotaQuestion(question) => quota::keeping::on_question(&self.node, &question),
+            PeerWord::QuotaAnswer(answer) => quota::asking::on_answer(&self.node, &answer),
+            PeerWord::QuotaReturn(word) => quota::keeping::on_return(&self.node, &word),
             PeerWord::Usage(word) => usage::on_word(&self.node, &word),
         }
     }
@@ -129,9 +132,13 @@
         }
         self.learn(&digest.node, &Member { address: from, ..digest.member.clone() });
         self.node.on_peer_digest(digest);
+        quota::on_digest(&self.node, &digest.node, from, &digest.keeps);
         if freshness == Freshness::Newcomer {
             let peer = digest.node.as_str();
             log::info!(target: "peers", peer, incarnation = digest.incarnation; "met");
+            if self.node.quotas.is_keeper() {
+                self.send_digest(&[from]);
+            }
         }
     }
 
@@ -180,6 +187,7 @@
             member: self.node.members.borrow().own().clone(),
             store: self.node.freshness.borrow().word(now_us),
             changing: self.node.fleet.borrow().changing(now_us),
+            keeps: self.node.quotas.kept(),
             wall_ms: machine_wall_ms(),
         }
     }
@@ -194,6 +202,7 @@
             let to = tokio::select! {
                 // Runners that change their role decline requests: all nodes should know.
                 () = self.node.role_ordered.notified() => self.all_addresses(),
+                () = self.node.quotas.changed.notified() => self.all_addresses(),
                 () = self.node.store_confirmed.notified() => self.node.members.borrow().mirrors(),
                 () = sleep(DIGEST_EVERY) => self.next_addresses(),
             };
@@ -214,7 +223,12 @@
         }
         let first = state.next_peer % all.len();
         state.next_peer = first + FAN_OUT;
-        all.iter().cycle().skip(first).take(FAN_OUT).copied().collect()
+        let next = all.iter().cycle().skip(first).take(FAN_OUT).copied();
+        let own = self.node.settings().listen.peers;
+        let mut next: Vec<SocketAddr> = next.chain(self.node.quotas.other_keepers(own)).collect();
+        next.sort();
+        next.dedup();
+        next
     }
 
     /// Keeps this node registered and the list of the others fresh, until the task is dropped.
@@ -230,11 +244,15 @@
     }
 
     async fn join(&self, client: &mut PlatformClient) -> Option<u64> {
+        let sent_at_us = self.node.now_us();
         let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
         let lease = store::parse_lease(&body).ok()?;
         let member = store::node_value(self.node.members.borrow().own());
         let put = store::put_under_lease(&store::node_key(self.name.as_str()), &member, lease);
         self.call(client, &put).await.ok()?;
+        let ttl_us = REGISTRATION_TTL_MS * MICROS_PER_MILLI;
+        let registered = RegistrationLease { id: lease, renewed_us: sent_at_us, ttl_us };
+        self.node.quotas.on_registered(registered);
         self.list(client, &store::read_nodes()).await;
         Some(lease)
     }
@@ -244,8 +262,11 @@
     async fn stay(&self, client: &mut PlatformClient, lease: u64) {
         for renewal in 1_u32.. {
             sleep(RENEW_EVERY).await;
-            if self.call(client, &store::keep_lease(lease)).await == Err(CallFailure::Absent) {
-                return;
+            let sent_at_us = self.node.now_us();
+            match self.call(client, &store::keep_lease(lease)).await {
+                Ok(_) => self.node.quotas.on_renewed(sent_at_us),
+                Err(CallFailure::Absent) => return self.node.quotas.on_lease_over(),
+                Err(CallFailure::Other) => {}
             }
             if renewal % RENEWALS_A_LISTING == 0 {
                 self.list(client, &store::read_nodes_cheaply()).await;
--- /dev/null
+++ b/crates/gateway/src/quota/holders.rs
@@ -0,0 +1,183 @@
+//! Which node holds which keeper, as far as this one has heard, and whether it answers.
+//!
+//! Holders tell of themselves in their digests, and a key in the store that is in the way of this node's
+//! own names its holder. A keeper that was taken at a later revision of the store counts.
+
+use super::LastHeard;
+use pitchstall_serving::digest::{KeptSlot, FAN_OUT};
+use pitchstall_serving::ids::NodeId;
+use pitchstall_serving::quota_candidacy::KeeperKey;
+use pitchstall_serving::quota_slots::KeeperId;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Answers missed one after the other after which a keeper is passed over, and for how long, as with
+/// schedulers of shards.
+const MOST_MISSED: u32 = 2;
+const PASSED_OVER_US: u64 = 2_000_000;
+/// Time for which one that says that it is no keeper is passed over.
+const NO_KEEPER_US: u64 = 500_000;
+/// Time without a word after which a keeper gets no question handed on by another one, which would not
+/// notice that it is lost: keepers send each other a digest a second.
+const IN_TOUCH_US: u64 = 2_500_000;
+/// Between two digests of a node, and what may be lost of them.
+const DIGEST_EVERY_US: u64 = 1_000_000;
+const DIGESTS_LOST: u64 = 3;
+/// Rounds of digests, which go to some nodes at a time, without which a node counts as gone.
+const ROUNDS: u64 = 2;
+
+/// A node that holds a keeper.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    /// The node.
+    pub node: NodeId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The store's revision at which it took the keeper.
+    pub revision: u64,
+    /// When it was heard of last, microseconds.
+    pub heard_us: u64,
+    missed_in_a_row: u32,
+    passed_over_until_us: u64,
+}
+
+/// The holders that are known.
+#[derive(Debug, Default)]
+pub struct Holders {
+    by_keeper: BTreeMap<KeeperId, Holder>,
+    last_heard: LastHeard,
+    watches_since_us: Option<u64>,
+}
+
+/// Time without a word after which a node counts as gone among so many, microseconds.
+fn silence_limit_us(nodes: usize) -> u64 {
+    let rounds = nodes.div_ceil(FAN_OUT) as u64 * ROUNDS;
+    (rounds + DIGESTS_LOST) * DIGEST_EVERY_US
+}
+
+impl Holders {
+    /// A node was told, by its own word or by the store, to hold a keeper.
+    pub fn learn(
+        &mut self,
+        keeper: &KeeperId,
+        node: &NodeId,
+        address: SocketAddr,
+        revision: u64,
+        now_us: u64,
+    ) {
+        let known = self.by_keeper.get_mut(keeper);
+        match known {
+            Some(known) if known.revision > revision => {}
+            Some(known) if known.revision == revision => {
+                known.address = address;
+                known.heard_us = now_us;
+            }
+            _ => {
+                let holder = Holder {
+                    node: node.clone(),
+                    address,
+                    revision,
+                    heard_us: now_us,
+                    missed_in_a_row: 0,
+                    passed_over_until_us: 0,
+                };
+                self.by_keeper.insert(keeper.clone(), holder);
+            }
+        }
+    }
+
+    /// A node tells which keepers it holds: all others it holds no longer.
+    pub fn on_digest(
+        &mut self,
+        node: &NodeId,
+        address: SocketAddr,
+        kept: &[KeptSlot],
+        now_us: u64,
+    ) {
+        self.watches_since_us.get_or_insert(now_us);
+        self.last_heard.insert(node.clone(), now_us);
+        let is_kept = |keeper: &KeeperId| kept.iter().any(|slot| slot.keeper == *keeper);
+        self.by_keeper.retain(|keeper, holder| holder.node != *node || is_kept(keeper));
+        for slot in kept {
+            self.learn(&slot.keeper, node, address, slot.revision, now_us);
+        }
+    }
+
+    /// Nobody holds the keeper any more.
+    pub fn forget(&mut self, keeper: &KeeperId) {
+        self.by_keeper.remove(keeper);
+    }
+
+    /// Where a keeper is asked; `None`: nobody is known to hold it, or its holder does not answer.
+    pub fn asked_at(&self, keeper: &KeeperId, now_us: u64) -> Option<SocketAddr> {
+        let holder = self.by_keeper.get(keeper)?;
+        (now_us >= holder.passed_over_until_us).then_some(holder.address)
+    }
+
+    /// Where the holder of a keeper is reached, whether it answers or not.
+    pub fn address_of(&self, keeper: &KeeperId) -> Option<SocketAddr> {
+        self.by_keeper.get(keeper).map(|holder| holder.address)
+    }
+
+    /// Whether a keeper may hand a question on to this one.
+    pub fn is_in_touch(&self, keeper: &KeeperId, own: SocketAddr, now_us: u64) -> bool {
+        let is_heard =
+            |holder: &Holder| holder.address == own || now_us < holder.heard_us + IN_TOUCH_US;
+        self.asked_at(keeper, now_us).is_some() && self.by_keeper.get(keeper).is_some_and(is_heard)
+    }
+
+    /// The key of a keeper, as far as is known among so many nodes; `None`: it may be absent.
+    pub fn key(&self, keeper: &KeeperId, nodes: usize, now_us: u64) -> Option<KeeperKey> {
+        let holder = self.by_keeper.get(keeper)?;
+        let is_heard = now_us < holder.heard_us + silence_limit_us(nodes);
+        let key = KeeperKey { holder: holder.address, revision: holder.revision };
+        is_heard.then_some(key)
+    }
+
+    /// Whether a node counts as there among so many.
+    pub fn is_up(&self, node: &NodeId, nodes: usize, now_us: u64) -> bool {
+        let heard_us = self.last_heard.get(node).copied().or(self.watches_since_us);
+        heard_us.is_none_or(|heard_us| now_us < heard_us + silence_limit_us(nodes))
+    }
+
+    /// A keeper has answered.
+    pub fn on_answered(&mut self, keeper: &KeeperId, now_us: u64) {
+        if let Some(holder) = self.by_keeper.get_mut(keeper) {
+            holder.heard_us = now_us;
+            holder.missed_in_a_row = 0;
+            holder.passed_over_until_us = 0;
+        }
+    }
+
+    /// The node that was asked says that it is no keeper, or does not know whether it still is.
+    pub fn on_no_keeper(&mut self, keeper: &KeeperId, now_us: u64) {
+        if let Some(holder) = self.by_keeper.get_mut(keeper) {
+            holder.passed_over_until_us = now_us + NO_KEEPER_US;
+        }
+    }
+
+    /// A keeper has not answered soon; returns whether it is passed over from now on.
+    pub fn on_missed(&mut self, keeper: &KeeperId, now_us: u64) -> bool {
+        let Some(holder) = self.by_keeper.get_mut(keeper) else { return false };
+        holder.missed_in_a_row += 1;
+        let is_passed_over = holder.missed_in_a_row >= MOST_MISSED;
+        if is_passed_over {
+            holder.passed_over_until_us = now_us + PASSED_OVER_US;
+        }
+        is_passed_over
+    }
+
+    /// Where the holders are reached, each once.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> =
+            self.by_keeper.values().map(|holder| holder.address).collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
+    /// All that are known.
+    pub fn all(&self) -> impl Iterator<Item = (&KeeperId, &Holder)> {
+        self.by_keeper.iter()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota/keeping.rs
@@ -0,0 +1,57 @@
+//! Answers questions as a keeper, and takes back what was not used.
+
+use super::asking::{deliver_question, on_answer};
+use super::own_address;
+use crate::node::Node;
+use crate::peer_words::PeerWord;
+use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn, QuotaVerdict};
+use pitchstall_serving::quota_keeper::KeeperReply;
+use std::net::SocketAddr;
+
+/// Answers a question, or hands it on to another keeper of the tenant.
+pub fn on_question(node: &Node, question: &QuotaQuestion) {
+    let now_us = node.now_us();
+    let reply = {
+        let own = own_address(node);
+        let can_ask = |keeper: &_| node.quotas.holders.borrow().is_in_touch(keeper, own, now_us);
+        let mut keepers = node.quotas.keepers.borrow_mut();
+        let keeper = keepers.get_mut(&question.keeper);
+        keeper.map(|keeper| keeper.on_question(question, can_ask, now_us))
+    };
+    match reply {
+        Some(KeeperReply::HandOn(question)) => {
+            node.metrics.quota.handed_on.inc();
+            deliver_question(node, question);
+        }
+        Some(KeeperReply::Answer(answer)) => {
+            if answer.verdict != QuotaVerdict::NotKeeper {
+                node.metrics.quota.on_level(question.tenant.as_str(), answer.level);
+            }
+            deliver_answer(node, answer, question.answer_to);
+        }
+        None => {
+            let (ticket, keeper) = (question.ticket, question.keeper.clone());
+            let verdict = QuotaVerdict::NotKeeper;
+            let answer = QuotaAnswer { ticket, keeper, verdict, level: 0 };
+            deliver_answer(node, answer, question.answer_to);
+        }
+    }
+}
+
+fn deliver_answer(node: &Node, answer: QuotaAnswer, to: SocketAddr) {
+    if to == own_address(node) {
+        on_answer(node, &answer);
+    } else {
+        node.scheduling.socket.send(&PeerWord::QuotaAnswer(answer), &[to]);
+    }
+}
+
+/// Takes back what a run costs that has provably not begun.
+pub fn on_return(node: &Node, word: &QuotaReturn) {
+    let now_us = node.now_us();
+    if let Some(keeper) = node.quotas.keepers.borrow_mut().get_mut(&word.keeper) {
+        let units = keeper.on_return(word, now_us);
+        let (keeper, tenant) = (word.keeper.to_string(), word.tenant.as_str());
+        log::debug!(target: "quota", keeper, tenant, units; "taken back");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota/slots.rs
@@ -0,0 +1,207 @@
+//! Takes keepers that nobody holds, by keys of the store under this node's registration, and gives
+//! them up when it stops or no tenant has a limit.
+
+use super::{bounds, has_limits, own_address, topology, RegistrationLease};
+use crate::node::Node;
+use crate::platform_client::PlatformClient;
+use pitchstall_platform_adapter::quota_slots::{self, KeeperHolder};
+use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
+use pitchstall_serving::ids::NodeId;
+use pitchstall_serving::quota_candidacy::{candidate_rank, Candidacy, CandidacyStep};
+use pitchstall_serving::quota_keeper::Keeper;
+use pitchstall_serving::quota_slots::{all_keepers, KeeperId};
+use pitchstall_serving::quota_term::KeeperTerm;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Between two looks at the keepers that nobody holds.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Limit of a call to the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Candidates beyond this rank do not try: each try is a call to the store, and those before them are
+/// all gone only if the members that are known are wrong.
+const LAST_RANK: usize = 4;
+
+struct Candidate {
+    node: Rc<Node>,
+    client: PlatformClient,
+    candidacies: HashMap<KeeperId, Candidacy>,
+    /// The lease under which the store was asked who holds what.
+    read_under: Option<u64>,
+}
+
+/// Keeps tenants' limits whenever this node is to, until it stops.
+pub async fn keep(node: Rc<Node>) {
+    let client = PlatformClient::default();
+    let mut candidate = Candidate { node, client, candidacies: HashMap::new(), read_under: None };
+    while !candidate.node.is_stopping() {
+        sleep(LOOK_EVERY).await;
+        if has_limits(&candidate.node) {
+            candidate.look().await;
+        } else {
+            candidate.give_up().await;
+        }
+    }
+    candidate.give_up().await;
+}
+
+impl Candidate {
+    async fn look(&mut self) {
+        let Some(lease) = self.lease_in_force() else { return };
+        if self.read_under != Some(lease.id) && !self.read_holders(lease).await {
+            return;
+        }
+        let topology = topology(&self.node.settings());
+        for keeper in all_keepers(&topology) {
+            if self.node.quotas.keepers.borrow().contains_key(&keeper) {
+                continue;
+            }
+            let revision = match self.decide(&keeper) {
+                CandidacyStep::Wait => continue,
+                CandidacyStep::Take => 0,
+                CandidacyStep::TakeOver { revision } => revision,
+            };
+            self.take(&keeper, lease, revision).await;
+        }
+    }
+
+    /// The lease, if the store has lately said that it holds.
+    fn lease_in_force(&self) -> Option<RegistrationLease> {
+        let lease = self.node.quotas.lease.get()?;
+        (self.node.now_us() < lease.renewed_us + lease.ttl_us).then_some(lease)
+    }
+
+    /// Learns from the store who holds what: once a start, as holders tell of changes.
+    async fn read_holders(&mut self, lease: RegistrationLease) -> bool {
+        let read = quota_slots::read_keepers();
+        let answer = self.node.call_store(&mut self.client, &read, STORE_LIMIT).await;
+        let Some((StoreStatus::Done, body)) = answer else { return false };
+        match store::parse_page(&body) {
+            Ok(page) => page.items.iter().for_each(|item| self.learn(item)),
+            Err(error) => {
+                let error = error.to_string();
+                log::error!(target: "quota", error; "keepers cannot be read");
+                return false;
+            }
+        }
+        self.read_under = Some(lease.id);
+        true
+    }
+
+    fn learn(&self, item: &Item) {
+        let Some((keeper, holder, revision)) = quota_slots::keeper_of(item) else {
+            log::warn!(target: "quota", key = item.key.as_str(); "unreadable entry");
+            return;
+        };
+        let now_us = self.node.now_us();
+        let mut holders = self.node.quotas.holders.borrow_mut();
+        holders.learn(&keeper, &holder.node, holder.address, revision, now_us);
+    }
+
+    fn decide(&mut self, keeper: &KeeperId) -> CandidacyStep {
+        let node = &self.node;
+        let (now_us, nodes) = (node.now_us(), node.known_nodes());
+        let own = own_name(node);
+        let holders = node.quotas.holders.borrow();
+        let key = holders.key(keeper, nodes, now_us);
+        let rank = {
+            let members = node.members.borrow();
+            let up = members
+                .all()
+                .filter(|(name, _)| **name == own || holders.is_up(name, nodes, now_us));
+            candidate_rank(keeper, &own, up)
+        };
+        let address = own_address(node);
+        let is_own = key.as_ref().is_some_and(|key| key.holder == address);
+        if rank > LAST_RANK && !is_own {
+            return CandidacyStep::Wait;
+        }
+        let candidacy = self.candidacies.entry(keeper.clone()).or_default();
+        candidacy.decide(key.as_ref(), address, rank, now_us)
+    }
+
+    /// Writes the key, if it is still at the revision. Without an answer it may be written unknown to
+    /// this node, which then finds its own name there and takes it over.
+    async fn take(&mut self, keeper: &KeeperId, lease: RegistrationLease, revision: u64) {
+        let address = own_address(&self.node);
+        let holder = KeeperHolder { node: own_name(&self.node), address };
+        let call = quota_slots::take_keeper(keeper, &holder, lease.id, revision);
+        let answer = self.node.call_store(&mut self.client, &call, STORE_LIMIT).await;
+        match answer {
+            Some((StoreStatus::Done, body)) => match store::parse_transaction(&body) {
+                Ok(revision) => self.on_taken(keeper, &holder, lease, revision),
+                Err(error) => {
+                    let (keeper, error) = (keeper.to_string(), error.to_string());
+                    log::error!(target: "quota", keeper, error; "an answer cannot be read");
+                }
+            },
+            Some((StoreStatus::Conflict, body)) => self.on_conflict(keeper, &body),
+            other => {
+                let status = other.map(|(status, _)| status);
+                log::info!(target: "quota", keeper = keeper.to_string(), status:?; "not taken");
+            }
+        }
+    }
+
+    fn on_taken(
+        &self,
+        keeper: &KeeperId,
+        holder: &KeeperHolder,
+        lease: RegistrationLease,
+        revision: u64,
+    ) {
+        // The lease may have been renewed meanwhile, or be over.
+        let Some(now_in_force) = self.lease_in_force().filter(|now| now.id == lease.id) else {
+            return;
+        };
+        let now_us = self.node.now_us();
+        let term = KeeperTerm::new(revision, now_in_force.renewed_us, now_us, now_in_force.ttl_us);
+        let settings = self.node.settings();
+        let held = Keeper::new(keeper.clone(), term, bounds(&settings), topology(&settings));
+        let quotas = &self.node.quotas;
+        quotas.keepers.borrow_mut().insert(keeper.clone(), held);
+        let mut holders = quotas.holders.borrow_mut();
+        holders.learn(keeper, &holder.node, holder.address, revision, now_us);
+        drop(holders);
+        log::info!(target: "quota", keeper = keeper.to_string(), revision; "keeper gained");
+        quotas.changed.notify_one();
+    }
+
+    /// Somebody holds it, or held it at another revision than was thought.
+    fn on_conflict(&self, keeper: &KeeperId, body: &[u8]) {
+        match store::parse_conflict(body) {
+            Ok(items) if items.is_empty() => {
+                self.node.quotas.holders.borrow_mut().forget(keeper);
+            }
+            Ok(items) => items.iter().for_each(|item| self.learn(item)),
+            Err(error) => {
+                let (keeper, error) = (keeper.to_string(), error.to_string());
+                log::error!(target: "quota", keeper, error; "a conflict cannot be read");
+            }
+        }
+    }
+
+    /// Gives up all keepers: first here, so that nothing is granted any more, then in the store.
+    async fn give_up(&mut self) {
+        if !self.node.quotas.is_keeper() {
+            return;
+        }
+        let held = std::mem::take(&mut *self.node.quotas.keepers.borrow_mut());
+        for (keeper, held) in held {
+            let revision = held.term().revision;
+            self.node.quotas.holders.borrow_mut().forget(&keeper);
+            let call = quota_slots::remove_keeper(&keeper, revision);
+            let answer = self.node.call_store(&mut self.client, &call, STORE_LIMIT).await;
+            let status = answer.map(|(status, _)| status);
+            log::info!(target: "quota", keeper = keeper.to_string(), revision, status:?; "keeper given up");
+        }
+        self.read_under = None;
+        self.node.quotas.changed.notify_one();
+    }
+}
+
+fn own_name(node: &Node) -> NodeId {
+    NodeId::new(&node.settings().node.name)
+}
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -129,7 +129,8 @@
         }
     }
 
-    fn next_ticket(&self) -> Ticket {
+    /// Identifies the next question of this node.
+    pub fn next_ticket(&self) -> Ticket {
         let number = self.questions.get() + 1;
         self.questions.set(number);
         Ticket { incarnation: self.incarnation, number }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -101,6 +101,11 @@
         Self::start_node(self.store.clone(), name, "")
     }
 
+    /// Another node before the same store, with further sections in its settings.
+    pub fn start_beside_with(&self, name: &str, sections: &str) -> Self {
+        Self::start_node(self.store.clone(), name, sections)
+    }
+
     /// A node before a store that has been served before.
     pub fn start_before(store: StoreStandIn, name: &str) -> Self {
         Self::start_node(store, name, "")
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -28,6 +28,13 @@
     Failed,
     /// Runners have ended under it: it reaches none any more.
     Quarantined,
+    /// Its tenant has reached its limit.
+    OverQuota {
+        /// Milliseconds until there is room for it.
+        wait_ms: u64,
+    },
+    /// Nobody could be asked whether its tenant has reached its limit.
+    QuotaUnknown,
 }
 
 /// An answer that the node makes itself.
@@ -37,6 +44,13 @@
     Refuse,
     /// Not run, and not to be sent again.
     RefuseForGood,
+    /// Not run, as its tenant has reached its limit.
+    OverQuota {
+        /// Milliseconds until there is room for it.
+        wait_ms: u64,
+    },
+    /// Not run, as nobody knows whether its tenant has reached its limit; another node may.
+    QuotaUnknown,
     /// May have run; the attempt failed.
     BadGateway,
     /// May have run; time is up.
@@ -47,6 +61,8 @@
 pub fn final_answer(execution: Execution, reason: GiveUp) -> FinalAnswer {
     match (execution, reason) {
         (Execution::NotRun, GiveUp::Quarantined) => FinalAnswer::RefuseForGood,
+        (Execution::NotRun, GiveUp::OverQuota { wait_ms }) => FinalAnswer::OverQuota { wait_ms },
+        (Execution::NotRun, GiveUp::QuotaUnknown) => FinalAnswer::QuotaUnknown,
         (Execution::NotRun, _) => FinalAnswer::Refuse,
         (_, GiveUp::OutOfTime) => FinalAnswer::TimedOut,
         (_, _) => FinalAnswer::BadGateway,
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -8,6 +8,7 @@
 use crate::freshness::StoreWord;
 use crate::ids::{NodeId, RunnerId};
 use crate::membership::Member;
+use crate::quota_slots::KeeperId;
 use crate::runner::Stage;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -27,6 +28,17 @@
     pub left_ms: u64,
 }
 
+/// A node holds a keeper of tenants' limits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptSlot {
+    /// The keeper.
+    #[serde(rename = "k")]
+    pub keeper: KeeperId,
+    /// The store's revision at which the node took it.
+    #[serde(rename = "r")]
+    pub revision: u64,
+}
+
 /// One node's word to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -44,6 +56,9 @@
     /// Runners that were ordered to change their role and take no work meanwhile.
     #[serde(default)]
     pub changing: Vec<ChangingRunner>,
+    /// The keepers of tenants' limits that the node holds.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub keeps: Vec<KeptSlot>,
     /// What the machine's clock says, milliseconds since 1970.
     #[serde(default)]
     pub wall_ms: u64,
--- a/crates/serving/src/tenancy.rs
+++ b/crates/serving/src/tenancy.rs
@@ -89,6 +89,7 @@
 pub struct Tenants {
     by_key: HashMap<KeyDigest, Rc<Tenant>>,
     count: usize,
+    limited: usize,
 }
 
 impl Tenants {
@@ -96,6 +97,7 @@
     pub fn add(&mut self, tenant: Tenant, keys: impl IntoIterator<Item = KeyDigest>) {
         let tenant = Rc::new(tenant);
         self.count += 1;
+        self.limited += usize::from(tenant.limit.is_some());
         for key in keys {
             self.by_key.insert(key, tenant.clone());
         }
@@ -106,6 +108,11 @@
         self.count
     }
 
+    /// Whether any tenant has a limit.
+    pub fn has_limits(&self) -> bool {
+        self.limited > 0
+    }
+
     /// Whether the configuration knows no tenants: then no request needs a key.
     pub fn is_empty(&self) -> bool {
         self.count == 0
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -277,6 +277,7 @@
 fn digest(incarnation: u64, sequence: u64) -> Digest {
     let node = NodeId::new("a");
     Digest {
+        keeps: Vec::new(),
         node,
         incarnation,
         sequence,
