Quota: what no slot can pay alone is paid in parts

Ruled out: a reserve for one request larger than a slot at the first slot; it takes a quarter of the debt from all and still refuses what comes in between.

Change: a question carries the room of the keepers that were asked; if all of them together have room, each pays a part. An answer names the payers, a grant gives back to each. Refusals are settled with the words that give back parts.

--- a/crates/serving/src/quota.rs
+++ b/crates/serving/src/quota.rs
@@ -90,9 +90,27 @@
     /// Keepers that have been asked before and were short.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub asked: Vec<KeeperId>,
-    /// The shortest time after which one of those has room for this cost, milliseconds.
-    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
-    pub shortest_wait_ms: Option<u64>,
+    /// Units that those had room for together; below 0 if they are short of the floor.
+    #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+    pub room: i64,
+    /// Parts that are paid already: no keeper has room for the whole, but all of them have.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub paid: Vec<QuotaPart>,
+}
+
+/// What one keeper paid of a run that none could pay alone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaPart {
+    /// The keeper.
+    #[serde(rename = "e")]
+    pub keeper: KeeperId,
+    /// Units, perhaps none.
+    #[serde(rename = "c")]
+    pub units: u64,
+}
+
+fn is_zero(units: &i64) -> bool {
+    *units == 0
 }
 
 /// What a keeper decided.
@@ -128,6 +146,9 @@
     /// Units left there for the tenant, below 0 if it is in debt; for the logs.
     #[serde(rename = "l")]
     pub level: i64,
+    /// Keepers that paid parts, whatever was decided then; empty if there were no parts.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub paid: Vec<KeeperId>,
 }
 
 /// A run that was paid for has provably not begun: what it cost is given back. The keeper knows
--- a/crates/serving/src/quota_desk.rs
+++ b/crates/serving/src/quota_desk.rs
@@ -8,6 +8,7 @@
 use crate::quota::{
     QuotaAnswer, QuotaBounds, QuotaQuestion, QuotaReturn, QuotaVerdict, TenantLimit,
 };
+use crate::quota_outcome::{payers, returns, QuotaGrant, QuotaOutcome};
 use crate::quota_share::GRANT_LIFE_US;
 use crate::quota_slots::{keepers_of, order_for, KeeperId};
 use crate::scheduling::Ticket;
@@ -47,56 +48,17 @@
     pub priority: u8,
 }
 
-/// A run that is paid for. It is used once, by sending the run, or given back once.
-#[derive(Debug, PartialEq, Eq)]
-pub struct QuotaGrant {
-    ticket: Ticket,
-    keeper: KeeperId,
-    tenant: TenantName,
-    /// The run may be sent before this time, microseconds.
-    pub use_before_us: u64,
-}
-
-impl QuotaGrant {
-    /// Whether the run may still be sent.
-    pub fn is_usable(&self, now_us: u64) -> bool {
-        now_us < self.use_before_us
-    }
-
-    /// The word by which it is given back, to the holder of the keeper that it names.
-    pub fn into_return(self) -> QuotaReturn {
-        QuotaReturn { ticket: self.ticket, keeper: self.keeper, tenant: self.tenant }
-    }
-}
-
-/// What became of a run's question.
-#[derive(Debug, PartialEq, Eq)]
-pub enum QuotaOutcome {
-    /// It is paid for.
-    Granted(QuotaGrant),
-    /// The tenant has reached its limit.
-    Refused {
-        /// Milliseconds until there is room for a run of this cost.
-        wait_ms: u64,
-        /// Who said so.
-        keeper: KeeperId,
-        /// Units left there, for the logs.
-        level: i64,
-    },
-    /// No keeper of the tenant could be asked, or none answered.
-    Unreachable,
-}
-
 /// What the node does next about a run.
 #[derive(Debug, PartialEq, Eq)]
 pub enum DeskStep {
     /// It sends the question to the holder of the keeper that it names, and calls
     /// [`QuotaDesk::on_patience_over`] after so many microseconds.
     Ask(QuotaQuestion, u64),
-    /// It is settled.
-    Settled(Ticket, QuotaOutcome),
-    /// The grant came too late: the word goes to the holder of the keeper that it names.
-    GiveBack(QuotaReturn),
+    /// It is settled. What was paid in vain is given back: each word goes to the holder of the
+    /// keeper that it names.
+    Settled(Ticket, QuotaOutcome, Vec<QuotaReturn>),
+    /// A grant came too late and is given back.
+    GiveBack(Vec<QuotaReturn>),
     /// Nothing.
     Nothing,
 }
@@ -109,15 +71,16 @@
     asked: Vec<KeeperId>,
     /// Those that said that they are none.
     not_keepers: Vec<KeeperId>,
+    /// Those that paid parts for a question that came to nothing.
+    part_payers: Vec<KeeperId>,
 }
 
 #[derive(Debug)]
 struct SettledRun {
     tenant: TenantName,
-    /// Who paid, if the run is paid for.
-    paid_by: Option<KeeperId>,
-    /// Other keepers whose grants were given back.
-    given_back: Vec<KeeperId>,
+    /// Keepers that paid and are not to give back any more: the run is paid by them, or they have
+    /// been told.
+    done: Vec<KeeperId>,
 }
 
 /// A node's questions.
@@ -160,8 +123,13 @@
     ) -> DeskStep {
         self.forget(now_us);
         let ticket = request.ticket;
-        let pending =
-            Pending { request, first_sent_us: now_us, asked: Vec::new(), not_keepers: Vec::new() };
+        let pending = Pending {
+            request,
+            first_sent_us: now_us,
+            asked: Vec::new(),
+            not_keepers: Vec::new(),
+            part_payers: Vec::new(),
+        };
         self.pending.insert(ticket, pending);
         self.ask_next(ticket, can_ask, now_us)
     }
@@ -194,20 +162,20 @@
         };
         match answer.verdict {
             QuotaVerdict::Granted => {
-                let grant = QuotaGrant {
-                    ticket,
-                    keeper: answer.keeper.clone(),
-                    tenant: pending.request.tenant.clone(),
-                    use_before_us: pending.first_sent_us + GRANT_LIFE_US,
-                };
+                let tenant = pending.request.tenant.clone();
+                let use_before_us = pending.first_sent_us + GRANT_LIFE_US;
+                let grant = QuotaGrant::new(ticket, tenant, payers(answer), use_before_us);
                 self.settle(ticket, QuotaOutcome::Granted(grant), now_us)
             }
             QuotaVerdict::Refused { wait_ms } => {
+                pending.part_payers.extend(payers(answer));
                 let keeper = answer.keeper.clone();
                 let refused = QuotaOutcome::Refused { wait_ms, keeper, level: answer.level };
                 self.settle(ticket, refused, now_us)
             }
             QuotaVerdict::NotKeeper => {
+                // They are not told yet: the next question may be paid by what they have paid.
+                pending.part_payers.extend(payers(answer));
                 pending.not_keepers.push(answer.keeper.clone());
                 self.ask_next(ticket, can_ask, now_us)
             }
@@ -215,10 +183,8 @@
     }
 
     /// The caller has gone: a grant that comes is given back.
-    pub fn on_gone(&mut self, ticket: Ticket, now_us: u64) {
-        if self.pending.contains_key(&ticket) {
-            self.settle(ticket, QuotaOutcome::Unreachable, now_us);
-        }
+    pub fn on_gone(&mut self, ticket: Ticket, now_us: u64) -> DeskStep {
+        self.settle(ticket, QuotaOutcome::Unreachable, now_us)
     }
 
     /// Runs that wait for an answer.
@@ -258,35 +224,35 @@
             priority: pending.request.priority,
             keeper,
             asked: Vec::new(),
-            shortest_wait_ms: None,
+            room: 0,
+            paid: Vec::new(),
         };
         DeskStep::Ask(question, if is_near { PATIENCE_US } else { FAR_PATIENCE_US })
     }
 
     fn settle(&mut self, ticket: Ticket, outcome: QuotaOutcome, now_us: u64) -> DeskStep {
         let Some(pending) = self.pending.remove(&ticket) else { return DeskStep::Nothing };
-        let paid_by = match &outcome {
-            QuotaOutcome::Granted(grant) => Some(grant.keeper.clone()),
-            QuotaOutcome::Refused { .. } | QuotaOutcome::Unreachable => None,
+        let mut done = match &outcome {
+            QuotaOutcome::Granted(grant) => grant.payers().to_vec(),
+            QuotaOutcome::Refused { .. } | QuotaOutcome::Unreachable => Vec::new(),
         };
+        let told = not_yet_in(&mut done, pending.part_payers);
         let tenant = pending.request.tenant;
-        self.settled.insert(ticket, SettledRun { tenant, paid_by, given_back: Vec::new() });
+        let words = returns(ticket, &tenant, told);
+        self.settled.insert(ticket, SettledRun { tenant, done });
         self.settled_order.push_back((now_us, ticket));
-        DeskStep::Settled(ticket, outcome)
+        DeskStep::Settled(ticket, outcome, words)
     }
 
-    /// A grant of another keeper than the one that paid is given back, once. What is not
+    /// What others than those that paid for the run have paid is given back, once. What is not
     /// remembered is not given back: the run may have been sent.
     fn on_late_answer(&mut self, answer: &QuotaAnswer) -> DeskStep {
         let Some(run) = self.settled.get_mut(&answer.ticket) else { return DeskStep::Nothing };
-        let is_known =
-            run.paid_by.as_ref() == Some(&answer.keeper) || run.given_back.contains(&answer.keeper);
-        if answer.verdict != QuotaVerdict::Granted || is_known {
+        let told = not_yet_in(&mut run.done, payers(answer));
+        if told.is_empty() {
             return DeskStep::Nothing;
         }
-        run.given_back.push(answer.keeper.clone());
-        let (tenant, keeper) = (run.tenant.clone(), answer.keeper.clone());
-        DeskStep::GiveBack(QuotaReturn { ticket: answer.ticket, keeper, tenant })
+        DeskStep::GiveBack(returns(answer.ticket, &run.tenant, told))
     }
 
     fn forget(&mut self, now_us: u64) {
@@ -300,3 +266,15 @@
         }
     }
 }
+
+/// Adds those that are not yet in a list, and returns them.
+fn not_yet_in(done: &mut Vec<KeeperId>, keepers: Vec<KeeperId>) -> Vec<KeeperId> {
+    let mut added = Vec::new();
+    for keeper in keepers {
+        if !done.contains(&keeper) {
+            done.push(keeper.clone());
+            added.push(keeper);
+        }
+    }
+    added
+}
--- /dev/null
+++ b/crates/serving/src/quota_grants.rs
@@ -0,0 +1,81 @@
+//! Grants that may still be given back.
+//!
+//! A run that was granted and has not begun is given back as if it had never been granted. Had it
+//! not been, the bucket would have been fuller since, and might have been full: what would have
+//! run over then is not given back. So a grant remembers the least room that the bucket has had
+//! since. Each grant is given back once; one that is not remembered is not given back.
+
+use crate::scheduling::Ticket;
+use std::collections::VecDeque;
+
+/// Time within which a grant can be given back, microseconds: runners decline within a second.
+const RETURN_LIFE_US: u64 = 3_000_000;
+/// Grants that are remembered: later ones push out the earliest.
+const MOST_GRANTS: usize = 256;
+
+/// A grant, in millionths of a unit.
+#[derive(Clone, Copy, Debug)]
+pub struct RememberedGrant {
+    ticket: Ticket,
+    paid: i64,
+    at_us: u64,
+    least_room: i64,
+}
+
+impl RememberedGrant {
+    /// What was paid.
+    pub fn paid(&self) -> i64 {
+        self.paid
+    }
+
+    /// What may be given back of it.
+    pub fn returnable(&self) -> i64 {
+        self.paid.min(self.least_room).max(0)
+    }
+}
+
+/// The grants of one bucket, the earliest first.
+#[derive(Clone, Debug, Default)]
+pub struct RememberedGrants {
+    grants: VecDeque<RememberedGrant>,
+}
+
+impl RememberedGrants {
+    /// A run was granted, which left so much room below a full bucket.
+    pub fn add(&mut self, ticket: Ticket, paid: i64, room: i64, now_us: u64) {
+        if self.grants.len() == MOST_GRANTS {
+            self.grants.pop_front();
+        }
+        self.grants.push_back(RememberedGrant { ticket, paid, at_us: now_us, least_room: room });
+    }
+
+    /// What was paid for a run.
+    pub fn paid(&self, ticket: Ticket) -> Option<i64> {
+        let grant = self.grants.iter().find(|grant| grant.ticket == ticket)?;
+        Some(grant.paid)
+    }
+
+    /// Takes a grant out.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<RememberedGrant> {
+        let place = self.grants.iter().position(|grant| grant.ticket == ticket)?;
+        self.grants.remove(place)
+    }
+
+    /// The bucket has so much room now.
+    pub fn note_room(&mut self, room: i64) {
+        for grant in &mut self.grants {
+            grant.least_room = grant.least_room.min(room);
+        }
+    }
+
+    /// Forgets what is too old to be given back.
+    pub fn forget(&mut self, now_us: u64) {
+        let is_old = |grant: &RememberedGrant| now_us >= grant.at_us + RETURN_LIFE_US;
+        while self.grants.front().is_some_and(is_old) {
+            self.grants.pop_front();
+        }
+        if self.grants.is_empty() && self.grants.capacity() > 0 {
+            self.grants = VecDeque::new();
+        }
+    }
+}
--- a/crates/serving/src/quota_keeper.rs
+++ b/crates/serving/src/quota_keeper.rs
@@ -1,11 +1,12 @@
 //! What a keeper decides: whether a run is paid for, who else may pay, or how long it waits.
 //!
 //! A keeper keeps one slot of each tenant that it was asked about. It starts with nothing and
-//! remembers nothing of the holder before it.
+//! remembers nothing of the holder before it. If it is short it hands the question on; the last
+//! one refuses, unless all of them together have room: then each pays a part.
 
 use crate::ids::TenantName;
 use crate::quota::{
-    QuotaAnswer, QuotaBounds, QuotaQuestion, QuotaReturn, QuotaUnit, QuotaVerdict, TenantLimit,
+    QuotaAnswer, QuotaBounds, QuotaPart, QuotaQuestion, QuotaReturn, QuotaVerdict, TenantLimit,
 };
 use crate::quota_bucket::{Bucket, Demand};
 use crate::quota_share::SlotShare;
@@ -97,34 +98,14 @@
         }
         self.on_version(question.version, now_us);
         self.sweep(now_us);
-        let has_slot = self.meet(question, now_us);
-        let Some(bucket) = self.buckets.get_mut(&question.tenant).filter(|_| has_slot) else {
-            let asked_on = self.hand_on(question, &question.limit, None, &can_ask);
-            let not_keeper = || self.answer(question, QuotaVerdict::NotKeeper, 0);
-            return asked_on.map_or_else(not_keeper, KeeperReply::HandOn);
-        };
-        let limit = *bucket.limit();
-        let demand = Demand {
-            ticket: question.ticket,
-            cost: cost_by(&limit, question),
-            rank: question.priority,
-        };
-        if bucket.take(&demand, now_us) {
-            let level = bucket.level_units();
-            return self.answer(question, QuotaVerdict::Granted, level);
+        if !self.meet(question, now_us) {
+            return self.pass_by(question, can_ask);
         }
-        let own_us = bucket.time_until_room(&demand, now_us);
-        let asked_us = question.shortest_wait_ms.map(|wait_ms| wait_ms * MICROS_PER_MILLI);
-        let shortest_us = own_us.into_iter().chain(asked_us).min();
-        if let Some(asked_on) = self.hand_on(question, &limit, shortest_us, &can_ask) {
-            return KeeperReply::HandOn(asked_on);
+        if question.paid.is_empty() {
+            self.pay_whole(question, can_ask, now_us)
+        } else {
+            self.pay_part(question, can_ask, now_us)
         }
-        let Some(bucket) = self.buckets.get_mut(&question.tenant) else {
-            return self.answer(question, QuotaVerdict::NotKeeper, 0);
-        };
-        let wait_ms = bucket.refuse(&demand, shortest_us, now_us).div_ceil(MICROS_PER_MILLI);
-        let level = bucket.level_units();
-        self.answer(question, QuotaVerdict::Refused { wait_ms: wait_ms.max(1) }, level)
     }
 
     /// A run has provably not begun. Returns the units given back; none if this holder did not
@@ -148,6 +129,94 @@
         levels
     }
 
+    /// Pays for a run alone, or hands the question on.
+    fn pay_whole(
+        &mut self,
+        question: &QuotaQuestion,
+        can_ask: impl Fn(&KeeperId) -> bool,
+        now_us: u64,
+    ) -> KeeperReply {
+        let Some(bucket) = self.buckets.get_mut(&question.tenant) else {
+            return self.answer(question, QuotaVerdict::NotKeeper, 0);
+        };
+        let demand = Demand::of(question, bucket.limit());
+        if bucket.take(&demand, now_us) {
+            let level = bucket.level_units();
+            return self.answer(question, QuotaVerdict::Granted, level);
+        }
+        let limit = *bucket.limit();
+        let mut asked_on = question.clone();
+        asked_on.room = question.room.saturating_add(bucket.room_units(&demand, now_us));
+        asked_on.asked.push(self.id.clone());
+        if let Some(next) = self.next(&asked_on, &limit, &asked_on.asked, &can_ask) {
+            asked_on.keeper = next;
+            return KeeperReply::HandOn(asked_on);
+        }
+        let cost = i64::try_from(demand.cost).unwrap_or(i64::MAX);
+        if asked_on.asked.len() > 1 && asked_on.room >= cost {
+            return self.pay_part(&asked_on, can_ask, now_us);
+        }
+        self.refuse(&asked_on, &demand, now_us)
+    }
+
+    /// Pays what it has room for, and hands the rest on.
+    fn pay_part(
+        &mut self,
+        question: &QuotaQuestion,
+        can_ask: impl Fn(&KeeperId) -> bool,
+        now_us: u64,
+    ) -> KeeperReply {
+        let Some(bucket) = self.buckets.get_mut(&question.tenant) else {
+            return self.answer(question, QuotaVerdict::NotKeeper, 0);
+        };
+        let demand = Demand::of(question, bucket.limit());
+        let limit = *bucket.limit();
+        let paid: u64 = question.paid.iter().map(|part| part.units).sum();
+        let units = bucket.take_part(&demand, demand.cost.saturating_sub(paid), now_us);
+        let level = bucket.level_units();
+        let mut asked_on = question.clone();
+        asked_on.paid.push(QuotaPart { keeper: self.id.clone(), units });
+        if paid.saturating_add(units) >= demand.cost {
+            return self.answer(&asked_on, QuotaVerdict::Granted, level);
+        }
+        let payers: Vec<KeeperId> = asked_on.paid.iter().map(|part| part.keeper.clone()).collect();
+        if let Some(next) = self.next(&asked_on, &limit, &payers, &can_ask) {
+            asked_on.keeper = next;
+            return KeeperReply::HandOn(asked_on);
+        }
+        self.refuse(&asked_on, &demand, now_us)
+    }
+
+    /// This keeper has no slot of the tenant: those who have are asked.
+    fn pass_by(
+        &self,
+        question: &QuotaQuestion,
+        can_ask: impl Fn(&KeeperId) -> bool,
+    ) -> KeeperReply {
+        let mut asked_on = question.clone();
+        asked_on.asked.push(self.id.clone());
+        let next = self.next(question, &question.limit, &asked_on.asked, &can_ask);
+        match next.filter(|_| question.paid.is_empty()) {
+            Some(next) => {
+                asked_on.keeper = next;
+                KeeperReply::HandOn(asked_on)
+            }
+            None => self.answer(question, QuotaVerdict::NotKeeper, 0),
+        }
+    }
+
+    fn refuse(&mut self, question: &QuotaQuestion, demand: &Demand, now_us: u64) -> KeeperReply {
+        let Some(bucket) = self.buckets.get_mut(&question.tenant) else {
+            return self.answer(question, QuotaVerdict::NotKeeper, 0);
+        };
+        // Parts that were collected in vain are given back, so they are no room.
+        let room = question.room.min(i64::try_from(demand.cost).unwrap_or(i64::MAX));
+        let wait_us = bucket.refuse(demand, room, question.asked.len(), now_us);
+        let level = bucket.level_units();
+        let wait_ms = wait_us.div_ceil(MICROS_PER_MILLI).max(1);
+        self.answer(question, QuotaVerdict::Refused { wait_ms }, level)
+    }
+
     /// Makes sure that the tenant's bucket is there with the limit that counts: the one of the
     /// latest version. Returns whether this keeper has a slot of the tenant.
     fn meet(&mut self, question: &QuotaQuestion, now_us: u64) -> bool {
@@ -161,18 +230,17 @@
         };
         let limit = question.limit;
         let keepers = keepers_of(&question.tenant, &limit, &self.bounds, &self.topology);
-        let Some(slot) = keepers.iter().position(|keeper| *keeper == self.id) else {
+        if !keepers.contains(&self.id) {
             self.buckets.remove(&question.tenant);
             return false;
-        };
+        }
         let share = SlotShare::of(&limit, &self.bounds, keepers.len());
-        let is_first_slot = slot == 0;
         if let Some(bucket) = self.buckets.get_mut(&question.tenant).filter(|_| is_known) {
-            bucket.set_limit(limit, question.version, share, is_first_slot, now_us);
+            bucket.set_limit(limit, question.version, share, now_us);
             return true;
         }
         let since_us = self.version_since_us;
-        let bucket = Bucket::new(limit, question.version, share, is_first_slot, since_us, now_us);
+        let bucket = Bucket::new(limit, question.version, share, since_us, now_us);
         self.buckets.insert(question.tenant.clone(), bucket);
         true
     }
@@ -196,38 +264,28 @@
         }
     }
 
-    /// The question for the next keeper of the tenant, if there is one that can be asked.
-    fn hand_on(
+    /// The next keeper of the tenant that can be asked and is not among some others.
+    fn next(
         &self,
         question: &QuotaQuestion,
         limit: &TenantLimit,
-        shortest_us: Option<u64>,
+        others: &[KeeperId],
         can_ask: impl Fn(&KeeperId) -> bool,
-    ) -> Option<QuotaQuestion> {
+    ) -> Option<KeeperId> {
         let keepers = keepers_of(&question.tenant, limit, &self.bounds, &self.topology);
-        let is_left = |keeper: &KeeperId| {
-            *keeper != self.id && !question.asked.contains(keeper) && can_ask(keeper)
-        };
-        let ordered = order_for(&keepers, &self.id.zone, &self.topology);
-        let next = ordered.into_iter().find(is_left)?;
-        let mut asked_on = question.clone();
-        asked_on.asked.push(self.id.clone());
-        asked_on.keeper = next;
-        asked_on.shortest_wait_ms = shortest_us.map(|wait_us| wait_us.div_ceil(MICROS_PER_MILLI));
-        Some(asked_on)
+        let is_left =
+            |keeper: &KeeperId| *keeper != self.id && !others.contains(keeper) && can_ask(keeper);
+        order_for(&keepers, &self.id.zone, &self.topology).into_iter().find(is_left)
     }
 
     fn answer(&self, question: &QuotaQuestion, verdict: QuotaVerdict, level: i64) -> KeeperReply {
-        let keeper = self.id.clone();
-        KeeperReply::Answer(QuotaAnswer { ticket: question.ticket, keeper, verdict, level })
-    }
-}
-
-/// What a run costs by the limit that counts, if the asking node knows an older one.
-fn cost_by(limit: &TenantLimit, question: &QuotaQuestion) -> u64 {
-    match (limit.unit, question.limit.unit) {
-        (QuotaUnit::Requests, QuotaUnit::Tokens) => 1,
-        (QuotaUnit::Tokens, QuotaUnit::Requests) => limit.plain_tokens,
-        _ => question.cost,
+        let payers = question.paid.iter().filter(|part| part.units > 0);
+        KeeperReply::Answer(QuotaAnswer {
+            ticket: question.ticket,
+            keeper: self.id.clone(),
+            verdict,
+            level,
+            paid: payers.map(|part| part.keeper.clone()).collect(),
+        })
     }
 }
--- a/crates/serving/src/quota_share.rs
+++ b/crates/serving/src/quota_share.rs
@@ -3,8 +3,8 @@
 //! In any window the runs of a tenant may cost so much in all (`allowed`):
 //! `(rate x window + burst) x (1 + overage) + slack`. A run reaches its runner at most [`GRANT_LIFE_US`] after it was asked for, so runs
 //! that arrive in a window were granted in a window longer by that time, and the refill of that
-//! longer window comes out of `allowed` first. What is left pays for the burst, for the debts of
-//! the slots and for one request larger than a slot.
+//! longer window comes out of `allowed` first. What is left pays for the burst and for the debts of
+//! the slots.
 //!
 //! A holder of a slot spends at most `burst + debt + refill` in a window. A later holder of the
 //! same slot begins with nothing, and its debt grows by `debt / DEBT_GROWTH_WINDOWS` a window: so
@@ -19,15 +19,11 @@
 /// Windows in which the debt of a new holder grows from nothing to the whole. The longer, the
 /// larger the debt that old holders may have, and the less a new one has. Chosen, not measured.
 pub const DEBT_GROWTH_WINDOWS: u64 = 2;
-/// Share of what is left beside the burst that is set aside for requests larger than a slot, as a
-/// divisor: a quarter.
-const OVERSIZE_DIVISOR: i64 = 4;
-/// Tokens of a large request: each slot has room for one. Twice a mean long prompt.
+/// Tokens of a large request: each slot has room for one. Twice a mean long prompt; what is
+/// larger is paid in parts.
 const LARGE_TOKENS: i64 = 32_768;
 /// Requests that each slot has room for, if requests are counted.
 const LARGE_REQUESTS: i64 = 4;
-/// Most tokens set aside for requests larger than a slot: a long context of language models.
-const MOST_OVERSIZE_TOKENS: i64 = 131_072;
 /// Millionths of a unit: what levels are counted in.
 pub const MICRO: i64 = 1_000_000;
 /// Largest figure that is counted with, units: a million millionths of it fit into an `i64`.
@@ -48,8 +44,6 @@
     pub burst: i64,
     /// Most that it may owe.
     pub debt: i64,
-    /// How much more than `burst + debt` one request may cost at the first slot.
-    pub oversize: i64,
     /// Length of the window, microseconds.
     pub window_us: u64,
 }
@@ -69,19 +63,13 @@
         let left = (allowed - refill * granted_us).max(0);
         let saved = burst.max(least).min(left);
         let beside = left - saved;
-        let oversize = match limit.unit {
-            QuotaUnit::Requests => 0,
-            QuotaUnit::Tokens => (beside / i128::from(OVERSIZE_DIVISOR))
-                .min(i128::from(MOST_OVERSIZE_TOKENS * MICRO)),
-        };
         let growth = i128::from(DEBT_GROWTH_WINDOWS);
-        let debt = (beside - oversize) * growth / (growth + 1) / slots;
+        let debt = beside * growth / (growth + 1) / slots;
         Self {
             refill_of_all: narrow(refill),
             slots: narrow(slots),
             burst: narrow(saved / slots),
             debt: narrow(debt),
-            oversize: narrow(oversize),
             window_us,
         }
     }
--- a/crates/serving/src/quota_slots.rs
+++ b/crates/serving/src/quota_slots.rs
@@ -44,8 +44,7 @@
     told_zones(topology).into_iter().flat_map(of_zone).collect()
 }
 
-/// The keepers of a tenant, one for each slot of its limit. The first one may let in what is
-/// larger than a slot.
+/// The keepers of a tenant, one for each slot of its limit.
 pub fn keepers_of(
     tenant: &TenantName,
     limit: &TenantLimit,
