--- a/crates/serving/tests/quota_bucket.rs
+++ b/crates/serving/tests/quota_bucket.rs
@@ -373,7 +373,7 @@
         let mut play = Play::new(limit(47_000), BOUNDS, true);
         let end_us = play.now_us + 60 * SECOND;
         while play.now_us < end_us {
-            if play.now_us % lost_every_us == 0 {
+            if play.now_us.is_multiple_of(lost_every_us) {
                 (0..SLOTS).for_each(|slot| play.on_step(&Step::Lose { slot }));
             }
             for slot in 0..SLOTS {
--- /dev/null
+++ b/crates/serving/tests/quota_failures.rs
@@ -0,0 +1,147 @@
+//! What the failures of nodes, links, the store and the configuration do to a tenant's limit: no
+//! window holds more than is allowed, and what is lost is bounded.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod quota_fleet;
+
+use quota_fleet::{fullest_window, Fault, Figures, Fleet, BOUNDS, NODES, SECOND};
+use test_case::test_case;
+
+const RATES: [u64; 4] = [47_000, 120_000, 300_000, 737_214];
+const FAULT_AT_US: u64 = 30 * SECOND;
+const END_US: u64 = 70 * SECOND;
+/// What tenants usually send, and far too much.
+const USUAL: f64 = 0.56;
+const FAR_TOO_MUCH: f64 = 3.0;
+
+fn play(load: f64, loss: f64, faults: &[(u64, Fault)], seed: u64) -> Figures {
+    let mut fleet = Fleet::new(&RATES, load, loss, END_US, seed);
+    for (at_us, fault) in faults {
+        fleet.at(*at_us, fault.clone());
+    }
+    fleet.play()
+}
+
+/// The fullest window over what is allowed by limits that are so many times the first ones, and
+/// the most units above that.
+fn fullest(figures: &Figures, times: f64, begins: std::ops::Range<u64>) -> (f64, f64) {
+    let mut worst = (0.0_f64, 0.0_f64);
+    for (rate, arrivals) in RATES.iter().zip(&figures.arrivals) {
+        let rate = *rate as f64 * times;
+        let allowed = rate * 9.0 * (1.0 + BOUNDS.overage) + BOUNDS.slack as f64;
+        let sum = fullest_window(arrivals, begins.clone()) as f64;
+        worst = (worst.0.max(sum / allowed), worst.1.max(sum - allowed));
+    }
+    worst
+}
+
+fn share(part: u64, figures: &Figures) -> f64 {
+    part as f64 / figures.offered as f64
+}
+
+fn holders() -> Vec<usize> {
+    Fleet::holders_of(&RATES)
+}
+
+fn zone_0() -> Vec<usize> {
+    (0..NODES).filter(|node| node % 3 == 0).collect()
+}
+
+fn all() -> Vec<usize> {
+    (0..NODES).collect()
+}
+
+/// The rows of the failures, with the most that may be lost at usual load.
+fn row(name: &str) -> (Vec<(u64, Fault)>, f64, f64) {
+    let at = |fault| vec![(FAULT_AT_US, fault)];
+    let first = vec![holders()[0]];
+    match name {
+        "nothing" => (vec![], 0.0, 0.001),
+        "a holder is killed and back after 2 s" => {
+            (at(Fault::Kill { nodes: first, back_after_us: Some(2 * SECOND) }), 0.0, 0.01)
+        }
+        "a holder is killed for good" => {
+            (at(Fault::Kill { nodes: first, back_after_us: None }), 0.0, 0.02)
+        }
+        "a holder is frozen and wakes" => {
+            (at(Fault::Freeze { nodes: first, for_us: 4 * SECOND }), 0.0, 0.01)
+        }
+        "a holder is suspended for longer than its lease" => {
+            (at(Fault::Freeze { nodes: first, for_us: 25 * SECOND }), 0.0, 0.02)
+        }
+        "a holder is cut off from the store" => {
+            (at(Fault::NoStore { nodes: first, for_us: 25 * SECOND }), 0.0, 0.02)
+        }
+        "a holder is cut off from all" => {
+            (at(Fault::CutOff { nodes: first, for_us: 25 * SECOND }), 0.0, 0.06)
+        }
+        "a zone is cut off" => {
+            (at(Fault::CutOff { nodes: zone_0(), for_us: 10 * SECOND }), 0.0, 0.10)
+        }
+        "all are killed at once and back" => {
+            (at(Fault::Kill { nodes: all(), back_after_us: Some(SECOND) }), 0.0, 0.10)
+        }
+        "all are killed while the store is away" => {
+            let mut faults = at(Fault::Kill { nodes: all(), back_after_us: Some(SECOND) });
+            let away = Fault::NoStore { nodes: all(), for_us: 8 * SECOND };
+            faults.push((FAULT_AT_US + SECOND + 1, away));
+            (faults, 0.0, 0.25)
+        }
+        "the store is away for all" => {
+            (at(Fault::NoStore { nodes: all(), for_us: 6 * SECOND }), 0.0, 0.01)
+        }
+        "half of the nodes are killed" => {
+            let half = (0..NODES / 2).collect();
+            (at(Fault::Kill { nodes: half, back_after_us: Some(2 * SECOND) }), 0.0, 0.03)
+        }
+        "a node knows nobody" => {
+            (at(Fault::KnowNobody { nodes: vec![1], for_us: 10 * SECOND }), 0.0, 0.03)
+        }
+        "3 in 100 words are lost and as many come twice" => (vec![], 0.03, 0.005),
+        other => unreachable!("{other}"),
+    }
+}
+
+#[test_case("nothing")]
+#[test_case("a holder is killed and back after 2 s")]
+#[test_case("a holder is killed for good")]
+#[test_case("a holder is frozen and wakes")]
+#[test_case("a holder is suspended for longer than its lease")]
+#[test_case("a holder is cut off from the store")]
+#[test_case("a holder is cut off from all")]
+#[test_case("a zone is cut off")]
+#[test_case("all are killed at once and back")]
+#[test_case("all are killed while the store is away")]
+#[test_case("the store is away for all")]
+#[test_case("half of the nodes are killed")]
+#[test_case("a node knows nobody")]
+#[test_case("3 in 100 words are lost and as many come twice")]
+fn the_limit_holds_and_little_is_lost_when(name: &str) {
+    let (faults, loss, most_lost) = row(name);
+    let asked = play(FAR_TOO_MUCH, loss, &faults, 1);
+    let (worst, over) = fullest(&asked, 1.0, 0..END_US);
+    let usual = play(USUAL, loss, &faults, 2);
+    let (refused, unreachable) = (share(usual.refused, &usual), share(usual.unreachable, &usual));
+    let words = usual.words as f64 / usual.requests as f64;
+    println!("{name} | fullest {worst:.3} | over {over:.0} | refused {refused:.5} | unreachable {unreachable:.5} | words {words:.2}");
+    assert!(over <= 0.0, "{over} over the bound");
+    assert!(refused + unreachable <= most_lost, "{refused} refused, {unreachable} unreachable");
+}
+
+#[test_case(0.3; "lowered")]
+#[test_case(0.1; "lowered far below what is sent, with fewer slots")]
+#[test_case(2.0; "raised")]
+fn a_limit_that_changes_while_a_zone_is_cut_holds(times: f64) {
+    let faults = [
+        (FAULT_AT_US, Fault::CutOff { nodes: zone_0(), for_us: 6 * SECOND }),
+        (FAULT_AT_US + SECOND, Fault::Limits { times }),
+    ];
+    let figures = play(FAR_TOO_MUCH, 0.03, &faults, 3);
+    // Until all nodes have heard of it the larger one counts, and from one window after that the
+    // new one.
+    let heard_us = FAULT_AT_US + 4 * SECOND;
+    let (before, over_before) = fullest(&figures, times.max(1.0), 0..END_US);
+    let (after, over_after) = fullest(&figures, times, heard_us + SECOND..END_US);
+    println!("times {times} | whole play {before:.3} | after it was heard {after:.3}");
+    assert!(over_before <= 0.0 && over_after <= 0.0, "{over_before} before, {over_after} after");
+}
