--- a/crates/gateway/src/quota/asking.rs
+++ b/crates/gateway/src/quota/asking.rs
@@ -7,7 +7,8 @@
 use pitchstall_serving::quota::{
     QuotaAnswer, QuotaQuestion, QuotaReturn, QuotaVerdict, TenantLimit,
 };
-use pitchstall_serving::quota_desk::{DeskStep, QuotaDesk, QuotaGrant, QuotaOutcome, QuotaRequest};
+use pitchstall_serving::quota_desk::{DeskStep, QuotaDesk, QuotaRequest};
+use pitchstall_serving::quota_outcome::{QuotaGrant, QuotaOutcome};
 use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::request::RequestFacts;
 use pitchstall_serving::scheduling::Ticket;
@@ -73,6 +74,7 @@
 /// A run that is paid for. It is given back when dropped, unless it is [spent](Payment::spend).
 pub struct Payment {
     node: Rc<Node>,
+    tenant: Rc<Tenant>,
     cost: u64,
     grant: Option<QuotaGrant>,
 }
@@ -108,7 +110,8 @@
 impl Drop for Payment {
     fn drop(&mut self) {
         if let Some(grant) = self.grant.take() {
-            give_back(&self.node, grant.into_return(), self.cost);
+            self.node.metrics.quota.on_returned(self.tenant.name.as_str(), self.cost);
+            give_back(&self.node, grant.into_returns());
         }
     }
 }
@@ -122,8 +125,9 @@
 impl Drop for Asking<'_> {
     fn drop(&mut self) {
         self.node.quotas.waiting.borrow_mut().remove(&self.ticket);
-        if let Some(desk) = self.node.quotas.desk.borrow_mut().as_mut() {
-            desk.on_gone(self.ticket, self.node.now_us());
+        let step = with_desk(self.node, |desk, now_us| desk.on_gone(self.ticket, now_us));
+        if let DeskStep::Settled(_, _, words) = step {
+            give_back(self.node, words);
         }
     }
 }
@@ -135,12 +139,15 @@
     match ask(node, run).await {
         QuotaOutcome::Granted(grant) => {
             node.metrics.quota.on_granted(tenant, run.cost);
-            Ok(Payment { node: node.clone(), cost: run.cost, grant: Some(grant) })
+            log::info!(target: "quota", request, tenant, cost = run.cost, rate = run.limit.rate_per_s, burst = run.limit.burst, plain = run.limit.plain_tokens; "granted");
+            let (node, tenant) = (node.clone(), run.tenant.clone());
+            Ok(Payment { node, tenant, cost: run.cost, grant: Some(grant) })
         }
         QuotaOutcome::Refused { wait_ms, keeper, level } => {
             node.metrics.quota.on_refused(tenant);
-            let (cost, keeper) = (run.cost, keeper.to_string());
-            log::info!(target: "quota", request, tenant, cost, level, keeper, wait_ms; "refused");
+            let (cost, left, keeper) = (run.cost, level, keeper.to_string());
+            let rate = run.limit.rate_per_s;
+            log::info!(target: "quota", request, tenant, cost, rate, left, keeper, wait_ms; "refused");
             let spread = rand::rng().random_range(0.0..SPREAD_SHARE);
             let wait_ms = wait_ms.saturating_add((wait_ms as f64 * spread) as u64);
             Err(Unpaid::OverQuota { wait_ms })
@@ -181,8 +188,9 @@
     loop {
         step = match step {
             DeskStep::Ask(question, patience_us) => put(node, question, patience_us).await,
-            DeskStep::Settled(_, outcome) => {
+            DeskStep::Settled(_, outcome, words) => {
                 drop(asking);
+                give_back(node, words);
                 return outcome;
             }
             DeskStep::GiveBack(_) | DeskStep::Nothing => return QuotaOutcome::Unreachable,
@@ -252,7 +260,7 @@
         with_desk(node, |desk, now_us| desk.on_answer(answer, can_ask(node, now_us), now_us));
     match step {
         DeskStep::Nothing => {}
-        DeskStep::GiveBack(word) => give_back(node, word, 0),
+        DeskStep::GiveBack(words) => give_back(node, words),
         step => hand_over(node, answer.ticket, step),
     }
 }
@@ -265,26 +273,28 @@
         Some(sender) => sender.send(step).err(),
         None => Some(step),
     };
-    if let Some(DeskStep::Settled(_, QuotaOutcome::Granted(grant))) = unheard {
-        give_back(node, grant.into_return(), 0);
+    if let Some(DeskStep::Settled(_, outcome, words)) = unheard {
+        give_back(node, words);
+        if let QuotaOutcome::Granted(grant) = outcome {
+            give_back(node, grant.into_returns());
+        }
     }
 }
 
-/// Gives a grant back to the keeper that made it. `cost`: its units, if they were counted as granted.
-fn give_back(node: &Node, word: QuotaReturn, cost: u64) {
-    if cost > 0 {
-        node.metrics.quota.on_returned(word.tenant.as_str(), cost);
-    }
-    let address = node.quotas.holders.borrow().address_of(&word.keeper);
-    match address {
-        Some(address) if address == own_address(node) => keeping::on_return(node, &word),
-        Some(address) => {
-            node.scheduling.socket.send(&PeerWord::QuotaReturn(word), &[address]);
-        }
-        // What is not given back is lost to the tenant and opens nothing.
-        None => {
-            let (keeper, tenant) = (word.keeper.to_string(), word.tenant.as_str());
-            log::info!(target: "quota", keeper, tenant; "not given back");
+/// Tells keepers that what they have paid for has not begun.
+fn give_back(node: &Node, words: Vec<QuotaReturn>) {
+    for word in words {
+        let address = node.quotas.holders.borrow().address_of(&word.keeper);
+        match address {
+            Some(address) if address == own_address(node) => keeping::on_return(node, &word),
+            Some(address) => {
+                node.scheduling.socket.send(&PeerWord::QuotaReturn(word), &[address]);
+            }
+            // What is not given back is lost to the tenant and opens nothing.
+            None => {
+                let (keeper, tenant) = (word.keeper.to_string(), word.tenant.as_str());
+                log::info!(target: "quota", keeper, tenant; "not given back");
+            }
         }
     }
 }
--- a/crates/gateway/src/quota/keeping.rs
+++ b/crates/gateway/src/quota/keeping.rs
@@ -32,7 +32,7 @@
         None => {
             let (ticket, keeper) = (question.ticket, question.keeper.clone());
             let verdict = QuotaVerdict::NotKeeper;
-            let answer = QuotaAnswer { ticket, keeper, verdict, level: 0 };
+            let answer = QuotaAnswer { ticket, keeper, verdict, level: 0, paid: Vec::new() };
             deliver_answer(node, answer, question.answer_to);
         }
     }
