--- a/crates/serving/src/quota.rs
+++ b/crates/serving/src/quota.rs
@@ -90,7 +90,10 @@
     /// Keepers that have been asked before and were short.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub asked: Vec<KeeperId>,
-    /// Units that those had room for together; below 0 if they are short of the floor.
+    /// Keepers that have been silent lately: the question is not handed on to them.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<KeeperId>,
+    /// Units that those that were asked had room for together; below 0 if they are short of the floor.
     #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
     pub room: i64,
     /// Parts that are paid already: no keeper has room for the whole, but all of them have.
--- a/crates/serving/src/quota_desk.rs
+++ b/crates/serving/src/quota_desk.rs
@@ -1,8 +1,8 @@
 //! What a node does to have its runs paid for: whom it asks, for how long, and what follows.
 //!
-//! A question goes to one keeper at a time. A keeper that does not answer soon is passed over; if
-//! it answers later all the same, and another one has paid, its grant is given back. A grant is
-//! used within [`GRANT_LIFE_US`] of the first question or given back.
+//! A question goes to one keeper at a time. A keeper that does not answer soon is passed over, and
+//! asked last for a while; if it answers later all the same, and another one has paid, its grant
+//! is given back. A grant is used within [`GRANT_LIFE_US`] of the first question or given back.
 
 use crate::ids::{TenantName, ZoneId};
 use crate::quota::{
@@ -13,7 +13,7 @@
 use crate::quota_slots::{keepers_of, order_for, KeeperId};
 use crate::scheduling::Ticket;
 use crate::topology::Topology;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Time for which a keeper of the own region is waited for, microseconds: some ten times what an
@@ -21,6 +21,9 @@
 const PATIENCE_US: u64 = 30_000;
 /// The same for a keeper of another region: two crossings of 30 ms, twice.
 const FAR_PATIENCE_US: u64 = 130_000;
+/// Time for which a keeper that has not answered in time is asked last, microseconds: a lost word
+/// costs little, and one that is gone costs few callers a patience.
+const SILENT_FOR_US: u64 = 1_000_000;
 /// Time after the first question until which keepers are asked, microseconds; then nobody can be
 /// reached. It leaves a grant that comes at the end time to be used.
 const GIVE_UP_AFTER_US: u64 = 400_000;
@@ -90,6 +93,8 @@
     bounds: QuotaBounds,
     topology: Topology,
     answer_to: SocketAddr,
+    /// Until when keepers that did not answer are asked last.
+    silent_until_us: BTreeMap<KeeperId, u64>,
     pending: HashMap<Ticket, Pending>,
     settled: HashMap<Ticket, SettledRun>,
     settled_order: VecDeque<(u64, Ticket)>,
@@ -108,6 +113,7 @@
             bounds,
             topology,
             answer_to,
+            silent_until_us: BTreeMap::new(),
             pending: HashMap::new(),
             settled: HashMap::new(),
             settled_order: VecDeque::new(),
@@ -146,6 +152,7 @@
         if last != Some(keeper) {
             return DeskStep::Nothing;
         }
+        self.silent_until_us.insert(keeper.clone(), now_us + SILENT_FOR_US);
         self.ask_next(ticket, can_ask, now_us)
     }
 
@@ -157,6 +164,7 @@
         now_us: u64,
     ) -> DeskStep {
         let ticket = answer.ticket;
+        self.silent_until_us.remove(&answer.keeper);
         let Some(pending) = self.pending.get_mut(&ticket) else {
             return self.on_late_answer(answer);
         };
@@ -198,15 +206,18 @@
         can_ask: impl Fn(&KeeperId) -> bool,
         now_us: u64,
     ) -> DeskStep {
+        self.silent_until_us.retain(|_, until_us| now_us < *until_us);
         let Some(pending) = self.pending.get_mut(&ticket) else { return DeskStep::Nothing };
         let request = &pending.request;
         let keepers = keepers_of(&request.tenant, &request.limit, &self.bounds, &self.topology);
         let ordered = order_for(&keepers, &self.zone, &self.topology);
         let times = |keeper: &KeeperId| pending.asked.iter().filter(|one| *one == keeper).count();
+        let is_silent = |keeper: &KeeperId| self.silent_until_us.contains_key(keeper);
+        let silent: Vec<KeeperId> = keepers.into_iter().filter(is_silent).collect();
         let left = ordered
             .into_iter()
             .filter(|keeper| can_ask(keeper) && !pending.not_keepers.contains(keeper))
-            .min_by_key(times);
+            .min_by_key(|keeper| (times(keeper), silent.contains(keeper)));
         let is_over = now_us >= pending.first_sent_us + GIVE_UP_AFTER_US
             || pending.asked.len() >= MOST_QUESTIONS;
         let Some(keeper) = left.filter(|_| !is_over) else {
@@ -224,6 +235,7 @@
             priority: pending.request.priority,
             keeper,
             asked: Vec::new(),
+            silent,
             room: 0,
             paid: Vec::new(),
         };
