--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms in the text format of OpenMetrics.
 
+use crate::quota::figures::QuotaFigures;
 use pitchstall_serving::scheduling::LeavingReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -52,6 +53,8 @@
     pub placements_handed_on: Counter,
     /// Requests for which another region's scheduler was asked.
     pub left_region: Family<LeavingLabels, Counter>,
+    /// Tenants' limits.
+    pub quota: QuotaFigures,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -80,6 +83,7 @@
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
             left_region: Family::default(),
+            quota: QuotaFigures::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             cloud_calls: Counter::default(),
@@ -123,6 +127,7 @@
         for (name, help, counter) in counters {
             self.registry.register(name, help, counter.clone());
         }
+        self.quota.register(&mut self.registry);
         let requests = self.requests.clone();
         self.registry.register("requests", "Finished requests by outcome", requests);
         let left_region = self.left_region.clone();
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -152,6 +152,11 @@
         self.members.get(name).map(|member| &member.zone)
     }
 
+    /// All nodes with what they tell of themselves.
+    pub fn all(&self) -> impl Iterator<Item = (&NodeId, &Member)> + Clone {
+        self.members.iter()
+    }
+
     /// Some nodes with what they tell of themselves, this one among them.
     pub fn some(&self, most: usize) -> Vec<(NodeId, Member)> {
         let own = (self.own.clone(), self.own().clone());
--- a/crates/serving/src/quota.rs
+++ b/crates/serving/src/quota.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::TenantName;
 use crate::prefix::Prompt;
+use crate::quota_slots::KeeperId;
 use crate::scheduling::Ticket;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -83,9 +84,36 @@
     /// Rank of the request, 0 first.
     #[serde(rename = "k")]
     pub priority: u8,
-    /// Keepers that have been asked already and were short.
+    /// The keeper that is asked: a node may hold several.
+    #[serde(rename = "e")]
+    pub keeper: KeeperId,
+    /// Keepers that have been asked before and were short.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    pub asked: Vec<usize>,
+    pub asked: Vec<KeeperId>,
+    /// Keepers that have been silent lately: the question is not handed on to them.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<KeeperId>,
+    /// Units that those that were asked had room for together; below 0 if they are short of the floor.
+    #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+    pub room: i64,
+    /// Parts that are paid already: no keeper has room for the whole, but all of them have.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub paid: Vec<QuotaPart>,
+}
+
+/// What one keeper paid of a run that none could pay alone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaPart {
+    /// The keeper.
+    #[serde(rename = "e")]
+    pub keeper: KeeperId,
+    /// Units, perhaps none.
+    #[serde(rename = "c")]
+    pub units: u64,
+}
+
+fn is_zero(units: &i64) -> bool {
+    *units == 0
 }
 
 /// What a keeper decided.
@@ -114,25 +142,29 @@
     pub ticket: Ticket,
     /// The keeper that decided.
     #[serde(rename = "k")]
-    pub keeper: usize,
+    pub keeper: KeeperId,
     /// What it decided.
     #[serde(rename = "d")]
     pub verdict: QuotaVerdict,
     /// Units left there for the tenant, below 0 if it is in debt; for the logs.
     #[serde(rename = "l")]
     pub level: i64,
+    /// Keepers that paid parts, whatever was decided then; empty if there were no parts.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub paid: Vec<KeeperId>,
 }
 
-/// A run that was paid for has provably not begun: what it cost is given back.
+/// A run that was paid for has provably not begun: what it cost is given back. The keeper knows
+/// what that was, and a word that comes twice gives back once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaReturn {
     /// The run.
     #[serde(rename = "i")]
     pub ticket: Ticket,
+    /// The keeper that granted it.
+    #[serde(rename = "e")]
+    pub keeper: KeeperId,
     /// The tenant.
     #[serde(rename = "t")]
     pub tenant: TenantName,
-    /// Units.
-    #[serde(rename = "c")]
-    pub cost: u64,
 }
