One authority a region over roles, each with its own key, term and separation

Cause: one node ordered the roles of all regions: 30 ms from two thirds of the runners, on loads that are told inside each region only, and gone with its own region's link.

Ruled out: a key a zone (three runners in a zone can't be split by need); subjects by who is up (nodes would disagree on whether a region's runners belong to the fleet's holder).

Change: what a term is over is a subject: the fleet's duties, as before, and where the settings tell several regions the roles of each region's runners (key pitchstall/authority/roles/REGION). With one region the fleet's subject serves both and nothing more is called. When a node looks, renews, doubts and steps down is a state machine without a clock in serving; the gateway calls the store. Only a region's own mirrors look at its key. The planner sees the runners of its region.

Conclusion: two holders never order one runner, also while settings change.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -79,6 +79,8 @@
     pub stopping: Notify,
     /// This node's authority over what one node does for all.
     pub authority: Holding,
+    /// This node's authority over the roles in its region, where there are several regions.
+    pub roles_authority: Holding,
     /// Requests of tenants that began to run, here and at other nodes.
     pub usage: RefCell<UsageLedger>,
     /// Attempts that broke, until it is known whether their runners ended.
@@ -159,6 +161,7 @@
             store_suspected: Notify::new(),
             stopping: Notify::new(),
             authority: Holding::default(),
+            roles_authority: Holding::default(),
             usage: RefCell::default(),
             crash_evidence: RefCell::default(),
             quarantine: RefCell::default(),
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -1,13 +1,16 @@
-//! Changes the roles of runners, while this node has the authority.
+//! Changes the roles of runners, while this node has the authority: where there are several regions,
+//! of those in its own region, under the subject of that region.
 //!
 //! What is ordered is decided in [`pitchstall_serving::role_planner`]. An order that was not
 //! answered may be carried out later: nothing else is ordered for a time.
 
+use crate::authority::{roles_holding, roles_subject, Holding};
 use crate::http::request::request_bytes;
 use crate::http::{BodyDecoder, Header, Upstream};
 use crate::node::Node;
 use pitchstall_platform_adapter::headers;
 use pitchstall_platform_adapter::paths::{self, OrderAnswer};
+use pitchstall_serving::authority::AuthoritySubject;
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::role_planner::{
@@ -33,6 +36,8 @@
 
 struct Roles {
     node: Rc<Node>,
+    /// The subject under which this node may order.
+    subject: AuthoritySubject,
     planners: HashMap<ServiceName, RolePlanner>,
     /// When a service's last line was written.
     lines: HashMap<ServiceName, u64>,
@@ -40,11 +45,14 @@
 
 /// Orders role changes whenever this node may, until the task is dropped.
 pub async fn order_changes(node: Rc<Node>) {
-    let mut roles = Roles { node, planners: HashMap::new(), lines: HashMap::new() };
+    let subject = roles_subject(&node);
+    let mut roles = Roles { node, subject, planners: HashMap::new(), lines: HashMap::new() };
     loop {
         sleep(PLAN_EVERY).await;
-        if roles.node.authority.fence().is_none() {
-            // What was seen in an earlier term says nothing about the next.
+        let subject = roles_subject(&roles.node);
+        let is_other = std::mem::replace(&mut roles.subject, subject) != roles.subject;
+        if is_other || roles.holding().fence().is_none() {
+            // What was seen in an earlier term, or of other runners, says nothing about the next.
             roles.planners.clear();
             continue;
         }
@@ -53,6 +61,10 @@
 }
 
 impl Roles {
+    fn holding(&self) -> &Holding {
+        roles_holding(&self.node, &self.subject)
+    }
+
     async fn plan(&mut self) {
         for (service, engine) in self.node.engine_services() {
             let Some(plan) = self.look(&service, &engine) else { continue };
@@ -101,7 +113,12 @@
     fn look(&mut self, service: &ServiceName, engine: &EngineSpec) -> Option<RolePlan> {
         let configuration = self.node.configuration();
         let target_ms = configuration.and_then(|it| it.shortest_target_ms(service))?;
-        let demand = RoleDemand { service, engine, target_ms: target_ms as f64 };
+        let demand = RoleDemand {
+            service,
+            engine,
+            target_ms: target_ms as f64,
+            region: self.subject.region(),
+        };
         let now_us = self.node.now_us();
         let new_planner = || RolePlanner::new(RolePolicy::default());
         let planner = self.planners.entry(service.clone()).or_insert_with(new_planner);
@@ -128,7 +145,7 @@
 
     /// The fencing token, while orders may be given.
     fn fence_now(&self) -> Option<u64> {
-        self.node.authority.fence_to_order(self.node.now_us())
+        self.holding().fence_to_order(self.node.now_us())
     }
 
     async fn send_order(
@@ -150,7 +167,7 @@
         let (status, _) = call_runner(record, "POST", paths::ORDER, &order).await?;
         let answer = paths::parse_order_status(status);
         if answer == Some(OrderAnswer::Outdated) {
-            self.node.authority.on_refused(fence);
+            self.holding().on_refused(fence);
         }
         answer
     }
--- a/crates/gateway/tests/authority.rs
+++ b/crates/gateway/tests/authority.rs
@@ -59,3 +59,45 @@
     wait_for("two looks at the authority", || looks() >= 2);
     assert!(orders(&one).is_empty());
 }
+
+/// A runner of a zone that is not the node's.
+fn add_runner_in(node: &Fixture, runner: &RunnerStandIn, zone: &str) {
+    let entry = serde_json::json!({
+        "service": "llm", "address": runner.address().to_string(), "zone": zone,
+        "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
+        "stage": "prefill",
+    });
+    node.store.put(&format!("servers/{}", runner.id()), &entry);
+}
+
+fn calls_with(node: &Fixture, part: &str) -> usize {
+    node.store.calls().iter().filter(|call| call.contains(part)).count()
+}
+
+#[test]
+fn roles_of_a_region_are_ordered_under_its_own_key_and_those_of_another_are_left() {
+    let (one, two, far) = (prefill("i-1"), prefill("i-2"), prefill("i-3"));
+    let node = Fixture::start_with("[node.regions]\nnorth = \"here\"\nsouth = \"there\"\n");
+    node.store.put("op/config", &support::configuration(3));
+    node.add_runner(&one, "llm", Some("prefill"));
+    node.add_runner(&two, "llm", Some("prefill"));
+    add_runner_in(&node, &far, "south");
+    node.wait_until_ready();
+    wait_for("an order", || !orders(&one).is_empty() || !orders(&two).is_empty());
+    assert!(node.store.contains("pitchstall/authority/roles/here"));
+    assert_eq!(calls_with(&node, "authority/roles/there"), 0);
+    assert!(orders(&far).is_empty());
+}
+
+#[test]
+fn several_zones_of_one_region_have_one_authority() {
+    let (one, far) = (prefill("i-1"), prefill("i-2"));
+    let node = Fixture::start_with("[node.regions]\nnorth = \"here\"\nsouth = \"here\"\n");
+    node.store.put("op/config", &support::configuration(3));
+    node.add_runner(&one, "llm", Some("prefill"));
+    add_runner_in(&node, &far, "south");
+    node.wait_until_ready();
+    wait_for("an order", || !orders(&one).is_empty() || !orders(&far).is_empty());
+    assert!(node.store.contains("pitchstall/authority"));
+    assert_eq!(calls_with(&node, "authority/roles"), 0);
+}
--- a/crates/serving/src/authority.rs
+++ b/crates/serving/src/authority.rs
@@ -1,4 +1,10 @@
-//! Authority over the runners' roles: one node at a time, under a lease of the store.
+//! Authority over what one node at a time orders, under a lease of the store.
+//!
+//! What it is over is its subject: the duties of the fleet, and, where there are several regions,
+//! the roles of the runners of each region. Each subject has a key, and so a term, a fencing token
+//! and a separation of its own. A runner belongs to one region, so two holders never order the
+//! same runner; while nodes differ on the regions because their settings are being changed, the
+//! fencing tokens decide, which come from one sequence for all subjects.
 //!
 //! The holder's time runs from the sending of the call that granted or renewed the lease, so
 //! it ends no later than the store's. A new holder waits for the length of a lease before its
@@ -6,6 +12,39 @@
 //! never come in turns. What is late all the same is refused by the fencing token, which is
 //! the store's revision of the acquisition and so higher for each later holder.
 
+use crate::ids::RegionId;
+use crate::topology::Topology;
+use std::collections::BTreeSet;
+
+/// What a term of authority is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AuthoritySubject {
+    /// What one node does for the fleet; where there is one region, its runners' roles, too.
+    Fleet,
+    /// The roles of a region's runners, where there are several regions.
+    Roles(RegionId),
+}
+
+impl AuthoritySubject {
+    /// The subject under which a node of a region orders roles. It goes by the regions that the
+    /// settings tell, and not by who is up: all nodes have to agree on it.
+    pub fn of_roles(topology: &Topology, own: &RegionId) -> Self {
+        let told: BTreeSet<&RegionId> = topology.zones().map(|(_, region)| region).collect();
+        match told.len() {
+            0 | 1 => Self::Fleet,
+            _ => Self::Roles(own.clone()),
+        }
+    }
+
+    /// The region whose runners it is over; `None`: all.
+    pub fn region(&self) -> Option<&RegionId> {
+        match self {
+            Self::Fleet => None,
+            Self::Roles(region) => Some(region),
+        }
+    }
+}
+
 /// One term of authority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AuthorityTerm {
@@ -60,3 +99,135 @@
 fn valid_until(sent_at_us: u64, times: LeaseTimes) -> u64 {
     sent_at_us + times.ttl_us * (100 - UNUSED_PERCENT) / 100
 }
+
+/// Between two looks whether somebody has the authority, microseconds: the shortest, and what
+/// chance adds at the most. Each look is a call that is paid for.
+const LOOK_EVERY_US: u64 = 2_000_000;
+const LOOK_SPREAD_US: f64 = 2_000_000.0;
+/// The same while this node has not seen anybody have it: the fleet has just started.
+const FIRST_LOOK_EVERY_US: u64 = 300_000;
+const FIRST_LOOK_SPREAD_US: f64 = 600_000.0;
+/// Between two looks at an own lease, microseconds.
+const KEEP_EVERY_US: u64 = 250_000;
+/// Renewals in the time of a lease.
+const RENEWALS: u64 = 3;
+/// Between two tries to renew a lease after one that failed, microseconds.
+const RETRY_EVERY_US: u64 = 400_000;
+
+/// What a node does next about a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AuthorityStep {
+    /// Nothing, for so many microseconds.
+    Wait(u64),
+    /// Look whether somebody has the authority, and take it if nobody has.
+    Look,
+    /// Renew the lease.
+    Renew(u64),
+    /// End the lease: an order was refused, as another node has the authority.
+    StepDown(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    lease: u64,
+    term: AuthorityTerm,
+    next_try_us: u64,
+    /// Whether the term has run out without a word from the store.
+    is_in_doubt: bool,
+    is_refused: bool,
+}
+
+/// One node's way to and through the authority over one subject. It has no clock: each call says
+/// what time it is.
+#[derive(Clone, Debug, Default)]
+pub struct AuthorityHolder {
+    held: Option<Held>,
+    next_look_us: Option<u64>,
+    /// Whether this node has ever seen that somebody has the authority.
+    has_seen_holder: bool,
+}
+
+impl AuthorityHolder {
+    /// What to do now. `chance` lies between 0 and 1 and spreads the looks of many nodes.
+    pub fn step(&mut self, now_us: u64, chance: f64) -> AuthorityStep {
+        let Some(held) = &mut self.held else { return self.look_step(now_us, chance) };
+        if held.is_refused {
+            return AuthorityStep::StepDown(held.lease);
+        }
+        if now_us < held.next_try_us {
+            return AuthorityStep::Wait(KEEP_EVERY_US);
+        }
+        held.next_try_us = now_us + RETRY_EVERY_US;
+        AuthorityStep::Renew(held.lease)
+    }
+
+    fn look_step(&mut self, now_us: u64, chance: f64) -> AuthorityStep {
+        let (every_us, spread_us) = match self.has_seen_holder {
+            true => (LOOK_EVERY_US, LOOK_SPREAD_US),
+            false => (FIRST_LOOK_EVERY_US, FIRST_LOOK_SPREAD_US),
+        };
+        let next_us = now_us + every_us + (spread_us * chance) as u64;
+        let due_us = *self.next_look_us.get_or_insert(next_us);
+        if now_us < due_us {
+            return AuthorityStep::Wait(due_us - now_us);
+        }
+        self.next_look_us = None;
+        AuthorityStep::Look
+    }
+
+    /// A look found that somebody has the authority.
+    pub fn on_holder_seen(&mut self) {
+        self.has_seen_holder = true;
+    }
+
+    /// The store has granted a term under a lease that was asked for at `sent_at_us`.
+    pub fn on_gained(&mut self, lease: u64, term: AuthorityTerm, now_us: u64, times: LeaseTimes) {
+        self.has_seen_holder = true;
+        let next_try_us = now_us + times.ttl_us / RENEWALS;
+        let (is_in_doubt, is_refused) = (false, false);
+        self.held = Some(Held { lease, term, next_try_us, is_in_doubt, is_refused });
+    }
+
+    /// The lease was renewed by a call sent at the given time. Whether the term had run out: the
+    /// lease had waited in a store that was away, and with it the key, so that nobody else can have
+    /// had the authority.
+    pub fn on_renewed(&mut self, sent_at_us: u64, now_us: u64, times: LeaseTimes) -> bool {
+        let Some(held) = &mut self.held else { return false };
+        held.term.renew(sent_at_us, times);
+        held.next_try_us = now_us + times.ttl_us / RENEWALS;
+        std::mem::take(&mut held.is_in_doubt)
+    }
+
+    /// Whether the term has just run out without a word from the store. It gives no orders, and
+    /// goes on if the lease can be renewed after all.
+    pub fn has_run_out(&mut self, now_us: u64) -> bool {
+        let Some(held) = &mut self.held else { return false };
+        let has_run_out = held.term.is_over(now_us) && !held.is_in_doubt;
+        held.is_in_doubt |= has_run_out;
+        has_run_out
+    }
+
+    /// The lease is over or has been given up. Returns it, and the fencing token of its term.
+    pub fn on_lost(&mut self) -> Option<(u64, u64)> {
+        self.held.take().map(|held| (held.lease, held.term.fence))
+    }
+
+    /// The fencing token, while orders may be given.
+    pub fn fence_to_order(&self, now_us: u64) -> Option<u64> {
+        let held = self.held.as_ref().filter(|held| !held.is_refused)?;
+        held.term.may_order(now_us).then_some(held.term.fence)
+    }
+
+    /// The fencing token, from the beginning of the term on.
+    pub fn fence(&self) -> Option<u64> {
+        self.held.as_ref().filter(|held| !held.is_refused).map(|held| held.term.fence)
+    }
+
+    /// An order was refused because a higher fencing token had been used: another node has the
+    /// authority, and this one gives no further order in this term.
+    pub fn on_refused(&mut self, fence: u64) {
+        if let Some(held) = self.held.as_mut().filter(|held| held.term.fence == fence) {
+            held.is_refused = true;
+        }
+    }
+}
--- a/crates/serving/src/role_view.rs
+++ b/crates/serving/src/role_view.rs
@@ -2,8 +2,8 @@
 //! to be read, how many readers what is asked for takes, and what answers in writing take.
 
 use crate::configuration::EngineSpec;
-use crate::fleet::{Eligible, Fleet};
-use crate::ids::{RunnerId, ServiceName};
+use crate::fleet::{Eligible, Fleet, Scope};
+use crate::ids::{RegionId, RunnerId, ServiceName};
 use crate::read_pace::ReadPace;
 use crate::runner::{Runner, Stage};
 
@@ -16,6 +16,18 @@
     pub engine: &'a EngineSpec,
     /// The shortest time in which an answer is due, milliseconds.
     pub target_ms: f64,
+    /// The region whose runners are looked at; `None`: all.
+    pub region: Option<&'a RegionId>,
+}
+
+impl RoleDemand<'_> {
+    fn scope(&self) -> Scope<'_> {
+        self.region.map_or(Scope::Everywhere, Scope::Region)
+    }
+
+    fn has(&self, runner: &Runner) -> bool {
+        runner.record.service == *self.service && self.scope().has(runner)
+    }
 }
 
 /// What a look saw.
@@ -60,13 +72,13 @@
         demand: &RoleDemand<'_>,
         now_us: u64,
     ) -> Self {
-        let of_service = |runner: &&Runner| runner.record.service == *demand.service;
+        let is_meant = |runner: &&Runner| demand.has(runner);
         let (prefill, decode): (Vec<&Runner>, Vec<&Runner>) = usable(fleet, demand, now_us)
             .into_iter()
             .partition(|runner| runner.record.stage == Some(Stage::Prefill));
         let becomes_prefill = |runner: &&Runner| runner.becoming(now_us) == Some(Stage::Prefill);
         let asked: f64 =
-            fleet.iter().filter(of_service).map(|runner| runner.asked_a_second(now_us)).sum();
+            fleet.iter().filter(is_meant).map(|runner| runner.asked_a_second(now_us)).sum();
         // Decode runners read too, at half the pace, when prefill is busy.
         let readers = prefill.len() as f64 + decode.len() as f64 / 2.0;
         let target_ms = demand.target_ms.max(1.0) * readers.max(1.0);
@@ -81,7 +93,7 @@
         let seen = RolesSeen {
             prefill: prefill.len(),
             decode: decode.len(),
-            becoming_prefill: fleet.iter().filter(of_service).filter(becomes_prefill).count(),
+            becoming_prefill: fleet.iter().filter(is_meant).filter(becomes_prefill).count(),
             readers_needed: pace.read_ms(asked) / MILLIS_A_SECOND,
             wait: (backlog_ms + late_ms * LATE_WORK) / target_ms,
             late: late_ms / target_ms,
@@ -132,11 +144,14 @@
 fn usable<'a>(fleet: &'a Fleet, demand: &RoleDemand<'_>, now_us: u64) -> Vec<&'a Runner> {
     let is_usable = |runner: &&Runner| {
         let is_there = runner.takes_work() && !runner.is_suspected();
-        runner.record.service == *demand.service && is_there && !runner.is_changing(now_us)
+        demand.has(runner) && is_there && !runner.is_changing(now_us)
     };
     let usable: Vec<&Runner> = fleet.iter().filter(is_usable).collect();
     if usable.is_empty() {
-        return fleet.candidates(&Eligible::all_of(demand.service), now_us);
+        return fleet.candidates(
+            &Eligible { scope: demand.scope(), ..Eligible::all_of(demand.service) },
+            now_us,
+        );
     }
     usable
 }
--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -5,7 +5,9 @@
 mod specification;
 
 use pathfinding::directed::bfs::bfs_reach;
-use specification::{adoption, authority, quota, resuming, retry_budget, usage};
+use specification::{
+    adoption, authority, quota, regional_authority, resuming, retry_budget, usage,
+};
 use test_case::test_case;
 
 /// States up to the first violation, and whether there was one.
@@ -25,6 +27,11 @@
     count(reached, |state| state.violated)
 }
 
+fn search_regional_authority(guards: regional_authority::Safeguards) -> (usize, bool) {
+    let initial = regional_authority::State::default();
+    count(bfs_reach(initial, |state| state.next(guards)), |state| state.violated)
+}
+
 fn search_adoption(guards: adoption::Safeguards) -> (usize, bool) {
     let reached = bfs_reach(adoption::State::default(), |state| state.next(guards));
     count(reached, |state| state.violated)
@@ -116,6 +123,21 @@
     assert!(states > 1_000, "the search was cut short: {states} states");
 }
 
+#[test]
+fn two_holders_of_regions_never_order_one_runner() {
+    let (states, violated) = search_regional_authority(regional_authority::Safeguards::ALL);
+    println!("authority by region: {states} states");
+    assert!(!violated);
+    assert!(states > 1_000, "the search was cut short: {states} states");
+}
+
+#[test_case(regional_authority::Safeguards { own_runners: false, ..regional_authority::Safeguards::ALL }; "own runners")]
+#[test_case(regional_authority::Safeguards { take_if_absent: false, ..regional_authority::Safeguards::ALL }; "take if absent")]
+#[test_case(regional_authority::Safeguards { one_sequence: false, ..regional_authority::Safeguards::ALL }; "one sequence")]
+fn authority_by_region_without_a_safeguard_is_unsafe(guards: regional_authority::Safeguards) {
+    assert!(search_regional_authority(guards).1);
+}
+
 #[test]
 fn adoption_is_safe_in_every_state() {
     let (states, violated) = search_adoption(adoption::Safeguards::ALL);
--- a/crates/serving/tests/role_view.rs
+++ b/crates/serving/tests/role_view.rs
@@ -11,6 +11,7 @@
 };
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{RunnerLoad, Shard, Ticket};
+use pitchstall_serving::topology::Topology;
 use std::net::SocketAddr;
 
 const SECOND: u64 = 1_000_000;
@@ -45,7 +46,7 @@
 fn look(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> RolePlan {
     let engine = EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0 };
     let service = ServiceName::new("llm");
-    let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0 };
+    let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0, region: None };
     planner.plan(fleet, &ReadPace::default(), &demand, now_us)
 }
 
@@ -196,3 +197,30 @@
     (0..SLOTS).for_each(|_| full.on_sent(&RunnerId::new("d0"), write));
     assert_eq!(reason(look(&mut planner, &full, 9 * SECOND)), NothingOrdered::PrefillBusy);
 }
+
+#[test]
+fn runners_of_another_region_are_neither_counted_nor_ordered() {
+    let zones = [("north", "here"), ("south", "there")];
+    let zones = zones.map(|(zone, region)| (ZoneId::new(zone), RegionId::new(region)));
+    let mut fleet = Fleet::new(ZoneId::new("north"), Topology::new(zones));
+    for number in 0..6 {
+        let (zone, stage) = match number {
+            0 | 1 => ("north", Stage::Prefill),
+            2 => ("south", Stage::Prefill),
+            _ => ("south", Stage::Decode),
+        };
+        let record = self::fleet(1, 0).get(&RunnerId::new("p0")).unwrap().record.clone();
+        let id = RunnerId::new(format!("i-{number}"));
+        fleet.put(RunnerRecord { id, zone: ZoneId::new(zone), stage: Some(stage), ..record });
+    }
+    let here = RegionId::new("here");
+    let engine = EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0 };
+    let service = ServiceName::new("llm");
+    let region = Some(&here);
+    let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0, region };
+    let plan = planner().plan(&fleet, &ReadPace::default(), &demand, SECOND);
+    assert_eq!((plan.seen.prefill, plan.seen.decode), (2, 0));
+    let changes = plan.changes();
+    assert_eq!(changes.len(), 1, "a region without writers gets one of its own");
+    assert!(["i-0", "i-1"].contains(&changes[0].runner.as_str()));
+}
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -329,7 +329,12 @@
         }
         let engine = EngineSpec { slots: SLOTS, kv_tokens: 900_000, handle_ttl_s: 5.0 };
         let service = service();
-        let demand = RoleDemand { service: &service, engine: &engine, target_ms: TARGET_MS as f64 };
+        let demand = RoleDemand {
+            service: &service,
+            engine: &engine,
+            target_ms: TARGET_MS as f64,
+            region: None,
+        };
         let plan = self.planner.plan(&self.holder, &ReadPace::default(), &demand, now_us);
         let changes = plan.changes();
         if !changes.is_empty() {
--- a/crates/serving/tests/specification/mod.rs
+++ b/crates/serving/tests/specification/mod.rs
@@ -7,6 +7,7 @@
 pub mod adoption;
 pub mod authority;
 pub mod quota;
+pub mod regional_authority;
 pub mod resuming;
 pub mod retry_budget;
 pub mod usage;
