--- a/crates/serving/tests/roles_in_virtual_time.rs
+++ b/crates/serving/tests/roles_in_virtual_time.rs
@@ -46,11 +46,16 @@
 fn roles_of_two_regions_follow_their_callers_within_seconds() {
     let mut left = World::new(10, 20, 2);
     let mut joined = World::new(10, 20, 2);
+    let mut followed_us = None;
     while left.now_us() < 16 * SECOND {
         let is_shifted = left.now_us() >= 3 * SECOND;
         left.step(if is_shifted { 30.0 } else { 120.0 });
         joined.step(if is_shifted { 170.0 } else { 120.0 });
+        if followed_us.is_none() && joined.count(Stage::Prefill) >= 14 {
+            followed_us = Some(joined.now_us());
+        }
     }
+    assert!(followed_us.is_some_and(|us| us < 9 * SECOND), "{followed_us:?}");
     let readers = joined.count(Stage::Prefill);
     assert!(readers >= 14, "{readers} of 30 read where the callers went");
     let in_time = joined.in_time(10 * SECOND..15 * SECOND);
