Quota: the property test compares each holder with what it may spend

Ruled out: more cases of the same property.

Change: between any two of its grants a holder pays no more than burst, debt and refill, and from its start no more than refill and grown debt, to a millionth of a unit. The test of versions asks often enough to see the level rise.

--- a/crates/serving/tests/quota_bucket.rs
+++ b/crates/serving/tests/quota_bucket.rs
@@ -6,6 +6,7 @@
 use pitchstall_serving::quota_share::{SlotShare, GRANT_LIFE_US};
 use pitchstall_serving::scheduling::Ticket;
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 
 const SECOND: u64 = 1_000_000;
 const BOUNDS: QuotaBounds = QuotaBounds { window_us: 8 * SECOND, overage: 0.1, slack: 190_000 };
@@ -249,6 +250,9 @@
     number: u64,
     arrivals: Vec<(u64, u64)>,
     returns: Vec<(u64, usize, Ticket)>,
+    /// What each holder paid for runs that were used; holders by slot and start.
+    used: BTreeMap<(usize, u64), Vec<(u64, u64)>>,
+    starts: [u64; SLOTS],
 }
 
 impl Play {
@@ -257,8 +261,17 @@
         let share = SlotShare::of(&limit, &bounds, SLOTS);
         let bucket = |_| Bucket::new(limit, 1, share, 0, now_us);
         let buckets = (0..SLOTS).map(bucket).collect();
-        let (arrivals, returns) = (Vec::new(), Vec::new());
-        Self { limit, bounds, buckets, now_us, number: 0, arrivals, returns }
+        Self {
+            limit,
+            bounds,
+            buckets,
+            now_us,
+            number: 0,
+            arrivals: Vec::new(),
+            returns: Vec::new(),
+            used: BTreeMap::new(),
+            starts: [0; SLOTS],
+        }
     }
 
     fn on_step(&mut self, step: &Step) {
@@ -268,36 +281,69 @@
             Step::Whole { slot, cost, rank, is_used, after_us } => {
                 let demand = demand(number, cost, rank);
                 if self.buckets[slot].take(&demand, self.now_us) {
-                    self.settle(&[slot], demand, is_used, after_us);
+                    self.settle(&[(slot, cost)], demand, is_used, after_us);
                 }
             }
             Step::Parts { cost, is_used, after_us } => {
                 let demand = demand(number, cost, 0);
                 let mut left = cost;
-                for bucket in &mut self.buckets {
-                    left = left.saturating_sub(bucket.take_part(&demand, left, self.now_us));
+                let mut parts = Vec::new();
+                for (slot, bucket) in self.buckets.iter_mut().enumerate() {
+                    let part = bucket.take_part(&demand, left, self.now_us);
+                    left = left.saturating_sub(part);
+                    parts.push((slot, part));
                 }
-                self.settle(&[0, 1, 2], demand, is_used && left == 0, after_us);
+                self.settle(&parts, demand, is_used && left == 0, after_us);
             }
             Step::Lose { slot } => {
                 let share = SlotShare::of(&self.limit, &self.bounds, SLOTS);
                 self.buckets[slot] = Bucket::new(self.limit, 1, share, self.now_us, self.now_us);
+                self.starts[slot] = self.now_us;
             }
         }
     }
 
-    fn settle(&mut self, slots: &[usize], demand: Demand, is_used: bool, after_us: u64) {
+    fn settle(&mut self, parts: &[(usize, u64)], demand: Demand, is_used: bool, after_us: u64) {
         let at_us = self.now_us + after_us;
         if is_used {
             self.arrivals.push((at_us, demand.cost));
+            for (slot, units) in parts {
+                let holder = (*slot, self.starts[*slot]);
+                self.used.entry(holder).or_default().push((self.now_us, *units));
+            }
             return;
         }
         // Each word of it comes twice.
-        for slot in slots.iter().chain(slots) {
+        for (slot, _) in parts.iter().chain(parts) {
             self.returns.push((at_us, *slot, demand.ticket));
         }
     }
 
+    /// The most by which a holder has paid more, between any two of its grants, than its burst,
+    /// its debt and its refill; and, from its start, than its refill and the debt that it had.
+    fn overspent(&self) -> i64 {
+        let share = SlotShare::of(&self.limit, &self.bounds, SLOTS);
+        let mut overspent = i64::MIN;
+        for ((_, start_us), used) in &self.used {
+            let sum_from = |first: usize, last: usize| {
+                used[first..=last].iter().map(|(_, units)| *units as i64 * 1_000_000).sum::<i64>()
+            };
+            for last in 0..used.len() {
+                let at_us = used[last].0;
+                for first in 0..=last {
+                    let most = share.burst + share.debt + share.refill(at_us - used[first].0);
+                    overspent = overspent.max(sum_from(first, last) - most);
+                }
+                let age_us = at_us - start_us;
+                if age_us < self.bounds.window_us {
+                    let most = share.refill(age_us) + share.debt_at(age_us);
+                    overspent = overspent.max(sum_from(0, last) - most);
+                }
+            }
+        }
+        overspent
+    }
+
     fn pass(&mut self, time_us: u64) {
         let until_us = self.now_us + time_us;
         self.returns.sort_unstable();
@@ -325,14 +371,15 @@
 }
 
 proptest! {
-    /// Whatever is asked, used, given back (twice), and whichever holders follow each other.
+    /// Whatever is asked, used, given back (twice), and whichever holders follow each other; far
+    /// more is asked for than the limit.
     #[test]
     fn no_window_holds_more_than_is_allowed(
-        rate in 1_000_u64..800_000,
+        rate in 1_000_u64..60_000,
         overage in 0.0_f64..0.5,
-        slack in 0_u64..300_000,
+        slack in 0_u64..100_000,
         is_old in any::<bool>(),
-        steps in prop::collection::vec((step(), 0_u64..300_000), 1..400),
+        steps in prop::collection::vec((step(), 0_u64..120_000), 1..400),
     ) {
         let bounds = QuotaBounds { overage, slack, ..BOUNDS };
         let mut play = Play::new(limit(rate), bounds, is_old);
@@ -342,6 +389,9 @@
         }
         let fullest = play.fullest();
         prop_assert!(fullest <= 1.0, "{fullest}");
+        // A millionth is lost in rounding, now and then.
+        let overspent = play.overspent();
+        prop_assert!(overspent <= 1, "a holder overspent {overspent} millionths");
     }
 
     /// What may be asked for at any time, for any limits and bounds, is within what is allowed.
--- a/crates/serving/tests/quota_keeper.rs
+++ b/crates/serving/tests/quota_keeper.rs
@@ -202,8 +202,10 @@
     let (lowered, version) = (level(&keepers).level, level(&keepers).version);
     assert!(lowered <= 20_000 && version == 6, "{lowered} by version {version}");
     // A node that has not heard of it asks by the old one.
-    keepers.ask(question(3, 200, limit(300_000), 5), NOW_US + SECOND);
-    assert!(level(&keepers).level <= 20_000);
+    for number in 3..6 {
+        keepers.ask(question(number, 200, limit(300_000), 5), NOW_US + number * SECOND);
+    }
+    assert!(level(&keepers).level <= 20_000 && level(&keepers).version == 6);
 }
 
 #[test]
