--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -11,7 +11,7 @@
     NodeSection, PolicySection, QuotaSection, Settings, StoreSection, UsageSection,
 };
 use pitchstall_platform_standins::client::{example_request, send_load};
-use pitchstall_platform_standins::fleet::StandInFleet;
+use pitchstall_platform_standins::fleet::{StandInFleet, LIMITED_KEY};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -52,6 +52,7 @@
         println!("node on http://{node}");
     }
     println!("{}", example_request(nodes[0]));
+    println!("with the key {LIMITED_KEY}: the same for a tenant with a limit, 429 beyond it");
     if arguments.once {
         return Ok(send_once(&nodes));
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod dev;
 mod explain;
+mod quota;
 mod runtime;
 mod serve;
 
@@ -35,6 +36,8 @@
     Dev(dev::DevArguments),
     #[options(help = "print the story of a request from log files: explain ID FILE...")]
     Explain(explain::ExplainArguments),
+    #[options(help = "print who keeps tenants' limits, as a node knows it: quota IP:PORT")]
+    Quota(quota::QuotaArguments),
 }
 
 /// Why a command did not do its work.
@@ -74,6 +77,7 @@
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Dev(arguments)) => dev::run(&arguments),
         Some(Command::Explain(arguments)) => explain::run(&arguments),
+        Some(Command::Quota(arguments)) => quota::run(&arguments),
         None => Err(CommandError::Usage(format!(
             "expected a command\n\n{}\n\nCommands:\n{}",
             Arguments::usage(),
--- /dev/null
+++ b/crates/cli/src/quota.rs
@@ -0,0 +1,102 @@
+//! `pitchstall quota`: what a node knows of tenants' limits, and what it keeps of them.
+
+use crate::{CommandError, EXIT_FAILED};
+use gumdrop::Options;
+use pitchstall_gateway::listener::QUOTA_PATH;
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Longest wait for the node, for each step.
+const NODE_LIMIT: Duration = Duration::from_secs(5);
+const MILLIS_A_SECOND: f64 = 1_000.0;
+
+/// Arguments of `pitchstall quota`.
+#[derive(Debug, Options)]
+pub struct QuotaArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "the health address of a node, IP:port")]
+    rest: Vec<String>,
+}
+
+/// Prints who keeps tenants' limits as far as a node knows, and what is left at the keepers that it
+/// holds itself.
+pub fn run(arguments: &QuotaArguments) -> Result<ExitCode, CommandError> {
+    let [address] = arguments.rest.as_slice() else {
+        return Err(CommandError::Usage("expected the health address of a node".to_owned()));
+    };
+    let address: SocketAddr =
+        address.parse().map_err(|_| CommandError::Usage(format!("{address} is not an IP:port")))?;
+    let failed = |error: String| CommandError::Fleet(format!("{address}: {error}"));
+    let answer = ask(address).map_err(|error| failed(error.to_string()))?;
+    let body = body_of(&answer).ok_or_else(|| failed(format!("no {QUOTA_PATH} there")))?;
+    let report: Value = serde_json::from_str(body).map_err(|error| failed(error.to_string()))?;
+    print!("{}", render(&report));
+    let is_known = report["keepers"].as_array().is_some_and(|keepers| !keepers.is_empty());
+    let is_sound = is_known || report["has_limits"] == false;
+    Ok(if is_sound { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) })
+}
+
+fn ask(address: SocketAddr) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, NODE_LIMIT)?;
+    stream.set_read_timeout(Some(NODE_LIMIT))?;
+    let request =
+        format!("GET {QUOTA_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
+
+fn body_of(answer: &str) -> Option<&str> {
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    head.split(' ').nth(1).filter(|status| *status == "200").map(|_| body)
+}
+
+fn render(report: &Value) -> String {
+    if report["has_limits"] == false {
+        return "no tenant has a limit\n".to_owned();
+    }
+    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
+    let (held, keepers) = (list(&report["held"]), list(&report["keepers"]));
+    let mut text = String::new();
+    for keeper in &held {
+        let (name, left) = (text_of(keeper, "keeper"), seconds(keeper, "left_ms"));
+        text.push_str(&format!("{name} is kept here for {left} s more, if not renewed\n"));
+        for tenant in list(&keeper["tenants"]) {
+            let name = text_of(&tenant, "tenant");
+            let amount = |field: &str| tenant[field].as_i64().unwrap_or_default();
+            let (level, debt, granted) = (amount("level"), amount("debt"), amount("granted"));
+            text.push_str(&format!(
+                "  {name}: {level} units left, down to -{debt}; {granted} granted; configuration {}\n",
+                amount("version")
+            ));
+        }
+    }
+    if keepers.is_empty() {
+        text.push_str("no keeper is known: requests of tenants with a limit are refused\n");
+    }
+    for keeper in &keepers {
+        let note = if keeper["asked"] == true { "" } else { ", passed over" };
+        text.push_str(&format!(
+            "{} is held by {} at {}, heard of {} s ago{note}\n",
+            text_of(keeper, "keeper"),
+            text_of(keeper, "node"),
+            text_of(keeper, "address"),
+            seconds(keeper, "heard_ms"),
+        ));
+    }
+    text
+}
+
+fn text_of<'a>(value: &'a Value, field: &str) -> &'a str {
+    value[field].as_str().unwrap_or_default()
+}
+
+fn seconds(value: &Value, field: &str) -> String {
+    let millis = value[field].as_u64().unwrap_or_default();
+    format!("{:.1}", millis as f64 / MILLIS_A_SECOND)
+}
--- a/crates/gateway/src/quota/asking.rs
+++ b/crates/gateway/src/quota/asking.rs
@@ -139,7 +139,7 @@
     match ask(node, run).await {
         QuotaOutcome::Granted(grant) => {
             node.metrics.quota.on_granted(tenant, run.cost);
-            log::info!(target: "quota", request, tenant, cost = run.cost, rate = run.limit.rate_per_s, burst = run.limit.burst, plain = run.limit.plain_tokens; "granted");
+            log::debug!(target: "quota", request, tenant, cost = run.cost; "granted");
             let (node, tenant) = (node.clone(), run.tenant.clone());
             Ok(Payment { node, tenant, cost: run.cost, grant: Some(grant) })
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,7 +6,8 @@
 use pitchstall_platform_standins::client::CallerRequest;
 use pitchstall_platform_standins::cloud::CloudStandIn;
 use pitchstall_platform_standins::documents::{
-    self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, CONFIGURATION_KEY,
+    self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, TenantDocument,
+    CONFIGURATION_KEY,
 };
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
@@ -197,7 +198,8 @@
     ];
     routes.extend(own.iter().map(|name| route(name, RouteKind::Repeatable, DESK_SERVICE)));
     let services = [service(DESK_SERVICE, false), service(ENGINE_SERVICE, true)];
-    documents::configuration(version, &routes, &services, (TENANT, KEY))
+    let tenants = [TenantDocument { name: TENANT, key: KEY, limit: None }];
+    documents::configuration(version, &routes, &services, &tenants)
 }
 
 /// What a runner does: it runs what it is given, notes it, and now and then fails.
