--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -35,8 +35,9 @@
 /// Nodes that one which knows nobody is told of: enough to follow the store by, and the others tell
 /// of themselves in their digests.
 const MEMBERS_TOLD: usize = 64;
-/// Time to live of a node's registration.
-const REGISTRATION_TTL_MS: u64 = 15_000;
+/// Time to live of a node's registration. Keepers of tenants' limits grant for most of it without a
+/// word from the store, so it is longer than stores are away: the longest outage seen was 12 s.
+const REGISTRATION_TTL_MS: u64 = 30_000;
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Between two renewals of the registration.
 const RENEW_EVERY: Duration = Duration::from_secs(5);
@@ -247,10 +248,11 @@
         let sent_at_us = self.node.now_us();
         let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
         let lease = store::parse_lease(&body).ok()?;
+        let given_ttl_ms = store::parse_lease_ttl(&body).ok()?.unwrap_or(REGISTRATION_TTL_MS);
         let member = store::node_value(self.node.members.borrow().own());
         let put = store::put_under_lease(&store::node_key(self.name.as_str()), &member, lease);
         self.call(client, &put).await.ok()?;
-        let ttl_us = REGISTRATION_TTL_MS * MICROS_PER_MILLI;
+        let ttl_us = given_ttl_ms.min(REGISTRATION_TTL_MS) * MICROS_PER_MILLI;
         let registered = RegistrationLease { id: lease, renewed_us: sent_at_us, ttl_us };
         self.node.quotas.on_registered(registered);
         self.list(client, &store::read_nodes()).await;
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -4,9 +4,10 @@
 mod support;
 
 use pitchstall_platform_standins::http::ReceivedRequest;
-use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreMode;
 use serde_json::{json, Value};
+use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 use support::{configuration, get, wait_for, Fixture, RawAnswer};
 
@@ -261,3 +262,134 @@
         metrics().contains("pitchstall_quota_returned_total{tenant=\"taxis\"} 1")
     });
 }
+
+/// A place where another node holds keepers, as far as the store says.
+struct OtherKeeper {
+    socket: UdpSocket,
+}
+
+impl OtherKeeper {
+    /// Holds some keepers, from before the node knows that there are limits.
+    fn holding(node: &Fixture, numbers: &[u8]) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        for number in numbers {
+            let holder = json!({ "n": "other", "a": socket.local_addr().unwrap().to_string() });
+            node.store.put(&format!("pitchstall/quota//{number}"), &holder);
+        }
+        Self { socket }
+    }
+
+    /// The next word of a kind, as text and value.
+    fn word(&self, kind: &str) -> (String, Value) {
+        let mut buffer = [0; 60_000];
+        loop {
+            let length = self.socket.recv(&mut buffer).unwrap();
+            let text = String::from_utf8(buffer[..length].to_vec()).unwrap();
+            let word: Value = serde_json::from_str(&text).unwrap();
+            if let Some(body) = word.get(kind) {
+                return (text, body.clone());
+            }
+        }
+    }
+
+    /// Answers a question.
+    fn answer(&self, question: &Value, verdict: &Value) {
+        let answer = json!({ "quota": {
+            "i": question["i"], "k": question["e"], "d": verdict, "l": 0,
+        } });
+        let to = question["a"].as_str().unwrap();
+        self.socket.send_to(answer.to_string().as_bytes(), to).unwrap();
+    }
+}
+
+fn limit_of_fifty(node: &Fixture, runner: &RunnerStandIn) {
+    node.store.put("op/config", &limited(3, &json!({ "rate_per_s": 50, "burst": 50 })));
+    node.add_runner(runner, "desk", None);
+    node.wait_until_ready();
+}
+
+#[test]
+fn a_keeper_that_is_silent_is_passed_over_and_another_one_pays() {
+    let runner = desk();
+    let node = Fixture::start_with(QUOTA);
+    let _frozen = OtherKeeper::holding(&node, &[0]);
+    limit_of_fifty(&node, &runner);
+    wait_for("the other keeper", || held(&node) == 1);
+    wait_for("a grant", || send(&node, TAXIS, 1).status == 200);
+    std::thread::sleep(Duration::from_millis(200));
+    for number in 0..5 {
+        let sent_at = Instant::now();
+        assert_eq!(send(&node, TAXIS, number).status, 200);
+        assert!(sent_at.elapsed() < Duration::from_millis(400));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn a_question_tells_the_tenant_and_no_key_and_its_answer_counts() {
+    let runner = desk();
+    let node = Fixture::start_with(QUOTA);
+    let keeper = OtherKeeper::holding(&node, &[0, 1]);
+    limit_of_fifty(&node, &runner);
+    wait_for_keepers(&node);
+    let granted = std::thread::scope(|scope| {
+        let sent = scope.spawn(|| send(&node, TAXIS, 1).status);
+        let (text, question) = keeper.word("quota?");
+        assert!(text.contains("taxis") && !text.contains("taxis-key"), "{text}");
+        assert_eq!((question["c"].as_u64(), question["v"].as_u64()), (Some(1), Some(3)));
+        keeper.answer(&question, &json!("g"));
+        sent.join().unwrap()
+    });
+    assert_eq!(granted, 200);
+    let refused = std::thread::scope(|scope| {
+        let sent = scope.spawn(|| send(&node, TAXIS, 2));
+        let (_, question) = keeper.word("quota?");
+        keeper.answer(&question, &json!({ "r": { "w": 700 } }));
+        sent.join().unwrap()
+    });
+    assert_eq!(refused.status, 429);
+    let pause: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    assert!((0.7..0.8).contains(&pause), "{pause}");
+    assert_eq!(runner.requests().iter().filter(|it| it.target == "/booking/1").count(), 1);
+}
+
+#[test]
+fn a_grant_that_comes_after_the_client_has_gone_is_given_back() {
+    let runner = desk();
+    let node = Fixture::start_with(QUOTA);
+    let keeper = OtherKeeper::holding(&node, &[0, 1]);
+    limit_of_fifty(&node, &runner);
+    wait_for_keepers(&node);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", TAXIS, b"x");
+    let (_, question) = keeper.word("quota?");
+    drop(client);
+    std::thread::sleep(Duration::from_millis(100));
+    keeper.answer(&question, &json!("g"));
+    let (_, word) = keeper.word("quota-");
+    assert_eq!((&word["i"], &word["e"]), (&question["i"], &question["e"]));
+    assert!(runner.requests().iter().all(|it| it.target != "/booking/1"));
+}
+
+#[test]
+fn a_prompt_that_is_read_apart_is_paid_for_once() {
+    let reader = RunnerStandIn::start("i-reader", engine_script(3)).unwrap();
+    let writer = RunnerStandIn::start("i-writer", engine_script(3)).unwrap();
+    let node = Fixture::start_with(QUOTA);
+    let limit =
+        json!({ "rate_per_s": 50_000, "burst": 50_000, "unit": "tokens", "plain_tokens": 10 });
+    node.store.put("op/config", &limited(3, &limit));
+    node.add_runner(&reader, "llm", Some("prefill"));
+    node.add_runner(&writer, "llm", Some("decode"));
+    node.wait_until_ready();
+    wait_for_keepers(&node);
+    std::thread::sleep(Duration::from_millis(1_000));
+    let prompt = "X-Pitchstall-Token-Count: 9000,20\r\nX-Pitchstall-Prefix-Hash: a:6000,b:3000\r\n";
+    let mut client = node.client();
+    client.request("POST", "/summary/1", "id-1", &format!("{TAXIS}{prompt}"), b"x");
+    assert_eq!(client.read_answer().status, 200);
+    assert!(reader.requests().iter().any(|it| it.target == "/summary/1"));
+    let metrics = get(node.health, "/metrics").text();
+    assert!(metrics.contains("pitchstall_quota_units_total{tenant=\"taxis\"} 9020"), "{metrics}");
+}
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
-use support::{configuration, Fixture};
+use support::{configuration, wait_for, Fixture};
 
 const SUSPENDED: Duration = Duration::from_secs(60);
 /// A suspension made up by one test would be seen by the other.
@@ -56,3 +56,25 @@
     // Whether the key holds cannot be told any more: it may have been added meanwhile.
     assert_eq!(client.read_answer().status, 503);
 }
+
+#[test]
+fn a_keeper_that_slept_through_its_term_grants_nothing() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let answer = |_: &ReceivedRequest| Reaction::Answer { status: 200, body: b"booked".to_vec() };
+    let runner = RunnerStandIn::start("i-desk", answer).unwrap();
+    let node = Fixture::start();
+    let mut configuration = configuration(3);
+    configuration["tenants"] = json!([{
+        "name": "taxis", "api_keys": ["m82thhkmgjqnirth5mgj"], "rate_per_s": 100, "burst": 100,
+    }]);
+    node.store.put("op/config", &configuration);
+    node.add_runner(&runner, "desk", None);
+    node.wait_until_ready();
+    wait_for("a grant", || status_of(&node) == 200);
+    node.store.set_mode(StoreMode::Silent);
+    simulate_suspension(SUSPENDED);
+    assert_eq!(status_of(&node), 503);
+    // The store kept the lease meanwhile, so nobody else can have had the keeper.
+    node.store.set_mode(StoreMode::Serving);
+    wait_for("a grant once the lease is renewed", || status_of(&node) == 200);
+}
