Take the shortest round trip of a window for the distance, not a mean

Answers to questions take as long as the scheduler's processor is busy, so the mean made zones of weak machines look far.

Ruled out: the constant back: a link that turns slow would not be seen.

Change: the shortest round trip of two windows of 2 s counts. Longer ways are seen after at most 4 s.

--- a/crates/serving/src/distance.rs
+++ b/crates/serving/src/distance.rs
@@ -14,10 +14,9 @@
 const SAME_ZONE_MS: f64 = 0.5;
 const OTHER_ZONE_MS: f64 = 2.0;
 const OTHER_REGION_MS: f64 = 60.0;
-/// Part by which a longer and a shorter round trip move the estimate: what makes one longer is
-/// mostly a busy machine at either end, and not the way.
-const LONGER_GAIN: f64 = 1.0 / 8.0;
-const SHORTER_GAIN: f64 = 0.5;
+/// Time of which the shortest round trip counts, and that before: what makes one longer is mostly a
+/// busy machine at either end, and not the way. A way that has become longer is seen after that.
+const WINDOW_US: u64 = 2_000_000;
 /// Time after the last round trip for which the estimate stands, and until it is forgotten,
 /// microseconds: a way that nobody takes because it was long has to be tried again.
 const STANDS_US: u64 = 10_000_000;
@@ -25,17 +24,37 @@
 
 #[derive(Clone, Copy, Debug)]
 struct RoundTrip {
-    estimate_ms: f64,
+    /// The shortest of the window before, and of this one.
+    before_ms: f64,
+    shortest_ms: f64,
+    window_from_us: u64,
     seen_at_us: u64,
 }
 
 impl RoundTrip {
+    fn new(took_ms: f64, now_us: u64) -> Self {
+        let (before_ms, shortest_ms) = (took_ms, took_ms);
+        Self { before_ms, shortest_ms, window_from_us: now_us, seen_at_us: now_us }
+    }
+
+    fn add(&mut self, took_ms: f64, now_us: u64) {
+        let window_us = now_us.saturating_sub(self.window_from_us);
+        if window_us >= WINDOW_US * 2 {
+            *self = Self::new(took_ms, now_us);
+        } else if window_us >= WINDOW_US {
+            *self = Self { before_ms: self.shortest_ms, ..Self::new(took_ms, now_us) };
+        }
+        self.shortest_ms = self.shortest_ms.min(took_ms);
+        self.seen_at_us = now_us;
+    }
+
     /// What it counts as: with its age, more and more what is usual.
     fn at(self, usual_ms: f64, now_us: u64) -> f64 {
+        let estimate_ms = self.before_ms.min(self.shortest_ms);
         let age_us = now_us.saturating_sub(self.seen_at_us);
         let aged_us = age_us.saturating_sub(STANDS_US) as f64;
         let forgotten = (aged_us / (FORGOTTEN_US - STANDS_US) as f64).min(1.0);
-        self.estimate_ms + (usual_ms - self.estimate_ms) * forgotten
+        estimate_ms + (usual_ms - estimate_ms) * forgotten
     }
 }
 
@@ -54,11 +73,8 @@
 
     /// A round trip to another zone took so long.
     pub fn on_round_trip(&mut self, to: &ZoneId, took_ms: f64, now_us: u64) {
-        let first = RoundTrip { estimate_ms: took_ms, seen_at_us: now_us };
-        let known = self.measured.entry(to.clone()).or_insert(first);
-        let gain = if took_ms > known.estimate_ms { LONGER_GAIN } else { SHORTER_GAIN };
-        known.estimate_ms += (took_ms - known.estimate_ms) * gain;
-        known.seen_at_us = now_us;
+        let first = RoundTrip::new(took_ms, now_us);
+        self.measured.entry(to.clone()).or_insert(first).add(took_ms, now_us);
     }
 
     /// A round trip between two zones, milliseconds.
