Tell other regions less, and count what goes there

Cause: 10 of 16 digests a second of each node crossed to other regions, where bytes are dear; nobody could see what crossed, or which regions are in force.

Change: two of 16 digests go to other regions.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -3,7 +3,7 @@
 use crate::CommandError;
 use gumdrop::Options;
 use pitchstall_gateway::policy::PolicyProgram;
-use pitchstall_gateway::settings::Settings;
+use pitchstall_gateway::settings::{NodeSection, Settings};
 use pitchstall_policy::{PolicyEngine, PolicyError, PolicyInput};
 use pitchstall_serving::ids::{ServiceName, ZoneId};
 use std::collections::BTreeSet;
@@ -38,9 +38,22 @@
     let settings = Settings::read(file)?;
     PolicyProgram::read(&settings.policy)?;
     println!("{}: valid settings", file.display());
+    print_regions(&settings.node);
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints the region of the node, and of each zone that the settings name.
+fn print_regions(node: &NodeSection) {
+    let zone = &node.zone;
+    match node.regions.get(zone) {
+        Some(region) => println!("zone {zone} (this node): region {region}"),
+        None => println!("zone {zone} (this node): not named, a region of its own"),
+    }
+    for (other, region) in node.regions.iter().filter(|(other, _)| *other != zone) {
+        println!("zone {other}: region {region}");
+    }
+}
+
 /// Reads a file as text.
 pub fn read(path: &Path) -> Result<String, CommandError> {
     std::fs::read_to_string(path)
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -31,6 +31,19 @@
     assert!(text.contains(said), "{text}");
 }
 
+#[test]
+fn the_regions_in_force_are_printed() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let example = std::fs::read_to_string(root.join("examples/serve.toml")).unwrap();
+    let (code, text) = check_text("regions.toml", &example);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("zone brest-hall (this node): region finistere"), "{text}");
+    assert!(text.contains("zone quimper-hall: region finistere"), "{text}");
+    let untold = example.replace("brest-hall = \"finistere\"", "");
+    let (_, text) = check_text("untold.toml", &untold);
+    assert!(text.contains("brest-hall (this node): not named, a region of its own"), "{text}");
+}
+
 #[test_case("a.toml", "[node]\nname = 7\n", "line 2"; "a value of another type")]
 #[test_case("b.toml", "[node]\nname = \"n\"\nzone = \"z\"\n", "listen"; "a section that is missing")]
 #[test_case("c.toml", "[nodes]\n", "nodes"; "a section that nobody knows")]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod entries;
+pub mod far_traffic;
 pub mod http;
 pub mod intake;
 pub mod json_lines;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms in the text format of OpenMetrics.
 
+use crate::far_traffic::FarTraffic;
 use crate::quota::figures::QuotaFigures;
 use pitchstall_serving::scheduling::LeavingReason;
 use prometheus_client::encoding::text::encode;
@@ -66,8 +67,9 @@
     registry: Registry,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Nothing counted; what goes to other regions is counted by the socket.
+    pub fn new(far_traffic: &FarTraffic) -> Self {
         const FIRST_BUCKET_S: f64 = 0.002;
         const BUCKETS: u16 = 14;
         let mut metrics = Self {
@@ -91,11 +93,11 @@
             registry: Registry::with_prefix("pitchstall"),
         };
         metrics.register();
+        let help = "Bytes of words to nodes of other regions";
+        metrics.registry.register("far_bytes", help, far_traffic.bytes());
         metrics
     }
-}
 
-impl Metrics {
     fn register(&mut self) {
         let counters = [
             ("attempts", "Attempts sent to runners", &self.attempts),
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -146,7 +146,7 @@
             zone,
             fleet: RefCell::new(fleet),
             pool: ConnectionPool::default(),
-            metrics: Metrics::default(),
+            metrics: Metrics::new(socket.far_traffic()),
             suspicion_changed: Notify::new(),
             role_ordered: Notify::new(),
             fleet_changed: Notify::new(),
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -1,5 +1,6 @@
 //! What nodes say to each other by datagrams: one JSON line each.
 
+use crate::far_traffic::FarTraffic;
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
@@ -65,16 +66,44 @@
     Usage(UsageWord),
 }
 
+impl PeerWord {
+    /// Its kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => "digest",
+            Self::Hello(_) => "hello",
+            Self::Members(_) => "members",
+            Self::Question(_) => "question",
+            Self::Answer(_) => "answer",
+            Self::Progress(_) => "progress",
+            Self::Loads(_) => "loads",
+            Self::RegionLoads(_) => "region_loads",
+            Self::UsageQuestion(_) => "usage_question",
+            Self::Crash(_) => "crash",
+            Self::QuotaQuestion(_) => "quota_question",
+            Self::QuotaAnswer(_) => "quota_answer",
+            Self::QuotaReturn(_) => "quota_return",
+            Self::Usage(_) => "usage",
+        }
+    }
+}
+
 /// Sends words. One that cannot be sent is as good as lost on its way, and nothing depends on it.
 #[derive(Clone)]
 pub struct PeerSocket {
     socket: Rc<UdpSocket>,
+    far: Rc<FarTraffic>,
 }
 
 impl PeerSocket {
     /// Sends through the socket.
     pub fn new(socket: Rc<UdpSocket>) -> Self {
-        Self { socket }
+        Self { socket, far: Rc::default() }
+    }
+
+    /// What goes to nodes of other regions.
+    pub fn far_traffic(&self) -> &FarTraffic {
+        &self.far
     }
 
     /// Sends a word to some nodes; returns its length in bytes.
@@ -91,6 +120,7 @@
                 return 0;
             }
         };
+        self.far.on_sent(word.kind(), line.len(), to);
         for address in to {
             if let Err(error) = self.socket.try_send_to(&line, *address) {
                 let (to, error) = (address.to_string(), error.to_string());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
-use pitchstall_serving::digest::{Digest, DigestOrder, Freshness, FAN_OUT};
+use pitchstall_serving::digest::{Digest, DigestOrder, DigestTurns, Freshness};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
 use std::cell::RefCell;
@@ -76,7 +76,7 @@
     peers: HashMap<NodeId, Peer>,
     order: DigestOrder,
     sequence: u64,
-    next_peer: usize,
+    turns: DigestTurns,
 }
 
 impl Peers {
@@ -176,6 +176,8 @@
         let peer = Peer { address: member.address, heard_at: Instant::now() };
         self.state.borrow_mut().peers.insert(name.clone(), peer);
         self.node.members.borrow_mut().learn(name, member);
+        let is_far = !self.node.members.borrow().is_near(name);
+        self.socket.far_traffic().on_peer(member.address, is_far);
     }
 
     fn digest(&self) -> Digest {
@@ -216,18 +218,24 @@
         self.state.borrow().peers.values().map(|peer| peer.address).collect()
     }
 
+    /// The nodes of this node's region, and those of other regions.
+    fn near_and_far(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let members = self.node.members.borrow();
+        let state = self.state.borrow();
+        let (near, far): (Vec<_>, Vec<_>) =
+            state.peers.iter().partition(|(name, _)| members.is_near(name));
+        let addresses = |peers: Vec<(&NodeId, &Peer)>| {
+            peers.into_iter().map(|(_, peer)| peer.address).collect()
+        };
+        (addresses(near), addresses(far))
+    }
+
     /// The nodes that the next digest goes to.
     fn next_addresses(&self) -> Vec<SocketAddr> {
-        let all = self.all_addresses();
-        let mut state = self.state.borrow_mut();
-        if all.len() <= FAN_OUT {
-            return all;
-        }
-        let first = state.next_peer % all.len();
-        state.next_peer = first + FAN_OUT;
-        let next = all.iter().cycle().skip(first).take(FAN_OUT).copied();
+        let (near, far) = self.near_and_far();
+        let mut next = self.state.borrow_mut().turns.next(&near, &far);
         let own = self.node.settings().listen.peers;
-        let mut next: Vec<SocketAddr> = next.chain(self.node.quotas.other_keepers(own)).collect();
+        next.extend(self.node.quotas.other_keepers(own));
         next.sort();
         next.dedup();
         next
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -328,7 +328,10 @@
             ),
             ((-0.9..=10.0).contains(&self.capacity.headroom), "capacity.headroom", "-0.9 to 10"),
             (
-                self.node.regions.values().all(|region| !region.is_empty()),
+                self.node
+                    .regions
+                    .iter()
+                    .all(|(zone, region)| !zone.is_empty() && !region.is_empty()),
                 "node.regions",
                 "the name of a region for each zone",
             ),
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -22,6 +22,8 @@
 #[test_case("name = \"node-1\"", "nmae = \"node-1\"", "unknown field `nmae`"; "a field that does not exist")]
 #[test_case("address = \"127.0.0.1:2379\"", "address = \"nowhere\"", "invalid socket address"; "an address that is none")]
 #[test_case("[store]", "[stores]", "unknown field `stores`"; "a section that does not exist")]
+#[test_case("quimper-hall = \"finistere\"", "quimper-hall = \"\"", "node.regions: expected the name of a region for each zone"; "a region without a name")]
+#[test_case("quimper-hall = \"finistere\"", "\"\" = \"finistere\"", "node.regions: expected the name of a region for each zone"; "a zone without a name")]
 fn a_wrong_setting_is_refused_with_its_place(right: &str, wrong: &str, expected: &str) {
     let text = example();
     assert!(text.contains(right));
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -99,4 +99,33 @@
 }
 
 /// Nodes that one digest goes to; with more of them they take turns.
-pub const FAN_OUT: usize = 16;
+const FAN_OUT: usize = 16;
+/// How many of them are of other regions, if there are any: with a digest a second each node there
+/// hears of this one twice a minute in fleets of 60 nodes elsewhere, and the list tells who is there.
+const FAR_FAN_OUT: usize = 2;
+
+/// Whose turn it is to hear of a node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DigestTurns {
+    next_near: usize,
+    next_far: usize,
+}
+
+impl DigestTurns {
+    /// The nodes that the next digest goes to: most are of the own region.
+    pub fn next<A: Copy>(&mut self, near: &[A], far: &[A]) -> Vec<A> {
+        let to_far = if near.is_empty() { FAN_OUT } else { FAR_FAN_OUT }.min(far.len());
+        let mut to = take_turns(&mut self.next_near, near, FAN_OUT - to_far);
+        to.extend(take_turns(&mut self.next_far, far, to_far));
+        to
+    }
+}
+
+fn take_turns<A: Copy>(next: &mut usize, all: &[A], most: usize) -> Vec<A> {
+    if all.len() <= most {
+        return all.to_vec();
+    }
+    let first = *next % all.len();
+    *next = first + most;
+    all.iter().cycle().skip(first).take(most).copied().collect()
+}
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -147,6 +147,12 @@
         self.members.keys()
     }
 
+    /// Whether a node is of this node's region.
+    pub fn is_near(&self, name: &NodeId) -> bool {
+        let own_zone = &self.own().zone;
+        self.zone_of(name).is_some_and(|zone| self.topology.is_one_region(zone, own_zone))
+    }
+
     /// The zone of a node.
     pub fn zone_of(&self, name: &NodeId) -> Option<&ZoneId> {
         self.members.get(name).map(|member| &member.zone)
--- a/crates/serving/tests/regions.rs
+++ b/crates/serving/tests/regions.rs
@@ -1,6 +1,7 @@
 //! Regions: how the fleet is cut by them, and when a request leaves its own.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+use pitchstall_serving::digest::DigestTurns;
 use pitchstall_serving::distance::Distances;
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
@@ -463,6 +464,27 @@
     assert_eq!(service_load(&fleet, &pace, &service, &RegionId::new("n"), SECOND), None);
 }
 
+#[test]
+fn most_digests_go_to_the_own_region_and_in_time_each_node_gets_one() {
+    const FAR: u32 = 1_000;
+    let near: Vec<u32> = (0..30).collect();
+    let far: Vec<u32> = (FAR..FAR + 60).collect();
+    let mut turns = DigestTurns::default();
+    let mut heard: BTreeMap<u32, u32> = BTreeMap::new();
+    for _ in 0..30 {
+        let to = turns.next(&near, &far);
+        assert_eq!(to.len(), 16);
+        assert_eq!(to.iter().filter(|node| **node >= FAR).count(), 2);
+        to.into_iter().for_each(|node| *heard.entry(node).or_default() += 1);
+    }
+    assert_eq!(heard.len(), 90);
+    assert!(heard.iter().all(|(node, count)| *node >= FAR || *count >= 13), "{heard:?}");
+    let mut turns = DigestTurns::default();
+    assert_eq!(turns.next(&near[..20], &[]).len(), 16, "one region is told as before");
+    assert_eq!(turns.next(&[], &far).len(), 16, "a node that is alone in its region");
+    assert_eq!(turns.next(&near[..3], &far[..1]).len(), 4);
+}
+
 #[test]
 fn distances_are_assumed_by_region_until_they_are_measured() {
     let topology = two_regions();
