--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -121,6 +121,11 @@
         )
     }
 
+    /// A node before an empty store that is told these lines of its own section.
+    pub fn start_told(node: &str) -> Self {
+        Self::start_node_at(StoreStandIn::start().unwrap(), "node-1", node, "")
+    }
+
     fn start_node(store: StoreStandIn, name: &str, sections: &str) -> Self {
         Self::start_node_at(store, name, "", sections)
     }
@@ -176,9 +181,20 @@
         service: &str,
         stage: Option<&str>,
         state: &str,
+    ) {
+        self.put_runner_in("north", runner, service, stage, state);
+    }
+
+    pub fn put_runner_in(
+        &self,
+        zone: &str,
+        runner: &RunnerStandIn,
+        service: &str,
+        stage: Option<&str>,
+        state: &str,
     ) {
         let mut entry = json!({
-            "service": service, "address": runner.address().to_string(), "zone": "north",
+            "service": service, "address": runner.address().to_string(), "zone": zone,
             "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
         });
         if let Some(stage) = stage {
