Spread digests over all nodes alike where tenants have limits

Cause: with the merge of quotas a keeper of limits counts as gone after two rounds of digests, counted as 16 nodes a second; nodes of other regions hear one of two a second, and would take keepers there for gone.

Ruled out: a longer limit for other regions: a keeper that is lost would be noticed a minute later.

Change: digests go mostly to the own region only where no tenant has a limit.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -232,7 +232,12 @@
 
     /// The nodes that the next digest goes to.
     fn next_addresses(&self) -> Vec<SocketAddr> {
-        let (near, far) = self.near_and_far();
+        // Where tenants have limits, a keeper of them that is lost is noticed by its digests, at every
+        // node as soon.
+        let (near, far) = match quota::has_limits(&self.node) {
+            true => (self.all_addresses(), Vec::new()),
+            false => self.near_and_far(),
+        };
         let mut next = self.state.borrow_mut().turns.next(&near, &far);
         let own = self.node.settings().listen.peers;
         next.extend(self.node.quotas.other_keepers(own));
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -99,7 +99,7 @@
 }
 
 /// Nodes that one digest goes to; with more of them they take turns.
-const FAN_OUT: usize = 16;
+pub const FAN_OUT: usize = 16;
 /// How many of them are of other regions, if there are any: with a digest a second each node there
 /// hears of this one twice a minute in fleets of 60 nodes elsewhere, and the list tells who is there.
 const FAR_FAN_OUT: usize = 2;
