--- a/crates/serving/src/quota_bucket.rs
+++ b/crates/serving/src/quota_bucket.rs
@@ -1,7 +1,7 @@
 //! One slot of a tenant's limit: a bucket that fills steadily and may go into debt.
 //!
-//! A run is paid for if the level is its cost above the floor. The floor is the debt that the
-//! holder may have, and above it a reserve that the less urgent leave to the more urgent. What
+//! A run is paid for if the level is its cost above the floor. The floor is the debt that the slot
+//! may have, and above it a reserve that the less urgent leave to the more urgent. What
 //! costs less than a small share of the burst needs no reserve.
 //!
 //! A large run that was refused has its turn booked: until then smaller ones that are no more
@@ -15,8 +15,8 @@
 
 /// Costs up to this share of the burst need no reserve, as a divisor.
 const SMALL_DIVISOR: i64 = 64;
-/// Share of the debt that each rank leaves to the one before it, as a divisor. Chosen.
-const RESERVE_DIVISOR: i64 = 8;
+/// Share of burst and debt that each rank leaves to the one before it, as a divisor. Chosen.
+const RESERVE_DIVISOR: i64 = 16;
 /// Ranks beyond this one leave what it leaves.
 const LAST_RANK: u8 = 2;
 
@@ -51,8 +51,6 @@
     share: SlotShare,
     level: i64,
     updated_at_us: u64,
-    /// The debt grows from here on.
-    since_us: u64,
     asked_at_us: u64,
     turns: Turns,
     grants: RememberedGrants,
@@ -61,7 +59,7 @@
 
 impl Bucket {
     /// The slot of a tenant that was not met before by a holder that counts since `since_us`: as
-    /// if it had been empty then and nothing had been asked since.
+    /// if it had owed all of its debt then and nothing had been asked since.
     pub fn new(
         limit: TenantLimit,
         version: u64,
@@ -69,14 +67,14 @@
         since_us: u64,
         now_us: u64,
     ) -> Self {
-        let level = share.refill(now_us.saturating_sub(since_us)).min(share.burst);
+        let refilled = share.refill(now_us.saturating_sub(since_us));
+        let level = refilled.saturating_sub(share.debt).min(share.burst);
         Self {
             limit,
             version,
             share,
             level,
             updated_at_us: now_us,
-            since_us,
             asked_at_us: now_us,
             turns: Turns::default(),
             grants: RememberedGrants::default(),
@@ -94,13 +92,12 @@
         self.version
     }
 
-    /// Another limit counts from now on: a level above it is lost at once. If the number of slots
-    /// is another one, the debt grows anew: the other slots had theirs of the old number.
+    /// Another limit counts from now on. What there was room for stays, as far as the new limit has
+    /// room for it.
     pub fn set_limit(&mut self, limit: TenantLimit, version: u64, share: SlotShare, now_us: u64) {
         self.refill(now_us);
-        if share.slots != self.share.slots {
-            self.since_us = now_us;
-        }
+        let room = (self.level + self.share.debt).min(share.burst + share.debt);
+        self.level = room - share.debt;
         (self.limit, self.version, self.share) = (limit, version, share);
         self.turns.cancel();
         self.refill(now_us);
@@ -174,7 +171,7 @@
         let turn_us = self.share.time_for(cost / slots);
         let wait_us = self.turns.wait(demand.ticket, time_us, turn_us, now_us);
         if !self.is_small(cost) {
-            let need = (cost / slots - self.debt(now_us) + self.reserve(cost, demand.rank, now_us))
+            let need = (cost / slots - self.share.debt + self.reserve(cost, demand.rank))
                 .min(self.share.burst);
             self.turns.book(cost, demand.rank, need, now_us + wait_us);
         }
@@ -184,8 +181,7 @@
     /// Whether nothing is lost by forgetting it: it is full and has not been asked for a window.
     pub fn is_idle(&mut self, now_us: u64) -> bool {
         self.refill(now_us);
-        let idle_since_us = self.asked_at_us.max(self.since_us);
-        self.level >= self.share.burst && now_us >= idle_since_us + self.share.window_us
+        self.level >= self.share.burst && now_us >= self.asked_at_us + self.share.window_us
     }
 
     /// Units left, below 0 if it is in debt, as of the last question or return.
@@ -193,9 +189,16 @@
         self.level.div_euclid(MICRO)
     }
 
-    /// Units that may be owed now.
-    pub fn debt_units(&self, now_us: u64) -> u64 {
-        whole(self.debt(now_us))
+    /// Units left at a later time, if nothing is asked until then.
+    pub fn level_at(&self, now_us: u64) -> i64 {
+        let passed_us = now_us.saturating_sub(self.updated_at_us);
+        let refilled = self.level.saturating_add(self.share.refill(passed_us));
+        refilled.min(self.share.burst).div_euclid(MICRO)
+    }
+
+    /// Units that may be owed.
+    pub fn debt_units(&self) -> u64 {
+        whole(self.share.debt)
     }
 
     /// Units granted and not given back since the holder met the tenant.
@@ -205,7 +208,7 @@
 
     /// Room for a run, or for a part of one, that takes no more than `most`.
     fn room_for(&self, cost: i64, most: i64, rank: u8, now_us: u64) -> i64 {
-        let room = self.level + self.debt(now_us) - self.reserve(cost, rank, now_us);
+        let room = self.level + self.share.debt - self.reserve(cost, rank);
         let is_small = self.is_small(cost);
         match self.turns.level_to_leave(cost, rank, is_small, now_us) {
             Some((level, at_us)) => {
@@ -226,15 +229,11 @@
     }
 
     /// What a run leaves to more urgent ones.
-    fn reserve(&self, cost: i64, rank: u8, now_us: u64) -> i64 {
+    fn reserve(&self, cost: i64, rank: u8) -> i64 {
         if self.is_small(cost) {
             return 0;
         }
-        self.debt(now_us) / RESERVE_DIVISOR * i64::from(rank.min(LAST_RANK))
-    }
-
-    fn debt(&self, now_us: u64) -> i64 {
-        self.share.debt_at(now_us.saturating_sub(self.since_us))
+        (self.share.burst + self.share.debt) / RESERVE_DIVISOR * i64::from(rank.min(LAST_RANK))
     }
 
     fn is_small(&self, cost: i64) -> bool {
--- a/crates/serving/src/quota_keeper.rs
+++ b/crates/serving/src/quota_keeper.rs
@@ -33,7 +33,7 @@
     pub tenant: TenantName,
     /// Left, below 0 if it is in debt.
     pub level: i64,
-    /// May be owed now.
+    /// May be owed.
     pub debt: u64,
     /// Granted and not given back since this holder met the tenant.
     pub granted: u64,
@@ -119,8 +119,8 @@
     pub fn levels(&self, now_us: u64) -> Vec<TenantLevel> {
         let level = |(tenant, bucket): (&TenantName, &Bucket)| TenantLevel {
             tenant: tenant.clone(),
-            level: bucket.level_units(),
-            debt: bucket.debt_units(now_us),
+            level: bucket.level_at(now_us),
+            debt: bucket.debt_units(),
             granted: bucket.granted_units(),
             version: bucket.version(),
         };
--- a/crates/serving/src/quota_term.rs
+++ b/crates/serving/src/quota_term.rs
@@ -32,7 +32,7 @@
         self.valid_until_us = self.valid_until_us.max(valid_until(sent_at_us, ttl_us));
     }
 
-    /// When the term began, microseconds: a keeper's debt grows from here.
+    /// When the term began, microseconds: its buckets fill from here.
     pub fn started_at_us(&self) -> u64 {
         self.started_at_us
     }
