--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -5,6 +5,7 @@
 use pitchstall_serving::membership::Member;
 use pitchstall_serving::quarantine::CrashWord;
 use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn};
+use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -53,6 +54,9 @@
     /// Whether it may.
     #[serde(rename = "quota")]
     QuotaAnswer(QuotaAnswer),
+    /// This keeper has a question that was handed on to it.
+    #[serde(rename = "quota+")]
+    QuotaTaken(KeeperId),
     /// It has not begun.
     #[serde(rename = "quota-")]
     QuotaReturn(QuotaReturn),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -116,8 +116,11 @@
             PeerWord::Loads(word) => self.node.on_shard_loads(&word),
             PeerWord::UsageQuestion(question) => usage::on_question(&self.node, &question),
             PeerWord::Crash(word) => quarantine::on_word(&self.node, word),
-            PeerWord::QuotaQuestion(question) => quota::keeping::on_question(&self.node, &question),
+            PeerWord::QuotaQuestion(question) => {
+                quota::keeping::on_word(&self.node, &question, from)
+            }
             PeerWord::QuotaAnswer(answer) => quota::asking::on_answer(&self.node, &answer),
+            PeerWord::QuotaTaken(keeper) => quota::keeping::on_taken(&self.node, &keeper),
             PeerWord::QuotaReturn(word) => quota::keeping::on_return(&self.node, &word),
             PeerWord::Usage(word) => usage::on_word(&self.node, &word),
         }
--- a/crates/gateway/src/quota/holders.rs
+++ b/crates/gateway/src/quota/holders.rs
@@ -20,6 +20,9 @@
 /// Time without a word after which a keeper gets no question handed on by another one, which would not
 /// notice that it is lost: keepers send each other a digest a second.
 const IN_TOUCH_US: u64 = 2_500_000;
+/// Time within which a keeper says that it has a question that was handed on to it; after that none is
+/// handed on to it until it is heard of. Some ten times what a word takes, and less than askers wait.
+const HANDED_LIMIT_US: u64 = 20_000;
 /// Between two digests of a node, and what may be lost of them.
 const DIGEST_EVERY_US: u64 = 1_000_000;
 const DIGESTS_LOST: u64 = 3;
@@ -39,6 +42,8 @@
     pub heard_us: u64,
     missed_in_a_row: u32,
     passed_over_until_us: u64,
+    /// Since when a question was handed on to it without a word from it, microseconds.
+    handed_since_us: Option<u64>,
 }
 
 /// The holders that are known.
@@ -71,6 +76,7 @@
             Some(known) if known.revision == revision => {
                 known.address = address;
                 known.heard_us = now_us;
+                known.handed_since_us = None;
             }
             _ => {
                 let holder = Holder {
@@ -80,6 +86,7 @@
                     heard_us: now_us,
                     missed_in_a_row: 0,
                     passed_over_until_us: 0,
+                    handed_since_us: None,
                 };
                 self.by_keeper.insert(keeper.clone(), holder);
             }
@@ -121,8 +128,12 @@
 
     /// Whether a keeper may hand a question on to this one.
     pub fn is_in_touch(&self, keeper: &KeeperId, own: SocketAddr, now_us: u64) -> bool {
-        let is_heard =
-            |holder: &Holder| holder.address == own || now_us < holder.heard_us + IN_TOUCH_US;
+        let has_taken = |since_us: u64| now_us < since_us + HANDED_LIMIT_US;
+        let is_heard = |holder: &Holder| {
+            holder.address == own
+                || (now_us < holder.heard_us + IN_TOUCH_US
+                    && holder.handed_since_us.is_none_or(has_taken))
+        };
         self.asked_at(keeper, now_us).is_some() && self.by_keeper.get(keeper).is_some_and(is_heard)
     }
 
@@ -140,6 +151,21 @@
         heard_us.is_none_or(|heard_us| now_us < heard_us + silence_limit_us(nodes))
     }
 
+    /// A question is handed on to a keeper.
+    pub fn on_handed(&mut self, keeper: &KeeperId, now_us: u64) {
+        if let Some(holder) = self.by_keeper.get_mut(keeper) {
+            holder.handed_since_us.get_or_insert(now_us);
+        }
+    }
+
+    /// A keeper has a question that was handed on to it.
+    pub fn on_taken(&mut self, keeper: &KeeperId, now_us: u64) {
+        if let Some(holder) = self.by_keeper.get_mut(keeper) {
+            holder.heard_us = now_us;
+            holder.handed_since_us = None;
+        }
+    }
+
     /// A keeper has answered.
     pub fn on_answered(&mut self, keeper: &KeeperId, now_us: u64) {
         if let Some(holder) = self.by_keeper.get_mut(keeper) {
--- a/crates/gateway/src/quota/keeping.rs
+++ b/crates/gateway/src/quota/keeping.rs
@@ -6,8 +6,24 @@
 use crate::peer_words::PeerWord;
 use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn, QuotaVerdict};
 use pitchstall_serving::quota_keeper::KeeperReply;
+use pitchstall_serving::quota_slots::KeeperId;
 use std::net::SocketAddr;
 
+/// Takes in a question from another node, which hears at once that it has come if it handed it on:
+/// one that is lost on its way is noticed by nobody else.
+pub fn on_word(node: &Node, question: &QuotaQuestion, from: SocketAddr) {
+    if from != question.answer_to {
+        let word = PeerWord::QuotaTaken(question.keeper.clone());
+        node.scheduling.socket.send(&word, &[from]);
+    }
+    on_question(node, question);
+}
+
+/// A keeper has a question that this one handed on to it.
+pub fn on_taken(node: &Node, keeper: &KeeperId) {
+    node.quotas.holders.borrow_mut().on_taken(keeper, node.now_us());
+}
+
 /// Answers a question, or hands it on to another keeper of the tenant.
 pub fn on_question(node: &Node, question: &QuotaQuestion) {
     let now_us = node.now_us();
@@ -21,6 +37,7 @@
     match reply {
         Some(KeeperReply::HandOn(question)) => {
             node.metrics.quota.handed_on.inc();
+            node.quotas.holders.borrow_mut().on_handed(&question.keeper, now_us);
             deliver_question(node, question);
         }
         Some(KeeperReply::Answer(answer)) => {
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -393,3 +393,20 @@
     let metrics = get(node.health, "/metrics").text();
     assert!(metrics.contains("pitchstall_quota_units_total{tenant=\"taxis\"} 9020"), "{metrics}");
 }
+
+#[test]
+fn a_question_that_was_handed_on_to_a_dead_keeper_is_handed_on_to_it_no_more() {
+    let runner = desk();
+    let node = Fixture::start_with(QUOTA);
+    let dead = OtherKeeper::holding(&node, &[0]);
+    // Too little for one slot, so that each question is handed on.
+    node.store.put("op/config", &limited(3, &json!({ "rate_per_s": 1, "burst": 1 })));
+    node.add_runner(&runner, "desk", None);
+    node.wait_until_ready();
+    wait_for("the other keeper", || held(&node) == 1);
+    wait_for("a refusal", || send(&node, TAXIS, 1).status == 429);
+    drop(dead);
+    for number in 0..5 {
+        assert!(matches!(send(&node, TAXIS, number).status, 200 | 429));
+    }
+}
