--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and histograms in the text format of OpenMetrics.
 
+use crate::far_traffic::FarTraffic;
 use crate::quota::figures::QuotaFigures;
+use pitchstall_serving::scheduling::LeavingReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -18,6 +20,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a request that left its region.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LeavingLabels {
+    /// Why.
+    pub reason: &'static str,
+}
+
 /// All metrics of a node. Counters are shared with the registry, so counting costs no look-up.
 #[derive(Debug)]
 pub struct Metrics {
@@ -43,6 +52,8 @@
     pub placements_missed: Counter,
     /// Questions that were handed on to another shard's scheduler.
     pub placements_handed_on: Counter,
+    /// Requests for which another region's scheduler was asked.
+    pub left_region: Family<LeavingLabels, Counter>,
     /// Tenants' limits.
     pub quota: QuotaFigures,
     /// Calls to the store.
@@ -56,8 +67,9 @@
     registry: Registry,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Nothing counted; what goes to other regions is counted by the socket.
+    pub fn new(far_traffic: &FarTraffic) -> Self {
         const FIRST_BUCKET_S: f64 = 0.002;
         const BUCKETS: u16 = 14;
         let mut metrics = Self {
@@ -72,6 +84,7 @@
             placements_told: Counter::default(),
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
+            left_region: Family::default(),
             quota: QuotaFigures::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
@@ -80,11 +93,11 @@
             registry: Registry::with_prefix("pitchstall"),
         };
         metrics.register();
+        let help = "Bytes of words to nodes of other regions";
+        metrics.registry.register("far_bytes", help, far_traffic.bytes());
         metrics
     }
-}
 
-impl Metrics {
     fn register(&mut self) {
         let counters = [
             ("attempts", "Attempts sent to runners", &self.attempts),
@@ -119,6 +132,8 @@
         self.quota.register(&mut self.registry);
         let requests = self.requests.clone();
         self.registry.register("requests", "Finished requests by outcome", requests);
+        let left_region = self.left_region.clone();
+        self.registry.register("left_region", "Requests that left their region", left_region);
         let first_byte = self.first_byte.clone();
         let help = "Time to the first byte of an answer, seconds";
         self.registry.register("first_byte_seconds", help, first_byte);
@@ -129,6 +144,11 @@
         self.requests.get_or_create(&RequestLabels { outcome }).inc();
     }
 
+    /// Counts a request that left its region.
+    pub fn on_left_region(&self, reason: LeavingReason) {
+        self.left_region.get_or_create(&LeavingLabels { reason: reason.name() }).inc();
+    }
+
     /// All metrics as text.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -1,16 +1,21 @@
-//! Changes the roles of runners, while this node has the authority.
+//! Changes the roles of runners, while this node has the authority: where there are several regions,
+//! of those in its own region, under the subject of that region.
 //!
 //! What is ordered is decided in [`pitchstall_serving::role_planner`]. An order that was not
 //! answered may be carried out later: nothing else is ordered for a time.
 
+use crate::authority::{roles_holding, roles_subject, Holding};
 use crate::http::request::request_bytes;
 use crate::http::{BodyDecoder, Header, Upstream};
 use crate::node::Node;
 use pitchstall_platform_adapter::headers;
 use pitchstall_platform_adapter::paths::{self, OrderAnswer};
+use pitchstall_serving::authority::AuthoritySubject;
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::ids::ServiceName;
-use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
+use pitchstall_serving::role_planner::{
+    NothingOrdered, RoleChange, RoleDemand, RolePlan, RolePlanner, RolePolicy, RolesSeen,
+};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -26,18 +31,28 @@
 const CHANGING_US: u64 = 6_000_000;
 const MOST_REPORT_BYTES: usize = 1024 * 1024;
 
+/// Between two lines on what a service's planner saw when it ordered nothing.
+const LINE_EVERY_US: u64 = 1_000_000;
+
 struct Roles {
     node: Rc<Node>,
+    /// The subject under which this node may order.
+    subject: AuthoritySubject,
     planners: HashMap<ServiceName, RolePlanner>,
+    /// When a service's last line was written.
+    lines: HashMap<ServiceName, u64>,
 }
 
 /// Orders role changes whenever this node may, until the task is dropped.
 pub async fn order_changes(node: Rc<Node>) {
-    let mut roles = Roles { node, planners: HashMap::new() };
+    let subject = roles_subject(&node);
+    let mut roles = Roles { node, subject, planners: HashMap::new(), lines: HashMap::new() };
     loop {
         sleep(PLAN_EVERY).await;
-        if roles.node.authority.fence().is_none() {
-            // What was seen in an earlier term says nothing about the next.
+        let subject = roles_subject(&roles.node);
+        let is_other = std::mem::replace(&mut roles.subject, subject) != roles.subject;
+        if is_other || roles.holding().fence().is_none() {
+            // What was seen in an earlier term, or of other runners, says nothing about the next.
             roles.planners.clear();
             continue;
         }
@@ -46,28 +61,69 @@
 }
 
 impl Roles {
+    fn holding(&self) -> &Holding {
+        roles_holding(&self.node, &self.subject)
+    }
+
     async fn plan(&mut self) {
         for (service, engine) in self.node.engine_services() {
-            let changes = self.due_changes(&service, &engine);
+            let Some(plan) = self.look(&service, &engine) else { continue };
+            let changes = match plan.decision {
+                Ok(_) if self.fence_now().is_none() => {
+                    // The planner's pressure goes on: orders follow when the term allows them.
+                    self.log_nothing(&service, &plan.seen, "authority not ready");
+                    continue;
+                }
+                Ok(changes) => changes,
+                Err(NothingOrdered::NoPressure) => continue,
+                Err(reason) => {
+                    self.log_nothing(&service, &plan.seen, reason.name());
+                    continue;
+                }
+            };
+            log_seen(&service, &plan.seen, changes.len());
             for change in &changes {
                 self.order(change).await;
             }
-            if let Some(planner) = self.planners.get_mut(&service).filter(|_| !changes.is_empty()) {
+            if let Some(planner) = self.planners.get_mut(&service) {
                 planner.on_ordered(self.node.now_us());
             }
         }
     }
 
-    fn due_changes(&mut self, service: &ServiceName, engine: &EngineSpec) -> Vec<RoleChange> {
+    /// Says what a planner saw under pressure and why it ordered nothing.
+    fn log_nothing(&mut self, service: &ServiceName, seen: &RolesSeen, reason: &str) {
+        let now_us = self.node.now_us();
+        let last_us = self.lines.get(service).copied();
+        if last_us.is_some_and(|last_us| now_us < last_us + LINE_EVERY_US) {
+            return;
+        }
+        self.lines.insert(service.clone(), now_us);
+        let RolesSeen { prefill, decode, .. } = *seen;
+        let needed = seen.readers_needed.round() as u64;
+        let [wait, late, occupancy, memory] = percents(seen);
+        let service = service.as_str();
+        log::info!(
+            target: "authority",
+            service, reason, wait, late, occupancy, memory, prefill, decode, needed; "nothing ordered"
+        );
+    }
+
+    /// `None` for a service for which the configuration names no target.
+    fn look(&mut self, service: &ServiceName, engine: &EngineSpec) -> Option<RolePlan> {
         let configuration = self.node.configuration();
-        let target_ms = configuration.and_then(|it| it.shortest_target_ms(service));
-        let Some(target_ms) = target_ms else { return Vec::new() };
-        let demand = RoleDemand { service, engine, target_ms: target_ms as f64 };
+        let target_ms = configuration.and_then(|it| it.shortest_target_ms(service))?;
+        let demand = RoleDemand {
+            service,
+            engine,
+            target_ms: target_ms as f64,
+            region: self.subject.region(),
+        };
         let now_us = self.node.now_us();
         let new_planner = || RolePlanner::new(RolePolicy::default());
         let planner = self.planners.entry(service.clone()).or_insert_with(new_planner);
         let fleet = self.node.fleet.borrow();
-        self.node.with_pace(service, |pace| planner.plan(&fleet, pace, &demand, now_us))
+        Some(self.node.with_pace(service, |pace| planner.plan(&fleet, pace, &demand, now_us)))
     }
 
     async fn order(&mut self, change: &RoleChange) {
@@ -89,7 +145,7 @@
 
     /// The fencing token, while orders may be given.
     fn fence_now(&self) -> Option<u64> {
-        self.node.authority.fence_to_order(self.node.now_us())
+        self.holding().fence_to_order(self.node.now_us())
     }
 
     async fn send_order(
@@ -111,12 +167,30 @@
         let (status, _) = call_runner(record, "POST", paths::ORDER, &order).await?;
         let answer = paths::parse_order_status(status);
         if answer == Some(OrderAnswer::Outdated) {
-            self.node.authority.on_refused(fence);
+            self.holding().on_refused(fence);
         }
         answer
     }
 }
 
+/// Wait, late work, slots and memory in use, each in hundredths.
+fn percents(seen: &RolesSeen) -> [u64; 4] {
+    let percent = |share: f64| (share * 100.0).round() as u64;
+    [seen.wait, seen.late, seen.occupancy, seen.memory].map(percent)
+}
+
+/// Says what a planner saw when it orders changes.
+fn log_seen(service: &ServiceName, seen: &RolesSeen, changes: usize) {
+    let RolesSeen { prefill, decode, .. } = *seen;
+    let needed = seen.readers_needed.round() as u64;
+    let [wait, late, occupancy, memory] = percents(seen);
+    let service = service.as_str();
+    log::info!(
+        target: "authority",
+        service, changes, wait, late, occupancy, memory, prefill, decode, needed; "ordering changes"
+    );
+}
+
 async fn call_runner(
     record: &RunnerRecord,
     method: &str,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,8 @@
 //! | [`ids`] | nothing: the types of identifiers |
 //! | [`configuration`] | what the operators have put in force |
 //! | [`topology`] | which zones belong to one region |
+//! | [`distance`] | how far zones are from each other |
+//! | [`regions`] | when a request leaves its region |
 //! | [`routing`] | which route and which service a request belongs to |
 //! | [`prefix`] | which parts of a prompt requests share |
 //! | [`request`] | what of a request and an answer matters to a node |
@@ -42,12 +44,14 @@
 //! | [`attempt`] | what a failed attempt proves, and the final answer that follows |
 //! | [`event_stream`] | which bytes of a stream may be forwarded, and where it can go on |
 
+mod asked_rate;
 pub mod attempt;
 pub mod authority;
 pub mod capacity_planner;
 pub mod configuration;
 pub mod crash_evidence;
 pub mod digest;
+pub mod distance;
 pub mod event_stream;
 pub mod failure_rate;
 pub mod fleet;
@@ -70,11 +74,13 @@
 pub mod quota_term;
 pub mod quota_turns;
 pub mod read_pace;
+pub mod regions;
 pub mod request;
 pub mod request_identity;
 pub mod reservations;
 pub mod retry_budget;
 pub mod role_planner;
+mod role_view;
 pub mod routing;
 pub mod runner;
 pub mod scheduler;
