--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -6,6 +6,7 @@
 use pitchstall_serving::membership::Member;
 use pitchstall_serving::quarantine::CrashWord;
 use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn};
+use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::regions::RegionLoads;
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
@@ -58,6 +59,9 @@
     /// Whether it may.
     #[serde(rename = "quota")]
     QuotaAnswer(QuotaAnswer),
+    /// This keeper has a question that was handed on to it.
+    #[serde(rename = "quota+")]
+    QuotaTaken(KeeperId),
     /// It has not begun.
     #[serde(rename = "quota-")]
     QuotaReturn(QuotaReturn),
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -393,3 +393,30 @@
     let metrics = get(node.health, "/metrics").text();
     assert!(metrics.contains("pitchstall_quota_units_total{tenant=\"taxis\"} 9020"), "{metrics}");
 }
+
+#[test]
+fn a_keeper_hands_nothing_on_to_one_that_does_not_say_that_it_has_it() {
+    let runner = desk();
+    let node = Fixture::start_with(QUOTA);
+    let silent = OtherKeeper::holding(&node, &[0]);
+    limit_of_fifty(&node, &runner);
+    wait_for("the other keeper", || held(&node) == 1);
+    let asker = OtherKeeper::holding(&node, &[]);
+    // More than the keeper ever has room for.
+    let ask = |number: u64| {
+        let question = json!({ "quota?": {
+            "i": { "f": 1, "k": number }, "a": asker.socket.local_addr().unwrap().to_string(),
+            "t": "taxis", "l": { "r": 50, "b": 50, "u": "r", "p": 0 }, "v": 3, "c": 10_000, "k": 0,
+            "e": { "z": "", "n": 1 },
+        } });
+        asker.socket.send_to(question.to_string().as_bytes(), node.peers).unwrap();
+    };
+    ask(1);
+    let (_, handed_on) = silent.word("quota?");
+    assert_eq!(handed_on["i"]["k"], 1);
+    std::thread::sleep(Duration::from_millis(50));
+    ask(2);
+    let (_, answer) = asker.word("quota");
+    assert_eq!(answer["i"]["k"], 2);
+    assert!(answer["d"]["r"]["w"].as_u64().unwrap() > 0, "{answer}");
+}
