--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -129,7 +129,7 @@
 }
 
 /// The regions of the zones, as the settings tell them.
-fn topology_of(settings: &Settings) -> Topology {
+pub fn topology_of(settings: &Settings) -> Topology {
     let regions = settings.node.regions.iter();
     Topology::new(regions.map(|(zone, region)| (ZoneId::new(zone), RegionId::new(region))))
 }
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -86,6 +86,7 @@
             Self::Crash(_) => "crash",
             Self::QuotaQuestion(_) => "quota_question",
             Self::QuotaAnswer(_) => "quota_answer",
+            Self::QuotaTaken(_) => "quota_taken",
             Self::QuotaReturn(_) => "quota_return",
             Self::Usage(_) => "usage",
         }
--- a/crates/gateway/src/quota/asking.rs
+++ b/crates/gateway/src/quota/asking.rs
@@ -1,8 +1,8 @@
 //! Has runs paid for by the tenant's keepers before they are sent.
 
 use super::keeping;
-use super::{bounds, own_address, topology};
-use crate::node::Node;
+use super::{bounds, own_address};
+use crate::node::{topology_of, Node};
 use crate::peer_words::PeerWord;
 use pitchstall_serving::quota::{
     QuotaAnswer, QuotaQuestion, QuotaReturn, QuotaVerdict, TenantLimit,
@@ -224,7 +224,7 @@
     let mut desk = node.quotas.desk.borrow_mut();
     let new_desk = || {
         let settings = node.settings();
-        let (bounds, topology) = (bounds(&settings), topology(&settings));
+        let (bounds, topology) = (bounds(&settings), topology_of(&settings));
         QuotaDesk::new(node.zone.clone(), settings.listen.peers, bounds, topology)
     };
     use_desk(desk.get_or_insert_with(new_desk), node.now_us())
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -24,12 +24,11 @@
 use crate::node::Node;
 use crate::settings::Settings;
 use pitchstall_serving::digest::KeptSlot;
-use pitchstall_serving::ids::{NodeId, RegionId, ZoneId};
+use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::quota::QuotaBounds;
 use pitchstall_serving::quota_desk::QuotaDesk;
 use pitchstall_serving::quota_keeper::Keeper;
 use pitchstall_serving::quota_slots::KeeperId;
-use pitchstall_serving::topology::Topology;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -131,11 +130,6 @@
     QuotaBounds { window_us, overage: section.overage, slack: section.slack }
 }
 
-fn topology(settings: &Settings) -> Topology {
-    let regions = settings.node.regions.iter();
-    Topology::new(regions.map(|(zone, region)| (ZoneId::new(zone), RegionId::new(region))))
-}
-
 /// Where other nodes reach this one.
 fn own_address(node: &Node) -> SocketAddr {
     node.settings().listen.peers
--- a/crates/gateway/src/quota/slots.rs
+++ b/crates/gateway/src/quota/slots.rs
@@ -1,8 +1,8 @@
 //! Takes keepers that nobody holds, by keys of the store under this node's registration, and gives
 //! them up when it stops or no tenant has a limit.
 
-use super::{bounds, has_limits, own_address, topology, RegistrationLease};
-use crate::node::Node;
+use super::{bounds, has_limits, own_address, RegistrationLease};
+use crate::node::{topology_of, Node};
 use crate::platform_client::PlatformClient;
 use pitchstall_platform_adapter::quota_slots::{self, KeeperHolder};
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -53,7 +53,7 @@
         if self.read_under != Some(lease.id) && !self.read_holders(lease).await {
             return;
         }
-        let topology = topology(&self.node.settings());
+        let topology = topology_of(&self.node.settings());
         for keeper in all_keepers(&topology) {
             if self.node.quotas.keepers.borrow().contains_key(&keeper) {
                 continue;
@@ -159,7 +159,7 @@
         let now_us = self.node.now_us();
         let term = KeeperTerm::new(revision, now_in_force.renewed_us, now_us, now_in_force.ttl_us);
         let settings = self.node.settings();
-        let held = Keeper::new(keeper.clone(), term, bounds(&settings), topology(&settings));
+        let held = Keeper::new(keeper.clone(), term, bounds(&settings), topology_of(&settings));
         let quotas = &self.node.quotas;
         quotas.keepers.borrow_mut().insert(keeper.clone(), held);
         let mut holders = quotas.holders.borrow_mut();
