Shared parts are taken over from another region where that costs less than reading them again

Change: schedulers tell those of other regions which runners have read shared parts; a runner takes them over if the move, by the engine's link, takes no longer than 1.5 times reading them.

--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -5,6 +5,7 @@
 use crate::clock::Instant;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
+use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Scope};
 use pitchstall_serving::placement::{choose_worker, Choice, Demand, ReadingPlan};
 use pitchstall_serving::request::Work;
@@ -53,6 +54,7 @@
             prompt: &self.prompt,
             zone: &self.node.zone,
             cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
+            region_move_ms: self.engine.as_ref().and_then(EngineSpec::region_move_ms),
             now_us: self.node.now_us(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod dispatch;
 pub mod entries;
 pub mod far_traffic;
+pub mod held_parts;
 pub mod http;
 pub mod intake;
 pub mod json_lines;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -256,10 +256,22 @@
 
     /// Prompt tokens that the KV cache of a service's runner holds.
     pub fn cache_tokens(&self, service: &ServiceName) -> u64 {
+        self.with_engine(service, |engine| engine.kv_tokens).unwrap_or_default()
+    }
+
+    /// Time that a move of KV cache between regions takes, milliseconds a token; `None`: not told.
+    pub fn region_move_ms(&self, service: &ServiceName) -> Option<f64> {
+        self.with_engine(service, EngineSpec::region_move_ms).flatten()
+    }
+
+    fn with_engine<R>(
+        &self,
+        service: &ServiceName,
+        use_engine: impl FnOnce(&EngineSpec) -> R,
+    ) -> Option<R> {
         let configuration = self.configuration.borrow();
         let services = configuration.as_ref().map(|configuration| &configuration.services);
-        let engine = services.and_then(|services| services.get(service)?.engine.as_ref());
-        engine.map_or(0, |engine| engine.kv_tokens)
+        services.and_then(|services| services.get(service)?.engine.as_ref()).map(use_engine)
     }
 
     /// Whether new requests may go to a runner, as far as this node knows.
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -7,7 +7,7 @@
 use pitchstall_serving::quarantine::CrashWord;
 use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn};
 use pitchstall_serving::quota_slots::KeeperId;
-use pitchstall_serving::regions::RegionLoads;
+use pitchstall_serving::regions::{PartsRead, RegionLoads};
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -47,6 +47,9 @@
     /// What the runners of a region have to do.
     #[serde(rename = "region")]
     RegionLoads(RegionLoads),
+    /// Shared parts of prompts that runners of a region have read.
+    #[serde(rename = "parts")]
+    PartsRead(Vec<PartsRead>),
     /// How many requests of each tenant began?
     #[serde(rename = "usage?")]
     UsageQuestion(UsageQuestion),
@@ -82,6 +85,7 @@
             Self::Progress(_) => "progress",
             Self::Loads(_) => "loads",
             Self::RegionLoads(_) => "region_loads",
+            Self::PartsRead(_) => "parts_read",
             Self::UsageQuestion(_) => "usage_question",
             Self::Crash(_) => "crash",
             Self::QuotaQuestion(_) => "quota_question",
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -4,6 +4,7 @@
 //! [`crate::shard_scheduler`]. Words are datagrams: one that is lost is not sent again.
 
 use crate::clock::Instant;
+use crate::held_parts::UntoldReadings;
 use crate::node::Node;
 use crate::peer_words::{PeerSocket, PeerWord};
 use pitchstall_serving::fleet::{Eligible, Scope};
@@ -108,6 +109,8 @@
     missed: RefCell<HashMap<NodeId, Missed>>,
     /// What this node has set aside at the runners that it schedules.
     pub(crate) reservations: RefCell<Reservations>,
+    /// Readings that other regions are still to be told of.
+    pub(crate) untold_readings: UntoldReadings,
     /// What other regions have to do.
     pub(crate) backlogs: RefCell<RegionBacklogs>,
 }
@@ -122,6 +125,7 @@
             waiting: RefCell::default(),
             missed: RefCell::default(),
             reservations: RefCell::default(),
+            untold_readings: UntoldReadings::default(),
             backlogs: RefCell::default(),
         }
     }
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -4,6 +4,7 @@
 //! What is decided stands in [`pitchstall_serving::scheduler`], what is set aside in
 //! [`pitchstall_serving::reservations`].
 
+use crate::held_parts;
 use crate::node::Node;
 use crate::peer_words::PeerWord;
 use crate::scheduling::{choose_here, elsewhere, named, scheduler_of, PlacementDemand};
@@ -50,6 +51,7 @@
             prompt: &prompt,
             zone: &question.zone,
             cache_tokens: node.cache_tokens(&question.service),
+            region_move_ms: node.region_move_ms(&question.service),
             now_us: node.now_us(),
         },
         target_ms: question.target_ms,
@@ -146,12 +148,16 @@
 fn on_read(node: &Node, read: Reservation, elapsed_ms: u64) {
     let is_apart = read.writer.is_some();
     node.on_progress(&read.reader.runner);
+    let tokens = read.reader.demand.unread_tokens + read.reader.demand.late_tokens;
+    // What it held, or took over, is known where it was read.
+    if tokens >= read.shared_parts.iter().map(|part| part.tokens).sum() {
+        held_parts::on_read(node, &read.reader.runner, &read.shared_parts);
+    }
     node.on_parts_held(&read.reader.runner, &read.shared_parts);
     if let Some(writer) = &read.writer {
         node.on_parts_held(&writer.runner, &read.shared_parts);
     }
     if is_apart {
-        let tokens = read.reader.demand.unread_tokens + read.reader.demand.late_tokens;
         let met_no_queue = read.met_no_queue;
         let sample = ReadSample { tokens, elapsed_ms: elapsed_ms as f64, met_no_queue };
         node.with_pace(&read.service, |pace| pace.on_read(sample));
@@ -198,6 +204,7 @@
         if word % WORDS_A_REGION_WORD == 0 {
             tell_region_load(&node);
         }
+        held_parts::tell(&node);
         if node.scheduling.reservations.borrow().is_empty() {
             continue;
         }
@@ -225,12 +232,8 @@
 /// it for the region: the scheduler of its first shard.
 fn tell_region_load(node: &Node) {
     let region = node.region();
-    let others: BTreeSet<RegionId> = {
-        let regions = node.members.borrow().regions();
-        regions.into_iter().filter(|other| *other != region).collect()
-    };
     let is_first = |shard: &Shard| shard.region == region && shard.number == 0;
-    if others.is_empty() || !own_shards(node).iter().any(is_first) {
+    if !node.members.borrow().has_other_regions() || !own_shards(node).iter().any(is_first) {
         return;
     }
     let now_us = node.now_us();
@@ -242,10 +245,18 @@
         };
         engines.iter().filter_map(|(service, _)| load(service)).collect()
     };
-    let mut to: Vec<SocketAddr> =
-        others.iter().flat_map(|other| schedulers_of(node, other)).collect();
-    to.sort();
-    to.dedup();
+    let to = schedulers_of_other_regions(node);
     let word = PeerWord::RegionLoads(RegionLoads { region, services });
     node.scheduling.socket.send(&word, &to);
 }
+
+/// The nodes that schedule shards of other regions than this node's.
+pub fn schedulers_of_other_regions(node: &Node) -> Vec<SocketAddr> {
+    let own = node.region();
+    let regions = node.members.borrow().regions();
+    let others = regions.iter().filter(|region| **region != own);
+    let mut all: Vec<SocketAddr> = others.flat_map(|other| schedulers_of(node, other)).collect();
+    all.sort();
+    all.dedup();
+    all
+}
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -109,6 +109,25 @@
     pub kv_tokens: u64,
     /// Seconds that a prompt's handle is kept.
     pub handle_ttl_s: f64,
+    /// Bytes of KV cache of a token; 0: not told.
+    pub token_bytes: u64,
+    /// Bandwidth of a runner's link for KV cache, megabits a second; 0: not told.
+    pub move_mbps: f64,
+}
+
+impl EngineSpec {
+    /// How many times as long as inside a zone a move of KV cache between regions takes, by the
+    /// platform's interface.
+    const REGION_MOVE: f64 = 10.0;
+
+    /// Time that a move of KV cache between regions takes, milliseconds a token; `None`: not told.
+    pub fn region_move_ms(&self) -> Option<f64> {
+        const BITS_A_BYTE: f64 = 8.0;
+        const BITS_A_MS_OF_MBPS: f64 = 1_000.0;
+        let bits = self.token_bytes as f64 * BITS_A_BYTE;
+        let is_told = bits > 0.0 && self.move_mbps > 0.0;
+        is_told.then(|| bits / (self.move_mbps * BITS_A_MS_OF_MBPS) * Self::REGION_MOVE)
+    }
 }
 
 /// Limits on what clients may send.
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -82,6 +82,12 @@
         self.zones().into_iter().map(|zone| self.topology.region_of(zone)).collect()
     }
 
+    /// Whether there are nodes in another region than this node's.
+    pub fn has_other_regions(&self) -> bool {
+        let own_zone = &self.own().zone;
+        self.members.values().any(|member| !self.topology.is_one_region(&member.zone, own_zone))
+    }
+
     /// How many nodes a region has.
     pub fn count_in(&self, region: &RegionId) -> usize {
         let zones = self.members.values().map(|member| &member.zone);
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -4,7 +4,7 @@
 //! hashing), so the KV cache of the parts is read once and used by all. A home that is busy
 //! for longer than reading the parts again takes gives way to another runner.
 
-use crate::fleet::{Eligible, Fleet};
+use crate::fleet::{Eligible, Fleet, Scope};
 use crate::ids::{RunnerId, ZoneId};
 use crate::prefix::{rendezvous_weight, Prompt};
 use crate::read_pace::ReadPace;
@@ -21,6 +21,9 @@
     pub zone: &'a ZoneId,
     /// Tokens of KV cache that a runner has.
     pub cache_tokens: u64,
+    /// Time that a move of KV cache between regions takes, milliseconds a token; `None`: nothing
+    /// is taken over from another region.
+    pub region_move_ms: Option<f64>,
     /// Now, microseconds of a steady clock.
     pub now_us: u64,
 }
@@ -102,6 +105,10 @@
 const FETCH_TOKEN_MS: f64 = 0.004;
 /// A move between zones counts as so many moves inside one.
 const FAR_MOVE: f64 = 3.0;
+/// Shared parts are taken over from another region if that takes no longer than so many times what
+/// reading them again does: a reading keeps the runner from others and is paid for by the token, a
+/// move takes its link alone.
+const READ_AGAIN_COST: f64 = 1.5;
 /// Milliseconds that each running request counts as when a decode runner is chosen.
 const DECODE_BUSY_MS: f64 = 4.0;
 /// Share of a decode runner's memory above which it counts as short of it.
@@ -202,6 +209,8 @@
     writing_home: Option<&'a RunnerId>,
     /// The runner that holds most of the shared parts.
     source: Option<&'a Runner>,
+    /// The runner of another region that holds more of them than that.
+    far_source: Option<&'a Runner>,
 }
 
 impl<'a> PromptView<'a> {
@@ -214,22 +223,46 @@
         let (readers, writers) = by_stage(candidates);
         let holders = candidates.iter().copied();
         let source = holders.max_by_key(|runner| runner.cached_tokens(demand.prompt));
+        let source = source.filter(|runner| runner.cached_tokens(demand.prompt) > 0);
         Self {
             fleet,
             pace,
             demand,
             reading_home: home_of(&readers, demand.prompt),
             writing_home: home_of(&writers, demand.prompt),
-            source: source.filter(|runner| runner.cached_tokens(demand.prompt) > 0),
+            source,
+            far_source: far_source(fleet, demand, source),
         }
     }
 
-    /// The runner from which another takes over parts that it does not hold.
+    /// The runner from which another takes over parts that it does not hold: one of the candidates
+    /// or, if that gains more and is worth the way, one of another region.
     fn source_for(&self, runner: &Runner) -> Option<&'a Runner> {
-        let source = self.source?;
         let held = runner.cached_tokens(self.demand.prompt);
-        let gained = source.cached_tokens(self.demand.prompt).saturating_sub(held);
-        (gained >= LEAST_FETCH_TOKENS).then_some(source)
+        let gains = |source: &&Runner, held: u64| {
+            let gained = source.cached_tokens(self.demand.prompt).saturating_sub(held);
+            gained >= LEAST_FETCH_TOKENS
+        };
+        let near = self.source.filter(|source| gains(source, held));
+        let held_near = near.map_or(held, |source| source.cached_tokens(self.demand.prompt));
+        let far = self.far_source.filter(|source| gains(source, held_near));
+        far.filter(|source| self.is_worth_the_way(source, runner)).or(near)
+    }
+
+    /// Whether parts are better taken over from another region than read again.
+    fn is_worth_the_way(&self, source: &Runner, runner: &Runner) -> bool {
+        let held = runner.cached_tokens(self.demand.prompt);
+        let moved = source.cached_tokens(self.demand.prompt).saturating_sub(held) as f64;
+        self.region_fetch_ms(source, runner) <= self.pace.read_ms(moved) * READ_AGAIN_COST
+    }
+
+    /// Time in which parts are taken over from a runner of another region.
+    fn region_fetch_ms(&self, source: &Runner, runner: &Runner) -> f64 {
+        let held = runner.cached_tokens(self.demand.prompt);
+        let moved = source.cached_tokens(self.demand.prompt).saturating_sub(held) as f64;
+        let (from, to) = (&source.record.zone, &runner.record.zone);
+        let way_ms = self.fleet.round_trip_ms(from, to, self.demand.now_us);
+        way_ms + moved * self.demand.region_move_ms.unwrap_or(f64::INFINITY)
     }
 
     /// Tokens that a runner has to read, once it has taken over what another holds.
@@ -255,6 +288,9 @@
     /// What taking over shared parts counts as.
     fn fetch_ms(&self, runner: &Runner) -> f64 {
         let Some(source) = self.source_for(runner) else { return 0.0 };
+        if source.region != runner.region {
+            return self.region_fetch_ms(source, runner);
+        }
         let held = runner.cached_tokens(self.demand.prompt);
         let moved = source.cached_tokens(self.demand.prompt).saturating_sub(held);
         let far = if source.record.zone == runner.record.zone { 1.0 } else { FAR_MOVE };
@@ -321,6 +357,25 @@
     }
 }
 
+/// The runner of another region than the asking node's that holds most of a prompt's shared parts,
+/// if it holds more than `near`. Policies on zones bind it as they bind who reads.
+fn far_source<'a>(
+    fleet: &'a Fleet,
+    demand: &Demand<'_>,
+    near: Option<&Runner>,
+) -> Option<&'a Runner> {
+    demand.region_move_ms?;
+    let held_near = near.map_or(0, |runner| runner.cached_tokens(demand.prompt));
+    if held_near >= demand.prompt.shared_tokens() {
+        return None;
+    }
+    let eligible = Eligible { scope: Scope::Everywhere, excluded: &[], ..demand.eligible };
+    let holders = fleet.candidates(&eligible, demand.now_us).into_iter();
+    let far = holders.filter(|runner| !fleet.topology().is_in(demand.zone, &runner.region));
+    let most = far.max_by_key(|runner| runner.cached_tokens(demand.prompt))?;
+    (most.cached_tokens(demand.prompt) > held_near).then_some(most)
+}
+
 /// What a runner's distance from a zone counts as: the way there and back, as far as it is longer
 /// than inside the zone, and dearer bytes.
 fn distance_ms(fleet: &Fleet, runner: &Runner, zone: &ZoneId, now_us: u64) -> f64 {
--- a/crates/serving/src/regions.rs
+++ b/crates/serving/src/regions.rs
@@ -7,8 +7,9 @@
 //! two regions never send each other their requests.
 
 use crate::fleet::{Eligible, Fleet, Scope};
-use crate::ids::{RegionId, ServiceName, ZoneId};
+use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use crate::placement::Demand;
+use crate::prefix::PromptPart;
 use crate::read_pace::ReadPace;
 use crate::runner::{Runner, Stage};
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,34 @@
     pub occupancy: u32,
 }
 
+/// A runner has read shared parts of prompts: others may take them over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsRead {
+    /// The runner.
+    #[serde(rename = "r")]
+    pub runner: RunnerId,
+    /// The parts, identity and tokens, in the order in which they stand in a prompt.
+    #[serde(rename = "p")]
+    pub parts: Vec<(u64, u64)>,
+}
+
+impl PartsRead {
+    /// A runner has read these parts.
+    pub fn new(runner: &RunnerId, parts: &[PromptPart]) -> Self {
+        let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
+        Self { runner: runner.clone(), parts }
+    }
+
+    /// The parts.
+    pub fn parts(&self) -> Vec<PromptPart> {
+        self.parts.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect()
+    }
+}
+
+/// Shared tokens of a prompt from which on other regions are told who has read them: below, reading
+/// them again takes less time than a round trip between regions, at the users' engines.
+pub const LEAST_TOLD_TOKENS: u64 = 4_000;
+
 /// A region's word on its load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegionLoads {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -166,6 +166,7 @@
             prompt: &self.prompt,
             zone: &self.zone,
             cache_tokens: CACHE_TOKENS,
+            region_move_ms: None,
             now_us: 1_000,
         }
     }
--- a/crates/serving/tests/regions.rs
+++ b/crates/serving/tests/regions.rs
@@ -88,6 +88,7 @@
             prompt: &self.prompt,
             zone: &self.zone,
             cache_tokens: 400_000,
+            region_move_ms: None,
             now_us: SECOND,
         }
     }
--- a/crates/serving/tests/role_view.rs
+++ b/crates/serving/tests/role_view.rs
@@ -44,7 +44,8 @@
 }
 
 fn look(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> RolePlan {
-    let engine = EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0 };
+    let engine =
+        EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0, ..EngineSpec::default() };
     let service = ServiceName::new("llm");
     let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0, region: None };
     planner.plan(fleet, &ReadPace::default(), &demand, now_us)
@@ -214,7 +215,8 @@
         fleet.put(RunnerRecord { id, zone: ZoneId::new(zone), stage: Some(stage), ..record });
     }
     let here = RegionId::new("here");
-    let engine = EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0 };
+    let engine =
+        EngineSpec { slots: SLOTS, kv_tokens: 100_000, handle_ttl_s: 5.0, ..EngineSpec::default() };
     let service = ServiceName::new("llm");
     let region = Some(&here);
     let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0, region };
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -88,7 +88,8 @@
 }
 
 fn plan_all(planner: &mut RolePlanner, fleet: &Fleet, now_us: u64) -> Vec<RoleChange> {
-    let engine = EngineSpec { slots: 8, kv_tokens: 100_000, handle_ttl_s: 5.0 };
+    let engine =
+        EngineSpec { slots: 8, kv_tokens: 100_000, handle_ttl_s: 5.0, ..EngineSpec::default() };
     let service = ServiceName::new("llm");
     let demand = RoleDemand { service: &service, engine: &engine, target_ms: 500.0, region: None };
     planner.plan(fleet, &ReadPace::default(), &demand, now_us).changes()
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -237,6 +237,7 @@
             prompt: &prompt,
             zone: &zone,
             cache_tokens: 900_000,
+            region_move_ms: None,
             now_us: self.now_us,
         };
         let due = Due { target_ms: TARGET_MS as f64, elapsed_ms: 0.0 };
@@ -327,7 +328,12 @@
                 scheduler.fleet.on_shard_loads(shard, loads, now_us);
             }
         }
-        let engine = EngineSpec { slots: SLOTS, kv_tokens: 900_000, handle_ttl_s: 5.0 };
+        let engine = EngineSpec {
+            slots: SLOTS,
+            kv_tokens: 900_000,
+            handle_ttl_s: 5.0,
+            ..EngineSpec::default()
+        };
         let service = service();
         let demand = RoleDemand {
             service: &service,
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -169,6 +169,7 @@
             prompt: &prompt,
             zone: &zone,
             cache_tokens: 400_000,
+            region_move_ms: None,
             now_us,
         };
         let shards = match self.placer {
@@ -329,6 +330,7 @@
         prompt: &prompt,
         zone: &question.zone,
         cache_tokens: 400_000,
+        region_move_ms: None,
         now_us: 0,
     };
     let due = Due { target_ms: TARGET_MS as f64, elapsed_ms: 0.0 };
