--- a/crates/serving/tests/runner_pace.rs
+++ b/crates/serving/tests/runner_pace.rs
@@ -218,6 +218,7 @@
             prompt: &prompt,
             zone: &ZoneId::new("north"),
             cache_tokens: 10_000_000,
+            region_move_ms: None,
             now_us,
         };
         let plan = plan_reading(&self.fleet, &self.pace, &demand).unwrap();
