--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -22,7 +22,7 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Time for which a connection may rest between questions.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
-/// Time to open a connection to another node. Nodes are at most some milliseconds away; one that
+/// Time to open a connection to another node. Nodes are at most tens of milliseconds away; one that
 /// takes longer is cut off or has stopped, and another can be asked.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Time for an answer beyond the wait that the question names: the copy may be some hundred
--- a/crates/gateway/src/verification.rs
+++ b/crates/gateway/src/verification.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Time to open a connection to a runner. Runners are near; one that takes longer is full,
+/// Time to open a connection to a runner. Runners are tens of milliseconds away at most; one that takes longer is full,
 /// dark or cut off, and another may be tried since nothing has been sent.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// A look that took so many times its limit was held up by the node itself.
