Keepers that are gone for good are asked seldom

Change: passing over doubles up to 8 s while answers are missed in a row and ends with a word of the holder's own; the store's word that it holds the key no longer counts as one.

--- a/crates/gateway/src/quota/holders.rs
+++ b/crates/gateway/src/quota/holders.rs
@@ -15,6 +15,8 @@
 /// schedulers of shards.
 const MOST_MISSED: u32 = 2;
 const PASSED_OVER_US: u64 = 2_000_000;
+/// Each further one doubles that, so many times: a machine that is gone for good is asked seldom.
+const MOST_DOUBLINGS: u32 = 2;
 /// Time for which one that says that it is no keeper is passed over.
 const NO_KEEPER_US: u64 = 500_000;
 /// Time without a word after which a keeper gets no question handed on by another one, which would not
@@ -38,8 +40,10 @@
     pub address: SocketAddr,
     /// The store's revision at which it took the keeper.
     pub revision: u64,
-    /// When it was heard of last, microseconds.
+    /// When it was heard from last, or first told of by the store, microseconds.
     pub heard_us: u64,
+    /// When it was last told by anybody that it holds the keeper, microseconds.
+    confirmed_us: u64,
     missed_in_a_row: u32,
     passed_over_until_us: u64,
     /// Since when a question was handed on to it without a word from it, microseconds.
@@ -61,7 +65,27 @@
 }
 
 impl Holders {
-    /// A node was told, by its own word or by the store, to hold a keeper.
+    /// A node holds a keeper, by its own word.
+    pub fn on_own_word(
+        &mut self,
+        keeper: &KeeperId,
+        node: &NodeId,
+        address: SocketAddr,
+        revision: u64,
+        now_us: u64,
+    ) {
+        self.learn(keeper, node, address, revision, now_us);
+        let known = self.by_keeper.get_mut(keeper).filter(|known| known.revision == revision);
+        if let Some(known) = known {
+            known.address = address;
+            known.heard_us = now_us;
+            known.handed_since_us = None;
+            // It may have been frozen or cut off; one more miss passes it over again.
+            known.passed_over_until_us = 0;
+        }
+    }
+
+    /// A node holds a keeper, by word of the store: whether it can be reached is not said.
     pub fn learn(
         &mut self,
         keeper: &KeeperId,
@@ -74,9 +98,7 @@
         match known {
             Some(known) if known.revision > revision => {}
             Some(known) if known.revision == revision => {
-                known.address = address;
-                known.heard_us = now_us;
-                known.handed_since_us = None;
+                known.confirmed_us = now_us;
             }
             _ => {
                 let holder = Holder {
@@ -84,6 +106,7 @@
                     address,
                     revision,
                     heard_us: now_us,
+                    confirmed_us: now_us,
                     missed_in_a_row: 0,
                     passed_over_until_us: 0,
                     handed_since_us: None,
@@ -106,7 +129,7 @@
         let is_kept = |keeper: &KeeperId| kept.iter().any(|slot| slot.keeper == *keeper);
         self.by_keeper.retain(|keeper, holder| holder.node != *node || is_kept(keeper));
         for slot in kept {
-            self.learn(&slot.keeper, node, address, slot.revision, now_us);
+            self.on_own_word(&slot.keeper, node, address, slot.revision, now_us);
         }
     }
 
@@ -140,7 +163,8 @@
     /// The key of a keeper, as far as is known among so many nodes; `None`: it may be absent.
     pub fn key(&self, keeper: &KeeperId, nodes: usize, now_us: u64) -> Option<KeeperKey> {
         let holder = self.by_keeper.get(keeper)?;
-        let is_heard = now_us < holder.heard_us + silence_limit_us(nodes);
+        let told_us = holder.heard_us.max(holder.confirmed_us);
+        let is_heard = now_us < told_us + silence_limit_us(nodes);
         let key = KeeperKey { holder: holder.address, revision: holder.revision };
         is_heard.then_some(key)
     }
@@ -188,7 +212,8 @@
         holder.missed_in_a_row += 1;
         let is_passed_over = holder.missed_in_a_row >= MOST_MISSED;
         if is_passed_over {
-            holder.passed_over_until_us = now_us + PASSED_OVER_US;
+            let doublings = (holder.missed_in_a_row - MOST_MISSED).min(MOST_DOUBLINGS);
+            holder.passed_over_until_us = now_us + (PASSED_OVER_US << doublings);
         }
         is_passed_over
     }
