One configuration for all connections: each had buffers of its own that were kept for ever

Cause: each connection to a runner, to the store, of a client and of a follower was given a configuration of its own. The server library numbers configurations and keeps the released buffers of each number in a list of the thread, which is never let go: 16 KB for each connection that was ever opened, 64 KB for each client's. A node's memory grew with all connections of its life. Change: one configuration a thread for connections to servers, one for followers, one for clients as long as the limit of a request's head stays the same.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,7 @@
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::headers::KEY_CHALLENGE;
 use pitchstall_serving::configuration::ClientLimits;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -60,6 +61,22 @@
 
 /// Shared configuration of a client's connection.
 pub fn client_config(limits: &ClientLimits) -> SharedCfg {
+    CLIENT_CONFIG.with(|kept| {
+        let mut kept = kept.borrow_mut();
+        match kept.as_ref() {
+            Some((known, config)) if *known == limits.max_header_bytes => config.clone(),
+            _ => kept.insert((limits.max_header_bytes, new_client_config(limits))).1.clone(),
+        }
+    })
+}
+
+thread_local! {
+    /// The last configuration, and the bytes of a head that it allows: each has a number of its
+    /// own, and the buffers kept under it are never let go.
+    static CLIENT_CONFIG: RefCell<Option<(usize, SharedCfg)>> = const { RefCell::new(None) };
+}
+
+fn new_client_config(limits: &ClientLimits) -> SharedCfg {
     let io = IoConfig::new().set_read_buf(READ_BUFFER_BYTES, READ_BUFFER_LOW_BYTES, BUFFER_CACHE);
     let http = HttpServiceConfig::new().set_max_buf_size(limits.max_header_bytes);
     SharedCfg::new("client").add(io).add(http).into()
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -60,7 +60,7 @@
     let stream = stream.into_std()?;
     // A system without this option is served too, only later.
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
-    Ok(ntex::rt::from_tcp_stream(stream, upstream_config())?)
+    Ok(ntex::rt::from_tcp_stream(stream, UPSTREAM_CONFIG.with(Clone::clone))?)
 }
 
 /// An open connection. Dropping it closes it at once.
@@ -125,13 +125,17 @@
     }
 }
 
-fn upstream_config() -> SharedCfg {
-    let io = IoConfig::new().set_write_buf(
-        WRITE_BUFFER_BYTES,
-        WRITE_BUFFER_LOW_BYTES,
-        WRITE_BUFFER_CACHE,
-    );
-    SharedCfg::new("upstream").add(io).into()
+thread_local! {
+    /// One for all connections of a thread: each configuration has a number of its own, and the
+    /// buffers kept under it are never let go.
+    static UPSTREAM_CONFIG: SharedCfg = {
+        let io = IoConfig::new().set_write_buf(
+            WRITE_BUFFER_BYTES,
+            WRITE_BUFFER_LOW_BYTES,
+            WRITE_BUFFER_CACHE,
+        );
+        SharedCfg::new("upstream").add(io).into()
+    };
 }
 
 fn read_failure(error: Either<AnswerFault, std::io::Error>) -> ReadFailure {
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -34,13 +34,15 @@
 /// Answers other nodes' questions until the task is dropped.
 pub async fn accept_followers(listener: TcpListener, node: Rc<Node>) {
     let followers = Rc::new(());
+    // One for all connections: the buffers kept under a configuration are never let go.
+    let config: ntex::SharedCfg = ntex::SharedCfg::new("mirror").into();
     loop {
         let Some(stream) = accept(&listener).await else { continue };
         if Rc::strong_count(&followers) > MOST_FOLLOWERS {
             log::warn!(target: "mirror", most = MOST_FOLLOWERS; "no room for a follower");
             continue;
         }
-        let Some(io) = stream_of(stream, ntex::SharedCfg::new("mirror").into()) else { continue };
+        let Some(io) = stream_of(stream, config.clone()) else { continue };
         let (node, follower) = (node.clone(), followers.clone());
         ntex::rt::spawn(async move {
             serve_follower(&io, &node).await;
