Two regions and tenants with limits in the soak, the stand-ins and dev

Cause: nothing played two regions that are cut off from each other, nor limits over all nodes, with the real programs; `pitchstall dev` had one region. Ruled out: links by region in front of the runners' addresses (a node that follows another's copy of the store would see the other region's addresses); telling regions by the source address (it is the same for all on the loopback interface). Words between nodes are sent from address to address and pass by no link of the soak: they are neither delayed nor cut there, and that is said in the module. Change: seeds from 1000 on have two regions (but each fourth) or tenants with limits (but each fourth): runners tell by the id of a request from which region it comes, hold it up by 30 ms each way, and get nothing while the regions are cut; the far region's links to the store are long and cut then. Three tenants with limits ask through callers of their own, two for some three times what they may; any node may keep their limits, so nodes are killed, paused and cut off from the store besides. Checks, each shown to fail on a broken history: no tenant runs more than it may in any window; a tenant below its limit gets no 429; a region that is cut off serves its callers, streams and requests apart. Older seeds draw what they drew. The link moved to the stand-ins, for both.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -11,7 +11,7 @@
     NodeSection, PolicySection, QuotaSection, Settings, StoreSection, UsageSection,
 };
 use pitchstall_platform_standins::client::{example_request, send_load};
-use pitchstall_platform_standins::fleet::{StandInFleet, LIMITED_KEY};
+use pitchstall_platform_standins::fleet::{StandInFleet, LIMITED_KEY, ZONES};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -30,9 +30,17 @@
     log: String,
     #[options(help = "first of nine ports on the loopback interface", default = "17380")]
     port: u16,
+    #[options(help = "regions that the zones lie in, 1 or 2", default = "1")]
+    regions: usize,
+    #[options(
+        help = "milliseconds, each way, from nodes to runners of the other region, and from the \
+                second region to the store",
+        default = "30"
+    )]
+    region_delay_ms: u64,
 }
 
-const ZONES: [&str; 2] = ["east", "west"];
+const REGIONS: [&str; ZONES.len()] = ["region-1", "region-2"];
 const NODES_IN_ZONE: u16 = 2;
 const PORTS_A_NODE: u16 = 3;
 const REQUESTS: usize = 60;
@@ -41,12 +49,18 @@
 
 /// Runs everything in this process.
 pub fn run(arguments: &DevArguments) -> Result<ExitCode, CommandError> {
+    if !(1..=REGIONS.len()).contains(&arguments.regions) {
+        let most = REGIONS.len();
+        return Err(CommandError::Usage(format!("--regions: expected 1 to {most}")));
+    }
     let _logger =
         logging::start(&arguments.log).map_err(|error| CommandError::Logging(error.to_string()))?;
     let stop = stop_flag()?;
     let fleet = StandInFleet::start()
         .map_err(|error| CommandError::Fleet(format!("the stand-ins cannot start: {error}")))?;
-    let nodes = start_nodes(&fleet, arguments.port);
+    let stores = stores(&fleet, arguments)
+        .map_err(|error| CommandError::Fleet(format!("the links cannot start: {error}")))?;
+    let nodes = start_nodes(&fleet, &stores, arguments);
     wait_until_taking(&nodes)?;
     for node in &nodes {
         println!("node on http://{node}");
@@ -60,12 +74,28 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn start_nodes(fleet: &StandInFleet, first_port: u16) -> Vec<SocketAddr> {
+/// Where the nodes of each zone reach the store.
+fn stores(fleet: &StandInFleet, arguments: &DevArguments) -> std::io::Result<Vec<SocketAddr>> {
+    if arguments.regions == 1 {
+        return Ok(vec![fleet.store.address(); ZONES.len()]);
+    }
+    let delay = Duration::from_millis(arguments.region_delay_ms);
+    ZONES.iter().map(|zone| fleet.view_from(zone, delay)).collect()
+}
+
+fn start_nodes(
+    fleet: &StandInFleet,
+    stores: &[SocketAddr],
+    arguments: &DevArguments,
+) -> Vec<SocketAddr> {
     let mut nodes = Vec::new();
-    for (zone, first) in ZONES.iter().zip((0..).step_by(usize::from(NODES_IN_ZONE))) {
+    let places = ZONES.iter().zip(stores).zip((0..).step_by(usize::from(NODES_IN_ZONE)));
+    for ((zone, store), first) in places {
         for number in first..first + NODES_IN_ZONE {
-            let port = first_port + number * PORTS_A_NODE;
-            let settings = settings(zone, number, port, fleet);
+            let port = arguments.port + number * PORTS_A_NODE;
+            let mut settings = settings(zone, number, port, fleet);
+            settings.store.address = *store;
+            settings.node.regions = regions(arguments.regions);
             nodes.push(settings.listen.callers);
             std::thread::spawn(move || run_node(settings));
         }
@@ -73,6 +103,12 @@
     nodes
 }
 
+/// The region of each zone, if there are several.
+fn regions(count: usize) -> BTreeMap<String, String> {
+    let pairs = ZONES.iter().zip(REGIONS).filter(|_| count > 1);
+    pairs.map(|(zone, region)| ((*zone).to_owned(), region.to_owned())).collect()
+}
+
 fn run_node(settings: Settings) {
     let name = settings.node.name.clone();
     let run = daemon::run(settings, PathBuf::new(), Signals::default());
--- a/crates/cli/tests/dev.rs
+++ b/crates/cli/tests/dev.rs
@@ -3,13 +3,35 @@
 
 use std::process::Command;
 
-#[test]
-fn dev_once_serves_a_mixed_load_whole() {
+/// Runs `pitchstall dev --once` with more arguments; returns whether it succeeded, and its output.
+fn dev_once(more: &[&str]) -> (bool, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_pitchstall"))
-        .args(["dev", "--once", "--port", "17520"])
+        .args(["dev", "--once"])
+        .args(more)
         .output()
         .unwrap();
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+}
+
+#[test]
+fn dev_once_serves_a_mixed_load_whole() {
+    let (succeeded, text) = dev_once(&["--port", "17520"]);
+    assert!(succeeded, "{text}");
     assert!(text.contains("60 of 60 answers were whole"), "{text}");
 }
+
+#[test]
+fn dev_once_serves_a_mixed_load_whole_in_two_regions() {
+    let (succeeded, text) =
+        dev_once(&["--port", "17540", "--regions", "2", "--region-delay-ms", "30"]);
+    assert!(succeeded, "{text}");
+    assert!(text.contains("60 of 60 answers were whole"), "{text}");
+}
+
+#[test]
+fn dev_says_how_many_regions_there_can_be() {
+    let (succeeded, text) = dev_once(&["--port", "17560", "--regions", "3"]);
+    assert!(!succeeded);
+    assert!(text.contains("--regions: expected 1 to 2"), "{text}");
+}
--- a/crates/soak/examples/soak/main.rs
+++ b/crates/soak/examples/soak/main.rs
@@ -7,6 +7,7 @@
 #![allow(missing_docs)]
 
 mod processes;
+mod report;
 mod run;
 
 use gumdrop::Options;
--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -3,7 +3,10 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use pitchstall_platform_standins::client::READY_QUESTION;
+use pitchstall_soak::plan::{has_limits, has_regions};
 use pitchstall_soak::proxy::Link;
+use pitchstall_soak::regions::REGIONS;
+use pitchstall_soak::tenants::{OVERAGE, WINDOW_S};
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
@@ -36,7 +39,7 @@
 }
 
 impl NodeProcess {
-    /// Writes the node's settings; it does not start yet.
+    /// Writes the node's settings, `more` sections among them; it does not start yet.
     pub fn new(
         program: &Path,
         folder: &Path,
@@ -44,6 +47,7 @@
         zone: &str,
         store: Link,
         cloud: Link,
+        more: &str,
     ) -> io::Result<Self> {
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let last = u8::try_from(number + 1).unwrap_or(u8::MAX);
@@ -56,7 +60,7 @@
              [bounds]\ncontact_ms = 3000\ngrace_s = 8.0\nlease_ms = 3000\n\
              retry_ratio = 0.2\nretry_slack = 54\n\
              [cloud]\naddress = \"{}\"\nduties = [\"usage_report\"]\n\
-             [cloud.usage]\nwindow_s = 2\ndue_s = 10\n",
+             [cloud.usage]\nwindow_s = 2\ndue_s = 10\n{more}",
             at(CALLERS_PORT),
             at(HEALTH_PORT),
             at(PEERS_PORT),
@@ -144,6 +148,20 @@
     }
 }
 
+/// What the settings of a seed's nodes hold besides.
+pub fn more_settings(seed: u64) -> String {
+    let mut more = String::new();
+    if has_regions(seed) {
+        let regions = REGIONS.map(|(zone, region)| format!("{zone} = \"{region}\"\n")).concat();
+        more.push_str(&format!("[node.regions]\n{regions}"));
+    }
+    if has_limits(seed) {
+        more.push_str(&format!("[quota]\nwindow_s = {WINDOW_S:?}\noverage = {OVERAGE:?}\n"));
+        more.push_str("slack = 0\n");
+    }
+    more
+}
+
 /// Whether the node with this health address says that it takes callers.
 pub fn is_ready(health: SocketAddr) -> bool {
     const LIMIT: Duration = Duration::from_millis(300);
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -1,19 +1,20 @@
 //! One seed: load, faults, recovery, checks.
 
-use crate::processes::{is_ready, NodeProcess};
+use crate::processes::{is_ready, more_settings, NodeProcess};
+use crate::report::Report;
 use nix::sys::signal::Signal;
 use pitchstall_platform_standins::store::StoreMode;
 use pitchstall_soak::caller::Caller;
-use pitchstall_soak::checks::{violations, Violation};
-use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner, ZONES};
-use pitchstall_soak::history::{Entry, Event, Kind, Outcome, Recorder};
-use pitchstall_soak::plan::{steps, Action, Step, RECOVERY};
+use pitchstall_soak::checks::Violation;
+use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner};
+use pitchstall_soak::history::{Event, Kind, Outcome, Recorder};
+use pitchstall_soak::plan::{has_limits, has_regions, steps, Action, Step, RECOVERY};
 use pitchstall_soak::proxy::{Link, LinkMode};
-use std::collections::BTreeSet;
-use std::fmt;
+use pitchstall_soak::regions::{id_with_node, is_near_the_store, zone_of, DELAY};
+use pitchstall_soak::tenants::{SoakTenant, LIMITED};
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
@@ -29,6 +30,8 @@
 /// incident 06.
 const DEADLY_REQUESTS: usize = 2;
 const BETWEEN_DEADLY: Duration = Duration::from_millis(350);
+/// Callers of each tenant with a limit: one that waits for an answer holds no other up.
+const CALLERS_A_TENANT: u64 = 4;
 /// Between two looks for runners that have ended.
 const ENDED_POLL: Duration = Duration::from_millis(20);
 /// Time after which an ended runner is back (sooner than the 3 s and more of incident 06), and after which
@@ -36,36 +39,6 @@
 const RUNNER_DOWN: Duration = Duration::from_millis(2_000);
 const ENTRY_LASTS: Duration = Duration::from_millis(3_600);
 
-/// What came of a seed.
-pub struct Report {
-    /// Broken promises.
-    pub violations: Vec<Violation>,
-    requests: usize,
-    whole: usize,
-    /// Windows whose usage was reported.
-    windows: usize,
-    steps: usize,
-    /// Runners that ended under requests that end them.
-    ended: usize,
-    folder: PathBuf,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (whole, requests, steps) = (self.whole, self.requests, self.steps);
-        write!(formatter, "{whole} of {requests} answered whole under {steps} actions, ")?;
-        write!(formatter, "{} runners ended by requests, ", self.ended)?;
-        write!(formatter, "{} windows reported", self.windows)?;
-        for violation in &self.violations {
-            write!(formatter, "\n  {}: {}", violation.promise, violation.what)?;
-        }
-        if !self.violations.is_empty() {
-            write!(formatter, "\n  logs: {}", self.folder.display())?;
-        }
-        Ok(())
-    }
-}
-
 /// What the load and the faults share.
 struct World {
     recorder: Recorder,
@@ -78,6 +51,7 @@
     over: AtomicBool,
     /// Whether requests that end runners are sent.
     deadly: AtomicBool,
+    has_regions: bool,
     next_request: AtomicU64,
 }
 
@@ -111,6 +85,13 @@
             std::thread::spawn(move || world.send_load(caller))
         })
         .collect();
+    let limited = LIMITED.iter().filter(|_| has_limits(seed));
+    threads.extend(limited.flat_map(|tenant| (0..CALLERS_A_TENANT).map(move |_| tenant)).map(
+        |tenant| {
+            let world = world.clone();
+            std::thread::spawn(move || world.send_for(tenant))
+        },
+    ));
     let asking = world.clone();
     threads.push(std::thread::spawn(move || asking.ask_health()));
     let replacing = world.clone();
@@ -127,11 +108,10 @@
     threads.into_iter().for_each(|thread| drop(thread.join()));
     // Threads that wait to replace a runner still hold the world, which so outlives this run.
     world.kill_all();
-    let mut report = world.report(steps.len(), folder);
+    lock(&world.fleet).note_reports();
+    let mut report = Report::of(&world.recorder.entries(), steps.len(), folder);
     report.violations.extend(unserved);
-    if report.violations.is_empty() {
-        let _ = std::fs::remove_dir_all(&report.folder);
-    }
+    report.keep_logs_of_violations();
     Ok(report)
 }
 
@@ -143,8 +123,12 @@
         for number in 0..nodes {
             let store = Link::start(fleet.store.address())?;
             let cloud = Link::start(fleet.cloud.address())?;
-            let zone = ZONES[number % ZONES.len()];
-            let mut node = NodeProcess::new(program, folder, number, zone, store, cloud)?;
+            if has_regions(seed) && !is_near_the_store(number) {
+                store.set_delay(DELAY);
+                cloud.set_delay(DELAY);
+            }
+            let (zone, more) = (zone_of(number), more_settings(seed));
+            let mut node = NodeProcess::new(program, folder, number, zone, store, cloud, &more)?;
             node.start()?;
             recorder.note(Event::Started { node: number });
             processes.push(node);
@@ -158,6 +142,7 @@
             fleet: Mutex::new(fleet),
             over: AtomicBool::new(false),
             deadly: AtomicBool::new(false),
+            has_regions: has_regions(seed),
             next_request: AtomicU64::new(0),
         }))
     }
@@ -212,6 +197,21 @@
         }
     }
 
+    /// Sends the requests of one of a tenant's callers.
+    fn send_for(&self, tenant: &SoakTenant) {
+        let mut connections: Vec<Caller> = self.nodes.iter().map(|_| Caller::default()).collect();
+        for node in (0..self.nodes.len()).cycle() {
+            if self.is_over() {
+                return;
+            }
+            if self.ready[node].load(Ordering::SeqCst) {
+                let kind = if node.is_multiple_of(2) { Kind::AtMostOnce } else { Kind::Repeatable };
+                self.send_as(tenant.name, &mut connections[node], node, kind);
+            }
+            std::thread::sleep(Duration::from_millis(tenant.asks_every_ms * CALLERS_A_TENANT));
+        }
+    }
+
     /// Sends a request that ends runners again and again, to any node.
     fn send_deadly(&self, number: usize) {
         let mut turn = number;
@@ -247,8 +247,13 @@
     }
 
     fn send(&self, caller: &mut Caller, node: usize, kind: Kind) -> Outcome {
+        self.send_as("r", caller, node, kind)
+    }
+
+    fn send_as(&self, sender: &str, caller: &mut Caller, node: usize, kind: Kind) -> Outcome {
         let number = self.next_request.fetch_add(1, Ordering::SeqCst);
-        let request = format!("r-{number}");
+        let id = format!("{sender}-{number}");
+        let request = if self.has_regions { id_with_node(&id, node) } else { id };
         self.recorder.note(Event::Sent { request: request.clone(), kind, node });
         let outcome = caller.exchange(self.callers[node], &request_bytes(&request, kind));
         self.recorder.note(Event::Ended { request, outcome: outcome.clone() });
@@ -312,6 +317,11 @@
                 self.disturbed(None);
                 lock(&self.fleet).store.forget_history();
             }
+            Action::CutRegions => {
+                self.cut_regions(true);
+                std::thread::sleep(step.lasts);
+                self.cut_regions(false);
+            }
             Action::Replace { runner } => self.replace(*runner),
             Action::Configure => lock(&self.fleet).configure(),
             Action::Reload { node } => lock(&self.nodes[*node]).reload(),
@@ -377,6 +387,19 @@
         self.disturbed(node);
     }
 
+    /// Cuts the regions off from each other, or ends that; the store is in one of them.
+    fn cut_regions(&self, begins: bool) {
+        self.recorder.note(Event::RegionsCut { begins });
+        lock(&self.fleet).regions.set_cut(begins);
+        let mode = if begins { LinkMode::Silent } else { LinkMode::Passing };
+        for node in (0..self.nodes.len()).filter(|node| !is_near_the_store(*node)) {
+            self.disturbed(Some(node));
+            let process = lock(&self.nodes[node]);
+            process.store.set_mode(mode);
+            process.cloud.set_mode(mode);
+        }
+    }
+
     fn replace(&self, runner: usize) {
         let leaving = {
             let mut fleet = lock(&self.fleet);
@@ -422,33 +445,4 @@
         }
         unserved
     }
-
-    fn report(&self, steps: usize, folder: PathBuf) -> Report {
-        lock(&self.fleet).note_reports();
-        let entries = self.recorder.entries();
-        let ended = |event: &Event| matches!(event, Event::Ended { .. });
-        let whole = |event: &Event| {
-            matches!(event, Event::Ended { outcome: Outcome::Whole { status: 200, .. }, .. })
-        };
-        Report {
-            violations: violations(&entries),
-            requests: entries.iter().filter(|(_, event)| ended(event)).count(),
-            whole: entries.iter().filter(|(_, event)| whole(event)).count(),
-            windows: reported_windows(&entries),
-            ended: entries
-                .iter()
-                .filter(|(_, event)| matches!(event, Event::Crashed { under: Some(_), .. }))
-                .count(),
-            steps,
-            folder,
-        }
-    }
-}
-
-fn reported_windows(entries: &[Entry]) -> usize {
-    let window = |(_, event): &Entry| match event {
-        Event::Reported { window, .. } => Some(*window),
-        _ => None,
-    };
-    entries.iter().filter_map(window).collect::<BTreeSet<u64>>().len()
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,6 +2,9 @@
 
 use crate::fleet::{answer_body, LAST_EVENT};
 use crate::history::{Entry, Event, Kind, Outcome};
+use crate::limit_checks::{over_limits, refused_below_limit};
+use crate::region_checks::unserved_when_cut;
+use crate::tenants::{tenant_of, BELOW};
 use pitchstall_platform_standins::runner::event_text;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -31,7 +34,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Every promise with its check.
-const CHECKS: [(&str, Check); 12] = [
+const CHECKS: [(&str, Check); 15] = [
     ("the whole answer to its own request", whole_answers),
     ("a stream whole and in order", whole_streams),
     ("at most once", at_most_once),
@@ -44,6 +47,9 @@
     ("runners are told the tenant and not the key", guarded),
     ("one usage report for a window", one_report),
     ("requests that end runners are contained", contained),
+    ("no tenant runs more than it may", over_limits),
+    ("a tenant below its limit is not refused", refused_below),
+    ("a region that is cut off serves its callers", unserved_when_cut),
 ];
 
 /// Checks a history.
@@ -59,6 +65,10 @@
     found
 }
 
+fn refused_below(history: &History) -> Vec<String> {
+    refused_below_limit(history, |request| tenant_of(request).name == BELOW)
+}
+
 fn guarded(history: &History) -> Vec<String> {
     let unguarded = history.entries.iter().filter_map(|(_, event)| match event {
         Event::Unguarded { request, runner } => Some(format!("{request} at {runner}")),
@@ -81,23 +91,35 @@
     broken
 }
 
-struct Exchange<'a> {
-    kind: Kind,
-    node: usize,
-    sent_us: u64,
-    ended_us: u64,
+/// A request that a caller sent, and how that ended.
+pub(crate) struct Exchange<'a> {
+    pub(crate) kind: Kind,
+    pub(crate) node: usize,
+    pub(crate) sent_us: u64,
+    pub(crate) ended_us: u64,
     outcome: &'a Outcome,
 }
 
+impl Exchange<'_> {
+    /// The status of a whole answer.
+    pub(crate) fn status(&self) -> Option<u16> {
+        match self.outcome {
+            Outcome::Whole { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+}
+
 struct Run<'a> {
     at_us: u64,
     runner: &'a str,
     body: &'a [u8],
 }
 
-struct History<'a> {
-    entries: &'a [Entry],
-    exchanges: BTreeMap<&'a str, Exchange<'a>>,
+/// What was seen, put in order for the checks.
+pub(crate) struct History<'a> {
+    pub(crate) entries: &'a [Entry],
+    pub(crate) exchanges: BTreeMap<&'a str, Exchange<'a>>,
     /// The node that each request was sent to.
     nodes: HashMap<&'a str, usize>,
     runs: HashMap<&'a str, Vec<Run<'a>>>,
@@ -164,7 +186,7 @@
 
     /// Whether a node, the store and the links to runners were without faults from a contact time
     /// before.
-    fn in_touch(&self, node: usize, from_us: u64, to_us: u64) -> bool {
+    pub(crate) fn in_touch(&self, node: usize, from_us: u64, to_us: u64) -> bool {
         let since_us = from_us.saturating_sub(CONTACT_US + SLACK_US);
         let is_disturbed = |(at_us, event): &Entry| {
             *event == Event::RunnerDisturbed && (since_us..=to_us).contains(at_us)
@@ -173,6 +195,15 @@
         is_undisturbed && self.in_touch_with_store(node, from_us, to_us)
     }
 
+    /// Whether a runner ended from a contact time before.
+    pub(crate) fn lost_a_runner(&self, from_us: u64, to_us: u64) -> bool {
+        let from_us = from_us.saturating_sub(CONTACT_US + SLACK_US);
+        let is_end = |(at_us, event): &Entry| {
+            matches!(event, Event::Crashed { .. }) && (from_us..=to_us).contains(at_us)
+        };
+        self.disturbances.iter().copied().any(is_end)
+    }
+
     /// Whether a node and the store were without faults from a contact time before.
     fn in_touch_with_store(&self, node: usize, from_us: u64, to_us: u64) -> bool {
         let from_us = from_us.saturating_sub(CONTACT_US + SLACK_US);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,12 +2,14 @@
 
 use crate::checks::request_body;
 use crate::history::{Event, Kind, Recorder};
+use crate::plan::has_limits;
 use crate::proxy::Link;
+use crate::regions::{comes_from_afar, RegionLink, DELAY};
+use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
 use pitchstall_platform_standins::client::CallerRequest;
 use pitchstall_platform_standins::cloud::CloudStandIn;
 use pitchstall_platform_standins::documents::{
-    self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, TenantDocument,
-    CONFIGURATION_KEY,
+    self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, CONFIGURATION_KEY,
 };
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
@@ -27,9 +29,6 @@
 
 const ENGINE_SERVICE: &str = "engine";
 const DESK_SERVICE: &str = "desk";
-/// The only tenant, and its key.
-const TENANT: &str = "taxis";
-const KEY: &str = "soak-m82thhkmgjqnirth5mgj";
 /// Time for which callers wait, milliseconds.
 const DEADLINE_MS: u64 = 5_000;
 /// Share of requests that a runner runs and does not answer, or answers with a failure.
@@ -72,7 +71,10 @@
     pub cloud: CloudStandIn,
     /// Runners that are listed.
     pub runners: Vec<SoakRunner>,
+    /// The way between the regions.
+    pub regions: RegionLink,
     recorder: Recorder,
+    tenants: Vec<SoakTenant>,
     next_runner: u64,
     version: u64,
     seed: u64,
@@ -84,7 +86,18 @@
         let store = StoreStandIn::start()?;
         let runners = Vec::new();
         let cloud = CloudStandIn::start()?;
-        let mut fleet = Self { store, cloud, runners, recorder, next_runner: 0, version: 0, seed };
+        let mut fleet = Self {
+            store,
+            cloud,
+            runners,
+            regions: RegionLink::default(),
+            recorder,
+            tenants: tenants(has_limits(seed)),
+            next_runner: 0,
+            version: 0,
+            seed,
+        };
+        fleet.note_limits();
         fleet.configure();
         for zone in ZONES {
             for stage in [Some("prefill"), Some("decode"), Some("decode"), None, None] {
@@ -94,14 +107,26 @@
         Ok(fleet)
     }
 
+    fn note_limits(&self) {
+        const MICROS: f64 = 1_000_000.0;
+        for tenant in &self.tenants {
+            if let Some(limit) = tenant.limit {
+                let window_us = (WINDOW_S * MICROS) as u64;
+                let most_units = limit.most_in_a_window() as u64;
+                let tenant = tenant.name;
+                self.recorder.note(Event::Limited { tenant, window_us, most_units });
+            }
+        }
+    }
+
     /// Starts a runner and lists it.
     fn add(&mut self, zone: &'static str, stage: Option<&'static str>) -> std::io::Result<()> {
         let number = self.next_runner;
         self.next_runner += 1;
         let id = format!("i-{number}");
         let own_link = Arc::new(OnceLock::new());
-        let script =
-            script(id.clone(), stage, self.recorder.clone(), self.seed ^ number, own_link.clone());
+        let place = Place { id: id.clone(), zone, stage, regions: self.regions.clone() };
+        let script = script(place, self.recorder.clone(), self.seed ^ number, own_link.clone());
         let stand_in = RunnerStandIn::start(&id, script)?;
         let link = Link::start(stand_in.address())?;
         // Nothing has come yet: it is not listed.
@@ -156,7 +181,7 @@
     /// before it.
     pub fn configure(&mut self) {
         self.version += 1;
-        self.store.put(CONFIGURATION_KEY, &configuration(self.version));
+        self.store.put(CONFIGURATION_KEY, &configuration(self.version, &self.tenants));
         self.recorder.note(Event::Configured { version: self.version });
     }
 
@@ -175,7 +200,7 @@
     }
 }
 
-fn configuration(version: u64) -> Value {
+fn configuration(version: u64, tenants: &[SoakTenant]) -> Value {
     const TIMEOUT_MS: u64 = 6_000;
     const MAX_ATTEMPTS: u32 = 3;
     const MAX_CONNECTIONS: u32 = 200;
@@ -198,14 +223,33 @@
     ];
     routes.extend(own.iter().map(|name| route(name, RouteKind::Repeatable, DESK_SERVICE)));
     let services = [service(DESK_SERVICE, false), service(ENGINE_SERVICE, true)];
-    let tenants = [TenantDocument { name: TENANT, key: KEY, limit: None }];
+    let tenants: Vec<_> = tenants.iter().map(document).collect();
     documents::configuration(version, &routes, &services, &tenants)
 }
 
-/// What a runner does: it runs what it is given, notes it, and now and then fails.
-fn script(
+/// Which runner it is, and where.
+struct Place {
     id: String,
+    zone: &'static str,
     stage: Option<&'static str>,
+    regions: RegionLink,
+}
+
+impl Place {
+    /// Holds up what comes from another region; `false` if it does not come.
+    fn let_in(&self, request: &ReceivedRequest) -> bool {
+        let from_afar = request.id().is_some_and(|id| comes_from_afar(id, self.zone));
+        if from_afar && !self.regions.is_cut() {
+            // There and back: a runner's answer has as far to go.
+            std::thread::sleep(DELAY * 2);
+        }
+        !(from_afar && self.regions.is_cut())
+    }
+}
+
+/// What a runner does: it runs what it is given, notes it, and now and then fails.
+fn script(
+    place: Place,
     recorder: Recorder,
     seed: u64,
     own_link: Arc<OnceLock<Link>>,
@@ -213,6 +257,10 @@
     let engine = engine_script(LAST_EVENT);
     let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
     move |request| {
+        if !place.let_in(request) {
+            return Reaction::Silent;
+        }
+        let (id, stage) = (&place.id, place.stage);
         if let Some((holder, fence)) = request.order() {
             recorder.note(Event::Ordered { runner: id.clone(), holder, fence });
             return Reaction::Answer { status: 202, body: Vec::new() };
@@ -220,7 +268,7 @@
         let Some(name) = request.id().filter(|_| !request.is_reading()) else {
             return engine(request);
         };
-        if request.expected_runner().is_some_and(|expected| expected != id) {
+        if request.expected_runner().is_some_and(|expected| expected != *id) {
             return Reaction::Misdirected;
         }
         if let Some(number) = deadly_number(&request.body) {
@@ -229,13 +277,18 @@
             let head = if stage.is_some() { CrashHead::Chunked } else { CrashHead::None };
             return crash(&own_link, head);
         }
-        let shows_key = request.headers.iter().any(|(_, value)| value.contains(KEY));
-        if shows_key || request.tenant() != Some(TENANT) {
+        let tenant = tenant_of(name);
+        let shows_key = request.headers.iter().any(|(_, value)| value.contains(tenant.key));
+        if shows_key || request.tenant() != Some(tenant.name) {
             let (request, runner) = (name.to_owned(), id.clone());
             recorder.note(Event::Unguarded { request, runner });
         }
         let (request_id, body) = (name.to_owned(), request.body.clone());
         recorder.note(Event::Ran { request: request_id, runner: id.clone(), body });
+        if let Some(limit) = tenant.limit {
+            let (request, tenant) = (name.to_owned(), tenant.name);
+            recorder.note(Event::Charged { request, tenant, units: limit.units_of_a_run() });
+        }
         let mut chance = chance.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let reaction = react(&mut *chance, request, name, stage, &engine);
         if matches!(&reaction, Reaction::Stream(stream) if stream.breaks_after.is_some()) {
@@ -311,7 +364,7 @@
         _ => request_body(request),
     };
     let path = format!("/{path}/x");
-    let (id, key, deadline_ms) = (request, KEY, DEADLINE_MS);
+    let (id, key, deadline_ms) = (request, tenant_of(request).key, DEADLINE_MS);
     let request =
         CallerRequest { method, host: HOST, path: &path, id, key, deadline_ms, body: &body };
     request.to_bytes()
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -91,6 +91,29 @@
         /// The runner.
         runner: String,
     },
+    /// A runner runs a request of a tenant with a limit.
+    Charged {
+        /// The request's id.
+        request: String,
+        /// The tenant.
+        tenant: &'static str,
+        /// What the run costs.
+        units: u64,
+    },
+    /// From now on no more than so many units of a tenant may run in any window.
+    Limited {
+        /// The tenant.
+        tenant: &'static str,
+        /// Length of the windows, microseconds.
+        window_us: u64,
+        /// The most.
+        most_units: u64,
+    },
+    /// Two regions are cut off from each other, or that ends.
+    RegionsCut {
+        /// Whether it begins.
+        begins: bool,
+    },
     /// The platform has taken the usage report of a window.
     Reported {
         /// The window.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,9 +9,12 @@
 //! | [`history`] | what was seen, in the order of one clock |
 //! | [`checks`] | one check for each promise |
 //! | [`plan`] | the faults of a seed |
-//! | [`proxy`] | a link that can be faulty |
+//! | [`proxy`] | a link that can be faulty or long |
 //! | [`caller`] | sends a request and sees every byte of its answer |
 //! | [`fleet`] | the stand-ins: store, runners, configuration |
+//! | [`tenants`] | for whom requests run, and what may be run for them |
+//! | [`regions`] | the way between two regions |
+//! | [`limit_checks`], [`region_checks`] | the checks on limits and on regions that are cut off |
 //!
 //! The processes themselves are started by the example `soak`, and end with it.
 
@@ -19,5 +22,10 @@
 pub mod checks;
 pub mod fleet;
 pub mod history;
+pub mod limit_checks;
 pub mod plan;
-pub mod proxy;
+pub mod region_checks;
+pub mod regions;
+pub mod tenants;
+
+pub use pitchstall_platform_standins::proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -67,6 +67,8 @@
         /// The node.
         node: usize,
     },
+    /// Two regions are cut off from each other for the time.
+    CutRegions,
     /// A runner ends by itself, with all that it has under way.
     CrashRunner {
         /// Which of the runners that are listed then, modulo their number.
@@ -103,6 +105,10 @@
 const LASTS_MS: std::ops::Range<u64> = 300..4_000;
 /// Every so many seeds nothing unplanned happens, so that rules on planned work are tried.
 const PLANNED_ONLY_EVERY: u64 = 3;
+/// First seed with regions and limits.
+const FIRST_OF_REGIONS_AND_LIMITS: u64 = 1_000;
+/// Time for which regions are cut off from each other.
+const REGIONS_CUT_FOR: Duration = Duration::from_secs(10);
 /// Quiet time at the end, in which everything has to recover.
 pub const RECOVERY: Duration = Duration::from_secs(6);
 
@@ -113,10 +119,60 @@
     if has_faults(seed) {
         steps.extend(cloud_steps(seed, length, nodes));
     }
+    if has_regions(seed) && has_faults(seed) {
+        let cut = region_cut(length);
+        steps.retain(|step| !is_near(step, &cut));
+        steps.push(cut);
+    }
+    if has_limits(seed) && has_faults(seed) {
+        steps.extend(limit_steps(seed, length, nodes));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Whether the nodes of a seed lie in two regions. Seeds below the first are played as they always
+/// were.
+pub fn has_regions(seed: u64) -> bool {
+    seed >= FIRST_OF_REGIONS_AND_LIMITS && seed % 4 != 3
+}
+
+/// Whether some tenants of a seed have limits.
+pub fn has_limits(seed: u64) -> bool {
+    seed >= FIRST_OF_REGIONS_AND_LIMITS && seed % 4 != 2
+}
+
+/// The regions are cut off from each other in the middle, long enough for their nodes to be bound
+/// again by rules with a time.
+fn region_cut(length: Duration) -> Step {
+    let last = length.saturating_sub(RECOVERY);
+    Step { at: last / 3, lasts: REGIONS_CUT_FOR.min(last / 2), action: Action::CutRegions }
+}
+
+/// Whether a step would disturb nodes while the regions are cut off, so that what is seen then
+/// would prove nothing.
+fn is_near(step: &Step, cut: &Step) -> bool {
+    const AROUND: Duration = Duration::from_secs(2);
+    step.at < cut.at + cut.lasts && step.at + step.lasts + AROUND > cut.at
+}
+
+/// Nodes that keep limits are killed, paused and cut off from the store: any node may be one. They
+/// are drawn apart, so that a seed keeps its other steps.
+fn limit_steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
+    const APART: u64 = 0x6c_696d_6974;
+    let mut chance = ChaCha8Rng::seed_from_u64(seed ^ APART);
+    let last = length.saturating_sub(RECOVERY);
+    let mut step = |part: u32, action: fn(usize) -> Action| {
+        let lasts = Duration::from_millis(chance.random_range(LASTS_MS));
+        Step { at: last / 8 * part, lasts, action: action(chance.random_range(0..nodes)) }
+    };
+    vec![
+        step(1, |node| Action::Kill { node }),
+        step(6, |node| Action::Pause { node }),
+        step(7, |node| Action::StoreLink { node, mode: LinkMode::Silent }),
+    ]
+}
+
 /// Whether a seed has unplanned faults.
 fn has_faults(seed: u64) -> bool {
     !seed.is_multiple_of(PLANNED_ONLY_EVERY)
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,7 +5,9 @@
 use pitchstall_soak::checks::{request_body, violations};
 use pitchstall_soak::fleet::{answer_body, LAST_EVENT};
 use pitchstall_soak::history::{Entry, Event, Kind, Outcome};
-use pitchstall_soak::plan::steps;
+use pitchstall_soak::plan::{has_limits, has_regions, steps, Action, Step};
+use pitchstall_soak::regions::{comes_from_afar, id_with_node};
+use pitchstall_soak::tenants::{tenant_of, LIMITED};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -109,9 +111,7 @@
 
 #[test]
 fn faults_on_the_way_to_the_duties_are_played_beside_the_others() {
-    let is_cloud = |step: &pitchstall_soak::plan::Step| {
-        matches!(step.action, pitchstall_soak::plan::Action::CloudLink { .. })
-    };
+    let is_cloud = |step: &Step| matches!(step.action, Action::CloudLink { .. });
     let length = Duration::from_secs(25);
     assert_eq!(steps(22, length, 4).iter().filter(|step| is_cloud(step)).count(), 3);
     assert!(!steps(24, length, 4).iter().any(is_cloud), "only planned work");
@@ -223,3 +223,124 @@
     entries.push((29 * SECOND, Event::Disturbed { node: Some(0) }));
     assert_eq!(broken(&entries), [] as [&str; 0]);
 }
+
+const MOST_UNITS: u64 = 10;
+
+fn limited() -> Entry {
+    let (tenant, window_us) = ("couriers", 2 * SECOND);
+    (0, Event::Limited { tenant, window_us, most_units: MOST_UNITS })
+}
+
+fn charged(at: u64, request: &str, units: u64) -> Entry {
+    (at, Event::Charged { request: request.to_owned(), tenant: "couriers", units })
+}
+
+fn charges(times: impl Iterator<Item = u64>) -> Vec<Entry> {
+    let charge = |at| charged(at, &format!("couriers-{at}"), 1);
+    [limited()].into_iter().chain(times.map(charge)).collect()
+}
+
+#[test_case((0..10).map(|it| it * 1_000).collect(), false; "all that may run, at once")]
+#[test_case((0..11).map(|it| it * 1_000).collect(), true; "one more")]
+#[test_case((0..40).map(|it| it * SECOND / 5).collect(), false; "all that may run, for long")]
+#[test_case((0..40).map(|it| it * SECOND / 6).collect(), true; "a little faster, for long")]
+fn a_tenant_that_runs_more_than_it_may_is_found(times: Vec<u64>, is_broken: bool) {
+    let found = broken(&charges(times.into_iter()));
+    assert_eq!(found == ["no tenant runs more than it may"], is_broken, "{found:?}");
+}
+
+#[test]
+fn a_run_counts_by_its_units() {
+    let many = [limited(), charged(1, "couriers-1", 6), charged(2, "couriers-2", 5)];
+    assert_eq!(broken(&many), ["no tenant runs more than it may"]);
+}
+
+#[test]
+fn runs_that_a_faulty_link_held_up_count_only_where_they_were_sent_too() {
+    let id = |number: u64| format!("couriers-{number}");
+    let sent = |number| sent(number * SECOND / 2, &id(number), Kind::Repeatable);
+    let held = (0..12).map(sent);
+    let released = (0..12).map(|number| charged(6 * SECOND + number, &id(number), 1));
+    let mut entries: Vec<Entry> = [limited()].into_iter().chain(held).collect();
+    entries.push((6 * SECOND - 1, Event::RunnerDisturbed));
+    entries.extend(released.clone());
+    assert_eq!(violations(&entries), []);
+    let unheld: Vec<Entry> = [limited()].into_iter().chain(released).collect();
+    assert_eq!(broken(&unheld), ["no tenant runs more than it may"]);
+}
+
+#[test]
+fn a_tenant_below_its_limit_that_is_refused_is_found_unless_the_node_was_disturbed() {
+    let refused = |request: &str| {
+        let answer = whole(request, 429, String::new());
+        vec![sent(9 * SECOND, request, Kind::Repeatable), ended(9 * SECOND + 1, request, answer)]
+    };
+    assert_eq!(broken(&refused("cranes-1")), ["a tenant below its limit is not refused"]);
+    assert_eq!(violations(&refused("couriers-1")), [], "it asks for more");
+    let disturbed = vec![(8 * SECOND, Event::Disturbed { node: Some(0) })];
+    assert_eq!(violations(&[disturbed, refused("cranes-1")].concat()), []);
+}
+
+/// Thirty requests at node 0 while the regions are cut off from each other, some of them unserved.
+fn asked_when_cut(unserved: usize, sent_after: u64) -> Vec<Entry> {
+    let mut entries = vec![(0, Event::RegionsCut { begins: true })];
+    for number in 0..30 {
+        let (request, at) = (format!("r-{number}-n0"), sent_after + number as u64);
+        let answer = if number < unserved { Outcome::Broken } else { own_answer(&request) };
+        let times = [sent(at, &request, Kind::Repeatable), ran(at, &request, "i-1")];
+        entries.extend(times);
+        entries.push(ended(at + 1, &request, answer));
+    }
+    entries.push((20 * SECOND, Event::RegionsCut { begins: false }));
+    entries
+}
+
+#[test_case(3, 6 * SECOND, false; "runners fail now and then")]
+#[test_case(13, 6 * SECOND, true; "four in ten are not served")]
+#[test_case(13, SECOND, false; "before nodes had time to notice")]
+#[test_case(13, 19 * SECOND, false; "when it is just over")]
+fn a_region_that_does_not_serve_its_callers_is_found(unserved: usize, at: u64, is_broken: bool) {
+    let found = broken(&asked_when_cut(unserved, at));
+    assert_eq!(found == ["a region that is cut off serves its callers"], is_broken, "{found:?}");
+}
+
+#[test]
+fn a_late_answer_is_no_service_in_a_region_that_is_cut_off() {
+    let late: Vec<Entry> = asked_when_cut(0, 6 * SECOND)
+        .into_iter()
+        .map(|(at, event)| match event {
+            Event::Ended { .. } => (at + 2 * SECOND, event),
+            other => (at, other),
+        })
+        .collect();
+    assert_eq!(broken(&late), ["a region that is cut off serves its callers"]);
+}
+
+#[test]
+fn a_region_whose_runner_ended_is_not_judged() {
+    let mut entries = asked_when_cut(13, 6 * SECOND);
+    entries.insert(1, (5 * SECOND, Event::Crashed { runner: "i-9".to_owned(), under: None }));
+    assert_eq!(violations(&entries), []);
+}
+
+#[test]
+fn regions_and_limits_are_played_on_seeds_of_their_own() {
+    let length = Duration::from_secs(25);
+    let cuts = |seed| {
+        let steps = steps(seed, length, 4);
+        steps.into_iter().filter(|step| step.action == Action::CutRegions).count()
+    };
+    assert!((0..1_000).all(|seed| !has_regions(seed) && !has_limits(seed) && cuts(seed) == 0));
+    assert!(has_regions(1_000) && has_limits(1_000));
+    assert_eq!(cuts(1_000), 1);
+    assert_eq!(cuts(1_003), 0, "limits alone");
+}
+
+#[test]
+fn an_id_tells_the_tenant_and_the_node() {
+    let id = id_with_node("couriers-17", 3);
+    assert_eq!(tenant_of(&id), LIMITED[0]);
+    assert!(comes_from_afar(&id, "east") && !comes_from_afar(&id, "west"));
+    assert!(!comes_from_afar("r-17", "east"));
+    assert_eq!(tenant_of("r-17").limit, None);
+}
