A pace for each runner

Cause: one pace a service for runners of speeds 1, 1 and 1.3, of which faults slow some by 3 to 8 for seconds; their backlogs and readings were expected as if all were alike. Change: each runner has a factor, the time of its last 40 readings over what they take the service's runners on the mean, with four readings credited at 1; six that show it slower by 2.5 count alone, and slowness is half forgotten each second in which nothing is heard. A scheduler hears of all readings at its runners, so a reading that met a queue began when the one before it ended; others count readings that met none. Used for backlogs, reading times and late work; lost with the runner. In virtual time a runner of speed 1.3 gets 1.3 times the work, one of speed 3 three times, one that is slower by 5 for 6 s less than four tenths while it is and its share five seconds after.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -17,6 +17,7 @@
 use crate::quota::Quotas;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
+use crate::shard_scheduler;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
@@ -28,7 +29,7 @@
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::prefix::PromptPart;
 use pitchstall_serving::quarantine::Quarantine;
-use pitchstall_serving::read_pace::ReadPace;
+use pitchstall_serving::read_pace::{ReadPace, ReadSample};
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::routing::TrafficSplitter;
 use pitchstall_serving::runner::{Runner, Stage};
@@ -409,6 +410,19 @@
         use_pace(self.paces.borrow_mut().entry(service.clone()).or_default())
     }
 
+    /// A runner of a service has read a prompt.
+    pub fn on_read_in(&self, service: &ServiceName, runner: &RunnerId, sample: ReadSample) {
+        let hears_of_all = shard_scheduler::schedules(self, runner);
+        let reading = self.with_pace(service, |pace| {
+            pace.on_read(sample);
+            pace.compare(&sample, hears_of_all)
+        });
+        let spent = self.fleet.borrow_mut().on_paced(runner, reading, self.now_us());
+        if let Some(spent) = spent {
+            self.with_pace(service, |pace| pace.on_spent(spent));
+        }
+    }
+
     /// Whether a runner is believed to read only what this node has just sent it.
     pub fn has_nothing_else_to_read(&self, runner: &RunnerId, just_sent: u64) -> bool {
         let fleet = self.fleet.borrow();
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -114,7 +114,7 @@
     node.on_parts_held(&runner, demand.prompt.shared_parts());
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
     let sample = ReadSample { tokens, elapsed_ms, met_no_queue };
-    node.with_pace(demand.service, |pace| pace.on_read(sample));
+    node.on_read_in(demand.service, &runner, sample);
     let handle = PromptHandle { address: answering.record.address, name };
     let zone = answering.record.zone.clone();
     answering.give_back(node);
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -9,7 +9,7 @@
 use crate::scheduling::{choose_here, elsewhere, named, scheduler_of, PlacementDemand};
 use crate::verification::verify;
 use pitchstall_serving::fleet::{Eligible, Scope};
-use pitchstall_serving::ids::{RegionId, ZoneId};
+use pitchstall_serving::ids::{RegionId, RunnerId, ZoneId};
 use pitchstall_serving::placement::Demand;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::read_pace::ReadSample;
@@ -154,10 +154,19 @@
         let tokens = read.reader.demand.unread_tokens + read.reader.demand.late_tokens;
         let met_no_queue = read.met_no_queue;
         let sample = ReadSample { tokens, elapsed_ms: elapsed_ms as f64, met_no_queue };
-        node.with_pace(&read.service, |pace| pace.on_read(sample));
+        node.on_read_in(&read.service, &read.reader.runner, sample);
     }
 }
 
+/// Whether this node schedules a runner, and so hears of all that is sent to it.
+pub fn schedules(node: &Node, runner: &RunnerId) -> bool {
+    let fleet = node.fleet.borrow();
+    let Some(runner) = fleet.get(runner) else { return false };
+    let nodes = node.members.borrow().count_in(&runner.region);
+    let may_schedule = runner.region == node.region() || nodes == 0;
+    may_schedule && scheduler_of(node, &Shard::of_runner(runner, Shard::count(nodes))).is_none()
+}
+
 /// The shards that this node schedules: those of its own region, or of one without nodes.
 pub fn own_shards(node: &Node) -> Vec<Shard> {
     let own = node.region();
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::runner::{
     AttemptDemand, Lapsed, Load, LoadReport, Runner, RunnerRecord, Stage, ToldLoad,
 };
+use crate::runner_pace::{RunnerReading, Spent};
 use crate::scheduling::{RunnerLoad, Shard};
 use crate::suspicion::Suspicion;
 use crate::topology::Topology;
@@ -310,6 +311,16 @@
         }
     }
 
+    /// A runner has read a prompt; returns what that took if it can be told.
+    pub fn on_paced(
+        &mut self,
+        id: &RunnerId,
+        reading: RunnerReading,
+        now_us: u64,
+    ) -> Option<Spent> {
+        self.runners.get_mut(id)?.pace.on_read(reading, now_us)
+    }
+
     /// A scheduler sets a request's needs aside at a runner.
     pub fn on_reserved(&mut self, id: &RunnerId, demand: AttemptDemand) {
         self.update_reserved(id, |reserved| reserved.add(demand));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,7 +22,7 @@
 //! | [`runner`], [`fleet`] | which runners exist, how loaded and how healthy they are |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
 //! | [`suspicion`] | whether a runner that is silent is busy or gone |
-//! | [`read_pace`] | how fast prompts are read |
+//! | [`read_pace`], [`runner_pace`] | how fast prompts are read, and how much each runner differs |
 //! | [`placement`] | which runner reads a prompt and which one writes the answer |
 //! | [`urgency`] | what goes ahead of what at a runner |
 //! | [`scheduling`] | which node places a request, and what nodes say to each other for that |
@@ -83,6 +83,7 @@
 mod role_view;
 pub mod routing;
 pub mod runner;
+pub mod runner_pace;
 pub mod scheduler;
 pub mod scheduling;
 pub mod store_copy;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -187,7 +187,7 @@
         },
         fetch_from: source.map(|source| source.record.id.clone()),
         expected_us: (view.time_ms(best) * MICROS_PER_MILLI) as u64,
-        reading_ms: view.pace.read_ms(view.unread_tokens(best) as f64),
+        reading_ms: view.read_ms(best, view.unread_tokens(best)),
     };
     Some((choice, cost_ms(best)))
 }
@@ -261,10 +261,15 @@
         FETCH_MS + moved as f64 * FETCH_TOKEN_MS * far
     }
 
+    /// Time that a runner spends on so many tokens.
+    fn read_ms(&self, runner: &Runner, tokens: u64) -> f64 {
+        self.pace.read_ms_at(runner, tokens as f64, self.demand.now_us)
+    }
+
     /// Time in which a prefill runner has read the prompt.
     fn prefill_time_ms(&self, runner: &Runner) -> f64 {
         let wait = self.pace.backlog_ms(runner, self.demand.now_us);
-        wait + self.pace.fixed_ms() + self.pace.read_ms(self.unread_tokens(runner) as f64)
+        wait + self.pace.fixed_ms() + self.read_ms(runner, self.unread_tokens(runner))
     }
 
     /// Time in which a runner has read the prompt, by its role.
@@ -278,7 +283,7 @@
 
     fn prefill_ms(&self, runner: &Runner) -> f64 {
         let way = self.distance_ms(runner, self.demand.zone) + away_ms(runner, self.reading_home);
-        let late = self.pace.read_ms(runner.late_tokens_of_all() as f64) * LATE_WORK;
+        let late = self.read_ms(runner, runner.late_tokens_of_all()) * LATE_WORK;
         self.prefill_time_ms(runner) + late + self.fetch_ms(runner) + way + self.failures_ms(runner)
     }
 
--- a/crates/serving/src/read_pace.rs
+++ b/crates/serving/src/read_pace.rs
@@ -6,6 +6,7 @@
 //! the line is a guess that a few of them outweigh.
 
 use crate::runner::Runner;
+use crate::runner_pace::{RunnerReading, Spent};
 
 /// A reading that has ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -23,6 +24,10 @@
 pub struct ReadPace {
     samples: LineFit,
     mean_tokens: f64,
+    /// Time that readings took the runners, and what it would have been by the line: more or
+    /// fewer tokens are read than a node believes.
+    spent_ms: f64,
+    expected_ms: f64,
 }
 
 impl Default for ReadPace {
@@ -35,7 +40,7 @@
             let elapsed_ms = GUESSED_FIXED_MS + tokens * GUESSED_MS_PER_TOKEN;
             samples.add(tokens, elapsed_ms, GUESSED_WEIGHT);
         }
-        Self { samples, mean_tokens: 3_000.0 }
+        Self { samples, mean_tokens: 3_000.0, spent_ms: 0.0, expected_ms: 0.0 }
     }
 }
 
@@ -59,6 +64,41 @@
         tokens * self.samples.slope().max(Self::FASTEST_MS_PER_TOKEN)
     }
 
+    /// Time that one runner spends on so many tokens, milliseconds.
+    pub fn read_ms_at(&self, runner: &Runner, tokens: f64, now_us: u64) -> f64 {
+        self.read_ms(tokens) * runner.pace_factor(now_us)
+    }
+
+    /// A reading against what it takes at this pace; for `hears_of_all` see [`RunnerReading`].
+    pub fn compare(&self, sample: &ReadSample, hears_of_all: bool) -> RunnerReading {
+        RunnerReading {
+            expected_ms: self.read_ms(sample.tokens as f64) * self.spent_share(),
+            fixed_ms: self.fixed_ms(),
+            elapsed_ms: sample.elapsed_ms,
+            met_no_queue: sample.met_no_queue,
+            hears_of_all,
+        }
+    }
+
+    /// A runner has spent some time on a reading that was compared before.
+    pub fn on_spent(&mut self, spent: Spent) {
+        let expected_ms = f64::from(spent.expected_ms) / self.spent_share();
+        self.spent_ms = self.spent_ms * LineFit::KEPT + f64::from(spent.spent_ms);
+        self.expected_ms = self.expected_ms * LineFit::KEPT + expected_ms;
+    }
+
+    /// Time that readings take the runners, as a share of what it would be by the line.
+    fn spent_share(&self) -> f64 {
+        const LEAST: f64 = 0.1;
+        const MOST: f64 = 10.0;
+        let share = self.spent_ms / self.expected_ms;
+        if share.is_finite() {
+            share.clamp(LEAST, MOST)
+        } else {
+            1.0
+        }
+    }
+
     /// Time that each reading takes besides, milliseconds: the way there and back, and what the
     /// runner does once for each request.
     pub fn fixed_ms(&self) -> f64 {
@@ -70,7 +110,7 @@
         let told = runner.unread_for_peers(now_us) as f64;
         let guessed = runner.others(now_us) * self.mean_tokens;
         let others = if told > 0.0 { told } else { guessed };
-        self.read_ms(runner.unread_tokens as f64 + others)
+        self.read_ms_at(runner, runner.unread_tokens as f64 + others, now_us)
     }
 }
 
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -5,6 +5,7 @@
 use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
+use crate::runner_pace::RunnerPace;
 use crate::suspicion::Suspicion;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -126,6 +127,7 @@
     /// Its entry is gone, but may only have lapsed.
     pub(crate) lapsed: Option<Lapsed>,
     pub(crate) cache: PrefixCacheModel,
+    pub(crate) pace: RunnerPace,
 }
 
 /// An entry that may have lapsed while the store was away, though its runner lives.
@@ -159,6 +161,7 @@
             misdirected: false,
             lapsed: None,
             cache: PrefixCacheModel::default(),
+            pace: RunnerPace::default(),
         }
     }
 
@@ -179,6 +182,11 @@
         self.failures.at(now_us)
     }
 
+    /// Time that it takes for its work as a share of what its service's runners take on the mean.
+    pub fn pace_factor(&self, now_us: u64) -> f64 {
+        self.pace.factor(now_us)
+    }
+
     /// Whether it is changing its role.
     pub fn is_changing(&self, now_us: u64) -> bool {
         let has_role = |stage: Stage| self.record.stage == Some(stage);
--- /dev/null
+++ b/crates/serving/tests/runner_pace.rs
@@ -0,0 +1,281 @@
+//! The measured pace of each runner, and the work that it gets by it, in virtual time.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::fleet::{Eligible, Fleet};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::placement::{plan_reading, Demand, ReadingPlan};
+use pitchstall_serving::prefix::Prompt;
+use pitchstall_serving::read_pace::{ReadPace, ReadSample};
+use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
+use pitchstall_serving::runner_pace::{RunnerPace, RunnerReading};
+use proptest::prelude::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use test_case::test_case;
+
+const MICROS_PER_MILLI: f64 = 1_000.0;
+const SECOND_US: u64 = 1_000_000;
+const FIXED_MS: f64 = 5.0;
+const TOKENS_A_MS: f64 = 100.0;
+
+fn alone(expected_ms: f64, factor: f64) -> RunnerReading {
+    RunnerReading {
+        expected_ms,
+        fixed_ms: FIXED_MS,
+        elapsed_ms: FIXED_MS + expected_ms * factor,
+        met_no_queue: true,
+        hears_of_all: false,
+    }
+}
+
+#[test_case(1.0)]
+#[test_case(0.77; "a faster kind")]
+#[test_case(5.0; "turned slow")]
+fn the_pace_of_a_runner_is_found_within_a_few_readings(factor: f64) {
+    let mut pace = RunnerPace::default();
+    (1..=12).for_each(|number| {
+        pace.on_read(alone(40.0, 1.0), number * 100_000);
+    });
+    (13..=22).for_each(|number| {
+        pace.on_read(alone(40.0, factor), number * 100_000);
+    });
+    let found = pace.factor(2_200_000);
+    assert!((found / factor - 1.0).abs() < 0.2, "found {found}");
+}
+
+#[test]
+fn a_runner_of_which_little_is_known_counts_as_the_others() {
+    let mut pace = RunnerPace::default();
+    assert!((pace.factor(0) - 1.0).abs() < f64::EPSILON);
+    pace.on_read(alone(40.0, 3.0), 100_000);
+    assert!(pace.factor(100_000) <= 2.0);
+}
+
+#[test]
+fn a_slow_runner_that_reads_nothing_is_trusted_again() {
+    let mut pace = RunnerPace::default();
+    (1..=6).for_each(|number| {
+        pace.on_read(alone(40.0, 5.0), number * 100_000);
+    });
+    assert!(pace.factor(600_000) > 3.0);
+    assert!(pace.factor(13 * SECOND_US) < 1.1);
+}
+
+#[test]
+fn waits_behind_others_are_no_slowness_to_one_who_hears_of_all() {
+    let mut pace = RunnerPace::default();
+    // Sent at once, read one after the other, 40 ms each.
+    for number in 1..=20_u64 {
+        let read_ms = 40.0 * number as f64;
+        let queued = RunnerReading {
+            elapsed_ms: FIXED_MS + read_ms,
+            met_no_queue: number == 1,
+            hears_of_all: true,
+            ..alone(40.0, 1.0)
+        };
+        pace.on_read(queued, (read_ms * MICROS_PER_MILLI) as u64);
+    }
+    assert!((pace.factor(SECOND_US) - 1.0).abs() < 0.05, "found {}", pace.factor(SECOND_US));
+}
+
+#[test]
+fn waits_behind_others_are_passed_over_by_one_who_hears_of_few() {
+    let mut pace = RunnerPace::default();
+    let queued = RunnerReading { met_no_queue: false, ..alone(40.0, 9.0) };
+    (1..=20).for_each(|number| {
+        pace.on_read(queued, number * 100_000);
+    });
+    assert!((pace.factor(2 * SECOND_US) - 1.0).abs() < f64::EPSILON);
+}
+
+fn any_time() -> impl Strategy<Value = f64> {
+    prop_oneof![any::<f64>(), 0.0..10_000.0, Just(0.0), Just(f64::NAN), Just(f64::INFINITY)]
+}
+
+proptest! {
+    #[test]
+    fn paces_stay_finite_and_positive_whatever_readings_come(
+        readings in prop::collection::vec(
+            (any_time(), any_time(), any_time(), any::<bool>(), any::<bool>(), any::<u64>()), 0..60),
+        asked_us in any::<u64>(),
+    ) {
+        let mut pace = RunnerPace::default();
+        for (expected_ms, fixed_ms, elapsed_ms, met_no_queue, hears_of_all, now_us) in readings {
+            let reading =
+                RunnerReading { expected_ms, fixed_ms, elapsed_ms, met_no_queue, hears_of_all };
+            pace.on_read(reading, now_us);
+            for at_us in [now_us, asked_us] {
+                let factor = pace.factor(at_us);
+                prop_assert!(factor.is_finite() && factor > 0.0, "{factor}");
+            }
+        }
+    }
+}
+
+/// When a prompt will have been read and when it was sent, its runner, its tokens, and whether it
+/// met no queue.
+type Reading = (u64, u64, RunnerId, u64, bool);
+
+/// Readers of given speeds, the last of which is slower by a factor for some time.
+struct Play {
+    fleet: Fleet,
+    pace: ReadPace,
+    speeds: BTreeMap<RunnerId, f64>,
+    slow: (RunnerId, f64, std::ops::Range<u64>),
+    free_at_us: BTreeMap<RunnerId, u64>,
+    reading: BinaryHeap<Reverse<Reading>>,
+    /// Tokens that each runner was given, by second.
+    given: BTreeMap<(RunnerId, u64), u64>,
+}
+
+const SPEEDS: [f64; 5] = [1.0, 1.0, 1.3, 3.0, 1.0];
+/// Speed at which a decode runner reads itself.
+const WRITER_SPEED: f64 = 0.5;
+const SLOWED_BY: f64 = 5.0;
+const SLOW_US: std::ops::Range<u64> = 20 * SECOND_US..26 * SECOND_US;
+const END_US: u64 = 45 * SECOND_US;
+/// A little more than the runners can read.
+const BETWEEN_US: u64 = 3_750;
+
+/// Spread over 500 to 5,500, 3,000 on the mean.
+fn prompt_tokens(number: u64) -> u64 {
+    const STEP: u64 = 2_137;
+    500 + number * STEP % 5_000
+}
+
+fn id(number: usize) -> RunnerId {
+    RunnerId::new(format!("r{number}"))
+}
+
+fn record(number: usize, stage: Stage) -> RunnerRecord {
+    RunnerRecord {
+        id: id(number),
+        service: ServiceName::new("llm"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        zone: ZoneId::new("north"),
+        slots: 64,
+        draining: false,
+        preemptible: false,
+        leaves_ms: None,
+        stage: Some(stage),
+        revision: 1,
+    }
+}
+
+impl Play {
+    fn new() -> Self {
+        let mut fleet = Fleet::default();
+        (0..SPEEDS.len()).for_each(|number| {
+            fleet.put(record(number, Stage::Prefill));
+        });
+        fleet.put(record(SPEEDS.len(), Stage::Decode));
+        Self {
+            fleet,
+            pace: ReadPace::default(),
+            speeds: SPEEDS
+                .into_iter()
+                .chain([WRITER_SPEED])
+                .enumerate()
+                .map(|(number, speed)| (id(number), speed))
+                .collect(),
+            slow: (id(SPEEDS.len() - 1), SLOWED_BY, SLOW_US),
+            free_at_us: BTreeMap::new(),
+            reading: BinaryHeap::new(),
+            given: BTreeMap::new(),
+        }
+    }
+
+    fn run(mut self) -> Self {
+        for now_us in (0..END_US).step_by(BETWEEN_US as usize) {
+            self.end_readings(now_us);
+            self.place(now_us, prompt_tokens(now_us / BETWEEN_US));
+        }
+        self
+    }
+
+    fn end_readings(&mut self, now_us: u64) {
+        while self.reading.peek().is_some_and(|Reverse((at_us, ..))| *at_us <= now_us) {
+            let Reverse((at_us, sent_us, runner, tokens, met_no_queue)) =
+                self.reading.pop().unwrap();
+            self.fleet.on_ended(&runner, demand_of(tokens));
+            let elapsed_ms = (at_us - sent_us) as f64 / MICROS_PER_MILLI;
+            let sample = ReadSample { tokens, elapsed_ms, met_no_queue };
+            if runner != id(SPEEDS.len()) {
+                self.pace.on_read(sample);
+                let reading = self.pace.compare(&sample, true);
+                let spent = self.fleet.on_paced(&runner, reading, at_us);
+                spent.into_iter().for_each(|spent| self.pace.on_spent(spent));
+            }
+        }
+    }
+
+    fn place(&mut self, now_us: u64, tokens: u64) {
+        let prompt = Prompt { parts: Vec::new(), tokens, max_output_tokens: 8 };
+        let service = ServiceName::new("llm");
+        let demand = Demand {
+            eligible: Eligible::all_of(&service),
+            prompt: &prompt,
+            zone: &ZoneId::new("north"),
+            cache_tokens: 10_000_000,
+            now_us,
+        };
+        let plan = plan_reading(&self.fleet, &self.pace, &demand).unwrap();
+        let (ReadingPlan::Split(choice) | ReadingPlan::Direct(choice)) = plan;
+        let runner = choice.runner;
+        let met_no_queue = self.fleet.get(&runner).unwrap().is_idle(now_us);
+        self.fleet.on_sent(&runner, demand_of(tokens));
+        let (slow_runner, by, when) = &self.slow;
+        let slowed = if *slow_runner == runner && when.contains(&now_us) { *by } else { 1.0 };
+        let reading_ms = tokens as f64 / TOKENS_A_MS / self.speeds[&runner] * slowed;
+        let free_at_us = self.free_at_us.entry(runner.clone()).or_default();
+        *free_at_us = now_us.max(*free_at_us) + (reading_ms * MICROS_PER_MILLI) as u64;
+        let read_at_us = *free_at_us + (FIXED_MS * MICROS_PER_MILLI) as u64;
+        *self.given.entry((runner.clone(), now_us / SECOND_US)).or_default() += tokens;
+        self.reading.push(Reverse((read_at_us, now_us, runner, tokens, met_no_queue)));
+    }
+
+    fn given(&self, number: usize, seconds: std::ops::Range<u64>) -> f64 {
+        let of = |second| self.given.get(&(id(number), second)).copied().unwrap_or_default();
+        seconds.map(of).sum::<u64>() as f64
+    }
+}
+
+fn demand_of(tokens: u64) -> AttemptDemand {
+    AttemptDemand { unread_tokens: tokens, late_tokens: 0, held_tokens: tokens }
+}
+
+#[test]
+fn runners_get_work_by_their_pace() {
+    let play = Play::new().run();
+    let usual = play.given(0, 5..20);
+    assert!((play.given(1, 5..20) / usual - 1.0).abs() < 0.15);
+    let (faster, fastest) = (play.given(2, 5..20) / usual, play.given(3, 5..20) / usual);
+    assert!((1.15..1.5).contains(&faster), "1.3 times as fast: {faster} times the work");
+    assert!((2.5..3.6).contains(&fastest), "3 times as fast: {fastest} times the work");
+}
+
+#[test]
+fn a_runner_that_turns_slow_gets_less_work_and_its_share_again_afterwards() {
+    let play = Play::new().run();
+    let share =
+        |seconds: std::ops::Range<u64>| play.given(4, seconds.clone()) / play.given(0, seconds);
+    assert!(share(22..26) < 0.4, "while it is slow: {}", share(22..26));
+    assert!(share(31..45) > 0.85, "when that is over: {}", share(31..45));
+}
+
+#[test]
+fn a_pace_goes_with_its_runner() {
+    let mut fleet = Fleet::default();
+    fleet.put(record(0, Stage::Prefill));
+    (1..=6).for_each(|number| {
+        fleet.on_paced(&id(0), alone(40.0, 5.0), number * 100_000);
+    });
+    assert!(fleet.get(&id(0)).unwrap().pace_factor(600_000) > 3.0);
+    fleet.remove(&id(0), 5, None);
+    fleet.on_paced(&id(0), alone(40.0, 5.0), 700_000);
+    assert!(fleet.get(&id(0)).is_none());
+    fleet.put(RunnerRecord { revision: 9, ..record(0, Stage::Prefill) });
+    let factor = fleet.get(&id(0)).unwrap().pace_factor(800_000);
+    assert!((factor - 1.0).abs() < f64::EPSILON);
+}
