--- a/crates/gateway/src/json_lines.rs
+++ b/crates/gateway/src/json_lines.rs
@@ -5,6 +5,7 @@
 use ntex::util::{Bytes, BytesMut};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::cell::Cell;
 
 /// Longest line. The largest is a whole configuration, which the store bounds to 1 MiB before
 /// its escaping as a string.
@@ -27,14 +28,17 @@
     Write(#[from] std::io::Error),
 }
 
-/// Splits what comes at line ends.
-struct LineDecoder;
+/// Splits what comes at line ends, and notes how many bytes of a line have come.
+struct LineDecoder<'a> {
+    received: &'a Cell<usize>,
+}
 
-impl Decoder for LineDecoder {
+impl Decoder for LineDecoder<'_> {
     type Item = Bytes;
     type Error = LineFailure;
 
     fn decode(&self, source: &mut BytesMut) -> Result<Option<Bytes>, LineFailure> {
+        self.received.set(source.len());
         match source.iter().position(|byte| *byte == b'\n') {
             Some(end) => Ok(Some(source.split_to(end + 1))),
             None if source.len() > MOST_LINE_BYTES => Err(LineFailure::TooLong),
@@ -45,7 +49,15 @@
 
 /// Reads the next line.
 pub async fn read_line<T: DeserializeOwned>(io: &Io) -> Result<T, LineFailure> {
-    match io.recv(&LineDecoder).await {
+    read_line_noting(io, &Cell::new(0)).await
+}
+
+/// Reads the next line; `received` holds how many of its bytes have come, also while it is read.
+pub async fn read_line_noting<T: DeserializeOwned>(
+    io: &Io,
+    received: &Cell<usize>,
+) -> Result<T, LineFailure> {
+    match io.recv(&LineDecoder { received }).await {
         Ok(Some(line)) => Ok(serde_json::from_slice(&line)?),
         Ok(None) | Err(ntex::util::Either::Right(_)) => Err(LineFailure::Closed),
         Err(ntex::util::Either::Left(failure)) => Err(failure),
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -7,11 +7,12 @@
 
 use crate::clock::Instant;
 use crate::http::{open_stream, ConnectFailure};
-use crate::json_lines::{read_line, write_line, LineFailure};
+use crate::json_lines::{read_line, read_line_noting, write_line, LineFailure};
 use crate::listener::{accept, stream_of};
 use crate::node::Node;
 use ntex::io::Io;
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -98,6 +99,7 @@
 #[derive(Default)]
 pub struct MirrorClient {
     kept: Option<(SocketAddr, Io)>,
+    received: Cell<usize>,
 }
 
 impl MirrorClient {
@@ -107,6 +109,7 @@
         address: SocketAddr,
         question: &CopyQuestion,
     ) -> Result<CopyAnswer, MirrorFailure> {
+        self.received.set(0);
         let kept = self.kept.take().filter(|(to, io)| *to == address && !io.is_closed());
         let io = match kept {
             Some((_, io)) => io,
@@ -115,8 +118,15 @@
         write_line(&io, question)?;
         let limit = Duration::from_millis(question.wait_ms) + ANSWER_LIMIT;
         let answer =
-            timeout(limit, read_line(&io)).await.map_err(|_| MirrorFailure::TimedOut)??;
+            timeout(limit, read_line_noting(&io, &self.received))
+                .await
+                .map_err(|_| MirrorFailure::TimedOut)??;
         self.kept = Some((address, io));
         Ok(answer)
     }
+
+    /// Bytes of the last answer that have come, also if it never came whole.
+    pub fn received(&self) -> usize {
+        self.received.get()
+    }
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -53,6 +53,8 @@
 const BEHIND_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after another node had nothing confirmed to say.
 const SOURCE_PAUSE: Duration = Duration::from_millis(30);
+/// From here on an answer is logged: 50 ms on a link of 10 Mbit/s.
+const LARGE_COPY_BYTES: usize = 64 * 1024;
 /// Between two looks whether a watch that waits is to be doubted.
 const DOUBT_POLL: Duration = Duration::from_millis(100);
 /// Pause after a failure, before it is multiplied and spread.
@@ -91,6 +93,7 @@
         own_call_at: Instant::now(),
         behind_call_at: Instant::now(),
         source_is_sound: false,
+        asked_at: Instant::now(),
         started: Instant::now(),
         address,
         at: None,
@@ -138,6 +141,8 @@
     behind_call_at: Instant,
     /// Whether the node that is followed has given a sound answer.
     source_is_sound: bool,
+    /// When it was last asked.
+    asked_at: Instant,
     started: Instant,
     address: SocketAddr,
     /// The store's revision up to which everything is known.
@@ -214,6 +219,7 @@
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
         let doubted = until_doubted(self.node.clone(), self.subject, stale);
+        self.asked_at = Instant::now();
         let answer = tokio::select! {
             answer = self.mirror.ask(source, &question) => Some(answer),
             () = doubted, if self.source_is_sound => None,
@@ -221,6 +227,7 @@
         self.source_is_sound = match answer {
             Some(Ok(answer)) => {
                 let is_sound = self.take_answer(&answer);
+                self.log_large_copy(&source.to_string(), self.mirror.received());
                 if !is_sound {
                     let age_ms = answer.age_ms;
                     self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
@@ -257,9 +264,23 @@
         is_confirmed && self.verdict() != Freshness::Behind
     }
 
+    /// One line for each copy or change that is large enough to take some time on a slow link.
+    fn log_large_copy(&self, source: &str, bytes: usize) {
+        if bytes < LARGE_COPY_BYTES {
+            return;
+        }
+        let (subject, known_to) = (self.subject.name(), self.at.unwrap_or_default());
+        let took_ms = self.asked_at.elapsed().as_millis();
+        log::info!(target: "store", subject, source, known_to, bytes, took_ms; "fetched");
+    }
+
     async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
         let source = source.to_string();
-        log::debug!(target: "store", subject = self.subject.name(), source, reason; "source left");
+        let (subject, received) = (self.subject.name(), self.mirror.received());
+        let took_ms = self.asked_at.elapsed().as_millis();
+        // Sources that say nothing are left many times a second while the store is away.
+        let level = if received > 0 { log::Level::Info } else { log::Level::Debug };
+        log::log!(target: "store", level, subject, source, reason, received, took_ms; "source left");
         self.with_freshness(CopyFreshness::on_asked);
         self.turn += 1;
         sleep(SOURCE_PAUSE).await;
@@ -421,7 +442,9 @@
         limit: Duration,
     ) -> Result<(StoreStatus, Vec<u8>), FollowError> {
         self.node.metrics.store_calls.inc();
+        self.asked_at = Instant::now();
         let answer = self.client.call(self.address, call, limit).await?;
+        self.log_large_copy("store", answer.body.len());
         Ok((store::parse_status(answer.status), answer.body))
     }
 
