--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -55,6 +55,9 @@
 const SOURCE_PAUSE: Duration = Duration::from_millis(30);
 /// From here on an answer is logged: 50 ms on a link of 10 Mbit/s.
 const LARGE_COPY_BYTES: usize = 64 * 1024;
+/// From here on what a source has sent before it is left was part of a copy, not the answer that
+/// it knows nothing.
+const PART_OF_A_COPY_BYTES: usize = 1024;
 /// Between two looks whether a watch that waits is to be doubted.
 const DOUBT_POLL: Duration = Duration::from_millis(100);
 /// Pause after a failure, before it is multiplied and spread.
@@ -278,8 +281,9 @@
         let source = source.to_string();
         let (subject, received) = (self.subject.name(), self.mirror.received());
         let took_ms = self.asked_at.elapsed().as_millis();
-        // Sources that say nothing are left many times a second while the store is away.
-        let level = if received > 0 { log::Level::Info } else { log::Level::Debug };
+        // Sources that know nothing are left many times a second while the store is away.
+        let is_worth_a_line = received >= PART_OF_A_COPY_BYTES;
+        let level = if is_worth_a_line { log::Level::Info } else { log::Level::Debug };
         log::log!(target: "store", level, subject, source, reason, received, took_ms; "source left");
         self.with_freshness(CopyFreshness::on_asked);
         self.turn += 1;
