Judge copies of the store by their headway, not by a time

Cause: limits of 0.6 s (another node's copy) and 1.5 s (the store's answer) that do not know the size of the answer, and a doubt that dropped a copy on its way since words of the change come before it. Ruled out: slow mirrors (they have it within 0.2 s), slow followers (1 to 3 hundredths of a core). Change: the line of an answer has the old limits; what follows it, and a body of the store, is waited for as long as a byte comes each 1.5 s, 20 s at most; a doubt waits for an answer that has begun to come. A line is searched for its end once, not anew at each piece.

--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -9,7 +9,7 @@
 pub mod request;
 pub mod upstream;
 
-pub use answer_codec::{AnswerHead, BodyDecoder};
+pub use answer_codec::{AnswerFault, AnswerHead, BodyDecoder};
 pub use pool::{ConnectionPool, TrustedRest};
 pub use upstream::{open_stream, ConnectFailure, ReadFailure, Upstream};
 
--- a/crates/gateway/src/json_lines.rs
+++ b/crates/gateway/src/json_lines.rs
@@ -7,9 +7,8 @@
 use serde::Serialize;
 use std::cell::Cell;
 
-/// Longest line. The largest is a whole configuration, which the store bounds to 1 MiB before
-/// its escaping as a string.
-const MOST_LINE_BYTES: usize = 4 * 1024 * 1024;
+/// Longest line. What is larger than a few kilobytes follows its line packed.
+const MOST_LINE_BYTES: usize = 1024 * 1024;
 
 /// A line could not be exchanged.
 #[derive(Debug, thiserror::Error)]
@@ -23,42 +22,67 @@
     /// The line is not the JSON that is expected.
     #[error("the line cannot be read: {0}")]
     Json(#[from] serde_json::Error),
+    /// What follows the line cannot be unpacked, or is too large.
+    #[error("what follows the line cannot be unpacked: {0}")]
+    Packed(std::io::Error),
     /// The line could not be written.
     #[error("the line could not be written: {0}")]
     Write(#[from] std::io::Error),
 }
 
-/// Splits what comes at line ends, and notes how many bytes of a line have come.
-struct LineDecoder<'a> {
-    received: &'a Cell<usize>,
+/// Splits what comes at line ends. What has been searched is not searched again: a long line comes in
+/// many pieces.
+#[derive(Default)]
+struct LineDecoder {
+    searched: Cell<usize>,
 }
 
-impl Decoder for LineDecoder<'_> {
+impl Decoder for LineDecoder {
     type Item = Bytes;
     type Error = LineFailure;
 
     fn decode(&self, source: &mut BytesMut) -> Result<Option<Bytes>, LineFailure> {
-        self.received.set(source.len());
-        match source.iter().position(|byte| *byte == b'\n') {
-            Some(end) => Ok(Some(source.split_to(end + 1))),
+        let searched = self.searched.replace(source.len()).min(source.len());
+        match source[searched..].iter().position(|byte| *byte == b'\n') {
+            Some(end) => Ok(Some(source.split_to(searched + end + 1))),
             None if source.len() > MOST_LINE_BYTES => Err(LineFailure::TooLong),
             None => Ok(None),
         }
     }
 }
 
+/// Takes what has come of so many bytes.
+struct PieceDecoder {
+    most: usize,
+}
+
+impl Decoder for PieceDecoder {
+    type Item = Bytes;
+    type Error = LineFailure;
+
+    fn decode(&self, source: &mut BytesMut) -> Result<Option<Bytes>, LineFailure> {
+        let length = self.most.min(source.len());
+        Ok((length > 0).then(|| source.split_to(length)))
+    }
+}
+
 /// Reads the next line.
 pub async fn read_line<T: DeserializeOwned>(io: &Io) -> Result<T, LineFailure> {
-    read_line_noting(io, &Cell::new(0)).await
+    let line = receive(io, &LineDecoder::default()).await?;
+    Ok(serde_json::from_slice(&line)?)
+}
+
+/// Reads what has come of the `most` bytes that follow a line; at least one.
+pub async fn read_piece(io: &Io, most: usize) -> Result<Bytes, LineFailure> {
+    receive(io, &PieceDecoder { most }).await
 }
 
-/// Reads the next line; `received` holds how many of its bytes have come, also while it is read.
-pub async fn read_line_noting<T: DeserializeOwned>(
-    io: &Io,
-    received: &Cell<usize>,
-) -> Result<T, LineFailure> {
-    match io.recv(&LineDecoder { received }).await {
-        Ok(Some(line)) => Ok(serde_json::from_slice(&line)?),
+async fn receive<D>(io: &Io, decoder: &D) -> Result<Bytes, LineFailure>
+where
+    D: Decoder<Item = Bytes, Error = LineFailure>,
+{
+    match io.recv(decoder).await {
+        Ok(Some(bytes)) => Ok(bytes),
         Ok(None) | Err(ntex::util::Either::Right(_)) => Err(LineFailure::Closed),
         Err(ntex::util::Either::Left(failure)) => Err(failure),
     }
@@ -70,3 +94,8 @@
     line.push(b'\n');
     Ok(io.encode_bytes(Bytes::from(line))?)
 }
+
+/// Hands over bytes that follow a line.
+pub fn write_bytes(io: &Io, bytes: Bytes) -> Result<(), LineFailure> {
+    Ok(io.encode_bytes(bytes)?)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,8 @@
 //!
 //! Beside them: [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
-//! [`platform_client`] or another node with [`mirror`], as old as [`copy_limits`] allows, [`quarantine`] keeps
+//! [`platform_client`] or another node with [`mirror`], as old as [`copy_limits`] allows and
+//! judged by its headway ([`transfer`]), [`quarantine`] keeps
 //! the requests that end runners there, [`node`] holds what the node believes, [`clock`] says how long ago
 //! something was, [`http`] speaks HTTP to runners and to the store.
 
@@ -60,6 +61,7 @@
 pub mod scheduling;
 pub mod settings;
 pub mod shard_scheduler;
+pub mod transfer;
 pub mod usage;
 pub mod verification;
 pub mod watcher;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -1,18 +1,19 @@
 //! Hands this node's copy of the store on to nodes that follow it, and follows another's.
 //!
 //! A node that follows asks with the revision that it knows; the answer waits until there is a
-//! later one, or for the time that the question names. Any node answers, whether or not it is
+//! later one, or for the time that the question names. A large update follows the line of its answer,
+//! and is waited for as long as it makes headway. Any node answers, whether or not it is
 //! one of those that read the store: so a node that starts while the store is away serves by
 //! what the others know.
 
 use crate::clock::Instant;
 use crate::http::{open_stream, ConnectFailure};
-use crate::json_lines::{read_line, read_line_noting, write_line, LineFailure};
+use crate::json_lines::{read_line, read_piece, write_bytes, write_line, LineFailure};
 use crate::listener::{accept, stream_of};
 use crate::node::Node;
+use crate::transfer::{Transfer, LONGEST_TRANSFER, STALLED_LIMIT};
 use ntex::io::Io;
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion};
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,9 +27,14 @@
 /// Time to open a connection to another node. Nodes are at most tens of milliseconds away; one that
 /// takes longer is cut off or has stopped, and another can be asked.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
-/// Time for an answer beyond the wait that the question names: the copy may be some hundred
-/// kilobytes, on links of 10 Mbit/s.
+/// Time for the line of an answer beyond the wait that the question names. What follows it is judged by
+/// its headway.
 const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// From here on an update follows the line of its answer, bytes: 7 ms on a link of 10 Mbit/s.
+const LARGE_UPDATE_BYTES: usize = 8 * 1024;
+/// Largest update: the store bounds an entry to 1 MiB, before its escaping as a string, and 1,300 runners
+/// make 0.4 MB.
+const MOST_UPDATE_BYTES: usize = 8 * 1024 * 1024;
 /// Nodes that may follow this one at a time; more are turned away and ask another.
 const MOST_FOLLOWERS: usize = 512;
 
@@ -55,7 +61,7 @@
 async fn serve_follower(io: &Io, node: &Node) {
     while let Ok(Ok(question)) = timeout(IDLE_LIMIT, read_line::<CopyQuestion>(io)).await {
         wait_for_change(node, &question).await;
-        if let Err(error) = write_line(io, &answer(node, &question)) {
+        if let Err(error) = write_answer(io, answer(node, &question)) {
             let error = error.to_string();
             log::info!(target: "mirror", error; "answer not written");
             return;
@@ -78,7 +84,21 @@
     let update = node.copies.borrow().of(question.subject).update_since(question.after);
     let now_us = node.now_us();
     let age_ms = node.freshness.borrow().copy_of(question.subject).confirmed_age_ms(now_us);
-    CopyAnswer { update, age_ms }
+    CopyAnswer { update, age_ms, following: None }
+}
+
+fn write_answer(io: &Io, mut answer: CopyAnswer) -> Result<(), LineFailure> {
+    let update = match &answer.update {
+        Some(update) => serde_json::to_vec(update)?,
+        None => Vec::new(),
+    };
+    if update.len() < LARGE_UPDATE_BYTES {
+        return write_line(io, &answer);
+    }
+    answer.update = None;
+    answer.following = Some(update.len());
+    write_line(io, &answer)?;
+    write_bytes(io, update.into())
 }
 
 /// Another node's copy could not be had.
@@ -93,23 +113,36 @@
     /// Nothing came in time.
     #[error("the node did not answer in time")]
     TimedOut,
+    /// The answer began to come and went no further.
+    #[error("the node's answer went no further after {received} of {bytes} bytes")]
+    Stalled {
+        /// Bytes that had come.
+        received: usize,
+        /// Bytes that were to come.
+        bytes: usize,
+    },
 }
 
 /// Asks other nodes for their copies, one question at a time over one kept connection.
-#[derive(Default)]
 pub struct MirrorClient {
     kept: Option<(SocketAddr, Io)>,
-    received: Cell<usize>,
+    transfer: Rc<Transfer>,
 }
 
 impl MirrorClient {
-    /// Asks a node and waits for its answer.
+    /// A client that tells `transfer` of the headway of its answers.
+    pub fn with_transfer(transfer: Rc<Transfer>) -> Self {
+        Self { kept: None, transfer }
+    }
+
+    /// Asks a node and waits for its answer: for a time until it begins to come, and then for as
+    /// long as it makes headway.
     pub async fn ask(
         &mut self,
         address: SocketAddr,
         question: &CopyQuestion,
     ) -> Result<CopyAnswer, MirrorFailure> {
-        self.received.set(0);
+        self.transfer.begin();
         let kept = self.kept.take().filter(|(to, io)| *to == address && !io.is_closed());
         let io = match kept {
             Some((_, io)) => io,
@@ -117,15 +150,32 @@
         };
         write_line(&io, question)?;
         let limit = Duration::from_millis(question.wait_ms) + ANSWER_LIMIT;
-        let answer = timeout(limit, read_line_noting(&io, &self.received))
-            .await
-            .map_err(|_| MirrorFailure::TimedOut)??;
+        let mut answer: CopyAnswer =
+            timeout(limit, read_line(&io)).await.map_err(|_| MirrorFailure::TimedOut)??;
+        if let Some(bytes) = answer.following {
+            let update = timeout(LONGEST_TRANSFER, self.read_following(&io, bytes));
+            let update = update.await.map_err(|_| self.stalled(bytes))??;
+            answer.update = Some(serde_json::from_slice(&update).map_err(LineFailure::from)?);
+        }
         self.kept = Some((address, io));
         Ok(answer)
     }
 
-    /// Bytes of the last answer that have come, also if it never came whole.
-    pub fn received(&self) -> usize {
-        self.received.get()
+    async fn read_following(&self, io: &Io, bytes: usize) -> Result<Vec<u8>, MirrorFailure> {
+        if bytes > MOST_UPDATE_BYTES {
+            return Err(LineFailure::TooLong.into());
+        }
+        let mut update = Vec::with_capacity(bytes);
+        while update.len() < bytes {
+            let piece = timeout(STALLED_LIMIT, read_piece(io, bytes - update.len()));
+            let piece = piece.await.map_err(|_| self.stalled(bytes))??;
+            update.extend_from_slice(&piece);
+            self.transfer.on_received(piece.len());
+        }
+        Ok(update)
+    }
+
+    fn stalled(&self, bytes: usize) -> MirrorFailure {
+        MirrorFailure::Stalled { received: self.transfer.received(), bytes }
     }
 }
--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -4,9 +4,11 @@
 //! more comes on it.
 
 use crate::http::request::request_bytes;
-use crate::http::{BodyDecoder, ConnectFailure, ReadFailure, Upstream};
+use crate::http::{AnswerFault, AnswerHead, BodyDecoder, ConnectFailure, ReadFailure, Upstream};
+use crate::transfer::{Transfer, LONGEST_TRANSFER, STALLED_LIMIT};
 use pitchstall_platform_adapter::call::PlatformCall;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -27,6 +29,12 @@
     /// Nothing came in time.
     #[error("the platform did not answer in time")]
     TimedOut,
+    /// The answer began to come and went no further.
+    #[error("the platform's answer went no further after {received} bytes")]
+    Stalled {
+        /// Bytes of its body that had come.
+        received: usize,
+    },
 }
 
 /// An answer.
@@ -42,10 +50,17 @@
 #[derive(Default)]
 pub struct PlatformClient {
     kept: Option<(SocketAddr, Upstream)>,
+    transfer: Rc<Transfer>,
 }
 
 impl PlatformClient {
-    /// Makes a call to the interface at an address and waits for its answer for at most `limit`.
+    /// A client that tells `transfer` of the headway of its answers.
+    pub fn with_transfer(transfer: Rc<Transfer>) -> Self {
+        Self { kept: None, transfer }
+    }
+
+    /// Makes a call to the interface at an address and waits at most `limit` for the head of its
+    /// answer; the body is waited for as long as it makes headway.
     pub async fn call(
         &mut self,
         address: SocketAddr,
@@ -57,21 +72,47 @@
             Some((_, connection)) => connection,
             None => Upstream::open(address, CONNECT_LIMIT).await?,
         };
-        let exchange = exchange(&connection, address, call);
-        let (answer, keep) =
-            timeout(limit, exchange).await.map_err(|_| PlatformFailure::TimedOut)??;
+        self.transfer.begin();
+        let head = timeout(limit, ask(&connection, address, call));
+        let head = head.await.map_err(|_| PlatformFailure::TimedOut)??;
+        let decoder = BodyDecoder::new(head.framing);
+        let body = timeout(LONGEST_TRANSFER, self.read_body(&connection, &decoder));
+        let body = body.await.map_err(|_| self.stalled())??;
+        let (answer, keep) = (PlatformAnswer { status: head.status, body }, head.keep_alive);
         if keep && connection.is_reusable() {
             self.kept = Some((address, connection));
         }
         Ok(answer)
     }
+
+    async fn read_body(
+        &self,
+        connection: &Upstream,
+        decoder: &BodyDecoder,
+    ) -> Result<Vec<u8>, PlatformFailure> {
+        let mut body = Vec::new();
+        loop {
+            let next = timeout(STALLED_LIMIT, connection.read_body(decoder));
+            let next = next.await.map_err(|_| self.stalled())??;
+            let Some(bytes) = next else { return Ok(body) };
+            if body.len() + bytes.len() > MOST_ANSWER_BYTES {
+                return Err(ReadFailure::Fault(AnswerFault::Length).into());
+            }
+            body.extend_from_slice(&bytes);
+            self.transfer.on_received(bytes.len());
+        }
+    }
+
+    fn stalled(&self) -> PlatformFailure {
+        PlatformFailure::Stalled { received: self.transfer.received() }
+    }
 }
 
-async fn exchange(
+async fn ask(
     connection: &Upstream,
     address: SocketAddr,
     call: &PlatformCall,
-) -> Result<(PlatformAnswer, bool), ReadFailure> {
+) -> Result<AnswerHead, ReadFailure> {
     let mut headers = vec![("host".to_owned(), address.to_string().into_bytes())];
     let own = call.headers.iter();
     headers.extend(own.map(|(name, value)| ((*name).to_owned(), value.clone().into_bytes())));
@@ -79,8 +120,5 @@
         headers.push(("content-type".to_owned(), b"application/json".to_vec()));
     }
     connection.send(request_bytes(call.method, &call.target, &headers, &call.body))?;
-    let head = connection.read_head().await?;
-    let decoder = BodyDecoder::new(head.framing);
-    let body = connection.read_whole_body(&decoder, MOST_ANSWER_BYTES).await?;
-    Ok((PlatformAnswer { status: head.status, body }, head.keep_alive))
+    connection.read_head().await
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -15,6 +15,7 @@
 use crate::mirror::MirrorClient;
 use crate::node::Node;
 use crate::platform_client::{PlatformClient, PlatformFailure};
+use crate::transfer::Transfer;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::documents;
 use pitchstall_platform_adapter::store::{
@@ -29,7 +30,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Limit of a call that does not wait.
+/// Time for the head of the answer to a call that does not wait.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
 /// A watch asks for no more than that, so that its revision stays in the store's history.
 const LONGEST_WATCH: Duration = Duration::from_secs(10);
@@ -87,11 +88,13 @@
 pub async fn follow(node: Rc<Node>, subject: Subject) {
     let address = node.settings().store.address;
     let confirmation = draw_confirmation(&node, subject);
+    let transfer = Rc::<Transfer>::default();
     let mut follower = Follower {
         node,
         subject,
-        client: PlatformClient::default(),
-        mirror: MirrorClient::default(),
+        client: PlatformClient::with_transfer(transfer.clone()),
+        mirror: MirrorClient::with_transfer(transfer.clone()),
+        transfer,
         turn: 0,
         own_call_at: Instant::now(),
         behind_call_at: Instant::now(),
@@ -118,16 +121,27 @@
     freshness.copy_of(subject).verdict(node.now_us(), confirmation_us)
 }
 
-/// Ends when a watch that waits should not be relied on any more.
-async fn until_doubted(node: Rc<Node>, subject: Subject, confirmation: Duration) {
-    let doubted = async {
-        while verdict(&node, subject, confirmation) == Freshness::Fresh {
-            sleep(DOUBT_POLL).await;
+/// Ends when a question that waits should not be relied on any more. Once its answer has begun to come
+/// it is: words of a later change are small and come at once, while the change itself takes its
+/// time, and dropping it would prolong the doubt.
+async fn until_doubted(
+    node: Rc<Node>,
+    subject: Subject,
+    confirmation: Duration,
+    transfer: Rc<Transfer>,
+) {
+    loop {
+        tokio::select! {
+            () = sleep(DOUBT_POLL) => {
+                if verdict(&node, subject, confirmation) == Freshness::Fresh {
+                    continue;
+                }
+            }
+            () = node.store_suspected.notified() => {}
+        }
+        if !transfer.is_under_way() {
+            return;
         }
-    };
-    tokio::select! {
-        () = doubted => {}
-        () = node.store_suspected.notified() => {}
     }
 }
 
@@ -136,6 +150,8 @@
     subject: Subject,
     client: PlatformClient,
     mirror: MirrorClient,
+    /// Headway of the answer of the node or the store that is asked.
+    transfer: Rc<Transfer>,
     /// Which of the nodes that can be followed is followed.
     turn: usize,
     /// When the store may next be asked though this node does not read it for others.
@@ -221,8 +237,9 @@
         };
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
-        let doubted = until_doubted(self.node.clone(), self.subject, stale);
-        self.asked_at = Instant::now();
+        let transfer = self.transfer.clone();
+        let doubted = until_doubted(self.node.clone(), self.subject, stale, transfer);
+        self.begin_question();
         let answer = tokio::select! {
             answer = self.mirror.ask(source, &question) => Some(answer),
             () = doubted, if self.source_is_sound => None,
@@ -230,7 +247,7 @@
         self.source_is_sound = match answer {
             Some(Ok(answer)) => {
                 let is_sound = self.take_answer(&answer);
-                self.log_large_copy(&source.to_string(), self.mirror.received());
+                self.log_large_copy(&source.to_string(), self.transfer.received());
                 if !is_sound {
                     let age_ms = answer.age_ms;
                     self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
@@ -267,6 +284,11 @@
         is_confirmed && self.verdict() != Freshness::Behind
     }
 
+    fn begin_question(&mut self) {
+        self.asked_at = Instant::now();
+        self.transfer.begin();
+    }
+
     /// One line for each copy or change that is large enough to take some time on a slow link.
     fn log_large_copy(&self, source: &str, bytes: usize) {
         if bytes < LARGE_COPY_BYTES {
@@ -279,7 +301,7 @@
 
     async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
         let source = source.to_string();
-        let (subject, received) = (self.subject.name(), self.mirror.received());
+        let (subject, received) = (self.subject.name(), self.transfer.received());
         let took_ms = self.asked_at.elapsed().as_millis();
         // Sources that know nothing are left many times a second while the store is away.
         let is_worth_a_line = received >= PART_OF_A_COPY_BYTES;
@@ -374,11 +396,12 @@
         let is_fresh = self.verdict() == Freshness::Fresh;
         if is_fresh {
             let (node, subject) = (self.node.clone(), self.subject);
-            let holds = self.confirmation;
+            let (holds, transfer) = (self.confirmation, self.transfer.clone());
+            self.begin_question();
             tokio::select! {
                 done = self.watch_once(at, LONGEST_WATCH, LONGEST_WATCH_LIMIT) => done,
                 // The connection is dropped with the call.
-                () = until_doubted(node, subject, holds) => Ok(()),
+                () = until_doubted(node, subject, holds, transfer) => Ok(()),
             }
         } else {
             self.with_freshness(CopyFreshness::on_asked);
@@ -446,7 +469,7 @@
         limit: Duration,
     ) -> Result<(StoreStatus, Vec<u8>), FollowError> {
         self.node.metrics.store_calls.inc();
-        self.asked_at = Instant::now();
+        self.begin_question();
         let answer = self.client.call(self.address, call, limit).await?;
         self.log_large_copy("store", answer.body.len());
         Ok((store::parse_status(answer.status), answer.body))
