Pack large updates between nodes; a follower's question isn't dropped by a doubt

Cause: 0.94 MB to each follower, as JSON in JSON, over links of 10 Mbit/s. Ruled out: the difference alone between versions (each pair of versions would be another document, and what both know has to be agreed); parts that are resumed at another source (what a source that dies has sent is a tenth of the document; it is sent again). Change: from 8 KB on an update follows its line packed (flate2, fastest), packed once for all that ask; questions to other nodes end by their own limits alone, as their wait is short.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 //!
 //! Beside them: [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
-//! [`platform_client`] or another node with [`mirror`], as old as [`copy_limits`] allows and
+//! [`platform_client`] or another node with [`mirror`] ([`packing`]), as old as [`copy_limits`] allows and
 //! judged by its headway ([`transfer`]), [`quarantine`] keeps
 //! the requests that end runners there, [`node`] holds what the node believes, [`clock`] says how long ago
 //! something was, [`http`] speaks HTTP to runners and to the store.
@@ -48,6 +48,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod node;
+pub mod packing;
 pub mod peer_words;
 pub mod peers;
 pub mod platform_client;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -11,9 +11,11 @@
 use crate::json_lines::{read_line, read_piece, write_bytes, write_line, LineFailure};
 use crate::listener::{accept, stream_of};
 use crate::node::Node;
+use crate::packing::{unpack, PackedUpdate};
 use crate::transfer::{Transfer, LONGEST_TRANSFER, STALLED_LIMIT};
 use ntex::io::Io;
-use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion};
+use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, Subject};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,17 +32,17 @@
 /// Time for the line of an answer beyond the wait that the question names. What follows it is judged by
 /// its headway.
 const ANSWER_LIMIT: Duration = Duration::from_millis(600);
-/// From here on an update follows the line of its answer, bytes: 7 ms on a link of 10 Mbit/s.
+/// From here on an update follows the line of its answer packed, bytes: 7 ms on a link of 10 Mbit/s.
 const LARGE_UPDATE_BYTES: usize = 8 * 1024;
-/// Largest update: the store bounds an entry to 1 MiB, before its escaping as a string, and 1,300 runners
-/// make 0.4 MB.
-const MOST_UPDATE_BYTES: usize = 8 * 1024 * 1024;
+/// Most bytes that may follow a line.
+const MOST_PACKED_BYTES: usize = 4 * 1024 * 1024;
 /// Nodes that may follow this one at a time; more are turned away and ask another.
 const MOST_FOLLOWERS: usize = 512;
 
 /// Answers other nodes' questions until the task is dropped.
 pub async fn accept_followers(listener: TcpListener, node: Rc<Node>) {
     let followers = Rc::new(());
+    let packed = Rc::<PackedUpdates>::default();
     // One for all connections: the buffers kept under a configuration are never let go.
     let config: ntex::SharedCfg = ntex::SharedCfg::new("mirror").into();
     loop {
@@ -50,18 +52,18 @@
             continue;
         }
         let Some(io) = stream_of(stream, config.clone()) else { continue };
-        let (node, follower) = (node.clone(), followers.clone());
+        let (node, follower, packed) = (node.clone(), followers.clone(), packed.clone());
         ntex::rt::spawn(async move {
-            serve_follower(&io, &node).await;
+            serve_follower(&io, &node, &packed).await;
             drop(follower);
         });
     }
 }
 
-async fn serve_follower(io: &Io, node: &Node) {
+async fn serve_follower(io: &Io, node: &Node, packed: &PackedUpdates) {
     while let Ok(Ok(question)) = timeout(IDLE_LIMIT, read_line::<CopyQuestion>(io)).await {
         wait_for_change(node, &question).await;
-        if let Err(error) = write_answer(io, answer(node, &question)) {
+        if let Err(error) = write_answer(io, answer(node, &question), packed.of(question.subject)) {
             let error = error.to_string();
             log::info!(target: "mirror", error; "answer not written");
             return;
@@ -84,21 +86,39 @@
     let update = node.copies.borrow().of(question.subject).update_since(question.after);
     let now_us = node.now_us();
     let age_ms = node.freshness.borrow().copy_of(question.subject).confirmed_age_ms(now_us);
-    CopyAnswer { update, age_ms, following: None }
+    CopyAnswer { update, age_ms, packed_bytes: None }
 }
 
-fn write_answer(io: &Io, mut answer: CopyAnswer) -> Result<(), LineFailure> {
-    let update = match &answer.update {
-        Some(update) => serde_json::to_vec(update)?,
-        None => Vec::new(),
-    };
-    if update.len() < LARGE_UPDATE_BYTES {
-        return write_line(io, &answer);
-    }
+fn write_answer(
+    io: &Io,
+    mut answer: CopyAnswer,
+    packed: &RefCell<PackedUpdate>,
+) -> Result<(), LineFailure> {
+    let Some(update) = &answer.update else { return write_line(io, &answer) };
+    let packed = packed.borrow_mut().of(update, LARGE_UPDATE_BYTES).map_err(LineFailure::Packed)?;
+    let Some(packed) = packed else { return write_line(io, &answer) };
     answer.update = None;
-    answer.following = Some(update.len());
+    answer.packed_bytes = Some(packed.len());
     write_line(io, &answer)?;
-    write_bytes(io, update.into())
+    write_bytes(io, packed)
+}
+
+/// The last update of each subject that was packed, for all nodes that follow this one.
+#[derive(Default)]
+struct PackedUpdates {
+    configuration: RefCell<PackedUpdate>,
+    runners: RefCell<PackedUpdate>,
+    crashes: RefCell<PackedUpdate>,
+}
+
+impl PackedUpdates {
+    fn of(&self, subject: Subject) -> &RefCell<PackedUpdate> {
+        match subject {
+            Subject::Configuration => &self.configuration,
+            Subject::Runners => &self.runners,
+            Subject::Crashes => &self.crashes,
+        }
+    }
 }
 
 /// Another node's copy could not be had.
@@ -152,27 +172,27 @@
         let limit = Duration::from_millis(question.wait_ms) + ANSWER_LIMIT;
         let mut answer: CopyAnswer =
             timeout(limit, read_line(&io)).await.map_err(|_| MirrorFailure::TimedOut)??;
-        if let Some(bytes) = answer.following {
-            let update = timeout(LONGEST_TRANSFER, self.read_following(&io, bytes));
-            let update = update.await.map_err(|_| self.stalled(bytes))??;
-            answer.update = Some(serde_json::from_slice(&update).map_err(LineFailure::from)?);
+        if let Some(bytes) = answer.packed_bytes {
+            let packed = timeout(LONGEST_TRANSFER, self.read_packed(&io, bytes));
+            let packed = packed.await.map_err(|_| self.stalled(bytes))??;
+            answer.update = Some(unpack(&packed).map_err(LineFailure::Packed)?);
         }
         self.kept = Some((address, io));
         Ok(answer)
     }
 
-    async fn read_following(&self, io: &Io, bytes: usize) -> Result<Vec<u8>, MirrorFailure> {
-        if bytes > MOST_UPDATE_BYTES {
+    async fn read_packed(&self, io: &Io, bytes: usize) -> Result<Vec<u8>, MirrorFailure> {
+        if bytes > MOST_PACKED_BYTES {
             return Err(LineFailure::TooLong.into());
         }
-        let mut update = Vec::with_capacity(bytes);
-        while update.len() < bytes {
-            let piece = timeout(STALLED_LIMIT, read_piece(io, bytes - update.len()));
+        let mut packed = Vec::with_capacity(bytes);
+        while packed.len() < bytes {
+            let piece = timeout(STALLED_LIMIT, read_piece(io, bytes - packed.len()));
             let piece = piece.await.map_err(|_| self.stalled(bytes))??;
-            update.extend_from_slice(&piece);
+            packed.extend_from_slice(&piece);
             self.transfer.on_received(piece.len());
         }
-        Ok(update)
+        Ok(packed)
     }
 
     fn stalled(&self, bytes: usize) -> MirrorFailure {
--- /dev/null
+++ b/crates/gateway/src/packing.rs
@@ -0,0 +1,62 @@
+//! Large updates of copies, packed (zlib) on their way from node to node.
+//!
+//! A configuration repeats its names: 4,200 routes are 944 KB as JSON in JSON and a tenth of that packed.
+//! It goes from one node to each of those that follow it, over links of 10 Mbit/s.
+
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
+use flate2::Compression;
+use ntex::util::Bytes;
+use pitchstall_serving::store_copy::StoreUpdate;
+use std::io::{Read, Write};
+
+/// Largest update: the store bounds an entry to 1 MiB, before its escaping as a string, and 1,300 runners
+/// make 0.4 MB.
+const MOST_UPDATE_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Packs an update, as JSON, quickly rather than as small as possible.
+pub fn pack(update: &[u8]) -> std::io::Result<Bytes> {
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(update)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// Unpacks an update; what is larger than any update can be is an error, as is what is none.
+pub fn unpack(packed: &[u8]) -> std::io::Result<StoreUpdate> {
+    let mut update = Vec::new();
+    ZlibDecoder::new(packed).take(MOST_UPDATE_BYTES).read_to_end(&mut update)?;
+    Ok(serde_json::from_slice(&update)?)
+}
+
+/// What a packed update holds: those of equal content are packed once for all that ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Content {
+    known_to: u64,
+    whole: bool,
+    /// Entries that are newer than what the other side knows: their number tells which.
+    entries: usize,
+}
+
+/// The last update that was packed of one subject.
+#[derive(Default)]
+pub struct PackedUpdate {
+    last: Option<(Content, Bytes)>,
+}
+
+impl PackedUpdate {
+    /// An update packed; `None` if it is small enough to stand in the line of its answer.
+    pub fn of(&mut self, update: &StoreUpdate, least: usize) -> std::io::Result<Option<Bytes>> {
+        let (known_to, whole, entries) = (update.known_to, update.whole, update.entries.len());
+        let content = Content { known_to, whole, entries };
+        if let Some((_, packed)) = self.last.as_ref().filter(|(known, _)| *known == content) {
+            return Ok(Some(packed.clone()));
+        }
+        let document = serde_json::to_vec(update)?;
+        if document.len() < least {
+            return Ok(None);
+        }
+        let packed = pack(&document)?;
+        self.last = Some((content, packed.clone()));
+        Ok(Some(packed))
+    }
+}
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -54,8 +54,8 @@
 const BEHIND_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after another node had nothing confirmed to say.
 const SOURCE_PAUSE: Duration = Duration::from_millis(30);
-/// From here on an answer is logged: 50 ms on a link of 10 Mbit/s.
-const LARGE_COPY_BYTES: usize = 64 * 1024;
+/// From here on an answer is logged: 13 ms on a link of 10 Mbit/s.
+const LARGE_COPY_BYTES: usize = 16 * 1024;
 /// From here on what a source has sent before it is left was part of a copy, not the answer that
 /// it knows nothing.
 const PART_OF_A_COPY_BYTES: usize = 1024;
@@ -121,9 +121,8 @@
     freshness.copy_of(subject).verdict(node.now_us(), confirmation_us)
 }
 
-/// Ends when a question that waits should not be relied on any more. Once its answer has begun to come
-/// it is: words of a later change are small and come at once, while the change itself takes its
-/// time, and dropping it would prolong the doubt.
+/// Ends when a watch that waits should not be relied on any more. Once its answer has begun to come it is:
+/// words of a later change come before the change itself, and dropping it would prolong the doubt.
 async fn until_doubted(
     node: Rc<Node>,
     subject: Subject,
@@ -228,7 +227,6 @@
     /// Asks another node for what has changed since the last answer.
     async fn follow_node(&mut self, source: SocketAddr) {
         self.pause_between_changes(BETWEEN_CHANGES).await;
-        let stale = stale_after(&self.node, self.subject);
         // A source that is new may lag too: it is only asked what it knows, so that the next one
         // follows at once.
         let wait = match self.source_is_sound {
@@ -237,35 +235,29 @@
         };
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
-        let transfer = self.transfer.clone();
-        let doubted = until_doubted(self.node.clone(), self.subject, stale, transfer);
         self.begin_question();
-        let answer = tokio::select! {
-            answer = self.mirror.ask(source, &question) => Some(answer),
-            () = doubted, if self.source_is_sound => None,
-        };
+        // Not dropped when another node tells of a later change: words are small and come at once, while
+        // the change itself takes its time. A source that has nothing to say answers soon.
+        let answer = self.mirror.ask(source, &question).await;
         self.source_is_sound = match answer {
-            Some(Ok(answer)) => {
-                let is_sound = self.take_answer(&answer);
-                self.log_large_copy(&source.to_string(), self.transfer.received());
-                if !is_sound {
-                    let age_ms = answer.age_ms;
-                    self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
-                }
-                is_sound
-            }
-            Some(Err(error)) => {
+            Ok(answer) => self.judge_answer(source, &answer).await,
+            Err(error) => {
                 self.leave_source(source, &error.to_string()).await;
                 false
             }
-            // The connection is dropped with the question.
-            None => {
-                self.leave_source(source, "another node knows more").await;
-                false
-            }
         };
     }
 
+    async fn judge_answer(&mut self, source: SocketAddr, answer: &CopyAnswer) -> bool {
+        let is_sound = self.take_answer(answer);
+        self.log_large_copy(&source.to_string(), self.transfer.received());
+        if !is_sound {
+            let age_ms = answer.age_ms;
+            self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
+        }
+        is_sound
+    }
+
     /// Takes in another node's answer; returns whether its copy can be relied on.
     fn take_answer(&mut self, answer: &CopyAnswer) -> bool {
         let Some(update) = &answer.update else { return false };
--- /dev/null
+++ b/crates/gateway/tests/packing.rs
@@ -0,0 +1,57 @@
+//! Updates of copies, packed on their way between nodes.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_gateway::packing::{pack, unpack, PackedUpdate};
+use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate};
+use proptest::prelude::*;
+
+fn update(known_to: u64, documents: &[String]) -> StoreUpdate {
+    let entry = |(number, document): (usize, &String)| StoreEntry {
+        key: format!("key-{number}"),
+        document: Some(document.clone()),
+        revision: number as u64,
+    };
+    let entries = documents.iter().enumerate().map(entry).collect();
+    StoreUpdate { known_to, whole: true, entries }
+}
+
+#[test]
+fn a_small_update_is_not_packed_and_a_large_one_once_for_all_that_ask() {
+    let mut packed = PackedUpdate::default();
+    let small = update(1, &["a".to_owned()]);
+    assert!(packed.of(&small, 1_000).unwrap().is_none());
+    let large = update(2, &["a".repeat(2_000)]);
+    let first = packed.of(&large, 1_000).unwrap().unwrap();
+    let second = packed.of(&large, 1_000).unwrap().unwrap();
+    assert_eq!(first.as_ptr(), second.as_ptr());
+    assert_eq!(unpack(&first).unwrap(), large);
+    let later = update(3, &["b".repeat(2_000)]);
+    assert_eq!(unpack(&packed.of(&later, 1_000).unwrap().unwrap()).unwrap(), later);
+}
+
+/// A few bytes that unpack to more than any update has must not take the memory for it.
+#[test]
+fn what_unpacks_to_more_than_any_update_is_refused() {
+    const MORE: usize = 64 * 1024 * 1024;
+    let bomb = pack(&vec![b' '; MORE]).unwrap();
+    assert!(bomb.len() < MORE / 500);
+    assert!(unpack(&bomb).is_err());
+}
+
+proptest! {
+    #[test]
+    fn what_was_packed_comes_back(known_to in 0..u64::MAX, documents in proptest::collection::vec(".*", 0..20)) {
+        let update = update(known_to, &documents);
+        let packed = pack(&serde_json::to_vec(&update).unwrap()).unwrap();
+        prop_assert_eq!(unpack(&packed).unwrap(), update);
+    }
+
+    /// Bytes that were cut, changed or made up are an error and never end the process.
+    #[test]
+    fn what_is_no_packed_update_is_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..200), cut in 0_usize..60) {
+        prop_assert!(unpack(&bytes).is_err());
+        let packed = pack(&serde_json::to_vec(&update(1, &["some document".to_owned()])).unwrap()).unwrap();
+        let cut = cut.min(packed.len() - 1);
+        prop_assert!(unpack(&packed[..cut]).is_err());
+    }
+}
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -172,9 +172,9 @@
     /// What brings the asking node up to date; `None` if this node knows less, or if the update
     /// follows the answer.
     pub update: Option<StoreUpdate>,
-    /// The update follows the answer in so many bytes, as it is large.
+    /// The update follows the answer packed, in so many bytes, as it is large.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub following: Option<usize>,
+    pub packed_bytes: Option<usize>,
     /// Milliseconds since the store confirmed the copy; `None`: it never has.
     pub age_ms: Option<u64>,
 }
