A node that knows its configuration to be outdated sends callers elsewhere

Cause: a node that had heard of a later version and could not get it denied routes that had been added (404, 200 in a tenth of a second) and ran requests where a removed share led. Keys had been treated rightly: only a copy that is confirmed and not behind denies one. Change: an unknown route is 404 only by a copy that would know it, else 503 and another node after 0.1 s; after two thirds of config_apply_ms behind, nothing is taken on and the node isn't ready. A word of a later change is believed until the store itself answers, or 5 s after its last repetition: a node with another store can stop nobody for longer. A configuration's own revision is told after a read, so that a read makes nobody else look behind. Sight: behind_ms in the line adopted, pitchstall_configuration_behind_seconds.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -8,8 +8,8 @@
 /// Pause for clients that came before the node knew a configuration, seconds.
 const UNCONFIGURED_PAUSE_S: f64 = 0.5;
 
-/// Pause for clients whose key this node cannot verify, seconds: they come to another node then,
-/// which most likely knows.
+/// Pause for clients whose key or route this node cannot verify, seconds: they come to another node
+/// then, which most likely knows.
 const UNVERIFIABLE_PAUSE_S: f64 = 0.1;
 
 /// Pause for clients of a tenant whose limit nobody could be asked about, seconds: as with keys.
@@ -27,6 +27,8 @@
     Unauthorized,
     /// This node's copy of the configuration is too old to tell whether its key holds.
     Unverifiable,
+    /// This node's configuration is known to be outdated, or too old to tell that there is no route.
+    Outdated,
     /// Its head or body took too long to come.
     TooSlow,
     /// Its body is too large.
@@ -78,6 +80,7 @@
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfigured
             | Self::Unverifiable
+            | Self::Outdated
             | Self::QuotaUnknown
             | Self::Refused
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
@@ -91,7 +94,7 @@
         match self {
             Self::Refused => Some(REFUSED_PAUSE_S),
             Self::Unconfigured => Some(UNCONFIGURED_PAUSE_S),
-            Self::Unverifiable => Some(UNVERIFIABLE_PAUSE_S),
+            Self::Unverifiable | Self::Outdated => Some(UNVERIFIABLE_PAUSE_S),
             Self::QuotaUnknown => Some(QUOTA_UNKNOWN_PAUSE_S),
             Self::OverQuota { wait_ms } => Some(wait_ms as f64 / MILLIS_A_SECOND),
             _ => None,
@@ -105,6 +108,7 @@
             Self::NoRoute => "no_route",
             Self::Unauthorized => "unauthorized",
             Self::Unverifiable => "unverifiable",
+            Self::Outdated => "outdated",
             Self::TooSlow => "too_slow",
             Self::BodyTooLarge => "body_too_large",
             Self::HeadTooLarge => "head_too_large",
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -142,8 +142,12 @@
     let Some(configuration) = node.configuration() else {
         return finish(node, request, None, RequestEnd::Own(OwnAnswer::Unconfigured));
     };
+    if node.is_outdated() {
+        // Its route may have been moved or removed, by a version that other nodes have.
+        return finish(node, request, None, RequestEnd::Own(OwnAnswer::Outdated));
+    }
     let Some(route) = route_of(&configuration, request) else {
-        return finish(node, request, None, RequestEnd::Own(OwnAnswer::NoRoute));
+        return finish(node, request, None, RequestEnd::Own(without_route(node)));
     };
     let tenant = match access(node, &configuration, &route, request) {
         Ok(tenant) => tenant,
@@ -166,6 +170,15 @@
     finish(node, request, Some(&route), end)
 }
 
+/// Only a node that would know a route says that there is none: the route may have been added by a version
+/// that it has not got yet.
+fn without_route(node: &Node) -> OwnAnswer {
+    match node.configuration_age().is_relied_on(node.key_policy().config_apply_ms) {
+        true => OwnAnswer::NoRoute,
+        false => OwnAnswer::Outdated,
+    }
+}
+
 /// The tenant for whom a request runs, or why it may not run.
 fn access(
     node: &Node,
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -114,6 +114,7 @@
             let (mut response, _) = answer(StatusCode::OK, "");
             let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
             response.headers_mut().insert(CONTENT_TYPE, content_type);
+            node.metrics.configuration_behind.set(node.configuration_behind().as_secs_f64());
             (response, node.metrics.render())
         }
         QUARANTINE_PATH => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,8 +7,10 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 
 /// Content type of the text.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -60,6 +62,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Time for which other nodes have told of a configuration that this one has not got, seconds.
+    pub configuration_behind: Gauge<f64, AtomicU64>,
     /// Calls of duties that one node does for all.
     pub cloud_calls: Counter,
     /// Time to the first byte of an answer, seconds.
@@ -88,6 +92,7 @@
             quota: QuotaFigures::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
+            configuration_behind: Gauge::default(),
             cloud_calls: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             registry: Registry::with_prefix("pitchstall"),
@@ -134,6 +139,10 @@
         self.registry.register("requests", "Finished requests by outcome", requests);
         let left_region = self.left_region.clone();
         self.registry.register("left_region", "Requests that left their region", left_region);
+        let help =
+            "Time for which others have told of a configuration that is not in force here, seconds";
+        let configuration_behind = self.configuration_behind.clone();
+        self.registry.register("configuration_behind_seconds", help, configuration_behind);
         let first_byte = self.first_byte.clone();
         let help = "Time to the first byte of an answer, seconds";
         self.registry.register("first_byte_seconds", help, first_byte);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -363,6 +363,22 @@
         }
     }
 
+    /// For how long other nodes have told of a configuration that this one has not got.
+    pub fn configuration_behind(&self) -> Duration {
+        let behind_us = self.freshness.borrow().configuration.behind_for_us(self.now_us());
+        Duration::from_micros(behind_us.unwrap_or_default())
+    }
+
+    /// Whether a later configuration has been in force elsewhere for so long that this node may not go by
+    /// its own any more: it is to be in force everywhere within `config_apply_ms` of its acknowledgement,
+    /// and words of it take up to a second and more to come.
+    pub fn is_outdated(&self) -> bool {
+        const THIRDS: u64 = 3;
+        const ALLOWED_THIRDS: u64 = 2;
+        let allowed_ms = self.settings().bounds.config_apply_ms / THIRDS * ALLOWED_THIRDS;
+        self.configuration_behind() > Duration::from_millis(allowed_ms)
+    }
+
     /// For how long keys are believed without word from the store.
     pub fn key_policy(&self) -> KeyPolicy {
         let settings = self.settings();
@@ -386,7 +402,8 @@
         self.splitter.borrow_mut().retain(&configuration);
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
         let before = before.unwrap_or_default();
-        log::info!(target: "configuration", version, before, routes, tenants; "adopted");
+        let behind_ms = self.configuration_behind().as_millis();
+        log::info!(target: "configuration", version, before, routes, tenants, behind_ms; "adopted");
     }
 
     /// The service that gets the route's next request.
@@ -445,7 +462,8 @@
 
     /// Whether the node takes new callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.configuration.borrow().is_some() && self.runners_known.get()
+        let is_configured = self.configuration.borrow().is_some() && !self.is_outdated();
+        !self.is_stopping() && is_configured && self.runners_known.get()
     }
 
     /// Whether a planned stop has begun.
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -335,7 +335,13 @@
         let known_to = update.known_to;
         self.take_update(&update);
         self.confirmation = draw_confirmation(&self.node, self.subject);
-        self.with_freshness(|copy, now_us| copy.on_read(known_to, now_us));
+        // A configuration is one entry, which is never removed.
+        let only = update.entries.first().filter(|_| self.subject == Subject::Configuration);
+        let revision = only.map(|entry| entry.revision);
+        self.with_freshness(|copy, now_us| match revision {
+            Some(revision) => copy.on_read_entry(revision, known_to, now_us),
+            None => copy.on_read(known_to, now_us),
+        });
         self.node.store_confirmed.notify_one();
         Ok(())
     }
--- /dev/null
+++ b/crates/gateway/tests/outdated.rs
@@ -0,0 +1,71 @@
+//! A node that knows that its configuration is outdated, and cannot get the later one.
+//!
+//! A caller of such a node got 404 for a route that had been added, or had its request run by the service that
+//! the route had been taken from. It is sent to another node instead, which has the later version.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use pitchstall_platform_standins::store::StoreMode;
+use serde_json::json;
+use std::net::UdpSocket;
+use support::{configuration, route, wait_for, Fixture, RawAnswer};
+
+const BOUNDS: &str = "config_apply_ms = 600\n";
+
+/// Another node, which has seen a later configuration and hands nothing on.
+struct Teller {
+    socket: UdpSocket,
+    sequence: u64,
+}
+
+impl Teller {
+    fn tell(&mut self, node: &Fixture, changed_at: u64) {
+        self.sequence += 1;
+        let address = self.socket.local_addr().unwrap().to_string();
+        let digest = json!({
+            "node": "teller", "incarnation": 1, "sequence": self.sequence,
+            "member": { "a": address, "z": "north", "p": 1_000 },
+            "store": { "f": { "c": changed_at, "a": 0 }, "r": { "c": 0, "a": null } },
+        });
+        let word = json!({ "digest": digest }).to_string();
+        self.socket.send_to(word.as_bytes(), node.peers).unwrap();
+    }
+}
+
+fn ask(node: &Fixture, name: &str) -> RawAnswer {
+    let mut client = node.client();
+    client.request("GET", &format!("/{name}/1"), "id", "", b"");
+    client.read_answer()
+}
+
+#[test]
+fn a_node_that_is_behind_for_too_long_sends_callers_to_others_until_it_has_caught_up() {
+    let answer = |_: &_| Reaction::Answer { status: 200, body: b"done".to_vec() };
+    let runner = RunnerStandIn::start("i-1", answer).unwrap();
+    let node = Fixture::start_with(BOUNDS);
+    node.store.put("op/config", &configuration(3));
+    node.add_runner(&runner, "desk", None);
+    node.wait_until_ready();
+    assert_eq!(ask(&node, "lookup").status, 200);
+    assert_eq!(ask(&node, "added").status, 404);
+    node.store.set_mode(StoreMode::Silent);
+    let mut teller = Teller { socket: UdpSocket::bind("127.0.0.1:0").unwrap(), sequence: 0 };
+    wait_for("an unknown route not to be denied", || {
+        teller.tell(&node, 1_000);
+        ask(&node, "added").status == 503
+    });
+    wait_for("the node to refuse what may have been moved", || {
+        teller.tell(&node, 1_000);
+        let answer = ask(&node, "lookup");
+        answer.status == 503 && answer.header("retry-after").is_some()
+    });
+    assert!(!node.is_ready());
+    let mut later = configuration(4);
+    later["routes"].as_array_mut().unwrap().push(route("added", "idempotent", "desk"));
+    node.store.put("op/config", &later);
+    node.store.set_mode(StoreMode::Serving);
+    wait_for("the later configuration", || ask(&node, "added").status == 200);
+    assert!(node.is_ready());
+}
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -49,10 +49,24 @@
 /// promises about two seconds. A little less, as a runner that is gone for good may get no request
 /// two seconds after its entry was seen to be gone.
 const RETURNING_US: u64 = 1_800_000;
+/// Time after the last word of a later change within which it is believed that there is one, microseconds:
+/// nodes repeat their words each second or some seconds, and one whose store has been replaced tells of
+/// revisions that this node's store never had.
+const TOLD_HOLDS_US: u64 = 5_000_000;
+/// Later changes that are remembered: a storm of three a second for as long as words are believed.
+const MOST_TOLD: usize = 16;
 /// Added to an age for each time it is handed on, milliseconds.
 const HOP_MS: u64 = 20;
 const MICROS_PER_MILLI: u64 = 1_000;
 
+/// A change that is not known here and that other nodes have told of.
+#[derive(Clone, Copy, Debug)]
+struct ToldChange {
+    revision: u64,
+    first_us: u64,
+    last_us: u64,
+}
+
 /// Freshness of a node's copy of one subject.
 #[derive(Clone, Debug, Default)]
 pub struct CopyFreshness {
@@ -67,12 +81,16 @@
     returned_at_us: Option<u64>,
     /// A later change that another node has seen, and when it was first told.
     seen_elsewhere: Option<(u64, u64)>,
+    /// Later changes that others have told of, the earliest first.
+    told: Vec<ToldChange>,
 }
 
 impl CopyFreshness {
     /// The store has answered: everything up to a revision is known.
     pub fn on_store_answer(&mut self, known_to: u64, now_us: u64) {
         self.known_to = known_to;
+        // The store itself knows of no later change: what was told before is of another store.
+        self.told.clear();
         self.confirm(now_us, now_us);
         self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
     }
@@ -84,6 +102,13 @@
         self.on_store_answer(known_to, now_us);
     }
 
+    /// The only entry of the subject has been read: its own revision is the last change.
+    pub fn on_read_entry(&mut self, revision: u64, known_to: u64, now_us: u64) {
+        self.changed_at = revision;
+        self.read_at_us = None;
+        self.on_store_answer(known_to, now_us);
+    }
+
     /// Another node has handed on its copy, which the store confirmed so long ago.
     pub fn on_handed_on(&mut self, update: &StoreUpdate, age_ms: Option<u64>, now_us: u64) {
         if update.whole {
@@ -95,6 +120,7 @@
         update.entries.iter().for_each(|entry| self.on_change(entry.revision));
         self.known_to = self.known_to.max(update.known_to);
         let known_to = self.known_to;
+        self.told.retain(|told| told.revision > known_to);
         self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
         let Some(age_ms) = age_ms else { return };
         let confirmed_at_us = now_us.saturating_sub((age_ms + HOP_MS) * MICROS_PER_MILLI);
@@ -136,6 +162,7 @@
     /// Another node's word. One that has seen no change that is unknown here confirms the copy.
     pub fn on_word(&mut self, word: FreshnessWord, now_us: u64) {
         if word.changed_at > self.known_to {
+            self.on_told(word.changed_at, now_us);
             let first_us = self.seen_elsewhere.map_or(now_us, |(_, told_at_us)| told_at_us);
             let highest = self.seen_elsewhere.map_or(0, |(revision, _)| revision);
             self.seen_elsewhere = Some((highest.max(word.changed_at), first_us));
@@ -151,6 +178,25 @@
         }
     }
 
+    fn on_told(&mut self, revision: u64, now_us: u64) {
+        self.told.retain(|told| now_us < told.last_us + TOLD_HOLDS_US);
+        // Whoever has seen a change has seen those before it.
+        let earlier = self.told.iter_mut().filter(|told| told.revision <= revision);
+        earlier.for_each(|told| told.last_us = now_us);
+        let is_known = self.told.iter().any(|told| told.revision == revision);
+        if !is_known && self.told.len() < MOST_TOLD {
+            self.told.push(ToldChange { revision, first_us: now_us, last_us: now_us });
+        }
+    }
+
+    /// For how long others have told of a change that is not known here, microseconds; `None`: nobody
+    /// does, or the store itself has said since that there is none.
+    pub fn behind_for_us(&self, now_us: u64) -> Option<u64> {
+        let believed = self.told.iter().filter(|told| now_us < told.last_us + TOLD_HOLDS_US);
+        let first_us = believed.map(|told| told.first_us).min()?;
+        Some(now_us.saturating_sub(first_us))
+    }
+
     /// What to tell the other nodes.
     pub fn word(&self, now_us: u64) -> FreshnessWord {
         if self.read_at_us.is_some_and(|read_at_us| now_us < read_at_us + SETTLING_US) {
--- a/crates/serving/src/tenancy.rs
+++ b/crates/serving/src/tenancy.rs
@@ -133,6 +133,18 @@
     pub is_behind: bool,
 }
 
+impl CopyAge {
+    /// Whether what the copy does not hold is not there: it was confirmed within the time in which a
+    /// version comes into force, and nobody has seen a later one.
+    pub fn is_relied_on(&self, config_apply_ms: u64) -> bool {
+        !self.is_behind && self.is_confirmed_within(config_apply_ms)
+    }
+
+    fn is_confirmed_within(&self, limit_ms: u64) -> bool {
+        self.confirmed_ms.is_some_and(|age_ms| age_ms <= limit_ms)
+    }
+}
+
 /// Bounds on how long a node goes on by a copy that is not confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyPolicy {
@@ -178,13 +190,12 @@
         Credential::Absent | Credential::Malformed => return Access::Denied,
         Credential::Key(key) => key,
     };
-    let confirmed_within = |limit_ms: u64| copy.confirmed_ms.is_some_and(|age| age <= limit_ms);
     match tenants.holder_of(&key) {
-        Some(_) if policy.revoke_ms.is_some_and(|limit_ms| !confirmed_within(limit_ms)) => {
+        Some(_) if policy.revoke_ms.is_some_and(|limit_ms| !copy.is_confirmed_within(limit_ms)) => {
             Access::Unverifiable
         }
         Some(tenant) => Access::Granted(tenant.clone()),
-        None if copy.is_behind || !confirmed_within(policy.config_apply_ms) => Access::Unverifiable,
-        None => Access::Denied,
+        None if copy.is_relied_on(policy.config_apply_ms) => Access::Denied,
+        None => Access::Unverifiable,
     }
 }
--- a/crates/serving/tests/freshness.rs
+++ b/crates/serving/tests/freshness.rs
@@ -108,6 +108,55 @@
     assert_eq!(copy.verdict(2 * SECOND, HOLDS), Freshness::Behind);
 }
 
+#[test]
+fn a_copy_is_behind_from_the_first_word_of_a_change_until_it_has_that_change() {
+    let mut copy = copy_known_to(5);
+    assert_eq!(copy.behind_for_us(SECOND), None);
+    copy.on_word(word(6, 0), SECOND);
+    copy.on_word(word(8, 0), 2 * SECOND);
+    copy.on_asked(2 * SECOND);
+    assert_eq!(copy.behind_for_us(3 * SECOND), Some(2 * SECOND));
+    let entry = StoreEntry { key: "op/config".to_owned(), document: None, revision: 6 };
+    let update = StoreUpdate { known_to: 6, whole: false, entries: vec![entry] };
+    copy.on_handed_on(&update, Some(0), 3 * SECOND);
+    assert_eq!(copy.behind_for_us(3 * SECOND), Some(SECOND), "the later change is still missing");
+}
+
+/// Whoever tells of the last change of a storm has seen the first one too.
+#[test]
+fn a_word_of_a_later_change_keeps_that_of_an_earlier_one_alive() {
+    let mut copy = copy_known_to(5);
+    copy.on_word(word(6, 0), 0);
+    for second in 1..20 {
+        copy.on_word(word(6 + second, 0), second * SECOND);
+    }
+    assert_eq!(copy.behind_for_us(20 * SECOND), Some(20 * SECOND));
+}
+
+/// A node whose settings name another store tells of revisions that this one's store never had: the store's
+/// own answer, or silence, ends that.
+#[test]
+fn words_of_another_stores_revisions_are_not_believed_for_long() {
+    let mut copy = copy_known_to(5);
+    copy.on_word(word(50_000, 0), SECOND);
+    assert!(copy.behind_for_us(2 * SECOND).is_some());
+    copy.on_store_answer(5, 2 * SECOND);
+    assert_eq!(copy.behind_for_us(2 * SECOND), None);
+    copy.on_word(word(50_000, 0), 3 * SECOND);
+    assert_eq!(copy.behind_for_us(9 * SECOND), None, "nobody has repeated it");
+}
+
+/// A configuration is one entry, so that a node that has read it knows which change was the last.
+#[test]
+fn a_node_that_has_read_the_only_entry_makes_nobody_ask() {
+    let mut reader = CopyFreshness::default();
+    reader.on_read_entry(5, 9, 0);
+    let mut other = copy_known_to(6);
+    other.on_word(reader.word(0), 0);
+    assert_eq!(other.verdict(SECOND, HOLDS), Freshness::Fresh);
+    assert_eq!(other.behind_for_us(SECOND), None);
+}
+
 proptest! {
     /// Nodes that only talk to each other stop believing in time: no circle of words keeps a
     /// confirmation alive that the store does not give.
