A runner that starts again is another life; entries that name no runner cost no other

A life is a runner's name and when it began, and is what every belief, connection, word between nodes, crash and reservation is about: what is believed of one cannot pass to the next, and a word about one changes nothing of another. Entries are ordered by their revision, whatever the clock said at the start. Where entries don't tell the start, a name is a life, as before; once one tells it, an entry that doesn't is another writer's. Two tests wrote entries without version and cold_left_ms, which no runner does: they write them now.

--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -7,7 +7,7 @@
 use crate::http::{BodyDecoder, Upstream};
 use crate::node::Node;
 use crate::shard_scheduler::own_shards;
-use pitchstall_platform_adapter::paths;
+use pitchstall_platform_adapter::paths::{self, Told};
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::prefix::PromptPart;
@@ -33,7 +33,12 @@
     let shards = own_shards(&node);
     let runners = runners_to_list(&node.fleet.borrow(), &shards);
     for (runner, address) in runners {
-        let parts = timeout(LIST_LIMIT, list(address)).await.ok().flatten();
+        let told = timeout(LIST_LIMIT, list(address)).await.ok().flatten();
+        if let Some(other) = told.as_ref().filter(|told| !runner.may_be(told.born_ms)) {
+            node.on_other_life(&runner, other.born_ms);
+            continue;
+        }
+        let parts = told.map(|told| told.what);
         let listed = parts.as_ref().map_or(0, Vec::len);
         let answered = parts.is_some();
         log::info!(target: "scheduling", runner = runner.as_str(), answered, listed; "cache listed");
@@ -51,7 +56,7 @@
     listed.map(|runner| (runner.record.id.clone(), runner.record.address)).collect()
 }
 
-async fn list(address: SocketAddr) -> Option<Vec<PromptPart>> {
+async fn list(address: SocketAddr) -> Option<Told<Vec<PromptPart>>> {
     const OK: u16 = 200;
     let connection = Upstream::open(address, LIST_LIMIT).await.ok()?;
     let headers = [("host".to_owned(), address.to_string().into_bytes())];
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -1,11 +1,14 @@
 //! Takes the store's entries into what the node believes, and into the copy that it hands on.
 
 use crate::node::Node;
+use crate::refused_entries::EntryFault;
 use pitchstall_platform_adapter::documents::{self, ReadConfiguration, RefusedTenant};
 use pitchstall_platform_adapter::store::{self, CONFIGURATION_KEY};
+use pitchstall_serving::ids::RunnerName;
 use pitchstall_serving::quarantine::{Crash, CrashRecord};
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate, Subject};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 /// Takes in an update, from the store or from another node.
@@ -15,13 +18,11 @@
         Subject::Configuration => {
             update.entries.iter().for_each(|entry| take_configuration(node, entry));
         }
-        Subject::Runners if update.whole => {
-            let records = update.entries.iter().filter_map(record_of).collect();
-            node.replace_runners(records, update.known_to, node.lapses_until_us());
-        }
+        Subject::Runners if update.whole => take_all_runners(node, update),
         Subject::Runners => update.entries.iter().for_each(|entry| take_runner(node, entry)),
         Subject::Crashes if update.whole => {
-            let crashes: Vec<_> = update.entries.iter().filter_map(crash_of).collect();
+            let crashes: Vec<_> =
+                update.entries.iter().filter_map(|entry| crash_of(node, entry)).collect();
             node.quarantine.borrow_mut().on_all_stored(&crashes);
         }
         Subject::Crashes => update.entries.iter().for_each(|entry| take_end(node, entry)),
@@ -42,26 +43,53 @@
             node.adopt_configuration(configuration);
         }
         Err(error) => {
-            let error = error.to_string();
-            log::error!(target: "configuration", revision = entry.revision, error; "unreadable");
+            let fault = EntryFault::Document(error.to_string());
+            node.on_refused_entry(
+                Subject::Configuration.name(),
+                &entry.key,
+                entry.revision,
+                &fault,
+            );
         }
     }
 }
 
 fn take_runner(node: &Rc<Node>, entry: &StoreEntry) {
-    match (&entry.document, documents::runner_of_key(&entry.key)) {
-        (Some(_), _) => {
-            if let Some(record) = record_of(entry) {
-                node.put_runner(record);
-            }
+    if let Some(record) = read_record(node, entry) {
+        return node.put_runner(record);
+    }
+    let Some(name) = documents::runner_of_key(&entry.key) else { return };
+    // An entry that cannot be used has not lapsed: somebody has written it.
+    let lapses_until_us = node.lapses_until_us().filter(|_| entry.is_removal());
+    node.remove_runner(&name, entry.revision, lapses_until_us);
+}
+
+/// All runners' entries. Those that cannot be used name no runner, and cost the others nothing.
+fn take_all_runners(node: &Rc<Node>, update: &StoreUpdate) {
+    let records: Vec<RunnerRecord> =
+        update.entries.iter().filter_map(|entry| read_record(node, entry)).collect();
+    // Known now if any of them tells it, also one that comes after those that do not.
+    let tells_starts = node.tells_starts.get();
+    let (used, refused): (Vec<_>, Vec<_>) =
+        records.into_iter().partition(|record| record.id.born_ms().is_some() || !tells_starts);
+    let used_names: HashSet<RunnerName> = used.iter().map(|record| record.id.name()).collect();
+    for record in refused {
+        let name = record.id.name();
+        let key = documents::key_of_runner(&name);
+        node.on_refused_entry(Subject::Runners.name(), &key, record.revision, &EntryFault::NoStart);
+    }
+    node.replace_runners(used, update.known_to, node.lapses_until_us());
+    let unusable = update.entries.iter().filter(|entry| !entry.is_removal());
+    for entry in unusable {
+        let name = documents::runner_of_key(&entry.key);
+        if let Some(name) = name.filter(|name| !used_names.contains(name)) {
+            node.remove_runner(&name, entry.revision, None);
         }
-        (None, Some(id)) => node.remove_runner(&id, entry.revision, node.lapses_until_us()),
-        (None, None) => {}
     }
 }
 
 fn take_end(node: &Node, entry: &StoreEntry) {
-    if let Some((crash, record)) = crash_of(entry) {
+    if let Some((crash, record)) = crash_of(node, entry) {
         let change = node.quarantine.borrow_mut().on_stored(&crash, record);
         node.log_crash(&crash, change, "store");
     } else if let Some(crash) = store::crash_of_key(&entry.key) {
@@ -70,26 +98,34 @@
 }
 
 /// The crash that an entry tells; `None` if it was removed or cannot be read.
-fn crash_of(entry: &StoreEntry) -> Option<(Crash, CrashRecord)> {
+fn crash_of(node: &Node, entry: &StoreEntry) -> Option<(Crash, CrashRecord)> {
     let document = entry.document.as_deref()?;
-    match (store::crash_of_key(&entry.key), serde_json::from_str(document)) {
-        (Some(crash), Ok(record)) => Some((crash, record)),
-        (_, record) => {
-            let error = record.err().map_or("its key".to_owned(), |error| error.to_string());
-            log::warn!(target: "crash", key = entry.key.as_str(), error; "unreadable entry");
-            None
-        }
-    }
+    let fault = match (store::crash_of_key(&entry.key), serde_json::from_str(document)) {
+        (Some(crash), Ok(record)) => return Some((crash, record)),
+        (None, _) => EntryFault::Key,
+        (_, Err(error)) => EntryFault::Document(error.to_string()),
+    };
+    node.on_refused_entry(Subject::Crashes.name(), &entry.key, entry.revision, &fault);
+    None
 }
 
-fn record_of(entry: &StoreEntry) -> Option<RunnerRecord> {
+/// The runner that an entry names; `None` if it was removed or names none.
+fn read_record(node: &Node, entry: &StoreEntry) -> Option<RunnerRecord> {
     let document = entry.document.as_deref()?;
-    match documents::parse_runner(&entry.key, document.as_bytes(), entry.revision) {
-        Ok(record) => Some(record),
+    let record = match documents::parse_runner(&entry.key, document.as_bytes(), entry.revision) {
+        Ok(record) => record,
         Err(error) => {
-            let (key, error) = (entry.key.as_str(), error.to_string());
-            log::warn!(target: "fleet", key, error; "unreadable entry");
-            None
+            let fault = EntryFault::Document(error.to_string());
+            node.on_refused_entry(Subject::Runners.name(), &entry.key, entry.revision, &fault);
+            return None;
         }
+    };
+    if record.id.born_ms().is_some() {
+        node.tells_starts.set(true);
+    } else if node.tells_starts.get() {
+        let fault = EntryFault::NoStart;
+        node.on_refused_entry(Subject::Runners.name(), &entry.key, entry.revision, &fault);
+        return None;
     }
+    Some(record)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,8 @@
 //!
 //! Before a run is sent, [`quota`] has it paid for if its tenant has a limit.
 //!
-//! Beside them: [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
+//! Beside them: [`entries`] takes in what lies in the store, and [`refused_entries`] says what of it cannot be
+//! used; [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
 //! [`platform_client`] ([`store_pages`]) or another node with [`mirror`] ([`packing`]), as old as [`copy_limits`] allows and
 //! judged by its headway ([`transfer`]), [`quarantine`] keeps
@@ -56,6 +57,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reading;
+pub mod refused_entries;
 pub mod relay;
 pub mod roles;
 pub mod scaling;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of an entry of the store that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EntryLabels {
+    /// What it should have told of.
+    pub subject: &'static str,
+}
+
 /// All metrics of a node. Counters are shared with the registry, so counting costs no look-up.
 #[derive(Debug)]
 pub struct Metrics {
@@ -62,6 +69,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Revisions of entries of the store that could not be used.
+    pub refused_entries: Family<EntryLabels, Counter>,
     /// Time for which other nodes have told of a configuration that this one has not got, seconds.
     pub configuration_behind: Gauge<f64, AtomicU64>,
     /// Calls of duties that one node does for all.
@@ -92,6 +101,7 @@
             quota: QuotaFigures::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
+            refused_entries: Family::default(),
             configuration_behind: Gauge::default(),
             cloud_calls: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
@@ -139,6 +149,9 @@
         self.registry.register("requests", "Finished requests by outcome", requests);
         let left_region = self.left_region.clone();
         self.registry.register("left_region", "Requests that left their region", left_region);
+        let refused_entries = self.refused_entries.clone();
+        let help = "Revisions of entries of the store that could not be used";
+        self.registry.register("entries_refused", help, refused_entries);
         let help =
             "Time for which others have told of a configuration that is not in force here, seconds";
         let configuration_behind = self.configuration_behind.clone();
@@ -153,6 +166,11 @@
         self.requests.get_or_create(&RequestLabels { outcome }).inc();
     }
 
+    /// Counts a revision of an entry that could not be used.
+    pub fn on_refused_entry(&self, subject: &'static str) {
+        self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
+    }
+
     /// Counts a request that left its region.
     pub fn on_left_region(&self, reason: LeavingReason) {
         self.left_region.get_or_create(&LeavingLabels { reason: reason.name() }).inc();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::platform_client::PlatformClient;
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
+use crate::refused_entries::{EntryFault, RefusedEntries};
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use crate::shard_scheduler;
@@ -94,6 +95,10 @@
     pub quotas: Quotas,
     /// What the collector of usage knows, while this node is it.
     pub usage_collector: RefCell<UsageCollector>,
+    /// Entries of the store that cannot be used.
+    pub refused_entries: RefusedEntries,
+    /// Whether runners' entries tell when their runners started.
+    pub tells_starts: Cell<bool>,
     /// This start of the node, drawn at random: the time of day may jump back.
     pub incarnation: u64,
     wall_clock: RefCell<WallClock>,
@@ -169,6 +174,8 @@
             quarantine_changed: Notify::new(),
             quotas: Quotas::default(),
             usage_collector: RefCell::default(),
+            refused_entries: RefusedEntries::default(),
+            tells_starts: Cell::new(false),
             incarnation: rand::rng().random(),
             wall_clock: RefCell::default(),
             started: Instant::now(),
@@ -303,6 +310,19 @@
         self.copy_changed.notify_waiters();
     }
 
+    /// An entry of the store cannot be used: another writer left it there.
+    pub fn on_refused_entry(
+        &self,
+        subject: &'static str,
+        key: &str,
+        revision: u64,
+        fault: &EntryFault,
+    ) {
+        if self.refused_entries.on_refused(subject, key, revision, fault) {
+            self.metrics.on_refused_entry(subject);
+        }
+    }
+
     /// Connections that this node may have to one runner of a service: its part of what a
     /// runner takes from all callers. Beyond that a runner resets connections, and a request
     /// sent on one would not be known to be unrun.
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -2,9 +2,8 @@
 
 use super::Node;
 use pitchstall_serving::fleet::FleetChange;
-use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::ids::{RunnerId, RunnerName};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,11 +16,10 @@
         lapses_until_us: Option<u64>,
     ) {
         let listed = records.len();
-        let draining = self.draining_runners();
         let gone = self.fleet.borrow_mut().replace_all(records, revision, lapses_until_us);
         self.wait_for_lapsed(lapses_until_us);
-        for id in &gone {
-            self.on_runner_left(id, revision, draining.contains(id));
+        for life in &gone {
+            self.on_runner_left(&life.id, revision, life.was_leaving);
         }
         self.runners_known.set(true);
         let gone = gone.len();
@@ -42,6 +40,10 @@
             FleetChange::Joined => {
                 log::info!(target: "fleet", runner = runner.as_str(), service, zone, preemptible, stage, revision; "joined");
             }
+            FleetChange::Reborn { ended } => {
+                log::info!(target: "fleet", runner = runner.as_str(), ended = ended.id.as_str(), revision; "reborn");
+                self.on_runner_left(&ended.id, revision, ended.was_leaving);
+            }
             FleetChange::Draining => {
                 log::info!(target: "fleet", runner = runner.as_str(), leaves_ms, revision; "draining");
             }
@@ -56,14 +58,15 @@
     /// A runner's entry has gone.
     pub fn remove_runner(
         self: &Rc<Self>,
-        id: &RunnerId,
+        name: &RunnerName,
         revision: u64,
         lapses_until_us: Option<u64>,
     ) {
-        let is_planned = self.fleet.borrow().get(id).is_some_and(|it| it.record.draining);
-        let change = self.fleet.borrow_mut().remove(id, revision, lapses_until_us);
+        let Some(id) = self.fleet.borrow().life_of(name).cloned() else { return };
+        let is_planned = self.fleet.borrow().get(&id).is_some_and(|it| it.record.draining);
+        let change = self.fleet.borrow_mut().remove(&id, revision, lapses_until_us);
         match change {
-            FleetChange::Left => self.on_runner_left(id, revision, is_planned),
+            FleetChange::Left => self.on_runner_left(&id, revision, is_planned),
             FleetChange::Lapsed => {
                 log::info!(target: "fleet", runner = id.as_str(), revision; "lapsed");
                 self.wait_for_lapsed(lapses_until_us);
@@ -91,12 +94,6 @@
         });
     }
 
-    fn draining_runners(&self) -> BTreeSet<RunnerId> {
-        let fleet = self.fleet.borrow();
-        let draining = fleet.iter().filter(|runner| runner.record.draining);
-        draining.map(|runner| runner.record.id.clone()).collect()
-    }
-
     fn on_runner_left(&self, id: &RunnerId, revision: u64, is_planned: bool) {
         self.pool.forget(id);
         if is_planned {
@@ -107,6 +104,16 @@
         log::info!(target: "fleet", runner = id.as_str(), revision; "left");
     }
 
+    /// Another life of a runner has answered than the one that its entry tells of: that one is over. The runner
+    /// gets nothing until its entry tells of the new one.
+    pub fn on_other_life(&self, runner: &RunnerId, born_ms: Option<u64>) {
+        let born_ms = born_ms.unwrap_or_default();
+        log::info!(target: "fleet", runner = runner.as_str(), born_ms; "another life answered");
+        self.pool.forget(runner);
+        self.fleet.borrow_mut().on_misdirected(runner);
+        self.on_runner_ended(runner);
+    }
+
     /// A connection to a runner could not be opened. `is_refused`: nobody listens there.
     pub fn on_unreachable(&self, runner: &RunnerId, is_refused: bool) {
         if is_refused {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,12 +12,13 @@
 use crate::platform_client::PlatformClient;
 use crate::quarantine;
 use crate::quota::{self, RegistrationLease};
+use crate::refused_entries::EntryFault;
 use crate::scheduling;
 use crate::shard_scheduler;
 use crate::store_pages::read_pages;
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
-use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
 use pitchstall_serving::digest::{Digest, DigestOrder, DigestTurns, Freshness};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
@@ -308,7 +309,7 @@
             })
         });
         let Ok(page) = page.await else { return };
-        let listed = page.items.iter().filter_map(store::node_of);
+        let listed = page.items.iter().filter_map(|item| self.read_node(item));
         let others: Vec<(NodeId, Member)> = listed.filter(|(name, _)| *name != self.name).collect();
         for (name, member) in &others {
             if !self.state.borrow().peers.contains_key(name) {
@@ -324,6 +325,16 @@
         self.node.members.borrow_mut().retain(|name| state.peers.contains_key(name));
     }
 
+    /// The node that an entry names; `None` if it names none.
+    fn read_node(&self, item: &Item) -> Option<(NodeId, Member)> {
+        let node = store::node_of(item);
+        if node.is_none() {
+            let fault = EntryFault::Document("it tells of no node".to_owned());
+            self.node.on_refused_entry("nodes", &item.key, item.revision, &fault);
+        }
+        node
+    }
+
     async fn call(
         &self,
         client: &mut PlatformClient,
--- a/crates/gateway/src/quota/slots.rs
+++ b/crates/gateway/src/quota/slots.rs
@@ -4,6 +4,7 @@
 use super::{bounds, has_limits, own_address, RegistrationLease};
 use crate::node::{topology_of, Node};
 use crate::platform_client::PlatformClient;
+use crate::refused_entries::EntryFault;
 use crate::store_pages::read_pages;
 use pitchstall_platform_adapter::quota_slots::{self, KeeperHolder};
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -93,7 +94,8 @@
 
     fn learn(&self, item: &Item) {
         let Some((keeper, holder, revision)) = quota_slots::keeper_of(item) else {
-            log::warn!(target: "quota", key = item.key.as_str(); "unreadable entry");
+            let fault = EntryFault::Document("it tells of no keeper".to_owned());
+            self.node.on_refused_entry("keepers", &item.key, item.revision, &fault);
             return;
         };
         let now_us = self.node.now_us();
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -109,9 +109,14 @@
         }
         Err(_) => return ReadingEnd::Failed,
     };
-    let name = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
-    let Some(name) = name else { return ReadingEnd::Failed };
-    node.on_parts_held(&runner, demand.prompt.shared_parts());
+    let read = if answer.status == 200 { paths::parse_prompt_read(&answer.body) } else { None };
+    let Some(read) = read else { return ReadingEnd::Failed };
+    // The handle holds whichever life has given it; what else is believed of this one is over.
+    match runner.may_be(read.born_ms) {
+        true => node.on_parts_held(&runner, demand.prompt.shared_parts()),
+        false => node.on_other_life(&runner, read.born_ms),
+    }
+    let name = read.what;
     let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
     let sample = ReadSample { tokens, elapsed_ms, met_no_queue };
     node.on_read_in(demand.service, &runner, sample);
--- /dev/null
+++ b/crates/gateway/src/refused_entries.rs
@@ -0,0 +1,49 @@
+//! Entries of the store that another writer left there and that cannot be used: each is told once a revision.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+/// Entries that are remembered, to be told once only. With more of them, some are told again when
+/// everything is read anew.
+const MOST_REMEMBERED: usize = 1_024;
+
+/// Why an entry is not used.
+#[derive(Debug, thiserror::Error)]
+pub enum EntryFault {
+    /// Its value is not the document that belongs under its key.
+    #[error("{0}")]
+    Document(String),
+    /// Its value is no text.
+    #[error("its value is no text in JSON")]
+    NoText,
+    /// Its key is none that belongs under its prefix.
+    #[error("its key names nothing")]
+    Key,
+    /// Other runners tell when they started, and this entry does not.
+    #[error("it lacks the field born, which other runners' entries have")]
+    NoStart,
+}
+
+/// The entries that were refused, and at which revision.
+#[derive(Debug, Default)]
+pub struct RefusedEntries {
+    told: RefCell<HashMap<String, u64>>,
+}
+
+impl RefusedEntries {
+    /// An entry is refused. Returns whether this revision of it had not been refused before; then a line
+    /// says why.
+    pub fn on_refused(&self, subject: &str, key: &str, revision: u64, fault: &EntryFault) -> bool {
+        let mut told = self.told.borrow_mut();
+        if told.get(key) == Some(&revision) {
+            return false;
+        }
+        if told.len() >= MOST_REMEMBERED {
+            told.clear();
+        }
+        told.insert(key.to_owned(), revision);
+        let fault = fault.to_string();
+        log::warn!(target: "store", subject, key, revision, fault = fault.as_str(); "entry refused");
+        true
+    }
+}
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -158,12 +158,17 @@
         let Some(orders_taken) = paths::parse_orders_taken(&body) else {
             return Some(OrderAnswer::Refused);
         };
+        // Another life counts its orders anew: the number that it is asked to expect would hold by chance.
+        if !record.id.may_be(orders_taken.born_ms) {
+            self.node.on_other_life(&record.id, orders_taken.born_ms);
+            return Some(OrderAnswer::Refused);
+        }
         // The term may have ended while the runner was asked.
         if self.fence_now() != Some(fence) {
             return Some(OrderAnswer::Refused);
         }
         let name = self.node.settings().node.name.clone();
-        let order = paths::role_order(stage, &name, fence, orders_taken);
+        let order = paths::role_order(stage, &name, fence, orders_taken.what);
         let (status, _) = call_runner(record, "POST", paths::ORDER, &order).await?;
         let answer = paths::parse_order_status(status);
         if answer == Some(OrderAnswer::Outdated) {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::peer_words::PeerWord;
 use crate::platform_client::PlatformClient;
+use crate::refused_entries::EntryFault;
 use crate::settings::{Duty, UsageSection};
 use pitchstall_platform_adapter::cloud::{self, DutyAnswer, DutyHolder};
 use pitchstall_platform_adapter::store::{self, StoreStatus};
@@ -264,7 +265,13 @@
             }
         };
         let now_ms = self.node.wall_ms();
-        for (window, body) in page.items.into_iter().filter_map(store::usage_report_of) {
+        for item in page.items {
+            let (key, revision) = (item.key.clone(), item.revision);
+            let Some((window, body)) = store::usage_report_of(item) else {
+                let fault = EntryFault::Document("it tells of no window".to_owned());
+                self.node.on_refused_entry("usage", &key, revision, &fault);
+                continue;
+            };
             self.stored.push(window);
             self.node.usage_collector.borrow_mut().on_fixed(window);
             // An earlier holder may have died before it sent it.
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -15,6 +15,7 @@
 use crate::mirror::MirrorClient;
 use crate::node::Node;
 use crate::platform_client::{PlatformClient, PlatformFailure};
+use crate::refused_entries::EntryFault;
 use crate::store_pages::read_pages;
 use crate::transfer::Transfer;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -75,6 +76,8 @@
     Answer(#[from] StoreAnswerError),
     #[error("the store says {0:?}")]
     Status(StoreStatus),
+    #[error("the configuration cannot be read")]
+    Unreadable,
 }
 
 fn prefix_of(subject: Subject) -> &'static str {
@@ -354,12 +357,17 @@
         }
         let (item, at) = store::parse_item(&body)?;
         let known_to = at.max(item.revision);
-        Ok(StoreUpdate { known_to, whole: true, entries: entries_of(self.subject, vec![item]) })
+        let entries = entries_of(&self.node, self.subject, vec![item]);
+        if entries.is_empty() {
+            // Another node may have the one before it.
+            return Err(FollowError::Unreadable);
+        }
+        Ok(StoreUpdate { known_to, whole: true, entries })
     }
 
     async fn read_list(&mut self) -> Result<StoreUpdate, FollowError> {
         let all = read_pages(async |after| self.read_page(after.as_deref()).await).await?;
-        let entries = entries_of(self.subject, all.items);
+        let entries = entries_of(&self.node, self.subject, all.items);
         Ok(StoreUpdate { known_to: all.at, whole: true, entries })
     }
 
@@ -426,7 +434,7 @@
                     self.changed_at = Some(Instant::now());
                 }
                 let known_to = page.at.max(at);
-                let entries = entries_of(self.subject, page.items);
+                let entries = entries_of(&self.node, self.subject, page.items);
                 for entry in &entries {
                     self.with_freshness(|copy, _| copy.on_change(entry.revision));
                 }
@@ -489,23 +497,34 @@
     }
 }
 
-/// The store's items as entries, in the form in which they are handed on to other nodes.
-fn entries_of(subject: Subject, items: Vec<Item>) -> Vec<StoreEntry> {
+/// The store's items as entries, in the form in which they are handed on to other nodes. A configuration
+/// that cannot be read is left out: the one before it stays in force, here and where it is handed on.
+fn entries_of(node: &Node, subject: Subject, items: Vec<Item>) -> Vec<StoreEntry> {
     let entry = |item: Item| {
-        let document = item.value.and_then(|value| document_of(subject, &item.key, value));
-        StoreEntry { key: item.key, document, revision: item.revision }
+        let Item { key, value, revision } = item;
+        let document = match value.map(|value| document_of(subject, value)).transpose() {
+            Ok(document) => document,
+            Err(fault) => {
+                node.on_refused_entry(subject.name(), &key, revision, &fault);
+                if subject == Subject::Configuration {
+                    return None;
+                }
+                Some(String::new())
+            }
+        };
+        Some(StoreEntry { key, document, revision })
     };
-    items.into_iter().map(entry).collect()
+    items.into_iter().filter_map(entry).collect()
 }
 
-/// A value as a document; keys in a configuration are hidden from here on. Documents are JSON, so
-/// a value that is not is no document.
-fn document_of(subject: Subject, key: &str, value: Vec<u8>) -> Option<String> {
-    let document = match subject {
-        Subject::Configuration => documents::hide_keys(&value).map_err(|error| error.to_string()),
+/// A value as a document; keys in a configuration are hidden from here on.
+fn document_of(subject: Subject, value: Vec<u8>) -> Result<String, EntryFault> {
+    match subject {
+        Subject::Configuration => {
+            documents::hide_keys(&value).map_err(|error| EntryFault::Document(error.to_string()))
+        }
         Subject::Runners | Subject::Crashes => {
-            String::from_utf8(value).map_err(|error| error.to_string())
+            String::from_utf8(value).map_err(|_| EntryFault::NoText)
         }
-    };
-    document.inspect_err(|error| log::warn!(target: "store", key, error = error.as_str(); "a value is no document")).ok()
+    }
 }
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -124,7 +124,7 @@
     let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let entry = serde_json::json!({
         "service": "desk", "address": nobody.to_string(), "zone": "north", "slots": 800,
-        "state": "ready", "seq": 1,
+        "version": "v1", "state": "ready", "cold_left_ms": 0, "seq": 1,
     });
     node.store.put(&format!("servers/{}", gone.id()), &entry);
     wait_for("the entry to be known", || {
@@ -192,7 +192,7 @@
     moved.put("op/config", &newer);
     let entry = serde_json::json!({
         "service": "desk", "address": one.address().to_string(), "zone": "north", "slots": 8,
-        "state": "ready", "seq": 1,
+        "version": "v1", "state": "ready", "cold_left_ms": 0, "seq": 1,
     });
     moved.put("servers/i-1", &entry);
     let before = node.store.address().to_string();
--- /dev/null
+++ b/crates/gateway/tests/runner_lives.rs
@@ -0,0 +1,135 @@
+//! Runners that start again under their name, at their address, and what callers see of it.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use serde_json::{json, Value};
+use std::time::Duration;
+use support::{configuration, get, runner_entry, wait_for, Fixture, RawAnswer};
+use test_case::test_case;
+
+const NAME: &str = "i-1";
+const KEY: &str = "servers/i-1";
+
+fn answering(text: &'static str) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
+    move |_| Reaction::Answer { status: 200, body: text.as_bytes().to_vec() }
+}
+
+fn entry(runner: &RunnerStandIn, born: &Value, state: &str) -> Value {
+    let mut entry = runner_entry(runner, "desk", "north", state);
+    entry["born"] = born.clone();
+    entry
+}
+
+fn ask(node: &Fixture, method: &str, path: &str, id: &str) -> RawAnswer {
+    let mut client = node.client();
+    client.request(method, path, id, "", b"x");
+    client.read_answer()
+}
+
+/// A node and a runner in its first life.
+fn node_with(runner: &RunnerStandIn) -> Fixture {
+    let node = Fixture::start();
+    node.store.put("op/config", &configuration(3));
+    node.store.put(KEY, &entry(runner, &json!(1_000), "ready"));
+    node.wait_until_ready();
+    node
+}
+
+/// Nobody has noticed the gap: the entry was there all the time.
+#[test]
+fn a_runner_that_starts_again_serves_on_new_connections() {
+    let first = RunnerStandIn::start(NAME, answering("first")).unwrap();
+    let node = node_with(&first);
+    assert_eq!(ask(&node, "POST", "/booking/1", "id-1").text(), "first");
+    first.crash();
+    let second = first.start_again(answering("second")).unwrap();
+    node.store.put(KEY, &entry(&second, &json!(2_000), "ready"));
+    wait_for("the new life to serve", || ask(&node, "GET", "/lookup/1", "id-2").text() == "second");
+    for number in 0..4 {
+        let answer = ask(&node, "POST", "/booking/1", &format!("id-{}", 3 + number));
+        assert_eq!(answer.text(), "second");
+    }
+}
+
+/// Its predecessor was about to leave, and ended; the new life was not told to.
+#[test]
+fn a_new_life_is_not_bound_by_the_old_ones_leaving() {
+    let first = RunnerStandIn::start(NAME, answering("first")).unwrap();
+    let node = node_with(&first);
+    node.store.put(KEY, &entry(&first, &json!(1_000), "draining"));
+    wait_for("the runner to leave", || ask(&node, "GET", "/lookup/1", "id-1").status == 503);
+    first.crash();
+    let second = first.start_again(answering("second")).unwrap();
+    node.store.put(KEY, &entry(&second, &json!(2_000), "ready"));
+    wait_for("the new life to serve", || ask(&node, "GET", "/lookup/1", "id-2").text() == "second");
+}
+
+/// What mustn't run twice may have run when the life ended that had it: the next one doesn't get it.
+#[test]
+fn what_must_not_run_twice_is_not_sent_to_the_next_life() {
+    let hold = |_: &ReceivedRequest| Reaction::Silent;
+    let first = RunnerStandIn::start(NAME, hold).unwrap();
+    let node = node_with(&first);
+    let waiting = std::thread::spawn({
+        let mut client = node.client();
+        move || {
+            client.request("POST", "/booking/1", "once", "", b"x");
+            client.read_answer()
+        }
+    });
+    wait_for("the request to be under way", || !first.requests().is_empty());
+    first.crash();
+    let second = first.start_again(answering("second")).unwrap();
+    node.store.put(KEY, &entry(&second, &json!(2_000), "ready"));
+    let answer = waiting.join().unwrap();
+    assert_eq!(answer.status, 502, "it may have run, so it isn't refused");
+    assert!(second.requests().is_empty());
+}
+
+/// What may be repeated goes on at the next life, which the entry tells of.
+#[test]
+fn what_may_be_repeated_is_sent_to_the_next_life() {
+    let hold = |_: &ReceivedRequest| Reaction::Silent;
+    let first = RunnerStandIn::start(NAME, hold).unwrap();
+    let node = node_with(&first);
+    let waiting = std::thread::spawn({
+        let mut client = node.client();
+        move || {
+            client.request("GET", "/lookup/1", "repeatable", "", b"");
+            client.read_answer()
+        }
+    });
+    wait_for("the request to be under way", || !first.requests().is_empty());
+    let begun_again = first.clone();
+    node.store.put(KEY, &entry(&begun_again, &json!(2_000), "ready"));
+    std::thread::sleep(Duration::from_millis(100));
+    first.crash();
+    let second = first.start_again(answering("second")).unwrap();
+    let answer = waiting.join().unwrap();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "second"));
+    assert_eq!(second.requests().len(), 1);
+}
+
+/// Another writer's entry, beside runners that tell when they started.
+#[test_case(json!(null); "no time at all")]
+#[test_case(json!(-5); "before all time")]
+#[test_case(json!("1000"); "a text")]
+#[test_case(json!(1000.5); "a part of a millisecond")]
+#[test_case(json!([1000]); "a list")]
+fn an_entry_that_tells_its_start_wrongly_names_no_runner(born: Value) {
+    let runner = RunnerStandIn::start(NAME, answering("right")).unwrap();
+    let node = node_with(&runner);
+    let other = RunnerStandIn::start("i-2", answering("wrong")).unwrap();
+    node.store.put("servers/i-2", &entry(&other, &born, "ready"));
+    let mut without = entry(&other, &born, "ready");
+    without.as_object_mut().unwrap().remove("born");
+    node.store.put("servers/i-3", &without);
+    let refused = "pitchstall_entries_refused_total{subject=\"runners\"} 2";
+    wait_for("both to be refused", || get(node.health, "/metrics").text().contains(refused));
+    for number in 0..8 {
+        assert_eq!(ask(&node, "GET", "/lookup/1", &format!("id-{number}")).text(), "right");
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -92,6 +92,14 @@
     })
 }
 
+/// A runner's entry as it writes it, where the platform does not tell when runners start.
+pub fn runner_entry(runner: &RunnerStandIn, service: &str, zone: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": runner.address().to_string(), "zone": zone,
+        "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
+    })
+}
+
 pub struct Fixture {
     pub store: StoreStandIn,
     pub callers: SocketAddr,
@@ -221,10 +229,7 @@
         stage: Option<&str>,
         state: &str,
     ) {
-        let mut entry = json!({
-            "service": service, "address": runner.address().to_string(), "zone": zone,
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
-        });
+        let mut entry = runner_entry(runner, service, zone, state);
         if let Some(stage) = stage {
             entry["stage"] = stage.into();
         }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use crate::digest::ChangingRunner;
 use crate::distance::Distances;
-use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
+use crate::ids::{RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
 use crate::prefix::PromptPart;
 use crate::runner::{
     AttemptDemand, Lapsed, Load, LoadReport, Runner, RunnerRecord, Stage, ToldLoad,
@@ -19,10 +19,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a change of the list did to a runner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetChange {
     /// It is new.
     Joined,
+    /// It has started again: another life of it ended before.
+    Reborn {
+        /// The life that ended.
+        ended: EndedLife,
+    },
     /// It began to leave.
     Draining,
     /// Its stage changed.
@@ -35,12 +40,25 @@
     None,
 }
 
+/// A life of a runner that is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedLife {
+    /// The life.
+    pub id: RunnerId,
+    /// Whether it had said that it was about to leave.
+    pub was_leaving: bool,
+}
+
 const MICROS_PER_MILLI: u64 = 1_000;
 /// A word on a change that ends later than the known one by so much is of another order.
 const NEW_ORDER_US: u64 = 1_000_000;
 /// Time for which a runner that refused a request as full is avoided.
 const FULL_US: u64 = 100_000;
 
+fn ended(record: &RunnerRecord) -> EndedLife {
+    EndedLife { id: record.id.clone(), was_leaving: record.draining }
+}
+
 /// The part of the fleet that runners are chosen from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope<'a> {
@@ -98,12 +116,15 @@
     topology: Topology,
     distances: Distances,
     runners: BTreeMap<RunnerId, Runner>,
+    /// The life that each runner is in.
+    lives: BTreeMap<RunnerName, RunnerId>,
 }
 
 impl Fleet {
     /// A fleet without runners, as a node of the zone `own` sees it; zones belong to these regions.
     pub fn new(own: ZoneId, topology: Topology) -> Self {
-        Self { topology, distances: Distances::new(own), runners: BTreeMap::new() }
+        let distances = Distances::new(own);
+        Self { topology, distances, runners: BTreeMap::new(), lives: BTreeMap::new() }
     }
 
     /// Zones belong to other regions from now on.
@@ -149,17 +170,29 @@
         self.runners.values().map(|runner| runner.region.clone()).collect()
     }
 
-    /// Takes in an entry of the list. Entries older than what is known are passed over.
+    /// Takes in an entry of the list. Entries older than what is known are passed over: the revision of an
+    /// entry orders lives too, as a machine's clock may have been set back before a runner's start.
     pub fn put(&mut self, record: RunnerRecord) -> FleetChange {
         let region = self.topology.region_of(&record.zone);
-        let Some(known) = self.runners.get_mut(&record.id) else {
+        let name = record.id.name();
+        let Some(life) = self.lives.get(&name).cloned() else {
+            self.lives.insert(name, record.id.clone());
             self.runners.insert(record.id.clone(), Runner::new(record, region));
             return FleetChange::Joined;
         };
+        let Some(known) = self.runners.get_mut(&life) else { return FleetChange::None };
         let gone_at = known.lapsed.map_or(0, |lapsed| lapsed.revision);
         if record.revision <= known.record.revision.max(gone_at) {
             return FleetChange::None;
         }
+        if life != record.id {
+            // Nothing that is believed of the life that ended passes to the new one.
+            let ended = ended(&known.record);
+            self.runners.remove(&life);
+            self.lives.insert(name, record.id.clone());
+            self.runners.insert(record.id.clone(), Runner::new(record, region));
+            return FleetChange::Reborn { ended };
+        }
         let change = if record.draining && !known.record.draining {
             FleetChange::Draining
         } else if record.stage != known.record.stage {
@@ -188,42 +221,56 @@
                     known.lapsed.get_or_insert(Lapsed { until_us, revision });
                     return FleetChange::Lapsed;
                 }
-                self.runners.remove(id);
+                self.forget(id);
                 FleetChange::Left
             }
             _ => FleetChange::None,
         }
     }
 
+    /// The life that a runner is in, as far as its entries tell.
+    pub fn life_of(&self, name: &RunnerName) -> Option<&RunnerId> {
+        self.lives.get(name)
+    }
+
+    fn forget(&mut self, id: &RunnerId) {
+        self.runners.remove(id);
+        self.lives.remove(&id.name());
+    }
+
     /// Removes runners whose entries lapsed and have not come back in time; returns them.
     pub fn remove_lapsed(&mut self, now_us: u64) -> Vec<RunnerId> {
         let is_over = |runner: &&Runner| runner.lapsed.is_some_and(|it| now_us >= it.until_us);
         let gone: Vec<RunnerId> =
             self.runners.values().filter(is_over).map(|runner| runner.record.id.clone()).collect();
-        for id in &gone {
-            self.runners.remove(id);
-        }
+        gone.iter().for_each(|id| self.forget(id));
         gone
     }
 
-    /// Takes in a whole list that was read at the given revision; returns who is gone. For
+    /// Takes in a whole list that was read at the given revision; returns the lives that are over. For
     /// `lapses_until_us` see [`Fleet::remove`].
     pub fn replace_all(
         &mut self,
         records: Vec<RunnerRecord>,
         revision: u64,
         lapses_until_us: Option<u64>,
-    ) -> Vec<RunnerId> {
-        let listed = |id: &RunnerId| records.iter().any(|record| record.id == *id);
-        let is_gone =
-            |runner: &&Runner| runner.record.revision <= revision && !listed(&runner.record.id);
-        let mut gone: Vec<RunnerId> =
-            self.runners.values().filter(is_gone).map(|runner| runner.record.id.clone()).collect();
-        gone.retain(|id| self.remove(id, revision + 1, lapses_until_us) == FleetChange::Left);
+    ) -> Vec<EndedLife> {
+        let listed: BTreeSet<RunnerName> = records.iter().map(|record| record.id.name()).collect();
+        let is_gone = |runner: &&Runner| {
+            runner.record.revision <= revision && !listed.contains(&runner.record.id.name())
+        };
+        let gone = self.runners.values().filter(is_gone);
+        let gone: Vec<EndedLife> = gone.map(|runner| ended(&runner.record)).collect();
+        let has_left = |life: &EndedLife| {
+            self.remove(&life.id, revision + 1, lapses_until_us) == FleetChange::Left
+        };
+        let mut over: Vec<EndedLife> = gone.into_iter().filter(has_left).collect();
         for record in records {
-            self.put(record);
+            if let FleetChange::Reborn { ended } = self.put(record) {
+                over.push(ended);
+            }
         }
-        gone
+        over
     }
 
     /// Zones in which a service has runners.
--- a/crates/serving/src/ids.rs
+++ b/crates/serving/src/ids.rs
@@ -22,6 +22,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
                 formatter.write_str(&self.0)
@@ -41,7 +47,13 @@
     NodeId
 );
 text_identifier!(
-    /// One start of a runner: a runner that starts anew has another one.
+    /// A runner's name, which it keeps when it starts again.
+    RunnerName
+);
+text_identifier!(
+    /// One life of a runner, from a start to an end: its name and when it began. Whatever is believed of a
+    /// runner is believed of a life, so that nothing of one passes to the next, and a word between
+    /// nodes says which it is about.
     RunnerId
 );
 text_identifier!(
@@ -60,3 +72,43 @@
     /// A service that operators define and callers name.
     ServiceName
 );
+
+/// Stands between a runner's name and the time of its start.
+const LIFE_MARK: char = '@';
+
+impl RunnerId {
+    /// The life of a runner that began at a Unix time, milliseconds; `None`: the platform does not tell when
+    /// runners start, and each start has a name of its own.
+    pub fn of_life(name: &RunnerName, born_ms: Option<u64>) -> Self {
+        match born_ms {
+            Some(born_ms) => Self::new(format!("{name}{LIFE_MARK}{born_ms}")),
+            // Otherwise a part of the name would pass for the time.
+            None if name.as_str().contains(LIFE_MARK) => Self::new(format!("{name}{LIFE_MARK}")),
+            None => Self::new(name),
+        }
+    }
+
+    /// The runner.
+    pub fn name(&self) -> RunnerName {
+        RunnerName::new(self.parts().0)
+    }
+
+    /// When this life began, Unix milliseconds; `None`: not told.
+    pub fn born_ms(&self) -> Option<u64> {
+        self.parts().1.parse().ok()
+    }
+
+    /// Whether what says that it began then is this life, as far as both are told.
+    pub fn may_be(&self, born_ms: Option<u64>) -> bool {
+        match (self.born_ms(), born_ms) {
+            (Some(own_ms), Some(told_ms)) => own_ms == told_ms,
+            _ => true,
+        }
+    }
+
+    fn parts(&self) -> (&str, &str) {
+        let is_time = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
+        let parts = self.as_str().rsplit_once(LIFE_MARK);
+        parts.filter(|(_, born)| is_time(born)).unwrap_or((self.as_str(), ""))
+    }
+}
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -398,7 +398,8 @@
 /// The runner at which all nodes gather requests with the prompt's shared parts.
 fn home_of<'a>(runners: &[&'a Runner], prompt: &Prompt) -> Option<&'a RunnerId> {
     let key = prompt.affinity_key()?;
-    let weight = |runner: &&&Runner| rendezvous_weight(&key, runner.record.id.as_str());
+    // By name: prompts go on being gathered at a runner that starts again.
+    let weight = |runner: &&&Runner| rendezvous_weight(&key, runner.record.id.name().as_str());
     runners.iter().max_by_key(weight).map(|runner| &runner.record.id)
 }
 
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -34,7 +34,7 @@
 /// What the platform's list says of a runner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunnerRecord {
-    /// This start of the runner.
+    /// The life of the runner.
     pub id: RunnerId,
     /// The service that it offers.
     pub service: ServiceName,
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -53,7 +53,8 @@
     }
 
     fn number_of(runner: &RunnerId, of: usize) -> usize {
-        let weight = rendezvous_weight("shard", runner.as_str());
+        // By name: a runner that starts again stays with its scheduler.
+        let weight = rendezvous_weight("shard", runner.name().as_str());
         usize::try_from(weight % of.max(1) as u64).unwrap_or_default()
     }
 
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -45,7 +45,8 @@
     /// The key.
     #[serde(rename = "k")]
     pub key: String,
-    /// The document; `None`: the entry was removed.
+    /// The document; `None`: the entry was removed. A value that is no text is handed on as an empty
+    /// document, which nothing can be read from.
     #[serde(rename = "v")]
     pub document: Option<String>,
     /// Revision of the change.
@@ -53,6 +54,13 @@
     pub revision: u64,
 }
 
+impl StoreEntry {
+    /// Whether it notes that the entry was removed.
+    pub fn is_removal(&self) -> bool {
+        self.document.is_none()
+    }
+}
+
 /// Entries that bring another copy up to date.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreUpdate {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -4,7 +4,7 @@
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness};
-use pitchstall_serving::fleet::{Eligible, Fleet, FleetChange, Scope};
+use pitchstall_serving::fleet::{Eligible, EndedLife, Fleet, FleetChange, Scope};
 use pitchstall_serving::freshness::StoreWord;
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::Member;
@@ -130,7 +130,7 @@
     fleet.put(record("old", "north", None, 3));
     fleet.put(record("new", "north", None, 9));
     let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], 6, None);
-    assert_eq!(gone, [RunnerId::new("old")]);
+    assert_eq!(gone, [EndedLife { id: RunnerId::new("old"), was_leaving: false }]);
     assert!(fleet.get(&RunnerId::new("new")).is_some());
     assert!(fleet.get(&RunnerId::new("listed")).is_some());
 }
