Cache lists judged by their headway too; how long a copy was on its way

One reader for answers whose size this node doesn't choose. The line of a copy told the wait for a change as if the copy had taken it (9.9 s for what came in 1 s).

--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -7,6 +7,7 @@
 use crate::http::{BodyDecoder, Upstream};
 use crate::node::Node;
 use crate::shard_scheduler::own_shards;
+use crate::transfer::{read_body, Transfer};
 use pitchstall_platform_adapter::paths::{self, Told};
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::RunnerId;
@@ -20,7 +21,7 @@
 
 /// Between two looks whether the node is ready.
 const READY_POLL: Duration = Duration::from_millis(50);
-/// Time for one runner's answer.
+/// Time for the head of one runner's answer; the list is waited for as long as it makes headway.
 const LIST_LIMIT: Duration = Duration::from_millis(1_000);
 /// Largest answer.
 const MOST_LIST_BYTES: usize = 1024 * 1024;
@@ -33,7 +34,7 @@
     let shards = own_shards(&node);
     let runners = runners_to_list(&node.fleet.borrow(), &shards);
     for (runner, address) in runners {
-        let told = timeout(LIST_LIMIT, list(address)).await.ok().flatten();
+        let told = list(address).await;
         if let Some(other) = told.as_ref().filter(|told| !runner.may_be(told.born_ms)) {
             node.on_other_life(&runner, other.born_ms);
             continue;
@@ -61,9 +62,10 @@
     let connection = Upstream::open(address, LIST_LIMIT).await.ok()?;
     let headers = [("host".to_owned(), address.to_string().into_bytes())];
     connection.send(request_bytes("GET", paths::LIST_CACHE, &headers, &[])).ok()?;
-    let head = connection.read_head().await.ok()?;
+    let head = timeout(LIST_LIMIT, connection.read_head()).await.ok()?.ok()?;
     let decoder = BodyDecoder::new(head.framing);
-    let body = connection.read_whole_body(&decoder, MOST_LIST_BYTES).await.ok()?;
+    let transfer = Transfer::default();
+    let body = read_body(&connection, &decoder, MOST_LIST_BYTES, &transfer).await.ok()?;
     if head.status == OK {
         paths::parse_cache_list(&body)
     } else {
--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -4,8 +4,8 @@
 //! more comes on it.
 
 use crate::http::request::request_bytes;
-use crate::http::{AnswerFault, AnswerHead, BodyDecoder, ConnectFailure, ReadFailure, Upstream};
-use crate::transfer::{Transfer, LONGEST_TRANSFER, STALLED_LIMIT};
+use crate::http::{AnswerHead, BodyDecoder, ConnectFailure, ReadFailure, Upstream};
+use crate::transfer::{read_body, Transfer, TransferFailure};
 use pitchstall_platform_adapter::call::PlatformCall;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,12 +29,9 @@
     /// Nothing came in time.
     #[error("the platform did not answer in time")]
     TimedOut,
-    /// The answer began to come and went no further.
-    #[error("the platform's answer went no further after {received} bytes")]
-    Stalled {
-        /// Bytes of its body that had come.
-        received: usize,
-    },
+    /// The answer began to come, and did not come whole.
+    #[error("the platform's answer did not come whole: {0}")]
+    Broken(#[from] TransferFailure),
 }
 
 /// An answer.
@@ -76,36 +73,13 @@
         let head = timeout(limit, ask(&connection, address, call));
         let head = head.await.map_err(|_| PlatformFailure::TimedOut)??;
         let decoder = BodyDecoder::new(head.framing);
-        let body = timeout(LONGEST_TRANSFER, self.read_body(&connection, &decoder));
-        let body = body.await.map_err(|_| self.stalled())??;
+        let body = read_body(&connection, &decoder, MOST_ANSWER_BYTES, &self.transfer).await?;
         let (answer, keep) = (PlatformAnswer { status: head.status, body }, head.keep_alive);
         if keep && connection.is_reusable() {
             self.kept = Some((address, connection));
         }
         Ok(answer)
     }
-
-    async fn read_body(
-        &self,
-        connection: &Upstream,
-        decoder: &BodyDecoder,
-    ) -> Result<Vec<u8>, PlatformFailure> {
-        let mut body = Vec::new();
-        loop {
-            let next = timeout(STALLED_LIMIT, connection.read_body(decoder));
-            let next = next.await.map_err(|_| self.stalled())??;
-            let Some(bytes) = next else { return Ok(body) };
-            if body.len() + bytes.len() > MOST_ANSWER_BYTES {
-                return Err(ReadFailure::Fault(AnswerFault::Length).into());
-            }
-            body.extend_from_slice(&bytes);
-            self.transfer.on_received(bytes.len());
-        }
-    }
-
-    fn stalled(&self) -> PlatformFailure {
-        PlatformFailure::Stalled { received: self.transfer.received() }
-    }
 }
 
 async fn ask(
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -286,13 +286,16 @@
     }
 
     /// One line for each copy or change that is large enough to take some time on a slow link.
+    /// `waited_ms`: until its first bytes came, as long as there was no change; `transfer_ms`: from then on.
     fn log_large_copy(&self, source: &str, bytes: usize) {
         if bytes < LARGE_COPY_BYTES {
             return;
         }
         let (subject, known_to) = (self.subject.name(), self.at.unwrap_or_default());
-        let took_ms = self.asked_at.elapsed().as_millis();
-        log::info!(target: "store", subject, source, known_to, bytes, took_ms; "fetched");
+        let transfer = self.transfer.elapsed();
+        let waited_ms = self.asked_at.elapsed().saturating_sub(transfer).as_millis();
+        let transfer_ms = transfer.as_millis();
+        log::info!(target: "store", subject, source, known_to, bytes, waited_ms, transfer_ms; "fetched");
     }
 
     async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
