--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use crate::refused_entries::EntryFault;
 use pitchstall_platform_adapter::documents::{self, ReadConfiguration, RefusedTenant};
-use pitchstall_platform_adapter::store::{self, CONFIGURATION_KEY};
+use pitchstall_platform_adapter::store::{self, Item, CONFIGURATION_KEY};
 use pitchstall_serving::ids::RunnerName;
 use pitchstall_serving::quarantine::{Crash, CrashRecord};
 use pitchstall_serving::runner::RunnerRecord;
@@ -129,3 +129,35 @@
     }
     Some(record)
 }
+
+/// The store's items as entries, in the form in which they are handed on to other nodes. A configuration
+/// that cannot be read is left out: the one before it stays in force, here and where it is handed on.
+pub fn entries_of(node: &Node, subject: Subject, items: Vec<Item>) -> Vec<StoreEntry> {
+    let entry = |item: Item| {
+        let Item { key, value, revision } = item;
+        let document = match value.map(|value| document_of(subject, value)).transpose() {
+            Ok(document) => document,
+            Err(fault) => {
+                node.on_refused_entry(subject.name(), &key, revision, &fault);
+                if subject == Subject::Configuration {
+                    return None;
+                }
+                Some(String::new())
+            }
+        };
+        Some(StoreEntry { key, document, revision })
+    };
+    items.into_iter().filter_map(entry).collect()
+}
+
+/// A value as a document; keys in a configuration are hidden from here on.
+fn document_of(subject: Subject, value: Vec<u8>) -> Result<String, EntryFault> {
+    match subject {
+        Subject::Configuration => {
+            documents::hide_keys(&value).map_err(|error| EntryFault::Document(error.to_string()))
+        }
+        Subject::Runners | Subject::Crashes => {
+            String::from_utf8(value).map_err(|_| EntryFault::NoText)
+        }
+    }
+}
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -9,23 +9,22 @@
 //! without a word. It is relied on while the copy is known to be fresh
 //! ([`pitchstall_serving::freshness`]); otherwise the store is asked.
 
+mod other_nodes;
+
 use crate::clock::Instant;
-use crate::copy_limits::{draw_confirmation, longest_question, part_of_contact, stale_after};
-use crate::entries::take_update;
+use crate::copy_limits::draw_confirmation;
+use crate::entries::{entries_of, take_update};
 use crate::mirror::MirrorClient;
 use crate::node::Node;
 use crate::platform_client::{PlatformClient, PlatformFailure};
-use crate::refused_entries::EntryFault;
 use crate::store_pages::read_pages;
 use crate::transfer::Transfer;
 use pitchstall_platform_adapter::call::PlatformCall;
-use pitchstall_platform_adapter::documents;
 use pitchstall_platform_adapter::store::{
-    self, Item, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX,
-    RUNNERS_PREFIX,
+    self, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX, RUNNERS_PREFIX,
 };
 use pitchstall_serving::freshness::{CopyFreshness, Freshness};
-use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, StoreEntry, StoreUpdate, Subject};
+use pitchstall_serving::store_copy::{CopyQuestion, StoreUpdate, Subject};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -45,22 +44,13 @@
 const BETWEEN_CHANGES_A_NODE: Duration = Duration::from_millis(8);
 /// Part of the time after which a node counts as in touch again that changes wait at most.
 const CHANGES_WAIT_PART: u32 = 6;
-/// Between two calls to the store while no other node's copy is confirmed, in hundredths of the
-/// same time: a node may alone be cut off from the others.
-const OWN_CALL_HUNDREDTHS: std::ops::Range<u64> = 50..150;
 /// Time after the start for which a node waits to hear who is there before it reads the store
 /// itself: three calls to the store take some 20 ms, and several times that on a busy machine.
 const NODES_LIMIT: Duration = Duration::from_millis(400);
-/// Between two calls to the store of a node that knows of a later change which no other node
-/// could hand it: the change has to be in force within some seconds.
-const BEHIND_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after another node had nothing confirmed to say.
 const SOURCE_PAUSE: Duration = Duration::from_millis(30);
 /// From here on an answer is logged: 13 ms on a link of 10 Mbit/s.
 const LARGE_COPY_BYTES: usize = 16 * 1024;
-/// From here on what a source has sent before it is left was part of a copy, not the answer that
-/// it knows nothing.
-const PART_OF_A_COPY_BYTES: usize = 1024;
 /// Between two looks whether a watch that waits is to be doubted.
 const DOUBT_POLL: Duration = Duration::from_millis(100);
 /// Pause after a failure, before it is multiplied and spread.
@@ -205,81 +195,6 @@
         !self.node.has_listed_nodes() && self.started.elapsed() < NODES_LIMIT
     }
 
-    /// The node to follow; `None`: the store itself.
-    fn source(&mut self) -> Option<SocketAddr> {
-        let members = self.node.members.borrow();
-        if members.is_mirror() {
-            return None;
-        }
-        let sources = members.sources();
-        if let Some(source) = sources.get(self.turn) {
-            return Some(*source);
-        }
-        // All have been tried in vain.
-        self.turn = 0;
-        let now = Instant::now();
-        let is_behind = self.verdict() == Freshness::Behind && now >= self.behind_call_at;
-        if now < self.own_call_at && !is_behind {
-            return sources.first().copied();
-        }
-        self.behind_call_at = now + BEHIND_PAUSE;
-        let pause = rand::rng().random_range(OWN_CALL_HUNDREDTHS);
-        self.own_call_at = now + part_of_contact(&self.node, pause);
-        None
-    }
-
-    /// Asks another node for what has changed since the last answer.
-    async fn follow_node(&mut self, source: SocketAddr) {
-        self.pause_between_changes(BETWEEN_CHANGES).await;
-        // A source that is new may lag too: it is only asked what it knows, so that the next one
-        // follows at once.
-        let wait = match self.source_is_sound {
-            true => longest_question(&self.node),
-            false => Duration::ZERO,
-        };
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
-        self.begin_question();
-        // Not dropped when another node tells of a later change: words are small and come at once, while
-        // the change itself takes its time. A source that has nothing to say answers soon.
-        let answer = self.mirror.ask(source, &question).await;
-        self.source_is_sound = match answer {
-            Ok(answer) => self.judge_answer(source, &answer).await,
-            Err(error) => {
-                self.leave_source(source, &error.to_string()).await;
-                false
-            }
-        };
-    }
-
-    async fn judge_answer(&mut self, source: SocketAddr, answer: &CopyAnswer) -> bool {
-        let is_sound = self.take_answer(answer);
-        self.log_large_copy(&source.to_string(), self.transfer.received());
-        if !is_sound {
-            let age_ms = answer.age_ms;
-            self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
-        }
-        is_sound
-    }
-
-    /// Takes in another node's answer; returns whether its copy can be relied on.
-    fn take_answer(&mut self, answer: &CopyAnswer) -> bool {
-        let Some(update) = &answer.update else { return false };
-        if self.at.is_some_and(|at| update.known_to < at) {
-            return false;
-        }
-        if !update.entries.is_empty() {
-            self.changed_at = Some(Instant::now());
-        }
-        self.take_update(update);
-        let age_ms = answer.age_ms;
-        self.with_freshness(|copy, now_us| copy.on_handed_on(update, age_ms, now_us));
-        let stale = stale_after(&self.node, self.subject);
-        let is_confirmed = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < stale);
-        // Another node has told of a later change than this one knows of.
-        is_confirmed && self.verdict() != Freshness::Behind
-    }
-
     fn begin_question(&mut self) {
         self.asked_at = Instant::now();
         self.transfer.begin();
@@ -298,19 +213,6 @@
         log::info!(target: "store", subject, source, known_to, bytes, waited_ms, transfer_ms; "fetched");
     }
 
-    async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
-        let source = source.to_string();
-        let (subject, received) = (self.subject.name(), self.transfer.received());
-        let took_ms = self.asked_at.elapsed().as_millis();
-        // Sources that know nothing are left many times a second while the store is away.
-        let is_worth_a_line = received >= PART_OF_A_COPY_BYTES;
-        let level = if is_worth_a_line { log::Level::Info } else { log::Level::Debug };
-        log::log!(target: "store", level, subject, source, reason, received, took_ms; "source left");
-        self.with_freshness(CopyFreshness::on_asked);
-        self.turn += 1;
-        sleep(SOURCE_PAUSE).await;
-    }
-
     /// Reads from the store, or else from any node that knows something: a copy that is old serves
     /// better than none, and is replaced by the first answer of the store.
     async fn read_anywhere(&mut self) -> Result<(), FollowError> {
@@ -499,35 +401,3 @@
         sleep(Duration::from_millis(pause)).await;
     }
 }
-
-/// The store's items as entries, in the form in which they are handed on to other nodes. A configuration
-/// that cannot be read is left out: the one before it stays in force, here and where it is handed on.
-fn entries_of(node: &Node, subject: Subject, items: Vec<Item>) -> Vec<StoreEntry> {
-    let entry = |item: Item| {
-        let Item { key, value, revision } = item;
-        let document = match value.map(|value| document_of(subject, value)).transpose() {
-            Ok(document) => document,
-            Err(fault) => {
-                node.on_refused_entry(subject.name(), &key, revision, &fault);
-                if subject == Subject::Configuration {
-                    return None;
-                }
-                Some(String::new())
-            }
-        };
-        Some(StoreEntry { key, document, revision })
-    };
-    items.into_iter().filter_map(entry).collect()
-}
-
-/// A value as a document; keys in a configuration are hidden from here on.
-fn document_of(subject: Subject, value: Vec<u8>) -> Result<String, EntryFault> {
-    match subject {
-        Subject::Configuration => {
-            documents::hide_keys(&value).map_err(|error| EntryFault::Document(error.to_string()))
-        }
-        Subject::Runners | Subject::Crashes => {
-            String::from_utf8(value).map_err(|_| EntryFault::NoText)
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/watcher/other_nodes.rs
@@ -0,0 +1,111 @@
+//! Follows another node's copy instead of the store.
+
+use super::{Follower, BETWEEN_CHANGES, SOURCE_PAUSE};
+use crate::clock::Instant;
+use crate::copy_limits::{longest_question, part_of_contact, stale_after};
+use pitchstall_serving::freshness::{CopyFreshness, Freshness};
+use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion};
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Between two calls to the store while no other node's copy is confirmed, in hundredths of the
+/// same time: a node may alone be cut off from the others.
+const OWN_CALL_HUNDREDTHS: std::ops::Range<u64> = 50..150;
+/// Between two calls to the store of a node that knows of a later change which no other node
+/// could hand it: the change has to be in force within some seconds.
+const BEHIND_PAUSE: Duration = Duration::from_millis(500);
+/// From here on what a source has sent before it is left was part of a copy, not the answer that
+/// it knows nothing.
+const PART_OF_A_COPY_BYTES: usize = 1024;
+
+impl Follower {
+    /// The node to follow; `None`: the store itself.
+    pub(super) fn source(&mut self) -> Option<SocketAddr> {
+        let members = self.node.members.borrow();
+        if members.is_mirror() {
+            return None;
+        }
+        let sources = members.sources();
+        if let Some(source) = sources.get(self.turn) {
+            return Some(*source);
+        }
+        // All have been tried in vain.
+        self.turn = 0;
+        let now = Instant::now();
+        let is_behind = self.verdict() == Freshness::Behind && now >= self.behind_call_at;
+        if now < self.own_call_at && !is_behind {
+            return sources.first().copied();
+        }
+        self.behind_call_at = now + BEHIND_PAUSE;
+        let pause = rand::rng().random_range(OWN_CALL_HUNDREDTHS);
+        self.own_call_at = now + part_of_contact(&self.node, pause);
+        None
+    }
+
+    /// Asks another node for what has changed since the last answer.
+    pub(super) async fn follow_node(&mut self, source: SocketAddr) {
+        self.pause_between_changes(BETWEEN_CHANGES).await;
+        // A source that is new may lag too: it is only asked what it knows, so that the next one
+        // follows at once.
+        let wait = match self.source_is_sound {
+            true => longest_question(&self.node),
+            false => Duration::ZERO,
+        };
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
+        self.begin_question();
+        // Not dropped when another node tells of a later change: words are small and come at once, while
+        // the change itself takes its time. A source that has nothing to say answers soon.
+        let answer = self.mirror.ask(source, &question).await;
+        self.source_is_sound = match answer {
+            Ok(answer) => self.judge_answer(source, &answer).await,
+            Err(error) => {
+                self.leave_source(source, &error.to_string()).await;
+                false
+            }
+        };
+    }
+
+    async fn judge_answer(&mut self, source: SocketAddr, answer: &CopyAnswer) -> bool {
+        let is_sound = self.take_answer(answer);
+        self.log_large_copy(&source.to_string(), self.transfer.received());
+        if !is_sound {
+            let age_ms = answer.age_ms;
+            self.leave_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
+        }
+        is_sound
+    }
+
+    /// Takes in another node's answer; returns whether its copy can be relied on.
+    pub(super) fn take_answer(&mut self, answer: &CopyAnswer) -> bool {
+        let Some(update) = &answer.update else { return false };
+        if self.at.is_some_and(|at| update.known_to < at) {
+            return false;
+        }
+        if !update.entries.is_empty() {
+            self.changed_at = Some(Instant::now());
+        }
+        self.take_update(update);
+        let age_ms = answer.age_ms;
+        self.with_freshness(|copy, now_us| copy.on_handed_on(update, age_ms, now_us));
+        let stale = stale_after(&self.node, self.subject);
+        let is_confirmed = age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < stale);
+        // Another node has told of a later change than this one knows of.
+        is_confirmed && self.verdict() != Freshness::Behind
+    }
+
+    async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
+        let source = source.to_string();
+        let (subject, received) = (self.subject.name(), self.transfer.received());
+        let took_ms = self.asked_at.elapsed().as_millis();
+        // Sources that know nothing are left many times a second while the store is away.
+        let is_worth_a_line = received >= PART_OF_A_COPY_BYTES;
+        let level = if is_worth_a_line { log::Level::Info } else { log::Level::Debug };
+        log::log!(target: "store", level, subject, source, reason, received, took_ms; "source left");
+        self.with_freshness(CopyFreshness::on_asked);
+        self.turn += 1;
+        sleep(SOURCE_PAUSE).await;
+    }
+}
