--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -3,19 +3,22 @@
 use crate::processes::{is_ready, more_settings, NodeProcess};
 use crate::report::Report;
 use nix::sys::signal::Signal;
+use pitchstall_platform_standins::narrow_link::NarrowLink;
 use pitchstall_platform_standins::store::StoreMode;
 use pitchstall_soak::caller::Caller;
 use pitchstall_soak::checks::Violation;
 use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner};
 use pitchstall_soak::history::{Event, Kind, Outcome, Recorder};
-use pitchstall_soak::plan::{has_limits, has_regions, steps, Action, Step, RECOVERY};
+use pitchstall_soak::plan::{
+    has_large_configurations, has_limits, has_lives, has_regions, steps, Action, Step, RECOVERY,
+};
 use pitchstall_soak::proxy::{Link, LinkMode};
 use pitchstall_soak::regions::{id_with_node, is_near_the_store, zone_of, DELAY};
 use pitchstall_soak::tenants::{SoakTenant, LIMITED};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -37,6 +40,12 @@
 /// Time after which an ended runner is back (sooner than the 3 s and more of incident 06), and after which
 /// its entry is gone: three heartbeats of the users' runners.
 const RUNNER_DOWN: Duration = Duration::from_millis(2_000);
+/// The same for runners that start again under their names, in turn: before anybody has noticed, within
+/// a heartbeat, and after their entry is gone.
+const REBORN_AFTER: [Duration; 3] =
+    [Duration::from_millis(100), Duration::from_secs(1), Duration::from_secs(10)];
+/// Bytes a second from the store to a node: 10 Mbit/s.
+const NODE_LINK: u64 = 1_250_000;
 const ENTRY_LASTS: Duration = Duration::from_millis(3_600);
 
 /// What the load and the faults share.
@@ -52,6 +61,9 @@
     /// Whether requests that end runners are sent.
     deadly: AtomicBool,
     has_regions: bool,
+    /// Whether runners start again under their names.
+    has_lives: bool,
+    next_rebirth: AtomicUsize,
     next_request: AtomicU64,
 }
 
@@ -121,7 +133,12 @@
         let fleet = SoakFleet::start(seed, recorder.clone())?;
         let mut processes = Vec::new();
         for number in 0..nodes {
-            let store = Link::start(fleet.store.address())?;
+            let mut store_address = fleet.store.address();
+            if has_large_configurations(seed) {
+                // A link of its own for each node, whatever connections there are.
+                store_address = NarrowLink::new(NODE_LINK).reach(store_address)?;
+            }
+            let store = Link::start(store_address)?;
             let cloud = Link::start(fleet.cloud.address())?;
             if has_regions(seed) && !is_near_the_store(number) {
                 store.set_delay(DELAY);
@@ -143,6 +160,8 @@
             over: AtomicBool::new(false),
             deadly: AtomicBool::new(false),
             has_regions: has_regions(seed),
+            has_lives: has_lives(seed),
+            next_rebirth: AtomicUsize::new(0),
             next_request: AtomicU64::new(0),
         }))
     }
@@ -238,14 +257,27 @@
     }
 
     fn replace_one(&self, ended: &SoakRunner) {
-        std::thread::sleep(RUNNER_DOWN);
+        let down = if self.has_lives { self.next_pause() } else { RUNNER_DOWN };
+        if down > ENTRY_LASTS {
+            std::thread::sleep(ENTRY_LASTS);
+            lock(&self.fleet).unlist(ended);
+            std::thread::sleep(down - ENTRY_LASTS);
+        } else {
+            std::thread::sleep(down);
+        }
         if let Err(error) = lock(&self.fleet).start_in_place_of(ended) {
             eprintln!("soak: no runner in place of {}: {error}", ended.id);
         }
-        std::thread::sleep(ENTRY_LASTS.saturating_sub(RUNNER_DOWN));
+        std::thread::sleep(ENTRY_LASTS.saturating_sub(down));
         lock(&self.fleet).unlist(ended);
     }
 
+    /// After which time the next runner that has ended starts again.
+    fn next_pause(&self) -> Duration {
+        let turn = self.next_rebirth.fetch_add(1, Ordering::SeqCst);
+        REBORN_AFTER[turn % REBORN_AFTER.len()]
+    }
+
     fn send(&self, caller: &mut Caller, node: usize, kind: Kind) -> Outcome {
         self.send_as("r", caller, node, kind)
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::checks::request_body;
 use crate::history::{Event, Kind, Recorder};
-use crate::plan::has_limits;
+use crate::plan::{has_large_configurations, has_limits, has_lives};
 use crate::proxy::Link;
 use crate::regions::{comes_from_afar, RegionLink, DELAY};
 use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
@@ -18,7 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Host of the routes.
 pub const HOST: &str = "soak.example";
@@ -53,6 +53,8 @@
     zone: &'static str,
     stage: Option<&'static str>,
     stand_in: RunnerStandIn,
+    /// When this life began, Unix milliseconds, where that is told.
+    born_ms: Option<u64>,
 }
 
 impl SoakRunner {
@@ -119,11 +121,20 @@
         }
     }
 
-    /// Starts a runner and lists it.
+    /// Starts a runner under a new name and lists it.
     fn add(&mut self, zone: &'static str, stage: Option<&'static str>) -> std::io::Result<()> {
+        let id = format!("i-{}", self.next_runner);
+        self.start_runner(id, zone, stage)
+    }
+
+    fn start_runner(
+        &mut self,
+        id: String,
+        zone: &'static str,
+        stage: Option<&'static str>,
+    ) -> std::io::Result<()> {
         let number = self.next_runner;
         self.next_runner += 1;
-        let id = format!("i-{number}");
         let own_link = Arc::new(OnceLock::new());
         let place = Place { id: id.clone(), zone, stage, regions: self.regions.clone() };
         let script = script(place, self.recorder.clone(), self.seed ^ number, own_link.clone());
@@ -132,7 +143,8 @@
         // Nothing has come yet: it is not listed.
         let _ = own_link.set(link.clone());
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
-        let runner = SoakRunner { id, link, service, zone, stage, stand_in };
+        let born_ms = has_lives(self.seed).then(unix_ms);
+        let runner = SoakRunner { id, link, service, zone, stage, stand_in, born_ms };
         self.list(&runner, false);
         self.runners.push(runner);
         Ok(())
@@ -145,6 +157,7 @@
             zone: runner.zone,
             is_draining,
             stage: runner.stage,
+            born_ms: runner.born_ms,
         };
         self.store.put(&runner_key(&runner.id), &entry.to_json());
     }
@@ -167,13 +180,20 @@
         ended
     }
 
-    /// Starts a runner in place of one that has ended.
+    /// Starts a runner in place of one that has ended: the same one, if runners have lives.
     pub fn start_in_place_of(&mut self, ended: &SoakRunner) -> std::io::Result<()> {
-        self.add(ended.zone, ended.stage)
+        match ended.born_ms {
+            Some(_) => self.start_runner(ended.id.clone(), ended.zone, ended.stage),
+            None => self.add(ended.zone, ended.stage),
+        }
     }
 
-    /// A runner is gone.
+    /// A life of a runner is over. Its entry is gone, unless the runner has started again.
     pub fn unlist(&self, runner: &SoakRunner) {
+        let is_back = |other: &SoakRunner| other.id == runner.id && other.born_ms != runner.born_ms;
+        if self.runners.iter().any(is_back) {
+            return;
+        }
         self.store.remove(&runner_key(&runner.id));
     }
 
@@ -181,10 +201,22 @@
     /// before it.
     pub fn configure(&mut self) {
         self.version += 1;
-        self.store.put(CONFIGURATION_KEY, &configuration(self.version, &self.tenants));
+        self.store.put(
+            CONFIGURATION_KEY,
+            &configuration(self.version, &self.tenants, self.idle_routes()),
+        );
         self.recorder.note(Event::Configured { version: self.version });
     }
 
+    /// Routes that nobody asks for. Large configurations grow to what a store's entry may hold.
+    fn idle_routes(&self) -> usize {
+        const A_CHANGE: u64 = 1_400;
+        const MOST: u64 = 4_200;
+        let is_large = has_large_configurations(self.seed);
+        let routes = if is_large { (self.version * A_CHANGE).min(MOST) } else { 0 };
+        usize::try_from(routes).unwrap_or(usize::MAX)
+    }
+
     /// Notes the usage reports that the platform has taken.
     pub fn note_reports(&self) {
         const DONE: u16 = 200;
@@ -200,7 +232,12 @@
     }
 }
 
-fn configuration(version: u64, tenants: &[SoakTenant]) -> Value {
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn configuration(version: u64, tenants: &[SoakTenant], idle_routes: usize) -> Value {
     const TIMEOUT_MS: u64 = 6_000;
     const MAX_ATTEMPTS: u32 = 3;
     const MAX_CONNECTIONS: u32 = 200;
@@ -222,6 +259,8 @@
         route("summary", RouteKind::ResumableStream, ENGINE_SERVICE),
     ];
     routes.extend(own.iter().map(|name| route(name, RouteKind::Repeatable, DESK_SERVICE)));
+    let idle: Vec<String> = (0..idle_routes).map(|number| format!("idle-{number}")).collect();
+    routes.extend(idle.iter().map(|name| route(name, RouteKind::Repeatable, DESK_SERVICE)));
     let services = [service(DESK_SERVICE, false), service(ENGINE_SERVICE, true)];
     let tenants: Vec<_> = tenants.iter().map(document).collect();
     documents::configuration(version, &routes, &services, &tenants)
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -107,6 +107,8 @@
 const PLANNED_ONLY_EVERY: u64 = 3;
 /// First seed with regions and limits.
 const FIRST_OF_REGIONS_AND_LIMITS: u64 = 1_000;
+/// First seed with runners that start again under their names, and with large configurations.
+const FIRST_OF_LIVES: u64 = 2_000;
 /// Time for which regions are cut off from each other.
 const REGIONS_CUT_FOR: Duration = Duration::from_secs(10);
 /// Quiet time at the end, in which everything has to recover.
@@ -142,6 +144,16 @@
     seed >= FIRST_OF_REGIONS_AND_LIMITS && seed % 4 != 2
 }
 
+/// Whether runners of a seed start again under their names, and tell when they started.
+pub fn has_lives(seed: u64) -> bool {
+    seed >= FIRST_OF_LIVES
+}
+
+/// Whether a seed's configurations are large, and its nodes read them over narrow links.
+pub fn has_large_configurations(seed: u64) -> bool {
+    seed >= FIRST_OF_LIVES && seed.is_multiple_of(2)
+}
+
 /// The regions are cut off from each other in the middle, long enough for their nodes to be bound
 /// again by rules with a time.
 fn region_cut(length: Duration) -> Step {
