Read the latest configuration where one takes long to come

Cause: a watch tells each version written since; at a reader on a narrow link what is left grows while it is transferred. Ruled out: the node's processor (the answer was 3.1 s on its way at the link's full rate). Change: after a configuration that took 0.3 s and more, the entry is read until it has not changed meanwhile. And an answer that tells another life than the entry is shown to end what was believed of the one known.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -49,6 +49,9 @@
 const NODES_LIMIT: Duration = Duration::from_millis(400);
 /// Pause after another node had nothing confirmed to say.
 const SOURCE_PAUSE: Duration = Duration::from_millis(30);
+/// An answer that takes this long on its way may have been overtaken: changes come three a second at most
+/// on the users' deployments.
+const SLOW_TRANSFER: Duration = Duration::from_millis(300);
 /// From here on an answer is logged: 13 ms on a link of 10 Mbit/s.
 const LARGE_COPY_BYTES: usize = 16 * 1024;
 /// Between two looks whether a watch that waits is to be doubted.
@@ -98,6 +101,7 @@
         address,
         at: None,
         changed_at: None,
+        reads_latest: false,
         confirmation,
         failures: 0,
     };
@@ -161,6 +165,8 @@
     at: Option<u64>,
     /// When the last change came.
     changed_at: Option<Instant>,
+    /// Whether the entry is read again before it is watched.
+    reads_latest: bool,
     /// How long a confirmation of the copy holds.
     confirmation: Duration,
     failures: u32,
@@ -186,6 +192,7 @@
         match self.at {
             None if self.failures > 0 => self.read_anywhere().await,
             None => self.read_all().await,
+            Some(_) if self.reads_latest => self.read_latest().await,
             Some(at) => self.watch(at).await,
         }
     }
@@ -255,6 +262,26 @@
         Ok(())
     }
 
+    /// Reads the only entry of the subject again, until it has not changed meanwhile. A watch tells each
+    /// version that was written since, one after the other: what came in while a large one was on its
+    /// way takes longer than that one, and so on. In a storm of a change each 0.4 s, of 0.9 MB over 10 Mbit/s,
+    /// a reader was 4 s late; so it is at most two transfers late.
+    async fn read_latest(&mut self) -> Result<(), FollowError> {
+        let revision = |node: &Node| node.copies.borrow().of(Subject::Configuration).last_change();
+        let before = revision(&self.node);
+        self.read_all().await?;
+        let has_changed = revision(&self.node) != before;
+        self.reads_latest = has_changed && self.transfer.elapsed() >= SLOW_TRANSFER;
+        Ok(())
+    }
+
+    /// The answer of the store has told a change; one of the configuration may have been overtaken by the
+    /// time that it has come.
+    fn note_pace(&mut self) {
+        let is_one_entry = self.subject == Subject::Configuration;
+        self.reads_latest = is_one_entry && self.transfer.elapsed() >= SLOW_TRANSFER;
+    }
+
     async fn read_configuration(&mut self) -> Result<StoreUpdate, FollowError> {
         let (status, body) = self.call(&store::read_key(CONFIGURATION_KEY), READ_LIMIT).await?;
         if status != StoreStatus::Done {
@@ -337,6 +364,7 @@
                 let page = store::parse_page(&body)?;
                 if !page.items.is_empty() {
                     self.changed_at = Some(Instant::now());
+                    self.note_pace();
                 }
                 let known_to = page.at.max(at);
                 let entries = entries_of(&self.node, self.subject, page.items);
--- a/crates/gateway/tests/runner_lives.rs
+++ b/crates/gateway/tests/runner_lives.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use pitchstall_platform_standins::http::ReceivedRequest;
-use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
 use serde_json::{json, Value};
 use std::time::Duration;
 use support::{configuration, get, runner_entry, wait_for, Fixture, RawAnswer};
@@ -133,3 +133,48 @@
         assert_eq!(ask(&node, "GET", "/lookup/1", &format!("id-{number}")).text(), "right");
     }
 }
+
+/// The answer tells of a later life than the entry: what is believed of the one that is over is over, and the
+/// runner gets nothing until its entry tells of the new one.
+#[test]
+fn an_answer_of_another_life_ends_what_is_believed_of_the_one_known() {
+    const NEXT: u64 = 2_000;
+    let reading = format!("{{\"kv_handle\":\"h1\",\"tokens\":100,\"version\":1,\"born\":{NEXT}}}");
+    let reader = RunnerStandIn::start("i-reader", move |request: &ReceivedRequest| {
+        match request.header("x-pitchstall-stage") {
+            Some(_) => Reaction::Answer { status: 200, body: reading.clone().into_bytes() },
+            None => Reaction::Answer { status: 200, body: Vec::new() },
+        }
+    })
+    .unwrap();
+    let writer = RunnerStandIn::start("i-writer", engine_script(3)).unwrap();
+    let node = Fixture::start();
+    node.store.put("op/config", &configuration(3));
+    let list = |runner: &RunnerStandIn, stage: &str, born: u64| {
+        let mut entry = runner_entry(runner, "llm", "north", "ready");
+        entry["stage"] = stage.into();
+        entry["born"] = born.into();
+        node.store.put(&format!("servers/{}", runner.id()), &entry);
+    };
+    list(&reader, "prefill", 1_000);
+    list(&writer, "decode", 1_000);
+    node.wait_until_ready();
+    // Each prompt is another one: no runner holds a part of it.
+    let asked = std::cell::Cell::new(0);
+    let read = || {
+        let number = asked.replace(asked.get() + 1);
+        let prompt = format!(
+            "X-Pitchstall-Token-Count: 60000,10\r\n\
+             X-Pitchstall-Prefix-Hash: a{number}:50000,b{number}:10000\r\n"
+        );
+        let mut client = node.client();
+        client.request("POST", "/summary/1", &format!("id-{number}"), &prompt, b"x");
+        assert_eq!(client.read_answer().status, 200);
+        let is_reading = |request: &ReceivedRequest| request.header("x-pitchstall-stage").is_some();
+        reader.requests().iter().filter(|request| is_reading(request)).count()
+    };
+    assert_eq!(read(), 1);
+    assert_eq!(read(), 1, "the runner gets nothing until its entry tells of this life");
+    list(&reader, "prefill", NEXT);
+    wait_for("the new life to be given prompts", || read() > 1);
+}
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -88,6 +88,11 @@
         self.known_to
     }
 
+    /// Revision of the latest entry; `None`: there is none.
+    pub fn last_change(&self) -> Option<u64> {
+        self.entries.values().map(|entry| entry.revision).max()
+    }
+
     /// Forgets everything: another store counts its revisions in another way.
     pub fn forget(&mut self) {
         *self = Self::default();
