Failing test: what the store sends slowly makes a node deaf to others that have it

Traced with the nodes' lines: both its sources had not heard of the store for 0.51 s (they were busy), it asked the store, and 1.2 MB over 40 KB/s held it for 20 s.

--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -103,6 +103,31 @@
     assert!(nodes.link.passed() - before <= TWICE * document_bytes);
 }
 
+/// A node that has begun to read a large configuration from the store itself, for it knew nobody who had it, takes it
+/// from a node that has it by then. Seen on a busy machine: both sources of a node had not heard of the store
+/// for half a second, and it was deaf for 20 s with what the store sent.
+#[test]
+fn a_copy_of_another_node_overtakes_what_the_store_sends_slowly() {
+    let link = NarrowLink::new(COPY_BYTES_A_SECOND);
+    let store = StoreStandIn::start().unwrap();
+    let runner = runner();
+    store.put("op/config", &large_configuration(3));
+    let weak_place = Place::new();
+    let strong_place = Place::new();
+    let pair = link.join_nodes(weak_place.peers(), strong_place.peers()).unwrap();
+    let seen = |place: Place, address: std::net::SocketAddr| {
+        HashMap::from([(place.peers().to_string(), address.to_string())])
+    };
+    let view = store.serve_view(seen(strong_place, pair.far_seen_from_near)).unwrap();
+    let view = link.reach(view).unwrap();
+    let weak = Fixture::start_in(weak_place, store.clone(), view, "weak", "", WEAK_MACHINE);
+    wait_for("the store's answer to be on its way", || link.passed() > 3 * COPY_BYTES_A_SECOND / 2);
+    let view = store.serve_view(seen(weak_place, pair.near_seen_from_far)).unwrap();
+    let strong = Fixture::start_in(strong_place, store.clone(), view, "node-1", "", STRONG_MACHINE);
+    strong.add_runner(&runner, "desk", None);
+    wait_for("the configuration behind the narrow link", || serves(&weak, "added"));
+}
+
 /// Changes in quick succession: a copy that is on its way is taken although there is a later one.
 #[test]
 fn large_configurations_in_quick_succession_come_into_force() {
