A copy of another node overtakes what the store sends slowly

Cause: a node that reads the store was deaf to others for as long as its link takes. Change: once the store's answer has been on its way for 0.5 s, other nodes are asked beside it, one each 0.5 s; the first that has news ends it. Bytes: one packed copy more at most.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -19,6 +19,7 @@
 use crate::platform_client::{PlatformClient, PlatformFailure};
 use crate::store_pages::read_pages;
 use crate::transfer::Transfer;
+use other_nodes::overtaking_copy;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{
     self, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX, RUNNERS_PREFIX,
@@ -189,6 +190,19 @@
             self.follow_node(source).await;
             return Ok(());
         }
+        self.transfer.begin();
+        let overtaking = overtaking_copy(self.node.clone(), self.subject, self.at, &self.transfer);
+        tokio::select! {
+            done = self.ask_store() => done,
+            answer = overtaking => {
+                // What the store had sent is dropped with its connection, as it is all in here.
+                self.take_answer(&answer);
+                Ok(())
+            }
+        }
+    }
+
+    async fn ask_store(&mut self) -> Result<(), FollowError> {
         match self.at {
             None if self.failures > 0 => self.read_anywhere().await,
             None => self.read_all().await,
--- a/crates/gateway/src/watcher/other_nodes.rs
+++ b/crates/gateway/src/watcher/other_nodes.rs
@@ -3,10 +3,15 @@
 use super::{Follower, BETWEEN_CHANGES, SOURCE_PAUSE};
 use crate::clock::Instant;
 use crate::copy_limits::{longest_question, part_of_contact, stale_after};
+use crate::mirror::MirrorClient;
+use crate::node::Node;
+use crate::transfer::Transfer;
 use pitchstall_serving::freshness::{CopyFreshness, Freshness};
-use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion};
+use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, Subject};
 use rand::RngExt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -20,6 +25,52 @@
 /// it knows nothing.
 const PART_OF_A_COPY_BYTES: usize = 1024;
 
+/// A large answer of the store has to have been on its way for so long before other nodes are asked: at 10
+/// Mbit/s half a configuration of 0.9 MB has come by then, and a node on a wide link has it whole.
+const SLOW_ANSWER: Duration = Duration::from_millis(500);
+
+/// Another node's copy that is newer than what is known to `after`, while the store's answer is slow to come.
+/// The same from a node is a tenth of the bytes, and the store's answer would hold this node for as
+/// long as its link takes; it goes on until the copy has come whole.
+pub(super) fn overtaking_copy(
+    node: Rc<Node>,
+    subject: Subject,
+    after: Option<u64>,
+    store_answer: &Rc<Transfer>,
+) -> impl Future<Output = CopyAnswer> + use<> {
+    let store_answer = store_answer.clone();
+    let mut mirror = MirrorClient::with_transfer(Rc::default());
+    let question = CopyQuestion { subject, after, wait_ms: 0 };
+    let brings_news = move |answer: &CopyAnswer| {
+        let update = answer.update.as_ref().filter(|update| !update.entries.is_empty());
+        update.is_some_and(|update| after.is_none_or(|after| update.known_to > after))
+    };
+    async move {
+        for turn in 0_usize.. {
+            sleep(SLOW_ANSWER).await;
+            if !store_answer.is_under_way() {
+                continue;
+            }
+            let sources = node.members.borrow().sources();
+            let Some(source) = sources.get(turn % sources.len().max(1)) else { continue };
+            match mirror.ask(*source, &question).await {
+                Ok(answer) if brings_news(&answer) => {
+                    let source = source.to_string();
+                    let received = store_answer.received();
+                    log::info!(target: "store", subject = subject.name(), source, received; "overtaken");
+                    return answer;
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    let (source, error) = (source.to_string(), error.to_string());
+                    log::debug!(target: "store", subject = subject.name(), source, error; "no copy");
+                }
+            }
+        }
+        std::future::pending().await
+    }
+}
+
 impl Follower {
     /// The node to follow; `None`: the store itself.
     pub(super) fn source(&mut self) -> Option<SocketAddr> {
