A configuration's own revision is told after it was handed on whole; a later one is got from any node

Found in the read-through: a node that has just been handed everything told the store's revision as that of the last change. While the store is away nobody could have confirmed it, and the nodes that read the store would have looked outdated and refused all requests until its return. A configuration is one entry, so the entry's revision is told.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -202,13 +202,20 @@
         }
     }
 
+    /// Asks the store, and after it has failed any node that knows something: while nothing is known here a copy
+    /// that is old serves better than none, and a later change that others tell of has to be got from
+    /// them. The first answer of the store replaces it.
     async fn ask_store(&mut self) -> Result<(), FollowError> {
-        match self.at {
-            None if self.failures > 0 => self.read_anywhere().await,
+        let asked = match self.at {
             None => self.read_all().await,
             Some(_) if self.reads_latest => self.read_latest().await,
             Some(at) => self.watch(at).await,
+        };
+        let lacks_something = self.at.is_none() || self.is_behind();
+        if asked.is_err() && self.failures > 0 && lacks_something {
+            self.ask_any_node().await;
         }
+        asked
     }
 
     /// Whether the node has just started and may soon know whom it can follow.
@@ -234,19 +241,19 @@
         log::info!(target: "store", subject, source, known_to, bytes, waited_ms, transfer_ms; "fetched");
     }
 
-    /// Reads from the store, or else from any node that knows something: a copy that is old serves
-    /// better than none, and is replaced by the first answer of the store.
-    async fn read_anywhere(&mut self) -> Result<(), FollowError> {
-        let read = self.read_all().await;
-        if read.is_ok() {
-            return read;
-        }
+    /// Whether another node has told of a change that this one has not got.
+    fn is_behind(&self) -> bool {
+        let freshness = self.node.freshness.borrow();
+        freshness.copy_of(self.subject).behind_for_us(self.node.now_us()).is_some()
+    }
+
+    async fn ask_any_node(&mut self) {
         let others = self.node.members.borrow().others();
         if others.is_empty() {
-            return read;
+            return;
         }
         let other = others[rand::rng().random_range(0..others.len())];
-        let question = CopyQuestion { subject: self.subject, after: None, wait_ms: 0 };
+        let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms: 0 };
         match self.mirror.ask(other, &question).await {
             Ok(answer) => drop(self.take_answer(&answer)),
             Err(error) => {
@@ -254,7 +261,6 @@
                 log::info!(target: "store", subject = self.subject.name(), other, error; "no copy");
             }
         }
-        read
     }
 
     async fn read_all(&mut self) -> Result<(), FollowError> {
@@ -262,16 +268,9 @@
             Subject::Configuration => self.read_configuration().await?,
             Subject::Runners | Subject::Crashes => self.read_list().await?,
         };
-        let known_to = update.known_to;
         self.take_update(&update);
         self.confirmation = draw_confirmation(&self.node, self.subject);
-        // A configuration is one entry, which is never removed.
-        let only = update.entries.first().filter(|_| self.subject == Subject::Configuration);
-        let revision = only.map(|entry| entry.revision);
-        self.with_freshness(|copy, now_us| match revision {
-            Some(revision) => copy.on_read_entry(revision, known_to, now_us),
-            None => copy.on_read(known_to, now_us),
-        });
+        self.with_freshness(|copy, now_us| copy.on_read(&update, now_us));
         self.node.store_confirmed.notify_one();
         Ok(())
     }
--- a/crates/gateway/tests/outdated.rs
+++ b/crates/gateway/tests/outdated.rs
@@ -6,11 +6,12 @@
 
 mod support;
 
+use pitchstall_platform_standins::proxy::{Link, LinkMode};
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreMode;
 use serde_json::json;
 use std::net::UdpSocket;
-use support::{configuration, route, wait_for, Fixture, RawAnswer};
+use support::{configuration, route, wait_for, Fixture, Place, RawAnswer};
 
 const BOUNDS: &str = "config_apply_ms = 600\n";
 
@@ -69,3 +70,24 @@
     wait_for("the later configuration", || ask(&node, "added").status == 200);
     assert!(node.is_ready());
 }
+
+/// A node that reads the store for others has lost it, and hears of a change that another node has read.
+#[test]
+fn a_node_that_has_lost_the_store_gets_a_later_configuration_from_another() {
+    let answer = |_: &_| Reaction::Answer { status: 200, body: b"done".to_vec() };
+    let runner = RunnerStandIn::start("i-1", answer).unwrap();
+    let first = Fixture::start();
+    first.store.put("op/config", &configuration(3));
+    first.add_runner(&runner, "desk", None);
+    first.wait_until_ready();
+    let link = Link::start(first.store.address()).unwrap();
+    let store = first.store.clone();
+    let second = Fixture::start_in(Place::new(), store.clone(), link.address(), "node-2", "", "");
+    second.wait_until_ready();
+    link.set_mode(LinkMode::Resetting);
+    let mut later = configuration(4);
+    later["routes"].as_array_mut().unwrap().push(route("added", "idempotent", "desk"));
+    store.put("op/config", &later);
+    wait_for("the node with the store", || ask(&first, "added").status == 200);
+    wait_for("the node without it", || ask(&second, "added").status == 200);
+}
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -70,6 +70,9 @@
 /// Freshness of a node's copy of one subject.
 #[derive(Clone, Debug, Default)]
 pub struct CopyFreshness {
+    /// The subject is one entry, which is never removed: the revision of the entry tells the last change. Otherwise
+    /// what was removed before everything was read does not show.
+    is_one_entry: bool,
     known_to: u64,
     /// No change after this revision is known. After everything has been read that is the
     /// read's own revision, as what was removed before it does not show.
@@ -86,6 +89,11 @@
 }
 
 impl CopyFreshness {
+    /// Of a subject that is one entry.
+    pub fn of_one_entry() -> Self {
+        Self { is_one_entry: true, ..Self::default() }
+    }
+
     /// The store has answered: everything up to a revision is known.
     pub fn on_store_answer(&mut self, known_to: u64, now_us: u64) {
         self.known_to = known_to;
@@ -95,26 +103,31 @@
         self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
     }
 
-    /// Everything has been read, as it stood at a revision.
-    pub fn on_read(&mut self, known_to: u64, now_us: u64) {
-        self.changed_at = known_to;
-        self.read_at_us = Some(now_us);
-        self.on_store_answer(known_to, now_us);
+    /// Everything has been read from the store.
+    pub fn on_read(&mut self, update: &StoreUpdate, now_us: u64) {
+        self.on_whole(update, now_us);
+        self.on_store_answer(update.known_to, now_us);
     }
 
-    /// The only entry of the subject has been read: its own revision is the last change.
-    pub fn on_read_entry(&mut self, revision: u64, known_to: u64, now_us: u64) {
-        self.changed_at = revision;
-        self.read_at_us = None;
-        self.on_store_answer(known_to, now_us);
+    /// All entries are known, as they stood at a revision.
+    fn on_whole(&mut self, update: &StoreUpdate, now_us: u64) {
+        let latest = update.entries.iter().map(|entry| entry.revision).max();
+        match latest.filter(|_| self.is_one_entry) {
+            Some(revision) => {
+                self.changed_at = revision;
+                self.read_at_us = None;
+            }
+            None => {
+                self.changed_at = update.known_to;
+                self.read_at_us = Some(now_us);
+            }
+        }
     }
 
     /// Another node has handed on its copy, which the store confirmed so long ago.
     pub fn on_handed_on(&mut self, update: &StoreUpdate, age_ms: Option<u64>, now_us: u64) {
         if update.whole {
-            // What was removed before it does not show.
-            self.changed_at = update.known_to;
-            self.read_at_us = Some(now_us);
+            self.on_whole(update, now_us);
         }
         // A word that left a change out would confirm copies that have not seen it.
         update.entries.iter().for_each(|entry| self.on_change(entry.revision));
@@ -231,7 +244,7 @@
 }
 
 /// Freshness of a node's copies.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct StoreFreshness {
     /// The operators' configuration.
     pub configuration: CopyFreshness,
@@ -241,6 +254,16 @@
     pub crashes: CopyFreshness,
 }
 
+impl Default for StoreFreshness {
+    fn default() -> Self {
+        Self {
+            configuration: CopyFreshness::of_one_entry(),
+            runners: CopyFreshness::default(),
+            crashes: CopyFreshness::default(),
+        }
+    }
+}
+
 /// What a node tells of its copies.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreWord {
--- a/crates/serving/tests/freshness.rs
+++ b/crates/serving/tests/freshness.rs
@@ -19,6 +19,10 @@
     copy
 }
 
+fn everything_at(known_to: u64) -> StoreUpdate {
+    StoreUpdate { known_to, whole: true, entries: Vec::new() }
+}
+
 #[test]
 fn the_stores_answer_confirms_for_a_while() {
     let copy = copy_known_to(5);
@@ -66,7 +70,7 @@
     // Revision 8 removed an entry. The reader saw only entries up to 5; the other node's watch
     // went silent at 6.
     let mut reader = CopyFreshness::default();
-    reader.on_read(9, 0);
+    reader.on_read(&everything_at(9), 0);
     let mut other = copy_known_to(6);
     other.on_word(reader.word(0), 0);
     assert_eq!(other.verdict(HOLDS, HOLDS), Freshness::Unconfirmed, "nothing is told at first");
@@ -77,7 +81,7 @@
 #[test]
 fn a_node_that_has_read_everything_learns_from_another_which_change_was_the_last() {
     let mut reader = CopyFreshness::default();
-    reader.on_read(9, 0);
+    reader.on_read(&everything_at(9), 0);
     let mut other = copy_known_to(6);
     other.on_store_answer(9, SECOND);
     reader.on_word(other.word(SECOND), SECOND + 1);
@@ -146,15 +150,23 @@
     assert_eq!(copy.behind_for_us(9 * SECOND), None, "nobody has repeated it");
 }
 
-/// A configuration is one entry, so that a node that has read it knows which change was the last.
+/// A configuration is one entry, so that a node that has it knows which change was the last.
+/// Otherwise a node that starts just before the store goes away would make nodes look outdated that have all
+/// there is, until the store is back.
 #[test]
-fn a_node_that_has_read_the_only_entry_makes_nobody_ask() {
-    let mut reader = CopyFreshness::default();
-    reader.on_read_entry(5, 9, 0);
-    let mut other = copy_known_to(6);
-    other.on_word(reader.word(0), 0);
-    assert_eq!(other.verdict(SECOND, HOLDS), Freshness::Fresh);
-    assert_eq!(other.behind_for_us(SECOND), None);
+fn a_node_that_has_got_the_only_entry_whole_makes_nobody_look_behind() {
+    let entry = StoreEntry { key: "op/config".to_owned(), document: None, revision: 5 };
+    let whole = StoreUpdate { known_to: 9, whole: true, entries: vec![entry] };
+    let mut reader = CopyFreshness::of_one_entry();
+    reader.on_read(&whole, 0);
+    let mut follower = CopyFreshness::of_one_entry();
+    follower.on_handed_on(&whole, Some(0), 0);
+    for told in [reader.word(0), reader.word(3 * SECOND), follower.word(3 * SECOND)] {
+        assert_eq!(told.changed_at, 5);
+        let mut other = copy_known_to(6);
+        other.on_word(told, 0);
+        assert_eq!(other.behind_for_us(SECOND), None);
+    }
 }
 
 proptest! {
--- a/crates/serving/tests/lapsed_entries.rs
+++ b/crates/serving/tests/lapsed_entries.rs
@@ -6,6 +6,7 @@
 use pitchstall_serving::freshness::CopyFreshness;
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::runner::RunnerRecord;
+use pitchstall_serving::store_copy::StoreUpdate;
 use std::net::SocketAddr;
 
 const SECOND_US: u64 = 1_000_000;
@@ -64,7 +65,7 @@
 #[test]
 fn entries_lapse_only_while_the_store_is_away_and_soon_after_its_return() {
     let mut copy = CopyFreshness::default();
-    copy.on_read(1, 0);
+    copy.on_read(&StoreUpdate { known_to: 1, whole: true, entries: Vec::new() }, 0);
     assert_eq!(copy.lapses_until_us(SECOND_US), None, "heard of lately");
     assert!(copy.lapses_until_us(4 * SECOND_US).is_some(), "not heard of for seconds");
     copy.on_store_answer(2, 5 * SECOND_US);
