Tests: a source, and the store, fall silent while a large copy is on its way

Cause: headway and its limits were tested with slow links, never with one that stops halfway. Change: the narrow link between two nodes can fall silent; either source of a node does when 8 KB of its copy have come, and the store when half a second's bytes have. The storm of large versions stands once in the test file. Not covered: a node's own process killed halfway, which begins anew.

--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -13,12 +13,15 @@
 
 mod support;
 
-use pitchstall_platform_standins::narrow_link::NarrowLink;
+use pitchstall_platform_standins::narrow_link::{NarrowLink, NodePair};
+use pitchstall_platform_standins::proxy::{Link, LinkMode};
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
 use serde_json::{json, Value};
 use std::collections::HashMap;
+use std::time::Duration;
 use support::{configuration, route, wait_for, Fixture, Place};
+use test_case::test_case;
 
 /// Routes of the large configuration: some 800 KB.
 const MANY_ROUTES: usize = 4_200;
@@ -52,12 +55,28 @@
     client.read_answer().status == 200
 }
 
+/// Writes large configurations in quick succession, each with a route of its own; returns the last one's.
+fn write_storm(store: &StoreStandIn) -> String {
+    const VERSIONS: std::ops::RangeInclusive<u64> = 7..=18;
+    const BETWEEN: Duration = Duration::from_millis(330);
+    for version in VERSIONS {
+        let mut large = large_configuration(version);
+        let routes = large["routes"].as_array_mut().unwrap();
+        routes.push(route(&format!("version-{version}"), "idempotent", "desk"));
+        store.put("op/config", &large);
+        std::thread::sleep(BETWEEN);
+    }
+    format!("version-{}", VERSIONS.end())
+}
+
 /// Two nodes with wide links, which read the store, and one behind a narrow link, which follows them.
 struct Nodes {
     store: StoreStandIn,
     _strong: Vec<Fixture>,
     weak: Fixture,
     link: NarrowLink,
+    /// The ways between the weak node and each of the others.
+    pairs: Vec<NodePair>,
     _runner: RunnerStandIn,
 }
 
@@ -68,6 +87,7 @@
     store.put("op/config", &configuration(3));
     let weak_place = Place::new();
     let mut seen_from_weak = HashMap::new();
+    let mut pairs = Vec::new();
     let strong: Vec<Fixture> = ["node-1", "node-2"]
         .into_iter()
         .map(|name| {
@@ -78,6 +98,7 @@
             let seen = pair.near_seen_from_far.to_string();
             let view = HashMap::from([(weak_place.peers().to_string(), seen)]);
             let view = store.serve_view(view).unwrap();
+            pairs.push(pair);
             Fixture::start_in(place, store.clone(), view, name, "", STRONG_MACHINE)
         })
         .collect();
@@ -87,7 +108,7 @@
     let weak = Fixture::start_in(weak_place, store.clone(), view, "weak", "", WEAK_MACHINE);
     strong.iter().for_each(Fixture::wait_until_ready);
     weak.wait_until_ready();
-    Nodes { store, _strong: strong, weak, link, _runner: runner }
+    Nodes { store, _strong: strong, weak, link, pairs, _runner: runner }
 }
 
 /// And it isn't sent again and again: what comes over the link is at most twice the document.
@@ -131,17 +152,9 @@
 /// Changes in quick succession: a copy that is on its way is taken although there is a later one.
 #[test]
 fn large_configurations_in_quick_succession_come_into_force() {
-    const VERSIONS: u64 = 12;
-    const BETWEEN: std::time::Duration = std::time::Duration::from_millis(330);
     let nodes = nodes();
-    for version in 7..7 + VERSIONS {
-        let mut large = large_configuration(version);
-        let routes = large["routes"].as_array_mut().unwrap();
-        routes.push(route(&format!("version-{version}"), "idempotent", "desk"));
-        nodes.store.put("op/config", &large);
-        std::thread::sleep(BETWEEN);
-    }
-    wait_for("the last version", || serves(&nodes.weak, &format!("version-{}", 6 + VERSIONS)));
+    let last = write_storm(&nodes.store);
+    wait_for("the last version", || serves(&nodes.weak, &last));
 }
 
 /// A node alone reads the store over a narrow link, when it starts and when a change comes.
@@ -167,8 +180,6 @@
 /// reader on 10 Mbit/s had the last of three versions 4 s late; its line showed 3.8 MB in one answer.
 #[test]
 fn a_storm_of_large_configurations_does_not_pile_up_at_a_reader() {
-    const VERSIONS: u64 = 12;
-    const BETWEEN: std::time::Duration = std::time::Duration::from_millis(330);
     let link = NarrowLink::new(STORE_BYTES_A_SECOND);
     let store = StoreStandIn::start().unwrap();
     let runner = runner();
@@ -177,12 +188,42 @@
     let node = Fixture::start_in(Place::new(), store.clone(), address, "node-1", "", "");
     node.add_runner(&runner, "desk", None);
     node.wait_until_ready();
-    for version in 7..7 + VERSIONS {
-        let mut large = large_configuration(version);
-        let routes = large["routes"].as_array_mut().unwrap();
-        routes.push(route(&format!("version-{version}"), "idempotent", "desk"));
-        store.put("op/config", &large);
-        std::thread::sleep(BETWEEN);
-    }
-    wait_for("the last version", || serves(&node, &format!("version-{}", 6 + VERSIONS)));
+    let last = write_storm(&store);
+    wait_for("the last version", || serves(&node, &last));
+}
+
+/// A source falls silent while its copy is on its way; whichever it is, the other one has it too.
+#[test_case(0)]
+#[test_case(1)]
+fn a_source_that_falls_silent_halfway_is_left(which: usize) {
+    const PART_OF_A_COPY: u64 = 8 * 1024;
+    let nodes = nodes();
+    let before = nodes.link.passed();
+    nodes.store.put("op/config", &large_configuration(7));
+    wait_for("a copy to be on its way", || nodes.link.passed() > before + PART_OF_A_COPY);
+    assert!(!serves(&nodes.weak, "added"));
+    nodes.pairs[which].silence();
+    wait_for("the added route behind the narrow link", || serves(&nodes.weak, "added"));
+}
+
+/// The store falls silent while its answer is on its way, and is back later.
+#[test]
+fn an_answer_of_the_store_that_stops_halfway_is_asked_for_again() {
+    const AWAY: Duration = Duration::from_secs(3);
+    let link = NarrowLink::new(STORE_BYTES_A_SECOND);
+    let store = StoreStandIn::start().unwrap();
+    let runner = runner();
+    store.put("op/config", &configuration(3));
+    let faulty = Link::start(store.address()).unwrap();
+    let address = link.reach(faulty.address()).unwrap();
+    let node = Fixture::start_in(Place::new(), store.clone(), address, "node-1", "", "");
+    node.add_runner(&runner, "desk", None);
+    node.wait_until_ready();
+    let before = link.passed();
+    store.put("op/config", &large_configuration(7));
+    wait_for("the answer to be on its way", || link.passed() > before + STORE_BYTES_A_SECOND / 2);
+    faulty.set_mode(LinkMode::Silent);
+    std::thread::sleep(AWAY);
+    faulty.set_mode(LinkMode::Passing);
+    wait_for("the added route", || serves(&node, "added"));
 }
