Tests: one builder of a runner's record

Cause: eleven test files of serving wrote the same ten fields; a field more, as lives nearly were, changed all of them. Change: support/mod.rs builds a record with defaults, tests name what differs. Addresses, which nothing there is about, are one.

--- a/crates/serving/tests/lapsed_entries.rs
+++ b/crates/serving/tests/lapsed_entries.rs
@@ -2,29 +2,20 @@
 //! are not back soon after its return.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::fleet::{Fleet, FleetChange};
 use pitchstall_serving::freshness::CopyFreshness;
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_copy::StoreUpdate;
-use std::net::SocketAddr;
+use support::runner_record;
 
 const SECOND_US: u64 = 1_000_000;
 const UNTIL_US: u64 = 2 * SECOND_US;
 
 fn record(id: &str, draining: bool, revision: u64) -> RunnerRecord {
-    RunnerRecord {
-        id: RunnerId::new(id),
-        service: ServiceName::new("llm"),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: ZoneId::new("north"),
-        slots: 8,
-        draining,
-        preemptible: false,
-        leaves_ms: None,
-        stage: None,
-        revision,
-    }
+    RunnerRecord { draining, revision, ..runner_record(RunnerId::new(id)) }
 }
 
 fn takes_work(fleet: &Fleet, id: &str) -> bool {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -1,6 +1,8 @@
 //! Routes, splits, the fleet and the choice of runners.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness};
@@ -20,6 +22,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use support::runner_record;
 use test_case::test_case;
 
 const CACHE_TOKENS: u64 = 400_000;
@@ -98,18 +101,7 @@
 }
 
 fn record(id: &str, zone: &str, stage: Option<Stage>, revision: u64) -> RunnerRecord {
-    RunnerRecord {
-        id: RunnerId::new(id),
-        service: ServiceName::new("llm"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        zone: ZoneId::new(zone),
-        slots: 8,
-        draining: false,
-        preemptible: false,
-        leaves_ms: None,
-        stage,
-        revision,
-    }
+    RunnerRecord { zone: ZoneId::new(zone), stage, revision, ..runner_record(RunnerId::new(id)) }
 }
 
 #[test]
--- a/crates/serving/tests/region_fetch.rs
+++ b/crates/serving/tests/region_fetch.rs
@@ -1,6 +1,8 @@
 //! Shared parts of prompts are taken over from another region where that costs less than reading them.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
@@ -11,7 +13,7 @@
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::topology::Topology;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use support::runner_record;
 use test_case::test_case;
 
 const SHARED: u64 = 8_000;
@@ -28,16 +30,9 @@
     for (zone, _) in zones {
         for (name, stage) in [("p", Stage::Prefill), ("d", Stage::Decode)] {
             fleet.put(RunnerRecord {
-                id: RunnerId::new(format!("{name}-{zone}")),
-                service: ServiceName::new("llm"),
-                address: SocketAddr::from(([127, 0, 0, 1], 1)),
                 zone: ZoneId::new(zone),
-                slots: 8,
-                draining: false,
-                preemptible: false,
-                leaves_ms: None,
                 stage: Some(stage),
-                revision: 1,
+                ..runner_record(RunnerId::new(format!("{name}-{zone}")))
             });
         }
     }
--- a/crates/serving/tests/regions.rs
+++ b/crates/serving/tests/regions.rs
@@ -1,6 +1,8 @@
 //! Regions: how the fleet is cut by them, and when a request leaves its own.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::digest::DigestTurns;
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
@@ -16,6 +18,7 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use support::runner_record;
 
 const SECOND: u64 = 1_000_000;
 const DUE: Due = Due { target_ms: 500.0, elapsed_ms: 0.0 };
@@ -36,18 +39,7 @@
 }
 
 fn record(id: &str, zone: &str, stage: Option<Stage>) -> RunnerRecord {
-    RunnerRecord {
-        id: RunnerId::new(id),
-        service: ServiceName::new("llm"),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: ZoneId::new(zone),
-        slots: 8,
-        draining: false,
-        preemptible: false,
-        leaves_ms: None,
-        stage,
-        revision: 1,
-    }
+    RunnerRecord { zone: ZoneId::new(zone), stage, ..runner_record(RunnerId::new(id)) }
 }
 
 /// Two prefill and two decode runners in each zone, as seen from `w-1`.
--- a/crates/serving/tests/reservations.rs
+++ b/crates/serving/tests/reservations.rs
@@ -1,12 +1,15 @@
 //! What a scheduler sets aside, and that it is free again whatever words are lost or doubled.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::fleet::Fleet;
-use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName};
 use pitchstall_serving::reservations::{Reservation, Reservations, Reserved};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{Shard, Ticket};
 use proptest::prelude::*;
+use support::runner_record;
 
 const SECOND: u64 = 1_000_000;
 
@@ -18,16 +21,9 @@
     let mut fleet = Fleet::default();
     for (id, stage) in [("p", Stage::Prefill), ("d", Stage::Decode)] {
         fleet.put(RunnerRecord {
-            id: RunnerId::new(id),
             service: ServiceName::new("s"),
-            address: "127.0.0.1:1".parse().unwrap(),
-            zone: ZoneId::new("north"),
-            slots: 8,
-            draining: false,
-            preemptible: false,
-            leaves_ms: None,
             stage: Some(stage),
-            revision: 1,
+            ..runner_record(RunnerId::new(id))
         });
     }
     fleet
--- a/crates/serving/tests/role_view.rs
+++ b/crates/serving/tests/role_view.rs
@@ -1,6 +1,8 @@
 //! What the planner of roles sees in a fleet, and why it orders nothing.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
@@ -12,7 +14,7 @@
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use pitchstall_serving::scheduling::{RunnerLoad, Shard, Ticket};
 use pitchstall_serving::topology::Topology;
-use std::net::SocketAddr;
+use support::runner_record;
 
 const SECOND: u64 = 1_000_000;
 const SLOTS: u32 = 8;
@@ -27,16 +29,9 @@
     for (name, count, stage) in [("p", prefill, Stage::Prefill), ("d", decode, Stage::Decode)] {
         for number in 0..count {
             fleet.put(RunnerRecord {
-                id: RunnerId::new(format!("{name}{number}")),
-                service: ServiceName::new("llm"),
-                address: SocketAddr::from(([127, 0, 0, 1], 1)),
-                zone: ZoneId::new("north"),
                 slots: SLOTS,
-                draining: false,
-                preemptible: false,
-                leaves_ms: None,
                 stage: Some(stage),
-                revision: 1,
+                ..runner_record(RunnerId::new(format!("{name}{number}")))
             });
         }
     }
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -1,14 +1,17 @@
 //! Authority over roles, and when roles change.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::authority::{AuthorityTerm, LeaseTimes};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Fleet};
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RunnerId, ServiceName};
 use pitchstall_serving::read_pace::ReadPace;
 use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use proptest::prelude::*;
+use support::runner_record;
 
 const SECOND: u64 = 1_000_000;
 const TIMES: LeaseTimes = LeaseTimes { ttl_us: 3 * SECOND, separation_us: 3 * SECOND };
@@ -66,16 +69,8 @@
     for (name, count, stage) in stages {
         for number in 0..count {
             fleet.put(RunnerRecord {
-                id: RunnerId::new(format!("{name}{number}")),
-                service: ServiceName::new("llm"),
-                address: "127.0.0.1:1".parse().unwrap(),
-                zone: ZoneId::new("north"),
-                slots: 8,
-                draining: false,
-                preemptible: false,
-                leaves_ms: None,
                 stage: Some(stage),
-                revision: 1,
+                ..runner_record(RunnerId::new(format!("{name}{number}")))
             });
         }
     }
--- a/crates/serving/tests/roles_in_virtual_time.rs
+++ b/crates/serving/tests/roles_in_virtual_time.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod roles_world;
+mod support;
 
 use pitchstall_serving::runner::Stage;
 use roles_world::{World, SECOND};
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -1,5 +1,6 @@
 //! A region of runners, its schedulers and the holder of its authority in virtual time.
 
+use crate::support::runner_record;
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
@@ -75,16 +76,11 @@
 
 fn record(id: String, stage: Stage, revision: u64) -> RunnerRecord {
     RunnerRecord {
-        id: RunnerId::new(id),
         service: service(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: ZoneId::new("north"),
         slots: SLOTS,
-        draining: false,
-        preemptible: false,
-        leaves_ms: None,
         stage: Some(stage),
         revision,
+        ..runner_record(RunnerId::new(id))
     }
 }
 
--- a/crates/serving/tests/runner_lives.rs
+++ b/crates/serving/tests/runner_lives.rs
@@ -2,6 +2,8 @@
 //! survives into the next, and words about the one change nothing of the other.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::crash_evidence::CrashEvidence;
 use pitchstall_serving::digest::ChangingRunner;
 use pitchstall_serving::fleet::{Eligible, EndedLife, Fleet, FleetChange};
@@ -13,6 +15,7 @@
 use pitchstall_serving::scheduling::{RunnerLoad, Shard};
 use pitchstall_serving::topology::Topology;
 use proptest::prelude::*;
+use support::runner_record;
 use test_case::test_case;
 
 const SECOND: u64 = 1_000_000;
@@ -24,18 +27,7 @@
 }
 
 fn record(id: RunnerId, revision: u64) -> RunnerRecord {
-    RunnerRecord {
-        id,
-        service: ServiceName::new("llm"),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: ZoneId::new("north"),
-        slots: 8,
-        draining: false,
-        preemptible: false,
-        leaves_ms: None,
-        stage: Some(Stage::Decode),
-        revision,
-    }
+    RunnerRecord { stage: Some(Stage::Decode), revision, ..runner_record(id) }
 }
 
 fn fleet() -> Fleet {
--- a/crates/serving/tests/runner_pace.rs
+++ b/crates/serving/tests/runner_pace.rs
@@ -1,6 +1,8 @@
 //! The measured pace of each runner, and the work that it gets by it, in virtual time.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::{plan_reading, Demand, ReadingPlan};
@@ -11,7 +13,7 @@
 use proptest::prelude::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::net::SocketAddr;
+use support::runner_record;
 use test_case::test_case;
 
 const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -149,18 +151,7 @@
 }
 
 fn record(number: usize, stage: Stage) -> RunnerRecord {
-    RunnerRecord {
-        id: id(number),
-        service: ServiceName::new("llm"),
-        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
-        zone: ZoneId::new("north"),
-        slots: 64,
-        draining: false,
-        preemptible: false,
-        leaves_ms: None,
-        stage: Some(stage),
-        revision: 1,
-    }
+    RunnerRecord { slots: 64, stage: Some(stage), ..runner_record(id(number)) }
 }
 
 impl Play {
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -2,6 +2,8 @@
 //! placed, by who places them.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
@@ -18,6 +20,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
+use support::runner_record;
 
 const NODES: usize = 295;
 const PREFILL: usize = 56;
@@ -48,16 +51,9 @@
 
 fn runners() -> Vec<RunnerRecord> {
     let record = |number: usize| RunnerRecord {
-        id: RunnerId::new(format!("i-{number}")),
-        service: ServiceName::new("llm"),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: ZoneId::new("north"),
         slots: 64,
-        draining: false,
-        preemptible: false,
-        leaves_ms: None,
         stage: Some(if number < PREFILL { Stage::Prefill } else { Stage::Decode }),
-        revision: 1,
+        ..runner_record(RunnerId::new(format!("i-{number}")))
     };
     (0..PREFILL + DECODE).map(record).collect()
 }
--- /dev/null
+++ b/crates/serving/tests/support/mod.rs
@@ -0,0 +1,22 @@
+//! What several tests build.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::runner::RunnerRecord;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// A runner of the service `llm` in the zone `north`, with eight slots and no stage, at revision 1.
+pub fn runner_record(id: RunnerId) -> RunnerRecord {
+    RunnerRecord {
+        id,
+        service: ServiceName::new("llm"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+        zone: ZoneId::new("north"),
+        slots: 8,
+        draining: false,
+        preemptible: false,
+        leaves_ms: None,
+        stage: None,
+        revision: 1,
+    }
+}
