Standard names: compression, progress, hedged question

Cause: "packing", "headway" and "overtaking" were words of our own for what the field calls compression, progress and a hedged request. Change: names of modules, types, constants, log events and pages; the word "hedge won" in place of "overtaken".

--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -21,7 +21,7 @@
 
 /// Between two looks whether the node is ready.
 const READY_POLL: Duration = Duration::from_millis(50);
-/// Time for the head of one runner's answer; the list is waited for as long as it makes headway.
+/// Time for the head of one runner's answer; the list is waited for as long as it makes progress.
 const LIST_LIMIT: Duration = Duration::from_millis(1_000);
 /// Largest answer.
 const MOST_LIST_BYTES: usize = 1024 * 1024;
--- a/crates/gateway/src/packing.rs
+++ b/crates/gateway/src/compression.rs
@@ -1,6 +1,6 @@
-//! Large updates of copies, packed (zlib) on their way from node to node.
+//! Large updates of copies, compressed (zlib) on their way from node to node.
 //!
-//! A configuration repeats its names: 4,200 routes are 944 KB as JSON in JSON and a tenth of that packed.
+//! A configuration repeats its names: 4,200 routes are 944 KB as JSON in JSON and a tenth of that compressed.
 //! It goes from one node to each of those that follow it, over links of 10 Mbit/s.
 
 use flate2::read::ZlibDecoder;
@@ -14,21 +14,21 @@
 /// make 0.4 MB.
 const MOST_UPDATE_BYTES: u64 = 8 * 1024 * 1024;
 
-/// Packs an update, as JSON, quickly rather than as small as possible.
-pub fn pack(update: &[u8]) -> std::io::Result<Bytes> {
+/// Compresses an update, as JSON, quickly rather than as small as possible.
+pub fn compress(update: &[u8]) -> std::io::Result<Bytes> {
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(update)?;
     Ok(encoder.finish()?.into())
 }
 
-/// Unpacks an update; what is larger than any update can be is an error, as is what is none.
-pub fn unpack(packed: &[u8]) -> std::io::Result<StoreUpdate> {
+/// Decompresses an update; what is larger than any update can be is an error, as is what is none.
+pub fn decompress(compressed: &[u8]) -> std::io::Result<StoreUpdate> {
     let mut update = Vec::new();
-    ZlibDecoder::new(packed).take(MOST_UPDATE_BYTES).read_to_end(&mut update)?;
+    ZlibDecoder::new(compressed).take(MOST_UPDATE_BYTES).read_to_end(&mut update)?;
     Ok(serde_json::from_slice(&update)?)
 }
 
-/// What a packed update holds: those of equal content are packed once for all that ask.
+/// What a compressed update holds: those of equal content are compressed once for all that ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Content {
     known_to: u64,
@@ -37,22 +37,22 @@
     entries: usize,
 }
 
-/// The last update that was packed of one subject.
+/// The last update that was compressed of one subject.
 #[derive(Default)]
-pub struct PackedUpdate {
+pub struct CompressedUpdate {
     last: Option<(Content, Bytes)>,
 }
 
-impl PackedUpdate {
-    /// An update packed.
+impl CompressedUpdate {
+    /// An update compressed.
     pub fn of(&mut self, update: &StoreUpdate) -> std::io::Result<Bytes> {
         let (known_to, whole, entries) = (update.known_to, update.whole, update.entries.len());
         let content = Content { known_to, whole, entries };
-        if let Some((_, packed)) = self.last.as_ref().filter(|(known, _)| *known == content) {
-            return Ok(packed.clone());
+        if let Some((_, compressed)) = self.last.as_ref().filter(|(known, _)| *known == content) {
+            return Ok(compressed.clone());
         }
-        let packed = pack(&serde_json::to_vec(update)?)?;
-        self.last = Some((content, packed.clone()));
-        Ok(packed)
+        let compressed = compress(&serde_json::to_vec(update)?)?;
+        self.last = Some((content, compressed.clone()));
+        Ok(compressed)
     }
 }
--- a/crates/gateway/src/json_lines.rs
+++ b/crates/gateway/src/json_lines.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use std::cell::Cell;
 
-/// Longest line. What is larger than a few kilobytes follows its line packed.
+/// Longest line. What is larger than a few kilobytes follows its line compressed.
 const MOST_LINE_BYTES: usize = 1024 * 1024;
 
 /// A line could not be exchanged.
@@ -22,9 +22,9 @@
     /// The line is not the JSON that is expected.
     #[error("the line cannot be read: {0}")]
     Json(#[from] serde_json::Error),
-    /// What follows the line cannot be unpacked, or is too large.
-    #[error("what follows the line cannot be unpacked: {0}")]
-    Packed(std::io::Error),
+    /// What follows the line cannot be compressed, or decompressed within the largest size.
+    #[error("what follows the line cannot be compressed or decompressed: {0}")]
+    Compression(std::io::Error),
     /// The line could not be written.
     #[error("the line could not be written: {0}")]
     Write(#[from] std::io::Error),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,8 +23,8 @@
 //! Beside them: [`entries`] takes in what lies in the store, and [`refused_entries`] says what of it cannot be
 //! used; [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
-//! [`platform_client`] ([`store_pages`]) or another node with [`mirror`] ([`packing`]), as old as [`copy_limits`] allows and
-//! judged by its headway ([`transfer`]), [`quarantine`] keeps
+//! [`platform_client`] ([`store_pages`]) or another node with [`mirror`] ([`compression`]), as old as [`copy_limits`] allows and
+//! judged by its progress ([`transfer`]), [`quarantine`] keeps
 //! the requests that end runners there, [`node`] holds what the node believes, [`clock`] says how long ago
 //! something was, [`http`] speaks HTTP to runners and to the store.
 
@@ -34,6 +34,7 @@
 pub mod broken_attempt;
 pub mod cache_listing;
 pub mod clock;
+pub mod compression;
 pub mod connection;
 pub mod copy_limits;
 pub mod daemon;
@@ -49,7 +50,6 @@
 pub mod metrics;
 pub mod mirror;
 pub mod node;
-pub mod packing;
 pub mod peer_words;
 pub mod peers;
 pub mod platform_client;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -2,16 +2,16 @@
 //!
 //! A node that follows asks with the revision that it knows; the answer waits until there is a
 //! later one, or for the time that the question names. A large update follows the line of its answer,
-//! and is waited for as long as it makes headway. Any node answers, whether or not it is
+//! and is waited for as long as it makes progress. Any node answers, whether or not it is
 //! one of those that read the store: so a node that starts while the store is away serves by
 //! what the others know.
 
 use crate::clock::Instant;
+use crate::compression::{decompress, CompressedUpdate};
 use crate::http::{open_stream, ConnectFailure};
 use crate::json_lines::{read_line, read_piece, write_bytes, write_line, LineFailure};
 use crate::listener::{accept, stream_of};
 use crate::node::Node;
-use crate::packing::{unpack, PackedUpdate};
 use crate::transfer::{Transfer, LONGEST_TRANSFER, STALLED_LIMIT};
 use ntex::io::Io;
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, StoreUpdate, Subject};
@@ -31,22 +31,22 @@
 /// takes longer is cut off or has stopped, and another can be asked.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Time for the line of an answer beyond the wait that the question names. What follows it is judged by
-/// its headway.
+/// its progress.
 const ANSWER_LIMIT: Duration = Duration::from_millis(600);
-/// From here on an update follows the line of its answer packed, bytes: 7 ms on a link of 10 Mbit/s.
+/// From here on an update follows the line of its answer compressed, bytes: 7 ms on a link of 10 Mbit/s.
 const LARGE_UPDATE_BYTES: usize = 8 * 1024;
-/// Time for another node to pack a large update, once its answer has begun: 1.2 MB of routes take 4 ms of a
+/// Time for another node to compress a large update, once its answer has begun: 1.2 MB of routes take 4 ms of a
 /// core (release build, one run), 0.2 s on 0.12 of a core that runs five times slower.
-const PACKING_LIMIT: Duration = Duration::from_secs(5);
+const COMPRESSION_LIMIT: Duration = Duration::from_secs(5);
 /// Most bytes that may follow a line.
-const MOST_PACKED_BYTES: usize = 4 * 1024 * 1024;
+const MOST_COMPRESSED_BYTES: usize = 4 * 1024 * 1024;
 /// Nodes that may follow this one at a time; more are turned away and ask another.
 const MOST_FOLLOWERS: usize = 512;
 
 /// Answers other nodes' questions until the task is dropped.
 pub async fn accept_followers(listener: TcpListener, node: Rc<Node>) {
     let followers = Rc::new(());
-    let packed = Rc::<PackedUpdates>::default();
+    let compressed = Rc::<CompressedUpdates>::default();
     // One for all connections: the buffers kept under a configuration are never let go.
     let config: ntex::SharedCfg = ntex::SharedCfg::new("mirror").into();
     loop {
@@ -56,19 +56,19 @@
             continue;
         }
         let Some(io) = stream_of(stream, config.clone()) else { continue };
-        let (node, follower, packed) = (node.clone(), followers.clone(), packed.clone());
+        let (node, follower, compressed) = (node.clone(), followers.clone(), compressed.clone());
         ntex::rt::spawn(async move {
-            serve_follower(&io, &node, &packed).await;
+            serve_follower(&io, &node, &compressed).await;
             drop(follower);
         });
     }
 }
 
-async fn serve_follower(io: &Io, node: &Node, packed: &PackedUpdates) {
+async fn serve_follower(io: &Io, node: &Node, compressed: &CompressedUpdates) {
     while let Ok(Ok(question)) = timeout(IDLE_LIMIT, read_line::<CopyQuestion>(io)).await {
         wait_for_change(node, &question).await;
         let answer = answer(node, &question);
-        if let Err(error) = write_answer(io, answer, packed.of(question.subject)).await {
+        if let Err(error) = write_answer(io, answer, compressed.of(question.subject)).await {
             let error = error.to_string();
             log::info!(target: "mirror", error; "answer not written");
             return;
@@ -91,42 +91,42 @@
     let update = node.copies.borrow().of(question.subject).update_since(question.after);
     let now_us = node.now_us();
     let age_ms = node.freshness.borrow().copy_of(question.subject).confirmed_age_ms(now_us);
-    CopyAnswer { update, age_ms, is_packed: false }
+    CopyAnswer { update, age_ms, is_compressed: false }
 }
 
-/// The line of the answer goes out before a large update is packed: on a busy machine that may take longer
+/// The line of the answer goes out before a large update is compressed: on a busy machine that may take longer
 /// than the line may, and the node that asks would leave.
 async fn write_answer(
     io: &Io,
     mut answer: CopyAnswer,
-    packed: &RefCell<PackedUpdate>,
+    compressed: &RefCell<CompressedUpdate>,
 ) -> Result<(), LineFailure> {
     let is_large = |update: &mut StoreUpdate| update.content_bytes() >= LARGE_UPDATE_BYTES;
     let Some(update) = answer.update.take_if(is_large) else { return write_line(io, &answer) };
-    answer.is_packed = true;
+    answer.is_compressed = true;
     write_line(io, &answer)?;
     io.flush(true).await?;
-    let packed = packed.borrow_mut().of(&update).map_err(LineFailure::Packed)?;
-    write_line(io, &PackedHead { bytes: packed.len() })?;
-    write_bytes(io, packed)
+    let compressed = compressed.borrow_mut().of(&update).map_err(LineFailure::Compression)?;
+    write_line(io, &CompressedHead { bytes: compressed.len() })?;
+    write_bytes(io, compressed)
 }
 
-/// Stands before a packed update.
+/// Stands before a compressed update.
 #[derive(Serialize, Deserialize)]
-struct PackedHead {
+struct CompressedHead {
     bytes: usize,
 }
 
-/// The last update of each subject that was packed, for all nodes that follow this one.
+/// The last update of each subject that was compressed, for all nodes that follow this one.
 #[derive(Default)]
-struct PackedUpdates {
-    configuration: RefCell<PackedUpdate>,
-    runners: RefCell<PackedUpdate>,
-    crashes: RefCell<PackedUpdate>,
+struct CompressedUpdates {
+    configuration: RefCell<CompressedUpdate>,
+    runners: RefCell<CompressedUpdate>,
+    crashes: RefCell<CompressedUpdate>,
 }
 
-impl PackedUpdates {
-    fn of(&self, subject: Subject) -> &RefCell<PackedUpdate> {
+impl CompressedUpdates {
+    fn of(&self, subject: Subject) -> &RefCell<CompressedUpdate> {
         match subject {
             Subject::Configuration => &self.configuration,
             Subject::Runners => &self.runners,
@@ -164,13 +164,13 @@
 }
 
 impl MirrorClient {
-    /// A client that tells `transfer` of the headway of its answers.
+    /// A client that tells `transfer` of the progress of its answers.
     pub fn with_transfer(transfer: Rc<Transfer>) -> Self {
         Self { kept: None, transfer }
     }
 
     /// Asks a node and waits for its answer: for a time until it begins to come, and then for as
-    /// long as it makes headway.
+    /// long as it makes progress.
     pub async fn ask(
         &mut self,
         address: SocketAddr,
@@ -186,29 +186,29 @@
         let limit = Duration::from_millis(question.wait_ms) + ANSWER_LIMIT;
         let mut answer: CopyAnswer =
             timeout(limit, read_line(&io)).await.map_err(|_| MirrorFailure::TimedOut)??;
-        if answer.is_packed {
-            let head = timeout(PACKING_LIMIT, read_line(&io)).await;
-            let PackedHead { bytes } = head.map_err(|_| MirrorFailure::TimedOut)??;
-            let packed = timeout(LONGEST_TRANSFER, self.read_packed(&io, bytes));
-            let packed = packed.await.map_err(|_| self.stalled(bytes))??;
-            answer.update = Some(unpack(&packed).map_err(LineFailure::Packed)?);
+        if answer.is_compressed {
+            let head = timeout(COMPRESSION_LIMIT, read_line(&io)).await;
+            let CompressedHead { bytes } = head.map_err(|_| MirrorFailure::TimedOut)??;
+            let compressed = timeout(LONGEST_TRANSFER, self.read_compressed(&io, bytes));
+            let compressed = compressed.await.map_err(|_| self.stalled(bytes))??;
+            answer.update = Some(decompress(&compressed).map_err(LineFailure::Compression)?);
         }
         self.kept = Some((address, io));
         Ok(answer)
     }
 
-    async fn read_packed(&self, io: &Io, bytes: usize) -> Result<Vec<u8>, MirrorFailure> {
-        if bytes > MOST_PACKED_BYTES {
+    async fn read_compressed(&self, io: &Io, bytes: usize) -> Result<Vec<u8>, MirrorFailure> {
+        if bytes > MOST_COMPRESSED_BYTES {
             return Err(LineFailure::TooLong.into());
         }
-        let mut packed = Vec::with_capacity(bytes);
-        while packed.len() < bytes {
-            let piece = timeout(STALLED_LIMIT, read_piece(io, bytes - packed.len()));
+        let mut compressed = Vec::with_capacity(bytes);
+        while compressed.len() < bytes {
+            let piece = timeout(STALLED_LIMIT, read_piece(io, bytes - compressed.len()));
             let piece = piece.await.map_err(|_| self.stalled(bytes))??;
-            packed.extend_from_slice(&piece);
+            compressed.extend_from_slice(&piece);
             self.transfer.on_received(piece.len());
         }
-        Ok(packed)
+        Ok(compressed)
     }
 
     fn stalled(&self, bytes: usize) -> MirrorFailure {
--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -51,13 +51,13 @@
 }
 
 impl PlatformClient {
-    /// A client that tells `transfer` of the headway of its answers.
+    /// A client that tells `transfer` of the progress of its answers.
     pub fn with_transfer(transfer: Rc<Transfer>) -> Self {
         Self { kept: None, transfer }
     }
 
     /// Makes a call to the interface at an address and waits at most `limit` for the head of its
-    /// answer; the body is waited for as long as it makes headway.
+    /// answer; the body is waited for as long as it makes progress.
     pub async fn call(
         &mut self,
         address: SocketAddr,
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -1,8 +1,8 @@
-//! Headway of an answer whose size this node does not choose: a copy of the store's entries, or a
+//! Progress of an answer whose size this node does not choose: a copy of the store's entries, or a
 //! part of one, on its way here.
 //!
 //! How long such an answer takes follows from its size and from what else fills the link, so it is
-//! judged by its headway. One that is given up at a fixed time is begun again from the start at
+//! judged by its progress. One that is given up at a fixed time is begun again from the start at
 //! the next source, fills the link once more, and is later still: a livelock in which no node
 //! ever has it whole.
 
@@ -16,7 +16,7 @@
 /// that are not acknowledged break a connection, and several times the pause in which a lost packet
 /// is sent again.
 pub const STALLED_LIMIT: Duration = Duration::from_millis(1_500);
-/// Longest time of an answer that makes headway: the largest entry of the store, 1 MiB in base64,
+/// Longest time of an answer that makes progress: the largest entry of the store, 1 MiB in base64,
 /// at 0.6 Mbit/s. Links are 10 Mbit/s and more.
 pub const LONGEST_TRANSFER: Duration = Duration::from_secs(20);
 
@@ -70,7 +70,7 @@
     }
 }
 
-/// Reads a whole body of at most so many bytes for as long as it makes headway, and tells `transfer` of it.
+/// Reads a whole body of at most so many bytes for as long as it makes progress, and tells `transfer` of it.
 pub async fn read_body(
     connection: &Upstream,
     decoder: &BodyDecoder,
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -19,7 +19,7 @@
 use crate::platform_client::{PlatformClient, PlatformFailure};
 use crate::store_pages::read_pages;
 use crate::transfer::Transfer;
-use other_nodes::overtaking_copy;
+use other_nodes::hedged_copy;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{
     self, Page, StoreAnswerError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX, RUNNERS_PREFIX,
@@ -148,7 +148,7 @@
     subject: Subject,
     client: PlatformClient,
     mirror: MirrorClient,
-    /// Headway of the answer of the node or the store that is asked.
+    /// Progress of the answer of the node or the store that is asked.
     transfer: Rc<Transfer>,
     /// Which of the nodes that can be followed is followed.
     turn: usize,
@@ -191,10 +191,10 @@
             return Ok(());
         }
         self.transfer.begin();
-        let overtaking = overtaking_copy(self.node.clone(), self.subject, self.at, &self.transfer);
+        let hedged = hedged_copy(self.node.clone(), self.subject, self.at, &self.transfer);
         tokio::select! {
             done = self.ask_store() => done,
-            answer = overtaking => {
+            answer = hedged => {
                 // What the store had sent is dropped with its connection, as it is all in here.
                 self.take_answer(&answer);
                 Ok(())
--- a/crates/gateway/src/watcher/other_nodes.rs
+++ b/crates/gateway/src/watcher/other_nodes.rs
@@ -26,12 +26,12 @@
 const PART_OF_A_COPY_BYTES: usize = 1024;
 /// Time between two other nodes that are asked while a large answer of the store is on its way. By the first, a
 /// link of 10 Mbit/s has brought 0.6 MB, and a wide one the whole of the largest entry, so that nobody is asked.
-const SLOW_ANSWER: Duration = Duration::from_millis(500);
+const HEDGE_AFTER: Duration = Duration::from_millis(500);
 
 /// Another node's copy that is newer than what is known to `after`, while the store's answer is slow to come.
 /// The same from a node is a tenth of the bytes, and the store's answer would hold this node for as
 /// long as its link takes; it goes on until the copy has come whole.
-pub(super) fn overtaking_copy(
+pub(super) fn hedged_copy(
     node: Rc<Node>,
     subject: Subject,
     after: Option<u64>,
@@ -46,7 +46,7 @@
     };
     async move {
         for turn in 0_usize.. {
-            sleep(SLOW_ANSWER).await;
+            sleep(HEDGE_AFTER).await;
             if !store_answer.is_under_way() {
                 continue;
             }
@@ -56,7 +56,7 @@
                 Ok(answer) if brings_news(&answer) => {
                     let source = source.to_string();
                     let received = store_answer.received();
-                    log::info!(target: "store", subject = subject.name(), source, received; "overtaken");
+                    log::info!(target: "store", subject = subject.name(), source, received; "hedge won");
                     return answer;
                 }
                 Ok(_) => {}
--- a/crates/gateway/tests/packing.rs
+++ b/crates/gateway/tests/compression.rs
@@ -1,7 +1,7 @@
-//! Updates of copies, packed on their way between nodes.
+//! Updates of copies, compressed on their way between nodes.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_gateway::packing::{pack, unpack, PackedUpdate};
+use pitchstall_gateway::compression::{compress, decompress, CompressedUpdate};
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate};
 use proptest::prelude::*;
 
@@ -17,39 +17,39 @@
 
 #[test]
 fn an_update_is_packed_once_for_all_that_ask() {
-    let mut packed = PackedUpdate::default();
+    let mut compressed = CompressedUpdate::default();
     let large = update(2, &["a".repeat(2_000)]);
-    let first = packed.of(&large).unwrap();
-    let second = packed.of(&large).unwrap();
+    let first = compressed.of(&large).unwrap();
+    let second = compressed.of(&large).unwrap();
     assert_eq!(first.as_ptr(), second.as_ptr());
-    assert_eq!(unpack(&first).unwrap(), large);
+    assert_eq!(decompress(&first).unwrap(), large);
     let later = update(3, &["b".repeat(2_000)]);
-    assert_eq!(unpack(&packed.of(&later).unwrap()).unwrap(), later);
+    assert_eq!(decompress(&compressed.of(&later).unwrap()).unwrap(), later);
 }
 
-/// A few bytes that unpack to more than any update has must not take the memory for it.
+/// A few bytes that decompress to more than any update has must not take the memory for it.
 #[test]
 fn what_unpacks_to_more_than_any_update_is_refused() {
     const MORE: usize = 64 * 1024 * 1024;
-    let bomb = pack(&vec![b' '; MORE]).unwrap();
+    let bomb = compress(&vec![b' '; MORE]).unwrap();
     assert!(bomb.len() < MORE / 100);
-    assert!(unpack(&bomb).is_err());
+    assert!(decompress(&bomb).is_err());
 }
 
 proptest! {
     #[test]
     fn what_was_packed_comes_back(known_to in 0..u64::MAX, documents in proptest::collection::vec(".*", 0..20)) {
         let update = update(known_to, &documents);
-        let packed = pack(&serde_json::to_vec(&update).unwrap()).unwrap();
-        prop_assert_eq!(unpack(&packed).unwrap(), update);
+        let compressed = compress(&serde_json::to_vec(&update).unwrap()).unwrap();
+        prop_assert_eq!(decompress(&compressed).unwrap(), update);
     }
 
     /// Bytes that were cut, changed or made up are an error and never end the process.
     #[test]
     fn what_is_no_packed_update_is_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..200), cut in 0_usize..60) {
-        prop_assert!(unpack(&bytes).is_err());
-        let packed = pack(&serde_json::to_vec(&update(1, &["some document".to_owned()])).unwrap()).unwrap();
-        let cut = cut.min(packed.len() - 1);
-        prop_assert!(unpack(&packed[..cut]).is_err());
+        prop_assert!(decompress(&bytes).is_err());
+        let compressed = compress(&serde_json::to_vec(&update(1, &["some document".to_owned()])).unwrap()).unwrap();
+        let cut = cut.min(compressed.len() - 1);
+        prop_assert!(decompress(&compressed[..cut]).is_err());
     }
 }
--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -27,7 +27,7 @@
 const MANY_ROUTES: usize = 4_200;
 /// Slow enough that each way of the copy takes longer than any limit that does not know its size.
 const COPY_BYTES_A_SECOND: u64 = 40_000;
-/// The same for what the store sends, which is neither packed nor begun again.
+/// The same for what the store sends, which is neither compressed nor begun again.
 const STORE_BYTES_A_SECOND: u64 = 300_000;
 /// What a node with a narrow link says of its machine: others are stronger and read the store for it.
 const WEAK_MACHINE: &str =
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -195,9 +195,9 @@
     /// What brings the asking node up to date; `None` if this node knows less, or if the update
     /// follows the answer.
     pub update: Option<StoreUpdate>,
-    /// The update follows the answer packed, as it is large.
+    /// The update follows the answer compressed, as it is large.
     #[serde(default)]
-    pub is_packed: bool,
+    pub is_compressed: bool,
     /// Milliseconds since the store confirmed the copy; `None`: it never has.
     pub age_ms: Option<u64>,
 }
