Failing test: a compressed copy of one store is handed on as another store's

Found in a read-through: what was compressed last is known by the revision it is known to, whether it is whole, and its number of entries. After a node's settings name another store these may be alike, and followers would get the old configuration.

--- a/crates/gateway/tests/compression.rs
+++ b/crates/gateway/tests/compression.rs
@@ -27,6 +27,17 @@
     assert_eq!(decompress(&compressed.of(&later).unwrap()).unwrap(), later);
 }
 
+/// The same revisions and number of entries, as after a change to another store: another content is another
+/// update.
+#[test]
+fn updates_of_two_stores_are_not_taken_for_each_other() {
+    let mut compressed = CompressedUpdate::default();
+    for document in ["one", "two"] {
+        let update = update(2, &[document.repeat(1_000)]);
+        assert_eq!(decompress(&compressed.of(&update).unwrap()).unwrap(), update);
+    }
+}
+
 /// A few bytes that decompress to more than any update has must not take the memory for it.
 #[test]
 fn what_unpacks_to_more_than_any_update_is_refused() {
