Sight: what an answer's head says of its runner is read and logged

Cause: no line told whether an answer said that its runner leaves or wants rest, so a word that was not heard could not be told from one that was taken back. Changed: both headers are decoded at the boundary, any value of them, and stand on the line `head`. Nothing is believed yet: no change of logic.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::request::{AnswerFacts, AttemptOrder, Work};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord};
+use pitchstall_serving::runner_notice::RunnerNotice;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 const MOST_SURPLUS: usize = 4;
 /// Largest surplus answer that is passed over.
 const MOST_SURPLUS_BYTES: usize = 1024 * 1024;
+const MICROS_PER_MILLI: u64 = 1_000;
 
 /// Counts an attempt as in flight at its runner until dropped.
 pub struct Flight {
@@ -350,7 +352,12 @@
     let head_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let running = facts.load.map_or(0, |load| load.running);
     let waiting = facts.load.map_or(0, |load| load.waiting);
-    log::info!(target: "attempt", request = id, runner, status, head_ms, running, waiting; "head");
+    let RunnerNotice { leaving, rest_us, malformed } = facts.notice;
+    let rest_ms = rest_us / MICROS_PER_MILLI;
+    log::info!(
+        target: "attempt",
+        request = id, runner, status, head_ms, running, waiting, leaving, rest_ms, malformed; "head"
+    );
 }
 
 impl Answering {
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{RunnerId, TenantName};
 use crate::prefix::Prompt;
+use crate::runner_notice::RunnerNotice;
 use crate::tenancy::Credential;
 use std::net::SocketAddr;
 
@@ -77,4 +78,6 @@
     pub encoded: bool,
     /// The runner's load.
     pub load: Option<crate::runner::LoadReport>,
+    /// What else the runner says of itself.
+    pub notice: RunnerNotice,
 }
