--- /dev/null
+++ b/crates/gateway/tests/runner_notices.rs
@@ -0,0 +1,151 @@
+//! Runners that say in their answers that they leave, or that they want rest.
+//!
+//! What users saw: requests went on reaching a runner for seconds after it had said in its answers that it was leaving, and
+//! ended there; a runner that had asked a node for three seconds of rest got as many requests from it as before.
+//! Order of events: the store was away, so the runner's entry said `ready` for twelve seconds after its answers
+//! said otherwise; the other runner turned a request away and told for how long, and the next ones, placed by a
+//! scheduler that knew nothing of it, arrived 0.5 to 2 s later.
+//! Cause: of an answer's head a node took in its load alone; what a runner said of itself was believed only if
+//! the store said it too.
+//! Evidence: `sent` lines for the runner go on without any gap after the answer that says so, each placed anew.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::runner::{
+    engine_script, refusal_saying, signed_answer_saying, EventStream, Reaction, RunnerStandIn,
+    SelfReport,
+};
+use std::time::{Duration, Instant};
+use support::{wait_for, Fixture, RawAnswer};
+
+const PROMPT: &str =
+    "X-Pitchstall-Token-Count: 1460,80\r\nX-Pitchstall-Prefix-Hash: 5c1e07a2:800,91bd3f06:660\r\n";
+
+const LEAVING: SelfReport<'static> = SelfReport { leaving: true, retry_after: None };
+/// Longer than any of these tests.
+const LONG_REST: SelfReport<'static> = SelfReport { leaving: false, retry_after: Some("120") };
+
+fn answering(text: &'static str) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
+    move |_| Reaction::Answer { status: 200, body: text.as_bytes().to_vec() }
+}
+
+fn ask(node: &Fixture, path: &str, id: &str) -> RawAnswer {
+    let mut client = node.client();
+    client.request("POST", path, id, PROMPT, b"{}");
+    client.read_answer()
+}
+
+/// Requests enough that a runner which is a candidate gets some.
+fn ask_often(node: &Fixture, path: &str) {
+    for number in 0..12 {
+        ask(node, path, &format!("id-{number}"));
+    }
+}
+
+/// Two runners of the service without prompts, one of which does what a script says.
+fn node_with_one_that(
+    script: impl Fn(&ReceivedRequest) -> Reaction + Send + Sync + 'static,
+) -> (Fixture, RunnerStandIn) {
+    let one = RunnerStandIn::start("i-1", script).unwrap();
+    let other = RunnerStandIn::start("i-2", answering("other")).unwrap();
+    let node = Fixture::with_runners(&[(&one, "desk", None), (&other, "desk", None)]);
+    (node, one)
+}
+
+/// The store has not heard of it: the entry says `ready` all the time. One request is enough for the node to know.
+#[test]
+fn a_runner_that_says_that_it_leaves_gets_no_more_requests() {
+    let whole = |request: &ReceivedRequest| {
+        Reaction::Raw(signed_answer_saying(request, 200, LEAVING, b"whole"))
+    };
+    let failure = |request: &ReceivedRequest| {
+        Reaction::Raw(signed_answer_saying(request, 500, LEAVING, b"failure"))
+    };
+    let declined = |request: &ReceivedRequest| Reaction::Raw(refusal_saying(request, LEAVING));
+    let broken_off = |request: &ReceivedRequest| {
+        let bytes = signed_answer_saying(request, 200, LEAVING, b"broken off");
+        Reaction::RawThenReset(bytes[..bytes.len() - 1].to_vec())
+    };
+    let unsigned = |request: &ReceivedRequest| {
+        let bytes = signed_answer_saying(request, 200, LEAVING, b"unsigned");
+        let text = String::from_utf8(bytes).unwrap();
+        Reaction::Raw(text.replace("x-pitchstall-server-stamp", "x-other").into_bytes())
+    };
+    type Script = fn(&ReceivedRequest) -> Reaction;
+    let answers: [(&str, Script); 5] = [
+        ("whole", whole),
+        ("a failure of its own", failure),
+        ("turned away", declined),
+        ("broken off", broken_off),
+        ("unsigned", unsigned),
+    ];
+    for (kind, script) in answers {
+        let (node, leaving) = node_with_one_that(script);
+        ask_often(&node, "/lookup/1");
+        assert_eq!(leaving.requests().len(), 1, "{kind}");
+    }
+}
+
+/// It turns one request away and says for how long it wants none.
+#[test]
+fn a_runner_that_asks_for_rest_gets_no_request_before_its_end() {
+    let script = |request: &ReceivedRequest| Reaction::Raw(refusal_saying(request, LONG_REST));
+    let (node, resting) = node_with_one_that(script);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(600) {
+        assert_eq!(ask(&node, "/lookup/1", "id").status, 200);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(resting.requests().len(), 1);
+}
+
+/// Prompts are being read when the runner that is to write some of them turns another request away and asks for
+/// rest: none of them goes to it.
+#[test]
+fn a_prompt_that_has_been_read_is_not_written_by_a_runner_that_wants_rest() {
+    let rest = |request: &ReceivedRequest| match request.method.as_str() {
+        "POST" => Reaction::Raw(refusal_saying(request, LONG_REST)),
+        _ => engine_script(3)(request),
+    };
+    let resting = RunnerStandIn::start("w-1", rest).unwrap();
+    let posts_at = |runner: &RunnerStandIn| {
+        let requests = runner.requests();
+        requests.into_iter().filter(|request| request.method == "POST").count()
+    };
+    let awaited = resting.clone();
+    let reader = RunnerStandIn::start("r-1", move |request: &ReceivedRequest| {
+        if request.path().starts_with("/summary/held") {
+            wait_for("the other runner to ask for rest", || posts_at(&awaited) > 0);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        engine_script(3)(request)
+    });
+    let stream = |request: &ReceivedRequest| {
+        let pause = Duration::from_millis(50);
+        Reaction::Stream(EventStream { pause, ..EventStream::whole(request, 3) })
+    };
+    let other = RunnerStandIn::start("w-2", stream).unwrap();
+    let node = Fixture::with_runners(&[
+        (&reader.unwrap(), "llm", Some("prefill")),
+        (&resting, "llm", Some("decode")),
+        (&other, "llm", Some("decode")),
+    ]);
+    std::thread::scope(|scope| {
+        for number in 0..6 {
+            let node = &node;
+            scope.spawn(move || ask(node, "/summary/held", &format!("id-held-{number}")));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        let mut number = 0;
+        wait_for("a request for the runner that asks for rest", || {
+            number += 1;
+            let (node, id) = (&node, format!("id-quick-{number}"));
+            scope.spawn(move || ask(node, "/summary/quick", &id));
+            std::thread::sleep(Duration::from_millis(20));
+            posts_at(&resting) > 0
+        });
+    });
+    assert_eq!(posts_at(&resting), 1);
+}
