What a runner says of itself in an answer is believed at once, and asked about last before each send

Cause: a node took in an answer's load alone; that a runner leaves was believed only once the store said so, and a rest that it asked for counted for 0.1 s whatever its length. Class: what the other side says of itself in an answer is dropped unless a second source repeats it, and a choice is not asked about again when it is acted on. Changed: the head of every answer to a request or an order is taken in before the answer is judged (surplus, unsigned, broken off and failed ones too); leaving holds for the life of the runner, a rest until its end, in the fleet's own belief, which outlives the entry; no entry takes it back. Candidates of this node's own requests leave such runners out; a question to a scheduler names them; the last look is after the last wait before the send. Where only rests keep a request from its runners and none ends in its time, it is refused at once. The same class: a report that says `draining`, orders and cache lists for resting runners, the planner of capacity.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -98,27 +98,35 @@
     decoder: BodyDecoder,
 }
 
-/// Takes or opens a connection to the chosen runner; `None` if it cannot be reached or may
-/// not get work any more.
-pub async fn prepare(node: &Rc<Node>, choice: &Choice) -> Option<Prepared> {
+/// Why there is no connection to a chosen runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotPrepared {
+    /// It takes no request from this node any more, or none now.
+    Withheld,
+    /// It cannot be reached.
+    Unreachable,
+}
+
+/// Takes or opens a connection to the chosen runner.
+pub async fn prepare(node: &Rc<Node>, choice: &Choice) -> Result<Prepared, NotPrepared> {
     let record = usable_record(node, &choice.runner)?;
     if in_flight(node, &choice.runner) >= node.connection_share(&record.service) {
         log::info!(target: "attempt", runner = choice.runner.as_str(); "no connection left");
-        return None;
+        return Err(NotPrepared::Unreachable);
     }
     let flight = Flight::new(node, choice);
     if let Some(kept) = node.pool.take(&record.id) {
         let rested = Some(kept.rested);
-        return Some(Prepared { connection: kept.connection, record, flight, rested });
+        return Ok(Prepared { connection: kept.connection, record, flight, rested });
     }
     node.metrics.connections.inc();
     let begun = Instant::now();
     match Upstream::open(record.address, CONNECT_LIMIT).await {
         Ok(connection) => {
             node.on_round_trip(&record.zone, begun.elapsed());
-            // The runner may have begun to leave while the connection was being opened.
+            // The runner may have begun to leave, or to rest, while the connection was being opened.
             let record = usable_record(node, &choice.runner)?;
-            Some(Prepared { connection, record, flight, rested: None })
+            Ok(Prepared { connection, record, flight, rested: None })
         }
         Err(error) => {
             let is_refused = error.is_refused();
@@ -126,7 +134,7 @@
             let runner = record.id.as_str();
             log::info!(target: "attempt", runner, error; "unreachable");
             node.on_unreachable(&record.id, is_refused);
-            None
+            Err(NotPrepared::Unreachable)
         }
     }
 }
@@ -135,10 +143,11 @@
     node.fleet.borrow().get(runner).map_or(0, |runner| runner.in_flight)
 }
 
-fn usable_record(node: &Node, runner: &RunnerId) -> Option<RunnerRecord> {
+fn usable_record(node: &Node, runner: &RunnerId) -> Result<RunnerRecord, NotPrepared> {
+    let now_us = node.now_us();
     let fleet = node.fleet.borrow();
-    let runner = fleet.get(runner)?;
-    runner.takes_work().then(|| runner.record.clone())
+    let usable = fleet.get(runner).filter(|runner| runner.takes_work_from_here(now_us));
+    usable.map(|runner| runner.record.clone()).ok_or(NotPrepared::Withheld)
 }
 
 /// What goes with an attempt.
@@ -184,11 +193,14 @@
     let sent_at_us = node.now_us();
     let connection = ConnectionUse { rested: prepared.rested, sent_at };
     let broken = BrokenAttempt { request, tenant: params.tenant.as_ref(), runner: &runner };
+    if !node.may_send_to(&runner) {
+        node.metrics.unwanted_attempts.inc();
+    }
     if let Err(error) = prepared.connection.send(bytes) {
         on_lost(node, broken, connection, &error);
         return AttemptEnd::Lost;
     }
-    let head = read_own_head(request, &prepared);
+    let head = read_own_head(node, request, &prepared);
     let answer = tokio::select! {
         answer = timeout(params.head_limit, head) => answer,
         () = becomes_suspect(node, &runner), if params.leaves_suspects => {
@@ -244,14 +256,15 @@
 }
 
 /// Reads heads until the one that answers this request. A surplus answer to an earlier
-/// request may stand in its place on a kept connection.
+/// request may stand in its place on a kept connection; what it says of its runner holds as well.
 async fn read_own_head(
+    node: &Node,
     request: &ClientRequest,
     prepared: &Prepared,
 ) -> Result<(AnswerHead, AnswerFacts), ReadFailure> {
     for _ in 0..MOST_SURPLUS {
         let head = prepared.connection.read_head().await?;
-        let facts = headers::parse_answer(head.status, head.header_pairs());
+        let facts = node.on_answer_head(&prepared.record.id, &head);
         let is_other = facts.request_id.as_deref().is_some_and(|id| id != request.facts.id);
         if !is_other || prepared.rested.is_none() {
             return Ok((head, facts));
@@ -295,6 +308,7 @@
         return AttemptEnd::Lost;
     }
     node.fleet.borrow_mut().on_answered(&runner, status >= 500, node.now_us());
+    node.fleet.borrow_mut().on_accepted(&runner);
     let decoder = BodyDecoder::new(head.framing);
     let Prepared { connection, record, flight, .. } = prepared;
     AttemptEnd::Answering(Box::new(Answering { head, record, flight, connection, decoder }))
--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -34,6 +34,9 @@
     let shards = own_shards(&node);
     let runners = runners_to_list(&node.fleet.borrow(), &shards);
     for (runner, address) in runners {
+        if !node.may_send_to(&runner) {
+            continue;
+        }
         let told = list(address).await;
         if let Some(other) = told.as_ref().filter(|told| !runner.may_be(told.born_ms)) {
             node.on_other_life(&runner, other.born_ms);
--- a/crates/gateway/src/dispatch/admission.rs
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -6,15 +6,28 @@
 use pitchstall_serving::attempt::GiveUp;
 use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
 
+/// What came of asking whether a planned run may be sent.
+pub(super) enum Admission {
+    /// It may; what was spent on it, if its tenant has a limit.
+    Paid(Option<Spent>),
+    /// Its runner takes nothing from this node any more. Nothing has been spent.
+    Withheld,
+}
+
 impl Dispatch<'_> {
     /// Whether a planned run may be sent: unless runners have ended under the request, if its tenant
-    /// has room for it, and if it is the first one or the retry budget allows it.
-    pub(super) async fn admit(&mut self, plan: &Plan) -> Result<Option<Spent>, GiveUp> {
+    /// has room for it, if its runner still takes requests, and if it is the first one or the retry
+    /// budget allows it. It has to be sent without any further wait.
+    pub(super) async fn admit(&mut self, plan: &Plan) -> Result<Admission, GiveUp> {
         // The word may have come while the request was placed and its prompt read.
         if self.is_quarantined() {
             return Err(GiveUp::Quarantined);
         }
         self.ensure_paid().await?;
+        // The runner may have said so since it was chosen, as while a prompt was read elsewhere.
+        if !self.node.may_send_to(&plan.choice.runner) {
+            return Ok(Admission::Withheld);
+        }
         let cost = self.arrivals.on_run();
         if cost != ArrivalCost::Free && plan.prompt.is_none() && self.is_too_late(&plan.choice) {
             return Err(GiveUp::OutOfTime);
@@ -22,7 +35,7 @@
         if !self.pay(cost) {
             return Err(GiveUp::Refused);
         }
-        Ok(self.payment.take().map(Payment::spend))
+        Ok(Admission::Paid(self.payment.take().map(Payment::spend)))
     }
 
     /// Has the next run paid for by the tenant's keepers, if it is not; `None`: it is, or costs
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -7,9 +7,10 @@
 mod admission;
 mod planning;
 
+use self::admission::Admission;
 use self::planning::elapsed_ms;
 use crate::answers::OwnAnswer;
-use crate::attempt::{self, Answering, AttemptEnd, AttemptParams};
+use crate::attempt::{self, Answering, AttemptEnd, AttemptParams, NotPrepared};
 use crate::broken_attempt::{look_at_runner, on_broken, BrokenAttempt};
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
@@ -22,7 +23,7 @@
 use pitchstall_serving::attempt::{final_answer, Execution, GiveUp};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
 use pitchstall_serving::event_stream::EventSplitter;
-use pitchstall_serving::fleet::{Eligible, Scope};
+use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::{RunnerId, ServiceName};
 use pitchstall_serving::placement::Choice;
 use pitchstall_serving::prefix::Prompt;
@@ -155,12 +156,18 @@
             Ok(plan) => plan,
             Err(reason) => return self.give_up(reason),
         };
-        let Some(prepared) = attempt::prepare(self.node, &plan.choice).await else {
-            plan.tell(Progress::Unreachable(plan.choice.runner.clone()));
-            return self.on_unreachable(plan.choice.runner);
+        let prepared = match attempt::prepare(self.node, &plan.choice).await {
+            Ok(prepared) => prepared,
+            // The runner is no candidate any more: another one is chosen.
+            Err(NotPrepared::Withheld) => return Step::Again,
+            Err(NotPrepared::Unreachable) => {
+                plan.tell(Progress::Unreachable(plan.choice.runner.clone()));
+                return self.on_unreachable(plan.choice.runner);
+            }
         };
         let spent = match self.admit(&plan).await {
-            Ok(spent) => spent,
+            Ok(Admission::Paid(spent)) => spent,
+            Ok(Admission::Withheld) => return Step::Again,
             Err(reason) => return self.give_up(reason),
         };
         let work = match &plan.prompt {
@@ -396,6 +403,7 @@
     fn may_leave(&mut self, runner: &RunnerId) -> bool {
         let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
         let eligible = Eligible {
+            sender: Sender::ThisNode,
             service: &self.service,
             excluded: &others,
             zones: self.rules.zones.as_ref(),
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -1,12 +1,12 @@
 //! Plans the next attempt of a request: where it is placed, and the reading of its prompt.
 
 use super::{Dispatch, GiveUp};
-use crate::attempt;
+use crate::attempt::{self, NotPrepared};
 use crate::clock::Instant;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
 use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
 use pitchstall_serving::configuration::EngineSpec;
-use pitchstall_serving::fleet::{Eligible, Scope};
+use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::placement::{choose_worker, Choice, Demand, ReadingPlan};
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
@@ -46,6 +46,7 @@
     fn demand(&self) -> Demand<'_> {
         Demand {
             eligible: Eligible {
+                sender: Sender::ThisNode,
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.rules.zones.as_ref(),
@@ -68,13 +69,26 @@
                 return Ok(plan);
             }
             let left = give_up_at.saturating_duration_since(Instant::now());
-            let changed = timeout(left, self.node.fleet_changed.notified()).await;
-            if changed.is_err() {
+            // Waiting for a rest that ends too late keeps the caller from trying elsewhere.
+            let rest_left = self.first_rest_left();
+            if rest_left.is_some_and(|rest_left| rest_left > left) {
+                return Err(GiveUp::NoRunner);
+            }
+            let changed = self.node.fleet_changed.notified();
+            let has_waited = timeout(rest_left.unwrap_or(left), changed).await.is_err();
+            if has_waited && rest_left.is_none() {
                 return Err(GiveUp::NoRunner);
             }
         }
     }
 
+    /// Time until the first runner takes requests again that only rests; `None`: none rests.
+    fn first_rest_left(&self) -> Option<Duration> {
+        let Demand { eligible, now_us, .. } = self.demand();
+        let end_us = self.node.fleet.borrow().first_end_of_rest_us(&eligible, now_us)?;
+        Some(Duration::from_micros(end_us.saturating_sub(now_us)))
+    }
+
     async fn plan_now(&mut self) -> Result<Option<Plan>, GiveUp> {
         if self.engine.is_none() {
             self.ensure_paid().await?;
@@ -139,11 +153,14 @@
     }
 
     async fn read_prompt(&mut self, reader: Choice, follow_up: &FollowUp) -> Option<ReadPrompt> {
-        let prepared = attempt::prepare(self.node, &reader).await;
-        let Some(prepared) = prepared else {
-            follow_up.tell(Progress::Unreachable(reader.runner.clone()));
-            self.excluded.push(reader.runner);
-            return None;
+        let prepared = match attempt::prepare(self.node, &reader).await {
+            Ok(prepared) => prepared,
+            Err(NotPrepared::Withheld) => return None,
+            Err(NotPrepared::Unreachable) => {
+                follow_up.tell(Progress::Unreachable(reader.runner.clone()));
+                self.excluded.push(reader.runner);
+                return None;
+            }
         };
         if self.is_quarantined() {
             return None;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of what a runner says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct NoticeLabels {
+    /// What.
+    pub notice: &'static str,
+}
+
 /// Labels of an entry of the store that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EntryLabels {
@@ -57,6 +64,12 @@
     pub connections: Counter,
     /// Requests that a scheduler has placed.
     pub placements_told: Counter,
+    /// Choices of schedulers that were made again, as the runner takes nothing from this node.
+    pub placements_dropped: Counter,
+    /// What runners have said of themselves in answers, once for each time that it was new.
+    pub runner_notices: Family<NoticeLabels, Counter>,
+    /// Attempts sent to runners that had said that they take none: always 0.
+    pub unwanted_attempts: Counter,
     /// Requests whose scheduler did not answer soon.
     pub placements_missed: Counter,
     /// Questions that were handed on to another shard's scheduler.
@@ -95,6 +108,9 @@
             resumes: Counter::default(),
             connections: Counter::default(),
             placements_told: Counter::default(),
+            placements_dropped: Counter::default(),
+            runner_notices: Family::default(),
+            unwanted_attempts: Counter::default(),
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
             left_region: Family::default(),
@@ -127,6 +143,16 @@
             ("resumes", "Streams that went on at another runner", &self.resumes),
             ("connections", "Connections opened to runners", &self.connections),
             ("placements_told", "Requests that a scheduler has placed", &self.placements_told),
+            (
+                "placements_dropped",
+                "Choices of schedulers that were made again",
+                &self.placements_dropped,
+            ),
+            (
+                "unwanted_attempts",
+                "Attempts sent to runners that had said that they take none",
+                &self.unwanted_attempts,
+            ),
             (
                 "placements_missed",
                 "Requests whose scheduler did not answer soon",
@@ -149,6 +175,9 @@
         self.registry.register("requests", "Finished requests by outcome", requests);
         let left_region = self.left_region.clone();
         self.registry.register("left_region", "Requests that left their region", left_region);
+        let runner_notices = self.runner_notices.clone();
+        let help = "What runners have newly said of themselves in answers";
+        self.registry.register("runner_notices", help, runner_notices);
         let refused_entries = self.refused_entries.clone();
         let help = "Revisions of entries of the store that could not be used";
         self.registry.register("entries_refused", help, refused_entries);
@@ -171,6 +200,11 @@
         self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
     }
 
+    /// Counts what a runner has said of itself.
+    pub fn on_notice(&self, notice: &'static str) {
+        self.runner_notices.get_or_create(&NoticeLabels { notice }).inc();
+    }
+
     /// Counts a request that left its region.
     pub fn on_left_region(&self, reason: LeavingReason) {
         self.left_region.get_or_create(&LeavingLabels { reason: reason.name() }).inc();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -255,10 +255,11 @@
         self.fleet.borrow_mut().on_read(runner, parts, self.now_us(), capacity);
     }
 
-    /// Whether new requests may go to a runner, as far as this node knows.
+    /// Whether this node may send new requests to a runner, as far as it knows.
     pub fn takes_work(&self, runner: &RunnerId) -> bool {
         let now_us = self.now_us();
-        let takes = |runner: &Runner| runner.takes_work() && !runner.is_changing(now_us);
+        let takes =
+            |runner: &Runner| runner.takes_work_from_here(now_us) && !runner.is_changing(now_us);
         self.fleet.borrow().get(runner).is_some_and(takes)
     }
 
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -1,12 +1,18 @@
 //! What a node takes in of its runners: entries of the store, and signs of life.
 
 use super::Node;
+use crate::http::AnswerHead;
+use pitchstall_platform_adapter::headers;
 use pitchstall_serving::fleet::FleetChange;
 use pitchstall_serving::ids::{RunnerId, RunnerName};
+use pitchstall_serving::request::AnswerFacts;
 use pitchstall_serving::runner::{RunnerRecord, Stage};
+use pitchstall_serving::runner_notice::RunnerNotice;
 use std::rc::Rc;
 use std::time::Duration;
 
+const MICROS_PER_MILLI: u64 = 1_000;
+
 impl Node {
     /// Takes in a whole list of runners, read at a revision of the store.
     pub fn replace_runners(
@@ -63,7 +69,7 @@
         lapses_until_us: Option<u64>,
     ) {
         let Some(id) = self.fleet.borrow().life_of(name).cloned() else { return };
-        let is_planned = self.fleet.borrow().get(&id).is_some_and(|it| it.record.draining);
+        let is_planned = self.fleet.borrow().get(&id).is_some_and(|it| it.is_leaving());
         let change = self.fleet.borrow_mut().remove(&id, revision, lapses_until_us);
         match change {
             FleetChange::Left => self.on_runner_left(&id, revision, is_planned),
@@ -114,6 +120,45 @@
         self.on_runner_ended(runner);
     }
 
+    /// Reads the head of a runner's answer, and takes in what the runner says of itself there. Whatever becomes of the
+    /// request, the word holds: the store may hear of it many seconds later, or never.
+    pub fn on_answer_head(&self, runner: &RunnerId, head: &AnswerHead) -> AnswerFacts {
+        let facts = headers::parse_answer(head.status, head.header_pairs());
+        if facts.is_said_by(runner) {
+            self.on_notice(runner, facts.notice);
+        }
+        facts
+    }
+
+    /// A runner has said something of itself to this node.
+    pub fn on_notice(&self, runner: &RunnerId, notice: RunnerNotice) {
+        if notice.is_empty() {
+            return;
+        }
+        let learned = self.fleet.borrow_mut().on_notice(runner, notice, self.now_us());
+        let runner = runner.as_str();
+        if learned.leaving {
+            self.metrics.on_notice("leaving");
+            log::info!(target: "fleet", runner; "leaves by its own word");
+        }
+        if let Some(rest_us) = learned.rest_us {
+            self.metrics.on_notice("rest");
+            let rest_ms = rest_us / MICROS_PER_MILLI;
+            log::info!(target: "fleet", runner, rest_ms; "rests by its own word");
+        }
+        if notice.malformed {
+            self.metrics.on_notice("malformed");
+        }
+    }
+
+    /// Whether this node may send a request to a runner now: asked last before each one is sent, since
+    /// much may have been learned while it was placed, read or paid for.
+    pub fn may_send_to(&self, runner: &RunnerId) -> bool {
+        let now_us = self.now_us();
+        let fleet = self.fleet.borrow();
+        fleet.get(runner).is_some_and(|runner| runner.takes_work_from_here(now_us))
+    }
+
     /// A connection to a runner could not be opened. `is_refused`: nobody listens there.
     pub fn on_unreachable(&self, runner: &RunnerId, is_refused: bool) {
         if is_refused {
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -9,7 +9,7 @@
 use crate::http::{BodyDecoder, Header, Upstream};
 use crate::node::Node;
 use pitchstall_platform_adapter::headers;
-use pitchstall_platform_adapter::paths::{self, OrderAnswer};
+use pitchstall_platform_adapter::paths::{self, OrderAnswer, RunnerReport};
 use pitchstall_serving::authority::AuthoritySubject;
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::ids::ServiceName;
@@ -17,6 +17,7 @@
     NothingOrdered, RoleChange, RoleDemand, RolePlan, RolePlanner, RolePolicy, RolesSeen,
 };
 use pitchstall_serving::runner::{RunnerRecord, Stage};
+use pitchstall_serving::runner_notice::RunnerNotice;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -128,6 +129,9 @@
 
     async fn order(&mut self, change: &RoleChange) {
         let Some(fence) = self.fence_now() else { return };
+        if !self.node.may_send_to(&change.runner) {
+            return;
+        }
         let record = self.node.fleet.borrow().get(&change.runner).map(|it| it.record.clone());
         let Some(record) = record else { return };
         let answer = self.send_order(&record, change.stage, fence).await;
@@ -154,13 +158,18 @@
         stage: Stage,
         fence: u64,
     ) -> Option<OrderAnswer> {
-        let (_, body) = call_runner(record, "GET", paths::REPORT, &[]).await?;
-        let Some(orders_taken) = paths::parse_orders_taken(&body) else {
+        let (_, body) = call_runner(&self.node, record, "GET", paths::REPORT, &[]).await?;
+        let Some(report) = paths::parse_report(&body) else {
             return Some(OrderAnswer::Refused);
         };
         // Another life counts its orders anew: the number that it is asked to expect would hold by chance.
-        if !record.id.may_be(orders_taken.born_ms) {
-            self.node.on_other_life(&record.id, orders_taken.born_ms);
+        if !record.id.may_be(report.born_ms) {
+            self.node.on_other_life(&record.id, report.born_ms);
+            return Some(OrderAnswer::Refused);
+        }
+        let RunnerReport { orders_taken, is_busy, leaving } = report.what;
+        self.node.on_notice(&record.id, RunnerNotice { leaving, ..RunnerNotice::default() });
+        if is_busy || leaving {
             return Some(OrderAnswer::Refused);
         }
         // The term may have ended while the runner was asked.
@@ -168,8 +177,8 @@
             return Some(OrderAnswer::Refused);
         }
         let name = self.node.settings().node.name.clone();
-        let order = paths::role_order(stage, &name, fence, orders_taken.what);
-        let (status, _) = call_runner(record, "POST", paths::ORDER, &order).await?;
+        let order = paths::role_order(stage, &name, fence, orders_taken);
+        let (status, _) = call_runner(&self.node, record, "POST", paths::ORDER, &order).await?;
         let answer = paths::parse_order_status(status);
         if answer == Some(OrderAnswer::Outdated) {
             self.holding().on_refused(fence);
@@ -197,6 +206,7 @@
 }
 
 async fn call_runner(
+    node: &Node,
     record: &RunnerRecord,
     method: &str,
     target: &str,
@@ -213,6 +223,7 @@
         }
         connection.send(request_bytes(method, target, &all, body)).ok()?;
         let head = connection.read_head().await.ok()?;
+        node.on_answer_head(&record.id, &head);
         let decoder = BodyDecoder::new(head.framing);
         let body = connection.read_whole_body(&decoder, MOST_REPORT_BYTES).await.ok()?;
         Some((head.status, body))
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -162,7 +162,7 @@
         for runner in fleet.iter().filter(|runner| runner.record.service == *service) {
             let record = &runner.record;
             let zone = supply.entry(record.zone.clone()).or_default();
-            match (record.draining, record.preemptible) {
+            match (runner.is_leaving(), record.preemptible) {
                 (true, _) => {}
                 (false, true) => zone.preemptible += 1,
                 (false, false) => zone.reserved += 1,
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -8,7 +8,7 @@
 use crate::node::Node;
 use crate::peer_words::{PeerSocket, PeerWord};
 use pitchstall_serving::fleet::{Eligible, Scope};
-use pitchstall_serving::ids::{NodeId, RegionId, ServiceName};
+use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName};
 use pitchstall_serving::placement::{reading_home, Choice, Demand, ReadingPlan};
 use pitchstall_serving::regions::{RegionBacklogs, RegionLoads};
 use pitchstall_serving::reservations::Reservations;
@@ -299,11 +299,33 @@
         ToldPlan::Direct(choice) => (ReadingPlan::Direct(choice.into()), None),
     };
     let (ReadingPlan::Split(first) | ReadingPlan::Direct(first)) = &reading;
-    node.takes_work(&first.runner).then_some(())?;
-    let writer = writer.filter(|writer| node.takes_work(&writer.runner));
+    is_usable(node, first).then_some(())?;
+    let writer = writer.filter(|writer| is_usable(node, writer));
     Some(Placement { reading: Some(reading), writer, follow_up })
 }
 
+/// Whether a told choice holds. The scheduler does not know all that runners have said to this node.
+fn is_usable(node: &Node, choice: &Choice) -> bool {
+    let takes_work = node.takes_work(&choice.runner);
+    if !takes_work {
+        node.metrics.placements_dropped.inc();
+        log::info!(target: "scheduling", runner = choice.runner.as_str(); "choice dropped");
+    }
+    takes_work
+}
+
+/// Runners that a question names as not to be chosen, at most: some 500 bytes. The leaving ones come first, as they
+/// stay so; a choice that is not named is made again here.
+const MOST_WITHHELD: usize = 32;
+
+/// Runners that are not to be chosen: that have had the request, or take none from this node.
+fn not_to_choose(node: &Node, eligible: &Eligible<'_>, now_us: u64) -> Vec<RunnerId> {
+    let mut withheld = node.fleet.borrow().withheld(eligible.service, now_us);
+    withheld.retain(|runner| !eligible.excluded.contains(runner));
+    withheld.truncate(MOST_WITHHELD);
+    eligible.excluded.iter().cloned().chain(withheld).collect()
+}
+
 /// The shard of a region in which the prompt's shared parts have their home; any, if it has none.
 fn shard_in(node: &Node, demand: &PlacementDemand<'_>, region: &RegionId) -> Shard {
     let of = Shard::count(node.members.borrow().count_in(region));
@@ -342,7 +364,7 @@
         elapsed_ms: millis(demand.elapsed),
         left_ms: millis(demand.left),
         zone: zone.clone(),
-        excluded: eligible.excluded.to_vec(),
+        excluded: not_to_choose(node, &eligible, node.now_us()),
         zones: eligible.zones.map(|zones| zones.iter().cloned().collect()),
     }
 }
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -9,7 +9,7 @@
 use crate::peer_words::PeerWord;
 use crate::scheduling::{choose_here, elsewhere, named, scheduler_of, PlacementDemand};
 use crate::verification::verify;
-use pitchstall_serving::fleet::{Eligible, Scope};
+use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::{RegionId, RunnerId, ZoneId};
 use pitchstall_serving::placement::Demand;
 use pitchstall_serving::prefix::Prompt;
@@ -38,6 +38,7 @@
     let zones: Option<BTreeSet<ZoneId>> =
         question.zones.as_ref().map(|zones| zones.iter().cloned().collect());
     let eligible = Eligible {
+        sender: Sender::AnotherNode,
         service: &question.service,
         excluded: &question.excluded,
         zones: zones.as_ref(),
--- a/crates/serving/src/fleet/beliefs.rs
+++ b/crates/serving/src/fleet/beliefs.rs
@@ -6,6 +6,7 @@
 use crate::ids::RunnerId;
 use crate::prefix::PromptPart;
 use crate::runner::{AttemptDemand, Load, LoadReport, Runner, Stage, ToldLoad};
+use crate::runner_notice::{Learned, RunnerNotice};
 use crate::runner_pace::{RunnerReading, Spent};
 use crate::scheduling::{RunnerLoad, Shard};
 use crate::suspicion::Suspicion;
@@ -195,6 +196,25 @@
         changing.filter_map(word).collect()
     }
 
+    /// A runner has said something of itself in an answer to this node. A life whose entry is gone is
+    /// remembered: the entry may come back as it was.
+    pub fn on_notice(&mut self, id: &RunnerId, notice: RunnerNotice, now_us: u64) -> Learned {
+        if let Some(runner) = self.runners.get_mut(id) {
+            return runner.availability.on_notice(notice, now_us);
+        }
+        let mut availability = self.departed.take(id);
+        let learned = availability.on_notice(notice, now_us);
+        self.departed.remember(id, availability);
+        learned
+    }
+
+    /// A runner has taken up a request of this node.
+    pub fn on_accepted(&mut self, id: &RunnerId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.availability.on_accepted();
+        }
+    }
+
     /// What a node has seen of a runner's being there changes by `update`.
     pub fn update_suspicion<R>(
         &mut self,
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -1,8 +1,8 @@
 //! The runners that a node knows of, and what it believes about their load and health.
 //!
 //! Three sources disagree in time: the platform's list (late, sometimes stale), what the
-//! runners say in their answers, and failures that this node sees. The list alone decides
-//! whether a runner may get work; the other two only rank runners, because acting on a
+//! runners say in their answers, and failures that this node sees. The list and a runner's own
+//! word decide whether a runner may get work; failures only rank runners, because acting on a
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
 mod beliefs;
@@ -10,6 +10,7 @@
 use crate::distance::Distances;
 use crate::ids::{RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
 use crate::runner::{Lapsed, Runner, RunnerRecord, Stage};
+use crate::runner_notice::DepartedAvailability;
 use crate::scheduling::Shard;
 use crate::topology::Topology;
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,8 +46,8 @@
     pub was_leaving: bool,
 }
 
-fn ended(record: &RunnerRecord) -> EndedLife {
-    EndedLife { id: record.id.clone(), was_leaving: record.draining }
+fn ended(runner: &Runner) -> EndedLife {
+    EndedLife { id: runner.record.id.clone(), was_leaving: runner.is_leaving() }
 }
 
 /// The part of the fleet that runners are chosen from.
@@ -71,9 +72,20 @@
     }
 }
 
+/// Which node a request is sent by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// This one. A runner that has asked it for rest gets nothing.
+    ThisNode,
+    /// Another one, which knows whom it may send to. What this node was asked for only ranks runners.
+    AnotherNode,
+}
+
 /// Which runners a request may go to, whatever their load and health.
 #[derive(Clone, Copy, Debug)]
 pub struct Eligible<'a> {
+    /// Who sends it.
+    pub sender: Sender,
     /// The service.
     pub service: &'a ServiceName,
     /// Runners that have had the request already.
@@ -85,9 +97,10 @@
 }
 
 impl<'a> Eligible<'a> {
-    /// Every runner of a service.
+    /// Every runner of a service, for some node.
     pub fn all_of(service: &'a ServiceName) -> Self {
-        Self { service, excluded: &[], zones: None, scope: Scope::Everywhere }
+        let sender = Sender::AnotherNode;
+        Self { sender, service, excluded: &[], zones: None, scope: Scope::Everywhere }
     }
 
     fn admits(&self, runner: &Runner) -> bool {
@@ -98,6 +111,14 @@
             && !self.excluded.contains(&record.id)
             && self.scope.has(runner)
     }
+
+    /// Whether the sender may send to a runner now.
+    fn may_be_sent_to(&self, runner: &Runner, now_us: u64) -> bool {
+        match self.sender {
+            Sender::ThisNode => runner.takes_work_from_here(now_us),
+            Sender::AnotherNode => runner.takes_work(),
+        }
+    }
 }
 
 /// All runners that a node knows of.
@@ -108,13 +129,14 @@
     runners: BTreeMap<RunnerId, Runner>,
     /// The life that each runner is in.
     lives: BTreeMap<RunnerName, RunnerId>,
+    /// What lives have said of themselves whose entries are gone: an entry may only have lapsed.
+    departed: DepartedAvailability,
 }
 
 impl Fleet {
     /// A fleet without runners, as a node of the zone `own` sees it; zones belong to these regions.
     pub fn new(own: ZoneId, topology: Topology) -> Self {
-        let distances = Distances::new(own);
-        Self { topology, distances, runners: BTreeMap::new(), lives: BTreeMap::new() }
+        Self { topology, distances: Distances::new(own), ..Self::default() }
     }
 
     /// Zones belong to other regions from now on.
@@ -166,8 +188,7 @@
         let region = self.topology.region_of(&record.zone);
         let name = record.id.name();
         let Some(life) = self.lives.get(&name).cloned() else {
-            self.lives.insert(name, record.id.clone());
-            self.runners.insert(record.id.clone(), Runner::new(record, region));
+            self.insert(record, region);
             return FleetChange::Joined;
         };
         let Some(known) = self.runners.get_mut(&life) else { return FleetChange::None };
@@ -177,10 +198,9 @@
         }
         if life != record.id {
             // Nothing that is believed of the life that ended passes to the new one.
-            let ended = ended(&known.record);
-            self.runners.remove(&life);
-            self.lives.insert(name, record.id.clone());
-            self.runners.insert(record.id.clone(), Runner::new(record, region));
+            let ended = ended(known);
+            self.forget(&life);
+            self.insert(record, region);
             return FleetChange::Reborn { ended };
         }
         let change = if record.draining && !known.record.draining {
@@ -197,6 +217,13 @@
         change
     }
 
+    fn insert(&mut self, record: RunnerRecord, region: RegionId) {
+        let life = record.id.clone();
+        let availability = self.departed.take(&life);
+        self.lives.insert(life.name(), life.clone());
+        self.runners.insert(life, Runner::new(record, region, availability));
+    }
+
     /// An entry has gone from the list at the given revision. One that may only have lapsed while the
     /// store was away is kept until `lapses_until_us`, unless its runner was about to leave.
     pub fn remove(
@@ -207,7 +234,7 @@
     ) -> FleetChange {
         match self.runners.get_mut(id) {
             Some(known) if known.record.revision < revision => {
-                if let Some(until_us) = lapses_until_us.filter(|_| !known.record.draining) {
+                if let Some(until_us) = lapses_until_us.filter(|_| !known.is_leaving()) {
                     known.lapsed.get_or_insert(Lapsed { until_us, revision });
                     return FleetChange::Lapsed;
                 }
@@ -224,7 +251,9 @@
     }
 
     fn forget(&mut self, id: &RunnerId) {
-        self.runners.remove(id);
+        if let Some(runner) = self.runners.remove(id) {
+            self.departed.remember(id, runner.availability);
+        }
         self.lives.remove(&id.name());
     }
 
@@ -250,7 +279,7 @@
             runner.record.revision <= revision && !listed.contains(&runner.record.id.name())
         };
         let gone = self.runners.values().filter(is_gone);
-        let gone: Vec<EndedLife> = gone.map(|runner| ended(&runner.record)).collect();
+        let gone: Vec<EndedLife> = gone.map(ended).collect();
         let has_left = |life: &EndedLife| {
             self.remove(&life.id, revision + 1, lapses_until_us) == FleetChange::Left
         };
@@ -282,7 +311,8 @@
     /// Runners that may get new requests; those that are avoided only if there are no others.
     pub fn candidates(&self, eligible: &Eligible<'_>, now_us: u64) -> Vec<&Runner> {
         let is_eligible = |runner: &&Runner| {
-            eligible.admits(runner) && runner.takes_work() && !runner.is_changing(now_us)
+            let may_be_sent_to = eligible.may_be_sent_to(runner, now_us);
+            eligible.admits(runner) && may_be_sent_to && !runner.is_changing(now_us)
         };
         let all: Vec<&Runner> = self.runners.values().filter(is_eligible).collect();
         let sound: Vec<&Runner> =
@@ -294,6 +324,28 @@
         }
     }
 
+    /// When the first of the rests ends for which alone runners get no request from this node, microseconds;
+    /// `None`: there are none.
+    pub fn first_end_of_rest_us(&self, eligible: &Eligible<'_>, now_us: u64) -> Option<u64> {
+        let only_rests = |runner: &&Runner| {
+            eligible.admits(runner) && runner.takes_work() && !runner.is_changing(now_us)
+        };
+        let resting = self.runners.values().filter(only_rests);
+        resting.filter_map(|runner| runner.rests_until_us(now_us)).min()
+    }
+
+    /// Runners of a service that get nothing from this node by their own word, leaving ones first.
+    pub fn withheld(&self, service: &ServiceName, now_us: u64) -> Vec<RunnerId> {
+        let is_withheld = |runner: &&Runner| {
+            let own_word =
+                runner.availability.is_leaving() || runner.availability.is_resting(now_us);
+            runner.record.service == *service && own_word
+        };
+        let mut withheld: Vec<&Runner> = self.runners.values().filter(is_withheld).collect();
+        withheld.sort_by_key(|runner| !runner.is_leaving());
+        withheld.into_iter().map(|runner| runner.record.id.clone()).collect()
+    }
+
     /// Whether there is a runner for new requests that is not avoided and writes answers.
     pub fn has_sound(&self, eligible: &Eligible<'_>, now_us: u64) -> bool {
         let candidates = self.candidates(eligible, now_us);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,7 +20,7 @@
 //! | [`membership`] | which nodes read the store, and which follow them |
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
 //! | [`runner`], [`fleet`] | which runners exist, how loaded and how healthy they are |
-//! | [`runner_notice`] | what runners say of themselves in answers |
+//! | [`runner_notice`] | whether a runner takes requests, by its own word |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
 //! | [`suspicion`] | whether a runner that is silent is busy or gone |
 //! | [`read_pace`], [`runner_pace`] | how fast prompts are read, and how much each runner differs |
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -1,6 +1,6 @@
 //! What a node needs to know of a request; everything else in it is opaque.
 
-use crate::ids::{RunnerId, TenantName};
+use crate::ids::{RunnerId, RunnerName, TenantName};
 use crate::prefix::Prompt;
 use crate::runner_notice::RunnerNotice;
 use crate::tenancy::Credential;
@@ -78,6 +78,19 @@
     pub encoded: bool,
     /// The runner's load.
     pub load: Option<crate::runner::LoadReport>,
+    /// The runner that answers, if it names itself.
+    pub instance: Option<RunnerName>,
     /// What else the runner says of itself.
     pub notice: RunnerNotice,
 }
+
+impl AnswerFacts {
+    /// Whether what it says of its runner is said by this one. An address may have been given to another runner,
+    /// which says then that it was not meant.
+    pub fn is_said_by(&self, runner: &RunnerId) -> bool {
+        match &self.instance {
+            Some(name) => *name == runner.name(),
+            None => !self.misdirected,
+        }
+    }
+}
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -5,6 +5,7 @@
 use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
+use crate::runner_notice::Availability;
 use crate::runner_pace::RunnerPace;
 use crate::suspicion::Suspicion;
 use serde::{Deserialize, Serialize};
@@ -118,6 +119,8 @@
     /// What another node told that schedules it.
     pub(crate) told: Option<ToldLoad>,
     pub(crate) suspicion: Suspicion,
+    /// What it has said of itself in answers to this node.
+    pub(crate) availability: Availability,
     pub(crate) full_until_us: u64,
     /// The role that it was ordered to take, and until when it is left alone for that.
     pub(crate) changing: Option<(Stage, u64)>,
@@ -140,7 +143,7 @@
 }
 
 impl Runner {
-    pub(crate) fn new(record: RunnerRecord, region: RegionId) -> Self {
+    pub(crate) fn new(record: RunnerRecord, region: RegionId, availability: Availability) -> Self {
         Self {
             record,
             region,
@@ -156,6 +159,7 @@
             asked: AskedRate::default(),
             told: None,
             suspicion: Suspicion::default(),
+            availability,
             full_until_us: 0,
             changing: None,
             misdirected: false,
@@ -165,15 +169,33 @@
         }
     }
 
-    /// Whether new requests may go to it.
+    /// Whether it is about to leave: its entry says so, or it has said so itself. The store may hear of it
+    /// many seconds later, so neither source takes back what the other has said.
+    pub fn is_leaving(&self) -> bool {
+        self.record.draining || self.availability.is_leaving()
+    }
+
+    /// Whether new requests may go to it, from some node.
     pub fn takes_work(&self) -> bool {
-        !self.record.draining && !self.misdirected
+        !self.is_leaving() && !self.misdirected
+    }
+
+    /// Whether this node may send it a request now.
+    pub fn takes_work_from_here(&self, now_us: u64) -> bool {
+        self.takes_work() && !self.availability.is_resting(now_us)
+    }
+
+    /// When the rest ends that it has asked this node for, microseconds; `None`: it does not rest.
+    pub fn rests_until_us(&self, now_us: u64) -> Option<u64> {
+        self.availability.rests_until_us(now_us)
     }
 
-    /// Whether it could lately not be reached, or was full. After the time for which a
-    /// runner is suspected, one request tries it before others follow.
+    /// Whether it could lately not be reached, was full or rests. After the time for which a
+    /// runner is suspected or rests, one request tries it before others follow.
     pub fn is_avoided(&self, now_us: u64) -> bool {
-        now_us < self.full_until_us || self.suspicion.is_avoided(self.in_flight, now_us)
+        now_us < self.full_until_us
+            || self.availability.is_avoided(self.in_flight, now_us)
+            || self.suspicion.is_avoided(self.in_flight, now_us)
     }
 
     /// Share of recent answers that were failures of its own. It fades, so that a runner that
--- a/crates/serving/src/runner_notice.rs
+++ b/crates/serving/src/runner_notice.rs
@@ -1,4 +1,15 @@
-//! What a runner says of itself in the head of an answer.
+//! What runners say of themselves in the heads of answers, and what a node believes because of it.
+//!
+//! Two sources tell that a runner leaves: its entry in the store, which may be late by as long as the store
+//! is away, and its answers, which are there at once. Either is enough, and within a life neither
+//! takes back what the other has said. A rest is asked of one node, and ends by its time alone.
+
+use crate::ids::RunnerId;
+use std::collections::VecDeque;
+
+/// Longest rest that is believed, microseconds. It bounds what one wrong word costs: after it one request
+/// tries the runner.
+pub const LONGEST_REST_US: u64 = 600_000_000;
 
 /// What the head of one answer says of the runner that gave it, whatever becomes of the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -17,3 +28,94 @@
         *self == Self::default()
     }
 }
+
+/// What has become known by a notice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Learned {
+    /// The runner leaves, which its answers had not said before.
+    pub leaving: bool,
+    /// The runner wants rest for so long, microseconds, though it was not known to rest.
+    pub rest_us: Option<u64>,
+}
+
+/// Whether one life of a runner takes requests from this node, by its own word.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Availability {
+    leaving: bool,
+    rest_until_us: u64,
+    /// It has asked for rest, and has not run anything for this node since.
+    is_returning: bool,
+}
+
+impl Availability {
+    /// Takes in what an answer said.
+    pub fn on_notice(&mut self, notice: RunnerNotice, now_us: u64) -> Learned {
+        let begins_to_leave = notice.leaving && !self.leaving;
+        self.leaving |= notice.leaving;
+        let was_resting = self.is_resting(now_us);
+        let rest_us = notice.rest_us.min(LONGEST_REST_US);
+        if rest_us > 0 {
+            self.rest_until_us = self.rest_until_us.max(now_us.saturating_add(rest_us));
+            self.is_returning = true;
+        }
+        let begins_to_rest = rest_us > 0 && !was_resting;
+        Learned { leaving: begins_to_leave, rest_us: begins_to_rest.then_some(rest_us) }
+    }
+
+    /// The runner has taken a request up.
+    pub fn on_accepted(&mut self) {
+        self.is_returning = false;
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether it wants no request from this node now.
+    pub fn is_resting(&self, now_us: u64) -> bool {
+        now_us < self.rest_until_us
+    }
+
+    /// When its rest ends, microseconds; `None`: it does not rest.
+    pub fn rests_until_us(&self, now_us: u64) -> Option<u64> {
+        self.is_resting(now_us).then_some(self.rest_until_us)
+    }
+
+    /// Whether requests rather go elsewhere: while it rests, and after that while one request tries it, so that
+    /// not all that would go to it arrive at once at the end of the rest.
+    pub fn is_avoided(&self, in_flight: u32, now_us: u64) -> bool {
+        self.is_resting(now_us) || (self.is_returning && in_flight > 0)
+    }
+}
+
+/// Lives whose entries are gone for which availability is remembered. An entry that lapses while the store is
+/// away comes back; 1,300 runners may lapse at once.
+const MOST_REMEMBERED: usize = 2_048;
+
+/// What lives have said of themselves whose entries are gone, the latest last.
+#[derive(Clone, Debug, Default)]
+pub struct DepartedAvailability {
+    lives: VecDeque<(RunnerId, Availability)>,
+}
+
+impl DepartedAvailability {
+    /// The entry of a life is gone.
+    pub fn remember(&mut self, life: &RunnerId, availability: Availability) {
+        self.take(life);
+        if availability == Availability::default() {
+            return;
+        }
+        if self.lives.len() >= MOST_REMEMBERED {
+            self.lives.pop_front();
+        }
+        self.lives.push_back((life.clone(), availability));
+    }
+
+    /// The entry of a life is there, perhaps again.
+    pub fn take(&mut self, life: &RunnerId) -> Availability {
+        let index = self.lives.iter().position(|(known, _)| known == life);
+        let known = index.and_then(|index| self.lives.remove(index));
+        known.map_or_else(Availability::default, |(_, availability)| availability)
+    }
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -6,7 +6,7 @@
 use pitchstall_serving::attempt::{final_answer, Execution, FinalAnswer, GiveUp};
 use pitchstall_serving::configuration::{Configuration, RequestKind, Route, Share};
 use pitchstall_serving::digest::{Digest, DigestOrder, Freshness};
-use pitchstall_serving::fleet::{Eligible, EndedLife, Fleet, FleetChange, Scope};
+use pitchstall_serving::fleet::{Eligible, EndedLife, Fleet, FleetChange, Scope, Sender};
 use pitchstall_serving::freshness::StoreWord;
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::membership::Member;
@@ -150,6 +150,7 @@
     fn demand(&self) -> Demand<'_> {
         Demand {
             eligible: Eligible {
+                sender: Sender::ThisNode,
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.zones.as_ref(),
