--- a/crates/serving/tests/runner_lives.rs
+++ b/crates/serving/tests/runner_lives.rs
@@ -12,6 +12,7 @@
 use pitchstall_serving::quarantine::{Crash, CrashChange, Quarantine};
 use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
 use pitchstall_serving::runner::{AttemptDemand, LoadReport, RunnerRecord, Stage};
+use pitchstall_serving::runner_notice::RunnerNotice;
 use pitchstall_serving::scheduling::{RunnerLoad, Shard};
 use pitchstall_serving::topology::Topology;
 use proptest::prelude::*;
@@ -73,6 +74,14 @@
         "full" => fleet.on_full(id, SECOND),
         "role under way" => fleet.on_changing(id, Stage::Prefill, 9 * SECOND),
         "misdirected" => fleet.on_misdirected(id),
+        "leaving by its own word" => {
+            let notice = RunnerNotice { leaving: true, ..RunnerNotice::default() };
+            fleet.on_notice(id, notice, SECOND);
+        }
+        "rest" => {
+            let notice = RunnerNotice { rest_us: 9 * SECOND, ..RunnerNotice::default() };
+            fleet.on_notice(id, notice, SECOND);
+        }
         "lapsed" => drop(fleet.remove(id, 6, Some(9 * SECOND))),
         "draining" => {
             drop(fleet.put(RunnerRecord { draining: true, ..record(id.clone(), 6) }));
@@ -119,6 +128,8 @@
 #[test_case("role under way")]
 #[test_case("misdirected")]
 #[test_case("lapsed")]
+#[test_case("leaving by its own word")]
+#[test_case("rest")]
 #[test_case("draining")]
 fn no_belief_of_one_life_passes_to_the_next(belief: &str) {
     let mut fresh = fleet();
@@ -128,7 +139,7 @@
     let mut reborn = fleet();
     believe(&mut reborn, &life(1_000), belief);
     let change = reborn.put(record(life(2_000), 9));
-    let was_leaving = belief == "draining";
+    let was_leaving = matches!(belief, "draining" | "leaving by its own word");
     let ended = EndedLife { id: life(1_000), was_leaving };
     assert_eq!(change, FleetChange::Reborn { ended });
     assert_eq!(seen(&reborn, &life(2_000)), unknown);
@@ -144,6 +155,8 @@
 #[test_case("full")]
 #[test_case("role under way")]
 #[test_case("misdirected")]
+#[test_case("leaving by its own word")]
+#[test_case("rest")]
 fn words_about_one_life_change_nothing_of_another(belief: &str) {
     let mut fleet = fleet();
     let known = seen(&fleet, &life(1_000));
