--- a/crates/gateway/tests/runner_notices.rs
+++ b/crates/gateway/tests/runner_notices.rs
@@ -25,9 +25,9 @@
 const PROMPT: &str =
     "X-Pitchstall-Token-Count: 1460,80\r\nX-Pitchstall-Prefix-Hash: 5c1e07a2:800,91bd3f06:660\r\n";
 
-const LEAVING: SelfReport<'static> = SelfReport { leaving: true, retry_after: None };
+const LEAVING: SelfReport = SelfReport { leaving: true, retry_after: None };
 /// Longer than any of these tests.
-const LONG_REST: SelfReport<'static> = SelfReport { leaving: false, retry_after: Some("120") };
+const LONG_REST: SelfReport = SelfReport { leaving: false, retry_after: Some("120") };
 
 fn answering(text: &'static str) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
     move |_| Reaction::Answer { status: 200, body: text.as_bytes().to_vec() }
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -28,6 +28,8 @@
 const RECOVERED_WITHIN: Duration = Duration::from_secs(12);
 const HEALTH_EVERY: Duration = Duration::from_millis(200);
 const DRAINS_FOR: Duration = Duration::from_secs(4);
+/// After which time the store hears that a runner leaves whose answers say so before.
+const ACKNOWLEDGED_AFTER: Duration = Duration::from_secs(6);
 const BETWEEN_REQUESTS: Duration = Duration::from_millis(15);
 /// Different requests that end runners, and the time between two of them: some three a second, as in
 /// incident 06.
@@ -442,6 +444,11 @@
             fleet.replace(index)
         };
         if let Ok(leaving) = leaving {
+            let acknowledges_late = lock(&self.fleet).acknowledges_late();
+            if acknowledges_late {
+                std::thread::sleep(ACKNOWLEDGED_AFTER);
+                lock(&self.fleet).acknowledge_leaving(&leaving);
+            }
             std::thread::sleep(DRAINS_FOR);
             lock(&self.fleet).unlist(&leaving);
             leaving.link.set_mode(LinkMode::Resetting);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,6 +4,7 @@
 use crate::history::{Entry, Event, Kind, Outcome};
 use crate::limit_checks::{over_limits, refused_below_limit};
 use crate::region_checks::unserved_when_cut;
+use crate::self_report_checks::{sent_to_leaving, sent_to_resting};
 use crate::tenants::{tenant_of, BELOW};
 use pitchstall_platform_standins::runner::event_text;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -34,7 +35,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Every promise with its check.
-const CHECKS: [(&str, Check); 15] = [
+const CHECKS: [(&str, Check); 17] = [
     ("the whole answer to its own request", whole_answers),
     ("a stream whole and in order", whole_streams),
     ("at most once", at_most_once),
@@ -43,6 +44,8 @@
     ("a configuration is in force in time", configuration_in_time),
     ("a configuration never reverts", configuration_never_reverts),
     ("a leaving runner gets no work", drained_in_time),
+    ("a runner that says that it leaves gets no work", sent_to_leaving),
+    ("a runner that asks for rest gets it", sent_to_resting),
     ("a planned stop cuts nothing", planned_stops),
     ("runners are told the tenant and not the key", guarded),
     ("one usage report for a window", one_report),
@@ -180,6 +183,25 @@
         last_run.zip(broken_at_us).is_some_and(|(run, broken_at_us)| *broken_at_us >= run.at_us)
     }
 
+    /// The node that a request was sent to.
+    pub(crate) fn node_of(&self, request: &str) -> Option<usize> {
+        self.nodes.get(request).copied()
+    }
+
+    /// Whether a node started, stopped, was held up or was cut off from runners within a time.
+    pub(crate) fn was_disturbed(&self, node: usize, from_us: u64, to_us: u64) -> bool {
+        self.disturbances.iter().any(|(at_us, event)| {
+            let touches = match event {
+                Event::RunnerDisturbed => true,
+                Event::Disturbed { node: Some(other) }
+                | Event::Started { node: other }
+                | Event::StopPlanned { node: other } => *other == node,
+                _ => false,
+            };
+            touches && (from_us..=to_us).contains(at_us)
+        })
+    }
+
     fn runs_of(&self, request: &str) -> usize {
         self.runs.get(request).map_or(0, Vec::len)
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::checks::request_body;
 use crate::history::{Event, Kind, Recorder};
-use crate::plan::{has_large_configurations, has_limits, has_lives};
+use crate::plan::{has_large_configurations, has_limits, has_lives, has_self_reports};
 use crate::proxy::Link;
 use crate::regions::{comes_from_afar, RegionLink, DELAY};
 use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
@@ -12,11 +12,14 @@
     self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, CONFIGURATION_KEY,
 };
 use pitchstall_platform_standins::http::ReceivedRequest;
-use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{
+    engine_script, CrashHead, Reaction, RunnerStandIn, SelfReport,
+};
 use pitchstall_platform_standins::store::StoreStandIn;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -33,6 +36,9 @@
 const DEADLINE_MS: u64 = 5_000;
 /// Share of requests that a runner runs and does not answer, or answers with a failure.
 const FAULTY_SHARE: f64 = 0.03;
+/// Share of requests that a runner turns away to have rest, and for how long.
+const REST_SHARE: f64 = 0.02;
+const REST: (&str, u64) = ("1.5", 1_500_000);
 /// Beginning of the body of a request that ends runners.
 const DEADLY: &str = "deadly ";
 /// Time for which such a request runs.
@@ -53,6 +59,8 @@
     zone: &'static str,
     stage: Option<&'static str>,
     stand_in: RunnerStandIn,
+    /// Whether its answers say that it leaves.
+    says_that_it_leaves: Arc<AtomicBool>,
     /// When this life began, Unix milliseconds, where that is told.
     born_ms: Option<u64>,
 }
@@ -137,14 +145,21 @@
         self.next_runner += 1;
         let own_link = Arc::new(OnceLock::new());
         let place = Place { id: id.clone(), zone, stage, regions: self.regions.clone() };
-        let script = script(place, self.recorder.clone(), self.seed ^ number, own_link.clone());
+        let says_that_it_leaves = Arc::new(AtomicBool::new(false));
+        let voice = Voice {
+            may_rest: has_self_reports(self.seed),
+            says_that_it_leaves: says_that_it_leaves.clone(),
+        };
+        let script =
+            script(place, voice, self.recorder.clone(), self.seed ^ number, own_link.clone());
         let stand_in = RunnerStandIn::start(&id, script)?;
         let link = Link::start(stand_in.address())?;
         // Nothing has come yet: it is not listed.
         let _ = own_link.set(link.clone());
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
         let born_ms = has_lives(self.seed).then(unix_ms);
-        let runner = SoakRunner { id, link, service, zone, stage, stand_in, born_ms };
+        let runner =
+            SoakRunner { id, link, service, zone, stage, stand_in, says_that_it_leaves, born_ms };
         self.list(&runner, false);
         self.runners.push(runner);
         Ok(())
@@ -162,15 +177,29 @@
         self.store.put(&runner_key(&runner.id), &entry.to_json());
     }
 
-    /// A runner says that it leaves; another one takes its place. Returns the one that leaves.
+    /// A runner says that it leaves; another one takes its place. Returns the one that leaves. Where runners say so
+    /// in their answers, the store hears of it later, by [`Self::acknowledge_leaving`].
     pub fn replace(&mut self, index: usize) -> std::io::Result<SoakRunner> {
         let leaving = self.runners.swap_remove(index);
         self.add(leaving.zone, leaving.stage)?;
-        self.list(&leaving, true);
-        self.recorder.note(Event::Draining { runner: leaving.id.clone() });
+        match has_self_reports(self.seed) {
+            true => leaving.says_that_it_leaves.store(true, Ordering::SeqCst),
+            false => self.acknowledge_leaving(&leaving),
+        }
         Ok(leaving)
     }
 
+    /// The store takes in that a runner leaves.
+    pub fn acknowledge_leaving(&self, leaving: &SoakRunner) {
+        self.list(leaving, true);
+        self.recorder.note(Event::Draining { runner: leaving.id.clone() });
+    }
+
+    /// Whether the store hears later than callers that a runner leaves.
+    pub fn acknowledges_late(&self) -> bool {
+        has_self_reports(self.seed)
+    }
+
     /// Takes out the runners that have ended.
     pub fn take_ended(&mut self) -> Vec<SoakRunner> {
         let (ended, others) = std::mem::take(&mut self.runners)
@@ -286,20 +315,81 @@
     }
 }
 
+/// What a runner says of itself.
+struct Voice {
+    may_rest: bool,
+    says_that_it_leaves: Arc<AtomicBool>,
+}
+
+impl Voice {
+    /// Does as the runner does with a request, and says what it has to say of itself.
+    fn say(
+        &self,
+        request: &ReceivedRequest,
+        runner: &str,
+        recorder: &Recorder,
+        rests: bool,
+        work: impl FnOnce() -> Reaction,
+    ) -> Reaction {
+        let Some(name) = request.id() else { return work() };
+        let (request, runner) = (name.to_owned(), runner.to_owned());
+        if !self.may_rest {
+            return work();
+        }
+        recorder.note(Event::Arrived { request: request.clone(), runner: runner.clone() });
+        let leaving = self.says_that_it_leaves.load(Ordering::SeqCst);
+        let reaction = if rests { Reaction::Decline } else { work() };
+        // What ends a runner, or is cut before its head, says nothing.
+        if !matches!(reaction, Reaction::Answer { .. } | Reaction::Stream(_) | Reaction::Decline) {
+            return reaction;
+        }
+        if leaving {
+            let (request, runner) = (request.clone(), runner.clone());
+            recorder.note(Event::ToldLeaving { request, runner });
+        }
+        let (seconds, rest_us) = REST;
+        if rests {
+            recorder.note(Event::AskedForRest { request, runner, rest_us });
+        }
+        let report = SelfReport { leaving, retry_after: rests.then_some(seconds) };
+        Reaction::Saying(report, Box::new(reaction))
+    }
+}
+
 /// What a runner does: it runs what it is given, notes it, and now and then fails.
 fn script(
     place: Place,
+    voice: Voice,
     recorder: Recorder,
     seed: u64,
     own_link: Arc<OnceLock<Link>>,
 ) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
-    let engine = engine_script(LAST_EVENT);
-    let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
+    let (id, stage) = (place.id.clone(), place.stage);
+    let work = work(id, stage, recorder.clone(), seed, own_link);
+    // What it says of itself is drawn apart, so that older seeds keep what they do.
+    let chance = Mutex::new(ChaCha8Rng::seed_from_u64(!seed));
     move |request| {
         if !place.let_in(request) {
             return Reaction::Silent;
         }
-        let (id, stage) = (&place.id, place.stage);
+        let mut chance = chance.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let rests = voice.may_rest && chance.random_bool(REST_SHARE);
+        drop(chance);
+        voice.say(request, &place.id, &recorder, rests, || work(request))
+    }
+}
+
+/// What a runner does with a request, whatever it says of itself.
+fn work(
+    id: String,
+    stage: Option<&'static str>,
+    recorder: Recorder,
+    seed: u64,
+    own_link: Arc<OnceLock<Link>>,
+) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
+    let engine = engine_script(LAST_EVENT);
+    let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
+    move |request| {
         if let Some((holder, fence)) = request.order() {
             recorder.note(Event::Ordered { runner: id.clone(), holder, fence });
             return Reaction::Answer { status: 202, body: Vec::new() };
@@ -307,7 +397,7 @@
         let Some(name) = request.id().filter(|_| !request.is_reading()) else {
             return engine(request);
         };
-        if request.expected_runner().is_some_and(|expected| expected != *id) {
+        if request.expected_runner().is_some_and(|expected| expected != id) {
             return Reaction::Misdirected;
         }
         if let Some(number) = deadly_number(&request.body) {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -140,6 +140,29 @@
         /// The runner.
         runner: String,
     },
+    /// A request arrives at a runner, whatever becomes of it there.
+    Arrived {
+        /// The request's id.
+        request: String,
+        /// The runner.
+        runner: String,
+    },
+    /// A runner says in its answer to a request that it leaves.
+    ToldLeaving {
+        /// The request's id.
+        request: String,
+        /// The runner.
+        runner: String,
+    },
+    /// A runner turns a request away and says for how long it wants none from the node that has sent it.
+    AskedForRest {
+        /// The request's id.
+        request: String,
+        /// The runner.
+        runner: String,
+        /// For how long, microseconds.
+        rest_us: u64,
+    },
     /// A fault begins or ends at a node, at its links or at the store (`None`: at all nodes).
     Disturbed {
         /// The node.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -109,6 +109,9 @@
 const FIRST_OF_REGIONS_AND_LIMITS: u64 = 1_000;
 /// First seed with runners that start again under their names, and with large configurations.
 const FIRST_OF_LIVES: u64 = 2_000;
+/// First seed with runners that say of themselves that they leave, long before the store hears of it, or that
+/// they want rest.
+const FIRST_OF_SELF_REPORTS: u64 = 3_000;
 /// Time for which regions are cut off from each other.
 const REGIONS_CUT_FOR: Duration = Duration::from_secs(10);
 /// Quiet time at the end, in which everything has to recover.
@@ -154,6 +157,11 @@
     seed >= FIRST_OF_LIVES && seed.is_multiple_of(2)
 }
 
+/// Whether runners of a seed say in their answers that they leave or want rest.
+pub fn has_self_reports(seed: u64) -> bool {
+    seed >= FIRST_OF_SELF_REPORTS
+}
+
 /// The regions are cut off from each other in the middle, long enough for their nodes to be bound
 /// again by rules with a time.
 fn region_cut(length: Duration) -> Step {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -155,6 +155,52 @@
     assert_eq!(broken(&entries), ["a leaving runner gets no work"]);
 }
 
+fn arrived(at_us: u64, request: &str, runner: &str) -> Entry {
+    (at_us, Event::Arrived { request: request.to_owned(), runner: runner.to_owned() })
+}
+
+/// The store was away when the runner said so: that excuses nothing. A restart of the node does.
+#[test]
+fn work_for_a_runner_that_said_it_leaves_is_found() {
+    let told = Event::ToldLeaving { request: "a".to_owned(), runner: "i-1".to_owned() };
+    let exchange = |at_us, request: &str| {
+        let answer = own_answer(request);
+        [
+            sent(at_us, request, Kind::Repeatable),
+            ran(at_us, request, "i-1"),
+            ended(at_us + 1, request, answer),
+        ]
+    };
+    let mut entries = vec![(SECOND / 2, Event::Disturbed { node: None }), (SECOND, told)];
+    entries.extend(exchange(SECOND, "a"));
+    entries.extend(exchange(2 * SECOND, "b"));
+    entries.push(arrived(2 * SECOND, "b", "i-1"));
+    assert_eq!(violations(&entries), [], "within the time to drain");
+    entries.extend(exchange(4 * SECOND, "c"));
+    entries.push(arrived(4 * SECOND, "c", "i-1"));
+    assert_eq!(broken(&entries), ["a runner that says that it leaves gets no work"]);
+    entries.push((3 * SECOND, Event::Started { node: 0 }));
+    assert_eq!(violations(&entries), []);
+}
+
+#[test]
+fn a_third_request_in_a_rest_is_found() {
+    let rest = |rest_us| {
+        let (request, runner) = ("a".to_owned(), "i-1".to_owned());
+        (0, Event::AskedForRest { request, runner, rest_us })
+    };
+    let mut entries = vec![sent(0, "a", Kind::Repeatable), rest(2 * SECOND)];
+    for (number, at_us) in [SECOND / 4, SECOND, SECOND + 1, 3 * SECOND].into_iter().enumerate() {
+        let request = format!("r-{number}");
+        entries.push(sent(at_us, &request, Kind::Repeatable));
+        entries.push(arrived(at_us, &request, "i-1"));
+    }
+    assert_eq!(violations(&entries), [], "two, and others before and after");
+    entries.push(sent(SECOND, "third", Kind::Repeatable));
+    entries.push(arrived(SECOND + 2, "third", "i-1"));
+    assert_eq!(broken(&entries), ["a runner that asks for rest gets it"]);
+}
+
 #[test]
 fn a_request_that_a_planned_stop_cuts_is_found() {
     let stop = (9 * SECOND, Event::StopPlanned { node: 0 });
