After a rest a request that was sent since its end is the try, not one from before

Cause: the first try after a rest was told by whether anything was in flight; a stream from before the rest kept the node's other requests from a writer, as long as there were others, until its end. Changed: the try is the request sent since. Test: after_a_rest_one_request_tries_the_runner_before_others_follow, failing before.

--- a/crates/serving/src/fleet/beliefs.rs
+++ b/crates/serving/src/fleet/beliefs.rs
@@ -22,6 +22,7 @@
     pub fn on_sent(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight += 1;
+            runner.availability.on_sent();
             runner.unread_requests += u32::from(demand.is_unread());
             runner.unread_tokens += demand.unread_tokens;
             runner.late_tokens += demand.late_tokens;
@@ -43,6 +44,7 @@
     pub fn on_ended(&mut self, id: &RunnerId, demand: AttemptDemand) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight = runner.in_flight.saturating_sub(1);
+            runner.availability.on_ended();
             let unread = u32::from(demand.is_unread());
             runner.unread_requests = runner.unread_requests.saturating_sub(unread);
             runner.unread_tokens = runner.unread_tokens.saturating_sub(demand.unread_tokens);
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -194,7 +194,7 @@
     /// runner is suspected or rests, one request tries it before others follow.
     pub fn is_avoided(&self, now_us: u64) -> bool {
         now_us < self.full_until_us
-            || self.availability.is_avoided(self.in_flight, now_us)
+            || self.availability.is_avoided(now_us)
             || self.suspicion.is_avoided(self.in_flight, now_us)
     }
 
--- a/crates/serving/src/runner_notice.rs
+++ b/crates/serving/src/runner_notice.rs
@@ -43,8 +43,11 @@
 pub struct Availability {
     leaving: bool,
     rest_until_us: u64,
-    /// It has asked for rest, and has not run anything for this node since.
+    /// It has asked for rest, and has not taken up anything of this node since.
     is_returning: bool,
+    /// A request has been sent to it since the end of the rest, and has not ended. What it had taken up before is
+    /// no try: a stream may go on for many seconds.
+    is_tried: bool,
 }
 
 impl Availability {
@@ -57,16 +60,27 @@
         if rest_us > 0 {
             self.rest_until_us = self.rest_until_us.max(now_us.saturating_add(rest_us));
             self.is_returning = true;
+            self.is_tried = false;
         }
         let begins_to_rest = rest_us > 0 && !was_resting;
         Learned { leaving: begins_to_leave, rest_us: begins_to_rest.then_some(rest_us) }
     }
 
+    /// A request is sent to the runner.
+    pub fn on_sent(&mut self) {
+        self.is_tried = self.is_returning;
+    }
+
     /// The runner has taken a request up.
     pub fn on_accepted(&mut self) {
         self.is_returning = false;
     }
 
+    /// A request has ended there, perhaps the one that tries it: another one may.
+    pub fn on_ended(&mut self) {
+        self.is_tried = false;
+    }
+
     /// Whether it has said that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving
@@ -84,8 +98,8 @@
 
     /// Whether requests rather go elsewhere: while it rests, and after that while one request tries it, so that
     /// not all that would go to it arrive at once at the end of the rest.
-    pub fn is_avoided(&self, in_flight: u32, now_us: u64) -> bool {
-        self.is_resting(now_us) || (self.is_returning && in_flight > 0)
+    pub fn is_avoided(&self, now_us: u64) -> bool {
+        self.is_resting(now_us) || (self.is_returning && self.is_tried)
     }
 }
 
