Soak: orders that are taken, runners that end under them, and last answers that arrive in the next life

Cause: the soak's runners answered no reports, so no order was ever given there and its check on holders of orders was empty. The report says how many orders came. Reports of another life and of a leaving runner: gateway/tests/authority.rs.

--- a/crates/gateway/tests/authority.rs
+++ b/crates/gateway/tests/authority.rs
@@ -5,7 +5,9 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
-use support::{wait_for, Fixture};
+use std::time::Duration;
+use support::{configuration, runner_entry, wait_for, Fixture};
+use test_case::test_case;
 
 fn json(text: &str) -> Reaction {
     Reaction::Answer { status: 200, body: text.as_bytes().to_vec() }
@@ -101,3 +103,50 @@
     assert!(node.store.contains("pitchstall/authority"));
     assert_eq!(calls_with(&node, "authority/roles"), 0);
 }
+
+/// Two prefill runners whose entries tell when they began; both have started again since, or say that they leave.
+fn node_with_reports(report: &'static str) -> (Fixture, [RunnerStandIn; 2]) {
+    let start = |id| {
+        let script = move |request: &ReceivedRequest| match request.target.as_str() {
+            "/v1/report" => json(report),
+            "/v1/kv-list" => json(r#"{"epoch":"e","next_token":0,"held":[]}"#),
+            _ => Reaction::Answer { status: 202, body: Vec::new() },
+        };
+        RunnerStandIn::start(id, script).unwrap()
+    };
+    let runners = ["i-1", "i-2"].map(start);
+    let node = Fixture::start();
+    node.store.put("op/config", &configuration(3));
+    for runner in &runners {
+        let mut entry = runner_entry(runner, "llm", "north", "ready");
+        entry["stage"] = "prefill".into();
+        entry["born"] = 1_000.into();
+        node.store.put(&format!("servers/{}", runner.id()), &entry);
+    }
+    node.wait_until_ready();
+    (node, runners)
+}
+
+fn reports(runner: &RunnerStandIn) -> usize {
+    runner.requests().iter().filter(|it| it.target == "/v1/report").count()
+}
+
+/// It has started again, and has taken as many orders as its life before: the number alone would hold by chance. A
+/// runner that leaves changes no role any more, though its entry does not say so yet.
+#[test_case(r#"{"stage":"prefill","busy":false,"seq":0,"queued":0,"born":2000}"#; "another life")]
+#[test_case(r#"{"stage":"prefill","busy":false,"seq":0,"queued":0,"born":1000,"state":"draining"}"#; "leaving")]
+fn a_runner_that_reports_so_gets_no_order(report: &'static str) {
+    let (_node, runners) = node_with_reports(report);
+    wait_for("both to be asked", || runners.iter().all(|runner| reports(runner) > 0));
+    std::thread::sleep(Duration::from_millis(600));
+    assert!(runners.iter().all(|runner| orders(runner).is_empty()));
+    assert!(runners.iter().all(|runner| reports(runner) == 1), "it is believed at once");
+}
+
+#[test]
+fn a_runner_that_reports_the_life_of_its_entry_gets_its_order() {
+    let report =
+        r#"{"stage":"prefill","busy":false,"seq":0,"queued":0,"born":1000,"state":"ready"}"#;
+    let (_node, runners) = node_with_reports(report);
+    wait_for("an order", || runners.iter().any(|runner| !orders(runner).is_empty()));
+}
--- a/crates/soak/examples/soak/report.rs
+++ b/crates/soak/examples/soak/report.rs
@@ -17,6 +17,8 @@
     steps: usize,
     /// Runners that ended under requests that end them.
     ended: usize,
+    /// Orders that reached runners.
+    orders: usize,
     folder: PathBuf,
 }
 
@@ -25,7 +27,7 @@
         let (whole, requests, steps) = (self.whole, self.requests, self.steps);
         write!(formatter, "{whole} of {requests} answered whole under {steps} actions, ")?;
         write!(formatter, "{} runners ended by requests, ", self.ended)?;
-        write!(formatter, "{} windows reported", self.windows)?;
+        write!(formatter, "{} windows reported, {} orders", self.windows, self.orders)?;
         for violation in &self.violations {
             write!(formatter, "\n  {}: {}", violation.promise, violation.what)?;
         }
@@ -49,6 +51,7 @@
             }),
             windows: reported_windows(entries),
             ended: count(|event| matches!(event, Event::Crashed { under: Some(_), .. })),
+            orders: count(|event| matches!(event, Event::Ordered { .. })),
             steps,
             folder,
         }
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -10,7 +10,8 @@
 use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner};
 use pitchstall_soak::history::{Event, Kind, Outcome, Recorder};
 use pitchstall_soak::plan::{
-    has_large_configurations, has_limits, has_lives, has_regions, steps, Action, Step, RECOVERY,
+    has_large_configurations, has_limits, has_lives, has_regions, has_self_reports, steps, Action,
+    Step, RECOVERY,
 };
 use pitchstall_soak::proxy::{Link, LinkMode};
 use pitchstall_soak::regions::{id_with_node, is_near_the_store, zone_of, DELAY};
@@ -65,6 +66,8 @@
     has_regions: bool,
     /// Whether runners start again under their names.
     has_lives: bool,
+    /// Whether runners speak for themselves, and what they say last is held up.
+    has_self_reports: bool,
     next_rebirth: AtomicUsize,
     next_request: AtomicU64,
 }
@@ -163,6 +166,7 @@
             deadly: AtomicBool::new(false),
             has_regions: has_regions(seed),
             has_lives: has_lives(seed),
+            has_self_reports: has_self_reports(seed),
             next_rebirth: AtomicUsize::new(0),
             next_request: AtomicU64::new(0),
         }))
@@ -249,6 +253,7 @@
     /// Starts new runners for those that have ended.
     fn replace_ended(self: &Arc<Self>) {
         while !self.is_over() {
+            lock(&self.fleet).list_changed_roles();
             let ended = lock(&self.fleet).take_ended();
             for runner in ended {
                 let world = self.clone();
@@ -360,13 +365,19 @@
             Action::Configure => lock(&self.fleet).configure(),
             Action::Reload { node } => lock(&self.nodes[*node]).reload(),
             Action::CrashRunner { runner } => {
-                let fleet = lock(&self.fleet);
-                if !fleet.runners.is_empty() {
-                    let runner = &fleet.runners[runner % fleet.runners.len()];
+                // What it answered last may be on its way for long after.
+                let behind = {
+                    let fleet = lock(&self.fleet);
+                    let index = runner % fleet.runners.len().max(1);
+                    let Some(runner) = fleet.runners.get(index) else { return };
                     let (runner_id, under) = (runner.id.clone(), None);
                     self.recorder.note(Event::Crashed { runner: runner_id, under });
-                    runner.crash();
-                }
+                    if !self.has_self_reports {
+                        return runner.crash();
+                    }
+                    runner.crash_behind_late_answers()
+                };
+                behind();
             }
         }
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::plan::{has_large_configurations, has_limits, has_lives, has_self_reports};
 use crate::proxy::Link;
 use crate::regions::{comes_from_afar, RegionLink, DELAY};
+use crate::roles::{OrderOutcome, Role};
 use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
 use pitchstall_platform_standins::client::CallerRequest;
 use pitchstall_platform_standins::cloud::CloudStandIn;
@@ -20,7 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Host of the routes.
@@ -39,6 +40,12 @@
 /// Share of requests that a runner turns away to have rest, and for how long.
 const REST_SHARE: f64 = 0.02;
 const REST: (&str, u64) = ("1.5", 1_500_000);
+/// Share of orders under which a runner ends: it is back, and nobody has an answer.
+const ENDS_UNDER_ORDERS: f64 = 0.5;
+/// Time for which what a runner has answered is held up on its way when it ends, and time in which answers get that
+/// far before it does.
+const HELD_UP_FOR: Duration = Duration::from_millis(1_500);
+const HELD_UP_BEFORE: Duration = Duration::from_millis(200);
 /// Beginning of the body of a request that ends runners.
 const DEADLY: &str = "deadly ";
 /// Time for which such a request runs.
@@ -59,6 +66,8 @@
     zone: &'static str,
     stage: Option<&'static str>,
     stand_in: RunnerStandIn,
+    /// What it does, where it takes orders.
+    role: Option<Arc<Role>>,
     /// Whether its answers say that it leaves.
     says_that_it_leaves: Arc<AtomicBool>,
     /// When this life began, Unix milliseconds, where that is told.
@@ -71,6 +80,23 @@
         self.link.close();
         self.stand_in.crash();
     }
+
+    /// Ends it while its last answers are held up on their way: they arrive when its next life may have begun.
+    /// Returns what is to be run for that.
+    pub fn crash_behind_late_answers(&self) -> impl FnOnce() + Send + 'static {
+        let (link, stand_in) = (self.link.clone(), self.stand_in.clone());
+        move || {
+            link.set_delay(HELD_UP_FOR);
+            std::thread::sleep(HELD_UP_BEFORE);
+            stand_in.crash();
+            std::thread::sleep(HELD_UP_FOR);
+            link.close();
+        }
+    }
+
+    fn stage_now(&self) -> Option<&'static str> {
+        self.role.as_ref().map_or(self.stage, |role| Some(role.stage()))
+    }
 }
 
 /// The stand-ins.
@@ -110,7 +136,7 @@
         fleet.note_limits();
         fleet.configure();
         for zone in ZONES {
-            for stage in [Some("prefill"), Some("decode"), Some("decode"), None, None] {
+            for stage in stages(seed, zone) {
                 fleet.add(zone, stage)?;
             }
         }
@@ -144,22 +170,40 @@
         let number = self.next_runner;
         self.next_runner += 1;
         let own_link = Arc::new(OnceLock::new());
-        let place = Place { id: id.clone(), zone, stage, regions: self.regions.clone() };
+        let place = Place { id: id.clone(), zone, regions: self.regions.clone() };
+        let born_ms = has_lives(self.seed).then(unix_ms);
+        let takes_orders = has_self_reports(self.seed);
+        let role = stage.filter(|_| takes_orders).map(|stage| Arc::new(Role::new(stage, born_ms)));
+        let worker = Worker { id: id.clone(), stage, role: role.clone() };
         let says_that_it_leaves = Arc::new(AtomicBool::new(false));
         let voice = Voice {
             may_rest: has_self_reports(self.seed),
             says_that_it_leaves: says_that_it_leaves.clone(),
         };
-        let script =
-            script(place, voice, self.recorder.clone(), self.seed ^ number, own_link.clone());
+        let script = script(
+            place,
+            worker,
+            voice,
+            self.recorder.clone(),
+            self.seed ^ number,
+            own_link.clone(),
+        );
         let stand_in = RunnerStandIn::start(&id, script)?;
         let link = Link::start(stand_in.address())?;
         // Nothing has come yet: it is not listed.
         let _ = own_link.set(link.clone());
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
-        let born_ms = has_lives(self.seed).then(unix_ms);
-        let runner =
-            SoakRunner { id, link, service, zone, stage, stand_in, says_that_it_leaves, born_ms };
+        let runner = SoakRunner {
+            id,
+            link,
+            service,
+            zone,
+            stage,
+            stand_in,
+            role,
+            says_that_it_leaves,
+            born_ms,
+        };
         self.list(&runner, false);
         self.runners.push(runner);
         Ok(())
@@ -171,7 +215,7 @@
             address: runner.link.address(),
             zone: runner.zone,
             is_draining,
-            stage: runner.stage,
+            stage: runner.stage_now(),
             born_ms: runner.born_ms,
         };
         self.store.put(&runner_key(&runner.id), &entry.to_json());
@@ -200,6 +244,12 @@
         has_self_reports(self.seed)
     }
 
+    /// Lists the runners anew whose roles have changed.
+    pub fn list_changed_roles(&self) {
+        let has_changed = |runner: &&SoakRunner| runner.role.as_ref().is_some_and(|it| it.settle());
+        self.runners.iter().filter(has_changed).for_each(|runner| self.list(runner, false));
+    }
+
     /// Takes out the runners that have ended.
     pub fn take_ended(&mut self) -> Vec<SoakRunner> {
         let (ended, others) = std::mem::take(&mut self.runners)
@@ -261,6 +311,14 @@
     }
 }
 
+/// What the runners of a zone do at first. Where they take orders, nobody in the store's zone writes: a role is
+/// ordered there at the start, and whenever the runner that has it ends and is back in its first one.
+fn stages(seed: u64, zone: &str) -> [Option<&'static str>; 5] {
+    let has_no_writer = has_self_reports(seed) && zone == ZONES[0];
+    let others = if has_no_writer { "prefill" } else { "decode" };
+    [Some("prefill"), Some(others), Some(others), None, None]
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
@@ -299,10 +357,16 @@
 struct Place {
     id: String,
     zone: &'static str,
-    stage: Option<&'static str>,
     regions: RegionLink,
 }
 
+/// Which runner it is, and what it does.
+struct Worker {
+    id: String,
+    stage: Option<&'static str>,
+    role: Option<Arc<Role>>,
+}
+
 impl Place {
     /// Holds up what comes from another region; `false` if it does not come.
     fn let_in(&self, request: &ReceivedRequest) -> bool {
@@ -359,40 +423,51 @@
 /// What a runner does: it runs what it is given, notes it, and now and then fails.
 fn script(
     place: Place,
+    worker: Worker,
     voice: Voice,
     recorder: Recorder,
     seed: u64,
     own_link: Arc<OnceLock<Link>>,
 ) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
-    let (id, stage) = (place.id.clone(), place.stage);
-    let work = work(id, stage, recorder.clone(), seed, own_link);
+    let work = work(worker, recorder.clone(), seed, own_link);
     // What it says of itself is drawn apart, so that older seeds keep what they do.
     let chance = Mutex::new(ChaCha8Rng::seed_from_u64(!seed));
     move |request| {
         if !place.let_in(request) {
             return Reaction::Silent;
         }
-        let mut chance = chance.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let rests = voice.may_rest && chance.random_bool(REST_SHARE);
-        drop(chance);
+        // Where a region is cut off from the others, two rests of its two runners of a service leave nobody.
+        let may_rest = voice.may_rest && !place.regions.is_cut();
+        let rests = may_rest && lock(&chance).random_bool(REST_SHARE);
         voice.say(request, &place.id, &recorder, rests, || work(request))
     }
 }
 
 /// What a runner does with a request, whatever it says of itself.
 fn work(
-    id: String,
-    stage: Option<&'static str>,
+    worker: Worker,
     recorder: Recorder,
     seed: u64,
     own_link: Arc<OnceLock<Link>>,
 ) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
     let engine = engine_script(LAST_EVENT);
     let chance = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
+    let (id, stage) = (worker.id.clone(), worker.stage);
     move |request| {
+        if let Some(role) = worker.role.as_ref().filter(|_| request.is_report()) {
+            return role.report();
+        }
         if let Some((holder, fence)) = request.order() {
             recorder.note(Event::Ordered { runner: id.clone(), holder, fence });
-            return Reaction::Answer { status: 202, body: Vec::new() };
+            let Some(role) = &worker.role else { return OrderOutcome::Taken.answer() };
+            let outcome = role.order(request);
+            let ends =
+                outcome == OrderOutcome::Taken && lock(&chance).random_bool(ENDS_UNDER_ORDERS);
+            if ends {
+                recorder.note(Event::Crashed { runner: id.clone(), under: None });
+                return crash(&own_link, CrashHead::None);
+            }
+            return outcome.answer();
         }
         let Some(name) = request.id().filter(|_| !request.is_reading()) else {
             return engine(request);
@@ -418,7 +493,7 @@
             let (request, tenant) = (name.to_owned(), tenant.name);
             recorder.note(Event::Charged { request, tenant, units: limit.units_of_a_run() });
         }
-        let mut chance = chance.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut chance = lock(&chance);
         let reaction = react(&mut *chance, request, name, stage, &engine);
         if matches!(&reaction, Reaction::Stream(stream) if stream.breaks_after.is_some()) {
             recorder.note(Event::BrokenOff { request: name.to_owned() });
@@ -427,6 +502,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The runner ends under a request, a little after it has begun to run it.
 fn crash(own_link: &Arc<OnceLock<Link>>, head: CrashHead) -> Reaction {
     let own_link = own_link.clone();
--- /dev/null
+++ b/crates/soak/tests/roles.rs
@@ -0,0 +1,43 @@
+//! The role of a runner's life in the soak.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::runner::Reaction;
+use pitchstall_soak::roles::{OrderOutcome, Role};
+use serde_json::{json, Value};
+use std::time::Duration;
+
+fn order(expected: u64) -> ReceivedRequest {
+    let body = json!({ "op": "stage", "stage": "decode", "expected_rev": expected });
+    ReceivedRequest {
+        method: "POST".to_owned(),
+        target: "/v1/order".to_owned(),
+        headers: Vec::new(),
+        body: body.to_string().into_bytes(),
+        connection: 0,
+    }
+}
+
+fn report(role: &Role) -> Value {
+    let Reaction::Answer { body, .. } = role.report() else { unreachable!("it answers") };
+    serde_json::from_slice(&body).unwrap()
+}
+
+#[test]
+fn an_order_that_expects_another_number_is_refused() {
+    let role = Role::new("prefill", Some(1_000));
+    assert_eq!(role.order(&order(1)), OrderOutcome::Refused);
+    assert_eq!(role.order(&order(0)), OrderOutcome::Taken);
+    assert_eq!(role.order(&order(1)), OrderOutcome::Refused, "one is under way");
+    let told = report(&role);
+    assert_eq!(
+        (&told["seq"], &told["busy"], &told["born"]),
+        (&json!(1), &json!(true), &json!(1_000))
+    );
+    while !role.settle() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!((role.stage(), &report(&role)["busy"]), ("decode", &json!(false)));
+    // The next life counts anew.
+    assert_eq!(report(&Role::new("prefill", Some(2_000)))["seq"], json!(0));
+}
