--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -161,7 +161,7 @@
         let worker = Worker { id: id.clone(), stage, role: role.clone() };
         let says_that_it_leaves = Arc::new(AtomicBool::new(false));
         let voice = Voice {
-            may_rest: has_self_reports(self.seed),
+            speaks: has_self_reports(self.seed),
             says_that_it_leaves: says_that_it_leaves.clone(),
         };
         let script = script(
--- a/crates/soak/src/runner_script.rs
+++ b/crates/soak/src/runner_script.rs
@@ -60,8 +60,8 @@
 
 /// What a runner says of itself.
 pub(crate) struct Voice {
-    /// Whether it now and then asks for rest.
-    pub(crate) may_rest: bool,
+    /// Whether it says anything of itself: that it leaves, or now and then that it wants rest.
+    pub(crate) speaks: bool,
     /// Whether its answers say that it leaves.
     pub(crate) says_that_it_leaves: Arc<AtomicBool>,
 }
@@ -76,11 +76,8 @@
         rests: bool,
         work: impl FnOnce() -> Reaction,
     ) -> Reaction {
-        let Some(name) = request.id() else { return work() };
+        let Some(name) = request.id().filter(|_| self.speaks) else { return work() };
         let (request, runner) = (name.to_owned(), runner.to_owned());
-        if !self.may_rest {
-            return work();
-        }
         recorder.note(Event::Arrived { request: request.clone(), runner: runner.clone() });
         let leaving = self.says_that_it_leaves.load(Ordering::SeqCst);
         let reaction = if rests { Reaction::Decline } else { work() };
@@ -118,7 +115,7 @@
             return Reaction::Silent;
         }
         // Where a region is cut off from the others, two rests of its two runners of a service leave nobody.
-        let may_rest = voice.may_rest && !place.regions.is_cut();
+        let may_rest = voice.speaks && !place.regions.is_cut();
         let rests = may_rest && lock(&chance).random_bool(REST_SHARE);
         voice.say(request, &place.id, &recorder, rests, || work(request))
     }
