--- a/crates/gateway/tests/runner_notices.rs
+++ b/crates/gateway/tests/runner_notices.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// A runner that turns each request to write an answer away and asks for rest.
+fn resting_writer() -> RunnerStandIn {
+    let script = |request: &ReceivedRequest| match request.method.as_str() {
+        "POST" => Reaction::Raw(refusal_saying(request, LONG_REST)),
+        _ => engine_script(3)(request),
+    };
+    RunnerStandIn::start("w-1", script).unwrap()
+}
+
 /// Two runners of the service without prompts, one of which does what a script says.
 fn node_with_one_that(
     script: impl Fn(&ReceivedRequest) -> Reaction + Send + Sync + 'static,
@@ -107,11 +116,7 @@
 /// rest: none of them goes to it.
 #[test]
 fn a_prompt_that_has_been_read_is_not_written_by_a_runner_that_wants_rest() {
-    let rest = |request: &ReceivedRequest| match request.method.as_str() {
-        "POST" => Reaction::Raw(refusal_saying(request, LONG_REST)),
-        _ => engine_script(3)(request),
-    };
-    let resting = RunnerStandIn::start("w-1", rest).unwrap();
+    let resting = resting_writer();
     let posts_at = |runner: &RunnerStandIn| {
         let requests = runner.requests();
         requests.into_iter().filter(|request| request.method == "POST").count()
@@ -244,11 +249,7 @@
 /// Another node chooses for this one, and has not heard what the runner has said to it.
 #[test]
 fn what_a_scheduler_chooses_is_not_sent_to_a_runner_that_wants_none() {
-    let rest = |request: &ReceivedRequest| match request.method.as_str() {
-        "POST" => Reaction::Raw(refusal_saying(request, LONG_REST)),
-        _ => engine_script(3)(request),
-    };
-    let resting = RunnerStandIn::start("w-1", rest).unwrap();
+    let resting = resting_writer();
     let stream = |request: &ReceivedRequest| Reaction::Stream(EventStream::whole(request, 3));
     let other = RunnerStandIn::start("w-2", stream).unwrap();
     let first = Fixture::with_runners(&[
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,6 @@
 use crate::plan::{has_large_configurations, has_limits, has_lives, has_self_reports};
 use crate::proxy::Link;
 use crate::regions::RegionLink;
-use crate::roles::Role;
 use crate::runner_script::{deadly_body, script, Place, Voice, Worker};
 use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
 use pitchstall_platform_standins::client::CallerRequest;
@@ -13,6 +12,7 @@
 use pitchstall_platform_standins::documents::{
     self, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument, CONFIGURATION_KEY,
 };
+use pitchstall_platform_standins::role::Role;
 use pitchstall_platform_standins::runner::RunnerStandIn;
 use pitchstall_platform_standins::store::StoreStandIn;
 use serde_json::Value;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,7 +15,6 @@
 //! | [`tenants`] | for whom requests run, and what may be run for them |
 //! | [`regions`] | the way between two regions |
 //! | `runner_script` | what a runner does with a request, and what it says of itself |
-//! | [`roles`] | a runner's report and the orders that it takes |
 //! | [`limit_checks`], [`region_checks`], `self_report_checks` | the checks on limits, on regions that are cut off, and on what runners say of themselves |
 //!
 //! The processes themselves are started by the example `soak`, and end with it.
@@ -28,7 +27,6 @@
 pub mod plan;
 pub mod region_checks;
 pub mod regions;
-pub mod roles;
 mod runner_script;
 mod self_report_checks;
 pub mod tenants;
