Sources of two figures: chosen, not measured

Cause: LONGEST_REST_US and MOST_REMEMBERED named what they guard against and not where their figures come from. Measured: formatter clean, serving/tests/runner_notices.rs passes.

--- a/crates/serving/src/runner_notice.rs
+++ b/crates/serving/src/runner_notice.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 
 /// Longest rest that is believed, microseconds. It bounds what one wrong word costs: after it one request
-/// tries the runner.
+/// tries the runner. Chosen, not measured.
 pub const LONGEST_REST_US: u64 = 600_000_000;
 
 /// What the head of one answer says of the runner that gave it, whatever becomes of the request.
@@ -104,7 +104,7 @@
 }
 
 /// Lives whose entries are gone for which availability is remembered. An entry that lapses while the store is
-/// away comes back; 1,300 runners may lapse at once.
+/// away comes back; the aim's 1,300 runners may lapse at once. Chosen above that, not measured.
 const MOST_REMEMBERED: usize = 2_048;
 
 /// What lives have said of themselves whose entries are gone, the latest last.
