--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -366,11 +366,12 @@
     let head_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let running = facts.load.map_or(0, |load| load.running);
     let waiting = facts.load.map_or(0, |load| load.waiting);
-    let RunnerNotice { leaving, rest_us, malformed } = facts.notice;
+    let RunnerNotice { leaving, rest_us, limit, malformed } = facts.notice;
+    let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
     let rest_ms = rest_us / MICROS_PER_MILLI;
     log::info!(
         target: "attempt",
-        request = id, runner, status, head_ms, running, waiting, leaving, rest_ms, malformed; "head"
+        request = id, runner, status, head_ms, running, waiting, leaving, rest_ms, limit, malformed; "head"
     );
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod shard_scheduler;
 pub mod store_pages;
 pub mod transfer;
+pub mod unknown_words;
 pub mod usage;
 pub mod verification;
 pub mod watcher;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -20,6 +20,7 @@
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use crate::shard_scheduler;
+use crate::unknown_words::UnknownWords;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::configuration::{Configuration, Route};
@@ -97,6 +98,8 @@
     pub usage_collector: RefCell<UsageCollector>,
     /// Entries of the store that cannot be used.
     pub refused_entries: RefusedEntries,
+    /// What runners say in ways that are not known here.
+    pub unknown_words: RefCell<UnknownWords>,
     /// Whether runners' entries tell when their runners started.
     pub tells_starts: Cell<bool>,
     /// This start of the node, drawn at random: the time of day may jump back.
@@ -175,6 +178,7 @@
             quotas: Quotas::default(),
             usage_collector: RefCell::default(),
             refused_entries: RefusedEntries::default(),
+            unknown_words: RefCell::default(),
             tells_starts: Cell::new(false),
             incarnation: rand::rng().random(),
             wall_clock: RefCell::default(),
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -124,12 +124,23 @@
     /// request, the word holds: the store may hear of it many seconds later, or never.
     pub fn on_answer_head(&self, runner: &RunnerId, head: &AnswerHead) -> AnswerFacts {
         let facts = headers::parse_answer(head.status, head.header_pairs());
+        self.on_unknown_words(runner, &facts.unknown_words);
         if facts.is_said_by(runner) {
             self.on_notice(runner, facts.notice);
         }
         facts
     }
 
+    /// A runner says something of itself in a way that this program does not know: operators hear of each name once.
+    fn on_unknown_words(&self, runner: &RunnerId, names: &[String]) {
+        for name in names {
+            if self.unknown_words.borrow_mut().note(name) {
+                log::warn!(target: "fleet", runner = runner.as_str(), header = name.as_str(); "unknown word of a runner");
+            }
+            self.metrics.on_notice("unknown");
+        }
+    }
+
     /// A runner has said something of itself to this node.
     pub fn on_notice(&self, runner: &RunnerId, notice: RunnerNotice) {
         if notice.is_empty() {
--- a/crates/gateway/tests/runner_notices.rs
+++ b/crates/gateway/tests/runner_notices.rs
@@ -25,9 +25,9 @@
 const PROMPT: &str =
     "X-Pitchstall-Token-Count: 1460,80\r\nX-Pitchstall-Prefix-Hash: 5c1e07a2:800,91bd3f06:660\r\n";
 
-const LEAVING: SelfReport = SelfReport { leaving: true, retry_after: None };
+const LEAVING: SelfReport = SelfReport { leaving: true, retry_after: None, limit: None };
 /// Longer than any of these tests.
-const LONG_REST: SelfReport = SelfReport { leaving: false, retry_after: Some("120") };
+const LONG_REST: SelfReport = SelfReport { leaving: false, retry_after: Some("120"), limit: None };
 
 fn answering(text: &'static str) -> impl Fn(&ReceivedRequest) -> Reaction + Send + Sync {
     move |_| Reaction::Answer { status: 200, body: text.as_bytes().to_vec() }
@@ -201,7 +201,7 @@
 #[test]
 fn a_request_waits_for_the_end_of_a_short_rest() {
     let has_declined = AtomicBool::new(false);
-    let short = SelfReport { leaving: false, retry_after: Some("0.2") };
+    let short = SelfReport { leaving: false, retry_after: Some("0.2"), limit: None };
     let script = move |request: &ReceivedRequest| match has_declined.swap(true, Ordering::SeqCst) {
         false => Reaction::Raw(refusal_saying(request, short)),
         true => Reaction::Answer { status: 200, body: b"served".to_vec() },
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -82,6 +82,8 @@
     pub instance: Option<RunnerName>,
     /// What else the runner says of itself.
     pub notice: RunnerNotice,
+    /// Names of headers in which it says something of itself that is not known here.
+    pub unknown_words: Vec<String>,
 }
 
 impl AnswerFacts {
--- a/crates/serving/src/runner_notice.rs
+++ b/crates/serving/src/runner_notice.rs
@@ -5,12 +5,33 @@
 //! takes back what the other has said. A rest is asked of one node, and ends by its time alone.
 
 use crate::ids::RunnerId;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// Longest rest that is believed, microseconds. It bounds what one wrong word costs: after it one request
 /// tries the runner. Chosen, not measured.
 pub const LONGEST_REST_US: u64 = 600_000_000;
 
+/// A rate of requests, millionths of a request a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestRate(pub u64);
+
+impl RequestRate {
+    /// A rate in requests a second; one too large to count is the largest. `None`: it is no rate.
+    pub fn from_requests_a_second(requests: f64) -> Option<Self> {
+        const MICRO: f64 = 1_000_000.0;
+        let is_rate = requests.is_finite() && requests >= 0.0;
+        is_rate.then(|| Self((requests * MICRO) as u64))
+    }
+}
+
+impl std::fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        const MICRO: f64 = 1_000_000.0;
+        write!(formatter, "{:.3}/s", self.0 as f64 / MICRO)
+    }
+}
+
 /// What the head of one answer says of the runner that gave it, whatever becomes of the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RunnerNotice {
@@ -18,6 +39,8 @@
     pub leaving: bool,
     /// It wants no request from this node for so long, microseconds; 0: it has not asked for rest.
     pub rest_us: u64,
+    /// What it takes from all nodes together. `None`: it names no limit.
+    pub limit: Option<RequestRate>,
     /// It said one of these in a form that is not known. Nothing is believed of that.
     pub malformed: bool,
 }
--- a/crates/soak/src/runner_script.rs
+++ b/crates/soak/src/runner_script.rs
@@ -93,7 +93,7 @@
         if rests {
             recorder.note(Event::AskedForRest { request, runner, rest_us });
         }
-        let report = SelfReport { leaving, retry_after: rests.then_some(seconds) };
+        let report = SelfReport { leaving, retry_after: rests.then_some(seconds), limit: None };
         Reaction::Saying(report, Box::new(reaction))
     }
 }
