--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -39,6 +39,11 @@
     Unconfigured,
     /// It has not run and will not; the client may come back.
     Refused,
+    /// It has not run, as what its runners take from all nodes together is used up.
+    LimitUsedUp {
+        /// Milliseconds until a runner takes one more.
+        wait_ms: u64,
+    },
     /// It has not run, as its tenant has reached its limit.
     OverQuota {
         /// Milliseconds until there is room for it.
@@ -59,6 +64,7 @@
         match answer {
             FinalAnswer::Refuse => Self::Refused,
             FinalAnswer::RefuseForGood => Self::Quarantined,
+            FinalAnswer::RefuseUntil { wait_ms } => Self::LimitUsedUp { wait_ms },
             FinalAnswer::OverQuota { wait_ms } => Self::OverQuota { wait_ms },
             FinalAnswer::QuotaUnknown => Self::QuotaUnknown,
             FinalAnswer::BadGateway => Self::BadGateway,
@@ -83,6 +89,7 @@
             | Self::Outdated
             | Self::QuotaUnknown
             | Self::Refused
+            | Self::LimitUsedUp { .. }
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadGateway => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -96,7 +103,9 @@
             Self::Unconfigured => Some(UNCONFIGURED_PAUSE_S),
             Self::Unverifiable | Self::Outdated => Some(UNVERIFIABLE_PAUSE_S),
             Self::QuotaUnknown => Some(QUOTA_UNKNOWN_PAUSE_S),
-            Self::OverQuota { wait_ms } => Some(wait_ms as f64 / MILLIS_A_SECOND),
+            Self::OverQuota { wait_ms } | Self::LimitUsedUp { wait_ms } => {
+                Some(wait_ms as f64 / MILLIS_A_SECOND)
+            }
             _ => None,
         }
     }
@@ -114,6 +123,7 @@
             Self::HeadTooLarge => "head_too_large",
             Self::Unconfigured => "unconfigured",
             Self::Refused => "refused",
+            Self::LimitUsedUp { .. } => "limit_used_up",
             Self::OverQuota { .. } => "over_quota",
             Self::QuotaUnknown => "quota_unknown",
             Self::Quarantined => "quarantined",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -200,7 +200,7 @@
         on_lost(node, broken, connection, &error);
         return AttemptEnd::Lost;
     }
-    let head = read_own_head(node, request, &prepared);
+    let head = read_own_head(node, request, &prepared, sent_at_us);
     let answer = tokio::select! {
         answer = timeout(params.head_limit, head) => answer,
         () = becomes_suspect(node, &runner), if params.leaves_suspects => {
@@ -261,11 +261,15 @@
     node: &Node,
     request: &ClientRequest,
     prepared: &Prepared,
+    sent_at_us: u64,
 ) -> Result<(AnswerHead, AnswerFacts), ReadFailure> {
     for _ in 0..MOST_SURPLUS {
         let head = prepared.connection.read_head().await?;
         let facts = node.on_answer_head(&prepared.record.id, &head);
         let is_other = facts.request_id.as_deref().is_some_and(|id| id != request.facts.id);
+        // When an earlier request was sent is not known here.
+        let sent_at_us = if is_other { 0 } else { sent_at_us };
+        node.on_limit_in_head(&prepared.record.id, &facts, sent_at_us);
         if !is_other || prepared.rested.is_none() {
             return Ok((head, facts));
         }
--- a/crates/gateway/src/dispatch/admission.rs
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -3,6 +3,7 @@
 use super::planning::Plan;
 use super::Dispatch;
 use crate::quota::asking::{self, Payment, Spent, Unpaid};
+use crate::runner_limits;
 use pitchstall_serving::attempt::GiveUp;
 use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
 
@@ -28,6 +29,15 @@
         if !self.node.may_send_to(&plan.choice.runner) {
             return Ok(Admission::Withheld);
         }
+        // Asked last of all that has to be waited for, as a permit holds for a moment only.
+        if !self.is_permitted(plan).await {
+            return Ok(Admission::Withheld);
+        }
+        let is_paid =
+            self.run_cost.is_none() || self.payment.as_ref().is_some_and(Payment::is_usable);
+        if !is_paid || !self.node.may_send_to(&plan.choice.runner) {
+            return Ok(Admission::Withheld);
+        }
         let cost = self.arrivals.on_run();
         if cost != ArrivalCost::Free && plan.prompt.is_none() && self.is_too_late(&plan.choice) {
             return Err(GiveUp::OutOfTime);
@@ -38,6 +48,15 @@
         Ok(Admission::Paid(self.payment.take().map(Payment::spend)))
     }
 
+    /// Whether the runner takes one request more of what it has named as its limit.
+    async fn is_permitted(&self, plan: &Plan) -> bool {
+        if plan.permit.is_some_and(|permit| permit.is_usable(self.node.now_us())) {
+            return true;
+        }
+        let request = &self.request.facts.id;
+        runner_limits::permit(self.node, request, &plan.choice.runner).await.is_some()
+    }
+
     /// Has the next run paid for by the tenant's keepers, if it is not; `None`: it is, or costs
     /// nothing.
     pub(super) async fn payment_to_make(&self) -> Result<Option<Payment>, GiveUp> {
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -4,16 +4,18 @@
 use crate::attempt::{self, NotPrepared};
 use crate::clock::Instant;
 use crate::reading::{self, ReadPrompt, ReadingDemand, ReadingEnd};
+use crate::runner_limits::{self, SendPermit};
 use crate::scheduling::{self, FollowUp, Placement, PlacementDemand};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
+use pitchstall_serving::ids::ZoneId;
 use pitchstall_serving::placement::{choose_worker, Choice, Demand, ReadingPlan};
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
 use pitchstall_serving::scheduler::choose_any_writer;
 use pitchstall_serving::scheduling::Progress;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Part of the time left that a reading may take: a busy runner is no reason to read anew.
 const READING_SHARE: f64 = 0.8;
@@ -26,6 +28,8 @@
     pub(super) prompt: Option<ReadPrompt>,
     /// Tells the scheduler that has placed it; `None`: nobody schedules it.
     follow_up: Option<FollowUp>,
+    /// Leave to send it; `None`: it has not been asked for.
+    pub(super) permit: Option<SendPermit>,
 }
 
 impl Plan {
@@ -37,6 +41,25 @@
     }
 }
 
+/// A runner takes requests of this node again.
+#[derive(Clone, Copy)]
+struct NextOpening {
+    opens_in: Duration,
+    has_limit: bool,
+}
+
+impl NextOpening {
+    /// Why a request is given up that can't wait so long. Another node has nothing more to give of a limit, so the caller
+    /// is told when there will be something.
+    fn give_up(self) -> GiveUp {
+        let wait_ms = u64::try_from(self.opens_in.as_millis()).unwrap_or(u64::MAX);
+        match self.has_limit {
+            true => GiveUp::LimitUsedUp { wait_ms },
+            false => GiveUp::NoRunner,
+        }
+    }
+}
+
 /// Milliseconds since a moment.
 pub(super) fn elapsed_ms(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -62,18 +85,18 @@
 
     /// Finds where the request runs next; waits a little if no runner takes work.
     pub(super) async fn plan(&mut self) -> Result<Plan, GiveUp> {
-        let wait = Duration::from_millis(self.route.target_ms).mul_f64(WAIT_SHARE);
-        let give_up_at = Instant::now() + wait.min(self.time_left());
+        let give_up_at = Instant::now() + self.longest_wait();
         loop {
             if let Some(plan) = self.plan_now().await? {
                 return Ok(plan);
             }
             let left = give_up_at.saturating_duration_since(Instant::now());
             // Waiting for a rest that ends too late keeps the caller from trying elsewhere.
-            let rest_left = self.first_rest_left();
-            if rest_left.is_some_and(|rest_left| rest_left > left) {
-                return Err(GiveUp::NoRunner);
+            let opening = self.first_opening();
+            if let Some(opening) = opening.filter(|opening| opening.opens_in > left) {
+                return Err(opening.give_up());
             }
+            let rest_left = opening.map(|opening| opening.opens_in);
             let changed = self.node.fleet_changed.notified();
             let has_waited = timeout(rest_left.unwrap_or(left), changed).await.is_err();
             if has_waited && rest_left.is_none() {
@@ -82,18 +105,24 @@
         }
     }
 
-    /// Time until the first runner takes requests again that only rests; `None`: none rests.
-    fn first_rest_left(&self) -> Option<Duration> {
+    /// When the first runner takes requests again that is only withheld; `None`: none is.
+    fn first_opening(&self) -> Option<NextOpening> {
         let Demand { eligible, now_us, .. } = self.demand();
-        let end_us = self.node.fleet.borrow().first_end_of_rest_us(&eligible, now_us)?;
-        Some(Duration::from_micros(end_us.saturating_sub(now_us)))
+        let opening = self.node.fleet.borrow().first_opening(&eligible, now_us)?;
+        let opens_in = Duration::from_micros(opening.at_us.saturating_sub(now_us));
+        Some(NextOpening { opens_in, has_limit: opening.has_limit })
     }
 
     async fn plan_now(&mut self) -> Result<Option<Plan>, GiveUp> {
         if self.engine.is_none() {
             self.ensure_paid().await?;
             let choice = choose_worker(&self.node.fleet.borrow(), &self.demand());
-            return Ok(choice.map(|choice| Plan { choice, prompt: None, follow_up: None }));
+            return Ok(choice.map(|choice| Plan {
+                choice,
+                prompt: None,
+                follow_up: None,
+                permit: None,
+            }));
         }
         let (placement, paid) = tokio::join!(self.place(), self.payment_to_make());
         self.payment = paid?.or(self.payment.take());
@@ -101,7 +130,8 @@
         match reading {
             None => Ok(None),
             Some(ReadingPlan::Direct(choice)) => {
-                Ok(Some(Plan { choice, prompt: None, follow_up: Some(follow_up) }))
+                let follow_up = Some(follow_up);
+                Ok(Some(Plan { choice, prompt: None, follow_up, permit: None }))
             }
             Some(ReadingPlan::Split(reader)) => {
                 self.read_then_write(reader, writer, follow_up).await
@@ -138,10 +168,9 @@
             follow_up.tell(Progress::Read(elapsed_ms(sent_at)));
         }
         let is_usable = |writer: &Choice| prompt.is_some() && self.node.takes_work(&writer.runner);
-        let choice = writer.filter(is_usable).or_else(|| {
-            let source = prompt.as_ref().map(|prompt| &prompt.zone);
-            choose_any_writer(&self.node.fleet.borrow(), &self.demand(), source)
-        });
+        let writer = writer.filter(is_usable);
+        let zone = prompt.as_ref().map(|prompt| prompt.zone.clone());
+        let (choice, permit) = self.permitted_writer(writer, zone.as_ref()).await.unzip();
         // A move between regions takes longer than reading the prompt anew.
         let is_near = |prompt: &ReadPrompt| {
             let choice = choice.as_ref();
@@ -149,7 +178,40 @@
         };
         let prompt = prompt.filter(is_near);
         let follow_up = Some(follow_up);
-        Ok(choice.map(|choice| Plan { choice, prompt, follow_up }))
+        Ok(choice.map(|choice| Plan { choice, prompt, follow_up, permit }))
+    }
+
+    /// A writer that takes one request more of what it has named as its limit: the planned one, or another one, so that a
+    /// prompt is not read in vain. Waits a little if all have none left.
+    async fn permitted_writer(
+        &self,
+        planned: Option<Choice>,
+        source: Option<&ZoneId>,
+    ) -> Option<(Choice, SendPermit)> {
+        let give_up_at = Instant::now() + self.longest_wait();
+        let mut planned = planned;
+        loop {
+            let any = || choose_any_writer(&self.node.fleet.borrow(), &self.demand(), source);
+            if let Some(writer) = planned.take().or_else(any) {
+                let request = &self.request.facts.id;
+                let permit = runner_limits::permit(self.node, request, &writer.runner).await;
+                match permit {
+                    Some(permit) => return Some((writer, permit)),
+                    None => continue,
+                }
+            }
+            let opens_in = self.first_opening()?.opens_in;
+            if Instant::now() + opens_in > give_up_at {
+                return None;
+            }
+            sleep(opens_in).await;
+        }
+    }
+
+    /// How long a request waits for a runner.
+    fn longest_wait(&self) -> Duration {
+        let wait = Duration::from_millis(self.route.target_ms).mul_f64(WAIT_SHARE);
+        wait.min(self.time_left())
     }
 
     async fn read_prompt(&mut self, reader: Choice, follow_up: &FollowUp) -> Option<ReadPrompt> {
@@ -162,6 +224,7 @@
                 return None;
             }
         };
+        runner_limits::permit(self.node, &self.request.facts.id, &reader.runner).await?;
         if self.is_quarantined() {
             return None;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -70,6 +70,12 @@
     pub runner_notices: Family<NoticeLabels, Counter>,
     /// Attempts sent to runners that had said that they take none: always 0.
     pub unwanted_attempts: Counter,
+    /// Requests that keepers of runners' limits let be sent, refused, or did not answer about.
+    pub limit_grants: Counter,
+    /// See above.
+    pub limit_refusals: Counter,
+    /// See above.
+    pub limit_unanswered: Counter,
     /// Requests whose scheduler did not answer soon.
     pub placements_missed: Counter,
     /// Questions that were handed on to another shard's scheduler.
@@ -111,6 +117,9 @@
             placements_dropped: Counter::default(),
             runner_notices: Family::default(),
             unwanted_attempts: Counter::default(),
+            limit_grants: Counter::default(),
+            limit_refusals: Counter::default(),
+            limit_unanswered: Counter::default(),
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
             left_region: Family::default(),
@@ -153,6 +162,17 @@
                 "Attempts sent to runners that had said that they take none",
                 &self.unwanted_attempts,
             ),
+            ("limit_grants", "Requests sent to runners that name a limit", &self.limit_grants),
+            (
+                "limit_refusals",
+                "Requests that went elsewhere as a runner's limit was used up",
+                &self.limit_refusals,
+            ),
+            (
+                "limit_unanswered",
+                "Requests that went elsewhere as no keeper of a runner's limit answered",
+                &self.limit_unanswered,
+            ),
             (
                 "placements_missed",
                 "Requests whose scheduler did not answer soon",
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -17,6 +17,7 @@
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
 use crate::refused_entries::{EntryFault, RefusedEntries};
+use crate::runner_limits::RunnerLimits;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use crate::shard_scheduler;
@@ -94,6 +95,8 @@
     pub quarantine_changed: Notify,
     /// Tenants' limits.
     pub quotas: Quotas,
+    /// Runners' limits.
+    pub runner_limits: RunnerLimits,
     /// What the collector of usage knows, while this node is it.
     pub usage_collector: RefCell<UsageCollector>,
     /// Entries of the store that cannot be used.
@@ -176,6 +179,7 @@
             quarantine: RefCell::default(),
             quarantine_changed: Notify::new(),
             quotas: Quotas::default(),
+            runner_limits: RunnerLimits::default(),
             usage_collector: RefCell::default(),
             refused_entries: RefusedEntries::default(),
             unknown_words: RefCell::default(),
@@ -259,11 +263,11 @@
         self.fleet.borrow_mut().on_read(runner, parts, self.now_us(), capacity);
     }
 
-    /// Whether this node may send new requests to a runner, as far as it knows.
+    /// Whether this node may plan to send requests to a runner, as far as it knows.
     pub fn takes_work(&self, runner: &RunnerId) -> bool {
         let now_us = self.now_us();
         let takes =
-            |runner: &Runner| runner.takes_work_from_here(now_us) && !runner.is_changing(now_us);
+            |runner: &Runner| runner.is_open_to_plans(now_us) && !runner.is_changing(now_us);
         self.fleet.borrow().get(runner).is_some_and(takes)
     }
 
@@ -336,6 +340,7 @@
     pub fn on_peer_digest(&self, digest: &Digest) {
         let now_us = self.now_us();
         self.fleet.borrow_mut().on_changing_words(&digest.changing, now_us);
+        digest.limits.iter().for_each(|word| self.on_limit_word(word));
         self.freshness.borrow_mut().on_word(&digest.store, now_us);
         self.wall_clock.borrow_mut().on_word(&digest.node, digest.wall_ms, now_us);
     }
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -8,6 +8,7 @@
 use pitchstall_serving::quota::{QuotaAnswer, QuotaQuestion, QuotaReturn};
 use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::regions::{PartsRead, RegionLoads};
+use pitchstall_serving::runner_limit::{LimitAnswer, LimitQuestion, LimitWord};
 use pitchstall_serving::scheduling::{
     PlacementAnswer, PlacementQuestion, ProgressWord, ShardLoads,
 };
@@ -68,6 +69,15 @@
     /// It has not begun.
     #[serde(rename = "quota-")]
     QuotaReturn(QuotaReturn),
+    /// May one request be sent to a runner that names a limit?
+    #[serde(rename = "limit?")]
+    LimitQuestion(LimitQuestion),
+    /// Whether it may.
+    #[serde(rename = "limit")]
+    LimitAnswer(LimitAnswer),
+    /// A runner has said what it takes.
+    #[serde(rename = "limit+")]
+    LimitWord(LimitWord),
     /// So many.
     #[serde(rename = "usage")]
     Usage(UsageWord),
@@ -92,6 +102,9 @@
             Self::QuotaAnswer(_) => "quota_answer",
             Self::QuotaTaken(_) => "quota_taken",
             Self::QuotaReturn(_) => "quota_return",
+            Self::LimitQuestion(_) => "limit_question",
+            Self::LimitAnswer(_) => "limit_answer",
+            Self::LimitWord(_) => "limit_word",
             Self::Usage(_) => "usage",
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::quota::{self, RegistrationLease};
 use crate::refused_entries::EntryFault;
+use crate::runner_limits;
 use crate::scheduling;
 use crate::shard_scheduler;
 use crate::store_pages::read_pages;
@@ -128,6 +129,11 @@
             PeerWord::QuotaAnswer(answer) => quota::asking::on_answer(&self.node, &answer),
             PeerWord::QuotaTaken(keeper) => quota::keeping::on_taken(&self.node, &keeper),
             PeerWord::QuotaReturn(word) => quota::keeping::on_return(&self.node, &word),
+            PeerWord::LimitQuestion(question) => {
+                runner_limits::on_question(&self.node, &question, from)
+            }
+            PeerWord::LimitAnswer(answer) => runner_limits::on_answer(&self.node, answer),
+            PeerWord::LimitWord(word) => runner_limits::on_word(&self.node, &word),
             PeerWord::Usage(word) => usage::on_word(&self.node, &word),
         }
     }
@@ -183,6 +189,7 @@
     fn learn(&self, name: &NodeId, member: &Member) {
         let peer = Peer { address: member.address, heard_at: Instant::now() };
         self.state.borrow_mut().peers.insert(name.clone(), peer);
+        self.node.runner_limits.on_heard(name, self.node.now_us());
         self.node.members.borrow_mut().learn(name, member);
         let is_far = !self.node.members.borrow().is_near(name);
         self.socket.far_traffic().on_peer(member.address, is_far);
@@ -200,6 +207,7 @@
             store: self.node.freshness.borrow().word(now_us),
             changing: self.node.fleet.borrow().changing(now_us),
             keeps: self.node.quotas.kept(),
+            limits: self.node.runner_limits.words(now_us),
             wall_ms: machine_wall_ms(),
         }
     }
--- a/crates/gateway/src/quota/holders.rs
+++ b/crates/gateway/src/quota/holders.rs
@@ -4,7 +4,7 @@
 //! own names its holder. A keeper that was taken at a later revision of the store counts.
 
 use super::LastHeard;
-use pitchstall_serving::digest::{KeptSlot, FAN_OUT};
+use pitchstall_serving::digest::{silence_limit_us, KeptSlot};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::quota_candidacy::KeeperKey;
 use pitchstall_serving::quota_slots::KeeperId;
@@ -25,11 +25,6 @@
 /// Time within which a keeper says that it has a question that was handed on to it; after that none is
 /// handed on to it until it is heard of. Some ten times what a word takes, and less than askers wait.
 const HANDED_LIMIT_US: u64 = 20_000;
-/// Between two digests of a node, and what may be lost of them.
-const DIGEST_EVERY_US: u64 = 1_000_000;
-const DIGESTS_LOST: u64 = 3;
-/// Rounds of digests, which go to some nodes at a time, without which a node counts as gone.
-const ROUNDS: u64 = 2;
 
 /// A node that holds a keeper.
 #[derive(Clone, Debug)]
@@ -58,12 +53,6 @@
     watches_since_us: Option<u64>,
 }
 
-/// Time without a word after which a node counts as gone among so many, microseconds.
-fn silence_limit_us(nodes: usize) -> u64 {
-    let rounds = nodes.div_ceil(FAN_OUT) as u64 * ROUNDS;
-    (rounds + DIGESTS_LOST) * DIGEST_EVERY_US
-}
-
 impl Holders {
     /// A node holds a keeper, by its own word.
     pub fn on_own_word(
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -12,6 +12,7 @@
 use pitchstall_platform_adapter::paths::{self, OrderAnswer, RunnerReport};
 use pitchstall_serving::authority::AuthoritySubject;
 use pitchstall_serving::configuration::EngineSpec;
+use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::role_planner::{
     NothingOrdered, RoleChange, RoleDemand, RolePlan, RolePlanner, RolePolicy, RolesSeen,
@@ -129,7 +130,10 @@
 
     async fn order(&mut self, change: &RoleChange) {
         let Some(fence) = self.fence_now() else { return };
-        if !self.node.may_send_to(&change.runner) {
+        // An order is two requests, which nobody counts; a runner in need keeps its role.
+        let has_limit =
+            |fleet: &Fleet| fleet.get(&change.runner).is_some_and(|it| it.limit().is_some());
+        if !self.node.may_send_to(&change.runner) || has_limit(&self.node.fleet.borrow()) {
             return;
         }
         let record = self.node.fleet.borrow().get(&change.runner).map(|it| it.record.clone());
@@ -221,9 +225,11 @@
         if !body.is_empty() {
             all.push(("content-type".to_owned(), b"application/json".to_vec()));
         }
+        let sent_at_us = node.now_us();
         connection.send(request_bytes(method, target, &all, body)).ok()?;
         let head = connection.read_head().await.ok()?;
-        node.on_answer_head(&record.id, &head);
+        let facts = node.on_answer_head(&record.id, &head);
+        node.on_limit_in_head(&record.id, &facts, sent_at_us);
         let decoder = BodyDecoder::new(head.framing);
         let body = connection.read_whole_body(&decoder, MOST_REPORT_BYTES).await.ok()?;
         Some((head.status, body))
--- /dev/null
+++ b/crates/gateway/src/runner_limits.rs
@@ -0,0 +1,332 @@
+//! Keeps to what runners take from all nodes together: asks the keeper of a runner's limit before each request for it, and
+//! answers as one.
+//!
+//! What a keeper gives is decided in [`pitchstall_serving::limit_keeper`], what is believed of a runner in
+//! [`pitchstall_serving::runner_limit`]. Nothing is said while no runner names a limit.
+
+use crate::missed_answers::MissedAnswers;
+use crate::node::Node;
+use crate::peer_words::PeerWord;
+use pitchstall_serving::digest::silence_limit_us;
+use pitchstall_serving::ids::{NodeId, RegionId, RunnerId};
+use pitchstall_serving::limit_keeper::{
+    KeeperShare, KeeperTerm, LimitKeeper, GRANT_LIFE_US, MOST_KEEPERS,
+};
+use pitchstall_serving::request::AnswerFacts;
+use pitchstall_serving::runner_limit::{
+    LimitAnswer, LimitChange, LimitQuestion, LimitVerdict, LimitWord,
+};
+use pitchstall_serving::scheduling::{Shard, Ticket};
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// How long a keeper's answer is waited for beyond a round trip, as with keepers of tenants' limits.
+const PATIENCE: Duration = Duration::from_millis(30);
+/// Keepers that are asked for one request.
+const MOST_ASKED: usize = 2;
+/// Time for which a runner gets nothing whose keepers do not answer, microseconds.
+const NOBODY_PAUSE_US: u64 = 250_000;
+/// Shortest time for which a runner without a request left gets nothing, microseconds: below it asking costs more than the
+/// request gains.
+const SHORTEST_WAIT_US: u64 = 5_000;
+/// Runners' words in one digest: some 2 KB.
+const MOST_WORDS_TOLD: usize = 32;
+
+/// What a node knows and keeps of runners' limits.
+#[derive(Default)]
+pub struct RunnerLimits {
+    keeper: RefCell<LimitKeeper>,
+    terms: RefCell<HashMap<Shard, KeeperTerm>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<LimitVerdict>>>,
+    missed: MissedAnswers,
+    /// When each node was heard of last, microseconds.
+    last_heard_us: RefCell<HashMap<NodeId, u64>>,
+}
+
+impl RunnerLimits {
+    /// Another node has said something.
+    pub fn on_heard(&self, node: &NodeId, now_us: u64) {
+        self.last_heard_us.borrow_mut().insert(node.clone(), now_us);
+    }
+
+    /// What this node's digest tells of the limits that it counts.
+    pub fn words(&self, now_us: u64) -> Vec<LimitWord> {
+        self.keeper.borrow().words(MOST_WORDS_TOLD, now_us)
+    }
+
+    fn is_there(&self, node: &NodeId, nodes: usize, now_us: u64) -> bool {
+        let heard_us = self.last_heard_us.borrow().get(node).copied().unwrap_or_default();
+        now_us < heard_us + silence_limit_us(nodes)
+    }
+}
+
+/// Leave to send one request to a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct SendPermit {
+    asked_at_us: u64,
+    /// The runner names no limit.
+    is_unlimited: bool,
+}
+
+impl SendPermit {
+    /// Whether the request may still be sent.
+    pub fn is_usable(&self, now_us: u64) -> bool {
+        self.is_unlimited || now_us < self.asked_at_us + GRANT_LIFE_US
+    }
+}
+
+/// Asks whether one request may be sent to a runner now; `None`: it may not, and the runner is left out of this node's plans
+/// until there may be one.
+pub async fn permit(node: &Rc<Node>, request: &str, runner: &RunnerId) -> Option<SendPermit> {
+    let asked_at_us = node.now_us();
+    let word = node.fleet.borrow().limit_word(runner, asked_at_us);
+    let Some(word) = word else { return Some(SendPermit { asked_at_us, is_unlimited: true }) };
+    let verdict = ask(node, word).await;
+    let now_us = node.now_us();
+    let wait_us = match verdict {
+        Some(LimitVerdict::Granted) => {
+            node.metrics.limit_grants.inc();
+            let permit = SendPermit { asked_at_us, is_unlimited: false };
+            if permit.is_usable(now_us) {
+                return Some(permit);
+            }
+            SHORTEST_WAIT_US
+        }
+        Some(LimitVerdict::Refused { wait_us }) => {
+            node.metrics.limit_refusals.inc();
+            wait_us.max(SHORTEST_WAIT_US)
+        }
+        Some(LimitVerdict::Lifted { heard_ago_us }) => {
+            let word = LimitWord { runner: runner.clone(), rate: None, heard_ago_us };
+            node.on_limit_word(&word);
+            if node.fleet.borrow().limit_word(runner, now_us).is_none() {
+                return Some(SendPermit { asked_at_us, is_unlimited: true });
+            }
+            SHORTEST_WAIT_US
+        }
+        Some(LimitVerdict::NotKeeper) | None => {
+            node.metrics.limit_unanswered.inc();
+            NOBODY_PAUSE_US
+        }
+    };
+    node.fleet.borrow_mut().on_limit_used_up(runner, wait_us, now_us);
+    let (runner, verdict) = (runner.as_str(), verdict.map_or("no answer", verdict_name));
+    log::info!(target: "limit", request, runner, verdict, wait_us; "withheld");
+    None
+}
+
+fn verdict_name(verdict: LimitVerdict) -> &'static str {
+    match verdict {
+        LimitVerdict::Granted => "granted late",
+        LimitVerdict::Refused { .. } => "none left",
+        LimitVerdict::Lifted { .. } => "lifted",
+        LimitVerdict::NotKeeper => "no keeper",
+    }
+}
+
+/// Asks the first keeper that answers; `None`: none did.
+async fn ask(node: &Rc<Node>, word: LimitWord) -> Option<LimitVerdict> {
+    let shard = shard_of(node, &word.runner)?;
+    for (keeper, address) in keepers(node, &shard).into_iter().take(MOST_ASKED) {
+        let ticket = node.scheduling.next_ticket();
+        let question = LimitQuestion { ticket, word: word.clone() };
+        let verdict = if keeper == node.own_name() {
+            Some(verdict_of(node, &question))
+        } else {
+            put(node, &keeper, address, question).await
+        };
+        match verdict {
+            Some(LimitVerdict::NotKeeper) | None => {}
+            verdict => return verdict,
+        }
+    }
+    None
+}
+
+/// The nodes that may be asked, the first one first.
+fn keepers(node: &Node, shard: &Shard) -> Vec<(NodeId, SocketAddr)> {
+    let now_us = node.now_us();
+    let members = node.members.borrow();
+    let in_order = members.schedulers_in_order(shard).into_iter().take(MOST_KEEPERS);
+    let answers =
+        |(name, _): &(&NodeId, _)| !node.runner_limits.missed.is_passed_over(name, now_us);
+    in_order.filter(answers).map(|(name, address)| (name.clone(), address)).collect()
+}
+
+async fn put(
+    node: &Rc<Node>,
+    keeper: &NodeId,
+    address: SocketAddr,
+    question: LimitQuestion,
+) -> Option<LimitVerdict> {
+    let ticket = question.ticket;
+    let (sender, receiver) = oneshot::channel();
+    node.runner_limits.waiting.borrow_mut().insert(ticket, sender);
+    node.scheduling.socket.send(&PeerWord::LimitQuestion(question), &[address]);
+    let zone = node.members.borrow().zone_of(keeper).cloned();
+    let way = zone.map_or(Duration::ZERO, |zone| node.round_trip(&zone));
+    let answer = timeout(way + PATIENCE, receiver).await;
+    node.runner_limits.waiting.borrow_mut().remove(&ticket);
+    let missed = &node.runner_limits.missed;
+    match answer {
+        Ok(Ok(verdict)) => {
+            missed.on_answered(keeper);
+            Some(verdict)
+        }
+        _ => {
+            if missed.on_missed(keeper, node.now_us()) {
+                log::info!(target: "limit", keeper = keeper.as_str(); "passed over");
+            }
+            None
+        }
+    }
+}
+
+/// Takes in a keeper's answer. One that comes too late is lost to all, and safe.
+pub fn on_answer(node: &Node, answer: LimitAnswer) {
+    let waiting = node.runner_limits.waiting.borrow_mut().remove(&answer.ticket);
+    if let Some(sender) = waiting {
+        // The request may have ended just now: then what it was granted is lost.
+        let _ = sender.send(answer.verdict);
+    }
+}
+
+/// Answers another node's question.
+pub fn on_question(node: &Node, question: &LimitQuestion, from: SocketAddr) {
+    let verdict = verdict_of(node, question);
+    let answer = LimitAnswer { ticket: question.ticket, verdict };
+    node.scheduling.socket.send(&PeerWord::LimitAnswer(answer), &[from]);
+}
+
+fn verdict_of(node: &Node, question: &LimitQuestion) -> LimitVerdict {
+    let shard = shard_of(node, &question.word.runner);
+    let share = shard.and_then(|shard| own_share(node, &shard));
+    let Some(share) = share else { return LimitVerdict::NotKeeper };
+    let now_us = node.now_us();
+    node.runner_limits.keeper.borrow_mut().on_question(question, share, now_us)
+}
+
+/// Another node has heard what a runner takes.
+pub fn on_word(node: &Node, word: &LimitWord) {
+    node.runner_limits.keeper.borrow_mut().on_word(word, node.now_us());
+    node.on_limit_word(word);
+}
+
+/// Runners of a shard that have none left, as far as this node counts.
+pub fn short_runners(node: &Node, shard: &Shard) -> Vec<RunnerId> {
+    let Some(share) = own_share(node, shard) else { return Vec::new() };
+    let mut short = node.runner_limits.keeper.borrow().short(share, node.now_us());
+    let fleet = node.fleet.borrow();
+    short.retain(|runner| fleet.get(runner).is_some_and(|runner| shard.has(runner)));
+    short
+}
+
+fn shard_of(node: &Node, runner: &RunnerId) -> Option<Shard> {
+    let fleet = node.fleet.borrow();
+    let runner = fleet.get(runner)?;
+    let nodes = node.members.borrow().count_in(&runner.region);
+    Some(Shard::of_runner(runner, Shard::count(nodes)))
+}
+
+/// How many nodes that are heard of come before this one as keepers of a shard's limits.
+fn own_place(node: &Node, shard: &Shard) -> usize {
+    let now_us = node.now_us();
+    let members = node.members.borrow();
+    let nodes = members.len();
+    let is_there = |name: &NodeId| node.runner_limits.is_there(name, nodes, now_us);
+    members.place_of(&node.own_name(), shard, is_there)
+}
+
+fn own_share(node: &Node, shard: &Shard) -> Option<KeeperShare> {
+    let place = own_place(node, shard);
+    let terms = node.runner_limits.terms.borrow();
+    let term = terms.get(shard).copied().unwrap_or_default();
+    term.share(place, node.now_us())
+}
+
+/// Looks at this node's place among the keepers of each shard that it may keep: to be called several times a second.
+pub fn look(node: &Node) {
+    let now_us = node.now_us();
+    let own = node.region();
+    let mut regions: BTreeSet<RegionId> = node.fleet.borrow().regions();
+    regions.insert(own.clone());
+    let shards: Vec<Shard> = {
+        let members = node.members.borrow();
+        regions.retain(|region| *region == own || members.count_in(region) == 0);
+        regions.into_iter().flat_map(|region| members.shards_of(region)).collect()
+    };
+    let mut terms = node.runner_limits.terms.borrow_mut();
+    terms.retain(|shard, _| shards.contains(shard));
+    for shard in shards {
+        let place = own_place(node, &shard);
+        terms.entry(shard).or_default().on_look(place, now_us);
+    }
+    node.runner_limits.keeper.borrow_mut().sweep(now_us);
+}
+
+impl Node {
+    /// The head of an answer has come, to a request that was sent at `sent_at_us`: it names a limit, or none.
+    pub fn on_limit_in_head(&self, runner: &RunnerId, facts: &AnswerFacts, sent_at_us: u64) {
+        if !facts.is_said_by(runner) {
+            return;
+        }
+        let now_us = self.now_us();
+        let change =
+            self.fleet.borrow_mut().on_limit_in_head(runner, facts.notice, sent_at_us, now_us);
+        let Some(change) = change else { return };
+        self.log_limit(runner, change, "answer");
+        let rate = match change {
+            LimitChange::Named(rate) => Some(rate),
+            LimitChange::Lifted => None,
+        };
+        let word = LimitWord { runner: runner.clone(), rate, heard_ago_us: 0 };
+        self.tell_keeper(word);
+    }
+
+    /// Tells the keeper, so that it plans with what is left before it is asked, and tells all nodes.
+    fn tell_keeper(&self, word: LimitWord) {
+        let Some(shard) = shard_of(self, &word.runner) else { return };
+        match keepers(self, &shard).into_iter().next() {
+            Some((keeper, _)) if keeper == self.own_name() => {
+                self.runner_limits.keeper.borrow_mut().on_word(&word, self.now_us());
+            }
+            Some((_, address)) => {
+                self.scheduling.socket.send(&PeerWord::LimitWord(word), &[address]);
+            }
+            None => {}
+        }
+    }
+
+    /// Another node has heard what a runner takes.
+    pub fn on_limit_word(&self, word: &LimitWord) {
+        let change = self.fleet.borrow_mut().on_limit_word(word, self.now_us());
+        if let Some(change) = change {
+            self.log_limit(&word.runner, change, "node");
+        }
+    }
+
+    fn log_limit(&self, runner: &RunnerId, change: LimitChange, source: &str) {
+        let runner = runner.as_str();
+        match change {
+            LimitChange::Named(limit) => {
+                self.metrics.on_notice("limit");
+                let limit = limit.to_string();
+                log::info!(target: "limit", runner, limit, source; "named");
+            }
+            LimitChange::Lifted => {
+                self.metrics.on_notice("limit lifted");
+                log::info!(target: "limit", runner, source; "lifted");
+            }
+        }
+    }
+
+    /// This node's name.
+    pub fn own_name(&self) -> NodeId {
+        self.members.borrow().own_name().clone()
+    }
+}
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Instant;
 use crate::held_parts::UntoldReadings;
+use crate::missed_answers::MissedAnswers;
 use crate::node::Node;
 use crate::peer_words::{PeerSocket, PeerWord};
 use pitchstall_serving::fleet::{Eligible, Scope};
@@ -34,10 +35,6 @@
 /// late; above the longest, a node that has died costs more than a good choice brings.
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(12);
 const LONGEST_PATIENCE: Duration = Duration::from_millis(50);
-/// Answers missed one after the other after which a scheduler is passed over, and for how long:
-/// one may be a lost datagram; a process that was killed is back after some seconds.
-const MOST_MISSED: u32 = 2;
-const PASSED_OVER_US: u64 = 2_000_000;
 const MILLIS_A_SECOND: f64 = 1_000.0;
 
 /// A request that is to be placed.
@@ -92,13 +89,6 @@
     }
 }
 
-/// A scheduler that has not answered.
-#[derive(Clone, Copy, Debug, Default)]
-struct Missed {
-    in_a_row: u32,
-    passed_over_until_us: u64,
-}
-
 /// What a node needs to ask schedulers and to be one.
 pub struct Scheduling {
     /// Sends words to other nodes.
@@ -106,7 +96,7 @@
     incarnation: u64,
     questions: Cell<u64>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<(PlacementAnswer, SocketAddr)>>>,
-    missed: RefCell<HashMap<NodeId, Missed>>,
+    missed: MissedAnswers,
     /// What this node has set aside at the runners that it schedules.
     pub(crate) reservations: RefCell<Reservations>,
     /// Readings that other regions are still to be told of.
@@ -123,7 +113,7 @@
             incarnation: rand::rng().random(),
             questions: Cell::new(0),
             waiting: RefCell::default(),
-            missed: RefCell::default(),
+            missed: MissedAnswers::default(),
             reservations: RefCell::default(),
             untold_readings: UntoldReadings::default(),
             backlogs: RefCell::default(),
@@ -136,25 +126,6 @@
         self.questions.set(number);
         Ticket { incarnation: self.incarnation, number }
     }
-
-    fn is_passed_over(&self, node: &NodeId, now_us: u64) -> bool {
-        let missed = self.missed.borrow();
-        missed.get(node).is_some_and(|missed| now_us < missed.passed_over_until_us)
-    }
-
-    fn on_answered(&self, node: &NodeId) {
-        self.missed.borrow_mut().remove(node);
-    }
-
-    fn on_missed(&self, node: &NodeId, now_us: u64) {
-        let mut all = self.missed.borrow_mut();
-        let missed = all.entry(node.clone()).or_default();
-        missed.in_a_row += 1;
-        if missed.in_a_row >= MOST_MISSED {
-            missed.passed_over_until_us = now_us + PASSED_OVER_US;
-            log::info!(target: "scheduling", scheduler = node.as_str(); "passed over");
-        }
-    }
 }
 
 /// What came of a question.
@@ -227,7 +198,9 @@
     let Ok(Ok((answer, from))) = answer else {
         log_missed(demand.request, &scheduler, shard);
         node.metrics.placements_missed.inc();
-        node.scheduling.on_missed(&scheduler, node.now_us());
+        if node.scheduling.missed.on_missed(&scheduler, node.now_us()) {
+            log::info!(target: "scheduling", scheduler = scheduler.as_str(); "passed over");
+        }
         drop(follow_up_to(address));
         return Told::Nothing;
     };
@@ -237,7 +210,7 @@
     }
     log_told(demand.request, &scheduler, shard, &answer, took);
     node.metrics.placements_told.inc();
-    node.scheduling.on_answered(&scheduler);
+    node.scheduling.missed.on_answered(&scheduler);
     if let Some(elsewhere) = answer.elsewhere {
         return Told::Elsewhere(elsewhere);
     }
@@ -342,7 +315,7 @@
 pub(crate) fn scheduler_of(node: &Node, shard: &Shard) -> Option<(NodeId, SocketAddr)> {
     let now_us = node.now_us();
     let members = node.members.borrow();
-    let is_up = |name: &NodeId| !node.scheduling.is_passed_over(name, now_us);
+    let is_up = |name: &NodeId| !node.scheduling.missed.is_passed_over(name, now_us);
     let (name, address) = members.scheduler(shard, is_up)?;
     Some((name.clone(), address))
 }
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -7,6 +7,7 @@
 use crate::held_parts;
 use crate::node::Node;
 use crate::peer_words::PeerWord;
+use crate::runner_limits;
 use crate::scheduling::{choose_here, elsewhere, named, scheduler_of, PlacementDemand};
 use crate::verification::verify;
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
@@ -34,6 +35,8 @@
 
 /// Answers a question, or hands it on to the scheduler of a shard whose runners wait less.
 pub fn on_question(node: &Node, mut question: PlacementQuestion) {
+    // The asking node would learn only after a prompt has been read that its writer takes no more.
+    question.excluded.extend(runner_limits::short_runners(node, &question.shard));
     let prompt = question.prompt();
     let zones: Option<BTreeSet<ZoneId>> =
         question.zones.as_ref().map(|zones| zones.iter().cloned().collect());
@@ -215,6 +218,7 @@
             tell_region_load(&node);
         }
         held_parts::tell(&node);
+        runner_limits::look(&node);
         if node.scheduling.reservations.borrow().is_empty() {
             continue;
         }
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -22,6 +22,11 @@
     OutOfTime,
     /// No runner could take it.
     NoRunner,
+    /// What its runners take from all nodes together is used up.
+    LimitUsedUp {
+        /// Milliseconds until a runner takes one more.
+        wait_ms: u64,
+    },
     /// Every runner that was asked refused it.
     Refused,
     /// An attempt failed, and the request may not be repeated.
@@ -42,6 +47,11 @@
 pub enum FinalAnswer {
     /// Not run; the client may come back.
     Refuse,
+    /// Not run, as what its runners take is used up.
+    RefuseUntil {
+        /// Milliseconds until a runner takes one more.
+        wait_ms: u64,
+    },
     /// Not run, and not to be sent again.
     RefuseForGood,
     /// Not run, as its tenant has reached its limit.
@@ -62,6 +72,9 @@
     match (execution, reason) {
         (Execution::NotRun, GiveUp::Quarantined) => FinalAnswer::RefuseForGood,
         (Execution::NotRun, GiveUp::OverQuota { wait_ms }) => FinalAnswer::OverQuota { wait_ms },
+        (Execution::NotRun, GiveUp::LimitUsedUp { wait_ms }) => {
+            FinalAnswer::RefuseUntil { wait_ms }
+        }
         (Execution::NotRun, GiveUp::QuotaUnknown) => FinalAnswer::QuotaUnknown,
         (Execution::NotRun, _) => FinalAnswer::Refuse,
         (_, GiveUp::OutOfTime) => FinalAnswer::TimedOut,
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -10,6 +10,7 @@
 use crate::membership::Member;
 use crate::quota_slots::KeeperId;
 use crate::runner::Stage;
+use crate::runner_limit::LimitWord;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -59,6 +60,9 @@
     /// The keepers of tenants' limits that the node holds.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub keeps: Vec<KeptSlot>,
+    /// What runners take from all nodes together that the node counts for all.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitWord>,
     /// What the machine's clock says, milliseconds since 1970.
     #[serde(default)]
     pub wall_ms: u64,
@@ -104,6 +108,17 @@
 /// hears of this one twice a minute in fleets of 60 nodes elsewhere, and the list tells who is there.
 const FAR_FAN_OUT: usize = 2;
 
+/// Time without a digest after which a node counts as gone among so many, microseconds.
+pub fn silence_limit_us(nodes: usize) -> u64 {
+    /// Between two digests of a node, and what may be lost of them.
+    const DIGEST_EVERY_US: u64 = 1_000_000;
+    const DIGESTS_LOST: u64 = 3;
+    /// Rounds of digests, which go to some nodes at a time.
+    const ROUNDS: u64 = 2;
+    let rounds = nodes.div_ceil(FAN_OUT) as u64 * ROUNDS;
+    (rounds + DIGESTS_LOST) * DIGEST_EVERY_US
+}
+
 /// Whose turn it is to hear of a node.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DigestTurns {
--- a/crates/serving/src/fleet/beliefs.rs
+++ b/crates/serving/src/fleet/beliefs.rs
@@ -6,6 +6,7 @@
 use crate::ids::RunnerId;
 use crate::prefix::PromptPart;
 use crate::runner::{AttemptDemand, Load, LoadReport, Runner, Stage, ToldLoad};
+use crate::runner_limit::{LimitChange, LimitWord, NamedLimit};
 use crate::runner_notice::{Learned, RunnerNotice};
 use crate::runner_pace::{RunnerReading, Spent};
 use crate::scheduling::{RunnerLoad, Shard};
@@ -210,6 +211,48 @@
         learned
     }
 
+    /// The head of an answer of a runner has come, to a request that was sent at `sent_at_us`.
+    pub fn on_limit_in_head(
+        &mut self,
+        id: &RunnerId,
+        notice: RunnerNotice,
+        sent_at_us: u64,
+        now_us: u64,
+    ) -> Option<LimitChange> {
+        self.update_limit(id, |limit| limit.on_head(notice, sent_at_us, now_us))
+    }
+
+    /// Another node has heard what a runner takes.
+    pub fn on_limit_word(&mut self, word: &LimitWord, now_us: u64) -> Option<LimitChange> {
+        self.update_limit(&word.runner, |limit| limit.on_word(word, now_us))
+    }
+
+    /// The keeper of a runner's limit has none left for a time, microseconds.
+    pub fn on_limit_used_up(&mut self, id: &RunnerId, wait_us: u64, now_us: u64) {
+        self.update_limit(id, |limit| limit.on_refused(wait_us, now_us));
+    }
+
+    /// A life whose entry is gone is remembered: the entry may come back as it was.
+    fn update_limit<R: Default>(
+        &mut self,
+        id: &RunnerId,
+        update: impl FnOnce(&mut NamedLimit) -> R,
+    ) -> R {
+        if let Some(runner) = self.runners.get_mut(id) {
+            return update(&mut runner.availability.limit);
+        }
+        let mut availability = self.departed.take(id);
+        let result = update(&mut availability.limit);
+        self.departed.remember(id, availability);
+        result
+    }
+
+    /// What a runner has said that it takes; `None`: it names no limit.
+    pub fn limit_word(&self, id: &RunnerId, now_us: u64) -> Option<LimitWord> {
+        let runner = self.runners.get(id)?;
+        runner.limit().map(|_| runner.availability.limit.word(id, now_us))
+    }
+
     /// A runner has taken up a request of this node.
     pub fn on_accepted(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.get_mut(id) {
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -72,10 +72,19 @@
     }
 }
 
+/// A runner takes requests of this node again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opening {
+    /// When, microseconds.
+    pub at_us: u64,
+    /// Whether it names a limit: then other nodes wait as well, while a rest is this node's alone.
+    pub has_limit: bool,
+}
+
 /// Which node a request is sent by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sender {
-    /// This one. A runner that has asked it for rest gets nothing.
+    /// This one. A runner that has asked it for rest, or has none left of its limit, gets nothing.
     ThisNode,
     /// Another one, which knows whom it may send to. What this node was asked for only ranks runners.
     AnotherNode,
@@ -115,7 +124,7 @@
     /// Whether the sender may send to a runner now.
     fn may_be_sent_to(&self, runner: &Runner, now_us: u64) -> bool {
         match self.sender {
-            Sender::ThisNode => runner.takes_work_from_here(now_us),
+            Sender::ThisNode => runner.is_open_to_plans(now_us),
             Sender::AnotherNode => runner.takes_work(),
         }
     }
@@ -324,21 +333,24 @@
         }
     }
 
-    /// When the first of the rests ends for which alone runners get no request from this node, microseconds;
-    /// `None`: there are none.
-    pub fn first_end_of_rest_us(&self, eligible: &Eligible<'_>, now_us: u64) -> Option<u64> {
-        let only_rests = |runner: &&Runner| {
+    /// The first runner that takes requests of this node again, of those that get none because of a rest or a limit alone.
+    pub fn first_opening(&self, eligible: &Eligible<'_>, now_us: u64) -> Option<Opening> {
+        let is_only_withheld = |runner: &&Runner| {
             eligible.admits(runner) && runner.takes_work() && !runner.is_changing(now_us)
         };
-        let resting = self.runners.values().filter(only_rests);
-        resting.filter_map(|runner| runner.rests_until_us(now_us)).min()
+        let withheld = self.runners.values().filter(is_only_withheld);
+        let opening = |runner: &Runner| {
+            let at_us = runner.withheld_until_us(now_us)?;
+            Some(Opening { at_us, has_limit: runner.limit().is_some() })
+        };
+        withheld.filter_map(opening).min_by_key(|opening| opening.at_us)
     }
 
     /// Runners of a service that get nothing from this node by their own word, leaving ones first.
     pub fn withheld(&self, service: &ServiceName, now_us: u64) -> Vec<RunnerId> {
         let is_withheld = |runner: &&Runner| {
             let own_word =
-                runner.availability.is_leaving() || runner.availability.is_resting(now_us);
+                runner.availability.is_leaving() || runner.withheld_until_us(now_us).is_some();
             runner.record.service == *service && own_word
         };
         let mut withheld: Vec<&Runner> = self.runners.values().filter(is_withheld).collect();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`membership`] | which nodes read the store, and which follow them |
 //! | [`freshness`] | how fresh the copy of the store is, by all nodes' word |
 //! | [`runner`], [`fleet`] | which runners exist, how loaded and how healthy they are |
+//! | [`runner_limit`], [`limit_keeper`] | what a runner takes from all nodes together, and who counts it |
 //! | [`runner_notice`] | whether a runner takes requests, by its own word |
 //! | [`prefix_cache`], [`failure_rate`] | what a runner probably holds, how often it fails |
 //! | [`suspicion`] | whether a runner that is silent is busy or gone |
@@ -58,6 +59,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod ids;
+pub mod limit_keeper;
 pub mod membership;
 pub mod placement;
 pub mod prefix;
@@ -84,6 +86,7 @@
 mod role_view;
 pub mod routing;
 pub mod runner;
+pub mod runner_limit;
 pub mod runner_notice;
 pub mod runner_pace;
 pub mod scheduler;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -54,6 +54,11 @@
         self.topology = topology;
     }
 
+    /// This node's name.
+    pub fn own_name(&self) -> &NodeId {
+        &self.own
+    }
+
     /// What this node tells of itself.
     pub fn own(&self) -> &Member {
         &self.members[&self.own]
@@ -203,16 +208,45 @@
         shard: &Shard,
         is_up: impl Fn(&NodeId) -> bool,
     ) -> Option<(&NodeId, SocketAddr)> {
-        let has_nodes = self.count_in(&shard.region) > 0;
-        let is_near = |zone: &ZoneId| !has_nodes || self.topology.is_in(zone, &shard.region);
-        let up = self
-            .members
-            .iter()
-            .filter(|(name, member)| is_near(&member.zone) && (**name == self.own || is_up(name)));
+        let near = self.possible_schedulers(shard);
+        let up = near.filter(|(name, _)| **name == self.own || is_up(name));
         let best = up.max_by_key(|(name, member)| (member.processor, shard.weight(name)));
         best.filter(|(name, _)| **name != self.own).map(|(name, member)| (name, member.address))
     }
 
+    /// The nodes of a shard's region, or all nodes if none of the region is known.
+    fn possible_schedulers<'a>(
+        &'a self,
+        shard: &Shard,
+    ) -> impl Iterator<Item = (&'a NodeId, &'a Member)> + 'a {
+        let region = shard.region.clone();
+        let has_nodes = self.count_in(&region) > 0;
+        let is_near = move |zone: &ZoneId| !has_nodes || self.topology.is_in(zone, &region);
+        self.members.iter().filter(move |(_, member)| is_near(&member.zone))
+    }
+
+    /// How many nodes for which `is_there` holds come before one as the scheduler of a shard, and keeper of its
+    /// runners' limits.
+    pub fn place_of(
+        &self,
+        name: &NodeId,
+        shard: &Shard,
+        is_there: impl Fn(&NodeId) -> bool,
+    ) -> usize {
+        let order = self.schedulers_in_order(shard);
+        let before = order.into_iter().take_while(|(other, _)| *other != name);
+        before.filter(|(other, _)| is_there(other)).count()
+    }
+
+    /// The nodes that may be the scheduler of a shard, the first one first.
+    pub fn schedulers_in_order(&self, shard: &Shard) -> Vec<(&NodeId, SocketAddr)> {
+        let mut near: Vec<_> = self.possible_schedulers(shard).collect();
+        near.sort_by_key(|(name, member)| {
+            std::cmp::Reverse((member.processor, shard.weight(name)))
+        });
+        near.into_iter().map(|(name, member)| (name, member.address)).collect()
+    }
+
     /// Spreads the nodes over the places that they may choose.
     fn weight(&self, place: &str) -> u64 {
         rendezvous_weight(self.own.as_str(), place)
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -5,7 +5,7 @@
 use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
-use crate::runner_notice::Availability;
+use crate::runner_notice::{Availability, RequestRate};
 use crate::runner_pace::RunnerPace;
 use crate::suspicion::Suspicion;
 use serde::{Deserialize, Serialize};
@@ -185,9 +185,22 @@
         self.takes_work() && !self.availability.is_resting(now_us)
     }
 
-    /// When the rest ends that it has asked this node for, microseconds; `None`: it does not rest.
-    pub fn rests_until_us(&self, now_us: u64) -> Option<u64> {
-        self.availability.rests_until_us(now_us)
+    /// Whether this node may plan with it now: it takes work from here, and what it takes from all nodes together is
+    /// not used up as far as is known.
+    pub fn is_open_to_plans(&self, now_us: u64) -> bool {
+        self.takes_work_from_here(now_us)
+            && self.availability.limit.short_until_us(now_us).is_none()
+    }
+
+    /// Until when this node gets nothing there because of a rest or a limit, microseconds; `None`: it may.
+    pub fn withheld_until_us(&self, now_us: u64) -> Option<u64> {
+        let rests_until_us = self.availability.rests_until_us(now_us);
+        rests_until_us.max(self.availability.limit.short_until_us(now_us))
+    }
+
+    /// What it takes from all nodes together, by its own word; `None`: as much as comes.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.availability.limit.rate()
     }
 
     /// Whether it could lately not be reached, was full or rests. After the time for which a
--- a/crates/serving/src/runner_notice.rs
+++ b/crates/serving/src/runner_notice.rs
@@ -5,6 +5,7 @@
 //! takes back what the other has said. A rest is asked of one node, and ends by its time alone.
 
 use crate::ids::RunnerId;
+use crate::runner_limit::NamedLimit;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -71,6 +72,8 @@
     /// A request has been sent to it since the end of the rest, and has not ended. What it had taken up before is
     /// no try: a stream may go on for many seconds.
     is_tried: bool,
+    /// What it takes from all nodes together.
+    pub(crate) limit: NamedLimit,
 }
 
 impl Availability {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -76,6 +76,8 @@
 
 #[test_case(Execution::NotRun, GiveUp::OutOfTime, FinalAnswer::Refuse)]
 #[test_case(Execution::NotRun, GiveUp::NoRunner, FinalAnswer::Refuse)]
+#[test_case(Execution::NotRun, GiveUp::LimitUsedUp { wait_ms: 300 }, FinalAnswer::RefuseUntil { wait_ms: 300 })]
+#[test_case(Execution::Unknown, GiveUp::LimitUsedUp { wait_ms: 300 }, FinalAnswer::BadGateway)]
 #[test_case(Execution::Unknown, GiveUp::Refused, FinalAnswer::BadGateway)]
 #[test_case(Execution::Unknown, GiveUp::OutOfTime, FinalAnswer::TimedOut)]
 #[test_case(Execution::Ran, GiveUp::NoRunner, FinalAnswer::BadGateway)]
@@ -288,6 +290,7 @@
     let node = NodeId::new("a");
     Digest {
         keeps: Vec::new(),
+        limits: Vec::new(),
         node,
         incarnation,
         sequence,
