A node whose history is gone keeps what it knows, so that a copy which is no later ends no read of the store

Callers of a region were refused as outdated for good, though the store was there. Cause: after `history gone` a reader forgot up to where it knew everything, so any copy of another reader counted as news and ended the store's large answer. Class: a fallback that can't bring what is missing ends the attempt that can. Changed: `at` stays, a flag says that a watch can't go on; the read of the store is ended by a later copy alone. Why it holds: each read that ends without the store's answer raises `at`.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -101,6 +101,7 @@
         started: Instant::now(),
         address,
         at: None,
+        history_is_gone: false,
         changed_at: None,
         reads_latest: false,
         confirmation,
@@ -164,6 +165,9 @@
     address: SocketAddr,
     /// The store's revision up to which everything is known.
     at: Option<u64>,
+    /// Whether the store has no history from there on: a watch can't go on, everything is read anew. What is known stays
+    /// known, so that a copy which is no later ends no such read.
+    history_is_gone: bool,
     /// When the last change came.
     changed_at: Option<Instant>,
     /// Whether the entry is read again before it is watched.
@@ -208,10 +212,11 @@
     async fn ask_store(&mut self) -> Result<(), FollowError> {
         let asked = match self.at {
             None => self.read_all().await,
+            Some(_) if self.history_is_gone => self.read_all().await,
             Some(_) if self.reads_latest => self.read_latest().await,
             Some(at) => self.watch(at).await,
         };
-        let lacks_something = self.at.is_none() || self.is_behind();
+        let lacks_something = self.at.is_none() || self.history_is_gone || self.is_behind();
         if asked.is_err() && self.failures > 0 && lacks_something {
             self.ask_any_node().await;
         }
@@ -269,6 +274,7 @@
             Subject::Runners | Subject::Crashes => self.read_list().await?,
         };
         self.take_update(&update);
+        self.history_is_gone = false;
         self.confirmation = draw_confirmation(&self.node, self.subject);
         self.with_freshness(|copy, now_us| copy.on_read(&update, now_us));
         self.node.store_confirmed.notify_one();
@@ -316,6 +322,8 @@
     }
 
     fn take_update(&mut self, update: &StoreUpdate) {
+        // The history may reach back to a later copy of another node.
+        self.history_is_gone &= self.at.is_some_and(|at| update.known_to <= at);
         self.at = Some(update.known_to);
         take_update(&self.node, self.subject, update);
     }
@@ -390,7 +398,7 @@
                 Ok(())
             }
             StoreStatus::HistoryGone => {
-                self.at = None;
+                self.history_is_gone = true;
                 log::info!(target: "store", subject = self.subject.name(), at; "history gone");
                 Ok(())
             }
