Soak: runners name limits, and are checked to get no more from the nodes that they have told

Checked from the runner's side: 6 L + 5 arrivals in any 4 s from nodes that had passed on such an answer 0.5 s before, from a contact time after the first one on; nodes that were disturbed are excused.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{answer_body, LAST_EVENT};
 use crate::history::{Entry, Event, Kind, Outcome};
 use crate::limit_checks::{over_limits, refused_below_limit};
+use crate::named_limit_checks::over_named_limits;
 use crate::region_checks::unserved_when_cut;
 use crate::self_report_checks::{sent_to_leaving, sent_to_resting};
 use crate::tenants::{tenant_of, BELOW};
@@ -35,7 +36,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Every promise with its check.
-const CHECKS: [(&str, Check); 17] = [
+const CHECKS: [(&str, Check); 18] = [
     ("the whole answer to its own request", whole_answers),
     ("a stream whole and in order", whole_streams),
     ("at most once", at_most_once),
@@ -46,6 +47,7 @@
     ("a leaving runner gets no work", drained_in_time),
     ("a runner that says that it leaves gets no work", sent_to_leaving),
     ("a runner that asks for rest gets it", sent_to_resting),
+    ("a runner gets no more than it names", over_named_limits),
     ("a planned stop cuts nothing", planned_stops),
     ("runners are told the tenant and not the key", guarded),
     ("one usage report for a window", one_report),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,7 +2,10 @@
 
 use crate::checks::request_body;
 use crate::history::{Event, Kind, Recorder};
-use crate::plan::{has_large_configurations, has_limits, has_lives, has_self_reports};
+use crate::named_limits::LimitPhases;
+use crate::plan::{
+    has_large_configurations, has_limits, has_lives, has_named_limits, has_self_reports,
+};
 use crate::proxy::Link;
 use crate::regions::RegionLink;
 use crate::runner_script::{deadly_body, script, Place, Voice, Worker};
@@ -17,7 +20,7 @@
 use pitchstall_platform_standins::store::StoreStandIn;
 use serde_json::Value;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Host of the routes.
@@ -163,7 +166,15 @@
         let voice = Voice {
             speaks: has_self_reports(self.seed),
             says_that_it_leaves: says_that_it_leaves.clone(),
+            limits: has_named_limits(self.seed)
+                .then(|| LimitPhases::new(self.seed ^ (number << 8))),
+            named: Mutex::default(),
         };
+        if has_named_limits(self.seed) {
+            // What the life before it has named is over.
+            let change = Event::LimitChanged { runner: id.clone(), thousandths: None };
+            self.recorder.note(change);
+        }
         let script = script(
             place,
             worker,
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -163,6 +163,20 @@
         /// For how long, microseconds.
         rest_us: u64,
     },
+    /// A runner begins to name a limit, names another one, or (`None`) ceases to name one.
+    LimitChanged {
+        /// The runner.
+        runner: String,
+        /// What it takes from all nodes together, thousandths of a request a second.
+        thousandths: Option<u64>,
+    },
+    /// A runner names its limit in the answer to a request.
+    NamedLimit {
+        /// The request's id.
+        request: String,
+        /// The runner.
+        runner: String,
+    },
     /// A fault begins or ends at a node, at its links or at the store (`None`: at all nodes).
     Disturbed {
         /// The node.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod fleet;
 pub mod history;
 pub mod limit_checks;
+mod named_limit_checks;
+mod named_limits;
 pub mod plan;
 pub mod region_checks;
 pub mod regions;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -112,6 +112,8 @@
 /// First seed with runners that say of themselves that they leave, long before the store hears of it, or that
 /// they want rest.
 const FIRST_OF_SELF_REPORTS: u64 = 3_000;
+/// First seed with runners that name for a time how many requests a second they take from all nodes together.
+const FIRST_OF_NAMED_LIMITS: u64 = 6_000;
 /// Time for which regions are cut off from each other.
 const REGIONS_CUT_FOR: Duration = Duration::from_secs(10);
 /// Quiet time at the end, in which everything has to recover.
@@ -162,6 +164,11 @@
     seed >= FIRST_OF_SELF_REPORTS
 }
 
+/// Whether runners of a seed name for a time what they take from all nodes together.
+pub fn has_named_limits(seed: u64) -> bool {
+    seed >= FIRST_OF_NAMED_LIMITS
+}
+
 /// The regions are cut off from each other in the middle, long enough for their nodes to be bound
 /// again by rules with a time.
 fn region_cut(length: Duration) -> Step {
--- a/crates/soak/src/runner_script.rs
+++ b/crates/soak/src/runner_script.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{answer_body, LAST_EVENT};
 use crate::history::{Event, Recorder};
+use crate::named_limits::{LimitPhases, NamedLimit};
 use crate::proxy::Link;
 use crate::regions::{comes_from_afar, RegionLink, DELAY};
 use crate::tenants::tenant_of;
@@ -64,9 +65,24 @@
     pub(crate) speaks: bool,
     /// Whether its answers say that it leaves.
     pub(crate) says_that_it_leaves: Arc<AtomicBool>,
+    /// What it takes from all nodes together; `None`: it never names a limit.
+    pub(crate) limits: Option<LimitPhases>,
+    /// The limit that it named last.
+    pub(crate) named: Mutex<Option<NamedLimit>>,
 }
 
 impl Voice {
+    /// What the runner takes now; notes when that changes.
+    fn limit_now(&self, runner: &str, recorder: &Recorder) -> Option<NamedLimit> {
+        let limit = self.limits.as_ref().and_then(LimitPhases::now);
+        let before = std::mem::replace(&mut *lock(&self.named), limit);
+        if before != limit {
+            let thousandths = limit.map(|limit| limit.thousandths);
+            recorder.note(Event::LimitChanged { runner: runner.to_owned(), thousandths });
+        }
+        limit
+    }
+
     /// Does as the runner does with a request, and says what it has to say of itself.
     fn say(
         &self,
@@ -80,6 +96,7 @@
         let (request, runner) = (name.to_owned(), runner.to_owned());
         recorder.note(Event::Arrived { request: request.clone(), runner: runner.clone() });
         let leaving = self.says_that_it_leaves.load(Ordering::SeqCst);
+        let limit = self.limit_now(&runner, recorder);
         let reaction = if rests { Reaction::Decline } else { work() };
         // What ends a runner, or is cut before its head, says nothing.
         if !matches!(reaction, Reaction::Answer { .. } | Reaction::Stream(_) | Reaction::Decline) {
@@ -89,11 +106,16 @@
             let (request, runner) = (request.clone(), runner.clone());
             recorder.note(Event::ToldLeaving { request, runner });
         }
+        if limit.is_some() {
+            let (request, runner) = (request.clone(), runner.clone());
+            recorder.note(Event::NamedLimit { request, runner });
+        }
         let (seconds, rest_us) = REST;
         if rests {
             recorder.note(Event::AskedForRest { request, runner, rest_us });
         }
-        let report = SelfReport { leaving, retry_after: rests.then_some(seconds), limit: None };
+        let limit = limit.map(|limit| limit.text);
+        let report = SelfReport { leaving, retry_after: rests.then_some(seconds), limit };
         Reaction::Saying(report, Box::new(reaction))
     }
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -390,3 +390,45 @@
     assert!(!comes_from_afar("r-17", "east"));
     assert_eq!(tenant_of("r-17").limit, None);
 }
+
+/// A runner names two requests a second, and gets some from a node that it has told.
+fn named_limit(told: bool, disturbed: bool, arrivals: u64) -> Vec<Entry> {
+    let text = str::to_owned;
+    let named = Event::LimitChanged { runner: text("i-1"), thousandths: Some(2_000) };
+    let mut entries = vec![(1, named)];
+    if told {
+        entries.push(sent(1, "told", Kind::Repeatable));
+        entries.push(ran(2, "told", "i-1"));
+        entries.push((3, Event::NamedLimit { request: text("told"), runner: text("i-1") }));
+        entries.push(ended(4, "told", own_answer("told")));
+    }
+    if disturbed {
+        entries.push((4 * SECOND, Event::Disturbed { node: Some(0) }));
+    }
+    for number in 0..arrivals {
+        let request = format!("r-{number}");
+        let at = 4 * SECOND + number * SECOND / 10;
+        entries.push(sent(at, &request, Kind::Repeatable));
+        entries.push((at + 1, Event::Arrived { request: request.clone(), runner: text("i-1") }));
+        entries.push(ran(at + 1, &request, "i-1"));
+        entries.push(ended(at + 2, &request, own_answer(&request)));
+    }
+    entries
+}
+
+#[test_case(true, false, 18, true; "more than one and a half times the limit and five")]
+#[test_case(true, false, 17, false; "as many as that")]
+#[test_case(false, false, 18, false; "from a node that it has not told")]
+#[test_case(true, true, 18, false; "from a node that was disturbed")]
+fn a_runner_gets_no_more_than_it_names(told: bool, disturbed: bool, arrivals: u64, breaks: bool) {
+    let expected = if breaks { vec!["a runner gets no more than it names"] } else { vec![] };
+    assert_eq!(broken(&named_limit(told, disturbed, arrivals)), expected);
+}
+
+#[test]
+fn a_limit_that_is_over_binds_nobody() {
+    let mut entries = named_limit(true, false, 30);
+    let over = Event::LimitChanged { runner: "i-1".to_owned(), thousandths: None };
+    entries.insert(5, (3 * SECOND, over));
+    assert_eq!(broken(&entries), Vec::<&str>::new());
+}
