--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -70,12 +70,14 @@
     pub runner_notices: Family<NoticeLabels, Counter>,
     /// Attempts sent to runners that had said that they take none: always 0.
     pub unwanted_attempts: Counter,
-    /// Requests that keepers of runners' limits let be sent, refused, or did not answer about.
+    /// Requests that keepers of runners' limits let be sent.
     pub limit_grants: Counter,
-    /// See above.
+    /// Requests that went elsewhere, as a runner's limit was used up.
     pub limit_refusals: Counter,
-    /// See above.
+    /// Requests that went elsewhere, as no keeper of a runner's limit answered.
     pub limit_unanswered: Counter,
+    /// Datagrams that this program can't read: of a later or an earlier build, or damaged.
+    pub unread_words: Counter,
     /// Requests whose scheduler did not answer soon.
     pub placements_missed: Counter,
     /// Questions that were handed on to another shard's scheduler.
@@ -120,6 +122,7 @@
             limit_grants: Counter::default(),
             limit_refusals: Counter::default(),
             limit_unanswered: Counter::default(),
+            unread_words: Counter::default(),
             placements_missed: Counter::default(),
             placements_handed_on: Counter::default(),
             left_region: Family::default(),
@@ -173,6 +176,7 @@
                 "Requests that went elsewhere as no keeper of a runner's limit answered",
                 &self.limit_unanswered,
             ),
+            ("words_unread", "Datagrams of other nodes that cannot be read", &self.unread_words),
             (
                 "placements_missed",
                 "Requests whose scheduler did not answer soon",
--- a/crates/soak/examples/soak/main.rs
+++ b/crates/soak/examples/soak/main.rs
@@ -11,6 +11,7 @@
 mod run;
 
 use gumdrop::Options;
+use processes::Programs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -31,6 +32,8 @@
     callers: usize,
     #[options(help = "the program", default = "target/release/pitchstall")]
     program: PathBuf,
+    #[options(help = "a former build: nodes change between both at each start", no_short)]
+    former: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -39,7 +42,8 @@
     for seed in arguments.first..arguments.first + arguments.count {
         let length = Duration::from_secs(arguments.seconds);
         let size = run::Size { nodes: arguments.nodes, callers: arguments.callers };
-        let report = match run::run(&arguments.program, seed, length, size) {
+        let programs = Programs::new(&arguments.program, arguments.former.as_deref());
+        let report = match run::run(&programs, seed, length, size) {
             Ok(report) => report,
             Err(error) => {
                 eprintln!("soak: seed {seed}: {error}");
--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -22,6 +22,26 @@
 /// Time from SIGTERM to SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(8);
 
+/// The builds that nodes run.
+#[derive(Clone)]
+pub struct Programs {
+    builds: Vec<PathBuf>,
+}
+
+impl Programs {
+    /// One build, or a former one beside it.
+    pub fn new(program: &Path, former: Option<&Path>) -> Self {
+        let builds = std::iter::once(program).chain(former).map(Path::to_owned).collect();
+        Self { builds }
+    }
+
+    /// What a node runs at one of its starts: with two builds every second node begins with the former one, and each changes
+    /// to the other one whenever it starts, so that upgrades and ways back overlap.
+    fn at_start(&self, node: usize, start: usize) -> &Path {
+        &self.builds[(node + start) % self.builds.len()]
+    }
+}
+
 /// One node: its settings file, its log, and its process while it runs.
 pub struct NodeProcess {
     /// Where callers reach it.
@@ -32,7 +52,10 @@
     pub cloud: Link,
     /// Where it says whether it takes callers.
     pub health: SocketAddr,
-    program: PathBuf,
+    programs: Programs,
+    number: usize,
+    /// How often it has been started.
+    starts: usize,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -41,7 +64,7 @@
 impl NodeProcess {
     /// Writes the node's settings, `more` sections among them; it does not start yet.
     pub fn new(
-        program: &Path,
+        programs: &Programs,
         folder: &Path,
         number: usize,
         zone: &str,
@@ -74,7 +97,9 @@
             health: at(HEALTH_PORT),
             store,
             cloud,
-            program: program.to_owned(),
+            programs: programs.clone(),
+            number,
+            starts: 0,
             settings,
             log: folder.join(format!("node-{number}.log")),
             child: None,
@@ -84,7 +109,8 @@
     /// Starts the process. Its log goes on where the one before it ended.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let program = self.programs.at_start(self.number, self.starts);
+        let child = Command::new(program)
             .arg("serve")
             .arg("--settings")
             .arg(&self.settings)
@@ -93,6 +119,7 @@
             .stdout(log)
             .spawn()?;
         self.child = Some(child);
+        self.starts += 1;
         Ok(())
     }
 
--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -1,6 +1,6 @@
 //! One seed: load, faults, recovery, checks.
 
-use crate::processes::{is_ready, more_settings, NodeProcess};
+use crate::processes::{is_ready, more_settings, NodeProcess, Programs};
 use crate::report::Report;
 use nix::sys::signal::Signal;
 use pitchstall_platform_standins::narrow_link::NarrowLink;
@@ -86,12 +86,12 @@
 }
 
 /// Runs a seed.
-pub fn run(program: &Path, seed: u64, length: Duration, size: Size) -> io::Result<Report> {
+pub fn run(programs: &Programs, seed: u64, length: Duration, size: Size) -> io::Result<Report> {
     let nodes = size.nodes;
     let name = format!("pitchstall-soak-{}-{seed}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
-    let world = World::start(program, &folder, seed, nodes)?;
+    let world = World::start(programs, &folder, seed, nodes)?;
     if let Err(error) = world.wait_until_ready() {
         world.kill_all();
         return Err(error);
@@ -133,7 +133,7 @@
 }
 
 impl World {
-    fn start(program: &Path, folder: &Path, seed: u64, nodes: usize) -> io::Result<Arc<Self>> {
+    fn start(programs: &Programs, folder: &Path, seed: u64, nodes: usize) -> io::Result<Arc<Self>> {
         let recorder = Recorder::default();
         let fleet = SoakFleet::start(seed, recorder.clone())?;
         let mut processes = Vec::new();
@@ -150,7 +150,7 @@
                 cloud.set_delay(DELAY);
             }
             let (zone, more) = (zone_of(number), more_settings(seed));
-            let mut node = NodeProcess::new(program, folder, number, zone, store, cloud, &more)?;
+            let mut node = NodeProcess::new(programs, folder, number, zone, store, cloud, &more)?;
             node.start()?;
             recorder.note(Event::Started { node: number });
             processes.push(node);
