Runners' limits cost a scheduler nothing while there are none; a node's place is counted without sorting

Reading the diff: each placement question sorted all members by two hashes to ask what is left of limits that nobody names. Changed: asked only if a limit is known; a place is the number of nodes that outrank this one; looked at twice a second; the shards that a node may schedule are told by one function for both uses. A test holds the place against the order. Ruled out: nothing.

--- a/crates/gateway/src/runner_limits.rs
+++ b/crates/gateway/src/runner_limits.rs
@@ -7,8 +7,9 @@
 use crate::missed_answers::MissedAnswers;
 use crate::node::Node;
 use crate::peer_words::PeerWord;
+use crate::shard_scheduler::possible_shards;
 use pitchstall_serving::digest::silence_limit_us;
-use pitchstall_serving::ids::{NodeId, RegionId, RunnerId};
+use pitchstall_serving::ids::{NodeId, RunnerId};
 use pitchstall_serving::limit_keeper::{
     KeeperShare, KeeperTerm, LimitKeeper, GRANT_LIFE_US, MOST_KEEPERS,
 };
@@ -18,7 +19,7 @@
 };
 use pitchstall_serving::scheduling::{Shard, Ticket};
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -219,6 +220,10 @@
 
 /// Runners of a shard that have none left, as far as this node counts.
 pub fn short_runners(node: &Node, shard: &Shard) -> Vec<RunnerId> {
+    // Asked for each placement: the share takes a look at all nodes.
+    if node.runner_limits.keeper.borrow().is_empty() {
+        return Vec::new();
+    }
     let Some(share) = own_share(node, shard) else { return Vec::new() };
     let mut short = node.runner_limits.keeper.borrow().short(share, node.now_us());
     let fleet = node.fleet.borrow();
@@ -249,17 +254,10 @@
     term.share(place, node.now_us())
 }
 
-/// Looks at this node's place among the keepers of each shard that it may keep: to be called several times a second.
+/// Looks at this node's place among the keepers of each shard that it may keep: to be called at least every second.
 pub fn look(node: &Node) {
     let now_us = node.now_us();
-    let own = node.region();
-    let mut regions: BTreeSet<RegionId> = node.fleet.borrow().regions();
-    regions.insert(own.clone());
-    let shards: Vec<Shard> = {
-        let members = node.members.borrow();
-        regions.retain(|region| *region == own || members.count_in(region) == 0);
-        regions.into_iter().flat_map(|region| members.shards_of(region)).collect()
-    };
+    let shards = possible_shards(node);
     let mut terms = node.runner_limits.terms.borrow_mut();
     terms.retain(|shard, _| shards.contains(shard));
     for shard in shards {
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -30,6 +30,8 @@
 
 /// Between two words on the loads of a shard: as often as role changes are planned.
 const TELL_EVERY: Duration = Duration::from_millis(250);
+/// Words on loads of shards for one look at who counts runners' limits.
+const WORDS_A_LOOK: u32 = 2;
 /// Words on loads of shards for one on the load of the region: other regions are told once a second.
 const WORDS_A_REGION_WORD: u32 = 4;
 
@@ -177,16 +179,22 @@
     may_schedule && scheduler_of(node, &Shard::of_runner(runner, Shard::count(nodes))).is_none()
 }
 
-/// The shards that this node schedules: those of its own region, or of one without nodes.
+/// The shards that this node schedules.
 pub fn own_shards(node: &Node) -> Vec<Shard> {
+    let mut shards = possible_shards(node);
+    shards.retain(|shard| scheduler_of(node, shard).is_none());
+    shards
+}
+
+/// The shards that this node may schedule: those of its own region, or of one without nodes.
+pub fn possible_shards(node: &Node) -> Vec<Shard> {
     let own = node.region();
     let mut regions = node.fleet.borrow().regions();
     let may_schedule =
         |region: &RegionId| *region == own || node.members.borrow().count_in(region) == 0;
     regions.insert(own.clone());
     regions.retain(may_schedule);
-    let shards = regions.into_iter().flat_map(|region| shards_of(node, region));
-    shards.filter(|shard| scheduler_of(node, shard).is_none()).collect()
+    regions.into_iter().flat_map(|region| shards_of(node, region)).collect()
 }
 
 fn shards_of(node: &Node, region: RegionId) -> Vec<Shard> {
@@ -218,7 +226,9 @@
             tell_region_load(&node);
         }
         held_parts::tell(&node);
-        runner_limits::look(&node);
+        if word % WORDS_A_LOOK == 0 {
+            runner_limits::look(&node);
+        }
         if node.scheduling.reservations.borrow().is_empty() {
             continue;
         }
--- a/crates/serving/src/limit_keeper.rs
+++ b/crates/serving/src/limit_keeper.rs
@@ -215,6 +215,11 @@
         }
     }
 
+    /// Whether it knows of no limit.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
     /// Runners that have none left now, at a keeper with this share.
     pub fn short(&self, share: KeeperShare, now_us: u64) -> Vec<RunnerId> {
         let is_short = |(runner, bucket): (&RunnerId, &Bucket)| {
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -233,15 +233,17 @@
         shard: &Shard,
         is_there: impl Fn(&NodeId) -> bool,
     ) -> usize {
-        let order = self.schedulers_in_order(shard);
-        let before = order.into_iter().take_while(|(other, _)| *other != name);
-        before.filter(|(other, _)| is_there(other)).count()
+        let rank = |name: &NodeId, member: &Member| (member.processor, shard.weight(name));
+        let Some(own) = self.members.get(name) else { return self.members.len() };
+        let own = rank(name, own);
+        let others = self.possible_schedulers(shard).filter(|(other, _)| *other != name);
+        others.filter(|(other, member)| rank(other, member) > own && is_there(other)).count()
     }
 
     /// The nodes that may be the scheduler of a shard, the first one first.
     pub fn schedulers_in_order(&self, shard: &Shard) -> Vec<(&NodeId, SocketAddr)> {
         let mut near: Vec<_> = self.possible_schedulers(shard).collect();
-        near.sort_by_key(|(name, member)| {
+        near.sort_by_cached_key(|(name, member)| {
             std::cmp::Reverse((member.processor, shard.weight(name)))
         });
         near.into_iter().map(|(name, member)| (name, member.address)).collect()
--- a/crates/serving/tests/limit_keeper.rs
+++ b/crates/serving/tests/limit_keeper.rs
@@ -1,14 +1,17 @@
 //! What keepers of runners' limits give, whoever asks whom.
 #![allow(clippy::unwrap_used, clippy::panic, missing_docs)]
 
-use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::ids::{NodeId, RunnerId, ZoneId};
 use pitchstall_serving::limit_keeper::{
     KeeperShare, KeeperTerm, LimitKeeper, GRANT_LIFE_US, MOST_KEEPERS,
 };
+use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::runner_limit::{LimitQuestion, LimitVerdict, LimitWord};
 use pitchstall_serving::runner_notice::RequestRate;
-use pitchstall_serving::scheduling::Ticket;
+use pitchstall_serving::scheduling::{Shard, Ticket};
+use pitchstall_serving::topology::Topology;
 use proptest::prelude::*;
+use std::net::SocketAddr;
 use test_case::test_case;
 
 const SECOND: u64 = 1_000_000;
@@ -197,3 +200,25 @@
     keeper.sweep(40 * SECOND);
     assert!(keeper.words(8, 40 * SECOND).is_empty());
 }
+
+/// Keepers are counted in the order in which they are asked.
+#[test]
+fn a_node_counts_those_before_it_that_are_there() {
+    let node = |number: u32| NodeId::new(format!("node-{number}"));
+    let member = |number: u32| Member {
+        address: SocketAddr::from(([127, 0, 0, 1], number as u16)),
+        zone: ZoneId::new("north"),
+        processor: 500 + number % 3 * 100,
+    };
+    let mut members = Membership::new(node(0), member(0), Topology::default());
+    (1..40).for_each(|number| members.learn(&node(number), &member(number)));
+    let shard = Shard { region: members.own_region(), number: 0, of: 1 };
+    let order = members.schedulers_in_order(&shard);
+    assert_eq!(order.len(), 40);
+    for (place, (name, _)) in order.iter().enumerate() {
+        assert_eq!(members.place_of(name, &shard, |_| true), place);
+        assert_eq!(members.place_of(name, &shard, |_| false), 0);
+    }
+    let second_is_gone = |name: &NodeId| *name != *order[1].0;
+    assert_eq!(members.place_of(order[2].0, &shard, second_is_gone), 1);
+}
