A permit for a runner without a limit holds for no time; tests say once how they are set up

A permit that was given while a runner named no limit stayed usable while the connection was opened, also if the runner named one meanwhile; now it is asked for again, which costs nothing without a limit. The large configuration of two test files and the limited runners of four tests are built in one place each.

--- a/crates/gateway/src/runner_limits.rs
+++ b/crates/gateway/src/runner_limits.rs
@@ -79,15 +79,14 @@
 /// Leave to send one request to a runner.
 #[derive(Clone, Copy, Debug)]
 pub struct SendPermit {
-    asked_at_us: u64,
-    /// The runner names no limit.
-    is_unlimited: bool,
+    /// A runner without a limit may name one at any moment, so a permit for it holds for no time: asking again costs nothing.
+    usable_until_us: u64,
 }
 
 impl SendPermit {
     /// Whether the request may still be sent.
     pub fn is_usable(&self, now_us: u64) -> bool {
-        self.is_unlimited || now_us < self.asked_at_us + GRANT_LIFE_US
+        now_us < self.usable_until_us
     }
 }
 
@@ -96,13 +95,14 @@
 pub async fn permit(node: &Rc<Node>, request: &str, runner: &RunnerId) -> Option<SendPermit> {
     let asked_at_us = node.now_us();
     let word = node.fleet.borrow().limit_word(runner, asked_at_us);
-    let Some(word) = word else { return Some(SendPermit { asked_at_us, is_unlimited: true }) };
+    let unlimited = SendPermit { usable_until_us: asked_at_us };
+    let Some(word) = word else { return Some(unlimited) };
     let verdict = ask(node, word).await;
     let now_us = node.now_us();
     let wait_us = match verdict {
         Some(LimitVerdict::Granted) => {
             node.metrics.limit_grants.inc();
-            let permit = SendPermit { asked_at_us, is_unlimited: false };
+            let permit = SendPermit { usable_until_us: asked_at_us + GRANT_LIFE_US };
             if permit.is_usable(now_us) {
                 return Some(permit);
             }
@@ -116,7 +116,7 @@
             let word = LimitWord { runner: runner.clone(), rate: None, heard_ago_us };
             node.on_limit_word(&word);
             if node.fleet.borrow().limit_word(runner, now_us).is_none() {
-                return Some(SendPermit { asked_at_us, is_unlimited: true });
+                return Some(unlimited);
             }
             SHORTEST_WAIT_US
         }
--- a/crates/gateway/tests/history_gone.rs
+++ b/crates/gateway/tests/history_gone.rs
@@ -16,31 +16,13 @@
 use pitchstall_platform_standins::narrow_link::NarrowLink;
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
-use serde_json::Value;
 use std::time::Duration;
-use support::{configuration, route, wait_for, Fixture, Place};
+use support::{configuration, large_configuration, serves, wait_for, Fixture, Place};
 use test_case::test_case;
 
-/// Routes of the large configuration: some 800 KB.
-const MANY_ROUTES: usize = 4_200;
 /// The store's answer takes some four seconds.
 const BYTES_A_SECOND: u64 = 300_000;
 
-fn large_configuration(version: u64) -> Value {
-    let mut large = configuration(version);
-    let routes = large["routes"].as_array_mut().unwrap();
-    routes
-        .extend((0..MANY_ROUTES).map(|number| route(&format!("n{number}"), "idempotent", "desk")));
-    routes.push(route("added", "idempotent", "desk"));
-    large
-}
-
-fn serves(node: &Fixture, name: &str) -> bool {
-    let mut client = node.client();
-    client.request("GET", &format!("/{name}/1"), "id", "", b"");
-    client.read_answer().status == 200
-}
-
 /// Nodes of one zone that all read the store, over narrow links of their own, and reach each other at once.
 #[test_case(1; "a reader alone")]
 #[test_case(2; "two readers that know the same")]
--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -17,14 +17,12 @@
 use pitchstall_platform_standins::proxy::{Link, LinkMode};
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
-use serde_json::{json, Value};
+use serde_json::json;
 use std::collections::HashMap;
 use std::time::Duration;
-use support::{configuration, route, wait_for, Fixture, Place};
+use support::{configuration, large_configuration, route, serves, wait_for, Fixture, Place};
 use test_case::test_case;
 
-/// Routes of the large configuration: some 800 KB.
-const MANY_ROUTES: usize = 4_200;
 /// Slow enough that each way of the copy takes longer than any limit that does not know its size.
 const COPY_BYTES_A_SECOND: u64 = 40_000;
 /// The same for what the store sends, which is neither compressed nor begun again.
@@ -35,26 +33,11 @@
 const STRONG_MACHINE: &str =
     "[machine]\nmemory_mb = 512\nfile_descriptors = 4000\nprocessor_share = 0.5\n";
 
-fn large_configuration(version: u64) -> Value {
-    let mut large = configuration(version);
-    let routes = large["routes"].as_array_mut().unwrap();
-    routes
-        .extend((0..MANY_ROUTES).map(|number| route(&format!("n{number}"), "idempotent", "desk")));
-    routes.push(route("added", "idempotent", "desk"));
-    large
-}
-
 fn runner() -> RunnerStandIn {
     RunnerStandIn::start("i-1", |_| Reaction::Answer { status: 200, body: b"done".to_vec() })
         .unwrap()
 }
 
-fn serves(node: &Fixture, name: &str) -> bool {
-    let mut client = node.client();
-    client.request("GET", &format!("/{name}/1"), "id", "", b"");
-    client.read_answer().status == 200
-}
-
 /// Writes large configurations in quick succession, each with a route of its own; returns the last one's.
 fn write_storm(store: &StoreStandIn) -> String {
     const VERSIONS: std::ops::RangeInclusive<u64> = 7..=18;
--- a/crates/gateway/tests/runner_limits.rs
+++ b/crates/gateway/tests/runner_limits.rs
@@ -49,6 +49,33 @@
     nodes
 }
 
+/// Three nodes and two runners of the service without prompts, one of which is limited.
+fn nodes_with_limited_desk(arrivals: &Arrivals) -> ([Fixture; 3], [RunnerStandIn; 2]) {
+    let noted = arrivals.clone();
+    let limited = RunnerStandIn::start("i-1", move |request: &ReceivedRequest| {
+        noted.lock().unwrap().push(Instant::now());
+        Reaction::Raw(signed_answer_saying(request, 200, LIMITED, b"limited"))
+    });
+    let answer = |_: &ReceivedRequest| Reaction::Answer { status: 200, body: b"other".to_vec() };
+    let runners = [limited.unwrap(), RunnerStandIn::start("i-2", answer).unwrap()];
+    let first = Fixture::with_runners(&[(&runners[0], "desk", None), (&runners[1], "desk", None)]);
+    (three_nodes(first), runners)
+}
+
+/// A limited decode runner.
+fn limited_writer(arrivals: &Arrivals) -> RunnerStandIn {
+    let noted = arrivals.clone();
+    let script = move |request: &ReceivedRequest| {
+        if request.method != "POST" {
+            return engine_script(3)(request);
+        }
+        noted.lock().unwrap().push(Instant::now());
+        let stream = Reaction::Stream(EventStream::whole(request, 3));
+        Reaction::Saying(LIMITED, Box::new(stream))
+    };
+    RunnerStandIn::start("w-1", script).unwrap()
+}
+
 /// Requests at all nodes for a time, one every 10 ms at each. Returns the answers' statuses.
 fn ask_for(nodes: &[Fixture], path: &str, time: Duration) -> Vec<u16> {
     let begun = Instant::now();
@@ -85,15 +112,7 @@
 #[test]
 fn a_runner_that_names_a_limit_gets_no_more_from_all_nodes_together() {
     let arrivals = Arrivals::default();
-    let noted = arrivals.clone();
-    let limited = RunnerStandIn::start("i-1", move |request: &ReceivedRequest| {
-        noted.lock().unwrap().push(Instant::now());
-        Reaction::Raw(signed_answer_saying(request, 200, LIMITED, b"limited"))
-    });
-    let answer = |_: &ReceivedRequest| Reaction::Answer { status: 200, body: b"other".to_vec() };
-    let other = RunnerStandIn::start("i-2", answer).unwrap();
-    let first = Fixture::with_runners(&[(&limited.unwrap(), "desk", None), (&other, "desk", None)]);
-    let nodes = three_nodes(first);
+    let (nodes, _runners) = nodes_with_limited_desk(&arrivals);
     let begun = Instant::now();
     let statuses = ask_for(&nodes, "/lookup/1", Duration::from_secs(6));
     assert!(statuses.iter().all(|status| *status == 200), "the other runner takes all");
@@ -106,19 +125,11 @@
 #[test]
 fn a_decode_runner_that_names_a_limit_gets_no_more_from_all_nodes_together() {
     let arrivals = Arrivals::default();
-    let noted = arrivals.clone();
-    let limited = RunnerStandIn::start("w-1", move |request: &ReceivedRequest| {
-        if request.method != "POST" {
-            return engine_script(3)(request);
-        }
-        noted.lock().unwrap().push(Instant::now());
-        let stream = Reaction::Stream(EventStream::whole(request, 3));
-        Reaction::Saying(LIMITED, Box::new(stream))
-    });
+    let limited = limited_writer(&arrivals);
     let other = RunnerStandIn::start("w-2", engine_script(3)).unwrap();
     let reader = RunnerStandIn::start("r-1", engine_script(3)).unwrap();
     let first = Fixture::with_runners(&[
-        (&limited.unwrap(), "llm", Some("decode")),
+        (&limited, "llm", Some("decode")),
         (&other, "llm", Some("decode")),
         (&reader, "llm", Some("prefill")),
     ]);
@@ -134,15 +145,7 @@
 #[test]
 fn a_limit_is_kept_while_the_node_that_counts_is_replaced() {
     let arrivals = Arrivals::default();
-    let noted = arrivals.clone();
-    let limited = RunnerStandIn::start("i-1", move |request: &ReceivedRequest| {
-        noted.lock().unwrap().push(Instant::now());
-        Reaction::Raw(signed_answer_saying(request, 200, LIMITED, b"limited"))
-    });
-    let answer = |_: &ReceivedRequest| Reaction::Answer { status: 200, body: b"other".to_vec() };
-    let other = RunnerStandIn::start("i-2", answer).unwrap();
-    let first = Fixture::with_runners(&[(&limited.unwrap(), "desk", None), (&other, "desk", None)]);
-    let nodes = three_nodes(first);
+    let (nodes, _runners) = nodes_with_limited_desk(&arrivals);
     let begun = Instant::now();
     ask_for(&nodes, "/lookup/1", Duration::from_secs(4));
     // Whichever of them counts: two of the three are gone one after the other.
@@ -222,18 +225,10 @@
 #[test]
 fn the_only_writer_is_used_as_far_as_its_limit_allows() {
     let arrivals = Arrivals::default();
-    let noted = arrivals.clone();
-    let limited = RunnerStandIn::start("w-1", move |request: &ReceivedRequest| {
-        if request.method != "POST" {
-            return engine_script(3)(request);
-        }
-        noted.lock().unwrap().push(Instant::now());
-        let stream = Reaction::Stream(EventStream::whole(request, 3));
-        Reaction::Saying(LIMITED, Box::new(stream))
-    });
+    let limited = limited_writer(&arrivals);
     let reader = RunnerStandIn::start("r-1", engine_script(3)).unwrap();
     let first = Fixture::with_runners(&[
-        (&limited.unwrap(), "llm", Some("decode")),
+        (&limited, "llm", Some("decode")),
         (&reader, "llm", Some("prefill")),
     ]);
     let nodes = three_nodes(first);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -92,6 +92,24 @@
     })
 }
 
+/// The same with many routes more, one of them `added`: some 800 KB.
+pub fn large_configuration(version: u64) -> Value {
+    const MANY_ROUTES: usize = 4_200;
+    let mut large = configuration(version);
+    let routes = large["routes"].as_array_mut().unwrap();
+    routes
+        .extend((0..MANY_ROUTES).map(|number| route(&format!("n{number}"), "idempotent", "desk")));
+    routes.push(route("added", "idempotent", "desk"));
+    large
+}
+
+/// Whether a node serves a request on a route.
+pub fn serves(node: &Fixture, name: &str) -> bool {
+    let mut client = node.client();
+    client.request("GET", &format!("/{name}/1"), "id", "", b"");
+    client.read_answer().status == 200
+}
+
 /// A runner's entry as it writes it, where the platform does not tell when runners start.
 pub fn runner_entry(runner: &RunnerStandIn, service: &str, zone: &str, state: &str) -> Value {
     json!({
