--- a/crates/serving/tests/role_view.rs
+++ b/crates/serving/tests/role_view.rs
@@ -12,6 +12,7 @@
     NothingOrdered, RoleDemand, RolePlan, RolePlanner, RolePolicy,
 };
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
+use pitchstall_serving::runner_notice::{RequestRate, RunnerNotice};
 use pitchstall_serving::scheduling::{RunnerLoad, Shard, Ticket};
 use pitchstall_serving::topology::Topology;
 use support::runner_record;
@@ -248,3 +249,37 @@
     assert!((2..=5).contains(&changes.len()), "{changes:?}");
     assert!(changes.iter().all(|change| change.stage == Stage::Decode));
 }
+
+/// What callers saw: on a day on which two of the decode runners named limits, half of the worth was lost, though prefill
+/// runners were there. Order of events: the two took a fraction of what they had; the planner counted them as whole, and what it
+/// might have ordered of them was withheld, since nobody counts an order.
+/// Cause: a limit was heeded where requests are sent, and not where roles are planned. Evidence: the planner orders nothing here.
+#[test]
+fn runners_with_limits_are_neither_counted_nor_ordered() {
+    let mut fleet = fleet(6, 3);
+    let limit = Some(RequestRate(2_500_000));
+    for name in ["d0", "d1", "p0"] {
+        let notice = RunnerNotice { limit, ..RunnerNotice::default() };
+        fleet.on_limit_in_head(&RunnerId::new(name), notice, 1, 2);
+    }
+    let mut planner = planner();
+    let first = look(&mut planner, &fleet, SECOND);
+    assert_eq!((first.seen.prefill, first.seen.decode), (5, 1));
+    let changes = look(&mut planner, &fleet, 3 * SECOND).decision.unwrap();
+    assert!(!changes.is_empty(), "one decode runner is too few");
+    for change in &changes {
+        assert_eq!(change.stage, Stage::Decode);
+        assert_ne!(change.runner.as_str(), "p0", "it takes no order");
+    }
+}
+
+#[test]
+fn where_all_runners_have_limits_they_count() {
+    let mut fleet = fleet(2, 2);
+    let notice = RunnerNotice { limit: Some(RequestRate(1)), ..RunnerNotice::default() };
+    for name in ["p0", "p1", "d0", "d1"] {
+        fleet.on_limit_in_head(&RunnerId::new(name), notice, 1, 2);
+    }
+    let seen = look(&mut planner(), &fleet, SECOND).seen;
+    assert_eq!((seen.prefill, seen.decode), (2, 2));
+}
