Runners that name limits count neither as readers nor as writers where roles are planned

Class: a limit that is heeded at one place alone. Changed: the planner's view leaves limited runners out, unless all of a service name limits. Why it holds: what it counts is what it may order.

--- a/crates/serving/src/role_view.rs
+++ b/crates/serving/src/role_view.rs
@@ -139,12 +139,14 @@
     }
 }
 
-/// Runners that may get work. Those that refused something a moment ago as full count: they
+/// Runners that may get work. Those that name a limit take a part of what others do, and get no orders: they don't count,
+/// unless there are no others. Those that refused something a moment ago as full count: they
 /// serve. Those that can't be reached don't, unless there are no others.
 fn usable<'a>(fleet: &'a Fleet, demand: &RoleDemand<'_>, now_us: u64) -> Vec<&'a Runner> {
     let is_usable = |runner: &&Runner| {
         let is_there = runner.takes_work() && !runner.is_suspected();
-        demand.has(runner) && is_there && !runner.is_changing(now_us)
+        let is_whole = runner.limit().is_none();
+        demand.has(runner) && is_there && is_whole && !runner.is_changing(now_us)
     };
     let usable: Vec<&Runner> = fleet.iter().filter(is_usable).collect();
     if usable.is_empty() {
