--- a/crates/gateway/tests/runner_limits.rs
+++ b/crates/gateway/tests/runner_limits.rs
@@ -1,6 +1,6 @@
 //! Runners that name in their answers how many requests a second they take from all nodes together.
 //!
-//! What users saw: two of nine runners had named 2.5 and 2.8 requests a second, and went on getting as many as before, 4 to 11
+//! What users saw: two of nine runners had named 2.5 and 2.8 requests a second, and went on getting as many as before, 1 to 11
 //! a second, from all nodes; no caller noticed, since all were answered.
 //! Order of events: each answer named the limit from some moment on; every node had passed on such an answer within a second;
 //! the next requests were placed at these runners by their scheduler as before.
