Sight: the store's era in logs and metrics, and a copy that is passed over as older

No logic changes: Store-Era is decoded with each answer, told once a change, and a follower says when it drops another node's copy because that one ends before its own. Neither could be told from the records of the incident.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -94,6 +94,8 @@
     pub refused_entries: Family<EntryLabels, Counter>,
     /// Time for which other nodes have told of a configuration that this one has not got, seconds.
     pub configuration_behind: Gauge<f64, AtomicU64>,
+    /// The era of the store that this node goes by.
+    pub store_era: Gauge<f64, AtomicU64>,
     /// Calls of duties that one node does for all.
     pub cloud_calls: Counter,
     /// Time to the first byte of an answer, seconds.
@@ -131,6 +133,7 @@
             store_failures: Counter::default(),
             refused_entries: Family::default(),
             configuration_behind: Gauge::default(),
+            store_era: Gauge::default(),
             cloud_calls: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             registry: Registry::with_prefix("pitchstall"),
@@ -209,6 +212,8 @@
             "Time for which others have told of a configuration that is not in force here, seconds";
         let configuration_behind = self.configuration_behind.clone();
         self.registry.register("configuration_behind_seconds", help, configuration_behind);
+        let help = "Era of the store that this node goes by";
+        self.registry.register("store_era", help, self.store_era.clone());
         let first_byte = self.first_byte.clone();
         let help = "Time to the first byte of an answer, seconds";
         self.registry.register("first_byte_seconds", help, first_byte);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod crashes;
+mod eras;
 mod places;
 mod runners;
 mod work;
@@ -39,6 +40,7 @@
 use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
+use pitchstall_serving::store_revision::StoreEras;
 use pitchstall_serving::topology::Topology;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
 use pitchstall_serving::wall_clock::WallClock;
@@ -73,6 +75,8 @@
     pub copies: RefCell<StoreCopies>,
     /// Told when one of them has changed.
     pub copy_changed: Notify,
+    /// The store's eras.
+    pub eras: RefCell<StoreEras>,
     /// How fresh the copies of the store are.
     pub freshness: RefCell<StoreFreshness>,
     /// Told when the store has confirmed a copy: that spares the other nodes that read it a call.
@@ -168,6 +172,7 @@
             members: RefCell::new(membership),
             copies: RefCell::default(),
             copy_changed: Notify::new(),
+            eras: RefCell::default(),
             freshness: RefCell::default(),
             store_confirmed: Notify::new(),
             store_suspected: Notify::new(),
@@ -242,7 +247,10 @@
         self.metrics.store_calls.inc();
         let address = self.settings().store.address;
         match client.call(address, call, limit).await {
-            Ok(answer) => Some((store::parse_status(answer.status), answer.body)),
+            Ok(answer) => {
+                self.on_store_era(answer.era);
+                Some((store::parse_status(answer.status), answer.body))
+            }
             Err(error) => {
                 self.metrics.store_failures.inc();
                 let (target, error) = (call.target.as_str(), error.to_string());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -357,11 +357,14 @@
         self.node.metrics.store_calls.inc();
         let address = self.node.settings().store.address;
         let (outcome, failure) = match client.call(address, call, STORE_LIMIT).await {
-            Ok(answer) => match store::parse_status(answer.status) {
-                StoreStatus::Done => return Ok(answer.body),
-                StoreStatus::Absent => (answer.status.to_string(), CallFailure::Absent),
-                _ => (answer.status.to_string(), CallFailure::Other),
-            },
+            Ok(answer) => {
+                self.node.on_store_era(answer.era);
+                match store::parse_status(answer.status) {
+                    StoreStatus::Done => return Ok(answer.body),
+                    StoreStatus::Absent => (answer.status.to_string(), CallFailure::Absent),
+                    _ => (answer.status.to_string(), CallFailure::Other),
+                }
+            }
             Err(error) => (error.to_string(), CallFailure::Other),
         };
         self.node.metrics.store_failures.inc();
--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -7,6 +7,8 @@
 use crate::http::{AnswerHead, BodyDecoder, ConnectFailure, ReadFailure, Upstream};
 use crate::transfer::{read_body, Transfer, TransferFailure};
 use pitchstall_platform_adapter::call::PlatformCall;
+use pitchstall_platform_adapter::store::{parse_era, EraError};
+use pitchstall_serving::store_revision::StoreEra;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +41,8 @@
 pub struct PlatformAnswer {
     /// HTTP status.
     pub status: u16,
+    /// The era that the platform's store tells; another interface tells none.
+    pub era: Result<StoreEra, EraError>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -74,7 +78,8 @@
         let head = head.await.map_err(|_| PlatformFailure::TimedOut)??;
         let decoder = BodyDecoder::new(head.framing);
         let body = read_body(&connection, &decoder, MOST_ANSWER_BYTES, &self.transfer).await?;
-        let (answer, keep) = (PlatformAnswer { status: head.status, body }, head.keep_alive);
+        let (keep, era) = (head.keep_alive, parse_era(head.header_pairs()));
+        let answer = PlatformAnswer { status: head.status, era, body };
         if keep && connection.is_reusable() {
             self.kept = Some((address, connection));
         }
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -423,6 +423,7 @@
         self.node.metrics.store_calls.inc();
         self.begin_question();
         let answer = self.client.call(self.address, call, limit).await?;
+        self.node.on_store_era(answer.era);
         self.log_large_copy("store", answer.body.len());
         Ok((store::parse_status(answer.status), answer.body))
     }
--- a/crates/gateway/src/watcher/other_nodes.rs
+++ b/crates/gateway/src/watcher/other_nodes.rs
@@ -131,7 +131,9 @@
     /// Takes in another node's answer; returns whether its copy can be relied on.
     pub(super) fn take_answer(&mut self, answer: &CopyAnswer) -> bool {
         let Some(update) = &answer.update else { return false };
-        if self.at.is_some_and(|at| update.known_to < at) {
+        if let Some(at) = self.at.filter(|at| update.known_to < *at) {
+            let (subject, known_to) = (self.subject.name(), update.known_to);
+            log::info!(target: "store", subject, known_to, at; "older copy passed over");
             return false;
         }
         if !update.entries.is_empty() {
