--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -348,7 +348,7 @@
     let id = request.facts.id.as_str();
     let runner = prepared.record.id.as_str();
     let reused = prepared.rested.is_some();
-    let revision = prepared.record.revision;
+    let revision = prepared.record.revision.to_string();
     let unread = prepared.flight.demand.unread_tokens;
     let late = prepared.flight.demand.late_tokens;
     let expected_ms = u64::try_from(params.expected.as_millis()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -8,6 +8,7 @@
 use pitchstall_serving::quarantine::{Crash, CrashRecord};
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate, Subject};
+use pitchstall_serving::store_revision::StoreRevision;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -19,7 +20,12 @@
             update.entries.iter().for_each(|entry| take_configuration(node, entry));
         }
         Subject::Runners if update.whole => take_all_runners(node, update),
-        Subject::Runners => update.entries.iter().for_each(|entry| take_runner(node, entry)),
+        Subject::Runners => {
+            update
+                .entries
+                .iter()
+                .for_each(|entry| take_runner(node, entry, update.revision_of(entry)));
+        }
         Subject::Crashes if update.whole => {
             let crashes: Vec<_> =
                 update.entries.iter().filter_map(|entry| crash_of(node, entry)).collect();
@@ -54,20 +60,23 @@
     }
 }
 
-fn take_runner(node: &Rc<Node>, entry: &StoreEntry) {
-    if let Some(record) = read_record(node, entry) {
+fn take_runner(node: &Rc<Node>, entry: &StoreEntry, revision: StoreRevision) {
+    if let Some(record) = read_record(node, entry, revision) {
         return node.put_runner(record);
     }
     let Some(name) = documents::runner_of_key(&entry.key) else { return };
     // An entry that cannot be used has not lapsed: somebody has written it.
     let lapses_until_us = node.lapses_until_us().filter(|_| entry.is_removal());
-    node.remove_runner(&name, entry.revision, lapses_until_us);
+    node.remove_runner(&name, revision, lapses_until_us);
 }
 
 /// All runners' entries. Those that cannot be used name no runner, and cost the others nothing.
 fn take_all_runners(node: &Rc<Node>, update: &StoreUpdate) {
-    let records: Vec<RunnerRecord> =
-        update.entries.iter().filter_map(|entry| read_record(node, entry)).collect();
+    let records: Vec<RunnerRecord> = update
+        .entries
+        .iter()
+        .filter_map(|entry| read_record(node, entry, update.revision_of(entry)))
+        .collect();
     // Known now if any of them tells it, also one that comes after those that do not.
     let tells_starts = node.tells_starts.get();
     let (used, refused): (Vec<_>, Vec<_>) =
@@ -76,14 +85,15 @@
     for record in refused {
         let name = record.id.name();
         let key = documents::key_of_runner(&name);
-        node.on_refused_entry(Subject::Runners.name(), &key, record.revision, &EntryFault::NoStart);
+        let revision = record.revision.number();
+        node.on_refused_entry(Subject::Runners.name(), &key, revision, &EntryFault::NoStart);
     }
-    node.replace_runners(used, update.known_to, node.lapses_until_us());
+    node.replace_runners(used, update.known_to(), node.lapses_until_us());
     let unusable = update.entries.iter().filter(|entry| !entry.is_removal());
     for entry in unusable {
         let name = documents::runner_of_key(&entry.key);
         if let Some(name) = name.filter(|name| !used_names.contains(name)) {
-            node.remove_runner(&name, entry.revision, None);
+            node.remove_runner(&name, update.revision_of(entry), None);
         }
     }
 }
@@ -110,9 +120,9 @@
 }
 
 /// The runner that an entry names; `None` if it was removed or names none.
-fn read_record(node: &Node, entry: &StoreEntry) -> Option<RunnerRecord> {
+fn read_record(node: &Node, entry: &StoreEntry, revision: StoreRevision) -> Option<RunnerRecord> {
     let document = entry.document.as_deref()?;
-    let record = match documents::parse_runner(&entry.key, document.as_bytes(), entry.revision) {
+    let record = match documents::parse_runner(&entry.key, document.as_bytes(), revision) {
         Ok(record) => record,
         Err(error) => {
             let fault = EntryFault::Document(error.to_string());
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -79,7 +79,8 @@
 async fn wait_for_change(node: &Node, question: &CopyQuestion) {
     let until = Instant::now() + Duration::from_millis(question.wait_ms).min(LONGEST_WAIT);
     let known_to = || node.copies.borrow().of(question.subject).known_to();
-    while known_to() <= question.after {
+    let after = question.after(&node.eras.borrow());
+    while known_to() <= after {
         let left = until.saturating_duration_since(Instant::now());
         if timeout(left, node.copy_changed.notified()).await.is_err() {
             return;
@@ -88,7 +89,8 @@
 }
 
 fn answer(node: &Node, question: &CopyQuestion) -> CopyAnswer {
-    let update = node.copies.borrow().of(question.subject).update_since(question.after);
+    let update =
+        node.copies.borrow().of(question.subject).update_since(question.after(&node.eras.borrow()));
     let now_us = node.now_us();
     let age_ms = node.freshness.borrow().copy_of(question.subject).confirmed_age_ms(now_us);
     CopyAnswer { update, age_ms, is_compressed: false }
@@ -169,10 +171,11 @@
         Self { kept: None, transfer }
     }
 
-    /// Asks a node and waits for its answer: for a time until it begins to come, and then for as
+    /// Asks a node for `node` and waits for its answer: for a time until it begins to come, and then for as
     /// long as it makes progress.
     pub async fn ask(
         &mut self,
+        node: &Node,
         address: SocketAddr,
         question: &CopyQuestion,
     ) -> Result<CopyAnswer, MirrorFailure> {
@@ -193,6 +196,9 @@
             let compressed = compressed.await.map_err(|_| self.stalled(bytes))??;
             answer.update = Some(decompress(&compressed).map_err(LineFailure::Compression)?);
         }
+        if let Some(update) = &mut answer.update {
+            update.era = node.eras.borrow().of_word(update.era);
+        }
         self.kept = Some((address, io));
         Ok(answer)
     }
--- a/crates/gateway/src/node/eras.rs
+++ b/crates/gateway/src/node/eras.rs
@@ -1,4 +1,5 @@
-//! The store's era at a node, learnt from whichever answer of the store tells it first.
+//! The store's era at a node, learnt from whichever answer of the store, or copy of it, tells it first, and what a node
+//! does when a later one has begun.
 
 use super::Node;
 use pitchstall_platform_adapter::store::EraError;
@@ -7,27 +8,42 @@
 impl Node {
     /// An answer of the store has come; returns the era that it is of. One that does not tell it, or not in a way
     /// that can be read, is taken to be of the era that is known.
-    pub fn on_store_era(&self, told: Result<StoreEra, EraError>) -> StoreEra {
+    pub fn on_told_era(&self, told: Result<StoreEra, EraError>) -> StoreEra {
         let told = told.unwrap_or_else(|error| {
             let error = error.to_string();
             log::warn!(target: "store", error; "era not read");
             StoreEra::UNTOLD
         });
-        let news = self.eras.borrow_mut().on_answer(told, self.now_us());
-        let era = told.to_string();
+        self.on_store_era(told);
+        told.or(self.store_era())
+    }
+
+    /// The store, or a copy of it that another node hands on, is of an era.
+    pub fn on_store_era(&self, era: StoreEra) {
+        let news = self.eras.borrow_mut().on_answer(era, self.now_us());
+        let told = era.to_string();
         match news {
-            EraNews::First => log::info!(target: "store", era; "era"),
+            EraNews::First => log::info!(target: "store", era = told; "era"),
             EraNews::Later { before } => {
                 let before = before.to_string();
-                log::warn!(target: "store", era, before; "the store came back older");
+                log::warn!(target: "store", era = told, before; "the store came back older");
+                self.on_later_era();
+            }
+            EraNews::Over => {
+                log::info!(target: "store", era = told; "answer of an era that is over")
             }
-            EraNews::Over => log::info!(target: "store", era; "answer of an era that is over"),
             EraNews::None => {}
         }
         if let Some(number) = self.store_era().told_number() {
             self.metrics.store_era.set(number as f64);
         }
-        told.or(self.store_era())
+    }
+
+    /// What is believed by a revision of the store is read again; what callers are served by holds meanwhile.
+    fn on_later_era(&self) {
+        self.freshness.borrow_mut().on_later_era(self.now_us());
+        self.refused_entries.on_later_era();
+        self.store_suspected.notify_waiters();
     }
 
     /// The era that the store is in, as far as this node knows.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -40,7 +40,7 @@
 use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
-use pitchstall_serving::store_revision::StoreEras;
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEras};
 use pitchstall_serving::topology::Topology;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
 use pitchstall_serving::wall_clock::WallClock;
@@ -248,7 +248,7 @@
         let address = self.settings().store.address;
         match client.call(address, call, limit).await {
             Ok(answer) => {
-                self.on_store_era(answer.era);
+                self.on_told_era(answer.era);
                 Some((store::parse_status(answer.status), answer.body))
             }
             Err(error) => {
@@ -305,7 +305,7 @@
         &self,
         subject: &'static str,
         key: &str,
-        revision: u64,
+        revision: RevisionNumber,
         fault: &EntryFault,
     ) {
         if self.refused_entries.on_refused(subject, key, revision, fault) {
@@ -349,7 +349,7 @@
         let now_us = self.now_us();
         self.fleet.borrow_mut().on_changing_words(&digest.changing, now_us);
         digest.limits.iter().for_each(|word| self.on_limit_word(word));
-        self.freshness.borrow_mut().on_word(&digest.store, now_us);
+        self.freshness.borrow_mut().on_word(&digest.store, &self.eras.borrow(), now_us);
         self.wall_clock.borrow_mut().on_word(&digest.node, digest.wall_ms, now_us);
     }
 
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -8,6 +8,7 @@
 use pitchstall_serving::request::AnswerFacts;
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::runner_notice::RunnerNotice;
+use pitchstall_serving::store_revision::StoreRevision;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,17 +19,18 @@
     pub fn replace_runners(
         self: &Rc<Self>,
         records: Vec<RunnerRecord>,
-        revision: u64,
+        revision: StoreRevision,
         lapses_until_us: Option<u64>,
     ) {
         let listed = records.len();
         let gone = self.fleet.borrow_mut().replace_all(records, revision, lapses_until_us);
         self.wait_for_lapsed(lapses_until_us);
         for life in &gone {
-            self.on_runner_left(&life.id, revision, life.was_leaving);
+            self.on_runner_left(&life.id, Some(revision), life.was_leaving);
         }
         self.runners_known.set(true);
         let gone = gone.len();
+        let revision = revision.to_string();
         log::info!(target: "fleet", listed, gone, revision; "list read");
         self.fleet_changed.notify_waiters();
     }
@@ -36,7 +38,8 @@
     /// Takes in a runner's entry.
     pub fn put_runner(&self, record: RunnerRecord) {
         let runner = record.id.clone();
-        let revision = record.revision;
+        let at = record.revision;
+        let revision = at.to_string();
         let (service, zone) = (record.service.to_string(), record.zone.to_string());
         let preemptible = record.preemptible;
         let stage = record.stage.map_or("none", Stage::name);
@@ -48,7 +51,7 @@
             }
             FleetChange::Reborn { ended } => {
                 log::info!(target: "fleet", runner = runner.as_str(), ended = ended.id.as_str(), revision; "reborn");
-                self.on_runner_left(&ended.id, revision, ended.was_leaving);
+                self.on_runner_left(&ended.id, Some(at), ended.was_leaving);
             }
             FleetChange::Draining => {
                 log::info!(target: "fleet", runner = runner.as_str(), leaves_ms, revision; "draining");
@@ -65,15 +68,16 @@
     pub fn remove_runner(
         self: &Rc<Self>,
         name: &RunnerName,
-        revision: u64,
+        revision: StoreRevision,
         lapses_until_us: Option<u64>,
     ) {
         let Some(id) = self.fleet.borrow().life_of(name).cloned() else { return };
         let is_planned = self.fleet.borrow().get(&id).is_some_and(|it| it.is_leaving());
         let change = self.fleet.borrow_mut().remove(&id, revision, lapses_until_us);
         match change {
-            FleetChange::Left => self.on_runner_left(&id, revision, is_planned),
+            FleetChange::Left => self.on_runner_left(&id, Some(revision), is_planned),
             FleetChange::Lapsed => {
+                let revision = revision.to_string();
                 log::info!(target: "fleet", runner = id.as_str(), revision; "lapsed");
                 self.wait_for_lapsed(lapses_until_us);
             }
@@ -95,18 +99,20 @@
             tokio::time::sleep(Duration::from_micros(left_us)).await;
             let gone = node.fleet.borrow_mut().remove_lapsed(node.now_us());
             for id in &gone {
-                node.on_runner_left(id, 0, false);
+                node.on_runner_left(id, None, false);
             }
         });
     }
 
-    fn on_runner_left(&self, id: &RunnerId, revision: u64, is_planned: bool) {
+    /// A runner is gone, by an entry or a list of the given revision, or because its entry has not come back.
+    fn on_runner_left(&self, id: &RunnerId, revision: Option<StoreRevision>, is_planned: bool) {
         self.pool.forget(id);
         if is_planned {
             self.on_runner_left_as_planned(id);
         } else {
             self.on_runner_ended(id);
         }
+        let revision = revision.map_or_else(String::new, |revision| revision.to_string());
         log::info!(target: "fleet", runner = id.as_str(), revision; "left");
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -358,7 +358,7 @@
         let address = self.node.settings().store.address;
         let (outcome, failure) = match client.call(address, call, STORE_LIMIT).await {
             Ok(answer) => {
-                self.node.on_store_era(answer.era);
+                self.node.on_told_era(answer.era);
                 match store::parse_status(answer.status) {
                     StoreStatus::Done => return Ok(answer.body),
                     StoreStatus::Absent => (answer.status.to_string(), CallFailure::Absent),
--- a/crates/gateway/src/refused_entries.rs
+++ b/crates/gateway/src/refused_entries.rs
@@ -1,5 +1,6 @@
 //! Entries of the store that another writer left there and that cannot be used: each is told once a revision.
 
+use pitchstall_serving::store_revision::RevisionNumber;
 use std::cell::RefCell;
 use std::collections::HashMap;
 
@@ -27,13 +28,24 @@
 /// The entries that were refused, and at which revision.
 #[derive(Debug, Default)]
 pub struct RefusedEntries {
-    told: RefCell<HashMap<String, u64>>,
+    told: RefCell<HashMap<String, RevisionNumber>>,
 }
 
 impl RefusedEntries {
+    /// The store gives its revisions out again: each entry is told once more.
+    pub fn on_later_era(&self) {
+        self.told.borrow_mut().clear();
+    }
+
     /// An entry is refused. Returns whether this revision of it had not been refused before; then a line
     /// says why.
-    pub fn on_refused(&self, subject: &str, key: &str, revision: u64, fault: &EntryFault) -> bool {
+    pub fn on_refused(
+        &self,
+        subject: &str,
+        key: &str,
+        revision: RevisionNumber,
+        fault: &EntryFault,
+    ) -> bool {
         let mut told = self.told.borrow_mut();
         if told.get(key) == Some(&revision) {
             return false;
@@ -43,6 +55,7 @@
         }
         told.insert(key.to_owned(), revision);
         let fault = fault.to_string();
+        let revision = revision.0;
         log::warn!(target: "store", subject, key, revision, fault = fault.as_str(); "entry refused");
         true
     }
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -5,7 +5,7 @@
 //! others follow one of these ([`crate::mirror`]), another one as soon as that one does not
 //! answer or has not heard of the store lately. Only when no node's copy is confirmed do they
 //! ask the store themselves, and seldom. A watch that ends for any reason goes on from its last
-//! revision; if that history is gone, everything is read anew. A watch may go silent in a fault
+//! revision; if that history is gone, or the store has come back from an older copy, everything is read anew. A watch may go silent in a fault
 //! without a word. It is relied on while the copy is known to be fresh
 //! ([`pitchstall_serving::freshness`]); otherwise the store is asked.
 
@@ -26,6 +26,7 @@
 };
 use pitchstall_serving::freshness::{CopyFreshness, Freshness};
 use pitchstall_serving::store_copy::{CopyQuestion, StoreUpdate, Subject};
+use pitchstall_serving::store_revision::{StoreEra, StoreRevision};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,6 +73,10 @@
     Status(StoreStatus),
     #[error("the configuration cannot be read")]
     Unreadable,
+    #[error("the answer is of the store's era {0}, which is over")]
+    EraIsOver(StoreEra),
+    #[error("the store came back older while it was read")]
+    EraBegan,
 }
 
 fn prefix_of(subject: Subject) -> &'static str {
@@ -164,7 +169,7 @@
     started: Instant,
     address: SocketAddr,
     /// The store's revision up to which everything is known.
-    at: Option<u64>,
+    at: Option<StoreRevision>,
     /// Whether the store has no history from there on: a watch can't go on, everything is read anew. What is known stays
     /// known, so that a copy which is no later ends no such read.
     history_is_gone: bool,
@@ -212,17 +217,31 @@
     async fn ask_store(&mut self) -> Result<(), FollowError> {
         let asked = match self.at {
             None => self.read_all().await,
-            Some(_) if self.history_is_gone => self.read_all().await,
+            Some(_) if self.history_is_gone || self.is_of_earlier_era() => self.read_all().await,
             Some(_) if self.reads_latest => self.read_latest().await,
             Some(at) => self.watch(at).await,
         };
-        let lacks_something = self.at.is_none() || self.history_is_gone || self.is_behind();
+        let lacks_something = self.at.is_none()
+            || self.history_is_gone
+            || self.is_of_earlier_era()
+            || self.is_behind();
         if asked.is_err() && self.failures > 0 && lacks_something {
             self.ask_any_node().await;
         }
         asked
     }
 
+    /// Whether the store has come back from an older copy since what is known here: its revisions are given out again, so
+    /// that a watch would pass over what is written under those that are known.
+    fn is_of_earlier_era(&self) -> bool {
+        self.at.is_some_and(|at| at.era() < self.node.store_era())
+    }
+
+    /// Revision from which another node may tell what has changed; `None`: it has to tell everything.
+    fn at_of_this_era(&self) -> Option<StoreRevision> {
+        self.at.filter(|_| !self.is_of_earlier_era())
+    }
+
     /// Whether the node has just started and may soon know whom it can follow.
     fn may_yet_hear_of_nodes(&self) -> bool {
         !self.node.has_listed_nodes() && self.started.elapsed() < NODES_LIMIT
@@ -239,7 +258,8 @@
         if bytes < LARGE_COPY_BYTES {
             return;
         }
-        let (subject, known_to) = (self.subject.name(), self.at.unwrap_or_default());
+        let subject = self.subject.name();
+        let known_to = self.at.unwrap_or_default().to_string();
         let transfer = self.transfer.elapsed();
         let waited_ms = self.asked_at.elapsed().saturating_sub(transfer).as_millis();
         let transfer_ms = transfer.as_millis();
@@ -258,8 +278,8 @@
             return;
         }
         let other = others[rand::rng().random_range(0..others.len())];
-        let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms: 0 };
-        match self.mirror.ask(other, &question).await {
+        let question = CopyQuestion::new(self.subject, self.at_of_this_era(), 0);
+        match self.mirror.ask(&self.node, other, &question).await {
             Ok(answer) => drop(self.take_answer(&answer)),
             Err(error) => {
                 let (other, error) = (other.to_string(), error.to_string());
@@ -301,45 +321,54 @@
     }
 
     async fn read_configuration(&mut self) -> Result<StoreUpdate, FollowError> {
-        let (status, body) = self.call(&store::read_key(CONFIGURATION_KEY), READ_LIMIT).await?;
+        let (status, body, era) =
+            self.call(&store::read_key(CONFIGURATION_KEY), READ_LIMIT).await?;
         if status != StoreStatus::Done {
             return Err(FollowError::Status(status));
         }
         let (item, at) = store::parse_item(&body)?;
-        let known_to = at.max(item.revision);
         let entries = entries_of(&self.node, self.subject, vec![item]);
         if entries.is_empty() {
             // Another node may have the one before it.
             return Err(FollowError::Unreadable);
         }
-        Ok(StoreUpdate { known_to, whole: true, entries })
+        Ok(StoreUpdate { era, known_to: at, whole: true, entries })
     }
 
     async fn read_list(&mut self) -> Result<StoreUpdate, FollowError> {
-        let all = read_pages(async |after| self.read_page(after.as_deref()).await).await?;
+        let mut of_first = None;
+        let all = read_pages(async |after| {
+            let (page, era) = self.read_page(after.as_deref()).await?;
+            match *of_first.get_or_insert(era) == era {
+                true => Ok(page),
+                false => Err(FollowError::EraBegan),
+            }
+        });
+        let all = all.await?;
         let entries = entries_of(&self.node, self.subject, all.items);
-        Ok(StoreUpdate { known_to: all.at, whole: true, entries })
+        let era = of_first.unwrap_or_default();
+        Ok(StoreUpdate { era, known_to: all.at, whole: true, entries })
     }
 
     fn take_update(&mut self, update: &StoreUpdate) {
         // The history may reach back to a later copy of another node.
-        self.history_is_gone &= self.at.is_some_and(|at| update.known_to <= at);
-        self.at = Some(update.known_to);
+        self.history_is_gone &= self.at.is_some_and(|at| update.known_to() <= at);
+        self.at = Some(update.known_to());
         take_update(&self.node, self.subject, update);
     }
 
-    async fn read_page(&mut self, after: Option<&str>) -> Result<Page, FollowError> {
+    async fn read_page(&mut self, after: Option<&str>) -> Result<(Page, StoreEra), FollowError> {
         let call = store::read_range(prefix_of(self.subject), after);
-        let (status, body) = self.call(&call, READ_LIMIT).await?;
+        let (status, body, era) = self.call(&call, READ_LIMIT).await?;
         if status != StoreStatus::Done {
             return Err(FollowError::Status(status));
         }
-        Ok(store::parse_page(&body)?)
+        Ok((store::parse_page(&body)?, era))
     }
 
     /// Waits for changes. While the copy is not confirmed, the store is only asked: its answer
     /// confirms the copy, here and at the other nodes.
-    async fn watch(&mut self, at: u64) -> Result<(), FollowError> {
+    async fn watch(&mut self, at: StoreRevision) -> Result<(), FollowError> {
         let mirrors = self.node.members.borrow().mirror_count();
         let mirrors = u32::try_from(mirrors).unwrap_or(u32::MAX);
         let pause = BETWEEN_CHANGES + BETWEEN_CHANGES_A_NODE.saturating_mul(mirrors);
@@ -372,13 +401,17 @@
 
     async fn watch_once(
         &mut self,
-        at: u64,
+        at: StoreRevision,
         wait: Duration,
         limit: Duration,
     ) -> Result<(), FollowError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let call = store::watch(prefix_of(self.subject), at, wait_ms);
-        let (status, body) = self.call(&call, limit).await?;
+        let call = store::watch(prefix_of(self.subject), at.number(), wait_ms);
+        let (status, body, era) = self.call(&call, limit).await?;
+        if era > at.era() {
+            // Whatever it says: it may have passed over what was written under revisions that are known.
+            return Ok(());
+        }
         match status {
             StoreStatus::Done => {
                 let page = store::parse_page(&body)?;
@@ -386,12 +419,14 @@
                     self.changed_at = Some(Instant::now());
                     self.note_pace();
                 }
-                let known_to = page.at.max(at);
+                let known_to = StoreRevision::new(era, page.at).max(at);
                 let entries = entries_of(&self.node, self.subject, page.items);
-                for entry in &entries {
-                    self.with_freshness(|copy, _| copy.on_change(entry.revision));
+                let number = known_to.number();
+                let update = StoreUpdate { era, known_to: number, whole: false, entries };
+                for entry in &update.entries {
+                    self.with_freshness(|copy, _| copy.on_change(update.revision_of(entry)));
                 }
-                self.take_update(&StoreUpdate { known_to, whole: false, entries });
+                self.take_update(&update);
                 self.confirmation = draw_confirmation(&self.node, self.subject);
                 self.with_freshness(|copy, now_us| copy.on_store_answer(known_to, now_us));
                 self.node.store_confirmed.notify_one();
@@ -399,6 +434,7 @@
             }
             StoreStatus::HistoryGone => {
                 self.history_is_gone = true;
+                let at = at.to_string();
                 log::info!(target: "store", subject = self.subject.name(), at; "history gone");
                 Ok(())
             }
@@ -419,13 +455,16 @@
         &mut self,
         call: &PlatformCall,
         limit: Duration,
-    ) -> Result<(StoreStatus, Vec<u8>), FollowError> {
+    ) -> Result<(StoreStatus, Vec<u8>, StoreEra), FollowError> {
         self.node.metrics.store_calls.inc();
         self.begin_question();
         let answer = self.client.call(self.address, call, limit).await?;
-        self.node.on_store_era(answer.era);
+        let era = self.node.on_told_era(answer.era);
+        if era < self.node.store_era() {
+            return Err(FollowError::EraIsOver(era));
+        }
         self.log_large_copy("store", answer.body.len());
-        Ok((store::parse_status(answer.status), answer.body))
+        Ok((store::parse_status(answer.status), answer.body, era))
     }
 
     fn on_success(&mut self) {
--- a/crates/gateway/src/watcher/other_nodes.rs
+++ b/crates/gateway/src/watcher/other_nodes.rs
@@ -8,6 +8,7 @@
 use crate::transfer::Transfer;
 use pitchstall_serving::freshness::{CopyFreshness, Freshness};
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, Subject};
+use pitchstall_serving::store_revision::StoreRevision;
 use rand::RngExt;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -28,21 +29,22 @@
 /// link of 10 Mbit/s has brought 0.6 MB, and a wide one the whole of the largest entry, so that nobody is asked.
 const HEDGE_AFTER: Duration = Duration::from_millis(500);
 
-/// Another node's copy that is newer than what is known to `after`, while the store's answer is slow to come.
+/// Another node's copy that is newer than what is known, while the store's answer is slow to come.
 /// The same from a node is a tenth of the bytes, and the store's answer would hold this node for as
 /// long as its link takes; it goes on until the copy has come whole.
 pub(super) fn hedged_copy(
     node: Rc<Node>,
     subject: Subject,
-    after: Option<u64>,
+    known_to: Option<StoreRevision>,
     store_answer: &Rc<Transfer>,
 ) -> impl Future<Output = CopyAnswer> + use<> {
     let store_answer = store_answer.clone();
     let mut mirror = MirrorClient::with_transfer(Rc::default());
-    let question = CopyQuestion { subject, after, wait_ms: 0 };
+    let after = known_to.filter(|known_to| known_to.era() >= node.store_era());
+    let question = CopyQuestion::new(subject, after, 0);
     let brings_news = move |answer: &CopyAnswer| {
         let update = answer.update.as_ref().filter(|update| !update.entries.is_empty());
-        update.is_some_and(|update| after.is_none_or(|after| update.known_to > after))
+        update.is_some_and(|update| known_to.is_none_or(|known_to| update.known_to() > known_to))
     };
     async move {
         for turn in 0_usize.. {
@@ -52,7 +54,7 @@
             }
             let sources = node.members.borrow().sources();
             let Some(source) = sources.get(turn % sources.len().max(1)) else { continue };
-            match mirror.ask(*source, &question).await {
+            match mirror.ask(&node, *source, &question).await {
                 Ok(answer) if brings_news(&answer) => {
                     let source = source.to_string();
                     let received = store_answer.received();
@@ -104,11 +106,11 @@
             false => Duration::ZERO,
         };
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let question = CopyQuestion { subject: self.subject, after: self.at, wait_ms };
+        let question = CopyQuestion::new(self.subject, self.at_of_this_era(), wait_ms);
         self.begin_question();
         // Not dropped when another node tells of a later change: words are small and come at once, while
         // the change itself takes its time. A source that has nothing to say answers soon.
-        let answer = self.mirror.ask(source, &question).await;
+        let answer = self.mirror.ask(&self.node, source, &question).await;
         self.source_is_sound = match answer {
             Ok(answer) => self.judge_answer(source, &answer).await,
             Err(error) => {
@@ -131,11 +133,13 @@
     /// Takes in another node's answer; returns whether its copy can be relied on.
     pub(super) fn take_answer(&mut self, answer: &CopyAnswer) -> bool {
         let Some(update) = &answer.update else { return false };
-        if let Some(at) = self.at.filter(|at| update.known_to < *at) {
-            let (subject, known_to) = (self.subject.name(), update.known_to);
-            log::info!(target: "store", subject, known_to, at; "older copy passed over");
+        let known_to = update.known_to();
+        let leads_on = self.node.copies.borrow().of(self.subject).takes(update);
+        if !leads_on || known_to.era() < self.node.store_era() {
+            self.pass_over(known_to);
             return false;
         }
+        self.node.on_store_era(known_to.era());
         if !update.entries.is_empty() {
             self.changed_at = Some(Instant::now());
         }
@@ -148,6 +152,12 @@
         is_confirmed && self.verdict() != Freshness::Behind
     }
 
+    fn pass_over(&self, known_to: StoreRevision) {
+        let (subject, known_to) = (self.subject.name(), known_to.to_string());
+        let at = self.at.unwrap_or_default().to_string();
+        log::info!(target: "store", subject, known_to, at; "older copy passed over");
+    }
+
     async fn leave_source(&mut self, source: SocketAddr, reason: &str) {
         let source = source.to_string();
         let (subject, received) = (self.subject.name(), self.transfer.received());
--- a/crates/gateway/tests/cache_listing.rs
+++ b/crates/gateway/tests/cache_listing.rs
@@ -6,6 +6,7 @@
 use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::scheduling::Shard;
+use pitchstall_serving::store_revision::StoreRevision;
 
 fn runner(number: usize, stage: Option<Stage>) -> RunnerRecord {
     RunnerRecord {
@@ -18,7 +19,7 @@
         preemptible: false,
         leaves_ms: None,
         stage,
-        revision: 1,
+        revision: StoreRevision::without_era(1),
     }
 }
 
--- a/crates/gateway/tests/compression.rs
+++ b/crates/gateway/tests/compression.rs
@@ -3,16 +3,17 @@
 
 use pitchstall_gateway::compression::{compress, decompress, CompressedUpdate};
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate};
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra};
 use proptest::prelude::*;
 
 fn update(known_to: u64, documents: &[String]) -> StoreUpdate {
     let entry = |(number, document): (usize, &String)| StoreEntry {
         key: format!("key-{number}"),
         document: Some(document.clone()),
-        revision: number as u64,
+        revision: RevisionNumber(number as u64),
     };
     let entries = documents.iter().enumerate().map(entry).collect();
-    StoreUpdate { known_to, whole: true, entries }
+    StoreUpdate { era: StoreEra::UNTOLD, known_to: RevisionNumber(known_to), whole: true, entries }
 }
 
 #[test]
--- a/crates/gateway/tests/mirror.rs
+++ b/crates/gateway/tests/mirror.rs
@@ -5,6 +5,7 @@
 
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_serving::store_copy::{CopyAnswer, CopyQuestion, Subject};
+use pitchstall_serving::store_revision::StoreRevision;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -20,8 +21,8 @@
     serde_json::from_str(&answer).unwrap()
 }
 
-fn question(subject: Subject, after: Option<u64>, wait_ms: u64) -> CopyQuestion {
-    CopyQuestion { subject, after, wait_ms }
+fn question(subject: Subject, after: Option<StoreRevision>, wait_ms: u64) -> CopyQuestion {
+    CopyQuestion::new(subject, after, wait_ms)
 }
 
 fn store_calls(node: &Fixture) -> u64 {
@@ -44,7 +45,7 @@
     let two = runner("i-2");
     let change = std::thread::spawn({
         let address = node.peers;
-        move || ask(address, &question(Subject::Runners, Some(first.known_to), 4_000))
+        move || ask(address, &question(Subject::Runners, Some(first.known_to()), 4_000))
     });
     std::thread::sleep(Duration::from_millis(50));
     node.add_runner(&two, "desk", None);
--- a/crates/gateway/tests/store_came_back_older.rs
+++ b/crates/gateway/tests/store_came_back_older.rs
@@ -87,7 +87,9 @@
     /// Whether none of some requests to a node reaches a runner.
     fn spares(&self, node: &Fixture, runner: &RunnerStandIn) -> bool {
         let before = runner.requests().len();
-        (0..LOOKS).for_each(|_| drop(serves(node, "lookup")));
+        for _ in 0..LOOKS {
+            serves(node, "lookup");
+        }
         runner.requests().len() == before
     }
 }
@@ -150,6 +152,10 @@
     let joined = runner("i-3");
     let entry = runner_entry(&joined, "desk", "north", "ready");
     world.lose_writes().serve_with(false, |world| world.store().put("servers/i-3", &entry));
+    std::thread::sleep(AWAY);
+    // The joined one alone is left.
+    world.written.iter_mut().for_each(|(_, entry)| entry["state"] = "draining".into());
+    world.written.iter().for_each(|(key, entry)| world.store().put(key, entry));
     for node in &world.nodes {
         wait_for("the joined runner to get some", || !world.spares(node, &joined));
     }
--- /dev/null
+++ b/crates/serving/src/fleet/last_entries.rs
@@ -0,0 +1,51 @@
+//! The last entries of lives that are over, to be known again when an older copy of the store brings them back.
+
+use crate::ids::RunnerId;
+use crate::runner::RunnerRecord;
+use crate::store_revision::StoreRevision;
+use std::collections::VecDeque;
+
+/// Lives that are remembered: the aim's 1,300 runners may all be replaced.
+const MOST_REMEMBERED: usize = 2_048;
+
+#[derive(Clone, Debug)]
+struct LastEntry {
+    life: RunnerId,
+    revision: StoreRevision,
+    draining: bool,
+}
+
+/// The last entry of each life, the latest to end last.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LastEntries {
+    entries: VecDeque<LastEntry>,
+}
+
+impl LastEntries {
+    /// A life is over, and this was its entry.
+    pub(super) fn remember(&mut self, record: RunnerRecord) {
+        self.entries.retain(|entry| entry.life != record.id);
+        if self.entries.len() >= MOST_REMEMBERED {
+            self.entries.pop_front();
+        }
+        let RunnerRecord { id: life, revision, draining, .. } = record;
+        self.entries.push_back(LastEntry { life, revision, draining });
+    }
+
+    /// Whether an entry is the last one of a life that ended in an earlier era. Had its runner written it again, it
+    /// would have another number.
+    pub(super) fn has(&self, record: &RunnerRecord) -> bool {
+        self.of_earlier_era(record)
+            .is_some_and(|last| last.revision.number() == record.revision.number())
+    }
+
+    /// Whether the last entry of a life said in an earlier era that it leaves: it goes on leaving.
+    pub(super) fn left_before(&self, record: &RunnerRecord) -> bool {
+        self.of_earlier_era(record).is_some_and(|last| last.draining)
+    }
+
+    fn of_earlier_era(&self, record: &RunnerRecord) -> Option<&LastEntry> {
+        let last = self.entries.iter().find(|last| last.life == record.id)?;
+        (last.revision.era() < record.revision.era()).then_some(last)
+    }
+}
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -6,12 +6,16 @@
 //! failure as if the runner were gone would empty the fleet during a short cut.
 
 mod beliefs;
+mod last_entries;
+
+use last_entries::LastEntries;
 
 use crate::distance::Distances;
 use crate::ids::{RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
 use crate::runner::{Lapsed, Runner, RunnerRecord, Stage};
 use crate::runner_notice::DepartedAvailability;
 use crate::scheduling::Shard;
+use crate::store_revision::StoreRevision;
 use crate::topology::Topology;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -140,6 +144,8 @@
     lives: BTreeMap<RunnerName, RunnerId>,
     /// What lives have said of themselves whose entries are gone: an entry may only have lapsed.
     departed: DepartedAvailability,
+    /// The last entries of lives that are over.
+    last_entries: LastEntries,
 }
 
 impl Fleet {
@@ -192,8 +198,13 @@
     }
 
     /// Takes in an entry of the list. Entries older than what is known are passed over: the revision of an
-    /// entry orders lives too, as a machine's clock may have been set back before a runner's start.
-    pub fn put(&mut self, record: RunnerRecord) -> FleetChange {
+    /// entry orders lives too, as a machine's clock may have been set back before a runner's start. So are those of
+    /// lives that are over, which an older copy of the store brings back.
+    pub fn put(&mut self, mut record: RunnerRecord) -> FleetChange {
+        if self.last_entries.has(&record) {
+            return FleetChange::None;
+        }
+        record.draining |= self.last_entries.left_before(&record);
         let region = self.topology.region_of(&record.zone);
         let name = record.id.name();
         let Some(life) = self.lives.get(&name).cloned() else {
@@ -201,7 +212,7 @@
             return FleetChange::Joined;
         };
         let Some(known) = self.runners.get_mut(&life) else { return FleetChange::None };
-        let gone_at = known.lapsed.map_or(0, |lapsed| lapsed.revision);
+        let gone_at = known.lapsed.map_or(StoreRevision::default(), |lapsed| lapsed.revision);
         if record.revision <= known.record.revision.max(gone_at) {
             return FleetChange::None;
         }
@@ -212,6 +223,11 @@
             self.insert(record, region);
             return FleetChange::Reborn { ended };
         }
+        if record.revision.era() > known.record.revision.era() {
+            // The entry may be older than what is known; a life that leaves goes on leaving.
+            record.draining |= known.record.draining;
+            record.leaves_ms = record.leaves_ms.or(known.record.leaves_ms);
+        }
         let change = if record.draining && !known.record.draining {
             FleetChange::Draining
         } else if record.stage != known.record.stage {
@@ -238,7 +254,7 @@
     pub fn remove(
         &mut self,
         id: &RunnerId,
-        revision: u64,
+        revision: StoreRevision,
         lapses_until_us: Option<u64>,
     ) -> FleetChange {
         match self.runners.get_mut(id) {
@@ -262,6 +278,7 @@
     fn forget(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.remove(id) {
             self.departed.remember(id, runner.availability);
+            self.last_entries.remember(runner.record);
         }
         self.lives.remove(&id.name());
     }
@@ -280,7 +297,7 @@
     pub fn replace_all(
         &mut self,
         records: Vec<RunnerRecord>,
-        revision: u64,
+        revision: StoreRevision,
         lapses_until_us: Option<u64>,
     ) -> Vec<EndedLife> {
         let listed: BTreeSet<RunnerName> = records.iter().map(|record| record.id.name()).collect();
@@ -290,7 +307,7 @@
         let gone = self.runners.values().filter(is_gone);
         let gone: Vec<EndedLife> = gone.map(ended).collect();
         let has_left = |life: &EndedLife| {
-            self.remove(&life.id, revision + 1, lapses_until_us) == FleetChange::Left
+            self.remove(&life.id, revision.next(), lapses_until_us) == FleetChange::Left
         };
         let mut over: Vec<EndedLife> = gone.into_iter().filter(has_left).collect();
         for record in records {
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -12,6 +12,7 @@
 //! counted from when it came.
 
 use crate::store_copy::{StoreUpdate, Subject};
+use crate::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 /// What a node tells of one subject.
@@ -19,12 +20,27 @@
 pub struct FreshnessWord {
     /// Revision of the last change that the node has seen.
     #[serde(rename = "c")]
-    pub changed_at: u64,
+    changed_at: RevisionNumber,
+    /// The era of that revision. Builds that know no eras tell none.
+    #[serde(rename = "e", default, skip_serializing_if = "StoreEra::is_untold")]
+    era: StoreEra,
     /// Milliseconds since the store confirmed that there was none after it; `None`: never.
     #[serde(rename = "a")]
     pub age_ms: Option<u64>,
 }
 
+impl FreshnessWord {
+    /// A word that the last change was at a revision, as the store confirmed so long ago.
+    pub fn new(changed_at: StoreRevision, age_ms: Option<u64>) -> Self {
+        Self { changed_at: changed_at.number(), era: changed_at.era(), age_ms }
+    }
+
+    /// Revision of the last change that the node has seen, as a node takes it that has heard of these eras.
+    pub fn changed_at(&self, eras: &StoreEras) -> StoreRevision {
+        StoreRevision::new(eras.of_word(self.era), self.changed_at)
+    }
+}
+
 /// Whether a node's copy can be relied on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -62,7 +78,7 @@
 /// A change that is not known here and that other nodes have told of.
 #[derive(Clone, Copy, Debug)]
 struct ToldChange {
-    revision: u64,
+    revision: StoreRevision,
     first_us: u64,
     last_us: u64,
 }
@@ -73,17 +89,17 @@
     /// The subject is one entry, which is never removed: the revision of the entry tells the last change. Otherwise
     /// what was removed before everything was read does not show.
     is_one_entry: bool,
-    known_to: u64,
+    known_to: StoreRevision,
     /// No change after this revision is known. After everything has been read that is the
     /// read's own revision, as what was removed before it does not show.
-    changed_at: u64,
+    changed_at: StoreRevision,
     /// When everything was read, until it is known better which change was the last.
     read_at_us: Option<u64>,
     confirmed_at_us: Option<u64>,
     /// When the store was heard of again after it had been away.
     returned_at_us: Option<u64>,
     /// A later change that another node has seen, and when it was first told.
-    seen_elsewhere: Option<(u64, u64)>,
+    seen_elsewhere: Option<(StoreRevision, u64)>,
     /// Later changes that others have told of, the earliest first.
     told: Vec<ToldChange>,
 }
@@ -95,7 +111,7 @@
     }
 
     /// The store has answered: everything up to a revision is known.
-    pub fn on_store_answer(&mut self, known_to: u64, now_us: u64) {
+    pub fn on_store_answer(&mut self, known_to: StoreRevision, now_us: u64) {
         self.known_to = known_to;
         // The store itself knows of no later change: what was told before is of another store.
         self.told.clear();
@@ -106,19 +122,19 @@
     /// Everything has been read from the store.
     pub fn on_read(&mut self, update: &StoreUpdate, now_us: u64) {
         self.on_whole(update, now_us);
-        self.on_store_answer(update.known_to, now_us);
+        self.on_store_answer(update.known_to(), now_us);
     }
 
     /// All entries are known, as they stood at a revision.
     fn on_whole(&mut self, update: &StoreUpdate, now_us: u64) {
-        let latest = update.entries.iter().map(|entry| entry.revision).max();
+        let latest = update.entries.iter().map(|entry| update.revision_of(entry)).max();
         match latest.filter(|_| self.is_one_entry) {
             Some(revision) => {
                 self.changed_at = revision;
                 self.read_at_us = None;
             }
             None => {
-                self.changed_at = update.known_to;
+                self.changed_at = update.known_to();
                 self.read_at_us = Some(now_us);
             }
         }
@@ -130,8 +146,8 @@
             self.on_whole(update, now_us);
         }
         // A word that left a change out would confirm copies that have not seen it.
-        update.entries.iter().for_each(|entry| self.on_change(entry.revision));
-        self.known_to = self.known_to.max(update.known_to);
+        update.entries.iter().for_each(|entry| self.on_change(update.revision_of(entry)));
+        self.known_to = self.known_to.max(update.known_to());
         let known_to = self.known_to;
         self.told.retain(|told| told.revision > known_to);
         self.seen_elsewhere = self.seen_elsewhere.filter(|(revision, _)| *revision > known_to);
@@ -148,6 +164,11 @@
         self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
     }
 
+    /// The store has come back from an older copy: entries that it lacks may be written again.
+    pub fn on_later_era(&mut self, now_us: u64) {
+        self.returned_at_us = Some(now_us);
+    }
+
     /// Until when an entry that is gone may only have lapsed while the store was away; `None`: the
     /// store has been there, and whoever is gone from it is gone.
     pub fn lapses_until_us(&self, now_us: u64) -> Option<u64> {
@@ -165,20 +186,25 @@
     }
 
     /// A change has been told by a watch.
-    pub fn on_change(&mut self, revision: u64) {
+    pub fn on_change(&mut self, revision: StoreRevision) {
         if revision > self.changed_at {
             self.changed_at = revision;
             self.read_at_us = None;
         }
     }
 
-    /// Another node's word. One that has seen no change that is unknown here confirms the copy.
-    pub fn on_word(&mut self, word: FreshnessWord, now_us: u64) {
-        if word.changed_at > self.known_to {
-            self.on_told(word.changed_at, now_us);
+    /// Another node's word. One that has seen no change that is unknown here confirms the copy, unless it is of an
+    /// era that is over: then it does not know what was written since.
+    pub fn on_word(&mut self, word: FreshnessWord, eras: &StoreEras, now_us: u64) {
+        let changed_at = word.changed_at(eras);
+        if changed_at > self.known_to {
+            self.on_told(changed_at, now_us);
             let first_us = self.seen_elsewhere.map_or(now_us, |(_, told_at_us)| told_at_us);
-            let highest = self.seen_elsewhere.map_or(0, |(revision, _)| revision);
-            self.seen_elsewhere = Some((highest.max(word.changed_at), first_us));
+            let highest = self.seen_elsewhere.map_or(changed_at, |(revision, _)| revision);
+            self.seen_elsewhere = Some((highest.max(changed_at), first_us));
+            return;
+        }
+        if changed_at.era() < self.known_to.era() {
             return;
         }
         let Some(age_ms) = word.age_ms else { return };
@@ -186,12 +212,12 @@
         self.confirm(confirmed_at_us, now_us);
         // Confirmed after everything was read here: nothing has changed in between.
         if self.read_at_us.is_some_and(|read_at_us| read_at_us < confirmed_at_us) {
-            self.changed_at = word.changed_at;
+            self.changed_at = changed_at;
             self.read_at_us = None;
         }
     }
 
-    fn on_told(&mut self, revision: u64, now_us: u64) {
+    fn on_told(&mut self, revision: StoreRevision, now_us: u64) {
         self.told.retain(|told| now_us < told.last_us + TOLD_HOLDS_US);
         // Whoever has seen a change has seen those before it.
         let earlier = self.told.iter_mut().filter(|told| told.revision <= revision);
@@ -215,12 +241,12 @@
         if self.read_at_us.is_some_and(|read_at_us| now_us < read_at_us + SETTLING_US) {
             return FreshnessWord::default();
         }
-        FreshnessWord { changed_at: self.changed_at, age_ms: self.confirmed_age_ms(now_us) }
+        FreshnessWord::new(self.changed_at, self.confirmed_age_ms(now_us))
     }
 
     /// Whether another node has seen a later change for longer than a watch takes to tell.
     pub fn is_behind(&self, now_us: u64) -> bool {
-        let told_long_ago = |(_, first_us): (u64, u64)| now_us >= first_us + TELLING_US;
+        let told_long_ago = |(_, first_us): (StoreRevision, u64)| now_us >= first_us + TELLING_US;
         self.seen_elsewhere.is_some_and(told_long_ago)
     }
 
@@ -307,9 +333,14 @@
     }
 
     /// Another node's word.
-    pub fn on_word(&mut self, word: &StoreWord, now_us: u64) {
-        self.configuration.on_word(word.configuration, now_us);
-        self.runners.on_word(word.runners, now_us);
-        self.crashes.on_word(word.crashes, now_us);
+    pub fn on_word(&mut self, word: &StoreWord, eras: &StoreEras, now_us: u64) {
+        self.configuration.on_word(word.configuration, eras, now_us);
+        self.runners.on_word(word.runners, eras, now_us);
+        self.crashes.on_word(word.crashes, eras, now_us);
+    }
+
+    /// The store has come back from an older copy.
+    pub fn on_later_era(&mut self, now_us: u64) {
+        Subject::ALL.into_iter().for_each(|it| self.copy_of_mut(it).on_later_era(now_us));
     }
 }
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -7,6 +7,7 @@
 use crate::prefix_cache::PrefixCacheModel;
 use crate::runner_notice::{Availability, RequestRate};
 use crate::runner_pace::RunnerPace;
+use crate::store_revision::StoreRevision;
 use crate::suspicion::Suspicion;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -54,7 +55,7 @@
     /// What it does, if it runs a language model.
     pub stage: Option<Stage>,
     /// Revision of the entry in the store.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Load that a runner tells in an answer.
@@ -139,7 +140,7 @@
     /// The runner is taken to be gone if the entry is not back by then, microseconds.
     pub(crate) until_us: u64,
     /// Revision of the store at which the entry was gone.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
 }
 
 impl Runner {
--- a/crates/serving/src/store_copy.rs
+++ b/crates/serving/src/store_copy.rs
@@ -1,8 +1,10 @@
 //! A node's copy of the store's entries, as it hands them on to other nodes.
 //!
 //! The copy is exact up to a revision. Whoever knows the store up to an earlier one gets what
-//! has changed since, if the copy still knows what was removed since; otherwise the whole list.
+//! has changed since, if the copy still knows what was removed since; otherwise the whole list. All of a copy is
+//! of one era of the store: into a later one leads a whole list alone, as nobody tells what was lost.
 
+use crate::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -49,9 +51,9 @@
     /// document, which nothing can be read from.
     #[serde(rename = "v")]
     pub document: Option<String>,
-    /// Revision of the change.
+    /// Revision of the change, in the era of the update or the copy that the entry stands in.
     #[serde(rename = "r")]
-    pub revision: u64,
+    pub revision: RevisionNumber,
 }
 
 impl StoreEntry {
@@ -64,8 +66,11 @@
 /// Entries that bring another copy up to date.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreUpdate {
+    /// The era that it is of. Builds that know no eras tell none.
+    #[serde(rename = "era", default, skip_serializing_if = "StoreEra::is_untold")]
+    pub era: StoreEra,
     /// Revision up to which everything is known after it.
-    pub known_to: u64,
+    pub known_to: RevisionNumber,
     /// Whether these are all entries: what is not among them is gone.
     pub whole: bool,
     /// The entries.
@@ -73,6 +78,16 @@
 }
 
 impl StoreUpdate {
+    /// Revision up to which everything is known after it.
+    pub fn known_to(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.known_to)
+    }
+
+    /// Revision of one of its entries.
+    pub fn revision_of(&self, entry: &StoreEntry) -> StoreRevision {
+        StoreRevision::new(self.era, entry.revision)
+    }
+
     /// Bytes of its keys and documents.
     pub fn content_bytes(&self) -> usize {
         let bytes = |entry: &StoreEntry| {
@@ -85,22 +100,27 @@
 /// The entries of one subject.
 #[derive(Clone, Debug, Default)]
 pub struct StoreCopy {
-    /// `None`: nothing has been read yet.
-    known_to: Option<u64>,
+    /// `None`: nothing has been read yet. All entries are of its era.
+    known_to: Option<StoreRevision>,
     /// Removals after this revision are remembered.
-    removals_since: u64,
+    removals_since: StoreRevision,
     entries: BTreeMap<String, StoreEntry>,
 }
 
 impl StoreCopy {
     /// Revision up to which everything is known.
-    pub fn known_to(&self) -> Option<u64> {
+    pub fn known_to(&self) -> Option<StoreRevision> {
         self.known_to
     }
 
+    fn revision_of(&self, entry: &StoreEntry) -> StoreRevision {
+        let era = self.known_to.unwrap_or_default().era();
+        StoreRevision::new(era, entry.revision)
+    }
+
     /// Revision of the latest entry; `None`: there is none.
-    pub fn last_change(&self) -> Option<u64> {
-        self.entries.values().map(|entry| entry.revision).max()
+    pub fn last_change(&self) -> Option<StoreRevision> {
+        self.entries.values().map(|entry| self.revision_of(entry)).max()
     }
 
     /// Forgets everything: another store counts its revisions in another way.
@@ -108,36 +128,44 @@
         *self = Self::default();
     }
 
-    /// Takes in an update. One that ends before what is known changes nothing.
+    /// Whether an update leads on from what is known: it ends no earlier, and is whole if it is of a later era.
+    pub fn takes(&self, update: &StoreUpdate) -> bool {
+        let Some(known_to) = self.known_to else { return true };
+        let is_of_same_era = update.era == known_to.era();
+        update.known_to() >= known_to && (update.whole || is_of_same_era)
+    }
+
+    /// Takes in an update. One that does not lead on from what is known changes nothing.
     pub fn apply(&mut self, update: &StoreUpdate) {
-        if self.known_to.is_some_and(|known_to| update.known_to < known_to) {
+        if !self.takes(update) {
             return;
         }
         if update.whole {
             self.entries.clear();
-            self.removals_since = update.known_to;
+            self.removals_since = update.known_to();
         }
         for entry in &update.entries {
             self.entries.insert(entry.key.clone(), entry.clone());
         }
-        self.known_to = Some(update.known_to);
+        self.known_to = Some(update.known_to());
         self.forget_removals();
     }
 
     /// What brings a copy that is exact up to `after` up to date; `None` if nothing is known
     /// here, or if the other copy is ahead.
-    pub fn update_since(&self, after: Option<u64>) -> Option<StoreUpdate> {
+    pub fn update_since(&self, after: Option<StoreRevision>) -> Option<StoreUpdate> {
         let known_to = self.known_to?;
         if after.is_some_and(|after| after > known_to) {
             return None;
         }
         let since = after.filter(|after| *after >= self.removals_since);
         let is_news = |entry: &&StoreEntry| match since {
-            Some(since) => entry.revision > since,
+            Some(since) => self.revision_of(entry) > since,
             None => entry.document.is_some(),
         };
         let entries = self.entries.values().filter(is_news).cloned().collect();
-        Some(StoreUpdate { known_to, whole: since.is_none(), entries })
+        let (era, known_to) = (known_to.era(), known_to.number());
+        Some(StoreUpdate { era, known_to, whole: since.is_none(), entries })
     }
 
     /// Bounds the memory that removed entries take.
@@ -184,11 +212,28 @@
     /// What it asks for.
     pub subject: Subject,
     /// Revision up to which it knows everything; `None`: it knows nothing.
-    pub after: Option<u64>,
+    after: Option<RevisionNumber>,
+    /// The era of that revision. Builds that know no eras tell none.
+    #[serde(default, skip_serializing_if = "StoreEra::is_untold")]
+    era: StoreEra,
     /// Time for which the answer may wait for a change, milliseconds.
     pub wait_ms: u64,
 }
 
+impl CopyQuestion {
+    /// A question of a node that knows everything up to a revision, for an answer that may wait so long.
+    pub fn new(subject: Subject, after: Option<StoreRevision>, wait_ms: u64) -> Self {
+        let era = after.unwrap_or_default().era();
+        Self { subject, after: after.map(StoreRevision::number), era, wait_ms }
+    }
+
+    /// Revision up to which the asking node knows everything, as a node takes it that has heard of these eras.
+    pub fn after(&self, eras: &StoreEras) -> Option<StoreRevision> {
+        let era = eras.of_word(self.era);
+        self.after.map(|number| StoreRevision::new(era, number))
+    }
+}
+
 /// The answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyAnswer {
--- a/crates/serving/src/store_revision.rs
+++ b/crates/serving/src/store_revision.rs
@@ -82,7 +82,7 @@
     }
 
     /// The revision that has a number in a store that tells no eras.
-    pub fn without_era(number: u64) -> Self {
+    pub const fn without_era(number: u64) -> Self {
         Self { era: StoreEra::UNTOLD, number }
     }
 
--- a/crates/serving/tests/freshness.rs
+++ b/crates/serving/tests/freshness.rs
@@ -3,24 +3,34 @@
 
 use pitchstall_serving::freshness::{CopyFreshness, Freshness, FreshnessWord};
 use pitchstall_serving::store_copy::{StoreEntry, StoreUpdate};
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
 use proptest::prelude::*;
 
 const SECOND: u64 = 1_000_000;
 const HOLDS: u64 = 2 * SECOND;
 
+fn at(number: u64) -> StoreRevision {
+    StoreRevision::without_era(number)
+}
+
 fn word(changed_at: u64, age_ms: u64) -> FreshnessWord {
-    FreshnessWord { changed_at, age_ms: Some(age_ms) }
+    FreshnessWord::new(at(changed_at), Some(age_ms))
 }
 
 fn copy_known_to(revision: u64) -> CopyFreshness {
     let mut copy = CopyFreshness::default();
-    copy.on_change(revision);
-    copy.on_store_answer(revision, 0);
+    copy.on_change(at(revision));
+    copy.on_store_answer(at(revision), 0);
     copy
 }
 
 fn everything_at(known_to: u64) -> StoreUpdate {
-    StoreUpdate { known_to, whole: true, entries: Vec::new() }
+    StoreUpdate {
+        era: StoreEra::UNTOLD,
+        known_to: RevisionNumber(known_to),
+        whole: true,
+        entries: Vec::new(),
+    }
 }
 
 #[test]
@@ -34,7 +44,7 @@
 #[test]
 fn another_nodes_word_confirms_by_its_age() {
     let mut copy = copy_known_to(5);
-    copy.on_word(word(5, 500), HOLDS);
+    copy.on_word(word(5, 500), &StoreEras::default(), HOLDS);
     assert_eq!(copy.verdict(HOLDS + SECOND, HOLDS), Freshness::Fresh);
     assert_eq!(copy.verdict(HOLDS + 3 * SECOND / 2, HOLDS), Freshness::Unconfirmed);
 }
@@ -43,24 +53,30 @@
 /// seconds by nodes that had seen a change through another node and did not tell of it.
 #[test]
 fn a_node_that_was_handed_a_change_confirms_only_copies_that_have_it() {
-    let entry = StoreEntry { key: "servers/i-1".to_owned(), document: None, revision: 7 };
-    let update = StoreUpdate { known_to: 9, whole: false, entries: vec![entry] };
+    let entry =
+        StoreEntry { key: "servers/i-1".to_owned(), document: None, revision: RevisionNumber(7) };
+    let update = StoreUpdate {
+        era: StoreEra::UNTOLD,
+        known_to: RevisionNumber(9),
+        whole: false,
+        entries: vec![entry],
+    };
     let mut follower = copy_known_to(5);
     follower.on_handed_on(&update, Some(100), SECOND);
-    assert_eq!(follower.word(SECOND).changed_at, 7);
+    assert_eq!(follower.word(SECOND).changed_at(&StoreEras::default()), at(7));
     let mut lagging = copy_known_to(5);
-    lagging.on_word(follower.word(SECOND), SECOND);
+    lagging.on_word(follower.word(SECOND), &StoreEras::default(), SECOND);
     assert_eq!(lagging.verdict(2 * SECOND, 9 * SECOND), Freshness::Behind);
     let mut exact = copy_known_to(7);
-    exact.on_word(follower.word(SECOND), SECOND);
+    exact.on_word(follower.word(SECOND), &StoreEras::default(), SECOND);
     assert_eq!(exact.verdict(2 * SECOND, 9 * SECOND), Freshness::Fresh);
 }
 
 #[test]
 fn a_node_that_lags_was_confirmed_before_the_change_and_so_adds_nothing() {
     let mut copy = copy_known_to(5);
-    copy.on_store_answer(5, SECOND);
-    copy.on_word(word(4, 1_500), 2 * SECOND);
+    copy.on_store_answer(at(5), SECOND);
+    copy.on_word(word(4, 1_500), &StoreEras::default(), 2 * SECOND);
     assert_eq!(copy.verdict(SECOND + HOLDS - 1, HOLDS), Freshness::Fresh);
     assert_eq!(copy.verdict(SECOND + HOLDS, HOLDS), Freshness::Unconfirmed);
 }
@@ -72,9 +88,9 @@
     let mut reader = CopyFreshness::default();
     reader.on_read(&everything_at(9), 0);
     let mut other = copy_known_to(6);
-    other.on_word(reader.word(0), 0);
+    other.on_word(reader.word(0), &StoreEras::default(), 0);
     assert_eq!(other.verdict(HOLDS, HOLDS), Freshness::Unconfirmed, "nothing is told at first");
-    other.on_word(reader.word(2 * SECOND), 2 * SECOND);
+    other.on_word(reader.word(2 * SECOND), &StoreEras::default(), 2 * SECOND);
     assert_eq!(other.verdict(3 * SECOND, HOLDS), Freshness::Behind);
 }
 
@@ -83,29 +99,29 @@
     let mut reader = CopyFreshness::default();
     reader.on_read(&everything_at(9), 0);
     let mut other = copy_known_to(6);
-    other.on_store_answer(9, SECOND);
-    reader.on_word(other.word(SECOND), SECOND + 1);
+    other.on_store_answer(at(9), SECOND);
+    reader.on_word(other.word(SECOND), &StoreEras::default(), SECOND + 1);
     // Its word confirms the other's copy now, instead of making it ask.
-    reader.on_store_answer(9, 3 * SECOND);
-    other.on_word(reader.word(3 * SECOND), 3 * SECOND);
+    reader.on_store_answer(at(9), 3 * SECOND);
+    other.on_word(reader.word(3 * SECOND), &StoreEras::default(), 3 * SECOND);
     assert_eq!(other.verdict(3 * SECOND, HOLDS), Freshness::Fresh);
 }
 
 #[test]
 fn a_change_that_another_node_has_seen_and_the_watch_does_not_tell_makes_the_copy_old() {
     let mut copy = copy_known_to(5);
-    copy.on_word(word(6, 0), SECOND);
+    copy.on_word(word(6, 0), &StoreEras::default(), SECOND);
     assert_eq!(copy.verdict(SECOND, HOLDS), Freshness::Fresh, "the watch may be about to tell");
-    copy.on_word(word(6, 0), SECOND + 200_000);
+    copy.on_word(word(6, 0), &StoreEras::default(), SECOND + 200_000);
     assert_eq!(copy.verdict(SECOND + 400_000, HOLDS), Freshness::Behind);
-    copy.on_store_answer(6, SECOND + 400_000);
+    copy.on_store_answer(at(6), SECOND + 400_000);
     assert_eq!(copy.verdict(SECOND + 400_000, HOLDS), Freshness::Fresh);
 }
 
 #[test]
 fn a_node_that_cannot_catch_up_asks_at_intervals() {
     let mut copy = copy_known_to(5);
-    copy.on_word(word(9, 0), 0);
+    copy.on_word(word(9, 0), &StoreEras::default(), 0);
     assert_eq!(copy.verdict(SECOND, HOLDS), Freshness::Behind);
     copy.on_asked(SECOND);
     assert_eq!(copy.verdict(SECOND + 1, HOLDS), Freshness::Fresh);
@@ -116,12 +132,18 @@
 fn a_copy_is_behind_from_the_first_word_of_a_change_until_it_has_that_change() {
     let mut copy = copy_known_to(5);
     assert_eq!(copy.behind_for_us(SECOND), None);
-    copy.on_word(word(6, 0), SECOND);
-    copy.on_word(word(8, 0), 2 * SECOND);
+    copy.on_word(word(6, 0), &StoreEras::default(), SECOND);
+    copy.on_word(word(8, 0), &StoreEras::default(), 2 * SECOND);
     copy.on_asked(2 * SECOND);
     assert_eq!(copy.behind_for_us(3 * SECOND), Some(2 * SECOND));
-    let entry = StoreEntry { key: "op/config".to_owned(), document: None, revision: 6 };
-    let update = StoreUpdate { known_to: 6, whole: false, entries: vec![entry] };
+    let entry =
+        StoreEntry { key: "op/config".to_owned(), document: None, revision: RevisionNumber(6) };
+    let update = StoreUpdate {
+        era: StoreEra::UNTOLD,
+        known_to: RevisionNumber(6),
+        whole: false,
+        entries: vec![entry],
+    };
     copy.on_handed_on(&update, Some(0), 3 * SECOND);
     assert_eq!(copy.behind_for_us(3 * SECOND), Some(SECOND), "the later change is still missing");
 }
@@ -130,9 +152,9 @@
 #[test]
 fn a_word_of_a_later_change_keeps_that_of_an_earlier_one_alive() {
     let mut copy = copy_known_to(5);
-    copy.on_word(word(6, 0), 0);
+    copy.on_word(word(6, 0), &StoreEras::default(), 0);
     for second in 1..20 {
-        copy.on_word(word(6 + second, 0), second * SECOND);
+        copy.on_word(word(6 + second, 0), &StoreEras::default(), second * SECOND);
     }
     assert_eq!(copy.behind_for_us(20 * SECOND), Some(20 * SECOND));
 }
@@ -142,11 +164,11 @@
 #[test]
 fn words_of_another_stores_revisions_are_not_believed_for_long() {
     let mut copy = copy_known_to(5);
-    copy.on_word(word(50_000, 0), SECOND);
+    copy.on_word(word(50_000, 0), &StoreEras::default(), SECOND);
     assert!(copy.behind_for_us(2 * SECOND).is_some());
-    copy.on_store_answer(5, 2 * SECOND);
+    copy.on_store_answer(at(5), 2 * SECOND);
     assert_eq!(copy.behind_for_us(2 * SECOND), None);
-    copy.on_word(word(50_000, 0), 3 * SECOND);
+    copy.on_word(word(50_000, 0), &StoreEras::default(), 3 * SECOND);
     assert_eq!(copy.behind_for_us(9 * SECOND), None, "nobody has repeated it");
 }
 
@@ -155,16 +177,22 @@
 /// there is, until the store is back.
 #[test]
 fn a_node_that_has_got_the_only_entry_whole_makes_nobody_look_behind() {
-    let entry = StoreEntry { key: "op/config".to_owned(), document: None, revision: 5 };
-    let whole = StoreUpdate { known_to: 9, whole: true, entries: vec![entry] };
+    let entry =
+        StoreEntry { key: "op/config".to_owned(), document: None, revision: RevisionNumber(5) };
+    let whole = StoreUpdate {
+        era: StoreEra::UNTOLD,
+        known_to: RevisionNumber(9),
+        whole: true,
+        entries: vec![entry],
+    };
     let mut reader = CopyFreshness::of_one_entry();
     reader.on_read(&whole, 0);
     let mut follower = CopyFreshness::of_one_entry();
     follower.on_handed_on(&whole, Some(0), 0);
     for told in [reader.word(0), reader.word(3 * SECOND), follower.word(3 * SECOND)] {
-        assert_eq!(told.changed_at, 5);
+        assert_eq!(told.changed_at(&StoreEras::default()), at(5));
         let mut other = copy_known_to(6);
-        other.on_word(told, 0);
+        other.on_word(told, &StoreEras::default(), 0);
         assert_eq!(other.behind_for_us(SECOND), None);
     }
 }
@@ -180,7 +208,7 @@
             now_us += held_ms * 1_000;
             let told = copies[from].word(now_us);
             // The word travels for up to the time that is added for each hop.
-            copies[to].on_word(told, now_us + 20_000);
+            copies[to].on_word(told, &StoreEras::default(), now_us + 20_000);
         }
         let late = now_us.max(HOLDS) + 20_000;
         for copy in &copies {
--- a/crates/serving/tests/lapsed_entries.rs
+++ b/crates/serving/tests/lapsed_entries.rs
@@ -9,13 +9,14 @@
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_copy::StoreUpdate;
-use support::runner_record;
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra};
+use support::{at, runner_record};
 
 const SECOND_US: u64 = 1_000_000;
 const UNTIL_US: u64 = 2 * SECOND_US;
 
 fn record(id: &str, draining: bool, revision: u64) -> RunnerRecord {
-    RunnerRecord { draining, revision, ..runner_record(RunnerId::new(id)) }
+    RunnerRecord { draining, revision: at(revision), ..runner_record(RunnerId::new(id)) }
 }
 
 fn takes_work(fleet: &Fleet, id: &str) -> bool {
@@ -26,7 +27,7 @@
 fn an_entry_that_may_have_lapsed_is_served_on_until_it_is_back() {
     let mut fleet = Fleet::default();
     fleet.put(record("a", false, 1));
-    assert_eq!(fleet.remove(&RunnerId::new("a"), 5, Some(UNTIL_US)), FleetChange::Lapsed);
+    assert_eq!(fleet.remove(&RunnerId::new("a"), at(5), Some(UNTIL_US)), FleetChange::Lapsed);
     assert!(takes_work(&fleet, "a"));
     assert_eq!(fleet.put(record("a", false, 4)), FleetChange::None, "older than its lapse");
     fleet.put(record("a", false, 6));
@@ -38,10 +39,10 @@
 fn one_that_is_not_back_in_time_is_gone() {
     let mut fleet = Fleet::default();
     fleet.put(record("a", false, 1));
-    assert!(fleet.replace_all(Vec::new(), 5, Some(UNTIL_US)).is_empty());
+    assert!(fleet.replace_all(Vec::new(), at(5), Some(UNTIL_US)).is_empty());
     assert!(fleet.remove_lapsed(UNTIL_US - 1).is_empty());
     // A second list without it gives it no more time.
-    assert!(fleet.replace_all(Vec::new(), 6, Some(2 * UNTIL_US)).is_empty());
+    assert!(fleet.replace_all(Vec::new(), at(6), Some(2 * UNTIL_US)).is_empty());
     assert_eq!(fleet.remove_lapsed(UNTIL_US), [RunnerId::new("a")]);
     assert!(fleet.get(&RunnerId::new("a")).is_none());
 }
@@ -50,19 +51,27 @@
 fn one_that_was_about_to_leave_is_gone_at_once() {
     let mut fleet = Fleet::default();
     fleet.put(record("a", true, 1));
-    assert_eq!(fleet.remove(&RunnerId::new("a"), 5, Some(UNTIL_US)), FleetChange::Left);
+    assert_eq!(fleet.remove(&RunnerId::new("a"), at(5), Some(UNTIL_US)), FleetChange::Left);
 }
 
 #[test]
 fn entries_lapse_only_while_the_store_is_away_and_soon_after_its_return() {
     let mut copy = CopyFreshness::default();
-    copy.on_read(&StoreUpdate { known_to: 1, whole: true, entries: Vec::new() }, 0);
+    copy.on_read(
+        &StoreUpdate {
+            era: StoreEra::UNTOLD,
+            known_to: RevisionNumber(1),
+            whole: true,
+            entries: Vec::new(),
+        },
+        0,
+    );
     assert_eq!(copy.lapses_until_us(SECOND_US), None, "heard of lately");
     assert!(copy.lapses_until_us(4 * SECOND_US).is_some(), "not heard of for seconds");
-    copy.on_store_answer(2, 5 * SECOND_US);
+    copy.on_store_answer(at(2), 5 * SECOND_US);
     let until_us = copy.lapses_until_us(5 * SECOND_US).unwrap();
     assert!((SECOND_US..=2 * SECOND_US).contains(&(until_us - 5 * SECOND_US)));
-    copy.on_store_answer(3, 6 * SECOND_US);
-    copy.on_store_answer(4, 8 * SECOND_US);
+    copy.on_store_answer(at(3), 6 * SECOND_US);
+    copy.on_store_answer(at(4), 8 * SECOND_US);
     assert_eq!(copy.lapses_until_us(8 * SECOND_US), None, "it has been back for seconds");
 }
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -22,7 +22,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use support::runner_record;
+use support::{at, runner_record};
 use test_case::test_case;
 
 const CACHE_TOKENS: u64 = 400_000;
@@ -103,7 +103,12 @@
 }
 
 fn record(id: &str, zone: &str, stage: Option<Stage>, revision: u64) -> RunnerRecord {
-    RunnerRecord { zone: ZoneId::new(zone), stage, revision, ..runner_record(RunnerId::new(id)) }
+    RunnerRecord {
+        zone: ZoneId::new(zone),
+        stage,
+        revision: at(revision),
+        ..runner_record(RunnerId::new(id))
+    }
 }
 
 #[test]
@@ -114,8 +119,8 @@
     assert_eq!(fleet.put(draining), FleetChange::Draining);
     assert_eq!(fleet.put(record("a", "north", None, 6)), FleetChange::None);
     assert!(!fleet.get(&RunnerId::new("a")).unwrap().takes_work());
-    assert_eq!(fleet.remove(&RunnerId::new("a"), 6, None), FleetChange::None, "a late removal");
-    assert_eq!(fleet.remove(&RunnerId::new("a"), 8, None), FleetChange::Left);
+    assert_eq!(fleet.remove(&RunnerId::new("a"), at(6), None), FleetChange::None, "a late removal");
+    assert_eq!(fleet.remove(&RunnerId::new("a"), at(8), None), FleetChange::Left);
 }
 
 #[test]
@@ -123,7 +128,7 @@
     let mut fleet = one_region();
     fleet.put(record("old", "north", None, 3));
     fleet.put(record("new", "north", None, 9));
-    let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], 6, None);
+    let gone = fleet.replace_all(vec![record("listed", "north", None, 4)], at(6), None);
     assert_eq!(gone, [EndedLife { id: RunnerId::new("old"), was_leaving: false }]);
     assert!(fleet.get(&RunnerId::new("new")).is_some());
     assert!(fleet.get(&RunnerId::new("listed")).is_some());
@@ -407,6 +412,6 @@
     fleet.on_misdirected(&id);
     assert_eq!(fleet.put(record("a", "north", Some(Stage::Decode), 3)), FleetChange::None);
     assert!(!fleet.get(&id).unwrap().takes_work(), "the same entry again");
-    fleet.replace_all(vec![record("a", "north", Some(Stage::Prefill), 5)], 6, None);
+    fleet.replace_all(vec![record("a", "north", Some(Stage::Prefill), 5)], at(6), None);
     assert!(fleet.get(&id).unwrap().takes_work());
 }
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -11,7 +11,7 @@
 use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use proptest::prelude::*;
-use support::runner_record;
+use support::{at, runner_record};
 
 const SECOND: u64 = 1_000_000;
 const TIMES: LeaseTimes = LeaseTimes { ttl_us: 3 * SECOND, separation_us: 3 * SECOND };
@@ -192,7 +192,7 @@
         |fleet: &Fleet| fleet.candidates(&Eligible::all_of(&ServiceName::new("llm")), SECOND).len();
     assert_eq!(takers(&fleet), 1);
     let changed = fleet.get(&id).unwrap().record.clone();
-    fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: 2, ..changed });
+    fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: at(2), ..changed });
     assert_eq!(takers(&fleet), 2);
 }
 
@@ -225,7 +225,7 @@
     let mut fleet = fleet(1, 1);
     let id = RunnerId::new("d0");
     let record = fleet.get(&id).unwrap().record.clone();
-    fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: 2, ..record });
+    fleet.put(RunnerRecord { stage: Some(Stage::Prefill), revision: at(2), ..record });
     fleet.on_changing(&id, Stage::Prefill, 10 * SECOND);
     assert!(!fleet.get(&id).unwrap().is_changing(SECOND));
 }
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -1,6 +1,6 @@
 //! A region of runners, its schedulers and the holder of its authority in virtual time.
 
-use crate::support::runner_record;
+use crate::support::{at, runner_record};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
@@ -79,7 +79,7 @@
         service: service(),
         slots: SLOTS,
         stage: Some(stage),
-        revision,
+        revision: at(revision),
         ..runner_record(RunnerId::new(id))
     }
 }
@@ -167,10 +167,10 @@
         for lost in reading.chain(engine.in_turn).chain(engine.behind) {
             self.end(&lost, false);
         }
-        self.holder.remove(&id, self.revision, None);
+        self.holder.remove(&id, at(self.revision), None);
         for scheduler in &mut self.schedulers {
             if !scheduler.cut.contains(&self.now_us) {
-                scheduler.fleet.remove(&id, self.revision, None);
+                scheduler.fleet.remove(&id, at(self.revision), None);
             }
         }
         let joins = record(format!("j-{number}"), stage, self.revision);
@@ -200,13 +200,17 @@
         for (_, id, stage) in changed {
             if let Some(record) = self.records.get(&id).cloned() {
                 self.revision += 1;
-                self.list(RunnerRecord { stage: Some(stage), revision: self.revision, ..record });
+                self.list(RunnerRecord {
+                    stage: Some(stage),
+                    revision: at(self.revision),
+                    ..record
+                });
             }
         }
         joined.into_iter().for_each(|record| self.list(record));
         let all: Vec<RunnerRecord> = self.records.values().cloned().collect();
         for scheduler in self.schedulers.iter_mut().filter(|it| it.cut.end == now_us) {
-            scheduler.fleet.replace_all(all.clone(), self.revision, None);
+            scheduler.fleet.replace_all(all.clone(), at(self.revision), None);
         }
     }
 
--- a/crates/serving/tests/runner_lives.rs
+++ b/crates/serving/tests/runner_lives.rs
@@ -16,7 +16,7 @@
 use pitchstall_serving::scheduling::{RunnerLoad, Shard};
 use pitchstall_serving::topology::Topology;
 use proptest::prelude::*;
-use support::runner_record;
+use support::{at, runner_record};
 use test_case::test_case;
 
 const SECOND: u64 = 1_000_000;
@@ -28,7 +28,7 @@
 }
 
 fn record(id: RunnerId, revision: u64) -> RunnerRecord {
-    RunnerRecord { stage: Some(Stage::Decode), revision, ..runner_record(id) }
+    RunnerRecord { stage: Some(Stage::Decode), revision: at(revision), ..runner_record(id) }
 }
 
 fn fleet() -> Fleet {
@@ -82,7 +82,7 @@
             let notice = RunnerNotice { rest_us: 9 * SECOND, ..RunnerNotice::default() };
             fleet.on_notice(id, notice, SECOND);
         }
-        "lapsed" => drop(fleet.remove(id, 6, Some(9 * SECOND))),
+        "lapsed" => drop(fleet.remove(id, at(6), Some(9 * SECOND))),
         "draining" => {
             drop(fleet.put(RunnerRecord { draining: true, ..record(id.clone(), 6) }));
         }
@@ -182,8 +182,8 @@
     assert_eq!(fleet.put(record(life(500), 8)), FleetChange::Reborn { ended });
     assert_eq!(fleet.put(record(life(1_000), 6)), FleetChange::None, "the life that is over");
     assert_eq!(fleet.life_of(&RunnerName::new("i-1")), Some(&life(500)));
-    assert_eq!(fleet.remove(&life(1_000), 9, None), FleetChange::None);
-    assert_eq!(fleet.remove(&life(500), 9, None), FleetChange::Left);
+    assert_eq!(fleet.remove(&life(1_000), at(9), None), FleetChange::None);
+    assert_eq!(fleet.remove(&life(500), at(9), None), FleetChange::Left);
     assert_eq!(fleet.life_of(&RunnerName::new("i-1")), None);
 }
 
@@ -191,10 +191,10 @@
 #[test]
 fn a_list_that_is_read_whole_tells_of_new_lives() {
     let mut fleet = fleet();
-    let over = fleet.replace_all(vec![record(life(2_000), 8)], 9, Some(SECOND));
+    let over = fleet.replace_all(vec![record(life(2_000), 8)], at(9), Some(SECOND));
     assert_eq!(over, [EndedLife { id: life(1_000), was_leaving: false }]);
     assert!(fleet.get(&life(2_000)).is_some());
-    assert!(fleet.replace_all(vec![record(life(2_000), 8)], 10, None).is_empty());
+    assert!(fleet.replace_all(vec![record(life(2_000), 8)], at(10), None).is_empty());
 }
 
 /// Runners that start again keep their scheduler and the prompts that are gathered at them.
@@ -270,10 +270,10 @@
                 0 => drop(fleet.put(record(life(born_ms), revision))),
                 1 => {
                     if let Some(id) = fleet.life_of(&RunnerName::new("i-1")).cloned() {
-                        fleet.remove(&id, revision, None);
+                        fleet.remove(&id, at(revision), None);
                     }
                 }
-                _ => drop(fleet.replace_all(vec![record(life(born_ms), revision)], revision, None)),
+                _ => drop(fleet.replace_all(vec![record(life(born_ms), revision)], at(revision), None)),
             }
             prop_assert!(fleet.iter().count() <= 1);
         }
--- a/crates/serving/tests/runner_notices.rs
+++ b/crates/serving/tests/runner_notices.rs
@@ -9,7 +9,7 @@
 use pitchstall_serving::runner_notice::{Availability, Learned, RunnerNotice, LONGEST_REST_US};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-use support::runner_record;
+use support::{at, runner_record};
 
 const SECOND: u64 = 1_000_000;
 const LEAVING: RunnerNotice =
@@ -24,7 +24,7 @@
 }
 
 fn record(id: RunnerId, draining: bool, revision: u64) -> RunnerRecord {
-    RunnerRecord { draining, revision, ..runner_record(id) }
+    RunnerRecord { draining, revision: at(revision), ..runner_record(id) }
 }
 
 fn candidates(fleet: &Fleet, sender: Sender, now_us: u64) -> Vec<RunnerId> {
@@ -113,14 +113,14 @@
     fleet.put(record(life(1), false, 1));
     fleet.on_notice(&life(1), LEAVING, 0);
     // A leaving runner's entry is not kept as one that may have lapsed.
-    fleet.remove(&life(1), 2, Some(SECOND));
+    fleet.remove(&life(1), at(2), Some(SECOND));
     assert!(fleet.get(&life(1)).is_none());
     fleet.put(record(life(1), false, 3));
     assert!(candidates(&fleet, Sender::ThisNode, 1).is_empty());
     // An answer may also come when the entry is gone.
-    fleet.remove(&life(1), 4, None);
+    fleet.remove(&life(1), at(4), None);
     fleet.put(record(life(2), false, 5));
-    fleet.remove(&life(2), 6, None);
+    fleet.remove(&life(2), at(6), None);
     fleet.on_notice(&life(2), rest(SECOND), 0);
     fleet.put(record(life(2), false, 7));
     assert!(candidates(&fleet, Sender::ThisNode, 1).is_empty());
@@ -180,12 +180,12 @@
                 Step::Removed { may_have_lapsed } => {
                     let until_us = may_have_lapsed.then_some(now_us + SECOND);
                     if let Some(current) = &current {
-                        fleet.remove(current, revision, until_us);
+                        fleet.remove(current, at(revision), until_us);
                     }
                 }
                 Step::ListRead { listed } => {
                     let entry = current.filter(|_| listed).map(|it| record(it, false, revision));
-                    fleet.replace_all(entry.into_iter().collect(), revision, None);
+                    fleet.replace_all(entry.into_iter().collect(), at(revision), None);
                 }
                 Step::LapseOver => drop(fleet.remove_lapsed(now_us)),
                 Step::Says { born, leaving, rest_us } => {
--- a/crates/serving/tests/runner_pace.rs
+++ b/crates/serving/tests/runner_pace.rs
@@ -13,7 +13,7 @@
 use proptest::prelude::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use support::runner_record;
+use support::{at, runner_record};
 use test_case::test_case;
 
 const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -264,10 +264,10 @@
         fleet.on_paced(&id(0), alone(40.0, 5.0), number * 100_000);
     });
     assert!(fleet.get(&id(0)).unwrap().pace_factor(600_000) > 3.0);
-    fleet.remove(&id(0), 5, None);
+    fleet.remove(&id(0), at(5), None);
     fleet.on_paced(&id(0), alone(40.0, 5.0), 700_000);
     assert!(fleet.get(&id(0)).is_none());
-    fleet.put(RunnerRecord { revision: 9, ..record(0, Stage::Prefill) });
+    fleet.put(RunnerRecord { revision: at(9), ..record(0, Stage::Prefill) });
     let factor = fleet.get(&id(0)).unwrap().pace_factor(800_000);
     assert!((factor - 1.0).abs() < f64::EPSILON);
 }
--- a/crates/serving/tests/store_copy.rs
+++ b/crates/serving/tests/store_copy.rs
@@ -2,15 +2,24 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::store_copy::{StoreCopy, StoreEntry, StoreUpdate};
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreRevision};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
+fn at(number: u64) -> StoreRevision {
+    StoreRevision::without_era(number)
+}
+
 fn entry(key: &str, document: Option<&str>, revision: u64) -> StoreEntry {
-    StoreEntry { key: key.to_owned(), document: document.map(str::to_owned), revision }
+    StoreEntry {
+        key: key.to_owned(),
+        document: document.map(str::to_owned),
+        revision: RevisionNumber(revision),
+    }
 }
 
 fn update(known_to: u64, whole: bool, entries: Vec<StoreEntry>) -> StoreUpdate {
-    StoreUpdate { known_to, whole, entries }
+    StoreUpdate { era: StoreEra::UNTOLD, known_to: RevisionNumber(known_to), whole, entries }
 }
 
 #[test]
@@ -22,8 +31,8 @@
 fn a_copy_that_lags_has_nothing_to_say_to_one_that_is_ahead() {
     let mut copy = StoreCopy::default();
     copy.apply(&update(5, true, vec![]));
-    assert_eq!(copy.update_since(Some(6)), None);
-    assert_eq!(copy.update_since(Some(5)).unwrap().entries, vec![]);
+    assert_eq!(copy.update_since(Some(at(6))), None);
+    assert_eq!(copy.update_since(Some(at(5))).unwrap().entries, vec![]);
 }
 
 #[test]
@@ -49,8 +58,8 @@
 fn what_was_removed_before_a_whole_list_shows_by_the_whole_list_only() {
     let mut copy = StoreCopy::default();
     copy.apply(&update(5, true, vec![entry("a", Some("x"), 2)]));
-    assert!(copy.update_since(Some(3)).unwrap().whole, "a removal at 4 would be missed");
-    assert!(!copy.update_since(Some(5)).unwrap().whole);
+    assert!(copy.update_since(Some(at(3))).unwrap().whole, "a removal at 4 would be missed");
+    assert!(!copy.update_since(Some(at(5))).unwrap().whole);
 }
 
 #[derive(Clone, Debug)]
@@ -117,7 +126,7 @@
                 Change::Follow => {
                     let answer = first.update_since(known_to).unwrap();
                     take(&mut second, &answer);
-                    known_to = Some(answer.known_to);
+                    known_to = Some(answer.known_to());
                 }
             }
         }
--- /dev/null
+++ b/crates/serving/tests/store_revision.rs
@@ -0,0 +1,271 @@
+//! Points in the history of a store that comes back from older copies of itself.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_serving::fleet::{Fleet, FleetChange};
+use pitchstall_serving::freshness::{CopyFreshness, Freshness, FreshnessWord};
+use pitchstall_serving::ids::{RunnerId, RunnerName};
+use pitchstall_serving::runner::RunnerRecord;
+use pitchstall_serving::store_copy::{StoreCopy, StoreEntry, StoreUpdate};
+use pitchstall_serving::store_revision::{
+    EraNews, RevisionNumber, StoreEra, StoreEras, StoreRevision,
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use support::runner_record;
+use test_case::test_case;
+
+const SECOND: u64 = 1_000_000;
+
+fn era(number: u64) -> StoreEra {
+    StoreEra::from_told(number).unwrap()
+}
+
+fn at(in_era: u64, number: u64) -> StoreRevision {
+    StoreRevision::new(era(in_era), RevisionNumber(number))
+}
+
+fn eras_since(first: u64) -> StoreEras {
+    let mut eras = StoreEras::default();
+    eras.on_answer(era(first), 0);
+    eras
+}
+
+#[test]
+fn whatever_is_of_a_later_era_is_later() {
+    assert!(at(2, 1) > at(1, 900));
+    assert!(at(1, 2) > at(1, 1));
+    assert!(at(0, 1) > StoreRevision::without_era(900), "the first era is told as 0");
+}
+
+#[test]
+fn an_era_is_never_taken_back() {
+    let mut eras = StoreEras::default();
+    assert_eq!(eras.on_answer(StoreEra::UNTOLD, 0), EraNews::None);
+    assert_eq!(eras.on_answer(era(0), 1), EraNews::First);
+    assert_eq!(eras.on_answer(era(3), 2), EraNews::Later { before: era(0) });
+    assert_eq!(eras.on_answer(era(2), 3), EraNews::Over);
+    assert_eq!(eras.on_answer(StoreEra::UNTOLD, 4), EraNews::None);
+    assert_eq!((eras.current(), eras.since_us()), (era(3), Some(2)));
+    assert_eq!(StoreEra::from_told(u64::MAX), None);
+}
+
+#[test]
+fn a_word_without_an_era_is_of_the_first_one_that_was_heard_of() {
+    let mut eras = eras_since(4);
+    assert_eq!(eras.of_word(StoreEra::UNTOLD), era(4));
+    eras.on_answer(era(5), 1);
+    assert_eq!(eras.of_word(StoreEra::UNTOLD), era(4));
+    assert_eq!(eras.of_word(era(6)), era(6));
+}
+
+#[test]
+fn a_word_of_an_era_that_is_over_confirms_nothing() {
+    let mut copy = CopyFreshness::default();
+    let everything =
+        StoreUpdate { era: era(2), known_to: RevisionNumber(9), whole: true, entries: Vec::new() };
+    copy.on_read(&everything, 0);
+    let eras = eras_since(2);
+    copy.on_word(FreshnessWord::new(at(1, 4), Some(0)), &eras, 3 * SECOND);
+    assert_eq!(copy.verdict(3 * SECOND, SECOND), Freshness::Unconfirmed);
+    copy.on_word(FreshnessWord::new(at(1, 900), Some(0)), &eras, 3 * SECOND);
+    assert_eq!(copy.behind_for_us(4 * SECOND), None, "nothing there is later");
+    copy.on_word(FreshnessWord::new(at(2, 9), Some(0)), &eras, 4 * SECOND);
+    assert_eq!(copy.verdict(4 * SECOND, SECOND), Freshness::Fresh);
+    copy.on_word(FreshnessWord::new(at(3, 1), Some(0)), &eras, 4 * SECOND);
+    assert_eq!(copy.verdict(5 * SECOND, SECOND), Freshness::Behind);
+}
+
+/// Nobody can tell what was lost between two eras.
+#[test]
+fn a_copy_goes_into_a_later_era_by_a_whole_list_alone() {
+    let update = |in_era, known_to, whole| StoreUpdate {
+        era: era(in_era),
+        known_to: RevisionNumber(known_to),
+        whole,
+        entries: Vec::new(),
+    };
+    let mut copy = StoreCopy::default();
+    copy.apply(&update(1, 50, true));
+    assert!(!copy.takes(&update(2, 60, false)));
+    copy.apply(&update(2, 60, false));
+    assert_eq!(copy.known_to(), Some(at(1, 50)));
+    copy.apply(&update(2, 40, true));
+    assert_eq!(copy.known_to(), Some(at(2, 40)));
+    copy.apply(&update(1, 90, true));
+    assert_eq!(copy.known_to(), Some(at(2, 40)), "an era that is over");
+    assert!(copy.update_since(Some(at(1, 90))).unwrap().whole);
+    assert!(!copy.update_since(Some(at(2, 40))).unwrap().whole);
+}
+
+fn record(id: &str, draining: bool, revision: StoreRevision) -> RunnerRecord {
+    RunnerRecord { draining, revision, ..runner_record(RunnerId::new(id)) }
+}
+
+fn takes_work(fleet: &Fleet, id: &str) -> bool {
+    fleet.get(&RunnerId::new(id)).is_some_and(|runner| runner.takes_work())
+}
+
+#[test]
+fn an_entry_that_is_written_again_under_a_lower_revision_is_believed() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", false, at(1, 50)));
+    assert_eq!(fleet.put(record("a", true, at(2, 7))), FleetChange::Draining);
+    assert_eq!(fleet.put(record("b", false, at(2, 8))), FleetChange::Joined);
+    assert_eq!(fleet.remove(&RunnerId::new("b"), at(2, 9), None), FleetChange::Left);
+}
+
+#[test]
+fn a_runner_that_leaves_goes_on_leaving_whatever_an_older_copy_says() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", true, at(1, 50)));
+    fleet.replace_all(vec![record("a", false, at(2, 7))], at(2, 40), Some(SECOND));
+    assert!(!takes_work(&fleet, "a"));
+    // Its entry is not in the copy at all, and comes back as it was before.
+    fleet.replace_all(Vec::new(), at(3, 5), Some(SECOND));
+    fleet.put(record("a", false, at(3, 9)));
+    assert!(!takes_work(&fleet, "a"));
+}
+
+#[test]
+fn a_runner_that_had_left_does_not_come_back_with_an_older_copy() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", false, at(1, 50)));
+    fleet.remove(&RunnerId::new("a"), at(1, 60), None);
+    fleet.replace_all(vec![record("a", false, at(2, 50))], at(2, 55), None);
+    assert!(fleet.get(&RunnerId::new("a")).is_none());
+    fleet.put(record("a", false, at(2, 56)));
+    assert!(takes_work(&fleet, "a"), "it has written its entry again");
+}
+
+#[test]
+fn a_life_that_ended_does_not_come_back_with_an_older_copy() {
+    let name = RunnerName::new("a");
+    let life = |born_ms| RunnerId::of_life(&name, Some(born_ms));
+    let record = |born_ms, revision| RunnerRecord { revision, ..runner_record(life(born_ms)) };
+    let mut fleet = Fleet::default();
+    fleet.put(record(100, at(1, 50)));
+    fleet.put(record(200, at(1, 60)));
+    fleet.replace_all(vec![record(100, at(2, 50))], at(2, 55), Some(SECOND));
+    assert_eq!(fleet.life_of(&name), Some(&life(200)));
+}
+
+#[test_case(false; "the store is not known to have been away")]
+#[test_case(true; "the store has been away")]
+fn entries_that_an_older_copy_lacks_may_be_written_again(was_away: bool) {
+    let mut copy = CopyFreshness::default();
+    let answered_us = if was_away { 0 } else { 4 * SECOND };
+    copy.on_store_answer(at(1, 50), answered_us);
+    copy.on_later_era(4 * SECOND + 50_000);
+    assert!(copy.lapses_until_us(4 * SECOND + 60_000).is_some());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write(u8),
+    Remove(u8),
+    /// The store comes back from its last copy.
+    ComeBack,
+    BackUp,
+    /// The reader asks the store.
+    Read,
+    /// A follower asks the reader.
+    Follow,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0_u8..5).prop_map(Step::Write),
+        2 => (0_u8..5).prop_map(Step::Remove),
+        1 => Just(Step::ComeBack),
+        1 => Just(Step::BackUp),
+        3 => Just(Step::Read),
+        3 => Just(Step::Follow),
+    ]
+}
+
+/// A store in which each write has a number of its own, whatever its revision.
+#[derive(Clone, Default)]
+struct Store {
+    entries: BTreeMap<String, (u64, u64)>,
+    changes: Vec<(u64, String, Option<u64>)>,
+    revision: u64,
+}
+
+impl Store {
+    fn whole(&self, in_era: u64) -> StoreUpdate {
+        let entry = |(key, (revision, write)): (&String, &(u64, u64))| StoreEntry {
+            key: key.clone(),
+            document: Some(write.to_string()),
+            revision: RevisionNumber(*revision),
+        };
+        let entries = self.entries.iter().map(entry).collect();
+        let known_to = RevisionNumber(self.revision);
+        StoreUpdate { era: era(in_era), known_to, whole: true, entries }
+    }
+
+    /// What a watch from a revision of this era tells.
+    fn since(&self, in_era: u64, after: u64) -> StoreUpdate {
+        let entry = |(revision, key, write): &(u64, String, Option<u64>)| StoreEntry {
+            key: key.clone(),
+            document: write.map(|write| write.to_string()),
+            revision: RevisionNumber(*revision),
+        };
+        let entries = self.changes.iter().filter(|(it, _, _)| *it > after).map(entry).collect();
+        let known_to = RevisionNumber(self.revision);
+        StoreUpdate { era: era(in_era), known_to, whole: false, entries }
+    }
+}
+
+proptest! {
+    /// Whatever is written, lost and written again: a reader that reads everything in a later era, and whoever follows
+    /// it, end up with what the store holds.
+    #[test]
+    fn copies_hold_what_the_store_holds_across_its_returns(
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let (mut store, mut backup, mut in_era, mut writes) = (Store::default(), Store::default(), 0, 0);
+        let (mut reader, mut follower) = (StoreCopy::default(), StoreCopy::default());
+        for step in steps.into_iter().chain([Step::Read, Step::Follow]) {
+            writes += 1;
+            match step {
+                Step::Write(key) => {
+                    store.revision += 1;
+                    let (key, revision) = (key.to_string(), store.revision);
+                    store.entries.insert(key.clone(), (revision, writes));
+                    store.changes.push((revision, key, Some(writes)));
+                }
+                Step::Remove(key) => {
+                    store.revision += 1;
+                    store.entries.remove(&key.to_string());
+                    store.changes.push((store.revision, key.to_string(), None));
+                }
+                Step::BackUp => backup = store.clone(),
+                Step::ComeBack => {
+                    store = backup.clone();
+                    in_era += 1;
+                }
+                Step::Read => {
+                    let at_of_this_era = reader.known_to().filter(|at| at.era() == era(in_era));
+                    let update = at_of_this_era
+                        .map_or_else(|| store.whole(in_era), |at| store.since(in_era, at.number().0));
+                    reader.apply(&update);
+                }
+                Step::Follow => {
+                    if let Some(update) = reader.update_since(follower.known_to()) {
+                        follower.apply(&update);
+                    }
+                }
+            }
+        }
+        let held: BTreeMap<String, String> =
+            store.entries.iter().map(|(key, (_, write))| (key.clone(), write.to_string())).collect();
+        for copy in [reader, follower] {
+            let entries = copy.update_since(None).unwrap().entries;
+            let copied: BTreeMap<String, String> =
+                entries.into_iter().map(|it| (it.key, it.document.unwrap())).collect();
+            prop_assert_eq!(&copied, &held);
+        }
+    }
+}
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -1,8 +1,9 @@
 //! What several tests build.
-#![allow(clippy::unwrap_used, missing_docs)]
+#![allow(dead_code, clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::runner::RunnerRecord;
+use pitchstall_serving::store_revision::StoreRevision;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// A runner of the service `llm` in the zone `north`, with eight slots and no stage, at revision 1.
@@ -17,6 +18,11 @@
         preemptible: false,
         leaves_ms: None,
         stage: None,
-        revision: 1,
+        revision: at(1),
     }
 }
+
+/// A revision of a store that tells no eras.
+pub fn at(number: u64) -> StoreRevision {
+    StoreRevision::without_era(number)
+}
