Ends of runners that the store has lost are written again, and cleared ones do not come back with an older copy

What callers would see: a request that had ended three runners reaches runners again once the store has come back from a copy without those entries, up to six more; one that was cleared is refused again once a copy still has them. Cause: a whole list of the store replaced all that was known to lie there, as if the store lost nothing. Evidence: read in the code; the two tests could not be written against the code before, as nothing told it of the return. Why it works: across an era what was stored is kept and due to be written again, by readers of the store within 0.8 s, by others from 2 s on, spread, unless it is seen there by then; entries of cleared requests are passed over, and removed by the node that cleared them. Not measured: how many nodes write the same at 330 nodes.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -14,6 +14,8 @@
 
 /// Takes in an update, from the store or from another node.
 pub fn take_update(node: &Rc<Node>, subject: Subject, update: &StoreUpdate) {
+    let era_before = node.copies.borrow().of(subject).known_to().unwrap_or_default().era();
+    let came_back = era_before.is_told() && era_before < update.era;
     node.update_copy(subject, update);
     match subject {
         Subject::Configuration => {
@@ -29,7 +31,10 @@
         Subject::Crashes if update.whole => {
             let crashes: Vec<_> =
                 update.entries.iter().filter_map(|entry| crash_of(node, entry)).collect();
-            node.quarantine.borrow_mut().on_all_stored(&crashes);
+            match came_back {
+                true => node.on_crashes_came_back(&crashes),
+                false => node.quarantine.borrow_mut().on_all_stored(&crashes),
+            }
         }
         Subject::Crashes => update.entries.iter().for_each(|entry| take_end(node, entry)),
     }
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -3,8 +3,9 @@
 use super::Node;
 use crate::peer_words::PeerWord;
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::quarantine::{Crash, CrashChange, CrashWord};
+use pitchstall_serving::quarantine::{Crash, CrashChange, CrashRecord, CrashWord};
 use pitchstall_serving::request_identity::RequestIdentity;
+use rand::RngExt;
 
 /// Requests that the line on the crash of a runner names: some 1,100 bytes.
 const IDENTITIES_LOGGED: usize = 32;
@@ -12,6 +13,12 @@
 /// 2,300 bytes, worked out.
 const REQUESTS_A_WORD: usize = 64;
 
+/// When a node writes again what the store has lost, milliseconds after it has seen so: nodes that read the store for
+/// others first, spread over many times what a write takes to be seen.
+const READERS_WRITE_MS: std::ops::Range<u64> = 0..800;
+const OTHERS_WRITE_MS: std::ops::Range<u64> = 2_000..6_000;
+const MICROS_PER_MILLI: u64 = 1_000;
+
 impl Node {
     /// An attempt broke, or was left without an answer.
     pub fn on_broken_attempt(&self, runner: &RunnerId, request: &str, identity: RequestIdentity) {
@@ -62,6 +69,18 @@
         }
     }
 
+    /// These are all crashes in a store that has come back from an older copy: one node soon writes again what it has
+    /// lost, and the others see that it has.
+    pub fn on_crashes_came_back(&self, stored: &[(Crash, CrashRecord)]) {
+        let delay_ms = match self.members.borrow().is_mirror() {
+            true => rand::rng().random_range(READERS_WRITE_MS),
+            false => rand::rng().random_range(OTHERS_WRITE_MS),
+        };
+        let due_us = self.now_us() + delay_ms * MICROS_PER_MILLI;
+        self.quarantine.borrow_mut().on_store_came_back(stored, due_us);
+        self.quarantine_changed.notify_one();
+    }
+
     fn tell_all(&self, word: CrashWord) {
         let others = self.members.borrow().others();
         self.scheduling.socket.send(&PeerWord::Crash(word), &others);
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -14,11 +14,14 @@
 //! first crash is written a little later than it is told: most requests that were under way are
 //! answered at another runner by then, and cost the store nothing. What is removed from the store, one
 //! node removes: the one that has cleared the request, or for old crashes the one with the authority.
+//!
+//! A store that comes back from an older copy of itself takes nothing back: what it has lost is written again, and what
+//! was cleared is passed over and removed again.
 
 use crate::ids::RunnerId;
 use crate::request_identity::RequestIdentity;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Crashes of runners under a request after which it reaches no runner any more: the users allow three,
 /// and three repeats after the third has become known.
@@ -32,6 +35,8 @@
 /// Requests that are remembered. On a day of the aim (letter 1) 13 machines fail: with four runners each
 /// and 64 requests under way at each some 3,300 requests, worked out.
 pub const MOST_REQUESTS: usize = 4_096;
+/// Crashes of cleared requests that are remembered, in case an older copy of the store brings them back.
+const MOST_CLEARED: usize = 4_096;
 /// Time after which a crash is forgotten, milliseconds: the users count over the rest of a day.
 pub const REMEMBERED_MS: u64 = 24 * 60 * 60 * 1_000;
 
@@ -122,6 +127,15 @@
     to_remove: BTreeSet<Crash>,
     /// Entries of the store that there was no room for here.
     without_room: BTreeSet<Crash>,
+    /// Crashes of requests that were cleared, the latest last.
+    cleared: VecDeque<ClearedCrash>,
+}
+
+#[derive(Clone, Debug)]
+struct ClearedCrash {
+    crash: Crash,
+    /// Whether this node has cleared it, and removes it from the store.
+    is_own: bool,
 }
 
 impl Quarantine {
@@ -245,14 +259,41 @@
         }
     }
 
+    /// These are all crashes in a store that has come back from an older copy. What it has lost is written again from
+    /// `due_us` on, unless another node does so sooner.
+    pub fn on_store_came_back(&mut self, stored: &[(Crash, CrashRecord)], due_us: u64) {
+        for crash in self.requests.values_mut().flat_map(BTreeMap::values_mut) {
+            if crash.known == Known::Stored {
+                crash.known = Known::Unwritten { due_us };
+            }
+        }
+        for (crash, record) in stored {
+            match self.cleared.iter().find(|cleared| cleared.crash == *crash) {
+                Some(cleared) if cleared.is_own => drop(self.to_remove.insert(crash.clone())),
+                Some(_) => {}
+                None => drop(self.on_stored(crash, *record)),
+            }
+        }
+    }
+
     /// Another node has cleared a request, and removes what the store has of it.
     pub fn on_cleared_elsewhere(&mut self, request: RequestIdentity) {
+        self.remember_cleared(request, false);
         self.requests.remove(&request);
     }
 
+    fn remember_cleared(&mut self, request: RequestIdentity, is_own: bool) {
+        let runners = self.requests.get(&request).into_iter().flat_map(BTreeMap::keys);
+        let cleared = runners.map(|runner| Crash { request, runner: runner.clone() });
+        self.cleared.extend(cleared.map(|crash| ClearedCrash { crash, is_own }));
+        let surplus = self.cleared.len().saturating_sub(MOST_CLEARED);
+        self.cleared.drain(..surplus);
+    }
+
     /// A request is cleared of all crashes. Returns whether there were any.
     pub fn clear(&mut self, request: RequestIdentity) -> bool {
         let is_known = self.requests.contains_key(&request);
+        self.remember_cleared(request, true);
         let stored = self.take_stored(request);
         self.to_remove.extend(stored);
         is_known
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -201,3 +201,34 @@
     assert!(held < REQUESTS / 500, "{held} of {REQUESTS}");
     assert!(held > 0, "the check sees nothing");
 }
+
+#[test]
+fn ends_that_an_older_copy_of_the_store_lacks_are_kept_and_written_again() {
+    let mut quarantine = Quarantine::default();
+    let stored: Vec<_> = (1..=3).map(|runner| (crash(1, runner), RECORD)).collect();
+    quarantine.on_all_stored(&stored);
+    quarantine.on_store_came_back(&stored[..1], SECOND_US);
+    assert!(holds(&quarantine, 1));
+    assert_eq!(quarantine.due_writes(SECOND_US - 1), []);
+    assert_eq!(quarantine.due_writes(SECOND_US), stored[1..]);
+    // Another node has written one of them.
+    quarantine.on_stored(&stored[1].0, RECORD);
+    assert_eq!(quarantine.due_writes(SECOND_US), stored[2..]);
+    assert!(holds(&quarantine, 1));
+}
+
+#[test]
+fn what_was_cleared_does_not_come_back_with_an_older_copy_of_the_store() {
+    let stored: Vec<_> = (1..=3).map(|runner| (crash(1, runner), RECORD)).collect();
+    let (mut here, mut elsewhere) = (Quarantine::default(), Quarantine::default());
+    here.on_all_stored(&stored);
+    elsewhere.on_all_stored(&stored);
+    here.clear(request(1));
+    here.on_removals_written(&here.due_removals());
+    elsewhere.on_cleared_elsewhere(request(1));
+    here.on_store_came_back(&stored, 0);
+    elsewhere.on_store_came_back(&stored, 0);
+    assert!(!holds(&here, 1) && !holds(&elsewhere, 1));
+    assert_eq!(here.due_removals().len(), 3);
+    assert_eq!(elsewhere.due_removals(), [], "one node removes them");
+}
