--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -6,13 +6,14 @@
 //! which ask a [`Holding`] before each thing that they order: [`crate::roles`], [`crate::usage`],
 //! [`crate::scaling`].
 
-use crate::node::Node;
+use crate::node::{Node, StoreAnswer};
 use crate::platform_client::PlatformClient;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::authority::{
-    AuthorityHolder, AuthorityStep, AuthoritySubject, AuthorityTerm, LeaseTimes,
+    AuthorityHolder, AuthorityStep, AuthoritySubject, AuthorityTerm, FencingToken, LeaseTimes,
 };
+use pitchstall_serving::store_revision::{StoreLease, StoreRevision};
 use rand::RngExt;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -35,20 +36,28 @@
 
 impl Holding {
     /// The fencing token, while orders may be given.
-    pub fn fence_to_order(&self, now_us: u64) -> Option<u64> {
+    pub fn fence_to_order(&self, now_us: u64) -> Option<FencingToken> {
         self.holder.borrow().fence_to_order(now_us)
     }
 
     /// The fencing token, from the beginning of the term on.
-    pub fn fence(&self) -> Option<u64> {
+    pub fn fence(&self) -> Option<FencingToken> {
         self.holder.borrow().fence()
     }
 
     /// An order was refused because a higher fencing token had been used: another node has the
     /// authority, and this one gives no further order in this term.
-    pub fn on_refused(&self, fence: u64) {
+    pub fn on_refused(&self, fence: FencingToken) {
         self.holder.borrow_mut().on_refused(fence);
     }
+
+    /// The store has come back from an older copy: the lease may be gone, or be another holder's.
+    pub fn on_later_era(&self) {
+        if let Some(fence) = self.holder.borrow_mut().on_later_era() {
+            let fence = fence.number();
+            log::warn!(target: "authority", fence, reason = "the store came back older"; "lost");
+        }
+    }
 }
 
 /// The subject under which this node may order roles.
@@ -146,7 +155,7 @@
             return;
         }
         let look = store::read_authority(&self.subject);
-        match self.call(&look).await.map(|(status, _)| status) {
+        match self.call(&look).await.map(|answer| answer.status) {
             Some(StoreStatus::Done) => return self.with_holder(AuthorityHolder::on_holder_seen),
             Some(StoreStatus::Absent) => {}
             _ => return,
@@ -154,30 +163,52 @@
         let times = self.times();
         let sent_at_us = self.node.now_us();
         let grant = store::grant_lease(times.ttl_us / MICROS_PER_MILLI);
-        let Some((StoreStatus::Done, body)) = self.call(&grant).await else { return };
-        let Ok(lease) = store::parse_lease(&body) else { return };
+        let Some(granted) = self.call(&grant).await.filter(StoreAnswer::is_done) else { return };
+        let Ok(number) = store::parse_lease(&granted.body) else { return };
+        let lease = StoreLease { era: granted.era, number };
         let node = self.node.settings().node.name.clone();
         // Without an answer the key may be ours unknown to us: the lease lapses by itself.
-        let take = store::take_authority(&self.subject, &node, lease);
-        let Some((StoreStatus::Done, body)) = self.call(&take).await else { return };
-        let Ok(fence) = store::parse_transaction(&body) else { return };
+        let take = store::take_authority(&self.subject, &node, lease.number);
+        let Some(taken) = self.call(&take).await.filter(StoreAnswer::is_done) else { return };
+        let Ok(revision) = store::parse_transaction(&taken.body) else { return };
+        let acquired_at = StoreRevision::new(taken.era, revision);
+        if taken.era != lease.era || taken.era != self.node.store_era() {
+            return self.undo(acquired_at).await;
+        }
+        let fence = FencingToken::new(acquired_at);
         let now_us = self.node.now_us();
         let term = AuthorityTerm::new(fence, sent_at_us, now_us, times);
-        log::info!(target: "authority", subject = self.name.as_str(), fence, lease; "gained");
+        let term =
+            self.node.era_began_us().map_or(term, |at_us| term.after_era_began(at_us, times));
+        let (subject, fence, lease_number) = (self.name.as_str(), fence.number(), lease.number);
+        log::info!(target: "authority", subject, fence, lease = lease_number; "gained");
         self.with_holder(|holder| holder.on_gained(lease, term, now_us, times));
     }
 
-    async fn renew(&mut self, lease: u64) {
+    /// The store came back older between the granting of the lease and the writing of the key, which hangs on whatever
+    /// lease has that number now.
+    async fn undo(&mut self, acquired_at: StoreRevision) {
+        let remove = store::remove_authority(&self.subject, acquired_at.number());
+        let status = self.call(&remove).await.map(|answer| answer.status);
+        log::warn!(target: "authority", subject = self.name.as_str(), status:?; "taken in another era");
+    }
+
+    async fn renew(&mut self, lease: StoreLease) {
         let sent_at_us = self.node.now_us();
-        match self.call(&store::keep_lease(lease)).await {
-            Some((StoreStatus::Done, _)) => {
+        let answer = self.call(&store::keep_lease(lease.number)).await;
+        if answer.as_ref().is_some_and(|answer| answer.era != lease.era) {
+            // Whatever it says, it is of another lease.
+            return;
+        }
+        match answer.map(|answer| answer.status) {
+            Some(StoreStatus::Done) => {
                 let (now_us, times) = (self.node.now_us(), self.times());
                 if self.with_holder(|holder| holder.on_renewed(sent_at_us, now_us, times)) {
-                    let subject = self.name.as_str();
+                    let (subject, lease) = (self.name.as_str(), lease.number);
                     log::info!(target: "authority", subject, lease; "the lease was renewed after all");
                 }
             }
-            Some((StoreStatus::Absent, _)) => self.lose("the lease is over"),
+            Some(StoreStatus::Absent) => self.lose("the lease is over"),
             _ => {}
         }
     }
@@ -185,7 +216,7 @@
     fn look_for_the_end(&mut self) {
         let now_us = self.node.now_us();
         if self.with_holder(|holder| holder.has_run_out(now_us)) {
-            let fence = self.with_holder(|holder| holder.fence());
+            let fence = self.with_holder(|holder| holder.fence()).map(FencingToken::number);
             let subject = self.name.as_str();
             log::warn!(target: "authority", subject, fence; "the lease could not be renewed");
         }
@@ -193,6 +224,7 @@
 
     fn lose(&mut self, reason: &str) {
         if let Some((_, fence)) = self.with_holder(AuthorityHolder::on_lost) {
+            let fence = fence.number();
             log::warn!(target: "authority", subject = self.name.as_str(), fence, reason; "lost");
         }
     }
@@ -201,18 +233,21 @@
     async fn hand_over(&mut self) {
         if let Some((lease, fence)) = self.with_holder(AuthorityHolder::on_lost) {
             self.end_lease(lease).await;
+            let fence = fence.number();
             log::info!(target: "authority", subject = self.name.as_str(), fence; "handed over");
         }
     }
 
-    /// Without an answer the lease lapses by itself.
-    async fn end_lease(&mut self, lease: u64) {
-        if self.call(&store::end_lease(lease)).await.is_none() {
-            log::info!(target: "authority", subject = self.name.as_str(), lease; "left to lapse");
+    /// Without an answer the lease lapses by itself. One of an earlier era may be another holder's by now.
+    async fn end_lease(&mut self, lease: StoreLease) {
+        let is_own = lease.era == self.node.store_era();
+        if !is_own || self.call(&store::end_lease(lease.number)).await.is_none() {
+            let (subject, lease) = (self.name.as_str(), lease.number);
+            log::info!(target: "authority", subject, lease; "left to lapse");
         }
     }
 
-    async fn call(&mut self, call: &PlatformCall) -> Option<(StoreStatus, Vec<u8>)> {
+    async fn call(&mut self, call: &PlatformCall) -> Option<StoreAnswer> {
         self.node.call_store(&mut self.client, call, STORE_LIMIT).await
     }
 }
--- a/crates/gateway/src/node/eras.rs
+++ b/crates/gateway/src/node/eras.rs
@@ -42,8 +42,17 @@
     /// What is believed by a revision of the store is read again; what callers are served by holds meanwhile.
     fn on_later_era(&self) {
         self.freshness.borrow_mut().on_later_era(self.now_us());
+        self.authority.on_later_era();
+        self.roles_authority.on_later_era();
+        self.quotas.on_later_era();
         self.refused_entries.on_later_era();
         self.store_suspected.notify_waiters();
+        self.era_began.notify_waiters();
+    }
+
+    /// When this node first heard of the era that the store is in, microseconds; `None`: the store tells no eras.
+    pub fn era_began_us(&self) -> Option<u64> {
+        self.eras.borrow().since_us()
     }
 
     /// The era that the store is in, as far as this node knows.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -40,7 +40,7 @@
 use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
-use pitchstall_serving::store_revision::{RevisionNumber, StoreEras};
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreEras};
 use pitchstall_serving::topology::Topology;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
 use pitchstall_serving::wall_clock::WallClock;
@@ -77,6 +77,8 @@
     pub copy_changed: Notify,
     /// The store's eras.
     pub eras: RefCell<StoreEras>,
+    /// Told when the store has come back from an older copy.
+    pub era_began: Notify,
     /// How fresh the copies of the store are.
     pub freshness: RefCell<StoreFreshness>,
     /// Told when the store has confirmed a copy: that spares the other nodes that read it a call.
@@ -128,6 +130,24 @@
     body_bytes: Cell<usize>,
 }
 
+/// An answer of the store.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// What it means.
+    pub status: StoreStatus,
+    /// The era that it is of.
+    pub era: StoreEra,
+    /// What it holds.
+    pub body: Vec<u8>,
+}
+
+impl StoreAnswer {
+    /// Whether the call was done.
+    pub fn is_done(&self) -> bool {
+        self.status == StoreStatus::Done
+    }
+}
+
 /// What this machine's clock says, milliseconds since 1970.
 pub fn machine_wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -173,6 +193,7 @@
             copies: RefCell::default(),
             copy_changed: Notify::new(),
             eras: RefCell::default(),
+            era_began: Notify::new(),
             freshness: RefCell::default(),
             store_confirmed: Notify::new(),
             store_suspected: Notify::new(),
@@ -243,13 +264,17 @@
         client: &mut PlatformClient,
         call: &PlatformCall,
         limit: Duration,
-    ) -> Option<(StoreStatus, Vec<u8>)> {
+    ) -> Option<StoreAnswer> {
         self.metrics.store_calls.inc();
         let address = self.settings().store.address;
         match client.call(address, call, limit).await {
             Ok(answer) => {
-                self.on_told_era(answer.era);
-                Some((store::parse_status(answer.status), answer.body))
+                let era = self.on_told_era(answer.era);
+                Some(StoreAnswer {
+                    status: store::parse_status(answer.status),
+                    era,
+                    body: answer.body,
+                })
             }
             Err(error) => {
                 self.metrics.store_failures.inc();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,12 +23,14 @@
 use pitchstall_serving::digest::{Digest, DigestOrder, DigestTurns, Freshness};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
+use pitchstall_serving::store_revision::{StoreEra, StoreLease};
+use rand::RngExt;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Pause after a datagram could not be received.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(120);
@@ -46,6 +48,9 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Between two renewals of the registration.
 const RENEW_EVERY: Duration = Duration::from_secs(5);
+/// Time within which a node registers again once the store has come back from an older copy, spread over it so that a
+/// fleet's writes do not come at once.
+const REGISTER_AGAIN_WITHIN: Duration = Duration::from_millis(700);
 /// Renewals between two readings of the list.
 const RENEWALS_A_LISTING: u32 = 6;
 /// Pause after a call to the store failed.
@@ -280,14 +285,19 @@
         }
     }
 
-    async fn join(&self, client: &mut PlatformClient) -> Option<u64> {
+    async fn join(&self, client: &mut PlatformClient) -> Option<StoreLease> {
         let sent_at_us = self.node.now_us();
-        let body = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
-        let lease = store::parse_lease(&body).ok()?;
+        let (body, era) = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
+        let lease = StoreLease { era, number: store::parse_lease(&body).ok()? };
         let given_ttl_ms = store::parse_lease_ttl(&body).ok()?.unwrap_or(REGISTRATION_TTL_MS);
         let member = store::node_value(self.node.members.borrow().own());
-        let put = store::put_under_lease(&store::node_key(self.name.as_str()), &member, lease);
-        self.call(client, &put).await.ok()?;
+        let key = store::node_key(self.name.as_str());
+        let put = store::put_under_lease(&key, &member, lease.number);
+        let (_, era) = self.call(client, &put).await.ok()?;
+        if era != lease.era {
+            // The key hangs on whatever lease has that number now; the next try puts it under its own.
+            return None;
+        }
         let ttl_us = given_ttl_ms.min(REGISTRATION_TTL_MS) * MICROS_PER_MILLI;
         let registered = RegistrationLease { id: lease, renewed_us: sent_at_us, ttl_us };
         self.node.quotas.on_registered(registered);
@@ -297,11 +307,16 @@
 
     /// Renews the registration until the store says that it is over. While the store is away
     /// its leases wait, and a renewal costs a tenth of what registering anew does.
-    async fn stay(&self, client: &mut PlatformClient, lease: u64) {
+    async fn stay(&self, client: &mut PlatformClient, lease: StoreLease) {
         for renewal in 1_u32.. {
-            sleep(RENEW_EVERY).await;
+            let _ = timeout(RENEW_EVERY, self.node.era_began.notified()).await;
+            if lease.era != self.node.store_era() {
+                // All nodes register again; those that come back soon are known meanwhile.
+                return sleep(rand::rng().random_range(Duration::ZERO..REGISTER_AGAIN_WITHIN))
+                    .await;
+            }
             let sent_at_us = self.node.now_us();
-            match self.call(client, &store::keep_lease(lease)).await {
+            match self.call(client, &store::keep_lease(lease.number)).await {
                 Ok(_) => self.node.quotas.on_renewed(sent_at_us),
                 Err(CallFailure::Absent) => return self.node.quotas.on_lease_over(),
                 Err(CallFailure::Other) => {}
@@ -315,7 +330,7 @@
     /// Reads who is there and greets those that are not known.
     async fn list(&self, client: &mut PlatformClient, read: fn(Option<&str>) -> PlatformCall) {
         let page = read_pages(async |after| {
-            let body = self.call(client, &read(after.as_deref())).await?;
+            let (body, _) = self.call(client, &read(after.as_deref())).await?;
             store::parse_page(&body).map_err(|error| {
                 let error = error.to_string();
                 log::error!(target: "peers", error; "the list of nodes cannot be read");
@@ -353,14 +368,14 @@
         &self,
         client: &mut PlatformClient,
         call: &PlatformCall,
-    ) -> Result<Vec<u8>, CallFailure> {
+    ) -> Result<(Vec<u8>, StoreEra), CallFailure> {
         self.node.metrics.store_calls.inc();
         let address = self.node.settings().store.address;
         let (outcome, failure) = match client.call(address, call, STORE_LIMIT).await {
             Ok(answer) => {
-                self.node.on_told_era(answer.era);
+                let era = self.node.on_told_era(answer.era);
                 match store::parse_status(answer.status) {
-                    StoreStatus::Done => return Ok(answer.body),
+                    StoreStatus::Done => return Ok((answer.body, era)),
                     StoreStatus::Absent => (answer.status.to_string(), CallFailure::Absent),
                     _ => (answer.status.to_string(), CallFailure::Other),
                 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -119,7 +119,7 @@
 
 async fn is_taken(node: &Node, client: &mut PlatformClient, call: &PlatformCall) -> bool {
     let answer = node.call_store(client, call, STORE_LIMIT).await;
-    let status = answer.map(|(status, _)| status);
+    let status = answer.map(|answer| answer.status);
     if status != Some(StoreStatus::Done) {
         log::info!(target: "crash", status:?; "not written");
     }
--- a/crates/gateway/src/quota/holders.rs
+++ b/crates/gateway/src/quota/holders.rs
@@ -8,6 +8,7 @@
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::quota_candidacy::KeeperKey;
 use pitchstall_serving::quota_slots::KeeperId;
+use pitchstall_serving::store_revision::{StoreEras, StoreRevision};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -34,7 +35,7 @@
     /// Where it is reached.
     pub address: SocketAddr,
     /// The store's revision at which it took the keeper.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When it was heard from last, or first told of by the store, microseconds.
     pub heard_us: u64,
     /// When it was last told by anybody that it holds the keeper, microseconds.
@@ -60,7 +61,7 @@
         keeper: &KeeperId,
         node: &NodeId,
         address: SocketAddr,
-        revision: u64,
+        revision: StoreRevision,
         now_us: u64,
     ) {
         self.learn(keeper, node, address, revision, now_us);
@@ -80,7 +81,7 @@
         keeper: &KeeperId,
         node: &NodeId,
         address: SocketAddr,
-        revision: u64,
+        revision: StoreRevision,
         now_us: u64,
     ) {
         let known = self.by_keeper.get_mut(keeper);
@@ -111,17 +112,25 @@
         node: &NodeId,
         address: SocketAddr,
         kept: &[KeptSlot],
+        eras: &StoreEras,
         now_us: u64,
     ) {
         self.watches_since_us.get_or_insert(now_us);
         self.last_heard.insert(node.clone(), now_us);
         let is_kept = |keeper: &KeeperId| kept.iter().any(|slot| slot.keeper == *keeper);
         self.by_keeper.retain(|keeper, holder| holder.node != *node || is_kept(keeper));
-        for slot in kept {
-            self.on_own_word(&slot.keeper, node, address, slot.revision, now_us);
+        // A keeper of an era that is over may have lost its key to another one.
+        let of_this_era = kept.iter().map(|slot| (slot, slot.revision(eras)));
+        for (slot, revision) in of_this_era.filter(|(_, it)| it.era() >= eras.current()) {
+            self.on_own_word(&slot.keeper, node, address, revision, now_us);
         }
     }
 
+    /// The store has come back from an older copy: whoever held a keeper may have lost its key.
+    pub fn on_later_era(&mut self) {
+        self.by_keeper.clear();
+    }
+
     /// Nobody holds the keeper any more.
     pub fn forget(&mut self, keeper: &KeeperId) {
         self.by_keeper.remove(keeper);
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -29,6 +29,7 @@
 use pitchstall_serving::quota_desk::QuotaDesk;
 use pitchstall_serving::quota_keeper::Keeper;
 use pitchstall_serving::quota_slots::KeeperId;
+use pitchstall_serving::store_revision::StoreLease;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -37,8 +38,8 @@
 /// The lease under which this node is registered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RegistrationLease {
-    /// Its number in the store.
-    pub id: u64,
+    /// The lease.
+    pub id: StoreLease,
     /// When the last call that granted or renewed it was sent, microseconds.
     pub renewed_us: u64,
     /// Its time to live, microseconds.
@@ -85,11 +86,16 @@
         }
     }
 
+    /// The store has come back from an older copy: the lease and the keys under it may be gone, or another holder's.
+    pub fn on_later_era(&self) {
+        self.on_lease_over();
+        self.holders.borrow_mut().on_later_era();
+    }
+
     /// The keepers that this node holds, as other nodes are told of them.
     pub fn kept(&self) -> Vec<KeptSlot> {
-        let kept = |(keeper, held): (&KeeperId, &Keeper)| KeptSlot {
-            keeper: keeper.clone(),
-            revision: held.term().revision,
+        let kept = |(keeper, held): (&KeeperId, &Keeper)| {
+            KeptSlot::new(keeper.clone(), held.term().revision)
         };
         self.keepers.borrow().iter().map(kept).collect()
     }
@@ -120,7 +126,8 @@
     if !has_limits(node) {
         return;
     }
-    node.quotas.holders.borrow_mut().on_digest(from, address, kept, node.now_us());
+    let eras = node.eras.borrow();
+    node.quotas.holders.borrow_mut().on_digest(from, address, kept, &eras, node.now_us());
 }
 
 fn bounds(settings: &Settings) -> QuotaBounds {
--- a/crates/gateway/src/quota/report.rs
+++ b/crates/gateway/src/quota/report.rs
@@ -22,7 +22,7 @@
                 "keeper": keeper.to_string(),
                 "node": holder.node.as_str(),
                 "address": holder.address.to_string(),
-                "revision": holder.revision,
+                "revision": holder.revision.number(),
                 "heard_ms": now_us.saturating_sub(holder.heard_us) / MICROS_PER_MILLI,
                 "asked": holders.asked_at(keeper, now_us).is_some(),
             })
@@ -35,7 +35,7 @@
     let tenants: Vec<Value> = keeper.levels(now_us).iter().map(level).collect();
     json!({
         "keeper": keeper.id().to_string(),
-        "revision": keeper.term().revision,
+        "revision": keeper.term().revision.number(),
         "left_ms": keeper.term().left_us(now_us) / MICROS_PER_MILLI,
         "tenants": tenants,
     })
--- a/crates/gateway/src/quota/slots.rs
+++ b/crates/gateway/src/quota/slots.rs
@@ -2,7 +2,7 @@
 //! them up when it stops or no tenant has a limit.
 
 use super::{bounds, has_limits, own_address, RegistrationLease};
-use crate::node::{topology_of, Node};
+use crate::node::{topology_of, Node, StoreAnswer};
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryFault;
 use crate::store_pages::read_pages;
@@ -13,6 +13,7 @@
 use pitchstall_serving::quota_keeper::Keeper;
 use pitchstall_serving::quota_slots::{all_keepers, KeeperId};
 use pitchstall_serving::quota_term::KeeperTerm;
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreLease, StoreRevision};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,7 +32,7 @@
     client: PlatformClient,
     candidacies: HashMap<KeeperId, Candidacy>,
     /// The lease under which the store was asked who holds what.
-    read_under: Option<u64>,
+    read_under: Option<StoreLease>,
 }
 
 /// Keeps tenants' limits whenever this node is to, until it stops.
@@ -62,8 +63,8 @@
             }
             let revision = match self.decide(&keeper) {
                 CandidacyStep::Wait => continue,
-                CandidacyStep::Take => 0,
-                CandidacyStep::TakeOver { revision } => revision,
+                CandidacyStep::Take => RevisionNumber::ABSENT,
+                CandidacyStep::TakeOver { revision } => revision.number(),
             };
             self.take(&keeper, lease, revision).await;
         }
@@ -77,27 +78,34 @@
 
     /// Learns from the store who holds what: once a start, as holders tell of changes.
     async fn read_holders(&mut self, lease: RegistrationLease) -> bool {
+        let mut era = lease.id.era;
         let page = read_pages(async |after| {
             let read = quota_slots::read_keepers(after.as_deref());
             let answer = self.node.call_store(&mut self.client, &read, STORE_LIMIT).await;
-            let Some((StoreStatus::Done, body)) = answer else { return Err(()) };
-            store::parse_page(&body).map_err(|error| {
+            let Some(answer) = answer.filter(StoreAnswer::is_done) else { return Err(()) };
+            era = answer.era;
+            store::parse_page(&answer.body).map_err(|error| {
                 let error = error.to_string();
                 log::error!(target: "quota", error; "keepers cannot be read");
             })
         });
         let Ok(page) = page.await else { return false };
-        page.items.iter().for_each(|item| self.learn(item));
+        page.items.iter().for_each(|item| self.learn(item, era));
         self.read_under = Some(lease.id);
         true
     }
 
-    fn learn(&self, item: &Item) {
+    /// Learns who holds a keeper from an item of the store, read in an era.
+    fn learn(&self, item: &Item, era: StoreEra) {
         let Some((keeper, holder, revision)) = quota_slots::keeper_of(item) else {
             let fault = EntryFault::Document("it tells of no keeper".to_owned());
             self.node.on_refused_entry("keepers", &item.key, item.revision, &fault);
             return;
         };
+        if era < self.node.store_era() {
+            return;
+        }
+        let revision = StoreRevision::new(era, revision);
         let now_us = self.node.now_us();
         let mut holders = self.node.quotas.holders.borrow_mut();
         holders.learn(&keeper, &holder.node, holder.address, revision, now_us);
@@ -127,22 +135,30 @@
 
     /// Writes the key, if it is still at the revision. Without an answer it may be written unknown to
     /// this node, which then finds its own name there and takes it over.
-    async fn take(&mut self, keeper: &KeeperId, lease: RegistrationLease, revision: u64) {
+    async fn take(
+        &mut self,
+        keeper: &KeeperId,
+        lease: RegistrationLease,
+        revision: RevisionNumber,
+    ) {
         let address = own_address(&self.node);
         let holder = KeeperHolder { node: own_name(&self.node), address };
-        let call = quota_slots::take_keeper(keeper, &holder, lease.id, revision);
+        let call = quota_slots::take_keeper(keeper, &holder, lease.id.number, revision);
         let answer = self.node.call_store(&mut self.client, &call, STORE_LIMIT).await;
-        match answer {
-            Some((StoreStatus::Done, body)) => match store::parse_transaction(&body) {
-                Ok(revision) => self.on_taken(keeper, &holder, lease, revision),
+        match answer.map(|answer| (answer.status, answer.era, answer.body)) {
+            Some((StoreStatus::Done, era, body)) => match store::parse_transaction(&body) {
+                Ok(revision) => {
+                    let revision = StoreRevision::new(era, revision);
+                    self.on_taken(keeper, &holder, lease, revision);
+                }
                 Err(error) => {
                     let (keeper, error) = (keeper.to_string(), error.to_string());
                     log::error!(target: "quota", keeper, error; "an answer cannot be read");
                 }
             },
-            Some((StoreStatus::Conflict, body)) => self.on_conflict(keeper, &body),
+            Some((StoreStatus::Conflict, era, body)) => self.on_conflict(keeper, era, &body),
             other => {
-                let status = other.map(|(status, _)| status);
+                let status = other.map(|(status, ..)| status);
                 log::info!(target: "quota", keeper = keeper.to_string(), status:?; "not taken");
             }
         }
@@ -153,12 +169,12 @@
         keeper: &KeeperId,
         holder: &KeeperHolder,
         lease: RegistrationLease,
-        revision: u64,
+        revision: StoreRevision,
     ) {
-        // The lease may have been renewed meanwhile, or be over.
-        let Some(now_in_force) = self.lease_in_force().filter(|now| now.id == lease.id) else {
-            return;
-        };
+        // The lease may have been renewed meanwhile, or be over, also with its era.
+        let is_of_lease =
+            |now: &RegistrationLease| now.id == lease.id && now.id.era == revision.era();
+        let Some(now_in_force) = self.lease_in_force().filter(is_of_lease) else { return };
         let now_us = self.node.now_us();
         let term = KeeperTerm::new(revision, now_in_force.renewed_us, now_us, now_in_force.ttl_us);
         let settings = self.node.settings();
@@ -168,17 +184,18 @@
         let mut holders = quotas.holders.borrow_mut();
         holders.learn(keeper, &holder.node, holder.address, revision, now_us);
         drop(holders);
+        let revision = revision.to_string();
         log::info!(target: "quota", keeper = keeper.to_string(), revision; "keeper gained");
         quotas.changed.notify_one();
     }
 
     /// Somebody holds it, or held it at another revision than was thought.
-    fn on_conflict(&self, keeper: &KeeperId, body: &[u8]) {
+    fn on_conflict(&self, keeper: &KeeperId, era: StoreEra, body: &[u8]) {
         match store::parse_conflict(body) {
             Ok(items) if items.is_empty() => {
                 self.node.quotas.holders.borrow_mut().forget(keeper);
             }
-            Ok(items) => items.iter().for_each(|item| self.learn(item)),
+            Ok(items) => items.iter().for_each(|item| self.learn(item, era)),
             Err(error) => {
                 let (keeper, error) = (keeper.to_string(), error.to_string());
                 log::error!(target: "quota", keeper, error; "a conflict cannot be read");
@@ -195,10 +212,15 @@
         for (keeper, held) in held {
             let revision = held.term().revision;
             self.node.quotas.holders.borrow_mut().forget(&keeper);
-            let call = quota_slots::remove_keeper(&keeper, revision);
+            if revision.era() < self.node.store_era() {
+                // What has that number now may be another holder's.
+                continue;
+            }
+            let call = quota_slots::remove_keeper(&keeper, revision.number());
             let answer = self.node.call_store(&mut self.client, &call, STORE_LIMIT).await;
-            let status = answer.map(|(status, _)| status);
-            log::info!(target: "quota", keeper = keeper.to_string(), revision, status:?; "keeper given up");
+            let status = answer.map(|answer| answer.status);
+            let (keeper, revision) = (keeper.to_string(), revision.to_string());
+            log::info!(target: "quota", keeper, revision, status:?; "keeper given up");
         }
         self.read_under = None;
         self.node.quotas.changed.notify_one();
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use pitchstall_platform_adapter::headers;
 use pitchstall_platform_adapter::paths::{self, OrderAnswer, RunnerReport};
-use pitchstall_serving::authority::AuthoritySubject;
+use pitchstall_serving::authority::{AuthoritySubject, FencingToken};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::ServiceName;
@@ -146,13 +146,13 @@
             self.node.on_role_ordered(&record.id, change.stage, until_us);
         }
         let runner = record.id.as_str();
-        let stage = format!("{:?}", change.stage);
+        let (stage, fence) = (format!("{:?}", change.stage), fence.number());
         let answer = answer.map_or_else(|| "none".to_owned(), |answer| format!("{answer:?}"));
         log::info!(target: "authority", runner, stage, fence, answer; "ordered");
     }
 
     /// The fencing token, while orders may be given.
-    fn fence_now(&self) -> Option<u64> {
+    fn fence_now(&self) -> Option<FencingToken> {
         self.holding().fence_to_order(self.node.now_us())
     }
 
@@ -160,7 +160,7 @@
         &self,
         record: &RunnerRecord,
         stage: Stage,
-        fence: u64,
+        fence: FencingToken,
     ) -> Option<OrderAnswer> {
         let (_, body) = call_runner(&self.node, record, "GET", paths::REPORT, &[]).await?;
         let Some(report) = paths::parse_report(&body) else {
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -9,6 +9,7 @@
 use crate::settings::Duty;
 use pitchstall_platform_adapter::cloud::{self, DutyAnswer, DutyHolder, ScaleOrder};
 use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_serving::authority::FencingToken;
 use pitchstall_serving::capacity_planner::{
     CapacityOrder, CapacityPlanner, CapacityPolicy, CapacityRecord, RunnerKind, ScalingSpec,
     ZoneSupply,
@@ -33,8 +34,8 @@
     node: Rc<Node>,
     store: PlatformClient,
     cloud: PlatformClient,
-    /// The term for which the plans hold.
-    fence: u64,
+    /// The term for which the plans hold; `None`: there has been none.
+    fence: Option<FencingToken>,
     plans: HashMap<ServiceName, Plan>,
 }
 
@@ -54,7 +55,7 @@
         node,
         store: PlatformClient::default(),
         cloud: PlatformClient::default(),
-        fence: 0,
+        fence: None,
         plans: HashMap::new(),
     };
     loop {
@@ -69,9 +70,9 @@
 }
 
 impl Scaling {
-    async fn step(&mut self, fence: u64) {
-        if fence != self.fence {
-            self.fence = fence;
+    async fn step(&mut self, fence: FencingToken) {
+        if self.fence != Some(fence) {
+            self.fence = Some(fence);
             self.plans.clear();
         }
         for (service, spec) in self.scalable_services() {
@@ -104,7 +105,7 @@
     async fn begin_plan(&mut self, service: &ServiceName) -> bool {
         let read = store::read_capacity(service);
         let answer = self.node.call_store(&mut self.store, &read, CALL_LIMIT).await;
-        let (record, counting) = match answer {
+        let (record, counting) = match answer.map(|answer| (answer.status, answer.body)) {
             Some((StoreStatus::Done, body)) => match store::parse_capacity(&body) {
                 Ok(record) => (record, None),
                 Err(error) => {
@@ -147,10 +148,12 @@
         if need == 0 || since.elapsed() < LISTED_WITHIN {
             return;
         }
-        let write = store::write_capacity(service, &plan.record, self.fence);
-        match self.node.call_store(&mut self.store, &write, CALL_LIMIT).await {
-            Some((StoreStatus::Done, _)) => plan.counting = None,
-            Some((StoreStatus::Conflict, _)) => self.node.authority.on_refused(self.fence),
+        let Some(fence) = self.fence else { return };
+        let write = store::write_capacity(service, &plan.record, fence);
+        let answer = self.node.call_store(&mut self.store, &write, CALL_LIMIT).await;
+        match answer.map(|answer| answer.status) {
+            Some(StoreStatus::Done) => plan.counting = None,
+            Some(StoreStatus::Conflict) => self.node.authority.on_refused(fence),
             _ => {}
         }
     }
@@ -188,11 +191,12 @@
 
     /// Gives an order; returns whether the next one may follow.
     async fn order(&mut self, service: &ServiceName, order: &CapacityOrder) -> bool {
-        if self.node.authority.fence_to_order(self.node.now_us()) != Some(self.fence) {
+        let may_order = self.node.authority.fence_to_order(self.node.now_us());
+        let Some(fence) = may_order.filter(|fence| self.fence == Some(*fence)) else {
             return false;
-        }
+        };
         let Some(cloud) = self.node.settings().cloud.clone() else { return false };
-        let holder = DutyHolder { node: self.node.settings().node.name.clone(), fence: self.fence };
+        let holder = DutyHolder { node: self.node.settings().node.name.clone(), fence };
         let preemptible = order.kind == RunnerKind::Preemptible;
         let told = ScaleOrder {
             service: service.clone(),
@@ -204,7 +208,7 @@
         let answer =
             self.cloud.call(cloud.address, &cloud::scale(&holder, &told), CALL_LIMIT).await;
         let outcome = answer.as_ref().map(|answer| cloud::parse_status(answer.status));
-        log_order(service, order, self.fence, &outcome);
+        log_order(service, order, fence, &outcome);
         let now_us = self.node.now_us();
         let Some(plan) = self.plans.get_mut(service) else { return false };
         match outcome {
@@ -215,7 +219,7 @@
                 plan.planner.on_none_to_be_had(order, now_us)
             }
             Ok(DutyAnswer::Conflict) => {
-                self.node.authority.on_refused(self.fence);
+                self.node.authority.on_refused(fence);
                 return false;
             }
             // Without an answer it may have been taken or not: it is given again.
@@ -231,7 +235,7 @@
 fn log_order<E: std::fmt::Display>(
     service: &ServiceName,
     order: &CapacityOrder,
-    fence: u64,
+    fence: FencingToken,
     outcome: &Result<DutyAnswer, E>,
 ) {
     let answer = match outcome {
@@ -239,6 +243,6 @@
         Err(error) => error.to_string(),
     };
     let (service, zone, runners) = (service.as_str(), order.zone.as_str(), order.runners);
-    let runner_kind = format!("{:?}", order.kind);
+    let (runner_kind, fence) = (format!("{:?}", order.kind), fence.number());
     log::info!(target: "scaling", service, zone, runner_kind, runners, fence, answer; "ordered");
 }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -6,13 +6,14 @@
 //! decided in [`pitchstall_serving::usage`].
 
 use crate::clock::Instant;
-use crate::node::Node;
+use crate::node::{Node, StoreAnswer};
 use crate::peer_words::PeerWord;
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryFault;
 use crate::settings::{Duty, UsageSection};
 use pitchstall_platform_adapter::cloud::{self, DutyAnswer, DutyHolder};
 use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_serving::authority::FencingToken;
 use pitchstall_serving::ids::{NodeId, TenantName};
 use pitchstall_serving::usage::{
     Origin, ReportTimes, UsageCollector, UsageQuestion, UsageWord, Windows,
@@ -163,7 +164,7 @@
     store: PlatformClient,
     cloud: PlatformClient,
     /// The term for which this is the reporter's work.
-    fence: u64,
+    fence: Option<FencingToken>,
     asked_at: Option<Instant>,
     questions: u64,
     /// Whether the reports that earlier holders have fixed are known.
@@ -183,7 +184,7 @@
         node,
         store: PlatformClient::default(),
         cloud: PlatformClient::default(),
-        fence: 0,
+        fence: None,
         asked_at: None,
         questions: 0,
         knows_fixed: false,
@@ -200,8 +201,8 @@
 }
 
 impl Reporter {
-    async fn step(&mut self, fence: u64, times: ReportTimes) {
-        if fence != self.fence {
+    async fn step(&mut self, fence: FencingToken, times: ReportTimes) {
+        if self.fence != Some(fence) {
             self.begin_term(fence);
         }
         self.ask(times);
@@ -215,8 +216,8 @@
         self.hand_in(times).await;
     }
 
-    fn begin_term(&mut self, fence: u64) {
-        self.fence = fence;
+    fn begin_term(&mut self, fence: FencingToken) {
+        self.fence = Some(fence);
         self.asked_at = None;
         self.knows_fixed = false;
         self.open.clear();
@@ -225,7 +226,13 @@
     }
 
     fn may_act(&self) -> bool {
-        self.node.authority.fence_to_order(self.node.now_us()) == Some(self.fence)
+        self.fence_to_act().is_some()
+    }
+
+    /// The fencing token of the term that this knows of, while it may act in it.
+    fn fence_to_act(&self) -> Option<FencingToken> {
+        let fence = self.node.authority.fence_to_order(self.node.now_us());
+        fence.filter(|fence| self.fence == Some(*fence))
     }
 
     /// Asks all nodes for their counts, now and then.
@@ -255,8 +262,8 @@
     async fn read_fixed(&mut self, times: ReportTimes) {
         let read = store::read_usage_reports();
         let answer = self.node.call_store(&mut self.store, &read, CALL_LIMIT).await;
-        let Some((StoreStatus::Done, body)) = answer else { return };
-        let page = match store::parse_page(&body) {
+        let Some(answer) = answer.filter(StoreAnswer::is_done) else { return };
+        let page = match store::parse_page(&answer.body) {
             Ok(page) => page,
             Err(error) => {
                 let error = error.to_string();
@@ -303,22 +310,20 @@
     }
 
     async fn fix(&mut self, window: u64, report: Vec<u8>, times: ReportTimes) {
-        if !self.may_act() {
-            return;
-        }
+        let Some(fence) = self.fence_to_act() else { return };
         let kept_from = window.saturating_sub(2 + times.due_ms / times.windows.length_ms.max(1));
         let older: Vec<u64> = self.stored.iter().copied().filter(|it| *it < kept_from).collect();
-        let call = store::fix_usage_report(window, &report, self.fence, &older);
+        let call = store::fix_usage_report(window, &report, fence, &older);
         let answer = self.node.call_store(&mut self.store, &call, CALL_LIMIT).await;
-        let fixed = match answer {
+        let fixed = match answer.map(|answer| (answer.status, answer.body)) {
             Some((StoreStatus::Done, _)) => Some(report),
-            Some((StoreStatus::Conflict, body)) => self.fixed_by_another(window, &body),
+            Some((StoreStatus::Conflict, body)) => self.fixed_by_another(window, fence, &body),
             // Done or not, the next try finds out.
             _ => None,
         };
         let Some(body) = fixed else { return };
         let bytes = body.len();
-        log::info!(target: "usage", window, bytes, fence = self.fence; "fixed");
+        log::info!(target: "usage", window, bytes, fence = fence.number(); "fixed");
         self.stored.retain(|window| !older.contains(window));
         self.stored.push(window);
         self.node.usage_collector.borrow_mut().on_fixed(window);
@@ -326,7 +331,7 @@
     }
 
     /// The report that is in the store already; `None`: the authority has gone to another node.
-    fn fixed_by_another(&self, window: u64, body: &[u8]) -> Option<Vec<u8>> {
+    fn fixed_by_another(&self, window: u64, fence: FencingToken, body: &[u8]) -> Option<Vec<u8>> {
         let items = match store::parse_conflict(body) {
             Ok(items) => items,
             Err(error) => {
@@ -338,8 +343,8 @@
         let reports = items.into_iter().filter_map(store::usage_report_of);
         let found = reports.into_iter().find(|(of, _)| *of == window);
         if found.is_none() {
-            log::warn!(target: "usage", window, fence = self.fence; "authority lost");
-            self.node.authority.on_refused(self.fence);
+            log::warn!(target: "usage", window, fence = fence.number(); "authority lost");
+            self.node.authority.on_refused(fence);
         }
         found.map(|(_, report)| report)
     }
@@ -366,11 +371,9 @@
 
     async fn send(&mut self, window: u64) {
         let Some(report) = self.open.get(&window) else { return };
-        if !self.may_act() {
-            return;
-        }
+        let Some(fence) = self.fence_to_act() else { return };
         let Some(cloud) = self.node.settings().cloud.clone() else { return };
-        let holder = DutyHolder { node: own_name(&self.node).to_string(), fence: self.fence };
+        let holder = DutyHolder { node: own_name(&self.node).to_string(), fence };
         let call = cloud::report_usage(&holder, &report.body);
         self.node.metrics.cloud_calls.inc();
         let answer = self.cloud.call(cloud.address, &call, CALL_LIMIT).await;
@@ -379,10 +382,10 @@
             Ok(answer) => format!("{answer:?}"),
             Err(error) => error.to_string(),
         };
-        log::info!(target: "usage", window, fence = self.fence, answer = told; "reported");
+        log::info!(target: "usage", window, fence = fence.number(), answer = told; "reported");
         match outcome {
             Ok(DutyAnswer::Done) => drop(self.open.remove(&window)),
-            Ok(DutyAnswer::Conflict) => self.node.authority.on_refused(self.fence),
+            Ok(DutyAnswer::Conflict) => self.node.authority.on_refused(fence),
             Ok(DutyAnswer::Later) | Err(_) => self.put_off(window),
         }
     }
--- a/crates/serving/src/authority.rs
+++ b/crates/serving/src/authority.rs
@@ -11,8 +11,13 @@
 //! first order: then no order of the holder before it can be on its way, and orders of the two
 //! never come in turns. What is late all the same is refused by the fencing token, which is
 //! the store's revision of the acquisition and so higher for each later holder.
+//!
+//! When the store comes back from an older copy, its leases and revisions are given out again: a term ends at the
+//! first sign of a later era. A holder that has not heard of it may go on for the length of its lease, so that a new
+//! one waits for that too. Fencing tokens count eras before revisions.
 
 use crate::ids::RegionId;
+use crate::store_revision::{StoreLease, StoreRevision};
 use crate::topology::Topology;
 use std::collections::BTreeSet;
 
@@ -45,11 +50,39 @@
     }
 }
 
+/// Names a term to runners and to the platform's duties, which refuse lower ones than they have seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FencingToken {
+    acquired_at: StoreRevision,
+}
+
+/// Bits of a fencing token that count revisions within an era: a thousand a second for 34 years.
+const REVISION_BITS: u32 = 40;
+
+impl FencingToken {
+    /// The token of a term whose key was written at a revision.
+    pub fn new(acquired_at: StoreRevision) -> Self {
+        Self { acquired_at }
+    }
+
+    /// As runners and duties are told it: higher for each later term. Up to some 8,000 eras it is an integer that JSON
+    /// carries exactly.
+    pub fn number(self) -> u64 {
+        let era = self.acquired_at.era().told_number().unwrap_or_default();
+        (era << REVISION_BITS) | self.acquired_at.number().0
+    }
+
+    /// Revision at which the key was written.
+    pub fn acquired_at(self) -> StoreRevision {
+        self.acquired_at
+    }
+}
+
 /// One term of authority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AuthorityTerm {
     /// Fencing token of every order in this term.
-    pub fence: u64,
+    pub fence: FencingToken,
     /// Orders may be given from here on, microseconds.
     ready_at_us: u64,
     /// And until here.
@@ -72,7 +105,7 @@
 impl AuthorityTerm {
     /// A term that the store granted. `sent_at_us` is when the lease was asked for, `now_us`
     /// when the key was known to be written.
-    pub fn new(fence: u64, sent_at_us: u64, now_us: u64, times: LeaseTimes) -> Self {
+    pub fn new(fence: FencingToken, sent_at_us: u64, now_us: u64, times: LeaseTimes) -> Self {
         Self {
             fence,
             ready_at_us: now_us + times.separation_us,
@@ -80,6 +113,13 @@
         }
     }
 
+    /// The store's era was first heard of at a time: a holder of the era before may give orders until its lease is
+    /// over.
+    pub fn after_era_began(self, heard_at_us: u64, times: LeaseTimes) -> Self {
+        let ready_at_us = heard_at_us + times.ttl_us + times.separation_us;
+        Self { ready_at_us: self.ready_at_us.max(ready_at_us), ..self }
+    }
+
     /// The lease was renewed by a call sent at the given time.
     pub fn renew(&mut self, sent_at_us: u64, times: LeaseTimes) {
         self.valid_until_us = self.valid_until_us.max(valid_until(sent_at_us, times));
@@ -122,14 +162,14 @@
     /// Look whether somebody has the authority, and take it if nobody has.
     Look,
     /// Renew the lease.
-    Renew(u64),
+    Renew(StoreLease),
     /// End the lease: an order was refused, as another node has the authority.
-    StepDown(u64),
+    StepDown(StoreLease),
 }
 
 #[derive(Clone, Debug)]
 struct Held {
-    lease: u64,
+    lease: StoreLease,
     term: AuthorityTerm,
     next_try_us: u64,
     /// Whether the term has run out without a word from the store.
@@ -181,7 +221,13 @@
     }
 
     /// The store has granted a term under a lease that was asked for at `sent_at_us`.
-    pub fn on_gained(&mut self, lease: u64, term: AuthorityTerm, now_us: u64, times: LeaseTimes) {
+    pub fn on_gained(
+        &mut self,
+        lease: StoreLease,
+        term: AuthorityTerm,
+        now_us: u64,
+        times: LeaseTimes,
+    ) {
         self.has_seen_holder = true;
         let next_try_us = now_us + times.ttl_us / RENEWALS;
         let (is_in_doubt, is_refused) = (false, false);
@@ -208,24 +254,32 @@
     }
 
     /// The lease is over or has been given up. Returns it, and the fencing token of its term.
-    pub fn on_lost(&mut self) -> Option<(u64, u64)> {
+    pub fn on_lost(&mut self) -> Option<(StoreLease, FencingToken)> {
         self.held.take().map(|held| (held.lease, held.term.fence))
     }
 
+    /// The store has come back from an older copy: this node looks soon whether the key is there, as nobody may hold
+    /// it. Returns the fencing token of a term that is over with that.
+    pub fn on_later_era(&mut self) -> Option<FencingToken> {
+        self.has_seen_holder = false;
+        self.next_look_us = None;
+        self.on_lost().map(|(_, fence)| fence)
+    }
+
     /// The fencing token, while orders may be given.
-    pub fn fence_to_order(&self, now_us: u64) -> Option<u64> {
+    pub fn fence_to_order(&self, now_us: u64) -> Option<FencingToken> {
         let held = self.held.as_ref().filter(|held| !held.is_refused)?;
         held.term.may_order(now_us).then_some(held.term.fence)
     }
 
     /// The fencing token, from the beginning of the term on.
-    pub fn fence(&self) -> Option<u64> {
+    pub fn fence(&self) -> Option<FencingToken> {
         self.held.as_ref().filter(|held| !held.is_refused).map(|held| held.term.fence)
     }
 
     /// An order was refused because a higher fencing token had been used: another node has the
     /// authority, and this one gives no further order in this term.
-    pub fn on_refused(&mut self, fence: u64) {
+    pub fn on_refused(&mut self, fence: FencingToken) {
         if let Some(held) = self.held.as_mut().filter(|held| held.term.fence == fence) {
             held.is_refused = true;
         }
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -11,6 +11,7 @@
 use crate::quota_slots::KeeperId;
 use crate::runner::Stage;
 use crate::runner_limit::LimitWord;
+use crate::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -37,7 +38,22 @@
     pub keeper: KeeperId,
     /// The store's revision at which the node took it.
     #[serde(rename = "r")]
-    pub revision: u64,
+    revision: RevisionNumber,
+    /// The era of that revision. Builds that know no eras tell none.
+    #[serde(rename = "e", default, skip_serializing_if = "StoreEra::is_untold")]
+    era: StoreEra,
+}
+
+impl KeptSlot {
+    /// A node took a keeper at a revision.
+    pub fn new(keeper: KeeperId, revision: StoreRevision) -> Self {
+        Self { keeper, revision: revision.number(), era: revision.era() }
+    }
+
+    /// The store's revision at which the node took it, as a node takes it that has heard of these eras.
+    pub fn revision(&self, eras: &StoreEras) -> StoreRevision {
+        StoreRevision::new(eras.of_word(self.era), self.revision)
+    }
 }
 
 /// One node's word to another.
--- a/crates/serving/src/quota_candidacy.rs
+++ b/crates/serving/src/quota_candidacy.rs
@@ -9,6 +9,7 @@
 use crate::membership::Member;
 use crate::prefix::rendezvous_weight;
 use crate::quota_slots::KeeperId;
+use crate::store_revision::StoreRevision;
 use std::net::SocketAddr;
 
 /// Time for which the key has to be absent before the first candidate tries, microseconds: a copy
@@ -47,7 +48,7 @@
     /// Where the holder is reached.
     pub holder: SocketAddr,
     /// The store's revision at which the key was written.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// What a node does about a keeper that it does not hold.
@@ -61,7 +62,7 @@
     /// this node's own address, which cannot be up any more.
     TakeOver {
         /// The revision that the key must still have.
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
--- a/crates/serving/src/quota_term.rs
+++ b/crates/serving/src/quota_term.rs
@@ -5,6 +5,8 @@
 //! before the store can give the key to another node. There is no separation between two holders:
 //! a later one begins with nothing (see [`crate::quota_share`]).
 
+use crate::store_revision::StoreRevision;
+
 /// Part of the lease's time that is left unused, in hundredths: clocks differ in pace, and a
 /// grant takes time to be used.
 const UNUSED_PERCENT: u64 = 15;
@@ -13,7 +15,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperTerm {
     /// The store's revision at which the key was written: names the term.
-    pub revision: u64,
+    pub revision: StoreRevision,
     started_at_us: u64,
     valid_until_us: u64,
 }
@@ -21,7 +23,7 @@
 impl KeeperTerm {
     /// The key is written, known at `now_us`. The lease was last renewed by a call sent at
     /// `renewed_sent_at_us`, and lives for `ttl_us` from when the store took that.
-    pub fn new(revision: u64, renewed_sent_at_us: u64, now_us: u64, ttl_us: u64) -> Self {
+    pub fn new(revision: StoreRevision, renewed_sent_at_us: u64, now_us: u64, ttl_us: u64) -> Self {
         let valid_until_us = valid_until(renewed_sent_at_us, ttl_us);
         Self { revision, started_at_us: now_us, valid_until_us }
     }
--- a/crates/serving/src/store_revision.rs
+++ b/crates/serving/src/store_revision.rs
@@ -62,6 +62,11 @@
 #[serde(transparent)]
 pub struct RevisionNumber(pub u64);
 
+impl RevisionNumber {
+    /// As a condition: there is no such key.
+    pub const ABSENT: Self = Self(0);
+}
+
 impl std::fmt::Display for RevisionNumber {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.0.fmt(formatter)
@@ -111,6 +116,21 @@
     }
 }
 
+/// A lease of the store. Its number may be given to another holder in a later era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLease {
+    /// The era in which it was granted.
+    pub era: StoreEra,
+    /// Its number, as the store gives it in this era.
+    pub number: u64,
+}
+
+impl std::fmt::Display for StoreLease {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.number.fmt(formatter)
+    }
+}
+
 /// What an answer of the store tells of its era.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EraNews {
--- a/crates/serving/tests/authority.rs
+++ b/crates/serving/tests/authority.rs
@@ -2,19 +2,23 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::authority::{
-    AuthorityHolder, AuthorityStep, AuthoritySubject, AuthorityTerm, LeaseTimes,
+    AuthorityHolder, AuthorityStep, AuthoritySubject, AuthorityTerm, FencingToken, LeaseTimes,
 };
 use pitchstall_serving::ids::{RegionId, ZoneId};
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreLease, StoreRevision};
 use pitchstall_serving::topology::Topology;
 
 const SECOND: u64 = 1_000_000;
 const TIMES: LeaseTimes = LeaseTimes { ttl_us: 3 * SECOND, separation_us: SECOND };
-const LEASE: u64 = 77;
-const FENCE: u64 = 9;
+const LEASE: StoreLease = StoreLease { era: StoreEra::UNTOLD, number: 77 };
+
+fn fence(number: u64) -> FencingToken {
+    FencingToken::new(StoreRevision::without_era(number))
+}
 
 fn gained(now_us: u64) -> AuthorityHolder {
     let mut holder = AuthorityHolder::default();
-    let term = AuthorityTerm::new(FENCE, now_us, now_us, TIMES);
+    let term = AuthorityTerm::new(fence(9), now_us, now_us, TIMES);
     holder.on_gained(LEASE, term, now_us, TIMES);
     holder
 }
@@ -56,27 +60,49 @@
 fn a_term_that_ran_out_orders_nothing_and_goes_on_once_its_lease_is_renewed() {
     let mut holder = gained(0);
     assert_eq!(holder.fence_to_order(SECOND / 2), None, "orders are a separation apart");
-    assert_eq!(holder.fence_to_order(2 * SECOND), Some(FENCE));
+    assert_eq!(holder.fence_to_order(2 * SECOND), Some(fence(9)));
     assert!(!holder.has_run_out(2 * SECOND));
     assert!(holder.has_run_out(4 * SECOND));
     assert!(!holder.has_run_out(4 * SECOND), "it is said once");
-    assert_eq!((holder.fence_to_order(4 * SECOND), holder.fence()), (None, Some(FENCE)));
+    assert_eq!((holder.fence_to_order(4 * SECOND), holder.fence()), (None, Some(fence(9))));
     assert!(holder.on_renewed(5 * SECOND, 5 * SECOND, TIMES));
-    assert_eq!(holder.fence_to_order(5 * SECOND), Some(FENCE));
+    assert_eq!(holder.fence_to_order(5 * SECOND), Some(fence(9)));
 }
 
 #[test]
 fn a_holder_whose_order_was_refused_steps_down() {
     let mut holder = gained(0);
-    holder.on_refused(FENCE - 1);
-    assert_eq!(holder.fence_to_order(2 * SECOND), Some(FENCE), "that was an earlier term");
-    holder.on_refused(FENCE);
+    holder.on_refused(fence(8));
+    assert_eq!(holder.fence_to_order(2 * SECOND), Some(fence(9)), "that was an earlier term");
+    holder.on_refused(fence(9));
     assert_eq!((holder.fence_to_order(2 * SECOND), holder.fence()), (None, None));
     assert_eq!(holder.step(2 * SECOND, 0.5), AuthorityStep::StepDown(LEASE));
-    assert_eq!(holder.on_lost(), Some((LEASE, FENCE)));
+    assert_eq!(holder.on_lost(), Some((LEASE, fence(9))));
     assert!(matches!(holder.step(2 * SECOND, 0.5), AuthorityStep::Wait(_)));
 }
 
+/// Its lease may be gone, or another holder's: it is neither renewed nor ended.
+#[test]
+fn a_holder_gives_its_term_up_once_the_store_has_come_back_older() {
+    let mut holder = gained(0);
+    assert_eq!(holder.on_later_era(), Some(fence(9)));
+    assert_eq!((holder.fence_to_order(2 * SECOND), holder.fence()), (None, None));
+    assert!(looks(&mut holder, 9 * SECOND, 0.5) > 10, "nobody may hold the key");
+    assert_eq!(holder.on_later_era(), None);
+}
+
+#[test]
+fn fencing_tokens_of_a_later_era_are_higher() {
+    let of_era = |era, number| {
+        let era = StoreEra::from_told(era).unwrap();
+        FencingToken::new(StoreRevision::new(era, RevisionNumber(number))).number()
+    };
+    assert!(of_era(1, 1) > of_era(0, 1 << 39));
+    assert!(of_era(2, 5) > of_era(1, 900));
+    assert_eq!(of_era(0, 7), fence(7).number(), "nothing changes where no later era has begun");
+    assert!(of_era(8_000, 1) < 1 << 53);
+}
+
 fn topology(zones: &[(&str, &str)]) -> Topology {
     Topology::new(zones.iter().map(|(zone, region)| (ZoneId::new(*zone), RegionId::new(*region))))
 }
--- a/crates/serving/tests/quota_fleet/holding.rs
+++ b/crates/serving/tests/quota_fleet/holding.rs
@@ -54,7 +54,10 @@
             return;
         }
         let key = self.keys.get(&keeper).copied();
-        let told = key.map(|key| KeeperKey { holder: address(key.node), revision: key.revision });
+        let told = key.map(|key| KeeperKey {
+            holder: address(key.node),
+            revision: StoreRevision::without_era(key.revision),
+        });
         // The rank of a node matters only where nobody holds the key.
         let rank = if key.is_none() { self.rank(node, &keeper) } else { 0 };
         let candidacy = self.nodes[node].candidacies.entry(keeper.clone()).or_default();
@@ -66,7 +69,8 @@
         self.revision += 1;
         self.keys.insert(keeper.clone(), Key { node, start, revision: self.revision });
         let sent_us = self.nodes[node].renewed_sent_us;
-        let term = KeeperTerm::new(self.revision, sent_us, now_us, LEASE_US);
+        let term =
+            KeeperTerm::new(StoreRevision::without_era(self.revision), sent_us, now_us, LEASE_US);
         let held = Keeper::new(keeper.clone(), term, BOUNDS, self.topology.clone());
         self.nodes[node].keepers.insert(keeper, held);
     }
--- a/crates/serving/tests/quota_fleet/mod.rs
+++ b/crates/serving/tests/quota_fleet/mod.rs
@@ -16,6 +16,7 @@
 use pitchstall_serving::quota_slots::{all_keepers, KeeperId};
 use pitchstall_serving::quota_term::KeeperTerm;
 use pitchstall_serving::scheduling::Ticket;
+use pitchstall_serving::store_revision::StoreRevision;
 use pitchstall_serving::topology::Topology;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/serving/tests/quota_keeper.rs
+++ b/crates/serving/tests/quota_keeper.rs
@@ -11,6 +11,7 @@
 use pitchstall_serving::quota_slots::{all_keepers, keepers_of, KeeperId};
 use pitchstall_serving::quota_term::KeeperTerm;
 use pitchstall_serving::scheduling::Ticket;
+use pitchstall_serving::store_revision::StoreRevision;
 use pitchstall_serving::topology::Topology;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -49,7 +50,7 @@
 impl Keepers {
     fn new() -> Self {
         let held = all_keepers(&topology()).into_iter().map(|id| {
-            let term = KeeperTerm::new(1, 0, 0, 1_000 * SECOND);
+            let term = KeeperTerm::new(StoreRevision::without_era(1), 0, 0, 1_000 * SECOND);
             (id.clone(), Keeper::new(id, term, BOUNDS, topology()))
         });
         Self { held: held.collect(), words: 0 }
@@ -175,7 +176,7 @@
 #[test]
 fn a_node_whose_term_may_be_over_is_no_keeper() {
     let id = Keepers::slots(&limit(300_000))[0].clone();
-    let term = KeeperTerm::new(1, 0, 0, 15 * SECOND);
+    let term = KeeperTerm::new(StoreRevision::without_era(1), 0, 0, 15 * SECOND);
     let mut keeper = Keeper::new(id.clone(), term, BOUNDS, topology());
     let mut ask = |number, now_us| match keeper.on_question(
         &question(number, 200, limit(300_000), 1),
@@ -235,7 +236,7 @@
 #[test]
 fn idle_tenants_are_forgotten() {
     let id = KeeperId { zone: ZoneId::new("a1"), number: 0 };
-    let term = KeeperTerm::new(1, 0, 0, 1_000 * SECOND);
+    let term = KeeperTerm::new(StoreRevision::without_era(1), 0, 0, 1_000 * SECOND);
     let mut keeper = Keeper::new(id.clone(), term, BOUNDS, topology());
     let mut ask = |name: String, number, now_us| {
         let mut question = question(number, 200, limit(300_000), 1);
--- a/crates/serving/tests/quota_slots.rs
+++ b/crates/serving/tests/quota_slots.rs
@@ -8,6 +8,7 @@
 use pitchstall_serving::quota_candidacy::{candidate_rank, Candidacy, CandidacyStep, KeeperKey};
 use pitchstall_serving::quota_slots::{all_keepers, keepers_of, order_for, KeeperId};
 use pitchstall_serving::quota_term::KeeperTerm;
+use pitchstall_serving::store_revision::StoreRevision;
 use pitchstall_serving::topology::Topology;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -161,7 +162,7 @@
 #[test]
 fn a_key_that_another_node_holds_is_left_alone() {
     let mut candidacy = Candidacy::new();
-    let key = KeeperKey { holder: address(2), revision: 7 };
+    let key = KeeperKey { holder: address(2), revision: StoreRevision::without_era(7) };
     for now_us in (0..10 * SECOND).step_by(50_000) {
         let step = candidacy.decide(Some(&key), address(1), 0, now_us);
         assert_eq!(step, CandidacyStep::Wait);
@@ -170,15 +171,15 @@
 
 #[test]
 fn a_process_that_starts_anew_takes_over_the_key_of_the_one_before_at_once() {
-    let key = KeeperKey { holder: address(1), revision: 7 };
+    let key = KeeperKey { holder: address(1), revision: StoreRevision::without_era(7) };
     let step = Candidacy::new().decide(Some(&key), address(1), 5, 0);
-    assert_eq!(step, CandidacyStep::TakeOver { revision: 7 });
+    assert_eq!(step, CandidacyStep::TakeOver { revision: StoreRevision::without_era(7) });
 }
 
 #[test]
 fn a_term_ends_before_the_lease_counted_from_the_sending_of_its_renewal() {
     let ttl_us = 15 * SECOND;
-    let mut term = KeeperTerm::new(7, 2 * SECOND, 6 * SECOND, ttl_us);
+    let mut term = KeeperTerm::new(StoreRevision::without_era(7), 2 * SECOND, 6 * SECOND, ttl_us);
     assert_eq!(term.started_at_us(), 6 * SECOND);
     assert!(term.is_valid(14 * SECOND) && !term.is_valid(15 * SECOND));
     term.renew(10 * SECOND, ttl_us);
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use pitchstall_serving::authority::{AuthorityTerm, LeaseTimes};
+use pitchstall_serving::authority::{AuthorityTerm, FencingToken, LeaseTimes};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RunnerId, ServiceName};
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_new_holder_waits_before_its_first_order() {
-    let mut term = AuthorityTerm::new(7, 0, 10_000, TIMES);
+    let mut term = AuthorityTerm::new(FencingToken::new(at(7)), 0, 10_000, TIMES);
     assert!(!term.may_order(10_000));
     term.renew(SECOND, TIMES);
     assert!(term.may_order(3 * SECOND + 10_000));
@@ -26,7 +26,7 @@
 
 #[test]
 fn a_holder_that_slept_wakes_without_authority() {
-    let mut term = AuthorityTerm::new(7, 0, 0, TIMES);
+    let mut term = AuthorityTerm::new(FencingToken::new(at(7)), 0, 0, TIMES);
     term.renew(2 * SECOND, TIMES);
     assert!(term.may_order(4 * SECOND));
     assert!(!term.may_order(9 * SECOND));
@@ -35,11 +35,37 @@
 
 #[test]
 fn a_renewal_counts_from_its_sending_and_never_shortens() {
-    let mut term = AuthorityTerm::new(7, 5 * SECOND, 5 * SECOND, TIMES);
+    let mut term = AuthorityTerm::new(FencingToken::new(at(7)), 5 * SECOND, 5 * SECOND, TIMES);
     term.renew(4 * SECOND, TIMES);
     assert!(!term.is_over(7 * SECOND));
 }
 
+proptest! {
+    /// The store comes back from a copy without the key at any time after the last renewal; the next holder hears of the
+    /// later era and takes the key at once.
+    #[test]
+    fn orders_of_holders_of_two_eras_are_a_lease_apart(
+        sent_at_us in 0_u64..10 * SECOND,
+        way_us in 0_u64..2 * SECOND,
+        came_back_after_us in 0_u64..SECOND,
+        heard_after_us in 0_u64..SECOND,
+        answer_us in 0_u64..2 * SECOND,
+    ) {
+        let first = AuthorityTerm::new(FencingToken::new(at(7)), sent_at_us, sent_at_us, TIMES);
+        let heard = sent_at_us + way_us + came_back_after_us + heard_after_us;
+        let second = AuthorityTerm::new(FencingToken::new(at(9)), heard, heard + answer_us, TIMES)
+            .after_era_began(heard, TIMES);
+        let last_of_first = (0..).map(|step| sent_at_us + step * 1_000)
+            .take_while(|now| !first.is_over(*now)).last().unwrap();
+        // It is renewed for as long as it takes.
+        let mut renewed = second;
+        renewed.renew(heard + 20 * SECOND, TIMES);
+        let first_of_second =
+            (heard..).step_by(1_000).find(|now| renewed.may_order(*now)).unwrap();
+        prop_assert!(first_of_second >= last_of_first + TIMES.separation_us);
+    }
+}
+
 proptest! {
     /// The store grants the key to the next holder no earlier than one lease after the last
     /// renewal arrived there. However long calls take, orders of the two are apart.
@@ -50,10 +76,10 @@
         granted_after_us in 0_u64..SECOND,
         answer_us in 0_u64..2 * SECOND,
     ) {
-        let first = AuthorityTerm::new(7, sent_at_us, sent_at_us + way_us, TIMES);
+        let first = AuthorityTerm::new(FencingToken::new(at(7)), sent_at_us, sent_at_us + way_us, TIMES);
         let over_at_store = sent_at_us + way_us + TIMES.ttl_us;
         let asked = over_at_store + granted_after_us;
-        let second = AuthorityTerm::new(9, asked, asked + answer_us, TIMES);
+        let second = AuthorityTerm::new(FencingToken::new(at(9)), asked, asked + answer_us, TIMES);
         let last_of_first = (0..).map(|step| sent_at_us + step * 1_000)
             .take_while(|now| !first.is_over(*now)).last().unwrap();
         let first_of_second = (asked..).step_by(1_000).find(|now| {
