Soak: seeds from 7000 on have a store that comes back from older copies

Three times a seed, twice of them within three seconds, beside the seed's other faults; the operator and the runners write theirs again 0.6 s later, entries that nobody writes go 3.6 s after that.

--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -49,6 +49,8 @@
     [Duration::from_millis(100), Duration::from_secs(1), Duration::from_secs(10)];
 /// Bytes a second from the store to a node: 10 Mbit/s.
 const NODE_LINK: u64 = 1_250_000;
+/// Time after which the operator and the runners write theirs again in a store that has come back from an older copy.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(600);
 const ENTRY_LASTS: Duration = Duration::from_millis(3_600);
 
 /// What the load and the faults share.
@@ -356,6 +358,7 @@
                 self.disturbed(None);
                 lock(&self.fleet).store.forget_history();
             }
+            Action::ComeBackOlder { loses } => self.come_back_older(*loses, step.lasts),
             Action::CutRegions => {
                 self.cut_regions(true);
                 std::thread::sleep(step.lasts);
@@ -382,6 +385,22 @@
         }
     }
 
+    fn come_back_older(&self, loses: Duration, away: Duration) {
+        let store = lock(&self.fleet).store.clone();
+        let backup = store.back_up();
+        std::thread::sleep(loses);
+        self.disturbed(None);
+        store.set_mode(StoreMode::Unavailable);
+        std::thread::sleep(away);
+        store.come_back_as(&backup);
+        store.set_mode(StoreMode::Serving);
+        std::thread::sleep(WRITTEN_AGAIN_AFTER);
+        lock(&self.fleet).write_again();
+        self.disturbed(None);
+        std::thread::sleep(ENTRY_LASTS);
+        lock(&self.fleet).drop_unwritten();
+    }
+
     fn disturbed(&self, node: Option<usize>) {
         self.recorder.note(Event::Disturbed { node });
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -4,7 +4,8 @@
 use crate::history::{Event, Kind, Recorder};
 use crate::named_limits::LimitPhases;
 use crate::plan::{
-    has_large_configurations, has_limits, has_lives, has_named_limits, has_self_reports,
+    has_large_configurations, has_limits, has_lives, has_named_limits, has_returns,
+    has_self_reports,
 };
 use crate::proxy::Link;
 use crate::regions::RegionLink;
@@ -19,6 +20,8 @@
 use pitchstall_platform_standins::runner::RunnerStandIn;
 use pitchstall_platform_standins::store::StoreStandIn;
 use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -98,6 +101,8 @@
     pub regions: RegionLink,
     recorder: Recorder,
     tenants: Vec<SoakTenant>,
+    /// The entries that runners have, by key.
+    entries: RefCell<BTreeMap<String, Value>>,
     next_runner: u64,
     version: u64,
     seed: u64,
@@ -107,6 +112,9 @@
     /// Starts a store with a first configuration, and runners in each zone.
     pub fn start(seed: u64, recorder: Recorder) -> std::io::Result<Self> {
         let store = StoreStandIn::start()?;
+        if has_returns(seed) {
+            store.tell_era(1);
+        }
         let runners = Vec::new();
         let cloud = CloudStandIn::start()?;
         let mut fleet = Self {
@@ -116,6 +124,7 @@
             regions: RegionLink::default(),
             recorder,
             tenants: tenants(has_limits(seed)),
+            entries: RefCell::default(),
             next_runner: 0,
             version: 0,
             seed,
@@ -213,7 +222,9 @@
             stage: runner.stage_now(),
             born_ms: runner.born_ms,
         };
-        self.store.put(&runner_key(&runner.id), &entry.to_json());
+        let (key, entry) = (runner_key(&runner.id), entry.to_json());
+        self.store.put(&key, &entry);
+        self.entries.borrow_mut().insert(key, entry);
     }
 
     /// A runner says that it leaves; another one takes its place. Returns the one that leaves. Where runners say so
@@ -268,20 +279,40 @@
         if self.runners.iter().any(is_back) {
             return;
         }
-        self.store.remove(&runner_key(&runner.id));
+        let key = runner_key(&runner.id);
+        self.store.remove(&key);
+        self.entries.borrow_mut().remove(&key);
+    }
+
+    /// The operator and the runners write theirs again, as the store has come back from an older copy.
+    pub fn write_again(&self) {
+        self.put_configuration();
+        self.entries.borrow().iter().for_each(|(key, entry)| self.store.put(key, entry));
+    }
+
+    /// Entries that an older copy of the store has brought back, and that nobody writes, are gone.
+    pub fn drop_unwritten(&self) {
+        let entries = self.entries.borrow();
+        let found = self.store.keys(&runner_key(""));
+        found
+            .iter()
+            .filter(|key| !entries.contains_key(*key))
+            .for_each(|key| self.store.remove(key));
     }
 
     /// Puts the next configuration in force; each has a route of its own, and that of the one
     /// before it.
     pub fn configure(&mut self) {
         self.version += 1;
-        self.store.put(
-            CONFIGURATION_KEY,
-            &configuration(self.version, &self.tenants, self.idle_routes()),
-        );
+        self.put_configuration();
         self.recorder.note(Event::Configured { version: self.version });
     }
 
+    fn put_configuration(&self) {
+        let document = configuration(self.version, &self.tenants, self.idle_routes());
+        self.store.put(CONFIGURATION_KEY, &document);
+    }
+
     /// Routes that nobody asks for. Large configurations grow to what a store's entry may hold.
     fn idle_routes(&self) -> usize {
         const A_CHANGE: u64 = 1_400;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -55,6 +55,12 @@
     },
     /// The store forgets its history.
     ForgetHistory,
+    /// The store goes away for the time and comes back from an older copy. What was written meanwhile by the operator and
+    /// the runners is written again.
+    ComeBackOlder {
+        /// How old the copy is when the store goes away.
+        loses: Duration,
+    },
     /// A runner is replaced: the new one starts first, the old one drains.
     Replace {
         /// Which of the runners that are listed then, modulo their number.
@@ -114,6 +120,8 @@
 const FIRST_OF_SELF_REPORTS: u64 = 3_000;
 /// First seed with runners that name for a time how many requests a second they take from all nodes together.
 const FIRST_OF_NAMED_LIMITS: u64 = 6_000;
+/// First seed with a store that comes back from older copies.
+const FIRST_OF_RETURNS: u64 = 7_000;
 /// Time for which regions are cut off from each other.
 const REGIONS_CUT_FOR: Duration = Duration::from_secs(10);
 /// Quiet time at the end, in which everything has to recover.
@@ -134,10 +142,35 @@
     if has_limits(seed) && has_faults(seed) {
         steps.extend(limit_steps(seed, length, nodes));
     }
+    if has_returns(seed) && has_faults(seed) {
+        steps.extend(returns(seed, length));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// The store comes back from an older copy once in the first half, and twice in quick succession in the second. They are
+/// drawn apart, so that a seed keeps its other steps.
+fn returns(seed: u64, length: Duration) -> Vec<Step> {
+    const APART: u64 = 0x72_6574_7572;
+    const LOSES_MS: std::ops::Range<u64> = 300..3_000;
+    const AWAY_MS: std::ops::Range<u64> = 50..2_000;
+    const LATER: Duration = Duration::from_secs(3);
+    let mut chance = ChaCha8Rng::seed_from_u64(seed ^ APART);
+    let last = length.saturating_sub(RECOVERY);
+    let mut step = |at: Duration| {
+        let loses = Duration::from_millis(chance.random_range(LOSES_MS));
+        let lasts = Duration::from_millis(chance.random_range(AWAY_MS));
+        Step { at, lasts, action: Action::ComeBackOlder { loses } }
+    };
+    vec![step(last / 5), step(last / 2), step(last / 2 + LATER)]
+}
+
+/// Whether the store of a seed comes back from older copies.
+pub fn has_returns(seed: u64) -> bool {
+    seed >= FIRST_OF_RETURNS
+}
+
 /// Whether the nodes of a seed lie in two regions. Seeds below the first are played as they always
 /// were.
 pub fn has_regions(seed: u64) -> bool {
@@ -166,7 +199,7 @@
 
 /// Whether runners of a seed name for a time what they take from all nodes together.
 pub fn has_named_limits(seed: u64) -> bool {
-    seed >= FIRST_OF_NAMED_LIMITS
+    (FIRST_OF_NAMED_LIMITS..FIRST_OF_RETURNS).contains(&seed)
 }
 
 /// The regions are cut off from each other in the middle, long enough for their nodes to be bound
