--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -22,8 +22,8 @@
     (seen, false)
 }
 
-fn search_authority(guards: authority::Safeguards) -> (usize, bool) {
-    let reached = bfs_reach(authority::State::default(), |state| state.next(guards));
+fn search_authority(initial: authority::State, guards: authority::Safeguards) -> (usize, bool) {
+    let reached = bfs_reach(initial, |state| state.next(guards));
     count(reached, |state| state.violated)
 }
 
@@ -114,9 +114,10 @@
     assert!(search_retry_budget(guards).1);
 }
 
-#[test]
-fn authority_is_safe_in_every_state() {
-    let (states, violated) = search_authority(authority::Safeguards::ALL);
+#[test_case(authority::State::default(); "before a store that loses nothing")]
+#[test_case(authority::State::with_return(); "before a store that comes back older")]
+fn authority_is_safe_in_every_state(initial: authority::State) {
+    let (states, violated) = search_authority(initial, authority::Safeguards::ALL);
     println!("authority: {states} states");
     assert!(!violated);
     assert!(states > 1_000, "the search was cut short: {states} states");
@@ -160,7 +161,14 @@
 #[test_case(authority::Safeguards { named_instance: false, ..authority::Safeguards::ALL }; "named instance")]
 #[test_case(authority::Safeguards { renewed_by_store: false, ..authority::Safeguards::ALL }; "renewed by store")]
 fn authority_without_a_safeguard_is_unsafe(guards: authority::Safeguards) {
-    assert!(search_authority(guards).1);
+    assert!(search_authority(authority::State::default(), guards).1);
+}
+
+#[test_case(authority::Safeguards { fence_counts_eras: false, ..authority::Safeguards::ALL }; "fence counts eras")]
+#[test_case(authority::Safeguards { lease_of_its_era: false, ..authority::Safeguards::ALL }; "lease of its era")]
+#[test_case(authority::Safeguards { wait_for_earlier_era: false, ..authority::Safeguards::ALL }; "wait for earlier era")]
+fn authority_across_eras_without_a_safeguard_is_unsafe(guards: authority::Safeguards) {
+    assert!(search_authority(authority::State::with_return(), guards).1);
 }
 
 #[test_case(adoption::Safeguards { only_higher: false, ..adoption::Safeguards::ALL }; "only higher")]
--- a/crates/serving/tests/specification/authority.rs
+++ b/crates/serving/tests/specification/authority.rs
@@ -2,14 +2,19 @@
 //!
 //! A node takes the key if it is absent; the revision of that write is its fencing token. It
 //! asks the runner for the orders that it has taken, then orders. Orders arrive at any time or
-//! never, also after the runner has started anew.
+//! never, also after the runner has started anew. The store may come back from an older copy: the key may be gone then, and
+//! revisions and numbers of leases are given out again.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 const NODES: usize = 2;
 const MOST_REVISIONS: u8 = 2;
+/// Orders of a node: fewer where the store comes back older, so that the search ends within seconds.
 const MOST_ORDERS: u8 = 2;
+const MOST_ORDERS_ACROSS_ERAS: u8 = 1;
 const MOST_INSTANCES: u8 = 2;
+/// Revisions that a fencing token has room for within an era.
+const REVISIONS_AN_ERA: u8 = 16;
 
 /// The switches. All on: the protocol as built.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +31,12 @@
     pub named_instance: bool,
     /// A term that has run out goes on only if the store still has its lease, and so its key.
     pub renewed_by_store: bool,
+    /// Fencing tokens count eras before revisions.
+    pub fence_counts_eras: bool,
+    /// A renewal that is answered in a later era renews nothing: the number of the lease may be another holder's.
+    pub lease_of_its_era: bool,
+    /// A holder waits until one of an earlier era, which has not heard of the later one, must have given up.
+    pub wait_for_earlier_era: bool,
 }
 
 impl Safeguards {
@@ -36,6 +47,9 @@
         expected_orders: true,
         named_instance: true,
         renewed_by_store: true,
+        fence_counts_eras: true,
+        lease_of_its_era: true,
+        wait_for_earlier_era: true,
     };
 }
 
@@ -49,6 +63,8 @@
     doubted: Option<u8>,
     picture: Option<Picture>,
     ordered: u8,
+    /// The era of its term.
+    era: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -63,6 +79,11 @@
 pub struct State {
     revision: u8,
     store_holder: Option<u8>,
+    /// Whether the store comes back from an older copy, once.
+    comes_back: bool,
+    era: u8,
+    /// The copy from which the store may come back: its revision, and who held the key.
+    copy: Option<(u8, Option<u8>)>,
     holders: [Holder; NODES],
     on_the_way: BTreeSet<Order>,
     /// Which node has ordered with a fencing token.
@@ -74,6 +95,19 @@
 }
 
 impl State {
+    /// Before a store that comes back from an older copy of itself.
+    pub fn with_return() -> Self {
+        Self { comes_back: true, ..Self::default() }
+    }
+
+    fn most_orders(&self) -> u8 {
+        if self.comes_back {
+            MOST_ORDERS_ACROSS_ERAS
+        } else {
+            MOST_ORDERS
+        }
+    }
+
     pub fn next(&self, guards: Safeguards) -> Vec<Self> {
         let mut states = Vec::new();
         for node in 0..NODES {
@@ -81,19 +115,43 @@
             self.order_steps(node, &mut states);
         }
         self.runner_steps(guards, &mut states);
+        self.store_steps(&mut states);
         states
     }
 
+    fn store_steps(&self, states: &mut Vec<Self>) {
+        if !self.comes_back || self.era > 0 {
+            return;
+        }
+        match self.copy {
+            None => {
+                states
+                    .push(Self { copy: Some((self.revision, self.store_holder)), ..self.clone() });
+            }
+            Some((revision, store_holder)) => {
+                let era = self.era + 1;
+                states.push(Self { era, revision, store_holder, copy: None, ..self.clone() });
+            }
+        }
+    }
+
+    /// Whether a node of an earlier era may still order.
+    fn is_earlier_era_held(&self) -> bool {
+        self.holders.iter().any(|holder| holder.fence.is_some() && holder.era < self.era)
+    }
+
     fn lease_steps(&self, node: usize, guards: Safeguards, states: &mut Vec<Self>) {
-        let may_take = self.store_holder.is_none() || !guards.take_if_absent;
+        let is_absent = self.store_holder.is_none() || !guards.take_if_absent;
+        let may_take = is_absent && !(guards.wait_for_earlier_era && self.is_earlier_era_held());
         if may_take && self.revision < MOST_REVISIONS && self.holders[node].fence.is_none() {
             let mut taken = self.clone();
             taken.revision += 1;
             taken.store_holder = Some(node as u8);
             // The answer is lost: the key stands, its holder does not know.
             states.push(taken.clone());
-            let fence = if guards.fence_from_revision { taken.revision } else { 1 };
-            taken.holders[node] = Holder { fence: Some(fence), ..Holder::default() };
+            let eras = if guards.fence_counts_eras { taken.era * REVISIONS_AN_ERA } else { 0 };
+            let fence = eras + if guards.fence_from_revision { taken.revision } else { 1 };
+            taken.holders[node] = Holder { fence: Some(fence), era: self.era, ..Holder::default() };
             let holding = taken.holders.iter().filter(|holder| holder.fence.is_some()).count();
             taken.violated |= holding > 1;
             states.push(taken);
@@ -106,8 +164,8 @@
             states.push(crashed);
             // Its own time is over.
             let mut over = self.clone();
-            let Holder { fence, ordered, .. } = self.holders[node];
-            over.holders[node] = Holder { doubted: fence, ordered, ..Holder::default() };
+            let Holder { fence, ordered, era, .. } = self.holders[node];
+            over.holders[node] = Holder { doubted: fence, ordered, era, ..Holder::default() };
             states.push(over);
         }
         self.renewal_steps(node, guards, states);
@@ -122,11 +180,18 @@
     /// The store answers the renewal of a lease whose term has run out.
     fn renewal_steps(&self, node: usize, guards: Safeguards, states: &mut Vec<Self>) {
         let Some(fence) = self.holders[node].doubted else { return };
-        let has_key = self.store_holder == Some(node as u8) && self.revision == fence;
-        if has_key || !guards.renewed_by_store {
+        let Holder { era, ordered, .. } = self.holders[node];
+        let has_key =
+            self.store_holder == Some(node as u8) && self.revision == fence % REVISIONS_AN_ERA;
+        // The number of its lease may be that of whoever holds the key now.
+        let is_renewed = match era == self.era {
+            true => has_key,
+            false => !guards.lease_of_its_era && self.store_holder.is_some(),
+        };
+        if is_renewed || !guards.renewed_by_store {
             let mut renewed = self.clone();
-            let ordered = self.holders[node].ordered;
-            renewed.holders[node] = Holder { fence: Some(fence), ordered, ..Holder::default() };
+            renewed.holders[node] =
+                Holder { fence: Some(fence), ordered, era, ..Holder::default() };
             let holding = renewed.holders.iter().filter(|holder| holder.fence.is_some()).count();
             renewed.violated |= holding > 1;
             states.push(renewed);
@@ -139,7 +204,7 @@
         let mut asked = self.clone();
         asked.holders[node].picture = Some((self.instance, self.taken));
         states.push(asked);
-        if let Some(picture) = holder.picture.filter(|_| holder.ordered < MOST_ORDERS) {
+        if let Some(picture) = holder.picture.filter(|_| holder.ordered < self.most_orders()) {
             let mut ordered = self.clone();
             let number = holder.ordered;
             ordered.on_the_way.insert(Order { from: node as u8, number, fence, picture });
@@ -167,6 +232,9 @@
             let (instance, taken) = order.picture;
             let misdirected = guards.named_instance && instance != self.instance;
             let outdated = guards.expected_orders && taken != self.taken;
+            // Whoever holds the authority now is not refused for a token that somebody used before.
+            let is_current = self.holders[order.from as usize].fence == Some(order.fence);
+            arrived.violated |= is_current && order.fence < self.highest_fence;
             if !misdirected && !outdated && order.fence >= self.highest_fence {
                 arrived.highest_fence = order.fence;
                 arrived.taken += 1;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,7 +5,7 @@
 use pitchstall_soak::checks::{request_body, violations};
 use pitchstall_soak::fleet::{answer_body, LAST_EVENT};
 use pitchstall_soak::history::{Entry, Event, Kind, Outcome};
-use pitchstall_soak::plan::{has_limits, has_regions, steps, Action, Step};
+use pitchstall_soak::plan::{has_limits, has_named_limits, has_regions, steps, Action, Step};
 use pitchstall_soak::regions::{comes_from_afar, id_with_node};
 use pitchstall_soak::tenants::{tenant_of, LIMITED};
 use std::time::Duration;
@@ -382,6 +382,19 @@
     assert_eq!(cuts(1_003), 0, "limits alone");
 }
 
+#[test]
+fn returns_of_the_store_are_played_on_seeds_of_their_own() {
+    let returns = |seed| {
+        let steps = steps(seed, Duration::from_secs(25), 4);
+        let is_return = |step: &&Step| matches!(step.action, Action::ComeBackOlder { .. });
+        steps.iter().filter(is_return).count()
+    };
+    assert!((0..7_000).all(|seed| returns(seed) == 0));
+    assert_eq!(returns(7_000), 3);
+    assert_eq!(returns(7_002), 0, "only planned work");
+    assert!(has_named_limits(6_999) && !has_named_limits(7_000));
+}
+
 #[test]
 fn an_id_tells_the_tenant_and_the_node() {
     let id = id_with_node("couriers-17", 3);
