Counts that were fixed for a usage report stay so when the store has lost them

What would be seen: two reports of one window with different counts. After the store came back from a copy without a report that had been handed in, the next collector fixed the window anew from what nodes tell then, which is less once one has died and more once a late word has come. Cause: that a window was fixed was known by the store and one term of one collector alone. Evidence: read in the code; the test of the ledger could not be written before, as nothing kept what was fixed. Former builds leave the field out and over. Left: if all that have fixed a window die with the store's copy, it is fixed anew.

--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -117,7 +117,11 @@
     let origin = own_origin(node);
     let ledger = node.usage.borrow();
     let windows = ledger.own_since(question.from_window);
-    let own = UsageWord { origin, answers: Some(question.number), windows };
+    let fixed = match question.relays {
+        true => ledger.fixed_since(question.from_window),
+        false => Vec::new(),
+    };
+    let own = UsageWord { origin, answers: Some(question.number), windows, fixed };
     let mut words = vec![own];
     if question.relays {
         words.extend(ledger.told_since(question.from_window));
@@ -280,7 +284,7 @@
                 continue;
             };
             self.stored.push(window);
-            self.node.usage_collector.borrow_mut().on_fixed(window);
+            self.on_fixed(window, &body);
             // An earlier holder may have died before it sent it.
             if now_ms < times.windows.end_ms(window) + times.due_ms {
                 self.open.insert(window, Report::new(body));
@@ -297,7 +301,7 @@
             self.node.usage_collector.borrow().to_fix(members.names(), times, now_ms)
         };
         for window in due {
-            let counts = self.node.usage.borrow().total(window);
+            let counts = self.node.usage.borrow().to_report(window);
             // Nobody knows what began before this node did, if nobody has told it anything.
             let is_unknown =
                 times.windows.end_ms(window) < self.started_ms + times.windows.length_ms;
@@ -326,10 +330,19 @@
         log::info!(target: "usage", window, bytes, fence = fence.number(); "fixed");
         self.stored.retain(|window| !older.contains(window));
         self.stored.push(window);
-        self.node.usage_collector.borrow_mut().on_fixed(window);
+        self.on_fixed(window, &body);
         self.open.insert(window, Report::new(body));
     }
 
+    /// A report lies in the store. Its counts are kept here too, in case the store comes back from a copy without it.
+    fn on_fixed(&self, window: u64, body: &[u8]) {
+        self.node.usage_collector.borrow_mut().on_fixed(window);
+        match cloud::parse_usage_report(body) {
+            Some(counts) => self.node.usage.borrow_mut().on_fixed(window, counts),
+            None => log::warn!(target: "usage", window; "a fixed report cannot be read"),
+        }
+    }
+
     /// The report that is in the store already; `None`: the authority has gone to another node.
     fn fixed_by_another(&self, window: u64, fence: FencingToken, body: &[u8]) -> Option<Vec<u8>> {
         let items = match store::parse_conflict(body) {
--- a/crates/gateway/tests/leases_after_return.rs
+++ b/crates/gateway/tests/leases_after_return.rs
@@ -3,10 +3,14 @@
 
 mod support;
 
+use pitchstall_platform_standins::cloud::{CloudCall, CloudStandIn};
+use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::{Backup, StoreMode};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use support::{configuration, wait_for, Fixture, RawClient};
+use test_case::test_case;
 
 const AWAY: Duration = Duration::from_millis(300);
 /// Revisions that the store loses.
@@ -126,3 +130,64 @@
     node.store.put("op/config", &limited);
     wait_for("a keeper again", is_kept);
 }
+
+/// A window is charged by the one report that was taken first.
+#[test_case(1; "the collector goes on")]
+#[test_case(3; "another node may be the next collector")]
+fn no_window_is_reported_anew_once_the_store_has_lost_its_report(nodes: usize) {
+    let (cloud, runner) = (CloudStandIn::start().unwrap(), desk());
+    let sections = format!(
+        "[cloud]\naddress = \"{}\"\nduties = [\"usage_report\"]\n\
+         [cloud.usage]\nwindow_s = 1\ndue_s = 8\n",
+        cloud.address()
+    );
+    let first = Fixture::start_with(&sections);
+    first.store.tell_era(1);
+    let write = || {
+        let mut configuration = configuration(3);
+        let tenant = serde_json::json!({ "name": "taxis", "api_keys": ["right"] });
+        configuration["tenants"] = serde_json::json!([tenant]);
+        first.store.put("op/config", &configuration);
+        first.add_runner(&runner, "desk", None);
+    };
+    write();
+    first.wait_until_ready();
+    let others: Vec<Fixture> = (1..nodes)
+        .map(|number| first.start_beside_with(&format!("node-{}", number + 1), &sections))
+        .collect();
+    let all: Vec<&Fixture> = others.iter().chain([&first]).collect();
+    all.iter().for_each(|node| node.wait_until_ready());
+    let send = |id: &str| {
+        for (number, node) in all.iter().enumerate() {
+            let mut client = node.client();
+            let key = "Authorization: Token right\r\n";
+            client.request("POST", "/booking/1", &format!("{id}-{number}"), key, b"x");
+            assert_eq!(client.read_answer().status, 200);
+        }
+    };
+    let windows = || -> Vec<(u64, u64)> {
+        let taken = cloud.calls().into_iter().filter(|call| call.status == 200);
+        let count = |call: &CloudCall| call.body["counts"]["taxis"].as_u64().unwrap_or(0);
+        taken.map(|call| (call.body["window_id"].as_u64().unwrap(), count(&call))).collect()
+    };
+    let reported = || windows().into_iter().collect::<BTreeMap<u64, u64>>().values().sum::<u64>();
+    let backup = first.store.back_up();
+    send("before");
+    wait_for("a report", || reported() == nodes as u64);
+    // What is counted for a window that is over changes nothing that was handed in.
+    let counted = windows();
+    come_back(&first, &backup);
+    write();
+    send("after");
+    wait_for("another report", || reported() == 2 * nodes as u64);
+    let mut after = windows();
+    after.sort_unstable();
+    after.dedup();
+    let distinct: BTreeMap<u64, u64> = after.iter().copied().collect();
+    assert_eq!(after.len(), distinct.len(), "{counted:?} {after:?}");
+}
+
+fn desk() -> RunnerStandIn {
+    let answer = |_: &ReceivedRequest| Reaction::Answer { status: 200, body: b"booked".to_vec() };
+    RunnerStandIn::start("i-desk", answer).unwrap()
+}
--- a/crates/serving/src/authority.rs
+++ b/crates/serving/src/authority.rs
@@ -259,11 +259,12 @@
     }
 
     /// The store has come back from an older copy: this node looks soon whether the key is there, as nobody may hold
-    /// it. Returns the fencing token of a term that is over with that.
+    /// it, and at once if it has held it. Returns the fencing token of a term that is over with that.
     pub fn on_later_era(&mut self) -> Option<FencingToken> {
         self.has_seen_holder = false;
-        self.next_look_us = None;
-        self.on_lost().map(|(_, fence)| fence)
+        let lost = self.on_lost().map(|(_, fence)| fence);
+        self.next_look_us = lost.map(|_| 0);
+        lost
     }
 
     /// The fencing token, while orders may be given.
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -4,6 +4,9 @@
 //! late or told twice changes nothing: totals of one start are merged by the greater one, and the
 //! counts of all starts are added up. The node that has the authority collects them, and with it a
 //! deputy, so that what a node had told outlives both the node and the collector.
+//!
+//! What was fixed for a window is final. It lies in the store, and in the memory of those that fixed it, who tell a
+//! new collector of it: the store may come back from a copy without it.
 
 use crate::ids::{NodeId, TenantName};
 use serde::{Deserialize, Serialize};
@@ -57,6 +60,9 @@
     pub answers: Option<u64>,
     /// The counts.
     pub windows: Vec<WindowCounts>,
+    /// What the node that tells it knows to be fixed for all. Former builds tell nothing of it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fixed: Vec<WindowCounts>,
 }
 
 /// Windows of the time of day, numbered from 1970.
@@ -85,6 +91,8 @@
 pub struct UsageLedger {
     own: CountsByWindow,
     others: HashMap<Origin, CountsByWindow>,
+    /// What is fixed for all nodes.
+    fixed: CountsByWindow,
 }
 
 /// Windows that are kept: reports are due within two or three, and a store that is away for longer
@@ -99,6 +107,23 @@
         self.own.retain(|window, _| *window >= oldest);
     }
 
+    /// The counts of a window are fixed for all nodes; the first word on it holds.
+    pub fn on_fixed(&mut self, window: u64, counts: TenantCounts) {
+        self.fixed.entry(window).or_insert(counts);
+        let newest = self.fixed.keys().next_back().copied().unwrap_or_default();
+        self.fixed.retain(|window, _| *window + KEPT_WINDOWS >= newest);
+    }
+
+    /// What is fixed for all nodes from a window on, as far as is known here.
+    pub fn fixed_since(&self, from_window: u64) -> Vec<WindowCounts> {
+        listed(&self.fixed, from_window)
+    }
+
+    /// What is to be reported of a window: what is fixed, or the requests of all nodes, as far as they are known here.
+    pub fn to_report(&self, window: u64) -> TenantCounts {
+        self.fixed.get(&window).cloned().unwrap_or_else(|| self.total(window))
+    }
+
     /// This start's counts from a window on.
     pub fn own_since(&self, from_window: u64) -> Vec<WindowCounts> {
         listed(&self.own, from_window)
@@ -106,6 +131,7 @@
 
     /// Takes in another start's counts, which never fall.
     pub fn take(&mut self, word: &UsageWord) {
+        word.fixed.iter().for_each(|it| self.on_fixed(it.window, it.counts.clone()));
         let known = self.others.entry(word.origin.clone()).or_default();
         for told in &word.windows {
             let counts = known.entry(told.window).or_default();
@@ -123,7 +149,8 @@
         let word = |(origin, counts): (&Origin, &CountsByWindow)| {
             let windows = listed(counts, from_window);
             let has_any = !windows.is_empty();
-            has_any.then(|| UsageWord { origin: origin.clone(), answers: None, windows })
+            let (origin, fixed) = (origin.clone(), Vec::new());
+            has_any.then(|| UsageWord { origin, answers: None, windows, fixed })
         };
         self.others.iter().filter_map(word).collect()
     }
--- a/crates/serving/tests/usage.rs
+++ b/crates/serving/tests/usage.rs
@@ -19,6 +19,7 @@
         origin: Origin { node: NodeId::new(node), incarnation },
         answers: None,
         windows: vec![WindowCounts { window, counts }],
+        fixed: Vec::new(),
     }
 }
 
@@ -116,3 +117,16 @@
     assert_eq!(total(&ledger), 0);
     assert!(ledger.told_since(0).is_empty());
 }
+
+/// The node that had fixed it may be no collector any more, and have lost others' counts.
+#[test]
+fn what_was_fixed_for_a_window_is_final_whatever_is_counted_later() {
+    let mut collector = UsageLedger::default();
+    collector.take(&word("a", 1, 7, 3));
+    collector.on_fixed(7, collector.total(7));
+    let mut next = UsageLedger::default();
+    next.take(&word("a", 1, 7, 5));
+    next.take(&UsageWord { fixed: collector.fixed_since(6), ..word("b", 1, 8, 1) });
+    assert_eq!(next.to_report(7)[&TenantName::new("taxis")], 3);
+    assert_eq!(next.to_report(8)[&TenantName::new("taxis")], 1, "that is not fixed");
+}
