A second keeper of a runner's limit tries a runner that takes nothing within 13 s, not once in 100 s

Cause: the least rate of 0.1 a second was cut by the keeper's share, to 0.01 at the second one. Evidence: the new test fails for the second keeper on the code before, and passes now. Why it holds: the least rates add up to 0.212 a second, 4.996 requests in 4 s with what four keepers save, where five may come whatever the limit is; the property test with all four answering at random passes. Left: ten seconds at the first keeper.

--- a/crates/serving/src/limit_keeper.rs
+++ b/crates/serving/src/limit_keeper.rs
@@ -9,7 +9,11 @@
 //! | | first | second | third | fourth | all |
 //! | --- | --- | --- | --- | --- | --- |
 //! | share of `L` a second | 1 | 0.1 | 0.05 | 0.025 | 1.175 |
-//! | saved at most | 1 + 0.45 `L` | 1 + 0.045 `L` | 1 + 0.023 `L` | 1 + 0.012 `L` | 4 + 0.53 `L` |
+//! | but at the least, a second | 0.1 | 0.08 | 0.016 | 0.016 | 0.212 |
+//! | saved at most | 1 + 0.45 of it | the same | the same | the same | 4 + 0.53 `L`, or 4.1 |
+//!
+//! Of a runner that takes next to nothing nobody else would hear that it takes more again, so that each keeper lets some
+//! requests through whatever the limit is: all together 4.996 in 4 s with what is saved, where five may come.
 //!
 //! A grant is used within [`GRANT_LIFE_US`], so what arrives in 4 s was granted in 4.25 s: `5.53 L + 4` at most. A first one
 //! that follows another within that time begins with nothing saved, and adds what it saves later to the sum, and no second rate.
@@ -34,9 +38,6 @@
 /// One request, in the millionths that levels are counted in.
 const ONE: u64 = 1_000_000;
 const MICROS_A_SECOND: u128 = 1_000_000;
-/// Rate that is counted with at the least: of a runner that takes next to nothing nobody else would hear that it takes
-/// more again. In 4 s that is 0.6 of the five requests that may come whatever the limit is.
-const LEAST_RATE: RequestRate = RequestRate(100_000);
 /// Rate that is counted with at the most: beyond it a limit is none.
 const MOST_RATE: RequestRate = RequestRate(1_000_000_000_000);
 /// Longest wait that is told, microseconds: how late a node may notice that the limit has been lifted.
@@ -48,27 +49,40 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperShare {
     thousandths: u64,
+    /// What it gives at the least, millionths of a request a second.
+    least: u64,
 }
 
 impl KeeperShare {
     /// The first keeper's.
-    pub const FIRST: Self = Self { thousandths: 1_000 };
+    pub const FIRST: Self = Self { thousandths: 1_000, least: 100_000 };
 
     /// That of a keeper with so many others before it; `None`: it is no keeper.
     pub fn of_place(place: usize) -> Option<Self> {
-        const SECOND: u64 = 100;
+        const SECOND: KeeperShare = KeeperShare { thousandths: 100, least: 80_000 };
+        const LEAST_OF_OTHERS: u64 = 16_000;
         match place {
             0 => Some(Self::FIRST),
-            place if place < MOST_KEEPERS => Some(Self { thousandths: SECOND >> (place - 1) }),
+            1 => Some(SECOND),
+            place if place < MOST_KEEPERS => {
+                let thousandths = SECOND.thousandths >> (place - 1);
+                Some(Self { thousandths, least: LEAST_OF_OTHERS })
+            }
             _ => None,
         }
     }
 
+    /// What it gives in a second, in millionths of a request.
+    fn a_second(self, rate: RequestRate) -> u128 {
+        const THOUSAND: u128 = 1_000;
+        let share = u128::from(rate.0) * u128::from(self.thousandths) / THOUSAND;
+        share.max(u128::from(self.least))
+    }
+
     /// What it gives in some time, in millionths of a request.
     fn refill(self, rate: RequestRate, time_us: u64) -> u64 {
-        const THOUSAND: u128 = 1_000;
-        let all = u128::from(rate.0) * u128::from(time_us) * u128::from(self.thousandths);
-        u64::try_from(all / MICROS_A_SECOND / THOUSAND).unwrap_or(u64::MAX)
+        let all = self.a_second(rate) * u128::from(time_us);
+        u64::try_from(all / MICROS_A_SECOND).unwrap_or(u64::MAX)
     }
 
     /// The most that it saves.
@@ -78,10 +92,8 @@
 
     /// Time in which it gives so much, microseconds.
     fn time_for(self, rate: RequestRate, millionths: u64) -> u64 {
-        const THOUSAND: u128 = 1_000;
-        let needed = u128::from(millionths) * MICROS_A_SECOND * THOUSAND;
-        let a_second = u128::from(rate.0) * u128::from(self.thousandths);
-        u64::try_from(needed.div_ceil(a_second.max(1))).unwrap_or(u64::MAX)
+        let needed = u128::from(millionths) * MICROS_A_SECOND;
+        u64::try_from(needed.div_ceil(self.a_second(rate))).unwrap_or(u64::MAX)
     }
 }
 
@@ -178,7 +190,7 @@
 }
 
 fn counted(rate: RequestRate) -> RequestRate {
-    rate.clamp(LEAST_RATE, MOST_RATE)
+    rate.min(MOST_RATE)
 }
 
 /// What one node counts as a keeper.
--- a/crates/serving/tests/limit_keeper.rs
+++ b/crates/serving/tests/limit_keeper.rs
@@ -222,3 +222,17 @@
     let second_is_gone = |name: &NodeId| *name != *order[1].0;
     assert_eq!(members.place_of(order[2].0, &shard, second_is_gone), 1);
 }
+
+/// A request is what tells that a limit is over: the first keeper may be gone.
+#[test_case(0, 10; "the first keeper")]
+#[test_case(1, 13; "the second one")]
+fn a_runner_that_takes_nothing_is_tried_within_seconds(place: usize, within_s: u64) {
+    let mut keeper = LimitKeeper::default();
+    let share = KeeperShare::of_place(place).unwrap();
+    keeper.on_word(&word(Some(rate(0.0)), 0), 0);
+    let is_granted = |keeper: &mut LimitKeeper, now_us| {
+        keeper.on_question(&question(rate(0.0), 0), share, now_us) == LimitVerdict::Granted
+    };
+    assert!(!is_granted(&mut keeper, SECOND));
+    assert!(is_granted(&mut keeper, within_s * SECOND));
+}
