What another store says is believed whatever its revisions and its era

What callers saw: after the settings named another store a leaving runner went on getting requests there, as its entry had a lower revision than the one that was known from the store before. With eras a store that tells a lower one would never have been believed. Why it works: with the address, or after 15 s of answers of earlier eras alone, eras begin anew, copies are read anew, and the revisions of known entries order nothing any more; answers from a former address are dropped.

--- a/crates/gateway/src/node/eras.rs
+++ b/crates/gateway/src/node/eras.rs
@@ -4,18 +4,26 @@
 use super::Node;
 use pitchstall_platform_adapter::store::EraError;
 use pitchstall_serving::store_revision::{EraNews, StoreEra};
+use std::net::SocketAddr;
 
 impl Node {
-    /// An answer of the store has come; returns the era that it is of. One that does not tell it, or not in a way
-    /// that can be read, is taken to be of the era that is known.
-    pub fn on_told_era(&self, told: Result<StoreEra, EraError>) -> StoreEra {
+    /// An answer of the store at an address has come; returns the era that it is of. One that does not tell it, or not in
+    /// a way that can be read, is taken to be of the era that is known. `None`: the settings name another store by now.
+    pub fn on_told_era(
+        &self,
+        address: SocketAddr,
+        told: Result<StoreEra, EraError>,
+    ) -> Option<StoreEra> {
+        if address != self.settings().store.address {
+            return None;
+        }
         let told = told.unwrap_or_else(|error| {
             let error = error.to_string();
             log::warn!(target: "store", error; "era not read");
             StoreEra::UNTOLD
         });
         self.on_store_era(told);
-        told.or(self.store_era())
+        Some(told.or(self.store_era()))
     }
 
     /// The store, or a copy of it that another node hands on, is of an era.
@@ -29,6 +37,11 @@
                 log::warn!(target: "store", era = told, before; "the store came back older");
                 self.on_later_era();
             }
+            EraNews::Replaced { before } => {
+                let before = before.to_string();
+                log::warn!(target: "store", era = told, before; "another store is there");
+                self.on_other_store();
+            }
             EraNews::Over => {
                 log::info!(target: "store", era = told; "answer of an era that is over")
             }
@@ -39,6 +52,13 @@
         }
     }
 
+    /// Another store is there, by the settings or by its answers: what is known by revisions orders nothing there.
+    pub(super) fn on_other_store(&self) {
+        self.store_generation.set(self.store_generation.get() + 1);
+        self.fleet.borrow_mut().on_other_store();
+        self.on_later_era();
+    }
+
     /// What is believed by a revision of the store is read again; what callers are served by holds meanwhile.
     fn on_later_era(&self) {
         self.freshness.borrow_mut().on_later_era(self.now_us());
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -77,6 +77,8 @@
     pub copy_changed: Notify,
     /// The store's eras.
     pub eras: RefCell<StoreEras>,
+    /// Counts the stores that have been there: the settings may name another one.
+    pub store_generation: Cell<u64>,
     /// Told when the store has come back from an older copy.
     pub era_began: Notify,
     /// How fresh the copies of the store are.
@@ -193,6 +195,7 @@
             copies: RefCell::default(),
             copy_changed: Notify::new(),
             eras: RefCell::default(),
+            store_generation: Cell::new(0),
             era_began: Notify::new(),
             freshness: RefCell::default(),
             store_confirmed: Notify::new(),
@@ -235,7 +238,13 @@
     /// Takes changed settings into force.
     pub fn adopt_settings(&self, settings: Settings) {
         self.adopt_topology(topology_of(&settings));
+        let store_before = self.settings().store.address;
+        let is_other_store = settings.store.address != store_before;
         *self.settings.borrow_mut() = Rc::new(settings);
+        if is_other_store {
+            *self.eras.borrow_mut() = StoreEras::default();
+            self.on_other_store();
+        }
     }
 
     /// The operators' policy program in force.
@@ -269,7 +278,7 @@
         let address = self.settings().store.address;
         match client.call(address, call, limit).await {
             Ok(answer) => {
-                let era = self.on_told_era(answer.era);
+                let era = self.on_told_era(address, answer.era)?;
                 Some(StoreAnswer {
                     status: store::parse_status(answer.status),
                     era,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -373,7 +373,9 @@
         let address = self.node.settings().store.address;
         let (outcome, failure) = match client.call(address, call, STORE_LIMIT).await {
             Ok(answer) => {
-                let era = self.node.on_told_era(answer.era);
+                let Some(era) = self.node.on_told_era(address, answer.era) else {
+                    return Err(CallFailure::Other);
+                };
                 match store::parse_status(answer.status) {
                     StoreStatus::Done => return Ok((answer.body, era)),
                     StoreStatus::Absent => (answer.status.to_string(), CallFailure::Absent),
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -75,6 +75,8 @@
     Unreadable,
     #[error("the answer is of the store's era {0}, which is over")]
     EraIsOver(StoreEra),
+    #[error("the settings name another store by now")]
+    OtherStore,
     #[error("the store came back older while it was read")]
     EraBegan,
 }
@@ -105,6 +107,7 @@
         asked_at: Instant::now(),
         started: Instant::now(),
         address,
+        generation: 0,
         at: None,
         history_is_gone: false,
         changed_at: None,
@@ -168,6 +171,8 @@
     asked_at: Instant,
     started: Instant,
     address: SocketAddr,
+    /// Which of the stores that have been there is followed.
+    generation: u64,
     /// The store's revision up to which everything is known.
     at: Option<StoreRevision>,
     /// Whether the store has no history from there on: a watch can't go on, everything is read anew. What is known stays
@@ -189,9 +194,10 @@
             return Ok(());
         }
         let address = self.node.settings().store.address;
-        if address != self.address {
+        let generation = self.node.store_generation.get();
+        if generation != self.generation {
             // Another store may count its revisions in another way.
-            self.address = address;
+            (self.address, self.generation) = (address, generation);
             self.at = None;
             self.node.copies.borrow_mut().of_mut(self.subject).forget();
         }
@@ -459,7 +465,8 @@
         self.node.metrics.store_calls.inc();
         self.begin_question();
         let answer = self.client.call(self.address, call, limit).await?;
-        let era = self.node.on_told_era(answer.era);
+        let era = self.node.on_told_era(self.address, answer.era);
+        let era = era.ok_or(FollowError::OtherStore)?;
         if era < self.node.store_era() {
             return Err(FollowError::EraIsOver(era));
         }
--- a/crates/gateway/tests/store_came_back_older.rs
+++ b/crates/gateway/tests/store_came_back_older.rs
@@ -182,3 +182,24 @@
     }
     assert!(!world.staying.requests().is_empty());
 }
+
+/// The other store has fewer revisions behind it, and began its eras later.
+#[test]
+fn a_leaving_runner_gets_nothing_once_the_settings_name_another_store() {
+    let mut world = World::start(1);
+    world.store().tell_era(3);
+    world.lose_writes().serve_with(false, |_| {});
+    let other = StoreStandIn::start().unwrap();
+    other.tell_era(1);
+    let mut newer = configuration(9);
+    newer["routes"].as_array_mut().unwrap().push(route("moved", "idempotent", "desk"));
+    other.put("op/config", &newer);
+    world.written[0].1["state"] = "draining".into();
+    world.written.iter().for_each(|(key, entry)| other.put(key, entry));
+    let node = &world.nodes[0];
+    let text = std::fs::read_to_string(&node.file).unwrap();
+    let (before, after) = (node.store.address().to_string(), other.address().to_string());
+    std::fs::write(&node.file, text.replace(&before, &after)).unwrap();
+    wait_for("the configuration of the other store", || serves(node, "moved"));
+    wait_for("the leaving runner to get nothing", || world.spares(node, &world.leaving));
+}
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -270,6 +270,17 @@
         }
     }
 
+    /// Entries come from another store from now on, which counts its revisions in another way: whatever it has is later.
+    pub fn on_other_store(&mut self) {
+        for runner in self.runners.values_mut() {
+            runner.record.revision = StoreRevision::default();
+            if let Some(lapsed) = &mut runner.lapsed {
+                lapsed.revision = StoreRevision::default();
+            }
+        }
+        self.last_entries = LastEntries::default();
+    }
+
     /// The life that a runner is in, as far as its entries tell.
     pub fn life_of(&self, name: &RunnerName) -> Option<&RunnerId> {
         self.lives.get(name)
--- a/crates/serving/src/store_revision.rs
+++ b/crates/serving/src/store_revision.rs
@@ -145,8 +145,17 @@
     },
     /// The answer is of an era that is over: it was late, or read from a copy that lags.
     Over,
+    /// Answers have been of earlier eras alone for a time: another store is there, which counts its eras anew.
+    Replaced {
+        /// The era that was known before.
+        before: StoreEra,
+    },
 }
 
+/// Time for which a store's answers are of earlier eras alone until it is believed to be another one, microseconds: many
+/// times as long as an answer may be on its way.
+const REPLACED_AFTER_US: u64 = 15_000_000;
+
 /// The eras of the store that a node has heard of from the store itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreEras {
@@ -154,6 +163,8 @@
     current: StoreEra,
     /// When the current one was first heard of, microseconds.
     since_us: u64,
+    /// Since when all answers were of earlier eras, microseconds; `None`: the last one was not.
+    over_since_us: Option<u64>,
 }
 
 impl StoreEras {
@@ -169,11 +180,15 @@
 
     /// The store has answered in an era. One that is not told changes nothing.
     pub fn on_answer(&mut self, era: StoreEra, now_us: u64) -> EraNews {
-        if era.is_untold() || era == self.current {
+        if era.is_untold() {
             return EraNews::None;
         }
         if era < self.current {
-            return EraNews::Over;
+            return self.on_earlier(era, now_us);
+        }
+        self.over_since_us = None;
+        if era == self.current {
+            return EraNews::None;
         }
         let before = std::mem::replace(&mut self.current, era);
         self.since_us = now_us;
@@ -184,6 +199,16 @@
         EraNews::Later { before }
     }
 
+    fn on_earlier(&mut self, era: StoreEra, now_us: u64) -> EraNews {
+        let since_us = *self.over_since_us.get_or_insert(now_us);
+        if now_us < since_us + REPLACED_AFTER_US {
+            return EraNews::Over;
+        }
+        let before = self.current;
+        *self = Self { first: era, current: era, since_us: now_us, over_since_us: None };
+        EraNews::Replaced { before }
+    }
+
     /// The era of what another node tells. A build that knows no eras tells none: until the store has come back
     /// from an older copy its words are of the only era there is, and after that they are of one that is over.
     pub fn of_word(&self, told: StoreEra) -> StoreEra {
--- a/crates/serving/tests/store_revision.rs
+++ b/crates/serving/tests/store_revision.rs
@@ -51,6 +51,25 @@
     assert_eq!(StoreEra::from_told(u64::MAX), None);
 }
 
+/// A store that was set up anew counts its eras from the beginning.
+#[test]
+fn a_store_whose_answers_are_of_earlier_eras_alone_is_another_one() {
+    let mut eras = eras_since(3);
+    assert_eq!(eras.on_answer(era(1), SECOND), EraNews::Over);
+    assert_eq!(eras.on_answer(era(3), 10 * SECOND), EraNews::None);
+    assert_eq!(eras.on_answer(era(1), 20 * SECOND), EraNews::Over, "late ones, one by one");
+    assert_eq!(eras.on_answer(era(1), 40 * SECOND), EraNews::Replaced { before: era(3) });
+    assert_eq!((eras.current(), eras.of_word(StoreEra::UNTOLD)), (era(1), era(1)));
+}
+
+#[test]
+fn entries_of_another_store_are_believed_whatever_their_revisions() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("a", false, at(3, 50)));
+    fleet.on_other_store();
+    assert_eq!(fleet.put(record("a", true, at(1, 7))), FleetChange::Draining);
+}
+
 #[test]
 fn a_word_without_an_era_is_of_the_first_one_that_was_heard_of() {
     let mut eras = eras_since(4);
