--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -49,6 +49,8 @@
     [Duration::from_millis(100), Duration::from_secs(1), Duration::from_secs(10)];
 /// Bytes a second from the store to a node: 10 Mbit/s.
 const NODE_LINK: u64 = 1_250_000;
+/// Writes of others that the store loses, so that its revisions stay behind for the rest of a run.
+const LOST_WRITES: u64 = 400;
 /// Time after which the operator and the runners write theirs again in a store that has come back from an older copy.
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(600);
 const ENTRY_LASTS: Duration = Duration::from_millis(3_600);
@@ -388,6 +390,7 @@
     fn come_back_older(&self, loses: Duration, away: Duration) {
         let store = lock(&self.fleet).store.clone();
         let backup = store.back_up();
+        (0..LOST_WRITES).for_each(|number| store.put("other/key", &number.into()));
         std::thread::sleep(loses);
         self.disturbed(None);
         store.set_mode(StoreMode::Unavailable);
