--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -150,7 +150,7 @@
             let windows = listed(counts, from_window);
             let has_any = !windows.is_empty();
             let (origin, fixed) = (origin.clone(), Vec::new());
-            has_any.then(|| UsageWord { origin, answers: None, windows, fixed })
+            has_any.then_some(UsageWord { origin, answers: None, windows, fixed })
         };
         self.others.iter().filter_map(word).collect()
     }
