--- a/crates/gateway/tests/history_gone.rs
+++ b/crates/gateway/tests/history_gone.rs
@@ -1,14 +1,4 @@
 //! Readers of the store whose history the store has dropped.
-//!
-//! What callers saw: from the moment of a large change of the configuration on, every request at both nodes of a region was
-//! refused as outdated, for good, though the store was there and the nodes of the other region served.
-//! Order of events: the store dropped its history beyond what both nodes knew; each began to read everything anew, which took
-//! longer than half a second over its link; then it asked the other one, took its copy, which was as old as its own, and dropped
-//! what the store had sent; the watch from there was refused, and so on, every 0.7 s.
-//! Cause: a node that was told that the history is gone forgot up to where it knew everything, so that any copy counted as news, also
-//! one at the very revision that the store had just refused; and news ends a read of the store.
-//! Evidence: lines `history gone`, `hedge won` and `history gone` again with the same revision, some thirty rounds, with 220 KB of the
-//! store's answer received in each; a reader alone has the configuration.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod support;
--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -1,14 +1,4 @@
 //! A large configuration comes into force at nodes behind links of little bandwidth.
-//!
-//! What users saw: a request was run as a configuration said that had been replaced more than three seconds
-//! before, at two of 58 nodes; on another day, callers got 404 for routes that had been added.
-//! What happened: a change of 1,400 routes made a document of 0.8 MB. The nodes that read the store had it within
-//! 0.2 s. The others' links of 10 Mbit/s were full from then on, and many never had it whole: after 600 ms each
-//! left the source that it followed, dropped what had come, and asked the next one from the start.
-//! Cause: the time limits on a copy did not know its size. Whoever dropped a copy made the load greater, and the next
-//! try later: a livelock.
-//! Evidence: the lines of three nodes that left sources with 670 to 720 KB of 944 KB received, every 0.65 s for up to
-//! 18 s, and their links, which took in 1.15 MB each second all the while.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod support;
--- a/crates/gateway/tests/runner_limits.rs
+++ b/crates/gateway/tests/runner_limits.rs
@@ -1,13 +1,4 @@
 //! Runners that name in their answers how many requests a second they take from all nodes together.
-//!
-//! What users saw: two of nine runners had named 2.5 and 2.8 requests a second, and went on getting as many as before, 1 to 11
-//! a second, from all nodes; no caller noticed, since all were answered.
-//! Order of events: each answer named the limit from some moment on; every node had passed on such an answer within a second;
-//! the next requests were placed at these runners by their scheduler as before.
-//! Cause: the header was not read; and nothing in a node added up what all nodes send to one runner, so that a node which keeps to
-//! a limit by itself would have broken it with others.
-//! Evidence: the lines `sent` for the runner show no gap and no slower pace after the answers that name the limit; four of five nodes
-//! sent less than the limit each, and all together more than twice of it.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod support;
--- a/crates/gateway/tests/runner_notices.rs
+++ b/crates/gateway/tests/runner_notices.rs
@@ -1,13 +1,4 @@
 //! Runners that say in their answers that they leave, or that they want rest.
-//!
-//! What users saw: requests went on reaching a runner for seconds after it had said in its answers that it was leaving, and
-//! ended there; a runner that had asked a node for three seconds of rest got as many requests from it as before.
-//! Order of events: the store was away, so the runner's entry said `ready` for twelve seconds after its answers
-//! said otherwise; the other runner turned a request away and told for how long, and the next ones, placed by a
-//! scheduler that knew nothing of it, arrived 0.5 to 2 s later.
-//! Cause: of an answer's head a node took in its load alone; what a runner said of itself was believed only if
-//! the store said it too.
-//! Evidence: `sent` lines for the runner go on without any gap after the answer that says so, each placed anew.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod support;
--- a/crates/serving/tests/role_view.rs
+++ b/crates/serving/tests/role_view.rs
@@ -250,10 +250,7 @@
     assert!(changes.iter().all(|change| change.stage == Stage::Decode));
 }
 
-/// What callers saw: on a day on which two of the decode runners named limits, half of the worth was lost, though prefill
-/// runners were there. Order of events: the two took a fraction of what they had; the planner counted them as whole, and what it
-/// might have ordered of them was withheld, since nobody counts an order.
-/// Cause: a limit was heeded where requests are sent, and not where roles are planned. Evidence: the planner orders nothing here.
+/// The planner would wait for work that they do not take, and withhold its orders to them.
 #[test]
 fn runners_with_limits_are_neither_counted_nor_ordered() {
     let mut fleet = fleet(6, 3);
