--- a/crates/soak/examples/soak/run.rs
+++ b/crates/soak/examples/soak/run.rs
@@ -391,6 +391,8 @@
         let store = lock(&self.fleet).store.clone();
         let backup = store.back_up();
         (0..LOST_WRITES).for_each(|number| store.put("other/key", &number.into()));
+        // What is known of runners is of these revisions.
+        lock(&self.fleet).write_again();
         std::thread::sleep(loses);
         self.disturbed(None);
         store.set_mode(StoreMode::Unavailable);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -145,6 +145,12 @@
     if has_returns(seed) && has_faults(seed) {
         steps.extend(returns(seed, length));
     }
+    if is_return_judged(seed) && has_faults(seed) {
+        let judged = judged_return(length);
+        steps.retain(|step| !is_around(step, &judged));
+        steps.extend(planned_after(&judged));
+        steps.push(judged);
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -171,10 +177,43 @@
     seed >= FIRST_OF_RETURNS
 }
 
+/// Whether after one return of the store nothing is disturbed until nodes are bound again by rules with a time, and
+/// neither answers of runners nor a cut tell or excuse anything.
+pub fn is_return_judged(seed: u64) -> bool {
+    has_returns(seed) && !seed.is_multiple_of(2)
+}
+
+/// Time after the beginning of the judged return until which nothing else is disturbed.
+const JUDGED_FOR: Duration = Duration::from_secs(12);
+/// Time after it at which planned work begins: the store is back, and what it had lost was written again.
+const PLANNED_AFTER: Duration = Duration::from_millis(3_200);
+
+fn judged_return(length: Duration) -> Step {
+    let loses = Duration::from_secs(1);
+    let lasts = Duration::from_millis(500);
+    let last = length.saturating_sub(RECOVERY);
+    Step { at: last / 2, lasts, action: Action::ComeBackOlder { loses } }
+}
+
+fn is_around(step: &Step, judged: &Step) -> bool {
+    step.at < judged.at + JUDGED_FOR && step.at + step.lasts + PLANNED_AFTER > judged.at
+}
+
+/// Planned work of which nodes have to hear from the store alone.
+fn planned_after(judged: &Step) -> [Step; 4] {
+    let planned = [
+        Action::Configure,
+        Action::Replace { runner: 0 },
+        Action::Replace { runner: 1 },
+        Action::Replace { runner: 3 },
+    ];
+    planned.map(|action| Step { at: judged.at + PLANNED_AFTER, lasts: Duration::ZERO, action })
+}
+
 /// Whether the nodes of a seed lie in two regions. Seeds below the first are played as they always
 /// were.
 pub fn has_regions(seed: u64) -> bool {
-    seed >= FIRST_OF_REGIONS_AND_LIMITS && seed % 4 != 3
+    seed >= FIRST_OF_REGIONS_AND_LIMITS && seed % 4 != 3 && !is_return_judged(seed)
 }
 
 /// Whether some tenants of a seed have limits.
@@ -194,7 +233,7 @@
 
 /// Whether runners of a seed say in their answers that they leave or want rest.
 pub fn has_self_reports(seed: u64) -> bool {
-    seed >= FIRST_OF_SELF_REPORTS
+    seed >= FIRST_OF_SELF_REPORTS && !is_return_judged(seed)
 }
 
 /// Whether runners of a seed name for a time what they take from all nodes together.
