One way to read an answer of the store, with a line where it cannot be read

Cause: 'an answer cannot be read' stood eight times in as many words, and four answers of leases and keys were dropped without a line. Change: StoreAnswer and readable in store_answers, out of the node's module.

--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -6,8 +6,9 @@
 //! which ask a [`Holding`] before each thing that they order: [`crate::roles`], [`crate::usage`],
 //! [`crate::scaling`].
 
-use crate::node::{Node, StoreAnswer};
+use crate::node::Node;
 use crate::platform_client::PlatformClient;
+use crate::store_answers::{readable, StoreAnswer};
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::authority::{
@@ -164,13 +165,15 @@
         let sent_at_us = self.node.now_us();
         let grant = store::grant_lease(times.ttl_us / MICROS_PER_MILLI);
         let Some(granted) = self.call(&grant).await.filter(StoreAnswer::is_done) else { return };
-        let Ok(number) = store::parse_lease(&granted.body) else { return };
+        let Some(number) = readable("lease", store::parse_lease(&granted.body)) else { return };
         let lease = StoreLease { era: granted.era, number };
         let node = self.node.settings().node.name.clone();
         // Without an answer the key may be ours unknown to us: the lease lapses by itself.
         let take = store::take_authority(&self.subject, &node, lease.number);
         let Some(taken) = self.call(&take).await.filter(StoreAnswer::is_done) else { return };
-        let Ok(revision) = store::parse_transaction(&taken.body) else { return };
+        let Some(revision) = readable("authority", store::parse_transaction(&taken.body)) else {
+            return;
+        };
         let acquired_at = StoreRevision::new(taken.era, revision);
         if taken.era != lease.era || taken.era != self.node.store_era() {
             return self.undo(acquired_at).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 //! Beside them: [`entries`] takes in what lies in the store, and [`refused_entries`] says what of it cannot be
 //! used; [`authority`] holds what [`roles`], [`scaling`] and [`usage`] need before they order or
 //! report something for all nodes, [`peers`] exchanges digests with other nodes over [`json_lines`], [`watcher`] follows the store with
-//! [`platform_client`] ([`store_pages`]) or another node with [`mirror`] ([`compression`]), as old as [`copy_limits`] allows and
+//! [`platform_client`] ([`store_answers`], [`store_pages`]) or another node with [`mirror`] ([`compression`]), as old as [`copy_limits`] allows and
 //! judged by its progress ([`transfer`]), [`quarantine`] keeps
 //! the requests that end runners there, [`node`] holds what the node believes, [`clock`] says how long ago
 //! something was, [`http`] speaks HTTP to runners and to the store.
@@ -66,6 +66,7 @@
 pub mod scheduling;
 pub mod settings;
 pub mod shard_scheduler;
+pub mod store_answers;
 pub mod store_pages;
 pub mod transfer;
 pub mod unknown_words;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -22,9 +22,10 @@
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use crate::shard_scheduler;
+use crate::store_answers::StoreAnswer;
 use crate::unknown_words::UnknownWords;
 use pitchstall_platform_adapter::call::PlatformCall;
-use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_platform_adapter::store;
 use pitchstall_serving::configuration::{Configuration, Route};
 use pitchstall_serving::crash_evidence::CrashEvidence;
 use pitchstall_serving::digest::Digest;
@@ -40,7 +41,7 @@
 use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
 use pitchstall_serving::store_copy::{StoreCopies, StoreUpdate, Subject};
-use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreEras};
+use pitchstall_serving::store_revision::{RevisionNumber, StoreEras};
 use pitchstall_serving::topology::Topology;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
 use pitchstall_serving::wall_clock::WallClock;
@@ -134,24 +135,6 @@
     body_bytes: Cell<usize>,
 }
 
-/// An answer of the store.
-#[derive(Debug)]
-pub struct StoreAnswer {
-    /// What it means.
-    pub status: StoreStatus,
-    /// The era that it is of.
-    pub era: StoreEra,
-    /// What it holds.
-    pub body: Vec<u8>,
-}
-
-impl StoreAnswer {
-    /// Whether the call was done.
-    pub fn is_done(&self) -> bool {
-        self.status == StoreStatus::Done
-    }
-}
-
 /// What this machine's clock says, milliseconds since 1970.
 pub fn machine_wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::runner_limits;
 use crate::scheduling;
 use crate::shard_scheduler;
+use crate::store_answers::readable;
 use crate::store_pages::read_pages;
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -288,8 +289,9 @@
     async fn join(&self, client: &mut PlatformClient) -> Option<StoreLease> {
         let sent_at_us = self.node.now_us();
         let (body, era) = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
-        let lease = StoreLease { era, number: store::parse_lease(&body).ok()? };
-        let given_ttl_ms = store::parse_lease_ttl(&body).ok()?.unwrap_or(REGISTRATION_TTL_MS);
+        let lease = StoreLease { era, number: readable("lease", store::parse_lease(&body))? };
+        let given_ttl_ms = readable("lease", store::parse_lease_ttl(&body))?;
+        let given_ttl_ms = given_ttl_ms.unwrap_or(REGISTRATION_TTL_MS);
         let member = store::node_value(self.node.members.borrow().own());
         let key = store::node_key(self.name.as_str());
         let put = store::put_under_lease(&key, &member, lease.number);
@@ -331,11 +333,7 @@
     async fn list(&self, client: &mut PlatformClient, read: fn(Option<&str>) -> PlatformCall) {
         let page = read_pages(async |after| {
             let (body, _) = self.call(client, &read(after.as_deref())).await?;
-            store::parse_page(&body).map_err(|error| {
-                let error = error.to_string();
-                log::error!(target: "peers", error; "the list of nodes cannot be read");
-                CallFailure::Other
-            })
+            readable("nodes", store::parse_page(&body)).ok_or(CallFailure::Other)
         });
         let Ok(page) = page.await else { return };
         let listed = page.items.iter().filter_map(|item| self.read_node(item));
--- a/crates/gateway/src/quota/slots.rs
+++ b/crates/gateway/src/quota/slots.rs
@@ -2,9 +2,10 @@
 //! them up when it stops or no tenant has a limit.
 
 use super::{bounds, has_limits, own_address, RegistrationLease};
-use crate::node::{topology_of, Node, StoreAnswer};
+use crate::node::{topology_of, Node};
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryFault;
+use crate::store_answers::{readable, StoreAnswer};
 use crate::store_pages::read_pages;
 use pitchstall_platform_adapter::quota_slots::{self, KeeperHolder};
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -84,10 +85,7 @@
             let answer = self.node.call_store(&mut self.client, &read, STORE_LIMIT).await;
             let Some(answer) = answer.filter(StoreAnswer::is_done) else { return Err(()) };
             era = answer.era;
-            store::parse_page(&answer.body).map_err(|error| {
-                let error = error.to_string();
-                log::error!(target: "quota", error; "keepers cannot be read");
-            })
+            readable("keepers", store::parse_page(&answer.body)).ok_or(())
         });
         let Ok(page) = page.await else { return false };
         page.items.iter().for_each(|item| self.learn(item, era));
@@ -146,16 +144,12 @@
         let call = quota_slots::take_keeper(keeper, &holder, lease.id.number, revision);
         let answer = self.node.call_store(&mut self.client, &call, STORE_LIMIT).await;
         match answer.map(|answer| (answer.status, answer.era, answer.body)) {
-            Some((StoreStatus::Done, era, body)) => match store::parse_transaction(&body) {
-                Ok(revision) => {
+            Some((StoreStatus::Done, era, body)) => {
+                if let Some(revision) = readable("keeper", store::parse_transaction(&body)) {
                     let revision = StoreRevision::new(era, revision);
                     self.on_taken(keeper, &holder, lease, revision);
                 }
-                Err(error) => {
-                    let (keeper, error) = (keeper.to_string(), error.to_string());
-                    log::error!(target: "quota", keeper, error; "an answer cannot be read");
-                }
-            },
+            }
             Some((StoreStatus::Conflict, era, body)) => self.on_conflict(keeper, era, &body),
             other => {
                 let status = other.map(|(status, ..)| status);
@@ -191,16 +185,11 @@
 
     /// Somebody holds it, or held it at another revision than was thought.
     fn on_conflict(&self, keeper: &KeeperId, era: StoreEra, body: &[u8]) {
-        match store::parse_conflict(body) {
-            Ok(items) if items.is_empty() => {
-                self.node.quotas.holders.borrow_mut().forget(keeper);
-            }
-            Ok(items) => items.iter().for_each(|item| self.learn(item, era)),
-            Err(error) => {
-                let (keeper, error) = (keeper.to_string(), error.to_string());
-                log::error!(target: "quota", keeper, error; "a conflict cannot be read");
-            }
+        let Some(items) = readable("keeper", store::parse_conflict(body)) else { return };
+        if items.is_empty() {
+            self.node.quotas.holders.borrow_mut().forget(keeper);
         }
+        items.iter().for_each(|item| self.learn(item, era));
     }
 
     /// Gives up all keepers: first here, so that nothing is granted any more, then in the store.
--- a/crates/gateway/src/scaling.rs
+++ b/crates/gateway/src/scaling.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::platform_client::PlatformClient;
 use crate::settings::Duty;
+use crate::store_answers::readable;
 use pitchstall_platform_adapter::cloud::{self, DutyAnswer, DutyHolder, ScaleOrder};
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::authority::FencingToken;
@@ -106,14 +107,11 @@
         let read = store::read_capacity(service);
         let answer = self.node.call_store(&mut self.store, &read, CALL_LIMIT).await;
         let (record, counting) = match answer.map(|answer| (answer.status, answer.body)) {
-            Some((StoreStatus::Done, body)) => match store::parse_capacity(&body) {
-                Ok(record) => (record, None),
-                Err(error) => {
-                    let (service, error) = (service.as_str(), error.to_string());
-                    log::error!(target: "scaling", service, error; "plan cannot be read");
-                    return false;
-                }
-            },
+            Some((StoreStatus::Done, body)) => {
+                let record = readable(service.as_str(), store::parse_capacity(&body));
+                let Some(record) = record else { return false };
+                (record, None)
+            }
             Some((StoreStatus::Absent, _)) => (self.present(service), Some(Instant::now())),
             _ => return false,
         };
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -6,11 +6,12 @@
 //! decided in [`pitchstall_serving::usage`].
 
 use crate::clock::Instant;
-use crate::node::{Node, StoreAnswer};
+use crate::node::Node;
 use crate::peer_words::PeerWord;
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryFault;
 use crate::settings::{Duty, UsageSection};
+use crate::store_answers::{readable, StoreAnswer};
 use pitchstall_platform_adapter::cloud::{self, DutyAnswer, DutyHolder};
 use pitchstall_platform_adapter::store::{self, StoreStatus};
 use pitchstall_serving::authority::FencingToken;
@@ -267,13 +268,8 @@
         let read = store::read_usage_reports();
         let answer = self.node.call_store(&mut self.store, &read, CALL_LIMIT).await;
         let Some(answer) = answer.filter(StoreAnswer::is_done) else { return };
-        let page = match store::parse_page(&answer.body) {
-            Ok(page) => page,
-            Err(error) => {
-                let error = error.to_string();
-                log::error!(target: "usage", error; "reports cannot be read");
-                return;
-            }
+        let Some(page) = readable("usage reports", store::parse_page(&answer.body)) else {
+            return;
         };
         let now_ms = self.node.wall_ms();
         for item in page.items {
@@ -345,14 +341,7 @@
 
     /// The report that is in the store already; `None`: the authority has gone to another node.
     fn fixed_by_another(&self, window: u64, fence: FencingToken, body: &[u8]) -> Option<Vec<u8>> {
-        let items = match store::parse_conflict(body) {
-            Ok(items) => items,
-            Err(error) => {
-                let error = error.to_string();
-                log::error!(target: "usage", window, error; "a conflict cannot be read");
-                return None;
-            }
-        };
+        let items = readable("usage report", store::parse_conflict(body))?;
         let reports = items.into_iter().filter_map(store::usage_report_of);
         let found = reports.into_iter().find(|(of, _)| *of == window);
         if found.is_none() {
