A node that hears of a later era by its own renewal registers again at once

Whoever waits for a later era is told once; a node that learns of it from the answer to its own renewal is not waiting then, and went on waiting for the next renewal, 5 s, before it registered again. Ruled out: the copies of the store, which look at the era before each call. Change: the era is looked at before the wait. No test failed before: in tests a watch is always told first.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -311,7 +311,10 @@
     /// its leases wait, and a renewal costs a tenth of what registering anew does.
     async fn stay(&self, client: &mut PlatformClient, lease: StoreLease) {
         for renewal in 1_u32.. {
-            let _ = timeout(RENEW_EVERY, self.node.era_began.notified()).await;
+            if lease.era == self.node.store_era() {
+                // Either may end it.
+                let _ = timeout(RENEW_EVERY, self.node.era_began.notified()).await;
+            }
             if lease.era != self.node.store_era() {
                 // All nodes register again; those that come back soon are known meanwhile.
                 return sleep(rand::rng().random_range(Duration::ZERO..REGISTER_AGAIN_WITHIN))
