Sight: who ended a stream and why, one line for each request, and the time that it had

`stream interrupted` says its cause (the connection's error, or a pause after which the run was abandoned) and for how long the client had received nothing; `finished` says by which limit a request ends and who has set it, and is written and counted also where the client has gone (`client disconnected` with the error; before, such a request had no line and no counter); `streams_cut` counts the streams that the node ended, by reason. No decision changes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -14,13 +14,15 @@
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
 use ntex::http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use ntex::http::{ConnectionType, HttpServiceConfig, Request, Response, StatusCode};
-use ntex::io::{Io, IoConfig};
+use ntex::io::{Io, IoConfig, IoStatusUpdate};
 use ntex::util::{Bytes, Either};
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::headers::KEY_CHALLENGE;
 use pitchstall_serving::configuration::ClientLimits;
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -111,7 +113,7 @@
         let open = self.node.open_request();
         let outcome = tokio::select! {
             outcome = intake::handle(&self.node, &request, self) => outcome,
-            () = self.disconnected() => RequestOutcome::ClientDisconnected,
+            error = self.disconnected() => intake::on_disconnected(&self.node, &request, error),
         };
         drop(open);
         let next = self.finish(outcome, &request).await;
@@ -163,9 +165,17 @@
         self.node.configuration().map(|it| it.limits).unwrap_or_default()
     }
 
-    /// Completes when the client has disconnected.
-    async fn disconnected(&self) {
+    /// Completes when the client has disconnected. A client that has shut down only its sending side counts as
+    /// disconnected too. Returns the error of the connection; `None` if the client closed it in an orderly way.
+    async fn disconnected(&self) -> Option<std::io::Error> {
         while let Ok(Some(())) = self.io.read_notify().await {}
+        poll_fn(|context| {
+            Poll::Ready(match self.io.poll_status_update(context) {
+                Poll::Ready(IoStatusUpdate::PeerGone(error)) => error,
+                _ => None,
+            })
+        })
+        .await
     }
 
     async fn read_request(&self) -> Result<ClientRequest, RequestReadError> {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -374,9 +374,9 @@
         }
     }
 
-    fn finish_complete(&self, full_response: BufferedResponse) -> Step {
+    fn finish_complete(&mut self, full_response: BufferedResponse) -> Step {
         if self.stream.is_head_sent {
-            return Step::Done(RequestOutcome::Truncated);
+            return self.give_up(EndReason::Failed);
         }
         Step::Done(RequestOutcome::Buffered(full_response))
     }
@@ -391,7 +391,7 @@
         let end = loop {
             let limits = RelayLimits { deadline: self.deadline, max_pause: self.max_stream_gap() };
             let end = relay(&response, client, &mut self.stream, &mut splitter, limits).await;
-            if end != RelayOutcome::Stalled || self.may_abandon(&runner) {
+            if !matches!(end, RelayOutcome::Stalled) || self.may_abandon(&runner) {
                 break end;
             }
         };
@@ -404,11 +404,15 @@
             }
             RelayOutcome::ClientDisconnected => Step::Done(RequestOutcome::ClientDisconnected),
             RelayOutcome::DeadlineExceeded => self.on_out_of_time(),
-            RelayOutcome::ConnectionLost | RelayOutcome::Stalled => {
+            RelayOutcome::ConnectionLost(error) => {
+                drop(response);
+                self.on_stream_interrupted(runner, &error.to_string())
+            }
+            RelayOutcome::Stalled => {
                 // Dropping the response closes the connection, so that this runner stops before the
                 // next one continues.
                 drop(response);
-                self.on_stream_interrupted(runner)
+                self.on_stream_interrupted(runner, "abandoned after a pause")
             }
         }
     }
@@ -449,12 +453,13 @@
         InterruptedAttempt { request: self.request, tenant, runner }
     }
 
-    fn on_stream_interrupted(&mut self, runner: RunnerId) -> Step {
+    fn on_stream_interrupted(&mut self, runner: RunnerId, cause: &str) -> Step {
         on_interrupted(self.node, self.interrupted_attempt(&runner));
         let id = self.request.metadata.id.as_str();
         let after = self.stream.deduplicator.last_id().unwrap_or_default();
         let begun = self.stream.is_head_sent;
-        log::info!(target: "stream", request = id, runner = runner.as_str(), after, begun; "stream interrupted");
+        let silent_ms = self.stream.last_event_at.map_or(0, elapsed_ms);
+        log::info!(target: "stream", request = id, runner = runner.as_str(), after, begun, cause, silent_ms; "stream interrupted");
         self.node.metrics.resumes.inc();
         self.on_lost(runner)
     }
@@ -470,6 +475,7 @@
             log::info!(target: "crash", request = id, identity; "request not sent: quarantined");
         }
         if self.stream.is_head_sent {
+            self.node.metrics.on_stream_cut(reason.name());
             return Step::Done(RequestOutcome::Truncated);
         }
         if let Some(response) = self.runner_failure.take() {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -217,8 +217,35 @@
 
 /// The client's deadline or the route's timeout, whichever is shorter.
 fn time_limit(request: &ClientRequest, route: &Route) -> Duration {
-    let deadline_ms = request.metadata.deadline_ms.unwrap_or(route.timeout_ms);
-    Duration::from_millis(deadline_ms.min(route.timeout_ms))
+    Duration::from_millis(time_limit_ms(request, Some(route)).0)
+}
+
+/// The time that a request may take, in milliseconds, and who has set it.
+fn time_limit_ms(request: &ClientRequest, route: Option<&Route>) -> (u64, &'static str) {
+    let timeout_ms = route.map(|route| route.timeout_ms);
+    match (request.metadata.deadline_ms, timeout_ms) {
+        (Some(deadline_ms), None) => (deadline_ms, "client"),
+        (Some(deadline_ms), Some(timeout_ms)) if deadline_ms <= timeout_ms => {
+            (deadline_ms, "client")
+        }
+        (_, Some(timeout_ms)) => (timeout_ms, "route"),
+        (None, None) => (0, "none"),
+    }
+}
+
+/// Ends a request whose client has disconnected before its response was complete. `error` is the error of the
+/// connection; `None` if the client closed it in an orderly way.
+pub fn on_disconnected(
+    node: &Node,
+    request: &ClientRequest,
+    error: Option<std::io::Error>,
+) -> RequestOutcome {
+    let id = request.metadata.id.as_str();
+    let error = error.map_or_else(|| "closed by peer".to_owned(), |error| error.to_string());
+    log::info!(target: "request", request = id, error; "client disconnected");
+    let configuration = node.configuration();
+    let route = configuration.and_then(|configuration| find_route(&configuration, request));
+    finish(node, request, route.as_deref(), RequestOutcome::ClientDisconnected)
 }
 
 fn finish(
@@ -230,9 +257,10 @@
     let outcome = end.name();
     node.metrics.on_request(outcome);
     let id = request.metadata.id.as_str();
+    let (limit_ms, limited_by) = time_limit_ms(request, route);
     let route = route.map_or("", |route| route.name.as_str());
     let elapsed_ms = u64::try_from(request.received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let version = node.configuration().map_or(0, |it| it.version);
-    log::info!(target: "request", request = id, route, outcome, elapsed_ms, version; "finished");
+    log::info!(target: "request", request = id, route, outcome, elapsed_ms, limit_ms, limited_by, version; "finished");
     end
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,13 @@
     pub notice: &'static str,
 }
 
+/// Labels of a stream that the node ended before it was complete.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamCutLabels {
+    /// Why there was no further attempt, see [`pitchstall_serving::attempt::EndReason::name`].
+    pub reason: &'static str,
+}
+
 /// Labels of a store entry that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EntryLabels {
@@ -60,6 +67,8 @@
     pub quarantines: Counter,
     /// Streams that were interrupted at one runner and may continue at another.
     pub resumes: Counter,
+    /// Streams that the node ended after their head and before they were complete, by reason.
+    pub streams_cut: Family<StreamCutLabels, Counter>,
     /// New connections to runners, including those that could not be opened.
     pub connections: Counter,
     /// Placement replies received from schedulers in time.
@@ -117,6 +126,7 @@
             requests_on_crashed_runners: Counter::default(),
             quarantines: Counter::default(),
             resumes: Counter::default(),
+            streams_cut: Family::default(),
             connections: Counter::default(),
             placements: Counter::default(),
             placements_rejected: Counter::default(),
@@ -230,6 +240,9 @@
         let runner_notices = self.runner_notices.clone();
         let help = "New notices that runners gave about themselves in responses";
         self.registry.register("runner_notices", help, runner_notices);
+        let streams_cut = self.streams_cut.clone();
+        let help = "Streams that the node ended before they were complete, by reason";
+        self.registry.register("streams_cut", help, streams_cut);
         let refused_entries = self.refused_entries.clone();
         let help = "Revisions of store entries that could not be used";
         self.registry.register("entries_refused", help, refused_entries);
@@ -249,6 +262,11 @@
         self.requests.get_or_create(&RequestLabels { outcome }).inc();
     }
 
+    /// Counts a stream that the node ended before it was complete. `reason` is the name of the reason.
+    pub fn on_stream_cut(&self, reason: &'static str) {
+        self.streams_cut.get_or_create(&StreamCutLabels { reason }).inc();
+    }
+
     /// Counts a revision of a store entry that could not be used.
     pub fn on_refused_entry(&self, subject: &'static str) {
         self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::attempt::AttemptResponse;
 use crate::clock::Instant;
 use crate::connection::{ClientConnection, ClientDisconnected};
-use crate::http::Header;
+use crate::http::{Header, ReadError};
 use pitchstall_serving::event_stream::{EventAction, EventDeduplicator, EventSplitter};
 use std::time::Duration;
 use tokio::time::timeout;
@@ -30,12 +30,12 @@
 }
 
 /// How the relay of one run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum RelayOutcome {
     /// The response ended as its framing requires.
     Complete,
     /// The runner ended the response early.
-    ConnectionLost,
+    ConnectionLost(ReadError),
     /// No bytes arrived for the maximum pause. The run may still continue.
     Stalled,
     /// The deadline of the request has passed.
@@ -74,7 +74,7 @@
         let forwarded = match result {
             Ok(Some(bytes)) => forward(&bytes, splitter, client, state, &headers).await,
             Ok(None) => return finish(response, splitter, client, state, &headers).await,
-            Err(_) => return RelayOutcome::ConnectionLost,
+            Err(error) => return RelayOutcome::ConnectionLost(error),
         };
         if forwarded.is_err() {
             return RelayOutcome::ClientDisconnected;
@@ -127,7 +127,7 @@
 ) -> RelayOutcome {
     let incomplete_event = splitter.pending();
     if !incomplete_event.is_empty() && response.ends_with_connection() {
-        return RelayOutcome::ConnectionLost;
+        return RelayOutcome::ConnectionLost(ReadError::Closed);
     }
     let written = async {
         begin_response(client, state, headers)?;
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -42,6 +42,22 @@
     QuotaUnknown,
 }
 
+impl EndReason {
+    /// Name of the reason in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OutOfTime => "out_of_time",
+            Self::NoRunner => "no_runner",
+            Self::LimitUsedUp { .. } => "limit_used_up",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Quarantined => "quarantined",
+            Self::OverQuota { .. } => "over_quota",
+            Self::QuotaUnknown => "quota_unknown",
+        }
+    }
+}
+
 /// A response that the node produces itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalResponse {
