--- /dev/null
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -0,0 +1,140 @@
+//! Streams whose runner pauses for longer than the node waits before it looks for another runner.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::runner::{
+    engine_script, event_text, stream_head, EventStream, NoticeHeaders, Reaction, RunnerStandIn,
+};
+use std::time::Duration;
+use support::{Fixture, RawClient};
+use test_case::test_case;
+
+/// Exceeds the pause after which a node looks for another runner, which is 1,200 ms on the route of these tests.
+const PAUSE: Duration = Duration::from_millis(1_600);
+const LAST_EVENT: u64 = 1;
+const PROMPT: &str =
+    "X-Pitchstall-Token-Count: 9000,80\r\nX-Pitchstall-Prefix-Hash: a1:6000,b2:3000\r\n";
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event_text).collect()
+}
+
+/// A runner that pauses before each event and always goes on.
+fn pausing_runner() -> RunnerStandIn {
+    RunnerStandIn::start("i-pausing", |request| {
+        let whole = EventStream::for_request(request, LAST_EVENT);
+        Reaction::Stream(EventStream { pause: PAUSE, ..whole })
+    })
+    .unwrap()
+}
+
+fn runner(
+    id: &str,
+    script: impl Fn(&ReceivedRequest) -> Reaction + Send + Sync + 'static,
+) -> RunnerStandIn {
+    RunnerStandIn::start(id, script).unwrap()
+}
+
+/// Whether a runner is asked to run the stream or to prefill its prompt.
+fn is_run(request: &ReceivedRequest) -> bool {
+    request.method == "POST" && request.path() == "/summary/1"
+}
+
+/// Starts a stream and waits for its first event.
+fn start_stream(node: &Fixture, extra: &str) -> RawClient {
+    let mut client = node.client();
+    client.request("POST", "/summary/1", "id-1", extra, b"x");
+    client.wait_for_text(&event_text(0));
+    client
+}
+
+fn assert_whole(client: &mut RawClient, pausing: &RunnerStandIn) {
+    let response = client.read_response();
+    assert_eq!((response.status, response.text()), (200, events(0..=LAST_EVENT)));
+    assert!(response.complete);
+    assert_eq!(pausing.closed_early(), 0, "the run was ended though it went on");
+}
+
+#[test_case(|_| Reaction::Decline; "the other runner declines")]
+#[test_case(|request| Reaction::Respond { status: if is_run(request) { 500 } else { 200 }, body: Vec::new() }; "the other runner fails")]
+#[test_case(|_| Reaction::RawThenReset(Vec::new()); "the other runner resets the connection")]
+#[test_case(|_| Reaction::Silent; "the other runner stays silent")]
+fn a_stream_that_pauses_is_whole_though_no_other_runner_takes_it(
+    reaction: fn(&ReceivedRequest) -> Reaction,
+) {
+    let pausing = pausing_runner();
+    let node = Fixture::with_runners(&[(&pausing, "llm", Some("decode"))]);
+    let mut client = start_stream(&node, "");
+    let other = runner("i-other", reaction);
+    node.add_runner(&other, "llm", Some("decode"));
+    assert_whole(&mut client, &pausing);
+    assert!(other.requests().iter().any(is_run), "the other runner was not tried");
+}
+
+#[test]
+fn a_stream_that_pauses_is_whole_though_the_other_runner_refuses_connections() {
+    let pausing = pausing_runner();
+    let node = Fixture::with_runners(&[(&pausing, "llm", Some("decode"))]);
+    let mut client = start_stream(&node, "");
+    let other = runner("i-other", |_| Reaction::Silent);
+    other.crash();
+    node.add_runner(&other, "llm", Some("decode"));
+    assert_whole(&mut client, &pausing);
+}
+
+#[test]
+fn a_stream_that_pauses_is_whole_though_the_other_runner_takes_nothing_by_its_limit() {
+    let limited = runner("i-limited", |request| {
+        let notice = NoticeHeaders { limit: Some("0"), ..NoticeHeaders::default() };
+        let stream = EventStream::for_request(request, LAST_EVENT);
+        Reaction::WithNotice(notice, Box::new(Reaction::Stream(stream)))
+    });
+    let node = Fixture::with_runners(&[(&limited, "llm", Some("decode"))]);
+    let mut first = node.client();
+    first.request("POST", "/summary/1", "id-0", "", b"x");
+    assert_eq!(first.read_response().text(), events(0..=LAST_EVENT));
+    let pausing = pausing_runner();
+    node.add_runner(&pausing, "llm", Some("decode"));
+    node.wait_until_ready();
+    let mut client = start_stream(&node, "");
+    assert_whole(&mut client, &pausing);
+}
+
+#[test]
+fn a_stream_that_pauses_is_whole_though_the_budget_covers_its_second_prefill_alone() {
+    let prefill = runner("i-prefill", engine_script(LAST_EVENT));
+    let pausing = runner("i-pausing", |request| match is_run(request) {
+        true => {
+            let whole = EventStream::for_request(request, LAST_EVENT);
+            Reaction::Stream(EventStream { pause: PAUSE, ..whole })
+        }
+        false => engine_script(LAST_EVENT)(request),
+    });
+    let runners = [(&prefill, "llm", Some("prefill")), (&pausing, "llm", Some("decode"))];
+    let node = Fixture::with_runners(&runners);
+    let mut client = start_stream(&node, PROMPT);
+    let other = runner("i-other", engine_script(LAST_EVENT));
+    node.add_runner(&other, "llm", Some("decode"));
+    assert_whole(&mut client, &pausing);
+}
+
+#[test]
+fn a_stream_whose_runner_hangs_goes_on_at_another_runner() {
+    let hanging = runner("i-hanging", |request| {
+        let mut bytes = stream_head(request, "transfer-encoding: chunked\r\n");
+        let first = event_text(0);
+        bytes.extend_from_slice(format!("{:x}\r\n{first}\r\n", first.len()).as_bytes());
+        Reaction::Raw(bytes)
+    });
+    let node = Fixture::with_runners(&[(&hanging, "llm", Some("decode"))]);
+    let mut client = start_stream(&node, "");
+    let other = runner("i-other", engine_script(LAST_EVENT));
+    node.add_runner(&other, "llm", Some("decode"));
+    let response = client.read_response();
+    assert_eq!((response.status, response.text()), (200, events(0..=LAST_EVENT)));
+    assert!(response.complete);
+    let resumed = other.requests().into_iter().find(is_run).unwrap();
+    assert_eq!(resumed.header("last-event-id"), Some("0"));
+}
