--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -424,6 +424,11 @@
         self.connection.read_body(&self.decoder).await
     }
 
+    /// Completes when further bytes of the body arrive. Never completes if the connection ends before.
+    pub async fn wait_for_data(&self) {
+        self.connection.wait_for_data().await;
+    }
+
     /// Whether the end of the body is only marked by the end of the connection.
     pub fn ends_with_connection(&self) -> bool {
         self.decoder.ends_with_connection()
--- /dev/null
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -0,0 +1,181 @@
+//! Delivers the response of a run to the client.
+
+use super::planning::{elapsed_ms, Plan};
+use super::successor::RunnerLost;
+use super::{Dispatch, Step};
+use crate::attempt::AttemptResponse;
+use crate::connection::ClientConnection;
+use crate::intake::{BufferedResponse, RequestOutcome};
+use crate::interrupted_attempt::{on_interrupted, record_and_probe, InterruptedAttempt};
+use crate::relay::{relay, RelayLimits, RelayOutcome};
+use pitchstall_serving::attempt::{EndReason, Execution};
+use pitchstall_serving::configuration::RequestKind;
+use pitchstall_serving::event_stream::EventSplitter;
+use pitchstall_serving::ids::RunnerId;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Maximum gap between two events of a stream, as a multiple of the route's gap target, before the
+/// stream counts as stalled.
+const STALL_GAP_TARGETS: u32 = 4;
+/// Minimum gap between two events after which a stream counts as stalled.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A run whose response has begun. Dropping it closes the connection, so that the runner stops.
+pub(super) struct Run {
+    /// The response, from its head on.
+    pub(super) response: AttemptResponse,
+    /// Bytes of the stream's event that is not complete yet.
+    splitter: EventSplitter,
+    /// Reports the end of the run to its scheduler when dropped.
+    _plan: Plan,
+}
+
+impl Run {
+    /// A run whose head has just been received.
+    pub(super) fn new(response: AttemptResponse, plan: Plan) -> Self {
+        Self { response, splitter: EventSplitter::default(), _plan: plan }
+    }
+
+    /// The runner that runs the request.
+    pub(super) fn runner(&self) -> &RunnerId {
+        &self.response.record.id
+    }
+
+    /// Whether the response has a success status.
+    pub(super) fn is_successful(&self) -> bool {
+        (200..300).contains(&self.response.head.status)
+    }
+}
+
+impl Dispatch<'_> {
+    /// Delivers a run to the client. Streams are forwarded as they arrive.
+    pub(super) async fn deliver(&mut self, mut run: Box<Run>, client: &ClientConnection) -> Step {
+        self.on_run_started(&mut run);
+        let first_byte = self.request.received_at.elapsed().as_secs_f64();
+        self.node.metrics.first_byte.observe(first_byte);
+        if run.is_successful() && self.route.kind == RequestKind::Streaming {
+            self.deliver_stream(run, client).await
+        } else {
+            self.deliver_complete(run.response).await
+        }
+    }
+
+    /// Records that the runner has prefilled the prompt and has begun to respond.
+    pub(super) fn on_run_started(&self, run: &mut Run) {
+        run.response.in_flight.on_prefilled();
+        self.node.on_prefix_cached(run.runner(), self.prompt.shared_prefix());
+    }
+
+    async fn deliver_complete(&mut self, response: AttemptResponse) -> Step {
+        let runner = response.record.id.clone();
+        let full_response = match timeout(self.attempt_timeout(), response.read_all()).await {
+            Ok(Ok(full_response)) => full_response,
+            Ok(Err(error)) => {
+                let error = error.to_string();
+                let id = self.request.metadata.id.as_str();
+                log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "response interrupted");
+                on_interrupted(self.node, self.interrupted_attempt(&runner));
+                return self.on_lost(runner);
+            }
+            Err(_) => return self.on_lost(runner),
+        };
+        let is_framed = !response.ends_with_connection();
+        response.return_connection(self.node);
+        // An error response may come from a runner that has not begun to execute the request.
+        if (200..300).contains(&full_response.status) {
+            self.on_success(&runner, is_framed);
+        }
+        const MIN_SERVER_ERROR_STATUS: u16 = 500;
+        if full_response.status < MIN_SERVER_ERROR_STATUS || self.stream.is_head_sent {
+            return self.finish_complete(full_response);
+        }
+        self.execution = Execution::Ran;
+        self.excluded.push(runner);
+        if !self.may_run_again() || !self.has_retry_budget() {
+            return self.finish_complete(full_response);
+        }
+        self.runner_failure = Some(full_response);
+        Step::Retry
+    }
+
+    /// Handles a successful response. If only the end of the connection marked the end of the body,
+    /// the runner may have crashed before the real end, so it is probed.
+    fn on_success(&self, runner: &RunnerId, is_framed: bool) {
+        if is_framed {
+            self.node.on_request_succeeded(|| self.identity());
+        } else {
+            record_and_probe(self.node, self.interrupted_attempt(runner));
+        }
+    }
+
+    fn finish_complete(&mut self, full_response: BufferedResponse) -> Step {
+        if self.stream.is_head_sent {
+            return self.give_up(EndReason::Failed);
+        }
+        Step::Done(RequestOutcome::Buffered(full_response))
+    }
+
+    async fn deliver_stream(&mut self, mut run: Box<Run>, client: &ClientConnection) -> Step {
+        loop {
+            let limits = RelayLimits { deadline: self.deadline, max_pause: self.max_stream_gap() };
+            let Run { response, splitter, .. } = run.as_mut();
+            match relay(response, client, &mut self.stream, splitter, limits).await {
+                RelayOutcome::Complete => {
+                    let runner = run.runner().clone();
+                    let is_framed = !run.response.ends_with_connection();
+                    run.response.return_connection(self.node);
+                    self.on_success(&runner, is_framed);
+                    return Step::Done(RequestOutcome::Streamed);
+                }
+                RelayOutcome::ClientDisconnected => {
+                    return Step::Done(RequestOutcome::ClientDisconnected)
+                }
+                RelayOutcome::DeadlineExceeded => return self.on_out_of_time(),
+                RelayOutcome::ConnectionLost(error) => {
+                    return self.on_stream_interrupted(run, &error.to_string())
+                }
+                RelayOutcome::Stalled => match self.replace_stalled_run(run).await {
+                    Ok(next) => run = next,
+                    Err(RunnerLost(runner)) => return self.on_lost(runner),
+                },
+            }
+        }
+    }
+
+    /// Maximum gap between two events before another runner is sought. Only a stream that another
+    /// runner can continue has one.
+    fn max_stream_gap(&self) -> Duration {
+        let gap = self.route.gap_target_ms.filter(|_| self.allows_another_attempt());
+        let max_gap = gap.map(|gap_ms| Duration::from_millis(gap_ms) * STALL_GAP_TARGETS);
+        max_gap.map_or(self.time_remaining(), |max_gap| max_gap.max(MIN_STALL_TIMEOUT))
+    }
+
+    fn on_out_of_time(&mut self) -> Step {
+        self.execution = Execution::Ran;
+        self.give_up(EndReason::OutOfTime)
+    }
+
+    fn interrupted_attempt<'b>(&'b self, runner: &'b RunnerId) -> InterruptedAttempt<'b> {
+        let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
+        InterruptedAttempt { request: self.request, tenant, runner }
+    }
+
+    fn on_stream_interrupted(&mut self, run: Box<Run>, cause: &str) -> Step {
+        let runner = run.runner().clone();
+        drop(run);
+        self.record_interruption(&runner, cause);
+        self.node.metrics.resumes.inc();
+        self.on_lost(runner)
+    }
+
+    /// Records that a run ended before its stream was complete.
+    pub(super) fn record_interruption(&self, runner: &RunnerId, cause: &str) {
+        on_interrupted(self.node, self.interrupted_attempt(runner));
+        let id = self.request.metadata.id.as_str();
+        let after = self.stream.deduplicator.last_id().unwrap_or_default();
+        let begun = self.stream.is_head_sent;
+        let silent_ms = self.stream.last_event_at.map_or(0, elapsed_ms);
+        log::info!(target: "stream", request = id, runner = runner.as_str(), after, begun, cause, silent_ms; "stream interrupted");
+    }
+}
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -5,25 +5,25 @@
 //! Both are subject to the retry budget, which all nodes share.
 
 mod admission;
+mod delivery;
 mod planning;
+mod successor;
 
 use self::admission::Admission;
-use self::planning::elapsed_ms;
-use crate::attempt::{self, AttemptEnd, AttemptParams, AttemptResponse, PrepareError};
+use self::delivery::Run;
+use self::planning::{elapsed_ms, Plan};
+use crate::attempt::{self, AttemptEnd, AttemptParams, PrepareError, PreparedConnection};
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::intake::{BufferedResponse, ClientRequest, RequestOutcome};
-use crate::interrupted_attempt::{on_interrupted, record_and_probe, InterruptedAttempt};
 use crate::local_responses::LocalResponse;
 use crate::node::Node;
 use crate::policy::PlacementRules;
 use crate::quota::requester::{QuotaReservation, RunCost, SentReservation};
-use crate::relay::{relay, RelayLimits, RelayOutcome, StreamState};
+use crate::relay::StreamState;
 use crate::usage::StartRecorder;
 use pitchstall_serving::attempt::{final_response, EndReason, Execution};
-use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
-use pitchstall_serving::event_stream::EventSplitter;
-use pitchstall_serving::fleet::{Eligible, Scope, Sender};
+use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
 use pitchstall_serving::ids::{RunnerId, ServiceName};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefix::Prompt;
@@ -36,7 +36,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// Maximum number of unreachable runners that are tried before a request fails.
 const MAX_UNREACHABLE_RUNNERS: usize = 8;
@@ -45,11 +44,6 @@
 /// Time without data from a runner after which the runner is probed, as a share of the request's
 /// target time.
 const PROBE_AFTER_TARGET_SHARE: f64 = 0.5;
-/// Maximum gap between two events of a stream, as a multiple of the route's gap target, before the
-/// stream counts as stalled.
-const STALL_GAP_TARGETS: u32 = 4;
-/// Minimum gap between two events after which a stream counts as stalled.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A request that is being dispatched until it has its final response.
 pub struct Dispatch<'a> {
@@ -73,13 +67,13 @@
     reservation: Option<QuotaReservation>,
     /// Whether the request has been counted as begun for its tenant.
     is_counted: bool,
-    /// Whether the retry budget has already been charged for the next attempt, which happens when a
-    /// stalled attempt is abandoned.
+    /// Whether the retry budget has already been charged for the next attempt, which happens before a
+    /// successor of a stalled run is sought.
     has_charged_retry: bool,
     deadline: Instant,
     /// Whether the request has been executed, as far as the attempts so far show.
     execution: Execution,
-    /// Number of attempts that may have been executed.
+    /// Number of runs that have begun, or may have.
     runs: u32,
     /// Determines which requests sent to runners are charged to the retry budget.
     arrivals: ArrivalLedger,
@@ -95,6 +89,24 @@
     Done(RequestOutcome),
 }
 
+/// An attempt that may be sent now: it is admitted, and there is a connection to its runner.
+struct ReadyAttempt {
+    plan: Plan,
+    prepared: PreparedConnection,
+    /// The reservation of the tenant's quota for the run; `None` if the run costs nothing.
+    reservation: Option<SentReservation>,
+}
+
+/// How an attempt that was sent ended, up to and including the head of the response.
+enum SentAttempt {
+    /// The runner has begun to respond.
+    Responding(Box<Run>),
+    /// The runner has not executed the request and will not do so.
+    Declined,
+    /// There is no response. The runner may have executed the request.
+    Lost(RunnerId),
+}
+
 impl<'a> Dispatch<'a> {
     /// Creates the dispatch of a request that has not been sent to any runner.
     pub fn new(
@@ -151,43 +163,63 @@
     }
 
     async fn run_next_attempt(&mut self, client: &ClientConnection) -> Step {
+        let ready = match self.prepare_attempt().await {
+            Ok(Some(ready)) => ready,
+            Ok(None) => return Step::Retry,
+            Err(reason) => return self.give_up(reason),
+        };
+        match self.send_attempt(ready).await {
+            SentAttempt::Responding(run) => self.deliver(run, client).await,
+            SentAttempt::Declined => Step::Retry,
+            SentAttempt::Lost(runner) => self.on_lost(runner),
+        }
+    }
+
+    /// Plans an attempt, connects to its runner and admits it. `None`: the planned runner cannot take
+    /// the request, and another one may be chosen.
+    async fn prepare_attempt(&mut self) -> Result<Option<ReadyAttempt>, EndReason> {
         if self.time_remaining().is_zero() {
-            return self.give_up(EndReason::OutOfTime);
+            return Err(EndReason::OutOfTime);
         }
         if self.is_quarantined() {
-            return self.give_up(EndReason::Quarantined);
+            return Err(EndReason::Quarantined);
         }
-        let plan = match self.plan().await {
-            Ok(plan) => plan,
-            Err(reason) => return self.give_up(reason),
-        };
+        let plan = self.plan().await?;
         let prepared = match attempt::prepare(self.node, &plan.choice).await {
             Ok(prepared) => prepared,
             // The runner is no longer a candidate, so another one is chosen.
-            Err(PrepareError::Withheld) => return Step::Retry,
+            Err(PrepareError::Withheld) => return Ok(None),
             Err(PrepareError::Unreachable) => {
                 plan.report(Progress::Unreachable(plan.choice.runner.clone()));
-                return self.on_unreachable(plan.choice.runner);
+                self.on_unreachable(plan.choice.runner)?;
+                return Ok(None);
             }
         };
-        let sent_reservation = match self.admit(&plan).await {
-            Ok(Admission::Admitted(sent_reservation)) => sent_reservation,
-            Ok(Admission::Withheld) => return Step::Retry,
-            Err(reason) => return self.give_up(reason),
-        };
+        let admission = self.admit(&plan).await?;
+        Ok(match admission {
+            Admission::Admitted(reservation) => Some(ReadyAttempt { plan, prepared, reservation }),
+            Admission::Withheld => None,
+        })
+    }
+
+    /// Sends an attempt and waits for the head of its response. The run counts as begun from the start,
+    /// so that dropping the future leaves it counted.
+    async fn send_attempt(&mut self, ready: ReadyAttempt) -> SentAttempt {
+        let ReadyAttempt { plan, prepared, reservation } = ready;
         let work = match &plan.prefilled {
             Some(prompt) => Work::DecodeFrom(prompt.handle.clone()),
             None => Work::Run,
         };
+        self.runs += 1;
         let params = self.attempt_params(work, &plan.choice);
         let sent_at = Instant::now();
         let mut start_recorder = self.start_recorder(sent_at);
         let end = attempt::send(self.node, self.request, prepared, &params).await;
-        match (&end, sent_reservation) {
-            (AttemptEnd::Declined, sent_reservation) => {
-                self.reservation = sent_reservation.map(SentReservation::on_not_run)
+        match (&end, reservation) {
+            (AttemptEnd::Declined, reservation) => {
+                self.reservation = reservation.map(SentReservation::on_not_run)
             }
-            (_, Some(sent_reservation)) => sent_reservation.on_started(),
+            (_, Some(reservation)) => reservation.on_started(),
             (_, None) => {}
         }
         match end {
@@ -199,18 +231,19 @@
                 } else {
                     plan.report(Progress::Prefilled(elapsed_ms(sent_at)));
                 }
-                self.deliver(*response, client).await
+                SentAttempt::Responding(Box::new(Run::new(*response, plan)))
             }
             AttemptEnd::Declined => {
                 start_recorder.on_declined();
                 plan.report(Progress::Declined(plan.choice.runner.clone()));
                 self.excluded.push(plan.choice.runner);
-                Step::Retry
+                self.runs -= 1;
+                SentAttempt::Declined
             }
             AttemptEnd::Lost | AttemptEnd::NoResponse => {
                 start_recorder.on_no_response();
                 self.is_counted = true;
-                self.on_lost(plan.choice.runner)
+                SentAttempt::Lost(plan.choice.runner)
             }
         }
     }
@@ -282,188 +315,41 @@
         }
     }
 
-    /// Whether another attempt may follow the current one.
+    /// Whether another attempt may follow those that have been sent.
     fn allows_another_attempt(&self) -> bool {
-        self.may_run_again(1) && self.has_retry_budget()
+        self.may_run_again() && self.has_retry_budget()
     }
 
-    /// Whether the request may run once more after `further` runs in addition to the past ones.
-    fn may_run_again(&self, further: u32) -> bool {
-        self.route.is_repeatable() && self.runs + further < self.route.max_attempts
+    /// Whether the request may run once more in addition to the runs that have begun.
+    fn may_run_again(&self) -> bool {
+        self.route.is_repeatable() && self.runs < self.route.max_attempts
     }
 
     fn has_retry_budget(&self) -> bool {
         self.node.with_retry_budget(&self.service, |budget| budget.has_attempt())
     }
 
-    fn on_unreachable(&mut self, runner: RunnerId) -> Step {
+    fn on_unreachable(&mut self, runner: RunnerId) -> Result<(), EndReason> {
         self.excluded.push(runner);
         self.unreachable_count += 1;
         if self.unreachable_count >= MAX_UNREACHABLE_RUNNERS {
-            return self.give_up(EndReason::NoRunner);
+            return Err(EndReason::NoRunner);
         }
-        Step::Retry
+        Ok(())
     }
 
     fn on_lost(&mut self, runner: RunnerId) -> Step {
         self.execution = self.execution.max(Execution::Unknown);
-        self.runs += 1;
         self.excluded.push(runner);
         if self.time_remaining().is_zero() {
             return self.give_up(EndReason::OutOfTime);
         }
-        if self.may_run_again(0) {
+        if self.may_run_again() {
             return Step::Retry;
         }
         self.give_up(EndReason::Failed)
     }
 
-    async fn deliver(&mut self, mut response: AttemptResponse, client: &ClientConnection) -> Step {
-        response.in_flight.on_prefilled();
-        self.node.on_prefix_cached(&response.record.id, self.prompt.shared_prefix());
-        let first_byte = self.request.received_at.elapsed().as_secs_f64();
-        self.node.metrics.first_byte.observe(first_byte);
-        let success = (200..300).contains(&response.head.status);
-        if success && self.route.kind == RequestKind::Streaming {
-            self.deliver_stream(response, client).await
-        } else {
-            self.deliver_complete(response).await
-        }
-    }
-
-    async fn deliver_complete(&mut self, response: AttemptResponse) -> Step {
-        let runner = response.record.id.clone();
-        let full_response = match timeout(self.attempt_timeout(), response.read_all()).await {
-            Ok(Ok(full_response)) => full_response,
-            Ok(Err(error)) => {
-                let error = error.to_string();
-                let id = self.request.metadata.id.as_str();
-                log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "response interrupted");
-                on_interrupted(self.node, self.interrupted_attempt(&runner));
-                return self.on_lost(runner);
-            }
-            Err(_) => return self.on_lost(runner),
-        };
-        let is_framed = !response.ends_with_connection();
-        response.return_connection(self.node);
-        // An error response may come from a runner that has not begun to execute the request.
-        if (200..300).contains(&full_response.status) {
-            self.on_success(&runner, is_framed);
-        }
-        const MIN_SERVER_ERROR_STATUS: u16 = 500;
-        if full_response.status < MIN_SERVER_ERROR_STATUS || self.stream.is_head_sent {
-            return self.finish_complete(full_response);
-        }
-        self.execution = Execution::Ran;
-        self.runs += 1;
-        self.excluded.push(runner);
-        if !self.may_run_again(0) || !self.has_retry_budget() {
-            return self.finish_complete(full_response);
-        }
-        self.runner_failure = Some(full_response);
-        Step::Retry
-    }
-
-    /// Handles a successful response. If only the end of the connection marked the end of the body,
-    /// the runner may have crashed before the real end, so it is probed.
-    fn on_success(&self, runner: &RunnerId, is_framed: bool) {
-        if is_framed {
-            self.node.on_request_succeeded(|| self.identity());
-        } else {
-            record_and_probe(self.node, self.interrupted_attempt(runner));
-        }
-    }
-
-    fn finish_complete(&mut self, full_response: BufferedResponse) -> Step {
-        if self.stream.is_head_sent {
-            return self.give_up(EndReason::Failed);
-        }
-        Step::Done(RequestOutcome::Buffered(full_response))
-    }
-
-    async fn deliver_stream(
-        &mut self,
-        response: AttemptResponse,
-        client: &ClientConnection,
-    ) -> Step {
-        let runner = response.record.id.clone();
-        let mut splitter = EventSplitter::default();
-        let end = loop {
-            let limits = RelayLimits { deadline: self.deadline, max_pause: self.max_stream_gap() };
-            let end = relay(&response, client, &mut self.stream, &mut splitter, limits).await;
-            if !matches!(end, RelayOutcome::Stalled) || self.may_abandon(&runner) {
-                break end;
-            }
-        };
-        match end {
-            RelayOutcome::Complete => {
-                let is_framed = !response.ends_with_connection();
-                response.return_connection(self.node);
-                self.on_success(&runner, is_framed);
-                Step::Done(RequestOutcome::Streamed)
-            }
-            RelayOutcome::ClientDisconnected => Step::Done(RequestOutcome::ClientDisconnected),
-            RelayOutcome::DeadlineExceeded => self.on_out_of_time(),
-            RelayOutcome::ConnectionLost(error) => {
-                drop(response);
-                self.on_stream_interrupted(runner, &error.to_string())
-            }
-            RelayOutcome::Stalled => {
-                // Dropping the response closes the connection, so that this runner stops before the
-                // next one continues.
-                drop(response);
-                self.on_stream_interrupted(runner, "abandoned after a pause")
-            }
-        }
-    }
-
-    /// Whether a stalled run may be abandoned. This requires another healthy runner, a route that
-    /// allows another run, and the retry budget for it, which is charged here. A stall alone is no
-    /// reason to end a response early.
-    fn may_abandon(&mut self, runner: &RunnerId) -> bool {
-        let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
-        let eligible = Eligible {
-            sender: Sender::ThisNode,
-            service: &self.service,
-            excluded: &others,
-            zones: self.rules.zones.as_ref(),
-            scope: Scope::AllRegions,
-        };
-        let has_other = self.node.fleet.borrow().has_healthy(&eligible, self.node.now_us());
-        self.has_charged_retry =
-            self.has_charged_retry || (has_other && self.may_run_again(1) && self.charge_retry());
-        self.has_charged_retry
-    }
-
-    /// Maximum gap between two events. Only a stream that can be continued by another runner is
-    /// abandoned because of a gap.
-    fn max_stream_gap(&self) -> Duration {
-        let gap = self.route.gap_target_ms.filter(|_| self.allows_another_attempt());
-        let max_gap = gap.map(|gap_ms| Duration::from_millis(gap_ms) * STALL_GAP_TARGETS);
-        max_gap.map_or(self.time_remaining(), |max_gap| max_gap.max(MIN_STALL_TIMEOUT))
-    }
-
-    fn on_out_of_time(&mut self) -> Step {
-        self.execution = Execution::Ran;
-        self.give_up(EndReason::OutOfTime)
-    }
-
-    fn interrupted_attempt<'b>(&'b self, runner: &'b RunnerId) -> InterruptedAttempt<'b> {
-        let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
-        InterruptedAttempt { request: self.request, tenant, runner }
-    }
-
-    fn on_stream_interrupted(&mut self, runner: RunnerId, cause: &str) -> Step {
-        on_interrupted(self.node, self.interrupted_attempt(&runner));
-        let id = self.request.metadata.id.as_str();
-        let after = self.stream.deduplicator.last_id().unwrap_or_default();
-        let begun = self.stream.is_head_sent;
-        let silent_ms = self.stream.last_event_at.map_or(0, elapsed_ms);
-        log::info!(target: "stream", request = id, runner = runner.as_str(), after, begun, cause, silent_ms; "stream interrupted");
-        self.node.metrics.resumes.inc();
-        self.on_lost(runner)
-    }
-
     fn give_up(&mut self, reason: EndReason) -> Step {
         let id = self.request.metadata.id.as_str();
         let execution = format!("{:?}", self.execution);
--- /dev/null
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -0,0 +1,176 @@
+//! Looks for a runner that continues a stalled stream.
+//!
+//! A run that is silent may go on at any moment, so it is never ended for a successor that does not exist yet: it stays
+//! connected until the successor has sent the head of its response. Whichever sends data first continues the stream.
+
+use super::delivery::Run;
+use super::{Dispatch, ReadyAttempt, SentAttempt};
+use crate::node::Node;
+use crate::runner_probe::probe;
+use pitchstall_serving::attempt::{EndReason, Execution};
+use pitchstall_serving::fleet::{Eligible, Scope, Sender};
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::runner::Runner;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Maximum time from sending the request to the successor in which the stalled run stays connected. The platform allows
+/// two runners to work on a request for 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// Why a stalled run is kept: it has sent data again.
+const RESUMED: &str = "resumed";
+
+/// The stalled run was ended because its runner cannot be reached, and there is no successor.
+pub(super) struct RunnerLost(pub(super) RunnerId);
+
+/// How the attempt to hand a stalled run over to a prepared successor ended.
+enum Handover {
+    /// The stalled run goes on, for the reason given. The successor has been ended.
+    Kept(Box<Run>, &'static str),
+    /// The successor has begun to respond.
+    Replaced {
+        /// The run that is replaced; `None` if it has been ended already.
+        stalled: Option<Box<Run>>,
+        /// The run that continues the stream.
+        successor: Box<Run>,
+    },
+    /// The successor does not run the request; another one may be tried.
+    Failed {
+        /// The run to be continued; `None` if it has been ended already.
+        stalled: Option<Box<Run>>,
+    },
+}
+
+impl Dispatch<'_> {
+    /// Replaces a stalled run if another runner continues its stream. Returns the run to be continued, which is the
+    /// stalled one if there is no successor or if it has sent data meanwhile.
+    pub(super) async fn replace_stalled_run(
+        &mut self,
+        stalled: Box<Run>,
+    ) -> Result<Box<Run>, RunnerLost> {
+        let runner = stalled.runner().clone();
+        if !self.may_seek_successor(&runner) {
+            return Ok(stalled);
+        }
+        // The result tells a runner that is slow from one that cannot be reached.
+        probe(self.node, &runner, self.node.now_us());
+        self.excluded.push(runner.clone());
+        let mut stalled = stalled;
+        loop {
+            let prepared = tokio::select! {
+                biased;
+                () = stalled.response.wait_for_data() => return Ok(self.keep(stalled, RESUMED)),
+                prepared = self.prepare_successor() => prepared,
+            };
+            let ready = match prepared {
+                Ok(ready) => ready,
+                Err(reason) => return Ok(self.keep(stalled, reason.name())),
+            };
+            stalled = match self.hand_over(stalled, ready).await {
+                Handover::Kept(stalled, reason) => return Ok(self.keep(stalled, reason)),
+                Handover::Replaced { stalled, successor } => {
+                    drop(stalled);
+                    return Ok(self.continue_at(&runner, successor));
+                }
+                Handover::Failed { stalled: Some(stalled) } if self.may_run_again() => stalled,
+                Handover::Failed { stalled: Some(stalled) } => {
+                    return Ok(self.keep(stalled, "no further runs"))
+                }
+                Handover::Failed { stalled: None } => {
+                    self.record_interruption(&runner, "runner unreachable");
+                    return Err(RunnerLost(runner));
+                }
+            };
+        }
+    }
+
+    /// Whether a successor of a stalled run may be sought. This requires another healthy runner, a route that allows
+    /// another run, and the retry budget for it, which is charged here.
+    fn may_seek_successor(&mut self, runner: &RunnerId) -> bool {
+        let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
+        let eligible = Eligible {
+            sender: Sender::ThisNode,
+            service: &self.service,
+            excluded: &others,
+            zones: self.rules.zones.as_ref(),
+            scope: Scope::AllRegions,
+        };
+        let has_other = self.node.fleet.borrow().has_healthy(&eligible, self.node.now_us());
+        if !has_other || !self.may_run_again() {
+            return false;
+        }
+        self.has_charged_retry = self.has_charged_retry || self.charge_retry();
+        self.has_charged_retry
+    }
+
+    async fn prepare_successor(&mut self) -> Result<ReadyAttempt, EndReason> {
+        loop {
+            if let Some(ready) = self.prepare_attempt().await? {
+                return Ok(ready);
+            }
+        }
+    }
+
+    /// Sends the request to the successor. The stalled run stays connected until the successor responds, or until the
+    /// two have overlapped for too long: then the one is ended whose runner is less likely to go on.
+    async fn hand_over(&mut self, stalled: Box<Run>, ready: ReadyAttempt) -> Handover {
+        let node = self.node;
+        let runner = stalled.runner().clone();
+        let (stalled, end) = {
+            let attempt = self.send_attempt(ready);
+            tokio::pin!(attempt);
+            let end = tokio::select! {
+                biased;
+                () = stalled.response.wait_for_data() => return Handover::Kept(stalled, RESUMED),
+                end = &mut attempt => Some(end),
+                () = sleep(MAX_OVERLAP) => None,
+            };
+            match end {
+                Some(end) => (Some(stalled), end),
+                None if is_suspected(node, &runner) => {
+                    drop(stalled);
+                    (None, attempt.await)
+                }
+                None => return Handover::Kept(stalled, "successor silent"),
+            }
+        };
+        match end {
+            SentAttempt::Responding(successor) if successor.is_successful() => {
+                Handover::Replaced { stalled, successor }
+            }
+            SentAttempt::Responding(failed) => {
+                self.execution = Execution::Ran;
+                self.excluded.push(failed.runner().clone());
+                Handover::Failed { stalled }
+            }
+            SentAttempt::Declined => Handover::Failed { stalled },
+            SentAttempt::Lost(other) => {
+                self.execution = self.execution.max(Execution::Unknown);
+                self.excluded.push(other);
+                Handover::Failed { stalled }
+            }
+        }
+    }
+
+    fn keep(&self, stalled: Box<Run>, reason: &str) -> Box<Run> {
+        let request = self.request.metadata.id.as_str();
+        let runner = stalled.runner().as_str();
+        log::info!(target: "stream", request, runner, reason; "stalled run kept");
+        stalled
+    }
+
+    fn continue_at(&self, replaced: &RunnerId, mut successor: Box<Run>) -> Box<Run> {
+        self.on_run_started(&mut successor);
+        self.record_interruption(replaced, "replaced after a pause");
+        self.node.metrics.resumes.inc();
+        let request = self.request.metadata.id.as_str();
+        let (runner, replaced) = (successor.runner().as_str(), replaced.as_str());
+        log::info!(target: "stream", request, runner, replaced; "stream continued by another runner");
+        successor
+    }
+}
+
+fn is_suspected(node: &Node, runner: &RunnerId) -> bool {
+    node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected)
+}
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -124,6 +124,17 @@
         Ok(body)
     }
 
+    /// Completes when further bytes arrive. Never completes if the connection ends before.
+    pub async fn wait_for_data(&self) {
+        let unread = || self.io.with_read_buf(|buffer| buffer.len());
+        let unread_before = unread();
+        while unread() <= unread_before {
+            if !matches!(self.io.read_notify().await, Ok(Some(()))) {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Whether another request may be sent: the connection is open, the last request was written
     /// completely, and no unexpected bytes have arrived.
     pub fn is_reusable(&self) -> bool {
--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -21,13 +21,15 @@
     ids.map(event_text).collect()
 }
 
-/// A runner that pauses before each event and always goes on.
+/// A runner that pauses before each event of a stream and always goes on.
 fn pausing_runner() -> RunnerStandIn {
-    RunnerStandIn::start("i-pausing", |request| {
+    runner("i-pausing", |request| {
+        if !is_run(request) {
+            return engine_script(LAST_EVENT)(request);
+        }
         let whole = EventStream::for_request(request, LAST_EVENT);
         Reaction::Stream(EventStream { pause: PAUSE, ..whole })
     })
-    .unwrap()
 }
 
 fn runner(
@@ -105,13 +107,7 @@
 #[test]
 fn a_stream_that_pauses_is_whole_though_the_budget_covers_its_second_prefill_alone() {
     let prefill = runner("i-prefill", engine_script(LAST_EVENT));
-    let pausing = runner("i-pausing", |request| match is_run(request) {
-        true => {
-            let whole = EventStream::for_request(request, LAST_EVENT);
-            Reaction::Stream(EventStream { pause: PAUSE, ..whole })
-        }
-        false => engine_script(LAST_EVENT)(request),
-    });
+    let pausing = pausing_runner();
     let runners = [(&prefill, "llm", Some("prefill")), (&pausing, "llm", Some("decode"))];
     let node = Fixture::with_runners(&runners);
     let mut client = start_stream(&node, PROMPT);
