Soak: streams that pause and go on, nodes that reload again and again, and the promise that such a stream is whole

Seeds from 8000 on: a runner pauses for 0.2 to 2.5 s in a tenth of its streams and goes on, declines half of the streams of others that it is asked to continue, and all nodes get SIGHUP within 0.3 s each 0.5 to 1.5 s, beside the faults that such a seed has anyway. The check judges streams that a node in contact ended before their deadline though no runner aborted them or crashed.

Schedules of earlier seeds stay as they were.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{response_body, LAST_EVENT};
 use crate::history::{Event, Outcome, RequestKind, TimedEvent};
+use crate::interrupted_streams::streams_cut_by_their_node;
 use crate::region_checks::unserved_in_cut_off_regions;
 use crate::reported_limit_checks::exceeded_reported_limits;
 use crate::self_report_checks::{requests_after_leaving, requests_during_backoff};
@@ -39,7 +40,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Each guarantee with the check that finds its violations.
-const CHECKS: [(&str, Check); 18] = [
+const CHECKS: [(&str, Check); 19] = [
     ("the whole answer to its own request", wrong_responses),
     ("a stream whole and in order", incomplete_streams),
     ("at most once", repeated_runs),
@@ -52,6 +53,7 @@
     ("a runner that asks for rest gets it", requests_during_backoff),
     ("a runner gets no more than it names", exceeded_reported_limits),
     ("a planned stop cuts nothing", requests_cut_by_planned_stops),
+    ("a stream whose runner goes on is whole", streams_cut_by_their_node),
     ("runners are told the tenant and not the key", tenant_identity_faults),
     ("one usage report for a window", conflicting_usage_reports),
     ("requests that end runners are contained", uncontained_poison_requests),
@@ -105,7 +107,7 @@
     pub(crate) node: usize,
     pub(crate) sent_us: u64,
     pub(crate) ended_us: u64,
-    outcome: &'a Outcome,
+    pub(crate) outcome: &'a Outcome,
 }
 
 impl Exchange<'_> {
@@ -189,6 +191,11 @@
         last_run.zip(aborted_at_us).is_some_and(|(run, aborted_at_us)| *aborted_at_us >= run.at_us)
     }
 
+    /// Whether a runner began to run the request, and none aborted its stream.
+    pub(crate) fn was_run_without_abort(&self, request: &str) -> bool {
+        self.run_count(request) > 0 && !self.aborted_at_us.contains_key(request)
+    }
+
     /// The node to which a client sent the request; `None` if the request was never sent.
     pub(crate) fn node_of(&self, request: &str) -> Option<usize> {
         self.nodes.get(request).copied()
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::history::{Event, Recorder, RequestKind};
 use crate::plan::{
     has_incarnations, has_large_configurations, has_limits, has_reported_limits, has_restores,
-    has_self_reports,
+    has_self_reports, has_stream_pauses,
 };
 use crate::proxy::Link;
 use crate::regions::RegionLink;
@@ -37,7 +37,7 @@
 const ENGINE_SERVICE: &str = "engine";
 const DESK_SERVICE: &str = "desk";
 /// Deadline that clients send with each request, milliseconds.
-const REQUEST_DEADLINE_MS: u64 = 5_000;
+pub const REQUEST_DEADLINE_MS: u64 = 5_000;
 /// Delay on the link for a crashing runner's last responses.
 const LATE_RESPONSE_DELAY: Duration = Duration::from_millis(1_500);
 /// Time from the start of that delay until the crash, in which responses enter the link.
@@ -178,7 +178,8 @@
         let accepts_orders = has_self_reports(self.seed);
         let role =
             stage.filter(|_| accepts_orders).map(|stage| Arc::new(Role::new(stage, born_ms)));
-        let worker = Worker { id: id.clone(), stage, role: role.clone() };
+        let pauses_in_streams = has_stream_pauses(self.seed);
+        let worker = Worker { id: id.clone(), stage, role: role.clone(), pauses_in_streams };
         let reports_leaving = Arc::new(AtomicBool::new(false));
         let self_reporting = SelfReporting {
             is_enabled: has_self_reports(self.seed),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`region_checks`] | the check on regions that are cut off |
 //! | `self_report_checks` | the checks on what runners report about themselves |
 //! | `reported_limit_checks` | the check on the limits that runners report |
+//! | `interrupted_streams` | the check on streams that nodes end |
 //!
 //! The example `soak` starts the processes and terminates them when it ends.
 
@@ -28,6 +29,7 @@
 pub mod client;
 pub mod fleet;
 pub mod history;
+mod interrupted_streams;
 pub mod plan;
 pub mod region_checks;
 pub mod regions;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -123,8 +123,10 @@
 /// Later seeds up to the first seed with restores have runners that temporarily report how many
 /// requests per second they accept from all nodes together.
 const FIRST_SEED_WITH_REPORTED_LIMITS: u64 = 6_000;
-/// Later seeds have a store that is restored from older backups.
+/// Later seeds up to the first seed with pauses in streams have a store that is restored from older backups.
 const FIRST_SEED_WITH_RESTORES: u64 = 7_000;
+/// Later seeds have streams that pause and go on, and nodes that reload their settings again and again.
+const FIRST_SEED_WITH_STREAM_PAUSES: u64 = 8_000;
 /// Maximum time for which the regions are cut off from each other.
 const REGION_CUT_DURATION: Duration = Duration::from_secs(10);
 /// Time without faults at the end of a run, in which the system has to recover.
@@ -149,6 +151,9 @@
     if has_restores(seed) && has_faults(seed) {
         steps.extend(restore_steps(seed, length));
     }
+    if has_stream_pauses(seed) {
+        steps.extend(reload_steps(seed, length, nodes));
+    }
     if has_isolated_restore(seed) && has_faults(seed) {
         let restore = isolated_restore(length);
         steps.retain(|step| !overlaps_isolated_restore(step, &restore));
@@ -177,9 +182,35 @@
     vec![step(faults_end / 5), step(faults_end / 2), step(faults_end / 2 + SECOND_RESTORE_DELAY)]
 }
 
+/// Reloads of all nodes within a short time, again and again. A separate random generator draws these steps, so that the
+/// other steps of a seed stay the same.
+fn reload_steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
+    const SEED_SALT: u64 = 0x72_656c_6f61;
+    const INTERVAL_MS: std::ops::Range<u64> = 500..1_500;
+    const SPREAD_MS: std::ops::Range<u64> = 0..300;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SEED_SALT);
+    let faults_end = length.saturating_sub(RECOVERY_TIME);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < faults_end {
+        at += Duration::from_millis(rng.random_range(INTERVAL_MS));
+        steps.extend((0..nodes).map(|node| Step {
+            at: at + Duration::from_millis(rng.random_range(SPREAD_MS)),
+            duration: Duration::ZERO,
+            action: Action::ReloadSettings { node },
+        }));
+    }
+    steps
+}
+
 /// Whether the seed restores the store from older backups.
 pub fn has_restores(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_RESTORES
+    (FIRST_SEED_WITH_RESTORES..FIRST_SEED_WITH_STREAM_PAUSES).contains(&seed)
+}
+
+/// Whether runners of the seed pause in some streams and then go on, and nodes reload their settings again and again.
+pub fn has_stream_pauses(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_STREAM_PAUSES
 }
 
 /// Whether the seed has one restore of the store after which no other fault occurs until the time
--- a/crates/soak/src/runner_script.rs
+++ b/crates/soak/src/runner_script.rs
@@ -8,7 +8,9 @@
 use crate::tenants::tenant_of;
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::role::{OrderOutcome, Role};
-use pitchstall_platform_standins::runner::{engine_script, CrashHead, NoticeHeaders, Reaction};
+use pitchstall_platform_standins::runner::{
+    engine_script, CrashHead, LongPause, NoticeHeaders, Reaction,
+};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,6 +20,12 @@
 /// Probability that a runner fails a request that it runs: it closes or resets the connection,
 /// responds with an error, or aborts the stream.
 const FAULT_PROBABILITY: f64 = 0.03;
+/// Probability that a runner that pauses in streams does so in one stream, and the length of the pause in milliseconds.
+/// Nodes look for another runner after 1,000.
+const STREAM_PAUSE_PROBABILITY: f64 = 0.1;
+const STREAM_PAUSE_MS: std::ops::Range<u64> = 200..2_500;
+/// Probability that such a runner declines to continue a stream of another runner.
+const RESUMPTION_DECLINE_PROBABILITY: f64 = 0.5;
 /// Probability that a runner declines a request and asks for a pause.
 const DECLINE_PROBABILITY: f64 = 0.02;
 /// Length of that pause: seconds, as in the header, and the same in microseconds.
@@ -48,6 +56,8 @@
     pub(crate) stage: Option<&'static str>,
     /// Current role; `None` if the runner does not accept orders.
     pub(crate) role: Option<Arc<Role>>,
+    /// Whether it pauses in some streams and then goes on.
+    pub(crate) pauses_in_streams: bool,
 }
 
 impl RunnerLocation {
@@ -210,6 +220,13 @@
             let head = if stage.is_some() { CrashHead::Chunked } else { CrashHead::None };
             return crash(&own_link, head);
         }
+        let is_resumption = request.header("last-event-id").is_some();
+        if worker.pauses_in_streams
+            && is_resumption
+            && lock(&rng).random_bool(RESUMPTION_DECLINE_PROBABILITY)
+        {
+            return Reaction::Decline;
+        }
         let tenant = tenant_of(name);
         let shows_key = request.headers.iter().any(|(_, value)| value.contains(tenant.key));
         if shows_key || request.tenant() != Some(tenant.name) {
@@ -223,7 +240,10 @@
             recorder.record(Event::Charged { request, tenant, units: limit.units_per_run() });
         }
         let mut rng = lock(&rng);
-        let reaction = react(&mut *rng, request, name, stage, &engine);
+        let mut reaction = react(&mut *rng, request, name, stage, &engine);
+        if worker.pauses_in_streams {
+            add_pause(&mut *rng, &mut reaction);
+        }
         if matches!(&reaction, Reaction::Stream(stream) if stream.cut_after_event.is_some()) {
             recorder.record(Event::StreamAborted { request: name.to_owned() });
         }
@@ -231,6 +251,16 @@
     }
 }
 
+/// Makes a stream pause before one of its events, with a probability.
+fn add_pause(rng: &mut impl Rng, reaction: &mut Reaction) {
+    let Reaction::Stream(stream) = reaction else { return };
+    if rng.random_bool(STREAM_PAUSE_PROBABILITY) && stream.first < stream.last {
+        let before_event = rng.random_range(stream.first..stream.last);
+        let length = Duration::from_millis(rng.random_range(STREAM_PAUSE_MS));
+        stream.long_pause = Some(LongPause { before_event, length });
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,7 +5,9 @@
 use pitchstall_soak::checks::{request_body, violations};
 use pitchstall_soak::fleet::{response_body, LAST_EVENT};
 use pitchstall_soak::history::{Event, Outcome, RequestKind, TimedEvent};
-use pitchstall_soak::plan::{has_limits, has_regions, has_reported_limits, steps, Action, Step};
+use pitchstall_soak::plan::{
+    has_limits, has_regions, has_reported_limits, has_restores, steps, Action, Step,
+};
 use pitchstall_soak::regions::{id_with_node, is_from_other_zone};
 use pitchstall_soak::tenants::{tenant_of, LIMITED};
 use std::time::Duration;
@@ -237,6 +239,36 @@
     assert_eq!(broken_promises(&by_stop), ["a planned stop cuts nothing"]);
 }
 
+#[test]
+fn a_stream_that_a_node_ends_though_its_runner_goes_on_is_found() {
+    let begun = [
+        sent(9 * SECOND, "r", RequestKind::ResumableStream),
+        ran(9 * SECOND + 1, "r", "i-1"),
+        ran(10 * SECOND + 1, "r", "i-2"),
+    ];
+    let cut = ended(10 * SECOND + 5, "r", Outcome::Disconnected);
+    let by_node = [&begun[..], std::slice::from_ref(&cut)].concat();
+    assert_eq!(broken_promises(&by_node), ["a stream whose runner goes on is whole"]);
+    let aborted = (10 * SECOND + 2, Event::StreamAborted { request: "r".to_owned() });
+    let by_runner = [&begun[..], &[aborted, cut]].concat();
+    assert_eq!(broken_promises(&by_runner), Vec::<&str>::new());
+    let late = ended(14 * SECOND, "r", Outcome::Disconnected);
+    let by_deadline = [&begun[..], &[late]].concat();
+    assert_eq!(broken_promises(&by_deadline), Vec::<&str>::new());
+}
+
+#[test]
+fn only_later_seeds_reload_again_and_again() {
+    let reloads = |seed| {
+        let steps = steps(seed, Duration::from_secs(25), 4);
+        let is_reload = |step: &&Step| matches!(step.action, Action::ReloadSettings { .. });
+        steps.iter().filter(is_reload).count()
+    };
+    assert!((7_000..8_000).all(|seed| reloads(seed) < 16));
+    assert!((8_000..8_100).all(|seed| reloads(seed) >= 40));
+    assert!(!has_restores(8_000) && !has_reported_limits(8_000));
+}
+
 #[test]
 fn a_fencing_token_of_two_holders_is_found() {
     let order = |at, holder: &str| {
