A successor that was sought in vain costs no retry; stalled runs that are kept are counted by reason

The search for a successor charges the retry budget before it begins, so that the fleet's bound holds. Where nothing has been sent for the charge it is returned now, as for a prefill that was no extra attempt. `stalled_runs_kept` counts the searches that ended without a successor. No test of its own: the fixture's budget is filled by each request.

--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -10,6 +10,7 @@
 use pitchstall_serving::attempt::{EndReason, Execution};
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::retry_budget::SharedRetryBudget;
 use pitchstall_serving::runner::Runner;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -153,7 +154,12 @@
         }
     }
 
-    fn keep(&self, stalled: Box<Run>, reason: &str) -> Box<Run> {
+    fn keep(&mut self, stalled: Box<Run>, reason: &'static str) -> Box<Run> {
+        // Nothing was sent for the charge of the search.
+        if std::mem::take(&mut self.has_charged_retry) {
+            self.node.with_retry_budget(&self.service, SharedRetryBudget::refund);
+        }
+        self.node.metrics.on_stalled_run_kept(reason);
         let request = self.request.metadata.id.as_str();
         let runner = stalled.runner().as_str();
         log::info!(target: "stream", request, runner, reason; "stalled run kept");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a stalled run that was not replaced by one at another runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StalledRunLabels {
+    /// Why the run was kept, such as `resumed` or the reason for which there was no successor.
+    pub reason: &'static str,
+}
+
 /// Labels of a store entry that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EntryLabels {
@@ -69,6 +76,8 @@
     pub resumes: Counter,
     /// Streams that the node ended after their head and before they were complete, by reason.
     pub streams_cut: Family<StreamCutLabels, Counter>,
+    /// Stalled runs for which a successor was sought and that were kept, by reason.
+    pub stalled_runs_kept: Family<StalledRunLabels, Counter>,
     /// New connections to runners, including those that could not be opened.
     pub connections: Counter,
     /// Placement replies received from schedulers in time.
@@ -127,6 +136,7 @@
             quarantines: Counter::default(),
             resumes: Counter::default(),
             streams_cut: Family::default(),
+            stalled_runs_kept: Family::default(),
             connections: Counter::default(),
             placements: Counter::default(),
             placements_rejected: Counter::default(),
@@ -243,6 +253,9 @@
         let streams_cut = self.streams_cut.clone();
         let help = "Streams that the node ended before they were complete, by reason";
         self.registry.register("streams_cut", help, streams_cut);
+        let stalled_runs_kept = self.stalled_runs_kept.clone();
+        let help = "Stalled runs for which a successor was sought and that were kept, by reason";
+        self.registry.register("stalled_runs_kept", help, stalled_runs_kept);
         let refused_entries = self.refused_entries.clone();
         let help = "Revisions of store entries that could not be used";
         self.registry.register("entries_refused", help, refused_entries);
@@ -267,6 +280,11 @@
         self.streams_cut.get_or_create(&StreamCutLabels { reason }).inc();
     }
 
+    /// Counts a stalled run that was kept after a successor had been sought.
+    pub fn on_stalled_run_kept(&self, reason: &'static str) {
+        self.stalled_runs_kept.get_or_create(&StalledRunLabels { reason }).inc();
+    }
+
     /// Counts a revision of a store entry that could not be used.
     pub fn on_refused_entry(&self, subject: &'static str) {
         self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
