--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -5,8 +5,10 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{
-    engine_script, event_text, stream_head, EventStream, NoticeHeaders, Reaction, RunnerStandIn,
+    engine_script, event_text, stream_head, EventStream, LongPause, NoticeHeaders, Reaction,
+    RunnerStandIn,
 };
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use support::{Fixture, RawClient};
 use test_case::test_case;
@@ -134,3 +136,63 @@
     let resumed = other.requests().into_iter().find(is_run).unwrap();
     assert_eq!(resumed.header("last-event-id"), Some("0"));
 }
+
+/// A number that depends on the request and on whether it resumes a stream.
+fn draw(request: &ReceivedRequest) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (request.id(), request.header("last-event-id")).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Pauses for up to 2 s in each stream that it starts. Continues a stream of another runner, quickly or slowly, or does
+/// not run it.
+fn erratic_reaction(request: &ReceivedRequest) -> Reaction {
+    const EVENTS: u64 = 5;
+    const MAX_PAUSE_MS: u64 = 2_000;
+    if !is_run(request) {
+        return engine_script(EVENTS - 1)(request);
+    }
+    let number = draw(request);
+    let mut stream = EventStream::for_request(request, EVENTS - 1);
+    if request.header("last-event-id").is_none() {
+        let length = Duration::from_millis(number / EVENTS % MAX_PAUSE_MS);
+        stream.long_pause = Some(LongPause { before_event: number % EVENTS, length });
+        return Reaction::Stream(stream);
+    }
+    match number % 6 {
+        0 => Reaction::Decline,
+        1 => Reaction::RawThenReset(Vec::new()),
+        2 => Reaction::Respond { status: 500, body: Vec::new() },
+        3 => Reaction::Silent,
+        4 => Reaction::Stream(EventStream { pause: Duration::from_millis(250), ..stream }),
+        _ => Reaction::Stream(stream),
+    }
+}
+
+#[test]
+fn streams_that_pause_are_whole_whatever_the_other_runners_do() {
+    const CLIENTS: usize = 40;
+    const STREAMS_PER_CLIENT: usize = 3;
+    let runners: Vec<_> =
+        (0..4).map(|number| runner(&format!("i-{number}"), erratic_reaction)).collect();
+    let entries: Vec<_> = runners.iter().map(|runner| (runner, "llm", Some("decode"))).collect();
+    let node = Fixture::with_runners(&entries);
+    let whole = events(0..=4);
+    let send_streams = |client_number: usize| {
+        let stream = |number: usize| {
+            let mut client = node.client();
+            let id = format!("id-{client_number}-{number}");
+            client.request("POST", "/summary/1", &id, "", b"x");
+            let response = client.read_response();
+            (id, response.status, response.text())
+        };
+        (0..STREAMS_PER_CLIENT).map(stream).collect::<Vec<_>>()
+    };
+    let broken: Vec<_> = std::thread::scope(|scope| {
+        let clients: Vec<_> =
+            (0..CLIENTS).map(|client| scope.spawn(move || send_streams(client))).collect();
+        let streams = clients.into_iter().flat_map(|client| client.join().unwrap());
+        streams.filter(|(_, status, text)| (*status, text) != (200, &whole)).collect()
+    });
+    assert_eq!(broken, []);
+}
