--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,7 +1,9 @@
 //! One check for each guarantee to users whose violation clients and runners can observe.
 
+use crate::configuration_checks::{late_configurations, reverted_configurations};
 use crate::fleet::{response_body, LAST_EVENT};
 use crate::history::{Event, Outcome, RequestKind, TimedEvent};
+use crate::indexed_history::History;
 use crate::interrupted_streams::streams_cut_by_their_node;
 use crate::region_checks::unserved_in_cut_off_regions;
 use crate::reported_limit_checks::exceeded_reported_limits;
@@ -9,7 +11,7 @@
 use crate::tenant_limit_checks::{exceeded_tenant_limits, false_limit_refusals};
 use crate::tenants::{tenant_of, BELOW_LIMIT};
 use pitchstall_platform_standins::runner::event_text;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time from the end of a fault until the time bounds apply to a node again, microseconds.
 pub const CONTACT_BOUND_US: u64 = 3_000_000;
@@ -25,8 +27,8 @@
 const FREE_CRASHES: usize = 3;
 /// Number of counted repeats of a poison request that are tolerated.
 const MAX_REPEATS: usize = 3;
-const OK: u16 = 200;
-const NOT_FOUND: u16 = 404;
+pub(crate) const OK: u16 = 200;
+pub(crate) const NOT_FOUND: u16 = 404;
 
 /// An observed violation of a guarantee.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -101,182 +103,6 @@
     broken
 }
 
-/// A request that a client sent, and its outcome.
-pub(crate) struct Exchange<'a> {
-    pub(crate) kind: RequestKind,
-    pub(crate) node: usize,
-    pub(crate) sent_us: u64,
-    pub(crate) ended_us: u64,
-    pub(crate) outcome: &'a Outcome,
-}
-
-impl Exchange<'_> {
-    /// HTTP status of a complete response; `None` if the response is not complete.
-    pub(crate) fn status(&self) -> Option<u16> {
-        match self.outcome {
-            Outcome::Complete { status, .. } => Some(*status),
-            _ => None,
-        }
-    }
-}
-
-struct Run<'a> {
-    at_us: u64,
-    runner: &'a str,
-    body: &'a [u8],
-}
-
-/// The recorded events, indexed for the checks.
-pub(crate) struct History<'a> {
-    pub(crate) events: &'a [TimedEvent],
-    pub(crate) exchanges: BTreeMap<&'a str, Exchange<'a>>,
-    /// The node that received each request, by request id.
-    nodes: HashMap<&'a str, usize>,
-    runs: HashMap<&'a str, Vec<Run<'a>>>,
-    /// Faults, starts and stops. Checks search this short list instead of all events.
-    disturbances: Vec<&'a TimedEvent>,
-    /// Time of the last stream abort by a runner, microseconds, by request id.
-    aborted_at_us: HashMap<&'a str, u64>,
-}
-
-fn is_disturbance(event: &Event) -> bool {
-    matches!(
-        event,
-        Event::Disturbed { .. }
-            | Event::RunnerLinkDisturbed
-            | Event::RunnerCrashed { .. }
-            | Event::NodeStarted { .. }
-            | Event::PlannedStop { .. }
-    )
-}
-
-impl<'a> History<'a> {
-    fn new(events: &'a [TimedEvent]) -> Self {
-        let mut sent: HashMap<&str, (u64, RequestKind, usize)> = HashMap::new();
-        let mut exchanges = BTreeMap::new();
-        let mut nodes = HashMap::new();
-        let mut runs: HashMap<&str, Vec<Run>> = HashMap::new();
-        let mut aborted_at_us = HashMap::new();
-        for (at_us, event) in events {
-            match event {
-                Event::Sent { request, kind, node } => {
-                    sent.insert(request, (*at_us, *kind, *node));
-                    nodes.insert(request.as_str(), *node);
-                }
-                Event::Ended { request, outcome } => {
-                    if let Some((sent_us, kind, node)) = sent.get(request.as_str()).copied() {
-                        let ended_us = *at_us;
-                        let exchange = Exchange { kind, node, sent_us, ended_us, outcome };
-                        exchanges.insert(request.as_str(), exchange);
-                    }
-                }
-                Event::Ran { request, runner, body } => {
-                    runs.entry(request).or_default().push(Run { at_us: *at_us, runner, body });
-                }
-                Event::StreamAborted { request } => {
-                    aborted_at_us.insert(request.as_str(), *at_us);
-                }
-                _ => {}
-            }
-        }
-        let disturbances = events.iter().filter(|(_, event)| is_disturbance(event)).collect();
-        Self { events, exchanges, nodes, runs, disturbances, aborted_at_us }
-    }
-
-    /// Whether the runner aborted the stream of the request's last run, in which case no node cut
-    /// it.
-    fn was_aborted_by_runner(&self, request: &str) -> bool {
-        let last_run = self.runs.get(request).and_then(|runs| runs.last());
-        let aborted_at_us = self.aborted_at_us.get(request);
-        last_run.zip(aborted_at_us).is_some_and(|(run, aborted_at_us)| *aborted_at_us >= run.at_us)
-    }
-
-    /// Whether a runner began to run the request, and none aborted its stream.
-    pub(crate) fn was_run_without_abort(&self, request: &str) -> bool {
-        self.run_count(request) > 0 && !self.aborted_at_us.contains_key(request)
-    }
-
-    /// The node to which a client sent the request; `None` if the request was never sent.
-    pub(crate) fn node_of(&self, request: &str) -> Option<usize> {
-        self.nodes.get(request).copied()
-    }
-
-    /// Whether the node started, was told to stop, was under a fault, or any runner link was under
-    /// a fault in the given period. Faults of the store alone do not count.
-    pub(crate) fn was_disturbed(&self, node: usize, from_us: u64, to_us: u64) -> bool {
-        self.disturbances.iter().any(|(at_us, event)| {
-            let affects_node = match event {
-                Event::RunnerLinkDisturbed => true,
-                Event::Disturbed { node: Some(other) }
-                | Event::NodeStarted { node: other }
-                | Event::PlannedStop { node: other } => *other == node,
-                _ => false,
-            };
-            affects_node && (from_us..=to_us).contains(at_us)
-        })
-    }
-
-    fn run_count(&self, request: &str) -> usize {
-        self.runs.get(request).map_or(0, Vec::len)
-    }
-
-    /// Whether the node, the store and all runner links were free of faults in the given period and
-    /// for the contact bound and the slack before it.
-    pub(crate) fn was_in_contact(&self, node: usize, from_us: u64, to_us: u64) -> bool {
-        let since_us = from_us.saturating_sub(CONTACT_BOUND_US + SLACK_US);
-        let is_disturbed = |(at_us, event): &TimedEvent| {
-            *event == Event::RunnerLinkDisturbed && (since_us..=to_us).contains(at_us)
-        };
-        let is_undisturbed = !self.disturbances.iter().copied().any(is_disturbed);
-        is_undisturbed && self.was_in_contact_with_store(node, from_us, to_us)
-    }
-
-    /// Whether any runner crashed in the given period or within the contact bound and the slack
-    /// before it.
-    pub(crate) fn did_runner_crash(&self, from_us: u64, to_us: u64) -> bool {
-        let from_us = from_us.saturating_sub(CONTACT_BOUND_US + SLACK_US);
-        let is_crash = |(at_us, event): &TimedEvent| {
-            matches!(event, Event::RunnerCrashed { .. }) && (from_us..=to_us).contains(at_us)
-        };
-        self.disturbances.iter().copied().any(is_crash)
-    }
-
-    /// Whether the node and the store were free of faults in the given period and for the contact
-    /// bound and the slack before it.
-    fn was_in_contact_with_store(&self, node: usize, from_us: u64, to_us: u64) -> bool {
-        let from_us = from_us.saturating_sub(CONTACT_BOUND_US + SLACK_US);
-        !self.disturbances.iter().any(|(at_us, event)| {
-            let affects_node = match event {
-                Event::Disturbed { node: None } => true,
-                Event::Disturbed { node: Some(other) }
-                | Event::NodeStarted { node: other }
-                | Event::PlannedStop { node: other } => *other == node,
-                _ => false,
-            };
-            affects_node && (from_us..=to_us).contains(at_us)
-        })
-    }
-
-    fn configured_versions(&self) -> Vec<(u64, u64)> {
-        let versions = self.events.iter().filter_map(|(at_us, event)| match event {
-            Event::Configured { version } => Some((*version, *at_us)),
-            _ => None,
-        });
-        versions.collect()
-    }
-
-    fn probes(&self) -> impl Iterator<Item = (&&'a str, &Exchange<'a>, u64, u16)> {
-        self.exchanges.iter().filter_map(|(request, exchange)| {
-            match (exchange.kind, exchange.outcome) {
-                (RequestKind::Probe { version }, Outcome::Complete { status, .. }) => {
-                    Some((request, exchange, version, *status))
-                }
-                _ => None,
-            }
-        })
-    }
-}
-
 fn wrong_responses(history: &History) -> Vec<String> {
     let mut wrong = Vec::new();
     for (request, exchange) in &history.exchanges {
@@ -349,66 +175,6 @@
     format!("body of {request}")
 }
 
-fn late_configurations(history: &History) -> Vec<String> {
-    let configured_versions = history.configured_versions();
-    let mut late = Vec::new();
-    for (request, exchange, version, status) in history.probes() {
-        let known = configured_versions.iter().find(|(known, _)| *known == version);
-        let Some((_, acknowledged_us)) = known else { continue };
-        let replaced = configured_versions
-            .iter()
-            .any(|(other, at_us)| *other > version + 1 && *at_us <= exchange.ended_us + SLACK_US);
-        let due_us = acknowledged_us + CONFIG_APPLY_BOUND_US + SLACK_US;
-        let is_due = exchange.sent_us > due_us && !replaced;
-        if is_due
-            && status == NOT_FOUND
-            && history.was_in_contact(exchange.node, exchange.sent_us, exchange.ended_us)
-        {
-            late.push(format!("{request}: node {} does not know version {version}", exchange.node));
-        }
-    }
-    late
-}
-
-/// The route of a version exists in that version and the next one. A node that has served a version
-/// more than one newer than the probed one must not serve the old route again in the same
-/// incarnation.
-fn reverted_configurations(history: &History) -> Vec<String> {
-    let mut wrong = Vec::new();
-    let mut newest_versions: HashMap<usize, u64> = HashMap::new();
-    let mut ended: Vec<(u64, usize, u64, u16, u64)> = history
-        .probes()
-        .map(|(_, it, version, status)| (it.ended_us, it.node, version, status, it.sent_us))
-        .collect();
-    ended.sort_unstable();
-    let starts: Vec<(u64, usize)> = history
-        .events
-        .iter()
-        .filter_map(|(at_us, event)| match event {
-            Event::NodeStarted { node } => Some((*at_us, *node)),
-            _ => None,
-        })
-        .collect();
-    let mut incarnations: HashMap<usize, u64> = HashMap::new();
-    for (ended_us, node, version, status, sent_us) in ended {
-        let incarnation =
-            starts.iter().filter(|(at_us, it)| *it == node && *at_us <= sent_us).count();
-        if incarnations.insert(node, incarnation as u64) != Some(incarnation as u64) {
-            newest_versions.remove(&node);
-        }
-        let newest_version = newest_versions.entry(node).or_default();
-        if status == OK {
-            if *newest_version > version + 1 {
-                wrong.push(format!(
-                    "node {node} at {ended_us} us: version {version} after {newest_version}"
-                ));
-            }
-            *newest_version = (*newest_version).max(version);
-        }
-    }
-    wrong
-}
-
 fn runs_after_drain(history: &History) -> Vec<String> {
     let mut late = Vec::new();
     for (draining_us, event) in history.events {
--- a/crates/soak/src/interrupted_streams.rs
+++ b/crates/soak/src/interrupted_streams.rs
@@ -1,8 +1,8 @@
 //! Checks that nodes end no stream whose runner goes on with it.
 
-use crate::checks::History;
 use crate::fleet::REQUEST_DEADLINE_MS;
 use crate::history::{Outcome, RequestKind};
+use crate::indexed_history::History;
 
 const MICROS_PER_MILLI: u64 = 1_000;
 const BAD_GATEWAY: u16 = 502;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,8 @@
 //! | --- | --- |
 //! | [`history`] | the observed events, with timestamps of one clock |
 //! | [`checks`] | one check for each guarantee |
+//! | `indexed_history` | the events, indexed for the checks |
+//! | `configuration_checks` | the checks on configurations |
 //! | [`plan`] | the schedule of faults of a seed |
 //! | [`proxy`] | a link that can be faulty or slow |
 //! | [`client`] | sends a request and reads the complete response |
@@ -27,8 +29,10 @@
 
 pub mod checks;
 pub mod client;
+mod configuration_checks;
 pub mod fleet;
 pub mod history;
+mod indexed_history;
 mod interrupted_streams;
 pub mod plan;
 pub mod region_checks;
--- a/crates/soak/src/region_checks.rs
+++ b/crates/soak/src/region_checks.rs
@@ -1,7 +1,8 @@
 //! Checks that clients of a region that is cut off are served by the region's own runners.
 
-use crate::checks::{Exchange, History, CONTACT_BOUND_US, SLACK_US};
+use crate::checks::{CONTACT_BOUND_US, SLACK_US};
 use crate::history::{Event, RequestKind};
+use crate::indexed_history::{Exchange, History};
 use crate::regions::zone_of;
 use std::collections::BTreeMap;
 
--- a/crates/soak/src/reported_limit_checks.rs
+++ b/crates/soak/src/reported_limit_checks.rs
@@ -1,8 +1,9 @@
 //! Checks that a runner that reports how many requests per second it accepts from all nodes
 //! together receives no more.
 
-use crate::checks::{History, CONTACT_BOUND_US};
+use crate::checks::CONTACT_BOUND_US;
 use crate::history::Event;
+use crate::indexed_history::History;
 use std::collections::{BTreeMap, HashMap};
 
 /// Length of the windows in which arrivals are counted, microseconds.
--- a/crates/soak/src/self_report_checks.rs
+++ b/crates/soak/src/self_report_checks.rs
@@ -1,8 +1,9 @@
 //! Checks that a node respects what a runner has reported to it about itself, even if the store
 //! does not show it yet.
 
-use crate::checks::{History, CONTACT_BOUND_US, DRAIN_BOUND_US};
+use crate::checks::{CONTACT_BOUND_US, DRAIN_BOUND_US};
 use crate::history::Event;
+use crate::indexed_history::History;
 use std::collections::HashMap;
 
 /// Time from a response that asks for a pause until arrivals count, microseconds. Requests already
--- a/crates/soak/src/tenant_limit_checks.rs
+++ b/crates/soak/src/tenant_limit_checks.rs
@@ -1,7 +1,7 @@
 //! Checks tenants' limits against the requests that runners observed.
 
-use crate::checks::History;
 use crate::history::Event;
+use crate::indexed_history::History;
 use std::collections::{BTreeMap, HashMap};
 
 /// A run of a request whose tenant has a limit.
