A run of a plain service whose client leaves stays charged to its tenant

A run of a language model that has not answered is still given back: it begins with its head.

The test (a client leaves while its booking runs) failed before on the returned charge.

--- a/crates/gateway/src/dispatch/admission.rs
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -51,7 +51,9 @@
         if !self.charge_arrival(cost) {
             return Err(EndReason::Refused);
         }
-        Ok(Admission::Admitted(self.reservation.take().map(QuotaReservation::mark_sent)))
+        let starts_on_arrival = self.engine.is_none();
+        let reservation = self.reservation.take();
+        Ok(Admission::Admitted(reservation.map(|it| it.mark_sent(starts_on_arrival))))
     }
 
     /// Whether the runner's limit allows one more request.
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -217,7 +217,7 @@
         let end = attempt::send(self.node, self.request, prepared, &params).await;
         match (&end, reservation) {
             (AttemptEnd::Declined, reservation) => {
-                self.reservation = reservation.map(SentReservation::on_not_run)
+                self.reservation = reservation.and_then(SentReservation::on_not_run)
             }
             (_, Some(reservation)) => reservation.on_started(),
             (_, None) => {}
--- a/crates/gateway/src/quota/requester.rs
+++ b/crates/gateway/src/quota/requester.rs
@@ -81,9 +81,13 @@
     grant: Option<QuotaGrant>,
 }
 
-/// A charged run that has been sent. Dropping it refunds the charge, unless the run may have
-/// [started](SentReservation::on_started).
-pub struct SentReservation(QuotaReservation);
+/// A charged run that has been sent and whose runner has not responded. Dropping it refunds the charge, unless the run
+/// starts when it arrives at its runner.
+pub struct SentReservation {
+    /// `None` after the charge has been settled.
+    reservation: Option<QuotaReservation>,
+    starts_on_arrival: bool,
+}
 
 impl QuotaReservation {
     /// Whether the run may still be sent: the grant has not expired.
@@ -92,21 +96,38 @@
         self.grant.as_ref().is_some_and(|grant| grant.is_usable(now_us))
     }
 
-    /// Marks the run as sent. From then on, the charge may have to be kept.
-    pub fn mark_sent(self) -> SentReservation {
-        SentReservation(self)
+    /// Marks the run as sent. From then on, the charge may have to be kept. `starts_on_arrival`: the run starts when it
+    /// arrives at its runner; otherwise the runner responds when it starts.
+    pub fn mark_sent(self, starts_on_arrival: bool) -> SentReservation {
+        SentReservation { reservation: Some(self), starts_on_arrival }
+    }
+
+    /// Keeps the charge.
+    fn keep(mut self) {
+        self.grant = None;
     }
 }
 
 impl SentReservation {
     /// Returns the reservation for another attempt: the run has certainly not started.
-    pub fn on_not_run(self) -> QuotaReservation {
-        self.0
+    pub fn on_not_run(mut self) -> Option<QuotaReservation> {
+        self.reservation.take()
     }
 
     /// Keeps the charge: the run may have started.
     pub fn on_started(mut self) {
-        self.0.grant = None;
+        if let Some(reservation) = self.reservation.take() {
+            reservation.keep();
+        }
+    }
+}
+
+impl Drop for SentReservation {
+    fn drop(&mut self) {
+        match self.reservation.take() {
+            Some(reservation) if self.starts_on_arrival => reservation.keep(),
+            reservation => drop(reservation),
+        }
     }
 }
 
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -379,6 +379,27 @@
     assert!(runner.requests().iter().all(|it| it.target != "/booking/1"));
 }
 
+#[test]
+fn a_request_whose_client_disconnects_while_it_runs_stays_charged() {
+    let runner = RunnerStandIn::start("i-desk", |request| match request.header("x-slow") {
+        Some(_) => Reaction::Silent,
+        None => Reaction::Respond { status: 200, body: Vec::new() },
+    })
+    .unwrap();
+    let node = node_with(&runner, &json!({ "rate_per_s": 50, "burst": 50 }));
+    wait_for_keepers(&node);
+    wait_for("units for a request", || send(&node, TAXIS, 5).status == 200);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-0", &format!("{TAXIS}X-Slow: 1\r\n"), b"x");
+    let is_running = |request: &ReceivedRequest| request.header("x-slow").is_some();
+    wait_for("the run", || runner.requests().iter().any(is_running));
+    drop(client);
+    let metrics = || get(node.health, "/metrics").text();
+    wait_for("the end of the request", || metrics().contains("outcome=\"client_gone\"} 1"));
+    let refunds = "pitchstall_quota_returned_total{tenant=\"taxis\"}";
+    assert!(!metrics().contains(refunds), "the request may have run");
+}
+
 #[test]
 fn a_request_with_separate_prefill_is_charged_once() {
     let prefill = RunnerStandIn::start("i-reader", engine_script(3)).unwrap();
