A watch's answer with several versions of a large configuration is given up for the latest one

The head of an answer tells its length. One that is half as long again as the last version, and over 256 KB, is not read; the entry is, which is the latest version alone.

--- a/crates/gateway/src/platform_client.rs
+++ b/crates/gateway/src/platform_client.rs
@@ -4,6 +4,7 @@
 //! further response arrives on it.
 
 use crate::http::request::encode_request;
+use crate::http::response_codec::Framing;
 use crate::http::{BodyDecoder, ConnectError, ReadError, ResponseHead, Upstream};
 use crate::transfer::{read_body, Transfer, TransferError};
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -17,7 +18,7 @@
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum size of a response body.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a call received no complete response. Unless no connection could be opened, the call may
 /// have been performed.
@@ -35,6 +36,12 @@
     /// The response began to arrive and was not completed.
     #[error("incomplete response from the platform: {0}")]
     Incomplete(#[from] TransferError),
+    /// The response is longer than the caller accepts. Its body was not read.
+    #[error("a response of {bytes} bytes is longer than expected")]
+    TooLong {
+        /// Length of the body by the response's head.
+        bytes: u64,
+    },
 }
 
 /// A complete response of the platform.
@@ -68,6 +75,17 @@
         address: SocketAddr,
         call: &PlatformCall,
         head_timeout: Duration,
+    ) -> Result<PlatformResponse, PlatformError> {
+        self.call_limited(address, call, head_timeout, MAX_RESPONSE_BYTES).await
+    }
+
+    /// Makes a call like [`Self::call`], and gives up a response whose head announces a body of more than `max_bytes`.
+    pub async fn call_limited(
+        &mut self,
+        address: SocketAddr,
+        call: &PlatformCall,
+        head_timeout: Duration,
+        max_bytes: usize,
     ) -> Result<PlatformResponse, PlatformError> {
         let connection = self
             .connection
@@ -80,6 +98,11 @@
         self.transfer.reset();
         let head = timeout(head_timeout, send_call(&connection, address, call));
         let head = head.await.map_err(|_| PlatformError::TimedOut)??;
+        if let Framing::Length(bytes) = head.framing {
+            if bytes > max_bytes as u64 {
+                return Err(PlatformError::TooLong { bytes });
+            }
+        }
         let decoder = BodyDecoder::new(head.framing);
         let body = read_body(&connection, &decoder, MAX_RESPONSE_BYTES, &self.transfer).await?;
         let (keep_alive, era) = (head.keep_alive, parse_era(head.header_pairs()));
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -11,19 +11,18 @@
 //! fresh ([`pitchstall_serving::freshness`]); otherwise the store is queried.
 
 mod peer_source;
+mod store_source;
 
 use crate::clock::Instant;
-use crate::entries::{apply_update, to_entries};
+use crate::entries::apply_update;
 use crate::node::Node;
 use crate::platform_client::{PlatformClient, PlatformError};
 use crate::replica_limits::random_confirmation_period;
 use crate::replication::ReplicationClient;
-use crate::store_pages::read_pages;
 use crate::transfer::Transfer;
 use peer_source::hedge_with_peers;
-use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{
-    self, Page, StoreResponseError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX, RUNNERS_PREFIX,
+    StoreResponseError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX, RUNNERS_PREFIX,
 };
 use pitchstall_serving::freshness::{Freshness, ReplicaFreshness};
 use pitchstall_serving::store_replica::{StoreUpdate, StoreUpdateQuery, Subject};
@@ -34,18 +33,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Maximum time until the head of the response to a call that does not wait for changes.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Maximum wait that a watch requests. It is bounded so that the revision of the watch stays within
-/// the store's history.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
-const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
-/// Wait requested by a call that only confirms the replica.
-const CONFIRMATION_WATCH_WAIT: Duration = Duration::from_millis(1);
-/// Minimum time between two responses with changes: a fixed part, and a part for each store reader,
-/// since each change costs every store reader a call.
+/// Minimum time between two responses with changes.
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(100);
-const MIN_CHANGE_INTERVAL_PER_READER: Duration = Duration::from_millis(8);
 /// A change is delayed by at most `bounds.contact_ms` divided by this number.
 const MAX_CHANGE_INTERVAL_DIVISOR: u32 = 6;
 /// Time after the start within which a node waits for the list of nodes before it reads the store
@@ -54,9 +43,6 @@
 const NODE_LIST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause after a peer that had no confirmed replica.
 const SOURCE_RETRY_PAUSE: Duration = Duration::from_millis(30);
-/// A response whose transfer takes this long may be outdated when it is complete: in the users'
-/// deployments there are at most three changes per second.
-const MIN_SLOW_TRANSFER: Duration = Duration::from_millis(300);
 /// Minimum size of a response that is logged. It takes 13 ms on a link of 10 Mbit/s.
 const MIN_LOGGED_RESPONSE_BYTES: usize = 16 * 1024;
 /// Time between two checks whether a waiting watch can still be relied on.
@@ -116,6 +102,7 @@
         history_is_gone: false,
         last_change_at: None,
         should_reread_entry: false,
+        configuration_bytes: 0,
         confirmation_period,
         failures: 0,
     };
@@ -188,6 +175,8 @@
     last_change_at: Option<Instant>,
     /// Whether to read the entry again before watching it.
     should_reread_entry: bool,
+    /// Size of the last response with one version of the configuration, in bytes; 0 before the first one.
+    configuration_bytes: usize,
     /// How long the store's confirmation of the replica holds.
     confirmation_period: Duration,
     failures: u32,
@@ -225,28 +214,6 @@
         }
     }
 
-    /// Queries the store, and from the second consecutive failure on also another node. While
-    /// nothing is known here, an old replica is better than none, and a later change that others
-    /// have reported must be obtained from them. The store's first response replaces such a replica.
-    async fn query_store(&mut self) -> Result<(), FollowError> {
-        let outcome = match self.known_to {
-            None => self.read_all().await,
-            Some(_) if self.history_is_gone || self.is_replica_of_earlier_era() => {
-                self.read_all().await
-            }
-            Some(_) if self.should_reread_entry => self.read_latest().await,
-            Some(at) => self.watch(at).await,
-        };
-        let is_incomplete = self.known_to.is_none()
-            || self.history_is_gone
-            || self.is_replica_of_earlier_era()
-            || self.is_behind();
-        if outcome.is_err() && self.failures > 0 && is_incomplete {
-            self.query_any_node().await;
-        }
-        outcome
-    }
-
     /// Whether the store was restored from a backup after the replica was read. The store then
     /// assigns revisions again, and a watch would miss changes under revisions that are already
     /// known.
@@ -307,72 +274,6 @@
         }
     }
 
-    async fn read_all(&mut self) -> Result<(), FollowError> {
-        let update = match self.subject {
-            Subject::Configuration => self.read_configuration().await?,
-            Subject::Runners | Subject::Crashes => self.read_list().await?,
-        };
-        self.apply_update(&update);
-        self.history_is_gone = false;
-        self.confirmation_period = random_confirmation_period(&self.node, self.subject);
-        self.with_freshness(|replica, now_us| replica.on_full_read(&update, now_us));
-        self.node.replica_confirmed.notify_one();
-        Ok(())
-    }
-
-    /// Reads the only entry of the subject again until it did not change during the read. A watch
-    /// delivers every version written since its revision, one after the other, so versions written
-    /// during a slow transfer take even longer to transfer. A read delivers only the latest
-    /// version.
-    async fn read_latest(&mut self) -> Result<(), FollowError> {
-        let revision = |node: &Node| {
-            node.store_replicas.borrow().get(Subject::Configuration).last_changed_at()
-        };
-        let before = revision(&self.node);
-        self.read_all().await?;
-        let has_changed = revision(&self.node) != before;
-        self.should_reread_entry = has_changed && self.transfer.elapsed() >= MIN_SLOW_TRANSFER;
-        Ok(())
-    }
-
-    /// Checks after a response with changes whether its transfer was slow; a configuration may then
-    /// be outdated already and has to be read again.
-    fn note_transfer_time(&mut self) {
-        let has_one_entry = self.subject == Subject::Configuration;
-        self.should_reread_entry = has_one_entry && self.transfer.elapsed() >= MIN_SLOW_TRANSFER;
-    }
-
-    async fn read_configuration(&mut self) -> Result<StoreUpdate, FollowError> {
-        let (status, body, era) =
-            self.call(&store::read_key(CONFIGURATION_KEY), READ_TIMEOUT).await?;
-        if status != StoreStatus::Done {
-            return Err(FollowError::Status(status));
-        }
-        let (item, at) = store::parse_item(&body)?;
-        let entries = to_entries(&self.node, self.subject, vec![item]);
-        if entries.is_empty() {
-            // After repeated failures, another node is queried, which may have the previous
-            // version.
-            return Err(FollowError::InvalidConfiguration);
-        }
-        Ok(StoreUpdate { era, known_to: at, is_snapshot: true, entries })
-    }
-
-    async fn read_list(&mut self) -> Result<StoreUpdate, FollowError> {
-        let mut first_era = None;
-        let all = read_pages(async |after| {
-            let (page, era) = self.read_page(after.as_deref()).await?;
-            match *first_era.get_or_insert(era) == era {
-                true => Ok(page),
-                false => Err(FollowError::EraChanged),
-            }
-        });
-        let all = all.await?;
-        let entries = to_entries(&self.node, self.subject, all.items);
-        let era = first_era.unwrap_or_default();
-        Ok(StoreUpdate { era, known_to: all.revision, is_snapshot: true, entries })
-    }
-
     fn apply_update(&mut self, update: &StoreUpdate) {
         // The store's history may still reach back to a later replica received from another node.
         self.history_is_gone &= self.known_to.is_some_and(|at| update.known_to() <= at);
@@ -380,38 +281,6 @@
         apply_update(&self.node, self.subject, update);
     }
 
-    async fn read_page(&mut self, after: Option<&str>) -> Result<(Page, StoreEra), FollowError> {
-        let call = store::read_range(key_prefix(self.subject), after);
-        let (status, body, era) = self.call(&call, READ_TIMEOUT).await?;
-        if status != StoreStatus::Done {
-            return Err(FollowError::Status(status));
-        }
-        Ok((store::parse_page(&body)?, era))
-    }
-
-    /// Waits for changes. While the replica is not confirmed, the call returns at once: its
-    /// response confirms the replica, at this node and through its reports at the others.
-    async fn watch(&mut self, at: StoreRevision) -> Result<(), FollowError> {
-        let readers = self.node.members.borrow().store_reader_count();
-        let readers = u32::try_from(readers).unwrap_or(u32::MAX);
-        let pause = MIN_CHANGE_INTERVAL + MIN_CHANGE_INTERVAL_PER_READER.saturating_mul(readers);
-        self.pause_between_changes(pause).await;
-        let is_fresh = self.assess_freshness() == Freshness::Fresh;
-        if is_fresh {
-            let (node, subject) = (self.node.clone(), self.subject);
-            let (period, transfer) = (self.confirmation_period, self.transfer.clone());
-            self.begin_query();
-            tokio::select! {
-                done = self.watch_once(at, MAX_WATCH_WAIT, WATCH_TIMEOUT) => done,
-                // Dropping the call closes its connection.
-                () = until_not_fresh(node, subject, period, transfer) => Ok(()),
-            }
-        } else {
-            self.with_freshness(ReplicaFreshness::on_store_queried);
-            self.watch_once(at, CONFIRMATION_WATCH_WAIT, READ_TIMEOUT).await
-        }
-    }
-
     /// Delays the next query so that changes in quick succession are received together.
     async fn pause_between_changes(&self, interval: Duration) {
         let contact_time = Duration::from_millis(self.node.settings().bounds.contact_ms);
@@ -424,50 +293,6 @@
         }
     }
 
-    async fn watch_once(
-        &mut self,
-        at: StoreRevision,
-        max_wait: Duration,
-        timeout: Duration,
-    ) -> Result<(), FollowError> {
-        let wait_ms = u64::try_from(max_wait.as_millis()).unwrap_or(u64::MAX);
-        let call = store::watch(key_prefix(self.subject), at.number(), wait_ms);
-        let (status, body, era) = self.call(&call, timeout).await?;
-        if era != at.era() {
-            // The response is of no use: it may omit changes under revisions that are already
-            // known.
-            return Ok(());
-        }
-        match status {
-            StoreStatus::Done => {
-                let page = store::parse_page(&body)?;
-                if !page.items.is_empty() {
-                    self.last_change_at = Some(Instant::now());
-                    self.note_transfer_time();
-                }
-                let known_to = StoreRevision::new(era, page.revision).max(at);
-                let entries = to_entries(&self.node, self.subject, page.items);
-                let number = known_to.number();
-                let update = StoreUpdate { era, known_to: number, is_snapshot: false, entries };
-                for entry in &update.entries {
-                    self.with_freshness(|replica, _| replica.on_change(update.revision_of(entry)));
-                }
-                self.apply_update(&update);
-                self.confirmation_period = random_confirmation_period(&self.node, self.subject);
-                self.with_freshness(|replica, now_us| replica.on_store_response(known_to, now_us));
-                self.node.replica_confirmed.notify_one();
-                Ok(())
-            }
-            StoreStatus::HistoryGone => {
-                self.history_is_gone = true;
-                let at = at.to_string();
-                log::info!(target: "store", subject = self.subject.name(), at; "store no longer has the history after this revision");
-                Ok(())
-            }
-            other => Err(FollowError::Status(other)),
-        }
-    }
-
     fn assess_freshness(&self) -> Freshness {
         assess_freshness(&self.node, self.subject, self.confirmation_period)
     }
@@ -477,23 +302,6 @@
         change(self.node.freshness.borrow_mut().replica_mut(self.subject), now_us);
     }
 
-    async fn call(
-        &mut self,
-        call: &PlatformCall,
-        timeout: Duration,
-    ) -> Result<(StoreStatus, Vec<u8>, StoreEra), FollowError> {
-        self.node.metrics.store_calls.inc();
-        self.begin_query();
-        let response = self.client.call(self.address, call, timeout).await?;
-        let era = self.node.on_era_reported(self.address, response.era);
-        let era = era.ok_or(FollowError::StoreReplaced)?;
-        if era < self.node.store_era() {
-            return Err(FollowError::SupersededEra(era));
-        }
-        self.log_large_response("store", response.body.len());
-        Ok((store::parse_status(response.status), response.body, era))
-    }
-
     fn on_success(&mut self) {
         if self.failures > 0 {
             let failures = self.failures;
--- /dev/null
+++ b/crates/gateway/src/watcher/store_source.rs
@@ -0,0 +1,253 @@
+//! Reads the store and watches it for changes.
+
+use super::{key_prefix, until_not_fresh, FollowError, Follower, MIN_CHANGE_INTERVAL};
+use crate::clock::Instant;
+use crate::entries::to_entries;
+use crate::node::Node;
+use crate::platform_client::{PlatformError, MAX_RESPONSE_BYTES};
+use crate::replica_limits::random_confirmation_period;
+use crate::store_pages::read_pages;
+use pitchstall_platform_adapter::call::PlatformCall;
+use pitchstall_platform_adapter::store::{self, Page, StoreStatus, CONFIGURATION_KEY};
+use pitchstall_serving::freshness::{Freshness, ReplicaFreshness};
+use pitchstall_serving::store_replica::{StoreUpdate, Subject};
+use pitchstall_serving::store_revision::{StoreEra, StoreRevision};
+use std::time::Duration;
+
+/// Maximum time until the head of the response to a call that does not wait for changes.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum wait that a watch requests. It is bounded so that the revision of the watch stays within
+/// the store's history.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
+/// Wait requested by a call that only confirms the replica.
+const CONFIRMATION_WATCH_WAIT: Duration = Duration::from_millis(1);
+/// Added to the minimum time between two responses with changes for each store reader, since each change costs every store
+/// reader a call.
+const MIN_CHANGE_INTERVAL_PER_READER: Duration = Duration::from_millis(8);
+/// A response whose transfer takes this long may be outdated when it is complete: in the users'
+/// deployments there are at most three changes per second.
+const MIN_SLOW_TRANSFER: Duration = Duration::from_millis(300);
+/// Maximum size of a watch's response with a configuration, in percent of the size of the previous version. A larger one
+/// most likely contains several versions.
+const MAX_WATCH_RESPONSE_PERCENT: usize = 150;
+/// Minimum size of a watch's response that is given up, which takes 0.2 s on a link of 10 Mbit/s.
+const MIN_GIVEN_UP_RESPONSE_BYTES: usize = 256 * 1024;
+
+impl Follower {
+    /// Queries the store, and from the second consecutive failure on also another node. While
+    /// nothing is known here, an old replica is better than none, and a later change that others
+    /// have reported must be obtained from them. The store's first response replaces such a replica.
+    pub(super) async fn query_store(&mut self) -> Result<(), FollowError> {
+        let outcome = match self.known_to {
+            None => self.read_all().await,
+            Some(_) if self.history_is_gone || self.is_replica_of_earlier_era() => {
+                self.read_all().await
+            }
+            Some(_) if self.should_reread_entry => self.read_latest().await,
+            Some(at) => self.watch(at).await,
+        };
+        let is_incomplete = self.known_to.is_none()
+            || self.history_is_gone
+            || self.is_replica_of_earlier_era()
+            || self.is_behind();
+        if outcome.is_err() && self.failures > 0 && is_incomplete {
+            self.query_any_node().await;
+        }
+        outcome
+    }
+
+    async fn read_all(&mut self) -> Result<(), FollowError> {
+        let update = match self.subject {
+            Subject::Configuration => self.read_configuration().await?,
+            Subject::Runners | Subject::Crashes => self.read_list().await?,
+        };
+        self.apply_update(&update);
+        self.history_is_gone = false;
+        self.confirmation_period = random_confirmation_period(&self.node, self.subject);
+        self.with_freshness(|replica, now_us| replica.on_full_read(&update, now_us));
+        self.node.replica_confirmed.notify_one();
+        Ok(())
+    }
+
+    /// Reads the only entry of the subject again until it did not change during the read. A watch
+    /// delivers every version written since its revision, one after the other, so versions written
+    /// during a slow transfer take even longer to transfer. A read delivers only the latest
+    /// version.
+    async fn read_latest(&mut self) -> Result<(), FollowError> {
+        let revision = |node: &Node| {
+            node.store_replicas.borrow().get(Subject::Configuration).last_changed_at()
+        };
+        let before = revision(&self.node);
+        self.read_all().await?;
+        let has_changed = revision(&self.node) != before;
+        self.should_reread_entry = has_changed && self.transfer.elapsed() >= MIN_SLOW_TRANSFER;
+        Ok(())
+    }
+
+    /// Checks after a response with changes whether its transfer was slow; a configuration may then
+    /// be outdated already and has to be read again.
+    fn note_transfer_time(&mut self) {
+        let has_one_entry = self.subject == Subject::Configuration;
+        self.should_reread_entry = has_one_entry && self.transfer.elapsed() >= MIN_SLOW_TRANSFER;
+    }
+
+    async fn read_configuration(&mut self) -> Result<StoreUpdate, FollowError> {
+        let (status, body, era) =
+            self.call(&store::read_key(CONFIGURATION_KEY), READ_TIMEOUT).await?;
+        if status != StoreStatus::Done {
+            return Err(FollowError::Status(status));
+        }
+        let (item, at) = store::parse_item(&body)?;
+        self.configuration_bytes = body.len();
+        let entries = to_entries(&self.node, self.subject, vec![item]);
+        if entries.is_empty() {
+            // After repeated failures, another node is queried, which may have the previous
+            // version.
+            return Err(FollowError::InvalidConfiguration);
+        }
+        Ok(StoreUpdate { era, known_to: at, is_snapshot: true, entries })
+    }
+
+    async fn read_list(&mut self) -> Result<StoreUpdate, FollowError> {
+        let mut first_era = None;
+        let all = read_pages(async |after| {
+            let (page, era) = self.read_page(after.as_deref()).await?;
+            match *first_era.get_or_insert(era) == era {
+                true => Ok(page),
+                false => Err(FollowError::EraChanged),
+            }
+        });
+        let all = all.await?;
+        let entries = to_entries(&self.node, self.subject, all.items);
+        let era = first_era.unwrap_or_default();
+        Ok(StoreUpdate { era, known_to: all.revision, is_snapshot: true, entries })
+    }
+
+    async fn read_page(&mut self, after: Option<&str>) -> Result<(Page, StoreEra), FollowError> {
+        let call = store::read_range(key_prefix(self.subject), after);
+        let (status, body, era) = self.call(&call, READ_TIMEOUT).await?;
+        if status != StoreStatus::Done {
+            return Err(FollowError::Status(status));
+        }
+        Ok((store::parse_page(&body)?, era))
+    }
+
+    /// Waits for changes. While the replica is not confirmed, the call returns at once: its
+    /// response confirms the replica, at this node and through its reports at the others.
+    async fn watch(&mut self, at: StoreRevision) -> Result<(), FollowError> {
+        let readers = self.node.members.borrow().store_reader_count();
+        let readers = u32::try_from(readers).unwrap_or(u32::MAX);
+        let pause = MIN_CHANGE_INTERVAL + MIN_CHANGE_INTERVAL_PER_READER.saturating_mul(readers);
+        self.pause_between_changes(pause).await;
+        let is_fresh = self.assess_freshness() == Freshness::Fresh;
+        if is_fresh {
+            let (node, subject) = (self.node.clone(), self.subject);
+            let (period, transfer) = (self.confirmation_period, self.transfer.clone());
+            self.begin_query();
+            tokio::select! {
+                done = self.watch_once(at, MAX_WATCH_WAIT, WATCH_TIMEOUT) => done,
+                // Dropping the call closes its connection.
+                () = until_not_fresh(node, subject, period, transfer) => Ok(()),
+            }
+        } else {
+            self.with_freshness(ReplicaFreshness::on_store_queried);
+            self.watch_once(at, CONFIRMATION_WATCH_WAIT, READ_TIMEOUT).await
+        }
+    }
+
+    async fn watch_once(
+        &mut self,
+        at: StoreRevision,
+        max_wait: Duration,
+        timeout: Duration,
+    ) -> Result<(), FollowError> {
+        let wait_ms = u64::try_from(max_wait.as_millis()).unwrap_or(u64::MAX);
+        let call = store::watch(key_prefix(self.subject), at.number(), wait_ms);
+        let (status, body, era) =
+            match self.call_limited(&call, timeout, self.max_watch_response_bytes()).await {
+                Err(FollowError::Store(PlatformError::TooLong { bytes })) => {
+                    self.on_several_versions(bytes);
+                    return Ok(());
+                }
+                response => response?,
+            };
+        if era != at.era() {
+            // The response is of no use: it may omit changes under revisions that are already
+            // known.
+            return Ok(());
+        }
+        match status {
+            StoreStatus::Done => {
+                let page = store::parse_page(&body)?;
+                if !page.items.is_empty() {
+                    self.last_change_at = Some(Instant::now());
+                    self.note_transfer_time();
+                }
+                if self.subject == Subject::Configuration && page.items.len() == 1 {
+                    self.configuration_bytes = body.len();
+                }
+                let known_to = StoreRevision::new(era, page.revision).max(at);
+                let entries = to_entries(&self.node, self.subject, page.items);
+                let number = known_to.number();
+                let update = StoreUpdate { era, known_to: number, is_snapshot: false, entries };
+                for entry in &update.entries {
+                    self.with_freshness(|replica, _| replica.on_change(update.revision_of(entry)));
+                }
+                self.apply_update(&update);
+                self.confirmation_period = random_confirmation_period(&self.node, self.subject);
+                self.with_freshness(|replica, now_us| replica.on_store_response(known_to, now_us));
+                self.node.replica_confirmed.notify_one();
+                Ok(())
+            }
+            StoreStatus::HistoryGone => {
+                self.history_is_gone = true;
+                let at = at.to_string();
+                log::info!(target: "store", subject = self.subject.name(), at; "store no longer has the history after this revision");
+                Ok(())
+            }
+            other => Err(FollowError::Status(other)),
+        }
+    }
+
+    /// Maximum size of a watch's response that is worth its transfer. One with several versions of the configuration
+    /// takes longer than reading the latest version alone.
+    fn max_watch_response_bytes(&self) -> usize {
+        if self.subject != Subject::Configuration || self.configuration_bytes == 0 {
+            return MAX_RESPONSE_BYTES;
+        }
+        let max_bytes = self.configuration_bytes * MAX_WATCH_RESPONSE_PERCENT / 100;
+        max_bytes.clamp(MIN_GIVEN_UP_RESPONSE_BYTES, MAX_RESPONSE_BYTES)
+    }
+
+    fn on_several_versions(&mut self, bytes: u64) {
+        self.should_reread_entry = true;
+        log::info!(target: "store", subject = self.subject.name(), bytes; "long watch response given up: reading the latest entry");
+    }
+
+    async fn call(
+        &mut self,
+        call: &PlatformCall,
+        timeout: Duration,
+    ) -> Result<(StoreStatus, Vec<u8>, StoreEra), FollowError> {
+        self.call_limited(call, timeout, MAX_RESPONSE_BYTES).await
+    }
+
+    async fn call_limited(
+        &mut self,
+        call: &PlatformCall,
+        timeout: Duration,
+        max_bytes: usize,
+    ) -> Result<(StoreStatus, Vec<u8>, StoreEra), FollowError> {
+        self.node.metrics.store_calls.inc();
+        self.begin_query();
+        let response = self.client.call_limited(self.address, call, timeout, max_bytes).await?;
+        let era = self.node.on_era_reported(self.address, response.era);
+        let era = era.ok_or(FollowError::StoreReplaced)?;
+        if era < self.node.store_era() {
+            return Err(FollowError::SupersededEra(era));
+        }
+        self.log_large_response("store", response.body.len());
+        Ok((store::parse_status(response.status), response.body, era))
+    }
+}
--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -173,6 +173,37 @@
     wait_for("the last version", || serves(&node, &last));
 }
 
+/// Versions that are written while a store reader is busy all come in one response of its watch.
+#[test]
+fn versions_written_during_a_transfer_are_not_all_transferred() {
+    const BURST: std::ops::RangeInclusive<u64> = 8..=12;
+    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
+    let store = StoreStandIn::start().unwrap();
+    let runner = runner();
+    store.put("op/config", &configuration(3));
+    let address = link.link_to(store.address()).unwrap();
+    let node = Fixture::start_at(NodeAddress::new(), store.clone(), address, "node-1", "", "");
+    node.add_runner(&runner, "desk", None);
+    node.wait_until_ready();
+    let before = link.transferred_bytes();
+    store.put("op/config", &large_configuration(7));
+    wait_for("the first large version", || serves(&node, "added"));
+    let version_bytes = link.transferred_bytes() - before;
+    // The node now reads the entry again.
+    let before = link.transferred_bytes();
+    wait_for("the second transfer", || link.transferred_bytes() > before + version_bytes / 4);
+    for version in BURST {
+        let mut large = large_configuration(version);
+        let routes = large["routes"].as_array_mut().unwrap();
+        routes.push(route(&format!("version-{version}"), "idempotent", "desk"));
+        store.put("op/config", &large);
+    }
+    let last = format!("version-{}", BURST.end());
+    wait_for("the last version", || serves(&node, &last));
+    let transferred = link.transferred_bytes() - before;
+    assert!(transferred < version_bytes * 7 / 2, "{transferred} of {version_bytes} a version");
+}
+
 /// A source stalls during its transfer. Whichever source it is, the other one has the configuration
 /// too.
 #[test_case(0)]
