--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -19,23 +19,40 @@
 /// two runners to work on a request for 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
-/// Why a stalled run is kept: it has sent data again.
-const RESUMED: &str = "resumed";
+/// Why a stalled run is kept after another runner has been sought.
+#[derive(Clone, Copy)]
+enum KeepReason {
+    /// It has sent data again.
+    Resumed,
+    /// The successor has not responded in time.
+    SuccessorSilent,
+    /// The successors that were asked did not run the request, and the route allows no further run.
+    NoFurtherRuns,
+    /// There is no successor.
+    NoSuccessor(EndReason),
+}
+
+impl KeepReason {
+    /// Name of the reason in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Resumed => "resumed",
+            Self::SuccessorSilent => "successor_silent",
+            Self::NoFurtherRuns => "no_further_runs",
+            Self::NoSuccessor(reason) => reason.name(),
+        }
+    }
+}
 
 /// The stalled run was ended because its runner cannot be reached, and there is no successor.
 pub(super) struct RunnerLost(pub(super) RunnerId);
 
 /// How the attempt to hand a stalled run over to a prepared successor ended.
 enum Handover {
-    /// The stalled run goes on, for the reason given. The successor has been ended.
-    Kept(Box<Run>, &'static str),
-    /// The successor has begun to respond.
-    Replaced {
-        /// The run that is replaced; `None` if it has been ended already.
-        stalled: Option<Box<Run>>,
-        /// The run that continues the stream.
-        successor: Box<Run>,
-    },
+    /// The stalled run goes on. The successor has been ended.
+    Kept(Box<Run>, KeepReason),
+    /// The successor has begun to respond, and the stalled run has been ended.
+    Replaced(Box<Run>),
     /// The successor does not run the request; another one may be tried.
     Failed {
         /// The run to be continued; `None` if it has been ended already.
@@ -48,7 +65,7 @@
     /// stalled one if there is no successor or if it has sent data meanwhile.
     pub(super) async fn replace_stalled_run(
         &mut self,
-        stalled: Box<Run>,
+        mut stalled: Box<Run>,
     ) -> Result<Box<Run>, RunnerLost> {
         let runner = stalled.runner().clone();
         if !self.may_seek_successor(&runner) {
@@ -57,26 +74,24 @@
         // The result tells a runner that is slow from one that cannot be reached.
         probe(self.node, &runner, self.node.now_us());
         self.excluded.push(runner.clone());
-        let mut stalled = stalled;
         loop {
             let prepared = tokio::select! {
                 biased;
-                () = stalled.response.wait_for_data() => return Ok(self.keep(stalled, RESUMED)),
+                () = stalled.response.wait_for_data() => {
+                    return Ok(self.keep(stalled, KeepReason::Resumed))
+                }
                 prepared = self.prepare_successor() => prepared,
             };
             let ready = match prepared {
                 Ok(ready) => ready,
-                Err(reason) => return Ok(self.keep(stalled, reason.name())),
+                Err(reason) => return Ok(self.keep(stalled, KeepReason::NoSuccessor(reason))),
             };
             stalled = match self.hand_over(stalled, ready).await {
                 Handover::Kept(stalled, reason) => return Ok(self.keep(stalled, reason)),
-                Handover::Replaced { stalled, successor } => {
-                    drop(stalled);
-                    return Ok(self.continue_at(&runner, successor));
-                }
+                Handover::Replaced(successor) => return Ok(self.continue_at(&runner, successor)),
                 Handover::Failed { stalled: Some(stalled) } if self.may_run_again() => stalled,
                 Handover::Failed { stalled: Some(stalled) } => {
-                    return Ok(self.keep(stalled, "no further runs"))
+                    return Ok(self.keep(stalled, KeepReason::NoFurtherRuns))
                 }
                 Handover::Failed { stalled: None } => {
                     self.record_interruption(&runner, "runner unreachable");
@@ -123,7 +138,9 @@
             tokio::pin!(attempt);
             let end = tokio::select! {
                 biased;
-                () = stalled.response.wait_for_data() => return Handover::Kept(stalled, RESUMED),
+                () = stalled.response.wait_for_data() => {
+                    return Handover::Kept(stalled, KeepReason::Resumed)
+                }
                 end = &mut attempt => Some(end),
                 () = sleep(MAX_OVERLAP) => None,
             };
@@ -133,12 +150,13 @@
                     drop(stalled);
                     (None, attempt.await)
                 }
-                None => return Handover::Kept(stalled, "successor silent"),
+                None => return Handover::Kept(stalled, KeepReason::SuccessorSilent),
             }
         };
         match end {
             SentAttempt::Responding(successor) if successor.is_successful() => {
-                Handover::Replaced { stalled, successor }
+                drop(stalled);
+                Handover::Replaced(successor)
             }
             SentAttempt::Responding(failed) => {
                 self.execution = Execution::Ran;
@@ -154,11 +172,12 @@
         }
     }
 
-    fn keep(&mut self, stalled: Box<Run>, reason: &'static str) -> Box<Run> {
+    fn keep(&mut self, stalled: Box<Run>, reason: KeepReason) -> Box<Run> {
         // Nothing was sent for the charge of the search.
         if std::mem::take(&mut self.has_charged_retry) {
             self.node.with_retry_budget(&self.service, SharedRetryBudget::refund);
         }
+        let reason = reason.name();
         self.node.metrics.on_stalled_run_kept(reason);
         let request = self.request.metadata.id.as_str();
         let runner = stalled.runner().as_str();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -172,7 +172,8 @@
             )
         }
     };
-    let deadline = request.received_at + time_limit(request, &route);
+    let time_limit = TimeLimit::new(request, Some(&route));
+    let deadline = request.received_at + Duration::from_millis(time_limit.limit_ms);
     node.with_retry_budget(&service, SharedRetryBudget::on_request);
     let dispatch = Dispatch::new(node, request, &route, service, rules, &configuration, deadline);
     let dispatch = dispatch.for_tenant(tenant);
@@ -215,21 +216,28 @@
         .cloned()
 }
 
-/// The client's deadline or the route's timeout, whichever is shorter.
-fn time_limit(request: &ClientRequest, route: &Route) -> Duration {
-    Duration::from_millis(time_limit_ms(request, Some(route)).0)
+/// The time that a request may take.
+struct TimeLimit {
+    /// Milliseconds from [`ClientRequest::received_at`]; 0 if there is no limit.
+    limit_ms: u64,
+    /// Who has set the limit: `client`, `route` or `none`.
+    set_by: &'static str,
 }
 
-/// The time that a request may take, in milliseconds, and who has set it.
-fn time_limit_ms(request: &ClientRequest, route: Option<&Route>) -> (u64, &'static str) {
-    let timeout_ms = route.map(|route| route.timeout_ms);
-    match (request.metadata.deadline_ms, timeout_ms) {
-        (Some(deadline_ms), None) => (deadline_ms, "client"),
-        (Some(deadline_ms), Some(timeout_ms)) if deadline_ms <= timeout_ms => {
-            (deadline_ms, "client")
-        }
-        (_, Some(timeout_ms)) => (timeout_ms, "route"),
-        (None, None) => (0, "none"),
+impl TimeLimit {
+    /// The client's deadline or the route's timeout, whichever is shorter. `route` is `None` if the request has no
+    /// route.
+    fn new(request: &ClientRequest, route: Option<&Route>) -> Self {
+        let timeout_ms = route.map(|route| route.timeout_ms);
+        let (limit_ms, set_by) = match (request.metadata.deadline_ms, timeout_ms) {
+            (Some(deadline_ms), Some(timeout_ms)) if deadline_ms > timeout_ms => {
+                (timeout_ms, "route")
+            }
+            (Some(deadline_ms), _) => (deadline_ms, "client"),
+            (None, Some(timeout_ms)) => (timeout_ms, "route"),
+            (None, None) => (0, "none"),
+        };
+        Self { limit_ms, set_by }
     }
 }
 
@@ -257,7 +265,7 @@
     let outcome = end.name();
     node.metrics.on_request(outcome);
     let id = request.metadata.id.as_str();
-    let (limit_ms, limited_by) = time_limit_ms(request, route);
+    let TimeLimit { limit_ms, set_by: limited_by } = TimeLimit::new(request, route);
     let route = route.map_or("", |route| route.name.as_str());
     let elapsed_ms = u64::try_from(request.received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let version = node.configuration().map_or(0, |it| it.version);
