The expected size of a watch's answer follows also from a copy of another node

Traced: node 0 had its first copy from another node, so it knew of no size, and the next watch's answer held five versions, 6.3 MB, and took 5.6 s.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -102,7 +102,7 @@
         history_is_gone: false,
         last_change_at: None,
         should_reread_entry: false,
-        configuration_bytes: 0,
+        configuration_bytes: None,
         confirmation_period,
         failures: 0,
     };
@@ -175,8 +175,9 @@
     last_change_at: Option<Instant>,
     /// Whether to read the entry again before watching it.
     should_reread_entry: bool,
-    /// Size of the last response with one version of the configuration, in bytes; 0 before the first one.
-    configuration_bytes: usize,
+    /// Size of the known configuration, in bytes, from the store or from another node; `None` before the first one, and
+    /// for other subjects.
+    configuration_bytes: Option<usize>,
     /// How long the store's confirmation of the replica holds.
     confirmation_period: Duration,
     failures: u32,
@@ -278,6 +279,10 @@
         // The store's history may still reach back to a later replica received from another node.
         self.history_is_gone &= self.known_to.is_some_and(|at| update.known_to() <= at);
         self.known_to = Some(update.known_to());
+        if self.subject == Subject::Configuration {
+            let document = update.entries.last().and_then(|entry| entry.document.as_ref());
+            self.configuration_bytes = document.map(String::len).or(self.configuration_bytes);
+        }
         apply_update(&self.node, self.subject, update);
     }
 
--- a/crates/gateway/src/watcher/store_source.rs
+++ b/crates/gateway/src/watcher/store_source.rs
@@ -99,7 +99,6 @@
             return Err(FollowError::Status(status));
         }
         let (item, at) = store::parse_item(&body)?;
-        self.configuration_bytes = body.len();
         let entries = to_entries(&self.node, self.subject, vec![item]);
         if entries.is_empty() {
             // After repeated failures, another node is queried, which may have the previous
@@ -184,9 +183,6 @@
                     self.last_change_at = Some(Instant::now());
                     self.note_transfer_time();
                 }
-                if self.subject == Subject::Configuration && page.items.len() == 1 {
-                    self.configuration_bytes = body.len();
-                }
                 let known_to = StoreRevision::new(era, page.revision).max(at);
                 let entries = to_entries(&self.node, self.subject, page.items);
                 let number = known_to.number();
@@ -213,10 +209,8 @@
     /// Maximum size of a watch's response that is worth its transfer. One with several versions of the configuration
     /// takes longer than reading the latest version alone.
     fn max_watch_response_bytes(&self) -> usize {
-        if self.subject != Subject::Configuration || self.configuration_bytes == 0 {
-            return MAX_RESPONSE_BYTES;
-        }
-        let max_bytes = self.configuration_bytes * MAX_WATCH_RESPONSE_PERCENT / 100;
+        let Some(known_bytes) = self.configuration_bytes else { return MAX_RESPONSE_BYTES };
+        let max_bytes = base64_length(known_bytes) * MAX_WATCH_RESPONSE_PERCENT / 100;
         max_bytes.clamp(MIN_GIVEN_UP_RESPONSE_BYTES, MAX_RESPONSE_BYTES)
     }
 
@@ -251,3 +245,10 @@
         Ok((store::parse_status(response.status), response.body, era))
     }
 }
+
+/// Length of a value of the store in a response, where it is encoded in base64.
+fn base64_length(bytes: usize) -> usize {
+    const BYTES_PER_GROUP: usize = 3;
+    const CHARACTERS_PER_GROUP: usize = 4;
+    bytes.div_ceil(BYTES_PER_GROUP) * CHARACTERS_PER_GROUP
+}
