--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -360,6 +360,14 @@
         }
     }
 
+    /// Whether the first byte of a response arrives within a time. It stays unread.
+    pub fn has_response_within(&mut self, time: Duration) -> bool {
+        self.stream.set_read_timeout(Some(time)).unwrap();
+        let has_response = matches!(self.stream.peek(&mut [0]), Ok(length) if length > 0);
+        self.stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        has_response
+    }
+
     /// Waits for further bytes and returns whether the node has closed the connection instead.
     pub fn is_closed_by_node(&mut self) -> bool {
         !self.read_more()
