A stalled run whose runner takes no new connection is kept until its successor has answered

A runner may refuse or lose new connections while an open one goes on.

Now both stay until one answers. Two runners that can be reached still have the request for 300 ms at most. That takes a state and a type out of the module: there is always a run that goes on.

--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -1,7 +1,6 @@
 //! Delivers the response of a run to the client.
 
 use super::planning::{elapsed_ms, Plan};
-use super::successor::RunnerLost;
 use super::{Dispatch, Step};
 use crate::attempt::AttemptResponse;
 use crate::connection::ClientConnection;
@@ -135,10 +134,7 @@
                 RelayOutcome::ConnectionLost(error) => {
                     return self.on_stream_interrupted(run, &error.to_string())
                 }
-                RelayOutcome::Stalled => match self.replace_stalled_run(run).await {
-                    Ok(next) => run = next,
-                    Err(RunnerLost(runner)) => return self.on_lost(runner),
-                },
+                RelayOutcome::Stalled => run = self.replace_stalled_run(run).await,
             }
         }
     }
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Maximum time from sending the request to the successor in which the stalled run stays connected. The platform allows
-/// two runners to work on a request for 400 ms.
+/// Maximum time for which two runners that can be reached have the request. The platform allows them to work on it for
+/// 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Why a stalled run is kept after another runner has been sought.
@@ -44,9 +44,6 @@
     }
 }
 
-/// The stalled run was ended because its runner cannot be reached, and there is no successor.
-pub(super) struct RunnerLost(pub(super) RunnerId);
-
 /// How the attempt to hand a stalled run over to a prepared successor ended.
 enum Handover {
     /// The stalled run goes on. The successor has been ended.
@@ -54,22 +51,16 @@
     /// The successor has begun to respond, and the stalled run has been ended.
     Replaced(Box<Run>),
     /// The successor does not run the request; another one may be tried.
-    Failed {
-        /// The run to be continued; `None` if it has been ended already.
-        stalled: Option<Box<Run>>,
-    },
+    Failed(Box<Run>),
 }
 
 impl Dispatch<'_> {
     /// Replaces a stalled run if another runner continues its stream. Returns the run to be continued, which is the
     /// stalled one if there is no successor or if it has sent data meanwhile.
-    pub(super) async fn replace_stalled_run(
-        &mut self,
-        mut stalled: Box<Run>,
-    ) -> Result<Box<Run>, RunnerLost> {
+    pub(super) async fn replace_stalled_run(&mut self, mut stalled: Box<Run>) -> Box<Run> {
         let runner = stalled.runner().clone();
         if !self.may_seek_successor(&runner) {
-            return Ok(stalled);
+            return stalled;
         }
         // The result tells a runner that is slow from one that cannot be reached.
         probe(self.node, &runner, self.node.now_us());
@@ -78,25 +69,19 @@
             let prepared = tokio::select! {
                 biased;
                 () = stalled.response.wait_for_data() => {
-                    return Ok(self.keep(stalled, KeepReason::Resumed))
+                    return self.keep(stalled, KeepReason::Resumed)
                 }
                 prepared = self.prepare_successor() => prepared,
             };
             let ready = match prepared {
                 Ok(ready) => ready,
-                Err(reason) => return Ok(self.keep(stalled, KeepReason::NoSuccessor(reason))),
+                Err(reason) => return self.keep(stalled, KeepReason::NoSuccessor(reason)),
             };
             stalled = match self.hand_over(stalled, ready).await {
-                Handover::Kept(stalled, reason) => return Ok(self.keep(stalled, reason)),
-                Handover::Replaced(successor) => return Ok(self.continue_at(&runner, successor)),
-                Handover::Failed { stalled: Some(stalled) } if self.may_run_again() => stalled,
-                Handover::Failed { stalled: Some(stalled) } => {
-                    return Ok(self.keep(stalled, KeepReason::NoFurtherRuns))
-                }
-                Handover::Failed { stalled: None } => {
-                    self.record_interruption(&runner, "runner unreachable");
-                    return Err(RunnerLost(runner));
-                }
+                Handover::Kept(stalled, reason) => return self.keep(stalled, reason),
+                Handover::Replaced(successor) => return self.continue_at(&runner, successor),
+                Handover::Failed(stalled) if self.may_run_again() => stalled,
+                Handover::Failed(stalled) => return self.keep(stalled, KeepReason::NoFurtherRuns),
             };
         }
     }
@@ -128,48 +113,34 @@
         }
     }
 
-    /// Sends the request to the successor. The stalled run stays connected until the successor responds, or until the
-    /// two have overlapped for too long: then the one is ended whose runner is less likely to go on.
+    /// Sends the request to the successor. The stalled run stays connected until the successor responds. If both
+    /// runners can be reached and the successor is silent for too long, the successor is ended.
     async fn hand_over(&mut self, stalled: Box<Run>, ready: ReadyAttempt) -> Handover {
-        let node = self.node;
-        let runner = stalled.runner().clone();
-        let (stalled, end) = {
-            let attempt = self.send_attempt(ready);
-            tokio::pin!(attempt);
-            let end = tokio::select! {
-                biased;
-                () = stalled.response.wait_for_data() => {
-                    return Handover::Kept(stalled, KeepReason::Resumed)
-                }
-                end = &mut attempt => Some(end),
-                () = sleep(MAX_OVERLAP) => None,
-            };
-            match end {
-                Some(end) => (Some(stalled), end),
-                None if is_suspected(node, &runner) => {
-                    drop(stalled);
-                    (None, attempt.await)
-                }
-                None => return Handover::Kept(stalled, KeepReason::SuccessorSilent),
+        let overlap = overlap_over(self.node, stalled.runner());
+        let end = tokio::select! {
+            biased;
+            () = stalled.response.wait_for_data() => {
+                return Handover::Kept(stalled, KeepReason::Resumed)
             }
+            end = self.send_attempt(ready) => end,
+            () = overlap => return Handover::Kept(stalled, KeepReason::SuccessorSilent),
         };
         match end {
             SentAttempt::Responding(successor) if successor.is_successful() => {
                 drop(stalled);
-                Handover::Replaced(successor)
+                return Handover::Replaced(successor);
             }
             SentAttempt::Responding(failed) => {
                 self.execution = Execution::Ran;
                 self.excluded.push(failed.runner().clone());
-                Handover::Failed { stalled }
             }
-            SentAttempt::Declined => Handover::Failed { stalled },
+            SentAttempt::Declined => {}
             SentAttempt::Lost(other) => {
                 self.execution = self.execution.max(Execution::Unknown);
                 self.excluded.push(other);
-                Handover::Failed { stalled }
             }
         }
+        Handover::Failed(stalled)
     }
 
     fn keep(&mut self, stalled: Box<Run>, reason: KeepReason) -> Box<Run> {
@@ -196,6 +167,12 @@
     }
 }
 
-fn is_suspected(node: &Node, runner: &RunnerId) -> bool {
-    node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected)
+/// Completes when two runners have had a request for too long. Never completes if the first of them cannot be reached: it
+/// cannot be stopped either, and may have ended.
+async fn overlap_over(node: &Node, runner: &RunnerId) {
+    sleep(MAX_OVERLAP).await;
+    let is_suspected = node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected);
+    if is_suspected {
+        std::future::pending::<()>().await;
+    }
 }
--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -88,6 +88,25 @@
     assert_whole(&mut client, &pausing);
 }
 
+#[test]
+fn a_stream_that_pauses_is_whole_though_its_runner_cannot_be_probed_and_the_other_declines_late() {
+    let pausing = pausing_runner();
+    let node = Fixture::with_runners(&[(&pausing, "llm", Some("decode"))]);
+    let mut client = start_stream(&node, "");
+    let other = runner("i-other", |request| {
+        if is_run(request) {
+            std::thread::sleep(Duration::from_millis(380));
+        }
+        Reaction::Decline
+    });
+    node.add_runner(&other, "llm", Some("decode"));
+    // From now on, new connections to the pausing runner are refused, and its open connection goes on.
+    let closed = runner("i-pausing", |_| Reaction::Silent);
+    closed.crash();
+    node.add_runner(&closed, "llm", Some("decode"));
+    assert_whole(&mut client, &pausing);
+}
+
 #[test]
 fn a_stream_that_pauses_is_whole_though_the_other_runner_takes_nothing_by_its_limit() {
     let limited = runner("i-limited", |request| {
