--- a/crates/gateway/tests/large_configuration.rs
+++ b/crates/gateway/tests/large_configuration.rs
@@ -7,7 +7,7 @@
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
 use pitchstall_platform_standins::throttled_link::{NodePair, ThrottledLink};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::time::Duration;
 use support::{configuration, large_configuration, route, serves, wait_for, Fixture, NodeAddress};
@@ -35,13 +35,42 @@
     const VERSIONS: std::ops::RangeInclusive<u64> = 7..=18;
     const WRITE_INTERVAL: Duration = Duration::from_millis(330);
     for version in VERSIONS {
-        let mut large = large_configuration(version);
-        let routes = large["routes"].as_array_mut().unwrap();
-        routes.push(route(&format!("version-{version}"), "idempotent", "desk"));
-        store.put("op/config", &large);
+        store.put("op/config", &large_version(version));
         std::thread::sleep(WRITE_INTERVAL);
     }
-    format!("version-{}", VERSIONS.end())
+    version_route(*VERSIONS.end())
+}
+
+/// A large configuration with a route of its own.
+fn large_version(version: u64) -> Value {
+    let mut large = large_configuration(version);
+    let routes = large["routes"].as_array_mut().unwrap();
+    routes.push(route(&version_route(version), "idempotent", "desk"));
+    large
+}
+
+fn version_route(version: u64) -> String {
+    format!("version-{version}")
+}
+
+/// A single node that reads the store over a narrow link.
+struct NarrowReader {
+    store: StoreStandIn,
+    link: ThrottledLink,
+    node: Fixture,
+    _runner: RunnerStandIn,
+}
+
+/// Starts the node with a configuration.
+fn narrow_reader(configuration: &Value) -> NarrowReader {
+    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
+    let store = StoreStandIn::start().unwrap();
+    let runner = runner();
+    store.put("op/config", configuration);
+    let address = link.link_to(store.address()).unwrap();
+    let node = Fixture::start_at(NodeAddress::new(), store.clone(), address, "node-1", "", "");
+    node.add_runner(&runner, "desk", None);
+    NarrowReader { store, link, node, _runner: runner }
 }
 
 /// Two store readers with fast links, and a follower behind a narrow link.
@@ -140,66 +169,39 @@
 /// A single node reads the store over a narrow link, at its start and after a change.
 #[test]
 fn a_large_configuration_is_read_from_the_store_over_a_narrow_link() {
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let store = StoreStandIn::start().unwrap();
-    let runner = runner();
-    store.put("op/config", &large_configuration(3));
-    let address = link.link_to(store.address()).unwrap();
-    let node = Fixture::start_at(NodeAddress::new(), store.clone(), address, "node-1", "", "");
-    node.add_runner(&runner, "desk", None);
-    wait_for("the first configuration", || serves(&node, "added"));
+    let NarrowReader { store, node, .. } = &narrow_reader(&large_configuration(3));
+    wait_for("the first configuration", || serves(node, "added"));
     let mut changed = large_configuration(4);
     changed["limits"]["max_body_bytes"] = json!(70_000);
     changed["routes"].as_array_mut().unwrap().push(route("later", "idempotent", "desk"));
     store.put("op/config", &changed);
-    wait_for("the change", || serves(&node, "later"));
+    wait_for("the change", || serves(node, "later"));
 }
 
-/// A watch of a store reader returns every version written since its revision. Versions written
-/// during one transfer take longer than that transfer, and those written meanwhile take longer
-/// still. In a soak run, one response held three versions, 3.8 MB, and took 3.1 s over 10 Mbit/s;
-/// five probes for the last version were late.
+/// The response of a watch holds every version written since its revision.
 #[test]
 fn versions_in_quick_succession_do_not_accumulate_at_a_store_reader() {
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let store = StoreStandIn::start().unwrap();
-    let runner = runner();
-    store.put("op/config", &configuration(3));
-    let address = link.link_to(store.address()).unwrap();
-    let node = Fixture::start_at(NodeAddress::new(), store.clone(), address, "node-1", "", "");
-    node.add_runner(&runner, "desk", None);
+    let NarrowReader { store, node, .. } = &narrow_reader(&configuration(3));
     node.wait_until_ready();
-    let last = write_many_versions(&store);
-    wait_for("the last version", || serves(&node, &last));
+    let last = write_many_versions(store);
+    wait_for("the last version", || serves(node, &last));
 }
 
 /// Versions that are written while a store reader is busy all come in one response of its watch.
 #[test]
 fn versions_written_during_a_transfer_are_not_all_transferred() {
     const BURST: std::ops::RangeInclusive<u64> = 8..=12;
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let store = StoreStandIn::start().unwrap();
-    let runner = runner();
-    store.put("op/config", &configuration(3));
-    let address = link.link_to(store.address()).unwrap();
-    let node = Fixture::start_at(NodeAddress::new(), store.clone(), address, "node-1", "", "");
-    node.add_runner(&runner, "desk", None);
+    let NarrowReader { store, link, node, .. } = &narrow_reader(&configuration(3));
     node.wait_until_ready();
     let before = link.transferred_bytes();
     store.put("op/config", &large_configuration(7));
-    wait_for("the first large version", || serves(&node, "added"));
+    wait_for("the first large version", || serves(node, "added"));
     let version_bytes = link.transferred_bytes() - before;
     // The node now reads the entry again.
     let before = link.transferred_bytes();
     wait_for("the second transfer", || link.transferred_bytes() > before + version_bytes / 4);
-    for version in BURST {
-        let mut large = large_configuration(version);
-        let routes = large["routes"].as_array_mut().unwrap();
-        routes.push(route(&format!("version-{version}"), "idempotent", "desk"));
-        store.put("op/config", &large);
-    }
-    let last = format!("version-{}", BURST.end());
-    wait_for("the last version", || serves(&node, &last));
+    BURST.for_each(|version| store.put("op/config", &large_version(version)));
+    wait_for("the last version", || serves(node, &version_route(*BURST.end())));
     let transferred = link.transferred_bytes() - before;
     assert!(transferred < version_bytes * 7 / 2, "{transferred} of {version_bytes} a version");
 }
