--- a/crates/serving/src/role_view.rs
+++ b/crates/serving/src/role_view.rs
@@ -130,7 +130,7 @@
         self.metrics.prefill + self.metrics.becoming_prefill
     }
 
-    /// Runners of the other role, the least loaded first.
+    /// Runners of the other role, in order of increasing load.
     pub(crate) fn least_loaded(&self, wanted: Stage) -> Vec<RunnerId> {
         let others = if wanted == Stage::Prefill { &self.decode } else { &self.prefill };
         let load = |runner: &&Runner| {
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -38,7 +38,7 @@
 }
 
 impl Shard {
-    /// The number of shards for a region with so many nodes; at least 1.
+    /// The number of shards of a region that has `nodes` nodes; at least 1.
     pub fn count(nodes: usize) -> usize {
         nodes.div_ceil(NODES_PER_SHARD).max(1)
     }
@@ -274,7 +274,7 @@
 /// The progress of a placed request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Progress {
-    /// The prompt was prefilled, so many milliseconds after the attempt was sent.
+    /// The prompt was prefilled. Contains the time since the attempt was sent, in milliseconds.
     #[serde(rename = "r")]
     Prefilled(u64),
     /// A runner declined the request because it was full.
--- a/crates/serving/src/store_replica.rs
+++ b/crates/serving/src/store_replica.rs
@@ -3,7 +3,7 @@
 //! A replica is exact up to a revision. A node that knows the store up to an earlier revision
 //! receives the entries changed since then, provided that the replica still holds the tombstones of
 //! that interval; otherwise it receives a snapshot of all entries. All entries of a replica belong
-//! to one era of the store. Only a snapshot leads into a later era, because nobody knows which
+//! to one era of the store. Only a snapshot leads into a later era, because no node knows which
 //! changes were lost between the two.
 
 use crate::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
