Test: a stream that pauses is whole though the store falls silent and the settings take the retry budget

The search for a successor was tested with other runners that fail, not with the store and the settings changing halfway. The store is silent and the reloaded settings allow no retry when the pause ends the wait.

--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -8,6 +8,7 @@
     engine_script, event_text, stream_head, EventStream, LongPause, NoticeHeaders, Reaction,
     RunnerStandIn,
 };
+use pitchstall_platform_standins::store::StoreMode;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use support::{Fixture, RawClient};
@@ -107,6 +108,22 @@
     assert_whole(&mut client, &pausing);
 }
 
+#[test]
+fn a_stream_that_pauses_is_whole_though_the_store_fails_and_the_settings_change() {
+    let pausing = pausing_runner();
+    let node = Fixture::with_runners(&[(&pausing, "llm", Some("decode"))]);
+    let mut client = start_stream(&node, "");
+    let other = runner("i-other", |_| Reaction::Decline);
+    node.add_runner(&other, "llm", Some("decode"));
+    node.wait_until_ready();
+    node.store.set_mode(StoreMode::Silent);
+    let settings = std::fs::read_to_string(&node.file).unwrap();
+    let without_budget = settings.replace("retry_ratio = 1.2", "retry_ratio = 0.0");
+    assert_ne!(settings, without_budget);
+    std::fs::write(&node.file, without_budget).unwrap();
+    assert_whole(&mut client, &pausing);
+}
+
 #[test]
 fn a_stream_that_pauses_is_whole_though_the_other_runner_takes_nothing_by_its_limit() {
     let limited = runner("i-limited", |request| {
