Searches for schedulers and keepers examine the strongest nodes only

Cause: twice a second each node works out its rank as a keeper of each shard, and a scheduler looks for the schedulers of all shards with each report. Both hashed the name of every node for every shard: 25 x 985 hashes a pass, so the work of the fleet grew with the cube of its nodes (shards grow with nodes too). The list of store readers hashed and sorted all nodes at each query of a follower, the list of regions cloned a name for each runner, and the list of nodes was compared with itself, pair by pair.

Change: a node that is weaker than the best one so far, or than the node whose rank is sought, is passed over before its name is hashed; a rank is counted up to the number of keepers. The result is the same.

Test: in a fleet of 985 nodes the search asks at most the strong nodes whether they are up (985 before), and four for a rank.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,7 +27,7 @@
 use pitchstall_serving::store_revision::{StoreEra, StoreLease};
 use rand::RngExt;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -358,9 +358,9 @@
         }
         self.node.on_nodes_listed();
         let now = Instant::now();
-        let is_listed = |name: &NodeId| others.iter().any(|(other, _)| other == name);
+        let listed: HashSet<&NodeId> = others.iter().map(|(name, _)| name).collect();
         let mut state = self.state.borrow_mut();
-        state.peers.retain(|name, peer| is_listed(name) || now < peer.last_received_at + PEER_TTL);
+        state.peers.retain(|name, peer| listed.contains(name) || now < peer.last_received_at + PEER_TTL);
         self.node.members.borrow_mut().retain(|name| state.peers.contains_key(name));
     }
 
--- a/crates/gateway/src/runner_limits.rs
+++ b/crates/gateway/src/runner_limits.rs
@@ -260,13 +260,14 @@
     Some(Shard::of_runner(runner, Shard::count(nodes)))
 }
 
-/// Number of live nodes that precede this one as keepers of a shard's limits.
+/// Number of live nodes that precede this one as keepers of a shard's limits, at most
+/// [`MAX_KEEPERS`].
 fn own_rank(node: &Node, shard: &Shard) -> usize {
     let now_us = node.now_us();
     let members = node.members.borrow();
     let nodes = members.len();
     let is_alive = |name: &NodeId| node.runner_limits.is_alive(name, nodes, now_us);
-    members.scheduler_rank_of(&node.own_name(), shard, is_alive)
+    members.scheduler_rank_of(&node.own_name(), shard, MAX_KEEPERS, is_alive)
 }
 
 fn own_share(node: &Node, shard: &Shard) -> Option<LimitKeeperShare> {
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -204,7 +204,8 @@
 
     /// The regions that have runners of any service.
     pub fn regions(&self) -> BTreeSet<RegionId> {
-        self.runners.values().map(|runner| runner.region.clone()).collect()
+        let regions: BTreeSet<&RegionId> = self.runners.values().map(|it| &it.region).collect();
+        regions.into_iter().cloned().collect()
     }
 
     /// Applies an entry of the registry. Entries older than the known one are ignored. The revision
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -36,6 +36,24 @@
     pub millicpus: u32,
 }
 
+/// A candidate for the scheduler of a shard.
+struct SchedulerCandidate<'a> {
+    millicpus: u32,
+    /// Decides among candidates with the same share of a processor.
+    weight: u64,
+    name: &'a NodeId,
+}
+
+impl<'a> SchedulerCandidate<'a> {
+    fn new(shard: &Shard, name: &'a NodeId, member: &Member) -> Self {
+        Self { millicpus: member.millicpus, weight: shard.weight(name), name }
+    }
+
+    fn rank(&self) -> (u32, u64) {
+        (self.millicpus, self.weight)
+    }
+}
+
 /// All known nodes, including this one.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -218,10 +236,20 @@
         shard: &Shard,
         is_up: impl Fn(&NodeId) -> bool,
     ) -> Option<(&NodeId, SocketAddr)> {
-        let candidates = self.scheduler_candidates(shard);
-        let reachable = candidates.filter(|(name, _)| **name == self.own || is_up(name));
-        let best = reachable.max_by_key(|(name, member)| (member.millicpus, shard.weight(name)));
-        best.filter(|(name, _)| **name != self.own).map(|(name, member)| (name, member.address))
+        let mut best: Option<SchedulerCandidate<'_>> = None;
+        for (name, member) in self.scheduler_candidates(shard) {
+            // Most nodes are weaker than the best one so far, and need no further check.
+            let is_weaker = best.as_ref().is_some_and(|best| member.millicpus < best.millicpus);
+            if is_weaker || (*name != self.own && !is_up(name)) {
+                continue;
+            }
+            let candidate = SchedulerCandidate::new(shard, name, member);
+            if best.as_ref().is_none_or(|best| candidate.rank() > best.rank()) {
+                best = Some(candidate);
+            }
+        }
+        let best = best.filter(|best| *best.name != self.own)?;
+        Some((best.name, self.members[best.name].address))
     }
 
     /// The nodes of a shard's region, or all nodes if none of the region is known.
@@ -230,24 +258,30 @@
         shard: &Shard,
     ) -> impl Iterator<Item = (&'a NodeId, &'a Member)> + 'a {
         let region = shard.region.clone();
-        let has_nodes = self.count_in(&region) > 0;
+        let has_nodes = self.members.values().any(|it| self.topology.is_in(&it.zone, &region));
         let is_candidate = move |zone: &ZoneId| !has_nodes || self.topology.is_in(zone, &region);
         self.members.iter().filter(move |(_, member)| is_candidate(&member.zone))
     }
 
     /// Number of candidates for which `is_present` holds that rank before `name` as the scheduler
-    /// of a shard and the keeper of its runners' limits.
+    /// of a shard and the keeper of its runners' limits. Counts up to `max_rank`, which is also
+    /// returned for an unknown node.
     pub fn scheduler_rank_of(
         &self,
         name: &NodeId,
         shard: &Shard,
+        max_rank: usize,
         is_present: impl Fn(&NodeId) -> bool,
     ) -> usize {
-        let rank = |name: &NodeId, member: &Member| (member.millicpus, shard.weight(name));
-        let Some(own) = self.members.get(name) else { return self.members.len() };
-        let own = rank(name, own);
+        let Some(own) = self.members.get(name) else { return max_rank };
+        let own_weight = shard.weight(name);
+        let ranks_before = |other: &NodeId, member: &Member| match member.millicpus {
+            millicpus if millicpus == own.millicpus => shard.weight(other) > own_weight,
+            millicpus => millicpus > own.millicpus,
+        };
         let others = self.scheduler_candidates(shard).filter(|(other, _)| *other != name);
-        others.filter(|(other, member)| rank(other, member) > own && is_present(other)).count()
+        let before = others.filter(|(other, member)| ranks_before(other, member));
+        before.filter(|(other, _)| is_present(other)).take(max_rank).count()
     }
 
     /// The candidates for the scheduler of a shard, the highest rank first.
@@ -265,11 +299,8 @@
         rendezvous_weight(self.own.as_str(), place)
     }
 
-    fn zones(&self) -> Vec<&ZoneId> {
-        let mut zones: Vec<&ZoneId> = self.members.values().map(|member| &member.zone).collect();
-        zones.sort();
-        zones.dedup();
-        zones
+    fn zones(&self) -> BTreeSet<&ZoneId> {
+        self.members.values().map(|member| &member.zone).collect()
     }
 
     fn store_readers(&self) -> Vec<&NodeId> {
@@ -303,10 +334,14 @@
     /// the same at every node breaks ties.
     fn strongest_of(&self, zone: &ZoneId, max_count: usize) -> Vec<(u32, u64, &NodeId)> {
         let of_zone = self.members.iter().filter(|(_, member)| member.zone == *zone);
-        let mut ranked: Vec<_> = of_zone
-            .map(|(name, member)| {
-                (member.millicpus, rendezvous_weight("store", name.as_str()), name)
-            })
+        let mut of_zone: Vec<(u32, &NodeId)> =
+            of_zone.map(|(name, member)| (member.millicpus, name)).collect();
+        of_zone.sort_by_key(|(millicpus, _)| std::cmp::Reverse(*millicpus));
+        // Only the nodes that are as strong as the last one to be returned need a weight.
+        let last = of_zone.get(max_count.saturating_sub(1)).map(|(millicpus, _)| *millicpus);
+        let strong = of_zone.into_iter().take_while(|(millicpus, _)| Some(*millicpus) >= last);
+        let mut ranked: Vec<_> = strong
+            .map(|(millicpus, name)| (millicpus, rendezvous_weight("store", name.as_str()), name))
             .collect();
         ranked.sort_by(|left, right| right.cmp(left));
         ranked.truncate(max_count);
--- a/crates/serving/tests/limit_keeper.rs
+++ b/crates/serving/tests/limit_keeper.rs
@@ -232,11 +232,11 @@
     let order = members.schedulers_by_rank(&shard);
     assert_eq!(order.len(), 40);
     for (rank, (name, _)) in order.iter().enumerate() {
-        assert_eq!(members.scheduler_rank_of(name, &shard, |_| true), rank);
-        assert_eq!(members.scheduler_rank_of(name, &shard, |_| false), 0);
+        assert_eq!(members.scheduler_rank_of(name, &shard, 40, |_| true), rank);
+        assert_eq!(members.scheduler_rank_of(name, &shard, 40, |_| false), 0);
     }
     let is_not_second = |name: &NodeId| *name != *order[1].0;
-    assert_eq!(members.scheduler_rank_of(order[2].0, &shard, is_not_second), 1);
+    assert_eq!(members.scheduler_rank_of(order[2].0, &shard, 40, is_not_second), 1);
 }
 
 /// Only the response to a request shows that a limit has been lifted, and the first keeper may be
--- a/crates/serving/tests/membership.rs
+++ b/crates/serving/tests/membership.rs
@@ -4,6 +4,7 @@
 use pitchstall_serving::ids::{NodeId, RegionId, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::topology::Topology;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use test_case::test_case;
 
@@ -45,6 +46,31 @@
     assert!(views.iter().all(|view| view.store_reader_count() == expected));
 }
 
+/// Guards against a search for a scheduler that examines all nodes of a fleet: each node makes it
+/// for each shard several times a second.
+#[test]
+fn only_the_strongest_nodes_are_examined_as_schedulers() {
+    const NODES: usize = 985;
+    let all = fleet(NODES, 5);
+    let strong = all.iter().filter(|(_, member)| member.millicpus == STRONG_MILLICPUS).count();
+    let weak = all.iter().position(|(_, member)| member.millicpus == WEAK_MILLICPUS).unwrap();
+    let view = view_of(weak, &all);
+    let examined = Cell::new(0);
+    let is_present = |_: &NodeId| {
+        examined.set(examined.get() + 1);
+        true
+    };
+    for shard in view.shards_of(RegionId::new("coast")) {
+        let expected = view.schedulers_by_rank(&shard)[0];
+        examined.set(0);
+        assert_eq!(view.scheduler(&shard, is_present), Some(expected));
+        assert!(examined.get() <= strong, "{} nodes", examined.get());
+        examined.set(0);
+        assert_eq!(view.scheduler_rank_of(view.own_name(), &shard, 4, is_present), 4);
+        assert_eq!(examined.get(), 4);
+    }
+}
+
 #[test]
 fn store_readers_are_the_strong_nodes() {
     let all = fleet(295, 5);
