Followers that start before the configuration is written do not call the store

The nodes start before the configuration is written, so the readers of the store have none, a follower is through with its ten sources in 0.3 s, and then reads the store itself.

Change: a follower without a replica makes its first own call 0.6 to 1.2 s after its start, while another node can be asked.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -41,6 +41,10 @@
 /// itself. Receiving the list takes three calls to the store, about 20 ms, and several times that
 /// on a busy machine.
 const NODE_LIST_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after the start within which a node that has no replica makes no call to the store while
+/// another node can be asked, in milliseconds. The followers of a fleet that starts before its
+/// configuration is written would otherwise all call the store.
+const FIRST_OWN_CALL_DELAY_MS: std::ops::Range<u64> = 600..1_200;
 /// Pause after a peer that had no confirmed replica.
 const SOURCE_RETRY_PAUSE: Duration = Duration::from_millis(30);
 /// Minimum size of a response that is logged. It takes 13 ms on a link of 10 Mbit/s.
@@ -91,7 +95,7 @@
         replication: ReplicationClient::with_transfer(transfer.clone()),
         transfer,
         source_index: 0,
-        next_own_call_at: Instant::now(),
+        next_own_call_at: Instant::now() + first_own_call_delay(),
         next_behind_call_at: Instant::now(),
         is_source_reliable: false,
         query_sent_at: Instant::now(),
@@ -114,6 +118,11 @@
     }
 }
 
+/// Random, so that nodes that start together do not call the store together.
+fn first_own_call_delay() -> Duration {
+    Duration::from_millis(rand::rng().random_range(FIRST_OWN_CALL_DELAY_MS))
+}
+
 fn assess_freshness(node: &Node, subject: Subject, confirmation_period: Duration) -> Freshness {
     let confirmation_us = u64::try_from(confirmation_period.as_micros()).unwrap_or(u64::MAX);
     let freshness = node.freshness.borrow();
--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -67,6 +67,24 @@
     assert!(send_query(node.peers, &query(Subject::Configuration, None, 0)).update.is_some());
 }
 
+/// Guards against a call to the store by every node of a fleet that starts before its configuration
+/// is written.
+#[test]
+fn a_follower_that_starts_without_a_configuration_makes_no_store_calls() {
+    const REGISTRATION_CALLS: u64 = 3;
+    const NAMES: [&str; 5] = ["node-2", "node-3", "node-4", "node-5", "node-6"];
+    let first = Fixture::start();
+    let others = NAMES.map(|name| first.start_peer(name));
+    // Long enough for a follower to ask both store readers for a configuration, and again.
+    std::thread::sleep(Duration::from_millis(400));
+    first.store.put("op/config", &configuration(3));
+    let one = runner("i-1");
+    first.add_runner(&one, "desk", None);
+    others.iter().for_each(Fixture::wait_until_ready);
+    let calls: Vec<u64> = others.iter().map(store_calls).collect();
+    assert!(calls.iter().any(|calls| *calls <= REGISTRATION_CALLS), "{calls:?}");
+}
+
 /// Of three nodes in one zone, two read the store and the third follows them.
 #[test]
 fn a_follower_makes_no_store_calls_and_receives_changes() {
