Nodes of a zone pool the retry tokens that none of them could use alone

Cause: a node's part of the retry slack is the slack by the number of nodes. At 985 nodes and a slack of 1,040 that is 0.79 attempts, less than the one that a retry costs, so no node ever sends one. At 300 nodes the part is 2.6, but a node that receives one request of a service in nine seconds earns an attempt in fifty.

Change: a node whose part is less than four attempts deposits each second what does not make a whole attempt at one of two keepers of its zone, and takes tokens from them when it needs an attempt. Tokens are only moved; deposits expire after 4 s and take up capacity of their depositor until then, so the sum of all budgets and pools stays within the same bound, whoever keeps or dies. An attempt that is silent or whose runner is suspected is ended once the next one has been charged, not because a budget seemed to have an attempt when it was sent.

Weighed: a larger part for each node (breaks the bound), borrowing from random peers (sixty queries a retry in the first seconds, when hardly a node has earned anything), one keeper for the fleet (words between zones, one node to lose).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
+use crate::retry_charge::RetryCharge;
 use crate::runner_probe::{probe_while_silent, wait_until_suspected, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
 use pitchstall_serving::ids::{RunnerId, TenantName};
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Maximum size of a response body that is read into memory as a whole.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -162,7 +163,7 @@
 }
 
 /// Parameters of one attempt, set by the dispatcher for each attempt of a request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct AttemptParams {
     /// The work for the runner: the whole request, only the prefill, or the decode of a prefilled
     /// prompt.
@@ -183,13 +184,31 @@
     pub deadline: Instant,
     /// Maximum wait for the head of the response.
     pub head_timeout: Duration,
+    /// When the attempt is ended for another one; `None` if the request may not be repeated.
+    pub early_end: Option<EarlyEnd>,
     /// Expected time until the prefill is finished. It is only logged.
     pub expected_prefill: Duration,
     /// Time without data from the runner after which the runner is probed for the first time.
     pub probe_after: Duration,
-    /// Whether the attempt is abandoned when its runner is suspected of having failed. Only set if
-    /// the request may be repeated.
-    pub abandons_suspects: bool,
+}
+
+/// When an attempt is ended before its head timeout, so that another one can follow. The retry budget
+/// is charged for that one first; while the budget is exhausted, the attempt goes on.
+#[derive(Clone)]
+pub struct EarlyEnd {
+    /// The charge for the other attempt.
+    pub charge: Rc<RetryCharge>,
+    /// Time without a response head after which the attempt is ended. It is also ended if its runner
+    /// is suspected of having failed.
+    pub head_timeout: Duration,
+}
+
+/// Why an attempt without a response head was ended.
+enum EndCause {
+    /// The head did not arrive in time.
+    Silent(Duration),
+    /// The runner is suspected of having failed.
+    Suspected,
 }
 
 /// Sends a request on a prepared connection and waits for the head of the response.
@@ -216,34 +235,57 @@
     }
     let head = read_matching_head(node, request, &prepared, sent_at_us);
     let outcome = tokio::select! {
-        outcome = timeout(params.head_timeout, head) => outcome,
-        () = wait_until_suspected(node, &runner), if params.abandons_suspects => {
-            log::info!(target: "attempt", request = request.metadata.id.as_str(), runner = runner.as_str(); "left");
+        outcome = head => outcome,
+        cause = wait_for_end(node, &runner, params) => {
+            log_end(request, &runner, &cause);
+            if let EndCause::Silent(_) = cause {
+                node.on_attempt_timeout(&runner, sent_at_us);
+            }
             record_unfinished_attempt(node, attempt);
             return AttemptEnd::NoResponse;
         }
         () = probe_while_silent(node, &runner, params.probe_after) => return AttemptEnd::NoResponse,
     };
     match outcome {
-        Err(_) => {
-            let limit_ms = u64::try_from(params.head_timeout.as_millis()).unwrap_or(u64::MAX);
-            let id = request.metadata.id.as_str();
-            log::info!(target: "attempt", request = id, runner = runner.as_str(), limit_ms; "silent");
-            node.on_attempt_timeout(&runner, sent_at_us);
-            record_unfinished_attempt(node, attempt);
-            AttemptEnd::NoResponse
-        }
-        Ok(Err(error)) => {
+        Err(error) => {
             on_connection_lost(node, attempt, connection, &error);
             AttemptEnd::Lost
         }
-        Ok(Ok((head, metadata))) => {
+        Ok((head, metadata)) => {
             log_head(request, &runner, &head, &metadata, sent_at);
             classify(node, request, prepared, params, head, &metadata)
         }
     }
 }
 
+/// Completes when an attempt without a response head is to be ended.
+async fn wait_for_end(node: &Rc<Node>, runner: &RunnerId, params: &AttemptParams) -> EndCause {
+    let early_end = async {
+        let Some(EarlyEnd { charge, head_timeout }) = &params.early_end else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            () = charge.charged_when(|| wait_until_suspected(node, runner)) => EndCause::Suspected,
+            () = charge.charged_after(*head_timeout) => EndCause::Silent(*head_timeout),
+        }
+    };
+    tokio::select! {
+        () = sleep(params.head_timeout) => EndCause::Silent(params.head_timeout),
+        cause = early_end => cause,
+    }
+}
+
+fn log_end(request: &ClientRequest, runner: &RunnerId, cause: &EndCause) {
+    let (id, runner) = (request.metadata.id.as_str(), runner.as_str());
+    match cause {
+        EndCause::Silent(limit) => {
+            let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+            log::info!(target: "attempt", request = id, runner, limit_ms; "silent");
+        }
+        EndCause::Suspected => log::info!(target: "attempt", request = id, runner; "left"),
+    }
+}
+
 fn encode_attempt(
     request: &ClientRequest,
     record: &RunnerRecord,
--- a/crates/gateway/src/dispatch/admission.rs
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -5,7 +5,7 @@
 use crate::quota::requester::{self, QuotaRejection, QuotaReservation, SentReservation};
 use crate::runner_limits;
 use pitchstall_serving::attempt::EndReason;
-use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
+use pitchstall_serving::retry_budget::ArrivalCost;
 
 /// Result of the admission checks of a planned run.
 pub(super) enum Admission {
@@ -26,6 +26,9 @@
         if self.is_quarantined() {
             return Err(EndReason::Quarantined);
         }
+        if self.arrivals.is_next_run_extra() && !self.retry_charge.charge().await {
+            return Err(EndReason::Refused);
+        }
         self.ensure_reserved().await?;
         // Since it was chosen, the runner may have reported that it accepts no requests, for example
         // while another runner prefilled the prompt.
@@ -48,7 +51,7 @@
         {
             return Err(EndReason::OutOfTime);
         }
-        if !self.charge_arrival(cost) {
+        if !self.use_charge(cost) {
             return Err(EndReason::Refused);
         }
         let starts_on_arrival = self.engine.is_none();
@@ -92,19 +95,11 @@
         Ok(())
     }
 
-    /// Charges the retry budget for sending a request to a runner, if that is an extra attempt.
-    /// Returns `false` if the budget is exhausted, so that the request must not be sent.
-    pub(super) fn charge_arrival(&mut self, cost: ArrivalCost) -> bool {
-        cost == ArrivalCost::Free
-            || std::mem::take(&mut self.has_charged_retry)
-            || self.charge_retry()
-    }
-
-    pub(super) fn charge_retry(&self) -> bool {
-        let allowed = self.node.with_retry_budget(&self.service, SharedRetryBudget::withdraw);
-        let metrics = &self.node.metrics;
-        if allowed { &metrics.retries } else { &metrics.retries_denied }.inc();
-        allowed
+    /// Uses the charge to the retry budget for sending a request to a runner, if that is an extra
+    /// attempt. Returns `false` if the budget has not been charged, so that the request must not be
+    /// sent.
+    pub(super) fn use_charge(&self, cost: ArrivalCost) -> bool {
+        cost == ArrivalCost::Free || self.retry_charge.take()
     }
 }
 
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -2,8 +2,9 @@
 
 use super::planning::{elapsed_ms, Plan};
 use super::{Dispatch, Step};
-use crate::attempt::AttemptResponse;
+use crate::attempt::{AttemptResponse, EarlyEnd};
 use crate::connection::ClientConnection;
+use crate::http::ReadError;
 use crate::intake::{BufferedResponse, RequestOutcome};
 use crate::interrupted_attempt::{on_interrupted, record_and_probe, InterruptedAttempt};
 use crate::relay::{relay, RelayLimits, RelayOutcome};
@@ -20,6 +21,9 @@
 /// Minimum gap between two events after which a stream counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// A response was not complete in time.
+struct TooSlow;
+
 /// A run whose response has begun. Dropping it closes the connection, so that the runner stops.
 pub(super) struct Run {
     /// The response, from its head on.
@@ -68,7 +72,7 @@
 
     async fn deliver_complete(&mut self, response: AttemptResponse) -> Step {
         let runner = response.record.id.clone();
-        let full_response = match timeout(self.attempt_timeout(), response.read_all()).await {
+        let full_response = match self.read_in_time(&response).await {
             Ok(Ok(full_response)) => full_response,
             Ok(Err(error)) => {
                 let error = error.to_string();
@@ -77,7 +81,7 @@
                 on_interrupted(self.node, self.interrupted_attempt(&runner));
                 return self.on_lost(runner);
             }
-            Err(_) => return self.on_lost(runner),
+            Err(TooSlow) => return self.on_lost(runner),
         };
         let is_framed = !response.ends_with_connection();
         response.return_connection(self.node);
@@ -91,13 +95,30 @@
         }
         self.execution = Execution::Ran;
         self.excluded.push(runner);
-        if !self.may_run_again() || !self.has_retry_budget() {
+        if !self.may_run_again() || !self.retry_charge.charge().await {
             return self.finish_complete(full_response);
         }
         self.runner_failure = Some(full_response);
         Step::Retry
     }
 
+    /// Reads a whole response. A slow one is ended early once another attempt can follow.
+    async fn read_in_time(
+        &self,
+        response: &AttemptResponse,
+    ) -> Result<Result<BufferedResponse, ReadError>, TooSlow> {
+        let early_end = async {
+            match self.early_end() {
+                Some(EarlyEnd { charge, head_timeout }) => charge.charged_after(head_timeout).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            read = timeout(self.time_remaining(), response.read_all()) => read.map_err(|_| TooSlow),
+            () = early_end => Err(TooSlow),
+        }
+    }
+
     /// Handles a successful response. If only the end of the connection marked the end of the body,
     /// the runner may have crashed before the real end, so it is probed.
     fn on_success(&self, runner: &RunnerId, is_framed: bool) {
@@ -142,7 +163,8 @@
     /// Maximum gap between two events before another runner is sought. Only a stream that another
     /// runner can continue has one.
     fn max_stream_gap(&self) -> Duration {
-        let gap = self.route.gap_target_ms.filter(|_| self.allows_another_attempt());
+        let may_be_replaced = self.may_run_again() && self.retry_charge.is_expected();
+        let gap = self.route.gap_target_ms.filter(|_| may_be_replaced);
         let max_gap = gap.map(|gap_ms| Duration::from_millis(gap_ms) * STALL_GAP_TARGETS);
         max_gap.map_or(self.time_remaining(), |max_gap| max_gap.max(MIN_STALL_TIMEOUT))
     }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,7 +12,9 @@
 use self::admission::Admission;
 use self::delivery::Run;
 use self::planning::{elapsed_ms, Plan};
-use crate::attempt::{self, AttemptEnd, AttemptParams, PrepareError, PreparedConnection};
+use crate::attempt::{
+    self, AttemptEnd, AttemptParams, EarlyEnd, PrepareError, PreparedConnection,
+};
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::intake::{BufferedResponse, ClientRequest, RequestOutcome};
@@ -21,6 +23,7 @@
 use crate::policy::PlacementRules;
 use crate::quota::requester::{QuotaReservation, RunCost, SentReservation};
 use crate::relay::StreamState;
+use crate::retry_charge::RetryCharge;
 use crate::usage::StartRecorder;
 use pitchstall_serving::attempt::{final_response, EndReason, Execution};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
@@ -67,9 +70,8 @@
     reservation: Option<QuotaReservation>,
     /// Whether the request has been counted as begun for its tenant.
     is_counted: bool,
-    /// Whether the retry budget has already been charged for the next attempt, which happens before a
-    /// successor of a stalled run is sought.
-    has_charged_retry: bool,
+    /// The charge to the retry budget for the next extra attempt.
+    retry_charge: Rc<RetryCharge>,
     deadline: Instant,
     /// Whether the request has been executed, as far as the attempts so far show.
     execution: Execution,
@@ -118,6 +120,7 @@
         configuration: &Configuration,
         deadline: Instant,
     ) -> Self {
+        let retry_charge = Rc::new(RetryCharge::new(node, &request.metadata.id, &service));
         let engine = configuration.services.get(&service).and_then(|it| it.engine.clone());
         Self {
             node,
@@ -133,7 +136,7 @@
             run_cost: None,
             reservation: None,
             is_counted: false,
-            has_charged_retry: false,
+            retry_charge,
             deadline,
             execution: Execution::NotRun,
             runs: 0,
@@ -282,11 +285,11 @@
                 .map(|_| rank(self.rules.priority, choice, self.route.target_ms as f64)),
             after_event: self.resume_after_event(),
             deadline: self.deadline,
-            head_timeout: self.attempt_timeout(),
+            head_timeout: self.time_remaining(),
+            early_end: self.early_end(),
             expected_prefill: Duration::from_micros(choice.expected_prefill_us),
             probe_after: Duration::from_millis(self.route.target_ms)
                 .mul_f64(PROBE_AFTER_TARGET_SHARE),
-            abandons_suspects: self.allows_another_attempt(),
         }
     }
 
@@ -305,19 +308,12 @@
         }
     }
 
-    /// How long an attempt may take. A slow attempt is only ended early if another one can follow.
-    fn attempt_timeout(&self) -> Duration {
-        let remaining = self.time_remaining();
-        if self.allows_another_attempt() {
-            remaining.mul_f64(MAX_ATTEMPT_TIME_SHARE)
-        } else {
-            remaining
-        }
-    }
-
-    /// Whether another attempt may follow those that have been sent.
-    fn allows_another_attempt(&self) -> bool {
-        self.may_run_again() && self.has_retry_budget()
+    /// When the next attempt is ended so that another one can follow; `None` if none may follow. The
+    /// next attempt itself is one of the runs that have begun.
+    fn early_end(&self) -> Option<EarlyEnd> {
+        let head_timeout = self.time_remaining().mul_f64(MAX_ATTEMPT_TIME_SHARE);
+        let charge = self.retry_charge.clone();
+        self.may_run_again().then_some(EarlyEnd { charge, head_timeout })
     }
 
     /// Whether the request may run once more in addition to the runs that have begun.
@@ -325,10 +321,6 @@
         self.route.is_repeatable() && self.runs < self.route.max_attempts
     }
 
-    fn has_retry_budget(&self) -> bool {
-        self.node.with_retry_budget(&self.service, |budget| budget.has_attempt())
-    }
-
     fn on_unreachable(&mut self, runner: RunnerId) -> Result<(), EndReason> {
         self.excluded.push(runner);
         self.unreachable_count += 1;
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -1,7 +1,7 @@
 //! Plans the next attempt of a request: its placement and the prefill of its prompt.
 
 use super::{Dispatch, EndReason};
-use crate::attempt::{self, PrepareError};
+use crate::attempt::{self, EarlyEnd, PrepareError};
 use crate::clock::Instant;
 use crate::prefill::{self, PrefillOutcome, PrefillRequest, PrefilledPrompt};
 use crate::runner_limits::{self, SendPermit};
@@ -249,6 +249,9 @@
                 return None;
             }
         };
+        if self.arrivals.is_next_prefill_charged() && !self.retry_charge.charge().await {
+            return None;
+        }
         runner_limits::request_permit(self.node, &self.request.metadata.id, &prefill_runner.runner)
             .await?;
         if self.is_quarantined() {
@@ -258,13 +261,16 @@
         if cost != ArrivalCost::Free && self.would_miss_deadline(&prefill_runner) {
             return None;
         }
-        if !self.charge_arrival(cost) {
+        if !self.use_charge(cost) {
             return None;
         }
         let mut params = self.attempt_params(Work::Prefill, &prefill_runner);
         params.after_event = None;
         params.head_timeout = self.time_remaining().mul_f64(MAX_PREFILL_TIME_SHARE);
-        params.abandons_suspects = self.has_retry_budget();
+        params.early_end = Some(EarlyEnd {
+            charge: self.retry_charge.clone(),
+            head_timeout: params.head_timeout,
+        });
         let prefill_request = PrefillRequest {
             request: self.request,
             service: &self.service,
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -10,7 +10,6 @@
 use pitchstall_serving::attempt::{EndReason, Execution};
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::retry_budget::SharedRetryBudget;
 use pitchstall_serving::runner::Runner;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -59,7 +58,7 @@
     /// stalled one if there is no successor or if it has sent data meanwhile.
     pub(super) async fn replace_stalled_run(&mut self, mut stalled: Box<Run>) -> Box<Run> {
         let runner = stalled.runner().clone();
-        if !self.may_seek_successor(&runner) {
+        if !self.may_seek_successor(&runner).await {
             return stalled;
         }
         // The result tells a runner that is slow from one that cannot be reached.
@@ -88,7 +87,7 @@
 
     /// Whether a successor of a stalled run may be sought. This requires another healthy runner, a route that allows
     /// another run, and the retry budget for it, which is charged here.
-    fn may_seek_successor(&mut self, runner: &RunnerId) -> bool {
+    async fn may_seek_successor(&self, runner: &RunnerId) -> bool {
         let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
         let eligible = Eligible {
             sender: Sender::ThisNode,
@@ -101,8 +100,7 @@
         if !has_other || !self.may_run_again() {
             return false;
         }
-        self.has_charged_retry = self.has_charged_retry || self.charge_retry();
-        self.has_charged_retry
+        self.retry_charge.charge().await
     }
 
     async fn prepare_successor(&mut self) -> Result<ReadyAttempt, EndReason> {
@@ -143,11 +141,8 @@
         Handover::Failed(stalled)
     }
 
-    fn keep(&mut self, stalled: Box<Run>, reason: KeepReason) -> Box<Run> {
-        // Nothing was sent for the charge of the search.
-        if std::mem::take(&mut self.has_charged_retry) {
-            self.node.with_retry_budget(&self.service, SharedRetryBudget::refund);
-        }
+    fn keep(&self, stalled: Box<Run>, reason: KeepReason) -> Box<Run> {
+        self.retry_charge.refund();
         let reason = reason.name();
         self.node.metrics.on_stalled_run_kept(reason);
         let request = self.request.metadata.id.as_str();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,8 @@
 //! | [`relay`] | forwards a stream to the client, also across several runners |
 //! | [`local_responses`] | defines the responses that the node creates itself |
 //!
-//! Before a run is sent, [`quota`] charges it to its tenant if the tenant has a limit, and [`runner_limits`]
+//! Before an extra attempt is sent, [`retry_charge`] charges it to the retry budget, to which [`retry_pools`] adds
+//! tokens of other nodes. Before a run is sent, [`quota`] charges it to its tenant if the tenant has a limit, and [`runner_limits`]
 //! requests a permit for it if the runner has a limit.
 //!
 //! The other modules:
@@ -31,7 +32,7 @@
 //! - [`peers`] discovers the other nodes and exchanges [`peer_messages`] with them. [`cross_region_traffic`] counts
 //!   the bytes of messages to other regions.
 //! - [`shard_scheduler`] places the requests of other nodes. [`missed_replies`] tracks schedulers and keepers that do
-//!   not reply, [`cache_listing`] requests the contents of runners' caches after a start, and
+//!   not reply, [`pending_replies`] the queries that wait for one, [`cache_listing`] requests the contents of runners' caches after a start, and
 //!   [`prefix_announcements`] announces cached prefixes to other regions.
 //! - [`authority`] holds the leases that [`roles`], [`scaling`] and [`usage`] need before they give orders or
 //!   report something on behalf of all nodes.
@@ -61,6 +62,7 @@
 pub mod node;
 pub mod peer_messages;
 pub mod peers;
+pub mod pending_replies;
 pub mod platform_client;
 pub mod policy;
 pub mod prefill;
@@ -71,6 +73,8 @@
 pub mod relay;
 pub mod replica_limits;
 pub mod replication;
+pub mod retry_charge;
+pub mod retry_pools;
 pub mod roles;
 pub mod runner_limits;
 pub mod runner_probe;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,8 @@
     pub retries: Counter,
     /// Retries that the budget did not allow.
     pub retries_denied: Counter,
+    /// Queries to keepers of retry pools that received no reply in time.
+    pub retry_pool_timeouts: Counter,
     /// Requests that were running on a runner when it crashed.
     pub requests_on_crashed_runners: Counter,
     /// Requests that entered quarantine, as observed by this node.
@@ -132,6 +134,7 @@
             attempts: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
+            retry_pool_timeouts: Counter::default(),
             requests_on_crashed_runners: Counter::default(),
             quarantines: Counter::default(),
             resumes: Counter::default(),
@@ -170,6 +173,11 @@
             ("attempts", "Attempts sent to runners", &self.attempts),
             ("retries", "Attempts charged to the retry budget", &self.retries),
             ("retries_denied", "Retries that the budget did not allow", &self.retries_denied),
+            (
+                "retry_pool_timeouts",
+                "Queries to keepers of retry pools without a reply in time",
+                &self.retry_pool_timeouts,
+            ),
             (
                 "requests_under_ended_runners",
                 "Requests running on a runner when it crashed",
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -18,6 +18,7 @@
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
 use crate::refused_entries::{EntryError, RefusedEntries};
+use crate::retry_pools::RetryPools;
 use crate::runner_limits::RunnerLimits;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
@@ -37,6 +38,7 @@
 use pitchstall_serving::prefix::PromptPart;
 use pitchstall_serving::quarantine::Quarantine;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
+use pitchstall_serving::retry_pool::{RetryTokens, ServiceDeposit};
 use pitchstall_serving::routing::TrafficSplitter;
 use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
@@ -110,6 +112,8 @@
     pub quotas: Quotas,
     /// Limits that runners have reported, and the permits granted under them.
     pub runner_limits: RunnerLimits,
+    /// Retry tokens that this node pools with others, and those that it keeps for them.
+    pub retry_pools: RetryPools,
     /// State of the usage collector, used while this node has that duty.
     pub usage_collector: RefCell<UsageCollector>,
     /// Entries of the store that cannot be used, each of which is logged once per revision.
@@ -198,6 +202,7 @@
             quarantine_changed: Notify::new(),
             quotas: Quotas::default(),
             runner_limits: RunnerLimits::default(),
+            retry_pools: RetryPools::default(),
             usage_collector: RefCell::default(),
             refused_entries: RefusedEntries::default(),
             unknown_headers: RefCell::default(),
@@ -402,12 +407,7 @@
         service: &ServiceName,
         use_budget: impl FnOnce(&mut SharedRetryBudget) -> R,
     ) -> R {
-        let settings = self.settings();
-        let bounds = &settings.bounds;
-        let policy = RetryPolicy {
-            ratio: bounds.retry_ratio,
-            max_saved: RetryPolicy::node_slack(bounds.retry_slack, self.known_node_count()),
-        };
+        let policy = self.retry_policy();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let new_budget = || SharedRetryBudget::new(policy);
         let budget = retry_budgets.entry(service.clone()).or_insert_with(new_budget);
@@ -415,6 +415,34 @@
         use_budget(budget)
     }
 
+    fn retry_policy(&self) -> RetryPolicy {
+        let settings = self.settings();
+        let bounds = &settings.bounds;
+        RetryPolicy {
+            ratio: bounds.retry_ratio,
+            max_saved: RetryPolicy::node_slack(bounds.retry_slack, self.known_node_count()),
+        }
+    }
+
+    /// Takes the retry tokens of all services that are to be deposited in a pool.
+    pub fn take_retry_deposits(&self) -> Vec<ServiceDeposit> {
+        let (policy, now_us) = (self.retry_policy(), self.now_us());
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let deposits = budgets.iter_mut().filter_map(|(service, budget)| {
+            budget.set_policy(policy);
+            let tokens = budget.take_deposit(now_us)?;
+            Some(ServiceDeposit { service: service.clone(), tokens })
+        });
+        deposits.collect()
+    }
+
+    /// Maximum tokens of a service in this node's pool: no more than the budgets of all nodes of its
+    /// zone could hold.
+    pub fn retry_pool_capacity(&self) -> RetryTokens {
+        let depositors = self.members.borrow().own_zone_count() as f64;
+        RetryTokens::from_attempts(self.retry_policy().max_saved * depositors)
+    }
+
     /// Calls `use_speed` with the measured prefill speed of a service's runners.
     pub fn with_prefill_speed<R>(
         &self,
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -8,6 +8,7 @@
 use pitchstall_serving::quota::{QuotaQuery, QuotaRefund, QuotaReply};
 use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::regions::{CachedPrefixMessage, RegionLoads};
+use pitchstall_serving::retry_pool::{RetryDeposit, RetryQuery, RetryReply};
 use pitchstall_serving::runner_limit::{LimitMessage, LimitQuery, LimitReply};
 use pitchstall_serving::scheduling::{PlacementQuery, PlacementReply, ProgressMessage, ShardLoads};
 use pitchstall_serving::usage::{UsageMessage, UsageQuery};
@@ -78,6 +79,15 @@
     /// The limit that a runner has reported.
     #[serde(rename = "limit+")]
     LimitMessage(LimitMessage),
+    /// Deposits retry tokens at a keeper of the zone's pool.
+    #[serde(rename = "retry+")]
+    RetryDeposit(RetryDeposit),
+    /// Asks a keeper of the zone's pool for retry tokens.
+    #[serde(rename = "retry?")]
+    RetryQuery(RetryQuery),
+    /// A keeper's reply to [`Self::RetryQuery`].
+    #[serde(rename = "retry")]
+    RetryReply(RetryReply),
     /// Counts of requests that started to run, by window and tenant, in reply to
     /// [`Self::UsageQuery`].
     #[serde(rename = "usage")]
@@ -106,6 +116,9 @@
             Self::LimitQuery(_) => "limit_question",
             Self::LimitReply(_) => "limit_answer",
             Self::LimitMessage(_) => "limit_word",
+            Self::RetryDeposit(_) => "retry_deposit",
+            Self::RetryQuery(_) => "retry_question",
+            Self::RetryReply(_) => "retry_answer",
             Self::UsageMessage(_) => "usage",
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::quota::{self, RegistrationLease};
 use crate::refused_entries::EntryError;
+use crate::retry_pools;
 use crate::runner_limits;
 use crate::scheduling;
 use crate::shard_scheduler;
@@ -143,6 +144,9 @@
             PeerMessage::LimitQuery(query) => runner_limits::on_query(&self.node, &query, from),
             PeerMessage::LimitReply(reply) => runner_limits::on_reply(&self.node, reply),
             PeerMessage::LimitMessage(message) => runner_limits::on_message(&self.node, &message),
+            PeerMessage::RetryDeposit(deposit) => retry_pools::on_deposit(&self.node, &deposit),
+            PeerMessage::RetryQuery(query) => retry_pools::on_query(&self.node, &query, from),
+            PeerMessage::RetryReply(reply) => retry_pools::on_reply(&self.node, reply),
             PeerMessage::UsageMessage(message) => usage::on_message(&self.node, &message),
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -36,7 +36,8 @@
 //! | [`quota_grants`], [`quota_retry`] | grants that can be refunded, and retries of refused runs |
 //! | [`quota_candidacy`], [`quota_term`] | election of a keeper's holder, and the holder's term |
 //! | [`quota_requester`], [`quota_outcome`] | a node's queries to keepers, and their outcome |
-//! | [`retry_budget`] | a bound on extra attempts that needs no communication between nodes |
+//! | [`retry_budget`] | a bound on extra attempts that holds without agreement between nodes |
+//! | [`retry_pool`] | tokens that nodes with small retry budgets share |
 //! | [`attempt`] | what an attempt proves, and the final response that follows |
 //! | [`event_stream`] | the events of a stream that may be forwarded, and where it can continue |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
@@ -82,6 +83,7 @@
 pub mod request_identity;
 pub mod reservations;
 pub mod retry_budget;
+pub mod retry_pool;
 pub mod role_planner;
 mod role_view;
 pub mod routing;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -21,6 +21,8 @@
 /// Number of store readers in a region, where there are several regions: one of them, or its zone,
 /// may be lost or cut off without the region's other nodes noticing.
 const STORE_READERS_PER_REGION: usize = 2;
+/// Number of keepers of a zone's retry pool: one of them may be lost.
+const RETRY_POOL_KEEPERS: usize = 2;
 
 /// What a node reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -299,6 +301,19 @@
         rendezvous_weight(self.own.as_str(), place)
     }
 
+    /// The keepers of the retry pool of this node's zone with their addresses, in the same order at
+    /// every node that knows the same members.
+    pub fn retry_pool_keepers(&self) -> Vec<(&NodeId, SocketAddr)> {
+        let ranked = self.strongest_of(&self.own().zone, "retry", RETRY_POOL_KEEPERS);
+        ranked.into_iter().map(|(_, _, name)| (name, self.members[name].address)).collect()
+    }
+
+    /// Number of nodes in this node's zone, including this one.
+    pub fn own_zone_count(&self) -> usize {
+        let own_zone = &self.own().zone;
+        self.members.values().filter(|member| member.zone == *own_zone).count()
+    }
+
     fn zones(&self) -> BTreeSet<&ZoneId> {
         self.members.values().map(|member| &member.zone).collect()
     }
@@ -313,7 +328,7 @@
         let mut zones = self.zones();
         let is_only_region = zones.iter().all(|zone| self.topology.is_in(zone, region));
         zones.retain(|zone| self.topology.is_in(zone, region));
-        let ranked = zones.into_iter().map(|zone| self.strongest_of(zone, STORE_READERS_PER_ZONE));
+        let ranked = zones.into_iter().map(|zone| self.strongest_of(zone, "store", STORE_READERS_PER_ZONE));
         if is_only_region {
             return ranked.flatten().map(|(_, _, name)| name).collect();
         }
@@ -331,8 +346,13 @@
     }
 
     /// The nodes of a zone with the largest shares of a processor, with their ranks. A hash that is
-    /// the same at every node breaks ties.
-    fn strongest_of(&self, zone: &ZoneId, max_count: usize) -> Vec<(u32, u64, &NodeId)> {
+    /// the same at every node and differs between duties breaks ties.
+    fn strongest_of(
+        &self,
+        zone: &ZoneId,
+        duty: &str,
+        max_count: usize,
+    ) -> Vec<(u32, u64, &NodeId)> {
         let of_zone = self.members.iter().filter(|(_, member)| member.zone == *zone);
         let mut of_zone: Vec<(u32, &NodeId)> =
             of_zone.map(|(name, member)| (member.millicpus, name)).collect();
@@ -341,7 +361,7 @@
         let last = of_zone.get(max_count.saturating_sub(1)).map(|(millicpus, _)| *millicpus);
         let strong = of_zone.into_iter().take_while(|(millicpus, _)| Some(*millicpus) >= last);
         let mut ranked: Vec<_> = strong
-            .map(|(millicpus, name)| (millicpus, rendezvous_weight("store", name.as_str()), name))
+            .map(|(millicpus, name)| (millicpus, rendezvous_weight(duty, name.as_str()), name))
             .collect();
         ranked.sort_by(|left, right| right.cmp(left));
         ranked.truncate(max_count);
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -1,4 +1,4 @@
-//! A retry budget for the whole fleet that needs no communication between nodes.
+//! A retry budget for the whole fleet that holds without agreement between nodes.
 //!
 //! In any window, the fleet may send extra attempts for a share of its requests (the ratio), plus a
 //! fixed number of attempts (the slack). Each node has a token bucket: a request adds a fraction of
@@ -8,6 +8,13 @@
 //! sum of the bucket capacities plus the ratio of the requests received in the same window. This
 //! also holds across restarts: a new process starts with an empty bucket, and the tokens of its
 //! predecessor are lost.
+//!
+//! In a large fleet, a node's part of the slack is less than a few attempts and its requests are few.
+//! Its tokens are then pooled with those of other nodes ([`crate::retry_pool`]). Tokens in a pool
+//! take up the capacity of the bucket from which they came, so the bound above still holds.
+
+use crate::retry_pool::{RetryTokens, DEPOSIT_TTL_US, MAX_DEPOSIT_DELAY_US};
+use std::collections::VecDeque;
 
 /// Bounds of a node's retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,8 +35,17 @@
         }
         part
     }
+
+    /// Whether the node's part of the slack is too small to be used well by itself.
+    fn is_pooled(&self) -> bool {
+        self.max_saved < MIN_UNPOOLED_ATTEMPTS
+    }
 }
 
+/// Minimum capacity of a bucket whose tokens are not pooled, in extra attempts. A smaller bucket is
+/// emptied by a few failures in a row, while those of other nodes are full.
+const MIN_UNPOOLED_ATTEMPTS: f64 = 4.0;
+
 /// Fraction of the slack that the buckets of all nodes together may hold. The rest covers extra
 /// attempts that were sent before a window and arrive within it, and nodes that do not know all
 /// others yet.
@@ -45,18 +61,27 @@
     policy: RetryPolicy,
     /// Extra attempts that are available now, with fractions.
     saved: f64,
+    /// Tokens that may be in a pool, the oldest first.
+    deposits: VecDeque<PooledDeposit>,
+}
+
+/// Tokens that a node has deposited in a pool.
+#[derive(Clone, Copy, Debug)]
+struct PooledDeposit {
+    expires_at_us: u64,
+    tokens: RetryTokens,
 }
 
 impl SharedRetryBudget {
     /// Creates a budget without any tokens.
     pub fn new(policy: RetryPolicy) -> Self {
-        Self { policy, saved: 0.0 }
+        Self { policy, saved: 0.0, deposits: VecDeque::new() }
     }
 
     /// Changes the bounds. Tokens beyond the new capacity are lost.
     pub fn set_policy(&mut self, policy: RetryPolicy) {
         self.policy = policy;
-        self.saved = self.saved.min(policy.max_saved);
+        self.saved = self.saved.min(self.capacity());
     }
 
     /// Adds the tokens for a request received from a client.
@@ -83,8 +108,49 @@
         self.saved >= 1.0
     }
 
+    /// Takes the tokens that are to be deposited in a pool. Returns `None` if there are none, if the
+    /// node's capacity is large enough without a pool, or if the tokens cover an attempt of this node.
+    pub fn take_deposit(&mut self, now_us: u64) -> Option<RetryTokens> {
+        while self.deposits.front().is_some_and(|oldest| oldest.expires_at_us <= now_us) {
+            self.deposits.pop_front();
+        }
+        if !self.policy.is_pooled() || self.has_attempt() {
+            return None;
+        }
+        let tokens = self.take_fraction();
+        if tokens == RetryTokens::NONE {
+            return None;
+        }
+        let expires_at_us = now_us + DEPOSIT_TTL_US + MAX_DEPOSIT_DELAY_US;
+        self.deposits.push_back(PooledDeposit { expires_at_us, tokens });
+        Some(tokens)
+    }
+
+    /// Takes the available tokens, less than those of a whole attempt, to complete them from a pool.
+    pub fn take_fraction(&mut self) -> RetryTokens {
+        let tokens = RetryTokens::from_attempts(self.saved.min(1.0));
+        self.saved -= tokens.attempts();
+        tokens
+    }
+
+    /// Adds tokens that were taken out of a pool and do not cover an attempt.
+    pub fn add_tokens(&mut self, tokens: RetryTokens) {
+        self.add(tokens.attempts());
+    }
+
+    /// Whether the node pools its tokens with those of other nodes.
+    pub fn is_pooled(&self) -> bool {
+        self.policy.is_pooled()
+    }
+
     fn add(&mut self, attempts: f64) {
-        self.saved = (self.saved + attempts).min(self.policy.max_saved);
+        self.saved = (self.saved + attempts).min(self.capacity());
+    }
+
+    /// The capacity that tokens in pools do not take up, in extra attempts.
+    fn capacity(&self) -> f64 {
+        let deposited: f64 = self.deposits.iter().map(|deposit| deposit.tokens.attempts()).sum();
+        (self.policy.max_saved - deposited).max(0.0)
     }
 }
 
@@ -119,6 +185,16 @@
         }
     }
 
+    /// Whether sending the request to a runner that runs it is an extra attempt.
+    pub fn is_next_run_extra(&self) -> bool {
+        self.has_arrived
+    }
+
+    /// Whether sending the request to a runner that prefills it is charged.
+    pub fn is_next_prefill_charged(&self) -> bool {
+        self.has_tried_prefill || self.has_arrived
+    }
+
     /// Charges for sending the request to a runner that prefills it.
     pub fn on_prefill(&mut self) -> ArrivalCost {
         let has_tried_prefill = std::mem::replace(&mut self.has_tried_prefill, true);
