Scheduling and runner limits wait for replies through one type; counts of datagrams by kind

PendingReplies forgets a query when its wait is dropped; a scheduler whose reply comes too late for that is told that the request has ended, as with other late replies, so its reservation is freed at once.

Nothing told which messages a node sends: the bytes were counted for other regions alone.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -106,6 +106,7 @@
     let program = PolicyProgram::read(&settings.policy)?;
     let socket = PeerSocket::new(Rc::new(peer_socket));
     let node = Node::new(settings, socket.clone());
+    ntex::rt::spawn(socket.traffic().clone().log_counts());
     node.adopt_policy_program(program);
     node.log_topology();
     for subject in Subject::ALL {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,9 +12,7 @@
 use self::admission::Admission;
 use self::delivery::Run;
 use self::planning::{elapsed_ms, Plan};
-use crate::attempt::{
-    self, AttemptEnd, AttemptParams, EarlyEnd, PrepareError, PreparedConnection,
-};
+use crate::attempt::{self, AttemptEnd, AttemptParams, EarlyEnd, PrepareError, PreparedConnection};
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
 use crate::intake::{BufferedResponse, ClientRequest, RequestOutcome};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,8 +29,8 @@
 //!   [`store_responses`]) or from another node ([`replication`], [`json_lines`], [`compression`]).
 //!   [`replica_limits`] bounds the age of a replica, and [`transfer`] tracks the progress of a large response.
 //! - [`entries`] applies the entries of the store, and [`refused_entries`] reports those that cannot be used.
-//! - [`peers`] discovers the other nodes and exchanges [`peer_messages`] with them. [`cross_region_traffic`] counts
-//!   the bytes of messages to other regions.
+//! - [`peers`] discovers the other nodes and exchanges [`peer_messages`] with them. [`peer_traffic`] counts
+//!   the messages by kind, and [`cross_region_traffic`] the bytes of those to other regions.
 //! - [`shard_scheduler`] places the requests of other nodes. [`missed_replies`] tracks schedulers and keepers that do
 //!   not reply, [`pending_replies`] the queries that wait for one, [`cache_listing`] requests the contents of runners' caches after a start, and
 //!   [`prefix_announcements`] announces cached prefixes to other regions.
@@ -61,6 +61,7 @@
 pub mod missed_replies;
 pub mod node;
 pub mod peer_messages;
+pub mod peer_traffic;
 pub mod peers;
 pub mod pending_replies;
 pub mod platform_client;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a node in the OpenMetrics text format.
 
-use crate::cross_region_traffic::CrossRegionTraffic;
+use crate::peer_messages::PeerSocket;
 use crate::quota::metrics::QuotaMetrics;
 use pitchstall_serving::scheduling::CrossRegionReason;
 use prometheus_client::encoding::text::encode;
@@ -125,8 +125,8 @@
 }
 
 impl Metrics {
-    /// Creates the metrics with all values 0. `cross_region_traffic` counts the bytes sent to other regions.
-    pub fn new(cross_region_traffic: &CrossRegionTraffic) -> Self {
+    /// Creates the metrics with all values 0. `socket` counts the datagrams to other nodes.
+    pub fn new(socket: &PeerSocket) -> Self {
         const FIRST_BUCKET_S: f64 = 0.002;
         const BUCKETS: u16 = 14;
         let mut metrics = Self {
@@ -164,7 +164,10 @@
         };
         metrics.register();
         let help = "Bytes of datagrams sent to nodes of other regions";
-        metrics.registry.register("far_bytes", help, cross_region_traffic.bytes());
+        metrics.registry.register("far_bytes", help, socket.cross_region_traffic().bytes());
+        let (datagrams, bytes) = (socket.traffic().datagrams(), socket.traffic().bytes());
+        metrics.registry.register("sent_datagrams", "Datagrams sent to other nodes", datagrams);
+        metrics.registry.register("sent_bytes", "Bytes of datagrams sent to other nodes", bytes);
         metrics
     }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -178,7 +178,7 @@
             zone,
             fleet: RefCell::new(fleet),
             pool: ConnectionPool::default(),
-            metrics: Metrics::new(socket.cross_region_traffic()),
+            metrics: Metrics::new(&socket),
             suspicion_changed: Notify::new(),
             role_change_ordered: Notify::new(),
             fleet_changed: Notify::new(),
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes. Each is one datagram with one line of JSON.
 
 use crate::cross_region_traffic::CrossRegionTraffic;
+use crate::peer_traffic::PeerTraffic;
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
@@ -130,12 +131,13 @@
 pub struct PeerSocket {
     socket: Rc<UdpSocket>,
     cross_region_traffic: Rc<CrossRegionTraffic>,
+    traffic: Rc<PeerTraffic>,
 }
 
 impl PeerSocket {
     /// A sender on `socket`. Until peers are known, no address counts as in another region.
     pub fn new(socket: Rc<UdpSocket>) -> Self {
-        Self { socket, cross_region_traffic: Rc::default() }
+        Self { socket, cross_region_traffic: Rc::default(), traffic: Rc::default() }
     }
 
     /// Counts of the traffic to nodes of other regions.
@@ -143,6 +145,11 @@
         &self.cross_region_traffic
     }
 
+    /// Counts of all datagrams.
+    pub fn traffic(&self) -> &Rc<PeerTraffic> {
+        &self.traffic
+    }
+
     /// Sends a message to the given nodes. Returns its length in bytes, or 0 if it is too long or
     /// cannot be serialized.
     pub fn send(&self, message: &PeerMessage, to: &[SocketAddr]) -> usize {
@@ -159,6 +166,7 @@
             }
         };
         self.cross_region_traffic.on_sent(message.kind(), datagram.len(), to);
+        self.traffic.on_sent(message.kind(), datagram.len(), to.len());
         for address in to {
             if let Err(error) = self.socket.try_send_to(&datagram, *address) {
                 let (to, error) = (address.to_string(), error.to_string());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -364,7 +364,9 @@
         let now = Instant::now();
         let listed: HashSet<&NodeId> = others.iter().map(|(name, _)| name).collect();
         let mut state = self.state.borrow_mut();
-        state.peers.retain(|name, peer| listed.contains(name) || now < peer.last_received_at + PEER_TTL);
+        state
+            .peers
+            .retain(|name, peer| listed.contains(name) || now < peer.last_received_at + PEER_TTL);
         self.node.members.borrow_mut().retain(|name| state.peers.contains_key(name));
     }
 
--- a/crates/gateway/src/retry_charge.rs
+++ b/crates/gateway/src/retry_charge.rs
@@ -64,7 +64,8 @@
 
     /// Whether the next charge is expected to succeed.
     pub fn is_expected(&self) -> bool {
-        let has_tokens = |budget: &mut SharedRetryBudget| budget.has_attempt() || budget.is_pooled();
+        let has_tokens =
+            |budget: &mut SharedRetryBudget| budget.has_attempt() || budget.is_pooled();
         self.is_charged.get() || self.node.with_retry_budget(&self.service, has_tokens)
     }
 
--- a/crates/gateway/src/runner_limits.rs
+++ b/crates/gateway/src/runner_limits.rs
@@ -8,6 +8,7 @@
 use crate::missed_replies::MissedReplies;
 use crate::node::Node;
 use crate::peer_messages::PeerMessage;
+use crate::pending_replies::PendingReplies;
 use crate::shard_scheduler::candidate_shards;
 use pitchstall_serving::digest::digest_timeout_us;
 use pitchstall_serving::ids::{NodeId, RunnerId};
@@ -18,14 +19,12 @@
 use pitchstall_serving::runner_limit::{
     LimitChange, LimitMessage, LimitQuery, LimitReply, LimitVerdict,
 };
-use pitchstall_serving::scheduling::{Shard, Ticket};
+use pitchstall_serving::scheduling::Shard;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 /// How long to wait for a keeper's reply in addition to the round trip. Queries to the keepers of
 /// tenants' quotas use the same value.
@@ -46,7 +45,7 @@
 pub struct RunnerLimits {
     keeper: RefCell<LimitKeeper>,
     terms: RefCell<HashMap<Shard, LimitKeeperTerm>>,
-    pending_queries: RefCell<HashMap<Ticket, oneshot::Sender<LimitVerdict>>>,
+    pending_queries: PendingReplies<LimitVerdict>,
     missed_replies: MissedReplies,
     /// When the last message of each node was received, in microseconds; `None` if the node is
     /// stopping.
@@ -186,21 +185,18 @@
     address: SocketAddr,
     query: LimitQuery,
 ) -> Option<LimitVerdict> {
-    let ticket = query.ticket;
-    let (sender, receiver) = oneshot::channel();
-    node.runner_limits.pending_queries.borrow_mut().insert(ticket, sender);
+    let pending = node.runner_limits.pending_queries.register(query.ticket);
     node.scheduling.socket.send(&PeerMessage::LimitQuery(query), &[address]);
     let zone = node.members.borrow().zone_of(keeper).cloned();
     let round_trip = zone.map_or(Duration::ZERO, |zone| node.round_trip(&zone));
-    let reply = timeout(round_trip + REPLY_TIMEOUT_MARGIN, receiver).await;
-    node.runner_limits.pending_queries.borrow_mut().remove(&ticket);
+    let reply = pending.wait(round_trip + REPLY_TIMEOUT_MARGIN).await;
     let missed_replies = &node.runner_limits.missed_replies;
     match reply {
-        Ok(Ok(verdict)) => {
+        Some(verdict) => {
             missed_replies.on_reply(keeper);
             Some(verdict)
         }
-        _ => {
+        None => {
             if missed_replies.on_timeout(keeper, node.now_us()) {
                 log::info!(target: "limit", keeper = keeper.as_str(); "keeper skipped after missed replies");
             }
@@ -212,11 +208,7 @@
 /// Handles a keeper's reply. A late reply is discarded. Its grant stays unused, so the limit still
 /// holds.
 pub fn on_reply(node: &Node, reply: LimitReply) {
-    let pending_query = node.runner_limits.pending_queries.borrow_mut().remove(&reply.ticket);
-    if let Some(sender) = pending_query {
-        // If the request has just ended, the receiver is gone and the grant is lost.
-        let _ = sender.send(reply.verdict);
-    }
+    node.runner_limits.pending_queries.on_reply(reply.ticket, reply.verdict);
 }
 
 /// Decides another node's query and sends the reply.
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -8,6 +8,7 @@
 use crate::missed_replies::MissedReplies;
 use crate::node::Node;
 use crate::peer_messages::{PeerMessage, PeerSocket};
+use crate::pending_replies::PendingReplies;
 use crate::prefix_announcements::PendingAnnouncements;
 use pitchstall_serving::fleet::{Eligible, Scope};
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName};
@@ -23,12 +24,9 @@
 };
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 /// How long to wait for a scheduler's reply in addition to the round trip, as a share of the
 /// request's target time. The wait costs little in comparison to a bad placement.
@@ -100,7 +98,7 @@
     pub socket: PeerSocket,
     incarnation: u64,
     queries_sent: Cell<u64>,
-    pending_queries: RefCell<HashMap<Ticket, oneshot::Sender<(PlacementReply, SocketAddr)>>>,
+    pending_queries: PendingReplies<(PlacementReply, SocketAddr)>,
     missed_replies: MissedReplies,
     /// Capacity reserved at the runners that this node schedules.
     pub(crate) reservations: RefCell<Reservations>,
@@ -118,7 +116,7 @@
             socket,
             incarnation: rand::rng().random(),
             queries_sent: Cell::new(0),
-            pending_queries: RefCell::default(),
+            pending_queries: PendingReplies::default(),
             missed_replies: MissedReplies::default(),
             reservations: RefCell::default(),
             pending_announcements: PendingAnnouncements::default(),
@@ -196,16 +194,14 @@
     let query = PlacementQuery { is_forwarded, ..placement_query(node, demand, shard) };
     let ticket = query.ticket;
     let sent_at = Instant::now();
-    let (sender, receiver) = oneshot::channel();
-    node.scheduling.pending_queries.borrow_mut().insert(ticket, sender);
+    let pending = node.scheduling.pending_queries.register(ticket);
     node.scheduling.socket.send(&PeerMessage::PlacementQuery(query), &[address]);
-    let reply = timeout(reply_timeout(node, &scheduler, demand.target_ms), receiver).await;
-    node.scheduling.pending_queries.borrow_mut().remove(&ticket);
+    let reply = pending.wait(reply_timeout(node, &scheduler, demand.target_ms)).await;
     // The scheduler may have made a reservation although its reply arrives late or is lost. The end
     // report that is sent when the reporter is dropped frees that reservation.
     let reporter_to =
         |address| ProgressReporter { node: node.clone(), scheduled_by: Some((address, ticket)) };
-    let Ok(Ok((reply, from))) = reply else {
+    let Some((reply, from)) = reply else {
         log_missing_reply(demand.request, &scheduler, shard);
         node.metrics.placement_timeouts.inc();
         if node.scheduling.missed_replies.on_timeout(&scheduler, node.now_us()) {
@@ -425,16 +421,12 @@
     node.scheduling.backlogs.borrow_mut().on_loads(message, node.now_us());
 }
 
-/// Handles a scheduler's reply. A late reply is discarded: the request has been placed by other
-/// means, and another end report is sent, so that the scheduler frees its reservation.
+/// Handles a scheduler's reply. A late reply is discarded: the request has ended or has been placed
+/// by other means, and another end report is sent, so that the scheduler frees its reservation.
 pub fn on_reply(node: &Node, reply: PlacementReply, from: SocketAddr) {
-    let pending_query = node.scheduling.pending_queries.borrow_mut().remove(&reply.ticket);
-    match pending_query {
-        // If the request has just ended, the receiver is gone and the reservation expires.
-        Some(sender) => drop(sender.send((reply, from))),
-        None => {
-            let message = ProgressMessage { ticket: reply.ticket, progress: Progress::Ended };
-            node.scheduling.socket.send(&PeerMessage::ProgressMessage(message), &[from]);
-        }
+    let ticket = reply.ticket;
+    if !node.scheduling.pending_queries.on_reply(ticket, (reply, from)) {
+        let message = ProgressMessage { ticket, progress: Progress::Ended };
+        node.scheduling.socket.send(&PeerMessage::ProgressMessage(message), &[from]);
     }
 }
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -328,7 +328,8 @@
         let mut zones = self.zones();
         let is_only_region = zones.iter().all(|zone| self.topology.is_in(zone, region));
         zones.retain(|zone| self.topology.is_in(zone, region));
-        let ranked = zones.into_iter().map(|zone| self.strongest_of(zone, "store", STORE_READERS_PER_ZONE));
+        let ranked =
+            zones.into_iter().map(|zone| self.strongest_of(zone, "store", STORE_READERS_PER_ZONE));
         if is_only_region {
             return ranked.flatten().map(|(_, _, name)| name).collect();
         }
--- a/crates/serving/src/retry_pool.rs
+++ b/crates/serving/src/retry_pool.rs
@@ -31,9 +31,7 @@
 const THOUSANDTHS_PER_ATTEMPT: u32 = 1_000;
 
 /// An amount of retry tokens, in thousandths of an extra attempt.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RetryTokens(u32);
 
@@ -203,7 +201,8 @@
 
     fn remove_expired(&mut self, now_us: u64) {
         for pooled in self.services.values_mut() {
-            while pooled.front().is_some_and(|oldest| oldest.received_us + DEPOSIT_TTL_US <= now_us) {
+            while pooled.front().is_some_and(|oldest| oldest.received_us + DEPOSIT_TTL_US <= now_us)
+            {
                 pooled.pop_front();
             }
         }
--- a/crates/serving/tests/retry_pool.rs
+++ b/crates/serving/tests/retry_pool.rs
@@ -5,8 +5,7 @@
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::retry_pool::{
-    RetryDeposit, RetryPool, RetryTokens, ServiceDeposit, DEPOSIT_TTL_US,
-    MAX_DEPOSIT_DELAY_US,
+    RetryDeposit, RetryPool, RetryTokens, ServiceDeposit, DEPOSIT_TTL_US, MAX_DEPOSIT_DELAY_US,
 };
 use pitchstall_serving::scheduling::Ticket;
 use test_case::test_case;
@@ -99,7 +98,8 @@
 impl Random {
     /// A number from 0 to 1.
     fn share(&mut self) -> f64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (self.0 >> 40) as f64 / (1_u64 << 24) as f64
     }
 
@@ -134,8 +134,7 @@
 
 impl SimulatedFleet {
     fn new(count: usize) -> Self {
-        let policy =
-            RetryPolicy { ratio: RATIO, max_saved: RetryPolicy::node_slack(SLACK, count) };
+        let policy = RetryPolicy { ratio: RATIO, max_saved: RetryPolicy::node_slack(SLACK, count) };
         let mut fleet = Self {
             nodes: Vec::new(),
             policy,
@@ -286,7 +285,10 @@
 #[test_case(300, 2_000)]
 #[test_case(1_000, 4_000)]
 #[test_case(2_000, 4_000)]
-fn a_fleet_stays_within_its_retry_budget_whoever_keeps_the_pools(nodes: usize, requests_per_s: u64) {
+fn a_fleet_stays_within_its_retry_budget_whoever_keeps_the_pools(
+    nodes: usize,
+    requests_per_s: u64,
+) {
     let mut fleet = SimulatedFleet::new(nodes);
     fleet.play(0..8 * SECOND, requests_per_s, 0.0, SECOND);
     fleet.play(8 * SECOND..14 * SECOND, requests_per_s, 1.0, 200 * MILLI);
