--- a/crates/serving/tests/retry_pool.rs
+++ b/crates/serving/tests/retry_pool.rs
@@ -118,6 +118,7 @@
     pool: RetryPool,
     incarnation: u64,
     deposits: u64,
+    started_at_us: u64,
 }
 
 /// A fleet in virtual time. Node `n` is in zone `n % ZONES`, and the first nodes of a zone keep its
@@ -145,19 +146,20 @@
             wanted: 0,
         };
         (0..count).for_each(|_| {
-            let node = fleet.started_node();
+            let node = fleet.started_node(0);
             fleet.nodes.push(node);
         });
         fleet
     }
 
-    fn started_node(&mut self) -> SimulatedNode {
+    fn started_node(&mut self, now_us: u64) -> SimulatedNode {
         self.starts += 1;
         SimulatedNode {
             budget: SharedRetryBudget::new(self.policy),
             pool: RetryPool::default(),
             incarnation: self.starts,
             deposits: 0,
+            started_at_us: now_us,
         }
     }
 
@@ -172,7 +174,8 @@
 
     fn deposit_savings(&mut self, node: usize, now_us: u64) {
         let depositor = &mut self.nodes[node];
-        let Some(tokens) = depositor.budget.take_deposit(now_us) else { return };
+        let uptime_us = now_us - depositor.started_at_us;
+        let Some(tokens) = depositor.budget.take_deposit(uptime_us) else { return };
         depositor.deposits += 1;
         let (incarnation, number) = (depositor.incarnation, depositor.deposits);
         let deposit = deposit(incarnation, number, tokens.attempts());
@@ -246,8 +249,17 @@
             }
             if now_us % restart_interval_us == restart_interval_us - STEP_US {
                 let (any, keeper) = (self.random.below(self.nodes.len()), self.random.below(ZONES));
-                self.nodes[any] = self.started_node();
-                self.nodes[keeper] = self.started_node();
+                self.nodes[any] = self.started_node(now_us);
+                self.nodes[keeper] = self.started_node(now_us);
+            }
+        }
+    }
+
+    /// Starts half of the nodes anew, but none of the keepers.
+    fn restart_half(&mut self, now_us: u64) {
+        for node in ZONES * KEEPERS..self.nodes.len() {
+            if self.random.share() < 0.5 {
+                self.nodes[node] = self.started_node(now_us);
             }
         }
     }
@@ -296,3 +308,24 @@
     let excess = fleet.largest_excess();
     assert!(excess <= SLACK, "{excess} retries beyond the ratio of the requests");
 }
+
+/// Guards against tokens that a node earns again although its predecessor's are still in a pool.
+#[test_case(300)]
+#[test_case(1_000)]
+#[test_case(2_000)]
+fn nodes_that_start_again_do_not_exceed_the_retry_budget(nodes: usize) {
+    const REQUESTS_PER_S: u64 = 40_000;
+    let mut fleet = SimulatedFleet::new(nodes);
+    fleet.play(0..8 * SECOND, REQUESTS_PER_S, 0.0, 60 * SECOND);
+    fleet.restart_half(8 * SECOND);
+    fleet.play(8 * SECOND..8 * SECOND + 1_100 * MILLI, REQUESTS_PER_S, 0.0, 60 * SECOND);
+    // No request arrives that earns anything; only those that failed are sent again.
+    let end_us = 8 * SECOND + 1_100 * MILLI;
+    for node in (0..nodes).cycle().take(20 * nodes) {
+        if fleet.retry(node, end_us) {
+            fleet.retries_at_us.push(end_us);
+        }
+    }
+    let sent = fleet.retries_at_us.len() as f64;
+    assert!(sent <= SLACK, "{sent} retries without requests");
+}
