A node that has just started earns no retry tokens while its predecessor's may be in a pool

Cause: the tokens of a pool take up the capacity of the node that deposited them, but a new process does not know what its predecessor deposited, and could deposit as much again within their lifetime.

Change: for the 5 s after which a deposit has certainly expired, a node that pools its tokens counts its whole capacity as deposited. A node that knows no other does not pool, and earns from the start.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -418,10 +418,7 @@
     fn retry_policy(&self) -> RetryPolicy {
         let settings = self.settings();
         let bounds = &settings.bounds;
-        RetryPolicy {
-            ratio: bounds.retry_ratio,
-            max_saved: RetryPolicy::node_slack(bounds.retry_slack, self.known_node_count()),
-        }
+        RetryPolicy::of_node(bounds.retry_ratio, bounds.retry_slack, self.known_node_count())
     }
 
     /// Takes the retry tokens of all services that are to be deposited in a pool.
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -23,9 +23,18 @@
     pub ratio: f64,
     /// Capacity of this node's bucket, in extra attempts; see [`RetryPolicy::node_slack`].
     pub max_saved: f64,
+    /// Whether the node pools its tokens with those of other nodes.
+    pub is_pooled: bool,
 }
 
 impl RetryPolicy {
+    /// The bounds for one of `nodes` nodes that share a slack, in extra attempts. Tokens are pooled
+    /// if the node's part of the slack is too small to be used well by itself.
+    pub fn of_node(ratio: f64, slack: f64, nodes: usize) -> Self {
+        let max_saved = Self::node_slack(slack, nodes);
+        Self { ratio, max_saved, is_pooled: nodes > 1 && max_saved < MIN_UNPOOLED_ATTEMPTS }
+    }
+
     /// A node's part of the slack that a fleet of `nodes` nodes shares. A node that knows no other
     /// node may only not have discovered them yet, so its part is at most one attempt.
     pub fn node_slack(slack: f64, nodes: usize) -> f64 {
@@ -35,16 +44,13 @@
         }
         part
     }
-
-    /// Whether the node's part of the slack is too small to be used well by itself.
-    fn is_pooled(&self) -> bool {
-        self.max_saved < MIN_UNPOOLED_ATTEMPTS
-    }
 }
 
 /// Minimum capacity of a bucket whose tokens are not pooled, in extra attempts. A smaller bucket is
 /// emptied by a few failures in a row, while those of other nodes are full.
 const MIN_UNPOOLED_ATTEMPTS: f64 = 4.0;
+/// Time after which a deposit has certainly expired, in microseconds.
+const DEPOSIT_LIFETIME_US: u64 = DEPOSIT_TTL_US + MAX_DEPOSIT_DELAY_US;
 
 /// Fraction of the slack that the buckets of all nodes together may hold. The rest covers extra
 /// attempts that were sent before a window and arrive within it, and nodes that do not know all
@@ -63,6 +69,9 @@
     saved: f64,
     /// Tokens that may be in a pool, the oldest first.
     deposits: VecDeque<PooledDeposit>,
+    /// Whether tokens of the node's previous process may be in a pool. They are unknown, so they
+    /// count as the whole capacity.
+    may_have_inherited_deposits: bool,
 }
 
 /// Tokens that a node has deposited in a pool.
@@ -75,7 +84,7 @@
 impl SharedRetryBudget {
     /// Creates a budget without any tokens.
     pub fn new(policy: RetryPolicy) -> Self {
-        Self { policy, saved: 0.0, deposits: VecDeque::new() }
+        Self { policy, saved: 0.0, deposits: VecDeque::new(), may_have_inherited_deposits: true }
     }
 
     /// Changes the bounds. Tokens beyond the new capacity are lost.
@@ -110,18 +119,20 @@
 
     /// Takes the tokens that are to be deposited in a pool. Returns `None` if there are none, if the
     /// node's capacity is large enough without a pool, or if the tokens cover an attempt of this node.
+    /// `now_us` is the time since the start of the process, in microseconds.
     pub fn take_deposit(&mut self, now_us: u64) -> Option<RetryTokens> {
+        self.may_have_inherited_deposits &= now_us < DEPOSIT_LIFETIME_US;
         while self.deposits.front().is_some_and(|oldest| oldest.expires_at_us <= now_us) {
             self.deposits.pop_front();
         }
-        if !self.policy.is_pooled() || self.has_attempt() {
+        if !self.policy.is_pooled || self.has_attempt() {
             return None;
         }
         let tokens = self.take_fraction();
         if tokens == RetryTokens::NONE {
             return None;
         }
-        let expires_at_us = now_us + DEPOSIT_TTL_US + MAX_DEPOSIT_DELAY_US;
+        let expires_at_us = now_us + DEPOSIT_LIFETIME_US;
         self.deposits.push_back(PooledDeposit { expires_at_us, tokens });
         Some(tokens)
     }
@@ -140,7 +151,7 @@
 
     /// Whether the node pools its tokens with those of other nodes.
     pub fn is_pooled(&self) -> bool {
-        self.policy.is_pooled()
+        self.policy.is_pooled
     }
 
     fn add(&mut self, attempts: f64) {
@@ -149,6 +160,9 @@
 
     /// The capacity that tokens in pools do not take up, in extra attempts.
     fn capacity(&self) -> f64 {
+        if self.policy.is_pooled && self.may_have_inherited_deposits {
+            return 0.0;
+        }
         let deposited: f64 = self.deposits.iter().map(|deposit| deposit.tokens.attempts()).sum();
         (self.policy.max_saved - deposited).max(0.0)
     }
