--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt: sends a request to one runner and receives the head of its response.
 
+use crate::attempt_wait::{log_end, wait_for_end, EarlyEnd, EndCause};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
 use crate::http::{BodyDecoder, Header, ReadError, ResponseHead, Upstream};
@@ -8,8 +9,7 @@
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
-use crate::retry_charge::RetryCharge;
-use crate::runner_probe::{probe_while_silent, wait_until_suspected, RUNNER_CONNECT_TIMEOUT};
+use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
 use pitchstall_serving::ids::{RunnerId, TenantName};
 use pitchstall_serving::placement::RunnerChoice;
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Maximum size of a response body that is read into memory as a whole.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -192,25 +192,6 @@
     pub probe_after: Duration,
 }
 
-/// When an attempt is ended before its head timeout, so that another one can follow. The retry budget
-/// is charged for that one first; while the budget is exhausted, the attempt goes on.
-#[derive(Clone)]
-pub struct EarlyEnd {
-    /// The charge for the other attempt.
-    pub charge: Rc<RetryCharge>,
-    /// Time without a response head after which the attempt is ended. It is also ended if its runner
-    /// is suspected of having failed.
-    pub head_timeout: Duration,
-}
-
-/// Why an attempt without a response head was ended.
-enum EndCause {
-    /// The head did not arrive in time.
-    Silent(Duration),
-    /// The runner is suspected of having failed.
-    Suspected,
-}
-
 /// Sends a request on a prepared connection and waits for the head of the response.
 pub async fn send(
     node: &Rc<Node>,
@@ -258,34 +239,6 @@
     }
 }
 
-/// Completes when an attempt without a response head is to be ended.
-async fn wait_for_end(node: &Rc<Node>, runner: &RunnerId, params: &AttemptParams) -> EndCause {
-    let early_end = async {
-        let Some(EarlyEnd { charge, head_timeout }) = &params.early_end else {
-            return std::future::pending().await;
-        };
-        tokio::select! {
-            () = charge.charged_when(|| wait_until_suspected(node, runner)) => EndCause::Suspected,
-            () = charge.charged_after(*head_timeout) => EndCause::Silent(*head_timeout),
-        }
-    };
-    tokio::select! {
-        () = sleep(params.head_timeout) => EndCause::Silent(params.head_timeout),
-        cause = early_end => cause,
-    }
-}
-
-fn log_end(request: &ClientRequest, runner: &RunnerId, cause: &EndCause) {
-    let (id, runner) = (request.metadata.id.as_str(), runner.as_str());
-    match cause {
-        EndCause::Silent(limit) => {
-            let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-            log::info!(target: "attempt", request = id, runner, limit_ms; "silent");
-        }
-        EndCause::Suspected => log::info!(target: "attempt", request = id, runner; "left"),
-    }
-}
-
 fn encode_attempt(
     request: &ClientRequest,
     record: &RunnerRecord,
--- /dev/null
+++ b/crates/gateway/src/attempt_wait.rs
@@ -0,0 +1,59 @@
+//! How long an attempt without a response head is waited for.
+
+use crate::attempt::AttemptParams;
+use crate::intake::ClientRequest;
+use crate::node::Node;
+use crate::retry_charge::RetryCharge;
+use crate::runner_probe::wait_until_suspected;
+use pitchstall_serving::ids::RunnerId;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// When an attempt is ended before its head timeout, so that another one can follow. The retry budget
+/// is charged for that one first; while the budget is exhausted, the attempt goes on.
+#[derive(Clone)]
+pub struct EarlyEnd {
+    /// The charge for the other attempt.
+    pub charge: Rc<RetryCharge>,
+    /// Time without a response head after which the attempt is ended. It is also ended if its runner
+    /// is suspected of having failed.
+    pub head_timeout: Duration,
+}
+
+/// Why an attempt without a response head was ended.
+pub enum EndCause {
+    /// The head did not arrive in time.
+    Silent(Duration),
+    /// The runner is suspected of having failed.
+    Suspected,
+}
+
+/// Completes when an attempt without a response head is to be ended.
+pub async fn wait_for_end(node: &Rc<Node>, runner: &RunnerId, params: &AttemptParams) -> EndCause {
+    let early_end = async {
+        let Some(EarlyEnd { charge, head_timeout }) = &params.early_end else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            () = charge.charged_when(|| wait_until_suspected(node, runner)) => EndCause::Suspected,
+            () = charge.charged_after(*head_timeout) => EndCause::Silent(*head_timeout),
+        }
+    };
+    tokio::select! {
+        () = sleep(params.head_timeout) => EndCause::Silent(params.head_timeout),
+        cause = early_end => cause,
+    }
+}
+
+/// Logs why an attempt was ended.
+pub fn log_end(request: &ClientRequest, runner: &RunnerId, cause: &EndCause) {
+    let (id, runner) = (request.metadata.id.as_str(), runner.as_str());
+    match cause {
+        EndCause::Silent(limit) => {
+            let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+            log::info!(target: "attempt", request = id, runner, limit_ms; "silent");
+        }
+        EndCause::Suspected => log::info!(target: "attempt", request = id, runner; "left"),
+    }
+}
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -2,7 +2,8 @@
 
 use super::planning::{elapsed_ms, Plan};
 use super::{Dispatch, Step};
-use crate::attempt::{AttemptResponse, EarlyEnd};
+use crate::attempt::AttemptResponse;
+use crate::attempt_wait::EarlyEnd;
 use crate::connection::ClientConnection;
 use crate::http::ReadError;
 use crate::intake::{BufferedResponse, RequestOutcome};
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -1,7 +1,8 @@
 //! Plans the next attempt of a request: its placement and the prefill of its prompt.
 
 use super::{Dispatch, EndReason};
-use crate::attempt::{self, EarlyEnd, PrepareError};
+use crate::attempt::{self, PrepareError};
+use crate::attempt_wait::EarlyEnd;
 use crate::clock::Instant;
 use crate::prefill::{self, PrefillOutcome, PrefillRequest, PrefilledPrompt};
 use crate::runner_limits::{self, SendPermit};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`scheduling`] | places the request by querying the scheduler of the runners' shard |
 //! | [`prefill`] | runs a separate prefill and holds the KV handle that it returns |
 //! | [`attempt`] | makes one attempt on one runner |
+//! | [`attempt_wait`] | ends an attempt that is silent or whose runner is suspected |
 //! | [`interrupted_attempt`] | handles an attempt that ended before its response was complete |
 //! | [`runner_probe`] | checks whether a silent runner can be reached |
 //! | [`relay`] | forwards a stream to the client, also across several runners |
@@ -41,6 +42,7 @@
 //!   that this version does not know.
 
 pub mod attempt;
+pub mod attempt_wait;
 pub mod authority;
 pub mod cache_listing;
 pub mod clock;
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -82,11 +82,18 @@
 }
 
 impl SharedRetryBudget {
-    /// Creates a budget without any tokens.
+    /// Creates a budget without any tokens at a process that has just started.
     pub fn new(policy: RetryPolicy) -> Self {
         Self { policy, saved: 0.0, deposits: VecDeque::new(), may_have_inherited_deposits: true }
     }
 
+    /// Creates a budget without any tokens at a process that was started `uptime_us` microseconds
+    /// before.
+    pub fn new_at(policy: RetryPolicy, uptime_us: u64) -> Self {
+        let may_have_inherited_deposits = uptime_us < DEPOSIT_LIFETIME_US;
+        Self { may_have_inherited_deposits, ..Self::new(policy) }
+    }
+
     /// Changes the bounds. Tokens beyond the new capacity are lost.
     pub fn set_policy(&mut self, policy: RetryPolicy) {
         self.policy = policy;
--- a/crates/serving/tests/retry_pool.rs
+++ b/crates/serving/tests/retry_pool.rs
@@ -84,6 +84,15 @@
     assert!(deposited <= 0.7 * lifetimes, "{deposited} attempts in {lifetimes} lifetimes");
 }
 
+/// Guards against a node whose first request to a service earns nothing.
+#[test]
+fn a_budget_that_is_first_used_long_after_the_start_earns_at_once() {
+    let policy = RetryPolicy { ratio: RATIO, max_saved: 0.7, is_pooled: true };
+    let mut budget = SharedRetryBudget::new_at(policy, 60 * SECOND);
+    budget.on_request();
+    assert!(budget.take_deposit(61 * SECOND).is_some());
+}
+
 #[test]
 fn a_large_budget_is_not_pooled() {
     let policy = RetryPolicy::of_node(RATIO, 54.0, 7);
