--- a/crates/gateway/src/attempt_wait.rs
+++ b/crates/gateway/src/attempt_wait.rs
@@ -16,9 +16,19 @@
 pub struct EarlyEnd {
     /// The charge for the other attempt.
     pub charge: Rc<RetryCharge>,
-    /// Time without a response head after which the attempt is ended. It is also ended if its runner
-    /// is suspected of having failed.
-    pub head_timeout: Duration,
+    /// Time without a response head after which the attempt is ended; `None` if it is only ended when
+    /// its runner is suspected of having failed.
+    pub head_timeout: Option<Duration>,
+}
+
+impl EarlyEnd {
+    /// Completes when the response has taken too long and the other attempt has been charged. Returns
+    /// the time that it has taken.
+    pub async fn charged_when_silent(&self) -> Duration {
+        let Some(head_timeout) = self.head_timeout else { return std::future::pending().await };
+        self.charge.charged_after(head_timeout).await;
+        head_timeout
+    }
 }
 
 /// Why an attempt without a response head was ended.
@@ -32,12 +42,11 @@
 /// Completes when an attempt without a response head is to be ended.
 pub async fn wait_for_end(node: &Rc<Node>, runner: &RunnerId, params: &AttemptParams) -> EndCause {
     let early_end = async {
-        let Some(EarlyEnd { charge, head_timeout }) = &params.early_end else {
-            return std::future::pending().await;
-        };
+        let Some(early_end) = &params.early_end else { return std::future::pending().await };
+        let suspected = early_end.charge.charged_when(|| wait_until_suspected(node, runner));
         tokio::select! {
-            () = charge.charged_when(|| wait_until_suspected(node, runner)) => EndCause::Suspected,
-            () = charge.charged_after(*head_timeout) => EndCause::Silent(*head_timeout),
+            () = suspected => EndCause::Suspected,
+            time = early_end.charged_when_silent() => EndCause::Silent(time),
         }
     };
     tokio::select! {
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -3,7 +3,6 @@
 use super::planning::{elapsed_ms, Plan};
 use super::{Dispatch, Step};
 use crate::attempt::AttemptResponse;
-use crate::attempt_wait::EarlyEnd;
 use crate::connection::ClientConnection;
 use crate::http::ReadError;
 use crate::intake::{BufferedResponse, RequestOutcome};
@@ -110,13 +109,13 @@
     ) -> Result<Result<BufferedResponse, ReadError>, TooSlow> {
         let early_end = async {
             match self.early_end() {
-                Some(EarlyEnd { charge, head_timeout }) => charge.charged_after(head_timeout).await,
+                Some(early_end) => early_end.charged_when_silent().await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
             read = timeout(self.time_remaining(), response.read_all()) => read.map_err(|_| TooSlow),
-            () = early_end => Err(TooSlow),
+            _ = early_end => Err(TooSlow),
         }
     }
 
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -310,7 +310,7 @@
     /// When the next attempt is ended so that another one can follow; `None` if none may follow. The
     /// next attempt itself is one of the runs that have begun.
     fn early_end(&self) -> Option<EarlyEnd> {
-        let head_timeout = self.time_remaining().mul_f64(MAX_ATTEMPT_TIME_SHARE);
+        let head_timeout = Some(self.time_remaining().mul_f64(MAX_ATTEMPT_TIME_SHARE));
         let charge = self.retry_charge.clone();
         self.may_run_again().then_some(EarlyEnd { charge, head_timeout })
     }
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -268,8 +268,8 @@
         let mut params = self.attempt_params(Work::Prefill, &prefill_runner);
         params.after_event = None;
         params.head_timeout = self.time_remaining().mul_f64(MAX_PREFILL_TIME_SHARE);
-        params.early_end =
-            Some(EarlyEnd { charge: self.retry_charge.clone(), head_timeout: params.head_timeout });
+        let charge = self.retry_charge.clone();
+        params.early_end = Some(EarlyEnd { charge, head_timeout: None });
         let prefill_request = PrefillRequest {
             request: self.request,
             service: &self.service,
