Nodes prefer different runners among equal ones

A node of 985 takes one such request in nine seconds and knows the load of no runner, so all nodes of a zone chose the first runner of the zone, by id. On a node of eight, its own requests and the runners' answers tell it which ones are busy.

Change: among runners of equal cost, a hash of the node's and the runner's name decides. A node keeps its preference, so that its idle connections to that runner can be used again.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -171,7 +171,8 @@
         let topology = configured_topology(&settings);
         let name = NodeId::new(&settings.node.name);
         let membership = Membership::new(name, own_member(&settings), topology.clone());
-        let fleet = Fleet::new(zone.clone(), topology);
+        let mut fleet = Fleet::new(zone.clone(), topology);
+        fleet.set_node(membership.own_name());
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             policy_program: RefCell::default(),
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -11,7 +11,8 @@
 use last_entries::LastEntries;
 
 use crate::distance::Distances;
-use crate::ids::{RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
+use crate::ids::{NodeId, RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
+use crate::prefix::rendezvous_weight;
 use crate::runner::{Lapsed, Runner, RunnerRecord, Stage};
 use crate::runner_notice::DepartedAvailability;
 use crate::scheduling::Shard;
@@ -141,6 +142,8 @@
 /// All runners that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
+    /// Name of the node, by which it ranks runners that are equal otherwise.
+    node: String,
     topology: Topology,
     distances: Distances,
     runners: BTreeMap<RunnerId, Runner>,
@@ -159,6 +162,18 @@
         Self { topology, distances: Distances::new(own), ..Self::default() }
     }
 
+    /// Sets the name of the node. Nodes with different names prefer different runners among equal
+    /// ones, so those that know no loads do not all choose the same runner.
+    pub fn set_node(&mut self, node: &NodeId) {
+        self.node = node.as_str().to_owned();
+    }
+
+    /// Preference of this node for a runner among equal ones. A node keeps it, so that it can use its
+    /// connections to the runner again.
+    pub fn preference(&self, runner: &Runner) -> u64 {
+        rendezvous_weight(&self.node, runner.record.id.name().as_str())
+    }
+
     /// Replaces the assignment of zones to regions and updates the region of every runner.
     pub fn set_topology(&mut self, topology: Topology) {
         for runner in self.runners.values_mut() {
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -125,7 +125,8 @@
 const DECODE_FULL_COST_MS: f64 = 2_000.0;
 
 /// Chooses the runner with the lowest occupancy for a service that does not run a language model,
-/// adjusted by distance and failure rate. `None` if no runner takes work.
+/// adjusted by distance and failure rate. Among equal runners, the node's preference decides. `None` if
+/// no runner takes work.
 pub fn choose_least_occupied(fleet: &Fleet, demand: &Demand<'_>) -> Option<RunnerChoice> {
     let candidates = fleet.candidates(&demand.eligible, demand.now_us);
     let rates = candidates.iter().map(|runner| runner.failure_rate(demand.now_us));
@@ -138,7 +139,11 @@
         let failures = (runner.failure_rate(demand.now_us) - best_rate) * FAILURE_COST_OCCUPANCY;
         occupancy + distance + failures
     };
-    let best = min_by_cost(&candidates, cost)?;
+    let costs = candidates.iter().map(|runner| (cost(runner), *runner));
+    let (_, best) = costs.min_by(|(left_cost, left), (right_cost, right)| {
+        let preferred = || fleet.preference(right).cmp(&fleet.preference(left));
+        left_cost.total_cmp(right_cost).then_with(preferred)
+    })?;
     Some(RunnerChoice {
         runner: best.record.id.clone(),
         demand: AttemptDemand::default(),
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -287,6 +287,27 @@
     assert_eq!(chosen(&fleet), "near", "an unreachable runner is ranked last");
 }
 
+/// Guards against all nodes of a large fleet choosing the same one of many idle runners.
+#[test]
+fn nodes_that_know_no_loads_spread_over_equal_runners() {
+    const RUNNERS: usize = 60;
+    const NODES: usize = 200;
+    let case = Case::new(0, 0);
+    let chosen_by = |node: usize| {
+        let mut fleet = one_region();
+        fleet.set_node(&NodeId::new(format!("node-{node}")));
+        (0..RUNNERS).for_each(|number| {
+            fleet.put(record(&format!("i-{number}"), "north", None, 1));
+        });
+        choose_least_occupied(&fleet, &case.demand()).unwrap().runner.to_string()
+    };
+    let mut choices: HashMap<String, usize> = HashMap::new();
+    (0..NODES).for_each(|node| *choices.entry(chosen_by(node)).or_default() += 1);
+    let busiest = choices.values().max().unwrap();
+    assert!(choices.len() > RUNNERS / 2 && *busiest < NODES / 10, "{choices:?}");
+    assert_eq!(chosen_by(7), chosen_by(7), "a node keeps its preference");
+}
+
 #[test]
 fn an_unhealthy_runner_is_used_if_there_is_no_other() {
     let mut fleet = one_region();
