--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -163,7 +163,7 @@
     /// Maximum gap between two events before another runner is sought. Only a stream that another
     /// runner can continue has one.
     fn max_stream_gap(&self) -> Duration {
-        let may_be_replaced = self.may_run_again() && self.retry_charge.is_expected();
+        let may_be_replaced = self.may_run_again() && self.retry_charge.may_succeed();
         let gap = self.route.gap_target_ms.filter(|_| may_be_replaced);
         let max_gap = gap.map(|gap_ms| Duration::from_millis(gap_ms) * STALL_GAP_TARGETS);
         max_gap.map_or(self.time_remaining(), |max_gap| max_gap.max(MIN_STALL_TIMEOUT))
--- a/crates/gateway/src/retry_charge.rs
+++ b/crates/gateway/src/retry_charge.rs
@@ -35,7 +35,8 @@
             return true;
         }
         let is_own = self.node.with_retry_budget(&self.service, SharedRetryBudget::withdraw);
-        let is_allowed = is_own || self.charge_pool().await;
+        let is_pooled = self.node.with_retry_budget(&self.service, |budget| budget.is_pooled());
+        let is_allowed = is_own || (is_pooled && self.charge_pool().await);
         let metrics = &self.node.metrics;
         if is_allowed { &metrics.retries } else { &metrics.retries_denied }.inc();
         self.is_charged.set(is_allowed);
@@ -62,8 +63,8 @@
         }
     }
 
-    /// Whether the next charge is expected to succeed.
-    pub fn is_expected(&self) -> bool {
+    /// Whether the next charge may succeed. Whether a pool has tokens is only known after a query.
+    pub fn may_succeed(&self) -> bool {
         let has_tokens =
             |budget: &mut SharedRetryBudget| budget.has_attempt() || budget.is_pooled();
         self.is_charged.get() || self.node.with_retry_budget(&self.service, has_tokens)
--- a/crates/gateway/src/retry_pools.rs
+++ b/crates/gateway/src/retry_pools.rs
@@ -77,7 +77,7 @@
     let pools = &node.retry_pools;
     let backoff_until_us = pools.backoff_until_us.borrow().get(service).copied();
     let is_backing_off = backoff_until_us.is_some_and(|until_us| now_us < until_us);
-    if is_backing_off || !node.with_retry_budget(service, |budget| budget.is_pooled()) {
+    if is_backing_off {
         return false;
     }
     let mut tokens = node.with_retry_budget(service, SharedRetryBudget::take_fraction);
