A pooled node without another keeper earns again once inherited deposits have expired

Cause, found by reading: deposits of a previous process were only forgotten with the next deposit.

Change: expired deposits are forgotten whenever the budget is used. Test: a node that deposits nothing earns after the time.

--- a/crates/gateway/src/node/retries.rs
+++ b/crates/gateway/src/node/retries.rs
@@ -17,6 +17,7 @@
         let new_budget = || SharedRetryBudget::new_at(policy, self.now_us());
         let budget = retry_budgets.entry(service.clone()).or_insert_with(new_budget);
         budget.set_policy(policy);
+        budget.expire_deposits(self.now_us());
         use_budget(budget)
     }
 
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -128,10 +128,7 @@
     /// node's capacity is large enough without a pool, or if the tokens cover an attempt of this node.
     /// `now_us` is the time since the start of the process, in microseconds.
     pub fn take_deposit(&mut self, now_us: u64) -> Option<RetryTokens> {
-        self.may_have_inherited_deposits &= now_us < DEPOSIT_LIFETIME_US;
-        while self.deposits.front().is_some_and(|oldest| oldest.expires_at_us <= now_us) {
-            self.deposits.pop_front();
-        }
+        self.expire_deposits(now_us);
         if !self.policy.is_pooled || self.has_attempt() {
             return None;
         }
@@ -144,6 +141,15 @@
         Some(tokens)
     }
 
+    /// Frees the capacity that expired deposits took up. `now_us` is the time since the start of the
+    /// process, in microseconds.
+    pub fn expire_deposits(&mut self, now_us: u64) {
+        self.may_have_inherited_deposits &= now_us < DEPOSIT_LIFETIME_US;
+        while self.deposits.front().is_some_and(|oldest| oldest.expires_at_us <= now_us) {
+            self.deposits.pop_front();
+        }
+    }
+
     /// Takes the available tokens, less than those of a whole attempt, to complete them from a pool.
     pub fn take_fraction(&mut self) -> RetryTokens {
         let tokens = RetryTokens::from_attempts(self.saved.min(1.0));
--- a/crates/serving/tests/retry_pool.rs
+++ b/crates/serving/tests/retry_pool.rs
@@ -93,6 +93,18 @@
     assert!(budget.take_deposit(61 * SECOND).is_some());
 }
 
+/// Guards against a node without another keeper, which deposits nothing, that never earns anything.
+#[test]
+fn a_node_that_deposits_nothing_earns_once_inherited_deposits_have_expired() {
+    let policy = RetryPolicy { ratio: RATIO, max_saved: 2.0, is_pooled: true };
+    let mut budget = SharedRetryBudget::new(policy);
+    (0..20).for_each(|_| budget.on_request());
+    assert!(!budget.has_attempt());
+    budget.expire_deposits(60 * SECOND);
+    (0..20).for_each(|_| budget.on_request());
+    assert!(budget.has_attempt());
+}
+
 #[test]
 fn a_large_budget_is_not_pooled() {
     let policy = RetryPolicy::of_node(RATIO, 54.0, 7);
