Sight: a node reports when it reaches no runner

No line told whether a node had lost one runner or all, so nothing distinguished "runners failed" from "this node's links failed". Now a log line on each change, and a gauge of unreachable runners.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::policy::PolicyProgram;
 use crate::quarantine;
 use crate::quota;
+use crate::reachability;
 use crate::replication;
 use crate::retry_pools;
 use crate::roles;
@@ -122,6 +123,7 @@
     ntex::rt::spawn(roles::order_role_changes(node.clone()));
     ntex::rt::spawn(quarantine::persist_crashes(node.clone()));
     ntex::rt::spawn(retry_pools::deposit_tokens(node.clone()));
+    ntex::rt::spawn(reachability::report_unreachable_runners(node.clone()));
     ntex::rt::spawn(usage::run_reporter(node.clone()));
     ntex::rt::spawn(quota::candidate::run(node.clone()));
     ntex::rt::spawn(scaling::order_runners(node.clone()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 //!   [`prefix_announcements`] announces cached prefixes to other regions.
 //! - [`authority`] holds the leases that [`roles`], [`scaling`] and [`usage`] need before they give orders or
 //!   report something on behalf of all nodes.
+//! - [`reachability`] reports how many runners the node cannot reach.
 //! - [`quarantine`] keeps requests that crash runners away from them.
 //! - [`http`] is the HTTP client for runners and the store, and [`unknown_headers`] tracks names of response headers
 //!   that this version does not know.
@@ -72,6 +73,7 @@
 pub mod prefix_announcements;
 pub mod quarantine;
 pub mod quota;
+pub mod reachability;
 pub mod refused_entries;
 pub mod relay;
 pub mod replica_limits;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -115,6 +115,8 @@
     /// Time since another node first reported a configuration that this node has not received, in seconds; 0 if there
     /// is none.
     pub configuration_lag: Gauge<f64, AtomicU64>,
+    /// Runners that this node suspects of being unreachable.
+    pub runners_unreachable: Gauge<f64, AtomicU64>,
     /// Era of the store that this node uses.
     pub store_era: Gauge<f64, AtomicU64>,
     /// Calls to the platform for duties that one node performs on behalf of all.
@@ -157,6 +159,7 @@
             store_failures: Counter::default(),
             refused_entries: Family::default(),
             configuration_lag: Gauge::default(),
+            runners_unreachable: Gauge::default(),
             store_era: Gauge::default(),
             cloud_calls: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
@@ -274,6 +277,8 @@
             "Time since another node first reported a configuration that this node lacks, in seconds";
         let configuration_lag = self.configuration_lag.clone();
         self.registry.register("configuration_behind_seconds", help, configuration_lag);
+        let help = "Runners that this node suspects of being unreachable";
+        self.registry.register("runners_unreachable", help, self.runners_unreachable.clone());
         let help = "Era of the store that this node uses";
         self.registry.register("store_era", help, self.store_era.clone());
         let first_byte = self.first_byte.clone();
