--- /dev/null
+++ b/crates/gateway/tests/lost_links.rs
@@ -0,0 +1,155 @@
+//! Nodes whose links to runners are lost while other nodes reach the runners.
+#![allow(clippy::unwrap_used, clippy::panic, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::proxy::{Link, LinkMode};
+use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::store::StoreStandIn;
+use pitchstall_platform_standins::store_view::AddressMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use support::{configuration, wait_for, Fixture, NodeAddress, RawResponse};
+use test_case::test_case;
+
+/// How the links of a node are lost.
+#[derive(Clone, Copy)]
+enum Loss {
+    /// Connections open and stay silent.
+    Silent,
+    /// Connections are reset.
+    Reset,
+    /// New connections are refused, and open ones are reset.
+    Refused,
+}
+
+const STREAM_EVENTS: u64 = 4;
+
+fn script(request: &ReceivedRequest) -> Reaction {
+    if request.path().starts_with("/lookup/") || request.path().starts_with("/booking/") {
+        return Reaction::Respond { status: 200, body: b"found".to_vec() };
+    }
+    engine_script(STREAM_EVENTS)(request)
+}
+
+/// Two nodes that use the same runners; the first one reaches them only through links of its own.
+struct Fleet {
+    runners: Vec<RunnerStandIn>,
+    links: Vec<Link>,
+    cut: Fixture,
+    sound: Fixture,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let roles =
+            [("desk", None), ("desk", None), ("llm", Some("prefill")), ("llm", Some("decode"))];
+        let start = |number: usize| RunnerStandIn::start(&format!("i-{number}"), script).unwrap();
+        let fleet = Self::with_runners((0..roles.len()).map(start).collect(), &roles);
+        for node in [&fleet.cut, &fleet.sound] {
+            wait_for("all routes to be served", || is_served(node, "before"));
+        }
+        fleet
+    }
+
+    /// A fleet of these runners, each with its service and stage.
+    fn with_runners(runners: Vec<RunnerStandIn>, roles: &[(&str, Option<&str>)]) -> Self {
+        let store = StoreStandIn::start().unwrap();
+        store.put("op/config", &configuration(3));
+        let sound = Fixture::start_with_store(store.clone(), "sound");
+        let links: Vec<Link> =
+            runners.iter().map(|runner| Link::start(runner.address()).unwrap()).collect();
+        let pairs = runners.iter().zip(&links);
+        let addresses: AddressMap = pairs
+            .map(|(runner, link)| (runner.address().to_string(), link.address().to_string()))
+            .collect();
+        let view = store.serve_view(addresses).unwrap();
+        let cut = Fixture::start_at(NodeAddress::new(), store, view, "cut", "", "");
+        for (runner, (service, stage)) in runners.iter().zip(roles) {
+            sound.add_runner(runner, service, *stage);
+        }
+        for node in [&cut, &sound] {
+            node.wait_until_ready();
+        }
+        Self { runners, links, cut, sound }
+    }
+
+    fn lose_links(&self, loss: Loss) {
+        for link in &self.links {
+            match loss {
+                Loss::Silent => link.set_mode(LinkMode::Silent),
+                Loss::Reset => link.set_mode(LinkMode::Resetting),
+                Loss::Refused => link.close(),
+            }
+        }
+    }
+}
+
+fn request(node: &Fixture, path: &str, id: &str) -> RawResponse {
+    let mut client = node.client();
+    client.request("POST", path, id, "X-Pitchstall-Deadline-Ms: 1000\r\n", b"work");
+    client.read_response()
+}
+
+/// Whether a node serves a request that may not be repeated, one that may, and a stream.
+fn is_served(node: &Fixture, id: &str) -> bool {
+    let is_whole = |route: &str| {
+        let response = request(node, &format!("/{route}/1"), &format!("{id}-{route}"));
+        response.status == 200 && response.complete
+    };
+    ["booking", "lookup", "draft"].into_iter().all(is_whole)
+}
+
+#[test_case(Loss::Silent; "connections open and stay silent")]
+#[test_case(Loss::Reset; "connections are reset")]
+#[test_case(Loss::Refused; "connections are refused")]
+fn a_node_without_links_to_any_runner_serves_through_other_nodes(loss: Loss) {
+    const SERVED_IN_A_ROW: usize = 10;
+    let fleet = Fleet::start();
+    fleet.lose_links(loss);
+    let mut in_a_row = 0;
+    let mut sent = 0;
+    wait_for("the node without links to serve", || {
+        sent += 1;
+        let is_served = is_served(&fleet.cut, &format!("cut-{sent}"));
+        in_a_row = if is_served { in_a_row + 1 } else { 0 };
+        in_a_row == SERVED_IN_A_ROW
+    });
+    assert!(is_served(&fleet.sound, "sound"));
+}
+
+/// Runners that hold each request until they are released, and respond to those that arrive later.
+fn holding_runners(count: usize, is_released: &Arc<AtomicBool>) -> Vec<RunnerStandIn> {
+    let start = |number: usize| {
+        let is_released = is_released.clone();
+        let script = move |request: &ReceivedRequest| match is_released.load(Ordering::SeqCst) {
+            true => script(request),
+            false => Reaction::Silent,
+        };
+        RunnerStandIn::start(&format!("i-{number}"), script).unwrap()
+    };
+    (0..count).map(start).collect()
+}
+
+#[test]
+fn a_refused_link_does_not_quarantine_the_requests_that_were_open_on_it() {
+    const RUNNERS: usize = 4;
+    let is_released = Arc::new(AtomicBool::new(false));
+    let fleet =
+        Fleet::with_runners(holding_runners(RUNNERS, &is_released), &[("desk", None); RUNNERS]);
+    let is_held = |runner: &RunnerStandIn| !runner.requests().is_empty();
+    std::thread::scope(|scope| {
+        for number in 0..RUNNERS {
+            let cut = &fleet.cut;
+            scope.spawn(move || request(cut, "/booking/held", &format!("held-{number}")));
+        }
+        wait_for("each runner to hold a request", || fleet.runners.iter().all(is_held));
+        fleet.lose_links(Loss::Refused);
+    });
+    is_released.store(true, Ordering::SeqCst);
+    // Other nodes are told of a crash within milliseconds.
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(request(&fleet.sound, "/booking/held", "again").status, 200);
+}
