--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,9 +9,10 @@
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
+use crate::runner_connection::{self, RunnerUnreachable};
 use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
-use pitchstall_serving::ids::{RunnerId, TenantName};
+use pitchstall_serving::ids::{NodeId, RunnerId, TenantName};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::request::{AttemptInstructions, ResponseMetadata, Work};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord};
@@ -90,6 +91,9 @@
     /// No response head was received in time, or the runner was suspected of having failed
     /// meanwhile. It may have executed the request.
     NoResponse,
+    /// This node's link to the runner was lost, and another node reaches the runner. It may have
+    /// executed the request.
+    LinkLost,
 }
 
 /// A response whose head has been received.
@@ -109,15 +113,26 @@
 pub enum PrepareError {
     /// The runner accepts no requests of this node at the moment, or is leaving.
     Withheld,
-    /// The runner cannot be reached, or this node's connection limit for it is used up.
+    /// The runner cannot be reached through any node, or this node's connection limit for it is used up.
     Unreachable,
 }
 
+/// Which connection an attempt needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionNeed {
+    /// A pooled connection or a new one.
+    Any,
+    /// A new connection on which the runner has responded. An earlier attempt of the request has
+    /// been lost, and this node's links may be the reason.
+    Verified,
+}
+
 /// Takes a pooled connection to the chosen runner or opens a new one. Fails if the runner accepts
 /// no requests of this node or cannot be reached.
 pub async fn prepare(
     node: &Rc<Node>,
     choice: &RunnerChoice,
+    need: ConnectionNeed,
 ) -> Result<PreparedConnection, PrepareError> {
     let record = record_accepting_work(node, &choice.runner)?;
     if attempts_in_flight(node, &choice.runner) >= node.max_connections_per_runner(&record.service)
@@ -126,29 +141,23 @@
         return Err(PrepareError::Unreachable);
     }
     let in_flight = InFlightGuard::new(node, choice);
-    if let Some(pooled) = node.pool.take(&record.id) {
+    let pooled = match need {
+        ConnectionNeed::Any => node.pool.take(&record.id),
+        ConnectionNeed::Verified => None,
+    };
+    if let Some(pooled) = pooled {
         let idle = Some(pooled.idle_for);
         return Ok(PreparedConnection { connection: pooled.connection, record, in_flight, idle });
     }
-    node.metrics.connections.inc();
-    let started_at = Instant::now();
-    match Upstream::open(record.address, RUNNER_CONNECT_TIMEOUT).await {
-        Ok(connection) => {
-            node.on_round_trip(&record.zone, started_at.elapsed());
-            // The runner may have started to leave, or may have requested a rest, while the
-            // connection was being opened.
-            let record = record_accepting_work(node, &choice.runner)?;
-            Ok(PreparedConnection { connection, record, in_flight, idle: None })
-        }
-        Err(error) => {
-            let is_refused = error.is_refused();
-            let error = error.to_string();
-            let runner = record.id.as_str();
-            log::info!(target: "attempt", runner, error; "unreachable");
-            node.on_unreachable(&record.id, is_refused);
-            Err(PrepareError::Unreachable)
-        }
-    }
+    let connection = match need {
+        ConnectionNeed::Any => runner_connection::open(node, &record).await,
+        ConnectionNeed::Verified => runner_connection::open_verified(node, &record).await,
+    };
+    let connection = connection.map_err(|_: RunnerUnreachable| PrepareError::Unreachable)?;
+    // The runner may have started to leave, or may have requested a rest, while the connection was
+    // being opened.
+    let record = record_accepting_work(node, &choice.runner)?;
+    Ok(PreparedConnection { connection, record, in_flight, idle: None })
 }
 
 fn attempts_in_flight(node: &Node, runner: &RunnerId) -> u32 {
@@ -206,6 +215,7 @@
     let sent_at = Instant::now();
     let sent_at_us = node.now_us();
     let connection = ConnectionUse { idle: prepared.idle, sent_at };
+    let uses_own_link = prepared.connection.peer().is_none();
     let attempt = InterruptedAttempt { request, tenant: params.tenant.as_ref(), runner: &runner };
     if !node.may_send_to(&runner) {
         node.metrics.unwanted_attempts.inc();
@@ -217,13 +227,18 @@
     let head = read_matching_head(node, request, &prepared, sent_at_us);
     let outcome = tokio::select! {
         outcome = head => outcome,
-        cause = wait_for_end(node, &runner, params) => {
+        cause = wait_for_end(node, &runner, params, uses_own_link) => {
             log_end(request, &runner, &cause);
-            if let EndCause::Silent(_) = cause {
-                node.on_attempt_timeout(&runner, sent_at_us);
-            }
-            record_unfinished_attempt(node, attempt);
-            return AttemptEnd::NoResponse;
+            return match cause {
+                EndCause::LinkLost => AttemptEnd::LinkLost,
+                EndCause::Suspected | EndCause::Silent(_) => {
+                    if let EndCause::Silent(_) = cause {
+                        node.on_attempt_timeout(&runner, sent_at_us);
+                    }
+                    record_unfinished_attempt(node, attempt);
+                    AttemptEnd::NoResponse
+                }
+            };
         }
         () = probe_while_silent(node, &runner, params.probe_after) => return AttemptEnd::NoResponse,
     };
@@ -378,7 +393,8 @@
     let expected_ms = u64::try_from(params.expected_prefill.as_millis()).unwrap_or(u64::MAX);
     let rank = params.priority.unwrap_or_default();
     let fetch = params.fetch_from.is_some();
-    log::info!(target: "attempt", request = id, runner, work, reused, revision, unread = prefill_tokens, late = overdue_tokens, rank, fetch, expected_ms; "sent");
+    let peer = prepared.connection.peer().map_or("", NodeId::as_str);
+    log::info!(target: "attempt", request = id, runner, peer, work, reused, revision, unread = prefill_tokens, late = overdue_tokens, rank, fetch, expected_ms; "sent");
 }
 
 fn log_head(
--- a/crates/gateway/src/attempt_wait.rs
+++ b/crates/gateway/src/attempt_wait.rs
@@ -4,7 +4,7 @@
 use crate::intake::ClientRequest;
 use crate::node::Node;
 use crate::retry_charge::RetryCharge;
-use crate::runner_probe::wait_until_suspected;
+use crate::runner_probe::wait_until_unavailable;
 use pitchstall_serving::ids::RunnerId;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,15 +37,27 @@
     Silent(Duration),
     /// The runner is suspected of having failed.
     Suspected,
+    /// This node's link to the runner is lost, and another node reaches the runner.
+    LinkLost,
 }
 
-/// Completes when an attempt without a response head is to be ended.
-pub async fn wait_for_end(node: &Rc<Node>, runner: &RunnerId, params: &AttemptParams) -> EndCause {
+/// Completes when an attempt without a response head is to be ended. `uses_own_link`: whether its connection is this
+/// node's own.
+pub async fn wait_for_end(
+    node: &Rc<Node>,
+    runner: &RunnerId,
+    params: &AttemptParams,
+    uses_own_link: bool,
+) -> EndCause {
     let early_end = async {
         let Some(early_end) = &params.early_end else { return std::future::pending().await };
-        let suspected = early_end.charge.charged_when(|| wait_until_suspected(node, runner));
+        let wait_until_unavailable = || wait_until_unavailable(node, runner, uses_own_link);
+        let unavailable = early_end.charge.charged_when(wait_until_unavailable);
         tokio::select! {
-            () = suspected => EndCause::Suspected,
+            () = unavailable => match uses_own_link && node.is_link_lost(runner) {
+                true => EndCause::LinkLost,
+                false => EndCause::Suspected,
+            },
             time = early_end.charged_when_silent() => EndCause::Silent(time),
         }
     };
@@ -64,5 +76,8 @@
             log::info!(target: "attempt", request = id, runner, limit_ms; "silent");
         }
         EndCause::Suspected => log::info!(target: "attempt", request = id, runner; "left"),
+        EndCause::LinkLost => {
+            log::info!(target: "attempt", request = id, runner; "left: link lost");
+        }
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,15 +9,16 @@
 use crate::clock::Instant;
 use crate::listener;
 use crate::node::Node;
+use crate::peer_listener;
 use crate::peer_messages::PeerSocket;
 use crate::peers::Peers;
 use crate::policy::PolicyProgram;
 use crate::quarantine;
 use crate::quota;
 use crate::reachability;
-use crate::replication;
 use crate::retry_pools;
 use crate::roles;
+use crate::runner_probe;
 use crate::scaling;
 use crate::settings::{NodeSection, Settings, SettingsError};
 use crate::shard_scheduler;
@@ -100,7 +101,7 @@
     let client_listener = bind(settings.listen.callers).await?;
     let health_listener = bind(settings.listen.health).await?;
     let peer_socket = bind_datagrams(settings.listen.peers).await?;
-    let follower_listener = bind(settings.listen.peers).await?;
+    let peer_listener = bind(settings.listen.peers).await?;
     let name = settings.node.name.clone();
     let zone = settings.node.zone.clone();
     log::info!(target: "process", name, zone; "started");
@@ -123,12 +124,13 @@
     ntex::rt::spawn(roles::order_role_changes(node.clone()));
     ntex::rt::spawn(quarantine::persist_crashes(node.clone()));
     ntex::rt::spawn(retry_pools::deposit_tokens(node.clone()));
+    ntex::rt::spawn(runner_probe::probe_lost_links(node.clone()));
     ntex::rt::spawn(reachability::report_unreachable_runners(node.clone()));
     ntex::rt::spawn(usage::run_reporter(node.clone()));
     ntex::rt::spawn(quota::candidate::run(node.clone()));
     ntex::rt::spawn(scaling::order_runners(node.clone()));
     ntex::rt::spawn(cache_listing::list_own_shards(node.clone()));
-    ntex::rt::spawn(replication::accept_followers(follower_listener, node.clone()));
+    ntex::rt::spawn(peer_listener::accept_peers(peer_listener, node.clone()));
     ntex::rt::spawn(listener::accept_health(health_listener, node.clone()));
     ntex::rt::spawn(prune_connections(node.clone()));
     let accept_task = ntex::rt::spawn(listener::accept_clients(client_listener, node.clone()));
@@ -228,11 +230,11 @@
     Ok((settings, program))
 }
 
-/// Waits until all client connections are closed. Waiting for open requests is not enough, because a
+/// Waits until all client connections, and all connections that are carried for other nodes, are closed. Waiting for open requests is not enough, because a
 /// connection may be in the middle of reading one.
 async fn wait_for_connections(node: &Node, deadline: Instant) {
     const POLL: Duration = Duration::from_millis(10);
-    while node.open_connections() > 0 && Instant::now() < deadline {
+    while node.open_connections() + node.open_tunnels.count() > 0 && Instant::now() < deadline {
         sleep(POLL).await;
     }
     // The last responses may still be in the socket buffers.
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -79,9 +79,9 @@
                 let id = self.request.metadata.id.as_str();
                 log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "response interrupted");
                 on_interrupted(self.node, self.interrupted_attempt(&runner));
-                return self.on_lost(runner);
+                return self.on_lost(Some(runner));
             }
-            Err(TooSlow) => return self.on_lost(runner),
+            Err(TooSlow) => return self.on_lost(Some(runner)),
         };
         let is_framed = !response.ends_with_connection();
         response.return_connection(self.node);
@@ -184,7 +184,7 @@
         drop(run);
         self.record_interruption(&runner, cause);
         self.node.metrics.resumes.inc();
-        self.on_lost(runner)
+        self.on_lost(Some(runner))
     }
 
     /// Records that a run ended before its stream was complete.
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,7 +12,9 @@
 use self::admission::Admission;
 use self::delivery::Run;
 use self::planning::{elapsed_ms, Plan};
-use crate::attempt::{self, AttemptEnd, AttemptParams, PrepareError, PreparedConnection};
+use crate::attempt::{
+    self, AttemptEnd, AttemptParams, ConnectionNeed, PrepareError, PreparedConnection,
+};
 use crate::attempt_wait::EarlyEnd;
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
@@ -106,6 +108,9 @@
     Declined,
     /// There is no response. The runner may have executed the request.
     Lost(RunnerId),
+    /// The node's link to the runner was lost. The runner may have executed the request, and can be
+    /// reached through another node.
+    LinkLost,
 }
 
 impl<'a> Dispatch<'a> {
@@ -173,7 +178,8 @@
         match self.send_attempt(ready).await {
             SentAttempt::Responding(run) => self.deliver(run, client).await,
             SentAttempt::Declined => Step::Retry,
-            SentAttempt::Lost(runner) => self.on_lost(runner),
+            SentAttempt::Lost(runner) => self.on_lost(Some(runner)),
+            SentAttempt::LinkLost => self.on_lost(None),
         }
     }
 
@@ -187,7 +193,8 @@
             return Err(EndReason::Quarantined);
         }
         let plan = self.plan().await?;
-        let prepared = match attempt::prepare(self.node, &plan.choice).await {
+        let prepared = match attempt::prepare(self.node, &plan.choice, self.connection_need()).await
+        {
             Ok(prepared) => prepared,
             // The runner is no longer a candidate, so another one is chosen.
             Err(PrepareError::Withheld) => return Ok(None),
@@ -204,6 +211,13 @@
         })
     }
 
+    fn connection_need(&self) -> ConnectionNeed {
+        match self.execution {
+            Execution::Unknown => ConnectionNeed::Verified,
+            Execution::NotRun | Execution::Ran => ConnectionNeed::Any,
+        }
+    }
+
     /// Sends an attempt and waits for the head of its response. The run counts as begun from the start,
     /// so that dropping the future leaves it counted.
     async fn send_attempt(&mut self, ready: ReadyAttempt) -> SentAttempt {
@@ -247,6 +261,11 @@
                 self.is_counted = true;
                 SentAttempt::Lost(plan.choice.runner)
             }
+            AttemptEnd::LinkLost => {
+                start_recorder.on_no_response();
+                self.is_counted = true;
+                SentAttempt::LinkLost
+            }
         }
     }
 
@@ -329,9 +348,11 @@
         Ok(())
     }
 
-    fn on_lost(&mut self, runner: RunnerId) -> Step {
+    /// Handles an attempt without a complete response. `excluded` is a runner that the request must
+    /// not be sent to again.
+    fn on_lost(&mut self, excluded: Option<RunnerId>) -> Step {
         self.execution = self.execution.max(Execution::Unknown);
-        self.excluded.push(runner);
+        self.excluded.extend(excluded);
         if self.time_remaining().is_zero() {
             return self.give_up(EndReason::OutOfTime);
         }
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -241,15 +241,16 @@
         prefill_runner: RunnerChoice,
         progress_reporter: &ProgressReporter,
     ) -> Option<PrefilledPrompt> {
-        let prepared = match attempt::prepare(self.node, &prefill_runner).await {
-            Ok(prepared) => prepared,
-            Err(PrepareError::Withheld) => return None,
-            Err(PrepareError::Unreachable) => {
-                progress_reporter.report(Progress::Unreachable(prefill_runner.runner.clone()));
-                self.excluded.push(prefill_runner.runner);
-                return None;
-            }
-        };
+        let prepared =
+            match attempt::prepare(self.node, &prefill_runner, self.connection_need()).await {
+                Ok(prepared) => prepared,
+                Err(PrepareError::Withheld) => return None,
+                Err(PrepareError::Unreachable) => {
+                    progress_reporter.report(Progress::Unreachable(prefill_runner.runner.clone()));
+                    self.excluded.push(prefill_runner.runner);
+                    return None;
+                }
+            };
         if self.arrivals.is_next_prefill_charged() && !self.retry_charge.charge().await {
             return None;
         }
@@ -283,6 +284,10 @@
                 }
                 Some(prompt)
             }
+            PrefillOutcome::LinkLost => {
+                self.arrivals.on_prefill_not_accepted();
+                None
+            }
             end @ (PrefillOutcome::Declined | PrefillOutcome::Failed) => {
                 if matches!(end, PrefillOutcome::Declined) {
                     progress_reporter.report(Progress::Declined(prefill_runner.runner.clone()));
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -6,7 +6,7 @@
 use super::delivery::Run;
 use super::{Dispatch, ReadyAttempt, SentAttempt};
 use crate::node::Node;
-use crate::runner_probe::probe;
+use crate::runner_probe::{probe, ProbeCause};
 use pitchstall_serving::attempt::{EndReason, Execution};
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::RunnerId;
@@ -62,7 +62,7 @@
             return stalled;
         }
         // The result tells a runner that is slow from one that cannot be reached.
-        probe(self.node, &runner, self.node.now_us());
+        probe(self.node, &runner, self.node.now_us(), ProbeCause::Silence);
         self.excluded.push(runner.clone());
         loop {
             let prepared = tokio::select! {
@@ -137,6 +137,7 @@
                 self.execution = self.execution.max(Execution::Unknown);
                 self.excluded.push(other);
             }
+            SentAttempt::LinkLost => self.execution = self.execution.max(Execution::Unknown),
         }
         Handover::Failed(stalled)
     }
@@ -162,12 +163,12 @@
     }
 }
 
-/// Completes when two runners have had a request for too long. Never completes if the first of them cannot be reached: it
-/// cannot be stopped either, and may have ended.
+/// Completes when two runners have had a request for too long. Never completes if the first of them cannot be reached
+/// over this node's link: it cannot be stopped either, and may have ended.
 async fn overlap_over(node: &Node, runner: &RunnerId) {
     sleep(MAX_OVERLAP).await;
     let is_suspected = node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected);
-    if is_suspected {
+    if is_suspected || node.is_link_lost(runner) {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -3,12 +3,15 @@
 use super::response_codec::{
     BodyDecoder, BodyItem, ResponseDecodeError, ResponseHead, ResponseHeadDecoder,
 };
-use ntex::io::{Io, IoConfig};
+use crate::tunnel::frames::{FrameDecoder, TunnelState};
+use ntex::io::{Io, IoBoxed, IoConfig};
 use ntex::util::{Bytes, Either};
 use ntex::SharedCfg;
+use pitchstall_serving::ids::NodeId;
 use socket2::SockRef;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -71,7 +74,16 @@
 /// An open HTTP connection. Dropping it closes it immediately.
 #[derive(Debug)]
 pub struct Upstream {
-    io: Io,
+    io: IoBoxed,
+    /// Set if the connection leads through another node.
+    tunnel: Option<Tunnel>,
+}
+
+/// The node that a connection leads through.
+#[derive(Debug)]
+struct Tunnel {
+    peer: NodeId,
+    state: Rc<TunnelState>,
 }
 
 impl Upstream {
@@ -80,7 +92,20 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Self, ConnectError> {
-        Ok(Self { io: open_stream(address, connect_timeout).await? })
+        let io = open_stream(address, connect_timeout).await?;
+        Ok(Self { io: io.boxed(), tunnel: None })
+    }
+
+    /// The connection to a runner that `peer` has opened at the other end of `io`.
+    pub fn through(io: Io, peer: NodeId) -> Self {
+        let state = Rc::<TunnelState>::default();
+        let io = io.add_filter(FrameDecoder::new(state.clone())).boxed();
+        Self { io, tunnel: Some(Tunnel { peer, state }) }
+    }
+
+    /// The node that the connection leads through; `None` if it is this node's own connection.
+    pub fn peer(&self) -> Option<&NodeId> {
+        self.tunnel.as_ref().map(|tunnel| &tunnel.peer)
     }
 
     /// Queues bytes to be written, without waiting for the peer to read them.
@@ -102,7 +127,7 @@
         match self.io.recv(decoder).await {
             Ok(Some(BodyItem::Chunk(bytes))) => Ok(Some(bytes)),
             Ok(Some(BodyItem::End)) => Ok(None),
-            Ok(None) if decoder.ends_with_connection() => Ok(None),
+            Ok(None) if decoder.ends_with_connection() && self.has_orderly_end() => Ok(None),
             Ok(None) => Err(ReadError::Closed),
             Err(error) => Err(into_read_error(error)),
         }
@@ -124,6 +149,11 @@
         Ok(body)
     }
 
+    /// Whether the runner itself has closed the connection, once it is closed. A node in between may have failed instead.
+    fn has_orderly_end(&self) -> bool {
+        self.tunnel.as_ref().is_none_or(|tunnel| tunnel.state.has_ended())
+    }
+
     /// Completes when further bytes arrive. Never completes if the connection ends before.
     pub async fn wait_for_data(&self) {
         let unread = || self.io.with_read_buf(|buffer| buffer.len());
@@ -139,8 +169,11 @@
     /// completely, and no unexpected bytes have arrived.
     pub fn is_reusable(&self) -> bool {
         let unread = self.io.with_read_buf(|buffer| buffer.len());
-        let unsent = self.io.with_write_buf(|buffer| buffer.len()).unwrap_or(1);
-        !self.io.is_closed() && unread == 0 && unsent == 0
+        let unsent = self.io.with_write_buf(|buffer| buffer.len()).unwrap_or(1)
+            + self.io.with_write_dst_buf(|buffer| buffer.len());
+        let is_tunnel_reusable =
+            self.tunnel.as_ref().is_none_or(|tunnel| tunnel.state.is_reusable());
+        !self.io.is_closed() && unread == 0 && unsent == 0 && is_tunnel_reusable
     }
 }
 
--- a/crates/gateway/src/interrupted_attempt.rs
+++ b/crates/gateway/src/interrupted_attempt.rs
@@ -8,7 +8,7 @@
 use crate::http::ReadError;
 use crate::intake::ClientRequest;
 use crate::node::Node;
-use crate::runner_probe::probe;
+use crate::runner_probe::{probe, ProbeCause};
 use pitchstall_serving::ids::{RunnerId, TenantName};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,18 +28,26 @@
     pub runner: &'a RunnerId,
 }
 
-/// Handles a connection that broke before the response was complete: the runner has crashed, or has
+/// Handles a connection that broke after the head of the response: the runner has crashed, or has
 /// lost this one response.
 pub fn on_interrupted(node: &Rc<Node>, attempt: InterruptedAttempt<'_>) {
+    on_broken_connection(node, attempt, ProbeCause::Silence);
+}
+
+fn on_broken_connection(node: &Rc<Node>, attempt: InterruptedAttempt<'_>, cause: ProbeCause) {
     let now_us = node.now_us();
-    node.fleet.borrow_mut().on_response_interrupted(attempt.runner, now_us);
-    record_and_probe(node, attempt);
+    // Through another node, the connection to that node may have failed as well.
+    if !node.is_link_lost(attempt.runner) {
+        node.fleet.borrow_mut().on_response_interrupted(attempt.runner, now_us);
+    }
+    record_unfinished_attempt(node, attempt);
+    probe(node, attempt.runner, now_us, cause);
 }
 
 /// Records the unfinished attempt and probes its runner, which may have crashed.
 pub fn record_and_probe(node: &Rc<Node>, attempt: InterruptedAttempt<'_>) {
     record_unfinished_attempt(node, attempt);
-    probe(node, attempt.runner, node.now_us());
+    probe(node, attempt.runner, node.now_us(), ProbeCause::Silence);
 }
 
 /// Records that a request was in progress at a runner that may have crashed.
@@ -86,6 +94,6 @@
             // The runner may also have crashed just after it accepted the request.
             record_and_probe(node, attempt);
         }
-        None => on_interrupted(node, attempt),
+        None => on_broken_connection(node, attempt, ProbeCause::BrokenConnection),
     }
 }
--- a/crates/gateway/src/json_lines.rs
+++ b/crates/gateway/src/json_lines.rs
@@ -79,6 +79,26 @@
     receive(io, &ChunkDecoder { max_bytes }).await
 }
 
+/// Bytes that have arrived, or how the connection ended.
+#[derive(Debug)]
+pub enum Available {
+    /// The next bytes; at least one.
+    Bytes(Bytes),
+    /// The peer has closed the connection in an orderly way.
+    End,
+    /// The connection broke.
+    Broken,
+}
+
+/// Reads the next bytes, at most `max_bytes`, and tells an orderly end of the connection from a broken one.
+pub async fn read_available(io: &Io, max_bytes: usize) -> Available {
+    match io.recv(&ChunkDecoder { max_bytes }).await {
+        Ok(Some(bytes)) => Available::Bytes(bytes),
+        Ok(None) => Available::End,
+        Err(_) => Available::Broken,
+    }
+}
+
 async fn receive<D>(io: &Io, decoder: &D) -> Result<Bytes, LineError>
 where
     D: Decoder<Item = Bytes, Error = LineError>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,8 @@
 //! | [`attempt`] | makes one attempt on one runner |
 //! | [`attempt_wait`] | ends an attempt that is silent or whose runner is suspected |
 //! | [`interrupted_attempt`] | handles an attempt that ended before its response was complete |
-//! | [`runner_probe`] | checks whether a silent runner can be reached |
+//! | [`runner_connection`] | opens a connection to a runner, through another node if this node's link is lost |
+//! | [`runner_probe`] | checks whether a silent runner can be reached, and whether a lost link works again |
 //! | [`relay`] | forwards a stream to the client, also across several runners |
 //! | [`local_responses`] | defines the responses that the node creates itself |
 //!
@@ -37,6 +38,7 @@
 //!   [`prefix_announcements`] announces cached prefixes to other regions.
 //! - [`authority`] holds the leases that [`roles`], [`scaling`] and [`usage`] need before they give orders or
 //!   report something on behalf of all nodes.
+//! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes.
 //! - [`reachability`] reports how many runners the node cannot reach.
 //! - [`quarantine`] keeps requests that crash runners away from them.
 //! - [`http`] is the HTTP client for runners and the store, and [`unknown_headers`] tracks names of response headers
@@ -63,6 +65,7 @@
 pub mod metrics;
 pub mod missed_replies;
 pub mod node;
+pub mod peer_listener;
 pub mod peer_messages;
 pub mod peer_traffic;
 pub mod peers;
@@ -81,6 +84,7 @@
 pub mod retry_charge;
 pub mod retry_pools;
 pub mod roles;
+pub mod runner_connection;
 pub mod runner_limits;
 pub mod runner_probe;
 pub mod scaling;
@@ -90,6 +94,7 @@
 pub mod store_pages;
 pub mod store_responses;
 pub mod transfer;
+pub mod tunnel;
 pub mod unknown_headers;
 pub mod usage;
 pub mod watcher;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,12 @@
     pub stalled_runs_kept: Family<StalledRunLabels, Counter>,
     /// New connections to runners, including those that could not be opened.
     pub connections: Counter,
+    /// Connections to runners that this node uses through other nodes.
+    pub tunnels_used: Counter,
+    /// Connections to runners that this node has opened for other nodes.
+    pub tunnels_carried: Counter,
+    /// Bytes that this node has moved between runners and other nodes.
+    pub tunnel_bytes: Counter,
     /// Placement replies received from schedulers in time.
     pub placements: Counter,
     /// Placements that this node rejected because the chosen runner accepts no requests from it.
@@ -115,6 +121,8 @@
     /// Time since another node first reported a configuration that this node has not received, in seconds; 0 if there
     /// is none.
     pub configuration_lag: Gauge<f64, AtomicU64>,
+    /// Runners to which this node has lost its own link, and which other nodes reach.
+    pub links_lost: Gauge<f64, AtomicU64>,
     /// Runners that this node suspects of being unreachable.
     pub runners_unreachable: Gauge<f64, AtomicU64>,
     /// Era of the store that this node uses.
@@ -143,6 +151,9 @@
             streams_cut: Family::default(),
             stalled_runs_kept: Family::default(),
             connections: Counter::default(),
+            tunnels_used: Counter::default(),
+            tunnels_carried: Counter::default(),
+            tunnel_bytes: Counter::default(),
             placements: Counter::default(),
             placements_rejected: Counter::default(),
             runner_notices: Family::default(),
@@ -159,6 +170,7 @@
             store_failures: Counter::default(),
             refused_entries: Family::default(),
             configuration_lag: Gauge::default(),
+            links_lost: Gauge::default(),
             runners_unreachable: Gauge::default(),
             store_era: Gauge::default(),
             cloud_calls: Counter::default(),
@@ -196,6 +208,13 @@
                 &self.resumes,
             ),
             ("connections", "Connections opened to runners", &self.connections),
+            ("tunnels_used", "Connections to runners through other nodes", &self.tunnels_used),
+            (
+                "tunnels_carried",
+                "Connections to runners opened for other nodes",
+                &self.tunnels_carried,
+            ),
+            ("tunnel_bytes", "Bytes moved between runners and other nodes", &self.tunnel_bytes),
             (
                 "placements_told",
                 "Placement replies received from schedulers in time",
@@ -277,6 +296,8 @@
             "Time since another node first reported a configuration that this node lacks, in seconds";
         let configuration_lag = self.configuration_lag.clone();
         self.registry.register("configuration_behind_seconds", help, configuration_lag);
+        let help = "Runners that only other nodes reach";
+        self.registry.register("links_lost", help, self.links_lost.clone());
         let help = "Runners that this node suspects of being unreachable";
         self.registry.register("runners_unreachable", help, self.runners_unreachable.clone());
         let help = "Era of the store that this node uses";
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -3,12 +3,15 @@
 mod configuration;
 mod crashes;
 mod eras;
+mod links;
 mod locations;
 mod open_work;
 mod retries;
 mod runners;
 
+pub use links::LinkLoss;
 pub use open_work::{BodyReservation, OpenConnection, OpenRequest};
+pub use runners::{ProbeVerdict, Unreachability};
 
 use crate::authority::LocalAuthority;
 use crate::clock::Instant;
@@ -25,6 +28,7 @@
 use crate::settings::Settings;
 use crate::shard_scheduler;
 use crate::store_responses::StoreResponse;
+use crate::tunnel::server::OpenTunnels;
 use crate::unknown_headers::UnknownHeaders;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store;
@@ -34,6 +38,7 @@
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::lost_links::LostLinks;
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::prefill_speed::{PrefillSample, PrefillSpeed};
 use pitchstall_serving::prefix::PromptPart;
@@ -45,6 +50,7 @@
 use pitchstall_serving::store_replica::{StoreReplicas, StoreUpdate, Subject};
 use pitchstall_serving::store_revision::{RevisionNumber, StoreEras};
 use pitchstall_serving::topology::Topology;
+use pitchstall_serving::tunnel_peers::TunnelPeers;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
 use pitchstall_serving::wall_clock::WallClock;
 use rand::RngExt;
@@ -64,7 +70,13 @@
     pub pool: ConnectionPool,
     /// Counters, gauges and histograms, as exported to operators.
     pub metrics: Metrics,
-    /// Notified when the suspicion of a runner may have changed.
+    /// This node's own links to runners that are lost.
+    pub links: RefCell<LostLinks>,
+    /// Which other nodes have opened connections to runners for this one.
+    pub tunnel_peers: RefCell<TunnelPeers>,
+    /// Connections to runners that this node carries for others.
+    pub open_tunnels: OpenTunnels,
+    /// Notified when the suspicion of a runner, or the state of the link to it, may have changed.
     pub suspicion_changed: Notify,
     /// Notified when this node has ordered a runner to change its role.
     pub role_change_ordered: Notify,
@@ -94,6 +106,8 @@
     pub replica_confirmed: Notify,
     /// Notified when a call to the store has failed: pending watches may never receive a response.
     pub store_suspected: Notify,
+    /// Notified when a planned stop begins.
+    stop_began: Notify,
     /// Notified when idle client connections are to be closed.
     pub closing_started: Notify,
     /// Lease on the duties that one node performs for the whole fleet.
@@ -180,6 +194,9 @@
             fleet: RefCell::new(fleet),
             pool: ConnectionPool::default(),
             metrics: Metrics::new(&socket),
+            links: RefCell::default(),
+            tunnel_peers: RefCell::default(),
+            open_tunnels: OpenTunnels::default(),
             suspicion_changed: Notify::new(),
             role_change_ordered: Notify::new(),
             fleet_changed: Notify::new(),
@@ -194,6 +211,7 @@
             freshness: RefCell::default(),
             replica_confirmed: Notify::new(),
             store_suspected: Notify::new(),
+            stop_began: Notify::new(),
             closing_started: Notify::new(),
             authority: LocalAuthority::default(),
             roles_authority: LocalAuthority::default(),
@@ -454,6 +472,15 @@
     /// Begins a planned stop. The node reports that it is not ready from then on.
     pub fn begin_stop(&self) {
         self.is_stopping.set(true);
+        self.stop_began.notify_waiters();
+    }
+
+    /// Completes when a planned stop has begun.
+    pub async fn wait_for_stop(&self) {
+        let began = self.stop_began.notified();
+        if !self.is_stopping() {
+            began.await;
+        }
     }
 
     /// Begins to close idle client connections; others are closed as soon as they are idle. The
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -14,6 +14,29 @@
 
 const MICROS_PER_MILLI: u64 = 1_000;
 
+/// How sure it is that a runner that this node could not connect to is unreachable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreachability {
+    /// No other node could tell, so this node's link may be lost instead.
+    Unconfirmed,
+    /// Another node, which reaches other runners, cannot connect to this one either.
+    Confirmed {
+        /// Whether the connections were refused: no process listens at the address, so the runner has terminated.
+        has_terminated: bool,
+    },
+}
+
+/// Result of a probe of a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeVerdict {
+    /// The runner can be reached, by this node itself or through another one.
+    Reachable,
+    /// The runner could not be reached.
+    Unreachable(Unreachability),
+    /// The probe shows nothing, for example because this node itself was paused.
+    Inconclusive,
+}
+
 impl Node {
     /// Replaces the list of runners by one that was read from the store at `revision`. Entries that
     /// are missing from the new list count as lapsed until `lapses_until_us`, or as removed at once
@@ -112,6 +135,7 @@
     /// departure; `None` if the runner's lapsed entry has not come back.
     fn on_runner_departed(&self, id: &RunnerId, revision: Option<StoreRevision>, is_planned: bool) {
         self.pool.remove_runner(id);
+        self.forget_link(id);
         if is_planned {
             self.on_planned_departure(id);
         } else {
@@ -136,6 +160,7 @@
     /// it. The report applies whatever the outcome of the request is: the store may receive the
     /// same information many seconds later, or never.
     pub fn on_response_head(&self, runner: &RunnerId, head: &ResponseHead) -> ResponseMetadata {
+        self.links.borrow_mut().on_data(runner, self.now_us());
         let metadata = headers::parse_response(head.status, head.header_pairs());
         self.on_unknown_headers(runner, &metadata.unknown_headers);
         if metadata.is_about(runner) {
@@ -185,13 +210,16 @@
         fleet.get(runner).is_some_and(|runner| runner.accepts_work_from_this_node(now_us))
     }
 
-    /// Handles a failure to open a connection to a runner. `is_refused`: no process listens at the
-    /// address, so the runner has terminated.
-    pub fn on_unreachable(&self, runner: &RunnerId, is_refused: bool) {
-        if is_refused {
+    /// Handles a failure to open a connection to a runner, through any node.
+    pub fn on_unreachable(&self, runner: &RunnerId, evidence: Unreachability) {
+        let now_us = self.now_us();
+        if let Unreachability::Confirmed { has_terminated: true } = evidence {
             self.on_runner_terminated(runner);
         }
-        self.fleet.borrow_mut().on_unreachable(runner, self.now_us());
+        self.fleet.borrow_mut().update_suspicion(runner, |suspicion| match evidence {
+            Unreachability::Confirmed { .. } => suspicion.on_unreachable(now_us),
+            Unreachability::Unconfirmed => suspicion.on_unconfirmed_failure(now_us),
+        });
         self.suspicion_changed.notify_waiters();
     }
 
@@ -208,21 +236,25 @@
     /// Records that data has arrived from a runner.
     pub fn on_progress(&self, runner: &RunnerId) {
         let now_us = self.now_us();
+        self.links.borrow_mut().on_data(runner, now_us);
         let mut fleet = self.fleet.borrow_mut();
         fleet.update_suspicion(runner, |suspicion| suspicion.on_progress(now_us));
     }
 
-    /// Applies the result of a probe of a suspected runner; `None` if it is inconclusive because
-    /// this node itself was paused. `is_refused`: no process listens at the address, so the runner
-    /// has terminated.
-    pub fn on_probe_result(&self, runner: &RunnerId, reachable: Option<bool>, is_refused: bool) {
-        let now_us = self.now_us();
-        if is_refused {
-            self.on_runner_terminated(runner);
-        }
+    /// Applies the result of a probe.
+    pub fn on_probe_verdict(&self, runner: &RunnerId, verdict: ProbeVerdict) {
+        let reachable = match verdict {
+            ProbeVerdict::Reachable => Some(true),
+            ProbeVerdict::Unreachable(evidence) => {
+                self.on_unreachable(runner, evidence);
+                None
+            }
+            ProbeVerdict::Inconclusive => None,
+        };
         if reachable == Some(true) {
             self.crash_evidence.borrow_mut().on_connection_accepted(runner);
         }
+        let now_us = self.now_us();
         let mut fleet = self.fleet.borrow_mut();
         fleet.update_suspicion(runner, |suspicion| suspicion.on_probe_result(reachable, now_us));
         drop(fleet);
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -4,16 +4,17 @@
 use crate::attempt::{self, AttemptEnd, AttemptParams, PreparedConnection};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
-use crate::http::Upstream;
 use crate::intake::ClientRequest;
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::node::Node;
+use crate::runner_connection;
 use pitchstall_platform_adapter::paths;
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{ServiceName, ZoneId};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefill_speed::PrefillSample;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::KvHandle;
+use pitchstall_serving::runner::RunnerRecord;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,7 +29,9 @@
     pub handle: KvHandle,
     /// Zone of the prefill runner.
     pub zone: ZoneId,
-    runner: RunnerId,
+    node: Rc<Node>,
+    /// The registry record of the prefill runner.
+    record: Box<RunnerRecord>,
     is_transferred: Cell<bool>,
 }
 
@@ -43,21 +46,21 @@
     fn drop(&mut self) {
         if !self.is_transferred.get() {
             let name = self.handle.name.clone();
-            ntex::rt::spawn(release_handle(self.handle.address, name, self.runner.clone()));
+            ntex::rt::spawn(release_handle(self.node.clone(), self.record.clone(), name));
         }
     }
 }
 
-async fn release_handle(address: std::net::SocketAddr, name: String, runner: RunnerId) {
+async fn release_handle(node: Rc<Node>, record: Box<RunnerRecord>, name: String) {
     let exchange = async {
-        let connection = Upstream::open(address, RELEASE_TIMEOUT).await.ok()?;
-        let headers = [("host".to_owned(), address.to_string().into_bytes())];
+        let connection = runner_connection::open(&node, &record).await.ok()?;
+        let headers = [("host".to_owned(), record.address.to_string().into_bytes())];
         let target = paths::kv_handle_path(&name);
         connection.send(encode_request("DELETE", &target, &headers, &[])).ok()?;
         connection.read_head().await.ok()
     };
     let freed = matches!(timeout(RELEASE_TIMEOUT, exchange).await, Ok(Some(_)));
-    log::info!(target: "reading", runner = runner.as_str(), handle = name, freed; "release of KV handle requested");
+    log::info!(target: "reading", runner = record.id.as_str(), handle = name, freed; "release of KV handle requested");
 }
 
 /// How the attempt to prefill a prompt on a prefill runner ended.
@@ -68,6 +71,8 @@
     Declined,
     /// The prefill failed, timed out or returned no handle. It may be repeated.
     Failed,
+    /// This node's link to the runner was lost. The prefill may be repeated at the same runner.
+    LinkLost,
 }
 
 /// A prefill that is sent to a chosen runner.
@@ -97,6 +102,7 @@
         AttemptEnd::Responding(response) => response,
         AttemptEnd::Declined => return PrefillOutcome::Declined,
         AttemptEnd::NoResponse | AttemptEnd::Lost => return PrefillOutcome::Failed,
+        AttemptEnd::LinkLost => return PrefillOutcome::LinkLost,
     };
     let full_response = match timeout(params.head_timeout, response.read_all()).await {
         Ok(Ok(full_response)) => full_response,
@@ -127,13 +133,13 @@
     let elapsed_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
     let sample = PrefillSample { tokens, elapsed_ms, was_unqueued };
     node.on_prefill_measured(prefill.service, &runner, sample);
-    let handle = KvHandle { address: response.record.address, name };
-    let zone = response.record.zone.clone();
+    let record = response.record.clone();
     response.return_connection(node);
     PrefillOutcome::Prefilled(PrefilledPrompt {
-        handle,
-        zone,
-        runner,
+        handle: KvHandle { address: record.address, name },
+        zone: record.zone.clone(),
+        node: node.clone(),
+        record: Box::new(record),
         is_transferred: Cell::new(false),
     })
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -11,7 +11,6 @@
 use crate::compression::{decompress, CompressedUpdateCache};
 use crate::http::{open_stream, ConnectError};
 use crate::json_lines::{read_chunk, read_line, write_bytes, write_line, LineError};
-use crate::listener::{accept, into_ntex_io};
 use crate::node::Node;
 use crate::transfer::{Transfer, MAX_TRANSFER_TIME, STALL_TIMEOUT};
 use ntex::io::Io;
@@ -21,7 +20,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::time::timeout;
 
 /// Maximum wait for a change that a query may request.
@@ -42,40 +40,29 @@
 const COMPRESSION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of compressed bytes after a line.
 const MAX_COMPRESSED_BYTES: usize = 4 * 1024 * 1024;
-/// Maximum number of simultaneous followers. Connections beyond that are closed, and the follower
-/// queries another node.
-const MAX_FOLLOWERS: usize = 512;
-
-/// Replies to other nodes' queries until the task is dropped.
-pub async fn accept_followers(listener: TcpListener, node: Rc<Node>) {
-    let followers = Rc::new(());
-    let caches = Rc::<CompressedUpdateCaches>::default();
-    // All connections share one configuration, since ntex never frees the buffers kept for a
-    // configuration.
-    let config: ntex::SharedCfg = ntex::SharedCfg::new("mirror").into();
-    loop {
-        let Some(stream) = accept(&listener).await else { continue };
-        if Rc::strong_count(&followers) > MAX_FOLLOWERS {
-            log::warn!(target: "mirror", most = MAX_FOLLOWERS; "follower rejected: too many followers");
-            continue;
-        }
-        let Some(io) = into_ntex_io(stream, config.clone()) else { continue };
-        let (node, follower, caches) = (node.clone(), followers.clone(), caches.clone());
-        ntex::rt::spawn(async move {
-            serve_follower(&io, &node, &caches).await;
-            drop(follower);
-        });
-    }
+
+/// Replies to nodes that follow this one's replica.
+#[derive(Default)]
+pub struct Followers {
+    caches: CompressedUpdateCaches,
 }
 
-async fn serve_follower(io: &Io, node: &Node, caches: &CompressedUpdateCaches) {
-    while let Ok(Ok(query)) = timeout(IDLE_TIMEOUT, read_line::<StoreUpdateQuery>(io)).await {
-        wait_for_change(node, &query).await;
-        let reply = reply_to(node, &query);
-        if let Err(error) = write_reply(io, reply, caches.cache(query.subject)).await {
-            let error = error.to_string();
-            log::info!(target: "mirror", error; "reply to a follower not written");
-            return;
+impl Followers {
+    /// Replies to the queries on one connection, of which `query` is the first, until the connection ends.
+    pub async fn serve(&self, io: &Io, node: &Node, query: StoreUpdateQuery) {
+        let mut query = query;
+        loop {
+            wait_for_change(node, &query).await;
+            let reply = reply_to(node, &query);
+            if let Err(error) = write_reply(io, reply, self.caches.cache(query.subject)).await {
+                let error = error.to_string();
+                log::info!(target: "mirror", error; "reply to a follower not written");
+                return;
+            }
+            match timeout(IDLE_TIMEOUT, read_line::<StoreUpdateQuery>(io)).await {
+                Ok(Ok(next)) => query = next,
+                _ => return,
+            }
         }
     }
 }
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -8,7 +8,7 @@
 use crate::peer_messages::PeerMessage;
 use crate::prefix_announcements;
 use crate::runner_limits;
-use crate::runner_probe::probe;
+use crate::runner_probe::{probe, ProbeCause};
 use crate::scheduling::{
     choose_locally, other_scheduler_of, preferred_region, runner_names, PlacementDemand,
 };
@@ -153,7 +153,7 @@
             }
         }
         Progress::Declined(runner) => node.fleet.borrow_mut().on_full(runner, now_us),
-        Progress::Unreachable(runner) => probe(node, runner, now_us),
+        Progress::Unreachable(runner) => probe(node, runner, now_us, ProbeCause::Silence),
         Progress::Ended => reservations.end(&mut node.fleet.borrow_mut(), message.ticket),
     }
 }
--- /dev/null
+++ b/crates/gateway/src/tunnel/client.rs
@@ -0,0 +1,171 @@
+//! Asks other nodes for connections to runners.
+
+use super::{TunnelQuery, TunnelReply};
+use crate::http::{open_stream, Upstream};
+use crate::json_lines::{read_line, write_line};
+use crate::node::Node;
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::membership::Membership;
+use pitchstall_serving::tunnel_peers::{PeerOutcome, TunnelPeer};
+use rand::seq::SliceRandom;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Time limit for opening a connection to another node.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit for a node's reply. The node tries the runner and, if that fails, other runners, each for 200 ms at most.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a second node is asked, if the first one has recently opened a connection.
+const HEDGE_DELAY: Duration = Duration::from_millis(60);
+
+/// Result of asking other nodes for a connection to a runner.
+pub enum TunnelOutcome {
+    /// The runner is connected.
+    Opened(Upstream),
+    /// No node that was asked can connect to the runner, and some of them reach other runners.
+    RunnerUnreachable {
+        /// Whether every such node was refused: no process listens at the address.
+        is_refused: bool,
+    },
+    /// No node could tell whether the runner is reachable.
+    Unknown,
+}
+
+/// What one node, or several nodes together, have replied.
+enum Reply {
+    Opened(Upstream),
+    Unreachable { is_refused: bool },
+    Unknown,
+}
+
+impl Reply {
+    fn is_opened(&self) -> bool {
+        matches!(self, Self::Opened(_))
+    }
+
+    /// The reply of two nodes together, of which at most one has opened a connection.
+    fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (opened @ Self::Opened(_), _) | (_, opened @ Self::Opened(_)) => opened,
+            (Self::Unknown, other) => other,
+            (known, Self::Unknown) => known,
+            (
+                Self::Unreachable { is_refused },
+                Self::Unreachable { is_refused: is_other_refused },
+            ) => Self::Unreachable { is_refused: is_refused && is_other_refused },
+        }
+    }
+}
+
+/// Opens a connection to a runner through another node. Asks two nodes at a time until one of them opens the connection.
+/// Nodes that reach other runners may have lost their links to this one, so the reply of a single node proves nothing.
+pub async fn open(node: Rc<Node>, runner: RunnerId) -> TunnelOutcome {
+    let known = other_nodes(&node.members.borrow());
+    let candidates = node.tunnel_peers.borrow().candidates(known, node.now_us());
+    let mut replies = Reply::Unknown;
+    for pair in candidates.chunks(2) {
+        let reply = match pair {
+            [first, second] => ask_both(&node, first, second, &runner).await,
+            [only] => ask(&node, only, &runner).await,
+            _ => Reply::Unknown,
+        };
+        replies = replies.and(reply);
+        if replies.is_opened() {
+            break;
+        }
+    }
+    match replies {
+        Reply::Opened(connection) => {
+            node.metrics.tunnels_used.inc();
+            TunnelOutcome::Opened(connection)
+        }
+        Reply::Unreachable { is_refused } => TunnelOutcome::RunnerUnreachable { is_refused },
+        Reply::Unknown => TunnelOutcome::Unknown,
+    }
+}
+
+/// The other nodes in random order: those of this node's region, or all if there are no others in it.
+fn other_nodes(members: &Membership) -> Vec<TunnelPeer> {
+    let own_zone = &members.own().zone;
+    let others = members.all().filter(|(name, _)| *name != members.own_name());
+    let peer = |(name, member): (&_, &pitchstall_serving::membership::Member)| TunnelPeer {
+        node: Clone::clone(name),
+        address: member.address,
+        is_in_own_zone: member.zone == *own_zone,
+    };
+    let in_region = others.clone().filter(|(name, _)| members.is_in_own_region(name));
+    let mut peers: Vec<TunnelPeer> = in_region.map(peer).collect();
+    if peers.is_empty() {
+        peers = others.map(peer).collect();
+    }
+    peers.shuffle(&mut rand::rng());
+    peers
+}
+
+/// Asks two nodes and uses the first connection that is opened. The second one is asked at once, or later if the first one
+/// is expected to open the connection.
+async fn ask_both(
+    node: &Node,
+    first: &TunnelPeer,
+    second: &TunnelPeer,
+    runner: &RunnerId,
+) -> Reply {
+    let is_proven = node.tunnel_peers.borrow().is_proven(&first.node, node.now_us());
+    let mut from_first = pin!(ask(node, first, runner));
+    if is_proven {
+        tokio::select! {
+            reply = &mut from_first => match reply.is_opened() {
+                true => return reply,
+                false => return reply.and(ask(node, second, runner).await),
+            },
+            () = sleep(HEDGE_DELAY) => {}
+        }
+    }
+    let mut from_second = pin!(ask(node, second, runner));
+    let (reply, is_first) = tokio::select! {
+        reply = &mut from_first => (reply, true),
+        reply = &mut from_second => (reply, false),
+    };
+    match (reply.is_opened(), is_first) {
+        (true, _) => reply,
+        (false, true) => reply.and(from_second.await),
+        (false, false) => reply.and(from_first.await),
+    }
+}
+
+async fn ask(node: &Node, peer: &TunnelPeer, runner: &RunnerId) -> Reply {
+    let reply = timeout(CONNECT_TIMEOUT + REPLY_TIMEOUT, query(node, peer, runner)).await;
+    let (reply, outcome) = match reply.ok().flatten() {
+        Some((TunnelReply::Opened, connection)) => (Reply::Opened(connection), PeerOutcome::Opened),
+        Some((TunnelReply::Unreachable { is_refused, reaches_others: true }, _)) => {
+            (Reply::Unreachable { is_refused }, PeerOutcome::RunnerUnreachable)
+        }
+        Some((TunnelReply::Unreachable { reaches_others: false, .. }, _)) => {
+            (Reply::Unknown, PeerOutcome::CutOff)
+        }
+        Some((TunnelReply::Declined(reason), _)) => {
+            let (peer, runner, reason) = (peer.node.as_str(), runner.as_str(), reason.name());
+            log::info!(target: "links", peer, runner, reason; "tunnel declined");
+            (Reply::Unknown, PeerOutcome::Unavailable)
+        }
+        None => (Reply::Unknown, PeerOutcome::Unavailable),
+    };
+    node.tunnel_peers.borrow_mut().on_outcome(&peer.node, outcome, node.now_us());
+    reply
+}
+
+/// Sends a query and reads the reply; `None` if the node does not reply. The connection carries the tunnel only if it was
+/// opened.
+async fn query(
+    node: &Node,
+    peer: &TunnelPeer,
+    runner: &RunnerId,
+) -> Option<(TunnelReply, Upstream)> {
+    let io = open_stream(peer.address, CONNECT_TIMEOUT).await.ok()?;
+    let from = node.members.borrow().own_name().clone();
+    write_line(&io, &TunnelQuery { runner: runner.clone(), from }).ok()?;
+    let reply: TunnelReply = read_line(&io).await.ok()?;
+    Some((reply, Upstream::through(io, peer.node.clone())))
+}
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -5,13 +5,15 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::proxy::{Link, LinkMode};
-use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{
+    engine_script, event_text, EventStream, Reaction, RunnerStandIn,
+};
 use pitchstall_platform_standins::store::StoreStandIn;
 use pitchstall_platform_standins::store_view::AddressMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use support::{configuration, wait_for, Fixture, NodeAddress, RawResponse};
+use support::{configuration, get, wait_for, Fixture, NodeAddress, RawResponse};
 use test_case::test_case;
 
 /// How the links of a node are lost.
@@ -153,3 +155,106 @@
     std::thread::sleep(Duration::from_millis(500));
     assert_eq!(request(&fleet.sound, "/booking/held", "again").status, 200);
 }
+
+/// Number of links that a node has lost, by its metrics.
+fn lost_links(node: &Fixture) -> usize {
+    let metrics = get(node.health, "/metrics").text();
+    let value = metrics.lines().find_map(|line| line.strip_prefix("pitchstall_links_lost "));
+    value.map_or(0, |value| value.parse::<f64>().unwrap() as usize)
+}
+
+/// Loses all links of the cut node and waits until it serves through the other one.
+fn serve_through_other_node(fleet: &Fleet, loss: Loss) {
+    fleet.lose_links(loss);
+    let mut sent = 0;
+    wait_for("the node without links to serve", || {
+        sent += 1;
+        is_served(&fleet.cut, &format!("cut-{sent}")) && lost_links(&fleet.cut) > 0
+    });
+}
+
+#[test]
+fn a_link_that_works_again_is_used_again() {
+    let fleet = Fleet::start();
+    serve_through_other_node(&fleet, Loss::Silent);
+    fleet.links.iter().for_each(|link| link.set_mode(LinkMode::Passing));
+    wait_for("all links to be restored", || lost_links(&fleet.cut) == 0);
+    let carried = || {
+        let metrics = get(fleet.sound.health, "/metrics").text();
+        let line =
+            metrics.lines().find(|line| line.starts_with("pitchstall_tunnels_carried_total"));
+        line.map(str::to_owned)
+    };
+    let before = carried();
+    assert!(is_served(&fleet.cut, "after"));
+    assert_eq!(carried(), before);
+}
+
+#[test]
+fn a_client_that_leaves_ends_the_run_behind_another_node() {
+    let is_held = Arc::new(AtomicBool::new(false));
+    let held = is_held.clone();
+    let holding = move |request: &ReceivedRequest| match request.path().ends_with("/held") {
+        true => {
+            held.store(true, Ordering::SeqCst);
+            Reaction::Silent
+        }
+        false => script(request),
+    };
+    let runner = RunnerStandIn::start("i-0", holding).unwrap();
+    let fleet = Fleet::with_runners(vec![runner], &[("desk", None)]);
+    fleet.lose_links(Loss::Refused);
+    wait_for("a served request", || request(&fleet.cut, "/booking/1", "first").status == 200);
+    let before = fleet.runners[0].closed_early();
+    let mut client = fleet.cut.client();
+    client.request("POST", "/booking/held", "held", "X-Pitchstall-Deadline-Ms: 9000\r\n", b"work");
+    wait_for("the request to be held", || is_held.load(Ordering::SeqCst));
+    drop(client);
+    wait_for("the run to be ended", || fleet.runners[0].closed_early() > before);
+}
+
+#[test_case(b"{\"tunnel\":\"i-9\",\"from\":\"cut\"}\n", "unknown_runner"; "a runner that is not in the registry")]
+#[test_case(b"{\"tunnel\":\"i-0\",\"from\":\"stranger\"}\n", "unknown_node"; "a node that is not known")]
+fn a_tunnel_that_must_not_be_opened_is_declined(query: &[u8], reason: &str) {
+    use std::io::{Read, Write};
+    let runner = RunnerStandIn::start("i-0", script).unwrap();
+    let fleet = Fleet::with_runners(vec![runner], &[("desk", None)]);
+    let mut stream = std::net::TcpStream::connect(fleet.sound.peers).unwrap();
+    stream.write_all(query).unwrap();
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).unwrap();
+    assert_eq!(reply, format!("{{\"declined\":\"{reason}\"}}\n"));
+    assert!(fleet.runners[0].requests().is_empty());
+}
+
+/// Sends requests until the node has retry tokens. It earns none while those of a previous process may still be pooled.
+fn earn_retries(node: &Fixture) {
+    const POOLED_TOKEN_TTL: Duration = Duration::from_secs(5);
+    std::thread::sleep(POOLED_TOKEN_TTL);
+    for number in 0..10 {
+        request(node, "/draft/1", &format!("earn-{number}"));
+    }
+}
+
+#[test]
+fn a_stream_that_is_half_done_when_the_links_are_lost_arrives_whole() {
+    let events = |request: &ReceivedRequest| match request.path().starts_with("/summary/") {
+        true if !request.is_prefill() => Reaction::Stream(EventStream {
+            pause: Duration::from_millis(30),
+            ..EventStream::for_request(request, 40)
+        }),
+        _ => script(request),
+    };
+    let start = |number: usize| RunnerStandIn::start(&format!("i-{number}"), events).unwrap();
+    let decode = ("llm", Some("decode"));
+    let fleet = Fleet::with_runners((0..2).map(start).collect(), &[decode, decode]);
+    earn_retries(&fleet.cut);
+    let mut client = fleet.cut.client();
+    client.request("POST", "/summary/1", "whole", "X-Pitchstall-Deadline-Ms: 9000\r\n", b"{}");
+    client.wait_for_text("token 10\n");
+    fleet.lose_links(Loss::Reset);
+    let response = client.read_response();
+    let expected: String = (0..=40).map(event_text).collect();
+    assert!(response.complete);
+    assert_eq!(response.text(), expected);
+}
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -22,8 +22,8 @@
 /// three missed heartbeats, which are seconds apart, and an unavailable store delays that further.
 const DOUBT_TTL_US: u64 = 15_000_000;
 /// Time within which a probe shows whether a runner is alive, in microseconds: twice the connection
-/// timeout.
-const PROBE_TIMEOUT_US: u64 = 400_000;
+/// timeout, and the time in which another node confirms a failure.
+const PROBE_TIMEOUT_US: u64 = 600_000;
 /// How long a terminated runner is remembered, in microseconds. Its last attempts break within
 /// milliseconds, or within seconds at a node that is paused.
 const TERMINATED_RUNNER_TTL_US: u64 = 10_000_000;
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Records that this node's link to a runner is lost and that another node reaches the runner: its attempts broke
+    /// because of the link.
+    pub fn on_link_lost(&mut self, runner: &RunnerId) {
+        self.in_doubt.remove(runner);
+    }
+
     /// Records that a request got a complete response, which shows that it does not crash runners.
     pub fn on_response_completed(&mut self, request: RequestIdentity) {
         for interrupted in self.in_doubt.values_mut() {
--- a/crates/serving/src/fleet/estimates.rs
+++ b/crates/serving/src/fleet/estimates.rs
@@ -303,6 +303,15 @@
         self.update_suspicion(id, |suspicion| suspicion.on_unreachable(now_us));
     }
 
+    /// Records that this node's link to a runner is lost and that another node reaches the runner. Failures over the link
+    /// say nothing about the runner.
+    pub fn on_link_lost(&mut self, id: &RunnerId, now_us: u64) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.suspicion.on_progress(now_us);
+            runner.failures = crate::failure_rate::FailureRate::default();
+        }
+    }
+
     /// Records that a runner broke off a response although it is reachable.
     pub fn on_response_interrupted(&mut self, id: &RunnerId, now_us: u64) {
         if let Some(runner) = self.runners.get_mut(id) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`runner_limit`], [`limit_keeper`] | rate limits that runners report, and their enforcement |
 //! | [`prefix_cache`], [`failure_rate`] | estimates of what a runner caches and how often it fails |
 //! | [`suspicion`] | failure detection: whether a runner counts as unreachable |
+//! | [`lost_links`], [`tunnel_peers`] | links to runners that this node has lost, and which nodes replace them |
 //! | [`prefill_speed`], [`runner_speed`] | prefill speed of a service and of each of its runners |
 //! | [`placement`] | choice of the prefill runner and of the decode runner of a request |
 //! | [`urgency`] | the order in which a runner processes requests |
@@ -60,6 +61,7 @@
 pub mod freshness;
 pub mod ids;
 pub mod limit_keeper;
+pub mod lost_links;
 pub mod membership;
 pub mod placement;
 mod prefill_demand;
@@ -98,6 +100,7 @@
 pub mod suspicion;
 pub mod tenancy;
 pub mod topology;
+pub mod tunnel_peers;
 pub mod urgency;
 pub mod usage;
 pub mod wall_clock;
--- a/crates/serving/src/suspicion.rs
+++ b/crates/serving/src/suspicion.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Records that a connection could not be opened, and that no other node could tell whether the runner or this node's
+    /// link has failed. The avoidance does not grow, since the link may be back at any moment.
+    pub fn on_unconfirmed_failure(&mut self, now_us: u64) {
+        if now_us >= self.avoided_until_us {
+            self.backoff_us = self.backoff_us.max(MIN_BACKOFF_US);
+            self.avoided_until_us = now_us + MIN_BACKOFF_US;
+        }
+    }
+
     /// Records that an attempt, sent at `sent_at_us`, has timed out without any response. A runner
     /// that has since responded to another request is busy, or lost only this request.
     pub fn on_attempt_timeout(&mut self, sent_at_us: u64, now_us: u64) {
--- /dev/null
+++ b/crates/serving/src/tunnel_peers.rs
@@ -0,0 +1,98 @@
+//! Which nodes are asked for a connection to a runner that this node cannot reach itself.
+//!
+//! A node that has recently opened such a connection is asked first. Otherwise one node of the own zone, where a
+//! connection is short, and nodes of other zones, since a whole zone may be cut off.
+//!
+//! Times are in microseconds of the node's clock.
+
+use crate::ids::NodeId;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Maximum number of nodes that are asked for one connection.
+const MAX_CANDIDATES: usize = 6;
+/// Age up to which a success makes a node preferred.
+const PROVEN_US: u64 = 10_000_000;
+/// Time for which a node is not asked after it has not replied, or has declined.
+const SILENT_AVOIDANCE_US: u64 = 1_000_000;
+/// Time for which a node is not asked after it has reported that it reaches no runners either.
+const CUT_OFF_AVOIDANCE_US: u64 = 500_000;
+
+/// How a node has replied to a request for a connection to a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerOutcome {
+    /// It has opened the connection.
+    Opened,
+    /// It reaches other runners, but not this one.
+    RunnerUnreachable,
+    /// It does not reach the runner, and is not known to reach any.
+    CutOff,
+    /// It did not reply in time, or opens no further connections.
+    Unavailable,
+}
+
+/// A node that may be asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TunnelPeer {
+    /// The node.
+    pub node: NodeId,
+    /// Address at which other nodes reach it.
+    pub address: SocketAddr,
+    /// Whether it is in the zone of the node that asks.
+    pub is_in_own_zone: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    opened_at_us: Option<u64>,
+    avoided_until_us: u64,
+}
+
+/// What one node knows of the others' ability to open connections to runners.
+#[derive(Clone, Debug, Default)]
+pub struct TunnelPeers {
+    records: HashMap<NodeId, Record>,
+}
+
+impl TunnelPeers {
+    /// Records how a node has replied.
+    pub fn on_outcome(&mut self, node: &NodeId, outcome: PeerOutcome, now_us: u64) {
+        let record = self.records.entry(node.clone()).or_default();
+        match outcome {
+            PeerOutcome::Opened => {
+                *record = Record { opened_at_us: Some(now_us), avoided_until_us: 0 }
+            }
+            PeerOutcome::RunnerUnreachable => {}
+            PeerOutcome::CutOff => {
+                *record =
+                    Record { opened_at_us: None, avoided_until_us: now_us + CUT_OFF_AVOIDANCE_US }
+            }
+            PeerOutcome::Unavailable => {
+                *record =
+                    Record { opened_at_us: None, avoided_until_us: now_us + SILENT_AVOIDANCE_US }
+            }
+        }
+    }
+
+    /// Whether a node has recently opened a connection.
+    pub fn is_proven(&self, node: &NodeId, now_us: u64) -> bool {
+        let opened_at_us = self.records.get(node).and_then(|record| record.opened_at_us);
+        opened_at_us.is_some_and(|opened_at_us| now_us < opened_at_us + PROVEN_US)
+    }
+
+    /// The nodes to ask, in order. `known` lists the other nodes in random order, so that the load spreads.
+    pub fn candidates(&self, known: Vec<TunnelPeer>, now_us: u64) -> Vec<TunnelPeer> {
+        let is_avoided = |peer: &TunnelPeer| {
+            self.records.get(&peer.node).is_some_and(|record| now_us < record.avoided_until_us)
+        };
+        let usable = known.into_iter().filter(|peer| !is_avoided(peer));
+        let (proven, others): (Vec<TunnelPeer>, Vec<TunnelPeer>) =
+            usable.partition(|peer| self.is_proven(&peer.node, now_us));
+        let (near, far): (Vec<TunnelPeer>, Vec<TunnelPeer>) =
+            others.into_iter().partition(|peer| peer.is_in_own_zone);
+        let mut near = near.into_iter();
+        let nearest = near.next();
+        let rest = nearest.into_iter().chain(far).chain(near);
+        proven.into_iter().chain(rest).take(MAX_CANDIDATES).collect()
+    }
+}
