A failure that may be due to the own link ends nothing; a holder without links hands the authority over

And the holder of the authority kept its lease while it could reach no runner to order; orders must not go through another node, since they would come from two machines.

Change: an unconfirmed failure avoids a runner for 0.5 s without suspecting it. A node that has lost at least half of its links releases the authority and does not take it. Lists of caches are read through other nodes as well. Tests: suspicion, and the hand-over.

--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -121,6 +121,10 @@
     }
 
     async fn step(&mut self) {
+        // Orders go over the holder's own links only: through another node they would come from two machines.
+        if self.node.has_lost_most_links() {
+            self.release().await;
+        }
         let now_us = self.node.now_us();
         let jitter_fraction = rand::rng().random_range(0.0..1.0);
         match self.with_holder(|holder| holder.step(now_us, jitter_fraction)) {
@@ -154,7 +158,8 @@
         // Each poll is a call to the store. Therefore only store readers poll, and only the key of
         // their own region.
         let is_store_reader = self.node.members.borrow().is_store_reader();
-        if !self.node.is_ready() || !self.has_duties() || !is_store_reader {
+        let can_order = self.node.is_ready() && !self.node.has_lost_most_links();
+        if !can_order || !self.has_duties() || !is_store_reader {
             return;
         }
         let read = store::read_authority(&self.subject);
--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -4,15 +4,16 @@
 //! warm. It queries only the runners of its own shards, one after the other.
 
 use crate::http::request::encode_request;
-use crate::http::{BodyDecoder, Upstream};
+use crate::http::BodyDecoder;
 use crate::node::Node;
+use crate::runner_connection;
 use crate::shard_scheduler::own_shards;
 use crate::transfer::{read_body, Transfer};
 use pitchstall_platform_adapter::paths::{self, RunnerResponse};
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::prefix::PromptPart;
-use pitchstall_serving::runner::Runner;
+use pitchstall_serving::runner::{Runner, RunnerRecord};
 use pitchstall_serving::scheduling::Shard;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,7 +22,7 @@
 
 /// Interval between two checks whether the node is ready.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum wait for the connection and for the head of one runner's response. The body has no time
+/// Maximum wait for the head of one runner's response. The body has no time
 /// limit as long as data arrives.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum size of a runner's cache list.
@@ -36,11 +37,10 @@
     }
     let shards = own_shards(&node);
     let runners = runners_to_list(&node.fleet.borrow(), &shards);
-    for (runner, address) in runners {
-        if !node.may_send_to(&runner) {
-            continue;
-        }
-        let reply = fetch_cache_list(address).await;
+    for (runner, _) in runners {
+        let record = node.fleet.borrow().get(&runner).map(|known| known.record.clone());
+        let Some(record) = record.filter(|_| node.may_send_to(&runner)) else { continue };
+        let reply = fetch_cache_list(&node, &record).await;
         if let Some(other) =
             reply.as_ref().filter(|reply| !runner.matches_start(reply.started_at_ms))
         {
@@ -65,10 +65,13 @@
     listed.map(|runner| (runner.record.id.clone(), runner.record.address)).collect()
 }
 
-async fn fetch_cache_list(address: SocketAddr) -> Option<RunnerResponse<Vec<PromptPart>>> {
+async fn fetch_cache_list(
+    node: &Rc<Node>,
+    record: &RunnerRecord,
+) -> Option<RunnerResponse<Vec<PromptPart>>> {
     const OK: u16 = 200;
-    let connection = Upstream::open(address, RESPONSE_HEAD_TIMEOUT).await.ok()?;
-    let headers = [("host".to_owned(), address.to_string().into_bytes())];
+    let connection = runner_connection::open(node, record).await.ok()?;
+    let headers = [("host".to_owned(), record.address.to_string().into_bytes())];
     connection.send(encode_request("GET", paths::CACHE_LIST, &headers, &[])).ok()?;
     let head = timeout(RESPONSE_HEAD_TIMEOUT, connection.read_head()).await.ok()?.ok()?;
     let decoder = BodyDecoder::new(head.framing);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -123,7 +123,7 @@
     pub configuration_lag: Gauge<f64, AtomicU64>,
     /// Runners to which this node has lost its own link, and which other nodes reach.
     pub links_lost: Gauge<f64, AtomicU64>,
-    /// Runners that this node suspects of being unreachable.
+    /// Runners to which no connection could recently be opened, neither by this node nor through another one.
     pub runners_unreachable: Gauge<f64, AtomicU64>,
     /// Era of the store that this node uses.
     pub store_era: Gauge<f64, AtomicU64>,
@@ -298,7 +298,7 @@
         self.registry.register("configuration_behind_seconds", help, configuration_lag);
         let help = "Runners that only other nodes reach";
         self.registry.register("links_lost", help, self.links_lost.clone());
-        let help = "Runners that this node suspects of being unreachable";
+        let help = "Runners that this node reaches neither itself nor through other nodes";
         self.registry.register("runners_unreachable", help, self.runners_unreachable.clone());
         let help = "Era of the store that this node uses";
         self.registry.register("store_era", help, self.store_era.clone());
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -1,9 +1,7 @@
-//! Reports how many runners this node cannot reach. A node that reaches none of them has most likely lost its own
-//! links; a single unreachable runner has most likely failed.
+//! Reports how many runners this node cannot reach, neither over its own links nor through other nodes.
 
 use crate::clock::Instant;
 use crate::node::Node;
-use pitchstall_serving::runner::Runner;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -39,9 +37,10 @@
     }
 }
 
-/// Number of known runners, and of those that this node suspects of being unreachable.
+/// Number of known runners, and of those that this node could recently not connect to.
 fn count_unreachable(node: &Node) -> (usize, usize) {
+    let now_us = node.now_us();
     let fleet = node.fleet.borrow();
-    let unreachable = fleet.iter().filter(|runner| Runner::is_suspected(runner)).count();
+    let unreachable = fleet.iter().filter(|runner| runner.is_unreached(now_us)).count();
     (fleet.iter().count(), unreachable)
 }
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -258,3 +258,27 @@
     assert!(response.complete);
     assert_eq!(response.text(), expected);
 }
+
+/// The node that holds the authority over the fleet, by the store.
+fn authority_holder(fleet: &Fleet) -> Option<String> {
+    let value = fleet.sound.store.value("pitchstall/authority")?;
+    Some(String::from_utf8_lossy(&value).into_owned())
+}
+
+/// A fleet in which the node whose links will be lost holds the authority. Which node gains it is random.
+fn fleet_led_by_cut_node() -> Fleet {
+    loop {
+        let fleet = Fleet::start();
+        wait_for("a holder", || authority_holder(&fleet).is_some());
+        if authority_holder(&fleet).as_deref() == Some("cut") {
+            return fleet;
+        }
+    }
+}
+
+#[test]
+fn a_node_that_cannot_order_runners_hands_the_authority_over() {
+    let fleet = fleet_led_by_cut_node();
+    serve_through_other_node(&fleet, Loss::Silent);
+    wait_for("another holder", || authority_holder(&fleet).as_deref() == Some("sound"));
+}
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -249,6 +249,11 @@
         self.suspicion.is_suspected()
     }
 
+    /// Whether this node could recently not connect to the runner, neither itself nor through another node.
+    pub fn is_unreached(&self, now_us: u64) -> bool {
+        self.suspicion.is_unreached(now_us)
+    }
+
     /// Estimated number of requests of other nodes at the runner: the ones reserved by this node,
     /// else the ones reported by the runner's scheduler, else the runner's last load report.
     /// Reports lose weight with their age.
--- a/crates/serving/src/suspicion.rs
+++ b/crates/serving/src/suspicion.rs
@@ -38,23 +38,28 @@
         self.backoff_us = 0;
     }
 
-    /// Records that a connection could not be opened.
+    /// Records that a connection could not be opened, and that this is not due to this node's link.
     pub fn on_unreachable(&mut self, now_us: u64) {
-        if now_us >= self.avoided_until_us {
+        if now_us >= self.avoided_until_us || !self.is_suspected() {
             self.backoff_us = (self.backoff_us * 2).clamp(MIN_BACKOFF_US, MAX_BACKOFF_US);
             self.avoided_until_us = now_us + self.backoff_us;
         }
     }
 
-    /// Records that a connection could not be opened, and that no other node could tell whether the runner or this node's
-    /// link has failed. The avoidance does not grow, since the link may be back at any moment.
+    /// Records that a connection could not be opened, and that no other node has told yet whether the runner or this
+    /// node's link has failed. The runner is avoided for a short time but not suspected: requests that are under way there
+    /// go on, and the avoidance does not grow.
     pub fn on_unconfirmed_failure(&mut self, now_us: u64) {
         if now_us >= self.avoided_until_us {
-            self.backoff_us = self.backoff_us.max(MIN_BACKOFF_US);
             self.avoided_until_us = now_us + MIN_BACKOFF_US;
         }
     }
 
+    /// Whether no connection to the runner could be opened recently, for whatever reason.
+    pub fn is_unreached(&self, now_us: u64) -> bool {
+        self.is_suspected() || now_us < self.avoided_until_us
+    }
+
     /// Records that an attempt, sent at `sent_at_us`, has timed out without any response. A runner
     /// that has since responded to another request is busy, or lost only this request.
     pub fn on_attempt_timeout(&mut self, sent_at_us: u64, now_us: u64) {
--- a/crates/serving/tests/suspicion.rs
+++ b/crates/serving/tests/suspicion.rs
@@ -117,3 +117,23 @@
         }
     }
 }
+
+#[test]
+fn a_failure_that_may_be_due_to_the_own_link_ends_no_requests_and_does_not_grow() {
+    let mut runner = Suspicion::default();
+    for failure in 0..5 {
+        let now_us = failure * SECOND_US;
+        runner.on_unconfirmed_failure(now_us);
+        assert!(!runner.is_suspected());
+        assert!(runner.is_avoided(0, now_us + 499 * MILLI_US));
+        assert!(!runner.is_avoided(1, now_us + 500 * MILLI_US));
+    }
+}
+
+#[test]
+fn a_failure_that_is_confirmed_later_makes_the_runner_suspected_at_once() {
+    let mut runner = Suspicion::default();
+    runner.on_unconfirmed_failure(SECOND_US);
+    runner.on_unreachable(SECOND_US + 100 * MILLI_US);
+    assert!(runner.is_suspected());
+}
