Soak: nodes that lose their links to all runners, by (node, runner) pair

Twice a run, one node, the nodes of a zone or all but one lose these links: silent, reset, new connections reset, one way; all the time or every second second; once beside reloads alone for 8 s, once beside everything else.

Not narrowed: all checks on nodes whose links are not cut.

--- a/crates/soak/examples/soak/run/faults.rs
+++ b/crates/soak/examples/soak/run/faults.rs
@@ -8,7 +8,7 @@
 use pitchstall_soak::plan::{Action, Step};
 use pitchstall_soak::proxy::{Link, LinkMode};
 use pitchstall_soak::regions::is_in_store_region;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for which a leaving runner still responds.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
@@ -17,6 +17,8 @@
 /// Writes to another key that the restore discards, so that the store's revisions stay behind the
 /// earlier ones for the rest of the run.
 const LOST_WRITES: u64 = 400;
+/// Time for which flapping links fail, and for which they work.
+const FLAPPING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time from a restore until the operator and the runners write their data again.
 const REWRITE_DELAY: Duration = Duration::from_millis(600);
 
@@ -69,6 +71,9 @@
                 std::thread::sleep(step.duration);
                 self.cut_regions(false);
             }
+            Action::NodeLinks { nodes, mode, is_flapping } => {
+                self.cut_node_links(nodes, *mode, step.duration, *is_flapping);
+            }
             Action::ReplaceRunner { runner } => self.replace_runner(*runner),
             Action::Configure => lock(&self.fleet).configure(),
             Action::ReloadSettings { node } => lock(&self.nodes[*node]).reload(),
@@ -174,6 +179,39 @@
         }
     }
 
+    /// Makes the links of nodes to all runners faulty, all the time or every second second.
+    fn cut_node_links(
+        &self,
+        nodes: &[usize],
+        mode: LinkMode,
+        duration: Duration,
+        is_flapping: bool,
+    ) {
+        let set_mode = |mode: LinkMode| {
+            let mut fleet = lock(&self.fleet);
+            nodes.iter().for_each(|node| fleet.node_links.set_mode(*node, mode));
+        };
+        let record = |begins| {
+            let cut = |node: &usize| Event::NodeLinksCut { node: *node, begins };
+            nodes.iter().map(cut).for_each(|event| self.recorder.record(event));
+        };
+        record(true);
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            set_mode(mode);
+            let time_left = end.saturating_duration_since(Instant::now());
+            if !is_flapping {
+                std::thread::sleep(time_left);
+                break;
+            }
+            std::thread::sleep(FLAPPING_INTERVAL.min(time_left));
+            set_mode(LinkMode::Passing);
+            std::thread::sleep(FLAPPING_INTERVAL);
+        }
+        set_mode(LinkMode::Passing);
+        record(false);
+    }
+
     fn replace_runner(&self, runner: usize) {
         let leaving = {
             let mut fleet = lock(&self.fleet);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,6 +5,7 @@
 use crate::history::{Event, Outcome, RequestKind, TimedEvent};
 use crate::indexed_history::History;
 use crate::interrupted_streams::streams_cut_by_their_node;
+use crate::lost_link_checks::unserved_without_links;
 use crate::region_checks::unserved_in_cut_off_regions;
 use crate::reported_limit_checks::exceeded_reported_limits;
 use crate::self_report_checks::{requests_after_leaving, requests_during_backoff};
@@ -42,7 +43,7 @@
 type Check = fn(&History) -> Vec<String>;
 
 /// Each guarantee with the check that finds its violations.
-const CHECKS: [(&str, Check); 19] = [
+const CHECKS: [(&str, Check); 20] = [
     ("the whole answer to its own request", wrong_responses),
     ("a stream whole and in order", incomplete_streams),
     ("at most once", repeated_runs),
@@ -62,6 +63,7 @@
     ("no tenant runs more than it may", exceeded_tenant_limits),
     ("a tenant below its limit is not refused", refusals_below_limit),
     ("a region that is cut off serves its callers", unserved_in_cut_off_regions),
+    ("a node without links to runners serves its callers", unserved_without_links),
 ];
 
 /// Runs every check on the recorded events and returns the violations found.
@@ -183,7 +185,12 @@
             let Some(exchange) = history.exchanges.get(request) else { continue };
             for run in runs.iter().filter(|run| run.runner == runner) {
                 let is_late = run.at_us > draining_us + DRAIN_BOUND_US + SLACK_US;
-                if is_late && history.was_in_contact(exchange.node, run.at_us, run.at_us) {
+                let was_held_back = exchange.sent_us < draining_us + DRAIN_BOUND_US
+                    && history.were_links_cut(exchange.node, run.at_us, run.at_us);
+                if is_late
+                    && !was_held_back
+                    && history.was_in_contact(exchange.node, run.at_us, run.at_us)
+                {
                     late.push(format!("{request}: sent to {runner} too late"));
                 }
             }
@@ -205,6 +212,7 @@
                     event,
                     Event::Disturbed { node: None }
                         | Event::RunnerLinkDisturbed
+                        | Event::NodeLinksCut { .. }
                         | Event::RunnerCrashed { .. }
                 ) || matches!(event, Event::Disturbed { node: Some(other) } if other == node);
                 affects_node && (from_us..=it.ended_us).contains(at_us)
--- a/crates/soak/src/configuration_checks.rs
+++ b/crates/soak/src/configuration_checks.rs
@@ -28,16 +28,9 @@
 }
 
 /// The route of a version exists in that version and the next one. A node that has served a version
-/// more than one newer than the probed one must not serve the old route again in the same
-/// incarnation.
+/// more than one newer than the probed one must not serve the old route to a request that is sent
+/// later in the same incarnation.
 pub(crate) fn reverted_configurations(history: &History) -> Vec<String> {
-    let mut wrong = Vec::new();
-    let mut newest_versions: HashMap<usize, u64> = HashMap::new();
-    let mut ended: Vec<(u64, usize, u64, u16, u64)> = history
-        .probes()
-        .map(|(_, it, version, status)| (it.ended_us, it.node, version, status, it.sent_us))
-        .collect();
-    ended.sort_unstable();
     let starts: Vec<(u64, usize)> = history
         .events
         .iter()
@@ -46,22 +39,28 @@
             _ => None,
         })
         .collect();
-    let mut incarnations: HashMap<usize, u64> = HashMap::new();
-    for (ended_us, node, version, status, sent_us) in ended {
-        let incarnation =
-            starts.iter().filter(|(at_us, it)| *it == node && *at_us <= sent_us).count();
-        if incarnations.insert(node, incarnation as u64) != Some(incarnation as u64) {
-            newest_versions.remove(&node);
-        }
-        let newest_version = newest_versions.entry(node).or_default();
-        if status == OK {
-            if *newest_version > version + 1 {
-                wrong.push(format!(
-                    "node {node} at {ended_us} us: version {version} after {newest_version}"
-                ));
-            }
-            *newest_version = (*newest_version).max(version);
+    let incarnation = |node: usize, sent_us: u64| {
+        starts.iter().filter(|(at_us, it)| *it == node && *at_us <= sent_us).count()
+    };
+    let mut wrong = Vec::new();
+    // The responses that have shown a version so far, by node and incarnation: when they ended, and the version.
+    let mut shown: HashMap<(usize, usize), Vec<(u64, u64)>> = HashMap::new();
+    let mut served: Vec<(u64, u64, usize, u64)> = history
+        .probes()
+        .filter(|(_, _, _, status)| *status == OK)
+        .map(|(_, it, version, _)| (it.ended_us, it.sent_us, it.node, version))
+        .collect();
+    served.sort_unstable();
+    for (ended_us, sent_us, node, version) in served {
+        let shown = shown.entry((node, incarnation(node, sent_us))).or_default();
+        let before = shown.iter().filter(|(at_us, _)| *at_us <= sent_us);
+        let newest_version = before.map(|(_, version)| *version).max().unwrap_or_default();
+        if newest_version > version + 1 {
+            wrong.push(format!(
+                "node {node} at {ended_us} us: version {version} after {newest_version}"
+            ));
         }
+        shown.push((ended_us, version));
     }
     wrong
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use crate::checks::request_body;
 use crate::history::{Event, Recorder, RequestKind};
+use crate::node_links::NodeLinks;
 use crate::plan::{
     has_incarnations, has_large_configurations, has_limits, has_reported_limits, has_restores,
     has_self_reports, has_stream_pauses,
@@ -101,6 +102,8 @@
     pub runners: Vec<SoakRunner>,
     /// The link between the two regions.
     pub regions: RegionLink,
+    /// The links of each node to each runner.
+    pub node_links: NodeLinks,
     recorder: Recorder,
     tenants: Vec<SoakTenant>,
     /// The registry entries that runners maintain, by store key.
@@ -125,6 +128,7 @@
             cloud,
             runners,
             regions: RegionLink::default(),
+            node_links: NodeLinks::default(),
             recorder,
             tenants: tenants(has_limits(seed)),
             entries: RefCell::default(),
@@ -203,6 +207,7 @@
         );
         let stand_in = RunnerStandIn::start(&id, script)?;
         let link = Link::start(stand_in.address())?;
+        self.node_links.add_runner(link.address())?;
         // No request can have arrived yet, because the runner is not registered.
         let _ = own_link.set(link.clone());
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -86,6 +86,13 @@
         /// another cause.
         cause: Option<(String, usize)>,
     },
+    /// A node loses its links to all runners, or has them back.
+    NodeLinksCut {
+        /// Index of the node.
+        node: usize,
+        /// Whether the links are lost from now on.
+        begins: bool,
+    },
     /// A runner received a request without the name of its tenant, or with the tenant's API key.
     TenantIdentityFault {
         /// Id of the request.
--- a/crates/soak/src/indexed_history.rs
+++ b/crates/soak/src/indexed_history.rs
@@ -48,6 +48,7 @@
         event,
         Event::Disturbed { .. }
             | Event::RunnerLinkDisturbed
+            | Event::NodeLinksCut { .. }
             | Event::RunnerCrashed { .. }
             | Event::NodeStarted { .. }
             | Event::PlannedStop { .. }
@@ -120,6 +121,28 @@
         })
     }
 
+    /// Whether the node's links to runners were lost at any time in the given period or in the contact bound before it.
+    /// Links hold bytes back and deliver them later, so a request may arrive at a runner long after it was sent.
+    pub(crate) fn were_links_cut(&self, node: usize, from_us: u64, to_us: u64) -> bool {
+        let from_us = from_us.saturating_sub(CONTACT_BOUND_US);
+        let mut is_cut = false;
+        for (at_us, event) in self.disturbances.iter().copied() {
+            let Event::NodeLinksCut { node: other, begins } = event else { continue };
+            if *other != node {
+                continue;
+            }
+            let was_cut_until_now = is_cut && *at_us >= from_us;
+            if *at_us > to_us {
+                return was_cut_until_now;
+            }
+            if was_cut_until_now || *at_us >= from_us {
+                return true;
+            }
+            is_cut = *begins;
+        }
+        is_cut
+    }
+
     pub(crate) fn run_count(&self, request: &str) -> usize {
         self.runs.get(request).map_or(0, Vec::len)
     }
--- a/crates/soak/src/interrupted_streams.rs
+++ b/crates/soak/src/interrupted_streams.rs
@@ -25,6 +25,7 @@
             && history.was_run_without_abort(request)
             && !history.did_runner_crash(from_us, to_us)
             && history.was_in_contact(exchange.node, from_us, to_us)
+            && !history.were_links_cut(exchange.node, from_us, to_us)
         {
             cut.push(format!(
                 "{request}: ended by node {} though its runner went on",
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -75,6 +75,16 @@
     },
     /// Cuts the two regions off from each other for the step's duration.
     CutRegions,
+    /// Makes the links of some nodes to all runners faulty for the step's duration. Clients, the store and the other nodes
+    /// still reach these nodes.
+    NodeLinks {
+        /// Indexes of the nodes.
+        nodes: Vec<usize>,
+        /// The behaviour while the fault lasts.
+        mode: LinkMode,
+        /// Whether the links work again every second second.
+        is_flapping: bool,
+    },
     /// Crashes a runner with all requests in progress on it.
     CrashRunner {
         /// Index into the runners registered at that time, modulo their number.
@@ -129,6 +139,8 @@
 const FIRST_SEED_WITH_STREAM_PAUSES: u64 = 8_000;
 /// Later seeds have pauses in streams without limits of tenants and without large configurations.
 const FIRST_SEED_WITH_STREAM_PAUSES_ALONE: u64 = 9_000;
+/// Later seeds have nodes that lose their links to all runners, and no regions.
+const FIRST_SEED_WITH_NODE_LINK_FAULTS: u64 = 10_000;
 /// Maximum time for which the regions are cut off from each other.
 const REGION_CUT_DURATION: Duration = Duration::from_secs(10);
 /// Time without faults at the end of a run, in which the system has to recover.
@@ -156,6 +168,11 @@
     if has_stream_pauses(seed) {
         steps.extend(reload_steps(seed, length, nodes));
     }
+    if has_node_link_faults(seed) {
+        let [isolated, overlapping] = node_link_steps(seed, length, nodes);
+        steps.retain(|step| !overlaps_region_cut(step, &isolated) || is_reload(step));
+        steps.extend([isolated, overlapping]);
+    }
     if has_isolated_restore(seed) && has_faults(seed) {
         let restore = isolated_restore(length);
         steps.retain(|step| !overlaps_isolated_restore(step, &restore));
@@ -205,6 +222,53 @@
     steps
 }
 
+fn is_reload(step: &Step) -> bool {
+    matches!(step.action, Action::ReloadSettings { .. })
+}
+
+/// Some nodes lose their links to all runners: once long enough that the time bounds apply to them and beside reloads alone,
+/// and once beside other faults. A separate random generator draws these steps, so that the other steps of a seed stay the
+/// same.
+fn node_link_steps(seed: u64, length: Duration, nodes: usize) -> [Step; 2] {
+    const SEED_SALT: u64 = 0x6c69_6e6b;
+    const ISOLATED_DURATION: Duration = Duration::from_secs(8);
+    const OVERLAPPING_DURATION: Duration = Duration::from_secs(4);
+    const MODES: [LinkMode; 5] = [
+        LinkMode::Silent,
+        LinkMode::Resetting,
+        LinkMode::ResettingNew,
+        LinkMode::CutToServer,
+        LinkMode::CutToClient,
+    ];
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SEED_SALT);
+    let faults_end = length.saturating_sub(RECOVERY_TIME);
+    let mut step = |at: Duration, duration: Duration| Step {
+        at,
+        duration: duration.min(faults_end / 2),
+        action: Action::NodeLinks {
+            nodes: cut_nodes(&mut rng, nodes),
+            mode: *MODES.choose(&mut rng).unwrap_or(&LinkMode::Silent),
+            is_flapping: rng.random_ratio(1, 4),
+        },
+    };
+    [step(faults_end / 5, ISOLATED_DURATION), step(faults_end / 4 * 3, OVERLAPPING_DURATION)]
+}
+
+/// One node, the nodes of a zone, or all nodes but one.
+fn cut_nodes(rng: &mut impl Rng, nodes: usize) -> Vec<usize> {
+    let chosen = rng.random_range(0..nodes);
+    match rng.random_range(0..3) {
+        0 => vec![chosen],
+        1 => (0..nodes).filter(|node| node % 2 == chosen % 2).collect(),
+        _ => (0..nodes).filter(|node| *node != chosen).collect(),
+    }
+}
+
+/// Whether some nodes of the seed lose their links to all runners.
+pub fn has_node_link_faults(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_NODE_LINK_FAULTS
+}
+
 /// Whether the seed restores the store from older backups.
 pub fn has_restores(seed: u64) -> bool {
     (FIRST_SEED_WITH_RESTORES..FIRST_SEED_WITH_STREAM_PAUSES).contains(&seed)
@@ -257,7 +321,9 @@
 
 /// Whether the nodes of the seed lie in two regions.
 pub fn has_regions(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_REGIONS_AND_LIMITS && seed % 4 != 3 && !has_isolated_restore(seed)
+    (FIRST_SEED_WITH_REGIONS_AND_LIMITS..FIRST_SEED_WITH_NODE_LINK_FAULTS).contains(&seed)
+        && seed % 4 != 3
+        && !has_isolated_restore(seed)
 }
 
 /// Whether some tenants of the seed have limits.
--- a/crates/soak/src/self_report_checks.rs
+++ b/crates/soak/src/self_report_checks.rs
@@ -34,6 +34,10 @@
     for (_, event) in history.events {
         let Event::LeavingReported { request, runner } = event else { continue };
         let Some(reporting) = history.exchanges.get(request.as_str()) else { continue };
+        // The response may have been lost with the link, and the request repeated at another runner.
+        if history.were_links_cut(reporting.node, reporting.sent_us, reporting.ended_us) {
+            continue;
+        }
         let Some(arrived) = arrivals.get(&(runner.as_str(), reporting.node)) else { continue };
         for (at_us, later_request) in arrived {
             let Some(exchange) = history.exchanges.get(later_request) else { continue };
@@ -56,12 +60,18 @@
     for (asked_us, event) in history.events {
         let Event::BackoffRequested { request, runner, backoff_us } = event else { continue };
         let Some(node) = history.node_of(request) else { continue };
-        let (from_us, to_us) = (asked_us + IN_FLIGHT_US, asked_us + backoff_us);
+        // The next incarnation has not asked for anything.
+        let ended_us = end_of_incarnation(history, runner, *asked_us);
+        let (from_us, to_us) = (asked_us + IN_FLIGHT_US, (asked_us + backoff_us).min(ended_us));
         // A node that was cut off or paused may not have received the response yet.
         if history.was_disturbed(node, asked_us.saturating_sub(CONTACT_BOUND_US), to_us) {
             continue;
         }
         let arrived = arrivals.get(&(runner.as_str(), node)).map_or(&[][..], Vec::as_slice);
+        // The response may have been lost with the link, and requests that were sent before it may arrive late.
+        if history.were_links_cut(node, *asked_us, to_us) {
+            continue;
+        }
         let in_backoff =
             arrived.iter().filter(|(at_us, _)| (from_us..to_us).contains(at_us)).count();
         if in_backoff > MAX_ARRIVALS_IN_BACKOFF {
@@ -72,3 +82,12 @@
     }
     broken
 }
+
+/// When a runner crashed for the first time after a moment; `u64::MAX` if it did not.
+fn end_of_incarnation(history: &History, name: &str, after_us: u64) -> u64 {
+    let crashed = history.disturbances.iter().find_map(|(at_us, event)| match event {
+        Event::RunnerCrashed { runner, .. } if runner == name && *at_us >= after_us => Some(*at_us),
+        _ => None,
+    });
+    crashed.unwrap_or(u64::MAX)
+}
