Other nodes: of all regions, in allowed zones only, also while they stop; silence of all runners is noticed within 0.4 s

Now one node of the zone, three of the region, and others. - A request whose policy names zones could pass a node of any zone.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
-use crate::runner_connection::{self, RunnerUnreachable};
+use crate::runner_connection::{self, AllowedZones, RunnerUnreachable};
 use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
 use pitchstall_serving::ids::{NodeId, RunnerId, TenantName};
@@ -118,13 +118,21 @@
 }
 
 /// Which connection an attempt needs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionNeed {
-    /// A pooled connection or a new one.
-    Any,
-    /// A new connection on which the runner has responded. An earlier attempt of the request has
-    /// been lost, and this node's links may be the reason.
-    Verified,
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConnectionNeed {
+    /// Whether it must be a new connection on which the runner has responded, since an earlier
+    /// attempt of the request has been lost and this node's links may be the reason.
+    pub is_verified: bool,
+    /// The zones in which a node that the connection leads through may be.
+    pub zones: AllowedZones,
+}
+
+impl ConnectionNeed {
+    /// Whether a connection leads through no node outside of the allowed zones.
+    fn allows(&self, node: &Node, connection: &Upstream) -> bool {
+        let (Some(zones), Some(peer)) = (&self.zones, connection.peer()) else { return true };
+        node.members.borrow().zone_of(peer).is_some_and(|zone| zones.contains(zone))
+    }
 }
 
 /// Takes a pooled connection to the chosen runner or opens a new one. Fails if the runner accepts
@@ -132,7 +140,7 @@
 pub async fn prepare(
     node: &Rc<Node>,
     choice: &RunnerChoice,
-    need: ConnectionNeed,
+    need: &ConnectionNeed,
 ) -> Result<PreparedConnection, PrepareError> {
     let record = record_accepting_work(node, &choice.runner)?;
     if attempts_in_flight(node, &choice.runner) >= node.max_connections_per_runner(&record.service)
@@ -141,17 +149,17 @@
         return Err(PrepareError::Unreachable);
     }
     let in_flight = InFlightGuard::new(node, choice);
-    let pooled = match need {
-        ConnectionNeed::Any => node.pool.take(&record.id),
-        ConnectionNeed::Verified => None,
+    let pooled = match need.is_verified {
+        true => None,
+        false => node.pool.take(&record.id, |connection| need.allows(node, connection)),
     };
     if let Some(pooled) = pooled {
         let idle = Some(pooled.idle_for);
         return Ok(PreparedConnection { connection: pooled.connection, record, in_flight, idle });
     }
-    let connection = match need {
-        ConnectionNeed::Any => runner_connection::open(node, &record).await,
-        ConnectionNeed::Verified => runner_connection::open_verified(node, &record).await,
+    let connection = match need.is_verified {
+        true => runner_connection::open_verified(node, &record, &need.zones).await,
+        false => runner_connection::open(node, &record, &need.zones).await,
     };
     let connection = connection.map_err(|_: RunnerUnreachable| PrepareError::Unreachable)?;
     // The runner may have started to leave, or may have requested a rest, while the connection was
--- a/crates/gateway/src/cache_listing.rs
+++ b/crates/gateway/src/cache_listing.rs
@@ -70,7 +70,7 @@
     record: &RunnerRecord,
 ) -> Option<RunnerResponse<Vec<PromptPart>>> {
     const OK: u16 = 200;
-    let connection = runner_connection::open(node, record).await.ok()?;
+    let connection = runner_connection::open(node, record, &None).await.ok()?;
     let headers = [("host".to_owned(), record.address.to_string().into_bytes())];
     connection.send(encode_request("GET", paths::CACHE_LIST, &headers, &[])).ok()?;
     let head = timeout(RESPONSE_HEAD_TIMEOUT, connection.read_head()).await.ok()?.ok()?;
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -193,17 +193,17 @@
             return Err(EndReason::Quarantined);
         }
         let plan = self.plan().await?;
-        let prepared = match attempt::prepare(self.node, &plan.choice, self.connection_need()).await
-        {
-            Ok(prepared) => prepared,
-            // The runner is no longer a candidate, so another one is chosen.
-            Err(PrepareError::Withheld) => return Ok(None),
-            Err(PrepareError::Unreachable) => {
-                plan.report(Progress::Unreachable(plan.choice.runner.clone()));
-                self.on_unreachable(plan.choice.runner)?;
-                return Ok(None);
-            }
-        };
+        let prepared =
+            match attempt::prepare(self.node, &plan.choice, &self.connection_need()).await {
+                Ok(prepared) => prepared,
+                // The runner is no longer a candidate, so another one is chosen.
+                Err(PrepareError::Withheld) => return Ok(None),
+                Err(PrepareError::Unreachable) => {
+                    plan.report(Progress::Unreachable(plan.choice.runner.clone()));
+                    self.on_unreachable(plan.choice.runner)?;
+                    return Ok(None);
+                }
+            };
         let admission = self.admit(&plan).await?;
         Ok(match admission {
             Admission::Admitted(reservation) => Some(ReadyAttempt { plan, prepared, reservation }),
@@ -212,10 +212,8 @@
     }
 
     fn connection_need(&self) -> ConnectionNeed {
-        match self.execution {
-            Execution::Unknown => ConnectionNeed::Verified,
-            Execution::NotRun | Execution::Ran => ConnectionNeed::Any,
-        }
+        let is_verified = self.execution == Execution::Unknown;
+        ConnectionNeed { is_verified, zones: self.rules.zones.clone() }
     }
 
     /// Sends an attempt and waits for the head of its response. The run counts as begun from the start,
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -242,7 +242,7 @@
         progress_reporter: &ProgressReporter,
     ) -> Option<PrefilledPrompt> {
         let prepared =
-            match attempt::prepare(self.node, &prefill_runner, self.connection_need()).await {
+            match attempt::prepare(self.node, &prefill_runner, &self.connection_need()).await {
                 Ok(prepared) => prepared,
                 Err(PrepareError::Withheld) => return None,
                 Err(PrepareError::Unreachable) => {
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -80,9 +80,13 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection to a runner that can be reused. Connections that cannot be
-    /// reused are closed on the way.
-    pub fn take(&self, runner: &RunnerId) -> Option<PooledConnection> {
+    /// Takes the most recently used connection to a runner that can be reused and for which `is_usable` holds. Other
+    /// connections are closed on the way.
+    pub fn take(
+        &self,
+        runner: &RunnerId,
+        is_usable: impl Fn(&Upstream) -> bool,
+    ) -> Option<PooledConnection> {
         let now = Instant::now();
         let limit = self.learned_limit.get().at(now);
         let mut idle = self.idle.borrow_mut();
@@ -90,7 +94,8 @@
         while let Some(last) = connections.pop() {
             let idle_for = now.saturating_duration_since(last.idle_since);
             let is_within_learned_limit = limit.is_none_or(|limit| idle_for < limit);
-            if is_within_learned_limit && now < last.usable_until && last.connection.is_reusable() {
+            let is_reusable = last.connection.is_reusable() && is_usable(&last.connection);
+            if is_within_learned_limit && now < last.usable_until && is_reusable {
                 return Some(PooledConnection { connection: last.connection, idle_for });
             }
         }
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -53,7 +53,7 @@
 
 async fn release_handle(node: Rc<Node>, record: Box<RunnerRecord>, name: String) {
     let exchange = async {
-        let connection = runner_connection::open(&node, &record).await.ok()?;
+        let connection = runner_connection::open(&node, &record, &None).await.ok()?;
         let headers = [("host".to_owned(), record.address.to_string().into_bytes())];
         let target = paths::kv_handle_path(&name);
         connection.send(encode_request("DELETE", &target, &headers, &[])).ok()?;
--- a/crates/gateway/src/runner_connection.rs
+++ b/crates/gateway/src/runner_connection.rs
@@ -10,7 +10,9 @@
 use crate::runner_probe::{on_link_lost, RUNNER_CONNECT_TIMEOUT};
 use crate::tunnel::client::{self, TunnelOutcome};
 use pitchstall_platform_adapter::{headers, paths};
+use pitchstall_serving::ids::ZoneId;
 use pitchstall_serving::runner::RunnerRecord;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -33,13 +35,21 @@
 #[error("the runner is unreachable")]
 pub struct RunnerUnreachable;
 
+/// The zones that a request may pass on its way to a runner; `None` allows all.
+pub type AllowedZones = Option<BTreeSet<ZoneId>>;
+
 type OwnLinkAttempt = Pin<Box<dyn Future<Output = Result<Upstream, ConnectError>>>>;
 type PeerAttempt = Pin<Box<dyn Future<Output = TunnelOutcome>>>;
 
-/// Opens a connection to a runner, and records what the attempt shows about the runner and the link to it.
-pub async fn open(node: &Rc<Node>, record: &RunnerRecord) -> Result<Upstream, RunnerUnreachable> {
+/// Opens a connection to a runner, and records what the attempt shows about the runner and the link to it. Another node is
+/// used only if it is in one of the `zones`.
+pub async fn open(
+    node: &Rc<Node>,
+    record: &RunnerRecord,
+    zones: &AllowedZones,
+) -> Result<Upstream, RunnerUnreachable> {
     if node.is_link_lost(&record.id) {
-        return open_through_peer(node, record).await;
+        return open_through_peer(node, record, zones).await;
     }
     node.metrics.connections.inc();
     let started_at = Instant::now();
@@ -51,7 +61,8 @@
         result = &mut own_link => Some(result),
         () = sleep(head_start) => None,
     };
-    let through_peer: PeerAttempt = Box::pin(client::open(node.clone(), record.id.clone()));
+    let through_peer: PeerAttempt =
+        Box::pin(client::open(node.clone(), record.id.clone(), zones.clone()));
     match early_result {
         Some(Ok(connection)) => {
             node.on_round_trip(&record.zone, started_at.elapsed());
@@ -67,19 +78,24 @@
 pub async fn open_verified(
     node: &Rc<Node>,
     record: &RunnerRecord,
+    zones: &AllowedZones,
 ) -> Result<Upstream, RunnerUnreachable> {
-    let connection = open(node, record).await?;
+    let connection = open(node, record, zones).await?;
     let is_verifiable = connection.peer().is_none() && node.known_node_count() > 1;
     if !is_verifiable || is_responding(&connection, record).await {
         return Ok(connection);
     }
-    Ok(open_responding_tunnel(node, record).await.unwrap_or(connection))
+    Ok(open_responding_tunnel(node, record, zones).await.unwrap_or(connection))
 }
 
 /// Opens a connection through another node to a runner that does not respond over this node's link. `None` if it does not
 /// respond through another node either; otherwise the link is lost.
-pub async fn open_responding_tunnel(node: &Rc<Node>, record: &RunnerRecord) -> Option<Upstream> {
-    let outcome = client::open(node.clone(), record.id.clone()).await;
+pub async fn open_responding_tunnel(
+    node: &Rc<Node>,
+    record: &RunnerRecord,
+    zones: &AllowedZones,
+) -> Option<Upstream> {
+    let outcome = client::open(node.clone(), record.id.clone(), zones.clone()).await;
     let TunnelOutcome::Opened(connection) = outcome else { return None };
     if !is_responding(&connection, record).await {
         return None;
@@ -151,8 +167,15 @@
 async fn open_through_peer(
     node: &Rc<Node>,
     record: &RunnerRecord,
+    zones: &AllowedZones,
 ) -> Result<Upstream, RunnerUnreachable> {
-    let evidence = match client::open(node.clone(), record.id.clone()).await {
+    // Without other runners, each request would ask other nodes for this one.
+    let now_us = node.now_us();
+    let runner = &record.id;
+    if node.fleet.borrow().get(runner).is_some_and(|known| known.was_just_unreachable(now_us)) {
+        return Err(RunnerUnreachable);
+    }
+    let evidence = match client::open(node.clone(), record.id.clone(), zones.clone()).await {
         TunnelOutcome::Opened(connection) => return Ok(connection),
         TunnelOutcome::RunnerUnreachable { is_refused } => {
             Unreachability::Confirmed { has_terminated: is_refused }
--- a/crates/gateway/src/runner_probe.rs
+++ b/crates/gateway/src/runner_probe.rs
@@ -23,6 +23,7 @@
 const NODE_STALL_FACTOR: u32 = 2;
 /// Time without data from any runner, though requests wait, after which the links of this node are in doubt.
 const ALL_SILENT_TIMEOUT: Duration = Duration::from_millis(400);
+const ALL_SILENT_TIMEOUT_US: u64 = 400_000;
 /// Time without data from one runner after which the link to it is in doubt, in microseconds.
 const SILENT_LINK_US: u64 = 1_000_000;
 /// Maximum number of other runners that are probed when the link to one is lost.
@@ -69,14 +70,18 @@
 fn needs_response(node: &Node, runner: &RunnerId, since_us: u64, cause: ProbeCause) -> bool {
     let is_in_doubt = match cause {
         ProbeCause::Silence => {
-            let is_long = node.now_us() >= since_us + SILENT_LINK_US;
-            is_long || node.links.borrow().has_no_data_since(since_us)
+            node.now_us() >= since_us + SILENT_LINK_US || are_all_runners_silent(node)
         }
         ProbeCause::BrokenConnection | ProbeCause::LinkInDoubt => true,
     };
     is_in_doubt && node.may_send_to(runner) && node.known_node_count() > 1
 }
 
+fn are_all_runners_silent(node: &Node) -> bool {
+    let since_us = node.now_us().saturating_sub(ALL_SILENT_TIMEOUT_US);
+    node.links.borrow().has_no_data_since(since_us)
+}
+
 /// Checks whether a runner can be reached over this node's link and, if not, whether another node reaches it.
 async fn verify(node: &Rc<Node>, record: &RunnerRecord, needs_response: bool) -> ProbeVerdict {
     if node.is_link_lost(&record.id) {
@@ -94,14 +99,14 @@
         }
         // A runner that responds through no node either is busy.
         Ok(_) => {
-            if let Some(connection) = open_responding_tunnel(node, record).await {
+            if let Some(connection) = open_responding_tunnel(node, record, &None).await {
                 node.pool.put(&record.id, connection, None);
             }
             return ProbeVerdict::Reachable;
         }
         Err(error) => error,
     };
-    let outcome = client::open(node.clone(), record.id.clone()).await;
+    let outcome = client::open(node.clone(), record.id.clone(), None).await;
     if let Some(evidence) = unreachability(node, &error, &outcome) {
         return ProbeVerdict::Unreachable(evidence);
     }
@@ -113,7 +118,7 @@
 }
 
 async fn verify_through_peer(node: &Rc<Node>, record: &RunnerRecord) -> ProbeVerdict {
-    match client::open(node.clone(), record.id.clone()).await {
+    match client::open(node.clone(), record.id.clone(), None).await {
         TunnelOutcome::Opened(connection) => {
             node.pool.put(&record.id, connection, None);
             ProbeVerdict::Reachable
@@ -155,7 +160,7 @@
         let since_us = node.now_us();
         if interval > ALL_SILENT_TIMEOUT {
             sleep(ALL_SILENT_TIMEOUT).await;
-            if node.links.borrow().has_no_data_since(since_us) {
+            if are_all_runners_silent(node) {
                 probe(node, runner, since_us, ProbeCause::Silence);
             }
             sleep(interval - ALL_SILENT_TIMEOUT).await;
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -4,10 +4,11 @@
 use crate::http::{open_stream, Upstream};
 use crate::json_lines::{read_line, write_line};
 use crate::node::Node;
-use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::membership::Membership;
-use pitchstall_serving::tunnel_peers::{PeerOutcome, TunnelPeer};
+use pitchstall_serving::ids::{NodeId, RunnerId, ZoneId};
+use pitchstall_serving::membership::{Member, Membership};
+use pitchstall_serving::tunnel_peers::{PeerOutcome, Proximity, TunnelPeer};
 use rand::seq::SliceRandom;
+use std::collections::BTreeSet;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,8 +62,13 @@
 
 /// Opens a connection to a runner through another node. Asks two nodes at a time until one of them opens the connection.
 /// Nodes that reach other runners may have lost their links to this one, so the reply of a single node proves nothing.
-pub async fn open(node: Rc<Node>, runner: RunnerId) -> TunnelOutcome {
-    let known = other_nodes(&node.members.borrow());
+/// `zones` are the zones that the request may pass; `None` allows all.
+pub async fn open(
+    node: Rc<Node>,
+    runner: RunnerId,
+    zones: Option<BTreeSet<ZoneId>>,
+) -> TunnelOutcome {
+    let known = other_nodes(&node.members.borrow(), zones.as_ref());
     let candidates = node.tunnel_peers.borrow().candidates(known, node.now_us());
     let mut replies = Reply::Unknown;
     for pair in candidates.chunks(2) {
@@ -86,20 +92,24 @@
     }
 }
 
-/// The other nodes in random order: those of this node's region, or all if there are no others in it.
-fn other_nodes(members: &Membership) -> Vec<TunnelPeer> {
-    let own_zone = &members.own().zone;
-    let others = members.all().filter(|(name, _)| *name != members.own_name());
-    let peer = |(name, member): (&_, &pitchstall_serving::membership::Member)| TunnelPeer {
-        node: Clone::clone(name),
-        address: member.address,
-        is_in_own_zone: member.zone == *own_zone,
+/// The other nodes in the given zones, in random order.
+fn other_nodes(members: &Membership, zones: Option<&BTreeSet<ZoneId>>) -> Vec<TunnelPeer> {
+    let is_usable = |(name, member): &(&NodeId, &Member)| {
+        *name != members.own_name() && zones.is_none_or(|zones| zones.contains(&member.zone))
     };
-    let in_region = others.clone().filter(|(name, _)| members.is_in_own_region(name));
-    let mut peers: Vec<TunnelPeer> = in_region.map(peer).collect();
-    if peers.is_empty() {
-        peers = others.map(peer).collect();
-    }
+    let proximity = |name: &NodeId, member: &Member| match members.is_in_own_region(name) {
+        true if member.zone == members.own().zone => Proximity::SameZone,
+        true => Proximity::SameRegion,
+        false => Proximity::OtherRegion,
+    };
+    let others = members.all().filter(is_usable);
+    let mut peers: Vec<TunnelPeer> = others
+        .map(|(name, member)| TunnelPeer {
+            node: name.clone(),
+            address: member.address,
+            proximity: proximity(name, member),
+        })
+        .collect();
     peers.shuffle(&mut rand::rng());
     peers
 }
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -88,7 +88,8 @@
 }
 
 fn runner_address(node: &Node, query: &TunnelQuery) -> Result<SocketAddr, DeclineReason> {
-    if node.is_stopping() {
+    // A node that has begun to stop still carries a request for those that find no other way.
+    if node.is_closing() {
         return Err(DeclineReason::Stopping);
     }
     if node.members.borrow().zone_of(&query.from).is_none() {
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -282,3 +282,32 @@
     serve_through_other_node(&fleet, Loss::Silent);
     wait_for("another holder", || authority_holder(&fleet).as_deref() == Some("sound"));
 }
+
+/// Both nodes are in zone `north`, the runner is in zone `south`.
+#[test]
+fn a_request_passes_no_node_in_a_zone_that_the_policy_forbids() {
+    const FORBIDS_OWN_ZONE: &str = "#{ zones: zones.filter(|other| other != zone) }";
+    let file = std::env::temp_dir().join(format!("pitchstall-{}-tunnel.rhai", std::process::id()));
+    std::fs::write(&file, FORBIDS_OWN_ZONE).unwrap();
+    let policy = format!("[policy]\nprogram = \"{}\"\n", file.display());
+    let runner = RunnerStandIn::start("i-0", script).unwrap();
+    let link = Link::start(runner.address()).unwrap();
+    let store = StoreStandIn::start().unwrap();
+    store.put("op/config", &configuration(3));
+    let view = AddressMap::default();
+    view.insert(runner.address().to_string(), link.address().to_string());
+    let view = store.serve_view(view).unwrap();
+    let sound = Fixture::start_with_store(store.clone(), "sound");
+    let cut = Fixture::start_at(NodeAddress::new(), store, view, "cut", "", &policy);
+    sound.put_runner_in("south", &runner, "desk", None, "ready");
+    sound.wait_until_ready();
+    cut.wait_until_ready();
+    assert_eq!(request(&cut, "/booking/1", "own-link").status, 200);
+    link.close();
+    let before = runner.requests().len();
+    for number in 0..5 {
+        assert_ne!(request(&cut, "/booking/1", &format!("forbidden-{number}")).status, 200);
+    }
+    assert_eq!(runner.requests().len(), before);
+    std::fs::remove_file(file).unwrap();
+}
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -249,6 +249,11 @@
         self.suspicion.is_suspected()
     }
 
+    /// Whether the runner was found unreachable so recently that another attempt to connect is useless.
+    pub fn was_just_unreachable(&self, now_us: u64) -> bool {
+        self.suspicion.was_just_unreachable(now_us)
+    }
+
     /// Whether this node could recently not connect to the runner, neither itself nor through another node.
     pub fn is_unreached(&self, now_us: u64) -> bool {
         self.suspicion.is_unreached(now_us)
--- a/crates/serving/src/suspicion.rs
+++ b/crates/serving/src/suspicion.rs
@@ -27,6 +27,8 @@
     /// Length of the latest avoidance, in microseconds; 0 if the runner is not suspected.
     backoff_us: u64,
     progress_at_us: u64,
+    /// When no node could connect to the runner for the last time; 0 if the runner has responded since.
+    unreachable_at_us: u64,
     is_probing: bool,
 }
 
@@ -36,10 +38,12 @@
         self.progress_at_us = now_us;
         self.avoided_until_us = 0;
         self.backoff_us = 0;
+        self.unreachable_at_us = 0;
     }
 
     /// Records that a connection could not be opened, and that this is not due to this node's link.
     pub fn on_unreachable(&mut self, now_us: u64) {
+        self.unreachable_at_us = now_us;
         if now_us >= self.avoided_until_us || !self.is_suspected() {
             self.backoff_us = (self.backoff_us * 2).clamp(MIN_BACKOFF_US, MAX_BACKOFF_US);
             self.avoided_until_us = now_us + self.backoff_us;
@@ -55,6 +59,12 @@
         }
     }
 
+    /// Whether the runner was found unreachable so recently that another attempt to connect is useless.
+    pub fn was_just_unreachable(&self, now_us: u64) -> bool {
+        const UNREACHABLE_TTL_US: u64 = 250_000;
+        self.unreachable_at_us > 0 && now_us < self.unreachable_at_us + UNREACHABLE_TTL_US
+    }
+
     /// Whether no connection to the runner could be opened recently, for whatever reason.
     pub fn is_unreached(&self, now_us: u64) -> bool {
         self.is_suspected() || now_us < self.avoided_until_us
--- a/crates/serving/src/tunnel_peers.rs
+++ b/crates/serving/src/tunnel_peers.rs
@@ -1,7 +1,7 @@
 //! Which nodes are asked for a connection to a runner that this node cannot reach itself.
 //!
 //! A node that has recently opened such a connection is asked first. Otherwise one node of the own zone, where a
-//! connection is short, and nodes of other zones, since a whole zone may be cut off.
+//! connection is short, and nodes of other zones and regions, since a whole zone or region may be cut off.
 //!
 //! Times are in microseconds of the node's clock.
 
@@ -11,6 +11,9 @@
 
 /// Maximum number of nodes that are asked for one connection.
 const MAX_CANDIDATES: usize = 6;
+/// Maximum number of them in the own zone and in other zones of the region, as long as there are others.
+const MAX_IN_OWN_ZONE: usize = 1;
+const MAX_IN_OWN_REGION: usize = 3;
 /// Age up to which a success makes a node preferred.
 const PROVEN_US: u64 = 10_000_000;
 /// Time for which a node is not asked after it has not replied, or has declined.
@@ -31,6 +34,17 @@
     Unavailable,
 }
 
+/// How far another node is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Proximity {
+    /// It is in the same zone.
+    SameZone,
+    /// It is in another zone of the same region.
+    SameRegion,
+    /// It is in another region.
+    OtherRegion,
+}
+
 /// A node that may be asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TunnelPeer {
@@ -38,8 +52,8 @@
     pub node: NodeId,
     /// Address at which other nodes reach it.
     pub address: SocketAddr,
-    /// Whether it is in the zone of the node that asks.
-    pub is_in_own_zone: bool,
+    /// How far it is from the node that asks.
+    pub proximity: Proximity,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -85,14 +99,33 @@
         let is_avoided = |peer: &TunnelPeer| {
             self.records.get(&peer.node).is_some_and(|record| now_us < record.avoided_until_us)
         };
-        let usable = known.into_iter().filter(|peer| !is_avoided(peer));
+        let mut usable: Vec<TunnelPeer> =
+            known.into_iter().filter(|peer| !is_avoided(peer)).collect();
+        usable.sort_by_key(|peer| peer.proximity);
         let (proven, others): (Vec<TunnelPeer>, Vec<TunnelPeer>) =
-            usable.partition(|peer| self.is_proven(&peer.node, now_us));
-        let (near, far): (Vec<TunnelPeer>, Vec<TunnelPeer>) =
-            others.into_iter().partition(|peer| peer.is_in_own_zone);
-        let mut near = near.into_iter();
-        let nearest = near.next();
-        let rest = nearest.into_iter().chain(far).chain(near);
-        proven.into_iter().chain(rest).take(MAX_CANDIDATES).collect()
+            usable.into_iter().partition(|peer| self.is_proven(&peer.node, now_us));
+        proven.into_iter().chain(spread(others)).take(MAX_CANDIDATES).collect()
+    }
+}
+
+/// Puts a few nodes of each proximity first, the near ones before the far ones, and then the rest. `peers` is sorted by
+/// proximity.
+fn spread(peers: Vec<TunnelPeer>) -> Vec<TunnelPeer> {
+    let max_of = |proximity: Proximity| match proximity {
+        Proximity::SameZone => MAX_IN_OWN_ZONE,
+        Proximity::SameRegion => MAX_IN_OWN_REGION,
+        Proximity::OtherRegion => MAX_CANDIDATES,
+    };
+    let mut first = Vec::new();
+    let mut rest = Vec::new();
+    for peer in peers {
+        let taken = first.iter().filter(|it: &&TunnelPeer| it.proximity == peer.proximity).count();
+        if taken < max_of(peer.proximity) {
+            first.push(peer);
+        } else {
+            rest.push(peer);
+        }
     }
+    first.extend(rest);
+    first
 }
