--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -21,9 +21,10 @@
 const WRITE_BUFFER_BYTES: usize = 64 * 1024 * 1024;
 const WRITE_BUFFER_LOW_WATERMARK_BYTES: usize = 1_024;
 const WRITE_BUFFER_CACHE_SIZE: usize = 16;
-/// Time after which unacknowledged bytes make the kernel close a connection. A machine that loses power
-/// does not close its connections.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which unacknowledged bytes make the kernel close a connection. A machine that loses power does not close its
+/// connections. One that is silent for a second or two and goes on must not lose them: by then the bytes are sent again only
+/// at intervals of more than a second.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Why a connection could not be opened. No byte of a request has been sent.
 #[derive(Debug, thiserror::Error)]
