Twelve refused nodes, not six, are proof that a runner has terminated

Change: up to twelve nodes are asked as long as all are refused; a refusal is a matter of milliseconds.

--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use pitchstall_serving::ids::{NodeId, RunnerId, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
-use pitchstall_serving::tunnel_peers::{PeerOutcome, Proximity, TunnelPeer};
+use pitchstall_serving::tunnel_peers::{PeerOutcome, Proximity, TunnelPeer, TunnelPeers};
 use rand::seq::SliceRandom;
 use std::collections::BTreeSet;
 use std::pin::pin;
@@ -71,7 +71,11 @@
     let known = other_nodes(&node.members.borrow(), zones.as_ref());
     let candidates = node.tunnel_peers.borrow().candidates(known, node.now_us());
     let mut replies = Reply::Unknown;
-    for pair in candidates.chunks(2) {
+    for (index, pair) in candidates.chunks(2).enumerate() {
+        let are_all_refused = matches!(replies, Reply::Unreachable { is_refused: true });
+        if !TunnelPeers::is_another_asked(index * 2, are_all_refused) {
+            break;
+        }
         let reply = match pair {
             [first, second] => ask_both(&node, first, second, &runner).await,
             [only] => ask(&node, only, &runner).await,
--- a/crates/serving/src/tunnel_peers.rs
+++ b/crates/serving/src/tunnel_peers.rs
@@ -10,7 +10,10 @@
 use std::net::SocketAddr;
 
 /// Maximum number of nodes that are asked for one connection.
-const MAX_CANDIDATES: usize = 6;
+const MAX_ASKED: usize = 6;
+/// Maximum number of nodes that are asked before their refused connections count as proof that a runner has terminated.
+/// All of them may have lost their links in the same way.
+const MAX_WITNESSES: usize = 12;
 /// Maximum number of them in the own zone and in other zones of the region, as long as there are others.
 const MAX_IN_OWN_ZONE: usize = 1;
 const MAX_IN_OWN_REGION: usize = 3;
@@ -94,6 +97,12 @@
         opened_at_us.is_some_and(|opened_at_us| now_us < opened_at_us + PROVEN_US)
     }
 
+    /// Whether another node is asked after `asked` nodes, none of which has opened a connection. `are_all_refused`: whether
+    /// all of them were refused, which takes more of them to be believed.
+    pub fn is_another_asked(asked: usize, are_all_refused: bool) -> bool {
+        asked < if are_all_refused { MAX_WITNESSES } else { MAX_ASKED }
+    }
+
     /// The nodes to ask, in order. `known` lists the other nodes in random order, so that the load spreads.
     pub fn candidates(&self, known: Vec<TunnelPeer>, now_us: u64) -> Vec<TunnelPeer> {
         let is_avoided = |peer: &TunnelPeer| {
@@ -104,7 +113,7 @@
         usable.sort_by_key(|peer| peer.proximity);
         let (proven, others): (Vec<TunnelPeer>, Vec<TunnelPeer>) =
             usable.into_iter().partition(|peer| self.is_proven(&peer.node, now_us));
-        proven.into_iter().chain(spread(others)).take(MAX_CANDIDATES).collect()
+        proven.into_iter().chain(spread(others)).take(MAX_WITNESSES).collect()
     }
 }
 
@@ -114,7 +123,7 @@
     let max_of = |proximity: Proximity| match proximity {
         Proximity::SameZone => MAX_IN_OWN_ZONE,
         Proximity::SameRegion => MAX_IN_OWN_REGION,
-        Proximity::OtherRegion => MAX_CANDIDATES,
+        Proximity::OtherRegion => MAX_WITNESSES,
     };
     let mut first = Vec::new();
     let mut rest = Vec::new();
