--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::http::ResponseHead;
 use pitchstall_platform_adapter::headers;
-use pitchstall_serving::fleet::FleetChange;
+use pitchstall_serving::fleet::{Fleet, FleetChange};
 use pitchstall_serving::ids::{RunnerId, RunnerName};
 use pitchstall_serving::request::ResponseMetadata;
 use pitchstall_serving::runner::{RunnerRecord, Stage};
@@ -210,6 +210,13 @@
         fleet.get(runner).is_some_and(|runner| runner.accepts_work_from_this_node(now_us))
     }
 
+    /// Whether this node may ask a runner for its state. No keeper counts these requests, so a runner with a limit on
+    /// requests gets none.
+    pub fn may_ask_for_state(&self, runner: &RunnerId) -> bool {
+        let has_limit = |fleet: &Fleet| fleet.get(runner).is_some_and(|it| it.limit().is_some());
+        self.may_send_to(runner) && !has_limit(&self.fleet.borrow())
+    }
+
     /// Handles a failure to open a connection to a runner, through any node.
     pub fn on_unreachable(&self, runner: &RunnerId, evidence: Unreachability) {
         let now_us = self.now_us();
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -12,7 +12,6 @@
 use pitchstall_platform_adapter::paths::{self, OrderResponse, RunnerReport};
 use pitchstall_serving::authority::{AuthoritySubject, FencingToken};
 use pitchstall_serving::configuration::EngineSpec;
-use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::role_planner::{
     NoChangeReason, RoleChange, RoleDemand, RoleMetrics, RolePlan, RolePlanner, RolePolicy,
@@ -140,11 +139,8 @@
 
     async fn order_change(&mut self, change: &RoleChange) {
         let Some(fence) = self.fence_now() else { return };
-        // An order takes two requests that no keeper counts, so a runner with a limit keeps its
-        // role.
-        let has_limit =
-            |fleet: &Fleet| fleet.get(&change.runner).is_some_and(|it| it.limit().is_some());
-        if !self.node.may_send_to(&change.runner) || has_limit(&self.node.fleet.borrow()) {
+        // An order takes two requests that no keeper counts, as the request for the runner's state.
+        if !self.node.may_ask_for_state(&change.runner) {
             return;
         }
         let record = self.node.fleet.borrow().get(&change.runner).map(|it| it.record.clone());
--- a/crates/gateway/src/runner_connection.rs
+++ b/crates/gateway/src/runner_connection.rs
@@ -81,7 +81,8 @@
     zones: &AllowedZones,
 ) -> Result<Upstream, RunnerUnreachable> {
     let connection = open(node, record, zones).await?;
-    let is_verifiable = connection.peer().is_none() && node.known_node_count() > 1;
+    let is_comparable = connection.peer().is_none() && node.known_node_count() > 1;
+    let is_verifiable = is_comparable && node.may_ask_for_state(&record.id);
     if !is_verifiable || is_responding(&connection, record).await {
         return Ok(connection);
     }
--- a/crates/gateway/src/runner_probe.rs
+++ b/crates/gateway/src/runner_probe.rs
@@ -23,7 +23,7 @@
 const NODE_STALL_FACTOR: u32 = 2;
 /// Time without data from any runner, though requests wait, after which the links of this node are in doubt.
 const ALL_SILENT_TIMEOUT: Duration = Duration::from_millis(400);
-const ALL_SILENT_TIMEOUT_US: u64 = 400_000;
+const ALL_SILENT_TIMEOUT_US: u64 = ALL_SILENT_TIMEOUT.as_micros() as u64;
 /// Time without data from one runner after which the link to it is in doubt, in microseconds.
 const SILENT_LINK_US: u64 = 1_000_000;
 /// Maximum number of other runners that are probed when the link to one is lost.
@@ -65,8 +65,8 @@
     }
 }
 
-/// Whether a probe must get a response, since a handshake shows little: it needs no process that works. A runner that
-/// accepts no requests of this node is not asked for one, and without another node there is nothing to compare with.
+/// Whether a probe must get a response, since a handshake shows little: it needs no process that works. Without another
+/// node there is nothing to compare with.
 fn needs_response(node: &Node, runner: &RunnerId, since_us: u64, cause: ProbeCause) -> bool {
     let is_in_doubt = match cause {
         ProbeCause::Silence => {
@@ -74,7 +74,7 @@
         }
         ProbeCause::BrokenConnection | ProbeCause::LinkInDoubt => true,
     };
-    is_in_doubt && node.may_send_to(runner) && node.known_node_count() > 1
+    is_in_doubt && node.may_ask_for_state(runner) && node.known_node_count() > 1
 }
 
 fn are_all_runners_silent(node: &Node) -> bool {
@@ -210,7 +210,7 @@
     let Ok(connection) = connected else {
         return node.on_link_probed(&record.id, LinkProbe::Failed);
     };
-    let responds = !node.may_send_to(&record.id) || is_responding(&connection, &record).await;
+    let responds = !node.may_ask_for_state(&record.id) || is_responding(&connection, &record).await;
     node.on_link_probed(
         &record.id,
         if responds { LinkProbe::Responded } else { LinkProbe::Failed },
