--- a/crates/gateway/src/runner_probe.rs
+++ b/crates/gateway/src/runner_probe.rs
@@ -194,6 +194,11 @@
 /// Probes lost links until the task is dropped, so that requests return to a link as soon as it works again.
 pub async fn probe_lost_links(node: Rc<Node>) {
     loop {
+        let changed = node.suspicion_changed.notified();
+        if node.links.borrow().count() == 0 {
+            changed.await;
+            continue;
+        }
         sleep(LOST_LINK_ROUND).await;
         let due = node.links.borrow_mut().take_due(MAX_PROBES_PER_ROUND, node.now_us());
         for runner in due {
