--- a/crates/serving/src/tunnel_peers.rs
+++ b/crates/serving/src/tunnel_peers.rs
@@ -51,7 +51,7 @@
 /// A node that may be asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TunnelPeer {
-    /// The node.
+    /// Identifier of the node.
     pub node: NodeId,
     /// Address at which other nodes reach it.
     pub address: SocketAddr,
