Tests of the soak's new check, and of versions by when the request was sent

Each check of the soak is shown to fail on a history that breaks it; the one on nodes without links was not, and neither was the corrected one on versions that revert.

--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -447,3 +447,57 @@
     events.insert(5, (3 * SECOND, over));
     assert_eq!(broken_promises(&events), Vec::<&str>::new());
 }
+
+/// Node 0 has no links for 20 s. `unserved` of 30 requests to it are refused, all of 30 to node 1 are served.
+fn requests_without_links(unserved: usize, sent_after: u64) -> Vec<TimedEvent> {
+    let mut events = vec![(0, Event::NodeLinksCut { node: 0, begins: true })];
+    for number in 0..60 {
+        let (request, node) = (format!("r-{number}"), number % 2);
+        let is_refused = node == 0 && number / 2 < unserved;
+        let outcome = match is_refused {
+            true => complete(&request, 503, String::new()),
+            false => own_response(&request),
+        };
+        let at = sent_after + number as u64;
+        let kind = RequestKind::Repeatable;
+        events.push((at, Event::Sent { request: request.clone(), kind, node }));
+        if !is_refused {
+            events.push(ran(at, &request, "i-1"));
+        }
+        events.push(ended(at + 1, &request, outcome));
+    }
+    events.push((20 * SECOND, Event::NodeLinksCut { node: 0, begins: false }));
+    events
+}
+
+#[test_case(12, 6 * SECOND, true; "four in ten are not served")]
+#[test_case(11, 6 * SECOND, false; "as few as the bound tolerates")]
+#[test_case(30, 3 * SECOND, false; "before the bounds apply")]
+fn a_node_without_links_that_does_not_serve_is_found(unserved: usize, at: u64, is_broken: bool) {
+    let found = broken_promises(&requests_without_links(unserved, at));
+    assert_eq!(
+        found == ["a node without links to runners serves its callers"],
+        is_broken,
+        "{found:?}"
+    );
+}
+
+#[test_case(2 * SECOND, true; "sent after the later version was shown")]
+#[test_case(SECOND / 2, false; "sent before, answered after")]
+fn an_old_version_counts_by_when_the_request_was_sent(sent_at: u64, is_broken: bool) {
+    let probe = |request: &str, version: u64, from: u64, to: u64| {
+        let kind = RequestKind::Probe { version };
+        let body = response_body(request);
+        [
+            sent(from, request, kind),
+            ran(from, request, "i-1"),
+            ended(to, request, complete(request, 200, body)),
+        ]
+    };
+    let mut events = vec![(0, Event::NodeStarted { node: 0 })];
+    events.extend(probe("new", 5, SECOND - 1, SECOND));
+    events.extend(probe("old", 3, sent_at, 3 * SECOND));
+    events.sort_by_key(|(at, _)| *at);
+    let found = broken_promises(&events);
+    assert_eq!(found.contains(&"a configuration never reverts"), is_broken, "{found:?}");
+}
