Soak: a refusal while runners rest is not one for want of links

Trace: 34 refusals in 1.3 s with NoRunner after 0 ms; i-8 and i-4, the two runners of the service that were left, had asked this node for a rest of 1.5 s at 35:22.403 and 35:22.412, and it was served through node-0 just before and from 35:24 on. Such a refusal is what the runner asked for, as where regions are cut. Refusals that a node gives while a runner rests for it do not count in this check; everything else does.

--- a/crates/soak/src/lost_link_checks.rs
+++ b/crates/soak/src/lost_link_checks.rs
@@ -9,6 +9,7 @@
 const TOLERATED_FAILURES: usize = 10;
 const TOLERATED_FAILURE_RATIO: usize = 50;
 const OK: u16 = 200;
+const REFUSED: u16 = 503;
 
 /// A time during which some nodes have no links, microseconds.
 struct Cut {
@@ -98,4 +99,18 @@
         && counted_us.contains(&exchange.sent_us)
         && history.was_in_contact(exchange.node, exchange.sent_us, exchange.ended_us)
         && !history.did_runner_crash(exchange.sent_us, exchange.ended_us)
+        && !was_refused_during_rest(history, exchange)
+}
+
+/// Whether a node refused the request while a runner had asked it for a rest. All runners of the service may rest at once.
+fn was_refused_during_rest(history: &History, exchange: &Exchange<'_>) -> bool {
+    let rests = |at_us: u64, event: &Event| match event {
+        Event::BackoffRequested { request, backoff_us, .. } => {
+            let is_asked = history.node_of(request) == Some(exchange.node);
+            is_asked && (at_us..at_us + backoff_us).contains(&exchange.sent_us)
+        }
+        _ => false,
+    };
+    exchange.status() == Some(REFUSED)
+        && history.events.iter().any(|(at_us, event)| rests(*at_us, event))
 }
