A tunnel query without a reply is logged with its reason

Found on a second reading: a node that could not be connected to, did not reply or closed the connection was passed over without a line, so nothing told why no other node had helped. Now one line with the peer, the runner and a typed error. No other behaviour changes.

--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -1,8 +1,8 @@
 //! Asks other nodes for connections to runners.
 
 use super::{TunnelQuery, TunnelReply};
-use crate::http::{open_stream, Upstream};
-use crate::json_lines::{read_line, write_line};
+use crate::http::{open_stream, ConnectError, Upstream};
+use crate::json_lines::{read_line, write_line, LineError};
 use crate::node::Node;
 use pitchstall_serving::ids::{NodeId, RunnerId, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
@@ -34,6 +34,20 @@
     Unknown,
 }
 
+/// Why a node has not replied to a query.
+#[derive(Debug, thiserror::Error)]
+enum QueryError {
+    /// No connection to the node could be opened.
+    #[error("cannot connect to the node: {0}")]
+    Unreachable(#[from] ConnectError),
+    /// The query could not be sent, or the reply could not be read. A build without tunnels closes the connection.
+    #[error(transparent)]
+    Line(#[from] LineError),
+    /// The reply did not arrive in time.
+    #[error("the node did not reply in time")]
+    TimedOut,
+}
+
 /// What one node, or several nodes together, have replied.
 enum Reply {
     Opened(Upstream),
@@ -151,35 +165,38 @@
 
 async fn ask(node: &Node, peer: &TunnelPeer, runner: &RunnerId) -> Reply {
     let reply = timeout(CONNECT_TIMEOUT + REPLY_TIMEOUT, query(node, peer, runner)).await;
-    let (reply, outcome) = match reply.ok().flatten() {
-        Some((TunnelReply::Opened, connection)) => (Reply::Opened(connection), PeerOutcome::Opened),
-        Some((TunnelReply::Unreachable { is_refused, reaches_others: true }, _)) => {
+    let (reply, outcome) = match reply.unwrap_or(Err(QueryError::TimedOut)) {
+        Ok((TunnelReply::Opened, connection)) => (Reply::Opened(connection), PeerOutcome::Opened),
+        Ok((TunnelReply::Unreachable { is_refused, reaches_others: true }, _)) => {
             (Reply::Unreachable { is_refused }, PeerOutcome::RunnerUnreachable)
         }
-        Some((TunnelReply::Unreachable { reaches_others: false, .. }, _)) => {
+        Ok((TunnelReply::Unreachable { reaches_others: false, .. }, _)) => {
             (Reply::Unknown, PeerOutcome::CutOff)
         }
-        Some((TunnelReply::Declined(reason), _)) => {
+        Ok((TunnelReply::Declined(reason), _)) => {
             let (peer, runner, reason) = (peer.node.as_str(), runner.as_str(), reason.name());
             log::info!(target: "links", peer, runner, reason; "tunnel declined");
             (Reply::Unknown, PeerOutcome::Unavailable)
         }
-        None => (Reply::Unknown, PeerOutcome::Unavailable),
+        Err(error) => {
+            let (peer, runner, error) = (peer.node.as_str(), runner.as_str(), error.to_string());
+            log::info!(target: "links", peer, runner, error; "no reply to a tunnel query");
+            (Reply::Unknown, PeerOutcome::Unavailable)
+        }
     };
     node.tunnel_peers.borrow_mut().on_outcome(&peer.node, outcome, node.now_us());
     reply
 }
 
-/// Sends a query and reads the reply; `None` if the node does not reply. The connection carries the tunnel only if it was
-/// opened.
+/// Sends a query and reads the reply. The connection carries the tunnel only if it was opened.
 async fn query(
     node: &Node,
     peer: &TunnelPeer,
     runner: &RunnerId,
-) -> Option<(TunnelReply, Upstream)> {
-    let io = open_stream(peer.address, CONNECT_TIMEOUT).await.ok()?;
+) -> Result<(TunnelReply, Upstream), QueryError> {
+    let io = open_stream(peer.address, CONNECT_TIMEOUT).await?;
     let from = node.members.borrow().own_name().clone();
-    write_line(&io, &TunnelQuery { runner: runner.clone(), from }).ok()?;
-    let reply: TunnelReply = read_line(&io).await.ok()?;
-    Some((reply, Upstream::through(io, peer.node.clone())))
+    write_line(&io, &TunnelQuery { runner: runner.clone(), from })?;
+    let reply: TunnelReply = read_line(&io).await?;
+    Ok((reply, Upstream::through(io, peer.node.clone())))
 }
