--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -394,6 +394,7 @@
     };
     let id = request.metadata.id.as_str();
     let runner = prepared.record.id.as_str();
+    let version = prepared.record.version.as_str();
     let reused = prepared.idle.is_some();
     let revision = prepared.record.revision.to_string();
     let prefill_tokens = prepared.in_flight.demand.prefill_tokens;
@@ -402,7 +403,7 @@
     let rank = params.priority.unwrap_or_default();
     let fetch = params.fetch_from.is_some();
     let peer = prepared.connection.peer().map_or("", NodeId::as_str);
-    log::info!(target: "attempt", request = id, runner, peer, work, reused, revision, unread = prefill_tokens, late = overdue_tokens, rank, fetch, expected_ms; "sent");
+    log::info!(target: "attempt", request = id, runner, version, peer, work, reused, revision, unread = prefill_tokens, late = overdue_tokens, rank, fetch, expected_ms; "sent");
 }
 
 fn log_head(
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -12,6 +12,7 @@
 use pitchstall_serving::configuration::RequestKind;
 use pitchstall_serving::event_stream::EventSplitter;
 use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::runner::RunnerRecord;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -180,20 +181,22 @@
     }
 
     fn on_stream_interrupted(&mut self, run: Box<Run>, cause: &str) -> Step {
-        let runner = run.runner().clone();
+        let record = run.response.record.clone();
         drop(run);
-        self.record_interruption(&runner, cause);
+        self.record_interruption(&record, cause);
         self.node.metrics.resumes.inc();
+        let runner = record.id;
         self.on_lost(Some(runner))
     }
 
     /// Records that a run ended before its stream was complete.
-    pub(super) fn record_interruption(&self, runner: &RunnerId, cause: &str) {
-        on_interrupted(self.node, self.interrupted_attempt(runner));
+    pub(super) fn record_interruption(&self, record: &RunnerRecord, cause: &str) {
+        on_interrupted(self.node, self.interrupted_attempt(&record.id));
+        let (runner, version) = (record.id.as_str(), record.version.as_str());
         let id = self.request.metadata.id.as_str();
         let after = self.stream.deduplicator.last_id().unwrap_or_default();
         let begun = self.stream.is_head_sent;
         let silent_ms = self.stream.last_event_at.map_or(0, elapsed_ms);
-        log::info!(target: "stream", request = id, runner = runner.as_str(), after, begun, cause, silent_ms; "stream interrupted");
+        log::info!(target: "stream", request = id, runner, version, after, begun, cause, silent_ms; "stream interrupted");
     }
 }
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -10,7 +10,7 @@
 use pitchstall_serving::attempt::{EndReason, Execution};
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::runner::Runner;
+use pitchstall_serving::runner::{Runner, RunnerRecord};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -57,7 +57,8 @@
     /// Replaces a stalled run if another runner continues its stream. Returns the run to be continued, which is the
     /// stalled one if there is no successor or if it has sent data meanwhile.
     pub(super) async fn replace_stalled_run(&mut self, mut stalled: Box<Run>) -> Box<Run> {
-        let runner = stalled.runner().clone();
+        let replaced = stalled.response.record.clone();
+        let runner = replaced.id.clone();
         if !self.may_seek_successor(&runner).await {
             return stalled;
         }
@@ -78,7 +79,7 @@
             };
             stalled = match self.hand_over(stalled, ready).await {
                 Handover::Kept(stalled, reason) => return self.keep(stalled, reason),
-                Handover::Replaced(successor) => return self.continue_at(&runner, successor),
+                Handover::Replaced(successor) => return self.continue_at(&replaced, successor),
                 Handover::Failed(stalled) if self.may_run_again() => stalled,
                 Handover::Failed(stalled) => return self.keep(stalled, KeepReason::NoFurtherRuns),
             };
@@ -152,13 +153,14 @@
         stalled
     }
 
-    fn continue_at(&self, replaced: &RunnerId, mut successor: Box<Run>) -> Box<Run> {
+    fn continue_at(&self, replaced: &RunnerRecord, mut successor: Box<Run>) -> Box<Run> {
         self.on_run_started(&mut successor);
         self.record_interruption(replaced, "replaced after a pause");
         self.node.metrics.resumes.inc();
         let request = self.request.metadata.id.as_str();
-        let (runner, replaced) = (successor.runner().as_str(), replaced.as_str());
-        log::info!(target: "stream", request, runner, replaced; "stream continued by another runner");
+        let RunnerRecord { id: runner, version, .. } = &successor.response.record;
+        let (runner, version, replaced) = (runner.as_str(), version.as_str(), replaced.id.as_str());
+        log::info!(target: "stream", request, runner, version, replaced; "stream continued by another runner");
         successor
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -150,6 +150,7 @@
     let Some(route) = find_route(&configuration, request) else {
         return finish(node, request, None, RequestOutcome::Local(no_route_response(node)));
     };
+    log_resumption(request);
     let tenant = match authorize_tenant(node, &configuration, &route, request) {
         Ok(tenant) => tenant,
         Err(response) => {
@@ -181,6 +182,17 @@
     finish(node, request, Some(&route), end)
 }
 
+/// Logs a request that resumes a stream.
+fn log_resumption(request: &ClientRequest) {
+    let RequestMetadata { id, last_event_id, resumed_stream, .. } = &request.metadata;
+    if last_event_id.is_none() && resumed_stream.is_none() {
+        return;
+    }
+    let after = last_event_id.unwrap_or_default();
+    let resumes = resumed_stream.as_deref().unwrap_or_default();
+    log::info!(target: "stream", request = id.as_str(), resumes, after; "stream taken up by its client");
+}
+
 /// The response to a request without a route. `NoRoute` is returned only if the configuration is current: otherwise
 /// the route may have been added by a version that this node has not received yet.
 fn no_route_response(node: &Node) -> LocalResponse {
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -66,16 +66,17 @@
         let at = record.revision;
         let revision = at.to_string();
         let (service, zone) = (record.service.to_string(), record.zone.to_string());
+        let version = record.version.to_string();
         let preemptible = record.preemptible;
         let stage = record.stage.map_or("none", Stage::name);
         let leaves_ms = record.leaves_ms.unwrap_or_default();
         let change = self.fleet.borrow_mut().put(record);
         match change {
             FleetChange::Joined => {
-                log::info!(target: "fleet", runner = runner.as_str(), service, zone, preemptible, stage, revision; "joined");
+                log::info!(target: "fleet", runner = runner.as_str(), service, version, zone, preemptible, stage, revision; "joined");
             }
             FleetChange::Restarted { ended } => {
-                log::info!(target: "fleet", runner = runner.as_str(), ended = ended.id.as_str(), revision; "reborn");
+                log::info!(target: "fleet", runner = runner.as_str(), ended = ended.id.as_str(), version, revision; "reborn");
                 self.on_runner_departed(&ended.id, Some(at), ended.was_leaving);
             }
             FleetChange::Draining => {
--- a/crates/gateway/tests/cache_listing.rs
+++ b/crates/gateway/tests/cache_listing.rs
@@ -3,7 +3,7 @@
 
 use pitchstall_gateway::cache_listing::runners_to_list;
 use pitchstall_serving::fleet::Fleet;
-use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RegionId, RunnerId, ServiceName, SoftwareVersion, ZoneId};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::scheduling::Shard;
 use pitchstall_serving::store_revision::StoreRevision;
@@ -14,6 +14,7 @@
         service: ServiceName::new("s"),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: ZoneId::new("north"),
+        version: SoftwareVersion::new("v1"),
         slots: 8,
         draining: false,
         preemptible: false,
--- a/crates/serving/src/ids.rs
+++ b/crates/serving/src/ids.rs
@@ -74,6 +74,10 @@
     /// A service that operators define and clients name.
     ServiceName
 );
+text_identifier!(
+    /// Version of the software that a runner runs, not of its model's weights.
+    SoftwareVersion
+);
 
 /// Separates a runner's name from the time of its start.
 const INCARNATION_SEPARATOR: char = '@';
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -19,6 +19,9 @@
     pub has_token_counts: bool,
     /// Id of the last stream event that the client has received; `None` for a new stream.
     pub last_event_id: Option<u64>,
+    /// Id of the try that brought the first event of the stream that the request resumes; `None` if the client names
+    /// none.
+    pub resumed_stream: Option<String>,
     /// The credential that identifies the sender.
     pub credential: Credential,
 }
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -1,7 +1,7 @@
 //! A node's view of one runner: its registry entry, load, health and prefix cache.
 
 use crate::failure_rate::FailureRate;
-use crate::ids::{RegionId, RunnerId, ServiceName, ZoneId};
+use crate::ids::{RegionId, RunnerId, ServiceName, SoftwareVersion, ZoneId};
 use crate::prefill_demand::PrefillDemand;
 use crate::prefix::Prompt;
 use crate::prefix_cache::PrefixCacheModel;
@@ -44,6 +44,8 @@
     pub address: SocketAddr,
     /// Zone in which the runner is placed.
     pub zone: ZoneId,
+    /// Version of the software that the runner runs. Runners of several versions may serve one service at a time.
+    pub version: SoftwareVersion,
     /// Number of requests that the runner processes concurrently.
     pub slots: u32,
     /// Whether the runner is draining and about to leave.
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use pitchstall_serving::fleet::{Eligible, Fleet};
-use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, SoftwareVersion, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::placement::{prefill_home, Demand, PrefillPlan};
 use pitchstall_serving::prefill_speed::PrefillSpeed;
@@ -51,6 +51,7 @@
 
 fn runners() -> Vec<RunnerRecord> {
     let record = |number: usize| RunnerRecord {
+        version: SoftwareVersion::new("v1"),
         slots: 64,
         stage: Some(if number < PREFILL_RUNNERS { Stage::Prefill } else { Stage::Decode }),
         ..runner_record(RunnerId::new(format!("i-{number}")))
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers that several tests share.
 #![allow(dead_code, clippy::unwrap_used, missing_docs)]
 
-use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
+use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion, ZoneId};
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::store_revision::StoreRevision;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -14,6 +14,7 @@
         service: ServiceName::new("llm"),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
         zone: ZoneId::new("north"),
+        version: SoftwareVersion::new("v1"),
         slots: 8,
         draining: false,
         preemptible: false,
