Failing tests: streams that go on at runners of another software version

Two guards that pass: unknown streams go on while one version serves, and an invalid Resumes is 400. The stand-in's streams can name the version that writes them.

--- /dev/null
+++ b/crates/gateway/tests/software_versions.rs
@@ -0,0 +1,278 @@
+//! Streams of a service whose runners run several versions of their software.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::runner::{
+    engine_script, event_text_of_version, EventStream, LongPause, Reaction, RunnerStandIn,
+};
+use pitchstall_platform_standins::store::StoreMode;
+use std::collections::HashSet;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use support::{Fixture, RawResponse};
+use test_case::test_case;
+
+const LAST_EVENT: u64 = 5;
+/// Target time of the route of these tests.
+const ROUTE_TARGET: Duration = Duration::from_millis(2_000);
+/// The last event that a client receives before it or its stream is interrupted.
+const INTERRUPTED_AFTER: u64 = 1;
+/// Enough streams for a node that does not regard versions to mix them.
+const STREAMS: usize = 8;
+
+/// What a runner does after [`INTERRUPTED_AFTER`] in a stream that it begins.
+#[derive(Clone, Copy)]
+enum Interruption {
+    /// The connection ends inside an event.
+    Cut,
+    /// The runner pauses for longer than a node waits before it looks for another one, and goes on.
+    Pause,
+    /// None; each event takes a while, so that a client can leave in between.
+    Slow,
+}
+
+fn is_run(request: &ReceivedRequest) -> bool {
+    request.method == "POST" && request.path() == "/summary/1"
+}
+
+fn runner(id: &str, version: &'static str, interruption: Interruption) -> RunnerStandIn {
+    let begun = Mutex::new(HashSet::new());
+    let script = move |request: &ReceivedRequest| {
+        if !is_run(request) {
+            return engine_script(LAST_EVENT)(request);
+        }
+        let mut begun = begun.lock().unwrap();
+        match request.header("resumes") {
+            // A full runner: another one has to go on with the stream.
+            Some(stream) if begun.contains(stream) => return Reaction::Decline,
+            _ => begun.insert(request.id().unwrap_or_default().to_owned()),
+        };
+        let mut stream = EventStream::for_request(request, LAST_EVENT);
+        stream.version = Some(version);
+        let begins = request.header("last-event-id").is_none();
+        match interruption {
+            Interruption::Cut if begins => stream.cut_after_event = Some(INTERRUPTED_AFTER),
+            Interruption::Pause if begins => {
+                let length = Duration::from_millis(2_500);
+                stream.long_pause = Some(LongPause { before_event: INTERRUPTED_AFTER + 1, length });
+            }
+            Interruption::Slow => stream.pause = Duration::from_millis(40),
+            Interruption::Cut | Interruption::Pause => {}
+        }
+        Reaction::Stream(stream)
+    };
+    RunnerStandIn::start(id, script).unwrap()
+}
+
+struct Runners {
+    old: Vec<RunnerStandIn>,
+    new: Vec<RunnerStandIn>,
+}
+
+impl Runners {
+    fn start(interruption: Interruption) -> Self {
+        let of_version = |version: &'static str| {
+            let number = 0..2;
+            number.map(|it| runner(&format!("i-{it}-{version}"), version, interruption)).collect()
+        };
+        Self { old: of_version("v1"), new: of_version("v2") }
+    }
+
+    fn add_to(&self, node: &Fixture) {
+        self.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+        self.new.iter().for_each(|runner| node.add_runner_of_version(runner, "v2"));
+    }
+
+    fn runs_after(&self, event: u64) -> usize {
+        let requests = self.old.iter().chain(&self.new).flat_map(RunnerStandIn::requests);
+        let after = event.to_string();
+        let is_resumed =
+            |it: &ReceivedRequest| is_run(it) && it.header("last-event-id") == Some(&after);
+        requests.filter(is_resumed).count()
+    }
+}
+
+/// A node with two runners of each version.
+fn node_with(runners: &Runners) -> Fixture {
+    let node = Fixture::with_runners(&[]);
+    runners.add_to(&node);
+    node.wait_until_ready();
+    node
+}
+
+/// A further node, which knows all runners and the other nodes.
+fn peer_of(node: &Fixture, name: &str) -> Fixture {
+    let peer = node.start_peer(name);
+    peer.wait_until_ready();
+    wait_for_digests();
+    peer
+}
+
+/// Nodes send a digest each second.
+fn wait_for_digests() {
+    std::thread::sleep(Duration::from_millis(1_200));
+}
+
+/// Whether all events of a stream come from one version, and none is missing.
+fn is_of_one_version(text: &str) -> bool {
+    let whole = |version| -> String {
+        (0..=LAST_EVENT).map(|id| event_text_of_version(id, version)).collect()
+    };
+    text == whole("v1") || text == whole("v2")
+}
+
+fn stream(node: &Fixture, id: &str, extra: &str) -> RawResponse {
+    let mut client = node.client();
+    client.request("POST", "/summary/1", id, extra, b"x");
+    client.read_response()
+}
+
+/// The part of a stream that a client receives before it leaves: whole events up to [`INTERRUPTED_AFTER`].
+fn begin_and_leave(node: &Fixture, id: &str) -> String {
+    let mut client = node.client();
+    client.request("POST", "/summary/1", id, "", b"x");
+    client.wait_for_text(&format!("id: {INTERRUPTED_AFTER}\ndata: token {INTERRUPTED_AFTER} of v"));
+    let version = if client.has_received("of v1") { "v1" } else { "v2" };
+    (0..=INTERRUPTED_AFTER).map(|id| event_text_of_version(id, version)).collect()
+}
+
+/// Takes up a stream that was interrupted after [`INTERRUPTED_AFTER`].
+fn take_up(node: &Fixture, stream_id: &str, id: &str) -> RawResponse {
+    let extra = format!("Last-Event-Id: {INTERRUPTED_AFTER}\r\nResumes: {stream_id}\r\n");
+    stream(node, id, &extra)
+}
+
+/// Begins streams and leaves each of them. Returns what the clients have received.
+fn begin_streams(node: &Fixture) -> Vec<String> {
+    (0..STREAMS).map(|number| begin_and_leave(node, &format!("id-{number}"))).collect()
+}
+
+/// Takes up the streams of [`begin_streams`], in turn at the nodes. Returns those that are not whole, or of two
+/// versions.
+fn broken_takeups(begun: Vec<String>, nodes: &[&Fixture]) -> Vec<String> {
+    let take_up_one = |(number, first): (usize, String)| {
+        let node = nodes[number % nodes.len()];
+        let rest = take_up(node, &format!("id-{number}"), &format!("again-{number}")).text();
+        format!("{first}{rest}")
+    };
+    let texts = begun.into_iter().enumerate().map(take_up_one);
+    texts.filter(|text| !is_of_one_version(text)).collect()
+}
+
+#[test_case(Interruption::Cut; "that is cut off")]
+#[test_case(Interruption::Pause; "that pauses")]
+fn a_stream_goes_on_only_at_the_version_that_began_it(interruption: Interruption) {
+    let runners = Runners::start(interruption);
+    let node = node_with(&runners);
+    let texts = std::thread::scope(|scope| {
+        let begin = |number: usize| {
+            let node = &node;
+            scope.spawn(move || stream(node, &format!("id-{number}"), "").text())
+        };
+        let clients: Vec<_> = (0..STREAMS).map(begin).collect();
+        clients.into_iter().map(|client| client.join().unwrap()).collect::<Vec<_>>()
+    });
+    let broken: Vec<_> = texts.into_iter().filter(|text| !is_of_one_version(text)).collect();
+    assert_eq!(broken, Vec::<String>::new());
+}
+
+#[test_case(false; "at the same node")]
+#[test_case(true; "at another node")]
+fn a_stream_that_its_client_takes_up_goes_on_at_the_version_that_began_it(is_other: bool) {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with(&runners);
+    let other = peer_of(&node, "node-2");
+    let taken_up_at = if is_other { &other } else { &node };
+    assert_eq!(broken_takeups(begin_streams(&node), &[taken_up_at]), Vec::<String>::new());
+}
+
+#[test]
+fn a_stream_is_taken_up_at_its_version_though_the_node_that_began_it_has_ended() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with(&runners);
+    let peers: Vec<_> = (2..=4).map(|number| peer_of(&node, &format!("node-{number}"))).collect();
+    let begun = begin_streams(&peers[0]);
+    let mut peers = peers.into_iter();
+    let ended = peers.next().unwrap();
+    ended.request_stop();
+    ended.join();
+    let rest: Vec<_> = peers.collect();
+    let rest: Vec<_> = rest.iter().collect();
+    assert_eq!(broken_takeups(begun, &rest), Vec::<String>::new());
+}
+
+#[test]
+fn a_stream_that_began_before_the_second_version_joined_is_taken_up_at_its_version() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = Fixture::with_runners(&[]);
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    let other = peer_of(&node, "node-2");
+    let begun = begin_streams(&node);
+    runners.new.iter().for_each(|runner| node.add_runner_of_version(runner, "v2"));
+    wait_for_digests();
+    assert_eq!(broken_takeups(begun, &[&other]), Vec::<String>::new());
+}
+
+#[test]
+fn a_stream_whose_version_no_longer_serves_is_refused_at_once() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = Fixture::with_runners(&[]);
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    begin_and_leave(&node, "id-1");
+    runners.new.iter().for_each(|runner| node.add_runner_of_version(runner, "v2"));
+    for runner in &runners.old {
+        node.store.remove(&format!("servers/{}", runner.id()));
+    }
+    wait_for_digests();
+    let begun = Instant::now();
+    let response = take_up(&node, "id-1", "again-1");
+    assert_eq!((response.status, response.text().as_str()), (503, ""));
+    assert!(begun.elapsed() < ROUTE_TARGET / 4, "the refusal took {:?}", begun.elapsed());
+    assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
+}
+
+#[test_case("Resumes: id-unknown\r\n"; "that nobody knows")]
+#[test_case(""; "that its client does not name")]
+fn a_stream_of_unknown_version_is_refused_while_two_versions_serve(resumes: &str) {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with(&runners);
+    let _other = peer_of(&node, "node-2");
+    let response = stream(&node, "id-1", &format!("Last-Event-Id: 1\r\n{resumes}"));
+    assert_eq!((response.status, response.text().as_str()), (503, ""));
+    assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
+}
+
+#[test_case("Resumes: id-unknown\r\n"; "that nobody knows")]
+#[test_case(""; "that its client does not name")]
+fn a_stream_of_unknown_version_goes_on_while_one_version_serves(resumes: &str) {
+    let runners = Runners::start(Interruption::Slow);
+    let node = Fixture::with_runners(&[]);
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    let other = peer_of(&node, "node-2");
+    let response = stream(&other, "id-1", &format!("Last-Event-Id: 1\r\n{resumes}"));
+    let rest: String = (2..=LAST_EVENT).map(|id| event_text_of_version(id, "v1")).collect();
+    assert_eq!((response.status, response.text()), (200, rest));
+}
+
+#[test]
+fn a_stream_is_taken_up_at_its_version_while_the_store_fails() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with(&runners);
+    let other = peer_of(&node, "node-2");
+    node.store.set_mode(StoreMode::Silent);
+    assert_eq!(broken_takeups(begin_streams(&node), &[&other]), Vec::<String>::new());
+}
+
+#[test_case("Resumes: \r\n"; "an empty one")]
+#[test_case("Resumes: a\r\nResumes: b\r\n"; "two")]
+fn a_request_with_an_invalid_id_of_the_resumed_stream_is_rejected(resumes: &str) {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with(&runners);
+    let response = stream(&node, "id-1", &format!("Last-Event-Id: 1\r\n{resumes}"));
+    assert_eq!(response.status, 400);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -254,6 +254,14 @@
         self.put_runner_in("north", runner, service, stage, state);
     }
 
+    /// Adds a decode runner of a software version.
+    pub fn add_runner_of_version(&self, runner: &RunnerStandIn, version: &str) {
+        let mut entry = runner_entry(runner, "llm", "north", "ready");
+        entry["stage"] = "decode".into();
+        entry["version"] = version.into();
+        self.store.put(&format!("servers/{}", runner.id()), &entry);
+    }
+
     pub fn put_runner_in(
         &self,
         zone: &str,
@@ -380,6 +388,11 @@
         }
     }
 
+    /// Whether a text is among the bytes that have arrived and are not read yet.
+    pub fn has_received(&self, text: &str) -> bool {
+        String::from_utf8_lossy(&self.unread).contains(text)
+    }
+
     pub fn read_response(&mut self) -> RawResponse {
         let head_end = loop {
             let end = self.unread.windows(4).position(|window| window == b"\r\n\r\n");
