A stream goes on only at the software version that began it

What callers saw: streams with events of two versions of a service's software, inside one response and over their tries.

Cause: the version of a runner was read from its registry entry and dropped, so no place that chooses a runner could ask for it; and nothing of a stream outlived its response. Class: what must stay the same over the attempts of a request was not part of what an attempt is chosen by.

Change: Eligible, the one filter of all choosers, has the version; placement queries carry it, and a choice by a scheduler of an earlier build is checked against it. A dispatch is bound to the version of the runner whose event it has forwarded first. A node records where each resumable stream began and, while several versions have served within a minute, tells three keepers that rendezvous hashing chooses by the stream's id, in different zones; when a second version joins, the recent streams are told. A request that resumes a stream is bound to the version that the node or a keeper knows; one whose version has left is refused at once, one that nobody knows is refused with Retry-After 0.1 while several versions serve. With one version nothing is told, and such a request is bound to it.

Ruled out: asking all nodes at each takeup (1,000 datagrams), the store (a write for each stream).

--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -141,7 +141,11 @@
         loop {
             let limits = RelayLimits { deadline: self.deadline, max_pause: self.max_stream_gap() };
             let Run { response, splitter, .. } = run.as_mut();
-            match relay(response, client, &mut self.stream, splitter, limits).await {
+            let outcome = relay(response, client, &mut self.stream, splitter, limits).await;
+            if self.stream.is_head_sent {
+                self.version.get_or_insert_with(|| run.response.record.version.clone());
+            }
+            match outcome {
                 RelayOutcome::Complete => {
                     let runner = run.runner().clone();
                     let is_framed = !run.response.ends_with_connection();
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -25,10 +25,11 @@
 use crate::quota::requester::{QuotaReservation, RunCost, SentReservation};
 use crate::relay::StreamState;
 use crate::retry_charge::RetryCharge;
+use crate::stream_origins::OriginRecorder;
 use crate::usage::StartRecorder;
 use pitchstall_serving::attempt::{final_response, EndReason, Execution};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
-use pitchstall_serving::ids::{RunnerId, ServiceName};
+use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefix::Prompt;
 use pitchstall_serving::request::Work;
@@ -85,6 +86,9 @@
     /// An error response of a runner, returned to the client if no attempt succeeds.
     runner_failure: Option<BufferedResponse>,
     stream: StreamState,
+    /// The software version that began the stream, which alone may continue it; `None` if the client has received no
+    /// event yet.
+    version: Option<SoftwareVersion>,
 }
 
 enum Step {
@@ -148,7 +152,11 @@
             excluded: Vec::new(),
             unreachable_count: 0,
             runner_failure: None,
-            stream: StreamState::new(request.metadata.last_event_id),
+            stream: StreamState::new(
+                request.metadata.last_event_id,
+                route.resumable.then(|| OriginRecorder::new(node, request)),
+            ),
+            version: None,
         }
     }
 
@@ -160,6 +168,11 @@
         Self { tenant, run_cost, ..self }
     }
 
+    /// Sets the software version that began the stream which the request resumes; `None` if it may run anywhere.
+    pub fn at_version(self, version: Option<SoftwareVersion>) -> Self {
+        Self { version, ..self }
+    }
+
     /// Makes attempts until there is a final response.
     pub async fn run(mut self, client: &ClientConnection) -> RequestOutcome {
         loop {
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -76,6 +76,7 @@
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.rules.zones.as_ref(),
+                version: self.version.as_ref(),
                 scope: Scope::AllRegions,
             },
             prompt: &self.prompt,
@@ -93,6 +94,9 @@
     pub(super) async fn plan(&mut self) -> Result<Plan, EndReason> {
         let give_up_at = Instant::now() + self.max_wait();
         loop {
+            if self.has_lost_its_version() {
+                return Err(EndReason::StreamVersionGone);
+            }
             if let Some(plan) = self.plan_now().await? {
                 return Ok(plan);
             }
@@ -115,6 +119,13 @@
         }
     }
 
+    /// Whether no runner serves any more that may continue the stream.
+    fn has_lost_its_version(&self) -> bool {
+        let fleet = self.node.fleet.borrow();
+        let version = self.version.as_ref();
+        version.is_some_and(|version| !fleet.serves_version(&self.service, version))
+    }
+
     /// When the first of the runners that are only temporarily unavailable accepts requests again;
     /// `None` if there is none.
     fn next_availability(&self) -> Option<NextAvailability> {
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -95,6 +95,7 @@
             service: &self.service,
             excluded: &others,
             zones: self.rules.zones.as_ref(),
+            version: self.version.as_ref(),
             scope: Scope::AllRegions,
         };
         let has_other = self.node.fleet.borrow().has_healthy(&eligible, self.node.now_us());
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,6 +7,7 @@
 use crate::local_responses::LocalResponse;
 use crate::node::{BodyReservation, Node};
 use crate::policy;
+use crate::stream_origins::{self, StreamContinuation};
 use ntex::http::Request;
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::configuration::{Configuration, Route};
@@ -150,7 +151,6 @@
     let Some(route) = find_route(&configuration, request) else {
         return finish(node, request, None, RequestOutcome::Local(no_route_response(node)));
     };
-    log_resumption(request);
     let tenant = match authorize_tenant(node, &configuration, &route, request) {
         Ok(tenant) => tenant,
         Err(response) => {
@@ -160,6 +160,33 @@
     let Some(service) = node.next_service(&route) else {
         return finish(node, request, Some(&route), RequestOutcome::Local(LocalResponse::Refused));
     };
+    let continuation = stream_origins::continuation(node, request, &route, &service).await;
+    let origin = match continuation {
+        StreamContinuation::Anywhere => None,
+        StreamContinuation::AtOrigin(origin) | StreamContinuation::AtOnlyVersion(origin) => {
+            Some(origin)
+        }
+        StreamContinuation::Unknown => {
+            return finish(
+                node,
+                request,
+                Some(&route),
+                RequestOutcome::Local(LocalResponse::StreamUnknown),
+            )
+        }
+    };
+    let service = match &origin {
+        Some(origin) if !route.sends_to(&origin.service) => {
+            return finish(
+                node,
+                request,
+                Some(&route),
+                RequestOutcome::Local(LocalResponse::StreamVersionGone),
+            )
+        }
+        Some(origin) => origin.service.clone(),
+        None => service,
+    };
     let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
     let rules = match policy::placement_rules(node, request, priority, &service) {
         Ok(rules) => rules,
@@ -177,22 +204,11 @@
     let deadline = request.received_at + Duration::from_millis(time_limit.limit_ms);
     node.with_retry_budget(&service, SharedRetryBudget::on_request);
     let dispatch = Dispatch::new(node, request, &route, service, rules, &configuration, deadline);
-    let dispatch = dispatch.for_tenant(tenant);
+    let dispatch = dispatch.for_tenant(tenant).at_version(origin.map(|origin| origin.version));
     let end = dispatch.run(client).await;
     finish(node, request, Some(&route), end)
 }
 
-/// Logs a request that resumes a stream.
-fn log_resumption(request: &ClientRequest) {
-    let RequestMetadata { id, last_event_id, resumed_stream, .. } = &request.metadata;
-    if last_event_id.is_none() && resumed_stream.is_none() {
-        return;
-    }
-    let after = last_event_id.unwrap_or_default();
-    let resumes = resumed_stream.as_deref().unwrap_or_default();
-    log::info!(target: "stream", request = id.as_str(), resumes, after; "stream taken up by its client");
-}
-
 /// The response to a request without a route. `NoRoute` is returned only if the configuration is current: otherwise
 /// the route may have been added by a version that this node has not received yet.
 fn no_route_response(node: &Node) -> LocalResponse {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`listener`] | accepts connections of clients and on the health address |
 //! | [`connection`] | reads requests from a client connection and writes responses |
 //! | [`intake`] | validates a request and finds its route, tenant and service |
+//! | [`stream_origins`] | finds the software version that began the stream which a request resumes |
 //! | [`policy`] | runs the operators' policy program |
 //! | [`dispatch`] | plans and makes attempts until the request has its final response |
 //! | [`scheduling`] | places the request by querying the scheduler of the runners' shard |
@@ -93,6 +94,7 @@
 pub mod shard_scheduler;
 pub mod store_pages;
 pub mod store_responses;
+pub mod stream_origins;
 pub mod transfer;
 pub mod tunnel;
 pub mod unknown_headers;
--- a/crates/gateway/src/local_responses.rs
+++ b/crates/gateway/src/local_responses.rs
@@ -15,6 +15,9 @@
 /// `retry-after` for requests whose tenant's quota keeper did not reply, in seconds. It is short because the client
 /// will most likely reach another node, which may reach the keeper.
 const QUOTA_UNKNOWN_RETRY_AFTER_S: f64 = 0.1;
+/// `retry-after` for requests that resume a stream which this node does not know, in seconds. It is short because the
+/// client will most likely reach another node, which may know the stream.
+const STREAM_UNKNOWN_RETRY_AFTER_S: f64 = 0.1;
 const MS_PER_S: f64 = 1_000.0;
 
 /// A response that the node creates without a response of a runner.
@@ -54,6 +57,12 @@
     QuotaUnknown,
     /// The request has not run, because runners have crashed under it; retrying it is of no use.
     Quarantined,
+    /// The request has not run, because it is not known which software version began the stream that it resumes, and
+    /// several serve.
+    StreamUnknown,
+    /// The request has not run, because no runner of the software version that began its stream serves any more;
+    /// retrying it is of no use.
+    StreamVersionGone,
     /// The attempt failed; the request may have run.
     BadGateway,
     /// The deadline has passed; the request may have run.
@@ -65,6 +74,7 @@
         match response {
             FinalResponse::Refuse => Self::Refused,
             FinalResponse::RefusePermanently => Self::Quarantined,
+            FinalResponse::StreamVersionGone => Self::StreamVersionGone,
             FinalResponse::RefuseUntil { wait_ms } => Self::LimitUsedUp { wait_ms },
             FinalResponse::OverQuota { wait_ms } => Self::OverQuota { wait_ms },
             FinalResponse::QuotaUnknown => Self::QuotaUnknown,
@@ -91,7 +101,9 @@
             | Self::QuotaUnknown
             | Self::Refused
             | Self::LimitUsedUp { .. }
-            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined
+            | Self::StreamUnknown
+            | Self::StreamVersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadGateway => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -103,6 +115,7 @@
             Self::Refused => Some(REFUSED_RETRY_AFTER_S),
             Self::Unconfigured => Some(UNCONFIGURED_RETRY_AFTER_S),
             Self::Unverifiable | Self::Outdated => Some(UNVERIFIABLE_RETRY_AFTER_S),
+            Self::StreamUnknown => Some(STREAM_UNKNOWN_RETRY_AFTER_S),
             Self::QuotaUnknown => Some(QUOTA_UNKNOWN_RETRY_AFTER_S),
             Self::OverQuota { wait_ms } | Self::LimitUsedUp { wait_ms } => {
                 Some(wait_ms as f64 / MS_PER_S)
@@ -128,6 +141,8 @@
             Self::OverQuota { .. } => "over_quota",
             Self::QuotaUnknown => "quota_unknown",
             Self::Quarantined => "quarantined",
+            Self::StreamUnknown => "stream_unknown",
+            Self::StreamVersionGone => "stream_version_gone",
             Self::BadGateway => "bad_gateway",
             Self::TimedOut => "timed_out",
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a request that resumes a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TakenUpLabels {
+    /// What is known of the stream: `one_version`, `version_known` or `version_unknown`.
+    pub outcome: &'static str,
+}
+
 /// Labels of a stalled run that was not replaced by one at another runner.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StalledRunLabels {
@@ -78,6 +85,8 @@
     pub resumes: Counter,
     /// Streams that the node ended after their head and before they were complete, by reason.
     pub streams_cut: Family<StreamCutLabels, Counter>,
+    /// Requests that resume a stream, by what is known of the stream.
+    pub streams_taken_up: Family<TakenUpLabels, Counter>,
     /// Stalled runs for which a successor was sought and that were kept, by reason.
     pub stalled_runs_kept: Family<StalledRunLabels, Counter>,
     /// New connections to runners, including those that could not be opened.
@@ -149,6 +158,7 @@
             quarantines: Counter::default(),
             resumes: Counter::default(),
             streams_cut: Family::default(),
+            streams_taken_up: Family::default(),
             stalled_runs_kept: Family::default(),
             connections: Counter::default(),
             tunnels_used: Counter::default(),
@@ -286,6 +296,9 @@
         let streams_cut = self.streams_cut.clone();
         let help = "Streams that the node ended before they were complete, by reason";
         self.registry.register("streams_cut", help, streams_cut);
+        let streams_taken_up = self.streams_taken_up.clone();
+        let help = "Requests that resume a stream, by what is known of the version that began it";
+        self.registry.register("streams_taken_up", help, streams_taken_up);
         let stalled_runs_kept = self.stalled_runs_kept.clone();
         let help = "Stalled runs for which a successor was sought and that were kept, by reason";
         self.registry.register("stalled_runs_kept", help, stalled_runs_kept);
@@ -317,6 +330,11 @@
         self.streams_cut.get_or_create(&StreamCutLabels { reason }).inc();
     }
 
+    /// Counts a request that resumes a stream. `outcome` names what is known of the stream.
+    pub fn on_stream_taken_up(&self, outcome: &'static str) {
+        self.streams_taken_up.get_or_create(&TakenUpLabels { outcome }).inc();
+    }
+
     /// Counts a stalled run that was kept after a successor had been sought.
     pub fn on_stalled_run_kept(&self, reason: &'static str) {
         self.stalled_runs_kept.get_or_create(&StalledRunLabels { reason }).inc();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -28,6 +28,7 @@
 use crate::settings::Settings;
 use crate::shard_scheduler;
 use crate::store_responses::StoreResponse;
+use crate::stream_origins::StreamOriginRecords;
 use crate::tunnel::server::OpenTunnels;
 use crate::unknown_headers::UnknownHeaders;
 use pitchstall_platform_adapter::call::PlatformCall;
@@ -126,6 +127,8 @@
     pub quotas: Quotas,
     /// Limits that runners have reported, and the permits granted under them.
     pub runner_limits: RunnerLimits,
+    /// The software versions at which recent streams began.
+    pub stream_origins: StreamOriginRecords,
     /// Retry tokens that this node pools with others, and those that it keeps for them.
     pub retry_pools: RetryPools,
     /// State of the usage collector, used while this node has that duty.
@@ -221,6 +224,7 @@
             quarantine_changed: Notify::new(),
             quotas: Quotas::default(),
             runner_limits: RunnerLimits::default(),
+            stream_origins: StreamOriginRecords::default(),
             retry_pools: RetryPools::default(),
             usage_collector: RefCell::default(),
             refused_entries: RefusedEntries::default(),
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::http::ResponseHead;
+use crate::stream_origins;
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::fleet::{Fleet, FleetChange};
 use pitchstall_serving::ids::{RunnerId, RunnerName};
@@ -53,6 +54,7 @@
         for incarnation in &gone {
             self.on_runner_departed(&incarnation.id, Some(revision), incarnation.was_leaving);
         }
+        stream_origins::on_fleet_changed(self);
         self.has_runner_list.set(true);
         let gone = gone.len();
         let revision = revision.to_string();
@@ -71,6 +73,9 @@
         let stage = record.stage.map_or("none", Stage::name);
         let leaves_ms = record.leaves_ms.unwrap_or_default();
         let change = self.fleet.borrow_mut().put(record);
+        if matches!(change, FleetChange::Joined | FleetChange::Restarted { .. }) {
+            stream_origins::on_fleet_changed(self);
+        }
         match change {
             FleetChange::Joined => {
                 log::info!(target: "fleet", runner = runner.as_str(), service, version, zone, preemptible, stage, revision; "joined");
@@ -137,6 +142,7 @@
     fn on_runner_departed(&self, id: &RunnerId, revision: Option<StoreRevision>, is_planned: bool) {
         self.pool.remove_runner(id);
         self.forget_link(id);
+        stream_origins::on_fleet_changed(self);
         if is_planned {
             self.on_planned_departure(id);
         } else {
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -12,6 +12,9 @@
 use pitchstall_serving::retry_pool::{RetryDeposit, RetryQuery, RetryReply};
 use pitchstall_serving::runner_limit::{LimitMessage, LimitQuery, LimitReply};
 use pitchstall_serving::scheduling::{PlacementQuery, PlacementReply, ProgressMessage, ShardLoads};
+use pitchstall_serving::stream_origin::{
+    StreamOriginMessage, StreamOriginQuery, StreamOriginReply,
+};
 use pitchstall_serving::usage::{UsageMessage, UsageQuery};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -89,6 +92,15 @@
     /// A keeper's reply to [`Self::RetryQuery`].
     #[serde(rename = "retry")]
     RetryReply(RetryReply),
+    /// What began streams, told to their keepers.
+    #[serde(rename = "streams")]
+    StreamOrigins(Vec<StreamOriginMessage>),
+    /// Asks a keeper what began a stream.
+    #[serde(rename = "stream?")]
+    StreamOriginQuery(StreamOriginQuery),
+    /// A keeper's reply to [`Self::StreamOriginQuery`].
+    #[serde(rename = "stream")]
+    StreamOriginReply(StreamOriginReply),
     /// Counts of requests that started to run, by window and tenant, in reply to
     /// [`Self::UsageQuery`].
     #[serde(rename = "usage")]
@@ -120,6 +132,9 @@
             Self::RetryDeposit(_) => "retry_deposit",
             Self::RetryQuery(_) => "retry_question",
             Self::RetryReply(_) => "retry_answer",
+            Self::StreamOrigins(_) => "stream_origins",
+            Self::StreamOriginQuery(_) => "stream_question",
+            Self::StreamOriginReply(_) => "stream_answer",
             Self::UsageMessage(_) => "usage",
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use crate::shard_scheduler;
 use crate::store_pages::read_pages;
 use crate::store_responses::ok_or_log;
+use crate::stream_origins;
 use crate::usage;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -147,6 +148,13 @@
             PeerMessage::RetryDeposit(deposit) => retry_pools::on_deposit(&self.node, &deposit),
             PeerMessage::RetryQuery(query) => retry_pools::on_query(&self.node, &query, from),
             PeerMessage::RetryReply(reply) => retry_pools::on_reply(&self.node, reply),
+            PeerMessage::StreamOrigins(messages) => {
+                stream_origins::on_message(&self.node, messages)
+            }
+            PeerMessage::StreamOriginQuery(query) => {
+                stream_origins::on_query(&self.node, &query, from);
+            }
+            PeerMessage::StreamOriginReply(reply) => stream_origins::on_reply(&self.node, reply),
             PeerMessage::UsageMessage(message) => usage::on_message(&self.node, &message),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::clock::Instant;
 use crate::connection::{ClientConnection, ClientDisconnected};
 use crate::http::{Header, ReadError};
+use crate::stream_origins::OriginRecorder;
 use pitchstall_serving::event_stream::{EventAction, EventDeduplicator, EventSplitter};
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,15 +17,18 @@
     pub is_head_sent: bool,
     /// When events were last forwarded to the client; `None` if none has been forwarded.
     pub last_event_at: Option<Instant>,
+    /// Records the runner that writes the first event; `None` if the stream cannot be resumed.
+    origin_recorder: Option<OriginRecorder>,
 }
 
 impl StreamState {
     /// Creates the state of a stream. `last_event_id` is the last event that the client has, according to its request.
-    pub fn new(last_event_id: Option<u64>) -> Self {
+    pub fn new(last_event_id: Option<u64>, origin_recorder: Option<OriginRecorder>) -> Self {
         Self {
             deduplicator: EventDeduplicator::after(last_event_id),
             is_head_sent: false,
             last_event_at: None,
+            origin_recorder,
         }
     }
 }
@@ -72,7 +76,7 @@
         };
         response.in_flight.on_progress();
         let forwarded = match result {
-            Ok(Some(bytes)) => forward(&bytes, splitter, client, state, &headers).await,
+            Ok(Some(bytes)) => forward(response, &bytes, splitter, client, state, &headers).await,
             Ok(None) => return finish(response, splitter, client, state, &headers).await,
             Err(error) => return RelayOutcome::ConnectionLost(error),
         };
@@ -83,6 +87,7 @@
 }
 
 async fn forward(
+    response: &AttemptResponse,
     bytes: &[u8],
     splitter: &mut EventSplitter,
     client: &ClientConnection,
@@ -98,18 +103,21 @@
     if outgoing_bytes.is_empty() {
         return Ok(());
     }
-    begin_response(client, state, headers)?;
+    begin_response(response, client, state, headers)?;
     state.last_event_at = Some(Instant::now());
     client.write_chunk(outgoing_bytes).await
 }
 
 fn begin_response(
+    response: &AttemptResponse,
     client: &ClientConnection,
     state: &mut StreamState,
     headers: &[Header],
 ) -> Result<(), ClientDisconnected> {
     const OK: u16 = 200;
     if !state.is_head_sent {
+        // The client may resume the stream at another node as soon as it has received an event.
+        state.origin_recorder.iter().for_each(|recorder| recorder.record(&response.record));
         client.begin_stream(OK, headers)?;
         state.is_head_sent = true;
     }
@@ -130,7 +138,7 @@
         return RelayOutcome::ConnectionLost(ReadError::Closed);
     }
     let written = async {
-        begin_response(client, state, headers)?;
+        begin_response(response, client, state, headers)?;
         if !incomplete_event.is_empty() {
             client.write_chunk(incomplete_event.to_vec()).await?;
         }
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -220,7 +220,9 @@
     if let Some(remote_region) = reply.remote_region {
         return Outcome::RemoteRegion(remote_region);
     }
-    placement_from_reply(node, reply, reporter_to(from)).map_or(Outcome::NoReply, Outcome::Placed)
+    let eligible = &demand.demand.eligible;
+    placement_from_reply(node, eligible, reply, reporter_to(from))
+        .map_or(Outcome::NoReply, Outcome::Placed)
 }
 
 fn record_round_trip(node: &Node, scheduler: &NodeId, elapsed: Duration) {
@@ -270,6 +272,7 @@
 /// first runner is unknown to this node or accepts no work.
 fn placement_from_reply(
     node: &Rc<Node>,
+    eligible: &Eligible<'_>,
     reply: PlacementReply,
     progress_reporter: ProgressReporter,
 ) -> Option<Placement> {
@@ -280,20 +283,21 @@
         WirePlan::Direct(choice) => (PrefillPlan::Direct(choice.into()), None),
     };
     let (PrefillPlan::Split(first) | PrefillPlan::Direct(first)) = &prefill;
-    is_choice_usable(node, first).then_some(())?;
-    let decode = decode.filter(|decode| is_choice_usable(node, decode));
+    is_choice_usable(node, eligible, first).then_some(())?;
+    let decode = decode.filter(|decode| is_choice_usable(node, eligible, decode));
     Some(Placement { prefill: Some(prefill), decode, progress_reporter })
 }
 
 /// Whether a runner chosen by a scheduler is usable. The scheduler does not know everything that
-/// runners have reported to this node.
-fn is_choice_usable(node: &Node, choice: &RunnerChoice) -> bool {
-    let accepts_work = node.accepts_placements(&choice.runner);
-    if !accepts_work {
+/// runners have reported to this node, and one of an earlier build does not regard software versions.
+fn is_choice_usable(node: &Node, eligible: &Eligible<'_>, choice: &RunnerChoice) -> bool {
+    let is_admitted = node.fleet.borrow().get(&choice.runner).is_some_and(|it| eligible.admits(it));
+    let is_usable = is_admitted && node.accepts_placements(&choice.runner);
+    if !is_usable {
         node.metrics.placements_rejected.inc();
-        log::info!(target: "scheduling", runner = choice.runner.as_str(); "placement rejected: runner accepts no requests of this node");
+        log::info!(target: "scheduling", runner = choice.runner.as_str(); "placement rejected: runner accepts no requests of this node, or not this one");
     }
-    accepts_work
+    is_usable
 }
 
 /// Maximum number of unavailable runners that a query excludes, about 500 bytes. Leaving runners
@@ -351,6 +355,7 @@
         zone: zone.clone(),
         excluded: runners_to_exclude(node, &eligible, node.now_us()),
         zones: eligible.zones.map(|zones| zones.iter().cloned().collect()),
+        version: eligible.version.cloned(),
     }
 }
 
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -52,6 +52,7 @@
         service: &query.service,
         excluded: &query.excluded,
         zones: zones.as_ref(),
+        version: query.version.as_ref(),
         scope: Scope::AllRegions,
     };
     let demand = PlacementDemand {
--- /dev/null
+++ b/crates/gateway/src/stream_origins.rs
@@ -0,0 +1,281 @@
+//! Finds the software version at which a stream began, so that it goes on at no other one.
+//!
+//! A node records the origin of each resumable stream when it forwards the first event. Only while several versions serve
+//! does it tell the stream's keepers; once a second version joins, it tells them of its recent streams. What is recorded
+//! is kept in [`pitchstall_serving::stream_origin`], and [`pitchstall_serving::fleet::VersionHistory`] tells how many
+//! versions serve.
+
+use crate::intake::ClientRequest;
+use crate::node::Node;
+use crate::peer_messages::PeerMessage;
+use pitchstall_serving::configuration::{RequestKind, Route};
+use pitchstall_serving::fleet::MAX_STREAM_AGE_US;
+use pitchstall_serving::ids::{ServiceName, StreamId};
+use pitchstall_serving::runner::RunnerRecord;
+use pitchstall_serving::scheduling::Ticket;
+use pitchstall_serving::stream_origin::{
+    StreamOrigin, StreamOriginMessage, StreamOriginQuery, StreamOriginReply, StreamOrigins,
+};
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{timeout_at, Instant};
+
+/// Number of nodes that are told of a stream.
+const KEEPERS: usize = 3;
+/// Number of nodes of each region that are asked about a stream. It exceeds [`KEEPERS`] because nodes that have joined
+/// since may rank before the ones that were told.
+const KEEPERS_QUERIED: usize = 4;
+/// How long to wait for the keepers' replies in addition to the longest round trip.
+const REPLY_TIMEOUT_MARGIN: Duration = Duration::from_millis(30);
+/// Maximum number of streams in one message, about 30 KB.
+const MAX_STREAMS_PER_MESSAGE: usize = 200;
+
+/// State of a node that records the origins of streams, and keeps those of other nodes' streams.
+#[derive(Default)]
+pub struct StreamOriginRecords {
+    origins: RefCell<StreamOrigins>,
+    /// The services of which several versions were serving when the fleet changed last.
+    mixed_services: RefCell<BTreeSet<ServiceName>>,
+    pending_queries: RefCell<HashMap<Ticket, mpsc::UnboundedSender<StreamOriginReply>>>,
+}
+
+/// Where a request may run, depending on the stream that it resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamContinuation {
+    /// At any runner: the request resumes no stream, or no runner serves.
+    Anywhere,
+    /// At runners of the version that alone has served recently.
+    AtOnlyVersion(StreamOrigin),
+    /// At runners of the service and version that began the stream.
+    AtOrigin(StreamOrigin),
+    /// Nowhere: several versions serve, and it is not known which of them began the stream.
+    Unknown,
+}
+
+/// Records the origin of one stream when its first event is forwarded.
+pub struct OriginRecorder {
+    node: Rc<Node>,
+    stream: StreamId,
+}
+
+impl OriginRecorder {
+    /// The recorder of the stream that a request begins or resumes.
+    pub fn new(node: &Rc<Node>, request: &ClientRequest) -> Self {
+        Self { node: node.clone(), stream: stream_of(request) }
+    }
+
+    /// Records that the first event comes from this runner.
+    pub fn record(&self, runner: &RunnerRecord) {
+        let origin =
+            StreamOrigin { service: runner.service.clone(), version: runner.version.clone() };
+        let now_us = self.node.now_us();
+        let records = &self.node.stream_origins;
+        records.origins.borrow_mut().record(self.stream.clone(), origin.clone(), now_us);
+        if self.node.fleet.borrow_mut().has_several_versions(&origin.service, now_us) {
+            tell_keepers(
+                &self.node,
+                &[StreamOriginMessage { stream: self.stream.clone(), origin }],
+            );
+        }
+    }
+}
+
+fn stream_of(request: &ClientRequest) -> StreamId {
+    let metadata = &request.metadata;
+    StreamId::of_request(metadata.resumed_stream.as_deref().unwrap_or(&metadata.id))
+}
+
+/// Sends each stream's origin to its keepers.
+fn tell_keepers(node: &Node, streams: &[StreamOriginMessage]) {
+    let own_region = node.region();
+    let members = node.members.borrow();
+    let mut by_keeper: HashMap<SocketAddr, Vec<StreamOriginMessage>> = HashMap::new();
+    for message in streams {
+        for (_, keeper) in members.stream_keepers(&message.stream, &own_region, KEEPERS) {
+            by_keeper.entry(keeper).or_default().push(message.clone());
+        }
+    }
+    for (keeper, messages) in by_keeper {
+        for batch in messages.chunks(MAX_STREAMS_PER_MESSAGE) {
+            let message = PeerMessage::StreamOrigins(batch.to_vec());
+            node.scheduling.socket.send(&message, &[keeper]);
+        }
+    }
+}
+
+/// Tells the keepers of the recent streams of each service of which a second version has joined.
+pub fn on_fleet_changed(node: &Node) {
+    let now_us = node.now_us();
+    let services: BTreeSet<ServiceName> =
+        node.fleet.borrow().versions().runners_by_version().map(|it| it.0.clone()).collect();
+    let mut fleet = node.fleet.borrow_mut();
+    let mixed: BTreeSet<ServiceName> =
+        services.into_iter().filter(|it| fleet.has_several_versions(it, now_us)).collect();
+    drop(fleet);
+    let before = node.stream_origins.mixed_services.replace(mixed.clone());
+    for service in mixed.difference(&before) {
+        let origins = node.stream_origins.origins.borrow();
+        let streams: Vec<StreamOriginMessage> = origins.of_service(service, now_us).collect();
+        log::info!(target: "stream", service = service.as_str(), streams = streams.len(); "several software versions serve");
+        tell_keepers(node, &streams);
+    }
+}
+
+/// Records the origins that another node reports.
+pub fn on_message(node: &Node, messages: Vec<StreamOriginMessage>) {
+    let now_us = node.now_us();
+    let mut origins = node.stream_origins.origins.borrow_mut();
+    for StreamOriginMessage { stream, origin } in messages {
+        origins.record(stream, origin, now_us);
+    }
+}
+
+/// Replies to another node's query.
+pub fn on_query(node: &Node, query: &StreamOriginQuery, from: SocketAddr) {
+    let now_us = node.now_us();
+    let origin = node.stream_origins.origins.borrow().find(&query.stream, now_us).cloned();
+    let has_several_versions = node.fleet.borrow_mut().has_several_versions(&query.service, now_us);
+    let reply = StreamOriginReply { ticket: query.ticket, origin, has_several_versions };
+    node.scheduling.socket.send(&PeerMessage::StreamOriginReply(reply), &[from]);
+}
+
+/// Passes a keeper's reply to the query that waits for it.
+pub fn on_reply(node: &Node, reply: StreamOriginReply) {
+    if let Some(sender) = node.stream_origins.pending_queries.borrow().get(&reply.ticket) {
+        // The query may have ended with another keeper's reply.
+        let _ = sender.send(reply);
+    }
+}
+
+/// Determines where a request may run. `service` is the one that the route has chosen for it.
+pub async fn continuation(
+    node: &Node,
+    request: &ClientRequest,
+    route: &Route,
+    service: &ServiceName,
+) -> StreamContinuation {
+    let metadata = &request.metadata;
+    let resumes = metadata.last_event_id.is_some() || metadata.resumed_stream.is_some();
+    if route.kind != RequestKind::Streaming || !resumes {
+        return StreamContinuation::Anywhere;
+    }
+    let continuation = find_origin(node, &stream_of(request), service).await;
+    log_continuation(request, &continuation);
+    node.metrics.on_stream_taken_up(outcome_name(&continuation));
+    continuation
+}
+
+async fn find_origin(node: &Node, stream: &StreamId, service: &ServiceName) -> StreamContinuation {
+    let now_us = node.now_us();
+    if let Some(origin) = node.stream_origins.origins.borrow().find(stream, now_us) {
+        return StreamContinuation::AtOrigin(origin.clone());
+    }
+    let has_several = node.fleet.borrow_mut().has_several_versions(service, now_us);
+    // A node that has started recently has not seen all versions that a stream may have begun at.
+    if !has_several && now_us >= MAX_STREAM_AGE_US {
+        return at_only_version(node, service);
+    }
+    let replies = query_keepers(node, stream, service).await;
+    if let Some(origin) = replies.origin {
+        return StreamContinuation::AtOrigin(origin);
+    }
+    match has_several || replies.has_several_versions {
+        true => StreamContinuation::Unknown,
+        false => at_only_version(node, service),
+    }
+}
+
+/// The version is fixed here, since another one may join before the request is sent.
+fn at_only_version(node: &Node, service: &ServiceName) -> StreamContinuation {
+    let fleet = node.fleet.borrow();
+    let mut versions = fleet.versions().runners_by_version().filter(|it| it.0 == service);
+    versions.next().map_or(StreamContinuation::Anywhere, |(service, version, _)| {
+        let (service, version) = (service.clone(), version.clone());
+        StreamContinuation::AtOnlyVersion(StreamOrigin { service, version })
+    })
+}
+
+/// What the keepers have replied, taken together.
+#[derive(Default)]
+struct KeeperReplies {
+    origin: Option<StreamOrigin>,
+    has_several_versions: bool,
+}
+
+/// Queries the stream's keepers in all regions, and waits until one of them knows the stream or all have replied.
+async fn query_keepers(node: &Node, stream: &StreamId, service: &ServiceName) -> KeeperReplies {
+    let mut replies = KeeperReplies::default();
+    let keepers = keepers_in_all_regions(node, stream);
+    let longest = keepers.iter().map(|(round_trip, _)| *round_trip).max();
+    let Some(longest) = longest else { return replies };
+    let deadline = Instant::now() + longest + REPLY_TIMEOUT_MARGIN;
+    let (pending, mut receiver) = PendingQuery::register(node);
+    let (stream, service) = (stream.clone(), service.clone());
+    let query = StreamOriginQuery { ticket: pending.ticket, stream, service };
+    let addresses: Vec<SocketAddr> = keepers.iter().map(|(_, address)| *address).collect();
+    node.scheduling.socket.send(&PeerMessage::StreamOriginQuery(query), &addresses);
+    for _ in &addresses {
+        let Ok(Some(reply)) = timeout_at(deadline, receiver.recv()).await else { break };
+        replies.has_several_versions |= reply.has_several_versions;
+        if reply.origin.is_some() {
+            return KeeperReplies { origin: reply.origin, ..replies };
+        }
+    }
+    replies
+}
+
+/// The other nodes that may know a stream, with their round-trip times.
+fn keepers_in_all_regions(node: &Node, stream: &StreamId) -> Vec<(Duration, SocketAddr)> {
+    let members = node.members.borrow();
+    let regions = members.regions();
+    let keepers =
+        regions.iter().flat_map(|region| members.stream_keepers(stream, region, KEEPERS_QUERIED));
+    keepers.map(|(zone, address)| (node.round_trip(zone), address)).collect()
+}
+
+/// A query that waits for replies. It is forgotten when this is dropped.
+struct PendingQuery<'a> {
+    records: &'a StreamOriginRecords,
+    ticket: Ticket,
+}
+
+impl<'a> PendingQuery<'a> {
+    fn register(node: &'a Node) -> (Self, mpsc::UnboundedReceiver<StreamOriginReply>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let (records, ticket) = (&node.stream_origins, node.scheduling.next_ticket());
+        records.pending_queries.borrow_mut().insert(ticket, sender);
+        (Self { records, ticket }, receiver)
+    }
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.records.pending_queries.borrow_mut().remove(&self.ticket);
+    }
+}
+
+fn outcome_name(continuation: &StreamContinuation) -> &'static str {
+    match continuation {
+        StreamContinuation::Anywhere | StreamContinuation::AtOnlyVersion(_) => "one_version",
+        StreamContinuation::AtOrigin(_) => "version_known",
+        StreamContinuation::Unknown => "version_unknown",
+    }
+}
+
+fn log_continuation(request: &ClientRequest, continuation: &StreamContinuation) {
+    let metadata = &request.metadata;
+    let after = metadata.last_event_id.unwrap_or_default();
+    let resumes = metadata.resumed_stream.as_deref().unwrap_or_default();
+    let outcome = outcome_name(continuation);
+    let version = match continuation {
+        StreamContinuation::AtOrigin(origin) | StreamContinuation::AtOnlyVersion(origin) => {
+            origin.version.as_str()
+        }
+        StreamContinuation::Anywhere | StreamContinuation::Unknown => "",
+    };
+    log::info!(target: "stream", request = metadata.id.as_str(), resumes, after, outcome, version; "stream taken up by its client");
+}
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -31,6 +31,8 @@
     Refused,
     /// An attempt failed, and the request must not be retried.
     Failed,
+    /// No runner of the software version that began the stream serves any more.
+    StreamVersionGone,
     /// Runners have crashed under the request, so it is sent to no other.
     Quarantined,
     /// The tenant has reached its quota.
@@ -51,6 +53,7 @@
             Self::LimitUsedUp { .. } => "limit_used_up",
             Self::Refused => "refused",
             Self::Failed => "failed",
+            Self::StreamVersionGone => "stream_version_gone",
             Self::Quarantined => "quarantined",
             Self::OverQuota { .. } => "over_quota",
             Self::QuotaUnknown => "quota_unknown",
@@ -70,6 +73,8 @@
     },
     /// Not run; the client must not retry.
     RefusePermanently,
+    /// Not run, since no runner can continue the stream; the client must not retry.
+    StreamVersionGone,
     /// Not run, since the tenant has reached its quota.
     OverQuota {
         /// Time until the quota has room for the request, in milliseconds.
@@ -88,6 +93,7 @@
 pub fn final_response(execution: Execution, reason: EndReason) -> FinalResponse {
     match (execution, reason) {
         (Execution::NotRun, EndReason::Quarantined) => FinalResponse::RefusePermanently,
+        (Execution::NotRun, EndReason::StreamVersionGone) => FinalResponse::StreamVersionGone,
         (Execution::NotRun, EndReason::OverQuota { wait_ms }) => {
             FinalResponse::OverQuota { wait_ms }
         }
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -126,6 +126,11 @@
     pub fn is_repeatable(&self) -> bool {
         self.kind == RequestKind::Idempotent || self.resumable
     }
+
+    /// Whether requests may go to a service.
+    pub fn sends_to(&self, service: &ServiceName) -> bool {
+        self.shares.iter().any(|share| share.service == *service && share.weight > 0)
+    }
 }
 
 /// A service's share of a route.
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -7,11 +7,13 @@
 
 mod estimates;
 mod last_entries;
+mod version_history;
 
 use last_entries::LastEntries;
+pub use version_history::{VersionHistory, MAX_STREAM_AGE_US};
 
 use crate::distance::Distances;
-use crate::ids::{NodeId, RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
+use crate::ids::{NodeId, RegionId, RunnerId, RunnerName, ServiceName, SoftwareVersion, ZoneId};
 use crate::prefix::rendezvous_weight;
 use crate::runner::{Lapsed, Runner, RunnerRecord, Stage};
 use crate::runner_notice::DepartedAvailability;
@@ -110,6 +112,8 @@
     pub excluded: &'a [RunnerId],
     /// Zones that the operators' policy allows; `None` allows all.
     pub zones: Option<&'a BTreeSet<ZoneId>>,
+    /// The software version that has to run the request, as it continues a stream of that version; `None` allows all.
+    pub version: Option<&'a SoftwareVersion>,
     /// The part of the fleet that is considered.
     pub scope: Scope<'a>,
 }
@@ -118,14 +122,23 @@
     /// All runners of a service, for a request that any node may send.
     pub fn all_of(service: &'a ServiceName) -> Self {
         let sender = Sender::AnotherNode;
-        Self { sender, service, excluded: &[], zones: None, scope: Scope::AllRegions }
+        Self {
+            sender,
+            service,
+            excluded: &[],
+            zones: None,
+            version: None,
+            scope: Scope::AllRegions,
+        }
     }
 
-    fn admits(&self, runner: &Runner) -> bool {
+    /// Whether the request may go to the runner, irrespective of its load and health.
+    pub fn admits(&self, runner: &Runner) -> bool {
         let record = &runner.record;
         let zone_is_allowed = self.zones.is_none_or(|zones| zones.contains(&record.zone));
         record.service == *self.service
             && zone_is_allowed
+            && self.version.is_none_or(|version| record.version == *version)
             && !self.excluded.contains(&record.id)
             && self.scope.contains(runner)
     }
@@ -154,6 +167,8 @@
     departed: DepartedAvailability,
     /// The last entries of incarnations that have ended.
     last_entries: LastEntries,
+    /// The software versions of each service.
+    versions: VersionHistory,
 }
 
 impl Fleet {
@@ -263,6 +278,10 @@
         } else {
             FleetChange::Unchanged
         };
+        if record.version != known.record.version {
+            self.versions.on_left(&known.record);
+            self.versions.on_joined(&record);
+        }
         known.record = record;
         known.region = region;
         known.is_misdirected = false;
@@ -273,6 +292,7 @@
     fn insert(&mut self, record: RunnerRecord, region: RegionId) {
         let incarnation = record.id.clone();
         let availability = self.departed.take(&incarnation);
+        self.versions.on_joined(&record);
         self.incarnations.insert(incarnation.name(), incarnation.clone());
         self.runners.insert(incarnation, Runner::new(record, region, availability));
     }
@@ -311,6 +331,24 @@
         self.last_entries = LastEntries::default();
     }
 
+    /// The software versions of each service.
+    pub fn versions(&self) -> &VersionHistory {
+        &self.versions
+    }
+
+    /// Whether runners of several software versions have served a service recently.
+    pub fn has_several_versions(&mut self, service: &ServiceName, now_us: u64) -> bool {
+        self.versions.has_several(service, now_us)
+    }
+
+    /// Whether any runner of a software version takes work.
+    pub fn serves_version(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let is_of_version = |runner: &Runner| {
+            runner.record.service == *service && runner.record.version == *version
+        };
+        self.runners.values().any(|runner| is_of_version(runner) && runner.accepts_work())
+    }
+
     /// The current incarnation of a runner according to its entries.
     pub fn incarnation_of(&self, name: &RunnerName) -> Option<&RunnerId> {
         self.incarnations.get(name)
@@ -319,6 +357,7 @@
     fn forget(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.remove(id) {
             self.departed.remember(id, runner.availability);
+            self.versions.on_left(&runner.record);
             self.last_entries.remember(runner.record);
         }
         self.incarnations.remove(&id.name());
--- a/crates/serving/src/ids.rs
+++ b/crates/serving/src/ids.rs
@@ -2,6 +2,7 @@
 //! expected.
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use std::fmt;
 
 macro_rules! text_identifier {
@@ -79,6 +80,23 @@
     SoftwareVersion
 );
 
+text_identifier!(
+    /// A stream, named by the id of the client's try that brought its first event.
+    StreamId
+);
+
+impl StreamId {
+    /// The stream that begins with a client's try. A long id is replaced by its digest, so that the length is bounded.
+    pub fn of_request(id: &str) -> Self {
+        const MAX_BYTES: usize = 64;
+        if id.len() <= MAX_BYTES {
+            return Self::new(id);
+        }
+        let digest = Sha256::digest(id);
+        Self::new(digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>())
+    }
+}
+
 /// Separates a runner's name from the time of its start.
 const INCARNATION_SEPARATOR: char = '@';
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -41,6 +41,7 @@
 //! | [`retry_pool`] | tokens that nodes with small retry budgets share |
 //! | [`attempt`] | what an attempt proves, and the final response that follows |
 //! | [`event_stream`] | the events of a stream that may be forwarded, and where it can continue |
+//! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
 //! | [`quarantine`] | requests that crash runners repeatedly and are no longer sent to any |
 //! | [`authority`] | the lease under which one node at a time may issue orders |
@@ -97,6 +98,7 @@
 pub mod scheduling;
 pub mod store_replica;
 pub mod store_revision;
+pub mod stream_origin;
 pub mod suspicion;
 pub mod tenancy;
 pub mod topology;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -7,11 +7,12 @@
 //! disagree for a while only cost additional calls, since every node answers queries from its
 //! replica.
 
-use crate::ids::{NodeId, RegionId, ZoneId};
+use crate::ids::{NodeId, RegionId, StreamId, ZoneId};
 use crate::prefix::rendezvous_weight;
 use crate::scheduling::Shard;
 use crate::topology::Topology;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -289,9 +290,8 @@
     /// The candidates for the scheduler of a shard, the highest rank first.
     pub fn schedulers_by_rank(&self, shard: &Shard) -> Vec<(&NodeId, SocketAddr)> {
         let mut candidates: Vec<_> = self.scheduler_candidates(shard).collect();
-        candidates.sort_by_cached_key(|(name, member)| {
-            std::cmp::Reverse((member.millicpus, shard.weight(name)))
-        });
+        candidates
+            .sort_by_cached_key(|(name, member)| Reverse((member.millicpus, shard.weight(name))));
         candidates.into_iter().map(|(name, member)| (name, member.address)).collect()
     }
 
@@ -308,6 +308,29 @@
         ranked.into_iter().map(|(_, _, name)| (name, self.members[name].address)).collect()
     }
 
+    /// The other nodes of a region that keep what is known of a stream, at most `count`, with their zones. Every node
+    /// that knows the same members finds the same ones. They are in different zones as far as possible.
+    pub fn stream_keepers(
+        &self,
+        stream: &StreamId,
+        region: &RegionId,
+        count: usize,
+    ) -> Vec<(&ZoneId, SocketAddr)> {
+        let of_region = self.members.iter().filter(|(_, it)| self.topology.is_in(&it.zone, region));
+        let mut ranked: Vec<_> = of_region
+            .map(|(name, member)| {
+                (Reverse(rendezvous_weight(stream.as_str(), name.as_str())), name, member)
+            })
+            .collect();
+        ranked.sort_by_key(|(weight, name, _)| (*weight, *name));
+        let mut zones = BTreeSet::new();
+        let (first, others): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(_, _, member)| zones.insert(&member.zone));
+        let keepers = first.into_iter().chain(others).take(count);
+        let others = keepers.filter(|(_, name, _)| **name != self.own);
+        others.map(|(_, _, member)| (&member.zone, member.address)).collect()
+    }
+
     /// Number of nodes in this node's zone, including this one.
     pub fn own_zone_count(&self) -> usize {
         let own_zone = &self.own().zone;
@@ -357,7 +380,7 @@
         let of_zone = self.members.iter().filter(|(_, member)| member.zone == *zone);
         let mut of_zone: Vec<(u32, &NodeId)> =
             of_zone.map(|(name, member)| (member.millicpus, name)).collect();
-        of_zone.sort_by_key(|(millicpus, _)| std::cmp::Reverse(*millicpus));
+        of_zone.sort_by_key(|(millicpus, _)| Reverse(*millicpus));
         // Only the nodes that are as strong as the last one to be returned need a weight.
         let last = of_zone.get(max_count.saturating_sub(1)).map(|(millicpus, _)| *millicpus);
         let strong = of_zone.into_iter().take_while(|(millicpus, _)| Some(*millicpus) >= last);
--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -163,7 +163,8 @@
     let others = all.filter(|shard| *shard != query.shard);
     let mean_wait_ms = |shard: &Shard| {
         let scope = Scope::Shard(shard);
-        let eligible = Eligible { scope, ..Eligible::all_of(&query.service) };
+        let version = query.version.as_ref();
+        let eligible = Eligible { scope, version, ..Eligible::all_of(&query.service) };
         mean_wait_ms(fleet, speed, &eligible, now_us)
     };
     let waits = others.filter_map(|shard| {
@@ -194,6 +195,10 @@
     if region != own {
         return Some(RemoteRegion { region: region.clone(), reason: CrossRegionReason::NoRunner });
     }
+    // The regions report their loads for all software versions together.
+    if demand.eligible.version.is_some() {
+        return None;
+    }
     let placed = LocalPlacement {
         service: demand.eligible.service,
         region: own,
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -12,7 +12,7 @@
 //! All of this only ranks runners. Two schedulers for a shard, or none, lead to worse choices but
 //! not to failures: a node that gets no reply in time chooses from its own information.
 
-use crate::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
+use crate::ids::{NodeId, RegionId, RunnerId, ServiceName, SoftwareVersion, ZoneId};
 use crate::placement::RunnerChoice;
 use crate::prefix::{rendezvous_weight, Prompt, PromptPart};
 use crate::runner::{AttemptDemand, Runner};
@@ -124,6 +124,9 @@
     /// Zones that the operators' policy allows; `None` allows all.
     #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
     pub zones: Option<Vec<ZoneId>>,
+    /// The software version that has to run the request; `None` allows all.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
 }
 
 impl PlacementQuery {
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -165,6 +165,7 @@
                 service: &self.service,
                 excluded: &self.excluded,
                 zones: self.zones.as_ref(),
+                version: None,
                 scope: Scope::AllRegions,
             },
             prompt: &self.prompt,
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -393,5 +393,6 @@
         zone: ZoneId::new("north"),
         excluded: Vec::new(),
         zones: None,
+        version: None,
     }
 }
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -192,6 +192,7 @@
             zone: zone.clone(),
             excluded: Vec::new(),
             zones: None,
+            version: None,
         };
         let mut placer = match self.strategy {
             Strategy::Schedulers { .. } => shard.number,
@@ -321,6 +322,7 @@
         zone: ZoneId::new("north"),
         excluded: Vec::new(),
         zones: None,
+        version: None,
     };
     let prompt = query.prompt();
     let demand = Demand {
