Roles: each software version of a service keeps a decode runner

A version with two runners or more of which none decodes gets one at once; prompts that wait do not take the last decode runner of a version. With one version nothing changes.

--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -170,19 +170,24 @@
         // order need not be awaited.
         let is_measured =
             stage == Stage::Prefill && missing_prefill_runners(view, &self.policy) > 0;
-        if now_us < self.paused_until_us && !is_measured {
+        let is_version_lacking = stage == Stage::Decode && view.version_without_decode().is_some();
+        if now_us < self.paused_until_us && !is_measured && !is_version_lacking {
             return Err(NoChangeReason::Paused);
         }
         // Without a decode runner no request is served, so there is no reason to wait. Prefill
         // runners that came back as decode runners are replaced at once, too.
-        let is_urgent = view.metrics().decode == 0 || (is_measured && has_lost_prefill);
+        let is_urgent =
+            view.metrics().decode == 0 || is_version_lacking || (is_measured && has_lost_prefill);
         let min_pressure_us = if is_urgent { 0 } else { self.policy.min_pressure_us };
         if now_us < since + min_pressure_us {
             return Err(NoChangeReason::PressureTooRecent);
         }
         let count = change_count(view, stage, &self.policy);
-        let least_loaded = view.least_loaded(stage).into_iter().take(count);
-        Ok(least_loaded.map(|runner| RoleChange { runner, stage }).collect())
+        let runners = view.least_loaded(stage, count);
+        if runners.is_empty() {
+            return Err(NoChangeReason::NoSpareDecode);
+        }
+        Ok(runners.into_iter().map(|runner| RoleChange { runner, stage }).collect())
     }
 
     /// Updates the largest share of prefill runners, and returns whether many of them have gone
@@ -206,6 +211,9 @@
     if decode == 0 && prefill > 0 {
         return Ok(Stage::Decode);
     }
+    if view.version_without_decode().is_some() && prefill > 1 {
+        return Ok(Stage::Decode);
+    }
     // Runners that left or crashed were part of the minimum share of decode runners.
     if decode < min_decode_runners(view, policy) && prefill > 1 {
         return Ok(Stage::Decode);
--- a/crates/serving/src/role_view.rs
+++ b/crates/serving/src/role_view.rs
@@ -3,9 +3,10 @@
 
 use crate::configuration::EngineSpec;
 use crate::fleet::{Eligible, Fleet, Scope};
-use crate::ids::{RegionId, RunnerId, ServiceName};
+use crate::ids::{RegionId, RunnerId, ServiceName, SoftwareVersion};
 use crate::prefill_speed::PrefillSpeed;
 use crate::runner::{Runner, Stage};
+use std::collections::BTreeMap;
 
 /// Service whose roles are planned, and its targets.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +61,8 @@
 pub(crate) struct RoleView<'a> {
     prefill: Vec<&'a Runner>,
     decode: Vec<&'a Runner>,
+    /// Versions of the runners that are changing to decode.
+    becoming_decode: Vec<&'a SoftwareVersion>,
     metrics: RoleMetrics,
     now_us: u64,
 }
@@ -76,6 +79,9 @@
             .into_iter()
             .partition(|runner| runner.record.stage == Some(Stage::Prefill));
         let becomes_prefill = |runner: &&Runner| runner.next_stage(now_us) == Some(Stage::Prefill);
+        let becomes_decode = |runner: &&Runner| runner.next_stage(now_us) == Some(Stage::Decode);
+        let becoming_decode = fleet.iter().filter(is_of_service).filter(becomes_decode);
+        let becoming_decode = becoming_decode.map(|runner| &runner.record.version).collect();
         let demanded: f64 = fleet
             .iter()
             .filter(is_of_service)
@@ -102,7 +108,7 @@
             occupancy: decoding / (f64::from(demand.engine.slots.max(1)) * decode_runners),
             memory: held / (demand.engine.kv_tokens.max(1) as f64 * decode_runners),
         };
-        Self { prefill, decode, metrics, now_us }
+        Self { prefill, decode, becoming_decode, metrics, now_us }
     }
 
     pub(crate) fn metrics(&self) -> RoleMetrics {
@@ -130,15 +136,60 @@
         self.metrics.prefill + self.metrics.becoming_prefill
     }
 
-    /// Runners of the other role, in order of increasing load.
-    pub(crate) fn least_loaded(&self, wanted: Stage) -> Vec<RunnerId> {
+    /// At most `count` runners of the other role that can take the wanted one, in order of increasing load. Each
+    /// software version keeps a decode runner, and one that has none gets it first.
+    pub(crate) fn least_loaded(&self, wanted: Stage, count: usize) -> Vec<RunnerId> {
         let others = if wanted == Stage::Prefill { &self.decode } else { &self.prefill };
-        let load = |runner: &&Runner| {
-            (runner.occupancy(self.now_us) * 1_000.0) as u64 + runner.prefill_tokens
+        let lacking = self.version_without_decode();
+        let rank = |runner: &&Runner| {
+            let is_lacking = Some(&runner.record.version) == lacking;
+            let load = (runner.occupancy(self.now_us) * 1_000.0) as u64 + runner.prefill_tokens;
+            (!is_lacking, load)
         };
         let mut others = others.clone();
-        others.sort_by_key(load);
-        others.iter().map(|runner| runner.record.id.clone()).collect()
+        others.sort_by_key(rank);
+        if wanted == Stage::Prefill {
+            self.keep_one_of_each_version(&mut others);
+        }
+        others.iter().take(count).map(|runner| runner.record.id.clone()).collect()
+    }
+
+    /// A version with two runners or more of which none decodes, while runners of several versions serve. The streams
+    /// that it began can be continued by no other version.
+    pub(crate) fn version_without_decode(&self) -> Option<&'a SoftwareVersion> {
+        let decodes = |version: &SoftwareVersion| {
+            let decode = self.decode.iter().map(|runner| &runner.record.version);
+            decode.chain(self.becoming_decode.iter().copied()).any(|other| other == version)
+        };
+        let versions = self.prefill_runners_by_version();
+        let lacking = versions.into_iter().find(|(version, count)| *count > 1 && !decodes(version));
+        // A version that serves alone is covered by the minimum of decode runners.
+        let is_alone = self.decode.is_empty() && self.becoming_decode.is_empty();
+        lacking.filter(|_| !is_alone).map(|(version, _)| version)
+    }
+
+    fn prefill_runners_by_version(&self) -> BTreeMap<&'a SoftwareVersion, usize> {
+        let mut counts = BTreeMap::new();
+        for runner in &self.prefill {
+            *counts.entry(&runner.record.version).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Removes the last decode runner of each version from a list of decode runners, unless all are of one version.
+    fn keep_one_of_each_version(&self, decode: &mut Vec<&Runner>) {
+        let mut remaining: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
+        for runner in &self.decode {
+            *remaining.entry(&runner.record.version).or_default() += 1;
+        }
+        if remaining.len() < 2 {
+            return;
+        }
+        decode.retain(|runner| {
+            let count = remaining.entry(&runner.record.version).or_default();
+            *count = count.saturating_sub(1);
+            *count > 0
+        });
     }
 }
 
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -6,7 +6,7 @@
 use pitchstall_serving::authority::{AuthorityTerm, FencingToken, LeaseTimes};
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::fleet::{Eligible, Fleet};
-use pitchstall_serving::ids::{RunnerId, ServiceName};
+use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion};
 use pitchstall_serving::prefill_speed::PrefillSpeed;
 use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
@@ -264,3 +264,44 @@
     fleet.on_role_change_ordered(&id, Stage::Prefill, 10 * SECOND_US);
     assert!(!fleet.get(&id).unwrap().is_changing_role(SECOND_US));
 }
+
+/// Runners of two versions: names begin with the version, then `p` for prefill and `d` for decode.
+fn fleet_of_versions(names: &[&str]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for name in names {
+        let (version, role) = name.split_at(2);
+        let stage = if role.starts_with('p') { Stage::Prefill } else { Stage::Decode };
+        let record = runner_record(RunnerId::new(name));
+        let version = SoftwareVersion::new(version);
+        fleet.put(RunnerRecord { version, stage: Some(stage), ..record });
+    }
+    fleet
+}
+
+#[test]
+fn waiting_prompts_do_not_take_the_last_decode_runner_of_a_version() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut busy = fleet_of_versions(&["v1p0", "v1d0", "v1d1", "v1d2", "v2d0"]);
+    load(&mut busy, "v1p0", 2, 60_000);
+    (0..3).for_each(|number| load(&mut busy, &format!("v1d{number}"), 1, 0));
+    assert_eq!(plan(&mut planner, &busy, SECOND_US), None);
+    let change = plan(&mut planner, &busy, 4 * SECOND_US).unwrap();
+    assert_eq!(change.stage, Stage::Prefill);
+    assert_ne!(change.runner, RunnerId::new("v2d0"));
+}
+
+#[test]
+fn a_version_without_a_decode_runner_gets_one_at_once() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let fleet = fleet_of_versions(&["v1p0", "v1p1", "v1d0", "v1d1", "v1d2", "v2p0", "v2p1"]);
+    let change = plan(&mut planner, &fleet, SECOND_US).unwrap();
+    assert_eq!(change.stage, Stage::Decode);
+    assert!(change.runner.as_str().starts_with("v2"), "{change:?}");
+}
+
+#[test]
+fn a_single_runner_of_a_version_keeps_its_role() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let fleet = fleet_of_versions(&["v1p0", "v1p1", "v1d0", "v1d1", "v1d2", "v2p0"]);
+    assert_eq!(plan(&mut planner, &fleet, 9 * SECOND_US), None);
+}
