A stream that is cut off may go on at its runner if no other has its version

A runner that has broken a stream off is not asked again within the response. Where it alone has the stream's version, the stream then ended though the runner lived. Bound by the route's attempts and the retry budget as before. The test is red on the code before. The runners that a request may go to are described in one place.

--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -29,6 +29,7 @@
 use crate::usage::StartRecorder;
 use pitchstall_serving::attempt::{final_response, EndReason, Execution};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
+use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefix::Prompt;
@@ -363,6 +364,7 @@
     /// not be sent to again.
     fn on_lost(&mut self, excluded: Option<RunnerId>) -> Step {
         self.execution = self.execution.max(Execution::Unknown);
+        let excluded = excluded.filter(|runner| !self.is_only_one_of_its_version(runner));
         self.excluded.extend(excluded);
         if self.time_remaining().is_zero() {
             return self.give_up(EndReason::OutOfTime);
@@ -373,6 +375,26 @@
         self.give_up(EndReason::Failed)
     }
 
+    /// Whether no other runner can continue the stream, so that this one may be tried again.
+    fn is_only_one_of_its_version(&self, runner: &RunnerId) -> bool {
+        let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
+        let eligible = Eligible { excluded: &others, ..self.eligible() };
+        self.version.is_some()
+            && !self.node.fleet.borrow().has_healthy(&eligible, self.node.now_us())
+    }
+
+    /// The runners that the request may go to.
+    fn eligible(&self) -> Eligible<'_> {
+        Eligible {
+            sender: Sender::ThisNode,
+            service: &self.service,
+            excluded: &self.excluded,
+            zones: self.rules.zones.as_ref(),
+            version: self.version.as_ref(),
+            scope: Scope::AllRegions,
+        }
+    }
+
     fn give_up(&mut self, reason: EndReason) -> Step {
         let id = self.request.metadata.id.as_str();
         let execution = format!("{:?}", self.execution);
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -8,7 +8,6 @@
 use crate::runner_limits::{self, SendPermit};
 use crate::scheduling::{self, Placement, PlacementDemand, ProgressReporter};
 use pitchstall_serving::configuration::EngineSpec;
-use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::ZoneId;
 use pitchstall_serving::placement::{choose_least_occupied, Demand, PrefillPlan, RunnerChoice};
 use pitchstall_serving::request::Work;
@@ -71,14 +70,7 @@
 impl Dispatch<'_> {
     fn demand(&self) -> Demand<'_> {
         Demand {
-            eligible: Eligible {
-                sender: Sender::ThisNode,
-                service: &self.service,
-                excluded: &self.excluded,
-                zones: self.rules.zones.as_ref(),
-                version: self.version.as_ref(),
-                scope: Scope::AllRegions,
-            },
+            eligible: self.eligible(),
             prompt: &self.prompt,
             zone: &self.node.zone,
             cache_tokens: self.engine.as_ref().map_or(0, |engine| engine.kv_tokens),
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -8,7 +8,7 @@
 use crate::node::Node;
 use crate::runner_probe::{probe, ProbeCause};
 use pitchstall_serving::attempt::{EndReason, Execution};
-use pitchstall_serving::fleet::{Eligible, Scope, Sender};
+use pitchstall_serving::fleet::Eligible;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::{Runner, RunnerRecord};
 use std::time::Duration;
@@ -90,14 +90,7 @@
     /// another run, and the retry budget for it, which is charged here.
     async fn may_seek_successor(&self, runner: &RunnerId) -> bool {
         let others: Vec<RunnerId> = self.excluded.iter().chain([runner]).cloned().collect();
-        let eligible = Eligible {
-            sender: Sender::ThisNode,
-            service: &self.service,
-            excluded: &others,
-            zones: self.rules.zones.as_ref(),
-            version: self.version.as_ref(),
-            scope: Scope::AllRegions,
-        };
+        let eligible = Eligible { excluded: &others, ..self.eligible() };
         let has_other = self.node.fleet.borrow().has_healthy(&eligible, self.node.now_us());
         if !has_other || !self.may_run_again() {
             return false;
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -201,6 +201,18 @@
     assert_eq!(broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_stream_that_is_cut_off_goes_on_at_its_runner_if_no_other_has_its_version() {
+    let old = runner("i-0-v1", "v1", Interruption::Cut);
+    let new = runner("i-0-v2", "v2", Interruption::Cut);
+    let node = start_node();
+    node.add_runner_of_version(&old, "v1");
+    node.add_runner_of_version(&new, "v2");
+    node.wait_until_ready();
+    let response = stream(&node, "id-1", "");
+    assert!(is_of_one_version(&response.text()), "{:?}", response.text());
+}
+
 #[test_case(false; "at the same node")]
 #[test_case(true; "at another node")]
 fn a_stream_that_its_client_takes_up_goes_on_at_the_version_that_began_it(is_other: bool) {
