A connection that owes the runner's state is not used for the request

Before a request that may have run is repeated, a new connection is verified by asking the runner for its state. A runner that took longer than 300 ms for it got the request on the same connection, which still owed that response: the late response was taken for a broken attempt, and the stream ended as failed after its runs. The connection is closed and another one opened.

--- a/crates/gateway/src/runner_connection.rs
+++ b/crates/gateway/src/runner_connection.rs
@@ -86,7 +86,12 @@
     if !is_verifiable || is_responding(&connection, record).await {
         return Ok(connection);
     }
-    Ok(open_responding_tunnel(node, record, zones).await.unwrap_or(connection))
+    // The runner still owes the response to the question on this connection, so it is not used for the request.
+    drop(connection);
+    match open_responding_tunnel(node, record, zones).await {
+        Some(tunnel) => Ok(tunnel),
+        None => open(node, record, zones).await,
+    }
 }
 
 /// Opens a connection through another node to a runner that does not respond over this node's link. `None` if it does not
--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -11,7 +11,7 @@
 use pitchstall_platform_standins::store::StoreMode;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
-use support::{Fixture, RawClient};
+use support::{configuration, Fixture, RawClient};
 use test_case::test_case;
 
 /// Exceeds the pause after which a node looks for another runner, which is 1,200 ms on the route of these tests.
@@ -173,6 +173,35 @@
     assert_eq!(resumed.header("last-event-id"), Some("0"));
 }
 
+#[test]
+fn a_stream_that_is_cut_off_goes_on_though_the_other_runner_reports_its_state_late() {
+    let cut = runner("i-cut", |request| {
+        let mut stream = EventStream::for_request(request, LAST_EVENT);
+        stream.pause = Duration::from_millis(500);
+        stream.cut_after_event = Some(0);
+        Reaction::Stream(stream)
+    });
+    let node = Fixture::start_with("retry_slack = 400.0\n");
+    node.store.put("op/config", &configuration(3));
+    node.add_runner(&cut, "llm", Some("decode"));
+    let other_node = node.start_peer("node-2");
+    node.wait_until_ready();
+    other_node.wait_until_ready();
+    // Nodes learn of each other by digests, one a second.
+    std::thread::sleep(Duration::from_millis(1_200));
+    let mut client = start_stream(&node, "");
+    let late = runner("i-late", |request| {
+        if request.path() == "/v1/report" {
+            std::thread::sleep(Duration::from_millis(400));
+            return Reaction::Respond { status: 200, body: b"{}".to_vec() };
+        }
+        engine_script(LAST_EVENT)(request)
+    });
+    node.add_runner(&late, "llm", Some("decode"));
+    let response = client.read_response();
+    assert_eq!((response.status, response.text()), (200, events(0..=LAST_EVENT)));
+}
+
 /// A number that depends on the request and on whether it resumes a stream.
 fn draw(request: &ReceivedRequest) -> u64 {
     let mut hasher = DefaultHasher::new();
