--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::peer_messages::PeerSocket;
 use crate::quota::metrics::QuotaMetrics;
+use pitchstall_serving::fleet::VersionHistory;
 use pitchstall_serving::scheduling::CrossRegionReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -50,6 +51,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the runners of a software version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct VersionLabels {
+    /// Name of the service.
+    pub service: String,
+    /// Version of the runners' software.
+    pub version: String,
+}
+
 /// Labels of a stalled run that was not replaced by one at another runner.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StalledRunLabels {
@@ -134,6 +144,8 @@
     pub links_lost: Gauge<f64, AtomicU64>,
     /// Runners to which no connection could recently be opened, neither by this node nor through another one.
     pub runners_unreachable: Gauge<f64, AtomicU64>,
+    /// Runners that have a registry entry, by service and software version.
+    pub runners: Family<VersionLabels, Gauge<f64, AtomicU64>>,
     /// Era of the store that this node uses.
     pub store_era: Gauge<f64, AtomicU64>,
     /// Calls to the platform for duties that one node performs on behalf of all.
@@ -182,6 +194,7 @@
             configuration_lag: Gauge::default(),
             links_lost: Gauge::default(),
             runners_unreachable: Gauge::default(),
+            runners: Family::default(),
             store_era: Gauge::default(),
             cloud_calls: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
@@ -313,6 +326,8 @@
         self.registry.register("links_lost", help, self.links_lost.clone());
         let help = "Runners that this node reaches neither itself nor through other nodes";
         self.registry.register("runners_unreachable", help, self.runners_unreachable.clone());
+        let help = "Runners that have a registry entry, by service and software version";
+        self.registry.register("runners", help, self.runners.clone());
         let help = "Era of the store that this node uses";
         self.registry.register("store_era", help, self.store_era.clone());
         let first_byte = self.first_byte.clone();
@@ -335,6 +350,16 @@
         self.streams_taken_up.get_or_create(&TakenUpLabels { outcome }).inc();
     }
 
+    /// Replaces the numbers of runners by service and software version.
+    pub fn set_runners(&self, versions: &VersionHistory) {
+        self.runners.clear();
+        for (service, version, runners) in versions.runners_by_version() {
+            let labels =
+                VersionLabels { service: service.to_string(), version: version.to_string() };
+            self.runners.get_or_create(&labels).set(runners as f64);
+        }
+    }
+
     /// Counts a stalled run that was kept after a successor had been sought.
     pub fn on_stalled_run_kept(&self, reason: &'static str) {
         self.stalled_runs_kept.get_or_create(&StalledRunLabels { reason }).inc();
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -110,6 +110,7 @@
 /// Tells the keepers of the recent streams of each service of which a second version has joined.
 pub fn on_fleet_changed(node: &Node) {
     let now_us = node.now_us();
+    node.metrics.set_runners(node.fleet.borrow().versions());
     let services: BTreeSet<ServiceName> =
         node.fleet.borrow().versions().runners_by_version().map(|it| it.0.clone()).collect();
     let mut fleet = node.fleet.borrow_mut();
