--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -224,7 +224,12 @@
     let sent_at_us = node.now_us();
     let connection = ConnectionUse { idle: prepared.idle, sent_at };
     let uses_own_link = prepared.connection.peer().is_none();
-    let attempt = InterruptedAttempt { request, tenant: params.tenant.as_ref(), runner: &runner };
+    let parts = match params.work {
+        Work::Prefill => &[],
+        Work::Run | Work::DecodeFrom(_) => request.suspect_parts(),
+    };
+    let tenant = params.tenant.as_ref();
+    let attempt = InterruptedAttempt { request, tenant, runner: &runner, parts };
     if !node.may_send_to(&runner) {
         node.metrics.unwanted_attempts.inc();
     }
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -181,7 +181,8 @@
 
     fn interrupted_attempt<'b>(&'b self, runner: &'b RunnerId) -> InterruptedAttempt<'b> {
         let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
-        InterruptedAttempt { request: self.request, tenant, runner }
+        let parts = self.request.suspect_parts();
+        InterruptedAttempt { request: self.request, tenant, runner, parts }
     }
 
     fn on_stream_interrupted(&mut self, run: Box<Run>, cause: &str) -> Step {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -13,7 +13,7 @@
 use pitchstall_serving::configuration::{Configuration, Route};
 use pitchstall_serving::ids::TenantName;
 use pitchstall_serving::request::RequestMetadata;
-use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
+use pitchstall_serving::request_identity::{self, RequestIdentity, RequestParts, Suspect};
 use pitchstall_serving::retry_budget::SharedRetryBudget;
 use pitchstall_serving::tenancy::{authorize, Access, Tenant};
 use std::cell::OnceCell;
@@ -39,6 +39,7 @@
     /// When the node began to read the head, after the first byte had arrived.
     pub received_at: Instant,
     identity: OnceCell<RequestIdentity>,
+    suspect_parts: OnceCell<Vec<Suspect>>,
     _reservation: Option<BodyReservation>,
 }
 
@@ -111,6 +112,7 @@
             metadata,
             received_at,
             identity: OnceCell::new(),
+            suspect_parts: OnceCell::new(),
             _reservation: reservation,
         })
     }
@@ -130,6 +132,15 @@
     }
 }
 
+impl ClientRequest {
+    /// The parts of the prompt that may crash runners. They are computed on first use.
+    pub fn suspect_parts(&self) -> &[Suspect] {
+        self.suspect_parts.get_or_init(|| {
+            self.metadata.prompt.as_ref().map_or_else(Vec::new, request_identity::suspect_parts)
+        })
+    }
+}
+
 fn header_pairs(headers: &[Header]) -> impl Iterator<Item = (&str, &[u8])> {
     headers.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
 }
--- a/crates/gateway/src/interrupted_attempt.rs
+++ b/crates/gateway/src/interrupted_attempt.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::runner_probe::{probe, ProbeCause};
 use pitchstall_serving::ids::{RunnerId, TenantName};
+use pitchstall_serving::request_identity::Suspect;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     pub tenant: Option<&'a TenantName>,
     /// The runner to which the request was sent.
     pub runner: &'a RunnerId,
+    /// The parts of the prompt that may have crashed the runner; empty if it has only prefilled the prompt.
+    pub parts: &'a [Suspect],
 }
 
 /// Handles a connection that broke after the head of the response: the runner has crashed, or has
@@ -53,7 +56,8 @@
 /// Records that a request was in progress at a runner that may have crashed.
 pub fn record_unfinished_attempt(node: &Rc<Node>, attempt: InterruptedAttempt<'_>) {
     let identity = attempt.request.identity(attempt.tenant);
-    node.on_attempt_interrupted(attempt.runner, attempt.request.metadata.id.as_str(), identity);
+    let request = attempt.request.metadata.id.as_str();
+    node.on_attempt_interrupted(attempt.runner, request, identity, attempt.parts);
 }
 
 /// How the connection was used by an attempt that was lost with it.
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -6,7 +6,7 @@
 use crate::peer_messages::PeerMessage;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::quarantine::{Crash, CrashChange, CrashMessage, CrashRecord};
-use pitchstall_serving::request_identity::RequestIdentity;
+use pitchstall_serving::request_identity::{RequestIdentity, Suspect};
 use rand::RngExt;
 
 /// Maximum number of requests that the log line on a crash names, which is about 1,100 bytes.
@@ -30,12 +30,16 @@
         runner: &RunnerId,
         request: &str,
         identity: RequestIdentity,
+        parts: &[Suspect],
     ) {
         let now_us = self.now_us();
         let has_ended =
             self.crash_evidence.borrow_mut().on_attempt_interrupted(runner, identity, now_us);
         let (runner_name, identity_text) = (runner.as_str(), identity.to_string());
-        log::info!(target: "crash", request, runner = runner_name, identity = identity_text, has_ended; "broken attempt");
+        let part_identities: Vec<String> =
+            parts.iter().map(|part| part.identity.to_string()).collect();
+        let parts = part_identities.join(" ");
+        log::info!(target: "crash", request, runner = runner_name, identity = identity_text, parts, has_ended; "broken attempt");
         if has_ended {
             self.record_crash(runner, &[identity]);
         }
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -110,8 +110,12 @@
             let (request, error) = (prefill.request.metadata.id.as_str(), error.to_string());
             log::info!(target: "reading", request, runner = runner.as_str(), error; "prefill response interrupted");
             let tenant = params.tenant.as_ref();
-            let interrupted =
-                InterruptedAttempt { request: prefill.request, tenant, runner: &runner };
+            let interrupted = InterruptedAttempt {
+                request: prefill.request,
+                tenant,
+                runner: &runner,
+                parts: &[],
+            };
             on_interrupted(node, interrupted);
             return PrefillOutcome::Failed;
         }
--- a/crates/serving/src/request_identity.rs
+++ b/crates/serving/src/request_identity.rs
@@ -7,6 +7,7 @@
 //! truncated to 128 bits, since a harmless request must never be mistaken for another one.
 
 use crate::ids::TenantName;
+use crate::prefix::{Prompt, PromptPart};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 use std::fmt;
@@ -15,6 +16,11 @@
 /// 10^20.
 const IDENTITY_BYTES: usize = 16;
 
+/// Distinguishes the digests of prompt parts from those of requests, which begin with the length of the method.
+const PROMPT_PART_DOMAIN: &[u8] = b"prompt part";
+/// Maximum number of parts of one prompt that are considered, from the first one on.
+pub const MAX_SUSPECT_PARTS: u8 = 8;
+
 /// The parts of a request that stay the same when it is repeated.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestParts<'a> {
@@ -57,6 +63,19 @@
             hash.update((field.len() as u64).to_le_bytes());
             hash.update(field);
         }
+        Self::truncated(hash)
+    }
+
+    /// The identity under which crashes are counted for a part of prompts, whatever request the part is in. `part` is the
+    /// id that clients state.
+    pub fn of_prompt_part(part: u64) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(PROMPT_PART_DOMAIN);
+        hash.update(part.to_le_bytes());
+        Self::truncated(hash)
+    }
+
+    fn truncated(hash: Sha256) -> Self {
         let digest = hash.finalize();
         let mut identity = [0; IDENTITY_BYTES];
         identity.copy_from_slice(&digest[..IDENTITY_BYTES]);
@@ -64,6 +83,33 @@
     }
 }
 
+/// What may be the cause of a crash: a whole request, or a part of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Suspect {
+    /// The identity under which crashes are counted.
+    pub identity: RequestIdentity,
+    /// Position of the part in the prompt, 0 first; `None` for a whole request.
+    pub depth: Option<u8>,
+}
+
+impl Suspect {
+    /// A whole request.
+    pub fn request(identity: RequestIdentity) -> Self {
+        Self { identity, depth: None }
+    }
+}
+
+/// The parts of a prompt that may be the cause of a crash. The last one is the request's own, and is covered by the
+/// request's identity. At most [`MAX_SUSPECT_PARTS`] are considered.
+pub fn suspect_parts(prompt: &Prompt) -> Vec<Suspect> {
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let suspect = |(part, depth): (&PromptPart, u8)| Suspect {
+        identity: RequestIdentity::of_prompt_part(part.id),
+        depth: Some(depth),
+    };
+    shared.iter().zip(0..MAX_SUSPECT_PARTS).map(suspect).collect()
+}
+
 impl fmt::Display for RequestIdentity {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
