--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -124,7 +124,7 @@
     /// the runner may have crashed before the real end, so it is probed.
     fn on_success(&self, runner: &RunnerId, is_framed: bool) {
         if is_framed {
-            self.node.on_request_succeeded(|| self.identity());
+            self.node.on_request_succeeded(|| self.identity(), self.request.suspect_parts());
         } else {
             record_and_probe(self.node, self.interrupted_attempt(runner));
         }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -39,6 +39,7 @@
 use pitchstall_serving::scheduling::Progress;
 use pitchstall_serving::tenancy::Tenant;
 use pitchstall_serving::urgency::rank;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -90,6 +91,8 @@
     /// The software version that began the stream, which alone may continue it; `None` if the client has received no
     /// event yet.
     version: Option<SoftwareVersion>,
+    /// The blamed part that this request tries, until its first run has been lost.
+    tried_part: Cell<Option<RequestIdentity>>,
 }
 
 enum Step {
@@ -158,6 +161,7 @@
                 route.resumable.then(|| OriginRecorder::new(node, request)),
             ),
             version: None,
+            tried_part: Cell::new(None),
         }
     }
 
@@ -284,7 +288,21 @@
     /// Whether the request is quarantined and must not be sent to a runner. Checked before each
     /// send.
     fn is_quarantined(&self) -> bool {
-        self.node.is_quarantined(|| self.identity())
+        self.node.is_quarantined(|| self.identity()) || self.has_blamed_part()
+    }
+
+    /// Whether a part of the prompt is blamed for crashes, unless this request tries whether it is harmless.
+    fn has_blamed_part(&self) -> bool {
+        let has_lost_run = self.execution != Execution::NotRun;
+        let Some(part) = self.node.blamed_part(self.request, has_lost_run) else { return false };
+        if self.tried_part.get() == Some(part) {
+            return false;
+        }
+        let is_trial = !has_lost_run && self.node.begin_part_trial(part);
+        if is_trial {
+            self.tried_part.set(Some(part));
+        }
+        !is_trial
     }
 
     fn identity(&self) -> RequestIdentity {
@@ -364,6 +382,7 @@
     /// not be sent to again.
     fn on_lost(&mut self, excluded: Option<RunnerId>) -> Step {
         self.execution = self.execution.max(Execution::Unknown);
+        self.tried_part.set(None);
         let excluded = excluded.filter(|runner| !self.is_only_one_of_its_version(runner));
         self.excluded.extend(excluded);
         if self.time_remaining().is_zero() {
@@ -402,8 +421,10 @@
         let runs = self.runs;
         log::info!(target: "request", request = id, reason = reason_name, execution, runs; "no further attempts");
         if reason == EndReason::Quarantined {
+            let part = self.node.blamed_part(self.request, true);
+            let part = part.map_or_else(String::new, |part| part.to_string());
             let identity = self.identity().to_string();
-            log::info!(target: "crash", request = id, identity; "request not sent: quarantined");
+            log::info!(target: "crash", request = id, identity, part; "request not sent: quarantined");
         }
         if self.stream.is_head_sent {
             self.node.metrics.on_stream_cut(reason.name());
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -34,6 +34,7 @@
                 true => node.on_crashes_restored(&crashes),
                 false => node.quarantine.borrow_mut().on_store_snapshot(&crashes),
             }
+            node.report_blame("store");
         }
         Subject::Crashes => update.entries.iter().for_each(|entry| apply_crash(node, entry)),
     }
@@ -112,11 +113,11 @@
 
 fn apply_crash(node: &Node, entry: &StoreEntry) {
     if let Some((crash, record)) = parse_crash(node, entry) {
-        let change = node.quarantine.borrow_mut().on_stored(&crash, record);
-        node.log_crash(&crash, change, "store");
+        node.quarantine.borrow_mut().on_stored(&crash, record);
     } else if let Some(crash) = store::parse_crash_key(&entry.key) {
         node.quarantine.borrow_mut().on_removed(&crash);
     }
+    node.report_blame("store");
 }
 
 /// The crash that an entry describes; `None` if the entry was removed or cannot be parsed.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -136,9 +136,7 @@
             let error: InvalidIdentity = error;
             text_response(StatusCode::BAD_REQUEST, &format!("{error}\n"))
         }
-        Ok(identity) if node.clear_quarantine(identity, "lifted by an operator") => {
-            text_response(StatusCode::OK, "lifted\n")
-        }
+        Ok(identity) if node.lift_quarantine(identity) => text_response(StatusCode::OK, "lifted\n"),
         Ok(_) => text_response(StatusCode::NOT_FOUND, "no runner has ended under it\n"),
     }
 }
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -3,17 +3,25 @@
 //! ([`pitchstall_serving::quarantine`]).
 
 use super::Node;
+use crate::intake::ClientRequest;
 use crate::peer_messages::PeerMessage;
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::quarantine::{Crash, CrashChange, CrashMessage, CrashRecord};
+use pitchstall_serving::quarantine::{BlameChange, Crash, CrashMessage, CrashRecord, SuspectPart};
 use pitchstall_serving::request_identity::{RequestIdentity, Suspect};
 use rand::RngExt;
 
 /// Maximum number of requests that the log line on a crash names, which is about 1,100 bytes.
 const MAX_LOGGED_IDENTITIES: usize = 32;
-/// Maximum number of requests in one message to other nodes: as many as one runner in the users'
+/// Maximum number of requests, or of parts, in one message to other nodes: as many as one runner in the users'
 /// deployments runs at a time. By calculation, such a message is about 2,300 bytes.
-const MAX_REQUESTS_PER_MESSAGE: usize = 64;
+const MAX_SUSPECTS_PER_MESSAGE: usize = 64;
+/// Time for which no other node reports that a part is proven, in microseconds.
+const PROVEN_REPORT_TTL_US: u64 = 60_000_000;
+/// Maximum number of requests with a blamed part that are sent to runners to find out whether it is harmless. The
+/// requirement allows three.
+const MAX_PART_TRIALS: u32 = 2;
+/// Time from the last crash under a part to its first trial, in milliseconds; twice that to the second one.
+const FIRST_TRIAL_PAUSE_MS: u64 = 1_000;
 
 /// Delay before a node rewrites the crashes that a restored store has lost, in milliseconds after
 /// it detects the restore. Store readers write first. The delays are spread over many times the
@@ -33,18 +41,29 @@
         parts: &[Suspect],
     ) {
         let now_us = self.now_us();
-        let has_ended =
-            self.crash_evidence.borrow_mut().on_attempt_interrupted(runner, identity, now_us);
+        let suspects: Vec<Suspect> =
+            std::iter::once(Suspect::request(identity)).chain(parts.iter().copied()).collect();
+        let has_ended = self.record_interruption(runner, &suspects, now_us);
         let (runner_name, identity_text) = (runner.as_str(), identity.to_string());
         let part_identities: Vec<String> =
             parts.iter().map(|part| part.identity.to_string()).collect();
         let parts = part_identities.join(" ");
         log::info!(target: "crash", request, runner = runner_name, identity = identity_text, parts, has_ended; "broken attempt");
         if has_ended {
-            self.record_crash(runner, &[identity]);
+            self.record_crash(runner, &suspects);
         }
     }
 
+    /// Whether the runner is already known to have terminated; otherwise the attempt is in doubt.
+    fn record_interruption(&self, runner: &RunnerId, suspects: &[Suspect], now_us: u64) -> bool {
+        let mut evidence = self.crash_evidence.borrow_mut();
+        let ended: Vec<bool> = suspects
+            .iter()
+            .map(|suspect| evidence.on_attempt_interrupted(runner, *suspect, now_us))
+            .collect();
+        ended.contains(&true)
+    }
+
     /// Records the termination of a runner. Any request that was open there may have caused it.
     pub(super) fn on_runner_terminated(&self, runner: &RunnerId) {
         let open_requests = self.crash_evidence.borrow_mut().on_terminated(runner, self.now_us());
@@ -62,27 +81,69 @@
         }
     }
 
-    /// Counts a runner's crash with open requests, and notifies the other nodes immediately: a
+    /// Counts a runner's crash with the suspects that were in progress there, and notifies the other nodes immediately: a
     /// client may send the same requests to any of them again a few milliseconds later.
-    fn record_crash(&self, runner: &RunnerId, open_requests: &[RequestIdentity]) {
-        let requests = open_requests.len();
-        self.metrics.requests_on_crashed_runners.inc_by(requests as u64);
-        let logged = open_requests.iter().take(MAX_LOGGED_IDENTITIES).map(ToString::to_string);
+    fn record_crash(&self, runner: &RunnerId, suspects: &[Suspect]) {
+        let is_request = |suspect: &&Suspect| suspect.depth.is_none();
+        let requests: Vec<RequestIdentity> =
+            suspects.iter().filter(is_request).map(|suspect| suspect.identity).collect();
+        let count = requests.len();
+        self.metrics.requests_on_crashed_runners.inc_by(count as u64);
+        let logged = requests.iter().take(MAX_LOGGED_IDENTITIES).map(ToString::to_string);
         let identities = logged.collect::<Vec<_>>().join(" ");
-        log::warn!(target: "crash", runner = runner.as_str(), requests, identities; "runner ended");
-        let now_us = self.now_us();
-        for request in open_requests {
-            let crash = Crash { request: *request, runner: runner.clone() };
-            let change = self.quarantine.borrow_mut().on_observed(&crash, self.wall_ms(), now_us);
-            self.log_crash(&crash, change, "seen");
+        log::warn!(target: "crash", runner = runner.as_str(), requests = count, identities; "runner ended");
+        let (at_ms, now_us) = (self.wall_ms(), self.now_us());
+        for suspect in suspects {
+            let crash = Crash { request: suspect.identity, runner: runner.clone() };
+            let was_proven = self.is_proven(suspect);
+            let mut quarantine = self.quarantine.borrow_mut();
+            quarantine.describe(*suspect, was_proven);
+            quarantine.on_observed(&crash, at_ms, now_us);
         }
+        self.report_blame("seen");
         self.quarantine_changed.notify_one();
-        for requests in open_requests.chunks(MAX_REQUESTS_PER_MESSAGE) {
+        let parts: Vec<SuspectPart> = suspects.iter().filter_map(suspect_part).collect();
+        for requests in requests.chunks(MAX_SUSPECTS_PER_MESSAGE) {
             let (runner, requests) = (runner.clone(), requests.to_vec());
-            self.broadcast_crash(CrashMessage::Crashed { runner, requests });
+            self.broadcast_crash(CrashMessage::Crashed { runner, requests, parts: Vec::new() });
+        }
+        for parts in parts.chunks(MAX_SUSPECTS_PER_MESSAGE) {
+            let (runner, parts) = (runner.clone(), parts.to_vec());
+            self.broadcast_crash(CrashMessage::Crashed { runner, requests: Vec::new(), parts });
+        }
+        self.report_proven(suspects);
+    }
+
+    /// Whether a suspect is a part on which a response has been completed.
+    pub fn is_proven(&self, suspect: &Suspect) -> bool {
+        suspect.depth.is_some() && self.proven_parts.borrow().contains(suspect.identity)
+    }
+
+    /// Reports to the other nodes which of the suspects are proven parts, unless a node has done so recently.
+    pub fn report_proven(&self, suspects: &[Suspect]) {
+        let now_us = self.now_us();
+        let mut reported = self.reported_proven_us.borrow_mut();
+        reported.retain(|_, reported_us| now_us < *reported_us + PROVEN_REPORT_TTL_US);
+        let proven = suspects.iter().filter(|suspect| self.is_proven(suspect));
+        let mut parts: Vec<RequestIdentity> = proven.map(|suspect| suspect.identity).collect();
+        parts.retain(|part| !reported.contains_key(part));
+        reported.extend(parts.iter().map(|part| (*part, now_us)));
+        for parts in parts.chunks(MAX_SUSPECTS_PER_MESSAGE) {
+            self.broadcast_crash(CrashMessage::Proven { parts: parts.to_vec() });
         }
     }
 
+    /// Handles another node's report that responses on these parts have been completed.
+    pub fn on_parts_proven(&self, parts: &[RequestIdentity]) {
+        let now_us = self.now_us();
+        for part in parts {
+            self.reported_proven_us.borrow_mut().insert(*part, now_us);
+            self.proven_parts.borrow_mut().on_success(*part);
+            self.quarantine.borrow_mut().on_proven(*part);
+        }
+        self.report_blame("told");
+    }
+
     /// Handles the complete list of crashes in a store that was restored from a backup. Each node
     /// schedules a rewrite of the crashes that the store has lost, after a random delay; the first
     /// one performs it and the others observe that it has.
@@ -93,6 +154,7 @@
         };
         let due_us = self.now_us() + delay_ms * MICROS_PER_MILLI;
         self.quarantine.borrow_mut().on_store_restored(stored, due_us);
+        self.report_blame("store");
         self.quarantine_changed.notify_one();
     }
 
@@ -101,12 +163,18 @@
         self.scheduling.socket.send(&PeerMessage::CrashMessage(message), &others);
     }
 
-    /// Logs and counts a crash that moved its request into quarantine; other changes are ignored.
-    pub fn log_crash(&self, crash: &Crash, change: CrashChange, source: &str) {
-        if change == CrashChange::Quarantined {
-            self.metrics.quarantines.inc();
-            let (identity, runner) = (crash.request.to_string(), crash.runner.as_str());
-            log::warn!(target: "crash", identity, runner, source; "quarantined");
+    /// Logs and counts the suspects whose quarantine has begun or ended.
+    pub fn report_blame(&self, source: &str) {
+        let changes = self.quarantine.borrow_mut().take_blame_changes();
+        for BlameChange { identity, is_blamed, depth, crashes } in changes {
+            let identity = identity.to_string();
+            let part_position = depth.map_or_else(String::new, |depth| depth.to_string());
+            if is_blamed {
+                self.metrics.quarantines.inc();
+                log::warn!(target: "crash", identity, part_position, crashes, source; "quarantined");
+            } else {
+                log::info!(target: "crash", identity, part_position, crashes, source; "quarantine ended");
+            }
         }
     }
 
@@ -122,14 +190,74 @@
         quarantine.is_quarantined(identity, evidence.runners_in_doubt(identity, self.now_us()))
     }
 
-    /// Records a complete and successful response: the request does not crash runners.
-    pub fn on_request_succeeded(&self, identity: impl FnOnce() -> RequestIdentity) {
+    /// The first of a request's prompt parts that is to blame for crashes; `None` if none is. `has_lost_run`: a runner
+    /// may have crashed under the request just now. Its state counts as crashed until it is known.
+    pub fn blamed_part(
+        &self,
+        request: &ClientRequest,
+        has_lost_run: bool,
+    ) -> Option<RequestIdentity> {
+        let quarantine = self.quarantine.borrow();
+        let evidence = self.crash_evidence.borrow();
+        if quarantine.is_empty() {
+            return None;
+        }
+        let parts = request.suspect_parts();
+        let is_in_doubt = |part: &&Suspect| {
+            let runners = evidence.runners_in_doubt(part.identity, self.now_us());
+            quarantine.is_quarantined(part.identity, runners)
+        };
+        let in_doubt = || parts.iter().find(is_in_doubt).map(|part| part.identity);
+        quarantine.blamed_part(parts).or_else(|| has_lost_run.then(in_doubt).flatten())
+    }
+
+    /// Whether one request with a blamed part may be sent to a runner. Only a part that may be harmless is tried, by one
+    /// node, a few times.
+    pub fn begin_part_trial(&self, part: RequestIdentity) -> bool {
+        let quarantine = self.quarantine.borrow();
+        let is_own_duty = self.members.borrow().is_own_duty(&part.to_string());
+        if !is_own_duty || !quarantine.is_blame_uncertain(part) {
+            return false;
+        }
+        let last_crash_ms = quarantine.last_crash_ms(part).unwrap_or_default();
+        let mut trials = self.part_trials.borrow_mut();
+        trials.retain(|part, _| quarantine.blamed_part(&[Suspect::request(*part)]).is_some());
+        let trials_before = trials.get(&part).copied().unwrap_or_default();
+        let pause_ms = FIRST_TRIAL_PAUSE_MS << trials_before;
+        if trials_before >= MAX_PART_TRIALS || self.wall_ms() < last_crash_ms + pause_ms {
+            return false;
+        }
+        trials.insert(part, trials_before + 1);
+        log::info!(target: "crash", identity = part.to_string(), trial = trials_before + 1; "blamed part tried");
+        true
+    }
+
+    /// Records a complete and successful response: neither the request nor the parts of its prompt crash runners.
+    pub fn on_request_succeeded(
+        &self,
+        identity: impl FnOnce() -> RequestIdentity,
+        parts: &[Suspect],
+    ) {
+        let mut proven_parts = self.proven_parts.borrow_mut();
+        parts.iter().for_each(|part| proven_parts.on_success(part.identity));
+        drop(proven_parts);
         if self.crash_evidence.borrow().is_empty() && self.quarantine.borrow().is_empty() {
             return;
         }
-        let identity = identity();
-        self.crash_evidence.borrow_mut().on_response_completed(identity);
-        self.clear_quarantine(identity, "answered");
+        for suspect in std::iter::once(identity()).chain(parts.iter().map(|part| part.identity)) {
+            self.crash_evidence.borrow_mut().on_response_completed(suspect);
+            self.clear_quarantine(suspect, "answered");
+        }
+    }
+
+    /// Ends a quarantine on behalf of an operator. The suspects that were beside it at its crashes are cleared as well: they
+    /// would take the blame otherwise. Returns whether there were any.
+    pub fn lift_quarantine(&self, identity: RequestIdentity) -> bool {
+        let suspects = self.quarantine.borrow().suspects_beside(identity);
+        for suspect in &suspects {
+            self.clear_quarantine(*suspect, "lifted by an operator");
+        }
+        !suspects.is_empty()
     }
 
     /// Removes the crashes recorded for a request, at this node and at all others. Returns whether
@@ -138,9 +266,14 @@
         let is_known = self.quarantine.borrow_mut().clear(identity);
         if is_known {
             log::info!(target: "crash", identity = identity.to_string(), reason; "cleared");
+            self.report_blame(reason);
             self.quarantine_changed.notify_one();
             self.broadcast_crash(CrashMessage::Cleared { request: identity });
         }
         is_known
     }
 }
+
+fn suspect_part(suspect: &Suspect) -> Option<SuspectPart> {
+    Some(SuspectPart { identity: suspect.identity, depth: suspect.depth? })
+}
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -43,7 +43,9 @@
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::prefill_speed::{PrefillSample, PrefillSpeed};
 use pitchstall_serving::prefix::PromptPart;
+use pitchstall_serving::proven_parts::ProvenParts;
 use pitchstall_serving::quarantine::Quarantine;
+use pitchstall_serving::request_identity::RequestIdentity;
 use pitchstall_serving::retry_budget::SharedRetryBudget;
 use pitchstall_serving::routing::TrafficSplitter;
 use pitchstall_serving::runner::{Runner, Stage};
@@ -121,6 +123,12 @@
     pub crash_evidence: RefCell<CrashEvidence>,
     /// Requests that were open when a runner crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Prompt parts on which runners have completed responses.
+    pub proven_parts: RefCell<ProvenParts>,
+    /// When a node last reported that a part is proven, in microseconds.
+    reported_proven_us: RefCell<HashMap<RequestIdentity, u64>>,
+    /// Number of trials of each blamed part.
+    part_trials: RefCell<HashMap<RequestIdentity, u32>>,
     /// Notified when there are crashes to write to the store or to remove from it.
     pub quarantine_changed: Notify,
     /// Tenants' limits: pending charges, and the part of the quotas that this node keeps.
@@ -221,6 +229,9 @@
             usage: RefCell::default(),
             crash_evidence: RefCell::default(),
             quarantine: RefCell::default(),
+            proven_parts: RefCell::default(),
+            reported_proven_us: RefCell::default(),
+            part_trials: RefCell::default(),
             quarantine_changed: Notify::new(),
             quotas: Quotas::default(),
             runner_limits: RunnerLimits::default(),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,7 +10,10 @@
 use crate::platform_client::PlatformClient;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, StoreStatus};
-use pitchstall_serving::quarantine::{Crash, CrashMessage};
+use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::quarantine::{Crash, CrashMessage, SuspectPart};
+use pitchstall_serving::request_identity::Suspect;
+use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -22,28 +25,53 @@
 /// Delay before the entries of cleared requests are removed, so that one call removes many of them.
 /// The delay does not affect these requests.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_000);
+/// Maximum delay before a node reports proven parts after another node has reported a crash under them.
+const MAX_PROVEN_REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Time between two checks for expired crashes, which are kept for a day.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Handles another node's message about crashed runners or a cleared request.
-pub fn on_message(node: &Node, message: CrashMessage) {
-    let now_us = node.now_us();
+pub fn on_message(node: &Rc<Node>, message: CrashMessage) {
     match message {
-        CrashMessage::Crashed { runner, requests } => {
-            for request in requests {
-                let crash = Crash { request, runner: runner.clone() };
-                let change =
-                    node.quarantine.borrow_mut().on_reported(&crash, node.wall_ms(), now_us);
-                node.log_crash(&crash, change, "told");
-            }
-            node.quarantine_changed.notify_one();
+        CrashMessage::Crashed { runner, requests, parts } => {
+            let of_part =
+                |part: SuspectPart| Suspect { identity: part.identity, depth: Some(part.depth) };
+            let requests = requests.into_iter().map(Suspect::request);
+            let suspects: Vec<Suspect> = requests.chain(parts.into_iter().map(of_part)).collect();
+            on_crash_reported(node, &runner, &suspects);
         }
+        CrashMessage::Proven { parts } => node.on_parts_proven(&parts),
         CrashMessage::Cleared { request } => {
             node.quarantine.borrow_mut().on_cleared_by_peer(request);
+            node.report_blame("told");
         }
     }
 }
 
+fn on_crash_reported(node: &Rc<Node>, runner: &RunnerId, suspects: &[Suspect]) {
+    let (at_ms, now_us) = (node.wall_ms(), node.now_us());
+    for suspect in suspects {
+        let crash = Crash { request: suspect.identity, runner: runner.clone() };
+        let was_proven = node.is_proven(suspect);
+        let mut quarantine = node.quarantine.borrow_mut();
+        quarantine.describe(*suspect, was_proven);
+        quarantine.on_reported(&crash, at_ms, now_us);
+    }
+    node.report_blame("told");
+    node.quarantine_changed.notify_one();
+    let proven: Vec<Suspect> = suspects.iter().filter(|it| node.is_proven(it)).copied().collect();
+    if proven.is_empty() {
+        return;
+    }
+    // Many nodes know the same parts. The first one that reports them spares the others.
+    let delay = rand::rng().random_range(Duration::ZERO..MAX_PROVEN_REPORT_DELAY);
+    let node = node.clone();
+    ntex::rt::spawn(async move {
+        sleep(delay).await;
+        node.report_proven(&proven);
+    });
+}
+
 /// Writes pending crashes to the store and removes cleared and expired ones, until the task is
 /// dropped.
 pub async fn persist_crashes(node: Rc<Node>) {
--- /dev/null
+++ b/crates/serving/src/blame.rs
@@ -0,0 +1,115 @@
+//! Determines which requests and prompt parts are to blame for the crashes that are known.
+//!
+//! At each crash dozens of requests are in progress, each with several parts in its prompt, and most of them share their
+//! first parts. All of them are suspects. A suspect is blamed if enough runners have crashed under it and none of those crashes
+//! is explained by a suspect that has more of them. So a part that crashes runners takes the blame from the parts and the
+//! requests that were merely beside it, also for crashes before it was known.
+
+use crate::ids::RunnerId;
+use crate::request_identity::RequestIdentity;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Number of crashes after which a suspect is blamed. The requirement allows three crashes, and three more repetitions
+/// after the third one is known.
+pub const CRASHES_TO_BLAME: usize = 3;
+/// The same for a part that a runner has completed a response on before the first of its crashes. Such parts are shared by
+/// many requests, so that several crashes in a row may meet them by chance.
+pub const CRASHES_TO_BLAME_PROVEN_PART: usize = 5;
+
+/// What is known of a suspect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SuspectFacts {
+    /// Position of the part in its prompts; `None` for a whole request, or if it is not known.
+    pub depth: Option<u8>,
+    /// Whether a runner has completed a response on the part before its first crash.
+    pub was_proven: bool,
+}
+
+impl SuspectFacts {
+    /// Number of crashes after which the suspect is blamed.
+    pub fn crashes_to_blame(self) -> usize {
+        match self.was_proven {
+            true => CRASHES_TO_BLAME_PROVEN_PART,
+            false => CRASHES_TO_BLAME,
+        }
+    }
+
+    /// Among suspects with the same crashes, a whole request ranks before parts and a later part before an earlier one:
+    /// it is in fewer other requests.
+    fn specificity(self) -> u16 {
+        self.depth.map_or(u16::MAX, u16::from)
+    }
+}
+
+/// A suspect with the runners that have crashed under it.
+#[derive(Clone, Debug)]
+pub struct SuspectCrashes<'a> {
+    /// The request or the part.
+    pub identity: RequestIdentity,
+    /// What is known of it.
+    pub facts: SuspectFacts,
+    /// The runners that have crashed under it.
+    pub runners: BTreeSet<&'a RunnerId>,
+}
+
+/// The suspects that are to blame, and the crashes that they explain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Blame {
+    /// `true` if another suspect explains the same crashes as well, or if the part was proven before.
+    blamed: BTreeMap<RequestIdentity, bool>,
+    explained: BTreeSet<RunnerId>,
+}
+
+impl Blame {
+    /// Blames the suspect with the most crashes first, then the one with the most crashes that are not explained yet.
+    /// Suspects that cannot be told apart are blamed together.
+    pub fn of<'a>(suspects: impl Iterator<Item = SuspectCrashes<'a>>) -> Self {
+        let mut blame = Self::default();
+        let mut open: Vec<SuspectCrashes<'a>> =
+            suspects.filter(|it| it.runners.len() >= CRASHES_TO_BLAME).collect();
+        loop {
+            open.retain_mut(|suspect| {
+                suspect.runners.retain(|runner| !blame.explained.contains(*runner));
+                suspect.runners.len() >= suspect.facts.crashes_to_blame()
+            });
+            let rank = |it: &SuspectCrashes<'a>| {
+                (it.runners.len(), !it.facts.was_proven, it.facts.specificity())
+            };
+            let Some(best) = open.iter().map(rank).max() else { return blame };
+            let (equals, others): (Vec<_>, Vec<_>) =
+                open.into_iter().partition(|it| rank(it) == best);
+            let is_shared = equals.len() > 1;
+            for suspect in equals {
+                let is_uncertain = is_shared || suspect.facts.was_proven;
+                blame.blamed.insert(suspect.identity, is_uncertain);
+                blame.explained.extend(suspect.runners.into_iter().cloned());
+            }
+            open = others;
+        }
+    }
+
+    /// Whether no suspect is blamed.
+    pub fn is_empty(&self) -> bool {
+        self.blamed.is_empty()
+    }
+
+    /// Whether a suspect is blamed.
+    pub fn is_blamed(&self, identity: RequestIdentity) -> bool {
+        self.blamed.contains_key(&identity)
+    }
+
+    /// Whether a suspect is blamed that may be harmless: another one explains the same crashes, or it was proven before.
+    pub fn is_uncertain(&self, identity: RequestIdentity) -> bool {
+        self.blamed.get(&identity) == Some(&true)
+    }
+
+    /// Whether a crash is explained by a suspect that is blamed.
+    pub fn explains(&self, runner: &RunnerId) -> bool {
+        self.explained.contains(runner)
+    }
+
+    /// The suspects that are blamed.
+    pub fn blamed(&self) -> impl Iterator<Item = RequestIdentity> + '_ {
+        self.blamed.keys().copied()
+    }
+}
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -15,7 +15,7 @@
 //! ([`crate::quarantine`]).
 
 use crate::ids::RunnerId;
-use crate::request_identity::RequestIdentity;
+use crate::request_identity::{RequestIdentity, Suspect};
 use std::collections::HashMap;
 
 /// How long a broken attempt stays in doubt, in microseconds. An entry leaves the registry after
@@ -40,19 +40,19 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct InterruptedAttempt {
-    request: RequestIdentity,
+    suspect: Suspect,
     interrupted_at_us: u64,
     /// Whether the runner has accepted a connection since the attempt broke.
     seems_alive: bool,
 }
 
 impl CrashEvidence {
-    /// Records an attempt that broke or got no response. Returns whether its runner is already
+    /// Records that an attempt on a suspect, the request or a part of its prompt, broke or got no response. Returns whether its runner is already
     /// known to have terminated; otherwise the attempt is in doubt.
     pub fn on_attempt_interrupted(
         &mut self,
         runner: &RunnerId,
-        request: RequestIdentity,
+        suspect: Suspect,
         now_us: u64,
     ) -> bool {
         self.remove_expired(now_us);
@@ -60,10 +60,10 @@
             return true;
         }
         let interrupted = self.in_doubt.entry(runner.clone()).or_default();
-        let is_known = interrupted.iter().any(|attempt| attempt.request == request);
+        let is_known = interrupted.iter().any(|attempt| attempt.suspect == suspect);
         if !is_known && interrupted.len() < MAX_IN_DOUBT_PER_RUNNER {
             interrupted.push(InterruptedAttempt {
-                request,
+                suspect,
                 interrupted_at_us: now_us,
                 seems_alive: false,
             });
@@ -71,22 +71,22 @@
         false
     }
 
-    /// Records that a runner has left as planned. Returns the requests that were in progress when
+    /// Records that a runner has left as planned. Returns the suspects that were in progress when
     /// it terminated. Attempts that broke while the runner still accepted connections broke for
     /// another reason and are left out.
-    pub fn on_planned_departure(&mut self, runner: &RunnerId, now_us: u64) -> Vec<RequestIdentity> {
+    pub fn on_planned_departure(&mut self, runner: &RunnerId, now_us: u64) -> Vec<Suspect> {
         if let Some(interrupted) = self.in_doubt.get_mut(runner) {
             interrupted.retain(|attempt| !attempt.seems_alive);
         }
         self.on_terminated(runner, now_us)
     }
 
-    /// Records that a runner has terminated. Returns the requests that were in progress there.
-    pub fn on_terminated(&mut self, runner: &RunnerId, now_us: u64) -> Vec<RequestIdentity> {
+    /// Records that a runner has terminated. Returns the suspects that were in progress there.
+    pub fn on_terminated(&mut self, runner: &RunnerId, now_us: u64) -> Vec<Suspect> {
         self.remove_expired(now_us);
         self.terminated.insert(runner.clone(), now_us);
         let interrupted = self.in_doubt.remove(runner).unwrap_or_default();
-        interrupted.into_iter().map(|attempt| attempt.request).collect()
+        interrupted.into_iter().map(|attempt| attempt.suspect).collect()
     }
 
     /// Records that a runner has accepted a connection: its broken attempts most likely broke for
@@ -103,10 +103,10 @@
         self.in_doubt.remove(runner);
     }
 
-    /// Records that a request got a complete response, which shows that it does not crash runners.
-    pub fn on_response_completed(&mut self, request: RequestIdentity) {
+    /// Records that a request got a complete response, which shows that the suspect does not crash runners.
+    pub fn on_response_completed(&mut self, suspect: RequestIdentity) {
         for interrupted in self.in_doubt.values_mut() {
-            interrupted.retain(|attempt| attempt.request != request);
+            interrupted.retain(|attempt| attempt.suspect.identity != suspect);
         }
     }
 
@@ -121,7 +121,7 @@
             !it.seems_alive && now_us < it.interrupted_at_us + PROBE_TIMEOUT_US
         };
         let was_interrupted = move |interrupted: &[InterruptedAttempt]| {
-            interrupted.iter().any(|it| it.request == request && is_recent(it))
+            interrupted.iter().any(|it| it.suspect.identity == request && is_recent(it))
         };
         self.in_doubt
             .iter()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -43,6 +43,7 @@
 //! | [`event_stream`] | the events of a stream that may be forwarded, and where it can continue |
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
+//! | [`blame`], [`proven_parts`] | which requests and prompt parts explain the crashes, and parts that are known to be harmless |
 //! | [`quarantine`] | requests that crash runners repeatedly and are no longer sent to any |
 //! | [`authority`] | the lease under which one node at a time may issue orders |
 //! | [`role_planner`] | when runners change their roles |
@@ -51,6 +52,7 @@
 
 pub mod attempt;
 pub mod authority;
+pub mod blame;
 pub mod capacity_planner;
 pub mod configuration;
 pub mod crash_evidence;
@@ -69,6 +71,7 @@
 pub mod prefill_speed;
 pub mod prefix;
 pub mod prefix_cache;
+pub mod proven_parts;
 pub mod quarantine;
 pub mod quota;
 pub mod quota_bucket;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -331,6 +331,13 @@
         others.map(|(_, _, member)| (&member.zone, member.address)).collect()
     }
 
+    /// Whether this node is the one that all nodes with the same members choose for a subject.
+    pub fn is_own_duty(&self, subject: &str) -> bool {
+        let chosen =
+            self.members.keys().max_by_key(|name| rendezvous_weight(subject, name.as_str()));
+        chosen == Some(&self.own)
+    }
+
     /// Number of nodes in this node's zone, including this one.
     pub fn own_zone_count(&self) -> usize {
         let own_zone = &self.own().zone;
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -1,6 +1,9 @@
-//! Tracks requests during which runners have crashed, and quarantines those that crash them
+//! Tracks requests and prompt parts under which runners have crashed, and quarantines those that crash them
 //! repeatedly.
 //!
+//! What is said of requests below applies to the parts of their prompts too. They are tracked side by side, each under its own
+//! identity, as *suspects*; [`crate::blame`] determines which of them explain the crashes.
+//!
 //! A request that crashes every runner that executes it is retried under new ids, at any node.
 //! Crashes are therefore counted by the identity of the request ([`crate::request_identity`]): one
 //! for each runner that crashed while the request was in progress there, however many nodes report
@@ -22,14 +25,14 @@
 //! If the store is restored from a backup, nothing is undone: lost crashes are written again, and
 //! crashes of cleared requests are ignored and removed again.
 
+use crate::blame::{Blame, SuspectCrashes, SuspectFacts, CRASHES_TO_BLAME};
 use crate::ids::RunnerId;
-use crate::request_identity::RequestIdentity;
+use crate::request_identity::{RequestIdentity, Suspect};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// Number of crashes after which a request is quarantined. The requirement allows three crashes,
-/// and three more repetitions after the third one is known.
-pub const CRASHES_TO_QUARANTINE: usize = 3;
+/// Number of crashes after which a request is quarantined.
+pub const CRASHES_TO_QUARANTINE: usize = CRASHES_TO_BLAME;
 /// Delay before the first crash of a request is written, in microseconds. A resumed stream or a
 /// repeated request mostly completes within it, and it is a third of the shortest time after which
 /// nodes must count as in contact. Other nodes are notified at once.
@@ -60,6 +63,9 @@
 pub struct CrashRecord {
     /// When the crash was observed, in milliseconds since 1970.
     pub at_ms: u64,
+    /// Position of the part in its prompts; `None` for a whole request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub depth: Option<u8>,
 }
 
 /// A message that a node sends to all others.
@@ -74,6 +80,16 @@
         /// The requests that were in progress.
         #[serde(rename = "q")]
         requests: Vec<RequestIdentity>,
+        /// The parts of their prompts.
+        #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<SuspectPart>,
+    },
+    /// Runners have completed responses on these parts before.
+    #[serde(rename = "proven")]
+    Proven {
+        /// Identities of the parts.
+        #[serde(rename = "p")]
+        parts: Vec<RequestIdentity>,
     },
     /// A request is cleared: a runner completed it, or an operator lifted its quarantine.
     #[serde(rename = "cleared")]
@@ -84,6 +100,17 @@
     },
 }
 
+/// A prompt part that was in progress at a crash, as it is reported to other nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectPart {
+    /// Identity of the part.
+    #[serde(rename = "i")]
+    pub identity: RequestIdentity,
+    /// Its position in the prompt.
+    #[serde(rename = "d")]
+    pub depth: u8,
+}
+
 /// Where a crash is known from, and whether it is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CrashState {
@@ -113,11 +140,26 @@
     Quarantined,
 }
 
+/// A suspect whose quarantine has begun or ended because the blame was determined anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlameChange {
+    /// The suspect.
+    pub identity: RequestIdentity,
+    /// Whether it is blamed now.
+    pub is_blamed: bool,
+    /// Position of the part in its prompts; `None` for a whole request.
+    pub depth: Option<u8>,
+    /// Number of runners that have crashed under it.
+    pub crashes: usize,
+}
+
 /// A request with crashes as it is shown to operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct SuspectRequest {
     /// Identity under which the crashes are counted.
     pub identity: RequestIdentity,
+    /// Position of the part in its prompts; `None` for a whole request.
+    pub part_position: Option<u8>,
     /// Whether the request is no longer sent to runners.
     pub quarantined: bool,
     /// Runners that crashed while it was in progress.
@@ -136,6 +178,11 @@
     evicted: BTreeSet<Crash>,
     /// Crashes of cleared requests, the latest last.
     cleared: VecDeque<ClearedCrash>,
+    /// What is known of the suspects that are parts.
+    facts: HashMap<RequestIdentity, SuspectFacts>,
+    blame: Blame,
+    /// Changes of the blame that have not been reported to the caller yet.
+    blame_changes: Vec<BlameChange>,
 }
 
 #[derive(Clone, Debug)]
@@ -155,7 +202,7 @@
     pub fn on_observed(&mut self, crash: &Crash, at_ms: u64, now_us: u64) -> CrashChange {
         let is_first = self.crash_count(crash.request) == 0;
         let due_us = if is_first { now_us + FIRST_WRITE_DELAY_US } else { now_us };
-        let record = CrashRecord { at_ms };
+        let record = self.record_of(crash, at_ms);
         let change =
             self.count(crash, TrackedCrash { state: CrashState::Unwritten { due_us }, record });
         if change != CrashChange::None && !is_first {
@@ -163,10 +210,105 @@
         }
         if self.crash_count(crash.request) >= CRASHES_TO_QUARANTINE {
             self.write_reported(crash.request, now_us);
+            self.update_blame();
         }
         change
     }
 
+    /// Records what is known of a suspect, before its crash is recorded. `was_proven` is set for a part on which a
+    /// runner has completed a response.
+    pub fn describe(&mut self, suspect: Suspect, was_proven: bool) {
+        if suspect.depth.is_none() {
+            return;
+        }
+        let facts = self.facts.entry(suspect.identity).or_default();
+        facts.depth = suspect.depth;
+        // A success before the first crash counts; a later one clears the part.
+        facts.was_proven |= was_proven;
+    }
+
+    /// Records that other nodes have completed responses on a part with crashes. Returns whether that was not known.
+    pub fn on_proven(&mut self, part: RequestIdentity) -> bool {
+        let Some(facts) = self.facts.get_mut(&part) else { return false };
+        let is_new = !std::mem::replace(&mut facts.was_proven, true);
+        if is_new {
+            self.update_blame();
+        }
+        is_new
+    }
+
+    /// Whether a part with crashes is known to have been proven before.
+    pub fn is_proven(&self, part: RequestIdentity) -> bool {
+        self.facts.get(&part).is_some_and(|facts| facts.was_proven)
+    }
+
+    fn record_of(&self, crash: &Crash, at_ms: u64) -> CrashRecord {
+        let depth = self.facts.get(&crash.request).and_then(|facts| facts.depth);
+        CrashRecord { at_ms, depth }
+    }
+
+    /// A suspect with too few crashes to be blamed explains none of the others' either.
+    fn update_blame_if_relevant(&mut self, suspect: RequestIdentity) {
+        if self.crash_count(suspect) >= CRASHES_TO_BLAME {
+            self.update_blame();
+        }
+    }
+
+    /// Determines anew which suspects are to blame.
+    fn update_blame(&mut self) {
+        let has_enough = |crashes: &BTreeMap<_, _>| crashes.len() >= CRASHES_TO_BLAME;
+        let mut suspects =
+            self.requests.iter().filter(|(_, crashes)| has_enough(crashes)).peekable();
+        if suspects.peek().is_none() && self.blame.is_empty() {
+            return;
+        }
+        let suspects = suspects.map(|(identity, crashes)| SuspectCrashes {
+            identity: *identity,
+            facts: self.facts.get(identity).copied().unwrap_or_default(),
+            runners: crashes.keys().collect(),
+        });
+        let blame = Blame::of(suspects);
+        let before = std::mem::replace(&mut self.blame, blame);
+        let began = self.blame.blamed().filter(|it| !before.is_blamed(*it));
+        let ended = before.blamed().filter(|it| !self.blame.is_blamed(*it));
+        let change = |identity: RequestIdentity, is_blamed| BlameChange {
+            identity,
+            is_blamed,
+            depth: self.facts.get(&identity).and_then(|facts| facts.depth),
+            crashes: self.crash_count(identity),
+        };
+        let began = began.map(|identity| change(identity, true));
+        let changes: Vec<BlameChange> =
+            began.chain(ended.map(|identity| change(identity, false))).collect();
+        self.blame_changes.extend(changes);
+    }
+
+    /// The suspects whose quarantine has begun or ended since the last call.
+    pub fn take_blame_changes(&mut self) -> Vec<BlameChange> {
+        std::mem::take(&mut self.blame_changes)
+    }
+
+    /// The first of the parts that is to blame for crashes; `None` if none is.
+    pub fn blamed_part(&self, parts: &[Suspect]) -> Option<RequestIdentity> {
+        let blamed = parts.iter().find(|part| self.blame.is_blamed(part.identity));
+        blamed.map(|part| part.identity)
+    }
+
+    /// The suspects that share a crash with this one, itself included.
+    pub fn suspects_beside(&self, identity: RequestIdentity) -> Vec<RequestIdentity> {
+        let Some(crashes) = self.requests.get(&identity) else { return Vec::new() };
+        let shares_crash = |others: &BTreeMap<RunnerId, TrackedCrash>| {
+            others.keys().any(|runner| crashes.contains_key(runner))
+        };
+        let beside = self.requests.iter().filter(|(_, others)| shares_crash(others));
+        beside.map(|(identity, _)| *identity).collect()
+    }
+
+    /// Whether a suspect that is blamed may be harmless.
+    pub fn is_blame_uncertain(&self, identity: RequestIdentity) -> bool {
+        self.blame.is_uncertain(identity)
+    }
+
     /// Makes this node write the reported crashes of a quarantined request as well, after observing
     /// its last crash: the nodes that reported them may have failed before writing them.
     fn write_reported(&mut self, request: RequestIdentity, now_us: u64) {
@@ -178,20 +320,28 @@
 
     /// Records a crash that another node has reported.
     pub fn on_reported(&mut self, crash: &Crash, at_ms: u64, now_us: u64) -> CrashChange {
-        let record = CrashRecord { at_ms };
+        let record = self.record_of(crash, at_ms);
         let change = self.count(crash, TrackedCrash { state: CrashState::Reported, record });
         if change != CrashChange::None {
             self.expedite_writes(crash.request, now_us);
         }
+        self.update_blame_if_relevant(crash.request);
         change
     }
 
     /// Records a crash that is in the store.
     pub fn on_stored(&mut self, crash: &Crash, record: CrashRecord) -> CrashChange {
+        let change = self.count_stored(crash, record);
+        self.update_blame_if_relevant(crash.request);
+        change
+    }
+
+    fn count_stored(&mut self, crash: &Crash, record: CrashRecord) -> CrashChange {
         // This node has cleared it; an outdated or repeated snapshot must not bring it back.
         if self.to_remove.contains(crash) {
             return CrashChange::None;
         }
+        self.describe(Suspect { identity: crash.request, depth: record.depth }, false);
         self.count(crash, TrackedCrash { state: CrashState::Stored, record })
     }
 
@@ -234,6 +384,7 @@
     /// Removes a request and returns those of its crashes that are in the store.
     fn remove_request(&mut self, request: RequestIdentity) -> Vec<Crash> {
         let crashes = self.requests.remove(&request).unwrap_or_default();
+        self.facts.remove(&request);
         let stored = crashes.into_iter().filter(|(_, crash)| crash.state == CrashState::Stored);
         stored.map(|(runner, _)| Crash { request, runner }).collect()
     }
@@ -253,9 +404,10 @@
         if let Some(crashes) = self.requests.get_mut(&crash.request) {
             crashes.remove(&crash.runner);
             if crashes.is_empty() {
-                self.requests.remove(&crash.request);
+                self.remove_request(crash.request);
             }
         }
+        self.update_blame();
     }
 
     /// Replaces the stored crashes by a full snapshot of the store.
@@ -264,9 +416,11 @@
             crashes.retain(|_, crash| crash.state != CrashState::Stored);
         }
         self.requests.retain(|_, crashes| !crashes.is_empty());
+        self.facts.retain(|identity, _| self.requests.contains_key(identity));
         for (crash, record) in stored {
-            self.on_stored(crash, *record);
+            self.count_stored(crash, *record);
         }
+        self.update_blame();
     }
 
     /// Handles a snapshot of a store that was restored from a backup. Crashes that the store has
@@ -281,16 +435,18 @@
             match self.cleared.iter().find(|cleared| cleared.crash == *crash) {
                 Some(cleared) if cleared.is_own => drop(self.to_remove.insert(crash.clone())),
                 Some(_) => {}
-                None => drop(self.on_stored(crash, *record)),
+                None => drop(self.count_stored(crash, *record)),
             }
         }
+        self.update_blame();
     }
 
     /// Records that another node has cleared a request. That node removes its crashes from the
     /// store.
     pub fn on_cleared_by_peer(&mut self, request: RequestIdentity) {
         self.remember_cleared(request, false);
-        self.requests.remove(&request);
+        self.remove_request(request);
+        self.update_blame();
     }
 
     fn remember_cleared(&mut self, request: RequestIdentity, is_own: bool) {
@@ -303,10 +459,14 @@
 
     /// Clears a request of all its crashes. Returns whether it had any.
     pub fn clear(&mut self, request: RequestIdentity) -> bool {
-        let is_known = self.requests.contains_key(&request);
+        let crashes = self.crash_count(request);
+        let is_known = crashes > 0;
         self.remember_cleared(request, true);
         let stored = self.remove_request(request);
         self.to_remove.extend(stored);
+        if crashes >= CRASHES_TO_BLAME {
+            self.update_blame();
+        }
         is_known
     }
 
@@ -326,7 +486,17 @@
         let is_counted =
             |runner: &&RunnerId| crashes.is_some_and(|crashes| crashes.contains_key(*runner));
         let suspected_count = suspected.filter(|runner| !is_counted(runner)).count();
-        crashes.map_or(0, BTreeMap::len) + suspected_count >= CRASHES_TO_QUARANTINE
+        if suspected_count == 0 {
+            return self.blame.is_blamed(request);
+        }
+        let runners = crashes.into_iter().flat_map(BTreeMap::keys);
+        let unexplained_count = runners.filter(|runner| !self.blame.explains(runner)).count();
+        self.blame.is_blamed(request)
+            || unexplained_count + suspected_count >= self.crashes_to_blame(request)
+    }
+
+    fn crashes_to_blame(&self, suspect: RequestIdentity) -> usize {
+        self.facts.get(&suspect).copied().unwrap_or_default().crashes_to_blame()
     }
 
     /// Crashes to write now, at most one transaction's worth.
@@ -395,7 +565,8 @@
             |(identity, crashes): (&RequestIdentity, &BTreeMap<RunnerId, TrackedCrash>)| {
                 SuspectRequest {
                     identity: *identity,
-                    quarantined: crashes.len() >= CRASHES_TO_QUARANTINE,
+                    part_position: self.facts.get(identity).and_then(|facts| facts.depth),
+                    quarantined: self.blame.is_blamed(*identity),
                     runners: crashes.keys().cloned().collect(),
                     last_crash_ms: crashes
                         .values()
@@ -409,6 +580,11 @@
         suspects
     }
 
+    /// When a runner crashed last under a suspect, in milliseconds since 1970; `None` if none has.
+    pub fn last_crash_ms(&self, identity: RequestIdentity) -> Option<u64> {
+        self.requests.get(&identity)?.values().map(|crash| crash.record.at_ms).max()
+    }
+
     fn all(&self) -> impl Iterator<Item = (Crash, TrackedCrash)> + '_ {
         self.requests.iter().flat_map(|(request, crashes)| {
             crashes.iter().map(|(runner, known)| {
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -3,14 +3,14 @@
 
 use pitchstall_serving::crash_evidence::CrashEvidence;
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
+use pitchstall_serving::request_identity::{RequestIdentity, RequestParts, Suspect};
 
 const SECOND_US: u64 = 1_000_000;
 
-fn request(number: u8) -> RequestIdentity {
+fn request(number: u8) -> Suspect {
     let parts =
         RequestParts { method: "POST", host: "h", target: "/x", tenant: None, body: &[number] };
-    RequestIdentity::of(&parts)
+    Suspect::request(RequestIdentity::of(&parts))
 }
 
 fn runner(name: &str) -> RunnerId {
@@ -22,8 +22,8 @@
     let mut evidence = CrashEvidence::default();
     assert!(!evidence.on_attempt_interrupted(&runner("a"), request(1), 0));
     assert!(!evidence.on_attempt_interrupted(&runner("a"), request(2), 5));
-    assert_eq!(evidence.runners_in_doubt(request(1), 10).count(), 1);
-    assert_eq!(evidence.runners_in_doubt(request(1), SECOND_US).count(), 0);
+    assert_eq!(evidence.runners_in_doubt(request(1).identity, 10).count(), 1);
+    assert_eq!(evidence.runners_in_doubt(request(1).identity, SECOND_US).count(), 0);
     let mut in_progress = evidence.on_terminated(&runner("a"), 10);
     in_progress.sort_unstable();
     let mut expected = vec![request(1), request(2)];
@@ -54,7 +54,7 @@
     let mut evidence = CrashEvidence::default();
     evidence.on_attempt_interrupted(&runner("a"), request(1), 0);
     evidence.on_connection_accepted(&runner("a"));
-    assert_eq!(evidence.runners_in_doubt(request(1), 5).count(), 0);
+    assert_eq!(evidence.runners_in_doubt(request(1).identity, 5).count(), 0);
     assert!(evidence.on_planned_departure(&runner("a"), 10).is_empty());
 }
 
@@ -71,7 +71,7 @@
     let mut evidence = CrashEvidence::default();
     evidence.on_attempt_interrupted(&runner("a"), request(1), 0);
     evidence.on_attempt_interrupted(&runner("a"), request(2), 0);
-    evidence.on_response_completed(request(1));
+    evidence.on_response_completed(request(1).identity);
     assert_eq!(evidence.on_terminated(&runner("a"), 10), [request(2)]);
     evidence.on_attempt_interrupted(&runner("b"), request(1), 0);
     evidence.on_attempt_interrupted(&runner("c"), request(1), 60 * SECOND_US);
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 const SECOND_US: u64 = 1_000_000;
-const RECORD: CrashRecord = CrashRecord { at_ms: 1_000 };
+const RECORD: CrashRecord = CrashRecord { at_ms: 1_000, depth: None };
 
 fn request(number: u64) -> RequestIdentity {
     let body = number.to_le_bytes();
@@ -94,7 +94,10 @@
     quarantine.on_observed(&crash(1, 1), 7, 0);
     assert!(quarantine.due_writes(0).is_empty());
     assert!(quarantine.next_write_us().is_some_and(|due_us| due_us > 0));
-    assert_eq!(quarantine.due_writes(SECOND_US), [(crash(1, 1), CrashRecord { at_ms: 7 })]);
+    assert_eq!(
+        quarantine.due_writes(SECOND_US),
+        [(crash(1, 1), CrashRecord { at_ms: 7, depth: None })]
+    );
     quarantine.on_reported(&crash(1, 2), 8, 10);
     let written = quarantine.due_writes(10);
     assert_eq!(written.len(), 1, "a crash is written by the node that observed it");
@@ -152,7 +155,7 @@
 fn evicted_crashes_are_removed_from_the_store() {
     let mut quarantine = Quarantine::default();
     for number in 0..=MAX_TRACKED_REQUESTS as u64 {
-        quarantine.on_stored(&crash(number, number), CrashRecord { at_ms: number });
+        quarantine.on_stored(&crash(number, number), CrashRecord { at_ms: number, depth: None });
     }
     assert!(quarantine.due_removals().is_empty());
     quarantine.schedule_removals(MAX_TRACKED_REQUESTS as u64);
--- a/crates/serving/tests/runner_incarnations.rs
+++ b/crates/serving/tests/runner_incarnations.rs
@@ -10,7 +10,7 @@
 use pitchstall_serving::ids::{RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
 use pitchstall_serving::prefix::{Prompt, PromptPart};
 use pitchstall_serving::quarantine::{Crash, CrashChange, Quarantine};
-use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
+use pitchstall_serving::request_identity::{RequestIdentity, RequestParts, Suspect};
 use pitchstall_serving::runner::{AttemptDemand, LoadReport, RunnerRecord, Stage};
 use pitchstall_serving::runner_notice::RunnerNotice;
 use pitchstall_serving::scheduling::{RunnerLoad, Shard};
@@ -248,12 +248,12 @@
         .map(|born_ms| {
             assert!(!evidence.on_attempt_interrupted(
                 &incarnation(born_ms),
-                request,
+                Suspect::request(request),
                 born_ms * SECOND_US
             ));
             assert_eq!(
                 evidence.on_terminated(&incarnation(born_ms), born_ms * SECOND_US),
-                [request]
+                [Suspect::request(request)]
             );
             let crash = Crash { request, runner: incarnation(born_ms) };
             quarantine.on_observed(&crash, 0, born_ms * SECOND_US)
--- a/crates/serving/tests/stream_origin.rs
+++ b/crates/serving/tests/stream_origin.rs
@@ -86,12 +86,12 @@
     const NODES: u8 = 8;
     let member = |number: u8| Member {
         address: SocketAddr::from(([10, 0, 0, number], 1)),
-        zone: ZoneId::new(if number % 2 == 0 { "north" } else { "south" }),
+        zone: ZoneId::new(if number.is_multiple_of(2) { "north" } else { "south" }),
         millicpus: 250,
     };
     let number = own.trim_start_matches("node-").parse().unwrap();
     let zones = ["north", "south"].map(|zone| (ZoneId::new(zone), RegionId::new("region")));
-    let topology = Topology::new(zones.into_iter());
+    let topology = Topology::new(zones);
     let mut members = Membership::new(NodeId::new(own), member(number), topology);
     (0..NODES).for_each(|it| members.upsert(&NodeId::new(format!("node-{it}")), &member(it)));
     members
