A stream that ends inside an event has been broken off, whatever frames it

A runner that stops inside an event and still ends its chunks in order passed for whole: the client got the torn event as the end of a complete response. Where the route allows it another runner goes on, otherwise the stream is cut. The test is red on the code before (the torn event was forwarded).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -124,8 +124,8 @@
     Ok(())
 }
 
-/// Handles the end of the body. If the end of the connection marks the end of the body and the last event is
-/// incomplete, the runner has stopped in the middle of that event.
+/// Handles the end of the body. If the last event is incomplete, the runner has stopped in the middle of it, even if the
+/// framing of the body is complete.
 async fn finish(
     response: &AttemptResponse,
     splitter: &EventSplitter,
@@ -133,15 +133,11 @@
     state: &mut StreamState,
     headers: &[Header],
 ) -> RelayOutcome {
-    let incomplete_event = splitter.pending();
-    if !incomplete_event.is_empty() && response.ends_with_connection() {
+    if !splitter.pending().is_empty() {
         return RelayOutcome::ConnectionLost(ReadError::Closed);
     }
     let written = async {
         begin_response(response, client, state, headers)?;
-        if !incomplete_event.is_empty() {
-            client.write_chunk(incomplete_event.to_vec()).await?;
-        }
         client.end_stream().await
     };
     match written.await {
--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -173,6 +173,24 @@
     assert_eq!(resumed.header("last-event-id"), Some("0"));
 }
 
+#[test]
+fn a_framed_stream_that_ends_inside_an_event_goes_on_at_another_runner() {
+    let torn = runner("i-torn", |request| {
+        let mut bytes = stream_head(request, "transfer-encoding: chunked\r\n");
+        let part = event_text(0) + "id: 1\ndata: to";
+        bytes.extend_from_slice(format!("{:x}\r\n{part}\r\n0\r\n\r\n", part.len()).as_bytes());
+        std::thread::sleep(Duration::from_millis(300));
+        Reaction::Raw(bytes)
+    });
+    let node = Fixture::with_runners(&[(&torn, "llm", Some("decode"))]);
+    let mut client = node.client();
+    client.request("POST", "/summary/1", "id-1", "", b"x");
+    let other = runner("i-other", engine_script(LAST_EVENT));
+    node.add_runner(&other, "llm", Some("decode"));
+    let response = client.read_response();
+    assert_eq!((response.status, response.text()), (200, events(0..=LAST_EVENT)));
+}
+
 #[test]
 fn a_stream_that_is_cut_off_goes_on_though_the_other_runner_reports_its_state_late() {
     let cut = runner("i-cut", |request| {
