A response that only the connection ended clears its suspects once its runner is known to live

Such responses were left in doubt for 15 s, so where runners frame nothing no request and no part was ever cleared, and popular parts were suspects at every crash. The probe that follows each of them tells: a runner that accepts a connection has completed the response, one that has terminated has not.

--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -6,7 +6,7 @@
 use crate::connection::ClientConnection;
 use crate::http::ReadError;
 use crate::intake::{BufferedResponse, RequestOutcome};
-use crate::interrupted_attempt::{on_interrupted, record_and_probe, InterruptedAttempt};
+use crate::interrupted_attempt::{on_interrupted, on_unframed_response, InterruptedAttempt};
 use crate::relay::{relay, RelayLimits, RelayOutcome};
 use pitchstall_serving::attempt::{EndReason, Execution};
 use pitchstall_serving::configuration::RequestKind;
@@ -126,7 +126,7 @@
         if is_framed {
             self.node.on_request_succeeded(|| self.identity(), self.request.suspect_parts());
         } else {
-            record_and_probe(self.node, self.interrupted_attempt(runner));
+            on_unframed_response(self.node, self.interrupted_attempt(runner));
         }
     }
 
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -41,9 +41,12 @@
         parts: &[Suspect],
     ) {
         let now_us = self.now_us();
-        let suspects: Vec<Suspect> =
-            std::iter::once(Suspect::request(identity)).chain(parts.iter().copied()).collect();
-        let has_ended = self.record_interruption(runner, &suspects, now_us);
+        let suspects = suspects_of(identity, parts);
+        let mut evidence = self.crash_evidence.borrow_mut();
+        let has_ended = suspects
+            .iter()
+            .any(|suspect| evidence.on_attempt_interrupted(runner, *suspect, now_us));
+        drop(evidence);
         let (runner_name, identity_text) = (runner.as_str(), identity.to_string());
         let part_identities: Vec<String> =
             parts.iter().map(|part| part.identity.to_string()).collect();
@@ -54,14 +57,40 @@
         }
     }
 
-    /// Whether the runner is already known to have terminated; otherwise the attempt is in doubt.
-    fn record_interruption(&self, runner: &RunnerId, suspects: &[Suspect], now_us: u64) -> bool {
+    /// Records a successful response whose end only the end of the connection marked. It counts as a crash if the runner
+    /// is known to have terminated, and as a success once the runner has accepted a connection.
+    pub fn on_unframed_response(
+        &self,
+        runner: &RunnerId,
+        identity: RequestIdentity,
+        parts: &[Suspect],
+    ) {
+        let now_us = self.now_us();
+        let suspects = suspects_of(identity, parts);
         let mut evidence = self.crash_evidence.borrow_mut();
-        let ended: Vec<bool> = suspects
-            .iter()
-            .map(|suspect| evidence.on_attempt_interrupted(runner, *suspect, now_us))
-            .collect();
-        ended.contains(&true)
+        let has_ended =
+            suspects.iter().any(|suspect| evidence.on_unframed_response(runner, *suspect, now_us));
+        drop(evidence);
+        if has_ended {
+            self.record_crash(runner, &suspects);
+        }
+    }
+
+    /// Records that a runner has accepted a connection.
+    pub(super) fn on_runner_alive(&self, runner: &RunnerId) {
+        let complete = self.crash_evidence.borrow_mut().on_connection_accepted(runner);
+        self.on_suspects_succeeded(&complete);
+    }
+
+    /// Records complete and successful responses on these suspects.
+    fn on_suspects_succeeded(&self, suspects: &[Suspect]) {
+        for suspect in suspects {
+            if suspect.depth.is_some() {
+                self.proven_parts.borrow_mut().on_success(suspect.identity);
+            }
+            self.crash_evidence.borrow_mut().on_response_completed(suspect.identity);
+            self.clear_quarantine(suspect.identity, "answered");
+        }
     }
 
     /// Records the termination of a runner. Any request that was open there may have caused it.
@@ -238,16 +267,13 @@
         identity: impl FnOnce() -> RequestIdentity,
         parts: &[Suspect],
     ) {
-        let mut proven_parts = self.proven_parts.borrow_mut();
-        parts.iter().for_each(|part| proven_parts.on_success(part.identity));
-        drop(proven_parts);
-        if self.crash_evidence.borrow().is_empty() && self.quarantine.borrow().is_empty() {
-            return;
-        }
-        for suspect in std::iter::once(identity()).chain(parts.iter().map(|part| part.identity)) {
-            self.crash_evidence.borrow_mut().on_response_completed(suspect);
-            self.clear_quarantine(suspect, "answered");
+        let is_idle =
+            self.crash_evidence.borrow().is_empty() && self.quarantine.borrow().is_empty();
+        if is_idle {
+            let mut proven_parts = self.proven_parts.borrow_mut();
+            return parts.iter().for_each(|part| proven_parts.on_success(part.identity));
         }
+        self.on_suspects_succeeded(&suspects_of(identity(), parts));
     }
 
     /// Ends a quarantine on behalf of an operator. The suspects that were beside it at its crashes are cleared as well: they
@@ -277,3 +303,8 @@
 fn suspect_part(suspect: &Suspect) -> Option<SuspectPart> {
     Some(SuspectPart { identity: suspect.identity, depth: suspect.depth? })
 }
+
+/// A request with the parts of its prompt.
+fn suspects_of(identity: RequestIdentity, parts: &[Suspect]) -> Vec<Suspect> {
+    std::iter::once(Suspect::request(identity)).chain(parts.iter().copied()).collect()
+}
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -266,7 +266,7 @@
             ProbeVerdict::Inconclusive => None,
         };
         if reachable == Some(true) {
-            self.crash_evidence.borrow_mut().on_connection_accepted(runner);
+            self.on_runner_alive(runner);
         }
         let now_us = self.now_us();
         let mut fleet = self.fleet.borrow_mut();
