Crash messages apart from the quarantine; a version that changes under a runner's name tells the keepers

An entry whose version changes without a new incarnation is a change of the service's versions like any other: recent streams are told.

--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -5,8 +5,9 @@
 use super::Node;
 use crate::intake::ClientRequest;
 use crate::peer_messages::PeerMessage;
+use pitchstall_serving::crash_messages::{Crash, CrashMessage, CrashRecord, SuspectPart};
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::quarantine::{BlameChange, Crash, CrashMessage, CrashRecord, SuspectPart};
+use pitchstall_serving::quarantine::BlameChange;
 use pitchstall_serving::request_identity::{RequestIdentity, Suspect};
 use rand::RngExt;
 
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -72,8 +72,11 @@
         let preemptible = record.preemptible;
         let stage = record.stage.map_or("none", Stage::name);
         let leaves_ms = record.leaves_ms.unwrap_or_default();
+        let known_version =
+            self.fleet.borrow().get(&runner).map(|known| known.record.version.clone());
+        let is_new_version = known_version.as_ref() != Some(&record.version);
         let change = self.fleet.borrow_mut().put(record);
-        if matches!(change, FleetChange::Joined | FleetChange::Restarted { .. }) {
+        if is_new_version {
             stream_origins::on_fleet_changed(self);
         }
         match change {
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -2,10 +2,10 @@
 
 use crate::cross_region_traffic::CrossRegionTraffic;
 use crate::peer_traffic::PeerTraffic;
+use pitchstall_serving::crash_messages::CrashMessage;
 use pitchstall_serving::digest::Digest;
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
-use pitchstall_serving::quarantine::CrashMessage;
 use pitchstall_serving::quota::{QuotaQuery, QuotaRefund, QuotaReply};
 use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::regions::{CachedPrefixMessage, RegionLoads};
--- a/crates/gateway/tests/prompt_parts.rs
+++ b/crates/gateway/tests/prompt_parts.rs
@@ -75,6 +75,15 @@
     std::thread::sleep(Duration::from_millis(300));
 }
 
+/// Sends requests with the crashing part one after the other. Only a few of them may crash runners.
+fn send_crashing_requests(node: &Fixture, runners: &[RunnerStandIn]) {
+    for number in 0..REQUESTS {
+        send_crashing(node, number);
+        wait_for_messages();
+    }
+    assert!(crashes(runners) <= MAX_CRASHES, "{} runners crashed", crashes(runners));
+}
+
 #[test]
 fn requests_with_a_part_that_has_crashed_three_runners_reach_no_other() {
     let runners = start_runners(0, RUNNERS);
@@ -96,11 +105,7 @@
     let prefill = start_runners(100, 1).remove(0);
     let runners = start_runners(0, RUNNERS);
     let node = node_with(&runners, Some(&prefill));
-    for number in 0..REQUESTS {
-        send_crashing(&node, number);
-        wait_for_messages();
-    }
-    assert!(crashes(&runners) <= MAX_CRASHES, "{} runners crashed", crashes(&runners));
+    send_crashing_requests(&node, &runners);
     let prefills = arrivals(std::slice::from_ref(&prefill));
     send_crashing(&node, REQUESTS);
     assert_eq!(arrivals(std::slice::from_ref(&prefill)), prefills);
@@ -111,11 +116,7 @@
 fn requests_that_share_other_parts_are_served(parts: &str) {
     let runners = start_runners(0, RUNNERS);
     let node = node_with(&runners, None);
-    for number in 0..REQUESTS {
-        send_crashing(&node, number);
-        wait_for_messages();
-    }
-    assert!(crashes(&runners) <= MAX_CRASHES, "{} runners crashed", crashes(&runners));
+    send_crashing_requests(&node, &runners);
     let statuses: Vec<u16> =
         (0..REQUESTS).map(|number| send(&node, 100 + number, parts).status).collect();
     assert_eq!(statuses, [200; REQUESTS]);
@@ -125,11 +126,7 @@
 fn a_node_that_starts_later_knows_the_parts_that_crash_runners() {
     let runners = start_runners(0, RUNNERS);
     let node = node_with(&runners, None);
-    for number in 0..REQUESTS {
-        send_crashing(&node, number);
-        wait_for_messages();
-    }
-    assert!(crashes(&runners) <= MAX_CRASHES, "{} runners crashed", crashes(&runners));
+    send_crashing_requests(&node, &runners);
     let later = node.start_peer("node-2");
     later.wait_until_ready();
     wait_for_messages();
@@ -142,10 +139,7 @@
 fn a_part_that_no_longer_crashes_runners_after_an_operator_frees_it_is_served() {
     let runners = start_runners(0, RUNNERS);
     let node = node_with(&runners, None);
-    for number in 0..REQUESTS {
-        send_crashing(&node, number);
-        wait_for_messages();
-    }
+    send_crashing_requests(&node, &runners);
     let listed: serde_json::Value =
         serde_json::from_str(&support::get(node.health, "/quarantine").text()).unwrap();
     let held = listed.as_array().unwrap().iter().find(|it| it["quarantined"] == true).unwrap();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -44,6 +44,7 @@
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
 //! | [`blame`], [`proven_parts`] | which requests and prompt parts explain the crashes, and parts that are known to be harmless |
+//! | [`crash_messages`] | crashes as nodes tell each other of them and keep them in the store |
 //! | [`quarantine`] | requests that crash runners repeatedly and are no longer sent to any |
 //! | [`authority`] | the lease under which one node at a time may issue orders |
 //! | [`role_planner`] | when runners change their roles |
@@ -56,6 +57,7 @@
 pub mod capacity_planner;
 pub mod configuration;
 pub mod crash_evidence;
+pub mod crash_messages;
 pub mod digest;
 pub mod distance;
 pub mod event_stream;
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -26,9 +26,10 @@
 //! crashes of cleared requests are ignored and removed again.
 
 use crate::blame::{Blame, SuspectCrashes, SuspectFacts, CRASHES_TO_BLAME};
+use crate::crash_messages::{Crash, CrashRecord};
 use crate::ids::RunnerId;
 use crate::request_identity::{RequestIdentity, Suspect};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Number of crashes after which a request is quarantined.
@@ -49,68 +50,6 @@
 /// Time after which a crash expires, in milliseconds: crashes must count for the rest of a day.
 pub const CRASH_TTL_MS: u64 = 24 * 60 * 60 * 1_000;
 
-/// A runner that crashed while a request was in progress there.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Crash {
-    /// The request that was in progress.
-    pub request: RequestIdentity,
-    /// The runner that crashed.
-    pub runner: RunnerId,
-}
-
-/// The value stored for a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// When the crash was observed, in milliseconds since 1970.
-    pub at_ms: u64,
-    /// Position of the part in its prompts; `None` for a whole request.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub depth: Option<u8>,
-}
-
-/// A message that a node sends to all others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CrashMessage {
-    /// A runner crashed with these requests in progress.
-    #[serde(rename = "ended")]
-    Crashed {
-        /// The runner that crashed.
-        #[serde(rename = "r")]
-        runner: RunnerId,
-        /// The requests that were in progress.
-        #[serde(rename = "q")]
-        requests: Vec<RequestIdentity>,
-        /// The parts of their prompts.
-        #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
-        parts: Vec<SuspectPart>,
-    },
-    /// Runners have completed responses on these parts before.
-    #[serde(rename = "proven")]
-    Proven {
-        /// Identities of the parts.
-        #[serde(rename = "p")]
-        parts: Vec<RequestIdentity>,
-    },
-    /// A request is cleared: a runner completed it, or an operator lifted its quarantine.
-    #[serde(rename = "cleared")]
-    Cleared {
-        /// Identity of the cleared request.
-        #[serde(rename = "q")]
-        request: RequestIdentity,
-    },
-}
-
-/// A prompt part that was in progress at a crash, as it is reported to other nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectPart {
-    /// Identity of the part.
-    #[serde(rename = "i")]
-    pub identity: RequestIdentity,
-    /// Its position in the prompt.
-    #[serde(rename = "d")]
-    pub depth: u8,
-}
-
 /// Where a crash is known from, and whether it is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CrashState {
--- a/crates/serving/tests/blame.rs
+++ b/crates/serving/tests/blame.rs
@@ -1,9 +1,10 @@
 //! Which requests and prompt parts are blamed for crashes, and which harmless ones are beside them.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+use pitchstall_serving::crash_messages::Crash;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::proven_parts::ProvenParts;
-use pitchstall_serving::quarantine::{Crash, Quarantine};
+use pitchstall_serving::quarantine::Quarantine;
 use pitchstall_serving::request_identity::{RequestIdentity, RequestParts, Suspect};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -1,10 +1,9 @@
 //! Requests that crash runners, and harmless ones in progress beside them.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+use pitchstall_serving::crash_messages::{Crash, CrashRecord};
 use pitchstall_serving::ids::RunnerId;
-use pitchstall_serving::quarantine::{
-    Crash, CrashChange, CrashRecord, Quarantine, CRASH_TTL_MS, MAX_TRACKED_REQUESTS,
-};
+use pitchstall_serving::quarantine::{CrashChange, Quarantine, CRASH_TTL_MS, MAX_TRACKED_REQUESTS};
 use pitchstall_serving::request_identity::{RequestIdentity, RequestParts};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/serving/tests/runner_incarnations.rs
+++ b/crates/serving/tests/runner_incarnations.rs
@@ -5,11 +5,12 @@
 mod support;
 
 use pitchstall_serving::crash_evidence::CrashEvidence;
+use pitchstall_serving::crash_messages::Crash;
 use pitchstall_serving::digest::RoleTransition;
 use pitchstall_serving::fleet::{Eligible, EndedIncarnation, Fleet, FleetChange};
 use pitchstall_serving::ids::{RegionId, RunnerId, RunnerName, ServiceName, ZoneId};
 use pitchstall_serving::prefix::{Prompt, PromptPart};
-use pitchstall_serving::quarantine::{Crash, CrashChange, Quarantine};
+use pitchstall_serving::quarantine::{CrashChange, Quarantine};
 use pitchstall_serving::request_identity::{RequestIdentity, RequestParts, Suspect};
 use pitchstall_serving::runner::{AttemptDemand, LoadReport, RunnerRecord, Stage};
 use pitchstall_serving::runner_notice::RunnerNotice;
