A proven part is blamed for crashes over two seconds only, and is reported as proven before the crash

Read of the diff: at 10,000 runners the loss of a rack crashes dozens of runners at once, all with runs on the few popular first parts of the routes, which would have been blamed until the next response. A part that is in use has a response within two seconds; one that has none and goes on crashing runners is blamed then. The node that sees a crash says first which parts it knows as proven.

--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -132,6 +132,8 @@
         }
         self.report_blame("seen");
         self.quarantine_changed.notify_one();
+        // This comes first, so that the others do not blame a proven part in between.
+        self.report_proven(suspects);
         let parts: Vec<SuspectPart> = suspects.iter().filter_map(suspect_part).collect();
         for requests in requests.chunks(MAX_SUSPECTS_PER_MESSAGE) {
             let (runner, requests) = (runner.clone(), requests.to_vec());
@@ -141,7 +143,6 @@
             let (runner, parts) = (runner.clone(), parts.to_vec());
             self.broadcast_crash(CrashMessage::Crashed { runner, requests: Vec::new(), parts });
         }
-        self.report_proven(suspects);
     }
 
     /// Whether a suspect is a part on which a response has been completed.
--- a/crates/serving/src/blame.rs
+++ b/crates/serving/src/blame.rs
@@ -15,6 +15,9 @@
 /// The same for a part that a runner has completed a response on before the first of its crashes. Such parts are shared by
 /// many requests, so that several crashes in a row may meet them by chance.
 pub const CRASHES_TO_BLAME_PROVEN_PART: usize = 5;
+/// Minimum time between the first and the last of the crashes for which a proven part is blamed, in milliseconds. Many
+/// runners may crash at once for another reason; a part that is in use has a response within this time.
+const MIN_PROVEN_PART_SPAN_MS: u64 = 2_000;
 
 /// What is known of a suspect.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -25,6 +28,15 @@
     pub was_proven: bool,
 }
 
+/// The times of a suspect's crashes, in milliseconds since 1970.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CrashSpan {
+    /// The first crash.
+    pub first_ms: u64,
+    /// The last crash.
+    pub last_ms: u64,
+}
+
 impl SuspectFacts {
     /// Number of crashes after which the suspect is blamed.
     pub fn crashes_to_blame(self) -> usize {
@@ -50,6 +62,16 @@
     pub facts: SuspectFacts,
     /// The runners that have crashed under it.
     pub runners: BTreeSet<&'a RunnerId>,
+    /// When they crashed.
+    pub span: CrashSpan,
+}
+
+impl SuspectCrashes<'_> {
+    fn may_be_blamed(&self) -> bool {
+        let CrashSpan { first_ms, last_ms } = self.span;
+        let is_long = last_ms.saturating_sub(first_ms) >= MIN_PROVEN_PART_SPAN_MS;
+        self.runners.len() >= self.facts.crashes_to_blame() && (is_long || !self.facts.was_proven)
+    }
 }
 
 /// The suspects that are to blame, and the crashes that they explain.
@@ -70,7 +92,7 @@
         loop {
             open.retain_mut(|suspect| {
                 suspect.runners.retain(|runner| !blame.explained.contains(*runner));
-                suspect.runners.len() >= suspect.facts.crashes_to_blame()
+                suspect.may_be_blamed()
             });
             let rank = |it: &SuspectCrashes<'a>| {
                 (it.runners.len(), !it.facts.was_proven, it.facts.specificity())
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -25,7 +25,7 @@
 //! If the store is restored from a backup, nothing is undone: lost crashes are written again, and
 //! crashes of cleared requests are ignored and removed again.
 
-use crate::blame::{Blame, SuspectCrashes, SuspectFacts, CRASHES_TO_BLAME};
+use crate::blame::{Blame, CrashSpan, SuspectCrashes, SuspectFacts, CRASHES_TO_BLAME};
 use crate::crash_messages::{Crash, CrashRecord};
 use crate::ids::RunnerId;
 use crate::request_identity::{RequestIdentity, Suspect};
@@ -205,6 +205,7 @@
             identity: *identity,
             facts: self.facts.get(identity).copied().unwrap_or_default(),
             runners: crashes.keys().collect(),
+            span: span_of(crashes),
         });
         let blame = Blame::of(suspects);
         let before = std::mem::replace(&mut self.blame, blame);
@@ -532,3 +533,11 @@
         })
     }
 }
+
+fn span_of(crashes: &BTreeMap<RunnerId, TrackedCrash>) -> CrashSpan {
+    let times = || crashes.values().map(|crash| crash.record.at_ms);
+    CrashSpan {
+        first_ms: times().min().unwrap_or_default(),
+        last_ms: times().max().unwrap_or_default(),
+    }
+}
