--- a/crates/gateway/tests/prompt_parts.rs
+++ b/crates/gateway/tests/prompt_parts.rs
@@ -5,7 +5,9 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
 use support::{configuration, Fixture, RawResponse};
 use test_case::test_case;
 
@@ -151,3 +153,130 @@
     send_crashing(&node, REQUESTS);
     assert!(arrivals(&runners) > before);
 }
+
+/// Runners that crash one after the other while harmless requests run beside, and are replaced under new names.
+struct Storm {
+    node: Fixture,
+    other: Fixture,
+    runners: Mutex<Vec<RunnerStandIn>>,
+    crash_times: Mutex<Vec<Instant>>,
+    is_over: AtomicBool,
+}
+
+impl Storm {
+    fn start() -> Self {
+        let runners = start_runners(0, RUNNERS);
+        let node = node_with(&runners, None);
+        let other = node.start_peer_with("node-2", "retry_slack = 400.0\n");
+        other.wait_until_ready();
+        wait_for_messages();
+        let (crash_times, is_over) = (Mutex::default(), AtomicBool::new(false));
+        Self { node, other, runners: Mutex::new(runners), crash_times, is_over }
+    }
+
+    fn node(&self, number: usize) -> &Fixture {
+        if number.is_multiple_of(2) {
+            &self.node
+        } else {
+            &self.other
+        }
+    }
+
+    /// Removes runners that have crashed, and adds others a while later.
+    fn replace_crashed_runners(&self) {
+        const RESTART_TIME: Duration = Duration::from_millis(700);
+        let mut replaced = 0;
+        while !self.is_over.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(10));
+            let runners = self.runners.lock().unwrap();
+            let crashed = runners.iter().filter(|runner| runner.is_terminated()).count();
+            drop(runners);
+            while replaced < crashed {
+                self.crash_times.lock().unwrap().push(Instant::now());
+                replaced += 1;
+            }
+            let is_due = |at: &&Instant| at.elapsed() > RESTART_TIME;
+            let due = self.crash_times.lock().unwrap().iter().filter(is_due).count();
+            let mut runners = self.runners.lock().unwrap();
+            while runners.len() < RUNNERS + due {
+                let runner = start_runners(runners.len(), 1).remove(0);
+                self.node.add_runner(&runner, "llm", Some("decode"));
+                runners.push(runner);
+            }
+        }
+    }
+
+    /// Sends requests with the crashing part. Returns when each began and whether it reached a runner.
+    fn send_crashing(&self, pause: Duration, count: usize) -> Vec<(Instant, usize)> {
+        let send_one = |number: usize| {
+            std::thread::sleep(pause);
+            let began = Instant::now();
+            send_crashing(self.node(number), number);
+            let id = format!("id-{number}");
+            let runners = self.runners.lock().unwrap();
+            let requests = runners.iter().flat_map(RunnerStandIn::requests);
+            (began, requests.filter(|request| request.id() == Some(&id)).count())
+        };
+        (0..count).map(send_one).collect()
+    }
+
+    /// Sends harmless requests that share the first part. Returns when each began and its status.
+    fn send_harmless(&self, first: usize) -> Vec<(Instant, u16)> {
+        const PAUSE: Duration = Duration::from_millis(40);
+        const SECOND_PARTS: usize = 3;
+        let mut responses = Vec::new();
+        while !self.is_over.load(Ordering::SeqCst) {
+            std::thread::sleep(PAUSE);
+            let (number, began) = (first + responses.len(), Instant::now());
+            let parts = format!("a1:600,c{}:200", number % SECOND_PARTS);
+            responses.push((began, send(self.node(number), number, &parts).status));
+        }
+        responses
+    }
+}
+
+#[test_case(Duration::from_millis(250), 20; "four a second")]
+#[test_case(Duration::from_millis(1_000), 9; "one a second")]
+fn in_a_storm_of_crashes_the_part_is_held_and_harmless_requests_are_served(
+    pause: Duration,
+    count: usize,
+) {
+    /// `contact_ms` of the fixture.
+    const CONTACT_TIME: Duration = Duration::from_millis(1_000);
+    const MAX_CRASHES_BEFORE: usize = 5;
+    const MAX_LATE_ARRIVALS: usize = 3;
+    const CLIENTS: usize = 4;
+    let storm = Storm::start();
+    let (crashing, harmless) = std::thread::scope(|scope| {
+        scope.spawn(|| storm.replace_crashed_runners());
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let storm = &storm;
+                scope.spawn(move || storm.send_harmless(10_000 * (client + 1)))
+            })
+            .collect();
+        // The parts of the harmless requests have responses before the first crash.
+        std::thread::sleep(Duration::from_millis(500));
+        let crashing = storm.send_crashing(pause, count);
+        storm.is_over.store(true, Ordering::SeqCst);
+        let harmless = clients.into_iter().flat_map(|client| client.join().unwrap());
+        (crashing, harmless.collect::<Vec<_>>())
+    });
+    let crash_times = storm.crash_times.lock().unwrap().clone();
+    let last = crash_times.get(MAX_CRASHES_BEFORE - 1).or(crash_times.last()).copied().unwrap();
+    let is_late = |began: &Instant| *began > last + CONTACT_TIME;
+    let late = crashing.iter().filter(|(began, _)| is_late(began));
+    let late_arrivals: usize = late.map(|(_, arrivals)| arrivals).sum();
+    assert!(
+        late_arrivals <= MAX_LATE_ARRIVALS,
+        "{late_arrivals} late, {} crashes",
+        crash_times.len()
+    );
+    let afterwards: Vec<u16> = harmless
+        .iter()
+        .filter(|(began, _)| *began > last + 2 * CONTACT_TIME)
+        .map(|(_, status)| *status)
+        .collect();
+    let served = afterwards.iter().filter(|status| **status == 200).count();
+    assert!(served * 2 >= afterwards.len(), "{served} of {} served", afterwards.len());
+}
