Doc comments of the blame, the quarantine and the origins of streams in plain words

Two comments read oddly (a part that takes the blame, a suspect that explains none of the others') and three said two words. They state what happens in order, and what each field holds. Comments alone; the crate was checked by the compiler.

--- a/crates/serving/src/blame.rs
+++ b/crates/serving/src/blame.rs
@@ -1,9 +1,10 @@
 //! Determines which requests and prompt parts are to blame for the crashes that are known.
 //!
 //! At each crash dozens of requests are in progress, each with several parts in its prompt, and most of them share their
-//! first parts. All of them are suspects. A suspect is blamed if enough runners have crashed under it and none of those crashes
-//! is explained by a suspect that has more of them. So a part that crashes runners takes the blame from the parts and the
-//! requests that were merely beside it, also for crashes before it was known.
+//! first parts. All of them are suspects. The suspect with the most crashes is blamed first, and the crashes under it count as
+//! explained. Another suspect is blamed only if enough of its own crashes are not explained by then. A part that crashes
+//! runners therefore explains the crashes of the parts and requests that were in progress beside it, including those before
+//! it was blamed.
 
 use crate::ids::RunnerId;
 use crate::request_identity::RequestIdentity;
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -82,7 +82,7 @@
 /// A suspect whose quarantine has begun or ended because the blame was determined anew.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BlameChange {
-    /// The suspect.
+    /// Identity of the request or of the prompt part whose quarantine has begun or ended.
     pub identity: RequestIdentity,
     /// Whether it is blamed now.
     pub is_blamed: bool,
@@ -186,7 +186,8 @@
         CrashRecord { at_ms, depth }
     }
 
-    /// A suspect with too few crashes to be blamed explains none of the others' either.
+    /// Updates the blame after a change of one suspect's crashes. With too few crashes to be blamed, the suspect
+    /// explains no crashes of others, so the blame stays the same.
     fn update_blame_if_relevant(&mut self, suspect: RequestIdentity) {
         if self.crash_count(suspect) >= CRASHES_TO_BLAME {
             self.update_blame();
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -28,7 +28,7 @@
 /// Reports to a keeper what began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOriginMessage {
-    /// The stream.
+    /// The stream that the report is about.
     #[serde(rename = "i")]
     pub stream: StreamId,
     /// What began it.
@@ -42,7 +42,7 @@
     /// Identifies the query at the asking node.
     #[serde(rename = "t")]
     pub ticket: Ticket,
-    /// The stream.
+    /// The stream whose origin is asked for.
     #[serde(rename = "i")]
     pub stream: StreamId,
     /// The service that is to continue the stream.
