An order for a version without a decode runner is repeated once a second, not four times

Cause: such an order waited for no pause at all, so a runner that refused it, because it was busy, was asked again in each planning round of 250 ms, and its state with it, which is paid for. It waits for 1 s after the last order now. The test is red before.

--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -46,6 +46,9 @@
     pub min_pressure_us: u64,
     /// Time after an order in which no further change is ordered, in microseconds.
     pub change_pause_us: u64,
+    /// The same for an order that gives a software version a decode runner, in microseconds. The version's streams cannot
+    /// go on without one, and a runner that refused the order is asked again.
+    pub version_change_pause_us: u64,
 }
 
 impl Default for RolePolicy {
@@ -62,6 +65,7 @@
             lost_prefill_share: 0.1,
             min_pressure_us: 1_000_000,
             change_pause_us: 4_500_000,
+            version_change_pause_us: 1_000_000,
         }
     }
 }
@@ -133,6 +137,8 @@
     /// The role that is short of runners, and since when, in microseconds.
     pressure: Option<(Stage, u64)>,
     paused_until_us: u64,
+    /// The end of the pause for an order that gives a version a decode runner, in microseconds.
+    version_paused_until_us: u64,
     /// Largest share of prefill runners, pending ones included, since the last order.
     peak_prefill_share: f64,
 }
@@ -140,7 +146,13 @@
 impl RolePlanner {
     /// Creates a planner without any observations.
     pub fn new(policy: RolePolicy) -> Self {
-        Self { policy, pressure: None, paused_until_us: 0, peak_prefill_share: 0.0 }
+        Self {
+            policy,
+            pressure: None,
+            paused_until_us: 0,
+            version_paused_until_us: 0,
+            peak_prefill_share: 0.0,
+        }
     }
 
     /// Inspects the fleet and returns the role changes to order, or the reason why there are none.
@@ -171,7 +183,11 @@
         let is_measured =
             stage == Stage::Prefill && missing_prefill_runners(view, &self.policy) > 0;
         let is_version_lacking = stage == Stage::Decode && view.version_without_decode().is_some();
-        if now_us < self.paused_until_us && !is_measured && !is_version_lacking {
+        let paused_until_us = match is_version_lacking {
+            true => self.version_paused_until_us,
+            false => self.paused_until_us,
+        };
+        if now_us < paused_until_us && !is_measured {
             return Err(NoChangeReason::Paused);
         }
         // Without a decode runner no request is served, so there is no reason to wait. Prefill
@@ -202,6 +218,7 @@
     pub fn on_ordered(&mut self, now_us: u64) {
         self.pressure = None;
         self.paused_until_us = now_us + self.policy.change_pause_us;
+        self.version_paused_until_us = now_us + self.policy.version_change_pause_us;
         self.peak_prefill_share = 0.0;
     }
 }
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -305,3 +305,13 @@
     let fleet = fleet_of_versions(&["v1p0", "v1p1", "v1d0", "v1d1", "v1d2", "v2p0"]);
     assert_eq!(plan(&mut planner, &fleet, 9 * SECOND_US), None);
 }
+
+#[test]
+fn an_order_for_a_version_without_a_decode_runner_is_not_repeated_at_once() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let fleet = fleet_of_versions(&["v1p0", "v1p1", "v1d0", "v1d1", "v1d2", "v2p0", "v2p1"]);
+    assert!(plan(&mut planner, &fleet, SECOND_US).is_some());
+    planner.on_ordered(SECOND_US);
+    assert_eq!(plan(&mut planner, &fleet, SECOND_US + SECOND_US / 4), None);
+    assert!(plan(&mut planner, &fleet, 3 * SECOND_US).is_some(), "the runner may have refused");
+}
