A first part that is blamed is tried, as several crashing parts behind it look like it

Cause: on a route that was never served, two parts that crash runners share their first part alone, which has three crashes before each of them has; it was held for certain, and only an operator could free it. It is uncertain now: two requests at one node, a second or more after the last crash, find out. A first part that does crash runners costs two more, five in all.

Evidence: by real processes, a harmless request waited in vain for 20 s before, and is served after, with 8 crashes at most; blame: one more test, red before. Weighed and left: telling by whether later parts explain all crashes, which they do not yet when the first part is held.

--- a/crates/gateway/tests/prompt_parts.rs
+++ b/crates/gateway/tests/prompt_parts.rs
@@ -314,3 +314,30 @@
     assert!(crashes(&runners) <= most, "{} runners crashed", crashes(&runners));
     assert_eq!(send(&node, 200, "a1:600,c3:200").status, 200);
 }
+
+#[test]
+fn a_part_that_two_crashing_parts_share_is_freed_on_a_route_that_was_never_served() {
+    const EACH: usize = 4;
+    /// Requests that are sent to find out whether the shared part is harmless.
+    const TRIALS: usize = 2;
+    let runners = start_runners(0, RUNNERS + 4);
+    let node = node_with(&runners, None);
+    for number in 0..EACH {
+        send(&node, number, &format!("a1:600,{CRASHING_PART}:200"));
+        send(&node, 50 + number, &format!("a1:600,{CRASHING_PART}2:200"));
+        wait_for_messages();
+    }
+    let mut number = 100;
+    support::wait_for("a harmless request to be served", || {
+        number += 1;
+        send(&node, number, "a1:600,c3:200").status == 200
+    });
+    for number in 0..EACH {
+        send(&node, 10 + number, &format!("a1:600,{CRASHING_PART}:200"));
+        send(&node, 60 + number, &format!("a1:600,{CRASHING_PART}2:200"));
+        wait_for_messages();
+    }
+    let most = 2 * MAX_CRASHES + TRIALS;
+    assert!(crashes(&runners) <= most, "{} runners crashed", crashes(&runners));
+    assert_eq!(send(&node, 99, "a1:600,c3:200").status, 200);
+}
--- a/crates/serving/src/blame.rs
+++ b/crates/serving/src/blame.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Whether the suspect begins prompts. It is in nearly all requests of a route, so several later parts that crash
+    /// runners look like it.
+    fn is_first_part(self) -> bool {
+        self.depth == Some(0)
+    }
+
     /// Among suspects with the same crashes, a whole request ranks before parts and a later part before an earlier one:
     /// it is in fewer other requests.
     fn specificity(self) -> u16 {
@@ -73,12 +79,17 @@
         let is_long = last_ms.saturating_sub(first_ms) >= MIN_PROVEN_PART_SPAN_MS;
         self.runners.len() >= self.facts.crashes_to_blame() && (is_long || !self.facts.was_proven)
     }
+
+    fn shares_crash_with(&self, other: &SuspectCrashes<'_>) -> bool {
+        self.identity != other.identity && !self.runners.is_disjoint(&other.runners)
+    }
 }
 
 /// The suspects that are to blame, and the crashes that they explain.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Blame {
-    /// `true` if another suspect explains the same crashes as well, or if the part was proven before.
+    /// `true` if the suspect may be harmless: another one explains the same crashes as well, or it is a part that was
+    /// proven before or that begins prompts.
     blamed: BTreeMap<RequestIdentity, bool>,
     explained: BTreeSet<RunnerId>,
 }
@@ -102,11 +113,9 @@
             let (equals, others): (Vec<_>, Vec<_>) =
                 open.into_iter().partition(|it| rank(it) == best);
             for suspect in &equals {
-                let shares_crash = |other: &SuspectCrashes<'a>| {
-                    other.identity != suspect.identity
-                        && !other.runners.is_disjoint(&suspect.runners)
-                };
-                let is_uncertain = suspect.facts.was_proven || equals.iter().any(shares_crash);
+                let is_uncertain = suspect.facts.was_proven
+                    || suspect.facts.is_first_part()
+                    || equals.iter().any(|other| other.shares_crash_with(suspect));
                 blame.blamed.insert(suspect.identity, is_uncertain);
             }
             for suspect in equals {
@@ -126,7 +135,7 @@
         self.blamed.contains_key(&identity)
     }
 
-    /// Whether a suspect is blamed that may be harmless: another one explains the same crashes, or it was proven before.
+    /// Whether a suspect is blamed that may be harmless.
     pub fn is_uncertain(&self, identity: RequestIdentity) -> bool {
         self.blamed.get(&identity) == Some(&true)
     }
--- a/crates/serving/tests/blame.rs
+++ b/crates/serving/tests/blame.rs
@@ -120,6 +120,20 @@
     assert!(!is_blamed(&quarantine, part(FIRST, 0)));
 }
 
+#[test]
+fn a_first_part_that_several_crashing_parts_share_is_held_as_uncertain() {
+    let (mut quarantine, proven) = (Quarantine::default(), ProvenParts::default());
+    let crashing = [part(CRASHING, 1), part(CRASHING + 1, 1)];
+    for number in 0..8 {
+        let suspects = [part(FIRST, 0), crashing[number as usize % 2]];
+        crash(&mut quarantine, number, &suspects, &proven);
+    }
+    assert!(is_blamed(&quarantine, part(FIRST, 0)));
+    assert!(quarantine.is_blame_uncertain(part(FIRST, 0).identity));
+    quarantine.clear(part(FIRST, 0).identity);
+    assert!(crashing.iter().all(|part| is_blamed(&quarantine, *part)));
+}
+
 #[test]
 fn a_proven_part_is_not_blamed_for_crashes_of_many_runners_at_once() {
     let (mut quarantine, popular) = (Quarantine::default(), part(FIRST, 0));
