Tests: takeups whose keeper is in another region, and whose keeper is silent

A simulated node of another region, by its datagrams: the stream that it knows goes on at its version; where it says nothing, the request is refused within a quarter of the route's target, with Retry-After 0.1, and no runner sees it.

--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -8,7 +8,9 @@
     engine_script, event_text_of_version, EventStream, LongPause, Reaction, RunnerStandIn,
 };
 use pitchstall_platform_standins::store::StoreMode;
+use serde_json::{json, Value};
 use std::collections::HashSet;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use support::{configuration, Fixture, RawResponse};
@@ -352,3 +354,76 @@
     let again = peer_of(&node, "node-5");
     assert_eq!(broken_takeups(begun, &[&again]), Vec::<String>::new());
 }
+
+/// Two zones that are a region each.
+const REGIONS: &str = "retry_slack = 400.0\n[node.regions]\nnorth = \"up\"\nsouth = \"down\"\n";
+
+/// A simulated node of another region.
+struct RemoteNode {
+    socket: UdpSocket,
+}
+
+impl RemoteNode {
+    fn introduce_to(node: &Fixture) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let address = socket.local_addr().unwrap().to_string();
+        let member = json!({ "a": address, "z": "south", "p": 250 });
+        let digest = json!({ "node": "remote", "incarnation": 1, "sequence": 1, "member": member });
+        let message = json!({ "digest": digest }).to_string();
+        socket.send_to(message.as_bytes(), node.peers).unwrap();
+        std::thread::sleep(Duration::from_millis(100));
+        Self { socket }
+    }
+
+    /// The next query for a stream's origin, and the node that asks.
+    fn receive_query(&self) -> (Value, SocketAddr) {
+        let mut buffer = vec![0; 65_536];
+        loop {
+            let (length, from) = self.socket.recv_from(&mut buffer).unwrap();
+            let message: Value = serde_json::from_slice(&buffer[..length]).unwrap();
+            if let Some(query) = message.get("stream?") {
+                return (query.clone(), from);
+            }
+        }
+    }
+}
+
+fn node_in_two_regions(runners: &Runners) -> Fixture {
+    let node = Fixture::start_with(REGIONS);
+    node.store.put("op/config", &configuration(3));
+    runners.add_to(&node);
+    node.wait_until_ready();
+    node
+}
+
+#[test]
+fn a_stream_that_began_in_another_region_is_taken_up_at_its_version() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_in_two_regions(&runners);
+    let remote = RemoteNode::introduce_to(&node);
+    let response = std::thread::scope(|scope| {
+        let client = scope.spawn(|| take_up(&node, "id-remote", "again"));
+        let (query, from) = remote.receive_query();
+        assert_eq!((&query["i"], &query["s"]), (&json!("id-remote"), &json!("llm")));
+        let origin = json!({ "s": "llm", "v": "v2" });
+        let reply = json!({ "stream": { "t": query["t"], "o": origin, "m": true } }).to_string();
+        remote.socket.send_to(reply.as_bytes(), from).unwrap();
+        client.join().unwrap()
+    });
+    let rest: String =
+        (INTERRUPTED_AFTER + 1..=LAST_EVENT).map(|id| event_text_of_version(id, "v2")).collect();
+    assert_eq!((response.status, response.text()), (200, rest));
+}
+
+#[test]
+fn a_stream_whose_keeper_is_silent_is_refused_soon() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_in_two_regions(&runners);
+    let _silent = RemoteNode::introduce_to(&node);
+    let begun = Instant::now();
+    let response = take_up(&node, "id-remote", "again");
+    assert_eq!((response.status, response.header("retry-after")), (503, Some("0.1")));
+    assert!(begun.elapsed() < ROUTE_TARGET / 4, "the refusal took {:?}", begun.elapsed());
+    assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
+}
