--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,7 +46,7 @@
 
 /// Labels of a request that resumes a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct TakenUpLabels {
+pub struct ResumedStreamLabels {
     /// What is known of the stream: `one_version`, `version_known` or `version_unknown`.
     pub outcome: &'static str,
 }
@@ -96,7 +96,7 @@
     /// Streams that the node ended after their head and before they were complete, by reason.
     pub streams_cut: Family<StreamCutLabels, Counter>,
     /// Requests that resume a stream, by what is known of the stream.
-    pub streams_taken_up: Family<TakenUpLabels, Counter>,
+    pub streams_resumed_by_clients: Family<ResumedStreamLabels, Counter>,
     /// Stalled runs for which a successor was sought and that were kept, by reason.
     pub stalled_runs_kept: Family<StalledRunLabels, Counter>,
     /// New connections to runners, including those that could not be opened.
@@ -170,7 +170,7 @@
             quarantines: Counter::default(),
             resumes: Counter::default(),
             streams_cut: Family::default(),
-            streams_taken_up: Family::default(),
+            streams_resumed_by_clients: Family::default(),
             stalled_runs_kept: Family::default(),
             connections: Counter::default(),
             tunnels_used: Counter::default(),
@@ -309,9 +309,9 @@
         let streams_cut = self.streams_cut.clone();
         let help = "Streams that the node ended before they were complete, by reason";
         self.registry.register("streams_cut", help, streams_cut);
-        let streams_taken_up = self.streams_taken_up.clone();
+        let streams_resumed_by_clients = self.streams_resumed_by_clients.clone();
         let help = "Requests that resume a stream, by what is known of the version that began it";
-        self.registry.register("streams_taken_up", help, streams_taken_up);
+        self.registry.register("streams_resumed_by_clients", help, streams_resumed_by_clients);
         let stalled_runs_kept = self.stalled_runs_kept.clone();
         let help = "Stalled runs for which a successor was sought and that were kept, by reason";
         self.registry.register("stalled_runs_kept", help, stalled_runs_kept);
@@ -346,8 +346,8 @@
     }
 
     /// Counts a request that resumes a stream. `outcome` names what is known of the stream.
-    pub fn on_stream_taken_up(&self, outcome: &'static str) {
-        self.streams_taken_up.get_or_create(&TakenUpLabels { outcome }).inc();
+    pub fn on_stream_resumed_by_client(&self, outcome: &'static str) {
+        self.streams_resumed_by_clients.get_or_create(&ResumedStreamLabels { outcome }).inc();
     }
 
     /// Replaces the numbers of runners by service and software version.
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -166,7 +166,7 @@
     }
     let continuation = find_origin(node, &stream_of(request), service).await;
     log_continuation(request, &continuation);
-    node.metrics.on_stream_taken_up(outcome_name(&continuation));
+    node.metrics.on_stream_resumed_by_client(outcome_name(&continuation));
     continuation
 }
 
@@ -278,5 +278,5 @@
         }
         StreamContinuation::Anywhere | StreamContinuation::Unknown => "",
     };
-    log::info!(target: "stream", request = metadata.id.as_str(), resumes, after, outcome, version; "stream taken up by its client");
+    log::info!(target: "stream", request = metadata.id.as_str(), resumes, after, outcome, version; "stream resumed by its client");
 }
