Test: nothing is told of streams while one version serves, and the keepers are told once a second one joins

Four nodes, eight streams: no message about their origins in the node's own count; after a runner of a second version has joined there are some.

--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
-use support::{configuration, Fixture, RawResponse};
+use support::{configuration, get, wait_for, Fixture, RawResponse};
 use test_case::test_case;
 
 const LAST_EVENT: u64 = 5;
@@ -427,3 +427,17 @@
     assert!(begun.elapsed() < ROUTE_TARGET / 4, "the refusal took {:?}", begun.elapsed());
     assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
 }
+
+#[test]
+fn nothing_is_told_of_streams_while_one_version_serves() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = start_node();
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    let _others: Vec<_> = (2..=4).map(|number| peer_of(&node, &format!("node-{number}"))).collect();
+    let is_told = || get(node.health, "/metrics").text().contains("kind=\"stream_origins\"");
+    (0..STREAMS).for_each(|number| drop(stream(&node, &format!("id-{number}"), "")));
+    assert!(!is_told());
+    node.add_runner_of_version(&runners.new[0], "v2");
+    wait_for("the keepers to be told", is_told);
+}
