--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -38,6 +38,7 @@
         }
         Subject::Crashes => update.entries.iter().for_each(|entry| apply_crash(node, entry)),
     }
+    node.log_first_readiness();
 }
 
 fn apply_configuration(node: &Node, entry: &StoreEntry) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,15 @@
     pub subject: &'static str,
 }
 
+/// Labels of a read of all entries of a subject from the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FullReadLabels {
+    /// Kind of thing that the entries describe.
+    pub subject: &'static str,
+    /// Why the node has read them itself.
+    pub reason: &'static str,
+}
+
 /// All metrics of a node. Counters are shared with the registry, so counting needs no lookup.
 #[derive(Debug)]
 pub struct Metrics {
@@ -137,6 +146,8 @@
     pub store_failures: Counter,
     /// Revisions of store entries that could not be used.
     pub refused_entries: Family<EntryLabels, Counter>,
+    /// Reads of all entries from the store that this node began, by subject and reason.
+    pub full_reads: Family<FullReadLabels, Counter>,
     /// Time since another node first reported a configuration that this node has not received, in seconds; 0 if there
     /// is none.
     pub configuration_lag: Gauge<f64, AtomicU64>,
@@ -191,6 +202,7 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             refused_entries: Family::default(),
+            full_reads: Family::default(),
             configuration_lag: Gauge::default(),
             links_lost: Gauge::default(),
             runners_unreachable: Gauge::default(),
@@ -318,6 +330,8 @@
         let refused_entries = self.refused_entries.clone();
         let help = "Revisions of store entries that could not be used";
         self.registry.register("entries_refused", help, refused_entries);
+        let help = "Reads of all entries from the store, by subject and reason";
+        self.registry.register("store_full_reads", help, self.full_reads.clone());
         let help =
             "Time since another node first reported a configuration that this node lacks, in seconds";
         let configuration_lag = self.configuration_lag.clone();
@@ -370,6 +384,11 @@
         self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
     }
 
+    /// Counts a read of all entries of a subject from the store.
+    pub fn on_full_read(&self, subject: &'static str, reason: &'static str) {
+        self.full_reads.get_or_create(&FullReadLabels { subject, reason }).inc();
+    }
+
     /// Counts a new notice of a runner about itself.
     pub fn on_runner_notice(&self, notice: &'static str) {
         self.runner_notices.get_or_create(&NoticeLabels { notice }).inc();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -157,6 +157,7 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     has_runner_list: Cell<bool>,
     has_node_list: Cell<bool>,
+    has_been_ready: Cell<bool>,
     is_stopping: Cell<bool>,
     splitter: RefCell<TrafficSplitter>,
     retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
@@ -247,6 +248,7 @@
             configuration: RefCell::default(),
             has_runner_list: Cell::new(false),
             has_node_list: Cell::new(false),
+            has_been_ready: Cell::new(false),
             is_stopping: Cell::new(false),
             splitter: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -479,6 +481,17 @@
         !self.is_stopping() && is_configured && self.has_runner_list.get()
     }
 
+    /// Logs when the node is able to serve for the first time since its start.
+    pub fn log_first_readiness(&self) {
+        if self.has_been_ready.get() || !self.is_ready() {
+            return;
+        }
+        self.has_been_ready.set(true);
+        let uptime_ms = self.started.elapsed().as_millis();
+        let nodes = self.known_node_count();
+        log::info!(target: "process", uptime_ms, nodes; "able to serve");
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.get()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -355,6 +355,7 @@
         client: &mut PlatformClient,
         read: fn(Option<&str>) -> PlatformCall,
     ) {
+        let started_at = Instant::now();
         let page = read_pages(async |after| {
             let (body, _) = self.call(client, &read(after.as_deref())).await?;
             ok_or_log("nodes", store::parse_page(&body)).ok_or(CallError::Other)
@@ -368,6 +369,7 @@
                 self.send_digest(&[member.address]);
             }
         }
+        self.log_node_list(others.len(), started_at);
         self.node.on_nodes_listed();
         let now = Instant::now();
         let listed: HashSet<&NodeId> = others.iter().map(|(name, _)| name).collect();
@@ -378,6 +380,16 @@
         self.node.members.borrow_mut().retain(|name| state.peers.contains_key(name));
     }
 
+    /// Logs the first list of nodes, since a node that starts learns from it which nodes it can follow.
+    fn log_node_list(&self, others: usize, started_at: Instant) {
+        if self.node.has_listed_nodes() {
+            return;
+        }
+        let (took_ms, uptime_ms) =
+            (started_at.elapsed().as_millis(), self.node.now_us() / MICROS_PER_MILLI);
+        log::info!(target: "peers", others, took_ms, uptime_ms; "first list of nodes received");
+    }
+
     /// The node that a store entry names; `None` if the entry is invalid.
     fn read_node(&self, item: &Item) -> Option<(NodeId, Member)> {
         let node = store::parse_node(item);
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -10,6 +10,7 @@
 //! delivering changes without an error, so it is relied on only while the replica is known to be
 //! fresh ([`pitchstall_serving::freshness`]); otherwise the store is queried.
 
+mod full_read;
 mod peer_source;
 mod store_source;
 
@@ -262,6 +263,14 @@
         log::info!(target: "store", subject, source, known_to, bytes, waited_ms, transfer_ms; "fetched");
     }
 
+    /// Logs from where the node has its first replica of the subject, and how long ago the store had
+    /// confirmed it.
+    fn log_first_replica(&self, source: &str, age_ms: Option<u64>) {
+        let subject = self.subject.name();
+        let uptime_ms = self.started.elapsed().as_millis();
+        log::info!(target: "store", subject, source, age_ms, uptime_ms; "first replica");
+    }
+
     /// Whether another node has reported a change that this node has not received.
     fn is_behind(&self) -> bool {
         let freshness = self.node.freshness.borrow();
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -125,7 +125,11 @@
     }
 
     async fn handle_reply(&mut self, source: SocketAddr, reply: &StoreUpdateReply) -> bool {
+        let had_replica = self.known_to.is_some();
         let is_reliable = self.apply_reply(reply);
+        if !had_replica && self.known_to.is_some() {
+            self.log_first_replica(&source.to_string(), reply.age_ms);
+        }
         self.log_large_response(&source.to_string(), self.transfer.received());
         if !is_reliable {
             let age_ms = reply.age_ms;
--- a/crates/gateway/src/watcher/store_source.rs
+++ b/crates/gateway/src/watcher/store_source.rs
@@ -1,5 +1,6 @@
 //! Reads the store and watches it for changes.
 
+use super::full_read::{FullRead, FullReadReason};
 use super::{key_prefix, until_not_fresh, FollowError, Follower, MIN_CHANGE_INTERVAL};
 use crate::clock::Instant;
 use crate::entries::to_entries;
@@ -58,10 +59,15 @@
     }
 
     async fn read_all(&mut self) -> Result<(), FollowError> {
+        let read = FullRead::begin(&self.node, self.subject, self.full_read_reason());
         let update = match self.subject {
             Subject::Configuration => self.read_configuration().await?,
             Subject::Runners | Subject::Crashes => self.read_list().await?,
         };
+        read.end(update.entries.len());
+        if self.known_to.is_none() {
+            self.log_first_replica("store", Some(0));
+        }
         self.apply_update(&update);
         self.history_is_gone = false;
         self.confirmation_period = random_confirmation_period(&self.node, self.subject);
@@ -70,6 +76,16 @@
         Ok(())
     }
 
+    fn full_read_reason(&self) -> FullReadReason {
+        if !self.node.has_listed_nodes() {
+            return FullReadReason::NoNodeList;
+        }
+        match self.node.members.borrow().is_store_reader() {
+            true => FullReadReason::StoreReader,
+            false => FullReadReason::NoSource,
+        }
+    }
+
     /// Reads the only entry of the subject again until it did not change during the read. A watch
     /// delivers every version written since its revision, one after the other, so versions written
     /// during a slow transfer take even longer to transfer. A read delivers only the latest
