--- a/crates/gateway/src/compression.rs
+++ b/crates/gateway/src/compression.rs
@@ -7,7 +7,8 @@
 use flate2::write::ZlibEncoder;
 use flate2::Compression;
 use ntex::util::Bytes;
-use pitchstall_serving::store_replica::StoreUpdate;
+use pitchstall_serving::store_replica::{StoreReplica, StoreUpdate};
+use pitchstall_serving::store_revision::StoreRevision;
 use std::io::{Read, Write};
 
 /// Maximum size of a decompressed update. The store limits an entry to 1 MiB before it is escaped
@@ -29,22 +30,35 @@
     Ok(serde_json::from_slice(&update)?)
 }
 
-/// The last compressed update of one subject, so that it is compressed once for all followers. The
-/// update itself is kept for the comparison, at most 0.9 MB in the users' deployments: anything
-/// smaller, such as a revision, may be equal in two different stores.
+/// The last compressed update of one replica, so that it is compressed once for all followers. No
+/// copy of the update itself is kept.
 #[derive(Default)]
 pub struct CompressedUpdateCache {
-    last: Option<(StoreUpdate, Bytes)>,
+    last: Option<(UpdateIdentity, Bytes)>,
+}
+
+/// Identifies an update among all that a replica has had, also after it was emptied for another
+/// store, which may assign the same revisions.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct UpdateIdentity {
+    changes: u64,
+    since: Option<StoreRevision>,
 }
 
 impl CompressedUpdateCache {
-    /// The compressed form of `update`, from the cache if it is the same update as the last one.
-    pub fn get_or_compress(&mut self, update: StoreUpdate) -> std::io::Result<Bytes> {
-        if let Some((_, compressed)) = self.last.as_ref().filter(|(known, _)| *known == update) {
-            return Ok(compressed.clone());
+    /// The compressed form of the replica's update since `after`; `None` if the replica has none.
+    pub fn get_or_compress(
+        &mut self,
+        replica: &StoreReplica,
+        after: Option<StoreRevision>,
+    ) -> std::io::Result<Option<Bytes>> {
+        let identity = UpdateIdentity { changes: replica.changes(), since: replica.since(after) };
+        if let Some((_, compressed)) = self.last.as_ref().filter(|(known, _)| *known == identity) {
+            return Ok(Some(compressed.clone()));
         }
+        let Some(update) = replica.update_since(after) else { return Ok(None) };
         let compressed = compress(&serde_json::to_vec(&update)?)?;
-        self.last = Some((update, compressed.clone()));
-        Ok(compressed)
+        self.last = Some((identity, compressed.clone()));
+        Ok(Some(compressed))
     }
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -14,7 +14,8 @@
 use crate::node::Node;
 use crate::transfer::{Transfer, MAX_TRANSFER_TIME, STALL_TIMEOUT};
 use ntex::io::Io;
-use pitchstall_serving::store_replica::{StoreUpdate, StoreUpdateQuery, StoreUpdateReply, Subject};
+use ntex::util::Bytes;
+use pitchstall_serving::store_replica::{StoreUpdateQuery, StoreUpdateReply, Subject};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -53,8 +54,8 @@
         let mut query = query;
         loop {
             wait_for_change(node, &query).await;
-            let reply = reply_to(node, &query);
-            if let Err(error) = write_reply(io, reply, self.caches.cache(query.subject)).await {
+            let cache = self.caches.cache(query.subject);
+            if let Err(error) = write_reply(io, node, &query, cache).await {
                 let error = error.to_string();
                 log::info!(target: "mirror", error; "reply to a follower not written");
                 return;
@@ -81,31 +82,50 @@
 
 fn reply_to(node: &Node, query: &StoreUpdateQuery) -> StoreUpdateReply {
     let after = query.after(&node.store_eras.borrow());
-    let update = node.store_replicas.borrow().get(query.subject).update_since(after);
+    let replicas = node.store_replicas.borrow();
+    let replica = replicas.get(query.subject);
+    let is_compressed = replica.has_update_since(after)
+        && replica.update_bytes_since(after) >= MIN_COMPRESSED_UPDATE_BYTES;
+    let update = if is_compressed { None } else { replica.update_since(after) };
     let now_us = node.now_us();
     let age_ms = node.freshness.borrow().replica(query.subject).confirmed_age_ms(now_us);
     let is_obtaining = node.is_obtaining_replica(query.subject);
-    StoreUpdateReply { update, age_ms, is_compressed: false, is_obtaining }
+    StoreUpdateReply { update, age_ms, is_compressed, is_obtaining }
 }
 
-/// Sends a reply. The line is sent before a large update is compressed: on a busy machine the
-/// compression may take longer than the time limit for the line, and the follower would abandon
-/// this node.
+/// Sends the reply to a query. The line is sent before a large update is compressed: on a busy
+/// machine the compression may take longer than the time limit for the line, and the follower would
+/// abandon this node. No copy of the update is held while the line is sent, since many followers
+/// may wait for one at the same time.
 async fn write_reply(
     io: &Io,
-    mut reply: StoreUpdateReply,
+    node: &Node,
+    query: &StoreUpdateQuery,
     cache: &RefCell<CompressedUpdateCache>,
 ) -> Result<(), LineError> {
-    let is_large = |update: &mut StoreUpdate| update.content_bytes() >= MIN_COMPRESSED_UPDATE_BYTES;
-    let Some(update) = reply.update.take_if(is_large) else { return write_line(io, &reply) };
-    reply.is_compressed = true;
+    let reply = reply_to(node, query);
     write_line(io, &reply)?;
+    if !reply.is_compressed {
+        return Ok(());
+    }
     io.flush(true).await?;
-    let compressed = cache.borrow_mut().get_or_compress(update).map_err(LineError::Compression)?;
+    let compressed = compressed_update(node, query, cache)?.ok_or(LineError::Closed)?;
     write_line(io, &CompressedHeader { bytes: compressed.len() })?;
     write_bytes(io, compressed)
 }
 
+/// The compressed update; `None` if the replica has been emptied for another store meanwhile.
+fn compressed_update(
+    node: &Node,
+    query: &StoreUpdateQuery,
+    cache: &RefCell<CompressedUpdateCache>,
+) -> Result<Option<Bytes>, LineError> {
+    let after = query.after(&node.store_eras.borrow());
+    let replicas = node.store_replicas.borrow();
+    let replica = replicas.get(query.subject);
+    cache.borrow_mut().get_or_compress(replica, after).map_err(LineError::Compression)
+}
+
 /// Line that precedes a compressed update.
 #[derive(Serialize, Deserialize)]
 struct CompressedHeader {
--- a/crates/gateway/tests/compression.rs
+++ b/crates/gateway/tests/compression.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_gateway::compression::{compress, decompress, CompressedUpdateCache};
-use pitchstall_serving::store_replica::{StoreEntry, StoreUpdate};
+use pitchstall_serving::store_replica::{StoreEntry, StoreReplica, StoreUpdate};
 use pitchstall_serving::store_revision::{RevisionNumber, StoreEra};
 use proptest::prelude::*;
 
@@ -24,13 +24,17 @@
 #[test]
 fn an_update_is_compressed_once_for_all_followers() {
     let mut cache = CompressedUpdateCache::default();
+    let mut replica = StoreReplica::default();
     let large = update(2, &["a".repeat(2_000)]);
-    let first = cache.get_or_compress(large.clone()).unwrap();
-    let second = cache.get_or_compress(large.clone()).unwrap();
+    replica.apply(&large);
+    let first = cache.get_or_compress(&replica, None).unwrap().unwrap();
+    let second = cache.get_or_compress(&replica, None).unwrap().unwrap();
     assert_eq!(first.as_ptr(), second.as_ptr());
     assert_eq!(decompress(&first).unwrap(), large);
     let later = update(3, &["b".repeat(2_000)]);
-    assert_eq!(decompress(&cache.get_or_compress(later.clone()).unwrap()).unwrap(), later);
+    replica.apply(&later);
+    let compressed = cache.get_or_compress(&replica, None).unwrap().unwrap();
+    assert_eq!(decompress(&compressed).unwrap(), later);
 }
 
 /// After a change to another store, two updates can have the same revisions and the same number of
@@ -38,12 +42,29 @@
 #[test]
 fn updates_of_two_stores_are_not_confused() {
     let mut cache = CompressedUpdateCache::default();
+    let mut replica = StoreReplica::default();
     for document in ["one", "two"] {
         let update = update(2, &[document.repeat(1_000)]);
-        assert_eq!(decompress(&cache.get_or_compress(update.clone()).unwrap()).unwrap(), update);
+        replica.reset();
+        replica.apply(&update);
+        let compressed = cache.get_or_compress(&replica, None).unwrap().unwrap();
+        assert_eq!(decompress(&compressed).unwrap(), update);
     }
 }
 
+/// A follower that needs changes alone must not receive the snapshot of the one before it.
+#[test]
+fn a_snapshot_and_the_changes_since_a_revision_are_not_confused() {
+    let mut cache = CompressedUpdateCache::default();
+    let mut replica = StoreReplica::default();
+    replica.apply(&update(2, &["a".repeat(2_000)]));
+    let known_to = replica.known_to();
+    let snapshot = cache.get_or_compress(&replica, None).unwrap().unwrap();
+    let changes = cache.get_or_compress(&replica, known_to).unwrap().unwrap();
+    assert!(decompress(&snapshot).unwrap().is_snapshot);
+    assert!(!decompress(&changes).unwrap().is_snapshot);
+}
+
 /// A few bytes that decompress to more than any valid update must not use the memory for it.
 #[test]
 fn a_decompression_bomb_is_refused() {
--- a/crates/serving/src/store_replica.rs
+++ b/crates/serving/src/store_replica.rs
@@ -63,6 +63,11 @@
     pub fn is_tombstone(&self) -> bool {
         self.document.is_none()
     }
+
+    /// Size of the key and the document, in bytes.
+    fn content_bytes(&self) -> usize {
+        self.key.len() + self.document.as_ref().map_or(0, String::len)
+    }
 }
 
 /// Entries that bring another replica up to date.
@@ -94,10 +99,7 @@
 
     /// Total size of the keys and documents, in bytes.
     pub fn content_bytes(&self) -> usize {
-        let bytes = |entry: &StoreEntry| {
-            entry.key.len() + entry.document.as_ref().map_or(0, |document| document.len())
-        };
-        self.entries.iter().map(bytes).sum()
+        self.entries.iter().map(StoreEntry::content_bytes).sum()
     }
 }
 
@@ -109,6 +111,8 @@
     /// Tombstones of removals after this revision are complete.
     tombstones_since: StoreRevision,
     entries: BTreeMap<String, StoreEntry>,
+    /// Number of changes of this replica, updates and resets alike.
+    changes: u64,
     is_obtaining: bool,
 }
 
@@ -131,7 +135,13 @@
     /// Empties the replica, for use when the node turns to another store, whose revisions are not
     /// comparable.
     pub fn reset(&mut self) {
-        *self = Self::default();
+        *self = Self { changes: self.changes + 1, ..Self::default() };
+    }
+
+    /// Number of changes of this replica so far, which never goes back. While it stays the same, the
+    /// same query has the same update.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// Whether the node is reading all entries from the store.
@@ -165,26 +175,43 @@
             self.entries.insert(entry.key.clone(), entry.clone());
         }
         self.known_to = Some(update.known_to());
+        self.changes += 1;
         self.prune_tombstones();
     }
 
+    /// Whether there is an update for a replica that is exact up to `after`; see
+    /// [`Self::update_since`].
+    pub fn has_update_since(&self, after: Option<StoreRevision>) -> bool {
+        self.known_to.is_some_and(|known_to| after.is_none_or(|after| after <= known_to))
+    }
+
     /// The update for a replica that is exact up to `after` (`None`: an empty one). Returns `None`
     /// if this replica is empty, or if the other one is ahead.
     pub fn update_since(&self, after: Option<StoreRevision>) -> Option<StoreUpdate> {
-        let known_to = self.known_to?;
-        if after.is_some_and(|after| after > known_to) {
-            return None;
-        }
-        let since = after.filter(|after| *after >= self.tombstones_since);
-        let is_newer = |entry: &&StoreEntry| match since {
-            Some(since) => self.revision_of(entry) > since,
-            None => entry.document.is_some(),
-        };
-        let entries = self.entries.values().filter(is_newer).cloned().collect();
+        let known_to = self.known_to.filter(|_| self.has_update_since(after))?;
+        let since = self.since(after);
+        let entries = self.entries_since(since).cloned().collect();
         let (era, known_to) = (known_to.era(), known_to.number());
         Some(StoreUpdate { era, known_to, is_snapshot: since.is_none(), entries })
     }
 
+    /// Total size of the keys and documents of [`Self::update_since`], in bytes.
+    pub fn update_bytes_since(&self, after: Option<StoreRevision>) -> usize {
+        self.entries_since(self.since(after)).map(StoreEntry::content_bytes).sum()
+    }
+
+    /// The revision after which changes alone are sent; `None` if a snapshot has to be sent.
+    pub fn since(&self, after: Option<StoreRevision>) -> Option<StoreRevision> {
+        after.filter(|after| *after >= self.tombstones_since)
+    }
+
+    fn entries_since(&self, since: Option<StoreRevision>) -> impl Iterator<Item = &StoreEntry> {
+        self.entries.values().filter(move |entry| match since {
+            Some(since) => self.revision_of(entry) > since,
+            None => entry.document.is_some(),
+        })
+    }
+
     /// Bounds the memory that tombstones take.
     fn prune_tombstones(&mut self) {
         let tombstones = self.entries.values().filter(|entry| entry.document.is_none()).count();
