--- a/crates/gateway/src/compression.rs
+++ b/crates/gateway/src/compression.rs
@@ -12,8 +12,8 @@
 use std::io::{Read, Write};
 
 /// Maximum size of a decompressed update. The store limits an entry to 1 MiB before it is escaped
-/// as a JSON string, and 1,300 runners take 0.4 MB.
-const MAX_UPDATE_BYTES: u64 = 8 * 1024 * 1024;
+/// as a JSON string; 20,000 runners whose entries have 1 KB each take 20 MB, escaped 30 MB.
+const MAX_UPDATE_BYTES: u64 = 48 * 1024 * 1024;
 
 /// Compresses an update in JSON, for speed rather than for size.
 pub fn compress(update: &[u8]) -> std::io::Result<Bytes> {
--- a/crates/gateway/tests/compression.rs
+++ b/crates/gateway/tests/compression.rs
@@ -65,6 +65,17 @@
     assert!(!decompress(&changes).unwrap().is_snapshot);
 }
 
+/// Guards against followers that can decompress no snapshot of a fleet of twice the stated size.
+#[test]
+fn a_snapshot_of_twenty_thousand_runners_is_decompressed() {
+    const RUNNERS: usize = 20_000;
+    const DOCUMENT_BYTES: usize = 1_000;
+    let documents = vec!["\"".repeat(DOCUMENT_BYTES / 2); RUNNERS];
+    let large = update(2, &documents);
+    let compressed = compress(&serde_json::to_vec(&large).unwrap()).unwrap();
+    assert_eq!(decompress(&compressed).unwrap(), large);
+}
+
 /// A few bytes that decompress to more than any valid update must not use the memory for it.
 #[test]
 fn a_decompression_bomb_is_refused() {
