Registration: the list of nodes is read also if the node cannot register, and attempts that fail become rarer

A node needs the list of nodes to serve, its own registration only for others; since a node without a list waits for it, a store that refuses writes alone must not keep it waiting. A failed attempt was repeated each second at every node with a new lease, whatever the failure: the pause is random now and doubles up to 4 s, so that the demand falls while the store is full.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -55,10 +55,20 @@
 const MAX_REREGISTRATION_DELAY: Duration = Duration::from_millis(700);
 /// Number of renewals between two reads of the list of nodes.
 const RENEWALS_PER_LISTING: u32 = 6;
-/// Pause after a failed attempt to register.
+/// Upper bound of the pause after a failed attempt to register. It doubles with further failures.
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Number of times that the pause doubles.
+const MAX_PAUSE_DOUBLINGS: u32 = 2;
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Pause after a number of consecutive failures to register. It doubles up to a limit, and is random
+/// so that nodes which failed together do not return together.
+fn registration_pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
+    let longest = STORE_RETRY_PAUSE * 2_u32.pow(doublings);
+    rand::rng().random_range(longest / 2..=longest)
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallError {
@@ -292,12 +302,28 @@
     /// dropped.
     pub async fn register(self: Rc<Self>) {
         let mut client = PlatformClient::default();
+        let mut failures = 0;
         loop {
             match self.register_once(&mut client).await {
-                Some(lease) => self.keep_registered(&mut client, lease).await,
-                None => self.send_hello(),
+                Some(lease) => {
+                    failures = 0;
+                    self.keep_registered(&mut client, lease).await;
+                }
+                None => {
+                    failures += 1;
+                    self.send_hello();
+                    self.list_first_nodes(&mut client).await;
+                }
             }
-            sleep(STORE_RETRY_PAUSE).await;
+            sleep(registration_pause(failures)).await;
+        }
+    }
+
+    /// Reads the list of nodes if it has never been received: a node needs it to serve, and its own
+    /// registration only for others.
+    async fn list_first_nodes(&self, client: &mut PlatformClient) {
+        if !self.node.has_listed_nodes() {
+            self.list_nodes(client, store::read_nodes).await;
         }
     }
 
