--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,82 +1,42 @@
 //! Discovers the other nodes through the store and exchanges messages with them.
 //!
-//! A node registers its address under a lease and reads the list of nodes from the store. From then
-//! on, it sends digests at regular intervals. A node that receives a digest from an unknown node
+//! A node registers its address under a lease and reads the list of nodes from the store
+//! ([`registration`]). From then on, it sends digests at regular intervals. A node that receives a digest from an unknown node
 //! learns of it that way, so the list is rarely read. Without peers, a node keeps working with what
 //! it observes itself and what runners report.
 
+mod registration;
+
 use crate::clock::Instant;
 use crate::node::{system_time_ms, Node};
 use crate::peer_messages::{PeerMessage, PeerSocket, MAX_DATAGRAM_BYTES};
-use crate::platform_client::PlatformClient;
 use crate::prefix_announcements;
 use crate::quarantine;
-use crate::quota::{self, RegistrationLease};
-use crate::refused_entries::EntryError;
+use crate::quota;
 use crate::retry_pools;
 use crate::runner_limits;
 use crate::scheduling;
 use crate::shard_scheduler;
-use crate::store_pages::read_pages;
-use crate::store_responses::ok_or_log;
 use crate::stream_origins;
 use crate::usage;
-use pitchstall_platform_adapter::call::PlatformCall;
-use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
 use pitchstall_serving::digest::{Digest, DigestRotation, DigestStatus, DigestTracker};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
-use pitchstall_serving::store_revision::{StoreEra, StoreLease};
-use rand::RngExt;
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Pause after a datagram could not be received.
 const RECEIVE_RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// Time between two digests of a node. Their contents are not urgent, except for role changes,
 /// which are sent to all nodes at once.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time after which a node is removed that has neither sent a digest nor been listed in the store.
-const PEER_TTL: Duration = Duration::from_secs(60);
 /// Maximum number of members in the reply to a node that knows no others. They are enough to follow
 /// the store through; the other nodes announce themselves in their digests.
 const MAX_MEMBERS_IN_REPLY: usize = 64;
-/// Time to live of a node's registration, milliseconds. Quota keepers continue to grant for most of
-/// it without contact with the store, so it is longer than the usual store outage.
-const REGISTRATION_TTL_MS: u64 = 30_000;
-const MICROS_PER_MILLI: u64 = 1_000;
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
-/// Maximum delay before a node registers again after the store was restored from a backup. The
-/// delay is random, so that the writes of a fleet are spread over this time.
-const MAX_REREGISTRATION_DELAY: Duration = Duration::from_millis(700);
-/// Number of renewals between two reads of the list of nodes.
-const RENEWALS_PER_LISTING: u32 = 6;
-/// Upper bound of the pause after a failed attempt to register. It doubles with further failures.
-const STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
-/// Number of times that the pause doubles.
-const MAX_PAUSE_DOUBLINGS: u32 = 2;
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Pause after a number of consecutive failures to register. It doubles up to a limit, and is random
-/// so that nodes which failed together do not return together.
-fn registration_pause(failures: u32) -> Duration {
-    let doublings = failures.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
-    let longest = STORE_RETRY_PAUSE * 2_u32.pow(doublings);
-    rand::rng().random_range(longest / 2..=longest)
-}
-
-/// Why a call to the store failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CallError {
-    /// The object of the call does not exist.
-    Absent,
-    /// The call was rejected or received no response.
-    Other,
-}
 
 struct Peer {
     address: SocketAddr,
@@ -297,159 +257,4 @@
         next.dedup();
         next
     }
-
-    /// Keeps this node registered and its list of other nodes up to date, until the task is
-    /// dropped.
-    pub async fn register(self: Rc<Self>) {
-        let mut client = PlatformClient::default();
-        let mut failures = 0;
-        loop {
-            match self.register_once(&mut client).await {
-                Some(lease) => {
-                    failures = 0;
-                    self.keep_registered(&mut client, lease).await;
-                }
-                None => {
-                    failures += 1;
-                    self.send_hello();
-                    self.list_first_nodes(&mut client).await;
-                }
-            }
-            sleep(registration_pause(failures)).await;
-        }
-    }
-
-    /// Reads the list of nodes if it has never been received: a node needs it to serve, and its own
-    /// registration only for others.
-    async fn list_first_nodes(&self, client: &mut PlatformClient) {
-        if !self.node.has_listed_nodes() {
-            self.list_nodes(client, store::read_nodes).await;
-        }
-    }
-
-    async fn register_once(&self, client: &mut PlatformClient) -> Option<StoreLease> {
-        let sent_at_us = self.node.now_us();
-        let (body, era) = self.call(client, &store::grant_lease(REGISTRATION_TTL_MS)).await.ok()?;
-        let lease = StoreLease { era, number: ok_or_log("lease", store::parse_lease(&body))? };
-        let granted_ttl_ms = ok_or_log("lease", store::parse_lease_ttl(&body))?;
-        let granted_ttl_ms = granted_ttl_ms.unwrap_or(REGISTRATION_TTL_MS);
-        let member = store::node_value(self.node.members.borrow().own());
-        let key = store::node_key(self.name.as_str());
-        let put = store::put_under_lease(&key, &member, lease.number);
-        let (_, era) = self.call(client, &put).await.ok()?;
-        if era != lease.era {
-            // The key is attached to whichever lease has that number now. The next attempt attaches
-            // it to its own lease.
-            return None;
-        }
-        let ttl_us = granted_ttl_ms.min(REGISTRATION_TTL_MS) * MICROS_PER_MILLI;
-        let registered = RegistrationLease { id: lease, renewed_us: sent_at_us, ttl_us };
-        self.node.quotas.on_registered(registered);
-        self.list_nodes(client, store::read_nodes).await;
-        Some(lease)
-    }
-
-    /// Renews the registration until the store reports that the lease has expired. Leases do not
-    /// expire while the store is unavailable, and a renewal costs a tenth of a new registration.
-    async fn keep_registered(&self, client: &mut PlatformClient, lease: StoreLease) {
-        for renewal in 1_u32.. {
-            if lease.era == self.node.store_era() {
-                // The wait ends after the interval or when a new era begins.
-                let _ = timeout(RENEWAL_INTERVAL, self.node.later_era_began.notified()).await;
-            }
-            if lease.era != self.node.store_era() {
-                // All nodes register again after a random delay, which is much shorter than the
-                // time after which the others forget a node.
-                return sleep(rand::rng().random_range(Duration::ZERO..MAX_REREGISTRATION_DELAY))
-                    .await;
-            }
-            self.node.members.borrow_mut().forget_unreachable();
-            let sent_at_us = self.node.now_us();
-            match self.call(client, &store::renew_lease(lease.number)).await {
-                Ok(_) => self.node.quotas.on_renewed(sent_at_us),
-                Err(CallError::Absent) => return self.node.quotas.on_lease_expired(),
-                Err(CallError::Other) => {}
-            }
-            if renewal % RENEWALS_PER_LISTING == 0 {
-                self.list_nodes(client, store::read_nodes_stale).await;
-            }
-        }
-    }
-
-    /// Reads the list of nodes from the store and sends a digest to the new ones.
-    async fn list_nodes(
-        &self,
-        client: &mut PlatformClient,
-        read: fn(Option<&str>) -> PlatformCall,
-    ) {
-        let started_at = Instant::now();
-        let page = read_pages(async |after| {
-            let (body, _) = self.call(client, &read(after.as_deref())).await?;
-            ok_or_log("nodes", store::parse_page(&body)).ok_or(CallError::Other)
-        });
-        let Ok(page) = page.await else { return };
-        let listed = page.items.iter().filter_map(|item| self.read_node(item));
-        let others: Vec<(NodeId, Member)> = listed.filter(|(name, _)| *name != self.name).collect();
-        for (name, member) in &others {
-            if !self.state.borrow().peers.contains_key(name) {
-                self.learn(name, member);
-                self.send_digest(&[member.address]);
-            }
-        }
-        self.log_node_list(others.len(), started_at);
-        self.node.on_nodes_listed();
-        let now = Instant::now();
-        let listed: HashSet<&NodeId> = others.iter().map(|(name, _)| name).collect();
-        let mut state = self.state.borrow_mut();
-        state
-            .peers
-            .retain(|name, peer| listed.contains(name) || now < peer.last_received_at + PEER_TTL);
-        self.node.members.borrow_mut().retain(|name| state.peers.contains_key(name));
-    }
-
-    /// Logs the first list of nodes, since a node that starts learns from it which nodes it can follow.
-    fn log_node_list(&self, others: usize, started_at: Instant) {
-        if self.node.has_listed_nodes() {
-            return;
-        }
-        let (took_ms, uptime_ms) =
-            (started_at.elapsed().as_millis(), self.node.now_us() / MICROS_PER_MILLI);
-        log::info!(target: "peers", others, took_ms, uptime_ms; "first list of nodes received");
-    }
-
-    /// The node that a store entry names; `None` if the entry is invalid.
-    fn read_node(&self, item: &Item) -> Option<(NodeId, Member)> {
-        let node = store::parse_node(item);
-        if node.is_none() {
-            let error = EntryError::InvalidDocument("the entry names no node".to_owned());
-            self.node.on_refused_entry("nodes", &item.key, item.revision, &error);
-        }
-        node
-    }
-
-    async fn call(
-        &self,
-        client: &mut PlatformClient,
-        call: &PlatformCall,
-    ) -> Result<(Vec<u8>, StoreEra), CallError> {
-        self.node.metrics.store_calls.inc();
-        let address = self.node.settings().store.address;
-        let (outcome, error) = match client.call(address, call, STORE_TIMEOUT).await {
-            Ok(response) => {
-                let Some(era) = self.node.on_era_reported(address, response.era) else {
-                    return Err(CallError::Other);
-                };
-                match store::parse_status(response.status) {
-                    StoreStatus::Done => return Ok((response.body, era)),
-                    StoreStatus::Absent => (response.status.to_string(), CallError::Absent),
-                    _ => (response.status.to_string(), CallError::Other),
-                }
-            }
-            Err(error) => (error.to_string(), CallError::Other),
-        };
-        self.node.metrics.store_failures.inc();
-        self.node.store_suspected.notify_waiters();
-        log::info!(target: "peers", target = call.target.as_str(), outcome; "store call failed");
-        Err(error)
-    }
 }
