--- a/crates/gateway/tests/nodes_return_together.rs
+++ b/crates/gateway/tests/nodes_return_together.rs
@@ -4,13 +4,14 @@
 mod support;
 
 use pitchstall_platform_adapter::store;
+use pitchstall_platform_standins::runner::RunnerStandIn;
 use pitchstall_platform_standins::store::StoreStandIn;
 use pitchstall_platform_standins::throttled_link::ThrottledLink;
 use pitchstall_serving::ids::ZoneId;
 use pitchstall_serving::membership::Member;
 use serde_json::{json, Value};
 use std::time::Duration;
-use support::{configuration, get, wait_for, Fixture, NodeAddress};
+use support::{configuration, get, json_response, route, serves, wait_for, Fixture, NodeAddress};
 
 const NODES: usize = 24;
 const STORE_READERS: usize = 2;
@@ -193,3 +194,53 @@
     let reads = full_reads(&nodes);
     assert!(pages <= 2 * STORE_READERS * PAGES, "{pages} pages, {PAGES} a read: {reads:?}");
 }
+
+/// A fleet whose nodes are all ready, behind one link to the store.
+fn running_fleet() -> (StoreStandIn, Vec<Fixture>) {
+    let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
+    let store = store_with(&addresses, RUNNERS);
+    store.report_era(1);
+    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
+    let nodes = start_all(&addresses, &store, link.link_to(store.address()).unwrap());
+    nodes.iter().for_each(Fixture::wait_until_ready);
+    (store, nodes)
+}
+
+/// Adds a service with one runner and a route to it, and waits until all nodes serve the route. Returns the number of
+/// pages of runners' entries that they read meanwhile.
+fn pages_until_new_service_is_served(store: &StoreStandIn, nodes: &[Fixture]) -> usize {
+    let before = full_read_pages(store);
+    let mut newer = configuration(7);
+    newer["routes"].as_array_mut().unwrap().push(route("added", "idempotent", "added"));
+    let service = json!({ "name": "added", "health_path": "/health", "max_conns": 100 });
+    newer["services"].as_array_mut().unwrap().push(service);
+    store.put("op/config", &newer);
+    let runner = RunnerStandIn::start("i-added", |_| json_response("{}")).unwrap();
+    let mut entry = runner_entry(0);
+    entry["service"] = "added".into();
+    entry["address"] = runner.address().to_string().into();
+    store.put("servers/i-added", &entry);
+    wait_for("the new service at all nodes", || nodes.iter().all(|node| serves(node, "added")));
+    full_read_pages(store) - before
+}
+
+/// Guards against a read of all entries by every follower after the store has dropped its history.
+#[test]
+fn followers_do_not_read_every_runner_after_the_store_has_lost_its_history() {
+    let (store, nodes) = running_fleet();
+    store.put("servers/i-00000", &runner_entry(1));
+    store.compact_history();
+    let pages = pages_until_new_service_is_served(&store, &nodes);
+    let reads = full_reads(&nodes);
+    assert!(pages <= 2 * STORE_READERS * PAGES, "{pages} pages, {PAGES} a read: {reads:?}");
+}
+
+/// Guards against a read of all entries by every follower after the store was restored from a backup.
+#[test]
+fn followers_do_not_read_every_runner_after_the_store_was_restored() {
+    let (store, nodes) = running_fleet();
+    store.restore(&store.back_up());
+    let pages = pages_until_new_service_is_served(&store, &nodes);
+    let reads = full_reads(&nodes);
+    assert!(pages <= 2 * STORE_READERS * PAGES, "{pages} pages, {PAGES} a read: {reads:?}");
+}
