The rounds of queries begin anew also where no whole read is needed; a reader does not look for other nodes

Found by reading the diff: eight sources in a row without a reply ended each later round at its first source, at a node that had a copy; a store reader without other readers asked up to three random nodes before each read; a source whose copy is of an earlier era was asked three times without a pause. A reporter is remembered by the address its message came from. The reason no_node_list can't occur any more and is gone.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -429,25 +429,25 @@
         self.role_change_ordered.notify_one();
     }
 
-    /// Applies another node's digest: its reports on role changes, runners' limits and the store,
+    /// Applies another node's digest, which has come from the address `from`: its reports on role changes, runners' limits and the store,
     /// and its clock.
-    pub fn on_peer_digest(&self, digest: &Digest) {
+    pub fn on_peer_digest(&self, digest: &Digest, from: SocketAddr) {
         let now_us = self.now_us();
         self.fleet.borrow_mut().on_role_transitions_reported(&digest.changing, now_us);
         digest.limits.iter().for_each(|report| self.on_limit_message(report));
-        self.note_reporter(digest);
+        self.note_reporter(digest, from);
         self.freshness.borrow_mut().on_report(&digest.store, &self.store_eras.borrow(), now_us);
         self.wall_clock.borrow_mut().on_peer_clock(&digest.node, digest.wall_ms, now_us);
     }
 
     /// Remembers the node that reports a change which this node does not know, to be queried if the
     /// store does not deliver it.
-    fn note_reporter(&self, digest: &Digest) {
+    fn note_reporter(&self, digest: &Digest, from: SocketAddr) {
         for subject in Subject::ALL {
             let reported = digest.store.replica(subject).changed_at(&self.store_eras.borrow());
             let known_to = self.store_replicas.borrow().get(subject).known_to();
             if reported > known_to.unwrap_or_default() {
-                self.reporters.borrow_mut().insert(subject.name(), digest.member.address);
+                self.reporters.borrow_mut().insert(subject.name(), from);
             }
         }
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -138,7 +138,7 @@
             return;
         }
         self.learn(&digest.node, &Member { address: from, ..digest.member.clone() });
-        self.node.on_peer_digest(digest);
+        self.node.on_peer_digest(digest, from);
         if digest.is_stopping {
             self.node.runner_limits.on_stopping(&digest.node);
         }
--- a/crates/gateway/src/watcher/full_read.rs
+++ b/crates/gateway/src/watcher/full_read.rs
@@ -9,8 +9,6 @@
 pub(super) enum FullReadReason {
     /// The node reads the store on behalf of others.
     StoreReader,
-    /// The node does not know yet which nodes it could follow.
-    NoNodeList,
     /// No node that could be followed has a replica that can be relied on.
     NoSource,
 }
@@ -20,7 +18,6 @@
     pub(super) fn name(self) -> &'static str {
         match self {
             Self::StoreReader => "store_reader",
-            Self::NoNodeList => "no_node_list",
             Self::NoSource => "no_source",
         }
     }
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -209,6 +209,7 @@
     /// and everything has to be read again. The known entries stay valid; a peer's update that is
     /// not later does not clear this flag.
     history_is_gone: bool,
+    /// What a failed read of all entries has received.
     partial_read: PartialRead,
     /// Time at which the last change arrived.
     last_change_at: Option<Instant>,
@@ -228,9 +229,7 @@
             sleep(SOURCE_RETRY_PAUSE).await;
             return Ok(());
         }
-        if self.is_round_over() && self.needs_full_read() && !self.full_read_gate.has_reply() {
-            self.query_other_nodes().await;
-        }
+        self.check_isolation().await;
         let address = self.node.settings().store.address;
         let generation = self.node.store_generation.get();
         if generation != self.generation {
@@ -350,7 +349,7 @@
         }
     }
 
-    /// Queries a few other nodes, none of whose replies would show that this node is cut off.
+    /// Queries a few other nodes until one replies.
     async fn query_other_nodes(&mut self) {
         for _ in 0..OTHER_NODES_QUERIED {
             self.query_any_node().await;
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -92,7 +92,7 @@
 impl Follower {
     /// From where to obtain the next update.
     pub(super) fn source(&mut self) -> Source {
-        if self.node.has_listed_nodes() && self.node.members.borrow().is_store_reader() {
+        if self.is_store_reader() {
             return Source::Store;
         }
         if !self.is_round_over() {
@@ -103,18 +103,31 @@
         }
         // All sources have been tried without success.
         self.source_index = 0;
-        let may_call = match self.needs_full_read() {
-            // Without the list of nodes, the node does not know how many others would do the same.
-            true => self.node.has_listed_nodes() && self.may_read_all(),
-            false => self.may_call_store(),
-        };
-        if may_call {
+        if self.may_call_store() {
             return Source::Store;
         }
         let sources = self.node.members.borrow().sources();
         sources.first().map_or(Source::None, |source| Source::Peer(*source))
     }
 
+    /// Whether this node reads the store on behalf of others. Before it has the list of nodes it does
+    /// not know.
+    fn is_store_reader(&self) -> bool {
+        self.node.has_listed_nodes() && self.node.members.borrow().is_store_reader()
+    }
+
+    /// Queries other nodes than the sources, none of which has replied, before this node counts as
+    /// cut off from all of them.
+    pub(super) async fn check_isolation(&mut self) {
+        let is_suspected = !self.is_store_reader()
+            && self.needs_full_read()
+            && self.is_round_over()
+            && !self.full_read_gate.has_reply();
+        if is_suspected {
+            self.query_other_nodes().await;
+        }
+    }
+
     /// Whether all sources have been queried since the round began, or enough of them to count as
     /// cut off.
     pub(super) fn is_round_over(&self) -> bool {
@@ -122,20 +135,28 @@
             || self.source_index >= self.node.members.borrow().sources().len()
     }
 
-    fn may_read_all(&mut self) -> bool {
-        let contact_us = self.node.settings().bounds.contact_ms * MICROS_PER_MILLI;
+    /// Whether this node calls the store after a round of queries in vain.
+    fn may_call_store(&mut self) -> bool {
+        if !self.needs_full_read() {
+            self.full_read_gate.begin_round();
+            return self.may_call_for_changes();
+        }
+        // Without the list of nodes, it does not know how many others would do the same.
+        if !self.node.has_listed_nodes() {
+            self.full_read_gate.begin_round();
+            return false;
+        }
         let occasion = Occasion {
             now_us: self.node.now_us(),
             nodes: self.node.known_node_count(),
-            contact_us,
+            contact_us: self.node.settings().bounds.contact_ms * MICROS_PER_MILLI,
             random: rand::rng().random_range(0.0..1.0),
         };
         self.full_read_gate.end_round(&occasion)
     }
 
-    /// Whether the node makes a call to the store that confirms its replica or brings the changes
-    /// since.
-    fn may_call_store(&mut self) -> bool {
+    /// Whether this node makes a call that confirms its replica or brings the changes since.
+    fn may_call_for_changes(&mut self) -> bool {
         let now = Instant::now();
         let is_behind =
             self.assess_freshness() == Freshness::Behind && now >= self.next_behind_call_at;
@@ -205,7 +226,9 @@
             false => SourceState::Unconfirmed,
         };
         self.full_read_gate.on_source(state);
-        if reply.is_obtaining && self.waits_for_source < MAX_WAITS_FOR_SOURCE {
+        // A reply with an update of no use is not held back, so waiting would be a busy loop.
+        let can_wait = reply.is_obtaining && reply.update.is_none();
+        if can_wait && self.waits_for_source < MAX_WAITS_FOR_SOURCE {
             self.waits_for_source += 1;
             return true;
         }
--- a/crates/gateway/src/watcher/store_source.rs
+++ b/crates/gateway/src/watcher/store_source.rs
@@ -85,9 +85,6 @@
     }
 
     fn full_read_reason(&self) -> FullReadReason {
-        if !self.node.has_listed_nodes() {
-            return FullReadReason::NoNodeList;
-        }
         match self.node.members.borrow().is_store_reader() {
             true => FullReadReason::StoreReader,
             false => FullReadReason::NoSource,
--- a/crates/serving/src/full_read_gate.rs
+++ b/crates/serving/src/full_read_gate.rs
@@ -121,10 +121,15 @@
         self.has_reply
     }
 
+    /// Begins a new round of queries without a read.
+    pub fn begin_round(&mut self) {
+        (self.has_reply, self.is_awaited, self.silent_sources) = (false, false, 0);
+    }
+
     /// Ends a round of queries; returns whether the node may read all entries now.
     pub fn end_round(&mut self, occasion: &Occasion) -> bool {
         let (has_reply, is_awaited) = (self.has_reply, self.is_awaited);
-        (self.has_reply, self.is_awaited, self.silent_sources) = (false, false, 0);
+        self.begin_round();
         if is_awaited {
             self.unserved_from_us = None;
             return false;
