Intake: whether a request may run, and how it ends, in functions of their own

The one function of 80 lines is split: admit, stream_origin and handle; each refusal is a value that is finished in one place. Same order of checks, same responses; tests of forwarding, tenants, streams, policies and quotas pass.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -6,12 +6,12 @@
 use crate::http::{connection_options, is_hop_by_hop_header, Header};
 use crate::local_responses::LocalResponse;
 use crate::node::{BodyReservation, Node};
-use crate::policy;
+use crate::policy::{self, PlacementRules};
 use crate::stream_origins::{self, StreamContinuation};
 use ntex::http::Request;
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::configuration::{Configuration, Route};
-use pitchstall_serving::ids::TenantName;
+use pitchstall_serving::ids::{ServiceName, SoftwareVersion, TenantName};
 use pitchstall_serving::request::RequestMetadata;
 use pitchstall_serving::request_identity::{self, RequestIdentity, RequestParts, Suspect};
 use pitchstall_serving::retry_budget::SharedRetryBudget;
@@ -152,74 +152,89 @@
     request: &ClientRequest,
     client: &ClientConnection,
 ) -> RequestOutcome {
-    let Some(configuration) = node.configuration() else {
-        return finish(node, request, None, RequestOutcome::Local(LocalResponse::Unconfigured));
-    };
-    if node.has_outdated_configuration() {
-        // The route may have been moved or removed by a newer version that other nodes have.
-        return finish(node, request, None, RequestOutcome::Local(LocalResponse::Outdated));
-    }
-    let Some(route) = find_route(&configuration, request) else {
-        return finish(node, request, None, RequestOutcome::Local(no_route_response(node)));
-    };
-    let tenant = match authorize_tenant(node, &configuration, &route, request) {
-        Ok(tenant) => tenant,
-        Err(response) => {
-            return finish(node, request, Some(&route), RequestOutcome::Local(response))
-        }
-    };
-    let Some(service) = node.next_service(&route) else {
-        return finish(node, request, Some(&route), RequestOutcome::Local(LocalResponse::Refused));
-    };
-    let continuation = stream_origins::continuation(node, request, &route, &service).await;
-    let origin = match continuation {
-        StreamContinuation::Anywhere => None,
-        StreamContinuation::AtOrigin(origin) | StreamContinuation::AtOnlyVersion(origin) => {
-            Some(origin)
-        }
-        StreamContinuation::Unknown => {
-            return finish(
-                node,
-                request,
-                Some(&route),
-                RequestOutcome::Local(LocalResponse::StreamUnknown),
-            )
-        }
-    };
-    let service = match &origin {
-        Some(origin) if !route.sends_to(&origin.service) => {
-            return finish(
-                node,
-                request,
-                Some(&route),
-                RequestOutcome::Local(LocalResponse::StreamVersionGone),
-            )
-        }
-        Some(origin) => origin.service.clone(),
-        None => service,
-    };
-    let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
-    let rules = match policy::placement_rules(node, request, priority, &service) {
-        Ok(rules) => rules,
-        // A program that fails allows no zone, since it might have forbidden any of them.
-        Err(_) => {
-            return finish(
-                node,
-                request,
-                Some(&route),
-                RequestOutcome::Local(LocalResponse::Refused),
-            )
+    let admitted = match admit(node, request).await {
+        Ok(admitted) => admitted,
+        Err(Rejection { route, response }) => {
+            return finish(node, request, route.as_deref(), RequestOutcome::Local(response));
         }
     };
+    let AdmittedRequest { configuration, route, tenant, service, version, rules } = admitted;
     let time_limit = TimeLimit::new(request, Some(&route));
     let deadline = request.received_at + Duration::from_millis(time_limit.limit_ms);
     node.with_retry_budget(&service, SharedRetryBudget::on_request);
     let dispatch = Dispatch::new(node, request, &route, service, rules, &configuration, deadline);
-    let dispatch = dispatch.for_tenant(tenant).at_version(origin.map(|origin| origin.version));
-    let end = dispatch.run(client).await;
+    let end = dispatch.for_tenant(tenant).at_version(version).run(client).await;
     finish(node, request, Some(&route), end)
 }
 
+/// A request that may be sent to a runner.
+struct AdmittedRequest {
+    configuration: Rc<Configuration>,
+    route: Rc<Route>,
+    /// `None`: the request runs without a tenant.
+    tenant: Option<Rc<Tenant>>,
+    service: ServiceName,
+    /// Software version that began the stream which the request resumes; `None` if it may run anywhere.
+    version: Option<SoftwareVersion>,
+    rules: PlacementRules,
+}
+
+/// A request that the node answers itself.
+struct Rejection {
+    /// `None` if the request has no route, or it is not known.
+    route: Option<Rc<Route>>,
+    response: LocalResponse,
+}
+
+impl Rejection {
+    fn without_route(response: LocalResponse) -> Self {
+        Self { route: None, response }
+    }
+}
+
+/// Finds out whether and where a request may run.
+async fn admit(node: &Rc<Node>, request: &ClientRequest) -> Result<AdmittedRequest, Rejection> {
+    let configuration = node
+        .configuration()
+        .ok_or_else(|| Rejection::without_route(LocalResponse::Unconfigured))?;
+    if node.has_outdated_configuration() {
+        // The route may have been moved or removed by a newer version that other nodes have.
+        return Err(Rejection::without_route(LocalResponse::Outdated));
+    }
+    let route = find_route(&configuration, request)
+        .ok_or_else(|| Rejection::without_route(no_route_response(node)))?;
+    let rejected = |response| Rejection { route: Some(route.clone()), response };
+    let tenant = authorize_tenant(node, &configuration, &route, request).map_err(rejected)?;
+    let service = node.next_service(&route).ok_or_else(|| rejected(LocalResponse::Refused))?;
+    let (service, version) =
+        stream_origin(node, request, &route, service).await.map_err(rejected)?;
+    let priority = tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(route.priority);
+    // A program that fails allows no zone, since it might have forbidden any of them.
+    let rules = policy::placement_rules(node, request, priority, &service)
+        .map_err(|_| rejected(LocalResponse::Refused))?;
+    Ok(AdmittedRequest { configuration, route, tenant, service, version, rules })
+}
+
+/// The service of a request, and the software version that it has to run at: those that began the stream which it
+/// resumes, or `service` and any version.
+async fn stream_origin(
+    node: &Rc<Node>,
+    request: &ClientRequest,
+    route: &Route,
+    service: ServiceName,
+) -> Result<(ServiceName, Option<SoftwareVersion>), LocalResponse> {
+    match stream_origins::continuation(node, request, route, &service).await {
+        StreamContinuation::Anywhere => Ok((service, None)),
+        StreamContinuation::Unknown => Err(LocalResponse::StreamUnknown),
+        StreamContinuation::AtOrigin(origin) | StreamContinuation::AtOnlyVersion(origin) => {
+            match route.sends_to(&origin.service) {
+                true => Ok((origin.service, Some(origin.version))),
+                false => Err(LocalResponse::StreamVersionGone),
+            }
+        }
+    }
+}
+
 /// The response to a request without a route. `NoRoute` is returned only if the configuration is current: otherwise
 /// the route may have been added by a version that this node has not received yet.
 fn no_route_response(node: &Node) -> LocalResponse {
