--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -114,7 +114,7 @@
         next_own_call_at: Instant::now() + first_call_delay,
         next_behind_call_at: Instant::now(),
         waits_at_source: false,
-        waits_for_source: 0,
+        waits_without_update: 0,
         full_read_gate: FullReadGate::new(first_full_read_us),
         query_sent_at: Instant::now(),
         started: Instant::now(),
@@ -194,7 +194,7 @@
     waits_at_source: bool,
     /// Queries to the current source that it answered with nothing but that it is obtaining a
     /// replica.
-    waits_for_source: u32,
+    waits_without_update: u32,
     /// When this node reads all entries although it is no store reader.
     full_read_gate: FullReadGate,
     /// Time of the last query or call.
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -25,7 +25,7 @@
 const MIN_BEHIND_CALL_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of queries that wait at a source which is obtaining a replica before the next one is
 /// queried, which may have one already.
-const MAX_WAITS_FOR_SOURCE: u32 = 3;
+const MAX_WAITS_WITHOUT_UPDATE: u32 = 3;
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Minimum number of bytes received from an abandoned source that count as a part of an update. A
 /// reply without an update is smaller.
@@ -218,7 +218,7 @@
         self.log_large_response(&source.to_string(), self.transfer.received());
         if is_reliable {
             self.full_read_gate.on_replica();
-            self.waits_for_source = 0;
+            self.waits_without_update = 0;
             return true;
         }
         let state = match reply.is_obtaining {
@@ -228,11 +228,11 @@
         self.full_read_gate.on_source(state);
         // A reply with an update of no use is not held back, so waiting would be a busy loop.
         let can_wait = reply.is_obtaining && reply.update.is_none();
-        if can_wait && self.waits_for_source < MAX_WAITS_FOR_SOURCE {
-            self.waits_for_source += 1;
+        if can_wait && self.waits_without_update < MAX_WAITS_WITHOUT_UPDATE {
+            self.waits_without_update += 1;
             return true;
         }
-        self.waits_for_source = 0;
+        self.waits_without_update = 0;
         self.source_index += 1;
         let age_ms = reply.age_ms;
         self.abandon_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
--- a/crates/gateway/tests/nodes_return_together.rs
+++ b/crates/gateway/tests/nodes_return_together.rs
@@ -83,7 +83,7 @@
     store.calls().iter().filter(is_page).count()
 }
 
-/// The nodes' own counts of whole reads of the runners, with their reasons.
+/// The nodes' own counts of full reads of the runners, with their reasons.
 fn full_reads(nodes: &[Fixture]) -> Vec<String> {
     let metrics = nodes.iter().map(|node| get(node.health, "/metrics").text());
     let lines = metrics.flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>());
@@ -99,7 +99,7 @@
     let nodes = start_all(&addresses, &store, link.link_to(store.address()).unwrap());
     nodes.iter().for_each(Fixture::wait_until_ready);
     let pages = full_read_pages(&store);
-    assert!(pages <= STORE_READERS * PAGES, "{pages} pages were read, a whole read has {PAGES}");
+    assert!(pages <= STORE_READERS * PAGES, "{pages} pages were read, a full read has {PAGES}");
 }
 
 /// Guards against nodes that take themselves for the only one while the list of nodes is still arriving.
@@ -120,9 +120,9 @@
     );
 }
 
-/// Guards against a whole read that begins again at its first page because a later one was not answered.
+/// Guards against a full read that begins again at its first page because a later one was not answered.
 #[test]
-fn pages_of_a_whole_read_are_not_read_again_after_a_failed_one() {
+fn pages_of_a_full_read_are_not_read_again_after_a_failed_one() {
     let addresses = [NodeAddress::new()];
     let store = store_with(&addresses, RUNNERS);
     let failing_page = format!("after=servers/i-{:05}", RUNNERS / 2 - 1);
@@ -135,7 +135,7 @@
 
 /// Guards against a read of all entries by every follower after their readers have ended.
 #[test]
-fn the_loss_of_all_readers_costs_one_whole_read_for_each_of_them() {
+fn the_loss_of_all_readers_costs_one_full_read_for_each_of_them() {
     const FEW_RUNNERS: usize = 400;
     let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
     let store = store_with(&addresses, FEW_RUNNERS);
@@ -177,7 +177,7 @@
 
 /// A fleet that serves again after its store was silent for a while does not read every entry at every node either.
 #[test]
-fn the_return_of_the_store_costs_no_whole_read_by_every_node() {
+fn the_return_of_the_store_costs_no_full_read_by_every_node() {
     use pitchstall_platform_standins::store::StoreMode;
     const SILENCE: Duration = Duration::from_secs(3);
     let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
--- a/crates/serving/tests/full_read_gate.rs
+++ b/crates/serving/tests/full_read_gate.rs
@@ -92,9 +92,9 @@
 #[test]
 fn a_thousand_nodes_have_their_runners_soon_after_they_return() {
     const READERS: usize = 10;
-    const READ_BYTES: f64 = 10_000_000.0;
+    const READ_BYTES: f64 = 4_000_000.0;
     const LINK_BYTES_PER_S: f64 = 125_000_000.0;
-    const READER_BYTES_PER_S: f64 = 5_000_000.0;
+    const READER_BYTES_PER_S: f64 = 2_000_000.0;
     const STEP_S: f64 = 0.05;
     const MAX_S: f64 = 5.0;
     let mut gates = vec![FullReadGate::new(FIRST_US); LARGE_FLEET];
