A node without a list of nodes tries to read it each second, however long its registration pauses

Cause: the pause between two attempts to register had become up to 4 s, the list of nodes was read only with them, and followers that had their list wait 1.5 s for readers that did not. The list is now tried again within a second, whatever the registration does, and the followers' random wait begins with the fleet's size of sixteen nodes.

--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -33,17 +33,15 @@
 const MAX_REREGISTRATION_DELAY: Duration = Duration::from_millis(700);
 /// Number of renewals between two reads of the list of nodes.
 const RENEWALS_PER_LISTING: u32 = 6;
-/// Upper bound of the pause after a failed attempt to register. It doubles with further failures.
+/// Upper bound of the pause after a failed attempt to register, which doubles with further failures,
+/// and of the pause between two attempts to read a first list of nodes.
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// Number of times that the pause doubles.
 const MAX_PAUSE_DOUBLINGS: u32 = 2;
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Pause after a number of consecutive failures to register. It doubles up to a limit, and is random
-/// so that nodes which failed together do not return together.
-fn registration_pause(failures: u32) -> Duration {
-    let doublings = failures.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
-    let longest = STORE_RETRY_PAUSE * 2_u32.pow(doublings);
+/// A random pause of at most `longest`, so that nodes which failed together do not return together.
+fn random_pause(longest: Duration) -> Duration {
     rand::rng().random_range(longest / 2..=longest)
 }
 
@@ -67,22 +65,28 @@
                 Some(lease) => {
                     failures = 0;
                     self.keep_registered(&mut client, lease).await;
+                    sleep(random_pause(STORE_RETRY_PAUSE)).await;
                 }
                 None => {
                     failures += 1;
                     self.send_hello();
-                    self.list_first_nodes(&mut client).await;
+                    self.pause_registration(&mut client, failures).await;
                 }
             }
-            sleep(registration_pause(failures)).await;
         }
     }
 
-    /// Reads the list of nodes if it has never been received: a node needs it to serve, and its own
-    /// registration only for others.
-    async fn list_first_nodes(&self, client: &mut PlatformClient) {
-        if !self.node.has_listed_nodes() {
-            self.list_nodes(client, store::read_nodes).await;
+    /// Waits after a number of consecutive failures to register. Meanwhile a node without a list of
+    /// nodes tries to read it: it needs the list to serve, and its own registration only for others.
+    async fn pause_registration(&self, client: &mut PlatformClient, failures: u32) {
+        let doublings = failures.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
+        let until = Instant::now() + random_pause(STORE_RETRY_PAUSE * 2_u32.pow(doublings));
+        while Instant::now() < until {
+            if !self.node.has_listed_nodes() {
+                self.list_nodes(client, store::read_nodes).await;
+            }
+            let remaining = until.saturating_duration_since(Instant::now());
+            sleep(remaining.min(random_pause(STORE_RETRY_PAUSE))).await;
         }
     }
 
--- a/crates/serving/src/full_read_gate.rs
+++ b/crates/serving/src/full_read_gate.rs
@@ -64,7 +64,7 @@
         if self.nodes <= NODES_PER_READ {
             return 0;
         }
-        let spread_us = self.contact_us as f64 * (self.fleet_factor() - 1.0);
+        let spread_us = self.contact_us as f64 * self.fleet_factor();
         READER_RETRY_US + (spread_us * self.random) as u64
     }
 }
