A node that has registered and whose first list of nodes failed reads the list again within a second

The node then waited for the list that is read with every sixth renewal, 30 s later; since a node without a list reads nothing, it served nobody until then.

--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -112,13 +112,22 @@
         Some(lease)
     }
 
+    /// Time until the next renewal. It is short while the first list of nodes, which is read with it,
+    /// is missing.
+    fn renewal_pause(&self) -> Duration {
+        match self.node.has_listed_nodes() {
+            true => RENEWAL_INTERVAL,
+            false => random_pause(STORE_RETRY_PAUSE),
+        }
+    }
+
     /// Renews the registration until the store reports that the lease has expired. Leases do not
     /// expire while the store is unavailable, and a renewal costs a tenth of a new registration.
     async fn keep_registered(&self, client: &mut PlatformClient, lease: StoreLease) {
         for renewal in 1_u32.. {
             if lease.era == self.node.store_era() {
                 // The wait ends after the interval or when a new era begins.
-                let _ = timeout(RENEWAL_INTERVAL, self.node.later_era_began.notified()).await;
+                let _ = timeout(self.renewal_pause(), self.node.later_era_began.notified()).await;
             }
             if lease.era != self.node.store_era() {
                 // All nodes register again after a random delay, which is much shorter than the
@@ -133,7 +142,9 @@
                 Err(CallError::Absent) => return self.node.quotas.on_lease_expired(),
                 Err(CallError::Other) => {}
             }
-            if renewal % RENEWALS_PER_LISTING == 0 {
+            if !self.node.has_listed_nodes() {
+                self.list_nodes(client, store::read_nodes).await;
+            } else if renewal % RENEWALS_PER_LISTING == 0 {
                 self.list_nodes(client, store::read_nodes_stale).await;
             }
         }
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -52,6 +52,18 @@
     assert!(node.is_ready());
 }
 
+/// Guards against a node that has registered, and waits for its next regular list because the first one failed.
+#[test]
+fn a_node_whose_first_list_of_nodes_has_failed_reads_it_again_soon() {
+    let store = StoreStandIn::start().unwrap();
+    store.reject_once("pitchstall/nodes/");
+    let one = runner("i-1");
+    let node = Fixture::start_with_store(store, "node-1");
+    node.store.put("op/config", &configuration(3));
+    node.add_runner(&one, "desk", None);
+    wait_for("the response", || request(&node, "/lookup/1") == (200, "i-1".to_owned()));
+}
+
 #[test_case(StoreMode::Silent)]
 #[test_case(StoreMode::Unavailable)]
 fn a_node_that_starts_during_a_store_outage_serves_from_the_replica_of_another_node(
