From where a node obtains its replica is decided by a state machine without clock or socket

Cause: the watcher decided between store, sources and other nodes among its sockets, so that no test at a thousand nodes could play that decision, only the gate beneath it. serving/source_choice holds it now: rounds, waits, the search for other nodes, calls for changes. A full read is logged and counted once, not once for each attempt that fails while the store is away.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -21,12 +21,13 @@
 use crate::replica_limits::random_confirmation_period;
 use crate::replication::ReplicationClient;
 use crate::transfer::Transfer;
-use peer_source::{hedge_with_peers, Source};
+use full_read::FullRead;
+use peer_source::{classify_reply, hedge_with_peers};
 use pitchstall_platform_adapter::store::{
     Page, StoreResponseError, StoreStatus, CONFIGURATION_KEY, CRASHES_PREFIX, RUNNERS_PREFIX,
 };
 use pitchstall_serving::freshness::{Freshness, ReplicaFreshness};
-use pitchstall_serving::full_read_gate::{FullReadGate, SourceState};
+use pitchstall_serving::source_choice::{NextQuery, SourceChoice};
 use pitchstall_serving::store_replica::{StoreUpdate, StoreUpdateQuery, Subject};
 use pitchstall_serving::store_revision::{StoreEra, StoreRevision};
 use rand::RngExt;
@@ -43,8 +44,6 @@
 /// another node can be asked, in milliseconds. The followers of a fleet that starts before its
 /// configuration is written would otherwise all call the store.
 const FIRST_OWN_CALL_DELAY_MS: std::ops::Range<u64> = 600..1_200;
-/// Number of other nodes that are queried before a node counts as cut off from all of them.
-const OTHER_NODES_QUERIED: usize = 3;
 /// Pause after a peer that had no confirmed replica.
 const SOURCE_RETRY_PAUSE: Duration = Duration::from_millis(30);
 /// Minimum size of a response that is logged. It takes 13 ms on a link of 10 Mbit/s.
@@ -102,20 +101,15 @@
     let address = node.settings().store.address;
     let confirmation_period = random_confirmation_period(&node, subject);
     let transfer = Rc::<Transfer>::default();
-    let first_call_delay = first_own_call_delay();
-    let first_full_read_us = node.now_us() + micros(first_call_delay);
+    let first_call_us = node.now_us() + micros(first_own_call_delay());
     let mut follower = Follower {
         node,
         subject,
         client: PlatformClient::with_transfer(transfer.clone()),
         replication: ReplicationClient::with_transfer(transfer.clone()),
         transfer,
-        source_index: 0,
-        next_own_call_at: Instant::now() + first_call_delay,
-        next_behind_call_at: Instant::now(),
-        waits_at_source: false,
-        waits_without_update: 0,
-        full_read_gate: FullReadGate::new(first_full_read_us),
+        choice: SourceChoice::new(first_call_us),
+        full_read: None,
         query_sent_at: Instant::now(),
         started: Instant::now(),
         address,
@@ -183,20 +177,10 @@
     replication: ReplicationClient,
     /// Progress of the response from the peer or store that was queried last.
     transfer: Rc<Transfer>,
-    /// Index of the followed node among the possible sources.
-    source_index: usize,
-    /// Earliest time of the next call to the store while no peer's replica is confirmed.
-    next_own_call_at: Instant,
-    /// Earliest time of the next call to the store while another node has reported a later change.
-    next_behind_call_at: Instant,
-    /// Whether the next query to the followed node waits for a change: its last reply could be
-    /// relied on, or it is obtaining a replica.
-    waits_at_source: bool,
-    /// Queries to the current source that it answered with nothing but that it is obtaining a
-    /// replica.
-    waits_without_update: u32,
-    /// When this node reads all entries although it is no store reader.
-    full_read_gate: FullReadGate,
+    /// From where the replica is obtained.
+    choice: SourceChoice,
+    /// The read of all entries that was begun and has not ended, also if its last attempt failed.
+    full_read: Option<FullRead>,
     /// Time of the last query or call.
     query_sent_at: Instant,
     started: Instant,
@@ -229,7 +213,6 @@
             sleep(SOURCE_RETRY_PAUSE).await;
             return Ok(());
         }
-        self.check_isolation().await;
         let address = self.node.settings().store.address;
         let generation = self.node.store_generation.get();
         if generation != self.generation {
@@ -239,17 +222,24 @@
             self.partial_read = PartialRead::default();
             self.node.store_replicas.borrow_mut().get_mut(self.subject).reset();
         }
-        match self.source() {
-            Source::Store => {}
-            Source::Peer(source) => {
-                self.follow_peer(source).await;
-                return Ok(());
+        match self.next_query() {
+            NextQuery::Store => self.query_store_or_peers().await,
+            NextQuery::Source { address, waits } => {
+                self.follow_peer(address, waits).await;
+                Ok(())
+            }
+            NextQuery::OtherNode => {
+                self.query_any_node().await;
+                Ok(())
             }
-            Source::None => {
+            NextQuery::Pause => {
                 sleep(SOURCE_RETRY_PAUSE).await;
-                return Ok(());
+                Ok(())
             }
         }
+    }
+
+    async fn query_store_or_peers(&mut self) -> Result<(), FollowError> {
         self.transfer.reset();
         let hedge =
             hedge_with_peers(self.node.clone(), self.subject, self.known_to, &self.transfer);
@@ -335,12 +325,8 @@
         let query = StoreUpdateQuery::new(self.subject, self.known_to_in_current_era(), 0);
         match self.replication.query(&self.node, other, &query).await {
             Ok(reply) => {
-                let is_obtaining = reply.is_obtaining;
-                self.apply_reply(&reply);
-                self.full_read_gate.on_source(match is_obtaining {
-                    true => SourceState::Obtaining,
-                    false => SourceState::Unconfirmed,
-                });
+                let is_reliable = self.apply_reply(&reply);
+                self.choice.on_other_reply(classify_reply(&reply, is_reliable));
             }
             Err(error) => {
                 let (other, error) = (other.to_string(), error.to_string());
@@ -349,21 +335,12 @@
         }
     }
 
-    /// Queries a few other nodes until one replies.
-    async fn query_other_nodes(&mut self) {
-        for _ in 0..OTHER_NODES_QUERIED {
-            self.query_any_node().await;
-            if self.full_read_gate.has_reply() {
-                return;
-            }
-        }
-    }
-
     fn apply_update(&mut self, update: &StoreUpdate) {
         // The store's history may still reach back to a later replica received from another node.
         self.history_is_gone &= self.known_to.is_some_and(|at| update.known_to() <= at);
         self.known_to = Some(update.known_to());
         self.partial_read = PartialRead::default();
+        self.full_read = None;
         if self.subject == Subject::Configuration {
             let document = update.entries.last().and_then(|entry| entry.document.as_ref());
             self.configuration_bytes = document.map(String::len).or(self.configuration_bytes);
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -3,11 +3,12 @@
 use super::{Follower, MIN_CHANGE_INTERVAL, SOURCE_RETRY_PAUSE};
 use crate::clock::Instant;
 use crate::node::Node;
-use crate::replica_limits::{max_query_wait, percent_of_contact, stale_after};
+use crate::replica_limits::{max_query_wait, stale_after};
 use crate::replication::{ReplicationClient, ReplicationError};
 use crate::transfer::Transfer;
 use pitchstall_serving::freshness::{Freshness, ReplicaFreshness};
-use pitchstall_serving::full_read_gate::{Occasion, SourceState};
+use pitchstall_serving::full_read_gate::Occasion;
+use pitchstall_serving::source_choice::{ChoiceContext, NextQuery, SourceReply};
 use pitchstall_serving::store_replica::{StoreUpdateQuery, StoreUpdateReply, Subject};
 use pitchstall_serving::store_revision::StoreRevision;
 use rand::RngExt;
@@ -17,15 +18,6 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Time between two calls to the store while no peer's replica is confirmed, in percent of
-/// `bounds.contact_ms`. Such calls are needed since this node alone may be cut off from the others.
-const OWN_CALL_PERCENT: std::ops::Range<u64> = 50..150;
-/// Minimum time between two calls to the store by a node that knows of a later change which no peer
-/// could provide. The change has to be in force within a few seconds.
-const MIN_BEHIND_CALL_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of queries that wait at a source which is obtaining a replica before the next one is
-/// queried, which may have one already.
-const MAX_WAITS_WITHOUT_UPDATE: u32 = 3;
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Minimum number of bytes received from an abandoned source that count as a part of an update. A
 /// reply without an update is smaller.
@@ -79,102 +71,31 @@
     }
 }
 
-/// From where a follower obtains an update.
-pub(super) enum Source {
-    /// The store.
-    Store,
-    /// Another node, at its address.
-    Peer(SocketAddr),
-    /// Nowhere for the moment.
-    None,
-}
-
 impl Follower {
-    /// From where to obtain the next update.
-    pub(super) fn source(&mut self) -> Source {
-        if self.is_store_reader() {
-            return Source::Store;
-        }
-        if !self.is_round_over() {
-            let sources = self.node.members.borrow().sources();
-            if let Some(source) = sources.get(self.source_index) {
-                return Source::Peer(*source);
-            }
-        }
-        // All sources have been tried without success.
-        self.source_index = 0;
-        if self.may_call_store() {
-            return Source::Store;
-        }
-        let sources = self.node.members.borrow().sources();
-        sources.first().map_or(Source::None, |source| Source::Peer(*source))
-    }
-
-    /// Whether this node reads the store on behalf of others. Before it has the list of nodes it does
-    /// not know.
-    fn is_store_reader(&self) -> bool {
-        self.node.has_listed_nodes() && self.node.members.borrow().is_store_reader()
-    }
-
-    /// Queries other nodes than the sources, none of which has replied, before this node counts as
-    /// cut off from all of them.
-    pub(super) async fn check_isolation(&mut self) {
-        let is_suspected = !self.is_store_reader()
-            && self.needs_full_read()
-            && self.is_round_over()
-            && !self.full_read_gate.has_reply();
-        if is_suspected {
-            self.query_other_nodes().await;
-        }
-    }
-
-    /// Whether all sources have been queried since the round began, or enough of them to count as
-    /// cut off.
-    pub(super) fn is_round_over(&self) -> bool {
-        self.full_read_gate.has_lost_sources()
-            || self.source_index >= self.node.members.borrow().sources().len()
-    }
-
-    /// Whether this node calls the store after a round of queries in vain.
-    fn may_call_store(&mut self) -> bool {
-        if !self.needs_full_read() {
-            self.full_read_gate.begin_round();
-            return self.may_call_for_changes();
-        }
-        // Without the list of nodes, it does not know how many others would do the same.
-        if !self.node.has_listed_nodes() {
-            self.full_read_gate.begin_round();
-            return false;
-        }
-        let occasion = Occasion {
-            now_us: self.node.now_us(),
-            nodes: self.node.known_node_count(),
-            contact_us: self.node.settings().bounds.contact_ms * MICROS_PER_MILLI,
-            random: rand::rng().random_range(0.0..1.0),
+    /// Where to send the next query.
+    pub(super) fn next_query(&mut self) -> NextQuery {
+        let members = self.node.members.borrow();
+        let context = ChoiceContext {
+            sources: &members.sources(),
+            has_node_list: self.node.has_listed_nodes(),
+            is_store_reader: members.is_store_reader(),
+            needs_full_read: self.needs_full_read(),
+            is_behind: self.assess_freshness() == Freshness::Behind,
+            occasion: Occasion {
+                now_us: self.node.now_us(),
+                nodes: members.len(),
+                contact_us: self.node.settings().bounds.contact_ms * MICROS_PER_MILLI,
+                random: rand::rng().random_range(0.0..1.0),
+            },
         };
-        self.full_read_gate.end_round(&occasion)
-    }
-
-    /// Whether this node makes a call that confirms its replica or brings the changes since.
-    fn may_call_for_changes(&mut self) -> bool {
-        let now = Instant::now();
-        let is_behind =
-            self.assess_freshness() == Freshness::Behind && now >= self.next_behind_call_at;
-        if now < self.next_own_call_at && !is_behind {
-            return false;
-        }
-        self.next_behind_call_at = now + MIN_BEHIND_CALL_INTERVAL;
-        let pause = rand::rng().random_range(OWN_CALL_PERCENT);
-        self.next_own_call_at = now + percent_of_contact(&self.node, pause);
-        true
+        self.choice.next(&context)
     }
 
-    /// Queries another node for the changes since `known_to`.
-    pub(super) async fn follow_peer(&mut self, source: SocketAddr) {
+    /// Queries another node for the changes since `known_to`. If it `waits`, it holds its reply back
+    /// until it has some; a new source may be outdated, and is queried without a wait.
+    pub(super) async fn follow_peer(&mut self, source: SocketAddr, waits: bool) {
         self.pause_between_changes(MIN_CHANGE_INTERVAL).await;
-        // A new source may be outdated too. It is queried without a wait, so that the next one can
-        // be tried at once.
-        let wait = match self.waits_at_source {
+        let wait = match waits {
             true => max_query_wait(&self.node),
             false => Duration::ZERO,
         };
@@ -184,59 +105,36 @@
         // The query is not dropped when another node reports a later change: reports are small and
         // arrive at once, while the change itself takes time. A source without changes replies
         // soon.
-        let reply = self.replication.query(&self.node, source, &query).await;
-        self.waits_at_source = match reply {
+        match self.replication.query(&self.node, source, &query).await {
             Ok(reply) => self.handle_reply(source, &reply).await,
             Err(error) => {
                 self.on_silent_source(source, &error);
                 self.abandon_source(source, &error.to_string()).await;
-                false
             }
-        };
+        }
     }
 
     /// Records that a source did not reply. One that could not be connected to counts as gone, and
     /// the next node of its zone takes its place as a store reader.
     fn on_silent_source(&mut self, source: SocketAddr, error: &ReplicationError) {
-        self.full_read_gate.on_source(SourceState::Silent);
-        match error {
-            // The next source takes the index of this one.
-            ReplicationError::Unreachable(_) => {
-                self.node.members.borrow_mut().on_unreachable(source);
-            }
-            _ => self.source_index += 1,
+        let is_gone = matches!(error, ReplicationError::Unreachable(_));
+        if is_gone {
+            self.node.members.borrow_mut().on_unreachable(source);
         }
+        self.choice.on_silent(is_gone);
     }
 
-    /// Applies a source's reply; returns whether the next query to it waits for a change.
-    async fn handle_reply(&mut self, source: SocketAddr, reply: &StoreUpdateReply) -> bool {
+    async fn handle_reply(&mut self, source: SocketAddr, reply: &StoreUpdateReply) {
         let had_replica = self.known_to.is_some();
         let is_reliable = self.apply_reply(reply);
         if !had_replica && self.known_to.is_some() {
             self.log_first_replica(&source.to_string(), reply.age_ms);
         }
         self.log_large_response(&source.to_string(), self.transfer.received());
-        if is_reliable {
-            self.full_read_gate.on_replica();
-            self.waits_without_update = 0;
-            return true;
-        }
-        let state = match reply.is_obtaining {
-            true => SourceState::Obtaining,
-            false => SourceState::Unconfirmed,
-        };
-        self.full_read_gate.on_source(state);
-        // A reply with an update of no use is not held back, so waiting would be a busy loop.
-        let can_wait = reply.is_obtaining && reply.update.is_none();
-        if can_wait && self.waits_without_update < MAX_WAITS_WITHOUT_UPDATE {
-            self.waits_without_update += 1;
-            return true;
+        if !self.choice.on_reply(classify_reply(reply, is_reliable)) {
+            let age_ms = reply.age_ms;
+            self.abandon_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
         }
-        self.waits_without_update = 0;
-        self.source_index += 1;
-        let age_ms = reply.age_ms;
-        self.abandon_source(source, &format!("confirmed {age_ms:?} ms ago")).await;
-        false
     }
 
     /// Applies another node's reply; returns whether its replica can be relied on.
@@ -280,3 +178,13 @@
         sleep(SOURCE_RETRY_PAUSE).await;
     }
 }
+
+/// What a reply shows about its sender. `is_reliable`: its replica can be relied on.
+pub(super) fn classify_reply(reply: &StoreUpdateReply, is_reliable: bool) -> SourceReply {
+    match (is_reliable, reply.is_obtaining, &reply.update) {
+        (true, _, _) => SourceReply::Reliable,
+        (false, true, None) => SourceReply::Obtaining,
+        (false, true, Some(_)) => SourceReply::ObtainingAnew,
+        (false, false, _) => SourceReply::Unconfirmed,
+    }
+}
--- a/crates/gateway/src/watcher/store_source.rs
+++ b/crates/gateway/src/watcher/store_source.rs
@@ -40,18 +40,12 @@
     /// nothing is known here, an old replica is better than none, and a later change that others
     /// have reported must be obtained from them. The store's first response replaces such a replica.
     pub(super) async fn query_store(&mut self) -> Result<(), FollowError> {
-        let outcome = match self.known_to {
+        let outcome = match self.known_to.filter(|_| !self.needs_full_read()) {
             None => self.read_all().await,
-            Some(_) if self.history_is_gone || self.is_replica_of_earlier_era() => {
-                self.read_all().await
-            }
             Some(_) if self.should_reread_entry => self.read_latest().await,
             Some(at) => self.watch(at).await,
         };
-        let is_incomplete = self.known_to.is_none()
-            || self.history_is_gone
-            || self.is_replica_of_earlier_era()
-            || self.is_behind();
+        let is_incomplete = self.needs_full_read() || self.is_behind();
         if outcome.is_err() && self.failures > 0 && is_incomplete {
             self.query_any_node().await;
         }
@@ -59,7 +53,10 @@
     }
 
     async fn read_all(&mut self) -> Result<(), FollowError> {
-        let read = FullRead::begin(&self.node, self.subject, self.full_read_reason());
+        if self.full_read.is_none() {
+            self.full_read =
+                Some(FullRead::begin(&self.node, self.subject, self.full_read_reason()));
+        }
         self.set_obtaining(true);
         let update = match self.subject {
             Subject::Configuration => self.read_configuration().await,
@@ -67,7 +64,9 @@
         };
         self.set_obtaining(false);
         let update = update?;
-        read.end(update.entries.len());
+        if let Some(read) = self.full_read.take() {
+            read.end(update.entries.len());
+        }
         if self.known_to.is_none() {
             self.log_first_replica("store", Some(0));
         }
--- a/crates/serving/src/full_read_gate.rs
+++ b/crates/serving/src/full_read_gate.rs
@@ -1,8 +1,8 @@
 //! When a node that follows others reads all entries of a subject from the store itself.
 //!
 //! All entries are some megabytes in a large fleet. If every follower read them, the store's link
-//! would be full, the store readers would take as long as everybody else, and the demand would
-//! never fall. The gate keeps these invariants:
+//! would be full, the store readers would take as long as all other nodes, and the demand would
+//! not fall. The gate keeps these invariants:
 //!
 //! - While a source is obtaining a replica, its followers wait for it.
 //! - While sources reply and none of them is obtaining a replica, all followers together begin about
@@ -48,10 +48,10 @@
 }
 
 impl Occasion {
-    /// A random pause, `factor` times as long as that of a node that is alone.
-    fn pause_us(&self, factor: f64) -> u64 {
-        let percent = PAUSE_PERCENT.start + self.random * (PAUSE_PERCENT.end - PAUSE_PERCENT.start);
-        (self.contact_us as f64 * percent * factor / 100.0) as u64
+    /// A random pause within a range of percentages of `bounds.contact_ms`, in microseconds.
+    pub(crate) fn pause_us(&self, percent: &Range<f64>) -> u64 {
+        let percent = percent.start + self.random * (percent.end - percent.start);
+        (self.contact_us as f64 * percent / 100.0) as u64
     }
 
     /// How many times as large as [`NODES_PER_READ`] the fleet is; at least 1.
@@ -111,7 +111,7 @@
         *self = Self::new(self.alone_from_us);
     }
 
-    /// Whether so many sources have not replied that the round ends before all have been queried.
+    /// Whether the round ends before all sources have been queried, because none of many replied.
     pub fn has_lost_sources(&self) -> bool {
         !self.has_reply && self.silent_sources >= MAX_SILENT_SOURCES
     }
@@ -140,7 +140,7 @@
         if occasion.now_us < self.alone_from_us {
             return false;
         }
-        self.alone_from_us = occasion.now_us + occasion.pause_us(1.0);
+        self.alone_from_us = occasion.now_us + occasion.pause_us(&PAUSE_PERCENT);
         true
     }
 
@@ -151,7 +151,8 @@
         if now_us < due_us {
             return false;
         }
-        self.unserved_from_us = Some(now_us + occasion.pause_us(occasion.fleet_factor()));
+        let pause_us = occasion.pause_us(&PAUSE_PERCENT) as f64 * occasion.fleet_factor();
+        self.unserved_from_us = Some(now_us + pause_us as u64);
         true
     }
 }
