A node that is still reading its list of nodes says that it will have a replica, however long the list takes

Cause: it said so for bounds.contact_ms after its start. From then on a store reader whose list was late looked like one that had failed, and its followers began to read: a bound by a time that happened to be long enough. Now it says so until an attempt to list has failed, so followers read only after a call of a reader has failed at the store.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -158,6 +158,7 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     has_runner_list: Cell<bool>,
     has_node_list: Cell<bool>,
+    has_failed_listing: Cell<bool>,
     has_been_ready: Cell<bool>,
     /// Addresses of the nodes that last reported a later change, by the subject's name.
     reporters: RefCell<HashMap<&'static str, SocketAddr>>,
@@ -251,6 +252,7 @@
             configuration: RefCell::default(),
             has_runner_list: Cell::new(false),
             has_node_list: Cell::new(false),
+            has_failed_listing: Cell::new(false),
             has_been_ready: Cell::new(false),
             reporters: RefCell::default(),
             is_stopping: Cell::new(false),
@@ -351,9 +353,10 @@
         self.fleet.borrow().get(runner).is_some_and(is_available)
     }
 
-    /// Records that the store's list of nodes has been received.
-    pub fn on_nodes_listed(&self) {
-        self.has_node_list.set(true);
+    /// Records whether an attempt to read the store's list of nodes has succeeded.
+    pub fn on_nodes_listed(&self, is_complete: bool) {
+        self.has_failed_listing.set(!is_complete);
+        self.has_node_list.set(self.has_node_list.get() || is_complete);
     }
 
     /// Whether the store's list of nodes has ever been received.
@@ -367,12 +370,9 @@
     }
 
     /// Whether this node will soon have a replica of a subject: it is reading all entries from the
-    /// store, or has just started and will know in a moment whether it has to.
+    /// store, or is still reading the list of nodes, by which it knows whether it has to.
     pub fn is_obtaining_replica(&self, subject: Subject) -> bool {
-        let is_starting = || {
-            let contact_time = Duration::from_millis(self.settings().bounds.contact_ms);
-            !self.has_listed_nodes() && self.started.elapsed() < contact_time
-        };
+        let is_starting = || !self.has_listed_nodes() && !self.has_failed_listing.get();
         self.store_replicas.borrow().get(subject).is_obtaining() || is_starting()
     }
 
--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -161,7 +161,7 @@
             let (body, _) = self.call(client, &read(after.as_deref())).await?;
             ok_or_log("nodes", store::parse_page(&body)).ok_or(CallError::Other)
         });
-        let Ok(page) = page.await else { return };
+        let Ok(page) = page.await else { return self.node.on_nodes_listed(false) };
         let listed = page.items.iter().filter_map(|item| self.read_node(item));
         let others: Vec<(NodeId, Member)> = listed.filter(|(name, _)| *name != self.name).collect();
         for (name, member) in &others {
@@ -171,7 +171,7 @@
             }
         }
         self.log_node_list(others.len(), started_at);
-        self.node.on_nodes_listed();
+        self.node.on_nodes_listed(true);
         let now = Instant::now();
         let listed: HashSet<&NodeId> = others.iter().map(|(name, _)| name).collect();
         let mut state = self.state.borrow_mut();
