--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -3,9 +3,12 @@
 mod configuration;
 mod crashes;
 mod eras;
+mod lifecycle;
 mod links;
 mod locations;
 mod open_work;
+mod prefills;
+mod replicas;
 mod retries;
 mod runners;
 
@@ -18,31 +21,24 @@
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::peer_messages::PeerSocket;
-use crate::platform_client::PlatformClient;
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
-use crate::refused_entries::{EntryError, RefusedEntries};
+use crate::refused_entries::RefusedEntries;
 use crate::retry_pools::RetryPools;
 use crate::runner_limits::RunnerLimits;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
-use crate::shard_scheduler;
-use crate::store_responses::StoreResponse;
 use crate::stream_origins::StreamOriginRecords;
 use crate::tunnel::server::OpenTunnels;
 use crate::unknown_headers::UnknownHeaders;
-use pitchstall_platform_adapter::call::PlatformCall;
-use pitchstall_platform_adapter::store;
 use pitchstall_serving::configuration::{Configuration, Route};
 use pitchstall_serving::crash_evidence::CrashEvidence;
-use pitchstall_serving::digest::Digest;
 use pitchstall_serving::fleet::Fleet;
 use pitchstall_serving::freshness::StoreFreshness;
 use pitchstall_serving::ids::{NodeId, RegionId, RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::lost_links::LostLinks;
 use pitchstall_serving::membership::{Member, Membership};
-use pitchstall_serving::prefill_speed::{PrefillSample, PrefillSpeed};
-use pitchstall_serving::prefix::PromptPart;
+use pitchstall_serving::prefill_speed::PrefillSpeed;
 use pitchstall_serving::proven_parts::ProvenParts;
 use pitchstall_serving::quarantine::Quarantine;
 use pitchstall_serving::request_identity::RequestIdentity;
@@ -50,8 +46,8 @@
 use pitchstall_serving::routing::TrafficSplitter;
 use pitchstall_serving::runner::{Runner, Stage};
 use pitchstall_serving::scheduling::ShardLoads;
-use pitchstall_serving::store_replica::{StoreReplicas, StoreUpdate, Subject};
-use pitchstall_serving::store_revision::{RevisionNumber, StoreEras};
+use pitchstall_serving::store_replica::StoreReplicas;
+use pitchstall_serving::store_revision::StoreEras;
 use pitchstall_serving::topology::Topology;
 use pitchstall_serving::tunnel_peers::TunnelPeers;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
@@ -61,7 +57,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
 /// State of a node. The tasks of a node run on one thread and share this state without locks.
@@ -304,46 +300,6 @@
         self.wall_clock.borrow_mut().now_ms(system_time_ms(), self.now_us())
     }
 
-    /// Makes a call to the store. Returns `None` if the call failed, the head of its response did
-    /// not arrive within `limit`, or the settings name another store by now.
-    pub async fn call_store(
-        &self,
-        client: &mut PlatformClient,
-        call: &PlatformCall,
-        limit: Duration,
-    ) -> Option<StoreResponse> {
-        self.metrics.store_calls.inc();
-        let address = self.settings().store.address;
-        match client.call(address, call, limit).await {
-            Ok(response) => {
-                let era = self.on_era_reported(address, response.era)?;
-                Some(StoreResponse {
-                    status: store::parse_status(response.status),
-                    era,
-                    body: response.body,
-                })
-            }
-            Err(error) => {
-                self.metrics.store_failures.inc();
-                let (target, error) = (call.target.as_str(), error.to_string());
-                log::info!(target: "store", target, error; "call failed");
-                None
-            }
-        }
-    }
-
-    /// Records that a runner holds prompt parts in its KV cache, after it has prefilled or fetched
-    /// them.
-    pub fn on_prefix_cached(&self, runner: &RunnerId, parts: &[PromptPart]) {
-        if parts.is_empty() {
-            return;
-        }
-        let service = self.fleet.borrow().get(runner).map(|runner| runner.record.service.clone());
-        let Some(service) = service else { return };
-        let capacity = self.kv_cache_tokens(&service);
-        self.fleet.borrow_mut().on_prefix_cached(runner, parts, self.now_us(), capacity);
-    }
-
     /// Whether this node may place requests on a runner, by its own view of the runner.
     pub fn accepts_placements(&self, runner: &RunnerId) -> bool {
         let now_us = self.now_us();
@@ -353,49 +309,11 @@
         self.fleet.borrow().get(runner).is_some_and(is_available)
     }
 
-    /// Records whether an attempt to read the store's list of nodes has succeeded.
-    pub fn on_nodes_listed(&self, is_complete: bool) {
-        self.has_failed_listing.set(!is_complete);
-        self.has_node_list.set(self.has_node_list.get() || is_complete);
-    }
-
-    /// Whether the store's list of nodes has ever been received.
-    pub fn has_listed_nodes(&self) -> bool {
-        self.has_node_list.get()
-    }
-
     /// Number of known nodes, including this one.
     pub fn known_node_count(&self) -> usize {
         self.members.borrow().len()
     }
 
-    /// Whether this node will soon have a replica of a subject: it is reading all entries from the
-    /// store, or is still reading the list of nodes, by which it knows whether it has to.
-    pub fn is_obtaining_replica(&self, subject: Subject) -> bool {
-        let is_starting = || !self.has_listed_nodes() && !self.has_failed_listing.get();
-        self.store_replicas.borrow().get(subject).is_obtaining() || is_starting()
-    }
-
-    /// Applies an update to the replica that is served to followers.
-    pub fn update_replica(&self, subject: Subject, update: &StoreUpdate) {
-        self.store_replicas.borrow_mut().get_mut(subject).apply(update);
-        self.store_replica_changed.notify_waiters();
-    }
-
-    /// Logs and counts an entry that another program wrote to the store and that cannot be used,
-    /// once per revision.
-    pub fn on_refused_entry(
-        &self,
-        subject: &'static str,
-        key: &str,
-        revision: RevisionNumber,
-        error: &EntryError,
-    ) {
-        if self.refused_entries.on_refused(subject, key, revision, error) {
-            self.metrics.on_refused_entry(subject);
-        }
-    }
-
     /// Maximum number of connections from this node to one runner of a service; `u32::MAX` if the
     /// service has no limit. It is this node's share of the runner's limit over all clients: a
     /// runner resets connections beyond that limit, and the node could not tell whether a request
@@ -429,34 +347,6 @@
         self.role_change_ordered.notify_one();
     }
 
-    /// Applies another node's digest, which has come from the address `from`: its reports on role changes, runners' limits and the store,
-    /// and its clock.
-    pub fn on_peer_digest(&self, digest: &Digest, from: SocketAddr) {
-        let now_us = self.now_us();
-        self.fleet.borrow_mut().on_role_transitions_reported(&digest.changing, now_us);
-        digest.limits.iter().for_each(|report| self.on_limit_message(report));
-        self.note_reporter(digest, from);
-        self.freshness.borrow_mut().on_report(&digest.store, &self.store_eras.borrow(), now_us);
-        self.wall_clock.borrow_mut().on_peer_clock(&digest.node, digest.wall_ms, now_us);
-    }
-
-    /// Remembers the node that reports a change which this node does not know, to be queried if the
-    /// store does not deliver it.
-    fn note_reporter(&self, digest: &Digest, from: SocketAddr) {
-        for subject in Subject::ALL {
-            let reported = digest.store.replica(subject).changed_at(&self.store_eras.borrow());
-            let known_to = self.store_replicas.borrow().get(subject).known_to();
-            if reported > known_to.unwrap_or_default() {
-                self.reporters.borrow_mut().insert(subject.name(), from);
-            }
-        }
-    }
-
-    /// Takes the address of the node that last reported a later change of a subject.
-    pub fn take_reporter(&self, subject: Subject) -> Option<SocketAddr> {
-        self.reporters.borrow_mut().remove(subject.name())
-    }
-
     /// Applies a scheduler's report on the loads of its runners.
     pub fn on_shard_loads(&self, report: &ShardLoads) {
         let now_us = self.now_us();
@@ -468,90 +358,4 @@
     pub fn next_service(&self, route: &Route) -> Option<ServiceName> {
         self.splitter.borrow_mut().next_service(route)
     }
-
-    /// Calls `use_speed` with the measured prefill speed of a service's runners.
-    pub fn with_prefill_speed<R>(
-        &self,
-        service: &ServiceName,
-        use_speed: impl FnOnce(&mut PrefillSpeed) -> R,
-    ) -> R {
-        use_speed(self.prefill_speeds.borrow_mut().entry(service.clone()).or_default())
-    }
-
-    /// Records that a runner of a service has prefilled a prompt.
-    pub fn on_prefill_measured(
-        &self,
-        service: &ServiceName,
-        runner: &RunnerId,
-        sample: PrefillSample,
-    ) {
-        let observes_all_prefills = shard_scheduler::is_scheduler_of(self, runner);
-        let timing = self.with_prefill_speed(service, |speed| {
-            speed.on_prefilled(sample);
-            speed.timing_of(&sample, observes_all_prefills)
-        });
-        let measured = self.fleet.borrow_mut().on_prefill_measured(runner, timing, self.now_us());
-        if let Some(measured) = measured {
-            self.with_prefill_speed(service, |speed| speed.on_prefill_timed(measured));
-        }
-    }
-
-    /// Whether a runner is estimated to have nothing to prefill but the `sent_tokens` tokens that
-    /// this node has just sent, and no other requests.
-    pub fn has_no_other_requests(&self, runner: &RunnerId, sent_tokens: u64) -> bool {
-        let fleet = self.fleet.borrow();
-        let Some(runner) = fleet.get(runner) else { return false };
-        let peer_requests = runner.peer_requests(self.now_us());
-        runner.prefill_tokens <= sent_tokens && runner.in_flight <= 1 && peer_requests < 1.0
-    }
-
-    /// Whether the node accepts requests of clients: it has a configuration that is not outdated
-    /// and a list of runners, and is not stopping.
-    pub fn is_ready(&self) -> bool {
-        let is_configured =
-            self.configuration.borrow().is_some() && !self.has_outdated_configuration();
-        !self.is_stopping() && is_configured && self.has_runner_list.get()
-    }
-
-    /// Logs when the node is able to serve for the first time since its start.
-    pub fn log_first_readiness(&self) {
-        if self.has_been_ready.get() || !self.is_ready() {
-            return;
-        }
-        self.has_been_ready.set(true);
-        let uptime_ms = self.started.elapsed().as_millis();
-        let nodes = self.known_node_count();
-        log::info!(target: "process", uptime_ms, nodes; "able to serve");
-    }
-
-    /// Whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
-    }
-
-    /// Begins a planned stop. The node reports that it is not ready from then on.
-    pub fn begin_stop(&self) {
-        self.is_stopping.set(true);
-        self.stop_began.notify_waiters();
-    }
-
-    /// Completes when a planned stop has begun.
-    pub async fn wait_for_stop(&self) {
-        let began = self.stop_began.notified();
-        if !self.is_stopping() {
-            began.await;
-        }
-    }
-
-    /// Begins to close idle client connections; others are closed as soon as they are idle. The
-    /// node accepts no new ones by then.
-    pub fn begin_closing(&self) {
-        self.is_closing.set(true);
-        self.closing_started.notify_waiters();
-    }
-
-    /// Whether idle client connections are to be closed.
-    pub fn is_closing(&self) -> bool {
-        self.is_closing.get()
-    }
 }
