--- a/crates/gateway/src/node/replicas.rs
+++ b/crates/gateway/src/node/replicas.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Whether a node has reported a later change of a subject and was not queried since.
+    pub fn has_reporter(&self, subject: Subject) -> bool {
+        self.reporters.borrow().contains_key(subject.name())
+    }
+
     /// Takes the address of the node that last reported a later change of a subject.
     pub fn take_reporter(&self, subject: Subject) -> Option<SocketAddr> {
         self.reporters.borrow_mut().remove(subject.name())
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -80,6 +80,7 @@
             has_node_list: self.node.has_listed_nodes(),
             is_store_reader: members.is_store_reader(),
             needs_full_read: self.needs_full_read(),
+            has_reporter: self.node.has_reporter(self.subject),
             is_behind: self.assess_freshness() == Freshness::Behind,
             occasion: Occasion {
                 now_us: self.node.now_us(),
--- a/crates/serving/src/source_choice.rs
+++ b/crates/serving/src/source_choice.rs
@@ -32,7 +32,7 @@
         /// Whether the source holds its reply back.
         waits: bool,
     },
-    /// To any node that is no source, since no source has replied.
+    /// To a node that is no source: one that has reported a later change, or else any.
     OtherNode,
     /// Nowhere for the moment.
     Pause,
@@ -50,6 +50,8 @@
     pub is_store_reader: bool,
     /// Whether the store's next response is of use only if it holds all entries.
     pub needs_full_read: bool,
+    /// Whether a node that has reported a later change can be queried.
+    pub has_reporter: bool,
     /// Whether another node has reported a change that this one has not received in time.
     pub is_behind: bool,
     /// Time, size of the fleet, and a random number.
@@ -120,6 +122,9 @@
         if !is_round_over {
             return self.source_at(self.index, context);
         }
+        if context.has_reporter {
+            return NextQuery::OtherNode;
+        }
         if self.may_be_cut_off(context) {
             self.other_nodes += 1;
             return NextQuery::OtherNode;
