Followers rewrite what a restored store has lost as rarely in a large fleet as in a small one

Their delays are stretched with the fleet from 16 nodes on, by the one function that the gate uses too.

--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -6,6 +6,7 @@
 use crate::intake::ClientRequest;
 use crate::peer_messages::PeerMessage;
 use pitchstall_serving::crash_messages::{Crash, CrashMessage, CrashRecord, SuspectPart};
+use pitchstall_serving::fleet_share::spread_delay;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::quarantine::BlameChange;
 use pitchstall_serving::request_identity::{RequestIdentity, Suspect};
@@ -26,7 +27,8 @@
 
 /// Delay before a node rewrites the crashes that a restored store has lost, in milliseconds after
 /// it detects the restore. Store readers write first. The delays are spread over many times the
-/// latency after which a write is visible to the other nodes.
+/// latency after which a write is visible to the other nodes; those of followers are stretched in a
+/// large fleet, since all of them would write if the readers could not.
 const STORE_READER_WRITE_DELAY_MS: std::ops::Range<u64> = 0..800;
 const FOLLOWER_WRITE_DELAY_MS: std::ops::Range<u64> = 2_000..6_000;
 const MICROS_PER_MILLI: u64 = 1_000;
@@ -181,7 +183,10 @@
     pub fn on_crashes_restored(&self, stored: &[(Crash, CrashRecord)]) {
         let delay_ms = match self.members.borrow().is_store_reader() {
             true => rand::rng().random_range(STORE_READER_WRITE_DELAY_MS),
-            false => rand::rng().random_range(FOLLOWER_WRITE_DELAY_MS),
+            false => {
+                let random = rand::rng().random_range(0.0..1.0);
+                spread_delay(&FOLLOWER_WRITE_DELAY_MS, self.known_node_count(), random)
+            }
         };
         let due_us = self.now_us() + delay_ms * MICROS_PER_MILLI;
         self.quarantine.borrow_mut().on_store_restored(stored, due_us);
--- a/crates/serving/src/full_read_gate.rs
+++ b/crates/serving/src/full_read_gate.rs
@@ -6,14 +6,12 @@
 //!
 //! - While a source is obtaining a replica, its followers wait for it.
 //! - While sources reply and none of them is obtaining a replica, all followers together begin about
-//!   as many reads as a fleet of [`NODES_PER_READ`] nodes does.
+//!   as many reads as a fleet of [`NODES_ACTING_AT_ONCE`] nodes does.
 //! - Only a node that receives no reply from any other node reads as soon as if it were alone.
 
+use crate::fleet_share::{fleet_factor, NODES_ACTING_AT_ONCE};
 use std::ops::Range;
 
-/// Size of a fleet whose nodes may each read after one pause. In a larger fleet the pauses are
-/// longer by the same factor.
-pub const NODES_PER_READ: usize = 16;
 /// Pause between two reads of a node, in percent of `bounds.contact_ms`.
 const PAUSE_PERCENT: Range<f64> = 50.0..150.0;
 /// Time in which a store reader whose calls have failed makes the next one, or another node takes
@@ -54,17 +52,12 @@
         (self.contact_us as f64 * percent / 100.0) as u64
     }
 
-    /// How many times as large as [`NODES_PER_READ`] the fleet is; at least 1.
-    fn fleet_factor(&self) -> f64 {
-        (self.nodes as f64 / NODES_PER_READ as f64).max(1.0)
-    }
-
     /// Random time by which the first read of a node is delayed because there are many nodes.
     fn first_delay_us(&self) -> u64 {
-        if self.nodes <= NODES_PER_READ {
+        if self.nodes <= NODES_ACTING_AT_ONCE {
             return 0;
         }
-        let spread_us = self.contact_us as f64 * self.fleet_factor();
+        let spread_us = self.contact_us as f64 * fleet_factor(self.nodes);
         READER_RETRY_US + (spread_us * self.random) as u64
     }
 }
@@ -151,7 +144,7 @@
         if now_us < due_us {
             return false;
         }
-        let pause_us = occasion.pause_us(&PAUSE_PERCENT) as f64 * occasion.fleet_factor();
+        let pause_us = occasion.pause_us(&PAUSE_PERCENT) as f64 * fleet_factor(occasion.nodes);
         self.unserved_from_us = Some(now_us + pause_us as u64);
         true
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod event_stream;
 pub mod failure_rate;
 pub mod fleet;
+pub mod fleet_share;
 pub mod freshness;
 pub mod full_read_gate;
 pub mod ids;
