Tests of nodes that return together: one way to start a fleet

Six tests started nodes in their own words; the fleet, its link and its readers have one function each now.

--- a/crates/gateway/tests/nodes_return_together.rs
+++ b/crates/gateway/tests/nodes_return_together.rs
@@ -5,11 +5,13 @@
 
 use pitchstall_platform_adapter::store;
 use pitchstall_platform_standins::runner::RunnerStandIn;
-use pitchstall_platform_standins::store::StoreStandIn;
+use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
 use pitchstall_platform_standins::throttled_link::ThrottledLink;
-use pitchstall_serving::ids::ZoneId;
-use pitchstall_serving::membership::Member;
+use pitchstall_serving::ids::{NodeId, ZoneId};
+use pitchstall_serving::membership::{Member, Membership};
+use pitchstall_serving::topology::Topology;
 use serde_json::{json, Value};
+use std::net::SocketAddr;
 use std::time::Duration;
 use support::{configuration, get, json_response, route, serves, wait_for, Fixture, NodeAddress};
 
@@ -40,13 +42,13 @@
 }
 
 /// A store with the registrations of nodes from their previous start.
-fn store_with(addresses: &[NodeAddress], runners: usize) -> StoreStandIn {
+fn store_with(nodes: &[(usize, NodeAddress)], runners: usize) -> StoreStandIn {
     let store = StoreStandIn::start().unwrap();
     store.put("op/config", &configuration(3));
     (0..runners).for_each(|it| store.put(&format!("servers/i-{it:05}"), &runner_entry(it)));
-    for (number, address) in addresses.iter().enumerate() {
+    for (number, address) in nodes {
         let registration = store::node_value(&member(*address));
-        store.put_bytes(&store::node_key(&name(number)), registration.as_bytes());
+        store.put_bytes(&store::node_key(&name(*number)), registration.as_bytes());
     }
     store
 }
@@ -55,24 +57,37 @@
     format!("node-{number:02}")
 }
 
-/// Starts all nodes at the same moment. Each reaches the store at `store_address`.
+/// Numbers and addresses of the nodes of a fleet.
+fn fleet_of(count: usize) -> Vec<(usize, NodeAddress)> {
+    (0..count).map(|number| (number, NodeAddress::new())).collect()
+}
+
+/// Starts nodes at the same moment. Each reaches the store at `store_address`.
 fn start_all(
-    addresses: &[NodeAddress],
+    nodes: &[(usize, NodeAddress)],
     store: &StoreStandIn,
-    store_address: std::net::SocketAddr,
+    store_address: SocketAddr,
 ) -> Vec<Fixture> {
+    let start = |number: usize, address: NodeAddress| {
+        Fixture::start_at(address, store.clone(), store_address, &name(number), "", MACHINE)
+    };
     std::thread::scope(|scope| {
-        let starting = addresses.iter().enumerate().map(|(number, address)| {
-            let (store, address) = (store.clone(), *address);
-            scope.spawn(move || {
-                Fixture::start_at(address, store, store_address, &name(number), "", MACHINE)
-            })
-        });
+        let starting = nodes.iter().map(|(number, at)| scope.spawn(move || start(*number, *at)));
         let starting: Vec<_> = starting.collect();
         starting.into_iter().map(|node| node.join().unwrap()).collect()
     })
 }
 
+/// Starts a fleet whose nodes share a link to a store that has their registrations.
+fn start_behind_link(
+    store: &StoreStandIn,
+    nodes: &[(usize, NodeAddress)],
+    bytes_per_s: u64,
+) -> Vec<Fixture> {
+    let link = ThrottledLink::new(bytes_per_s);
+    start_all(nodes, store, link.link_to(store.address()).unwrap())
+}
+
 fn count_of(store: &StoreStandIn, call: &str) -> usize {
     store.calls().iter().filter(|target| target.contains(call)).count()
 }
@@ -93,10 +108,9 @@
 /// Guards against followers that read all runners from the store because their readers are still reading.
 #[test]
 fn nodes_that_return_together_do_not_all_read_every_runner_from_the_store() {
-    let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
-    let store = store_with(&addresses, RUNNERS);
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let nodes = start_all(&addresses, &store, link.link_to(store.address()).unwrap());
+    let fleet = fleet_of(NODES);
+    let store = store_with(&fleet, RUNNERS);
+    let nodes = start_behind_link(&store, &fleet, STORE_LINK_BYTES_PER_SECOND);
     nodes.iter().for_each(Fixture::wait_until_ready);
     let pages = full_read_pages(&store);
     assert!(pages <= STORE_READERS * PAGES, "{pages} pages were read, a full read has {PAGES}");
@@ -107,10 +121,9 @@
 fn nodes_whose_list_of_nodes_arrives_late_do_not_all_become_store_readers() {
     const LISTED_BYTES_PER_SECOND: u64 = 60_000;
     const FEW_RUNNERS: usize = 100;
-    let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
-    let store = store_with(&addresses, FEW_RUNNERS);
-    let link = ThrottledLink::new(LISTED_BYTES_PER_SECOND);
-    let nodes = start_all(&addresses, &store, link.link_to(store.address()).unwrap());
+    let fleet = fleet_of(NODES);
+    let store = store_with(&fleet, FEW_RUNNERS);
+    let nodes = start_behind_link(&store, &fleet, LISTED_BYTES_PER_SECOND);
     nodes.iter().for_each(Fixture::wait_until_ready);
     let pages = full_read_pages(&store);
     let max_pages = STORE_READERS * FEW_RUNNERS.div_ceil(PAGE_ENTRIES);
@@ -123,11 +136,11 @@
 /// Guards against a full read that begins again at its first page because a later one was not answered.
 #[test]
 fn pages_of_a_full_read_are_not_read_again_after_a_failed_one() {
-    let addresses = [NodeAddress::new()];
-    let store = store_with(&addresses, RUNNERS);
+    let fleet = fleet_of(1);
+    let store = store_with(&fleet, RUNNERS);
     let failing_page = format!("after=servers/i-{:05}", RUNNERS / 2 - 1);
     store.reject_once(&failing_page);
-    let nodes = start_all(&addresses, &store, store.address());
+    let nodes = start_all(&fleet, &store, store.address());
     nodes.iter().for_each(Fixture::wait_until_ready);
     assert_eq!(count_of(&store, &failing_page), 2, "{:?}", store.calls());
     assert_eq!(full_read_pages(&store), PAGES + 1);
@@ -137,71 +150,54 @@
 #[test]
 fn the_loss_of_all_readers_costs_one_full_read_for_each_of_them() {
     const FEW_RUNNERS: usize = 400;
-    let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
-    let store = store_with(&addresses, FEW_RUNNERS);
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let address = link.link_to(store.address()).unwrap();
+    let mut fleet = fleet_of(NODES);
+    let store = store_with(&fleet, FEW_RUNNERS);
     // The two nodes that would read the store are registered and do not return.
-    let members = addresses.iter().enumerate().map(|(number, it)| (name(number), member(*it)));
-    let members: Vec<(String, Member)> = members.collect();
-    let lost = store_readers(&members);
-    let returning: Vec<usize> =
-        (0..NODES).filter(|number| !lost.contains(&name(*number))).collect();
-    let nodes: Vec<Fixture> = std::thread::scope(|scope| {
-        let starting = returning.iter().map(|number| {
-            let (store, at, number) = (store.clone(), addresses[*number], *number);
-            scope.spawn(move || Fixture::start_at(at, store, address, &name(number), "", MACHINE))
-        });
-        let starting: Vec<_> = starting.collect();
-        starting.into_iter().map(|node| node.join().unwrap()).collect()
-    });
+    let lost = store_readers(&fleet);
+    fleet.retain(|(number, _)| !lost.contains(number));
+    let nodes = start_behind_link(&store, &fleet, STORE_LINK_BYTES_PER_SECOND);
     nodes.iter().for_each(Fixture::wait_until_ready);
     let pages = full_read_pages(&store);
     let max_pages = (STORE_READERS + lost.len()) * FEW_RUNNERS.div_ceil(PAGE_ENTRIES);
     assert!(pages <= max_pages, "{pages} pages were read, {max_pages} at the most");
 }
 
-/// Names of the nodes that read the store, by a node that knows all members.
-fn store_readers(members: &[(String, Member)]) -> Vec<String> {
-    use pitchstall_serving::ids::NodeId;
-    use pitchstall_serving::membership::Membership;
-    use pitchstall_serving::topology::Topology;
-    let is_reader = |own: &str, member: &Member| {
-        let mut view = Membership::new(NodeId::new(own), member.clone(), Topology::default());
-        members.iter().for_each(|(name, member)| view.upsert(&NodeId::new(name), member));
+/// Numbers of the nodes that read the store for a fleet that knows all its nodes.
+fn store_readers(fleet: &[(usize, NodeAddress)]) -> Vec<usize> {
+    let is_reader = |own: usize, address: NodeAddress| {
+        let own = NodeId::new(name(own));
+        let mut view = Membership::new(own, member(address), Topology::default());
+        fleet.iter().for_each(|(it, at)| view.upsert(&NodeId::new(name(*it)), &member(*at)));
         view.is_store_reader()
     };
-    let readers = members.iter().filter(|(name, member)| is_reader(name, member));
-    readers.map(|(name, _)| name.clone()).collect()
+    let readers = fleet.iter().filter(|(number, address)| is_reader(*number, *address));
+    readers.map(|(number, _)| *number).collect()
 }
 
-/// A fleet that serves again after its store was silent for a while does not read every entry at every node either.
+/// Guards against a read of all entries by every node once a store that was away is back.
 #[test]
 fn the_return_of_the_store_costs_no_full_read_by_every_node() {
-    use pitchstall_platform_standins::store::StoreMode;
-    const SILENCE: Duration = Duration::from_secs(3);
-    let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
-    let store = store_with(&addresses, RUNNERS);
+    const AWAY: Duration = Duration::from_secs(3);
+    let fleet = fleet_of(NODES);
+    let store = store_with(&fleet, RUNNERS);
     store.set_mode(StoreMode::Unavailable);
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let nodes = start_all(&addresses, &store, link.link_to(store.address()).unwrap());
-    std::thread::sleep(SILENCE);
+    let nodes = start_behind_link(&store, &fleet, STORE_LINK_BYTES_PER_SECOND);
+    std::thread::sleep(AWAY);
     let before = full_read_pages(&store);
     store.set_mode(StoreMode::Serving);
     wait_for("all nodes to be ready", || nodes.iter().all(Fixture::is_ready));
     let pages = full_read_pages(&store) - before;
-    // A node that knows only some of the others may take itself for a reader for a moment.
+    // The readers have failed at the store, so that a few followers may read as well.
     let reads = full_reads(&nodes);
     assert!(pages <= 2 * STORE_READERS * PAGES, "{pages} pages, {PAGES} a read: {reads:?}");
 }
 
 /// A fleet whose nodes are all ready, behind one link to the store.
 fn running_fleet() -> (StoreStandIn, Vec<Fixture>) {
-    let addresses: Vec<NodeAddress> = (0..NODES).map(|_| NodeAddress::new()).collect();
-    let store = store_with(&addresses, RUNNERS);
+    let fleet = fleet_of(NODES);
+    let store = store_with(&fleet, RUNNERS);
     store.report_era(1);
-    let link = ThrottledLink::new(STORE_LINK_BYTES_PER_SECOND);
-    let nodes = start_all(&addresses, &store, link.link_to(store.address()).unwrap());
+    let nodes = start_behind_link(&store, &fleet, STORE_LINK_BYTES_PER_SECOND);
     nodes.iter().for_each(Fixture::wait_until_ready);
     (store, nodes)
 }
