--- a/crates/gateway/src/tunnel/frames.rs
+++ b/crates/gateway/src/tunnel/frames.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Decodes frames.
+/// Extracts the payload of the frames that arrive through a tunnel, which may be split at any byte.
 #[derive(Debug, Default)]
 pub struct FrameDecoder {
     state: Rc<TunnelState>,
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -75,7 +75,7 @@
 }
 
 impl FollowError {
-    /// Whether the pages that were received before this error are of no use.
+    /// Whether the pages that were received before this error must not be used.
     fn ends_partial_read(&self) -> bool {
         matches!(self, Self::EraChanged | Self::SupersededEra(_) | Self::StoreReplaced)
     }
--- a/crates/serving/src/full_read_gate.rs
+++ b/crates/serving/src/full_read_gate.rs
@@ -32,7 +32,7 @@
     Silent,
 }
 
-/// What a follower knows when it has queried all its sources in vain.
+/// What a follower knows when it has queried all its sources without success.
 #[derive(Clone, Copy, Debug)]
 pub struct Occasion {
     /// Time since the start of the node, in microseconds.
--- a/crates/serving/src/source_choice.rs
+++ b/crates/serving/src/source_choice.rs
@@ -2,8 +2,8 @@
 //! reads the store on behalf of others, or else from one of the store readers.
 //!
 //! A follower queries its sources in rounds. A source that has a reliable replica is followed; one
-//! that is reading all entries is waited for. After a round in vain the follower may call the store:
-//! [`FullReadGate`] bounds the calls that return all entries.
+//! that is reading all entries is waited for. After a round without success the follower may call
+//! the store: [`FullReadGate`] bounds the calls that return all entries.
 
 use crate::full_read_gate::{FullReadGate, Occasion, SourceState};
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 /// Where to send the next query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextQuery {
-    /// To the store.
+    /// To the store itself.
     Store,
     /// To a source. If `waits`, the source holds its reply back until it has a change.
     Source {
@@ -65,7 +65,7 @@
     Reliable,
     /// It is reading all entries, and holds replies back until it has them.
     Obtaining,
-    /// It is reading all entries; until then it replies at once with an update of no use.
+    /// It is reading all entries again; until it has them it replies at once, with an outdated update.
     ObtainingAnew,
     /// Its replica can't be relied on.
     Unconfirmed,
@@ -87,7 +87,7 @@
     index: usize,
     /// Whether the next query to the followed node waits for a change.
     waits: bool,
-    /// Queries that waited at the current source in vain.
+    /// Queries that waited at the current source without an update.
     waits_without_update: u32,
     /// Other nodes that were queried in this round.
     other_nodes: u32,
