--- a/review/driver/src/bin/frozen_sources.rs
+++ b/review/driver/src/bin/frozen_sources.rs
@@ -1,8 +1,8 @@
-//! Most nodes freeze, and a runner says right after that it leaves. The node that is left must not send to that runner
-//! later than `drain_ms` after the store has taken the word.
+//! Three of eight nodes freeze, and right after that a runner leaves: its entry goes, and it serves on for a while. A node
+//! that is not frozen must not send to that runner later than `drain_ms` after the store has taken that.
 
 use pitchstall_platform_standins::documents::{
-    configuration, runner_key, RouteDocument, RouteKind, RunnerDocument, ServiceDocument,
+    configuration, runner_key, RouteDocument, RouteKind, ServiceDocument,
 };
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
@@ -14,24 +14,21 @@
 
 const HOST: &str = "desk.example";
 const SERVICE: &str = "desk-app";
-const ZONES: [&str; 3] = ["brest-hall", "quimper-hall", "morlaix-hall"];
-const NODES: [(&str, &str); 7] = [
-    ("front-brest-hall-1", "brest-hall"),
-    ("front-brest-hall-2", "brest-hall"),
-    ("front-brest-hall-3", "brest-hall"),
-    ("front-quimper-hall-1", "quimper-hall"),
-    ("front-quimper-hall-2", "quimper-hall"),
-    ("front-morlaix-hall-1", "morlaix-hall"),
-    ("front-morlaix-hall-2", "morlaix-hall"),
-];
-/// The nodes that freeze. The first two are those that read the store for their zone, and so for front-brest-hall-1.
-const FROZEN: [&str; 5] = [
-    "front-brest-hall-2",
-    "front-brest-hall-3",
-    "front-quimper-hall-1",
-    "front-quimper-hall-2",
-    "front-morlaix-hall-2",
+const ZONES: [&str; 3] = ["ate", "callao", "surco"];
+const NODES: [(&str, &str); 8] = [
+    ("front-ate-1", "ate"),
+    ("front-ate-2", "ate"),
+    ("front-ate-3", "ate"),
+    ("front-callao-1", "callao"),
+    ("front-callao-2", "callao"),
+    ("front-callao-3", "callao"),
+    ("front-surco-1", "surco"),
+    ("front-surco-2", "surco"),
 ];
+/// The node that the clients use. By its name it doesn't read the store itself, but follows the other two of its zone.
+const FOLLOWER: &str = "front-ate-2";
+/// The nodes that freeze: those that the follower asks first.
+const FROZEN: [&str; 3] = ["front-ate-1", "front-ate-3", "front-surco-1"];
 /// `drain_ms` of the deployment.
 const DRAIN: Duration = Duration::from_millis(2_000);
 const CLIENTS: usize = 4;
@@ -40,6 +37,10 @@
     std::process::exit(run().unwrap_or(NOT_RUN));
 }
 
+fn is_frozen(node: &NodeProcess) -> bool {
+    FROZEN.contains(&node.name.as_str())
+}
+
 fn signal(node: &NodeProcess, name: &str) -> bool {
     Command::new("kill")
         .args([name, &node.pid().to_string()])
@@ -96,12 +97,13 @@
         return None;
     }
     record.line("all nodes are ready");
+    let follower = nodes.iter().find(|node| node.name == FOLLOWER)?;
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> =
-        (0..CLIENTS).map(|client| spawn_client(client, &nodes[0], &record, &stop)).collect();
+        (0..CLIENTS).map(|client| spawn_client(client, follower, &record, &stop)).collect();
     std::thread::sleep(Duration::from_secs(6));
     if places.trouble {
-        for node in nodes.iter().filter(|node| FROZEN.contains(&node.name.as_str())) {
+        for node in nodes.iter().filter(|node| is_frozen(node)) {
             if !signal(node, "-STOP") {
                 return None;
             }
@@ -110,19 +112,11 @@
     }
     std::thread::sleep(Duration::from_millis(100));
     let leaving = &runners[0];
-    let entry = RunnerDocument {
-        service: SERVICE,
-        address: leaving.address(),
-        zone: ZONES[0],
-        is_draining: true,
-        stage: None,
-        born_ms: None,
-    };
-    store.put(&runner_key(leaving.id()), &entry.to_json());
+    store.remove(&runner_key(leaving.id()));
     let acknowledged = record.now();
-    record.line("the store has taken that i-1 is draining");
+    record.line("the store has taken that the entry of i-1 is gone; i-1 serves on");
     std::thread::sleep(Duration::from_secs(6));
-    for node in &nodes[1..] {
+    for node in nodes.iter().filter(|node| is_frozen(node)) {
         signal(node, "-CONT");
     }
     record.line("the nodes go on");
@@ -171,7 +165,7 @@
                 break;
             }
             let id = format!("c{client}-{number}");
-            record.line(&format!("client {client} sends {id} to front-brest-hall-1"));
+            record.line(&format!("client {client} sends {id} to {FOLLOWER}"));
             let answer = match &mut connection {
                 Some(open) => open.exchange(
                     &request("GET", HOST, "/fare/1", &id, 1_000, "", b""),
