--- a/review/driver/src/bin/idle_time.rs
+++ b/review/driver/src/bin/idle_time.rs
@@ -27,7 +27,7 @@
 
 fn run() -> Option<i32> {
     let places = Places::from_arguments()?;
-    let record = Record::create(&places.case).ok()?;
+    let record = Record::create(&places.record).ok()?;
     let store = StoreStandIn::start().ok()?;
     put_configuration(
         &store,
--- a/review/driver/src/bin/two_runs.rs
+++ b/review/driver/src/bin/two_runs.rs
@@ -263,7 +263,7 @@
 
 fn run() -> Option<i32> {
     let places = Places::from_arguments()?;
-    let record = Record::create(&places.case).ok()?;
+    let record = Record::create(&places.record).ok()?;
     let store = StoreStandIn::start().ok()?;
     put_configuration(&store, &configuration());
     let (runs, handles) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicU64::new(1)));
--- a/review/driver/src/lib.rs
+++ b/review/driver/src/lib.rs
@@ -20,7 +20,7 @@
 /// The case could not run.
 pub const NOT_RUN: i32 = 2;
 
-/// Writes what happened to `record.txt`, with the time since the start in milliseconds.
+/// Writes what happened to the case's `record.txt`, with the time since the start in milliseconds.
 #[derive(Clone)]
 pub struct Record {
     file: Arc<Mutex<File>>,
@@ -28,9 +28,9 @@
 }
 
 impl Record {
-    /// Creates the record in a folder.
-    pub fn create(folder: &Path) -> std::io::Result<Self> {
-        let file = File::create(folder.join("record.txt"))?;
+    /// Creates the record, or empties it.
+    pub fn create(path: &Path) -> std::io::Result<Self> {
+        let file = File::create(path)?;
         Ok(Self { file: Arc::new(Mutex::new(file)), started: Instant::now() })
     }
 
@@ -120,8 +120,8 @@
 pub struct Places {
     /// The root of the repository.
     pub root: PathBuf,
-    /// Folder of the case.
-    pub case: PathBuf,
+    /// The case's `record.txt`.
+    pub record: PathBuf,
     /// A temporary folder, removed at the end.
     pub temporary: PathBuf,
     /// Whether the disruption takes place.
@@ -129,17 +129,17 @@
 }
 
 impl Places {
-    /// Reads the folder of the case and the root of the repository from the arguments.
+    /// Reads the root of the repository and the path of the record from the arguments.
     pub fn from_arguments() -> Option<Self> {
         let mut arguments = std::env::args().skip(1);
         let root = PathBuf::from(arguments.next()?);
-        let case = PathBuf::from(arguments.next()?);
+        let record = PathBuf::from(arguments.next()?);
         let temporary =
             std::env::temp_dir().join(format!("pitchstall-review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).ok()?;
         std::thread::spawn(end_after_time_limit);
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        Some(Self { root, case, temporary, trouble })
+        Some(Self { root, record, temporary, trouble })
     }
 }
 
