Sight: a head's line says whether it names the request, and whether its connection was reused; a probe's line says what it pools

The lines told that a runner had declined, and not whose response that was. The head's line has `named` (own, other, none) and `reused`; the probe of a lost link says when it gives its connection to the pool and whether the runner had responded on it. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -261,7 +261,7 @@
             AttemptEnd::Lost
         }
         Ok((head, metadata)) => {
-            log_head(request, &runner, &head, &metadata, sent_at);
+            log_head(request, &runner, &head, &metadata, connection);
             classify(node, request, prepared, params, head, &metadata)
         }
     }
@@ -416,12 +416,14 @@
     runner: &RunnerId,
     head: &ResponseHead,
     metadata: &ResponseMetadata,
-    sent_at: Instant,
+    connection: ConnectionUse,
 ) {
     let id = request.metadata.id.as_str();
     let runner = runner.as_str();
     let status = head.status;
-    let head_ms = u64::try_from(sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let head_ms = u64::try_from(connection.sent_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let reused = connection.idle.is_some();
+    let named = named_request(metadata, id);
     let running = metadata.load.map_or(0, |load| load.running);
     let waiting = metadata.load.map_or(0, |load| load.waiting);
     let RunnerNotice { is_leaving, rest_us, limit, is_malformed } = metadata.notice;
@@ -429,10 +431,19 @@
     let rest_ms = rest_us / US_PER_MS;
     log::info!(
         target: "attempt",
-        request = id, runner, status, head_ms, running, waiting, leaving = is_leaving, rest_ms, limit, malformed = is_malformed; "head"
+        request = id, runner, status, head_ms, reused, named, running, waiting, leaving = is_leaving, rest_ms, limit, malformed = is_malformed; "head"
     );
 }
 
+/// Which request a response names by its id: `own`, `other` or `none`.
+fn named_request(metadata: &ResponseMetadata, id: &str) -> &'static str {
+    match metadata.request_id.as_deref() {
+        Some(named) if named == id => "own",
+        Some(_) => "other",
+        None => "none",
+    }
+}
+
 impl AttemptResponse {
     /// The response headers that are forwarded to the client.
     pub fn client_headers(&self) -> Vec<Header> {
--- a/crates/gateway/src/runner_probe.rs
+++ b/crates/gateway/src/runner_probe.rs
@@ -221,6 +221,7 @@
         if responds { LinkProbe::Responded } else { LinkProbe::Failed },
     );
     if !node.is_link_lost(&record.id) {
+        log::info!(target: "links", runner = record.id.as_str(), responds; "connection of a link probe pooled");
         node.pool.put(&record.id, connection, None);
     }
 }
