A refusal needs a proof that names the request; a run that was sent counts until one takes it back

What callers saw: 503 for requests that ran (REFUSED), and in the same way a request that was sent on to another runner while the first one ran it (TWICE). Cause: a response with "not executed" or 421 and without a request's id was believed as a decline of whatever had been sent last on the connection. Change: `NotRunProof` comes from one place, a response that declines and names this request; `RunHistory` counts a run from the moment at which it is sent, and only a proof takes it back, so a wait that ends in any other way leaves it counted. A decline that isn't believed ends the attempt as lost, with a line (`decline not believed`) and a counter. A decline of a prefill proves nothing about a run, which the types keep apart.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use crate::runner_connection::{self, AllowedZones, RunnerUnreachable};
 use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
+use pitchstall_serving::attempt::{DeclineDoubt, NotRunProof};
 use pitchstall_serving::ids::{NodeId, RunnerId, TenantName};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::request::{AttemptInstructions, ResponseMetadata, Work};
@@ -84,7 +85,7 @@
     /// The head of a valid response was received; the body is still to be read.
     Responding(Box<AttemptResponse>),
     /// The runner has not executed the request and will not do so.
-    Declined,
+    Declined(NotRunProof),
     /// The connection broke, or the response is not valid. The runner may have executed the
     /// request.
     Lost,
@@ -347,13 +348,22 @@
     if let Some(load) = metadata.load {
         node.fleet.borrow_mut().on_load(&runner, load, node.now_us());
     }
-    let is_own = metadata.request_id.as_deref() == Some(id);
-    if metadata.is_declined && (is_own || metadata.request_id.is_none()) {
-        let misdirected = metadata.is_misdirected;
-        log::info!(target: "attempt", request = id, runner = runner.as_str(), status, misdirected; "declined");
-        on_declined(node, response, misdirected);
-        return AttemptEnd::Declined;
+    match NotRunProof::from_response(id, metadata) {
+        Some(Ok(proof)) => {
+            let misdirected = metadata.is_misdirected;
+            log::info!(target: "attempt", request = id, runner = runner.as_str(), status, misdirected; "declined");
+            on_declined(node, response, misdirected);
+            return AttemptEnd::Declined(proof);
+        }
+        Some(Err(doubt)) => {
+            log_doubted_decline(request, &response, doubt);
+            node.metrics.on_doubted_decline(doubt);
+            node.fleet.borrow_mut().on_response(&runner, true, node.now_us());
+            return AttemptEnd::Lost;
+        }
+        None => {}
     }
+    let is_own = metadata.request_id.as_deref() == Some(id);
     let is_success = (200..300).contains(&status);
     let is_prefill_response = params.work == Work::Prefill && is_success;
     // A response without a runner's signature was not sent by a runner, whatever its status.
@@ -437,6 +447,12 @@
     );
 }
 
+fn log_doubted_decline(request: &ClientRequest, response: &AttemptResponse, doubt: DeclineDoubt) {
+    let (id, runner) = (request.metadata.id.as_str(), response.record.id.as_str());
+    let (status, reason) = (response.status(), doubt.name());
+    log::warn!(target: "attempt", request = id, runner, status, reason; "decline not believed");
+}
+
 /// Which request a response names by its id: `own`, `other` or `none`.
 fn named_request(metadata: &ResponseMetadata, id: &str) -> &'static str {
     match metadata.request_id.as_deref() {
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -8,7 +8,7 @@
 use crate::intake::{BufferedResponse, RequestOutcome};
 use crate::interrupted_attempt::{on_interrupted, on_unframed_response, InterruptedAttempt};
 use crate::relay::{relay, RelayLimits, RelayOutcome};
-use pitchstall_serving::attempt::{EndReason, Execution};
+use pitchstall_serving::attempt::EndReason;
 use pitchstall_serving::configuration::RequestKind;
 use pitchstall_serving::event_stream::EventSplitter;
 use pitchstall_serving::ids::RunnerId;
@@ -94,7 +94,7 @@
         if full_response.status < MIN_SERVER_ERROR_STATUS || self.stream.is_head_sent {
             return self.finish_complete(full_response);
         }
-        self.execution = Execution::Ran;
+        self.runs.on_ran();
         self.excluded.push(runner);
         if !self.may_run_again() || !self.retry_charge.charge().await {
             return self.finish_complete(full_response);
@@ -175,7 +175,7 @@
     }
 
     fn on_out_of_time(&mut self) -> Step {
-        self.execution = Execution::Ran;
+        self.runs.on_ran();
         self.give_up(EndReason::OutOfTime)
     }
 
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -27,7 +27,7 @@
 use crate::retry_charge::RetryCharge;
 use crate::stream_origins::OriginRecorder;
 use crate::usage::StartRecorder;
-use pitchstall_serving::attempt::{final_response, EndReason, Execution};
+use pitchstall_serving::attempt::{final_response, EndReason, RunHistory};
 use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
 use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion};
@@ -77,10 +77,8 @@
     /// The charge to the retry budget for the next extra attempt.
     retry_charge: Rc<RetryCharge>,
     deadline: Instant,
-    /// Whether the request has been executed, as far as the attempts so far show.
-    execution: Execution,
-    /// Number of runs that have begun, or may have.
-    runs: u32,
+    /// The runs so far, and what they show about the execution of the request.
+    runs: RunHistory,
     /// Determines which requests sent to runners are charged to the retry budget.
     arrivals: ArrivalLedger,
     excluded: Vec<RunnerId>,
@@ -150,8 +148,7 @@
             is_counted: false,
             retry_charge,
             deadline,
-            execution: Execution::NotRun,
-            runs: 0,
+            runs: RunHistory::default(),
             arrivals: ArrivalLedger::default(),
             excluded: Vec::new(),
             unreachable_count: 0,
@@ -230,7 +227,7 @@
     }
 
     fn connection_need(&self) -> ConnectionNeed {
-        let is_verified = self.execution == Execution::Unknown;
+        let is_verified = self.runs.is_fate_unknown();
         ConnectionNeed { is_verified, zones: self.rules.zones.clone() }
     }
 
@@ -242,13 +239,13 @@
             Some(prompt) => Work::DecodeFrom(prompt.handle.clone()),
             None => Work::Run,
         };
-        self.runs += 1;
+        self.runs.on_sent();
         let params = self.attempt_params(work, &plan.choice);
         let sent_at = Instant::now();
         let mut start_recorder = self.start_recorder(sent_at);
         let end = attempt::send(self.node, self.request, prepared, &params).await;
         match (&end, reservation) {
-            (AttemptEnd::Declined, reservation) => {
+            (AttemptEnd::Declined(_), reservation) => {
                 self.reservation = reservation.and_then(SentReservation::on_not_run)
             }
             (_, Some(reservation)) => reservation.on_started(),
@@ -265,11 +262,11 @@
                 }
                 SentAttempt::Responding(Box::new(Run::new(*response, plan)))
             }
-            AttemptEnd::Declined => {
+            AttemptEnd::Declined(proof) => {
                 start_recorder.on_declined();
                 plan.report(Progress::Declined(plan.choice.runner.clone()));
                 self.excluded.push(plan.choice.runner);
-                self.runs -= 1;
+                self.runs.on_not_run(proof);
                 SentAttempt::Declined
             }
             AttemptEnd::Lost | AttemptEnd::NoResponse => {
@@ -293,7 +290,7 @@
 
     /// Whether a part of the prompt is blamed for crashes, unless this request tries whether it is harmless.
     fn has_blamed_part(&self) -> bool {
-        let has_lost_run = self.execution != Execution::NotRun;
+        let has_lost_run = self.runs.has_failed_run();
         let Some(part) = self.node.blamed_part(self.request, has_lost_run) else { return false };
         if self.tried_part.get() == Some(part) {
             return false;
@@ -366,7 +363,7 @@
 
     /// Whether the request may run once more in addition to the runs that have begun.
     fn may_run_again(&self) -> bool {
-        self.route.is_repeatable() && self.runs < self.route.max_attempts
+        self.route.is_repeatable() && self.runs.begun() < self.route.max_attempts
     }
 
     fn on_unreachable(&mut self, runner: RunnerId) -> Result<(), EndReason> {
@@ -381,7 +378,7 @@
     /// Handles an attempt without a complete response. `excluded` is a runner that the request must
     /// not be sent to again.
     fn on_lost(&mut self, excluded: Option<RunnerId>) -> Step {
-        self.execution = self.execution.max(Execution::Unknown);
+        self.runs.on_lost();
         self.tried_part.set(None);
         let excluded = excluded.filter(|runner| !self.is_only_one_of_its_version(runner));
         self.excluded.extend(excluded);
@@ -416,10 +413,11 @@
 
     fn give_up(&mut self, reason: EndReason) -> Step {
         let id = self.request.metadata.id.as_str();
-        let execution = format!("{:?}", self.execution);
+        let execution = self.runs.execution();
+        let execution_name = format!("{execution:?}");
         let reason_name = format!("{reason:?}");
-        let runs = self.runs;
-        log::info!(target: "request", request = id, reason = reason_name, execution, runs; "no further attempts");
+        let runs = self.runs.begun();
+        log::info!(target: "request", request = id, reason = reason_name, execution = execution_name, runs; "no further attempts");
         if reason == EndReason::Quarantined {
             let part = self.node.blamed_part(self.request, true);
             let part = part.map_or_else(String::new, |part| part.to_string());
@@ -433,7 +431,7 @@
         if let Some(response) = self.runner_failure.take() {
             return Step::Done(RequestOutcome::Buffered(response));
         }
-        let response = LocalResponse::from(final_response(self.execution, reason));
+        let response = LocalResponse::from(final_response(execution, reason));
         Step::Done(RequestOutcome::Local(response))
     }
 }
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -7,7 +7,7 @@
 use super::{Dispatch, ReadyAttempt, SentAttempt};
 use crate::node::Node;
 use crate::runner_probe::{probe, ProbeCause};
-use pitchstall_serving::attempt::{EndReason, Execution};
+use pitchstall_serving::attempt::EndReason;
 use pitchstall_serving::fleet::Eligible;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::{Runner, RunnerRecord};
@@ -124,15 +124,15 @@
                 return Handover::Replaced(successor);
             }
             SentAttempt::Responding(failed) => {
-                self.execution = Execution::Ran;
+                self.runs.on_ran();
                 self.excluded.push(failed.runner().clone());
             }
             SentAttempt::Declined => {}
             SentAttempt::Lost(other) => {
-                self.execution = self.execution.max(Execution::Unknown);
+                self.runs.on_lost();
                 self.excluded.push(other);
             }
-            SentAttempt::LinkLost => self.execution = self.execution.max(Execution::Unknown),
+            SentAttempt::LinkLost => self.runs.on_lost(),
         }
         Handover::Failed(stalled)
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::peer_messages::PeerSocket;
 use crate::quota::metrics::QuotaMetrics;
+use pitchstall_serving::attempt::DeclineDoubt;
 use pitchstall_serving::fleet::VersionHistory;
 use pitchstall_serving::scheduling::CrossRegionReason;
 use prometheus_client::encoding::text::encode;
@@ -51,6 +52,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a response that declines a request without proving that it has not run.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DoubtedDeclineLabels {
+    /// Why the response proves nothing, see [`DeclineDoubt::name`].
+    pub reason: &'static str,
+}
+
 /// Labels of the runners of a software version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct VersionLabels {
@@ -122,6 +130,8 @@
     pub placements_rejected: Counter,
     /// Notices that runners gave about themselves in responses; a repeated notice counts once.
     pub runner_notices: Family<NoticeLabels, Counter>,
+    /// Responses that declined a request without proving that it had not run. Expected to stay 0.
+    pub doubted_declines: Family<DoubtedDeclineLabels, Counter>,
     /// Attempts sent to runners that had announced that they accept none. Expected to stay 0.
     pub unwanted_attempts: Counter,
     /// Requests that a limit keeper allowed to be sent to a runner.
@@ -190,6 +200,7 @@
             placements: Counter::default(),
             placements_rejected: Counter::default(),
             runner_notices: Family::default(),
+            doubted_declines: Family::default(),
             unwanted_attempts: Counter::default(),
             limit_grants: Counter::default(),
             limit_refusals: Counter::default(),
@@ -327,6 +338,9 @@
         let stalled_runs_kept = self.stalled_runs_kept.clone();
         let help = "Stalled runs for which a successor was sought and that were kept, by reason";
         self.registry.register("stalled_runs_kept", help, stalled_runs_kept);
+        let help =
+            "Responses that declined a request without proving that it had not run, by reason";
+        self.registry.register("declines_not_believed", help, self.doubted_declines.clone());
         let refused_entries = self.refused_entries.clone();
         let help = "Revisions of store entries that could not be used";
         self.registry.register("entries_refused", help, refused_entries);
@@ -379,6 +393,11 @@
         self.stalled_runs_kept.get_or_create(&StalledRunLabels { reason }).inc();
     }
 
+    /// Counts a response that declined a request without proving that it had not run.
+    pub fn on_doubted_decline(&self, doubt: DeclineDoubt) {
+        self.doubted_declines.get_or_create(&DoubtedDeclineLabels { reason: doubt.name() }).inc();
+    }
+
     /// Counts a revision of a store entry that could not be used.
     pub fn on_refused_entry(&self, subject: &'static str) {
         self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -100,7 +100,7 @@
     let was_unqueued = node.has_no_other_requests(&runner, tokens);
     let response = match attempt::send(node, prefill.request, prepared, params).await {
         AttemptEnd::Responding(response) => response,
-        AttemptEnd::Declined => return PrefillOutcome::Declined,
+        AttemptEnd::Declined(_) => return PrefillOutcome::Declined,
         AttemptEnd::NoResponse | AttemptEnd::Lost => return PrefillOutcome::Failed,
         AttemptEnd::LinkLost => return PrefillOutcome::LinkLost,
     };
