--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -8,6 +8,7 @@
 use crate::intake::{BufferedResponse, RequestOutcome};
 use crate::interrupted_attempt::{on_interrupted, on_unframed_response, InterruptedAttempt};
 use crate::relay::{relay, RelayLimits, RelayOutcome};
+use pitchstall_platform_adapter::headers;
 use pitchstall_serving::attempt::EndReason;
 use pitchstall_serving::configuration::RequestKind;
 use pitchstall_serving::event_stream::EventSplitter;
@@ -90,6 +91,9 @@
         if (200..300).contains(&full_response.status) {
             self.on_success(&runner, is_framed);
         }
+        if self.is_unproven_promise(full_response.status) {
+            return self.replace_unproven_promise(&runner, full_response.status);
+        }
         const MIN_SERVER_ERROR_STATUS: u16 = 500;
         if full_response.status < MIN_SERVER_ERROR_STATUS || self.stream.is_head_sent {
             return self.finish_complete(full_response);
@@ -103,6 +107,19 @@
         Step::Retry
     }
 
+    /// Whether the client would take a runner's status for a promise that the request has not run. The runner has given no
+    /// proof of that, so a request that must not be repeated may have run.
+    fn is_unproven_promise(&self, status: u16) -> bool {
+        headers::promises_not_run(status) && !self.route.is_repeatable()
+    }
+
+    fn replace_unproven_promise(&mut self, runner: &RunnerId, status: u16) -> Step {
+        let (request, runner) = (self.request.metadata.id.as_str(), runner.as_str());
+        log::warn!(target: "attempt", request, runner, status; "status not passed on: the runner has not said that the request has not run");
+        self.runs.on_lost();
+        self.give_up(EndReason::Failed)
+    }
+
     /// Reads a whole response. A slow one is ended early once another attempt can follow.
     async fn read_in_time(
         &self,
