--- a/crates/gateway/src/http/response_codec.rs
+++ b/crates/gateway/src/http/response_codec.rs
@@ -15,6 +15,9 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of a chunk size line, the end of a chunk or a trailer line.
 const MAX_LINE_BYTES: usize = 4 * 1024;
+/// Maximum idle timeout that a response can state; a longer one is cut to it. Programs that never close idle
+/// connections state numbers of up to 64 bits, with which no time can be computed.
+pub const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60 * 60);
 
 /// The received bytes are not a valid HTTP/1.1 response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -55,7 +58,8 @@
     pub framing: Framing,
     /// Whether the connection may be reused after the body.
     pub keep_alive: bool,
-    /// How long the server keeps an idle connection open, from `keep-alive: timeout=`; `None` if it is not stated.
+    /// How long the server keeps an idle connection open, from `keep-alive: timeout=`; at most [`MAX_IDLE_TIMEOUT`].
+    /// `None` if it is not stated or not a number of seconds.
     pub idle_timeout: Option<Duration>,
 }
 
@@ -153,7 +157,7 @@
             text.split(',').find_map(|parameter| parameter.trim().strip_prefix("timeout="));
         parameter.and_then(|seconds| seconds.trim().parse::<u64>().ok())
     });
-    head.idle_timeout = seconds.map(Duration::from_secs);
+    head.idle_timeout = seconds.map(|seconds| Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT));
 }
 
 /// An item that [`BodyDecoder`] yields.
--- a/crates/gateway/tests/response_codec.rs
+++ b/crates/gateway/tests/response_codec.rs
@@ -4,9 +4,10 @@
 use ntex::codec::Decoder;
 use ntex::util::BytesMut;
 use pitchstall_gateway::http::response_codec::{
-    BodyDecoder, BodyItem, Framing, ResponseDecodeError, ResponseHeadDecoder,
+    BodyDecoder, BodyItem, Framing, ResponseDecodeError, ResponseHeadDecoder, MAX_IDLE_TIMEOUT,
 };
 use proptest::prelude::*;
+use std::time::Duration;
 use test_case::test_case;
 
 fn framing(head: &str) -> Result<Framing, ResponseDecodeError> {
@@ -27,6 +28,21 @@
     assert_eq!(framing(head), expected);
 }
 
+#[test_case("0", Some(Duration::ZERO); "zero")]
+#[test_case("60", Some(Duration::from_secs(60)); "a usual time")]
+#[test_case("3601", Some(MAX_IDLE_TIMEOUT); "more than the maximum")]
+#[test_case("9223372036854775807", Some(MAX_IDLE_TIMEOUT); "largest signed 64 bit number")]
+#[test_case("18446744073709551615", Some(MAX_IDLE_TIMEOUT); "largest 64 bit number")]
+#[test_case("18446744073709551616", None; "more than 64 bits")]
+#[test_case("-1", None; "negative")]
+#[test_case("1e308", None; "a float")]
+fn a_stated_idle_timeout_is_bounded(seconds: &str, expected: Option<Duration>) {
+    let head =
+        format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout={seconds}\r\n\r\n");
+    let head = ResponseHeadDecoder.decode(&mut BytesMut::from(head.as_str())).unwrap().unwrap();
+    assert_eq!(head.idle_timeout, expected);
+}
+
 #[test]
 fn interim_responses_are_skipped() {
     let mut source = BytesMut::from(
