--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,7 +3,11 @@
 //! A response that fails halfway is truncated without writing another byte, so that the client cannot
 //! take it for complete. Between requests, a connection is closed only while no byte of the next
 //! request has been read.
+//!
+//! A panic while a request is read, handled or answered is counted and logged with the request's id. The client gets a
+//! response unless one has begun: that the request may have run.
 
+use crate::caught_panic::catch_panic;
 use crate::clock::Instant;
 use crate::http::{is_hop_by_hop_header, Header};
 use crate::intake::{self, ClientRequest, RequestOutcome};
@@ -19,8 +23,8 @@
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::headers::KEY_CHALLENGE;
 use pitchstall_serving::configuration::ClientLimits;
-use std::cell::RefCell;
-use std::future::poll_fn;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -45,6 +49,8 @@
     io: Io,
     codec: Codec,
     node: Rc<Node>,
+    /// Whether a byte of the current request's final response has been encoded.
+    is_response_begun: Cell<bool>,
 }
 
 /// What to do with the connection after a request.
@@ -94,13 +100,17 @@
 /// starts, so that a planned stop waits for this connection too.
 pub async fn serve(io: Io, config: SharedCfg, node: Rc<Node>, _open: OpenConnection) {
     let codec = Codec::new(0, config.get());
-    let connection = ClientConnection { io, codec, node };
+    let connection = ClientConnection { io, codec, node, is_response_begun: Cell::new(false) };
     while connection.serve_request().await == AfterRequest::KeepOpen {}
 }
 
 impl ClientConnection {
     async fn serve_request(&self) -> AfterRequest {
-        let request = match self.read_request().await {
+        self.is_response_begun.set(false);
+        // A request of which only a part was read has not run. The response doesn't promise that.
+        let panicked = || Err(RequestReadError::Respond(LocalResponse::BadGateway));
+        let read = self.or_on_panic("", self.read_request()).await;
+        let request = match read.unwrap_or_else(panicked) {
             Ok(request) => request,
             Err(RequestReadError::ConnectionEnded) => return self.close(),
             Err(RequestReadError::Respond(response)) => {
@@ -111,16 +121,48 @@
             }
         };
         let open = self.node.open_request();
-        let outcome = tokio::select! {
-            outcome = intake::handle(&self.node, &request, self) => outcome,
-            error = self.disconnected() => intake::on_disconnected(&self.node, &request, error),
+        let id = request.metadata.id.as_str();
+        let handled = async {
+            tokio::select! {
+                outcome = intake::handle(&self.node, &request, self) => outcome,
+                error = self.disconnected() => intake::on_disconnected(&self.node, &request, error),
+            }
         };
+        let outcome = self.or_on_panic(id, handled).await;
+        let outcome = outcome.unwrap_or_else(|| self.outcome_after_panic(&request));
         drop(open);
-        let next = self.finish(outcome, &request).await;
-        if next == AfterRequest::Close {
-            return self.close();
+        match self.or_on_panic(id, self.finish(outcome, &request)).await {
+            Some(AfterRequest::KeepOpen) => AfterRequest::KeepOpen,
+            Some(AfterRequest::Close) => self.close(),
+            None => {
+                // The response may be incomplete.
+                self.io.terminate();
+                AfterRequest::Close
+            }
         }
-        next
+    }
+
+    /// Awaits a part of the work on a request. `None` after a panic, which is counted and logged with the request's id;
+    /// `request` is empty while the id is not known.
+    async fn or_on_panic<T>(&self, request: &str, work: impl Future<Output = T>) -> Option<T> {
+        match catch_panic(work).await {
+            Ok(value) => Some(value),
+            Err(panic) => {
+                self.node.metrics.request_panics.inc();
+                let error = panic.message;
+                log::error!(target: "request", request, error; "panicked");
+                None
+            }
+        }
+    }
+
+    /// The outcome of a request whose handling has panicked. It may have run.
+    fn outcome_after_panic(&self, request: &ClientRequest) -> RequestOutcome {
+        let outcome = match self.is_response_begun.get() {
+            true => RequestOutcome::Truncated,
+            false => RequestOutcome::Local(LocalResponse::BadGateway),
+        };
+        intake::on_panicked(&self.node, request, outcome)
     }
 
     /// Writes the response unless it was streamed. Returns whether the connection stays open.
@@ -334,6 +376,7 @@
         if self.io.is_closed() {
             return Err(ClientDisconnected);
         }
+        self.is_response_begun.set(true);
         self.io.encode(message, &self.codec).map_err(|_| ClientDisconnected)
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -310,6 +310,17 @@
     finish(node, request, route.as_deref(), RequestOutcome::ClientDisconnected)
 }
 
+/// Ends a request whose handling has panicked.
+pub fn on_panicked(
+    node: &Node,
+    request: &ClientRequest,
+    outcome: RequestOutcome,
+) -> RequestOutcome {
+    let configuration = node.configuration();
+    let route = configuration.and_then(|configuration| find_route(&configuration, request));
+    finish(node, request, route.as_deref(), outcome)
+}
+
 fn finish(
     node: &Node,
     request: &ClientRequest,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 //!   report something on behalf of all nodes.
 //! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes.
 //! - [`reachability`] reports how many runners the node cannot reach.
+//! - [`caught_panic`] lets a task go on after a panic in one request.
 //! - [`quarantine`] keeps requests that crash runners away from them.
 //! - [`http`] is the HTTP client for runners and the store, and [`unknown_headers`] tracks names of response headers
 //!   that this version does not know.
@@ -49,6 +50,7 @@
 pub mod attempt_wait;
 pub mod authority;
 pub mod cache_listing;
+pub mod caught_panic;
 pub mod clock;
 pub mod compression;
 pub mod connection;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -161,6 +161,8 @@
     pub store_era: Gauge<f64, AtomicU64>,
     /// Calls to the platform for duties that one node performs on behalf of all.
     pub cloud_calls: Counter,
+    /// Panics in tasks of client connections. Expected to stay 0.
+    pub request_panics: Counter,
     /// Time from a request's arrival to the first byte of its response, in seconds.
     pub first_byte: Histogram,
     registry: Registry,
@@ -209,6 +211,7 @@
             runners: Family::default(),
             store_era: Gauge::default(),
             cloud_calls: Counter::default(),
+            request_panics: Counter::default(),
             first_byte: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
             registry: Registry::with_prefix("pitchstall"),
         };
@@ -302,6 +305,7 @@
                 "Calls to the platform for duties performed on behalf of all nodes",
                 &self.cloud_calls,
             ),
+            ("request_panics", "Panics in tasks of client connections", &self.request_panics),
         ];
         for (name, help, counter) in counters {
             self.registry.register(name, help, counter.clone());
