--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -85,7 +85,7 @@
             Err(TooSlow) => return self.on_lost(Some(runner)),
         };
         let is_framed = !response.ends_with_connection();
-        response.return_connection(self.node);
+        self.return_connection_later(response);
         // An error response may come from a runner that has not begun to execute the request.
         if (200..300).contains(&full_response.status) {
             self.on_success(&runner, is_framed);
@@ -103,6 +103,13 @@
         Step::Retry
     }
 
+    /// Returns the connection of a response that has been read to the pool, in a task of its own: the response must reach
+    /// the client whatever happens there.
+    fn return_connection_later(&self, response: AttemptResponse) {
+        let node = self.node.clone();
+        ntex::rt::spawn(async move { response.return_connection(&node) });
+    }
+
     /// Reads a whole response. A slow one is ended early once another attempt can follow.
     async fn read_in_time(
         &self,
