--- a/crates/serving/tests/event_stream.rs
+++ b/crates/serving/tests/event_stream.rs
@@ -49,3 +49,29 @@
     assert_eq!(events.len(), 1);
     assert_eq!(events[0].id.as_deref(), Some("4"));
 }
+
+/// Processor time that this thread has used, in nanoseconds.
+fn thread_cpu_ns() -> u64 {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    text.split_whitespace().next().unwrap().parse().unwrap()
+}
+
+/// Processor time for an event whose line has this many pieces.
+fn cost_of_a_line(pieces: usize) -> u64 {
+    let mut splitter = EventSplitter::default();
+    let started_ns = thread_cpu_ns();
+    for _ in 0..pieces {
+        assert!(splitter.push(&[b'x'; 64]).is_empty());
+    }
+    thread_cpu_ns() - started_ns
+}
+
+#[test]
+fn a_long_line_is_not_searched_again_with_each_piece() {
+    const PIECES: usize = 500;
+    const FACTOR: usize = 16;
+    cost_of_a_line(PIECES);
+    let (short_ns, long_ns) = (cost_of_a_line(PIECES), cost_of_a_line(PIECES * FACTOR));
+    // 16 times the bytes cost 256 times as much if each piece searches all bytes before it.
+    assert!(long_ns < short_ns * 64, "{short_ns} ns, {long_ns} ns");
+}
