--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -10,23 +10,34 @@
     pub id: Option<String>,
 }
 
-/// Splits a stream of bytes into events.
+/// Maximum length of an event, including its blank line. It bounds each line of the event too.
+pub const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Splits a stream of bytes into events. Each byte is searched once, however the stream is split.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
-    scanned: usize,
+    /// Start of the first line of `pending` whose end has not been found.
+    line_start: usize,
+    /// Number of bytes of `pending` that have been searched for line ends.
+    searched: usize,
+    is_event_too_long: bool,
 }
 
 impl EventSplitter {
-    /// Appends bytes and returns the events that they complete.
+    /// Appends bytes and returns the events that they complete. There are no further events after one that is longer than
+    /// [`MAX_EVENT_BYTES`].
     pub fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
+        if self.is_event_too_long {
+            return Vec::new();
+        }
         self.pending.extend_from_slice(bytes);
-        let mut events = Vec::new();
-        while let Some(end) = self.find_end() {
-            let rest = self.pending.split_off(end);
-            let bytes = std::mem::replace(&mut self.pending, rest);
-            self.scanned = 0;
-            events.push(Event { id: event_id(&bytes), bytes });
+        let events = self.take_events();
+        if self.pending.len() > MAX_EVENT_BYTES {
+            self.is_event_too_long = true;
+        }
+        if self.is_event_too_long {
+            self.pending = Vec::new();
         }
         events
     }
@@ -36,18 +47,44 @@
         &self.pending
     }
 
-    /// End of the first complete event, which is after its blank line.
-    fn find_end(&mut self) -> Option<usize> {
-        let mut line_start = self.scanned;
-        while let Some(length) = self.pending[line_start..].iter().position(|byte| *byte == b'\n') {
-            let line_end = line_start + length + 1;
-            let line = &self.pending[line_start..line_end];
-            if matches!(line, b"\n" | b"\r\n") && line_start > 0 {
+    /// Whether an event was longer than [`MAX_EVENT_BYTES`]. It has been dropped, so that the stream cannot go on.
+    pub fn is_event_too_long(&self) -> bool {
+        self.is_event_too_long
+    }
+
+    /// Removes the complete events from `pending`, up to one that is too long.
+    fn take_events(&mut self) -> Vec<Event> {
+        let mut events = Vec::new();
+        let mut start = 0;
+        while let Some(end) = self.find_end(start) {
+            if end - start > MAX_EVENT_BYTES {
+                self.is_event_too_long = true;
+                return events;
+            }
+            let bytes = self.pending[start..end].to_vec();
+            events.push(Event { id: event_id(&bytes), bytes });
+            start = end;
+        }
+        self.pending.drain(..start);
+        self.line_start -= start;
+        self.searched -= start;
+        events
+    }
+
+    /// End of the complete event that begins at `start`, which is after its blank line.
+    fn find_end(&mut self, start: usize) -> Option<usize> {
+        let is_line_end = |byte: &u8| *byte == b'\n';
+        while let Some(length) = self.pending[self.searched..].iter().position(is_line_end) {
+            let line_end = self.searched + length + 1;
+            let line = &self.pending[self.line_start..line_end];
+            let is_end = matches!(line, b"\n" | b"\r\n") && self.line_start > start;
+            self.line_start = line_end;
+            self.searched = line_end;
+            if is_end {
                 return Some(line_end);
             }
-            line_start = line_end;
         }
-        self.scanned = line_start;
+        self.searched = self.pending.len();
         None
     }
 }
