--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
+use crate::response_memory::{BodyBuffer, ResponseReservation};
 use crate::runner_connection::{self, AllowedZones, RunnerUnreachable};
 use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
@@ -44,6 +45,11 @@
         Self { node: node.clone(), runner: choice.runner.clone(), demand: choice.demand }
     }
 
+    /// Reserves memory for what is held of the response.
+    pub fn reserve_response(&self) -> ResponseReservation {
+        self.node.reserve_response()
+    }
+
     /// Records that data has been received from the runner.
     pub fn on_progress(&self) {
         self.node.on_progress(&self.runner);
@@ -459,10 +465,13 @@
         self.decoder.ends_with_connection()
     }
 
-    /// Reads the whole body. Fails if it is larger than 16 MiB or the connection breaks.
+    /// Reads the whole body. Fails if it is larger than 16 MiB, if too little memory is left, or if the connection breaks.
     pub async fn read_all(&self) -> Result<BufferedResponse, ReadError> {
-        let body = self.connection.read_whole_body(&self.decoder, MAX_RESPONSE_BYTES).await?;
-        Ok(BufferedResponse { status: self.head.status, headers: self.client_headers(), body })
+        let mut buffer = BodyBuffer::new(MAX_RESPONSE_BYTES, self.in_flight.reserve_response());
+        self.connection.read_body_into(&self.decoder, &mut buffer).await?;
+        let (body, memory) = buffer.into_parts();
+        let (status, headers) = (self.head.status, self.client_headers());
+        Ok(BufferedResponse { status, headers, body, memory })
     }
 
     /// Returns the connection to the pool. The body must have been read to its end.
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -8,9 +8,9 @@
 use crate::intake::{BufferedResponse, RequestOutcome};
 use crate::interrupted_attempt::{on_interrupted, on_unframed_response, InterruptedAttempt};
 use crate::relay::{relay, RelayLimits, RelayOutcome};
+use crate::response_memory::{report_if_too_long, EventBuffer};
 use pitchstall_serving::attempt::{EndReason, Execution};
 use pitchstall_serving::configuration::RequestKind;
-use pitchstall_serving::event_stream::EventSplitter;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::RunnerRecord;
 use std::time::Duration;
@@ -29,8 +29,8 @@
 pub(super) struct Run {
     /// The response, from its head on.
     pub(super) response: AttemptResponse,
-    /// Bytes of the stream's event that is not complete yet.
-    splitter: EventSplitter,
+    /// The stream's event that is not complete yet.
+    events: EventBuffer,
     /// Reports the end of the run to its scheduler when dropped.
     _plan: Plan,
 }
@@ -38,7 +38,8 @@
 impl Run {
     /// A run whose head has just been received.
     pub(super) fn new(response: AttemptResponse, plan: Plan) -> Self {
-        Self { response, splitter: EventSplitter::default(), _plan: plan }
+        let events = EventBuffer::new(response.in_flight.reserve_response());
+        Self { response, events, _plan: plan }
     }
 
     /// The runner that runs the request.
@@ -76,10 +77,10 @@
         let full_response = match self.read_in_time(&response).await {
             Ok(Ok(full_response)) => full_response,
             Ok(Err(error)) => {
-                let error = error.to_string();
                 let id = self.request.metadata.id.as_str();
+                self.on_broken_response(&runner, &error);
+                let error = error.to_string();
                 log::info!(target: "attempt", request = id, runner = runner.as_str(), error; "response interrupted");
-                on_interrupted(self.node, self.interrupted_attempt(&runner));
                 return self.on_lost(Some(runner));
             }
             Err(TooSlow) => return self.on_lost(Some(runner)),
@@ -140,8 +141,8 @@
     async fn deliver_stream(&mut self, mut run: Box<Run>, client: &ClientConnection) -> Step {
         loop {
             let limits = RelayLimits { deadline: self.deadline, max_pause: self.max_stream_gap() };
-            let Run { response, splitter, .. } = run.as_mut();
-            let outcome = relay(response, client, &mut self.stream, splitter, limits).await;
+            let Run { response, events, .. } = run.as_mut();
+            let outcome = relay(response, client, &mut self.stream, events, limits).await;
             if self.stream.is_head_sent {
                 self.version.get_or_insert_with(|| run.response.record.version.clone());
             }
@@ -158,7 +159,7 @@
                 }
                 RelayOutcome::DeadlineExceeded => return self.on_out_of_time(),
                 RelayOutcome::ConnectionLost(error) => {
-                    return self.on_stream_interrupted(run, &error.to_string())
+                    return self.on_stream_interrupted(run, &error)
                 }
                 RelayOutcome::Stalled => run = self.replace_stalled_run(run).await,
             }
@@ -179,24 +180,35 @@
         self.give_up(EndReason::OutOfTime)
     }
 
-    fn interrupted_attempt<'b>(&'b self, runner: &'b RunnerId) -> InterruptedAttempt<'b> {
+    pub(super) fn interrupted_attempt<'b>(
+        &'b self,
+        runner: &'b RunnerId,
+    ) -> InterruptedAttempt<'b> {
         let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
         let parts = self.request.suspect_parts();
         InterruptedAttempt { request: self.request, tenant, runner, parts }
     }
 
-    fn on_stream_interrupted(&mut self, run: Box<Run>, cause: &str) -> Step {
+    /// Handles a response that broke off, or that was cut because it is too long.
+    fn on_broken_response(&self, runner: &RunnerId, error: &ReadError) {
+        report_if_too_long(self.node, self.request.metadata.id.as_str(), runner, error);
+        if !error.is_lack_of_memory() {
+            on_interrupted(self.node, self.interrupted_attempt(runner));
+        }
+    }
+
+    fn on_stream_interrupted(&mut self, run: Box<Run>, error: &ReadError) -> Step {
         let record = run.response.record.clone();
         drop(run);
-        self.record_interruption(&record, cause);
+        self.on_broken_response(&record.id, error);
+        self.log_interruption(&record, &error.to_string());
         self.node.metrics.resumes.inc();
         let runner = record.id;
         self.on_lost(Some(runner))
     }
 
-    /// Records that a run ended before its stream was complete.
-    pub(super) fn record_interruption(&self, record: &RunnerRecord, cause: &str) {
-        on_interrupted(self.node, self.interrupted_attempt(&record.id));
+    /// Logs that a run ended before its stream was complete.
+    pub(super) fn log_interruption(&self, record: &RunnerRecord, cause: &str) {
         let (runner, version) = (record.id.as_str(), record.version.as_str());
         let id = self.request.metadata.id.as_str();
         let after = self.stream.deduplicator.last_id().unwrap_or_default();
--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -5,6 +5,7 @@
 
 use super::delivery::Run;
 use super::{Dispatch, ReadyAttempt, SentAttempt};
+use crate::interrupted_attempt::on_interrupted;
 use crate::node::Node;
 use crate::runner_probe::{probe, ProbeCause};
 use pitchstall_serving::attempt::{EndReason, Execution};
@@ -149,7 +150,8 @@
 
     fn continue_at(&self, replaced: &RunnerRecord, mut successor: Box<Run>) -> Box<Run> {
         self.on_run_started(&mut successor);
-        self.record_interruption(replaced, "replaced after a pause");
+        on_interrupted(self.node, self.interrupted_attempt(&replaced.id));
+        self.log_interruption(replaced, "replaced after a pause");
         self.node.metrics.resumes.inc();
         let request = self.request.metadata.id.as_str();
         let RunnerRecord { id: runner, version, .. } = &successor.response.record;
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -7,10 +7,12 @@
 pub mod pool;
 pub mod request;
 pub mod response_codec;
+pub mod response_limit;
 pub mod upstream;
 
 pub use pool::{ConnectionPool, LearnedIdleLimit};
 pub use response_codec::{BodyDecoder, ResponseDecodeError, ResponseHead};
+pub use response_limit::{ResponsePart, ResponseTooLong};
 pub use upstream::{open_stream, ConnectError, ReadError, Upstream};
 
 /// A header: its name in lower case and its value.
--- a/crates/gateway/src/http/response_codec.rs
+++ b/crates/gateway/src/http/response_codec.rs
@@ -12,7 +12,7 @@
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
 /// Maximum size of a response's head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of a chunk size line, the end of a chunk or a trailer line.
 const MAX_LINE_BYTES: usize = 4 * 1024;
 
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -3,6 +3,8 @@
 use super::response_codec::{
     BodyDecoder, BodyItem, ResponseDecodeError, ResponseHead, ResponseHeadDecoder,
 };
+use super::response_limit::{ResponsePart, ResponseTooLong};
+use crate::response_memory::BodyBuffer;
 use crate::tunnel::frames::{FrameDecoder, TunnelState};
 use ntex::io::{Io, IoBoxed, IoConfig};
 use ntex::util::{Bytes, Either};
@@ -56,6 +58,9 @@
     /// The received bytes are not a valid response.
     #[error("{0}")]
     Malformed(#[from] ResponseDecodeError),
+    /// The response is longer than this node accepts.
+    #[error("{0}")]
+    TooLong(#[from] ResponseTooLong),
 }
 
 /// Opens a stream to another process. Dropping the stream closes it immediately.
@@ -134,20 +139,33 @@
         }
     }
 
-    /// Reads a complete body of at most `max_bytes`. A longer body is an error.
+    /// Reads a body of at most `max_bytes` to its end and discards it. A longer body is an error.
     pub async fn read_whole_body(
         &self,
         decoder: &BodyDecoder,
         max_bytes: usize,
-    ) -> Result<Vec<u8>, ReadError> {
-        let mut body = Vec::new();
+    ) -> Result<(), ReadError> {
+        let mut received = 0;
         while let Some(bytes) = self.read_body(decoder).await? {
-            if body.len() + bytes.len() > max_bytes {
-                return Err(ReadError::Malformed(ResponseDecodeError::InvalidLength));
+            received += bytes.len();
+            if received > max_bytes {
+                let part = ResponsePart::Body;
+                return Err(ResponseTooLong { part, limit_bytes: max_bytes }.into());
             }
-            body.extend_from_slice(&bytes);
         }
-        Ok(body)
+        Ok(())
+    }
+
+    /// Reads a complete body into a buffer. A body that is longer than the buffer accepts is an error.
+    pub async fn read_body_into(
+        &self,
+        decoder: &BodyDecoder,
+        buffer: &mut BodyBuffer,
+    ) -> Result<(), ReadError> {
+        while let Some(bytes) = self.read_body(decoder).await? {
+            buffer.push(&bytes)?;
+        }
+        Ok(())
     }
 
     /// Whether the runner itself has closed the connection, once it is closed. A node in between may have failed instead.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,6 +7,7 @@
 use crate::local_responses::LocalResponse;
 use crate::node::{BodyReservation, Node};
 use crate::policy::{self, PlacementRules};
+use crate::response_memory::ResponseReservation;
 use crate::stream_origins::{self, StreamContinuation};
 use ntex::http::Request;
 use pitchstall_platform_adapter::headers;
@@ -44,7 +45,7 @@
 }
 
 /// A runner's response that was read completely before it is sent to the client.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct BufferedResponse {
     /// The HTTP status code that the runner sent.
     pub status: u16,
@@ -52,10 +53,12 @@
     pub headers: Vec<Header>,
     /// The complete body, without transfer coding.
     pub body: Vec<u8>,
+    /// The memory that the body takes.
+    pub memory: ResponseReservation,
 }
 
 /// How a request ended, and what is still to be written to the client.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum RequestOutcome {
     /// A runner's response has to be written.
     Buffered(BufferedResponse),
--- a/crates/gateway/src/interrupted_attempt.rs
+++ b/crates/gateway/src/interrupted_attempt.rs
@@ -8,6 +8,7 @@
 use crate::http::ReadError;
 use crate::intake::ClientRequest;
 use crate::node::Node;
+use crate::response_memory::report_if_too_long;
 use crate::runner_probe::{probe, ProbeCause};
 use pitchstall_serving::ids::{RunnerId, TenantName};
 use pitchstall_serving::request_identity::Suspect;
@@ -93,9 +94,10 @@
     connection: ConnectionUse,
     error: &ReadError,
 ) {
-    let error = error.to_string();
     let runner = attempt.runner;
     let id = attempt.request.metadata.id.as_str();
+    report_if_too_long(node, id, runner, error);
+    let error = error.to_string();
     let idle_if_stale = connection.idle_if_stale();
     let idle_ms = idle_if_stale.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
     log::info!(target: "attempt", request = id, runner = runner.as_str(), rested_ms = idle_ms, error; "lost");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 //! - [`authority`] holds the leases that [`roles`], [`scaling`] and [`usage`] need before they give orders or
 //!   report something on behalf of all nodes.
 //! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes.
+//! - [`response_memory`] bounds what the node holds of runners' responses.
 //! - [`reachability`] reports how many runners the node cannot reach.
 //! - [`quarantine`] keeps requests that crash runners away from them.
 //! - [`http`] is the HTTP client for runners and the store, and [`unknown_headers`] tracks names of response headers
@@ -82,6 +83,7 @@
 pub mod relay;
 pub mod replica_limits;
 pub mod replication;
+pub mod response_memory;
 pub mod retry_charge;
 pub mod retry_pools;
 pub mod roles;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a response that was cut because it is too long.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResponseLimitLabels {
+    /// What was too long, see [`crate::http::ResponsePart::name`].
+    pub part: &'static str,
+}
+
 /// Labels of a store entry that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EntryLabels {
@@ -108,6 +115,8 @@
     pub streams_resumed_by_clients: Family<ResumedStreamLabels, Counter>,
     /// Stalled runs for which a successor was sought and that were kept, by reason.
     pub stalled_runs_kept: Family<StalledRunLabels, Counter>,
+    /// Responses that were cut because a part of them is too long, by part.
+    pub responses_too_long: Family<ResponseLimitLabels, Counter>,
     /// New connections to runners, including those that could not be opened.
     pub connections: Counter,
     /// Connections to runners that this node uses through other nodes.
@@ -183,6 +192,7 @@
             streams_cut: Family::default(),
             streams_resumed_by_clients: Family::default(),
             stalled_runs_kept: Family::default(),
+            responses_too_long: Family::default(),
             connections: Counter::default(),
             tunnels_used: Counter::default(),
             tunnels_carried: Counter::default(),
@@ -327,6 +337,9 @@
         let stalled_runs_kept = self.stalled_runs_kept.clone();
         let help = "Stalled runs for which a successor was sought and that were kept, by reason";
         self.registry.register("stalled_runs_kept", help, stalled_runs_kept);
+        let responses_too_long = self.responses_too_long.clone();
+        let help = "Responses that were cut because a part of them is too long, by part";
+        self.registry.register("responses_too_long", help, responses_too_long);
         let refused_entries = self.refused_entries.clone();
         let help = "Revisions of store entries that could not be used";
         self.registry.register("entries_refused", help, refused_entries);
@@ -379,6 +392,11 @@
         self.stalled_runs_kept.get_or_create(&StalledRunLabels { reason }).inc();
     }
 
+    /// Counts a response that was cut. `part` names what was too long.
+    pub fn on_response_too_long(&self, part: &'static str) {
+        self.responses_too_long.get_or_create(&ResponseLimitLabels { part }).inc();
+    }
+
     /// Counts a revision of a store entry that could not be used.
     pub fn on_refused_entry(&self, subject: &'static str) {
         self.refused_entries.get_or_create(&EntryLabels { subject }).inc();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -24,6 +24,7 @@
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
 use crate::refused_entries::RefusedEntries;
+use crate::response_memory::ResponseMemory;
 use crate::retry_pools::RetryPools;
 use crate::runner_limits::RunnerLimits;
 use crate::scheduling::Scheduling;
@@ -166,6 +167,7 @@
     open_connections: Cell<usize>,
     is_closing: Cell<bool>,
     reserved_body_bytes: Cell<usize>,
+    response_memory: Rc<ResponseMemory>,
 }
 
 /// This machine's wall clock, in milliseconds since the Unix epoch.
@@ -259,6 +261,7 @@
             open_connections: Cell::new(0),
             is_closing: Cell::new(false),
             reserved_body_bytes: Cell::new(0),
+            response_memory: Rc::default(),
         })
     }
 
--- a/crates/gateway/src/node/open_work.rs
+++ b/crates/gateway/src/node/open_work.rs
@@ -1,9 +1,15 @@
 //! Counts open connections and requests, which a planned stop waits for, and reserves memory for
-//! request bodies. Each is held by a guard until it is dropped.
+//! request bodies and responses. Each is held by a guard until it is dropped.
 
 use super::Node;
+use crate::response_memory::ResponseReservation;
 use std::rc::Rc;
 
+/// The part of the machine's memory that all request bodies get together.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+/// The part of the machine's memory that everything held of responses gets together.
+const RESPONSE_MEMORY_DIVISOR: u64 = 4;
+
 impl Node {
     /// Number of open client connections. A connection that is not idle may be about to deliver a
     /// request.
@@ -31,11 +37,7 @@
     /// Reserves memory for a request body until the guard is dropped. All bodies together get a
     /// quarter of the machine's memory; `None` if too little of it is left.
     pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
-        const BODY_MEMORY_DIVISOR: u64 = 4;
-        const BYTES_PER_MEGABYTE: u64 = 1_000_000;
-        let share_bytes =
-            self.settings().machine.memory_mb * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR;
-        let max_bytes = usize::try_from(share_bytes).unwrap_or(usize::MAX);
+        let max_bytes = self.memory_share(BODY_MEMORY_DIVISOR);
         let total = self.reserved_body_bytes.get() + bytes;
         if total > max_bytes {
             return None;
@@ -43,6 +45,19 @@
         self.reserved_body_bytes.set(total);
         Some(BodyReservation { node: self.clone(), bytes })
     }
+
+    /// Reserves memory for what is held of a response, 0 bytes at first, until the guard is dropped. All responses
+    /// together get a quarter of the machine's memory.
+    pub fn reserve_response(&self) -> ResponseReservation {
+        self.response_memory.reserve(self.memory_share(RESPONSE_MEMORY_DIVISOR))
+    }
+
+    /// A share of the machine's memory, in bytes.
+    fn memory_share(&self, divisor: u64) -> usize {
+        const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+        let share_bytes = self.settings().machine.memory_mb * BYTES_PER_MEGABYTE / divisor;
+        usize::try_from(share_bytes).unwrap_or(usize::MAX)
+    }
 }
 
 /// Guard for an open client connection.
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -7,6 +7,7 @@
 use crate::intake::ClientRequest;
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::node::Node;
+use crate::response_memory::report_if_too_long;
 use crate::runner_connection;
 use pitchstall_platform_adapter::paths;
 use pitchstall_serving::ids::{ServiceName, ZoneId};
@@ -107,7 +108,10 @@
     let full_response = match timeout(params.head_timeout, response.read_all()).await {
         Ok(Ok(full_response)) => full_response,
         Ok(Err(error)) => {
-            let (request, error) = (prefill.request.metadata.id.as_str(), error.to_string());
+            let request = prefill.request.metadata.id.as_str();
+            report_if_too_long(node, request, &runner, &error);
+            let is_runners_failure = !error.is_lack_of_memory();
+            let error = error.to_string();
             log::info!(target: "reading", request, runner = runner.as_str(), error; "prefill response interrupted");
             let tenant = params.tenant.as_ref();
             let interrupted = InterruptedAttempt {
@@ -116,7 +120,9 @@
                 runner: &runner,
                 parts: &[],
             };
-            on_interrupted(node, interrupted);
+            if is_runners_failure {
+                on_interrupted(node, interrupted);
+            }
             return PrefillOutcome::Failed;
         }
         Err(_) => return PrefillOutcome::Failed,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,8 +4,9 @@
 use crate::clock::Instant;
 use crate::connection::{ClientConnection, ClientDisconnected};
 use crate::http::{Header, ReadError};
+use crate::response_memory::EventBuffer;
 use crate::stream_origins::OriginRecorder;
-use pitchstall_serving::event_stream::{EventAction, EventDeduplicator, EventSplitter};
+use pitchstall_serving::event_stream::{EventAction, EventDeduplicator};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -58,12 +59,12 @@
 }
 
 /// Forwards one run of a stream. Only complete events are forwarded, so that another run can continue the stream.
-/// Bytes of an incomplete event stay in `splitter`, so that relaying a stalled run can be resumed.
+/// Bytes of an incomplete event stay in `events`, so that relaying a stalled run can be resumed.
 pub async fn relay(
     response: &AttemptResponse,
     client: &ClientConnection,
     state: &mut StreamState,
-    splitter: &mut EventSplitter,
+    events: &mut EventBuffer,
     limits: RelayLimits,
 ) -> RelayOutcome {
     let headers = response.client_headers();
@@ -76,26 +77,29 @@
         };
         response.in_flight.on_progress();
         let forwarded = match result {
-            Ok(Some(bytes)) => forward(response, &bytes, splitter, client, state, &headers).await,
-            Ok(None) => return finish(response, splitter, client, state, &headers).await,
+            Ok(Some(bytes)) => forward(response, &bytes, events, client, state, &headers).await,
+            Ok(None) => return finish(response, events, client, state, &headers).await,
             Err(error) => return RelayOutcome::ConnectionLost(error),
         };
         if forwarded.is_err() {
             return RelayOutcome::ClientDisconnected;
         }
+        if let Err(too_long) = events.check() {
+            return RelayOutcome::ConnectionLost(too_long.into());
+        }
     }
 }
 
 async fn forward(
     response: &AttemptResponse,
     bytes: &[u8],
-    splitter: &mut EventSplitter,
+    events: &mut EventBuffer,
     client: &ClientConnection,
     state: &mut StreamState,
     headers: &[Header],
 ) -> Result<(), ClientDisconnected> {
     let mut outgoing_bytes = Vec::new();
-    for event in splitter.push(bytes) {
+    for event in events.push(bytes) {
         if state.deduplicator.on_event(&event) == EventAction::Forward {
             outgoing_bytes.extend_from_slice(&event.bytes);
         }
@@ -128,12 +132,12 @@
 /// framing of the body is complete.
 async fn finish(
     response: &AttemptResponse,
-    splitter: &EventSplitter,
+    events: &EventBuffer,
     client: &ClientConnection,
     state: &mut StreamState,
     headers: &[Header],
 ) -> RelayOutcome {
-    if !splitter.pending().is_empty() {
+    if events.has_incomplete_event() {
         return RelayOutcome::ConnectionLost(ReadError::Closed);
     }
     let written = async {
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -8,6 +8,7 @@
 use crate::http::request::encode_request;
 use crate::http::{BodyDecoder, Header, Upstream};
 use crate::node::Node;
+use crate::response_memory::BodyBuffer;
 use pitchstall_platform_adapter::headers;
 use pitchstall_platform_adapter::paths::{self, OrderResponse, RunnerReport};
 use pitchstall_serving::authority::{AuthoritySubject, FencingToken};
@@ -241,7 +242,9 @@
         let metadata = node.on_response_head(&record.id, &head);
         node.on_limit_in_response(&record.id, &metadata, sent_at_us);
         let decoder = BodyDecoder::new(head.framing);
-        let body = connection.read_whole_body(&decoder, MAX_REPORT_BYTES).await.ok()?;
+        let mut buffer = BodyBuffer::new(MAX_REPORT_BYTES, node.reserve_response());
+        connection.read_body_into(&decoder, &mut buffer).await.ok()?;
+        let (body, _) = buffer.into_parts();
         Some((head.status, body))
     };
     timeout(RUNNER_CALL_TIMEOUT, exchange).await.ok().flatten()
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -7,7 +7,7 @@
 //! which no node ever receives the whole response.
 
 use crate::clock::Instant;
-use crate::http::{BodyDecoder, ReadError, ResponseDecodeError, Upstream};
+use crate::http::{BodyDecoder, ReadError, ResponsePart, ResponseTooLong, Upstream};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -86,7 +86,9 @@
             let next = timeout(STALL_TIMEOUT, connection.read_body(decoder));
             let Some(bytes) = next.await.map_err(|_| stalled())?? else { return Ok(body) };
             if body.len() + bytes.len() > max_bytes {
-                return Err(ReadError::Malformed(ResponseDecodeError::InvalidLength).into());
+                let part = ResponsePart::Body;
+                let too_long = ResponseTooLong { part, limit_bytes: max_bytes };
+                return Err(ReadError::TooLong(too_long).into());
             }
             body.extend_from_slice(&bytes);
             transfer.on_received(bytes.len());
