--- a/crates/gateway/src/http/response_codec.rs
+++ b/crates/gateway/src/http/response_codec.rs
@@ -11,7 +11,7 @@
 
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
-/// Maximum size of a response's head.
+/// Maximum size of a response's head together with the interim heads before it, and of a body's trailers.
 pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of a chunk size line, the end of a chunk or a trailer line.
 const MAX_LINE_BYTES: usize = 4 * 1024;
@@ -22,7 +22,7 @@
     /// The head cannot be parsed.
     #[error("response head is malformed")]
     InvalidHead,
-    /// The head exceeds its maximum size.
+    /// The head with its interim heads, or the trailers of the body, exceed their maximum size.
     #[error("response head is too large")]
     HeadTooLarge,
     /// The length is given more than once or in two ways, is not a number, or exceeds the accepted maximum.
@@ -71,9 +71,23 @@
     }
 }
 
-/// Decodes response heads. Interim responses (1xx) are skipped.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ResponseHeadDecoder;
+/// Decodes one response head. Interim responses (1xx) before it are skipped.
+#[derive(Debug, Default)]
+pub struct ResponseHeadDecoder {
+    /// Number of bytes of the interim heads that were skipped.
+    skipped_bytes: Cell<usize>,
+    /// Number of bytes that the last attempt to parse an incomplete head had.
+    parsed_bytes: Cell<usize>,
+}
+
+impl ResponseHeadDecoder {
+    /// Whether an incomplete head is parsed again: it has another line, or twice the length. Parsing it with each piece would
+    /// cost the square of its length.
+    fn is_worth_parsing(&self, source: &[u8]) -> bool {
+        let parsed_bytes = self.parsed_bytes.get().min(source.len());
+        source.len() >= parsed_bytes * 2 || source[parsed_bytes..].contains(&b'\n')
+    }
+}
 
 impl Decoder for ResponseHeadDecoder {
     type Item = ResponseHead;
@@ -81,18 +95,24 @@
 
     fn decode(&self, source: &mut BytesMut) -> Result<Option<ResponseHead>, ResponseDecodeError> {
         loop {
-            let Some((length, head)) = parse_head(source)? else {
-                let is_too_large = source.len() > MAX_HEAD_BYTES;
-                return if is_too_large {
-                    Err(ResponseDecodeError::HeadTooLarge)
-                } else {
-                    Ok(None)
-                };
+            let is_worth_parsing = self.is_worth_parsing(source);
+            let parsed = if is_worth_parsing { parse_head(source)? } else { None };
+            let length = parsed.as_ref().map_or(source.len(), |(length, _)| *length);
+            if self.skipped_bytes.get() + length > MAX_HEAD_BYTES {
+                return Err(ResponseDecodeError::HeadTooLarge);
+            }
+            let Some((length, head)) = parsed else {
+                if is_worth_parsing {
+                    self.parsed_bytes.set(source.len());
+                }
+                return Ok(None);
             };
             source.advance_to(length);
             if head.status >= 200 {
                 return Ok(Some(head));
             }
+            self.skipped_bytes.set(self.skipped_bytes.get() + length);
+            self.parsed_bytes.set(0);
         }
     }
 }
@@ -170,7 +190,8 @@
     Size,
     Data(u64),
     DataEnd,
-    Trailer,
+    /// The trailers have had this number of bytes.
+    Trailer(usize),
     Done,
 }
 
@@ -242,7 +263,7 @@
     loop {
         state = match state {
             ChunkState::Size => match parse_chunk_size(source)? {
-                Some(0) => ChunkState::Trailer,
+                Some(0) => ChunkState::Trailer(0),
                 Some(size) => ChunkState::Data(size),
                 None => return Ok((state, None)),
             },
@@ -257,9 +278,12 @@
                 Some(_) => return Err(ResponseDecodeError::InvalidChunk),
                 None => return Ok((state, None)),
             },
-            ChunkState::Trailer => match take_line(source)? {
+            ChunkState::Trailer(length) if length > MAX_HEAD_BYTES => {
+                return Err(ResponseDecodeError::HeadTooLarge)
+            }
+            ChunkState::Trailer(length) => match take_line(source)? {
                 Some(0) => ChunkState::Done,
-                Some(_) => ChunkState::Trailer,
+                Some(line) => ChunkState::Trailer(length + line + b"\r\n".len()),
                 None => return Ok((state, None)),
             },
             ChunkState::Done => return Ok((state, Some(BodyItem::End))),
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -121,7 +121,7 @@
 
     /// Reads the head of the next response.
     pub async fn read_head(&self) -> Result<ResponseHead, ReadError> {
-        match self.io.recv(&ResponseHeadDecoder).await {
+        match self.io.recv(&ResponseHeadDecoder::default()).await {
             Ok(Some(head)) => Ok(head),
             Ok(None) => Err(ReadError::Closed),
             Err(error) => Err(into_read_error(error)),
--- a/crates/gateway/tests/response_codec.rs
+++ b/crates/gateway/tests/response_codec.rs
@@ -11,7 +11,7 @@
 
 fn framing(head: &str) -> Result<Framing, ResponseDecodeError> {
     let mut source = BytesMut::from(head);
-    ResponseHeadDecoder.decode(&mut source).map(|head| head.unwrap().framing)
+    ResponseHeadDecoder::default().decode(&mut source).map(|head| head.unwrap().framing)
 }
 
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n", Ok(Framing::Length(5)); "length")]
@@ -32,14 +32,17 @@
     let mut source = BytesMut::from(
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\ncontent-length: 0\r\n\r\n",
     );
-    assert_eq!(ResponseHeadDecoder.decode(&mut source).unwrap().unwrap().status, 201);
+    assert_eq!(ResponseHeadDecoder::default().decode(&mut source).unwrap().unwrap().status, 201);
 }
 
 #[test]
 fn a_head_without_an_end_is_rejected_at_the_size_limit() {
     let mut source = BytesMut::from("HTTP/1.1 200 OK\r\nx: ");
     source.extend_from_slice(&[b'x'; 70_000]);
-    assert_eq!(ResponseHeadDecoder.decode(&mut source), Err(ResponseDecodeError::HeadTooLarge));
+    assert_eq!(
+        ResponseHeadDecoder::default().decode(&mut source),
+        Err(ResponseDecodeError::HeadTooLarge)
+    );
 }
 
 /// Decodes bytes that arrive in pieces, and returns the body and whether it has ended.
@@ -84,7 +87,7 @@
 
     #[test]
     fn no_bytes_make_the_decoders_panic(bytes in prop::collection::vec(any::<u8>(), 0..300), piece in 1_usize..50) {
-        let _ = ResponseHeadDecoder.decode(&mut BytesMut::from(bytes.as_slice()));
+        let _ = ResponseHeadDecoder::default().decode(&mut BytesMut::from(bytes.as_slice()));
         let _ = decode(Framing::Chunked, &bytes, piece);
     }
 }
@@ -96,3 +99,65 @@
         Err(ResponseDecodeError::InvalidChunk)
     );
 }
+
+/// Feeds pieces of 100 bytes to a decoder and returns its first result and the number of bytes that it was given.
+fn decode_head_in_pieces(bytes: &[u8]) -> (Result<u16, ResponseDecodeError>, usize) {
+    const PIECE_BYTES: usize = 100;
+    let decoder = ResponseHeadDecoder::default();
+    let mut source = BytesMut::new();
+    let mut given = 0;
+    for piece in bytes.chunks(PIECE_BYTES) {
+        source.extend_from_slice(piece);
+        given += piece.len();
+        if let Some(result) = decoder.decode(&mut source).transpose() {
+            return (result.map(|head| head.status), given);
+        }
+    }
+    (Ok(0), given)
+}
+
+#[test_case(64 * 1024, Ok(201); "of the maximum size pass")]
+#[test_case(64 * 1024 + 1, Err(ResponseDecodeError::HeadTooLarge); "above the maximum size are cut")]
+fn a_head_and_its_interim_heads(length: usize, expected: Result<u16, ResponseDecodeError>) {
+    const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+    const FINAL: &[u8] = b"HTTP/1.1 201 Created\r\nx-padding: ";
+    let mut bytes = INTERIM.repeat(1_000);
+    bytes.extend_from_slice(FINAL);
+    bytes.resize(length - 4, b'x');
+    bytes.extend_from_slice(b"\r\n\r\n");
+    assert_eq!(bytes.len(), length);
+    assert_eq!(decode_head_in_pieces(&bytes).0, expected);
+}
+
+#[test]
+fn interim_heads_without_end_are_read_up_to_the_maximum_size_of_a_head() {
+    let bytes = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(10_000);
+    let (result, given) = decode_head_in_pieces(&bytes);
+    assert_eq!(result, Err(ResponseDecodeError::HeadTooLarge));
+    assert!(given <= 64 * 1024 + 200, "{given} bytes");
+}
+
+#[test]
+fn a_malformed_line_of_a_head_is_found_once_it_is_complete() {
+    let bytes = b"HTTP/1.1 200 OK\r\nx-a: 1\r\nno header\r\n".as_slice();
+    for split in 1..bytes.len() {
+        let decoder = ResponseHeadDecoder::default();
+        let mut source = BytesMut::from(&bytes[..split]);
+        let first = decoder.decode(&mut source);
+        source.extend_from_slice(&bytes[split..]);
+        let result = first.and_then(|_| decoder.decode(&mut source));
+        assert_eq!(result, Err(ResponseDecodeError::InvalidHead), "split at {split}");
+    }
+}
+
+#[test_case(64 * 1024, Ok((b"ok".to_vec(), true)); "of the maximum size pass")]
+#[test_case(64 * 1024 + 1, Err(ResponseDecodeError::HeadTooLarge); "above the maximum size are cut")]
+fn trailers(length: usize, expected: Result<(Vec<u8>, bool), ResponseDecodeError>) {
+    const LINE: &[u8] = b"x-trailer: 01234567890123456789\r\n";
+    let mut bytes = b"2\r\nok\r\n0\r\n".to_vec();
+    bytes.extend_from_slice(&LINE.repeat(length / LINE.len() - 1));
+    let head_bytes = b"2\r\nok\r\n0\r\n".len();
+    bytes.resize(head_bytes + length - 2, b'x');
+    bytes.extend_from_slice(b"\r\n\r\n");
+    assert_eq!(decode(Framing::Chunked, &bytes, 1_000), expected);
+}
