--- a/crates/gateway/tests/bounded_responses.rs
+++ b/crates/gateway/tests/bounded_responses.rs
@@ -178,3 +178,64 @@
     assert_eq!(response.status, status);
     assert_eq!(response.body.len(), if status == 200 { length } else { 0 });
 }
+
+#[test]
+fn a_surplus_response_that_never_ends_is_cut() {
+    let runner = desk(|request| {
+        if request.path() == "/booking/first" {
+            return Reaction::Respond { status: 200, body: b"first".to_vec() };
+        }
+        let earlier = ReceivedRequest {
+            headers: vec![("x-pitchstall-request-id".into(), "id-1".into())],
+            ..request.clone()
+        };
+        without_end(stream_head(&earlier, ""), "x")
+    });
+    let node = start("", &runner, "desk", None);
+    let mut client = node.client();
+    assert_eq!(respond(&mut client, "/booking/first", "id-1").text(), "first");
+    let response = respond(&mut client, "/booking/second", "id-2");
+    let sent = runner.bytes_without_end();
+    assert_eq!((response.status, runner.requests().len()), (502, 2), "{sent} bytes");
+    assert!(sent <= MIB + SOCKET_BUFFER_BYTES, "the runner sent {sent} bytes");
+    assert_eq!(responses_cut(&node, "body"), 1);
+}
+
+#[test]
+fn a_prefill_response_that_never_ends_is_cut_and_the_request_served() {
+    let prefill = RunnerStandIn::start("i-prefill", |request| match request.is_prefill() {
+        true => without_end(stream_head(request, ""), "x"),
+        false => engine_script(3)(request),
+    })
+    .unwrap();
+    let decode = RunnerStandIn::start("i-decode", engine_script(3)).unwrap();
+    let node = start("", &decode, "llm", Some("decode"));
+    node.add_runner(&prefill, "llm", Some("prefill"));
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    let mut client = node.client();
+    let prompt =
+        "X-Pitchstall-Token-Count: 9000,80\r\nX-Pitchstall-Prefix-Hash: a1:6000,b2:3000\r\n";
+    client.request("POST", "/summary/1", "id-1", prompt, b"x");
+    let response = client.read_response();
+    let sent = prefill.bytes_without_end();
+    assert!(sent > MIB, "the prefill runner was not used: {sent} bytes");
+    assert!(sent <= 48 * MIB, "the runner sent {sent} bytes");
+    assert!(responses_cut(&node, "body") >= 1);
+    assert_eq!(response.status, 200);
+}
+
+#[test]
+fn cache_lists_and_state_reports_that_never_end_are_cut() {
+    let runner = RunnerStandIn::start("i-decode", |request| match request.method.as_str() {
+        "GET" => without_end(stream_head(request, ""), "x"),
+        _ => engine_script(3)(request),
+    })
+    .unwrap();
+    let node = start("", &runner, "llm", Some("decode"));
+    wait_for("the node to cut a response", || runner.closed_early() > 0);
+    let response = respond(&mut node.client(), "/summary/1", "id-1");
+    assert_eq!((response.status, response.complete), (200, true));
+    let asked = runner.requests().iter().filter(|request| request.method == "GET").count();
+    let sent = runner.bytes_without_end();
+    assert!(sent <= asked * (MIB + SOCKET_BUFFER_BYTES), "{sent} bytes in {asked} responses");
+}
