--- a/crates/gateway/src/quota/candidate.rs
+++ b/crates/gateway/src/quota/candidate.rs
@@ -5,7 +5,7 @@
 use crate::node::{configured_topology, Node};
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryError;
-use crate::store_pages::read_pages;
+use crate::store_pages::{read_pages, ListingTooLong};
 use crate::store_responses::{ok_or_log, StoreResponse};
 use pitchstall_platform_adapter::quota_slots::{self, KeeperHolder};
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -35,6 +35,17 @@
     holders_read_under: Option<StoreLease>,
 }
 
+/// The holders of the keepers could not be read from the store.
+struct HoldersNotRead;
+
+impl From<ListingTooLong> for HoldersNotRead {
+    fn from(error: ListingTooLong) -> Self {
+        let error = error.to_string();
+        log::error!(target: "store", error; "list of keepers not read");
+        Self
+    }
+}
+
 /// Acquires and holds keepers as a candidate until the node stops, then releases them.
 pub async fn run(node: Rc<Node>) {
     let client = PlatformClient::default();
@@ -84,9 +95,11 @@
         let page = read_pages(async |after| {
             let read = quota_slots::read_keepers(after.as_deref());
             let response = self.node.call_store(&mut self.client, &read, STORE_TIMEOUT).await;
-            let Some(response) = response.filter(StoreResponse::is_done) else { return Err(()) };
+            let Some(response) = response.filter(StoreResponse::is_done) else {
+                return Err(HoldersNotRead);
+            };
             era = response.era;
-            ok_or_log("keepers", store::parse_page(&response.body)).ok_or(())
+            ok_or_log("keepers", store::parse_page(&response.body)).ok_or(HoldersNotRead)
         });
         let Ok(page) = page.await else { return false };
         page.items.iter().for_each(|item| self.learn(item, era));
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -20,6 +20,7 @@
 use crate::platform_client::{PlatformClient, PlatformError};
 use crate::replica_limits::random_confirmation_period;
 use crate::replication::ReplicationClient;
+use crate::store_pages::ListingTooLong;
 use crate::transfer::Transfer;
 use full_read::FullRead;
 use peer_source::{classify_reply, hedge_with_peers};
@@ -72,12 +73,20 @@
     StoreReplaced,
     #[error("a later era of the store began during a read of several pages")]
     EraChanged,
+    #[error(transparent)]
+    ListingTooLong(#[from] ListingTooLong),
 }
 
 impl FollowError {
     /// Whether the pages that were received before this error must not be used.
     fn ends_partial_read(&self) -> bool {
-        matches!(self, Self::EraChanged | Self::SupersededEra(_) | Self::StoreReplaced)
+        matches!(
+            self,
+            Self::EraChanged
+                | Self::SupersededEra(_)
+                | Self::StoreReplaced
+                | Self::ListingTooLong(_)
+        )
     }
 }
 
--- a/crates/gateway/tests/bounded_responses.rs
+++ b/crates/gateway/tests/bounded_responses.rs
@@ -239,3 +239,17 @@
     let sent = runner.bytes_without_end();
     assert!(sent <= asked * (MIB + SOCKET_BUFFER_BYTES), "{sent} bytes in {asked} responses");
 }
+
+#[test]
+fn complete_events_before_one_that_never_ends_are_delivered() {
+    let runner = decode(|request| {
+        let mut head = stream_head(request, "");
+        head.extend_from_slice(b"id: 0\ndata: first\n\n");
+        without_end(head, "x")
+    });
+    let node = start("", &runner, "llm", Some("decode"));
+    let response = respond(&mut node.client(), "/draft/1", "id-1");
+    assert_eq!((response.status, response.complete), (200, false));
+    assert_eq!(response.text(), "id: 0\ndata: first\n\n");
+    assert_eq!(responses_cut(&node, "event"), 1);
+}
