--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
+use crate::response_memory::{BodyBuffer, ResponseReservation};
 use crate::runner_connection::{self, AllowedZones, RunnerUnreachable};
 use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
@@ -45,6 +46,11 @@
         Self { node: node.clone(), runner: choice.runner.clone(), demand: choice.demand }
     }
 
+    /// Reserves memory for what is held of the response.
+    pub fn reserve_response(&self) -> ResponseReservation {
+        self.node.reserve_response()
+    }
+
     /// Records that data has been received from the runner.
     pub fn on_progress(&self) {
         self.node.on_progress(&self.runner);
@@ -389,7 +395,7 @@
     let node = node.clone();
     ntex::rt::spawn(async move {
         drop(in_flight);
-        let body = response.read_whole_body(MAX_SURPLUS_RESPONSE_BYTES);
+        let body = response.discard_body(MAX_SURPLUS_RESPONSE_BYTES);
         if matches!(timeout(RUNNER_CONNECT_TIMEOUT, body).await, Ok(Ok(_))) {
             return_connection(&node, &runner, response);
         }
@@ -494,10 +500,13 @@
         self.response.ends_with_connection()
     }
 
-    /// Reads the whole body. Fails if it is larger than 16 MiB or the connection breaks.
+    /// Reads the whole body. Fails if it is larger than 16 MiB, if too little memory is left, or if the connection breaks.
     pub async fn read_all(&self) -> Result<BufferedResponse, ReadError> {
-        let body = self.response.read_whole_body(MAX_RESPONSE_BYTES).await?;
-        Ok(BufferedResponse { status: self.status(), headers: self.client_headers(), body })
+        let mut buffer = BodyBuffer::new(MAX_RESPONSE_BYTES, self.in_flight.reserve_response());
+        self.response.read_body_into(&mut buffer).await?;
+        let (body, memory) = buffer.into_parts();
+        let (status, headers) = (self.status(), self.client_headers());
+        Ok(BufferedResponse { status, headers, body, memory })
     }
 
     /// Returns the connection to the pool if the body has been read to its end.
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -8,6 +8,7 @@
 use crate::http::request::encode_request;
 use crate::http::{Header, Upstream};
 use crate::node::Node;
+use crate::response_memory::BodyBuffer;
 use pitchstall_platform_adapter::headers;
 use pitchstall_platform_adapter::paths::{self, OrderResponse, RunnerReport};
 use pitchstall_serving::authority::{AuthoritySubject, FencingToken};
@@ -240,7 +241,9 @@
         let response = pending.read_head().await.ok()?;
         let metadata = node.on_response_head(&record.id, &response.head);
         node.on_limit_in_response(&record.id, &metadata, sent_at_us);
-        let body = response.read_whole_body(MAX_REPORT_BYTES).await.ok()?;
+        let mut buffer = BodyBuffer::new(MAX_REPORT_BYTES, node.reserve_response());
+        response.read_body_into(&mut buffer).await.ok()?;
+        let (body, _) = buffer.into_parts();
         Some((response.head.status, body))
     };
     timeout(RUNNER_CALL_TIMEOUT, exchange).await.ok().flatten()
--- a/crates/gateway/src/runner_connection.rs
+++ b/crates/gateway/src/runner_connection.rs
@@ -274,7 +274,7 @@
             .extend(identity_headers.map(|(name, value)| (name.to_owned(), value.into_bytes())));
         let request = encode_request("GET", paths::REPORT, &all_headers, &[]);
         let response = connection.send(request).ok()?.read_head().await.ok()?;
-        response.read_whole_body(MAX_RESPONSE_BYTES).await.ok()?;
+        response.discard_body(MAX_RESPONSE_BYTES).await.ok()?;
         Some(response)
     };
     match timeout(RESPONSE_TIMEOUT, exchange).await.ok().flatten() {
