--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -3,6 +3,8 @@
 use super::response_codec::{
     BodyDecoder, BodyItem, ResponseDecodeError, ResponseHead, ResponseHeadDecoder,
 };
+use super::response_limit::{ResponsePart, ResponseTooLong};
+use crate::response_memory::BodyBuffer;
 use crate::tunnel::frames::{FrameDecoder, TunnelState};
 use ntex::io::{Io, IoBoxed, IoConfig};
 use ntex::util::{Bytes, Either};
@@ -57,6 +59,9 @@
     /// The received bytes are not a valid response.
     #[error("{0}")]
     Malformed(#[from] ResponseDecodeError),
+    /// The response is longer than this node accepts.
+    #[error("{0}")]
+    TooLong(#[from] ResponseTooLong),
 }
 
 /// Opens a stream to another process. Dropping the stream closes it immediately.
@@ -156,7 +161,7 @@
 impl PendingResponse {
     /// Reads the head of the next response on the connection.
     pub async fn read_head(self) -> Result<OpenResponse, ReadError> {
-        let head = match self.connection.io.recv(&ResponseHeadDecoder).await {
+        let head = match self.connection.io.recv(&ResponseHeadDecoder::default()).await {
             Ok(Some(head)) => head,
             Ok(None) => return Err(ReadError::Closed),
             Err(error) => return Err(into_read_error(error)),
@@ -188,16 +193,25 @@
         }
     }
 
-    /// Reads the complete body of at most `max_bytes`. A longer body is an error.
-    pub async fn read_whole_body(&self, max_bytes: usize) -> Result<Vec<u8>, ReadError> {
-        let mut body = Vec::new();
+    /// Reads the body of at most `max_bytes` to its end and discards it. A longer body is an error.
+    pub async fn discard_body(&self, max_bytes: usize) -> Result<(), ReadError> {
+        let mut received = 0;
         while let Some(bytes) = self.read_chunk().await? {
-            if body.len() + bytes.len() > max_bytes {
-                return Err(ReadError::Malformed(ResponseDecodeError::InvalidLength));
+            received += bytes.len();
+            if received > max_bytes {
+                let part = ResponsePart::Body;
+                return Err(ResponseTooLong { part, limit_bytes: max_bytes }.into());
             }
-            body.extend_from_slice(&bytes);
         }
-        Ok(body)
+        Ok(())
+    }
+
+    /// Reads the complete body into a buffer. A body that is longer than the buffer accepts is an error.
+    pub async fn read_body_into(&self, buffer: &mut BodyBuffer) -> Result<(), ReadError> {
+        while let Some(bytes) = self.read_chunk().await? {
+            buffer.push(&bytes)?;
+        }
+        Ok(())
     }
 
     /// Completes when further bytes arrive. Never completes if the connection ends before.
@@ -227,7 +241,7 @@
     /// Skips a response that belongs to an earlier request, with a body of at most `max_bytes`. The response to the last
     /// request is still outstanding.
     pub async fn skip(self, max_bytes: usize) -> Result<PendingResponse, ReadError> {
-        self.read_whole_body(max_bytes).await?;
+        self.discard_body(max_bytes).await?;
         match self.is_complete.get() {
             true => Ok(PendingResponse { connection: self.connection }),
             false => Err(ReadError::Closed),
