What a 421 without a request's id says of the address is believed; an id goes to a runner twice only over a new connection

It is evidence about the address whichever question it answers; the request stays 'may have run'. A limit in a response that names no request is no longer dated by this one. Test: promises::a_misdirected_response_…; the new connection has no test of its own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -127,6 +127,9 @@
     /// Whether it must be a new connection on which the runner has responded, since an earlier
     /// attempt of the request has been lost and this node's links may be the reason.
     pub is_verified: bool,
+    /// Whether it must be a new connection, since something with the request's id has been sent to the runner before: on a
+    /// kept connection, a surplus response to that would name the request too.
+    pub is_new: bool,
     /// The zones in which a node that the connection leads through may be.
     pub zones: AllowedZones,
 }
@@ -153,7 +156,7 @@
         return Err(PrepareError::Unreachable);
     }
     let in_flight = InFlightGuard::new(node, choice);
-    let pooled = match need.is_verified {
+    let pooled = match need.is_verified || need.is_new {
         true => None,
         false => node.pool.take(&record.id, |connection| need.allows(node, connection)),
     };
@@ -327,8 +330,9 @@
         let response = pending.read_head().await?;
         let metadata = node.on_response_head(runner, &response.head);
         let is_other = metadata.request_id.as_deref().is_some_and(|named| named != id);
-        // The time at which the earlier request was sent is not known here.
-        let sent_at_us = if is_other { 0 } else { sent_at_us };
+        let is_own = metadata.request_id.as_deref() == Some(id);
+        // The time at which an earlier request was sent is not known here.
+        let sent_at_us = if is_own { sent_at_us } else { 0 };
         node.on_limit_in_response(runner, &metadata, sent_at_us);
         if !is_other || idle.is_none() {
             return Ok((response, metadata));
@@ -365,6 +369,10 @@
             log_doubted_decline(request, &response, doubt);
             node.metrics.on_doubted_decline(doubt);
             node.fleet.borrow_mut().on_response(&runner, true, node.now_us());
+            // Whichever request it answers, another process has responded at the runner's address.
+            if metadata.is_misdirected {
+                on_misdirected(node, &runner);
+            }
             return AttemptEnd::Lost;
         }
         None => {}
@@ -387,9 +395,7 @@
     let AttemptResponse { record, in_flight, response } = declined;
     let runner = record.id;
     if is_misdirected {
-        node.fleet.borrow_mut().on_misdirected(&runner);
-        node.pool.remove_runner(&runner);
-        return;
+        return on_misdirected(node, &runner);
     }
     node.fleet.borrow_mut().on_full(&runner, node.now_us());
     let node = node.clone();
@@ -402,6 +408,11 @@
     });
 }
 
+fn on_misdirected(node: &Node, runner: &RunnerId) {
+    node.fleet.borrow_mut().on_misdirected(runner);
+    node.pool.remove_runner(runner);
+}
+
 /// Returns the connection of a response to the pool if another request may be sent on it.
 fn return_connection(node: &Node, runner: &RunnerId, response: OpenResponse) {
     let idle_timeout = response.head.idle_timeout;
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -81,6 +81,8 @@
     runs: RunHistory,
     /// Determines which requests sent to runners are charged to the retry budget.
     arrivals: ArrivalLedger,
+    /// The runners to which a run or a prefill of the request has been sent.
+    sent_to: Vec<RunnerId>,
     excluded: Vec<RunnerId>,
     unreachable_count: usize,
     /// An error response of a runner, returned to the client if no attempt succeeds.
@@ -150,6 +152,7 @@
             deadline,
             runs: RunHistory::default(),
             arrivals: ArrivalLedger::default(),
+            sent_to: Vec::new(),
             excluded: Vec::new(),
             unreachable_count: 0,
             runner_failure: None,
@@ -208,17 +211,22 @@
             return Err(EndReason::Quarantined);
         }
         let plan = self.plan().await?;
-        let prepared =
-            match attempt::prepare(self.node, &plan.choice, &self.connection_need()).await {
-                Ok(prepared) => prepared,
-                // The runner is no longer a candidate, so another one is chosen.
-                Err(PrepareError::Withheld) => return Ok(None),
-                Err(PrepareError::Unreachable) => {
-                    plan.report(Progress::Unreachable(plan.choice.runner.clone()));
-                    self.on_unreachable(plan.choice.runner)?;
-                    return Ok(None);
-                }
-            };
+        let prepared = match attempt::prepare(
+            self.node,
+            &plan.choice,
+            &self.connection_need(&plan.choice.runner),
+        )
+        .await
+        {
+            Ok(prepared) => prepared,
+            // The runner is no longer a candidate, so another one is chosen.
+            Err(PrepareError::Withheld) => return Ok(None),
+            Err(PrepareError::Unreachable) => {
+                plan.report(Progress::Unreachable(plan.choice.runner.clone()));
+                self.on_unreachable(plan.choice.runner)?;
+                return Ok(None);
+            }
+        };
         let admission = self.admit(&plan).await?;
         Ok(match admission {
             Admission::Admitted(reservation) => Some(ReadyAttempt { plan, prepared, reservation }),
@@ -226,9 +234,10 @@
         })
     }
 
-    fn connection_need(&self) -> ConnectionNeed {
+    fn connection_need(&self, runner: &RunnerId) -> ConnectionNeed {
         let is_verified = self.runs.is_fate_unknown();
-        ConnectionNeed { is_verified, zones: self.rules.zones.clone() }
+        let is_new = self.sent_to.contains(runner);
+        ConnectionNeed { is_verified, is_new, zones: self.rules.zones.clone() }
     }
 
     /// Sends an attempt and waits for the head of its response. The run counts as begun from the start,
@@ -240,6 +249,7 @@
             None => Work::Run,
         };
         self.runs.on_sent();
+        self.sent_to.push(plan.choice.runner.clone());
         let params = self.attempt_params(work, &plan.choice);
         let sent_at = Instant::now();
         let mut start_recorder = self.start_recorder(sent_at);
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -244,16 +244,21 @@
         prefill_runner: RunnerChoice,
         progress_reporter: &ProgressReporter,
     ) -> Option<PrefilledPrompt> {
-        let prepared =
-            match attempt::prepare(self.node, &prefill_runner, &self.connection_need()).await {
-                Ok(prepared) => prepared,
-                Err(PrepareError::Withheld) => return None,
-                Err(PrepareError::Unreachable) => {
-                    progress_reporter.report(Progress::Unreachable(prefill_runner.runner.clone()));
-                    self.excluded.push(prefill_runner.runner);
-                    return None;
-                }
-            };
+        let prepared = match attempt::prepare(
+            self.node,
+            &prefill_runner,
+            &self.connection_need(&prefill_runner.runner),
+        )
+        .await
+        {
+            Ok(prepared) => prepared,
+            Err(PrepareError::Withheld) => return None,
+            Err(PrepareError::Unreachable) => {
+                progress_reporter.report(Progress::Unreachable(prefill_runner.runner.clone()));
+                self.excluded.push(prefill_runner.runner);
+                return None;
+            }
+        };
         if self.arrivals.is_next_prefill_charged() && !self.retry_charge.charge().await {
             return None;
         }
@@ -274,6 +279,7 @@
         params.head_timeout = self.time_remaining().mul_f64(MAX_PREFILL_TIME_SHARE);
         let charge = self.retry_charge.clone();
         params.early_end = Some(EarlyEnd { charge, head_timeout: None });
+        self.sent_to.push(prefill_runner.runner.clone());
         let prefill_request = PrefillRequest {
             request: self.request,
             service: &self.service,
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -44,6 +44,19 @@
     assert_eq!(status_of_second_booking(&runner), 502);
 }
 
+/// Guards against requests to an address at which another runner has responded.
+#[test]
+fn a_misdirected_response_that_names_no_request_takes_the_runner_out_of_use() {
+    let runner = runner_that_sends_first(response_bytes(421, &[], b""));
+    let node = Fixture::with_runners(&[(&runner, "desk", None)]);
+    let statuses = ["id-1", "id-2", "id-3"].map(|id| {
+        let mut client = node.client();
+        client.request("POST", "/booking/1", id, "", b"x");
+        client.read_response().status
+    });
+    assert_eq!(statuses, [200, 502, 503]);
+}
+
 /// Guards against refusals on the ground of a late response to another request.
 #[test_case(503, &[NOT_EXECUTED, OTHER_REQUEST]; "full runner")]
 #[test_case(421, &[OTHER_REQUEST]; "misdirected request")]
