Failing test: readers that start last are replaced at once by the next nodes of their zones (model); nodes' logs when the real processes' test fails

The test now prints the nodes' lines on full reads when it fails; new log line: node counts as unreachable.

--- a/crates/cli/tests/nodes_return_together.rs
+++ b/crates/cli/tests/nodes_return_together.rs
@@ -5,6 +5,7 @@
 use pitchstall_platform_standins::proxy::Link;
 use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
 use serde_json::{json, Value};
+use std::fs::{File, OpenOptions};
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -34,10 +35,21 @@
     Ipv4Addr::new(127, 1 + high % 200, low, NEXT.fetch_add(1, Ordering::SeqCst)).into()
 }
 
-/// One node: its settings, and its process while it runs.
+/// Events of the nodes' logs that say who reads all entries, and why.
+const READ_EVENTS: [&str; 6] = [
+    "all entries read",
+    "call failed",
+    "first list of nodes received",
+    "first replica",
+    "node counts as unreachable",
+    "reading all entries",
+];
+
+/// One node: its settings, its log, and its process while it runs.
 struct Node {
     ip: IpAddr,
     settings: PathBuf,
+    log: PathBuf,
     process: Option<Child>,
 }
 
@@ -54,13 +66,16 @@
         );
         let settings = std::env::temp_dir().join(format!("pitchstall-return-{ip}.toml"));
         std::fs::write(&settings, text).unwrap();
-        Self { ip, settings, process: None }
+        let log = settings.with_extension("log");
+        File::create(&log).unwrap();
+        Self { ip, settings, log, process: None }
     }
 
     fn start(&mut self) {
+        let log = OpenOptions::new().append(true).open(&self.log).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_pitchstall"))
             .args(["serve", "--settings", self.settings.to_str().unwrap()])
-            .stdout(Stdio::null())
+            .stdout(log)
             .stderr(Stdio::null())
             .spawn();
         self.process = Some(process.unwrap());
@@ -74,6 +89,14 @@
         }
     }
 
+    /// The lines of the node's log with one of [`READ_EVENTS`], each after the address of the node.
+    fn read_events(&self) -> Vec<String> {
+        let log = std::fs::read(&self.log).unwrap();
+        let log = String::from_utf8_lossy(&log);
+        let lines = log.lines().filter(|line| READ_EVENTS.iter().any(|event| line.contains(event)));
+        lines.map(|line| format!("{} {line}", self.ip)).collect()
+    }
+
     fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect((self.ip, HEALTH_PORT)) else { return false };
         stream.set_read_timeout(Some(READY_TIMEOUT)).unwrap();
@@ -88,6 +111,7 @@
     fn drop(&mut self) {
         self.kill();
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
@@ -138,8 +162,15 @@
     /// Asserts that at most `readers` nodes have read all runners since `pages` pages had been read.
     fn assert_reads(&self, pages: usize, readers: usize) {
         let pages = self.pages() - pages;
+        if pages > readers * PAGES {
+            self.print_read_events();
+        }
         assert!(pages <= readers * PAGES, "{pages} pages, {PAGES} in a full read");
     }
+
+    fn print_read_events(&self) {
+        self.nodes.iter().flat_map(Node::read_events).for_each(|line| println!("{line}"));
+    }
 }
 
 fn configuration() -> Value {
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -120,11 +120,19 @@
     fn on_silent_source(&mut self, source: SocketAddr, error: &ReplicationError) {
         let is_gone = matches!(error, ReplicationError::Unreachable(_));
         if is_gone {
+            self.log_unreachable(source, error);
             self.node.members.borrow_mut().on_unreachable(source);
         }
         self.choice.on_silent(is_gone);
     }
 
+    /// Logs that a source does not count as a store reader from now on.
+    fn log_unreachable(&self, source: SocketAddr, error: &ReplicationError) {
+        let (subject, source, error) = (self.subject.name(), source.to_string(), error.to_string());
+        let uptime_ms = self.started.elapsed().as_millis();
+        log::info!(target: "store", subject, source, error, uptime_ms; "node counts as unreachable");
+    }
+
     async fn handle_reply(&mut self, source: SocketAddr, reply: &StoreUpdateReply) {
         let had_replica = self.known_to.is_some();
         let is_reliable = self.apply_reply(reply);
--- a/crates/serving/tests/returning_fleet/mod.rs
+++ b/crates/serving/tests/returning_fleet/mod.rs
@@ -146,7 +146,8 @@
     let starts_us = starts_us.saturating_add((spread(number, STEP_US) * START_SPREAD_US) as u64);
     Node {
         starts_us,
-        reachability: Reachability::Reachable,
+        // Connections are refused until the process runs.
+        reachability: Reachability::Gone,
         store: StoreAccess::Served,
         is_listed: false,
         has_failed_listing: false,
@@ -187,7 +188,6 @@
     pub fn kill(&mut self, number: usize, returns_after_us: Option<u64>) {
         let starts_us = returns_after_us.map_or(u64::MAX, |after_us| self.now_us + after_us);
         self.nodes[number] = new_node(number, starts_us);
-        self.nodes[number].reachability = Reachability::Gone;
     }
 
     /// Size of a read of all entries.
