--- a/crates/cli/tests/nodes_return_together.rs
+++ b/crates/cli/tests/nodes_return_together.rs
@@ -36,7 +36,8 @@
 }
 
 /// Events of the nodes' logs that say who reads all entries, and why.
-const READ_EVENTS: [&str; 6] = [
+const READ_EVENTS: [&str; 7] = [
+    "\"event\":\"lost\"",
     "all entries read",
     "call failed",
     "first list of nodes received",
