--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -10,8 +10,11 @@
 };
 use pitchstall_platform_standins::store::StoreMode;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::time::Duration;
-use support::{configuration, Fixture, RawClient};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use support::{configuration, wait_for, Fixture, RawClient};
 use test_case::test_case;
 
 /// Exceeds the pause after which a node looks for another runner, which is 1,200 ms on the route of these tests.
@@ -47,6 +50,45 @@
     request.method == "POST" && request.path() == "/summary/1"
 }
 
+/// How many streams a runner has been asked to run.
+fn run_count(runner: &RunnerStandIn) -> usize {
+    runner.requests().iter().filter(|request| is_run(request)).count()
+}
+
+/// Requests to a runner of another service, sent until they are dropped. While a runner responds, the node does not doubt
+/// its links, so a runner that is slow is not probed early.
+struct ShortRequests {
+    is_stopped: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ShortRequests {
+    fn start(node: &Fixture) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let stop = is_stopped.clone();
+        let mut client = node.client();
+        let thread = std::thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                client.request("GET", "/lookup/1", "id-lookup", "", b"");
+                client.read_response();
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        });
+        Self { is_stopped, thread: Some(thread) }
+    }
+}
+
+impl Drop for ShortRequests {
+    fn drop(&mut self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        self.thread.take().map(JoinHandle::join);
+    }
+}
+
+fn start_desk() -> RunnerStandIn {
+    runner("i-desk", |_| Reaction::Respond { status: 200, body: b"found".to_vec() })
+}
+
 /// Starts a stream and waits for its first event.
 fn start_stream(node: &Fixture, extra: &str) -> RawClient {
     let mut client = node.client();
@@ -173,6 +215,91 @@
     assert_eq!(resumed.header("last-event-id"), Some("0"));
 }
 
+/// With the deadline of another request, its attempt ends before its runner is probed, and late enough to suspect the runner.
+const SHORT_DEADLINE: &str = "X-Pitchstall-Deadline-Ms: 1400\r\n";
+
+#[test]
+fn two_runners_do_not_run_a_stream_together_though_another_request_got_no_response_of_the_first() {
+    const SLOW_PAUSE: Duration = Duration::from_millis(3_800);
+    // A successor that is not ended before ends when the slow runner goes on, more than 2 s after its start.
+    const MAX_TIME_TOGETHER: Duration = Duration::from_millis(1_200);
+    let slow = runner("i-slow", |request| {
+        if request.id() == Some("id-check") {
+            return Reaction::Silent;
+        }
+        let mut stream = EventStream::for_request(request, LAST_EVENT);
+        stream.long_pause = Some(LongPause { before_event: LAST_EVENT, length: SLOW_PAUSE });
+        Reaction::Stream(stream)
+    });
+    let desk = start_desk();
+    let node = Fixture::with_runners(&[(&slow, "llm", Some("decode")), (&desk, "desk", None)]);
+    let _short_requests = ShortRequests::start(&node);
+    let mut client = start_stream(&node, "");
+    let mut check = node.client();
+    check.request("POST", "/summary/1", "id-check", SHORT_DEADLINE, b"x");
+    wait_for("the slow runner to get both requests", || run_count(&slow) == 2);
+    let other = runner("i-other", |request| match request.id() {
+        Some("id-1") => Reaction::Silent,
+        _ => Reaction::Stream(EventStream::for_request(request, LAST_EVENT)),
+    });
+    node.add_runner(&other, "llm", Some("decode"));
+    assert_eq!(check.read_response().text(), events(0..=LAST_EVENT));
+    assert_eq!(slow.closed_early(), 1, "the other request was not sent on for its silence");
+    // The retry budget earns from requests.
+    check.request("POST", "/summary/1", "id-next", "", b"x");
+    assert_eq!(check.read_response().text(), events(0..=LAST_EVENT));
+    let is_successor = |request: &ReceivedRequest| request.header("last-event-id").is_some();
+    wait_for("a successor", || other.requests().iter().any(is_successor));
+    let started_at = Instant::now();
+    wait_for("the end of the successor", || other.closed_early() == 1);
+    let together = started_at.elapsed();
+    assert!(together < MAX_TIME_TOGETHER, "both runners had the stream for {together:?}");
+    let response = client.read_response();
+    assert_eq!((response.status, response.text()), (200, events(0..=LAST_EVENT)));
+    assert_eq!(slow.closed_early(), 1, "the stream was ended though it went on");
+}
+
+#[test]
+fn a_request_is_not_taken_from_a_slow_runner_since_another_one_got_no_response_in_time() {
+    let slow = runner("i-slow", |request| match request.id() {
+        Some("id-check") => Reaction::Silent,
+        Some("id-1") => {
+            std::thread::sleep(Duration::from_millis(1_600));
+            Reaction::Stream(EventStream::for_request(request, LAST_EVENT))
+        }
+        _ => engine_script(LAST_EVENT)(request),
+    });
+    let desk = start_desk();
+    let node = Fixture::start_with("retry_slack = 400.0\n");
+    node.store.put("op/config", &configuration(3));
+    node.add_runner(&slow, "llm", Some("decode"));
+    node.add_runner(&desk, "desk", None);
+    let other_node = node.start_peer("node-2");
+    node.wait_until_ready();
+    other_node.wait_until_ready();
+    // Nodes learn of each other by digests, one a second. A node that knows no other saves one retry at most.
+    std::thread::sleep(Duration::from_millis(1_200));
+    let mut check = node.client();
+    for _ in 0..4 {
+        check.request("POST", "/summary/1", "id-usual", "", b"x");
+        assert_eq!(check.read_response().text(), events(0..=LAST_EVENT));
+    }
+    let earlier = run_count(&slow);
+    let _short_requests = ShortRequests::start(&node);
+    let mut client = node.client();
+    client.request("POST", "/summary/1", "id-1", "", b"x");
+    wait_for("the slow runner to get the first request", || run_count(&slow) == earlier + 1);
+    check.request("POST", "/summary/1", "id-check", SHORT_DEADLINE, b"x");
+    wait_for("the slow runner to get both requests", || run_count(&slow) == earlier + 2);
+    let other = runner("i-other", engine_script(LAST_EVENT));
+    node.add_runner(&other, "llm", Some("decode"));
+    assert_eq!(check.read_response().text(), events(0..=LAST_EVENT));
+    assert_eq!(client.read_response().text(), events(0..=LAST_EVENT));
+    let sent_on = other.requests().into_iter().filter(is_run);
+    let ids: Vec<_> = sent_on.map(|request| request.id().unwrap().to_owned()).collect();
+    assert_eq!(ids, ["id-check"], "the other request still had time");
+}
+
 #[test]
 fn a_framed_stream_that_ends_inside_an_event_goes_on_at_another_runner() {
     let torn = runner("i-torn", |request| {
--- a/crates/serving/tests/suspicion.rs
+++ b/crates/serving/tests/suspicion.rs
@@ -69,6 +69,23 @@
     assert!(!runner.is_suspected(), "progress clears the suspicion");
 }
 
+#[test]
+fn a_runner_that_is_only_silent_may_still_be_probed() {
+    let mut runner = Suspicion::default();
+    runner.on_attempt_timeout(SECOND_US, 2 * SECOND_US);
+    assert!(runner.is_avoided(0, 2 * SECOND_US + MILLI_US));
+    probe(&mut runner, 2 * SECOND_US, Some(true), 2 * SECOND_US + 3 * MILLI_US);
+    assert!(!runner.is_suspected(), "it accepted a connection");
+}
+
+#[test]
+fn a_runner_that_is_only_silent_is_not_reported_as_unreachable() {
+    let mut runner = Suspicion::default();
+    runner.on_attempt_timeout(SECOND_US, 2 * SECOND_US);
+    assert!(!runner.is_unreached(2 * SECOND_US + MILLI_US));
+    assert!(!runner.was_just_unreachable(2 * SECOND_US + MILLI_US), "a connection is still tried");
+}
+
 #[test]
 fn a_suspended_node_suspects_no_runner() {
     let mut runner = Suspicion::default();
