A runner that is only silent does not lift the bound on two runs of one stream

Cause: an attempt of 500 ms or more without a head made its runner suspected, in the same state as a runner that no node could connect to. The bound of 300 ms was dropped for suspected runners, and the probe at the beginning of the search, which would have told the two apart, was left out since the question counted as settled.

Ruled out: to probe at each such time-out. A handshake clears the suspicion, so a runner that hangs would get new requests at once.

Where roles are planned a guess still suffices.

The test of the stream answered cache lists with a stream too, and counted the end of that one as the end of the client's; it answers them now. On the code before it fails as it did (2.7 s), with the change it passes.

--- a/crates/gateway/src/dispatch/successor.rs
+++ b/crates/gateway/src/dispatch/successor.rs
@@ -159,12 +159,12 @@
     }
 }
 
-/// Completes when two runners have had a request for too long. Never completes if the first of them cannot be reached
-/// over this node's link: it cannot be stopped either, and may have ended.
+/// Completes when two runners have had a request for too long. Never completes if it is proven that the first of them
+/// cannot be reached over this node's link: it cannot be stopped either, and may have ended. That it is silent is no proof.
 async fn overlap_over(node: &Node, runner: &RunnerId) {
     sleep(MAX_OVERLAP).await;
-    let is_suspected = node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected);
-    if is_suspected || node.is_link_lost(runner) {
+    let is_unreachable = node.fleet.borrow().get(runner).is_some_and(Runner::is_unreachable);
+    if is_unreachable || node.is_link_lost(runner) {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -223,13 +223,14 @@
     const SLOW_PAUSE: Duration = Duration::from_millis(3_800);
     // A successor that is not ended before ends when the slow runner goes on, more than 2 s after its start.
     const MAX_TIME_TOGETHER: Duration = Duration::from_millis(1_200);
-    let slow = runner("i-slow", |request| {
-        if request.id() == Some("id-check") {
-            return Reaction::Silent;
+    let slow = runner("i-slow", |request| match request.id() {
+        Some("id-check") => Reaction::Silent,
+        Some("id-1") => {
+            let mut stream = EventStream::for_request(request, LAST_EVENT);
+            stream.long_pause = Some(LongPause { before_event: LAST_EVENT, length: SLOW_PAUSE });
+            Reaction::Stream(stream)
         }
-        let mut stream = EventStream::for_request(request, LAST_EVENT);
-        stream.long_pause = Some(LongPause { before_event: LAST_EVENT, length: SLOW_PAUSE });
-        Reaction::Stream(stream)
+        _ => engine_script(LAST_EVENT)(request),
     });
     let desk = start_desk();
     let node = Fixture::with_runners(&[(&slow, "llm", Some("decode")), (&desk, "desk", None)]);
--- a/crates/serving/src/role_view.rs
+++ b/crates/serving/src/role_view.rs
@@ -195,7 +195,8 @@
 
 /// Runners that may get work. Runners with a limit take only a part of the usual work and get no
 /// role orders, so they count only if there are no others. Runners that have just refused a request
-/// as full count, because they are serving. Unreachable runners count only if there are no others.
+/// as full count, because they are serving. Runners that are suspected of being unreachable count
+/// only if there are no others.
 fn usable<'a>(fleet: &'a Fleet, demand: &RoleDemand<'_>, now_us: u64) -> Vec<&'a Runner> {
     let is_usable = |runner: &&Runner| {
         let is_there = runner.accepts_work() && !runner.is_suspected();
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -246,7 +246,13 @@
         self.role_transition.filter(|_| self.is_changing_role(now_us)).map(|(stage, _)| stage)
     }
 
-    /// Whether the runner could not be reached and has not responded since.
+    /// Whether it is proven that the runner could not be reached, and it has not responded since.
+    pub fn is_unreachable(&self) -> bool {
+        self.suspicion.is_unreachable()
+    }
+
+    /// Whether it is guessed or proven that the runner cannot be reached. This suffices to choose
+    /// another runner, and for nothing that cannot be taken back.
     pub fn is_suspected(&self) -> bool {
         self.suspicion.is_suspected()
     }
