An attempt is not ended because another one at its runner was silent

What callers saw: an attempt that a runner had just got was ended, and sent on or answered with 502, as soon as another request's attempt there had waited in vain for its time (the test: 0.6 s after the start, 1.6 s before its own end).

Cause: attempts were ended when their runner became suspected, which silence alone is enough for; the same class as the bound on two runs of one stream.

Change: wait_until_unavailable waits for the proof that nobody reaches the runner, or for the loss of the own link.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -88,7 +88,7 @@
     /// The connection broke, or the response is not valid. The runner may have executed the
     /// request.
     Lost,
-    /// No response head was received in time, or the runner was suspected of having failed
+    /// No response head was received in time, or it was proven that the runner cannot be reached
     /// meanwhile. It may have executed the request.
     NoResponse,
     /// This node's link to the runner was lost, and another node reaches the runner. It may have
@@ -244,7 +244,7 @@
             log_end(request, &runner, &cause);
             return match cause {
                 EndCause::LinkLost => AttemptEnd::LinkLost,
-                EndCause::Suspected | EndCause::Silent(_) => {
+                EndCause::Unreachable | EndCause::Silent(_) => {
                     if let EndCause::Silent(_) = cause {
                         node.on_attempt_timeout(&runner, sent_at_us);
                     }
--- a/crates/gateway/src/attempt_wait.rs
+++ b/crates/gateway/src/attempt_wait.rs
@@ -17,7 +17,7 @@
     /// The charge for the other attempt.
     pub charge: Rc<RetryCharge>,
     /// Time without a response head after which the attempt is ended; `None` if it is only ended when
-    /// its runner is suspected of having failed.
+    /// it is proven that its runner cannot be reached.
     pub head_timeout: Option<Duration>,
 }
 
@@ -35,8 +35,8 @@
 pub enum EndCause {
     /// The head did not arrive in time.
     Silent(Duration),
-    /// The runner is suspected of having failed.
-    Suspected,
+    /// It is proven that the runner cannot be reached.
+    Unreachable,
     /// This node's link to the runner is lost, and another node reaches the runner.
     LinkLost,
 }
@@ -56,7 +56,7 @@
         tokio::select! {
             () = unavailable => match uses_own_link && node.is_link_lost(runner) {
                 true => EndCause::LinkLost,
-                false => EndCause::Suspected,
+                false => EndCause::Unreachable,
             },
             time = early_end.charged_when_silent() => EndCause::Silent(time),
         }
@@ -75,7 +75,7 @@
             let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
             log::info!(target: "attempt", request = id, runner, limit_ms; "silent");
         }
-        EndCause::Suspected => log::info!(target: "attempt", request = id, runner; "left"),
+        EndCause::Unreachable => log::info!(target: "attempt", request = id, runner; "left"),
         EndCause::LinkLost => {
             log::info!(target: "attempt", request = id, runner; "left: link lost");
         }
--- a/crates/gateway/src/runner_probe.rs
+++ b/crates/gateway/src/runner_probe.rs
@@ -44,8 +44,8 @@
 }
 
 /// Checks in the background whether a runner can be reached. Does nothing if data has arrived from the runner since
-/// `since_us` (microseconds on the node's clock), if the runner is already suspected of having failed, or if another check
-/// is under way. A connection that was opened is added to the pool.
+/// `since_us` (microseconds on the node's clock), if it is already proven that nobody reaches the runner, or if another
+/// check is under way. A connection that was opened is added to the pool.
 pub fn probe(node: &Rc<Node>, runner: &RunnerId, since_us: u64, cause: ProbeCause) {
     let mut fleet = node.fleet.borrow_mut();
     let is_due = fleet.update_suspicion(runner, |suspicion| suspicion.begin_probe(since_us));
@@ -172,12 +172,12 @@
     }
 }
 
-/// Completes when a runner that was not suspected of having failed becomes suspected, or, for a connection over this
-/// node's own link, when that link is lost.
+/// Completes when it is proven that a runner cannot be reached, if that was not known before, or, for a connection over
+/// this node's own link, when that link is lost. That another request has waited in vain is no proof.
 pub async fn wait_until_unavailable(node: &Node, runner: &RunnerId, uses_own_link: bool) {
     let is_unavailable = || {
-        let is_suspected = node.fleet.borrow().get(runner).is_some_and(Runner::is_suspected);
-        is_suspected || (uses_own_link && node.is_link_lost(runner))
+        let is_unreachable = node.fleet.borrow().get(runner).is_some_and(Runner::is_unreachable);
+        is_unreachable || (uses_own_link && node.is_link_lost(runner))
     };
     if is_unavailable() {
         std::future::pending::<()>().await;
