--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -137,6 +137,29 @@
     Unknown,
 }
 
+/// Upper bound of times, in milliseconds and in seconds: a year. Computations with longer ones could overflow.
+const MAX_TIME_MS: u64 = 365 * 86_400 * 1_000;
+const MAX_TIME_S: f64 = 365.0 * 86_400.0;
+const TIME_MS: &str = "more than 0, a year at most, in milliseconds";
+const TIME_S: &str = "more than 0, a year at most, in seconds";
+/// Upper bound of numbers of attempts and of cores.
+const MAX_COUNT: f64 = 1e6;
+/// Upper bound of the machine's memory in megabytes and of its file descriptors.
+const MAX_RESOURCE: u64 = 1_000_000_000;
+const RESOURCE: &str = "more than 0, a billion at most";
+
+fn is_time_ms(time_ms: u64) -> bool {
+    (1..=MAX_TIME_MS).contains(&time_ms)
+}
+
+fn is_time_s(time_s: f64) -> bool {
+    time_s > 0.0 && time_s <= MAX_TIME_S
+}
+
+fn is_resource(amount: u64) -> bool {
+    (1..=MAX_RESOURCE).contains(&amount)
+}
+
 /// Minimum length of a window, in seconds. Shorter windows could not be distinguished by the clocks of different
 /// machines.
 const MIN_WINDOW_S: f64 = 0.1;
@@ -305,23 +328,32 @@
         let checks = [
             (!self.node.name.is_empty(), "node.name", "a name"),
             (!self.node.zone.is_empty(), "node.zone", "the name of a zone"),
-            (bounds.contact_ms > 0, "bounds.contact_ms", "more than 0"),
-            (bounds.lease_ms > 0, "bounds.lease_ms", "more than 0"),
-            (bounds.grace_s > 0.0, "bounds.grace_s", "more than 0"),
-            (bounds.config_apply_ms > 0, "bounds.config_apply_ms", "more than 0"),
+            (is_time_ms(bounds.contact_ms), "bounds.contact_ms", TIME_MS),
+            (is_time_ms(bounds.lease_ms), "bounds.lease_ms", TIME_MS),
+            (is_time_s(bounds.grace_s), "bounds.grace_s", TIME_S),
+            (is_time_ms(bounds.config_apply_ms), "bounds.config_apply_ms", TIME_MS),
+            (
+                bounds.revoke_ms.is_none_or(|it| it <= MAX_TIME_MS),
+                "bounds.revoke_ms",
+                "a year at most, in milliseconds",
+            ),
             (
                 !bounds.revoke_strict || bounds.revoke_ms.is_some(),
                 "bounds.revoke_ms",
                 "a time, because revoke_strict is set",
             ),
             (
-                usage.is_none_or(|it| it.window_s >= MIN_WINDOW_S),
+                usage.is_none_or(|it| it.window_s >= MIN_WINDOW_S && is_time_s(it.window_s)),
                 "cloud.usage.window_s",
-                "0.1 or more",
+                "0.1 to a year, in seconds",
             ),
-            (usage.is_none_or(|it| it.due_s > 0.0), "cloud.usage.due_s", "more than 0"),
+            (usage.is_none_or(|it| is_time_s(it.due_s)), "cloud.usage.due_s", TIME_S),
             ((0.0..=10.0).contains(&bounds.retry_ratio), "bounds.retry_ratio", "0 to 10"),
-            (bounds.retry_slack >= 0.0, "bounds.retry_slack", "0 or more"),
+            (
+                (0.0..=MAX_COUNT).contains(&bounds.retry_slack),
+                "bounds.retry_slack",
+                "0 to a million",
+            ),
             (
                 (0.0..=1.0).contains(&self.capacity.least_reserved),
                 "capacity.least_reserved",
@@ -342,9 +374,13 @@
                 "0.1 to 3600",
             ),
             ((0.0..=10.0).contains(&self.quota.overage), "quota.overage", "0 to 10"),
-            (self.machine.memory_mb > 0, "machine.memory_mb", "more than 0"),
-            (self.machine.file_descriptors > 0, "machine.file_descriptors", "more than 0"),
-            (self.machine.processor_share > 0.0, "machine.processor_share", "more than 0"),
+            (is_resource(self.machine.memory_mb), "machine.memory_mb", RESOURCE),
+            (is_resource(self.machine.file_descriptors), "machine.file_descriptors", RESOURCE),
+            (
+                self.machine.processor_share > 0.0 && self.machine.processor_share <= MAX_COUNT,
+                "machine.processor_share",
+                "more than 0, a million at most",
+            ),
             (!self.log.levels.is_empty(), "log.levels", "a level"),
         ];
         let invalid = checks.into_iter().find(|(is_valid, _, _)| !is_valid);
--- a/crates/gateway/tests/extreme_numbers.rs
+++ b/crates/gateway/tests/extreme_numbers.rs
@@ -317,7 +317,7 @@
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let mut unread = 0;
     for message in MESSAGES {
-        let usual = message.replace('N', "1").replace('H', "1");
+        let usual = message.replace(['N', 'H'], "1");
         serde_json::from_str::<PeerMessage>(&usual).unwrap();
         let extreme = message.replace('N', &large.to_string()).replace('H', &small.to_string());
         socket.send_to(extreme.as_bytes(), node.peers).unwrap();
--- a/crates/serving/src/capacity_planner.rs
+++ b/crates/serving/src/capacity_planner.rs
@@ -90,6 +90,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CapacityRecord {
     /// Number of runners that the workload needs.
+    #[serde(deserialize_with = "crate::bounded::runner_count")]
     pub need: u32,
     /// Zones in which the service runs.
     pub zones: Vec<ZoneId>,
--- a/crates/serving/src/crash_messages.rs
+++ b/crates/serving/src/crash_messages.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// When the crash was observed, in milliseconds since 1970.
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub at_ms: u64,
     /// Position of the part in its prompts; `None` for a whole request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/serving/src/digest.rs
+++ b/crates/serving/src/digest.rs
@@ -12,7 +12,7 @@
 use crate::runner::Stage;
 use crate::runner_limit::LimitMessage;
 use crate::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::HashMap;
 
 /// A runner that was ordered to change its role. The remaining time shrinks as the report passes
@@ -28,9 +28,17 @@
     /// Time for which the runner still gets no new work unless it takes the role earlier, in
     /// milliseconds.
     #[serde(rename = "l")]
+    #[serde(deserialize_with = "remaining_ms")]
     pub remaining_ms: u64,
 }
 
+/// Upper bound of the time for which a report keeps work from a runner, in milliseconds. Orders allow some seconds.
+const MAX_ROLE_TRANSITION_MS: u64 = 60_000;
+
+fn remaining_ms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    u64::deserialize(deserializer).map(|remaining_ms| remaining_ms.min(MAX_ROLE_TRANSITION_MS))
+}
+
 /// A keeper of tenants' limits that a node holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldKeeper {
@@ -89,6 +97,7 @@
     pub is_stopping: bool,
     /// Wall clock of the machine, in milliseconds since 1970.
     #[serde(default)]
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub wall_ms: u64,
 }
 
--- a/crates/serving/src/fleet/estimates.rs
+++ b/crates/serving/src/fleet/estimates.rs
@@ -164,7 +164,7 @@
     pub fn on_load(&mut self, id: &RunnerId, load: LoadReport, now_us: u64) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.reported_peer_requests =
-                (load.running + load.waiting).saturating_sub(runner.in_flight);
+                load.running.saturating_add(load.waiting).saturating_sub(runner.in_flight);
             runner.peer_requests_reported_at_us = now_us;
         }
     }
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -29,6 +29,7 @@
     /// Time since the store confirmed that there was no later change, in milliseconds; `None`: it
     /// never has.
     #[serde(rename = "a")]
+    #[serde(deserialize_with = "crate::bounded::optional_time_ms", default)]
     pub age_ms: Option<u64>,
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod attempt;
 pub mod authority;
 pub mod blame;
+pub mod bounded;
 pub mod capacity_planner;
 pub mod configuration;
 pub mod crash_evidence;
--- a/crates/serving/src/limit_keeper.rs
+++ b/crates/serving/src/limit_keeper.rs
@@ -48,7 +48,7 @@
 const MAX_RATE: RequestRate = RequestRate(1_000_000_000_000);
 /// Maximum wait sent with a refusal, in microseconds. It bounds how late a node notices that a
 /// limit has been lifted.
-const MAX_WAIT_US: u64 = 2_000_000;
+pub const MAX_WAIT_US: u64 = 2_000_000;
 /// Time after the last query or report about a runner until its bucket is removed, in microseconds.
 const IDLE_BUCKET_TTL_US: u64 = 30_000_000;
 
--- a/crates/serving/src/quota.rs
+++ b/crates/serving/src/quota.rs
@@ -27,9 +27,11 @@
 pub struct TenantLimit {
     /// Sustained rate, in units per second; greater than 0.
     #[serde(rename = "r")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub rate_per_s: u64,
     /// Units that may be used in a burst on top of the rate.
     #[serde(rename = "b")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub burst: u64,
     /// The unit of the rate, the burst and the cost.
     #[serde(rename = "u")]
@@ -37,6 +39,7 @@
     /// Cost, in tokens, of a request that states no token counts. Used only if `unit` is
     /// [`QuotaUnit::Tokens`].
     #[serde(rename = "p")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub plain_tokens: u64,
 }
 
@@ -84,6 +87,7 @@
     pub version: u64,
     /// Cost of the run, in units.
     #[serde(rename = "c")]
+    #[serde(deserialize_with = "crate::bounded::cost")]
     pub cost: u64,
     /// Priority of the request; 0 is the most urgent.
     #[serde(rename = "k")]
@@ -100,6 +104,7 @@
     /// Sum of the units available at the keepers in `tried`; negative if they are below their
     /// floor.
     #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+    #[serde(deserialize_with = "crate::bounded::signed_units")]
     pub available_units: i64,
     /// Partial charges made so far. The cost is charged in parts if no keeper alone has enough
     /// units available, but all of them together have.
@@ -115,6 +120,7 @@
     pub keeper: KeeperId,
     /// Units charged; may be 0.
     #[serde(rename = "c")]
+    #[serde(deserialize_with = "crate::bounded::cost")]
     pub units: u64,
 }
 
@@ -133,6 +139,7 @@
     Refused {
         /// Time until there are units for a run of this cost, in milliseconds.
         #[serde(rename = "w")]
+        #[serde(deserialize_with = "crate::bounded::time_ms")]
         wait_ms: u64,
     },
     /// The node does not hold the keeper, or cannot be sure that it still does.
--- a/crates/serving/src/quota_bucket.rs
+++ b/crates/serving/src/quota_bucket.rs
@@ -233,7 +233,7 @@
         match self.retries.reserved_level(cost, priority, is_small, now_us) {
             Some((level, at_us)) => {
                 let refilled = self.share.refill(at_us.saturating_sub(now_us));
-                available.min(self.level + refilled - level)
+                available.min(self.level.saturating_add(refilled).saturating_sub(level))
             }
             None => available,
         }
--- a/crates/serving/src/quota_share.rs
+++ b/crates/serving/src/quota_share.rs
@@ -31,6 +31,10 @@
 /// Upper bound of the window used in calculations, in microseconds: one day.
 const MAX_WINDOW_US: u64 = 86_400 * 1_000_000;
 
+/// Upper bound of the burst and of the debt of one slot, in millionths of a unit: twice the largest burst. Sums of a level,
+/// a debt and a cost fit into an `i64`.
+const MAX_SLOT_MICROS: i64 = 2 * MAX_UNITS as i64 * MICROS_PER_UNIT;
+
 /// What one slot may spend. Amounts are in millionths of a unit unless stated otherwise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlotShare {
@@ -68,8 +72,8 @@
         Self {
             total_refill_per_s: saturating_i64(refill),
             slots: saturating_i64(slots),
-            burst: saturating_i64(total_burst / slots),
-            debt: saturating_i64(debt),
+            burst: saturating_i64(total_burst / slots).min(MAX_SLOT_MICROS),
+            debt: saturating_i64(debt).min(MAX_SLOT_MICROS),
             window_us,
         }
     }
--- a/crates/serving/src/regions.rs
+++ b/crates/serving/src/regions.rs
@@ -40,12 +40,15 @@
     pub service: ServiceName,
     /// Number of prefill runners that take work.
     #[serde(rename = "n")]
+    #[serde(deserialize_with = "crate::bounded::runner_count")]
     pub prefill_runners: u32,
     /// Mean wait of a prompt at these prefill runners, in microseconds.
     #[serde(rename = "w")]
+    #[serde(deserialize_with = "crate::bounded::time_us")]
     pub wait_us: u64,
     /// Share of the decode runners' slots that is occupied, in thousandths.
     #[serde(rename = "o")]
+    #[serde(deserialize_with = "crate::bounded::runner_count")]
     pub occupancy: u32,
 }
 
@@ -57,6 +60,7 @@
     pub runner: RunnerId,
     /// Identity and number of tokens of the parts, in their order in the prompt.
     #[serde(rename = "p")]
+    #[serde(deserialize_with = "crate::bounded::parts")]
     pub parts: Vec<(u64, u64)>,
 }
 
--- a/crates/serving/src/retry_pool.rs
+++ b/crates/serving/src/retry_pool.rs
@@ -82,6 +82,7 @@
     pub ticket: Ticket,
     /// Wall-clock time at which the deposit was sent, in milliseconds since the Unix epoch.
     #[serde(rename = "w")]
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub sent_at_ms: u64,
     /// The tokens, by service.
     #[serde(rename = "d")]
--- a/crates/serving/src/runner_limit.rs
+++ b/crates/serving/src/runner_limit.rs
@@ -6,6 +6,7 @@
 //! ([`crate::limit_keeper`]).
 
 use crate::ids::RunnerId;
+use crate::limit_keeper::MAX_WAIT_US;
 use crate::runner_notice::{RequestRate, RunnerNotice};
 use crate::scheduling::Ticket;
 use serde::{Deserialize, Serialize};
@@ -74,9 +75,9 @@
     }
 
     /// Records that the keeper refused a request, which may be retried after `wait_us`
-    /// microseconds.
+    /// microseconds. A longer wait than keepers give is cut to theirs.
     pub fn on_refused(&mut self, wait_us: u64, now_us: u64) {
-        self.throttled_until_us = now_us.saturating_add(wait_us);
+        self.throttled_until_us = now_us.saturating_add(wait_us.min(MAX_WAIT_US));
     }
 
     /// Time until which no request may be sent, in microseconds; `None` if the keeper may be
@@ -108,6 +109,7 @@
     pub rate: Option<RequestRate>,
     /// Time since the response with this limit arrived, in microseconds.
     #[serde(rename = "a", default)]
+    #[serde(deserialize_with = "crate::bounded::time_us")]
     pub age_us: u64,
 }
 
@@ -133,6 +135,7 @@
     Refused {
         /// Time until the keeper may be queried again, in microseconds.
         #[serde(rename = "w")]
+        #[serde(deserialize_with = "crate::bounded::time_us")]
         wait_us: u64,
     },
     /// The runner has later reported to another node that it has no limit.
@@ -140,6 +143,7 @@
     Lifted {
         /// Time since that report, in microseconds.
         #[serde(rename = "a")]
+        #[serde(deserialize_with = "crate::bounded::time_us")]
         age_us: u64,
     },
     /// The node is not a keeper of this limit.
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -31,9 +31,11 @@
     pub region: RegionId,
     /// Number of the shard within the region, from 0.
     #[serde(rename = "n")]
+    #[serde(deserialize_with = "crate::bounded::shards")]
     pub number: usize,
     /// Number of shards in the region.
     #[serde(rename = "of")]
+    #[serde(deserialize_with = "crate::bounded::shards")]
     pub of: usize,
 }
 
@@ -98,22 +100,28 @@
     pub service: ServiceName,
     /// The parts of the prompt, in order.
     #[serde(rename = "p")]
+    #[serde(deserialize_with = "crate::bounded::parts")]
     pub parts: Vec<WirePart>,
     /// Length of the prompt in tokens.
     #[serde(rename = "t")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub tokens: u64,
     /// Upper bound of the output, in tokens.
     #[serde(rename = "o")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub max_output_tokens: u64,
     /// Time within which the response is due, counted from the arrival of the request, in
     /// milliseconds.
     #[serde(rename = "g")]
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub target_ms: u64,
     /// Time since the request arrived, in milliseconds.
     #[serde(rename = "e")]
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub elapsed_ms: u64,
     /// Time until the request's deadline, in milliseconds.
     #[serde(rename = "l")]
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub remaining_ms: u64,
     /// Zone of the requesting node.
     #[serde(rename = "z")]
@@ -165,12 +173,15 @@
     pub runner: RunnerId,
     /// Prompt tokens to prefill that are not overdue.
     #[serde(rename = "u")]
+    #[serde(deserialize_with = "crate::bounded::cost")]
     pub prefill_tokens: u64,
     /// Overdue prompt tokens, which are prefilled after all work that can still be in time.
     #[serde(rename = "l")]
+    #[serde(deserialize_with = "crate::bounded::cost")]
     pub overdue_tokens: u64,
     /// KV cache that the request takes, in tokens.
     #[serde(rename = "k")]
+    #[serde(deserialize_with = "crate::bounded::cost")]
     pub held_tokens: u64,
     /// The runner from which the chosen one fetches the shared prefix; `None` if it fetches
     /// nothing.
@@ -178,9 +189,11 @@
     pub fetch_from: Option<RunnerId>,
     /// Expected time until the prompt is prefilled, queueing included, in microseconds.
     #[serde(rename = "e")]
+    #[serde(deserialize_with = "crate::bounded::time_us")]
     pub expected_prefill_us: u64,
     /// Expected duration of the prefill without queueing, in microseconds.
     #[serde(rename = "m")]
+    #[serde(deserialize_with = "crate::bounded::time_us")]
     pub prefill_us: u64,
 }
 
@@ -279,7 +292,7 @@
 pub enum Progress {
     /// The prompt was prefilled. Contains the time since the attempt was sent, in milliseconds.
     #[serde(rename = "r")]
-    Prefilled(u64),
+    Prefilled(#[serde(deserialize_with = "crate::bounded::time_ms")] u64),
     /// A runner declined the request because it was full.
     #[serde(rename = "d")]
     Declined(RunnerId),
@@ -314,22 +327,28 @@
     pub runner: RunnerId,
     /// Number of requests in flight.
     #[serde(rename = "n")]
+    #[serde(deserialize_with = "crate::bounded::runner_count")]
     pub in_flight: u32,
     /// Number of requests in flight whose prompt has not been prefilled yet, here or at the runner
     /// that prefills it for this one.
     #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    #[serde(deserialize_with = "crate::bounded::runner_count")]
     pub pending_prefills: u32,
     /// Prompt tokens to prefill that are not overdue.
     #[serde(rename = "t")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub prefill_tokens: u64,
     /// Overdue prompt tokens, which are prefilled after all work that can still be in time.
     #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub overdue_tokens: u64,
     /// KV cache that the requests take, in tokens.
     #[serde(rename = "k")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub held_tokens: u64,
     /// Rate at which the runner was recently asked to prefill, in prompt tokens per second.
     #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    #[serde(deserialize_with = "crate::bounded::units")]
     pub prefill_tokens_per_s: u64,
 }
 
--- a/crates/serving/src/store_replica.rs
+++ b/crates/serving/src/store_replica.rs
@@ -261,6 +261,7 @@
     #[serde(default, skip_serializing_if = "StoreEra::is_unknown")]
     era: StoreEra,
     /// Time for which the reply may be held back until there is a change, in milliseconds.
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
     pub wait_ms: u64,
 }
 
@@ -294,5 +295,6 @@
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_obtaining: bool,
     /// Time since the store last confirmed the replica, in milliseconds; `None`: it never has.
+    #[serde(deserialize_with = "crate::bounded::optional_time_ms", default)]
     pub age_ms: Option<u64>,
 }
--- a/crates/serving/src/store_revision.rs
+++ b/crates/serving/src/store_revision.rs
@@ -104,7 +104,7 @@
 
     /// The next revision of the same era.
     pub fn next(self) -> Self {
-        Self { number: self.number + 1, ..self }
+        Self { number: self.number.saturating_add(1), ..self }
     }
 }
 
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -37,6 +37,7 @@
     pub window: u64,
     /// The totals so far.
     #[serde(rename = "c")]
+    #[serde(deserialize_with = "crate::bounded::tenant_counts")]
     pub counts: TenantCounts,
 }
 
@@ -86,7 +87,7 @@
 
     /// The end of a window, in milliseconds since 1970.
     pub fn end_ms(self, window: u64) -> u64 {
-        (window + 1) * self.length_ms
+        window.saturating_add(1).saturating_mul(self.length_ms)
     }
 }
 
@@ -117,7 +118,7 @@
     pub fn on_finalized(&mut self, window: u64, counts: TenantCounts) {
         self.finalized.entry(window).or_insert(counts);
         let newest = self.finalized.keys().next_back().copied().unwrap_or_default();
-        self.finalized.retain(|window, _| *window + RETAINED_WINDOWS >= newest);
+        self.finalized.retain(|window, _| window.saturating_add(RETAINED_WINDOWS) >= newest);
     }
 
     /// The finalized windows that are known here, from `from_window` on.
@@ -148,7 +149,7 @@
             }
         }
         let newest = known.keys().next_back().copied().unwrap_or_default();
-        known.retain(|window, _| *window + RETAINED_WINDOWS >= newest);
+        known.retain(|window, _| window.saturating_add(RETAINED_WINDOWS) >= newest);
     }
 
     /// The counts received from others, from `from_window` on.
@@ -167,7 +168,8 @@
         let mut total = TenantCounts::new();
         let all = self.peers.values().chain([&self.own]);
         for (tenant, count) in all.filter_map(|counts| counts.get(&window)).flatten() {
-            *total.entry(tenant.clone()).or_default() += count;
+            let sum = total.entry(tenant.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         total
     }
@@ -256,7 +258,7 @@
         now_ms: u64,
     ) -> Vec<u64> {
         let is_complete = |window: u64| {
-            let settled_ms = schedule.windows.end_ms(window) + COUNT_SETTLING_MS;
+            let settled_ms = schedule.windows.end_ms(window).saturating_add(COUNT_SETTLING_MS);
             nodes.clone().all(|node| {
                 let last_replied_query_ms = self.last_replied_query_ms.get(node).copied();
                 let has_reported =
@@ -270,7 +272,8 @@
         };
         let max_wait_ms = schedule.due_ms * MAX_WAIT_PERCENT / 100;
         let is_waited_for = |window: u64| {
-            now_ms < schedule.windows.end_ms(window) + max_wait_ms.max(COUNT_SETTLING_MS)
+            let end_ms = schedule.windows.end_ms(window);
+            now_ms < end_ms.saturating_add(max_wait_ms.max(COUNT_SETTLING_MS))
         };
         let first = self.first_open_window(schedule, now_ms);
         let over = first..schedule.windows.at(now_ms);
