Followers of silent nodes call the store in time, and tell its outage from their own lack of news

Cause: a bound of the whole that no part kept. A follower asked frozen sources one after the other, 0.6 to 1 s each, and the store only after all of them; then the entry that had gone counted as lapsed for 1.8 s more, since 2.2 s without news were taken for an outage of the store, which there was not.

Ruled out: asking all sources at once. It would multiply the transfers of a large change where machines are slow (design 07).

Change: a follower with a replica that meets a silent source calls the store (for the changes since its revision, no full read) once 0.5 s have passed since its first query without news. Sources that reply without a confirmed replica don't count. An outage of the store takes a sign of its own: a failed call, one that has received nothing for 0.5 s, or a source that replied with a confirmation 2.2 s old.

--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -75,6 +75,11 @@
 }
 
 impl FollowError {
+    /// Whether the store did not respond, or refused the call.
+    fn is_store_failure(&self) -> bool {
+        matches!(self, Self::Store(_) | Self::Response(_) | Self::Status(_))
+    }
+
     /// Whether the pages that were received before this error must not be used.
     fn ends_partial_read(&self) -> bool {
         matches!(self, Self::EraChanged | Self::SupersededEra(_) | Self::StoreReplaced)
@@ -379,6 +384,9 @@
 
     async fn on_failure(&mut self, error: &FollowError) {
         self.node.metrics.store_failures.inc();
+        if error.is_store_failure() {
+            self.with_freshness(ReplicaFreshness::on_store_silent);
+        }
         if self.failures == 0 {
             let error = error.to_string();
             log::warn!(target: "store", subject = self.subject.name(), error; "lost");
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -140,6 +140,9 @@
 
     /// Applies another node's reply; returns whether its replica can be relied on.
     pub(super) fn apply_reply(&mut self, reply: &StoreUpdateReply) -> bool {
+        if let Some(age_ms) = reply.age_ms {
+            self.with_freshness(|replica, now_us| replica.on_source_age(age_ms, now_us));
+        }
         let Some(update) = &reply.update else { return false };
         let known_to = update.known_to();
         let is_applicable = self.node.store_replicas.borrow().get(self.subject).accepts(update);
--- a/crates/gateway/src/watcher/store_source.rs
+++ b/crates/gateway/src/watcher/store_source.rs
@@ -8,15 +8,21 @@
 use crate::platform_client::{PlatformError, MAX_RESPONSE_BYTES};
 use crate::replica_limits::random_confirmation_period;
 use crate::store_pages::read_remaining_pages;
+use crate::transfer::Transfer;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, Page, StoreStatus, CONFIGURATION_KEY};
 use pitchstall_serving::freshness::{Freshness, ReplicaFreshness};
 use pitchstall_serving::store_replica::{StoreUpdate, Subject};
 use pitchstall_serving::store_revision::{StoreEra, StoreRevision};
+use std::convert::Infallible;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// Maximum time until the head of the response to a call that does not wait for changes.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which such a call that has received nothing is a sign that the store is unavailable.
+/// The store responds within tens of milliseconds.
+const UNANSWERED_AFTER: Duration = Duration::from_millis(500);
 /// Maximum wait that a watch requests. It is bounded so that the revision of the watch stays within
 /// the store's history.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -265,7 +271,14 @@
     ) -> Result<(StoreStatus, Vec<u8>, StoreEra), FollowError> {
         self.node.metrics.store_calls.inc();
         self.begin_query();
-        let response = self.client.call_limited(self.address, call, timeout, max_bytes).await?;
+        let is_prompt = timeout <= READ_TIMEOUT;
+        let (node, subject, transfer) = (self.node.clone(), self.subject, self.transfer.clone());
+        let note_silence = note_silence(&node, subject, &transfer, is_prompt);
+        let response = self.client.call_limited(self.address, call, timeout, max_bytes);
+        let response = tokio::select! {
+            response = response => response?,
+            never = note_silence => match never {},
+        };
         let era = self.node.on_era_reported(self.address, response.era);
         let era = era.ok_or(FollowError::StoreReplaced)?;
         if era < self.node.store_era() {
@@ -276,6 +289,22 @@
     }
 }
 
+/// Records that the store is silent if a call that `is_prompt`, which does not wait for changes, has received nothing for
+/// a while. Never completes.
+async fn note_silence(
+    node: &Node,
+    subject: Subject,
+    transfer: &Transfer,
+    is_prompt: bool,
+) -> Infallible {
+    sleep(UNANSWERED_AFTER).await;
+    if is_prompt && !transfer.has_started() {
+        let now_us = node.now_us();
+        node.freshness.borrow_mut().replica_mut(subject).on_store_silent(now_us);
+    }
+    std::future::pending().await
+}
+
 /// Length of a value of the store in a response, where it is encoded in base64.
 fn base64_length(bytes: usize) -> usize {
     const BYTES_PER_GROUP: usize = 3;
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -63,8 +63,8 @@
 /// change, before it reports the revision of its read, in microseconds. That revision is an upper
 /// bound, which makes nodes with better knowledge query the store.
 const LAST_CHANGE_WAIT_US: u64 = 1_300_000;
-/// Time without a response of the store after which the store counts as having been unavailable, in
-/// microseconds. In normal operation a response comes within 1.8 s on the users' deployments, and
+/// Time without a response of the store after which the store counts as having been unavailable, if
+/// there is a sign that it did not respond when it was called, in microseconds. In normal operation a response comes within 1.8 s on the users' deployments, and
 /// the first entries lapse after three missed heartbeats of more than a second each.
 const STORE_UNAVAILABLE_AFTER_US: u64 = 2_200_000;
 /// Time after the store's return within which lapsed entries are written again, in microseconds.
@@ -104,6 +104,8 @@
     /// microseconds.
     read_at_us: Option<u64>,
     confirmed_at_us: Option<u64>,
+    /// Time of the last sign that the store did not respond to a call, in microseconds.
+    store_silent_at_us: Option<u64>,
     /// Time of the first confirmation after the store was unavailable, in microseconds.
     store_back_at_us: Option<u64>,
     /// The latest change that another node has received and this one has not, and the time of its
@@ -169,15 +171,33 @@
 
     /// Records that the store confirmed the replica at `at_us`, as learned at `now_us`.
     fn confirm(&mut self, at_us: u64, now_us: u64) {
-        if self
-            .confirmed_at_us
-            .is_some_and(|before_us| at_us > before_us + STORE_UNAVAILABLE_AFTER_US)
-        {
+        if self.was_store_unavailable(at_us) {
             self.store_back_at_us = Some(now_us);
         }
         self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
     }
 
+    /// Whether the store was unavailable between the last confirmation and `at_us`. A node that has
+    /// only had no news, since its sources were silent, knows of no outage.
+    fn was_store_unavailable(&self, at_us: u64) -> bool {
+        let Some(confirmed_at_us) = self.confirmed_at_us else { return false };
+        let was_silent = self.store_silent_at_us.is_some_and(|it| it >= confirmed_at_us);
+        was_silent && at_us > confirmed_at_us + STORE_UNAVAILABLE_AFTER_US
+    }
+
+    /// Records that a call of this node to the store failed, or has had no response for a while.
+    pub fn on_store_silent(&mut self, now_us: u64) {
+        self.store_silent_at_us = Some(now_us);
+    }
+
+    /// Records that the store confirmed a source's replica `age_ms` ago, as the source has just
+    /// replied. A source that calls the store and has an old confirmation has had no response.
+    pub fn on_source_age(&mut self, age_ms: u64, now_us: u64) {
+        if age_ms * MICROS_PER_MILLI >= STORE_UNAVAILABLE_AFTER_US {
+            self.on_store_silent(now_us);
+        }
+    }
+
     /// Records that the store was restored from a backup: entries missing from it may be written
     /// again.
     pub fn on_later_era(&mut self, now_us: u64) {
@@ -187,7 +207,7 @@
     /// Time until which a missing entry may only have lapsed while the store was unavailable, in
     /// microseconds; `None` if the store was available, so that a missing entry was removed.
     pub fn lapse_grace_until_us(&self, now_us: u64) -> Option<u64> {
-        if self.confirmed_at_us.is_some_and(|at_us| now_us > at_us + STORE_UNAVAILABLE_AFTER_US) {
+        if self.was_store_unavailable(now_us) {
             return Some(now_us + LAPSE_GRACE_US);
         }
         let until_us = self.store_back_at_us.map(|at_us| at_us + LAPSE_GRACE_US);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod limit_keeper;
 pub mod lost_links;
 pub mod membership;
+pub mod news_budget;
 pub mod placement;
 mod prefill_demand;
 pub mod prefill_speed;
--- a/crates/serving/src/source_choice.rs
+++ b/crates/serving/src/source_choice.rs
@@ -6,6 +6,7 @@
 //! the store: [`FullReadGate`] bounds the calls that return all entries.
 
 use crate::full_read_gate::{FullReadGate, Occasion, SourceState};
+use crate::news_budget::NewsBudget;
 use std::net::SocketAddr;
 
 /// Time between two calls to the store while no source's replica is confirmed, in percent of
@@ -95,6 +96,7 @@
     next_call_us: u64,
     /// The same while another node has reported a later change, in microseconds.
     next_behind_call_us: u64,
+    news: NewsBudget,
     gate: FullReadGate,
 }
 
@@ -109,6 +111,7 @@
             other_nodes: 0,
             next_call_us: first_call_us,
             next_behind_call_us: 0,
+            news: NewsBudget::default(),
             gate: FullReadGate::new(first_call_us),
         }
     }
@@ -118,6 +121,10 @@
         if context.is_store_reader && context.has_node_list {
             return NextQuery::Store;
         }
+        if !context.needs_full_read && self.news.is_used_up(context.occasion.now_us) {
+            self.news.on_news();
+            return NextQuery::Store;
+        }
         let is_round_over = self.gate.has_lost_sources() || self.index >= context.sources.len();
         if !is_round_over {
             return self.source_at(self.index, context);
@@ -136,11 +143,10 @@
         self.source_at(0, context)
     }
 
-    fn source_at(&self, index: usize, context: &ChoiceContext<'_>) -> NextQuery {
-        match context.sources.get(index) {
-            Some(address) => NextQuery::Source { address: *address, waits: self.waits },
-            None => NextQuery::Pause,
-        }
+    fn source_at(&mut self, index: usize, context: &ChoiceContext<'_>) -> NextQuery {
+        let Some(address) = context.sources.get(index) else { return NextQuery::Pause };
+        self.news.on_query(context.occasion.now_us);
+        NextQuery::Source { address: *address, waits: self.waits }
     }
 
     /// Whether no node has replied in this round and further ones have to be queried before this
@@ -175,6 +181,7 @@
     pub fn on_reply(&mut self, reply: SourceReply) -> bool {
         if reply == SourceReply::Reliable {
             self.gate.on_replica();
+            self.news.on_news();
             (self.waits, self.waits_without_update) = (true, 0);
             return true;
         }
@@ -193,6 +200,7 @@
     /// the sources any more, and the next one has taken its index.
     pub fn on_silent(&mut self, is_gone: bool) {
         self.gate.on_source(SourceState::Silent);
+        self.news.on_silent();
         (self.waits, self.waits_without_update) = (false, 0);
         if !is_gone {
             self.index += 1;
