--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod attempt;
 pub mod authority;
 pub mod blame;
+pub mod bounded;
 pub mod capacity_planner;
 pub mod configuration;
 pub mod crash_evidence;
@@ -70,6 +71,7 @@
 pub mod limit_keeper;
 pub mod lost_links;
 pub mod membership;
+pub mod news_budget;
 pub mod placement;
 mod prefill_demand;
 pub mod prefill_speed;
