--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,19 +3,18 @@
 use crate::attempt_wait::{log_end, wait_for_end, EarlyEnd, EndCause};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
-use crate::http::{Header, OpenResponse, PendingResponse, ReadError, Upstream};
+use crate::http::{Header, OpenResponse, PendingResponse, ReadError};
 use crate::intake::{BufferedResponse, ClientRequest};
 use crate::interrupted_attempt::{
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
 };
 use crate::node::Node;
-use crate::response_memory::{BodyBuffer, ResponseReservation};
-use crate::runner_connection::{self, AllowedZones, RunnerUnreachable};
+use crate::prepared_connection::{InFlightGuard, PreparedConnection};
+use crate::response_memory::BodyBuffer;
 use crate::runner_probe::{probe_while_silent, RUNNER_CONNECT_TIMEOUT};
 use pitchstall_platform_adapter::headers::{self, OmittedHeaders};
 use pitchstall_serving::attempt::{DeclineDoubt, NotRunProof};
 use pitchstall_serving::ids::{NodeId, RunnerId, TenantName};
-use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::request::{AttemptInstructions, ResponseMetadata, Work};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord};
 use pitchstall_serving::runner_notice::RunnerNotice;
@@ -33,59 +32,6 @@
 const MAX_SURPLUS_RESPONSE_BYTES: usize = 1024 * 1024;
 const US_PER_MS: u64 = 1_000;
 
-/// Counts an attempt as in flight at its runner until the guard is dropped.
-pub struct InFlightGuard {
-    node: Rc<Node>,
-    runner: RunnerId,
-    demand: AttemptDemand,
-}
-
-impl InFlightGuard {
-    fn new(node: &Rc<Node>, choice: &RunnerChoice) -> Self {
-        node.fleet.borrow_mut().on_sent(&choice.runner, choice.demand);
-        Self { node: node.clone(), runner: choice.runner.clone(), demand: choice.demand }
-    }
-
-    /// Reserves memory for what is held of the response.
-    pub fn reserve_response(&self) -> ResponseReservation {
-        self.node.reserve_response()
-    }
-
-    /// Records that data has been received from the runner.
-    pub fn on_progress(&self) {
-        self.node.on_progress(&self.runner);
-    }
-
-    /// Records that the runner has finished the prefill, so that only the decode counts as load.
-    pub fn on_prefilled(&mut self) {
-        self.node.fleet.borrow_mut().on_prefilled(&self.runner, self.demand);
-        self.demand.prefill_tokens = 0;
-        self.demand.overdue_tokens = 0;
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.node.fleet.borrow_mut().on_ended(&self.runner, self.demand);
-    }
-}
-
-/// A connection to a runner on which nothing of this request has been sent yet.
-pub struct PreparedConnection {
-    connection: Upstream,
-    record: RunnerRecord,
-    in_flight: InFlightGuard,
-    /// How long a pooled connection was idle; `None` for a new connection.
-    idle: Option<Duration>,
-}
-
-impl PreparedConnection {
-    /// The registry record of the runner, as of when the connection was prepared.
-    pub fn record(&self) -> &RunnerRecord {
-        &self.record
-    }
-}
-
 /// How an attempt ended, up to and including the head of the response.
 pub enum AttemptEnd {
     /// The head of a valid response was received; the body is still to be read.
@@ -112,80 +58,6 @@
     response: OpenResponse,
 }
 
-/// Why no connection to a chosen runner is available.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PrepareError {
-    /// The runner accepts no requests of this node at the moment, or is leaving.
-    Withheld,
-    /// The runner cannot be reached through any node, or this node's connection limit for it is used up.
-    Unreachable,
-}
-
-/// Which connection an attempt needs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConnectionNeed {
-    /// Whether it must be a new connection on which the runner has responded, since an earlier
-    /// attempt of the request has been lost and this node's links may be the reason.
-    pub is_verified: bool,
-    /// Whether it must be a new connection, since something with the request's id has been sent to the runner before: on a
-    /// kept connection, a surplus response to that would name the request too.
-    pub is_new: bool,
-    /// The zones in which a node that the connection leads through may be.
-    pub zones: AllowedZones,
-}
-
-impl ConnectionNeed {
-    /// Whether a connection leads through no node outside of the allowed zones.
-    fn allows(&self, node: &Node, connection: &Upstream) -> bool {
-        let (Some(zones), Some(peer)) = (&self.zones, connection.peer()) else { return true };
-        node.members.borrow().zone_of(peer).is_some_and(|zone| zones.contains(zone))
-    }
-}
-
-/// Takes a pooled connection to the chosen runner or opens a new one. Fails if the runner accepts
-/// no requests of this node or cannot be reached.
-pub async fn prepare(
-    node: &Rc<Node>,
-    choice: &RunnerChoice,
-    need: &ConnectionNeed,
-) -> Result<PreparedConnection, PrepareError> {
-    let record = record_accepting_work(node, &choice.runner)?;
-    if attempts_in_flight(node, &choice.runner) >= node.max_connections_per_runner(&record.service)
-    {
-        log::info!(target: "attempt", runner = choice.runner.as_str(); "runner not used: connection limit for one runner reached");
-        return Err(PrepareError::Unreachable);
-    }
-    let in_flight = InFlightGuard::new(node, choice);
-    let pooled = match need.is_verified || need.is_new {
-        true => None,
-        false => node.pool.take(&record.id, |connection| need.allows(node, connection)),
-    };
-    if let Some(pooled) = pooled {
-        let idle = Some(pooled.idle_for);
-        return Ok(PreparedConnection { connection: pooled.connection, record, in_flight, idle });
-    }
-    let connection = match need.is_verified {
-        true => runner_connection::open_verified(node, &record, &need.zones).await,
-        false => runner_connection::open(node, &record, &need.zones).await,
-    };
-    let connection = connection.map_err(|_: RunnerUnreachable| PrepareError::Unreachable)?;
-    // The runner may have started to leave, or may have requested a rest, while the connection was
-    // being opened.
-    let record = record_accepting_work(node, &choice.runner)?;
-    Ok(PreparedConnection { connection, record, in_flight, idle: None })
-}
-
-fn attempts_in_flight(node: &Node, runner: &RunnerId) -> u32 {
-    node.fleet.borrow().get(runner).map_or(0, |runner| runner.in_flight)
-}
-
-fn record_accepting_work(node: &Node, runner: &RunnerId) -> Result<RunnerRecord, PrepareError> {
-    let now_us = node.now_us();
-    let fleet = node.fleet.borrow();
-    let accepting = fleet.get(runner).filter(|runner| runner.accepts_work_from_this_node(now_us));
-    accepting.map(|runner| runner.record.clone()).ok_or(PrepareError::Withheld)
-}
-
 /// Parameters of one attempt, set by the dispatcher for each attempt of a request.
 #[derive(Clone)]
 pub struct AttemptParams {
@@ -432,8 +304,7 @@
     let version = prepared.record.version.as_str();
     let reused = prepared.idle.is_some();
     let revision = prepared.record.revision.to_string();
-    let prefill_tokens = prepared.in_flight.demand.prefill_tokens;
-    let overdue_tokens = prepared.in_flight.demand.overdue_tokens;
+    let AttemptDemand { prefill_tokens, overdue_tokens, .. } = prepared.in_flight.demand();
     let expected_ms = u64::try_from(params.expected_prefill.as_millis()).unwrap_or(u64::MAX);
     let rank = params.priority.unwrap_or_default();
     let fetch = params.fetch_from.is_some();
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,9 +12,7 @@
 use self::admission::Admission;
 use self::delivery::Run;
 use self::planning::{elapsed_ms, Plan};
-use crate::attempt::{
-    self, AttemptEnd, AttemptParams, ConnectionNeed, PrepareError, PreparedConnection,
-};
+use crate::attempt::{self, AttemptEnd, AttemptParams};
 use crate::attempt_wait::EarlyEnd;
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
@@ -22,6 +20,7 @@
 use crate::local_responses::LocalResponse;
 use crate::node::Node;
 use crate::policy::PlacementRules;
+use crate::prepared_connection::{self, ConnectionNeed, PrepareError, PreparedConnection};
 use crate::quota::requester::{QuotaReservation, RunCost, SentReservation};
 use crate::relay::StreamState;
 use crate::retry_charge::RetryCharge;
@@ -211,7 +210,7 @@
             return Err(EndReason::Quarantined);
         }
         let plan = self.plan().await?;
-        let prepared = match attempt::prepare(
+        let prepared = match prepared_connection::prepare(
             self.node,
             &plan.choice,
             &self.connection_need(&plan.choice.runner),
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -1,10 +1,10 @@
 //! Plans the next attempt of a request: its placement and the prefill of its prompt.
 
 use super::{Dispatch, EndReason};
-use crate::attempt::{self, PrepareError};
 use crate::attempt_wait::EarlyEnd;
 use crate::clock::Instant;
 use crate::prefill::{self, PrefillOutcome, PrefillRequest, PrefilledPrompt};
+use crate::prepared_connection::{self, PrepareError};
 use crate::runner_limits::{self, SendPermit};
 use crate::scheduling::{self, Placement, PlacementDemand, ProgressReporter};
 use pitchstall_serving::configuration::EngineSpec;
@@ -244,7 +244,7 @@
         prefill_runner: RunnerChoice,
         progress_reporter: &ProgressReporter,
     ) -> Option<PrefilledPrompt> {
-        let prepared = match attempt::prepare(
+        let prepared = match prepared_connection::prepare(
             self.node,
             &prefill_runner,
             &self.connection_need(&prefill_runner.runner),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`dispatch`] | plans and makes attempts until the request has its final response |
 //! | [`scheduling`] | places the request by querying the scheduler of the runners' shard |
 //! | [`prefill`] | runs a separate prefill and holds the KV handle that it returns |
+//! | [`prepared_connection`] | prepares a connection to the runner of an attempt |
 //! | [`attempt`] | makes one attempt on one runner |
 //! | [`attempt_wait`] | ends an attempt that is silent or whose runner is suspected |
 //! | [`interrupted_attempt`] | handles an attempt that ended before its response was complete |
@@ -78,6 +79,7 @@
 pub mod policy;
 pub mod prefill;
 pub mod prefix_announcements;
+pub mod prepared_connection;
 pub mod quarantine;
 pub mod quota;
 pub mod reachability;
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -1,12 +1,13 @@
 //! Runs the prefill of a prompt on a prefill runner and holds the KV handle until a decode runner uses it or it is
 //! released.
 
-use crate::attempt::{self, AttemptEnd, AttemptParams, PreparedConnection};
+use crate::attempt::{self, AttemptEnd, AttemptParams};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
 use crate::intake::ClientRequest;
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::node::Node;
+use crate::prepared_connection::PreparedConnection;
 use crate::response_memory::report_if_too_long;
 use crate::runner_connection;
 use pitchstall_platform_adapter::paths;
