--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -64,9 +64,10 @@
 /// change, before it reports the revision of its read, in microseconds. That revision is an upper
 /// bound, which makes nodes with better knowledge query the store.
 const LAST_CHANGE_WAIT_US: u64 = 1_300_000;
-/// Time without a response of the store after which the store counts as having been unavailable, if
-/// there is a sign that it did not respond when it was called, in microseconds. In normal operation a response comes within 1.8 s on the users' deployments, and
-/// the first entries lapse after three missed heartbeats of more than a second each.
+/// Time without a response of the store after which the store counts as having been unavailable, if there is a
+/// sign that it did not respond when it was called, in microseconds. In normal operation a response comes
+/// within 1.8 s on the users' deployments, and the first entries lapse after three missed heartbeats of more
+/// than a second each.
 const STORE_UNAVAILABLE_AFTER_US: u64 = 2_200_000;
 /// Time after the store's return within which lapsed entries are written again, in microseconds.
 /// The platform promises about two seconds. The value is a little lower, since a runner that is
