--- a/crates/serving/src/bounded.rs
+++ b/crates/serving/src/bounded.rs
@@ -92,7 +92,7 @@
     Ok(Option::<f64>::deserialize(deserializer)?.map(bounded_fractional))
 }
 
-/// A number with fractions within its bounds; 0 if it is negative or no number.
+/// A number with fractions within its bounds; 0 if it is negative or NaN.
 pub fn bounded_fractional(number: f64) -> f64 {
     match number.is_nan() {
         true => 0.0,
--- a/crates/serving/src/capacity_planner.rs
+++ b/crates/serving/src/capacity_planner.rs
@@ -50,7 +50,7 @@
     pub min_reserved_share: f64,
     /// Preemptible runners beyond the need, as a share of the need.
     pub headroom: f64,
-    /// Whether preemptible runners are ordered at all.
+    /// Whether preemptible runners are ordered.
     pub uses_preemptible: bool,
     /// Deviation from the planned number of reserved runners that is left uncorrected, as a share
     /// of the need.
--- a/crates/serving/src/news_budget.rs
+++ b/crates/serving/src/news_budget.rs
@@ -4,7 +4,7 @@
 //! are silent. Each query to a silent source is limited by itself; the budget limits their sum.
 
 /// Time from the first query after the last news until the store is called, unless the query that is
-/// under way ends later; in microseconds. A source that does not reply at all uses it up.
+/// under way ends later; in microseconds. One query to a source that does not reply uses it up.
 const NEWS_BUDGET_US: u64 = 500_000;
 
 /// Time that a follower has spent on sources that do not reply.
