Soak: ends of streams played with real processes of runners, nodes and clients

The judgement of what a client has received is a function of its own, with tests.

No logic of the product changes.

--- /dev/null
+++ b/crates/soak/examples/stream_ends/client.rs
@@ -0,0 +1,187 @@
+//! A client that takes a broken stream up at another node.
+
+use crate::run_plan::{RunPlan, PLAN_HEADER};
+use pitchstall_soak::stream_judgement::{ReceivedEvent, Try, TryEnd};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Host of all requests.
+pub const HOST: &str = "streams.example";
+const DEADLINE: Duration = Duration::from_secs(8);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// A client gives a stream up after this gap between two events.
+const MAX_GAP: Duration = Duration::from_millis(2_400);
+const MAX_TRIES: usize = 6;
+const PAUSE_BETWEEN_TRIES: Duration = Duration::from_millis(30);
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// A stream that a client asks for.
+#[derive(Clone, Copy)]
+pub struct StreamRequest<'a> {
+    /// Path of its route.
+    pub path: &'a str,
+    /// Whether the client may take it up again.
+    pub is_resumable: bool,
+    /// Protocol version of the client, "1.0" or "1.1".
+    pub http_version: &'a str,
+    /// What its runner does.
+    pub plan: RunPlan,
+}
+
+/// Asks for a stream at one node after the other until it is complete or must not be tried again. `on_event` is called after
+/// each event with the number of the try.
+pub fn fetch(
+    nodes: &[SocketAddr],
+    first: usize,
+    request: StreamRequest<'_>,
+    mut on_event: impl FnMut(usize, &ReceivedEvent),
+) -> Vec<Try> {
+    let deadline = Instant::now() + DEADLINE;
+    let mut tries: Vec<Try> = Vec::new();
+    let mut begun_by: Option<String> = None;
+    for number in 0..MAX_TRIES {
+        let node = nodes[(first + number) % nodes.len()];
+        let id = format!(
+            "{:016x}",
+            NEXT_ID.fetch_add(1, Ordering::SeqCst) + (u64::from(std::process::id()) << 32)
+        );
+        let last = tries.iter().flat_map(|it| &it.events).last().map(|event| event.number);
+        let resumption = match (last, &begun_by) {
+            (Some(last), Some(begun_by)) => {
+                format!("Last-Event-Id: {last}\r\nResumes: {begun_by}\r\n")
+            }
+            _ => String::new(),
+        };
+        let text = request_text(request, &id, deadline, &resumption);
+        let attempt = one_try(node, &text, deadline, |event| on_event(number, event));
+        if begun_by.is_none() && !attempt.events.is_empty() {
+            begun_by = Some(id);
+        }
+        let may_go_on = match attempt.end {
+            TryEnd::Complete => false,
+            TryEnd::Broken => request.is_resumable,
+            TryEnd::Status(503) => true,
+            TryEnd::Status(_) => request.is_resumable,
+        };
+        tries.push(attempt);
+        if !may_go_on || Instant::now() >= deadline {
+            break;
+        }
+        std::thread::sleep(PAUSE_BETWEEN_TRIES);
+    }
+    tries
+}
+
+fn request_text(
+    request: StreamRequest<'_>,
+    id: &str,
+    deadline: Instant,
+    resumption: &str,
+) -> String {
+    let StreamRequest { path, http_version, plan, .. } = request;
+    let remaining_ms = deadline.saturating_duration_since(Instant::now()).as_millis();
+    format!(
+        "POST {path}{id} HTTP/{http_version}\r\nHost: {HOST}\r\nX-Pitchstall-Request-Id: {id}\r\n\
+         X-Pitchstall-Deadline-Ms: {remaining_ms}\r\nX-Pitchstall-Model: m\r\nX-Pitchstall-Token-Count: 900,20\r\n\
+         X-Pitchstall-Prefix-Hash: a{id}:600,{id}:300\r\n{PLAN_HEADER}: {plan}\r\n{resumption}Content-Length: 0\r\n\r\n"
+    )
+}
+
+fn one_try(
+    node: SocketAddr,
+    request: &str,
+    deadline: Instant,
+    mut on_event: impl FnMut(&ReceivedEvent),
+) -> Try {
+    let mut events = Vec::new();
+    let Ok(mut stream) = TcpStream::connect_timeout(&node, CONNECT_TIMEOUT) else {
+        return Try { events, end: TryEnd::Broken };
+    };
+    let is_sent =
+        stream.set_read_timeout(Some(MAX_GAP)).and_then(|()| stream.write_all(request.as_bytes()));
+    if is_sent.is_err() {
+        return Try { events, end: TryEnd::Broken };
+    }
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let received = stream.read(&mut buffer);
+        let is_closed = matches!(received, Ok(0));
+        let length = received.as_ref().copied().unwrap_or(0);
+        bytes.extend_from_slice(&buffer[..length]);
+        let response = Response::parse(&bytes, is_closed);
+        for event in response.events.iter().skip(events.len()) {
+            on_event(event);
+        }
+        events = response.events;
+        match response.end {
+            Some(end) => return Try { events, end },
+            None if length == 0 || Instant::now() >= deadline => {
+                return Try { events, end: TryEnd::Broken }
+            }
+            None => {}
+        }
+    }
+}
+
+/// What has arrived of a response so far.
+struct Response {
+    events: Vec<ReceivedEvent>,
+    end: Option<TryEnd>,
+}
+
+impl Response {
+    fn parse(bytes: &[u8], is_closed: bool) -> Self {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        let Ok(httparse::Status::Complete(head_bytes)) = response.parse(bytes) else {
+            return Self { events: Vec::new(), end: None };
+        };
+        let status = response.code.unwrap_or_default();
+        if !(200..300).contains(&status) {
+            return Self { events: Vec::new(), end: Some(TryEnd::Status(status)) };
+        }
+        let value = |name: &str| {
+            let header = response.headers.iter().find(|it| it.name.eq_ignore_ascii_case(name));
+            header.map(|it| String::from_utf8_lossy(it.value).into_owned())
+        };
+        let body = &bytes[head_bytes..];
+        let length = value("content-length").and_then(|text| text.parse::<usize>().ok());
+        let (content, is_complete) = match (value("transfer-encoding"), length) {
+            (Some(_), _) => decode_chunks(body),
+            (None, Some(length)) => (body.to_vec(), body.len() >= length),
+            (None, None) => (body.to_vec(), is_closed),
+        };
+        Self { events: events_of(&content), end: is_complete.then_some(TryEnd::Complete) }
+    }
+}
+
+/// The content of the chunks that are complete, and whether the last one has arrived.
+fn decode_chunks(mut body: &[u8]) -> (Vec<u8>, bool) {
+    let mut content = Vec::new();
+    while let Ok(httparse::Status::Complete((start, size))) = httparse::parse_chunk_size(body) {
+        if size == 0 {
+            return (content, true);
+        }
+        let end = start + size as usize;
+        let Some(chunk) = body.get(start..end) else { break };
+        content.extend_from_slice(chunk);
+        body = body.get(end + b"\r\n".len()..).unwrap_or_default();
+    }
+    (content, false)
+}
+
+fn events_of(content: &[u8]) -> Vec<ReceivedEvent> {
+    let text = String::from_utf8_lossy(content);
+    let complete = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    complete.split("\n\n").filter_map(event_of).collect()
+}
+
+fn event_of(text: &str) -> Option<ReceivedEvent> {
+    let data = text.lines().find_map(|line| line.strip_prefix("data: "))?;
+    let mut words = data.split(' ');
+    let (run, version) = (words.next()?.to_owned(), words.next()?.to_owned());
+    Some(ReceivedEvent { number: words.next()?.parse().ok()?, run, version })
+}
--- /dev/null
+++ b/crates/soak/examples/stream_ends/fleet.rs
@@ -0,0 +1,275 @@
+//! The processes of one scenario: nodes, runners, and a store in this process.
+
+use crate::client::HOST;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use pitchstall_platform_standins::client::READY_REQUEST;
+use pitchstall_platform_standins::documents::{runner_key, CONFIGURATION_KEY};
+use pitchstall_platform_standins::store::StoreStandIn;
+use serde_json::{json, Value};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const CLIENT_PORT: u16 = 18_281;
+const HEALTH_PORT: u16 = 18_282;
+const PEER_PORT: u16 = 18_283;
+/// Time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(8);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which the entry of a runner that has ended stays in the store: three heartbeats.
+const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
+
+/// A process that is killed when it is dropped.
+pub struct Process(Child);
+
+impl Process {
+    /// Sends a signal to the process. It has not been waited for, so that its id names no other process.
+    pub fn signal(&self, signal: Signal) {
+        if let Ok(id) = i32::try_from(self.0.id()) {
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Whether the process has ended.
+    fn has_ended(&mut self) -> bool {
+        !matches!(self.0.try_wait(), Ok(None))
+    }
+
+    /// Whether the process is stopped by SIGSTOP.
+    fn is_stopped(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        status.unwrap_or_default().lines().any(|line| line.starts_with("State:\tT"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A node, which is started again with the same settings after it has ended.
+struct Node {
+    process: Process,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+struct Runner {
+    id: String,
+    version: &'static str,
+    process: Process,
+    stopped_since: Option<Instant>,
+}
+
+/// The fleet of a scenario.
+pub struct Fleet {
+    number: u8,
+    program: PathBuf,
+    store: StoreStandIn,
+    nodes: Vec<Node>,
+    runners: Vec<Runner>,
+    next_runner: usize,
+    /// Entries of runners that have ended, with the time at which they lapse.
+    lapsing: Vec<(String, Instant)>,
+}
+
+/// What a fleet consists of.
+#[derive(Clone, Copy)]
+pub struct FleetSize {
+    /// Number of nodes.
+    pub nodes: u8,
+    /// Software version of each runner.
+    pub versions: &'static [&'static str],
+}
+
+impl Fleet {
+    /// Starts all processes and waits until the nodes are ready.
+    pub fn start(program: &Path, folder: &Path, number: u8, size: FleetSize) -> io::Result<Self> {
+        let store = StoreStandIn::start()?;
+        store.put(CONFIGURATION_KEY, &configuration());
+        let mut fleet = Self {
+            number,
+            program: program.to_owned(),
+            store,
+            nodes: Vec::new(),
+            runners: Vec::new(),
+            next_runner: 0,
+            lapsing: Vec::new(),
+        };
+        for version in size.versions {
+            fleet.add_runner(version)?;
+        }
+        for node in 0..size.nodes {
+            fleet.add_node(folder, node)?;
+        }
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    /// Addresses of the nodes for clients.
+    pub fn client_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.nodes.len()).map(|node| SocketAddr::new(self.ip(node), CLIENT_PORT)).collect()
+    }
+
+    /// Sends a signal to a node.
+    pub fn signal_node(&self, node: usize, signal: Signal) {
+        self.nodes[node].process.signal(signal);
+    }
+
+    /// Waits until a node that was told to stop has ended, and kills it after its grace time.
+    pub fn wait_for_end(&mut self, node: usize) {
+        let deadline = Instant::now() + GRACE;
+        let process = &mut self.nodes[node].process;
+        while !process.has_ended() && Instant::now() < deadline {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        process.signal(Signal::SIGKILL);
+    }
+
+    /// Replaces runners and nodes that have ended or stopped, and waits until all nodes are ready.
+    pub fn repair(&mut self) -> io::Result<()> {
+        self.replace_runners()?;
+        for number in 0..self.nodes.len() {
+            let node = &mut self.nodes[number];
+            if node.process.has_ended() {
+                node.process = start_node(&self.program, &node.settings, &node.log)?;
+            }
+        }
+        self.wait_until_ready()
+    }
+
+    fn replace_runners(&mut self) -> io::Result<()> {
+        const MAX_STOP: Duration = Duration::from_millis(2_500);
+        let mut ended = Vec::new();
+        for (index, runner) in self.runners.iter_mut().enumerate() {
+            if runner.process.is_stopped() {
+                let since = *runner.stopped_since.get_or_insert_with(Instant::now);
+                if since.elapsed() > MAX_STOP {
+                    runner.process.signal(Signal::SIGKILL);
+                }
+            }
+            if runner.process.has_ended() {
+                ended.push(index);
+            }
+        }
+        for index in ended.into_iter().rev() {
+            let runner = self.runners.remove(index);
+            self.lapsing.push((runner_key(&runner.id), Instant::now() + ENTRY_LIFE));
+            self.add_runner(runner.version)?;
+        }
+        let now = Instant::now();
+        for (key, _) in self.lapsing.iter().filter(|(_, lapses_at)| *lapses_at <= now) {
+            self.store.remove(key);
+        }
+        self.lapsing.retain(|(_, lapses_at)| *lapses_at > now);
+        Ok(())
+    }
+
+    fn add_runner(&mut self, version: &'static str) -> io::Result<()> {
+        let id = format!("i-{}-{}", self.number, self.next_runner);
+        self.next_runner += 1;
+        let mut child = Command::new(std::env::current_exe()?)
+            .args(["--runner", &id, "--version", version])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let mut address = String::new();
+        let output = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+        BufReader::new(output).read_line(&mut address)?;
+        let entry = json!({
+            "service": "streams", "address": address.trim(), "zone": "north", "version": version, "slots": 8,
+            "state": "ready", "cold_left_ms": 0, "seq": 1,
+        });
+        self.store.put(&runner_key(&id), &entry);
+        self.runners.push(Runner { id, version, process: Process(child), stopped_since: None });
+        Ok(())
+    }
+
+    fn add_node(&mut self, folder: &Path, number: u8) -> io::Result<()> {
+        let ip = self.ip(usize::from(number));
+        let text = format!(
+            "[node]\nname = \"node-{number}\"\nzone = \"north\"\n\
+             [listen]\ncallers = \"{ip}:{CLIENT_PORT}\"\nhealth = \"{ip}:{HEALTH_PORT}\"\npeers = \"{ip}:{PEER_PORT}\"\n\
+             [store]\naddress = \"{}\"\n\
+             [bounds]\ncontact_ms = 3000\ngrace_s = 8.0\nlease_ms = 3000\nretry_ratio = 0.2\nretry_slack = 400.0\n",
+            self.store.address(),
+        );
+        let settings = folder.join(format!("fleet-{}-node-{number}.toml", self.number));
+        std::fs::write(&settings, text)?;
+        let log = settings.with_extension("log");
+        let process = start_node(&self.program, &settings, &log)?;
+        self.nodes.push(Node { process, settings, log });
+        Ok(())
+    }
+
+    fn ip(&self, node: usize) -> IpAddr {
+        let [_, _, pid_high, pid_low] = std::process::id().to_be_bytes();
+        let last = self.number * 16 + u8::try_from(node + 1).unwrap_or(u8::MAX);
+        Ipv4Addr::new(127, 1 + pid_high % 200, pid_low, last).into()
+    }
+
+    fn wait_until_ready(&self) -> io::Result<()> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for node in 0..self.nodes.len() {
+            while !is_ready(SocketAddr::new(self.ip(node), HEALTH_PORT)) {
+                if Instant::now() > deadline {
+                    return Err(io::Error::other(format!("node {node} is not ready in time")));
+                }
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn start_node(program: &Path, settings: &Path, log: &Path) -> io::Result<Process> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let child = Command::new(program)
+        .arg("serve")
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stderr(log.try_clone()?)
+        .stdout(log)
+        .spawn()?;
+    Ok(Process(child))
+}
+
+fn is_ready(health: SocketAddr) -> bool {
+    const TIMEOUT: Duration = Duration::from_millis(500);
+    let query = || -> io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&health, TIMEOUT)?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        stream.write_all(READY_REQUEST)?;
+        let mut head = [0; b"HTTP/1.1 200".len()];
+        stream.read_exact(&mut head)?;
+        Ok(head.ends_with(b"200"))
+    };
+    query().unwrap_or(false)
+}
+
+fn configuration() -> Value {
+    let route = |name: &str, is_resumable: bool| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": "streaming", "timeout_ms": 8_000,
+            "target_ms": 800, "priority": 1, "service": "streams", "max_attempts": 2, "sticky": true,
+            "resumable": is_resumable, "gap_target_ms": 300,
+        })
+    };
+    let mut plain = route("plain", false);
+    plain["kind"] = "idempotent".into();
+    json!({
+        "version": 3,
+        "routes": [route("resumable", true), route("once", false), plain],
+        "services": [{ "name": "streams", "health_path": "/health", "max_conns": 100 }],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000 },
+    })
+}
--- /dev/null
+++ b/crates/soak/examples/stream_ends/runner.rs
@@ -0,0 +1,146 @@
+//! A runner as a process of its own: it serves streams as their requests plan it.
+
+use crate::run_plan::{Framing, RunEnd, RunPlan, PLAN_HEADER};
+use nix::sys::signal::{raise, Signal};
+use pitchstall_platform_standins::http::{response_bytes, serve, Connection, ReceivedRequest};
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Number of the last event of each stream.
+pub const LAST_EVENT: u64 = 11;
+const EVENT_GAP: Duration = Duration::from_millis(25);
+const LONG_PAUSE: Duration = Duration::from_millis(2_500);
+/// Time for the last bytes to leave the process before it ends.
+const BEFORE_END: Duration = Duration::from_millis(5);
+static NEXT_RUN: AtomicU64 = AtomicU64::new(0);
+
+/// Who the runner is.
+#[derive(Clone)]
+pub struct Identity {
+    /// Id in the registry.
+    pub id: String,
+    /// Software version.
+    pub version: String,
+}
+
+/// Serves until the process ends. Writes the address to standard output first.
+pub fn run(identity: Identity) -> std::io::Result<()> {
+    let address = serve(move |connection| serve_connection(connection, &identity))?;
+    let mut output = std::io::stdout();
+    writeln!(output, "{address}")?;
+    output.flush()?;
+    loop {
+        std::thread::park();
+    }
+}
+
+fn serve_connection(mut connection: Connection, identity: &Identity) {
+    while let Some(request) = connection.read_request() {
+        match respond(connection, &request, identity) {
+            Some(kept) => connection = kept,
+            None => return,
+        }
+    }
+}
+
+fn respond(
+    mut connection: Connection,
+    request: &ReceivedRequest,
+    identity: &Identity,
+) -> Option<Connection> {
+    let id = request.id().unwrap_or_default();
+    let mut headers = vec![("x-pitchstall-instance-id", identity.id.as_str())];
+    if request.id().is_some() {
+        headers.push(("x-pitchstall-request-id", id));
+    }
+    if request.expected_runner().is_some_and(|expected| expected != identity.id) {
+        headers.push(("x-pitchstall-not-executed", "1"));
+        return connection.write(&response_bytes(421, &headers, b"")).then_some(connection);
+    }
+    let plan = request.header(PLAN_HEADER).and_then(|text| text.parse::<RunPlan>().ok());
+    let Some(plan) = plan else {
+        let report = br#"{"stage":"decode","models":[],"busy":false,"seq":0,"queued":0,"running":0,"kv_used":0,"kv_total":1000,"handles":0}"#;
+        return connection.write(&response_bytes(200, &headers, report)).then_some(connection);
+    };
+    write_stream(connection, request, identity, plan)
+}
+
+fn write_stream(
+    mut connection: Connection,
+    request: &ReceivedRequest,
+    identity: &Identity,
+    plan: RunPlan,
+) -> Option<Connection> {
+    let resumed_after = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+    let first = resumed_after.map_or(0, |id| id + 1);
+    let end = if resumed_after.is_none() { plan.end } else { RunEnd::Whole };
+    let run = format!("{}/{}", identity.id, NEXT_RUN.fetch_add(1, Ordering::SeqCst));
+    let event_text =
+        |number: u64| format!("id: {number}\ndata: {run} {} {number}\n\n", identity.version);
+    let length: usize = (first..=LAST_EVENT).map(|number| event_text(number).len()).sum();
+    connection.write(head(request, plan.framing, length).as_bytes()).then_some(())?;
+    for number in first..=LAST_EVENT {
+        std::thread::sleep(EVENT_GAP);
+        let text = event_text(number);
+        connection.write(&framed(plan.framing, &text)).then_some(())?;
+        if number != plan.after {
+            continue;
+        }
+        let half = &text[..text.len() / 2];
+        match end {
+            RunEnd::Whole => {}
+            RunEnd::Pause => std::thread::sleep(LONG_PAUSE),
+            RunEnd::Close => return None,
+            RunEnd::CloseInside => {
+                connection.write(&framed(plan.framing, half));
+                return None;
+            }
+            RunEnd::Reset => {
+                connection.reset();
+                return None;
+            }
+            RunEnd::KillInside => {
+                connection.write(&framed(plan.framing, half));
+                end_process(Signal::SIGKILL);
+            }
+            RunEnd::Kill => end_process(Signal::SIGKILL),
+            RunEnd::Stop => end_process(Signal::SIGSTOP),
+            RunEnd::Exit => {
+                std::thread::sleep(BEFORE_END);
+                std::process::exit(0)
+            }
+        }
+    }
+    match plan.framing {
+        Framing::Chunked => connection.write(b"0\r\n\r\n").then_some(connection),
+        Framing::Length => Some(connection),
+        Framing::Unframed | Framing::Http10 => None,
+    }
+}
+
+fn end_process(signal: Signal) {
+    std::thread::sleep(BEFORE_END);
+    let _ = raise(signal);
+}
+
+fn head(request: &ReceivedRequest, framing: Framing, length: usize) -> String {
+    let id = request.id().unwrap_or_default();
+    let (version, lines) = match framing {
+        Framing::Chunked => ("1.1", "transfer-encoding: chunked\r\n".to_owned()),
+        Framing::Length => ("1.1", format!("content-length: {length}\r\n")),
+        Framing::Unframed => ("1.1", "connection: close\r\n".to_owned()),
+        Framing::Http10 => ("1.0", String::new()),
+    };
+    format!(
+        "HTTP/{version} 200 OK\r\nx-pitchstall-request-id: {id}\r\nx-pitchstall-server-stamp: stamp\r\n\
+         content-type: text/event-stream\r\n{lines}\r\n"
+    )
+}
+
+fn framed(framing: Framing, text: &str) -> Vec<u8> {
+    match framing {
+        Framing::Chunked => format!("{:x}\r\n{text}\r\n", text.len()).into_bytes(),
+        _ => text.as_bytes().to_vec(),
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`node_links`] | the links of each node to each runner |
 //! | `lost_link_checks` | the check on nodes that have lost their links to runners |
 //! | `interrupted_streams` | the check on streams that nodes end |
+//! | [`stream_judgement`] | what is wrong with a stream that its client has received |
 //!
 //! The example `soak` starts the processes and terminates them when it ends.
 
@@ -45,6 +46,7 @@
 mod reported_limits;
 mod runner_script;
 mod self_report_checks;
+pub mod stream_judgement;
 pub mod tenant_limit_checks;
 pub mod tenants;
 
