--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -151,10 +151,20 @@
         if is_framed {
             self.node.on_request_succeeded(|| self.identity(), self.request.suspect_parts());
         } else {
+            self.log_unframed_end(runner);
             on_unframed_response(self.node, self.interrupted_attempt(runner));
         }
     }
 
+    /// Logs and counts a response whose end only the end of its connection marked.
+    fn log_unframed_end(&self, runner: &RunnerId) {
+        self.node.metrics.unframed_responses.inc();
+        let (id, runner) = (self.request.metadata.id.as_str(), runner.as_str());
+        let after = self.stream.deduplicator.last_id();
+        let silent_ms = self.stream.last_event_at.map_or(0, elapsed_ms);
+        log::info!(target: "attempt", request = id, runner, after, silent_ms; "response ended with its connection");
+    }
+
     fn finish_complete(&mut self, full_response: BufferedResponse) -> Step {
         if self.stream.is_head_sent {
             return self.give_up(EndReason::Failed);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -119,6 +119,8 @@
     pub resumes: Counter,
     /// Streams that the node ended after their head and before they were complete, by reason.
     pub streams_cut: Family<StreamCutLabels, Counter>,
+    /// Responses whose end only the end of the runner's connection marked.
+    pub unframed_responses: Counter,
     /// Requests that resume a stream, by what is known of the stream.
     pub streams_resumed_by_clients: Family<ResumedStreamLabels, Counter>,
     /// Stalled runs for which a successor was sought and that were kept, by reason.
@@ -202,6 +204,7 @@
             quarantines: Counter::default(),
             resumes: Counter::default(),
             streams_cut: Family::default(),
+            unframed_responses: Counter::default(),
             streams_resumed_by_clients: Family::default(),
             stalled_runs_kept: Family::default(),
             responses_too_long: Family::default(),
@@ -261,6 +264,11 @@
                 &self.requests_on_crashed_runners,
             ),
             ("quarantines", "Requests that entered quarantine", &self.quarantines),
+            (
+                "unframed_responses",
+                "Responses whose end only the end of the runner's connection marked",
+                &self.unframed_responses,
+            ),
             (
                 "resumes",
                 "Streams that broke on one runner and may continue on another",
