--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::attempt_wait::{log_end, wait_for_end, EarlyEnd, EndCause};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
-use crate::http::{Header, OpenResponse, PendingResponse, ReadError};
+use crate::http::{BodyEnd, BodyPart, Header, OpenResponse, PendingResponse, ReadError};
 use crate::intake::{BufferedResponse, ClientRequest};
 use crate::interrupted_attempt::{
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
@@ -49,6 +49,15 @@
     LinkLost,
 }
 
+/// A response that has been read to its end.
+#[derive(Debug)]
+pub struct ReceivedResponse {
+    /// The response. It may be cut short if its end is unproven.
+    pub response: BufferedResponse,
+    /// What has marked its end.
+    pub end: BodyEnd,
+}
+
 /// A response whose head has been received.
 pub struct AttemptResponse {
     /// The registry record of the responding runner.
@@ -367,9 +376,9 @@
         all_headers.iter().filter(passes).cloned().collect()
     }
 
-    /// Reads the next bytes of the body; `None` at its end.
-    pub async fn read_chunk(&self) -> Result<Option<ntex::util::Bytes>, ReadError> {
-        self.response.read_chunk().await
+    /// Reads the next part of the body.
+    pub async fn read_part(&self) -> Result<BodyPart, ReadError> {
+        self.response.read_part().await
     }
 
     /// Completes when further bytes of the body arrive. Never completes if the connection ends before.
@@ -377,18 +386,15 @@
         self.response.wait_for_data().await;
     }
 
-    /// Whether the end of the body is only marked by the end of the connection.
-    pub fn ends_with_connection(&self) -> bool {
-        self.response.ends_with_connection()
-    }
-
-    /// Reads the whole body. Fails if it is larger than 16 MiB, if too little memory is left, or if the connection breaks.
-    pub async fn read_all(&self) -> Result<BufferedResponse, ReadError> {
+    /// Reads the body to its end. Fails if it is larger than 16 MiB, if too little memory is left, or if the connection
+    /// breaks.
+    pub async fn read_all(&self) -> Result<ReceivedResponse, ReadError> {
         let mut buffer = BodyBuffer::new(MAX_RESPONSE_BYTES, self.in_flight.reserve_response());
-        self.response.read_body_into(&mut buffer).await?;
+        let end = self.response.read_body_into(&mut buffer).await?;
         let (body, memory) = buffer.into_parts();
         let (status, headers) = (self.status(), self.client_headers());
-        Ok(BufferedResponse { status, headers, body, memory })
+        let response = BufferedResponse { status, headers, body, memory };
+        Ok(ReceivedResponse { response, end })
     }
 
     /// Returns the connection to the pool if the body has been read to its end.
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -2,12 +2,14 @@
 
 use super::planning::{elapsed_ms, Plan};
 use super::{Dispatch, Step};
-use crate::attempt::AttemptResponse;
+use crate::attempt::{AttemptResponse, ReceivedResponse};
+use crate::clock::Instant;
 use crate::connection::ClientConnection;
-use crate::http::ReadError;
+use crate::http::{BodyEnd, ReadError};
 use crate::intake::{BufferedResponse, RequestOutcome};
-use crate::interrupted_attempt::{on_interrupted, on_unframed_response, InterruptedAttempt};
-use crate::relay::{relay, RelayLimits, RelayOutcome};
+use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
+use crate::relay::{complete, relay, RelayLimits, RelayOutcome};
+use crate::response_end::{self, EndDoubt};
 use crate::response_memory::{report_if_too_long, EventBuffer};
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::attempt::EndReason;
@@ -75,7 +77,7 @@
 
     async fn deliver_complete(&mut self, response: AttemptResponse) -> Step {
         let runner = response.record.id.clone();
-        let full_response = match self.read_in_time(&response).await {
+        let full_response = match self.read_whole(&response).await {
             Ok(Ok(full_response)) => full_response,
             Ok(Err(error)) => {
                 let id = self.request.metadata.id.as_str();
@@ -86,11 +88,10 @@
             }
             Err(TooSlow) => return self.on_lost(Some(runner)),
         };
-        let is_framed = !response.ends_with_connection();
         self.return_connection_later(response);
         // An error response may come from a runner that has not begun to execute the request.
         if (200..300).contains(&full_response.status) {
-            self.on_success(&runner, is_framed);
+            self.on_success();
         }
         if self.is_unproven_promise(full_response.status) {
             return self.replace_unproven_promise(&runner, full_response.status);
@@ -128,11 +129,27 @@
         ntex::rt::spawn(async move { response.return_connection(&node) });
     }
 
-    /// Reads a whole response. A slow one is ended early once another attempt can follow.
-    async fn read_in_time(
+    /// Reads a response to its end, and fails if it is not proven to be whole.
+    async fn read_whole(
         &self,
         response: &AttemptResponse,
     ) -> Result<Result<BufferedResponse, ReadError>, TooSlow> {
+        let received = match self.read_in_time(response).await? {
+            Ok(received) => received,
+            Err(error) => return Ok(Err(error)),
+        };
+        let proof = match received.end {
+            BodyEnd::Framed => Ok(()),
+            BodyEnd::Unproven => self.prove_end(&response.record).await,
+        };
+        Ok(proof.map(|()| received.response))
+    }
+
+    /// Reads a response to its end. A slow one is ended early once another attempt can follow.
+    async fn read_in_time(
+        &self,
+        response: &AttemptResponse,
+    ) -> Result<Result<ReceivedResponse, ReadError>, TooSlow> {
         let early_end = async {
             match self.early_end() {
                 Some(early_end) => early_end.charged_when_silent().await,
@@ -145,24 +162,22 @@
         }
     }
 
-    /// Handles a successful response. If only the end of the connection marked the end of the body,
-    /// the runner may have crashed before the real end, so it is probed.
-    fn on_success(&self, runner: &RunnerId, is_framed: bool) {
-        if is_framed {
-            self.node.on_request_succeeded(|| self.identity(), self.request.suspect_parts());
-        } else {
-            self.log_unframed_end(runner);
-            on_unframed_response(self.node, self.interrupted_attempt(runner));
-        }
+    /// Handles a successful response that is proven to be whole.
+    fn on_success(&self) {
+        self.node.on_request_succeeded(|| self.identity(), self.request.suspect_parts());
     }
 
-    /// Logs and counts a response whose end only the end of its connection marked.
-    fn log_unframed_end(&self, runner: &RunnerId) {
-        self.node.metrics.unframed_responses.inc();
-        let (id, runner) = (self.request.metadata.id.as_str(), runner.as_str());
+    /// Proves that a response which has ended with its connection is whole. Its runner may have ended in the middle.
+    async fn prove_end(&self, record: &RunnerRecord) -> Result<(), ReadError> {
+        let ended_at = Instant::now();
+        let proof = response_end::prove(self.node, record, self.time_remaining()).await;
+        let verdict = proof.map_or_else(EndDoubt::name, |()| "whole");
+        self.node.metrics.on_unframed_response(verdict);
+        let (id, runner) = (self.request.metadata.id.as_str(), record.id.as_str());
         let after = self.stream.deduplicator.last_id();
-        let silent_ms = self.stream.last_event_at.map_or(0, elapsed_ms);
-        log::info!(target: "attempt", request = id, runner, after, silent_ms; "response ended with its connection");
+        let took_ms = elapsed_ms(ended_at);
+        log::info!(target: "attempt", request = id, runner, after, verdict, took_ms; "response ended with its connection");
+        proof.map_err(|_| ReadError::UnprovenEnd)
     }
 
     fn finish_complete(&mut self, full_response: BufferedResponse) -> Step {
@@ -181,13 +196,8 @@
                 self.version.get_or_insert_with(|| run.response.record.version.clone());
             }
             match outcome {
-                RelayOutcome::Complete => {
-                    let runner = run.runner().clone();
-                    let is_framed = !run.response.ends_with_connection();
-                    run.response.return_connection(self.node);
-                    self.on_success(&runner, is_framed);
-                    return Step::Done(RequestOutcome::Streamed);
-                }
+                RelayOutcome::Complete => return self.on_stream_complete(run),
+                RelayOutcome::EndUnproven => return self.on_unproven_end(run, client).await,
                 RelayOutcome::ClientDisconnected => {
                     return Step::Done(RequestOutcome::ClientDisconnected)
                 }
@@ -200,6 +210,23 @@
         }
     }
 
+    fn on_stream_complete(&self, run: Box<Run>) -> Step {
+        run.response.return_connection(self.node);
+        self.on_success();
+        Step::Done(RequestOutcome::Streamed)
+    }
+
+    /// Ends the client's stream only if it is proven that the runner's one is whole. Otherwise the run has been interrupted.
+    async fn on_unproven_end(&mut self, run: Box<Run>, client: &ClientConnection) -> Step {
+        if let Err(error) = self.prove_end(&run.response.record).await {
+            return self.on_stream_interrupted(run, &error);
+        }
+        match complete(&run.response, client, &mut self.stream).await {
+            RelayOutcome::Complete => self.on_stream_complete(run),
+            _ => Step::Done(RequestOutcome::ClientDisconnected),
+        }
+    }
+
     /// Maximum gap between two events before another runner is sought. Only a stream that another
     /// runner can continue has one.
     fn max_stream_gap(&self) -> Duration {
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -13,7 +13,10 @@
 pub use pool::{ConnectionPool, LearnedIdleLimit};
 pub use response_codec::{BodyDecoder, ResponseDecodeError, ResponseHead};
 pub use response_limit::{ResponsePart, ResponseTooLong};
-pub use upstream::{open_stream, ConnectError, OpenResponse, PendingResponse, ReadError, Upstream};
+pub use upstream::{
+    open_stream, BodyEnd, BodyPart, ConnectError, OpenResponse, PendingResponse, ReadError,
+    Upstream,
+};
 
 /// A header: its name in lower case and its value.
 pub type Header = (String, Vec<u8>);
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -56,6 +56,9 @@
     /// Reading or writing failed, for example because the connection was reset.
     #[error("connection failed: {0}")]
     Io(std::io::Error),
+    /// Only the end of the connection marks the end of the response, and nothing proves that the runner has ended it.
+    #[error("response not proven to be whole")]
+    UnprovenEnd,
     /// The received bytes are not a valid response.
     #[error("{0}")]
     Malformed(#[from] ResponseDecodeError),
@@ -78,6 +81,25 @@
     Ok(ntex::rt::from_tcp_stream(stream, UPSTREAM_CONFIG.with(Clone::clone))?)
 }
 
+/// The next part of a response's body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Bytes of the body; never empty.
+    Bytes(Bytes),
+    /// There are no further bytes.
+    End(BodyEnd),
+}
+
+/// What has marked the end of a response's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Its length or its chunks: the body is whole.
+    Framed,
+    /// The end of the connection alone. The connections of a process that is killed end in the same way, so that nothing
+    /// proves that the body is whole.
+    Unproven,
+}
+
 /// An open HTTP connection on which no response is outstanding. Dropping it closes it immediately.
 ///
 /// Sending a request consumes the connection. Only a response that has been read to its end gives it back, so that a
@@ -177,16 +199,18 @@
 }
 
 impl OpenResponse {
-    /// Reads the next bytes of the body. Returns `None` at its end.
-    pub async fn read_chunk(&self) -> Result<Option<Bytes>, ReadError> {
+    /// Reads the next part of the body.
+    pub async fn read_part(&self) -> Result<BodyPart, ReadError> {
         match self.connection.io.recv(&self.decoder).await {
-            Ok(Some(BodyItem::Chunk(bytes))) => Ok(Some(bytes)),
+            Ok(Some(BodyItem::Chunk(bytes))) => Ok(BodyPart::Bytes(bytes)),
             Ok(Some(BodyItem::End)) => {
                 self.is_complete.set(true);
-                Ok(None)
+                Ok(BodyPart::End(BodyEnd::Framed))
             }
-            Ok(None) if self.ends_with_connection() && self.connection.has_orderly_end() => {
-                Ok(None)
+            Ok(None)
+                if self.decoder.ends_with_connection() && self.connection.has_orderly_end() =>
+            {
+                Ok(BodyPart::End(BodyEnd::Unproven))
             }
             Ok(None) => Err(ReadError::Closed),
             Err(error) => Err(into_read_error(error)),
@@ -196,7 +220,7 @@
     /// Reads the body of at most `max_bytes` to its end and discards it. A longer body is an error.
     pub async fn discard_body(&self, max_bytes: usize) -> Result<(), ReadError> {
         let mut received = 0;
-        while let Some(bytes) = self.read_chunk().await? {
+        while let BodyPart::Bytes(bytes) = self.read_part().await? {
             received += bytes.len();
             if received > max_bytes {
                 let part = ResponsePart::Body;
@@ -206,12 +230,15 @@
         Ok(())
     }
 
-    /// Reads the complete body into a buffer. A body that is longer than the buffer accepts is an error.
-    pub async fn read_body_into(&self, buffer: &mut BodyBuffer) -> Result<(), ReadError> {
-        while let Some(bytes) = self.read_chunk().await? {
-            buffer.push(&bytes)?;
+    /// Reads the body to its end into a buffer. A body that is longer than the buffer accepts is an error. A body whose end
+    /// is unproven may be cut short, which shows only in a format that marks its own end, such as a JSON object.
+    pub async fn read_body_into(&self, buffer: &mut BodyBuffer) -> Result<BodyEnd, ReadError> {
+        loop {
+            match self.read_part().await? {
+                BodyPart::Bytes(bytes) => buffer.push(&bytes)?,
+                BodyPart::End(end) => return Ok(end),
+            }
         }
-        Ok(())
     }
 
     /// Completes when further bytes arrive. Never completes if the connection ends before.
@@ -226,11 +253,6 @@
         }
     }
 
-    /// Whether the end of the body is only marked by the end of the connection.
-    pub fn ends_with_connection(&self) -> bool {
-        self.decoder.ends_with_connection()
-    }
-
     /// The connection, if another request may be sent on it: the body has been read to its end, and the peer keeps the
     /// connection open.
     pub fn into_connection(self) -> Option<Upstream> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`attempt`] | makes one attempt on one runner |
 //! | [`attempt_wait`] | ends an attempt that is silent or whose runner is suspected |
 //! | [`interrupted_attempt`] | handles an attempt that ended before its response was complete |
+//! | [`response_end`] | finds out whether a response that ends with its connection is whole |
 //! | [`runner_connection`] | opens a connection to a runner, through another node if this node's link is lost |
 //! | [`runner_probe`] | checks whether a silent runner can be reached, and whether a lost link works again |
 //! | [`relay`] | forwards a stream to the client, also across several runners |
@@ -87,6 +88,7 @@
 pub mod relay;
 pub mod replica_limits;
 pub mod replication;
+pub mod response_end;
 pub mod response_memory;
 pub mod retry_charge;
 pub mod retry_pools;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a response whose end only the end of the runner's connection marked.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnframedResponseLabels {
+    /// `whole`, or why that is not proven, see [`crate::response_end::EndDoubt::name`].
+    pub verdict: &'static str,
+}
+
 /// Labels of a request that resumes a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ResumedStreamLabels {
@@ -119,8 +126,8 @@
     pub resumes: Counter,
     /// Streams that the node ended after their head and before they were complete, by reason.
     pub streams_cut: Family<StreamCutLabels, Counter>,
-    /// Responses whose end only the end of the runner's connection marked.
-    pub unframed_responses: Counter,
+    /// Responses whose end only the end of the runner's connection marked, by whether they are proven to be whole.
+    pub unframed_responses: Family<UnframedResponseLabels, Counter>,
     /// Requests that resume a stream, by what is known of the stream.
     pub streams_resumed_by_clients: Family<ResumedStreamLabels, Counter>,
     /// Stalled runs for which a successor was sought and that were kept, by reason.
@@ -204,7 +211,7 @@
             quarantines: Counter::default(),
             resumes: Counter::default(),
             streams_cut: Family::default(),
-            unframed_responses: Counter::default(),
+            unframed_responses: Family::default(),
             streams_resumed_by_clients: Family::default(),
             stalled_runs_kept: Family::default(),
             responses_too_long: Family::default(),
@@ -264,11 +271,6 @@
                 &self.requests_on_crashed_runners,
             ),
             ("quarantines", "Requests that entered quarantine", &self.quarantines),
-            (
-                "unframed_responses",
-                "Responses whose end only the end of the runner's connection marked",
-                &self.unframed_responses,
-            ),
             (
                 "resumes",
                 "Streams that broke on one runner and may continue on another",
@@ -354,6 +356,8 @@
         let streams_cut = self.streams_cut.clone();
         let help = "Streams that the node ended before they were complete, by reason";
         self.registry.register("streams_cut", help, streams_cut);
+        let help = "Responses whose end only the end of the runner's connection marked, by verdict";
+        self.registry.register("unframed_responses", help, self.unframed_responses.clone());
         let streams_resumed_by_clients = self.streams_resumed_by_clients.clone();
         let help = "Requests that resume a stream, by what is known of the version that began it";
         self.registry.register("streams_resumed_by_clients", help, streams_resumed_by_clients);
@@ -398,6 +402,12 @@
         self.streams_cut.get_or_create(&StreamCutLabels { reason }).inc();
     }
 
+    /// Counts a response whose end only the end of the runner's connection marked. `verdict` tells whether it is proven to be
+    /// whole.
+    pub fn on_unframed_response(&self, verdict: &'static str) {
+        self.unframed_responses.get_or_create(&UnframedResponseLabels { verdict }).inc();
+    }
+
     /// Counts a request that resumes a stream. `outcome` names what is known of the stream.
     pub fn on_stream_resumed_by_client(&self, outcome: &'static str) {
         self.streams_resumed_by_clients.get_or_create(&ResumedStreamLabels { outcome }).inc();
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -107,7 +107,8 @@
         AttemptEnd::LinkLost => return PrefillOutcome::LinkLost,
     };
     let full_response = match timeout(params.head_timeout, response.read_all()).await {
-        Ok(Ok(full_response)) => full_response,
+        // A prefill's response is JSON, which shows whether it is whole.
+        Ok(Ok(received)) => received.response,
         Ok(Err(error)) => {
             let request = prefill.request.metadata.id.as_str();
             report_if_too_long(node, request, &runner, &error);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::attempt::AttemptResponse;
 use crate::clock::Instant;
 use crate::connection::{ClientConnection, ClientDisconnected};
-use crate::http::{Header, ReadError};
+use crate::http::{BodyEnd, BodyPart, Header, ReadError};
 use crate::response_memory::EventBuffer;
 use crate::stream_origins::OriginRecorder;
 use pitchstall_serving::event_stream::{EventAction, EventDeduplicator};
@@ -37,8 +37,10 @@
 /// How the relay of one run ended.
 #[derive(Debug)]
 pub enum RelayOutcome {
-    /// The response ended as its framing requires.
+    /// The response ended as its framing requires, and so did the response to the client.
     Complete,
+    /// The response ended with its connection, after a complete event. The response to the client is still open.
+    EndUnproven,
     /// The runner ended the response early.
     ConnectionLost(ReadError),
     /// No bytes arrived for the maximum pause. The run may still continue.
@@ -70,15 +72,22 @@
     let headers = response.client_headers();
     loop {
         let remaining = limits.deadline.saturating_duration_since(Instant::now());
-        let result = match timeout(remaining.min(limits.max_pause), response.read_chunk()).await {
+        let result = match timeout(remaining.min(limits.max_pause), response.read_part()).await {
             Ok(result) => result,
             Err(_) if remaining <= limits.max_pause => return RelayOutcome::DeadlineExceeded,
             Err(_) => return RelayOutcome::Stalled,
         };
         response.in_flight.on_progress();
         let forwarded = match result {
-            Ok(Some(bytes)) => forward(response, &bytes, events, client, state, &headers).await,
-            Ok(None) => return finish(response, events, client, state, &headers).await,
+            Ok(BodyPart::Bytes(bytes)) => {
+                forward(response, &bytes, events, client, state, &headers).await
+            }
+            // The runner has stopped in the middle of an event, even if the framing of the body is complete.
+            Ok(BodyPart::End(_)) if events.has_incomplete_event() => {
+                return RelayOutcome::ConnectionLost(ReadError::Closed)
+            }
+            Ok(BodyPart::End(BodyEnd::Unproven)) => return RelayOutcome::EndUnproven,
+            Ok(BodyPart::End(BodyEnd::Framed)) => return complete(response, client, state).await,
             Err(error) => return RelayOutcome::ConnectionLost(error),
         };
         if forwarded.is_err() {
@@ -128,20 +137,14 @@
     Ok(())
 }
 
-/// Handles the end of the body. If the last event is incomplete, the runner has stopped in the middle of it, even if the
-/// framing of the body is complete.
-async fn finish(
+/// Ends the response to the client as complete, after a response of which it is proven that it is whole.
+pub async fn complete(
     response: &AttemptResponse,
-    events: &EventBuffer,
     client: &ClientConnection,
     state: &mut StreamState,
-    headers: &[Header],
 ) -> RelayOutcome {
-    if events.has_incomplete_event() {
-        return RelayOutcome::ConnectionLost(ReadError::Closed);
-    }
     let written = async {
-        begin_response(response, client, state, headers)?;
+        begin_response(response, client, state, &response.client_headers())?;
         client.end_stream().await
     };
     match written.await {
--- a/crates/gateway/src/runner_connection.rs
+++ b/crates/gateway/src/runner_connection.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Instant;
 use crate::http::request::encode_request;
-use crate::http::{ConnectError, Header, Upstream};
+use crate::http::{ConnectError, Header, OpenResponse, Upstream};
 use crate::node::{LinkLoss, Node, Unreachability};
 use crate::runner_probe::{on_link_lost, RUNNER_CONNECT_TIMEOUT};
 use crate::tunnel::client::{self, TunnelOutcome};
@@ -267,13 +267,7 @@
 /// is, the runner is there.
 pub async fn verify(connection: Upstream, record: &RunnerRecord) -> Verification {
     let exchange = async {
-        let mut all_headers: Vec<Header> =
-            vec![("host".to_owned(), record.address.to_string().into_bytes())];
-        let identity_headers = headers::order_headers(&record.id).into_iter();
-        all_headers
-            .extend(identity_headers.map(|(name, value)| (name.to_owned(), value.into_bytes())));
-        let request = encode_request("GET", paths::REPORT, &all_headers, &[]);
-        let response = connection.send(request).ok()?.read_head().await.ok()?;
+        let response = ask_for_state(connection, record).await?;
         response.discard_body(MAX_RESPONSE_BYTES).await.ok()?;
         Some(response)
     };
@@ -284,3 +278,26 @@
         None => Verification::NoResponse,
     }
 }
+
+/// Asks a runner for its state on a connection and waits for the head of the response. `None` if the connection ends before.
+pub async fn ask_for_state(connection: Upstream, record: &RunnerRecord) -> Option<OpenResponse> {
+    let mut all_headers: Vec<Header> =
+        vec![("host".to_owned(), record.address.to_string().into_bytes())];
+    let identity_headers = headers::order_headers(&record.id).into_iter();
+    all_headers.extend(identity_headers.map(|(name, value)| (name.to_owned(), value.into_bytes())));
+    let request = encode_request("GET", paths::REPORT, &all_headers, &[]);
+    connection.send(request).ok()?.read_head().await.ok()
+}
+
+/// Discards the body of a response with a runner's state in the background, and returns its connection to the pool if it may
+/// be used again.
+pub fn return_after_state_response(node: &Rc<Node>, record: &RunnerRecord, response: OpenResponse) {
+    let (node, runner) = (node.clone(), record.id.clone());
+    ntex::rt::spawn(async move {
+        let body = response.discard_body(MAX_RESPONSE_BYTES);
+        let is_whole = matches!(timeout(RESPONSE_TIMEOUT, body).await, Ok(Ok(_)));
+        if let Some(connection) = response.into_connection().filter(|_| is_whole) {
+            node.pool.put(&runner, connection, None);
+        }
+    });
+}
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -7,7 +7,7 @@
 //! which no node ever receives the whole response.
 
 use crate::clock::Instant;
-use crate::http::{OpenResponse, ReadError, ResponsePart, ResponseTooLong};
+use crate::http::{BodyPart, OpenResponse, ReadError, ResponsePart, ResponseTooLong};
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -82,8 +82,11 @@
     let read = async {
         let mut body = Vec::new();
         loop {
-            let next = timeout(STALL_TIMEOUT, response.read_chunk());
-            let Some(bytes) = next.await.map_err(|_| stalled())?? else { return Ok(body) };
+            let next = timeout(STALL_TIMEOUT, response.read_part());
+            // The callers decode JSON, which shows whether a body with an unproven end is whole.
+            let BodyPart::Bytes(bytes) = next.await.map_err(|_| stalled())?? else {
+                return Ok(body);
+            };
             if body.len() + bytes.len() > max_bytes {
                 let part = ResponsePart::Body;
                 let too_long = ResponseTooLong { part, limit_bytes: max_bytes };
