Soak: the program, the plan and the client of runner processes stand in the crate

What callers saw: nothing; no behaviour of the product or of the soak changes. Cause: the example stream_ends alone had runners that are processes of their own. Change: its plan of a run, its runner, its client and the part of its fleet that starts, signals and replaces runner processes move to modules of the soak's crate. A plan can ask for events in two parts, a request names its host and its API key, and a runner ends when its standard input does, so that none outlives the process that has started it. Conclusion: the soak can use the same runners and clients.

--- a/crates/soak/examples/stream_ends/fleet.rs
+++ b/crates/soak/examples/stream_ends/fleet.rs
@@ -1,19 +1,20 @@
 //! The processes of one scenario: nodes, runners, and a store in this process.
 
-use crate::client::HOST;
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use pitchstall_platform_standins::client::READY_REQUEST;
 use pitchstall_platform_standins::documents::{runner_key, CONFIGURATION_KEY};
 use pitchstall_platform_standins::store::StoreStandIn;
+use pitchstall_soak::runner_processes::{Process, RunnerProcesses, StartedRunner};
 use serde_json::{json, Value};
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// Host of all requests.
+pub const HOST: &str = "streams.example";
 const CLIENT_PORT: u16 = 18_281;
 const HEALTH_PORT: u16 = 18_282;
 const PEER_PORT: u16 = 18_283;
@@ -21,38 +22,6 @@
 const GRACE: Duration = Duration::from_secs(8);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time for which the entry of a runner that has ended stays in the store: three heartbeats.
-const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
-
-/// A process that is killed when it is dropped.
-pub struct Process(Child);
-
-impl Process {
-    /// Sends a signal to the process. It has not been waited for, so that its id names no other process.
-    pub fn signal(&self, signal: Signal) {
-        if let Ok(id) = i32::try_from(self.0.id()) {
-            let _ = kill(Pid::from_raw(id), signal);
-        }
-    }
-
-    /// Whether the process has ended.
-    fn has_ended(&mut self) -> bool {
-        !matches!(self.0.try_wait(), Ok(None))
-    }
-
-    /// Whether the process is stopped by SIGSTOP.
-    fn is_stopped(&self) -> bool {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
-        status.unwrap_or_default().lines().any(|line| line.starts_with("State:\tT"))
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
 
 /// A node, which is started again with the same settings after it has ended.
 struct Node {
@@ -61,23 +30,13 @@
     log: PathBuf,
 }
 
-struct Runner {
-    id: String,
-    version: &'static str,
-    process: Process,
-    stopped_since: Option<Instant>,
-}
-
 /// The fleet of a scenario.
 pub struct Fleet {
     number: u8,
     program: PathBuf,
     store: StoreStandIn,
     nodes: Vec<Node>,
-    runners: Vec<Runner>,
-    next_runner: usize,
-    /// Entries of runners that have ended, with the time at which they lapse.
-    lapsing: Vec<(String, Instant)>,
+    runners: RunnerProcesses,
 }
 
 /// What a fleet consists of.
@@ -99,12 +58,11 @@
             program: program.to_owned(),
             store,
             nodes: Vec::new(),
-            runners: Vec::new(),
-            next_runner: 0,
-            lapsing: Vec::new(),
+            runners: RunnerProcesses::new(&format!("i-{number}")),
         };
         for version in size.versions {
-            fleet.add_runner(version)?;
+            let runner = fleet.runners.start(version)?;
+            fleet.register(&runner);
         }
         for node in 0..size.nodes {
             fleet.add_node(folder, node)?;
@@ -146,50 +104,18 @@
     }
 
     fn replace_runners(&mut self) -> io::Result<()> {
-        const MAX_STOP: Duration = Duration::from_millis(2_500);
-        let mut ended = Vec::new();
-        for (index, runner) in self.runners.iter_mut().enumerate() {
-            if runner.process.is_stopped() {
-                let since = *runner.stopped_since.get_or_insert_with(Instant::now);
-                if since.elapsed() > MAX_STOP {
-                    runner.process.signal(Signal::SIGKILL);
-                }
-            }
-            if runner.process.has_ended() {
-                ended.push(index);
-            }
-        }
-        for index in ended.into_iter().rev() {
-            let runner = self.runners.remove(index);
-            self.lapsing.push((runner_key(&runner.id), Instant::now() + ENTRY_LIFE));
-            self.add_runner(runner.version)?;
-        }
-        let now = Instant::now();
-        for (key, _) in self.lapsing.iter().filter(|(_, lapses_at)| *lapses_at <= now) {
-            self.store.remove(key);
-        }
-        self.lapsing.retain(|(_, lapses_at)| *lapses_at > now);
+        let changes = self.runners.replace_ended()?;
+        changes.started.iter().for_each(|runner| self.register(runner));
+        changes.lapsed.iter().for_each(|id| self.store.remove(&runner_key(id)));
         Ok(())
     }
 
-    fn add_runner(&mut self, version: &'static str) -> io::Result<()> {
-        let id = format!("i-{}-{}", self.number, self.next_runner);
-        self.next_runner += 1;
-        let mut child = Command::new(std::env::current_exe()?)
-            .args(["--runner", &id, "--version", version])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let mut address = String::new();
-        let output = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
-        BufReader::new(output).read_line(&mut address)?;
+    fn register(&self, runner: &StartedRunner) {
         let entry = json!({
-            "service": "streams", "address": address.trim(), "zone": "north", "version": version, "slots": 8,
-            "state": "ready", "cold_left_ms": 0, "seq": 1,
+            "service": "streams", "address": runner.address.to_string(), "zone": "north",
+            "version": runner.version, "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
         });
-        self.store.put(&runner_key(&id), &entry);
-        self.runners.push(Runner { id, version, process: Process(child), stopped_since: None });
-        Ok(())
+        self.store.put(&runner_key(&runner.id), &entry);
     }
 
     fn add_node(&mut self, folder: &Path, number: u8) -> io::Result<()> {
@@ -239,7 +165,7 @@
         .stderr(log.try_clone()?)
         .stdout(log)
         .spawn()?;
-    Ok(Process(child))
+    Ok(child.into())
 }
 
 fn is_ready(health: SocketAddr) -> bool {
--- a/crates/soak/examples/stream_ends/main.rs
+++ b/crates/soak/examples/stream_ends/main.rs
@@ -6,17 +6,15 @@
 //! the client's node meanwhile. The exit code is 1 if a stream had a fault, and 2 if a scenario could not be played.
 #![allow(missing_docs)]
 
-mod client;
 mod fleet;
-mod run_plan;
-mod runner;
 
-use client::{fetch, StreamRequest};
-use fleet::{Fleet, FleetSize};
+use fleet::{Fleet, FleetSize, HOST};
 use gumdrop::Options;
 use nix::sys::signal::Signal;
+use pitchstall_soak::run_plan::{Framing, RunEnd, RunPlan};
+use pitchstall_soak::runner_program::{self, Identity, LAST_EVENT};
+use pitchstall_soak::stream_client::{fetch, StreamRequest};
 use pitchstall_soak::stream_judgement::{faults_of, StreamFault, Try, TryEnd};
-use run_plan::{Framing, RunEnd, RunPlan};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::{Path, PathBuf};
@@ -145,7 +143,7 @@
 
 impl Counts {
     fn add(&mut self, tries: &[Try], is_resumable: bool) {
-        let faults = faults_of(tries, runner::LAST_EVENT, is_resumable);
+        let faults = faults_of(tries, LAST_EVENT, is_resumable);
         for fault in &faults {
             *self.faults.entry(*fault).or_default() += 1;
         }
@@ -163,8 +161,8 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     if let Some(id) = arguments.runner {
-        let identity = runner::Identity { id, version: arguments.version };
-        return match runner::run(identity) {
+        let identity = Identity { id, version: arguments.version };
+        return match runner_program::run(identity) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => could_not_run(&error),
         };
@@ -243,19 +241,31 @@
         RouteUse::Once => ("/once/", false),
         RouteUse::Plain => ("/plain/", true),
     };
-    let plan = RunPlan { framing: scenario.framing, end: scenario.end, after: DISTURBED_AFTER };
-    let request = StreamRequest { path, is_resumable, http_version: scenario.http_version, plan };
+    let plan = RunPlan {
+        framing: scenario.framing,
+        end: scenario.end,
+        after: DISTURBED_AFTER,
+        is_split: false,
+    };
+    let request = StreamRequest {
+        host: HOST,
+        key: None,
+        path,
+        is_resumable,
+        http_version: scenario.http_version,
+        plan,
+    };
     for stream in 0..arguments.streams {
         let nodes = fleet.client_addresses();
         let first = stream % nodes.len();
-        let tries = std::thread::scope(|scope| {
+        let fetched = std::thread::scope(|scope| {
             fetch(&nodes, first, request, |attempt, event| {
                 if attempt == 0 && event.number == DISTURBED_AFTER {
                     disturb(&fleet, first, scenario.trouble, scope);
                 }
             })
         });
-        counts.add(&tries, is_resumable && scenario.route != RouteUse::Plain);
+        counts.add(&fetched.tries, is_resumable && scenario.route != RouteUse::Plain);
         if matches!(scenario.trouble, NodeTrouble::Kill | NodeTrouble::Terminate) {
             fleet.wait_for_end(first);
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,6 +27,10 @@
 //! | `lost_link_checks` | the check on nodes that have lost their links to runners |
 //! | `interrupted_streams` | the check on streams that nodes end |
 //! | [`stream_judgement`] | what is wrong with a stream that its client has received |
+//! | [`stream_client`] | a client that takes a broken stream up at another node |
+//! | [`run_plan`] | what a runner process does with a request |
+//! | [`runner_program`] | the program of a runner process |
+//! | [`runner_processes`] | starts, signals and replaces runner processes |
 //!
 //! The example `soak` starts the processes and terminates them when it ends.
 
@@ -44,8 +48,12 @@
 pub mod regions;
 mod reported_limit_checks;
 mod reported_limits;
+pub mod run_plan;
+pub mod runner_processes;
+pub mod runner_program;
 mod runner_script;
 mod self_report_checks;
+pub mod stream_client;
 pub mod stream_judgement;
 pub mod tenant_limit_checks;
 pub mod tenants;
--- a/crates/soak/examples/stream_ends/run_plan.rs
+++ b/crates/soak/src/run_plan.rs
@@ -1,4 +1,4 @@
-//! What a runner does with a stream, as the client's request tells it.
+//! What a runner process does with a request, as the client's request tells it.
 
 use std::fmt;
 use std::str::FromStr;
@@ -51,6 +51,9 @@
     pub end: RunEnd,
     /// Number of the last event before the end or the pause.
     pub after: u64,
+    /// Whether each event is written in two parts with a pause between, so that a signal from outside also meets the run
+    /// inside an event.
+    pub is_split: bool,
 }
 
 const FRAMINGS: [(Framing, &str); 4] = [
@@ -59,6 +62,7 @@
     (Framing::Unframed, "unframed"),
     (Framing::Http10, "http10"),
 ];
+const SPLIT: &str = "split";
 const ENDS: [(RunEnd, &str); 9] = [
     (RunEnd::Whole, "whole"),
     (RunEnd::Kill, "kill"),
@@ -87,7 +91,11 @@
             name_of(&FRAMINGS, self.framing),
             name_of(&ENDS, self.end),
             self.after
-        )
+        )?;
+        if self.is_split {
+            write!(f, " {SPLIT}")?;
+        }
+        Ok(())
     }
 }
 
@@ -101,10 +109,18 @@
     fn from_str(text: &str) -> Result<Self, InvalidPlan> {
         let mut words = text.split(' ');
         let mut next = || words.next().ok_or(InvalidPlan);
+        let framing = value_of(&FRAMINGS, next()?).ok_or(InvalidPlan)?;
+        let end = value_of(&ENDS, next()?).ok_or(InvalidPlan)?;
+        let after = next()?;
         Ok(Self {
-            framing: value_of(&FRAMINGS, next()?).ok_or(InvalidPlan)?,
-            end: value_of(&ENDS, next()?).ok_or(InvalidPlan)?,
-            after: next()?.parse().map_err(|_| InvalidPlan)?,
+            framing,
+            end,
+            after: after.parse().map_err(|_| InvalidPlan)?,
+            is_split: match words.next() {
+                None => false,
+                Some(SPLIT) => true,
+                Some(_) => return Err(InvalidPlan),
+            },
         })
     }
 }
--- a/crates/soak/examples/stream_ends/runner.rs
+++ b/crates/soak/src/runner_program.rs
@@ -1,9 +1,12 @@
-//! A runner as a process of its own: it serves streams as their requests plan it.
+//! The program of a runner that is a process of its own: it serves each request as the request plans it.
+//!
+//! A stream and a plain answer have the same body, a list of events, so that one judgement applies to both.
 
 use crate::run_plan::{Framing, RunEnd, RunPlan, PLAN_HEADER};
 use nix::sys::signal::{raise, Signal};
 use pitchstall_platform_standins::http::{response_bytes, serve, Connection, ReceivedRequest};
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -24,15 +27,20 @@
     pub version: String,
 }
 
-/// Serves until the process ends. Writes the address to standard output first.
+/// Writes the runner's address to standard output, then serves until standard input ends, as it does when the process that
+/// started the runner ends.
 pub fn run(identity: Identity) -> std::io::Result<()> {
-    let address = serve(move |connection| serve_connection(connection, &identity))?;
+    let address = start(identity)?;
     let mut output = std::io::stdout();
     writeln!(output, "{address}")?;
     output.flush()?;
-    loop {
-        std::thread::park();
-    }
+    std::io::stdin().read_to_end(&mut Vec::new())?;
+    Ok(())
+}
+
+/// Serves on threads of this process and returns the address. Fails if the runner cannot listen.
+pub fn start(identity: Identity) -> std::io::Result<SocketAddr> {
+    serve(move |connection| serve_connection(connection, &identity))
 }
 
 fn serve_connection(mut connection: Connection, identity: &Identity) {
@@ -81,9 +89,8 @@
     let length: usize = (first..=LAST_EVENT).map(|number| event_text(number).len()).sum();
     connection.write(head(request, plan.framing, length).as_bytes()).then_some(())?;
     for number in first..=LAST_EVENT {
-        std::thread::sleep(EVENT_GAP);
         let text = event_text(number);
-        connection.write(&framed(plan.framing, &text)).then_some(())?;
+        write_event(&mut connection, plan, &text).then_some(())?;
         if number != plan.after {
             continue;
         }
@@ -119,6 +126,20 @@
     }
 }
 
+/// Writes an event after the gap between two events, or its second part after half of the gap; `false` if the node has
+/// closed the connection.
+fn write_event(connection: &mut Connection, plan: RunPlan, text: &str) -> bool {
+    if !plan.is_split {
+        std::thread::sleep(EVENT_GAP);
+        return connection.write(&framed(plan.framing, text));
+    }
+    let (first, second) = text.split_at(text.len() / 2);
+    [first, second].into_iter().all(|part| {
+        std::thread::sleep(EVENT_GAP / 2);
+        connection.write(&framed(plan.framing, part))
+    })
+}
+
 fn end_process(signal: Signal) {
     std::thread::sleep(BEFORE_END);
     let _ = raise(signal);
--- a/crates/soak/examples/stream_ends/client.rs
+++ b/crates/soak/src/stream_client.rs
@@ -1,14 +1,12 @@
 //! A client that takes a broken stream up at another node.
 
 use crate::run_plan::{RunPlan, PLAN_HEADER};
-use pitchstall_soak::stream_judgement::{ReceivedEvent, Try, TryEnd};
+use crate::stream_judgement::{ReceivedEvent, Try, TryEnd};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// Host of all requests.
-pub const HOST: &str = "streams.example";
 const DEADLINE: Duration = Duration::from_secs(8);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// A client gives a stream up after this gap between two events.
@@ -18,8 +16,12 @@
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A stream that a client asks for.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct StreamRequest<'a> {
+    /// Host of its route.
+    pub host: &'a str,
+    /// API key of the client; `None` if the configuration has no tenants.
+    pub key: Option<&'a str>,
     /// Path of its route.
     pub path: &'a str,
     /// Whether the client may take it up again.
@@ -30,6 +32,15 @@
     pub plan: RunPlan,
 }
 
+/// What a client has received.
+#[derive(Clone, Debug)]
+pub struct Fetched {
+    /// Id of the first request.
+    pub first_id: String,
+    /// Each try with what came of it, in order.
+    pub tries: Vec<Try>,
+}
+
 /// Asks for a stream at one node after the other until it is complete or must not be tried again. `on_event` is called after
 /// each event with the number of the try.
 pub fn fetch(
@@ -37,16 +48,18 @@
     first: usize,
     request: StreamRequest<'_>,
     mut on_event: impl FnMut(usize, &ReceivedEvent),
-) -> Vec<Try> {
+) -> Fetched {
     let deadline = Instant::now() + DEADLINE;
     let mut tries: Vec<Try> = Vec::new();
     let mut begun_by: Option<String> = None;
+    let mut first_id: Option<String> = None;
     for number in 0..MAX_TRIES {
         let node = nodes[(first + number) % nodes.len()];
         let id = format!(
             "{:016x}",
             NEXT_ID.fetch_add(1, Ordering::SeqCst) + (u64::from(std::process::id()) << 32)
         );
+        first_id.get_or_insert_with(|| id.clone());
         let last = tries.iter().flat_map(|it| &it.events).last().map(|event| event.number);
         let resumption = match (last, &begun_by) {
             (Some(last), Some(begun_by)) => {
@@ -71,7 +84,7 @@
         }
         std::thread::sleep(PAUSE_BETWEEN_TRIES);
     }
-    tries
+    Fetched { first_id: first_id.unwrap_or_default(), tries }
 }
 
 fn request_text(
@@ -80,10 +93,11 @@
     deadline: Instant,
     resumption: &str,
 ) -> String {
-    let StreamRequest { path, http_version, plan, .. } = request;
+    let StreamRequest { host, key, path, http_version, plan, .. } = request;
+    let authorization = key.map_or(String::new(), |key| format!("Authorization: Token {key}\r\n"));
     let remaining_ms = deadline.saturating_duration_since(Instant::now()).as_millis();
     format!(
-        "POST {path}{id} HTTP/{http_version}\r\nHost: {HOST}\r\nX-Pitchstall-Request-Id: {id}\r\n\
+        "POST {path}{id} HTTP/{http_version}\r\nHost: {host}\r\n{authorization}X-Pitchstall-Request-Id: {id}\r\n\
          X-Pitchstall-Deadline-Ms: {remaining_ms}\r\nX-Pitchstall-Model: m\r\nX-Pitchstall-Token-Count: 900,20\r\n\
          X-Pitchstall-Prefix-Hash: a{id}:600,{id}:300\r\n{PLAN_HEADER}: {plan}\r\n{resumption}Content-Length: 0\r\n\r\n"
     )
