Soak: runners that are processes of their own and end at any moment, for seeds from 13000 on

What callers saw: a response without a length and without chunks, whose runner's process was killed by SIGKILL between two events, looked complete: streams before their last event, plain answers cut short. Cause: the soak's runners live in one process. The kernel of a killed process closes its connections with a FIN, which the node takes for the end of the response. The product is not changed here. Change: six runner processes serve four routes (streams that may or may not be resumed, repeatable and at-most-once answers) with drawn framing (chunks, length, neither, HTTP/1.0). One to four at a time are killed, or stopped and killed, at drawn moments between events and inside them; requests end some by SIGKILL, SIGSTOP or exit. Ended ones come back under new ids, and their old entries lapse after 3.6 s. Eight clients take broken streams up at another node. process_checks finds responses that look complete and are not whole, events that are missing or doubled, and events of two runs where the route may not be resumed; a play without a whole response or without an ended process is a violation too. Nodes reach these processes without a link. The violation of a wrong answer shows its first bytes.

--- a/crates/soak/examples/soak/main.rs
+++ b/crates/soak/examples/soak/main.rs
@@ -11,6 +11,7 @@
 mod run;
 
 use gumdrop::Options;
+use pitchstall_soak::runner_program::{self, Identity};
 use processes::Programs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -37,10 +38,30 @@
         no_short
     )]
     former: Option<PathBuf>,
+    #[options(
+        help = "be a runner with this id, for the soak that has started this process",
+        no_short
+    )]
+    runner: Option<String>,
+    #[options(help = "software version of the runner", default = "v1", no_short)]
+    version: String,
+}
+
+fn serve_as_runner(identity: Identity) -> ExitCode {
+    match runner_program::run(identity) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("soak: runner: {error}");
+            ExitCode::from(2)
+        }
+    }
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    if let Some(id) = arguments.runner {
+        return serve_as_runner(Identity { id, version: arguments.version });
+    }
     let mut failed = 0;
     for seed in arguments.first..arguments.first + arguments.count {
         let length = Duration::from_secs(arguments.seconds);
--- a/crates/soak/examples/soak/report.rs
+++ b/crates/soak/examples/soak/report.rs
@@ -2,10 +2,21 @@
 
 use pitchstall_soak::checks::{violations, Violation};
 use pitchstall_soak::history::{Event, Outcome, TimedEvent};
+use pitchstall_soak::process_checks::ProcessTally;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::path::PathBuf;
 
+/// What came of the requests to runners that are processes of their own.
+pub struct RunnerProcessReport {
+    /// How the requests ended.
+    pub tally: ProcessTally,
+    /// Number of processes that have ended.
+    pub ended: usize,
+    /// Violations of guarantees.
+    pub violations: Vec<Violation>,
+}
+
 /// The result of a seed.
 pub struct Report {
     /// Violations of guarantees.
@@ -20,6 +31,8 @@
     /// Orders received by runners.
     orders: usize,
     folder: PathBuf,
+    /// How the requests to runner processes ended, and how many processes ended; `None` without such processes.
+    runner_processes: Option<(ProcessTally, usize)>,
 }
 
 impl fmt::Display for Report {
@@ -28,6 +41,9 @@
         write!(formatter, "{complete} of {requests} answered whole under {steps} actions, ")?;
         write!(formatter, "{} runners ended by requests, ", self.crashes)?;
         write!(formatter, "{} windows reported, {} orders", self.usage_windows, self.orders)?;
+        if let Some((tally, ended)) = &self.runner_processes {
+            write!(formatter, ", {ended} runner processes ended ({tally})")?;
+        }
         for violation in &self.violations {
             write!(formatter, "\n  {}: {}", violation.promise, violation.detail)?;
         }
@@ -54,9 +70,17 @@
             orders: count(|event| matches!(event, Event::OrderReceived { .. })),
             steps,
             folder,
+            runner_processes: None,
         }
     }
 
+    /// Adds the results of runners that are processes of their own.
+    pub fn add_runner_processes(&mut self, report: RunnerProcessReport) {
+        let RunnerProcessReport { tally, ended, violations } = report;
+        self.violations.extend(violations);
+        self.runner_processes = Some((tally, ended));
+    }
+
     /// Removes the nodes' logs if no guarantee was violated.
     pub fn remove_logs_without_violations(&self) {
         if self.violations.is_empty() {
--- a/crates/soak/examples/soak/run/faults.rs
+++ b/crates/soak/examples/soak/run/faults.rs
@@ -77,6 +77,9 @@
             Action::ReplaceRunner { runner } => self.replace_runner(*runner),
             Action::Configure => lock(&self.fleet).configure(),
             Action::ReloadSettings { node } => lock(&self.nodes[*node]).reload(),
+            Action::EndRunnerProcesses { processes, is_stopped_first } => {
+                self.end_runner_processes(processes, *is_stopped_first, step.duration);
+            }
             Action::CrashRunner { runner } => {
                 // The last responses of the runner may still be in flight for a long time after the
                 // crash.
@@ -131,6 +134,7 @@
 
     pub(super) fn kill_all(&self) {
         self.nodes.iter().for_each(|node| lock(node).kill());
+        lock(&self.runner_processes).kill_all();
     }
 
     fn restart(&self, node: usize, process: &mut NodeProcess) {
--- a/crates/soak/examples/soak/run/mod.rs
+++ b/crates/soak/examples/soak/run/mod.rs
@@ -1,6 +1,7 @@
 //! Runs one seed: load, faults, recovery, checks.
 
 mod faults;
+mod runner_processes;
 
 use crate::processes::{extra_settings, is_ready, NodeProcess, Programs};
 use crate::report::Report;
@@ -11,10 +12,12 @@
 use pitchstall_soak::history::{Event, Outcome, Recorder, RequestKind};
 use pitchstall_soak::plan::{
     has_incarnations, has_large_configurations, has_limits, has_node_link_faults, has_regions,
-    has_self_reports, steps, Step, RECOVERY_TIME,
+    has_runner_processes, has_self_reports, steps, Step, RECOVERY_TIME,
 };
+use pitchstall_soak::process_checks::ProcessExchange;
 use pitchstall_soak::proxy::Link;
 use pitchstall_soak::regions::{id_with_node, is_in_store_region, zone_of, ONE_WAY_DELAY};
+use pitchstall_soak::runner_processes::RunnerProcesses;
 use pitchstall_soak::tenants::{SoakTenant, LIMITED};
 use std::io;
 use std::net::SocketAddr;
@@ -60,8 +63,8 @@
     ready: Vec<AtomicBool>,
     fleet: Mutex<SoakFleet>,
     is_finished: AtomicBool,
-    /// Whether poison requests are sent.
-    sends_poison: AtomicBool,
+    /// Whether requests that end their runners are sent.
+    sends_crashing_requests: AtomicBool,
     has_regions: bool,
     /// Whether runners restart under the same id.
     has_incarnations: bool,
@@ -70,6 +73,9 @@
     has_self_reports: bool,
     next_restart: AtomicUsize,
     next_request: AtomicU64,
+    /// Runners that are processes of their own; none on seeds without them.
+    runner_processes: Mutex<RunnerProcesses>,
+    process_exchanges: Mutex<Vec<ProcessExchange>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -93,7 +99,11 @@
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
     let soak_run = SoakRun::start(programs, &folder, seed, nodes)?;
-    if let Err(error) = soak_run.wait_until_ready() {
+    let started = match has_runner_processes(seed) {
+        true => soak_run.start_runner_processes(),
+        false => Ok(()),
+    };
+    if let Err(error) = started.and_then(|()| soak_run.wait_until_ready()) {
         soak_run.kill_all();
         return Err(error);
     }
@@ -116,11 +126,14 @@
     threads.push(std::thread::spawn(move || polling.poll_health()));
     let replacing = soak_run.clone();
     threads.push(std::thread::spawn(move || replacing.replace_crashed_runners()));
-    soak_run.sends_poison.store(true, Ordering::SeqCst);
+    soak_run.sends_crashing_requests.store(true, Ordering::SeqCst);
     threads.extend((0..POISON_REQUESTS).map(|number| {
         let soak_run = soak_run.clone();
         std::thread::spawn(move || soak_run.send_poison(number))
     }));
+    if has_runner_processes(seed) {
+        threads.extend(soak_run.start_process_load(seed));
+    }
     let steps = steps(seed, length, nodes);
     soak_run.run_steps(&steps, Instant::now(), length);
     let unserved = soak_run.violations_after_recovery();
@@ -132,6 +145,9 @@
     lock(&soak_run.fleet).record_usage_reports();
     let mut report = Report::new(&soak_run.recorder.events(), steps.len(), folder);
     report.violations.extend(unserved);
+    if has_runner_processes(seed) {
+        report.add_runner_processes(soak_run.runner_process_report());
+    }
     report.remove_logs_without_violations();
     Ok(report)
 }
@@ -171,12 +187,14 @@
             ready: (0..nodes).map(|_| AtomicBool::new(false)).collect(),
             fleet: Mutex::new(fleet),
             is_finished: AtomicBool::new(false),
-            sends_poison: AtomicBool::new(false),
+            sends_crashing_requests: AtomicBool::new(false),
             has_regions: has_regions(seed),
             has_incarnations: has_incarnations(seed),
             has_self_reports: has_self_reports(seed),
             next_restart: AtomicUsize::new(0),
             next_request: AtomicU64::new(0),
+            runner_processes: Mutex::new(RunnerProcesses::new("process")),
+            process_exchanges: Mutex::default(),
         }))
     }
 
@@ -255,7 +273,7 @@
     /// Repeats a poison request at all nodes in turn.
     fn send_poison(&self, number: usize) {
         let mut index = number;
-        while self.sends_poison.load(Ordering::SeqCst) {
+        while self.sends_crashing_requests.load(Ordering::SeqCst) {
             index += 1;
             let node = index % self.nodes.len();
             if self.ready[node].load(Ordering::SeqCst) {
@@ -331,7 +349,7 @@
         }
         running.into_iter().for_each(|step| drop(step.join()));
         std::thread::sleep(poison_until.saturating_duration_since(Instant::now()));
-        self.sends_poison.store(false, Ordering::SeqCst);
+        self.sends_crashing_requests.store(false, Ordering::SeqCst);
         let end = started + length;
         std::thread::sleep(end.saturating_duration_since(Instant::now()));
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -24,6 +24,8 @@
 pub const DRAIN_BOUND_US: u64 = 2_000_000;
 /// Tolerance added to time bounds, microseconds: other work on the machine delays the processes.
 pub const SLACK_US: u64 = 1_000_000;
+/// Number of bytes of a wrong response that a violation shows.
+const MAX_SHOWN_BYTES: usize = 80;
 /// Runner crashes caused by one poison request before its repeats are counted.
 const FREE_CRASHES: usize = 3;
 /// Number of counted repeats of a poison request that are tolerated.
@@ -116,7 +118,11 @@
                 let is_whole =
                     exchange.kind == RequestKind::ResumableStream || *body == expected.as_bytes();
                 if !is_own || !is_whole {
-                    wrong.push(format!("{request}: another answer, or a part of it"));
+                    let start = &body[..body.len().min(MAX_SHOWN_BYTES)];
+                    let start = String::from_utf8_lossy(start);
+                    wrong.push(format!(
+                        "{request}: another answer, or a part of it: {echoed_id:?} {start:?}"
+                    ));
                 }
             }
             _ => {}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,11 +6,13 @@
 use crate::node_links::NodeLinks;
 use crate::plan::{
     has_incarnations, has_large_configurations, has_limits, has_reported_limits, has_restores,
-    has_self_reports, has_stream_pauses,
+    has_runner_processes, has_self_reports, has_stream_pauses,
 };
+use crate::process_load::{ProcessRoute, PROCESS_SERVICE};
 use crate::proxy::Link;
 use crate::regions::RegionLink;
 use crate::reported_limits::LimitPhases;
+use crate::runner_processes::StartedRunner;
 use crate::runner_script::{poison_body, script, RunnerLocation, SelfReporting, Worker};
 use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
 use pitchstall_platform_standins::client::ClientRequest;
@@ -227,11 +229,40 @@
             stage: runner.current_stage(),
             born_ms: runner.born_ms,
         };
-        let (key, entry) = (runner_key(&runner.id), entry.to_json());
+        self.put_entry(&runner.id, &entry);
+    }
+
+    /// Registers a runner that is a process of its own. Nodes reach it without a link, so that the process ends its
+    /// connections as the kernel does.
+    pub fn register_process(&self, runner: &StartedRunner) {
+        let entry = RunnerDocument {
+            service: PROCESS_SERVICE,
+            address: runner.address,
+            zone: ZONES[0],
+            is_draining: false,
+            stage: None,
+            born_ms: has_incarnations(self.seed).then(unix_ms),
+        };
+        self.put_entry(&runner.id, &entry);
+    }
+
+    /// Removes the registry entry of a runner that was a process of its own.
+    pub fn unregister_process(&self, id: &str) {
+        self.remove_entry(id);
+    }
+
+    fn put_entry(&self, id: &str, entry: &RunnerDocument<'_>) {
+        let (key, entry) = (runner_key(id), entry.to_json());
         self.store.put(&key, &entry);
         self.entries.borrow_mut().insert(key, entry);
     }
 
+    fn remove_entry(&self, id: &str) {
+        let key = runner_key(id);
+        self.store.remove(&key);
+        self.entries.borrow_mut().remove(&key);
+    }
+
     /// Starts a replacement for a runner, then announces that the runner is leaving. Returns the
     /// leaving runner. Where runners announce this in their responses, the registry learns of it
     /// only from a later call of [`Self::register_leaving`]. Fails if the replacement cannot start.
@@ -290,9 +321,7 @@
         if self.runners.iter().any(has_restarted) {
             return;
         }
-        let key = runner_key(&runner.id);
-        self.store.remove(&key);
-        self.entries.borrow_mut().remove(&key);
+        self.remove_entry(&runner.id);
     }
 
     /// Writes the configuration and all registry entries again, as operators and runners do after
@@ -322,7 +351,10 @@
     }
 
     fn put_configuration(&self) {
-        let document = configuration(self.version, &self.tenants, self.idle_routes());
+        let process_routes: &[ProcessRoute] =
+            if has_runner_processes(self.seed) { &ProcessRoute::ALL } else { &[] };
+        let document =
+            configuration(self.version, &self.tenants, self.idle_routes(), process_routes);
         self.store.put(CONFIGURATION_KEY, &document);
     }
 
@@ -367,7 +399,12 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn configuration(version: u64, tenants: &[SoakTenant], idle_routes: usize) -> Value {
+fn configuration(
+    version: u64,
+    tenants: &[SoakTenant],
+    idle_routes: usize,
+    process_routes: &[ProcessRoute],
+) -> Value {
     const TIMEOUT_MS: u64 = 6_000;
     const MAX_ATTEMPTS: u32 = 3;
     const MAX_CONNECTIONS: u32 = 200;
@@ -393,7 +430,11 @@
     let idle_routes: Vec<String> =
         (0..idle_routes).map(|number| format!("idle-{number}")).collect();
     routes.extend(idle_routes.iter().map(|name| route(name, RouteKind::Repeatable, DESK_SERVICE)));
-    let services = [service(DESK_SERVICE, false), service(ENGINE_SERVICE, true)];
+    routes.extend(process_routes.iter().map(|it| route(it.name(), it.kind(), PROCESS_SERVICE)));
+    let mut services = vec![service(DESK_SERVICE, false), service(ENGINE_SERVICE, true)];
+    if !process_routes.is_empty() {
+        services.push(service(PROCESS_SERVICE, false));
+    }
     let tenants: Vec<_> = tenants.iter().map(document).collect();
     documents::configuration(version, &routes, &services, &tenants)
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -31,6 +31,8 @@
 //! | [`run_plan`] | what a runner process does with a request |
 //! | [`runner_program`] | the program of a runner process |
 //! | [`runner_processes`] | starts, signals and replaces runner processes |
+//! | [`process_load`] | the requests to runner processes, and their ends |
+//! | [`process_checks`] | the checks on responses of runner processes |
 //!
 //! The example `soak` starts the processes and terminates them when it ends.
 
@@ -44,6 +46,8 @@
 mod lost_link_checks;
 pub mod node_links;
 pub mod plan;
+pub mod process_checks;
+pub mod process_load;
 pub mod region_checks;
 pub mod regions;
 mod reported_limit_checks;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! The schedule of faults of a seed: which faults occur, where, when and for how long.
 
+use crate::process_load::process_steps;
 use crate::proxy::LinkMode;
 use pitchstall_platform_standins::store::StoreMode;
 use rand::seq::IndexedRandom;
@@ -90,6 +91,13 @@
         /// Index into the runners registered at that time, modulo their number.
         runner: usize,
     },
+    /// Kills several runner processes at once; after they have been stopped for the step's duration, if `is_stopped_first`.
+    EndRunnerProcesses {
+        /// Indexes into the processes that serve at that time, modulo their number.
+        processes: Vec<usize>,
+        /// Whether SIGSTOP precedes SIGKILL.
+        is_stopped_first: bool,
+    },
 }
 
 /// An action with its start and duration.
@@ -141,6 +149,8 @@
 const FIRST_SEED_WITH_STREAM_PAUSES_ALONE: u64 = 9_000;
 /// Later seeds have nodes that lose their links to all runners, and no regions.
 const FIRST_SEED_WITH_NODE_LINK_FAULTS: u64 = 10_000;
+/// Later seeds have runners that are processes of their own and end at any moment.
+const FIRST_SEED_WITH_RUNNER_PROCESSES: u64 = 13_000;
 /// Maximum time for which the regions are cut off from each other.
 const REGION_CUT_DURATION: Duration = Duration::from_secs(10);
 /// Time without faults at the end of a run, in which the system has to recover.
@@ -173,6 +183,9 @@
         steps.retain(|step| !overlaps_region_cut(step, &isolated) || is_reload(step));
         steps.extend([isolated, overlapping]);
     }
+    if has_runner_processes(seed) {
+        steps.extend(process_steps(seed, length));
+    }
     if has_isolated_restore(seed) && has_faults(seed) {
         let restore = isolated_restore(length);
         steps.retain(|step| !overlaps_isolated_restore(step, &restore));
@@ -269,6 +282,11 @@
     seed >= FIRST_SEED_WITH_NODE_LINK_FAULTS
 }
 
+/// Whether some runners of the seed are processes of their own, which end at any moment.
+pub fn has_runner_processes(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_RUNNER_PROCESSES
+}
+
 /// Whether the seed restores the store from older backups.
 pub fn has_restores(seed: u64) -> bool {
     (FIRST_SEED_WITH_RESTORES..FIRST_SEED_WITH_STREAM_PAUSES).contains(&seed)
