Crash evidence: responses that look complete are no case of their own any more

A response without framing was recorded as complete in doubt, and its runner probed afterwards. Since its runner is asked before the client gets the end, such a response is either proven whole, like any other, or interrupted, like any other.

--- a/crates/gateway/src/interrupted_attempt.rs
+++ b/crates/gateway/src/interrupted_attempt.rs
@@ -54,14 +54,6 @@
     probe(node, attempt.runner, node.now_us(), ProbeCause::Silence);
 }
 
-/// Records a successful response whose end only the end of the connection marked, and probes its runner: if it has
-/// crashed, the response is not complete.
-pub fn on_unframed_response(node: &Rc<Node>, attempt: InterruptedAttempt<'_>) {
-    let identity = attempt.request.identity(attempt.tenant);
-    node.on_unframed_response(attempt.runner, identity, attempt.parts);
-    probe(node, attempt.runner, node.now_us(), ProbeCause::Silence);
-}
-
 /// Records that a request was in progress at a runner that may have crashed.
 pub fn record_unfinished_attempt(node: &Rc<Node>, attempt: InterruptedAttempt<'_>) {
     let identity = attempt.request.identity(attempt.tenant);
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -60,29 +60,9 @@
         }
     }
 
-    /// Records a successful response whose end only the end of the connection marked. It counts as a crash if the runner
-    /// is known to have terminated, and as a success once the runner has accepted a connection.
-    pub fn on_unframed_response(
-        &self,
-        runner: &RunnerId,
-        identity: RequestIdentity,
-        parts: &[Suspect],
-    ) {
-        let now_us = self.now_us();
-        let suspects = suspects_of(identity, parts);
-        let mut evidence = self.crash_evidence.borrow_mut();
-        let has_ended =
-            suspects.iter().any(|suspect| evidence.on_unframed_response(runner, *suspect, now_us));
-        drop(evidence);
-        if has_ended {
-            self.record_crash(runner, &suspects);
-        }
-    }
-
     /// Records that a runner has accepted a connection.
     pub(super) fn on_runner_alive(&self, runner: &RunnerId) {
-        let complete = self.crash_evidence.borrow_mut().on_connection_accepted(runner);
-        self.on_suspects_succeeded(&complete);
+        self.crash_evidence.borrow_mut().on_connection_accepted(runner);
     }
 
     /// Records complete and successful responses on these suspects.
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -44,8 +44,6 @@
     interrupted_at_us: u64,
     /// Whether the runner has accepted a connection since the attempt broke.
     seems_alive: bool,
-    /// Whether the response was successful and seems to be complete, but only the end of the connection marked its end.
-    looks_complete: bool,
 }
 
 impl CrashEvidence {
@@ -56,27 +54,6 @@
         runner: &RunnerId,
         suspect: Suspect,
         now_us: u64,
-    ) -> bool {
-        self.record(runner, suspect, false, now_us)
-    }
-
-    /// Records a successful response that seems to be complete, but whose end only the end of the connection marked: the
-    /// runner may have crashed before the real end. Returns whether it is already known to have terminated.
-    pub fn on_unframed_response(
-        &mut self,
-        runner: &RunnerId,
-        suspect: Suspect,
-        now_us: u64,
-    ) -> bool {
-        self.record(runner, suspect, true, now_us)
-    }
-
-    fn record(
-        &mut self,
-        runner: &RunnerId,
-        suspect: Suspect,
-        looks_complete: bool,
-        now_us: u64,
     ) -> bool {
         self.remove_expired(now_us);
         if self.terminated.contains_key(runner) {
@@ -89,7 +66,6 @@
                 suspect,
                 interrupted_at_us: now_us,
                 seems_alive: false,
-                looks_complete,
             });
         }
         false
@@ -114,14 +90,10 @@
     }
 
     /// Records that a runner has accepted a connection: its broken attempts most likely broke for
-    /// another reason. Returns the suspects whose responses are complete after all.
-    pub fn on_connection_accepted(&mut self, runner: &RunnerId) -> Vec<Suspect> {
-        let Some(attempts) = self.in_doubt.get_mut(runner) else { return Vec::new() };
-        let (complete, mut broken): (Vec<_>, Vec<_>) =
-            std::mem::take(attempts).into_iter().partition(|attempt| attempt.looks_complete);
-        broken.iter_mut().for_each(|attempt| attempt.seems_alive = true);
-        *attempts = broken;
-        complete.into_iter().map(|attempt| attempt.suspect).collect()
+    /// another reason.
+    pub fn on_connection_accepted(&mut self, runner: &RunnerId) {
+        let attempts = self.in_doubt.get_mut(runner).into_iter().flatten();
+        attempts.for_each(|attempt| attempt.seems_alive = true);
     }
 
     /// Records that this node's link to a runner is lost and that another node reaches the runner: its attempts broke
