Prefill: a response without framing that is no whole document counts as interrupted

What callers would see: a request that ends the process of each prefill runner whose responses have neither length nor chunks is not held back by the quarantine, as no crash is recorded under it; it goes on to further runners.

Cause: the body was read to the orderly end of the connection, which counted as the end of the response. Its document did not parse, so the prefill failed, but nothing was recorded and the runner was not probed, as it is when a response with a length or chunks ends early.

Ruled out: a handle that is cut short (a cut document never parses). A whole document is its own proof and stays one.

Change: if neither the framing nor the document shows that the response is whole, the attempt counts as interrupted: it is recorded and the runner probed. What breaks and what is not proven go through one function each.

--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{self, AttemptEnd, AttemptParams};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
+use crate::http::ReadError;
 use crate::intake::ClientRequest;
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::node::Node;
@@ -11,7 +12,7 @@
 use crate::response_memory::report_if_too_long;
 use crate::runner_connection;
 use pitchstall_platform_adapter::paths;
-use pitchstall_serving::ids::{ServiceName, ZoneId};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefill_speed::PrefillSample;
 use pitchstall_serving::prefix::Prompt;
@@ -109,21 +110,7 @@
     let full_response = match timeout(params.head_timeout, response.read_all()).await {
         Ok(Ok(full_response)) => full_response,
         Ok(Err(error)) => {
-            let request = prefill.request.metadata.id.as_str();
-            report_if_too_long(node, request, &runner, &error);
-            let is_runners_failure = !error.is_lack_of_memory();
-            let error = error.to_string();
-            log::info!(target: "reading", request, runner = runner.as_str(), error; "prefill response interrupted");
-            let tenant = params.tenant.as_ref();
-            let interrupted = InterruptedAttempt {
-                request: prefill.request,
-                tenant,
-                runner: &runner,
-                parts: &[],
-            };
-            if is_runners_failure {
-                on_interrupted(node, interrupted);
-            }
+            on_broken_response(node, prefill, &runner, params, &error);
             return PrefillOutcome::Failed;
         }
         Err(_) => return PrefillOutcome::Failed,
@@ -133,7 +120,13 @@
     } else {
         None
     };
-    let Some(prefill_result) = prefill_result else { return PrefillOutcome::Failed };
+    let Some(prefill_result) = prefill_result else {
+        // Neither the framing nor the content shows that the response is whole: the runner may have been killed.
+        if response.ends_with_connection() {
+            on_interrupted(node, interrupted_prefill(prefill, &runner, params));
+        }
+        return PrefillOutcome::Failed;
+    };
     // The handle is valid whichever incarnation of the runner returned it. If it is not the known incarnation, the
     // state recorded for that one no longer applies.
     match runner.matches_start(prefill_result.started_at_ms) {
@@ -154,3 +147,31 @@
         is_transferred: Cell::new(false),
     })
 }
+
+/// Handles a response that could not be read to its end.
+fn on_broken_response(
+    node: &Rc<Node>,
+    prefill: &PrefillRequest<'_>,
+    runner: &RunnerId,
+    params: &AttemptParams,
+    error: &ReadError,
+) {
+    let request = prefill.request.metadata.id.as_str();
+    report_if_too_long(node, request, runner, error);
+    let is_runners_failure = !error.is_lack_of_memory();
+    let error = error.to_string();
+    log::info!(target: "reading", request, runner = runner.as_str(), error; "prefill response interrupted");
+    if is_runners_failure {
+        on_interrupted(node, interrupted_prefill(prefill, runner, params));
+    }
+}
+
+/// A prefill that ended before its response was known to be whole.
+fn interrupted_prefill<'a>(
+    prefill: &'a PrefillRequest<'_>,
+    runner: &'a RunnerId,
+    params: &'a AttemptParams,
+) -> InterruptedAttempt<'a> {
+    let tenant = params.tenant.as_ref();
+    InterruptedAttempt { request: prefill.request, tenant, runner, parts: &[] }
+}
