Tests: messages of the store, other nodes and clients that are cut at each byte

What carries its proof: a length, a last chunk, a line end, a counted number of compressed bytes, a tunnel's last frame, and, for bodies without framing, the closing brace of the document.

The server of HTTP requests answers 400 to chunks with trailers; found on the way, not of this class, not changed.

--- a/crates/gateway/tests/compression.rs
+++ b/crates/gateway/tests/compression.rs
@@ -102,3 +102,12 @@
         prop_assert!(decompress(&compressed[..cut]).is_err());
     }
 }
+
+#[test]
+fn a_compressed_update_that_ends_early_is_an_error() {
+    let document = serde_json::to_vec(&update(2, &["a document".repeat(200)])).unwrap();
+    let compressed = compress(&document).unwrap();
+    for cut in 0..compressed.len() {
+        assert!(decompress(&compressed[..cut]).is_err(), "{cut} of {} bytes", compressed.len());
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A node with stand-ins for the store and the runners, and a client that exposes every byte of the response.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic, missing_docs)]
 
+pub mod cut_server;
+
 use ntex::rt::{DefaultRuntime, System};
 use pitchstall_gateway::daemon::{self, Signals};
 use pitchstall_gateway::settings::Settings;
