--- a/crates/gateway/tests/store_pages.rs
+++ b/crates/gateway/tests/store_pages.rs
@@ -5,6 +5,7 @@
 use pitchstall_platform_adapter::store::{Item, Page};
 use pitchstall_serving::store_revision::RevisionNumber;
 use std::cell::Cell;
+use test_case::test_case;
 
 const PAGE_BYTES: usize = 1024 * 1024;
 
@@ -37,3 +38,20 @@
     const PAGES: usize = MAX_LISTING_BYTES / PAGE_BYTES;
     assert_eq!(read_up_to(200).await, (Err(ListingTooLong), PAGES + 1));
 }
+
+/// Guards against a page that names more keys and brings none, which was taken for the end of the list.
+#[test_case(0; "as the first page")]
+#[test_case(1; "as a later page")]
+#[ntex::test]
+async fn a_page_without_items_that_is_not_the_last_one_does_not_end_the_list(pages_before: usize) {
+    let read = Cell::new(0);
+    let all = read_pages(async |_| {
+        read.set(read.get() + 1);
+        let mut page = page(read.get(), true);
+        if read.get() > pages_before {
+            page.items.clear();
+        }
+        Ok::<Page, ListingTooLong>(page)
+    });
+    assert!(all.await.is_err());
+}
