Store: a page without items that is not the last one is no end of the list

What callers would see: a list of runners, nodes or keepers that is cut short counts as whole, up to an empty one; a full read then removes the runners that are missing.

Cause: reads of pages ended at a page without items, also when it said that more keys follow, as no key is known to continue after. The page's own word was overridden.

Ruled out: pages that are cut on their way (cut_messages): each is a document that does not parse.

Change: such a page fails the read, which starts anew; what was known until then stays. The error is one of two of an enum, as the length of the pages was an error already. store_pages names the error's new type; its checks are the same.

--- a/crates/gateway/src/peers/registration.rs
+++ b/crates/gateway/src/peers/registration.rs
@@ -8,7 +8,7 @@
 use crate::platform_client::PlatformClient;
 use crate::quota::RegistrationLease;
 use crate::refused_entries::EntryError;
-use crate::store_pages::{read_pages, ListingTooLong};
+use crate::store_pages::{read_pages, ListingError};
 use crate::store_responses::ok_or_log;
 use pitchstall_platform_adapter::call::PlatformCall;
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -54,8 +54,8 @@
     Other,
 }
 
-impl From<ListingTooLong> for CallError {
-    fn from(error: ListingTooLong) -> Self {
+impl From<ListingError> for CallError {
+    fn from(error: ListingError) -> Self {
         let error = error.to_string();
         log::error!(target: "store", error; "list of nodes not read");
         Self::Other
--- a/crates/gateway/src/quota/candidate.rs
+++ b/crates/gateway/src/quota/candidate.rs
@@ -5,7 +5,7 @@
 use crate::node::{configured_topology, Node};
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryError;
-use crate::store_pages::{read_pages, ListingTooLong};
+use crate::store_pages::{read_pages, ListingError};
 use crate::store_responses::{ok_or_log, StoreResponse};
 use pitchstall_platform_adapter::quota_slots::{self, KeeperHolder};
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
@@ -38,8 +38,8 @@
 /// The holders of the keepers could not be read from the store.
 struct HoldersNotRead;
 
-impl From<ListingTooLong> for HoldersNotRead {
-    fn from(error: ListingTooLong) -> Self {
+impl From<ListingError> for HoldersNotRead {
+    fn from(error: ListingError) -> Self {
         let error = error.to_string();
         log::error!(target: "store", error; "list of keepers not read");
         Self
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -20,7 +20,7 @@
 use crate::platform_client::{PlatformClient, PlatformError};
 use crate::replica_limits::random_confirmation_period;
 use crate::replication::ReplicationClient;
-use crate::store_pages::ListingTooLong;
+use crate::store_pages::ListingError;
 use crate::transfer::Transfer;
 use full_read::FullRead;
 use peer_source::{classify_reply, hedge_with_peers};
@@ -74,7 +74,7 @@
     #[error("a later era of the store began during a read of several pages")]
     EraChanged,
     #[error(transparent)]
-    ListingTooLong(#[from] ListingTooLong),
+    Listing(#[from] ListingError),
 }
 
 impl FollowError {
@@ -87,10 +87,7 @@
     fn ends_partial_read(&self) -> bool {
         matches!(
             self,
-            Self::EraChanged
-                | Self::SupersededEra(_)
-                | Self::StoreReplaced
-                | Self::ListingTooLong(_)
+            Self::EraChanged | Self::SupersededEra(_) | Self::StoreReplaced | Self::Listing(_)
         )
     }
 }
--- a/crates/gateway/tests/cut_messages.rs
+++ b/crates/gateway/tests/cut_messages.rs
@@ -12,7 +12,7 @@
 use pitchstall_gateway::platform_client::PlatformClient;
 use pitchstall_gateway::replication::ReplicationClient;
 use pitchstall_gateway::settings::Settings;
-use pitchstall_gateway::store_pages::{read_pages, ListingTooLong};
+use pitchstall_gateway::store_pages::{read_pages, ListingError};
 use pitchstall_gateway::transfer::Transfer;
 use pitchstall_gateway::tunnel::frames::{data_header, end_frame};
 use pitchstall_platform_adapter::store::{self, Page};
@@ -67,8 +67,8 @@
 #[derive(Debug)]
 struct ReadFailed;
 
-impl From<ListingTooLong> for ReadFailed {
-    fn from(_: ListingTooLong) -> Self {
+impl From<ListingError> for ReadFailed {
+    fn from(_: ListingError) -> Self {
         Self
     }
 }
--- a/crates/gateway/tests/store_pages.rs
+++ b/crates/gateway/tests/store_pages.rs
@@ -1,7 +1,7 @@
 //! Reads of the store's entries in pages.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_gateway::store_pages::{read_pages, ListingTooLong, MAX_LISTING_BYTES};
+use pitchstall_gateway::store_pages::{read_pages, ListingError, MAX_LISTING_BYTES};
 use pitchstall_platform_adapter::store::{Item, Page};
 use pitchstall_serving::store_revision::RevisionNumber;
 use std::cell::Cell;
@@ -18,11 +18,11 @@
 }
 
 /// Reads pages until the given number of them; returns the result and how many were read.
-async fn read_up_to(pages: usize) -> (Result<usize, ListingTooLong>, usize) {
+async fn read_up_to(pages: usize) -> (Result<usize, ListingError>, usize) {
     let read = Cell::new(0);
     let all = read_pages(async |_| {
         read.set(read.get() + 1);
-        Ok::<Page, ListingTooLong>(page(read.get(), read.get() < pages))
+        Ok::<Page, ListingError>(page(read.get(), read.get() < pages))
     });
     (all.await.map(|all| all.items.len()), read.get())
 }
@@ -36,7 +36,7 @@
 #[ntex::test]
 async fn pages_without_end_are_read_up_to_the_maximum_size() {
     const PAGES: usize = MAX_LISTING_BYTES / PAGE_BYTES;
-    assert_eq!(read_up_to(200).await, (Err(ListingTooLong), PAGES + 1));
+    assert_eq!(read_up_to(200).await, (Err(ListingError::TooLong), PAGES + 1));
 }
 
 /// Guards against a page that names more keys and brings none, which was taken for the end of the list.
@@ -51,7 +51,7 @@
         if read.get() > pages_before {
             page.items.clear();
         }
-        Ok::<Page, ListingTooLong>(page)
+        Ok::<Page, ListingError>(page)
     });
     assert!(all.await.is_err());
 }
