Tests: a finalized usage report on a later page is submitted

An earlier holder has left 61 reports in the store, whose pages have 50; the last one is not due yet.

--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -119,6 +119,22 @@
     assert_eq!(cloud.calls().iter().find(of_window).unwrap().body, finalized);
 }
 
+/// Guards against a first page of reports that is taken for all of them.
+#[test]
+fn a_report_that_an_earlier_holder_finalized_is_submitted_though_it_is_on_a_later_page() {
+    const OLDER_REPORTS: u64 = 60;
+    let (cloud, runner) = (CloudStandIn::start().unwrap(), desk());
+    let node = Fixture::start_with(&sections(&cloud));
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let window = since_1970.as_secs() - 1;
+    for window in window - OLDER_REPORTS..=window {
+        let finalized = json!({ "window_id": window, "counts": { "taxis": 7 } });
+        node.store.put(&format!("pitchstall/usage/{window}"), &finalized);
+    }
+    configure(&node, &runner);
+    wait_for("the last report", || reported(&cloud).contains_key(&window));
+}
+
 #[test]
 fn a_report_is_in_the_store_before_it_is_sent() {
     let (cloud, runner) = (CloudStandIn::start().unwrap(), desk());
