Usage: all pages of the finalized reports are read

What callers would see: a usage report that an earlier holder finalized and did not send is never sent, and its tenants are not charged, if the store returns the reports in more than one page.

Cause: the first page was taken for the whole list, whatever it said about more keys. Reports of as many windows as are due stay in the store; pages have 1 MB at most, which some ten reports of several thousand tenants reach.

Ruled out: the other reads of a prefix (runners, crashes, nodes, keepers), which read all pages.

Change: the reports are read as the other lists are. A list that is not whole is read again at the next step.

--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -13,9 +13,10 @@
 use crate::platform_client::PlatformClient;
 use crate::refused_entries::EntryError;
 use crate::settings::{Duty, UsageSection};
+use crate::store_pages::{read_pages, ListingError};
 use crate::store_responses::{ok_or_log, StoreResponse};
 use pitchstall_platform_adapter::cloud::{self, DutyHolder, DutyResponse};
-use pitchstall_platform_adapter::store::{self, StoreStatus};
+use pitchstall_platform_adapter::store::{self, Page, StoreStatus};
 use pitchstall_serving::authority::FencingToken;
 use pitchstall_serving::ids::{NodeId, TenantName};
 use pitchstall_serving::usage::{
@@ -170,6 +171,17 @@
     }
 }
 
+/// The reports in the store could not be read.
+struct ReportsNotRead;
+
+impl From<ListingError> for ReportsNotRead {
+    fn from(error: ListingError) -> Self {
+        let error = error.to_string();
+        log::error!(target: "store", error; "list of usage reports not read");
+        Self
+    }
+}
+
 struct Reporter {
     node: Rc<Node>,
     store: PlatformClient,
@@ -278,14 +290,9 @@
 
     /// Reads the reports that earlier holders finalized from the store.
     async fn read_finalized(&mut self, schedule: ReportSchedule) {
-        let read = store::read_usage_reports();
-        let response = self.node.call_store(&mut self.store, &read, CALL_TIMEOUT).await;
-        let Some(response) = response.filter(StoreResponse::is_done) else { return };
-        let Some(page) = ok_or_log("usage reports", store::parse_page(&response.body)) else {
-            return;
-        };
+        let Ok(reports) = self.read_reports().await else { return };
         let now_ms = self.node.wall_ms();
-        for item in page.items {
+        for item in reports.items {
             let (key, revision) = (item.key.clone(), item.revision);
             let Some((window, body)) = store::parse_stored_usage_report(item) else {
                 let error =
@@ -303,6 +310,19 @@
         self.has_read_finalized = true;
     }
 
+    /// Reads all pages of the reports in the store.
+    async fn read_reports(&mut self) -> Result<Page, ReportsNotRead> {
+        read_pages(async |after| {
+            let read = store::read_usage_reports(after.as_deref());
+            let response = self.node.call_store(&mut self.store, &read, CALL_TIMEOUT).await;
+            let Some(response) = response.filter(StoreResponse::is_done) else {
+                return Err(ReportsNotRead);
+            };
+            ok_or_log("usage reports", store::parse_page(&response.body)).ok_or(ReportsNotRead)
+        })
+        .await
+    }
+
     /// Finalizes the reports of windows that are complete.
     async fn finalize_due(&mut self, schedule: ReportSchedule) {
         let now_ms = self.node.wall_ms();
