Prefill: a release of a KV handle counts as done by its status

What operators saw: the line "release of KV handle requested" said freed=true for a refusal, too. No caller is concerned.

Cause: any head that arrived was taken for the release. Ruled out: nothing but the line depends on it; a handle that is not released expires by itself.

Change: the status says whether the handle is freed.

--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -26,6 +26,9 @@
 /// Maximum time for releasing a handle. A handle that is not released expires by itself.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Statuses of a response that says that a handle was released.
+const SUCCESS: std::ops::Range<u16> = 200..300;
+
 /// The KV cache of a prefilled prompt. Its handle is released on drop, unless a decode runner has used it.
 pub struct PrefilledPrompt {
     /// Handle of the KV cache on the prefill runner.
@@ -60,9 +63,10 @@
         let headers = [("host".to_owned(), record.address.to_string().into_bytes())];
         let target = paths::kv_handle_path(&name);
         let pending = connection.send(encode_request("DELETE", &target, &headers, &[])).ok()?;
-        pending.read_head().await.ok()
+        pending.read_head().await.ok().map(|response| response.head.status)
     };
-    let freed = matches!(timeout(RELEASE_TIMEOUT, exchange).await, Ok(Some(_)));
+    let status = timeout(RELEASE_TIMEOUT, exchange).await.ok().flatten();
+    let freed = status.is_some_and(|status| SUCCESS.contains(&status));
     log::info!(target: "reading", runner = record.id.as_str(), handle = name, freed; "release of KV handle requested");
 }
 
