--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{self, AttemptEnd, AttemptParams};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
+use crate::http::{BodyEnd, ReadError};
 use crate::intake::ClientRequest;
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::node::Node;
@@ -11,7 +12,7 @@
 use crate::response_memory::report_if_too_long;
 use crate::runner_connection;
 use pitchstall_platform_adapter::paths;
-use pitchstall_serving::ids::{ServiceName, ZoneId};
+use pitchstall_serving::ids::{RunnerId, ServiceName, ZoneId};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefill_speed::PrefillSample;
 use pitchstall_serving::prefix::Prompt;
@@ -25,6 +26,9 @@
 /// Maximum time for releasing a handle. A handle that is not released expires by itself.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Statuses of a response that says that a handle was released.
+const SUCCESS: std::ops::Range<u16> = 200..300;
+
 /// The KV cache of a prefilled prompt. Its handle is released on drop, unless a decode runner has used it.
 pub struct PrefilledPrompt {
     /// Handle of the KV cache on the prefill runner.
@@ -59,9 +63,10 @@
         let headers = [("host".to_owned(), record.address.to_string().into_bytes())];
         let target = paths::kv_handle_path(&name);
         let pending = connection.send(encode_request("DELETE", &target, &headers, &[])).ok()?;
-        pending.read_head().await.ok()
+        pending.read_head().await.ok().map(|response| response.head.status)
     };
-    let freed = matches!(timeout(RELEASE_TIMEOUT, exchange).await, Ok(Some(_)));
+    let status = timeout(RELEASE_TIMEOUT, exchange).await.ok().flatten();
+    let freed = status.is_some_and(|status| SUCCESS.contains(&status));
     log::info!(target: "reading", runner = record.id.as_str(), handle = name, freed; "release of KV handle requested");
 }
 
@@ -106,35 +111,26 @@
         AttemptEnd::NoResponse | AttemptEnd::Lost => return PrefillOutcome::Failed,
         AttemptEnd::LinkLost => return PrefillOutcome::LinkLost,
     };
-    let full_response = match timeout(params.head_timeout, response.read_all()).await {
-        // A prefill's response is JSON, which shows whether it is whole.
-        Ok(Ok(received)) => received.response,
+    let received = match timeout(params.head_timeout, response.read_all()).await {
+        Ok(Ok(received)) => received,
         Ok(Err(error)) => {
-            let request = prefill.request.metadata.id.as_str();
-            report_if_too_long(node, request, &runner, &error);
-            let is_runners_failure = !error.is_lack_of_memory();
-            let error = error.to_string();
-            log::info!(target: "reading", request, runner = runner.as_str(), error; "prefill response interrupted");
-            let tenant = params.tenant.as_ref();
-            let interrupted = InterruptedAttempt {
-                request: prefill.request,
-                tenant,
-                runner: &runner,
-                parts: &[],
-            };
-            if is_runners_failure {
-                on_interrupted(node, interrupted);
-            }
+            on_broken_response(node, prefill, &runner, params, &error);
             return PrefillOutcome::Failed;
         }
         Err(_) => return PrefillOutcome::Failed,
     };
-    let prefill_result = if full_response.status == 200 {
-        paths::parse_prefill_response(&full_response.body)
+    let prefill_result = if received.response.status == 200 {
+        paths::parse_prefill_response(&received.response.body)
     } else {
         None
     };
-    let Some(prefill_result) = prefill_result else { return PrefillOutcome::Failed };
+    let Some(prefill_result) = prefill_result else {
+        // Neither the framing nor the content shows that the response is whole: the runner may have been killed.
+        if received.end == BodyEnd::Unproven {
+            on_interrupted(node, interrupted_prefill(prefill, &runner, params));
+        }
+        return PrefillOutcome::Failed;
+    };
     // The handle is valid whichever incarnation of the runner returned it. If it is not the known incarnation, the
     // state recorded for that one no longer applies.
     match runner.matches_start(prefill_result.started_at_ms) {
@@ -155,3 +151,31 @@
         is_transferred: Cell::new(false),
     })
 }
+
+/// Handles a response that could not be read to its end.
+fn on_broken_response(
+    node: &Rc<Node>,
+    prefill: &PrefillRequest<'_>,
+    runner: &RunnerId,
+    params: &AttemptParams,
+    error: &ReadError,
+) {
+    let request = prefill.request.metadata.id.as_str();
+    report_if_too_long(node, request, runner, error);
+    let is_runners_failure = !error.is_lack_of_memory();
+    let error = error.to_string();
+    log::info!(target: "reading", request, runner = runner.as_str(), error; "prefill response interrupted");
+    if is_runners_failure {
+        on_interrupted(node, interrupted_prefill(prefill, runner, params));
+    }
+}
+
+/// A prefill that ended before its response was known to be whole.
+fn interrupted_prefill<'a>(
+    prefill: &'a PrefillRequest<'_>,
+    runner: &'a RunnerId,
+    params: &'a AttemptParams,
+) -> InterruptedAttempt<'a> {
+    let tenant = params.tenant.as_ref();
+    InterruptedAttempt { request: prefill.request, tenant, runner, parts: &[] }
+}
--- a/crates/gateway/tests/killed_runners.rs
+++ b/crates/gateway/tests/killed_runners.rs
@@ -52,7 +52,7 @@
                 has_ended_itself.store(true, Ordering::SeqCst);
                 let response = unframed(request, &content);
                 return match ending {
-                    Ending::Killed => Reaction::RawThenExit(response),
+                    Ending::Killed => Reaction::RawThenKill(response),
                     Ending::Replaced | Ending::Hung => Reaction::RawThenClose(response),
                 };
             }
