Streams: the last `id` line of an event counts, and one without a colon has an empty id

What callers saw: nothing measured; a client that keeps to the standard of server-sent events takes another id for the last event than the node did, so that a continued stream could begin at another place than the client's.

Cause: the node took the first line that begins with `id:`. In the standard the last `id` field of an event counts, a line `id` without colon sets an empty id, and a value with a null character is ignored.

Ruled out: `id:5`, `id: 5`, a carriage return and names that begin with `id` were read rightly.

Change: all `id` lines are read, the last one that is not ignored counts. Events with one `id:` line are read as before, but for one with a null character, which now counts as none.

--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -6,7 +6,7 @@
 pub struct Event {
     /// The event as the runner sent it.
     pub bytes: Vec<u8>,
-    /// The `id` field; `None` if the event has none.
+    /// The `id` field without surrounding white space; `None` if the event has none. Of several fields the last one counts.
     pub id: Option<String>,
 }
 
@@ -89,10 +89,21 @@
     }
 }
 
+/// The value of the last `id` field that the standard of server-sent events does not ignore.
 fn event_id(bytes: &[u8]) -> Option<String> {
-    let line = bytes.split(|byte| *byte == b'\n').find(|line| line.starts_with(b"id:"))?;
-    let text = std::str::from_utf8(&line[b"id:".len()..]).ok()?;
-    Some(text.trim().to_owned())
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let last = lines.rev().filter_map(id_value).find(|value| !value.contains(&0))?;
+    Some(String::from_utf8_lossy(last).trim().to_owned())
+}
+
+/// The value of an `id` line, which is empty if the line has no colon; `None` for other lines.
+fn id_value(line: &[u8]) -> Option<&[u8]> {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let rest = line.strip_prefix(b"id")?;
+    if rest.is_empty() {
+        return Some(rest);
+    }
+    rest.strip_prefix(b":")
 }
 
 /// Merges consecutive runs of one stream, so that each event is forwarded once and in order.
--- a/crates/serving/tests/event_stream.rs
+++ b/crates/serving/tests/event_stream.rs
@@ -5,6 +5,7 @@
     EventAction, EventDeduplicator, EventSplitter, MAX_EVENT_BYTES,
 };
 use proptest::prelude::*;
+use test_case::test_case;
 
 fn event_text(id: u64) -> String {
     format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 7))
@@ -52,6 +53,20 @@
     assert_eq!(events[0].id.as_deref(), Some("4"));
 }
 
+#[test_case("id: 5\n", Some("5"); "a space")]
+#[test_case("id:5\n", Some("5"); "no space")]
+#[test_case("id: 5\r\n", Some("5"); "a carriage return")]
+#[test_case("id: 4\ndata: a\nid: 5\n", Some("5"); "the last of two")]
+#[test_case("id: 5\nid: 6\0\n", Some("5"); "a null character is ignored")]
+#[test_case("id: 5\nid\n", Some(""); "no colon")]
+#[test_case("id: 5\nid:\n", Some(""); "no value")]
+#[test_case("identity: 5\n", None; "another field")]
+#[test_case("data: a\n", None; "no line")]
+fn the_last_id_line_of_an_event_counts(lines: &str, expected: Option<&str>) {
+    let events = EventSplitter::default().push(format!("{lines}\n").as_bytes());
+    assert_eq!(events[0].id.as_deref(), expected);
+}
+
 /// Processor time that this thread has used, in nanoseconds.
 fn thread_cpu_ns() -> u64 {
     let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
