Streams: a run that repeats other events than the client has is ended before it adds any

What callers saw: a stream of the events 0, 3, 6 that broke off was continued by a run that ignores `Last-Event-Id` and counts 4, 8: the client got 8 after 6, part of it for the second time (`ORDER`). A client that took a stream up after 6 got the same from the first run. A second run that ended after the event 1, where the client had 3, ended the stream as complete.

Cause: events of a later run were dropped while their ids were not above the last one, and forwarded after that, whether or not the run ever passed the last event. The end of a run that had only repeated events counted as the end of the stream.

Ruled out: a run whose first id is above the last one is trusted, as ids may rise by any steps; a run that repeats all events or the last one alone was joined rightly and still is; the incomplete event of a replaced run is dropped with its `Run`; a stalled run is not read while its successor is asked, and one of the two is dropped before the other is read.

Change: `serving::event_runs` keeps the place of each run (`RunPlace`: unknown, repeating up to an id, joined) beside the stream's last id. A run that begins at or before the last id must reach exactly that id, by rising ids, before anything of it is forwarded; otherwise it is ended, its runner is excluded, and another one is asked if the route allows one more run. It is no sign of a crash. The signature of `on_event` has changed, and with it the two lines of `two_runs_merge_without_gaps_or_duplicates` that call it; what that test checks is the same.

--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -7,11 +7,12 @@
 use crate::http::ReadError;
 use crate::intake::{BufferedResponse, RequestOutcome};
 use crate::interrupted_attempt::{on_interrupted, on_unframed_response, InterruptedAttempt};
-use crate::relay::{relay, RelayLimits, RelayOutcome};
+use crate::relay::{relay, RelayLimits, RelayOutcome, RunEvents};
 use crate::response_memory::{report_if_too_long, EventBuffer};
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::attempt::EndReason;
 use pitchstall_serving::configuration::RequestKind;
+use pitchstall_serving::event_runs::RunMismatch;
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::RunnerRecord;
 use std::time::Duration;
@@ -30,8 +31,8 @@
 pub(super) struct Run {
     /// The response, from its head on.
     pub(super) response: AttemptResponse,
-    /// The stream's event that is not complete yet.
-    events: EventBuffer,
+    /// The run's event that is not complete yet, and the run's place in the stream.
+    events: RunEvents,
     /// Reports the end of the run to its scheduler when dropped.
     _plan: Plan,
 }
@@ -39,7 +40,8 @@
 impl Run {
     /// A run whose head has just been received.
     pub(super) fn new(response: AttemptResponse, plan: Plan) -> Self {
-        let events = EventBuffer::new(response.in_flight.reserve_response());
+        let buffer = EventBuffer::new(response.in_flight.reserve_response());
+        let events = RunEvents::new(buffer);
         Self { response, events, _plan: plan }
     }
 
@@ -185,6 +187,7 @@
                 RelayOutcome::ConnectionLost(error) => {
                     return self.on_stream_interrupted(run, &error)
                 }
+                RelayOutcome::Mismatch(mismatch) => return self.on_run_mismatch(run, mismatch),
                 RelayOutcome::Stalled => run = self.replace_stalled_run(run).await,
             }
         }
@@ -231,6 +234,17 @@
         self.on_lost(Some(runner))
     }
 
+    /// Handles a run that does not continue the stream. That is no sign of a crash.
+    fn on_run_mismatch(&mut self, run: Box<Run>, mismatch: RunMismatch) -> Step {
+        let record = run.response.record.clone();
+        drop(run);
+        self.log_interruption(&record, &mismatch.to_string());
+        self.node.metrics.resumes.inc();
+        self.runs.on_ran();
+        self.excluded.push(record.id);
+        self.retry_or_give_up()
+    }
+
     /// Logs that a run ended before its stream was complete.
     pub(super) fn log_interruption(&self, record: &RunnerRecord, cause: &str) {
         let (runner, version) = (record.id.as_str(), record.version.as_str());
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -391,6 +391,11 @@
         self.tried_part.set(None);
         let excluded = excluded.filter(|runner| !self.is_only_one_of_its_version(runner));
         self.excluded.extend(excluded);
+        self.retry_or_give_up()
+    }
+
+    /// Ends the request after a run without a complete response, unless it may run again.
+    fn retry_or_give_up(&mut self) -> Step {
         if self.time_remaining().is_zero() {
             return self.give_up(EndReason::OutOfTime);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,8 @@
 use crate::http::{Header, ReadError};
 use crate::response_memory::EventBuffer;
 use crate::stream_origins::OriginRecorder;
-use pitchstall_serving::event_stream::{EventAction, EventDeduplicator};
+use pitchstall_serving::event_runs::{EventAction, EventDeduplicator, RunMismatch, RunPlace};
+use pitchstall_serving::event_stream::Event;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -34,6 +35,27 @@
     }
 }
 
+/// The events of one run.
+#[derive(Debug)]
+pub struct RunEvents {
+    buffer: EventBuffer,
+    place: RunPlace,
+}
+
+impl RunEvents {
+    /// The events of a run of which nothing has been received.
+    pub fn new(buffer: EventBuffer) -> Self {
+        Self { buffer, place: RunPlace::default() }
+    }
+}
+
+/// Events that the client receives, and why the run ends after them; `None` if it goes on.
+#[derive(Default)]
+struct Selection {
+    bytes: Vec<u8>,
+    mismatch: Option<RunMismatch>,
+}
+
 /// How the relay of one run ended.
 #[derive(Debug)]
 pub enum RelayOutcome {
@@ -41,6 +63,8 @@
     Complete,
     /// The runner ended the response early.
     ConnectionLost(ReadError),
+    /// The run does not continue the stream. Nothing of it after the events that do has been forwarded.
+    Mismatch(RunMismatch),
     /// No bytes arrived for the maximum pause. The run may still continue.
     Stalled,
     /// The deadline of the request has passed.
@@ -64,7 +88,7 @@
     response: &AttemptResponse,
     client: &ClientConnection,
     state: &mut StreamState,
-    events: &mut EventBuffer,
+    events: &mut RunEvents,
     limits: RelayLimits,
 ) -> RelayOutcome {
     let headers = response.client_headers();
@@ -81,35 +105,55 @@
             Ok(None) => return finish(response, events, client, state, &headers).await,
             Err(error) => return RelayOutcome::ConnectionLost(error),
         };
-        if forwarded.is_err() {
-            return RelayOutcome::ClientDisconnected;
+        match forwarded {
+            Ok(None) => {}
+            Ok(Some(mismatch)) => return RelayOutcome::Mismatch(mismatch),
+            Err(ClientDisconnected) => return RelayOutcome::ClientDisconnected,
         }
-        if let Err(too_long) = events.check() {
+        if let Err(too_long) = events.buffer.check() {
             return RelayOutcome::ConnectionLost(too_long.into());
         }
     }
 }
 
+/// Forwards the new ones of the events that `bytes` complete. Returns why the run does not continue the stream; `None` if
+/// it does.
 async fn forward(
     response: &AttemptResponse,
     bytes: &[u8],
-    events: &mut EventBuffer,
+    events: &mut RunEvents,
     client: &ClientConnection,
     state: &mut StreamState,
     headers: &[Header],
-) -> Result<(), ClientDisconnected> {
-    let mut outgoing_bytes = Vec::new();
-    for event in events.push(bytes) {
-        if state.deduplicator.on_event(&event) == EventAction::Forward {
-            outgoing_bytes.extend_from_slice(&event.bytes);
-        }
-    }
-    if outgoing_bytes.is_empty() {
-        return Ok(());
+) -> Result<Option<RunMismatch>, ClientDisconnected> {
+    let complete = events.buffer.push(bytes);
+    let selection = select(complete, &mut events.place, &mut state.deduplicator);
+    if selection.bytes.is_empty() {
+        return Ok(selection.mismatch);
     }
     begin_response(response, client, state, headers)?;
     state.last_event_at = Some(Instant::now());
-    client.write_chunk(outgoing_bytes).await
+    client.write_chunk(selection.bytes).await?;
+    Ok(selection.mismatch)
+}
+
+fn select(
+    events: Vec<Event>,
+    place: &mut RunPlace,
+    deduplicator: &mut EventDeduplicator,
+) -> Selection {
+    let mut selection = Selection::default();
+    for event in events {
+        match deduplicator.on_event(place, &event) {
+            EventAction::Forward => selection.bytes.extend_from_slice(&event.bytes),
+            EventAction::Skip => {}
+            EventAction::EndRun(mismatch) => {
+                selection.mismatch = Some(mismatch);
+                break;
+            }
+        }
+    }
+    selection
 }
 
 fn begin_response(
@@ -132,14 +176,17 @@
 /// framing of the body is complete.
 async fn finish(
     response: &AttemptResponse,
-    events: &EventBuffer,
+    events: &RunEvents,
     client: &ClientConnection,
     state: &mut StreamState,
     headers: &[Header],
 ) -> RelayOutcome {
-    if events.has_incomplete_event() {
+    if events.buffer.has_incomplete_event() {
         return RelayOutcome::ConnectionLost(ReadError::Closed);
     }
+    if let Err(mismatch) = state.deduplicator.on_end(events.place) {
+        return RelayOutcome::Mismatch(mismatch);
+    }
     let written = async {
         begin_response(response, client, state, headers)?;
         client.end_stream().await
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -40,7 +40,8 @@
 //! | [`retry_budget`] | a bound on extra attempts that holds without agreement between nodes |
 //! | [`retry_pool`] | tokens that nodes with small retry budgets share |
 //! | [`attempt`] | what an attempt proves, and the final response that follows |
-//! | [`event_stream`] | the events of a stream that may be forwarded, and where it can continue |
+//! | [`event_stream`] | the complete events of a stream, and their ids |
+//! | [`event_runs`] | the events of a stream's runs that may be forwarded, and where it can continue |
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
 //! | [`blame`], [`proven_parts`] | which requests and prompt parts explain the crashes, and parts that are known to be harmless |
@@ -61,6 +62,7 @@
 pub mod crash_messages;
 pub mod digest;
 pub mod distance;
+pub mod event_runs;
 pub mod event_stream;
 pub mod failure_rate;
 pub mod fleet;
--- a/crates/serving/tests/event_stream.rs
+++ b/crates/serving/tests/event_stream.rs
@@ -1,9 +1,8 @@
 //! Splitting of streams into events, and merging of runs.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_serving::event_stream::{
-    EventAction, EventDeduplicator, EventSplitter, MAX_EVENT_BYTES,
-};
+use pitchstall_serving::event_runs::{EventAction, EventDeduplicator, RunPlace};
+use pitchstall_serving::event_stream::{EventSplitter, MAX_EVENT_BYTES};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -32,8 +31,9 @@
         let mut deduplicator = EventDeduplicator::default();
         let mut forwarded = Vec::new();
         let mut forward = |bytes: &[u8], deduplicator: &mut EventDeduplicator| {
+            let mut place = RunPlace::default();
             for event in EventSplitter::default().push(bytes) {
-                if deduplicator.on_event(&event) == EventAction::Forward {
+                if deduplicator.on_event(&mut place, &event) == EventAction::Forward {
                     forwarded.extend_from_slice(&event.bytes);
                 }
             }
