Streams: events without an id neither come twice nor at another place when a run is continued

What callers saw: a stream whose events have no numeric ids, or whose last ones have none, came again from its start or from the last id when its run broke off: `0 1 -` was followed by the second run's `2 3`, `- -` by `- -` again, `0 1 2` by `- 3` (`-`: an event without id), though it is not known what stands at that place.

Cause: an event without a numeric id was forwarded from each run, and did not change what counted as the stream's position.

Ruled out: comments and `retry` lines alone are no events in the standard of server-sent events and may come again; they are forwarded from each run and leave the position as it is.

Change: the position is a type of two states: after an id, or events without an id after it. In the second no further run is sent, no successor of a stalled run is sought, and the stream is cut if its run breaks off; a next event with a higher id makes the position known again, as nothing after that id has been forwarded. A continuing run whose first event has no id is ended before it is forwarded. Once its place is known, events without an id are repeated ones before the client's last event and new ones after it: a stream that ends with `data: [DONE]` is continued as before, unless it breaks off after the last id and before that event.

--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -370,9 +370,12 @@
         self.may_run_again().then_some(EarlyEnd { charge, head_timeout })
     }
 
-    /// Whether the request may run once more in addition to the runs that have begun.
+    /// Whether the request may run once more in addition to the runs that have begun. Another run can go on only where
+    /// it is known what the client has of the stream.
     fn may_run_again(&self) -> bool {
-        self.route.is_repeatable() && self.runs.begun() < self.route.max_attempts
+        self.route.is_repeatable()
+            && self.runs.begun() < self.route.max_attempts
+            && self.stream.deduplicator.may_continue()
     }
 
     fn on_unreachable(&mut self, runner: RunnerId) -> Result<(), EndReason> {
--- a/crates/gateway/tests/event_runs.rs
+++ b/crates/gateway/tests/event_runs.rs
@@ -42,10 +42,13 @@
 
 /// What a client receives of a stream from two such runners, and how many runs there were.
 fn receive(first: &'static str, second: &'static str, headers: &str) -> (RawResponse, usize) {
-    let runners = ["i-1", "i-2"].map(|id| runner(id, first, second));
-    let [one, other] = &runners;
-    let node =
-        Fixture::with_runners(&[(one, "llm", Some("decode")), (other, "llm", Some("decode"))]);
+    receive_from(&["i-1", "i-2"].map(|id| runner(id, first, second)), headers)
+}
+
+/// What a client receives of a stream from one of these runners, and how many runs there were.
+fn receive_from(runners: &[RunnerStandIn; 2], headers: &str) -> (RawResponse, usize) {
+    let decode_runners = runners.each_ref().map(|runner| (runner, "llm", Some("decode")));
+    let node = Fixture::with_runners(&decode_runners);
     let mut client = node.client();
     client.request("POST", "/summary/1", "id-1", headers, b"x");
     let response = client.read_response();
@@ -81,3 +84,40 @@
     let (response, runs) = receive("", "4 8", "Last-Event-Id: 6\r\n");
     assert_eq!((response.status, runs), (502, 2));
 }
+
+#[test]
+fn a_stream_is_cut_if_its_second_run_begins_without_id() {
+    let (response, runs) = receive("0 1 2", "- 3", "");
+    assert_eq!(response.text(), events("0 1 2"));
+    assert!(!response.complete);
+    assert_eq!(runs, 2);
+}
+
+#[test_case("- -"; "no ids")]
+#[test_case("0 1 -"; "no last id")]
+fn a_stream_is_not_continued_after_an_event_without_id(first: &'static str) {
+    let (response, runs) = receive(first, "2 3", "");
+    assert_eq!(response.text(), events(first));
+    assert!(!response.complete);
+    assert_eq!(runs, 1);
+}
+
+#[test]
+fn no_second_runner_is_asked_for_a_stalled_stream_after_an_event_without_id() {
+    let stalling = |id: &str| {
+        let script = |request: &ReceivedRequest| {
+            if !is_run(request) {
+                return engine_script(0)(request);
+            }
+            let mut bytes = stream_head(request, "");
+            bytes.extend_from_slice(events("0 -").as_bytes());
+            Reaction::Raw(bytes)
+        };
+        RunnerStandIn::start(id, script).unwrap()
+    };
+    let runners = ["i-1", "i-2"].map(stalling);
+    let (response, runs) = receive_from(&runners, "X-Pitchstall-Deadline-Ms: 2500\r\n");
+    assert_eq!(response.text(), events("0 -"));
+    assert!(!response.complete);
+    assert_eq!(runs, 1);
+}
--- a/crates/serving/src/event_runs.rs
+++ b/crates/serving/src/event_runs.rs
@@ -9,8 +9,22 @@
 /// Decides which events of a stream's runs are forwarded to its client.
 #[derive(Clone, Debug, Default)]
 pub struct EventDeduplicator {
-    /// Id of the last event that the client has; `None` if it has none.
-    last_id: Option<u64>,
+    position: Position,
+}
+
+/// What the client has of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Position {
+    /// All events up to the one with this id; `None`: nothing.
+    After(Option<u64>),
+    /// These, and events without a numeric id after them. A run that continues the stream would send those again.
+    UnnumberedAfter(Option<u64>),
+}
+
+impl Default for Position {
+    fn default() -> Self {
+        Self::After(None)
+    }
 }
 
 /// Where the events of one run stand in the stream. Each run begins with the default.
@@ -19,10 +33,11 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Place {
-    /// The run has sent no event with an id.
+    /// The run has sent no event.
     #[default]
     Unknown,
-    /// The run repeats events that the client has, so far up to this id.
+    /// The run repeats events that the client has, so far up to this id. Events without an id before the last one of
+    /// them are repeated too.
     Repeating(u64),
     /// The next event of the run is the next one of the stream.
     Joined,
@@ -42,6 +57,12 @@
 /// Why a run does not continue the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum RunMismatch {
+    /// The first event of the run has no numeric id, so that it may be new or not.
+    #[error("the run does not begin with a numeric event id")]
+    PlaceUnknown,
+    /// The client has events since the last numeric id.
+    #[error("the client has events after the last numeric id")]
+    PositionUnknown,
     /// The run numbers its events in another way than the earlier runs, or is shorter than what the client has.
     #[error("the run repeats earlier events, but not the last one that the client has")]
     LastEventMissing,
@@ -53,26 +74,31 @@
 impl EventDeduplicator {
     /// A stream that continues after the event with this id; `None`: from its start.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { last_id }
+        Self { position: Position::After(last_id) }
     }
 
-    /// Id of the last event that was forwarded; `None` if there is none.
+    /// The last numeric id that was forwarded; `None` if there is none.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        match self.position {
+            Position::After(id) | Position::UnnumberedAfter(id) => id,
+        }
     }
 
-    /// Decides about the next event of a run. An event without a numeric id is always forwarded.
+    /// Whether another run can continue the stream: ids tell what the client has.
+    pub fn may_continue(&self) -> bool {
+        matches!(self.position, Position::After(_))
+    }
+
+    /// Decides about the next event of a run. Comments and reconnection times are always forwarded.
     pub fn on_event(&mut self, run: &mut RunPlace, event: &Event) -> EventAction {
-        let Some(id) = numeric_id(event) else { return EventAction::Forward };
-        let Some(last) = self.last_id else { return self.join(run, id) };
+        if event.is_control() {
+            return EventAction::Forward;
+        }
+        let id = numeric_id(event);
         match run.0 {
-            Place::Joined if id <= last => EventAction::Skip,
-            Place::Joined => self.join(run, id),
-            Place::Unknown if id > last => self.join(run, id),
-            Place::Repeating(previous) if id <= previous => {
-                EventAction::EndRun(RunMismatch::IdsNotRising)
-            }
-            Place::Unknown | Place::Repeating(_) => repeat(run, id, last),
+            Place::Unknown => self.on_first_event(run, id),
+            Place::Repeating(previous) => self.on_repeated_event(run, previous, id),
+            Place::Joined => self.on_next_event(id),
         }
     }
 
@@ -80,13 +106,45 @@
     pub fn on_end(&self, run: RunPlace) -> Result<(), RunMismatch> {
         match run.0 {
             Place::Repeating(_) => Err(RunMismatch::LastEventMissing),
+            Place::Unknown if !self.may_continue() => Err(RunMismatch::PositionUnknown),
             Place::Unknown | Place::Joined => Ok(()),
         }
     }
 
-    fn join(&mut self, run: &mut RunPlace, id: u64) -> EventAction {
-        run.0 = Place::Joined;
-        self.last_id = Some(id);
+    fn on_first_event(&mut self, run: &mut RunPlace, id: Option<u64>) -> EventAction {
+        let last = match self.position {
+            Position::After(last) => last,
+            Position::UnnumberedAfter(_) => {
+                return EventAction::EndRun(RunMismatch::PositionUnknown)
+            }
+        };
+        match (id, last) {
+            (None, Some(_)) => EventAction::EndRun(RunMismatch::PlaceUnknown),
+            (Some(id), Some(last)) if id <= last => repeat(run, id, last),
+            _ => {
+                run.0 = Place::Joined;
+                self.on_next_event(id)
+            }
+        }
+    }
+
+    fn on_repeated_event(&self, run: &mut RunPlace, previous: u64, id: Option<u64>) -> EventAction {
+        match (id, self.last_id()) {
+            (Some(id), _) if id <= previous => EventAction::EndRun(RunMismatch::IdsNotRising),
+            (Some(id), Some(last)) => repeat(run, id, last),
+            _ => EventAction::Skip,
+        }
+    }
+
+    fn on_next_event(&mut self, id: Option<u64>) -> EventAction {
+        let last = self.last_id();
+        if id.is_some() && id <= last {
+            return EventAction::Skip;
+        }
+        self.position = match id {
+            Some(id) => Position::After(Some(id)),
+            None => Position::UnnumberedAfter(last),
+        };
         EventAction::Forward
     }
 }
--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -10,6 +10,13 @@
     pub id: Option<String>,
 }
 
+impl Event {
+    /// Whether these are only comments and reconnection times, which say nothing about the stream and may come again.
+    pub fn is_control(&self) -> bool {
+        self.bytes.split(|byte| *byte == b'\n').all(is_control_line)
+    }
+}
+
 /// Maximum length of an event, including its blank line. It bounds each line of the event too.
 pub const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -89,6 +96,11 @@
     }
 }
 
+fn is_control_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:")
+}
+
 /// The value of the last `id` field that the standard of server-sent events does not ignore.
 fn event_id(bytes: &[u8]) -> Option<String> {
     let lines = bytes.split(|byte| *byte == b'\n');
