Streams: no event is lost where the ids of one run fall or repeat

What callers saw: of a run with the events 0, 1, 1, 2 the client got one event 1, of 5, 3, 4 only 5, and of 0, 1, 2, 0, 1, 2 the first three, each as a complete stream.

Cause: an event whose id is not above the last one was taken for one that an earlier run had sent, also where the same run had sent both.

Ruled out: events that a later run repeats are skipped by the run's place, no longer by comparing each id with the last one.

Change: a run that the stream has reached is forwarded as it is. Once its ids have not risen, no id names a place, so the position is `Unordered` for good: no other run goes on with the stream, and it is cut if its run breaks off.

--- a/crates/gateway/tests/event_runs.rs
+++ b/crates/gateway/tests/event_runs.rs
@@ -102,6 +102,15 @@
     assert_eq!(runs, 1);
 }
 
+#[test_case("0 1 1"; "repeated")]
+#[test_case("5 3 4"; "falling")]
+fn no_event_is_lost_where_the_ids_of_a_run_do_not_rise(first: &'static str) {
+    let (response, runs) = receive(first, "6", "");
+    assert_eq!(response.text(), events(first));
+    assert!(!response.complete);
+    assert_eq!(runs, 1);
+}
+
 #[test]
 fn no_second_runner_is_asked_for_a_stalled_stream_after_an_event_without_id() {
     let stalling = |id: &str| {
--- a/crates/serving/src/event_runs.rs
+++ b/crates/serving/src/event_runs.rs
@@ -19,6 +19,8 @@
     After(Option<u64>),
     /// These, and events without a numeric id after them. A run that continues the stream would send those again.
     UnnumberedAfter(Option<u64>),
+    /// Events whose ids did not rise, so that no id names a place in the stream.
+    Unordered,
 }
 
 impl Default for Position {
@@ -60,8 +62,8 @@
     /// The first event of the run has no numeric id, so that it may be new or not.
     #[error("the run does not begin with a numeric event id")]
     PlaceUnknown,
-    /// The client has events since the last numeric id.
-    #[error("the client has events after the last numeric id")]
+    /// No id tells what the client has.
+    #[error("no event id tells what the client has")]
     PositionUnknown,
     /// The run numbers its events in another way than the earlier runs, or is shorter than what the client has.
     #[error("the run repeats earlier events, but not the last one that the client has")]
@@ -77,10 +79,11 @@
         Self { position: Position::After(last_id) }
     }
 
-    /// The last numeric id that was forwarded; `None` if there is none.
+    /// The last numeric id that was forwarded; `None` if there is none, or if the ids have not risen.
     pub fn last_id(&self) -> Option<u64> {
         match self.position {
             Position::After(id) | Position::UnnumberedAfter(id) => id,
+            Position::Unordered => None,
         }
     }
 
@@ -114,7 +117,7 @@
     fn on_first_event(&mut self, run: &mut RunPlace, id: Option<u64>) -> EventAction {
         let last = match self.position {
             Position::After(last) => last,
-            Position::UnnumberedAfter(_) => {
+            Position::UnnumberedAfter(_) | Position::Unordered => {
                 return EventAction::EndRun(RunMismatch::PositionUnknown)
             }
         };
@@ -136,19 +139,25 @@
         }
     }
 
+    /// Forwards an event of the run that the stream is at. All of them belong to the stream, whatever their ids.
     fn on_next_event(&mut self, id: Option<u64>) -> EventAction {
-        let last = self.last_id();
-        if id.is_some() && id <= last {
-            return EventAction::Skip;
-        }
-        self.position = match id {
-            Some(id) => Position::After(Some(id)),
-            None => Position::UnnumberedAfter(last),
-        };
+        self.position = self.position.next(id);
         EventAction::Forward
     }
 }
 
+impl Position {
+    /// The position after a further event; `None`: one without a numeric id.
+    fn next(self, id: Option<u64>) -> Self {
+        let (Self::After(last) | Self::UnnumberedAfter(last)) = self else { return self };
+        match id {
+            None => Self::UnnumberedAfter(last),
+            Some(id) if last.is_none_or(|last| id > last) => Self::After(Some(id)),
+            Some(_) => Self::Unordered,
+        }
+    }
+}
+
 /// Decides about an event of a run that began with events that the client has, of which `last` is the last one.
 fn repeat(run: &mut RunPlace, id: u64, last: u64) -> EventAction {
     if id > last {
--- a/crates/serving/tests/event_runs.rs
+++ b/crates/serving/tests/event_runs.rs
@@ -80,6 +80,16 @@
     assert!(mismatch.is_some());
 }
 
+#[test_case("0 1 1 2"; "repeated")]
+#[test_case("5 3 4"; "falling")]
+#[test_case("0 1 2 0 1 2"; "begun anew")]
+fn events_are_not_lost_where_the_ids_of_a_run_do_not_rise(ids: &str) {
+    assert_eq!(join(None, &[&run(ids)]), (run(ids), None));
+    let (forwarded, mismatch) = join(None, &[&run(ids), &run("3 7")]);
+    assert_eq!(forwarded, run(ids));
+    assert!(mismatch.is_some());
+}
+
 #[test]
 fn a_continuing_run_whose_ids_fall_is_ended_before_it_reaches_the_last_event() {
     let expected = (String::new(), Some(RunMismatch::IdsNotRising));
