--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -370,9 +370,12 @@
         self.may_run_again().then_some(EarlyEnd { charge, head_timeout })
     }
 
-    /// Whether the request may run once more in addition to the runs that have begun.
+    /// Whether the request may run once more in addition to the runs that have begun. Another run can go on only where
+    /// it is known what the client has of the stream.
     fn may_run_again(&self) -> bool {
-        self.route.is_repeatable() && self.runs.begun() < self.route.max_attempts
+        self.route.is_repeatable()
+            && self.runs.begun() < self.route.max_attempts
+            && self.stream.deduplicator.may_continue()
     }
 
     fn on_unreachable(&mut self, runner: RunnerId) -> Result<(), EndReason> {
@@ -391,6 +394,11 @@
         self.tried_part.set(None);
         let excluded = excluded.filter(|runner| !self.is_only_one_of_its_version(runner));
         self.excluded.extend(excluded);
+        self.retry_or_give_up()
+    }
+
+    /// Ends the request after a run without a complete response, unless it may run again.
+    fn retry_or_give_up(&mut self) -> Step {
         if self.time_remaining().is_zero() {
             return self.give_up(EndReason::OutOfTime);
         }
--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -6,10 +6,17 @@
 pub struct Event {
     /// The event as the runner sent it.
     pub bytes: Vec<u8>,
-    /// The `id` field; `None` if the event has none.
+    /// The `id` field without surrounding white space; `None` if the event has none. Of several fields the last one counts.
     pub id: Option<String>,
 }
 
+impl Event {
+    /// Whether these are only comments and reconnection times, which say nothing about the stream and may come again.
+    pub fn is_control(&self) -> bool {
+        self.bytes.split(|byte| *byte == b'\n').all(is_control_line)
+    }
+}
+
 /// Maximum length of an event, including its blank line. It bounds each line of the event too.
 pub const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -89,47 +96,24 @@
     }
 }
 
-fn event_id(bytes: &[u8]) -> Option<String> {
-    let line = bytes.split(|byte| *byte == b'\n').find(|line| line.starts_with(b"id:"))?;
-    let text = std::str::from_utf8(&line[b"id:".len()..]).ok()?;
-    Some(text.trim().to_owned())
-}
-
-/// Merges consecutive runs of one stream, so that each event is forwarded once and in order.
-#[derive(Clone, Debug, Default)]
-pub struct EventDeduplicator {
-    last_id: Option<u64>,
+fn is_control_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:")
 }
 
-/// What to do with an event of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EventAction {
-    /// The event is new; forward it.
-    Forward,
-    /// The client has already received the event.
-    Skip,
+/// The value of the last `id` field that the standard of server-sent events does not ignore.
+fn event_id(bytes: &[u8]) -> Option<String> {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let last = lines.rev().filter_map(id_value).find(|value| !value.contains(&0))?;
+    Some(String::from_utf8_lossy(last).trim().to_owned())
 }
 
-impl EventDeduplicator {
-    /// A stream that continues after the event with this id; `None`: from its start.
-    pub fn after(last_id: Option<u64>) -> Self {
-        Self { last_id }
-    }
-
-    /// Id of the last event that was forwarded; `None` if there is none.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Decides about the next event of a run. An event without a numeric id is always forwarded.
-    pub fn on_event(&mut self, event: &Event) -> EventAction {
-        let Some(id) = event.id.as_deref().and_then(|id| id.parse::<u64>().ok()) else {
-            return EventAction::Forward;
-        };
-        if self.last_id.is_some_and(|last| id <= last) {
-            return EventAction::Skip;
-        }
-        self.last_id = Some(id);
-        EventAction::Forward
+/// The value of an `id` line, which is empty if the line has no colon; `None` for other lines.
+fn id_value(line: &[u8]) -> Option<&[u8]> {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let rest = line.strip_prefix(b"id")?;
+    if rest.is_empty() {
+        return Some(rest);
     }
+    rest.strip_prefix(b":")
 }
