Tests: streams to clients that speak HTTP/1.0

What callers saw: a client of HTTP/1.0 gets a stream as "HTTP/1.0 200 OK" with "transfer-encoding: chunked". It cannot read chunks, takes their sizes for data, and cannot tell a stream that ends early from a whole one.

Nothing but tests and their support has changed.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
 use serde_json::{json, Value};
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -331,6 +331,15 @@
     }
 }
 
+/// How a connection ended, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The node closed its sending side in an orderly way (FIN).
+    Closed,
+    /// The node reset the connection (RST).
+    Reset,
+}
+
 pub struct RawClient {
     stream: TcpStream,
     unread: Vec<u8>,
@@ -360,6 +369,29 @@
         self.send(&[head.as_bytes(), body].concat());
     }
 
+    /// Sends a POST request as a client that speaks HTTP/1.0 does.
+    pub fn request_http10(&mut self, path: &str, id: &str, extra: &str) {
+        let head = format!(
+            "POST {path} HTTP/1.0\r\nHost: {HOST}\r\nX-Pitchstall-Request-Id: {id}\r\n{extra}content-length: 1\r\n\r\nx"
+        );
+        self.send(head.as_bytes());
+    }
+
+    /// Reads until the connection ends. Takes all bytes after the head for the body, as a client of HTTP/1.0 does if
+    /// there is no length.
+    pub fn read_until_end(&mut self) -> (RawResponse, ConnectionEnd) {
+        let end = match self.stream.read_to_end(&mut self.unread) {
+            Ok(_) => ConnectionEnd::Closed,
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => ConnectionEnd::Reset,
+            Err(error) => panic!("the connection did not end: {error}"),
+        };
+        let bytes = std::mem::take(&mut self.unread);
+        let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n").unwrap();
+        let mut response = parse_head(std::str::from_utf8(&bytes[..head_end]).unwrap());
+        response.body = bytes[head_end + 4..].to_vec();
+        (response, end)
+    }
+
     fn read_more(&mut self) -> bool {
         let mut buffer = [0; 4_096];
         match self.stream.read(&mut buffer) {
