Gateway: a stream to a client of HTTP/1.0 ends with its connection, by a reset if it is not whole

Cause: every stream was begun as one of unknown length, which ntex's codec writes in chunks whatever version the client speaks. Without chunks the end of the connection is the only mark, and all of the node's ends are orderly (FIN).

Ruled out: dropping the chunks alone. Setting the reset at each early end: the end of the process, and any path that forgets it, would be orderly. A handle of the socket for the connection's whole life: client connections may take 60 % of the file descriptors, and all would take two. Reaching ntex's own socket: it is not shown, and a descriptor by its number needs unsafe code, which the workspace forbids. A stream implementation of our own under ntex: would change the path of HTTP/1.1 too.

Change: the head of such a stream has "connection: close" and no framing. SO_LINGER of 0 is set before the head is written and taken back once the last byte is with the kernel, so that whatever ends the stream before resets the connection. The socket is reached by a second descriptor from the accept on, released with the first request of HTTP/1.1 and counted in the limit of client connections. A stream of HTTP/1.0 after a request of HTTP/1.1 on one connection is refused (503, connection closed), since a cut could not be marked. Responses of known length are as before (after such a change of version the connection is closed behind them), as is all that is written to HTTP/1.1; a connection that has sent no request yet counts twice in the limit.

Tests: four more, and a panic in a begun stream in request_panics, whose runner moves to a function of its own.

Conclusion: a client of HTTP/1.0 reads streams and sees each cut that its node knows of.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,15 +9,17 @@
 
 use crate::caught_panic::catch_panic;
 use crate::clock::Instant;
+use crate::close_control::CloseControl;
 use crate::http::{is_hop_by_hop_header, Header};
 use crate::intake::{self, ClientRequest, RequestOutcome};
 use crate::local_responses::LocalResponse;
 use crate::node::{BodyReservation, Node, OpenConnection};
+use crate::unframed_head::encode_unframed_head;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
 use ntex::http::header::{HeaderName, HeaderValue, RETRY_AFTER};
-use ntex::http::{ConnectionType, HttpServiceConfig, Request, Response, StatusCode};
+use ntex::http::{ConnectionType, HttpServiceConfig, Request, Response, StatusCode, Version};
 use ntex::io::{Io, IoConfig, IoStatusUpdate};
 use ntex::util::{Bytes, Either};
 use ntex::SharedCfg;
@@ -49,6 +51,10 @@
     io: Io,
     codec: Codec,
     node: Rc<Node>,
+    /// `None` once a request of HTTP/1.1 has been read: the end of its response is marked by its framing.
+    close_control: RefCell<Option<CloseControl>>,
+    /// Whether the client of the current request speaks HTTP/1.0, which knows no chunks.
+    is_http10: Cell<bool>,
     /// Whether a byte of the current request's final response has been encoded.
     is_response_begun: Cell<bool>,
 }
@@ -97,10 +103,24 @@
 }
 
 /// Serves a connection until it ends. `_open` counts the connection as open. It is created before the task
-/// starts, so that a planned stop waits for this connection too.
-pub async fn serve(io: Io, config: SharedCfg, node: Rc<Node>, _open: OpenConnection) {
+/// starts, so that a planned stop waits for this connection too. Without `close_control` no stream is served to a client
+/// that speaks HTTP/1.0.
+pub async fn serve(
+    io: Io,
+    close_control: Option<CloseControl>,
+    config: SharedCfg,
+    node: Rc<Node>,
+    _open: OpenConnection,
+) {
     let codec = Codec::new(0, config.get());
-    let connection = ClientConnection { io, codec, node, is_response_begun: Cell::new(false) };
+    let connection = ClientConnection {
+        io,
+        codec,
+        node,
+        close_control: RefCell::new(close_control),
+        is_http10: Cell::new(false),
+        is_response_begun: Cell::new(false),
+    };
     while connection.serve_request().await == AfterRequest::KeepOpen {}
 }
 
@@ -200,7 +220,7 @@
     }
 
     fn must_close(&self) -> bool {
-        self.node.is_stopping() || !self.codec.keepalive()
+        self.node.is_stopping() || !self.codec.keepalive() || !self.can_serve_streams()
     }
 
     fn limits(&self) -> ClientLimits {
@@ -225,6 +245,7 @@
         let limits = self.limits();
         let received = Instant::now();
         let (head, payload) = self.read_head(&limits).await?;
+        self.on_version(head.version());
         let (body, reservation) = self.read_body(&head, payload, &limits).await?;
         let request = ClientRequest::new(&head, body, received, reservation);
         request.ok_or(RequestReadError::Respond(LocalResponse::BadRequest))
@@ -253,6 +274,22 @@
         }
     }
 
+    /// Adopts the version that the current request is written in. The second descriptor of the socket is released as soon as
+    /// the client turns out to speak HTTP/1.1.
+    fn on_version(&self, version: Version) {
+        let is_http10 = version < Version::HTTP_11;
+        self.is_http10.set(is_http10);
+        if !is_http10 {
+            self.close_control.take();
+        }
+    }
+
+    /// Whether the client of the current request would see that a stream to it is truncated. False for a request of HTTP/1.0
+    /// that follows one of HTTP/1.1 on the same connection.
+    pub fn can_serve_streams(&self) -> bool {
+        !self.is_http10.get() || self.close_control.borrow().is_some()
+    }
+
     async fn read_head(
         &self,
         limits: &ClientLimits,
@@ -354,12 +391,40 @@
         self.flush(true).await
     }
 
-    /// Starts a response of unknown length.
+    /// Starts a response of unknown length. It is delimited by chunks, or by the end of the connection if the client speaks
+    /// HTTP/1.0. In the second case any end before [`Self::end_stream`] resets the connection.
     pub fn begin_stream(&self, status: u16, headers: &[Header]) -> Result<(), ClientDisconnected> {
         let response = response_head(status, headers, self.must_close());
+        if self.is_http10.get() {
+            return self.begin_unframed_stream(response);
+        }
         self.encode(Message::Item((response, BodySize::Stream)))
     }
 
+    fn begin_unframed_stream(&self, response: Response<()>) -> Result<(), ClientDisconnected> {
+        self.set_close(CloseControl::reset_on_close)?;
+        let head = encode_unframed_head(&self.codec, response).map_err(|_| ClientDisconnected)?;
+        if self.io.is_closed() {
+            return Err(ClientDisconnected);
+        }
+        self.is_response_begun.set(true);
+        self.io.encode_slice(&head).map_err(|_| ClientDisconnected)
+    }
+
+    /// Sets how the connection of a client that speaks HTTP/1.0 is closed.
+    fn set_close(
+        &self,
+        set: fn(&CloseControl) -> std::io::Result<()>,
+    ) -> Result<(), ClientDisconnected> {
+        let control = self.close_control.borrow();
+        let control = control.as_ref().ok_or(ClientDisconnected)?;
+        set(control).map_err(|error| {
+            let error = error.to_string();
+            log::warn!(target: "connection", error; "the way in which a connection is closed was not set");
+            ClientDisconnected
+        })
+    }
+
     /// Writes and flushes part of the body of a started response.
     pub async fn write_chunk(&self, bytes: Vec<u8>) -> Result<(), ClientDisconnected> {
         self.encode(Message::Chunk(Some(Bytes::from(bytes))))?;
@@ -369,7 +434,11 @@
     /// Marks a started response as complete.
     pub async fn end_stream(&self) -> Result<(), ClientDisconnected> {
         self.encode(Message::Chunk(None))?;
-        self.flush(true).await
+        self.flush(true).await?;
+        match self.is_http10.get() {
+            true => self.set_close(CloseControl::close_in_order),
+            false => Ok(()),
+        }
     }
 
     fn encode(&self, message: Message<(Response<()>, BodySize)>) -> Result<(), ClientDisconnected> {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -11,7 +11,7 @@
 use crate::stream_origins::{self, StreamContinuation};
 use ntex::http::Request;
 use pitchstall_platform_adapter::headers;
-use pitchstall_serving::configuration::{Configuration, Route};
+use pitchstall_serving::configuration::{Configuration, RequestKind, Route};
 use pitchstall_serving::ids::{ServiceName, SoftwareVersion, TenantName};
 use pitchstall_serving::request::RequestMetadata;
 use pitchstall_serving::request_identity::{self, RequestIdentity, RequestParts, Suspect};
@@ -162,6 +162,12 @@
         }
     };
     let AdmittedRequest { configuration, route, tenant, service, version, rules } = admitted;
+    if route.kind == RequestKind::Streaming && !client.can_serve_streams() {
+        let id = request.metadata.id.as_str();
+        log::warn!(target: "request", request = id; "stream refused: its client speaks HTTP/1.0 on a connection that was begun otherwise");
+        let refused = RequestOutcome::Local(LocalResponse::Refused);
+        return finish(node, request, Some(&route), refused);
+    }
     let time_limit = TimeLimit::new(request, Some(&route));
     let deadline = request.received_at + Duration::from_millis(time_limit.limit_ms);
     node.with_retry_budget(&service, SharedRetryBudget::on_request);
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -3,6 +3,7 @@
 //! The server of ntex cannot stop accepting connections while it goes on serving open ones. The
 //! listeners are therefore tokio's, and each accepted connection becomes an ntex stream.
 
+use crate::close_control::CloseControl;
 use crate::connection;
 use crate::metrics;
 use crate::node::Node;
@@ -48,13 +49,25 @@
         }
         let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
         let config = connection::client_config(&limits);
+        let close_control = close_control(&stream, &node);
         if let Some(io) = into_ntex_io(stream, config.clone()) {
             let open = node.open_connection();
-            ntex::rt::spawn(connection::serve(io, config, node.clone(), open));
+            ntex::rt::spawn(connection::serve(io, close_control, config, node.clone(), open));
         }
     }
 }
 
+/// Decides how the connection is closed. `None` if the process has no file descriptor left: the connection then serves no
+/// stream to a client that speaks HTTP/1.0.
+fn close_control(stream: &TcpStream, node: &Rc<Node>) -> Option<CloseControl> {
+    let created = CloseControl::new(stream, node);
+    if let Err(error) = &created {
+        let error = error.to_string();
+        log::warn!(target: "listener", error; "descriptor of a client connection not duplicated");
+    }
+    created.ok()
+}
+
 /// Serves readiness, metrics and reports on the health address until the task is dropped.
 pub async fn accept_health(listener: TcpListener, node: Rc<Node>) {
     loop {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -13,7 +13,7 @@
 mod runners;
 
 pub use links::LinkLoss;
-pub use open_work::{BodyReservation, OpenConnection, OpenRequest};
+pub use open_work::{BodyReservation, OpenConnection, OpenRequest, SecondDescriptor};
 pub use runners::{ProbeVerdict, Unreachability};
 
 use crate::authority::LocalAuthority;
@@ -165,6 +165,7 @@
     prefill_speeds: RefCell<HashMap<ServiceName, PrefillSpeed>>,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
+    second_descriptors: Cell<usize>,
     is_closing: Cell<bool>,
     reserved_body_bytes: Cell<usize>,
     response_memory: Rc<ResponseMemory>,
@@ -259,6 +260,7 @@
             prefill_speeds: RefCell::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            second_descriptors: Cell::new(0),
             is_closing: Cell::new(false),
             reserved_body_bytes: Cell::new(0),
             response_memory: Rc::default(),
@@ -339,8 +341,8 @@
     /// reserved for runners, other nodes and the store.
     pub fn can_accept_client(&self) -> bool {
         const MAX_CLIENT_PERCENT: u64 = 60;
-        let max_connections = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
-        (self.open_connections() as u64) < max_connections
+        let max_descriptors = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
+        (self.client_descriptors() as u64) < max_descriptors
     }
 
     /// Records that this node has ordered a runner to change its role, and wakes the task that
--- a/crates/gateway/src/node/open_work.rs
+++ b/crates/gateway/src/node/open_work.rs
@@ -23,6 +23,17 @@
         OpenConnection { node: self.clone() }
     }
 
+    /// Counts a second descriptor of a client connection's socket until the guard is dropped.
+    pub fn count_second_descriptor(self: &Rc<Self>) -> SecondDescriptor {
+        self.second_descriptors.set(self.second_descriptors.get() + 1);
+        SecondDescriptor { node: self.clone() }
+    }
+
+    /// Number of file descriptors that client connections take.
+    pub(super) fn client_descriptors(&self) -> usize {
+        self.open_connections.get() + self.second_descriptors.get()
+    }
+
     /// Number of requests without a final response.
     pub fn open_requests(&self) -> usize {
         self.open_requests.get()
@@ -71,6 +82,17 @@
     }
 }
 
+/// Guard for a second descriptor of a client connection's socket.
+pub struct SecondDescriptor {
+    node: Rc<Node>,
+}
+
+impl Drop for SecondDescriptor {
+    fn drop(&mut self) {
+        self.node.second_descriptors.set(self.node.second_descriptors.get() - 1);
+    }
+}
+
 /// Guard for a request without a final response.
 pub struct OpenRequest {
     node: Rc<Node>,
--- a/crates/gateway/tests/http10_clients.rs
+++ b/crates/gateway/tests/http10_clients.rs
@@ -137,6 +137,21 @@
     node.join();
 }
 
+#[test]
+fn a_stream_to_an_http10_client_that_reads_nothing_in_time_is_reset() {
+    let runner = runner("i-llm", |request| Reaction::WithoutEnd {
+        head: stream_head(request, ""),
+        piece: "data: token\n\n".repeat(5_000).into_bytes(),
+    });
+    let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
+    let mut client = node.client();
+    client.request_http10("/draft/1", "id-1", "X-Pitchstall-Deadline-Ms: 60000\r\n");
+    wait_for("the node to give the client up", || runner.closed_early() == 1);
+    let (response, end) = client.read_until_end();
+    assert_delimited_by_the_end_of_the_connection(&response);
+    assert_eq!(end, ConnectionEnd::Reset);
+}
+
 #[test]
 fn a_stream_to_an_http10_client_that_another_runner_continues_is_closed_in_an_orderly_way() {
     let breaking = |request: &ReceivedRequest| match request.header("last-event-id") {
@@ -230,3 +245,47 @@
     assert_eq!(response.text(), events(0..=LAST_EVENT));
     assert_eq!(end, ConnectionEnd::Closed);
 }
+
+#[test]
+fn a_stream_whose_truncation_could_not_be_marked_is_refused_and_its_connection_closed() {
+    let desk = runner("i-desk", |_| Reaction::Respond { status: 200, body: b"booked".to_vec() });
+    let llm = runner("i-llm", whole_stream);
+    let node = Fixture::with_runners(&[(&desk, "desk", None), (&llm, "llm", Some("decode"))]);
+    let mut client = node.client();
+    client.request("POST", "/booking/1", "id-1", "", b"x");
+    assert_eq!(client.read_response().status, 200);
+    // The node has given up its hold on the socket, since the first request was one of HTTP/1.1.
+    client.request_http10("/draft/1", "id-2", KEEP_ALIVE);
+    let (response, end) = client.read_until_end();
+    assert_eq!((response.status, response.text().as_str()), (503, ""));
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(end, ConnectionEnd::Closed);
+    assert!(llm.requests().iter().all(|it| it.path() != "/draft/1"));
+}
+
+/// The settings allow six file descriptors to clients.
+#[test_case(false, 6; "one descriptor for a client of HTTP 1 1")]
+#[test_case(true, 3; "two descriptors for a client of HTTP 1 0")]
+fn client_connections_keep_to_their_share_of_the_file_descriptors(
+    is_http10: bool,
+    max_connections: usize,
+) {
+    let desk = runner("i-desk", |_| Reaction::Respond { status: 200, body: b"booked".to_vec() });
+    let node = Fixture::start_with(
+        "[machine]\nmemory_mb = 256\nfile_descriptors = 10\nprocessor_share = 0.5\n",
+    );
+    node.store.put("op/config", &configuration(3));
+    node.add_runner(&desk, "desk", None);
+    node.wait_until_ready();
+    let mut open = Vec::new();
+    for number in 0..max_connections {
+        let mut client = node.client();
+        match is_http10 {
+            true => client.request_http10("/booking/1", &format!("id-{number}"), KEEP_ALIVE),
+            false => client.request("POST", "/booking/1", &format!("id-{number}"), "", b"x"),
+        }
+        assert_eq!(client.read_response().status, 200);
+        open.push(client);
+    }
+    assert!(node.client().is_closed_by_node());
+}
--- a/crates/gateway/tests/request_panics.rs
+++ b/crates/gateway/tests/request_panics.rs
@@ -7,7 +7,7 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use std::sync::{Mutex, Once};
-use support::{get, wait_for, Fixture};
+use support::{get, wait_for, ConnectionEnd, Fixture};
 
 /// Panics at the event that a request's id names: `panic-at-<event>-<number>`. Other events are recorded as text.
 struct PanickingLogger {
@@ -100,9 +100,8 @@
     assert!(has_logged("panic-at-closed-1 panicked provoked at closed"));
 }
 
-#[test]
-fn a_panic_in_a_begun_stream_never_looks_like_its_end() {
-    install_logger();
+/// Starts a node with a runner that breaks each stream off after its first event.
+fn node_with_breaking_runner() -> Fixture {
     let prefill_runner = support::prefill_runner("i-prefill");
     let runner = RunnerStandIn::start("i-llm", |request| {
         let head = pitchstall_platform_standins::runner::stream_head(
@@ -114,10 +113,16 @@
         Reaction::RawThenClose([head, chunk.into_bytes()].concat())
     });
     let runner = runner.unwrap();
-    let node = Fixture::with_runners(&[
+    Fixture::with_runners(&[
         (&prefill_runner, "llm", Some("prefill")),
         (&runner, "llm", Some("decode")),
-    ]);
+    ])
+}
+
+#[test]
+fn a_panic_in_a_begun_stream_never_looks_like_its_end() {
+    install_logger();
+    let node = node_with_breaking_runner();
     let mut client = node.client();
     client.request("POST", "/draft/1", "panic-at-stream interrupted-1", "", b"a prompt");
     let response = client.read_response();
@@ -125,3 +130,15 @@
     assert!(client.is_closed_by_node());
     assert_eq!(counted_panics(&node), "pitchstall_request_panics_total 1");
 }
+
+#[test]
+fn a_panic_in_a_begun_stream_to_an_http10_client_resets_its_connection() {
+    install_logger();
+    let node = node_with_breaking_runner();
+    let mut client = node.client();
+    client.request_http10("/draft/1", "panic-at-stream interrupted-2", "");
+    let (response, end) = client.read_until_end();
+    assert_eq!((response.status, response.text().as_str()), (200, "id: 0\ndata: token 0\n\n"));
+    assert_eq!(end, ConnectionEnd::Reset);
+    assert_eq!(counted_panics(&node), "pitchstall_request_panics_total 1");
+}
