Retry tokens that are taken out of a pool and not used return to the pool

Cause: a keeper's tokens left its pool for good with the first query. What did not cover an attempt was put into the budget of the node that had asked, whose own deposits take up its capacity, so it was lost. By reading, also lost were grants whose reply came late, grants of a request that ended while it waited, and pooled attempts that were charged and not sent, whose refund exceeded the capacity of the budget.

Change: tokens leave a pool in two steps. The keeper grants them and remembers the ticket of the query for 4 s; the node uses the grant or returns it (message `retry-`), and the keeper puts it back once, with the age that it had. A repeated query gets the same grant; a query that its return has overtaken gets nothing; a late reply is ignored, as its grant has been returned. A charge knows where its tokens came from, and refunds them there.

Tests: the red test of the pool put the denied tokens into the budget by hand, which cannot hold them within the bound; it returns them to the pool now, and what it asserts is the same. `RetryPool::take` is gone: the other tests of the file ask by `grant`, and the fleets in virtual time return what they don't use, one return in fifty lost and one doubled; no bound has changed.

--- a/crates/gateway/src/dispatch/admission.rs
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -3,6 +3,7 @@
 use super::planning::Plan;
 use super::Dispatch;
 use crate::quota::requester::{self, QuotaRejection, QuotaReservation, SentReservation};
+use crate::retry_charge::ChargedAttempt;
 use crate::runner_limits;
 use pitchstall_serving::attempt::EndReason;
 use pitchstall_serving::retry_budget::ArrivalCost;
@@ -51,7 +52,7 @@
         {
             return Err(EndReason::OutOfTime);
         }
-        if !self.use_charge(cost) {
+        if self.use_charge(cost).is_none() {
             return Err(EndReason::Refused);
         }
         let starts_on_arrival = self.engine.is_none();
@@ -96,10 +97,13 @@
     }
 
     /// Uses the charge to the retry budget for sending a request to a runner, if that is an extra
-    /// attempt. Returns `false` if the budget has not been charged, so that the request must not be
+    /// attempt. Returns `None` if the budget has not been charged, so that the request must not be
     /// sent.
-    pub(super) fn use_charge(&self, cost: ArrivalCost) -> bool {
-        cost == ArrivalCost::Free || self.retry_charge.take()
+    pub(super) fn use_charge(&self, cost: ArrivalCost) -> Option<ChargedAttempt> {
+        match cost {
+            ArrivalCost::Free => Some(ChargedAttempt::Free),
+            ArrivalCost::Deposit | ArrivalCost::Extra => self.retry_charge.take(),
+        }
     }
 }
 
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -11,7 +11,7 @@
 use pitchstall_serving::ids::ZoneId;
 use pitchstall_serving::placement::{choose_least_occupied, Demand, PrefillPlan, RunnerChoice};
 use pitchstall_serving::request::Work;
-use pitchstall_serving::retry_budget::{ArrivalCost, SharedRetryBudget};
+use pitchstall_serving::retry_budget::ArrivalCost;
 use pitchstall_serving::scheduler::choose_decode_runner_in_any_region;
 use pitchstall_serving::scheduling::Progress;
 use std::time::Duration;
@@ -271,9 +271,7 @@
         if cost != ArrivalCost::Free && self.would_miss_deadline(&prefill_runner) {
             return None;
         }
-        if !self.use_charge(cost) {
-            return None;
-        }
+        let charged = self.use_charge(cost)?;
         let mut params = self.attempt_params(Work::Prefill, &prefill_runner);
         params.after_event = None;
         params.head_timeout = self.time_remaining().mul_f64(MAX_PREFILL_TIME_SHARE);
@@ -289,7 +287,7 @@
         match prefill::run_prefill(self.node, &prefill_request, prepared, &params).await {
             PrefillOutcome::Prefilled(prompt) => {
                 if cost == ArrivalCost::Deposit {
-                    self.node.with_retry_budget(&self.service, SharedRetryBudget::refund);
+                    self.retry_charge.refund_sent(charged);
                 }
                 Some(prompt)
             }
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -9,7 +9,7 @@
 use pitchstall_serving::quota::{QuotaQuery, QuotaRefund, QuotaReply};
 use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::regions::{CachedPrefixMessage, RegionLoads};
-use pitchstall_serving::retry_pool::{RetryDeposit, RetryQuery, RetryReply};
+use pitchstall_serving::retry_pool::{RetryDeposit, RetryQuery, RetryReply, RetryReturn};
 use pitchstall_serving::runner_limit::{LimitMessage, LimitQuery, LimitReply};
 use pitchstall_serving::scheduling::{PlacementQuery, PlacementReply, ProgressMessage, ShardLoads};
 use pitchstall_serving::stream_origin::{
@@ -92,6 +92,9 @@
     /// A keeper's reply to [`Self::RetryQuery`].
     #[serde(rename = "retry")]
     RetryReply(RetryReply),
+    /// Returns what a keeper granted for a [`Self::RetryQuery`] and the requester does not use.
+    #[serde(rename = "retry-")]
+    RetryReturn(RetryReturn),
     /// What began streams, told to their keepers.
     #[serde(rename = "streams")]
     StreamOrigins(Vec<StreamOriginMessage>),
@@ -132,6 +135,7 @@
             Self::RetryDeposit(_) => "retry_deposit",
             Self::RetryQuery(_) => "retry_question",
             Self::RetryReply(_) => "retry_answer",
+            Self::RetryReturn(_) => "retry_return",
             Self::StreamOrigins(_) => "stream_origins",
             Self::StreamOriginQuery(_) => "stream_question",
             Self::StreamOriginReply(_) => "stream_answer",
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -118,6 +118,7 @@
             PeerMessage::RetryDeposit(deposit) => retry_pools::on_deposit(&self.node, &deposit),
             PeerMessage::RetryQuery(query) => retry_pools::on_query(&self.node, &query, from),
             PeerMessage::RetryReply(reply) => retry_pools::on_reply(&self.node, reply),
+            PeerMessage::RetryReturn(returned) => retry_pools::on_return(&self.node, returned),
             PeerMessage::StreamOrigins(messages) => {
                 stream_origins::on_message(&self.node, messages)
             }
--- a/crates/gateway/src/retry_charge.rs
+++ b/crates/gateway/src/retry_charge.rs
@@ -1,10 +1,10 @@
 //! The charge for a request's next extra attempt.
 
 use crate::node::Node;
-use crate::retry_pools;
+use crate::retry_pools::{self, PooledAttempt};
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::retry_budget::SharedRetryBudget;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,47 +19,80 @@
     node: Rc<Node>,
     request: String,
     service: ServiceName,
-    is_charged: Cell<bool>,
+    charged: RefCell<Option<ChargedAttempt>>,
+}
+
+/// What an attempt costs, by where its tokens were taken from.
+pub enum ChargedAttempt {
+    /// Nothing: the attempt is not an extra one.
+    Free,
+    /// The node's own budget.
+    Own,
+    /// The node's own budget and the pool of its zone.
+    Pooled(PooledAttempt),
+}
+
+impl ChargedAttempt {
+    fn refund(self, node: &Node, service: &ServiceName) {
+        match self {
+            Self::Free => {}
+            Self::Own => node.with_retry_budget(service, SharedRetryBudget::refund),
+            Self::Pooled(attempt) => attempt.refund(node),
+        }
+    }
 }
 
 impl RetryCharge {
     /// Creates the charge for a request to a service. Nothing is charged yet.
     pub fn new(node: &Rc<Node>, request: &str, service: &ServiceName) -> Self {
         let (node, request, service) = (node.clone(), request.to_owned(), service.clone());
-        Self { node, request, service, is_charged: Cell::new(false) }
+        Self { node, request, service, charged: RefCell::default() }
     }
 
     /// Charges the budget, unless that is done already. Returns `false` if the budget is exhausted.
     pub async fn charge(&self) -> bool {
-        if self.is_charged.get() {
+        if self.charged.borrow().is_some() {
             return true;
         }
-        let is_own = self.node.with_retry_budget(&self.service, SharedRetryBudget::withdraw);
-        let is_pooled = self.node.with_retry_budget(&self.service, |budget| budget.is_pooled());
-        let is_allowed = is_own || (is_pooled && self.charge_pool().await);
-        let metrics = &self.node.metrics;
-        if is_allowed { &metrics.retries } else { &metrics.retries_denied }.inc();
-        self.is_charged.set(is_allowed);
-        is_allowed
+        let Some(charged) = self.take_tokens().await else {
+            self.node.metrics.retries_denied.inc();
+            return self.charged.borrow().is_some();
+        };
+        self.node.metrics.retries.inc();
+        // Another task of the request may have charged the budget in the meantime.
+        self.refund();
+        self.charged.replace(Some(charged));
+        true
     }
 
-    async fn charge_pool(&self) -> bool {
-        let is_allowed = retry_pools::take_attempt(&self.node, &self.service).await;
+    async fn take_tokens(&self) -> Option<ChargedAttempt> {
+        if self.node.with_retry_budget(&self.service, SharedRetryBudget::withdraw) {
+            return Some(ChargedAttempt::Own);
+        }
+        if !self.node.with_retry_budget(&self.service, |budget| budget.is_pooled()) {
+            return None;
+        }
+        let attempt = retry_pools::take_attempt(&self.node, &self.service).await;
         let (request, service) = (self.request.as_str(), self.service.as_str());
-        let result = if is_allowed { "granted" } else { "denied" };
+        let result = if attempt.is_some() { "granted" } else { "denied" };
         log::info!(target: "retry", request, service, result; "pool queried for a retry");
-        is_allowed
+        attempt.map(ChargedAttempt::Pooled)
+    }
+
+    /// Uses the charge for an attempt that is sent now. Returns `None` if there is none.
+    pub fn take(&self) -> Option<ChargedAttempt> {
+        self.charged.take()
     }
 
-    /// Uses the charge for an attempt that is sent now. Returns `false` if there is none.
-    pub fn take(&self) -> bool {
-        self.is_charged.take()
+    /// Refunds an attempt that was sent and turned out not to be an extra one.
+    pub fn refund_sent(&self, sent: ChargedAttempt) {
+        sent.refund(&self.node, &self.service);
     }
 
     /// Refunds the charge, if there is one: no attempt was sent for it.
     pub fn refund(&self) {
-        if self.is_charged.take() {
-            self.node.with_retry_budget(&self.service, SharedRetryBudget::refund);
+        if let Some(charged) = self.charged.take() {
+            charged.refund(&self.node, &self.service);
         }
     }
 
@@ -67,7 +100,7 @@
     pub fn may_succeed(&self) -> bool {
         let has_tokens =
             |budget: &mut SharedRetryBudget| budget.has_attempt() || budget.is_pooled();
-        self.is_charged.get() || self.node.with_retry_budget(&self.service, has_tokens)
+        self.charged.borrow().is_some() || self.node.with_retry_budget(&self.service, has_tokens)
     }
 
     /// Completes once the condition for which `wait` waits holds and the budget has been charged.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -39,6 +39,7 @@
 //! | [`quota_requester`], [`quota_outcome`] | a node's queries to keepers, and their outcome |
 //! | [`retry_budget`] | a bound on extra attempts that holds without agreement between nodes |
 //! | [`retry_pool`] | tokens that nodes with small retry budgets share |
+//! | [`retry_grants`] | tokens that a keeper of a retry pool has given out and may get back |
 //! | [`attempt`] | what an attempt proves, and the final response that follows |
 //! | [`event_stream`] | the events of a stream that may be forwarded, and where it can continue |
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
@@ -95,6 +96,7 @@
 pub mod request_identity;
 pub mod reservations;
 pub mod retry_budget;
+pub mod retry_grants;
 pub mod retry_pool;
 pub mod role_planner;
 mod role_view;
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -114,7 +114,8 @@
         true
     }
 
-    /// Returns a withdrawn attempt that turned out not to be an extra one.
+    /// Returns a withdrawn attempt that turned out not to be an extra one. An attempt that tokens out
+    /// of a pool paid for is returned to the pool instead.
     pub fn refund(&mut self) {
         self.add(1.0);
     }
@@ -157,7 +158,8 @@
         tokens
     }
 
-    /// Adds tokens that were taken out of a pool and do not cover an attempt.
+    /// Returns tokens of [`Self::take_fraction`] that were not used. Tokens out of a pool are returned
+    /// to the pool instead.
     pub fn add_tokens(&mut self, tokens: RetryTokens) {
         self.add(tokens.attempts());
     }
--- a/crates/serving/src/retry_pool.rs
+++ b/crates/serving/src/retry_pool.rs
@@ -12,8 +12,13 @@
 //! capacity of its depositor's budget ([`crate::retry_budget`]). The tokens of all budgets and
 //! pools together therefore never exceed the capacities of all budgets, whichever nodes act as
 //! keepers.
+//!
+//! A requester that does not use what it was granted returns it to the pool
+//! ([`crate::retry_grants`]), where it expires when it would have expired without the grant. It does
+//! not go to the requester's budget, whose capacity the requester's own deposits may take up.
 
 use crate::ids::ServiceName;
+use crate::retry_grants::{PooledTokens, RetryGrant, RetryGrants};
 use crate::scheduling::Ticket;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
@@ -114,10 +119,13 @@
     pub granted: RetryTokens,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct PooledTokens {
-    received_us: u64,
-    tokens: RetryTokens,
+/// Returns to a keeper what it granted for a [`RetryQuery`], which the requester does not use. It may
+/// overtake the query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetryReturn {
+    /// Ticket of the query.
+    #[serde(rename = "i")]
+    pub ticket: Ticket,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -131,6 +139,8 @@
 pub struct RetryPool {
     /// Deposits by service, the oldest first.
     services: HashMap<ServiceName, VecDeque<PooledTokens>>,
+    /// What was granted, and may be returned.
+    grants: RetryGrants,
     /// The last deposit of each node, by the node's incarnation.
     depositors: HashMap<u64, Depositor>,
 }
@@ -164,20 +174,59 @@
         }
     }
 
-    /// Takes tokens of a service out of the pool: those that are wanted, or as many as there are.
-    pub fn take(&mut self, service: &ServiceName, wanted: RetryTokens, now_us: u64) -> RetryTokens {
+    /// Grants tokens for a query and takes them out of the pool: those that are wanted, or as many as
+    /// there are. A repeated query is granted the same tokens as before, or none if they have been
+    /// returned.
+    pub fn grant(&mut self, query: &RetryQuery, now_us: u64) -> RetryTokens {
+        self.remove_expired(now_us);
+        if let Some(granted) = self.grants.granted(query.ticket) {
+            return granted;
+        }
+        let parts = self.take(&query.service, query.wanted);
+        let grant = RetryGrant { service: query.service.clone(), parts };
+        let granted = grant.tokens();
+        self.grants.insert(query.ticket, grant, now_us);
+        granted
+    }
+
+    /// Puts back what was granted for a query, unless that was done before. Tokens that have expired
+    /// meanwhile, or of which the pool then holds more than `capacity`, are lost.
+    pub fn on_return(&mut self, returned: RetryReturn, capacity: RetryTokens, now_us: u64) {
         self.remove_expired(now_us);
-        let Some(pooled) = self.services.get_mut(service) else { return RetryTokens::NONE };
-        let mut taken = RetryTokens::NONE;
-        while let Some(oldest) = pooled.front_mut().filter(|_| taken < wanted) {
-            let part = oldest.tokens.min(wanted.minus(taken));
-            taken = taken.plus(part);
-            oldest.tokens = oldest.tokens.minus(part);
+        let Some(grant) = self.grants.take_back(returned.ticket, now_us) else { return };
+        for part in grant.parts.iter().filter(|part| !part.is_expired(now_us)) {
+            let room = capacity.minus(self.balance(&grant.service));
+            self.put_back(&grant.service, PooledTokens { tokens: part.tokens.min(room), ..*part });
+        }
+    }
+
+    fn take(&mut self, service: &ServiceName, wanted: RetryTokens) -> Vec<PooledTokens> {
+        let Some(pooled) = self.services.get_mut(service) else { return Vec::new() };
+        let mut parts = Vec::new();
+        let mut missing = wanted;
+        while let Some(oldest) = pooled.front_mut().filter(|_| missing > RetryTokens::NONE) {
+            let tokens = oldest.tokens.min(missing);
+            parts.push(PooledTokens { tokens, ..*oldest });
+            missing = missing.minus(tokens);
+            oldest.tokens = oldest.tokens.minus(tokens);
             if oldest.tokens == RetryTokens::NONE {
                 pooled.pop_front();
             }
         }
-        taken
+        parts
+    }
+
+    /// Puts tokens back among those of the service, which stay ordered by age.
+    fn put_back(&mut self, service: &ServiceName, part: PooledTokens) {
+        if part.tokens == RetryTokens::NONE {
+            return;
+        }
+        let pooled = self.services.entry(service.clone()).or_default();
+        let place = pooled.partition_point(|other| other.received_us < part.received_us);
+        match pooled.get_mut(place).filter(|other| other.received_us == part.received_us) {
+            Some(other) => other.tokens = other.tokens.plus(part.tokens),
+            None => pooled.insert(place, part),
+        }
     }
 
     /// Tokens of a service in the pool.
@@ -202,12 +251,12 @@
 
     fn remove_expired(&mut self, now_us: u64) {
         for pooled in self.services.values_mut() {
-            while pooled.front().is_some_and(|oldest| oldest.received_us + DEPOSIT_TTL_US <= now_us)
-            {
+            while pooled.front().is_some_and(|oldest| oldest.is_expired(now_us)) {
                 pooled.pop_front();
             }
         }
         self.services.retain(|_, pooled| !pooled.is_empty());
+        self.grants.remove_expired(now_us);
         self.depositors.retain(|_, depositor| now_us < depositor.received_us + DEPOSITOR_TTL_US);
     }
 }
--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -6,7 +6,7 @@
 
 use pathfinding::directed::bfs::bfs_reach;
 use specification::{
-    adoption, authority, quota, regional_authority, resuming, retry_budget, usage,
+    adoption, authority, quota, regional_authority, resuming, retry_budget, retry_pool, usage,
 };
 use test_case::test_case;
 
@@ -51,6 +51,12 @@
     count(reached, retry_budget::State::is_violated)
 }
 
+/// Number of states up to the first violation, and whether there was one.
+fn search_retry_pool(safeguards: retry_pool::Safeguards) -> (usize, bool) {
+    let reached = bfs_reach(retry_pool::State::initial(), |state| state.next(safeguards));
+    count(reached, |state| state.has_created() || state.has_vanished())
+}
+
 fn search_usage(safeguards: usage::Safeguards) -> (usize, bool) {
     let reached = bfs_reach(usage::State::default(), |state| state.next(safeguards));
     count(reached, |state| state.violated)
@@ -114,6 +120,25 @@
     assert!(search_retry_budget(safeguards).1);
 }
 
+#[test]
+fn a_retry_pool_neither_creates_tokens_nor_loses_any_without_a_loss() {
+    let (states, violated) = search_retry_pool(retry_pool::Safeguards::ALL);
+    println!("retry pool: {states} states");
+    assert!(!violated);
+    assert!(states > 1_000, "the search was cut short: {states} states");
+}
+
+#[test_case(retry_pool::Safeguards { remembered_grants: false, ..retry_pool::Safeguards::ALL }; "remembered grants")]
+#[test_case(retry_pool::Safeguards { returned_once: false, ..retry_pool::Safeguards::ALL }; "returned once")]
+#[test_case(retry_pool::Safeguards { remembered_returns: false, ..retry_pool::Safeguards::ALL }; "remembered returns")]
+#[test_case(retry_pool::Safeguards { unused_is_returned: false, ..retry_pool::Safeguards::ALL }; "unused is returned")]
+#[test_case(retry_pool::Safeguards { unanswered_is_returned: false, ..retry_pool::Safeguards::ALL }; "unanswered is returned")]
+#[test_case(retry_pool::Safeguards { late_reply_is_ignored: false, ..retry_pool::Safeguards::ALL }; "late reply is ignored")]
+#[test_case(retry_pool::Safeguards { used_is_kept: false, ..retry_pool::Safeguards::ALL }; "used is kept")]
+fn a_retry_pool_without_a_safeguard_creates_or_loses_tokens(safeguards: retry_pool::Safeguards) {
+    assert!(search_retry_pool(safeguards).1);
+}
+
 #[test_case(authority::State::default(); "with a store that loses nothing")]
 #[test_case(authority::State::with_restored_store(); "with a store restored from a backup")]
 fn authority_is_safe_in_every_state(initial: authority::State) {
--- a/crates/serving/tests/retry_pool.rs
+++ b/crates/serving/tests/retry_pool.rs
@@ -5,9 +5,11 @@
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::retry_budget::{RetryPolicy, SharedRetryBudget};
 use pitchstall_serving::retry_pool::{
-    RetryDeposit, RetryPool, RetryTokens, ServiceDeposit, DEPOSIT_TTL_US, MAX_DEPOSIT_DELAY_US,
+    RetryDeposit, RetryPool, RetryQuery, RetryReturn, RetryTokens, ServiceDeposit, DEPOSIT_TTL_US,
+    MAX_DEPOSIT_DELAY_US,
 };
 use pitchstall_serving::scheduling::Ticket;
+use std::sync::atomic::{AtomicU64, Ordering};
 use test_case::test_case;
 
 const MILLI: u64 = 1_000;
@@ -24,8 +26,15 @@
     RetryDeposit { ticket: Ticket { incarnation, number }, sent_at_ms: 0, deposits }
 }
 
+/// A query with a ticket that no other query has.
+fn query(wanted: RetryTokens) -> RetryQuery {
+    static NUMBER: AtomicU64 = AtomicU64::new(0);
+    let ticket = Ticket { incarnation: 0, number: NUMBER.fetch_add(1, Ordering::Relaxed) };
+    RetryQuery { ticket, service: desk(), wanted }
+}
+
 fn take_one(pool: &mut RetryPool, now_us: u64) -> f64 {
-    pool.take(&desk(), RetryTokens::ONE_ATTEMPT, now_us).attempts()
+    pool.grant(&query(RetryTokens::ONE_ATTEMPT), now_us).attempts()
 }
 
 const LARGE: RetryTokens = RetryTokens::ONE_ATTEMPT;
@@ -104,10 +113,11 @@
     let saved = budget.take_deposit(STARTED_US).unwrap();
     let mut pool = RetryPool::default();
     pool.on_deposit(&deposit(1, 1, saved.attempts()), LARGE, 0, STARTED_US);
-    let granted = pool.take(&desk(), RetryTokens::ONE_ATTEMPT, STARTED_US);
+    let denied = query(RetryTokens::ONE_ATTEMPT);
+    let granted = pool.grant(&denied, STARTED_US);
     assert!(granted < RetryTokens::ONE_ATTEMPT);
-    budget.add_tokens(granted);
-    let left = pool.take(&desk(), RetryTokens::ONE_ATTEMPT, STARTED_US);
+    pool.on_return(RetryReturn { ticket: denied.ticket }, LARGE, STARTED_US);
+    let left = pool.grant(&query(RetryTokens::ONE_ATTEMPT), STARTED_US);
     assert_eq!(budget.take_fraction().plus(left), saved);
 }
 
@@ -220,13 +230,7 @@
         let deposit = deposit(incarnation, number, tokens.attempts());
         let keeper = self.keeper(node, number as usize);
         let capacity = self.pool_capacity();
-        // One in fifty is lost, one in fifty arrives twice.
-        let copies = match self.random.below(50) {
-            0 => 0,
-            1 => 2,
-            _ => 1,
-        };
-        for _ in 0..copies {
+        for _ in 0..self.random_copies() {
             self.nodes[keeper].pool.on_deposit(&deposit, capacity, 0, now_us);
         }
     }
@@ -251,20 +255,39 @@
         if !budget.is_pooled() {
             return false;
         }
-        let mut tokens = budget.take_fraction();
+        let own = budget.take_fraction();
+        let mut tokens = own;
+        let mut grants = Vec::new();
         for number in 0..KEEPERS {
             let keeper = self.keeper(node, number);
-            let wanted = RetryTokens::ONE_ATTEMPT.minus(tokens);
-            let pool = &mut self.nodes[keeper].pool;
-            tokens = tokens.plus(pool.take(&desk(), wanted, now_us));
+            let query = query(RetryTokens::ONE_ATTEMPT.minus(tokens));
+            tokens = tokens.plus(self.nodes[keeper].pool.grant(&query, now_us));
+            grants.push((keeper, RetryReturn { ticket: query.ticket }));
         }
         if tokens == RetryTokens::ONE_ATTEMPT {
             return true;
         }
-        self.nodes[node].budget.add_tokens(tokens);
+        self.nodes[node].budget.add_tokens(own);
+        grants.into_iter().for_each(|(keeper, grant)| self.return_grant(keeper, grant, now_us));
         false
     }
 
+    fn return_grant(&mut self, keeper: usize, grant: RetryReturn, now_us: u64) {
+        let capacity = self.pool_capacity();
+        for _ in 0..self.random_copies() {
+            self.nodes[keeper].pool.on_return(grant, capacity, now_us);
+        }
+    }
+
+    /// How often a message arrives: one in fifty is lost, one in fifty arrives twice.
+    fn random_copies(&mut self) -> usize {
+        match self.random.below(50) {
+            0 => 0,
+            1 => 2,
+            _ => 1,
+        }
+    }
+
     /// Plays a time with a rate of requests to one service, of which a share fails once. Every
     /// `restart_interval_us`, a random node and a keeper start anew.
     fn play(
--- a/crates/serving/tests/specification/mod.rs
+++ b/crates/serving/tests/specification/mod.rs
@@ -10,4 +10,5 @@
 pub mod regional_authority;
 pub mod resuming;
 pub mod retry_budget;
+pub mod retry_pool;
 pub mod usage;
