A silent idle connection does not keep the proof of a response's end from a new one

What callers would see: a whole stream without framing that is cut, or goes on elsewhere in vain, since the runner is asked on an idle connection that has gone silent for good, until the second for the proof is over. The test failed before (the stream was not complete) and passes now: an idle connection has 300 ms of that second, then a new one is opened.

--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -16,7 +16,9 @@
 /// Maximum time for the proof. A runner that is busy with long prompts may take some hundred milliseconds to respond.
 const MAX_PROOF_TIME: Duration = Duration::from_millis(1_000);
 
-/// Maximum number of connections on which the runner is asked, since one with too many connections resets new ones.
+/// Maximum time of this for a response on a connection that was idle before.
+const MAX_IDLE_CONNECTION_TIME: Duration = Duration::from_millis(300);
+/// Maximum number of new connections on which the runner is asked, since one with too many connections resets new ones.
 const MAX_QUESTIONS: usize = 3;
 const PAUSE_BETWEEN_QUESTIONS: Duration = Duration::from_millis(50);
 
@@ -61,8 +63,9 @@
         return Ok(());
     }
     if let Some(pooled) = node.pool.take(&record.id, |_| true) {
-        // The runner may have closed a pooled connection for its age, which proves nothing.
-        if let Some(response) = ask_for_state(pooled.connection, record).await {
+        // The runner may have closed an idle connection for its age, or the connection may have gone silent.
+        let question = ask_for_state(pooled.connection, record);
+        if let Ok(Some(response)) = timeout(MAX_IDLE_CONNECTION_TIME, question).await {
             return judge(node, record, response);
         }
     }
--- a/crates/gateway/tests/killed_runners.rs
+++ b/crates/gateway/tests/killed_runners.rs
@@ -8,8 +8,10 @@
 use pitchstall_platform_standins::runner::{
     engine_script, event_text, stream_head, EventStream, Reaction, RunnerStandIn,
 };
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use support::{Fixture, RawResponse};
 use test_case::test_case;
 
@@ -169,3 +171,39 @@
         runners.iter().flat_map(RunnerStandIn::requests).filter(ReceivedRequest::is_report);
     assert!(questions.count() <= 1, "the runner was asked more than once");
 }
+
+/// Guards against whole streams that are cut because an idle connection to their runner has gone silent.
+#[test]
+fn a_runner_that_lives_is_asked_on_a_new_connection_when_an_idle_one_is_silent() {
+    const STREAM_GAP: Duration = Duration::from_millis(50);
+    // Connections that have carried a stream, and are idle afterwards.
+    let used = Mutex::new(HashSet::new());
+    let script = move |request: &ReceivedRequest| match (request.path(), is_run(request)) {
+        ("/draft/framed", _) => {
+            used.lock().unwrap().insert(request.connection);
+            let whole = EventStream::for_request(request, LAST_EVENT);
+            Reaction::Stream(EventStream { pause: STREAM_GAP, ..whole })
+        }
+        (_, true) => Reaction::RawThenClose(unframed(request, &events(0..LAST_EVENT + 1))),
+        ("/v1/report", false) if used.lock().unwrap().contains(&request.connection) => {
+            Reaction::Silent
+        }
+        _ => engine_script(LAST_EVENT)(request),
+    };
+    let runner = RunnerStandIn::start("i-1", script).unwrap();
+    let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
+    let mut clients = [node.client(), node.client()];
+    for client in &mut clients {
+        client.request("POST", "/draft/framed", "id-framed", PROMPT, b"x");
+    }
+    for client in &mut clients {
+        assert!(client.read_response().complete);
+    }
+    let mut client = node.client();
+    client.request("POST", "/draft/1", "id-unframed", PROMPT, b"x");
+    let response = client.read_response();
+    assert_eq!((response.status, response.text()), (200, events(0..LAST_EVENT + 1)));
+    assert!(response.complete);
+    let reports = runner.requests().into_iter().filter(ReceivedRequest::is_report);
+    assert_eq!(reports.count(), 2, "the silent connection was not asked first");
+}
