--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -2,14 +2,13 @@
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
-use pitchstall_platform_standins::client::READY_REQUEST;
 use pitchstall_soak::plan::{has_limits, has_regions};
 use pitchstall_soak::proxy::Link;
 use pitchstall_soak::regions::REGIONS;
 use pitchstall_soak::tenants::{OVERAGE, WINDOW_S};
 use std::fs::File;
-use std::io::{self, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -193,20 +192,6 @@
     extra_settings
 }
 
-/// Whether the node with this health address reports that it accepts clients.
-pub fn is_ready(health: SocketAddr) -> bool {
-    const TIMEOUT: Duration = Duration::from_millis(300);
-    let query = || -> io::Result<bool> {
-        let mut stream = TcpStream::connect_timeout(&health, TIMEOUT)?;
-        stream.set_read_timeout(Some(TIMEOUT))?;
-        stream.write_all(READY_REQUEST)?;
-        let mut head = [0; b"HTTP/1.1 200".len()];
-        stream.read_exact(&mut head)?;
-        Ok(head.ends_with(b"200"))
-    };
-    query().unwrap_or(false)
-}
-
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         self.kill();
--- a/crates/soak/examples/soak/run/mod.rs
+++ b/crates/soak/examples/soak/run/mod.rs
@@ -3,13 +3,14 @@
 mod faults;
 mod runner_processes;
 
-use crate::processes::{extra_settings, is_ready, NodeProcess, Programs};
+use crate::processes::{extra_settings, NodeProcess, Programs};
 use crate::report::Report;
 use pitchstall_platform_standins::throttled_link::ThrottledLink;
 use pitchstall_soak::checks::Violation;
 use pitchstall_soak::client::Client;
 use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner};
 use pitchstall_soak::history::{Event, Outcome, Recorder, RequestKind};
+use pitchstall_soak::node_health::is_ready;
 use pitchstall_soak::plan::{
     has_incarnations, has_large_configurations, has_limits, has_node_link_faults, has_regions,
     has_runner_processes, has_self_reports, steps, Step, RECOVERY_TIME,
--- a/crates/soak/examples/stream_ends/fleet.rs
+++ b/crates/soak/examples/stream_ends/fleet.rs
@@ -1,14 +1,14 @@
 //! The processes of one scenario: nodes, runners, and a store in this process.
 
 use nix::sys::signal::Signal;
-use pitchstall_platform_standins::client::READY_REQUEST;
 use pitchstall_platform_standins::documents::{runner_key, CONFIGURATION_KEY};
 use pitchstall_platform_standins::store::StoreStandIn;
+use pitchstall_soak::node_health::is_ready;
 use pitchstall_soak::runner_processes::{Process, RunnerProcesses, StartedRunner};
 use serde_json::{json, Value};
 use std::fs::File;
-use std::io::{self, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -168,19 +168,6 @@
     Ok(child.into())
 }
 
-fn is_ready(health: SocketAddr) -> bool {
-    const TIMEOUT: Duration = Duration::from_millis(500);
-    let query = || -> io::Result<bool> {
-        let mut stream = TcpStream::connect_timeout(&health, TIMEOUT)?;
-        stream.set_read_timeout(Some(TIMEOUT))?;
-        stream.write_all(READY_REQUEST)?;
-        let mut head = [0; b"HTTP/1.1 200".len()];
-        stream.read_exact(&mut head)?;
-        Ok(head.ends_with(b"200"))
-    };
-    query().unwrap_or(false)
-}
-
 fn configuration() -> Value {
     let route = |name: &str, is_resumable: bool| {
         json!({
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`region_checks`] | the check on regions that are cut off |
 //! | `self_report_checks` | the checks on what runners report about themselves |
 //! | `reported_limit_checks` | the check on the limits that runners report |
+//! | [`node_health`] | whether a node reports that it accepts clients |
 //! | [`node_links`] | the links of each node to each runner |
 //! | `lost_link_checks` | the check on nodes that have lost their links to runners |
 //! | `interrupted_streams` | the check on streams that nodes end |
@@ -44,6 +45,7 @@
 mod indexed_history;
 mod interrupted_streams;
 mod lost_link_checks;
+pub mod node_health;
 pub mod node_links;
 pub mod plan;
 pub mod process_checks;
