--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -9,7 +9,7 @@
 use crate::intake::{BufferedResponse, RequestOutcome};
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::relay::{complete, relay, RelayLimits, RelayOutcome, RunEvents};
-use crate::response_end::{self, EndDoubt};
+use crate::response_end::{self, EndDoubt, UnprovenResponse};
 use crate::response_memory::{report_if_too_long, EventBuffer};
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::attempt::EndReason;
@@ -172,7 +172,13 @@
     /// Proves that a response which has ended with its connection is whole. Its runner may have ended in the middle.
     async fn prove_end(&self, record: &RunnerRecord) -> Result<(), ReadError> {
         let ended_at = Instant::now();
-        let proof = response_end::prove(self.node, record, self.time_remaining()).await;
+        let unproven = UnprovenResponse {
+            request: &self.request.metadata.id,
+            record,
+            is_repeatable: self.may_run_again(),
+            time_remaining: self.time_remaining(),
+        };
+        let proof = response_end::prove(self.node, unproven).await;
         let verdict = proof.map_or_else(EndDoubt::name, |()| "whole");
         self.node.metrics.on_unframed_response(verdict);
         let (id, runner) = (self.request.metadata.id.as_str(), record.id.as_str());
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -23,6 +23,8 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+const OK: u16 = 200;
+
 /// Maximum time for releasing a handle. A handle that is not released expires by itself.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -119,14 +121,14 @@
         }
         Err(_) => return PrefillOutcome::Failed,
     };
-    let prefill_result = if received.response.status == 200 {
+    let prefill_result = if received.response.status == OK {
         paths::parse_prefill_response(&received.response.body)
     } else {
         None
     };
     let Some(prefill_result) = prefill_result else {
         // Neither the framing nor the content shows that the response is whole: the runner may have been killed.
-        if received.end == BodyEnd::Unproven {
+        if received.end == BodyEnd::Unproven && received.response.status == OK {
             on_interrupted(node, interrupted_prefill(prefill, &runner, params));
         }
         return PrefillOutcome::Failed;
--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -7,20 +7,20 @@
 use crate::http::{OpenResponse, Upstream};
 use crate::node::Node;
 use crate::runner_connection::{self, ask_for_state, return_after_state_response};
-use pitchstall_platform_adapter::headers;
+use crate::runner_limits;
 use pitchstall_serving::runner::RunnerRecord;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// Maximum time for the proof. A runner that is busy with long prompts may take some hundred milliseconds to respond.
-const MAX_PROOF_TIME: Duration = Duration::from_millis(1_000);
-
-/// Maximum time of this for a response on a connection that was idle before.
-const MAX_IDLE_CONNECTION_TIME: Duration = Duration::from_millis(300);
-/// Maximum number of new connections on which the runner is asked, since one with too many connections resets new ones.
-const MAX_QUESTIONS: usize = 3;
-const PAUSE_BETWEEN_QUESTIONS: Duration = Duration::from_millis(50);
+/// Maximum time for the proof where another run may take the place of this one.
+const MAX_PROOF_TIME_IF_REPEATABLE: Duration = Duration::from_millis(1_000);
+/// Time for the first question; each further one has twice the time of the last. A runner that is busy with long prompts may
+/// take some hundred milliseconds to respond, and a single question may be lost.
+const FIRST_QUESTION_TIME: Duration = Duration::from_millis(300);
+/// Pause after a question that brought no response, which grows in the same way. A runner with too many connections resets
+/// new ones.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
 /// Why it is not proven that a response is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,50 +44,87 @@
     }
 }
 
-/// Proves that a response which has ended with its connection is whole: the runner, in the same life, still responds. Takes
-/// at most `time_remaining`. A runner that must not be asked for its state has to accept a connection instead.
-pub async fn prove(
+/// A response that has ended with its connection.
+#[derive(Clone, Copy)]
+pub struct UnprovenResponse<'a> {
+    /// Id of the request that it answers.
+    pub request: &'a str,
+    /// The runner that has sent it.
+    pub record: &'a RunnerRecord,
+    /// Whether another run may take the place of this one.
+    pub is_repeatable: bool,
+    /// Time that the request has left.
+    pub time_remaining: Duration,
+}
+
+/// Proves that a response which has ended with its connection is whole: the same process still responds. The runner is asked
+/// again and again until the time is over, since its silence shows nothing.
+pub async fn prove(node: &Rc<Node>, unproven: UnprovenResponse<'_>) -> Result<(), EndDoubt> {
+    let max_time = match unproven.is_repeatable {
+        true => unproven.time_remaining.min(MAX_PROOF_TIME_IF_REPEATABLE),
+        false => unproven.time_remaining,
+    };
+    let proof = prove_by_response(node, unproven);
+    timeout(max_time, proof).await.unwrap_or(Err(EndDoubt::NoResponse))
+}
+
+async fn prove_by_response(
     node: &Rc<Node>,
-    record: &RunnerRecord,
-    time_remaining: Duration,
+    unproven: UnprovenResponse<'_>,
 ) -> Result<(), EndDoubt> {
-    let proof = prove_by_response(node, record);
-    let result = timeout(time_remaining.min(MAX_PROOF_TIME), proof).await;
-    result.unwrap_or(Err(EndDoubt::NoResponse))
+    let mut question_time = FIRST_QUESTION_TIME;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        if let Some(response) = ask(node, unproven, question_time).await? {
+            if let Some(verdict) = judge(node, unproven.record, response) {
+                return verdict;
+            }
+        }
+        sleep(pause).await;
+        question_time *= 2;
+        pause *= 2;
+    }
 }
 
-async fn prove_by_response(node: &Rc<Node>, record: &RunnerRecord) -> Result<(), EndDoubt> {
-    if !node.may_ask_for_state(&record.id) {
-        let connection = open(node, record).await?;
-        node.pool.put(&record.id, connection, None);
-        return Ok(());
-    }
-    if let Some(pooled) = node.pool.take(&record.id, |_| true) {
-        // The runner may have closed an idle connection for its age, or the connection may have gone silent.
-        let question = ask_for_state(pooled.connection, record);
-        if let Ok(Some(response)) = timeout(MAX_IDLE_CONNECTION_TIME, question).await {
-            return judge(node, record, response);
-        }
+/// Asks the runner for its state once, on an idle connection if there is one. `None` if there is no response in time, or if
+/// the runner's limit leaves no room for the question.
+async fn ask(
+    node: &Rc<Node>,
+    unproven: UnprovenResponse<'_>,
+    question_time: Duration,
+) -> Result<Option<OpenResponse>, EndDoubt> {
+    let UnprovenResponse { request, record, .. } = unproven;
+    if node.fleet.borrow().get(&record.id).is_some_and(|runner| runner.is_misdirected()) {
+        return Err(EndDoubt::RunnerReplaced);
     }
-    for _ in 0..MAX_QUESTIONS {
-        let connection = open(node, record).await?;
-        if let Some(response) = ask_for_state(connection, record).await {
-            return judge(node, record, response);
-        }
-        sleep(PAUSE_BETWEEN_QUESTIONS).await;
+    if runner_limits::request_permit(node, request, &record.id).await.is_none() {
+        return Ok(None);
     }
-    Err(EndDoubt::NoResponse)
+    let connection = match node.pool.take(&record.id, |_| true) {
+        Some(pooled) => pooled.connection,
+        None => open(node, record).await?,
+    };
+    Ok(timeout(question_time, ask_for_state(connection, record)).await.ok().flatten())
 }
 
 async fn open(node: &Rc<Node>, record: &RunnerRecord) -> Result<Upstream, EndDoubt> {
     runner_connection::open(node, record, &None).await.map_err(|_| EndDoubt::RunnerGone)
 }
 
-/// Judges a response of the process at the runner's address. Its connection is returned to the pool.
-fn judge(node: &Rc<Node>, record: &RunnerRecord, response: OpenResponse) -> Result<(), EndDoubt> {
-    if headers::is_misdirected(response.head.status) {
-        return Err(EndDoubt::RunnerReplaced);
+/// Judges a response of the process at the runner's address, and returns its connection to the pool. `None` if it answers
+/// another request than the question, which has no id.
+fn judge(
+    node: &Rc<Node>,
+    record: &RunnerRecord,
+    response: OpenResponse,
+) -> Option<Result<(), EndDoubt>> {
+    let metadata = node.on_response_head(&record.id, &response.head);
+    if metadata.request_id.as_deref().is_some_and(|named| !named.is_empty()) {
+        return None;
+    }
+    if metadata.is_misdirected {
+        return Some(Err(EndDoubt::RunnerReplaced));
     }
     return_after_state_response(node, record, response);
-    Ok(())
+    Some(Ok(()))
 }
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -185,6 +185,11 @@
         self.record.draining || self.availability.is_leaving()
     }
 
+    /// Whether another process responds at the runner's address.
+    pub fn is_misdirected(&self) -> bool {
+        self.is_misdirected
+    }
+
     /// Whether new requests may be sent to the runner by at least some node.
     pub fn accepts_work(&self) -> bool {
         !self.is_leaving() && !self.is_misdirected
