--- a/crates/gateway/src/quota/requester.rs
+++ b/crates/gateway/src/quota/requester.rs
@@ -176,8 +176,8 @@
         QuotaOutcome::Refused { wait_ms, keeper, level } => {
             node.metrics.quota.on_refused(tenant);
             let (cost, left, keeper) = (run.cost, level, keeper.to_string());
-            let rate = run.limit.rate_per_s;
-            log::info!(target: "quota", request, tenant, cost, rate, left, keeper, wait_ms; "refused");
+            let (rate, priority) = (run.limit.rate_per_s, run.priority);
+            log::info!(target: "quota", request, tenant, cost, rate, priority, left, keeper, wait_ms; "refused");
             let jitter = rand::rng().random_range(0.0..RETRY_JITTER);
             let wait_ms = wait_ms.saturating_add((wait_ms as f64 * jitter) as u64);
             Err(QuotaRejection::OverQuota { wait_ms })
