A keeper of tenants' limits is handed over with what is left of them (QUOTA)

Cause: a node that stops gave all its keepers up at once, before any other node had them, and the next holder began with nothing, 0.6 to 1 s later (docs/design/12-quotas.md, "A planned stop").

Ruled out: a slot that another keeper could have served. The tenant's slots are east/0, east/1 and west/1; the two others had no holder. Nodes that stop 400 ms apart with slots held elsewhere refuse nothing in virtual time.

Change: the holder stops granting for one keeper, sends what each tenant has left and the revision of its key to the next candidate, and goes on with the next keeper once a digest names a new holder (0.3 s for each of two candidates, 1 s for all keepers; then as before). The candidate replaces the key if it is still at that revision, so nobody was holder in between and one node at most uses the levels. Builds before this one ignore the new message with a warning.

The property of the bound has handovers between its operations, with the same bounds. The specification has the handover and breaks the bound without each of two safeguards. A stop with real nodes: fails if offers are ignored (trial), passes with the change. No existing check is changed.

What remains: a keeper answers nobody between the end of the grants and the new holder (1 to 60 ms in the plays' logs), so a tenant with one slot gets 503 for that time; a holder that is killed still leaves a successor that begins with nothing.

--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -7,6 +7,7 @@
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::membership::Member;
 use pitchstall_serving::quota::{QuotaQuery, QuotaRefund, QuotaReply};
+use pitchstall_serving::quota_handover::QuotaHandover;
 use pitchstall_serving::quota_slots::KeeperId;
 use pitchstall_serving::regions::{CachedPrefixMessage, RegionLoads};
 use pitchstall_serving::retry_pool::{RetryDeposit, RetryQuery, RetryReply};
@@ -74,6 +75,9 @@
     /// Refunds the charge for a run that has not started.
     #[serde(rename = "quota-")]
     QuotaRefund(QuotaRefund),
+    /// What a holder that stops has left, for the next holder of its keeper.
+    #[serde(rename = "quota>")]
+    QuotaHandover(QuotaHandover),
     /// Asks whether one more request may be sent to a runner that has named a limit.
     #[serde(rename = "limit?")]
     LimitQuery(LimitQuery),
@@ -126,6 +130,7 @@
             Self::QuotaReply(_) => "quota_answer",
             Self::QuotaForwardAck(_) => "quota_taken",
             Self::QuotaRefund(_) => "quota_return",
+            Self::QuotaHandover(_) => "quota_handover",
             Self::LimitQuery(_) => "limit_question",
             Self::LimitReply(_) => "limit_answer",
             Self::LimitMessage(_) => "limit_word",
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -112,6 +112,9 @@
                 quota::keeper::on_forward_ack(&self.node, &keeper)
             }
             PeerMessage::QuotaRefund(refund) => quota::keeper::on_refund(&self.node, &refund),
+            PeerMessage::QuotaHandover(handover) => {
+                quota::handover::on_handover(&self.node, handover);
+            }
             PeerMessage::LimitQuery(query) => runner_limits::on_query(&self.node, &query, from),
             PeerMessage::LimitReply(reply) => runner_limits::on_reply(&self.node, reply),
             PeerMessage::LimitMessage(message) => runner_limits::on_message(&self.node, &message),
--- a/crates/gateway/src/quota/candidate.rs
+++ b/crates/gateway/src/quota/candidate.rs
@@ -1,6 +1,8 @@
-//! Acquires keepers that nobody holds by writing their keys to the store under this node's
-//! registration lease, and releases them when the node stops or no tenant has a limit.
+//! Acquires keepers that nobody holds, or that a node which stops hands over, by writing their keys
+//! to the store under this node's registration lease. Hands them over when this node stops, and
+//! releases those that nobody takes, or all when no tenant has a limit.
 
+use super::handover;
 use super::{bounds, has_limits, own_address, RegistrationLease};
 use crate::node::{configured_topology, Node};
 use crate::platform_client::PlatformClient;
@@ -11,6 +13,7 @@
 use pitchstall_platform_adapter::store::{self, Item, StoreStatus};
 use pitchstall_serving::ids::NodeId;
 use pitchstall_serving::quota_candidacy::{candidate_rank, Candidacy, CandidacyAction};
+use pitchstall_serving::quota_handover::QuotaHandover;
 use pitchstall_serving::quota_keeper::QuotaKeeper;
 use pitchstall_serving::quota_slots::{all_keepers, KeeperId};
 use pitchstall_serving::quota_term::QuotaKeeperTerm;
@@ -18,7 +21,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// Time between two checks for keepers that nobody holds.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -46,28 +49,43 @@
     }
 }
 
-/// Acquires and holds keepers as a candidate until the node stops, then releases them.
+/// Time after the start of a planned stop in which keepers are handed over; the others are then
+/// released, so that the node ends in time.
+const HANDOVERS_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Acquires and holds keepers as a candidate until the node stops, then hands them over.
 pub async fn run(node: Rc<Node>) {
     let client = PlatformClient::default();
     let mut candidate =
         Candidate { node, client, candidacies: HashMap::new(), holders_read_under: None };
     while !candidate.node.is_stopping() {
-        sleep(POLL_INTERVAL).await;
+        candidate.wait().await;
         if has_limits(&candidate.node) {
             candidate.poll().await;
         } else {
             candidate.release_all().await;
         }
     }
+    candidate.hand_over_all().await;
     candidate.release_all().await;
 }
 
 impl Candidate {
+    /// Waits until the next check is due, the node stops, or a keeper is handed over to it.
+    async fn wait(&self) {
+        tokio::select! {
+            () = sleep(POLL_INTERVAL) => {}
+            () = self.node.wait_for_stop() => {}
+            () = self.node.quotas.handovers.received.notified() => {}
+        }
+    }
+
     async fn poll(&mut self) {
         let Some(lease) = self.valid_lease() else { return };
         if self.holders_read_under != Some(lease.id) && !self.read_holders(lease).await {
             return;
         }
+        self.take_over(lease).await;
         let topology = configured_topology(&self.node.settings());
         for keeper in all_keepers(&topology) {
             if self.node.quotas.keepers.borrow().contains_key(&keeper) {
@@ -78,7 +96,18 @@
                 CandidacyAction::Acquire => RevisionNumber::ABSENT,
                 CandidacyAction::TakeOver { revision } => revision.number(),
             };
-            self.acquire(&keeper, lease, revision).await;
+            self.acquire(&keeper, lease, revision, None).await;
+        }
+    }
+
+    /// Acquires the keepers that nodes which stop have handed over to this node.
+    async fn take_over(&mut self, lease: RegistrationLease) {
+        for handover in self.node.quotas.handovers.take() {
+            let (keeper, revision) = (handover.keeper.clone(), handover.revision());
+            let is_held = self.node.quotas.keepers.borrow().contains_key(&keeper);
+            if !is_held && revision.era() == lease.id.era {
+                self.acquire(&keeper, lease, revision.number(), Some(handover)).await;
+            }
         }
     }
 
@@ -152,6 +181,7 @@
         keeper: &KeeperId,
         lease: RegistrationLease,
         revision: RevisionNumber,
+        handover: Option<QuotaHandover>,
     ) {
         let address = own_address(&self.node);
         let holder = KeeperHolder { node: own_name(&self.node), address };
@@ -161,7 +191,7 @@
             Some((StoreStatus::Done, era, body)) => {
                 if let Some(revision) = ok_or_log("keeper", store::parse_transaction(&body)) {
                     let revision = StoreRevision::new(era, revision);
-                    self.on_acquired(keeper, &holder, lease, revision);
+                    self.on_acquired(keeper, &holder, lease, revision, handover);
                 }
             }
             Some((StoreStatus::Conflict, era, body)) => self.on_conflict(keeper, era, &body),
@@ -178,6 +208,7 @@
         holder: &KeeperHolder,
         lease: RegistrationLease,
         revision: StoreRevision,
+        handover: Option<QuotaHandover>,
     ) {
         // In the meantime, the lease may have been renewed or have expired, or its era may have
         // ended.
@@ -188,19 +219,19 @@
         let term =
             QuotaKeeperTerm::new(revision, current_lease.renewed_us, now_us, current_lease.ttl_us);
         let settings = self.node.settings();
-        let held = QuotaKeeper::new(
-            keeper.clone(),
-            term,
-            bounds(&settings),
-            configured_topology(&settings),
-        );
+        let handed_over = handover.as_ref().map(|handover| handover.tenants.len());
+        let (bounds, topology) = (bounds(&settings), configured_topology(&settings));
+        let held = match handover {
+            Some(handover) => QuotaKeeper::resume(term, bounds, topology, handover),
+            None => QuotaKeeper::new(keeper.clone(), term, bounds, topology),
+        };
         let quotas = &self.node.quotas;
         quotas.keepers.borrow_mut().insert(keeper.clone(), held);
         let mut holders = quotas.holders.borrow_mut();
         holders.learn(keeper, &holder.node, holder.address, revision, now_us);
         drop(holders);
         let revision = revision.to_string();
-        log::info!(target: "quota", keeper = keeper.to_string(), revision; "quota keeper acquired");
+        log::info!(target: "quota", keeper = keeper.to_string(), revision, handed_over:?; "quota keeper acquired");
         quotas.keepers_changed.notify_one();
     }
 
@@ -214,6 +245,21 @@
         items.iter().for_each(|item| self.learn(item, era));
     }
 
+    /// Hands the keepers over one after the other, so that the other slots of a tenant serve it.
+    async fn hand_over_all(&mut self) {
+        let deadline = Instant::now() + HANDOVERS_TIMEOUT;
+        let held: Vec<KeeperId> = self.node.quotas.keepers.borrow().keys().cloned().collect();
+        for keeper in held {
+            if Instant::now() >= deadline {
+                return;
+            }
+            let Some(revision) = handover::hand_over(&self.node, &keeper, deadline).await else {
+                continue;
+            };
+            self.release(&keeper, revision).await;
+        }
+    }
+
     /// Releases all keepers: first in memory, so that they grant nothing more, then in the store.
     async fn release_all(&mut self) {
         if !self.node.quotas.is_keeper() {
@@ -221,21 +267,25 @@
         }
         let held = std::mem::take(&mut *self.node.quotas.keepers.borrow_mut());
         for (keeper, held) in held {
-            let revision = held.term().revision;
             self.node.quotas.holders.borrow_mut().remove(&keeper);
-            if revision.era() < self.node.store_era() {
-                // The key at that revision may be another holder's now.
-                continue;
-            }
-            let call = quota_slots::release_keeper(&keeper, revision.number());
-            let response = self.node.call_store(&mut self.client, &call, STORE_TIMEOUT).await;
-            let status = response.map(|response| response.status);
-            let (keeper, revision) = (keeper.to_string(), revision.to_string());
-            log::info!(target: "quota", keeper, revision, status:?; "quota keeper released");
+            self.release(&keeper, held.term().revision).await;
         }
         self.holders_read_under = None;
         self.node.quotas.keepers_changed.notify_one();
     }
+
+    /// Removes the key of a keeper that this node no longer holds, if it is still at `revision`.
+    async fn release(&mut self, keeper: &KeeperId, revision: StoreRevision) {
+        if revision.era() < self.node.store_era() {
+            // The key at that revision may be another holder's now.
+            return;
+        }
+        let call = quota_slots::release_keeper(keeper, revision.number());
+        let response = self.node.call_store(&mut self.client, &call, STORE_TIMEOUT).await;
+        let status = response.map(|response| response.status);
+        let (keeper, revision) = (keeper.to_string(), revision.to_string());
+        log::info!(target: "quota", keeper, revision, status:?; "quota keeper released");
+    }
 }
 
 fn own_name(node: &Node) -> NodeId {
--- a/crates/gateway/src/quota/holders.rs
+++ b/crates/gateway/src/quota/holders.rs
@@ -159,6 +159,11 @@
         self.by_keeper.get(keeper).map(|holder| holder.address)
     }
 
+    /// Revision at which the holder of a keeper acquired it; `None` if no holder is known.
+    pub fn revision_of(&self, keeper: &KeeperId) -> Option<StoreRevision> {
+        self.by_keeper.get(keeper).map(|holder| holder.revision)
+    }
+
     /// Whether a query may be forwarded to a keeper: it is held by this node, at address `own`, or
     /// its holder is responsive.
     pub fn accepts_forwards(&self, keeper: &KeeperId, own: SocketAddr, now_us: u64) -> bool {
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -6,6 +6,7 @@
 //! | [`requester`] | queries keepers before a run and refunds charges that were not used |
 //! | [`keeper`] | handles the queries and refunds that other nodes send to the keepers held here |
 //! | [`candidate`] | acquires keepers' keys in the store and releases them |
+//! | [`handover`] | hands the keepers of a node that stops to their next holders |
 //! | [`holders`] | tracks which node holds which keeper and whether it replies |
 //! | [`metrics`] | metrics by tenant |
 //! | [`report`] | the report for operators |
@@ -15,12 +16,14 @@
 //! keeper is queried or held.
 
 pub mod candidate;
+pub mod handover;
 pub mod holders;
 pub mod keeper;
 pub mod metrics;
 pub mod report;
 pub mod requester;
 
+use self::handover::Handovers;
 use self::holders::Holders;
 use self::requester::PendingQueries;
 use crate::node::Node;
@@ -56,6 +59,7 @@
     pending: RefCell<PendingQueries>,
     holders: RefCell<Holders>,
     keepers: RefCell<BTreeMap<KeeperId, QuotaKeeper>>,
+    handovers: Handovers,
     lease: Cell<Option<RegistrationLease>>,
     last_alarm_us: Cell<Option<u64>>,
     /// Notified when this node has acquired, lost or released a keeper.
@@ -135,6 +139,7 @@
     }
     let eras = node.store_eras.borrow();
     node.quotas.holders.borrow_mut().on_digest(from, address, held_keepers, &eras, node.now_us());
+    node.quotas.handovers.reported.notify_waiters();
 }
 
 fn bounds(settings: &Settings) -> QuotaBounds {
--- a/crates/gateway/src/runner_limits.rs
+++ b/crates/gateway/src/runner_limits.rs
@@ -64,7 +64,8 @@
         self.last_received_us.borrow_mut().insert(node.clone(), None);
     }
 
-    fn is_stopping(&self, node: &NodeId) -> bool {
+    /// Whether another node has begun a planned stop.
+    pub fn is_stopping(&self, node: &NodeId) -> bool {
         self.last_received_us.borrow().get(node) == Some(&None)
     }
 
--- a/crates/gateway/tests/message_compatibility.rs
+++ b/crates/gateway/tests/message_compatibility.rs
@@ -4,8 +4,13 @@
 
 mod support;
 
-use pitchstall_gateway::peer_messages::PeerMessage;
+use pitchstall_gateway::peer_messages::{PeerMessage, MAX_DATAGRAM_BYTES};
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use pitchstall_serving::ids::{TenantName, ZoneId};
+use pitchstall_serving::quota::{QuotaUnit, TenantLimit};
+use pitchstall_serving::quota_handover::{QuotaHandover, TenantHandover, MAX_HANDOVER_TENANTS};
+use pitchstall_serving::quota_slots::KeeperId;
+use pitchstall_serving::store_revision::StoreRevision;
 use serde_json::{json, Value};
 use std::net::UdpSocket;
 use support::{get, wait_for, Fixture};
@@ -41,6 +46,24 @@
     assert_eq!(serde_json::to_value(&message).unwrap(), hello_of_earlier_build());
 }
 
+#[test]
+fn the_largest_handover_of_a_quota_keeper_fits_into_a_datagram() {
+    let limit = TenantLimit {
+        rate_per_s: u64::MAX,
+        burst: u64::MAX,
+        unit: QuotaUnit::Tokens,
+        plain_tokens: u64::MAX,
+    };
+    let tenant = TenantName::new("t".repeat(128));
+    let handed = TenantHandover { tenant, limit, version: u64::MAX, available: i64::MIN };
+    let keeper = KeeperId { zone: ZoneId::new("z".repeat(128)), number: u8::MAX };
+    let revision = StoreRevision::without_era(u64::MAX);
+    let tenants = vec![handed; MAX_HANDOVER_TENANTS + 1];
+    let handover = QuotaHandover::new(keeper, revision, u64::MAX, u64::MAX, tenants);
+    let bytes = serde_json::to_vec(&PeerMessage::QuotaHandover(handover)).unwrap().len();
+    assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes");
+}
+
 #[test]
 fn unreadable_datagrams_are_counted_and_otherwise_ignored() {
     let runner =
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -231,6 +231,28 @@
     wait_for("a grant", || send(&other, TAXIS, 1).status == 200);
 }
 
+/// The levels of the limited tenant at the keepers that a node holds.
+fn levels(node: &Fixture) -> Vec<i64> {
+    let held = report(node)["held"].as_array().unwrap().clone();
+    let tenants = held.iter().flat_map(|keeper| keeper["tenants"].as_array().unwrap().clone());
+    tenants.map(|tenant| tenant["level"].as_i64().unwrap()).collect()
+}
+
+#[test]
+fn a_graceful_shutdown_hands_over_what_is_left_of_a_limit() {
+    let runner = desk();
+    let node = node_with(&runner, &json!({ "rate_per_s": 50, "burst": 50 }));
+    wait_for_keepers(&node);
+    let other = start_second_node(&node, "node-2");
+    wait_for_keepers(&other);
+    wait_for("a grant", || send(&other, TAXIS, 1).status == 200);
+    wait_for("some units", || levels(&node).iter().any(|level| *level > 5));
+    node.request_stop();
+    wait_for("the other node to hold the keepers", || held_keeper_count(&other) == 2);
+    // No query has reached the new holder, so it knows the tenant from the handover alone.
+    assert!(levels(&other).iter().any(|level| *level > 0), "{:?}", levels(&other));
+}
+
 #[test]
 fn a_restarted_node_takes_over_the_keepers_of_its_previous_process_at_once() {
     let runner = desk();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -36,6 +36,7 @@
 //! | [`quota_keeper`], [`quota_bucket`] | a keeper's decisions, and the token bucket of one slot |
 //! | [`quota_grants`], [`quota_retry`] | grants that can be refunded, and retries of refused runs |
 //! | [`quota_candidacy`], [`quota_term`] | election of a keeper's holder, and the holder's term |
+//! | [`quota_handover`] | what a holder that stops hands to its successor |
 //! | [`quota_requester`], [`quota_outcome`] | a node's queries to keepers, and their outcome |
 //! | [`retry_budget`] | a bound on extra attempts that holds without agreement between nodes |
 //! | [`retry_pool`] | tokens that nodes with small retry budgets share |
@@ -83,6 +84,7 @@
 pub mod quota_bucket;
 pub mod quota_candidacy;
 pub mod quota_grants;
+pub mod quota_handover;
 pub mod quota_keeper;
 pub mod quota_outcome;
 pub mod quota_requester;
--- a/crates/serving/src/quota_bucket.rs
+++ b/crates/serving/src/quota_bucket.rs
@@ -85,6 +85,29 @@
         }
     }
 
+    /// Continues the bucket of the previous holder, which had `available` millionths of a unit left
+    /// above full debt when it stopped granting. What would have been refilled since then is lost,
+    /// and so are refunds of runs that the previous holder granted.
+    pub fn resume(
+        limit: TenantLimit,
+        version: u64,
+        share: SlotShare,
+        available: i64,
+        now_us: u64,
+    ) -> Self {
+        let mut bucket = Self::new(limit, version, share, now_us, now_us);
+        let available = available.min(share.burst + share.debt);
+        bucket.level = available.saturating_sub(share.debt);
+        bucket
+    }
+
+    /// What is left above full debt, in millionths of a unit; negative if a lowered limit has put
+    /// the level below it.
+    pub fn available_above_debt(&mut self, now_us: u64) -> i64 {
+        self.refill(now_us);
+        self.level.saturating_add(self.share.debt)
+    }
+
     /// The tenant's limit in force at this holder.
     pub fn limit(&self) -> &TenantLimit {
         &self.limit
--- a/crates/serving/src/quota_keeper.rs
+++ b/crates/serving/src/quota_keeper.rs
@@ -2,7 +2,7 @@
 //! wait.
 //!
 //! A keeper manages one slot of each tenant that it has been queried for. A new holder starts with
-//! nothing to spend and no state of the previous one. If a keeper has too few units available, it
+//! what the previous one handed over (see [`crate::quota_handover`]), or with nothing to spend. If a keeper has too few units available, it
 //! forwards the query. The last keeper refuses the run, unless all keepers together have enough
 //! units: then each of them charges a part.
 
@@ -11,6 +11,7 @@
     PartialCharge, QuotaBounds, QuotaQuery, QuotaRefund, QuotaReply, QuotaVerdict, TenantLimit,
 };
 use crate::quota_bucket::{Bucket, Demand};
+use crate::quota_handover::{QuotaHandover, TenantHandover};
 use crate::quota_share::SlotShare;
 use crate::quota_slots::{keepers_of, query_order, KeeperId};
 use crate::quota_term::QuotaKeeperTerm;
@@ -78,6 +79,48 @@
         }
     }
 
+    /// A keeper whose previous holder has handed it over. The caller has replaced that holder's key
+    /// in the store, so nobody else was holder in between.
+    pub fn resume(
+        term: QuotaKeeperTerm,
+        bounds: QuotaBounds,
+        topology: Topology,
+        handover: QuotaHandover,
+    ) -> Self {
+        let now_us = term.started_at_us();
+        let mut keeper = Self::new(handover.keeper, term, bounds, topology);
+        keeper.version = handover.version;
+        keeper.version_since_us = now_us.saturating_sub(handover.counted_for_us);
+        for tenant in handover.tenants {
+            keeper.resume_tenant(tenant, now_us);
+        }
+        keeper
+    }
+
+    /// Ends this holder's term. The handover holds what is left of the limits at `now_us`.
+    pub fn hand_over(mut self, now_us: u64) -> QuotaHandover {
+        let to_handover = |(tenant, bucket): (&TenantName, &mut Bucket)| TenantHandover {
+            tenant: tenant.clone(),
+            limit: *bucket.limit(),
+            version: bucket.version(),
+            available: bucket.available_above_debt(now_us),
+        };
+        let mut tenants: Vec<TenantHandover> = self.buckets.iter_mut().map(to_handover).collect();
+        tenants.sort_by(|left, right| left.tenant.cmp(&right.tenant));
+        let counted_for_us = now_us.saturating_sub(self.version_since_us);
+        QuotaHandover::new(self.id, self.term.revision, self.version, counted_for_us, tenants)
+    }
+
+    fn resume_tenant(&mut self, handed: TenantHandover, now_us: u64) {
+        let keepers = keepers_of(&handed.tenant, &handed.limit, &self.bounds, &self.topology);
+        if keepers.contains(&self.id) {
+            let share = SlotShare::new(&handed.limit, &self.bounds, keepers.len());
+            let bucket =
+                Bucket::resume(handed.limit, handed.version, share, handed.available, now_us);
+            self.buckets.insert(handed.tenant, bucket);
+        }
+    }
+
     /// Identity of the keeper, which stays the same when its holder changes.
     pub fn id(&self) -> &KeeperId {
         &self.id
--- a/crates/serving/src/quota_share.rs
+++ b/crates/serving/src/quota_share.rs
@@ -8,8 +8,8 @@
 //!
 //! The refill rate spreads what the limit allows in a window evenly, `rate + burst / window`, or is
 //! lower if the remainder would otherwise be less than the burst. The holder of a slot spends at
-//! most `burst + debt + refill` in a window. The next holder of the same slot starts in full debt.
-//! However many holders follow each other within a window, the later ones spend no more than what
+//! most `burst + debt + refill` in a window. The next holder of the same slot starts in full debt,
+//! or continues with what that one left, in which case both count as one holder. However many holders follow each other within a window, the later ones spend no more than what
 //! is refilled during their terms.
 
 use crate::quota::{QuotaBounds, QuotaUnit, TenantLimit};
--- a/crates/serving/src/quota_term.rs
+++ b/crates/serving/src/quota_term.rs
@@ -4,7 +4,8 @@
 //! when it sent the call that granted or renewed the lease, with a clock that includes time in
 //! suspension, so the term ends before the store can give the key to another node. No waiting time
 //! is needed between two holders, since the later one starts with nothing to spend (see
-//! [`crate::quota_share`]).
+//! [`crate::quota_share`]) or with what the earlier one left when it had stopped granting (see
+//! [`crate::quota_handover`]).
 
 use crate::store_revision::StoreRevision;
 
--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -72,6 +72,8 @@
 #[test_case(quota::Safeguards { empty_start: false, ..quota::Safeguards::ALL }; "empty start")]
 #[test_case(quota::Safeguards { term_from_send_time: false, ..quota::Safeguards::ALL }; "term from send time")]
 #[test_case(quota::Safeguards { create_if_absent: false, ..quota::Safeguards::ALL }; "create if absent")]
+#[test_case(quota::Safeguards { stop_before_handover: false, ..quota::Safeguards::ALL }; "stop before handover")]
+#[test_case(quota::Safeguards { handover_names_key: false, ..quota::Safeguards::ALL }; "handover names key")]
 #[test_case(quota::Safeguards { grants_expire: false, ..quota::Safeguards::ALL }; "grants expire")]
 #[test_case(quota::Safeguards { used_once: false, ..quota::Safeguards::ALL }; "used once")]
 #[test_case(quota::Safeguards { used_or_refunded: false, ..quota::Safeguards::ALL }; "used or refunded")]
--- a/crates/serving/tests/quota_bucket.rs
+++ b/crates/serving/tests/quota_bucket.rs
@@ -54,6 +54,20 @@
     assert!(spent > share.burst + share.debt - 100 * 1_000_000);
 }
 
+#[test]
+fn a_resumed_bucket_has_what_the_previous_holder_had_left() {
+    let limit = limit(47_000);
+    let share = SlotShare::new(&limit, &BOUNDS, SLOTS);
+    let mut previous = bucket(limit, SLOTS, 0, 60 * SECOND);
+    drain(&mut previous, 1, 100, 60 * SECOND);
+    previous.refund(demand(1, 0, 0).ticket, 60 * SECOND);
+    let available = previous.available_above_debt(60 * SECOND);
+    let resumed = Bucket::resume(limit, 1, share, available, 61 * SECOND);
+    assert_eq!(resumed.level_units(), previous.level_units());
+    let largest = Bucket::resume(limit, 1, share, i64::MAX, 61 * SECOND);
+    assert_eq!(largest.level_units(), share.burst / 1_000_000);
+}
+
 #[test]
 fn a_granted_run_is_granted_again_without_a_charge() {
     let mut bucket = bucket(limit(47_000), SLOTS, 0, 60 * SECOND);
@@ -243,6 +257,8 @@
     Split { cost: u64, is_used: bool, after_us: u64 },
     /// The holder of a slot is lost and a new one starts.
     ReplaceHolder { slot: usize },
+    /// The holder of a slot hands over what is left to the next one, which counts as the same holder.
+    HandOver { slot: usize },
 }
 
 fn operation() -> impl Strategy<Value = Operation> {
@@ -262,6 +278,7 @@
         30 => whole,
         8 => parts,
         1 => (0..SLOTS).prop_map(|slot| Operation::ReplaceHolder { slot }),
+        2 => (0..SLOTS).prop_map(|slot| Operation::HandOver { slot }),
     ]
 }
 
@@ -325,6 +342,11 @@
                 self.buckets[slot] = Bucket::new(self.limit, 1, share, self.now_us, self.now_us);
                 self.started_at_us[slot] = self.now_us;
             }
+            Operation::HandOver { slot } => {
+                let share = SlotShare::new(&self.limit, &self.bounds, SLOTS);
+                let available = self.buckets[slot].available_above_debt(self.now_us);
+                self.buckets[slot] = Bucket::resume(self.limit, 1, share, available, self.now_us);
+            }
         }
     }
 
--- a/crates/serving/tests/quota_fleet/leases.rs
+++ b/crates/serving/tests/quota_fleet/leases.rs
@@ -29,12 +29,42 @@
         keepers.values_mut().for_each(|keeper| keeper.renew(now_us, LEASE_US));
     }
 
-    /// Releases all keepers of a node, which campaigns for none from now on.
+    /// Begins a planned stop: the node hands over its keepers one after the other and campaigns for
+    /// none from now on.
     pub(super) fn stop(&mut self, node: usize) {
         let incarnation = self.nodes[node].incarnation;
         self.nodes[node].is_stopping = true;
-        self.nodes[node].keepers.clear();
-        self.keys.retain(|_, key| (key.node, key.incarnation) != (node, incarnation));
+        let held: Vec<KeeperId> = self.nodes[node].keepers.keys().cloned().collect();
+        for (order, keeper) in held.into_iter().enumerate() {
+            let after_us = order as u64 * HANDOVER_US;
+            self.push_at(self.now_us + after_us, Event::HandOver { node, incarnation, keeper });
+        }
+    }
+
+    /// Stops granting for a keeper and sends what is left to the first candidate.
+    pub(super) fn hand_over(&mut self, node: usize, keeper: &KeeperId) {
+        let Some(held) = self.nodes[node].keepers.remove(keeper) else { return };
+        let handover = held.hand_over(self.now_us);
+        let is_candidate = |to: &usize| self.nodes[*to].is_up && !self.nodes[*to].is_stopping;
+        let successor =
+            (0..NODES).filter(is_candidate).min_by_key(|candidate| self.rank(*candidate, keeper));
+        match successor {
+            Some(to) => self.push(HANDOVER_US, Event::TakeOver { to, handover }),
+            None => self.keys.retain(|id, _| id != keeper),
+        }
+    }
+
+    /// Replaces the key of a node that stops, if it is unchanged.
+    pub(super) fn take_over(&mut self, node: usize, handover: QuotaHandover) {
+        let keeper = handover.keeper.clone();
+        let revision = self.keys.get(&keeper).map(|key| StoreRevision::without_era(key.revision));
+        if revision != Some(handover.revision()) || self.nodes[node].is_stopping {
+            self.keys.remove(&keeper);
+            return;
+        }
+        let term = self.write_key(node, keeper.clone());
+        let held = QuotaKeeper::resume(term, BOUNDS, self.topology.clone(), handover);
+        self.nodes[node].keepers.insert(keeper, held);
     }
 
     fn drop_lapsed_keys(&mut self) {
@@ -76,18 +106,19 @@
         if action == CandidacyAction::Wait {
             return;
         }
+        let term = self.write_key(node, keeper.clone());
+        let held = QuotaKeeper::new(keeper.clone(), term, BOUNDS, self.topology.clone());
+        self.nodes[node].keepers.insert(keeper, held);
+    }
+
+    /// Writes the key of a keeper and returns the term of its new holder.
+    fn write_key(&mut self, node: usize, keeper: KeeperId) -> QuotaKeeperTerm {
         let incarnation = self.nodes[node].incarnation;
         self.revision += 1;
-        self.keys.insert(keeper.clone(), Key { node, incarnation, revision: self.revision });
+        self.keys.insert(keeper, Key { node, incarnation, revision: self.revision });
+        let revision = StoreRevision::without_era(self.revision);
         let sent_us = self.nodes[node].renewed_sent_us;
-        let term = QuotaKeeperTerm::new(
-            StoreRevision::without_era(self.revision),
-            sent_us,
-            now_us,
-            LEASE_US,
-        );
-        let held = QuotaKeeper::new(keeper.clone(), term, BOUNDS, self.topology.clone());
-        self.nodes[node].keepers.insert(keeper, held);
+        QuotaKeeperTerm::new(revision, sent_us, self.now_us, LEASE_US)
     }
 
     fn rank(&self, node: usize, keeper: &KeeperId) -> usize {
--- a/crates/serving/tests/quota_fleet/mod.rs
+++ b/crates/serving/tests/quota_fleet/mod.rs
@@ -12,6 +12,7 @@
 use pitchstall_serving::quota_candidacy::{
     candidate_rank, Candidacy, CandidacyAction, QuotaKeeperKey,
 };
+use pitchstall_serving::quota_handover::QuotaHandover;
 use pitchstall_serving::quota_keeper::{QuotaKeeper, QuotaKeeperAction};
 use pitchstall_serving::quota_outcome::QuotaOutcome;
 use pitchstall_serving::quota_requester::{QuotaRequest, QuotaRequester, RequesterAction};
@@ -34,6 +35,9 @@
 const RENEW_EVERY_US: u64 = 5 * SECOND;
 const RETRY_RENEWAL_US: u64 = SECOND / 2;
 const POLL_EVERY_US: u64 = 250_000;
+/// Time from the end of a holder's grants to the term of its successor: a message and a write to
+/// the store.
+const HANDOVER_US: u64 = 20_000;
 /// Time from a grant to the arrival of the run at its runner.
 const SEND_US: u64 = 2_000;
 
@@ -42,7 +46,7 @@
 pub enum Fault {
     /// Ends processes. They restart at the same address after the given time, or never.
     Kill { nodes: Vec<usize>, back_after_us: Option<u64> },
-    /// Stops nodes as planned: each releases its keepers at once and then campaigns for none. They
+    /// Stops nodes as planned: each hands over its keepers and then campaigns for none. They
     /// restart at the same address after the given time.
     Stop { nodes: Vec<usize>, back_after_us: u64 },
     /// Suspends nodes for the given time, while their clocks continue.
@@ -70,6 +74,8 @@
     ReplyTimeout { node: usize, incarnation: u64, ticket: Ticket, keeper: KeeperId },
     Renew { node: usize, incarnation: u64 },
     Poll { node: usize, incarnation: u64 },
+    HandOver { node: usize, incarnation: u64, keeper: KeeperId },
+    TakeOver { to: usize, handover: QuotaHandover },
     Fault(Fault),
     Restart { nodes: Vec<usize> },
     Heal { nodes: Vec<usize> },
@@ -275,6 +281,12 @@
             }
             Event::Renew { node, incarnation } if self.is_at(node, incarnation) => self.renew(node),
             Event::Poll { node, incarnation } if self.is_at(node, incarnation) => self.poll(node),
+            Event::HandOver { node, incarnation, keeper } if self.is_at(node, incarnation) => {
+                self.hand_over(node, &keeper);
+            }
+            Event::TakeOver { to, handover } if self.nodes[to].is_up => {
+                self.take_over(to, handover);
+            }
             Event::Fault(fault) => self.on_fault(fault),
             Event::Restart { nodes } => {
                 for node in nodes {
--- a/crates/serving/tests/quota_keeper.rs
+++ b/crates/serving/tests/quota_keeper.rs
@@ -6,6 +6,7 @@
 use pitchstall_serving::quota::{
     QuotaBounds, QuotaQuery, QuotaRefund, QuotaReply, QuotaUnit, QuotaVerdict, TenantLimit,
 };
+use pitchstall_serving::quota_handover::{QuotaHandover, TenantHandover, MAX_HANDOVER_TENANTS};
 use pitchstall_serving::quota_keeper::{QuotaKeeper, QuotaKeeperAction};
 use pitchstall_serving::quota_outcome::QuotaOutcome;
 use pitchstall_serving::quota_requester::{QuotaRequest, QuotaRequester, RequesterAction};
@@ -253,6 +254,44 @@
     assert!(query_at("busy".into(), 10_000, later_us) <= 1);
 }
 
+fn handed_over(keeper: QuotaKeeper) -> QuotaKeeper {
+    let handover = keeper.hand_over(NOW_US);
+    let revision = StoreRevision::without_era(2);
+    let term = QuotaKeeperTerm::new(revision, NOW_US, NOW_US, 1_000 * SECOND);
+    QuotaKeeper::resume(term, BOUNDS, topology(), handover)
+}
+
+#[test]
+fn a_successor_grants_what_the_previous_holder_had_left() {
+    let mut keepers = Keepers::new();
+    assert!(is_granted(&keepers.query(query(1, 10_000, limit(47_000), 1), NOW_US)));
+    let left = keepers.level();
+    keepers.held = keepers.held.into_iter().map(|(id, held)| (id, handed_over(held))).collect();
+    assert_eq!(keepers.level(), left);
+    assert!(is_granted(&keepers.query(query(2, 10_000, limit(47_000), 1), NOW_US)));
+}
+
+#[test]
+fn a_tenant_that_the_previous_holder_was_not_queried_for_has_its_units_at_the_successor() {
+    let mut keepers = Keepers::new();
+    keepers.held = keepers.held.into_iter().map(|(id, held)| (id, handed_over(held))).collect();
+    assert!(is_granted(&keepers.query(query(1, 10_000, limit(47_000), 1), NOW_US)));
+}
+
+#[test]
+fn a_handover_that_leaves_tenants_out_vouches_for_no_other_tenant() {
+    let handed = TenantHandover { tenant: tenant(), limit: limit(1), version: 1, available: 0 };
+    let keeper = Keepers::slots(&limit(47_000))[0].clone();
+    let revision = StoreRevision::without_era(1);
+    let handover = |count| {
+        let tenants = vec![handed.clone(); count];
+        QuotaHandover::new(keeper.clone(), revision, 1, NOW_US, tenants)
+    };
+    assert_eq!(handover(MAX_HANDOVER_TENANTS).counted_for_us, NOW_US);
+    assert_eq!(handover(MAX_HANDOVER_TENANTS + 1).counted_for_us, 0);
+    assert_eq!(handover(MAX_HANDOVER_TENANTS + 1).tenants.len(), MAX_HANDOVER_TENANTS);
+}
+
 fn requester() -> QuotaRequester {
     QuotaRequester::new(ZoneId::new("a1"), address(), BOUNDS, topology())
 }
--- a/crates/serving/tests/specification/quota.rs
+++ b/crates/serving/tests/specification/quota.rs
@@ -1,6 +1,6 @@
 //! Model of one slot of a tenant's limit: two nodes that may hold it, the key in the store, grants
 //! and refunds that are lost, delayed or duplicated, a limit that is lowered, and one window that
-//! starts at any moment. Time advances in ticks, and a run costs one unit.
+//! starts at any moment. A holder may hand its level to the other node. Time advances in ticks, and a run costs one unit.
 //!
 //! A frozen holder takes no step while others do, and a restart of the whole system is a crash of
 //! each holder. The duration of a lease is not modelled: it may expire whenever no node counts on
@@ -44,6 +44,10 @@
     pub term_from_send_time: bool,
     /// The key is written only if it is absent, or by the address that wrote it.
     pub create_if_absent: bool,
+    /// A holder stops granting before it hands its level over.
+    pub stop_before_handover: bool,
+    /// A handover is used only while the key of the holder that made it is unchanged.
+    pub handover_names_key: bool,
     /// A grant is used in time or not at all.
     pub grants_expire: bool,
     /// A grant that is delivered twice is used once.
@@ -67,6 +71,8 @@
         empty_start: true,
         term_from_send_time: true,
         create_if_absent: true,
+        stop_before_handover: true,
+        handover_names_key: true,
         grants_expire: true,
         used_once: true,
         used_or_refunded: true,
@@ -105,6 +111,8 @@
 pub struct State {
     key: Option<u8>,
     holders: [Option<Holder>; NODES],
+    /// The level that a holder has handed over, if the handover can still be used.
+    handover: Option<i8>,
     runs: [Run; TRACKED_RUNS],
     /// Ticks since the limit was lowered, up to the number that matters.
     lowered: Option<u8>,
@@ -167,7 +175,7 @@
         let may_take = self.key.is_none() || self.key == Some(node as u8);
         if !is_held && (may_take || !guards.create_if_absent) {
             let mut taken = self.clone();
-            taken.key = Some(node as u8);
+            taken.set_key(Some(node as u8), guards);
             let is_low = self.lowered.is_some();
             let share = share(is_low);
             let level = if guards.empty_start { -share.debt } else { share.burst };
@@ -184,9 +192,43 @@
         let is_term_valid = is_held && guards.term_from_send_time;
         if self.key == Some(node as u8) && !is_term_valid {
             let mut expired = self.clone();
-            expired.key = None;
+            expired.set_key(None, guards);
             states.push(expired);
         }
+        self.handover_steps(node, guards, states);
+    }
+
+    /// The holder of the key hands its level over, or the other node replaces the key and continues
+    /// with that level.
+    fn handover_steps(&self, node: usize, guards: Safeguards, states: &mut Vec<Self>) {
+        let is_key_of = |node: usize| self.key == Some(node as u8);
+        if let Some(holder) = self.holders[node].filter(|_| is_key_of(node)) {
+            let mut handing = self.clone();
+            handing.handover = Some(holder.level);
+            if guards.stop_before_handover {
+                handing.holders[node] = None;
+            }
+            states.push(handing);
+        }
+        let Some(level) = self.handover else { return };
+        let may_replace = is_key_of(1 - node) || !guards.handover_names_key;
+        if self.holders[node].is_none() && may_replace {
+            let mut taken = self.clone();
+            taken.set_key(Some(node as u8), guards);
+            let is_low = self.lowered.is_some();
+            let level = level.min(share(is_low).burst);
+            taken.holders[node] =
+                Some(Holder { level, is_low, min_headroom: [None; TRACKED_RUNS] });
+            states.push(taken);
+        }
+    }
+
+    /// Writes or removes the key, whose revision changes.
+    fn set_key(&mut self, key: Option<u8>, guards: Safeguards) {
+        self.key = key;
+        if guards.handover_names_key {
+            self.handover = None;
+        }
     }
 
     fn grant_steps(&self, node: usize, states: &mut Vec<Self>) {
