--- a/crates/serving/tests/quota_fleet/mod.rs
+++ b/crates/serving/tests/quota_fleet/mod.rs
@@ -12,6 +12,7 @@
 use pitchstall_serving::quota_candidacy::{
     candidate_rank, Candidacy, CandidacyAction, QuotaKeeperKey,
 };
+use pitchstall_serving::quota_handover::QuotaHandover;
 use pitchstall_serving::quota_keeper::{QuotaKeeper, QuotaKeeperAction};
 use pitchstall_serving::quota_outcome::QuotaOutcome;
 use pitchstall_serving::quota_requester::{QuotaRequest, QuotaRequester, RequesterAction};
@@ -34,6 +35,9 @@
 const RENEW_EVERY_US: u64 = 5 * SECOND;
 const RETRY_RENEWAL_US: u64 = SECOND / 2;
 const POLL_EVERY_US: u64 = 250_000;
+/// Time from the end of a holder's grants to the term of its successor: a message and a write to
+/// the store.
+const HANDOVER_US: u64 = 20_000;
 /// Time from a grant to the arrival of the run at its runner.
 const SEND_US: u64 = 2_000;
 
@@ -42,6 +46,9 @@
 pub enum Fault {
     /// Ends processes. They restart at the same address after the given time, or never.
     Kill { nodes: Vec<usize>, back_after_us: Option<u64> },
+    /// Stops nodes as planned: each hands over its keepers and then campaigns for none. They
+    /// restart at the same address after the given time.
+    Stop { nodes: Vec<usize>, back_after_us: u64 },
     /// Suspends nodes for the given time, while their clocks continue.
     Freeze { nodes: Vec<usize>, for_us: u64 },
     /// Separates nodes from the store and from all nodes outside the group, but not from each
@@ -67,6 +74,8 @@
     ReplyTimeout { node: usize, incarnation: u64, ticket: Ticket, keeper: KeeperId },
     Renew { node: usize, incarnation: u64 },
     Poll { node: usize, incarnation: u64 },
+    HandOver { node: usize, incarnation: u64, keeper: KeeperId },
+    TakeOver { to: usize, handover: QuotaHandover },
     Fault(Fault),
     Restart { nodes: Vec<usize> },
     Heal { nodes: Vec<usize> },
@@ -82,6 +91,8 @@
 struct Node {
     incarnation: u64,
     is_up: bool,
+    /// Whether the node finishes its open requests before it ends.
+    is_stopping: bool,
     frozen_until_us: u64,
     is_partitioned: bool,
     has_store: bool,
@@ -270,6 +281,12 @@
             }
             Event::Renew { node, incarnation } if self.is_at(node, incarnation) => self.renew(node),
             Event::Poll { node, incarnation } if self.is_at(node, incarnation) => self.poll(node),
+            Event::HandOver { node, incarnation, keeper } if self.is_at(node, incarnation) => {
+                self.hand_over(node, &keeper);
+            }
+            Event::TakeOver { to, handover } if self.nodes[to].is_up => {
+                self.take_over(to, handover);
+            }
             Event::Fault(fault) => self.on_fault(fault),
             Event::Restart { nodes } => {
                 for node in nodes {
@@ -320,6 +337,10 @@
                     self.push(after_us, Event::Restart { nodes });
                 }
             }
+            Fault::Stop { nodes, back_after_us } => {
+                nodes.iter().for_each(|node| self.stop(*node));
+                self.push(back_after_us, Event::Restart { nodes });
+            }
             Fault::Freeze { nodes, for_us } => {
                 let until_us = self.now_us + for_us;
                 nodes.iter().for_each(|node| self.nodes[*node].frozen_until_us = until_us);
@@ -352,6 +373,7 @@
     Node {
         incarnation,
         is_up: true,
+        is_stopping: false,
         frozen_until_us: 0,
         is_partitioned: false,
         has_store: true,
