Test: the end of a silent attempt is waited for, as its runner may notice it after the client has its answer

two_runners_do_not_run_a_stream_together_though_another_request_got_no_response_of_the_first failed once in a run of the whole crate beside builds: 'the other request was not sent on for its silence', 0 in place of 1. The stand-in counts the end of the silent attempt in a thread of its own, and the test read the count right after the response of the other one. It now waits for the count; that it is exactly 1 in the end is asserted as before.

--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -245,7 +245,7 @@
     });
     node.add_runner(&other, "llm", Some("decode"));
     assert_eq!(check.read_response().text(), events(0..=LAST_EVENT));
-    assert_eq!(slow.closed_early(), 1, "the other request was not sent on for its silence");
+    wait_for("the end of the other request's silent attempt", || slow.closed_early() == 1);
     // The retry budget earns from requests.
     check.request("POST", "/summary/1", "id-next", "", b"x");
     assert_eq!(check.read_response().text(), events(0..=LAST_EVENT));
