--- a/crates/serving/src/quota_keeper.rs
+++ b/crates/serving/src/quota_keeper.rs
@@ -80,7 +80,7 @@
     }
 
     /// A keeper whose previous holder has handed it over. The caller has replaced that holder's key
-    /// in the store, so nobody else was holder in between.
+    /// in the store, so no other node was the holder in between.
     pub fn resume(
         term: QuotaKeeperTerm,
         bounds: QuotaBounds,
--- a/crates/serving/src/retry_grants.rs
+++ b/crates/serving/src/retry_grants.rs
@@ -19,7 +19,7 @@
     /// When the keeper received them, in microseconds. They expire [`DEPOSIT_TTL_US`] later, also
     /// if they are granted and returned in between.
     pub received_us: u64,
-    /// The tokens.
+    /// How many of them the pool still has, or a grant holds.
     pub tokens: RetryTokens,
 }
 
