Soak: the platform's header names stand in the stand-ins alone

They are serialized by the stand-ins for runners and clients now (stream_head_of_version, state_response, misdirected_response, PromptRequest). Moved; the bytes are meant to be the same but for the order of two header lines of a resumed request.

--- a/crates/soak/src/runner_program.rs
+++ b/crates/soak/src/runner_program.rs
@@ -4,7 +4,10 @@
 
 use crate::run_plan::{Framing, RunEnd, RunPlan, PLAN_HEADER};
 use nix::sys::signal::{raise, Signal};
-use pitchstall_platform_standins::http::{response_bytes, serve, Connection, ReceivedRequest};
+use pitchstall_platform_standins::http::{serve, Connection, ReceivedRequest};
+use pitchstall_platform_standins::runner::{
+    misdirected_response, state_response, stream_head_of_version,
+};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -57,19 +60,14 @@
     request: &ReceivedRequest,
     identity: &Identity,
 ) -> Option<Connection> {
-    let id = request.id().unwrap_or_default();
-    let mut headers = vec![("x-pitchstall-instance-id", identity.id.as_str())];
-    if request.id().is_some() {
-        headers.push(("x-pitchstall-request-id", id));
-    }
     if request.expected_runner().is_some_and(|expected| expected != identity.id) {
-        headers.push(("x-pitchstall-not-executed", "1"));
-        return connection.write(&response_bytes(421, &headers, b"")).then_some(connection);
+        let response = misdirected_response(request, &identity.id);
+        return connection.write(&response).then_some(connection);
     }
     let plan = request.header(PLAN_HEADER).and_then(|text| text.parse::<RunPlan>().ok());
     let Some(plan) = plan else {
-        let report = br#"{"stage":"decode","models":[],"busy":false,"seq":0,"queued":0,"running":0,"kv_used":0,"kv_total":1000,"handles":0}"#;
-        return connection.write(&response_bytes(200, &headers, report)).then_some(connection);
+        let response = state_response(request, &identity.id);
+        return connection.write(&response).then_some(connection);
     };
     write_stream(connection, request, identity, plan)
 }
@@ -87,7 +85,7 @@
     let event_text =
         |number: u64| format!("id: {number}\ndata: {run} {} {number}\n\n", identity.version);
     let length: usize = (first..=LAST_EVENT).map(|number| event_text(number).len()).sum();
-    connection.write(head(request, plan.framing, length).as_bytes()).then_some(())?;
+    connection.write(&head(request, plan.framing, length)).then_some(())?;
     for number in first..=LAST_EVENT {
         let text = event_text(number);
         write_event(&mut connection, plan, &text).then_some(())?;
@@ -145,18 +143,14 @@
     let _ = raise(signal);
 }
 
-fn head(request: &ReceivedRequest, framing: Framing, length: usize) -> String {
-    let id = request.id().unwrap_or_default();
+fn head(request: &ReceivedRequest, framing: Framing, length: usize) -> Vec<u8> {
     let (version, lines) = match framing {
         Framing::Chunked => ("1.1", "transfer-encoding: chunked\r\n".to_owned()),
         Framing::Length => ("1.1", format!("content-length: {length}\r\n")),
         Framing::Unframed => ("1.1", "connection: close\r\n".to_owned()),
         Framing::Http10 => ("1.0", String::new()),
     };
-    format!(
-        "HTTP/{version} 200 OK\r\nx-pitchstall-request-id: {id}\r\nx-pitchstall-server-stamp: stamp\r\n\
-         content-type: text/event-stream\r\n{lines}\r\n"
-    )
+    stream_head_of_version(request, version, &lines)
 }
 
 fn framed(framing: Framing, text: &str) -> Vec<u8> {
--- a/crates/soak/src/stream_client.rs
+++ b/crates/soak/src/stream_client.rs
@@ -2,6 +2,7 @@
 
 use crate::run_plan::{RunPlan, PLAN_HEADER};
 use crate::stream_judgement::{ReceivedEvent, Try, TryEnd};
+use pitchstall_platform_standins::client::PromptRequest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -61,13 +62,8 @@
         );
         first_id.get_or_insert_with(|| id.clone());
         let last = tries.iter().flat_map(|it| &it.events).last().map(|event| event.number);
-        let resumption = match (last, &begun_by) {
-            (Some(last), Some(begun_by)) => {
-                format!("Last-Event-Id: {last}\r\nResumes: {begun_by}\r\n")
-            }
-            _ => String::new(),
-        };
-        let text = request_text(request, &id, deadline, &resumption);
+        let resumption = begun_by.as_deref().zip(last);
+        let text = request_text(request, &id, deadline, resumption);
         let attempt = one_try(node, &text, deadline, |event| on_event(number, event));
         if begun_by.is_none() && !attempt.events.is_empty() {
             begun_by = Some(id);
@@ -91,16 +87,20 @@
     request: StreamRequest<'_>,
     id: &str,
     deadline: Instant,
-    resumption: &str,
+    resumption: Option<(&str, u64)>,
 ) -> String {
     let StreamRequest { host, key, path, http_version, plan, .. } = request;
-    let authorization = key.map_or(String::new(), |key| format!("Authorization: Token {key}\r\n"));
-    let remaining_ms = deadline.saturating_duration_since(Instant::now()).as_millis();
-    format!(
-        "POST {path}{id} HTTP/{http_version}\r\nHost: {host}\r\n{authorization}X-Pitchstall-Request-Id: {id}\r\n\
-         X-Pitchstall-Deadline-Ms: {remaining_ms}\r\nX-Pitchstall-Model: m\r\nX-Pitchstall-Token-Count: 900,20\r\n\
-         X-Pitchstall-Prefix-Hash: a{id}:600,{id}:300\r\n{PLAN_HEADER}: {plan}\r\n{resumption}Content-Length: 0\r\n\r\n"
-    )
+    let prompt = PromptRequest {
+        http_version,
+        host,
+        path: &format!("{path}{id}"),
+        id,
+        key,
+        deadline_ms: deadline.saturating_duration_since(Instant::now()).as_millis(),
+        resumption,
+        header_lines: &format!("{PLAN_HEADER}: {plan}\r\n"),
+    };
+    prompt.to_text()
 }
 
 fn one_try(
