--- a/crates/gateway/tests/http10_clients.rs
+++ b/crates/gateway/tests/http10_clients.rs
@@ -152,6 +152,17 @@
     assert_eq!(end, ConnectionEnd::Reset);
 }
 
+/// Sends requests from which the retry budget earns what the stream of the test needs to be resumed.
+fn fill_retry_budget(node: &Fixture) {
+    const REQUESTS: usize = 3;
+    for number in 0..REQUESTS {
+        let mut client = node.client();
+        let id = format!("earn-{number}");
+        client.request("POST", "/summary/1", &id, "Last-Event-Id: 8\r\n", b"x");
+        assert_eq!(client.read_response().text(), events(9..=LAST_EVENT));
+    }
+}
+
 #[test]
 fn a_stream_to_an_http10_client_that_another_runner_continues_is_closed_in_an_orderly_way() {
     let breaking = |request: &ReceivedRequest| match request.header("last-event-id") {
@@ -161,18 +172,7 @@
     let (one, two) = (runner("i-1", breaking), runner("i-2", breaking));
     let runners = [(&one, "llm", Some("decode")), (&two, "llm", Some("decode"))];
     let node = Fixture::with_runners(&runners);
-    // These requests fill the retry budget for the stream that is resumed below.
-    for number in 0..3 {
-        let mut client = node.client();
-        client.request(
-            "POST",
-            "/summary/1",
-            &format!("earn-{number}"),
-            "Last-Event-Id: 8\r\n",
-            b"x",
-        );
-        assert_eq!(client.read_response().text(), events(9..=LAST_EVENT));
-    }
+    fill_retry_budget(&node);
     let mut client = node.client();
     client.request_http10("/summary/1", "id-1", "");
     let (response, end) = client.read_until_end();
@@ -191,17 +191,7 @@
     let (one, two) = (runner("i-1", breaking), runner("i-2", breaking));
     let runners = [(&one, "llm", Some("decode")), (&two, "llm", Some("decode"))];
     let node = Fixture::with_runners(&runners);
-    for number in 0..3 {
-        let mut client = node.client();
-        client.request(
-            "POST",
-            "/summary/1",
-            &format!("earn-{number}"),
-            "Last-Event-Id: 8\r\n",
-            b"x",
-        );
-        assert_eq!(client.read_response().text(), events(9..=LAST_EVENT));
-    }
+    fill_retry_budget(&node);
     let mut client = node.client();
     client.request_http10("/summary/1", "id-1", "");
     let (response, end) = client.read_until_end();
--- a/crates/gateway/tests/request_panics.rs
+++ b/crates/gateway/tests/request_panics.rs
@@ -5,6 +5,7 @@
 
 use log::kv::Key;
 use log::{LevelFilter, Log, Metadata, Record};
+use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
 use std::sync::{Mutex, Once};
 use support::{get, wait_for, ConnectionEnd, Fixture};
@@ -55,14 +56,15 @@
     line.unwrap_or_default().to_owned()
 }
 
+fn desk_runner() -> RunnerStandIn {
+    let booked = |_: &ReceivedRequest| Reaction::Respond { status: 200, body: b"booked".to_vec() };
+    RunnerStandIn::start("i-desk", booked).unwrap()
+}
+
 #[test]
 fn a_panic_before_the_response_is_answered_with_a_status_that_promises_nothing() {
     install_logger();
-    let runner = RunnerStandIn::start("i-desk", |_| Reaction::Respond {
-        status: 200,
-        body: b"booked".to_vec(),
-    });
-    let runner = runner.unwrap();
+    let runner = desk_runner();
     let node = Fixture::with_runners(&[(&runner, "desk", None)]);
     let mut client = node.client();
     for (number, event) in ["sent", "head"].into_iter().enumerate() {
@@ -82,11 +84,7 @@
 #[test]
 fn a_panic_after_a_response_was_chosen_is_counted_and_its_client_gets_a_response() {
     install_logger();
-    let runner = RunnerStandIn::start("i-desk", |_| Reaction::Respond {
-        status: 200,
-        body: b"booked".to_vec(),
-    });
-    let runner = runner.unwrap();
+    let runner = desk_runner();
     let node = Fixture::with_runners(&[(&runner, "desk", None)]);
     let mut client = node.client();
     // The response has been written whole when the event `closed` is logged.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, clippy::unwrap_used, clippy::panic, missing_docs)]
 
 pub mod cut_server;
+pub mod log_lines;
 
 use ntex::rt::{DefaultRuntime, System};
 use pitchstall_gateway::daemon::{self, Signals};
