--- a/crates/soak/examples/soak/processes.rs
+++ b/crates/soak/examples/soak/processes.rs
@@ -2,9 +2,9 @@
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
-use pitchstall_soak::plan::{has_limits, has_regions};
 use pitchstall_soak::proxy::Link;
 use pitchstall_soak::regions::REGIONS;
+use pitchstall_soak::seed_features::{has_limits, has_regions};
 use pitchstall_soak::tenants::{OVERAGE, WINDOW_S};
 use std::fs::File;
 use std::io;
--- a/crates/soak/examples/soak/run/mod.rs
+++ b/crates/soak/examples/soak/run/mod.rs
@@ -11,14 +11,15 @@
 use pitchstall_soak::fleet::{request_bytes, SoakFleet, SoakRunner};
 use pitchstall_soak::history::{Event, Outcome, Recorder, RequestKind};
 use pitchstall_soak::node_health::is_ready;
-use pitchstall_soak::plan::{
-    has_incarnations, has_large_configurations, has_limits, has_node_link_faults, has_regions,
-    has_runner_processes, has_self_reports, steps, Step, RECOVERY_TIME,
-};
+use pitchstall_soak::plan::{steps, Step, RECOVERY_TIME};
 use pitchstall_soak::process_checks::ProcessExchange;
 use pitchstall_soak::proxy::Link;
 use pitchstall_soak::regions::{id_with_node, is_in_store_region, zone_of, ONE_WAY_DELAY};
 use pitchstall_soak::runner_processes::RunnerProcesses;
+use pitchstall_soak::seed_features::{
+    has_incarnations, has_large_configurations, has_limits, has_node_link_faults, has_regions,
+    has_runner_processes, has_self_reports,
+};
 use pitchstall_soak::tenants::{SoakTenant, LIMITED};
 use std::io;
 use std::net::SocketAddr;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -4,16 +4,16 @@
 use crate::checks::request_body;
 use crate::history::{Event, Recorder, RequestKind};
 use crate::node_links::NodeLinks;
-use crate::plan::{
-    has_incarnations, has_large_configurations, has_limits, has_reported_limits, has_restores,
-    has_runner_processes, has_self_reports, has_stream_pauses,
-};
 use crate::process_load::{ProcessRoute, PROCESS_SERVICE};
 use crate::proxy::Link;
 use crate::regions::RegionLink;
 use crate::reported_limits::LimitPhases;
 use crate::runner_processes::StartedRunner;
 use crate::runner_script::{poison_body, script, RunnerLocation, SelfReporting, Worker};
+use crate::seed_features::{
+    has_incarnations, has_large_configurations, has_limits, has_reported_limits, has_restores,
+    has_runner_processes, has_self_reports, has_stream_pauses,
+};
 use crate::tenants::{document, tenant_of, tenants, SoakTenant, WINDOW_S};
 use pitchstall_platform_standins::client::ClientRequest;
 use pitchstall_platform_standins::cloud::CloudStandIn;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`checks`] | one check for each guarantee |
 //! | `indexed_history` | the events, indexed for the checks |
 //! | `configuration_checks` | the checks on configurations |
+//! | [`seed_features`] | which kinds of faults, runners and tenants a seed has |
 //! | [`plan`] | the schedule of faults of a seed |
 //! | [`proxy`] | a link that can be faulty or slow |
 //! | [`client`] | sends a request and reads the complete response |
@@ -58,6 +59,7 @@
 pub mod runner_processes;
 pub mod runner_program;
 mod runner_script;
+pub mod seed_features;
 mod self_report_checks;
 pub mod stream_client;
 pub mod stream_judgement;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,10 @@
 
 use crate::process_load::process_steps;
 use crate::proxy::LinkMode;
+use crate::seed_features::{
+    has_faults, has_isolated_restore, has_limits, has_node_link_faults, has_regions, has_restores,
+    has_runner_processes, has_stream_pauses,
+};
 use pitchstall_platform_standins::store::StoreMode;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt, SeedableRng};
@@ -127,30 +131,6 @@
 /// Time between two steps of a series, milliseconds.
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 20..250;
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_000;
-/// Every third seed has planned work only and no faults, so that the guarantees on planned work are
-/// tested.
-const PLANNED_ONLY_EVERY: u64 = 3;
-/// Later seeds have regions and limits of tenants; earlier ones never do, so that their schedules
-/// stay the same.
-const FIRST_SEED_WITH_REGIONS_AND_LIMITS: u64 = 1_000;
-/// Later seeds have runners that restart under the same id, and large configurations.
-const FIRST_SEED_WITH_INCARNATIONS: u64 = 2_000;
-/// Later seeds have runners that announce that they are leaving long before the registry shows it,
-/// or ask for a pause.
-const FIRST_SEED_WITH_SELF_REPORTS: u64 = 3_000;
-/// Later seeds up to the first seed with restores have runners that temporarily report how many
-/// requests per second they accept from all nodes together.
-const FIRST_SEED_WITH_REPORTED_LIMITS: u64 = 6_000;
-/// Later seeds up to the first seed with pauses in streams have a store that is restored from older backups.
-const FIRST_SEED_WITH_RESTORES: u64 = 7_000;
-/// Later seeds have streams that pause and go on, and nodes that reload their settings again and again.
-const FIRST_SEED_WITH_STREAM_PAUSES: u64 = 8_000;
-/// Later seeds have pauses in streams without limits of tenants and without large configurations.
-const FIRST_SEED_WITH_STREAM_PAUSES_ALONE: u64 = 9_000;
-/// Later seeds have nodes that lose their links to all runners, and no regions.
-const FIRST_SEED_WITH_NODE_LINK_FAULTS: u64 = 10_000;
-/// Later seeds have runners that are processes of their own and end at any moment.
-const FIRST_SEED_WITH_RUNNER_PROCESSES: u64 = 13_000;
 /// Maximum time for which the regions are cut off from each other.
 const REGION_CUT_DURATION: Duration = Duration::from_secs(10);
 /// Time without faults at the end of a run, in which the system has to recover.
@@ -277,33 +257,6 @@
     }
 }
 
-/// Whether some nodes of the seed lose their links to all runners.
-pub fn has_node_link_faults(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_NODE_LINK_FAULTS
-}
-
-/// Whether some runners of the seed are processes of their own, which end at any moment.
-pub fn has_runner_processes(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_RUNNER_PROCESSES
-}
-
-/// Whether the seed restores the store from older backups.
-pub fn has_restores(seed: u64) -> bool {
-    (FIRST_SEED_WITH_RESTORES..FIRST_SEED_WITH_STREAM_PAUSES).contains(&seed)
-}
-
-/// Whether runners of the seed pause in some streams and then go on, and nodes reload their settings again and again.
-pub fn has_stream_pauses(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_STREAM_PAUSES
-}
-
-/// Whether the seed has one restore of the store after which no other fault occurs until the time
-/// bounds apply to nodes again. On such seeds, runners report nothing about themselves and regions
-/// are not cut off, so that nodes learn of changes from the store alone and no check is suspended.
-pub fn has_isolated_restore(seed: u64) -> bool {
-    has_restores(seed) && !seed.is_multiple_of(2)
-}
-
 /// Time from the start of the isolated restore until other faults may start.
 const ISOLATION_TIME: Duration = Duration::from_secs(12);
 /// Time from the start of the isolated restore until planned work starts. By then the store is back
@@ -337,43 +290,6 @@
     })
 }
 
-/// Whether the nodes of the seed lie in two regions.
-pub fn has_regions(seed: u64) -> bool {
-    (FIRST_SEED_WITH_REGIONS_AND_LIMITS..FIRST_SEED_WITH_NODE_LINK_FAULTS).contains(&seed)
-        && seed % 4 != 3
-        && !has_isolated_restore(seed)
-}
-
-/// Whether some tenants of the seed have limits.
-pub fn has_limits(seed: u64) -> bool {
-    (FIRST_SEED_WITH_REGIONS_AND_LIMITS..FIRST_SEED_WITH_STREAM_PAUSES_ALONE).contains(&seed)
-        && seed % 4 != 2
-}
-
-/// Whether the runners of the seed restart under the same id and report when they started.
-pub fn has_incarnations(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_INCARNATIONS
-}
-
-/// Whether the configurations of the seed are large and nodes read them over links of low
-/// bandwidth.
-pub fn has_large_configurations(seed: u64) -> bool {
-    (FIRST_SEED_WITH_INCARNATIONS..FIRST_SEED_WITH_STREAM_PAUSES_ALONE).contains(&seed)
-        && seed.is_multiple_of(2)
-}
-
-/// Whether the runners of the seed announce in their responses that they are leaving or ask for a
-/// pause.
-pub fn has_self_reports(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_SELF_REPORTS && !has_isolated_restore(seed)
-}
-
-/// Whether the runners of the seed temporarily report the rate that they accept from all nodes
-/// together.
-pub fn has_reported_limits(seed: u64) -> bool {
-    (FIRST_SEED_WITH_REPORTED_LIMITS..FIRST_SEED_WITH_RESTORES).contains(&seed)
-}
-
 /// Cuts the regions off from each other after a third of the load, for long enough that the time
 /// bounds apply to their nodes again.
 fn region_cut_step(length: Duration) -> Step {
@@ -409,11 +325,6 @@
     ]
 }
 
-/// Whether the seed has faults in addition to planned work.
-fn has_faults(seed: u64) -> bool {
-    !seed.is_multiple_of(PLANNED_ONLY_EVERY)
-}
-
 /// Signals, restarts and changes in quick succession, so that they overlap: one series in the first
 /// half, one in the second. A separate random generator draws these steps, so that the other steps
 /// of older seeds stay the same.
@@ -468,7 +379,7 @@
 
 fn main_steps(seed: u64, length: Duration, nodes: usize) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let is_planned_only = seed.is_multiple_of(PLANNED_ONLY_EVERY);
+    let has_faults = has_faults(seed);
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
     loop {
@@ -477,10 +388,9 @@
             return steps;
         }
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
-        let action = if is_planned_only {
-            planned_action(&mut rng, nodes)
-        } else {
-            random_action(&mut rng, nodes)
+        let action = match has_faults {
+            true => random_action(&mut rng, nodes),
+            false => planned_action(&mut rng, nodes),
         };
         steps.push(Step {
             at,
--- a/crates/soak/tests/runner_processes.rs
+++ b/crates/soak/tests/runner_processes.rs
@@ -1,7 +1,7 @@
 //! Runners that are processes of their own: their schedules, and the checks of what their clients receive.
 #![allow(missing_docs)]
 
-use pitchstall_soak::plan::{has_runner_processes, steps, Action, Step};
+use pitchstall_soak::plan::{steps, Action, Step};
 use pitchstall_soak::process_checks::{
     process_tally, process_violations, untested_processes, ProcessExchange, ProcessTally,
     COMPLETE_IS_WHOLE, EVENTS_IN_ORDER,
@@ -9,6 +9,7 @@
 use pitchstall_soak::process_load::{draw_request, ProcessRoute, RUNNER_PROCESSES};
 use pitchstall_soak::run_plan::{Framing, RunEnd, RunPlan};
 use pitchstall_soak::runner_program::{start, Identity, LAST_EVENT};
+use pitchstall_soak::seed_features::has_runner_processes;
 use pitchstall_soak::stream_client::{fetch, Fetched};
 use pitchstall_soak::stream_judgement::{ReceivedEvent, Try, TryEnd};
 use rand::SeedableRng;
--- a/crates/soak/tests/schedules.rs
+++ b/crates/soak/tests/schedules.rs
@@ -1,9 +1,9 @@
 //! Which faults a seed has, and that a seed always has the same.
 #![allow(missing_docs)]
 
-use pitchstall_soak::plan::{
-    has_large_configurations, has_limits, has_regions, has_reported_limits, has_restores, steps,
-    Action, Step,
+use pitchstall_soak::plan::{steps, Action, Step};
+use pitchstall_soak::seed_features::{
+    has_large_configurations, has_limits, has_regions, has_reported_limits, has_restores,
 };
 use std::time::Duration;
 
