--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cut_server;
 pub mod log_lines;
+pub mod versions;
 
 use ntex::rt::{DefaultRuntime, System};
 use pitchstall_gateway::daemon::{self, Signals};
