--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::settings::{NodeSection, Settings, SettingsError};
 use crate::shard_scheduler;
 use crate::usage;
+use crate::version_record;
 use crate::watcher;
 use pitchstall_serving::store_replica::Subject;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -123,6 +124,7 @@
     ntex::rt::spawn(authority::hold_roles_authority(node.clone()));
     ntex::rt::spawn(roles::order_role_changes(node.clone()));
     ntex::rt::spawn(quarantine::persist_crashes(node.clone()));
+    ntex::rt::spawn(version_record::record_versions(node.clone()));
     ntex::rt::spawn(retry_pools::deposit_tokens(node.clone()));
     ntex::rt::spawn(runner_probe::probe_lost_links(node.clone()));
     ntex::rt::spawn(reachability::report_unreachable_runners(node.clone()));
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -90,6 +90,9 @@
     /// The software version that began the stream, which alone may continue it; `None` if the client has received no
     /// event yet.
     version: Option<SoftwareVersion>,
+    /// The versions at which no stream may begin yet; empty if the request is bound to a version or begins no stream that may
+    /// be resumed.
+    unrecorded_versions: Vec<SoftwareVersion>,
     /// The blamed part that this request tries, until its first run has been lost.
     tried_part: Cell<Option<RequestIdentity>>,
 }
@@ -160,6 +163,7 @@
                 route.resumable.then(|| OriginRecorder::new(node, request)),
             ),
             version: None,
+            unrecorded_versions: Vec::new(),
             tried_part: Cell::new(None),
         }
     }
@@ -424,6 +428,7 @@
             excluded: &self.excluded,
             zones: self.rules.zones.as_ref(),
             version: self.version.as_ref(),
+            excluded_versions: &self.unrecorded_versions,
             scope: Scope::AllRegions,
         }
     }
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -7,6 +7,7 @@
 use crate::prepared_connection::{self, PrepareError};
 use crate::runner_limits::{self, SendPermit};
 use crate::scheduling::{self, Placement, PlacementDemand, ProgressReporter};
+use crate::version_record;
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::ids::ZoneId;
 use pitchstall_serving::placement::{choose_least_occupied, Demand, PrefillPlan, RunnerChoice};
@@ -89,6 +90,7 @@
             if self.has_lost_its_version() {
                 return Err(EndReason::StreamVersionGone);
             }
+            self.update_unrecorded_versions();
             if let Some(plan) = self.plan_now().await? {
                 return Ok(plan);
             }
@@ -111,6 +113,18 @@
         }
     }
 
+    /// A stream that may be resumed begins only at a version that is recorded, so that nodes which start later know of it.
+    fn update_unrecorded_versions(&mut self) {
+        self.unrecorded_versions = match self.begins_resumable_stream() {
+            true => version_record::unrecorded_versions(self.node, &self.service),
+            false => Vec::new(),
+        };
+    }
+
+    fn begins_resumable_stream(&self) -> bool {
+        self.route.resumable && self.version.is_none()
+    }
+
     /// Whether no runner serves any more that may continue the stream.
     fn has_lost_its_version(&self) -> bool {
         let fleet = self.node.fleet.borrow();
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use crate::refused_entries::EntryError;
+use crate::version_record;
 use pitchstall_platform_adapter::documents::{self, ParsedConfiguration, RefusedTenant};
 use pitchstall_platform_adapter::store::{self, Item, CONFIGURATION_KEY};
 use pitchstall_serving::crash_messages::{Crash, CrashRecord};
@@ -28,15 +29,25 @@
             }
         }
         Subject::Crashes if update.is_snapshot => {
+            let (versions, crashes): (Vec<_>, Vec<_>) =
+                update.entries.iter().partition(|entry| store::is_version_key(&entry.key));
+            version_record::on_snapshot(node, update, &versions);
             let crashes: Vec<_> =
-                update.entries.iter().filter_map(|entry| parse_crash(node, entry)).collect();
+                crashes.into_iter().filter_map(|entry| parse_crash(node, entry)).collect();
             match is_restored {
                 true => node.on_crashes_restored(&crashes),
                 false => node.quarantine.borrow_mut().on_store_snapshot(&crashes),
             }
             node.report_blame("store");
         }
-        Subject::Crashes => update.entries.iter().for_each(|entry| apply_crash(node, entry)),
+        Subject::Crashes => {
+            for entry in &update.entries {
+                match store::is_version_key(&entry.key) {
+                    true => version_record::on_entry(node, entry, update.revision_of(entry)),
+                    false => apply_crash(node, entry),
+                }
+            }
+        }
     }
     node.log_first_readiness();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -109,4 +109,6 @@
 pub mod unframed_head;
 pub mod unknown_headers;
 pub mod usage;
+pub mod version_reads;
+pub mod version_record;
 pub mod watcher;
--- a/crates/gateway/src/node/configuration.rs
+++ b/crates/gateway/src/node/configuration.rs
@@ -5,6 +5,7 @@
 use pitchstall_serving::configuration::{Configuration, EngineSpec};
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::tenancy::{KeyPolicy, ReplicaAge};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,11 +66,19 @@
         let tenants = configuration.tenants.len();
         self.splitter.borrow_mut().retain(&configuration);
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        self.versions_changed.notify_one();
         let before = before.unwrap_or_default();
         let behind_ms = self.configuration_lag().as_millis();
         log::info!(target: "configuration", version, before, routes, tenants, behind_ms; "adopted");
     }
 
+    /// The services whose streams may be continued by another runner; empty without a configuration.
+    pub fn services_with_resumable_streams(&self) -> BTreeSet<ServiceName> {
+        let Some(configuration) = self.configuration() else { return BTreeSet::new() };
+        let routes = configuration.routes.iter().filter(|route| route.resumable);
+        routes.flat_map(|route| &route.shares).map(|share| share.service.clone()).collect()
+    }
+
     /// The services that serve language models, each with its engine specification; empty without a
     /// configuration.
     pub fn engine_services(&self) -> Vec<(ServiceName, EngineSpec)> {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -32,6 +32,7 @@
 use crate::stream_origins::StreamOriginRecords;
 use crate::tunnel::server::OpenTunnels;
 use crate::unknown_headers::UnknownHeaders;
+use crate::version_reads::VersionReads;
 use pitchstall_serving::configuration::{Configuration, Route};
 use pitchstall_serving::crash_evidence::CrashEvidence;
 use pitchstall_serving::fleet::Fleet;
@@ -52,6 +53,7 @@
 use pitchstall_serving::topology::Topology;
 use pitchstall_serving::tunnel_peers::TunnelPeers;
 use pitchstall_serving::usage::{UsageCollector, UsageLedger};
+use pitchstall_serving::version_record::VersionRecord;
 use pitchstall_serving::wall_clock::WallClock;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
@@ -135,6 +137,12 @@
     pub runner_limits: RunnerLimits,
     /// The software versions at which recent streams began.
     pub stream_origins: StreamOriginRecords,
+    /// The software versions at which streams may have begun, as the store has them.
+    pub version_record: RefCell<VersionRecord>,
+    /// Reads of that record for requests.
+    pub version_reads: VersionReads,
+    /// Notified when the versions of runners, or the record of them, may have changed.
+    pub versions_changed: Notify,
     /// Retry tokens that this node pools with others, and those that it keeps for them.
     pub retry_pools: RetryPools,
     /// State of the usage collector, used while this node has that duty.
@@ -240,6 +248,9 @@
             quotas: Quotas::default(),
             runner_limits: RunnerLimits::default(),
             stream_origins: StreamOriginRecords::default(),
+            version_record: RefCell::default(),
+            version_reads: VersionReads::default(),
+            versions_changed: Notify::new(),
             retry_pools: RetryPools::default(),
             usage_collector: RefCell::default(),
             refused_entries: RefusedEntries::default(),
--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -54,7 +54,7 @@
         for incarnation in &gone {
             self.on_runner_departed(&incarnation.id, Some(revision), incarnation.was_leaving);
         }
-        stream_origins::on_fleet_changed(self);
+        self.on_versions_changed();
         self.has_runner_list.set(true);
         let gone = gone.len();
         let revision = revision.to_string();
@@ -62,6 +62,12 @@
         self.fleet_changed.notify_waiters();
     }
 
+    /// Handles a change of the software versions that runners run.
+    fn on_versions_changed(&self) {
+        stream_origins::on_fleet_changed(self);
+        self.versions_changed.notify_one();
+    }
+
     /// Adds or updates a runner from its registry entry.
     pub fn put_runner(&self, record: RunnerRecord) {
         let runner = record.id.clone();
@@ -77,7 +83,7 @@
         let is_new_version = known_version.as_ref() != Some(&record.version);
         let change = self.fleet.borrow_mut().put(record);
         if is_new_version {
-            stream_origins::on_fleet_changed(self);
+            self.on_versions_changed();
         }
         match change {
             FleetChange::Joined => {
@@ -145,7 +151,7 @@
     fn on_runner_departed(&self, id: &RunnerId, revision: Option<StoreRevision>, is_planned: bool) {
         self.pool.remove_runner(id);
         self.forget_link(id);
-        stream_origins::on_fleet_changed(self);
+        self.on_versions_changed();
         if is_planned {
             self.on_planned_departure(id);
         } else {
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -356,6 +356,7 @@
         excluded: runners_to_exclude(node, &eligible, node.now_us()),
         zones: eligible.zones.map(|zones| zones.iter().cloned().collect()),
         version: eligible.version.cloned(),
+        excluded_versions: eligible.excluded_versions.to_vec(),
     }
 }
 
--- a/crates/gateway/src/shard_scheduler.rs
+++ b/crates/gateway/src/shard_scheduler.rs
@@ -53,6 +53,7 @@
         excluded: &query.excluded,
         zones: zones.as_ref(),
         version: query.version.as_ref(),
+        excluded_versions: &query.excluded_versions,
         scope: Scope::AllRegions,
     };
     let demand = PlacementDemand {
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -2,21 +2,22 @@
 //!
 //! A node records the origin of each resumable stream when it forwards the first event. Only while several versions serve
 //! does it tell the stream's keepers; once a second version joins, it tells them of its recent streams. What is recorded
-//! is kept in [`pitchstall_serving::stream_origin`], and [`pitchstall_serving::fleet::VersionHistory`] tells how many
-//! versions serve.
+//! is kept in [`pitchstall_serving::stream_origin`], and [`crate::version_record`] tells at how many versions streams may have
+//! begun.
 
 use crate::intake::ClientRequest;
 use crate::node::Node;
 use crate::peer_messages::PeerMessage;
+use crate::version_record;
 use pitchstall_serving::configuration::{RequestKind, Route};
-use pitchstall_serving::fleet::MAX_STREAM_AGE_US;
 use pitchstall_serving::ids::{ServiceName, StreamId};
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::scheduling::Ticket;
 use pitchstall_serving::stream_origin::{
     StreamOrigin, StreamOriginMessage, StreamOriginQuery, StreamOriginReply, StreamOrigins,
 };
-use std::cell::RefCell;
+use pitchstall_serving::version_view::only_origin;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,19 +42,21 @@
     origins: RefCell<StreamOrigins>,
     /// The services of which several versions were serving when the fleet changed last.
     mixed_services: RefCell<BTreeSet<ServiceName>>,
+    /// Whether the store had confirmed what this node knows of the versions, when that was checked last.
+    is_confirmed: Cell<bool>,
     pending_queries: RefCell<HashMap<Ticket, mpsc::UnboundedSender<StreamOriginReply>>>,
 }
 
 /// Where a request may run, depending on the stream that it resumes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamContinuation {
-    /// At any runner: the request resumes no stream, or no runner serves.
+    /// At any runner: the request resumes no stream.
     Anywhere,
-    /// At runners of the version that alone has served recently.
+    /// At runners of the only version at which the stream can have begun.
     AtOnlyVersion(StreamOrigin),
     /// At runners of the service and version that began the stream.
     AtOrigin(StreamOrigin),
-    /// Nowhere: several versions serve, and it is not known which of them began the stream.
+    /// Nowhere: it is not known at which version the stream began.
     Unknown,
 }
 
@@ -76,11 +79,11 @@
         let now_us = self.node.now_us();
         let records = &self.node.stream_origins;
         records.origins.borrow_mut().record(self.stream.clone(), origin.clone(), now_us);
-        if self.node.fleet.borrow_mut().has_several_versions(&origin.service, now_us) {
-            tell_keepers(
-                &self.node,
-                &[StreamOriginMessage { stream: self.stream.clone(), origin }],
-            );
+        let is_needed_by_others = has_several_origins(&self.node, &origin.service)
+            || !version_record::knows_present(&self.node);
+        if is_needed_by_others {
+            let stream = self.stream.clone();
+            tell_keepers(&self.node, &[StreamOriginMessage { stream, origin }]);
         }
     }
 }
@@ -112,12 +115,9 @@
 pub fn on_fleet_changed(node: &Node) {
     let now_us = node.now_us();
     node.metrics.set_runners(node.fleet.borrow().versions());
-    let services: BTreeSet<ServiceName> =
-        node.fleet.borrow().versions().runners_by_version().map(|it| it.0.clone()).collect();
-    let mut fleet = node.fleet.borrow_mut();
+    let services = node.services_with_resumable_streams();
     let mixed: BTreeSet<ServiceName> =
-        services.into_iter().filter(|it| fleet.has_several_versions(it, now_us)).collect();
-    drop(fleet);
+        services.into_iter().filter(|service| has_several_origins(node, service)).collect();
     let before = node.stream_origins.mixed_services.replace(mixed.clone());
     for service in mixed.difference(&before) {
         let origins = node.stream_origins.origins.borrow();
@@ -127,6 +127,18 @@
     }
 }
 
+/// Tells the keepers of all recent streams when the store has not confirmed what this node knows for a while: nodes cannot
+/// read then at which versions these streams may have begun. `is_confirmed` is whether it has.
+pub fn on_confirmation_checked(node: &Node, is_confirmed: bool) {
+    let was_confirmed = node.stream_origins.is_confirmed.replace(is_confirmed);
+    if is_confirmed || !was_confirmed {
+        return;
+    }
+    let streams = node.stream_origins.origins.borrow().recent(node.now_us());
+    log::info!(target: "stream", streams = streams.len(); "store has not confirmed the versions: keepers are told of recent streams");
+    tell_keepers(node, &streams);
+}
+
 /// Records the origins that another node reports.
 pub fn on_message(node: &Node, messages: Vec<StreamOriginMessage>) {
     let now_us = node.now_us();
@@ -139,12 +151,13 @@
 /// Replies to another node's query.
 pub fn on_query(node: &Node, query: &StreamOriginQuery, from: SocketAddr) {
     let now_us = node.now_us();
-    let origin = node.stream_origins.origins.borrow().find(&query.stream, now_us).cloned();
-    let has_several_versions = node.fleet.borrow_mut().has_several_versions(&query.service, now_us);
+    let origins = node.stream_origins.origins.borrow();
+    let counted = version_record::counted_origins(node, &query.service);
     let reply = StreamOriginReply {
         ticket: query.ticket,
-        origin,
-        has_several_versions,
+        origin: origins.find(&query.stream, now_us).cloned(),
+        has_several_versions: counted.len() > 1,
+        counted: counted.into_iter().collect(),
         uptime_ms: Some(now_us / MICROS_PER_MILLI),
     };
     node.scheduling.socket.send(&PeerMessage::StreamOriginReply(reply), &[from]);
@@ -160,7 +173,7 @@
 
 /// Determines where a request may run. `service` is the one that the route has chosen for it.
 pub async fn continuation(
-    node: &Node,
+    node: &Rc<Node>,
     request: &ClientRequest,
     route: &Route,
     service: &ServiceName,
@@ -177,43 +190,51 @@
 }
 
 async fn find_origin(
-    node: &Node,
+    node: &Rc<Node>,
     stream: &StreamId,
     service: &ServiceName,
 ) -> (StreamContinuation, KeeperReplies) {
-    let now_us = node.now_us();
-    if let Some(origin) = node.stream_origins.origins.borrow().find(stream, now_us) {
+    if let Some(origin) = node.stream_origins.origins.borrow().find(stream, node.now_us()) {
         return (StreamContinuation::AtOrigin(origin.clone()), KeeperReplies::default());
     }
-    let has_several = node.fleet.borrow_mut().has_several_versions(service, now_us);
-    // A node that has started recently has not seen all versions that a stream may have begun at.
-    if !has_several && now_us >= MAX_STREAM_AGE_US {
-        return (at_only_version(node, service), KeeperReplies::default());
-    }
     let replies = query_keepers(node, stream, service).await;
     let continuation = match &replies.origin {
         Some(origin) => StreamContinuation::AtOrigin(origin.clone()),
-        None if has_several || replies.has_several_versions => StreamContinuation::Unknown,
-        None => at_only_version(node, service),
+        None if replies.has_several_versions => StreamContinuation::Unknown,
+        None => at_only_origin(node, service, &replies.counted).await,
     };
     (continuation, replies)
 }
 
-/// The version is fixed here, since another one may join before the request is sent.
-fn at_only_version(node: &Node, service: &ServiceName) -> StreamContinuation {
-    let fleet = node.fleet.borrow();
-    let mut versions = fleet.versions().runners_by_version().filter(|it| it.0 == service);
-    versions.next().map_or(StreamContinuation::Anywhere, |(service, version, _)| {
-        let (service, version) = (service.clone(), version.clone());
-        StreamContinuation::AtOnlyVersion(StreamOrigin { service, version })
-    })
+/// Where a stream may go on that no node remembers.
+async fn at_only_origin(
+    node: &Rc<Node>,
+    service: &ServiceName,
+    counted_by_keepers: &BTreeSet<StreamOrigin>,
+) -> StreamContinuation {
+    let mut counted = version_record::counted_origins(node, service);
+    counted.extend(counted_by_keepers.iter().cloned());
+    if counted.len() > 1 {
+        return StreamContinuation::Unknown;
+    }
+    let recorded = version_record::read_origins(node, service).await;
+    let only = recorded.and_then(|recorded| only_origin(&recorded, &counted));
+    only.map_or(StreamContinuation::Unknown, StreamContinuation::AtOnlyVersion)
+}
+
+/// Whether several origins of a service's streams count.
+fn has_several_origins(node: &Node, service: &ServiceName) -> bool {
+    version_record::counted_origins(node, service).len() > 1
 }
 
 /// What the keepers have replied, taken together.
 #[derive(Default)]
 struct KeeperReplies {
     origin: Option<StreamOrigin>,
+    /// Whether a keeper knows of several versions. Keepers of earlier builds do not name them.
     has_several_versions: bool,
+    /// The origins that the keepers count.
+    counted: BTreeSet<StreamOrigin>,
     /// Number of keepers that were queried.
     queried: usize,
     /// Number of keepers that have replied.
@@ -238,6 +259,7 @@
     for _ in &addresses {
         let Ok(Some(reply)) = timeout_at(deadline, receiver.recv()).await else { break };
         replies.replied += 1;
+        replies.counted.extend(reply.counted);
         let uptime_ms = reply.uptime_ms.unwrap_or_default();
         replies.longest_uptime_ms = replies.longest_uptime_ms.max(uptime_ms);
         replies.has_several_versions |= reply.has_several_versions;
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
-use pitchstall_platform_standins::store::StoreMode;
+use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
 use serde_json::Value;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -90,6 +90,12 @@
     panic!("too few stand-ins have crashed");
 }
 
+/// Keys of the entries of crashes, without the record of versions that lies under the same prefix.
+fn crash_entries(store: &StoreStandIn) -> Vec<String> {
+    let keys = store.keys("pitchstall/crashes/").into_iter();
+    keys.filter(|key| !key.starts_with("pitchstall/crashes/versions/")).collect()
+}
+
 #[test_case("/summary/7", "llm", CrashHead::Chunked; "a stream that has started")]
 #[test_case("/summary/7", "llm", CrashHead::None; "a stream without a head")]
 #[test_case("/summary/7", "llm", CrashHead::Unframed; "a stream that looks complete")]
@@ -158,7 +164,7 @@
     send_until_crashed(&[&first], "/summary/7", &runners);
     std::thread::sleep(PROPAGATION_TIME);
     assert_eq!(send_to(&second, "/summary/7", "again", CRASHING_BODY).status, 503);
-    let is_written = || first.store.keys("pitchstall/crashes/").len() >= QUARANTINE_CRASHES;
+    let is_written = || crash_entries(&first.store).len() >= QUARANTINE_CRASHES;
     assert!(!is_written());
     first.store.set_mode(StoreMode::Serving);
     wait_for("the crashes to be written", is_written);
@@ -180,7 +186,7 @@
     std::thread::sleep(PROPAGATION_TIME);
     send_to(&node, "/summary/7", "again", CRASHING_BODY);
     assert!(arrivals(&runners) > before, "the request is quarantined without a crash");
-    assert!(node.store.keys("pitchstall/crashes/").is_empty());
+    assert!(crash_entries(&node.store).is_empty());
 }
 
 #[test]
@@ -195,7 +201,7 @@
     assert_eq!(listed[0]["quarantined"], true);
     let identity = listed[0]["identity"].as_str().unwrap();
     assert_eq!(lift(&node, identity), 200);
-    let gone = || node.store.keys("pitchstall/crashes/").is_empty();
+    let gone = || crash_entries(&node.store).is_empty();
     wait_for("the entries to be removed", gone);
     assert_eq!(get(node.health, "/quarantine").text(), "[]");
     assert_eq!(lift(&node, identity), 404);
@@ -236,7 +242,7 @@
     let second = first.start_peer("node-2");
     second.wait_until_ready();
     send_until_crashed(&[&first], "/summary/7", &runners);
-    let entries = || first.store.keys("pitchstall/crashes/").len();
+    let entries = || crash_entries(&first.store).len();
     wait_for("the crashes to be written", || entries() >= QUARANTINE_CRASHES);
     wait_for("the crashes to spread", || get(second.health, "/quarantine").text() != "[]");
     std::thread::sleep(PROPAGATION_TIME);
--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -104,6 +104,15 @@
     assert_eq!(pausing.closed_early(), 0, "the run was ended though it went on");
 }
 
+/// Waits until the node serves streams: its service's version is recorded a moment after the node is ready.
+fn wait_until_streams_are_served(node: &Fixture) {
+    wait_for("a stream to be served", || {
+        let mut client = node.client();
+        client.request("POST", "/summary/1", "id-0", "", b"x");
+        client.read_response().status == 200
+    });
+}
+
 #[test_case(|_| Reaction::Decline; "the other runner declines")]
 #[test_case(|request| Reaction::Respond { status: if is_run(request) { 500 } else { 200 }, body: Vec::new() }; "the other runner fails")]
 #[test_case(|_| Reaction::RawThenReset(Vec::new()); "the other runner resets the connection")]
@@ -388,6 +397,7 @@
         (0..4).map(|number| runner(&format!("i-{number}"), erratic_reaction)).collect();
     let entries: Vec<_> = runners.iter().map(|runner| (runner, "llm", Some("decode"))).collect();
     let node = Fixture::with_runners(&entries);
+    wait_until_streams_are_served(&node);
     let whole = events(0..=4);
     let send_streams = |client_number: usize| {
         let stream = |number: usize| {
--- a/crates/gateway/tests/streams_after_restart.rs
+++ b/crates/gateway/tests/streams_after_restart.rs
@@ -3,9 +3,10 @@
 
 mod support;
 
+use pitchstall_platform_standins::store::StoreMode;
 use std::time::{Duration, Instant};
 use support::versions::*;
-use support::{Fixture, NodeAddress};
+use support::{wait_for, Fixture, NodeAddress};
 use test_case::test_case;
 
 /// Number of nodes.
@@ -95,3 +96,77 @@
     assert_eq!((response.status, response.text().as_str()), (503, ""));
     assert!(begun.elapsed() < Duration::from_millis(500), "the refusal took {:?}", begun.elapsed());
 }
+
+/// A node without peers and with runners of the old version, at which streams may begin.
+fn node_with_old_version(runners: &Runners) -> Fixture {
+    let node = start_node();
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    wait_for("streams to begin", || stream(&node, "first", "").status == 200);
+    node
+}
+
+#[test]
+fn no_stream_begins_at_a_version_that_a_later_node_would_not_know() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with_old_version(&runners);
+    node.store.set_mode(StoreMode::WithoutTransactions);
+    runners.new.iter().for_each(|runner| node.add_runner_of_version(runner, "v2"));
+    wait_for_digests();
+    let texts = begin_streams(&node);
+    assert!(texts.iter().all(|text| text.contains("of v1")), "{texts:?}");
+    remove_old_runners(&node, &runners);
+    wait_for_digests();
+    let refused = stream(&node, "refused", "");
+    assert_eq!((refused.status, refused.text().as_str()), (503, ""));
+    node.store.set_mode(StoreMode::Serving);
+    wait_for("streams to begin", || stream(&node, "later", "").text().contains("of v2"));
+}
+
+#[test]
+fn a_stream_is_not_joined_when_all_nodes_start_again_twice() {
+    let runners = Runners::start(Interruption::Slow);
+    let mut nodes = start_nodes(&runners);
+    let begun = begin_streams(&nodes[0]);
+    remove_old_runners(&nodes[0], &runners);
+    for _ in 0..2 {
+        nodes = restart_all(nodes);
+    }
+    assert_eq!(joined_texts(begun, &nodes), Vec::<String>::new());
+}
+
+#[test]
+fn a_stream_is_not_joined_when_the_store_returns_older_while_no_node_is_there() {
+    let runners = Runners::start(Interruption::Slow);
+    let first = node_with_old_version(&runners);
+    first.store.report_era(0);
+    let backup = first.store.back_up();
+    runners.new.iter().for_each(|runner| first.add_runner_of_version(runner, "v2"));
+    remove_old_runners(&first, &runners);
+    wait_for_digests();
+    let begun = begin_streams(&first);
+    assert!(begun.iter().all(|text| text.contains("of v2")), "{begun:?}");
+    let store = first.store.clone();
+    first.request_stop();
+    first.join();
+    // The runners of the new version are gone, those of the old one are back, and the record knows the old one alone.
+    store.restore(&backup);
+    let address = store.address();
+    let node = Fixture::start_at(NodeAddress::new(), store, address, "node-1", "", RETRY_SLACK);
+    node.wait_until_ready();
+    assert_eq!(joined_texts(begun, &[node]), Vec::<String>::new());
+}
+
+#[test_case(false; "at the node that has run on")]
+#[test_case(true; "at another node")]
+fn a_stream_of_the_only_version_goes_on_while_the_store_fails(is_other: bool) {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with_old_version(&runners);
+    let others: Vec<Fixture> =
+        (2..=3).map(|number| peer_of(&node, &format!("node-{number}"))).collect();
+    let begun = begin_streams(&node);
+    node.store.set_mode(StoreMode::Silent);
+    std::thread::sleep(Duration::from_millis(2_500));
+    let taken_up_at = if is_other { &others[0] } else { &node };
+    assert_eq!(broken_takeups(begun, &[taken_up_at]), Vec::<String>::new());
+}
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -114,6 +114,8 @@
     pub zones: Option<&'a BTreeSet<ZoneId>>,
     /// The software version that has to run the request, as it continues a stream of that version; `None` allows all.
     pub version: Option<&'a SoftwareVersion>,
+    /// Software versions that must not run the request, as no stream may begin at them yet.
+    pub excluded_versions: &'a [SoftwareVersion],
     /// The part of the fleet that is considered.
     pub scope: Scope<'a>,
 }
@@ -128,6 +130,7 @@
             excluded: &[],
             zones: None,
             version: None,
+            excluded_versions: &[],
             scope: Scope::AllRegions,
         }
     }
@@ -139,6 +142,7 @@
         record.service == *self.service
             && zone_is_allowed
             && self.version.is_none_or(|version| record.version == *version)
+            && !self.excluded_versions.contains(&record.version)
             && !self.excluded.contains(&record.id)
             && self.scope.contains(runner)
     }
@@ -338,7 +342,12 @@
 
     /// Whether runners of several software versions have served a service recently.
     pub fn has_several_versions(&mut self, service: &ServiceName, now_us: u64) -> bool {
-        self.versions.has_several(service, now_us)
+        self.versions.counted(service, now_us).len() > 1
+    }
+
+    /// Mutable access to the software versions of each service, whose ages are updated when they are looked at.
+    pub fn versions_mut(&mut self) -> &mut VersionHistory {
+        &mut self.versions
     }
 
     /// Whether any runner of a software version takes work.
@@ -395,6 +404,7 @@
                 over.push(ended);
             }
         }
+        self.versions.on_list_replaced();
         over
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -121,4 +121,6 @@
 pub mod tunnel_peers;
 pub mod urgency;
 pub mod usage;
+pub mod version_record;
+pub mod version_view;
 pub mod wall_clock;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -161,6 +161,14 @@
         self.store_readers_of(&self.own_region()).contains(&&self.own)
     }
 
+    /// Rank of this node among the store readers for a duty, from 0, in an order that all nodes with the same members find;
+    /// `None` if it does not read the store.
+    pub fn own_rank_among_store_readers(&self, duty: &str) -> Option<usize> {
+        let mut readers = self.store_readers();
+        readers.sort_by_key(|name| Reverse(rendezvous_weight(duty, name.as_str())));
+        readers.into_iter().position(|name| *name == self.own)
+    }
+
     /// Number of nodes that read the store.
     pub fn store_reader_count(&self) -> usize {
         self.store_readers().len()
--- a/crates/serving/src/scheduler.rs
+++ b/crates/serving/src/scheduler.rs
@@ -164,7 +164,9 @@
     let mean_wait_ms = |shard: &Shard| {
         let scope = Scope::Shard(shard);
         let version = query.version.as_ref();
-        let eligible = Eligible { scope, version, ..Eligible::all_of(&query.service) };
+        let excluded_versions = &query.excluded_versions;
+        let all = Eligible::all_of(&query.service);
+        let eligible = Eligible { scope, version, excluded_versions, ..all };
         mean_wait_ms(fleet, speed, &eligible, now_us)
     };
     let waits = others.filter_map(|shard| {
--- a/crates/serving/src/scheduling.rs
+++ b/crates/serving/src/scheduling.rs
@@ -135,6 +135,9 @@
     /// The software version that has to run the request; `None` allows all.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub version: Option<SoftwareVersion>,
+    /// Software versions that must not run the request.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub excluded_versions: Vec<SoftwareVersion>,
 }
 
 impl PlacementQuery {
--- a/crates/serving/src/store_replica.rs
+++ b/crates/serving/src/store_replica.rs
@@ -22,7 +22,8 @@
     /// The runners' registry entries.
     #[serde(rename = "r")]
     Runners,
-    /// The requests during which runners have crashed.
+    /// What the nodes themselves record: the requests during which runners have crashed, and the software versions at which
+    /// streams may have begun.
     #[serde(rename = "q")]
     Crashes,
 }
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -15,7 +15,7 @@
 const MAX_STREAMS: usize = 8_192;
 
 /// What began a stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// The service of the runner that wrote the first event.
     #[serde(rename = "s")]
@@ -62,6 +62,9 @@
     /// Whether the keeper has seen several versions serve recently.
     #[serde(rename = "m", default)]
     pub has_several_versions: bool,
+    /// The origins that count in the keeper's view. Earlier builds leave them out.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub counted: Vec<StreamOrigin>,
     /// Time since the keeper started, before which it knows nothing, in milliseconds. Earlier builds leave it out.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     #[serde(deserialize_with = "crate::bounded::optional_time_ms")]
@@ -117,6 +120,17 @@
         }
     }
 
+    /// All known origins.
+    pub fn recent(&self, now_us: u64) -> Vec<StreamOriginMessage> {
+        let known =
+            self.order.iter().filter_map(|stream| Some((stream, self.find(stream, now_us)?)));
+        let message = |(stream, origin): (&StreamId, &StreamOrigin)| StreamOriginMessage {
+            stream: stream.clone(),
+            origin: origin.clone(),
+        };
+        known.map(message).collect()
+    }
+
     /// The known origins of a service's streams.
     pub fn of_service<'a>(
         &'a self,
--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -7,6 +7,7 @@
 use pathfinding::directed::bfs::bfs_reach;
 use specification::{
     adoption, authority, quota, regional_authority, resuming, retry_budget, retry_pool, usage,
+    version_record,
 };
 use test_case::test_case;
 
@@ -213,3 +214,84 @@
 fn resuming_without_a_safeguard_is_unsafe(safeguards: resuming::Safeguards) {
     assert!(search_resuming(safeguards).1);
 }
+
+const A_RETURNS: version_record::Limits = version_record::Limits {
+    nodes: 2,
+    joins: 2,
+    can_be_restored: false,
+    max_writes: 6,
+    stream_life: 1,
+};
+const LONG_STREAM: version_record::Limits =
+    version_record::Limits { joins: 1, stream_life: 2, ..A_RETURNS };
+const THREE_NODES: version_record::Limits =
+    version_record::Limits { nodes: 3, joins: 1, max_writes: 4, ..A_RETURNS };
+const STORE_IS_RESTORED: version_record::Limits =
+    version_record::Limits { joins: 1, can_be_restored: true, max_writes: 3, ..A_RETURNS };
+const B_ALONE: version_record::Limits = version_record::Limits { joins: 0, ..A_RETURNS };
+
+fn search_version_record(
+    limits: version_record::Limits,
+    safeguards: version_record::Safeguards,
+) -> (usize, bool) {
+    let initial = version_record::State::initial(limits);
+    count(bfs_reach(initial, |state| state.next(safeguards)), |state| state.violated)
+}
+
+#[test_case(A_RETURNS, version_record::Safeguards::ALL; "that returns")]
+#[test_case(A_RETURNS, version_record::Safeguards::READ_ON_REQUEST; "that returns, with reads on request")]
+#[test_case(LONG_STREAM, version_record::Safeguards::ALL; "with a longer stream")]
+#[test_case(LONG_STREAM, version_record::Safeguards::READ_ON_REQUEST; "with a longer stream and reads on request")]
+#[test_case(THREE_NODES, version_record::Safeguards::ALL; "at three nodes")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards::ALL; "with a store restored from a backup")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards::READ_ON_REQUEST; "with a store restored from a backup and reads on request")]
+fn a_stream_of_one_version_is_never_continued_at_another(
+    limits: version_record::Limits,
+    safeguards: version_record::Safeguards,
+) {
+    let (states, violated) = search_version_record(limits, safeguards);
+    println!("version record: {states} states");
+    assert!(!violated);
+    assert!(states > 10_000, "the search was cut short: {states} states");
+}
+
+#[test_case(A_RETURNS, version_record::Safeguards { write_ahead: false, ..version_record::Safeguards::ALL }; "write ahead")]
+#[test_case(A_RETURNS, version_record::Safeguards { settled_entry: false, ..version_record::Safeguards::ALL }; "settled entry")]
+#[test_case(A_RETURNS, version_record::Safeguards { retiring_counts: false, ..version_record::Safeguards::ALL }; "retiring counts")]
+#[test_case(A_RETURNS, version_record::Safeguards { removal_waits_for_streams: false, ..version_record::Safeguards::ALL }; "removal waits for streams")]
+#[test_case(A_RETURNS, version_record::Safeguards { removal_waits_for_runners: false, ..version_record::Safeguards::ALL }; "removal waits for runners")]
+#[test_case(A_RETURNS, version_record::Safeguards { conditional_writes: false, ..version_record::Safeguards::ALL }; "conditional writes")]
+#[test_case(A_RETURNS, version_record::Safeguards { restarted_waits: false, ..version_record::Safeguards::ALL }; "restarted waits")]
+#[test_case(A_RETURNS, version_record::Safeguards { confirmation: version_record::Confirmation::Never, ..version_record::Safeguards::ALL }; "confirmation")]
+#[test_case(LONG_STREAM, version_record::Safeguards { confirmation: version_record::Confirmation::WithinStreamLife, ..version_record::Safeguards::ALL }; "recent confirmation")]
+#[test_case(THREE_NODES, version_record::Safeguards { confirmation: version_record::Confirmation::WithinStreamLife, settled_entry: false, ..version_record::Safeguards::ALL }; "recent confirmation and settled entry")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards { complete_in_era: false, ..version_record::Safeguards::ALL }; "complete in era")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards { survivors_wait: false, ..version_record::Safeguards::ALL }; "survivors wait")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards { completed_by_confirmed_view: false, ..version_record::Safeguards::ALL }; "completed by confirmed view")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards { removed_by_confirmed_view: false, ..version_record::Safeguards::ALL }; "removed by confirmed view")]
+#[test_case(STORE_IS_RESTORED, version_record::Safeguards { restarted_waits: false, ..version_record::Safeguards::ALL }; "restarted waits after a restore")]
+fn a_stream_is_continued_at_another_version_without(
+    limits: version_record::Limits,
+    safeguards: version_record::Safeguards,
+) {
+    assert!(search_version_record(limits, safeguards).1);
+}
+
+#[test_case(version_record::Safeguards::ALL; "with recent confirmations")]
+#[test_case(version_record::Safeguards::READ_ON_REQUEST; "with reads on request")]
+fn unknown_streams_go_on_with_one_version_though_all_nodes_were_killed(
+    safeguards: version_record::Safeguards,
+) {
+    let initial = version_record::State::initial(B_ALONE);
+    let reached = bfs_reach(initial, |state| state.next(safeguards));
+    assert!(!count(reached, |state| state.is_refused_after_read(safeguards)).1);
+}
+
+#[test_case(version_record::Safeguards::ALL; "with recent confirmations")]
+#[test_case(version_record::Safeguards::READ_ON_REQUEST; "with reads on request")]
+fn unknown_streams_go_on_again_after_a_restore(safeguards: version_record::Safeguards) {
+    let limits = version_record::Limits { can_be_restored: true, ..B_ALONE };
+    let initial = version_record::State::initial(limits);
+    let reached = bfs_reach(initial, |state| state.next(safeguards));
+    assert!(count(reached, |state| state.is_accepted_after_restore(safeguards)).1);
+}
--- a/crates/serving/tests/placement.rs
+++ b/crates/serving/tests/placement.rs
@@ -166,6 +166,7 @@
                 excluded: &self.excluded,
                 zones: self.zones.as_ref(),
                 version: None,
+                excluded_versions: &[],
                 scope: Scope::AllRegions,
             },
             prompt: &self.prompt,
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -394,5 +394,6 @@
         excluded: Vec::new(),
         zones: None,
         version: None,
+        excluded_versions: Vec::new(),
     }
 }
--- a/crates/serving/tests/scheduler.rs
+++ b/crates/serving/tests/scheduler.rs
@@ -193,6 +193,7 @@
             excluded: Vec::new(),
             zones: None,
             version: None,
+            excluded_versions: Vec::new(),
         };
         let mut placer = match self.strategy {
             Strategy::Schedulers { .. } => shard.number,
@@ -323,6 +324,7 @@
         excluded: Vec::new(),
         zones: None,
         version: None,
+        excluded_versions: Vec::new(),
     };
     let prompt = query.prompt();
     let demand = Demand {
--- a/crates/serving/tests/specification/mod.rs
+++ b/crates/serving/tests/specification/mod.rs
@@ -12,3 +12,4 @@
 pub mod retry_budget;
 pub mod retry_pool;
 pub mod usage;
+pub mod version_record;
