--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -79,8 +79,8 @@
         let now_us = self.node.now_us();
         let records = &self.node.stream_origins;
         records.origins.borrow_mut().record(self.stream.clone(), origin.clone(), now_us);
-        let is_needed_by_others = has_several_origins(&self.node, &origin.service)
-            || !version_record::knows_present(&self.node);
+        let is_needed_by_others =
+            has_several_origins(&self.node) || !version_record::knows_present(&self.node);
         if is_needed_by_others {
             let stream = self.stream.clone();
             tell_keepers(&self.node, &[StreamOriginMessage { stream, origin }]);
@@ -115,9 +115,11 @@
 pub fn on_fleet_changed(node: &Node) {
     let now_us = node.now_us();
     node.metrics.set_runners(node.fleet.borrow().versions());
-    let services = node.services_with_resumable_streams();
-    let mixed: BTreeSet<ServiceName> =
-        services.into_iter().filter(|service| has_several_origins(node, service)).collect();
+    let counted = version_record::counted_origins(node);
+    let mixed: BTreeSet<ServiceName> = match counted.len() > 1 {
+        true => counted.into_iter().map(|origin| origin.service).collect(),
+        false => BTreeSet::new(),
+    };
     let before = node.stream_origins.mixed_services.replace(mixed.clone());
     for service in mixed.difference(&before) {
         let origins = node.stream_origins.origins.borrow();
@@ -152,7 +154,7 @@
 pub fn on_query(node: &Node, query: &StreamOriginQuery, from: SocketAddr) {
     let now_us = node.now_us();
     let origins = node.stream_origins.origins.borrow();
-    let counted = version_record::counted_origins(node, &query.service);
+    let counted = version_record::counted_origins(node);
     let reply = StreamOriginReply {
         ticket: query.ticket,
         origin: origins.find(&query.stream, now_us).cloned(),
@@ -212,19 +214,21 @@
     service: &ServiceName,
     counted_by_keepers: &BTreeSet<StreamOrigin>,
 ) -> StreamContinuation {
-    let mut counted = version_record::counted_origins(node, service);
+    let mut counted = version_record::counted_origins(node);
+    // The route may be one whose streams are not resumed, so that its service is not among them.
+    counted.extend(version_record::counted_origins_of(node, service));
     counted.extend(counted_by_keepers.iter().cloned());
     if counted.len() > 1 {
         return StreamContinuation::Unknown;
     }
-    let recorded = version_record::read_origins(node, service).await;
+    let recorded = version_record::read_origins(node).await;
     let only = recorded.and_then(|recorded| only_origin(&recorded, &counted));
     only.map_or(StreamContinuation::Unknown, StreamContinuation::AtOnlyVersion)
 }
 
-/// Whether several origins of a service's streams count.
-fn has_several_origins(node: &Node, service: &ServiceName) -> bool {
-    version_record::counted_origins(node, service).len() > 1
+/// Whether resumable streams of several origins count.
+fn has_several_origins(node: &Node) -> bool {
+    version_record::counted_origins(node).len() > 1
 }
 
 /// What the keepers have replied, taken together.
--- a/crates/gateway/src/version_record.rs
+++ b/crates/gateway/src/version_record.rs
@@ -95,22 +95,28 @@
     unrecorded.map(|(_, version, _)| version.clone()).collect()
 }
 
-/// The origins of a service's streams that count at this node: the versions that have an entry or runners, or had any
-/// recently.
-pub fn counted_origins(node: &Node, service: &ServiceName) -> BTreeSet<StreamOrigin> {
+/// The origins of resumable streams that count at this node: they have an entry or runners, or had any recently. Streams of
+/// all services count together, since a route may be split over several, or have been moved from one to another.
+pub fn counted_origins(node: &Node) -> BTreeSet<StreamOrigin> {
+    let mut origins = node.version_record.borrow().origins();
+    for service in node.services_with_resumable_streams() {
+        origins.extend(counted_origins_of(node, &service));
+    }
+    origins
+}
+
+/// The origins of a service's streams by its runners: those of the versions that have any, or had any recently.
+pub fn counted_origins_of(node: &Node, service: &ServiceName) -> BTreeSet<StreamOrigin> {
     let now_us = node.now_us();
-    let mut versions = node.version_record.borrow().versions(service);
-    versions.extend(node.fleet.borrow_mut().versions_mut().counted(service, now_us));
+    let versions = node.fleet.borrow_mut().versions_mut().counted(service, now_us);
     let origin = |version| StreamOrigin { service: service.clone(), version };
     versions.into_iter().map(origin).collect()
 }
 
-/// Reads from the store which origins of a service's streams are recorded. `None` if the store does not respond in time.
-pub async fn read_origins(node: &Rc<Node>, service: &ServiceName) -> Option<RecordedOrigins> {
+/// Reads from the store which origins are recorded. `None` if the store does not respond in time.
+pub async fn read_origins(node: &Rc<Node>) -> Option<RecordedOrigins> {
     let entries = timeout(MAX_READ_TIME, node.version_reads.read(node)).await.ok().flatten()?;
-    let of_service = entries.iter().filter(|entry| entry.service == *service);
-    let of_service: Vec<VersionEntry> = of_service.cloned().collect();
-    Some(recorded_origins(&of_service, node.store_era()))
+    Some(recorded_origins(&entries, node.store_era()))
 }
 
 /// Whether the store has confirmed a moment ago that this node knows the present runners and entries.
--- a/crates/serving/src/version_record.rs
+++ b/crates/serving/src/version_record.rs
@@ -155,6 +155,11 @@
         self.of_service(service).map(|it| it.entry.version.clone()).collect()
     }
 
+    /// The service and version of each entry.
+    pub fn origins(&self) -> BTreeSet<StreamOrigin> {
+        self.entries.values().map(|it| it.entry.origin()).collect()
+    }
+
     /// Whether streams may begin at a version.
     pub fn may_begin(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
         let found = self.find(service, version);
@@ -232,7 +237,8 @@
     }
 
     /// The entries to retire, and those whose versions have had no runner for long enough to be removed.
-    /// The caller knows the present list of runners, and `services` are those whose streams may be resumed.
+    /// The caller knows the present list of runners, and `services` are those whose streams may be resumed. The entries of
+    /// another service end whatever runners it has.
     pub fn due_ends(
         &self,
         services: &BTreeSet<ServiceName>,
@@ -243,7 +249,7 @@
             let Recorded { entry, revision, read_at_us } = recorded;
             let VersionEntry { service, version, .. } = entry;
             let has_runner = history.has_runner(service, version);
-            if has_runner || !services.contains(service) {
+            if has_runner && services.contains(service) {
                 return None;
             }
             let gone_at_us = history.gone_since_us(service, version, now_us);
--- a/crates/serving/tests/version_record.rs
+++ b/crates/serving/tests/version_record.rs
@@ -196,6 +196,16 @@
     assert!(is_complete(&[], era(1)));
 }
 
+#[test]
+fn a_service_that_no_route_sends_to_is_retired_though_it_has_runners() {
+    let mut world =
+        World::new(vec![entry("v1", VersionState::Serving, StoreEra::UNKNOWN)], &["v1"]);
+    let (none, now_us) = (BTreeSet::new(), LONG_AFTER_US);
+    let ends = world.record.due_ends(&none, world.fleet.versions_mut(), now_us);
+    let retiring = entry("v1", VersionState::Retiring, StoreEra::UNKNOWN);
+    assert_eq!(ends, [RecordChange::Retire(retiring, at(100))]);
+}
+
 fn origins(names: &[&str]) -> BTreeSet<StreamOrigin> {
     let origin = |name: &&str| {
         let (service, name) = name.split_once('/').unwrap_or(("llm", name));
@@ -209,6 +219,8 @@
 #[test_case(&["v1"], false, &["v1"], false; "the record may lack versions")]
 #[test_case(&["v1"], true, &["v2"], false; "another version has runners")]
 #[test_case(&["v1", "v2"], true, &["v1"], false; "two entries")]
+#[test_case(&["v1", "next/v1"], true, &["v1"], false; "an entry of another service")]
+#[test_case(&["v1"], true, &["next/v1"], false; "another service has runners")]
 #[test_case(&[], true, &["v1"], true; "no entry")]
 #[test_case(&[], true, &[], false; "no version")]
 fn a_stream_that_nobody_remembers_goes_on_only_if_one_version_can_have_begun_it(
