The last check before a request is sent asks the record of versions (ORDER)

What callers saw, found by review: a stream may begin at a version that joins while its prompt is prefilled, before the version is recorded; then later nodes do not know that it can have begun there.

Cause: the record was asked when a request is planned, not when it is sent.

Change: the admission before the send asks it again, and the request is withheld and planned anew.

Conclusion: at the start of an outage, until the store's confirmation ages out, takeups that nobody remembers are still refused.

--- a/crates/gateway/src/dispatch/admission.rs
+++ b/crates/gateway/src/dispatch/admission.rs
@@ -45,6 +45,10 @@
         if !is_reserved || !self.node.may_send_to(&plan.choice.runner) {
             return Ok(Admission::Withheld);
         }
+        // The runner's version may have joined since the request was planned, for example while the prompt was prefilled.
+        if !self.may_begin_at(&plan.choice.runner) {
+            return Ok(Admission::Withheld);
+        }
         let cost = self.arrivals.on_run();
         if cost != ArrivalCost::Free
             && plan.prefilled.is_none()
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -9,7 +9,7 @@
 use crate::scheduling::{self, Placement, PlacementDemand, ProgressReporter};
 use crate::version_record;
 use pitchstall_serving::configuration::EngineSpec;
-use pitchstall_serving::ids::ZoneId;
+use pitchstall_serving::ids::{RunnerId, ZoneId};
 use pitchstall_serving::placement::{choose_least_occupied, Demand, PrefillPlan, RunnerChoice};
 use pitchstall_serving::request::Work;
 use pitchstall_serving::retry_budget::ArrivalCost;
@@ -125,6 +125,15 @@
         self.route.resumable && self.version.is_none()
     }
 
+    /// Whether the run may begin at a runner: its version is recorded, or the run begins no stream that may be resumed.
+    pub(super) fn may_begin_at(&self, runner: &RunnerId) -> bool {
+        let fleet = self.node.fleet.borrow();
+        let version = fleet.get(runner).map(|runner| &runner.record.version);
+        let record = self.node.version_record.borrow();
+        !self.begins_resumable_stream()
+            || version.is_some_and(|version| record.may_begin(&self.service, version))
+    }
+
     /// Whether no runner serves any more that may continue the stream.
     fn has_lost_its_version(&self) -> bool {
         let fleet = self.node.fleet.borrow();
--- /dev/null
+++ b/crates/gateway/tests/unrecorded_versions.rs
@@ -0,0 +1,108 @@
+//! Versions that the record in the store does not name yet, and reads of the record that take long.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use pitchstall_platform_standins::http::ReceivedRequest;
+use pitchstall_platform_standins::proxy::Link;
+use pitchstall_platform_standins::runner::{engine_script, EventStream, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
+use std::time::Duration;
+use support::versions::*;
+use support::{configuration, runner_entry, wait_for, Fixture, NodeAddress};
+use test_case::test_case;
+
+const PREFILL_TIME: Duration = Duration::from_millis(1_200);
+/// Enough nodes for one that is not asked about a stream.
+const NODES: usize = 7;
+
+fn is_prefill(request: &ReceivedRequest) -> bool {
+    request.header("x-pitchstall-stage") == Some("prefill")
+}
+
+fn slow_prefill_runner() -> RunnerStandIn {
+    let script = |request: &ReceivedRequest| {
+        if !is_prefill(request) {
+            return engine_script(LAST_EVENT)(request);
+        }
+        std::thread::sleep(PREFILL_TIME);
+        let body = br#"{"kv_handle":"h1","tokens":100,"version":1}"#.to_vec();
+        Reaction::Respond { status: 200, body }
+    };
+    RunnerStandIn::start("i-prefill", script).unwrap()
+}
+
+fn decode_runner(id: &str, version: &'static str) -> RunnerStandIn {
+    let script = move |request: &ReceivedRequest| {
+        if !is_run(request) {
+            return engine_script(LAST_EVENT)(request);
+        }
+        let mut events = EventStream::for_request(request, LAST_EVENT);
+        events.version = Some(version);
+        Reaction::Stream(events)
+    };
+    RunnerStandIn::start(id, script).unwrap()
+}
+
+fn prompt(part: &str) -> String {
+    format!("X-Pitchstall-Prefix-Hash: {part}:4000\r\nX-Pitchstall-Token-Count: 4000,100\r\n")
+}
+
+#[test]
+fn no_stream_begins_at_a_version_that_joins_during_its_prefill() {
+    let prefill_runner = slow_prefill_runner();
+    let (old, new) = (decode_runner("i-old", "v1"), decode_runner("i-new", "v2"));
+    let node = start_node();
+    node.add_runner_of_version(&old, "v1");
+    let mut entry = runner_entry(&prefill_runner, "llm", "north", "ready");
+    entry["stage"] = "prefill".into();
+    entry["version"] = "v1".into();
+    node.store.put("servers/i-prefill", &entry);
+    node.wait_until_ready();
+    wait_for("streams to begin", || stream(&node, "first", &prompt("aa")).status == 200);
+    let prefills = || prefill_runner.requests().iter().filter(|it| is_prefill(it)).count();
+    let before = prefills();
+    node.store.set_mode(StoreMode::WithoutTransactions);
+    let response = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| stream(&node, "second", &prompt("bb")));
+        wait_for("the prefill", || prefills() > before);
+        node.add_runner_of_version(&new, "v2");
+        node.store.remove("servers/i-old");
+        asked.join().unwrap()
+    });
+    assert!(!response.text().contains("of v2"), "{}", response.text());
+}
+
+#[test_case(0; "without delay")]
+#[test_case(150; "after 150 ms")]
+#[test_case(350; "after 350 ms")]
+fn a_stream_of_the_only_version_goes_on_while_the_store_is_slow(delay_ms: u64) {
+    let runners = Runners::start(Interruption::Slow);
+    let store = StoreStandIn::start().unwrap();
+    let link = Link::start(store.address()).unwrap();
+    let start = |name: &str| {
+        let (store, address) = (store.clone(), link.address());
+        Fixture::start_at(NodeAddress::new(), store, address, name, "", RETRY_SLACK)
+    };
+    let node = start("node-1");
+    node.store.put("op/config", &configuration(3));
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    let others: Vec<Fixture> = (2..=NODES).map(|number| start(&format!("node-{number}"))).collect();
+    others.iter().for_each(Fixture::wait_until_ready);
+    for asked in [&node, &others[0]] {
+        wait_for("streams to begin", || stream(asked, "first", "").status == 200);
+    }
+    wait_for_digests();
+    link.set_delay(Duration::from_millis(delay_ms));
+    let begun = begin_streams(&node);
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let take_up_one = |number: usize| {
+            let peer = &others[0];
+            scope.spawn(move || take_up(peer, &format!("id-{number}"), &format!("again-{number}")))
+        };
+        let asked: Vec<_> = (0..begun.len()).map(take_up_one).collect();
+        asked.into_iter().map(|it| it.join().unwrap().status).collect()
+    });
+    assert_eq!(statuses, vec![200; begun.len()]);
+}
