--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::scaling;
 use crate::settings::{NodeSection, Settings, SettingsError};
 use crate::shard_scheduler;
+use crate::stream_origin_handover;
 use crate::usage;
 use crate::version_record;
 use crate::watcher;
@@ -45,6 +46,8 @@
 const ACCEPTING_GRACE_SHARE: f64 = 0.3;
 /// Share of the grace period after which the process exits even if requests are open.
 const SHUTDOWN_GRACE_SHARE: f64 = 0.96;
+/// Share of the grace period after which the process exits even if other nodes have not been told of all streams.
+const HANDOVER_GRACE_SHARE: f64 = 0.98;
 
 /// An error that prevents the daemon from running.
 #[derive(Debug, thiserror::Error)]
@@ -131,6 +134,7 @@
     ntex::rt::spawn(usage::run_reporter(node.clone()));
     ntex::rt::spawn(quota::candidate::run(node.clone()));
     ntex::rt::spawn(scaling::order_runners(node.clone()));
+    ntex::rt::spawn(stream_origin_handover::run(node.clone()));
     ntex::rt::spawn(cache_listing::list_own_shards(node.clone()));
     ntex::rt::spawn(peer_listener::accept_peers(peer_listener, node.clone()));
     ntex::rt::spawn(listener::accept_health(health_listener, node.clone()));
@@ -139,12 +143,15 @@
     wait_for_stop(&node, &path, &signals).await;
     let stop_requested_at = Instant::now();
     node.begin_stop();
+    stream_origin_handover::begin_stop(&node);
     log::info!(target: "process", open = node.open_requests(); "stopping");
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
     sleep(grace.mul_f64(ACCEPTING_GRACE_SHARE)).await;
     accept_task.cancel();
     node.begin_closing();
     wait_for_connections(&node, stop_requested_at + grace.mul_f64(SHUTDOWN_GRACE_SHARE)).await;
+    let handover_deadline = stop_requested_at + grace.mul_f64(HANDOVER_GRACE_SHARE);
+    stream_origin_handover::finish(&node, handover_deadline).await;
     log::info!(target: "process", open = node.open_requests(); "stopped");
     Ok(())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`connection`] | reads requests from a client connection and writes responses |
 //! | [`intake`] | validates a request and finds its route, tenant and service |
 //! | [`stream_origins`] | finds the software version that began the stream which a request resumes |
+//! | [`stream_origin_handover`] | tells the keepers of streams where these began, after nodes have stopped or started |
 //! | [`policy`] | runs the operators' policy program |
 //! | [`dispatch`] | plans and makes attempts until the request has its final response |
 //! | [`scheduling`] | places the request by querying the scheduler of the runners' shard |
@@ -103,6 +104,7 @@
 pub mod shard_scheduler;
 pub mod store_pages;
 pub mod store_responses;
+pub mod stream_origin_handover;
 pub mod stream_origins;
 pub mod transfer;
 pub mod tunnel;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -185,6 +185,8 @@
     pub runners_unreachable: Gauge<f64, AtomicU64>,
     /// Runners that have a registry entry, by service and software version.
     pub runners: Family<VersionLabels, Gauge<f64, AtomicU64>>,
+    /// Streams of which other nodes may have to be told after nodes have stopped or started.
+    pub stream_origins_untold: Gauge<f64, AtomicU64>,
     /// Era of the store that this node uses.
     pub store_era: Gauge<f64, AtomicU64>,
     /// Calls to the platform for duties that one node performs on behalf of all.
@@ -240,6 +242,7 @@
             links_lost: Gauge::default(),
             runners_unreachable: Gauge::default(),
             runners: Family::default(),
+            stream_origins_untold: Gauge::default(),
             store_era: Gauge::default(),
             cloud_calls: Counter::default(),
             request_panics: Counter::default(),
@@ -385,6 +388,8 @@
         self.registry.register("runners_unreachable", help, self.runners_unreachable.clone());
         let help = "Runners that have a registry entry, by service and software version";
         self.registry.register("runners", help, self.runners.clone());
+        let help = "Streams of which other nodes may have to be told";
+        self.registry.register("stream_origins_untold", help, self.stream_origins_untold.clone());
         let help = "Era of the store that this node uses";
         self.registry.register("store_era", help, self.store_era.clone());
         let first_byte = self.first_byte.clone();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -29,6 +29,7 @@
 use crate::runner_limits::RunnerLimits;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
+use crate::stream_origin_handover::OriginHandovers;
 use crate::stream_origins::StreamOriginRecords;
 use crate::tunnel::server::OpenTunnels;
 use crate::unknown_headers::UnknownHeaders;
@@ -143,6 +144,8 @@
     pub version_reads: VersionReads,
     /// Notified when the versions of runners, or the record of them, may have changed.
     pub versions_changed: Notify,
+    /// Which keepers of streams have been told where these began.
+    pub origin_handovers: OriginHandovers,
     /// Retry tokens that this node pools with others, and those that it keeps for them.
     pub retry_pools: RetryPools,
     /// State of the usage collector, used while this node has that duty.
@@ -251,6 +254,7 @@
             version_record: RefCell::default(),
             version_reads: VersionReads::default(),
             versions_changed: Notify::new(),
+            origin_handovers: OriginHandovers::default(),
             retry_pools: RetryPools::default(),
             usage_collector: RefCell::default(),
             refused_entries: RefusedEntries::default(),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -17,6 +17,7 @@
 use crate::runner_limits;
 use crate::scheduling;
 use crate::shard_scheduler;
+use crate::stream_origin_handover;
 use crate::stream_origins;
 use crate::usage;
 use pitchstall_serving::digest::{Digest, DigestRotation, DigestStatus, DigestTracker};
@@ -150,6 +151,7 @@
         if status == DigestStatus::NewIncarnation {
             let peer = digest.node.as_str();
             log::info!(target: "peers", peer, incarnation = digest.incarnation; "met");
+            stream_origin_handover::on_node_started(&self.node, from);
             if self.node.quotas.is_keeper() {
                 self.send_digest(&[from]);
             }
@@ -218,8 +220,13 @@
 
     /// Sends digests at regular intervals and at each relevant change, until the task is dropped.
     pub async fn announce(self: Rc<Self>) {
+        let mut has_announced_stop = false;
         loop {
             let to = tokio::select! {
+                () = self.node.wait_for_stop(), if !has_announced_stop => {
+                    has_announced_stop = true;
+                    self.all_addresses()
+                }
                 // Runners decline requests during a role change, so all nodes should know of it.
                 () = self.node.role_change_ordered.notified() => self.all_addresses(),
                 () = self.node.quotas.keepers_changed.notified() => self.all_addresses(),
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -8,9 +8,10 @@
 use crate::intake::ClientRequest;
 use crate::node::Node;
 use crate::peer_messages::PeerMessage;
+use crate::stream_origin_handover;
 use crate::version_record;
 use pitchstall_serving::configuration::{RequestKind, Route};
-use pitchstall_serving::ids::{ServiceName, StreamId};
+use pitchstall_serving::ids::{NodeId, ServiceName, StreamId};
 use pitchstall_serving::runner::RunnerRecord;
 use pitchstall_serving::scheduling::Ticket;
 use pitchstall_serving::stream_origin::{
@@ -25,23 +26,20 @@
 use tokio::sync::mpsc;
 use tokio::time::{timeout_at, Instant};
 
-/// Number of nodes that are told of a stream.
-const KEEPERS: usize = 3;
-/// Number of nodes of each region that are asked about a stream. It exceeds [`KEEPERS`] because nodes that have joined
-/// since may rank before the ones that were told.
+/// Number of nodes of each region that are asked about a stream. It exceeds the number of nodes that are told because nodes
+/// that have joined since may rank before these.
 const KEEPERS_QUERIED: usize = 4;
 /// How long to wait for the keepers' replies in addition to the longest round trip.
 const REPLY_TIMEOUT_MARGIN: Duration = Duration::from_millis(30);
-/// Maximum number of streams in one message, about 30 KB.
-const MAX_STREAMS_PER_MESSAGE: usize = 200;
 const MICROS_PER_MILLI: u64 = 1_000;
 
 /// State of a node that records the origins of streams, and keeps those of other nodes' streams.
 #[derive(Default)]
 pub struct StreamOriginRecords {
-    origins: RefCell<StreamOrigins>,
+    /// What this node knows of streams.
+    pub origins: RefCell<StreamOrigins>,
     /// The services of which several versions were serving when the fleet changed last.
-    mixed_services: RefCell<BTreeSet<ServiceName>>,
+    pub mixed_services: RefCell<BTreeSet<ServiceName>>,
     /// Whether the store had confirmed what this node knows of the versions, when that was checked last.
     is_confirmed: Cell<bool>,
     pending_queries: RefCell<HashMap<Ticket, mpsc::UnboundedSender<StreamOriginReply>>>,
@@ -83,7 +81,7 @@
             has_several_origins(&self.node) || !version_record::knows_present(&self.node);
         if is_needed_by_others {
             let stream = self.stream.clone();
-            tell_keepers(&self.node, &[StreamOriginMessage { stream, origin }]);
+            tell_keepers(&self.node, &[StreamOriginMessage { stream, origin, age_ms: 0 }]);
         }
     }
 }
@@ -95,19 +93,15 @@
 
 /// Sends each stream's origin to its keepers.
 fn tell_keepers(node: &Node, streams: &[StreamOriginMessage]) {
-    let own_region = node.region();
-    let members = node.members.borrow();
     let mut by_keeper: HashMap<SocketAddr, Vec<StreamOriginMessage>> = HashMap::new();
     for message in streams {
-        for (_, keeper) in members.stream_keepers(&message.stream, &own_region, KEEPERS) {
+        for keeper in stream_origin_handover::present_keepers(node, &message.stream) {
             by_keeper.entry(keeper).or_default().push(message.clone());
         }
+        stream_origin_handover::on_told(node, &message.stream);
     }
     for (keeper, messages) in by_keeper {
-        for batch in messages.chunks(MAX_STREAMS_PER_MESSAGE) {
-            let message = PeerMessage::StreamOrigins(batch.to_vec());
-            node.scheduling.socket.send(&message, &[keeper]);
-        }
+        stream_origin_handover::send(node, keeper, &messages);
     }
 }
 
@@ -145,8 +139,9 @@
 pub fn on_message(node: &Node, messages: Vec<StreamOriginMessage>) {
     let now_us = node.now_us();
     let mut origins = node.stream_origins.origins.borrow_mut();
-    for StreamOriginMessage { stream, origin } in messages {
-        origins.record(stream, origin, now_us);
+    for message in messages {
+        stream_origin_handover::on_heard(node, &message.stream);
+        origins.record_message(message, now_us);
     }
 }
 
@@ -227,7 +222,7 @@
 }
 
 /// Whether resumable streams of several origins count.
-fn has_several_origins(node: &Node) -> bool {
+pub fn has_several_origins(node: &Node) -> bool {
     version_record::counted_origins(node).len() > 1
 }
 
@@ -274,13 +269,21 @@
     replies
 }
 
-/// The other nodes that may know a stream, with their round-trip times.
+/// The other nodes that may know a stream, with their round-trip times: its keepers, and those that have taken the place
+/// of the keepers that are stopping.
 fn keepers_in_all_regions(node: &Node, stream: &StreamId) -> Vec<(Duration, SocketAddr)> {
     let members = node.members.borrow();
+    let is_present = |name: &NodeId| stream_origin_handover::is_present(node, name);
+    let keepers_of = |region| {
+        let all = members.stream_keepers(stream, region, KEEPERS_QUERIED, |_| true);
+        let present = members.stream_keepers(stream, region, KEEPERS_QUERIED, is_present);
+        all.into_iter().chain(present)
+    };
     let regions = members.regions();
-    let keepers =
-        regions.iter().flat_map(|region| members.stream_keepers(stream, region, KEEPERS_QUERIED));
-    keepers.map(|(zone, address)| (node.round_trip(zone), address)).collect()
+    let keepers = regions.iter().flat_map(keepers_of);
+    let by_address: HashMap<SocketAddr, Duration> =
+        keepers.map(|(zone, address)| (address, node.round_trip(zone))).collect();
+    by_address.into_iter().map(|(address, round_trip)| (round_trip, address)).collect()
 }
 
 /// A query that waits for replies. It is forgotten when this is dropped.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -45,6 +45,7 @@
 //! | [`event_stream`] | the complete events of a stream, and their ids |
 //! | [`event_runs`] | the events of a stream's runs that may be forwarded, and where it can continue |
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
+//! | [`stream_origin_handover`] | which nodes have to be told where a stream began after nodes have stopped or started |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
 //! | [`blame`], [`proven_parts`] | which requests and prompt parts explain the crashes, and parts that are known to be harmless |
 //! | [`crash_messages`] | crashes as nodes tell each other of them and keep them in the store |
@@ -115,6 +116,7 @@
 pub mod store_replica;
 pub mod store_revision;
 pub mod stream_origin;
+pub mod stream_origin_handover;
 pub mod suspicion;
 pub mod tenancy;
 pub mod topology;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -333,14 +333,19 @@
     }
 
     /// The other nodes of a region that keep what is known of a stream, at most `count`, with their zones. Every node
-    /// that knows the same members finds the same ones. They are in different zones as far as possible.
+    /// that knows the same members, and the same ones as present, finds the same ones. They are in different zones as
+    /// far as possible.
     pub fn stream_keepers(
         &self,
         stream: &StreamId,
         region: &RegionId,
         count: usize,
+        is_present: impl Fn(&NodeId) -> bool,
     ) -> Vec<(&ZoneId, SocketAddr)> {
-        let of_region = self.members.iter().filter(|(_, it)| self.topology.is_in(&it.zone, region));
+        let of_region = self
+            .members
+            .iter()
+            .filter(|(name, member)| self.topology.is_in(&member.zone, region) && is_present(name));
         let mut ranked: Vec<_> = of_region
             .map(|(name, member)| {
                 (Reverse(rendezvous_weight(stream.as_str(), name.as_str())), name, member)
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -13,6 +13,7 @@
 
 /// Maximum number of streams whose origin a node keeps, about 2 MB. The earliest ones are dropped first.
 const MAX_STREAMS: usize = 8_192;
+const MICROS_PER_MILLI: u64 = 1_000;
 
 /// What began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -34,6 +35,15 @@
     /// What began it.
     #[serde(rename = "o")]
     pub origin: StreamOrigin,
+    /// Time since the origin was recorded, in milliseconds; 0 for a stream that has just begun.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    #[serde(deserialize_with = "crate::bounded::time_ms")]
+    pub age_ms: u64,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "the signature is given by serde")]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// Asks a keeper what began a stream.
@@ -71,18 +81,14 @@
     pub uptime_ms: Option<u64>,
 }
 
-/// What is known of a stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Known {
-    Origin(StreamOrigin),
-    /// Several streams of different origins bear the id.
-    Ambiguous,
-}
-
+/// What is known of the streams that bear an id.
 #[derive(Clone, Debug)]
 struct Entry {
-    known: Known,
-    recorded_at_us: u64,
+    origin: StreamOrigin,
+    /// The origin of a second stream that bears the id, if it differs.
+    other: Option<StreamOrigin>,
+    /// The stream counts for [`MAX_STREAM_AGE_US`] after its origin was recorded, at this or another node.
+    expires_at_us: u64,
 }
 
 /// The origins of recent streams, as far as a node knows them.
@@ -94,41 +100,70 @@
 }
 
 impl StreamOrigins {
-    /// Records what began a stream.
+    /// Records what began a stream that has just begun.
     pub fn record(&mut self, stream: StreamId, origin: StreamOrigin, now_us: u64) {
+        self.record_message(StreamOriginMessage { stream, origin, age_ms: 0 }, now_us);
+    }
+
+    /// Records what another node reports of a stream, which keeps its age. A stream that is too old is ignored.
+    pub fn record_message(&mut self, message: StreamOriginMessage, now_us: u64) {
+        let StreamOriginMessage { stream, origin, age_ms } = message;
+        let remaining_us =
+            MAX_STREAM_AGE_US.saturating_sub(age_ms.saturating_mul(MICROS_PER_MILLI));
+        if remaining_us == 0 {
+            return;
+        }
         self.remove_expired(now_us);
-        if let Some(entry) = self.entries.get_mut(&stream) {
-            if entry.known != Known::Origin(origin) {
-                entry.known = Known::Ambiguous;
+        let entry = Entry { origin, other: None, expires_at_us: now_us + remaining_us };
+        match self.entries.get_mut(&stream) {
+            Some(known) if is_expired(known, now_us) => {
+                *known = entry;
+                return;
             }
-            return;
+            Some(known) if known.origin == entry.origin => return,
+            Some(known) => {
+                known.other.get_or_insert(entry.origin);
+                return;
+            }
+            None => {}
         }
         if self.order.len() >= MAX_STREAMS {
             self.remove_earliest();
         }
         self.order.push_back(stream.clone());
-        let entry = Entry { known: Known::Origin(origin), recorded_at_us: now_us };
         self.entries.insert(stream, entry);
     }
 
     /// What began a stream; `None` if that is not known, or not for certain.
     pub fn find(&self, stream: &StreamId, now_us: u64) -> Option<&StreamOrigin> {
-        let entry = self.entries.get(stream).filter(|entry| !is_expired(entry, now_us))?;
-        match &entry.known {
-            Known::Origin(origin) => Some(origin),
-            Known::Ambiguous => None,
-        }
+        let entry = self.entry(stream, now_us)?;
+        entry.other.is_none().then_some(&entry.origin)
     }
 
     /// All known origins.
     pub fn recent(&self, now_us: u64) -> Vec<StreamOriginMessage> {
-        let known =
-            self.order.iter().filter_map(|stream| Some((stream, self.find(stream, now_us)?)));
-        let message = |(stream, origin): (&StreamId, &StreamOrigin)| StreamOriginMessage {
-            stream: stream.clone(),
-            origin: origin.clone(),
-        };
-        known.map(message).collect()
+        self.order.iter().flat_map(|stream| self.messages(stream, now_us)).collect()
+    }
+
+    /// What another node is told of the streams that bear an id: a message for each of their origins.
+    pub fn messages(
+        &self,
+        stream: &StreamId,
+        now_us: u64,
+    ) -> impl Iterator<Item = StreamOriginMessage> + use<> {
+        let entry = self.entry(stream, now_us).cloned();
+        let stream = stream.clone();
+        entry.into_iter().flat_map(move |entry| {
+            let remaining_us = entry.expires_at_us.saturating_sub(now_us);
+            let age_ms = MAX_STREAM_AGE_US.saturating_sub(remaining_us) / MICROS_PER_MILLI;
+            let stream = stream.clone();
+            let origins = std::iter::once(entry.origin).chain(entry.other);
+            origins.map(move |origin| StreamOriginMessage {
+                stream: stream.clone(),
+                origin,
+                age_ms,
+            })
+        })
     }
 
     /// The known origins of a service's streams.
@@ -137,11 +172,17 @@
         service: &'a ServiceName,
         now_us: u64,
     ) -> impl Iterator<Item = StreamOriginMessage> + 'a {
-        let streams = self.entries.keys().map(move |stream| (stream, self.find(stream, now_us)));
-        let known = streams.filter_map(|(stream, origin)| Some((stream, origin?)));
-        known.filter(move |(_, origin)| origin.service == *service).map(|(stream, origin)| {
-            StreamOriginMessage { stream: stream.clone(), origin: origin.clone() }
-        })
+        let messages = self.entries.keys().flat_map(move |it| self.messages(it, now_us));
+        messages.filter(move |message| message.origin.service == *service)
+    }
+
+    /// Whether anything is known of this id.
+    pub fn is_known(&self, stream: &StreamId, now_us: u64) -> bool {
+        self.entry(stream, now_us).is_some()
+    }
+
+    fn entry(&self, stream: &StreamId, now_us: u64) -> Option<&Entry> {
+        self.entries.get(stream).filter(|entry| !is_expired(entry, now_us))
     }
 
     fn remove_expired(&mut self, now_us: u64) {
@@ -161,5 +202,5 @@
 }
 
 fn is_expired(entry: &Entry, now_us: u64) -> bool {
-    now_us >= entry.recorded_at_us + MAX_STREAM_AGE_US
+    now_us >= entry.expires_at_us
 }
--- a/crates/serving/tests/stream_origin.rs
+++ b/crates/serving/tests/stream_origin.rs
@@ -104,8 +104,8 @@
     let region = one.own_region();
     for number in 0..50 {
         let stream = StreamId::new(format!("id-{number}"));
-        let of_one = one.stream_keepers(&stream, &region, KEEPERS);
-        let of_other = other.stream_keepers(&stream, &region, KEEPERS);
+        let of_one = one.stream_keepers(&stream, &region, KEEPERS, |_| true);
+        let of_other = other.stream_keepers(&stream, &region, KEEPERS, |_| true);
         // A node is not among the keepers that it tells; it knows its own streams.
         let is_third =
             |it: &&(&ZoneId, SocketAddr)| it.1 != one.own().address && it.1 != other.own().address;
