--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,9 @@
 use crate::attempt_wait::{log_end, wait_for_end, EarlyEnd, EndCause};
 use crate::clock::Instant;
 use crate::http::request::encode_request;
-use crate::http::{BodyEnd, BodyPart, Header, OpenResponse, PendingResponse, ReadError};
+use crate::http::{
+    BodyEnd, BodyPart, Header, OpenResponse, PendingResponse, ReadError, ResponseHead,
+};
 use crate::intake::{BufferedResponse, ClientRequest};
 use crate::interrupted_attempt::{
     on_connection_lost, record_unfinished_attempt, ConnectionUse, InterruptedAttempt,
@@ -376,6 +378,16 @@
         all_headers.iter().filter(passes).cloned().collect()
     }
 
+    /// The head of the response.
+    pub fn head(&self) -> &ResponseHead {
+        &self.response.head
+    }
+
+    /// Whether the response has a success status.
+    pub fn is_successful(&self) -> bool {
+        (200..300).contains(&self.status())
+    }
+
     /// Reads the next part of the body.
     pub async fn read_part(&self) -> Result<BodyPart, ReadError> {
         self.response.read_part().await
--- a/crates/gateway/src/dispatch/delivery.rs
+++ b/crates/gateway/src/dispatch/delivery.rs
@@ -10,11 +10,13 @@
 use crate::interrupted_attempt::{on_interrupted, InterruptedAttempt};
 use crate::relay::{complete, relay, RelayLimits, RelayOutcome, RunEvents};
 use crate::response_end::{self, EndDoubt, UnprovenResponse};
+use crate::response_head;
 use crate::response_memory::{report_if_too_long, EventBuffer};
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::attempt::EndReason;
 use pitchstall_serving::configuration::RequestKind;
 use pitchstall_serving::event_runs::RunMismatch;
+use pitchstall_serving::framing_habit::{HeadDamage, ResponseKind};
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::runner::RunnerRecord;
 use std::time::Duration;
@@ -52,9 +54,14 @@
         &self.response.record.id
     }
 
+    /// Whether no complete event has arrived.
+    fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+
     /// Whether the response has a success status.
     pub(super) fn is_successful(&self) -> bool {
-        (200..300).contains(&self.response.status())
+        self.response.is_successful()
     }
 }
 
@@ -142,7 +149,7 @@
         };
         let proof = match received.end {
             BodyEnd::Framed => Ok(()),
-            BodyEnd::Unproven => self.prove_end(&response.record).await,
+            BodyEnd::Unproven => self.prove_end(response, received.response.body.is_empty()).await,
         };
         Ok(proof.map(|()| received.response))
     }
@@ -170,22 +177,55 @@
     }
 
     /// Proves that a response which has ended with its connection is whole. Its runner may have ended in the middle.
-    async fn prove_end(&self, record: &RunnerRecord) -> Result<(), ReadError> {
+    async fn prove_end(&self, response: &AttemptResponse, is_empty: bool) -> Result<(), ReadError> {
         let ended_at = Instant::now();
-        let unproven = UnprovenResponse {
-            request: &self.request.metadata.id,
-            record,
-            is_repeatable: self.may_run_again(),
-            time_remaining: self.time_remaining(),
+        let proof = match self.check_for_damage(response, is_empty) {
+            Ok(()) => self.ask_for_proof(&response.record).await,
+            Err(doubt) => Err(doubt),
         };
-        let proof = response_end::prove(self.node, unproven).await;
         let verdict = proof.map_or_else(EndDoubt::name, |()| "whole");
         self.node.metrics.on_unframed_response(verdict);
-        let (id, runner) = (self.request.metadata.id.as_str(), record.id.as_str());
+        let (id, runner) = (self.request.metadata.id.as_str(), response.record.id.as_str());
         let after = self.stream.deduplicator.last_id();
         let took_ms = elapsed_ms(ended_at);
         log::info!(target: "attempt", request = id, runner, after, verdict, took_ms; "response ended with its connection");
-        proof.map_err(|_| ReadError::UnprovenEnd)
+        proof.map_err(|_| ReadError::UnprovenEnd)?;
+        if !is_empty {
+            response_head::on_proven(self.node, response, self.response_kind());
+        }
+        Ok(())
+    }
+
+    /// Looks for damage that no further response of the runner can rule out.
+    fn check_for_damage(&self, response: &AttemptResponse, is_empty: bool) -> Result<(), EndDoubt> {
+        let kind = self.response_kind();
+        response_head::judge(self.node, response, kind).map_err(EndDoubt::DamagedHead)?;
+        let is_rest = kind == ResponseKind::Stream && self.stream.deduplicator.last_id().is_some();
+        match is_empty && !response_head::may_be_empty(self.node, response, kind, is_rest) {
+            true => Err(EndDoubt::EmptyBody),
+            false => Ok(()),
+        }
+    }
+
+    async fn ask_for_proof(&self, record: &RunnerRecord) -> Result<(), EndDoubt> {
+        let unproven = UnprovenResponse {
+            request: &self.request.metadata.id,
+            record,
+            is_repeatable: self.may_run_again(),
+            time_remaining: self.time_remaining(),
+        };
+        response_end::prove(self.node, unproven).await
+    }
+
+    /// Handles a successful response whose head has lost lines. What follows it is not read: it may not be the body.
+    pub(super) fn on_damaged_head(&self, response: AttemptResponse, damage: HeadDamage) {
+        let runner = response.record.id.clone();
+        drop(response);
+        self.node.metrics.on_unframed_response(damage.name());
+        self.on_broken_response(&runner, &damage.into());
+        let (request, runner) = (self.request.metadata.id.as_str(), runner.as_str());
+        let error = damage.to_string();
+        log::warn!(target: "attempt", request, runner, error; "response interrupted");
     }
 
     fn finish_complete(&mut self, full_response: BufferedResponse) -> Step {
@@ -227,7 +267,7 @@
 
     /// Ends the client's stream only if it is proven that the runner's one is whole. Otherwise the run has been interrupted.
     async fn on_unproven_end(&mut self, run: Box<Run>, client: &ClientConnection) -> Step {
-        if let Err(error) = self.prove_end(&run.response.record).await {
+        if let Err(error) = self.prove_end(&run.response, run.is_empty()).await {
             return self.on_stream_interrupted(run, &error);
         }
         match complete(&run.response, client, &mut self.stream).await {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,7 +12,7 @@
 use self::admission::Admission;
 use self::delivery::Run;
 use self::planning::{elapsed_ms, Plan};
-use crate::attempt::{self, AttemptEnd, AttemptParams};
+use crate::attempt::{self, AttemptEnd, AttemptParams, AttemptResponse};
 use crate::attempt_wait::EarlyEnd;
 use crate::clock::Instant;
 use crate::connection::ClientConnection;
@@ -23,12 +23,14 @@
 use crate::prepared_connection::{self, ConnectionNeed, PrepareError, PreparedConnection};
 use crate::quota::requester::{QuotaReservation, RunCost, SentReservation};
 use crate::relay::StreamState;
+use crate::response_head;
 use crate::retry_charge::RetryCharge;
 use crate::stream_origins::OriginRecorder;
 use crate::usage::StartRecorder;
 use pitchstall_serving::attempt::{final_response, EndReason, RunHistory};
-use pitchstall_serving::configuration::{Configuration, EngineSpec, Route};
+use pitchstall_serving::configuration::{Configuration, EngineSpec, RequestKind, Route};
 use pitchstall_serving::fleet::{Eligible, Scope, Sender};
+use pitchstall_serving::framing_habit::{HeadDamage, ResponseKind};
 use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion};
 use pitchstall_serving::placement::RunnerChoice;
 use pitchstall_serving::prefix::Prompt;
@@ -116,7 +118,7 @@
     Responding(Box<Run>),
     /// The runner has not executed the request and will not do so.
     Declined,
-    /// There is no response. The runner may have executed the request.
+    /// There is no response, or its head is damaged. The runner may have executed the request.
     Lost(RunnerId),
     /// The node's link to the runner was lost. The runner may have executed the request, and can be
     /// reached through another node.
@@ -273,7 +275,13 @@
                 } else {
                     plan.report(Progress::Prefilled(elapsed_ms(sent_at)));
                 }
-                SentAttempt::Responding(Box::new(Run::new(*response, plan)))
+                match self.check_head(&response) {
+                    Ok(()) => SentAttempt::Responding(Box::new(Run::new(*response, plan))),
+                    Err(damage) => {
+                        self.on_damaged_head(*response, damage);
+                        SentAttempt::Lost(plan.choice.runner)
+                    }
+                }
             }
             AttemptEnd::Declined(proof) => {
                 start_recorder.on_declined();
@@ -315,6 +323,19 @@
         !is_trial
     }
 
+    /// Kind of the responses that the route's runners send on success.
+    fn response_kind(&self) -> ResponseKind {
+        match self.route.kind {
+            RequestKind::Streaming => ResponseKind::Stream,
+            RequestKind::Idempotent | RequestKind::NonIdempotent => ResponseKind::Plain,
+        }
+    }
+
+    fn check_head(&self, response: &AttemptResponse) -> Result<(), HeadDamage> {
+        let id = &self.request.metadata.id;
+        response_head::check(self.node, id, response, self.response_kind())
+    }
+
     fn identity(&self) -> RequestIdentity {
         self.request.identity(self.tenant.as_ref().map(|tenant| &tenant.name))
     }
--- a/crates/gateway/src/http/response_codec.rs
+++ b/crates/gateway/src/http/response_codec.rs
@@ -58,6 +58,8 @@
     pub framing: Framing,
     /// Whether the connection may be reused after the body.
     pub keep_alive: bool,
+    /// Whether the head says that the connection ends with the response, by its `connection` header or its HTTP version.
+    pub announces_end: bool,
     /// How long the server keeps an idle connection open, from `keep-alive: timeout=`; at most [`MAX_IDLE_TIMEOUT`].
     /// `None` if it is not stated or not a number of seconds.
     pub idle_timeout: Option<Duration>,
@@ -69,6 +71,13 @@
         self.headers.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
     }
 
+    /// Whether a header gives the length of the body or says that it is sent in chunks.
+    pub fn has_framing_header(&self) -> bool {
+        self.headers
+            .iter()
+            .any(|(name, _)| matches!(name.as_str(), "content-length" | "transfer-encoding"))
+    }
+
     fn header_text(&self, wanted: &str) -> Option<&str> {
         let (_, value) = self.headers.iter().find(|(name, _)| name == wanted)?;
         std::str::from_utf8(value).ok().map(str::trim)
@@ -134,6 +143,7 @@
         headers: response.headers.iter().map(to_owned_header).collect(),
         framing: Framing::UntilClose,
         keep_alive: response.version == Some(1),
+        announces_end: false,
         idle_timeout: None,
     };
     head.framing = framing_of(&head)?;
@@ -171,6 +181,7 @@
         };
         head.keep_alive = !has_option("close") && (head.keep_alive || has_option("keep-alive"));
     }
+    head.announces_end = !head.keep_alive;
     head.keep_alive &= head.framing != Framing::UntilClose;
     let seconds = head.header_text("keep-alive").and_then(|text| {
         let parameter =
--- a/crates/gateway/src/http/response_limit.rs
+++ b/crates/gateway/src/http/response_limit.rs
@@ -46,7 +46,11 @@
             Self::Malformed(ResponseDecodeError::HeadTooLarge) => {
                 Some(ResponseTooLong { part: ResponsePart::Head, limit_bytes: MAX_HEAD_BYTES })
             }
-            Self::Malformed(_) | Self::Closed | Self::UnprovenEnd | Self::Io(_) => None,
+            Self::Malformed(_)
+            | Self::Closed
+            | Self::UnprovenEnd
+            | Self::DamagedHead(_)
+            | Self::Io(_) => None,
         }
     }
 
--- a/crates/gateway/src/http/upstream.rs
+++ b/crates/gateway/src/http/upstream.rs
@@ -9,6 +9,7 @@
 use ntex::io::{Io, IoBoxed, IoConfig};
 use ntex::util::{Bytes, Either};
 use ntex::SharedCfg;
+use pitchstall_serving::framing_habit::HeadDamage;
 use pitchstall_serving::ids::NodeId;
 use socket2::SockRef;
 use std::cell::Cell;
@@ -59,6 +60,9 @@
     /// Only the end of the connection marks the end of the response, and nothing proves that the runner has ended it.
     #[error("response not proven to be whole")]
     UnprovenEnd,
+    /// The head has lost lines that the runner always sends.
+    #[error("{0}")]
+    DamagedHead(#[from] HeadDamage),
     /// The received bytes are not a valid response.
     #[error("{0}")]
     Malformed(#[from] ResponseDecodeError),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod replica_limits;
 pub mod replication;
 pub mod response_end;
+pub mod response_head;
 pub mod response_memory;
 pub mod retry_charge;
 pub mod retry_pools;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,10 +45,11 @@
     pub reason: &'static str,
 }
 
-/// Labels of a response whose end only the end of the runner's connection marked.
+/// Labels of a response whose end only the end of the runner's connection marks.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct UnframedResponseLabels {
-    /// `whole`, or why that is not proven, see [`crate::response_end::EndDoubt::name`].
+    /// `whole`, or why that is not proven, see [`crate::response_end::EndDoubt::name`] and
+    /// [`pitchstall_serving::framing_habit::HeadDamage::name`].
     pub verdict: &'static str,
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,12 +40,18 @@
 pub struct RunEvents {
     buffer: EventBuffer,
     place: RunPlace,
+    has_events: bool,
 }
 
 impl RunEvents {
     /// The events of a run of which nothing has been received.
     pub fn new(buffer: EventBuffer) -> Self {
-        Self { buffer, place: RunPlace::default() }
+        Self { buffer, place: RunPlace::default(), has_events: false }
+    }
+
+    /// Whether the run has brought no complete event.
+    pub fn is_empty(&self) -> bool {
+        !self.has_events
     }
 }
 
@@ -131,6 +137,7 @@
     headers: &[Header],
 ) -> Result<Option<RunMismatch>, ClientDisconnected> {
     let complete = events.buffer.push(bytes);
+    events.has_events |= !complete.is_empty();
     let selection = select(complete, &mut events.place, &mut state.deduplicator);
     if selection.bytes.is_empty() {
         return Ok(selection.mismatch);
--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -8,6 +8,7 @@
 use crate::node::Node;
 use crate::runner_connection::{self, ask_for_state, return_after_state_response};
 use crate::runner_limits;
+use pitchstall_serving::framing_habit::HeadDamage;
 use pitchstall_serving::runner::RunnerRecord;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,10 @@
     RunnerReplaced,
     /// The runner does not respond in time.
     NoResponse,
+    /// The response is empty. A runner that ends it after its head, or whose head has lost its last lines, responds as well.
+    EmptyBody,
+    /// The head has lost lines, as other responses of the runner have shown meanwhile.
+    DamagedHead(HeadDamage),
 }
 
 impl EndDoubt {
@@ -40,6 +45,8 @@
             Self::RunnerGone => "runner_gone",
             Self::RunnerReplaced => "runner_replaced",
             Self::NoResponse => "no_response",
+            Self::EmptyBody => "empty_body",
+            Self::DamagedHead(damage) => damage.name(),
         }
     }
 }
--- a/crates/serving/src/fleet/estimates.rs
+++ b/crates/serving/src/fleet/estimates.rs
@@ -4,9 +4,10 @@
 
 use super::Fleet;
 use crate::digest::RoleTransition;
+use crate::framing_habit::{FramingHabit, ResponseKind, UnframedHabit, UsualHeaders};
 use crate::ids::RunnerId;
 use crate::prefix::PromptPart;
-use crate::runner::{AttemptDemand, Load, LoadReport, ReportedLoad, Runner, Stage};
+use crate::runner::{AttemptDemand, Load, LoadReport, ReportedLoad, Runner, RunnerRecord, Stage};
 use crate::runner_limit::{LimitChange, LimitMessage, ReportedLimit};
 use crate::runner_notice::{AvailabilityChange, RunnerNotice};
 use crate::runner_speed::{PrefillDuration, PrefillTiming};
@@ -281,6 +282,50 @@
         runner.limit().map(|_| runner.availability.limit.message(id, now_us))
     }
 
+    /// How a runner has delimited its successful responses of a kind to this node. Until it has sent one, it is taken to
+    /// do as the runners of its service at its software version do.
+    pub fn framing_habit(&self, id: &RunnerId, kind: ResponseKind) -> FramingHabit {
+        let Some(runner) = self.runners.get(id) else { return FramingHabit::Unknown };
+        match runner.framing.of(kind) {
+            FramingHabit::Unknown => self.framing_habit_of_software(&runner.record, kind),
+            known => known.clone(),
+        }
+    }
+
+    /// The habit of a service's runners at a software version: unframed if any of them is known to leave responses without
+    /// framing, and framed if some are known and none does.
+    fn framing_habit_of_software(&self, record: &RunnerRecord, kind: ResponseKind) -> FramingHabit {
+        let runs_same_software = |runner: &&Runner| {
+            runner.record.service == record.service && runner.record.version == record.version
+        };
+        let mut habit = FramingHabit::Unknown;
+        for runner in self.runners.values().filter(runs_same_software) {
+            match runner.framing.of(kind) {
+                FramingHabit::Unknown => {}
+                FramingHabit::Framed(_) => habit = FramingHabit::Framed(UsualHeaders::default()),
+                FramingHabit::Unframed(_) => {
+                    return FramingHabit::Unframed(UnframedHabit::default());
+                }
+            }
+        }
+        habit
+    }
+
+    /// Records a successful response of a runner to this node that its framing delimits.
+    pub fn on_framed_response(&mut self, id: &RunnerId, kind: ResponseKind, names: &[&str]) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.framing.of_mut(kind).on_framed(names);
+        }
+    }
+
+    /// Records a successful response of a runner to this node that only the end of its connection delimits and that is
+    /// proven to be whole.
+    pub fn on_unframed_response(&mut self, id: &RunnerId, kind: ResponseKind, announces_end: bool) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.framing.of_mut(kind).on_unframed(announces_end);
+        }
+    }
+
     /// Records that a runner has accepted a request of this node.
     pub fn on_accepted(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.get_mut(id) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -42,6 +42,7 @@
 //! | [`retry_pool`] | tokens that nodes with small retry budgets share |
 //! | [`retry_grants`] | tokens that a keeper of a retry pool has given out and may get back |
 //! | [`attempt`] | what an attempt proves, and the final response that follows |
+//! | [`framing_habit`] | how a runner delimits its responses, and heads that have lost lines |
 //! | [`event_stream`] | the complete events of a stream, and their ids |
 //! | [`event_runs`] | the events of a stream's runs that may be forwarded, and where it can continue |
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
@@ -70,6 +71,7 @@
 pub mod failure_rate;
 pub mod fleet;
 pub mod fleet_share;
+pub mod framing_habit;
 pub mod freshness;
 pub mod full_read_gate;
 pub mod ids;
--- a/crates/serving/src/runner.rs
+++ b/crates/serving/src/runner.rs
@@ -1,6 +1,7 @@
 //! A node's view of one runner: its registry entry, load, health and prefix cache.
 
 use crate::failure_rate::FailureRate;
+use crate::framing_habit::FramingHabits;
 use crate::ids::{RegionId, RunnerId, ServiceName, SoftwareVersion, ZoneId};
 use crate::prefill_demand::PrefillDemand;
 use crate::prefix::Prompt;
@@ -140,6 +141,8 @@
     pub(crate) lapsed: Option<Lapsed>,
     pub(crate) cache: PrefixCacheModel,
     pub(crate) speed: RunnerSpeed,
+    /// How this life of the runner delimits its successful responses.
+    pub(crate) framing: FramingHabits,
 }
 
 /// State of an entry that may have lapsed while the store was unavailable, though its runner is
@@ -176,6 +179,7 @@
             lapsed: None,
             cache: PrefixCacheModel::default(),
             speed: RunnerSpeed::default(),
+            framing: FramingHabits::default(),
         }
     }
 
