A head that may have lost lines ends no limit of a runner

What callers would see, shown by the test alone: requests beyond a runner's limit. A head without the line of a limit ended the limit, also where the line had been lost with the last ones.

Cause: an absent line was taken for the word that there is no limit.

Change: in a head that does not say where its response ends, of a runner that is not known to leave that to its connection, the absence shows nothing.

Tests: damaged_notices.

--- a/crates/gateway/src/node/runners.rs
+++ b/crates/gateway/src/node/runners.rs
@@ -1,10 +1,12 @@
 //! Updates a node's view of the runners from their registry entries, responses and failures.
 
 use super::Node;
+use crate::http::response_codec::Framing;
 use crate::http::ResponseHead;
 use crate::stream_origins;
 use pitchstall_platform_adapter::headers;
 use pitchstall_serving::fleet::{Fleet, FleetChange};
+use pitchstall_serving::framing_habit::{FramingHabit, ResponseKind};
 use pitchstall_serving::ids::{RunnerId, RunnerName};
 use pitchstall_serving::request::ResponseMetadata;
 use pitchstall_serving::runner::{RunnerRecord, Stage};
@@ -177,7 +179,8 @@
     /// same information many seconds later, or never.
     pub fn on_response_head(&self, runner: &RunnerId, head: &ResponseHead) -> ResponseMetadata {
         self.links.borrow_mut().on_data(runner, self.now_us());
-        let metadata = headers::parse_response(head.status, head.header_pairs());
+        let mut metadata = headers::parse_response(head.status, head.header_pairs());
+        metadata.may_have_lost_lines = self.may_have_lost_lines(runner, head);
         self.on_unknown_headers(runner, &metadata.unknown_headers);
         if metadata.is_about(runner) {
             self.on_notice(runner, metadata.notice);
@@ -185,6 +188,17 @@
         metadata
     }
 
+    /// Whether a head may have lost its last lines: it does not say where its response ends, and the runner is not known to
+    /// leave that to the end of the connection.
+    fn may_have_lost_lines(&self, runner: &RunnerId, head: &ResponseHead) -> bool {
+        let fleet = self.fleet.borrow();
+        let leaves_out_framing =
+            |kind| matches!(fleet.framing_habit(runner, kind), FramingHabit::Unframed(_));
+        let says_its_end = head.framing != Framing::UntilClose || head.announces_end;
+        !says_its_end
+            && ![ResponseKind::Stream, ResponseKind::Plain].into_iter().any(leaves_out_framing)
+    }
+
     /// Counts headers in which a runner reports something that this build does not support, and
     /// logs each name once.
     fn on_unknown_headers(&self, runner: &RunnerId, names: &[String]) {
--- a/crates/gateway/src/runner_limits.rs
+++ b/crates/gateway/src/runner_limits.rs
@@ -289,14 +289,15 @@
 
 impl Node {
     /// Handles the limit in the head of a response, or its absence. `sent_at_us` is the time at
-    /// which the request was sent; 0 if it is unknown.
+    /// which the request was sent; 0 if it is unknown. The absence shows nothing in a head that may have lost lines.
     pub fn on_limit_in_response(
         &self,
         runner: &RunnerId,
         metadata: &ResponseMetadata,
         sent_at_us: u64,
     ) {
-        if !metadata.is_about(runner) {
+        let lacks_limit = metadata.may_have_lost_lines && metadata.notice.limit.is_none();
+        if !metadata.is_about(runner) || lacks_limit {
             return;
         }
         let now_us = self.now_us();
--- a/crates/serving/src/request.rs
+++ b/crates/serving/src/request.rs
@@ -70,6 +70,8 @@
 /// What the head of a runner's response states.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
+    /// Whether the head may have lost its last lines: what it does not say shows nothing.
+    pub may_have_lost_lines: bool,
     /// Id of the request to which the response belongs.
     pub request_id: Option<String>,
     /// Whether the response carries a runner's signature.
