A node serves only once it has read the crashes of runners

What callers saw: after all nodes had started again, a request that ends runners was sent to runners before the node had read the crashes, and ended three more each time.

Cause: an empty quarantine was taken for the word that no request crashes runners.

Change: until the list of crashes has been read the node is not ready and refuses (503, `crashes_unknown`, with when to come back).

Tests: quarantine::nodes_that_all_have_just_started_send_no_quarantined_request_before_they_know_the_crashes; the store's stand-in can refuse calls by their target.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -213,6 +213,9 @@
     let route = find_route(&configuration, request)
         .ok_or_else(|| Rejection::without_route(no_route_response(node)))?;
     let rejected = |response| Rejection { route: Some(route.clone()), response };
+    if !node.has_listed_crashes() {
+        return Err(rejected(LocalResponse::CrashesUnknown));
+    }
     let tenant = authorize_tenant(node, &configuration, &route, request).map_err(rejected)?;
     let service = node.next_service(&route).ok_or_else(|| rejected(LocalResponse::Refused))?;
     let (service, version) =
--- a/crates/gateway/src/local_responses.rs
+++ b/crates/gateway/src/local_responses.rs
@@ -8,6 +8,9 @@
 /// `retry-after` for requests that arrive before the node has a configuration, in seconds.
 const UNCONFIGURED_RETRY_AFTER_S: f64 = 0.5;
 
+/// `retry-after` for requests that arrive before the node knows the crashes of runners, in seconds. It is short because
+/// the node reads them together with its configuration, and other nodes may know them.
+const CRASHES_UNKNOWN_RETRY_AFTER_S: f64 = 0.1;
 /// `retry-after` for requests whose key or route this node cannot verify, in seconds. It is short because the
 /// client will most likely reach another node, which has the current configuration.
 const UNVERIFIABLE_RETRY_AFTER_S: f64 = 0.1;
@@ -41,6 +44,8 @@
     HeadTooLarge,
     /// The node has no configuration yet.
     Unconfigured,
+    /// The node has not read yet which requests have crashed runners, so it cannot tell whether this one has.
+    CrashesUnknown,
     /// The request has not run and will not; the client may retry it.
     Refused,
     /// The request has not run, because the runners' limits on requests from all nodes are used up.
@@ -96,6 +101,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfigured
+            | Self::CrashesUnknown
             | Self::Unverifiable
             | Self::Outdated
             | Self::QuotaUnknown
@@ -114,6 +120,7 @@
         match self {
             Self::Refused => Some(REFUSED_RETRY_AFTER_S),
             Self::Unconfigured => Some(UNCONFIGURED_RETRY_AFTER_S),
+            Self::CrashesUnknown => Some(CRASHES_UNKNOWN_RETRY_AFTER_S),
             Self::Unverifiable | Self::Outdated => Some(UNVERIFIABLE_RETRY_AFTER_S),
             Self::StreamUnknown => Some(STREAM_UNKNOWN_RETRY_AFTER_S),
             Self::QuotaUnknown => Some(QUOTA_UNKNOWN_RETRY_AFTER_S),
@@ -136,6 +143,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::HeadTooLarge => "head_too_large",
             Self::Unconfigured => "unconfigured",
+            Self::CrashesUnknown => "crashes_unknown",
             Self::Refused => "refused",
             Self::LimitUsedUp { .. } => "limit_used_up",
             Self::OverQuota { .. } => "over_quota",
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -3,12 +3,13 @@
 use super::Node;
 
 impl Node {
-    /// Whether the node accepts requests of clients: it has a configuration that is not outdated
-    /// and a list of runners, and is not stopping.
+    /// Whether the node accepts requests of clients: it has a configuration that is not outdated, a
+    /// list of runners and the list of crashes, and is not stopping.
     pub fn is_ready(&self) -> bool {
         let is_configured =
             self.configuration.borrow().is_some() && !self.has_outdated_configuration();
-        !self.is_stopping() && is_configured && self.has_runner_list.get()
+        let has_lists = self.has_runner_list.get() && self.has_listed_crashes();
+        !self.is_stopping() && is_configured && has_lists
     }
 
     /// Logs when the node is able to serve for the first time since its start.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -165,6 +165,8 @@
     started: Instant,
     configuration: RefCell<Option<Rc<Configuration>>>,
     has_runner_list: Cell<bool>,
+    /// Whether the crashes in the store have ever been received. Before that, an empty quarantine says nothing.
+    has_crash_list: Cell<bool>,
     has_node_list: Cell<bool>,
     has_failed_listing: Cell<bool>,
     has_been_ready: Cell<bool>,
@@ -265,6 +267,7 @@
             started: Instant::now(),
             configuration: RefCell::default(),
             has_runner_list: Cell::new(false),
+            has_crash_list: Cell::new(false),
             has_node_list: Cell::new(false),
             has_failed_listing: Cell::new(false),
             has_been_ready: Cell::new(false),
--- a/crates/gateway/src/node/replicas.rs
+++ b/crates/gateway/src/node/replicas.rs
@@ -52,6 +52,12 @@
         self.has_node_list.get()
     }
 
+    /// Whether the store's list of crashes has ever been received. Until then it is not known which requests are
+    /// quarantined.
+    pub fn has_listed_crashes(&self) -> bool {
+        self.has_crash_list.get()
+    }
+
     /// Whether this node will soon have a replica of a subject: it is reading all entries from the
     /// store, or is still reading the list of nodes, by which it knows whether it has to.
     pub fn is_obtaining_replica(&self, subject: Subject) -> bool {
@@ -62,6 +68,9 @@
     /// Applies an update to the replica that is served to followers.
     pub fn update_replica(&self, subject: Subject, update: &StoreUpdate) {
         self.store_replicas.borrow_mut().get_mut(subject).apply(update);
+        if subject == Subject::Crashes {
+            self.has_crash_list.set(true);
+        }
         self.store_replica_changed.notify_waiters();
     }
 
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -154,6 +154,42 @@
     assert_eq!(arrivals(&runners), before);
 }
 
+#[test]
+fn nodes_that_all_have_just_started_send_no_quarantined_request_before_they_know_the_crashes() {
+    const REPEATS: usize = 10;
+    const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+    let runners = runners_of(16, CrashHead::Chunked);
+    let first = node_with(&runners, "llm");
+    let second = first.start_peer("node-2");
+    second.wait_until_ready();
+    send_until_crashed(&[&first, &second], "/summary/7", &runners);
+    std::thread::sleep(PROPAGATION_TIME);
+    let store = first.store.clone();
+    [first, second].into_iter().for_each(|node| {
+        node.request_stop();
+        node.join();
+    });
+    store.reject("crashes");
+    let nodes = ["node-1", "node-2"].map(|name| Fixture::start_with_store(store.clone(), name));
+    let before = arrivals(&runners);
+    let mut statuses = Vec::new();
+    for repeat in 0..REPEATS {
+        std::thread::sleep(REPEAT_PAUSE);
+        let id = format!("again-{repeat}");
+        statuses.push(send_to(&nodes[repeat % 2], "/summary/7", &id, CRASHING_BODY).status);
+    }
+    let repeats = arrivals(&runners) - before;
+    assert_eq!(repeats, 0, "the request reached runners {repeats} more times");
+    assert_eq!(statuses, [503; REPEATS]);
+    store.accept_all();
+    for node in &nodes {
+        node.wait_until_ready();
+        assert_eq!(send_to(node, "/summary/7", "afterwards", CRASHING_BODY).status, 503);
+        assert_eq!(send_to(node, "/summary/7", "sound", HARMLESS_BODY).status, 200);
+    }
+    assert_eq!(arrivals(&runners), before);
+}
+
 #[test]
 fn crashes_during_a_store_outage_are_sent_to_peers_and_stored_later() {
     let runners = runners_of(12, CrashHead::Chunked);
