The store remembers that a part was proven harmless

Cause: proven parts are in memory alone; a young node took "no success seen" for "never succeeded".

Change: the record of a crash says whether a runner had completed a response on the part before (`proven`); builds that do not know the field leave it out. A node that reads all crashes again keeps what it knows of them.

Left: a part that three runners crash under within 0.1 s is stored without the mark.

--- a/crates/gateway/tests/prompt_parts.rs
+++ b/crates/gateway/tests/prompt_parts.rs
@@ -5,8 +5,9 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, CrashHead, Reaction, RunnerStandIn};
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::{configuration, Fixture, RawResponse};
 use test_case::test_case;
@@ -154,6 +155,88 @@
     assert!(arrivals(&runners) > before);
 }
 
+#[test]
+fn a_part_that_may_be_harmless_is_tried_by_one_of_the_nodes_that_have_all_just_started() {
+    /// Requests that are sent to find out whether the part is harmless.
+    const TRIALS: usize = 2;
+    const PARTS: &str = "bad1:600";
+    let runners = start_runners(0, RUNNERS);
+    let node = node_with(&runners, None);
+    for number in 0..2 {
+        send(&node, number, PARTS);
+        wait_for_messages();
+    }
+    assert_eq!(crashes(&runners), MAX_CRASHES);
+    let store = node.store.clone();
+    node.request_stop();
+    node.join();
+    std::thread::sleep(Duration::from_secs(1));
+    let nodes =
+        ["node-1", "node-2", "node-3"].map(|name| Fixture::start_with_store(store.clone(), name));
+    let before = arrivals(&runners);
+    let until = Instant::now() + Duration::from_secs(6);
+    std::thread::scope(|scope| {
+        for (index, node) in nodes.iter().enumerate() {
+            scope.spawn(move || {
+                for number in 1.. {
+                    if Instant::now() > until {
+                        return;
+                    }
+                    send(node, 1_000 * (index + 1) + number, PARTS);
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+            });
+        }
+    });
+    let tried = arrivals(&runners) - before;
+    assert!((1..=TRIALS).contains(&tried), "{tried} more requests reached runners");
+}
+
+/// Numbers of the requests at which a runner crashes, though their parts are harmless.
+const UNLUCKY_NUMBERS: std::ops::Range<usize> = 500..504;
+
+/// Crashes at the first attempt of an unlucky request, and fails its later ones, so that no response clears its parts.
+fn crash_once(failing: &Mutex<HashSet<String>>, request: &ReceivedRequest) -> Reaction {
+    let id = request.id().unwrap_or_default().to_owned();
+    if !UNLUCKY_NUMBERS.map(|number| format!("id-{number}")).any(|unlucky| unlucky == id) {
+        return engine_script(4)(request);
+    }
+    match failing.lock().unwrap().insert(id) {
+        true => Reaction::Crash { head: CrashHead::None, crash_after: Duration::ZERO },
+        false => Reaction::Respond { status: 500, body: b"failed".to_vec() },
+    }
+}
+
+#[test]
+fn harmless_parts_with_crashes_are_served_after_all_nodes_have_started_again() {
+    const PARTS: &str = "a1:600,c3:200";
+    let failing = Arc::<Mutex<HashSet<String>>>::default();
+    let start = |number| {
+        let failing = failing.clone();
+        RunnerStandIn::start(&format!("i-{number}"), move |it| crash_once(&failing, it)).unwrap()
+    };
+    let runners: Vec<RunnerStandIn> = (0..RUNNERS).map(start).collect();
+    let node = node_with(&runners, None);
+    let other = node.start_peer_with("node-2", "retry_slack = 400.0\n");
+    other.wait_until_ready();
+    assert_eq!(send(&node, 0, PARTS).status, 200);
+    for number in UNLUCKY_NUMBERS {
+        send(&node, number, PARTS);
+        wait_for_messages();
+    }
+    assert_eq!(crashes(&runners), UNLUCKY_NUMBERS.len());
+    let store = node.store.clone();
+    for stopped in [node, other] {
+        stopped.request_stop();
+        stopped.join();
+    }
+    let nodes = ["node-1", "node-2"].map(|name| Fixture::start_with_store(store.clone(), name));
+    nodes.iter().for_each(Fixture::wait_until_ready);
+    let statuses: Vec<u16> =
+        (0..REQUESTS).map(|number| send(&nodes[number % 2], 100 + number, PARTS).status).collect();
+    assert_eq!(statuses, [200; REQUESTS]);
+}
+
 /// Runners that crash one after the other while harmless requests run beside, and are replaced under new names.
 struct Storm {
     node: Fixture,
--- a/crates/serving/src/crash_messages.rs
+++ b/crates/serving/src/crash_messages.rs
@@ -22,6 +22,10 @@
     /// Position of the part in its prompts; `None` for a whole request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub depth: Option<u8>,
+    /// Whether a runner had completed a response on the part before it. Nodes keep the proven parts in memory, so this
+    /// is all that remains of them once every node has been restarted. Builds that do not know the field leave it out.
+    #[serde(rename = "proven", default, skip_serializing_if = "std::ops::Not::not")]
+    pub was_proven: bool,
 }
 
 /// A message that a node sends to all others.
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -182,8 +182,9 @@
     }
 
     fn record_of(&self, crash: &Crash, at_ms: u64) -> CrashRecord {
-        let depth = self.facts.get(&crash.request).and_then(|facts| facts.depth);
-        CrashRecord { at_ms, depth }
+        let SuspectFacts { depth, was_proven } =
+            self.facts.get(&crash.request).copied().unwrap_or_default();
+        CrashRecord { at_ms, depth, was_proven }
     }
 
     /// Updates the blame after a change of one suspect's crashes. With too few crashes to be blamed, the suspect
@@ -282,7 +283,8 @@
         if self.to_remove.contains(crash) {
             return CrashChange::None;
         }
-        self.describe(Suspect { identity: crash.request, depth: record.depth }, false);
+        let suspect = Suspect { identity: crash.request, depth: record.depth };
+        self.describe(suspect, record.was_proven);
         self.count(crash, TrackedCrash { state: CrashState::Stored, record })
     }
 
@@ -357,10 +359,11 @@
             crashes.retain(|_, crash| crash.state != CrashState::Stored);
         }
         self.requests.retain(|_, crashes| !crashes.is_empty());
-        self.facts.retain(|identity, _| self.requests.contains_key(identity));
         for (crash, record) in stored {
             self.count_stored(crash, *record);
         }
+        // This follows the count, since the snapshot may say less of its suspects than is known here.
+        self.facts.retain(|identity, _| self.requests.contains_key(identity));
         self.update_blame();
     }
 
@@ -444,7 +447,12 @@
     pub fn due_writes(&self, now_us: u64) -> Vec<(Crash, CrashRecord)> {
         let is_due = |state: CrashState| matches!(state, CrashState::Unwritten { due_us } if due_us <= now_us);
         let due = self.all().filter(|(_, crash)| is_due(crash.state));
-        due.take(MAX_ENTRIES_PER_WRITE).map(|(crash, known)| (crash, known.record)).collect()
+        let record = |(crash, known): (Crash, TrackedCrash)| {
+            // Another node may have reported the part as proven since the crash.
+            let record = self.record_of(&crash, known.record.at_ms);
+            (crash, record)
+        };
+        due.take(MAX_ENTRIES_PER_WRITE).map(record).collect()
     }
 
     /// When the next crash is due to be written, in microseconds; `None` if none is unwritten.
--- a/crates/serving/tests/blame.rs
+++ b/crates/serving/tests/blame.rs
@@ -1,13 +1,14 @@
 //! Which requests and prompt parts are blamed for crashes, and which harmless ones are beside them.
 #![allow(clippy::unwrap_used, missing_docs)]
 
-use pitchstall_serving::crash_messages::Crash;
+use pitchstall_serving::crash_messages::{Crash, CrashRecord};
 use pitchstall_serving::ids::RunnerId;
 use pitchstall_serving::proven_parts::ProvenParts;
 use pitchstall_serving::quarantine::Quarantine;
 use pitchstall_serving::request_identity::{RequestIdentity, RequestParts, Suspect};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
 
 /// The first part of all prompts, the crashing second part, and the harmless second parts.
 const FIRST: u64 = 1;
@@ -146,6 +147,29 @@
     assert!(!is_blamed(&quarantine, popular));
 }
 
+/// The crashes that a node has written to the store, as another node reads them.
+fn stored_crashes(quarantine: &mut Quarantine) -> Vec<(Crash, CrashRecord)> {
+    let written = quarantine.due_writes(u64::MAX);
+    quarantine.on_written(&written);
+    written
+}
+
+#[test_case(true; "at nodes that have all just started")]
+#[test_case(false; "at a node that reads all crashes again")]
+fn a_proven_part_is_not_blamed_after_its_crashes_were_read_from_the_store(is_new_node: bool) {
+    const SECOND: u64 = 3;
+    let (mut quarantine, mut proven) = (Quarantine::default(), ProvenParts::default());
+    let parts = [part(FIRST, 0), part(SECOND, 1)];
+    parts.iter().for_each(|part| proven.on_success(part.identity));
+    for runner in 0..4 {
+        crash(&mut quarantine, runner, &[request(runner), parts[0], parts[1]], &proven);
+    }
+    let stored = stored_crashes(&mut quarantine);
+    let mut quarantine = if is_new_node { Quarantine::default() } else { quarantine };
+    quarantine.on_store_snapshot(&stored);
+    assert!(!parts.iter().any(|part| is_blamed(&quarantine, *part)));
+}
+
 #[test]
 fn proven_parts_are_bounded_and_the_recent_ones_stay() {
     const MANY: u64 = 20_000;
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 const SECOND_US: u64 = 1_000_000;
-const RECORD: CrashRecord = CrashRecord { at_ms: 1_000, depth: None };
+const RECORD: CrashRecord = CrashRecord { at_ms: 1_000, depth: None, was_proven: false };
 
 fn request(number: u64) -> RequestIdentity {
     let body = number.to_le_bytes();
@@ -95,7 +95,7 @@
     assert!(quarantine.next_write_us().is_some_and(|due_us| due_us > 0));
     assert_eq!(
         quarantine.due_writes(SECOND_US),
-        [(crash(1, 1), CrashRecord { at_ms: 7, depth: None })]
+        [(crash(1, 1), CrashRecord { at_ms: 7, depth: None, was_proven: false })]
     );
     quarantine.on_reported(&crash(1, 2), 8, 10);
     let written = quarantine.due_writes(10);
@@ -154,7 +154,10 @@
 fn evicted_crashes_are_removed_from_the_store() {
     let mut quarantine = Quarantine::default();
     for number in 0..=MAX_TRACKED_REQUESTS as u64 {
-        quarantine.on_stored(&crash(number, number), CrashRecord { at_ms: number, depth: None });
+        quarantine.on_stored(
+            &crash(number, number),
+            CrashRecord { at_ms: number, depth: None, was_proven: false },
+        );
     }
     assert!(quarantine.due_removals().is_empty());
     quarantine.schedule_removals(MAX_TRACKED_REQUESTS as u64);
