--- a/crates/gateway/tests/tenants.rs
+++ b/crates/gateway/tests/tenants.rs
@@ -5,10 +5,12 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
+use pitchstall_platform_standins::store::StoreMode;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
-use support::{configuration, wait_for, Fixture};
+use std::time::{Duration, Instant};
+use support::{configuration, wait_for, Fixture, NodeAddress};
 use test_case::test_case;
 
 const KEY: &str = "m82thhkmgjqnirth5mgj";
@@ -137,6 +139,32 @@
     wait_for("the key to be served again", || status_of(&node, "/booking/4", WITH_KEY) == 200);
 }
 
+#[test]
+fn nodes_that_start_while_the_store_is_away_accept_no_key_that_may_have_been_revoked() {
+    const BOUNDS: &str = "retry_slack = 4.0\nrevoke_strict = true\nrevoke_ms = 2500\n";
+    const REVOKE_TIME: Duration = Duration::from_millis(2_500);
+    let runner = desk();
+    let first = Fixture::start_with(BOUNDS);
+    first.store.put("op/config", &with_tenants(3, &[KEY]));
+    first.add_runner(&runner, "desk", None);
+    first.wait_until_ready();
+    assert_eq!(status_of(&first, "/booking/1", WITH_KEY), 200);
+    first.store.set_mode(StoreMode::Unavailable);
+    std::thread::sleep(REVOKE_TIME + Duration::from_millis(200));
+    assert_eq!(status_of(&first, "/booking/2", WITH_KEY), 503);
+    let (store, address) = (first.store.clone(), first.store.address());
+    let seeds = format!("seeds = [\"{}\"]\n", first.peers);
+    let second = Fixture::start_at(NodeAddress::new(), store, address, "node-2", &seeds, BOUNDS);
+    let until = Instant::now() + REVOKE_TIME;
+    let mut served = 0;
+    while Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(50));
+        let statuses = [&first, &second].map(|node| status_of(node, "/booking/3", WITH_KEY));
+        served += statuses.iter().filter(|status| **status == 200).count();
+    }
+    assert_eq!(served, 0, "requests with the key that ran");
+}
+
 #[test]
 fn separate_prefill_and_decode_run_for_the_same_tenant() {
     let prefill = RunnerStandIn::start("i-reader", engine_script(3)).unwrap();
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -13,6 +13,7 @@
 //! confirmation look younger by the delay; its receiver queries the store later by as much, counted
 //! from the arrival.
 
+use crate::report_time::ReportTime;
 use crate::store_replica::{StoreUpdate, Subject};
 use crate::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
 use serde::{Deserialize, Serialize};
@@ -84,6 +85,12 @@
 const AGE_ADDED_PER_HOP_MS: u64 = 20;
 const MICROS_PER_MILLI: u64 = 1_000;
 
+/// Time of a confirmation that another node reports at `now_us` to be `age_ms` old.
+fn reported_confirmation(age_ms: u64, now_us: u64) -> ReportTime {
+    let age_us = (age_ms + AGE_ADDED_PER_HOP_MS).saturating_mul(MICROS_PER_MILLI);
+    ReportTime::before(now_us, age_us)
+}
+
 /// A change that other nodes have reported and that this node does not know.
 #[derive(Clone, Copy, Debug)]
 struct ReportedChange {
@@ -105,7 +112,7 @@
     /// Time of the last read of all entries, until the last change is known exactly; in
     /// microseconds.
     read_at_us: Option<u64>,
-    confirmed_at_us: Option<u64>,
+    confirmed_at: Option<ReportTime>,
     /// Time of the last sign that the store did not respond to a call, in microseconds.
     store_silent_at_us: Option<u64>,
     /// Time of the first confirmation after the store was unavailable, in microseconds.
@@ -128,7 +135,7 @@
         self.known_to = known_to;
         // The store itself has no later change, so earlier reports refer to another store.
         self.reported.clear();
-        self.confirm(now_us, now_us);
+        self.confirm(ReportTime::at(now_us), now_us);
         self.peer_ahead = self.peer_ahead.filter(|(revision, _)| *revision > known_to);
     }
 
@@ -166,25 +173,25 @@
         self.reported.retain(|change| change.revision > known_to);
         self.peer_ahead = self.peer_ahead.filter(|(revision, _)| *revision > known_to);
         let Some(age_ms) = age_ms else { return };
-        let confirmed_at_us =
-            now_us.saturating_sub((age_ms + AGE_ADDED_PER_HOP_MS) * MICROS_PER_MILLI);
-        self.confirm(confirmed_at_us, now_us);
+        let confirmed_at = reported_confirmation(age_ms, now_us);
+        self.confirm(confirmed_at, now_us);
     }
 
-    /// Records that the store confirmed the replica at `at_us`, as learned at `now_us`.
-    fn confirm(&mut self, at_us: u64, now_us: u64) {
-        if self.was_store_unavailable(at_us) {
+    /// Records that the store confirmed the replica at `at`, as learned at `now_us`.
+    fn confirm(&mut self, at: ReportTime, now_us: u64) {
+        if self.was_store_unavailable(at) {
             self.store_back_at_us = Some(now_us);
         }
-        self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
+        self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
-    /// Whether the store was unavailable between the last confirmation and `at_us`. A node that has
+    /// Whether the store was unavailable between the last confirmation and `at`. A node that has
     /// only had no news, since its sources were silent, knows of no outage.
-    fn was_store_unavailable(&self, at_us: u64) -> bool {
-        let Some(confirmed_at_us) = self.confirmed_at_us else { return false };
-        let was_silent = self.store_silent_at_us.is_some_and(|it| it >= confirmed_at_us);
-        was_silent && at_us > confirmed_at_us + STORE_UNAVAILABLE_AFTER_US
+    fn was_store_unavailable(&self, at: ReportTime) -> bool {
+        let Some(confirmed_at) = self.confirmed_at else { return false };
+        let silent_at = self.store_silent_at_us.map(ReportTime::at);
+        let was_silent = silent_at.is_some_and(|silent_at| silent_at >= confirmed_at);
+        was_silent && at.since_us(confirmed_at) > STORE_UNAVAILABLE_AFTER_US
     }
 
     /// Records that a call of this node to the store failed, or has had no response for a while.
@@ -209,7 +216,7 @@
     /// Time until which a missing entry may only have lapsed while the store was unavailable, in
     /// microseconds; `None` if the store was available, so that a missing entry was removed.
     pub fn lapse_grace_until_us(&self, now_us: u64) -> Option<u64> {
-        if self.was_store_unavailable(now_us) {
+        if self.was_store_unavailable(ReportTime::at(now_us)) {
             return Some(now_us + LAPSE_GRACE_US);
         }
         let until_us = self.store_back_at_us.map(|at_us| at_us + LAPSE_GRACE_US);
@@ -218,8 +225,7 @@
 
     /// Time since the store last confirmed the replica, in milliseconds; `None`: it never has.
     pub fn confirmed_age_ms(&self, now_us: u64) -> Option<u64> {
-        let age_us = self.confirmed_at_us.map(|at_us| now_us.saturating_sub(at_us));
-        age_us.map(|age_us| age_us / MICROS_PER_MILLI)
+        self.confirmed_at.map(|at| at.age_us(now_us) / MICROS_PER_MILLI)
     }
 
     /// Records that the watch has delivered a change.
@@ -245,11 +251,10 @@
             return;
         }
         let Some(age_ms) = report.age_ms else { return };
-        let confirmed_at_us =
-            now_us.saturating_sub((age_ms + AGE_ADDED_PER_HOP_MS) * MICROS_PER_MILLI);
-        self.confirm(confirmed_at_us, now_us);
+        let confirmed_at = reported_confirmation(age_ms, now_us);
+        self.confirm(confirmed_at, now_us);
         // The confirmation is later than the read of all entries: nothing has changed in between.
-        if self.read_at_us.is_some_and(|read_at_us| read_at_us < confirmed_at_us) {
+        if self.read_at_us.is_some_and(|read_at_us| ReportTime::at(read_at_us) < confirmed_at) {
             self.changed_at = changed_at;
             self.read_at_us = None;
         }
@@ -296,8 +301,8 @@
         if self.is_behind(now_us) {
             return Freshness::Behind;
         }
-        match self.confirmed_at_us {
-            Some(at_us) if now_us < at_us + confirmation_ttl_us => Freshness::Fresh,
+        match self.confirmed_at {
+            Some(at) if at.age_us(now_us) < confirmation_ttl_us => Freshness::Fresh,
             _ => Freshness::Unconfirmed,
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod quota_slots;
 pub mod quota_term;
 pub mod regions;
+mod report_time;
 pub mod request;
 pub mod request_identity;
 pub mod reservations;
--- a/crates/serving/tests/freshness.rs
+++ b/crates/serving/tests/freshness.rs
@@ -5,6 +5,7 @@
 use pitchstall_serving::store_replica::{StoreEntry, StoreUpdate};
 use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreEras, StoreRevision};
 use proptest::prelude::*;
+use test_case::test_case;
 
 const SECOND_US: u64 = 1_000_000;
 const CONFIRMATION_TTL_US: u64 = 2 * SECOND_US;
@@ -124,6 +125,50 @@
     assert_eq!(other.assess(3 * SECOND_US, CONFIRMATION_TTL_US), Freshness::Fresh);
 }
 
+/// How a node that has just started learns when the store last confirmed the entries.
+#[derive(Clone, Copy)]
+enum Source {
+    Update,
+    Report,
+}
+
+fn learn(replica: &mut ReplicaFreshness, source: Source, age_ms: u64, now_us: u64) {
+    replica.on_peer_update(&empty_snapshot_at(5), Some(age_ms), now_us);
+    if matches!(source, Source::Report) {
+        replica.on_report(report(5, age_ms), &StoreEras::default(), now_us);
+    }
+}
+
+#[test_case(Source::Update; "told with the entries")]
+#[test_case(Source::Report; "told by a report")]
+fn a_confirmation_from_before_the_start_of_a_node_is_as_old_there_as_elsewhere(source: Source) {
+    const AGE_MS: u64 = 50_000;
+    const UPTIME_US: u64 = SECOND_US / 2;
+    let mut replica = ReplicaFreshness::default();
+    learn(&mut replica, source, AGE_MS, UPTIME_US);
+    let age_ms = replica.confirmed_age_ms(UPTIME_US);
+    assert!(age_ms >= Some(AGE_MS), "{age_ms:?}");
+    assert_eq!(replica.assess(UPTIME_US, CONFIRMATION_TTL_US), Freshness::Unconfirmed);
+}
+
+#[test]
+fn nodes_that_start_while_the_store_is_away_renew_no_confirmation() {
+    const STARTS: u64 = 5;
+    const START_INTERVAL_US: u64 = 10 * SECOND_US;
+    const UPTIME_US: u64 = SECOND_US / 2;
+    let mut first = ReplicaFreshness::for_single_entry();
+    first.on_full_read(&empty_snapshot_at(5), 0);
+    for start in 1..=STARTS {
+        let now_us = start * START_INTERVAL_US;
+        let mut started = ReplicaFreshness::for_single_entry();
+        started.on_peer_update(&empty_snapshot_at(5), first.confirmed_age_ms(now_us), UPTIME_US);
+        let age_ms = started.confirmed_age_ms(UPTIME_US).unwrap();
+        first.on_report(report(5, age_ms), &StoreEras::default(), now_us);
+        let true_age_ms = now_us / 1_000;
+        assert!(first.confirmed_age_ms(now_us) >= Some(true_age_ms), "after start {start}");
+    }
+}
+
 #[test]
 fn a_change_that_the_watch_does_not_deliver_makes_the_replica_behind() {
     let mut replica = replica_known_to(5);
