Limits that runners named before a node's start are believed there

What callers saw: requests beyond a runner's limit, some a node, until the node is told anew.

Change: limits and their keepers use `ReportTime`.

Tests: runner_limit, limit_keeper, one each.

--- a/crates/serving/src/limit_keeper.rs
+++ b/crates/serving/src/limit_keeper.rs
@@ -24,6 +24,7 @@
 //! full rate.
 
 use crate::ids::RunnerId;
+use crate::report_time::ReportTime;
 use crate::runner_limit::{LimitMessage, LimitQuery, LimitVerdict};
 use crate::runner_notice::RequestRate;
 use std::collections::BTreeMap;
@@ -140,7 +141,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     rate: Option<RequestRate>,
-    reported_at_us: u64,
+    /// When the response with this limit arrived, at whichever node.
+    reported_at: ReportTime,
     /// Requests left, in millionths.
     level: u64,
     updated_at_us: u64,
@@ -155,7 +157,7 @@
     fn new(now_us: u64) -> Self {
         Self {
             rate: None,
-            reported_at_us: 0,
+            reported_at: ReportTime::default(),
             level: 0,
             updated_at_us: now_us,
             last_queried_us: now_us,
@@ -165,11 +167,11 @@
 
     /// Applies a report of the runner's limit. The later report wins.
     fn on_message(&mut self, message: &LimitMessage, now_us: u64) {
-        let reported_at_us = now_us.saturating_sub(message.age_us);
-        if reported_at_us <= self.reported_at_us && self.reported_at_us > 0 {
+        let reported_at = ReportTime::before(now_us, message.age_us);
+        if reported_at <= self.reported_at {
             return;
         }
-        self.reported_at_us = reported_at_us;
+        self.reported_at = reported_at;
         if self.rate.is_none() {
             // Requests sent while there was no limit were not counted.
             self.level = 0;
@@ -239,7 +241,7 @@
         match bucket.rate {
             Some(rate) => bucket.try_take(capped(rate), share, now_us),
             None => {
-                let age_us = now_us.saturating_sub(bucket.reported_at_us);
+                let age_us = bucket.reported_at.age_us(now_us);
                 LimitVerdict::Lifted { age_us }
             }
         }
@@ -265,7 +267,7 @@
         let message = |(runner, bucket): (&RunnerId, &Bucket)| LimitMessage {
             runner: runner.clone(),
             rate: bucket.rate,
-            age_us: now_us.saturating_sub(bucket.reported_at_us),
+            age_us: bucket.reported_at.age_us(now_us),
         };
         let mut messages: Vec<LimitMessage> = self.buckets.iter().map(message).collect();
         messages.sort_by_key(|message| message.age_us);
--- a/crates/serving/src/runner_limit.rs
+++ b/crates/serving/src/runner_limit.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::RunnerId;
 use crate::limit_keeper::MAX_WAIT_US;
+use crate::report_time::ReportTime;
 use crate::runner_notice::{RequestRate, RunnerNotice};
 use crate::scheduling::Ticket;
 use serde::{Deserialize, Serialize};
@@ -25,8 +26,8 @@
 pub struct ReportedLimit {
     /// `None` if there is no limit.
     rate: Option<RequestRate>,
-    /// When the response with this limit arrived, at this node or another one, in microseconds.
-    reported_at_us: u64,
+    /// When the response with this limit arrived, at this node or another one.
+    reported_at: ReportTime,
     /// No request may be sent before this time, since the keeper refused one; in microseconds.
     throttled_until_us: u64,
 }
@@ -43,31 +44,31 @@
         sent_at_us: u64,
         now_us: u64,
     ) -> Option<LimitChange> {
-        let is_later = self.rate.is_none() || sent_at_us > self.reported_at_us;
+        let is_later = self.rate.is_none() || ReportTime::at(sent_at_us) > self.reported_at;
         match (notice.limit, self.rate) {
             // A malformed rate neither sets nor lifts a limit.
             (None, _) if notice.is_malformed => None,
-            (None, Some(_)) if is_later => self.set(None, now_us),
+            (None, Some(_)) if is_later => self.set(None, ReportTime::at(now_us)),
             (None, _) => None,
-            (Some(reported), _) if is_later => self.set(Some(reported), now_us),
+            (Some(reported), _) if is_later => self.set(Some(reported), ReportTime::at(now_us)),
             (Some(reported), current) => {
-                self.set(current.map(|current| current.min(reported)), now_us)
+                self.set(current.map(|current| current.min(reported)), ReportTime::at(now_us))
             }
         }
     }
 
     /// Applies a report that another node has received. The later report wins.
     pub fn on_message(&mut self, message: &LimitMessage, now_us: u64) -> Option<LimitChange> {
-        let reported_at_us = now_us.saturating_sub(message.age_us);
-        if reported_at_us <= self.reported_at_us {
+        let reported_at = ReportTime::before(now_us, message.age_us);
+        if reported_at <= self.reported_at {
             return None;
         }
-        self.set(message.rate, reported_at_us)
+        self.set(message.rate, reported_at)
     }
 
-    fn set(&mut self, rate: Option<RequestRate>, reported_at_us: u64) -> Option<LimitChange> {
+    fn set(&mut self, rate: Option<RequestRate>, reported_at: ReportTime) -> Option<LimitChange> {
         let before = std::mem::replace(&mut self.rate, rate);
-        self.reported_at_us = reported_at_us;
+        self.reported_at = reported_at;
         if before == rate {
             return None;
         }
@@ -88,7 +89,7 @@
 
     /// The limit as it is sent to other nodes.
     pub fn message(&self, runner: &RunnerId, now_us: u64) -> LimitMessage {
-        let age_us = now_us.saturating_sub(self.reported_at_us);
+        let age_us = self.reported_at.age_us(now_us);
         LimitMessage { runner: runner.clone(), rate: self.rate, age_us }
     }
 
--- a/crates/serving/tests/limit_keeper.rs
+++ b/crates/serving/tests/limit_keeper.rs
@@ -193,6 +193,18 @@
     );
 }
 
+#[test]
+fn a_keeper_that_has_just_started_orders_the_reports_from_before_its_start() {
+    const UPTIME_US: u64 = SECOND;
+    let mut keeper = LimitKeeper::default();
+    keeper.on_message(&message(None, 5 * SECOND), UPTIME_US);
+    let verdict =
+        keeper.on_query(&query(rate(2.0), 9 * SECOND), LimitKeeperShare::FIRST, UPTIME_US);
+    assert_eq!(verdict, LimitVerdict::Lifted { age_us: 5 * SECOND });
+    let ages: Vec<u64> = keeper.messages(1, UPTIME_US).iter().map(|it| it.age_us).collect();
+    assert_eq!(ages, [5 * SECOND]);
+}
+
 #[test]
 fn the_wait_after_a_refusal_is_bounded() {
     let mut keeper = LimitKeeper::default();
--- a/crates/serving/tests/runner_limit.rs
+++ b/crates/serving/tests/runner_limit.rs
@@ -62,6 +62,19 @@
     assert_eq!(limit.on_message(&message(None, 5), 120), Some(LimitChange::Lifted));
 }
 
+#[test]
+fn a_limit_that_was_named_before_the_start_of_a_node_is_believed_there() {
+    const UPTIME_US: u64 = 1_000;
+    let mut limit = ReportedLimit::default();
+    let set = limit.on_message(&message(Some(TWO), 3 * UPTIME_US), UPTIME_US);
+    assert_eq!(set, Some(LimitChange::Set(TWO)));
+    let age_us = limit.message(&RunnerId::new("i-1"), UPTIME_US).age_us;
+    assert_eq!(age_us, 3 * UPTIME_US);
+    let lifted = limit.on_message(&message(None, 2 * UPTIME_US), UPTIME_US);
+    assert_eq!(lifted, Some(LimitChange::Lifted));
+    assert_eq!(limit.on_message(&message(Some(TWO), 3 * UPTIME_US), UPTIME_US), None);
+}
+
 #[test]
 fn a_refusal_throttles_until_its_wait_is_over_or_the_limit_is_lifted() {
     let mut limit = ReportedLimit::default();
