--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -153,6 +153,7 @@
     let reply = StreamOriginReply {
         ticket: query.ticket,
         origin: origins.find(&query.stream, now_us).cloned(),
+        is_ambiguous: origins.is_ambiguous(&query.stream, now_us),
         has_several_versions: counted.len() > 1,
         counted: counted.into_iter().collect(),
         uptime_ms: Some(now_us / MICROS_PER_MILLI),
@@ -191,11 +192,12 @@
     stream: &StreamId,
     service: &ServiceName,
 ) -> (StreamContinuation, KeeperReplies) {
-    if let Some(origin) = node.stream_origins.origins.borrow().find(stream, node.now_us()) {
-        return (StreamContinuation::AtOrigin(origin.clone()), KeeperReplies::default());
+    if let Some(continuation) = own_knowledge(node, stream) {
+        return (continuation, KeeperReplies::default());
     }
     let replies = query_keepers(node, stream, service).await;
     let continuation = match &replies.origin {
+        _ if replies.is_ambiguous => StreamContinuation::Unknown,
         Some(origin) => StreamContinuation::AtOrigin(origin.clone()),
         None if replies.has_several_versions => StreamContinuation::Unknown,
         None => at_only_origin(node, service, &replies.counted).await,
@@ -203,6 +205,15 @@
     (continuation, replies)
 }
 
+/// Where a stream may go on by what this node knows of it.
+fn own_knowledge(node: &Node, stream: &StreamId) -> Option<StreamContinuation> {
+    let (origins, now_us) = (node.stream_origins.origins.borrow(), node.now_us());
+    if origins.is_ambiguous(stream, now_us) {
+        return Some(StreamContinuation::Unknown);
+    }
+    origins.find(stream, now_us).cloned().map(StreamContinuation::AtOrigin)
+}
+
 /// Where a stream may go on that no node remembers.
 async fn at_only_origin(
     node: &Rc<Node>,
@@ -230,6 +241,8 @@
 #[derive(Default)]
 struct KeeperReplies {
     origin: Option<StreamOrigin>,
+    /// Whether a keeper knows that streams of different origins bear the id.
+    is_ambiguous: bool,
     /// Whether a keeper knows of several versions. Keepers of earlier builds do not name them.
     has_several_versions: bool,
     /// The origins that the keepers count.
@@ -262,8 +275,9 @@
         let uptime_ms = reply.uptime_ms.unwrap_or_default();
         replies.longest_uptime_ms = replies.longest_uptime_ms.max(uptime_ms);
         replies.has_several_versions |= reply.has_several_versions;
-        if reply.origin.is_some() {
-            return KeeperReplies { origin: reply.origin, ..replies };
+        if reply.origin.is_some() || reply.is_ambiguous {
+            let StreamOriginReply { origin, is_ambiguous, .. } = reply;
+            return KeeperReplies { origin, is_ambiguous, ..replies };
         }
     }
     replies
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -205,14 +205,22 @@
 
     /// The next query for a stream's origin, and the node that asks.
     fn receive_query(&self) -> (Value, SocketAddr) {
+        self.try_receive_query().unwrap()
+    }
+
+    /// As [`Self::receive_query`]; `None` if none arrives for a while.
+    fn try_receive_query(&self) -> Option<(Value, SocketAddr)> {
+        const MAX_WAIT: Duration = Duration::from_secs(5);
+        let deadline = Instant::now() + MAX_WAIT;
         let mut buffer = vec![0; 65_536];
-        loop {
-            let (length, from) = self.socket.recv_from(&mut buffer).unwrap();
+        while Instant::now() < deadline {
+            let (length, from) = self.socket.recv_from(&mut buffer).ok()?;
             let message: Value = serde_json::from_slice(&buffer[..length]).unwrap();
             if let Some(query) = message.get("stream?") {
-                return (query.clone(), from);
+                return Some((query.clone(), from));
             }
         }
+        None
     }
 }
 
@@ -243,6 +251,49 @@
     assert_eq!((response.status, response.text()), (200, rest));
 }
 
+#[test]
+fn a_stream_whose_id_a_keeper_knows_of_two_versions_is_refused_though_one_alone_serves() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = Fixture::start_with(REGIONS);
+    node.store.put("op/config", &configuration(3));
+    runners.new.iter().for_each(|runner| node.add_runner_of_version(runner, "v2"));
+    node.wait_until_ready();
+    wait_for("streams to begin", || stream(&node, "first", "").status == 200);
+    let remote = RemoteNode::introduce_to(&node);
+    let response = std::thread::scope(|scope| {
+        let client = scope.spawn(|| take_up(&node, "id-remote", "again"));
+        let (query, from) = remote.receive_query();
+        let reply = json!({ "stream": { "t": query["t"], "x": true } }).to_string();
+        remote.socket.send_to(reply.as_bytes(), from).unwrap();
+        client.join().unwrap()
+    });
+    assert_eq!((response.status, response.header("retry-after")), (503, Some("0.1")));
+    assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
+}
+
+#[test]
+fn a_stream_whose_id_the_node_knows_of_two_versions_is_refused_though_a_keeper_knows_one() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_in_two_regions(&runners);
+    let remote = RemoteNode::introduce_to(&node);
+    let told = |version: &str| json!({ "i": "id-twice", "o": { "s": "llm", "v": version } });
+    let message = json!({ "streams": [told("v1"), told("v2")] }).to_string();
+    remote.socket.send_to(message.as_bytes(), node.peers).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    let response = std::thread::scope(|scope| {
+        let client = scope.spawn(|| take_up(&node, "id-twice", "again"));
+        // The node need not ask.
+        if let Some((query, from)) = remote.try_receive_query() {
+            let origin = json!({ "s": "llm", "v": "v1" });
+            let reply = json!({ "stream": { "t": query["t"], "o": origin } }).to_string();
+            remote.socket.send_to(reply.as_bytes(), from).unwrap();
+        }
+        client.join().unwrap()
+    });
+    assert_eq!((response.status, response.header("retry-after")), (503, Some("0.1")));
+    assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
+}
+
 #[test]
 fn a_stream_whose_keeper_is_silent_is_refused_soon() {
     let runners = Runners::start(Interruption::Slow);
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -69,6 +69,9 @@
     /// What began the stream; `None` if the keeper does not know.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub origin: Option<StreamOrigin>,
+    /// Whether the keeper knows that streams of different origins bear the id. Earlier builds leave it out.
+    #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_ambiguous: bool,
     /// Whether the keeper has seen several versions serve recently.
     #[serde(rename = "m", default)]
     pub has_several_versions: bool,
@@ -140,6 +143,11 @@
         entry.other.is_none().then_some(&entry.origin)
     }
 
+    /// Whether streams of different origins bear this id.
+    pub fn is_ambiguous(&self, stream: &StreamId, now_us: u64) -> bool {
+        self.entry(stream, now_us).is_some_and(|entry| entry.other.is_some())
+    }
+
     /// All known origins.
     pub fn recent(&self, now_us: u64) -> Vec<StreamOriginMessage> {
         self.order.iter().flat_map(|stream| self.messages(stream, now_us)).collect()
--- a/crates/serving/tests/stream_origin.rs
+++ b/crates/serving/tests/stream_origin.rs
@@ -24,8 +24,10 @@
     origins.record(stream.clone(), origin("v1"), 1);
     origins.record(stream.clone(), origin("v1"), 2);
     assert_eq!(origins.find(&stream, 3), Some(&origin("v1")));
+    assert!(!origins.is_ambiguous(&stream, 3));
     origins.record(stream.clone(), origin("v2"), 4);
     assert_eq!(origins.find(&stream, 5), None);
+    assert!(origins.is_ambiguous(&stream, 5));
 }
 
 #[test]
--- a/crates/serving/tests/stream_origin_handover.rs
+++ b/crates/serving/tests/stream_origin_handover.rs
@@ -362,3 +362,12 @@
     second.record_message(reused, expires_us);
     assert_eq!(second.find(&stream(1), expires_us), Some(&origin(2)));
 }
+
+#[test]
+fn an_id_of_two_streams_is_handed_over_as_such() {
+    let (mut first, mut second) = (StreamOrigins::default(), StreamOrigins::default());
+    (1..=2).for_each(|version| first.record(stream(1), origin(version), 1));
+    first.messages(&stream(1), 2).for_each(|message| second.record_message(message, 2));
+    assert_eq!(second.find(&stream(1), 3), None);
+    assert!(second.is_ambiguous(&stream(1), 3));
+}
