The line of an entry of versions that cannot be parsed names its key

What callers saw: nothing. An entry that cannot be parsed refuses all takeups that nobody remembers, since it may name any version; that is kept.

Cause: no line told an operator which key to remove.

Tests: unrecorded_versions, one. It holds the refusal and its end, which were so before; the line has no test.

--- a/crates/gateway/src/version_reads.rs
+++ b/crates/gateway/src/version_reads.rs
@@ -91,8 +91,8 @@
     Response(#[from] StoreResponseError),
     #[error(transparent)]
     Listing(#[from] ListingError),
-    #[error("an entry cannot be parsed: {0}")]
-    Entry(#[from] serde_json::Error),
+    #[error("the entry {key} cannot be parsed: {reason}")]
+    Entry { key: String, reason: serde_json::Error },
 }
 
 async fn read_items(node: &Node) -> Result<Vec<VersionEntry>, ReadError> {
@@ -115,5 +115,5 @@
 /// An entry that cannot be parsed may name any version, so that the whole read fails.
 fn parse(item: store::Item) -> Result<VersionEntry, ReadError> {
     let value = item.value.as_deref().unwrap_or_default();
-    Ok(serde_json::from_slice(value)?)
+    serde_json::from_slice(value).map_err(|reason| ReadError::Entry { key: item.key, reason })
 }
--- a/crates/gateway/tests/unrecorded_versions.rs
+++ b/crates/gateway/tests/unrecorded_versions.rs
@@ -106,3 +106,18 @@
     });
     assert_eq!(statuses, vec![200; begun.len()]);
 }
+
+#[test]
+fn a_stream_that_no_node_remembers_is_refused_while_an_entry_of_the_record_cannot_be_parsed() {
+    const KEY: &str = "pitchstall/crashes/versions/other";
+    let runners = Runners::start(Interruption::Slow);
+    let node = start_node();
+    runners.old.iter().for_each(|runner| node.add_runner_of_version(runner, "v1"));
+    node.wait_until_ready();
+    wait_for("streams to begin", || stream(&node, "first", "").status == 200);
+    assert_eq!(take_up(&node, "unknown-1", "before").status, 200);
+    node.store.put(KEY, &serde_json::json!({ "service": "llm" }));
+    assert_eq!(take_up(&node, "unknown-2", "meanwhile").status, 503);
+    node.store.remove(KEY);
+    assert_eq!(take_up(&node, "unknown-2", "after").status, 200);
+}
