--- a/crates/serving/src/version_record.rs
+++ b/crates/serving/src/version_record.rs
@@ -238,7 +238,7 @@
 
     /// The entries to retire, and those whose versions have had no runner for long enough to be removed.
     /// The caller knows the present list of runners, and `services` are those whose streams may be resumed. The entries of
-    /// another service end whatever runners it has.
+    /// another service are retired whatever runners it has, and removed after its runners have gone.
     pub fn due_ends(
         &self,
         services: &BTreeSet<ServiceName>,
@@ -260,6 +260,8 @@
                     let retiring = VersionEntry { state: VersionState::Retiring, ..entry.clone() };
                     Some(RecordChange::Retire(retiring, *revision))
                 }
+                // A node that is cut off may begin streams by an old configuration for as long as there are runners.
+                VersionState::Retiring if has_runner => None,
                 // The confirmation that the version has no runner is younger than the end of this time.
                 VersionState::Retiring
                     if now_us >= since_us + MAX_INTEREST_US + MAX_CONFIRMATION_AGE_US =>
--- a/crates/serving/tests/model_checking.rs
+++ b/crates/serving/tests/model_checking.rs
@@ -7,7 +7,7 @@
 use pathfinding::directed::bfs::bfs_reach;
 use specification::{
     adoption, authority, quota, regional_authority, resuming, retry_budget, retry_pool, usage,
-    version_record,
+    version_record, version_record_services,
 };
 use test_case::test_case;
 
@@ -295,3 +295,75 @@
     let reached = bfs_reach(initial, |state| state.next(safeguards));
     assert!(count(reached, |state| state.is_accepted_after_restore(safeguards)).1);
 }
+
+const MOVED_ROUTE: version_record_services::Limits = version_record_services::Limits {
+    routes: [version_record_services::Route::FIRST, version_record_services::Route::SECOND],
+    is_one_service: false,
+    joins: [0, 1],
+    max_writes: 2,
+};
+const SPLIT_ROUTE: version_record_services::Limits = version_record_services::Limits {
+    routes: [version_record_services::Route::FIRST, version_record_services::Route::BOTH],
+    ..MOVED_ROUTE
+};
+const JOINED_ROUTE: version_record_services::Limits = version_record_services::Limits {
+    routes: [version_record_services::Route::BOTH, version_record_services::Route::SECOND],
+    joins: [0, 0],
+    ..MOVED_ROUTE
+};
+const TWO_VERSIONS: version_record_services::Limits = version_record_services::Limits {
+    routes: [version_record_services::Route::BOTH; 2],
+    is_one_service: true,
+    ..MOVED_ROUTE
+};
+const RETURNING_VERSION: version_record_services::Limits =
+    version_record_services::Limits { joins: [1, 1], ..TWO_VERSIONS };
+
+fn search_version_record_services(
+    limits: version_record_services::Limits,
+    safeguards: version_record_services::Safeguards,
+) -> (usize, bool) {
+    let initial = version_record_services::State::initial(limits);
+    count(bfs_reach(initial, |state| state.next(safeguards)), |state| state.violated)
+}
+
+#[test_case(MOVED_ROUTE; "of a moved route")]
+#[test_case(SPLIT_ROUTE; "of a route that is split")]
+#[test_case(JOINED_ROUTE; "of a route that is split no longer")]
+#[test_case(TWO_VERSIONS; "of one service with two versions")]
+fn a_stream_that_is_planned_before_it_is_sent_goes_on_at_its_origin_alone(
+    limits: version_record_services::Limits,
+) {
+    let safeguards = version_record_services::Safeguards::ALL;
+    let (states, violated) = search_version_record_services(limits, safeguards);
+    println!("version record, services: {states} states");
+    assert!(!violated);
+    assert!(states > 10_000, "the search was cut short: {states} states");
+}
+
+#[test_case(TWO_VERSIONS, version_record_services::Safeguards { checked_when_sent: false, ..version_record_services::Safeguards::ALL }; "checked when sent two versions")]
+#[test_case(MOVED_ROUTE, version_record_services::Safeguards { services_count_together: false, ..version_record_services::Safeguards::ALL }; "services count together moved route")]
+#[test_case(SPLIT_ROUTE, version_record_services::Safeguards { services_count_together: false, ..version_record_services::Safeguards::ALL }; "services count together split route")]
+#[test_case(MOVED_ROUTE, version_record_services::Safeguards { unrouted_entries_count: false, ..version_record_services::Safeguards::ALL }; "unrouted entries count moved route")]
+#[test_case(MOVED_ROUTE, version_record_services::Safeguards { read_on_request: false, ..version_record_services::Safeguards::ALL }; "read on request moved route")]
+#[test_case(RETURNING_VERSION, version_record_services::Safeguards { retired_before_removal: false, ..version_record_services::Safeguards::ALL }; "retired before removal returning version")]
+#[test_case(MOVED_ROUTE, version_record_services::Safeguards { removal_waits: false, ..version_record_services::Safeguards::ALL }; "removal waits moved route")]
+#[test_case(MOVED_ROUTE, version_record_services::Safeguards { removal_waits_for_registered_runners: false, ..version_record_services::Safeguards::ALL }; "removal waits for registered runners moved route")]
+#[test_case(TWO_VERSIONS, version_record_services::Safeguards { removal_waits: false, ..version_record_services::Safeguards::ALL }; "removal waits two versions")]
+#[test_case(TWO_VERSIONS, version_record_services::Safeguards { read_on_request: false, ..version_record_services::Safeguards::ALL }; "read on request two versions")]
+#[test_case(JOINED_ROUTE, version_record_services::Safeguards { removal_waits_for_registered_runners: false, ..version_record_services::Safeguards::ALL }; "removal waits for registered runners joined route")]
+#[test_case(JOINED_ROUTE, version_record_services::Safeguards { unrouted_entries_count: false, ..version_record_services::Safeguards::ALL }; "unrouted entries count joined route")]
+fn a_planned_stream_is_continued_at_the_other_origin_without(
+    limits: version_record_services::Limits,
+    safeguards: version_record_services::Safeguards,
+) {
+    assert!(search_version_record_services(limits, safeguards).1);
+}
+
+#[test]
+fn unknown_streams_go_on_after_a_route_was_moved_and_the_runners_of_its_old_service_have_gone() {
+    let safeguards = version_record_services::Safeguards::ALL;
+    let initial = version_record_services::State::initial(MOVED_ROUTE);
+    let reached = bfs_reach(initial, |state| state.next(safeguards));
+    assert!(count(reached, |state| state.is_accepted_after_change(safeguards)).1);
+}
--- a/crates/serving/tests/specification/mod.rs
+++ b/crates/serving/tests/specification/mod.rs
@@ -13,3 +13,4 @@
 pub mod retry_pool;
 pub mod usage;
 pub mod version_record;
+pub mod version_record_services;
--- a/crates/serving/tests/version_record.rs
+++ b/crates/serving/tests/version_record.rs
@@ -206,6 +206,22 @@
     assert_eq!(ends, [RecordChange::Retire(retiring, at(100))]);
 }
 
+#[test]
+fn an_entry_is_not_removed_while_a_node_that_is_cut_off_may_still_begin_streams_at_its_runners() {
+    let mut world =
+        World::new(vec![entry("v1", VersionState::Retiring, StoreEra::UNKNOWN)], &["v1"]);
+    let none = BTreeSet::new();
+    let ends = |world: &mut World, now_us| {
+        world.record.due_ends(&none, world.fleet.versions_mut(), now_us)
+    };
+    assert_eq!(ends(&mut world, 2 * REMOVAL_US), []);
+    world.fleet.remove(&RunnerId::new("v1"), at(2), None);
+    let gone_us = 2 * REMOVAL_US;
+    assert_eq!(ends(&mut world, gone_us + REMOVAL_US - 1), []);
+    let removal = RecordChange::Remove(service(), version("v1"), at(100));
+    assert_eq!(ends(&mut world, gone_us + 2 * REMOVAL_US), [removal]);
+}
+
 fn origins(names: &[&str]) -> BTreeSet<StreamOrigin> {
     let origin = |name: &&str| {
         let (service, name) = name.split_once('/').unwrap_or(("llm", name));
