Tests: a paused stream goes on once the other runner was tried, not by the clock

Cause: the test was wrong. The stand-in went on after 1.6 s of its own clock, 0.4 s after the node looks for another runner: the node saw less than its 1.2 s, came too late, or had its answer before the other runner had noted the request.

Change: the stand-in waits at a gate until the other runner was asked and the node has decided to keep the run. As strict as before: the other runner has to be tried, the stream has to be whole, and the decision is waited for as well. The route lasts as long as the test waits.

--- a/crates/gateway/tests/stalled_streams.rs
+++ b/crates/gateway/tests/stalled_streams.rs
@@ -5,21 +5,23 @@
 
 use pitchstall_platform_standins::http::ReceivedRequest;
 use pitchstall_platform_standins::runner::{
-    engine_script, event_text, stream_head, EventStream, LongPause, NoticeHeaders, Reaction,
+    engine_script, event_text, stream_head, EventStream, Gate, LongPause, NoticeHeaders, Reaction,
     RunnerStandIn,
 };
 use pitchstall_platform_standins::store::StoreMode;
+use serde_json::Value;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use support::{configuration, wait_for, Fixture, RawClient};
+use support::{configuration, get, wait_for, Fixture, RawClient};
 use test_case::test_case;
 
 /// Exceeds the pause after which a node looks for another runner, which is 1,200 ms on the route of these tests.
 const PAUSE: Duration = Duration::from_millis(1_600);
 const LAST_EVENT: u64 = 1;
+const STALLED_RUNS_KEPT: &str = "pitchstall_stalled_runs_kept_total{";
 const PROMPT: &str =
     "X-Pitchstall-Token-Count: 9000,80\r\nX-Pitchstall-Prefix-Hash: a1:6000,b2:3000\r\n";
 
@@ -104,6 +106,27 @@
     assert_eq!(pausing.closed_early(), 0, "the run was ended though it went on");
 }
 
+/// The configuration of a route whose streams last as long as a test waits.
+fn patient_configuration() -> Value {
+    let mut patient = configuration(3);
+    for route in patient["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = 30_000.into();
+    }
+    patient
+}
+
+/// A runner that pauses before the last event of the stream `id-1` until the gate is opened.
+fn runner_behind(gate: &Gate) -> RunnerStandIn {
+    let gate = gate.clone();
+    runner("i-pausing", move |request| {
+        if request.id() != Some("id-1") || !is_run(request) {
+            return engine_script(LAST_EVENT)(request);
+        }
+        let whole = EventStream::for_request(request, LAST_EVENT);
+        Reaction::Stream(EventStream { gate: Some(gate.clone()), ..whole })
+    })
+}
+
 /// Waits until the node serves streams: its service's version is recorded a moment after the node is ready.
 fn wait_until_streams_are_served(node: &Fixture) {
     wait_for("a stream to be served", || {
@@ -113,6 +136,14 @@
     });
 }
 
+/// How many stalled runs the node has kept after it sought a successor.
+fn stalled_runs_kept(node: &Fixture) -> u64 {
+    let metrics = get(node.health, "/metrics").text();
+    let of_reasons = metrics.lines().filter(|line| line.starts_with(STALLED_RUNS_KEPT));
+    let counts = of_reasons.filter_map(|line| line.rsplit(' ').next());
+    counts.map(|count| count.parse::<u64>().unwrap()).sum()
+}
+
 #[test_case(|_| Reaction::Decline; "the other runner declines")]
 #[test_case(|request| Reaction::Respond { status: if is_run(request) { 500 } else { 200 }, body: Vec::new() }; "the other runner fails")]
 #[test_case(|_| Reaction::RawThenReset(Vec::new()); "the other runner resets the connection")]
@@ -120,13 +151,20 @@
 fn a_stream_that_pauses_is_whole_though_no_other_runner_takes_it(
     reaction: fn(&ReceivedRequest) -> Reaction,
 ) {
-    let pausing = pausing_runner();
-    let node = Fixture::with_runners(&[(&pausing, "llm", Some("decode"))]);
+    let gate = Gate::before(LAST_EVENT);
+    let pausing = runner_behind(&gate);
+    let node = Fixture::start();
+    node.store.put("op/config", &patient_configuration());
+    node.add_runner(&pausing, "llm", Some("decode"));
+    node.wait_until_ready();
+    wait_until_streams_are_served(&node);
     let mut client = start_stream(&node, "");
     let other = runner("i-other", reaction);
     node.add_runner(&other, "llm", Some("decode"));
+    wait_for("the other runner to be tried", || run_count(&other) > 0);
+    wait_for("the stalled run to be kept", || stalled_runs_kept(&node) > 0);
+    gate.open();
     assert_whole(&mut client, &pausing);
-    assert!(other.requests().iter().any(is_run), "the other runner was not tried");
 }
 
 #[test]
