A request that waits for a runner sees those that appear while its keeper or scheduler is asked

What callers would see: a request waits until its time is over though a runner is there.

Cause: `Dispatch::plan` began to listen for changes after it had asked; a change in between was missed.

Change: it listens from before it asks; a wait of no time counts as over.

Tests: quota::a_runner_that_appears_while_a_keeper_is_asked_gets_the_request. It failed in one run on the code before; not run on this commit.

--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -86,7 +86,10 @@
     /// Determines where the request runs next. Waits for a short time if no runner accepts work.
     pub(super) async fn plan(&mut self) -> Result<Plan, EndReason> {
         let give_up_at = Instant::now() + self.max_wait();
+        let node = self.node;
         loop {
+            // A change while the scheduler or a keeper is asked must not be missed.
+            let changed = node.fleet_changed.notified();
             if self.has_lost_its_version() {
                 return Err(EndReason::StreamVersionGone);
             }
@@ -104,9 +107,8 @@
                 return Err(availability.end_reason());
             }
             let rest_remaining = availability.map(|availability| availability.available_in);
-            let changed = self.node.fleet_changed.notified();
-            let has_timed_out =
-                timeout(rest_remaining.unwrap_or(remaining), changed).await.is_err();
+            let wait = timeout(rest_remaining.unwrap_or(remaining), changed);
+            let has_timed_out = remaining.is_zero() || wait.await.is_err();
             if has_timed_out && rest_remaining.is_none() {
                 return Err(EndReason::NoRunner);
             }
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -383,6 +383,42 @@
     assert_eq!(runner.requests().iter().filter(|it| it.target == "/booking/1").count(), 1);
 }
 
+/// How many runners the node knows.
+fn known_runners(node: &Fixture) -> u64 {
+    let metrics = get(node.health, "/metrics").text();
+    let lines = metrics.lines().filter(|line| {
+        line.starts_with("pitchstall_runners ") || line.starts_with("pitchstall_runners{")
+    });
+    lines.map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap() as u64).sum()
+}
+
+/// Status of a request whose runner appears while its keeper is asked.
+fn status_with_late_runner() -> u16 {
+    let prefill = RunnerStandIn::start("i-reader", engine_script(3)).unwrap();
+    let decode = RunnerStandIn::start("i-writer", engine_script(3)).unwrap();
+    let node = Fixture::start_with(QUOTA);
+    let keeper = StubKeeper::register(&node, &[0, 1]);
+    node.add_runner(&prefill, "llm", Some("prefill"));
+    start_with_limit_of_fifty(&node, &desk());
+    wait_for_keepers(&node);
+    let known = known_runners(&node);
+    let mut client = node.client();
+    client.request("POST", "/draft/1", "id-1", TAXIS, b"x");
+    let (_, query) = keeper.receive("quota?");
+    node.add_runner(&decode, "llm", Some("decode"));
+    wait_for("the node to know the runner", || known_runners(&node) > known);
+    keeper.reply(&query, &json!("g"));
+    client.read_response().status
+}
+
+#[test]
+fn a_runner_that_appears_while_a_keeper_is_asked_gets_the_request() {
+    // A keeper whose reply is late refuses as well, so a busy machine gets several tries.
+    const TRIES: usize = 5;
+    let mut statuses = (0..TRIES).map(|_| status_with_late_runner());
+    assert!(statuses.any(|status| status == 200), "no try was served");
+}
+
 #[test]
 fn a_grant_received_after_the_client_disconnected_is_refunded() {
     let runner = desk();
