A region without a decode runner orders the next one after 1 s

Cause: the runner that was ordered to decode ended by its order, and the next order waited for 4.5 s.

Change: without a decode runner the next order waits for 1 s and goes to another runner, unless one has taken the last order and is there still (docs/design/11).

Tests: roles, four. Not run for this commit.

--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -15,7 +15,8 @@
 use pitchstall_serving::configuration::EngineSpec;
 use pitchstall_serving::ids::ServiceName;
 use pitchstall_serving::role_planner::{
-    NoChangeReason, RoleChange, RoleDemand, RoleMetrics, RolePlan, RolePlanner, RolePolicy,
+    NoChangeReason, OrderResult, RoleChange, RoleDemand, RoleMetrics, RolePlan, RolePlanner,
+    RolePolicy,
 };
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::runner_notice::RunnerNotice;
@@ -89,11 +90,14 @@
                 }
             };
             log_ordering(&service, &plan.metrics, changes.len());
+            let mut result = OrderResult::Unconfirmed;
             for change in &changes {
-                self.order_change(change).await;
+                if self.order_change(change).await == Some(OrderResponse::Taken) {
+                    result = OrderResult::Accepted;
+                }
             }
             if let Some(planner) = self.planners.get_mut(&service) {
-                planner.on_ordered(self.node.now_us());
+                planner.on_ordered(self.node.now_us(), result);
             }
         }
     }
@@ -138,14 +142,14 @@
         )
     }
 
-    async fn order_change(&mut self, change: &RoleChange) {
-        let Some(fence) = self.fence_now() else { return };
+    /// Orders a change; `None` if the runner gave no response or no order was sent.
+    async fn order_change(&mut self, change: &RoleChange) -> Option<OrderResponse> {
+        let fence = self.fence_now()?;
         // An order takes two requests that no keeper counts, as the request for the runner's state.
         if !self.node.may_ask_for_state(&change.runner) {
-            return;
+            return None;
         }
-        let record = self.node.fleet.borrow().get(&change.runner).map(|it| it.record.clone());
-        let Some(record) = record else { return };
+        let record = self.node.fleet.borrow().get(&change.runner).map(|it| it.record.clone())?;
         let response = self.send_order(&record, change.stage, fence).await;
         let now_us = self.node.now_us();
         // An order without a response may have been accepted.
@@ -155,9 +159,9 @@
         }
         let runner = record.id.as_str();
         let (stage, fence) = (format!("{:?}", change.stage), fence.number());
-        let response =
-            response.map_or_else(|| "none".to_owned(), |response| format!("{response:?}"));
-        log::info!(target: "authority", runner, stage, fence, answer = response; "ordered");
+        let answer = response.map_or_else(|| "none".to_owned(), |response| format!("{response:?}"));
+        log::info!(target: "authority", runner, stage, fence, answer; "ordered");
+        response
     }
 
     /// The current fencing token, if orders are allowed now.
--- a/crates/serving/src/role_planner.rs
+++ b/crates/serving/src/role_planner.rs
@@ -46,9 +46,9 @@
     pub min_pressure_us: u64,
     /// Time after an order in which no further change is ordered, in microseconds.
     pub change_pause_us: u64,
-    /// The same for an order that gives a software version a decode runner, in microseconds. The version's streams cannot
-    /// go on without one, and a runner that refused the order is asked again.
-    pub version_change_pause_us: u64,
+    /// The same while a service or a software version has no decode runner and none is known to become one, in
+    /// microseconds. Nothing is served without one, and runners refuse orders, or end before they carry them out.
+    pub urgent_change_pause_us: u64,
 }
 
 impl Default for RolePolicy {
@@ -65,7 +65,7 @@
             lost_prefill_share: 0.1,
             min_pressure_us: 1_000_000,
             change_pause_us: 4_500_000,
-            version_change_pause_us: 1_000_000,
+            urgent_change_pause_us: 1_000_000,
         }
     }
 }
@@ -126,6 +126,15 @@
     pub stage: Stage,
 }
 
+/// What is known about the orders of one planning round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// At least one runner has accepted its order.
+    Accepted,
+    /// Each order was refused, was not sent, or got no response and may have been accepted.
+    Unconfirmed,
+}
+
 /// Queueing time, in latency targets, above which prefill keeps its runners however full decode is:
 /// at a wait of one whole target, no prompt is prefilled in time.
 const MAX_WAIT_FOR_DECODE_CHANGE: f64 = 1.0;
@@ -137,8 +146,10 @@
     /// The role that is short of runners, and since when, in microseconds.
     pressure: Option<(Stage, u64)>,
     paused_until_us: u64,
-    /// The end of the pause for an order that gives a version a decode runner, in microseconds.
-    version_paused_until_us: u64,
+    /// The end of the pause while a service or a version has no decode runner, in microseconds.
+    urgent_paused_until_us: u64,
+    /// What is known of the last orders.
+    last_order: OrderResult,
     /// Largest share of prefill runners, pending ones included, since the last order.
     peak_prefill_share: f64,
 }
@@ -150,7 +161,8 @@
             policy,
             pressure: None,
             paused_until_us: 0,
-            version_paused_until_us: 0,
+            urgent_paused_until_us: 0,
+            last_order: OrderResult::Unconfirmed,
             peak_prefill_share: 0.0,
         }
     }
@@ -183,8 +195,8 @@
         let is_measured =
             stage == Stage::Prefill && missing_prefill_runners(view, &self.policy) > 0;
         let is_version_lacking = stage == Stage::Decode && view.version_without_decode().is_some();
-        let paused_until_us = match is_version_lacking {
-            true => self.version_paused_until_us,
+        let paused_until_us = match is_version_lacking || self.is_decode_lacking(view) {
+            true => self.urgent_paused_until_us,
             false => self.paused_until_us,
         };
         if now_us < paused_until_us && !is_measured {
@@ -206,6 +218,12 @@
         Ok(runners.into_iter().map(|runner| RoleChange { runner, stage }).collect())
     }
 
+    /// Whether no runner decodes, and none is known to have accepted an order to do so and to be there still.
+    fn is_decode_lacking(&self, view: &RoleView<'_>) -> bool {
+        let is_awaited = self.last_order == OrderResult::Accepted && view.becomes_decode();
+        view.metrics().decode == 0 && !is_awaited
+    }
+
     /// Updates the largest share of prefill runners, and returns whether many of them have gone
     /// since the last order without an order.
     fn has_lost_prefill_runners(&mut self, view: &RoleView<'_>) -> bool {
@@ -214,11 +232,12 @@
         share < self.peak_prefill_share - self.policy.lost_prefill_share
     }
 
-    /// Records that a change was ordered, or may have been.
-    pub fn on_ordered(&mut self, now_us: u64) {
+    /// Records that changes were ordered, and whether a runner is known to carry one out.
+    pub fn on_ordered(&mut self, now_us: u64, result: OrderResult) {
         self.pressure = None;
+        self.last_order = result;
         self.paused_until_us = now_us + self.policy.change_pause_us;
-        self.version_paused_until_us = now_us + self.policy.version_change_pause_us;
+        self.urgent_paused_until_us = now_us + self.policy.urgent_change_pause_us;
         self.peak_prefill_share = 0.0;
     }
 }
--- a/crates/serving/src/role_view.rs
+++ b/crates/serving/src/role_view.rs
@@ -131,6 +131,11 @@
         (self.prefill.len() + self.decode.len() + self.metrics.becoming_prefill) as f64
     }
 
+    /// Whether a runner has a pending change to decode.
+    pub(crate) fn becomes_decode(&self) -> bool {
+        !self.becoming_decode.is_empty()
+    }
+
     /// Number of prefill runners, those with a pending change to prefill included.
     pub(crate) fn prefill_runners(&self) -> usize {
         self.metrics.prefill + self.metrics.becoming_prefill
--- a/crates/serving/tests/role_view.rs
+++ b/crates/serving/tests/role_view.rs
@@ -9,7 +9,7 @@
 use pitchstall_serving::prefill_speed::PrefillSpeed;
 use pitchstall_serving::reservations::{Reservation, Reservations, RunnerReservation};
 use pitchstall_serving::role_planner::{
-    NoChangeReason, RoleDemand, RolePlan, RolePlanner, RolePolicy,
+    NoChangeReason, OrderResult, RoleDemand, RolePlan, RolePlanner, RolePolicy,
 };
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use pitchstall_serving::runner_notice::{RequestRate, RunnerNotice};
@@ -196,7 +196,7 @@
         reason(plan_roles(&mut planner, &busy, SECOND_US)),
         NoChangeReason::PressureTooRecent
     );
-    planner.on_ordered(2 * SECOND_US);
+    planner.on_ordered(2 * SECOND_US, OrderResult::Accepted);
     assert_eq!(reason(plan_roles(&mut planner, &busy, 3 * SECOND_US)), NoChangeReason::Paused);
     ["d0", "d1"].iter().for_each(|id| {
         (0..5).for_each(|_| busy.on_sent(&RunnerId::new(*id), decode_demand));
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -8,7 +8,9 @@
 use pitchstall_serving::fleet::{Eligible, Fleet};
 use pitchstall_serving::ids::{RunnerId, ServiceName, SoftwareVersion};
 use pitchstall_serving::prefill_speed::PrefillSpeed;
-use pitchstall_serving::role_planner::{RoleChange, RoleDemand, RolePlanner, RolePolicy};
+use pitchstall_serving::role_planner::{
+    OrderResult, RoleChange, RoleDemand, RolePlanner, RolePolicy,
+};
 use pitchstall_serving::runner::{AttemptDemand, RunnerRecord, Stage};
 use proptest::prelude::*;
 use support::{at, runner_record};
@@ -147,7 +149,7 @@
     assert_eq!(plan(&mut planner, &busy, SECOND_US), None);
     let change = plan(&mut planner, &busy, 4 * SECOND_US).unwrap();
     assert_eq!(change, RoleChange { runner: RunnerId::new("d1"), stage: Stage::Prefill });
-    planner.on_ordered(4 * SECOND_US);
+    planner.on_ordered(4 * SECOND_US, OrderResult::Accepted);
     assert_eq!(plan(&mut planner, &busy, 7 * SECOND_US), None, "a pause follows each change");
 }
 
@@ -216,6 +218,73 @@
     assert_eq!(plan(&mut planner, &fleet(3, 0), SECOND_US).unwrap().stage, Stage::Decode);
 }
 
+/// Two runners end by their orders, so that no response arrives, and return in their former role after a while.
+#[test]
+fn a_region_whose_runners_end_by_their_orders_has_a_decode_runner_within_seconds() {
+    const PLAN_INTERVAL_US: u64 = SECOND_US / 4;
+    const RETURN_US: u64 = 3 * SECOND_US;
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut fleet = fleet(3, 0);
+    let mut ended: Vec<(u64, RunnerRecord)> = Vec::new();
+    let mut ordered = Vec::new();
+    let mut accepted_us = None;
+    for now_us in (0..20).map(|round| SECOND_US + round * PLAN_INTERVAL_US) {
+        for (_, record) in ended.extract_if(.., |(at_us, _)| *at_us <= now_us) {
+            let life = at(2 + ordered.len() as u64);
+            fleet.remove(&record.id, life, None);
+            fleet.put(RunnerRecord { revision: life, ..record });
+        }
+        let Some(change) = plan(&mut planner, &fleet, now_us) else { continue };
+        assert_eq!(change.stage, Stage::Decode);
+        let record = fleet.get(&change.runner).unwrap().record.clone();
+        fleet.on_role_change_ordered(&change.runner, Stage::Decode, now_us + 6 * SECOND_US);
+        ordered.push(change.runner);
+        if ordered.len() > 2 {
+            planner.on_ordered(now_us, OrderResult::Accepted);
+            accepted_us = Some(now_us);
+            break;
+        }
+        planner.on_ordered(now_us, OrderResult::Unconfirmed);
+        ended.push((now_us + RETURN_US, record));
+    }
+    let after_first_us = accepted_us.map(|at_us| at_us - SECOND_US);
+    assert!(
+        after_first_us.is_some_and(|us| us <= 3 * SECOND_US),
+        "{after_first_us:?}: {ordered:?}"
+    );
+}
+
+#[test]
+fn an_order_for_the_only_decode_runner_is_not_repeated_at_once() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let fleet = fleet(3, 0);
+    assert!(plan(&mut planner, &fleet, SECOND_US).is_some());
+    planner.on_ordered(SECOND_US, OrderResult::Unconfirmed);
+    assert_eq!(plan(&mut planner, &fleet, SECOND_US + SECOND_US / 4), None);
+    assert_eq!(plan(&mut planner, &fleet, SECOND_US + SECOND_US * 3 / 4), None);
+}
+
+#[test]
+fn no_second_runner_changes_while_one_that_accepted_its_order_becomes_the_only_decode_runner() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut fleet = fleet(3, 0);
+    let change = plan(&mut planner, &fleet, SECOND_US).unwrap();
+    fleet.on_role_change_ordered(&change.runner, Stage::Decode, 7 * SECOND_US);
+    planner.on_ordered(SECOND_US, OrderResult::Accepted);
+    assert_eq!(plan(&mut planner, &fleet, 5 * SECOND_US), None);
+}
+
+#[test]
+fn a_runner_that_ends_after_it_accepted_its_order_is_replaced_without_the_pause() {
+    let mut planner = RolePlanner::new(RolePolicy::default());
+    let mut fleet = fleet(3, 0);
+    let change = plan(&mut planner, &fleet, SECOND_US).unwrap();
+    fleet.on_role_change_ordered(&change.runner, Stage::Decode, 7 * SECOND_US);
+    planner.on_ordered(SECOND_US, OrderResult::Accepted);
+    fleet.remove(&change.runner, at(2), None);
+    assert_eq!(plan(&mut planner, &fleet, 3 * SECOND_US).unwrap().stage, Stage::Decode);
+}
+
 #[test]
 fn a_runner_that_changes_its_role_takes_no_work_until_its_entry_shows_it() {
     let mut fleet = fleet(1, 1);
@@ -311,7 +380,7 @@
     let mut planner = RolePlanner::new(RolePolicy::default());
     let fleet = fleet_of_versions(&["v1p0", "v1p1", "v1d0", "v1d1", "v1d2", "v2p0", "v2p1"]);
     assert!(plan(&mut planner, &fleet, SECOND_US).is_some());
-    planner.on_ordered(SECOND_US);
+    planner.on_ordered(SECOND_US, OrderResult::Unconfirmed);
     assert_eq!(plan(&mut planner, &fleet, SECOND_US + SECOND_US / 4), None);
     assert!(plan(&mut planner, &fleet, 3 * SECOND_US).is_some(), "the runner may have refused");
 }
--- a/crates/serving/tests/roles_world/mod.rs
+++ b/crates/serving/tests/roles_world/mod.rs
@@ -9,7 +9,7 @@
 use pitchstall_serving::prefill_speed::PrefillSpeed;
 use pitchstall_serving::prefix::{Prompt, PromptPart};
 use pitchstall_serving::reservations::Reservations;
-use pitchstall_serving::role_planner::{RoleDemand, RolePlanner, RolePolicy};
+use pitchstall_serving::role_planner::{OrderResult, RoleDemand, RolePlanner, RolePolicy};
 use pitchstall_serving::runner::{RunnerRecord, Stage};
 use pitchstall_serving::scheduler::{
     choose_placement, less_loaded_shard, reservation, wire_plan, PlacementDecision, ResponseTarget,
@@ -355,7 +355,7 @@
             self.planner.plan(&self.planner_fleet, &PrefillSpeed::default(), &demand, now_us);
         let changes = plan.changes();
         if !changes.is_empty() {
-            self.planner.on_ordered(now_us);
+            self.planner.on_ordered(now_us, OrderResult::Accepted);
         }
         for change in changes {
             self.orders += 1;
