--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`node_health`] | whether a node reports that it accepts clients |
 //! | [`node_links`] | the links of each node to each runner |
 //! | `lost_link_checks` | the check on nodes that have lost their links to runners |
+//! | [`recovery`] | whether every node serves again after the last fault |
 //! | `interrupted_streams` | the check on streams that nodes end |
 //! | [`stream_judgement`] | what is wrong with a stream that its client has received |
 //! | [`stream_client`] | a client that takes a broken stream up at another node |
@@ -53,6 +54,7 @@
 pub mod plan;
 pub mod process_checks;
 pub mod process_load;
+pub mod recovery;
 pub mod region_checks;
 pub mod regions;
 pub mod releases;
