A store reader that is still starting keeps its place

What callers saw: none; more reads of the store than allowed when nodes return together.

Cause: a reader that starts some tenths of a second later refuses one connection and was replaced at once, and both read everything.

Change (docs/design/23, A reader that is starting): a node decides by what it knows of the reader. One that may be starting is not queried and nobody takes its place for 1 to 2 s; a message of it ends that at once. New log lines; `node counts as unreachable` is now `source cannot be connected to`.

Tests: start_up, nodes_return_together in the model, with the refusal by nodes that do not run yet. The driver of the real processes prints the new lines. Not run for this commit.

--- a/crates/cli/tests/nodes_return_together.rs
+++ b/crates/cli/tests/nodes_return_together.rs
@@ -36,14 +36,15 @@
 }
 
 /// Events of the nodes' logs that say who reads all entries, and why.
-const READ_EVENTS: [&str; 7] = [
+const READ_EVENTS: [&str; 8] = [
     "\"event\":\"lost\"",
     "all entries read",
     "call failed",
     "first list of nodes received",
     "first replica",
-    "node counts as unreachable",
     "reading all entries",
+    "source cannot be connected to",
+    "sources that may be starting are given up",
 ];
 
 /// One node: its settings, its log, and its process while it runs.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -143,6 +143,7 @@
             return;
         }
         self.learn(&digest.node, &Member { address: from, ..digest.member.clone() });
+        self.node.members.borrow_mut().on_message_from(from);
         self.node.on_peer_digest(digest, from);
         if digest.is_stopping {
             self.node.runner_limits.on_stopping(&digest.node);
--- a/crates/gateway/src/watcher/mod.rs
+++ b/crates/gateway/src/watcher/mod.rs
@@ -243,6 +243,10 @@
                 self.query_any_node().await;
                 Ok(())
             }
+            NextQuery::GiveUpStarting => {
+                self.give_up_starting();
+                Ok(())
+            }
             NextQuery::Pause => {
                 sleep(SOURCE_RETRY_PAUSE).await;
                 Ok(())
--- a/crates/gateway/src/watcher/peer_source.rs
+++ b/crates/gateway/src/watcher/peer_source.rs
@@ -2,13 +2,16 @@
 
 use super::{Follower, MIN_CHANGE_INTERVAL, SOURCE_RETRY_PAUSE};
 use crate::clock::Instant;
+use crate::http::upstream::ConnectError;
 use crate::node::Node;
 use crate::replica_limits::{max_query_wait, stale_after};
 use crate::replication::{ReplicationClient, ReplicationError};
 use crate::transfer::Transfer;
 use pitchstall_serving::freshness::{Freshness, ReplicaFreshness};
 use pitchstall_serving::full_read_gate::Occasion;
+use pitchstall_serving::membership::Membership;
 use pitchstall_serving::source_choice::{ChoiceContext, NextQuery, SourceReply};
+use pitchstall_serving::start_up::{may_be_starting, StartUp, Starting};
 use pitchstall_serving::store_replica::{StoreUpdateQuery, StoreUpdateReply, Subject};
 use pitchstall_serving::store_revision::StoreRevision;
 use rand::RngExt;
@@ -82,6 +85,7 @@
             needs_full_read: self.needs_full_read(),
             has_reporter: self.node.has_reporter(self.subject),
             is_behind: self.assess_freshness() == Freshness::Behind,
+            starting: self.starting(&members),
             occasion: Occasion {
                 now_us: self.node.now_us(),
                 nodes: members.len(),
@@ -92,6 +96,27 @@
         self.choice.next(&context)
     }
 
+    /// What is known of sources that may still be starting.
+    fn starting(&self, members: &Membership) -> Starting {
+        if !members.has_starting() {
+            return Starting::Nobody;
+        }
+        let uptime_us = self.node.now_us();
+        let heard_share = members.heard_share();
+        let has_near_reader = members.has_near_store_reader();
+        StartUp { uptime_us, heard_share, has_near_reader }.assess()
+    }
+
+    /// Counts sources that may still be starting as unreachable, so that others take their place.
+    pub(super) fn give_up_starting(&self) {
+        let mut members = self.node.members.borrow_mut();
+        let (subject, uptime_ms) = (self.subject.name(), self.started.elapsed().as_millis());
+        let heard_share = members.heard_share();
+        let has_near_reader = members.has_near_store_reader();
+        log::info!(target: "store", subject, uptime_ms, heard_share, has_near_reader; "sources that may be starting are given up");
+        members.give_up_starting();
+    }
+
     /// Queries another node for the changes since `known_to`. If it `waits`, it holds its reply back
     /// until it has some; a new source may be outdated, and is queried without a wait.
     pub(super) async fn follow_peer(&mut self, source: SocketAddr, waits: bool) {
@@ -107,7 +132,10 @@
         // arrive at once, while the change itself takes time. A source without changes replies
         // soon.
         match self.replication.query(&self.node, source, &query).await {
-            Ok(reply) => self.handle_reply(source, &reply).await,
+            Ok(reply) => {
+                self.node.members.borrow_mut().on_message_from(source);
+                self.handle_reply(source, &reply).await;
+            }
             Err(error) => {
                 self.on_silent_source(source, &error);
                 self.abandon_source(source, &error.to_string()).await;
@@ -116,21 +144,33 @@
     }
 
     /// Records that a source did not reply. One that could not be connected to counts as gone, and
-    /// the next node of its zone takes its place as a store reader.
+    /// the next node of its zone takes its place as a store reader, unless it may still be starting.
     fn on_silent_source(&mut self, source: SocketAddr, error: &ReplicationError) {
-        let is_gone = matches!(error, ReplicationError::Unreachable(_));
-        if is_gone {
-            self.log_unreachable(source, error);
-            self.node.members.borrow_mut().on_unreachable(source);
-        }
+        let is_gone = match error {
+            ReplicationError::Unreachable(cause) => {
+                self.on_unconnected(source, cause);
+                true
+            }
+            _ => false,
+        };
         self.choice.on_silent(is_gone);
     }
 
-    /// Logs that a source does not count as a store reader from now on.
-    fn log_unreachable(&self, source: SocketAddr, error: &ReplicationError) {
-        let (subject, source, error) = (self.subject.name(), source.to_string(), error.to_string());
+    fn on_unconnected(&self, source: SocketAddr, cause: &ConnectError) {
+        let may_be_starting = cause.is_refused() && may_be_starting(self.node.now_us());
+        self.log_unconnected(source, cause, may_be_starting);
+        let mut members = self.node.members.borrow_mut();
+        match may_be_starting {
+            true => members.on_refused_while_starting(source),
+            false => members.on_unreachable(source),
+        }
+    }
+
+    /// Logs that a source is not followed from now on.
+    fn log_unconnected(&self, source: SocketAddr, cause: &ConnectError, may_be_starting: bool) {
+        let (subject, source, error) = (self.subject.name(), source.to_string(), cause.to_string());
         let uptime_ms = self.started.elapsed().as_millis();
-        log::info!(target: "store", subject, source, error, uptime_ms; "node counts as unreachable");
+        log::info!(target: "store", subject, source, error, uptime_ms, may_be_starting; "source cannot be connected to");
     }
 
     async fn handle_reply(&mut self, source: SocketAddr, reply: &StoreUpdateReply) {
--- a/crates/serving/src/full_read_gate.rs
+++ b/crates/serving/src/full_read_gate.rs
@@ -114,6 +114,11 @@
         self.has_reply
     }
 
+    /// Whether a source was obtaining a replica in this round of queries.
+    pub fn is_awaited(&self) -> bool {
+        self.is_awaited
+    }
+
     /// Begins a new round of queries without a read.
     pub fn begin_round(&mut self) {
         (self.has_reply, self.is_awaited, self.silent_sources) = (false, false, 0);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -116,6 +116,7 @@
 pub mod scheduler;
 pub mod scheduling;
 pub mod source_choice;
+pub mod start_up;
 pub mod store_replica;
 pub mod store_revision;
 pub mod stream_origin;
--- a/crates/serving/src/membership.rs
+++ b/crates/serving/src/membership.rs
@@ -65,6 +65,11 @@
     members: BTreeMap<NodeId, Member>,
     /// Nodes that this node cannot connect to. Others take their place as store readers.
     unreachable: BTreeSet<NodeId>,
+    /// Nodes that have refused a connection and may still be starting. They are not followed, and
+    /// no other node takes their place as a store reader.
+    starting: BTreeSet<NodeId>,
+    /// Nodes from which a message has been received.
+    heard: BTreeSet<NodeId>,
 }
 
 impl Membership {
@@ -72,7 +77,14 @@
     /// regions.
     pub fn new(own: NodeId, member: Member, topology: Topology) -> Self {
         let members = BTreeMap::from([(own.clone(), member)]);
-        Self { own, topology, members, unreachable: BTreeSet::new() }
+        Self {
+            own,
+            topology,
+            members,
+            unreachable: BTreeSet::new(),
+            starting: BTreeSet::new(),
+            heard: BTreeSet::new(),
+        }
     }
 
     /// Replaces the assignment of zones to regions.
@@ -96,26 +108,79 @@
         if *name != self.own {
             self.members.insert(name.clone(), member.clone());
             self.unreachable.remove(name);
+            self.starting.remove(name);
         }
     }
 
+    /// Records that a message of a node has been received, so that it has run since this node's start.
+    pub fn on_message_from(&mut self, address: SocketAddr) {
+        self.heard.extend(self.others_at(address));
+    }
+
     /// Records that no connection to a node could be opened. Until it sends a message, or
     /// [`Self::forget_unreachable`], it does not count as a store reader.
     pub fn on_unreachable(&mut self, address: SocketAddr) {
-        let nodes =
-            self.members.iter().filter(|(name, it)| it.address == address && **name != self.own);
-        self.unreachable.extend(nodes.map(|(name, _)| name.clone()));
+        self.unreachable.extend(self.others_at(address));
+    }
+
+    /// Records that a node has refused a connection while nodes may still be starting. One that has
+    /// sent a message before has ended, and counts as unreachable; another one is not followed.
+    pub fn on_refused_while_starting(&mut self, address: SocketAddr) {
+        for name in self.others_at(address) {
+            match self.heard.contains(&name) {
+                true => self.unreachable.insert(name),
+                false => self.starting.insert(name),
+            };
+        }
+    }
+
+    /// Counts the nodes that may still be starting as unreachable.
+    pub fn give_up_starting(&mut self) {
+        self.unreachable.append(&mut self.starting);
     }
 
     /// Lets nodes that could not be connected to count as store readers again.
     pub fn forget_unreachable(&mut self) {
         self.unreachable.clear();
+        self.starting.clear();
+    }
+
+    /// Whether any node has refused a connection and may still be starting.
+    pub fn has_starting(&self) -> bool {
+        !self.starting.is_empty()
+    }
+
+    /// Share of the other nodes from which a message has been received, from 0 to 1; 0 if there are no others.
+    pub fn heard_share(&self) -> f64 {
+        let others = self.members.len() - 1;
+        self.heard.len() as f64 / others.max(1) as f64
+    }
+
+    /// Whether a node that is not starting reads the store for this node's zone, or for its region if
+    /// no node reads it for the zone.
+    pub fn has_near_store_reader(&self) -> bool {
+        let own_zone = &self.own().zone;
+        let readers = self.store_readers_of(&self.own_region());
+        let of_zone = readers.iter().filter(|name| self.members[**name].zone == *own_zone);
+        let of_zone: Vec<&NodeId> = of_zone.copied().collect();
+        let near = if of_zone.is_empty() { readers } else { of_zone };
+        near.into_iter().any(|name| !self.starting.contains(name))
+    }
+
+    fn others_at(&self, address: SocketAddr) -> Vec<NodeId> {
+        let others = self.members.iter().filter(|(name, _)| **name != self.own);
+        let at_address = others.filter(|(_, member)| member.address == address);
+        at_address.map(|(name, _)| name.clone()).collect()
     }
 
     /// Removes the other nodes for which `is_kept` is false.
     pub fn retain(&mut self, is_kept: impl Fn(&NodeId) -> bool) {
         let own = self.own.clone();
         self.members.retain(|name, _| *name == own || is_kept(name));
+        let members = &self.members;
+        self.unreachable.retain(|name| members.contains_key(name));
+        self.starting.retain(|name| members.contains_key(name));
+        self.heard.retain(|name| members.contains_key(name));
     }
 
     /// Region of this node.
@@ -176,10 +241,11 @@
 
     /// Addresses from which this node may follow the store, in order of preference: the store
     /// readers of its own zone, in an order that differs between nodes, then those of the region's
-    /// other zones, then all others.
+    /// other zones, then all others. Without those that may still be starting.
     pub fn sources(&self) -> Vec<SocketAddr> {
         let own_zone = &self.own().zone;
         let mut names = self.store_readers();
+        names.retain(|name| !self.starting.contains(*name));
         names.sort_by_key(|name| {
             let zone = &self.members[*name].zone;
             let is_remote = !self.topology.is_same_region(zone, own_zone);
--- a/crates/serving/src/source_choice.rs
+++ b/crates/serving/src/source_choice.rs
@@ -7,6 +7,7 @@
 
 use crate::full_read_gate::{FullReadGate, Occasion, SourceState};
 use crate::news_budget::NewsBudget;
+use crate::start_up::Starting;
 use std::net::SocketAddr;
 
 /// Time between two calls to the store while no source's replica is confirmed, in percent of
@@ -35,6 +36,9 @@
     },
     /// To a node that is no source: one that has reported a later change, or else any.
     OtherNode,
+    /// Nowhere: the sources that may still be starting are to be given up first, and others take
+    /// their place.
+    GiveUpStarting,
     /// Nowhere for the moment.
     Pause,
 }
@@ -55,6 +59,8 @@
     pub has_reporter: bool,
     /// Whether another node has reported a change that this one has not received in time.
     pub is_behind: bool,
+    /// What is known of sources that may still be starting.
+    pub starting: Starting,
     /// Time, size of the fleet, and a random number.
     pub occasion: Occasion,
 }
@@ -121,6 +127,9 @@
         if context.is_store_reader && context.has_node_list {
             return NextQuery::Store;
         }
+        if context.starting == Starting::Missed {
+            return self.give_up_starting();
+        }
         if !context.needs_full_read && self.news.is_used_up(context.occasion.now_us) {
             self.news.on_news();
             return NextQuery::Store;
@@ -132,6 +141,9 @@
         if context.has_reporter {
             return NextQuery::OtherNode;
         }
+        if let Some(next) = self.next_while_starting(context) {
+            return next;
+        }
         if self.may_be_cut_off(context) {
             self.other_nodes += 1;
             return NextQuery::OtherNode;
@@ -143,6 +155,31 @@
         self.source_at(0, context)
     }
 
+    /// What follows a round of a node without a usable replica in which sources were found that may
+    /// still be starting. While another source is obtaining a replica, the node waits for that source
+    /// and keeps the others in their places.
+    fn next_while_starting(&mut self, context: &ChoiceContext<'_>) -> Option<NextQuery> {
+        match context.starting {
+            _ if !context.needs_full_read => None,
+            Starting::Overdue if !self.gate.is_awaited() => Some(self.give_up_starting()),
+            Starting::InTime if !self.gate.has_reply() => {
+                self.begin_round();
+                Some(NextQuery::Pause)
+            }
+            _ => None,
+        }
+    }
+
+    fn give_up_starting(&mut self) -> NextQuery {
+        self.begin_round();
+        NextQuery::GiveUpStarting
+    }
+
+    fn begin_round(&mut self) {
+        (self.index, self.other_nodes) = (0, 0);
+        self.gate.begin_round();
+    }
+
     fn source_at(&mut self, index: usize, context: &ChoiceContext<'_>) -> NextQuery {
         let Some(address) = context.sources.get(index) else { return NextQuery::Pause };
         self.news.on_query(context.occasion.now_us);
--- a/crates/serving/tests/frozen_sources.rs
+++ b/crates/serving/tests/frozen_sources.rs
@@ -7,6 +7,7 @@
 use pitchstall_serving::ids::{NodeId, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::source_choice::{ChoiceContext, NextQuery, SourceChoice, SourceReply};
+use pitchstall_serving::start_up::Starting;
 use pitchstall_serving::store_replica::StoreUpdate;
 use pitchstall_serving::store_revision::{RevisionNumber, StoreEra, StoreRevision};
 use pitchstall_serving::topology::Topology;
@@ -80,6 +81,7 @@
                 needs_full_read: false,
                 has_reporter: false,
                 is_behind: false,
+                starting: Starting::Nobody,
                 occasion: Occasion {
                     now_us: self.now_us,
                     nodes: self.site.nodes,
@@ -90,7 +92,9 @@
             match next {
                 NextQuery::Store => self.call_store(),
                 NextQuery::Source { address, waits } => self.query(address, waits),
-                NextQuery::OtherNode | NextQuery::Pause => self.now_us += RETRY_PAUSE_US,
+                NextQuery::OtherNode | NextQuery::GiveUpStarting | NextQuery::Pause => {
+                    self.now_us += RETRY_PAUSE_US
+                }
             }
         }
     }
--- a/crates/serving/tests/nodes_return_together.rs
+++ b/crates/serving/tests/nodes_return_together.rs
@@ -15,6 +15,7 @@
 
 /// Guards against full reads by followers while their readers read.
 #[test_case(100; "at 100 nodes")]
+#[test_case(300; "at 300 nodes")]
 #[test_case(1_000; "at 1000 nodes")]
 #[test_case(2_000; "at 2000 nodes")]
 fn only_the_readers_read_when_all_nodes_return(nodes: usize) {
@@ -52,6 +53,21 @@
     assert!(fleet.reads <= READERS + lost, "{} reads", fleet.reads);
 }
 
+/// Guards against followers that wait for the start of readers that do not return.
+#[test_case(100, 1, 0.6; "one reader of 100 nodes")]
+#[test_case(300, 1, 0.75; "one reader of 300 nodes")]
+#[test_case(NODES, 1, 4.7; "one reader of 1000 nodes")]
+#[test_case(100, READERS, 1.7; "all readers of 100 nodes")]
+#[test_case(300, READERS, 1.7; "all readers of 300 nodes")]
+fn readers_that_do_not_return_delay_service_little(nodes: usize, lost: usize, max_s: f64) {
+    let mut fleet = Fleet::returning(nodes);
+    let readers: Vec<usize> = fleet.readers().into_iter().take(lost).collect();
+    readers.iter().for_each(|reader| fleet.kill(*reader, None));
+    let served_s = fleet.play_until_served(RECOVERY_US).unwrap();
+    assert!(served_s <= max_s, "{served_s} s");
+    assert!(fleet.reads <= READERS, "{} reads", fleet.reads);
+}
+
 /// Guards against full reads by all followers of readers that come back last.
 #[test]
 fn readers_that_return_last_cost_one_more_full_read_each() {
--- a/crates/serving/tests/returning_fleet/mod.rs
+++ b/crates/serving/tests/returning_fleet/mod.rs
@@ -3,9 +3,10 @@
 #![allow(dead_code, clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::full_read_gate::Occasion;
-use pitchstall_serving::ids::{NodeId, ZoneId};
+use pitchstall_serving::ids::{NodeId, RegionId, ZoneId};
 use pitchstall_serving::membership::{Member, Membership};
 use pitchstall_serving::source_choice::{ChoiceContext, NextQuery, SourceChoice, SourceReply};
+use pitchstall_serving::start_up::{self, StartUp, Starting};
 use pitchstall_serving::topology::Topology;
 use std::collections::{BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -68,6 +69,13 @@
     Copying { from: usize, left_bytes: f64 },
 }
 
+/// Nodes that a node could not connect to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Refusals {
+    unreachable: BTreeSet<usize>,
+    starting: BTreeSet<usize>,
+}
+
 pub struct Node {
     starts_us: u64,
     pub reachability: Reachability,
@@ -75,7 +83,9 @@
     is_listed: bool,
     has_failed_listing: bool,
     choice: SourceChoice,
-    unreachable: BTreeSet<usize>,
+    refusals: Refusals,
+    /// By number, whether a message of a node was received since this one's start.
+    heard: Vec<bool>,
     activity: Activity,
     pub has_replica_at_us: Option<u64>,
     /// A node that has reported a replica which it has read itself.
@@ -91,7 +101,9 @@
     pub reads: usize,
     /// How many times as long the store takes for a call as usual; it limits a node's transfers.
     pub store_slowness: f64,
-    sources: HashMap<(usize, BTreeSet<usize>), Sources>,
+    sources: HashMap<(usize, Refusals), Sources>,
+    /// By zone.
+    views: HashMap<usize, Membership>,
 }
 
 fn address(number: usize) -> SocketAddr {
@@ -141,6 +153,17 @@
     ((number as f64 + now_us as f64 / STEP_US as f64 * 7.0) * GOLDEN_RATIO).fract()
 }
 
+/// The view of the weakest node of a zone, which has the same sources as its others.
+fn view_of(zone: usize, count: usize) -> Membership {
+    let own = count - ZONES + (zone + ZONES - count % ZONES) % ZONES;
+    let mut view = Membership::new(name(own), member(own), Topology::default());
+    (0..count).for_each(|number| view.upsert(&name(number), &member(number)));
+    let region = || RegionId::new("region");
+    let zones = (0..ZONES).map(|zone| (ZoneId::new(format!("zone-{zone}")), region()));
+    view.set_topology(Topology::new(zones));
+    view
+}
+
 fn new_node(number: usize, starts_us: u64) -> Node {
     let first_call_us = 600_000 + (spread(number, 0) * 600_000.0) as u64;
     let starts_us = starts_us.saturating_add((spread(number, STEP_US) * START_SPREAD_US) as u64);
@@ -152,13 +175,43 @@
         is_listed: false,
         has_failed_listing: false,
         choice: SourceChoice::new(first_call_us),
-        unreachable: BTreeSet::new(),
+        refusals: Refusals::default(),
+        heard: Vec::new(),
         activity: Activity::Paused { until_us: starts_us },
         has_replica_at_us: None,
         reporter: None,
     }
 }
 
+impl Node {
+    fn on_message_from(&mut self, number: usize, nodes: usize) {
+        self.heard.resize(nodes, false);
+        self.heard[number] = true;
+    }
+
+    fn has_heard(&self, number: usize) -> bool {
+        self.heard.get(number).is_some_and(|is_heard| *is_heard)
+    }
+
+    fn on_refused(&mut self, number: usize, now_us: u64) {
+        let may_be_starting = start_up::may_be_starting(now_us - self.starts_us);
+        match may_be_starting && !self.has_heard(number) {
+            true => self.refusals.starting.insert(number),
+            false => self.refusals.unreachable.insert(number),
+        };
+    }
+
+    fn starting(&self, now_us: u64, nodes: usize, has_near_reader: bool) -> Starting {
+        if self.refusals.starting.is_empty() {
+            return Starting::Nobody;
+        }
+        let heard = self.heard.iter().filter(|is_heard| **is_heard).count();
+        let heard_share = heard as f64 / (nodes - 1) as f64;
+        let uptime_us = now_us - self.starts_us;
+        StartUp { uptime_us, heard_share, has_near_reader }.assess()
+    }
+}
+
 impl Fleet {
     /// Nodes that all start now. The store has their registrations.
     pub fn returning(count: usize) -> Self {
@@ -168,12 +221,13 @@
             reads: 0,
             store_slowness: 1.0,
             sources: HashMap::new(),
+            views: HashMap::new(),
         }
     }
 
     /// The nodes that read the store by a full list.
     pub fn readers(&mut self) -> BTreeSet<usize> {
-        (0..ZONES).flat_map(|zone| self.sources_of(zone, &BTreeSet::new()).1).collect()
+        (0..ZONES).flat_map(|zone| self.sources_of(zone, &Refusals::default()).1).collect()
     }
 
     /// All nodes lose their state and start again now.
@@ -269,6 +323,7 @@
             Activity::Listing { .. } => {
                 let node = &mut self.nodes[number];
                 (node.is_listed, node.has_failed_listing) = (true, false);
+                self.send_digests(number);
                 self.choose(number);
             }
             Activity::Querying { target, is_source, until_us } => {
@@ -289,6 +344,21 @@
         }
     }
 
+    /// A node sends a digest to all nodes of its list; those that run receive it.
+    fn send_digests(&mut self, from: usize) {
+        let is_reachable = |node: &Node| node.reachability == Reachability::Reachable;
+        if !is_reachable(&self.nodes[from]) {
+            return;
+        }
+        let count = self.nodes.len();
+        let others = self.nodes.iter_mut().enumerate().filter(|(number, _)| *number != from);
+        for node in others.map(|(_, node)| node).filter(|node| is_reachable(node)) {
+            node.on_message_from(from, count);
+            node.refusals.unreachable.remove(&from);
+            node.refusals.starting.remove(&from);
+        }
+    }
+
     fn is_running(&self, number: usize) -> bool {
         self.nodes[number].starts_us <= self.now_us
     }
@@ -317,12 +387,19 @@
             return;
         }
         let (sources, readers) =
-            self.sources_of(zone_of(number), &self.nodes[number].unreachable.clone());
+            self.sources_of(zone_of(number), &self.nodes[number].refusals.clone());
+        let has_near_reader = self.has_near_reader(number, &readers);
         let own = address(number);
         let mut sources: Vec<SocketAddr> = sources.into_iter().filter(|it| *it != own).collect();
         if number % 2 == 1 && sources.len() > 1 {
             sources.swap(0, 1);
         }
+        // Nodes differ in their order of the other zones' readers.
+        let near = sources.iter().filter(|it| zone_of(number_of(it)) == zone_of(number)).count();
+        if near < sources.len() {
+            let far = sources.len() - near;
+            sources[near..].rotate_left(number / ZONES % far);
+        }
         let (now_us, nodes) = (self.now_us, self.nodes.len());
         let node = &mut self.nodes[number];
         let occasion = Occasion {
@@ -338,6 +415,7 @@
             needs_full_read: true,
             has_reporter: node.reporter.is_some(),
             is_behind: false,
+            starting: node.starting(now_us, nodes, has_near_reader),
             occasion,
         });
         match next {
@@ -350,10 +428,21 @@
                 let other = self.nodes[number].reporter.take().unwrap_or(random);
                 self.begin_query(number, other, false, false);
             }
+            NextQuery::GiveUpStarting => {
+                let refusals = &mut self.nodes[number].refusals;
+                refusals.unreachable.append(&mut refusals.starting);
+                self.choose(number);
+            }
             NextQuery::Pause => self.pause(number, RETRY_PAUSE_US),
         }
     }
 
+    fn has_near_reader(&self, number: usize, readers: &BTreeSet<usize>) -> bool {
+        let starting = &self.nodes[number].refusals.starting;
+        let mut of_zone = readers.iter().filter(|reader| zone_of(**reader) == zone_of(number));
+        of_zone.any(|reader| !starting.contains(reader))
+    }
+
     fn begin_read(&mut self, number: usize) {
         if self.nodes[number].store == StoreAccess::Refused {
             // A reader that fails at the store queries the node that has reported a replica.
@@ -391,12 +480,20 @@
             return;
         }
         let reply = self.reply_of(target);
+        let (count, now_us) = (self.nodes.len(), self.now_us);
+        let is_refused = self.nodes[target].reachability == Reachability::Gone;
         let node = &mut self.nodes[number];
+        if is_reachable {
+            node.on_message_from(target, count);
+        }
         match (is_reachable, is_source) {
             (true, true) => drop(node.choice.on_reply(reply)),
             (true, false) => node.choice.on_other_reply(reply),
             (false, true) => {
-                node.unreachable.insert(target);
+                match is_refused {
+                    true => node.on_refused(target, now_us),
+                    false => drop(node.refusals.unreachable.insert(target)),
+                }
                 node.choice.on_silent(true);
             }
             (false, false) => {}
@@ -414,24 +511,19 @@
     }
 
     /// Sources of a node of a zone that can't connect to some nodes, and all readers by its view.
-    fn sources_of(&mut self, zone: usize, unreachable: &BTreeSet<usize>) -> Sources {
+    fn sources_of(&mut self, zone: usize, refusals: &Refusals) -> Sources {
         let count = self.nodes.len();
-        let key = (zone, unreachable.clone());
+        let key = (zone, refusals.clone());
+        let views = &mut self.views;
         let computed = self.sources.entry(key).or_insert_with(|| {
-            // The weakest node of the zone has the same sources as its others.
-            let own = count - ZONES + (zone + ZONES - count % ZONES) % ZONES;
-            let mut view = Membership::new(name(own), member(own), Topology::default());
-            (0..count).for_each(|number| view.upsert(&name(number), &member(number)));
-            let zones = (0..ZONES).map(|zone| {
-                (
-                    ZoneId::new(format!("zone-{zone}")),
-                    pitchstall_serving::ids::RegionId::new("region"),
-                )
-            });
-            view.set_topology(Topology::new(zones));
-            unreachable.iter().for_each(|number| view.on_unreachable(address(*number)));
+            let view = views.entry(zone).or_insert_with(|| view_of(zone, count));
+            view.forget_unreachable();
+            let unreachable = refusals.unreachable.iter();
+            unreachable.for_each(|number| view.on_unreachable(address(*number)));
+            let starting = refusals.starting.iter();
+            starting.for_each(|number| view.on_refused_while_starting(address(*number)));
+            let readers = view.other_store_readers().iter().map(number_of).collect();
             let sources = view.sources();
-            let readers = sources.iter().map(number_of).collect();
             (sources, readers)
         });
         computed.clone()
