Tests: the stream of a client of HTTP/1.0 and the wait for a placing node stand once

Both stood twice. What is asserted is as before: the text and how the connection ends, now compared at once; two nodes whose requests the third one places.

--- a/crates/gateway/tests/http10_clients.rs
+++ b/crates/gateway/tests/http10_clients.rs
@@ -75,21 +75,29 @@
     assert_eq!(response.header("connection"), Some("close"));
 }
 
-#[test_case(whole_stream, ""; "chunks")]
-#[test_case(whole_stream, KEEP_ALIVE; "chunks to a client that would keep the connection")]
-#[test_case(whole_stream_with_length, ""; "a length")]
-fn a_stream_to_an_http10_client_has_no_chunks_and_ends_with_the_connection(
+/// The text of a stream that one runner writes, and how its connection ends.
+fn stream_to_http10_client(
     reaction: fn(&ReceivedRequest) -> Reaction,
     extra: &str,
-) {
+) -> (String, ConnectionEnd) {
     let runner = runner("i-llm", reaction);
     let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
     let mut client = node.client();
     client.request_http10("/draft/1", "id-1", extra);
     let (response, end) = client.read_until_end();
     assert_delimited_by_the_end_of_the_connection(&response);
-    assert_eq!(response.text(), events(0..=LAST_EVENT));
-    assert_eq!(end, ConnectionEnd::Closed);
+    (response.text(), end)
+}
+
+#[test_case(whole_stream, ""; "chunks")]
+#[test_case(whole_stream, KEEP_ALIVE; "chunks to a client that would keep the connection")]
+#[test_case(whole_stream_with_length, ""; "a length")]
+fn a_stream_to_an_http10_client_has_no_chunks_and_ends_with_the_connection(
+    reaction: fn(&ReceivedRequest) -> Reaction,
+    extra: &str,
+) {
+    let (text, end) = stream_to_http10_client(reaction, extra);
+    assert_eq!((text, end), (events(0..=LAST_EVENT), ConnectionEnd::Closed));
 }
 
 #[test_case(cut_inside_an_event, ""; "the runner closes inside an event")]
@@ -101,14 +109,8 @@
     reaction: fn(&ReceivedRequest) -> Reaction,
     extra: &str,
 ) {
-    let runner = runner("i-llm", reaction);
-    let node = Fixture::with_runners(&[(&runner, "llm", Some("decode"))]);
-    let mut client = node.client();
-    client.request_http10("/draft/1", "id-1", extra);
-    let (response, end) = client.read_until_end();
-    assert_delimited_by_the_end_of_the_connection(&response);
-    assert_eq!(response.text(), events(0..=LAST_EVENT_BEFORE_CUT));
-    assert_eq!(end, ConnectionEnd::Reset);
+    let (text, end) = stream_to_http10_client(reaction, extra);
+    assert_eq!((text, end), (events(0..=LAST_EVENT_BEFORE_CUT), ConnectionEnd::Reset));
 }
 
 #[test]
--- a/crates/gateway/tests/scheduling.rs
+++ b/crates/gateway/tests/scheduling.rs
@@ -44,30 +44,27 @@
     nodes.iter().map(|node| metric_value(node, "pitchstall_placements_told_total") > 0).collect()
 }
 
-#[test]
-fn one_node_places_the_requests_of_all_nodes() {
-    let nodes = nodes(&[decode_runner("i-1"), decode_runner("i-2")]);
+fn wait_until_one_node_places(nodes: &[Fixture]) {
     wait_for("the third node to place requests of two others", || {
         assert!(nodes.iter().all(|node| is_served(node, "id")));
-        placed_by_other_node(&nodes)
-            .iter()
-            .filter(|placed_by_other_node| **placed_by_other_node)
+        placed_by_other_node(nodes)
+            .into_iter()
+            .filter(|is_placed_by_other| *is_placed_by_other)
             .count()
             == 2
     });
 }
 
+#[test]
+fn one_node_places_the_requests_of_all_nodes() {
+    let nodes = nodes(&[decode_runner("i-1"), decode_runner("i-2")]);
+    wait_until_one_node_places(&nodes);
+}
+
 #[test]
 fn requests_are_served_after_their_scheduler_has_stopped() {
     let nodes = nodes(&[decode_runner("i-1"), decode_runner("i-2")]);
-    wait_for("the third node to place requests of two others", || {
-        assert!(nodes.iter().all(|node| is_served(node, "id")));
-        placed_by_other_node(&nodes)
-            .iter()
-            .filter(|placed_by_other_node| **placed_by_other_node)
-            .count()
-            == 2
-    });
+    wait_until_one_node_places(&nodes);
     let placed_by_other_node = placed_by_other_node(&nodes);
     let (mut remaining, mut stopped) = (Vec::new(), Vec::new());
     for (node, placed_by_other_node) in nodes.into_iter().zip(placed_by_other_node) {
