Failing tests: a stream that began before its route was resumable; a request that ends its runner while the link seems lost

Cause: no node records where a stream began that may not be resumed. A runner that ends is taken for one whose link is lost, which forgets the broken attempts there, so that the proof of its end, 11 ms to 1.2 s later, counts nothing.

--- a/crates/gateway/tests/streams_of_several_services.rs
+++ b/crates/gateway/tests/streams_of_several_services.rs
@@ -104,3 +104,18 @@
     wait_for("the move", || stream(&nodes[0], "moved", "").text().contains("of v2"));
     assert_eq!(joined_texts(begun, &nodes[0]), Vec::<String>::new());
 }
+
+#[test]
+fn a_stream_that_began_before_its_route_was_resumable_is_not_continued_by_the_other_service() {
+    let runners = Runners::start(Interruption::Slow);
+    let configured = with_two_services(4, |summary| {
+        summary["service"] = "llm".into();
+        summary["resumable"] = false.into();
+    });
+    let node = node_with_two_services(&runners, &configured);
+    wait_for("the first service", || stream(&node, "probe", "").text().contains("of v1"));
+    let begun = begin_streams(&node);
+    node.store.put("op/config", &sent_to(5, "llm-next"));
+    wait_for("the move", || stream(&node, "moved", "").text().contains("of v2"));
+    assert_eq!(joined_texts(begun, &node), Vec::<String>::new());
+}
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -77,3 +77,12 @@
     evidence.on_attempt_interrupted(&runner("c"), request(1), 60 * SECOND_US);
     assert!(evidence.on_terminated(&runner("b"), 60 * SECOND_US).is_empty());
 }
+
+#[test]
+fn a_request_that_ends_its_runner_counts_though_the_link_to_the_runner_seemed_lost_before() {
+    const UNTIL_PROOF_US: u64 = 32_000;
+    let mut evidence = CrashEvidence::default();
+    evidence.on_attempt_interrupted(&runner("a"), request(1), 0);
+    evidence.on_link_lost(&runner("a"));
+    assert_eq!(evidence.on_terminated(&runner("a"), UNTIL_PROOF_US), vec![request(1)]);
+}
