A lost link keeps the broken attempts at its runner until the runner's end can be proven

Cause: a runner that ends looks for a moment as if this node's link to it were lost: the connection is reset or refused, and another node, or the runner's listener, accepted a moment before. CrashEvidence::on_link_lost removed the broken attempts at that runner, so the proof of its end, 11 ms to 1.2 s later, counted nothing. A guess removed evidence.

Change: the loss marks the attempts, as an accepted connection does. Marked attempts are not in doubt, and a planned departure leaves them out. They count if the end is proven within 4 s of the break: refused connections come as soon as the runner is asked for, its registry entry leaves after three missed heartbeats (3.6 s) and is known to be gone 0.4 s later. After that they are forgotten, so that an end for another reason does not accuse them. A request that breaks there again is in doubt anew, as before. `link lost` tells the number of `broken_attempts`.

The functions of the neighbouring test in that file are shared; what it asserts is as before.

Conclusion: what is only guessed lowers evidence and does not remove it. Left: an attempt without a head that is ended because its link is lost is not recorded, and one that breaks after the loss on an open connection of the own link is not marked.

--- a/crates/gateway/src/node/links.rs
+++ b/crates/gateway/src/node/links.rs
@@ -39,16 +39,16 @@
         lost > 0 && lost * 2 >= self.fleet.borrow().iter().count()
     }
 
-    /// Records that the link to a runner is lost: `peer` reaches the runner. What has failed over the link says nothing
+    /// Records that the link to a runner is lost: `peer` reaches the runner. What has failed over the link says little
     /// about the runner. Returns whether the loss is news.
     pub fn on_link_lost(&self, runner: &RunnerId, peer: &str, loss: LinkLoss) -> bool {
         let now_us = self.now_us();
         let is_news = self.links.borrow_mut().on_lost(runner, now_us);
         if is_news {
             let (id, reason) = (runner.as_str(), loss.name());
-            log::warn!(target: "links", runner = id, peer, reason; "link lost: runner reached through another node");
+            let broken_attempts = self.crash_evidence.borrow_mut().on_link_lost(runner);
+            log::warn!(target: "links", runner = id, peer, reason, broken_attempts; "link lost: runner reached through another node");
             self.pool.remove_runner(runner);
-            self.crash_evidence.borrow_mut().on_link_lost(runner);
             self.fleet.borrow_mut().on_link_lost(runner, now_us);
             self.metrics.links_lost.set(self.links.borrow().count() as f64);
         }
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -135,34 +135,64 @@
     (0..count).map(start).collect()
 }
 
-#[test]
-fn a_refused_link_does_not_quarantine_the_requests_that_were_open_on_it() {
-    const RUNNERS: usize = 4;
-    let is_released = Arc::new(AtomicBool::new(false));
-    let fleet =
-        Fleet::with_runners(holding_runners(RUNNERS, &is_released), &[("desk", None); RUNNERS]);
+/// Sends the same request `/booking/held` once for each runner over the cut node and loses all links while each runner
+/// holds one.
+fn lose_links_under_held_requests(fleet: &Fleet) {
     let is_held = |runner: &RunnerStandIn| !runner.requests().is_empty();
     std::thread::scope(|scope| {
-        for number in 0..RUNNERS {
+        for number in 0..fleet.runners.len() {
             let cut = &fleet.cut;
             scope.spawn(move || request(cut, "/booking/held", &format!("held-{number}")));
         }
         wait_for("each runner to hold a request", || fleet.runners.iter().all(is_held));
         fleet.lose_links(Loss::Refused);
     });
+}
+
+#[test]
+fn a_refused_link_does_not_quarantine_the_requests_that_were_open_on_it() {
+    const RUNNERS: usize = 4;
+    let is_released = Arc::new(AtomicBool::new(false));
+    let fleet =
+        Fleet::with_runners(holding_runners(RUNNERS, &is_released), &[("desk", None); RUNNERS]);
+    lose_links_under_held_requests(&fleet);
     is_released.store(true, Ordering::SeqCst);
     // Other nodes are told of a crash within milliseconds.
     std::thread::sleep(Duration::from_millis(500));
     assert_eq!(request(&fleet.sound, "/booking/held", "again").status, 200);
 }
 
-/// Number of links that a node has lost, by its metrics.
-fn lost_links(node: &Fixture) -> usize {
+#[test]
+fn a_request_that_ends_runners_is_quarantined_though_the_links_to_them_seemed_lost_before() {
+    const RUNNERS: usize = 4;
+    const ENDED: usize = 3;
+    let is_released = Arc::new(AtomicBool::new(false));
+    let fleet =
+        Fleet::with_runners(holding_runners(RUNNERS, &is_released), &[("desk", None); RUNNERS]);
+    lose_links_under_held_requests(&fleet);
+    wait_for("links to count as lost", || lost_links(&fleet.cut) > RUNNERS - ENDED);
+    is_released.store(true, Ordering::SeqCst);
+    for runner in fleet.runners.iter().take(ENDED) {
+        runner.crash();
+        fleet.sound.store.remove(&format!("servers/{}", runner.id()));
+    }
+    wait_for("the request to be quarantined", || metric(&fleet.cut, "quarantines_total") > 0);
+    assert_eq!(request(&fleet.cut, "/booking/held", "again").status, 503);
+}
+
+/// The value of one of a node's metrics; 0 if the node has not set it.
+fn metric(node: &Fixture, name: &str) -> usize {
     let metrics = get(node.health, "/metrics").text();
-    let value = metrics.lines().find_map(|line| line.strip_prefix("pitchstall_links_lost "));
+    let prefix = format!("pitchstall_{name} ");
+    let value = metrics.lines().find_map(|line| line.strip_prefix(&prefix));
     value.map_or(0, |value| value.parse::<f64>().unwrap() as usize)
 }
 
+/// Number of links that a node has lost, by its metrics.
+fn lost_links(node: &Fixture) -> usize {
+    metric(node, "links_lost")
+}
+
 /// Loses all links of the cut node and waits until it serves through the other one.
 fn serve_through_other_node(fleet: &Fleet, loss: Loss) {
     fleet.lose_links(loss);
--- a/crates/serving/tests/crash_evidence.rs
+++ b/crates/serving/tests/crash_evidence.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use pitchstall_serving::crash_evidence::CrashEvidence;
+use pitchstall_serving::crash_messages::Crash;
 use pitchstall_serving::ids::RunnerId;
+use pitchstall_serving::quarantine::Quarantine;
 use pitchstall_serving::request_identity::{RequestIdentity, RequestParts, Suspect};
 
 const SECOND_US: u64 = 1_000_000;
@@ -86,3 +88,64 @@
     evidence.on_link_lost(&runner("a"));
     assert_eq!(evidence.on_terminated(&runner("a"), UNTIL_PROOF_US), vec![request(1)]);
 }
+
+#[test]
+fn a_request_that_ends_its_runner_counts_though_only_the_registry_proves_the_end() {
+    const UNTIL_ENTRY_LEAVES_US: u64 = 3_600_000;
+    let mut evidence = CrashEvidence::default();
+    evidence.on_attempt_interrupted(&runner("a"), request(1), 0);
+    evidence.on_link_lost(&runner("a"));
+    evidence.on_connection_accepted(&runner("a"));
+    assert_eq!(evidence.on_terminated(&runner("a"), UNTIL_ENTRY_LEAVES_US), [request(1)]);
+}
+
+#[test]
+fn an_attempt_that_a_lost_link_broke_is_not_in_doubt_and_its_runner_may_leave_as_planned() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_attempt_interrupted(&runner("a"), request(1), 0);
+    assert_eq!(evidence.on_link_lost(&runner("a")), 1);
+    assert_eq!(evidence.runners_in_doubt(request(1).identity, 5).count(), 0);
+    assert!(evidence.on_planned_departure(&runner("a"), 10).is_empty());
+}
+
+#[test]
+fn a_request_that_breaks_again_after_the_loss_of_the_link_is_in_doubt_anew() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_attempt_interrupted(&runner("a"), request(1), 0);
+    evidence.on_link_lost(&runner("a"));
+    evidence.on_attempt_interrupted(&runner("a"), request(1), 3 * SECOND_US);
+    assert_eq!(evidence.runners_in_doubt(request(1).identity, 3 * SECOND_US).count(), 1);
+    assert_eq!(evidence.on_terminated(&runner("a"), 6 * SECOND_US), [request(1)]);
+}
+
+/// The requests of a node that loses its links to nine runners, of which one ends in each second from then on.
+#[test]
+fn sound_requests_that_lost_links_broke_are_not_quarantined_while_runners_end_for_other_reasons() {
+    const RUNNERS: u64 = 9;
+    const REQUESTS: u8 = 9;
+    const ATTEMPTS: u64 = 3;
+    const TIME_BETWEEN_ENDS_US: u64 = SECOND_US;
+    let name = |number: u64| runner(&format!("i-{}", number % RUNNERS));
+    let mut evidence = CrashEvidence::default();
+    for number in 0..REQUESTS {
+        // Each request breaks at three runners and has no response anywhere.
+        for attempt in 0..ATTEMPTS {
+            let broken_at = name(u64::from(number) + attempt * RUNNERS / ATTEMPTS);
+            evidence.on_attempt_interrupted(&broken_at, request(number), 0);
+        }
+    }
+    for number in 0..RUNNERS {
+        evidence.on_link_lost(&name(number));
+    }
+    let mut quarantine = Quarantine::default();
+    for number in 0..RUNNERS {
+        let ended_us = (number + 1) * TIME_BETWEEN_ENDS_US;
+        for suspect in evidence.on_terminated(&name(number), ended_us) {
+            let crash = Crash { request: suspect.identity, runner: name(number) };
+            quarantine.on_observed(&crash, ended_us / 1_000, ended_us);
+        }
+    }
+    let is_held =
+        |number: &u8| quarantine.is_quarantined(request(*number).identity, std::iter::empty());
+    assert_eq!((0..REQUESTS).filter(is_held).collect::<Vec<u8>>(), Vec::<u8>::new());
+}
