Soak: a pause that a crashing runner asked for does not bind its next incarnation

The check ends a pause with the first crash that is recorded after the decline. Here the crash was recorded before, so the pause went on into the next incarnation. A runner that crashes by a fault of the schedule responds for 200 ms after the record, with the same effect. The more runners end by requests, the more often this happens.

Change: each incarnation records its start before nodes can learn of it, and a pause ends with the crash that is recorded after the decline, as before, or with the start of the next incarnation. For a runner that declines before its crash is recorded nothing changes. For one that declines after the record, requests still count until the next incarnation starts. A new incarnation that asks for rest itself is checked as before.

Tests: with the check as it was, a_pause_that_a_crashing_runner_asked_for_does_not_bind_its_next_incarnation failed ("3 from node 0 at i-1, which asked for rest in a") and 53 others of tests/checks.rs passed; with the change 54 passed. Two of the new tests hold the check to its strictness: requests to a crashing runner before its next incarnation are found, and so are those to an incarnation that asked itself.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -212,6 +212,7 @@
         self.node_links.add_runner(link.address())?;
         // No request can have arrived yet, because the runner is not registered.
         let _ = own_link.set(link.clone());
+        self.recorder.record(Event::RunnerStarted { runner: id.clone() });
         let service = if stage.is_some() { ENGINE_SERVICE } else { DESK_SERVICE };
         let runner =
             SoakRunner { id, link, service, zone, stage, stand_in, role, reports_leaving, born_ms };
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -78,7 +78,12 @@
         /// Id of the request.
         request: String,
     },
-    /// A runner crashes.
+    /// An incarnation of a runner starts. No request can have arrived at it before.
+    RunnerStarted {
+        /// Id of the runner, which all its incarnations share.
+        runner: String,
+    },
+    /// A runner begins to crash. It may still respond until its process has ended.
     RunnerCrashed {
         /// Id of the runner.
         runner: String,
--- a/crates/soak/src/indexed_history.rs
+++ b/crates/soak/src/indexed_history.rs
@@ -49,6 +49,7 @@
         Event::Disturbed { .. }
             | Event::RunnerLinkDisturbed
             | Event::NodeLinksCut { .. }
+            | Event::RunnerStarted { .. }
             | Event::RunnerCrashed { .. }
             | Event::NodeStarted { .. }
             | Event::PlannedStop { .. }
--- a/crates/soak/src/self_report_checks.rs
+++ b/crates/soak/src/self_report_checks.rs
@@ -83,11 +83,16 @@
     broken
 }
 
-/// When a runner crashed for the first time after a moment; `u64::MAX` if it did not.
+/// Until when a runner is bound by what it said at a moment: until it begins to crash or, if it had begun before that moment
+/// and still responded, until its next incarnation starts. `u64::MAX` if neither happens.
 fn end_of_incarnation(history: &History, name: &str, after_us: u64) -> u64 {
-    let crashed = history.disturbances.iter().find_map(|(at_us, event)| match event {
-        Event::RunnerCrashed { runner, .. } if runner == name && *at_us >= after_us => Some(*at_us),
+    let ended = history.disturbances.iter().find_map(|(at_us, event)| match event {
+        Event::RunnerCrashed { runner, .. } | Event::RunnerStarted { runner }
+            if runner == name && *at_us >= after_us =>
+        {
+            Some(*at_us)
+        }
         _ => None,
     });
-    crashed.unwrap_or(u64::MAX)
+    ended.unwrap_or(u64::MAX)
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -198,6 +198,46 @@
     assert_eq!(broken_promises(&events), ["a runner that asks for rest gets it"]);
 }
 
+/// A runner that has begun to crash declines request "a" of node 0, asks for a pause of two seconds, and gets three requests
+/// from `arrivals_us` on. Its next incarnation starts after one second.
+fn pause_of_a_crashing_runner(arrivals_us: u64) -> Vec<TimedEvent> {
+    let (request, runner) = ("a".to_owned(), "i-1".to_owned());
+    let crashed = Event::RunnerCrashed { runner: runner.clone(), cause: None };
+    let started = Event::RunnerStarted { runner: runner.clone() };
+    let asked = Event::BackoffRequested { request, runner, backoff_us: 2 * SECOND };
+    let mut events =
+        vec![(0, crashed), sent(1, "a", RequestKind::Repeatable), (2, asked), (SECOND, started)];
+    for (number, at_us) in (arrivals_us..arrivals_us + 3).enumerate() {
+        let request = format!("r-{number}");
+        events.push(sent(at_us, &request, RequestKind::Repeatable));
+        events.push(arrived(at_us, &request, "i-1"));
+    }
+    events.sort_by_key(|(at_us, _)| *at_us);
+    events
+}
+
+#[test]
+fn a_pause_that_a_crashing_runner_asked_for_does_not_bind_its_next_incarnation() {
+    assert_eq!(violations(&pause_of_a_crashing_runner(SECOND + 1)), []);
+}
+
+#[test]
+fn requests_during_the_pause_of_a_crashing_runner_are_found_until_its_next_incarnation_starts() {
+    let found = broken_promises(&pause_of_a_crashing_runner(SECOND - 10));
+    assert_eq!(found, ["a runner that asks for rest gets it"]);
+}
+
+#[test]
+fn a_pause_that_the_next_incarnation_asked_for_itself_is_checked() {
+    let mut events = pause_of_a_crashing_runner(2 * SECOND);
+    let (request, runner) = ("b".to_owned(), "i-1".to_owned());
+    let asked = Event::BackoffRequested { request, runner, backoff_us: 2 * SECOND };
+    events.push(sent(SECOND + 1, "b", RequestKind::Repeatable));
+    events.push((SECOND + 2, asked));
+    events.sort_by_key(|(at_us, _)| *at_us);
+    assert_eq!(broken_promises(&events), ["a runner that asks for rest gets it"]);
+}
+
 #[test]
 fn a_request_that_a_planned_stop_cuts_is_found() {
     let stop = (9 * SECOND, Event::PlannedStop { node: 0 });
