Soak: a broken pause names its requests, and the recorded events are kept

What was seen: the line of a play that broke "a runner that asks for rest gets it" gave a count and one request id. The checks judge the events that clients and runners record; the logs of the nodes do not hold them. So a play whose line alone is left can't be traced, and one with logs only by guessing what the check saw.

Change: the line has the time of the decline and the first five requests that came during the pause, with their times. A play that breaks a promise leaves its recorded events beside the logs of the nodes, in events.log, one per line. If that file can't be written, the play says so and its result stands.

--- a/crates/soak/examples/soak/main.rs
+++ b/crates/soak/examples/soak/main.rs
@@ -3,7 +3,8 @@
 //! `cargo build --release && cargo run --release -p pitchstall-soak --example soak -- --first 1 --count 8`
 //!
 //! The violations of each seed are printed. The exit code is 1 if any were found, and 2 if a seed
-//! could not be run. The logs of the nodes are kept for seeds with violations.
+//! could not be run. The logs of the nodes and the recorded events are kept for seeds with
+//! violations.
 #![allow(missing_docs)]
 
 mod processes;
--- a/crates/soak/examples/soak/report.rs
+++ b/crates/soak/examples/soak/report.rs
@@ -6,8 +6,13 @@
 use pitchstall_soak::takeup_checks::TakeupTally;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
 use std::path::PathBuf;
 
+/// File with the recorded events, one per line: microseconds since the start of the recording, and the event.
+const EVENTS_FILE: &str = "events.log";
+
 /// What came of the requests to runners that are processes of their own.
 pub struct RunnerProcessReport {
     /// How the requests ended.
@@ -102,12 +107,19 @@
         self.takeups = Some(report.tally);
     }
 
-    /// Removes the nodes' logs if no guarantee was violated.
-    pub fn remove_logs_without_violations(&self) {
+    /// Writes the events beside the nodes' logs if a guarantee was violated; otherwise removes the logs. Fails if the file
+    /// of the events cannot be written.
+    pub fn keep_evidence(&self, events: &[TimedEvent]) -> io::Result<()> {
         if self.violations.is_empty() {
             // Leftover logs only occupy space.
             let _ = std::fs::remove_dir_all(&self.folder);
+            return Ok(());
+        }
+        let mut file = BufWriter::new(File::create(self.folder.join(EVENTS_FILE))?);
+        for (at_us, event) in events {
+            writeln!(file, "{at_us} {event:?}")?;
         }
+        file.flush()
     }
 }
 
--- a/crates/soak/examples/soak/run/mod.rs
+++ b/crates/soak/examples/soak/run/mod.rs
@@ -153,7 +153,8 @@
     // end the processes.
     soak_run.kill_all();
     lock(&soak_run.fleet).record_usage_reports();
-    let mut report = Report::new(&soak_run.recorder.events(), steps.len(), folder);
+    let events = soak_run.recorder.events();
+    let mut report = Report::new(&events, steps.len(), folder);
     report.violations.extend(unserved);
     if has_runner_processes(seed) {
         report.add_runner_processes(soak_run.runner_process_report());
@@ -161,7 +162,9 @@
     if has_releases(seed) {
         report.add_takeups(soak_run.takeup_report());
     }
-    report.remove_logs_without_violations();
+    if let Err(error) = report.keep_evidence(&events) {
+        eprintln!("soak: seed {seed}: the events could not be written: {error}");
+    }
     Ok(report)
 }
 
--- a/crates/soak/src/self_report_checks.rs
+++ b/crates/soak/src/self_report_checks.rs
@@ -11,6 +11,8 @@
 const IN_FLIGHT_US: u64 = 500_000;
 /// Number of requests that may still arrive during a pause.
 const MAX_ARRIVALS_IN_BACKOFF: usize = 2;
+/// Number of arrivals that a violation shows.
+const MAX_SHOWN_ARRIVALS: usize = 5;
 
 /// Time and id of the arrivals by runner and node, in order of time.
 type Arrivals<'a> = HashMap<(&'a str, usize), Vec<(u64, &'a str)>>;
@@ -72,17 +74,25 @@
         if history.were_links_cut(node, *asked_us, to_us) {
             continue;
         }
-        let in_backoff =
-            arrived.iter().filter(|(at_us, _)| (from_us..to_us).contains(at_us)).count();
-        if in_backoff > MAX_ARRIVALS_IN_BACKOFF {
+        let is_in_backoff = |(at_us, _): &(u64, &str)| (from_us..to_us).contains(at_us);
+        let in_backoff: Vec<_> = arrived.iter().copied().filter(is_in_backoff).collect();
+        if in_backoff.len() > MAX_ARRIVALS_IN_BACKOFF {
+            let (count, arrivals) = (in_backoff.len(), shown(&in_backoff));
             broken.push(format!(
-                "{in_backoff} from node {node} at {runner}, which asked for rest in {request}"
+                "{count} from node {node} at {runner}, which asked for rest in {request} at {asked_us} us: {arrivals}"
             ));
         }
     }
     broken
 }
 
+/// The first of some arrivals: the ids of their requests, with their times in microseconds.
+fn shown(arrivals: &[(u64, &str)]) -> String {
+    let text = |(at_us, request): &(u64, &str)| format!("{request} at {at_us} us");
+    let first: Vec<String> = arrivals.iter().take(MAX_SHOWN_ARRIVALS).map(text).collect();
+    first.join(", ")
+}
+
 /// Until when a runner is bound by what it said at a moment: until it begins to crash or, if it had begun before that moment
 /// and still responded, until its next incarnation starts. `u64::MAX` if neither happens.
 fn end_of_incarnation(history: &History, name: &str, after_us: u64) -> u64 {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -227,6 +227,14 @@
     assert_eq!(found, ["a runner that asks for rest gets it"]);
 }
 
+#[test]
+fn a_broken_pause_names_the_requests_and_their_times() {
+    let found = violations(&pause_of_a_crashing_runner(SECOND - 10));
+    let detail = "3 from node 0 at i-1, which asked for rest in a at 2 us: \
+                  r-0 at 999990 us, r-1 at 999991 us, r-2 at 999992 us";
+    assert_eq!(found[0].detail, detail);
+}
+
 #[test]
 fn a_pause_that_the_next_incarnation_asked_for_itself_is_checked() {
     let mut events = pause_of_a_crashing_runner(2 * SECOND);
