Record of versions: streams of routes that are not resumable are recorded too, by route

Callers saw: a stream that began on a route whose streams may not be resumed went on at another service's runners, after one change of the configuration had made the route resumable and moved it. Nobody was killed.

Cause: the record of versions had entries only for services with resumable routes, so that a takeup which no node remembers found the new service alone and took it for the only one that can have begun the stream.

Origins in memory are lost with all nodes. Entries for all services that count for all takeups would refuse for ever where resumable and other streams have different services.

At a service without a resumable route an entry names the host and the path prefix of its route and counts for the takeups that these match; at other services nothing changes. No time, no clock and no former configuration has to be known.

It costs: streams that are not resumable wait for the entry of a new version; what nobody remembers of a route that has moved away is refused until the runners of its old service have gone. Left: a takeup at another host or path than the stream's.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -17,6 +17,7 @@
 use pitchstall_serving::stream_origin::{
     StreamOrigin, StreamOriginMessage, StreamOriginQuery, StreamOriginReply, StreamOrigins,
 };
+use pitchstall_serving::stream_scope::StreamTarget;
 use pitchstall_serving::version_view::only_origin;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -109,9 +110,9 @@
 pub fn on_fleet_changed(node: &Node) {
     let now_us = node.now_us();
     node.metrics.set_runners(node.fleet.borrow().versions());
-    let counted = version_record::counted_origins(node);
-    let mixed: BTreeSet<ServiceName> = match counted.len() > 1 {
-        true => counted.into_iter().map(|origin| origin.service).collect(),
+    let possible = version_record::possible_origins(node);
+    let mixed: BTreeSet<ServiceName> = match possible.len() > 1 {
+        true => possible.into_iter().map(|origin| origin.service).collect(),
         false => BTreeSet::new(),
     };
     let before = node.stream_origins.mixed_services.replace(mixed.clone());
@@ -181,7 +182,7 @@
     if route.kind != RequestKind::Streaming || !resumes {
         return StreamContinuation::Anywhere;
     }
-    let (continuation, replies) = find_origin(node, &stream_of(request), service).await;
+    let (continuation, replies) = find_origin(node, request, service).await;
     log_continuation(node, request, &continuation, &replies);
     node.metrics.on_stream_resumed_by_client(outcome_name(&continuation));
     continuation
@@ -189,18 +190,19 @@
 
 async fn find_origin(
     node: &Rc<Node>,
-    stream: &StreamId,
+    request: &ClientRequest,
     service: &ServiceName,
 ) -> (StreamContinuation, KeeperReplies) {
-    if let Some(continuation) = own_knowledge(node, stream) {
+    let stream = stream_of(request);
+    if let Some(continuation) = own_knowledge(node, &stream) {
         return (continuation, KeeperReplies::default());
     }
-    let replies = query_keepers(node, stream, service).await;
+    let replies = query_keepers(node, &stream, service).await;
     let continuation = match &replies.origin {
         _ if replies.is_ambiguous => StreamContinuation::Unknown,
         Some(origin) => StreamContinuation::AtOrigin(origin.clone()),
         None if replies.has_several_versions => StreamContinuation::Unknown,
-        None => at_only_origin(node, service, &replies.counted).await,
+        None => at_only_origin(node, request, service, &replies.counted).await,
     };
     (continuation, replies)
 }
@@ -217,6 +219,7 @@
 /// Where a stream may go on that no node remembers.
 async fn at_only_origin(
     node: &Rc<Node>,
+    request: &ClientRequest,
     service: &ServiceName,
     counted_by_keepers: &BTreeSet<StreamOrigin>,
 ) -> StreamContinuation {
@@ -227,14 +230,15 @@
     if counted.len() > 1 {
         return StreamContinuation::Unknown;
     }
-    let recorded = version_record::read_origins(node).await;
+    let target = StreamTarget { host: &request.host, path: &request.path };
+    let recorded = version_record::read_origins(node, &target).await;
     let only = recorded.and_then(|recorded| only_origin(&recorded, &counted));
     only.map_or(StreamContinuation::Unknown, StreamContinuation::AtOnlyVersion)
 }
 
-/// Whether resumable streams of several origins count.
+/// Whether a resumable stream may have begun at several origins.
 pub fn has_several_origins(node: &Node) -> bool {
-    version_record::counted_origins(node).len() > 1
+    version_record::possible_origins(node).len() > 1
 }
 
 /// What the keepers have replied, taken together.
