Streams: a node that began one stream of an id asks whether another node began a second one

Callers saw: of two streams that bear one id and began at different versions, at two nodes, the second one was taken up at the node that had begun the first, and went on at the first one's version: joined.

Cause: a node's own record of where a stream began ended the question. The keepers that both nodes had told knew that the id is ambiguous, and were not asked.

Change: while several origins count, such a node asks the keepers too, and refuses (503, not run) if one knows of another origin or of several.

Figures: one new test, seven nodes. How much later the first event of a takeup comes was not measured.

By the code it costs a takeup at the node that began the stream the longest round trip to the keepers of all regions, and 30 ms more if one is silent, while several origins count. Left: if all keepers that were told of both streams are silent, the node goes on by its own record.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -194,26 +194,51 @@
     service: &ServiceName,
 ) -> (StreamContinuation, KeeperReplies) {
     let stream = stream_of(request);
-    if let Some(continuation) = own_knowledge(node, &stream) {
-        return (continuation, KeeperReplies::default());
-    }
-    let replies = query_keepers(node, &stream, service).await;
-    let continuation = match &replies.origin {
-        _ if replies.is_ambiguous => StreamContinuation::Unknown,
-        Some(origin) => StreamContinuation::AtOrigin(origin.clone()),
-        None if replies.has_several_versions => StreamContinuation::Unknown,
+    let known = match own_knowledge(node, &stream) {
+        OwnKnowledge::Certain(continuation) => return (continuation, KeeperReplies::default()),
+        OwnKnowledge::Began(origin) => Some(origin),
+        OwnKnowledge::Nothing => None,
+    };
+    let replies = query_keepers(node, &stream, service, known.as_ref()).await;
+    let continuation = match remembered(known.as_ref(), &replies) {
+        Some(continuation) => continuation,
         None => at_only_origin(node, request, service, &replies.counted).await,
     };
     (continuation, replies)
 }
 
-/// Where a stream may go on by what this node knows of it.
-fn own_knowledge(node: &Node, stream: &StreamId) -> Option<StreamContinuation> {
+/// What a node knows of a stream by its own record.
+enum OwnKnowledge {
+    Nothing,
+    /// Where a stream of the id began. Keepers may know of another one that bears the id.
+    Began(StreamOrigin),
+    /// Where the stream may go on, whatever keepers know.
+    Certain(StreamContinuation),
+}
+
+fn own_knowledge(node: &Node, stream: &StreamId) -> OwnKnowledge {
     let (origins, now_us) = (node.stream_origins.origins.borrow(), node.now_us());
     if origins.is_ambiguous(stream, now_us) {
-        return Some(StreamContinuation::Unknown);
+        return OwnKnowledge::Certain(StreamContinuation::Unknown);
+    }
+    let Some(origin) = origins.find(stream, now_us).cloned() else { return OwnKnowledge::Nothing };
+    match has_several_origins(node) {
+        true => OwnKnowledge::Began(origin),
+        false => OwnKnowledge::Certain(StreamContinuation::AtOrigin(origin)),
+    }
+}
+
+/// Where a stream may go on by what this node and the keepers remember together; `None` if they know nothing of it, and of
+/// one version alone.
+fn remembered(known: Option<&StreamOrigin>, replies: &KeeperReplies) -> Option<StreamContinuation> {
+    let origins: BTreeSet<&StreamOrigin> = known.into_iter().chain(&replies.origin).collect();
+    let mut origins = origins.into_iter();
+    match (origins.next(), origins.next()) {
+        _ if replies.is_ambiguous => Some(StreamContinuation::Unknown),
+        (Some(origin), None) => Some(StreamContinuation::AtOrigin(origin.clone())),
+        (Some(_), Some(_)) => Some(StreamContinuation::Unknown),
+        (None, _) => replies.has_several_versions.then_some(StreamContinuation::Unknown),
     }
-    origins.find(stream, now_us).cloned().map(StreamContinuation::AtOrigin)
 }
 
 /// Where a stream may go on that no node remembers.
@@ -259,8 +284,14 @@
     longest_uptime_ms: u64,
 }
 
-/// Queries the stream's keepers in all regions, and waits until one of them knows the stream or all have replied.
-async fn query_keepers(node: &Node, stream: &StreamId, service: &ServiceName) -> KeeperReplies {
+/// Queries the stream's keepers in all regions, and waits until one of them knows of the stream what this node does not know,
+/// or all have replied. `known` is where it began by this node's own record.
+async fn query_keepers(
+    node: &Node,
+    stream: &StreamId,
+    service: &ServiceName,
+    known: Option<&StreamOrigin>,
+) -> KeeperReplies {
     let mut replies = KeeperReplies::default();
     let keepers = keepers_in_all_regions(node, stream);
     let longest = keepers.iter().map(|(round_trip, _)| *round_trip).max();
@@ -279,7 +310,8 @@
         let uptime_ms = reply.uptime_ms.unwrap_or_default();
         replies.longest_uptime_ms = replies.longest_uptime_ms.max(uptime_ms);
         replies.has_several_versions |= reply.has_several_versions;
-        if reply.origin.is_some() || reply.is_ambiguous {
+        let is_new = reply.origin.is_some() && reply.origin.as_ref() != known;
+        if is_new || reply.is_ambiguous {
             let StreamOriginReply { origin, is_ambiguous, .. } = reply;
             return KeeperReplies { origin, is_ambiguous, ..replies };
         }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -12,6 +12,11 @@
 use support::{configuration, get, wait_for, Fixture};
 use test_case::test_case;
 
+/// Enough nodes for one that is not told of a stream.
+const MANY_NODES: usize = 7;
+/// Enough streams for some that begin at both versions and whose keepers leave out a node.
+const MANY_STREAMS: usize = 48;
+
 #[test_case(Interruption::Cut; "that is cut off")]
 #[test_case(Interruption::Pause; "that pauses")]
 fn a_stream_goes_on_only_at_the_version_that_began_it(interruption: Interruption) {
@@ -294,6 +299,32 @@
     assert_eq!(runners.runs_after(INTERRUPTED_AFTER), 0);
 }
 
+#[test]
+fn a_stream_is_not_joined_with_one_of_its_id_by_a_node_that_began_the_other() {
+    let runners = Runners::start(Interruption::Slow);
+    let node = node_with(&runners);
+    let others: Vec<_> =
+        (2..=MANY_NODES).map(|number| peer_of(&node, &format!("node-{number}"))).collect();
+    let version_of = |text: &str| if text.contains("of v1") { "v1" } else { "v2" };
+    let begin_twice = |number: usize| {
+        let id = format!("id-{number}");
+        let first = begin_and_leave(&node, &id);
+        let second = begin_and_leave(&others[0], &id);
+        (version_of(&first) != version_of(&second)).then_some((id, second))
+    };
+    let begun: Vec<_> = (0..MANY_STREAMS).filter_map(begin_twice).collect();
+    assert!(!begun.is_empty(), "no id was used at both versions");
+    std::thread::sleep(Duration::from_millis(100));
+    let take_up_second = |(id, second): (String, String)| {
+        let response = take_up(&node, &id, &format!("{id}-again"));
+        format!("{second}{}", response.text())
+    };
+    let texts = begun.into_iter().map(take_up_second);
+    let joined: Vec<_> =
+        texts.filter(|text| text.contains("of v1") && text.contains("of v2")).collect();
+    assert_eq!(joined, Vec::<String>::new());
+}
+
 #[test]
 fn a_stream_whose_keeper_is_silent_is_refused_soon() {
     let runners = Runners::start(Interruption::Slow);
