Revert "A run is refused only after a silent keeper of its limit was queried once more"

Cause: a refusal settled the run before. Now it hands the waiting task a further query to the silent keeper; that keeper's late grant arrives before the task has taken this action, finds nobody waiting and is refunded; the task then sends the query, the keeper charges again, and that grant counts as handled.

Change: reverted.

--- a/crates/serving/src/quota_requester.rs
+++ b/crates/serving/src/quota_requester.rs
@@ -2,9 +2,8 @@
 //! the run is settled.
 //!
 //! A run is queried at one keeper at a time. A keeper that does not reply in time is skipped and
-//! queried last for a while. A refusal says nothing about the units of such a keeper, which is
-//! therefore queried once more before the run is refused. If its grant arrives after another
-//! keeper has granted the run, that late grant is refunded. A grant is used within [`GRANT_TTL_US`] of the first query or refunded.
+//! queried last for a while. If its grant arrives after another keeper has granted the run, that
+//! late grant is refunded. A grant is used within [`GRANT_TTL_US`] of the first query or refunded.
 
 use crate::ids::{TenantName, ZoneId};
 use crate::quota::{QuotaBounds, QuotaQuery, QuotaRefund, QuotaReply, QuotaVerdict, TenantLimit};
@@ -79,35 +78,6 @@
     not_keepers: Vec<KeeperId>,
     /// Keepers that made partial charges for a query that was not granted.
     unused_charges: Vec<KeeperId>,
-    /// The refusal with which the run is settled unless a keeper that has not replied grants it.
-    refusal: Option<Refusal>,
-}
-
-#[derive(Debug)]
-struct Refusal {
-    outcome: QuotaOutcome,
-    /// Number of queries before the first refusal.
-    after_queries: usize,
-}
-
-impl PendingRun {
-    fn query_count(&self, keeper: &KeeperId) -> usize {
-        self.tried.iter().filter(|tried| *tried == keeper).count()
-    }
-
-    /// Whether a reachable keeper may be queried: after a refusal, each that has not replied once.
-    fn may_query(&self, keeper: &KeeperId, is_unresponsive: bool) -> bool {
-        let is_left_out = |refusal: &Refusal| {
-            is_unresponsive && !self.tried[refusal.after_queries..].contains(keeper)
-        };
-        !self.not_keepers.contains(keeper) && self.refusal.as_ref().is_none_or(is_left_out)
-    }
-
-    fn on_refused(&mut self, outcome: QuotaOutcome) {
-        let first = self.refusal.as_ref().map(|refusal| refusal.after_queries);
-        let after_queries = first.unwrap_or(self.tried.len());
-        self.refusal = Some(Refusal { outcome, after_queries });
-    }
 }
 
 #[derive(Debug)]
@@ -167,7 +137,6 @@
             tried: Vec::new(),
             not_keepers: Vec::new(),
             unused_charges: Vec::new(),
-            refusal: None,
         };
         self.pending.insert(ticket, pending);
         self.query_next(ticket, is_reachable, now_us)
@@ -212,9 +181,8 @@
             QuotaVerdict::Refused { wait_ms } => {
                 pending.unused_charges.extend(charged_keepers(reply));
                 let keeper = reply.keeper.clone();
-                let level = reply.level;
-                pending.on_refused(QuotaOutcome::Refused { wait_ms, keeper, level });
-                self.query_next(ticket, is_reachable, now_us)
+                let refused = QuotaOutcome::Refused { wait_ms, keeper, level: reply.level };
+                self.settle(ticket, refused, now_us)
             }
             QuotaVerdict::NotKeeper => {
                 // No refund yet: the next query may use the charges that these keepers have made.
@@ -246,19 +214,18 @@
         let request = &pending.request;
         let keepers = keepers_of(&request.tenant, &request.limit, &self.bounds, &self.topology);
         let ordered = query_order(&keepers, &self.zone, &self.topology);
+        let query_count =
+            |keeper: &KeeperId| pending.tried.iter().filter(|one| *one == keeper).count();
         let is_unresponsive = |keeper: &KeeperId| self.unresponsive_until_us.contains_key(keeper);
         let unresponsive: Vec<KeeperId> = keepers.into_iter().filter(is_unresponsive).collect();
         let next = ordered
             .into_iter()
-            .filter(|keeper| pending.may_query(keeper, unresponsive.contains(keeper)))
-            .filter(|keeper| is_reachable(keeper))
-            .min_by_key(|keeper| (pending.query_count(keeper), unresponsive.contains(keeper)));
+            .filter(|keeper| is_reachable(keeper) && !pending.not_keepers.contains(keeper))
+            .min_by_key(|keeper| (query_count(keeper), unresponsive.contains(keeper)));
         let is_exhausted = now_us >= pending.first_queried_at_us + QUERY_DEADLINE_US
             || pending.tried.len() >= MAX_QUERIES;
         let Some(keeper) = next.filter(|_| !is_exhausted) else {
-            let refused = pending.refusal.take().map(|refusal| refusal.outcome);
-            let outcome = refused.unwrap_or(QuotaOutcome::Unreachable);
-            return self.settle(ticket, outcome, now_us);
+            return self.settle(ticket, QuotaOutcome::Unreachable, now_us);
         };
         pending.tried.push(keeper.clone());
         let is_same_region =
