--- a/crates/serving/src/quota_keeper.rs
+++ b/crates/serving/src/quota_keeper.rs
@@ -319,7 +319,7 @@
         }
     }
 
-    /// The next keeper of the tenant that is reachable and not excluded, and that has replied to the node that asks.
+    /// The next keeper of the tenant that is reachable and not excluded.
     fn next_keeper(
         &self,
         query: &QuotaQuery,
@@ -328,8 +328,8 @@
         is_reachable: impl Fn(&KeeperId) -> bool,
     ) -> Option<KeeperId> {
         let keepers = keepers_of(&query.tenant, limit, &self.bounds, &self.topology);
-        let is_excluded = |id: &KeeperId| excluded.contains(id) || query.unresponsive.contains(id);
-        let is_candidate = |id: &KeeperId| *id != self.id && !is_excluded(id) && is_reachable(id);
+        let is_candidate =
+            |id: &KeeperId| *id != self.id && !excluded.contains(id) && is_reachable(id);
         query_order(&keepers, &self.id.zone, &self.topology).into_iter().find(is_candidate)
     }
 
