--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -92,7 +92,8 @@
     /// The software version that began the stream, which alone may continue it; `None` if the client has received no
     /// event yet.
     version: Option<SoftwareVersion>,
-    /// The versions at which no stream may begin yet; empty if the request is bound to a version or begins no stream.
+    /// The versions at which no stream may begin yet; empty if the request is bound to a version or begins no stream that may
+    /// be resumed.
     unrecorded_versions: Vec<SoftwareVersion>,
     /// The blamed part that this request tries, until its first run has been lost.
     tried_part: Cell<Option<RequestIdentity>>,
--- a/crates/gateway/src/dispatch/planning.rs
+++ b/crates/gateway/src/dispatch/planning.rs
@@ -15,7 +15,6 @@
 use pitchstall_serving::retry_budget::ArrivalCost;
 use pitchstall_serving::scheduler::choose_decode_runner_in_any_region;
 use pitchstall_serving::scheduling::Progress;
-use pitchstall_serving::stream_scope::StreamScope;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -116,28 +115,25 @@
         }
     }
 
-    /// A stream begins only at a version that is recorded, so that nodes which start later know of it. That holds for a
-    /// stream that may not be resumed too, since its route may become resumable.
+    /// A stream that may be resumed begins only at a version that is recorded, so that nodes which start later know of it.
     fn update_unrecorded_versions(&mut self) {
-        self.unrecorded_versions = match self.begun_scope() {
-            Some(scope) => version_record::unrecorded_versions(self.node, &scope),
-            None => Vec::new(),
+        self.unrecorded_versions = match self.begins_resumable_stream() {
+            true => version_record::unrecorded_versions(self.node, &self.service),
+            false => Vec::new(),
         };
     }
 
-    /// The scope of the stream that the request begins; `None` if it begins none.
-    fn begun_scope(&self) -> Option<StreamScope> {
-        let scope = StreamScope::of_route(self.route, &self.service);
-        scope.filter(|_| self.version.is_none())
+    fn begins_resumable_stream(&self) -> bool {
+        self.route.resumable && self.version.is_none()
     }
 
-    /// Whether the run may begin at a runner: its version is recorded, or the run begins no stream.
+    /// Whether the run may begin at a runner: its version is recorded, or the run begins no stream that may be resumed.
     pub(super) fn may_begin_at(&self, runner: &RunnerId) -> bool {
-        let Some(scope) = self.begun_scope() else { return true };
         let fleet = self.node.fleet.borrow();
         let version = fleet.get(runner).map(|runner| &runner.record.version);
         let record = self.node.version_record.borrow();
-        version.is_some_and(|version| record.may_begin(&scope, version))
+        !self.begins_resumable_stream()
+            || version.is_some_and(|version| record.may_begin(&self.service, version))
     }
 
     /// Whether no runner serves any more that may continue the stream.
--- a/crates/gateway/src/node/configuration.rs
+++ b/crates/gateway/src/node/configuration.rs
@@ -4,9 +4,6 @@
 use super::Node;
 use pitchstall_serving::configuration::{Configuration, EngineSpec};
 use pitchstall_serving::ids::ServiceName;
-use pitchstall_serving::stream_scope::{
-    recorded_scopes, resumable_routes, RoutePattern, StreamScope,
-};
 use pitchstall_serving::tenancy::{KeyPolicy, ReplicaAge};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -82,18 +79,6 @@
         routes.flat_map(|route| &route.shares).map(|share| share.service.clone()).collect()
     }
 
-    /// The routes whose streams may be resumed; none without a configuration.
-    pub fn resumable_routes(&self) -> BTreeSet<RoutePattern> {
-        let configuration = self.configuration();
-        configuration.as_deref().map(resumable_routes).unwrap_or_default()
-    }
-
-    /// The streams whose versions are recorded; none without a configuration.
-    pub fn recorded_scopes(&self) -> BTreeSet<StreamScope> {
-        let configuration = self.configuration();
-        configuration.as_deref().map(recorded_scopes).unwrap_or_default()
-    }
-
     /// The services that serve language models, each with its engine specification; empty without a
     /// configuration.
     pub fn engine_services(&self) -> Vec<(ServiceName, EngineSpec)> {
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -17,7 +17,6 @@
 use pitchstall_serving::stream_origin::{
     StreamOrigin, StreamOriginMessage, StreamOriginQuery, StreamOriginReply, StreamOrigins,
 };
-use pitchstall_serving::stream_scope::StreamTarget;
 use pitchstall_serving::version_view::only_origin;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -110,9 +109,9 @@
 pub fn on_fleet_changed(node: &Node) {
     let now_us = node.now_us();
     node.metrics.set_runners(node.fleet.borrow().versions());
-    let possible = version_record::possible_origins(node);
-    let mixed: BTreeSet<ServiceName> = match possible.len() > 1 {
-        true => possible.into_iter().map(|origin| origin.service).collect(),
+    let counted = version_record::counted_origins(node);
+    let mixed: BTreeSet<ServiceName> = match counted.len() > 1 {
+        true => counted.into_iter().map(|origin| origin.service).collect(),
         false => BTreeSet::new(),
     };
     let before = node.stream_origins.mixed_services.replace(mixed.clone());
@@ -182,7 +181,7 @@
     if route.kind != RequestKind::Streaming || !resumes {
         return StreamContinuation::Anywhere;
     }
-    let (continuation, replies) = find_origin(node, request, service).await;
+    let (continuation, replies) = find_origin(node, &stream_of(request), service).await;
     log_continuation(node, request, &continuation, &replies);
     node.metrics.on_stream_resumed_by_client(outcome_name(&continuation));
     continuation
@@ -190,19 +189,18 @@
 
 async fn find_origin(
     node: &Rc<Node>,
-    request: &ClientRequest,
+    stream: &StreamId,
     service: &ServiceName,
 ) -> (StreamContinuation, KeeperReplies) {
-    let stream = stream_of(request);
-    let known = match own_knowledge(node, &stream) {
+    let known = match own_knowledge(node, stream) {
         OwnKnowledge::Certain(continuation) => return (continuation, KeeperReplies::default()),
         OwnKnowledge::Began(origin) => Some(origin),
         OwnKnowledge::Nothing => None,
     };
-    let replies = query_keepers(node, &stream, service, known.as_ref()).await;
+    let replies = query_keepers(node, stream, service, known.as_ref()).await;
     let continuation = match remembered(known.as_ref(), &replies) {
         Some(continuation) => continuation,
-        None => at_only_origin(node, request, service, &replies.counted).await,
+        None => at_only_origin(node, service, &replies.counted).await,
     };
     (continuation, replies)
 }
@@ -244,7 +242,6 @@
 /// Where a stream may go on that no node remembers.
 async fn at_only_origin(
     node: &Rc<Node>,
-    request: &ClientRequest,
     service: &ServiceName,
     counted_by_keepers: &BTreeSet<StreamOrigin>,
 ) -> StreamContinuation {
@@ -255,15 +252,14 @@
     if counted.len() > 1 {
         return StreamContinuation::Unknown;
     }
-    let target = StreamTarget { host: &request.host, path: &request.path };
-    let recorded = version_record::read_origins(node, &target).await;
+    let recorded = version_record::read_origins(node).await;
     let only = recorded.and_then(|recorded| only_origin(&recorded, &counted));
     only.map_or(StreamContinuation::Unknown, StreamContinuation::AtOnlyVersion)
 }
 
-/// Whether a resumable stream may have begun at several origins.
+/// Whether resumable streams of several origins count.
 pub fn has_several_origins(node: &Node) -> bool {
-    version_record::possible_origins(node).len() > 1
+    version_record::counted_origins(node).len() > 1
 }
 
 /// What the keepers have replied, taken together.
--- a/crates/gateway/src/version_record.rs
+++ b/crates/gateway/src/version_record.rs
@@ -12,7 +12,6 @@
 use pitchstall_serving::store_replica::{StoreEntry, StoreUpdate, Subject};
 use pitchstall_serving::store_revision::StoreRevision;
 use pitchstall_serving::stream_origin::StreamOrigin;
-use pitchstall_serving::stream_scope::{StreamScope, StreamTarget};
 use pitchstall_serving::version_record::{recorded_origins, RecordChange, VersionEntry};
 use pitchstall_serving::version_view::RecordedOrigins;
 use rand::RngExt;
@@ -55,8 +54,8 @@
     let key = entry.key.clone();
     match parse(node, entry) {
         Some(version) => {
-            let VersionEntry { service, version: name, route, state, .. } = &version;
-            log::info!(target: "stream", service = service.as_str(), version = name.as_str(), route:?, state:?, revision = revision.to_string(); "version recorded");
+            let VersionEntry { service, version: name, state, .. } = &version;
+            log::info!(target: "stream", service = service.as_str(), version = name.as_str(), state:?, revision = revision.to_string(); "version recorded");
             node.version_record.borrow_mut().on_written(key, version, revision, node.now_us());
         }
         // An entry that cannot be used counts on as it was.
@@ -87,12 +86,12 @@
     }
 }
 
-/// The versions at which no stream of a scope may begin yet, though they have runners.
-pub fn unrecorded_versions(node: &Node, scope: &StreamScope) -> Vec<SoftwareVersion> {
+/// The versions of a service at which no stream may begin yet, though they have runners.
+pub fn unrecorded_versions(node: &Node, service: &ServiceName) -> Vec<SoftwareVersion> {
     let fleet = node.fleet.borrow();
     let record = node.version_record.borrow();
-    let present = fleet.versions().runners_by_version().filter(|it| *it.0 == scope.service);
-    let unrecorded = present.filter(|(_, version, _)| !record.may_begin(scope, version));
+    let present = fleet.versions().runners_by_version().filter(|it| it.0 == service);
+    let unrecorded = present.filter(|(service, version, _)| !record.may_begin(service, version));
     unrecorded.map(|(_, version, _)| version.clone()).collect()
 }
 
@@ -106,17 +105,6 @@
     origins
 }
 
-/// The origins for which a resumable stream that no node remembers may be refused: those of [`counted_origins`], and those of
-/// streams of other routes on paths that are resumable now. While there are several, keepers are told where streams began.
-pub fn possible_origins(node: &Node) -> BTreeSet<StreamOrigin> {
-    let mut origins = counted_origins(node);
-    let record = node.version_record.borrow();
-    if record.has_entry_of_one_route() {
-        origins.extend(record.origins_at_other_routes(&node.resumable_routes()));
-    }
-    origins
-}
-
 /// The origins of a service's streams by its runners: those of the versions that have any, or had any recently.
 pub fn counted_origins_of(node: &Node, service: &ServiceName) -> BTreeSet<StreamOrigin> {
     let now_us = node.now_us();
@@ -125,11 +113,10 @@
     versions.into_iter().map(origin).collect()
 }
 
-/// Reads from the store which origins are recorded for the streams of a target. `None` if the store does not respond in
-/// time.
-pub async fn read_origins(node: &Rc<Node>, target: &StreamTarget<'_>) -> Option<RecordedOrigins> {
+/// Reads from the store which origins are recorded. `None` if the store does not respond in time.
+pub async fn read_origins(node: &Rc<Node>) -> Option<RecordedOrigins> {
     let entries = timeout(MAX_READ_TIME, node.version_reads.read(node)).await.ok().flatten()?;
-    Some(recorded_origins(&entries, target, node.store_era()))
+    Some(recorded_origins(&entries, node.store_era()))
 }
 
 /// Whether the store has confirmed a moment ago that this node knows the present runners and entries.
@@ -172,10 +159,10 @@
     if !has_replica_of_current_era(node, Subject::Crashes) {
         return Vec::new();
     }
-    let scopes = node.recorded_scopes();
+    let services = node.services_with_resumable_streams();
     let mut fleet = node.fleet.borrow_mut();
     let mut record = node.version_record.borrow_mut();
-    record.due_puts(&scopes, fleet.versions_mut(), node.store_era(), node.now_us())
+    record.due_puts(&services, fleet.versions_mut(), node.store_era(), node.now_us())
 }
 
 /// One node ends entries, and only while it knows the present runners and entries.
@@ -183,10 +170,10 @@
     if node.authority.fence().is_none() || node.configuration().is_none() || !knows_present(node) {
         return Vec::new();
     }
-    let scopes = node.recorded_scopes();
+    let services = node.services_with_resumable_streams();
     let mut fleet = node.fleet.borrow_mut();
     let record = node.version_record.borrow();
-    record.due_ends(&scopes, fleet.versions_mut(), node.now_us())
+    record.due_ends(&services, fleet.versions_mut(), node.now_us())
 }
 
 fn write_delay(node: &Node) -> Duration {
@@ -218,6 +205,8 @@
     match change {
         RecordChange::Put(entries) => store::put_versions(entries),
         RecordChange::Retire(entry, revision) => store::replace_version(entry, revision.number()),
-        RecordChange::Remove(entry, revision) => store::remove_version(entry, revision.number()),
+        RecordChange::Remove(service, version, revision) => {
+            store::remove_version(service, version, revision.number())
+        }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -121,7 +121,6 @@
 pub mod store_revision;
 pub mod stream_origin;
 pub mod stream_origin_handover;
-pub mod stream_scope;
 pub mod suspicion;
 pub mod tenancy;
 pub mod topology;
--- a/crates/serving/src/version_record.rs
+++ b/crates/serving/src/version_record.rs
@@ -8,7 +8,6 @@
 use crate::ids::{ServiceName, SoftwareVersion};
 use crate::store_revision::{StoreEra, StoreRevision};
 use crate::stream_origin::StreamOrigin;
-use crate::stream_scope::{RoutePattern, StreamScope, StreamTarget};
 use crate::version_view::RecordedOrigins;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -43,9 +42,6 @@
     pub service: ServiceName,
     /// Software version of these runners.
     pub version: SoftwareVersion,
-    /// The only route whose streams may begin by this entry; `None`: those of any route.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub route: Option<RoutePattern>,
     /// Whether streams may begin at it.
     pub state: VersionState,
     /// Era of the store in which the entry was written; unknown if the store reports none.
@@ -58,53 +54,26 @@
     pub fn origin(&self) -> StreamOrigin {
         StreamOrigin { service: self.service.clone(), version: self.version.clone() }
     }
-
-    /// The streams that may begin by this entry.
-    pub fn scope(&self) -> StreamScope {
-        StreamScope { service: self.service.clone(), route: self.route.clone() }
-    }
-
-    /// Name of the entry, which is a digest, since the names of services and versions may be long or hold any characters.
-    pub fn name(&self) -> String {
-        let mut digest = Sha256::new();
-        if let Some(RoutePattern { host, prefix }) = &self.route {
-            // No name of a service is so long.
-            digest.update(u64::MAX.to_be_bytes());
-            update_with_length(&mut digest, host);
-            update_with_length(&mut digest, prefix);
-        }
-        update_with_length(&mut digest, self.service.as_str());
-        digest.update(self.version.as_str());
-        digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
-    }
-
-    fn is_of(&self, scope: &StreamScope) -> bool {
-        self.service == scope.service && self.route == scope.route
-    }
-
-    fn may_have_begun(&self, target: &StreamTarget) -> bool {
-        self.route.as_ref().is_none_or(|route| route.matches(target))
-    }
 }
 
-fn update_with_length(digest: &mut Sha256, text: &str) {
-    digest.update((text.len() as u64).to_be_bytes());
-    digest.update(text);
+/// Name of the entry of a version, which is a digest, since the names of services and versions may be long or hold any
+/// characters.
+pub fn entry_name(service: &ServiceName, version: &SoftwareVersion) -> String {
+    let mut digest = Sha256::new();
+    digest.update((service.as_str().len() as u64).to_be_bytes());
+    digest.update(service.as_str());
+    digest.update(version.as_str());
+    digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// The origins that the entries name for the streams of a target, read while the store was in `era`.
-pub fn recorded_origins(
-    entries: &[VersionEntry],
-    target: &StreamTarget,
-    era: StoreEra,
-) -> RecordedOrigins {
+/// The origins that the entries name, read while the store was in `era`.
+pub fn recorded_origins(entries: &[VersionEntry], era: StoreEra) -> RecordedOrigins {
     let services: BTreeSet<&ServiceName> = entries.iter().map(|entry| &entry.service).collect();
     let is_complete = |service: &ServiceName| {
         is_complete(entries.iter().filter(|entry| entry.service == *service), era)
     };
-    let of_target = entries.iter().filter(|entry| entry.may_have_begun(target));
     RecordedOrigins {
-        origins: of_target.map(VersionEntry::origin).collect(),
+        origins: entries.iter().map(VersionEntry::origin).collect(),
         is_complete: services.into_iter().all(is_complete),
     }
 }
@@ -133,8 +102,8 @@
     Put(Vec<VersionEntry>),
     /// Replace an entry, provided that it is still at this revision.
     Retire(VersionEntry, StoreRevision),
-    /// Remove an entry, provided that it is still at this revision.
-    Remove(VersionEntry, StoreRevision),
+    /// Remove the entry of a version, provided that it is still at this revision.
+    Remove(ServiceName, SoftwareVersion, StoreRevision),
 }
 
 /// The record as a node has read it.
@@ -181,52 +150,28 @@
         self.entries.remove(key);
     }
 
-    /// All versions that have an entry of a scope.
-    pub fn versions(&self, scope: &StreamScope) -> BTreeSet<SoftwareVersion> {
-        let entries = self.entries.values().map(|it| &it.entry);
-        entries.filter(|entry| entry.is_of(scope)).map(|entry| entry.version.clone()).collect()
+    /// All versions of a service that have an entry.
+    pub fn versions(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
+        self.of_service(service).map(|it| it.entry.version.clone()).collect()
     }
 
-    /// The service and version of each entry that counts for the streams of any route.
+    /// The service and version of each entry.
     pub fn origins(&self) -> BTreeSet<StreamOrigin> {
-        let entries = self.entries.values().map(|it| &it.entry);
-        entries.filter(|entry| entry.route.is_none()).map(VersionEntry::origin).collect()
-    }
-
-    /// Whether some entry names a route.
-    pub fn has_entry_of_one_route(&self) -> bool {
-        self.entries.values().any(|it| it.entry.route.is_some())
-    }
-
-    /// The service and version of each entry that names a route and counts for some streams of these routes.
-    pub fn origins_at_other_routes(
-        &self,
-        routes: &BTreeSet<RoutePattern>,
-    ) -> BTreeSet<StreamOrigin> {
-        let counts = |entry: &&VersionEntry| {
-            let named = entry.route.as_ref();
-            named.is_some_and(|named| routes.iter().any(|route| route.overlaps(named)))
-        };
-        let entries = self.entries.values().map(|it| &it.entry);
-        entries.filter(counts).map(VersionEntry::origin).collect()
+        self.entries.values().map(|it| it.entry.origin()).collect()
     }
 
-    /// Whether the streams of a scope may begin at a version.
-    pub fn may_begin(&self, scope: &StreamScope, version: &SoftwareVersion) -> bool {
-        let is_serving = |entry: &VersionEntry| {
-            entry.version == *version && entry.state == VersionState::Serving
-        };
-        let includes_scope = |entry: &VersionEntry| entry.route.is_none() || entry.is_of(scope);
-        let mut entries = self.of_service(&scope.service).map(|it| &it.entry);
-        entries.any(|entry| is_serving(entry) && includes_scope(entry))
+    /// Whether streams may begin at a version.
+    pub fn may_begin(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let found = self.find(service, version);
+        found.is_some_and(|it| it.entry.state == VersionState::Serving)
     }
 
-    /// The entries to write so that streams may begin at all versions that have runners, for each of these scopes, while the
+    /// The entries to write so that streams may begin at all versions that have runners, for each of these services, while the
     /// store is in `era`. Entries of earlier eras are written again by a node that knows all versions that count. Another
     /// one leaves the era of the record unchanged, so that no node considers the record complete.
     pub fn due_puts(
         &mut self,
-        scopes: &BTreeSet<StreamScope>,
+        services: &BTreeSet<ServiceName>,
         history: &mut VersionHistory,
         era: StoreEra,
         now_us: u64,
@@ -234,42 +179,28 @@
         if self.era != Some(era) {
             return Vec::new();
         }
-        self.restart_watch(scopes, history, now_us);
-        let services: BTreeSet<&ServiceName> = scopes.iter().map(|scope| &scope.service).collect();
+        self.restart_watch(services, history, now_us);
         let put = |service: &ServiceName| {
             let knows_all =
                 self.is_complete(service, era) || now_us >= self.watched_since_us + MAX_INTEREST_US;
             let latest_era = self.of_service(service).map(|it| it.entry.era).max();
             let era = if knows_all { era } else { latest_era.unwrap_or(era) };
             let counted = history.counted(service, now_us);
-            let of_service = scopes.iter().filter(|scope| scope.service == *service);
-            let entries =
-                of_service.flat_map(|scope| self.entries_of(scope, &counted, history, era));
-            let entries: Vec<VersionEntry> = entries.filter(|entry| self.lacks(entry)).collect();
+            let all: BTreeSet<SoftwareVersion> =
+                counted.into_iter().chain(self.versions(service)).collect();
+            let entries = all.into_iter().filter_map(|version| {
+                let state = match history.has_runner(service, &version) {
+                    true => VersionState::Serving,
+                    false => VersionState::Retiring,
+                };
+                let is_due = self.lacks(service, &version, state, era);
+                let service = service.clone();
+                is_due.then_some(VersionEntry { service, version, state, era })
+            });
+            let entries: Vec<VersionEntry> = entries.collect();
             (!entries.is_empty()).then_some(RecordChange::Put(entries))
         };
-        services.into_iter().filter_map(put).collect()
-    }
-
-    /// The entries of a scope as they should be, for the versions that have one and those that are `counted`.
-    fn entries_of(
-        &self,
-        scope: &StreamScope,
-        counted: &BTreeSet<SoftwareVersion>,
-        history: &VersionHistory,
-        era: StoreEra,
-    ) -> Vec<VersionEntry> {
-        let all = self.versions(scope).into_iter().chain(counted.iter().cloned());
-        let all: BTreeSet<SoftwareVersion> = all.collect();
-        let entry = |version| {
-            let StreamScope { service, route } = scope.clone();
-            let state = match history.has_runner(&service, &version) {
-                true => VersionState::Serving,
-                false => VersionState::Retiring,
-            };
-            VersionEntry { service, version, route, state, era }
-        };
-        all.into_iter().map(entry).collect()
+        services.iter().filter_map(put).collect()
     }
 
     fn is_complete(&self, service: &ServiceName, era: StoreEra) -> bool {
@@ -280,33 +211,37 @@
     /// streams there until now.
     fn restart_watch(
         &mut self,
-        scopes: &BTreeSet<StreamScope>,
+        services: &BTreeSet<ServiceName>,
         history: &VersionHistory,
         now_us: u64,
     ) {
         let is_unrecorded = |(service, version, _): (&ServiceName, &SoftwareVersion, usize)| {
-            let mut of_service = scopes.iter().filter(|scope| scope.service == *service);
-            of_service.any(|scope| self.find(scope, version).is_none())
+            services.contains(service) && self.find(service, version).is_none()
         };
         if history.runners_by_version().any(is_unrecorded) {
             self.watched_since_us = now_us;
         }
     }
 
-    /// Whether an entry has to be written. One that becomes `Retiring` in its own era is replaced under a condition
-    /// instead.
-    fn lacks(&self, wanted: &VersionEntry) -> bool {
-        let Some(known) = self.find(&wanted.scope(), &wanted.version) else { return true };
-        let is_changed = wanted.state == VersionState::Serving && known.entry.state != wanted.state;
-        known.entry.era != wanted.era || is_changed
+    /// Whether the entry of a version has to be written. An entry that becomes `Retiring` in its own era is replaced under
+    /// a condition instead.
+    fn lacks(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        state: VersionState,
+        era: StoreEra,
+    ) -> bool {
+        let Some(Recorded { entry, .. }) = self.find(service, version) else { return true };
+        entry.era != era || (state == VersionState::Serving && entry.state != state)
     }
 
     /// The entries to retire, and those whose versions have had no runner for long enough to be removed.
-    /// The caller knows the present list of runners, and `scopes` are those in which streams may begin. The entries of
-    /// another scope are retired whatever runners there are, and removed after the runners have gone.
+    /// The caller knows the present list of runners, and `services` are those whose streams may be resumed. The entries of
+    /// another service are retired whatever runners it has, and removed after its runners have gone.
     pub fn due_ends(
         &self,
-        scopes: &BTreeSet<StreamScope>,
+        services: &BTreeSet<ServiceName>,
         history: &mut VersionHistory,
         now_us: u64,
     ) -> Vec<RecordChange> {
@@ -314,7 +249,7 @@
             let Recorded { entry, revision, read_at_us } = recorded;
             let VersionEntry { service, version, .. } = entry;
             let has_runner = history.has_runner(service, version);
-            if has_runner && scopes.contains(&entry.scope()) {
+            if has_runner && services.contains(service) {
                 return None;
             }
             let gone_at_us = history.gone_since_us(service, version, now_us);
@@ -331,7 +266,7 @@
                 VersionState::Retiring
                     if now_us >= since_us + MAX_INTEREST_US + MAX_CONFIRMATION_AGE_US =>
                 {
-                    Some(RecordChange::Remove(entry.clone(), *revision))
+                    Some(RecordChange::Remove(service.clone(), version.clone(), *revision))
                 }
                 VersionState::Serving | VersionState::Retiring => None,
             }
@@ -343,8 +278,9 @@
         self.entries.values().filter(move |it| it.entry.service == *service)
     }
 
-    fn find(&self, scope: &StreamScope, version: &SoftwareVersion) -> Option<&Recorded> {
-        let is_wanted = |it: &&Recorded| it.entry.is_of(scope) && it.entry.version == *version;
+    fn find(&self, service: &ServiceName, version: &SoftwareVersion) -> Option<&Recorded> {
+        let is_wanted =
+            |it: &&Recorded| it.entry.service == *service && it.entry.version == *version;
         self.entries.values().find(is_wanted)
     }
 }
