--- a/crates/gateway/tests/unrecorded_versions.rs
+++ b/crates/gateway/tests/unrecorded_versions.rs
@@ -45,6 +45,13 @@
     RunnerStandIn::start(id, script).unwrap()
 }
 
+fn add_prefill_runner(node: &Fixture, runner: &RunnerStandIn) {
+    let mut entry = runner_entry(runner, "llm", "north", "ready");
+    entry["stage"] = "prefill".into();
+    entry["version"] = "v1".into();
+    node.store.put("servers/i-prefill", &entry);
+}
+
 fn prompt(part: &str) -> String {
     format!("X-Pitchstall-Prefix-Hash: {part}:4000\r\nX-Pitchstall-Token-Count: 4000,100\r\n")
 }
@@ -55,10 +62,7 @@
     let (old, new) = (decode_runner("i-old", "v1"), decode_runner("i-new", "v2"));
     let node = start_node();
     node.add_runner_of_version(&old, "v1");
-    let mut entry = runner_entry(&prefill_runner, "llm", "north", "ready");
-    entry["stage"] = "prefill".into();
-    entry["version"] = "v1".into();
-    node.store.put("servers/i-prefill", &entry);
+    add_prefill_runner(&node, &prefill_runner);
     node.wait_until_ready();
     wait_for("streams to begin", || stream(&node, "first", &prompt("aa")).status == 200);
     let prefills = || prefill_runner.requests().iter().filter(|it| is_prefill(it)).count();
@@ -146,10 +150,7 @@
     let node = start_node();
     node.store.put("op/config", &summary_at(4, "llm", is_resumable));
     node.add_runner_of_version(&decode, "v1");
-    let mut entry = runner_entry(&prefill_runner, "llm", "north", "ready");
-    entry["stage"] = "prefill".into();
-    entry["version"] = "v1".into();
-    node.store.put("servers/i-prefill", &entry);
+    add_prefill_runner(&node, &prefill_runner);
     node.wait_until_ready();
     wait_for("streams to begin", || stream(&node, "first", &prompt("aa")).status == 200);
     std::thread::sleep(AGE_OF_ENTRY);
