--- /dev/null
+++ b/review/harness-2/src/main.rs
@@ -0,0 +1,31 @@
+//! Drivers of the second review's scripts: one case each, with its stand-ins.
+
+mod client;
+mod common;
+mod reborn;
+mod runner;
+mod torn;
+
+use common::Record;
+use std::path::PathBuf;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let case = arguments.first().map(String::as_str).unwrap_or_default();
+    if case == "runner" {
+        return runner::run(&arguments[1..]);
+    }
+    let folder = PathBuf::from(arguments.get(1).cloned().unwrap_or_else(|| ".".to_owned()));
+    let record = Record::create(&folder.join("record.txt"));
+    let run = || match case {
+        "torn" => torn::run(&record),
+        "reborn" => reborn::run(&record),
+        _ => common::cannot_run("unknown case"),
+    };
+    // The stack is unwound, so that the processes that the case has started are ended.
+    let Ok(is_broken) = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)) else {
+        std::process::exit(2)
+    };
+    record.write(if is_broken { "the rule is broken" } else { "the rule held" });
+    std::process::exit(i32::from(is_broken));
+}
--- /dev/null
+++ b/review/harness-2/src/runner.rs
@@ -0,0 +1,208 @@
+//! A runner as a process of its own. `SCRIPT` says how it answers.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Requests that a plain runner works on at a time; it rejects what exceeds them.
+const SLOTS: usize = 2;
+/// Time that a plain request takes.
+const WORK: Duration = Duration::from_millis(60);
+/// One of this many answers of a faulty runner is spoiled: x = 0.02.
+const ANSWERS_PER_SPOILED: usize = 50;
+
+#[derive(Default)]
+struct Runner {
+    id: String,
+    born: u64,
+    script: String,
+    running: AtomicUsize,
+    answers: AtomicUsize,
+    spoiled: AtomicUsize,
+}
+
+/// What a connection remembers: the head of the last rejection on it, as far as it is repeated.
+#[derive(Default)]
+struct Memory {
+    torn_rejection: Option<String>,
+}
+
+struct Request {
+    method: String,
+    target: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Request {
+    fn header(&self, name: &str) -> &str {
+        self.headers.iter().find(|(key, _)| key == name).map_or("", |(_, value)| value)
+    }
+}
+
+pub fn run(arguments: &[String]) {
+    let [id, address, born, script] = arguments else { std::process::exit(2) };
+    let address: SocketAddr = address.parse().unwrap();
+    let (id, born, script) = (id.clone(), born.parse().unwrap(), script.clone());
+    let runner = Arc::new(Runner { id, born, script, ..Runner::default() });
+    let listener = TcpListener::bind(address).unwrap();
+    for stream in listener.incoming().flatten() {
+        let runner = runner.clone();
+        std::thread::spawn(move || runner.serve(stream));
+    }
+}
+
+impl Runner {
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut memory = Memory::default();
+        while let Some(request) = read_request(&mut stream) {
+            if !self.answer(&mut stream, &request, &mut memory) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; returns whether the connection stays open.
+    fn answer(&self, stream: &mut TcpStream, request: &Request, memory: &mut Memory) -> bool {
+        let expected = request.header("x-pitchstall-expect-instance");
+        if !expected.is_empty() && expected != self.id {
+            return self.write(stream, request, 421, "x-pitchstall-not-executed: 1\r\n", "");
+        }
+        match (request.method.as_str(), request.target.as_str()) {
+            ("GET", "/health") => self.write(stream, request, 200, "", "{}"),
+            ("GET", "/v1/report") => {
+                let report = format!(
+                    "{{\"stage\":\"decode\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":90000,\"handles\":0,\"born\":{}}}",
+                    self.born
+                );
+                println!("asked for its state: 200, born {}", self.born);
+                self.write(stream, request, 200, "content-type: application/json\r\n", &report)
+            }
+            ("GET", target) if target.starts_with("/v1/kv-list") => {
+                let list = format!(
+                    "{{\"epoch\":\"e{0}\",\"next_token\":0,\"held\":[],\"born\":{0}}}",
+                    self.born
+                );
+                self.write(stream, request, 200, "content-type: application/json\r\n", &list)
+            }
+            _ if self.script.starts_with("plain") => self.run_plain(stream, request, memory),
+            _ => self.run(stream, request),
+        }
+    }
+
+    fn run(&self, stream: &mut TcpStream, request: &Request) -> bool {
+        let id = request.header("x-pitchstall-request-id").to_owned();
+        println!("runs {id} ({} {})", request.method, request.target);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Pitchstall-Request-Id: {id}\r\nX-Pitchstall-Server-Stamp: s-{}-{}\r\n",
+            self.id, self.born
+        );
+        match self.script.split(':').next().unwrap_or_default() {
+            // A stream without a length, which finishes with its connection.
+            "unframed-stream" => {
+                let _ = write!(
+                    stream,
+                    "{head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                );
+                for event in 1..=6 {
+                    std::thread::sleep(Duration::from_millis(250));
+                    if write!(stream, "id: {event}\ndata: piece {event} of 6\n\n").is_err() {
+                        println!("{id}: its connection is closed");
+                        return false;
+                    }
+                    println!("{id}: piece {event} of 6 sent");
+                }
+                println!("{id}: run ends, whole");
+                false
+            }
+            other => panic!("unknown script {other}"),
+        }
+    }
+
+    /// Runs a plain request, or rejects it while all slots are taken. A faulty runner sends more after a whole answer: a
+    /// part of its last rejection comes late, in the place where the next answer is due.
+    fn run_plain(&self, stream: &mut TcpStream, request: &Request, memory: &mut Memory) -> bool {
+        let id = request.header("x-pitchstall-request-id").to_owned();
+        let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+        let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
+        let load = format!("X-Pitchstall-Load-Report: {},0,{SLOTS}", running.min(SLOTS));
+        if running > SLOTS {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            println!("rejects {id}: 503, not executed");
+            let head = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Pitchstall-Request-Id: {id}\r\nX-Pitchstall-Not-Executed: 1\r\n{load}"
+            );
+            memory.torn_rejection = Some(head.clone());
+            return write!(stream, "{head}\r\nContent-Length: 0\r\n\r\n").is_ok();
+        }
+        println!("runs {id} ({} {})", request.method, request.target);
+        let is_spoiled = self.script == "plain:torn-surplus"
+            && answers >= (self.spoiled.load(Ordering::SeqCst) + 1) * ANSWERS_PER_SPOILED;
+        if let Some(torn) = memory.torn_rejection.take().filter(|_| is_spoiled) {
+            self.spoiled.fetch_add(1, Ordering::SeqCst);
+            println!("{id}: a part of its last rejection comes late: {torn:?}");
+            let _ = stream.write_all(torn.as_bytes());
+        }
+        std::thread::sleep(WORK);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        let body = format!("answer to {id}");
+        println!("{id}: run ends, 200");
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nX-Pitchstall-Request-Id: {id}\r\nX-Pitchstall-Server-Stamp: s-{}-{}\r\n{load}\r\nContent-Length: {}\r\n\r\n{body}",
+            self.id,
+            self.born,
+            body.len()
+        )
+        .is_ok()
+    }
+
+    fn write(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        status: u16,
+        headers: &str,
+        body: &str,
+    ) -> bool {
+        let id = request.header("x-pitchstall-request-id");
+        let id = if id.is_empty() {
+            String::new()
+        } else {
+            format!("X-Pitchstall-Request-Id: {id}\r\n")
+        };
+        write!(
+            stream,
+            "HTTP/1.1 {status} Status\r\n{id}X-Pitchstall-Instance-Id: {}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            self.id,
+            body.len()
+        )
+        .is_ok()
+    }
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<Request> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let mut lines = text.lines();
+    let mut words = lines.next()?.split(' ');
+    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let request = Request { method, target, headers };
+    let length = request.header("content-length").parse().unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(request)
+}
