--- a/review/harness-2/src/reborn.rs
+++ b/review/harness-2/src/reborn.rs
@@ -58,8 +58,13 @@
         self.runner.process.kill();
         record.write("its process is killed behind the cut");
         sleep_ms(300);
+        // For comparison: with a new id, nodes are told so by 421.
+        if std::env::var("NEW_ID").as_deref() == Ok("1") {
+            store.remove(&format!("servers/{}", self.id));
+            self.id.push('n');
+        }
         self.runner = start_runner(record, &self.id, self.address, SCRIPT);
-        record.write(&format!("it starts again under its former id, born {}", self.runner.born));
+        record.write(&format!("it starts again as {}, born {}", self.id, self.runner.born));
         sleep_ms(CUT_MS - 650);
         self.write_entry(store);
         record.write("its entry in the store names the new start");
--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -23,10 +23,11 @@
     spoiled: AtomicUsize,
 }
 
-/// What a connection remembers: the head of the last rejection on it, as far as it is repeated.
+/// The beginnings of the last rejection and of the last answer on a connection, which a faulty runner sends again.
 #[derive(Default)]
 struct Memory {
-    torn_rejection: Option<String>,
+    rejection: Option<String>,
+    answer: Option<String>,
 }
 
 struct Request {
@@ -121,42 +122,49 @@
         }
     }
 
-    /// Runs a plain request, or rejects it while all slots are taken. A faulty runner sends more after a whole answer: a
-    /// part of its last rejection comes late, in the place where the next answer is due.
+    /// Runs a plain request, or rejects it while all slots are taken. A faulty runner sends more after a whole answer: the
+    /// beginning of an earlier answer on the connection comes late, in the place where the next answer is due.
     fn run_plain(&self, stream: &mut TcpStream, request: &Request, memory: &mut Memory) -> bool {
         let id = request.header("x-pitchstall-request-id").to_owned();
         let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
-        let load = format!("X-Pitchstall-Load-Report: {},0,{SLOTS}", running.min(SLOTS));
-        if running > SLOTS {
+        let is_full = running > SLOTS;
+        if is_full {
             self.running.fetch_sub(1, Ordering::SeqCst);
             println!("rejects {id}: 503, not executed");
-            let head = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nX-Pitchstall-Request-Id: {id}\r\nX-Pitchstall-Not-Executed: 1\r\n{load}"
-            );
-            memory.torn_rejection = Some(head.clone());
-            return write!(stream, "{head}\r\nContent-Length: 0\r\n\r\n").is_ok();
+        } else {
+            println!("runs {id} ({} {})", request.method, request.target);
         }
-        println!("runs {id} ({} {})", request.method, request.target);
+        // The beginning of a rejection comes before an answer, and that of an answer before a rejection.
+        let earlier = if is_full { &mut memory.answer } else { &mut memory.rejection };
         let is_spoiled = self.script == "plain:torn-surplus"
+            && earlier.is_some()
             && answers >= (self.spoiled.load(Ordering::SeqCst) + 1) * ANSWERS_PER_SPOILED;
-        if let Some(torn) = memory.torn_rejection.take().filter(|_| is_spoiled) {
+        if let Some(torn) = earlier.take_if(|_| is_spoiled) {
             self.spoiled.fetch_add(1, Ordering::SeqCst);
-            println!("{id}: a part of its last rejection comes late: {torn:?}");
+            println!("{id}: the beginning of an earlier answer comes late: {torn:?}");
             let _ = stream.write_all(torn.as_bytes());
         }
+        let load = format!("X-Pitchstall-Load-Report: {},0,{SLOTS}", running.min(SLOTS));
+        if is_full {
+            let head = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Pitchstall-Request-Id: {id}\r\n\
+                 X-Pitchstall-Not-Executed: 1\r\n{load}"
+            );
+            memory.rejection = Some(head.clone());
+            return write!(stream, "{head}\r\nContent-Length: 0\r\n\r\n").is_ok();
+        }
         std::thread::sleep(WORK);
         self.running.fetch_sub(1, Ordering::SeqCst);
-        let body = format!("answer to {id}");
         println!("{id}: run ends, 200");
-        write!(
-            stream,
-            "HTTP/1.1 200 OK\r\nX-Pitchstall-Request-Id: {id}\r\nX-Pitchstall-Server-Stamp: s-{}-{}\r\n{load}\r\nContent-Length: {}\r\n\r\n{body}",
-            self.id,
-            self.born,
-            body.len()
-        )
-        .is_ok()
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Pitchstall-Request-Id: {id}\r\n\
+             X-Pitchstall-Server-Stamp: s-{}-{}\r\n{load}",
+            self.id, self.born
+        );
+        memory.answer = Some(head.clone());
+        let body = format!("answer to {id}");
+        write!(stream, "{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).is_ok()
     }
 
     fn write(
--- a/review/harness-2/src/torn.rs
+++ b/review/harness-2/src/torn.rs
@@ -75,17 +75,32 @@
         }
     }
     // The status 503 promises that a request has not run and never will.
-    let is_refused =
-        |id: &&String| !record.lines_with(&format!("client has 503 for {id}")).is_empty();
-    let refused: Vec<_> = runs.keys().filter(is_refused).cloned().collect();
+    let answered = |status: u16, id: &str| {
+        record.lines_with(&format!("client has {status} for {id} ")).first().cloned()
+    };
+    let refused: Vec<_> = runs.keys().filter(|id| answered(503, id).is_some()).cloned().collect();
     let twice: Vec<_> =
         runs.iter().filter(|(_, count)| **count > 1).map(|(id, _)| id.clone()).collect();
+    // A success belongs to a request that a runner has run, and comes with the body of that run.
+    let successes = record.lines_with("client has 200 for ");
+    let ids = successes.iter().filter_map(|line| {
+        let id = line.split(' ').nth(4)?;
+        let is_right = runs.contains_key(id) && line.ends_with(&format!("answer to {id}"));
+        (!is_right).then(|| id.to_owned())
+    });
+    let mixed: Vec<String> = ids.collect();
     let spoiled = record.lines_with("comes late").len();
     let rejected = record.lines_with("rejects ").len();
-    record.write(&format!("{} requests ran, {rejected} rejections, {spoiled} answers spoiled, run twice: {twice:?}, ran and answered 503: {refused:?}", runs.len()));
+    record.write(&format!(
+        "{} requests ran, {rejected} rejections, {spoiled} answers spoiled",
+        runs.len()
+    ));
+    record.write(&format!("ran and answered 503 (REFUSED): {refused:?}"));
+    record.write(&format!("ran twice (TWICE): {twice:?}"));
+    record.write(&format!("answered 200 though not run, or with another body (MIXED): {mixed:?}"));
     drop(runners);
     if has_trouble() && spoiled == 0 {
         crate::common::cannot_run("no answer was spoiled");
     }
-    !twice.is_empty() || !refused.is_empty()
+    !twice.is_empty() || !refused.is_empty() || !mixed.is_empty()
 }
