--- a/review/harness-2/src/common.rs
+++ b/review/harness-2/src/common.rs
@@ -17,20 +17,38 @@
 pub struct Record {
     file: Arc<Mutex<File>>,
     lines: Arc<Mutex<Vec<String>>>,
+    times: Arc<Mutex<Vec<u128>>>,
     started: Instant,
 }
 
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { file: Arc::new(Mutex::new(file)), lines: Arc::default(), started: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            lines: Arc::default(),
+            times: Arc::default(),
+            started: Instant::now(),
+        }
     }
 
     pub fn write(&self, line: &str) {
-        let ms = self.started.elapsed().as_millis();
+        let ms = self.now_ms();
         let _ = writeln!(self.file.lock().unwrap(), "{ms:>6} ms  {line}");
         println!("{ms:>6} ms  {line}");
-        self.lines.lock().unwrap().push(line.to_owned());
+        let (mut times, mut lines) = (self.times.lock().unwrap(), self.lines.lock().unwrap());
+        times.push(ms);
+        lines.push(line.to_owned());
+    }
+
+    pub fn now_ms(&self) -> u128 {
+        self.started.elapsed().as_millis()
+    }
+
+    /// When the first line that contains a text was written, in milliseconds.
+    pub fn time_of(&self, text: &str) -> Option<u128> {
+        let (times, lines) = (self.times.lock().unwrap(), self.lines.lock().unwrap());
+        lines.iter().position(|line| line.contains(text)).map(|index| times[index])
     }
 
     /// Lines that contain a text.
@@ -156,12 +174,22 @@
     pub born: u64,
 }
 
+impl Runner {
+    /// Tells the runner something on its standard input.
+    pub fn tell(&mut self, word: &str) {
+        if let Some(input) = &mut self.process.0.stdin {
+            let _ = writeln!(input, "{word}");
+        }
+    }
+}
+
 /// Starts a runner at a port. What it runs is written to the record.
 pub fn start_runner(record: &Record, id: &str, address: SocketAddr, script: &str) -> Runner {
     let born = unix_ms();
     let program = std::env::current_exe().unwrap();
     let mut child = Command::new(program)
         .args(["runner", id, &address.to_string(), &born.to_string(), script])
+        .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()
         .unwrap_or_else(|error| cannot_run(&format!("the runner cannot be started: {error}")));
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod common;
+mod overlap;
 mod reborn;
 mod runner;
 mod torn;
@@ -19,6 +20,7 @@
     let record = Record::create(&folder.join("record.txt"));
     let run = || match case {
         "torn" => torn::run(&record),
+        "overlap" => overlap::run(&record),
         "reborn" => reborn::run(&record),
         _ => common::cannot_run("unknown case"),
     };
--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -2,14 +2,19 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Requests that a plain runner works on at a time; it rejects what exceeds them.
 const SLOTS: usize = 2;
 /// Time that a plain request takes.
 const WORK: Duration = Duration::from_millis(60);
+/// Time between two looks at a flag or a connection.
+const POLL: Duration = Duration::from_millis(2);
+/// Time that an event takes, which carries several tokens, and how many times as long at a slow runner.
+const EVENT: Duration = Duration::from_millis(500);
+const SLOW_FACTOR: u32 = 8;
 /// One of this many answers of a faulty runner is spoiled: x = 0.02.
 const ANSWERS_PER_SPOILED: usize = 50;
 
@@ -21,6 +26,10 @@
     running: AtomicUsize,
     answers: AtomicUsize,
     spoiled: AtomicUsize,
+    /// Whether it works slowly.
+    is_slow: AtomicBool,
+    /// Whether its queue is so long that it takes no more connections.
+    is_full: AtomicBool,
 }
 
 /// The beginnings of the last rejection and of the last answer on a connection, which a faulty runner sends again.
@@ -48,13 +57,72 @@
     let (id, born, script) = (id.clone(), born.parse().unwrap(), script.clone());
     let runner = Arc::new(Runner { id, born, script, ..Runner::default() });
     let listener = TcpListener::bind(address).unwrap();
-    for stream in listener.incoming().flatten() {
+    listener.set_nonblocking(true).unwrap();
+    let obeying = runner.clone();
+    std::thread::spawn(move || obeying.obey());
+    // While it takes no more connections, the port resets them.
+    while !runner.is_full.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(POLL);
+            continue;
+        };
+        let _ = stream.set_nonblocking(false);
         let runner = runner.clone();
         std::thread::spawn(move || runner.serve(stream));
     }
+    drop(listener);
+    println!("takes no more connections");
+    loop {
+        std::thread::sleep(Duration::from_secs(1));
+    }
 }
 
 impl Runner {
+    /// Does what the driver says on standard input.
+    fn obey(&self) {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            match line.as_str() {
+                "slow" => self.is_slow.store(true, Ordering::SeqCst),
+                "full" => self.is_full.store(true, Ordering::SeqCst),
+                _ => {}
+            }
+            println!("is now {line}");
+        }
+    }
+
+    /// Runs a stream of six events. The run starts with its first token; an event carries several tokens and is sent once
+    /// they are made, the head with the first one. The request is dropped once its connection closes.
+    fn run_tokens(&self, stream: &mut TcpStream, id: &str, first: u64, head: &str) -> bool {
+        println!("{id}: run starts, first token");
+        let head =
+            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let mut is_head_sent = false;
+        for event in first..=6 {
+            let until = Instant::now() + EVENT;
+            let mut until_slow = None;
+            while Instant::now() < until_slow.unwrap_or(until) {
+                if self.is_slow.load(Ordering::SeqCst) {
+                    until_slow.get_or_insert(until + EVENT * (SLOW_FACTOR - 1));
+                }
+                if is_closed(stream) {
+                    println!("{id}: run ends, its connection is closed");
+                    return false;
+                }
+                std::thread::sleep(POLL);
+            }
+            let text = format!("id: {event}\ndata: piece {event} of 6\n\n");
+            let head = if is_head_sent { "" } else { head.as_str() };
+            is_head_sent = true;
+            if write!(stream, "{head}{:x}\r\n{text}\r\n", text.len()).is_err() {
+                println!("{id}: run ends, its connection is closed");
+                return false;
+            }
+            println!("{id}: piece {event} of 6 sent");
+        }
+        println!("{id}: run ends, whole");
+        write!(stream, "0\r\n\r\n").is_ok()
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut memory = Memory::default();
@@ -118,6 +186,10 @@
                 println!("{id}: run ends, whole");
                 false
             }
+            "tokens" => {
+                let after: Option<u64> = request.header("last-event-id").parse().ok();
+                self.run_tokens(stream, &id, after.unwrap_or(0) + 1, &head)
+            }
             other => panic!("unknown script {other}"),
         }
     }
@@ -214,3 +286,14 @@
     stream.read_exact(&mut body).ok()?;
     Some(request)
 }
+
+/// Whether the peer has closed a connection on which it has sent nothing more.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
