--- a/review/harness-2/src/common.rs
+++ b/review/harness-2/src/common.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -66,9 +66,20 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
-/// An address with a free port of the loopback interface.
+/// An address with a free port of the loopback interface, below those that the system gives to outgoing connections, so
+/// that none of these takes it before it is used.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    const FIRST: usize = 12_000;
+    const PORTS: usize = 20_000;
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    for _ in 0..PORTS {
+        let offset = std::process::id() as usize * 64 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = u16::try_from(FIRST + offset % PORTS).unwrap();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+    cannot_run("no port is free")
 }
 
 pub fn sleep_ms(ms: u64) {
@@ -141,12 +152,11 @@
 }
 
 /// Why a case could not run.
-pub struct CannotRun;
+pub struct CannotRun(pub String);
 
 /// Ends the case, and all processes that it has started.
 pub fn cannot_run(reason: &str) -> ! {
-    eprintln!("the case cannot run: {reason}");
-    std::panic::panic_any(CannotRun)
+    std::panic::panic_any(CannotRun(reason.to_owned()))
 }
 
 /// Waits until a node says that it is ready.
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -25,8 +25,14 @@
         _ => common::cannot_run("unknown case"),
     };
     // The stack is unwound, so that the processes that the case has started are ended.
-    let Ok(is_broken) = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)) else {
-        std::process::exit(2)
+    let is_broken = match std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)) {
+        Ok(is_broken) => is_broken,
+        Err(panic) => {
+            let reason =
+                panic.downcast_ref::<common::CannotRun>().map_or("a panic", |it| it.0.as_str());
+            record.write(&format!("the case cannot run: {reason}"));
+            std::process::exit(2);
+        }
     };
     record.write(if is_broken { "the rule is broken" } else { "the rule held" });
     std::process::exit(i32::from(is_broken));
