--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -16,8 +16,8 @@
     if case == "runner" {
         return runner::run(&arguments[1..]);
     }
-    let folder = PathBuf::from(arguments.get(1).cloned().unwrap_or_else(|| ".".to_owned()));
-    let record = Record::create(&folder.join("record.txt"));
+    let Some(path) = arguments.get(1).map(PathBuf::from) else { std::process::exit(2) };
+    let record = Record::create(&path);
     let run = || match case {
         "torn" => torn::run(&record),
         "overlap" => overlap::run(&record),
