Tests of processes: a node's settings, log and process stand in a support module

The tests of nodes that return together had them for themselves; tests of clients that misbehave need the same, with further sections in the settings and with the process's peak of memory and its open descriptors.

--- a/crates/cli/tests/nodes_return_together.rs
+++ b/crates/cli/tests/nodes_return_together.rs
@@ -2,19 +2,16 @@
 //! registrations and all runners.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod support;
+
 use pitchstall_platform_standins::proxy::Link;
 use pitchstall_platform_standins::store::{StoreMode, StoreStandIn};
 use serde_json::{json, Value};
-use std::fs::{File, OpenOptions};
-use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use support::{Node, READY_TIMEOUT};
 use test_case::test_case;
 
-const READY_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const ZONES: [&str; 2] = ["north", "south"];
 const READERS: usize = 2 * ZONES.len();
@@ -24,16 +21,6 @@
 const PAGES: usize = RUNNERS.div_ceil(PAGE_ENTRIES);
 /// Delay of each direction between the nodes and the store, with which a full read takes most of a second.
 const LINK_DELAY: Duration = Duration::from_millis(20);
-const CLIENTS_PORT: u16 = 18_081;
-const HEALTH_PORT: u16 = 18_082;
-const PEERS_PORT: u16 = 18_083;
-
-/// A loopback address that no other process of this test uses.
-fn unique_loopback_ip() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 1 + high % 200, low, NEXT.fetch_add(1, Ordering::SeqCst)).into()
-}
 
 /// Events of the nodes' logs that say who reads all entries, and why.
 const READ_EVENTS: [&str; 8] = [
@@ -47,74 +34,16 @@
     "sources that may be starting are given up",
 ];
 
-/// One node: its settings, its log, and its process while it runs.
-struct Node {
-    ip: IpAddr,
-    settings: PathBuf,
-    log: PathBuf,
-    process: Option<Child>,
-}
-
-impl Node {
-    fn new(number: usize, store: SocketAddr) -> Self {
-        let ip = unique_loopback_ip();
-        let zone = ZONES[number % ZONES.len()];
-        let text = format!(
-            "[node]\nname = \"node-{number:03}\"\nzone = \"{zone}\"\n\
-             [node.regions]\nnorth = \"all\"\nsouth = \"all\"\n\
-             [listen]\ncallers = \"{ip}:{CLIENTS_PORT}\"\nhealth = \"{ip}:{HEALTH_PORT}\"\npeers = \"{ip}:{PEERS_PORT}\"\n\
-             [store]\naddress = \"{store}\"\n\
-             [bounds]\ncontact_ms = 2000\ngrace_s = 5.0\nlease_ms = 1000\nretry_ratio = 0.2\nretry_slack = 10.0\n"
-        );
-        let settings = std::env::temp_dir().join(format!("pitchstall-return-{ip}.toml"));
-        std::fs::write(&settings, text).unwrap();
-        let log = settings.with_extension("log");
-        File::create(&log).unwrap();
-        Self { ip, settings, log, process: None }
-    }
-
-    fn start(&mut self) {
-        let log = OpenOptions::new().append(true).open(&self.log).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_pitchstall"))
-            .args(["serve", "--settings", self.settings.to_str().unwrap()])
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn();
-        self.process = Some(process.unwrap());
-    }
-
-    /// Kills the process with SIGKILL.
-    fn kill(&mut self) {
-        if let Some(mut process) = self.process.take() {
-            process.kill().unwrap();
-            process.wait().unwrap();
-        }
-    }
-
-    /// The lines of the node's log with one of [`READ_EVENTS`], each after the address of the node.
-    fn read_events(&self) -> Vec<String> {
-        let log = std::fs::read(&self.log).unwrap();
-        let log = String::from_utf8_lossy(&log);
-        let lines = log.lines().filter(|line| READ_EVENTS.iter().any(|event| line.contains(event)));
-        lines.map(|line| format!("{} {line}", self.ip)).collect()
-    }
-
-    fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect((self.ip, HEALTH_PORT)) else { return false };
-        stream.set_read_timeout(Some(READY_TIMEOUT)).unwrap();
-        let request = b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        let mut status = [0; 12];
-        let is_answered = stream.write_all(request).and_then(|()| stream.read_exact(&mut status));
-        is_answered.is_ok() && status.ends_with(b"200")
-    }
+/// The lines of a node's log with one of [`READ_EVENTS`], each after the address of the node.
+fn read_events(node: &Node) -> Vec<String> {
+    let log = std::fs::read(&node.log).unwrap();
+    let log = String::from_utf8_lossy(&log);
+    let lines = log.lines().filter(|line| READ_EVENTS.iter().any(|event| line.contains(event)));
+    lines.map(|line| format!("{} {line}", node.ip)).collect()
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.kill();
-        let _ = std::fs::remove_file(&self.settings);
-        let _ = std::fs::remove_file(&self.log);
-    }
+fn new_node(number: usize, store: SocketAddr) -> Node {
+    Node::new(&format!("node-{number:03}"), ZONES[number % ZONES.len()], store, "")
 }
 
 /// Nodes that have all been ready once, and their store.
@@ -130,7 +59,7 @@
         store.put("op/config", &configuration());
         (0..RUNNERS).for_each(|it| store.put(&format!("servers/i-{it:05}"), &runner_entry(it)));
         let link = Link::start(store.address()).unwrap();
-        let nodes = (0..count).map(|number| Node::new(number, link.address())).collect();
+        let nodes = (0..count).map(|number| new_node(number, link.address())).collect();
         let mut fleet = Self { store, link, nodes };
         fleet.start_all();
         fleet.wait_until_ready();
@@ -171,7 +100,7 @@
     }
 
     fn print_read_events(&self) {
-        self.nodes.iter().flat_map(Node::read_events).for_each(|line| println!("{line}"));
+        self.nodes.iter().flat_map(read_events).for_each(|line| println!("{line}"));
     }
 }
 
