A client's connection reads ahead no more than its buffer holds

What callers saw: clients that sent many requests ahead and read no answers ended a process, which ran out of memory; at a route, at the ready path and at paths without a route.

Cause: while a request is handled, the connection waits for its client's disconnection by asking for a notification of each read. Asking takes back the pause that a full read buffer imposes, so that everything the client sends is read at once, whatever the request in progress does: without end while a runner is awaited, and a further 64 KB for each request that the node answers itself, thousands of which fit the socket's buffers unread.

Change: the wait only looks at the state of the connection. Its read task goes on by itself until the buffer is full, and so sees an end that lies within the buffer; what comes after stays in the socket, and the client is held up by its window. The end of a client that has sent more ahead than the buffer holds is noticed once there is room again, or when a response to it cannot be written.

The tests of cancelled requests, forwarding, promises, HTTP/1.0 clients, panics and stalled streams pass.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -229,13 +229,13 @@
 
     /// Completes when the client has disconnected. A client that has shut down only its sending side counts as
     /// disconnected too. Returns the error of the connection; `None` if the client closed it in an orderly way.
+    ///
+    /// Nothing is read on behalf of this: the connection itself reads ahead until its buffer is full. The end of a client that
+    /// has sent more than that ahead is noticed when the buffer has room again.
     async fn disconnected(&self) -> Option<std::io::Error> {
-        while let Ok(Some(())) = self.io.read_notify().await {}
-        poll_fn(|context| {
-            Poll::Ready(match self.io.poll_status_update(context) {
-                Poll::Ready(IoStatusUpdate::PeerGone(error)) => error,
-                _ => None,
-            })
+        poll_fn(|context| match self.io.poll_status_update(context) {
+            Poll::Ready(IoStatusUpdate::PeerGone(error)) => Poll::Ready(error),
+            _ => Poll::Pending,
         })
         .await
     }
