--- a/crates/cli/tests/misbehaving_clients.rs
+++ b/crates/cli/tests/misbehaving_clients.rs
@@ -17,6 +17,8 @@
 const MEMORY_MB: u64 = 64;
 const BYTES_PER_MEGABYTE: u64 = 1_000_000;
 const FILE_DESCRIPTORS: usize = 256;
+/// Descriptors that hold more connections than the memory does.
+const MANY_FILE_DESCRIPTORS: usize = 4_000;
 /// Connections that send ahead, and what each of them sends at most.
 const SENDERS: usize = 16;
 const BYTES_SENT_AHEAD: usize = 16 * 1024 * 1024;
@@ -38,6 +40,7 @@
 /// A node whose settings bound its memory and descriptors, with a runner that answers and one that never does.
 struct Fixture {
     node: Node,
+    file_descriptors: usize,
     _store: StoreStandIn,
     _runners: Vec<RunnerStandIn>,
     _turn: MutexGuard<'static, ()>,
@@ -45,6 +48,10 @@
 
 impl Fixture {
     fn start() -> Self {
+        Self::start_with(FILE_DESCRIPTORS)
+    }
+
+    fn start_with(file_descriptors: usize) -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let store = StoreStandIn::start().unwrap();
         store.put("op/config", &configuration());
@@ -58,10 +65,11 @@
             store.put(&format!("servers/{}", runner.id()), &runner_entry(runner));
         }
         let sections =
-            format!("[machine]\nmemory_mb = {MEMORY_MB}\nfile_descriptors = {FILE_DESCRIPTORS}\n");
+            format!("[machine]\nmemory_mb = {MEMORY_MB}\nfile_descriptors = {file_descriptors}\n");
         let mut node = Node::new("node-1", "north", store.address(), &sections);
         node.start();
-        let fixture = Self { node, _store: store, _runners: runners, _turn: turn };
+        let fixture =
+            Self { node, file_descriptors, _store: store, _runners: runners, _turn: turn };
         wait_for("the node to be ready", READY_TIMEOUT, || fixture.node.is_ready());
         fixture.assert_request_served();
         fixture
@@ -80,7 +88,8 @@
         let open = self.node.open_descriptors();
         println!("{peak} bytes of memory at most, {open} descriptors open");
         assert!(peak <= most, "{peak} bytes of memory, {most} allowed");
-        assert!(open <= FILE_DESCRIPTORS, "{open} descriptors, {FILE_DESCRIPTORS} allowed");
+        let allowed = self.file_descriptors;
+        assert!(open <= allowed, "{open} descriptors, {allowed} allowed");
     }
 
     /// Asserts the bounds, and that an ordinary request is served, with the crowd and after it.
@@ -122,7 +131,7 @@
         "routes": routes,
         "services": [
             { "name": "quick", "health_path": "/health", "max_conns": 100 },
-            { "name": "silent", "health_path": "/health", "max_conns": 100 },
+            { "name": "silent", "health_path": "/health", "max_conns": 2_000 },
         ],
         "limits": { "max_header_bytes": 8_192, "max_body_bytes": MAX_BODY_BYTES,
             "header_timeout_ms": CLIENT_TIMEOUT_MS, "idle_timeout_ms": CLIENT_TIMEOUT_MS },
@@ -131,7 +140,7 @@
 
 fn runner_entry(runner: &RunnerStandIn) -> Value {
     json!({
-        "service": runner.id(), "address": runner.address().to_string(), "zone": "north", "version": "v1", "slots": 32,
+        "service": runner.id(), "address": runner.address().to_string(), "zone": "north", "version": "v1", "slots": 2_000,
         "state": "ready", "cold_left_ms": 0, "seq": 1,
     })
 }
@@ -262,6 +271,64 @@
     fixture.assert_unharmed_by(crowd);
 }
 
+/// Guards against connections to runners that take the descriptors which clients leave.
+#[test]
+fn requests_in_progress_take_no_more_descriptors_than_there_are() {
+    let mut fixture = Fixture::start();
+    let crowd = hold(fixture.node.clients(), &get("/silent/1"));
+    fixture.assert_unharmed_by(crowd);
+}
+
+/// Guards against bytes read ahead on many connections that together exceed the memory, though those of each are few.
+#[test]
+fn requests_sent_ahead_on_many_connections_are_bounded_together() {
+    const BYTES_EACH: usize = 160 * 1024;
+    let request = get("/silent/1");
+    let pieces = request.repeat(BYTES_EACH / request.len());
+    let mut fixture = Fixture::start_with(MANY_FILE_DESCRIPTORS);
+    let crowd = send_on_many(fixture.node.clients(), &pieces);
+    fixture.assert_unharmed_by(crowd);
+}
+
+/// Guards against requests in progress whose heads together exceed the memory, though each is within the limits.
+#[test]
+fn long_heads_of_many_requests_in_progress_are_bounded_together() {
+    const PARTS: usize = 500;
+    let parts: Vec<String> = (0..PARTS).map(|part| format!("{:08x}:1", part)).collect();
+    let parts = parts.join(",");
+    let request = format!(
+        "GET /silent/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: 9c41d07be2a35f68\r\n\
+         X-Pitchstall-Model: m\r\nX-Pitchstall-Token-Count: {PARTS},1\r\nX-Pitchstall-Prefix-Hash: {parts}\r\n\r\n"
+    );
+    let mut fixture = Fixture::start_with(MANY_FILE_DESCRIPTORS);
+    let crowd = send_on_many(fixture.node.clients(), request.as_bytes());
+    fixture.assert_unharmed_by(crowd);
+}
+
+/// Guards against buffers kept for configurations of connections that are no longer in use.
+#[test]
+fn connections_to_two_addresses_in_turn_take_no_further_memory() {
+    const TURNS: usize = 4_000;
+    let mut fixture = Fixture::start();
+    for _ in 0..TURNS {
+        ask(&TcpStream::connect(fixture.node.clients()).unwrap(), "/nowhere/1").unwrap();
+        ask(&TcpStream::connect(fixture.node.health()).unwrap(), "/v1/ready").unwrap();
+    }
+    fixture.assert_unharmed_by(Vec::new());
+}
+
+/// Sends bytes once on each of many connections, as far as they are taken, and reads nothing.
+fn send_on_many(address: SocketAddr, bytes: &[u8]) -> Vec<TcpStream> {
+    const CONNECTIONS: usize = 800;
+    let send = |_| {
+        let mut stream = TcpStream::connect_timeout(&address, ATTEMPT_TIMEOUT).ok()?;
+        stream.set_nonblocking(true).unwrap();
+        let _ = stream.write(bytes);
+        Some(stream)
+    };
+    (0..CONNECTIONS).filter_map(send).collect()
+}
+
 /// Guards against a table of client connections that silent ones fill.
 #[test]
 fn silent_connections_shut_out_no_client() {
