The health address has a module of its own

Accepting clients and answering readiness, metrics and reports stood in one file and share only the way in which a connection is accepted. Moved without a change, before the health address gets bounds of its own.

--- a/crates/cli/src/quota.rs
+++ b/crates/cli/src/quota.rs
@@ -3,7 +3,7 @@
 
 use crate::{CommandError, EXIT_FAILED};
 use gumdrop::Options;
-use pitchstall_gateway::listener::QUOTA_PATH;
+use pitchstall_gateway::health_listener::QUOTA_PATH;
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::authority;
 use crate::cache_listing;
 use crate::clock::Instant;
+use crate::health_listener;
 use crate::listener;
 use crate::node::Node;
 use crate::peer_listener;
@@ -137,7 +138,7 @@
     ntex::rt::spawn(stream_origin_handover::run(node.clone()));
     ntex::rt::spawn(cache_listing::list_own_shards(node.clone()));
     ntex::rt::spawn(peer_listener::accept_peers(peer_listener, node.clone()));
-    ntex::rt::spawn(listener::accept_health(health_listener, node.clone()));
+    ntex::rt::spawn(health_listener::accept_health(health_listener, node.clone()));
     ntex::rt::spawn(prune_connections(node.clone()));
     let accept_task = ntex::rt::spawn(listener::accept_clients(client_listener, node.clone()));
     wait_for_stop(&node, &path, &signals).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! | module | what it does |
 //! | --- | --- |
-//! | [`listener`] | accepts connections of clients and on the health address |
+//! | [`listener`] | accepts connections of clients |
 //! | [`connection`] | reads requests from a client connection and writes responses |
 //! | [`intake`] | validates a request and finds its route, tenant and service |
 //! | [`stream_origins`] | finds the software version that began the stream which a request resumes |
@@ -42,7 +42,8 @@
 //!   [`prefix_announcements`] announces cached prefixes to other regions.
 //! - [`authority`] holds the leases that [`roles`], [`scaling`] and [`usage`] need before they give orders or
 //!   report something on behalf of all nodes.
-//! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes.
+//! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes,
+//!   and [`health_listener`] those for readiness, metrics and reports.
 //! - [`response_memory`] bounds what the node holds of runners' responses.
 //! - [`reachability`] reports how many runners the node cannot reach.
 //! - [`caught_panic`] lets a task go on after a panic in one request.
@@ -63,6 +64,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod entries;
+pub mod health_listener;
 pub mod http;
 pub mod intake;
 pub mod interrupted_attempt;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,40 +1,20 @@
-//! Accepts connections from clients and on the health address.
+//! Accepts connections from clients.
 //!
 //! The server of ntex cannot stop accepting connections while it goes on serving open ones. The
 //! listeners are therefore tokio's, and each accepted connection becomes an ntex stream.
 
 use crate::close_control::CloseControl;
 use crate::connection;
-use crate::metrics;
 use crate::node::Node;
-use crate::quota::report::report;
-use ntex::http::body::BodySize;
-use ntex::http::h1::{Codec, Message};
-use ntex::http::header::{HeaderValue, CONTENT_TYPE};
-use ntex::http::{Method, Response, StatusCode};
 use ntex::io::Io;
-use ntex::util::Bytes;
 use ntex::SharedCfg;
-use pitchstall_platform_adapter::paths;
-use pitchstall_serving::configuration::ClientLimits;
-use pitchstall_serving::request_identity::InvalidIdentity;
 use socket2::SockRef;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
-/// Path of the OpenMetrics text on the health address.
-pub const METRICS_PATH: &str = "/metrics";
-/// Path of the list of requests under which runners have crashed, on the health address. `DELETE` on this
-/// path followed by `/` and a request's identity takes that request out of quarantine.
-pub const QUARANTINE_PATH: &str = "/quarantine";
-/// Path of the node's view of tenants' limits, on the health address.
-pub const QUOTA_PATH: &str = "/quota";
 /// Time after which unacknowledged bytes make the kernel close a client's connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after which an idle connection on the health address is closed.
-const HEALTH_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after a failed accept, for example when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -68,17 +48,6 @@
     created.ok()
 }
 
-/// Serves readiness, metrics and reports on the health address until the task is dropped.
-pub async fn accept_health(listener: TcpListener, node: Rc<Node>) {
-    loop {
-        let Some(stream) = accept(&listener).await else { continue };
-        let config = connection::client_config(&ClientLimits::default());
-        if let Some(io) = into_ntex_io(stream, config.clone()) {
-            ntex::rt::spawn(serve_health(io, config, node.clone()));
-        }
-    }
-}
-
 /// Accepts the next connection. Returns `None` after a delay if accepting failed.
 pub async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
@@ -99,61 +68,3 @@
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
     ntex::rt::from_tcp_stream(stream, config).ok()
 }
-
-async fn serve_health(io: Io, config: SharedCfg, node: Rc<Node>) {
-    let codec = Codec::new(0, config.get());
-    while let Ok(Ok(Some((request, _)))) = timeout(HEALTH_IDLE_TIMEOUT, io.recv(&codec)).await {
-        let (response, body) = health_response(request.method(), request.path(), &node);
-        let size = BodySize::Sized(body.len() as u64);
-        let written = io.encode(Message::Item((response, size)), &codec).is_ok()
-            && io.encode(Message::Chunk(Some(Bytes::from(body))), &codec).is_ok()
-            && io.encode(Message::Chunk(None), &codec).is_ok()
-            && io.flush(true).await.is_ok();
-        if !written || !codec.keepalive() {
-            break;
-        }
-    }
-    io.close();
-}
-
-fn health_response(method: &Method, path: &str, node: &Node) -> (Response<()>, String) {
-    if let Some(identity) = path.strip_prefix(QUARANTINE_PATH).and_then(|it| it.strip_prefix('/')) {
-        return lift_quarantine(method, identity, node);
-    }
-    match path {
-        paths::READY if node.is_ready() => text_response(StatusCode::OK, "ready\n"),
-        paths::READY => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        METRICS_PATH => {
-            let (mut response, _) = text_response(StatusCode::OK, "");
-            let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
-            response.headers_mut().insert(CONTENT_TYPE, content_type);
-            node.metrics.configuration_lag.set(node.configuration_lag().as_secs_f64());
-            (response, node.metrics.render())
-        }
-        QUARANTINE_PATH => {
-            let suspects = node.quarantine.borrow().suspects();
-            text_response(StatusCode::OK, &serde_json::json!(suspects).to_string())
-        }
-        QUOTA_PATH => text_response(StatusCode::OK, &report(node).to_string()),
-        _ => text_response(StatusCode::NOT_FOUND, "not found\n"),
-    }
-}
-
-/// Takes a request out of quarantine on all nodes, on behalf of an operator.
-fn lift_quarantine(method: &Method, identity: &str, node: &Node) -> (Response<()>, String) {
-    if method != Method::DELETE {
-        return text_response(StatusCode::METHOD_NOT_ALLOWED, "expected DELETE\n");
-    }
-    match identity.parse() {
-        Err(error) => {
-            let error: InvalidIdentity = error;
-            text_response(StatusCode::BAD_REQUEST, &format!("{error}\n"))
-        }
-        Ok(identity) if node.lift_quarantine(identity) => text_response(StatusCode::OK, "lifted\n"),
-        Ok(_) => text_response(StatusCode::NOT_FOUND, "no runner has ended under it\n"),
-    }
-}
-
-fn text_response(status: StatusCode, body: &str) -> (Response<()>, String) {
-    (Response::with_body(status, ()), body.to_owned())
-}
