The health address has a configuration of its own for its connections

What operators would see: a node's memory grows with each connection, for good, where the operators' `max_header_bytes` differs from the default.

Cause: the configuration of connections is cached for one size of heads. Connections of clients took the operators' size, those to the health address the default, so that readiness questions and clients in turn each made a new one; ntex gives each its own id and keeps a read buffer for it for ever.

Change: the health address has one configuration a thread, with a read buffer of 4 KB, which a question fills to a small part.

Requests sent ahead at the ready path, at both addresses, pass. By reading, the limits on the users' pages don't meet this: there the two sizes are the same.

--- a/crates/gateway/src/health_listener.rs
+++ b/crates/gateway/src/health_listener.rs
@@ -1,6 +1,5 @@
 //! Serves readiness, metrics and reports on the health address.
 
-use crate::connection::client_config;
 use crate::listener::{accept, into_ntex_io};
 use crate::metrics;
 use crate::node::Node;
@@ -8,12 +7,11 @@
 use ntex::http::body::BodySize;
 use ntex::http::h1::{Codec, Message};
 use ntex::http::header::{HeaderValue, CONTENT_TYPE};
-use ntex::http::{Method, Response, StatusCode};
-use ntex::io::Io;
+use ntex::http::{HttpServiceConfig, Method, Response, StatusCode};
+use ntex::io::{Io, IoConfig};
 use ntex::util::Bytes;
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::paths;
-use pitchstall_serving::configuration::ClientLimits;
 use pitchstall_serving::request_identity::InvalidIdentity;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,14 +25,34 @@
 pub const QUARANTINE_PATH: &str = "/quarantine";
 /// Path of the node's view of tenants' limits, on the health address.
 pub const QUOTA_PATH: &str = "/quota";
+/// Maximum size of a request's head, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Size of the read buffer. Further bytes stay in the socket.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+const READ_BUFFER_LOW_WATERMARK_BYTES: usize = 1024;
+const BUFFER_CACHE_SIZE: usize = 4;
 /// Time after which an idle connection on the health address is closed.
 const HEALTH_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+thread_local! {
+    /// One configuration for all connections of a thread, because ntex gives each configuration its own id and
+    /// never frees the buffers that it keeps for an id.
+    static HEALTH_CONFIG: SharedCfg = {
+        let io = IoConfig::new().set_read_buf(
+            READ_BUFFER_BYTES,
+            READ_BUFFER_LOW_WATERMARK_BYTES,
+            BUFFER_CACHE_SIZE,
+        );
+        let http = HttpServiceConfig::new().set_max_buf_size(MAX_HEADER_BYTES);
+        SharedCfg::new("health").add(io).add(http).into()
+    };
+}
+
 /// Serves readiness, metrics and reports on the health address until the task is dropped.
 pub async fn accept_health(listener: TcpListener, node: Rc<Node>) {
     loop {
         let Some(stream) = accept(&listener).await else { continue };
-        let config = client_config(&ClientLimits::default());
+        let config = HEALTH_CONFIG.with(Clone::clone);
         if let Some(io) = into_ntex_io(stream, config.clone()) {
             ntex::rt::spawn(serve_health(io, config, node.clone()));
         }
