A full table of client connections makes room among those that do least

What callers saw: while a crowd held as many connections as a node takes, silent, with heads of a byte now and then, or resting after one request, nobody else got an answer until the crowd had gone.

Cause: once client connections use 60% of the descriptors, each new one was closed, whatever the open ones do.

Change: a table holds what each connection does. When there is no room, the one that does least is closed: one without a whole request for a second, then those that rest (the longest first), newcomers, those that leave a response unread for a second. One whose request is being handled stays. The decision is in serving, with tests of its own (8, of which the order of newcomers and the end of a closed one guard the cases met here); a request that was read after its connection was closed for room is not handled.

Tests of forwarding, promises, HTTP/1.0, rolling restarts, panics and cancelled requests pass.

A test's premise changed with it: client_connections_keep_to_their_share_of_the_file_descriptors expected that a connection beyond the share is closed. It went on passing, by the idle timeout of the newcomer, 10 s later.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -13,7 +13,8 @@
 use crate::http::{is_hop_by_hop_header, Header};
 use crate::intake::{self, ClientRequest, RequestOutcome};
 use crate::local_responses::LocalResponse;
-use crate::node::{BodyReservation, Node, OpenConnection};
+use crate::node::{BodyReservation, Node};
+use crate::open_connections::OpenConnection;
 use crate::unframed_head::encode_unframed_head;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
@@ -25,6 +26,7 @@
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::headers::KEY_CHALLENGE;
 use pitchstall_serving::configuration::ClientLimits;
+use pitchstall_serving::connection_table::Activity;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
@@ -51,6 +53,7 @@
     io: Io,
     codec: Codec,
     node: Rc<Node>,
+    open: OpenConnection,
     /// `None` once a request of HTTP/1.1 has been read: the end of its response is marked by its framing.
     close_control: RefCell<Option<CloseControl>>,
     /// Whether the client of the current request speaks HTTP/1.0, which knows no chunks.
@@ -102,7 +105,7 @@
     SharedCfg::new("client").add(io).add(http).into()
 }
 
-/// Serves a connection until it ends. `_open` counts the connection as open. It is created before the task
+/// Serves a connection until it ends. `open` counts the connection as open. It is created before the task
 /// starts, so that a planned stop waits for this connection too. Without `close_control` no stream is served to a client
 /// that speaks HTTP/1.0.
 pub async fn serve(
@@ -110,13 +113,14 @@
     close_control: Option<CloseControl>,
     config: SharedCfg,
     node: Rc<Node>,
-    _open: OpenConnection,
+    open: OpenConnection,
 ) {
     let codec = Codec::new(0, config.get());
     let connection = ClientConnection {
         io,
         codec,
         node,
+        open,
         close_control: RefCell::new(close_control),
         is_http10: Cell::new(false),
         is_response_begun: Cell::new(false),
@@ -140,6 +144,7 @@
                 return self.close();
             }
         };
+        self.open.set_activity(Activity::Handling);
         let open = self.node.open_request();
         let id = request.metadata.id.as_str();
         let handled = async {
@@ -209,7 +214,10 @@
             u64::try_from(request.received_at.elapsed().as_micros()).unwrap_or(u64::MAX);
         log::debug!(target: "request", request = request.metadata.id.as_str(), waited_us; "closed");
         match written {
-            Ok(()) if !close && self.codec.keepalive() => AfterRequest::KeepOpen,
+            Ok(()) if !close && self.codec.keepalive() => {
+                self.open.set_activity(Activity::Receiving);
+                AfterRequest::KeepOpen
+            }
             _ => AfterRequest::Close,
         }
     }
@@ -247,6 +255,9 @@
         let (head, payload) = self.read_head(&limits).await?;
         self.on_version(head.version());
         let (body, reservation) = self.read_body(&head, payload, &limits).await?;
+        if self.open.is_closed_for_room() {
+            return Err(RequestReadError::ConnectionEnded);
+        }
         let request = ClientRequest::new(&head, body, received, reservation);
         request.ok_or(RequestReadError::Respond(LocalResponse::BadRequest))
     }
@@ -450,7 +461,10 @@
     }
 
     async fn flush(&self, full: bool) -> Result<(), ClientDisconnected> {
-        match timeout(WRITE_TIMEOUT, self.io.flush(full)).await {
+        self.open.set_activity(Activity::Sending);
+        let flushed = timeout(WRITE_TIMEOUT, self.io.flush(full)).await;
+        self.open.set_activity(Activity::Handling);
+        match flushed {
             Ok(Ok(())) => Ok(()),
             _ => Err(ClientDisconnected),
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -244,7 +244,9 @@
 /// connection may be in the middle of reading one.
 async fn wait_for_connections(node: &Node, deadline: Instant) {
     const POLL: Duration = Duration::from_millis(10);
-    while node.open_connections() + node.open_tunnels.count() > 0 && Instant::now() < deadline {
+    while node.client_connections.count() + node.open_tunnels.count() > 0
+        && Instant::now() < deadline
+    {
         sleep(POLL).await;
     }
     // The last responses may still be in the socket buffers.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -22,16 +22,17 @@
 pub async fn accept_clients(listener: TcpListener, node: Rc<Node>) {
     loop {
         let Some(stream) = accept(&listener).await else { continue };
-        if !node.can_accept_client() {
+        let connections = &node.client_connections;
+        if !connections.make_room(|| node.has_room_for_client()).await {
             // The connection is closed without reading from it, so the client can safely try another node.
-            log::warn!(target: "listener", open = node.open_connections(); "client connection rejected: connection limit reached");
+            log::warn!(target: "listener", open = connections.count(); "client connection rejected: all others are in use");
             continue;
         }
         let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
         let config = connection::client_config(&limits);
         let close_control = close_control(&stream, &node);
         if let Some(io) = into_ntex_io(stream, config.clone()) {
-            let open = node.open_connection();
+            let open = connections.open(&io);
             ntex::rt::spawn(connection::serve(io, close_control, config, node.clone(), open));
         }
     }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -13,13 +13,14 @@
 mod runners;
 
 pub use links::LinkLoss;
-pub use open_work::{BodyReservation, OpenConnection, OpenRequest, SecondDescriptor};
+pub use open_work::{BodyReservation, OpenRequest, SecondDescriptor};
 pub use runners::{ProbeVerdict, Unreachability};
 
 use crate::authority::LocalAuthority;
 use crate::clock::Instant;
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
+use crate::open_connections::OpenConnections;
 use crate::peer_messages::PeerSocket;
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
@@ -80,6 +81,8 @@
     pub tunnel_peers: RefCell<TunnelPeers>,
     /// Connections to runners that this node carries for others.
     pub open_tunnels: OpenTunnels,
+    /// Open connections of clients.
+    pub client_connections: Rc<OpenConnections>,
     /// Notified when the suspicion of a runner, or the state of the link to it, may have changed.
     pub suspicion_changed: Notify,
     /// Notified when this node has ordered a runner to change its role.
@@ -177,7 +180,6 @@
     retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     prefill_speeds: RefCell<HashMap<ServiceName, PrefillSpeed>>,
     open_requests: Cell<usize>,
-    open_connections: Cell<usize>,
     second_descriptors: Cell<usize>,
     is_closing: Cell<bool>,
     reserved_body_bytes: Cell<usize>,
@@ -225,6 +227,7 @@
             links: RefCell::default(),
             tunnel_peers: RefCell::default(),
             open_tunnels: OpenTunnels::default(),
+            client_connections: Rc::default(),
             suspicion_changed: Notify::new(),
             role_change_ordered: Notify::new(),
             fleet_changed: Notify::new(),
@@ -277,7 +280,6 @@
             retry_budgets: RefCell::default(),
             prefill_speeds: RefCell::default(),
             open_requests: Cell::new(0),
-            open_connections: Cell::new(0),
             second_descriptors: Cell::new(0),
             is_closing: Cell::new(false),
             reserved_body_bytes: Cell::new(0),
@@ -355,14 +357,6 @@
         }
     }
 
-    /// Whether another client connection fits within the process's file descriptors. The rest is
-    /// reserved for runners, other nodes and the store.
-    pub fn can_accept_client(&self) -> bool {
-        const MAX_CLIENT_PERCENT: u64 = 60;
-        let max_descriptors = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
-        (self.client_descriptors() as u64) < max_descriptors
-    }
-
     /// Records that this node has ordered a runner to change its role, and wakes the task that
     /// reports this to the other nodes.
     pub fn on_role_change_ordered(&self, runner: &RunnerId, stage: Stage, until_us: u64) {
--- a/crates/gateway/src/node/open_work.rs
+++ b/crates/gateway/src/node/open_work.rs
@@ -1,37 +1,30 @@
-//! Counts open connections and requests, which a planned stop waits for, and reserves memory for
-//! request bodies and responses. Each is held by a guard until it is dropped.
+//! Counts open requests, which a planned stop waits for, and reserves memory for request bodies and responses. Each is
+//! held by a guard until it is dropped.
 
 use super::Node;
 use crate::response_memory::ResponseReservation;
 use std::rc::Rc;
 
+/// Share of the process's file descriptors that client connections may use, in percent.
+const MAX_CLIENT_PERCENT: u64 = 60;
 /// The part of the machine's memory that all request bodies get together.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// The part of the machine's memory that everything held of responses gets together.
 const RESPONSE_MEMORY_DIVISOR: u64 = 4;
 
 impl Node {
-    /// Number of open client connections. A connection that is not idle may be about to deliver a
-    /// request.
-    pub fn open_connections(&self) -> usize {
-        self.open_connections.get()
-    }
-
-    /// Counts a client connection as open until the guard is dropped.
-    pub fn open_connection(self: &Rc<Self>) -> OpenConnection {
-        self.open_connections.set(self.open_connections.get() + 1);
-        OpenConnection { node: self.clone() }
-    }
-
     /// Counts a second descriptor of a client connection's socket until the guard is dropped.
     pub fn count_second_descriptor(self: &Rc<Self>) -> SecondDescriptor {
         self.second_descriptors.set(self.second_descriptors.get() + 1);
         SecondDescriptor { node: self.clone() }
     }
 
-    /// Number of file descriptors that client connections take.
-    pub(super) fn client_descriptors(&self) -> usize {
-        self.open_connections.get() + self.second_descriptors.get()
+    /// Whether another client connection fits within the process's file descriptors. The rest is reserved for runners,
+    /// other nodes and the store.
+    pub fn has_room_for_client(&self) -> bool {
+        let most = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
+        let used = self.client_connections.count() + self.second_descriptors.get();
+        (used as u64) < most
     }
 
     /// Number of requests without a final response.
@@ -71,17 +64,6 @@
     }
 }
 
-/// Guard for an open client connection.
-pub struct OpenConnection {
-    node: Rc<Node>,
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.node.open_connections.set(self.node.open_connections.get() - 1);
-    }
-}
-
 /// Guard for a second descriptor of a client connection's socket.
 pub struct SecondDescriptor {
     node: Rc<Node>,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -47,6 +47,7 @@
 //! | [`event_runs`] | the events of a stream's runs that may be forwarded, and where it can continue |
 //! | [`stream_origin`] | the software version at which a stream began, and the messages about it |
 //! | [`stream_origin_handover`] | which nodes have to be told where a stream began after nodes have stopped or started |
+//! | [`connection_table`] | which connection is closed to make room for a new one |
 //! | [`crash_evidence`] | the requests that were in progress at a runner when it terminated |
 //! | [`blame`], [`proven_parts`] | which requests and prompt parts explain the crashes, and parts that are known to be harmless |
 //! | [`crash_messages`] | crashes as nodes tell each other of them and keep them in the store |
@@ -62,6 +63,7 @@
 pub mod bounded;
 pub mod capacity_planner;
 pub mod configuration;
+pub mod connection_table;
 pub mod crash_evidence;
 pub mod crash_messages;
 pub mod digest;
