Client connections together read ahead no more than their part of the memory

What callers saw: nothing yet; found while the bounds were listed. A node takes as many client connections as descriptors allow, and each may read 128 KB ahead: 2,460 connections 315 MB, on a machine of 260 MB.

Change: the read buffer holds 8 KB in place of 64 (one read beyond it may follow, 16 KB), and client connections are bounded by a quarter of the machine's memory too, at 32 KB each, or twice the longest head that the operators allow. Beyond that, room is made as for descriptors.

Evidence: 800 connections that send 160 KB ahead each to a silent runner, 64 MB allowed: 189 and 192 MB before; below 64 MB now.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -34,9 +34,10 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// Size of the read buffer. Further bytes of the client stay in the socket.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
-const READ_BUFFER_LOW_WATERMARK_BYTES: usize = 4 * 1024;
+/// Size of the read buffer. Further bytes of the client stay in the socket. One read beyond it may follow, so that a
+/// connection reads ahead up to twice this size.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+const READ_BUFFER_LOW_WATERMARK_BYTES: usize = 2 * 1024;
 const BUFFER_CACHE_SIZE: usize = 16;
 /// Added to the configured idle timeout, so that a client that relies on the configured value never
 /// meets a closed connection.
--- a/crates/gateway/src/node/open_work.rs
+++ b/crates/gateway/src/node/open_work.rs
@@ -7,6 +7,11 @@
 
 /// Share of the process's file descriptors that client connections may use, in percent.
 const MAX_CLIENT_PERCENT: u64 = 60;
+/// The part of the machine's memory that the buffers of all client connections get together.
+const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+/// Memory that a client connection takes at most, unless longer heads are allowed: its read buffer, the head that is copied from
+/// it, and its state.
+const MIN_CONNECTION_BYTES: usize = 32 * 1024;
 /// The part of the machine's memory that all request bodies get together.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// The part of the machine's memory that everything held of responses gets together.
@@ -19,12 +24,21 @@
         SecondDescriptor { node: self.clone() }
     }
 
-    /// Whether another client connection fits within the process's file descriptors. The rest is reserved for runners,
-    /// other nodes and the store.
+    /// Whether another client connection fits within the process's file descriptors and memory. The rest is reserved for
+    /// runners, other nodes and the store.
     pub fn has_room_for_client(&self) -> bool {
         let most = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
         let used = self.client_connections.count() + self.second_descriptors.get();
-        (used as u64) < most
+        (used as u64) < most && self.client_connections.count() < self.max_clients_by_memory()
+    }
+
+    /// Number of client connections whose buffers fit into their part of the machine's memory, with heads of the longest
+    /// size allowed.
+    fn max_clients_by_memory(&self) -> usize {
+        let max_header_bytes =
+            self.configuration().map(|it| it.limits).unwrap_or_default().max_header_bytes;
+        let connection_bytes = max_header_bytes.saturating_mul(2).max(MIN_CONNECTION_BYTES);
+        self.memory_share(CONNECTION_MEMORY_DIVISOR) / connection_bytes
     }
 
     /// Number of requests without a final response.
