A full table of client connections makes room among those that send ahead

What callers saw: 488 connections, as many as 64 MB allow, that each sent requests ahead of a runner that does not answer kept every other client out for 60 s.

Cause: a connection whose request is being handled is never closed for room, and each of these begins the next request as soon as one has ended: the table is full of requests in progress, for good.

Change: a connection on which more has been received while its request is handled is closed for room, last of all kinds. Clients that wait for their answer are not touched.

--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -34,7 +34,9 @@
     /// Closes connections, the least active first, until `has_room` holds. Returns whether it does.
     pub async fn make_room(&self, has_room: impl Fn() -> bool) -> bool {
         while !has_room() {
-            let removed = self.table.borrow_mut().remove_least_active(self.now_us());
+            let has_unread_bytes = |io: &IoRef| io.with_read_buf(|buffer| !buffer.is_empty());
+            let removed =
+                self.table.borrow_mut().remove_least_active(self.now_us(), has_unread_bytes);
             let Some(connection) = removed else { return false };
             log::info!(target: "listener", open = self.count(), address = connection.tag(); "connection closed to make room");
             connection.terminate();
--- a/crates/serving/src/connection_table.rs
+++ b/crates/serving/src/connection_table.rs
@@ -1,7 +1,7 @@
 //! The open connections of one address, and which of them is closed to make room for a new one.
 //!
 //! Room is made among those that do least, so that a crowd of silent connections shuts nobody out. A connection whose
-//! request is being handled is never closed for room.
+//! request is being handled is never closed for room, unless more has been sent on it ahead of the response.
 
 use std::collections::BTreeMap;
 
@@ -53,7 +53,7 @@
 
 /// Why a connection may be closed to make room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Idleness {
+enum ClosingReason {
     /// It has sent no whole request, though there was time to.
     Silent,
     /// It has just been opened.
@@ -62,28 +62,37 @@
     Resting,
     /// Its peer does not read the response to its request.
     Unread,
+    /// Its peer has sent more while its request is handled.
+    SentAhead,
 }
 
 impl<H> Entry<H> {
-    /// `None` if the connection must not be closed for room.
-    fn idleness(&self, now_us: u64) -> Option<Idleness> {
+    /// `None` if the connection must not be closed for room. `has_sent_ahead` tells whether bytes have been received beyond the
+    /// request that is being handled.
+    fn closing_reason(
+        &self,
+        now_us: u64,
+        has_sent_ahead: impl Fn(&H) -> bool,
+    ) -> Option<ClosingReason> {
         let age_us = now_us.saturating_sub(self.since_us);
         match self.activity {
-            Activity::Receiving if self.has_sent_request => Some(Idleness::Resting),
-            Activity::Receiving if age_us < NEWCOMER_GRACE_US => Some(Idleness::Newcomer),
-            Activity::Receiving => Some(Idleness::Silent),
-            Activity::Sending if age_us >= UNREAD_GRACE_US => Some(Idleness::Unread),
-            Activity::Sending | Activity::Handling => None,
+            Activity::Receiving if self.has_sent_request => Some(ClosingReason::Resting),
+            Activity::Receiving if age_us < NEWCOMER_GRACE_US => Some(ClosingReason::Newcomer),
+            Activity::Receiving => Some(ClosingReason::Silent),
+            Activity::Sending if age_us >= UNREAD_GRACE_US => Some(ClosingReason::Unread),
+            Activity::Sending | Activity::Handling => {
+                has_sent_ahead(&self.handle).then_some(ClosingReason::SentAhead)
+            }
         }
     }
 }
 
 /// The order in which connections are closed; within one kind, the one that has been so for longest is closed first.
-fn closing_order(newcomers: usize, connections: usize) -> [Idleness; 4] {
-    use Idleness::{Newcomer, Resting, Silent, Unread};
+fn closing_order(newcomers: usize, connections: usize) -> [ClosingReason; 5] {
+    use ClosingReason::{Newcomer, Resting, SentAhead, Silent, Unread};
     match newcomers * 100 > connections * NEWCOMER_PERCENT {
-        true => [Silent, Newcomer, Resting, Unread],
-        false => [Silent, Resting, Newcomer, Unread],
+        true => [Silent, Newcomer, Resting, Unread, SentAhead],
+        false => [Silent, Resting, Newcomer, Unread, SentAhead],
     }
 }
 
@@ -127,16 +136,22 @@
     }
 
     /// Removes the connection that does least and returns its handle, by which the caller has to close it. `None` if a
-    /// request is being handled on each of them.
-    pub fn remove_least_active(&mut self, now_us: u64) -> Option<H> {
-        let idle = self.entries.iter().filter_map(|(id, entry)| {
-            entry.idleness(now_us).map(|idleness| (idleness, entry.since_us, *id))
-        });
-        let idle: Vec<(Idleness, u64, ConnectionId)> = idle.collect();
-        let of_kind = |kind| idle.iter().filter(move |(idleness, ..)| *idleness == kind);
-        let newcomers = of_kind(Idleness::Newcomer).count();
-        let order = closing_order(newcomers, self.len());
+    /// request is being handled on each of them. `has_sent_ahead` tells whether bytes have been received beyond that request.
+    pub fn remove_least_active(
+        &mut self,
+        now_us: u64,
+        has_sent_ahead: impl Fn(&H) -> bool,
+    ) -> Option<H> {
+        let mut candidates = Vec::new();
+        for (id, entry) in &self.entries {
+            if let Some(reason) = entry.closing_reason(now_us, &has_sent_ahead) {
+                candidates.push((reason, entry.since_us, *id));
+            }
+        }
+        let of_kind = |kind| candidates.iter().filter(move |(reason, ..)| *reason == kind);
+        let newcomers = of_kind(ClosingReason::Newcomer).count();
         let longest = |kind| of_kind(kind).map(|(_, since_us, id)| (*since_us, *id)).min();
+        let order = closing_order(newcomers, self.len());
         let (_, id) = order.into_iter().find_map(longest)?;
         self.entries.remove(&id).map(|entry| entry.handle)
     }
