One counter for what is open: requests, tunnels, second descriptors

They are one type now, and the module that reserves memory and says how many clients fit is named for that. No behaviour is changed.

--- a/crates/gateway/src/close_control.rs
+++ b/crates/gateway/src/close_control.rs
@@ -4,10 +4,10 @@
 //! that the stream is whole, and a reset is the only mark of a truncated one. The reset is therefore set when the stream
 //! begins and taken back when it is whole: whatever ends it before, also the end of the process, resets the connection.
 
-use crate::node::{Node, SecondDescriptor};
+use crate::node::Node;
+use crate::open_counter::OpenGuard;
 use socket2::{SockRef, Socket};
 use std::io;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -15,14 +15,14 @@
 /// connection is not closed before this value is dropped.
 pub struct CloseControl {
     socket: Socket,
-    _descriptor: SecondDescriptor,
+    _descriptor: OpenGuard,
 }
 
 impl CloseControl {
     /// Duplicates the descriptor of an accepted connection. Fails if the process has no descriptor left.
-    pub fn new(stream: &TcpStream, node: &Rc<Node>) -> io::Result<Self> {
+    pub fn new(stream: &TcpStream, node: &Node) -> io::Result<Self> {
         let socket = SockRef::from(stream).try_clone()?;
-        Ok(Self { socket, _descriptor: node.count_second_descriptor() })
+        Ok(Self { socket, _descriptor: node.second_descriptors.open() })
     }
 
     /// Makes the kernel reset the connection when it is closed. Bytes that have not been sent by then are dropped.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -146,7 +146,7 @@
             }
         };
         self.open.set_activity(Activity::Handling);
-        let open = self.node.open_request();
+        let open = self.node.open_requests.open();
         let id = request.metadata.id.as_str();
         let handled = async {
             tokio::select! {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -145,7 +145,7 @@
     let stop_requested_at = Instant::now();
     node.begin_stop();
     stream_origin_handover::begin_stop(&node);
-    log::info!(target: "process", open = node.open_requests(); "stopping");
+    log::info!(target: "process", open = node.open_requests.count(); "stopping");
     let grace = Duration::from_secs_f64(node.settings().bounds.grace_s);
     sleep(grace.mul_f64(ACCEPTING_GRACE_SHARE)).await;
     accept_task.cancel();
@@ -153,7 +153,7 @@
     wait_for_connections(&node, stop_requested_at + grace.mul_f64(SHUTDOWN_GRACE_SHARE)).await;
     let handover_deadline = stop_requested_at + grace.mul_f64(HANDOVER_GRACE_SHARE);
     stream_origin_handover::finish(&node, handover_deadline).await;
-    log::info!(target: "process", open = node.open_requests(); "stopped");
+    log::info!(target: "process", open = node.open_requests.count(); "stopped");
     Ok(())
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,7 @@
 //!   report something on behalf of all nodes.
 //! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes,
 //!   and [`health_listener`] those for readiness, metrics and reports.
-//! - [`open_connections`] makes room among the connections of an address when there are too many.
+//! - [`open_connections`] makes room among the connections of an address when there are too many, and [`open_counter`] counts what is open.
 //! - [`response_memory`] bounds what the node holds of runners' responses.
 //! - [`reachability`] reports how many runners the node cannot reach.
 //! - [`caught_panic`] lets a task go on after a panic in one request.
@@ -77,6 +77,7 @@
 pub mod missed_replies;
 pub mod node;
 pub mod open_connections;
+pub mod open_counter;
 pub mod peer_listener;
 pub mod peer_messages;
 pub mod peer_traffic;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -6,14 +6,15 @@
 mod lifecycle;
 mod links;
 mod locations;
-mod open_work;
+
 mod prefills;
 mod replicas;
+mod resources;
 mod retries;
 mod runners;
 
 pub use links::LinkLoss;
-pub use open_work::{BodyReservation, OpenRequest, SecondDescriptor};
+pub use resources::BodyReservation;
 pub use runners::{ProbeVerdict, Unreachability};
 
 use crate::authority::LocalAuthority;
@@ -21,6 +22,7 @@
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::open_connections::OpenConnections;
+use crate::open_counter::OpenCounter;
 use crate::peer_messages::PeerSocket;
 use crate::policy::PolicyProgram;
 use crate::quota::Quotas;
@@ -32,7 +34,6 @@
 use crate::settings::Settings;
 use crate::stream_origin_handover::OriginHandovers;
 use crate::stream_origins::StreamOriginRecords;
-use crate::tunnel::server::OpenTunnels;
 use crate::unknown_headers::UnknownHeaders;
 use crate::version_reads::VersionReads;
 use pitchstall_serving::configuration::{Configuration, Route};
@@ -80,7 +81,11 @@
     /// Which other nodes have opened connections to runners for this one.
     pub tunnel_peers: RefCell<TunnelPeers>,
     /// Connections to runners that this node carries for others.
-    pub open_tunnels: OpenTunnels,
+    pub open_tunnels: OpenCounter,
+    /// Requests without a final response, which a planned stop waits for.
+    pub open_requests: OpenCounter,
+    /// Second descriptors of client connections' sockets.
+    pub second_descriptors: OpenCounter,
     /// Open connections of clients.
     pub client_connections: Rc<OpenConnections>,
     /// Notified when the suspicion of a runner, or the state of the link to it, may have changed.
@@ -179,8 +184,6 @@
     splitter: RefCell<TrafficSplitter>,
     retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     prefill_speeds: RefCell<HashMap<ServiceName, PrefillSpeed>>,
-    open_requests: Cell<usize>,
-    second_descriptors: Cell<usize>,
     is_closing: Cell<bool>,
     reserved_body_bytes: Cell<usize>,
     response_memory: Rc<ResponseMemory>,
@@ -226,7 +229,9 @@
             metrics: Metrics::new(&socket),
             links: RefCell::default(),
             tunnel_peers: RefCell::default(),
-            open_tunnels: OpenTunnels::default(),
+            open_tunnels: OpenCounter::default(),
+            open_requests: OpenCounter::default(),
+            second_descriptors: OpenCounter::default(),
             client_connections: Rc::default(),
             suspicion_changed: Notify::new(),
             role_change_ordered: Notify::new(),
@@ -279,8 +284,6 @@
             splitter: RefCell::default(),
             retry_budgets: RefCell::default(),
             prefill_speeds: RefCell::default(),
-            open_requests: Cell::new(0),
-            second_descriptors: Cell::new(0),
             is_closing: Cell::new(false),
             reserved_body_bytes: Cell::new(0),
             response_memory: Rc::default(),
--- a/crates/gateway/src/node/open_work.rs
+++ b/crates/gateway/src/node/resources.rs
@@ -1,5 +1,4 @@
-//! Counts open requests, which a planned stop waits for, and reserves memory for request bodies and responses. Each is
-//! held by a guard until it is dropped.
+//! How many client connections fit, and memory that is reserved for request bodies and responses until a guard is dropped.
 
 use super::Node;
 use crate::response_memory::ResponseReservation;
@@ -18,17 +17,11 @@
 const RESPONSE_MEMORY_DIVISOR: u64 = 4;
 
 impl Node {
-    /// Counts a second descriptor of a client connection's socket until the guard is dropped.
-    pub fn count_second_descriptor(self: &Rc<Self>) -> SecondDescriptor {
-        self.second_descriptors.set(self.second_descriptors.get() + 1);
-        SecondDescriptor { node: self.clone() }
-    }
-
     /// Whether another client connection fits within the process's file descriptors and memory. The rest is reserved for
     /// runners, other nodes and the store.
     pub fn has_room_for_client(&self) -> bool {
         let most = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
-        let used = self.client_connections.count() + self.second_descriptors.get();
+        let used = self.client_connections.count() + self.second_descriptors.count();
         (used as u64) < most && self.client_connections.count() < self.max_clients_by_memory()
     }
 
@@ -41,17 +34,6 @@
         self.memory_share(CONNECTION_MEMORY_DIVISOR) / connection_bytes
     }
 
-    /// Number of requests without a final response.
-    pub fn open_requests(&self) -> usize {
-        self.open_requests.get()
-    }
-
-    /// Counts a request as open until the guard is dropped.
-    pub fn open_request(self: &Rc<Self>) -> OpenRequest {
-        self.open_requests.set(self.open_requests.get() + 1);
-        OpenRequest { node: self.clone() }
-    }
-
     /// Reserves memory for a request body until the guard is dropped. All bodies together get a
     /// quarter of the machine's memory; `None` if too little of it is left.
     pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
@@ -78,28 +60,6 @@
     }
 }
 
-/// Guard for a second descriptor of a client connection's socket.
-pub struct SecondDescriptor {
-    node: Rc<Node>,
-}
-
-impl Drop for SecondDescriptor {
-    fn drop(&mut self) {
-        self.node.second_descriptors.set(self.node.second_descriptors.get() - 1);
-    }
-}
-
-/// Guard for a request without a final response.
-pub struct OpenRequest {
-    node: Rc<Node>,
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.node.open_requests.set(self.node.open_requests.get() - 1);
-    }
-}
-
 /// Guard for memory that is reserved for a request body.
 pub struct BodyReservation {
     node: Rc<Node>,
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -5,14 +5,13 @@
 use crate::http::{open_stream, ConnectError};
 use crate::json_lines::{read_available, read_chunk, write_bytes, write_line, Available};
 use crate::node::Node;
+use crate::open_counter::OpenGuard;
 use crate::runner_probe::RUNNER_CONNECT_TIMEOUT;
 use ntex::io::Io;
 use ntex::util::Bytes;
 use pitchstall_serving::ids::RunnerId;
 use rand::seq::IteratorRandom;
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 /// Maximum number of simultaneous tunnels of all other nodes.
 const MAX_TUNNELS: usize = 256;
@@ -24,35 +23,6 @@
 /// Number of other runners that are tried before this node assumes that its own links are lost.
 const OTHER_RUNNERS_TRIED: usize = 3;
 
-/// The tunnels that this node carries for others.
-#[derive(Debug, Default)]
-pub struct OpenTunnels {
-    count: Rc<Cell<usize>>,
-}
-
-/// One open tunnel; dropping it closes the tunnel.
-struct OpenTunnel {
-    count: Rc<Cell<usize>>,
-}
-
-impl OpenTunnels {
-    /// Number of open tunnels.
-    pub fn count(&self) -> usize {
-        self.count.get()
-    }
-
-    fn open(&self) -> OpenTunnel {
-        self.count.set(self.count.get() + 1);
-        OpenTunnel { count: self.count.clone() }
-    }
-}
-
-impl Drop for OpenTunnel {
-    fn drop(&mut self) {
-        self.count.set(self.count.get().saturating_sub(1));
-    }
-}
-
 /// Replies to a query and carries the tunnel until either side closes it.
 pub async fn serve(client: &Io, node: &Node, query: &TunnelQuery) {
     let opened = open(node, query).await;
@@ -72,7 +42,7 @@
 }
 
 /// Connects to the runner, or returns the reply that says why not.
-async fn open(node: &Node, query: &TunnelQuery) -> Result<(Io, OpenTunnel), TunnelReply> {
+async fn open(node: &Node, query: &TunnelQuery) -> Result<(Io, OpenGuard), TunnelReply> {
     let address = runner_address(node, query).map_err(TunnelReply::Declined)?;
     let open = node.open_tunnels.open();
     if node.links.borrow().is_lost(&query.runner) {
