Connections to the health address are bounded, and room is made among them

What operators saw: a node keeps each connection to its health address for 30 s without a request, as many as come, until no descriptor is left; from then on nobody, client or platform, reaches the node at all.

Cause: only client connections and tunnels had a share of the descriptors. A response that is not read was waited for without a time of the node's own.

Change: 64 connections at most, and 3% of the descriptors; beyond them the least active one is closed, as for clients. A response is given 10 s to be read. The shares of the descriptors stand in one module, so that they can be added up.

Requests sent ahead at the ready path pass.

--- a/crates/gateway/src/health_listener.rs
+++ b/crates/gateway/src/health_listener.rs
@@ -1,8 +1,10 @@
 //! Serves readiness, metrics and reports on the health address.
 
+use crate::descriptor_shares::DescriptorShare;
 use crate::listener::{accept, into_ntex_io};
 use crate::metrics;
 use crate::node::Node;
+use crate::open_connections::OpenConnection;
 use crate::quota::report::report;
 use ntex::http::body::BodySize;
 use ntex::http::h1::{Codec, Message};
@@ -12,6 +14,7 @@
 use ntex::util::Bytes;
 use ntex::SharedCfg;
 use pitchstall_platform_adapter::paths;
+use pitchstall_serving::connection_table::Activity;
 use pitchstall_serving::request_identity::InvalidIdentity;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +28,10 @@
 pub const QUARANTINE_PATH: &str = "/quarantine";
 /// Path of the node's view of tenants' limits, on the health address.
 pub const QUOTA_PATH: &str = "/quota";
+/// Maximum number of simultaneous connections.
+const MAX_CONNECTIONS: usize = 64;
+/// Maximum time for flushing a response to a client that reads slowly.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size of a request's head, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Size of the read buffer. Further bytes stay in the socket.
@@ -52,25 +59,35 @@
 pub async fn accept_health(listener: TcpListener, node: Rc<Node>) {
     loop {
         let Some(stream) = accept(&listener).await else { continue };
+        let most = DescriptorShare::Health.of(&node.settings()).min(MAX_CONNECTIONS);
+        let connections = &node.health_connections;
+        if !connections.make_room(|| connections.count() < most).await {
+            log::warn!(target: "listener", most; "connection to the health address rejected: all others are in use");
+            continue;
+        }
         let config = HEALTH_CONFIG.with(Clone::clone);
         if let Some(io) = into_ntex_io(stream, config.clone()) {
-            ntex::rt::spawn(serve_health(io, config, node.clone()));
+            let open = connections.open(&io);
+            ntex::rt::spawn(serve_health(io, config, node.clone(), open));
         }
     }
 }
 
-async fn serve_health(io: Io, config: SharedCfg, node: Rc<Node>) {
+async fn serve_health(io: Io, config: SharedCfg, node: Rc<Node>, open: OpenConnection) {
     let codec = Codec::new(0, config.get());
     while let Ok(Ok(Some((request, _)))) = timeout(HEALTH_IDLE_TIMEOUT, io.recv(&codec)).await {
+        open.set_activity(Activity::Handling);
         let (response, body) = health_response(request.method(), request.path(), &node);
         let size = BodySize::Sized(body.len() as u64);
         let written = io.encode(Message::Item((response, size)), &codec).is_ok()
             && io.encode(Message::Chunk(Some(Bytes::from(body))), &codec).is_ok()
-            && io.encode(Message::Chunk(None), &codec).is_ok()
-            && io.flush(true).await.is_ok();
-        if !written || !codec.keepalive() {
+            && io.encode(Message::Chunk(None), &codec).is_ok();
+        open.set_activity(Activity::Sending);
+        let is_sent = written && matches!(timeout(WRITE_TIMEOUT, io.flush(true)).await, Ok(Ok(())));
+        if !is_sent || !codec.keepalive() {
             break;
         }
+        open.set_activity(Activity::Receiving);
     }
     io.close();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,8 @@
 //!   report something on behalf of all nodes.
 //! - [`tunnel`] carries connections to runners through other nodes. [`peer_listener`] accepts connections of other nodes,
 //!   and [`health_listener`] those for readiness, metrics and reports.
-//! - [`open_connections`] makes room among the connections of an address when there are too many, and [`open_counter`] counts what is open.
+//! - [`open_connections`] makes room among the connections of an address when there are too many, [`open_counter`] counts what is open,
+//!   and [`descriptor_shares`] says how many descriptors each may use.
 //! - [`response_memory`] bounds what the node holds of runners' responses.
 //! - [`reachability`] reports how many runners the node cannot reach.
 //! - [`caught_panic`] lets a task go on after a panic in one request.
@@ -63,6 +64,7 @@
 pub mod connection;
 pub mod cross_region_traffic;
 pub mod daemon;
+pub mod descriptor_shares;
 pub mod dispatch;
 pub mod entries;
 pub mod health_listener;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -88,6 +88,10 @@
     pub second_descriptors: OpenCounter,
     /// Open connections of clients.
     pub client_connections: Rc<OpenConnections>,
+    /// Open connections to the health address.
+    pub health_connections: Rc<OpenConnections>,
+    /// Open connections of other nodes.
+    pub peer_connections: Rc<OpenConnections>,
     /// Notified when the suspicion of a runner, or the state of the link to it, may have changed.
     pub suspicion_changed: Notify,
     /// Notified when this node has ordered a runner to change its role.
@@ -233,6 +237,8 @@
             open_requests: OpenCounter::default(),
             second_descriptors: OpenCounter::default(),
             client_connections: Rc::default(),
+            health_connections: Rc::default(),
+            peer_connections: Rc::default(),
             suspicion_changed: Notify::new(),
             role_change_ordered: Notify::new(),
             fleet_changed: Notify::new(),
--- a/crates/gateway/src/node/resources.rs
+++ b/crates/gateway/src/node/resources.rs
@@ -1,11 +1,10 @@
 //! How many client connections fit, and memory that is reserved for request bodies and responses until a guard is dropped.
 
 use super::Node;
+use crate::descriptor_shares::DescriptorShare;
 use crate::response_memory::ResponseReservation;
 use std::rc::Rc;
 
-/// Share of the process's file descriptors that client connections may use, in percent.
-const MAX_CLIENT_PERCENT: u64 = 60;
 /// The part of the machine's memory that the buffers of all client connections get together.
 const CONNECTION_MEMORY_DIVISOR: u64 = 4;
 /// Memory that a client connection takes at most, unless longer heads are allowed: its read buffer, the head that is copied from
@@ -20,9 +19,10 @@
     /// Whether another client connection fits within the process's file descriptors and memory. The rest is reserved for
     /// runners, other nodes and the store.
     pub fn has_room_for_client(&self) -> bool {
-        let most = self.settings().machine.file_descriptors * MAX_CLIENT_PERCENT / 100;
-        let used = self.client_connections.count() + self.second_descriptors.count();
-        (used as u64) < most && self.client_connections.count() < self.max_clients_by_memory()
+        let most = DescriptorShare::Clients.of(&self.settings());
+        let connections = self.client_connections.count();
+        connections + self.second_descriptors.count() < most
+            && connections < self.max_clients_by_memory()
     }
 
     /// Number of client connections whose buffers fit into their part of the machine's memory, with heads of the longest
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -2,6 +2,7 @@
 
 use super::frames::{data_header, end_frame, go_away_frame};
 use super::{DeclineReason, TunnelQuery, TunnelReply};
+use crate::descriptor_shares::DescriptorShare;
 use crate::http::{open_stream, ConnectError};
 use crate::json_lines::{read_available, read_chunk, write_bytes, write_line, Available};
 use crate::node::Node;
@@ -15,9 +16,8 @@
 
 /// Maximum number of simultaneous tunnels of all other nodes.
 const MAX_TUNNELS: usize = 256;
-/// Share of the process's file descriptors that tunnels may use, in percent. A tunnel takes two.
-const MAX_DESCRIPTOR_PERCENT: u64 = 10;
-const DESCRIPTORS_PER_TUNNEL: u64 = 2;
+/// A tunnel takes the other node's connection and the one to the runner.
+const DESCRIPTORS_PER_TUNNEL: usize = 2;
 /// Maximum number of bytes that are moved at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Number of other runners that are tried before this node assumes that its own links are lost.
@@ -65,9 +65,7 @@
     if node.members.borrow().zone_of(&query.from).is_none() {
         return Err(DeclineReason::UnknownNode);
     }
-    let descriptors = node.settings().machine.file_descriptors * MAX_DESCRIPTOR_PERCENT / 100;
-    let by_descriptors =
-        usize::try_from(descriptors / DESCRIPTORS_PER_TUNNEL).unwrap_or(MAX_TUNNELS);
+    let by_descriptors = DescriptorShare::Tunnels.of(&node.settings()) / DESCRIPTORS_PER_TUNNEL;
     if node.open_tunnels.count() >= by_descriptors.min(MAX_TUNNELS) {
         return Err(DeclineReason::Busy);
     }
