--- a/crates/gateway/src/json_lines.rs
+++ b/crates/gateway/src/json_lines.rs
@@ -27,6 +27,9 @@
     /// limit.
     #[error("the data after the line cannot be compressed or decompressed: {0}")]
     Compression(std::io::Error),
+    /// The peer has not read what was written to it in time.
+    #[error("the peer did not read in time")]
+    Unread,
     /// The line could not be written.
     #[error("the line could not be written: {0}")]
     Write(#[from] std::io::Error),
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -12,9 +12,11 @@
 use crate::http::{open_stream, ConnectError};
 use crate::json_lines::{read_chunk, read_line, write_bytes, write_line, LineError};
 use crate::node::Node;
+use crate::open_connections::OpenConnection;
 use crate::transfer::{Transfer, MAX_TRANSFER_TIME, STALL_TIMEOUT};
 use ntex::io::Io;
 use ntex::util::Bytes;
+use pitchstall_serving::connection_table::Activity;
 use pitchstall_serving::store_replica::{StoreUpdateQuery, StoreUpdateReply, Subject};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -50,22 +52,45 @@
 
 impl Followers {
     /// Replies to the queries on one connection, of which `query` is the first, until the connection ends.
-    pub async fn serve(&self, io: &Io, node: &Node, query: StoreUpdateQuery) {
+    pub async fn serve(
+        &self,
+        io: &Io,
+        node: &Node,
+        query: StoreUpdateQuery,
+        open: &OpenConnection,
+    ) {
         let mut query = query;
         loop {
             wait_for_change(node, &query).await;
-            let cache = self.caches.cache(query.subject);
-            if let Err(error) = write_reply(io, node, &query, cache).await {
+            open.set_activity(Activity::Sending);
+            if let Err(error) = self.send_reply(io, node, &query).await {
                 let error = error.to_string();
                 log::info!(target: "mirror", error; "reply to a follower not written");
                 return;
             }
-            match timeout(IDLE_TIMEOUT, read_line::<StoreUpdateQuery>(io)).await {
+            open.set_activity(Activity::Receiving);
+            match timeout(IDLE_TIMEOUT, read_line(io)).await {
                 Ok(Ok(next)) => query = next,
                 _ => return,
             }
+            open.set_activity(Activity::Handling);
         }
     }
+
+    /// Sends a reply, and waits until the follower has read all but what its socket holds.
+    async fn send_reply(
+        &self,
+        io: &Io,
+        node: &Node,
+        query: &StoreUpdateQuery,
+    ) -> Result<(), LineError> {
+        let cache = self.caches.cache(query.subject);
+        let sent = timeout(MAX_TRANSFER_TIME, async {
+            write_reply(io, node, query, cache).await?;
+            Ok(io.flush(true).await?)
+        });
+        sent.await.unwrap_or(Err(LineError::Unread))
+    }
 }
 
 async fn wait_for_change(node: &Node, query: &StoreUpdateQuery) {
