A line that comes unasked at the address for nodes has 4 KB at most

What operators saw: connections that send a line without an end make a node hold 1 MB each, and 768 may be open.

Cause: the same bound was used for the first line of a connection, a query of some hundred bytes, as for the replies that a node has asked for, which hold parts of the store.

Change: queries have a bound of their own.

Tests of replication, cut and recorded messages and lost links pass.

--- a/crates/gateway/src/json_lines.rs
+++ b/crates/gateway/src/json_lines.rs
@@ -7,9 +7,11 @@
 use serde::Serialize;
 use std::cell::Cell;
 
-/// Maximum length of a line. Updates of more than a few kilobytes are sent compressed after their
-/// line.
+/// Maximum length of a line that a node has asked for. Updates of more than a few kilobytes are sent compressed after
+/// their line.
 const MAX_LINE_BYTES: usize = 1024 * 1024;
+/// Maximum length of a line that comes unasked.
+pub const MAX_QUERY_BYTES: usize = 4 * 1024;
 
 /// Why a line, or the bytes after it, could not be exchanged.
 #[derive(Debug, thiserror::Error)]
@@ -37,8 +39,8 @@
 
 /// Splits the input at line ends. Bytes that have been searched are not searched again, since a
 /// long line arrives in many pieces.
-#[derive(Default)]
 struct LineDecoder {
+    max_bytes: usize,
     searched: Cell<usize>,
 }
 
@@ -50,7 +52,7 @@
         let searched = self.searched.replace(source.len()).min(source.len());
         match source[searched..].iter().position(|byte| *byte == b'\n') {
             Some(end) => Ok(Some(source.split_to(searched + end + 1))),
-            None if source.len() > MAX_LINE_BYTES => Err(LineError::TooLong),
+            None if source.len() > self.max_bytes => Err(LineError::TooLong),
             None => Ok(None),
         }
     }
@@ -71,9 +73,17 @@
     }
 }
 
-/// Reads and parses the next line.
+/// Reads and parses the next line, which this node has asked for.
 pub async fn read_line<T: DeserializeOwned>(io: &Io) -> Result<T, LineError> {
-    let line = receive(io, &LineDecoder::default()).await?;
+    read_line_within(io, MAX_LINE_BYTES).await
+}
+
+/// Reads and parses the next line of at most `max_bytes`.
+pub async fn read_line_within<T: DeserializeOwned>(
+    io: &Io,
+    max_bytes: usize,
+) -> Result<T, LineError> {
+    let line = receive(io, &LineDecoder { max_bytes, searched: Cell::new(0) }).await?;
     Ok(serde_json::from_slice(&line)?)
 }
 
--- a/crates/gateway/src/peer_listener.rs
+++ b/crates/gateway/src/peer_listener.rs
@@ -1,7 +1,7 @@
 //! Accepts connections of other nodes. Their first line tells what they are for.
 
 use crate::descriptor_shares::DescriptorShare;
-use crate::json_lines::read_line;
+use crate::json_lines::{read_line_within, MAX_QUERY_BYTES};
 use crate::listener::{accept, into_ntex_io};
 use crate::node::Node;
 use crate::open_connections::OpenConnection;
@@ -51,7 +51,7 @@
 }
 
 async fn serve(io: &Io, node: &Node, followers: &Followers, open: &OpenConnection) {
-    let query = timeout(IDLE_TIMEOUT, read_line(io)).await;
+    let query = timeout(IDLE_TIMEOUT, read_line_within(io, MAX_QUERY_BYTES)).await;
     open.set_activity(Activity::Handling);
     match query {
         Ok(Ok(PeerQuery::Tunnel(query))) => server::serve(io, node, &query).await,
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -10,7 +10,9 @@
 use crate::clock::Instant;
 use crate::compression::{decompress, CompressedUpdateCache};
 use crate::http::{open_stream, ConnectError};
-use crate::json_lines::{read_chunk, read_line, write_bytes, write_line, LineError};
+use crate::json_lines::{
+    read_chunk, read_line, read_line_within, write_bytes, write_line, LineError, MAX_QUERY_BYTES,
+};
 use crate::node::Node;
 use crate::open_connections::OpenConnection;
 use crate::transfer::{Transfer, MAX_TRANSFER_TIME, STALL_TIMEOUT};
@@ -69,7 +71,7 @@
                 return;
             }
             open.set_activity(Activity::Receiving);
-            match timeout(IDLE_TIMEOUT, read_line(io)).await {
+            match timeout(IDLE_TIMEOUT, read_line_within(io, MAX_QUERY_BYTES)).await {
                 Ok(Ok(next)) => query = next,
                 _ => return,
             }
