Requests in progress find room among idle connections, or are refused, within the descriptors

What operators saw: nothing yet; found while the bounds were listed. Each request in progress takes a descriptor for its runner's connection beside the client's, so that as many requests as client connections are allowed need 120% of the descriptors; then nobody can connect, neither to the health address nor the node to its store.

Cause: only client connections were counted.

Change: clients' connections, requests in progress and idle connections to runners are counted together: 60% and 8% beyond. Where a request finds no room, idle connections to runners are closed, then the clients' least active ones, as for a newcomer; only then is it refused with 503, which says that it has not run.

--- a/crates/gateway/src/descriptor_shares.rs
+++ b/crates/gateway/src/descriptor_shares.rs
@@ -11,8 +11,8 @@
 pub enum DescriptorShare {
     /// Connections of clients.
     Clients,
-    /// Connections of clients, and those to the runners that handle their requests.
-    ClientsAndRunners,
+    /// Connections to the runners that handle clients' requests. They may also use what clients leave of theirs.
+    Runners,
     /// Connections of other nodes.
     Peers,
     /// Connections to runners on behalf of other nodes, each with the other node's connection.
@@ -25,7 +25,7 @@
     fn percent(self) -> u64 {
         match self {
             Self::Clients => 60,
-            Self::ClientsAndRunners => 68,
+            Self::Runners => 8,
             Self::Peers => 20,
             // Half of them are those of other nodes.
             Self::Tunnels => 10,
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -131,6 +131,16 @@
         }
     }
 
+    /// Number of idle connections to all runners.
+    pub fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes all idle connections to a runner.
     pub fn remove_runner(&self, runner: &RunnerId) {
         self.idle.borrow_mut().remove(runner);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -168,6 +168,12 @@
         let refused = RequestOutcome::Local(LocalResponse::Refused);
         return finish(node, request, Some(&route), refused);
     }
+    if !node.make_room_for_request().await {
+        let id = request.metadata.id.as_str();
+        log::warn!(target: "request", request = id; "request refused: all file descriptors for connections to runners are in use");
+        return finish(node, request, Some(&route), RequestOutcome::Local(LocalResponse::Refused));
+    }
+    let _dispatched = node.dispatched_requests.open();
     let time_limit = TimeLimit::new(request, Some(&route));
     let deadline = request.received_at + Duration::from_millis(time_limit.limit_ms);
     node.with_retry_budget(&service, SharedRetryBudget::on_request);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -84,6 +84,8 @@
     pub open_tunnels: OpenCounter,
     /// Requests without a final response, which a planned stop waits for.
     pub open_requests: OpenCounter,
+    /// Requests that may use a connection to a runner.
+    pub dispatched_requests: OpenCounter,
     /// Second descriptors of client connections' sockets.
     pub second_descriptors: OpenCounter,
     /// Open connections of clients.
@@ -235,6 +237,7 @@
             tunnel_peers: RefCell::default(),
             open_tunnels: OpenCounter::default(),
             open_requests: OpenCounter::default(),
+            dispatched_requests: OpenCounter::default(),
             second_descriptors: OpenCounter::default(),
             client_connections: Rc::default(),
             health_connections: Rc::default(),
--- a/crates/gateway/src/node/resources.rs
+++ b/crates/gateway/src/node/resources.rs
@@ -25,6 +25,25 @@
             && connections < self.max_clients_by_memory()
     }
 
+    /// Makes room for the connection to a runner of one more request, among idle connections to runners and then among those
+    /// of clients. Returns whether there is room.
+    pub async fn make_room_for_request(&self) -> bool {
+        if self.has_room_for_request() {
+            return true;
+        }
+        self.pool.clear();
+        self.client_connections.make_room(|| self.has_room_for_request()).await
+    }
+
+    /// Whether the connection to a runner of one more request fits within the process's file descriptors.
+    fn has_room_for_request(&self) -> bool {
+        let clients = self.client_connections.count() + self.second_descriptors.count();
+        let runners = self.pool.idle_count() + self.dispatched_requests.count();
+        let settings = self.settings();
+        let most = DescriptorShare::Clients.of(&settings) + DescriptorShare::Runners.of(&settings);
+        clients + runners < most
+    }
+
     /// Number of client connections whose buffers fit into their part of the machine's memory, with heads of the longest
     /// size allowed.
     fn max_clients_by_memory(&self) -> usize {
