A status that HTTP doesn't know is no response

What callers saw: a runner in trouble sent an answer whose status was 000. Alone and whole, it gives 502 here; but in front of another response, the client got that one as a success, on new and on kept connections: "200, all of it", and a prefill's handle that came after it was used. 600 and 999 were passed on as they are.

Cause: every status below 200 was skipped as an interim response, also 000 to 099, so that the bytes after it were taken for the response to the request.

Change: a head whose status is outside 100 to 599 is an error, as one that cannot be parsed: the attempt is broken, its connection closed, and the client gets 502 unless the request may be repeated.

At the decoder, four statuses cut at each byte are an error. Damaged heads, promises, forwarding and the other tests of the decoder pass.

--- a/crates/gateway/src/http/response_codec.rs
+++ b/crates/gateway/src/http/response_codec.rs
@@ -7,8 +7,12 @@
 use ntex::codec::Decoder;
 use ntex::util::{Bytes, BytesMut};
 use std::cell::Cell;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+/// The statuses of HTTP, by their classes. What another one means is unknown, so it is neither an interim response nor a final
+/// one.
+const KNOWN_STATUSES: RangeInclusive<u16> = 100..=599;
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
 /// Maximum size of a response's head together with the interim heads before it, and of a body's trailers.
@@ -25,6 +29,9 @@
     /// The head cannot be parsed.
     #[error("response head is malformed")]
     InvalidHead,
+    /// The status is none that HTTP knows.
+    #[error("response status is unknown")]
+    InvalidStatus,
     /// The head with its interim heads, or the trailers of the body, exceed their maximum size.
     #[error("response head is too large")]
     HeadTooLarge,
@@ -50,7 +57,7 @@
 /// The head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// The HTTP status code; 200 or more, since interim responses are skipped.
+    /// The HTTP status code, 200 to 599: interim responses are skipped.
     pub status: u16,
     /// Headers in the order received, with names in lower case.
     pub headers: Vec<Header>,
@@ -136,6 +143,9 @@
     let parsed = response.parse(source).map_err(|_| ResponseDecodeError::InvalidHead)?;
     let httparse::Status::Complete(length) = parsed else { return Ok(None) };
     let status = response.code.ok_or(ResponseDecodeError::InvalidHead)?;
+    if !KNOWN_STATUSES.contains(&status) {
+        return Err(ResponseDecodeError::InvalidStatus);
+    }
     let to_owned_header =
         |header: &httparse::Header<'_>| (header.name.to_ascii_lowercase(), header.value.to_vec());
     let mut head = ResponseHead {
--- a/crates/gateway/tests/response_codec.rs
+++ b/crates/gateway/tests/response_codec.rs
@@ -44,6 +44,26 @@
     assert_eq!(head.idle_timeout, expected);
 }
 
+/// Guards against a status that HTTP doesn't know, at any cut, in front of a response that looks like a success.
+#[test_case("000")]
+#[test_case("099")]
+#[test_case("600")]
+#[test_case("999")]
+fn an_unknown_status_is_an_error_in_whatever_pieces_it_arrives(status: &str) {
+    let head = format!("HTTP/1.1 {status} Unknown\r\ncontent-length: 0\r\n\r\n");
+    let success = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    for cut in 0..=head.len() {
+        let decoder = ResponseHeadDecoder::default();
+        let mut source = BytesMut::from(&head[..cut]);
+        let early = decoder.decode(&mut source);
+        source.extend_from_slice(&head.as_bytes()[cut..]);
+        source.extend_from_slice(success.as_bytes());
+        let decoded =
+            early.and_then(|it| it.map_or_else(|| decoder.decode(&mut source), |it| Ok(Some(it))));
+        assert_eq!(decoded, Err(ResponseDecodeError::InvalidStatus), "cut at {cut}");
+    }
+}
+
 #[test]
 fn interim_responses_are_skipped() {
     let mut source = BytesMut::from(
