--- a/crates/cli/tests/misbehaving_clients.rs
+++ b/crates/cli/tests/misbehaving_clients.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use pitchstall_platform_standins::runner::{Reaction, RunnerStandIn};
+use pitchstall_platform_standins::runner::{engine_script, Reaction, RunnerStandIn};
 use pitchstall_platform_standins::store::StoreStandIn;
 use serde_json::{json, Value};
 use std::io::{Read, Write};
@@ -37,7 +37,8 @@
 /// Held while a test runs, as the crowds of two tests would take each other's processor and memory.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
-/// A node whose settings bound its memory and descriptors, with a runner that answers and one that never does.
+/// A node whose settings bound its memory and descriptors, with a runner that answers, one that never does, and one that
+/// serves a language model.
 struct Fixture {
     node: Node,
     file_descriptors: usize,
@@ -60,7 +61,8 @@
             body: b"served".to_vec(),
         });
         let silent = RunnerStandIn::start("silent", |_| Reaction::Silent);
-        let runners = vec![quick.unwrap(), silent.unwrap()];
+        let engine = RunnerStandIn::start("llm", engine_script(1));
+        let runners = vec![quick.unwrap(), silent.unwrap(), engine.unwrap()];
         for runner in &runners {
             store.put(&format!("servers/{}", runner.id()), &runner_entry(runner));
         }
@@ -125,13 +127,19 @@
     const FURTHER_ROUTES: usize = 20;
     let further = (0..FURTHER_ROUTES).map(|number| format!("quick/further-{number}"));
     let names = ["quick".to_owned(), "silent".to_owned()].into_iter().chain(further);
-    let routes: Vec<Value> = names.map(|name| route(&name)).collect();
+    let mut routes: Vec<Value> = names.map(|name| route(&name)).collect();
+    let mut stream = route("llm");
+    stream["kind"] = "streaming".into();
+    stream["sticky"] = true.into();
+    routes.push(stream);
     json!({
         "version": 3,
         "routes": routes,
         "services": [
             { "name": "quick", "health_path": "/health", "max_conns": 100 },
             { "name": "silent", "health_path": "/health", "max_conns": 2_000 },
+            { "name": "llm", "health_path": "/health", "max_conns": 100, "engine": {
+                "slots": 32, "kv_tokens": 100_000, "handle_ttl_s": 5.0 } },
         ],
         "limits": { "max_header_bytes": 15_000, "max_body_bytes": MAX_BODY_BYTES,
             "header_timeout_ms": CLIENT_TIMEOUT_MS, "idle_timeout_ms": CLIENT_TIMEOUT_MS },
@@ -141,7 +149,7 @@
 fn runner_entry(runner: &RunnerStandIn) -> Value {
     json!({
         "service": runner.id(), "address": runner.address().to_string(), "zone": "north", "version": "v1", "slots": 2_000,
-        "state": "ready", "cold_left_ms": 0, "seq": 1,
+        "state": "ready", "cold_left_ms": 0, "seq": 1, "stage": "decode",
     })
 }
 
@@ -271,6 +279,32 @@
     fixture.assert_unharmed_by(crowd);
 }
 
+/// Guards against prompts of which a node remembers parts without end, as they have no tokens.
+#[test]
+fn prompts_of_many_parts_without_tokens_are_bounded() {
+    const REQUESTS: usize = 1_500;
+    const PARTS: usize = 1_200;
+    let mut fixture = Fixture::start();
+    let address = fixture.node.clients();
+    for number in 0..REQUESTS {
+        let parts = (0..PARTS).map(|part| format!("{:x}:0", number * PARTS + part));
+        let parts: Vec<String> = parts.collect();
+        let request = format!(
+            "GET /llm/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pitchstall-Request-Id: id-{number}\r\n\
+             X-Pitchstall-Model: m\r\nX-Pitchstall-Token-Count: 10,1\r\nX-Pitchstall-Prefix-Hash: {}\r\n\
+             Connection: close\r\n\r\n",
+            parts.join(",")
+        );
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(ATTEMPT_TIMEOUT)).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("token 1"), "{answer}");
+    }
+    fixture.assert_unharmed_by(Vec::new());
+}
+
 /// Guards against connections to runners that take the descriptors which clients leave.
 #[test]
 fn requests_in_progress_take_no_more_descriptors_than_there_are() {
