--- a/crates/gateway/src/health_listener.rs
+++ b/crates/gateway/src/health_listener.rs
@@ -62,7 +62,6 @@
         let most = DescriptorShare::Health.of(&node.settings()).min(MAX_CONNECTIONS);
         let connections = &node.health_connections;
         if !connections.make_room(|| connections.count() < most).await {
-            log::warn!(target: "listener", most; "connection to the health address rejected: all others are in use");
             continue;
         }
         let config = HEALTH_CONFIG.with(Clone::clone);
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -25,7 +25,6 @@
         let connections = &node.client_connections;
         if !connections.make_room(|| node.has_room_for_client()).await {
             // The connection is closed without reading from it, so the client can safely try another node.
-            log::warn!(target: "listener", open = connections.count(); "client connection rejected: all others are in use");
             continue;
         }
         let limits = node.configuration().map(|it| it.limits).unwrap_or_default();
--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -6,20 +6,38 @@
 use pitchstall_serving::connection_table::{Activity, ConnectionId, ConnectionTable};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Minimum time between two log lines about the room at one address. A crowd may connect thousands of times a second.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The open connections of one address.
 pub struct OpenConnections {
+    address: &'static str,
     table: RefCell<ConnectionTable<IoRef>>,
     started: Instant,
+    shortage: RefCell<Shortage>,
 }
 
-impl Default for OpenConnections {
-    fn default() -> Self {
-        Self { table: RefCell::default(), started: Instant::now() }
-    }
+/// What has happened for want of room since the last log line.
+#[derive(Default)]
+struct Shortage {
+    closed: usize,
+    rejected: usize,
+    reported_at: Option<Instant>,
 }
 
 impl OpenConnections {
+    /// No connections yet. `address` is the name of the address in the log.
+    pub fn new(address: &'static str) -> Rc<Self> {
+        Rc::new(Self {
+            address,
+            table: RefCell::default(),
+            started: Instant::now(),
+            shortage: RefCell::default(),
+        })
+    }
+
     /// Number of open connections.
     pub fn count(&self) -> usize {
         self.table.borrow().len()
@@ -34,11 +52,9 @@
     /// Closes connections, the least active first, until `has_room` holds. Returns whether it does.
     pub async fn make_room(&self, has_room: impl Fn() -> bool) -> bool {
         while !has_room() {
-            let has_unread_bytes = |io: &IoRef| io.with_read_buf(|buffer| !buffer.is_empty());
-            let removed =
-                self.table.borrow_mut().remove_least_active(self.now_us(), has_unread_bytes);
+            let removed = self.remove_least_active();
+            self.report_shortage(removed.is_some());
             let Some(connection) = removed else { return false };
-            log::info!(target: "listener", open = self.count(), address = connection.tag(); "connection closed to make room");
             connection.terminate();
             // The connection's own task releases what it holds.
             tokio::task::yield_now().await;
@@ -46,6 +62,28 @@
         true
     }
 
+    fn remove_least_active(&self) -> Option<IoRef> {
+        let has_unread_bytes = |io: &IoRef| io.with_read_buf(|buffer| !buffer.is_empty());
+        self.table.borrow_mut().remove_least_active(self.now_us(), has_unread_bytes)
+    }
+
+    /// Counts a connection that is closed to make room, or for which there is none, and logs the counts once in a while.
+    fn report_shortage(&self, is_closed: bool) {
+        let mut shortage = self.shortage.borrow_mut();
+        match is_closed {
+            true => shortage.closed += 1,
+            false => shortage.rejected += 1,
+        }
+        let is_due = |at: Instant| at.elapsed() >= REPORT_INTERVAL;
+        if !shortage.reported_at.is_none_or(is_due) {
+            return;
+        }
+        let Shortage { closed, rejected, .. } = *shortage;
+        let (address, open) = (self.address, self.count());
+        log::warn!(target: "listener", address, open, closed, rejected; "connections closed to make room");
+        *shortage = Shortage { reported_at: Some(Instant::now()), ..Shortage::default() };
+    }
+
     fn now_us(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
--- a/crates/gateway/src/peer_listener.rs
+++ b/crates/gateway/src/peer_listener.rs
@@ -40,7 +40,6 @@
         let most = DescriptorShare::Peers.of(&node.settings()).min(MAX_CONNECTIONS);
         let connections = &node.peer_connections;
         if !connections.make_room(|| connections.count() < most).await {
-            log::warn!(target: "peers", most; "connection of another node rejected: all others are in use");
             continue;
         }
         let Some(io) = into_ntex_io(stream, config.clone()) else { continue };
