A node takes a few clients however little memory it has

What callers would see: a node whose operators allow heads longer than an eighth of its memory takes no client at all, by the bound on connections that this work has added.

Change: four clients at least.

--- a/crates/gateway/src/node/resources.rs
+++ b/crates/gateway/src/node/resources.rs
@@ -10,6 +10,8 @@
 /// Memory that a client connection takes at most, unless longer heads are allowed: its read buffer, the head that is copied from
 /// it, and its state.
 const MIN_CONNECTION_BYTES: usize = 32 * 1024;
+/// Number of client connections that are accepted however little memory there is.
+const MIN_CLIENTS: usize = 4;
 /// The part of the machine's memory that all requests get together.
 const REQUEST_MEMORY_DIVISOR: u64 = 4;
 /// Memory that a request takes while it is handled, as a multiple of its head: the values that are parsed from it, and the
@@ -48,12 +50,12 @@
     }
 
     /// Number of client connections whose buffers fit into their part of the machine's memory, with heads of the longest
-    /// size allowed.
+    /// size allowed; a few in any case.
     fn max_clients_by_memory(&self) -> usize {
         let max_header_bytes =
             self.configuration().map(|it| it.limits).unwrap_or_default().max_header_bytes;
         let connection_bytes = max_header_bytes.saturating_mul(2).max(MIN_CONNECTION_BYTES);
-        self.memory_share(CONNECTION_MEMORY_DIVISOR) / connection_bytes
+        (self.memory_share(CONNECTION_MEMORY_DIVISOR) / connection_bytes).max(MIN_CLIENTS)
     }
 
     /// Reserves memory for a request with a head and a body of these sizes until the guard is dropped. All requests together
